Lay the foundation: schema, generated types, protocols, checks

Cause: nothing existed. The schemas under schema/ are the source of messages, settings, declarations, store records and the engines' protocol; tools/generate.py writes msgspec structs. store/ and policy/ hold the protocols that the parts are built against.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+.PHONY: test demo soak fuzz bench slopes format venv generate
+
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+test: $(STAMP)
+	$(BIN)/black --check --quiet src standins testing tools
+	$(BIN)/ruff check --quiet src standins testing tools
+	$(BIN)/mypy
+	$(BIN)/python -m pytest
+
+demo: $(STAMP)
+	$(BIN)/python -m standins.demo
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix --quiet src standins testing tools || true
+	$(BIN)/black --quiet src standins testing tools
+
+generate: $(STAMP)
+	$(BIN)/python tools/generate.py
+
+venv: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
--- /dev/null
+++ b/src/tanagerscale/core/__init__.py
@@ -0,0 +1,47 @@
+"""What every part uses: identifiers, the clock, kinds of errors, logs."""
+
+from __future__ import annotations
+
+from tanagerscale.core._clock import MS_PER_SECOND
+from tanagerscale.core._clock import Clock
+from tanagerscale.core._clock import Millis
+from tanagerscale.core._clock import WallMillis
+from tanagerscale.core._errors import Execution
+from tanagerscale.core._errors import Problem
+from tanagerscale.core._errors import ProblemKind
+from tanagerscale.core._ids import AttemptId
+from tanagerscale.core._ids import ClientAccountId
+from tanagerscale.core._ids import FailureDomainId
+from tanagerscale.core._ids import GenerationId
+from tanagerscale.core._ids import HostId
+from tanagerscale.core._ids import ModelId
+from tanagerscale.core._ids import RequestId
+from tanagerscale.core._ids import Revision
+from tanagerscale.core._ids import ServiceId
+from tanagerscale.core._ids import UpstreamId
+from tanagerscale.core._ids import new_id
+from tanagerscale.core._log import get_logger
+from tanagerscale.core._log import set_up_logging
+
+__all__ = [
+    "MS_PER_SECOND",
+    "AttemptId",
+    "ClientAccountId",
+    "Clock",
+    "Execution",
+    "FailureDomainId",
+    "GenerationId",
+    "HostId",
+    "Millis",
+    "ModelId",
+    "Problem",
+    "ProblemKind",
+    "RequestId",
+    "Revision",
+    "ServiceId",
+    "UpstreamId",
+    "WallMillis",
+    "get_logger",
+    "new_id",
+    "set_up_logging",
+]
--- /dev/null
+++ b/src/tanagerscale/core/_errors.py
@@ -0,0 +1,60 @@
+"""Typed kinds of errors; each message names the remedy."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from enum import unique
+
+
+@unique
+class Execution(Enum):
+    """What is known about whether a request ran on an upstream."""
+
+    NOT_EXECUTED = "not-executed"
+    EXECUTED = "executed"
+    UNKNOWN = "unknown"
+
+
+@unique
+class ProblemKind(Enum):
+    """Kinds of final answers that are not the answer asked for.
+
+    The value is the last part of the problem's ``type`` URI (RFC 9457).
+    """
+
+    BAD_REQUEST = "bad-request"
+    UNAUTHORIZED = "unauthorized"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not-found"
+    TOO_LARGE = "too-large"
+    LIMITED = "limited"
+    OVERLOADED = "overloaded"
+    STOPPING = "stopping"
+    NO_UPSTREAM = "no-upstream"
+    UPSTREAM_FAILED = "upstream-failed"
+    GENERATION_LOST = "generation-lost"
+    QUARANTINED = "quarantined"
+    STORE_UNAVAILABLE = "store-unavailable"
+    IN_PROGRESS = "in-progress"
+    KEY_REUSED = "key-reused"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    CURSOR_REFUSED = "cursor-refused"
+    TIMEOUT = "timeout"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Problem:
+    """A final answer that reports a failure.
+
+    :param kind: What went wrong.
+    :param detail: One sentence for the caller that names the remedy.
+    :param execution: Whether the request ran.
+    :param retry_after_ms: When coming back helps, how long to wait; otherwise ``None``.
+    """
+
+    kind: ProblemKind
+    detail: str
+    execution: Execution
+    retry_after_ms: int | None = None
--- /dev/null
+++ b/src/tanagerscale/core/_ids.py
@@ -0,0 +1,28 @@
+"""Identifier types; each is a plain string or number at run time."""
+
+from __future__ import annotations
+
+import secrets
+from typing import NewType
+
+HostId = NewType("HostId", str)
+FailureDomainId = NewType("FailureDomainId", str)
+ClientAccountId = NewType("ClientAccountId", str)
+UpstreamId = NewType("UpstreamId", str)
+ModelId = NewType("ModelId", str)
+ServiceId = NewType("ServiceId", str)
+RequestId = NewType("RequestId", str)
+GenerationId = NewType("GenerationId", str)
+AttemptId = NewType("AttemptId", str)
+Revision = NewType("Revision", int)
+
+ID_BYTES = 12
+
+
+def new_id(*, prefix: str) -> str:
+    """Return an identifier that no other host will make.
+
+    :param prefix: Short word that tells the kind, such as ``"req"``.
+    :returns: The prefix, a hyphen and 96 random bits as hexadecimal digits.
+    """
+    return f"{prefix}-{secrets.token_hex(ID_BYTES)}"
--- /dev/null
+++ b/src/tanagerscale/store/__init__.py
@@ -0,0 +1,27 @@
+"""Access to the platform's key-value service."""
+
+from __future__ import annotations
+
+from tanagerscale.store._protocol import LeaseId
+from tanagerscale.store._protocol import PutIf
+from tanagerscale.store._protocol import PutOutcome
+from tanagerscale.store._protocol import Store
+from tanagerscale.store._protocol import StoreEntry
+from tanagerscale.store._protocol import StoreError
+from tanagerscale.store._protocol import StoreErrorKind
+from tanagerscale.store._protocol import StoreRange
+from tanagerscale.store._protocol import StoreRevision
+from tanagerscale.store._protocol import WatchBatch
+
+__all__ = [
+    "LeaseId",
+    "PutIf",
+    "PutOutcome",
+    "Store",
+    "StoreEntry",
+    "StoreError",
+    "StoreErrorKind",
+    "StoreRange",
+    "StoreRevision",
+    "WatchBatch",
+]
