--- a/tools/generate.py
+++ b/tools/generate.py
@@ -70,6 +70,7 @@
     """
     code = UNSET_ALTERNATIVE.sub("", code)
     code = code.replace(", UnsetType", "")
+    code = code.replace(" = UNSET\n", " = None\n").replace(" UNSET,", "")
     return STRUCT_BASE.sub(STRUCT_OPTIONS, code)
 
 
