--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -2,6 +2,15 @@
 
 from __future__ import annotations
 
+from tanagerscale.policy._forecast import ForecastScheduler
+from tanagerscale.policy._forecast import make_scheduler
+from tanagerscale.policy._lengths import LengthCurve
+from tanagerscale.policy._lengths import LengthEstimator
+from tanagerscale.policy._simple import ImmediateScheduler
+from tanagerscale.policy._simple import LeastOutstanding
+from tanagerscale.policy._tuning import Tuning
+from tanagerscale.policy._tuning import tuning_for
+from tanagerscale.policy._types import AccountSpec
 from tanagerscale.policy._types import Decision
 from tanagerscale.policy._types import DecisionKind
 from tanagerscale.policy._types import EngineLoad
@@ -10,10 +19,19 @@
 from tanagerscale.policy._types import Scheduler
 
 __all__ = [
+    "AccountSpec",
     "Decision",
     "DecisionKind",
     "EngineLoad",
     "EngineSpec",
+    "ForecastScheduler",
+    "ImmediateScheduler",
+    "LeastOutstanding",
+    "LengthCurve",
+    "LengthEstimator",
     "PlacementRequest",
     "Scheduler",
+    "Tuning",
+    "make_scheduler",
+    "tuning_for",
 ]
--- /dev/null
+++ b/src/tanagerscale/policy/_lengths.py
@@ -0,0 +1,185 @@
+"""Estimates of answer lengths, learnt only from answers that have ended."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import math
+from typing import final
+
+from tanagerscale.policy._types import PlacementRequest
+
+BUCKETS_PER_E_FOLD = 5
+LONGEST_TOKENS = 1 << 17
+BUCKETS = int(math.log(LONGEST_TOKENS) * BUCKETS_PER_E_FOLD) + 2
+
+HALF_LIFE = 400
+"""Finished answers after which an observation counts half."""
+
+PARENT_STRENGTH = 6.0
+"""How many observations the coarser group's distribution is worth in the finer one."""
+
+RESCALE_ABOVE = 1e12
+
+
+def _edge(bucket: int) -> float:
+    return math.exp(bucket / BUCKETS_PER_E_FOLD) - 1.0
+
+
+_EDGES = tuple(_edge(bucket) for bucket in range(BUCKETS + 1))
+
+
+def _position(tokens: float) -> float:
+    return math.log1p(tokens) * BUCKETS_PER_E_FOLD
+
+
+@final
+class LengthCurve:
+    """The survival function of one group's answer lengths.
+
+    :param density: Probability of each bucket; they sum to one.
+    """
+
+    __slots__ = ("_density", "_survival", "_tail_mass", "mean")
+
+    def __init__(self, *, density: Sequence[float]) -> None:
+        self._density = density
+        survival = [1.0]
+        for probability in density:
+            survival.append(max(survival[-1] - probability, 0.0))
+        self._survival = survival
+        self._tail_mass = self._integrate(survival)
+        self.mean = self._tail_mass[0]
+        """Expected length in tokens."""
+
+    @property
+    def density(self) -> Sequence[float]:
+        """Return the probability of each bucket."""
+        return self._density
+
+    @staticmethod
+    def _integrate(survival: Sequence[float]) -> list[float]:
+        tail = [0.0] * (BUCKETS + 1)
+        for bucket in range(BUCKETS - 1, -1, -1):
+            width = _EDGES[bucket + 1] - _EDGES[bucket]
+            tail[bucket] = tail[bucket + 1] + (survival[bucket] + survival[bucket + 1]) / 2 * width
+        return tail
+
+    def survival(self, tokens: float) -> float:
+        """Return the chance that an answer is longer than ``tokens``."""
+        position = math.log1p(tokens) * BUCKETS_PER_E_FOLD
+        bucket = int(position)
+        if bucket >= BUCKETS:
+            return 0.0
+        left = self._survival[bucket]
+        return left + (self._survival[bucket + 1] - left) * (position - bucket)
+
+    def mean_remaining(self, tokens: float) -> float:
+        """Return the expected tokens still to come after ``tokens``, given that it goes on."""
+        position = _position(tokens)
+        bucket = min(int(position), BUCKETS - 1)
+        alive = self.survival(tokens)
+        if alive <= 0.0:
+            return 0.0
+        ahead = (_EDGES[bucket + 1] - tokens) * (alive + self._survival[bucket + 1]) / 2
+        return max(ahead + self._tail_mass[bucket + 1], 0.0) / alive
+
+
+@final
+class _Group:
+    """Decayed counts of one group of requests and the curve made from them."""
+
+    __slots__ = ("_growth", "_increment", "_since", "_total", "counts", "curve")
+
+    def __init__(self) -> None:
+        self.counts = [0.0] * BUCKETS
+        self.curve: LengthCurve | None = None
+        self._growth = 2.0 ** (1.0 / HALF_LIFE)
+        self._increment = 1.0
+        self._total = 0.0
+        self._since = 0
+
+    def observe(self, bucket: int) -> None:
+        self.counts[bucket] += self._increment
+        self._total += self._increment
+        # Growing the increment has the effect of decaying all older counts.
+        self._increment *= self._growth
+        self._since += 1
+        if self._increment > RESCALE_ABOVE:
+            self._rescale()
+
+    def _rescale(self) -> None:
+        scale = 1.0 / self._increment
+        self.counts = [count * scale for count in self.counts]
+        self._total *= scale
+        self._increment = 1.0
+
+    @property
+    def observations(self) -> float:
+        """Return the decayed number of observations."""
+        return self._total / self._increment
+
+    @property
+    def stale(self) -> bool:
+        """Return whether the curve should be made again."""
+        return self.curve is None or self._since * 16 > self.observations
+
+    def rebuild(self, *, parent: Sequence[float]) -> LengthCurve:
+        seen = self.observations
+        total = seen + PARENT_STRENGTH
+        scale = 1.0 / (self._increment * total)
+        share = PARENT_STRENGTH / total
+        density = [
+            count * scale + share * prior for count, prior in zip(self.counts, parent, strict=True)
+        ]
+        self.curve = LengthCurve(density=density)
+        self._since = 0
+        return self.curve
+
+
+def _log_uniform() -> list[float]:
+    used = int(_position(8192))
+    return [1.0 / used if bucket < used else 0.0 for bucket in range(BUCKETS)]
+
+
+@final
+class LengthEstimator:
+    """Learns lengths for (model, adapter, account, class), backing off to coarser groups."""
+
+    def __init__(self) -> None:
+        self._groups: dict[tuple[str, ...], _Group] = {}
+        self._prior = LengthCurve(density=_log_uniform())
+
+    def observe(self, *, request: PlacementRequest, tokens: int) -> None:
+        """Learn from an answer that has ended.
+
+        :param request: What was asked for.
+        :param tokens: Length of the whole answer.
+        """
+        bucket = min(int(_position(tokens)), BUCKETS - 1)
+        for key in self._keys(request):
+            self._groups.setdefault(key, _Group()).observe(bucket)
+
+    def curve(self, *, request: PlacementRequest) -> LengthCurve:
+        """Return the survival function for a request that has not ended.
+
+        :param request: What is asked for; its length is not known.
+        """
+        curve = self._prior
+        for key in reversed(self._keys(request)):
+            group = self._groups.get(key)
+            if group is None:
+                continue
+            if group.stale or group.curve is None:
+                group.rebuild(parent=curve.density)
+            assert group.curve is not None
+            curve = group.curve
+        return curve
+
+    @staticmethod
+    def _keys(request: PlacementRequest) -> tuple[tuple[str, ...], ...]:
+        """Return the groups of a request, the finest first."""
+        return (
+            (request.model, request.adapter, request.account, request.request_class),
+            (request.model, request.request_class),
+            (request.model,),
+        )
--- a/src/tanagerscale/policy/_types.py
+++ b/src/tanagerscale/policy/_types.py
@@ -88,6 +88,22 @@
     preemptions: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AccountSpec:
+    """What a scheduler and the limits need to know of a client account.
+
+    :param weight: Share of the engines under contention, relative to other accounts.
+    :param requests_per_second: Limit over all hosts together; 0 means none.
+    :param concurrent_requests: Limit over all hosts together; 0 means none.
+    :param tokens_per_minute: Limit over all hosts together; 0 means none.
+    """
+
+    weight: float = 1.0
+    requests_per_second: float = 0.0
+    concurrent_requests: int = 0
+    tokens_per_minute: int = 0
+
+
 @unique
 class DecisionKind(Enum):
     """What is to become of a generation."""
