--- /dev/null
+++ b/src/tanagerscale/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of traces in virtual time."""
--- /dev/null
+++ b/src/tanagerscale/replay/_world.py
@@ -0,0 +1,598 @@
+"""Virtual time: hosts, messages and engine fakes around the real schedulers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence as Items
+from dataclasses import dataclass
+import heapq
+from random import Random
+from typing import Protocol
+from typing import final
+
+from tanagerscale.core import ClientAccountId
+from tanagerscale.core import GenerationId
+from tanagerscale.core import Millis
+from tanagerscale.core import ModelId
+from tanagerscale.core import UpstreamId
+from tanagerscale.measures import MeasureTable
+from tanagerscale.measures import RequestTimeline
+from tanagerscale.policy import Decision
+from tanagerscale.policy import DecisionKind
+from tanagerscale.policy import EngineLoad
+from tanagerscale.policy import EngineSpec
+from tanagerscale.policy import PlacementRequest
+from tanagerscale.policy import Scheduler
+from tanagerscale.replay._engine import EngineFake
+from tanagerscale.replay._engine import Sequence
+from tanagerscale.replay._settings import Case
+from tanagerscale.replay._settings import ReplaySettings
+from tanagerscale.replay._trace import TraceRequest
+
+TICK_MS = 100.0
+DETECTION_MS = 300.0
+"""How long hosts take to notice that an engine's links broke."""
+
+NOTICE_MS = 20_000.0
+"""How long before it goes a reclaimed engine is listed as leaving."""
+
+OUTAGE_MS = 10_000.0
+"""How long an owner is frozen, or hosts are cut from one another."""
+
+TAKEOVER_MS = 3_000.0
+"""How long until another host has taken over from a lost owner."""
+
+DRAIN_MS = 900_000.0
+"""How long after the trace the replay goes on at most."""
+
+MOST_TRIES = 4
+"""How often a caller that is told to come back does so."""
+
+MODEL = ModelId("model")
+MAX_TOKENS = 16_384
+
+
+class Job:
+    """One request of the trace and what became of it."""
+
+    __slots__ = (
+        "asked_for",
+        "done",
+        "engine",
+        "generation",
+        "host",
+        "refused_at",
+        "request",
+        "sequence",
+        "shed",
+        "site",
+        "starts",
+        "timeline",
+        "tries",
+    )
+
+    def __init__(self, *, request: TraceRequest, host: int, timeline: RequestTimeline) -> None:
+        self.request = request
+        self.host = host
+        self.timeline = timeline
+        self.generation = GenerationId("")
+        self.starts = 0
+        self.tries = 0
+        self.sequence: Sequence | None = None
+        self.engine: EngineFake | None = None
+        self.site: Site | None = None
+        self.done = False
+        self.shed = False
+        self.refused_at: float | None = None
+        self.asked_for: PlacementRequest | None = None
+
+
+class Site:
+    """A scheduler and the host it runs on.
+
+    :param scheduler: The scheduler.
+    :param host: Its host; ``None`` when messages to it take no time.
+    """
+
+    def __init__(self, *, scheduler: Scheduler, host: int | None) -> None:
+        self.scheduler = scheduler
+        self.host = host
+        self.frozen_until = 0.0
+        self.pending = False
+
+
+class Layout(Protocol):
+    """Which schedulers a policy has, and which of them a host asks."""
+
+    @property
+    def sites(self) -> Items[Site]:
+        """Return all sites."""
+
+    def site_for(self, *, host: int, now: float) -> Site:
+        """Return the site a host's request goes to."""
+
+    def on_fault(self, world: World, *, case: Case, began: bool) -> None:
+        """Take in that an owner or the links between hosts failed or came back."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServedTokens:
+    """Service to one account.
+
+    :param offered: Tokens of prompts and answers it asked for.
+    :param served: Tokens of those that were served within the trace's time.
+    """
+
+    offered: int
+    served: int
+
+
+@final
+class World:
+    """One replay.
+
+    :param trace: What callers ask.
+    :param settings: The world.
+    :param seed: Seed of everything random but the trace.
+    """
+
+    def __init__(self, *, trace: Items[TraceRequest], settings: ReplaySettings, seed: int) -> None:
+        self.settings = settings
+        self.table = MeasureTable()
+        self.now = 0.0
+        self.engines: dict[UpstreamId, EngineFake] = {}
+        self.jobs: list[Job] = []
+        self.rng = Random(f"world/{seed}")
+        self.stall_curve: dict[int, float] = {}
+        self._trace = trace
+        self._layout: Layout | None = None
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+        self._stepping: set[str] = set()
+        self._by_generation: dict[GenerationId, Job] = {}
+        self._open: list[EngineSpec] = []
+        self._left = len(trace)
+        for index in range(settings.engines):
+            name = UpstreamId(f"engine-{index + 1}")
+            self.engines[name] = EngineFake(
+                name=name,
+                model=settings.model,
+                events=self,
+                gaps=self,
+                token_gap_ms=settings.objective.token_gap_ms,
+            )
+            self._open.append(
+                EngineSpec(
+                    engine=name,
+                    memory_tokens=settings.model.memory_tokens,
+                    max_batch=settings.model.max_batch,
+                )
+            )
+
+    @property
+    def layout(self) -> Layout:
+        """Return the policy's layout."""
+        assert self._layout is not None
+        return self._layout
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        self._number += 1
+        heapq.heappush(self._heap, (when, self._number, action))
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        """Do something after a delay."""
+        self.at(self.now + delay, action)
+
+    def millis(self) -> Millis:
+        """Return the time as schedulers are told it."""
+        return Millis(int(self.now))
+
+    def length(self, generation: GenerationId) -> int:
+        """Return a true length; only the clairvoyant may ask."""
+        return self._by_generation[generation].request.output_tokens
+
+    def made(self, generation: GenerationId) -> int:
+        """Return how far a generation truly is; only the clairvoyant may ask."""
+        job = self._by_generation[generation]
+        if job.sequence is None or job.engine is None or job.generation != generation:
+            return 0
+        return job.engine.produced(job.sequence)
+
+    def run(self, *, layout: Layout) -> MeasureTable:
+        """Replay the trace with a policy until everything has ended.
+
+        :param layout: The policy's schedulers.
+        """
+        self._layout = layout
+        for site in layout.sites:
+            site.scheduler.set_engines(engines=self._open, now=self.millis())
+        for number, request in enumerate(self._trace):
+            self.at(float(request.at_ms), self._arrival(request, number))
+        self._start_timers()
+        end = (self._trace[-1].at_ms if self._trace else 0) + DRAIN_MS
+        heap = self._heap
+        while heap and self._left > 0:
+            when, _, action = heapq.heappop(heap)
+            if when > end:
+                break
+            self.now = when
+            action()
+        self._close()
+        return self.table
+
+    # Callers and hosts.
+
+    def _arrival(self, request: TraceRequest, number: int) -> Callable[[], None]:
+        host = self.rng.randrange(self.settings.hosts)
+
+        def arrive() -> None:
+            objective = self.settings.objective
+            timeline = RequestTimeline(
+                arrived=self.now,
+                first_token_ms=objective.first_token_ms,
+                token_gap_ms=objective.token_gap_ms,
+            )
+            job = Job(request=request, host=host, timeline=timeline)
+            self.jobs.append(job)
+            job.generation = GenerationId(f"g{number}")
+            self.ask(job)
+
+        return arrive
+
+    def ask(self, job: Job, *, excluded: frozenset[UpstreamId] = frozenset()) -> None:
+        """Ask for a place for a new generation of a request."""
+        job.starts += 1
+        job.tries += 1
+        job.generation = GenerationId(f"{job.generation.split('.')[0]}.{job.starts}")
+        self._by_generation[job.generation] = job
+        wanted = job.request
+        job.asked_for = PlacementRequest(
+            generation=job.generation,
+            model=MODEL,
+            account=ClientAccountId(wanted.account),
+            request_class=wanted.request_class,
+            priority=wanted.priority,
+            prompt_tokens=wanted.prompt_tokens,
+            max_tokens=MAX_TOKENS,
+            prefix=wanted.prefix,
+            prefix_tokens=wanted.prefix_tokens,
+            movable=wanted.whole,
+            arrived=self.millis(),
+            excluded=excluded,
+        )
+        self.send_request(job)
+
+    def send_request(self, job: Job) -> None:
+        """Send a request to the site its host asks now."""
+        job.site = site = self.layout.site_for(host=job.host, now=self.now)
+        asked = job.asked_for
+        assert asked is not None
+        self.to_site(
+            site, job.host, lambda: site.scheduler.submit(request=asked, now=self.millis())
+        )
+
+    def to_site(self, site: Site, host: int | None, action: Callable[[], None]) -> None:
+        """Have a site take in a message, once it can."""
+
+        def deliver() -> None:
+            if site.frozen_until > self.now:
+                self.at(site.frozen_until, deliver)
+                return
+            action()
+            self.pump(site)
+
+        delay = self._delay(site, host)
+        if delay == 0.0:
+            deliver()
+        else:
+            self.after(delay, deliver)
+
+    def _delay(self, site: Site, host: int | None) -> float:
+        if site.host is None or site.host == host:
+            return 0.0
+        return self.settings.host_delay_ms
+
+    def pump(self, site: Site) -> None:
+        """Have a site decide after the events of this moment."""
+        if site.pending:
+            return
+        site.pending = True
+        self.at(self.now, lambda: self._decide(site))
+
+    def _decide(self, site: Site) -> None:
+        site.pending = False
+        if site.frozen_until > self.now:
+            self.at(site.frozen_until, lambda: self.pump(site))
+            return
+        for decision in site.scheduler.decide(now=self.millis()):
+            self._carry_out(site, decision)
+
+    def _carry_out(self, site: Site, decision: Decision) -> None:
+        job = self._by_generation[decision.generation]
+        delay = self._delay(site, job.host)
+        if decision.kind is DecisionKind.ADMIT:
+            assert decision.engine is not None
+            engine = self.engines[decision.engine]
+            self.after(
+                delay + self.settings.engine_delay_ms,
+                lambda: self._start(job, decision.generation, engine, site),
+            )
+        elif decision.kind is DecisionKind.SHED:
+            self.after(delay, lambda: self._refused(job, decision.retry_after_ms))
+        else:
+            self.after(
+                delay + self.settings.engine_delay_ms, lambda: self._moved(job, decision, site)
+            )
+
+    def _start(self, job: Job, generation: GenerationId, engine: EngineFake, site: Site) -> None:
+        if job.done or job.generation != generation or job.sequence is not None:
+            self._tell_finished(job, generation, site, tokens=0, complete=False)
+            return
+        if not engine.alive:
+            self.after(DETECTION_MS, lambda: self._restart(job, engine))
+            return
+        wanted = job.request
+        job.site = site
+        job.engine = engine
+        job.sequence = Sequence(
+            owner=job,
+            prompt=wanted.prompt_tokens,
+            prefix=wanted.prefix,
+            prefix_tokens=wanted.prefix_tokens,
+            output=wanted.output_tokens,
+            priority=wanted.priority,
+            seen=job.timeline.tokens,
+        )
+        engine.submit(job.sequence)
+        self._wake(engine)
+
+    def _restart(self, job: Job, engine: EngineFake) -> None:
+        job.sequence = None
+        job.engine = None
+        job.tries -= 1
+        self.ask(job, excluded=frozenset({UpstreamId(engine.name)}))
+
+    def _refused(self, job: Job, retry_after_ms: int) -> None:
+        self.table.shed += 1
+        job.shed = True
+        job.refused_at = self.now
+        if job.tries >= MOST_TRIES:
+            self._end(job, complete=False)
+            return
+        self.after(float(retry_after_ms), lambda: self.ask(job))
+
+    def _moved(self, job: Job, decision: Decision, site: Site) -> None:
+        engine = self.engines.get(decision.engine or UpstreamId(""))
+        if job.done or job.sequence is None or engine is not job.engine or engine is None:
+            return
+        made = engine.cancel(job.sequence, now=self.now)
+        self.table.moves += 1
+        self.table.wasted_tokens += made
+        job.sequence = None
+        job.engine = None
+
+    def _tell_finished(
+        self, job: Job, generation: GenerationId, site: Site, *, tokens: int, complete: bool
+    ) -> None:
+        self.to_site(
+            site,
+            job.host,
+            lambda: site.scheduler.on_finished(
+                generation=generation, tokens=tokens, complete=complete, now=self.millis()
+            ),
+        )
+
+    def _end(self, job: Job, *, complete: bool) -> None:
+        if not complete:
+            job.timeline.give_up(now=self.now)
+        job.done = True
+        self._left -= 1
+        self.table.add(job.timeline, short=job.request.short, complete=complete)
+
+    # Engines.
+
+    def _wake(self, engine: EngineFake) -> None:
+        if engine.name in self._stepping or not engine.alive:
+            return
+        self._stepping.add(engine.name)
+        self._step(engine)
+
+    def _step(self, engine: EngineFake) -> None:
+        if not engine.alive or engine.idle:
+            self._stepping.discard(engine.name)
+            return
+        duration = engine.begin_step(now=self.now)
+        self.after(duration, lambda: self._step_ended(engine))
+
+    def _step_ended(self, engine: EngineFake) -> None:
+        if engine.alive:
+            engine.end_step(now=self.now)
+        self._step(engine)
+
+    def step(self, *, duration_ms: float, generations: int) -> None:
+        """Record an engine's step."""
+        self.table.gaps.record(duration_ms, count=generations)
+
+    def on_progress(self, sequence: Sequence, *, total: int, now: float) -> None:
+        """Take in the first new token after a start, a preemption or a move."""
+        job: Job = sequence.owner
+        before = job.timeline.stall_ms
+        gap = job.timeline.on_tokens(total=total, now=now)
+        if gap is not None:
+            self.table.gaps.record(gap)
+        self._note_stall(job.timeline.stall_ms - before)
+        self._tell_progress(job, total)
+
+    def on_pause(self, sequence: Sequence, *, total: int, now: float, excess_ms: float) -> None:
+        """Take in what a generation made since."""
+        job: Job = sequence.owner
+        job.timeline.add_steps(total=total, now=now, stall_ms=excess_ms)
+        self._note_stall(excess_ms)
+
+    def on_end(self, sequence: Sequence, *, now: float) -> None:
+        """Take in that an answer is complete."""
+        job: Job = sequence.owner
+        generation, site = job.generation, job.site
+        assert site is not None
+        self._end(job, complete=True)
+        self.after(
+            self.settings.engine_delay_ms,
+            lambda: self._tell_finished(
+                job, generation, site, tokens=job.request.output_tokens, complete=True
+            ),
+        )
+
+    def on_cache(self, engine: EngineFake, *, prefix: str, stored: bool) -> None:
+        """Pass on a cache event late, or not at all."""
+        for site in self.layout.sites:
+            if self.rng.random() < self.settings.cache_loss:
+                continue
+            self._pass_on_cache(site, UpstreamId(engine.name), prefix, stored=stored)
+
+    def _pass_on_cache(self, site: Site, engine: UpstreamId, prefix: str, *, stored: bool) -> None:
+        self.after(
+            self.settings.cache_delay_ms,
+            lambda: site.scheduler.on_cache(
+                engine=engine, prefix=prefix, stored=stored, now=self.millis()
+            ),
+        )
+
+    def _note_stall(self, stall_ms: float) -> None:
+        if stall_ms > 0.0:
+            second = int(self.now // 1000)
+            self.stall_curve[second] = self.stall_curve.get(second, 0.0) + stall_ms
+
+    def _tell_progress(self, job: Job, total: int) -> None:
+        site, generation = job.site, job.generation
+        assert site is not None
+        self.after(
+            self.settings.engine_delay_ms,
+            lambda: self.to_site(
+                site,
+                job.host,
+                lambda: site.scheduler.on_progress(
+                    generation=generation, tokens=total, now=self.millis()
+                ),
+            ),
+        )
+
+    # Timers and faults.
+
+    def _start_timers(self) -> None:
+        for site in self.layout.sites:
+            self._tick(site)
+        for index, engine in enumerate(self.engines.values()):
+            offset = self.settings.report_period_ms * index / len(self.engines)
+            self.at(offset, self._reporter(engine))
+        self.at(self.settings.progress_period_ms, self._progress)
+        self._plan_fault()
+
+    def _tick(self, site: Site) -> None:
+        self.pump(site)
+        self.after(TICK_MS, lambda: self._tick(site))
+
+    def _reporter(self, engine: EngineFake) -> Callable[[], None]:
+        def report() -> None:
+            if not engine.alive:
+                return
+            load = EngineLoad(
+                engine=UpstreamId(engine.name),
+                measured=self.millis(),
+                running=engine.running,
+                waiting=engine.waiting,
+                used_tokens=engine.used_tokens,
+                preemptions=engine.preemptions,
+            )
+            self.after(self.settings.report_delay_ms, lambda: self._deliver_load(load))
+            self.after(self.settings.report_period_ms, report)
+
+        return report
+
+    def _deliver_load(self, load: EngineLoad) -> None:
+        for site in self.layout.sites:
+            if site.frozen_until <= self.now:
+                site.scheduler.on_load(load=load, now=self.millis())
+
+    def _progress(self) -> None:
+        """Tell each site how far its generations are, as hosts do every period."""
+        delay = self.settings.engine_delay_ms + self.settings.host_delay_ms
+        news: dict[Site, list[tuple[GenerationId, int]]] = {}
+        for engine in self.engines.values():
+            for sequence in engine.sequences():
+                job: Job = sequence.owner
+                if job.site is not None and job.sequence is sequence:
+                    made = (job.generation, engine.produced(sequence))
+                    news.setdefault(job.site, []).append(made)
+        for site, items in news.items():
+            self.after(delay, self._progress_news(site, items))
+        self.after(self.settings.progress_period_ms, self._progress)
+
+    def _progress_news(
+        self, site: Site, items: list[tuple[GenerationId, int]]
+    ) -> Callable[[], None]:
+        def deliver() -> None:
+            if site.frozen_until > self.now:
+                self.at(site.frozen_until, deliver)
+                return
+            for generation, tokens in items:
+                site.scheduler.on_progress(generation=generation, tokens=tokens, now=self.millis())
+
+        return deliver
+
+    def _plan_fault(self) -> None:
+        case, when = self.settings.case, self.settings.fault_at_ms
+        first = next(iter(self.engines))
+        if case is Case.ENGINE_LOST:
+            self.at(when, lambda: self._lose_engine(first))
+        elif case is Case.ENGINE_RECLAIMED:
+            self.at(when + DETECTION_MS, lambda: self._close_engine(first))
+            self.at(when + NOTICE_MS, lambda: self._lose_engine(first))
+        elif case in (Case.OWNER_LOST, Case.OWNER_FROZEN, Case.HOSTS_CUT):
+            lasts = TAKEOVER_MS if case is Case.OWNER_LOST else OUTAGE_MS
+            self.at(when, lambda: self.layout.on_fault(self, case=case, began=True))
+            self.at(when + lasts, lambda: self.layout.on_fault(self, case=case, began=False))
+
+    def _close_engine(self, name: UpstreamId) -> None:
+        self._open = [spec for spec in self._open if spec.engine != name]
+        for site in self.layout.sites:
+            site.scheduler.set_engines(engines=self._open, now=self.millis())
+            self.pump(site)
+
+    def _lose_engine(self, name: UpstreamId) -> None:
+        engine = self.engines[name]
+        lost = engine.sequences()
+        for sequence in lost:
+            job: Job = sequence.owner
+            made = engine.cancel(sequence, now=self.now)
+            self.table.recomputed_tokens += made
+        engine.alive = False
+        self.after(DETECTION_MS, lambda: self._engine_gone(engine, lost))
+
+    def _engine_gone(self, engine: EngineFake, lost: list[Sequence]) -> None:
+        name = UpstreamId(engine.name)
+        self._close_engine(name)
+        for site in self.layout.sites:
+            site.scheduler.on_engine_lost(engine=name, now=self.millis())
+        for sequence in lost:
+            job: Job = sequence.owner
+            if not job.done and job.sequence is sequence:
+                self._restart(job, engine)
+
+    def _close(self) -> None:
+        for job in self.jobs:
+            if not job.done:
+                self._end(job, complete=False)
+        for engine in self.engines.values():
+            self.table.engine_ms += engine.busy_ms
+            self.table.preemptions += engine.preemptions
+            self.table.recomputed_tokens += engine.recomputed_tokens
+
+
+def accounts_of(trace: Items[TraceRequest]) -> Mapping[str, int]:
+    """Return how many requests each account makes."""
+    counts: dict[str, int] = {}
+    for request in trace:
+        counts[request.account] = counts.get(request.account, 0) + 1
+    return counts
