--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -6,6 +6,14 @@
 from tanagerscale.policy._forecast import make_scheduler
 from tanagerscale.policy._lengths import LengthCurve
 from tanagerscale.policy._lengths import LengthEstimator
+from tanagerscale.policy._limits import AccountLimits
+from tanagerscale.policy._limits import AccountUsage
+from tanagerscale.policy._limits import Limit
+from tanagerscale.policy._limits import LimitRefusal
+from tanagerscale.policy._owners import rendezvous_owner
+from tanagerscale.policy._retries import BreakerState
+from tanagerscale.policy._retries import CircuitBreaker
+from tanagerscale.policy._retries import RetryBudget
 from tanagerscale.policy._simple import ImmediateScheduler
 from tanagerscale.policy._simple import LeastOutstanding
 from tanagerscale.policy._tuning import Tuning
@@ -19,7 +27,11 @@
 from tanagerscale.policy._types import Scheduler
 
 __all__ = [
+    "AccountLimits",
     "AccountSpec",
+    "AccountUsage",
+    "BreakerState",
+    "CircuitBreaker",
     "Decision",
     "DecisionKind",
     "EngineLoad",
@@ -29,9 +41,13 @@
     "LeastOutstanding",
     "LengthCurve",
     "LengthEstimator",
+    "Limit",
+    "LimitRefusal",
     "PlacementRequest",
+    "RetryBudget",
     "Scheduler",
     "Tuning",
     "make_scheduler",
+    "rendezvous_owner",
     "tuning_for",
 ]
--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Mapping
 from collections.abc import Sequence
 from random import Random
@@ -18,6 +19,8 @@
 from tanagerscale.policy._lengths import LengthEstimator
 from tanagerscale.policy._queue import FairQueue
 from tanagerscale.policy._queue import Waiting
+from tanagerscale.policy._shedding import ReturnBook
+from tanagerscale.policy._shedding import ServiceRate
 from tanagerscale.policy._tuning import Tuning
 from tanagerscale.policy._tuning import tuning_for
 from tanagerscale.policy._types import AccountSpec
@@ -28,6 +31,9 @@
 from tanagerscale.policy._types import PlacementRequest
 from tanagerscale.policy._types import Scheduler
 
+NEWCOMER_MS = 800
+"""How long after its arrival here a generation may still be refused."""
+
 CANDIDATES = 16
 """How many waiting generations one decision looks at, so that its cost stays flat."""
 
@@ -52,12 +58,14 @@
         share: float = 1.0,
     ) -> None:
         self._tuning = tuning
-        self._rng = rng
         self._share = share
         self._lengths = LengthEstimator()
         self._queue = FairQueue(accounts=accounts, tuning=tuning)
         self._ledgers: dict[UpstreamId, EngineLedger] = {}
         self._where: dict[GenerationId, EngineLedger] = {}
+        self._rate = ServiceRate()
+        self._returns = ReturnBook(rng=rng)
+        self._newcomers: deque[Waiting] = deque()
 
     @property
     def queued(self) -> int:
@@ -84,7 +92,10 @@
         """Queue a generation; one that is known already is left as it is."""
         if request.generation in self._queue or request.generation in self._where:
             return
-        self._queue.push(request=request, curve=self._lengths.curve(request=request), now=now)
+        curve = self._lengths.curve(request=request)
+        promised = self._returns.redeem(request=request, now=now)
+        waiting = self._queue.push(request=request, curve=curve, promised=promised, now=now)
+        self._newcomers.append(waiting)
 
     def withdraw(self, *, generation: GenerationId, now: Millis) -> None:
         """Forget a queued generation whose caller has left."""
@@ -113,7 +124,7 @@
             return
         account = ledger.running[generation].request.account
         new = ledger.progress(generation, tokens=tokens)
-        self._queue.charge(account, output=new)
+        self._serve(account, new, now=now)
 
     def on_finished(
         self, *, generation: GenerationId, tokens: int, complete: bool, now: Millis
@@ -121,10 +132,12 @@
         """Record that a generation left its engine; lengths are learnt from complete ones only."""
         ledger = self._where.pop(generation, None)
         if ledger is None:
+            # It may have ended while the word to move it was under way.
+            self._queue.remove(generation)
             return
         running = ledger.remove(generation)
         assert running is not None
-        self._queue.charge(running.request.account, output=max(tokens - running.tokens, 0))
+        self._serve(running.request.account, max(tokens - running.tokens, 0), now=now)
         if complete:
             self._lengths.observe(request=running.request, tokens=tokens)
         if not ledger.open and not ledger.running:
@@ -158,8 +171,41 @@
         for ledger in self._ledgers.values():
             ledger.refresh(now=now)
         self._admit(decisions, now=now)
+        self._shed(decisions, now=now)
         return decisions
 
+    def _serve(self, account: ClientAccountId, tokens: int, *, now: Millis) -> None:
+        self._queue.charge(account, output=tokens)
+        self._rate.add(tokens, now=now)
+
+    def _shed(self, decisions: list[Decision], *, now: Millis) -> None:
+        """Refuse newcomers whose forecast wait is too long, the lowest class first."""
+        newcomers = self._newcomers
+        while newcomers and (newcomers[0].withdrawn or newcomers[0].submitted + NEWCOMER_MS < now):
+            newcomers.popleft()
+        rate = self._rate.per_ms(now=now)
+        if rate is None or not newcomers:
+            return
+        worst_first = sorted(newcomers, key=self._standing, reverse=True)
+        for waiting in worst_first:
+            wait_ms = self._queue.expected_tokens_before(waiting.curve) / rate
+            if waiting.withdrawn or waiting.promised or wait_ms <= self._tuning.shed_after_ms:
+                continue
+            request = waiting.request
+            self._queue.remove(request.generation)
+            after = self._returns.book(
+                request=request, tokens=waiting.curve.mean, wait_ms=wait_ms, rate=rate, now=now
+            )
+            decisions.append(
+                Decision(
+                    kind=DecisionKind.SHED, generation=request.generation, retry_after_ms=after
+                )
+            )
+
+    def _standing(self, waiting: Waiting) -> tuple[int, float]:
+        """Return what newcomers are refused by: priority, then place in the queue."""
+        return waiting.request.priority, waiting.key + self._queue.delay(waiting.request.account)
+
     def _admit(self, decisions: list[Decision], *, now: Millis) -> None:
         """Admit from the front of the queue until a whole look at it admits nothing."""
         admitted = True
@@ -197,9 +243,7 @@
         tuning = self._tuning
         if not ledger.open or ledger.spec.engine in request.excluded:
             return False
-        short = waiting.curve.mean <= tuning.short_tokens
-        room = self._share * (1.0 if short else 1.0 - tuning.short_reserve)
-        if len(ledger.running) >= max(room * ledger.spec.max_batch, 1.0):
+        if len(ledger.running) >= max(self._share * ledger.spec.max_batch, 1.0):
             return False
         if not ledger.running:
             return True
@@ -209,14 +253,14 @@
             request,
             waiting.curve,
             deviations=tuning.deviations,
-            memory=room * ledger.spec.memory_tokens,
+            memory=self._share * ledger.spec.memory_tokens,
         )
 
     def _cost(self, ledger: EngineLedger, waiting: Waiting) -> float:
         """Return what placing a generation on an engine costs, in prompt tokens to compute."""
         prompt = ledger.prompt_cost(waiting.request, use_prefixes=self._tuning.use_prefixes)
         neighbours = self._tuning.neighbour_tokens * ledger.batch
-        return ledger.prefill_tokens + prompt + neighbours
+        return ledger.prefill_tokens + self._tuning.prompt_gain * prompt + neighbours
 
     def _enter(
         self, ledger: EngineLedger, request: PlacementRequest, curve: LengthCurve, *, now: Millis
--- a/src/tanagerscale/policy/_ledger.py
+++ b/src/tanagerscale/policy/_ledger.py
@@ -131,15 +131,6 @@
                 return False
         return True
 
-    def excess(self, *, horizon: int, deviations: float) -> float:
-        """Return by how many tokens the forecast at one horizon passes the memory.
-
-        :param horizon: Index into ``HORIZONS``.
-        :param deviations: Standard deviations added to the mean.
-        """
-        spread = math.sqrt(self._forecast.variance[horizon])
-        return self._forecast.mean[horizon] + deviations * spread - self.spec.memory_tokens
-
     def add(self, running: Running, *, now: Millis) -> None:
         """Enter a generation that is sent to the engine."""
         request = running.request
--- a/src/tanagerscale/policy/_queue.py
+++ b/src/tanagerscale/policy/_queue.py
@@ -32,6 +32,8 @@
     :param request: What was asked for.
     :param curve: Its length distribution.
     :param submitted: When it came here.
+    :param promised: Whether its caller was told to come back now.
+    :param withdrawn: Whether it was taken out of the queue.
     """
 
     key: float
@@ -39,6 +41,7 @@
     request: PlacementRequest = field(compare=False)
     curve: LengthCurve = field(compare=False)
     submitted: Millis = field(compare=False)
+    promised: bool = field(default=False, compare=False)
     withdrawn: bool = field(default=False, compare=False)
 
 
@@ -74,8 +77,8 @@
         self._active: dict[ClientAccountId, _AccountQueue] = {}
         self._entries: dict[GenerationId, Waiting] = {}
         self._number = 0
-        self.expected_tokens = 0.0
-        """Expected tokens of all answers that wait."""
+        self._expected_tokens = 0.0
+        self._expected_short_tokens = 0.0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -87,7 +90,24 @@
         """Return all that wait, in no particular order."""
         return iter(self._entries.values())
 
-    def push(self, *, request: PlacementRequest, curve: LengthCurve, now: Millis) -> None:
+    def is_short(self, curve: LengthCurve) -> bool:
+        """Return whether work with this length distribution counts as short."""
+        return curve.mean <= self._tuning.short_tokens
+
+    def expected_tokens_before(self, curve: LengthCurve) -> float:
+        """Return the expected tokens of the answers that go first: short work waits for short."""
+        return self._expected_short_tokens if self.is_short(curve) else self._expected_tokens
+
+    def delay(self, account: ClientAccountId) -> float:
+        """Return by how much an account's requests stand back for what it was served, in ms."""
+        if not self._active:
+            return 0.0
+        least = min(queue.served for queue in self._active.values())
+        return self._tuning.fairness_ms_per_token * max(self._queue(account).served - least, 0.0)
+
+    def push(
+        self, *, request: PlacementRequest, curve: LengthCurve, promised: bool, now: Millis
+    ) -> Waiting:
         """Queue a generation."""
         tuning = self._tuning
         key = (
@@ -96,11 +116,12 @@
             + tuning.length_ms_per_token * curve.mean
         )
         self._number += 1
-        waiting = Waiting(key, self._number, request, curve, now)
+        waiting = Waiting(key, self._number, request, curve, now, promised)
         queue = self._activate(request.account)
         heapq.heappush(queue.heap, waiting)
         self._entries[request.generation] = waiting
-        self.expected_tokens += curve.mean
+        self._count(curve, sign=1.0)
+        return waiting
 
     def remove(self, generation: GenerationId) -> Waiting | None:
         """Take a generation out."""
@@ -108,7 +129,7 @@
         if waiting is None:
             return None
         waiting.withdrawn = True
-        self.expected_tokens -= waiting.curve.mean
+        self._count(waiting.curve, sign=-1.0)
         account = waiting.request.account
         if self._queues[account].head() is None:
             self._active.pop(account, None)
@@ -146,6 +167,11 @@
             heapq.heappush(self._queues[waiting.request.account].heap, waiting)
         return merged
 
+    def _count(self, curve: LengthCurve, *, sign: float) -> None:
+        self._expected_tokens += sign * curve.mean
+        if self.is_short(curve):
+            self._expected_short_tokens += sign * curve.mean
+
     def _next(self, head: Waiting) -> Waiting | None:
         """Take a head off its heap for a moment, to see what comes after it."""
         queue = self._queues[head.request.account]
--- a/src/tanagerscale/policy/_tuning.py
+++ b/src/tanagerscale/policy/_tuning.py
@@ -13,7 +13,6 @@
     """Settings of the scheduler, tuned by replay on seeds 1-5.
 
     :param deviations: Standard deviations of forecast memory kept free.
-    :param short_reserve: Share of memory and batch that only short work may use.
     :param short_tokens: Expected tokens up to which work counts as short.
     :param length_ms_per_token: How much later in the queue each expected token puts a request.
     :param priority_ms: How much later in the queue each step of priority puts a request.
@@ -21,21 +20,20 @@
         waiting account, for its weight, puts an account's requests.
     :param prefill_in_flight: Most prompt tokens an engine may have before it to compute.
     :param neighbour_tokens: Prompt tokens that one more generation in the batch costs as much as.
+    :param prompt_gain: How much more a prompt token to compute counts than one that waits.
     :param use_prefixes: Whether cached prefixes count in placement.
-    :param move: Whether to move generations before an engine preempts.
     :param shed_after_ms: Forecast time to empty the queue above which newcomers are shed.
     """
 
-    deviations: float = 1.5
-    short_reserve: float = 0.05
+    deviations: float = 1.75
     short_tokens: int = 128
-    length_ms_per_token: float = 10.0
-    priority_ms: float = 2000.0
-    fairness_ms_per_token: float = 0.2
+    length_ms_per_token: float = 100.0
+    priority_ms: float = 5000.0
+    fairness_ms_per_token: float = 0.1
     prefill_in_flight: int = 6000
     neighbour_tokens: float = 60.0
+    prompt_gain: float = 2.0
     use_prefixes: bool = True
-    move: bool = True
     shed_after_ms: float = 45_000.0
 
 
@@ -46,5 +44,5 @@
     """
     least = 1e-3
     ratio = max(objective.preemption_weight, least) / max(objective.stall_weight, least)
-    deviations = min(max(1.5 + 0.6 * math.log(ratio), 0.0), 4.0)
-    return Tuning(deviations=deviations, move=ratio > 1.0)
+    deviations = min(max(1.75 + 0.6 * math.log(ratio), 0.0), 4.0)
+    return Tuning(deviations=deviations)
--- a/src/tanagerscale/replay/_clairvoyant.py
+++ b/src/tanagerscale/replay/_clairvoyant.py
@@ -114,7 +114,7 @@
     def decide(self, *, now: Millis) -> Sequence[Decision]:
         """Admit in order whatever fits, looking past what does not."""
         decisions = []
-        passed = []
+        passed: list[tuple[float, int, PlacementRequest]] = []
         while self._queue and len(passed) < LOOK_AHEAD:
             entry = heapq.heappop(self._queue)
             request = entry[2]
--- a/src/tanagerscale/replay/_trace.py
+++ b/src/tanagerscale/replay/_trace.py
@@ -130,7 +130,18 @@
             whole=True,
         ),
         accounts=_accounts(
-            ["dispatch", "crews-east", "supervisors", "crews-west", "crews-port", "libraries", "schools", "arenas", "archive", "heritage"],
+            [
+                "dispatch",
+                "crews-east",
+                "supervisors",
+                "crews-west",
+                "crews-port",
+                "libraries",
+                "schools",
+                "arenas",
+                "archive",
+                "heritage",
+            ],
             urgent="crews-west",
             batch="archive",
         ),
@@ -157,7 +168,18 @@
             whole=True,
         ),
         accounts=_accounts(
-            ["studio-north", "assistants", "coordinators", "studio-lac", "documentary", "series-a", "series-b", "animation", "archives", "locations"],
+            [
+                "studio-north",
+                "assistants",
+                "coordinators",
+                "studio-lac",
+                "documentary",
+                "series-a",
+                "series-b",
+                "animation",
+                "archives",
+                "locations",
+            ],
             urgent="locations",
             batch="archives",
         ),
@@ -182,7 +204,7 @@
         for work in (described.short, described.long)
     }
     weights = [account.share for account in described.accounts]
-    requests = []
+    requests: list[TraceRequest] = []
     at = 0.0
     while True:
         at += rng.expovariate(rate * _peak(at / duration_s))
--- a/src/tanagerscale/replay/_world.py
+++ b/src/tanagerscale/replay/_world.py
@@ -564,7 +564,6 @@
         engine = self.engines[name]
         lost = engine.sequences()
         for sequence in lost:
-            job: Job = sequence.owner
             made = engine.cancel(sequence, now=self.now)
             self.table.recomputed_tokens += made
         engine.alive = False
