--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 from random import Random
 from typing import final
 
@@ -46,7 +47,7 @@
     :param tuning: The numbers to work with.
     :param rng: Spreads ties and the return of shed callers.
     :param share: Part of each engine this scheduler may fill; hosts that can't reach the
-        pool's owner use one N-th.
+        pool's owner use one N-th, and then leave foreign work to the others' shares.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
     ) -> None:
         self._tuning = tuning
         self._share = share
+        self._shares: Mapping[UpstreamId, float] = {}
         self._lengths = LengthEstimator()
         self._queue = FairQueue(accounts=accounts, tuning=tuning)
         self._ledgers: dict[UpstreamId, EngineLedger] = {}
@@ -77,6 +79,30 @@
         """Return how many generations are believed to run."""
         return len(self._where)
 
+    @property
+    def expected_tokens(self) -> float:
+        """Return the expected tokens of the answers that wait."""
+        return self._queue.expected_tokens
+
+    def running_generations(self) -> list[GenerationId]:
+        """Return what is believed to run, the longest running first."""
+        return list(self._where)
+
+    def held(self, *, engine: UpstreamId) -> int:
+        """Return how many tokens of an engine's memory this scheduler's work holds."""
+        ledger = self._ledgers.get(engine)
+        return ledger.own_tokens if ledger is not None else 0
+
+    def set_share(self, *, share: float) -> None:
+        """Replace the part of every engine this scheduler may fill, as a new owner must."""
+        self._share = share
+        for ledger in self._ledgers.values():
+            ledger.alone = share < 1.0
+
+    def set_shares(self, *, shares: Mapping[UpstreamId, float]) -> None:
+        """Replace the part of each engine this scheduler may fill; others keep ``share``."""
+        self._shares = shares
+
     def set_engines(self, *, engines: Sequence[EngineSpec], now: Millis) -> None:
         """Replace the engines that take new work; others only finish what they run."""
         named = {spec.engine: spec for spec in engines}
@@ -85,7 +111,9 @@
             if not ledger.open and not ledger.running:
                 del self._ledgers[engine]
         for engine, spec in named.items():
-            ledger = self._ledgers.setdefault(engine, EngineLedger(spec=spec))
+            ledger = self._ledgers.setdefault(
+                engine, EngineLedger(spec=spec, alone=self._share < 1.0)
+            )
             ledger.spec = spec
 
     def submit(self, *, request: PlacementRequest, now: Millis) -> None:
@@ -117,6 +145,10 @@
         self._enter(ledger, request, self._lengths.curve(request=request), now=now)
         ledger.progress(request.generation, tokens=tokens)
 
+    def learn(self, *, request: PlacementRequest, tokens: int) -> None:
+        """Learn a length of an answer that another scheduler placed, to be ready to take over."""
+        self._lengths.observe(request=request, tokens=tokens)
+
     def on_progress(self, *, generation: GenerationId, tokens: int, now: Millis) -> None:
         """Record that a running generation has made ``tokens`` tokens so far."""
         ledger = self._where.get(generation)
@@ -243,7 +275,8 @@
         tuning = self._tuning
         if not ledger.open or ledger.spec.engine in request.excluded:
             return False
-        if len(ledger.running) >= max(self._share * ledger.spec.max_batch, 1.0):
+        share = self._shares.get(ledger.spec.engine, self._share)
+        if len(ledger.running) >= max(share * ledger.spec.max_batch, 1.0):
             return False
         if not ledger.running:
             return True
@@ -252,8 +285,9 @@
         return ledger.fits(
             request,
             waiting.curve,
-            deviations=tuning.deviations,
-            memory=self._share * ledger.spec.memory_tokens,
+            # Variances add up over the schedulers that share an engine, deviations do not.
+            deviations=tuning.deviations * math.sqrt(share),
+            memory=share * ledger.spec.memory_tokens,
         )
 
     def _cost(self, ledger: EngineLedger, waiting: Waiting) -> float:
--- a/src/tanagerscale/policy/_ledger.py
+++ b/src/tanagerscale/policy/_ledger.py
@@ -72,10 +72,13 @@
     """Everything one scheduler knows of one engine.
 
     :param spec: What is declared of it.
+    :param alone: Whether work of other schedulers is none of this ledger's business, because
+        it may only fill a share.
     """
 
-    def __init__(self, *, spec: EngineSpec) -> None:
+    def __init__(self, *, spec: EngineSpec, alone: bool = False) -> None:
         self.spec = spec
+        self.alone = alone
         self.open = True
         """Whether it takes new work."""
         self.running: dict[GenerationId, Running] = {}
@@ -105,6 +108,12 @@
             return request.prompt_tokens - request.prefix_tokens
         return request.prompt_tokens
 
+    @property
+    def own_tokens(self) -> int:
+        """Return the memory its own generations hold."""
+        private = sum(item.private + item.tokens for item in self.running.values())
+        return private + self._prefix_tokens
+
     def new_memory(self, request: PlacementRequest) -> int:
         """Return the memory a request's prompt would add, shared prefixes counted once."""
         if request.prefix and request.prefix in self._prefixes_in_use:
@@ -184,6 +193,8 @@
 
     def report(self, load: EngineLoad) -> None:
         """Take in a late report: what it shows beyond our own usage then is foreign."""
+        if self.alone:
+            return
         own = self._own_usage(load.measured)
         self._foreign = max(load.used_tokens - own.tokens, 0)
         self._foreign_running = max(load.running + load.waiting - own.running, 0)
--- a/src/tanagerscale/policy/_limits.py
+++ b/src/tanagerscale/policy/_limits.py
@@ -25,6 +25,9 @@
 """A bucket of tokens holds what this time grants."""
 
 USAGE_HALF_LIFE_MS = 2_000.0
+LEAST_DEMAND = 0.01
+"""Requests a second below which an account is idle at a host."""
+
 LEAST_PART = 0.5
 """Part of an equal share that a host always may use, whatever peers say."""
 
@@ -43,7 +46,7 @@
     """What one host tells its peers of an account with each heartbeat.
 
     :param demand: Requests a second that came lately, refused ones included.
-    :param running: Requests that run.
+    :param running: Requests that run or may be started until the next heartbeat.
     """
 
     demand: float
@@ -76,6 +79,8 @@
     tokens: float
     running: int = 0
     demand: float = 0.0
+    places: int = 0
+    told: bool = False
 
 
 @final
@@ -115,12 +120,22 @@
             self._heard.setdefault(account, {})[host] = _Heard(item, now)
 
     def usage(self, *, now: Millis) -> dict[ClientAccountId, AccountUsage]:
-        """Return what to tell peers: accounts with limits that are not idle here."""
+        """Return what to tell peers with each heartbeat: accounts that are not idle here."""
         told = {}
         for name, account in self._accounts.items():
             self._refill(name, account, now=now)
-            if account.running or account.demand > 0.01:
-                told[name] = AccountUsage(demand=account.demand, running=account.running)
+            if not account.running and account.demand < LEAST_DEMAND:
+                account.told = False
+                account.places = self._equal_places(account.spec)
+                continue
+            # Until peers had a chance to hear of this host and it of them, it keeps to an
+            # equal share.
+            if account.told:
+                self._grant(name, account, now=now)
+            account.told = True
+            told[name] = AccountUsage(
+                demand=account.demand, running=max(account.running, account.places)
+            )
         return told
 
     def try_start(
@@ -166,34 +181,47 @@
         if spec.tokens_per_minute > 0 and held.tokens <= 0.0:
             wait = (1.0 - held.tokens) / (spec.tokens_per_minute * part)
             return LimitRefusal(limit=Limit.TOKENS, retry_after_ms=int(wait * MS_PER_MINUTE) + 1)
-        if spec.concurrent_requests > 0 and held.running >= self._places(name, spec, now=now):
+        if spec.concurrent_requests > 0 and held.running >= held.places:
             return LimitRefusal(limit=Limit.CONCURRENCY, retry_after_ms=MS_PER_SECOND)
         return None
 
-    def _places(self, name: ClientAccountId, spec: AccountSpec, *, now: Millis) -> int:
-        """Return how many requests may run here."""
-        heard = self._heard.get(name, {})
+    def _equal_places(self, spec: AccountSpec) -> int:
+        return max(spec.concurrent_requests // (len(self._peers) + 1), 1)
+
+    def _grant(self, name: ClientAccountId, held: _Account, *, now: Millis) -> None:
+        """Set how many requests may run here until the next heartbeat.
+
+        What is free is divided by demand, so that hosts which start work at the same moment
+        don't pass the limit together.
+        """
+        limit = held.spec.concurrent_requests
         hosts = len(self._peers) + 1
+        heard = self._heard.get(name, {})
         elsewhere = 0
         for host in self._peers:
             if not self._is_fresh(host, now=now):
-                elsewhere += -(-spec.concurrent_requests // hosts)
+                elsewhere += -(-limit // hosts)
             elif host in heard:
                 elsewhere += heard[host].usage.running
-        return spec.concurrent_requests - elsewhere
+        free = max(limit - held.running - elsewhere, 0)
+        held.places = held.running + int(free * self._demand_part(name, now=now))
 
     def _part(self, name: ClientAccountId, *, now: Millis) -> float:
-        """Return this host's part of an account's limits."""
+        """Return this host's part of an account's rates; silent hosts keep equal shares."""
         hosts = len(self._peers) + 1
         silent = sum(not self._is_fresh(host, now=now) for host in self._peers)
+        part = max(self._demand_part(name, now=now), LEAST_PART / hosts)
+        return part * (hosts - silent) / hosts
+
+    def _demand_part(self, name: ClientAccountId, *, now: Millis) -> float:
+        """Return this host's part of the demand of all hosts that are heard of."""
         own = self._accounts[name].demand
         others = sum(
             item.usage.demand
             for host, item in self._heard.get(name, {}).items()
             if self._is_fresh(host, now=now)
         )
-        reachable = (hosts - silent) / hosts
-        return max(own / (own + others) if own > 0.0 else 0.0, LEAST_PART / hosts) * reachable
+        return own / (own + others) if own > 0.0 else 0.0
 
     def _is_fresh(self, host: HostId, *, now: Millis) -> bool:
         return now - self._last_word.get(host, -STALE_MS - 1) <= STALE_MS
@@ -207,6 +235,7 @@
                 updated=now,
                 requests=max(spec.requests_per_second * part * RATE_BURST_MS / MS_PER_SECOND, 1.0),
                 tokens=spec.tokens_per_minute * part * TOKEN_BURST_MS / MS_PER_MINUTE,
+                places=self._equal_places(spec),
             )
         self._refill(name, held, now=now)
         return held
--- a/src/tanagerscale/policy/_queue.py
+++ b/src/tanagerscale/policy/_queue.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -86,9 +85,10 @@
     def __contains__(self, generation: GenerationId) -> bool:
         return generation in self._entries
 
-    def entries(self) -> Iterator[Waiting]:
-        """Return all that wait, in no particular order."""
-        return iter(self._entries.values())
+    @property
+    def expected_tokens(self) -> float:
+        """Return the expected tokens of all answers that wait."""
+        return self._expected_tokens
 
     def is_short(self, curve: LengthCurve) -> bool:
         """Return whether work with this length distribution counts as short."""
--- a/src/tanagerscale/policy/_shedding.py
+++ b/src/tanagerscale/policy/_shedding.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+import heapq
 import math
 from random import Random
 from typing import final
@@ -17,7 +17,7 @@
 RATE_KNOWN_AFTER_MS = 5_000.0
 """How long to watch before the rate is trusted."""
 
-RETURN_SHARE = 0.3
+RETURN_SHARE = 0.1
 """Part of the rate of service that is promised to callers who were told to come back."""
 
 LONGEST_RETURN_MS = 900_000.0
@@ -71,7 +71,7 @@
     def __init__(self, *, rng: Random) -> None:
         self._rng = rng
         self._next = 0.0
-        self._promises: dict[tuple[str, str], deque[float]] = {}
+        self._promises: dict[tuple[str, str], list[int]] = {}
 
     def book(
         self, *, request: PlacementRequest, tokens: float, wait_ms: float, rate: float, now: Millis
@@ -87,18 +87,18 @@
         self._next = max(self._next, now + wait_ms) + step
         after = min(self._next - now, LONGEST_RETURN_MS)
         after *= 1.0 + self._rng.uniform(0.0, RETURN_SPREAD)
-        promises = self._promises.setdefault((request.account, request.request_class), deque())
-        promises.append(now + after)
-        if len(promises) > MOST_PROMISES:
-            promises.popleft()
-        return math.ceil(after / MS_PER_SECOND) * MS_PER_SECOND
+        told = math.ceil(after / MS_PER_SECOND) * MS_PER_SECOND
+        promises = self._promises.setdefault((request.account, request.request_class), [])
+        if len(promises) < MOST_PROMISES:
+            heapq.heappush(promises, now + told)
+        return told
 
     def redeem(self, *, request: PlacementRequest, now: Millis) -> bool:
         """Return whether a newcomer was promised a place; a promise is kept once."""
         promises = self._promises.get((request.account, request.request_class))
         while promises and promises[0] + PROMISE_LASTS_MS < now:
-            promises.popleft()
+            heapq.heappop(promises)
         if not promises or promises[0] > now:
             return False
-        promises.popleft()
+        heapq.heappop(promises)
         return True
--- a/src/tanagerscale/policy/_tuning.py
+++ b/src/tanagerscale/policy/_tuning.py
@@ -34,7 +34,7 @@
     neighbour_tokens: float = 60.0
     prompt_gain: float = 2.0
     use_prefixes: bool = True
-    shed_after_ms: float = 45_000.0
+    shed_after_ms: float = 8_000.0
 
 
 def tuning_for(*, objective: Objective) -> Tuning:
--- a/src/tanagerscale/replay/_world.py
+++ b/src/tanagerscale/replay/_world.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from collections.abc import Mapping
 from collections.abc import Sequence as Items
 from dataclasses import dataclass
 import heapq
@@ -57,15 +56,15 @@
     """One request of the trace and what became of it."""
 
     __slots__ = (
+        "asked_at",
         "asked_for",
         "done",
         "engine",
         "generation",
         "host",
-        "refused_at",
+        "refusals",
         "request",
         "sequence",
-        "shed",
         "site",
         "starts",
         "timeline",
@@ -83,8 +82,8 @@
         self.engine: EngineFake | None = None
         self.site: Site | None = None
         self.done = False
-        self.shed = False
-        self.refused_at: float | None = None
+        self.refusals = 0
+        self.asked_at = 0.0
         self.asked_for: PlacementRequest | None = None
 
 
@@ -112,6 +111,9 @@
     def site_for(self, *, host: int, now: float) -> Site:
         """Return the site a host's request goes to."""
 
+    def on_length(self, *, host: int, request: PlacementRequest, tokens: int) -> None:
+        """Take in the length of an answer that ended at a host."""
+
     def on_fault(self, world: World, *, case: Case, began: bool) -> None:
         """Take in that an owner or the links between hosts failed or came back."""
 
@@ -145,6 +147,12 @@
         self.jobs: list[Job] = []
         self.rng = Random(f"world/{seed}")
         self.stall_curve: dict[int, float] = {}
+        """Stall noted in each second, in milliseconds."""
+        self.slowest_refusal_ms = 0.0
+        self.progress_at_end: dict[str, ServedTokens] = {}
+        """Service to each account when the last request of the trace has come."""
+        self.messages = 0
+        """Messages between hosts, progress not counted."""
         self._trace = trace
         self._layout: Layout | None = None
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
@@ -211,6 +219,8 @@
         for number, request in enumerate(self._trace):
             self.at(float(request.at_ms), self._arrival(request, number))
         self._start_timers()
+        if self._trace:
+            self.at(float(self._trace[-1].at_ms), self._note_service)
         end = (self._trace[-1].at_ms if self._trace else 0) + DRAIN_MS
         heap = self._heap
         while heap and self._left > 0:
@@ -245,6 +255,7 @@
         """Ask for a place for a new generation of a request."""
         job.starts += 1
         job.tries += 1
+        job.asked_at = self.now
         job.generation = GenerationId(f"{job.generation.split('.')[0]}.{job.starts}")
         self._by_generation[job.generation] = job
         wanted = job.request
@@ -284,6 +295,8 @@
             self.pump(site)
 
         delay = self._delay(site, host)
+        if delay > 0.0:
+            self.messages += 1
         if delay == 0.0:
             deliver()
         else:
@@ -312,6 +325,7 @@
     def _carry_out(self, site: Site, decision: Decision) -> None:
         job = self._by_generation[decision.generation]
         delay = self._delay(site, job.host)
+        self.messages += delay > 0.0
         if decision.kind is DecisionKind.ADMIT:
             assert decision.engine is not None
             engine = self.engines[decision.engine]
@@ -356,8 +370,8 @@
 
     def _refused(self, job: Job, retry_after_ms: int) -> None:
         self.table.shed += 1
-        job.shed = True
-        job.refused_at = self.now
+        job.refusals += 1
+        self.slowest_refusal_ms = max(self.slowest_refusal_ms, self.now - job.asked_at)
         if job.tries >= MOST_TRIES:
             self._end(job, complete=False)
             return
@@ -437,6 +451,10 @@
         generation, site = job.generation, job.site
         assert site is not None
         self._end(job, complete=True)
+        assert job.asked_for is not None
+        self.layout.on_length(
+            host=job.host, request=job.asked_for, tokens=job.request.output_tokens
+        )
         self.after(
             self.settings.engine_delay_ms,
             lambda: self._tell_finished(
@@ -489,6 +507,28 @@
         self.at(self.settings.progress_period_ms, self._progress)
         self._plan_fault()
 
+    def add_site(self, site: Site) -> None:
+        """Start a site that was not there when the replay began."""
+        site.scheduler.set_engines(engines=self._open, now=self.millis())
+        self._tick(site)
+
+    def running_jobs(self) -> list[Job]:
+        """Return the jobs that engines hold."""
+        return [
+            sequence.owner
+            for engine in self.engines.values()
+            for sequence in engine.sequences()
+            if sequence.owner.sequence is sequence
+        ]
+
+    def waiting_jobs(self) -> list[Job]:
+        """Return the jobs that wait for a place."""
+        return [
+            job
+            for job in self.jobs
+            if not job.done and job.sequence is None and job.site is not None
+        ]
+
     def _tick(self, site: Site) -> None:
         self.pump(site)
         self.after(TICK_MS, lambda: self._tick(site))
@@ -579,6 +619,17 @@
             if not job.done and job.sequence is sequence:
                 self._restart(job, engine)
 
+    def _note_service(self) -> None:
+        for job in self.jobs:
+            wanted = job.request
+            before = self.progress_at_end.get(wanted.account, ServedTokens(offered=0, served=0))
+            made = job.timeline.tokens if job.done else self.made(job.generation)
+            started = job.done or made > 0
+            self.progress_at_end[wanted.account] = ServedTokens(
+                offered=before.offered + wanted.prompt_tokens + wanted.output_tokens,
+                served=before.served + (wanted.prompt_tokens if started else 0) + made,
+            )
+
     def _close(self) -> None:
         for job in self.jobs:
             if not job.done:
@@ -587,11 +638,3 @@
             self.table.engine_ms += engine.busy_ms
             self.table.preemptions += engine.preemptions
             self.table.recomputed_tokens += engine.recomputed_tokens
-
-
-def accounts_of(trace: Items[TraceRequest]) -> Mapping[str, int]:
-    """Return how many requests each account makes."""
-    counts: dict[str, int] = {}
-    for request in trace:
-        counts[request.account] = counts.get(request.account, 0) + 1
-    return counts
--- /dev/null
+++ b/testing/test_policy_limits.py
@@ -0,0 +1,184 @@
+"""Retry budget, circuit breaker and limits of accounts over all hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from tanagerscale.core import ClientAccountId
+from tanagerscale.core import HostId
+from tanagerscale.core import Millis
+from tanagerscale.policy import AccountLimits
+from tanagerscale.policy import AccountSpec
+from tanagerscale.policy import BreakerState
+from tanagerscale.policy import CircuitBreaker
+from tanagerscale.policy import Limit
+from tanagerscale.policy import RetryBudget
+
+ACCOUNT = ClientAccountId("account")
+HOSTS = tuple(HostId(f"host-{number}") for number in range(9))
+HEARTBEAT_MS = 500
+STEP_MS = 10
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.booleans(), max_size=400))
+def test_retries_stay_within_a_tenth_when_anything_fails(wants: list[bool]) -> None:
+    budget = RetryBudget()
+    requests = retries = 0
+    for retry in wants:
+        if retry:
+            retries += budget.try_spend()
+        else:
+            requests += 1
+            budget.on_request()
+        assert retries <= 10 + requests / 10
+
+
+def test_retry_budget_grants_a_tenth_when_all_fail() -> None:
+    budget = RetryBudget()
+    granted = 0
+    for _ in range(1_000):
+        budget.on_request()
+        granted += budget.try_spend()
+    assert granted == pytest.approx(110, abs=2)
+
+
+def test_breaker_lets_one_trial_pass_when_half_open() -> None:
+    breaker = CircuitBreaker(failures=2, open_ms=100, longest_ms=300)
+    breaker.on_failure(now=Millis(0))
+    assert breaker.allow(now=Millis(0))
+    breaker.on_failure(now=Millis(0))
+    assert not breaker.allow(now=Millis(99))
+    assert [breaker.allow(now=Millis(100)) for _ in range(3)] == [True, False, False]
+    breaker.on_failure(now=Millis(110))
+    assert breaker.state(now=Millis(300)) is BreakerState.OPEN
+    assert breaker.allow(now=Millis(310))
+    breaker.on_success()
+    assert breaker.state(now=Millis(310)) is BreakerState.CLOSED
+
+
+def test_breaker_tries_again_when_a_trial_is_never_reported() -> None:
+    breaker = CircuitBreaker(failures=1, open_ms=100)
+    breaker.on_failure(now=Millis(0))
+    assert breaker.allow(now=Millis(100))
+    assert not breaker.allow(now=Millis(150))
+    assert breaker.allow(now=Millis(200))
+
+
+def fleet(spec: AccountSpec) -> dict[HostId, AccountLimits]:
+    hosts = {host: AccountLimits(accounts={ACCOUNT: spec}) for host in HOSTS}
+    for host, limits in hosts.items():
+        limits.set_peers(peers=frozenset(HOSTS) - {host})
+    return hosts
+
+
+def gossip(
+    hosts: dict[HostId, AccountLimits], now: Millis, reach: Callable[[HostId, HostId], bool]
+) -> None:
+    told = {host: limits.usage(now=now) for host, limits in hosts.items()}
+    for host, usage in told.items():
+        for peer, limits in hosts.items():
+            if peer != host and reach(host, peer):
+                limits.on_peer(host=host, usage=usage, now=now)
+
+
+def drive(
+    spec: AccountSpec,
+    *,
+    entries: Sequence[HostId],
+    reach: Callable[[HostId, HostId], bool] = lambda _one, _other: True,
+    seconds: int = 40,
+    per_second: int = 100,
+    lasts_ms: int = 0,
+    tokens: int = 0,
+) -> tuple[int, int, int]:
+    """Offer load and return requests started, the most that ran together, and tokens."""
+    hosts = fleet(spec)
+    started = most = used = turn = 0
+    ends: list[tuple[int, HostId]] = []
+    for time in range(0, seconds * 1_000, STEP_MS):
+        now = Millis(time)
+        if time % HEARTBEAT_MS == 0:
+            gossip(hosts, now, reach)
+        for _ in range(per_second * STEP_MS // 1_000):
+            host = entries[turn % len(entries)]
+            turn += 1
+            if hosts[host].try_start(account=ACCOUNT, tokens=0, now=now) is None:
+                started += 1
+                ends.append((time + lasts_ms, host))
+        most = max(most, len(ends))
+        for end, host in [item for item in ends if item[0] <= time]:
+            ends.remove((end, host))
+            hosts[host].on_finished(account=ACCOUNT, tokens=tokens, now=now)
+            used += tokens
+    return started, most, used
+
+
+def halves(one: HostId, other: HostId) -> bool:
+    return (one in HOSTS[:4]) == (other in HOSTS[:4])
+
+
+@pytest.mark.parametrize("entries", [HOSTS, HOSTS[:1]], ids=["all", "one"])
+def test_rate_is_near_the_limit_when_hosts_hear_one_another(entries: Sequence[HostId]) -> None:
+    started, _, _ = drive(AccountSpec(requests_per_second=20.0), entries=entries)
+    assert 0.85 * 800 <= started <= 1.1 * 800
+
+
+def test_rate_is_under_the_limit_when_hosts_are_cut_apart() -> None:
+    started, _, _ = drive(AccountSpec(requests_per_second=20.0), entries=HOSTS, reach=halves)
+    assert started <= 1.1 * 800
+    alone, _, _ = drive(
+        AccountSpec(requests_per_second=20.0), entries=HOSTS, reach=lambda _one, _other: False
+    )
+    assert 0 < alone <= 1.1 * 800
+
+
+@pytest.mark.parametrize("entries", [HOSTS, HOSTS[:1]], ids=["all", "one"])
+def test_tokens_are_near_the_limit_when_hosts_hear_one_another(
+    entries: Sequence[HostId],
+) -> None:
+    spec = AccountSpec(tokens_per_minute=60_000)
+    _, _, used = drive(spec, entries=entries, tokens=50, per_second=100)
+    assert 0.7 * 40_000 <= used <= 1.35 * 40_000
+
+
+def test_concurrency_is_reached_when_one_host_has_all_the_load() -> None:
+    spec = AccountSpec(concurrent_requests=18)
+    _, most, _ = drive(spec, entries=HOSTS[:1], lasts_ms=2_000, seconds=10)
+    assert most == 18
+
+
+def test_concurrency_is_held_when_all_hosts_start_work_at_once() -> None:
+    spec = AccountSpec(concurrent_requests=18)
+    _, most, _ = drive(spec, entries=HOSTS, lasts_ms=2_000, seconds=20, per_second=1_800)
+    assert 16 <= most <= 20
+
+
+def test_concurrency_is_held_when_a_lone_host_hears_nobody() -> None:
+    spec = AccountSpec(concurrent_requests=18)
+    _, most, _ = drive(
+        spec,
+        entries=HOSTS,
+        lasts_ms=2_000,
+        seconds=10,
+        reach=lambda _one, _other: False,
+    )
+    assert 0 < most <= 18
+
+
+def test_refusal_names_the_limit_and_a_time_that_helps() -> None:
+    limits = AccountLimits(accounts={ACCOUNT: AccountSpec(requests_per_second=2.0)})
+    now = Millis(0)
+    assert limits.try_start(account=ACCOUNT, tokens=0, now=now) is None
+    assert limits.try_start(account=ACCOUNT, tokens=0, now=now) is None
+    refusal = limits.try_start(account=ACCOUNT, tokens=0, now=now)
+    assert refusal is not None
+    assert refusal.limit is Limit.RATE
+    later = Millis(now + refusal.retry_after_ms)
+    assert limits.try_start(account=ACCOUNT, tokens=0, now=later) is None
