Look at 64 waiting generations for each decision, remembering what an engine refused

Share and block-release tests were made sharper: both stayed green with their mechanism off, and are red without it now.

--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -35,7 +35,7 @@
 NEWCOMER_MS = 800
 """How long after its arrival here a generation may still be refused."""
 
-CANDIDATES = 16
+CANDIDATES = 64
 """How many waiting generations one decision looks at, so that its cost stays flat."""
 
 
@@ -98,10 +98,13 @@
         self._share = share
         for ledger in self._ledgers.values():
             ledger.alone = share < 1.0
+            ledger.refused.clear()
 
     def set_shares(self, *, shares: Mapping[UpstreamId, float]) -> None:
         """Replace the part of each engine this scheduler may fill; others keep ``share``."""
         self._shares = shares
+        for ledger in self._ledgers.values():
+            ledger.refused.clear()
 
     def set_engines(self, *, engines: Sequence[EngineSpec], now: Millis) -> None:
         """Replace the engines that take new work; others only finish what they run."""
--- a/src/tanagerscale/policy/_ledger.py
+++ b/src/tanagerscale/policy/_ledger.py
@@ -88,6 +88,8 @@
         self._prefix_tokens = 0
         self._hints: OrderedDict[str, None] = OrderedDict()
         self._forecast = _Forecast()
+        self.refused: dict[LengthCurve, int] = {}
+        """Least memory refused by length distribution since the forecast was made."""
         self._dirty = True
         self._usage: deque[_Usage] = deque(maxlen=USAGE_SAMPLES)
         self._foreign = 0
@@ -131,12 +133,16 @@
         :param memory: Tokens of memory it may count on.
         """
         base = self.new_memory(request)
+        refused = self.refused.get(curve)
+        if refused is not None and base >= refused:
+            return False
         for index, horizon in enumerate(HORIZONS):
             alive = curve.survival(horizon)
             size = base + horizon
             mean = self._forecast.mean[index] + alive * size
             spread = self._forecast.variance[index] + alive * (1.0 - alive) * size * size
             if mean + deviations * math.sqrt(spread) > memory:
+                self.refused[curve] = base
                 return False
         return True
 
@@ -223,6 +229,7 @@
             made=now, mean=[value + shared for value in mean], variance=variance
         )
         self._dirty = False
+        self.refused.clear()
 
     def _own_usage(self, when: Millis) -> _Usage:
         best = _Usage(when=when, tokens=0, running=0)
--- a/testing/test_policy.py
+++ b/testing/test_policy.py
@@ -35,8 +35,8 @@
 MEMORY = 8_000
 
 
-def spec(engine: UpstreamId, *, memory: int = MEMORY) -> EngineSpec:
-    return EngineSpec(engine=engine, memory_tokens=memory, max_batch=8)
+def spec(engine: UpstreamId, *, memory: int = MEMORY, batch: int = 8) -> EngineSpec:
+    return EngineSpec(engine=engine, memory_tokens=memory, max_batch=batch)
 
 
 def request(
@@ -285,6 +285,7 @@
 
 def test_share_bounds_memory_when_an_owner_is_out_of_reach() -> None:
     target = scheduler(share=0.25)
+    target.set_engines(engines=[spec(engine, batch=64) for engine in ENGINES], now=Millis(0))
     teach(target, kind="check", tokens=20)
     for number in range(60):
         target.submit(request=request(number, prompt=400), now=Millis(0))
--- a/testing/test_replay.py
+++ b/testing/test_replay.py
@@ -134,16 +134,18 @@
 
 
 def test_engine_frees_memory_when_generations_are_cancelled_in_a_step(engine: EngineFake) -> None:
-    items = [sequence(str(number), prompt=100 + number, output=300) for number in range(4)]
-    for item in items:
-        engine.submit(item)
     now = 0.0
-    for _ in range(40):
-        now += engine.begin_step(now=now)
+    for steps in range(20, 36):
+        items = [sequence(str(number), prompt=100 + number, output=300) for number in range(4)]
+        for item in items:
+            engine.submit(item)
+        for _ in range(steps):
+            now += engine.begin_step(now=now)
+            engine.end_step(now=now)
+        engine.begin_step(now=now)
+        for item in items:
+            engine.cancel(item, now=now)
         engine.end_step(now=now)
-    engine.begin_step(now=now)
-    for item in items:
-        engine.cancel(item, now=now)
     assert engine.idle
     assert engine.used_tokens == 0
 
