--- a/src/tanagerscale/policy/_lengths.py
+++ b/src/tanagerscale/policy/_lengths.py
@@ -39,7 +39,7 @@
     :param density: Probability of each bucket; they sum to one.
     """
 
-    __slots__ = ("_density", "_survival", "_tail_mass", "mean")
+    __slots__ = ("_density", "_survival", "mean")
 
     def __init__(self, *, density: Sequence[float]) -> None:
         self._density = density
@@ -47,8 +47,10 @@
         for probability in density:
             survival.append(max(survival[-1] - probability, 0.0))
         self._survival = survival
-        self._tail_mass = self._integrate(survival)
-        self.mean = self._tail_mass[0]
+        self.mean = sum(
+            (survival[bucket] + survival[bucket + 1]) / 2 * (_EDGES[bucket + 1] - _EDGES[bucket])
+            for bucket in range(BUCKETS)
+        )
         """Expected length in tokens."""
 
     @property
@@ -56,14 +58,6 @@
         """Return the probability of each bucket."""
         return self._density
 
-    @staticmethod
-    def _integrate(survival: Sequence[float]) -> list[float]:
-        tail = [0.0] * (BUCKETS + 1)
-        for bucket in range(BUCKETS - 1, -1, -1):
-            width = _EDGES[bucket + 1] - _EDGES[bucket]
-            tail[bucket] = tail[bucket + 1] + (survival[bucket] + survival[bucket + 1]) / 2 * width
-        return tail
-
     def survival(self, tokens: float) -> float:
         """Return the chance that an answer is longer than ``tokens``."""
         position = math.log1p(tokens) * BUCKETS_PER_E_FOLD
@@ -73,16 +67,6 @@
         left = self._survival[bucket]
         return left + (self._survival[bucket + 1] - left) * (position - bucket)
 
-    def mean_remaining(self, tokens: float) -> float:
-        """Return the expected tokens still to come after ``tokens``, given that it goes on."""
-        position = _position(tokens)
-        bucket = min(int(position), BUCKETS - 1)
-        alive = self.survival(tokens)
-        if alive <= 0.0:
-            return 0.0
-        ahead = (_EDGES[bucket + 1] - tokens) * (alive + self._survival[bucket + 1]) / 2
-        return max(ahead + self._tail_mass[bucket + 1], 0.0) / alive
-
 
 @final
 class _Group:
--- a/src/tanagerscale/replay/_layouts.py
+++ b/src/tanagerscale/replay/_layouts.py
@@ -18,12 +18,12 @@
 from tanagerscale.replay._baselines import RoundRobin
 from tanagerscale.replay._baselines import TwoChoices
 from tanagerscale.replay._clairvoyant import Clairvoyant
+from tanagerscale.replay._jobs import Job
+from tanagerscale.replay._jobs import Layout
+from tanagerscale.replay._jobs import Site
+from tanagerscale.replay._settings import OUTAGE_MS
 from tanagerscale.replay._settings import Case
 from tanagerscale.replay._settings import ReplaySettings
-from tanagerscale.replay._world import OUTAGE_MS
-from tanagerscale.replay._world import Job
-from tanagerscale.replay._world import Layout
-from tanagerscale.replay._world import Site
 from tanagerscale.replay._world import World
 
 NO_ANSWER_MS = 300.0
--- a/src/tanagerscale/replay/_report.py
+++ b/src/tanagerscale/replay/_report.py
@@ -13,8 +13,8 @@
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.measures import Summary
+from tanagerscale.replay._jobs import ServedTokens
 from tanagerscale.replay._settings import Case
-from tanagerscale.replay._world import ServedTokens
 from tanagerscale.replay._world import World
 
 OUTCOMES_SUFFIX = ".outcomes.json"
--- a/src/tanagerscale/replay/_settings.py
+++ b/src/tanagerscale/replay/_settings.py
@@ -31,6 +31,13 @@
 """Requests a second that five engines carry, by user and engine setting, as measured."""
 
 
+DETECTION_MS = 300.0
+"""How long hosts take to notice that an engine's links broke."""
+
+OUTAGE_MS = 10_000.0
+"""How long an owner is frozen, or hosts are cut from one another."""
+
+
 @unique
 class Case(Enum):
     """What goes wrong in a replay."""
--- a/src/tanagerscale/replay/_world.py
+++ b/src/tanagerscale/replay/_world.py
@@ -4,10 +4,8 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence as Items
-from dataclasses import dataclass
 import heapq
 from random import Random
-from typing import Protocol
 from typing import final
 
 from tanagerscale.core import ClientAccountId
@@ -19,29 +17,21 @@
 from tanagerscale.measures import RequestTimeline
 from tanagerscale.policy import Decision
 from tanagerscale.policy import DecisionKind
-from tanagerscale.policy import EngineLoad
 from tanagerscale.policy import EngineSpec
 from tanagerscale.policy import PlacementRequest
-from tanagerscale.policy import Scheduler
 from tanagerscale.replay._engine import EngineFake
-from tanagerscale.replay._engine import Sequence
-from tanagerscale.replay._settings import Case
+from tanagerscale.replay._faults import Faults
+from tanagerscale.replay._jobs import Job
+from tanagerscale.replay._jobs import Layout
+from tanagerscale.replay._jobs import ServedTokens
+from tanagerscale.replay._jobs import Site
+from tanagerscale.replay._news import News
+from tanagerscale.replay._sequence import Sequence
+from tanagerscale.replay._settings import DETECTION_MS
 from tanagerscale.replay._settings import ReplaySettings
 from tanagerscale.replay._trace import TraceRequest
 
 TICK_MS = 100.0
-DETECTION_MS = 300.0
-"""How long hosts take to notice that an engine's links broke."""
-
-NOTICE_MS = 20_000.0
-"""How long before it goes a reclaimed engine is listed as leaving."""
-
-OUTAGE_MS = 10_000.0
-"""How long an owner is frozen, or hosts are cut from one another."""
-
-TAKEOVER_MS = 3_000.0
-"""How long until another host has taken over from a lost owner."""
-
 DRAIN_MS = 900_000.0
 """How long after the trace the replay goes on at most."""
 
@@ -52,84 +42,6 @@
 MAX_TOKENS = 16_384
 
 
-class Job:
-    """One request of the trace and what became of it."""
-
-    __slots__ = (
-        "asked_at",
-        "asked_for",
-        "done",
-        "engine",
-        "generation",
-        "host",
-        "refusals",
-        "request",
-        "sequence",
-        "site",
-        "starts",
-        "timeline",
-        "tries",
-    )
-
-    def __init__(self, *, request: TraceRequest, host: int, timeline: RequestTimeline) -> None:
-        self.request = request
-        self.host = host
-        self.timeline = timeline
-        self.generation = GenerationId("")
-        self.starts = 0
-        self.tries = 0
-        self.sequence: Sequence | None = None
-        self.engine: EngineFake | None = None
-        self.site: Site | None = None
-        self.done = False
-        self.refusals = 0
-        self.asked_at = 0.0
-        self.asked_for: PlacementRequest | None = None
-
-
-class Site:
-    """A scheduler and the host it runs on.
-
-    :param scheduler: The scheduler.
-    :param host: Its host; ``None`` when messages to it take no time.
-    """
-
-    def __init__(self, *, scheduler: Scheduler, host: int | None) -> None:
-        self.scheduler = scheduler
-        self.host = host
-        self.frozen_until = 0.0
-        self.pending = False
-
-
-class Layout(Protocol):
-    """Which schedulers a policy has, and which of them a host asks."""
-
-    @property
-    def sites(self) -> Items[Site]:
-        """Return all sites."""
-
-    def site_for(self, *, host: int, now: float) -> Site:
-        """Return the site a host's request goes to."""
-
-    def on_length(self, *, host: int, request: PlacementRequest, tokens: int) -> None:
-        """Take in the length of an answer that ended at a host."""
-
-    def on_fault(self, world: World, *, case: Case, began: bool) -> None:
-        """Take in that an owner or the links between hosts failed or came back."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ServedTokens:
-    """Service to one account.
-
-    :param offered: Tokens of prompts and answers it asked for.
-    :param served: Tokens of those that were served within the trace's time.
-    """
-
-    offered: int
-    served: int
-
-
 @final
 class World:
     """One replay.
@@ -345,7 +257,7 @@
             self._tell_finished(job, generation, site, tokens=0, complete=False)
             return
         if not engine.alive:
-            self.after(DETECTION_MS, lambda: self._restart(job, engine))
+            self.after(DETECTION_MS, lambda: self.restart(job, engine))
             return
         wanted = job.request
         job.site = site
@@ -362,7 +274,8 @@
         engine.submit(job.sequence)
         self._wake(engine)
 
-    def _restart(self, job: Job, engine: EngineFake) -> None:
+    def restart(self, job: Job, engine: EngineFake) -> None:
+        """Ask for another place for a request whose engine is lost."""
         job.sequence = None
         job.engine = None
         job.tries -= 1
@@ -501,11 +414,8 @@
     def _start_timers(self) -> None:
         for site in self.layout.sites:
             self._tick(site)
-        for index, engine in enumerate(self.engines.values()):
-            offset = self.settings.report_period_ms * index / len(self.engines)
-            self.at(offset, self._reporter(engine))
-        self.at(self.settings.progress_period_ms, self._progress)
-        self._plan_fault()
+        News(world=self).start()
+        Faults(world=self).plan()
 
     def add_site(self, site: Site) -> None:
         """Start a site that was not there when the replay began."""
@@ -533,92 +443,13 @@
         self.pump(site)
         self.after(TICK_MS, lambda: self._tick(site))
 
-    def _reporter(self, engine: EngineFake) -> Callable[[], None]:
-        def report() -> None:
-            if not engine.alive:
-                return
-            load = EngineLoad(
-                engine=UpstreamId(engine.name),
-                measured=self.millis(),
-                running=engine.running,
-                waiting=engine.waiting,
-                used_tokens=engine.used_tokens,
-                preemptions=engine.preemptions,
-            )
-            self.after(self.settings.report_delay_ms, lambda: self._deliver_load(load))
-            self.after(self.settings.report_period_ms, report)
-
-        return report
-
-    def _deliver_load(self, load: EngineLoad) -> None:
-        for site in self.layout.sites:
-            if site.frozen_until <= self.now:
-                site.scheduler.on_load(load=load, now=self.millis())
-
-    def _progress(self) -> None:
-        """Tell each site how far its generations are, as hosts do every period."""
-        delay = self.settings.engine_delay_ms + self.settings.host_delay_ms
-        news: dict[Site, list[tuple[GenerationId, int]]] = {}
-        for engine in self.engines.values():
-            for sequence in engine.sequences():
-                job: Job = sequence.owner
-                if job.site is not None and job.sequence is sequence:
-                    made = (job.generation, engine.produced(sequence))
-                    news.setdefault(job.site, []).append(made)
-        for site, items in news.items():
-            self.after(delay, self._progress_news(site, items))
-        self.after(self.settings.progress_period_ms, self._progress)
-
-    def _progress_news(
-        self, site: Site, items: list[tuple[GenerationId, int]]
-    ) -> Callable[[], None]:
-        def deliver() -> None:
-            if site.frozen_until > self.now:
-                self.at(site.frozen_until, deliver)
-                return
-            for generation, tokens in items:
-                site.scheduler.on_progress(generation=generation, tokens=tokens, now=self.millis())
-
-        return deliver
-
-    def _plan_fault(self) -> None:
-        case, when = self.settings.case, self.settings.fault_at_ms
-        first = next(iter(self.engines))
-        if case is Case.ENGINE_LOST:
-            self.at(when, lambda: self._lose_engine(first))
-        elif case is Case.ENGINE_RECLAIMED:
-            self.at(when + DETECTION_MS, lambda: self._close_engine(first))
-            self.at(when + NOTICE_MS, lambda: self._lose_engine(first))
-        elif case in (Case.OWNER_LOST, Case.OWNER_FROZEN, Case.HOSTS_CUT):
-            lasts = TAKEOVER_MS if case is Case.OWNER_LOST else OUTAGE_MS
-            self.at(when, lambda: self.layout.on_fault(self, case=case, began=True))
-            self.at(when + lasts, lambda: self.layout.on_fault(self, case=case, began=False))
-
-    def _close_engine(self, name: UpstreamId) -> None:
+    def close_engine(self, name: UpstreamId) -> None:
+        """Have no site send new work to an engine."""
         self._open = [spec for spec in self._open if spec.engine != name]
         for site in self.layout.sites:
             site.scheduler.set_engines(engines=self._open, now=self.millis())
             self.pump(site)
 
-    def _lose_engine(self, name: UpstreamId) -> None:
-        engine = self.engines[name]
-        lost = engine.sequences()
-        for sequence in lost:
-            made = engine.cancel(sequence, now=self.now)
-            self.table.recomputed_tokens += made
-        engine.alive = False
-        self.after(DETECTION_MS, lambda: self._engine_gone(engine, lost))
-
-    def _engine_gone(self, engine: EngineFake, lost: list[Sequence]) -> None:
-        name = UpstreamId(engine.name)
-        self._close_engine(name)
-        for site in self.layout.sites:
-            site.scheduler.on_engine_lost(engine=name, now=self.millis())
-        for sequence in lost:
-            job: Job = sequence.owner
-            if not job.done and job.sequence is sequence:
-                self._restart(job, engine)
-
     def _note_service(self) -> None:
         for job in self.jobs:
             wanted = job.request
--- a/testing/test_policy.py
+++ b/testing/test_policy.py
@@ -234,13 +234,15 @@
     assert estimator.curve(request=request(1)).mean > 1_500
 
 
-def test_remaining_length_grows_when_a_heavy_tailed_answer_goes_on() -> None:
+def test_odds_to_go_on_grow_when_a_heavy_tailed_answer_goes_on() -> None:
     rng = Random(3)
     estimator = LengthEstimator()
     for number in range(2_000):
         estimator.observe(request=request(number), tokens=int(rng.lognormvariate(5.0, 1.5)) + 1)
     curve = estimator.curve(request=request(1))
-    assert curve.mean_remaining(1_000) > curve.mean_remaining(100) > 0.0
+    young = curve.survival(200) / curve.survival(100)
+    old = curve.survival(1_100) / curve.survival(1_000)
+    assert 1.0 > old > young > 0.0
 
 
 def test_admission_holds_back_when_forecast_memory_is_full() -> None:
--- a/testing/test_replay.py
+++ b/testing/test_replay.py
@@ -25,7 +25,7 @@
 from tanagerscale.replay import write_trace
 from tanagerscale.replay._engine import EngineFake
 from tanagerscale.replay._engine import EngineModel
-from tanagerscale.replay._engine import Sequence
+from tanagerscale.replay._sequence import Sequence
 
 SHORT = ReplayRun(policy="owner", seed=1, load=1.1, duration_s=60)
 
