--- a/src/tanagerscale/replay/_jobs.py
+++ b/src/tanagerscale/replay/_jobs.py
@@ -26,7 +26,9 @@
     __slots__ = (
         "asked_at",
         "asked_for",
+        "complete",
         "done",
+        "ended_at",
         "engine",
         "generation",
         "host",
@@ -50,6 +52,8 @@
         self.engine: EngineFake | None = None
         self.site: Site | None = None
         self.done = False
+        self.complete = False
+        self.ended_at = 0.0
         self.refusals = 0
         self.asked_at = 0.0
         self.asked_for: PlacementRequest | None = None
--- a/src/tanagerscale/replay/_world.py
+++ b/src/tanagerscale/replay/_world.py
@@ -144,6 +144,10 @@
         self._close()
         return self.table
 
+    def stop(self) -> None:
+        """End the replay now, whatever still runs."""
+        self._heap.clear()
+
     # Callers and hosts.
 
     def _arrival(self, request: TraceRequest, number: int) -> Callable[[], None]:
@@ -315,6 +319,8 @@
         if not complete:
             job.timeline.give_up(now=self.now)
         job.done = True
+        job.complete = complete
+        job.ended_at = self.now
         self._left -= 1
         self.table.add(job.timeline, short=job.request.short, complete=complete)
 
--- a/testing/test_replay.py
+++ b/testing/test_replay.py
@@ -236,6 +236,12 @@
         assert owner.good_tokens >= baseline.good_tokens
 
 
+@pytest.mark.parametrize("user", ["trois-rivieres", "film-office"])
+def test_kept_trace_meets_its_outcomes_when_the_default_policy_runs_it(user: str) -> None:
+    trace = Path(__file__).parent.parent / "traces" / f"{user}-peak.jsonl"
+    assert main(str(trace), policy="owner", seeds="101") == 0
+
+
 def test_replay_says_which_outcome_is_missed(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tools/replay_matrix.py
+++ b/tools/replay_matrix.py
@@ -1,6 +1,7 @@
 """Run the replays that docs/MEASURES.md quotes, and print them as Markdown tables.
 
-Usage: ``python -m tools.replay_matrix loads|settings|parts|objectives|cases [SEEDS [PROCESSES]]``
+Usage: ``python -m tools.replay_matrix TABLE [SEEDS [PROCESSES]]``, where the table is one of
+capacity, loads, settings, parts, objectives and cases.
 """
 
 from __future__ import annotations
@@ -21,9 +22,11 @@
 from tanagerscale.replay import Case
 from tanagerscale.replay import ReplayReport
 from tanagerscale.replay import ReplayRun
+from tanagerscale.replay._capacity import measure_capacity
 from tanagerscale.replay._report import mean_of
 from tanagerscale.replay._run import do_run
 from tanagerscale.replay._run import parse_seeds
+from tanagerscale.replay._settings import CAPACITY
 
 USERS = ("trois-rivieres", "film-office")
 LOADS = (0.5, 0.7, 0.9, 1.1, 1.5)
@@ -169,10 +172,29 @@
     return "| " + " | ".join(cells) + " |"
 
 
+def _capacity(setting: tuple[str, str, int]) -> float:
+    user, engines, seed = setting
+    return measure_capacity(user=user, setting=engines, seed=seed)
+
+
+def _print_capacity(seeds: Sequence[int], processes: int) -> None:
+    print("| user | setting | requests/s by seed | mean | stated |")
+    print("|---|---|---|---|---|")
+    with Pool(processes) as pool:
+        for (user, setting), stated in CAPACITY.items():
+            found = pool.map(_capacity, [(user, setting, seed) for seed in seeds])
+            listed = ", ".join(f"{value:.1f}" for value in found)
+            mean = sum(found) / len(found)
+            print(f"| {user} | {setting} | {listed} | {mean:.1f} | {stated} |", flush=True)
+
+
 def main(arguments: Sequence[str]) -> None:
     """Print one table."""
     seeds = parse_seeds(arguments[1] if len(arguments) > 1 else "101-105")
     processes = int(arguments[2]) if len(arguments) > 2 else 1
+    if arguments[0] == "capacity":
+        _print_capacity(seeds, processes)
+        return
     variants = list(TABLES[arguments[0]]())
     jobs = [
         replace(variant, run=replace(variant.run, seed=seed))
