Give the tail weight a dial: fill less of the memory

Cause: tail_weight changed nothing. Steps get faster with less context and a smaller batch, so tail_weight above stall_weight fills less memory; the default is as before.

--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -293,7 +293,7 @@
             waiting.curve,
             # Variances add up over the schedulers that share an engine, deviations do not.
             deviations=tuning.deviations * math.sqrt(share),
-            memory=share * ledger.spec.memory_tokens,
+            memory=share * tuning.memory_part * ledger.spec.memory_tokens,
         )
 
     def _cost(self, ledger: EngineLedger, waiting: Waiting) -> float:
--- a/src/tanagerscale/policy/_tuning.py
+++ b/src/tanagerscale/policy/_tuning.py
@@ -7,12 +7,21 @@
 
 from tanagerscale.generated.declarations import Objective
 
+DEFAULT_DEVIATIONS = 1.75
+DEVIATIONS_GAIN = 0.6
+MOST_DEVIATIONS = 4.0
+MEMORY_GAIN = 0.15
+LEAST_MEMORY_PART = 0.5
+LEAST_WEIGHT = 1e-3
+"""Keeps ratios finite when a weight is 0."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Tuning:
     """Settings of the scheduler, tuned by replay on seeds 1-5.
 
     :param deviations: Standard deviations of forecast memory kept free.
+    :param memory_part: Part of an engine's memory to fill; less of it makes steps faster.
     :param short_tokens: Expected tokens up to which work counts as short.
     :param length_ms_per_token: How much later in the queue each expected token puts a request.
     :param priority_ms: How much later in the queue each step of priority puts a request.
@@ -26,7 +35,8 @@
     :param shed_after_ms: Forecast time to empty the queue above which newcomers are shed.
     """
 
-    deviations: float = 1.75
+    deviations: float = DEFAULT_DEVIATIONS
+    memory_part: float = 1.0
     short_tokens: int = 128
     length_ms_per_token: float = 100.0
     priority_ms: float = 5000.0
@@ -44,7 +54,12 @@
 
     :param objective: The declared weights; only their ratios count.
     """
-    least = 1e-3
-    ratio = max(objective.preemption_weight, least) / max(objective.stall_weight, least)
-    deviations = min(max(1.75 + 0.6 * math.log(ratio), 0.0), 4.0)
-    return Tuning(deviations=deviations)
+    stall = max(objective.stall_weight, LEAST_WEIGHT)
+    preemptions = max(objective.preemption_weight, LEAST_WEIGHT) / stall
+    tail = max(objective.tail_weight, LEAST_WEIGHT) / stall
+    deviations = DEFAULT_DEVIATIONS + DEVIATIONS_GAIN * math.log(preemptions)
+    memory_part = 1.0 - MEMORY_GAIN * max(math.log(tail), 0.0)
+    return Tuning(
+        deviations=min(max(deviations, 0.0), MOST_DEVIATIONS),
+        memory_part=max(memory_part, LEAST_MEMORY_PART),
+    )
--- a/testing/test_replay.py
+++ b/testing/test_replay.py
@@ -226,6 +226,13 @@
     assert careful.stall_s > eager.stall_s
 
 
+def test_objective_moves_the_tail_when_its_weight_changes() -> None:
+    heavy = replay_with(Objective(tail_weight=10.0)).summary
+    default = replay_with(Objective()).summary
+    assert heavy.gap_p999_ms < default.gap_p999_ms
+    assert heavy.stall_s > default.stall_s
+
+
 def test_default_policy_beats_the_baselines_when_engines_are_full() -> None:
     policies = ("owner", "two-choices", "least-outstanding")
     full = replace(SHORT, load=1.6, setting="small-memory")
--- a/tools/replay_matrix.py
+++ b/tools/replay_matrix.py
@@ -111,7 +111,12 @@
 
 
 def _objectives() -> Iterator[Variant]:
-    chosen = {"default": Objective(), "film office 10:1": FILM, "rounds 1:10": ROUNDS}
+    chosen = {
+        "default": Objective(),
+        "film office 10:1": FILM,
+        "rounds 1:10": ROUNDS,
+        "tail 10:1": Objective(tail_weight=10.0),
+    }
     for user in USERS:
         for load in BUSY_LOADS:
             for name, objective in chosen.items():
