Know the rate only while work waits; bound groups and promises; heed max_tokens

Cause: after a quiet night the averaged rate was near nothing, so the first burst at dawn would have been refused (seen red: test_quiet_night_does_not_have_the_first_burst_refused, by the old code's floor rate). Class names come from callers, so groups and promises had no bound. A caller's max_tokens was not heeded.

--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -205,10 +205,12 @@
         """Return what to do now; called after events and at least every 100 ms."""
         decisions: list[Decision] = []
         if len(self._queue) == 0:
+            self._rate.watch(queued=False, now=now)
             return decisions
         for ledger in self._ledgers.values():
             ledger.refresh(now=now)
         self._admit(decisions, now=now)
+        self._rate.watch(queued=len(self._queue) > 0, now=now)
         self._shed(decisions, now=now)
         return decisions
 
--- a/src/tanagerscale/policy/_lengths.py
+++ b/src/tanagerscale/policy/_lengths.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Sequence
 import math
 from typing import final
@@ -20,6 +21,9 @@
 
 RESCALE_ABOVE = 1e12
 
+MOST_GROUPS = 4_096
+"""Most groups kept; callers choose class names, so the least recently learnt ones go."""
+
 
 def _edge(bucket: int) -> float:
     return math.exp(bucket / BUCKETS_PER_E_FOLD) - 1.0
@@ -39,10 +43,11 @@
     :param density: Probability of each bucket; they sum to one.
     """
 
-    __slots__ = ("_density", "_survival", "mean")
+    __slots__ = ("_density", "_limited", "_survival", "mean")
 
     def __init__(self, *, density: Sequence[float]) -> None:
         self._density = density
+        self._limited: dict[int, LengthCurve] = {}
         survival = [1.0]
         for probability in density:
             survival.append(max(survival[-1] - probability, 0.0))
@@ -58,6 +63,18 @@
         """Return the probability of each bucket."""
         return self._density
 
+    def limited(self, longest: int) -> LengthCurve:
+        """Return the distribution when answers are cut off after ``longest`` tokens."""
+        bucket = int(_position(longest))
+        if bucket >= BUCKETS or self._survival[bucket + 1] <= 0.0:
+            return self
+        curve = self._limited.get(bucket)
+        if curve is None:
+            density = list(self._density[: bucket + 1]) + [0.0] * (BUCKETS - bucket - 1)
+            density[bucket] += self._survival[bucket + 1]
+            curve = self._limited[bucket] = LengthCurve(density=density)
+        return curve
+
     def survival(self, tokens: float) -> float:
         """Return the chance that an answer is longer than ``tokens``."""
         position = math.log1p(tokens) * BUCKETS_PER_E_FOLD
@@ -130,7 +147,7 @@
     """Learns lengths for (model, adapter, account, class), backing off to coarser groups."""
 
     def __init__(self) -> None:
-        self._groups: dict[tuple[str, ...], _Group] = {}
+        self._groups: OrderedDict[tuple[str, ...], _Group] = OrderedDict()
         self._prior = LengthCurve(density=_log_uniform())
 
     def observe(self, *, request: PlacementRequest, tokens: int) -> None:
@@ -142,6 +159,9 @@
         bucket = min(int(_position(tokens)), BUCKETS - 1)
         for key in self._keys(request):
             self._groups.setdefault(key, _Group()).observe(bucket)
+            self._groups.move_to_end(key)
+        while len(self._groups) > MOST_GROUPS:
+            self._groups.popitem(last=False)
 
     def curve(self, *, request: PlacementRequest) -> LengthCurve:
         """Return the survival function for a request that has not ended.
@@ -157,7 +177,7 @@
                 group.rebuild(parent=curve.density)
             assert group.curve is not None
             curve = group.curve
-        return curve
+        return curve.limited(request.max_tokens)
 
     @staticmethod
     def _keys(request: PlacementRequest) -> tuple[tuple[str, ...], ...]:
--- a/src/tanagerscale/policy/_shedding.py
+++ b/src/tanagerscale/policy/_shedding.py
@@ -17,6 +17,9 @@
 RATE_KNOWN_AFTER_MS = 5_000.0
 """How long to watch before the rate is trusted."""
 
+LEAST_RATE = 1e-3
+"""Tokens a millisecond; keeps waits finite when nothing is made."""
+
 RETURN_SHARE = 0.1
 """Part of the rate of service that is promised to callers who were told to come back."""
 
@@ -28,33 +31,46 @@
 MOST_PROMISES = 512
 """Most promises kept for one account and class."""
 
+MOST_KEYS = 4_096
+"""Most accounts and classes with promises; callers choose class names, so there is a bound."""
+
 
 @final
 class ServiceRate:
-    """Output tokens a second over the last seconds, exponentially averaged."""
+    """Output tokens a millisecond while work waits, exponentially averaged.
+
+    It is watched only while there is a queue: what quiet engines make says nothing of what they
+    could make, and would have the first burst after a quiet night refused.
+    """
 
     def __init__(self) -> None:
         self._sum = 0.0
-        self._updated: Millis | None = None
+        self._updated = Millis(0)
         self._since: Millis | None = None
 
+    def watch(self, *, queued: bool, now: Millis) -> None:
+        """Take in whether work waits."""
+        if not queued:
+            self._since = None
+        elif self._since is None:
+            self._since = self._updated = now
+            self._sum = 0.0
+
     def add(self, tokens: int, *, now: Millis) -> None:
         """Count tokens that were made."""
-        if self._since is None or self._updated is None:
-            self._since = self._updated = now
-        self._decay(now)
-        self._sum += tokens
+        if self._since is not None:
+            self._decay(now)
+            self._sum += tokens
 
     def per_ms(self, *, now: Millis) -> float | None:
-        """Return tokens a millisecond, or ``None`` while it is not known."""
+        """Return the rate, or ``None`` while it is not known."""
         if self._since is None or now - self._since < RATE_KNOWN_AFTER_MS:
             return None
         self._decay(now)
         seen = 1.0 - math.exp(-(now - self._since) / RATE_WINDOW_MS)
-        return max(self._sum / (RATE_WINDOW_MS * seen), 1e-3)
+        return max(self._sum / (RATE_WINDOW_MS * seen), LEAST_RATE)
 
     def _decay(self, now: Millis) -> None:
-        assert self._updated is not None
         self._sum *= math.exp(-(now - self._updated) / RATE_WINDOW_MS)
         self._updated = now
 
@@ -88,17 +104,26 @@
         after = min(self._next - now, LONGEST_RETURN_MS)
         after *= 1.0 + self._rng.uniform(0.0, RETURN_SPREAD)
         told = math.ceil(after / MS_PER_SECOND) * MS_PER_SECOND
-        promises = self._promises.setdefault((request.account, request.request_class), [])
-        if len(promises) < MOST_PROMISES:
-            heapq.heappush(promises, now + told)
+        self._promise(request, now + told)
         return told
 
+    def _promise(self, request: PlacementRequest, when: int) -> None:
+        key = (request.account, request.request_class)
+        if key not in self._promises and len(self._promises) >= MOST_KEYS:
+            return
+        promises = self._promises.setdefault(key, [])
+        if len(promises) < MOST_PROMISES:
+            heapq.heappush(promises, when)
+
     def redeem(self, *, request: PlacementRequest, now: Millis) -> bool:
         """Return whether a newcomer was promised a place; a promise is kept once."""
-        promises = self._promises.get((request.account, request.request_class))
+        key = (request.account, request.request_class)
+        promises = self._promises.get(key, [])
         while promises and promises[0] + PROMISE_LASTS_MS < now:
             heapq.heappop(promises)
-        if not promises or promises[0] > now:
-            return False
-        heapq.heappop(promises)
-        return True
+        kept = bool(promises) and promises[0] <= now
+        if kept:
+            heapq.heappop(promises)
+        if not promises:
+            self._promises.pop(key, None)
+        return kept
--- a/testing/test_policy.py
+++ b/testing/test_policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 from hypothesis import settings
@@ -245,6 +246,33 @@
     assert 1.0 > old > young > 0.0
 
 
+def test_estimate_stays_below_the_limit_when_the_caller_sets_one() -> None:
+    estimator = LengthEstimator()
+    for number in range(200):
+        estimator.observe(request=request(number), tokens=2_000)
+    limited = estimator.curve(request=replace(request(1), max_tokens=50))
+    assert limited.mean <= 60
+    assert limited.survival(60) == 0.0
+
+
+def test_quiet_night_does_not_have_the_first_burst_refused() -> None:
+    target = scheduler()
+    teach(target, kind="plan", tokens=2_000)
+    for number in range(100):
+        now = Millis(number * 10_000)
+        target.submit(request=request(number, kind="plan", arrived=now), now=now)
+        assert target.decide(now=now)
+        target.on_finished(
+            generation=GenerationId(f"generation-{number}"), tokens=1, complete=False, now=now
+        )
+    burst = Millis(1_000_000)
+    for number in range(200, 260):
+        target.submit(request=request(number, kind="plan", arrived=burst), now=burst)
+    kinds = {decision.kind for decision in target.decide(now=burst)}
+    assert kinds == {DecisionKind.ADMIT}
+    assert target.queued > 0
+
+
 def test_admission_holds_back_when_forecast_memory_is_full() -> None:
     admitted = {}
     for tokens in (20, 3_000):
