--- a/src/tanagerscale/replay/_world.py
+++ b/src/tanagerscale/replay/_world.py
@@ -20,6 +20,7 @@
 from tanagerscale.policy import EngineSpec
 from tanagerscale.policy import PlacementRequest
 from tanagerscale.replay._engine import EngineFake
+from tanagerscale.replay._events import EngineEvents
 from tanagerscale.replay._faults import Faults
 from tanagerscale.replay._jobs import Job
 from tanagerscale.replay._jobs import Layout
@@ -73,13 +74,14 @@
         self._by_generation: dict[GenerationId, Job] = {}
         self._open: list[EngineSpec] = []
         self._left = len(trace)
+        events = EngineEvents(world=self)
         for index in range(settings.engines):
             name = UpstreamId(f"engine-{index + 1}")
             self.engines[name] = EngineFake(
                 name=name,
                 model=settings.model,
-                events=self,
-                gaps=self,
+                events=events,
+                gaps=events,
                 token_gap_ms=settings.objective.token_gap_ms,
             )
             self._open.append(
@@ -258,7 +260,7 @@
 
     def _start(self, job: Job, generation: GenerationId, engine: EngineFake, site: Site) -> None:
         if job.done or job.generation != generation or job.sequence is not None:
-            self._tell_finished(job, generation, site, tokens=0, complete=False)
+            self.tell_finished(job, generation, site, tokens=0, complete=False)
             return
         if not engine.alive:
             self.after(DETECTION_MS, lambda: self.restart(job, engine))
@@ -290,7 +292,7 @@
         job.refusals += 1
         self.slowest_refusal_ms = max(self.slowest_refusal_ms, self.now - job.asked_at)
         if job.tries >= MOST_TRIES:
-            self._end(job, complete=False)
+            self.end(job, complete=False)
             return
         self.after(float(retry_after_ms), lambda: self.ask(job))
 
@@ -304,9 +306,10 @@
         job.sequence = None
         job.engine = None
 
-    def _tell_finished(
+    def tell_finished(
         self, job: Job, generation: GenerationId, site: Site, *, tokens: int, complete: bool
     ) -> None:
+        """Tell a site that a generation left its engine."""
         self.to_site(
             site,
             job.host,
@@ -315,7 +318,8 @@
             ),
         )
 
-    def _end(self, job: Job, *, complete: bool) -> None:
+    def end(self, job: Job, *, complete: bool) -> None:
+        """Count a request that ended."""
         if not complete:
             job.timeline.give_up(now=self.now)
         job.done = True
@@ -344,77 +348,6 @@
             engine.end_step(now=self.now)
         self._step(engine)
 
-    def step(self, *, duration_ms: float, generations: int) -> None:
-        """Record an engine's step."""
-        self.table.gaps.record(duration_ms, count=generations)
-
-    def on_progress(self, sequence: Sequence, *, total: int, now: float) -> None:
-        """Take in the first new token after a start, a preemption or a move."""
-        job: Job = sequence.owner
-        before = job.timeline.stall_ms
-        gap = job.timeline.on_tokens(total=total, now=now)
-        if gap is not None:
-            self.table.gaps.record(gap)
-        self._note_stall(job.timeline.stall_ms - before)
-        self._tell_progress(job, total)
-
-    def on_pause(self, sequence: Sequence, *, total: int, now: float, excess_ms: float) -> None:
-        """Take in what a generation made since."""
-        job: Job = sequence.owner
-        job.timeline.add_steps(total=total, now=now, stall_ms=excess_ms)
-        self._note_stall(excess_ms)
-
-    def on_end(self, sequence: Sequence, *, now: float) -> None:
-        """Take in that an answer is complete."""
-        job: Job = sequence.owner
-        generation, site = job.generation, job.site
-        assert site is not None
-        self._end(job, complete=True)
-        assert job.asked_for is not None
-        self.layout.on_length(
-            host=job.host, request=job.asked_for, tokens=job.request.output_tokens
-        )
-        self.after(
-            self.settings.engine_delay_ms,
-            lambda: self._tell_finished(
-                job, generation, site, tokens=job.request.output_tokens, complete=True
-            ),
-        )
-
-    def on_cache(self, engine: EngineFake, *, prefix: str, stored: bool) -> None:
-        """Pass on a cache event late, or not at all."""
-        for site in self.layout.sites:
-            if self.rng.random() < self.settings.cache_loss:
-                continue
-            self._pass_on_cache(site, UpstreamId(engine.name), prefix, stored=stored)
-
-    def _pass_on_cache(self, site: Site, engine: UpstreamId, prefix: str, *, stored: bool) -> None:
-        self.after(
-            self.settings.cache_delay_ms,
-            lambda: site.scheduler.on_cache(
-                engine=engine, prefix=prefix, stored=stored, now=self.millis()
-            ),
-        )
-
-    def _note_stall(self, stall_ms: float) -> None:
-        if stall_ms > 0.0:
-            second = int(self.now // 1000)
-            self.stall_curve[second] = self.stall_curve.get(second, 0.0) + stall_ms
-
-    def _tell_progress(self, job: Job, total: int) -> None:
-        site, generation = job.site, job.generation
-        assert site is not None
-        self.after(
-            self.settings.engine_delay_ms,
-            lambda: self.to_site(
-                site,
-                job.host,
-                lambda: site.scheduler.on_progress(
-                    generation=generation, tokens=total, now=self.millis()
-                ),
-            ),
-        )
-
     # Timers and faults.
 
     def _start_timers(self) -> None:
@@ -470,7 +403,7 @@
     def _close(self) -> None:
         for job in self.jobs:
             if not job.done:
-                self._end(job, complete=False)
+                self.end(job, complete=False)
         for engine in self.engines.values():
             self.table.engine_ms += engine.busy_ms
             self.table.preemptions += engine.preemptions
