--- /dev/null
+++ b/src/tanagerscale/audit/__init__.py
@@ -0,0 +1,10 @@
+"""The audit trail: who applied what, when, from which revision, and what it changed."""
+
+from __future__ import annotations
+
+from tanagerscale.audit._trail import audit_key
+from tanagerscale.audit._trail import decode_audit
+from tanagerscale.audit._trail import encode_audit
+from tanagerscale.audit._trail import read_audit
+
+__all__ = ["audit_key", "decode_audit", "encode_audit", "read_audit"]
--- /dev/null
+++ b/src/tanagerscale/declarations/_diff.py
@@ -0,0 +1,93 @@
+"""What changed between two sets of sections."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from enum import unique
+from typing import Any
+from typing import final
+
+import msgspec
+
+from tanagerscale.generated.records import SectionDelta
+
+SECRET_KEYS = frozenset({"key_hash"})
+MAX_VALUE_LENGTH = 80
+
+
+@unique
+class ChangeKind(Enum):
+    """What became of a section."""
+
+    ADDED = "added"
+    CHANGED = "changed"
+    REMOVED = "removed"
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Change:
+    """One section that differs.
+
+    :param kind: What became of it.
+    :param title: Its title.
+    :param details: For a changed section, one phrase for each key.
+    """
+
+    kind: ChangeKind
+    title: str
+    details: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        """Return the change as one line, without secrets."""
+        if self.details:
+            return f"[{self.title}] {self.kind.value}: {'; '.join(self.details)}"
+        return f"[{self.title}] {self.kind.value}"
+
+
+def diff_sections(
+    *, old: Mapping[str, bytes], new: Mapping[str, bytes]
+) -> tuple[tuple[Change, ...], SectionDelta]:
+    """Compare two sets of sections.
+
+    :returns: The changes in order of their titles, and the delta that leads from old to new.
+    """
+    changes = []
+    put = {}
+    removed = []
+    for title in sorted(old.keys() | new.keys()):
+        before, after = old.get(title), new.get(title)
+        if before == after:
+            continue
+        if after is None:
+            removed.append(title)
+            changes.append(Change(kind=ChangeKind.REMOVED, title=title))
+            continue
+        put[title] = msgspec.json.decode(after)
+        if before is None:
+            changes.append(Change(kind=ChangeKind.ADDED, title=title))
+            continue
+        details = _details(before=msgspec.json.decode(before), after=put[title])
+        changes.append(Change(kind=ChangeKind.CHANGED, title=title, details=details))
+    return tuple(changes), SectionDelta(put=put, removed=removed)
+
+
+def _details(*, before: dict[str, Any], after: dict[str, Any]) -> tuple[str, ...]:
+    details = []
+    for key in dict.fromkeys((*before, *after)):
+        if before.get(key) == after.get(key):
+            continue
+        if key in SECRET_KEYS:
+            details.append(f"{key} replaced")
+            continue
+        details.append(f"{key} {_show(before.get(key))} -> {_show(after.get(key))}")
+    return tuple(details)
+
+
+def _show(value: Any) -> str:
+    if value is None:
+        return "default"
+    text = ", ".join(map(str, value)) if isinstance(value, list) else str(value)
+    return text if len(text) <= MAX_VALUE_LENGTH else f"{text[:MAX_VALUE_LENGTH]}…"
--- /dev/null
+++ b/src/tanagerscale/declarations/_head.py
@@ -0,0 +1,34 @@
+"""The head record: which revision is accepted."""
+
+from __future__ import annotations
+
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from tanagerscale.declarations._errors import FollowError
+from tanagerscale.declarations._errors import FollowErrorKind
+from tanagerscale.declarations._sections import DECODE_ERRORS
+from tanagerscale.generated.records import Head
+
+MAX_HEAD_BYTES = 512 * 1024
+MAX_CHUNKS = 4096
+
+
+def decode_head(*, value: bytes) -> Result[Head, FollowError]:
+    """Decode a head record from the store or from a peer."""
+    try:
+        head = msgspec.json.decode(value, type=Head)
+    except DECODE_ERRORS as error:
+        return Failure(_bad_head(reason=str(error)))
+    if head.revision < 1 or not 0 < len(head.chunks) <= MAX_CHUNKS:
+        return Failure(_bad_head(reason="its revision or its list of chunks is out of range"))
+    return Success(head)
+
+
+def _bad_head(*, reason: str) -> FollowError:
+    return FollowError(
+        kind=FollowErrorKind.BAD_HEAD,
+        detail=f"The head record can't be read ({reason}); apply the declarations again.",
+    )
--- /dev/null
+++ b/src/tanagerscale/ini/_sections.py
@@ -0,0 +1,172 @@
+"""Sections and keys of INI files, with the line of each."""
+
+from __future__ import annotations
+
+import configparser
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+from typing import final
+
+from tanagerscale.ini._errors import InputError
+
+MAX_FILE_BYTES = 64 * 1024 * 1024
+# configparser gives the keys of its default section to all others, which we don't want.
+NO_DEFAULT_SECTION = "\0"
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class IniSection:
+    """One section.
+
+    :param file: File it stands in.
+    :param line: Line of its header.
+    :param title: What stands between the brackets.
+    :param values: Values by key.
+    :param lines: Lines by key.
+    """
+
+    file: Path
+    line: int
+    title: str
+    values: dict[str, str]
+    lines: dict[str, int]
+
+    def error(
+        self, *, key: str = "", found: str = "", allowed: str, suggestion: str = ""
+    ) -> InputError:
+        """Return a mistake in this section, placed at the key where it stands."""
+        return InputError(
+            file=self.file,
+            line=self.lines.get(key, self.line),
+            section=self.title,
+            key=key,
+            found=found,
+            allowed=allowed,
+            suggestion=suggestion,
+        )
+
+
+@dataclass(kw_only=True, slots=True)
+class _LineIndex:
+    """Where sections and keys stand; configparser doesn't tell."""
+
+    sections: dict[str, int] = field(default_factory=dict)
+    keys: dict[str, dict[str, int]] = field(default_factory=dict)
+    errors: list[InputError] = field(default_factory=list)
+
+
+def read_sections(*, path: Path) -> tuple[list[IniSection], list[InputError]]:
+    """Read one INI file.
+
+    :param path: The file.
+    :returns: Its sections and everything that is wrong with its syntax.
+    """
+    text, error = _read_text(path=path)
+    if error is not None:
+        return [], [error]
+    index = _index_lines(path=path, text=text)
+    parser = configparser.RawConfigParser(
+        strict=False,
+        empty_lines_in_values=False,
+        inline_comment_prefixes=("#",),
+        default_section=NO_DEFAULT_SECTION,
+    )
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    errors = index.errors + _parse(parser=parser, path=path, text=text)
+    sections = [
+        IniSection(
+            file=path,
+            line=index.sections.get(title, 0),
+            title=title,
+            values=dict(parser.items(title)),
+            lines=index.keys.get(title, {}),
+        )
+        for title in parser.sections()
+    ]
+    return sections, errors
+
+
+def _read_text(*, path: Path) -> tuple[str, InputError | None]:
+    try:
+        if path.stat().st_size > MAX_FILE_BYTES:
+            return "", InputError(file=path, allowed=f"a file of at most {MAX_FILE_BYTES} bytes")
+        return path.read_bytes().decode("utf-8-sig"), None
+    except UnicodeDecodeError as error:
+        allowed = f"text in UTF-8; byte {error.start} is not"
+        return "", InputError(file=path, allowed=allowed)
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        return "", InputError(file=path, found=reason, allowed="a readable file")
+
+
+def _parse(*, parser: configparser.RawConfigParser, path: Path, text: str) -> list[InputError]:
+    try:
+        parser.read_string(text, source=str(path))
+    except configparser.MissingSectionHeaderError as error:
+        return [
+            InputError(
+                file=path,
+                line=error.lineno,
+                found=str(error.line).strip(),
+                allowed="a section header such as [objective] before the first key",
+            )
+        ]
+    except configparser.ParsingError as error:
+        lines = text.splitlines()
+        return [
+            InputError(
+                file=path,
+                line=number,
+                found=lines[number - 1].strip() if number <= len(lines) else "",
+                allowed="a section header in brackets, or a key, '=' and a value",
+            )
+            for number, _ in error.errors
+        ]
+    except (configparser.Error, AttributeError) as error:
+        # Some malformed continuation lines surface as AttributeError in configparser.
+        return [InputError(file=path, found=str(error), allowed="a well-formed INI file")]
+    return []
+
+
+def _index_lines(*, path: Path, text: str) -> _LineIndex:
+    index = _LineIndex()
+    title = ""
+    in_value = False
+    for number, line in enumerate(text.splitlines(), start=1):
+        content = line.strip()
+        if not content or content[0] in "#;":
+            in_value = False
+            continue
+        if in_value and line[0].isspace():
+            continue
+        header = configparser.RawConfigParser.SECTCRE.match(content)
+        if header is not None:
+            title = header.group("header")
+            in_value = False
+            _add_section(index=index, path=path, title=title, line=number)
+            continue
+        option = configparser.RawConfigParser.OPTCRE.match(content)
+        if option is not None and title:
+            key = option.group("option").rstrip()
+            in_value = True
+            _add_key(index=index, path=path, title=title, key=key, line=number)
+    return index
+
+
+def _add_section(*, index: _LineIndex, path: Path, title: str, line: int) -> None:
+    first = index.sections.setdefault(title, line)
+    index.keys.setdefault(title, {})
+    if first != line:
+        allowed = f"each section once; it stands on line {first} already"
+        index.errors.append(InputError(file=path, line=line, section=title, allowed=allowed))
+
+
+def _add_key(*, index: _LineIndex, path: Path, title: str, key: str, line: int) -> None:
+    first = index.keys[title].setdefault(key, line)
+    if first != line:
+        allowed = f"each key once; it stands on line {first} already"
+        index.errors.append(
+            InputError(file=path, line=line, section=title, key=key, allowed=allowed)
+        )
--- /dev/null
+++ b/src/tanagerscale/settings/__init__.py
@@ -0,0 +1,7 @@
+"""Settings of one host, read from an INI file."""
+
+from __future__ import annotations
+
+from tanagerscale.settings._read import read_settings
+
+__all__ = ["read_settings"]
--- /dev/null
+++ b/src/tanagerscale/settings/_read.py
@@ -0,0 +1,138 @@
+"""Host settings: reading and checking."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from tanagerscale.generated.settings import HostSettings
+from tanagerscale.ini import IniSection
+from tanagerscale.ini import InputError
+from tanagerscale.ini import address_problem
+from tanagerscale.ini import convert_section
+from tanagerscale.ini import nearest
+from tanagerscale.ini import read_sections
+
+MIN_CURSOR_KEY_LENGTH = 32
+
+
+def read_settings(*, path: Path) -> Result[HostSettings, tuple[InputError, ...]]:
+    """Read the settings of one host.
+
+    :param path: INI file; its section names are the properties of ``HostSettings``.
+    :returns: The settings, or everything that is wrong with them.
+    """
+    sections, errors = read_sections(path=path)
+    kinds = {info.name: info for info in msgspec.structs.fields(HostSettings)}
+    values: dict[str, dict[str, Any]] = {}
+    for section in sections:
+        if section.title not in kinds:
+            allowed = f"one of the sections {', '.join(kinds)}"
+            suggestion = nearest(name=section.title, known=list(kinds))
+            errors.append(section.error(allowed=allowed, suggestion=suggestion))
+            continue
+        converted, mistakes = convert_section(section=section, struct=kinds[section.title].type)
+        values[section.title] = converted
+        errors.extend(mistakes)
+        errors.extend(_check(section=section, values=converted))
+    for name, info in kinds.items():
+        if info.required and name not in values:
+            errors.append(InputError(file=path, allowed=f"the section [{name}] is required"))
+    if "secrets" not in values:
+        allowed = f"the section [secrets] with cursor_key or cursor_key_file; {KEY_REMEDY}"
+        errors.append(InputError(file=path, allowed=allowed))
+    if errors:
+        return Failure(tuple(errors))
+    return Success(msgspec.convert(values, HostSettings))
+
+
+KEY_REMEDY = (
+    f"all hosts of an installation share one key of at least {MIN_CURSOR_KEY_LENGTH} characters"
+)
+
+
+def _check(*, section: IniSection, values: dict[str, Any]) -> list[InputError]:
+    match section.title:
+        case "host":
+            return _check_addresses(section=section, values=values)
+        case "store":
+            return _check_urls(section=section, urls=values.get("endpoints", []), key="endpoints")
+        case "host_list":
+            return _check_host_list(section=section, values=values)
+        case "tls":
+            return _check_tls(section=section, values=values)
+        case "secrets":
+            return _check_secrets(section=section, values=values)
+    return []
+
+
+def _check_addresses(*, section: IniSection, values: dict[str, Any]) -> list[InputError]:
+    errors = []
+    for key in ("callers", "peers"):
+        problem = key in values and address_problem(address=values[key], port_zero=True)
+        if problem:
+            errors.append(section.error(key=key, found=values[key], allowed=problem))
+    return errors
+
+
+def _check_urls(*, section: IniSection, urls: list[str], key: str) -> list[InputError]:
+    allowed = "URLs with http or https, as in http://127.0.0.1:2379"
+    return [
+        section.error(key=key, found=url, allowed=allowed) for url in urls if not _is_http_url(url)
+    ]
+
+
+def _is_http_url(url: str) -> bool:
+    try:
+        parts = urlsplit(url)
+        return parts.scheme in ("http", "https") and bool(parts.hostname) and parts.port != 0
+    except ValueError:
+        return False
+
+
+def _check_host_list(*, section: IniSection, values: dict[str, Any]) -> list[InputError]:
+    url = values.get("url", "")
+    errors = _check_urls(section=section, urls=[url] if url else [], key="url")
+    for seed in values.get("seeds", []):
+        problem = address_problem(address=seed)
+        if problem:
+            errors.append(section.error(key="seeds", found=seed, allowed=problem))
+    return errors
+
+
+def _check_tls(*, section: IniSection, values: dict[str, Any]) -> list[InputError]:
+    errors = []
+    groups = (
+        ("callers_certificate", "callers_key"),
+        ("peers_certificate", "peers_key", "peers_ca"),
+    )
+    for group in groups:
+        missing = [key for key in group if not values.get(key)]
+        if missing and len(missing) < len(group):
+            allowed = f"{', '.join(group)} are set together or not at all"
+            errors.append(section.error(key=missing[0], allowed=allowed))
+    for key, file in values.items():
+        if file and not Path(file).is_file():
+            errors.append(section.error(key=key, found=file, allowed="a file that exists"))
+    return errors
+
+
+def _check_secrets(*, section: IniSection, values: dict[str, Any]) -> list[InputError]:
+    key = values.get("cursor_key", "")
+    file = values.get("cursor_key_file", "")
+    if bool(key) == bool(file):
+        allowed = f"either cursor_key or cursor_key_file; {KEY_REMEDY}"
+        return [section.error(key="cursor_key", allowed=allowed)]
+    # What was found is a secret, so only its length is told.
+    if key and len(key) < MIN_CURSOR_KEY_LENGTH:
+        found = f"{len(key)} characters"
+        return [section.error(key="cursor_key", found=found, allowed=KEY_REMEDY)]
+    if file and not Path(file).is_file():
+        return [section.error(key="cursor_key_file", found=file, allowed="a file that exists")]
+    return []
--- /dev/null
+++ b/testing/test_declarations_publish.py
@@ -0,0 +1,186 @@
+"""Accepting declarations: two operators, lost replies, garbage, audit."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from tanagerscale.audit import read_audit
+from tanagerscale.core import Revision
+from tanagerscale.declarations import ApplyErrorKind
+from tanagerscale.declarations import read_accepted
+from tanagerscale.declarations import to_sections
+from tanagerscale.generated.declarations import DeclarationSet
+from testing._declared import PREFIX
+from testing._declared import apply
+from testing._declared import declare
+from testing._fake_store import FakeStore
+
+pytestmark = pytest.mark.looptime
+
+CHUNKS = f"{PREFIX}/declarations/chunks/"
+
+
+async def _accepted_set(store: FakeStore) -> tuple[int, dict[str, bytes]]:
+    accepted = (await read_accepted(store=store, prefix=PREFIX)).unwrap()
+    assert accepted.chunked is not None
+    return accepted.revision, accepted.chunked.sections()
+
+
+def _chunk_keys(store: FakeStore) -> list[str]:
+    return [key for key in store.backend.entries if key.startswith(CHUNKS)]
+
+
+async def test_second_operator_is_refused_with_the_diff_when_both_apply_at_once() -> None:
+    first = FakeStore(latency_ms=5)
+    second = FakeStore(backend=first.backend, latency_ms=5)
+    results = await asyncio.gather(
+        apply(store=first, declarations=declare(accounts=["crews"]), author="ana", expected=0),
+        apply(store=second, declarations=declare(accounts=["chiefs"]), author="bo", expected=0),
+    )
+    accepted = [result.unwrap() for result in results if result.value_or(None) is not None]
+    assert len(accepted) == 1
+    winner = accepted[0].author
+    refused = results[1] if winner == "ana" else results[0]
+    error = refused.failure()
+    assert error.kind is ApplyErrorKind.CONFLICT
+    assert (error.author, error.in_force) == (winner, 1)
+    won = "crews" if winner == "ana" else "chiefs"
+    assert any(f"[account {won}] added" in line for line in error.changes)
+    assert await _accepted_set(first) == (1, to_sections(declarations=_only(won)))
+
+
+def _only(account: str) -> DeclarationSet:
+    return declare(accounts=[account])
+
+
+async def test_operator_is_refused_when_the_file_was_made_from_an_older_revision() -> None:
+    store = FakeStore()
+    await apply(store=store, declarations=declare(), author="ana")
+    await apply(store=store, declarations=declare(memory_tokens=70000), author="bo", expected=1)
+    result = await apply(store=store, declarations=declare(engines=2), author="cy", expected=1)
+    error = result.failure()
+    assert error.kind is ApplyErrorKind.CONFLICT
+    line = "revision 2 by bo: [engine e1] changed: memory_tokens default -> 70000"
+    assert error.changes == (line,)
+
+
+@pytest.mark.parametrize("lost", ["request", "reply"])
+@pytest.mark.parametrize("call", range(1, 3))
+async def test_set_is_accepted_once_when_a_message_is_lost(lost: str, call: int) -> None:
+    store = FakeStore()
+    tripped = _LoseNth(store=store, call=call, lost=lost)
+    head = (await apply(store=tripped.store, declarations=declare())).unwrap()
+    assert head.revision == 1
+    assert (await _accepted_set(store))[0] == 1
+    audit = await read_audit(store=store, prefix=PREFIX, newest=Revision(1), last=5)
+    assert [record.apply_id for record in audit.unwrap()] == [head.apply_id]
+
+
+class _LoseNth:
+    """Loses one message of one of the store's writes, counted from 1."""
+
+    def __init__(self, *, store: FakeStore, call: int, lost: str) -> None:
+        self.store = FakeStore(backend=store.backend)
+        commit = self.store.commit
+        self._left = call
+
+        async def counted(**arguments: object) -> object:
+            self._left -= 1
+            if self._left == 0:
+                self.store.lose_requests = int(lost == "request")
+                self.store.lose_replies = int(lost == "reply")
+            return await commit(**arguments)  # type: ignore[arg-type]
+
+        self.store.commit = counted  # type: ignore[method-assign,assignment]
+
+
+async def test_apply_settles_itself_when_run_again_after_others_went_on() -> None:
+    store = FakeStore()
+    await apply(store=store, declarations=declare(), apply_id="first")
+    await apply(store=store, declarations=declare(engines=2), apply_id="second", expected=1)
+    again = await apply(store=store, declarations=declare(), apply_id="first", expected=0)
+    assert again.unwrap().revision == 1
+    assert (await _accepted_set(store))[0] == 2
+
+
+async def test_outcome_is_uncertain_when_the_store_stays_away_after_the_write() -> None:
+    store = FakeStore()
+    commit = store.commit
+
+    async def once(**arguments: object) -> object:
+        result = await commit(**arguments)  # type: ignore[arg-type]
+        if any(key.endswith("/head") for key in store.backend.entries):
+            store.set_down(True)
+            return (await FakeStore(lose_requests=1).commit(puts=[])).alt(lambda error: error)
+        return result
+
+    store.commit = once  # type: ignore[method-assign,assignment]
+    error = (await apply(store=store, declarations=declare(), apply_id="same")).failure()
+    assert error.kind is ApplyErrorKind.UNCERTAIN
+    assert "--apply-id same" in error.detail
+    healthy = FakeStore(backend=store.backend)
+    assert (await apply(store=healthy, declarations=declare(), apply_id="same")).unwrap()
+    assert (await _accepted_set(healthy))[0] == 1
+
+
+async def test_nothing_is_accepted_when_the_store_is_down() -> None:
+    store = FakeStore(down=True)
+    error = (await apply(store=store, declarations=declare())).failure()
+    assert error.kind is ApplyErrorKind.STORE_UNREACHABLE
+    assert not store.backend.entries
+
+
+async def test_chunks_are_deleted_when_no_revision_needs_them() -> None:
+    store = FakeStore()
+    for engines in (1, 2, 3):
+        await apply(store=store, declarations=declare(engines=engines))
+    head = (await read_accepted(store=store, prefix=PREFIX)).unwrap().head
+    assert head is not None
+    assert _chunk_keys(store) == [f"{CHUNKS}{digest}" for digest in head.chunks]
+
+
+async def test_chunk_survives_when_another_operator_returns_to_it_during_cleaning() -> None:
+    """A collects the chunk of revision 1 while B publishes that very content again."""
+    one, two = declare(engines=1), declare(engines=2)
+    store = FakeStore()
+    await apply(store=store, declarations=one, apply_id="1")
+    cleaning = FakeStore(backend=store.backend)
+    commit = cleaning.commit
+
+    async def paused(**arguments: object) -> object:
+        puts = arguments["puts"]
+        if any(put.value is None for put in puts):  # type: ignore[attr-defined]
+            back = await apply(store=store, declarations=one, author="bo", apply_id="3")
+            assert back.unwrap().revision == 3
+        return await commit(**arguments)  # type: ignore[arg-type]
+
+    cleaning.commit = paused  # type: ignore[method-assign,assignment]
+    await apply(store=cleaning, declarations=two, apply_id="2")
+    assert await _accepted_set(store) == (3, to_sections(declarations=one))
+
+
+async def test_lost_chunk_is_mended_when_the_set_is_applied_again_with_a_change() -> None:
+    store = FakeStore()
+    await apply(store=store, declarations=declare())
+    store.backend.corrupt(key=_chunk_keys(store)[0], value=b"{}")
+    head = (await apply(store=store, declarations=declare())).unwrap()
+    assert head.revision == 2
+    assert await _accepted_set(store) == (2, to_sections(declarations=declare()))
+
+
+async def test_audit_says_who_changed_what_and_no_secrets() -> None:
+    store = FakeStore()
+    await apply(store=store, declarations=declare(accounts=["crews"]), author="ana")
+    changed = declare(accounts=["crews"])
+    account = msgspec.structs.replace(changed.accounts[0], key_hash="$argon2id$other")
+    changed = msgspec.structs.replace(changed, accounts=[account])
+    await apply(store=store, declarations=changed, author="bo", expected=1)
+    records = (await read_audit(store=store, prefix=PREFIX, newest=Revision(2), last=9)).unwrap()
+    assert [(r.revision, r.previous_revision, r.author) for r in records] == [
+        (2, 1, "bo"),
+        (1, 0, "ana"),
+    ]
+    assert records[0].changes == ["[account crews] changed: key_hash replaced"]
