--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,398 @@
+"""Stand-in of a model engine: continuous batching, resume, cancel, orders, and faults."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections import deque
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+import os
+from random import Random
+from typing import final
+
+from aiohttp import web
+import fire
+import msgspec
+from msgspec.structs import replace
+
+from standins._batch import Batch
+from standins._batch import BatchLimits
+from standins._batch import Sequence
+from standins._common import end_task
+from standins._common import json_response
+from standins._common import read_json
+from standins._common import serve
+from standins._engine_stock import StaleFenceError
+from standins._engine_stock import Stock
+from standins._engine_stream import EventStream
+from standins._engine_types import ExecutionReport
+from standins._engine_types import ExecutionReports
+from standins._engine_types import Leave
+from standins._engine_types import OutOfMemory
+from standins._engine_types import StreamFault
+from standins._engine_types import StreamFaultMode
+from standins._prefix_cache import PrefixCache
+from standins.tokens import prompt_tokens
+from tanagerscale.core import Clock
+from tanagerscale.generated.upstream import EngineOrder
+from tanagerscale.generated.upstream import EngineRequest
+from tanagerscale.generated.upstream import FinishReason
+from tanagerscale.generated.upstream import LoadReport
+from tanagerscale.generated.upstream import Refusal
+from tanagerscale.generated.upstream import RefusalKind
+
+ATTEMPT_HEADER = "X-Attempt-Id"
+CRASH_STATUS = 139
+SAMPLE_INTERVAL_MS = 50
+KEPT_SAMPLES = 1_200
+RETENTION_INTERVAL_MS = 500
+MAX_BODY_BYTES = 8 << 20
+REFUSAL_STATUS = {
+    RefusalKind.LEAVING: 503,
+    RefusalKind.NOT_LOADED: 503,
+    RefusalKind.OVERLOADED: 503,
+    RefusalKind.BAD_REQUEST: 400,
+    RefusalKind.STALE_FENCE: 409,
+    RefusalKind.UNKNOWN_GENERATION: 404,
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineOptions:
+    """Options of the process; times in milliseconds."""
+
+    limits: BatchLimits
+    models: dict[str, str]
+    adapters: dict[str, str]
+    cache_tokens: int = 8_192
+    cache_lag_ms: int = 500
+    cache_gap: float = 0.0
+    report_lag_ms: int = 500
+    load_ms: int = 500
+    retention_ms: int = 60_000
+    checks_fence: bool = True
+    weights_url: str = ""
+    seed: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Sample:
+    at: int
+    report: LoadReport
+
+
+@final
+class EngineServer:
+    """One engine with its calls.
+
+    :param options: How it behaves.
+    """
+
+    def __init__(self, options: EngineOptions) -> None:
+        self._options = options
+        self._clock = Clock()
+        self._cache = PrefixCache(
+            cache_tokens=options.cache_tokens,
+            lag_ms=options.cache_lag_ms,
+            gap=options.cache_gap,
+            random=Random(options.seed),
+            clock=self._clock,
+        )
+        self._batch = Batch(
+            limits=options.limits, clock=self._clock, cache=self._cache, crash=_crash
+        )
+        self._stock = Stock(
+            models=options.models,
+            adapters=options.adapters,
+            checks_fence=options.checks_fence,
+            load_ms=options.load_ms,
+            weights_url=options.weights_url,
+            in_use=lambda name: self._batch.holds(name=name),
+            clock=self._clock,
+        )
+        self._sequences: dict[str, Sequence] = {}
+        self._forgotten: list[ExecutionReport] = []
+        self._posts: Counter[str] = Counter()
+        self._refused: Counter[str] = Counter()
+        self._samples: deque[_Sample] = deque(maxlen=KEPT_SAMPLES)
+        self._leaving = False
+        self._fault = StreamFault()
+        self._fault_left = 0
+        self._followers = 0
+
+    def app(self) -> web.Application:
+        """Return the application to serve."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.add_routes(
+            [
+                web.post("/v1/completions", self._generate),
+                web.get("/v1/completions/{attempt}/events", self._resume),
+                web.delete("/v1/completions/{attempt}", self._cancel),
+                web.get("/load", self._show_load),
+                web.get("/cache-events", self._show_cache_events),
+                web.get("/state", self._show_state),
+                web.post("/orders", self._order),
+                web.post("/admin/leave", self._leave),
+                web.post("/admin/oom", self._run_out_of_memory),
+                web.post("/admin/fault", self._set_fault),
+                web.get("/admin/executions", self._show_executions),
+                web.get("/admin/orders", self._show_orders),
+            ]
+        )
+        app.cleanup_ctx.append(self._run)
+        return app
+
+    async def _run(self, _app: web.Application) -> AsyncIterator[None]:
+        loops = (self._batch.run_forever(), self._sample_forever(), self._forget_forever())
+        tasks = [asyncio.create_task(loop) for loop in loops]
+        yield
+        for task in tasks:
+            await end_task(task)
+        await self._stock.close()
+
+    async def _sample_forever(self) -> None:
+        while True:
+            self._samples.append(_Sample(at=self._clock.now(), report=self._batch.report()))
+            await self._clock.sleep(SAMPLE_INTERVAL_MS)
+
+    async def _forget_forever(self) -> None:
+        while True:
+            await self._clock.sleep(RETENTION_INTERVAL_MS)
+            oldest = self._clock.now() - self._options.retention_ms
+            for attempt, sequence in tuple(self._sequences.items()):
+                if sequence.finish is not None and sequence.finished_at < oldest:
+                    self._forgotten.append(self._report(sequence))
+                    del self._sequences[attempt]
+
+    async def _generate(self, request: web.Request) -> web.StreamResponse:
+        try:
+            body = msgspec.json.decode(await request.read(), type=EngineRequest)
+        except msgspec.DecodeError as error:
+            return self._refuse(RefusalKind.BAD_REQUEST, str(error))
+        self._posts[body.attempt_id] += 1
+        known = self._sequences.get(body.attempt_id)
+        if known is not None:
+            return await self._follow(request, known, offset=0, resumed=True)
+        if any(report.attempt_id == body.attempt_id for report in self._forgotten):
+            return self._refuse(RefusalKind.BAD_REQUEST, "This attempt has run before.")
+        refusal = self._find_refusal(body)
+        if refusal is not None:
+            return self._refuse(refusal.kind, refusal.detail)
+        version = self._stock.version_of(model=body.model) or ""
+        sequence = self._batch.submit(body, version=version)
+        self._sequences[body.attempt_id] = sequence
+        return await self._follow(request, sequence, offset=0, resumed=False)
+
+    def _find_refusal(self, body: EngineRequest) -> Refusal | None:
+        if self._leaving or self._stock.draining:
+            return Refusal(kind=RefusalKind.LEAVING, detail="The engine takes no new work.")
+        version = self._stock.version_of(model=body.model)
+        if version is None or (body.version and body.version != version):
+            return Refusal(kind=RefusalKind.NOT_LOADED, detail=f"Not loaded: {body.model}.")
+        if body.adapter and not self._stock.holds_adapter(body.adapter):
+            return Refusal(kind=RefusalKind.NOT_LOADED, detail=f"Not loaded: {body.adapter}.")
+        if prompt_tokens(body.prompt) > self._options.limits.memory_tokens:
+            return Refusal(kind=RefusalKind.BAD_REQUEST, detail="The prompt exceeds the memory.")
+        if self._batch.full:
+            return Refusal(kind=RefusalKind.OVERLOADED, detail="Too many requests wait.")
+        return None
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        sequence = self._sequences.get(request.match_info["attempt"])
+        if sequence is None:
+            return self._refuse(RefusalKind.UNKNOWN_GENERATION, "No such attempt is kept.")
+        offset = request.query.get("offset", "0")
+        if not offset.isdecimal() or int(offset) > len(sequence.tokens):
+            return self._refuse(RefusalKind.BAD_REQUEST, "No such offset exists yet.")
+        return await self._follow(request, sequence, offset=int(offset), resumed=True)
+
+    async def _follow(
+        self, request: web.Request, sequence: Sequence, *, offset: int, resumed: bool
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "Cache-Control": "no-store",
+                ATTEMPT_HEADER: sequence.request.attempt_id,
+            }
+        )
+        self._followers += 1
+        try:
+            await response.prepare(request)
+            stream = EventStream(
+                sequence=sequence, fault=self._take_fault(), resumed=resumed, clock=self._clock
+            )
+            await stream.send(request=request, response=response, offset=offset)
+        except ConnectionResetError:
+            pass
+        finally:
+            self._followers -= 1
+        return response
+
+    def _take_fault(self) -> StreamFault:
+        if self._fault.mode is StreamFaultMode.NONE or not self._fault.count:
+            return self._fault
+        if not self._fault_left:
+            return StreamFault()
+        self._fault_left -= 1
+        return self._fault
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        sequence = self._sequences.get(request.match_info["attempt"])
+        if sequence is None:
+            return self._refuse(RefusalKind.UNKNOWN_GENERATION, "No such attempt is kept.")
+        self._batch.finish(sequence, FinishReason.CANCELLED)
+        return web.Response(status=204)
+
+    async def _show_load(self, _request: web.Request) -> web.Response:
+        now = self._clock.now()
+        latest = now - self._options.report_lag_ms
+        old = [sample for sample in self._samples if sample.at <= latest]
+        sample = old[-1] if old else self._samples[0]
+        return json_response(replace(sample.report, leaving=self._leaving, age_ms=now - sample.at))
+
+    async def _show_cache_events(self, request: web.Request) -> web.Response:
+        after = request.query.get("after", "0")
+        if not after.isdecimal():
+            return self._refuse(RefusalKind.BAD_REQUEST, "'after' must be a number.")
+        return json_response(self._cache.events(after=int(after)))
+
+    async def _show_state(self, _request: web.Request) -> web.Response:
+        return json_response(self._stock.state())
+
+    async def _order(self, request: web.Request) -> web.Response:
+        try:
+            order = msgspec.json.decode(await request.read(), type=EngineOrder)
+            self._stock.order(order)
+        except (msgspec.DecodeError, ValueError) as error:
+            return self._refuse(RefusalKind.BAD_REQUEST, str(error))
+        except StaleFenceError:
+            return self._refuse(RefusalKind.STALE_FENCE, "A newer fencing number was seen.")
+        return json_response(self._stock.state())
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        self._leaving = (await read_json(request, Leave)).leaving
+        return json_response(Leave(leaving=self._leaving))
+
+    async def _run_out_of_memory(self, request: web.Request) -> web.Response:
+        body = await read_json(request, OutOfMemory)
+        count = self._batch.fail_running() if body.fail else self._batch.preempt_running()
+        return json_response({"ended": count})
+
+    async def _set_fault(self, request: web.Request) -> web.Response:
+        self._fault = await read_json(request, StreamFault)
+        self._fault_left = self._fault.count
+        return json_response(self._fault)
+
+    async def _show_executions(self, _request: web.Request) -> web.Response:
+        kept = [self._report(sequence) for sequence in self._sequences.values()]
+        return json_response(
+            ExecutionReports(
+                executions=self._forgotten + kept,
+                preemptions=self._batch.report().preemptions,
+                followers=self._followers,
+                refused=dict(self._refused),
+            )
+        )
+
+    async def _show_orders(self, _request: web.Request) -> web.Response:
+        return json_response(self._stock.reports())
+
+    def _report(self, sequence: Sequence) -> ExecutionReport:
+        attempt = sequence.request.attempt_id
+        return ExecutionReport(
+            attempt_id=attempt,
+            model=sequence.request.model,
+            tokens=len(sequence.tokens),
+            executed=sequence.executed,
+            posts=self._posts[attempt],
+            preemptions=sequence.preemptions,
+            finish_reason=sequence.finish.value if sequence.finish else "",
+        )
+
+    def _refuse(self, kind: RefusalKind, detail: str) -> web.Response:
+        self._refused[kind.value] += 1
+        return json_response(Refusal(kind=kind, detail=detail), status=REFUSAL_STATUS[kind])
+
+
+def _crash() -> None:
+    os._exit(CRASH_STATUS)
+
+
+def _parse_versions(text: str | tuple[str, ...] | list[str]) -> dict[str, str]:
+    # Fire turns "a=1,b=2" into text, but "a,b" into a tuple.
+    items = text.split(",") if isinstance(text, str) else text
+    pairs = (item.partition("=") for item in items if item)
+    return {name: version for name, _, version in pairs}
+
+
+def main(
+    port: int = 0,
+    models: str = "",
+    adapters: str = "",
+    memory_tokens: int = 60_000,
+    max_batch: int = 64,
+    max_waiting: int = 1_000,
+    step_ms: float = 10.0,
+    sequence_ms: float = 0.1,
+    cache_tokens: int = 8_192,
+    cache_lag_ms: int = 500,
+    cache_gap: float = 0.0,
+    report_lag_ms: int = 500,
+    load_ms: int = 500,
+    retention_ms: int = 60_000,
+    fencing: str = "checked",
+    weights_url: str = "",
+    seed: int = 0,
+) -> None:
+    """Run the engine.
+
+    :param port: Port on the loopback address; 0 takes a free one.
+    :param models: Models held at the start, as in ``round-planner=2026-11,other=3``.
+    :param adapters: Adapters held at the start, in the same form.
+    :param memory_tokens: Tokens of key-value memory.
+    :param max_batch: Most generations decoded together.
+    :param max_waiting: Most generations that wait.
+    :param step_ms: Time of one step, in milliseconds.
+    :param sequence_ms: Time that each decoded generation adds, in milliseconds.
+    :param cache_tokens: Size of the prefix cache.
+    :param cache_lag_ms: How late cache events are published, in milliseconds.
+    :param cache_gap: Share of cache events that are lost.
+    :param report_lag_ms: How old load reports are, in milliseconds.
+    :param load_ms: How long a load takes, in milliseconds.
+    :param retention_ms: How long a finished generation can be resumed, in milliseconds.
+    :param fencing: ``checked`` or ``ignored``.
+    :param weights_url: Where weights are fetched; empty for nowhere.
+    :param seed: Seed of what is random.
+    """
+    limits = BatchLimits(
+        memory_tokens=memory_tokens,
+        max_batch=max_batch,
+        max_waiting=max_waiting,
+        step_ms=step_ms,
+        sequence_ms=sequence_ms,
+    )
+    options = EngineOptions(
+        limits=limits,
+        models=_parse_versions(models),
+        adapters=_parse_versions(adapters),
+        cache_tokens=cache_tokens,
+        cache_lag_ms=cache_lag_ms,
+        cache_gap=cache_gap,
+        report_lag_ms=report_lag_ms,
+        load_ms=load_ms,
+        retention_ms=retention_ms,
+        checks_fence=fencing == "checked",
+        weights_url=weights_url,
+        seed=seed,
+    )
+    asyncio.run(_serve(options, port=port))
+
+
+async def _serve(options: EngineOptions, *, port: int) -> None:
+    await serve(app=EngineServer(options).app(), port=port)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,221 @@
+"""Stand-in of a plain booking service; it carries out every call it gets, repeated or not."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from enum import StrEnum
+from enum import unique
+import itertools
+from typing import final
+
+from aiohttp import web
+import fire
+import msgspec
+from msgspec import Struct
+
+from standins._common import cut_connection
+from standins._common import json_response
+from standins._common import read_json
+from standins._common import serve
+from tanagerscale.core import Clock
+
+KEY_HEADER = "Idempotency-Key"
+
+
+@unique
+class ServiceFaultMode(StrEnum):
+    """What goes wrong with a call."""
+
+    NONE = "none"
+    FAIL_BEFORE = "fail_before"
+    """Status 500 without an execution."""
+    FAIL_AFTER = "fail_after"
+    """Status 500 after the execution."""
+    CUT_BEFORE = "cut_before"
+    """The connection is cut without an execution."""
+    CUT_AFTER = "cut_after"
+    """The connection is cut after the execution."""
+    HANG_AFTER = "hang_after"
+    """No answer ever comes after the execution."""
+    REFUSE = "refuse"
+    """Status 503 without an execution."""
+
+
+class ServiceFault(Struct, frozen=True, kw_only=True):
+    """Body of ``POST /admin/fault``.
+
+    :param mode: What goes wrong.
+    :param count: How many bookings it befalls; 0 means all.
+    :param delay_ms: How long each booking takes before it is executed, in milliseconds.
+    :param answer_delay_ms: How late the answer comes after that, in milliseconds.
+    """
+
+    mode: ServiceFaultMode = ServiceFaultMode.NONE
+    count: int = 0
+    delay_ms: int = 0
+    answer_delay_ms: int = 0
+
+
+class Booking(Struct, frozen=True, kw_only=True):
+    """One executed booking.
+
+    :param number: Its number at this service.
+    :param id: What the caller named it: the body's ``id`` or the idempotency key.
+    """
+
+    number: int
+    id: str
+    body: str
+
+
+class BookingBody(Struct, frozen=True, kw_only=True):
+    """What is read of a booking's body."""
+
+    id: str = ""
+
+
+class Executions(Struct, frozen=True, kw_only=True):
+    """Body of ``GET /admin/executions``: how often each booking was executed, by id.
+
+    :param by_key: How often bookings with an idempotency key were executed, by key.
+    :param received: How many bookings came, executed or not.
+    """
+
+    by_id: dict[str, int]
+    by_key: dict[str, int]
+    total: int
+    received: int
+
+
+class Echo(Struct, frozen=True, kw_only=True):
+    """Answer of all other paths."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: str
+
+
+@final
+class ServiceServer:
+    """One booking service with its calls."""
+
+    def __init__(self) -> None:
+        self._clock = Clock()
+        self._fault = ServiceFault()
+        self._fault_left = 0
+        self._bookings: list[Booking] = []
+        self._by_key: Counter[str] = Counter()
+        self._received = 0
+        self._numbers = itertools.count(1)
+
+    def app(self) -> web.Application:
+        """Return the application to serve."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.post("/bookings", self._book),
+                web.get("/bookings", self._list),
+                web.post("/admin/fault", self._set_fault),
+                web.get("/admin/executions", self._show_executions),
+                web.route("*", "/{path:.*}", self._echo),
+            ]
+        )
+        return app
+
+    async def _book(self, request: web.Request) -> web.Response:
+        body = await request.text()
+        key = request.headers.get(KEY_HEADER, "")
+        self._received += 1
+        fault = self._take_fault()
+        await self._clock.sleep(fault.delay_ms)
+        match fault.mode:
+            case ServiceFaultMode.FAIL_BEFORE:
+                raise web.HTTPInternalServerError
+            case ServiceFaultMode.REFUSE:
+                raise web.HTTPServiceUnavailable
+            case ServiceFaultMode.CUT_BEFORE:
+                cut_connection(request)
+                return web.Response()
+            case _:
+                pass
+        booking = self._execute(body, key)
+        await self._clock.sleep(fault.answer_delay_ms)
+        match fault.mode:
+            case ServiceFaultMode.FAIL_AFTER:
+                raise web.HTTPInternalServerError
+            case ServiceFaultMode.CUT_AFTER:
+                cut_connection(request)
+            case ServiceFaultMode.HANG_AFTER:
+                await asyncio.Event().wait()
+            case _:
+                pass
+        return json_response(booking, status=201)
+
+    def _execute(self, body: str, key: str) -> Booking:
+        try:
+            name = msgspec.json.decode(body or b"{}", type=BookingBody).id
+        except msgspec.DecodeError:
+            name = ""
+        booking = Booking(number=next(self._numbers), id=name or key, body=body)
+        self._bookings.append(booking)
+        if key:
+            self._by_key[key] += 1
+        return booking
+
+    def _take_fault(self) -> ServiceFault:
+        if not self._fault.count:
+            return self._fault
+        if not self._fault_left:
+            return ServiceFault()
+        self._fault_left -= 1
+        return self._fault
+
+    async def _list(self, _request: web.Request) -> web.Response:
+        return json_response(self._bookings)
+
+    async def _set_fault(self, request: web.Request) -> web.Response:
+        self._fault = await read_json(request, ServiceFault)
+        self._fault_left = self._fault.count
+        return json_response(self._fault)
+
+    async def _show_executions(self, _request: web.Request) -> web.Response:
+        by_id = Counter(booking.id for booking in self._bookings)
+        return json_response(
+            Executions(
+                by_id=dict(by_id),
+                by_key=dict(self._by_key),
+                total=len(self._bookings),
+                received=self._received,
+            )
+        )
+
+    async def _echo(self, request: web.Request) -> web.Response:
+        return json_response(
+            Echo(
+                method=request.method,
+                path=request.path,
+                query=request.query_string,
+                headers=dict(request.headers),
+                body=await request.text(),
+            )
+        )
+
+
+def main(port: int = 0) -> None:
+    """Run the service.
+
+    :param port: Port on the loopback address; 0 takes a free one.
+    """
+    # A booking goes on when its caller hangs up, as in most real services.
+    asyncio.run(_serve(port))
+
+
+async def _serve(port: int) -> None:
+    await serve(app=ServiceServer().app(), port=port, cancel_handlers=False)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
