Reach the store by the etcd v3 JSON gateway

A commit is one call: a transaction without conditions whose operations are nested transactions, each on its own condition. A failure is UNREACHABLE only when no connection was made; error replies with codes that etcd also gives after proposing a write (deadline, unavailable, unknown) are UNCERTAIN, the others REFUSED. Only reads and calls never sent go to the next endpoint. A watch that is silent for 15 s ends, since its link may have stalled.

Ruled out: asking for progress on the watch's own request body, which the gateway forwards only with full duplex HTTP/1.1.

--- a/src/tanagerscale/store/__init__.py
+++ b/src/tanagerscale/store/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from tanagerscale.store._etcd import MAX_PUTS
+from tanagerscale.store._etcd import EtcdStore
 from tanagerscale.store._protocol import LeaseId
 from tanagerscale.store._protocol import PutIf
 from tanagerscale.store._protocol import PutOutcome
@@ -14,6 +16,8 @@
 from tanagerscale.store._protocol import WatchBatch
 
 __all__ = [
+    "MAX_PUTS",
+    "EtcdStore",
     "LeaseId",
     "PutIf",
     "PutOutcome",
--- /dev/null
+++ b/src/tanagerscale/store/_etcd.py
@@ -0,0 +1,228 @@
+"""The store over the etcd v3 JSON gateway."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+from typing import Final
+from typing import TypeVar
+from typing import final
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from tanagerscale.core import Clock
+from tanagerscale.store._gateway import Gateway
+from tanagerscale.store._protocol import LeaseId
+from tanagerscale.store._protocol import PutIf
+from tanagerscale.store._protocol import PutOutcome
+from tanagerscale.store._protocol import StoreEntry
+from tanagerscale.store._protocol import StoreError
+from tanagerscale.store._protocol import StoreErrorKind
+from tanagerscale.store._protocol import StoreRange
+from tanagerscale.store._protocol import StoreRevision
+from tanagerscale.store._protocol import WatchBatch
+from tanagerscale.store._watch import WatchStream
+from tanagerscale.store._watch import to_entry
+from tanagerscale.store._wire import EQUAL
+from tanagerscale.store._wire import MOD_REVISION
+from tanagerscale.store._wire import Compare
+from tanagerscale.store._wire import DeleteRequest
+from tanagerscale.store._wire import KeepAliveMessage
+from tanagerscale.store._wire import KeyValue
+from tanagerscale.store._wire import LeaseGrantRequest
+from tanagerscale.store._wire import LeaseGrantResponse
+from tanagerscale.store._wire import LeaseRequest
+from tanagerscale.store._wire import LeaseRevokeResponse
+from tanagerscale.store._wire import PutRequest
+from tanagerscale.store._wire import RangeRequest
+from tanagerscale.store._wire import RangeResponse
+from tanagerscale.store._wire import RequestOp
+from tanagerscale.store._wire import ResponseOp
+from tanagerscale.store._wire import StatusCode
+from tanagerscale.store._wire import TxnRequest
+from tanagerscale.store._wire import TxnResponse
+
+T = TypeVar("T")
+
+RANGE_PATH: Final = "/v3/kv/range"
+TXN_PATH: Final = "/v3/kv/txn"
+GRANT_PATH: Final = "/v3/lease/grant"
+KEEP_ALIVE_PATH: Final = "/v3/lease/keepalive"
+REVOKE_PATH: Final = "/v3/lease/revoke"
+
+MAX_PUTS: Final = 127
+"""Most conditional writes of one call: etcd takes 128 operations, counting the nesting."""
+
+WATCH_SILENCE_MS: Final = 15_000
+"""A watch that brings nothing for so long is opened again, in case its link has stalled."""
+
+LAST_BYTE: Final = 0xFF
+
+
+@final
+class EtcdStore:
+    """A ``Store`` over one or several endpoints of the etcd v3 JSON gateway.
+
+    :param endpoints: Base URLs.
+    :param timeout_ms: Longest wait for one call, in milliseconds.
+    :param clock: Measures it.
+    :param watch_silence_ms: Longest silence of a watch before it ends, in milliseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoints: Sequence[str],
+        timeout_ms: int,
+        clock: Clock,
+        watch_silence_ms: int = WATCH_SILENCE_MS,
+    ) -> None:
+        self._gateway = Gateway(endpoints=endpoints, timeout_ms=timeout_ms, clock=clock)
+        self._watch_silence_ms = watch_silence_ms
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._gateway.close()
+
+    async def get(self, *, key: str) -> Result[StoreEntry | None, StoreError]:
+        """Read one key."""
+        found = await self._range(RangeRequest(key=key.encode()))
+        return found.map(lambda listed: listed.entries[0] if listed.entries else None)
+
+    async def list(self, *, prefix: str) -> Result[StoreRange, StoreError]:
+        """Read all keys under a prefix."""
+        key, range_end = _prefix_bounds(prefix)
+        return await self._range(RangeRequest(key=key, range_end=range_end))
+
+    async def commit(self, *, puts: Sequence[PutIf]) -> Result[Sequence[PutOutcome], StoreError]:
+        """Carry out conditional writes in one call, each on its own condition.
+
+        At most ``MAX_PUTS`` writes to distinct keys; more are refused without a call.
+        """
+        if not puts:
+            return Success(())
+        if len(puts) > MAX_PUTS or len({put.key for put in puts}) < len(puts):
+            return Failure(_refused_locally())
+        request = TxnRequest(success=[_to_operation(put) for put in puts])
+        reply = await self._gateway.write(path=TXN_PATH, body=request, reply=TxnResponse)
+        return reply.bind(lambda response: _to_outcomes(response, count=len(puts)))
+
+    async def grant_lease(self, *, ttl_s: int) -> Result[LeaseId, StoreError]:
+        """Make a lease that ends after ``ttl_s`` seconds without a keep-alive."""
+        request = LeaseGrantRequest(TTL=str(ttl_s))
+        reply = await self._gateway.write(path=GRANT_PATH, body=request, reply=LeaseGrantResponse)
+        return reply.map(lambda granted: LeaseId(granted.ID))
+
+    async def keep_alive(self, *, lease: LeaseId) -> Result[int, StoreError]:
+        """Renew a lease and return its seconds to live; 0 means that it has ended."""
+        request = LeaseRequest(ID=str(lease))
+        reply = await self._gateway.write(
+            path=KEEP_ALIVE_PATH, body=request, reply=KeepAliveMessage
+        )
+        return reply.bind(_to_seconds)
+
+    async def revoke(self, *, lease: LeaseId) -> Result[None, StoreError]:
+        """End a lease and delete its keys."""
+        request = LeaseRequest(ID=str(lease))
+        reply = await self._gateway.write(path=REVOKE_PATH, body=request, reply=LeaseRevokeResponse)
+        return reply.map(lambda _: None)
+
+    def watch(
+        self, *, prefix: str, from_revision: StoreRevision
+    ) -> AsyncIterator[Result[WatchBatch, StoreError]]:
+        """Follow the changes under a prefix; the iterator ends after its first failure."""
+        key, range_end = _prefix_bounds(prefix)
+        stream = WatchStream(gateway=self._gateway, silence_ms=self._watch_silence_ms)
+        return stream.follow(key=key, range_end=range_end, from_revision=from_revision)
+
+    async def _range(self, request: RangeRequest) -> Result[StoreRange, StoreError]:
+        reply = await self._gateway.read(path=RANGE_PATH, body=request, reply=RangeResponse)
+        return reply.bind(_to_range)
+
+
+def _prefix_bounds(prefix: str) -> tuple[bytes, bytes]:
+    """Return the first key of a prefix and the first key after it."""
+    start = prefix.encode()
+    trimmed = start.rstrip(bytes([LAST_BYTE]))
+    if not trimmed:
+        return b"\0", b"\0"
+    return start, trimmed[:-1] + bytes([trimmed[-1] + 1])
+
+
+def _to_operation(put: PutIf) -> RequestOp:
+    key = put.key.encode()
+    compare = Compare(
+        key=key, mod_revision=str(put.expected_mod_revision), result=EQUAL, target=MOD_REVISION
+    )
+    if put.value is None:
+        change = RequestOp(request_delete_range=DeleteRequest(key=key))
+    else:
+        write = PutRequest(key=key, value=put.value, lease=str(put.lease))
+        change = RequestOp(request_put=write)
+    look = RequestOp(request_range=RangeRequest(key=key))
+    return RequestOp(request_txn=TxnRequest(compare=[compare], success=[change], failure=[look]))
+
+
+def _to_outcomes(response: TxnResponse, *, count: int) -> Result[Sequence[PutOutcome], StoreError]:
+    revision = StoreRevision(response.header.revision)
+    nested = [operation.response_txn for operation in response.responses]
+    if not response.succeeded or len(nested) != count:
+        return Failure(_malformed())
+    try:
+        return Success(tuple(_to_outcome(answer, revision=revision) for answer in nested))
+    except ValueError:
+        return Failure(_malformed())
+
+
+def _to_outcome(answer: TxnResponse | None, *, revision: StoreRevision) -> PutOutcome:
+    """Read one nested answer.
+
+    :raises ValueError: It is missing or incomplete.
+    """
+    if answer is None:
+        raise ValueError("no nested answer")
+    if answer.succeeded:
+        return PutOutcome(written=True, revision=revision)
+    return PutOutcome(written=False, revision=revision, present=_present(answer.responses))
+
+
+def _present(responses: Sequence[ResponseOp]) -> StoreEntry | None:
+    if len(responses) != 1 or responses[0].response_range is None:
+        raise ValueError("no range in the nested answer")
+    found: Sequence[KeyValue] = responses[0].response_range.kvs
+    return to_entry(found[0]) if found else None
+
+
+def _to_range(response: RangeResponse) -> Result[StoreRange, StoreError]:
+    try:
+        entries = tuple(to_entry(kv) for kv in response.kvs)
+    except UnicodeDecodeError:
+        return Failure(_malformed())
+    return Success(StoreRange(entries=entries, revision=StoreRevision(response.header.revision)))
+
+
+def _to_seconds(message: KeepAliveMessage) -> Result[int, StoreError]:
+    if message.result is not None:
+        return Success(max(message.result.TTL, 0))
+    if message.error is not None and StatusCode.NOT_FOUND in (
+        message.error.code,
+        message.error.grpc_code,
+    ):
+        return Success(0)
+    return Failure(_malformed())
+
+
+def _malformed() -> StoreError:
+    return StoreError(
+        kind=StoreErrorKind.UNCERTAIN,
+        detail="The store's answer breaks its protocol; read back before repeating a write.",
+    )
+
+
+def _refused_locally() -> StoreError:
+    return StoreError(
+        kind=StoreErrorKind.REFUSED,
+        detail=f"A commit takes at most {MAX_PUTS} writes to distinct keys; split it.",
+    )
