Connect hosts by a mesh of WebSockets

Cause: hosts have to hear of each other's state, and of leaving upstreams, without a coordination service of their own.

Change: CBOR frames made from the schema; one connection for each pair of hosts with a version check, silence limit and reconnection; the follower of the host list; the gate that closes leaving and unreachable upstreams.

--- /dev/null
+++ b/src/tanagerscale/membership/__init__.py
@@ -0,0 +1,43 @@
+"""Which hosts and upstreams there are, and messages between hosts."""
+
+from __future__ import annotations
+
+from tanagerscale.membership._gate import UpstreamGate
+from tanagerscale.membership._host_list import HostListFollower
+from tanagerscale.membership._host_list import peer_addresses
+from tanagerscale.membership._link import CloseReason
+from tanagerscale.membership._link import Link
+from tanagerscale.membership._link import LinkClosedError
+from tanagerscale.membership._link import Transport
+from tanagerscale.membership._mesh import Mesh
+from tanagerscale.membership._peers import MeshCounters
+from tanagerscale.membership._peers import PeerAddress
+from tanagerscale.membership._peers import PeerInfo
+from tanagerscale.membership._peers import Received
+from tanagerscale.membership._websocket import peer_ssl_contexts
+from tanagerscale.membership._wire import FrameError
+from tanagerscale.membership._wire import FrameErrorKind
+from tanagerscale.membership._wire import Message
+from tanagerscale.membership._wire import decode_frame
+from tanagerscale.membership._wire import encode_frame
+
+__all__ = [
+    "CloseReason",
+    "FrameError",
+    "FrameErrorKind",
+    "HostListFollower",
+    "Link",
+    "LinkClosedError",
+    "Mesh",
+    "MeshCounters",
+    "Message",
+    "PeerAddress",
+    "PeerInfo",
+    "Received",
+    "Transport",
+    "UpstreamGate",
+    "decode_frame",
+    "encode_frame",
+    "peer_addresses",
+    "peer_ssl_contexts",
+]
--- /dev/null
+++ b/src/tanagerscale/membership/_gate.py
@@ -0,0 +1,143 @@
+"""Which upstreams take new work."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import final
+
+from reactivex import Observable
+from reactivex.subject import Subject
+
+from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import Clock
+from tanagerscale.core import Millis
+from tanagerscale.core import UpstreamId
+from tanagerscale.core import get_logger
+from tanagerscale.generated.messages import UpstreamLeaving
+from tanagerscale.generated.upstream import ListedEntry
+from tanagerscale.generated.upstream import ListedKind
+from tanagerscale.generated.upstream import ListedState
+
+_FIRST_BREAK_MS = 250
+_LONGEST_BREAK_MS = 5000
+
+log = get_logger(part="gate")
+
+
+@dataclass(kw_only=True, slots=True)
+class _Breaker:
+    failures: int = 0
+    until: int = 0
+    timer: asyncio.TimerHandle | None = None
+
+
+@final
+class UpstreamGate:
+    """Knows which upstreams are leaving and which can't be reached.
+
+    The host list, an upstream's own refusal and a peer's word each suffice to close an upstream.
+    The first of them is spread to the peers. Only a later life of the upstream opens it again,
+    so a list that lags behind does not.
+
+    :param clock: Time.
+    :param rng: Spreads the probes of a failed upstream.
+    :param spread: Tells the peers.
+    """
+
+    def __init__(
+        self, *, clock: Clock, rng: Random, spread: Callable[[UpstreamLeaving], None]
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._spread = spread
+        self._listed: dict[UpstreamId, int] = {}
+        self._leaving: dict[UpstreamId, int] = {}
+        self._breakers: dict[UpstreamId, _Breaker] = {}
+        self._changes: Subject[UpstreamId] = Subject()
+
+    @property
+    def changes(self) -> Observable[UpstreamId]:
+        """Each upstream whose openness may have changed."""
+        return self._changes
+
+    def is_open(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream takes new work."""
+        return not self.is_leaving(upstream) and not self.is_broken(upstream)
+
+    def is_leaving(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream's present life is known to end."""
+        leaving = self._leaving.get(upstream)
+        return leaving is not None and leaving >= self._listed.get(upstream, 0)
+
+    def is_broken(self, upstream: UpstreamId) -> bool:
+        """Return whether calls to an upstream failed and it is not yet time for a probe."""
+        breaker = self._breakers.get(upstream)
+        return breaker is not None and self._clock.now() < breaker.until
+
+    def on_list(self, entries: Sequence[ListedEntry]) -> None:
+        """Take in the host list."""
+        for entry in entries:
+            if entry.kind is not ListedKind.UPSTREAM:
+                continue
+            upstream = UpstreamId(entry.id)
+            if entry.incarnation > self._listed.get(upstream, 0):
+                self._listed[upstream] = entry.incarnation
+                self._changes.on_next(upstream)
+            if entry.state is ListedState.LEAVING:
+                self.note_leaving(upstream=upstream, incarnation=entry.incarnation)
+
+    def on_peer(self, message: UpstreamLeaving) -> None:
+        """Take in a peer's word."""
+        upstream = UpstreamId(message.upstream)
+        self.note_leaving(upstream=upstream, incarnation=message.incarnation)
+
+    def note_leaving(self, *, upstream: UpstreamId, incarnation: int | None = None) -> None:
+        """Close a leaving upstream and tell the peers, unless that is known already.
+
+        :param upstream: The upstream.
+        :param incarnation: Which life of it ends; ``None`` means the one listed now, which is
+            what its own refusal is about.
+        """
+        life = self._listed.get(upstream, 0) if incarnation is None else incarnation
+        if self._leaving.get(upstream, -1) >= life:
+            return
+        self._leaving[upstream] = life
+        log.info("Upstream is leaving.", upstream=upstream, incarnation=life)
+        self._spread(UpstreamLeaving(upstream=upstream, incarnation=life))
+        self._changes.on_next(upstream)
+
+    def leaving_messages(self) -> tuple[UpstreamLeaving, ...]:
+        """Return what a host that has just connected should know."""
+        return tuple(
+            UpstreamLeaving(upstream=upstream, incarnation=life)
+            for upstream, life in self._leaving.items()
+            if self.is_leaving(upstream)
+        )
+
+    def note_down(self, *, upstream: UpstreamId) -> None:
+        """Record that an upstream could not be reached; it rests before the next probe."""
+        breaker = self._breakers.setdefault(upstream, _Breaker())
+        if self.is_broken(upstream):
+            return  # Calls made together fail together; they count as one failure.
+        breaker.failures += 1
+        rest = min(_FIRST_BREAK_MS * 2 ** (breaker.failures - 1), _LONGEST_BREAK_MS)
+        rest = int(rest * self._rng.uniform(0.75, 1.25))
+        breaker.until = Millis(self._clock.now() + rest)
+        loop = asyncio.get_running_loop()
+        # One millisecond more, as the clock cuts fractions off.
+        delay = (rest + 1) / MS_PER_SECOND
+        breaker.timer = loop.call_later(delay, self._changes.on_next, upstream)
+        self._changes.on_next(upstream)
+
+    def note_up(self, *, upstream: UpstreamId) -> None:
+        """Record that an upstream has answered."""
+        breaker = self._breakers.pop(upstream, None)
+        if breaker is None:
+            return
+        if breaker.timer is not None:
+            breaker.timer.cancel()
+        self._changes.on_next(upstream)
--- /dev/null
+++ b/src/tanagerscale/membership/_websocket.py
@@ -0,0 +1,155 @@
+"""Connections between hosts over WebSockets."""
+
+from __future__ import annotations
+
+import ssl
+from typing import final
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server
+from websockets.asyncio.server import ServerConnection
+from websockets.asyncio.server import serve
+from websockets.exceptions import ConnectionClosed
+from websockets.exceptions import WebSocketException
+
+from tanagerscale.generated.settings import TlsSection
+from tanagerscale.membership._link import REMEDIES
+from tanagerscale.membership._link import Accept
+from tanagerscale.membership._link import CloseReason
+from tanagerscale.membership._link import Link
+from tanagerscale.membership._link import LinkClosedError
+from tanagerscale.membership._wire import MAX_FRAME_BYTES
+
+_OPEN_TIMEOUT_S = 2.0
+_CLOSE_TIMEOUT_S = 0.5
+_MAX_QUEUED_FRAMES = 64
+_WRITE_LIMIT_BYTES = 256 * 1024
+
+
+@final
+class WebSocketLink:
+    """A link over one WebSocket."""
+
+    def __init__(self, *, connection: Connection) -> None:
+        self._connection = connection
+
+    async def send(self, frame: bytes) -> None:
+        """Send a frame, waiting while the network is slow."""
+        try:
+            await self._connection.send(frame)
+        except ConnectionClosed as error:
+            raise LinkClosedError(_reason_of(error)) from error
+
+    async def receive(self) -> bytes:
+        """Wait for the next frame; text is answered as malformed by the reader."""
+        try:
+            frame = await self._connection.recv()
+        except ConnectionClosed as error:
+            raise LinkClosedError(_reason_of(error)) from error
+        return frame if isinstance(frame, bytes) else frame.encode()
+
+    async def close(self, *, reason: CloseReason) -> None:
+        """End the connection and tell the other side why."""
+        await self._connection.close(code=reason.value, reason=REMEDIES[reason])
+
+
+@final
+class WebSocketTransport:
+    """Makes and accepts WebSockets.
+
+    :param server_ssl: Context for accepted connections; ``None`` means no TLS.
+    :param client_ssl: Context for connections made.
+    """
+
+    def __init__(
+        self,
+        *,
+        server_ssl: ssl.SSLContext | None = None,
+        client_ssl: ssl.SSLContext | None = None,
+    ) -> None:
+        self._server_ssl = server_ssl
+        self._client_ssl = client_ssl
+        self._server: Server | None = None
+
+    async def listen(self, *, address: str, accept: Accept) -> str:
+        """Accept connections and return the address bound."""
+
+        async def handle(connection: ServerConnection) -> None:
+            await accept(WebSocketLink(connection=connection))
+
+        host, _, port = address.rpartition(":")
+        self._server = await serve(
+            handle,
+            host.strip("[]"),
+            int(port),
+            ssl=self._server_ssl,
+            max_size=MAX_FRAME_BYTES,
+            max_queue=_MAX_QUEUED_FRAMES,
+            write_limit=_WRITE_LIMIT_BYTES,
+            open_timeout=_OPEN_TIMEOUT_S,
+            close_timeout=_CLOSE_TIMEOUT_S,
+            ping_interval=None,
+            compression=None,
+        )
+        bound_port = next(iter(self._server.sockets)).getsockname()[1]
+        return f"{host}:{bound_port}"
+
+    async def connect(self, *, address: str) -> Link:
+        """Make a connection."""
+        scheme = "ws" if self._client_ssl is None else "wss"
+        try:
+            connection = await connect(
+                f"{scheme}://{address}",
+                ssl=self._client_ssl,
+                max_size=MAX_FRAME_BYTES,
+                max_queue=_MAX_QUEUED_FRAMES,
+                write_limit=_WRITE_LIMIT_BYTES,
+                open_timeout=_OPEN_TIMEOUT_S,
+                close_timeout=_CLOSE_TIMEOUT_S,
+                ping_interval=None,
+                compression=None,
+                proxy=None,
+            )
+        except (OSError, TimeoutError, EOFError, WebSocketException) as error:
+            raise LinkClosedError(CloseReason.BROKEN) from error
+        return WebSocketLink(connection=connection)
+
+    async def stop(self) -> None:
+        """Accept no more connections and end the accepted ones."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+            self._server = None
+
+
+def peer_ssl_contexts(*, tls: TlsSection) -> tuple[ssl.SSLContext, ssl.SSLContext] | None:
+    """Return the contexts for accepted and for made connections.
+
+    Either side shows a certificate of the installation's authority and checks the other's.
+    Peers are called by IP number, so the name in the certificate is not checked.
+
+    :param tls: The ``[tls]`` section.
+    :returns: The server's and the client's context, or ``None`` without a certificate.
+    :raises OSError: When a file can't be read.
+    """
+    if not tls.peers_certificate:
+        return None
+    contexts = []
+    for protocol in (ssl.PROTOCOL_TLS_SERVER, ssl.PROTOCOL_TLS_CLIENT):
+        context = ssl.SSLContext(protocol)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.load_verify_locations(tls.peers_ca)
+        context.load_cert_chain(tls.peers_certificate, tls.peers_key)
+        contexts.append(context)
+    return contexts[0], contexts[1]
+
+
+def _reason_of(error: ConnectionClosed) -> CloseReason:
+    frame = error.rcvd or error.sent
+    try:
+        return CloseReason.BROKEN if frame is None else CloseReason(frame.code)
+    except ValueError:
+        return CloseReason.BROKEN
