--- /dev/null
+++ b/src/tanagerscale/dispatch/_cancel.py
@@ -0,0 +1,79 @@
+"""Cancellation of attempts that were given up."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import final
+
+from returns.result import Failure
+
+from tanagerscale.core import AttemptId
+from tanagerscale.core import Clock
+from tanagerscale.core import UpstreamId
+from tanagerscale.core import get_logger
+from tanagerscale.upstreams import EngineClient
+from tanagerscale.upstreams import UpstreamErrorKind
+
+TRIES = 5
+FIRST_PAUSE_MS = 200
+MAX_PENDING = 4096
+
+_log = get_logger(part="dispatch")
+
+
+@final
+class Canceller:
+    """Tells engines to stop attempts, in the background.
+
+    An attempt that goes on costs engine time and nothing else, since no token of it is accepted;
+    so a cancellation is tried a few times and then left.
+
+    :param client_of: Returns the client of an engine.
+    :param clock: Times the pauses.
+    """
+
+    def __init__(self, *, client_of: Callable[[UpstreamId], EngineClient], clock: Clock) -> None:
+        self._client_of = client_of
+        self._clock = clock
+        self._tasks: dict[AttemptId, asyncio.Task[None]] = {}
+
+    def cancel(self, *, attempt: AttemptId, engine: UpstreamId, after_ms: int = 0) -> None:
+        """Start to cancel an attempt.
+
+        :param attempt: The attempt.
+        :param engine: Where it runs.
+        :param after_ms: Pause before the first try.
+        """
+        if len(self._tasks) >= MAX_PENDING:
+            _log.warning("Too many cancellations wait; one was left out.", attempt=attempt)
+            return
+        task = asyncio.ensure_future(self._cancel(attempt, engine, after_ms))
+        self._tasks[attempt] = task
+        task.add_done_callback(lambda _task: self._tasks.pop(attempt, None))
+
+    def keep(self, *, attempt: AttemptId) -> None:
+        """Let an attempt go on, since its caller has come back.
+
+        :param attempt: The attempt.
+        """
+        task = self._tasks.pop(attempt, None)
+        if task is not None:
+            task.cancel()
+
+    async def drain(self) -> None:
+        """Wait for the cancellations under way."""
+        if self._tasks:
+            await asyncio.wait(set(self._tasks.values()))
+
+    async def _cancel(self, attempt: AttemptId, engine: UpstreamId, after_ms: int) -> None:
+        await self._clock.sleep(after_ms)
+        pause = FIRST_PAUSE_MS
+        for _ in range(TRIES):
+            match await self._client_of(engine).cancel(attempt=attempt):
+                case Failure(error) if error.kind is not UpstreamErrorKind.NOT_SENT:
+                    await self._clock.sleep(pause)
+                    pause *= 2
+                case _:
+                    return
+        _log.warning("An attempt could not be cancelled.", attempt=attempt, engine=engine)
--- /dev/null
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -0,0 +1,321 @@
+"""One generation: the ladder of attempts that makes its answer.
+
+A broken or silent connection is resumed on the same engine. When the engine has lost the attempt,
+and nothing has reached the caller, another attempt starts anew elsewhere. When tokens have reached
+the caller, the other attempt is a replay with the same seed, which must make the same tokens.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from typing import NamedTuple
+from typing import final
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from tanagerscale.core import AttemptId
+from tanagerscale.core import Clock
+from tanagerscale.core import Execution
+from tanagerscale.core import Problem
+from tanagerscale.core import ProblemKind
+from tanagerscale.core import UpstreamId
+from tanagerscale.core import get_logger
+from tanagerscale.core import new_id
+from tanagerscale.dispatch._attempt import Attempt
+from tanagerscale.dispatch._attempt import AttemptEnd
+from tanagerscale.dispatch._attempt import AttemptOutcome
+from tanagerscale.dispatch._cancel import Canceller
+from tanagerscale.dispatch._relay import Relay
+from tanagerscale.dispatch._types import CrashWatch
+from tanagerscale.dispatch._types import GenerationRequest
+from tanagerscale.dispatch._types import RetryAllowance
+from tanagerscale.dispatch._types import Sink
+from tanagerscale.dispatch._types import UpstreamNotes
+from tanagerscale.generated.upstream import EngineRequest
+from tanagerscale.generated.upstream import FinishReason
+from tanagerscale.generated.upstream import RefusalKind
+from tanagerscale.policy import PlacementRequest
+from tanagerscale.routing import Placement
+from tanagerscale.routing import Router
+from tanagerscale.upstreams import EngineClient
+
+MAX_LOST_ATTEMPTS = 3
+MAX_ATTEMPTS = 12
+RETRY_AFTER_MS = 2000
+
+_log = get_logger(part="dispatch")
+
+
+class Finish(NamedTuple):
+    """The end of a whole answer.
+
+    :param reason: Why the engine ended it.
+    :param tokens: Its length.
+    """
+
+    reason: FinishReason
+    tokens: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DispatchParts:
+    """What every generation of a host uses.
+
+    :param router: Finds engines.
+    :param client_of: Returns the client of an engine.
+    :param notes: Is told how engines behave.
+    :param crashes: Keeps requests that crash engines away.
+    :param retries: Bounds retries.
+    :param canceller: Cancels attempts that were given up.
+    :param clock: Times pauses.
+    """
+
+    router: Router
+    client_of: Callable[[UpstreamId], EngineClient]
+    notes: UpstreamNotes
+    crashes: CrashWatch
+    retries: RetryAllowance
+    canceller: Canceller
+    clock: Clock
+
+
+@dataclass(kw_only=True, slots=True)
+class _Progress:
+    """What the ladder remembers between attempts."""
+
+    excluded: set[UpstreamId] = field(default_factory=set)
+    attempts: int = 0
+    lost: int = 0
+    may_have_run: bool = False
+
+
+@final
+class Generation:
+    """Brings one generation to its end.
+
+    :param request: The checked request.
+    :param sink: Takes the tokens to the caller.
+    :param parts: What every generation of the host uses.
+    """
+
+    def __init__(self, *, request: GenerationRequest, sink: Sink, parts: DispatchParts) -> None:
+        self._request = request
+        self._sink = sink
+        self._parts = parts
+        self._relay = Relay()
+        self._progress = _Progress()
+
+    async def run(self) -> Result[Finish, Problem]:
+        """Return the end of the whole answer, or the final problem.
+
+        Cancelling the call cancels the attempt on its engine.
+        """
+        self._parts.retries.on_request()
+        while True:
+            problem = self._parts.crashes.check(fingerprint=self._request.fingerprint)
+            if problem is not None:
+                return Failure(self._with_execution(problem))
+            placed = await self._parts.router.place(request=self._placement_request())
+            match placed:
+                case Success(placement):
+                    outcome = await self._attempt(placement)
+                case Failure(refusal):
+                    return Failure(self._with_execution(refusal))
+            result = self._after(outcome, placement.engine)
+            if result is not None:
+                return result
+
+    def _placement_request(self) -> PlacementRequest:
+        request = self._request
+        banned = self._parts.crashes.excluded_engines(fingerprint=request.fingerprint)
+        return PlacementRequest(
+            generation=request.generation,
+            model=request.model,
+            adapter=request.adapter,
+            account=request.account,
+            request_class=request.request_class,
+            priority=request.priority,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            prefix=request.prefix,
+            prefix_tokens=request.prefix_tokens,
+            movable=request.whole,
+            arrived=self._parts.clock.now(),
+            excluded=frozenset(self._progress.excluded) | banned,
+        )
+
+    async def _attempt(self, placement: Placement) -> AttemptOutcome | None:
+        """Run one attempt; ``None`` means that routing asked for a move."""
+        attempt_id = AttemptId(new_id(prefix="att"))
+        engine = placement.engine
+        fingerprint = self._request.fingerprint
+        attempt = Attempt(
+            attempt=attempt_id,
+            client=self._parts.client_of(engine),
+            relay=self._relay,
+            sink=_ReportingSink(sink=self._sink, placement=placement, router=self._parts.router),
+            clock=self._parts.clock,
+        )
+        await self._sink.begin(attempt=attempt_id, engine=engine)
+        self._progress.attempts += 1
+        self._parts.crashes.on_started(fingerprint=fingerprint, engine=engine)
+        outcome: AttemptOutcome | None = None
+        ended = False
+        try:
+            outcome = await _until_move(attempt, self._engine_request(attempt_id), placement)
+            ended = True
+        finally:
+            crashed = outcome is not None and outcome.end is AttemptEnd.CRASHED
+            self._parts.router.release(
+                generation=self._request.generation,
+                tokens=self._relay.next_offset,
+                complete=self._relay.finish is not None,
+                engine_lost=crashed,
+            )
+            if crashed:
+                self._parts.crashes.on_engine_crash(engine=engine)
+            else:
+                self._parts.crashes.on_finished(fingerprint=fingerprint, engine=engine)
+            self._cancel_if_running(attempt_id, engine, outcome, ended)
+        return outcome
+
+    def _cancel_if_running(
+        self,
+        attempt: AttemptId,
+        engine: UpstreamId,
+        outcome: AttemptOutcome | None,
+        ended: bool,
+    ) -> None:
+        # A caller that leaves may come back at another host within the pause its sink names.
+        pause = 0 if ended else self._sink.cancel_after_ms
+        still_running = outcome is None or outcome.end in _STILL_RUNNING
+        if still_running and pause is not None:
+            self._parts.canceller.cancel(attempt=attempt, engine=engine, after_ms=pause)
+
+    def _engine_request(self, attempt: AttemptId) -> EngineRequest:
+        request = self._request
+        return EngineRequest(
+            attempt_id=attempt,
+            model=request.model,
+            version=request.version,
+            adapter=request.adapter,
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            seed=request.seed,
+            priority=request.priority,
+        )
+
+    def _after(
+        self, outcome: AttemptOutcome | None, engine: UpstreamId
+    ) -> Result[Finish, Problem] | None:
+        """Return the final result, or ``None`` to go on with another attempt."""
+        if self._relay.finish is not None:
+            self._parts.notes.note_success(upstream=engine)
+            return Success(Finish(self._relay.finish, self._relay.delivered))
+        if outcome is not None:
+            self._note(outcome, engine)
+            if outcome.end is AttemptEnd.DIFFERS:
+                return Failure(self._problem(ProblemKind.GENERATION_LOST, _DIFFERS_DETAIL))
+        if self._sink.discard():
+            self._relay.restart()
+        if self._given_up():
+            return Failure(self._problem(ProblemKind.UPSTREAM_FAILED, _FAILED_DETAIL))
+        return None
+
+    def _note(self, outcome: AttemptOutcome, engine: UpstreamId) -> None:
+        _log.info(
+            "An attempt ended.",
+            generation=self._request.generation,
+            engine=engine,
+            end=outcome.end.value,
+            detail=outcome.detail,
+        )
+        self._progress.excluded.add(engine)
+        if outcome.end is AttemptEnd.REFUSED:
+            if outcome.refusal is not None and outcome.refusal.kind is RefusalKind.LEAVING:
+                self._parts.notes.note_leaving(upstream=engine)
+            return
+        self._parts.notes.note_failure(upstream=engine)
+        if outcome.end is not AttemptEnd.NOT_SENT:
+            self._progress.may_have_run = True
+            self._progress.lost += 1
+
+    def _given_up(self) -> bool:
+        if self._progress.lost > MAX_LOST_ATTEMPTS or self._progress.attempts >= MAX_ATTEMPTS:
+            return True
+        return self._progress.lost > 0 and not self._parts.retries.try_take()
+
+    def _problem(self, kind: ProblemKind, detail: str) -> Problem:
+        return Problem(
+            kind=kind,
+            detail=detail,
+            execution=self._execution(),
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    def _with_execution(self, problem: Problem) -> Problem:
+        return Problem(
+            kind=problem.kind,
+            detail=problem.detail,
+            execution=self._execution(),
+            retry_after_ms=problem.retry_after_ms,
+        )
+
+    def _execution(self) -> Execution:
+        return Execution.UNKNOWN if self._progress.may_have_run else Execution.NOT_EXECUTED
+
+
+_STILL_RUNNING = frozenset({AttemptEnd.LOST, AttemptEnd.DIFFERS})
+_DIFFERS_DETAIL = (
+    "The engine was lost and its answer could not be made again; send the request once more."
+)
+_FAILED_DETAIL = "Several engines failed on this request; send it again after the pause."
+
+
+@final
+class _ReportingSink:
+    """Passes tokens on and tells routing how far the generation has come."""
+
+    def __init__(self, *, sink: Sink, placement: Placement, router: Router) -> None:
+        self._sink = sink
+        self._generation = placement.generation
+        self._router = router
+
+    @property
+    def cancel_after_ms(self) -> int | None:
+        """What the caller's sink says."""
+        return self._sink.cancel_after_ms
+
+    async def begin(self, *, attempt: AttemptId, engine: UpstreamId) -> None:
+        """Pass on which attempt makes the tokens."""
+        await self._sink.begin(attempt=attempt, engine=engine)
+
+    async def deliver(self, *, texts: Sequence[str], offset: int, checksum: int) -> None:
+        """Report the progress and pass the tokens on."""
+        self._router.report_progress(generation=self._generation, tokens=offset)
+        await self._sink.deliver(texts=texts, offset=offset, checksum=checksum)
+
+    def discard(self) -> bool:
+        """Pass on that the attempt's tokens are void."""
+        return self._sink.discard()
+
+
+async def _until_move(
+    attempt: Attempt, request: EngineRequest, placement: Placement
+) -> AttemptOutcome | None:
+    running = asyncio.ensure_future(attempt.run(request=request))
+    moved = asyncio.ensure_future(placement.move_requested.wait())
+    try:
+        await asyncio.wait({running, moved}, return_when=asyncio.FIRST_COMPLETED)
+        return running.result() if running.done() else None
+    finally:
+        moved.cancel()
+        if not running.done():
+            running.cancel()
+            await asyncio.wait({running})
--- /dev/null
+++ b/src/tanagerscale/upstreams/_http_service.py
@@ -0,0 +1,150 @@
+"""Plain services over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import final
+
+import aiohttp
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from tanagerscale.generated.upstream import Refusal
+from tanagerscale.upstreams._http_engine import CONNECT_TIMEOUT_S
+from tanagerscale.upstreams._protocol import UpstreamError
+from tanagerscale.upstreams._protocol import UpstreamErrorKind
+
+REFUSED_STATUS = 503
+MAX_REPLY_BYTES = 8 << 20
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "content-encoding",
+        "accept-encoding",
+        "authorization",
+        "expect",
+    }
+)
+"""Header fields that concern one connection (RFC 9110, 7.6.1), or that the client library sets."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceCall:
+    """A call to a plain service.
+
+    :param method: HTTP method.
+    :param path: Path and query, with its leading slash.
+    :param headers: Header fields to pass on.
+    :param body: Body.
+    """
+
+    method: str
+    path: str
+    headers: Sequence[tuple[str, str]]
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceReply:
+    """What a plain service answered.
+
+    :param status: HTTP status.
+    :param content_type: Media type of the body.
+    :param headers: Header fields to pass on.
+    :param body: Body.
+    """
+
+    status: int
+    content_type: str
+    headers: Sequence[tuple[str, str]]
+    body: bytes
+
+
+@final
+class HttpServiceClient:
+    """Calls plain services; never retries, not even on a connection that was reused.
+
+    :param session: Must keep no connections open, since a reused one that breaks leaves unknown
+        whether the call ran.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def call(
+        self, *, address: str, call: ServiceCall, timeout_ms: int
+    ) -> Result[ServiceReply, UpstreamError]:
+        """Send a call once.
+
+        :param address: IP number and port.
+        :param call: The call.
+        :param timeout_ms: Longest wait for the whole answer, in milliseconds.
+        """
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000, sock_connect=CONNECT_TIMEOUT_S)
+        headers = [item for item in call.headers if item[0].lower() not in HOP_BY_HOP]
+        try:
+            async with self._session.request(
+                call.method,
+                f"http://{address}{call.path}",
+                headers=headers,
+                data=call.body,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await response.content.read(MAX_REPLY_BYTES + 1)
+                while not response.content.at_eof() and len(body) <= MAX_REPLY_BYTES:
+                    body += await response.content.read(MAX_REPLY_BYTES + 1 - len(body))
+                return _reply(response, body)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            return _failure(UpstreamErrorKind.NOT_SENT, "No connection could be made.")
+        except TimeoutError:
+            return _failure(UpstreamErrorKind.STALLED, "No answer came in the time allowed.")
+        except (aiohttp.ClientError, OSError) as error:
+            return _failure(UpstreamErrorKind.BROKEN, f"It broke: {type(error).__name__}.")
+
+
+def _reply(response: aiohttp.ClientResponse, body: bytes) -> Result[ServiceReply, UpstreamError]:
+    if len(body) > MAX_REPLY_BYTES:
+        return _failure(UpstreamErrorKind.MALFORMED, "The answer is larger than is passed on.")
+    if response.status == REFUSED_STATUS:
+        refusal = _refusal(body)
+        if refusal is not None:
+            return Failure(
+                UpstreamError(
+                    kind=UpstreamErrorKind.REFUSED,
+                    detail=f"The service refused: {refusal.kind.value}.",
+                    refusal=refusal,
+                )
+            )
+    headers = [item for item in response.headers.items() if item[0].lower() not in HOP_BY_HOP]
+    return Success(
+        ServiceReply(
+            status=response.status,
+            content_type=response.headers.get("Content-Type", ""),
+            headers=headers,
+            body=body,
+        )
+    )
+
+
+def _refusal(body: bytes) -> Refusal | None:
+    try:
+        return msgspec.json.decode(body, type=Refusal)
+    except msgspec.MsgspecError:
+        return None
+
+
+def _failure(kind: UpstreamErrorKind, detail: str) -> Result[ServiceReply, UpstreamError]:
+    return Failure(UpstreamError(kind=kind, detail=detail))
--- a/src/tanagerscale/upstreams/_protocol.py
+++ b/src/tanagerscale/upstreams/_protocol.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
 from enum import unique
 from typing import Protocol
+from typing import TypeAlias
 
 from returns.result import Result
 
@@ -30,8 +32,10 @@
     """The upstream said that it executed nothing; ``refusal`` tells why."""
     BROKEN = "broken"
     """The connection ended before the answer did; the call may have run."""
+    UNRESPONSIVE = "unresponsive"
+    """A connection was made and no reply began in the time allowed; the call may have run."""
     STALLED = "stalled"
-    """No progress in the time allowed; the call may still run."""
+    """The reply began and then made no progress in the time allowed; the call may still run."""
     MALFORMED = "malformed"
     """The answer breaks the protocol; the call may have run."""
 
@@ -50,17 +54,17 @@
     refusal: Refusal | None = None
 
 
+TokenBatches: TypeAlias = AsyncGenerator[Result[Sequence[TokenEvent], UpstreamError], None]
+"""Events as they arrive, those of one read together; a batch may be empty once the reply began."""
+
+
 class EngineClient(Protocol):
     """One model engine, reached by its published protocol; no method retries."""
 
-    def generate(
-        self, *, request: EngineRequest
-    ) -> AsyncIterator[Result[TokenEvent, UpstreamError]]:
-        """Start an attempt and follow it; the iterator ends after a finish or a failure."""
+    def generate(self, *, request: EngineRequest) -> TokenBatches:
+        """Start an attempt and follow it; the iterator ends after its first failure."""
 
-    def resume(
-        self, *, attempt: AttemptId, offset: int
-    ) -> AsyncIterator[Result[TokenEvent, UpstreamError]]:
+    def resume(self, *, attempt: AttemptId, offset: int) -> TokenBatches:
         """Follow a running or finished attempt from the token at ``offset``."""
 
     async def cancel(self, *, attempt: AttemptId) -> Result[None, UpstreamError]:
--- /dev/null
+++ b/testing/_fake_engine.py
@@ -0,0 +1,263 @@
+"""An engine and a router in memory, for tests in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+import random
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from tanagerscale.core import AttemptId
+from tanagerscale.core import Clock
+from tanagerscale.core import Execution
+from tanagerscale.core import GenerationId
+from tanagerscale.core import Problem
+from tanagerscale.core import ProblemKind
+from tanagerscale.core import UpstreamId
+from tanagerscale.generated.upstream import CacheEvents
+from tanagerscale.generated.upstream import EngineOrder
+from tanagerscale.generated.upstream import EngineRequest
+from tanagerscale.generated.upstream import EngineState
+from tanagerscale.generated.upstream import FinishReason
+from tanagerscale.generated.upstream import LoadReport
+from tanagerscale.generated.upstream import Refusal
+from tanagerscale.generated.upstream import RefusalKind
+from tanagerscale.generated.upstream import TokenEvent
+from tanagerscale.policy import PlacementRequest
+from tanagerscale.routing import Placement
+from tanagerscale.upstreams import TokenBatches
+from tanagerscale.upstreams import UpstreamError
+from tanagerscale.upstreams import UpstreamErrorKind
+
+STEP_MS = 10
+SILENCE_MS = 3000
+
+
+def tokens_of(request: EngineRequest, *, salt: int = 0) -> list[str]:
+    """Return the one answer to a request: the same words for the same seed."""
+    rng = random.Random(f"{request.prompt} {request.seed} {salt}")
+    return [f"w{rng.randrange(1000)} " for _ in range(request.max_tokens)]
+
+
+@dataclass(kw_only=True)
+class Run:
+    """One attempt in an engine."""
+
+    request: EngineRequest
+    tokens: list[str]
+    started: int
+    cancelled: bool = False
+
+
+@dataclass(kw_only=True)
+class Faults:
+    """What goes wrong; each ``..._at`` happens once, at that offset."""
+
+    dead: bool = False
+    frozen: bool = False
+    cut_at: int | None = None
+    die_at: int | None = None
+    error_at: int | None = None
+    cross_at: int | None = None
+    skip_at: int | None = None
+    drop_end: int = 0
+    overlap: int = 0
+    refuse: RefusalKind | None = None
+    salt: int = 0
+
+
+@dataclass(kw_only=True)
+class FakeEngine:
+    """Implements ``EngineClient``; a broken connection does not stop what runs."""
+
+    clock: Clock
+    faults: Faults = field(default_factory=Faults)
+    runs: dict[str, Run] = field(default_factory=dict)
+    executed: list[str] = field(default_factory=list)
+
+    async def generate(self, *, request: EngineRequest) -> TokenBatches:
+        """Start an attempt."""
+        if self.faults.dead:
+            yield _failed(UpstreamErrorKind.NOT_SENT)
+            return
+        if self.faults.refuse is not None:
+            yield _refused(self.faults.refuse)
+            return
+        if self.faults.frozen:
+            await self.clock.sleep(SILENCE_MS)
+            yield _failed(UpstreamErrorKind.UNRESPONSIVE)
+            return
+        assert request.attempt_id not in self.runs, "An attempt was sent twice."
+        tokens = tokens_of(request, salt=self.faults.salt)
+        self.runs[request.attempt_id] = Run(
+            request=request, tokens=tokens, started=self.clock.now()
+        )
+        self.executed.append(request.attempt_id)
+        async for batch in self._follow(AttemptId(request.attempt_id), 0):
+            yield batch
+
+    async def resume(self, *, attempt: AttemptId, offset: int) -> TokenBatches:
+        """Follow an attempt."""
+        if self.faults.dead:
+            yield _failed(UpstreamErrorKind.NOT_SENT)
+            return
+        if self.faults.frozen:
+            await self.clock.sleep(SILENCE_MS)
+            yield _failed(UpstreamErrorKind.UNRESPONSIVE)
+            return
+        if attempt not in self.runs:
+            yield _refused(RefusalKind.UNKNOWN_GENERATION)
+            return
+        async for batch in self._follow(attempt, max(0, offset - self.faults.overlap)):
+            yield batch
+
+    async def _follow(self, attempt: AttemptId, offset: int) -> TokenBatches:
+        run = self.runs[attempt]
+        faults = self.faults
+        yield Success(())
+        while offset < len(run.tokens):
+            await self.clock.sleep(run.started + (offset + 1) * STEP_MS - self.clock.now())
+            if faults.die_at == offset:
+                faults.dead = True
+                faults.die_at = None
+                self.runs.clear()
+            if faults.dead or faults.cut_at == offset:
+                faults.cut_at = None
+                yield _failed(UpstreamErrorKind.BROKEN)
+                return
+            if faults.frozen:
+                await self.clock.sleep(SILENCE_MS)
+                yield _failed(UpstreamErrorKind.STALLED)
+                return
+            if faults.error_at == offset:
+                faults.error_at = None
+                yield Success((_end(attempt, offset, FinishReason.ERROR),))
+                return
+            if faults.cross_at == offset:
+                faults.cross_at = None
+                yield Success((TokenEvent(attempt_id="other", offset=offset, text="foreign"),))
+            elif faults.skip_at == offset:
+                faults.skip_at = None
+            else:
+                yield Success(
+                    (TokenEvent(attempt_id=attempt, offset=offset, text=run.tokens[offset]),)
+                )
+            offset += 1
+        if faults.drop_end > 0:
+            faults.drop_end -= 1
+            yield _failed(UpstreamErrorKind.BROKEN)
+            return
+        yield Success((_end(attempt, offset, FinishReason.STOP),))
+
+    async def cancel(self, *, attempt: AttemptId) -> Result[None, UpstreamError]:
+        """Stop an attempt."""
+        if self.faults.dead:
+            return _failed(UpstreamErrorKind.NOT_SENT)
+        if self.faults.frozen:
+            return _failed(UpstreamErrorKind.UNRESPONSIVE)
+        if attempt in self.runs:
+            self.runs[attempt].cancelled = True
+        return Success(None)
+
+    async def load(self) -> Result[LoadReport, UpstreamError]:
+        """Report an idle engine."""
+        return Success(LoadReport(running=0, waiting=0, used_tokens=0, memory_tokens=60000))
+
+    async def cache_events(self, *, after: int) -> Result[CacheEvents, UpstreamError]:
+        """Report no event."""
+        return Success(CacheEvents(events=[], next_sequence=after))
+
+    async def state(self) -> Result[EngineState, UpstreamError]:
+        """Fail, since no test here asks."""
+        return _failed(UpstreamErrorKind.MALFORMED)
+
+    async def order(self, *, order: EngineOrder) -> Result[EngineState, UpstreamError]:
+        """Fail, since no test here orders."""
+        return _failed(UpstreamErrorKind.MALFORMED)
+
+
+class FakeRouter:
+    """Places each generation on the first engine that is not excluded."""
+
+    def __init__(self, *, engines: Sequence[UpstreamId]) -> None:
+        self.engines = list(engines)
+        self.placed: dict[GenerationId, Placement] = {}
+        self.released = 0
+
+    async def place(self, *, request: PlacementRequest) -> Result[Placement, Problem]:
+        """Place at once or refuse at once."""
+        assert request.generation not in self.placed, "Placed twice without a release."
+        for engine in self.engines:
+            if engine not in request.excluded:
+                placement = Placement(generation=request.generation, engine=engine)
+                self.placed[request.generation] = placement
+                return Success(placement)
+        return Failure(
+            Problem(
+                kind=ProblemKind.NO_UPSTREAM,
+                detail="None is left.",
+                execution=Execution.NOT_EXECUTED,
+                retry_after_ms=1000,
+            )
+        )
+
+    def report_progress(self, *, generation: GenerationId, tokens: int) -> None:
+        """Check that the generation is placed."""
+        assert generation in self.placed
+
+    def release(
+        self, *, generation: GenerationId, tokens: int, complete: bool, engine_lost: bool
+    ) -> None:
+        """Free the place."""
+        del self.placed[generation]
+        self.released += 1
+
+
+@dataclass(kw_only=True)
+class ListSink:
+    """Keeps what a caller would see."""
+
+    whole: bool = False
+    texts: list[str] = field(default_factory=list)
+    pending: list[str] = field(default_factory=list)
+    on_token: Callable[[int], None] = lambda _count: None
+
+    @property
+    def cancel_after_ms(self) -> int | None:
+        """Cancel at once."""
+        return 0
+
+    async def begin(self, *, attempt: AttemptId, engine: UpstreamId) -> None:
+        """Take no notice."""
+
+    async def deliver(self, *, texts: Sequence[str], offset: int, checksum: int) -> None:
+        """Keep the texts."""
+        (self.pending if self.whole else self.texts).extend(texts)
+        self.on_token(offset)
+        await asyncio.sleep(0)
+
+    def discard(self) -> bool:
+        """Drop what has not been shown."""
+        self.pending.clear()
+        return not self.texts
+
+
+def _end(attempt: AttemptId, offset: int, reason: FinishReason) -> TokenEvent:
+    return TokenEvent(attempt_id=attempt, offset=offset, finish_reason=reason)
+
+
+def _failed(kind: UpstreamErrorKind) -> Failure[UpstreamError]:
+    return Failure(UpstreamError(kind=kind, detail="As the test asks."))
+
+
+def _refused(kind: RefusalKind) -> Failure[UpstreamError]:
+    refusal = Refusal(kind=kind)
+    return Failure(
+        UpstreamError(kind=UpstreamErrorKind.REFUSED, detail="As told.", refusal=refusal)
+    )
