Add a launcher of small clusters of real processes

A Cluster starts the stand-ins and the hosts on ephemeral ports, writes their INI files, applies declarations by the command line, and ends only the processes it started. Tried with the stand-ins; hosts follow when the daemon stands.

--- a/standins/_prefix_cache.py
+++ b/standins/_prefix_cache.py
@@ -15,7 +15,7 @@
 
 PREFIX_TOKENS = 64
 PREFIX_CHARACTERS = PREFIX_TOKENS * CHARACTERS_PER_TOKEN
-HASH_BYTES = 8
+HASH_BYTES = 16
 KEPT_EVENTS = 10_000
 
 
--- /dev/null
+++ b/standins/launcher.py
@@ -0,0 +1,356 @@
+"""A small cluster of real processes on loopback: stand-ins, hosts, declarations."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+import sys
+from typing import Self
+from typing import TypeVar
+from typing import final
+
+import aiohttp
+import msgspec
+
+from standins._common import LOOPBACK
+from standins.cluster_files import account_key_hash
+from standins.cluster_files import write_declarations
+from standins.cluster_files import write_settings
+from standins.processes import ROOT
+from standins.processes import Launcher
+from standins.processes import ManagedProcess
+from standins.processes import environment
+from tanagerscale.generated.declarations import ClientAccount
+from tanagerscale.generated.declarations import DeclarationSet
+from tanagerscale.generated.declarations import Engine
+from tanagerscale.generated.declarations import Fencing
+from tanagerscale.generated.declarations import Model
+from tanagerscale.generated.declarations import Objective
+from tanagerscale.generated.declarations import Service
+from tanagerscale.generated.settings import HostListSection
+from tanagerscale.generated.settings import HostSection
+from tanagerscale.generated.settings import HostSettings
+from tanagerscale.generated.settings import LogLevel
+from tanagerscale.generated.settings import LogSection
+from tanagerscale.generated.settings import SecretsSection
+from tanagerscale.generated.settings import StoreSection
+from tanagerscale.generated.upstream import HostList
+from tanagerscale.generated.upstream import ListedEntry
+from tanagerscale.generated.upstream import ListedKind
+from tanagerscale.generated.upstream import ListedState
+
+ANY_PORT = f"{LOOPBACK}:0"
+CURSOR_KEY = "cursor-key-of-the-test-cluster-0123456789"
+COMMAND_TIMEOUT_S = 120.0
+FAILURE_DOMAINS = ("domain-a", "domain-b", "domain-c")
+
+_Body = TypeVar("_Body")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClusterPlan:
+    """What a cluster has.
+
+    :param engine_options: Command line options of every engine, without dashes.
+    :param store_options: Those of the store.
+    :param models: What is declared and loaded from the start.
+    :param accounts: Names of the client accounts.
+    :param not_idempotent: Calls of every service that may not be repeated.
+    :param list_lag_ms: How late the host list is, in milliseconds.
+    :param stop_grace_ms: How long a planned stop waits for running answers, in milliseconds.
+    """
+
+    hosts: int = 3
+    engines: int = 2
+    services: int = 1
+    engine_options: dict[str, str] = field(default_factory=dict)
+    store_options: dict[str, str] = field(default_factory=dict)
+    models: tuple[Model, ...] = (Model(name="round-planner", version="2026-11"),)
+    accounts: tuple[str, ...] = ("crew-north",)
+    not_idempotent: tuple[str, ...] = ("POST /bookings",)
+    service_timeout_ms: int = 5_000
+    list_lag_ms: int = 0
+    stop_grace_ms: int = 60_000
+    fencing: Fencing = Fencing.CHECKED
+    log_level: LogLevel = LogLevel.INFO
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CommandResult:
+    """How a run of the command line ended."""
+
+    returncode: int
+    output: str
+    errors: str
+
+
+@final
+class Cluster:
+    """The processes of one cluster, all ended when the cluster is.
+
+    :param plan: What it has.
+    :param directory: Where files and logs go.
+    """
+
+    def __init__(self, *, plan: ClusterPlan, directory: Path) -> None:
+        self.plan = plan
+        self.directory = directory
+        self.engines: dict[str, ManagedProcess] = {}
+        self.services: dict[str, ManagedProcess] = {}
+        self.hosts: dict[str, ManagedProcess] = {}
+        self.declarations = DeclarationSet(
+            objective=Objective(), models=list(plan.models), accounts=[]
+        )
+        self._launcher = Launcher(directory=directory)
+        self._stack = AsyncExitStack()
+        self._entries: dict[str, ListedEntry] = {}
+        self._incarnation = 0
+
+    @property
+    def launcher(self) -> Launcher:
+        """What starts the processes."""
+        return self._launcher
+
+    async def __aenter__(self) -> Self:
+        """Start the stand-ins, but no host, and write the declarations."""
+        await self._stack.enter_async_context(self._launcher)
+        self._session = await self._stack.enter_async_context(aiohttp.ClientSession())
+        try:
+            await self._start_standins()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        self.declarations = self._declare()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """End all processes."""
+        await self._stack.aclose()
+
+    async def start_engine(
+        self, name: str, *, options: dict[str, str] | None = None
+    ) -> ManagedProcess:
+        """Start an engine; one that replaces a former one takes its port.
+
+        :param name: Its declared name.
+        :param options: More command line options, without dashes.
+        """
+        held = ",".join(f"{model.name}={model.version}" for model in self.plan.models)
+        given = {"models": held, "fencing": self.plan.fencing.value, **self.plan.engine_options}
+        given |= self._same_port(self.engines.get(name)) | (options or {})
+        self.engines[name] = await self._start(name, "standins.engine", given)
+        await self._list(name, ListedKind.UPSTREAM, self.engines[name].address)
+        return self.engines[name]
+
+    async def start_service(self, name: str) -> ManagedProcess:
+        """Start an upstream of the plain service; a replacement takes the former one's port.
+
+        :param name: Its name in the cluster.
+        """
+        given = self._same_port(self.services.get(name))
+        self.services[name] = await self._start(name, "standins.service", given)
+        address = self.services[name].address
+        await self._list(address, ListedKind.UPSTREAM, address)
+        return self.services[name]
+
+    async def start_host(self, name: str, *, store_url: str = "") -> ManagedProcess:
+        """Start a host, which takes new ports.
+
+        :param name: Its id.
+        :param store_url: Where it reaches the store, when not directly.
+        """
+        path = self.directory / f"{name}.ini"
+        write_settings(path=path, settings=self._settings(name, store_url or self.store.url))
+        arguments = ["--settings", str(path)]
+        host = await self._launcher.start(
+            name=name, module="tanagerscale.daemon", arguments=arguments
+        )
+        self.hosts[name] = host
+        await self._list(name, ListedKind.HOST, host.address_of("peers"))
+        return host
+
+    async def start_hosts(self) -> None:
+        """Start all hosts of the plan at once."""
+        names = [f"host-{number}" for number in range(1, self.plan.hosts + 1)]
+        await asyncio.gather(*(self.start_host(name) for name in names))
+
+    async def list_state(self, entry: str, state: ListedState) -> None:
+        """Change what the host list says of an entry.
+
+        :param entry: Its id.
+        :param state: What it says from now on.
+        """
+        self._entries[entry] = msgspec.structs.replace(self._entries[entry], state=state)
+        await self._publish()
+
+    async def unlist(self, entry: str) -> None:
+        """Take an entry from the host list.
+
+        :param entry: Its id.
+        """
+        self._entries.pop(entry, None)
+        await self._publish()
+
+    async def apply(
+        self, *, declarations: DeclarationSet | None = None, author: str = "operator"
+    ) -> CommandResult:
+        """Apply declarations by the command line.
+
+        :param declarations: The set; the cluster's own when left out.
+        :param author: Who applies it.
+        """
+        path = self.directory / f"declarations-{author}.ini"
+        write_declarations(path=path, declarations=declarations or self.declarations)
+        return await self.command("apply", str(path), "--store", self.store.url, "--author", author)
+
+    async def command(self, *arguments: str) -> CommandResult:
+        """Run the command-line tool.
+
+        :param arguments: Its command line.
+        """
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tanagerscale.cli",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+            env=environment(),
+            cwd=ROOT,
+        )
+        try:
+            output, errors = await asyncio.wait_for(process.communicate(), COMMAND_TIMEOUT_S)
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        return CommandResult(
+            returncode=process.returncode or 0,
+            output=output.decode(errors="replace"),
+            errors=errors.decode(errors="replace"),
+        )
+
+    def caller_url(self, host: str) -> str:
+        """Return the base URL that callers of a host use.
+
+        :param host: Its id.
+        """
+        return f"http://{self.hosts[host].address_of('callers')}"
+
+    async def post(self, process: ManagedProcess, path: str, body: msgspec.Struct) -> None:
+        """Send a stand-in an admin call.
+
+        :param process: The stand-in.
+        :param path: Path of the call.
+        :param body: Its body.
+        """
+        data = msgspec.json.encode(body)
+        async with self._session.post(process.url + path, data=data) as reply:
+            reply.raise_for_status()
+
+    async def get(self, process: ManagedProcess, path: str, kind: type[_Body]) -> _Body:
+        """Read an admin page of a stand-in.
+
+        :param process: The stand-in.
+        :param path: Path of the page.
+        :param kind: What it holds.
+        """
+        async with self._session.get(process.url + path) as reply:
+            reply.raise_for_status()
+            return msgspec.json.decode(await reply.read(), type=kind)
+
+    async def _start_standins(self) -> None:
+        lag = {"lag_ms": str(self.plan.list_lag_ms)}
+        self.store, self.host_list = await asyncio.gather(
+            self._start("store", "standins.store", self.plan.store_options),
+            self._start("host-list", "standins.host_list", lag),
+        )
+        engines = [f"engine-{number}" for number in range(1, self.plan.engines + 1)]
+        services = [f"booking-{number}" for number in range(1, self.plan.services + 1)]
+        await asyncio.gather(
+            *(self.start_engine(name) for name in engines),
+            *(self.start_service(name) for name in services),
+        )
+
+    async def _start(self, name: str, module: str, options: dict[str, str]) -> ManagedProcess:
+        arguments = [f"--{option}={value}" for option, value in options.items()]
+        return await self._launcher.start(name=name, module=module, arguments=arguments)
+
+    async def _list(self, entry: str, kind: ListedKind, address: str) -> None:
+        self._incarnation += 1
+        self._entries[entry] = ListedEntry(
+            id=entry,
+            kind=kind,
+            address=address,
+            state=ListedState.LIVE,
+            failure_domain=_domain_of(entry),
+            incarnation=self._incarnation,
+        )
+        await self._publish()
+
+    async def _publish(self) -> None:
+        entries = HostList(entries=list(self._entries.values()))
+        await self.post(self.host_list, "/admin/entries", entries)
+
+    def _declare(self) -> DeclarationSet:
+        names = [model.name for model in self.plan.models]
+        engines = [
+            Engine(
+                name=name,
+                address=process.address,
+                failure_domain=_domain_of(name),
+                models=names,
+                memory_tokens=int(self.plan.engine_options.get("memory_tokens", "60000")),
+                max_batch=int(self.plan.engine_options.get("max_batch", "64")),
+                fencing=self.plan.fencing,
+            )
+            for name, process in sorted(self.engines.items())
+        ]
+        addresses = [
+            f"{process.address}@{_domain_of(name)}"
+            for name, process in sorted(self.services.items())
+        ]
+        service = Service(
+            name="bookings",
+            addresses=addresses,
+            not_idempotent=list(self.plan.not_idempotent),
+            timeout_ms=self.plan.service_timeout_ms,
+        )
+        return msgspec.structs.replace(
+            self.declarations,
+            accounts=[
+                ClientAccount(name=name, key_hash=account_key_hash(name))
+                for name in self.plan.accounts
+            ],
+            engines=engines,
+            services=[service] if addresses else [],
+        )
+
+    def _settings(self, name: str, store_url: str) -> HostSettings:
+        seeds = [host.address_of("peers") for host in self.hosts.values() if host.running]
+        return HostSettings(
+            host=HostSection(
+                id=name,
+                failure_domain=_domain_of(name),
+                callers=ANY_PORT,
+                peers=ANY_PORT,
+                stop_grace_ms=self.plan.stop_grace_ms,
+            ),
+            store=StoreSection(endpoints=[store_url]),
+            host_list=HostListSection(
+                url=f"{self.host_list.url}/hosts", interval_ms=200, seeds=seeds
+            ),
+            secrets=SecretsSection(cursor_key=CURSOR_KEY),
+            log=LogSection(level=self.plan.log_level),
+        )
+
+    def _same_port(self, former: ManagedProcess | None) -> dict[str, str]:
+        return {} if former is None else {"port": former.address.rpartition(":")[2]}
+
+
+def _domain_of(name: str) -> str:
+    number = int(digits) if (digits := name.rpartition("-")[2]).isdecimal() else 0
+    return FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
