--- a/standins/_common.py
+++ b/standins/_common.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import contextlib
+import inspect
 import signal
+import sys
 from typing import Any
 from typing import TypeVar
 
 from aiohttp import web
+import fire
 import msgspec
 
 LOOPBACK = "127.0.0.1"
@@ -18,6 +22,20 @@
 _Body = TypeVar("_Body")
 
 
+def run_main(main: Callable[..., None]) -> None:
+    """Call a module's main function with the options of the command line.
+
+    :param main: Takes the options as its parameters.
+    """
+    # Fire would run the function first and complain of an unknown option only afterwards.
+    known = inspect.signature(main).parameters
+    for argument in sys.argv[1:]:
+        name = argument.removeprefix("--").partition("=")[0].replace("-", "_")
+        if argument.startswith("--") and name not in (*known, "help", ""):
+            sys.exit(f"Unknown option {argument!r}; known are {', '.join(known)}.")
+    fire.Fire(main)
+
+
 async def serve(*, app: web.Application, port: int, cancel_handlers: bool = True) -> None:
     """Serve until SIGTERM or SIGINT, and say on standard output where.
 
--- a/standins/_leases.py
+++ b/standins/_leases.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
 from dataclasses import field
 from typing import final
@@ -93,13 +92,16 @@
             self._leases[lease].keys.add(key)
 
     async def expire_forever(self, *, interval_ms: int) -> None:
-        """End leases whose time is over.
+        """End leases whose time is over, again and again.
 
         :param interval_ms: How often to look, in milliseconds.
         """
         while True:
             await self._clock.sleep(interval_ms)
-            now = self._clock.now()
-            for lease in [item.id for item in self._leases.values() if item.deadline <= now]:
-                self.revoke(lease)
-            await asyncio.sleep(0)
+            self.expire()
+
+    def expire(self) -> None:
+        """End leases whose time is over."""
+        now = self._clock.now()
+        for lease in [item.id for item in self._leases.values() if item.deadline <= now]:
+            self.revoke(lease)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -12,7 +12,6 @@
 from typing import final
 
 from aiohttp import web
-import fire
 import msgspec
 from msgspec.structs import replace
 
@@ -22,6 +21,7 @@
 from standins._common import end_task
 from standins._common import json_response
 from standins._common import read_json
+from standins._common import run_main
 from standins._common import serve
 from standins._engine_stock import StaleFenceError
 from standins._engine_stock import Stock
@@ -395,4 +395,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire(main)
+    run_main(main)
--- a/standins/host_list.py
+++ b/standins/host_list.py
@@ -8,12 +8,12 @@
 from typing import final
 
 from aiohttp import web
-import fire
 from msgspec import Struct
 from msgspec.structs import replace
 
 from standins._common import json_response
 from standins._common import read_json
+from standins._common import run_main
 from standins._common import serve
 from tanagerscale.core import Clock
 from tanagerscale.generated.upstream import HostList
@@ -117,4 +117,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire(main)
+    run_main(main)
--- a/standins/service.py
+++ b/standins/service.py
@@ -10,13 +10,13 @@
 from typing import final
 
 from aiohttp import web
-import fire
 import msgspec
 from msgspec import Struct
 
 from standins._common import cut_connection
 from standins._common import json_response
 from standins._common import read_json
+from standins._common import run_main
 from standins._common import serve
 from tanagerscale.core import Clock
 
@@ -218,4 +218,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire(main)
+    run_main(main)
--- a/standins/store.py
+++ b/standins/store.py
@@ -16,7 +16,6 @@
 from typing import final
 
 from aiohttp import web
-import fire
 import msgspec
 from msgspec import Struct
 
@@ -25,6 +24,7 @@
 from standins._common import end_task
 from standins._common import json_response
 from standins._common import read_json
+from standins._common import run_main
 from standins._common import serve
 from standins._etcd_txn import INVALID_ARGUMENT
 from standins._etcd_txn import NOT_FOUND
@@ -384,4 +384,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire(main)
+    run_main(main)
--- a/standins/tcp_relay.py
+++ b/standins/tcp_relay.py
@@ -8,7 +8,6 @@
 from typing import final
 
 from standins._common import LOOPBACK
-from standins._common import end_task
 from tanagerscale.core import Clock
 
 CHUNK_BYTES = 65_536
@@ -49,9 +48,9 @@
         """Stop to listen and cut all links."""
         assert self._server is not None
         self._server.close()
+        self.thaw()
         self.cut()
-        for task in tuple(self._tasks):
-            await end_task(task)
+        await asyncio.gather(*self._tasks)
 
     def freeze(self) -> None:
         """Pass nothing on, but keep all links open."""
