--- /dev/null
+++ b/src/tanagerscale/daemon/_host.py
@@ -0,0 +1,328 @@
+"""The composition root: builds the parts of a host and ends them in order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from hashlib import blake2b
+from pathlib import Path
+import random
+import secrets
+import ssl
+from typing import Any
+from typing import final
+
+import aiohttp
+from aiohttp import web
+from prometheus_client import CollectorRegistry
+
+from tanagerscale.accounts import KeyChecker
+from tanagerscale.claims import Claims
+from tanagerscale.core import AttemptId
+from tanagerscale.core import Clock
+from tanagerscale.core import FailureDomainId
+from tanagerscale.core import get_logger
+from tanagerscale.core import HostId
+from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.daemon._admission import DoorKeeper
+from tanagerscale.daemon._notes import EngineClients
+from tanagerscale.daemon._notes import GateNotes
+from tanagerscale.daemon._peers import PeerGlue
+from tanagerscale.daemon._scheduling import make_host_scheduler
+from tanagerscale.declarations import Declarations
+from tanagerscale.declarations import Follower
+from tanagerscale.dispatch import Canceller
+from tanagerscale.dispatch import DispatchParts
+from tanagerscale.entry import CompletionParts
+from tanagerscale.entry import Completions
+from tanagerscale.entry import Entry
+from tanagerscale.entry import EntryParts
+from tanagerscale.entry import RequestChecker
+from tanagerscale.generated.callers import HostStatus
+from tanagerscale.generated.messages import Attached
+from tanagerscale.generated.messages import Heartbeat
+from tanagerscale.generated.settings import HostSettings
+from tanagerscale.membership import HostListFollower
+from tanagerscale.membership import Mesh
+from tanagerscale.membership import peer_ssl_contexts
+from tanagerscale.membership import UpstreamGate
+from tanagerscale.policy import RetryBudget
+from tanagerscale.quarantine import NoCrashWatch
+from tanagerscale.routing import PoolRouter
+from tanagerscale.services import ServiceDispatch
+from tanagerscale.services import ServiceParts
+from tanagerscale.store import EtcdStore
+from tanagerscale.upstreams import HttpServiceClient
+
+SHUTDOWN_TIMEOUT_S = 5.0
+FINGERPRINT_KEY_BYTES = 32
+
+_log = get_logger(part="daemon")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BoundAddresses:
+    """Where a host listens.
+
+    :param callers: IP number and port for callers.
+    :param peers: IP number and port for the other hosts.
+    """
+
+    callers: str
+    peers: str
+
+
+@final
+class HostProcess:
+    """One host with all its parts.
+
+    :param settings: Its checked settings.
+    """
+
+    def __init__(self, *, settings: HostSettings) -> None:
+        self._settings = settings
+        self._clock = Clock()
+        self._rng = random.Random(secrets.randbits(64))
+        self._host = HostId(settings.host.id)
+        self._incarnation = self._clock.wall()
+        self._leaving = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self._door = DoorKeeper(limit=settings.limits.concurrent_requests)
+
+    async def start(self) -> BoundAddresses:
+        """Build the parts and begin to serve."""
+        settings = self._settings
+        self._build_outer_edges()
+        self._build_membership()
+        self._build_dispatch()
+        self._glue.start()
+        self._router.start()
+        peers = await self._mesh.start()
+        self._host_list.start()
+        self._spawn(self._follower.run())
+        callers = await self._serve_callers()
+        _log.info("The host serves.", host=self._host, callers=callers, peers=peers)
+        if settings.host_list.url == "":
+            self._glue.use_seeds()
+        return BoundAddresses(callers=callers, peers=peers)
+
+    async def stop(self) -> None:
+        """Carry out a planned stop: no new work, then the end of all that runs."""
+        self._leaving = True
+        self._router.set_leaving(leaving=True)
+        self._mesh.beat_now()
+        grace_s = self._settings.host.stop_grace_ms / MS_PER_SECOND
+        try:
+            await asyncio.wait_for(self._door.wait_empty(), grace_s)
+        except TimeoutError:
+            _log.warning("Streams are handed over; their callers hold cursors.")
+        await self._services.drain()
+        await self._runner.cleanup()
+        await self._canceller.drain()
+        await self._claims.close()
+        await self._router.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._host_list.stop()
+        await self._mesh.stop()
+        await self._session.close()
+        await self._service_session.close()
+        await self._store.close()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+    def _build_outer_edges(self) -> None:
+        settings = self._settings
+        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        # A connection that is used twice may break under the second call, and then nobody knows
+        # whether it ran; so calls to plain services get connections of their own.
+        self._service_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True), auto_decompress=False
+        )
+        self._store = EtcdStore(
+            endpoints=settings.store.endpoints,
+            timeout_ms=settings.store.timeout_ms,
+            clock=self._clock,
+        )
+        self._follower = Follower(
+            store=self._store, prefix=settings.store.prefix, clock=self._clock, random=self._rng
+        )
+
+    def _build_membership(self) -> None:
+        settings = self._settings
+        contexts = peer_ssl_contexts(tls=settings.tls)
+        self._mesh = Mesh(
+            host=self._host,
+            failure_domain=FailureDomainId(settings.host.failure_domain),
+            incarnation=self._incarnation,
+            listen=settings.host.peers,
+            clock=self._clock,
+            rng=self._rng,
+            heartbeat_source=self._heartbeat,
+            server_ssl=contexts[0] if contexts else None,
+            client_ssl=contexts[1] if contexts else None,
+        )
+        self._gate = UpstreamGate(
+            clock=self._clock,
+            rng=self._rng,
+            spread=lambda message: self._mesh.broadcast(message=message),
+        )
+        self._host_list = HostListFollower(
+            url=settings.host_list.url,
+            interval_ms=settings.host_list.interval_ms,
+            clock=self._clock,
+        )
+        self._engines = EngineClients(session=self._session, declarations=self._declarations)
+        self._canceller = Canceller(client_of=self._engines.client_of, clock=self._clock)
+        self._router = PoolRouter(
+            network=self._mesh,
+            gate=self._gate,
+            make_scheduler=lambda: make_host_scheduler(
+                declarations=self._declarations(), rng=self._rng
+            ),
+            clock=self._clock,
+            rng=self._rng,
+            engine_clients=self._engines.client_of,
+        )
+        self._keys = KeyChecker()
+        self._glue = PeerGlue(
+            mesh=self._mesh,
+            gate=self._gate,
+            follower=self._follower,
+            host_list=self._host_list,
+            router=self._router,
+            canceller=self._canceller,
+            keys=self._keys,
+            seeds=tuple(settings.host_list.seeds),
+        )
+
+    def _build_dispatch(self) -> None:
+        notes = GateNotes(gate=self._gate)
+        retries = RetryBudget()
+        self._claims = Claims(
+            store=self._store,
+            prefix=self._settings.store.prefix,
+            host=self._host,
+            incarnation=self._incarnation,
+            clock=self._clock,
+            rng=self._rng,
+            is_live=self._glue.is_live,
+        )
+        self._dispatch = DispatchParts(
+            router=self._router,
+            client_of=self._engines.client_of,
+            notes=notes,
+            crashes=NoCrashWatch(),
+            retries=retries,
+            canceller=self._canceller,
+            clock=self._clock,
+        )
+        self._services = ServiceDispatch(
+            parts=ServiceParts(
+                client=HttpServiceClient(session=self._service_session),
+                claims=self._claims,
+                notes=notes,
+                is_open=self._gate.is_open,
+                retries=retries,
+                clock=self._clock,
+                rng=self._rng,
+            )
+        )
+
+    def _entry(self) -> Entry:
+        key = cursor_key(settings=self._settings)
+        fingerprint_key = blake2b(b"fingerprint", key=key).digest()[:FINGERPRINT_KEY_BYTES]
+        completions = Completions(
+            parts=CompletionParts(
+                host=self._host,
+                cursor_key=key,
+                checker=RequestChecker(fingerprint_key=fingerprint_key, rng=self._rng),
+                dispatch=self._dispatch,
+                declarations=self._declarations,
+                attached=self._tell_attached,
+            )
+        )
+        return Entry(
+            parts=EntryParts(
+                keys=self._keys,
+                admission=self._door,
+                completions=completions,
+                services=self._services,
+                declarations=self._declarations,
+                status=self._status,
+                usage=lambda: b"{}",
+                registry=CollectorRegistry(),
+                limits=self._settings.limits,
+            )
+        )
+
+    async def _serve_callers(self) -> str:
+        limits = self._settings.limits
+        self._runner = web.AppRunner(
+            self._entry().application(),
+            handler_cancellation=True,
+            access_log=None,
+            max_field_size=limits.header_bytes,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        await self._runner.setup()
+        address, _, port = self._settings.host.callers.rpartition(":")
+        site = web.TCPSite(
+            self._runner, address.strip("[]"), int(port), ssl_context=self._callers_tls()
+        )
+        await site.start()
+        bound = self._runner.addresses[0]
+        return f"{address}:{bound[1]}"
+
+    def _callers_tls(self) -> ssl.SSLContext | None:
+        tls = self._settings.tls
+        if not tls.callers_certificate:
+            return None
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.load_cert_chain(tls.callers_certificate, tls.callers_key)
+        return context
+
+    def _declarations(self) -> Declarations:
+        return self._follower.declarations
+
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(revision=self._follower.head_revision, leaving=self._leaving)
+
+    def _tell_attached(self, host: HostId, attempt: AttemptId) -> None:
+        if host != self._host:
+            self._mesh.send(host=host, message=Attached(attempt=attempt))
+
+    def _status(self) -> HostStatus:
+        declarations = self._declarations()
+        return HostStatus(
+            host=self._host,
+            incarnation=self._incarnation,
+            revision=declarations.revision,
+            digest=declarations.digest,
+            ready=bool(self._follower.ready.value) and declarations.revision > 0,
+            leaving=self._leaving,
+            running=self._door.running,
+            live_hosts=[peer.host for peer in self._mesh.live.value],
+            closed_upstreams=[
+                name for name in declarations.engines if not self._gate.is_open(name)
+            ],
+        )
+
+
+def cursor_key(*, settings: HostSettings) -> bytes:
+    """Return the key that signs cursors.
+
+    :param settings: The host's settings. Without a key in them a random one is made, and then
+        no other host can read this host's cursors.
+    """
+    secrets_section = settings.secrets
+    if secrets_section.cursor_key_file:
+        return Path(secrets_section.cursor_key_file).read_bytes().strip()
+    if secrets_section.cursor_key:
+        return secrets_section.cursor_key.encode()
+    _log.warning("No cursor_key is set; callers can't continue at other hosts.")
+    return secrets.token_bytes(FINGERPRINT_KEY_BYTES)
--- /dev/null
+++ b/src/tanagerscale/daemon/_main.py
@@ -0,0 +1,56 @@
+"""The daemon's command line and its life from start to planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+import signal
+import sys
+
+import fire
+from returns.result import Failure
+from returns.result import Success
+
+from tanagerscale.core import get_logger
+from tanagerscale.core import set_up_logging
+from tanagerscale.daemon._host import HostProcess
+from tanagerscale.generated.settings import HostSettings
+from tanagerscale.settings import read_settings
+
+EXIT_BAD_SETTINGS = 2
+
+_log = get_logger(part="daemon")
+
+
+def main() -> None:
+    """Run ``tanagerscaled``."""
+    fire.Fire(serve, name="tanagerscaled")
+
+
+def serve(*, settings: str) -> None:
+    """Serve as one host until SIGTERM or SIGINT.
+
+    :param settings: INI file with the host's settings.
+    """
+    match read_settings(path=Path(settings)):
+        case Success(checked):
+            set_up_logging(settings=checked.log)
+            asyncio.run(_serve(checked))
+        case Failure(errors):
+            for error in errors:
+                print(error, file=sys.stderr)
+            sys.exit(EXIT_BAD_SETTINGS)
+
+
+async def _serve(settings: HostSettings) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    host = HostProcess(settings=settings)
+    addresses = await host.start()
+    print(f"listening callers={addresses.callers} peers={addresses.peers}", flush=True)
+    await stop.wait()
+    _log.notice("A planned stop begins.")
+    await host.stop()
+    _log.notice("The host has stopped.")
--- /dev/null
+++ b/src/tanagerscale/daemon/_scheduling.py
@@ -0,0 +1,28 @@
+"""The scheduler a host runs for the cells it owns."""
+
+from __future__ import annotations
+
+import random
+
+from tanagerscale.declarations import Declarations
+from tanagerscale.policy import AccountSpec
+from tanagerscale.policy import make_scheduler
+from tanagerscale.routing import PoolScheduler
+
+
+def make_host_scheduler(*, declarations: Declarations, rng: random.Random) -> PoolScheduler:
+    """Return a scheduler for one cell, as the declarations ask.
+
+    :param declarations: What is in force.
+    :param rng: Source of randomness.
+    """
+    accounts = {
+        name: AccountSpec(
+            weight=account.weight,
+            requests_per_second=account.requests_per_second,
+            concurrent_requests=account.concurrent_requests,
+            tokens_per_minute=account.tokens_per_minute,
+        )
+        for name, account in declarations.accounts.items()
+    }
+    return make_scheduler(objective=declarations.objective, accounts=accounts, rng=rng)
--- /dev/null
+++ b/src/tanagerscale/entry/_completions.py
@@ -0,0 +1,327 @@
+"""Completions: from a caller's request to the last token of its answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import final
+
+from aiohttp import web
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from tanagerscale.core import AttemptId
+from tanagerscale.core import ClientAccountId
+from tanagerscale.core import Execution
+from tanagerscale.core import GenerationId
+from tanagerscale.core import HostId
+from tanagerscale.core import Problem
+from tanagerscale.core import ProblemKind
+from tanagerscale.core import UpstreamId
+from tanagerscale.core import get_logger
+from tanagerscale.core import new_id
+from tanagerscale.declarations import Declarations
+from tanagerscale.delivery import Cursor
+from tanagerscale.delivery import CursorBinding
+from tanagerscale.delivery import CursorSigner
+from tanagerscale.delivery import EventFormat
+from tanagerscale.delivery import StreamSink
+from tanagerscale.delivery import WholeSink
+from tanagerscale.delivery import verify_cursor
+from tanagerscale.dispatch import Attempt
+from tanagerscale.dispatch import AttemptEnd
+from tanagerscale.dispatch import DispatchParts
+from tanagerscale.dispatch import Finish
+from tanagerscale.dispatch import Generation
+from tanagerscale.dispatch import GenerationRequest
+from tanagerscale.dispatch import Relay
+from tanagerscale.entry._problems import problem_event
+from tanagerscale.entry._problems import problem_response
+from tanagerscale.entry._requests import RequestChecker
+from tanagerscale.entry._requests import bad_request
+from tanagerscale.generated.callers import ChatChoice
+from tanagerscale.generated.callers import ChatCompletion
+from tanagerscale.generated.callers import ChatMessage
+from tanagerscale.generated.callers import Completion
+from tanagerscale.generated.callers import CompletionChoice
+from tanagerscale.generated.callers import CompletionRequest
+from tanagerscale.generated.callers import Usage
+
+EVENT_STREAM = "text/event-stream"
+RESUME_RETRY_AFTER_MS = 1000
+
+_log = get_logger(part="entry")
+
+
+@final
+class LazyReply:
+    """A reply of events that begins with its first byte, so that a refusal can still be plain.
+
+    :param request: The caller's request.
+    :param request_id: Goes into the reply's header.
+    """
+
+    def __init__(self, *, request: web.Request, request_id: str) -> None:
+        self._request = request
+        self._response = web.StreamResponse(
+            headers={
+                "Content-Type": EVENT_STREAM,
+                "Cache-Control": "no-store",
+                "X-Request-Id": request_id,
+            }
+        )
+
+    @property
+    def begun(self) -> bool:
+        """Whether a byte has been sent."""
+        return self._response.prepared
+
+    async def write(self, data: bytes) -> None:
+        """Send bytes, and the header before the first."""
+        if not self._response.prepared:
+            await self._response.prepare(self._request)
+        await self._response.write(data)
+
+    async def end(self) -> web.StreamResponse:
+        """Close the reply."""
+        await self._response.write_eof()
+        return self._response
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CompletionParts:
+    """What the completion handlers use.
+
+    :param host: This host.
+    :param cursor_key: Signs cursors.
+    :param checker: Checks bodies.
+    :param dispatch: What generations use.
+    :param declarations: Returns what is in force.
+    :param attached: Tells another host that the caller of one of its attempts has come here.
+    """
+
+    host: HostId
+    cursor_key: bytes
+    checker: RequestChecker
+    dispatch: DispatchParts
+    declarations: Callable[[], Declarations]
+    attached: Callable[[HostId, AttemptId], None]
+
+
+@final
+class Completions:
+    """Serves completions and their continuation.
+
+    :param parts: What the handlers use.
+    """
+
+    def __init__(self, *, parts: CompletionParts) -> None:
+        self._parts = parts
+
+    async def complete(
+        self, *, request: web.Request, account: ClientAccountId, chat: bool
+    ) -> web.StreamResponse:
+        """Answer ``POST /v1/completions`` and ``POST /v1/chat/completions``.
+
+        :param request: The caller's request.
+        :param account: Who asks.
+        :param chat: Whether it is a chat.
+        """
+        generation = GenerationId(new_id(prefix="cmpl"))
+        checked = self._parts.checker.check(
+            body=await request.read(),
+            chat=chat,
+            account=account,
+            generation=generation,
+            declarations=self._parts.declarations(),
+        )
+        match checked:
+            case Success((asked, checked_request)):
+                if asked.stream:
+                    return await self._stream(request, asked, checked_request, chat)
+                return await self._reply_whole(checked_request, chat)
+            case Failure(problem):
+                return problem_response(problem=problem, request_id=generation)
+        raise AssertionError("A Result is a Success or a Failure.")
+
+    async def _reply_whole(self, checked: GenerationRequest, chat: bool) -> web.Response:
+        sink = WholeSink()
+        generation = Generation(request=checked, sink=sink, parts=self._parts.dispatch)
+        match await generation.run():
+            case Success(finish):
+                body = _whole_body(checked, finish, sink.text, chat)
+                return web.Response(
+                    body=body,
+                    content_type="application/json",
+                    headers={"X-Request-Id": checked.generation},
+                )
+            case Failure(problem):
+                return problem_response(problem=problem, request_id=checked.generation)
+        raise AssertionError("A Result is a Success or a Failure.")
+
+    async def _stream(
+        self,
+        request: web.Request,
+        asked: CompletionRequest,
+        checked: GenerationRequest,
+        chat: bool,
+    ) -> web.StreamResponse:
+        reply = LazyReply(request=request, request_id=checked.generation)
+        binding = self._binding(checked, chat)
+        event_format = EventFormat(binding=binding)
+
+        def signer_of(attempt: AttemptId, engine: UpstreamId) -> CursorSigner:
+            bound = msgspec.structs.replace(binding, attempt=attempt, engine=engine)
+            return CursorSigner(key=self._parts.cursor_key, binding=bound)
+
+        sink: StreamSink | WholeSink
+        if checked.whole:
+            sink = WholeSink(signer_of=signer_of, writer=reply)
+        else:
+            sink = StreamSink(writer=reply, signer_of=signer_of, event_format=event_format)
+        result = await Generation(request=checked, sink=sink, parts=self._parts.dispatch).run()
+        return await _end_stream(result, sink, reply, event_format, checked.generation)
+
+    def _binding(self, checked: GenerationRequest, chat: bool) -> CursorBinding:
+        return CursorBinding(
+            request=checked.generation,
+            account=checked.account,
+            attempt="",
+            engine="",
+            host=self._parts.host,
+            model=checked.model,
+            chat=chat,
+        )
+
+    async def resume(self, *, request: web.Request, account: ClientAccountId) -> web.StreamResponse:
+        """Answer ``GET /v1/completions/{request_id}/events``.
+
+        :param request: The caller's request, with its cursor in ``Last-Event-ID``.
+        :param account: Who asks.
+        """
+        request_id = request.match_info["request_id"]
+        text = request.headers.get("Last-Event-ID", "")
+        if not text:
+            problem = bad_request("Send the last event's id in the header Last-Event-ID.")
+            return problem_response(problem=problem, request_id=request_id)
+        cursor = verify_cursor(key=self._parts.cursor_key, text=text)
+        if (
+            cursor is None
+            or cursor.binding.account != account
+            or cursor.binding.request != request_id
+        ):
+            return problem_response(problem=_CURSOR_REFUSED, request_id=request_id)
+        return await self._follow(request, cursor)
+
+    async def _follow(self, request: web.Request, cursor: Cursor) -> web.StreamResponse:
+        binding = cursor.binding
+        attempt_id = AttemptId(binding.attempt)
+        engine = UpstreamId(binding.engine)
+        self._parts.dispatch.canceller.keep(attempt=attempt_id)
+        self._parts.attached(HostId(binding.host), attempt_id)
+        reply = LazyReply(request=request, request_id=binding.request)
+        event_format = EventFormat(binding=binding)
+        bound = msgspec.structs.replace(binding, host=self._parts.host)
+        signer = CursorSigner(key=self._parts.cursor_key, binding=bound)
+        sink = StreamSink(
+            writer=reply,
+            signer_of=lambda _attempt, _engine: signer,
+            event_format=event_format,
+            offset=cursor.offset,
+            checksum=cursor.checksum,
+        )
+        await sink.begin(attempt=attempt_id, engine=engine)
+        relay = Relay(offset=cursor.offset, checksum=cursor.checksum)
+        result = await self._run_resumed(attempt_id, engine, relay, sink)
+        return await _end_stream(result, sink, reply, event_format, binding.request)
+
+    async def _run_resumed(
+        self, attempt_id: AttemptId, engine: UpstreamId, relay: Relay, sink: StreamSink
+    ) -> Result[Finish, Problem]:
+        dispatch = self._parts.dispatch
+        if engine not in self._parts.declarations().engines:
+            return Failure(_GENERATION_LOST)
+        attempt = Attempt(
+            attempt=attempt_id,
+            client=dispatch.client_of(engine),
+            relay=relay,
+            sink=sink,
+            clock=dispatch.clock,
+        )
+        ended = False
+        try:
+            outcome = await attempt.resume()
+            ended = True
+        finally:
+            if not ended:
+                pause = sink.cancel_after_ms or 0
+                dispatch.canceller.cancel(attempt=attempt_id, engine=engine, after_ms=pause)
+        if outcome.end is AttemptEnd.FINISHED and relay.finish is not None:
+            return Success(Finish(relay.finish, relay.delivered))
+        _log.info("A continued generation was lost.", attempt=attempt_id, end=outcome.end.value)
+        return Failure(_GENERATION_LOST)
+
+
+_CURSOR_REFUSED = Problem(
+    kind=ProblemKind.CURSOR_REFUSED,
+    detail="The cursor is not one of this request; send the id of its last event unchanged.",
+    execution=Execution.UNKNOWN,
+)
+_GENERATION_LOST = Problem(
+    kind=ProblemKind.GENERATION_LOST,
+    detail="The engine no longer holds the generation; send the request once more.",
+    execution=Execution.UNKNOWN,
+    retry_after_ms=RESUME_RETRY_AFTER_MS,
+)
+
+
+async def _end_stream(
+    result: Result[Finish, Problem],
+    sink: StreamSink | WholeSink,
+    reply: LazyReply,
+    event_format: EventFormat,
+    request_id: str,
+) -> web.StreamResponse:
+    match result:
+        case Success(finish):
+            if isinstance(sink, WholeSink):
+                await sink.send_all(event_format=event_format, reason=finish.reason.value)
+            else:
+                await sink.finish(reason=finish.reason.value)
+        case Failure(problem):
+            if not reply.begun:
+                return problem_response(problem=problem, request_id=request_id)
+            await reply.write(problem_event(problem=problem, request_id=request_id))
+    return await reply.end()
+
+
+def _whole_body(checked: GenerationRequest, finish: Finish, text: str, chat: bool) -> bytes:
+    usage = Usage(
+        prompt_tokens=checked.prompt_tokens,
+        completion_tokens=finish.tokens,
+        total_tokens=checked.prompt_tokens + finish.tokens,
+    )
+    reason = finish.reason.value
+    if chat:
+        message = ChatMessage(role="assistant", content=text)
+        choice = ChatChoice(index=0, message=message, finish_reason=reason)
+        return msgspec.json.encode(
+            ChatCompletion(
+                id=checked.generation,
+                object="chat.completion",
+                model=checked.model,
+                choices=[choice],
+                usage=usage,
+            )
+        )
+    return msgspec.json.encode(
+        Completion(
+            id=checked.generation,
+            object="text_completion",
+            model=checked.model,
+            choices=[CompletionChoice(index=0, text=text, finish_reason=reason)],
+            usage=usage,
+        )
+    )
