Place generations by asking the owners of cells

Cause: hosts that choose alone from late reports over-commit the same engine.

Entry hosts ask the owner, repeat the ask while they wait, and report progress; an owner gives up what nobody mentions, and asks about what it does not know, so a change of owner needs no store. Ruled out: a router of its own for a single host; it is the same path with this host as the owner.

--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -22,6 +22,8 @@
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import Hello
 from tanagerscale.generated.messages import Progress
+from tanagerscale.generated.messages import Running
+from tanagerscale.generated.messages import RunningRequest
 from tanagerscale.generated.messages import UpstreamLeaving
 from tanagerscale.generated.messages import Verdict
 
@@ -36,6 +38,8 @@
     | Ask
     | Grant
     | Progress
+    | Running
+    | RunningRequest
     | Finished
 )
 """Anything one host tells another."""
@@ -53,6 +57,8 @@
         Ask,
         Grant,
         Progress,
+        Running,
+        RunningRequest,
         Finished,
     )
 }
--- /dev/null
+++ b/src/tanagerscale/routing/_problems.py
@@ -0,0 +1,33 @@
+"""What callers are told when no place can be had."""
+
+from __future__ import annotations
+
+from tanagerscale.core import Execution
+from tanagerscale.core import Problem
+from tanagerscale.core import ProblemKind
+from tanagerscale.policy import PlacementRequest
+
+_NO_UPSTREAM_RETRY_MS = 1000
+
+
+def no_upstream(request: PlacementRequest) -> Problem:
+    """Return the answer when no engine of the model takes work."""
+    return Problem(
+        kind=ProblemKind.NO_UPSTREAM,
+        detail=f"No engine for model {request.model} takes work now; come back later.",
+        execution=Execution.NOT_EXECUTED,
+        retry_after_ms=_NO_UPSTREAM_RETRY_MS,
+    )
+
+
+def overloaded(*, retry_after_ms: int) -> Problem:
+    """Return the answer to a request that was shed.
+
+    :param retry_after_ms: When coming back helps, in milliseconds.
+    """
+    return Problem(
+        kind=ProblemKind.OVERLOADED,
+        detail="The engines are full; come back after the time in Retry-After.",
+        execution=Execution.NOT_EXECUTED,
+        retry_after_ms=retry_after_ms,
+    )
--- a/src/tanagerscale/routing/_protocol.py
+++ b/src/tanagerscale/routing/_protocol.py
@@ -7,12 +7,19 @@
 from dataclasses import field
 from typing import Protocol
 
+from reactivex import Observable
 from returns.result import Result
 
 from tanagerscale.core import GenerationId
+from tanagerscale.core import HostId
+from tanagerscale.core import Millis
 from tanagerscale.core import Problem
 from tanagerscale.core import UpstreamId
+from tanagerscale.membership import Message
+from tanagerscale.membership import PeerInfo
+from tanagerscale.membership import Received
 from tanagerscale.policy import PlacementRequest
+from tanagerscale.policy import Scheduler
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -46,3 +53,56 @@
         self, *, generation: GenerationId, tokens: int, complete: bool, engine_lost: bool
     ) -> None:
         """Tell that a generation no longer uses its engine."""
+
+
+class PoolScheduler(Scheduler, Protocol):
+    """A scheduler whose generations other schedulers may have admitted."""
+
+    def adopt(
+        self, *, request: PlacementRequest, engine: UpstreamId, tokens: int, now: Millis
+    ) -> None:
+        """Enter a generation that runs already.
+
+        :param request: What was asked for.
+        :param engine: Where it runs.
+        :param tokens: Tokens made so far.
+        """
+
+
+class PeerNetwork(Protocol):
+    """What routing asks of the mesh."""
+
+    @property
+    def host(self) -> HostId:
+        """The host that this process is."""
+
+    @property
+    def messages(self) -> Observable[Received]:
+        """Messages from the peers."""
+
+    @property
+    def live(self) -> Observable[tuple[PeerInfo, ...]]:
+        """The peers connected now, at once and after each change."""
+
+    def send(self, *, host: HostId, message: Message) -> bool:
+        """Send a message without waiting."""
+
+
+class UpstreamOpenness(Protocol):
+    """What routing asks of the upstream gate."""
+
+    @property
+    def changes(self) -> Observable[UpstreamId]:
+        """Each upstream whose openness may have changed."""
+
+    def is_open(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream takes new work."""
+
+    def note_leaving(self, *, upstream: UpstreamId, incarnation: int | None = None) -> None:
+        """Close a leaving upstream."""
+
+    def note_down(self, *, upstream: UpstreamId) -> None:
+        """Record that an upstream could not be reached."""
+
+    def note_up(self, *, upstream: UpstreamId) -> None:
+        """Record that an upstream has answered."""
--- a/testing/test_mesh.py
+++ b/testing/test_mesh.py
@@ -3,13 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
-from collections.abc import Awaitable
-from collections.abc import Callable
 from random import Random
 
-import pytest
-
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
