Compose the host process and serve the thin whole path

Cause: the parts stood side by side; a host has to build them from its settings, connect their observables and end them in order. Change: HostProcess is the composition root; PeerGlue connects host list, mesh, declarations, gate and router; the entry serves completions, their continuation by cursor, and plain services. Found on the way: a repeat of a booking at another host some milliseconds after its answer got in-progress, since the record was still on its way. Waiting for the record without a bound was ruled out (a store outage would hold answers back), so the answer waits at most 250 ms.

--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -19,21 +19,23 @@
 
 from tanagerscale.accounts import KeyChecker
 from tanagerscale.claims import Claims
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import AttemptId
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
-from tanagerscale.core import get_logger
 from tanagerscale.core import HostId
-from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import get_logger
 from tanagerscale.daemon._admission import DoorKeeper
 from tanagerscale.daemon._notes import EngineClients
 from tanagerscale.daemon._notes import GateNotes
+from tanagerscale.daemon._notes import NoCrashWatch
 from tanagerscale.daemon._peers import PeerGlue
 from tanagerscale.daemon._scheduling import make_host_scheduler
 from tanagerscale.declarations import Declarations
 from tanagerscale.declarations import Follower
 from tanagerscale.dispatch import Canceller
 from tanagerscale.dispatch import DispatchParts
+from tanagerscale.dispatch import RetryBudget
 from tanagerscale.entry import CompletionParts
 from tanagerscale.entry import Completions
 from tanagerscale.entry import Entry
@@ -45,10 +47,8 @@
 from tanagerscale.generated.settings import HostSettings
 from tanagerscale.membership import HostListFollower
 from tanagerscale.membership import Mesh
-from tanagerscale.membership import peer_ssl_contexts
 from tanagerscale.membership import UpstreamGate
-from tanagerscale.policy import RetryBudget
-from tanagerscale.quarantine import NoCrashWatch
+from tanagerscale.membership import peer_ssl_contexts
 from tanagerscale.routing import PoolRouter
 from tanagerscale.services import ServiceDispatch
 from tanagerscale.services import ServiceParts
--- a/src/tanagerscale/daemon/_notes.py
+++ b/src/tanagerscale/daemon/_notes.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from tanagerscale.core import Problem
 from tanagerscale.core import UpstreamId
 from tanagerscale.declarations import Declarations
 from tanagerscale.membership import UpstreamGate
@@ -72,3 +73,25 @@
             client = HttpEngineClient(session=self._session, address=address)
             self._clients[address] = client
         return client
+
+
+@final
+class NoCrashWatch:
+    """Lets every request run anywhere."""
+
+    def check(self, *, fingerprint: str) -> Problem | None:
+        """Refuse nothing."""
+        return None
+
+    def excluded_engines(self, *, fingerprint: str) -> frozenset[UpstreamId]:
+        """Exclude nothing."""
+        return frozenset()
+
+    def on_started(self, *, fingerprint: str, engine: UpstreamId) -> None:
+        """Take no note."""
+
+    def on_finished(self, *, fingerprint: str, engine: UpstreamId) -> None:
+        """Take no note."""
+
+    def on_engine_crash(self, *, engine: UpstreamId) -> None:
+        """Take no note."""
--- a/src/tanagerscale/daemon/_peers.py
+++ b/src/tanagerscale/daemon/_peers.py
@@ -7,12 +7,12 @@
 
 from tanagerscale.accounts import KeyChecker
 from tanagerscale.core import AttemptId
-from tanagerscale.core import get_logger
 from tanagerscale.core import HostId
 from tanagerscale.core import Revision
+from tanagerscale.core import get_logger
 from tanagerscale.declarations import Declarations
-from tanagerscale.declarations import FollowErrorKind
 from tanagerscale.declarations import Follower
+from tanagerscale.declarations import FollowErrorKind
 from tanagerscale.dispatch import Canceller
 from tanagerscale.generated.messages import Attached
 from tanagerscale.generated.messages import HeadAnnouncement
@@ -25,10 +25,10 @@
 from tanagerscale.generated.upstream import ListedState
 from tanagerscale.membership import HostListFollower
 from tanagerscale.membership import Mesh
-from tanagerscale.membership import peer_addresses
 from tanagerscale.membership import PeerInfo
 from tanagerscale.membership import Received
 from tanagerscale.membership import UpstreamGate
+from tanagerscale.membership import peer_addresses
 from tanagerscale.routing import PoolRouter
 
 _log = get_logger(part="peers")
--- a/src/tanagerscale/dispatch/__init__.py
+++ b/src/tanagerscale/dispatch/__init__.py
@@ -11,6 +11,7 @@
 from tanagerscale.dispatch._generation import Generation
 from tanagerscale.dispatch._relay import Relay
 from tanagerscale.dispatch._relay import RelayFault
+from tanagerscale.dispatch._retry_budget import RetryBudget
 from tanagerscale.dispatch._types import CrashWatch
 from tanagerscale.dispatch._types import GenerationRequest
 from tanagerscale.dispatch._types import RetryAllowance
@@ -30,6 +31,7 @@
     "Relay",
     "RelayFault",
     "RetryAllowance",
+    "RetryBudget",
     "Sink",
     "UpstreamNotes",
 ]
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -14,6 +14,7 @@
 from returns.result import Success
 
 from tanagerscale.generated.messages import Ask
+from tanagerscale.generated.messages import Attached
 from tanagerscale.generated.messages import Finished
 from tanagerscale.generated.messages import Grant
 from tanagerscale.generated.messages import HeadAnnouncement
@@ -32,6 +33,7 @@
     | Heartbeat
     | HeadAnnouncement
     | HeadRequest
+    | Attached
     | HeadContent
     | UpstreamLeaving
     | Verdict
@@ -51,6 +53,7 @@
         Heartbeat,
         HeadAnnouncement,
         HeadRequest,
+        Attached,
         HeadContent,
         UpstreamLeaving,
         Verdict,
--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -26,7 +26,6 @@
 from tanagerscale.policy._types import EngineLoad
 from tanagerscale.policy._types import EngineSpec
 from tanagerscale.policy._types import PlacementRequest
-from tanagerscale.policy._types import Scheduler
 
 CANDIDATES = 16
 """How many waiting generations one decision looks at, so that its cost stays flat."""
@@ -239,7 +238,7 @@
     accounts: Mapping[ClientAccountId, AccountSpec],
     rng: Random,
     share: float = 1.0,
-) -> Scheduler:
+) -> ForecastScheduler:
     """Return the scheduler that the daemon runs.
 
     :param objective: What the operators weigh.
--- a/src/tanagerscale/services/_dispatch.py
+++ b/src/tanagerscale/services/_dispatch.py
@@ -27,6 +27,7 @@
 from tanagerscale.core import ClientAccountId
 from tanagerscale.core import Clock
 from tanagerscale.core import Execution
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Problem
 from tanagerscale.core import ProblemKind
 from tanagerscale.core import ServiceId
@@ -46,6 +47,8 @@
 MAX_TRIES = 3
 RETRY_AFTER_MS = 2000
 DIGEST_BYTES = 16
+RECORD_WAIT_MS = 250
+"""Longest wait for the record of an answer before the answer is passed on."""
 
 _log = get_logger(part="services")
 
@@ -136,9 +139,7 @@
     async def _claimed(
         self, service: Service, account: ClientAccountId, key: str, call: ServiceCall
     ) -> Result[ServiceReply, Problem]:
-        claim_key = ClaimKey(
-            account=account, service=ServiceId(service.name), idempotency_key=key
-        )
+        claim_key = ClaimKey(account=account, service=ServiceId(service.name), idempotency_key=key)
         claimed = await self._parts.claims.claim(
             key=claim_key, request_digest=_digest(call), ttl_s=service.claim_ttl_s
         )
@@ -173,8 +174,10 @@
         result = await self._once(
             service, call, may_send=lambda: granted.may_dispatch(now=self._parts.clock.now())
         )
-        # The record is written in the background: a store outage must not delay the answer.
-        self._parts.claims.settle(claim=granted, outcome=_outcome_of(result))
+        settled = self._parts.claims.settle(claim=granted, outcome=_outcome_of(result))
+        # With the record written a repeat finds the answer at any host; it goes on in the
+        # background, since a store outage must not hold the answer back.
+        await asyncio.wait({settled}, timeout=RECORD_WAIT_MS / MS_PER_SECOND)
         return result.alt(_problem_of_single)
 
     async def _once(
--- /dev/null
+++ b/testing/_callers.py
@@ -0,0 +1,101 @@
+"""A caller that follows the interface, for tests with real processes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+import aiohttp
+import msgspec
+
+from standins.cluster_files import account_key
+from standins.tokens import answer_tokens
+from tanagerscale.generated.upstream import EngineRequest
+
+MODEL = "round-planner"
+VERSION = "2026-11"
+ACCOUNT = "crew-north"
+SEED = 11
+HANG_GUARD = aiohttp.ClientTimeout(total=60)
+
+
+@dataclass(kw_only=True)
+class Answer:
+    """What a caller of events received, over all its connections."""
+
+    request_id: str = ""
+    texts: list[str] = field(default_factory=list)
+    cursor: str = ""
+    done: bool = False
+    error: str = ""
+    status: int = 0
+
+    @property
+    def text(self) -> str:
+        """All text."""
+        return "".join(self.texts)
+
+
+def headers(*, account: str = ACCOUNT) -> dict[str, str]:
+    """Return the headers that identify an account."""
+    return {"Authorization": f"Bearer {account_key(account)}"}
+
+
+def expected(*, prompt: str, max_tokens: int = 16384) -> str:
+    """Return the one right answer to a prompt."""
+    request = EngineRequest(
+        attempt_id="", model=MODEL, prompt=prompt, seed=SEED, max_tokens=max_tokens
+    )
+    return "".join(answer_tokens(request, version=VERSION))
+
+
+async def ask(
+    *, session: aiohttp.ClientSession, url: str, prompt: str, answer: Answer | None = None
+) -> Answer:
+    """Ask for an answer as events, until the connection ends."""
+    answer = answer or Answer()
+    body = {"model": MODEL, "prompt": prompt, "stream": True, "seed": SEED}
+    async with session.post(
+        f"{url}/v1/completions", json=body, headers=headers(), timeout=HANG_GUARD
+    ) as response:
+        answer.request_id = response.headers.get("X-Request-Id", "")
+        await _read(response, answer)
+    return answer
+
+
+async def go_on(*, session: aiohttp.ClientSession, url: str, answer: Answer) -> Answer:
+    """Go on with an answer at a host."""
+    async with session.get(
+        f"{url}/v1/completions/{answer.request_id}/events",
+        headers={**headers(), "Last-Event-ID": answer.cursor},
+        timeout=HANG_GUARD,
+    ) as response:
+        await _read(response, answer)
+    return answer
+
+
+async def _read(response: aiohttp.ClientResponse, answer: Answer) -> None:
+    answer.status = response.status
+    if response.status != 200:
+        answer.error = await response.text()
+        return
+    pending = b""
+    try:
+        async for chunk in response.content.iter_any():
+            *events, pending = (pending + chunk).split(b"\n\n")
+            for event in events:
+                _take(event.decode(), answer)
+    except aiohttp.ClientError as error:
+        answer.error = f"{type(error).__name__}"
+
+
+def _take(event: str, answer: Answer) -> None:
+    fields = dict(line.split(": ", 1) for line in event.split("\n") if ": " in line)
+    data = fields.get("data", "")
+    if data == "[DONE]":
+        answer.done = True
+    elif fields.get("event") == "error":
+        answer.error = data
+    elif data:
+        answer.texts.append(msgspec.json.decode(data)["choices"][0]["text"])
+    answer.cursor = fields.get("id", answer.cursor)
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -213,11 +213,11 @@
     assert sink.pending == made
 
 
-def test_problem_says_not_executed_only_when_no_engine_ran_it() -> None:
-    for faults in (Faults(dead=True), Faults(refuse=RefusalKind.OVERLOADED)):
-        world, result = _run(lambda: _world(_copy(faults), _copy(faults)), ListSink())
-        assert result.failure().execution is Execution.NOT_EXECUTED
-        assert not any(engine.executed for engine in world.engines.values())
+@pytest.mark.parametrize("faults", [Faults(dead=True), Faults(refuse=RefusalKind.OVERLOADED)])
+def test_problem_says_not_executed_only_when_no_engine_ran_it(faults: Faults) -> None:
+    world, result = _run(lambda: _world(_copy(faults), _copy(faults)), ListSink())
+    assert result.failure().execution is Execution.NOT_EXECUTED
+    assert not any(engine.executed for engine in world.engines.values())
 
 
 def test_problem_says_unknown_when_an_engine_may_have_run_it() -> None:
@@ -255,7 +255,12 @@
         world = _world()
         sink = ListSink()
         task = asyncio.ensure_future(world.generation(sink).run())
-        sink.on_token = lambda offset: task.cancel() if offset == 4 else None
+
+        def leave(offset: int) -> None:
+            if offset == 4:
+                task.cancel()
+
+        sink.on_token = leave
         with pytest.raises(asyncio.CancelledError):
             await task
         await world.canceller.drain()
