--- a/src/tanagerscale/daemon/__init__.py
+++ b/src/tanagerscale/daemon/__init__.py
@@ -3,5 +3,7 @@
 from __future__ import annotations
 
 from tanagerscale.daemon._main import main
+from tanagerscale.daemon._notes import GateNotes
+from tanagerscale.daemon._notes import NoCrashWatch
 
-__all__ = ["main"]
+__all__ = ["GateNotes", "NoCrashWatch", "main"]
--- /dev/null
+++ b/tools/bench_relay.py
@@ -0,0 +1,308 @@
+"""Measure the processor time of a relayed token against a bare pass-through, in one run.
+
+Three processes: a source of events, a relay, and this one as the caller. Each round runs the
+bare pass-through and the product's own entry over the same number of streams and tokens.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+import random
+import statistics
+import subprocess
+import sys
+
+import aiohttp
+from aiohttp import web
+import fire
+import msgspec
+import psutil
+from returns.result import Result
+from returns.result import Success
+
+from tanagerscale.core import AttemptId
+from tanagerscale.core import ClientAccountId
+from tanagerscale.core import Clock
+from tanagerscale.core import GenerationId
+from tanagerscale.core import HostId
+from tanagerscale.core import Problem
+from tanagerscale.core import Revision
+from tanagerscale.core import UpstreamId
+from tanagerscale.daemon import GateNotes
+from tanagerscale.daemon import NoCrashWatch
+from tanagerscale.declarations import Declarations
+from tanagerscale.dispatch import Canceller
+from tanagerscale.dispatch import DispatchParts
+from tanagerscale.dispatch import RetryBudget
+from tanagerscale.entry import CompletionParts
+from tanagerscale.entry import Completions
+from tanagerscale.entry import RequestChecker
+from tanagerscale.generated.declarations import ClientAccount
+from tanagerscale.generated.declarations import DeclarationSet
+from tanagerscale.generated.declarations import Engine
+from tanagerscale.generated.declarations import Model
+from tanagerscale.generated.declarations import Objective
+from tanagerscale.generated.upstream import FinishReason
+from tanagerscale.generated.upstream import TokenEvent
+from tanagerscale.membership import UpstreamGate
+from tanagerscale.policy import PlacementRequest
+from tanagerscale.routing import Placement
+from tanagerscale.upstreams import HttpEngineClient
+
+LOOPBACK = "127.0.0.1"
+ENGINE = UpstreamId("engine-1")
+ACCOUNT = ClientAccountId("bench")
+MODEL = "bench-model"
+ROUNDS = 3
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Load:
+    """What one round carries.
+
+    :param streams: Streams open at once.
+    :param tokens: Tokens of each.
+    :param gap_ms: Time between two tokens of a stream, in milliseconds.
+    """
+
+    streams: int
+    tokens: int
+    gap_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RoundResult:
+    """What one round took in the relay's process.
+
+    :param cpu_us_per_token: Processor time for each token, in microseconds.
+    :param memory_kb_per_stream: Growth of resident memory for each open stream, in kilobytes.
+    """
+
+    cpu_us_per_token: float
+    memory_kb_per_stream: float
+
+
+async def _serve(app: web.Application) -> None:
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, LOOPBACK, 0)
+    await site.start()
+    print(runner.addresses[0][1], flush=True)
+    await asyncio.Event().wait()
+
+
+def source(*, tokens: int, gap_ms: int) -> None:
+    """Serve as an engine that sends tokens at a fixed pace.
+
+    :param tokens: Tokens of each answer.
+    :param gap_ms: Time between two of them, in milliseconds.
+    """
+
+    async def complete(request: web.Request) -> web.StreamResponse:
+        attempt = msgspec.json.decode(await request.read())["attempt_id"]
+        response = web.StreamResponse(headers={"X-Attempt-Id": attempt})
+        await response.prepare(request)
+        for offset in range(tokens):
+            await asyncio.sleep(gap_ms / 1000)
+            event = TokenEvent(attempt_id=attempt, offset=offset, text=" window")
+            await response.write(_frame(event))
+        end = TokenEvent(attempt_id=attempt, offset=tokens, finish_reason=FinishReason.STOP)
+        await response.write(_frame(end))
+        return response
+
+    app = web.Application()
+    app.router.add_post("/v1/completions", complete)
+    asyncio.run(_serve(app))
+
+
+def _frame(event: TokenEvent) -> bytes:
+    return b"id: %d\ndata: " % event.offset + msgspec.json.encode(event) + b"\n\n"
+
+
+def bare(*, engine_port: int) -> None:
+    """Serve as a bare pass-through.
+
+    :param engine_port: Port of the source.
+    """
+
+    async def run() -> None:
+        session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        url = f"http://{LOOPBACK}:{engine_port}/v1/completions"
+
+        async def complete(request: web.Request) -> web.StreamResponse:
+            body = msgspec.json.encode({"attempt_id": "att-bare", "model": MODEL, "prompt": "p"})
+            await request.read()
+            response = web.StreamResponse()
+            await response.prepare(request)
+            async with session.post(url, data=body) as upstream:
+                async for chunk in upstream.content.iter_any():
+                    await response.write(chunk)
+            return response
+
+        app = web.Application()
+        app.router.add_post("/v1/completions", complete)
+        await _serve(app)
+
+    asyncio.run(run())
+
+
+class OneEngineRouter:
+    """Places everything on the one engine."""
+
+    async def place(self, *, request: PlacementRequest) -> Result[Placement, Problem]:
+        """Place at once."""
+        return Success(Placement(generation=request.generation, engine=ENGINE))
+
+    def report_progress(self, *, generation: GenerationId, tokens: int) -> None:
+        """Take no note."""
+
+    def release(
+        self, *, generation: GenerationId, tokens: int, complete: bool, engine_lost: bool
+    ) -> None:
+        """Take no note."""
+
+
+def product(*, engine_port: int) -> None:
+    """Serve with the product's entry, dispatch and delivery.
+
+    :param engine_port: Port of the source.
+    """
+
+    async def run() -> None:
+        completions = _completions(engine_port)
+
+        async def complete(request: web.Request) -> web.StreamResponse:
+            return await completions.complete(request=request, account=ACCOUNT, chat=False)
+
+        app = web.Application()
+        app.router.add_post("/v1/completions", complete)
+        await _serve(app)
+
+    asyncio.run(run())
+
+
+def _completions(engine_port: int) -> Completions:
+    declared = DeclarationSet(
+        objective=Objective(),
+        models=[Model(name=MODEL, version="1")],
+        accounts=[ClientAccount(name=ACCOUNT, key_hash="none")],
+        engines=[
+            Engine(
+                name=ENGINE,
+                address=f"{LOOPBACK}:{engine_port}",
+                failure_domain="a",
+                models=[MODEL],
+            )
+        ],
+    )
+    declarations = Declarations.from_set(declarations=declared, revision=Revision(1))
+    clock = Clock()
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    client = HttpEngineClient(session=session, address=f"{LOOPBACK}:{engine_port}")
+    gate = UpstreamGate(clock=clock, rng=random.Random(1), spread=lambda _message: None)
+    dispatch = DispatchParts(
+        router=OneEngineRouter(),
+        client_of=lambda _engine: client,
+        notes=GateNotes(gate=gate),
+        crashes=NoCrashWatch(),
+        retries=RetryBudget(),
+        canceller=Canceller(client_of=lambda _engine: client, clock=clock),
+        clock=clock,
+    )
+    return Completions(
+        parts=CompletionParts(
+            host=HostId("bench"),
+            cursor_key=b"k" * 32,
+            checker=RequestChecker(fingerprint_key=b"f" * 32, rng=random.Random(1)),
+            dispatch=dispatch,
+            declarations=lambda: declarations,
+            attached=_no_attachment,
+        )
+    )
+
+
+def _no_attachment(_host: HostId, _attempt: AttemptId) -> None:
+    return None
+
+
+async def _round(port: int, process: psutil.Process, load: Load) -> RoundResult:
+    url = f"http://{LOOPBACK}:{port}/v1/completions"
+    body = {"model": MODEL, "prompt": "p", "stream": True}
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+
+    async def stream() -> None:
+        async with session.post(url, json=body) as response:
+            async for _chunk in response.content.iter_any():
+                pass
+
+    await stream()
+    memory_before = process.memory_info().rss
+    before = process.cpu_times()
+    streams = [asyncio.create_task(stream()) for _ in range(load.streams)]
+    await asyncio.sleep(load.tokens * load.gap_ms / 2000)
+    memory_open = process.memory_info().rss
+    await asyncio.gather(*streams)
+    after = process.cpu_times()
+    await session.close()
+    cpu_s = after.user + after.system - before.user - before.system
+    return RoundResult(
+        cpu_us_per_token=cpu_s * 1e6 / (load.streams * load.tokens),
+        memory_kb_per_stream=(memory_open - memory_before) / load.streams / 1024,
+    )
+
+
+def _start(role: str, **options: int) -> tuple[subprocess.Popen[str], int]:
+    arguments = [f"--{name}={value}" for name, value in options.items()]
+    process = subprocess.Popen(
+        [sys.executable, __file__, role, *arguments], stdout=subprocess.PIPE, text=True
+    )
+    assert process.stdout is not None
+    return process, int(process.stdout.readline())
+
+
+def bench(*, streams: int = 200, tokens: int = 200, gap_ms: int = 20) -> None:
+    """Run all rounds and print the figures.
+
+    :param streams: Streams open at once.
+    :param tokens: Tokens of each.
+    :param gap_ms: Time between two tokens of a stream, in milliseconds.
+    """
+    load = Load(streams=streams, tokens=tokens, gap_ms=gap_ms)
+    results: dict[str, list[RoundResult]] = {"bare": [], "product": []}
+    for _ in range(ROUNDS):
+        for role, rounds in results.items():
+            rounds.append(_one_round(role, load))
+    for role, rounds in results.items():
+        cpu = statistics.median(result.cpu_us_per_token for result in rounds)
+        memory = statistics.median(result.memory_kb_per_stream for result in rounds)
+        print(f"{role}: {cpu:.1f} us of processor a token, {memory:.1f} KB an open stream")
+    ratio = statistics.median(
+        ours.cpu_us_per_token / theirs.cpu_us_per_token
+        for ours, theirs in zip(results["product"], results["bare"], strict=True)
+    )
+    print(f"ratio: {ratio:.2f} (the aim is below 1.5)")
+
+
+def _one_round(role: str, load: Load) -> RoundResult:
+    engine, engine_port = _start("source", tokens=load.tokens, gap_ms=load.gap_ms)
+    relay, relay_port = _start(role, engine_port=engine_port)
+    try:
+        return asyncio.run(_round(relay_port, psutil.Process(relay.pid), load))
+    finally:
+        for process in (relay, engine):
+            process.kill()
+            process.wait()
+
+
+ROLES: dict[str, Callable[..., None] | Callable[..., Awaitable[None]]] = {
+    "source": source,
+    "bare": bare,
+    "product": product,
+    "bench": bench,
+}
+
+if __name__ == "__main__":
+    fire.Fire(ROLES)
