--- /dev/null
+++ b/src/tanagerscale/cli/__init__.py
@@ -0,0 +1,8 @@
+"""The command line of operators and callers."""
+
+from __future__ import annotations
+
+from tanagerscale.cli._exit import ExitCode
+from tanagerscale.cli._main import main
+
+__all__ = ["ExitCode", "main"]
--- /dev/null
+++ b/src/tanagerscale/cli/_apply.py
@@ -0,0 +1,143 @@
+"""The commands that read and change what is accepted."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from returns.result import Failure
+
+from tanagerscale.audit import read_audit
+from tanagerscale.cli._arguments import load_declarations
+from tanagerscale.cli._exit import ExitCode
+from tanagerscale.cli._exit import fail
+from tanagerscale.cli._output import Output
+from tanagerscale.cli._progress import wait_in_force
+from tanagerscale.cli._store import command_error
+from tanagerscale.cli._store import open_store
+from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import Clock
+from tanagerscale.core import Revision
+from tanagerscale.core import new_id
+from tanagerscale.declarations import Accepted
+from tanagerscale.declarations import Change
+from tanagerscale.declarations import diff_sections
+from tanagerscale.declarations import publish
+from tanagerscale.declarations import read_accepted
+from tanagerscale.declarations import to_sections
+from tanagerscale.generated.declarations import DeclarationSet
+from tanagerscale.store import Store
+
+MAX_CHANGES_SHOWN = 200
+
+
+async def run_diff(
+    *, files: tuple[str, ...], endpoints: tuple[str, ...], prefix: str, output: Output
+) -> None:
+    """Print what applying a set would change."""
+    declarations = load_declarations(files=files)
+    async with open_store(endpoints=endpoints, clock=Clock()) as store:
+        accepted = await _read(store=store, prefix=prefix)
+    changes = _changes(accepted=accepted, declarations=declarations)
+    _print_changes(changes=changes, output=output)
+    output.line(f"{len(changes)} changes to revision {accepted.revision}.")
+    document = {"revision": accepted.revision, "changes": [str(change) for change in changes]}
+    output.document(document)
+
+
+async def run_apply(
+    *,
+    files: tuple[str, ...],
+    endpoints: tuple[str, ...],
+    prefix: str,
+    author: str,
+    apply_id: str,
+    expected: int | None,
+    hosts: tuple[str, ...],
+    timeout_ms: int,
+    output: Output,
+) -> None:
+    """Have a set accepted and wait until it is in force."""
+    declarations = load_declarations(files=files)
+    clock = Clock()
+    apply_id = apply_id or new_id(prefix="apply")
+    async with open_store(endpoints=endpoints, clock=clock) as store:
+        base = await _read(store=store, prefix=prefix)
+        changes = _changes(accepted=base, declarations=declarations)
+        _print_changes(changes=changes, output=output)
+        result = await publish(
+            store=store,
+            prefix=prefix,
+            declarations=declarations,
+            author=author,
+            apply_id=apply_id,
+            clock=clock,
+            # What was shown is what is applied, so others' changes in between refuse it.
+            expected=Revision(expected) if expected is not None else base.revision,
+        )
+    if isinstance(result, Failure):
+        raise command_error(error=result.failure())
+    head = result.unwrap()
+    if head.apply_id == apply_id:
+        output.line(f"Revision {head.revision} is accepted.")
+    else:
+        output.line(f"Nothing differs from revision {head.revision}.")
+    document: dict[str, Any] = {
+        "revision": head.revision,
+        "digest": head.digest,
+        "apply_id": head.apply_id,
+        "changes": [str(change) for change in changes],
+        "in_force": [],
+    }
+    if hosts:
+        document["in_force"] = await wait_in_force(
+            head=head, hosts=hosts, timeout_ms=timeout_ms, clock=clock, output=output
+        )
+    output.document(document)
+
+
+async def run_audit(*, endpoints: tuple[str, ...], prefix: str, last: int, output: Output) -> None:
+    """Print the newest records of the audit trail."""
+    async with open_store(endpoints=endpoints, clock=Clock()) as store:
+        accepted = await _read(store=store, prefix=prefix)
+        result = await read_audit(store=store, prefix=prefix, newest=accepted.revision, last=last)
+    if isinstance(result, Failure):
+        message = f"The store can't be reached; try again: {result.failure().detail}"
+        fail(code=ExitCode.STORE_UNREACHABLE, message=message)
+    records = result.unwrap()
+    rows = [
+        (
+            record.revision,
+            _format_wall(record.applied_wall_ms),
+            record.author,
+            record.previous_revision,
+            "\n".join(record.changes[:MAX_CHANGES_SHOWN]),
+        )
+        for record in records
+    ]
+    output.table(columns=("revision", "when (UTC)", "author", "from", "changes"), rows=rows)
+    output.document(list(records))
+
+
+async def _read(*, store: Store, prefix: str) -> Accepted:
+    result = await read_accepted(store=store, prefix=prefix)
+    if isinstance(result, Failure):
+        raise command_error(error=result.failure())
+    return result.unwrap()
+
+
+def _changes(*, accepted: Accepted, declarations: DeclarationSet) -> tuple[Change, ...]:
+    old = accepted.chunked.sections() if accepted.chunked is not None else {}
+    changes, _ = diff_sections(old=old, new=to_sections(declarations=declarations))
+    return changes
+
+
+def _print_changes(*, changes: tuple[Change, ...], output: Output) -> None:
+    for change in changes[:MAX_CHANGES_SHOWN]:
+        output.line(str(change))
+    if len(changes) > MAX_CHANGES_SHOWN:
+        output.line(f"and {len(changes) - MAX_CHANGES_SHOWN} more")
+
+
+def _format_wall(wall_ms: int) -> str:
+    return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(wall_ms / MS_PER_SECOND))
--- /dev/null
+++ b/src/tanagerscale/cli/_events.py
@@ -0,0 +1,58 @@
+"""Server-sent events, read from a reply."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import final
+
+import aiohttp
+
+MAX_LINE_BYTES = 4 * 1024 * 1024
+
+
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Event:
+    """One event.
+
+    :param kind: Its ``event`` field, or the empty string.
+    :param id: Its ``id`` field, or the empty string.
+    :param data: Its ``data`` fields, joined by line breaks.
+    """
+
+    kind: str = ""
+    id: str = ""
+    data: str = ""
+
+
+async def read_events(content: aiohttp.StreamReader) -> AsyncIterator[Event]:
+    """Read events until the reply ends; an event cut off in the middle is dropped.
+
+    :param content: Body of the reply.
+    """
+    fields: dict[str, list[str]] = {}
+    async for line in _lines(content):
+        if not line:
+            if fields:
+                yield Event(
+                    kind=fields.get("event", [""])[-1],
+                    id=fields.get("id", [""])[-1],
+                    data="\n".join(fields.get("data", [])),
+                )
+            fields = {}
+            continue
+        name, _, value = line.partition(":")
+        if name:
+            fields.setdefault(name, []).append(value.removeprefix(" "))
+
+
+async def _lines(content: aiohttp.StreamReader) -> AsyncIterator[str]:
+    buffer = b""
+    async for data in content.iter_any():
+        buffer += data
+        *lines, buffer = buffer.split(b"\n")
+        for line in lines:
+            yield line.removesuffix(b"\r").decode("utf-8", "replace")
+        if len(buffer) > MAX_LINE_BYTES:
+            raise aiohttp.ClientPayloadError("A line of the reply is too long.")
--- a/src/tanagerscale/declarations/__init__.py
+++ b/src/tanagerscale/declarations/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tanagerscale.declarations._checks import name_problem
 from tanagerscale.declarations._declarations import Declarations
 from tanagerscale.declarations._diff import Change
 from tanagerscale.declarations._diff import ChangeKind
@@ -28,6 +29,7 @@
     "FollowErrorKind",
     "Follower",
     "diff_sections",
+    "name_problem",
     "publish",
     "read_accepted",
     "read_declarations",
--- a/src/tanagerscale/ini/_sections.py
+++ b/src/tanagerscale/ini/_sections.py
@@ -55,6 +55,7 @@
     sections: dict[str, int] = field(default_factory=dict)
     keys: dict[str, dict[str, int]] = field(default_factory=dict)
     errors: list[InputError] = field(default_factory=list)
+    stray: list[int] = field(default_factory=list)
 
 
 def read_sections(*, path: Path) -> tuple[list[IniSection], list[InputError]]:
@@ -74,7 +75,11 @@
         default_section=NO_DEFAULT_SECTION,
     )
     parser.optionxform = str  # type: ignore[assignment,method-assign]
-    errors = index.errors + _parse(parser=parser, path=path, text=text)
+    # configparser stops at a line before the first section; the rest is to be checked too.
+    lines = text.splitlines()
+    for number in index.stray:
+        lines[number - 1] = ""
+    errors = index.errors + _parse(parser=parser, path=path, text="\n".join(lines))
     sections = [
         IniSection(
             file=path,
@@ -104,15 +109,6 @@
 def _parse(*, parser: configparser.RawConfigParser, path: Path, text: str) -> list[InputError]:
     try:
         parser.read_string(text, source=str(path))
-    except configparser.MissingSectionHeaderError as error:
-        return [
-            InputError(
-                file=path,
-                line=error.lineno,
-                found=str(error.line).strip(),
-                allowed="a section header such as [objective] before the first key",
-            )
-        ]
     except configparser.ParsingError as error:
         lines = text.splitlines()
         return [
@@ -148,13 +144,21 @@
             _add_section(index=index, path=path, title=title, line=number)
             continue
         option = configparser.RawConfigParser.OPTCRE.match(content)
-        if option is not None and title:
+        if not title:
+            index.stray.append(number)
+            index.errors.append(_stray_error(path=path, line=number, found=content))
+        elif option is not None:
             key = option.group("option").rstrip()
             in_value = True
             _add_key(index=index, path=path, title=title, key=key, line=number)
     return index
 
 
+def _stray_error(*, path: Path, line: int, found: str) -> InputError:
+    allowed = "a section header such as [objective] before the first key"
+    return InputError(file=path, line=line, found=found, allowed=allowed)
+
+
 def _add_section(*, index: _LineIndex, path: Path, title: str, line: int) -> None:
     first = index.sections.setdefault(title, line)
     index.keys.setdefault(title, {})
