--- a/src/tanagerscale/membership/__init__.py
+++ b/src/tanagerscale/membership/__init__.py
@@ -14,6 +14,10 @@
 from tanagerscale.membership._peers import PeerAddress
 from tanagerscale.membership._peers import PeerInfo
 from tanagerscale.membership._peers import Received
+from tanagerscale.membership._peers import UsageHeard
+from tanagerscale.membership._spread import HeadFollower
+from tanagerscale.membership._spread import HeadSpread
+from tanagerscale.membership._upstreams import spread_leaving
 from tanagerscale.membership._websocket import peer_ssl_contexts
 from tanagerscale.membership._wire import FrameError
 from tanagerscale.membership._wire import FrameErrorKind
@@ -25,6 +29,8 @@
     "CloseReason",
     "FrameError",
     "FrameErrorKind",
+    "HeadFollower",
+    "HeadSpread",
     "HostListFollower",
     "Link",
     "LinkClosedError",
@@ -36,8 +42,10 @@
     "Received",
     "Transport",
     "UpstreamGate",
+    "UsageHeard",
     "decode_frame",
     "encode_frame",
     "peer_addresses",
     "peer_ssl_contexts",
+    "spread_leaving",
 ]
--- a/src/tanagerscale/membership/_host_list.py
+++ b/src/tanagerscale/membership/_host_list.py
@@ -46,6 +46,12 @@
         self._entries: BehaviorSubject[tuple[ListedEntry, ...]] = BehaviorSubject(())
         self._task: asyncio.Task[None] | None = None
         self._failing = False
+        self._has_read = not url
+
+    @property
+    def has_read(self) -> bool:
+        """Whether the list has been read once, or there is none."""
+        return self._has_read
 
     @property
     def entries(self) -> Observable[tuple[ListedEntry, ...]]:
@@ -86,6 +92,7 @@
             self._failing = True
             return
         self._failing = False
+        self._has_read = True
         entries = tuple(read.unwrap().entries)
         if entries != self._entries.value:
             self._entries.on_next(entries)
