--- a/standins/_engine_types.py
+++ b/standins/_engine_types.py
@@ -89,11 +89,13 @@
 class ExecutionReports(Struct, frozen=True, kw_only=True):
     """Body of ``GET /admin/executions``.
 
+    :param tokens_generated: Tokens of all attempts together.
     :param followers: How many streams are open now.
     """
 
     executions: list[ExecutionReport]
     preemptions: int
+    tokens_generated: int
     followers: int
     refused: dict[str, int]
 
