Note executions in files that outlive the upstream stand-ins

Counts kept in a process are lost when it is killed, and with them the proof that a booking ran twice. The engine and the booking service now append a line before each execution.

--- a/standins/_batch.py
+++ b/standins/_batch.py
@@ -11,9 +11,12 @@
 from typing import final
 
 from standins._prefix_cache import PrefixCache
+from standins.journal import Execution
+from standins.journal import Journal
 from standins.tokens import answer_length
 from standins.tokens import crash_offset
 from standins.tokens import finish_reason
+from standins.tokens import prompt_tag
 from standins.tokens import prompt_tokens
 from standins.tokens import token_at
 from tanagerscale.core import Clock
@@ -88,6 +91,7 @@
     :param limits: How large and how fast it is.
     :param clock: The time.
     :param cache: Prompt prefixes that need no prefill.
+    :param journal: Where executions are noted.
     :param crash: Ends the process; called when a prompt says so.
     """
 
@@ -97,11 +101,13 @@
         limits: BatchLimits,
         clock: Clock,
         cache: PrefixCache,
+        journal: Journal,
         crash: Callable[[], None],
     ) -> None:
         self._limits = limits
         self._clock = clock
         self._cache = cache
+        self._journal = journal
         self._crash = crash
         self._waiting: list[Sequence] = []
         self._running: list[Sequence] = []
@@ -225,8 +231,11 @@
         self._admissions += 1
         sequence.admitted = self._admissions
         sequence.phase = Phase.RUNNING
-        sequence.executed = True
         prompt = sequence.request.prompt
+        if not sequence.executed:
+            attempt = sequence.request.attempt_id
+            self._journal.note(Execution(id=attempt, tag=prompt_tag(prompt)))
+        sequence.executed = True
         cached = self._cache.use(prompt)
         sequence.prefill_left = prompt_tokens(prompt) + len(sequence.tokens) - cached
         self._running.append(sequence)
--- a/standins/_engine_options.py
+++ b/standins/_engine_options.py
@@ -23,6 +23,7 @@
     checks_fence: bool = True
     weights_url: str = ""
     seed: int = 0
+    journal: str = ""
 
 
 def parse_versions(text: str | tuple[str, ...] | list[str]) -> dict[str, str]:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -35,6 +35,7 @@
 from standins._engine_types import StreamFault
 from standins._engine_types import StreamFaultMode
 from standins._prefix_cache import PrefixCache
+from standins.journal import Journal
 from standins.tokens import prompt_tokens
 from tanagerscale.core import Clock
 from tanagerscale.generated.upstream import EngineOrder
@@ -84,7 +85,11 @@
             clock=self._clock,
         )
         self._batch = Batch(
-            limits=options.limits, clock=self._clock, cache=self._cache, crash=_crash
+            limits=options.limits,
+            clock=self._clock,
+            cache=self._cache,
+            journal=Journal(path=options.journal),
+            crash=_crash,
         )
         self._stock = Stock(
             models=options.models,
@@ -324,6 +329,7 @@
     fencing: str = "checked",
     weights_url: str = "",
     seed: int = 0,
+    journal: str = "",
 ) -> None:
     """Run the engine.
 
@@ -344,6 +350,7 @@
     :param fencing: ``checked`` or ``ignored``.
     :param weights_url: Where weights are fetched; empty for nowhere.
     :param seed: Seed of what is random.
+    :param journal: File in which executions are noted; empty for none.
     """
     limits = BatchLimits(
         memory_tokens=memory_tokens,
@@ -365,6 +372,7 @@
         checks_fence=fencing == "checked",
         weights_url=weights_url,
         seed=seed,
+        journal=journal,
     )
     asyncio.run(_serve(options, port=port))
 
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from dataclasses import field
@@ -19,6 +20,8 @@
 from standins.cluster_files import account_key_hash
 from standins.cluster_files import write_declarations
 from standins.cluster_files import write_settings
+from standins.journal import Execution
+from standins.journal import read_journal
 from standins.processes import ROOT
 from standins.processes import Launcher
 from standins.processes import ManagedProcess
@@ -140,6 +143,7 @@
         """
         held = ",".join(f"{model.name}={model.version}" for model in self.plan.models)
         given = {"models": held, "fencing": self.plan.fencing.value, **self.plan.engine_options}
+        given |= {"journal": str(self.journal_path(name))}
         given |= self._same_port(self.engines.get(name)) | (options or {})
         self.engines[name] = await self._start(name, "standins.engine", given)
         await self._list(name, ListedKind.UPSTREAM, self.engines[name].address)
@@ -150,7 +154,8 @@
 
         :param name: Its name in the cluster.
         """
-        given = self._same_port(self.services.get(name))
+        given = {"journal": str(self.journal_path(name))}
+        given |= self._same_port(self.services.get(name))
         self.services[name] = await self._start(name, "standins.service", given)
         address = self.services[name].address
         await self._list(address, ListedKind.UPSTREAM, address)
@@ -233,6 +238,20 @@
             errors=errors.decode(errors="replace"),
         )
 
+    def journal_path(self, name: str) -> Path:
+        """Return where an engine or service notes what it executes.
+
+        :param name: Its name in the cluster.
+        """
+        return self.directory / f"{name}.journal"
+
+    def executions(self, names: Iterable[str]) -> list[Execution]:
+        """Return what engines or services executed, in all their lives.
+
+        :param names: Their names in the cluster.
+        """
+        return [item for name in names for item in read_journal(self.journal_path(name))]
+
     def caller_url(self, host: str) -> str:
         """Return the base URL that callers of a host use.
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -18,6 +18,8 @@
 from standins._common import read_json
 from standins._common import run_main
 from standins._common import serve
+from standins.journal import Execution
+from standins.journal import Journal
 from tanagerscale.core import Clock
 
 KEY_HEADER = "Idempotency-Key"
@@ -100,9 +102,13 @@
 
 @final
 class ServiceServer:
-    """One booking service with its calls."""
+    """One booking service with its calls.
 
-    def __init__(self) -> None:
+    :param journal: Where executions are noted; empty for nowhere.
+    """
+
+    def __init__(self, *, journal: str = "") -> None:
+        self._journal = Journal(path=journal)
         self._clock = Clock()
         self._fault = ServiceFault()
         self._fault_left = 0
@@ -159,6 +165,7 @@
             name = msgspec.json.decode(body or b"{}", type=BookingBody).id
         except msgspec.DecodeError:
             name = ""
+        self._journal.note(Execution(id=key, tag=name))
         booking = Booking(number=next(self._numbers), id=name or key, body=body)
         self._bookings.append(booking)
         if key:
@@ -204,17 +211,18 @@
         )
 
 
-def main(port: int = 0) -> None:
+def main(port: int = 0, journal: str = "") -> None:
     """Run the service.
 
     :param port: Port on the loopback address; 0 takes a free one.
+    :param journal: File in which executions are noted; empty for none.
     """
     # A booking goes on when its caller hangs up, as in most real services.
-    asyncio.run(_serve(port))
+    asyncio.run(_serve(port=port, journal=journal))
 
 
-async def _serve(port: int) -> None:
-    await serve(app=ServiceServer().app(), port=port, cancel_handlers=False)
+async def _serve(*, port: int, journal: str) -> None:
+    await serve(app=ServiceServer(journal=journal).app(), port=port, cancel_handlers=False)
 
 
 if __name__ == "__main__":
--- a/standins/tokens.py
+++ b/standins/tokens.py
@@ -1,7 +1,8 @@
 """The answer of a model engine stand-in: a pure function of the request.
 
 Tests and the demo compare what a caller received with it. A prompt may hold directives:
-``[[tokens=120]]`` sets the length, ``[[crash]]`` or ``[[crash_at=5]]`` ends the process.
+``[[tokens=120]]`` sets the length, ``[[crash]]`` or ``[[crash_at=5]]`` ends the process,
+``[[tag=x]]`` names the request in the engine's journal.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 LOG_SIGMA = 1.1
 MOST_TOKENS = 16_384
 TOKENS_DIRECTIVE = re.compile(r"\[\[tokens=(\d+)\]\]")
+TAG_DIRECTIVE = re.compile(r"\[\[tag=([\w.-]+)\]\]")
 CRASH_DIRECTIVE = re.compile(r"\[\[crash(?:_at=(\d+))?\]\]")
 WORDS = re.findall(
     r"\w+",
@@ -59,6 +61,15 @@
     return CRASH_AT if directive.group(1) is None else int(directive.group(1))
 
 
+def prompt_tag(prompt: str) -> str:
+    """Return what the prompt calls the request; empty when it does not say.
+
+    :param prompt: The prompt.
+    """
+    directive = TAG_DIRECTIVE.search(prompt)
+    return "" if directive is None else directive.group(1)
+
+
 def token_at(request: EngineRequest, offset: int, *, version: str = "") -> str:
     """Return one token of an answer.
 
--- a/testing/test_standins_engine.py
+++ b/testing/test_standins_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -19,6 +20,8 @@
 from standins._engine_types import StreamFaultMode
 from standins.engine import CRASH_STATUS
 from standins.engine import EngineServer
+from standins.journal import Execution
+from standins.journal import read_journal
 from standins.processes import Launcher
 from standins.tokens import answer_length
 from standins.tokens import answer_tokens
@@ -240,11 +243,14 @@
         seen += chunk
 
 
-async def test_engine_process_dies_when_a_prompt_crashes_it(launcher: Launcher) -> None:
-    process = await launcher.start(
-        name="engine", module="standins.engine", arguments=["--models=planner=7"]
-    )
-    body = msgspec.json.encode(replace(REQUEST, prompt="[[tokens=9]] [[crash_at=4]]"))
+async def test_engine_process_dies_when_a_prompt_crashes_it(
+    launcher: Launcher, tmp_path: Path
+) -> None:
+    journal = tmp_path / "journal"
+    options = ["--models=planner=7", f"--journal={journal}"]
+    process = await launcher.start(name="engine", module="standins.engine", arguments=options)
+    prompt = "[[tokens=9]] [[crash_at=4]] [[tag=bad]]"
+    body = msgspec.json.encode(replace(REQUEST, prompt=prompt))
     seen = bytearray()
     async with (
         aiohttp.ClientSession() as session,
@@ -254,3 +260,4 @@
             await _read_all(reply, seen)
     assert [event.offset for event in _parse(seen.decode())] == [0, 1, 2, 3]
     assert await process.wait() == CRASH_STATUS
+    assert read_journal(journal) == [Execution(id="att-1", tag="bad")]
