--- a/testing/test_standins_engine.py
+++ b/testing/test_standins_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -11,14 +12,16 @@
 import pytest
 
 from standins._batch import BatchLimits
+from standins._engine_options import EngineOptions
 from standins._engine_types import ExecutionReport
 from standins._engine_types import ExecutionReports
 from standins._engine_types import OrderReports
 from standins._engine_types import StreamFault
 from standins._engine_types import StreamFaultMode
 from standins.engine import CRASH_STATUS
-from standins.engine import EngineOptions
 from standins.engine import EngineServer
+from standins.journal import Execution
+from standins.journal import read_journal
 from standins.processes import Launcher
 from standins.tokens import answer_length
 from standins.tokens import answer_tokens
@@ -66,9 +69,13 @@
     return _parse(await reply.text())
 
 
-async def _execution(engine: Client, attempt: str = "att-1") -> ExecutionReport:
+async def _executions(engine: Client) -> ExecutionReports:
     body = await (await engine.get("/admin/executions")).read()
-    reports = msgspec.json.decode(body, type=ExecutionReports).executions
+    return msgspec.json.decode(body, type=ExecutionReports)
+
+
+async def _execution(engine: Client, attempt: str = "att-1") -> ExecutionReport:
+    reports = (await _executions(engine)).executions
     (found,) = [report for report in reports if report.attempt_id == attempt]
     return found
 
@@ -112,8 +119,8 @@
     engine = await _engine(client_of)
     first, second = await asyncio.gather(_generate(engine, REQUEST), _generate(engine, REQUEST))
     assert first == second
-    report = await _execution(engine)
-    assert (report.posts, report.tokens) == (2, 20)
+    assert (await _execution(engine)).posts == 2
+    assert (await _executions(engine)).tokens_generated == 20
 
 
 async def test_cancelled_generation_stops_and_may_be_cancelled_again(client_of: ClientOf) -> None:
@@ -172,10 +179,7 @@
     reply = await engine.post("/v1/completions", data=msgspec.json.encode(request_body))
     assert reply.status == status
     assert msgspec.json.decode(await reply.read(), type=Refusal).kind is kind
-    reports = msgspec.json.decode(
-        await (await engine.get("/admin/executions")).read(), type=ExecutionReports
-    )
-    assert reports.executions == []
+    assert (await _executions(engine)).executions == []
 
 
 async def _with_fault(client_of: ClientOf, mode: StreamFaultMode) -> list[TokenEvent]:
@@ -239,11 +243,14 @@
         seen += chunk
 
 
-async def test_engine_process_dies_when_a_prompt_crashes_it(launcher: Launcher) -> None:
-    process = await launcher.start(
-        name="engine", module="standins.engine", arguments=["--models=planner=7"]
-    )
-    body = msgspec.json.encode(replace(REQUEST, prompt="[[tokens=9]] [[crash_at=4]]"))
+async def test_engine_process_dies_when_a_prompt_crashes_it(
+    launcher: Launcher, tmp_path: Path
+) -> None:
+    journal = tmp_path / "journal"
+    options = ["--models=planner=7", f"--journal={journal}"]
+    process = await launcher.start(name="engine", module="standins.engine", arguments=options)
+    prompt = "[[tokens=9]] [[crash_at=4]] [[tag=bad]]"
+    body = msgspec.json.encode(replace(REQUEST, prompt=prompt))
     seen = bytearray()
     async with (
         aiohttp.ClientSession() as session,
@@ -253,3 +260,4 @@
             await _read_all(reply, seen)
     assert [event.offset for event in _parse(seen.decode())] == [0, 1, 2, 3]
     assert await process.wait() == CRASH_STATUS
+    assert read_journal(journal) == [Execution(id="att-1", tag="bad")]
