Measure what requests cost and how long their callers wait

Cause: operators read cost per request and stall time; the host measured neither. Change: UsageMeter sums per client account and feeds the measures' one definition; a collector turns it into metrics at scrape time, with labels from fixed sets only.

--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 from aiohttp import web
+import msgspec
 from prometheus_client import CollectorRegistry
 
 from tanagerscale.accounts import KeyChecker
@@ -54,6 +55,9 @@
 from tanagerscale.services import ServiceParts
 from tanagerscale.store import EtcdStore
 from tanagerscale.upstreams import HttpServiceClient
+from tanagerscale.usage import HostCollector
+from tanagerscale.usage import HostGauges
+from tanagerscale.usage import UsageMeter
 
 SHUTDOWN_TIMEOUT_S = 5.0
 FINGERPRINT_KEY_BYTES = 32
@@ -204,6 +208,9 @@
     def _build_dispatch(self) -> None:
         notes = GateNotes(gate=self._gate)
         retries = RetryBudget()
+        self._meter = UsageMeter(
+            clock=self._clock, objective=lambda: self._declarations().objective
+        )
         self._claims = Claims(
             store=self._store,
             prefix=self._settings.store.prefix,
@@ -220,6 +227,7 @@
             crashes=NoCrashWatch(),
             retries=retries,
             canceller=self._canceller,
+            meter=self._meter,
             clock=self._clock,
         )
         self._services = ServiceDispatch(
@@ -247,6 +255,8 @@
                 attached=self._tell_attached,
             )
         )
+        registry = CollectorRegistry()
+        registry.register(HostCollector(meter=self._meter, gauges=self._gauges))
         return Entry(
             parts=EntryParts(
                 keys=self._keys,
@@ -255,8 +265,8 @@
                 services=self._services,
                 declarations=self._declarations,
                 status=self._status,
-                usage=lambda: b"{}",
-                registry=CollectorRegistry(),
+                usage=lambda: msgspec.json.encode(self._meter.usage()),
+                registry=registry,
                 limits=self._settings.limits,
             )
         )
@@ -298,6 +308,18 @@
         if host != self._host:
             self._mesh.send(host=host, message=Attached(attempt=attempt))
 
+    def _gauges(self) -> HostGauges:
+        status = self._status()
+        counters = self._mesh.counters
+        return HostGauges(
+            running=status.running,
+            revision=status.revision,
+            live_hosts=len(status.live_hosts),
+            closed_upstreams=len(status.closed_upstreams),
+            peer_sent_bytes=counters.sent_bytes,
+            peer_received_bytes=counters.received_bytes,
+        )
+
     def _status(self) -> HostStatus:
         declarations = self._declarations()
         return HostStatus(
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -43,6 +43,9 @@
 from tanagerscale.routing import Placement
 from tanagerscale.routing import Router
 from tanagerscale.upstreams import EngineClient
+from tanagerscale.usage import ABANDONED
+from tanagerscale.usage import WHOLE
+from tanagerscale.usage import UsageMeter
 
 MAX_LOST_ATTEMPTS = 3
 MAX_ATTEMPTS = 12
@@ -72,6 +75,7 @@
     :param crashes: Keeps requests that crash engines away.
     :param retries: Bounds retries.
     :param canceller: Cancels attempts that were given up.
+    :param meter: Sums what requests cost.
     :param clock: Times pauses.
     """
 
@@ -81,6 +85,7 @@
     crashes: CrashWatch
     retries: RetryAllowance
     canceller: Canceller
+    meter: UsageMeter
     clock: Clock
 
 
@@ -109,12 +114,24 @@
         self._parts = parts
         self._relay = Relay()
         self._progress = _Progress()
+        self._record = parts.meter.begin(
+            account=request.account, prompt_tokens=request.prompt_tokens
+        )
 
     async def run(self) -> Result[Finish, Problem]:
         """Return the end of the whole answer, or the final problem.
 
         Cancelling the call cancels the attempt on its engine.
         """
+        outcome = ABANDONED
+        try:
+            result = await self._run()
+            outcome = result.swap().map(lambda problem: problem.kind.value).value_or(WHOLE)
+        finally:
+            self._parts.meter.end(record=self._record, outcome=outcome)
+        return result
+
+    async def _run(self) -> Result[Finish, Problem]:
         self._parts.retries.on_request()
         while True:
             problem = self._parts.crashes.check(fingerprint=self._request.fingerprint)
@@ -164,6 +181,7 @@
         )
         await self._sink.begin(attempt=attempt_id, engine=engine)
         self._progress.attempts += 1
+        started = self._parts.clock.now()
         self._parts.crashes.on_started(fingerprint=fingerprint, engine=engine)
         outcome: AttemptOutcome | None = None
         ended = False
@@ -182,6 +200,12 @@
                 self._parts.crashes.on_engine_crash(engine=engine)
             else:
                 self._parts.crashes.on_finished(fingerprint=fingerprint, engine=engine)
+            self._parts.meter.on_attempt(
+                record=self._record,
+                end=outcome.end.value if outcome is not None else "stopped",
+                tokens=self._relay.next_offset,
+                started=started,
+            )
             self._cancel_if_running(attempt_id, engine, outcome, ended)
         return outcome
 
@@ -199,6 +223,7 @@
             self._parts.canceller.cancel(attempt=attempt, engine=engine, after_ms=pause)
 
     def _report_progress(self, tokens: int) -> None:
+        self._parts.meter.on_progress(record=self._record, tokens=tokens)
         self._parts.router.report_progress(generation=self._request.generation, tokens=tokens)
 
     def _engine_request(self, attempt: AttemptId) -> EngineRequest:
--- /dev/null
+++ b/src/tanagerscale/usage/_collector.py
@@ -0,0 +1,115 @@
+"""The host's metrics, read from its counters when they are scraped."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import final
+
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.core import Metric
+from prometheus_client.registry import Collector
+
+from tanagerscale.usage._meter import UsageMeter
+
+PREFIX = "tanagerscale"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostGauges:
+    """What a host is now.
+
+    :param running: Requests inside.
+    :param revision: Revision of the declarations in force.
+    :param live_hosts: Other hosts connected.
+    :param closed_upstreams: Engines that take no new work.
+    :param peer_sent_bytes: Bytes sent to other hosts since the start.
+    :param peer_received_bytes: Bytes received from them.
+    """
+
+    running: int
+    revision: int
+    live_hosts: int
+    closed_upstreams: int
+    peer_sent_bytes: int
+    peer_received_bytes: int
+
+
+@final
+class HostCollector(Collector):
+    """Turns the meter and the gauges into metrics; labels come from small fixed sets.
+
+    :param meter: What requests cost.
+    :param gauges: Returns what the host is now.
+    """
+
+    def __init__(self, *, meter: UsageMeter, gauges: Callable[[], HostGauges]) -> None:
+        self._meter = meter
+        self._gauges = gauges
+
+    def collect(self) -> Iterable[Metric]:
+        """Return all metrics."""
+        yield from self._counters()
+        yield from self._waits()
+        yield from self._present()
+
+    def _counters(self) -> Iterator[Metric]:
+        counters = self._meter.counters
+        requests = CounterMetricFamily(
+            f"{PREFIX}_requests", "Requests that ended, by outcome.", labels=["outcome"]
+        )
+        for outcome, count in counters.outcomes.items():
+            requests.add_metric([outcome], count)
+        yield requests
+        attempts = CounterMetricFamily(
+            f"{PREFIX}_attempts", "Attempts on engines, by their end.", labels=["end"]
+        )
+        for end, count in counters.attempt_ends.items():
+            attempts.add_metric([end], count)
+        yield attempts
+        summary = self._meter.table.summary()
+        tokens = CounterMetricFamily(
+            f"{PREFIX}_tokens", "Tokens, by what became of them.", labels=["use"]
+        )
+        tokens.add_metric(["useful"], summary.useful_tokens)
+        tokens.add_metric(["repeated"], summary.recomputed_tokens)
+        tokens.add_metric(["wasted"], summary.wasted_tokens)
+        yield tokens
+        yield CounterMetricFamily(
+            f"{PREFIX}_stall_seconds", "Wait beyond the objectives.", value=summary.stall_s
+        )
+        yield CounterMetricFamily(
+            f"{PREFIX}_engine_seconds",
+            "Time of attempts on engines.",
+            value=self._meter.table.engine_ms / 1000,
+        )
+
+    def _waits(self) -> Iterator[Metric]:
+        table = self._meter.table
+        for name, text, histogram in (
+            ("token_gap", "Time between tokens.", table.gaps),
+            ("first_token", "Wait for the first token.", table.first_tokens),
+        ):
+            family = GaugeMetricFamily(f"{PREFIX}_{name}_milliseconds", text, labels=["quantile"])
+            for quantile in (0.5, 0.95, 0.99, 0.999):
+                family.add_metric([str(quantile)], histogram.quantile(quantile))
+            yield family
+
+    def _present(self) -> Iterator[Metric]:
+        gauges = self._gauges()
+        for name, text, value in (
+            ("requests_running", "Requests inside.", gauges.running),
+            ("revision", "Revision of the declarations in force.", gauges.revision),
+            ("live_hosts", "Other hosts connected.", gauges.live_hosts),
+            ("closed_upstreams", "Engines that take no new work.", gauges.closed_upstreams),
+        ):
+            yield GaugeMetricFamily(f"{PREFIX}_{name}", text, value=value)
+        peer_bytes = CounterMetricFamily(
+            f"{PREFIX}_peer_bytes", "Bytes between hosts.", labels=["direction"]
+        )
+        peer_bytes.add_metric(["sent"], gauges.peer_sent_bytes)
+        peer_bytes.add_metric(["received"], gauges.peer_received_bytes)
+        yield peer_bytes
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -28,8 +28,10 @@
 from tanagerscale.dispatch import Finish
 from tanagerscale.dispatch import Generation
 from tanagerscale.dispatch import GenerationRequest
+from tanagerscale.generated.declarations import Objective
 from tanagerscale.generated.upstream import EngineRequest
 from tanagerscale.generated.upstream import RefusalKind
+from tanagerscale.usage import UsageMeter
 from testing._fake_engine import FakeEngine
 from testing._fake_engine import FakeRouter
 from testing._fake_engine import Faults
@@ -117,6 +119,7 @@
         crashes=watch,
         retries=watch,
         canceller=canceller,
+        meter=UsageMeter(clock=clock, objective=Objective),
         clock=clock,
     )
     return World(engines=engines, router=router, watch=watch, canceller=canceller, parts=parts)
@@ -238,6 +241,13 @@
     assert not made.engines[SECOND].executed
 
 
+def test_usage_tells_repeated_tokens_from_useful_ones_when_an_engine_dies() -> None:
+    world, _ = _run(lambda: _world(Faults(die_at=5)), ListSink())
+    usage = world.parts.meter.usage().accounts["north"]
+    assert (usage.answered, usage.useful_tokens, usage.repeated_tokens) == (1, LENGTH, 5)
+    assert usage.wasted_tokens == 0
+
+
 def test_leaving_engine_is_noted_when_it_refuses() -> None:
     world, _ = _run(lambda: _world(Faults(refuse=RefusalKind.LEAVING)), ListSink())
     assert world.watch.leaving == [FIRST]
--- a/tools/bench_relay.py
+++ b/tools/bench_relay.py
@@ -51,6 +51,7 @@
 from tanagerscale.policy import PlacementRequest
 from tanagerscale.routing import Placement
 from tanagerscale.upstreams import HttpEngineClient
+from tanagerscale.usage import UsageMeter
 
 LOOPBACK = "127.0.0.1"
 ENGINE = UpstreamId("engine-1")
@@ -210,6 +211,7 @@
         crashes=NoCrashWatch(),
         retries=RetryBudget(),
         canceller=Canceller(client_of=lambda _engine: client, clock=clock),
+        meter=UsageMeter(clock=clock, objective=Objective),
         clock=clock,
     )
     return Completions(
