--- a/src/tanagerscale/declarations/_checks.py
+++ b/src/tanagerscale/declarations/_checks.py
@@ -150,7 +150,7 @@
         yield from _unknown(title=title, key="adapters", names=engine.adapters, known=known)
         for adapter in engine.adapters:
             base = adapters[adapter].model if adapter in adapters else ""
-            if base and base not in engine.models:
+            if base in candidates.named("model") and base not in engine.models:
                 allowed = f"adapters of the engine's models; this one belongs to {base}"
                 yield Mistake(title=title, key="adapters", found=adapter, allowed=allowed)
 
--- a/src/tanagerscale/ini/_convert.py
+++ b/src/tanagerscale/ini/_convert.py
@@ -42,10 +42,12 @@
     known = [name for name in _fields_of(struct) if name not in given]
     values: dict[str, Any] = dict(given)
     errors: list[InputError] = []
+    misspelt: set[str] = set()
     for key, text in section.values.items():
         if key not in known:
             allowed = f"one of the keys {', '.join(known)}"
             suggestion = nearest(name=key, known=known)
+            misspelt.add(suggestion)
             errors.append(section.error(key=key, allowed=allowed, suggestion=suggestion))
             continue
         try:
@@ -54,7 +56,8 @@
             described = _describe(_value_type(struct, key))
             errors.append(section.error(key=key, found=text or "", allowed=described))
     for name in known:
-        if _fields_of(struct)[name].required and name not in section.values:
+        missing = name not in section.values and name not in misspelt
+        if _fields_of(struct)[name].required and missing:
             described = _describe(_value_type(struct, name))
             allowed = f"this key is required: {described}"
             errors.append(section.error(key=name, allowed=allowed))
