--- /dev/null
+++ b/standins/caller_reports.py
@@ -0,0 +1,105 @@
+"""What callers ask and what they report."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from enum import unique
+
+
+@unique
+class AnswerState(Enum):
+    """How a request for an answer ended."""
+
+    WHOLE = "whole"
+    """All tokens came once and in order, and the end marker with them."""
+    REFUSED = "refused"
+    """A typed final answer in place of one."""
+    WRONG = "wrong"
+    """Tokens came that are not the answer's, or an end marker before its end."""
+    LOST = "lost"
+    """Neither an answer nor a final refusal came in the time a caller waits."""
+
+
+@unique
+class BookingState(Enum):
+    """What a caller knows of a booking at the end."""
+
+    BOOKED = "booked"
+    NOT_EXECUTED = "not-executed"
+    UNKNOWN = "unknown"
+    LOST = "lost"
+    """No final answer came in the time a caller waits."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ask:
+    """One request for an answer.
+
+    :param name: Unique name, which the engine's journal shows.
+    :param tokens: Length of its answer; ``None`` lets the engine choose.
+    :param directives: More directives for the engine stand-in.
+    :param stream: Whether tokens are wanted as they come.
+    """
+
+    name: str
+    model: str
+    version: str
+    tokens: int | None = None
+    directives: str = ""
+    stream: bool = True
+    seed: int = 1
+    max_tokens: int = 16_384
+    request_class: str = ""
+    text: str = "Please answer this."
+
+    def prompt(self, *, trial: int) -> str:
+        """Return the prompt of one trial.
+
+        :param trial: Its number.
+        """
+        length = "" if self.tokens is None else f"[[tokens={self.tokens}]]"
+        return f"{self.text} [[tag={self.name}.{trial}]] {length} {self.directives}".strip()
+
+
+@dataclass(kw_only=True, slots=True)
+class AnswerReport:
+    """What a caller saw of one request; times in milliseconds.
+
+    :param first_token_ms: From the first sending to the first token.
+    :param gaps_ms: Times between two events with tokens.
+    :param resumes: How often it went on with its cursor.
+    :param trials: How often it sent the request.
+    :param told_not_executed: Trials of which it was told that they had not run.
+    :param tokens_seen: Tokens received, those of abandoned trials too.
+    """
+
+    ask: Ask
+    state: AnswerState = AnswerState.LOST
+    detail: str = ""
+    execution: str = ""
+    first_token_ms: int | None = None
+    gaps_ms: list[int] = field(default_factory=list)
+    resumes: int = 0
+    trials: int = 0
+    told_not_executed: list[str] = field(default_factory=list)
+    tokens: int = 0
+    took_ms: int = 0
+    events: list[str] = field(default_factory=list)
+
+
+@dataclass(kw_only=True, slots=True)
+class BookingReport:
+    """What a caller saw of one booking.
+
+    :param calls: How often it sent the call.
+    """
+
+    key: str
+    state: BookingState = BookingState.LOST
+    detail: str = ""
+    calls: int = 0
+    took_ms: int = 0
+    numbers: list[int] = field(default_factory=list)
+    events: list[str] = field(default_factory=list)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 from pathlib import Path
 import signal
@@ -136,6 +137,7 @@
     def __init__(self, *, directory: Path) -> None:
         self._directory = directory
         self._processes: list[ManagedProcess] = []
+        self._numbers = itertools.count()
 
     @property
     def processes(self) -> tuple[ManagedProcess, ...]:
@@ -161,7 +163,7 @@
         :param arguments: Its command line.
         :raises StartError: When it does not get ready.
         """
-        log = self._directory / f"{name}-{len(self._processes)}.log"
+        log = self._directory / f"{name}-{next(self._numbers)}.log"
         with log.open("wb") as errors:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
