--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -180,7 +180,9 @@
     async def start_hosts(self) -> None:
         """Start all hosts of the plan at once."""
         names = [f"host-{number}" for number in range(1, self.plan.hosts + 1)]
-        await asyncio.gather(*(self.start_host(name) for name in names))
+        async with asyncio.TaskGroup() as group:
+            for name in names:
+                group.create_task(self.start_host(name))
 
     async def list_state(self, entry: str, state: ListedState) -> None:
         """Change what the host list says of an entry.
@@ -283,16 +285,15 @@
 
     async def _start_standins(self) -> None:
         lag = {"lag_ms": str(self.plan.list_lag_ms)}
-        self.store, self.host_list = await asyncio.gather(
-            self._start("store", "standins.store", self.plan.store_options),
-            self._start("host-list", "standins.host_list", lag),
-        )
+        self.store = await self._start("store", "standins.store", self.plan.store_options)
+        self.host_list = await self._start("host-list", "standins.host_list", lag)
         engines = [f"engine-{number}" for number in range(1, self.plan.engines + 1)]
         services = [f"booking-{number}" for number in range(1, self.plan.services + 1)]
-        await asyncio.gather(
-            *(self.start_engine(name) for name in engines),
-            *(self.start_service(name) for name in services),
-        )
+        async with asyncio.TaskGroup() as group:
+            for name in engines:
+                group.create_task(self.start_engine(name))
+            for name in services:
+                group.create_task(self.start_service(name))
 
     async def _start(self, name: str, module: str, options: dict[str, str]) -> ManagedProcess:
         arguments = [f"--{option}={value}" for option, value in options.items()]
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -177,10 +177,12 @@
             )
         try:
             addresses = await asyncio.wait_for(_read_ready(process), READY_TIMEOUT_S)
-        except (TimeoutError, StartError) as error:
+        except BaseException as error:
             if process.returncode is None:
                 process.kill()
             await process.wait()
+            if not isinstance(error, TimeoutError | StartError):
+                raise
             text = log.read_text(errors="replace")
             raise StartError(f"{name} did not get ready: {error!r}\n{text}") from error
         started = ManagedProcess(
