--- a/standins/caller.py
+++ b/standins/caller.py
@@ -23,13 +23,16 @@
 from tanagerscale.generated.callers import Completion
 from tanagerscale.generated.callers import CompletionRequest
 from tanagerscale.generated.callers import ProblemDetails
+from tanagerscale.generated.declarations import Objective
 from tanagerscale.generated.upstream import EngineRequest
+from tanagerscale.measures import RequestTimeline
 
 CONNECT_TIMEOUT_S = 2.0
 SILENCE_TIMEOUT_S = 20.0
 PAUSE_MS = 200
 LONGEST_PAUSE_MS = 3_000
 GIVE_UP_MS = 90_000
+MOST_RESUMES = 100
 DONE = "[DONE]"
 RETRIED_STATUS = frozenset({409, 429, 500, 502, 503, 504})
 
@@ -61,7 +64,6 @@
     finish: str = ""
     done: bool = False
     problem: ProblemDetails | None = None
-    last_token_at: int | None = None
 
 
 class _WrongAnswerError(Exception):
@@ -77,6 +79,7 @@
     :param key: Its bearer key.
     :param rng: Chooses among them.
     :param give_up_ms: How long it tries, in milliseconds.
+    :param objective: What it counts as stall time.
     :param silence_s: Longest silence before it goes to another host, in seconds.
     """
 
@@ -87,6 +90,7 @@
         hosts: Callable[[], Sequence[str]],
         key: str,
         rng: Random,
+        objective: Objective,
         give_up_ms: int = GIVE_UP_MS,
         silence_s: float = SILENCE_TIMEOUT_S,
     ) -> None:
@@ -94,6 +98,7 @@
         self._hosts = hosts
         self._headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
         self._rng = rng
+        self._objective = objective
         self._clock = Clock()
         self._give_up_ms = give_up_ms
         self._timeout = aiohttp.ClientTimeout(
@@ -108,10 +113,15 @@
         """
         report = AnswerReport(ask=ask)
         began = self._clock.now()
+        timeline = RequestTimeline(
+            arrived=began,
+            first_token_ms=self._objective.first_token_ms,
+            token_gap_ms=self._objective.token_gap_ms,
+        )
         try:
             while self._clock.now() - began < self._give_up_ms:
                 trial = self._new_trial(ask, report)
-                pause_ms = await self._run_trial(trial, ask, report, began)
+                pause_ms = await self._run_trial(trial, ask, report, timeline)
                 if pause_ms is None:
                     break
                 await self._clock.sleep(pause_ms)
@@ -119,6 +129,11 @@
             report.state = AnswerState.WRONG
             report.detail = str(error)
         report.took_ms = self._clock.now() - began
+        if report.state is not AnswerState.WHOLE:
+            timeline.give_up(now=self._clock.now())
+        report.stall_ms = round(timeline.stall_ms)
+        if timeline.first_token_wait is not None:
+            report.first_token_ms = round(timeline.first_token_wait)
         return report
 
     async def book(self, *, service: str, key: str, retry_refused: bool) -> BookingReport:
@@ -155,6 +170,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             report.events.append(f"{url} {error!r}")
             report.state = BookingState.LOST
+            report.uncertain = True
             return PAUSE_MS
 
     def _judge_booking(
@@ -168,17 +184,18 @@
             report.state = BookingState.BOOKED if reply.status == 201 else BookingState.UNKNOWN
             report.detail = f"status {reply.status}"
             if reply.status == 201:
-                number = msgspec.json.decode(content, type=BookingReply).number
-                report.numbers.append(number)
+                report.number = msgspec.json.decode(content, type=BookingReply).number
             return None
         problem = msgspec.json.decode(content, type=ProblemDetails)
         report.detail = f"{problem.title}: {problem.detail}"
         if problem.execution == Execution.NOT_EXECUTED.value:
             report.state = BookingState.NOT_EXECUTED
-            if retry_refused and reply.status in RETRIED_STATUS:
+            # The word is about this call; what became of an earlier one must still be asked.
+            if (retry_refused or report.uncertain) and reply.status in RETRIED_STATUS:
                 return self._pause_of(problem)
             return None
         report.state = BookingState.UNKNOWN
+        report.uncertain = True
         if problem.retry_after_ms is not None:
             return self._pause_of(problem)
         return None
@@ -197,7 +214,7 @@
         return _Trial(prompt=prompt, expected="".join(answer_tokens(asked)))
 
     async def _run_trial(
-        self, trial: _Trial, ask: Ask, report: AnswerReport, began: int
+        self, trial: _Trial, ask: Ask, report: AnswerReport, timeline: RequestTimeline
     ) -> int | None:
         body = msgspec.json.encode(
             CompletionRequest(
@@ -209,30 +226,35 @@
                 request_class=ask.request_class,
             )
         )
-        await self._exchange("POST", "/v1/completions", body, {}, trial, report, began)
+        await self._exchange("POST", "/v1/completions", body, {}, trial, report, timeline)
         while not trial.done and trial.problem is None and trial.cursor:
-            if self._clock.now() - began > self._give_up_ms:
-                return None
+            if report.resumes > MOST_RESUMES:
+                return PAUSE_MS
             await self._clock.sleep(PAUSE_MS)
             report.resumes += 1
             path = f"/v1/completions/{trial.request_id}/events"
             cursor = {"Last-Event-ID": trial.cursor}
-            await self._exchange("GET", path, None, cursor, trial, report, began)
-            self._forgive_busy_host(trial)
+            await self._exchange("GET", path, None, cursor, trial, report, timeline)
+            self._forgive_busy_host(trial, report)
         return self._judge(trial, report)
 
-    def _forgive_busy_host(self, trial: _Trial) -> None:
+    def _forgive_busy_host(self, trial: _Trial, report: AnswerReport) -> None:
         # A host that is starting or stopping says to go elsewhere; the cursor is still good.
         if trial.problem is not None and trial.problem.type.endswith((":stopping", ":overloaded")):
+            self._note_denial(trial.problem, report)
             trial.problem = None
 
+    def _note_denial(self, problem: ProblemDetails, report: AnswerReport) -> None:
+        if problem.execution == Execution.NOT_EXECUTED.value:
+            report.told_not_executed.append(f"{report.ask.name}.{report.trials}")
+
     def _judge(self, trial: _Trial, report: AnswerReport) -> int | None:
         if trial.done:
             if trial.finish in ("stop", "length"):
                 if trial.text != trial.expected:
                     raise _WrongAnswerError(_difference(trial, "ended too early"))
                 report.state = AnswerState.WHOLE
-                report.tokens = len(trial.text.split(" "))
+                report.tokens = _count(trial.text)
                 return None
             report.detail = f"finish reason {trial.finish}"
             raise _WrongAnswerError(f"an end marker with finish reason {trial.finish!r}")
@@ -241,8 +263,7 @@
         problem = trial.problem
         report.detail = f"{problem.title}: {problem.detail}"
         report.execution = problem.execution
-        if problem.execution == Execution.NOT_EXECUTED.value:
-            report.told_not_executed.append(f"{report.ask.name}.{report.trials}")
+        self._note_denial(problem, report)
         if problem.status in RETRIED_STATUS:
             return self._pause_of(problem)
         report.state = AnswerState.REFUSED
@@ -260,7 +281,7 @@
         headers: dict[str, str],
         trial: _Trial,
         report: AnswerReport,
-        began: int,
+        timeline: RequestTimeline,
     ) -> None:
         url = self._pick_host() + path
         try:
@@ -273,24 +294,29 @@
                     trial.problem = msgspec.json.decode(await reply.read(), type=ProblemDetails)
                     report.events.append(f"{trial.problem}")
                 elif reply.content_type == "text/event-stream":
-                    await self._read_stream(reply, trial, report, began)
+                    await self._read_stream(reply, trial, report, timeline)
                 else:
-                    self._read_whole(await reply.read(), trial, report, began)
+                    self._read_whole(await reply.read(), trial, report, timeline)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             report.events.append(f"{method} {url} {error!r} at {len(trial.text)}")
         except msgspec.MsgspecError as error:
             raise _WrongAnswerError(f"an answer that is not the published one: {error}") from error
 
-    def _read_whole(self, body: bytes, trial: _Trial, report: AnswerReport, began: int) -> None:
+    def _read_whole(
+        self, body: bytes, trial: _Trial, report: AnswerReport, timeline: RequestTimeline
+    ) -> None:
         choice = msgspec.json.decode(body, type=Completion).choices[0]
         trial.text = choice.text
         trial.finish = choice.finish_reason or ""
         trial.done = True
-        if report.first_token_ms is None:
-            report.first_token_ms = self._clock.now() - began
+        timeline.on_tokens(total=_count(trial.text), now=self._clock.now())
 
     async def _read_stream(
-        self, reply: aiohttp.ClientResponse, trial: _Trial, report: AnswerReport, began: int
+        self,
+        reply: aiohttp.ClientResponse,
+        trial: _Trial,
+        report: AnswerReport,
+        timeline: RequestTimeline,
     ) -> None:
         async for event in read_events(reply):
             if event.event == "error":
@@ -301,22 +327,21 @@
                 trial.done = True
                 return
             if event.data:
-                self._take(event.data, trial, report, began)
+                self._take(event.data, trial, report, timeline)
             # The cursor counts only together with the tokens before it.
             trial.cursor = event.id or trial.cursor
 
-    def _take(self, data: str, trial: _Trial, report: AnswerReport, began: int) -> None:
+    def _take(
+        self, data: str, trial: _Trial, report: AnswerReport, timeline: RequestTimeline
+    ) -> None:
         choice = msgspec.json.decode(data, type=_EventBody).choices[0]
         trial.finish = choice.finish_reason or trial.finish
         if not choice.text:
             return
-        now = self._clock.now()
-        if report.first_token_ms is None:
-            report.first_token_ms = now - began
-        if trial.last_token_at is not None:
-            report.gaps_ms.append(now - trial.last_token_at)
-        trial.last_token_at = now
         trial.text += choice.text
+        gap = timeline.on_tokens(total=_count(trial.text), now=self._clock.now())
+        if gap is not None:
+            report.gaps_ms.append(round(gap))
         if not trial.expected.startswith(trial.text):
             raise _WrongAnswerError(_difference(trial, "differs"))
 
@@ -326,6 +351,11 @@
         return self._last_host
 
 
+def _count(text: str) -> int:
+    # Each token of the stand-in but the first begins with a space.
+    return len(text.split(" ")) if text else 0
+
+
 def _difference(trial: _Trial, what: str) -> str:
     common = 0
     for got, wanted in zip(trial.text, trial.expected, strict=False):
--- a/standins/caller_reports.py
+++ b/standins/caller_reports.py
@@ -41,6 +41,7 @@
     :param tokens: Length of its answer; ``None`` lets the engine choose.
     :param directives: More directives for the engine stand-in.
     :param stream: Whether tokens are wanted as they come.
+    :param same_prompt: Whether each trial sends the same text, as callers do.
     """
 
     name: str
@@ -53,6 +54,7 @@
     max_tokens: int = 16_384
     request_class: str = ""
     text: str = "Please answer this."
+    same_prompt: bool = False
 
     def prompt(self, *, trial: int) -> str:
         """Return the prompt of one trial.
@@ -60,7 +62,8 @@
         :param trial: Its number.
         """
         length = "" if self.tokens is None else f"[[tokens={self.tokens}]]"
-        return f"{self.text} [[tag={self.name}.{trial}]] {length} {self.directives}".strip()
+        tag = self.name if self.same_prompt else f"{self.name}.{trial}"
+        return f"{self.text} [[tag={tag}]] {length} {self.directives}".strip()
 
 
 @dataclass(kw_only=True, slots=True)
@@ -68,11 +71,13 @@
     """What a caller saw of one request; times in milliseconds.
 
     :param first_token_ms: From the first sending to the first token.
-    :param gaps_ms: Times between two events with tokens.
+    :param gaps_ms: Times between two events with new tokens.
+    :param stall_ms: Waiting beyond the objectives, as ``tanagerscale.measures`` defines it.
     :param resumes: How often it went on with its cursor.
     :param trials: How often it sent the request.
     :param told_not_executed: Trials of which it was told that they had not run.
-    :param tokens_seen: Tokens received, those of abandoned trials too.
+    :param tokens: Tokens of the whole answer.
+    :param events: What happened, for people.
     """
 
     ask: Ask
@@ -81,6 +86,7 @@
     execution: str = ""
     first_token_ms: int | None = None
     gaps_ms: list[int] = field(default_factory=list)
+    stall_ms: int = 0
     resumes: int = 0
     trials: int = 0
     told_not_executed: list[str] = field(default_factory=list)
@@ -94,6 +100,9 @@
     """What a caller saw of one booking.
 
     :param calls: How often it sent the call.
+    :param number: Number that the service gave it.
+    :param uncertain: Whether a call broke or its outcome was called unknown.
+    :param events: What happened, for people.
     """
 
     key: str
@@ -101,5 +110,6 @@
     detail: str = ""
     calls: int = 0
     took_ms: int = 0
-    numbers: list[int] = field(default_factory=list)
+    number: int | None = None
+    uncertain: bool = False
     events: list[str] = field(default_factory=list)
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -61,6 +61,8 @@
     :param store_options: Those of the store.
     :param models: What is declared and loaded from the start.
     :param accounts: Names of the client accounts.
+    :param base: Declarations whose engines and services are replaced by the cluster's own, in
+        place of a set made from the rest of the plan.
     :param not_idempotent: Calls of every service that may not be repeated.
     :param list_lag_ms: How late the host list is, in milliseconds.
     :param stop_grace_ms: How long a planned stop waits for running answers, in milliseconds.
@@ -78,6 +80,9 @@
     list_lag_ms: int = 0
     stop_grace_ms: int = 60_000
     fencing: Fencing = Fencing.CHECKED
+    failure_domains: tuple[str, ...] = FAILURE_DOMAINS
+    service: str = "bookings"
+    base: DeclarationSet | None = None
     log_level: LogLevel = LogLevel.INFO
 
 
@@ -142,7 +147,14 @@
         :param options: More command line options, without dashes.
         """
         held = ",".join(f"{model.name}={model.version}" for model in self.plan.models)
-        given = {"models": held, "fencing": self.plan.fencing.value, **self.plan.engine_options}
+        adapters = self.plan.base.adapters if self.plan.base else []
+        added = ",".join(f"{adapter.name}={adapter.version}" for adapter in adapters)
+        given = {
+            "models": held,
+            "adapters": added,
+            "fencing": self.plan.fencing.value,
+            **self.plan.engine_options,
+        }
         given |= {"journal": str(self.journal_path(name))}
         given |= self._same_port(self.engines.get(name)) | (options or {})
         self.engines[name] = await self._start(name, "standins.engine", given)
@@ -306,7 +318,7 @@
             kind=kind,
             address=address,
             state=ListedState.LIVE,
-            failure_domain=_domain_of(entry),
+            failure_domain=self._domain_of(entry),
             incarnation=self._incarnation,
         )
         await self._publish()
@@ -316,13 +328,22 @@
         await self.post(self.host_list, "/admin/entries", entries)
 
     def _declare(self) -> DeclarationSet:
+        base = self.plan.base or DeclarationSet(
+            objective=Objective(),
+            models=list(self.plan.models),
+            accounts=[
+                ClientAccount(name=name, key_hash=account_key_hash(name))
+                for name in self.plan.accounts
+            ],
+        )
         names = [model.name for model in self.plan.models]
         engines = [
             Engine(
                 name=name,
                 address=process.address,
-                failure_domain=_domain_of(name),
+                failure_domain=self._domain_of(name),
                 models=names,
+                adapters=[adapter.name for adapter in base.adapters],
                 memory_tokens=int(self.plan.engine_options.get("memory_tokens", "60000")),
                 max_batch=int(self.plan.engine_options.get("max_batch", "64")),
                 fencing=self.plan.fencing,
@@ -330,21 +351,17 @@
             for name, process in sorted(self.engines.items())
         ]
         addresses = [
-            f"{process.address}@{_domain_of(name)}"
+            f"{process.address}@{self._domain_of(name)}"
             for name, process in sorted(self.services.items())
         ]
         service = Service(
-            name="bookings",
+            name=self.plan.service,
             addresses=addresses,
             not_idempotent=list(self.plan.not_idempotent),
             timeout_ms=self.plan.service_timeout_ms,
         )
         return msgspec.structs.replace(
-            self.declarations,
-            accounts=[
-                ClientAccount(name=name, key_hash=account_key_hash(name))
-                for name in self.plan.accounts
-            ],
+            base,
             engines=engines,
             services=[service] if addresses else [],
         )
@@ -354,7 +371,7 @@
         return HostSettings(
             host=HostSection(
                 id=name,
-                failure_domain=_domain_of(name),
+                failure_domain=self._domain_of(name),
                 callers=ANY_PORT,
                 peers=ANY_PORT,
                 stop_grace_ms=self.plan.stop_grace_ms,
@@ -370,7 +387,7 @@
     def _same_port(self, former: ManagedProcess | None) -> dict[str, str]:
         return {} if former is None else {"port": former.address.rpartition(":")[2]}
 
-
-def _domain_of(name: str) -> str:
-    number = int(digits) if (digits := name.rpartition("-")[2]).isdecimal() else 0
-    return FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+    def _domain_of(self, name: str) -> str:
+        digits = name.rpartition("-")[2]
+        number = int(digits) if digits.isdecimal() else 0
+        return self.plan.failure_domains[number % len(self.plan.failure_domains)]
