--- a/standins/_common.py
+++ b/standins/_common.py
@@ -28,12 +28,17 @@
     :param main: Takes the options as its parameters.
     """
     # Fire would run the function first and complain of an unknown option only afterwards.
-    known = inspect.signature(main).parameters
+    known = inspect.signature(main, eval_str=True).parameters
+    command = []
     for argument in sys.argv[1:]:
-        name = argument.removeprefix("--").partition("=")[0].replace("-", "_")
+        flag, equals, value = argument.partition("=")
+        name = flag.removeprefix("--").replace("-", "_")
         if argument.startswith("--") and name not in (*known, "help", ""):
             sys.exit(f"Unknown option {argument!r}; known are {', '.join(known)}.")
-    fire.Fire(main)
+        # Fire would read a text such as "1e3" or "a,b" as Python.
+        is_text = bool(equals) and known[name].annotation is str
+        command.append(f"{flag}={value!r}" if is_text else argument)
+    fire.Fire(main, command=command)
 
 
 async def serve(*, app: web.Application, port: int, cancel_handlers: bool = True) -> None:
--- a/standins/_engine_options.py
+++ b/standins/_engine_options.py
@@ -26,11 +26,10 @@
     journal: str = ""
 
 
-def parse_versions(text: str | tuple[str, ...] | list[str]) -> dict[str, str]:
+def parse_versions(text: str) -> dict[str, str]:
     """Return versions by name.
 
-    :param text: As in ``planner=7,other=3``; Fire makes a tuple of some such texts.
+    :param text: As in ``planner=7,other=3``.
     """
-    items = text.split(",") if isinstance(text, str) else text
-    pairs = (item.partition("=") for item in items if item)
+    pairs = (item.partition("=") for item in text.split(",") if item)
     return {name: version for name, _, version in pairs}
