Continue a lost generation at another host, and hand streams over at a stop

Cause: when the entry host and the engine both died, a caller with a cursor could only start again; and a planned stop beyond its limit cancelled what its callers could have gone on with. Change: POST of the cursor with the first body makes the generation again with the same seed and passes over what the caller holds, checked by the cursor's checksum; GET follows only an attempt that runs. The cursor binds the seed and the body's fingerprint. After the stop's limit attempts of callers with cursors are left running.

--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -121,6 +121,7 @@
             await asyncio.wait_for(self._door.wait_empty(), grace_s)
         except TimeoutError:
             _log.warning("Streams are handed over; their callers hold cursors.")
+            self._canceller.hand_over()
         await self._services.drain()
         await self._runner.cleanup()
         await self._canceller.drain()
--- a/src/tanagerscale/delivery/_cursor.py
+++ b/src/tanagerscale/delivery/_cursor.py
@@ -33,6 +33,8 @@
     :param host: Host that follows the attempt.
     :param model: Model asked for.
     :param chat: Whether the answer is shaped as a chat.
+    :param seed: Seed of all its attempts.
+    :param fingerprint: Recognises the body that asked for it.
     """
 
     request: str
@@ -42,6 +44,8 @@
     host: str
     model: str
     chat: bool
+    seed: int
+    fingerprint: str
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/tanagerscale/dispatch/__init__.py
+++ b/src/tanagerscale/dispatch/__init__.py
@@ -14,6 +14,7 @@
 from tanagerscale.dispatch._retry_budget import RetryBudget
 from tanagerscale.dispatch._types import CrashWatch
 from tanagerscale.dispatch._types import GenerationRequest
+from tanagerscale.dispatch._types import ResumePoint
 from tanagerscale.dispatch._types import RetryAllowance
 from tanagerscale.dispatch._types import Sink
 from tanagerscale.dispatch._types import UpstreamNotes
@@ -30,6 +31,7 @@
     "GenerationRequest",
     "Relay",
     "RelayFault",
+    "ResumePoint",
     "RetryAllowance",
     "RetryBudget",
     "Sink",
--- a/src/tanagerscale/dispatch/_cancel.py
+++ b/src/tanagerscale/dispatch/_cancel.py
@@ -37,6 +37,7 @@
         self._client_of = client_of
         self._clock = clock
         self._tasks: dict[AttemptId, asyncio.Task[None]] = {}
+        self._handing_over = False
 
     def cancel(self, *, attempt: AttemptId, engine: UpstreamId, after_ms: int = 0) -> None:
         """Start to cancel an attempt.
@@ -45,6 +46,8 @@
         :param engine: Where it runs.
         :param after_ms: Pause before the first try.
         """
+        if after_ms > 0 and self._handing_over:
+            return
         if len(self._tasks) >= MAX_PENDING:
             _log.warning("Too many cancellations wait; one was left out.", attempt=attempt)
             return
@@ -52,6 +55,10 @@
         self._tasks[attempt] = task
         task.add_done_callback(lambda _task: self._tasks.pop(attempt, None))
 
+    def hand_over(self) -> None:
+        """Let attempts go on whose callers may come back, since this host is stopping."""
+        self._handing_over = True
+
     def keep(self, *, attempt: AttemptId) -> None:
         """Let an attempt go on, since its caller has come back.
 
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from dataclasses import field
 from typing import NamedTuple
@@ -33,6 +34,7 @@
 from tanagerscale.dispatch._relay import Relay
 from tanagerscale.dispatch._types import CrashWatch
 from tanagerscale.dispatch._types import GenerationRequest
+from tanagerscale.dispatch._types import ResumePoint
 from tanagerscale.dispatch._types import RetryAllowance
 from tanagerscale.dispatch._types import Sink
 from tanagerscale.dispatch._types import UpstreamNotes
@@ -106,14 +108,26 @@
     :param request: The checked request.
     :param sink: Takes the tokens to the caller.
     :param parts: What every generation of the host uses.
+    :param resume: Where the generation stands, when another host has dispatched it.
     """
 
-    def __init__(self, *, request: GenerationRequest, sink: Sink, parts: DispatchParts) -> None:
+    def __init__(
+        self,
+        *,
+        request: GenerationRequest,
+        sink: Sink,
+        parts: DispatchParts,
+        resume: ResumePoint | None = None,
+    ) -> None:
         self._request = request
         self._sink = sink
         self._parts = parts
+        self._resume = resume
         self._relay = Relay()
         self._progress = _Progress()
+        if resume is not None:
+            self._relay = Relay(offset=resume.offset, checksum=resume.checksum)
+            self._progress.may_have_run = True
         self._record = parts.meter.begin(
             account=request.account, prompt_tokens=request.prompt_tokens
         )
@@ -133,6 +147,10 @@
 
     async def _run(self) -> Result[Finish, Problem]:
         self._parts.retries.on_request()
+        if self._resume is not None:
+            result = self._after(await self._go_on(self._resume), self._resume.engine)
+            if result is not None:
+                return result
         while True:
             problem = self._parts.crashes.check(fingerprint=self._request.fingerprint)
             if problem is not None:
@@ -140,13 +158,20 @@
             placed = await self._parts.router.place(request=self._placement_request())
             match placed:
                 case Success(placement):
-                    outcome = await self._attempt(placement)
+                    outcome = await self._attempt(placement, AttemptId(new_id(prefix="att")))
                 case Failure(refusal):
                     return Failure(self._with_execution(refusal))
             result = self._after(outcome, placement.engine)
             if result is not None:
                 return result
 
+    async def _go_on(self, resume: ResumePoint) -> AttemptOutcome | None:
+        """Follow an attempt that another host has sent."""
+        placement = self._parts.router.adopt(
+            request=self._placement_request(), engine=resume.engine, tokens=resume.offset
+        )
+        return await self._attempt(placement, resume.attempt, resumed=True)
+
     def _placement_request(self) -> PlacementRequest:
         request = self._request
         banned = self._parts.crashes.excluded_engines(fingerprint=request.fingerprint)
@@ -166,9 +191,10 @@
             excluded=frozenset(self._progress.excluded) | banned,
         )
 
-    async def _attempt(self, placement: Placement) -> AttemptOutcome | None:
+    async def _attempt(
+        self, placement: Placement, attempt_id: AttemptId, *, resumed: bool = False
+    ) -> AttemptOutcome | None:
         """Run one attempt; ``None`` means that routing asked for a move."""
-        attempt_id = AttemptId(new_id(prefix="att"))
         engine = placement.engine
         fingerprint = self._request.fingerprint
         attempt = Attempt(
@@ -186,7 +212,9 @@
         outcome: AttemptOutcome | None = None
         ended = False
         try:
-            outcome = await _until_move(attempt, self._engine_request(attempt_id), placement)
+            request = self._engine_request(attempt_id)
+            run = attempt.resume() if resumed else attempt.run(request=request)
+            outcome = await _until_move(run, placement)
             ended = True
         finally:
             crashed = outcome is not None and outcome.end is AttemptEnd.CRASHED
@@ -307,9 +335,9 @@
 
 
 async def _until_move(
-    attempt: Attempt, request: EngineRequest, placement: Placement
+    run: Coroutine[None, None, AttemptOutcome], placement: Placement
 ) -> AttemptOutcome | None:
-    running = asyncio.ensure_future(attempt.run(request=request))
+    running = asyncio.ensure_future(run)
     moved = asyncio.ensure_future(placement.move_requested.wait())
     try:
         await asyncio.wait({running, moved}, return_when=asyncio.FIRST_COMPLETED)
--- a/src/tanagerscale/dispatch/_types.py
+++ b/src/tanagerscale/dispatch/_types.py
@@ -53,6 +53,22 @@
     fingerprint: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ResumePoint:
+    """Where a generation stands that another host has dispatched.
+
+    :param attempt: The attempt that runs.
+    :param engine: Where it runs.
+    :param offset: Tokens that the caller holds.
+    :param checksum: Running CRC-32 of their text.
+    """
+
+    attempt: AttemptId
+    engine: UpstreamId
+    offset: int
+    checksum: int
+
+
 class Sink(Protocol):
     """Takes the accepted tokens of one generation to its caller."""
 
--- a/src/tanagerscale/entry/_app.py
+++ b/src/tanagerscale/entry/_app.py
@@ -103,6 +103,7 @@
         app.router.add_post("/v1/completions", self._guarded(self._complete))
         app.router.add_post("/v1/chat/completions", self._guarded(self._chat))
         app.router.add_get("/v1/completions/{request_id}/events", self._guarded(self._resume))
+        app.router.add_post("/v1/completions/{request_id}/events", self._guarded(self._resume))
         app.router.add_route("*", "/services/{service}", self._guarded(self._service))
         app.router.add_route("*", "/services/{service}/{path:.*}", self._guarded(self._service))
         app.router.add_get("/v1/status", self._status)
--- a/src/tanagerscale/entry/_completions.py
+++ b/src/tanagerscale/entry/_completions.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import final
 
 from aiohttp import web
@@ -38,6 +39,7 @@
 from tanagerscale.dispatch import Generation
 from tanagerscale.dispatch import GenerationRequest
 from tanagerscale.dispatch import Relay
+from tanagerscale.dispatch import ResumePoint
 from tanagerscale.entry._problems import problem_event
 from tanagerscale.entry._problems import problem_response
 from tanagerscale.entry._requests import RequestChecker
@@ -172,6 +174,7 @@
         asked: CompletionRequest,
         checked: GenerationRequest,
         chat: bool,
+        cursor: Cursor | None = None,
     ) -> web.StreamResponse:
         reply = LazyReply(request=request, request_id=checked.generation)
         binding = self._binding(checked, chat)
@@ -182,13 +185,36 @@
             return CursorSigner(key=self._parts.cursor_key, binding=bound)
 
         sink: StreamSink | WholeSink
-        if checked.whole:
+        if checked.whole and (cursor is None or cursor.offset == 0):
             sink = WholeSink(signer_of=signer_of, writer=reply)
         else:
-            sink = StreamSink(writer=reply, signer_of=signer_of, event_format=event_format)
-        result = await Generation(request=checked, sink=sink, parts=self._parts.dispatch).run()
+            sink = StreamSink(
+                writer=reply,
+                signer_of=signer_of,
+                event_format=event_format,
+                offset=cursor.offset if cursor is not None else 0,
+                checksum=cursor.checksum if cursor is not None else 0,
+            )
+        generation = Generation(
+            request=checked,
+            sink=sink,
+            parts=self._parts.dispatch,
+            resume=self._resume_point(cursor) if cursor is not None else None,
+        )
+        result = await generation.run()
         return await _end_stream(result, sink, reply, event_format, checked.generation)
 
+    def _resume_point(self, cursor: Cursor) -> ResumePoint:
+        attempt = AttemptId(cursor.binding.attempt)
+        self._parts.dispatch.canceller.keep(attempt=attempt)
+        self._parts.attached(HostId(cursor.binding.host), attempt)
+        return ResumePoint(
+            attempt=attempt,
+            engine=UpstreamId(cursor.binding.engine),
+            offset=cursor.offset,
+            checksum=cursor.checksum,
+        )
+
     def _binding(self, checked: GenerationRequest, chat: bool) -> CursorBinding:
         return CursorBinding(
             request=checked.generation,
@@ -198,10 +224,14 @@
             host=self._parts.host,
             model=checked.model,
             chat=chat,
+            seed=checked.seed,
+            fingerprint=checked.fingerprint,
         )
 
     async def resume(self, *, request: web.Request, account: ClientAccountId) -> web.StreamResponse:
-        """Answer ``GET /v1/completions/{request_id}/events``.
+        """Answer ``GET`` and ``POST /v1/completions/{request_id}/events``.
+
+        With the body of the first request a generation that was lost meanwhile is made again.
 
         :param request: The caller's request, with its cursor in ``Last-Event-ID``.
         :param account: Who asks.
@@ -218,14 +248,30 @@
             or cursor.binding.request != request_id
         ):
             return problem_response(problem=_CURSOR_REFUSED, request_id=request_id)
-        return await self._follow(request, cursor)
+        if request.method == "GET":
+            return await self._follow(request, cursor)
+        return await self._go_on(request, cursor)
+
+    async def _go_on(self, request: web.Request, cursor: Cursor) -> web.StreamResponse:
+        binding = cursor.binding
+        checked = self._parts.checker.check(
+            body=await request.read(),
+            chat=binding.chat,
+            account=ClientAccountId(binding.account),
+            generation=GenerationId(binding.request),
+            declarations=self._parts.declarations(),
+        )
+        match checked:
+            case Failure(problem):
+                return problem_response(problem=problem, request_id=binding.request)
+            case Success((asked, found)) if found.fingerprint == binding.fingerprint:
+                again = replace(found, seed=binding.seed)
+                return await self._stream(request, asked, again, binding.chat, cursor)
+        return problem_response(problem=_OTHER_BODY, request_id=binding.request)
 
     async def _follow(self, request: web.Request, cursor: Cursor) -> web.StreamResponse:
         binding = cursor.binding
-        attempt_id = AttemptId(binding.attempt)
-        engine = UpstreamId(binding.engine)
-        self._parts.dispatch.canceller.keep(attempt=attempt_id)
-        self._parts.attached(HostId(binding.host), attempt_id)
+        point = self._resume_point(cursor)
         reply = LazyReply(request=request, request_id=binding.request)
         event_format = EventFormat(binding=binding)
         bound = msgspec.structs.replace(binding, host=self._parts.host)
@@ -234,12 +280,12 @@
             writer=reply,
             signer_of=lambda _attempt, _engine: signer,
             event_format=event_format,
-            offset=cursor.offset,
-            checksum=cursor.checksum,
+            offset=point.offset,
+            checksum=point.checksum,
         )
-        await sink.begin(attempt=attempt_id, engine=engine)
-        relay = Relay(offset=cursor.offset, checksum=cursor.checksum)
-        result = await self._run_resumed(attempt_id, engine, relay, sink)
+        await sink.begin(attempt=point.attempt, engine=point.engine)
+        relay = Relay(offset=point.offset, checksum=point.checksum)
+        result = await self._run_resumed(point.attempt, point.engine, relay, sink)
         return await _end_stream(result, sink, reply, event_format, binding.request)
 
     async def _run_resumed(
@@ -275,9 +321,14 @@
     detail="The cursor is not one of this request; send the id of its last event unchanged.",
     execution=Execution.UNKNOWN,
 )
+_OTHER_BODY = Problem(
+    kind=ProblemKind.CURSOR_REFUSED,
+    detail="The body is not the one that this cursor's request was made with; send that one.",
+    execution=Execution.UNKNOWN,
+)
 _GENERATION_LOST = Problem(
     kind=ProblemKind.GENERATION_LOST,
-    detail="The engine no longer holds the generation; send the request once more.",
+    detail="The engine lost the generation; send the cursor again by POST with the first body.",
     execution=Execution.UNKNOWN,
     retry_after_ms=RESUME_RETRY_AFTER_MS,
 )
--- a/src/tanagerscale/routing/_protocol.py
+++ b/src/tanagerscale/routing/_protocol.py
@@ -46,6 +46,14 @@
         Each call that succeeds must be followed by one ``release`` for the generation.
         """
 
+    def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
+        """Hold a generation that runs already; it must be followed by one ``release``.
+
+        :param request: What was asked for.
+        :param engine: Where it runs.
+        :param tokens: Tokens made so far.
+        """
+
     def report_progress(self, *, generation: GenerationId, tokens: int) -> None:
         """Tell how many tokens a placed generation has made so far."""
 
--- a/testing/_fake_engine.py
+++ b/testing/_fake_engine.py
@@ -207,6 +207,12 @@
             )
         )
 
+    def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
+        """Hold the place."""
+        placement = Placement(generation=request.generation, engine=engine)
+        self.placed[request.generation] = placement
+        return placement
+
     def report_progress(self, *, generation: GenerationId, tokens: int) -> None:
         """Check that the generation is placed."""
         assert generation in self.placed
--- a/tools/bench_relay.py
+++ b/tools/bench_relay.py
@@ -157,6 +157,10 @@
         """Place at once."""
         return Success(Placement(generation=request.generation, engine=ENGINE))
 
+    def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
+        """Hold it where it runs."""
+        return Placement(generation=request.generation, engine=engine)
+
     def report_progress(self, *, generation: GenerationId, tokens: int) -> None:
         """Take no note."""
 
