Prove what must hold over real processes that are killed, frozen and cut off

Cause: the virtual-time proofs say nothing of sockets and processes. Change: tests over processes for engines killed, frozen, out of memory, with gaps, crossed answers and lost end markers; host and engine killed together; forged and foreign cursors; a leaving engine with a list that is a minute late; two hosts stopping during a store outage; bookings with the store down, at two hosts together with the answer cut, and with the host killed; a host started during an outage. Found: an engine frozen mid-answer held its callers up for about 15 s (19.25 s for the test), by three unanswered resumes of 3 s after a stall noticed in 3 to 6 s. A resume on an engine that lives is answered at once, so it now waits 1 s, twice; a stall is noticed in 1 to 2 s.

--- a/src/tanagerscale/dispatch/_attempt.py
+++ b/src/tanagerscale/dispatch/_attempt.py
@@ -27,9 +27,12 @@
 from tanagerscale.upstreams import UpstreamErrorKind
 
 RESUME_PAUSE_MS = 100
-MAX_SILENT_RESUMES = 2
-MAX_IDLE_RESUMES = 20
-"""Resumes that an engine answers without any new token before the attempt is given up."""
+MAX_SILENT_RESUMES = 1
+MAX_IDLE_RESUMES = 80
+"""Resumes that an engine answers without any new token before the attempt is given up.
+
+An engine that answers still holds the attempt, such as a preempted one that waits for memory.
+"""
 
 _log = get_logger(part="dispatch")
 
--- a/src/tanagerscale/upstreams/_http_engine.py
+++ b/src/tanagerscale/upstreams/_http_engine.py
@@ -29,8 +29,11 @@
 DATA_FIELD = b"data: "
 MAX_EVENT_BYTES = 1 << 20
 CONNECT_TIMEOUT_S = 1.0
-REPLY_TIMEOUT_S = 3.0
-STALL_TIMEOUT_S = 3.0
+REPLY_TIMEOUT_S = 2.0
+RESUME_TIMEOUT_S = 1.0
+"""An engine that lives answers a resume at once, since it has no prompt to read."""
+STALL_TIMEOUT_S = 1.0
+"""Short, since a resume on an engine that is only slow costs a connection and nothing else."""
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 _Body = TypeVar("_Body")
@@ -64,7 +67,8 @@
         """
         url = f"{self._base}/v1/completions"
         body = msgspec.json.encode(request)
-        return self._follow("POST", url, AttemptId(request.attempt_id), body)
+        attempt = AttemptId(request.attempt_id)
+        return self._follow("POST", url, attempt, body, REPLY_TIMEOUT_S)
 
     def resume(self, *, attempt: AttemptId, offset: int) -> TokenBatches:
         """Follow a running or finished attempt.
@@ -73,7 +77,7 @@
         :param offset: Number of tokens already held.
         """
         url = f"{self._base}/v1/completions/{attempt}/events?offset={offset}"
-        return self._follow("GET", url, attempt, None)
+        return self._follow("GET", url, attempt, None, RESUME_TIMEOUT_S)
 
     async def cancel(self, *, attempt: AttemptId) -> Result[None, UpstreamError]:
         """Stop an attempt; idempotent.
@@ -106,12 +110,12 @@
         return _decode(await self._call("POST", "/orders", msgspec.json.encode(order)), EngineState)
 
     async def _follow(
-        self, method: str, url: str, attempt: AttemptId, body: bytes | None
+        self, method: str, url: str, attempt: AttemptId, body: bytes | None, reply_s: float
     ) -> TokenBatches:
         response = None
         guard = None
         try:
-            async with asyncio.timeout(REPLY_TIMEOUT_S):
+            async with asyncio.timeout(reply_s):
                 response = await self._session.request(
                     method, url, data=body, headers=JSON_HEADERS, timeout=self._stream_timeout
                 )
--- a/testing/_callers.py
+++ b/testing/_callers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -10,12 +12,14 @@
 
 from standins.cluster_files import account_key
 from standins.tokens import answer_tokens
+from tanagerscale.generated.callers import ProblemDetails
 from tanagerscale.generated.upstream import EngineRequest
 
 MODEL = "round-planner"
 VERSION = "2026-11"
 ACCOUNT = "crew-north"
 SEED = 11
+POLL_S = 0.02
 HANG_GUARD = aiohttp.ClientTimeout(total=60)
 
 
@@ -54,26 +58,69 @@
 ) -> Answer:
     """Ask for an answer as events, until the connection ends."""
     answer = answer or Answer()
-    body = {"model": MODEL, "prompt": prompt, "stream": True, "seed": SEED}
     async with session.post(
-        f"{url}/v1/completions", json=body, headers=headers(), timeout=HANG_GUARD
+        f"{url}/v1/completions", json=_body(prompt), headers=headers(), timeout=HANG_GUARD
     ) as response:
         answer.request_id = response.headers.get("X-Request-Id", "")
         await _read(response, answer)
     return answer
 
 
-async def go_on(*, session: aiohttp.ClientSession, url: str, answer: Answer) -> Answer:
-    """Go on with an answer at a host."""
-    async with session.get(
+async def go_on(
+    *,
+    session: aiohttp.ClientSession,
+    url: str,
+    answer: Answer,
+    account: str = ACCOUNT,
+    prompt: str = "",
+) -> Answer:
+    """Go on with an answer at a host; with the prompt also when its engine is gone."""
+    async with session.request(
+        "POST" if prompt else "GET",
         f"{url}/v1/completions/{answer.request_id}/events",
-        headers={**headers(), "Last-Event-ID": answer.cursor},
+        json=_body(prompt) if prompt else None,
+        headers={**headers(account=account), "Last-Event-ID": answer.cursor},
         timeout=HANG_GUARD,
     ) as response:
         await _read(response, answer)
     return answer
 
 
+async def book(*, session: aiohttp.ClientSession, url: str, key: str) -> bytes | ProblemDetails:
+    """Book once and return the service's answer or the problem."""
+    async with session.post(
+        f"{url}/services/bookings/bookings",
+        json={"id": key},
+        headers={**headers(), "Idempotency-Key": key},
+        timeout=HANG_GUARD,
+    ) as response:
+        body = await response.read()
+    if response.content_type == "application/problem+json":
+        return msgspec.json.decode(body, type=ProblemDetails)
+    return body
+
+
+async def book_until_served(*, session: aiohttp.ClientSession, url: str, key: str) -> bytes:
+    """Book and come back as told, for as long as the answer says that nothing ran."""
+    while True:
+        reply = await book(session=session, url=url, key=key)
+        if isinstance(reply, bytes):
+            return reply
+        assert reply.execution == "not-executed", reply
+        assert reply.retry_after_ms is not None
+        await asyncio.sleep(reply.retry_after_ms / 1000)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; the test's own end is the limit."""
+    while not condition():
+        await asyncio.sleep(POLL_S)
+
+
+def _body(prompt: str) -> dict[str, object]:
+    return {"model": MODEL, "prompt": prompt, "stream": True, "seed": SEED}
+
+
 async def _read(response: aiohttp.ClientResponse, answer: Answer) -> None:
     answer.status = response.status
     if response.status != 200:
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
 
+import aiohttp
 from aiohttp import web
 from aiohttp.test_utils import TestClient
 from aiohttp.test_utils import TestServer
@@ -20,6 +22,9 @@
 Client = TestClient[web.Request, web.Application]
 ClientOf = Callable[[web.Application], Awaitable[Client]]
 StartCluster = Callable[[ClusterPlan], Awaitable[Cluster]]
+StartServing = Callable[[ClusterPlan], Awaitable[Cluster]]
+
+READY_PAUSE_S = 0.05
 
 
 @pytest_asyncio.fixture
@@ -49,3 +54,36 @@
             return await stack.enter_async_context(TestClient(TestServer(app)))
 
         yield serve
+
+
+@pytest_asyncio.fixture
+async def session() -> AsyncIterator[aiohttp.ClientSession]:
+    """Carry the calls of a test."""
+    async with aiohttp.ClientSession() as made:
+        yield made
+
+
+@pytest_asyncio.fixture
+async def start_serving(
+    start_cluster: StartCluster, session: aiohttp.ClientSession
+) -> StartServing:
+    """Start clusters whose hosts have their declarations in force."""
+
+    async def start(plan: ClusterPlan) -> Cluster:
+        cluster = await start_cluster(plan)
+        await cluster.start_hosts()
+        applied = await cluster.apply()
+        assert applied.returncode == 0, applied.output + applied.errors
+        for host in cluster.hosts:
+            await _until_ready(session, cluster.caller_url(host))
+        return cluster
+
+    return start
+
+
+async def _until_ready(session: aiohttp.ClientSession, url: str) -> None:
+    while True:
+        async with session.get(f"{url}/readyz") as response:
+            if response.status == 200:
+                return
+        await asyncio.sleep(READY_PAUSE_S)
--- /dev/null
+++ b/testing/test_process_failures.py
@@ -0,0 +1,230 @@
+"""What must always hold, over real processes that are killed, frozen and cut off."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+import aiohttp
+import pytest
+
+from standins._engine_types import ExecutionReports
+from standins._engine_types import Leave
+from standins._engine_types import OutOfMemory
+from standins._engine_types import StreamFault
+from standins._engine_types import StreamFaultMode
+from standins.launcher import Cluster
+from standins.launcher import ClusterPlan
+from standins.service import Executions
+from standins.service import ServiceFault
+from standins.service import ServiceFaultMode
+from standins.store import Fault
+from standins.store import FaultMode
+from tanagerscale.generated.callers import ProblemDetails
+from tanagerscale.generated.upstream import ListedState
+from testing._callers import Answer
+from testing._callers import ask
+from testing._callers import book
+from testing._callers import book_until_served
+from testing._callers import expected
+from testing._callers import go_on
+from testing._callers import until
+from testing.conftest import StartServing
+
+LONG = "plan [[tokens=150]]"
+
+
+async def _ask_all(
+    cluster: Cluster, session: aiohttp.ClientSession, hosts: Sequence[str], *, each: int = 3
+) -> list[tuple[Answer, asyncio.Task[Answer]]]:
+    """Start answers at hosts and wait until all of them have begun."""
+    started = []
+    for host in hosts:
+        for _ in range(each):
+            answer = Answer()
+            url = cluster.caller_url(host)
+            work = ask(session=session, url=url, prompt=LONG, answer=answer)
+            started.append((answer, asyncio.create_task(work)))
+    await until(lambda: all(answer.texts for answer, _ in started))
+    return started
+
+
+async def _check_whole(started: list[tuple[Answer, asyncio.Task[Answer]]]) -> None:
+    for answer, task in started:
+        await task
+        assert answer.done, answer.error
+        assert answer.text == expected(prompt=LONG)
+
+
+@pytest.mark.parametrize("failure", ["kill", "freeze", "out of memory", "gap", "crossed", "no end"])
+async def test_answers_are_whole_when_an_engine_fails_mid_answer(
+    start_serving: StartServing, session: aiohttp.ClientSession, failure: str
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=2, services=0))
+    engine = cluster.engines["engine-1"]
+    modes = {
+        "gap": StreamFaultMode.GAP,
+        "crossed": StreamFaultMode.CROSS,
+        "no end": StreamFaultMode.DROP_END_MARKER,
+    }
+    if failure in modes:
+        fault = StreamFault(mode=modes[failure], count=2, at=20)
+        await cluster.post(engine, "/admin/fault", fault)
+    started = await _ask_all(cluster, session, ["host-1", "host-2"])
+    if failure == "kill":
+        await engine.kill()
+    elif failure == "freeze":
+        engine.freeze()
+    elif failure == "out of memory":
+        await cluster.post(engine, "/admin/oom", OutOfMemory(fail=True))
+    await _check_whole(started)
+    if failure == "freeze":
+        engine.thaw()
+
+
+async def test_caller_goes_on_when_its_host_and_its_engine_die_together(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=2, services=0))
+    started = await _ask_all(cluster, session, ["host-1"], each=4)
+    await asyncio.gather(cluster.hosts["host-1"].kill(), cluster.engines["engine-1"].kill())
+    url = cluster.caller_url("host-2")
+    for answer, task in started:
+        await task
+        assert not answer.done
+        again = await go_on(session=session, url=url, answer=answer, prompt=LONG)
+        assert again.done, again.error
+        assert again.text == expected(prompt=LONG)
+
+
+async def test_cursor_is_refused_when_it_is_forged_foreign_or_of_another_request(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=1, services=0, accounts=("crew-north", "b")))
+    url = cluster.caller_url("host-1")
+    answer = await ask(session=session, url=url, prompt="check [[tokens=5]]")
+    assert answer.done
+    offset = answer.cursor.split(".")[1]
+    forged = Answer(
+        request_id=answer.request_id, cursor=answer.cursor.replace(f".{offset}.", ".2.")
+    )
+    other = Answer(request_id="cmpl-other", cursor=answer.cursor)
+    mine = Answer(request_id=answer.request_id, cursor=answer.cursor)
+    for attempt, account in ((forged, "crew-north"), (other, "crew-north"), (mine, "b")):
+        refused = await go_on(session=session, url=url, answer=attempt, account=account)
+        assert refused.status == 403, refused
+        assert not refused.texts
+
+
+async def test_leaving_engine_gets_no_new_work_when_the_list_lags_and_a_host_is_alone(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=3, services=0, list_lag_ms=60_000))
+    engine = cluster.engines["engine-1"]
+    await cluster.post(engine, "/admin/leave", Leave())
+    for number in range(12):
+        url = cluster.caller_url(f"host-{1 + number % 3}")
+        answer = await ask(session=session, url=url, prompt=f"check {number} [[tokens=3]]")
+        assert answer.done, answer.error
+    reports = await cluster.get(engine, "/admin/executions", ExecutionReports)
+    assert not any(report.executed for report in reports.executions)
+
+
+async def test_nothing_is_interrupted_when_two_hosts_stop_during_a_store_outage(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=3, services=0))
+    started = await _ask_all(cluster, session, list(cluster.hosts))
+    await cluster.post(cluster.store, "/admin/fault", Fault(mode=FaultMode.DOWN))
+    stops = [asyncio.create_task(cluster.hosts[name].stop()) for name in ("host-1", "host-2")]
+    await _check_whole(started)
+    assert await asyncio.gather(*stops) == [0, 0]
+    late = await ask(session=session, url=cluster.caller_url("host-3"), prompt="x [[tokens=3]]")
+    assert late.done, late.error
+
+
+async def test_booking_is_refused_at_once_when_the_store_is_down(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=1))
+    await cluster.post(cluster.store, "/admin/fault", Fault(mode=FaultMode.DOWN))
+    refused = await book(session=session, url=cluster.caller_url("host-1"), key="round-1")
+    assert isinstance(refused, ProblemDetails)
+    assert (refused.execution, refused.retry_after_ms is not None) == ("not-executed", True)
+    ran = await cluster.get(cluster.services["booking-1"], "/admin/executions", Executions)
+    assert ran.total == 0
+    await cluster.post(cluster.store, "/admin/fault", Fault())
+    served = await book_until_served(
+        session=session, url=cluster.caller_url("host-1"), key="round-1"
+    )
+    assert isinstance(served, bytes)
+    ran = await cluster.get(cluster.services["booking-1"], "/admin/executions", Executions)
+    assert ran.by_key == {"round-1": 1}
+
+
+async def test_booking_runs_once_when_two_hosts_get_it_together_and_the_answer_is_cut(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=3))
+    service = cluster.services["booking-1"]
+    fault = ServiceFault(mode=ServiceFaultMode.CUT_AFTER, count=1, delay_ms=200)
+    await cluster.post(service, "/admin/fault", fault)
+    urls = [cluster.caller_url(host) for host in cluster.hosts]
+    replies = await asyncio.gather(
+        *(book(session=session, url=url, key="round-2") for url in urls * 2)
+    )
+    await cluster.post(service, "/admin/fault", ServiceFault())
+    later = [await book(session=session, url=url, key="round-2") for url in urls]
+    ran = await cluster.get(service, "/admin/executions", Executions)
+    assert ran.by_key == {"round-2": 1}
+    for reply in [*replies, *later]:
+        assert isinstance(reply, ProblemDetails)
+        assert reply.execution == "unknown"
+
+
+async def test_booking_runs_once_when_its_host_is_killed_before_the_answer(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=2))
+    service = cluster.services["booking-1"]
+    await cluster.post(service, "/admin/fault", ServiceFault(answer_delay_ms=1500))
+    url = cluster.caller_url("host-1")
+    first = asyncio.create_task(book(session=session, url=url, key="round-3"))
+
+    async def executed() -> bool:
+        return (await cluster.get(service, "/admin/executions", Executions)).total == 1
+
+    while not await executed():
+        await asyncio.sleep(0.02)
+    await cluster.hosts["host-1"].kill()
+    with pytest.raises(aiohttp.ClientError):
+        await first
+    for _ in range(3):
+        reply = await book(session=session, url=cluster.caller_url("host-2"), key="round-3")
+        assert isinstance(reply, ProblemDetails)
+        assert reply.execution == "unknown"
+    ran = await cluster.get(service, "/admin/executions", Executions)
+    assert ran.by_key == {"round-3": 1}
+
+
+async def test_declarations_reach_all_hosts_when_the_store_dies_after_acceptance(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=3, services=0))
+    await cluster.list_state("engine-2", ListedState.LEAVING)
+    applied = await cluster.apply(author="second")
+    assert applied.returncode == 0, applied.output + applied.errors
+    await cluster.post(cluster.store, "/admin/fault", Fault(mode=FaultMode.DOWN))
+    fresh = await cluster.start_host("host-4")
+    async with session.get(f"http://{fresh.address_of('callers')}/v1/status") as response:
+        assert response.status == 200
+    url = cluster.caller_url("host-4")
+
+    async def ready() -> bool:
+        async with session.get(f"{url}/readyz") as response:
+            return response.status == 200
+
+    while not await ready():
+        await asyncio.sleep(0.05)
+    answer = await ask(session=session, url=url, prompt="check [[tokens=4]]")
+    assert answer.done, answer.error
