--- /dev/null
+++ b/src/tanagerscale/claims/_problems.py
@@ -0,0 +1,68 @@
+"""The final answers that claims give instead of a permission."""
+
+from __future__ import annotations
+
+from tanagerscale.core import Execution
+from tanagerscale.core import Problem
+from tanagerscale.core import ProblemKind
+
+
+def store_unavailable(*, retry_after_ms: int) -> Problem:
+    """Nothing was sent, since the claim could not be made sure."""
+    return Problem(
+        kind=ProblemKind.STORE_UNAVAILABLE,
+        detail="This attempt was not run, since it could not be claimed; repeat it with the same "
+        "Idempotency-Key, because an earlier attempt may have run.",
+        execution=Execution.NOT_EXECUTED,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def withdrawn(*, retry_after_ms: int) -> Problem:
+    """The attempt that this one joined was not run."""
+    return Problem(
+        kind=ProblemKind.UPSTREAM_FAILED,
+        detail="The call with this Idempotency-Key was not run; repeat it with the same key.",
+        execution=Execution.NOT_EXECUTED,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def too_late(*, retry_after_ms: int) -> Problem:
+    """The claim came through when it was too old to be used."""
+    return Problem(
+        kind=ProblemKind.TIMEOUT,
+        detail="The call was not run, since claiming it took too long; repeat it with the same "
+        "Idempotency-Key.",
+        execution=Execution.NOT_EXECUTED,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def key_reused() -> Problem:
+    """The key belongs to another request."""
+    return Problem(
+        kind=ProblemKind.KEY_REUSED,
+        detail="This Idempotency-Key was used for a different request; send a new key.",
+        execution=Execution.NOT_EXECUTED,
+    )
+
+
+def outcome_unknown() -> Problem:
+    """The call was claimed and its outcome will not be known."""
+    return Problem(
+        kind=ProblemKind.OUTCOME_UNKNOWN,
+        detail="Whether the call with this Idempotency-Key ran is not known and it will not be "
+        "sent again; look at the service before sending it with a new key.",
+        execution=Execution.UNKNOWN,
+    )
+
+
+def answer_not_kept() -> Problem:
+    """The call ran and its answer was too large to record."""
+    return Problem(
+        kind=ProblemKind.OUTCOME_UNKNOWN,
+        detail="The call with this Idempotency-Key ran, but its answer was too large to keep; "
+        "look at the service for the result.",
+        execution=Execution.EXECUTED,
+    )
--- a/src/tanagerscale/store/_gateway.py
+++ b/src/tanagerscale/store/_gateway.py
@@ -184,6 +184,11 @@
     code = reply.grpc_code or reply.code
     if code == StatusCode.OUT_OF_RANGE and "compacted" in reply.message:
         return compacted()
+    if code == StatusCode.RESOURCE_EXHAUSTED:
+        return StoreError(
+            kind=StoreErrorKind.OVERLOADED,
+            detail=f"The store is at its limit ({reply.message!r}); come back later.",
+        )
     if code in NO_EFFECT_CODES:
         return StoreError(
             kind=StoreErrorKind.REFUSED,
--- a/src/tanagerscale/store/_protocol.py
+++ b/src/tanagerscale/store/_protocol.py
@@ -26,6 +26,8 @@
     """The call was sent and its reply was lost; a write may have taken effect."""
     REFUSED = "refused"
     """The store answered with an error, so the call has had no effect."""
+    OVERLOADED = "overloaded"
+    """The store refused the call because of its rate, so the call has had no effect."""
     COMPACTED = "compacted"
     """The history asked for is gone; read the present state and watch from there."""
 
--- /dev/null
+++ b/testing/_faulty_store.py
@@ -0,0 +1,109 @@
+"""A store client that can freeze, die, or deliver a write long after its caller gave up."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+from typing import TypeVar
+from typing import final
+
+from returns.result import Failure
+from returns.result import Result
+
+from tanagerscale.store import LeaseId
+from tanagerscale.store import PutIf
+from tanagerscale.store import PutOutcome
+from tanagerscale.store import StoreEntry
+from tanagerscale.store import StoreError
+from tanagerscale.store import StoreErrorKind
+from tanagerscale.store import StoreRange
+from tanagerscale.store import StoreRevision
+from tanagerscale.store import WatchBatch
+from testing._fake_store import FakeBackend
+from testing._fake_store import FakeStore
+
+T = TypeVar("T")
+
+
+@final
+class FaultyStore:
+    """Wraps a ``FakeStore``; a frozen host neither sends nor takes in anything.
+
+    :param backend: State shared with other hosts.
+    """
+
+    def __init__(self, *, backend: FakeBackend) -> None:
+        self.fake = FakeStore(backend=backend, latency_ms=2)
+        self.late_writes = 0
+        """How many of the next commits are reported uncertain and take effect later."""
+        self.late_ms = 30_000
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def freeze(self) -> None:
+        """Stop the host where it stands; for good if it is never thawed."""
+        self._running.clear()
+
+    def thaw(self) -> None:
+        """Let the host go on."""
+        self._running.set()
+
+    async def pass_gate(self) -> None:
+        """Wait while the host is frozen."""
+        await self._running.wait()
+
+    async def get(self, *, key: str) -> Result[StoreEntry | None, StoreError]:
+        """Read one key."""
+        await self.pass_gate()
+        return await self._come_back(await self.fake.get(key=key))
+
+    async def list(self, *, prefix: str) -> Result[StoreRange, StoreError]:
+        """Read all keys under a prefix."""
+        await self.pass_gate()
+        return await self._come_back(await self.fake.list(prefix=prefix))
+
+    async def commit(self, *, puts: Sequence[PutIf]) -> Result[Sequence[PutOutcome], StoreError]:
+        """Carry out conditional writes in one call."""
+        await self.pass_gate()
+        # etcd refuses a transaction that writes one key twice.
+        assert len({put.key for put in puts}) == len(puts)
+        if self.late_writes > 0 and not self.fake.down:
+            self.late_writes -= 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_ms / 1000, lambda: self._write_late(puts))
+            error = StoreError(kind=StoreErrorKind.UNCERTAIN, detail="Still on its way.")
+            return await self._come_back(Failure(error))
+        return await self._come_back(await self.fake.commit(puts=puts))
+
+    async def grant_lease(self, *, ttl_s: int) -> Result[LeaseId, StoreError]:
+        """Make a lease."""
+        await self.pass_gate()
+        return await self._come_back(await self.fake.grant_lease(ttl_s=ttl_s))
+
+    async def keep_alive(self, *, lease: LeaseId) -> Result[int, StoreError]:
+        """Renew a lease."""
+        await self.pass_gate()
+        return await self._come_back(await self.fake.keep_alive(lease=lease))
+
+    async def revoke(self, *, lease: LeaseId) -> Result[None, StoreError]:
+        """End a lease and delete its keys."""
+        await self.pass_gate()
+        return await self._come_back(await self.fake.revoke(lease=lease))
+
+    async def watch(
+        self, *, prefix: str, from_revision: StoreRevision
+    ) -> AsyncIterator[Result[WatchBatch, StoreError]]:
+        """Follow the changes."""
+        async for batch in self.fake.watch(prefix=prefix, from_revision=from_revision):
+            await self.pass_gate()
+            yield batch
+
+    def _write_late(self, puts: Sequence[PutIf]) -> None:
+        backend = self.fake.backend
+        if all(not put.lease or backend.has_lease(lease=put.lease) for put in puts):
+            backend.write(puts=puts)
+
+    async def _come_back(self, result: T) -> T:
+        await self.pass_gate()
+        return result
