--- a/src/tanagerscale/replay/_trace.py
+++ b/src/tanagerscale/replay/_trace.py
@@ -204,7 +204,7 @@
         for work in (described.short, described.long)
     }
     weights = [account.share for account in described.accounts]
-    requests = []
+    requests: list[TraceRequest] = []
     at = 0.0
     while True:
         at += rng.expovariate(rate * _peak(at / duration_s))
