--- a/testing/test_declarations_follow.py
+++ b/testing/test_declarations_follow.py
@@ -6,11 +6,18 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import msgspec
 import pytest
 
 from tanagerscale.core import Revision
 from tanagerscale.declarations import Follower
 from tanagerscale.declarations import FollowErrorKind
+from tanagerscale.declarations import to_sections
+from tanagerscale.store import StoreEntry
+from tanagerscale.store import StoreRevision
 from testing._declared import PREFIX
 from testing._declared import apply
 from testing._declared import declare
@@ -193,6 +200,116 @@
         )
 
 
+async def test_late_offer_of_a_lower_revision_changes_nothing() -> None:
+    store = FakeStore()
+    source, target = follow(store=store), follow(store=FakeStore(down=True))
+    async with _running(source):
+        await apply(store=store, declarations=declare(engines=1))
+        await asyncio.sleep(0.1)
+        old = source.content_for_peer(have=Revision(0))
+        await apply(store=store, declarations=declare(engines=2), expected=1)
+        await asyncio.sleep(0.1)
+        await _carry(source=source, target=target)
+        assert old is not None
+        result = await target.offer_from_peer(head=old.head.encode(), chunks=old.chunks)
+        assert result.unwrap() == 2
+        assert len(target.declarations.engines) == 2
+
+
+async def test_slow_reading_of_a_lower_revision_does_not_undo_a_higher_one() -> None:
+    store = FakeStore()
+    source = follow(store=store)
+    target = follow(store=FakeStore(backend=store.backend, latency_ms=500))
+    async with _running(source):
+        await apply(store=store, declarations=declare(engines=1))
+        await asyncio.sleep(0.1)
+        lower = source.content_for_peer(have=Revision(0))
+        assert lower is not None
+        # Without its chunks, which the target therefore reads from the store.
+        reading = asyncio.create_task(target.offer_from_peer(head=lower.head.encode(), chunks={}))
+        await asyncio.sleep(0.1)
+        await apply(store=store, declarations=declare(engines=2, max_batch=9), expected=1)
+        store.backend.entries.update(_kept_chunks(lower.chunks))
+        await asyncio.sleep(0.1)
+        await _carry(source=source, target=target)
+        assert target.head_revision == 2
+        assert (await reading).unwrap() == 2
+        assert len(target.declarations.engines) == 2
+
+
+def _kept_chunks(chunks: dict[str, str]) -> dict[str, StoreEntry]:
+    """Return chunks as if they had not been deleted yet."""
+    return {
+        f"{PREFIX}/declarations/chunks/{digest}": StoreEntry(
+            key=f"{PREFIX}/declarations/chunks/{digest}",
+            value=content.encode(),
+            create_revision=StoreRevision(1),
+            mod_revision=StoreRevision(1),
+        )
+        for digest, content in chunks.items()
+    }
+
+
+async def test_starting_host_waits_for_the_newest_of_its_peers() -> None:
+    store = FakeStore()
+    near = follow(store=store)
+    started = follow(store=FakeStore(down=True))
+    async with _running(near):
+        await apply(store=store, declarations=declare())
+        await asyncio.sleep(0.1)
+        await _carry(source=near, target=started)
+        started.peers_agree(revisions=[Revision(1), Revision(2)])
+        assert not _is_ready(started)
+        started.peers_agree(revisions=[Revision(1), Revision(1)])
+        assert _is_ready(started)
+
+
+HEADS = st.one_of(
+    st.binary(max_size=60),
+    st.just(b"[" * 5000),
+    st.fixed_dictionaries(
+        {
+            "revision": st.one_of(st.integers(-1, 3), st.just(10**30), st.text(max_size=3)),
+            "digest": st.text(max_size=3),
+            "chunks": st.lists(st.sampled_from(["x", "", "y" * 30]), max_size=3),
+            "author": st.just("a"),
+            "apply_id": st.just("b"),
+            "applied_wall_ms": st.just(1),
+            "delta": st.one_of(
+                st.none(),
+                st.just({"put": {"engine e1": {"name": "other"}}, "removed": ["model plan"]}),
+                st.just({"put": {"": {}, "objective": {"stall_weight": -1}}}),
+            ),
+        }
+    ).map(msgspec.json.encode),
+)
+CHUNKS = st.dictionaries(
+    st.sampled_from(["x", "y" * 30, ""]),
+    st.one_of(st.text(max_size=20), st.just("{}"), st.just('{"engine e1":{"name":1}}')),
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(head=HEADS, chunks=CHUNKS)
+def test_offer_of_anything_gets_an_answer_and_changes_nothing(
+    head: bytes, chunks: dict[str, str]
+) -> None:
+    async def offer() -> None:
+        store = FakeStore()
+        follower = follow(store=store)
+        await apply(store=store, declarations=declare())
+        good = store.backend.entries[HEAD].value
+        chunk = next(key for key in store.backend.entries if "/chunks/" in key)
+        digest = chunk.rpartition("/")[2]
+        sound = {digest: store.backend.entries[chunk].value.decode()}
+        assert (await follower.offer_from_peer(head=good, chunks=sound)).unwrap() == 1
+        await follower.offer_from_peer(head=head, chunks=chunks)
+        assert follower.head_revision == 1
+        assert follower.declarations.chunked.sections() == to_sections(declarations=declare())
+
+    asyncio.run(offer())
+
+
 async def test_peer_gets_all_chunks_when_it_has_nothing_and_few_when_it_is_near() -> None:
     store = FakeStore()
     follower = follow(store=store)
