--- /dev/null
+++ b/src/tanagerscale/daemon/__init__.py
@@ -0,0 +1,9 @@
+"""The host's process: composition root and life cycle."""
+
+from __future__ import annotations
+
+from tanagerscale.daemon._main import main
+from tanagerscale.daemon._notes import GateNotes
+from tanagerscale.daemon._notes import NoCrashWatch
+
+__all__ = ["GateNotes", "NoCrashWatch", "main"]
--- a/src/tanagerscale/dispatch/__init__.py
+++ b/src/tanagerscale/dispatch/__init__.py
@@ -11,8 +11,10 @@
 from tanagerscale.dispatch._generation import Generation
 from tanagerscale.dispatch._relay import Relay
 from tanagerscale.dispatch._relay import RelayFault
+from tanagerscale.dispatch._retry_budget import RetryBudget
 from tanagerscale.dispatch._types import CrashWatch
 from tanagerscale.dispatch._types import GenerationRequest
+from tanagerscale.dispatch._types import ResumePoint
 from tanagerscale.dispatch._types import RetryAllowance
 from tanagerscale.dispatch._types import Sink
 from tanagerscale.dispatch._types import UpstreamNotes
@@ -29,7 +31,9 @@
     "GenerationRequest",
     "Relay",
     "RelayFault",
+    "ResumePoint",
     "RetryAllowance",
+    "RetryBudget",
     "Sink",
     "UpstreamNotes",
 ]
--- a/src/tanagerscale/dispatch/_types.py
+++ b/src/tanagerscale/dispatch/_types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -52,6 +53,22 @@
     fingerprint: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ResumePoint:
+    """Where a generation stands that another host has dispatched.
+
+    :param attempt: The attempt that runs.
+    :param engine: Where it runs.
+    :param offset: Tokens that the caller holds.
+    :param checksum: Running CRC-32 of their text.
+    """
+
+    attempt: AttemptId
+    engine: UpstreamId
+    offset: int
+    checksum: int
+
+
 class Sink(Protocol):
     """Takes the accepted tokens of one generation to its caller."""
 
@@ -62,7 +79,7 @@
     async def begin(self, *, attempt: AttemptId, engine: UpstreamId) -> None:
         """Learn which attempt makes the tokens from now on."""
 
-    async def deliver(self, *, texts: Sequence[str], offset: int, checksum: int) -> None:
+    def deliver(self, *, texts: Sequence[str], offset: int, checksum: int) -> Awaitable[None]:
         """Hand tokens on.
 
         :param texts: The tokens, in order.
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -14,6 +14,7 @@
 from returns.result import Success
 
 from tanagerscale.generated.messages import Ask
+from tanagerscale.generated.messages import Attached
 from tanagerscale.generated.messages import Finished
 from tanagerscale.generated.messages import Grant
 from tanagerscale.generated.messages import HeadAnnouncement
@@ -22,6 +23,8 @@
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import Hello
 from tanagerscale.generated.messages import Progress
+from tanagerscale.generated.messages import Running
+from tanagerscale.generated.messages import RunningRequest
 from tanagerscale.generated.messages import UpstreamLeaving
 from tanagerscale.generated.messages import Verdict
 
@@ -30,12 +33,15 @@
     | Heartbeat
     | HeadAnnouncement
     | HeadRequest
+    | Attached
     | HeadContent
     | UpstreamLeaving
     | Verdict
     | Ask
     | Grant
     | Progress
+    | Running
+    | RunningRequest
     | Finished
 )
 """Anything one host tells another."""
@@ -47,12 +53,15 @@
         Heartbeat,
         HeadAnnouncement,
         HeadRequest,
+        Attached,
         HeadContent,
         UpstreamLeaving,
         Verdict,
         Ask,
         Grant,
         Progress,
+        Running,
+        RunningRequest,
         Finished,
     )
 }
