Let ask go on by cursor with the first body

A host that finds the generation lost makes it again only when it gets the body, so the command resumes by POST; a problem inside a stream that may pass is tried again at the next host, since the cursor keeps it one generation.

--- a/src/tanagerscale/cli/_ask.py
+++ b/src/tanagerscale/cli/_ask.py
@@ -21,6 +21,7 @@
 from tanagerscale.cli._hosts import url_of
 from tanagerscale.cli._output import Output
 from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import Execution
 from tanagerscale.generated.callers import CompletionRequest
 from tanagerscale.generated.callers import ProblemDetails
 
@@ -30,6 +31,7 @@
 TRIES = 6
 PAUSE_MS = 500
 END_MARKER = "[DONE]"
+ERROR_EVENT = "error"
 
 
 @final
@@ -121,9 +123,11 @@
     try:
         async with _send(session=session, host=host, body=body, answer=answer) as reply:
             if reply.status != 200:
-                return _refuse(body=await reply.read(), status=reply.status)
+                return _refuse(body=await reply.read(), answer=answer)
             answer.request_id = reply.headers.get("X-Request-Id", answer.request_id)
             async for event in read_events(reply.content):
+                if event.kind == ERROR_EVENT:
+                    return _refuse(body=event.data.encode(), answer=answer)
                 _take(event=event, answer=answer, output=output)
             return "the answer broke off"
     except TimeoutError:
@@ -133,16 +137,16 @@
 
 
 def _send(*, session: aiohttp.ClientSession, host: str, body: bytes, answer: _Answer) -> Any:
-    if not answer.cursor:
-        url = url_of(address=host, path="/v1/completions")
-        return session.post(url, data=body, headers={"Content-Type": "application/json"})
-    url = url_of(address=host, path=f"/v1/completions/{answer.request_id}/events")
-    return session.get(url, headers={"Last-Event-ID": answer.cursor})
+    """Send the request, or with a cursor the same body for the rest of its answer."""
+    headers = {"Content-Type": "application/json"}
+    path = "/v1/completions"
+    if answer.cursor:
+        path = f"{path}/{answer.request_id}/events"
+        headers["Last-Event-ID"] = answer.cursor
+    return session.post(url_of(address=host, path=path), data=body, headers=headers)
 
 
 def _take(*, event: Event, answer: _Answer, output: Output) -> None:
-    if event.kind == "error":
-        _refuse(body=event.data.encode(), status=0)
     if event.data == END_MARKER:
         answer.complete = True
         return
@@ -165,13 +169,15 @@
         fail(code=ExitCode.HOST_UNREACHABLE, message=message)
 
 
-def _refuse(*, body: bytes, status: int) -> str:
+def _refuse(*, body: bytes, answer: _Answer) -> str:
     """End the command on a final answer; return the reason when another try may help."""
     try:
         problem = msgspec.json.decode(body, type=ProblemDetails)
     except msgspec.MsgspecError:
-        return f"HTTP status {status}"
-    if problem.execution == "not-executed" and problem.retry_after_ms is not None:
+        return "the host gave no answer that can be read"
+    # With a cursor the same generation goes on, so trying again runs nothing twice.
+    harmless = problem.execution == Execution.NOT_EXECUTED.value or bool(answer.cursor)
+    if harmless and problem.retry_after_ms is not None:
         return problem.detail
     fail(
         code=ExitCode.REFUSED,
--- a/testing/test_cli.py
+++ b/testing/test_cli.py
@@ -138,7 +138,7 @@
 async def _serve(**handlers: Any) -> TestServer:
     app = web.Application()
     for path, handler in handlers.items():
-        method = "POST" if path == "completions" else "GET"
+        method = "POST" if path.startswith("completions") else "GET"
         app.router.add_route(method, f"/v1/{path.replace('__', '/')}", handler)
     server = TestServer(app)
     await server.start_server()
@@ -225,9 +225,11 @@
     capsys: pytest.CaptureFixture[str],
 ) -> None:
     asked: list[str] = []
+    bodies: list[bytes] = []
 
     async def begin(request: web.Request) -> web.StreamResponse:
         asked.append(request.headers["Authorization"])
+        bodies.append(await request.read())
         reply = web.StreamResponse(headers={"X-Request-Id": "r1"})
         await reply.prepare(request)
         await reply.write(_events(("c1", "one "), ("c2", "two "), end=False))
@@ -239,12 +241,14 @@
 
     async def go_on(request: web.Request) -> web.Response:
         asked.append(request.headers["Last-Event-ID"])
+        bodies.append(await request.read())
         return web.Response(body=_events(("c3", "three"), end=True))
 
     first = await _serve(completions=begin)
     second = await _serve(completions__r1__events=go_on)
     await run_ask(question=_question(first, second), output=Output(as_json=False))
     assert asked == ["Bearer crews.k", "c2"]
+    assert bodies[0] == bodies[1]
     assert capsys.readouterr().out == "one two three\n"
     await first.close()
     await second.close()
