Settle a repeated apply by the audit trail, and keep the trail bounded

A second try with the apply id of the first had the set accepted again on top of others' revisions when its base was read anew; seen red by test_repeated_apply_settles_itself_when_others_went_on with one and three others. The id is now looked up in the newest 200 records first. One audit record beyond 100,000 is deleted with each apply.

--- a/src/tanagerscale/audit/_trail.py
+++ b/src/tanagerscale/audit/_trail.py
@@ -13,6 +13,7 @@
 from tanagerscale.store import StoreError
 
 MAX_CHANGES = 500
+MAX_SEARCHED = 200
 REVISION_DIGITS = 12
 
 
@@ -42,6 +43,23 @@
         return None
 
 
+async def find_audit(
+    *, store: Store, prefix: str, newest: Revision, apply_id: str
+) -> Result[AuditRecord | None, StoreError]:
+    """Find what one apply had accepted, however many others went on from it.
+
+    :param store: The platform's key-value service.
+    :param prefix: What all keys of the installation start with.
+    :param newest: Revision to begin with.
+    :param apply_id: The id of the apply.
+    :returns: Its record, or ``None`` when it isn't among the newest ``MAX_SEARCHED``.
+    """
+    found = await read_audit(store=store, prefix=prefix, newest=newest, last=MAX_SEARCHED)
+    return found.map(
+        lambda records: next((record for record in records if record.apply_id == apply_id), None)
+    )
+
+
 async def read_audit(
     *, store: Store, prefix: str, newest: Revision, last: int
 ) -> Result[tuple[AuditRecord, ...], StoreError]:
--- a/src/tanagerscale/cli/_apply.py
+++ b/src/tanagerscale/cli/_apply.py
@@ -60,6 +60,7 @@
     """Have a set accepted and wait until it is in force."""
     declarations = load_declarations(files=files)
     clock = Clock()
+    repeated = bool(apply_id)
     apply_id = apply_id or new_id(prefix="apply")
     async with open_store(endpoints=endpoints, clock=clock) as store:
         base = await _read(store=store, prefix=prefix)
@@ -74,6 +75,7 @@
             clock=clock,
             # What was shown is what is applied, so others' changes in between refuse it.
             expected=Revision(expected) if expected is not None else base.revision,
+            repeated=repeated,
         )
     if isinstance(result, Failure):
         raise command_error(error=result.failure())
--- a/src/tanagerscale/cli/_progress.py
+++ b/src/tanagerscale/cli/_progress.py
@@ -51,7 +51,7 @@
     if status is None:
         return False
     if status.revision == head.revision:
-        return status.digest in ("", head.digest)
+        return not head.digest or status.digest in ("", head.digest)
     return status.revision > head.revision
 
 
--- a/src/tanagerscale/declarations/_chunk_store.py
+++ b/src/tanagerscale/declarations/_chunk_store.py
@@ -17,7 +17,9 @@
 from returns.result import Result
 from returns.result import Success
 
+from tanagerscale.audit import audit_key
 from tanagerscale.core import Clock
+from tanagerscale.core import Revision
 from tanagerscale.declarations._chunks import ChunkedSections
 from tanagerscale.declarations._keys import chunk_key
 from tanagerscale.declarations._keys import chunk_prefix
@@ -35,6 +37,8 @@
 BACKOFF_MS = 100
 # Chunks of operators who gave up half way are found by reading all, which is done seldom.
 SWEEP_EVERY = 256
+# At 34,000 changes a day these are the records of three days.
+AUDIT_KEPT = 100_000
 
 
 async def write_chunks(
@@ -117,7 +121,9 @@
     head_mod_revision: StoreRevision,
     previous: Head | None,
 ) -> None:
-    """Delete chunks that the accepted revision doesn't need; failures leave them for a sweep.
+    """Delete what the accepted revision makes superfluous; failures leave it for a sweep.
+
+    That is chunks that it doesn't need, and the oldest audit record beyond ``AUDIT_KEPT``.
 
     :param head: The head just accepted.
     :param head_mod_revision: The store revision that made it.
@@ -134,10 +140,21 @@
         for entry in entries
         if entry.key not in needed and entry.mod_revision < head_mod_revision
     ]
+    deletions += await _old_audit(store=store, prefix=prefix, revision=head.revision)
     for batch in _batches(deletions):
         await store.commit(puts=batch)
 
 
+async def _old_audit(*, store: Store, prefix: str, revision: int) -> list[PutIf]:
+    if revision <= AUDIT_KEPT:
+        return []
+    key = audit_key(prefix=prefix, revision=Revision(revision - AUDIT_KEPT))
+    entry = (await store.get(key=key)).value_or(None)
+    if entry is None:
+        return []
+    return [PutIf(key=key, value=None, expected_mod_revision=entry.mod_revision)]
+
+
 async def _read_obsolete(
     *, store: Store, prefix: str, head: Head, previous: Head | None
 ) -> list[StoreEntry]:
--- a/src/tanagerscale/declarations/_publish.py
+++ b/src/tanagerscale/declarations/_publish.py
@@ -14,6 +14,7 @@
 from tanagerscale.audit import audit_key
 from tanagerscale.audit import decode_audit
 from tanagerscale.audit import encode_audit
+from tanagerscale.audit import find_audit
 from tanagerscale.audit import read_audit
 from tanagerscale.core import Clock
 from tanagerscale.core import Revision
@@ -47,6 +48,14 @@
 OTHERS_SHOWN = 20
 
 
+@final
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Stamp:
+    author: str
+    apply_id: str
+    wall_ms: int
+
+
 @final
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Proposal:
@@ -64,11 +73,10 @@
     apply_id: str,
     clock: Clock,
     expected: Revision | None,
+    repeated: bool = False,
 ) -> Result[Head, ApplyError]:
     """Have a set accepted as the next revision.
 
-    Running this again with the same ``apply_id`` is safe and settles an uncertain outcome.
-
     :param store: The platform's key-value service.
     :param prefix: What all keys of the installation start with.
     :param declarations: The set, as ``read_declarations`` returned it.
@@ -76,21 +84,40 @@
     :param apply_id: Unique to this set and attempt of the operator.
     :param clock: Tells the time that is recorded.
     :param expected: Revision that the set was made from; ``None`` takes the present one.
-    :returns: The head record accepted; when nothing differs, the present one.
+    :param repeated: Whether an earlier call with this ``apply_id`` had an uncertain outcome; if it
+        was accepted after all, that is what is returned, even when others went on from it.
+    :returns: The head record accepted; when nothing differs, the present one. Of a revision that
+        others went on from, digest and chunks are left empty.
     """
     read = await read_accepted(store=store, prefix=prefix)
     if isinstance(read, Failure):
         return Failure(read.failure())
     base = read.unwrap()
-    if base.head is not None and base.head.apply_id == apply_id:
-        return Success(base.head)
+    if repeated:
+        earlier = await _accepted_earlier(store=store, prefix=prefix, apply_id=apply_id, base=base)
+        if isinstance(earlier, Failure):
+            return Failure(earlier.failure())
+        accepted = earlier.unwrap()
+        if accepted is not None:
+            return Success(accepted)
     if expected is not None and base.revision != expected:
-        earlier = await _accepted_earlier(
-            store=store, prefix=prefix, expected=expected, apply_id=apply_id, base=base
-        )
-        if earlier is not None:
-            return Success(earlier)
         return Failure(await _conflict(store=store, prefix=prefix, since=expected, now=base))
+    stamp = _Stamp(author=author, apply_id=apply_id, wall_ms=clock.wall())
+    return await _accept(
+        store=store, prefix=prefix, declarations=declarations, base=base, stamp=stamp, clock=clock
+    )
+
+
+async def _accept(
+    *,
+    store: Store,
+    prefix: str,
+    declarations: DeclarationSet,
+    base: Accepted,
+    stamp: _Stamp,
+    clock: Clock,
+) -> Result[Head, ApplyError]:
+    """Have a set accepted on top of a revision, unless it is the same."""
     sections = to_sections(declarations=declarations)
     too_large = [title for title, text in sections.items() if len(text) > MAX_SECTION_BYTES]
     if too_large:
@@ -99,10 +126,7 @@
     chunked = ChunkedSections.build(sections=sections, present_count=present_count)
     if base.head is not None and base.chunked is not None and chunked.digest == base.head.digest:
         return Success(base.head)
-    wall_ms = clock.wall()
-    proposal = _propose(
-        base=base, chunked=chunked, author=author, apply_id=apply_id, wall_ms=wall_ms
-    )
+    proposal = _propose(base=base, chunked=chunked, stamp=stamp)
     written = await write_chunks(
         store=store, prefix=prefix, chunked=chunked, sound=base.sound, clock=clock
     )
@@ -111,9 +135,7 @@
     return await _commit(store=store, prefix=prefix, proposal=proposal, clock=clock)
 
 
-def _propose(
-    *, base: Accepted, chunked: ChunkedSections, author: str, apply_id: str, wall_ms: int
-) -> _Proposal:
+def _propose(*, base: Accepted, chunked: ChunkedSections, stamp: _Stamp) -> _Proposal:
     old = base.chunked.sections() if base.chunked is not None else {}
     changes, delta = diff_sections(old=old, new=chunked.sections())
     lines = [str(change) for change in changes]
@@ -125,17 +147,17 @@
         revision=revision,
         digest=chunked.digest,
         chunks=list(chunked.digests),
-        author=author,
-        apply_id=apply_id,
-        applied_wall_ms=wall_ms,
+        author=stamp.author,
+        apply_id=stamp.apply_id,
+        applied_wall_ms=stamp.wall_ms,
         delta=_inline(delta) if base.chunked is not None and same_chunks else None,
     )
     audit = AuditRecord(
         revision=revision,
         previous_revision=base.revision,
-        author=author,
-        apply_id=apply_id,
-        applied_wall_ms=wall_ms,
+        author=stamp.author,
+        apply_id=stamp.apply_id,
+        applied_wall_ms=stamp.wall_ms,
         changes=lines,
     )
     return _Proposal(head=head, audit=audit, base=base)
@@ -221,21 +243,28 @@
 
 
 async def _accepted_earlier(
-    *, store: Store, prefix: str, expected: Revision, apply_id: str, base: Accepted
-) -> Head | None:
-    """Return what this very apply had accepted before others went on from it."""
-    entry = await store.get(key=audit_key(prefix=prefix, revision=Revision(expected + 1)))
-    value = entry.value_or(None)
-    record = decode_audit(value=value.value) if value is not None else None
-    if record is None or record.apply_id != apply_id or base.head is None:
-        return None
-    return msgspec.structs.replace(
-        base.head,
-        revision=record.revision,
-        author=record.author,
-        apply_id=apply_id,
-        applied_wall_ms=record.applied_wall_ms,
-        delta=None,
+    *, store: Store, prefix: str, apply_id: str, base: Accepted
+) -> Result[Head | None, ApplyError]:
+    """Return what this very apply had accepted, also when others went on from it."""
+    if base.head is None or base.head.apply_id == apply_id:
+        return Success(base.head)
+    found = await find_audit(store=store, prefix=prefix, newest=base.revision, apply_id=apply_id)
+    if isinstance(found, Failure):
+        return Failure(apply_error(error=found.failure()))
+    record = found.unwrap()
+    if record is None:
+        return Success(None)
+    return Success(
+        msgspec.structs.replace(
+            base.head,
+            revision=record.revision,
+            digest="",
+            chunks=[],
+            author=record.author,
+            apply_id=apply_id,
+            applied_wall_ms=record.applied_wall_ms,
+            delta=None,
+        )
     )
 
 
--- a/testing/_declared.py
+++ b/testing/_declared.py
@@ -59,6 +59,7 @@
     author: str = "ana",
     apply_id: str = "",
     expected: int | None = None,
+    repeated: bool = False,
 ) -> Result[Head, ApplyError]:
     """Publish a set with a fixed prefix; each call is an apply of its own unless it has an id."""
     return await publish(
@@ -69,6 +70,7 @@
         apply_id=apply_id or new_id(prefix="apply"),
         clock=Clock(),
         expected=Revision(expected) if expected is not None else None,
+        repeated=repeated,
     )
 
 
--- a/testing/test_declarations_publish.py
+++ b/testing/test_declarations_publish.py
@@ -97,13 +97,33 @@
         self.store.commit = counted  # type: ignore[method-assign,assignment]
 
 
-async def test_apply_settles_itself_when_run_again_after_others_went_on() -> None:
+@pytest.mark.parametrize("others", [0, 1, 3])
+async def test_repeated_apply_settles_itself_when_others_went_on(others: int) -> None:
     store = FakeStore()
     await apply(store=store, declarations=declare(), apply_id="first")
-    await apply(store=store, declarations=declare(engines=2), apply_id="second", expected=1)
-    again = await apply(store=store, declarations=declare(), apply_id="first", expected=0)
+    for number in range(others):
+        await apply(store=store, declarations=declare(engines=2 + number))
+    again = await apply(store=store, declarations=declare(), apply_id="first", repeated=True)
     assert again.unwrap().revision == 1
-    assert (await _accepted_set(store))[0] == 2
+    assert (await _accepted_set(store))[0] == 1 + others
+
+
+async def test_repeated_apply_is_accepted_now_when_the_first_was_not() -> None:
+    store = FakeStore()
+    await apply(store=store, declarations=declare(engines=2))
+    again = await apply(store=store, declarations=declare(), apply_id="first", repeated=True)
+    assert again.unwrap().revision == 2
+
+
+async def test_old_audit_records_are_deleted_when_there_are_many(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("tanagerscale.declarations._chunk_store.AUDIT_KEPT", 2)
+    store = FakeStore()
+    for engines in (1, 2, 3, 4):
+        await apply(store=store, declarations=declare(engines=engines))
+    records = await read_audit(store=store, prefix=PREFIX, newest=Revision(4), last=9)
+    assert [record.revision for record in records.unwrap()] == [4, 3]
 
 
 async def test_outcome_is_uncertain_when_the_store_stays_away_after_the_write() -> None:
@@ -122,7 +142,9 @@
     assert error.kind is ApplyErrorKind.UNCERTAIN
     assert "--apply-id same" in error.detail
     healthy = FakeStore(backend=store.backend)
-    assert (await apply(store=healthy, declarations=declare(), apply_id="same")).unwrap()
+    assert (
+        await apply(store=healthy, declarations=declare(), apply_id="same", repeated=True)
+    ).unwrap()
     assert (await _accepted_set(healthy))[0] == 1
 
 
