--- a/testing/routing_fakes.py
+++ b/testing/routing_fakes.py
@@ -30,9 +30,12 @@
 from tanagerscale.policy import EngineLoad
 from tanagerscale.policy import EngineSpec
 from tanagerscale.policy import PlacementRequest
+from tanagerscale.routing import Placement
 from tanagerscale.routing import PoolRouter
 
 MODEL = ModelId("plan")
+PLACE_LIMIT_S = 600
+"""Virtual seconds after which a test gives up."""
 
 
 def make_engines(*, number: int, max_batch: int = 4) -> list[Engine]:
@@ -119,6 +122,9 @@
     def decide(self, *, now: Millis) -> Sequence[Decision]:
         """Admit what fits."""
         decisions, self.forced = self.forced, []
+        for decision in decisions:
+            self.queue.pop(decision.generation, None)
+            self.running.pop(decision.generation, None)
         for generation, request in list(self.queue.items()):
             engine = self._free_engine(request)
             if engine is None:
@@ -205,7 +211,8 @@
 
     def carry(self, *, source: HostId, target: HostId, message: Message) -> bool:
         """Deliver a message later, or not at all."""
-        if target not in self.networks or frozenset((source, target)) in self.cut:
+        absent = source not in self.networks or target not in self.networks
+        if absent or frozenset((source, target)) in self.cut:
             return False
         self.carried.append(message)
         if self.rng.random() < self.drop:
@@ -260,3 +267,67 @@
     router.set_engines(engines)
     router.start()
     return FakeHost(router=router, gate=gate, schedulers=schedulers)
+
+
+class Cluster:
+    """Hosts in one process that see one another.
+
+    :param hosts: Their names.
+    :param engines: Declared engines, all of one pool.
+    """
+
+    def __init__(self, *, hosts: Sequence[str], engines: Sequence[Engine]) -> None:
+        self.names = list(hosts)
+        self.switch = Switch()
+        self.placed: dict[str, UpstreamId] = {}
+        self._hosts = {
+            name: make_host(name, switch=self.switch, engines=engines, known=len(hosts))
+            for name in hosts
+        }
+        self.switch.show_all(hosts)
+
+    def host(self, name: str) -> FakeHost:
+        """Return a host by name."""
+        return self._hosts[name]
+
+    def owner(self) -> str:
+        """Return the host that owns the only cell."""
+        return next(name for name in self.names if self.host(name).router.owned)
+
+    def entry_and_owner(self) -> tuple[str, str]:
+        """Return a host that is not the owner, and the owner."""
+        owner = self.owner()
+        return next(name for name in self.names if name != owner), owner
+
+    def ledger(self, name: str) -> SlotScheduler:
+        """Return what a host's latest scheduler holds."""
+        return self.host(name).schedulers[-1]
+
+    async def place(self, host: str, generation: str) -> Placement:
+        """Place a generation and note where."""
+        async with asyncio.timeout(PLACE_LIMIT_S):
+            placed = await self.host(host).router.place(request=make_request(generation))
+        placement = placed.unwrap()
+        self.placed[generation] = placement.engine
+        return placement
+
+    def release(self, host: str, generation: str, *, complete: bool = True) -> None:
+        """Give a placement up."""
+        self.placed.pop(generation, None)
+        self.host(host).router.release(
+            generation=GenerationId(generation), tokens=9, complete=complete, engine_lost=False
+        )
+
+    def truth(self) -> dict[str, UpstreamId]:
+        """Return which generation uses which engine."""
+        return dict(self.placed)
+
+    def reservations(self) -> int:
+        """Return what the deciders of all live hosts hold."""
+        return sum(self.host(name).router.reservations for name in self.names)
+
+    def lose(self, name: str) -> None:
+        """Let a host die; the others notice at once."""
+        self.names.remove(name)
+        del self.switch.networks[HostId(name)]
+        self.switch.show_all(self.names)
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -2,22 +2,264 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from returns.pipeline import is_successful
 
+from tanagerscale.core import Execution
 from tanagerscale.core import GenerationId
-from testing.routing_fakes import Switch
+from tanagerscale.core import HostId
+from tanagerscale.core import ProblemKind
+from tanagerscale.core import UpstreamId
+from tanagerscale.generated.messages import Finished
+from tanagerscale.generated.messages import Grant
+from tanagerscale.generated.messages import GrantKind
+from tanagerscale.policy import Decision
+from tanagerscale.policy import DecisionKind
+from tanagerscale.routing import make_cells
+from tanagerscale.routing import owner_of
+from testing.routing_fakes import Cluster
 from testing.routing_fakes import make_engines
-from testing.routing_fakes import make_host
 from testing.routing_fakes import make_request
 
 pytestmark = pytest.mark.looptime
 
+LEASE_AND_MORE_S = 15
+
+
+async def test_place_waits_when_engines_are_full_and_withdraws_when_cancelled() -> None:
+    cluster = Cluster(hosts=["a"], engines=make_engines(number=1, max_batch=1))
+    await cluster.place("a", "g1")
+    waiting = asyncio.create_task(cluster.place("a", "g2"))
+    await asyncio.sleep(3)
+    assert not waiting.done()
+    waiting.cancel()
+    await asyncio.sleep(0)
+    cluster.release("a", "g1")
+    await asyncio.sleep(1)
+    assert cluster.reservations() == 0
+    assert cluster.truth() == {}
+
+
+async def test_place_reports_not_executed_when_shed() -> None:
+    cluster = Cluster(hosts=["a"], engines=make_engines(number=1, max_batch=1))
+    await cluster.place("a", "g1")
+    waiting = asyncio.create_task(cluster.host("a").router.place(request=make_request("g2")))
+    await asyncio.sleep(1)
+    shed = Decision(kind=DecisionKind.SHED, generation=GenerationId("g2"), retry_after_ms=1700)
+    cluster.host("a").schedulers[0].forced.append(shed)
+    problem = (await waiting).failure()
+    assert problem.kind is ProblemKind.OVERLOADED
+    assert problem.execution is Execution.NOT_EXECUTED
+    assert problem.retry_after_ms == 1700
+
+
+async def test_place_reports_no_upstream_when_all_engines_are_closed() -> None:
+    cluster = Cluster(hosts=["a"], engines=make_engines(number=1))
+    cluster.host("a").gate.note_leaving(upstream=UpstreamId("engine-0"))
+    problem = (await cluster.host("a").router.place(request=make_request("g1"))).failure()
+    assert problem.kind is ProblemKind.NO_UPSTREAM
+    assert problem.execution is Execution.NOT_EXECUTED
+
+
+async def test_move_is_requested_when_owner_decides_it() -> None:
+    cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=1))
+    entry, owner = cluster.entry_and_owner()
+    placement = await cluster.place(entry, "g1")
+    move = Decision(kind=DecisionKind.MOVE, generation=GenerationId("g1"), engine=placement.engine)
+    cluster.ledger(owner).forced.append(move)
+    await asyncio.sleep(0.3)
+    assert placement.move_requested.is_set()
+    cluster.release(entry, "g1", complete=False)
+    await cluster.place(entry, "g1")
+    await asyncio.sleep(1)
+    assert cluster.truth() == {"g1": "engine-0"}
+
+
+async def test_move_that_the_entry_host_ignores_leaves_the_ledger_true() -> None:
+    cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=1))
+    entry, owner = cluster.entry_and_owner()
+    placement = await cluster.place(entry, "g1")
+    cluster.ledger(owner).forced.append(
+        Decision(kind=DecisionKind.MOVE, generation=GenerationId("g1"), engine=placement.engine)
+    )
+    await asyncio.sleep(5)
+    assert cluster.truth() == {"g1": "engine-0"}
+
+
+async def test_engines_are_never_over_committed_when_hosts_press_together() -> None:
+    cluster = Cluster(hosts=["a", "b", "c"], engines=make_engines(number=2, max_batch=2))
+    tasks = [
+        asyncio.create_task(cluster.place(host, f"{host}{index}"))
+        for host in cluster.names
+        for index in range(5)
+    ]
+    await asyncio.sleep(2)
+    loads = list(cluster.truth().values())
+    assert sorted(loads) == ["engine-0"] * 2 + ["engine-1"] * 2
+    for task in tasks:
+        task.cancel()
+
+
+async def test_host_falls_back_to_its_share_when_owner_is_frozen() -> None:
+    cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=1, max_batch=4))
+    entry, owner = cluster.entry_and_owner()
+    cluster.switch.frozen.add(HostId(owner))
+    tasks = [asyncio.create_task(cluster.place(entry, f"g{index}")) for index in range(4)]
+    await asyncio.sleep(0.5)
+    # One of two hosts may fill half of four places.
+    assert sum(task.done() for task in tasks) == 2
+    cluster.switch.thaw(owner)
+    await asyncio.sleep(4)
+    assert all(task.done() for task in tasks)
+    assert len(cluster.truth()) == 4
+    assert set(cluster.ledger(owner).running) == {f"g{index}" for index in range(4)}
+    for index in range(4):
+        cluster.release(entry, f"g{index}")
+    await asyncio.sleep(LEASE_AND_MORE_S)
+    assert cluster.reservations() == 0
+    assert cluster.truth() == {}
+
+
+async def test_new_owner_learns_what_runs_and_what_waits_when_owner_is_lost() -> None:
+    cluster = Cluster(hosts=["a", "b", "c"], engines=make_engines(number=1, max_batch=2))
+    entry, owner = cluster.entry_and_owner()
+    await cluster.place(entry, "g1")
+    await cluster.place(entry, "g2")
+    waiting = asyncio.create_task(cluster.place(entry, "g3"))
+    await asyncio.sleep(0.5)
+    cluster.lose(owner)
+    await asyncio.sleep(0.5)
+    heir = cluster.owner()
+    assert heir != owner
+    assert set(cluster.ledger(heir).running) == {"g1", "g2"}
+    assert not waiting.done()
+    cluster.release(entry, "g1")
+    await asyncio.sleep(0.5)
+    assert waiting.done()
+    cluster.release(entry, "g2")
+    cluster.release(entry, "g3")
+    await asyncio.sleep(LEASE_AND_MORE_S)
+    assert cluster.reservations() == 0
+
+
+async def test_reservations_return_to_zero_when_two_hosts_take_themselves_for_the_owner() -> None:
+    cluster = Cluster(hosts=["a", "b", "c"], engines=make_engines(number=1, max_batch=3))
+    entry, owner = cluster.entry_and_owner()
+    other = next(name for name in cluster.names if name not in (entry, owner))
+    await cluster.place(entry, "g1")
+    cluster.switch.show(viewer=other, hosts=[other])
+    await cluster.place(other, "g2")
+    await cluster.place(entry, "g3")
+    assert {cluster.truth()[name] for name in ("g1", "g2", "g3")} == {"engine-0"}
+    cluster.switch.show_all(cluster.names)
+    await asyncio.sleep(4)
+    assert set(cluster.ledger(owner).running) == {"g1", "g2", "g3"}
+    cluster.release(entry, "g1")
+    cluster.release(other, "g2")
+    cluster.release(entry, "g3")
+    await asyncio.sleep(LEASE_AND_MORE_S)
+    assert cluster.reservations() == 0
+
+
+async def test_reservations_expire_when_their_entry_host_dies() -> None:
+    cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=1, max_batch=1))
+    entry, owner = cluster.entry_and_owner()
+    await cluster.place(entry, "g1")
+    cluster.lose(entry)
+    await asyncio.sleep(LEASE_AND_MORE_S)
+    assert cluster.reservations() == 0
+    await cluster.place(owner, "g2")
+
+
+async def test_grant_for_a_placement_nobody_wants_is_given_back() -> None:
+    cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=1))
+    entry, owner = cluster.entry_and_owner()
+    cell = cluster.host(owner).router.owned[0]
+    grant = Grant(
+        cell=cell, serial=99, generation="gone", kind=GrantKind.ADMIT, upstream="engine-0"
+    )
+    cluster.switch.carry(source=HostId(owner), target=HostId(entry), message=grant)
+    await asyncio.sleep(0.1)
+    answers = [each for each in cluster.switch.carried if isinstance(each, Finished)]
+    assert [answer.serial for answer in answers] == [99]
+
+
+async def test_no_work_goes_to_an_engine_that_the_entry_host_knows_to_leave() -> None:
+    cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=2))
+    entry, _ = cluster.entry_and_owner()
+    cluster.host(entry).gate.note_leaving(upstream=UpstreamId("engine-0"))
+    for index in range(4):
+        placement = await cluster.place(entry, f"g{index}")
+        assert placement.engine == "engine-1"
+    await asyncio.sleep(1)
+    assert set(cluster.truth().values()) == {"engine-1"}
+
+
+async def test_cut_off_host_fills_only_its_part_when_it_reaches_less_than_half() -> None:
+    cluster = Cluster(hosts=["a", "b", "c", "d"], engines=make_engines(number=1, max_batch=8))
+    cluster.switch.show(viewer="a", hosts=["a"])
+    tasks = [asyncio.create_task(cluster.place("a", f"g{index}")) for index in range(8)]
+    await asyncio.sleep(1)
+    assert sum(task.done() for task in tasks) == 2
+    for task in tasks:
+        task.cancel()
+
+
+async def test_leaving_host_owns_nothing_while_others_stay() -> None:
+    cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=1))
+    _, owner = cluster.entry_and_owner()
+    cluster.host(owner).router.set_leaving(leaving=True)
+    cluster.switch.show_all(cluster.names, leaving=[owner])
+    assert cluster.host(owner).router.owned == ()
+    assert cluster.owner() != owner
+
+
+def test_cells_keep_their_engines_when_one_is_added() -> None:
+    before = _cells_by_engine(number=100)
+    after = _cells_by_engine(number=101)
+    moved = [engine for engine, cell in before.items() if after[engine] != cell]
+    assert len(set(before.values())) == 4
+    assert not moved
+
+
+def test_only_cells_of_the_lost_host_change_owner_when_it_is_lost() -> None:
+    cells = make_cells(engines=make_engines(number=640))
+    hosts = [HostId(f"h{index}") for index in range(9)]
+    before = {cell.cell: owner_of(cell=cell.cell, hosts=hosts) for cell in cells}
+    after = {cell.cell: owner_of(cell=cell.cell, hosts=hosts[1:]) for cell in cells}
+    changed = {cell for cell in before if before[cell] != after[cell]}
+    assert changed == {cell for cell in before if before[cell] == hosts[0]}
+    assert len(set(before.values())) > 4
+
+
+async def test_placements_are_given_out_when_messages_are_lost_doubled_and_reordered() -> None:
+    cluster = Cluster(hosts=["a", "b", "c"], engines=make_engines(number=2, max_batch=3))
+    cluster.switch.drop, cluster.switch.double, cluster.switch.jitter_ms = 0.3, 0.3, 200
+    done = await asyncio.gather(
+        *(_run_generation(cluster, host, f"{host}{index}") for host in "abc" for index in range(12))
+    )
+    assert all(done)
+    cluster.switch.drop = 0.0
+    await asyncio.sleep(LEASE_AND_MORE_S)
+    assert cluster.reservations() == 0
+    assert cluster.truth() == {}
+
+
+async def _run_generation(cluster: Cluster, host: str, generation: str) -> bool:
+    placed = await cluster.host(host).router.place(request=make_request(generation))
+    if not is_successful(placed):
+        return False
+    for tokens in range(0, 50, 10):
+        await asyncio.sleep(0.5)
+        cluster.host(host).router.report_progress(
+            generation=GenerationId(generation), tokens=tokens
+        )
+    cluster.release(host, generation)
+    return True
+
 
-async def test_place_succeeds_when_host_is_alone() -> None:
-    switch = Switch()
-    host = make_host("a", switch=switch, engines=make_engines(number=2))
-    placed = await host.router.place(request=make_request("g1"))
-    assert is_successful(placed)
-    host.router.release(generation=GenerationId("g1"), tokens=5, complete=True, engine_lost=False)
-    assert host.router.reservations == 0
+def _cells_by_engine(*, number: int) -> dict[str, str]:
+    cells = make_cells(engines=make_engines(number=number))
+    return {spec.engine: cell.cell for cell in cells for spec in cell.specs}
--- /dev/null
+++ b/testing/test_routing_machine.py
@@ -0,0 +1,217 @@
+"""The owners' ledgers against what really runs, under any order of faults."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from hypothesis import Phase
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+import looptime
+from returns.pipeline import is_successful
+
+from tanagerscale.core import GenerationId
+from tanagerscale.core import HostId
+from tanagerscale.core import UpstreamId
+from testing.routing_fakes import Cluster
+from testing.routing_fakes import make_engines
+from testing.routing_fakes import make_request
+
+HOSTS = ("a", "b", "c")
+SETTLED_S = 15
+"""Longer than a reservation's lease and than any repeat."""
+
+TURN_S = 5
+"""Longer than any repeat: in this time someone who waits gets a place that is free."""
+
+hosts = st.sampled_from(HOSTS)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Places and releases generations while messages and hosts fail.
+
+    The model is ``placed`` and ``waiting``: what callers at each host hold and wait for.
+    """
+
+    @initialize()
+    def start(self) -> None:
+        """Start three hosts before two engines of three places each."""
+        self.loop = looptime.new_event_loop()
+        self.loop.run_until_complete(self._start())
+        self.waiting: dict[str, tuple[str, asyncio.Task[Any]]] = {}
+        self.placed: dict[str, tuple[str, UpstreamId]] = {}
+        self.count = 0
+
+    async def _start(self) -> None:
+        self.cluster = Cluster(hosts=HOSTS, engines=make_engines(number=2, max_batch=3))
+
+    @rule(host=hosts)
+    def place(self, host: str) -> None:
+        """Let a caller ask."""
+        self.count += 1
+        name = f"g{self.count}"
+        self.waiting[name] = (host, self._run_soon(host, name))
+        self._advance(0.01)
+
+    @precondition(lambda self: self.waiting)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        """Let a caller that waits leave."""
+        name = data.draw(st.sampled_from(sorted(self.waiting)))
+        _, task = self.waiting.pop(name)
+        task.cancel()
+        self._advance(0.001)
+
+    @precondition(lambda self: self.placed)
+    @rule(data=st.data(), lost=st.booleans())
+    def release(self, data: st.DataObject, lost: bool) -> None:
+        """Let a generation end."""
+        name = data.draw(st.sampled_from(sorted(self.placed)))
+        host, _ = self.placed.pop(name)
+        self._run(self._release(host=host, name=name, lost=lost))
+        self._advance(0.001)
+
+    @precondition(lambda self: self.placed)
+    @rule(data=st.data(), host=hosts)
+    def resume_elsewhere(self, data: st.DataObject, host: str) -> None:
+        """Let the caller of a running generation go on at another host."""
+        name = data.draw(st.sampled_from(sorted(self.placed)))
+        former, engine = self.placed[name]
+        if former == host:
+            return
+        self._run(self._release(host=former, name=name, lost=False))
+        self._run(self._adopt(host=host, name=name, engine=engine))
+        self.placed[name] = (host, engine)
+
+    async def _release(self, *, host: str, name: str, lost: bool) -> None:
+        self.cluster.host(host).router.release(
+            generation=GenerationId(name), tokens=5, complete=not lost, engine_lost=lost
+        )
+
+    async def _adopt(self, *, host: str, name: str, engine: UpstreamId) -> None:
+        request = make_request(name)
+        self.cluster.host(host).router.adopt(request=request, engine=engine, tokens=5)
+
+    @rule(drop=st.sampled_from((0.0, 0.5, 1.0)), double=st.sampled_from((0.0, 0.5)))
+    def disturb(self, drop: float, double: float) -> None:
+        """Lose and double messages from now on."""
+        self.cluster.switch.drop, self.cluster.switch.double = drop, double
+
+    @rule(jitter_ms=st.sampled_from((0, 50, 3000)))
+    def reorder(self, jitter_ms: int) -> None:
+        """Let messages overtake one another from now on."""
+        self.cluster.switch.jitter_ms = jitter_ms
+
+    @rule(host=hosts)
+    def freeze(self, host: str) -> None:
+        """Stop a host's messages; its peers still take it as live."""
+        self.cluster.switch.frozen.add(HostId(host))
+
+    @rule(host=hosts)
+    def thaw(self, host: str) -> None:
+        """Let all that waited at a frozen host arrive at once."""
+        self._run(self._thaw(host))
+
+    async def _thaw(self, host: str) -> None:
+        self.cluster.switch.thaw(host)
+
+    @rule(viewer=hosts, seen=st.sets(hosts))
+    def change_view(self, viewer: str, seen: set[str]) -> None:
+        """Let a host see some of the others, so that owners are lost or doubled."""
+        self._run(self._show(viewer, sorted({viewer, *seen})))
+
+    async def _show(self, viewer: str, seen: list[str]) -> None:
+        self.cluster.switch.show(viewer=viewer, hosts=seen)
+
+    @rule(duration_s=st.sampled_from((0.05, 0.3, 1.2, 4.0, 12.0)))
+    def wait(self, duration_s: float) -> None:
+        """Let time pass."""
+        self._advance(duration_s)
+
+    @rule()
+    def heal(self) -> None:
+        """End all faults; then every ledger agrees with what really runs."""
+        self._heal()
+        self._advance(SETTLED_S)
+        owner = self.cluster.owner()
+        ledger = self.cluster.ledger(owner).running if self.placed else {}
+        assert ledger == {name: engine for name, (_, engine) in self.placed.items()}
+
+    @invariant()
+    def nothing_is_refused(self) -> None:
+        """No request is answered otherwise than by a place, and no place is lost."""
+        for name, (host, task) in list(self.waiting.items()):
+            if task.done():
+                del self.waiting[name]
+                self.placed[name] = (host, task.result())
+        for name in HOSTS:
+            expected = [each for each in self.placed.values() if each[0] == name]
+            waiting = [each for each in self.waiting.values() if each[0] == name]
+            assert self.cluster.host(name).router.held == len(expected) + len(waiting)
+
+    def teardown(self) -> None:
+        """Heal and release all: everyone gets a place in turn, and nothing stays reserved."""
+        if not hasattr(self, "loop"):
+            return
+        self._heal()
+        while self.waiting or self.placed:
+            self._advance(TURN_S)
+            self.nothing_is_refused()
+            assert self.placed
+            for name, (host, _) in list(self.placed.items()):
+                self._run(self._release(host=host, name=name, lost=False))
+            self.placed.clear()
+        self._advance(SETTLED_S)
+        assert self.cluster.reservations() == 0
+        assert all(
+            not scheduler.running
+            for name in HOSTS
+            for scheduler in self.cluster.host(name).schedulers
+        )
+        self._run(self._stop())
+        self.loop.close()
+
+    async def _stop(self) -> None:
+        for name in HOSTS:
+            await self.cluster.host(name).router.stop()
+
+    def _heal(self) -> None:
+        switch = self.cluster.switch
+        switch.drop, switch.double, switch.jitter_ms = 0.0, 0.0, 0
+        for host in HOSTS:
+            self._run(self._thaw(host))
+            self._run(self._show(host, list(HOSTS)))
+
+    def _run_soon(self, host: str, name: str) -> asyncio.Task[Any]:
+        async def place() -> UpstreamId:
+            placed = await self.cluster.host(host).router.place(request=make_request(name))
+            assert is_successful(placed)
+            return placed.unwrap().engine
+
+        async def start() -> asyncio.Task[UpstreamId]:
+            return asyncio.create_task(place())
+
+        task: asyncio.Task[Any] = self._run(start())
+        return task
+
+    def _advance(self, duration_s: float) -> None:
+        self._run(asyncio.sleep(duration_s))
+
+    def _run(self, work: Any) -> Any:
+        return self.loop.run_until_complete(work)
+
+
+LedgerMachine.TestCase.settings = settings(
+    max_examples=25,
+    stateful_step_count=25,
+    derandomize=True,
+    deadline=None,
+    phases=(Phase.generate, Phase.shrink),
+)
+TestLedger = LedgerMachine.TestCase
