--- a/testing/test_mesh.py
+++ b/testing/test_mesh.py
@@ -1,48 +1,295 @@
-"""Connections between hosts over real loopback WebSockets."""
+"""Connections between hosts over real loopback WebSockets: who is let in, and what with."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+from ipaddress import ip_address
+from pathlib import Path
 from random import Random
+import ssl
+from typing import TypeAlias
+
+import cbor2
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import msgspec
+import pytest
+import pytest_asyncio
+from returns.result import Failure
+from websockets.asyncio.client import ClientConnection
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+from websockets.exceptions import WebSocketException
 
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
+from tanagerscale.generated.messages import Ask
 from tanagerscale.generated.messages import HeadAnnouncement
+from tanagerscale.generated.messages import Hello
+from tanagerscale.generated.messages import Progress
+from tanagerscale.generated.settings import TlsSection
+from tanagerscale.membership import CloseReason
 from tanagerscale.membership import Mesh
+from tanagerscale.membership import Message
 from tanagerscale.membership import PeerAddress
 from tanagerscale.membership import Received
+from tanagerscale.membership import decode_frame
+from tanagerscale.membership import encode_frame
+from tanagerscale.membership import peer_ssl_contexts
+from tanagerscale.membership._wire import MAX_FRAME_BYTES
 
+HANG_GUARD_S = 30
 
-async def test_peer_receives_message_when_connected() -> None:
-    a = Mesh(
-        host=HostId("a"),
-        failure_domain=FailureDomainId("z1"),
-        incarnation=1,
-        listen="127.0.0.1:0",
-        clock=Clock(),
-        rng=Random(1),
-    )
-    b = Mesh(
-        host=HostId("b"),
-        failure_domain=FailureDomainId("z2"),
-        incarnation=1,
-        listen="127.0.0.1:0",
-        clock=Clock(),
-        rng=Random(2),
-    )
-    aa, ba = await a.start(), await b.start()
-    got: list[Received] = []
-    b.messages.subscribe(got.append)
-    a.set_peers([PeerAddress(address=ba, host=HostId("b")), PeerAddress(address=aa)])
-    b.set_peers([PeerAddress(address=aa)])
-    async with asyncio.timeout(20):
-        while not (a.live.value and b.live.value):
-            await asyncio.sleep(0.01)
-        assert a.send(host=HostId("b"), message=HeadAnnouncement(revision=3, digest="x"))
-        while not any(isinstance(each.message, HeadAnnouncement) for each in got):
+Contexts: TypeAlias = tuple[ssl.SSLContext, ssl.SSLContext] | None
+MakeMesh: TypeAlias = Callable[[str, Contexts], Awaitable[tuple[Mesh, str]]]
+
+
+@pytest_asyncio.fixture
+async def make_mesh() -> AsyncIterator[MakeMesh]:
+    """Start meshes that are stopped with the test."""
+    started = []
+
+    async def make(name: str, contexts: Contexts = None) -> tuple[Mesh, str]:
+        server_ssl, client_ssl = contexts or (None, None)
+        mesh = Mesh(
+            host=HostId(name),
+            failure_domain=FailureDomainId("z1"),
+            incarnation=1,
+            listen="127.0.0.1:0",
+            clock=Clock(),
+            rng=Random(name),
+            server_ssl=server_ssl,
+            client_ssl=client_ssl,
+        )
+        started.append(mesh)
+        return mesh, await mesh.start()
+
+    yield make
+    for mesh in started:
+        await mesh.stop()
+
+
+async def _until(condition: Callable[[], object]) -> None:
+    async with asyncio.timeout(HANG_GUARD_S):
+        while not condition():
             await asyncio.sleep(0.01)
-    await asyncio.sleep(1.2)
-    print(a.live.value, b.live.value, a.counters)
-    await a.stop()
-    await b.stop()
+
+
+async def _introduce(address: str, *, hello: Hello | None = None) -> ClientConnection:
+    connection = await connect(f"ws://{address}", proxy=None)
+    await connection.send(encode_frame(hello or Hello(version=1, host="raw", incarnation=1)))
+    answer = decode_frame(bytes(await connection.recv(decode=False))).unwrap()
+    assert isinstance(answer, Hello)
+    return connection
+
+
+async def _close_code(connection: ClientConnection) -> int:
+    async with asyncio.timeout(HANG_GUARD_S):
+        with pytest.raises(ConnectionClosed) as raised:
+            while True:
+                await connection.recv()
+    frame = raised.value.rcvd
+    assert frame is not None
+    assert frame.reason.endswith(".")
+    return frame.code
+
+
+async def test_peer_receives_messages_in_order_when_connected(make_mesh: MakeMesh) -> None:
+    a, a_address = await make_mesh("a", None)
+    b, b_address = await make_mesh("b", None)
+    received: list[Received] = []
+    b.messages.subscribe(received.append)
+    a.set_peers([PeerAddress(address=b_address), PeerAddress(address=a_address)])
+    await _until(lambda: a.live.value and b.live.value)
+    for revision in range(50):
+        message = HeadAnnouncement(revision=revision, digest="x")
+        assert a.send(host=HostId("b"), message=message)
+    announced: list[int] = []
+
+    def collect() -> bool:
+        announced[:] = [
+            each.message.revision for each in received if isinstance(each.message, HeadAnnouncement)
+        ]
+        return len(announced) == 50
+
+    await _until(collect)
+    assert announced == list(range(50))
+    assert not a.send(host=HostId("nobody"), message=HeadAnnouncement(revision=1, digest="x"))
+
+
+async def test_peer_of_another_version_is_answered_and_others_stay(make_mesh: MakeMesh) -> None:
+    a, address = await make_mesh("a", None)
+    friend = await _introduce(address)
+    hello = Hello(version=99, oldest_version=98, host="future", incarnation=1)
+    stranger = await _introduce(address, hello=hello)
+    assert await _close_code(stranger) == CloseReason.VERSION
+    assert a.counters.refused_versions == 1
+    assert [peer.host for peer in a.live.value] == ["raw"]
+    await friend.close()
+
+
+async def test_newer_peer_that_still_speaks_our_version_is_let_in(make_mesh: MakeMesh) -> None:
+    a, address = await make_mesh("a", None)
+    newer = await _introduce(
+        address, hello=Hello(version=99, oldest_version=1, host="newer", incarnation=1)
+    )
+    await newer.send(cbor2.dumps(["MessageOfTheFuture", {"field": 1}]))
+    await _until(lambda: a.counters.unknown_tags == 1)
+    assert [peer.host for peer in a.live.value] == ["newer"]
+    await newer.close()
+
+
+@pytest.mark.parametrize(
+    ("frame", "reason"),
+    [
+        (b"\xff\xff", CloseReason.MALFORMED),
+        (cbor2.dumps(["Heartbeat", {"revision": "high"}]), CloseReason.MALFORMED),
+        (b"\x82\x69Heartbeat\x81" * 40, CloseReason.MALFORMED),
+        (b"\x9b\xff\xff\xff\xff\xff\xff\xff\xff", CloseReason.MALFORMED),
+        (b"x" * (MAX_FRAME_BYTES + 1), CloseReason.TOO_LARGE),
+    ],
+)
+async def test_connection_ends_with_a_reason_when_a_frame_is_bad(
+    make_mesh: MakeMesh, frame: bytes, reason: CloseReason
+) -> None:
+    a, address = await make_mesh("a", None)
+    friend = await _introduce(address)
+    hello = Hello(version=1, host="hostile", incarnation=1)
+    hostile = await _introduce(address, hello=hello)
+    await hostile.send(frame)
+    # A frame above the limit is cut off by the WebSocket library, in words of its own.
+    if reason is not CloseReason.TOO_LARGE:
+        assert await _close_code(hostile) == reason
+    await _until(lambda: [peer.host for peer in a.live.value] == ["raw"])
+    await friend.close()
+
+
+async def test_first_frame_must_be_an_introduction(make_mesh: MakeMesh) -> None:
+    a, address = await make_mesh("a", None)
+    connection = await connect(f"ws://{address}", proxy=None)
+    await connection.send(encode_frame(HeadAnnouncement(revision=9, digest="x")))
+    assert await _close_code(connection) == CloseReason.MALFORMED
+    assert a.live.value == ()
+
+
+ASK = Ask(cell="c", serial=1, generation="g", model="m", account="a", priority=0, prompt_tokens=5)
+
+
+@given(st.binary(max_size=200))
+@settings(derandomize=True, max_examples=300)
+def test_any_bytes_give_a_message_or_a_typed_error(data: bytes) -> None:
+    result = decode_frame(data)
+    if isinstance(result, Failure):
+        assert result.failure().detail.endswith(".")
+
+
+@given(st.data())
+@settings(derandomize=True, max_examples=300)
+def test_damaged_frames_give_a_message_or_a_typed_error(data: st.DataObject) -> None:
+    message = data.draw(st.sampled_from([ASK, Progress(cell="c", serials=[1, 2], tokens=[3, 4])]))
+    frame = bytearray(encode_frame(message))
+    for _ in range(data.draw(st.integers(1, 3))):
+        place = data.draw(st.integers(0, len(frame) - 1))
+        frame[place] = data.draw(st.integers(0, 255))
+    result = decode_frame(bytes(frame))
+    if not isinstance(result, Failure):
+        assert msgspec.to_builtins(result.unwrap()) is not None
+
+
+async def test_nobody_is_let_in_without_a_certificate_of_the_installation(
+    make_mesh: MakeMesh, tmp_path: Path
+) -> None:
+    ours = Authority(directory=tmp_path, name="ours")
+    foreign = Authority(directory=tmp_path, name="foreign")
+    a, address = await make_mesh("a", peer_ssl_contexts(tls=ours.issue("a")))
+    b, _ = await make_mesh("b", peer_ssl_contexts(tls=ours.issue("b")))
+    mallory, _ = await make_mesh("mallory", peer_ssl_contexts(tls=foreign.issue("mallory")))
+    without = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    without.check_hostname = False
+    without.verify_mode = ssl.CERT_NONE
+    for client in (without, None):
+        with pytest.raises((WebSocketException, OSError, EOFError)):
+            await _call(address, client)
+    mallory.set_peers([PeerAddress(address=address)])
+    b.set_peers([PeerAddress(address=address)])
+    await _until(lambda: a.live.value and mallory.all_tried)
+    assert [peer.host for peer in a.live.value] == ["b"]
+    assert mallory.live.value == ()
+
+
+async def _call(address: str, client: ssl.SSLContext | None) -> None:
+    scheme = "ws" if client is None else "wss"
+    async with connect(f"{scheme}://{address}", ssl=client, proxy=None) as connection:
+        await connection.send(encode_frame(Hello(version=1, host="x", incarnation=1)))
+        await connection.recv()
+
+
+class Authority:
+    """Issues certificates for tests.
+
+    :param directory: Where files go.
+    :param name: Its name.
+    """
+
+    def __init__(self, *, directory: Path, name: str) -> None:
+        self._directory = directory
+        self._name = name
+        self._key = ec.generate_private_key(ec.SECP256R1())
+        self._path = directory / f"{name}-ca.pem"
+        certificate = self._certificate(subject=name, key=self._key, is_authority=True)
+        self._path.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+
+    def issue(self, host: str) -> TlsSection:
+        """Return the settings of a host that has a certificate."""
+        key = ec.generate_private_key(ec.SECP256R1())
+        certificate = self._certificate(subject=host, key=key, is_authority=False)
+        certificate_path = self._directory / f"{host}.pem"
+        key_path = self._directory / f"{host}.key"
+        certificate_path.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+        key_path.write_bytes(
+            key.private_bytes(
+                serialization.Encoding.PEM,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            )
+        )
+        return TlsSection(
+            peers_certificate=str(certificate_path),
+            peers_key=str(key_path),
+            peers_ca=str(self._path),
+        )
+
+    def _certificate(
+        self, *, subject: str, key: ec.EllipticCurvePrivateKey, is_authority: bool
+    ) -> x509.Certificate:
+        now = datetime.datetime.now(datetime.UTC)
+        day = datetime.timedelta(days=1)
+        builder = (
+            x509.CertificateBuilder()
+            .subject_name(_name(subject))
+            .issuer_name(_name(self._name))
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - day)
+            .not_valid_after(now + day)
+            .add_extension(x509.BasicConstraints(ca=is_authority, path_length=None), critical=True)
+            .add_extension(
+                x509.SubjectAlternativeName([x509.IPAddress(ip_address("127.0.0.1"))]),
+                critical=False,
+            )
+        )
+        return builder.sign(self._key, hashes.SHA256())
+
+
+def _name(common: str) -> x509.Name:
+    return x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, common)])
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -19,9 +19,9 @@
 from tanagerscale.policy import DecisionKind
 from tanagerscale.routing import make_cells
 from tanagerscale.routing import owner_of
-from testing.routing_fakes import Cluster
-from testing.routing_fakes import make_engines
-from testing.routing_fakes import make_request
+from testing._routing_fakes import Cluster
+from testing._routing_fakes import make_engines
+from testing._routing_fakes import make_request
 
 pytestmark = pytest.mark.looptime
 
--- a/testing/test_routing_machine.py
+++ b/testing/test_routing_machine.py
@@ -19,9 +19,9 @@
 from tanagerscale.core import GenerationId
 from tanagerscale.core import HostId
 from tanagerscale.core import UpstreamId
-from testing.routing_fakes import Cluster
-from testing.routing_fakes import make_engines
-from testing.routing_fakes import make_request
+from testing._routing_fakes import Cluster
+from testing._routing_fakes import make_engines
+from testing._routing_fakes import make_request
 
 HOSTS = ("a", "b", "c")
 SETTLED_S = 15
