--- a/testing/test_mesh.py
+++ b/testing/test_mesh.py
@@ -93,11 +93,15 @@
     return connection
 
 
+async def _receive_forever(connection: ClientConnection) -> None:
+    while True:
+        await connection.recv()
+
+
 async def _close_code(connection: ClientConnection) -> int:
     async with asyncio.timeout(HANG_GUARD_S):
         with pytest.raises(ConnectionClosed) as raised:
-            while True:
-                await connection.recv()
+            await _receive_forever(connection)
     frame = raised.value.rcvd
     assert frame is not None
     assert frame.reason.endswith(".")
@@ -196,7 +200,9 @@
 @given(st.data())
 @settings(derandomize=True, max_examples=300)
 def test_damaged_frames_give_a_message_or_a_typed_error(data: st.DataObject) -> None:
-    message = data.draw(st.sampled_from([ASK, Progress(cell="c", serials=[1, 2], tokens=[3, 4])]))
+    message: Message = data.draw(
+        st.sampled_from([ASK, Progress(cell="c", serials=[1, 2], tokens=[3, 4])])
+    )
     frame = bytearray(encode_frame(message))
     for _ in range(data.draw(st.integers(1, 3))):
         place = data.draw(st.integers(0, len(frame) - 1))
