--- a/src/tanagerscale/membership/_mesh.py
+++ b/src/tanagerscale/membership/_mesh.py
@@ -94,6 +94,8 @@
         self._targets: dict[str, PeerAddress] = {}
         self._dialers: dict[str, asyncio.Task[None]] = {}
         self._tried: set[str] = set()
+        self._host_at: dict[str, HostId] = {}
+        """Who answered at an address, which may not be whom the lagging list names."""
         self._serving: set[asyncio.Task[Any]] = set()
         self._beat: asyncio.Task[None] | None = None
         self._messages: Subject[Received] = Subject()
@@ -170,6 +172,7 @@
         for address in self._dialers.keys() - wanted.keys():
             self._dialers.pop(address).cancel()
             self._tried.discard(address)
+            self._host_at.pop(address, None)
         for address, peer in wanted.items():
             self._targets[address] = peer
             if address not in self._dialers:
@@ -243,11 +246,11 @@
         return await asyncio.shield(serving)
 
     def _session_at(self, *, address: str) -> PeerSession | None:
-        host = self._targets[address].host
-        if host is not None:
-            return self._sessions.get(host)
-        sessions = self._sessions.values()
-        return next((each for each in sessions if each.peer.address == address), None)
+        expected = self._host_at.get(address, self._targets[address].host)
+        for host, session in self._sessions.items():
+            if host == expected or session.peer.address == address:
+                return session
+        return None
 
     async def _serve(self, *, link: Link, dialed: bool, address: str = "") -> CloseReason:
         """Carry one connection from its introduction to its end."""
@@ -258,6 +261,8 @@
         finally:
             self._tried.add(address)
         host = HostId(theirs.host)
+        if dialed:
+            self._host_at[address] = host
         session = PeerSession(
             link=link,
             peer=PeerInfo(
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -186,6 +186,16 @@
     assert "a" not in _peers(old)
 
 
+async def test_connection_stays_when_the_list_forgets_a_host_or_names_another_there() -> None:
+    hosts, a, b, c = await _three()
+    links = hosts.network.links
+    a.mesh.set_peers([PeerAddress(address="b", host=HostId("former"))])
+    c.mesh.set_peers([])
+    await asyncio.sleep(10)
+    assert (_peers(a), _peers(b), _peers(c)) == (["b", "c"], ["a", "c"], ["a", "b"])
+    assert hosts.network.links == links
+
+
 async def test_usage_of_accounts_is_heard_when_a_peer_beats() -> None:
     _, a, _, _ = await _three()
     heard: list[UsageHeard] = []
--- a/testing/test_mesh.py
+++ b/testing/test_mesh.py
@@ -200,9 +200,8 @@
 @given(st.data())
 @settings(derandomize=True, max_examples=300)
 def test_damaged_frames_give_a_message_or_a_typed_error(data: st.DataObject) -> None:
-    message: Message = data.draw(
-        st.sampled_from([ASK, Progress(cell="c", serials=[1, 2], tokens=[3, 4])])
-    )
+    messages: list[Message] = [ASK, Progress(cell="c", serials=[1, 2], tokens=[3, 4])]
+    message = data.draw(st.sampled_from(messages))
     frame = bytearray(encode_frame(message))
     for _ in range(data.draw(st.integers(1, 3))):
         place = data.draw(st.integers(0, len(frame) - 1))
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -7,6 +7,7 @@
 import pytest
 from returns.pipeline import is_successful
 
+from tanagerscale.core import Clock
 from tanagerscale.core import Execution
 from tanagerscale.core import GenerationId
 from tanagerscale.core import HostId
@@ -15,11 +16,17 @@
 from tanagerscale.generated.messages import Finished
 from tanagerscale.generated.messages import Grant
 from tanagerscale.generated.messages import GrantKind
+from tanagerscale.generated.messages import Running
+from tanagerscale.generated.messages import RunningRequest
 from tanagerscale.policy import Decision
 from tanagerscale.policy import DecisionKind
+from tanagerscale.routing import CellId
 from tanagerscale.routing import make_cells
 from tanagerscale.routing import owner_of
+from tanagerscale.routing._convert import ask_of
+from tanagerscale.routing._owner import CellOwner
 from testing._routing_fakes import Cluster
+from testing._routing_fakes import SlotScheduler
 from testing._routing_fakes import make_engines
 from testing._routing_fakes import make_request
 
@@ -216,6 +223,45 @@
     assert cluster.owner() != owner
 
 
+async def test_owner_keeps_reservations_when_its_own_process_stood_still() -> None:
+    scheduler = SlotScheduler()
+    owner = CellOwner(
+        cell=CellId("c-0"), scheduler=scheduler, clock=Clock(), tell=lambda _host, _message: None
+    )
+    request, now = make_request("g1"), Clock().now()
+    ask = ask_of(request=request, cell=CellId("c-0"), serial=1, now=now)
+    running = Running(ask=ask, upstream="engine-0", tokens=5)
+    owner.on_running(host=HostId("b"), running=running)
+    await asyncio.sleep(60)
+    owner.tick()
+    assert owner.running == {"g1": "engine-0"}
+    for _ in range(LEASE_AND_MORE_S):
+        await asyncio.sleep(1)
+        owner.tick()
+    assert owner.running == {}
+
+
+async def test_later_ask_of_a_generation_replaces_the_earlier_one_and_not_the_reverse() -> None:
+    told: list[Grant | RunningRequest] = []
+    owner = CellOwner(
+        cell=CellId("c-0"),
+        scheduler=SlotScheduler(),
+        clock=Clock(),
+        tell=lambda _host, message: told.append(message),
+    )
+    first, second = (
+        ask_of(request=make_request("g1"), cell=CellId("c-0"), serial=serial, now=Clock().now())
+        for serial in (1, 2)
+    )
+    for ask in (second, first):
+        owner.on_ask(host=HostId("b"), ask=ask)
+        await asyncio.sleep(0.1)
+    finished = Finished(cell="c-0", serial=1, generation="g1", tokens=0, complete=False)
+    owner.on_finished(host=HostId("b"), finished=finished)
+    assert owner.reservations == 1
+    assert [each.serial for each in told if isinstance(each, Grant)] == [2]
+
+
 def test_cells_keep_their_engines_when_one_is_added() -> None:
     before = _cells_by_engine(number=100)
     after = _cells_by_engine(number=101)
--- a/testing/test_routing_machine.py
+++ b/testing/test_routing_machine.py
@@ -139,6 +139,7 @@
         """End all faults; then every ledger agrees with what really runs."""
         self._heal()
         self._advance(SETTLED_S)
+        self.nothing_is_refused()
         owner = self.cluster.owner()
         ledger = self.cluster.ledger(owner).running if self.placed else {}
         assert ledger == {name: engine for name, (_, engine) in self.placed.items()}
