--- a/tools/bench_relay.py
+++ b/tools/bench_relay.py
@@ -51,6 +51,7 @@
 from tanagerscale.policy import PlacementRequest
 from tanagerscale.routing import Placement
 from tanagerscale.upstreams import HttpEngineClient
+from tanagerscale.usage import UsageMeter
 
 LOOPBACK = "127.0.0.1"
 ENGINE = UpstreamId("engine-1")
@@ -156,6 +157,10 @@
         """Place at once."""
         return Success(Placement(generation=request.generation, engine=ENGINE))
 
+    def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
+        """Hold it where it runs."""
+        return Placement(generation=request.generation, engine=engine)
+
     def report_progress(self, *, generation: GenerationId, tokens: int) -> None:
         """Take no note."""
 
@@ -210,6 +215,7 @@
         crashes=NoCrashWatch(),
         retries=RetryBudget(),
         canceller=Canceller(client_of=lambda _engine: client, clock=clock),
+        meter=UsageMeter(clock=clock, objective=Objective),
         clock=clock,
     )
     return Completions(
