Let the soak run watch revisions, leaving engines and a request that crashes engines

A leaving engine is checked for new work. One caller sends a request that crashes engines again and again. Journals of an earlier run in the same directory are removed: a trial counted them and called bookings doubled that were not.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -73,8 +73,8 @@
         :param duration_ms: How long callers begin new requests, in milliseconds.
         """
         self._say(f"{HOSTS} hosts, {ENGINES} engines, a booking service and a store run")
-        applied = await self._cluster.apply(author="demo")
-        self._console.print(applied.output.rstrip(), applied.errors.rstrip(), highlight=False)
+        applied = await self._cluster.apply(author="demo", wait=True)
+        self._console.print(applied.output + applied.errors, markup=False, highlight=False)
         if applied.returncode:
             return False
         await self._balancer.wait_for(HOSTS)
--- a/standins/disturbances.py
+++ b/standins/disturbances.py
@@ -11,6 +11,7 @@
 import aiohttp
 from msgspec import Struct
 
+from standins._engine_types import ExecutionReports
 from standins._engine_types import OutOfMemory
 from standins._engine_types import StreamFault
 from standins._engine_types import StreamFaultMode
@@ -28,6 +29,8 @@
 FEWEST_SERVICES = 2
 PAUSE_MS = (200, 2_000)
 OUTAGE_MS = (500, 6_000)
+LEARN_MS = 3_500
+"""After this time, the list's lag included, a leaving engine gets no new work."""
 LEAVING_MS = (1_000, 4_000)
 STREAM_FAULTS = (
     StreamFaultMode.CUT,
@@ -85,12 +88,18 @@
             await self._clock.sleep(self._rng.randint(*PAUSE_MS))
             task = asyncio.ensure_future(self._rng.choice(kinds)())
             self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(self._end)
 
     async def mend(self) -> None:
         """Wait until all failures under way are mended."""
         while self._tasks:
-            await asyncio.gather(*self._tasks)
+            await asyncio.wait(self._tasks)
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self._note(f"THIS FAILURE FAILED: {error!r}")
 
     async def _kill_engine(self) -> None:
         name = self._take(self._cluster.engines, FEWEST_ENGINES)
@@ -166,12 +175,26 @@
         if name is not None:
             self._note(f"{name} leaves")
             await self._cluster.list_state(name, ListedState.LEAVING)
+            await self._clock.sleep(LEARN_MS)
+            before = await self._received(name)
             await self._clock.sleep(self._rng.randint(*LEAVING_MS))
+            after = await self._received(name)
+            if before is not None and after is not None and after != before:
+                self._note(f"NEW WORK for {name}, which is leaving: {sorted(after - before)}")
             # A reclaimed engine ends whether or not its answers have.
             await self._cluster.engines[name].kill()
             await self._cluster.start_engine(name)
             self._busy.discard(name)
 
+    async def _received(self, name: str) -> set[str] | None:
+        engine = self._cluster.engines[name]
+        try:
+            reports = await self._cluster.get(engine, "/admin/executions", ExecutionReports)
+        except aiohttp.ClientError:
+            # A request may have crashed it meanwhile.
+            return None
+        return {report.attempt_id for report in reports.executions}
+
     async def _fail_stream(self) -> None:
         name = self._take(self._cluster.engines, 0)
         if name is not None:
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from dataclasses import field
 from pathlib import Path
-import sys
 from typing import Self
 from typing import TypeVar
 from typing import final
@@ -20,12 +19,12 @@
 from standins.cluster_files import account_key_hash
 from standins.cluster_files import write_declarations
 from standins.cluster_files import write_settings
+from standins.command_line import CommandResult
+from standins.command_line import run_command
 from standins.journal import Execution
 from standins.journal import read_journal
-from standins.processes import ROOT
 from standins.processes import Launcher
 from standins.processes import ManagedProcess
-from standins.processes import environment
 from tanagerscale.generated.declarations import ClientAccount
 from tanagerscale.generated.declarations import DeclarationSet
 from tanagerscale.generated.declarations import Engine
@@ -47,7 +46,6 @@
 
 ANY_PORT = f"{LOOPBACK}:0"
 CURSOR_KEY = "cursor-key-of-the-test-cluster-0123456789"
-COMMAND_TIMEOUT_S = 120.0
 FAILURE_DOMAINS = ("domain-a", "domain-b", "domain-c")
 
 _Body = TypeVar("_Body")
@@ -86,15 +84,6 @@
     log_level: LogLevel = LogLevel.INFO
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CommandResult:
-    """How a run of the command line ended."""
-
-    returncode: int
-    output: str
-    errors: str
-
-
 @final
 class Cluster:
     """The processes of one cluster, all ended when the cluster is.
@@ -124,6 +113,9 @@
 
     async def __aenter__(self) -> Self:
         """Start the stand-ins, but no host, and write the declarations."""
+        # What an earlier run in the same directory executed is not to be counted.
+        for journal in self.directory.glob("*.journal"):
+            journal.unlink()
         await self._stack.enter_async_context(self._launcher)
         self._session = await self._stack.enter_async_context(aiohttp.ClientSession())
         try:
@@ -214,43 +206,32 @@
         await self._publish()
 
     async def apply(
-        self, *, declarations: DeclarationSet | None = None, author: str = "operator"
+        self,
+        *,
+        declarations: DeclarationSet | None = None,
+        author: str = "operator",
+        wait: bool = False,
     ) -> CommandResult:
         """Apply declarations by the command line.
 
         :param declarations: The set; the cluster's own when left out.
         :param author: Who applies it.
+        :param wait: Whether to wait until it is in force at all running hosts.
         """
         path = self.directory / f"declarations-{author}.ini"
         write_declarations(path=path, declarations=declarations or self.declarations)
-        return await self.command("apply", str(path), "--store", self.store.url, "--author", author)
+        options = ["--store", self.store.url, "--author", author]
+        if wait:
+            running = [host for host in self.hosts.values() if host.running]
+            options += ["--hosts", ",".join(host.address_of("callers") for host in running)]
+        return await self.command("apply", str(path), *options)
 
     async def command(self, *arguments: str) -> CommandResult:
         """Run the command-line tool.
 
         :param arguments: Its command line.
         """
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "tanagerscale.cli",
-            *arguments,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.PIPE,
-            env=environment(),
-            cwd=ROOT,
-        )
-        try:
-            output, errors = await asyncio.wait_for(process.communicate(), COMMAND_TIMEOUT_S)
-        finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-        return CommandResult(
-            returncode=process.returncode or 0,
-            output=output.decode(errors="replace"),
-            errors=errors.decode(errors="replace"),
-        )
+        return await run_command(*arguments)
 
     def journal_path(self, name: str) -> Path:
         """Return where an engine or service notes what it executes.
--- a/standins/workload.py
+++ b/standins/workload.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from standins.caller import GIVE_UP_MS
 from standins.caller import Caller
 from standins.caller_reports import AnswerReport
 from standins.caller_reports import Ask
@@ -72,6 +73,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.answers: list[AnswerReport] = []
         self.bookings: list[BookingReport] = []
+        self.poisoned: list[AnswerReport] = []
 
     def start_askers(self, kind: CallerKind, count: int) -> None:
         """Start callers that ask for answers.
@@ -100,6 +102,14 @@
         """
         self._spawn(self._ask_once(self._caller(kind, name), kind, name, tokens))
 
+    def start_poison(self, kind: CallerKind, *, every_ms: int) -> None:
+        """Start a caller that sends one request that crashes engines, again and again.
+
+        :param kind: The caller's kind.
+        :param every_ms: Pause between two sendings, in milliseconds.
+        """
+        self._spawn(self._poison_on(kind, every_ms))
+
     async def finish(self) -> None:
         """Begin no more requests, and wait for the end of those that run."""
         self._stopping.set()
@@ -111,13 +121,14 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _caller(self, kind: CallerKind, name: str) -> Caller:
+    def _caller(self, kind: CallerKind, name: str, *, give_up_ms: int = GIVE_UP_MS) -> Caller:
         return Caller(
             session=self._session,
             hosts=self._hosts,
             key=kind.key,
             rng=Random(f"{self._seed}-{name}"),
             objective=self._objective,
+            give_up_ms=give_up_ms,
         )
 
     async def _ask_on(self, kind: CallerKind, name: str) -> None:
@@ -141,6 +152,21 @@
         )
         self.answers.append(await caller.complete(ask))
 
+    async def _poison_on(self, kind: CallerKind, every_ms: int) -> None:
+        ask = Ask(
+            name=kind.name,
+            model=self._model.name,
+            version=self._model.version,
+            tokens=kind.tokens[1],
+            directives="[[crash]]",
+            same_prompt=True,
+            max_tokens=self._model.max_output_tokens,
+        )
+        caller = self._caller(kind, kind.name, give_up_ms=every_ms)
+        while not self._stopping.is_set():
+            self.poisoned.append(await caller.complete(ask))
+            await self._pause(every_ms)
+
     async def _book_on(self, kind: CallerKind, name: str) -> None:
         rng = Random(f"{self._seed}-books-{name}")
         caller = self._caller(kind, name)
