--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -27,6 +27,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import get_logger
 from tanagerscale.daemon._admission import DoorKeeper
+from tanagerscale.daemon._limits import HostLimits
 from tanagerscale.daemon._notes import EngineClients
 from tanagerscale.daemon._notes import GateNotes
 from tanagerscale.daemon._notes import NoCrashWatch
@@ -36,7 +37,6 @@
 from tanagerscale.declarations import Follower
 from tanagerscale.dispatch import Canceller
 from tanagerscale.dispatch import DispatchParts
-from tanagerscale.dispatch import RetryBudget
 from tanagerscale.entry import CompletionParts
 from tanagerscale.entry import Completions
 from tanagerscale.entry import Entry
@@ -50,6 +50,7 @@
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.membership import peer_ssl_contexts
+from tanagerscale.policy import RetryBudget
 from tanagerscale.routing import PoolRouter
 from tanagerscale.services import ServiceDispatch
 from tanagerscale.services import ServiceParts
@@ -194,6 +195,7 @@
             engine_clients=self._engines.client_of,
         )
         self._keys = KeyChecker()
+        self._limits = HostLimits(clock=self._clock)
         self._glue = PeerGlue(
             mesh=self._mesh,
             gate=self._gate,
@@ -202,6 +204,7 @@
             router=self._router,
             canceller=self._canceller,
             keys=self._keys,
+            limits=self._limits,
             seeds=tuple(settings.host_list.seeds),
             clock=self._clock,
         )
@@ -253,6 +256,7 @@
                 checker=RequestChecker(fingerprint_key=fingerprint_key, rng=self._rng),
                 dispatch=self._dispatch,
                 declarations=self._declarations,
+                limits=self._limits,
                 attached=self._tell_attached,
             )
         )
@@ -262,6 +266,7 @@
             parts=EntryParts(
                 keys=self._keys,
                 admission=self._door,
+                account_limits=self._limits,
                 completions=completions,
                 services=self._services,
                 declarations=self._declarations,
@@ -303,7 +308,11 @@
         return self._follower.declarations
 
     def _heartbeat(self) -> Heartbeat:
-        return Heartbeat(revision=self._follower.head_revision, leaving=self._leaving)
+        return Heartbeat(
+            revision=self._follower.head_revision,
+            leaving=self._leaving,
+            usage=self._limits.usage(),
+        )
 
     def _tell_attached(self, host: HostId, attempt: AttemptId) -> None:
         if host != self._host:
--- a/src/tanagerscale/daemon/_peers.py
+++ b/src/tanagerscale/daemon/_peers.py
@@ -9,10 +9,12 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
 from tanagerscale.core import get_logger
+from tanagerscale.daemon._limits import HostLimits
 from tanagerscale.declarations import Declarations
 from tanagerscale.declarations import Follower
 from tanagerscale.dispatch import Canceller
 from tanagerscale.generated.messages import Attached
+from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.upstream import ListedEntry
 from tanagerscale.generated.upstream import ListedKind
 from tanagerscale.generated.upstream import ListedState
@@ -39,6 +41,7 @@
     :param router: Is told which engines and hosts there are.
     :param canceller: Is told when callers have gone to other hosts.
     :param keys: Is told the accounts.
+    :param limits: Is told the accounts and what they do at other hosts.
     :param seeds: Peer addresses to try besides the listed ones.
     :param clock: Time.
     """
@@ -53,6 +56,7 @@
         router: PoolRouter,
         canceller: Canceller,
         keys: KeyChecker,
+        limits: HostLimits,
         seeds: tuple[str, ...],
         clock: Clock,
     ) -> None:
@@ -63,6 +67,7 @@
         self._router = router
         self._canceller = canceller
         self._keys = keys
+        self._limits = limits
         self._seeds = seeds
         self._spread = HeadSpread(network=mesh, follower=follower, clock=clock)
 
@@ -100,14 +105,19 @@
             return
         live = [entry for entry in hosts if entry.state is ListedState.LIVE]
         self._router.set_known_hosts(max(1, len(live)))
+        others = frozenset(HostId(entry.id) for entry in live) - {self._mesh.host}
+        self._limits.set_peers(peers=others)
         self._spread.hosts_are_known()
 
     def _on_message(self, received: Received) -> None:
-        if isinstance(received.message, Attached):
+        if isinstance(received.message, Heartbeat):
+            self._limits.on_heartbeat(host=received.host, heartbeat=received.message)
+        elif isinstance(received.message, Attached):
             self._canceller.keep(attempt=AttemptId(received.message.attempt))
 
     def _on_declarations(self, declarations: Declarations) -> None:
         self._keys.set_accounts(accounts=declarations.accounts)
+        self._limits.set_declarations(declarations=declarations)
         self._router.set_engines(tuple(declarations.engines.values()))
         if declarations.revision == 0:
             return
--- a/src/tanagerscale/daemon/_scheduling.py
+++ b/src/tanagerscale/daemon/_scheduling.py
@@ -4,6 +4,7 @@
 
 import random
 
+from tanagerscale.core import ClientAccountId
 from tanagerscale.declarations import Declarations
 from tanagerscale.policy import AccountSpec
 from tanagerscale.policy import make_scheduler
@@ -16,7 +17,16 @@
     :param declarations: What is in force.
     :param rng: Source of randomness.
     """
-    accounts = {
+    accounts = account_specs(declarations=declarations)
+    return make_scheduler(objective=declarations.objective, accounts=accounts, rng=rng)
+
+
+def account_specs(*, declarations: Declarations) -> dict[ClientAccountId, AccountSpec]:
+    """Return what the policy needs to know of the declared accounts.
+
+    :param declarations: What is in force.
+    """
+    return {
         name: AccountSpec(
             weight=account.weight,
             requests_per_second=account.requests_per_second,
@@ -25,4 +35,3 @@
         )
         for name, account in declarations.accounts.items()
     }
-    return make_scheduler(objective=declarations.objective, accounts=accounts, rng=rng)
--- a/src/tanagerscale/dispatch/__init__.py
+++ b/src/tanagerscale/dispatch/__init__.py
@@ -11,7 +11,6 @@
 from tanagerscale.dispatch._generation import Generation
 from tanagerscale.dispatch._relay import Relay
 from tanagerscale.dispatch._relay import RelayFault
-from tanagerscale.dispatch._retry_budget import RetryBudget
 from tanagerscale.dispatch._types import CrashWatch
 from tanagerscale.dispatch._types import GenerationRequest
 from tanagerscale.dispatch._types import ResumePoint
@@ -33,7 +32,6 @@
     "RelayFault",
     "ResumePoint",
     "RetryAllowance",
-    "RetryBudget",
     "Sink",
     "UpstreamNotes",
 ]
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -132,6 +132,11 @@
             account=request.account, prompt_tokens=request.prompt_tokens
         )
 
+    @property
+    def tokens(self) -> int:
+        """Tokens handed on so far."""
+        return self._relay.delivered
+
     async def run(self) -> Result[Finish, Problem]:
         """Return the end of the whole answer, or the final problem.
 
@@ -305,7 +310,7 @@
     def _given_up(self) -> bool:
         if self._progress.lost > MAX_LOST_ATTEMPTS or self._progress.attempts >= MAX_ATTEMPTS:
             return True
-        return self._progress.lost > 0 and not self._parts.retries.try_take()
+        return self._progress.lost > 0 and not self._parts.retries.try_spend()
 
     def _problem(self, kind: ProblemKind, detail: str) -> Problem:
         return Problem(
--- a/src/tanagerscale/dispatch/_types.py
+++ b/src/tanagerscale/dispatch/_types.py
@@ -132,5 +132,5 @@
     def on_request(self) -> None:
         """Record a first attempt."""
 
-    def try_take(self) -> bool:
+    def try_spend(self) -> bool:
         """Take one retry if the budget allows it."""
--- a/src/tanagerscale/entry/_app.py
+++ b/src/tanagerscale/entry/_app.py
@@ -25,6 +25,7 @@
 from tanagerscale.core import new_id
 from tanagerscale.declarations import Declarations
 from tanagerscale.entry._completions import Completions
+from tanagerscale.entry._limits import AccountLimiter
 from tanagerscale.entry._problems import problem_response
 from tanagerscale.generated.callers import HostStatus
 from tanagerscale.generated.settings import LimitsSection
@@ -65,6 +66,7 @@
 
     :param keys: Finds accounts.
     :param admission: Decides at the door.
+    :param account_limits: Limits of accounts.
     :param completions: Serves completions.
     :param services: Serves plain services.
     :param declarations: Returns what is in force, or ``None`` before anything is.
@@ -76,6 +78,7 @@
 
     keys: KeyCheck
     admission: Admission
+    account_limits: AccountLimiter
     completions: Completions
     services: ServiceDispatch
     declarations: Callable[[], Declarations | None]
@@ -152,6 +155,8 @@
         name = ServiceId(request.match_info["service"])
         key = request.headers.get("Idempotency-Key", "")
         problem = self._service_problem(name, account, key)
+        if problem is None:
+            problem = self._parts.account_limits.start(account=account, tokens=0)
         declarations = self._parts.declarations()
         if problem is not None or declarations is None:
             return problem_response(problem=problem or _STARTING, request_id=request_id)
@@ -163,9 +168,12 @@
             headers=tuple(request.headers.items()),
             body=await request.read(),
         )
-        result = await self._parts.services.call(
-            service=declarations.services[name], account=account, key=key, call=call
-        )
+        try:
+            result = await self._parts.services.call(
+                service=declarations.services[name], account=account, key=key, call=call
+            )
+        finally:
+            self._parts.account_limits.finish(account=account, tokens=0)
         match result:
             case Success(reply):
                 headers = [item for item in reply.headers if item[0].lower() != "x-request-id"]
--- a/src/tanagerscale/entry/_completions.py
+++ b/src/tanagerscale/entry/_completions.py
@@ -40,6 +40,7 @@
 from tanagerscale.dispatch import GenerationRequest
 from tanagerscale.dispatch import Relay
 from tanagerscale.dispatch import ResumePoint
+from tanagerscale.entry._limits import AccountLimiter
 from tanagerscale.entry._problems import problem_event
 from tanagerscale.entry._problems import problem_response
 from tanagerscale.entry._requests import RequestChecker
@@ -49,7 +50,6 @@
 from tanagerscale.generated.callers import ChatMessage
 from tanagerscale.generated.callers import Completion
 from tanagerscale.generated.callers import CompletionChoice
-from tanagerscale.generated.callers import CompletionRequest
 from tanagerscale.generated.callers import Usage
 
 EVENT_STREAM = "text/event-stream"
@@ -106,6 +106,7 @@
     :param checker: Checks bodies.
     :param dispatch: What generations use.
     :param declarations: Returns what is in force.
+    :param limits: Limits of accounts.
     :param attached: Tells another host that the caller of one of its attempts has come here.
     """
 
@@ -114,6 +115,7 @@
     checker: RequestChecker
     dispatch: DispatchParts
     declarations: Callable[[], Declarations]
+    limits: AccountLimiter
     attached: Callable[[HostId, AttemptId], None]
 
 
@@ -146,9 +148,14 @@
         )
         match checked:
             case Success((asked, checked_request)):
-                if asked.stream:
-                    return await self._stream(request, asked, checked_request, chat)
-                return await self._reply_whole(checked_request, chat)
+                problem = self._parts.limits.start(
+                    account=account, tokens=checked_request.prompt_tokens
+                )
+                if problem is None and asked.stream:
+                    return await self._stream(request, checked_request, chat)
+                if problem is None:
+                    return await self._reply_whole(checked_request, chat)
+                return problem_response(problem=problem, request_id=generation)
             case Failure(problem):
                 return problem_response(problem=problem, request_id=generation)
         raise AssertionError("A Result is a Success or a Failure.")
@@ -156,7 +163,7 @@
     async def _reply_whole(self, checked: GenerationRequest, chat: bool) -> web.Response:
         sink = WholeSink()
         generation = Generation(request=checked, sink=sink, parts=self._parts.dispatch)
-        match await generation.run():
+        match await self._run(generation, checked):
             case Success(finish):
                 body = _whole_body(checked, finish, sink.text, chat)
                 return web.Response(
@@ -168,10 +175,18 @@
                 return problem_response(problem=problem, request_id=checked.generation)
         raise AssertionError("A Result is a Success or a Failure.")
 
+    async def _run(
+        self, generation: Generation, checked: GenerationRequest
+    ) -> Result[Finish, Problem]:
+        """Run a generation that the account's limits have let in."""
+        try:
+            return await generation.run()
+        finally:
+            self._parts.limits.finish(account=checked.account, tokens=generation.tokens)
+
     async def _stream(
         self,
         request: web.Request,
-        asked: CompletionRequest,
         checked: GenerationRequest,
         chat: bool,
         cursor: Cursor | None = None,
@@ -201,7 +216,7 @@
             parts=self._parts.dispatch,
             resume=self._resume_point(cursor) if cursor is not None else None,
         )
-        result = await generation.run()
+        result = await self._run(generation, checked)
         return await _end_stream(result, sink, reply, event_format, checked.generation)
 
     def _resume_point(self, cursor: Cursor) -> ResumePoint:
@@ -264,9 +279,12 @@
         match checked:
             case Failure(problem):
                 return problem_response(problem=problem, request_id=binding.request)
-            case Success((asked, found)) if found.fingerprint == binding.fingerprint:
+            case Success((_, found)) if found.fingerprint == binding.fingerprint:
                 again = replace(found, seed=binding.seed)
-                return await self._stream(request, asked, again, binding.chat, cursor)
+                problem = self._parts.limits.start(account=found.account, tokens=0)
+                if problem is None:
+                    return await self._stream(request, again, binding.chat, cursor)
+                return problem_response(problem=problem, request_id=binding.request)
         return problem_response(problem=_OTHER_BODY, request_id=binding.request)
 
     async def _follow(self, request: web.Request, cursor: Cursor) -> web.StreamResponse:
--- a/src/tanagerscale/membership/__init__.py
+++ b/src/tanagerscale/membership/__init__.py
@@ -14,7 +14,6 @@
 from tanagerscale.membership._peers import PeerAddress
 from tanagerscale.membership._peers import PeerInfo
 from tanagerscale.membership._peers import Received
-from tanagerscale.membership._peers import UsageHeard
 from tanagerscale.membership._spread import HeadFollower
 from tanagerscale.membership._spread import HeadSpread
 from tanagerscale.membership._upstreams import spread_leaving
@@ -42,7 +41,6 @@
     "Received",
     "Transport",
     "UpstreamGate",
-    "UsageHeard",
     "decode_frame",
     "encode_frame",
     "peer_addresses",
--- a/src/tanagerscale/membership/_mesh.py
+++ b/src/tanagerscale/membership/_mesh.py
@@ -29,7 +29,6 @@
 from tanagerscale.membership._peers import PeerAddress
 from tanagerscale.membership._peers import PeerInfo
 from tanagerscale.membership._peers import Received
-from tanagerscale.membership._peers import UsageHeard
 from tanagerscale.membership._session import HEARTBEAT_INTERVAL_MS
 from tanagerscale.membership._session import OLDEST_VERSION
 from tanagerscale.membership._session import PROTOCOL_VERSION
@@ -99,7 +98,6 @@
         self._serving: set[asyncio.Task[Any]] = set()
         self._beat: asyncio.Task[None] | None = None
         self._messages: Subject[Received] = Subject()
-        self._usage_heard: Subject[UsageHeard] = Subject()
         self._joined: Subject[PeerInfo] = Subject()
         self._live: BehaviorSubject[tuple[PeerInfo, ...]] = BehaviorSubject(())
         self.counters = MeshCounters()
@@ -119,11 +117,6 @@
         """Every message from a peer, heartbeats included."""
         return self._messages
 
-    @property
-    def usage_heard(self) -> Observable[UsageHeard]:
-        """What each peer's heartbeats tell of the use by client accounts."""
-        return self._usage_heard
-
     @property
     def live(self) -> BehaviorSubject[tuple[PeerInfo, ...]]:
         """The hosts connected now, by id; this host is not among them."""
@@ -333,8 +326,6 @@
         )
 
     def _on_message(self, host: HostId, message: Message) -> None:
-        if isinstance(message, Heartbeat) and message.usage:
-            self._usage_heard.on_next(UsageHeard(host=host, usage=message.usage))
         self._messages.on_next(Received(host=host, message=message))
 
     def _publish(self) -> None:
--- a/src/tanagerscale/membership/_peers.py
+++ b/src/tanagerscale/membership/_peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 
 from tanagerscale.core import FailureDomainId
@@ -51,18 +50,6 @@
     message: Message
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class UsageHeard:
-    """What client accounts used at a host since its last heartbeat.
-
-    :param host: The host.
-    :param usage: Use by account, in the unit the sender counts.
-    """
-
-    host: HostId
-    usage: Mapping[str, float]
-
-
 @dataclass(kw_only=True, slots=True)
 class MeshCounters:
     """What has passed since the start; plain numbers, so that any meter can read them."""
--- a/src/tanagerscale/policy/_limits.py
+++ b/src/tanagerscale/policy/_limits.py
@@ -96,6 +96,15 @@
         self._heard: dict[ClientAccountId, dict[HostId, _Heard]] = {}
         self._last_word: dict[HostId, Millis] = {}
 
+    def set_accounts(self, *, accounts: Mapping[ClientAccountId, AccountSpec]) -> None:
+        """Replace the declared accounts; what runs stays counted.
+
+        :param accounts: Declared accounts.
+        """
+        self._specs = accounts
+        for name, held in self._accounts.items():
+            held.spec = accounts.get(name, AccountSpec())
+
     def set_peers(self, *, peers: frozenset[HostId]) -> None:
         """Replace the other live hosts; hosts that are only cut off stay among them."""
         self._peers = peers
--- a/src/tanagerscale/services/_dispatch.py
+++ b/src/tanagerscale/services/_dispatch.py
@@ -121,7 +121,7 @@
         tried: set[str] = set()
         may_have_run = False
         while len(tried) < MAX_TRIES:
-            if may_have_run and not self._parts.retries.try_take():
+            if may_have_run and not self._parts.retries.try_spend():
                 break
             address = self._choose(service, tried)
             if address is None:
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -82,7 +82,7 @@
     def on_request(self) -> None:
         """Ignore it."""
 
-    def try_take(self) -> bool:
+    def try_spend(self) -> bool:
         """Allow what is left."""
         self.retries_left -= 1
         return self.retries_left >= 0
--- a/tools/bench_relay.py
+++ b/tools/bench_relay.py
@@ -32,11 +32,11 @@
 from tanagerscale.core import Revision
 from tanagerscale.core import UpstreamId
 from tanagerscale.daemon import GateNotes
+from tanagerscale.daemon import HostLimits
 from tanagerscale.daemon import NoCrashWatch
 from tanagerscale.declarations import Declarations
 from tanagerscale.dispatch import Canceller
 from tanagerscale.dispatch import DispatchParts
-from tanagerscale.dispatch import RetryBudget
 from tanagerscale.entry import CompletionParts
 from tanagerscale.entry import Completions
 from tanagerscale.entry import RequestChecker
@@ -49,6 +49,7 @@
 from tanagerscale.generated.upstream import TokenEvent
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.policy import PlacementRequest
+from tanagerscale.policy import RetryBudget
 from tanagerscale.routing import Placement
 from tanagerscale.upstreams import HttpEngineClient
 from tanagerscale.usage import UsageMeter
@@ -225,6 +226,7 @@
             checker=RequestChecker(fingerprint_key=b"f" * 32, rng=random.Random(1)),
             dispatch=dispatch,
             declarations=lambda: declarations,
+            limits=HostLimits(clock=clock),
             attached=_no_attachment,
         )
     )
