--- a/src/tanagerscale/cli/_commands.py
+++ b/src/tanagerscale/cli/_commands.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-import importlib
 from typing import Any
 from typing import final
 
@@ -21,6 +20,7 @@
 from tanagerscale.cli._local import run_key
 from tanagerscale.cli._local import run_validate
 from tanagerscale.cli._output import Output
+from tanagerscale.cli._replay import run_replay
 from tanagerscale.cli._status import run_status
 from tanagerscale.cli._status import run_usage
 from tanagerscale.core import MS_PER_SECOND
@@ -204,10 +204,10 @@
     def replay(self, trace: str, **options: Any) -> Job:
         """Run a trace in virtual time and print the measures next to the stated outcomes.
 
-        :param trace: CSV file or JSON lines.
+        :param trace: File of JSON lines, or the name of a user whose traces are made.
         :param options: Such as --policy NAME, --seed N, --json and --plot FILE.
         """
-        return Job(lambda: _run_replay(trace=trace, options=options))
+        return Job(lambda: run_replay(trace=trace, options=options))
 
     def key(self, account: str, *, json: Any = False) -> Job:
         """Make a random key for a client account and the hash that is declared.
@@ -220,9 +220,3 @@
 
 def _output(json: Any) -> Output:
     return Output(as_json=check_flag(name="json", value=json))
-
-
-def _run_replay(*, trace: str, options: dict[str, Any]) -> None:
-    # The replay is large and no other command needs it.
-    module: Any = importlib.import_module("tanagerscale.replay")
-    module.main(trace=trace, **options)
--- a/testing/test_cli.py
+++ b/testing/test_cli.py
@@ -6,6 +6,8 @@
 from contextlib import asynccontextmanager
 import json
 from pathlib import Path
+import sys
+from types import SimpleNamespace
 from typing import Any
 
 from aiohttp import web
@@ -135,6 +137,24 @@
     assert "nothing was accepted" in capsys.readouterr().err
 
 
+def test_replay_gets_only_options_of_its_own(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    calls: list[tuple[object, ...]] = []
+
+    def replay(trace: str, policy: str = "all", seeds: str = "1", load: float = 0.9) -> int:
+        calls.append((trace, policy, seeds, load))
+        return 1
+
+    monkeypatch.setitem(sys.modules, "tanagerscale.replay", SimpleNamespace(main=replay))
+    assert _run("replay", "t.jsonl", "--policy", "a,b", "--seed", "7", "--load", "1") == 1
+    assert calls == [("t.jsonl", "a,b", "7", 1.0)]
+    assert _run("replay", "t.jsonl", "--polcy", "a") == ExitCode.BAD_INPUT
+    assert "--policy, --seeds, --load" in capsys.readouterr().err
+    assert _run("replay", "t.jsonl", "--load", "much") == ExitCode.BAD_INPUT
+    assert len(calls) == 1
+
+
 async def _serve(**handlers: Any) -> TestServer:
     app = web.Application()
     for path, handler in handlers.items():
