--- a/testing/_memory_links.py
+++ b/testing/_memory_links.py
@@ -88,14 +88,15 @@
 class MemoryTransport:
     """One host's access to a network in memory."""
 
-    def __init__(self, *, network: MemoryNetwork, address: str) -> None:
+    def __init__(self, *, network: MemoryNetwork, address: str, told: str = "") -> None:
         self._network = network
         self._address = address
+        self._told = told or address
 
     async def listen(self, *, address: str, accept: Accept) -> str:
         """Accept links at this host's address."""
         self._network.accepting[self._address] = accept
-        return self._address
+        return self._told
 
     async def connect(self, *, address: str) -> Link:
         """Make a link; a frozen one never comes about."""
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -24,7 +24,9 @@
 from tanagerscale.routing import make_cells
 from tanagerscale.routing import owner_of
 from tanagerscale.routing._convert import ask_of
+from tanagerscale.routing._entry import REPEAT_MS
 from tanagerscale.routing._owner import CellOwner
+from testing._routing_fakes import PLACE_LIMIT_S
 from testing._routing_fakes import Cluster
 from testing._routing_fakes import SlotScheduler
 from testing._routing_fakes import make_engines
@@ -129,6 +131,28 @@
     assert cluster.truth() == {}
 
 
+async def test_share_is_free_again_at_once_when_placements_of_the_fallback_end() -> None:
+    cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=1, max_batch=2))
+    entry, owner = cluster.entry_and_owner()
+    cluster.switch.frozen.add(HostId(owner))
+    for index in range(5):
+        await cluster.place(entry, f"g{index}")
+        cluster.release(entry, f"g{index}")
+    assert Clock().now() < 5 * REPEAT_MS
+
+
+async def test_owner_asks_about_what_it_does_not_know_when_a_message_was_lost() -> None:
+    cluster = Cluster(hosts=["a", "b", "c"], engines=make_engines(number=1, max_batch=2))
+    entry, owner = cluster.entry_and_owner()
+    await cluster.place(entry, "g1")
+    cluster.switch.drop = 1.0
+    cluster.lose(owner)
+    await asyncio.sleep(0.1)
+    cluster.switch.drop = 0.0
+    await asyncio.sleep(5)
+    assert cluster.ledger(cluster.owner()).running == {"g1": "engine-0"}
+
+
 async def test_new_owner_learns_what_runs_and_what_waits_when_owner_is_lost() -> None:
     cluster = Cluster(hosts=["a", "b", "c"], engines=make_engines(number=1, max_batch=2))
     entry, owner = cluster.entry_and_owner()
@@ -283,9 +307,14 @@
 async def test_placements_are_given_out_when_messages_are_lost_doubled_and_reordered() -> None:
     cluster = Cluster(hosts=["a", "b", "c"], engines=make_engines(number=2, max_batch=3))
     cluster.switch.drop, cluster.switch.double, cluster.switch.jitter_ms = 0.3, 0.3, 200
-    done = await asyncio.gather(
-        *(_run_generation(cluster, host, f"{host}{index}") for host in "abc" for index in range(12))
-    )
+    async with asyncio.timeout(PLACE_LIMIT_S):
+        done = await asyncio.gather(
+            *(
+                _run_generation(cluster, host, f"{host}{index}")
+                for host in "abc"
+                for index in range(12)
+            )
+        )
     assert all(done)
     cluster.switch.drop = 0.0
     await asyncio.sleep(LEASE_AND_MORE_S)
