--- /dev/null
+++ b/src/tanagerscale/daemon/_peers.py
@@ -0,0 +1,115 @@
+"""What a host does with the host list, its peers' messages and new declarations."""
+
+from __future__ import annotations
+
+from typing import final
+
+from tanagerscale.accounts import KeyChecker
+from tanagerscale.core import AttemptId
+from tanagerscale.core import Clock
+from tanagerscale.core import HostId
+from tanagerscale.core import get_logger
+from tanagerscale.declarations import Declarations
+from tanagerscale.declarations import Follower
+from tanagerscale.dispatch import Canceller
+from tanagerscale.generated.messages import Attached
+from tanagerscale.generated.upstream import ListedEntry
+from tanagerscale.generated.upstream import ListedKind
+from tanagerscale.generated.upstream import ListedState
+from tanagerscale.membership import HeadSpread
+from tanagerscale.membership import HostListFollower
+from tanagerscale.membership import Mesh
+from tanagerscale.membership import Received
+from tanagerscale.membership import UpstreamGate
+from tanagerscale.membership import peer_addresses
+from tanagerscale.membership import spread_leaving
+from tanagerscale.routing import PoolRouter
+
+_log = get_logger(part="peers")
+
+
+@final
+class PeerGlue:
+    """Connects the host list, the mesh, the declarations and the parts that depend on them.
+
+    :param mesh: The other hosts.
+    :param gate: Which upstreams take new work.
+    :param follower: The declarations.
+    :param host_list: The platform's list.
+    :param router: Is told which engines and hosts there are.
+    :param canceller: Is told when callers have gone to other hosts.
+    :param keys: Is told the accounts.
+    :param seeds: Peer addresses to try besides the listed ones.
+    :param clock: Time.
+    """
+
+    def __init__(
+        self,
+        *,
+        mesh: Mesh,
+        gate: UpstreamGate,
+        follower: Follower,
+        host_list: HostListFollower,
+        router: PoolRouter,
+        canceller: Canceller,
+        keys: KeyChecker,
+        seeds: tuple[str, ...],
+        clock: Clock,
+    ) -> None:
+        self._mesh = mesh
+        self._gate = gate
+        self._follower = follower
+        self._host_list = host_list
+        self._router = router
+        self._canceller = canceller
+        self._keys = keys
+        self._seeds = seeds
+        self._spread = HeadSpread(network=mesh, follower=follower, clock=clock)
+
+    def start(self) -> None:
+        """Subscribe to everything."""
+        spread_leaving(gate=self._gate, mesh=self._mesh, entries=self._host_list.entries)
+        self._host_list.entries.subscribe(self._on_list)
+        self._mesh.messages.subscribe(self._on_message)
+        self._spread.start()
+        self._follower.in_force.subscribe(self._on_declarations)
+
+    async def stop(self) -> None:
+        """Spread no more."""
+        await self._spread.stop()
+
+    def use_seeds(self) -> None:
+        """Connect to the seeds, when there is no host list."""
+        self._mesh.set_peers(peer_addresses(entries=(), seeds=self._seeds))
+        self._spread.hosts_are_known()
+
+    def is_live(self, host: HostId, incarnation: int) -> bool:
+        """Return whether a host is in the same life as when it made a record.
+
+        :param host: The host.
+        :param incarnation: Its life at that time.
+        """
+        return any(
+            peer.host == host and peer.incarnation == incarnation for peer in self._mesh.live.value
+        )
+
+    def _on_list(self, entries: tuple[ListedEntry, ...]) -> None:
+        self._mesh.set_peers(peer_addresses(entries=entries, seeds=self._seeds))
+        hosts = [entry for entry in entries if entry.kind is ListedKind.HOST]
+        if not hosts:
+            return
+        live = [entry for entry in hosts if entry.state is ListedState.LIVE]
+        self._router.set_known_hosts(max(1, len(live)))
+        self._spread.hosts_are_known()
+
+    def _on_message(self, received: Received) -> None:
+        if isinstance(received.message, Attached):
+            self._canceller.keep(attempt=AttemptId(received.message.attempt))
+
+    def _on_declarations(self, declarations: Declarations) -> None:
+        self._keys.set_accounts(accounts=declarations.accounts)
+        self._router.set_engines(tuple(declarations.engines.values()))
+        if declarations.revision == 0:
+            return
+        self._spread.announce(revision=declarations.revision, digest=declarations.digest)
+        _log.info("A revision is in force.", revision=declarations.revision)
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Sequence
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from dataclasses import field
 from typing import NamedTuple
@@ -34,6 +34,7 @@
 from tanagerscale.dispatch._relay import Relay
 from tanagerscale.dispatch._types import CrashWatch
 from tanagerscale.dispatch._types import GenerationRequest
+from tanagerscale.dispatch._types import ResumePoint
 from tanagerscale.dispatch._types import RetryAllowance
 from tanagerscale.dispatch._types import Sink
 from tanagerscale.dispatch._types import UpstreamNotes
@@ -44,6 +45,9 @@
 from tanagerscale.routing import Placement
 from tanagerscale.routing import Router
 from tanagerscale.upstreams import EngineClient
+from tanagerscale.usage import ABANDONED
+from tanagerscale.usage import WHOLE
+from tanagerscale.usage import UsageMeter
 
 MAX_LOST_ATTEMPTS = 3
 MAX_ATTEMPTS = 12
@@ -73,6 +77,7 @@
     :param crashes: Keeps requests that crash engines away.
     :param retries: Bounds retries.
     :param canceller: Cancels attempts that were given up.
+    :param meter: Sums what requests cost.
     :param clock: Times pauses.
     """
 
@@ -82,6 +87,7 @@
     crashes: CrashWatch
     retries: RetryAllowance
     canceller: Canceller
+    meter: UsageMeter
     clock: Clock
 
 
@@ -102,21 +108,49 @@
     :param request: The checked request.
     :param sink: Takes the tokens to the caller.
     :param parts: What every generation of the host uses.
+    :param resume: Where the generation stands, when another host has dispatched it.
     """
 
-    def __init__(self, *, request: GenerationRequest, sink: Sink, parts: DispatchParts) -> None:
+    def __init__(
+        self,
+        *,
+        request: GenerationRequest,
+        sink: Sink,
+        parts: DispatchParts,
+        resume: ResumePoint | None = None,
+    ) -> None:
         self._request = request
         self._sink = sink
         self._parts = parts
+        self._resume = resume
         self._relay = Relay()
         self._progress = _Progress()
+        if resume is not None:
+            self._relay = Relay(offset=resume.offset, checksum=resume.checksum)
+            self._progress.may_have_run = True
+        self._record = parts.meter.begin(
+            account=request.account, prompt_tokens=request.prompt_tokens
+        )
 
     async def run(self) -> Result[Finish, Problem]:
         """Return the end of the whole answer, or the final problem.
 
         Cancelling the call cancels the attempt on its engine.
         """
+        outcome = ABANDONED
+        try:
+            result = await self._run()
+            outcome = result.swap().map(lambda problem: problem.kind.value).value_or(WHOLE)
+        finally:
+            self._parts.meter.end(record=self._record, outcome=outcome)
+        return result
+
+    async def _run(self) -> Result[Finish, Problem]:
         self._parts.retries.on_request()
+        if self._resume is not None:
+            result = self._after(await self._go_on(self._resume), self._resume.engine)
+            if result is not None:
+                return result
         while True:
             problem = self._parts.crashes.check(fingerprint=self._request.fingerprint)
             if problem is not None:
@@ -124,13 +158,20 @@
             placed = await self._parts.router.place(request=self._placement_request())
             match placed:
                 case Success(placement):
-                    outcome = await self._attempt(placement)
+                    outcome = await self._attempt(placement, AttemptId(new_id(prefix="att")))
                 case Failure(refusal):
                     return Failure(self._with_execution(refusal))
             result = self._after(outcome, placement.engine)
             if result is not None:
                 return result
 
+    async def _go_on(self, resume: ResumePoint) -> AttemptOutcome | None:
+        """Follow an attempt that another host has sent."""
+        placement = self._parts.router.adopt(
+            request=self._placement_request(), engine=resume.engine, tokens=resume.offset
+        )
+        return await self._attempt(placement, resume.attempt, resumed=True)
+
     def _placement_request(self) -> PlacementRequest:
         request = self._request
         banned = self._parts.crashes.excluded_engines(fingerprint=request.fingerprint)
@@ -150,25 +191,30 @@
             excluded=frozenset(self._progress.excluded) | banned,
         )
 
-    async def _attempt(self, placement: Placement) -> AttemptOutcome | None:
+    async def _attempt(
+        self, placement: Placement, attempt_id: AttemptId, *, resumed: bool = False
+    ) -> AttemptOutcome | None:
         """Run one attempt; ``None`` means that routing asked for a move."""
-        attempt_id = AttemptId(new_id(prefix="att"))
         engine = placement.engine
         fingerprint = self._request.fingerprint
         attempt = Attempt(
             attempt=attempt_id,
             client=self._parts.client_of(engine),
             relay=self._relay,
-            sink=_ReportingSink(sink=self._sink, placement=placement, router=self._parts.router),
+            sink=self._sink,
+            report=self._report_progress,
             clock=self._parts.clock,
         )
         await self._sink.begin(attempt=attempt_id, engine=engine)
         self._progress.attempts += 1
+        started = self._parts.clock.now()
         self._parts.crashes.on_started(fingerprint=fingerprint, engine=engine)
         outcome: AttemptOutcome | None = None
         ended = False
         try:
-            outcome = await _until_move(attempt, self._engine_request(attempt_id), placement)
+            request = self._engine_request(attempt_id)
+            run = attempt.resume() if resumed else attempt.run(request=request)
+            outcome = await _until_move(run, placement)
             ended = True
         finally:
             crashed = outcome is not None and outcome.end is AttemptEnd.CRASHED
@@ -182,6 +228,12 @@
                 self._parts.crashes.on_engine_crash(engine=engine)
             else:
                 self._parts.crashes.on_finished(fingerprint=fingerprint, engine=engine)
+            self._parts.meter.on_attempt(
+                record=self._record,
+                end=outcome.end.value if outcome is not None else "stopped",
+                tokens=self._relay.next_offset,
+                started=started,
+            )
             self._cancel_if_running(attempt_id, engine, outcome, ended)
         return outcome
 
@@ -198,6 +250,10 @@
         if still_running and pause is not None:
             self._parts.canceller.cancel(attempt=attempt, engine=engine, after_ms=pause)
 
+    def _report_progress(self, tokens: int) -> None:
+        self._parts.meter.on_progress(record=self._record, tokens=tokens)
+        self._parts.router.report_progress(generation=self._request.generation, tokens=tokens)
+
     def _engine_request(self, attempt: AttemptId) -> EngineRequest:
         request = self._request
         return EngineRequest(
@@ -278,38 +334,10 @@
 _FAILED_DETAIL = "Several engines failed on this request; send it again after the pause."
 
 
-@final
-class _ReportingSink:
-    """Passes tokens on and tells routing how far the generation has come."""
-
-    def __init__(self, *, sink: Sink, placement: Placement, router: Router) -> None:
-        self._sink = sink
-        self._generation = placement.generation
-        self._router = router
-
-    @property
-    def cancel_after_ms(self) -> int | None:
-        """What the caller's sink says."""
-        return self._sink.cancel_after_ms
-
-    async def begin(self, *, attempt: AttemptId, engine: UpstreamId) -> None:
-        """Pass on which attempt makes the tokens."""
-        await self._sink.begin(attempt=attempt, engine=engine)
-
-    async def deliver(self, *, texts: Sequence[str], offset: int, checksum: int) -> None:
-        """Report the progress and pass the tokens on."""
-        self._router.report_progress(generation=self._generation, tokens=offset)
-        await self._sink.deliver(texts=texts, offset=offset, checksum=checksum)
-
-    def discard(self) -> bool:
-        """Pass on that the attempt's tokens are void."""
-        return self._sink.discard()
-
-
 async def _until_move(
-    attempt: Attempt, request: EngineRequest, placement: Placement
+    run: Coroutine[None, None, AttemptOutcome], placement: Placement
 ) -> AttemptOutcome | None:
-    running = asyncio.ensure_future(attempt.run(request=request))
+    running = asyncio.ensure_future(run)
     moved = asyncio.ensure_future(placement.move_requested.wait())
     try:
         await asyncio.wait({running, moved}, return_when=asyncio.FIRST_COMPLETED)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,6 +23,8 @@
 from standins._common import read_json
 from standins._common import run_main
 from standins._common import serve
+from standins._engine_options import EngineOptions
+from standins._engine_options import parse_versions
 from standins._engine_stock import StaleFenceError
 from standins._engine_stock import Stock
 from standins._engine_stream import EventStream
@@ -33,6 +35,7 @@
 from standins._engine_types import StreamFault
 from standins._engine_types import StreamFaultMode
 from standins._prefix_cache import PrefixCache
+from standins.journal import Journal
 from standins.tokens import prompt_tokens
 from tanagerscale.core import Clock
 from tanagerscale.generated.upstream import EngineOrder
@@ -58,24 +61,6 @@
 }
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EngineOptions:
-    """Options of the process; times in milliseconds."""
-
-    limits: BatchLimits
-    models: dict[str, str]
-    adapters: dict[str, str]
-    cache_tokens: int = 8_192
-    cache_lag_ms: int = 500
-    cache_gap: float = 0.0
-    report_lag_ms: int = 500
-    load_ms: int = 500
-    retention_ms: int = 60_000
-    checks_fence: bool = True
-    weights_url: str = ""
-    seed: int = 0
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Sample:
     at: int
@@ -100,7 +85,11 @@
             clock=self._clock,
         )
         self._batch = Batch(
-            limits=options.limits, clock=self._clock, cache=self._cache, crash=_crash
+            limits=options.limits,
+            clock=self._clock,
+            cache=self._cache,
+            journal=Journal(path=options.journal),
+            crash=_crash,
         )
         self._stock = Stock(
             models=options.models,
@@ -287,10 +276,12 @@
 
     async def _show_executions(self, _request: web.Request) -> web.Response:
         kept = [self._report(sequence) for sequence in self._sequences.values()]
+        load = self._batch.report()
         return json_response(
             ExecutionReports(
                 executions=self._forgotten + kept,
-                preemptions=self._batch.report().preemptions,
+                preemptions=load.preemptions,
+                tokens_generated=load.tokens_generated,
                 followers=self._followers,
                 refused=dict(self._refused),
             )
@@ -320,13 +311,6 @@
     os._exit(CRASH_STATUS)
 
 
-def _parse_versions(text: str | tuple[str, ...] | list[str]) -> dict[str, str]:
-    # Fire turns "a=1,b=2" into text, but "a,b" into a tuple.
-    items = text.split(",") if isinstance(text, str) else text
-    pairs = (item.partition("=") for item in items if item)
-    return {name: version for name, _, version in pairs}
-
-
 def main(
     port: int = 0,
     models: str = "",
@@ -345,6 +329,7 @@
     fencing: str = "checked",
     weights_url: str = "",
     seed: int = 0,
+    journal: str = "",
 ) -> None:
     """Run the engine.
 
@@ -365,6 +350,7 @@
     :param fencing: ``checked`` or ``ignored``.
     :param weights_url: Where weights are fetched; empty for nowhere.
     :param seed: Seed of what is random.
+    :param journal: File in which executions are noted; empty for none.
     """
     limits = BatchLimits(
         memory_tokens=memory_tokens,
@@ -375,8 +361,8 @@
     )
     options = EngineOptions(
         limits=limits,
-        models=_parse_versions(models),
-        adapters=_parse_versions(adapters),
+        models=parse_versions(models),
+        adapters=parse_versions(adapters),
         cache_tokens=cache_tokens,
         cache_lag_ms=cache_lag_ms,
         cache_gap=cache_gap,
@@ -386,6 +372,7 @@
         checks_fence=fencing == "checked",
         weights_url=weights_url,
         seed=seed,
+        journal=journal,
     )
     asyncio.run(_serve(options, port=port))
 
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from dataclasses import field
 from pathlib import Path
-import sys
 from typing import Self
 from typing import TypeVar
 from typing import final
@@ -19,10 +19,12 @@
 from standins.cluster_files import account_key_hash
 from standins.cluster_files import write_declarations
 from standins.cluster_files import write_settings
-from standins.processes import ROOT
+from standins.command_line import CommandResult
+from standins.command_line import run_command
+from standins.journal import Execution
+from standins.journal import read_journal
 from standins.processes import Launcher
 from standins.processes import ManagedProcess
-from standins.processes import environment
 from tanagerscale.generated.declarations import ClientAccount
 from tanagerscale.generated.declarations import DeclarationSet
 from tanagerscale.generated.declarations import Engine
@@ -44,7 +46,6 @@
 
 ANY_PORT = f"{LOOPBACK}:0"
 CURSOR_KEY = "cursor-key-of-the-test-cluster-0123456789"
-COMMAND_TIMEOUT_S = 120.0
 FAILURE_DOMAINS = ("domain-a", "domain-b", "domain-c")
 
 _Body = TypeVar("_Body")
@@ -58,6 +59,8 @@
     :param store_options: Those of the store.
     :param models: What is declared and loaded from the start.
     :param accounts: Names of the client accounts.
+    :param base: Declarations whose engines and services are replaced by the cluster's own, in
+        place of a set made from the rest of the plan.
     :param not_idempotent: Calls of every service that may not be repeated.
     :param list_lag_ms: How late the host list is, in milliseconds.
     :param stop_grace_ms: How long a planned stop waits for running answers, in milliseconds.
@@ -75,18 +78,12 @@
     list_lag_ms: int = 0
     stop_grace_ms: int = 60_000
     fencing: Fencing = Fencing.CHECKED
+    failure_domains: tuple[str, ...] = FAILURE_DOMAINS
+    service: str = "bookings"
+    base: DeclarationSet | None = None
     log_level: LogLevel = LogLevel.INFO
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CommandResult:
-    """How a run of the command line ended."""
-
-    returncode: int
-    output: str
-    errors: str
-
-
 @final
 class Cluster:
     """The processes of one cluster, all ended when the cluster is.
@@ -116,6 +113,9 @@
 
     async def __aenter__(self) -> Self:
         """Start the stand-ins, but no host, and write the declarations."""
+        # What an earlier run in the same directory executed is not to be counted.
+        for journal in self.directory.glob("*.journal"):
+            journal.unlink()
         await self._stack.enter_async_context(self._launcher)
         self._session = await self._stack.enter_async_context(aiohttp.ClientSession())
         try:
@@ -139,7 +139,15 @@
         :param options: More command line options, without dashes.
         """
         held = ",".join(f"{model.name}={model.version}" for model in self.plan.models)
-        given = {"models": held, "fencing": self.plan.fencing.value, **self.plan.engine_options}
+        adapters = self.plan.base.adapters if self.plan.base else []
+        added = ",".join(f"{adapter.name}={adapter.version}" for adapter in adapters)
+        given = {
+            "models": held,
+            "adapters": added,
+            "fencing": self.plan.fencing.value,
+            **self.plan.engine_options,
+        }
+        given |= {"journal": str(self.journal_path(name))}
         given |= self._same_port(self.engines.get(name)) | (options or {})
         self.engines[name] = await self._start(name, "standins.engine", given)
         await self._list(name, ListedKind.UPSTREAM, self.engines[name].address)
@@ -150,7 +158,8 @@
 
         :param name: Its name in the cluster.
         """
-        given = self._same_port(self.services.get(name))
+        given = {"journal": str(self.journal_path(name))}
+        given |= self._same_port(self.services.get(name))
         self.services[name] = await self._start(name, "standins.service", given)
         address = self.services[name].address
         await self._list(address, ListedKind.UPSTREAM, address)
@@ -175,7 +184,9 @@
     async def start_hosts(self) -> None:
         """Start all hosts of the plan at once."""
         names = [f"host-{number}" for number in range(1, self.plan.hosts + 1)]
-        await asyncio.gather(*(self.start_host(name) for name in names))
+        async with asyncio.TaskGroup() as group:
+            for name in names:
+                group.create_task(self.start_host(name))
 
     async def list_state(self, entry: str, state: ListedState) -> None:
         """Change what the host list says of an entry.
@@ -195,43 +206,46 @@
         await self._publish()
 
     async def apply(
-        self, *, declarations: DeclarationSet | None = None, author: str = "operator"
+        self,
+        *,
+        declarations: DeclarationSet | None = None,
+        author: str = "operator",
+        wait: bool = False,
     ) -> CommandResult:
         """Apply declarations by the command line.
 
         :param declarations: The set; the cluster's own when left out.
         :param author: Who applies it.
+        :param wait: Whether to wait until it is in force at all running hosts.
         """
         path = self.directory / f"declarations-{author}.ini"
         write_declarations(path=path, declarations=declarations or self.declarations)
-        return await self.command("apply", str(path), "--store", self.store.url, "--author", author)
+        options = ["--store", self.store.url, "--author", author]
+        if wait:
+            running = [host for host in self.hosts.values() if host.running]
+            options += ["--hosts", ",".join(host.address_of("callers") for host in running)]
+        return await self.command("apply", str(path), *options)
 
     async def command(self, *arguments: str) -> CommandResult:
         """Run the command-line tool.
 
         :param arguments: Its command line.
         """
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "tanagerscale.cli",
-            *arguments,
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.PIPE,
-            env=environment(),
-            cwd=ROOT,
-        )
-        try:
-            output, errors = await asyncio.wait_for(process.communicate(), COMMAND_TIMEOUT_S)
-        finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-        return CommandResult(
-            returncode=process.returncode or 0,
-            output=output.decode(errors="replace"),
-            errors=errors.decode(errors="replace"),
-        )
+        return await run_command(*arguments)
+
+    def journal_path(self, name: str) -> Path:
+        """Return where an engine or service notes what it executes.
+
+        :param name: Its name in the cluster.
+        """
+        return self.directory / f"{name}.journal"
+
+    def executions(self, names: Iterable[str]) -> list[Execution]:
+        """Return what engines or services executed, in all their lives.
+
+        :param names: Their names in the cluster.
+        """
+        return [item for name in names for item in read_journal(self.journal_path(name))]
 
     def caller_url(self, host: str) -> str:
         """Return the base URL that callers of a host use.
@@ -264,16 +278,15 @@
 
     async def _start_standins(self) -> None:
         lag = {"lag_ms": str(self.plan.list_lag_ms)}
-        self.store, self.host_list = await asyncio.gather(
-            self._start("store", "standins.store", self.plan.store_options),
-            self._start("host-list", "standins.host_list", lag),
-        )
+        self.store = await self._start("store", "standins.store", self.plan.store_options)
+        self.host_list = await self._start("host-list", "standins.host_list", lag)
         engines = [f"engine-{number}" for number in range(1, self.plan.engines + 1)]
         services = [f"booking-{number}" for number in range(1, self.plan.services + 1)]
-        await asyncio.gather(
-            *(self.start_engine(name) for name in engines),
-            *(self.start_service(name) for name in services),
-        )
+        async with asyncio.TaskGroup() as group:
+            for name in engines:
+                group.create_task(self.start_engine(name))
+            for name in services:
+                group.create_task(self.start_service(name))
 
     async def _start(self, name: str, module: str, options: dict[str, str]) -> ManagedProcess:
         arguments = [f"--{option}={value}" for option, value in options.items()]
@@ -286,7 +299,7 @@
             kind=kind,
             address=address,
             state=ListedState.LIVE,
-            failure_domain=_domain_of(entry),
+            failure_domain=self._domain_of(entry),
             incarnation=self._incarnation,
         )
         await self._publish()
@@ -296,13 +309,22 @@
         await self.post(self.host_list, "/admin/entries", entries)
 
     def _declare(self) -> DeclarationSet:
+        base = self.plan.base or DeclarationSet(
+            objective=Objective(),
+            models=list(self.plan.models),
+            accounts=[
+                ClientAccount(name=name, key_hash=account_key_hash(name))
+                for name in self.plan.accounts
+            ],
+        )
         names = [model.name for model in self.plan.models]
         engines = [
             Engine(
                 name=name,
                 address=process.address,
-                failure_domain=_domain_of(name),
+                failure_domain=self._domain_of(name),
                 models=names,
+                adapters=[adapter.name for adapter in base.adapters],
                 memory_tokens=int(self.plan.engine_options.get("memory_tokens", "60000")),
                 max_batch=int(self.plan.engine_options.get("max_batch", "64")),
                 fencing=self.plan.fencing,
@@ -310,21 +332,17 @@
             for name, process in sorted(self.engines.items())
         ]
         addresses = [
-            f"{process.address}@{_domain_of(name)}"
+            f"{process.address}@{self._domain_of(name)}"
             for name, process in sorted(self.services.items())
         ]
         service = Service(
-            name="bookings",
+            name=self.plan.service,
             addresses=addresses,
             not_idempotent=list(self.plan.not_idempotent),
             timeout_ms=self.plan.service_timeout_ms,
         )
         return msgspec.structs.replace(
-            self.declarations,
-            accounts=[
-                ClientAccount(name=name, key_hash=account_key_hash(name))
-                for name in self.plan.accounts
-            ],
+            base,
             engines=engines,
             services=[service] if addresses else [],
         )
@@ -334,7 +352,7 @@
         return HostSettings(
             host=HostSection(
                 id=name,
-                failure_domain=_domain_of(name),
+                failure_domain=self._domain_of(name),
                 callers=ANY_PORT,
                 peers=ANY_PORT,
                 stop_grace_ms=self.plan.stop_grace_ms,
@@ -350,7 +368,7 @@
     def _same_port(self, former: ManagedProcess | None) -> dict[str, str]:
         return {} if former is None else {"port": former.address.rpartition(":")[2]}
 
-
-def _domain_of(name: str) -> str:
-    number = int(digits) if (digits := name.rpartition("-")[2]).isdecimal() else 0
-    return FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+    def _domain_of(self, name: str) -> str:
+        digits = name.rpartition("-")[2]
+        number = int(digits) if digits.isdecimal() else 0
+        return self.plan.failure_domains[number % len(self.plan.failure_domains)]
