--- a/testing/test_declarations_processes.py
+++ b/testing/test_declarations_processes.py
@@ -10,7 +10,7 @@
 from standins.cluster_files import write_declarations
 from standins.launcher import Cluster
 from standins.launcher import ClusterPlan
-from standins.launcher import CommandResult
+from standins.processes import CommandResult
 from standins.tcp_relay import TcpRelay
 from tanagerscale.generated.callers import HostStatus
 from tanagerscale.generated.declarations import DeclarationSet
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -20,6 +20,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import Revision
 from tanagerscale.core import UpstreamId
+from tanagerscale.generated.messages import AccountUse
 from tanagerscale.generated.messages import HeadContent
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.upstream import ListedEntry
@@ -28,8 +29,8 @@
 from tanagerscale.membership import HeadSpread
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import PeerAddress
+from tanagerscale.membership import Received
 from tanagerscale.membership import UpstreamGate
-from tanagerscale.membership import UsageHeard
 from tanagerscale.membership import spread_leaving
 from testing._memory_links import MemoryNetwork
 from testing._memory_links import MemoryTransport
@@ -111,7 +112,7 @@
             clock=Clock(),
             rng=Random(name),
             heartbeat_source=lambda: Heartbeat(
-                revision=revisions.head_revision, usage={"crew": 1.5}
+                revision=revisions.head_revision, usage={"crew": AccountUse(d=1.5, r=2)}
             ),
             transport=MemoryTransport(network=self.network, address=address or name, told=told),
         )
@@ -218,10 +219,16 @@
 
 async def test_usage_of_accounts_is_heard_when_a_peer_beats() -> None:
     _, a, _, _ = await _three()
-    heard: list[UsageHeard] = []
-    a.mesh.usage_heard.subscribe(heard.append)
+    heard: list[Received] = []
+    a.mesh.messages.subscribe(heard.append)
     await asyncio.sleep(2.5)
-    assert {(each.host, each.usage["crew"]) for each in heard} == {("b", 1.5), ("c", 1.5)}
+    told = {
+        (each.host, use.d, use.r)
+        for each in heard
+        if isinstance(each.message, Heartbeat)
+        for use in each.message.usage.values()
+    }
+    assert told == {("b", 1.5, 2), ("c", 1.5, 2)}
 
 
 async def test_refusal_at_one_host_closes_an_upstream_everywhere_though_the_list_lags() -> None:
