--- a/testing/test_claims.py
+++ b/testing/test_claims.py
@@ -16,9 +16,13 @@
 from tanagerscale.claims import Granted
 from tanagerscale.claims import InProgress
 from tanagerscale.claims import Recorded
+from tanagerscale.claims._batcher import CommitBatcher
+from tanagerscale.core import Clock
 from tanagerscale.core import ProblemKind
 from tanagerscale.generated.records import ClaimRecord
 from tanagerscale.generated.records import ClaimState
+from tanagerscale.store import PutIf
+from tanagerscale.store import StoreRevision
 from testing._booking_hosts import NOT_EXECUTED
 from testing._booking_hosts import TTL_S
 from testing._booking_hosts import Platform
@@ -26,6 +30,8 @@
 from testing._booking_hosts import Told
 from testing._booking_hosts import key_of
 from testing._booking_hosts import settle_tasks
+from testing._fake_store import FakeBackend
+from testing._faulty_store import FaultyStore
 from testing._virtual_time import run_virtually
 
 pytestmark = pytest.mark.looptime
@@ -210,6 +216,27 @@
     assert platform.service.executions[NAME] == 1
 
 
+async def test_repeat_runs_at_once_when_this_host_just_released_the_claim(
+    platform: Platform,
+) -> None:
+    host = platform.start("a")
+    platform.service.refuses = True
+    assert await host.book(NAME) is Told.NOT_EXECUTED
+    platform.service.refuses = False
+    assert await host.book(NAME) is Told.ANSWER
+    assert platform.service.executions[NAME] == 1
+
+
+async def test_writes_to_one_key_go_in_separate_commits_when_submitted_together() -> None:
+    store = FaultyStore(backend=FakeBackend())
+    batcher = CommitBatcher(store=store, clock=Clock())
+    put = PutIf(key="k", value=b"", expected_mod_revision=StoreRevision(0))
+    first, second = await asyncio.gather(
+        batcher.submit(put=put, urgent=True), batcher.submit(put=put, urgent=True)
+    )
+    assert [first.unwrap().written, second.unwrap().written] == [True, False]
+
+
 @pytest.mark.parametrize("leaves_after_s", [0, 0.001, 0.01])
 async def test_repeat_runs_when_the_caller_left_during_its_claim(
     platform: Platform, leaves_after_s: float
