Quarantine requests that crash upstreams

An engine's death makes suspects of all that it ran. Hosts tell each other at once; a crash is one crash for all hosts that see it within 10 s. A suspect runs again only on one engine, announced 50 ms before it starts so that two hosts choosing at once see each other, away from all other suspects and from the engine it crashed on. A second crash convicts it and clears those whose crashes it explains; completing clears it. Convictions are kept in the store under a lease that ends with them, written in the background through outages. The Verdict message tells in addition where the sender runs the suspect. The clock can make its wall time follow virtual time.

The first trial kept only suspects of the same crash apart; with two poisonous requests at once an innocent suspect shared a crash with the other and was convicted in its place. All suspects are kept apart now. Ruled out: a fixed pair of engines for each fingerprint, which would bound the loss by construction but takes the choice from placement and scatters shared prefixes.

--- /dev/null
+++ b/src/tanagerscale/quarantine/_runs.py
@@ -0,0 +1,180 @@
+"""Which suspects run where, at this host and at its peers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+from enum import unique
+from typing import Final
+from typing import final
+
+from tanagerscale.core import HostId
+from tanagerscale.core import Millis
+from tanagerscale.core import UpstreamId
+from tanagerscale.quarantine._rules import Fingerprint
+
+FORGET_AFTER_MS: Final = 3_600_000
+"""A peer's run of which nothing more is heard is forgotten after an hour."""
+
+RECENT_MS: Final = 5000
+"""A run that broke off so shortly before its engine was known to be dead ran in the crash."""
+
+
+@unique
+class RunEnd(Enum):
+    """How a run ended that was not in a known crash."""
+
+    COMPLETE = "complete"
+    """It ran to its end, which clears it."""
+    CANCELLED = "cancelled"
+    """The engine refused it, or this host cancelled it."""
+    BROKEN = "broken"
+    """It broke off; a crash reported soon after counts it among its suspects."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """One request on one engine through one host.
+
+    :param fingerprint: The request.
+    :param engine: Where it runs or is about to.
+    :param host: Through which host.
+    :param since: When this host learnt of it.
+    :param settled: Whether it runs already; otherwise it is only announced.
+    """
+
+    fingerprint: Fingerprint
+    engine: UpstreamId
+    host: HostId
+    since: Millis
+    settled: bool
+
+
+@dataclass(kw_only=True, slots=True)
+class _OwnRun:
+    since: Millis
+    copies: int = 0
+    settled: bool = False
+
+
+_Place = tuple[Fingerprint, UpstreamId]
+
+
+@final
+class Runs:
+    """The runs that a host knows of: all of its own, and its peers' suspects.
+
+    :param host: This host.
+    """
+
+    def __init__(self, *, host: HostId) -> None:
+        self._host = host
+        self._own: dict[_Place, _OwnRun] = {}
+        self._broken_off: dict[_Place, Millis] = {}
+        self._peers: dict[tuple[HostId, Fingerprint], Run] = {}
+
+    def start(
+        self, *, fingerprint: Fingerprint, engine: UpstreamId, now: Millis, settled: bool
+    ) -> None:
+        """Add a run of this host; several copies may run on one engine."""
+        run = self._own.setdefault((fingerprint, engine), _OwnRun(since=now))
+        run.copies += 1
+        run.settled = run.settled or settled
+
+    def settle(self, *, fingerprint: Fingerprint, engine: UpstreamId) -> None:
+        """Note that an announced run goes ahead."""
+        run = self._own.get((fingerprint, engine))
+        if run is not None:
+            run.settled = True
+
+    def finish(
+        self, *, fingerprint: Fingerprint, engine: UpstreamId, now: Millis, end: RunEnd
+    ) -> None:
+        """Remove a run of this host."""
+        place = (fingerprint, engine)
+        if end is RunEnd.BROKEN:
+            self._broken_off = {
+                known: ended
+                for known, ended in self._broken_off.items()
+                if now - ended <= RECENT_MS
+            }
+            self._broken_off[place] = now
+        run = self._own.get(place)
+        if run is None:
+            return
+        run.copies -= 1
+        if run.copies <= 0:
+            del self._own[place]
+
+    def set_peer(
+        self,
+        *,
+        host: HostId,
+        fingerprint: Fingerprint,
+        engine: UpstreamId | None,
+        settled: bool,
+        now: Millis,
+    ) -> None:
+        """Take in where a peer runs a suspect; ``None`` when nowhere."""
+        place = (host, fingerprint)
+        if engine is None:
+            self._peers.pop(place, None)
+            return
+        known = self._peers.get(place)
+        if known is not None and known.engine == engine:
+            now = known.since
+            settled = settled or known.settled
+        self._peers[place] = Run(
+            fingerprint=fingerprint, engine=engine, host=host, since=now, settled=settled
+        )
+
+    def forget_peer(self, *, host: HostId) -> None:
+        """Forget what a peer ran that has gone."""
+        for place in [place for place in self._peers if place[0] == host]:
+            del self._peers[place]
+
+    def take_victims(
+        self, *, engine: UpstreamId, now: Millis, settled_after_ms: int
+    ) -> set[Fingerprint]:
+        """Remove and return all that ran on an engine when it died.
+
+        :param settled_after_ms: A peer's announced run counts as begun after so long.
+        """
+        victims = {
+            fingerprint
+            for (fingerprint, place), ended in self._broken_off.items()
+            if place == engine and now - ended <= RECENT_MS
+        }
+        for run in list(self.all(now=now)):
+            begun = run.settled or (run.host != self._host and now - run.since >= settled_after_ms)
+            if run.engine != engine or not begun:
+                continue
+            victims.add(run.fingerprint)
+            self._own.pop((run.fingerprint, engine), None)
+            self._peers.pop((run.host, run.fingerprint), None)
+        for place in [place for place in self._broken_off if place[1] == engine]:
+            del self._broken_off[place]
+        return victims
+
+    def own(self) -> Iterator[Run]:
+        """Return the runs of this host."""
+        for (fingerprint, engine), run in self._own.items():
+            yield Run(
+                fingerprint=fingerprint,
+                engine=engine,
+                host=self._host,
+                since=run.since,
+                settled=run.settled,
+            )
+
+    def own_run(self, *, fingerprint: Fingerprint) -> Run | None:
+        """Return this host's run of a request; all copies share one engine."""
+        return next((run for run in self.own() if run.fingerprint == fingerprint), None)
+
+    def all(self, *, now: Millis) -> Iterator[Run]:
+        """Return all known runs."""
+        yield from self.own()
+        for run in self._peers.values():
+            if now - run.since < FORGET_AFTER_MS:
+                yield run
--- /dev/null
+++ b/testing/test_quarantine.py
@@ -0,0 +1,193 @@
+"""A request that crashes its engines costs two of them, and nobody else's answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tanagerscale.core import ClientAccountId
+from tanagerscale.core import HostId
+from tanagerscale.core import Problem
+from tanagerscale.core import ProblemKind
+from tanagerscale.core import UpstreamId
+from tanagerscale.generated.messages import Verdict
+from tanagerscale.quarantine import Fingerprint
+from tanagerscale.quarantine import RunEnd
+from tanagerscale.quarantine import fingerprint_of
+from testing._crashing_engines import VERDICT_TTL_MS
+from testing._crashing_engines import Cluster
+from testing._crashing_engines import SendingHost
+
+pytestmark = pytest.mark.looptime
+
+POISON = Fingerprint("poison")
+HOSTS = 6
+ENGINES = 5
+INNOCENTS = 40
+
+
+async def resend(cluster: Cluster, name: str, *, times: int) -> list[Problem | None]:
+    """Send one request again and again to whatever host."""
+    told = []
+    for _ in range(times):
+        told.append(await cluster.rng.choice(cluster.hosts).call(name))
+        await asyncio.sleep(0.05)
+    return told
+
+
+async def send_innocents(cluster: Cluster) -> list[Problem | None]:
+    async def send(number: int) -> Problem | None:
+        await asyncio.sleep(cluster.rng.random() * 3)
+        host = cluster.rng.choice(cluster.hosts)
+        return await host.call(f"plan-{number}", duration_s=0.1 + cluster.rng.random())
+
+    return await asyncio.gather(*(send(number) for number in range(INNOCENTS)))
+
+
+@pytest.mark.parametrize("store_down", [False, True])
+@pytest.mark.parametrize("seed", range(5))
+async def test_two_engines_are_lost_when_poison_is_sent_again_and_again_beside_innocents(
+    store_down: bool, seed: int
+) -> None:
+    cluster = Cluster(hosts=HOSTS, engines=ENGINES, seed=seed)
+    cluster.poison.add(POISON)
+    for host in cluster.hosts:
+        host.store.set_down(store_down)
+    told, innocents = await asyncio.gather(
+        resend(cluster, POISON, times=20), send_innocents(cluster)
+    )
+    assert cluster.losses[POISON] == 2
+    assert innocents == [None] * INNOCENTS
+    assert {problem.kind for problem in told if problem} == {ProblemKind.QUARANTINED}
+    assert all(problem and problem.retry_after_ms for problem in told)
+
+
+@pytest.mark.parametrize("seed", range(5))
+async def test_two_engines_are_lost_when_copies_run_on_other_engines_at_the_first_crash(
+    seed: int,
+) -> None:
+    cluster = Cluster(hosts=HOSTS, engines=ENGINES, seed=seed)
+    cluster.poison.add(POISON)
+
+    async def send(number: int) -> Problem | None:
+        await asyncio.sleep(number * 0.02)
+        return await cluster.hosts[number].call(POISON, first=f"e{number % ENGINES}")
+
+    told = await asyncio.gather(*(send(number) for number in range(HOSTS)))
+    assert all(problem and problem.kind is ProblemKind.QUARANTINED for problem in told)
+    assert cluster.losses[POISON] == 2
+
+
+async def test_innocents_all_finish_when_they_shared_two_different_crashes() -> None:
+    cluster = Cluster(hosts=HOSTS, engines=ENGINES)
+    cluster.poison.update({POISON, Fingerprint("venom")})
+    _, _, innocents = await asyncio.gather(
+        resend(cluster, POISON, times=5), resend(cluster, "venom", times=5), send_innocents(cluster)
+    )
+    refused = [problem for problem in innocents if problem is not None]
+    assert cluster.losses[POISON] <= 2
+    assert cluster.losses[Fingerprint("venom")] <= 2
+    assert refused == []
+
+
+async def test_verdict_ends_when_its_time_is_over() -> None:
+    cluster = Cluster(hosts=2, engines=3)
+    cluster.poison.add(POISON)
+    problem = await cluster.hosts[0].call(POISON)
+    assert problem is not None
+    assert problem.retry_after_ms is not None
+    await asyncio.sleep(0.1)
+    await asyncio.sleep((problem.retry_after_ms - 1000) / 1000)
+    assert all(host.quarantine.check(fingerprint=POISON) for host in cluster.hosts)
+    await asyncio.sleep(2)
+    assert not any(host.quarantine.check(fingerprint=POISON) for host in cluster.hosts)
+    cluster.poison.clear()
+    assert await cluster.hosts[1].call(POISON) is None
+
+
+async def test_verdict_is_known_to_a_host_that_starts_later_when_the_store_was_down() -> None:
+    cluster = Cluster(hosts=1, engines=3)
+    cluster.poison.add(POISON)
+    cluster.hosts[0].store.set_down(True)
+    await cluster.hosts[0].call(POISON)
+    await asyncio.sleep(300)
+    cluster.hosts[0].store.set_down(False)
+    await asyncio.sleep(10)
+    later = SendingHost(name="later", cluster=cluster, wall_offset_ms=0)
+    await later.quarantine.load()
+    told = later.quarantine.check(fingerprint=POISON)
+    assert told is not None
+    assert told.retry_after_ms is not None
+    assert told.retry_after_ms <= VERDICT_TTL_MS - 300_000
+    await asyncio.sleep(VERDICT_TTL_MS / 1000)
+    cluster.backend.expire()
+    assert cluster.backend.entries == {}
+
+
+async def test_suspect_is_cleared_when_its_second_run_completes() -> None:
+    cluster = Cluster(hosts=2, engines=3)
+    first, second = cluster.hosts
+    plan = Fingerprint("plan")
+    assert await first.quarantine.admit(fingerprint=plan, engine=UpstreamId("e0"))
+    first.quarantine.on_engine_crash(engine=UpstreamId("e0"))
+    await asyncio.sleep(0.01)
+    assert second.quarantine.is_suspect(fingerprint=plan)
+    assert await second.call("plan") is None
+    await asyncio.sleep(0.01)
+    assert not any(host.quarantine.is_suspect(fingerprint=plan) for host in cluster.hosts)
+
+
+async def test_run_counts_as_suspect_when_it_broke_off_just_before_its_engine_was_known_dead() -> (
+    None
+):
+    cluster = Cluster(hosts=1, engines=3)
+    quarantine = cluster.hosts[0].quarantine
+    engine = UpstreamId("e0")
+    for name, end in (("broken", RunEnd.BROKEN), ("ended", RunEnd.COMPLETE)):
+        assert await quarantine.admit(fingerprint=Fingerprint(name), engine=engine)
+        quarantine.on_finished(fingerprint=Fingerprint(name), engine=engine, end=end)
+    quarantine.on_engine_crash(engine=engine)
+    assert quarantine.is_suspect(fingerprint=Fingerprint("broken"))
+    assert not quarantine.is_suspect(fingerprint=Fingerprint("ended"))
+
+
+async def test_suspects_of_one_crash_are_kept_apart_when_two_hosts_choose_at_once() -> None:
+    cluster = Cluster(hosts=2, engines=3)
+    names = [Fingerprint("plan-a"), Fingerprint("plan-b")]
+    for host, name in zip(cluster.hosts, names, strict=True):
+        assert await host.quarantine.admit(fingerprint=name, engine=UpstreamId("e0"))
+        host.quarantine.on_engine_crash(engine=UpstreamId("e0"))
+    await asyncio.sleep(0.01)
+    admitted = await asyncio.gather(
+        *(
+            host.quarantine.admit(fingerprint=name, engine=UpstreamId("e1"))
+            for host, name in zip(cluster.hosts, names, strict=True)
+        )
+    )
+    assert sorted(admitted) == [False, True]
+
+
+async def test_peer_message_does_no_harm_when_it_is_garbage() -> None:
+    cluster = Cluster(hosts=1, engines=2)
+    quarantine = cluster.hosts[0].quarantine
+    for crashes in (["", "@", "e0@", "@5", "e0@x", "e0@" + "9" * 40], ["e0@1"] * 1000):
+        quarantine.on_peer_verdict(
+            verdict=Verdict(
+                fingerprint="plan", crashes=crashes, expires_wall_ms=1 << 62, engine="no-such"
+            ),
+            peer=HostId("h9"),
+        )
+    quarantine.on_peer_gone(peer=HostId("h9"))
+    assert quarantine.check(fingerprint=Fingerprint("plan")) is None
+    assert await quarantine.admit(fingerprint=Fingerprint("plan"), engine=UpstreamId("e1"))
+
+
+def test_fingerprint_differs_when_account_body_or_secret_does() -> None:
+    def make(key: bytes, account: str, body: bytes) -> str:
+        return fingerprint_of(key=key, account=ClientAccountId(account), body=body)
+
+    made = {
+        make(b"k", "a", b"bc"), make(b"k", "ab", b"c"), make(b"l", "a", b"bc"), make(b"k", "a", b"")
+    }  # fmt: skip
+    assert len(made) == 4
