--- a/src/tanagerscale/membership/_gate.py
+++ b/src/tanagerscale/membership/_gate.py
@@ -25,6 +25,9 @@
 _FIRST_BREAK_MS = 250
 _LONGEST_BREAK_MS = 5000
 
+_LEAVING_MEMORY_MS = 600_000
+"""How long a word of leaving holds where the list tells no incarnations, longer than any lag."""
+
 log = get_logger(part="gate")
 
 
@@ -56,6 +59,8 @@
         self._spread = spread
         self._listed: dict[UpstreamId, int] = {}
         self._leaving: dict[UpstreamId, int] = {}
+        self._heard: dict[UpstreamId, Millis] = {}
+        self._listed_leaving: frozenset[UpstreamId] = frozenset()
         self._breakers: dict[UpstreamId, _Breaker] = {}
         self._changes: Subject[UpstreamId] = Subject()
 
@@ -71,7 +76,9 @@
     def is_leaving(self, upstream: UpstreamId) -> bool:
         """Return whether an upstream's present life is known to end."""
         leaving = self._leaving.get(upstream)
-        return leaving is not None and leaving >= self._listed.get(upstream, 0)
+        if leaving is None or leaving < self._listed.get(upstream, 0):
+            return False
+        return leaving > 0 or upstream in self._listed_leaving or self._is_recent(upstream)
 
     def is_broken(self, upstream: UpstreamId) -> bool:
         """Return whether calls to an upstream failed and it is not yet time for a probe."""
@@ -80,9 +87,11 @@
 
     def on_list(self, entries: Sequence[ListedEntry]) -> None:
         """Take in the host list."""
-        for entry in entries:
-            if entry.kind is not ListedKind.UPSTREAM:
-                continue
+        upstreams = [entry for entry in entries if entry.kind is ListedKind.UPSTREAM]
+        self._listed_leaving = frozenset(
+            UpstreamId(entry.id) for entry in upstreams if entry.state is ListedState.LEAVING
+        )
+        for entry in upstreams:
             upstream = UpstreamId(entry.id)
             if entry.incarnation > self._listed.get(upstream, 0):
                 self._listed[upstream] = entry.incarnation
@@ -103,13 +112,19 @@
             what its own refusal is about.
         """
         life = self._listed.get(upstream, 0) if incarnation is None else incarnation
+        if incarnation is None:
+            self._heard[upstream] = self._clock.now()
         if self._leaving.get(upstream, -1) >= life:
             return
+        self._heard[upstream] = self._clock.now()
         self._leaving[upstream] = life
         log.info("Upstream is leaving.", upstream=upstream, incarnation=life)
         self._spread(UpstreamLeaving(upstream=upstream, incarnation=life))
         self._changes.on_next(upstream)
 
+    def _is_recent(self, upstream: UpstreamId) -> bool:
+        return self._clock.now() - self._heard[upstream] < _LEAVING_MEMORY_MS
+
     def leaving_messages(self) -> tuple[UpstreamLeaving, ...]:
         """Return what a host that has just connected should know."""
         return tuple(
--- a/src/tanagerscale/routing/_deciders.py
+++ b/src/tanagerscale/routing/_deciders.py
@@ -77,6 +77,11 @@
         for cell, owner in self._owners.items():
             owner.set_engines(self._specs(cell) or ())
 
+    def configure(self, apply: Callable[[PoolScheduler], None]) -> None:
+        """Change the schedulers in use."""
+        for owner in self:
+            owner.configure(apply)
+
     def tick(self) -> None:
         """Let each cell decide, and drop those that hold nothing."""
         for cell, owner in tuple(self._owners.items()):
--- a/src/tanagerscale/routing/_owned_cells.py
+++ b/src/tanagerscale/routing/_owned_cells.py
@@ -96,6 +96,10 @@
         self._deciders.refresh_engines()
         self._pollers.set_engines(self._ownership.owned_engines)
 
+    def configure(self, apply: Callable[[PoolScheduler], None]) -> None:
+        """Change the schedulers in use."""
+        self._deciders.configure(apply)
+
     def tick(self) -> None:
         """Let each cell decide."""
         self._deciders.tick()
--- a/src/tanagerscale/routing/_owner.py
+++ b/src/tanagerscale/routing/_owner.py
@@ -96,6 +96,11 @@
         self._scheduler.set_engines(engines=specs, now=self._clock.now())
         self.touch()
 
+    def configure(self, apply: Callable[[PoolScheduler], None]) -> None:
+        """Change the scheduler in use."""
+        apply(self._scheduler)
+        self.touch()
+
     def on_ask(self, *, host: HostId, ask: Ask) -> None:
         """Queue a placement, or tell again what was decided about it."""
         held = self._held.get(GenerationId(ask.generation))
--- a/src/tanagerscale/routing/_router.py
+++ b/src/tanagerscale/routing/_router.py
@@ -25,7 +25,6 @@
 from tanagerscale.generated.messages import Finished
 from tanagerscale.generated.messages import Grant
 from tanagerscale.generated.messages import GrantKind
-from tanagerscale.generated.messages import Progress
 from tanagerscale.generated.messages import Running
 from tanagerscale.generated.messages import RunningRequest
 from tanagerscale.membership import Message
@@ -49,6 +48,7 @@
 from tanagerscale.routing._protocol import Placement
 from tanagerscale.routing._protocol import PoolScheduler
 from tanagerscale.routing._protocol import UpstreamOpenness
+from tanagerscale.routing._reporter import ProgressReporter
 from tanagerscale.upstreams import EngineClient
 
 TICK_MS = 100
@@ -92,7 +92,6 @@
         self._ownership = Ownership(host=network.host)
         self._chooser = CellChooser(ownership=self._ownership, gate=gate, clock=clock, rng=rng)
         self._entries = EntryTable()
-        self._changed: set[int] = set()
         self._owned = OwnedCells(
             ownership=self._ownership,
             open_specs=lambda cell: self._open_specs(cell, share=self._ownership.share),
@@ -109,6 +108,9 @@
             clock=clock,
             tell=self._on_fallback,
         )
+        self._reporter = ProgressReporter(
+            host=network.host, entries=self._entries, fallbacks=self._fallbacks, tell=self._tell
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._subscriptions: list[DisposableBase] = []
 
@@ -167,6 +169,14 @@
         self._ownership.set_known_hosts(known)
         self._refresh_engines()
 
+    def configure(self, apply: Callable[[PoolScheduler], None]) -> None:
+        """Change the schedulers in use, such as when accounts or the objective have changed.
+
+        :param apply: Called once with each scheduler; new ones are made as they should be.
+        """
+        self._owned.configure(apply)
+        self._fallbacks.configure(apply)
+
     async def place(self, *, request: PlacementRequest) -> Result[Placement, Problem]:
         """Wait for a place; cancelling the call withdraws the request."""
         cell = self._chooser.choose(request)
@@ -204,7 +214,7 @@
         entry = self._entries.by_generation(generation)
         if entry is not None and tokens > entry.tokens:
             entry.tokens = tokens
-            self._changed.add(entry.serial)
+            self._reporter.note(entry)
 
     def release(
         self, *, generation: GenerationId, tokens: int, complete: bool, engine_lost: bool
@@ -252,7 +262,7 @@
 
     def _give_up(self, entry: Entry, finished: Finished) -> None:
         self._entries.remove(entry)
-        self._changed.discard(entry.serial)
+        self._reporter.forget(entry)
         self._tell(entry.owner, finished)
         self._leave_fallback(entry, finished)
 
@@ -434,26 +444,4 @@
             everything = self._clock.now() - kept >= KEEP_MS
             if everything:
                 kept = self._clock.now()
-            self._report(everything=everything)
-
-    def _report(self, *, everything: bool) -> None:
-        """Send one progress message to each owner, and to the fallbacks that hold something."""
-        groups: dict[tuple[HostId, CellId], list[Entry]] = {}
-        for entry in self._entries:
-            if entry.placement is not None and (everything or entry.serial in self._changed):
-                groups.setdefault((entry.owner, entry.cell), []).append(entry)
-        self._changed.clear()
-        for (owner, cell), entries in groups.items():
-            self._tell(owner, _progress(cell, entries))
-            mine = [entry for entry in entries if entry.in_fallback]
-            fallback = self._fallbacks.find(cell)
-            if mine and fallback is not None:
-                fallback.on_progress(host=self._network.host, progress=_progress(cell, mine))
-
-
-def _progress(cell: CellId, entries: Sequence[Entry]) -> Progress:
-    return Progress(
-        cell=cell,
-        serials=[entry.serial for entry in entries],
-        tokens=[entry.tokens for entry in entries],
-    )
+            self._reporter.report(everything=everything)
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -238,6 +238,22 @@
     assert a.gate.is_open(ENGINE)
 
 
+async def test_upstream_without_incarnations_opens_long_after_the_last_word_of_leaving() -> None:
+    gate = UpstreamGate(clock=Clock(), rng=Random(1), spread=lambda _message: None)
+    live, leaving = (
+        _entry(state, incarnation=0) for state in (ListedState.LIVE, ListedState.LEAVING)
+    )
+    gate.on_list([leaving])
+    await asyncio.sleep(3600)
+    assert not gate.is_open(ENGINE)
+    gate.note_leaving(upstream=ENGINE)
+    gate.on_list([live])
+    await asyncio.sleep(300)
+    assert not gate.is_open(ENGINE)
+    await asyncio.sleep(301)
+    assert gate.is_open(ENGINE)
+
+
 async def test_host_cut_from_its_peers_learns_of_a_leaving_upstream_from_the_list() -> None:
     hosts, a, b, c = await _three()
     hosts.freeze("c")
