--- a/src/tanagerscale/daemon/__init__.py
+++ b/src/tanagerscale/daemon/__init__.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from tanagerscale.daemon._admission import DoorKeeper
 from tanagerscale.daemon._limits import HostLimits
 from tanagerscale.daemon._main import main
 from tanagerscale.daemon._notes import GateNotes
 from tanagerscale.daemon._notes import NoCrashWatch
 
-__all__ = ["GateNotes", "HostLimits", "NoCrashWatch", "main"]
+__all__ = ["DoorKeeper", "GateNotes", "HostLimits", "NoCrashWatch", "main"]
--- a/testing/_fake_engine.py
+++ b/testing/_fake_engine.py
@@ -80,6 +80,9 @@
     faults: Faults = field(default_factory=Faults)
     runs: dict[str, Run] = field(default_factory=dict)
     executed: list[str] = field(default_factory=list)
+    step_ms: int = STEP_MS
+    padding: str = ""
+    yielded: int = 0
 
     async def generate(self, *, request: EngineRequest) -> TokenBatches:
         """Start an attempt."""
@@ -122,7 +125,7 @@
         faults = self.faults
         yield Success(())
         while offset < len(run.tokens):
-            await self.clock.sleep(run.started + (offset + 1) * STEP_MS - self.clock.now())
+            await self.clock.sleep(run.started + (offset + 1) * self.step_ms - self.clock.now())
             if faults.die_at == offset:
                 faults.dead = True
                 faults.die_at = None
@@ -145,9 +148,9 @@
             elif faults.skip_at == offset:
                 faults.skip_at = None
             else:
-                yield Success(
-                    (TokenEvent(attempt_id=attempt, offset=offset, text=run.tokens[offset]),)
-                )
+                text = run.tokens[offset] + self.padding
+                self.yielded += 1
+                yield Success((TokenEvent(attempt_id=attempt, offset=offset, text=text),))
             offset += 1
         if faults.drop_end > 0:
             faults.drop_end -= 1
