Send a large set to a peer in several messages

Peers' messages hold at most 4 MB, and the target size has 3.5 MB of chunks, so a little more and a host started during an outage of the store could never become ready. A message now carries at most 2 MB of chunks chosen anew each time, and the receiver keeps sound ones until they make a whole; seen red when they were not kept.

--- a/src/tanagerscale/declarations/_follower.py
+++ b/src/tanagerscale/declarations/_follower.py
@@ -22,6 +22,7 @@
 from tanagerscale.core import get_logger
 from tanagerscale.declarations._chunks import ChunkedSections
 from tanagerscale.declarations._chunks import ChunkError
+from tanagerscale.declarations._chunks import digest_of
 from tanagerscale.declarations._declarations import Declarations
 from tanagerscale.declarations._errors import FollowError
 from tanagerscale.declarations._errors import FollowErrorKind
@@ -40,6 +41,9 @@
 FIRST_BACKOFF_MS = 200
 MAX_BACKOFF_MS = 5_000
 HEADS_REMEMBERED = 64
+# Peers' messages have a limit of four megabytes, and a set may be larger.
+MAX_CONTENT_BYTES = 2 * 1024 * 1024
+MAX_OFFERED_BYTES = 16 * 1024 * 1024
 
 _ReadChunks = Callable[[Sequence[str]], Awaitable[Result[Mapping[str, bytes], FollowError]]]
 
@@ -65,6 +69,7 @@
         self._ready = BehaviorSubject(False)
         self._head_json = b""
         self._heads: OrderedDict[int, tuple[str, ...]] = OrderedDict()
+        self._offered: dict[str, bytes] = {}
         self._last_error: FollowError | None = None
 
     @property
@@ -110,10 +115,10 @@
 
         :param head: Its head record, as it stands in the store.
         :param chunks: Content of chunks by digest.
-        :returns: The revision in force here afterwards. After ``CHUNK_MISSING`` ask the peer again
-            with ``have_revision`` 0, which makes it send all chunks.
+        :returns: The revision in force here afterwards. After a failure ask the peer again with
+            ``have_revision`` 0, until the chunks of several messages make a whole.
         """
-        offered = {digest: content.encode() for digest, content in chunks.items()}
+        offered = self._keep_sound(chunks=chunks)
 
         async def read(digests: Sequence[str]) -> Result[Mapping[str, bytes], FollowError]:
             lacking = [digest for digest in digests if digest not in offered]
@@ -125,8 +130,9 @@
     def content_for_peer(self, *, have: Revision) -> HeadContent | None:
         """Return what a peer needs to put our revision in force.
 
-        :param have: The revision that the peer has; 0 makes the content complete.
-        :returns: The head and the chunks that the peer lacks; ``None`` when it lacks nothing.
+        :param have: The revision that the peer has; 0 makes it be sent all chunks.
+        :returns: The head and the chunks that the peer lacks, some of them when they are too many
+            for one message; ``None`` when it lacks nothing.
         """
         present = self.declarations
         if present.revision <= have:
@@ -137,9 +143,32 @@
         lacking = set(chunked.digests) - (set(known) if same_count else set())
         if have > 0 and have == present.revision - 1 and self._has_delta():
             lacking = set()
-        contents = {digest: chunked.chunk(digest=digest).decode() for digest in sorted(lacking)}
+        contents = self._some_chunks(digests=sorted(lacking))
         return HeadContent(head=self._head_json.decode(), chunks=contents)
 
+    def _some_chunks(self, *, digests: list[str]) -> dict[str, str]:
+        """Return as many chunks as fit one message, chosen anew each time."""
+        self._random.shuffle(digests)
+        contents: dict[str, str] = {}
+        size = 0
+        for digest in digests:
+            content = self.declarations.chunked.chunk(digest=digest).decode()
+            size += len(content)
+            if contents and size > MAX_CONTENT_BYTES:
+                break
+            contents[digest] = content
+        return contents
+
+    def _keep_sound(self, *, chunks: Mapping[str, str]) -> Mapping[str, bytes]:
+        """Keep offered chunks until a revision is in force, and return all that are kept."""
+        offered = {digest: content.encode() for digest, content in chunks.items()}
+        self._offered.update(
+            {digest: content for digest, content in offered.items() if digest_of(content) == digest}
+        )
+        if sum(map(len, self._offered.values())) > MAX_OFFERED_BYTES:
+            self._offered.clear()
+        return {**self._offered, **offered}
+
     def peers_agree(self, *, revisions: Iterable[Revision]) -> None:
         """Become ready on the word of every reachable live peer, when the store is down.
 
@@ -238,6 +267,7 @@
 
     def _put_in_force(self, *, declarations: Declarations, head_json: bytes) -> None:
         self._head_json = head_json
+        self._offered.clear()
         self._heads[declarations.revision] = declarations.chunked.digests
         if len(self._heads) > HEADS_REMEMBERED:
             self._heads.popitem(last=False)
--- a/testing/test_declarations_follow.py
+++ b/testing/test_declarations_follow.py
@@ -264,6 +264,28 @@
         assert _is_ready(started)
 
 
+async def test_set_comes_in_several_messages_when_it_is_too_large_for_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("tanagerscale.declarations._follower.MAX_CONTENT_BYTES", 1)
+    store = FakeStore()
+    source = follow(store=store)
+    target = follow(store=FakeStore(down=True), seed=2)
+    accounts = [f"account-{number}" for number in range(1000)]
+    async with _running(source):
+        await apply(store=store, declarations=declare(accounts=accounts))
+        await asyncio.sleep(0.1)
+        chunks = len(source.declarations.chunked.digests)
+        assert chunks > 2
+        for _ in range(20 * chunks):
+            content = source.content_for_peer(have=target.head_revision)
+            if content is None:
+                break
+            assert len(content.chunks) == 1
+            await _carry(source=source, target=target)
+        assert target.declarations.digest == source.declarations.digest
+
+
 HEADS = st.one_of(
     st.binary(max_size=60),
     st.just(b"[" * 5000),
--- a/testing/test_declarations_processes.py
+++ b/testing/test_declarations_processes.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from standins.cluster_files import write_declarations
+from standins.command_line import CommandResult
 from standins.launcher import Cluster
 from standins.launcher import ClusterPlan
-from standins.launcher import CommandResult
 from standins.tcp_relay import TcpRelay
 from tanagerscale.generated.callers import HostStatus
 from tanagerscale.generated.declarations import DeclarationSet
