Refuse half numbers, odd prefixes and text that isn't UTF-8 on the command line

Each ended in a traceback or was cut to a whole number in silence. A host frozen during an apply now stands in the proof over real processes too.

--- a/src/tanagerscale/cli/_apply.py
+++ b/src/tanagerscale/cli/_apply.py
@@ -38,7 +38,7 @@
     declarations = load_declarations(files=files)
     async with open_store(endpoints=endpoints, clock=Clock()) as store:
         accepted = await _read(store=store, prefix=prefix)
-    changes = _changes(accepted=accepted, declarations=declarations)
+    changes = _changes(accepted=accepted, declarations=declarations, output=output)
     _print_changes(changes=changes, output=output)
     output.line(f"{len(changes)} changes to revision {accepted.revision}.")
     document = {"revision": accepted.revision, "changes": [str(change) for change in changes]}
@@ -64,7 +64,7 @@
     apply_id = apply_id or new_id(prefix="apply")
     async with open_store(endpoints=endpoints, clock=clock) as store:
         base = await _read(store=store, prefix=prefix)
-        changes = _changes(accepted=base, declarations=declarations)
+        changes = _changes(accepted=base, declarations=declarations, output=output)
         _print_changes(changes=changes, output=output)
         result = await publish(
             store=store,
@@ -128,7 +128,14 @@
     return result.unwrap()
 
 
-def _changes(*, accepted: Accepted, declarations: DeclarationSet) -> tuple[Change, ...]:
+def _changes(
+    *, accepted: Accepted, declarations: DeclarationSet, output: Output
+) -> tuple[Change, ...]:
+    if accepted.chunked is None:
+        output.progress(
+            f"Revision {accepted.revision} can't be read in full, so everything is shown as added; "
+            "applying writes it anew."
+        )
     old = accepted.chunked.sections() if accepted.chunked is not None else {}
     changes, _ = diff_sections(old=old, new=to_sections(declarations=declarations))
     return changes
--- a/src/tanagerscale/cli/_arguments.py
+++ b/src/tanagerscale/cli/_arguments.py
@@ -4,6 +4,7 @@
 
 import getpass
 from pathlib import Path
+import re
 from typing import Any
 from typing import Final
 from urllib.parse import urlsplit
@@ -17,19 +18,28 @@
 from tanagerscale.ini import address_problem
 
 MAX_AUTHOR_LENGTH: Final = 100
+PREFIX_PATTERN: Final = re.compile(r"[!-~]{0,200}")
 TRUE_WORDS: Final = frozenset({"true", "yes", "1"})
 FALSE_WORDS: Final = frozenset({"false", "no", "0"})
 
 
 def check_author(*, author: str) -> str:
     """Return the author's name; the login's when none is given."""
-    name = author or getpass.getuser()
+    name = author or _login_name()
     if len(name) > MAX_AUTHOR_LENGTH or not name.isprintable():
         message = f"--author takes a printable name of at most {MAX_AUTHOR_LENGTH} characters."
         fail(code=ExitCode.BAD_INPUT, message=message)
     return name
 
 
+def check_prefix(*, prefix: str) -> str:
+    """Return what the store's keys start with."""
+    if not PREFIX_PATTERN.fullmatch(prefix):
+        message = f"--prefix takes what [store] prefix of the hosts says; found {prefix!r}."
+        fail(code=ExitCode.BAD_INPUT, message=message)
+    return prefix
+
+
 def check_store(*, store: str) -> tuple[str, ...]:
     """Return the store's endpoints."""
     urls = tuple(url.strip() for url in store.split(",") if url.strip())
@@ -70,6 +80,15 @@
     return number
 
 
+def check_count(*, name: str, value: Any, least: int) -> int:
+    """Return a whole number given on the command line."""
+    number = check_number(name=name, value=value, least=least)
+    if number != int(number):
+        message = f"--{name} takes a whole number, at least {least}; found {value!r}."
+        fail(code=ExitCode.BAD_INPUT, message=message)
+    return int(number)
+
+
 def check_flag(*, name: str, value: Any) -> bool:
     """Return a flag given on the command line."""
     word = str(value).lower()
@@ -96,6 +115,13 @@
     return result.unwrap()
 
 
+def _login_name() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError, ImportError):
+        fail(code=ExitCode.BAD_INPUT, message="Say who applies, with --author NAME.")
+
+
 def _is_http_url(url: str) -> bool:
     try:
         parts = urlsplit(url)
--- a/src/tanagerscale/cli/_ask.py
+++ b/src/tanagerscale/cli/_ask.py
@@ -25,6 +25,7 @@
 from tanagerscale.generated.callers import CompletionRequest
 from tanagerscale.generated.callers import ProblemDetails
 
+STANDARD_INPUT = "-"
 KEY_VARIABLE = "TANAGERSCALE_KEY"
 CONNECT_TIMEOUT_S = 3.0
 SILENCE_TIMEOUT_S = 60.0
@@ -63,7 +64,7 @@
     if not question.model:
         fail(code=ExitCode.BAD_INPUT, message="Say which model to ask, with --model NAME.")
     headers = {"Authorization": f"Bearer {_find_key(question)}"}
-    prompt = sys.stdin.read() if question.prompt == "-" else question.prompt
+    prompt = _find_prompt(question)
     body = msgspec.json.encode(
         CompletionRequest(
             model=question.model,
@@ -102,6 +103,16 @@
     output.document(document)
 
 
+def _find_prompt(question: Question) -> str:
+    try:
+        if question.prompt == STANDARD_INPUT:
+            return sys.stdin.buffer.read().decode()
+        question.prompt.encode()
+    except UnicodeError:
+        fail(code=ExitCode.BAD_INPUT, message="The prompt must be text in UTF-8.")
+    return question.prompt
+
+
 def _find_key(question: Question) -> str:
     if question.key_file:
         try:
--- a/src/tanagerscale/cli/_commands.py
+++ b/src/tanagerscale/cli/_commands.py
@@ -11,9 +11,11 @@
 from tanagerscale.cli._apply import run_audit
 from tanagerscale.cli._apply import run_diff
 from tanagerscale.cli._arguments import check_author
+from tanagerscale.cli._arguments import check_count
 from tanagerscale.cli._arguments import check_flag
 from tanagerscale.cli._arguments import check_hosts
 from tanagerscale.cli._arguments import check_number
+from tanagerscale.cli._arguments import check_prefix
 from tanagerscale.cli._arguments import check_store
 from tanagerscale.cli._ask import Question
 from tanagerscale.cli._ask import run_ask
@@ -74,6 +76,7 @@
         """
         output = _output(json)
         endpoints = check_store(store=store)
+        prefix = check_prefix(prefix=prefix)
         return Job(
             lambda: asyncio.run(
                 run_diff(files=files, endpoints=endpoints, prefix=prefix, output=output)
@@ -106,9 +109,10 @@
         """
         output = _output(json)
         endpoints = check_store(store=store)
+        prefix = check_prefix(prefix=prefix)
         addresses = check_hosts(hosts=hosts, required=False)
         wait_s = check_number(name="timeout", value=timeout, least=0)
-        expected = int(check_number(name="expect", value=expect, least=0)) if expect else None
+        expected = check_count(name="expect", value=expect, least=0) if expect else None
         author = check_author(author=author)
         return Job(
             lambda: asyncio.run(
@@ -151,7 +155,8 @@
         :param json: Print one JSON document.
         """
         endpoints = check_store(store=store)
-        number = int(check_number(name="last", value=last, least=1))
+        prefix = check_prefix(prefix=prefix)
+        number = check_count(name="last", value=last, least=1)
         return Job(
             lambda: asyncio.run(
                 run_audit(endpoints=endpoints, prefix=prefix, last=number, output=_output(json))
@@ -197,7 +202,7 @@
             adapter=adapter,
             key=key,
             key_file=key_file,
-            max_tokens=int(check_number(name="max-tokens", value=max_tokens, least=0)),
+            max_tokens=check_count(name="max-tokens", value=max_tokens, least=0),
         )
         return Job(lambda: asyncio.run(run_ask(question=question, output=_output(json))))
 
--- a/testing/test_declarations_processes.py
+++ b/testing/test_declarations_processes.py
@@ -68,8 +68,10 @@
         await cluster.start_host("host-4")
         assert await _until_in_force(cluster=cluster, session=session, revision=2) == digests
         cluster.store.thaw()
+        cluster.hosts["host-1"].freeze()
         third = _with_stall_weight(cluster.declarations, weight=7)
         assert (await cluster.apply(declarations=third)).returncode == 0
+        cluster.hosts["host-1"].thaw()
         assert len(await _until_in_force(cluster=cluster, session=session, revision=3)) == 1
 
 
