--- a/src/tanagerscale/policy/_ledger.py
+++ b/src/tanagerscale/policy/_ledger.py
@@ -72,10 +72,13 @@
     """Everything one scheduler knows of one engine.
 
     :param spec: What is declared of it.
+    :param alone: Whether work of other schedulers is none of this ledger's business, because
+        it may only fill a share.
     """
 
-    def __init__(self, *, spec: EngineSpec) -> None:
+    def __init__(self, *, spec: EngineSpec, alone: bool = False) -> None:
         self.spec = spec
+        self.alone = alone
         self.open = True
         """Whether it takes new work."""
         self.running: dict[GenerationId, Running] = {}
@@ -85,6 +88,8 @@
         self._prefix_tokens = 0
         self._hints: OrderedDict[str, None] = OrderedDict()
         self._forecast = _Forecast()
+        self.refused: dict[LengthCurve, int] = {}
+        """Least memory refused by length distribution since the forecast was made."""
         self._dirty = True
         self._usage: deque[_Usage] = deque(maxlen=USAGE_SAMPLES)
         self._foreign = 0
@@ -105,6 +110,12 @@
             return request.prompt_tokens - request.prefix_tokens
         return request.prompt_tokens
 
+    @property
+    def own_tokens(self) -> int:
+        """Return the memory its own generations hold."""
+        private = sum(item.private + item.tokens for item in self.running.values())
+        return private + self._prefix_tokens
+
     def new_memory(self, request: PlacementRequest) -> int:
         """Return the memory a request's prompt would add, shared prefixes counted once."""
         if request.prefix and request.prefix in self._prefixes_in_use:
@@ -122,12 +133,16 @@
         :param memory: Tokens of memory it may count on.
         """
         base = self.new_memory(request)
+        refused = self.refused.get(curve)
+        if refused is not None and base >= refused:
+            return False
         for index, horizon in enumerate(HORIZONS):
             alive = curve.survival(horizon)
             size = base + horizon
             mean = self._forecast.mean[index] + alive * size
             spread = self._forecast.variance[index] + alive * (1.0 - alive) * size * size
             if mean + deviations * math.sqrt(spread) > memory:
+                self.refused[curve] = base
                 return False
         return True
 
@@ -184,6 +199,8 @@
 
     def report(self, load: EngineLoad) -> None:
         """Take in a late report: what it shows beyond our own usage then is foreign."""
+        if self.alone:
+            return
         own = self._own_usage(load.measured)
         self._foreign = max(load.used_tokens - own.tokens, 0)
         self._foreign_running = max(load.running + load.waiting - own.running, 0)
@@ -212,6 +229,7 @@
             made=now, mean=[value + shared for value in mean], variance=variance
         )
         self._dirty = False
+        self.refused.clear()
 
     def _own_usage(self, when: Millis) -> _Usage:
         best = _Usage(when=when, tokens=0, running=0)
