--- a/src/tanagerscale/membership/_gate.py
+++ b/src/tanagerscale/membership/_gate.py
@@ -118,10 +118,18 @@
             return
         self._heard[upstream] = self._clock.now()
         self._leaving[upstream] = life
+        if life == 0:
+            self._tell_later(upstream, delay_ms=_LEAVING_MEMORY_MS)
         log.info("Upstream is leaving.", upstream=upstream, incarnation=life)
         self._spread(UpstreamLeaving(upstream=upstream, incarnation=life))
         self._changes.on_next(upstream)
 
+    def _tell_later(self, upstream: UpstreamId, *, delay_ms: int) -> asyncio.TimerHandle:
+        """Publish a change that comes by time alone."""
+        # One millisecond more, as the clock cuts fractions off.
+        delay_s = (delay_ms + 1) / MS_PER_SECOND
+        return asyncio.get_running_loop().call_later(delay_s, self._changes.on_next, upstream)
+
     def _is_recent(self, upstream: UpstreamId) -> bool:
         return self._clock.now() - self._heard[upstream] < _LEAVING_MEMORY_MS
 
@@ -142,10 +150,7 @@
         rest = min(_FIRST_BREAK_MS * 2 ** (breaker.failures - 1), _LONGEST_BREAK_MS)
         rest = int(rest * self._rng.uniform(0.75, 1.25))
         breaker.until = Millis(self._clock.now() + rest)
-        loop = asyncio.get_running_loop()
-        # One millisecond more, as the clock cuts fractions off.
-        delay = (rest + 1) / MS_PER_SECOND
-        breaker.timer = loop.call_later(delay, self._changes.on_next, upstream)
+        breaker.timer = self._tell_later(upstream, delay_ms=rest)
         self._changes.on_next(upstream)
 
     def note_up(self, *, upstream: UpstreamId) -> None:
--- a/src/tanagerscale/routing/_chooser.py
+++ b/src/tanagerscale/routing/_chooser.py
@@ -15,7 +15,7 @@
 from tanagerscale.routing._protocol import UpstreamOpenness
 
 _PREFERRED_CELLS = 3
-_QUEUE_MEMORY_MS = 500
+_QUEUE_MEMORY_MS = 2000
 """How long a cell is avoided after a request had to wait there."""
 
 
@@ -44,19 +44,34 @@
 
     def choose(self, request: PlacementRequest) -> CellId | None:
         """Return the cell to ask; ``None`` when no open engine may serve the request."""
-        cells = [
-            cell.cell
-            for cell in self._ownership.cells_for(model=request.model, adapter=request.adapter)
-            if self._has_open_engine(cell, request)
-        ]
+        cells = self._serving(request)
         if len(cells) <= 1:
             return cells[0] if cells else None
-        key = request.prefix or request.generation
-        cells.sort(key=lambda cell: rendezvous_score(key, cell), reverse=True)
         for cell in cells[:_PREFERRED_CELLS]:
             if not self._is_busy(cell):
                 return cell
-        return self._rng.choice(cells)
+        idle = [cell for cell in cells if not self._is_busy(cell)]
+        return self._rng.choice(idle or cells)
+
+    def should_leave(self, cell: CellId, request: PlacementRequest) -> bool:
+        """Return whether a request that waits at a cell had better ask another one."""
+        others = [each for each in self._serving(request) if each != cell]
+        return any(not self._is_busy(each) for each in others) or not self.serves(cell, request)
+
+    def serves(self, cell: CellId, request: PlacementRequest) -> bool:
+        """Return whether some open engine of a cell may still take a request."""
+        found = self._ownership.cell(cell)
+        return found is not None and self._has_open_engine(found, request)
+
+    def _serving(self, request: PlacementRequest) -> list[CellId]:
+        """Return the cells with an open engine for a request, the preferred ones first."""
+        key = request.prefix or request.generation
+        cells = [
+            cell.cell
+            for cell in self._ownership.cells_for(model=request.model, adapter=request.adapter)
+            if self._has_open_engine(cell, request)
+        ]
+        return sorted(cells, key=lambda cell: rendezvous_score(key, cell), reverse=True)
 
     def _is_busy(self, cell: CellId) -> bool:
         queued = self._queued.get(cell)
--- a/src/tanagerscale/routing/_ownership.py
+++ b/src/tanagerscale/routing/_ownership.py
@@ -86,6 +86,10 @@
         """Return the cells declared to serve a model and an adapter."""
         return [cell for cell in self._cells.values() if cell.serves(model=model, adapter=adapter)]
 
+    def cell(self, cell: CellId) -> Cell | None:
+        """Return a declared cell."""
+        return self._cells.get(cell)
+
     def specs(self, cell: CellId) -> tuple[EngineSpec, ...]:
         """Return a cell's engines; none when it is not declared."""
         found = self._cells.get(cell)
--- a/src/tanagerscale/routing/_reporter.py
+++ b/src/tanagerscale/routing/_reporter.py
@@ -43,10 +43,6 @@
         """Record that a placement has made tokens."""
         self._changed.add(entry.serial)
 
-    def forget(self, entry: Entry) -> None:
-        """Report no more on a placement."""
-        self._changed.discard(entry.serial)
-
     def report(self, *, everything: bool) -> None:
         """Tell the owners.
 
--- a/testing/_routing_fakes.py
+++ b/testing/_routing_fakes.py
@@ -38,14 +38,16 @@
 """Virtual seconds after which a test gives up."""
 
 
-def make_engines(*, number: int, max_batch: int = 4) -> list[Engine]:
+def make_engines(
+    *, number: int, max_batch: int = 4, name: str = "engine", models: Sequence[str] = (MODEL,)
+) -> list[Engine]:
     """Return declared engines of one pool."""
     return [
         Engine(
-            name=f"engine-{index}",
+            name=f"{name}-{index}",
             address=f"127.0.0.1:{9000 + index}",
             failure_domain="z1",
-            models=[MODEL],
+            models=list(models),
             max_batch=max_batch,
         )
         for index in range(number)
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -231,6 +231,45 @@
     assert set(cluster.truth().values()) == {"engine-1"}
 
 
+async def test_request_that_waits_goes_to_another_pool_when_its_own_closes() -> None:
+    engines = make_engines(number=1, max_batch=1)
+    others = make_engines(number=1, max_batch=1, name="other", models=["plan", "check"])
+    cluster = Cluster(hosts=["a"], engines=engines + others)
+    host = cluster.host("a")
+    first, second = await cluster.place("a", "g1"), await cluster.place("a", "g2")
+    waiting = asyncio.create_task(cluster.place("a", "g3"))
+    await asyncio.sleep(1)
+    asked = [each for each in host.schedulers if each.queue]
+    assert len(asked) == 1
+    closed, still_open = (first, second) if first.engine in asked[0].specs else (second, first)
+    host.gate.note_leaving(upstream=closed.engine)
+    await asyncio.sleep(2)
+    cluster.release("a", still_open.generation)
+    assert (await waiting).engine == still_open.engine
+
+
+async def test_request_that_waits_is_placed_where_another_cell_is_idle() -> None:
+    engines = make_engines(number=1, max_batch=3)
+    others = make_engines(number=1, max_batch=3, name="other", models=["plan", "check"])
+    cluster = Cluster(hosts=["a", "b"], engines=engines + others)
+    placements = [await cluster.place("a", f"g{index}") for index in range(6)]
+    assert sorted(each.engine for each in placements) == ["engine-0"] * 3 + ["other-0"] * 3
+
+
+async def test_ledger_follows_engines_when_new_declarations_put_them_in_another_pool() -> None:
+    cluster = Cluster(hosts=["a", "b", "c"], engines=make_engines(number=1, max_batch=2))
+    entry, _ = cluster.entry_and_owner()
+    await cluster.place(entry, "g1")
+    regrouped = make_engines(number=1, max_batch=2, models=["plan", "check"])
+    for name in cluster.names:
+        cluster.host(name).router.set_engines(regrouped)
+    await asyncio.sleep(1)
+    assert cluster.ledger(cluster.owner()).running == {"g1": "engine-0"}
+    cluster.release(entry, "g1")
+    await asyncio.sleep(1)
+    assert cluster.reservations() == 0
+
+
 async def test_cut_off_host_fills_only_its_part_when_it_reaches_less_than_half() -> None:
     cluster = Cluster(hosts=["a", "b", "c", "d"], engines=make_engines(number=1, max_batch=8))
     cluster.switch.show(viewer="a", hosts=["a"])
