Let the demo crowd its engines, and keep all reports of a run

With 12,000 tokens of memory an engine nobody ever waited. The callers' reports go to a file beside the logs. Also a make target for the soak run.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
 
+soak: $(STAMP)
+	$(BIN)/python -m standins.soak $(SOAK_OPTIONS)
+
 format: $(STAMP)
 	$(BIN)/ruff check --fix --quiet src standins testing tools || true
 	$(BIN)/black --quiet src standins testing tools
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -111,8 +111,8 @@
 
         :param ask: The request.
         """
-        report = AnswerReport(ask=ask)
         began = self._clock.now()
+        report = AnswerReport(ask=ask, began_ms=began)
         timeline = RequestTimeline(
             arrived=began,
             first_token_ms=self._objective.first_token_ms,
--- a/standins/caller_reports.py
+++ b/standins/caller_reports.py
@@ -73,6 +73,7 @@
     :param first_token_ms: From the first sending to the first token.
     :param gaps_ms: Times between two events with new tokens.
     :param stall_ms: Waiting beyond the objectives, as ``tanagerscale.measures`` defines it.
+    :param began_ms: When it was sent first, on the loop's clock.
     :param resumes: How often it went on with its cursor.
     :param trials: How often it sent the request.
     :param told_not_executed: Trials of which it was told that they had not run.
@@ -91,6 +92,7 @@
     trials: int = 0
     told_not_executed: list[str] = field(default_factory=list)
     tokens: int = 0
+    began_ms: int = 0
     took_ms: int = 0
     events: list[str] = field(default_factory=list)
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -34,13 +34,14 @@
 EXAMPLE = ROOT / "examples" / "annexe-technique"
 KEYS_FILE = EXAMPLE / "example-keys.txt"
 # Small enough for long plans to crowd, slow enough for a kill to hit answers half way.
-ENGINE_OPTIONS = {"memory_tokens": "12000", "max_batch": "32", "step_ms": "20"}
+ENGINE_OPTIONS = {"memory_tokens": "2400", "max_batch": "32", "step_ms": "20"}
 ENGINES = 3
 HOSTS = 3
 # Parts of the run after which things happen.
 KILL_ENGINE_AT = 0.3
 KILL_HOST_AT = 0.6
 LAST_PLAN_TOKENS = 300
+REPORTS_FILE = "reports.jsonl"
 LAST_PLANS = 3
 START_OF_LAST_PLANS_MS = 1_500
 
@@ -113,6 +114,7 @@
 
     def _report(self, stopped: bool) -> bool:
         answers, bookings = self._workload.answers, self._workload.bookings
+        self._workload.write_reports(self._cluster.directory / REPORTS_FILE)
         verdict = judge(
             answers=answers,
             bookings=bookings,
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -48,6 +48,7 @@
 """Engines that one request may cost, whichever hosts it is sent to."""
 POISON_EVERY_MS = 3_000
 SHOWN_EXAMPLES = 10
+REPORTS_FILE = "reports.jsonl"
 TRACEBACK = "Traceback (most recent call last)"
 
 
@@ -119,6 +120,7 @@
             self._workload.start_poison(kind, every_ms=POISON_EVERY_MS)
 
     def _report(self, *, settled: bool) -> bool:
+        self._workload.write_reports(self._cluster.directory / REPORTS_FILE)
         verdict = judge(
             answers=self._workload.answers,
             bookings=self._workload.bookings,
--- a/standins/workload.py
+++ b/standins/workload.py
@@ -7,11 +7,13 @@
 from collections.abc import Coroutine
 from collections.abc import Sequence
 from dataclasses import dataclass
+from pathlib import Path
 from random import Random
 from typing import Any
 from typing import final
 
 import aiohttp
+import msgspec
 
 from standins.caller import GIVE_UP_MS
 from standins.caller import Caller
@@ -116,6 +118,14 @@
         while self._tasks:
             await asyncio.gather(*self._tasks)
 
+    def write_reports(self, path: Path) -> None:
+        """Write all reports to a file, one JSON text a line.
+
+        :param path: The file.
+        """
+        lines = [msgspec.json.encode(report) for report in (*self.answers, *self.bookings)]
+        path.write_bytes(b"\n".join(lines) + b"\n")
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
