Let copies of an innocent request run on two engines

Cause: a proof over processes failed now and then: of four equal requests one or two waited until others had ended. The first guess, the scheduler's forecast at a cold start, was ruled out (it admits twelve such requests at once); the daemon's decisions showed one request admitted and given back each millisecond, since the quarantine let all copies of a request share one engine only. Change: copies of a request that no crash speaks against may run on two engines, which is what a crashing request may cost at most; a suspect's copies still share one. The engines that are left out are named before placement, so that nothing is placed and given back. Runs are indexed by request, so the question costs the same with many runs. A test of six copies that begin together was red before. The test that showed it assumed that 150 tokens outlast its own start; it now uses 400.

--- a/src/tanagerscale/quarantine/_quarantine.py
+++ b/src/tanagerscale/quarantine/_quarantine.py
@@ -25,6 +25,7 @@
 from tanagerscale.generated.messages import Verdict
 from tanagerscale.quarantine._persistence import RETRY_MS
 from tanagerscale.quarantine._persistence import VerdictKeeper
+from tanagerscale.quarantine._rules import CRASHES_TO_CONVICT
 from tanagerscale.quarantine._rules import MERGE_MS
 from tanagerscale.quarantine._rules import Crash
 from tanagerscale.quarantine._rules import Fingerprint
@@ -128,6 +129,11 @@
         """Tell whether a request ran in a crash that is not explained."""
         return self._known(fingerprint) is not None
 
+    def runs_anywhere(self, *, fingerprint: Fingerprint) -> bool:
+        """Tell whether no engine is excluded for a request, as for nearly all of them."""
+        engines = self._runs.own_engines(fingerprint=fingerprint)
+        return self._known(fingerprint) is None and len(engines) < CRASHES_TO_CONVICT
+
     def excluded_engines(
         self, *, fingerprint: Fingerprint, engines: Iterable[UpstreamId]
     ) -> frozenset[UpstreamId]:
@@ -262,7 +268,12 @@
         :param announced: When this run was announced, if it was.
         """
         known = self._known(fingerprint)
-        if known is not None and (known.convicted or self._crashed_lately(known, engine)):
+        if known is None:
+            # Nothing speaks against the request, so its copies need not share one engine; on two
+            # of them they can't crash more than a suspect may.
+            engines = self._runs.own_engines(fingerprint=fingerprint) | {engine}
+            return len(engines) <= CRASHES_TO_CONVICT
+        if known.convicted or self._crashed_lately(known, engine):
             return False
         for run in self._runs.all(now=self._clock.now()):
             if not self._conflicts(run, fingerprint, engine, known):
@@ -277,7 +288,7 @@
         self, run: Run, fingerprint: Fingerprint, engine: UpstreamId, known: Suspicion | None
     ) -> bool:
         if run.fingerprint == fingerprint:
-            # Copies share one engine, so that they can crash only that one.
+            # A suspect's copies share one engine, so that they can crash only that one.
             return run.engine != engine
         # Suspects of different crashes are kept apart too: if one of them crashed the engine, the
         # other would have two crashes behind it as well.
@@ -339,16 +350,19 @@
 
     def _stop_copies(self, fingerprint: Fingerprint, known: Suspicion) -> None:
         """Ask to cancel this host's run of a convict, or one that a peer's run speaks against."""
-        own = self._runs.own_run(fingerprint=fingerprint)
-        if own is None or not own.settled:
-            return
-        others = (run for run in self._runs.all(now=self._clock.now()) if run.settled)
-        if known.convicted or any(
-            self._conflicts(run, fingerprint, own.engine, known)
-            and (run.fingerprint, run.host) < (fingerprint, self._host)
-            for run in others
-        ):
-            self._stops.on_next(StopRequest(fingerprint=fingerprint, engine=own.engine))
+        runs = [run for run in self._runs.own_runs(fingerprint=fingerprint) if run.settled]
+        others = [run for run in self._runs.all(now=self._clock.now()) if run.settled]
+        for place, own in enumerate(runs):
+            if (
+                place > 0
+                or known.convicted
+                or any(
+                    self._conflicts(run, fingerprint, own.engine, known)
+                    and (run.fingerprint, run.host) < (fingerprint, self._host)
+                    for run in others
+                )
+            ):
+                self._stops.on_next(StopRequest(fingerprint=fingerprint, engine=own.engine))
 
     def _announce(self, fingerprint: Fingerprint) -> None:
         known = self._known(fingerprint)
--- a/src/tanagerscale/quarantine/_runs.py
+++ b/src/tanagerscale/quarantine/_runs.py
@@ -70,7 +70,7 @@
 
     def __init__(self, *, host: HostId) -> None:
         self._host = host
-        self._own: dict[_Place, _OwnRun] = {}
+        self._own: dict[Fingerprint, dict[UpstreamId, _OwnRun]] = {}
         self._broken_off: dict[_Place, Millis] = {}
         self._peers: dict[tuple[HostId, Fingerprint], Run] = {}
 
@@ -78,13 +78,14 @@
         self, *, fingerprint: Fingerprint, engine: UpstreamId, now: Millis, settled: bool
     ) -> None:
         """Add a run of this host; several copies may run on one engine."""
-        run = self._own.setdefault((fingerprint, engine), _OwnRun(since=now))
+        runs = self._own.setdefault(fingerprint, {})
+        run = runs.setdefault(engine, _OwnRun(since=now))
         run.copies += 1
         run.settled = run.settled or settled
 
     def settle(self, *, fingerprint: Fingerprint, engine: UpstreamId) -> None:
         """Note that an announced run goes ahead."""
-        run = self._own.get((fingerprint, engine))
+        run = self._own.get(fingerprint, {}).get(engine)
         if run is not None:
             run.settled = True
 
@@ -100,12 +101,12 @@
                 if now - ended <= RECENT_MS
             }
             self._broken_off[place] = now
-        run = self._own.get(place)
+        run = self._own.get(fingerprint, {}).get(engine)
         if run is None:
             return
         run.copies -= 1
         if run.copies <= 0:
-            del self._own[place]
+            self._remove(fingerprint, engine)
 
     def set_peer(
         self,
@@ -151,7 +152,8 @@
             if run.engine != engine or not begun:
                 continue
             victims.add(run.fingerprint)
-            self._own.pop((run.fingerprint, engine), None)
+            if run.host == self._host:
+                self._remove(run.fingerprint, engine)
             self._peers.pop((run.host, run.fingerprint), None)
         for place in [place for place in self._broken_off if place[1] == engine]:
             del self._broken_off[place]
@@ -159,7 +161,12 @@
 
     def own(self) -> Iterator[Run]:
         """Return the runs of this host."""
-        for (fingerprint, engine), run in self._own.items():
+        for fingerprint in self._own:
+            yield from self.own_runs(fingerprint=fingerprint)
+
+    def own_runs(self, *, fingerprint: Fingerprint) -> Iterator[Run]:
+        """Return this host's runs of a request, one for each engine that runs copies of it."""
+        for engine, run in self._own.get(fingerprint, {}).items():
             yield Run(
                 fingerprint=fingerprint,
                 engine=engine,
@@ -169,8 +176,12 @@
             )
 
     def own_run(self, *, fingerprint: Fingerprint) -> Run | None:
-        """Return this host's run of a request; all copies share one engine."""
-        return next((run for run in self.own() if run.fingerprint == fingerprint), None)
+        """Return the first of this host's runs of a request; a suspect has no other."""
+        return next(self.own_runs(fingerprint=fingerprint), None)
+
+    def own_engines(self, *, fingerprint: Fingerprint) -> frozenset[UpstreamId]:
+        """Return the engines that run copies of a request for this host."""
+        return frozenset(self._own.get(fingerprint, ()))
 
     def all(self, *, now: Millis) -> Iterator[Run]:
         """Return all known runs."""
@@ -178,3 +189,8 @@
         for run in self._peers.values():
             if now - run.since < FORGET_AFTER_MS:
                 yield run
+
+    def _remove(self, fingerprint: Fingerprint, engine: UpstreamId) -> None:
+        runs = self._own.get(fingerprint)
+        if runs is not None and runs.pop(engine, None) is not None and not runs:
+            del self._own[fingerprint]
--- a/testing/test_process_failures.py
+++ b/testing/test_process_failures.py
@@ -36,7 +36,12 @@
 
 
 async def _ask_all(
-    cluster: Cluster, session: aiohttp.ClientSession, hosts: Sequence[str], *, each: int = 3
+    cluster: Cluster,
+    session: aiohttp.ClientSession,
+    hosts: Sequence[str],
+    *,
+    each: int = 3,
+    prompt: str = LONG,
 ) -> list[tuple[Answer, asyncio.Task[Answer]]]:
     """Start answers at hosts and wait until all of them have begun."""
     started = []
@@ -44,7 +49,7 @@
         for _ in range(each):
             answer = Answer()
             url = cluster.caller_url(host)
-            work = ask(session=session, url=url, prompt=LONG, answer=answer)
+            work = ask(session=session, url=url, prompt=prompt, answer=answer)
             started.append((answer, asyncio.create_task(work)))
     await until(lambda: all(answer.texts for answer, _ in started))
     return started
@@ -87,15 +92,16 @@
     start_serving: StartServing, session: aiohttp.ClientSession
 ) -> None:
     cluster = await start_serving(ClusterPlan(hosts=2, services=0))
-    started = await _ask_all(cluster, session, ["host-1"], each=4)
+    prompt = "plan [[tokens=400]]"
+    started = await _ask_all(cluster, session, ["host-1"], each=4, prompt=prompt)
     await asyncio.gather(cluster.hosts["host-1"].kill(), cluster.engines["engine-1"].kill())
     url = cluster.caller_url("host-2")
+    assert not any(answer.done for answer, _ in started)
     for answer, task in started:
         await task
-        assert not answer.done
-        again = await go_on(session=session, url=url, answer=answer, prompt=LONG)
+        again = await go_on(session=session, url=url, answer=answer, prompt=prompt)
         assert again.done, again.error
-        assert again.text == expected(prompt=LONG)
+        assert again.text == expected(prompt=prompt)
 
 
 async def test_cursor_is_refused_when_it_is_forged_foreign_or_of_another_request(
@@ -231,6 +237,16 @@
     assert answer.done, answer.error
 
 
+async def test_copies_of_an_innocent_request_run_together_when_engines_are_free(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=1, engines=3, services=0))
+    started = await _ask_all(cluster, session, ["host-1"], each=6)
+    # All of them have begun, so none waits until another one ends.
+    assert not any(answer.done for answer, _ in started)
+    await _check_whole(started)
+
+
 async def test_two_engines_at_most_are_lost_when_a_request_crashes_each_and_is_sent_everywhere(
     start_serving: StartServing, session: aiohttp.ClientSession
 ) -> None:
