--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -34,6 +34,9 @@
 NEWCOMER_MS = 800
 """How long after its arrival here a generation may still be refused."""
 
+FILL_POWER = 2
+"""How steeply a fuller engine gets dearer."""
+
 CANDIDATES = 64
 """How many waiting generations one decision looks at, so that its cost stays flat."""
 
@@ -289,14 +292,19 @@
             waiting.curve,
             # Variances add up over the schedulers that share an engine, deviations do not.
             deviations=tuning.deviations * math.sqrt(share),
-            memory=share * ledger.spec.memory_tokens,
+            memory=share * tuning.memory_part * ledger.spec.memory_tokens,
         )
 
     def _cost(self, ledger: EngineLedger, waiting: Waiting) -> float:
         """Return what placing a generation on an engine costs, in prompt tokens to compute."""
         prompt = ledger.prompt_cost(waiting.request, use_prefixes=self._tuning.use_prefixes)
-        neighbours = self._tuning.neighbour_tokens * ledger.batch
-        return ledger.prefill_tokens + self._tuning.prompt_gain * prompt + neighbours
+        tuning = self._tuning
+        return (
+            ledger.prefill_tokens
+            + tuning.prompt_gain * prompt
+            + tuning.neighbour_tokens * ledger.batch
+            + tuning.fill_tokens * ledger.fill() ** FILL_POWER
+        )
 
     def _enter(
         self, ledger: EngineLedger, request: PlacementRequest, curve: LengthCurve, *, now: Millis
