--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -138,6 +138,56 @@
     assert not any(host.quarantine.is_suspect(fingerprint=plan) for host in cluster.hosts)
 
 
+async def test_copies_share_one_engine_when_they_run_at_the_same_time() -> None:
+    cluster = Cluster(hosts=2, engines=3)
+    first, second = (host.quarantine for host in cluster.hosts)
+    plan, engines = Fingerprint("plan"), list(cluster.engines)
+    assert await first.admit(fingerprint=plan, engine=engines[1])
+    assert first.excluded_engines(fingerprint=plan, engines=engines) == {engines[0], engines[2]}
+    # The other host's copy began on another engine before anything was known of a crash.
+    assert await second.admit(fingerprint=plan, engine=engines[2])
+    first.on_engine_crash(engine=engines[1])
+    await asyncio.sleep(0.01)
+    assert first.excluded_engines(fingerprint=plan, engines=engines) == {engines[0], engines[1]}
+
+
+async def test_suspect_keeps_away_from_the_engine_it_crashed_on_for_a_while() -> None:
+    cluster = Cluster(hosts=1, engines=2)
+    quarantine = cluster.hosts[0].quarantine
+    plan, engine = Fingerprint("plan"), UpstreamId("e0")
+    assert await quarantine.admit(fingerprint=plan, engine=engine)
+    quarantine.on_engine_crash(engine=engine)
+    assert quarantine.excluded_engines(fingerprint=plan, engines=cluster.engines) == {engine}
+    await asyncio.sleep(30)
+    assert quarantine.excluded_engines(fingerprint=plan, engines=cluster.engines) == frozenset()
+
+
+async def test_other_suspects_are_cleared_when_a_second_crash_convicts_one() -> None:
+    cluster = Cluster(hosts=2, engines=3)
+    first, second = (host.quarantine for host in cluster.hosts)
+    plan = Fingerprint("plan")
+    for quarantine, name in ((first, POISON), (second, plan)):
+        assert await quarantine.admit(fingerprint=name, engine=UpstreamId("e0"))
+        quarantine.on_engine_crash(engine=UpstreamId("e0"))
+    await asyncio.sleep(0.01)
+    assert first.is_suspect(fingerprint=plan)
+    assert await first.admit(fingerprint=POISON, engine=UpstreamId("e1"))
+    first.on_engine_crash(engine=UpstreamId("e1"))
+    await asyncio.sleep(0.01)
+    for quarantine in (first, second):
+        assert quarantine.check(fingerprint=POISON)
+        assert not quarantine.is_suspect(fingerprint=plan)
+
+
+async def test_verdict_stands_no_longer_than_ours_when_a_peers_clock_is_wrong() -> None:
+    quarantine = Cluster(hosts=1, engines=2).hosts[0].quarantine
+    verdict = Verdict(fingerprint=POISON, crashes=[], expires_wall_ms=1 << 62, convicted=True)
+    quarantine.on_peer_verdict(verdict=verdict, peer=HostId("h9"))
+    told = quarantine.check(fingerprint=POISON)
+    assert told is not None
+    assert told.retry_after_ms == VERDICT_TTL_MS
+
+
 async def test_run_counts_as_suspect_when_it_broke_off_just_before_its_engine_was_known_dead() -> (
     None
 ):
