Give a crossed event the text of another answer

With the right text a relay that takes foreign events went unnoticed: a trial with that check taken out of the relay passed.

--- a/standins/_engine_stream.py
+++ b/standins/_engine_stream.py
@@ -16,6 +16,7 @@
 from tanagerscale.generated.upstream import TokenEvent
 
 OVERLAP_TOKENS = 2
+FOREIGN_TEXT = " token-of-another-answer"
 
 
 @final
@@ -69,7 +70,8 @@
                 return False
             case StreamFaultMode.CROSS:
                 event = self._event(self._fault.at)
-                await _write(response, replace(event, attempt_id=self._fault.attempt_id))
+                foreign = replace(event, attempt_id=self._fault.attempt_id, text=FOREIGN_TEXT)
+                await _write(response, foreign)
             case StreamFaultMode.GARBAGE:
                 await response.write(b"id: 0\ndata: {not json\n\n")
             case _:
--- a/standins/disturbances.py
+++ b/standins/disturbances.py
@@ -82,6 +82,8 @@
             self._fail_service,
             self._leave,
             self._fail_stream,
+            self._fail_stream,
+            self._fail_stream,
             self._lose_memory,
         ]
         while True:
@@ -200,7 +202,7 @@
         if name is not None:
             mode = self._rng.choice(STREAM_FAULTS)
             self._note(f"{name} {mode.value}")
-            fault = StreamFault(mode=mode, count=1, at=self._rng.randint(0, 30))
+            fault = StreamFault(mode=mode, count=2, at=self._rng.randint(0, 20))
             await self._post(self._cluster.engines[name], fault)
             self._busy.discard(name)
 
