--- a/standins/soak.py
+++ b/standins/soak.py
@@ -147,7 +147,8 @@
         print(f"engines crashed by a request: {self._restarter.crashes}", end=", ")
         print(f"sendings of it: {len(self._workload.poisoned)}, refused: {len(refused)}")
         print(f"doubled: {verdict.doubled} bookings, {verdict.wrong} answers that differ")
-        print(f"lost: {verdict.lost} answers, {verdict.lost_bookings} bookings")
+        print(f"lost: {verdict.lost} answers, {verdict.lost_bookings} bookings", end="; ")
+        print(f"of the answers finally refused, as by quarantine: {verdict.refused}")
         print(f"wrongly called not executed: {verdict.wrongly_not_executed}")
 
     def _other_faults(self, *, settled: bool) -> list[str]:
--- a/standins/verdict.py
+++ b/standins/verdict.py
@@ -24,6 +24,7 @@
     :param wrong: Answers with tokens doubled, missing, changed, mixed or cut off.
     :param lost: Requests whose caller got neither answer nor final word, or a refusal that
         nothing in the request called for.
+    :param refused: Those of the lost ones that were finally refused.
     :param doubled: Bookings executed more than once.
     :param lost_bookings: Bookings reported as made that never ran, or without a final word.
     :param wrongly_not_executed: Requests and bookings called not executed that ran.
@@ -37,6 +38,7 @@
     not_executed: int
     wrong: int
     lost: int
+    refused: int
     doubled: int
     lost_bookings: int
     wrongly_not_executed: int
@@ -100,6 +102,7 @@
         not_executed=by_booking[BookingState.NOT_EXECUTED] - len(denied_bookings),
         wrong=len(wrong),
         lost=len(lost),
+        refused=by_answer[AnswerState.REFUSED],
         doubled=len({report.key for report in doubled}),
         lost_bookings=len(lost_bookings),
         wrongly_not_executed=len(denied) + len(denied_bookings),
