Order engines from the hosts that own their cells

Cause: the controllers under leases stood beside the daemon. Change: a host runs one controller for each cell it owns, so only a cell's owner asks the store for its lease; when ownership moves the lease is given back.

--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -27,6 +27,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import get_logger
 from tanagerscale.daemon._admission import DoorKeeper
+from tanagerscale.daemon._control import EngineControl
 from tanagerscale.daemon._crashes import QuarantineWatch
 from tanagerscale.daemon._limits import HostLimits
 from tanagerscale.daemon._notes import EngineClients
@@ -112,6 +113,7 @@
         self._host_list.start()
         self._spawn(self._follower.run())
         self._spawn(self._quarantine.load())
+        self._spawn(self._control.run())
         callers = await self._serve_callers()
         _log.info("The host serves.", host=self._host, callers=callers, peers=peers)
         if settings.host_list.url == "":
@@ -129,6 +131,7 @@
         except TimeoutError:
             _log.warning("Streams are handed over; their callers hold cursors.")
             self._canceller.hand_over()
+        await self._control.stop()
         await self._services.drain()
         await self._runner.cleanup()
         await self._canceller.drain()
@@ -201,6 +204,17 @@
             rng=self._rng,
             engine_clients=self._engines.client_of,
         )
+        self._control = EngineControl(
+            store=self._store,
+            prefix=settings.store.prefix,
+            host=self._host,
+            incarnation=self._incarnation,
+            clock=self._clock,
+            rng=self._rng,
+            declarations=self._follower.in_force,
+            owned=lambda: self._router.owned,
+            client_of=self._engines.client_of,
+        )
         self._keys = KeyChecker()
         self._limits = HostLimits(clock=self._clock)
         self._glue = PeerGlue(
--- a/testing/_ordered_engines.py
+++ b/testing/_ordered_engines.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
 import random
 from typing import final
@@ -31,7 +30,7 @@
 from tanagerscale.generated.upstream import Refusal
 from tanagerscale.generated.upstream import RefusalKind
 from tanagerscale.generated.upstream import Role
-from tanagerscale.generated.upstream import TokenEvent
+from tanagerscale.upstreams import TokenBatches
 from tanagerscale.upstreams import UpstreamError
 from tanagerscale.upstreams import UpstreamErrorKind
 from testing._fake_store import FakeBackend
@@ -163,15 +162,11 @@
         await self._host.store.pass_gate()
         return Success(engine.state())
 
-    def generate(
-        self, *, request: EngineRequest
-    ) -> AsyncIterator[Result[TokenEvent, UpstreamError]]:
+    def generate(self, *, request: EngineRequest) -> TokenBatches:
         """Not part of these tests."""
         raise NotImplementedError
 
-    def resume(
-        self, *, attempt: AttemptId, offset: int
-    ) -> AsyncIterator[Result[TokenEvent, UpstreamError]]:
+    def resume(self, *, attempt: AttemptId, offset: int) -> TokenBatches:
         """Not part of these tests."""
         raise NotImplementedError
 
--- a/testing/test_process_failures.py
+++ b/testing/test_process_failures.py
@@ -22,7 +22,10 @@
 from standins.store import Fault
 from standins.store import FaultMode
 from tanagerscale.generated.callers import ProblemDetails
+from tanagerscale.generated.declarations import Adapter
+from tanagerscale.generated.upstream import EngineState
 from tanagerscale.generated.upstream import ListedState
+from testing._callers import MODEL
 from testing._callers import Answer
 from testing._callers import ask
 from testing._callers import book
@@ -267,3 +270,30 @@
     refused = await ask(session=session, url=cluster.caller_url("host-1"), prompt=poison)
     assert refused.status == 422
     assert msgspec.json.decode(refused.error, type=ProblemDetails).retry_after_ms
+
+
+async def test_declared_adapter_is_loaded_everywhere_when_the_controller_is_killed(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=2, engines=2, services=0))
+    await cluster.hosts["host-1"].kill()
+    await cluster.unlist("host-1")
+    engines = [
+        msgspec.structs.replace(engine, adapters=["ladder"])
+        for engine in cluster.declarations.engines
+    ]
+    declared = msgspec.structs.replace(
+        cluster.declarations,
+        adapters=[Adapter(name="ladder", model=MODEL, version="3")],
+        engines=engines,
+    )
+    applied = await cluster.apply(declarations=declared, author="second")
+    assert applied.returncode == 0, applied.output + applied.errors
+
+    async def loaded(name: str) -> bool:
+        state = await cluster.get(cluster.engines[name], "/state", EngineState)
+        return state.adapters == {"ladder": "3"}
+
+    for name in cluster.engines:
+        while not await loaded(name):
+            await asyncio.sleep(0.1)
