--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -30,7 +30,6 @@
 from tanagerscale.policy._types import EngineLoad
 from tanagerscale.policy._types import EngineSpec
 from tanagerscale.policy._types import PlacementRequest
-from tanagerscale.policy._types import Scheduler
 
 NEWCOMER_MS = 800
 """How long after its arrival here a generation may still be refused."""
@@ -330,7 +329,7 @@
     accounts: Mapping[ClientAccountId, AccountSpec],
     rng: Random,
     share: float = 1.0,
-) -> Scheduler:
+) -> ForecastScheduler:
     """Return the scheduler that the daemon runs.
 
     :param objective: What the operators weigh.
