--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,9 @@
 soak: $(STAMP)
 	$(BIN)/python -m standins.soak $(SOAK_OPTIONS)
 
+slopes: $(STAMP)
+	$(BIN)/python -m tools.slopes
+
 format: $(STAMP)
 	$(BIN)/ruff check --fix --quiet src standins testing tools || true
 	$(BIN)/black --quiet src standins testing tools
--- a/src/tanagerscale/routing/_router.py
+++ b/src/tanagerscale/routing/_router.py
@@ -32,6 +32,7 @@
 from tanagerscale.routing._entry import Decider
 from tanagerscale.routing._entry import EntryTable
 from tanagerscale.routing._owned_cells import OwnedCells
+from tanagerscale.routing._owner import RESERVATION_LEASE_MS
 from tanagerscale.routing._ownership import Ownership
 from tanagerscale.routing._ownership import scaled
 from tanagerscale.routing._placements import Placements
@@ -45,6 +46,9 @@
 
 TICK_MS = 100
 PROGRESS_MS = 500
+PROGRESS_MS_PER_PLACEMENT = 8
+"""Keeps progress to about a kilobyte a second, however many placements a host holds."""
+LONGEST_PROGRESS_MS = RESERVATION_LEASE_MS // 3
 KEEP_MS = 2500
 """How often progress names each running placement, changed or not."""
 
@@ -277,7 +281,8 @@
     async def _report_forever(self) -> None:
         kept = self._clock.now()
         while True:
-            await self._clock.sleep(PROGRESS_MS)
+            crowd_ms = PROGRESS_MS_PER_PLACEMENT * len(self._entries)
+            await self._clock.sleep(max(PROGRESS_MS, min(crowd_ms, LONGEST_PROGRESS_MS)))
             everything = self._clock.now() - kept >= KEEP_MS
             if everything:
                 kept = self._clock.now()
