Bound requests for a whole set of declarations between hosts

Cause: a host that can't read what a peer offers asked for the whole set at once, again and again, with answers of up to 2 MB (found in review by the declarations part). Ruled out: asking only after missing chunks, since the spread does not know the follower's kinds of failures. Change: at most one request for all in 5 s. Its test was red without the bound.

--- a/src/tanagerscale/membership/_spread.py
+++ b/src/tanagerscale/membership/_spread.py
@@ -33,6 +33,9 @@
 
 _CHECK_MS = 250
 
+_ALL_INTERVAL_MS = 5000
+"""Least time between two requests for a whole set, which may take megabytes."""
+
 log = get_logger(part="spread")
 
 
@@ -94,6 +97,7 @@
         self._live: frozenset[HostId] = frozenset()
         self._asked: HostId | None = None
         self._asked_at = Millis(0)
+        self._asked_for_all_at: Millis | None = None
         self._hosts_known = False
         self._subscriptions: list[DisposableBase] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -173,10 +177,18 @@
         )
         if self._follower.head_revision > mine:
             self._asked = None
-        elif isinstance(taken, Failure) and mine > 0:
+        elif isinstance(taken, Failure) and mine > 0 and self._may_ask_for_all():
             # The difference did not suffice, so ask for all of it.
             self._ask(host=host, have=Revision(0))
 
+    def _may_ask_for_all(self) -> bool:
+        """Bound the large answers, for a failure may stay, such as a section of a newer schema."""
+        now = self._clock.now()
+        if self._asked_for_all_at is not None and now - self._asked_for_all_at < _ALL_INTERVAL_MS:
+            return False
+        self._asked_for_all_at = now
+        return True
+
     async def _check_forever(self) -> None:
         while True:
             await self._clock.sleep(_CHECK_MS)
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -51,12 +51,17 @@
     mute: bool = False
     """Whether it answers no peer."""
     refused: int = 0
+    unreadable: bool = False
+    """Whether nothing that peers offer can be taken in."""
 
     async def offer_from_peer(
         self, *, head: bytes, chunks: Mapping[str, str]
     ) -> Result[Revision, str]:
         """Take a higher revision; without chunks only the next one."""
         offered = Revision(int(head))
+        if self.unreadable:
+            self.refused += 1
+            return Failure("a section of a newer schema")
         if not chunks and offered != self.head_revision + 1:
             self.refused += 1
             return Failure("chunks are missing")
@@ -305,6 +310,16 @@
     assert [each.revisions.head_revision for each in (b, c)] == [5, 5]
 
 
+async def test_host_asks_for_all_seldom_when_it_can_not_read_what_it_gets() -> None:
+    _, a, b, _ = await _three(revision=4)
+    b.revisions.unreadable = True
+    a.revisions.head_revision = Revision(5)
+    a.spread.announce(revision=Revision(5), digest="x")
+    await asyncio.sleep(10)
+    # One request each half second at most, and few of them for the whole set.
+    assert 2 <= b.revisions.refused <= 25
+
+
 async def test_host_asks_for_all_when_the_difference_does_not_suffice() -> None:
     _, a, b, _ = await _three(revision=4)
     a.revisions.delta_only = True
