--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -12,6 +12,7 @@
 from aiohttp.test_utils import TestClient
 from aiohttp.test_utils import TestServer
 from hypothesis import HealthCheck
+from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -314,6 +315,7 @@
     )
 )
 HEADER = st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=80)
+VALID_BODY = msgspec.json.encode({"model": MODEL, "prompt": "p", "max_tokens": 1})
 PATHS = st.sampled_from(
     [
         "/v1/completions",
@@ -346,6 +348,7 @@
         database=None,
         suppress_health_check=list(HealthCheck),
     )
+    @example("/v1/completions", VALID_BODY, "POST", "key", "cursor")
     @given(PATHS, BODIES, st.sampled_from(["GET", "POST", "PUT", "HEAD"]), HEADER, HEADER)
     def run(path: str, body: bytes, method: str, key: str, cursor: str) -> None:
         work = send(path, body, method, key, cursor)
