Convict a request by crashes at about the same token

Change: the same request makes the same tokens with the same seed, so one that crashes engines does so at one place of its answer. Two crashes convict when they came at about the same token (16 tokens or a tenth), three wherever they came. Hosts tell each other the place with each crash; a host that did not run the request does not know it and does not guess. Price: a request that crashes engines at changing places costs three of them, not two.

--- a/src/tanagerscale/daemon/_crashes.py
+++ b/src/tanagerscale/daemon/_crashes.py
@@ -84,9 +84,18 @@
         except TimeoutError:
             return
 
-    async def admit(self, *, fingerprint: str, engine: UpstreamId, stop: asyncio.Event) -> bool:
+    async def admit(
+        self,
+        *,
+        fingerprint: str,
+        engine: UpstreamId,
+        stop: asyncio.Event,
+        progress: Callable[[], int],
+    ) -> bool:
         """Ask, immediately before sending, to run a request on an engine."""
-        admitted = await self._quarantine.admit(fingerprint=Fingerprint(fingerprint), engine=engine)
+        admitted = await self._quarantine.admit(
+            fingerprint=Fingerprint(fingerprint), engine=engine, progress=progress
+        )
         if admitted:
             self._stops[fingerprint, engine].add(stop)
         return admitted
--- a/src/tanagerscale/daemon/_notes.py
+++ b/src/tanagerscale/daemon/_notes.py
@@ -92,7 +92,14 @@
     async def wait_change(self) -> None:
         """Wait for nothing."""
 
-    async def admit(self, *, fingerprint: str, engine: UpstreamId, stop: asyncio.Event) -> bool:
+    async def admit(
+        self,
+        *,
+        fingerprint: str,
+        engine: UpstreamId,
+        stop: asyncio.Event,
+        progress: Callable[[], int],
+    ) -> bool:
         """Admit everything."""
         return True
 
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -177,7 +177,10 @@
         """Run an attempt at its place; ``None`` means to go on with another one."""
         engine = placement.engine
         admitted = await self._parts.crashes.admit(
-            fingerprint=self._request.fingerprint, engine=engine, stop=placement.move_requested
+            fingerprint=self._request.fingerprint,
+            engine=engine,
+            stop=placement.move_requested,
+            progress=lambda: self._relay.next_offset,
         )
         if not admitted:
             self._release(tokens=0, engine_lost=False)
--- a/src/tanagerscale/dispatch/_types.py
+++ b/src/tanagerscale/dispatch/_types.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -120,10 +121,18 @@
     async def wait_change(self) -> None:
         """Wait until an excluded engine may have become free, or for a short while."""
 
-    async def admit(self, *, fingerprint: str, engine: UpstreamId, stop: asyncio.Event) -> bool:
+    async def admit(
+        self,
+        *,
+        fingerprint: str,
+        engine: UpstreamId,
+        stop: asyncio.Event,
+        progress: Callable[[], int],
+    ) -> bool:
         """Ask, immediately before sending, to run a request on an engine.
 
         :param stop: Set when the run should be cancelled and tried again.
+        :param progress: Returns how many tokens the run has made.
         :returns: Whether it may; it then counts as running until ``on_finished``.
         """
 
--- a/src/tanagerscale/quarantine/_quarantine.py
+++ b/src/tanagerscale/quarantine/_quarantine.py
@@ -32,6 +32,7 @@
 from tanagerscale.quarantine._rules import Suspicion
 from tanagerscale.quarantine._rules import Suspicions
 from tanagerscale.quarantine._rules import parse_crash
+from tanagerscale.quarantine._runs import Progress
 from tanagerscale.quarantine._runs import Run
 from tanagerscale.quarantine._runs import RunEnd
 from tanagerscale.quarantine._runs import Runs
@@ -144,19 +145,32 @@
         """
         return frozenset(engine for engine in engines if not self._may_run(fingerprint, engine))
 
-    async def admit(self, *, fingerprint: Fingerprint, engine: UpstreamId) -> bool:
+    async def admit(
+        self,
+        *,
+        fingerprint: Fingerprint,
+        engine: UpstreamId,
+        progress: Progress = lambda: 0,
+    ) -> bool:
         """Ask, immediately before sending, to run a request on an engine.
 
         A suspect's run is announced to the peers first, so that two hosts that choose at the
         same moment see each other.
 
+        :param progress: Returns how many tokens the run has made.
         :returns: Whether it may run; it is then counted as running until ``on_finished``.
         """
         if not self._may_run(fingerprint, engine):
             return False
         announced = self._clock.now()
         suspect = self.is_suspect(fingerprint=fingerprint)
-        self._runs.start(fingerprint=fingerprint, engine=engine, now=announced, settled=not suspect)
+        self._runs.start(
+            fingerprint=fingerprint,
+            engine=engine,
+            now=announced,
+            settled=not suspect,
+            progress=progress,
+        )
         if not suspect:
             return True
         self._announce(fingerprint)
@@ -198,12 +212,13 @@
         To be called before anything that ran there is sent again, and only when the engine
         itself has died: a broken link proves nothing against a request.
         """
-        crash = Crash(engine=engine, wall_ms=self._clock.wall())
+        wall_ms = self._clock.wall()
         victims = self._runs.take_victims(
             engine=engine, now=self._clock.now(), settled_after_ms=SETTLE_MS
         )
         # Those with crashes behind them go first: a conviction explains the crash for the rest.
         for fingerprint in sorted(victims, key=lambda one: (self._known(one) is None, one)):
+            crash = Crash(engine=engine, wall_ms=wall_ms, tokens=victims[fingerprint])
             self._blame(fingerprint, (crash,))
         self._changes.on_next(None)
 
--- a/src/tanagerscale/quarantine/_rules.py
+++ b/src/tanagerscale/quarantine/_rules.py
@@ -4,8 +4,11 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import replace
 import hashlib
+from itertools import combinations
 from typing import Final
 from typing import NewType
 from typing import final
@@ -19,6 +22,16 @@
 
 FINGERPRINT_BYTES: Final = 16
 CRASHES_TO_CONVICT: Final = 2
+"""Crashes at about the same token that convict a request."""
+
+MOST_CRASHES: Final = 3
+"""Crashes that convict a request wherever in its answer they came."""
+
+UNKNOWN_TOKENS: Final = -1
+
+NEAR_TOKENS: Final = 16
+NEAR_PART: Final = 0.1
+"""Two crashes are alike when the answers' lengths differ by no more than these."""
 
 MERGE_MS: Final = 10_000
 """Hosts see one crash at different times; two of one engine within this time are the same one. A
@@ -26,6 +39,7 @@
 
 SEPARATOR: Final = "@"
 MAX_CRASHES: Final = 8
+MAX_CRASH_CHARS: Final = 512
 
 
 def fingerprint_of(*, key: bytes, account: ClientAccountId, body: bytes) -> Fingerprint:
@@ -49,15 +63,29 @@
 
     :param engine: The engine.
     :param wall_ms: When, in milliseconds since 1970.
+    :param tokens: How far the suspect's answer was then; ``UNKNOWN_TOKENS`` at hosts that did
+        not run it.
     """
 
     engine: UpstreamId
     wall_ms: int
+    tokens: int = UNKNOWN_TOKENS
 
     @property
     def id(self) -> str:
         """Its form in messages."""
-        return f"{self.engine}{SEPARATOR}{self.wall_ms}"
+        return SEPARATOR.join((self.engine, str(self.wall_ms), str(self.tokens)))
+
+    def like(self, other: Crash) -> bool:
+        """Tell whether a suspect crashed two engines at about the same token.
+
+        The same request makes the same tokens with the same seed, so one that crashes engines
+        does so at the same place; one that only was there when engines died does not.
+        """
+        if UNKNOWN_TOKENS in (self.tokens, other.tokens):
+            return False
+        near = max(NEAR_TOKENS, NEAR_PART * max(self.tokens, other.tokens))
+        return abs(self.tokens - other.tokens) <= near
 
     def same(self, other: Crash) -> bool:
         """Tell whether two hosts mean the same death."""
@@ -67,21 +95,37 @@
 
 def parse_crash(text: str) -> Crash | None:
     """Read a crash from a message; ``None`` when it is malformed."""
-    engine, separator, wall = text.rpartition(SEPARATOR)
-    if not (separator and engine and wall.isascii() and wall.isdigit() and len(wall) < 19):
+    parts = text.rsplit(SEPARATOR, 2)
+    if len(parts) != 3 or not parts[0] or len(text) > MAX_CRASH_CHARS:
+        return None
+    try:
+        wall_ms, tokens = int(parts[1]), int(parts[2])
+    except ValueError:
+        return None
+    if wall_ms < 0 or tokens < UNKNOWN_TOKENS:
         return None
-    return Crash(engine=UpstreamId(engine), wall_ms=int(wall))
+    return Crash(engine=UpstreamId(parts[0]), wall_ms=wall_ms, tokens=tokens)
 
 
 def merge_crashes(known: Iterable[Crash], new: Iterable[Crash]) -> tuple[Crash, ...]:
     """Return all distinct crashes, the earliest sight of each."""
     merged: list[Crash] = []
     for crash in sorted((*known, *new), key=lambda one: (one.wall_ms, one.engine)):
-        if not any(crash.same(other) for other in merged):
+        place = next((place for place, other in enumerate(merged) if crash.same(other)), None)
+        if place is None:
             merged.append(crash)
+        else:
+            tokens = max(merged[place].tokens, crash.tokens)
+            merged[place] = replace(merged[place], tokens=tokens)
     return tuple(merged[:MAX_CRASHES])
 
 
+def convicts(crashes: Sequence[Crash]) -> bool:
+    """Tell whether a request's crashes suffice to refuse it."""
+    alike = any(first.like(second) for first, second in combinations(crashes, 2))
+    return alike or len(crashes) >= MOST_CRASHES
+
+
 def share_crash(first: Iterable[Crash], second: Iterable[Crash]) -> bool:
     """Tell whether two suspects may not run together."""
     others = tuple(second)
@@ -126,7 +170,7 @@
         return found
 
     def blame(self, *, fingerprint: Fingerprint, suspicion: Suspicion) -> Suspicion | None:
-        """Add crashes to what is known; the second convicts, and clears all that it explains.
+        """Add crashes to what is known; a second one like the first convicts, and clears others.
 
         :returns: What is known now; ``None`` when all of it had been explained before.
         """
@@ -136,7 +180,7 @@
             return known
         unexplained = self._unexplained(suspicion.crashes)
         crashes = merge_crashes(known.crashes if known else (), unexplained)
-        convicted = suspicion.convicted or len(crashes) >= CRASHES_TO_CONVICT
+        convicted = suspicion.convicted or convicts(crashes)
         if not crashes and not convicted:
             return known
         merged = Suspicion(
--- a/src/tanagerscale/quarantine/_runs.py
+++ b/src/tanagerscale/quarantine/_runs.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 from enum import unique
 from typing import Final
@@ -12,8 +14,12 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
+from tanagerscale.quarantine._rules import UNKNOWN_TOKENS
 from tanagerscale.quarantine._rules import Fingerprint
 
+Progress = Callable[[], int]
+"""Returns how many tokens a run has made."""
+
 FORGET_AFTER_MS: Final = 3_600_000
 """A peer's run of which nothing more is heard is forgotten after an hour."""
 
@@ -56,6 +62,17 @@
     since: Millis
     copies: int = 0
     settled: bool = False
+    progress: list[Progress] = field(default_factory=list)
+
+    def tokens(self) -> int:
+        """Return how far the copy that is farthest has come."""
+        return max((progress() for progress in self.progress), default=0)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _BrokenOff:
+    ended: Millis
+    tokens: int
 
 
 _Place = tuple[Fingerprint, UpstreamId]
@@ -71,17 +88,24 @@
     def __init__(self, *, host: HostId) -> None:
         self._host = host
         self._own: dict[Fingerprint, dict[UpstreamId, _OwnRun]] = {}
-        self._broken_off: dict[_Place, Millis] = {}
+        self._broken_off: dict[_Place, _BrokenOff] = {}
         self._peers: dict[tuple[HostId, Fingerprint], Run] = {}
 
     def start(
-        self, *, fingerprint: Fingerprint, engine: UpstreamId, now: Millis, settled: bool
+        self,
+        *,
+        fingerprint: Fingerprint,
+        engine: UpstreamId,
+        now: Millis,
+        settled: bool,
+        progress: Progress,
     ) -> None:
         """Add a run of this host; several copies may run on one engine."""
         runs = self._own.setdefault(fingerprint, {})
         run = runs.setdefault(engine, _OwnRun(since=now))
         run.copies += 1
         run.settled = run.settled or settled
+        run.progress.append(progress)
 
     def settle(self, *, fingerprint: Fingerprint, engine: UpstreamId) -> None:
         """Note that an announced run goes ahead."""
@@ -93,17 +117,17 @@
         self, *, fingerprint: Fingerprint, engine: UpstreamId, now: Millis, end: RunEnd
     ) -> None:
         """Remove a run of this host."""
-        place = (fingerprint, engine)
-        if end is RunEnd.BROKEN:
-            self._broken_off = {
-                known: ended
-                for known, ended in self._broken_off.items()
-                if now - ended <= RECENT_MS
-            }
-            self._broken_off[place] = now
         run = self._own.get(fingerprint, {}).get(engine)
         if run is None:
             return
+        if end is RunEnd.BROKEN:
+            self._broken_off = {
+                known: broken
+                for known, broken in self._broken_off.items()
+                if now - broken.ended <= RECENT_MS
+            }
+            place = (fingerprint, engine)
+            self._broken_off[place] = _BrokenOff(ended=now, tokens=run.tokens())
         run.copies -= 1
         if run.copies <= 0:
             self._remove(fingerprint, engine)
@@ -137,21 +161,22 @@
 
     def take_victims(
         self, *, engine: UpstreamId, now: Millis, settled_after_ms: int
-    ) -> set[Fingerprint]:
-        """Remove and return all that ran on an engine when it died.
+    ) -> dict[Fingerprint, int]:
+        """Remove and return all that ran on an engine when it died, and how far each was.
 
         :param settled_after_ms: A peer's announced run counts as begun after so long.
         """
         victims = {
-            fingerprint
-            for (fingerprint, place), ended in self._broken_off.items()
-            if place == engine and now - ended <= RECENT_MS
+            fingerprint: broken.tokens
+            for (fingerprint, place), broken in self._broken_off.items()
+            if place == engine and now - broken.ended <= RECENT_MS
         }
         for run in list(self.all(now=now)):
             begun = run.settled or (run.host != self._host and now - run.since >= settled_after_ms)
             if run.engine != engine or not begun:
                 continue
-            victims.add(run.fingerprint)
+            tokens = self._tokens_of(run)
+            victims[run.fingerprint] = max(victims.get(run.fingerprint, tokens), tokens)
             if run.host == self._host:
                 self._remove(run.fingerprint, engine)
             self._peers.pop((run.host, run.fingerprint), None)
@@ -190,6 +215,11 @@
             if now - run.since < FORGET_AFTER_MS:
                 yield run
 
+    def _tokens_of(self, run: Run) -> int:
+        if run.host != self._host:
+            return UNKNOWN_TOKENS
+        return self._own[run.fingerprint][run.engine].tokens()
+
     def _remove(self, fingerprint: Fingerprint, engine: UpstreamId) -> None:
         runs = self._own.get(fingerprint)
         if runs is not None and runs.pop(engine, None) is not None and not runs:
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -73,7 +73,14 @@
         """Never be called."""
         raise AssertionError("Nothing is excluded.")
 
-    async def admit(self, *, fingerprint: str, engine: UpstreamId, stop: asyncio.Event) -> bool:
+    async def admit(
+        self,
+        *,
+        fingerprint: str,
+        engine: UpstreamId,
+        stop: asyncio.Event,
+        progress: Callable[[], int],
+    ) -> bool:
         """Admit everything."""
         return True
 
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -13,6 +13,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.generated.messages import Verdict
 from tanagerscale.quarantine import Fingerprint
+from tanagerscale.quarantine import Quarantine
 from tanagerscale.quarantine import RunEnd
 from tanagerscale.quarantine import fingerprint_of
 from testing._crashing_engines import VERDICT_TTL_MS
@@ -246,3 +247,31 @@
         make(b"k", "a", b"bc"), make(b"k", "ab", b"c"), make(b"l", "a", b"bc"), make(b"k", "a", b"")
     }  # fmt: skip
     assert len(made) == 4
+
+
+async def _crash_at(quarantine: Quarantine, engine: str, tokens: int) -> None:
+    """Run a request on an engine until the engine dies at one of its tokens."""
+    place = UpstreamId(engine)
+    assert await quarantine.admit(fingerprint=POISON, engine=place, progress=lambda: tokens)
+    quarantine.on_engine_crash(engine=place)
+
+
+async def test_request_is_convicted_by_two_crashes_only_at_about_the_same_token() -> None:
+    cluster = Cluster(hosts=2, engines=4)
+    first, second = (host.quarantine for host in cluster.hosts)
+    await _crash_at(first, "e0", 400)
+    await _crash_at(first, "e1", 405)
+    await asyncio.sleep(0.01)
+    assert second.check(fingerprint=POISON) is not None
+
+
+async def test_request_is_convicted_by_three_crashes_when_they_came_anywhere() -> None:
+    cluster = Cluster(hosts=2, engines=4)
+    first, second = (host.quarantine for host in cluster.hosts)
+    await _crash_at(first, "e0", 400)
+    await _crash_at(first, "e1", 20)
+    await asyncio.sleep(0.01)
+    assert second.check(fingerprint=POISON) is None
+    assert second.is_suspect(fingerprint=POISON)
+    await _crash_at(second, "e2", 1000)
+    assert second.check(fingerprint=POISON) is not None
