--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -50,6 +50,8 @@
     :param rng: Spreads ties and the return of shed callers.
     :param share: Part of each engine this scheduler may fill; hosts that can't reach the
         pool's owner use one N-th, and then leave foreign work to the others' shares.
+    :param lengths: What is known of lengths; schedulers of one host may have it in common, so
+        that a new owner does not start without knowledge.
     """
 
     def __init__(
@@ -59,11 +61,12 @@
         tuning: Tuning,
         rng: Random,
         share: float = 1.0,
+        lengths: LengthEstimator | None = None,
     ) -> None:
         self._tuning = tuning
         self._share = share
         self._shares: Mapping[UpstreamId, float] = {}
-        self._lengths = LengthEstimator()
+        self._lengths = lengths or LengthEstimator()
         self._queue = FairQueue(accounts=accounts, tuning=tuning)
         self._ledgers: dict[UpstreamId, EngineLedger] = {}
         self._where: dict[GenerationId, EngineLedger] = {}
@@ -329,6 +332,7 @@
     accounts: Mapping[ClientAccountId, AccountSpec],
     rng: Random,
     share: float = 1.0,
+    lengths: LengthEstimator | None = None,
 ) -> ForecastScheduler:
     """Return the scheduler that the daemon runs.
 
@@ -336,7 +340,12 @@
     :param accounts: Declared accounts.
     :param rng: Source of randomness.
     :param share: Part of each engine it may fill.
+    :param lengths: What is known of lengths; schedulers of one host may have it in common.
     """
     return ForecastScheduler(
-        accounts=accounts, tuning=tuning_for(objective=objective), rng=rng, share=share
+        accounts=accounts,
+        tuning=tuning_for(objective=objective),
+        rng=rng,
+        share=share,
+        lengths=lengths,
     )
