--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -290,8 +290,6 @@
             return False
         if not ledger.running:
             return True
-        if ledger.prefill_tokens > tuning.prefill_in_flight:
-            return False
         return ledger.fits(
             request,
             waiting.curve,
--- a/src/tanagerscale/policy/_tuning.py
+++ b/src/tanagerscale/policy/_tuning.py
@@ -27,7 +27,6 @@
     :param priority_ms: How much later in the queue each step of priority puts a request.
     :param fairness_ms_per_token: How much later each token served above the least served
         waiting account, for its weight, puts an account's requests.
-    :param prefill_in_flight: Most prompt tokens an engine may have before it to compute.
     :param neighbour_tokens: Prompt tokens that one more generation in the batch costs as much as.
     :param prompt_gain: How much more a prompt token to compute counts than one that waits.
     :param fill_tokens: Prompt tokens that a full engine costs as much as, against an empty one.
@@ -41,7 +40,6 @@
     length_ms_per_token: float = 100.0
     priority_ms: float = 5000.0
     fairness_ms_per_token: float = 0.1
-    prefill_in_flight: int = 6000
     neighbour_tokens: float = 60.0
     prompt_gain: float = 2.0
     fill_tokens: float = 8000.0
--- a/tools/replay_matrix.py
+++ b/tools/replay_matrix.py
@@ -99,7 +99,6 @@
         "without fairness": replace(whole, fairness_ms_per_token=0.0),
         "without deviations": replace(whole, deviations=0.0),
         "without shedding": replace(whole, shed_after_ms=NEVER_MS),
-        "without prefill limit": replace(whole, prefill_in_flight=1 << 30),
         "without fill in placement": replace(whole, fill_tokens=0.0),
         "without batch in placement": replace(whole, neighbour_tokens=0.0),
     }
@@ -128,7 +127,7 @@
 def _cases() -> Iterator[Variant]:
     for case in Case:
         for load in (0.7, 0.9):
-            for policy in ("least-outstanding", "two-choices", "hosts-alone", "owner"):
+            for policy in ("two-choices", "hosts-alone", "owner"):
                 run = replace(_run(policy, "trois-rivieres", load), case=case)
                 yield Variant(name=policy, run=run)
             if case in (Case.ENGINE_LOST, Case.ENGINE_RECLAIMED):
