Replace versions one engine at a time, and don't rely on a holder that is unloading

Tests written for two mechanisms that could be disabled unseen failed with them enabled: two engines swapped a version in the same tick, and a model whose unload was still under way counted as held where the declarations had moved back. A plan now swaps one engine for each model, and an unload order starts the wait for confirmation anew. A frozen host's timers no longer run in the tests, so that a controller thaws between reading the states and ordering.

--- a/src/tanagerscale/fleet/_controller.py
+++ b/src/tanagerscale/fleet/_controller.py
@@ -34,6 +34,7 @@
 from tanagerscale.generated.declarations import Fencing
 from tanagerscale.generated.upstream import EngineOrder
 from tanagerscale.generated.upstream import EngineState
+from tanagerscale.generated.upstream import OrderKind
 from tanagerscale.generated.upstream import RefusalKind
 from tanagerscale.store import Store
 from tanagerscale.upstreams import EngineClient
@@ -213,6 +214,9 @@
             version=order.version,
         )
         self._next_order += 1
+        if order.kind is OrderKind.UNLOAD_MODEL:
+            # Until it is done the engine still shows the model.
+            self._held_since[(order.engine, ModelId(order.name))] = self._clock.now()
         client = self._connect(engine)
         # The last look at the clock before the order leaves: the host may have been frozen.
         if not (hold.may_act() if checked else hold.may_act_unfenced()):
--- a/src/tanagerscale/fleet/_plan.py
+++ b/src/tanagerscale/fleet/_plan.py
@@ -82,15 +82,19 @@
 
     def loads(self) -> Iterator[PlannedOrder]:
         """What is missing or of another version."""
+        swapping: set[str] = set()
         for engine, state in self._engines:
             for model in engine.models:
                 version = self._models.get(model)
                 held = state.models.get(model)
                 if version is None or held == version or model in state.loading:
                     continue
-                # A new version replaces the old one engine by engine.
-                if held is None or not self._loading_elsewhere(model, engine):
-                    yield _order(engine, OrderKind.LOAD_MODEL, model, version)
+                if held is not None:
+                    # A new version replaces the old one engine by engine.
+                    if model in swapping or self._loading_elsewhere(model, engine):
+                        continue
+                    swapping.add(model)
+                yield _order(engine, OrderKind.LOAD_MODEL, model, version)
             yield from self._adapter_loads(engine, state)
 
     def unloads(self) -> Iterator[PlannedOrder]:
--- a/testing/_ordered_engines.py
+++ b/testing/_ordered_engines.py
@@ -135,7 +135,7 @@
             return Failure(_error(UpstreamErrorKind.NOT_SENT))
         state = self._engine.state()
         await asyncio.sleep(0.002)
-        await self._host.store.pass_gate()
+        await self._pass_gate_in_spite_of_timers()
         return Success(state)
 
     async def order(self, *, order: EngineOrder) -> Result[EngineState, UpstreamError]:
@@ -162,6 +162,13 @@
         await self._host.store.pass_gate()
         return Success(engine.state())
 
+    async def _pass_gate_in_spite_of_timers(self) -> None:
+        """Wait while the host is frozen, since its timers would not run either."""
+        try:
+            await self._host.store.pass_gate()
+        except asyncio.CancelledError:
+            await self._host.store.pass_gate()
+
     def generate(self, *, request: EngineRequest) -> TokenBatches:
         """Not part of these tests."""
         raise NotImplementedError
