Turn away from an endpoint of the store that failed

Writes are not repeated at another endpoint once sent, so a stalled one that stayed preferred took every later write with it. After a failure the next call begins at the next endpoint. Seen red before the change: test_next_write_goes_to_another_endpoint_when_one_stalls.

--- a/src/tanagerscale/claims/_claims.py
+++ b/src/tanagerscale/claims/_claims.py
@@ -189,7 +189,10 @@
         return await asyncio.shield(self.settle(claim=claim, outcome=outcome))
 
     async def drain(self) -> None:
-        """Wait until all outcomes stand in the store, as a planned stop does."""
+        """Wait until all outcomes stand in the store, as a planned stop does.
+
+        During an outage that takes until the store returns, so a stop sets a limit of its own.
+        """
         await self._recorder.drain()
 
     async def close(self) -> None:
--- a/src/tanagerscale/store/_gateway.py
+++ b/src/tanagerscale/store/_gateway.py
@@ -88,6 +88,11 @@
         """Begin later calls at an endpoint."""
         self._preferred = self._endpoints.index(endpoint)
 
+    def avoid(self, *, endpoint: str) -> None:
+        """Begin later calls at the next endpoint, unless others have moved on already."""
+        if self._endpoints[self._preferred] == endpoint:
+            self._preferred = (self._preferred + 1) % len(self._endpoints)
+
     def session(self) -> aiohttp.ClientSession:
         """Return the session that all calls share."""
         if self._session is None:
@@ -118,6 +123,8 @@
                 self.prefer(endpoint=endpoint)
                 return result
             kind = result.failure().kind
+            if kind in (StoreErrorKind.UNREACHABLE, StoreErrorKind.UNCERTAIN):
+                self.avoid(endpoint=endpoint)
             if kind is StoreErrorKind.UNCERTAIN:
                 uncertain = result
             if not (kind is StoreErrorKind.UNREACHABLE or (repeatable and uncertain is result)):
--- a/src/tanagerscale/store/_watch.py
+++ b/src/tanagerscale/store/_watch.py
@@ -82,6 +82,7 @@
             if isinstance(result, Success):
                 self._gateway.prefer(endpoint=endpoint)
                 return result
+            self._gateway.avoid(endpoint=endpoint)
         return result
 
     async def _open_one(
--- a/testing/test_store_etcd.py
+++ b/testing/test_store_etcd.py
@@ -187,6 +187,25 @@
     assert result.failure().kind is StoreErrorKind.UNCERTAIN
 
 
+async def test_next_write_goes_to_another_endpoint_when_one_stalls(gateway: Gateway) -> None:
+    released = asyncio.Event()
+
+    async def handler(request: web.Request) -> web.StreamResponse:
+        if request.path.startswith("/stalled"):
+            await released.wait()
+        return web.json_response({"ID": "77", "TTL": "5"})
+
+    gateway.handler = handler
+    endpoints = [gateway.url + "/stalled", gateway.url]
+    store = EtcdStore(endpoints=endpoints, timeout_ms=100, clock=Clock())
+    first = await store.grant_lease(ttl_s=5)
+    second = await store.grant_lease(ttl_s=5)
+    released.set()
+    await store.close()
+    assert first.failure().kind is StoreErrorKind.UNCERTAIN
+    assert second == Success(LeaseId(77))
+
+
 async def test_write_is_refused_when_the_store_says_so(gateway: Gateway, store: EtcdStore) -> None:
     gateway.answer('{"code": 5, "message": "etcdserver: requested lease not found"}', status=404)
     assert (await store.commit(puts=ONE_PUT)).failure().kind is StoreErrorKind.REFUSED
