--- a/src/tanagerscale/claims/_claims.py
+++ b/src/tanagerscale/claims/_claims.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
 import random
 from typing import Final
 from typing import final
@@ -16,6 +15,7 @@
 from returns.result import Success
 
 from tanagerscale.claims import _problems
+from tanagerscale.claims._attempt import Attempt
 from tanagerscale.claims._batcher import MIN_INTERVAL_MS
 from tanagerscale.claims._batcher import CommitBatcher
 from tanagerscale.claims._leases import BucketLeases
@@ -36,7 +36,6 @@
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
-from tanagerscale.core import Millis
 from tanagerscale.core import Problem
 from tanagerscale.generated.records import ClaimRecord
 from tanagerscale.generated.records import ClaimState
@@ -48,9 +47,6 @@
 from tanagerscale.store import StoreErrorKind
 from tanagerscale.store import StoreRevision
 
-DISPATCH_WINDOW_MS: Final = 10_000
-"""How old a claim may be when its call is sent; far below the least time a claim stands."""
-
 JOIN_LIMIT_MS: Final = 60_000
 """How long a repeat waits for the call it joined on the same host."""
 
@@ -70,21 +66,6 @@
 Claim = Result[Granted | Recorded | InProgress, Problem]
 
 
-@dataclass(kw_only=True, slots=True)
-class _Attempt:
-    """One trial to claim a key.
-
-    :param last_put: The write that may have taken effect, or may still do so.
-    """
-
-    key: ClaimKey
-    store_key: str
-    record: ClaimRecord
-    ttl_s: int
-    started: Millis
-    last_put: PutIf | None = None
-
-
 @final
 class Claims:
     """Grants at most one dispatch for each key, whatever host it is asked at.
@@ -232,7 +213,7 @@
         self.settle(claim=granted, outcome=ClaimOutcome(state=ClaimState.NOT_EXECUTED))
         return Failure(_problems.too_late(retry_after_ms=self._retry_after()))
 
-    async def _acquire(self, attempt: _Attempt) -> Claim:
+    async def _acquire(self, attempt: Attempt) -> Claim:
         """Put the claim where none stands, or over one that is free."""
         expected = ABSENT
         refused_before = False
@@ -253,21 +234,23 @@
                 continue
             outcome = result.unwrap()
             if outcome.written:
-                return self._grant(attempt, revision=outcome.revision, lease=leased.unwrap())
+                lease = leased.unwrap()
+                return Success(attempt.to_granted(revision=outcome.revision, lease=lease))
             present = outcome.present
             if present is None:
                 expected = ABSENT
                 continue
             record = decode_record(present.value)
             if record is not None and record.nonce == attempt.record.nonce:
-                return self._grant(attempt, revision=present.mod_revision, lease=present.lease)
+                granted = attempt.to_granted(revision=present.mod_revision, lease=present.lease)
+                return Success(granted)
             if record is None or not self._is_free(record):
                 return self._judge(record, attempt=attempt)
             expected = present.mod_revision
         return Failure(self._store_unavailable())
 
     async def _put(
-        self, attempt: _Attempt, *, expected: StoreRevision, lease: LeaseId
+        self, attempt: Attempt, *, expected: StoreRevision, lease: LeaseId
     ) -> Result[PutOutcome, StoreError]:
         """Commit a claim; when the reply is lost, the same claim settles what became of it."""
         value = msgspec.json.encode(attempt.record)
@@ -286,7 +269,7 @@
     def _is_free(self, record: ClaimRecord) -> bool:
         return record.state is ClaimState.NOT_EXECUTED or record.nonce in self._abandoned
 
-    def _judge(self, record: ClaimRecord | None, *, attempt: _Attempt) -> Claim:
+    def _judge(self, record: ClaimRecord | None, *, attempt: Attempt) -> Claim:
         """Answer for a claim that stands in the store and is not free."""
         if record is None:
             return Failure(_problems.outcome_unknown())
@@ -305,42 +288,19 @@
             return Success(self._in_progress())
         return Failure(_problems.outcome_unknown())
 
-    def _grant(self, attempt: _Attempt, *, revision: StoreRevision, lease: LeaseId) -> Claim:
-        window = min(DISPATCH_WINDOW_MS, attempt.ttl_s * MS_PER_SECOND // 2)
-        granted = Granted(
-            key=attempt.key,
-            request_digest=attempt.record.request_digest,
-            nonce=attempt.record.nonce,
-            mod_revision=revision,
-            lease=lease,
-            claimed_wall_ms=attempt.record.claimed_wall_ms,
-            deadline=Millis(attempt.started + window),
-            expires=Millis(attempt.started + attempt.ttl_s * MS_PER_SECOND),
-        )
-        return Success(granted)
-
-    def _give_up(self, attempt: _Attempt) -> None:
+    def _give_up(self, attempt: Attempt) -> None:
         """Make sure that a claim which may stand, or still arrive, becomes free."""
-        put = attempt.last_put
-        if put is None:
-            return
-        self._abandon(attempt.record.nonce)
-        outcome = ClaimOutcome(state=ClaimState.NOT_EXECUTED)
-        pending = Pending(
-            store_key=attempt.store_key,
-            record=to_record(claimed=attempt.record, outcome=outcome),
-            expected=put.expected_mod_revision,
-            lease=put.lease,
-            expires=Millis(attempt.started + attempt.ttl_s * MS_PER_SECOND),
-        )
-        self._recorder.start(pending=pending)
+        released = attempt.to_released()
+        if released is not None:
+            self._abandon(attempt.record.nonce)
+            self._recorder.start(pending=released)
 
     def _abandon(self, nonce: str) -> None:
         self._abandoned[nonce] = None
         if len(self._abandoned) > MAX_ABANDONED:
             self._abandoned.popitem(last=False)
 
-    def _new_attempt(self, *, key: ClaimKey, request_digest: str, ttl_s: int) -> _Attempt:
+    def _new_attempt(self, *, key: ClaimKey, request_digest: str, ttl_s: int) -> Attempt:
         record = ClaimRecord(
             nonce=f"{self._rng.getrandbits(NONCE_BITS):024x}",
             host=self._host,
@@ -349,7 +309,7 @@
             claimed_wall_ms=self._clock.wall(),
             request_digest=request_digest,
         )
-        return _Attempt(
+        return Attempt(
             key=key,
             store_key=self._store_key(key),
             record=record,
