--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -23,6 +23,8 @@
 from tools.slopes_partners import rendezvous
 from tools.slopes_partners import rendezvous_near_and_far
 from tools.slopes_partners import xor_buckets
+from tools.slopes_poll import ENGINES
+from tools.slopes_poll import measure_poll
 from tools.slopes_routing import CELL_SIZES
 from tools.slopes_routing import LEDGER_SIZES
 from tools.slopes_routing import RUNNING_SIZES
@@ -30,6 +32,8 @@
 from tools.slopes_routing import measure_ledger_kib
 from tools.slopes_routing import measure_placement
 from tools.slopes_routing import progress_bytes
+from tools.slopes_spread import MESH_SIZES
+from tools.slopes_spread import measure_spread
 
 TARGET_HOSTS = 390
 TARGET_RUNNING_PER_HOST = 390
@@ -54,6 +58,8 @@
     print_fits(_mesh_fits(), title="Mesh member (one host, idle peers)", console=console)
     console.print(f"One ask received over a WebSocket: {measure_message_us():.1f} us")
     print_fits(_routing_fits(), title="Entry and pool owner", console=console)
+    print_fits(_spread_fits(), title="Declarations follower in a full mesh", console=console)
+    print_fits(_poll_fits(), title="Pool owner: reading engines", console=console)
     _print_partners(console)
 
 
@@ -126,6 +132,38 @@
     ]
 
 
+def _spread_fits() -> list[Fit]:
+    figures = [measure_spread(number) for number in MESH_SIZES]
+    columns = {
+        "time until the last host has a change, ms": [each.spread_ms for each in figures],
+        "one change at one host, CPU ms": [each.host_cpu_ms for each in figures],
+        "one change, messages a host sends": [each.host_messages for each in figures],
+        "one change, frames a host sends, B": [each.host_bytes for each in figures],
+    }
+    return [
+        fit(name=name, size_name="host", sizes=MESH_SIZES, values=values, target=TARGET_HOSTS)
+        for name, values in columns.items()
+    ]
+
+
+def _poll_fits() -> list[Fit]:
+    figures = [measure_poll(number) for number in ENGINES]
+    columns = {
+        "one read of load and cache events, CPU us": [each.cpu_us for each in figures],
+        "one read of load and cache events, HTTP B": [each.wire_bytes for each in figures],
+    }
+    return [
+        fit(
+            name=name,
+            size_name="engine read at once",
+            sizes=ENGINES,
+            values=values,
+            target=TARGET_CELL,
+        )
+        for name, values in columns.items()
+    ]
+
+
 def _print_partners(console: Console) -> None:
     rows = []
     for name, choose in STRATEGIES.items():
