--- a/src/tanagerscale/routing/_cells.py
+++ b/src/tanagerscale/routing/_cells.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
+from functools import lru_cache
 import hashlib
 from math import ceil
 from typing import NewType
@@ -22,6 +23,7 @@
 
 _DIGEST_BYTES = 8
 _POOL_DIGITS = 8
+_REMEMBERED_ENGINES = 32_768
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -87,8 +89,7 @@
     ids = [CellId(f"{pool}-{index}") for index in range(ceil(len(members) / CELL_ENGINES))]
     parts: dict[CellId, list[EngineSpec]] = {cell: [] for cell in ids}
     for engine in members:
-        cell = max(ids, key=lambda each: rendezvous_score(engine.name, each))
-        parts[cell].append(_spec(engine))
+        parts[ids[_part_of(engine.name, len(ids))]].append(_spec(engine))
     return [
         Cell(cell=cell, models=models, adapters=adapters, specs=tuple(specs))
         for cell, specs in parts.items()
@@ -96,6 +97,12 @@
     ]
 
 
+@lru_cache(maxsize=_REMEMBERED_ENGINES)
+def _part_of(engine: str, parts: int) -> int:
+    """Return in which of a pool's cells an engine is; remembered, as declarations change often."""
+    return max(range(parts), key=lambda part: rendezvous_score(engine, str(part)))
+
+
 def _spec(engine: Engine) -> EngineSpec:
     return EngineSpec(
         engine=UpstreamId(engine.name),
--- a/src/tanagerscale/routing/_ownership.py
+++ b/src/tanagerscale/routing/_ownership.py
@@ -28,9 +28,11 @@
         self._leaving = False
         self._peers: frozenset[HostId] = frozenset()
         self._known_hosts = 1
+        self._declared: tuple[Engine, ...] = ()
         self._cells: dict[CellId, Cell] = {}
         self._engines: dict[UpstreamId, CellId] = {}
-        self._owner_cache: dict[CellId, HostId] = {}
+        self._candidates: frozenset[HostId] = frozenset((host,))
+        self._owners: dict[CellId, HostId] = {}
 
     @property
     def owned(self) -> tuple[CellId, ...]:
@@ -59,24 +61,29 @@
 
     def set_engines(self, engines: Sequence[Engine]) -> None:
         """Replace the declared engines."""
-        self._cells = {cell.cell: cell for cell in make_cells(engines=engines)}
+        declared = tuple(engines)
+        if declared == self._declared:
+            return  # Most changes of the declarations are about accounts.
+        self._declared = declared
+        self._cells = {cell.cell: cell for cell in make_cells(engines=declared)}
         self._engines = {
             spec.engine: cell.cell for cell in self._cells.values() for spec in cell.specs
         }
-        self._owner_cache.clear()
+        # An owner depends on the cell's id alone, so those of cells that remain stay.
+        self._owners = {cell: host for cell, host in self._owners.items() if cell in self._cells}
 
     def set_peers(self, peers: frozenset[HostId]) -> bool:
         """Replace the live peers that stay; return whether they differ."""
         if peers == self._peers:
             return False
         self._peers = peers
-        self._owner_cache.clear()
+        self._update_candidates()
         return True
 
     def set_leaving(self, *, leaving: bool) -> None:
         """Record whether this process is in a planned stop."""
         self._leaving = leaving
-        self._owner_cache.clear()
+        self._update_candidates()
 
     def set_known_hosts(self, known: int) -> None:
         """Record how many hosts there should be, this one included."""
@@ -101,14 +108,24 @@
 
     def owner(self, cell: CellId) -> HostId:
         """Return the host that decides for a cell."""
-        owner = self._owner_cache.get(cell)
+        owner = self._owners.get(cell)
         if owner is None:
-            hosts = [*self._peers]
-            if not self._leaving or not hosts:
-                hosts.append(self._host)
-            owner = self._owner_cache[cell] = owner_of(cell=cell, hosts=hosts)
+            owner = owner_of(cell=cell, hosts=tuple(self._candidates))
+            self._owners[cell] = owner
         return owner
 
+    def _update_candidates(self) -> None:
+        """Take in which hosts may own cells, looking only at those that came or went."""
+        former = self._candidates
+        stays = not self._leaving or not self._peers
+        self._candidates = self._peers | {self._host} if stays else self._peers
+        gone, new = former - self._candidates, self._candidates - former
+        for cell, owner in tuple(self._owners.items()):
+            if owner in gone:
+                del self._owners[cell]
+            elif new:
+                self._owners[cell] = owner_of(cell=cell, hosts=(owner, *new))
+
 
 def scaled(spec: EngineSpec, *, share: float) -> EngineSpec:
     """Return an engine of which only a part may be filled."""
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 
 import pytest
 from returns.pipeline import is_successful
@@ -26,6 +27,7 @@
 from tanagerscale.routing._convert import ask_of
 from tanagerscale.routing._entry import REPEAT_MS
 from tanagerscale.routing._owner import CellOwner
+from tanagerscale.routing._ownership import Ownership
 from testing._routing_fakes import PLACE_LIMIT_S
 from testing._routing_fakes import Cluster
 from testing._routing_fakes import SlotScheduler
@@ -346,6 +348,19 @@
     assert len(set(before.values())) > 4
 
 
+def test_owners_are_the_same_however_the_hosts_came_and_went() -> None:
+    rng = Random(1)
+    cells = make_cells(engines=make_engines(number=640))
+    ownership = Ownership(host=HostId("h0"))
+    ownership.set_engines(make_engines(number=640))
+    for _ in range(30):
+        peers = frozenset(HostId(f"h{index}") for index in rng.sample(range(1, 9), 5))
+        ownership.set_peers(peers)
+        hosts = [*peers, HostId("h0")]
+        for cell in cells:
+            assert ownership.owner(cell.cell) == owner_of(cell=cell.cell, hosts=hosts)
+
+
 async def test_placements_are_given_out_when_messages_are_lost_doubled_and_reordered() -> None:
     cluster = Cluster(hosts=["a", "b", "c"], engines=make_engines(number=2, max_batch=3))
     cluster.switch.drop, cluster.switch.double, cluster.switch.jitter_ms = 0.3, 0.3, 200
