--- a/standins/demo.py
+++ b/standins/demo.py
@@ -22,6 +22,7 @@
 from standins.demo_tables import print_seen
 from standins.launcher import Cluster
 from standins.launcher import ClusterPlan
+from standins.observers import RevisionWatch
 from standins.processes import ROOT
 from standins.verdict import judge
 from standins.workload import CallerKind
@@ -53,15 +54,23 @@
     :param cluster: The processes.
     :param workload: The callers.
     :param balancer: Offers the hosts.
+    :param watch: Reads what the hosts say of themselves.
     :param console: Where it prints.
     """
 
     def __init__(
-        self, *, cluster: Cluster, workload: Workload, balancer: Balancer, console: Console
+        self,
+        *,
+        cluster: Cluster,
+        workload: Workload,
+        balancer: Balancer,
+        watch: RevisionWatch,
+        console: Console,
     ) -> None:
         self._cluster = cluster
         self._workload = workload
         self._balancer = balancer
+        self._watch = watch
         self._console = console
         self._clock = Clock()
         self._began = self._clock.now()
@@ -90,17 +99,18 @@
         self._workload.start_askers(kinds["check"], 6)
         self._workload.start_bookers(kinds["booking"], 2)
         await self._clock.sleep(round(duration_ms * KILL_ENGINE_AT))
-        await self._read_preemptions()
-        await self._cluster.engines["engine-2"].kill()
-        self._say("engine-2 was killed (SIGKILL) in the middle of its answers")
+        engine = await self._busiest_engine()
+        await self._cluster.engines[engine].kill()
+        self._say(f"{engine}, the busiest, was killed (SIGKILL) in the middle of its answers")
         await self._clock.sleep(round(duration_ms * (KILL_HOST_AT - KILL_ENGINE_AT)))
-        await self._cluster.hosts["host-2"].kill()
-        self._say("host-2 was killed (SIGKILL) in the middle of its answers")
+        host = await self._busiest_host()
+        await self._cluster.hosts[host].kill()
+        self._say(f"{host}, the busiest, was killed (SIGKILL) in the middle of its answers")
         await self._clock.sleep(round(duration_ms * (1 - KILL_HOST_AT)))
 
     async def _stop_gracefully(self, kind: CallerKind) -> bool:
         await self._workload.finish()
-        await self._read_preemptions()
+        await self._read_engines()
         # Only now, so that the answers that a planned stop meets are known to be running.
         for number in range(LAST_PLANS):
             self._workload.start_one(kind, f"last-{number}", LAST_PLAN_TOKENS)
@@ -138,11 +148,23 @@
         print_promises(console=self._console, promises=promises, examples=verdict.examples)
         return all(promise.held for promise in promises) and verdict.whole > 0
 
-    async def _read_preemptions(self) -> None:
-        for name, engine in self._cluster.engines.items():
-            if engine.running:
-                reports = await self._cluster.get(engine, "/admin/executions", ExecutionReports)
-                self._preemptions[name] = reports.preemptions
+    async def _busiest_engine(self) -> str:
+        reports = await self._read_engines()
+        return max(reports, key=lambda name: reports[name].followers)
+
+    async def _busiest_host(self) -> str:
+        statuses = await self._watch.statuses()
+        return max(statuses, key=lambda name: statuses[name].running)
+
+    async def _read_engines(self) -> dict[str, ExecutionReports]:
+        running = {name: item for name, item in self._cluster.engines.items() if item.running}
+        reports = {
+            name: await self._cluster.get(engine, "/admin/executions", ExecutionReports)
+            for name, engine in running.items()
+        }
+        # A killed engine's count is kept as it was last read.
+        self._preemptions |= {name: report.preemptions for name, report in reports.items()}
+        return reports
 
     def _say(self, text: str) -> None:
         elapsed = (self._clock.now() - self._began) / MS_PER_SECOND
@@ -210,7 +232,13 @@
             service=plan.service,
             seed=seed,
         )
-        demo = Demo(cluster=cluster, workload=workload, balancer=balancer, console=console)
+        demo = Demo(
+            cluster=cluster,
+            workload=workload,
+            balancer=balancer,
+            watch=RevisionWatch(cluster=cluster, session=session),
+            console=console,
+        )
         held = await demo.run(
             kinds=caller_kinds(read_keys()), duration_ms=round(seconds * MS_PER_SECOND)
         )
