Spread the return of refused callers and keep those who had a place

Cause: when all engines died, all who waited were refused in one instant with the same Retry-After, and came back together. A request whose engine died, or could not be reached, was a newcomer to the next owner and was shed after waiting. A caller's second request that was suspected in a crash left out for a minute any engine that had once not answered, so it was refused while engines were back. Ruled out: the owner's queue (newcomers are shed within 800 ms) and the retry budget (not spent). Change: Retry-After of no-upstream, upstream-failed, a full host and services is drawn over four seconds; a request that had a place waits and asks again within a minute; engines that failed are left out only until a wait.

--- a/src/tanagerscale/daemon/_admission.py
+++ b/src/tanagerscale/daemon/_admission.py
@@ -4,14 +4,16 @@
 
 import asyncio
 from collections import Counter
+from random import Random
 from typing import final
 
 from tanagerscale.core import ClientAccountId
 from tanagerscale.core import Execution
 from tanagerscale.core import Problem
 from tanagerscale.core import ProblemKind
+from tanagerscale.dispatch import spread_return
 
-RETRY_BUSY_MS = 2000
+RETRY_BUSY_MS = 1000
 
 
 @final
@@ -19,9 +21,11 @@
     """Counts the requests inside.
 
     :param limit: Most requests at once.
+    :param rng: Spreads the return of refused callers.
     """
 
-    def __init__(self, *, limit: int) -> None:
+    def __init__(self, *, limit: int, rng: Random) -> None:
+        self._rng = rng
         self._limit = limit
         self._inside: Counter[ClientAccountId] = Counter()
         self._total = 0
@@ -39,7 +43,7 @@
         :param account: Who asks.
         """
         if self._total >= self._limit:
-            return _BUSY
+            return spread_return(problem=_BUSY, rng=self._rng)
         self._inside[account] += 1
         self._total += 1
         self._empty.clear()
--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -97,7 +97,7 @@
         self._incarnation = self._clock.wall()
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
-        self._door = DoorKeeper(limit=settings.limits.concurrent_requests)
+        self._door = DoorKeeper(limit=settings.limits.concurrent_requests, rng=self._rng)
 
     async def start(self) -> BoundAddresses:
         """Build the parts and begin to serve."""
@@ -253,6 +253,7 @@
             canceller=self._canceller,
             meter=self._meter,
             clock=self._clock,
+            rng=self._rng,
         )
         self._services = ServiceDispatch(
             parts=ServiceParts(
--- a/src/tanagerscale/dispatch/__init__.py
+++ b/src/tanagerscale/dispatch/__init__.py
@@ -11,6 +11,7 @@
 from tanagerscale.dispatch._generation import Generation
 from tanagerscale.dispatch._relay import Relay
 from tanagerscale.dispatch._relay import RelayFault
+from tanagerscale.dispatch._returns import spread_return
 from tanagerscale.dispatch._types import CrashWatch
 from tanagerscale.dispatch._types import GenerationRequest
 from tanagerscale.dispatch._types import ResumePoint
@@ -34,4 +35,5 @@
     "RetryAllowance",
     "Sink",
     "UpstreamNotes",
+    "spread_return",
 ]
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -12,6 +12,7 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass
 from dataclasses import field
+from random import Random
 from typing import NamedTuple
 from typing import final
 
@@ -33,6 +34,7 @@
 from tanagerscale.dispatch._attempt import AttemptOutcome
 from tanagerscale.dispatch._cancel import Canceller
 from tanagerscale.dispatch._relay import Relay
+from tanagerscale.dispatch._returns import spread_return
 from tanagerscale.dispatch._types import CrashWatch
 from tanagerscale.dispatch._types import GenerationRequest
 from tanagerscale.dispatch._types import ResumePoint
@@ -52,9 +54,9 @@
 
 MAX_LOST_ATTEMPTS = 3
 MAX_ATTEMPTS = 12
-RETRY_AFTER_MS = 2000
-SUSPECT_WAIT_MS = 60_000
-"""Longest wait of a request that ran in a crash for an engine that it may run on alone."""
+RETRY_AFTER_MS = 1000
+LONGEST_WAIT_MS = 60_000
+"""Longest wait of a request that had an engine and lost it, before its caller is refused."""
 
 _log = get_logger(part="dispatch")
 
@@ -82,6 +84,7 @@
     :param canceller: Cancels attempts that were given up.
     :param meter: Sums what requests cost.
     :param clock: Times pauses.
+    :param rng: Spreads the return of refused callers.
     """
 
     router: Router
@@ -92,6 +95,7 @@
     canceller: Canceller
     meter: UsageMeter
     clock: Clock
+    rng: Random
 
 
 @dataclass(kw_only=True, slots=True)
@@ -188,12 +192,21 @@
     async def _after_refusal(
         self, refusal: Problem, request: PlacementRequest
     ) -> Result[Finish, Problem] | None:
-        """Wait for an engine where a suspect may run; anything else ends with the refusal."""
+        """Wait for another engine where one may be had; anything else ends with the refusal."""
         kept_away = request.excluded - self._progress.excluded
-        waited = self._parts.clock.now() - self._progress.began
-        if refusal.kind is ProblemKind.NO_UPSTREAM and kept_away and waited < SUSPECT_WAIT_MS:
+        left = LONGEST_WAIT_MS - (self._parts.clock.now() - self._progress.began)
+        if refusal.kind is ProblemKind.NO_UPSTREAM and kept_away and left > 0:
             await self._parts.crashes.wait_change()
+            # An engine that failed before may have come back; the gate knows which take work.
+            self._progress.excluded.clear()
             return None
+        # A request that had its place is no newcomer, whom alone shedding is for.
+        pause = refusal.retry_after_ms or 0
+        if refusal.kind is ProblemKind.OVERLOADED and self._progress.attempts and pause <= left:
+            await self._parts.clock.sleep(pause)
+            return None
+        if refusal.kind is ProblemKind.NO_UPSTREAM:
+            refusal = spread_return(problem=refusal, rng=self._parts.rng)
         return Failure(self._with_execution(refusal))
 
     async def _go_on(self, resume: ResumePoint) -> AttemptOutcome | None:
@@ -355,12 +368,13 @@
         return self._progress.lost > 0 and not self._parts.retries.try_spend()
 
     def _problem(self, kind: ProblemKind, detail: str) -> Problem:
-        return Problem(
+        problem = Problem(
             kind=kind,
             detail=detail,
             execution=self._execution(),
             retry_after_ms=RETRY_AFTER_MS,
         )
+        return spread_return(problem=problem, rng=self._parts.rng)
 
     def _with_execution(self, problem: Problem) -> Problem:
         return Problem(
--- a/src/tanagerscale/services/_dispatch.py
+++ b/src/tanagerscale/services/_dispatch.py
@@ -35,6 +35,7 @@
 from tanagerscale.core import get_logger
 from tanagerscale.dispatch import RetryAllowance
 from tanagerscale.dispatch import UpstreamNotes
+from tanagerscale.dispatch import spread_return
 from tanagerscale.generated.declarations import Service
 from tanagerscale.generated.records import ClaimState
 from tanagerscale.generated.upstream import RefusalKind
@@ -45,7 +46,7 @@
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 MAX_TRIES = 3
-RETRY_AFTER_MS = 2000
+RETRY_AFTER_MS = 1000
 DIGEST_BYTES = 16
 RECORD_WAIT_MS = 250
 """Longest wait for the record of an answer before the answer is passed on."""
@@ -72,7 +73,7 @@
     :param is_open: Whether an upstream takes new work.
     :param retries: Bounds retries.
     :param clock: The clock that claims end by.
-    :param rng: Breaks ties between upstreams.
+    :param rng: Breaks ties between upstreams and spreads the return of refused callers.
     """
 
     client: ServiceClient
@@ -113,7 +114,7 @@
             return await self._claimed(service, account, key, call)
         # Without a key nobody can ask for this call again, so one dispatch is all it gets.
         result = await self._once(service, call, may_send=lambda: True)
-        return result.alt(_problem_of_single)
+        return result.alt(self._problem_of_single)
 
     async def _repeatable(
         self, service: Service, call: ServiceCall
@@ -132,9 +133,8 @@
                     return Success(reply)
                 case Failure(error):
                     may_have_run = may_have_run or error.kind not in _NOT_EXECUTED
-        if not tried:
-            return Failure(_no_upstream(service.name))
-        return Failure(_problem_of_idempotent(may_have_run))
+        problem = _problem_of_idempotent(may_have_run) if tried else _no_upstream(service.name)
+        return Failure(spread_return(problem=problem, rng=self._parts.rng))
 
     async def _claimed(
         self, service: Service, account: ClientAccountId, key: str, call: ServiceCall
@@ -178,7 +178,7 @@
         # With the record written a repeat finds the answer at any host; it goes on in the
         # background, since a store outage must not hold the answer back.
         await asyncio.wait({settled}, timeout=RECORD_WAIT_MS / MS_PER_SECOND)
-        return result.alt(_problem_of_single)
+        return result.alt(self._problem_of_single)
 
     async def _once(
         self, service: Service, call: ServiceCall, *, may_send: Callable[[], bool]
@@ -224,6 +224,9 @@
         elif error.refusal.kind is RefusalKind.LEAVING:
             self._parts.notes.note_leaving(upstream=upstream)
 
+    def _problem_of_single(self, error: UpstreamError) -> Problem:
+        return spread_return(problem=_problem_of_single(error), rng=self._parts.rng)
+
     def _choose(self, service: Service, tried: set[str]) -> str | None:
         addresses = [address for address in addresses_of(service=service) if address not in tried]
         addresses = [address for address in addresses if self._parts.is_open(UpstreamId(address))]
--- a/testing/_fake_engine.py
+++ b/testing/_fake_engine.py
@@ -192,10 +192,22 @@
         self.engines = list(engines)
         self.placed: dict[GenerationId, Placement] = {}
         self.released = 0
+        self.full_after: int | None = None
+        """After so many places the next request is shed, once."""
 
     async def place(self, *, request: PlacementRequest) -> Result[Placement, Problem]:
         """Place at once or refuse at once."""
         assert request.generation not in self.placed, "Placed twice without a release."
+        if self.full_after is not None and self.released >= self.full_after:
+            self.full_after = None
+            return Failure(
+                Problem(
+                    kind=ProblemKind.OVERLOADED,
+                    detail="All are full.",
+                    execution=Execution.NOT_EXECUTED,
+                    retry_after_ms=3000,
+                )
+            )
         for engine in self.engines:
             if engine not in request.excluded:
                 placement = Placement(generation=request.generation, engine=engine)
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -122,12 +122,13 @@
         canceller=canceller,
         meter=UsageMeter(clock=clock, objective=Objective),
         clock=clock,
+        rng=rng,
     )
     status = HostStatus(host="a", incarnation=1, revision=1, ready=True, leaving=False, running=0)
     entry = Entry(
         parts=EntryParts(
             keys=keys,
-            admission=DoorKeeper(limit=50),
+            admission=DoorKeeper(limit=50, rng=rng),
             account_limits=limits,
             completions=Completions(
                 parts=CompletionParts(
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+import random
 
 from hypothesis import given
 from hypothesis import settings
@@ -126,6 +127,7 @@
         canceller=canceller,
         meter=UsageMeter(clock=clock, objective=Objective),
         clock=clock,
+        rng=random.Random(3),
     )
     return World(engines=engines, router=router, watch=watch, canceller=canceller, parts=parts)
 
@@ -204,6 +206,19 @@
     assert not world.router.placed
 
 
+def test_answer_is_whole_when_its_engine_dies_and_the_others_are_full_for_a_moment() -> None:
+    sink = ListSink(whole=True)
+
+    def world() -> World:
+        made = _world(Faults(die_at=5))
+        made.router.full_after = 1
+        return made
+
+    _, result = _run(world, sink)
+    assert isinstance(result, Success), result
+    assert sink.pending == EXPECTED
+
+
 def test_stream_ends_with_an_error_when_its_replay_differs() -> None:
     sink = ListSink()
     world, result = _run(lambda: _world(Faults(die_at=5), Faults(salt=1)), sink)
--- a/testing/test_services.py
+++ b/testing/test_services.py
@@ -104,7 +104,8 @@
         """Ignore it."""
 
 
-def _dispatch(service: FakeService, store: FaultyStore) -> ServiceDispatch:
+def service_dispatch(service: FakeService, store: FaultyStore) -> ServiceDispatch:
+    """Return the dispatch of a host that reaches a service and a store."""
     clock = Clock()
     rng = random.Random(5)
     claims = Claims(
@@ -138,7 +139,7 @@
 ) -> tuple[FakeService, list[Result[ServiceReply, Problem]]]:
     async def run() -> tuple[FakeService, list[Result[ServiceReply, Problem]]]:
         service = FakeService(points=list(points))
-        dispatch = _dispatch(service, FaultyStore(backend=FakeBackend()))
+        dispatch = service_dispatch(service, FaultyStore(backend=FakeBackend()))
         results = [
             await dispatch.call(service=SERVICE, account=ACCOUNT, key=key, call=_call(path))
             for _ in range(times)
--- a/tools/bench_relay.py
+++ b/tools/bench_relay.py
@@ -218,6 +218,7 @@
         canceller=Canceller(client_of=lambda _engine: client, clock=clock),
         meter=UsageMeter(clock=clock, objective=Objective),
         clock=clock,
+        rng=random.Random(1),
     )
     return Completions(
         parts=CompletionParts(
