Keep an attempt whose caller came back before its leaving was seen

Cause, found by reading: a caller whose link breaks may reach another host before the first one sees the break; the word to keep the attempt then found nothing to keep, and 5 s later the first host cancelled the stream that the caller followed elsewhere. Change: attempts whose callers came back are remembered (4,096 of them), and only dispatch's own giving up cancels them. A planned stop now also waits up to 10 s for the outcomes of claims to be recorded; it closed the recorder at once, so that repeats at other hosts were told unknown although the answer was known.

--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -63,6 +63,8 @@
 from tanagerscale.usage import UsageMeter
 
 SHUTDOWN_TIMEOUT_S = 5.0
+CLAIMS_DRAIN_S = 10.0
+"""Longest wait of a planned stop for the store to take the outcomes of claims."""
 FINGERPRINT_KEY_BYTES = 32
 RETRY_RESERVE = 128.0
 """Retries saved up: what one host may run on engines that die together, since their callers are
@@ -135,7 +137,7 @@
         await self._services.drain()
         await self._runner.cleanup()
         await self._canceller.drain()
-        await self._claims.close()
+        await self._record_claims()
         await self._quarantine.close()
         await self._router.stop()
         await self._glue.stop()
@@ -148,6 +150,13 @@
         await self._service_session.close()
         await self._store.close()
 
+    async def _record_claims(self) -> None:
+        try:
+            await asyncio.wait_for(self._claims.drain(), CLAIMS_DRAIN_S)
+        except TimeoutError:
+            _log.warning("Outcomes of claims were not recorded; repeats will be told unknown.")
+        await self._claims.close()
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
--- a/src/tanagerscale/dispatch/_cancel.py
+++ b/src/tanagerscale/dispatch/_cancel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import final
 
@@ -18,6 +19,8 @@
 TRIES = 5
 FIRST_PAUSE_MS = 200
 MAX_PENDING = 4096
+MAX_KEPT = 4096
+"""Attempts remembered whose callers have come back, so that their leaving cancels nothing."""
 
 _log = get_logger(part="dispatch")
 
@@ -37,6 +40,7 @@
         self._client_of = client_of
         self._clock = clock
         self._tasks: dict[AttemptId, asyncio.Task[None]] = {}
+        self._kept: OrderedDict[AttemptId, None] = OrderedDict()
         self._handing_over = False
 
     def cancel(self, *, attempt: AttemptId, engine: UpstreamId, after_ms: int = 0) -> None:
@@ -46,7 +50,8 @@
         :param engine: Where it runs.
         :param after_ms: Pause before the first try.
         """
-        if after_ms > 0 and self._handing_over:
+        # The word that a caller has come back may be quicker than the sight of its leaving.
+        if after_ms > 0 and (self._handing_over or attempt in self._kept):
             return
         if len(self._tasks) >= MAX_PENDING:
             _log.warning("Too many cancellations wait; one was left out.", attempt=attempt)
@@ -64,6 +69,9 @@
 
         :param attempt: The attempt.
         """
+        self._kept[attempt] = None
+        if len(self._kept) > MAX_KEPT:
+            self._kept.popitem(last=False)
         task = self._tasks.pop(attempt, None)
         if task is not None:
             task.cancel()
