--- a/src/tanagerscale/daemon/_peers.py
+++ b/src/tanagerscale/daemon/_peers.py
@@ -113,7 +113,7 @@
         if isinstance(received.message, Heartbeat):
             self._limits.on_heartbeat(host=received.host, heartbeat=received.message)
         elif isinstance(received.message, Attached):
-            self._canceller.keep(attempt=AttemptId(received.message.attempt))
+            self._canceller.leave_to_peer(attempt=AttemptId(received.message.attempt))
 
     def _on_declarations(self, declarations: Declarations) -> None:
         self._keys.set_accounts(accounts=declarations.accounts)
--- a/src/tanagerscale/dispatch/_cancel.py
+++ b/src/tanagerscale/dispatch/_cancel.py
@@ -19,8 +19,8 @@
 TRIES = 5
 FIRST_PAUSE_MS = 200
 MAX_PENDING = 4096
-MAX_KEPT = 4096
-"""Attempts remembered whose callers have come back, so that their leaving cancels nothing."""
+MAX_LEFT_TO_PEERS = 4096
+"""Attempts remembered whose callers went to other hosts, so that their leaving cancels nothing."""
 
 _log = get_logger(part="dispatch")
 
@@ -40,7 +40,7 @@
         self._client_of = client_of
         self._clock = clock
         self._tasks: dict[AttemptId, asyncio.Task[None]] = {}
-        self._kept: OrderedDict[AttemptId, None] = OrderedDict()
+        self._left_to_peers: OrderedDict[AttemptId, None] = OrderedDict()
         self._handing_over = False
 
     def cancel(self, *, attempt: AttemptId, engine: UpstreamId, after_ms: int = 0) -> None:
@@ -51,7 +51,7 @@
         :param after_ms: Pause before the first try.
         """
         # The word that a caller has come back may be quicker than the sight of its leaving.
-        if after_ms > 0 and (self._handing_over or attempt in self._kept):
+        if after_ms > 0 and (self._handing_over or attempt in self._left_to_peers):
             return
         if len(self._tasks) >= MAX_PENDING:
             _log.warning("Too many cancellations wait; one was left out.", attempt=attempt)
@@ -65,13 +65,24 @@
         self._handing_over = True
 
     def keep(self, *, attempt: AttemptId) -> None:
-        """Let an attempt go on, since its caller has come back.
+        """Let an attempt go on, since its caller has come back to this host.
 
         :param attempt: The attempt.
         """
-        self._kept[attempt] = None
-        if len(self._kept) > MAX_KEPT:
-            self._kept.popitem(last=False)
+        self._left_to_peers.pop(attempt, None)
+        self._drop(attempt)
+
+    def leave_to_peer(self, *, attempt: AttemptId) -> None:
+        """Let an attempt go on, since its caller goes on with it at another host.
+
+        :param attempt: The attempt.
+        """
+        self._left_to_peers[attempt] = None
+        if len(self._left_to_peers) > MAX_LEFT_TO_PEERS:
+            self._left_to_peers.popitem(last=False)
+        self._drop(attempt)
+
+    def _drop(self, attempt: AttemptId) -> None:
         task = self._tasks.pop(attempt, None)
         if task is not None:
             task.cancel()
--- a/testing/test_cancel.py
+++ b/testing/test_cancel.py
@@ -48,17 +48,26 @@
     assert not _cancelled_after(steps)
 
 
-def test_attempt_goes_on_when_word_of_the_caller_comes_before_its_leaving_is_seen() -> None:
+def test_attempt_goes_on_when_word_of_another_host_comes_before_the_leaving_is_seen() -> None:
     async def steps(canceller: Canceller) -> None:
-        canceller.keep(attempt=ATTEMPT)
+        canceller.leave_to_peer(attempt=ATTEMPT)
         canceller.cancel(attempt=ATTEMPT, engine=ENGINE, after_ms=COMEBACK_MS)
 
     assert not _cancelled_after(steps)
 
 
-def test_attempt_is_cancelled_at_once_when_dispatch_gives_it_up_although_it_was_kept() -> None:
+def test_attempt_is_cancelled_when_its_caller_came_back_here_and_left_again() -> None:
     async def steps(canceller: Canceller) -> None:
+        canceller.leave_to_peer(attempt=ATTEMPT)
         canceller.keep(attempt=ATTEMPT)
+        canceller.cancel(attempt=ATTEMPT, engine=ENGINE, after_ms=COMEBACK_MS)
+
+    assert _cancelled_after(steps)
+
+
+def test_attempt_is_cancelled_at_once_when_dispatch_gives_it_up() -> None:
+    async def steps(canceller: Canceller) -> None:
+        canceller.leave_to_peer(attempt=ATTEMPT)
         canceller.cancel(attempt=ATTEMPT, engine=ENGINE)
 
     assert _cancelled_after(steps)
