Pass over comments and markers in engines' streams

Cause, found by reading: an event without data, such as the comments that engines send to keep a connection open, was called malformed and cost a new connection. Now only JSON objects are read; a token that is lost among others shows as a gap, which the relay resumes at.

--- a/src/tanagerscale/upstreams/_http_engine.py
+++ b/src/tanagerscale/upstreams/_http_engine.py
@@ -27,6 +27,7 @@
 ATTEMPT_HEADER = "X-Attempt-Id"
 EVENT_END = b"\n\n"
 DATA_FIELD = b"data: "
+DATA_OBJECT = b"data: {"
 MAX_EVENT_BYTES = 1 << 20
 CONNECT_TIMEOUT_S = 1.0
 REPLY_TIMEOUT_S = 2.0
@@ -150,9 +151,14 @@
         if len(pending) > MAX_EVENT_BYTES:
             raise msgspec.ValidationError("An event is larger than the protocol allows.")
         decode = self._events.decode
-        return [
-            decode(frame[frame.index(DATA_FIELD) + len(DATA_FIELD) :]) for frame in frames
-        ], pending
+        # Comments that keep a connection open, and markers such as [DONE], carry no token; a
+        # token that is lost with them shows as a gap.
+        events = [
+            decode(frame[start + len(DATA_FIELD) :])
+            for frame in frames
+            if (start := frame.find(DATA_OBJECT)) >= 0
+        ]
+        return events, pending
 
     async def _call(
         self, method: str, path: str, body: bytes | None
