--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -164,15 +164,16 @@
     await cluster.place(entry, "g1")
     await cluster.place(entry, "g2")
     waiting = asyncio.create_task(cluster.place(entry, "g3"))
-    await asyncio.sleep(0.5)
+    await asyncio.sleep(0.2)
     cluster.lose(owner)
-    await asyncio.sleep(0.5)
+    await asyncio.sleep(0.1)
     heir = cluster.owner()
     assert heir != owner
     assert set(cluster.ledger(heir).running) == {"g1", "g2"}
     assert not waiting.done()
     cluster.release(entry, "g1")
-    await asyncio.sleep(0.5)
+    # Sooner than it would ask again by itself.
+    await asyncio.sleep(0.1)
     assert waiting.done()
     cluster.release(entry, "g2")
     cluster.release(entry, "g3")
