--- /dev/null
+++ b/testing/test_routing_processes.py
@@ -0,0 +1,44 @@
+"""Owners of cells that are frozen and thawed, as real processes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+
+from standins._engine_types import ExecutionReports
+from standins.launcher import ClusterPlan
+from testing._callers import ask
+from testing._callers import expected
+from testing.conftest import StartServing
+
+ASKS_A_HOST = 4
+
+
+async def test_each_answer_is_whole_and_runs_once_when_any_host_is_frozen_and_thawed(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    cluster = await start_serving(ClusterPlan(hosts=3, services=0))
+    asked = 0
+
+    async def ask_at(host: str, number: int) -> None:
+        prompt = f"check {number} [[tokens=20]]"
+        answer = await ask(session=session, url=cluster.caller_url(host), prompt=prompt)
+        assert answer.done, answer.error
+        assert answer.text == expected(prompt=prompt)
+
+    # One of the three owns the only cell, whichever it is.
+    for frozen in cluster.hosts:
+        cluster.hosts[frozen].freeze()
+        others = [name for name in cluster.hosts if name != frozen] * ASKS_A_HOST
+        await asyncio.gather(*(ask_at(name, asked + at) for at, name in enumerate(others)))
+        asked += len(others)
+        cluster.hosts[frozen].thaw()
+        await asyncio.gather(*(ask_at(name, asked + at) for at, name in enumerate(cluster.hosts)))
+        asked += len(cluster.hosts)
+    reports = [
+        await cluster.get(engine, "/admin/executions", ExecutionReports)
+        for engine in cluster.engines.values()
+    ]
+    executed = [each for report in reports for each in report.executions if each.executed]
+    assert len(executed) == asked
