--- a/src/tanagerscale/replay/_events.py
+++ b/src/tanagerscale/replay/_events.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 from typing import final
 
-from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import UpstreamId
 from tanagerscale.replay._engine import EngineFake
 from tanagerscale.replay._jobs import Job
@@ -33,18 +32,15 @@
     def on_progress(self, sequence: Sequence, *, total: int, now: float) -> None:
         """Take in the first new token after a start, a preemption or a move."""
         job: Job = sequence.owner
-        before = job.timeline.stall_ms
         gap = job.timeline.on_tokens(total=total, now=now)
         if gap is not None:
             self._world.table.gaps.record(gap)
-        self._note_stall(job.timeline.stall_ms - before)
         self._tell_progress(job, total)
 
     def on_pause(self, sequence: Sequence, *, total: int, now: float, excess_ms: float) -> None:
         """Take in what a generation made since."""
         job: Job = sequence.owner
         job.timeline.add_steps(total=total, now=now, stall_ms=excess_ms)
-        self._note_stall(excess_ms)
 
     def on_end(self, sequence: Sequence, *, now: float) -> None:
         """Take in that an answer is complete."""
@@ -78,11 +74,6 @@
             ),
         )
 
-    def _note_stall(self, stall_ms: float) -> None:
-        if stall_ms > 0.0:
-            second = int(self._world.now // MS_PER_SECOND)
-            self._world.stall_curve[second] = self._world.stall_curve.get(second, 0.0) + stall_ms
-
     def _tell_progress(self, job: Job, total: int) -> None:
         site, generation = job.site, job.generation
         assert site is not None
--- a/src/tanagerscale/replay/_report.py
+++ b/src/tanagerscale/replay/_report.py
@@ -19,7 +19,7 @@
 
 OUTCOMES_SUFFIX = ".outcomes.json"
 QUIET_STALL_MS = 250.0
-"""Stall noted in a second that counts as none, over all callers together."""
+"""Stall of all callers of one second together that counts as none."""
 
 LEVEL_SECONDS = 30
 
@@ -37,7 +37,7 @@
     :param next_try_served: Part of the refused callers whose next try was not refused.
     :param slowest_refusal_ms: Longest time from a request to its refusal.
     :param messages: Messages between hosts, progress not counted.
-    :param recovery_s: After a fault, seconds until stall was back at its earlier level.
+    :param recovery_s: Seconds after a fault until new callers stalled no more than before it.
     """
 
     policy: str
@@ -114,14 +114,21 @@
 
 
 def _recovery(world: World) -> int:
-    """Return seconds from the fault to the last second whose stall passed the earlier level."""
+    """Return seconds from the fault to the last second whose callers stalled more than before.
+
+    Callers that came before the fault are left out: what they lost has to be made again.
+    """
     if world.settings.case is Case.NONE:
         return 0
     fault = int(world.settings.fault_at_ms // MS_PER_SECOND)
-    curve = world.stall_curve
-    earlier = sum(curve.get(fault - back, 0.0) for back in range(1, LEVEL_SECONDS + 1))
+    stalls: dict[int, float] = {}
+    for job in world.jobs:
+        second = job.request.at_ms // MS_PER_SECOND
+        stalls[second] = stalls.get(second, 0.0) + job.timeline.stall_ms
+    earlier = sum(stalls.get(fault - back, 0.0) for back in range(1, LEVEL_SECONDS + 1))
     level = max(earlier / LEVEL_SECONDS, QUIET_STALL_MS)
-    return max((second - fault for second, stall in curve.items() if stall > level), default=0)
+    late = (second + 1 - fault for second, stall in stalls.items() if stall > level)
+    return max((seconds for seconds in late if seconds > 0), default=0)
 
 
 def to_json(reports: Sequence[ReplayReport]) -> bytes:
--- a/tools/replay_matrix.py
+++ b/tools/replay_matrix.py
@@ -84,7 +84,7 @@
     for setting in ("small-memory", "slow"):
         for user in USERS:
             for load in BUSY_LOADS:
-                for policy in (*BASELINES, "owner", "clairvoyant"):
+                for policy in (*BASELINES, "owner"):
                     run = replace(_run(policy, user, load), setting=setting)
                     yield Variant(name=policy, run=run)
 
