Keep an engine closed while its owner's reads of it fail

Cause: between the end of a rest and the next failed read a dead engine counted as open for up to half a second, and the owner admitted work to it. A failed call now prolongs the rest, and the first rest is longer than the time between two reads. The poller also follows an engine to a new address.

--- a/src/tanagerscale/membership/_gate.py
+++ b/src/tanagerscale/membership/_gate.py
@@ -22,8 +22,9 @@
 from tanagerscale.generated.upstream import ListedKind
 from tanagerscale.generated.upstream import ListedState
 
-_FIRST_BREAK_MS = 250
-_LONGEST_BREAK_MS = 5000
+_FIRST_BREAK_MS = 750
+"""Longer than the time between two reads by the owner, which thus keep a dead engine closed."""
+_LONGEST_BREAK_MS = 6000
 
 _LEAVING_MEMORY_MS = 600_000
 """How long a word of leaving holds where the list tells no incarnations, longer than any lag."""
@@ -144,14 +145,22 @@
     def note_down(self, *, upstream: UpstreamId) -> None:
         """Record that an upstream could not be reached; it rests before the next probe."""
         breaker = self._breakers.setdefault(upstream, _Breaker())
-        if self.is_broken(upstream):
-            return  # Calls made together fail together; they count as one failure.
-        breaker.failures += 1
-        rest = min(_FIRST_BREAK_MS * 2 ** (breaker.failures - 1), _LONGEST_BREAK_MS)
-        rest = int(rest * self._rng.uniform(0.75, 1.25))
-        breaker.until = Millis(self._clock.now() + rest)
-        breaker.timer = self._tell_later(upstream, delay_ms=rest)
-        self._changes.on_next(upstream)
+        probing = not self.is_broken(upstream)
+        if probing:
+            breaker.failures += 1
+        # Calls made together fail together, so only a failed probe makes the rest longer; but
+        # the upstream stays closed while calls go on failing.
+        doublings = breaker.failures - 1 if probing else 0
+        rest = min(_FIRST_BREAK_MS * 2**doublings, _LONGEST_BREAK_MS)
+        until = self._clock.now() + int(rest * self._rng.uniform(0.75, 1.25))
+        if until <= breaker.until:
+            return
+        breaker.until = until
+        if breaker.timer is not None:
+            breaker.timer.cancel()
+        breaker.timer = self._tell_later(upstream, delay_ms=until - self._clock.now())
+        if probing:
+            self._changes.on_next(upstream)
 
     def note_up(self, *, upstream: UpstreamId) -> None:
         """Record that an upstream has answered."""
--- a/src/tanagerscale/routing/_poller.py
+++ b/src/tanagerscale/routing/_poller.py
@@ -59,7 +59,7 @@
             self._tasks.pop(engine).cancel()
         for engine in engines - self._tasks.keys():
             self._tasks[engine] = asyncio.create_task(
-                self._poll(engine=engine, client=self._clients(engine))
+                self._poll(engine=engine, clients=self._clients)
             )
 
     async def stop(self) -> None:
@@ -70,10 +70,13 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _poll(self, *, engine: UpstreamId, client: EngineClient) -> None:
+    async def _poll(
+        self, *, engine: UpstreamId, clients: Callable[[UpstreamId], EngineClient]
+    ) -> None:
         failures = 0
         after = 0
         while True:
+            client = clients(engine)  # New declarations may have given it another address.
             read = await client.load()
             if isinstance(read, Success):
                 failures = 0
