Send the newest cursor when a caller goes on twice

The caller took its cursor before going on without its body and sent the same one again after it had received more, so it read tokens twice and called the answer wrong (harsh soak trial, seed 11). The new test is red with a fixed cursor.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -83,6 +83,7 @@
     :param give_up_ms: How long it tries, in milliseconds.
     :param objective: What it counts as stall time.
     :param silence_s: Longest silence before it goes to another host, in seconds.
+    :param share_without_body: How often it first goes on without sending its body again.
     """
 
     def __init__(
@@ -95,6 +96,7 @@
         objective: Objective,
         give_up_ms: int = GIVE_UP_MS,
         silence_s: float = SILENCE_TIMEOUT_S,
+        share_without_body: float = SHARE_WITHOUT_BODY,
     ) -> None:
         self._session = session
         self._hosts = hosts
@@ -103,6 +105,7 @@
         self._objective = objective
         self._clock = Clock()
         self._give_up_ms = give_up_ms
+        self._share_without_body = share_without_body
         self._timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=silence_s
         )
@@ -242,14 +245,13 @@
         self, trial: _Trial, body: bytes, report: AnswerReport, timeline: RequestTimeline
     ) -> None:
         path = f"/v1/completions/{trial.request_id}/events"
-        cursor = {"Last-Event-ID": trial.cursor}
-        if self._rng.random() < SHARE_WITHOUT_BODY:
-            await self._exchange("GET", path, None, cursor, trial, report, timeline)
+        if self._rng.random() < self._share_without_body:
+            await self._exchange("GET", path, None, _cursor(trial), trial, report, timeline)
             if trial.problem is None or not trial.problem.type.endswith(GENERATION_LOST):
                 return
             # With the first body a host can make the lost generation again.
             trial.problem = None
-        await self._exchange("POST", path, body, cursor, trial, report, timeline)
+        await self._exchange("POST", path, body, _cursor(trial), trial, report, timeline)
 
     def _forgive_busy_host(self, trial: _Trial, report: AnswerReport) -> None:
         # A host that is starting or stopping says to go elsewhere; the cursor is still good.
@@ -364,6 +366,10 @@
         return self._last_host
 
 
+def _cursor(trial: _Trial) -> dict[str, str]:
+    return {"Last-Event-ID": trial.cursor}
+
+
 def _count(text: str) -> int:
     # Each token of the stand-in but the first begins with a space.
     return len(text.split(" ")) if text else 0
--- a/testing/test_demo_caller.py
+++ b/testing/test_demo_caller.py
@@ -52,6 +52,7 @@
         rng=Random(1),
         objective=Objective(),
         give_up_ms=1_000,
+        share_without_body=1,
     )
 
 
@@ -84,16 +85,26 @@
     return answer_tokens(asked)
 
 
-async def _events(request: web.Request, texts: list[str], *, done: bool) -> web.StreamResponse:
+async def _events(
+    request: web.Request,
+    texts: list[str],
+    *,
+    done: bool = False,
+    first: int = 0,
+    problem: str = "",
+) -> web.StreamResponse:
     headers = {"Content-Type": "text/event-stream", "X-Request-Id": "req-1"}
     response = web.StreamResponse(headers=headers)
     await response.prepare(request)
-    for number, text in enumerate(texts):
+    for number, text in enumerate(texts, start=first):
         body = msgspec.json.encode({"choices": [{"text": text}]}).decode()
         await response.write(f"id: {number}\ndata: {body}\n\n".encode())
     if done:
         body = msgspec.json.encode({"choices": [{"text": "", "finish_reason": "stop"}]}).decode()
         await response.write(f"id: end\ndata: {body}\n\ndata: [DONE]\n\n".encode())
+    elif problem:
+        body = msgspec.json.encode(_details(ExecutionWord.UNKNOWN, kind=problem)).decode()
+        await response.write(f"event: error\ndata: {body}\n\n".encode())
     else:
         cut_connection(request)
     return response
@@ -141,6 +152,23 @@
     assert set(resumed) == {("/v1/completions/req-1/events", "2")}
 
 
+async def test_caller_uses_its_newest_cursor_when_it_goes_on_twice(ask_host: AskHost) -> None:
+    tokens: list[str] = []
+    behind: list[str] = []
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        if not request.path.endswith("/events"):
+            tokens.extend(_tokens(await request.read()))
+            return await _events(request, tokens[:2], done=False)
+        behind.append(request.headers["Last-Event-ID"])
+        if len(behind) == 1:
+            return await _events(request, tokens[2:4], first=2, problem="generation-lost")
+        return await _events(request, tokens[4:], first=4, done=True)
+
+    report = await ask_host(answer)
+    assert (report.state, behind) == (AnswerState.WHOLE, ["1", "3"])
+
+
 async def test_answer_is_lost_when_no_host_ever_says_a_final_word(ask_host: AskHost) -> None:
     async def answer(request: web.Request) -> web.StreamResponse:
         cut_connection(request)
@@ -149,11 +177,14 @@
     assert (await ask_host(answer)).state is AnswerState.LOST
 
 
-def _problem(execution: ExecutionWord, *, kind: str = "x") -> web.Response:
-    details = ProblemDetails(
+def _details(execution: ExecutionWord, *, kind: str) -> ProblemDetails:
+    return ProblemDetails(
         type=f"urn:{kind}", title="x", status=503, detail="x", execution=execution.value
     )
-    body = msgspec.json.encode(details)
+
+
+def _problem(execution: ExecutionWord, *, kind: str = "x") -> web.Response:
+    body = msgspec.json.encode(_details(execution, kind=kind))
     return web.Response(status=503, body=body, content_type="application/problem+json")
 
 
