Hand streams over soon after the limit of a planned stop, and spin on no engine

Cause 1: a second copy of a running request, placed where the crash watch did not let it run, was placed there again and again without a pause until the first copy had ended; found as two of four equal streams began 5 s late. Cause 2: after its limit a planned stop let streams run on for twice 5 s more, the shutdown timeout of the HTTP server; handlers are waited for and then cancelled. Ruled out: admission by memory (the same with answers of at most 1,000 tokens). Change: an engine that did not admit a request is left out of its next place; the server's timeout is 0.5 s.

--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -61,7 +61,8 @@
 from tanagerscale.usage import HostGauges
 from tanagerscale.usage import UsageMeter
 
-SHUTDOWN_TIMEOUT_S = 5.0
+SHUTDOWN_TIMEOUT_S = 0.5
+"""Time for the last bytes of replies; a planned stop has waited its limit before."""
 FINGERPRINT_KEY_BYTES = 32
 RETRY_RESERVE = 128.0
 """Retries saved up: what one host may run on engines that die together, since their callers are
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -100,10 +100,16 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Progress:
-    """What the ladder remembers between attempts."""
+    """What the ladder remembers between attempts.
+
+    :param began: When the request came.
+    :param excluded: Engines that failed on the request.
+    :param not_admitted: Engines where the crash watch would not let it run just now.
+    """
 
     began: Millis
     excluded: set[UpstreamId] = field(default_factory=set)
+    not_admitted: set[UpstreamId] = field(default_factory=set)
     attempts: int = 0
     lost: int = 0
     may_have_run: bool = False
@@ -184,8 +190,11 @@
             fingerprint=self._request.fingerprint, engine=engine, stop=placement.move_requested
         )
         if not admitted:
+            # The next place must be another one, or this would be asked for without end.
+            self._progress.not_admitted.add(engine)
             self._release(tokens=0, engine_lost=False)
             return None
+        self._progress.not_admitted.clear()
         outcome = await self._attempt(placement, AttemptId(new_id(prefix="att")))
         return self._after(outcome, engine)
 
@@ -199,6 +208,7 @@
             await self._parts.crashes.wait_change()
             # An engine that failed before may have come back; the gate knows which take work.
             self._progress.excluded.clear()
+            self._progress.not_admitted.clear()
             return None
         # A request that had its place is no newcomer, whom alone shedding is for.
         pause = refusal.retry_after_ms or 0
@@ -234,7 +244,7 @@
             prefix_tokens=request.prefix_tokens,
             movable=request.whole,
             arrived=self._parts.clock.now(),
-            excluded=frozenset(self._progress.excluded) | kept_away,
+            excluded=frozenset(self._progress.excluded | self._progress.not_admitted) | kept_away,
         )
 
     async def _attempt(
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -51,6 +51,9 @@
         self.leaving: list[UpstreamId] = []
         self.crashed: list[UpstreamId] = []
         self.retries_left = 1000
+        self.closed: frozenset[UpstreamId] = frozenset()
+        """Engines that run a copy of the request elsewhere, so that it is not admitted."""
+        self.questions = 0
 
     def note_leaving(self, *, upstream: UpstreamId) -> None:
         """Remember it."""
@@ -75,8 +78,10 @@
         raise AssertionError("Nothing is excluded.")
 
     async def admit(self, *, fingerprint: str, engine: UpstreamId, stop: asyncio.Event) -> bool:
-        """Admit everything."""
-        return True
+        """Admit everything but to closed engines."""
+        self.questions += 1
+        assert self.questions < 50, "The same engine is asked for without end."
+        return engine not in self.closed
 
     def on_finished(self, *, fingerprint: str, engine: UpstreamId, complete: bool) -> None:
         """Ignore it."""
@@ -219,6 +224,19 @@
     assert sink.pending == EXPECTED
 
 
+def test_answer_is_made_at_another_engine_when_the_first_does_not_admit_it() -> None:
+    sink = ListSink()
+
+    def world() -> World:
+        made = _world()
+        made.watch.closed = frozenset({FIRST})
+        return made
+
+    _, result = _run(world, sink)
+    assert isinstance(result, Success), result
+    assert sink.texts == EXPECTED
+
+
 def test_stream_ends_with_an_error_when_its_replay_differs() -> None:
     sink = ListSink()
     world, result = _run(lambda: _world(Faults(die_at=5), Faults(salt=1)), sink)
