--- a/testing/_callers.py
+++ b/testing/_callers.py
@@ -45,21 +45,26 @@
     return {"Authorization": f"Bearer {account_key(account)}"}
 
 
-def expected(*, prompt: str, max_tokens: int = 16384) -> str:
+def expected(*, prompt: str, max_tokens: int = 16384, model: str = MODEL) -> str:
     """Return the one right answer to a prompt."""
     request = EngineRequest(
-        attempt_id="", model=MODEL, prompt=prompt, seed=SEED, max_tokens=max_tokens
+        attempt_id="", model=model, prompt=prompt, seed=SEED, max_tokens=max_tokens
     )
     return "".join(answer_tokens(request, version=VERSION))
 
 
 async def ask(
-    *, session: aiohttp.ClientSession, url: str, prompt: str, answer: Answer | None = None
+    *,
+    session: aiohttp.ClientSession,
+    url: str,
+    prompt: str,
+    answer: Answer | None = None,
+    model: str = MODEL,
 ) -> Answer:
     """Ask for an answer as events, until the connection ends."""
     answer = answer or Answer()
     async with session.post(
-        f"{url}/v1/completions", json=_body(prompt), headers=headers(), timeout=HANG_GUARD
+        f"{url}/v1/completions", json=_body(prompt, model), headers=headers(), timeout=HANG_GUARD
     ) as response:
         answer.request_id = response.headers.get("X-Request-Id", "")
         await _read(response, answer)
@@ -73,12 +78,13 @@
     answer: Answer,
     account: str = ACCOUNT,
     prompt: str = "",
+    model: str = MODEL,
 ) -> Answer:
     """Go on with an answer at a host; with the prompt also when its engine is gone."""
     async with session.request(
         "POST" if prompt else "GET",
         f"{url}/v1/completions/{answer.request_id}/events",
-        json=_body(prompt) if prompt else None,
+        json=_body(prompt, model) if prompt else None,
         headers={**headers(account=account), "Last-Event-ID": answer.cursor},
         timeout=HANG_GUARD,
     ) as response:
@@ -117,8 +123,8 @@
         await asyncio.sleep(POLL_S)
 
 
-def _body(prompt: str) -> dict[str, object]:
-    return {"model": MODEL, "prompt": prompt, "stream": True, "seed": SEED}
+def _body(prompt: str, model: str) -> dict[str, object]:
+    return {"model": model, "prompt": prompt, "stream": True, "seed": SEED}
 
 
 async def _read(response: aiohttp.ClientResponse, answer: Answer) -> None:
