--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -25,6 +25,7 @@
 from standins.journal import read_journal
 from standins.processes import Launcher
 from standins.processes import ManagedProcess
+from standins.processes import StartError
 from tanagerscale.generated.declarations import ClientAccount
 from tanagerscale.generated.declarations import DeclarationSet
 from tanagerscale.generated.declarations import Engine
@@ -44,6 +45,9 @@
 from tanagerscale.generated.upstream import ListedKind
 from tanagerscale.generated.upstream import ListedState
 
+PORT_IN_USE = "address already in use"
+PORT_TRIES = 40
+PORT_PAUSE_S = 0.5
 ANY_PORT = f"{LOOPBACK}:0"
 CURSOR_KEY = "cursor-key-of-the-test-cluster-0123456789"
 FAILURE_DOMAINS = ("domain-a", "domain-b", "domain-c")
@@ -290,6 +294,14 @@
 
     async def _start(self, name: str, module: str, options: dict[str, str]) -> ManagedProcess:
         arguments = [f"--{option}={value}" for option, value in options.items()]
+        for _ in range(PORT_TRIES):
+            try:
+                return await self._launcher.start(name=name, module=module, arguments=arguments)
+            except StartError as error:
+                # The port of a process that died may serve as some connection's own for a while.
+                if PORT_IN_USE not in str(error):
+                    raise
+            await asyncio.sleep(PORT_PAUSE_S)
         return await self._launcher.start(name=name, module=module, arguments=arguments)
 
     async def _list(self, entry: str, kind: ListedKind, address: str) -> None:
