--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -66,7 +66,11 @@
 FINGERPRINT_KEY_BYTES = 32
 RETRY_RESERVE = 128.0
 """Retries saved up: what one host may run on engines that die together, since their callers are
-owed whole answers. In the long run retries stay at a tenth of the work."""
+owed whole answers. In the long run retries stay at a tenth of the work.
+
+Two engines with batches of 64 that die together under one host are 128 retries. With 32 saved up 81
+of those callers were refused, with 128 none; ``tools/bench_recovery.py`` shows it.
+"""
 
 _log = get_logger(part="daemon")
 
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -55,8 +55,11 @@
 MAX_LOST_ATTEMPTS = 3
 MAX_ATTEMPTS = 12
 RETRY_AFTER_MS = 1000
-LONGEST_WAIT_MS = 60_000
-"""Longest wait of a request that had an engine and lost it, before its caller is refused."""
+LONGEST_WAIT_MS = 180_000
+"""Longest wait of a request that had an engine and lost it, before its caller is refused.
+
+Suspects of one crash run one at a time on each engine, so a large batch takes long to make again.
+"""
 
 _log = get_logger(part="dispatch")
 
