Let copies of a request share one engine again, and run there together

Ruled out: naming several engines in a verdict, since copies on two engines crash both. Change: copies share one engine as they did first, but the engines left out are named before placement, so they run there side by side and nothing is placed and given back.

--- a/src/tanagerscale/quarantine/_quarantine.py
+++ b/src/tanagerscale/quarantine/_quarantine.py
@@ -25,7 +25,6 @@
 from tanagerscale.generated.messages import Verdict
 from tanagerscale.quarantine._persistence import RETRY_MS
 from tanagerscale.quarantine._persistence import VerdictKeeper
-from tanagerscale.quarantine._rules import CRASHES_TO_CONVICT
 from tanagerscale.quarantine._rules import MERGE_MS
 from tanagerscale.quarantine._rules import Crash
 from tanagerscale.quarantine._rules import Fingerprint
@@ -132,8 +131,8 @@
 
     def runs_anywhere(self, *, fingerprint: Fingerprint) -> bool:
         """Tell whether no engine is excluded for a request, as for nearly all of them."""
-        engines = self._runs.own_engines(fingerprint=fingerprint)
-        return self._known(fingerprint) is None and len(engines) < CRASHES_TO_CONVICT
+        runs = self._runs.own_engines(fingerprint=fingerprint)
+        return not runs and self._known(fingerprint) is None
 
     def excluded_engines(
         self, *, fingerprint: Fingerprint, engines: Iterable[UpstreamId]
@@ -284,10 +283,9 @@
         """
         known = self._known(fingerprint)
         if known is None:
-            # Nothing speaks against the request, so its copies need not share one engine; on two
-            # of them they can't crash more than a suspect may.
-            engines = self._runs.own_engines(fingerprint=fingerprint) | {engine}
-            return len(engines) <= CRASHES_TO_CONVICT
+            # Copies run side by side on one engine, so that they can crash only that one, and so
+            # that peers can be told in one word where a suspect runs.
+            return self._runs.own_engines(fingerprint=fingerprint) <= {engine}
         if known.convicted or self._crashed_lately(known, engine):
             return False
         for run in self._runs.all(now=self._clock.now()):
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -140,18 +140,21 @@
     assert not any(host.quarantine.is_suspect(fingerprint=plan) for host in cluster.hosts)
 
 
-async def test_copies_of_an_innocent_request_run_on_two_engines_at_most() -> None:
+async def test_copies_of_a_request_share_one_engine_when_they_run_at_the_same_time() -> None:
     cluster = Cluster(hosts=1, engines=3)
     quarantine = cluster.hosts[0].quarantine
     plan, engines = Fingerprint("plan"), list(cluster.engines)
-    for engine in engines[:2]:
-        assert quarantine.excluded_engines(fingerprint=plan, engines=engines) == frozenset()
-        assert await quarantine.admit(fingerprint=plan, engine=engine)
+    assert quarantine.excluded_engines(fingerprint=plan, engines=engines) == frozenset()
+    assert await quarantine.admit(fingerprint=plan, engine=engines[1])
+    assert quarantine.excluded_engines(fingerprint=plan, engines=engines) == {
+        engines[0],
+        engines[2],
+    }
+    assert await quarantine.admit(fingerprint=plan, engine=engines[1])
     assert not await quarantine.admit(fingerprint=plan, engine=engines[2])
-    assert quarantine.excluded_engines(fingerprint=plan, engines=engines) == {engines[2]}
 
 
-async def test_copies_of_a_suspect_share_one_engine_when_they_run_at_the_same_time() -> None:
+async def test_copies_of_a_suspect_share_one_engine_when_hosts_ran_them_apart() -> None:
     cluster = Cluster(hosts=2, engines=3)
     first, second = (host.quarantine for host in cluster.hosts)
     plan, engines = Fingerprint("plan"), list(cluster.engines)
