Say of a refused continuation that its request may have run, and do not limit it again

Change: refusals of continuations say unknown, and a continuation takes no place in the account's limits, which its first request took.

--- a/src/tanagerscale/entry/_app.py
+++ b/src/tanagerscale/entry/_app.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import Protocol
 from typing import final
 
@@ -105,8 +106,9 @@
         )
         app.router.add_post("/v1/completions", self._guarded(self._complete))
         app.router.add_post("/v1/chat/completions", self._guarded(self._chat))
-        app.router.add_get("/v1/completions/{request_id}/events", self._guarded(self._resume))
-        app.router.add_post("/v1/completions/{request_id}/events", self._guarded(self._resume))
+        resume = self._guarded(self._resume, refusals=Execution.UNKNOWN)
+        app.router.add_get("/v1/completions/{request_id}/events", resume)
+        app.router.add_post("/v1/completions/{request_id}/events", resume)
         app.router.add_route("*", "/services/{service}", self._guarded(self._service))
         app.router.add_route("*", "/services/{service}/{path:.*}", self._guarded(self._service))
         app.router.add_get("/v1/status", self._status)
@@ -116,18 +118,26 @@
         app.router.add_get("/metrics", self._metrics)
         return app
 
-    def _guarded(self, handler: Handler) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+    def _guarded(
+        self, handler: Handler, *, refusals: Execution = Execution.NOT_EXECUTED
+    ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+        """Let a request in and out at the door.
+
+        :param handler: Answers it.
+        :param refusals: What a refusal says of the execution; a continuation's request ran.
+        """
+
         async def guarded(request: web.Request) -> web.StreamResponse:
-            status = self._parts.status()
-            if not status.ready or status.leaving:
-                problem = _STOPPING if status.leaving else _STARTING
-                return problem_response(problem=problem, request_id=new_id(prefix="req"))
-            account = await self._account(request)
-            if account is None:
-                return problem_response(problem=_UNAUTHORIZED, request_id=new_id(prefix="req"))
-            refusal = self._parts.admission.admit(account=account)
-            if refusal is not None:
-                return problem_response(problem=refusal, request_id=new_id(prefix="req"))
+            account = None
+            problem = self._host_problem()
+            if problem is None:
+                account = await self._account(request)
+                problem = _UNAUTHORIZED if account is None else None
+            if problem is None and account is not None:
+                problem = self._parts.admission.admit(account=account)
+            if problem is not None or account is None:
+                told = replace(problem or _UNAUTHORIZED, execution=refusals)
+                return problem_response(problem=told, request_id=new_id(prefix="req"))
             try:
                 return await handler(request, account)
             finally:
@@ -135,6 +145,12 @@
 
         return guarded
 
+    def _host_problem(self) -> Problem | None:
+        status = self._parts.status()
+        if status.leaving:
+            return _STOPPING
+        return None if status.ready else _STARTING
+
     async def _account(self, request: web.Request) -> ClientAccountId | None:
         header = request.headers.get("Authorization", "")
         if not header.startswith(BEARER) or len(header) > MAX_KEY_CHARS:
--- a/src/tanagerscale/entry/_completions.py
+++ b/src/tanagerscale/entry/_completions.py
@@ -163,7 +163,7 @@
     async def _reply_whole(self, checked: GenerationRequest, chat: bool) -> web.Response:
         sink = WholeSink()
         generation = Generation(request=checked, sink=sink, parts=self._parts.dispatch)
-        match await self._run(generation, checked):
+        match await self._run_counted(generation, checked):
             case Success(finish):
                 body = _whole_body(checked, finish, sink.text, chat)
                 return web.Response(
@@ -175,7 +175,7 @@
                 return problem_response(problem=problem, request_id=checked.generation)
         raise AssertionError("A Result is a Success or a Failure.")
 
-    async def _run(
+    async def _run_counted(
         self, generation: Generation, checked: GenerationRequest
     ) -> Result[Finish, Problem]:
         """Run a generation that the account's limits have let in."""
@@ -216,7 +216,11 @@
             parts=self._parts.dispatch,
             resume=self._resume_point(cursor) if cursor is not None else None,
         )
-        result = await self._run(generation, checked)
+        # A continuation was let in with its first request, and a limit would only waste that.
+        if cursor is None:
+            result = await self._run_counted(generation, checked)
+        else:
+            result = await generation.run()
         return await _end_stream(result, sink, reply, event_format, checked.generation)
 
     def _resume_point(self, cursor: Cursor) -> ResumePoint:
@@ -255,7 +259,7 @@
         text = request.headers.get("Last-Event-ID", "")
         if not text:
             problem = bad_request("Send the last event's id in the header Last-Event-ID.")
-            return problem_response(problem=problem, request_id=request_id)
+            return _refuse_continuation(problem, request_id)
         cursor = verify_cursor(key=self._parts.cursor_key, text=text)
         if (
             cursor is None
@@ -278,13 +282,10 @@
         )
         match checked:
             case Failure(problem):
-                return problem_response(problem=problem, request_id=binding.request)
+                return _refuse_continuation(problem, binding.request)
             case Success((_, found)) if found.fingerprint == binding.fingerprint:
                 again = replace(found, seed=binding.seed)
-                problem = self._parts.limits.start(account=found.account, tokens=0)
-                if problem is None:
-                    return await self._stream(request, again, binding.chat, cursor)
-                return problem_response(problem=problem, request_id=binding.request)
+                return await self._stream(request, again, binding.chat, cursor)
         return problem_response(problem=_OTHER_BODY, request_id=binding.request)
 
     async def _follow(self, request: web.Request, cursor: Cursor) -> web.StreamResponse:
@@ -352,6 +353,12 @@
 )
 
 
+def _refuse_continuation(problem: Problem, request_id: str) -> web.Response:
+    """Refuse a continuation; its request has run, at least in part."""
+    told = replace(problem, execution=Execution.UNKNOWN)
+    return problem_response(problem=told, request_id=request_id)
+
+
 def _no_report(_tokens: int) -> None:
     """Take no note; routing does not know of a generation that another host placed."""
 
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -274,6 +274,24 @@
         assert b"[DONE]" in await response.read()
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_refused_continuation_is_never_called_not_executed(host: Host, method: str) -> None:
+    async with host.client.post("/v1/completions", json=BODY, headers=KEYS["south"]) as response:
+        request_id = response.headers["X-Request-Id"]
+        cursor = (await response.read()).decode().split("\n")[0].removeprefix("id: ")
+    path = f"/v1/completions/{request_id}/events"
+    going_on = {**KEYS["south"], "Last-Event-ID": cursor}
+    for headers, body in (({}, BODY), (KEYS["south"], BODY), (going_on, {"model": "none"})):
+        async with host.client.request(method, path, headers=headers, json=body) as response:
+            if response.status != 200:
+                assert _problem(await response.read()).execution == "unknown"
+    # The account may run one request at a time, and a continuation is no second one.
+    first = await host.client.post("/v1/completions", json=BODY, headers=KEYS["south"])
+    async with host.client.request(method, path, headers=going_on, json=BODY) as response:
+        assert response.status == 200
+    await first.read()
+
+
 async def test_continuation_is_refused_when_its_body_is_another(host: Host) -> None:
     async with host.client.post("/v1/completions", json=BODY, headers=KEYS["north"]) as response:
         request_id = response.headers["X-Request-Id"]
