Leave each host a few of an account's places

Cause: the demo had callers refused as limited with 4 requests running of 64. Ruled out: the time a newly busy host keeps its equal share (three heartbeats in place of one changed nothing). The places are dealt out by demand in whole, so a host whose demand had faded had none until the next heartbeat. Change: an eighth of an equal share stays with each host. The new test was red without the floor.

--- a/src/tanagerscale/policy/_limits.py
+++ b/src/tanagerscale/policy/_limits.py
@@ -28,6 +28,9 @@
 LEAST_DEMAND = 0.01
 """Requests a second below which an account is idle at a host."""
 
+FLOOR_DIVISOR = 8
+"""An eighth of an equal share of places stays with each host, however little it asks for."""
+
 LEAST_PART = 0.5
 """Part of an equal share that a host always may use, whatever peers say."""
 
@@ -205,15 +208,20 @@
         """
         limit = held.spec.concurrent_requests
         hosts = len(self._peers) + 1
+        # Each host leaves the others a few places, so that one with little demand can start
+        # work between two heartbeats although the rest is dealt out.
+        floor = limit // hosts // FLOOR_DIVISOR
         heard = self._heard.get(name, {})
         elsewhere = 0
         for host in self._peers:
             if not self._is_fresh(host, now=now):
                 elsewhere += -(-limit // hosts)
-            elif host in heard:
-                elsewhere += heard[host].usage.running
+            else:
+                claimed = heard[host].usage.running if host in heard else 0
+                elsewhere += max(claimed, floor)
         free = max(limit - held.running - elsewhere, 0)
-        held.places = held.running + int(free * self._demand_part(name, now=now))
+        granted = held.running + int(free * self._demand_part(name, now=now))
+        held.places = max(granted, floor)
 
     def _part(self, name: ClientAccountId, *, now: Millis) -> float:
         """Return this host's part of an account's rates; silent hosts keep equal shares."""
--- a/testing/test_policy_limits.py
+++ b/testing/test_policy_limits.py
@@ -172,6 +172,24 @@
     assert 0 < most <= 18
 
 
+def test_host_with_little_demand_may_start_work_while_few_of_all_places_are_taken() -> None:
+    spec = {ACCOUNT: AccountSpec(concurrent_requests=64)}
+    first, second = (AccountLimits(accounts=spec) for _ in range(2))
+    first.set_peers(peers=frozenset({HostId("second")}))
+    second.set_peers(peers=frozenset({HostId("first")}))
+    refused = 0
+    for now in map(Millis, range(0, 12_000, 100)):
+        if now % 1000 == 0:
+            second.on_peer(host=HostId("first"), usage=first.usage(now=now), now=now)
+        if now % 1000 == 500:
+            first.on_peer(host=HostId("second"), usage=second.usage(now=now), now=now)
+        busy = [first] if now % 3000 else [first, second]
+        for limits in busy:
+            refused += limits.try_start(account=ACCOUNT, tokens=0, now=now) is not None
+            limits.on_finished(account=ACCOUNT, tokens=0, now=now)
+    assert refused == 0
+
+
 def test_refusal_names_the_limit_and_a_time_that_helps() -> None:
     limits = AccountLimits(accounts={ACCOUNT: AccountSpec(requests_per_second=2.0)})
     now = Millis(0)
