Let schedulers in use follow the declarations and share what is known of lengths

Cause, named by the routing and the policy parts: weights and the objective of a new revision reached only schedulers made after it, though the revision was reported in force; and a new owner knew nothing of lengths. Change: HostSchedulers reconfigures the schedulers in use with each revision. All schedulers of a host share one length estimator, which also learns from answers that other hosts placed for this host's callers.

--- a/src/tanagerscale/daemon/__init__.py
+++ b/src/tanagerscale/daemon/__init__.py
@@ -7,5 +7,6 @@
 from tanagerscale.daemon._main import main
 from tanagerscale.daemon._notes import GateNotes
 from tanagerscale.daemon._notes import NoCrashWatch
+from tanagerscale.daemon._scheduling import HostSchedulers
 
-__all__ = ["DoorKeeper", "GateNotes", "HostLimits", "NoCrashWatch", "main"]
+__all__ = ["DoorKeeper", "GateNotes", "HostLimits", "HostSchedulers", "NoCrashWatch", "main"]
--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -33,7 +33,7 @@
 from tanagerscale.daemon._notes import EngineClients
 from tanagerscale.daemon._notes import GateNotes
 from tanagerscale.daemon._peers import PeerGlue
-from tanagerscale.daemon._scheduling import make_host_scheduler
+from tanagerscale.daemon._scheduling import HostSchedulers
 from tanagerscale.declarations import Declarations
 from tanagerscale.declarations import Follower
 from tanagerscale.dispatch import Canceller
@@ -208,15 +208,15 @@
         )
         self._engines = EngineClients(session=self._session, declarations=self._declarations)
         self._canceller = Canceller(client_of=self._engines.client_of, clock=self._clock)
+        self._schedulers = HostSchedulers(rng=self._rng)
         self._router = PoolRouter(
             network=self._mesh,
             gate=self._gate,
-            make_scheduler=lambda: make_host_scheduler(
-                declarations=self._declarations(), rng=self._rng
-            ),
+            make_scheduler=self._schedulers.make,
             clock=self._clock,
             rng=self._rng,
             engine_clients=self._engines.client_of,
+            learn=self._schedulers.learn,
         )
         self._control = EngineControl(
             store=self._store,
@@ -237,6 +237,7 @@
             follower=self._follower,
             host_list=self._host_list,
             router=self._router,
+            schedulers=self._schedulers,
             canceller=self._canceller,
             keys=self._keys,
             limits=self._limits,
--- a/src/tanagerscale/daemon/_peers.py
+++ b/src/tanagerscale/daemon/_peers.py
@@ -10,6 +10,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import get_logger
 from tanagerscale.daemon._limits import HostLimits
+from tanagerscale.daemon._scheduling import HostSchedulers
 from tanagerscale.declarations import Declarations
 from tanagerscale.declarations import Follower
 from tanagerscale.dispatch import Canceller
@@ -39,6 +40,7 @@
     :param follower: The declarations.
     :param host_list: The platform's list.
     :param router: Is told which engines and hosts there are.
+    :param schedulers: Are told the objective and the accounts.
     :param canceller: Is told when callers have gone to other hosts.
     :param keys: Is told the accounts.
     :param limits: Is told the accounts and what they do at other hosts.
@@ -54,6 +56,7 @@
         follower: Follower,
         host_list: HostListFollower,
         router: PoolRouter,
+        schedulers: HostSchedulers,
         canceller: Canceller,
         keys: KeyChecker,
         limits: HostLimits,
@@ -65,6 +68,7 @@
         self._follower = follower
         self._host_list = host_list
         self._router = router
+        self._schedulers = schedulers
         self._canceller = canceller
         self._keys = keys
         self._limits = limits
@@ -118,6 +122,7 @@
     def _on_declarations(self, declarations: Declarations) -> None:
         self._keys.set_accounts(accounts=declarations.accounts)
         self._limits.set_declarations(declarations=declarations)
+        self._schedulers.set_declarations(declarations=declarations, router=self._router)
         self._router.set_engines(tuple(declarations.engines.values()))
         if declarations.revision == 0:
             return
--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -98,6 +98,19 @@
         ledger = self._ledgers.get(engine)
         return ledger.own_tokens if ledger is not None else 0
 
+    def reconfigure(
+        self, *, objective: Objective, accounts: Mapping[ClientAccountId, AccountSpec]
+    ) -> None:
+        """Go by other declarations from now on.
+
+        :param objective: What the operators weigh.
+        :param accounts: Declared accounts.
+        """
+        self._tuning = tuning_for(objective=objective)
+        self._queue.reconfigure(accounts=accounts, tuning=self._tuning)
+        for ledger in self._ledgers.values():
+            ledger.refused.clear()
+
     def set_share(self, *, share: float) -> None:
         """Replace the part of every engine this scheduler may fill, as a new owner must."""
         self._share = share
--- a/src/tanagerscale/policy/_queue.py
+++ b/src/tanagerscale/policy/_queue.py
@@ -79,6 +79,19 @@
         self._expected_tokens = 0.0
         self._expected_short_tokens = 0.0
 
+    def reconfigure(
+        self, *, accounts: Mapping[ClientAccountId, AccountSpec], tuning: Tuning
+    ) -> None:
+        """Go by other declarations from now on; what waits keeps its place.
+
+        :param accounts: Declared accounts.
+        :param tuning: Settings.
+        """
+        self._accounts = accounts
+        self._tuning = tuning
+        for name, queue in self._queues.items():
+            queue.weight = accounts.get(name, DEFAULT_ACCOUNT).weight
+
     def __len__(self) -> int:
         return len(self._entries)
 
--- a/src/tanagerscale/routing/_protocol.py
+++ b/src/tanagerscale/routing/_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Protocol
@@ -10,14 +11,17 @@
 from reactivex import Observable
 from returns.result import Result
 
+from tanagerscale.core import ClientAccountId
 from tanagerscale.core import GenerationId
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
 from tanagerscale.core import Problem
 from tanagerscale.core import UpstreamId
+from tanagerscale.generated.declarations import Objective
 from tanagerscale.membership import Message
 from tanagerscale.membership import PeerInfo
 from tanagerscale.membership import Received
+from tanagerscale.policy import AccountSpec
 from tanagerscale.policy import PlacementRequest
 from tanagerscale.policy import Scheduler
 
@@ -66,6 +70,15 @@
 class PoolScheduler(Scheduler, Protocol):
     """A scheduler whose generations other schedulers may have admitted."""
 
+    def reconfigure(
+        self, *, objective: Objective, accounts: Mapping[ClientAccountId, AccountSpec]
+    ) -> None:
+        """Go by other declarations from now on.
+
+        :param objective: What the operators weigh.
+        :param accounts: Declared accounts.
+        """
+
     def adopt(
         self, *, request: PlacementRequest, engine: UpstreamId, tokens: int, now: Millis
     ) -> None:
--- a/src/tanagerscale/routing/_router.py
+++ b/src/tanagerscale/routing/_router.py
@@ -69,6 +69,8 @@
     :param rng: Spreads choices between cells.
     :param engine_clients: Gives the client by which an owner reads an engine's load; ``None``
         leaves engines unread.
+    :param learn: Told the lengths of answers that other hosts placed, so that this host knows
+        lengths when it becomes an owner; its own schedulers learn from what they place.
     """
 
     def __init__(
@@ -80,8 +82,10 @@
         clock: Clock,
         rng: Random,
         engine_clients: Callable[[UpstreamId], EngineClient] | None = None,
+        learn: Callable[[PlacementRequest, int], None] = lambda _request, _tokens: None,
     ) -> None:
         self._network = network
+        self._learn = learn
         self._gate = gate
         self._clock = clock
         self._ownership = Ownership(host=network.host)
@@ -228,6 +232,8 @@
         entry = self._entries.by_generation(generation)
         if entry is not None:
             finished = entry.finished(tokens=tokens, complete=complete, engine_lost=engine_lost)
+            if complete and entry.owner != self._network.host:
+                self._learn(entry.request, tokens)
             self._placements.give_up(entry, finished)
 
     def _tell(self, host: HostId, message: Message) -> None:
--- a/testing/_routing_fakes.py
+++ b/testing/_routing_fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
@@ -21,10 +22,12 @@
 from tanagerscale.core import Revision
 from tanagerscale.core import UpstreamId
 from tanagerscale.generated.declarations import Engine
+from tanagerscale.generated.declarations import Objective
 from tanagerscale.membership import Message
 from tanagerscale.membership import PeerInfo
 from tanagerscale.membership import Received
 from tanagerscale.membership import UpstreamGate
+from tanagerscale.policy import AccountSpec
 from tanagerscale.policy import Decision
 from tanagerscale.policy import DecisionKind
 from tanagerscale.policy import EngineLoad
@@ -80,6 +83,7 @@
         self.forced: list[Decision] = []
         """Decisions to return next, whatever the queue."""
         self.loads: list[EngineLoad] = []
+        self.reconfigured = 0
 
     def set_engines(self, *, engines: Sequence[EngineSpec], now: Millis) -> None:
         """Replace the engines."""
@@ -94,6 +98,12 @@
         """Forget a queued generation."""
         self.queue.pop(generation, None)
 
+    def reconfigure(
+        self, *, objective: Objective, accounts: Mapping[ClientAccountId, AccountSpec]
+    ) -> None:
+        """Count it."""
+        self.reconfigured += 1
+
     def adopt(
         self, *, request: PlacementRequest, engine: UpstreamId, tokens: int, now: Millis
     ) -> None:
