Refuse unknown options of the daemon, and keep quiet about quiet watches

Cause, found by the stand-ins' part: the daemon evaluated the path of its settings as Python (a warning on standard error) and ran before it looked at the rest of its command line; an idle watch was logged as a failing store each 15 s; a caller that left just before the end marker left a traceback in the log.

--- a/src/tanagerscale/daemon/_main.py
+++ b/src/tanagerscale/daemon/_main.py
@@ -8,6 +8,7 @@
 import sys
 
 import fire
+from fire.decorators import SetParseFns
 from returns.result import Failure
 from returns.result import Success
 
@@ -23,16 +24,29 @@
 
 
 def main() -> None:
-    """Run ``tanagerscaled``."""
-    fire.Fire(serve, name="tanagerscaled")
+    """Run ``tanagerscaled --settings FILE``."""
+    # The whole command line is understood before anything runs.
+    path = fire.Fire(_settings_path, name="tanagerscaled", serialize=lambda _path: None)
+    if isinstance(path, Path):
+        serve(settings=path)
 
 
-def serve(*, settings: str) -> None:
+@SetParseFns(settings=str)
+def _settings_path(*, settings: str) -> Path:
     """Serve as one host until SIGTERM or SIGINT.
 
     :param settings: INI file with the host's settings.
     """
-    match read_settings(path=Path(settings)):
+    return Path(settings)
+
+
+def serve(*, settings: Path) -> None:
+    """Serve as one host until SIGTERM or SIGINT.
+
+    :param settings: INI file with the host's settings.
+    :raises SystemExit: When the settings are wrong.
+    """
+    match read_settings(path=settings):
         case Success(checked):
             set_up_logging(settings=checked.log)
             asyncio.run(_serve(checked))
--- a/src/tanagerscale/declarations/_follower.py
+++ b/src/tanagerscale/declarations/_follower.py
@@ -195,7 +195,8 @@
         key = head_key(prefix=self._prefix)
         async for result in self._store.watch(prefix=key, from_revision=from_revision):
             if isinstance(result, Failure):
-                self._report_store(error=result.failure())
+                # A quiet watch ends like a broken one; the reading that follows tells them apart.
+                log.debug("The watch ended.", cause=result.failure().detail)
                 break
             delivered = True
             for entry in result.unwrap().entries:
--- a/src/tanagerscale/entry/_app.py
+++ b/src/tanagerscale/entry/_app.py
@@ -37,6 +37,8 @@
 RETRY_BUSY_MS = 2000
 BEARER = "Bearer "
 MAX_KEY_CHARS = 512
+CALLER_LEFT_STATUS = 499
+"""Nobody receives it; the connection is gone."""
 MAX_IDEMPOTENCY_KEY_CHARS = 256
 
 _log = get_logger(part="entry")
@@ -297,7 +299,8 @@
         )
         return problem_response(problem=problem, request_id=new_id(prefix="req"))
     except ConnectionError:
-        raise
+        _log.info("A caller left before the end of its answer.")
+        return web.Response(status=CALLER_LEFT_STATUS)
     except Exception:
         request_id = new_id(prefix="req")
         _log.exception("A request failed.", request=request_id)
--- /dev/null
+++ b/testing/test_daemon.py
@@ -0,0 +1,57 @@
+"""The daemon's command line."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import subprocess
+import sys
+
+import pytest
+
+from standins.processes import environment
+
+SETTINGS = """
+[host]
+id = host-1
+failure_domain = a
+callers = 127.0.0.1:0
+peers = 127.0.0.1:0
+
+[store]
+endpoints = http://127.0.0.1:1
+
+[secrets]
+cursor_key = 0123456789012345678901234567890123456789
+"""
+
+
+def _run(*arguments: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "tanagerscale.daemon", *arguments],
+        capture_output=True,
+        text=True,
+        env=environment(),
+        timeout=60,
+        check=False,
+    )
+
+
+def test_daemon_names_file_section_and_key_when_its_settings_are_wrong(tmp_path: Path) -> None:
+    path = tmp_path / "host.ini"
+    path.write_text(SETTINGS.replace("peers =", "pears ="))
+    ended = _run("--settings", str(path))
+    assert ended.returncode == 2
+    assert str(path) in ended.stderr
+    assert "[host]" in ended.stderr
+    assert "pears" in ended.stderr
+    assert "peers" in ended.stderr
+
+
+@pytest.mark.parametrize("option", ["--setings=x.ini", "--verbose"])
+def test_daemon_does_not_start_when_an_option_is_unknown(tmp_path: Path, option: str) -> None:
+    path = tmp_path / "1_host.ini"
+    path.write_text(SETTINGS)
+    ended = _run("--settings", str(path), option)
+    assert ended.returncode == 2
+    assert "listening" not in ended.stdout
+    assert "SyntaxWarning" not in ended.stderr
