--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,14 @@
 soak: $(STAMP)
 	$(BIN)/python -m standins.soak $(SOAK_OPTIONS)
 
+fuzz: $(STAMP)
+	FUZZ_FACTOR=20 $(BIN)/python -m pytest -k "machine or Machine or Ledger or fuzz or random or anything or garbage or bytes or frames"
+
+bench: $(STAMP)
+	$(BIN)/python tools/bench_relay.py bench
+	$(BIN)/python tools/bench_declarations.py
+	$(BIN)/python tools/bench_decisions.py
+
 slopes: $(STAMP)
 	$(BIN)/python -m tools.slopes
 
--- a/testing/test_claims.py
+++ b/testing/test_claims.py
@@ -5,7 +5,6 @@
 import asyncio
 
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies as st
 import msgspec
 import pytest
@@ -32,6 +31,7 @@
 from testing._booking_hosts import settle_tasks
 from testing._fake_store import FakeBackend
 from testing._faulty_store import FaultyStore
+from testing._random_cases import cases
 from testing._virtual_time import run_virtually
 
 pytestmark = pytest.mark.looptime
@@ -335,7 +335,7 @@
         for one in (host, other):
             await one.claims.close()
 
-    @settings(derandomize=True, max_examples=60, deadline=None, database=None)
+    @cases(examples=60)
     @given(st.binary(max_size=30) | mangled)
     def run(value: bytes) -> None:
         run_virtually(claim_over(value))
--- a/testing/test_claims_machine.py
+++ b/testing/test_claims_machine.py
@@ -5,8 +5,6 @@
 import asyncio
 from dataclasses import dataclass
 
-from hypothesis import HealthCheck
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import invariant
@@ -16,6 +14,7 @@
 from testing._booking_hosts import Platform
 from testing._booking_hosts import Point
 from testing._booking_hosts import Told
+from testing._random_cases import cases
 from testing._virtual_time import close_loop
 from testing._virtual_time import new_virtual_loop
 
@@ -159,11 +158,4 @@
 
 
 TestClaimsMachine = ClaimsMachine.TestCase
-TestClaimsMachine.settings = settings(
-    derandomize=True,
-    database=None,
-    deadline=None,
-    max_examples=150,
-    stateful_step_count=30,
-    suppress_health_check=list(HealthCheck),
-)
+TestClaimsMachine.settings = cases(examples=150, steps=30)
--- a/testing/test_declarations_follow.py
+++ b/testing/test_declarations_follow.py
@@ -7,7 +7,6 @@
 from contextlib import asynccontextmanager
 
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies as st
 import msgspec
 import pytest
@@ -23,6 +22,7 @@
 from testing._declared import declare
 from testing._declared import follow
 from testing._fake_store import FakeStore
+from testing._random_cases import cases
 
 pytestmark = pytest.mark.looptime
 
@@ -311,7 +311,7 @@
 )
 
 
-@settings(derandomize=True, max_examples=150, deadline=None)
+@cases(examples=150)
 @given(head=HEADS, chunks=CHUNKS)
 def test_offer_of_anything_gets_an_answer_and_changes_nothing(
     head: bytes, chunks: dict[str, str]
--- a/testing/test_declarations_machine.py
+++ b/testing/test_declarations_machine.py
@@ -14,7 +14,6 @@
 from typing import Any
 from typing import TypeVar
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import invariant
@@ -37,6 +36,7 @@
 from testing._declared import follow
 from testing._fake_store import FakeBackend
 from testing._fake_store import FakeStore
+from testing._random_cases import cases
 
 HOSTS = 3
 OPERATORS = 2
@@ -280,6 +280,4 @@
 
 
 TestDeclarationsMachine = DeclarationsMachine.TestCase
-TestDeclarationsMachine.settings = settings(
-    derandomize=True, max_examples=60, stateful_step_count=30, deadline=None
-)
+TestDeclarationsMachine.settings = cases(examples=60, steps=30)
--- a/testing/test_declarations_read.py
+++ b/testing/test_declarations_read.py
@@ -5,9 +5,7 @@
 from pathlib import Path
 
 from argon2 import PasswordHasher
-from hypothesis import HealthCheck
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies as st
 import pytest
 from returns.result import Failure
@@ -17,6 +15,7 @@
 from tanagerscale.generated.declarations import Delivery
 from tanagerscale.generated.declarations import Fencing
 from tanagerscale.ini import InputError
+from testing._random_cases import cases
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 HASH = PasswordHasher(time_cost=1, memory_cost=8, parallelism=1).hash("crews.secret")
@@ -174,12 +173,7 @@
 )
 
 
-@settings(
-    derandomize=True,
-    max_examples=150,
-    deadline=None,
-    suppress_health_check=[HealthCheck.function_scoped_fixture],
-)
+@cases(examples=150)
 @given(lines=st.lists(st.one_of(LINES, st.text(max_size=30)), max_size=30))
 def test_reader_answers_when_the_file_is_anything(tmp_path: Path, lines: list[str]) -> None:
     file = tmp_path / "fuzz.ini"
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -11,10 +11,8 @@
 from aiohttp import web
 from aiohttp.test_utils import TestClient
 from aiohttp.test_utils import TestServer
-from hypothesis import HealthCheck
 from hypothesis import example
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies as st
 import msgspec
 from prometheus_client import CollectorRegistry
@@ -60,6 +58,7 @@
 from testing._fake_engine import FakeRouter
 from testing._fake_store import FakeBackend
 from testing._fake_store import FakeStore
+from testing._random_cases import cases
 
 ENGINE = UpstreamId("engine-1")
 MODEL = "round-planner"
@@ -360,13 +359,7 @@
             if response.status >= 400 and method != "HEAD":
                 assert _problem(content).detail
 
-    @settings(
-        max_examples=120,
-        deadline=None,
-        derandomize=True,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
+    @cases(examples=120)
     @example("/v1/completions", VALID_BODY, "POST", "key", "cursor")
     @given(PATHS, BODIES, st.sampled_from(["GET", "POST", "PUT", "HEAD"]), HEADER, HEADER)
     def run(path: str, body: bytes, method: str, key: str, cursor: str) -> None:
--- a/testing/test_fleet_machine.py
+++ b/testing/test_fleet_machine.py
@@ -4,8 +4,6 @@
 
 import asyncio
 
-from hypothesis import HealthCheck
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import invariant
@@ -16,6 +14,7 @@
 from testing._ordered_engines import MAX_LOADS
 from testing._ordered_engines import Fleet
 from testing._ordered_engines import OrderingHost
+from testing._random_cases import cases
 from testing._virtual_time import close_loop
 from testing._virtual_time import new_virtual_loop
 
@@ -142,11 +141,4 @@
 
 
 TestFleetMachine = FleetMachine.TestCase
-TestFleetMachine.settings = settings(
-    derandomize=True,
-    database=None,
-    deadline=None,
-    max_examples=8,
-    stateful_step_count=20,
-    suppress_health_check=list(HealthCheck),
-)
+TestFleetMachine.settings = cases(examples=8, steps=20)
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -8,7 +8,6 @@
 import random
 
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies as st
 import looptime
 import pytest
@@ -38,6 +37,7 @@
 from testing._fake_engine import Faults
 from testing._fake_engine import ListSink
 from testing._fake_engine import tokens_of
+from testing._random_cases import cases
 
 LENGTH = 12
 FIRST = UpstreamId("engine-1")
@@ -405,7 +405,7 @@
 )
 
 
-@settings(max_examples=150, deadline=None, derandomize=True)
+@cases(examples=150)
 @given(first=RANDOM_FAULTS, second=RANDOM_FAULTS, whole=st.booleans())
 def test_nothing_is_doubled_or_mixed_when_both_engines_fail_at_random(
     first: Faults, second: Faults, whole: bool
--- a/testing/test_mesh.py
+++ b/testing/test_mesh.py
@@ -19,7 +19,6 @@
 from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies as st
 import msgspec
 import pytest
@@ -47,6 +46,7 @@
 from tanagerscale.membership import encode_frame
 from tanagerscale.membership import peer_ssl_contexts
 from tanagerscale.membership._wire import MAX_FRAME_BYTES
+from testing._random_cases import cases
 
 HANG_GUARD_S = 30
 
@@ -190,7 +190,7 @@
 
 
 @given(st.binary(max_size=200))
-@settings(derandomize=True, max_examples=300)
+@cases(examples=300)
 def test_any_bytes_give_a_message_or_a_typed_error(data: bytes) -> None:
     result = decode_frame(data)
     if isinstance(result, Failure):
@@ -198,7 +198,7 @@
 
 
 @given(st.data())
-@settings(derandomize=True, max_examples=300)
+@cases(examples=300)
 def test_damaged_frames_give_a_message_or_a_typed_error(data: st.DataObject) -> None:
     messages: list[Message] = [ASK, Progress(cell="c", serials=[1, 2], tokens=[3, 4])]
     message = data.draw(st.sampled_from(messages))
--- a/testing/test_policy.py
+++ b/testing/test_policy.py
@@ -5,7 +5,6 @@
 from dataclasses import replace
 from random import Random
 
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import invariant
@@ -31,6 +30,7 @@
 from tanagerscale.policy import make_scheduler
 from tanagerscale.policy import rendezvous_owner
 from tanagerscale.policy import tuning_for
+from testing._random_cases import cases
 
 ENGINES = tuple(UpstreamId(f"engine-{number}") for number in range(3))
 MEMORY = 8_000
@@ -200,9 +200,7 @@
 
 
 TestSchedulerMachine = SchedulerMachine.TestCase
-TestSchedulerMachine.settings = settings(
-    derandomize=True, max_examples=40, stateful_step_count=40, deadline=None
-)
+TestSchedulerMachine.settings = cases(examples=40, steps=40)
 
 
 def test_estimator_keeps_its_curve_when_a_generation_has_not_ended() -> None:
--- a/testing/test_policy_limits.py
+++ b/testing/test_policy_limits.py
@@ -6,7 +6,6 @@
 from collections.abc import Sequence
 
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies as st
 import pytest
 
@@ -19,6 +18,7 @@
 from tanagerscale.policy import CircuitBreaker
 from tanagerscale.policy import Limit
 from tanagerscale.policy import RetryBudget
+from testing._random_cases import cases
 
 ACCOUNT = ClientAccountId("account")
 HOSTS = tuple(HostId(f"host-{number}") for number in range(9))
@@ -26,7 +26,7 @@
 STEP_MS = 10
 
 
-@settings(derandomize=True, deadline=None)
+@cases(examples=100)
 @given(st.lists(st.booleans(), max_size=400))
 def test_retries_stay_within_a_tenth_when_anything_fails(wants: list[bool]) -> None:
     budget = RetryBudget()
--- a/testing/test_routing_machine.py
+++ b/testing/test_routing_machine.py
@@ -5,8 +5,6 @@
 import asyncio
 from typing import Any
 
-from hypothesis import Phase
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import initialize
@@ -19,6 +17,7 @@
 from tanagerscale.core import GenerationId
 from tanagerscale.core import HostId
 from tanagerscale.core import UpstreamId
+from testing._random_cases import cases
 from testing._routing_fakes import Cluster
 from testing._routing_fakes import make_engines
 from testing._routing_fakes import make_request
@@ -208,11 +207,5 @@
         return self.loop.run_until_complete(work)
 
 
-LedgerMachine.TestCase.settings = settings(
-    max_examples=25,
-    stateful_step_count=25,
-    derandomize=True,
-    deadline=None,
-    phases=(Phase.generate, Phase.shrink),
-)
+LedgerMachine.TestCase.settings = cases(examples=25, steps=25)
 TestLedger = LedgerMachine.TestCase
--- a/testing/test_store_etcd.py
+++ b/testing/test_store_etcd.py
@@ -11,7 +11,6 @@
 
 from aiohttp import web
 from hypothesis import given
-from hypothesis import settings
 from hypothesis import strategies as st
 import pytest
 from returns.result import Failure
@@ -23,6 +22,7 @@
 from tanagerscale.store import PutIf
 from tanagerscale.store import StoreErrorKind
 from tanagerscale.store import StoreRevision
+from testing._random_cases import cases
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 KEY_A = "YQ=="
@@ -309,7 +309,7 @@
         await store.close()
         await runner.cleanup()
 
-    @settings(derandomize=True, max_examples=10, deadline=None, database=None)
+    @cases(examples=10)
     @given(st.lists(replies, min_size=1, max_size=8))
     def run(content: list[bytes]) -> None:
         asyncio.run(call_all(content))
