--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -6,10 +6,8 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass
 from hashlib import blake2b
-from pathlib import Path
 import random
 import secrets
-import ssl
 from typing import Any
 from typing import final
 
@@ -34,6 +32,8 @@
 from tanagerscale.daemon._notes import GateNotes
 from tanagerscale.daemon._peers import PeerGlue
 from tanagerscale.daemon._scheduling import HostSchedulers
+from tanagerscale.daemon._secrets import callers_ssl_context
+from tanagerscale.daemon._secrets import cursor_key
 from tanagerscale.declarations import Declarations
 from tanagerscale.declarations import Follower
 from tanagerscale.dispatch import Canceller
@@ -339,21 +339,15 @@
         await self._runner.setup()
         address, _, port = self._settings.host.callers.rpartition(":")
         site = web.TCPSite(
-            self._runner, address.strip("[]"), int(port), ssl_context=self._callers_tls()
+            self._runner,
+            address.strip("[]"),
+            int(port),
+            ssl_context=callers_ssl_context(tls=self._settings.tls),
         )
         await site.start()
         bound = self._runner.addresses[0]
         return f"{address}:{bound[1]}"
 
-    def _callers_tls(self) -> ssl.SSLContext | None:
-        tls = self._settings.tls
-        if not tls.callers_certificate:
-            return None
-        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        context.minimum_version = ssl.TLSVersion.TLSv1_2
-        context.load_cert_chain(tls.callers_certificate, tls.callers_key)
-        return context
-
     def _declarations(self) -> Declarations:
         return self._follower.declarations
 
@@ -395,18 +389,3 @@
                 name for name in declarations.engines if not self._gate.is_open(name)
             ],
         )
-
-
-def cursor_key(*, settings: HostSettings) -> bytes:
-    """Return the key that signs cursors.
-
-    :param settings: The host's settings. Without a key in them a random one is made, and then
-        no other host can read this host's cursors.
-    """
-    secrets_section = settings.secrets
-    if secrets_section.cursor_key_file:
-        return Path(secrets_section.cursor_key_file).read_bytes().strip()
-    if secrets_section.cursor_key:
-        return secrets_section.cursor_key.encode()
-    _log.warning("No cursor_key is set; callers can't continue at other hosts.")
-    return secrets.token_bytes(FINGERPRINT_KEY_BYTES)
--- a/src/tanagerscale/dispatch/__init__.py
+++ b/src/tanagerscale/dispatch/__init__.py
@@ -6,9 +6,9 @@
 from tanagerscale.dispatch._attempt import AttemptEnd
 from tanagerscale.dispatch._attempt import AttemptOutcome
 from tanagerscale.dispatch._cancel import Canceller
-from tanagerscale.dispatch._generation import DispatchParts
-from tanagerscale.dispatch._generation import Finish
 from tanagerscale.dispatch._generation import Generation
+from tanagerscale.dispatch._parts import DispatchParts
+from tanagerscale.dispatch._parts import Finish
 from tanagerscale.dispatch._relay import Relay
 from tanagerscale.dispatch._relay import RelayFault
 from tanagerscale.dispatch._returns import spread_return
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -8,12 +8,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Coroutine
 from dataclasses import dataclass
 from dataclasses import field
-from random import Random
-from typing import NamedTuple
 from typing import final
 
 from returns.result import Failure
@@ -21,7 +18,6 @@
 from returns.result import Success
 
 from tanagerscale.core import AttemptId
-from tanagerscale.core import Clock
 from tanagerscale.core import Execution
 from tanagerscale.core import Millis
 from tanagerscale.core import Problem
@@ -32,25 +28,20 @@
 from tanagerscale.dispatch._attempt import Attempt
 from tanagerscale.dispatch._attempt import AttemptEnd
 from tanagerscale.dispatch._attempt import AttemptOutcome
-from tanagerscale.dispatch._cancel import Canceller
+from tanagerscale.dispatch._parts import DispatchParts
+from tanagerscale.dispatch._parts import Finish
 from tanagerscale.dispatch._relay import Relay
+from tanagerscale.dispatch._requests import engine_request
+from tanagerscale.dispatch._requests import placement_request
 from tanagerscale.dispatch._returns import spread_return
-from tanagerscale.dispatch._types import CrashWatch
 from tanagerscale.dispatch._types import GenerationRequest
 from tanagerscale.dispatch._types import ResumePoint
-from tanagerscale.dispatch._types import RetryAllowance
 from tanagerscale.dispatch._types import Sink
-from tanagerscale.dispatch._types import UpstreamNotes
-from tanagerscale.generated.upstream import EngineRequest
-from tanagerscale.generated.upstream import FinishReason
 from tanagerscale.generated.upstream import RefusalKind
 from tanagerscale.policy import PlacementRequest
 from tanagerscale.routing import Placement
-from tanagerscale.routing import Router
-from tanagerscale.upstreams import EngineClient
 from tanagerscale.usage import ABANDONED
 from tanagerscale.usage import WHOLE
-from tanagerscale.usage import UsageMeter
 
 MAX_LOST_ATTEMPTS = 3
 MAX_ATTEMPTS = 12
@@ -64,43 +55,6 @@
 _log = get_logger(part="dispatch")
 
 
-class Finish(NamedTuple):
-    """The end of a whole answer.
-
-    :param reason: Why the engine ended it.
-    :param tokens: Its length.
-    """
-
-    reason: FinishReason
-    tokens: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class DispatchParts:
-    """What every generation of a host uses.
-
-    :param router: Finds engines.
-    :param client_of: Returns the client of an engine.
-    :param notes: Is told how engines behave.
-    :param crashes: Keeps requests that crash engines away.
-    :param retries: Bounds retries.
-    :param canceller: Cancels attempts that were given up.
-    :param meter: Sums what requests cost.
-    :param clock: Times pauses.
-    :param rng: Spreads the return of refused callers.
-    """
-
-    router: Router
-    client_of: Callable[[UpstreamId], EngineClient]
-    notes: UpstreamNotes
-    crashes: CrashWatch
-    retries: RetryAllowance
-    canceller: Canceller
-    meter: UsageMeter
-    clock: Clock
-    rng: Random
-
-
 @dataclass(kw_only=True, slots=True)
 class _Progress:
     """What the ladder remembers between attempts.
@@ -237,19 +191,9 @@
         kept_away = self._parts.crashes.excluded_engines(
             fingerprint=request.fingerprint, model=request.model
         )
-        return PlacementRequest(
-            generation=request.generation,
-            model=request.model,
-            adapter=request.adapter,
-            account=request.account,
-            request_class=request.request_class,
-            priority=request.priority,
-            prompt_tokens=request.prompt_tokens,
-            max_tokens=request.max_tokens,
-            prefix=request.prefix,
-            prefix_tokens=request.prefix_tokens,
-            movable=request.whole,
-            arrived=self._parts.clock.now(),
+        return placement_request(
+            request=request,
+            now=self._parts.clock.now(),
             excluded=frozenset(self._progress.excluded | self._progress.not_admitted) | kept_away,
         )
 
@@ -272,7 +216,7 @@
         ended = False
         try:
             await self._sink.begin(attempt=attempt_id, engine=engine)
-            request = self._engine_request(attempt_id)
+            request = engine_request(request=self._request, attempt=attempt_id)
             run = attempt.resume() if resumed else attempt.run(request=request)
             outcome = await _until_move(run, placement)
             ended = True
@@ -327,19 +271,6 @@
         self._parts.meter.on_progress(record=self._record, tokens=tokens)
         self._parts.router.report_progress(generation=self._request.generation, tokens=tokens)
 
-    def _engine_request(self, attempt: AttemptId) -> EngineRequest:
-        request = self._request
-        return EngineRequest(
-            attempt_id=attempt,
-            model=request.model,
-            version=request.version,
-            adapter=request.adapter,
-            prompt=request.prompt,
-            max_tokens=request.max_tokens,
-            seed=request.seed,
-            priority=request.priority,
-        )
-
     def _after(
         self, outcome: AttemptOutcome | None, engine: UpstreamId
     ) -> Result[Finish, Problem] | None:
--- /dev/null
+++ b/src/tanagerscale/dispatch/_requests.py
@@ -0,0 +1,54 @@
+"""What a generation asks of routing and of engines."""
+
+from __future__ import annotations
+
+from tanagerscale.core import AttemptId
+from tanagerscale.core import Millis
+from tanagerscale.core import UpstreamId
+from tanagerscale.dispatch._types import GenerationRequest
+from tanagerscale.generated.upstream import EngineRequest
+from tanagerscale.policy import PlacementRequest
+
+
+def placement_request(
+    *, request: GenerationRequest, now: Millis, excluded: frozenset[UpstreamId]
+) -> PlacementRequest:
+    """Return what routing is asked for.
+
+    :param request: The checked request.
+    :param now: When it is asked.
+    :param excluded: Engines not to choose.
+    """
+    return PlacementRequest(
+        generation=request.generation,
+        model=request.model,
+        adapter=request.adapter,
+        account=request.account,
+        request_class=request.request_class,
+        priority=request.priority,
+        prompt_tokens=request.prompt_tokens,
+        max_tokens=request.max_tokens,
+        prefix=request.prefix,
+        prefix_tokens=request.prefix_tokens,
+        movable=request.whole,
+        arrived=now,
+        excluded=excluded,
+    )
+
+
+def engine_request(*, request: GenerationRequest, attempt: AttemptId) -> EngineRequest:
+    """Return what an engine is sent.
+
+    :param request: The checked request.
+    :param attempt: Id of the attempt.
+    """
+    return EngineRequest(
+        attempt_id=attempt,
+        model=request.model,
+        version=request.version,
+        adapter=request.adapter,
+        prompt=request.prompt,
+        max_tokens=request.max_tokens,
+        seed=request.seed,
+        priority=request.priority,
+    )
--- a/src/tanagerscale/entry/_completions.py
+++ b/src/tanagerscale/entry/_completions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import replace
@@ -41,62 +40,18 @@
 from tanagerscale.dispatch import Relay
 from tanagerscale.dispatch import ResumePoint
 from tanagerscale.entry._limits import AccountLimiter
-from tanagerscale.entry._problems import problem_event
 from tanagerscale.entry._problems import problem_response
+from tanagerscale.entry._replies import LazyReply
+from tanagerscale.entry._replies import end_stream
+from tanagerscale.entry._replies import whole_body
 from tanagerscale.entry._requests import RequestChecker
 from tanagerscale.entry._requests import bad_request
-from tanagerscale.generated.callers import ChatChoice
-from tanagerscale.generated.callers import ChatCompletion
-from tanagerscale.generated.callers import ChatMessage
-from tanagerscale.generated.callers import Completion
-from tanagerscale.generated.callers import CompletionChoice
-from tanagerscale.generated.callers import Usage
-
-EVENT_STREAM = "text/event-stream"
+
 RESUME_RETRY_AFTER_MS = 1000
 
 _log = get_logger(part="entry")
 
 
-@final
-class LazyReply:
-    """A reply of events that begins with its first byte, so that a refusal can still be plain.
-
-    :param request: The caller's request.
-    :param request_id: Goes into the reply's header.
-    """
-
-    def __init__(self, *, request: web.Request, request_id: str) -> None:
-        self._request = request
-        self._response = web.StreamResponse(
-            headers={
-                "Content-Type": EVENT_STREAM,
-                "Cache-Control": "no-store",
-                "X-Request-Id": request_id,
-            }
-        )
-
-    @property
-    def begun(self) -> bool:
-        """Whether a byte has been sent."""
-        return self._response.prepared
-
-    def write(self, data: bytes) -> Awaitable[None]:
-        """Send bytes, and the header before the first."""
-        if self._response.prepared:
-            return self._response.write(data)
-        return self._begin(data)
-
-    async def end(self) -> web.StreamResponse:
-        """Close the reply."""
-        await self._response.write_eof()
-        return self._response
-
-    async def _begin(self, data: bytes) -> None:
-        await self._response.prepare(self._request)
-        await self._response.write(data)
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CompletionParts:
     """What the completion handlers use.
@@ -165,7 +120,7 @@
         generation = Generation(request=checked, sink=sink, parts=self._parts.dispatch)
         match await self._run_counted(generation, checked):
             case Success(finish):
-                body = _whole_body(checked, finish, sink.text, chat)
+                body = whole_body(checked, finish, sink.text, chat)
                 return web.Response(
                     body=body,
                     content_type="application/json",
@@ -221,7 +176,7 @@
             result = await self._run_counted(generation, checked)
         else:
             result = await generation.run()
-        return await _end_stream(result, sink, reply, event_format, checked.generation)
+        return await end_stream(result, sink, reply, event_format, checked.generation)
 
     def _resume_point(self, cursor: Cursor) -> ResumePoint:
         attempt = AttemptId(cursor.binding.attempt)
@@ -305,7 +260,7 @@
         await sink.begin(attempt=point.attempt, engine=point.engine)
         relay = Relay(offset=point.offset, checksum=point.checksum)
         result = await self._run_resumed(point.attempt, point.engine, relay, sink)
-        return await _end_stream(result, sink, reply, event_format, binding.request)
+        return await end_stream(result, sink, reply, event_format, binding.request)
 
     async def _run_resumed(
         self, attempt_id: AttemptId, engine: UpstreamId, relay: Relay, sink: StreamSink
@@ -361,53 +316,3 @@
 
 def _no_report(_tokens: int) -> None:
     """Take no note; routing does not know of a generation that another host placed."""
-
-
-async def _end_stream(
-    result: Result[Finish, Problem],
-    sink: StreamSink | WholeSink,
-    reply: LazyReply,
-    event_format: EventFormat,
-    request_id: str,
-) -> web.StreamResponse:
-    match result:
-        case Success(finish):
-            if isinstance(sink, WholeSink):
-                await sink.send_all(event_format=event_format, reason=finish.reason.value)
-            else:
-                await sink.finish(reason=finish.reason.value)
-        case Failure(problem):
-            if not reply.begun:
-                return problem_response(problem=problem, request_id=request_id)
-            await reply.write(problem_event(problem=problem, request_id=request_id))
-    return await reply.end()
-
-
-def _whole_body(checked: GenerationRequest, finish: Finish, text: str, chat: bool) -> bytes:
-    usage = Usage(
-        prompt_tokens=checked.prompt_tokens,
-        completion_tokens=finish.tokens,
-        total_tokens=checked.prompt_tokens + finish.tokens,
-    )
-    reason = finish.reason.value
-    if chat:
-        message = ChatMessage(role="assistant", content=text)
-        choice = ChatChoice(index=0, message=message, finish_reason=reason)
-        return msgspec.json.encode(
-            ChatCompletion(
-                id=checked.generation,
-                object="chat.completion",
-                model=checked.model,
-                choices=[choice],
-                usage=usage,
-            )
-        )
-    return msgspec.json.encode(
-        Completion(
-            id=checked.generation,
-            object="text_completion",
-            model=checked.model,
-            choices=[CompletionChoice(index=0, text=text, finish_reason=reason)],
-            usage=usage,
-        )
-    )
--- a/src/tanagerscale/quarantine/__init__.py
+++ b/src/tanagerscale/quarantine/__init__.py
@@ -16,9 +16,9 @@
 from __future__ import annotations
 
 from tanagerscale.quarantine._quarantine import Quarantine
-from tanagerscale.quarantine._quarantine import StopRequest
 from tanagerscale.quarantine._rules import Crash
 from tanagerscale.quarantine._rules import Fingerprint
+from tanagerscale.quarantine._rules import StopRequest
 from tanagerscale.quarantine._rules import fingerprint_of
 from tanagerscale.quarantine._runs import RunEnd
 
--- a/src/tanagerscale/quarantine/_quarantine.py
+++ b/src/tanagerscale/quarantine/_quarantine.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Iterable
 from collections.abc import Sequence
-from dataclasses import dataclass
 import random
 from typing import Final
 from typing import final
@@ -28,6 +27,7 @@
 from tanagerscale.quarantine._rules import MERGE_MS
 from tanagerscale.quarantine._rules import Crash
 from tanagerscale.quarantine._rules import Fingerprint
+from tanagerscale.quarantine._rules import StopRequest
 from tanagerscale.quarantine._rules import Suspicion
 from tanagerscale.quarantine._rules import Suspicions
 from tanagerscale.quarantine._rules import parse_crash
@@ -47,18 +47,6 @@
 log = get_logger(part="quarantine")
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class StopRequest:
-    """A copy of a suspect that runs elsewhere than its peers' and should be cancelled.
-
-    :param fingerprint: The request.
-    :param engine: Where this host runs it.
-    """
-
-    fingerprint: Fingerprint
-    engine: UpstreamId
-
-
 @final
 class Quarantine:
     """Keeps requests that crash upstreams from more than two of them.
--- a/src/tanagerscale/quarantine/_rules.py
+++ b/src/tanagerscale/quarantine/_rules.py
@@ -223,3 +223,15 @@
                     expires_wall_ms=suspicion.expires_wall_ms,
                     convicted=False,
                 )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StopRequest:
+    """A copy of a suspect that runs elsewhere than its peers' and should be cancelled.
+
+    :param fingerprint: The request.
+    :param engine: Where this host runs it.
+    """
+
+    fingerprint: Fingerprint
+    engine: UpstreamId
