Take out what the system has twice

Cause: the policy package had a circuit breaker that nothing used, beside the one in the upstream gate, and a second rendezvous hash beside routing's. The bench of owners measures the function that runs.

--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -10,9 +10,6 @@
 from tanagerscale.policy._limits import AccountUsage
 from tanagerscale.policy._limits import Limit
 from tanagerscale.policy._limits import LimitRefusal
-from tanagerscale.policy._owners import rendezvous_owner
-from tanagerscale.policy._retries import BreakerState
-from tanagerscale.policy._retries import CircuitBreaker
 from tanagerscale.policy._retries import RetryBudget
 from tanagerscale.policy._simple import ImmediateScheduler
 from tanagerscale.policy._simple import LeastOutstanding
@@ -30,8 +27,6 @@
     "AccountLimits",
     "AccountSpec",
     "AccountUsage",
-    "BreakerState",
-    "CircuitBreaker",
     "Decision",
     "DecisionKind",
     "EngineLoad",
@@ -48,6 +43,5 @@
     "Scheduler",
     "Tuning",
     "make_scheduler",
-    "rendezvous_owner",
     "tuning_for",
 ]
--- a/testing/test_policy.py
+++ b/testing/test_policy.py
@@ -14,7 +14,6 @@
 
 from tanagerscale.core import ClientAccountId
 from tanagerscale.core import GenerationId
-from tanagerscale.core import HostId
 from tanagerscale.core import Millis
 from tanagerscale.core import ModelId
 from tanagerscale.core import UpstreamId
@@ -28,7 +27,6 @@
 from tanagerscale.policy import PlacementRequest
 from tanagerscale.policy import Tuning
 from tanagerscale.policy import make_scheduler
-from tanagerscale.policy import rendezvous_owner
 from tanagerscale.policy import tuning_for
 from testing._random_cases import cases
 
@@ -381,14 +379,3 @@
     made.set_engines(engines=[spec(ENGINES[0])], now=Millis(0))
     made.submit(request=request(1), now=Millis(0))
     assert [decision.engine for decision in made.decide(now=Millis(0))] == [ENGINES[0]]
-
-
-def test_owner_changes_only_for_the_lost_host_when_one_goes() -> None:
-    hosts = [HostId(f"host-{number}") for number in range(9)]
-    pools = [f"pool-{number}" for number in range(200)]
-    before = {pool: rendezvous_owner(pool=pool, hosts=hosts) for pool in pools}
-    after = {pool: rendezvous_owner(pool=pool, hosts=reversed(hosts[1:])) for pool in pools}
-    assert {pool for pool in pools if before[pool] != after[pool]} == {
-        pool for pool in pools if before[pool] == hosts[0]
-    }
-    assert len(set(before.values())) == len(hosts)
--- a/testing/test_policy_limits.py
+++ b/testing/test_policy_limits.py
@@ -14,8 +14,6 @@
 from tanagerscale.core import Millis
 from tanagerscale.policy import AccountLimits
 from tanagerscale.policy import AccountSpec
-from tanagerscale.policy import BreakerState
-from tanagerscale.policy import CircuitBreaker
 from tanagerscale.policy import Limit
 from tanagerscale.policy import RetryBudget
 from testing._random_cases import cases
@@ -49,28 +47,6 @@
     assert granted == pytest.approx(110, abs=2)
 
 
-def test_breaker_lets_one_trial_pass_when_half_open() -> None:
-    breaker = CircuitBreaker(failures=2, open_ms=100, longest_ms=300)
-    breaker.on_failure(now=Millis(0))
-    assert breaker.allow(now=Millis(0))
-    breaker.on_failure(now=Millis(0))
-    assert not breaker.allow(now=Millis(99))
-    assert [breaker.allow(now=Millis(100)) for _ in range(3)] == [True, False, False]
-    breaker.on_failure(now=Millis(110))
-    assert breaker.state(now=Millis(300)) is BreakerState.OPEN
-    assert breaker.allow(now=Millis(310))
-    breaker.on_success()
-    assert breaker.state(now=Millis(310)) is BreakerState.CLOSED
-
-
-def test_breaker_tries_again_when_a_trial_is_never_reported() -> None:
-    breaker = CircuitBreaker(failures=1, open_ms=100)
-    breaker.on_failure(now=Millis(0))
-    assert breaker.allow(now=Millis(100))
-    assert not breaker.allow(now=Millis(150))
-    assert breaker.allow(now=Millis(200))
-
-
 def fleet(spec: AccountSpec) -> dict[HostId, AccountLimits]:
     hosts = {host: AccountLimits(accounts={ACCOUNT: spec}) for host in HOSTS}
     for host, limits in hosts.items():
--- a/tools/bench_decisions.py
+++ b/tools/bench_decisions.py
@@ -17,7 +17,8 @@
 from tanagerscale.policy import ForecastScheduler
 from tanagerscale.policy import PlacementRequest
 from tanagerscale.policy import Tuning
-from tanagerscale.policy import rendezvous_owner
+from tanagerscale.routing import CellId
+from tanagerscale.routing import owner_of
 
 ENGINE_COUNTS = (5, 32, 50, 500)
 HOST_COUNTS = (9, 90, 390)
@@ -115,7 +116,7 @@
     hashed = {name: _number(name) for name in names}
     pools = [f"cell-{index}" for index in range(LOOKUPS)]
     began = perf_counter()
-    rendezvous = [rendezvous_owner(pool=pool, hosts=names) for pool in pools]
+    rendezvous = [owner_of(cell=CellId(pool), hosts=names) for pool in pools]
     middle = perf_counter()
     for pool in pools:
         wanted = _number(pool)
