--- a/testing/test_process_failures.py
+++ b/testing/test_process_failures.py
@@ -100,9 +100,11 @@
     await asyncio.gather(cluster.hosts["host-1"].kill(), cluster.engines["engine-1"].kill())
     url = cluster.caller_url("host-2")
     assert not any(answer.done for answer, _ in started)
-    for answer, task in started:
-        await task
-        again = await go_on(session=session, url=url, answer=answer, prompt=prompt)
+    answers = await asyncio.gather(*(task for _, task in started))
+    continued = await asyncio.gather(
+        *(go_on(session=session, url=url, answer=each, prompt=prompt) for each in answers)
+    )
+    for again in continued:
         assert again.done, again.error
         assert again.text == expected(prompt=prompt)
 
