Move runs whose engine left while it read their prompt, and ask leaving engines when they go

Change: streams tell when an engine has taken them; a leaving engine is asked once when it goes; long generations prefer engines where less has no copy; copies may take nine tenths of a memory.

--- a/src/tanagerscale/forwarding/_departures.py
+++ b/src/tanagerscale/forwarding/_departures.py
@@ -8,6 +8,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
+from tanagerscale.policy import NOTICE_MS
 
 LINKS_BUSY_MS: Final = 1600
 """After a notice the engines' links are kept for what must leave. Engines go 1.5 to 2.1 s after
@@ -24,6 +25,7 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._noticed: dict[UpstreamId, Millis] = {}
+        self._gone: dict[UpstreamId, Millis] = {}
 
     def note(self, upstream: UpstreamId) -> bool:
         """Record that an engine leaves; return whether that is new."""
@@ -34,12 +36,24 @@
             engine: at for engine, at in self._noticed.items() if now - at < 10 * LINKS_BUSY_MS
         }
         self._noticed[upstream] = now
+        self._gone = {engine: at for engine, at in self._gone.items() if engine in self._noticed}
+        self._gone[upstream] = Millis(now + NOTICE_MS)
         return True
 
     def noticed_at(self, upstream: UpstreamId) -> Millis:
         """Return when an engine was heard to leave; now when it was not."""
         return self._noticed.get(upstream, self._clock.now())
 
+    def note_end(self, upstream: UpstreamId, *, in_ms: int) -> None:
+        """Take in an engine's own word of when it goes; it can only be later than assumed."""
+        at = Millis(self._clock.now() + in_ms)
+        if upstream in self._gone and at > self._gone[upstream]:
+            self._gone[upstream] = at
+
+    def gone_at(self, upstream: UpstreamId) -> Millis:
+        """Return when an engine is expected to be gone."""
+        return self._gone.get(upstream, self._clock.now())
+
     @property
     def links_busy(self) -> bool:
         """Whether runs are being copied away from an engine now."""
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -10,8 +10,8 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._admission import Admission
-from tanagerscale.forwarding._copier import Copier
 from tanagerscale.forwarding._departures import Departures
+from tanagerscale.forwarding._evacuation import Evacuation
 from tanagerscale.forwarding._parts import ForwardingParts
 from tanagerscale.forwarding._plain import PlainForward
 from tanagerscale.forwarding._refusals import UNKNOWN_KEY
@@ -40,7 +40,7 @@
     :param parts: What every request uses.
     :param admission: Finds engines for generations.
     :param departures: When engines leave.
-    :param copier: Copies runs.
+    :param evacuation: Moves streams whose engine leaves.
     :param runs: This host's streams, for those that move them.
     """
 
@@ -50,13 +50,13 @@
         parts: ForwardingParts,
         admission: Admission,
         departures: Departures,
-        copier: Copier,
+        evacuation: Evacuation,
         runs: set[StreamRun],
     ) -> None:
         self._parts = parts
         self._admission = admission
         self._departures = departures
-        self._copier = copier
+        self._evacuation = evacuation
         self._runs = runs
         self._running = 0
 
@@ -127,7 +127,7 @@
             parts=self._parts,
             admission=self._admission,
             departures=self._departures,
-            free=self._copier.drop,
+            hooks=self._evacuation,
         )
         self._runs.add(run)
         try:
--- a/src/tanagerscale/forwarding/_engine_views.py
+++ b/src/tanagerscale/forwarding/_engine_views.py
@@ -12,14 +12,13 @@
 from tanagerscale.forwarding._parts import without
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.forwarding._work import EngineTotal
-from tanagerscale.policy import COPY_MARGIN
-from tanagerscale.policy import MEMORY_MARGIN
 from tanagerscale.policy import EngineView
 from tanagerscale.policy import Placement
 from tanagerscale.policy import Wish
 from tanagerscale.policy import cheapest
 from tanagerscale.policy import easy_tokens
 from tanagerscale.policy import has_room
+from tanagerscale.policy import has_room_for_copy
 from tanagerscale.policy import place
 from tanagerscale.routes import EngineCapabilities
 from tanagerscale.upstreams import UpstreamEntry
@@ -76,17 +75,41 @@
     tokens: int,
     source: UpstreamEntry,
     excluded: Set[UpstreamId] = frozenset(),
-    margin: float = MEMORY_MARGIN,
 ) -> UpstreamEntry | None:
-    """Return the engine that should hold the memory of a run that is elsewhere."""
+    """Return the engine that should take over a run that is elsewhere."""
     entries = without(parts.upstreams.open_for(routed.service), {*excluded, source.upstream})
     views = views_of(entries, routed, parts)
-    roomy = [view for view in views if has_room(view=view, tokens=tokens, margin=margin)]
-    near = [view for view in roomy if view.failure_domain == source.failure_domain]
+    return _nearest(
+        [view for view in views if has_room(view=view, tokens=tokens)], entries, source, parts
+    )
+
+
+def choose_holder(
+    *, routed: RoutedRequest, parts: ForwardingParts, tokens: int, source: UpstreamEntry
+) -> UpstreamEntry | None:
+    """Return the engine that should hold a copy of a run that goes on elsewhere."""
+    entries = without(parts.upstreams.open_for(routed.service), {source.upstream})
+    views = views_of(entries, routed, parts)
+    return _nearest(
+        [view for view in views if has_room_for_copy(view=view, tokens=tokens)],
+        entries,
+        source,
+        parts,
+    )
+
+
+def _nearest(
+    views: Sequence[EngineView],
+    entries: Sequence[UpstreamEntry],
+    source: UpstreamEntry,
+    parts: ForwardingParts,
+) -> UpstreamEntry | None:
+    """Return the least loaded engine; a copy within a failure domain takes half the time."""
+    near = [view for view in views if view.failure_domain == source.failure_domain]
     chosen = cheapest(
-        # A copy within a failure domain takes half the time.
-        views=near or roomy,
+        views=near or views,
         prompt_tokens=0,
+        is_long=True,
         failure_domain=source.failure_domain,
         rng=parts.rng,
     )
@@ -115,9 +138,7 @@
     total = parts.work.totals().get(entry.upstream, EngineTotal())
     if total.uncopied_tokens + tokens <= easy_tokens_of(engine):
         return None  # All of these can be copied after a notice, and memory is scarce.
-    return choose_target(
-        routed=routed, parts=parts, tokens=tokens, source=entry, margin=COPY_MARGIN
-    )
+    return choose_holder(routed=routed, parts=parts, tokens=tokens, source=entry)
 
 
 def views_of(
@@ -136,6 +157,7 @@
                 memory_tokens=0 if engine is None else engine.memory_tokens,
                 held_tokens=total.long_tokens + total.short_tokens,
                 copy_tokens=total.copy_tokens,
+                uncopied_tokens=total.uncopied_tokens,
                 running=total.running,
                 waiting_tokens=total.waiting_tokens,
                 waiting=total.waiting,
--- a/src/tanagerscale/forwarding/_evacuation.py
+++ b/src/tanagerscale/forwarding/_evacuation.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 from contextlib import AbstractAsyncContextManager
 from functools import partial
+from typing import Any
 from typing import Final
 from typing import final
 
+from returns.result import Failure
 from returns.result import Success
 
-from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._copier import Copier
@@ -22,7 +24,6 @@
 from tanagerscale.forwarding._stream import Snapshot
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.forwarding._work import LinkRank
-from tanagerscale.policy import NOTICE_MS
 from tanagerscale.policy import copy_ms
 from tanagerscale.policy import order_of
 from tanagerscale.upstreams import UpstreamEntry
@@ -32,6 +33,13 @@
 copy any more and begin a new one where they go on, so they leave the links to the others first;
 engines were seen to go 1.5 s after their notice and later."""
 
+REPORT_MS: Final = 700
+"""After a notice, when the engine's report tells when it goes: reports are half a second old."""
+
+REPORT_LAG_MS: Final = 750
+"""Taken off what a report says of the time left. It is about 500 ms old, and engines were gone 125
+ms before the time that this leaves."""
+
 MOST_TRIES: Final = 4
 """Tries to copy one run away; each takes a few hundred milliseconds of a notice of two seconds."""
 
@@ -64,18 +72,57 @@
         self._turns = turns
         self._runs = runs
         self._tasks: dict[StreamRun, asyncio.Task[None]] = {}
+        self._background: set[asyncio.Task[None]] = set()
 
     def on_change(self, upstream: UpstreamId) -> None:
         """Move what runs on an engine, if it leaves."""
         if not self._parts.notes.is_leaving(upstream):
             return
-        self._departures.note(upstream)
-        for run in self._runs:
-            there = run.entry is not None and run.entry.upstream == upstream
-            if there and run not in self._tasks:
-                task = asyncio.create_task(self._leave(run))
-                self._tasks[run] = task
-                task.add_done_callback(partial(self._forget_task, run))
+        if self._departures.note(upstream) and self._runs_on(upstream):
+            self._spawn(self._ask_end(upstream))
+        for run in self._runs_on(upstream):
+            self._begin_to_leave(run)
+
+    def on_engine(self, run: StreamRun) -> None:
+        """Move a run on at once when its engine left while it read the prompt."""
+        if run.entry is not None and self._parts.notes.is_leaving(run.entry.upstream):
+            self._begin_to_leave(run)
+
+    def on_unused(self, snapshot: Snapshot) -> None:
+        """Free a copy that is not needed any more."""
+        self._copier.drop(snapshot)
+
+    def _runs_on(self, upstream: UpstreamId) -> list[StreamRun]:
+        return [
+            run for run in self._runs if run.entry is not None and run.entry.upstream == upstream
+        ]
+
+    async def _ask_end(self, upstream: UpstreamId) -> None:
+        """Ask a leaving engine when it goes, if runs of this host still wait to leave it."""
+        await self._parts.clock.sleep(REPORT_MS)
+        entry = self._parts.upstreams.get(upstream)
+        if entry is None or not self._runs_on(upstream):
+            return
+        reported = await self._parts.engines.report(upstream=entry)
+        if isinstance(reported, Failure):
+            _log.info("No end is known.", upstream=upstream, detail=reported.failure())
+            return
+        leaves_in_ms = reported.unwrap().leaves_in_ms
+        _log.info("An engine tells its end.", upstream=upstream, leaves_in_ms=leaves_in_ms)
+        if leaves_in_ms is not None:
+            self._departures.note_end(upstream, in_ms=leaves_in_ms - REPORT_LAG_MS)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def _begin_to_leave(self, run: StreamRun) -> None:
+        if run in self._tasks:
+            return
+        task = asyncio.create_task(self._leave(run))
+        self._tasks[run] = task
+        task.add_done_callback(partial(self._forget_task, run))
 
     def _forget_task(self, run: StreamRun, task: asyncio.Task[None]) -> None:
         self._tasks.pop(run, None)
@@ -110,7 +157,7 @@
             target=target,
             rank=rank,
             order=order_of(tokens=run.tokens, made=run.made),
-            until=Millis(self._departures.noticed_at(source.upstream) + NOTICE_MS),
+            until=self._departures.gone_at(source.upstream),
         )
 
     async def _sleep_after_notice(self, source: UpstreamEntry, after_ms: int) -> None:
@@ -170,8 +217,7 @@
             link_mbps=engine.link_mbps,
             away=target.failure_domain != source.failure_domain,
         )
-        gone = self._departures.noticed_at(source.upstream) + NOTICE_MS
-        return self._parts.clock.now() + takes < gone
+        return self._parts.clock.now() + takes < self._departures.gone_at(source.upstream)
 
     async def _stop(self, run: StreamRun, source: UpstreamEntry, held: Snapshot) -> bool:
         """Copy the rest of a run with the run stopped, and let it go on where its copy is.
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -26,6 +26,9 @@
     def get(self, upstream: UpstreamId) -> UpstreamEntry | None:
         """Return the entry of an upstream, also for a while after it is gone."""
 
+    def known_ms(self, upstream: UpstreamId) -> int:
+        """Return for how long an upstream has been known here."""
+
     def open_for(self, service: ServiceId) -> list[UpstreamEntry]:
         """Return the upstreams of a service that take new work."""
 
--- a/src/tanagerscale/forwarding/_protection.py
+++ b/src/tanagerscale/forwarding/_protection.py
@@ -9,14 +9,13 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding._copier import Copier
 from tanagerscale.forwarding._departures import Departures
-from tanagerscale.forwarding._engine_views import choose_target
+from tanagerscale.forwarding._engine_views import choose_holder
 from tanagerscale.forwarding._engine_views import easy_tokens_of
 from tanagerscale.forwarding._engine_views import is_long
 from tanagerscale.forwarding._links import LinkTurns
 from tanagerscale.forwarding._parts import ForwardingParts
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.forwarding._work import LinkRank
-from tanagerscale.policy import COPY_MARGIN
 from tanagerscale.upstreams import UpstreamEntry
 
 LOOK_MS: Final = 200
@@ -77,14 +76,16 @@
         target = self._target_of(run)
         if target is None:
             return False
+        until = Millis(self._parts.clock.now() + LONGEST_WAIT_MS)
         async with self._turns.turn(
             source=source,
             target=target,
             rank=LinkRank.AHEAD,
             order=-run.made,
-            until=Millis(self._parts.clock.now() + LONGEST_WAIT_MS),
+            until=until,
         ):
-            if self._departures.links_busy or run.entry is not source:
+            too_late = self._parts.clock.now() >= until
+            if too_late or self._departures.links_busy or run.entry is not source:
                 return False
             return await self._copier.snapshot(run, source, target) is not None
 
@@ -93,12 +94,8 @@
         if held is not None and not self._parts.notes.is_leaving(held.entry.upstream):
             return held.entry
         assert run.entry is not None
-        return choose_target(
-            routed=run.routed,
-            parts=self._parts,
-            tokens=run.tokens,
-            source=run.entry,
-            margin=COPY_MARGIN,
+        return choose_holder(
+            routed=run.routed, parts=self._parts, tokens=run.tokens, source=run.entry
         )
 
     def _needs_copy(self, run: StreamRun) -> bool:
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Final
+from typing import Protocol
 from typing import final
 
 from returns.result import Failure
@@ -69,6 +69,16 @@
     taken: Millis
 
 
+class StreamHooks(Protocol):
+    """Hears of what changes in streams."""
+
+    def on_engine(self, run: StreamRun) -> None:
+        """Take in that an engine, the first or another, has accepted a run."""
+
+    def on_unused(self, snapshot: Snapshot) -> None:
+        """Take in that a copy is not needed any more."""
+
+
 @dataclass(kw_only=True, slots=True)
 class _Leg:
     """The part of a stream that one engine makes."""
@@ -89,7 +99,7 @@
     :param parts: What every request uses.
     :param admission: Finds its first engine.
     :param departures: When engines leave.
-    :param free: Frees a copy that is not needed any more.
+    :param hooks: Hears of what changes.
     """
 
     def __init__(
@@ -100,14 +110,14 @@
         parts: ForwardingParts,
         admission: Admission,
         departures: Departures,
-        free: Callable[[Snapshot], None],
+        hooks: StreamHooks,
     ) -> None:
         self._routed = routed
         self._responder = responder
         self._parts = parts
         self._admission = admission
         self._departures = departures
-        self._free = free
+        self._hooks = hooks
         self._record = ExecutionRecord(route=routed.route)
         self._leg: _Leg | None = None
         self._hops: list[Hop] = []
@@ -255,9 +265,13 @@
             await _drain(leg.answer)
             return failed(cause="No engine took the request")
         self._record.note_run(entry.upstream)
-        self._leg = leg
+        self._set_leg(leg)
         return None
 
+    def _set_leg(self, leg: _Leg) -> None:
+        self._leg = leg
+        self._hooks.on_engine(self)
+
     async def _send(self, entry: UpstreamEntry, hop: Hop | None) -> _Leg:
         """Send the request, or its continuation, to an engine."""
         self._release_snapshot(keep_at=None if hop is None else hop.entry)
@@ -303,7 +317,7 @@
         held = self.snapshot
         self.snapshot = None
         if held is not None and held.entry is not keep_at:
-            self._free(held)
+            self._hooks.on_unused(held)
 
     async def _carry(self) -> Refusal | None:
         """Relay events from one engine after another."""
@@ -335,7 +349,7 @@
             leg = await self._go_on(self._leg)
             if leg is None:
                 return failed(cause=cause)
-            self._leg = leg
+            self._set_leg(leg)
 
     async def _relay(self, leg: _Leg) -> str | None:
         """Pass events on until the proper end; otherwise return why there was none."""
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -231,7 +231,7 @@
             parts=parts,
             admission=self._admission,
             departures=departures,
-            copier=copier,
+            evacuation=self._evacuation,
             runs=runs,
         )
 
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -97,7 +97,7 @@
             if known.entry.service == service and not self._gate.is_leaving(known.entry.upstream)
         ]
 
-    def age_ms(self, upstream: UpstreamId) -> int:
+    def known_ms(self, upstream: UpstreamId) -> int:
         """Return for how long an upstream has been known here."""
         known = self._known.get(upstream)
         return 0 if known is None else self._clock.now() - known.since
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -14,14 +14,13 @@
 from tanagerscale.policy._limits import AccountUsage
 from tanagerscale.policy._limits import Limit
 from tanagerscale.policy._limits import LimitRefusal
-from tanagerscale.policy._placement import COPY_MARGIN
-from tanagerscale.policy._placement import MEMORY_MARGIN
 from tanagerscale.policy._placement import EngineView
 from tanagerscale.policy._placement import Placement
 from tanagerscale.policy._placement import Verdict
 from tanagerscale.policy._placement import Wish
 from tanagerscale.policy._placement import cheapest
 from tanagerscale.policy._placement import has_room
+from tanagerscale.policy._placement import has_room_for_copy
 from tanagerscale.policy._placement import place
 from tanagerscale.policy._retries import RetryBudget
 from tanagerscale.policy._simple import ImmediateScheduler
@@ -37,8 +36,6 @@
 from tanagerscale.policy._types import Scheduler
 
 __all__ = [
-    "COPY_MARGIN",
-    "MEMORY_MARGIN",
     "NOTICE_MS",
     "AccountLimits",
     "AccountSpec",
@@ -66,6 +63,7 @@
     "copy_ms",
     "easy_tokens",
     "has_room",
+    "has_room_for_copy",
     "make_scheduler",
     "order_of",
     "place",
--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -33,11 +33,15 @@
 AWAY_MS: Final = 8.0
 """What another failure domain counts as waiting time; bytes between them are paid for."""
 
+UNCOPIED_MS: Final = 0.02
+"""What each token without a copy elsewhere counts as waiting time for a long generation. Ten
+thousand fill the notice of a leaving engine, and count as much as 1,400 prompt tokens that wait."""
+
 MEMORY_MARGIN: Final = 0.95
 """Part of an engine's memory that may be planned for; what runs there grows into the rest."""
 
-COPY_MARGIN: Final = 0.8
-"""Part of an engine's memory up to which it takes copies, so that two prompts still find room."""
+COPY_MARGIN: Final = 0.9
+"""Part of an engine's memory up to which it takes copies, so that a prompt still finds room."""
 
 GROWTH_TOKENS: Final = 250
 """Room kept for the growth of each generation. Two seconds at 8 ms a token, after which what is
@@ -58,6 +62,7 @@
     :param memory_tokens: All its memory.
     :param held_tokens: Memory that generations hold, or will when their prompts are read.
     :param copy_tokens: Memory of copies of what runs elsewhere.
+    :param uncopied_tokens: Memory of long generations there that have no copy elsewhere.
     :param running: Generations that have begun to answer.
     :param waiting_tokens: Prompt tokens sent there that it has not finished reading.
     :param waiting: Generations these belong to.
@@ -70,6 +75,7 @@
     memory_tokens: int
     held_tokens: int
     copy_tokens: int
+    uncopied_tokens: int
     running: int
     waiting_tokens: int
     waiting: int
@@ -128,22 +134,31 @@
     return (view.waiting_tokens + prompt_tokens) / rate + view.cold_ms
 
 
-def has_room(*, view: EngineView, tokens: int, margin: float = MEMORY_MARGIN) -> bool:
-    """Return whether an engine can hold so many tokens more.
+def has_room(*, view: EngineView, tokens: int) -> bool:
+    """Return whether an engine can run a generation with so many tokens.
 
     :param view: The engine.
-    :param tokens: What it is to hold.
-    :param margin: Part of its memory that may be planned for.
+    :param tokens: Its prompt, or the memory it brings along.
     """
     planned = view.planned_tokens + tokens + GROWTH_TOKENS
     places = view.running + view.waiting < view.batch
-    return places and planned <= view.memory_tokens * margin
+    return places and planned <= view.memory_tokens * MEMORY_MARGIN
+
+
+def has_room_for_copy(*, view: EngineView, tokens: int) -> bool:
+    """Return whether an engine can hold a copy of what runs elsewhere.
+
+    :param view: The engine.
+    :param tokens: Size of the copy.
+    """
+    return view.held_tokens + view.copy_tokens + tokens <= view.memory_tokens * COPY_MARGIN
 
 
 def cheapest(
     *,
     views: Sequence[EngineView],
     prompt_tokens: int,
+    is_long: bool,
     failure_domain: FailureDomainId,
     rng: Random,
 ) -> EngineView | None:
@@ -151,6 +166,7 @@
 
     :param views: Engines to choose from.
     :param prompt_tokens: Length of its prompt; 0 for one that brings its memory along.
+    :param is_long: Whether its answer may run on for seconds.
     :param failure_domain: Where its bytes come from.
     :param rng: Breaks ties.
     """
@@ -158,6 +174,7 @@
     def cost(view: EngineView) -> tuple[float, float]:
         total = first_event_ms(view=view, prompt_tokens=prompt_tokens)
         total += view.running * NEIGHBOUR_MS
+        total += view.uncopied_tokens * UNCOPIED_MS if is_long else 0.0
         total += AWAY_MS if view.failure_domain != failure_domain else 0.0
         return total, rng.random()
 
@@ -188,7 +205,11 @@
     if wish.is_long and not _reserve_holds(wish, views, long_tokens):
         return _later(wish, "room is kept for what runs on the next engine that leaves")
     chosen = cheapest(
-        views=roomy, prompt_tokens=wish.prompt_tokens, failure_domain=failure_domain, rng=rng
+        views=roomy,
+        prompt_tokens=wish.prompt_tokens,
+        is_long=wish.is_long,
+        failure_domain=failure_domain,
+        rng=rng,
     )
     assert chosen is not None
     wait_ms = first_event_ms(view=chosen, prompt_tokens=wish.prompt_tokens)
