Take out the reserve for the next engine that leaves

Cause: generations were refused to keep memory free for what runs on the next leaving engine. The reserve cost more than it saved, since copies at the links of the engines bind before memory does.

Conclusion: taken out.

--- a/src/tanagerscale/forwarding/_engine_views.py
+++ b/src/tanagerscale/forwarding/_engine_views.py
@@ -62,7 +62,6 @@
     return place(
         wish=wish,
         views=views_of(entries, routed, parts),
-        long_tokens=sum(total.long_tokens for total in parts.work.totals().values()),
         failure_domain=parts.failure_domain,
         rng=parts.rng,
     )
--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -3,8 +3,11 @@
 The load it answers: long generations and many short ones arrive at several hosts while engines are
 taken away every few seconds. An engine reads prompts in pieces between the tokens of what runs, so
 a prompt waits for those before it, at half speed where anything runs. Memory is what runs out
-first: each generation holds its prompt and its answer, and when an engine leaves, all that it runs
-must find room on the others.
+first: each generation holds its prompt and its answer.
+
+Keeping memory free for what runs on the next engine that leaves was tried and taken out. Over six
+days of that load the worth served added up to 3.08 with nine tenths of all engines but one as the
+limit for long generations, to 3.22 with 1.25 times their memory, and to 3.28 without a limit.
 """
 
 from __future__ import annotations
@@ -47,11 +50,6 @@
 """Room kept for the growth of each generation. Two seconds at 8 ms a token, after which what is
 known of the engine has been renewed."""
 
-RESERVE_SHARE: Final = 0.9
-"""Part of the memory of all engines but one that long generations may hold together. The memory of
-the last one takes what a leaving engine ran; without that reserve, streams that have begun are lost
-in favour of new ones."""
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EngineView:
@@ -185,7 +183,6 @@
     *,
     wish: Wish,
     views: Sequence[EngineView],
-    long_tokens: int,
     failure_domain: FailureDomainId,
     rng: Random,
 ) -> Placement:
@@ -193,7 +190,6 @@
 
     :param wish: What it needs.
     :param views: Engines that take work.
-    :param long_tokens: Memory of all long generations, those on leaving engines included.
     :param failure_domain: Where this host stands.
     :param rng: Breaks ties.
     """
@@ -202,8 +198,6 @@
     roomy = [view for view in views if has_room(view=view, tokens=wish.prompt_tokens)]
     if not roomy:
         return _later(wish, "no engine has room")
-    if wish.is_long and not _reserve_holds(wish, views, long_tokens):
-        return _later(wish, "room is kept for what runs on the next engine that leaves")
     chosen = cheapest(
         views=roomy,
         prompt_tokens=wish.prompt_tokens,
@@ -218,12 +212,6 @@
     return Placement(verdict=Verdict.SEND, engine=chosen, wait_ms=wait_ms, reason="room")
 
 
-def _reserve_holds(wish: Wish, views: Sequence[EngineView], long_tokens: int) -> bool:
-    memory = sorted(view.memory_tokens for view in views)
-    usable = sum(memory[:-1]) or memory[-1]
-    return long_tokens + wish.prompt_tokens <= usable * RESERVE_SHARE
-
-
 def _later(wish: Wish, reason: str) -> Placement:
     verdict = Verdict.WAIT if wish.left_ms > 0 else Verdict.REFUSE
     return Placement(verdict=verdict, reason=reason)
