Let entries that lapsed come back, and end a stop only when no connection is left

Cause: a watch that waits does not show that the store is down.

Change: the gate's lives are store revisions, so an entry written anew opens its upstream again; a third of the entries that go within a second get 1.8 s to come back; a stop ends idle connections after 150 ms and waits until none is left.

--- a/src/tanagerscale/forwarding/_departures.py
+++ b/src/tanagerscale/forwarding/_departures.py
@@ -44,6 +44,11 @@
         """Return when an engine was heard to leave; now when it was not."""
         return self._noticed.get(upstream, self._clock.now())
 
+    def forget(self, upstream: UpstreamId) -> None:
+        """Drop what was heard of an engine that takes work after all."""
+        self._noticed.pop(upstream, None)
+        self._gone.pop(upstream, None)
+
     def note_end(self, upstream: UpstreamId, *, in_ms: int) -> None:
         """Take in an engine's own word of when it goes; it can only be later than assumed."""
         at = Millis(self._clock.now() + in_ms)
--- a/src/tanagerscale/forwarding/_evacuation.py
+++ b/src/tanagerscale/forwarding/_evacuation.py
@@ -77,6 +77,7 @@
     def on_change(self, upstream: UpstreamId) -> None:
         """Move what runs on an engine, if it leaves."""
         if not self._parts.notes.is_leaving(upstream):
+            self._departures.forget(upstream)
             return
         if self._departures.note(upstream) and self._runs_on(upstream):
             self._spawn(self._ask_end(upstream))
--- a/src/tanagerscale/gateway/_configuration.py
+++ b/src/tanagerscale/gateway/_configuration.py
@@ -20,6 +20,8 @@
 from tanagerscale.routes import Configuration
 from tanagerscale.routes import RouteTable
 from tanagerscale.store import StoreEntry
+from tanagerscale.store import StoreRange
+from tanagerscale.store import WatchBatch
 
 _log = get_logger(part="configuration")
 
@@ -54,14 +56,13 @@
         table = self._tables.value
         return Revision(0) if table is None else table.version
 
-    def on_snapshot(self, entries: Sequence[StoreEntry]) -> None:
+    def on_snapshot(self, found: StoreRange) -> None:
         """Take in what the store holds."""
-        for entry in entries:
-            self._take(entry.value, source="store", store_revision=entry.mod_revision)
+        self._take_all(found.entries)
 
-    def on_changes(self, written: Sequence[StoreEntry], deleted: Sequence[str]) -> None:
+    def on_changes(self, batch: WatchBatch) -> None:
         """Take in a change; a configuration that was removed stays in force."""
-        self.on_snapshot(written)
+        self._take_all(batch.entries)
 
     def on_store(self, *, reachable: bool) -> None:
         """Do nothing: what is known stays in force."""
@@ -81,6 +82,10 @@
     def peers_agree(self, *, revisions: Iterable[Revision]) -> None:
         """Do nothing: any version that was accepted may be served."""
 
+    def _take_all(self, entries: Sequence[StoreEntry]) -> None:
+        for entry in entries:
+            self._take(entry.value, source="store", store_revision=entry.mod_revision)
+
     def _take(self, value: bytes, *, source: str, store_revision: int) -> Result[Revision, str]:
         decoded = self._decode(value)
         if isinstance(decoded, Failure):
--- a/src/tanagerscale/gateway/_edges.py
+++ b/src/tanagerscale/gateway/_edges.py
@@ -35,7 +35,10 @@
         """End each connection after its answer from now on."""
 
     async def stop_listening(self) -> None:
-        """Accept no more connections and end the idle ones; answers under way go on."""
+        """Accept no more connections; those there are go on."""
+
+    def end_idle(self, *, idle_ms: int) -> bool:
+        """End connections that have been idle for so long; return whether none is left."""
 
     async def close(self) -> None:
         """End everything."""
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -51,9 +51,15 @@
 """How long a stopping host goes on taking connections: the load balancer asks each second and
 takes a host out after two misses."""
 
-LAST_MS: Final = 500
+LAST_MS: Final = 700
 """Kept of the grace time for ending what is left and the process itself."""
 
+CROSSING_MS: Final = 150
+"""A connection idle for so long has no request on its way: that takes a few milliseconds."""
+
+STOP_LOOK_MS: Final = 20
+"""How often a stopping host looks whether anything is left."""
+
 BEFORE_CONFIGURATION: Final = CallerLimits(
     header_bytes=16_384, body_bytes=4_194_304, header_timeout_ms=3000, idle_timeout_ms=15_000
 )
@@ -127,17 +133,17 @@
         self._leaving = True
         self._mesh.beat_now()
         self._server.begin_stop()
+        self._spawn(self._presence.withdraw())
         _log.info("The host stops.", running=self._dispatcher.running)
         await self._clock.sleep(ROTATION_MS)
         await self._server.stop_listening()
-        while self._dispatcher.running and self._clock.now() < until:
-            await self._clock.sleep(20)
+        while not self._server.end_idle(idle_ms=CROSSING_MS) and self._clock.now() < until:
+            await self._clock.sleep(STOP_LOOK_MS)
         _log.info(
             "The host ends.",
             running=self._dispatcher.running,
             after_ms=self._clock.now() - began,
         )
-        await self._presence.withdraw()
         for task in self._tasks:
             task.cancel()
         await self._server.close()
--- a/src/tanagerscale/gateway/_peers.py
+++ b/src/tanagerscale/gateway/_peers.py
@@ -8,7 +8,6 @@
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import HostId
-from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import EngineWork
 from tanagerscale.generated.messages import HostUse
 from tanagerscale.generated.messages import UpstreamLeaving
@@ -50,7 +49,7 @@
         if isinstance(message, HostUse):
             self._work.on_peer(host=received.host, use=message)
         elif isinstance(message, UpstreamLeaving):
-            self._gate.note_gone(upstream=UpstreamId(message.upstream))
+            self._gate.on_peer(message)
 
     def _on_joined(self, peer: PeerInfo) -> None:
         for message in self._gate.leaving_messages():
--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -24,7 +24,9 @@
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreError
 from tanagerscale.store import StoreErrorKind
+from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
+from tanagerscale.store import WatchBatch
 
 LEASE_S: Final = 30
 """How long the entry of a dead host stays. The mesh itself finds dead hosts within seconds, so a
@@ -95,19 +97,24 @@
 
     async def withdraw(self) -> None:
         """End the lease, so that the others forget this host at once."""
-        if self._lease is not None:
-            await self._store.revoke(lease=self._lease)
+        if self._lease is None:
+            return
+        ended = await self._store.revoke(lease=self._lease)
+        if isinstance(ended, Failure):
+            _log.info("The entry ends with its lease.", detail=ended.failure().detail)
 
-    def on_snapshot(self, entries: Sequence[StoreEntry]) -> None:
+    def on_snapshot(self, found: StoreRange) -> None:
         """Replace all that is known."""
         self._others.clear()
-        self.on_changes(entries, ())
+        for entry in found.entries:
+            self._take(entry)
+        self._publish()
 
-    def on_changes(self, written: Sequence[StoreEntry], deleted: Sequence[str]) -> None:
+    def on_changes(self, batch: WatchBatch) -> None:
         """Take in changes."""
-        for entry in written:
+        for entry in batch.entries:
             self._take(entry)
-        for key in deleted:
+        for key in batch.deleted:
             self._others.pop(key, None)
         self._publish()
 
--- a/src/tanagerscale/membership/_gate.py
+++ b/src/tanagerscale/membership/_gate.py
@@ -29,9 +29,6 @@
 _LEAVING_MEMORY_MS = 600_000
 """How long a word of leaving holds where the list tells no incarnations, longer than any lag."""
 
-ONLY_LIFE = 1
-"""Where each start of an upstream has an id of its own, each id has one life."""
-
 log = get_logger(part="gate")
 
 
@@ -97,9 +94,7 @@
         )
         for entry in upstreams:
             upstream = UpstreamId(entry.id)
-            if entry.incarnation > self._listed.get(upstream, 0):
-                self._listed[upstream] = entry.incarnation
-                self._changes.on_next(upstream)
+            self.note_listed(upstream=upstream, incarnation=entry.incarnation)
             if entry.state is ListedState.LEAVING:
                 self.note_leaving(upstream=upstream, incarnation=entry.incarnation)
 
@@ -128,9 +123,19 @@
         self._spread(UpstreamLeaving(upstream=upstream, incarnation=life))
         self._changes.on_next(upstream)
 
+    def note_listed(self, *, upstream: UpstreamId, incarnation: int) -> None:
+        """Record a life of an upstream that takes new work.
+
+        :param upstream: The upstream.
+        :param incarnation: Which life it is; word that an earlier one leaves does not close it.
+        """
+        if incarnation > self._listed.get(upstream, 0):
+            self._listed[upstream] = incarnation
+            self._changes.on_next(upstream)
+
     def note_gone(self, *, upstream: UpstreamId) -> None:
-        """Close an upstream whose id will not come again."""
-        self.note_leaving(upstream=upstream, incarnation=ONLY_LIFE)
+        """Close an upstream whose address another one has now."""
+        self.note_leaving(upstream=upstream, incarnation=max(self._listed.get(upstream, 0), 1))
 
     def forget(self, *, upstream: UpstreamId) -> None:
         """Drop what is known of an upstream whose id will not come again."""
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Sequence
+from collections.abc import Set
 from dataclasses import dataclass
 from typing import Final
 from typing import final
@@ -22,6 +22,9 @@
 from tanagerscale.core import get_logger
 from tanagerscale.membership._gate import UpstreamGate
 from tanagerscale.store import StoreEntry
+from tanagerscale.store import StoreRange
+from tanagerscale.store import StoreRevision
+from tanagerscale.store import WatchBatch
 from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamState
 
@@ -29,6 +32,15 @@
 """How long an entry may be missing after the store was away. Live upstreams write theirs anew
 within about two seconds of its return."""
 
+TOGETHER_MS: Final = 1000
+TOGETHER_SHARE: Final = 0.34
+"""Entries that go within a second, and are a third of those that stay or more, may have lapsed
+while the store was away."""
+
+TOGETHER_GRACE_MS: Final = 1800
+"""How long these may be missing; a little less than the two seconds after which a leaving upstream
+gets no new work, in case they are gone indeed."""
+
 GONE_MEMORY_MS: Final = 60_000
 """How long an upstream that is gone stays known, for what still runs on it."""
 
@@ -102,19 +114,18 @@
         known = self._known.get(upstream)
         return 0 if known is None else self._clock.now() - known.since
 
-    def on_snapshot(self, entries: Sequence[StoreEntry]) -> None:
+    def on_snapshot(self, found: StoreRange) -> None:
         """Take in all entries at once."""
-        present = {self._upstream_of(entry.key) for entry in entries}
-        for upstream in self._known.keys() - present:
-            self._note_missing(upstream)
-        self.on_changes(entries, ())
+        present = {self._upstream_of(entry.key) for entry in found.entries}
+        for entry in found.entries:
+            self._take(entry)
+        self._note_missing(self._known.keys() - present, found.revision)
 
-    def on_changes(self, written: Sequence[StoreEntry], deleted: Sequence[str]) -> None:
+    def on_changes(self, batch: WatchBatch) -> None:
         """Take in changes."""
-        for stored in written:
-            self._take(stored)
-        for key in deleted:
-            self._note_missing(self._upstream_of(key))
+        for entry in batch.entries:
+            self._take(entry)
+        self._note_missing({self._upstream_of(key) for key in batch.deleted}, batch.revision)
 
     def on_store(self, *, reachable: bool) -> None:
         """Note when the store answers again; entries may have lapsed meanwhile."""
@@ -143,29 +154,58 @@
             known.entry = entry
             known.missing_since = None
         if entry.state is UpstreamState.LEAVING:
-            self._gate.note_gone(upstream=entry.upstream)
+            self._gate.note_leaving(upstream=entry.upstream, incarnation=stored.mod_revision)
+        else:
+            # Written anew it takes work again, whatever was said of it before.
+            self._gate.note_listed(upstream=entry.upstream, incarnation=stored.mod_revision)
         self._changes.on_next(entry.upstream)
 
-    def _note_missing(self, upstream: UpstreamId) -> None:
-        known = self._known.get(upstream)
-        if known is None or known.missing_since is not None:
-            return
+    def _note_missing(self, upstreams: Set[UpstreamId], revision: StoreRevision) -> None:
         now = self._clock.now()
-        known.missing_since = now
+        missing = [
+            known
+            for upstream in upstreams
+            if (known := self._known.get(upstream)) is not None and known.missing_since is None
+        ]
+        for known in missing:
+            known.missing_since = now
         wait_ms = max(self._store_back_at + LAPSE_GRACE_MS - now, 0)
-        _log.info("An entry is gone.", upstream=upstream, taken_as_gone_in_ms=wait_ms)
+        if wait_ms == 0 and self._lapsed_together(now):
+            wait_ms = TOGETHER_GRACE_MS
         loop = asyncio.get_running_loop()
-        if wait_ms:
-            loop.call_later(wait_ms / MS_PER_SECOND, self._take_as_gone, upstream)
-        else:
-            self._take_as_gone(upstream)
+        for known in missing:
+            upstream = known.entry.upstream
+            _log.info(
+                "An entry is gone.",
+                upstream=upstream,
+                taken_as_gone_in_ms=wait_ms,
+                store_revision=revision,
+            )
+            if wait_ms:
+                delay_s = wait_ms / MS_PER_SECOND
+                loop.call_later(delay_s, self._take_as_gone, upstream, revision)
+            else:
+                self._take_as_gone(upstream, revision)
+
+    def _lapsed_together(self, now: Millis) -> bool:
+        """Return whether so many entries went at once that the store itself may have been away.
+
+        A watch that waits does not show that its store is down.
+        """
+        lately = [
+            known
+            for known in self._known.values()
+            if known.missing_since is not None and now - known.missing_since < TOGETHER_MS
+        ]
+        present = sum(known.missing_since is None for known in self._known.values())
+        return len(lately) > 1 and len(lately) >= present * TOGETHER_SHARE
 
-    def _take_as_gone(self, upstream: UpstreamId) -> None:
+    def _take_as_gone(self, upstream: UpstreamId, revision: StoreRevision) -> None:
         known = self._known.get(upstream)
         if known is None or known.missing_since is None:
             return
         # It may serve for a little longer, so it is treated as leaving.
-        self._gate.note_gone(upstream=upstream)
+        self._gate.note_leaving(upstream=upstream, incarnation=revision)
         self._changes.on_next(upstream)
         loop = asyncio.get_running_loop()
         loop.call_later(GONE_MEMORY_MS / MS_PER_SECOND, self._forget, upstream)
--- a/src/tanagerscale/platform/_callers.py
+++ b/src/tanagerscale/platform/_callers.py
@@ -312,10 +312,13 @@
         self._site = web.TCPSite(self._runner, host, int(port), backlog=BACKLOG)
         await self._site.start()
 
-    def sweep(self) -> None:
-        """End connections that have been idle for longer than is declared."""
+    def sweep(self, *, limit_ms: int | None = None) -> None:
+        """End connections that have been idle for too long.
+
+        :param limit_ms: What is too long; ``None`` means longer than is declared.
+        """
         now = self._clock.now()
-        limit = self._rules.idle_timeout_ms()
+        limit = self._rules.idle_timeout_ms() if limit_ms is None else limit_ms
         present = self._server.connections
         known = self._idle_since
         self._idle_since = {protocol: known.get(protocol, now) for protocol in present}
@@ -329,11 +332,17 @@
         self._stopping = True
 
     async def stop_listening(self) -> None:
-        """Accept no more connections and end the idle ones; answers under way go on."""
+        """Accept no more connections."""
         await self._site.stop()
-        for protocol in self._server.connections:
-            if self._idle_since.get(protocol, self._clock.now()) is not None:
-                protocol.force_close()
+
+    def end_idle(self, *, idle_ms: int) -> bool:
+        """End connections that have been idle for so long.
+
+        :param idle_ms: A request may be on its way on one that was used more lately.
+        :returns: Whether no connection is left.
+        """
+        self.sweep(limit_ms=idle_ms)
+        return not self._server.connections
 
     async def close(self) -> None:
         """End everything."""
--- a/src/tanagerscale/store/_follow.py
+++ b/src/tanagerscale/store/_follow.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from random import Random
 from typing import Final
 from typing import Protocol
@@ -14,10 +13,11 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
 from tanagerscale.store._protocol import Store
-from tanagerscale.store._protocol import StoreEntry
 from tanagerscale.store._protocol import StoreError
 from tanagerscale.store._protocol import StoreErrorKind
+from tanagerscale.store._protocol import StoreRange
 from tanagerscale.store._protocol import StoreRevision
+from tanagerscale.store._protocol import WatchBatch
 
 FIRST_PAUSE_MS: Final = 100
 LONGEST_PAUSE_MS: Final = 800
@@ -32,10 +32,10 @@
 class PrefixListener(Protocol):
     """Takes what is known of a prefix."""
 
-    def on_snapshot(self, entries: Sequence[StoreEntry]) -> None:
+    def on_snapshot(self, found: StoreRange) -> None:
         """Replace all that was known, since changes may have been missed."""
 
-    def on_changes(self, written: Sequence[StoreEntry], deleted: Sequence[str]) -> None:
+    def on_changes(self, batch: WatchBatch) -> None:
         """Take in what has changed."""
 
     def on_store(self, *, reachable: bool) -> None:
@@ -95,7 +95,7 @@
         found = result.unwrap()
         self._note_success()
         self._reached = found.revision
-        self._listener.on_snapshot(found.entries)
+        self._listener.on_snapshot(found)
         return None
 
     async def _watch(self) -> StoreError | None:
@@ -109,7 +109,7 @@
             self._note_success()
             self._reached = batch.revision
             if batch.entries or batch.deleted:
-                self._listener.on_changes(batch.entries, batch.deleted)
+                self._listener.on_changes(batch)
         return None
 
     def _note_success(self) -> None:
