Answer a request that was read as its idle connection was ended

Ruled out: a new connection (the request came on one that had been idle for over 150 ms). Change: an idle connection is closed for new requests first and cut 30 ms later if still idle.

--- a/src/tanagerscale/platform/_callers.py
+++ b/src/tanagerscale/platform/_callers.py
@@ -12,6 +12,7 @@
 import msgspec
 from multidict import CIMultiDict
 
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import ModelId
@@ -51,6 +52,8 @@
 BACKLOG: Final = 1024
 """Connections that may wait to be accepted; where it is full, their first packet is dropped and
 sent again only after a second."""
+END_MS: Final = 30
+"""Time for a request that has just been read to reach its handler; many turns of the event loop."""
 SHUTDOWN_TIMEOUT_S: Final = 0.2
 _CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -325,7 +328,21 @@
         for protocol in present:
             since = self._idle_since[protocol]
             if since is not None and now - since > limit:
-                protocol.force_close()
+                self._end(protocol)
+
+    def _end(self, protocol: web.RequestHandler) -> None:
+        """End an idle connection, unless a request has just come in on it.
+
+        A request that was read already is answered, and its connection ends after the answer; what
+        comes later is not read any more.
+        """
+        protocol.close()
+        loop = asyncio.get_running_loop()
+        loop.call_later(END_MS / MS_PER_SECOND, self._end_now, protocol)
+
+    def _end_now(self, protocol: web.RequestHandler) -> None:
+        if self._idle_since.get(protocol, Millis(0)) is not None:
+            protocol.force_close()
 
     def begin_stop(self) -> None:
         """End each connection after its answer from now on."""
