--- a/src/tanagerscale/forwarding/__init__.py
+++ b/src/tanagerscale/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from tanagerscale.forwarding._dispatcher import Dispatcher
 from tanagerscale.forwarding._evacuation import Evacuation
 from tanagerscale.forwarding._links import LinkTurns
+from tanagerscale.forwarding._meters import Meters
 from tanagerscale.forwarding._parts import ForwardingParts
 from tanagerscale.forwarding._protection import Protection
 from tanagerscale.forwarding._stream import StreamRun
@@ -49,6 +50,7 @@
     "ForwardingParts",
     "Header",
     "LinkTurns",
+    "Meters",
     "PromptPart",
     "Protection",
     "Refusal",
--- a/src/tanagerscale/forwarding/_admission.py
+++ b/src/tanagerscale/forwarding/_admission.py
@@ -84,6 +84,7 @@
 
     def look(self) -> None:
         """Decide anew about everything that waits."""
+        self._parts.meters.waiting.set(len(self._waiting))
         if self._looking or not self._waiting:
             return  # A decision is itself news that leads here again.
         self._looking = True
--- a/src/tanagerscale/forwarding/_budgets.py
+++ b/src/tanagerscale/forwarding/_budgets.py
@@ -46,6 +46,13 @@
         self._clock = clock
         self._budgets: dict[ServiceId, RetryBudget] = {}
 
+    def reconfigure(self, *, ratio: float, slack: float, window_s: float) -> None:
+        """Go by another allowance from now on."""
+        self._ratio = ratio * SHARE_USED
+        self._slack = slack * SHARE_USED
+        self._window_s = window_s
+        self._budgets.clear()
+
     def on_request(self, service: ServiceId) -> None:
         """Count a request's first attempt."""
         self._budget(service).on_request()
--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -70,6 +70,8 @@
                 source=source, request=run.request, target=target, stop=stop
             )
         error = result.failure() if isinstance(result, Failure) else None
+        outcome = "copied" if error is None else error.failure.value
+        self._parts.meters.copies.labels(outcome).inc()
         _log.info(
             "A run was copied." if error is None else "A run was not copied.",
             request=run.request,
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -98,9 +98,18 @@
                 refusal = await self._forward(routed, responder)
         except TimeoutError:
             refusal = timed_out()
+        self._count(routed, refusal)
         if refusal is not None:
             await self._refuse(request, responder, refusal, table)
 
+    def _count(self, routed: RoutedRequest, refusal: Refusal | None) -> None:
+        kind = routed.route.kind.value
+        outcome = "answered" if refusal is None else refusal.kind.value
+        meters = self._parts.meters
+        meters.requests.labels(kind, outcome).inc()
+        took_ms = self._parts.clock.now() - routed.request.arrived
+        meters.latency_ms.labels(kind).observe(took_ms)
+
     def _routed(
         self, request: CallerRequest, route: Route, caller: Caller, table: RouteTable
     ) -> RoutedRequest:
--- /dev/null
+++ b/src/tanagerscale/forwarding/_meters.py
@@ -0,0 +1,75 @@
+"""Counters and latency histograms of a host that forwards by routes."""
+
+from __future__ import annotations
+
+from typing import Final
+from typing import final
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+
+LATENCY_BUCKETS_MS: Final = (5, 10, 20, 50, 100, 200, 400, 800, 1500, 3000, 6000, 12000, 40000)
+"""Around the objectives of the users: 200 ms for calls, 1.5 and 1.8 s for first events."""
+
+GAP_BUCKETS_MS: Final = (20, 40, 80, 120, 180, 250, 400, 800, 2000, 8000)
+"""Around 180 ms, the longest pause between two events that is on time."""
+
+
+@final
+class Meters:
+    """What a host counts.
+
+    :param registry: Serves it.
+    """
+
+    def __init__(self, *, registry: CollectorRegistry) -> None:
+        self.requests: Final = Counter(
+            "tanagerscale_requests",
+            "Requests answered, by kind of route and outcome.",
+            ["kind", "outcome"],
+            registry=registry,
+        )
+        self.latency_ms: Final = Histogram(
+            "tanagerscale_request_duration_ms",
+            "Time from the arrival of a request to the end of its answer.",
+            ["kind"],
+            buckets=LATENCY_BUCKETS_MS,
+            registry=registry,
+        )
+        self.first_event_ms: Final = Histogram(
+            "tanagerscale_first_event_ms",
+            "Time from the arrival of a request to the first event of its stream.",
+            buckets=LATENCY_BUCKETS_MS,
+            registry=registry,
+        )
+        self.longest_gap_ms: Final = Histogram(
+            "tanagerscale_longest_gap_ms",
+            "Longest pause between two events of each stream.",
+            buckets=GAP_BUCKETS_MS,
+            registry=registry,
+        )
+        self.attempts: Final = Counter(
+            "tanagerscale_attempts",
+            "Attempts at upstreams, by what became of them.",
+            ["end"],
+            registry=registry,
+        )
+        self.copies: Final = Counter(
+            "tanagerscale_run_copies",
+            "Copies of runs from engine to engine, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+        self.moves: Final = Counter(
+            "tanagerscale_stream_moves",
+            "Streams that went on at another engine, or could not.",
+            ["outcome"],
+            registry=registry,
+        )
+        self.waiting: Final = Gauge(
+            "tanagerscale_waiting_generations",
+            "Generations that wait for room on an engine.",
+            registry=registry,
+        )
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -13,6 +13,7 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding._budgets import RetryBudgets
+from tanagerscale.forwarding._meters import Meters
 from tanagerscale.forwarding._types import EngineControl
 from tanagerscale.forwarding._types import UpstreamCaller
 from tanagerscale.forwarding._work import EngineWork
@@ -71,6 +72,7 @@
     :param engines: Asks engines to copy runs.
     :param work: What runs on engines.
     :param budgets: Bounds repeats.
+    :param meters: Counts.
     :param failure_domain: Where this host stands.
     :param clock: Time.
     :param rng: Source of chance.
@@ -83,6 +85,7 @@
     engines: EngineControl
     work: EngineWork
     budgets: RetryBudgets
+    meters: Meters
     failure_domain: FailureDomainId
     clock: Clock
     rng: Random
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -141,6 +141,7 @@
     ) -> _WholeAnswer | None:
         self._record.note_run(entry.upstream)
         self._parts.notes.note_up(upstream=entry.upstream)
+        self._parts.meters.attempts.labels("answered").inc()
         self._log("An upstream has answered.", entry, status=answer.status)
         whole = _WholeAnswer(
             status=answer.status, reason=answer.reason, headers=answer.headers, body=body
@@ -158,12 +159,14 @@
         else:
             self._record.note_run(entry.upstream)
         self._refusal = failed(cause=error.detail)
+        self._parts.meters.attempts.labels(error.failure.value).inc()
         self._log("An attempt failed.", entry, failure=error.failure.value, detail=error.detail)
 
     def _note_not_executed(self, entry: UpstreamEntry, answer: UpstreamAnswer) -> None:
         self._record.note_not_run(entry.upstream)
         if answer.is_someone_else:
             self._parts.notes.note_gone(upstream=entry.upstream)
+        self._parts.meters.attempts.labels("not-executed").inc()
         self._log("An upstream did not take the request.", entry, status=answer.status)
 
     def _log(self, message: str, entry: UpstreamEntry, **inputs: object) -> None:
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -255,16 +255,19 @@
                 self._parts.notes.note_down(upstream=entry.upstream)
             else:
                 self._record.note_run(entry.upstream)
+            self._parts.meters.attempts.labels(error.failure.value).inc()
             self._log("An attempt failed.", entry, detail=error.detail, sent=not not_sent)
             return failed(cause=error.detail)
         if leg.answer.not_executed:
             self._record.note_not_run(entry.upstream)
             if leg.answer.is_someone_else:
                 self._parts.notes.note_gone(upstream=entry.upstream)
+            self._parts.meters.attempts.labels("not-executed").inc()
             self._log("An engine did not take the request.", entry, status=leg.answer.status)
             await _drain(leg.answer)
             return failed(cause="No engine took the request")
         self._record.note_run(entry.upstream)
+        self._parts.meters.attempts.labels("answered").inc()
         self._set_leg(leg)
         return None
 
@@ -336,6 +339,7 @@
             cause = await self._relay(self._leg)
             if cause is None:
                 await self._responder.end()
+                self._parts.meters.longest_gap_ms.observe(self._longest_gap_ms)
                 self._log(
                     "A stream is whole.",
                     self._leg.entry,
@@ -347,6 +351,7 @@
                 return None
             self._log("A leg ended early.", self._leg.entry, detail=cause, at=self._last_event)
             leg = await self._go_on(self._leg)
+            self._parts.meters.moves.labels("lost" if leg is None else "moved").inc()
             if leg is None:
                 return failed(cause=cause)
             self._set_leg(leg)
@@ -372,6 +377,7 @@
         now = self._parts.clock.now()
         if self._last_event_at is None:
             self._first_event_ms = now - self._routed.request.arrived
+            self._parts.meters.first_event_ms.observe(self._first_event_ms)
         else:
             self._longest_gap_ms = max(self._longest_gap_ms, now - self._last_event_at)
         self._last_event_at = now
--- a/src/tanagerscale/gateway/_edges.py
+++ b/src/tanagerscale/gateway/_edges.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from aiohttp import web
 from returns.result import Result
 
 from tanagerscale.core import UpstreamId
@@ -69,6 +70,7 @@
     :param upstream_of: Returns whose entry stands under a key.
     :param serve_callers: Accepts callers at an address.
     :param serve_readiness: Answers at an address whether the host takes new connections.
+    :param close: Ends the connections to the store and to upstreams.
     """
 
     store: Store
@@ -79,4 +81,5 @@
     decode_entry: Callable[[str, bytes], Result[UpstreamEntry, str]]
     upstream_of: Callable[[str], UpstreamId]
     serve_callers: Callable[[Serve, CallerRules, str], Awaitable[CallerServer]]
-    serve_readiness: Callable[[Callable[[], bool], str], Awaitable[None]]
+    serve_readiness: Callable[[Callable[[], bool], str], Awaitable[web.ServerRunner]]
+    close: Callable[[], Awaitable[None]]
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -10,6 +10,9 @@
 from typing import Final
 from typing import final
 
+from aiohttp import web
+from prometheus_client import CollectorRegistry
+
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
@@ -23,6 +26,7 @@
 from tanagerscale.forwarding import Evacuation
 from tanagerscale.forwarding import ForwardingParts
 from tanagerscale.forwarding import LinkTurns
+from tanagerscale.forwarding import Meters
 from tanagerscale.forwarding import Protection
 from tanagerscale.forwarding import RetryBudgets
 from tanagerscale.forwarding import StreamRun
@@ -30,6 +34,7 @@
 from tanagerscale.gateway._edges import CallerRules
 from tanagerscale.gateway._edges import CallerServer
 from tanagerscale.gateway._edges import Edges
+from tanagerscale.gateway._metrics import serve_metrics
 from tanagerscale.gateway._peers import PeerNews
 from tanagerscale.gateway._presence import HostPresence
 from tanagerscale.generated.gateway import GatewaySettings
@@ -88,6 +93,8 @@
         self._host = HostId(settings.host.id)
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
+        self._runners: list[web.ServerRunner] = []
+        self._registry = CollectorRegistry()
         self._keeper = ConfigurationKeeper(decode=edges.decode_configuration)
         self._work = EngineWork(host=self._host)
         self._build_membership()
@@ -96,7 +103,11 @@
     async def start(self) -> None:
         """Begin to serve."""
         settings = self._settings
-        await self._edges.serve_readiness(lambda: self.ready, settings.host.readiness)
+        readiness = settings.host.readiness
+        self._runners.append(await self._edges.serve_readiness(lambda: self.ready, readiness))
+        if settings.host.metrics:
+            metrics = await serve_metrics(registry=self._registry, address=settings.host.metrics)
+            self._runners.append(metrics)
         rules = CallerRules(
             body_bytes=lambda: self._limits.body_bytes,
             idle_timeout_ms=lambda: self._limits.idle_timeout_ms,
@@ -126,6 +137,32 @@
             callers=settings.host.callers,
         )
 
+    def reload(self, *, settings: GatewaySettings) -> None:
+        """Put changed settings in force, as far as a running host can.
+
+        :param settings: The checked settings; addresses take a restart.
+        """
+        old = self._settings
+        retries = settings.retries
+        if retries != old.retries:
+            self._budgets.reconfigure(
+                ratio=retries.ratio, slack=retries.slack, window_s=retries.window_s
+            )
+        self._settings = settings
+        _log.info(
+            "The settings are read again.",
+            changed=[
+                name
+                for name in ("host", "store", "retries", "bounds", "logs")
+                if getattr(old, name) != getattr(settings, name)
+            ],
+            need_restart=old.host != settings.host or old.store != settings.store,
+        )
+
+    async def abandon(self) -> None:
+        """End at once, without a planned stop."""
+        await self._end()
+
     async def stop(self) -> None:
         """Carry out a planned stop: no new work, then the end of all that runs."""
         began = self._clock.now()
@@ -144,9 +181,18 @@
             running=self._dispatcher.running,
             after_ms=self._clock.now() - began,
         )
+        await self._end()
+
+    async def _end(self) -> None:
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._spread.stop()
+        await self._mesh.stop()
         await self._server.close()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self._edges.close()
 
     @property
     def ready(self) -> bool:
@@ -204,6 +250,13 @@
 
     def _build_forwarding(self) -> None:
         retries = self._settings.retries
+        self._budgets = RetryBudgets(
+            ratio=retries.ratio,
+            slack=retries.slack,
+            window_s=retries.window_s,
+            hosts=lambda: len(self._mesh.live.value) + 1,
+            clock=self._clock,
+        )
         parts = ForwardingParts(
             tables=self._keeper,
             upstreams=self._roster,
@@ -211,13 +264,8 @@
             caller=self._edges.upstreams,
             engines=self._edges.upstreams,
             work=self._work,
-            budgets=RetryBudgets(
-                ratio=retries.ratio,
-                slack=retries.slack,
-                window_s=retries.window_s,
-                hosts=lambda: len(self._mesh.live.value) + 1,
-                clock=self._clock,
-            ),
+            budgets=self._budgets,
+            meters=Meters(registry=self._registry),
             failure_domain=FailureDomainId(self._settings.host.failure_domain),
             clock=self._clock,
             rng=self._rng,
--- a/src/tanagerscale/platform/_callers.py
+++ b/src/tanagerscale/platform/_callers.py
@@ -363,6 +363,8 @@
 
     async def close(self) -> None:
         """End everything."""
+        for protocol in self._server.connections:
+            protocol.force_close()
         await self._runner.cleanup()
 
     async def _track(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -373,11 +375,12 @@
             self._idle_since[request.protocol] = self._clock.now()
 
 
-async def serve_readiness(*, is_ready: Callable[[], bool], address: str) -> None:
+async def serve_readiness(*, is_ready: Callable[[], bool], address: str) -> web.ServerRunner:
     """Answer the platform's question whether this host takes new connections.
 
     :param is_ready: Returns the present answer.
     :param address: IP number and port.
+    :returns: What ends it.
     """
 
     async def handle(_request: web.BaseRequest) -> web.StreamResponse:
@@ -387,3 +390,4 @@
     await runner.setup()
     host, _, port = address.rpartition(":")
     await web.TCPSite(runner, host, int(port)).start()
+    return runner
--- /dev/null
+++ b/src/tanagerscale/platform/_edges.py
@@ -0,0 +1,71 @@
+"""The platform as the product's edges."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from aiohttp import web
+
+from tanagerscale.core import Clock
+from tanagerscale.gateway import CallerRules
+from tanagerscale.gateway import CallerServer
+from tanagerscale.gateway import Edges
+from tanagerscale.gateway import Serve
+from tanagerscale.generated.gateway import GatewaySettings
+from tanagerscale.platform._callers import PlatformCallers
+from tanagerscale.platform._callers import serve_readiness
+from tanagerscale.platform._configuration import CONFIGURATION_KEY
+from tanagerscale.platform._configuration import decode_configuration
+from tanagerscale.platform._engines import PlatformUpstreams
+from tanagerscale.platform._registry import REGISTRY_PREFIX
+from tanagerscale.platform._registry import decode_entry
+from tanagerscale.platform._registry import upstream_of
+from tanagerscale.platform._store import PlatformStore
+from tanagerscale.upstreams import ConnectionPool
+
+CONNECT_TIMEOUT_MS: Final = 400
+"""Longest wait for a connection. It takes 3 ms between failure domains, and a lost first packet is
+sent again only after a second, so trying another upstream is quicker."""
+
+IDLE_MS: Final = 3000
+"""How long an idle connection is counted on when its upstream does not tell."""
+
+
+def make_edges(*, settings: GatewaySettings, clock: Clock) -> Edges:
+    """Return the platform as a host sees it.
+
+    :param settings: The host's settings.
+    :param clock: Time.
+    """
+
+    def pool() -> ConnectionPool:
+        return ConnectionPool(clock=clock, connect_timeout_ms=CONNECT_TIMEOUT_MS, idle_ms=IDLE_MS)
+
+    async def callers(serve: Serve, rules: CallerRules, address: str) -> CallerServer:
+        server = PlatformCallers(serve=serve, rules=rules, clock=clock)
+        await server.start(address=address)
+        return server
+
+    async def readiness(is_ready: Callable[[], bool], address: str) -> web.ServerRunner:
+        return await serve_readiness(is_ready=is_ready, address=address)
+
+    store_pool = pool()
+    upstream_pool = pool()
+
+    async def close() -> None:
+        store_pool.close()
+        upstream_pool.close()
+
+    return Edges(
+        store=PlatformStore(address=settings.store.address, pool=store_pool),
+        upstreams=PlatformUpstreams(pool=upstream_pool),
+        configuration_key=CONFIGURATION_KEY,
+        decode_configuration=decode_configuration,
+        registry_prefix=REGISTRY_PREFIX,
+        decode_entry=decode_entry,
+        upstream_of=upstream_of,
+        serve_callers=callers,
+        serve_readiness=readiness,
+        close=close,
+    )
--- /dev/null
+++ b/testing/_gateway_fakes.py
@@ -0,0 +1,412 @@
+"""Fakes at the edges of forwarding, for tests in virtual time and without a network."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+
+from prometheus_client import CollectorRegistry
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from tanagerscale.core import Clock
+from tanagerscale.core import FailureDomainId
+from tanagerscale.core import HostId
+from tanagerscale.core import Millis
+from tanagerscale.core import ModelId
+from tanagerscale.core import RequestId
+from tanagerscale.core import Revision
+from tanagerscale.core import ServiceId
+from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding import CallerRequest
+from tanagerscale.forwarding import CopyError
+from tanagerscale.forwarding import CopyFailure
+from tanagerscale.forwarding import Demand
+from tanagerscale.forwarding import EngineReport
+from tanagerscale.forwarding import EngineWork
+from tanagerscale.forwarding import ForwardingParts
+from tanagerscale.forwarding import Header
+from tanagerscale.forwarding import Meters
+from tanagerscale.forwarding import Refusal
+from tanagerscale.forwarding import RetryBudgets
+from tanagerscale.forwarding import RoutedRequest
+from tanagerscale.forwarding import RunCopy
+from tanagerscale.forwarding import UpstreamOrder
+from tanagerscale.routes import ANYBODY
+from tanagerscale.routes import CallerLimits
+from tanagerscale.routes import Configuration
+from tanagerscale.routes import EngineCapabilities
+from tanagerscale.routes import Route
+from tanagerscale.routes import RouteId
+from tanagerscale.routes import RouteKind
+from tanagerscale.routes import RouteTable
+from tanagerscale.routes import Service
+from tanagerscale.routes import Target
+from tanagerscale.upstreams import ExchangeError
+from tanagerscale.upstreams import ExchangeFailure
+from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamState
+
+SERVICE = ServiceId("service")
+LIMITS = CallerLimits(
+    header_bytes=16_384, body_bytes=100_000, header_timeout_ms=3000, idle_timeout_ms=15_000
+)
+ENGINE = EngineCapabilities(
+    batch=24,
+    memory_tokens=34_000,
+    token_bytes=163_840,
+    link_mbps=24_000.0,
+    can_move=True,
+    can_back_up=False,
+    tokens_per_event=4,
+    copy_ttl_ms=5000,
+    pin_ms=4000,
+    hold_ms=2000,
+    models=(ModelId("m"),),
+)
+
+
+def make_route(
+    *,
+    kind: RouteKind = RouteKind.IDEMPOTENT,
+    prefix: str = "/a/",
+    attempts: int = 2,
+    timeout_ms: int = 2000,
+    target_ms: int = 1500,
+    name: str = "route",
+    service: ServiceId = SERVICE,
+    public: bool = False,
+    host: str = "api.example",
+) -> Route:
+    """Return a route to one service."""
+    return Route(
+        name=RouteId(name),
+        host=host,
+        path_prefix=prefix,
+        kind=kind,
+        targets=(Target(service=service, weight=1),),
+        attempts=attempts,
+        timeout_ms=timeout_ms,
+        target_ms=target_ms,
+        gap_ms=180,
+        priority=1,
+        public=public,
+        resumable=False,
+    )
+
+
+def make_table(*routes: Route, version: int = 1) -> RouteTable:
+    """Return a table without accounts."""
+    configuration = Configuration(
+        version=Revision(version),
+        routes=routes,
+        services=(
+            Service(name=SERVICE, health_path="/health", max_connections=100, engine=ENGINE),
+        ),
+        accounts=(),
+        limits=LIMITS,
+    )
+    return RouteTable(configuration=configuration)
+
+
+def make_entry(name: str, *, domain: str = "a", service: ServiceId = SERVICE) -> UpstreamEntry:
+    """Return the entry of an upstream that takes work."""
+    return UpstreamEntry(
+        upstream=UpstreamId(name),
+        service=service,
+        address=f"{name}:1",
+        failure_domain=FailureDomainId(domain),
+        places=24,
+        state=UpstreamState.READY,
+        cold_ms=0,
+    )
+
+
+def make_request(
+    *, name: str = "request", path: str = "/a/x", prompt: int | None = None, longest: int = 2000
+) -> CallerRequest:
+    """Return a request, for a language model when it has a prompt."""
+    demand = None
+    if prompt is not None:
+        demand = Demand(
+            model=ModelId("m"),
+            prompt_tokens=prompt,
+            max_tokens=longest,
+            expected_tokens=None,
+            parts=(),
+        )
+    return CallerRequest(
+        request=RequestId(name),
+        method="POST",
+        target=path,
+        host="api.example",
+        path=path,
+        headers=(),
+        body=b"body",
+        key=None,
+        time_left_ms=None,
+        arrived=Clock().now(),
+        demand=demand,
+        resume_after="",
+    )
+
+
+def route_request(request: CallerRequest, route: Route) -> RoutedRequest:
+    """Return a request with its route."""
+    return RoutedRequest(
+        request=request,
+        route=route,
+        caller=ANYBODY,
+        service=SERVICE,
+        engine=ENGINE,
+        deadline=Millis(request.arrived + route.timeout_ms),
+    )
+
+
+@dataclass(slots=True)
+class FakeAnswer:
+    """An answer whose chunks are given; ``None`` among them breaks it off."""
+
+    status: int = 200
+    chunks: list[bytes | None] = field(default_factory=lambda: [b"answer"])
+    not_executed: bool = False
+    is_someone_else: bool = False
+    is_leaving: bool = False
+    reason: str = "OK"
+    headers: Sequence[Header] = (("X", "1"),)
+    pause_ms: int = 0
+    closed: bool = False
+
+    async def read_some(self) -> bytes:
+        """Return the next chunk."""
+        if self.pause_ms:
+            await asyncio.sleep(self.pause_ms / 1000)
+        if self.closed:
+            raise ExchangeError(ExchangeFailure.LOST, "closed here")
+        if not self.chunks:
+            return b""
+        chunk = self.chunks.pop(0)
+        if chunk is None:
+            raise ExchangeError(ExchangeFailure.LOST, "broke off")
+        return chunk
+
+    async def read_all(self) -> bytes:
+        """Return all chunks."""
+        parts = []
+        while part := await self.read_some():
+            parts.append(part)
+        return b"".join(parts)
+
+    def close(self) -> None:
+        """Break it off."""
+        self.closed = True
+
+
+Reaction = FakeAnswer | ExchangeError
+
+
+@dataclass(slots=True)
+class FakeCaller:
+    """Upstreams that react as told, one reaction for each order; the last one repeats."""
+
+    reactions: dict[str, deque[Reaction]] = field(default_factory=dict)
+    orders: list[UpstreamOrder] = field(default_factory=list)
+    hang: set[str] = field(default_factory=set)
+
+    def set(self, upstream: str, *reactions: Reaction) -> None:
+        """Replace an upstream's reactions."""
+        self.reactions[upstream] = deque(reactions)
+
+    async def send(self, *, order: UpstreamOrder) -> FakeAnswer:
+        """React to an order."""
+        self.orders.append(order)
+        name = order.upstream.upstream
+        if name in self.hang:
+            await asyncio.Event().wait()
+        waiting = self.reactions.get(name)
+        reaction = FakeAnswer() if not waiting else waiting.popleft()
+        if isinstance(reaction, ExchangeError):
+            raise reaction
+        return reaction
+
+    @property
+    def asked(self) -> list[str]:
+        """Upstreams that got an order, in order."""
+        return [order.upstream.upstream for order in self.orders]
+
+
+@dataclass(slots=True)
+class FakeEngines:
+    """Copies runs at once, or fails as told."""
+
+    failures: deque[CopyError] = field(default_factory=deque)
+    copies: list[tuple[str, str, str, bool]] = field(default_factory=list)
+    dropped: list[tuple[str, str]] = field(default_factory=list)
+    takes_ms: int = 10
+    on_stop: Callable[[str], None] | None = None
+
+    async def copy(
+        self, *, source: UpstreamEntry, request: RequestId, target: UpstreamEntry, stop: bool
+    ) -> Result[RunCopy, CopyError]:
+        """Copy a run."""
+        self.copies.append((request, source.upstream, target.upstream, stop))
+        await asyncio.sleep(self.takes_ms / 1000)
+        if self.failures:
+            return Failure(self.failures.popleft())
+        if stop and self.on_stop is not None:
+            self.on_stop(request)
+        return Success(RunCopy(copy=f"copy-{len(self.copies)}", events=1))
+
+    async def report(self, *, upstream: UpstreamEntry) -> Result[EngineReport, str]:
+        """Report nothing."""
+        return Failure("No report; ask again later.")
+
+    async def drop_copy(self, *, holder: UpstreamEntry, copy: str) -> None:
+        """Record what is freed."""
+        self.dropped.append((holder.upstream, copy))
+
+
+@dataclass(slots=True)
+class FakeUpstreams:
+    """Upstreams and what is known of them."""
+
+    entries: list[UpstreamEntry] = field(default_factory=list)
+    leaving: set[str] = field(default_factory=set)
+    down: list[str] = field(default_factory=list)
+    gone: list[str] = field(default_factory=list)
+
+    def get(self, upstream: UpstreamId) -> UpstreamEntry | None:
+        """Return an entry."""
+        return next((entry for entry in self.entries if entry.upstream == upstream), None)
+
+    def known_ms(self, upstream: UpstreamId) -> int:
+        """Return a long time."""
+        return 60_000
+
+    def open_for(self, service: ServiceId) -> list[UpstreamEntry]:
+        """Return those that are not leaving."""
+        return [
+            entry
+            for entry in self.entries
+            if entry.service == service and entry.upstream not in self.leaving
+        ]
+
+    def staying(self, service: ServiceId) -> list[UpstreamEntry]:
+        """Return the same."""
+        return self.open_for(service)
+
+    def is_leaving(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream leaves."""
+        return upstream in self.leaving
+
+    def note_gone(self, *, upstream: UpstreamId) -> None:
+        """Record it."""
+        self.gone.append(upstream)
+        self.leaving.add(upstream)
+
+    def note_down(self, *, upstream: UpstreamId) -> None:
+        """Record it."""
+        self.down.append(upstream)
+
+    def note_up(self, *, upstream: UpstreamId) -> None:
+        """Do nothing."""
+
+
+@dataclass(slots=True)
+class FakeResponder:
+    """Keeps what a caller would get."""
+
+    status: int | None = None
+    body: bytes = b""
+    refusal: Refusal | None = None
+    ended: bool = False
+    aborted: bool = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head was sent."""
+        return self.status is not None
+
+    async def begin(self, *, status: int, reason: str, headers: Sequence[Header]) -> None:
+        """Keep the status."""
+        self.status = status
+
+    async def write(self, chunk: bytes) -> None:
+        """Keep a piece."""
+        self.body += chunk
+
+    async def end(self) -> None:
+        """Keep the end."""
+        self.ended = True
+
+    async def answer(
+        self, *, status: int, reason: str, headers: Sequence[Header], body: bytes
+    ) -> None:
+        """Keep a whole answer."""
+        self.status, self.body, self.ended = status, body, True
+
+    async def refuse(self, *, refusal: Refusal) -> None:
+        """Keep a refusal."""
+        self.refusal = refusal
+
+    def abort(self) -> None:
+        """Keep that it was broken off."""
+        self.aborted = True
+
+
+@dataclass(slots=True)
+class FakeTables:
+    """The declarations in force."""
+
+    table: RouteTable | None = None
+
+
+@dataclass(slots=True)
+class Bench:
+    """All fakes, and the parts made of them."""
+
+    caller: FakeCaller
+    engines: FakeEngines
+    upstreams: FakeUpstreams
+    tables: FakeTables
+    work: EngineWork
+    parts: ForwardingParts
+
+
+def make_bench(*entries: UpstreamEntry, slack: float = 100.0) -> Bench:
+    """Return parts over fakes.
+
+    :param entries: The upstreams.
+    :param slack: Repeats that are allowed.
+    """
+    clock = Clock()
+    caller, engines = FakeCaller(), FakeEngines()
+    upstreams, tables = FakeUpstreams(entries=list(entries)), FakeTables()
+    work = EngineWork(host=HostId("host"))
+    parts = ForwardingParts(
+        tables=tables,
+        upstreams=upstreams,
+        notes=upstreams,
+        caller=caller,
+        engines=engines,
+        work=work,
+        budgets=RetryBudgets(ratio=0.2, slack=slack, window_s=10.0, hosts=lambda: 1, clock=clock),
+        meters=Meters(registry=CollectorRegistry()),
+        failure_domain=FailureDomainId("a"),
+        clock=clock,
+        rng=Random(1),
+    )
+    return Bench(
+        caller=caller, engines=engines, upstreams=upstreams, tables=tables, work=work, parts=parts
+    )
+
+
+def copy_failure(failure: CopyFailure, *, kept: str | None = None) -> CopyError:
+    """Return a failed copy."""
+    return CopyError(failure=failure, detail="as told", kept=kept)
--- /dev/null
+++ b/testing/test_platform_store.py
@@ -0,0 +1,221 @@
+"""The client of the platform's store, against the stand-in of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+import pytest_asyncio
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from standins.platform_store import StoreEmulator
+from standins.platform_store import StoreMood
+from tanagerscale.core import Clock
+from tanagerscale.platform._store import PlatformStore
+from tanagerscale.platform._store import _decoded
+from tanagerscale.platform._wire import WireChanges
+from tanagerscale.platform._wire import WireRange
+from tanagerscale.store import LeaseId
+from tanagerscale.store import PrefixFollower
+from tanagerscale.store import PutIf
+from tanagerscale.store import PutOutcome
+from tanagerscale.store import StoreError
+from tanagerscale.store import StoreErrorKind
+from tanagerscale.store import StoreRange
+from tanagerscale.store import StoreRevision
+from tanagerscale.store import WatchBatch
+from tanagerscale.upstreams import ConnectionPool
+from testing._random_cases import cases
+
+
+@dataclass(slots=True)
+class Pair:
+    """The stand-in and the client of it."""
+
+    emulator: StoreEmulator
+    store: PlatformStore
+
+
+@pytest_asyncio.fixture
+async def pair() -> AsyncIterator[Pair]:
+    """Serve a store and connect to it."""
+    emulator = StoreEmulator(page=3)
+    address = await emulator.start()
+    pool = ConnectionPool(clock=Clock(), connect_timeout_ms=2000, idle_ms=60_000)
+    yield Pair(emulator=emulator, store=PlatformStore(address=address, pool=pool))
+    pool.close()
+    await emulator.stop()
+
+
+def _put(key: str, value: bytes, *, expected: int = 0, lease: int = 0) -> PutIf:
+    return PutIf(
+        key=key,
+        value=value,
+        expected_mod_revision=StoreRevision(expected),
+        lease=LeaseId(lease),
+    )
+
+
+async def _commit(store: PlatformStore, put: PutIf) -> PutOutcome:
+    result: Result[Sequence[PutOutcome], StoreError] = await store.commit(puts=[put])
+    return result.unwrap()[0]
+
+
+@pytest.mark.asyncio
+async def test_key_is_read_as_it_was_written(pair: Pair) -> None:
+    pair.emulator.put("a/b c&d", bytes(range(256)))
+    entry = (await pair.store.get(key="a/b c&d")).unwrap()
+    assert entry is not None
+    assert entry.value == bytes(range(256))
+    assert (await pair.store.get(key="a/none")).unwrap() is None
+
+
+@pytest.mark.asyncio
+async def test_range_has_all_pages(pair: Pair) -> None:
+    for number in range(8):
+        pair.emulator.put(f"a/{number}", b"x")
+    pair.emulator.put("b/1", b"x")
+    found = (await pair.store.list(prefix="a/")).unwrap()
+    assert [entry.key for entry in found.entries] == [f"a/{number}" for number in range(8)]
+
+
+@pytest.mark.asyncio
+async def test_write_is_refused_when_the_key_is_not_as_expected(pair: Pair) -> None:
+    assert (await _commit(pair.store, _put("k", b"1"))).written
+    refused = await _commit(pair.store, _put("k", b"2"))
+    assert not refused.written
+    assert refused.present is not None
+    assert refused.present.value == b"1"
+    again = _put("k", b"2", expected=refused.present.mod_revision)
+    assert (await _commit(pair.store, again)).written
+
+
+@pytest.mark.asyncio
+async def test_key_goes_with_its_lease(pair: Pair) -> None:
+    lease = (await pair.store.grant_lease(ttl_s=60)).unwrap()
+    await _commit(pair.store, _put("k", b"1", lease=lease))
+    assert (await pair.store.keep_alive(lease=lease)).unwrap() > 0
+    await pair.store.revoke(lease=lease)
+    assert pair.emulator.keys() == []
+    assert (await pair.store.keep_alive(lease=lease)).unwrap() == 0
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize(
+    ("mood", "kind"),
+    [
+        (StoreMood.BUSY, StoreErrorKind.REFUSED),
+        (StoreMood.RESET, StoreErrorKind.UNCERTAIN),
+        (StoreMood.LOSES_ANSWERS, StoreErrorKind.UNCERTAIN),
+    ],
+)
+async def test_failure_tells_whether_a_write_may_have_been_done(
+    pair: Pair, mood: StoreMood, kind: StoreErrorKind
+) -> None:
+    pair.emulator.mood = mood
+    result = await pair.store.commit(puts=[_put("k", b"1")])
+    assert isinstance(result, Failure)
+    assert result.failure().kind is kind
+    assert (pair.emulator.keys() == ["k"]) == (mood is StoreMood.LOSES_ANSWERS)
+
+
+@dataclass(slots=True)
+class Listener:
+    """Keeps what a follower told."""
+
+    known: dict[str, bytes] = field(default_factory=dict)
+    snapshots: int = 0
+    reachable: list[bool] = field(default_factory=list)
+
+    def on_snapshot(self, found: StoreRange) -> None:
+        """Replace all."""
+        self.snapshots += 1
+        self.known = {entry.key: entry.value for entry in found.entries}
+
+    def on_changes(self, batch: WatchBatch) -> None:
+        """Apply changes."""
+        for entry in batch.entries:
+            self.known[entry.key] = entry.value
+        for key in batch.deleted:
+            self.known.pop(key, None)
+
+    def on_store(self, *, reachable: bool) -> None:
+        """Keep the news."""
+        self.reachable.append(reachable)
+
+
+async def _until(listener: Listener, expected: dict[str, bytes]) -> None:
+    async with asyncio.timeout(20):
+        while listener.known != expected:
+            await asyncio.sleep(0.005)
+
+
+@pytest_asyncio.fixture
+async def listener(pair: Pair) -> AsyncIterator[Listener]:
+    """Follow a prefix."""
+    kept = Listener()
+    follower = PrefixFollower(
+        store=pair.store, prefix="a/", listener=kept, clock=Clock(), rng=Random(1)
+    )
+    pair.emulator.put("a/0", b"0")
+    task = asyncio.create_task(follower.run())
+    await _until(kept, {"a/0": b"0"})
+    yield kept
+    task.cancel()
+
+
+@pytest.mark.asyncio
+async def test_follower_sees_each_change(pair: Pair, listener: Listener) -> None:
+    pair.emulator.put("a/1", b"1")
+    await _until(listener, {"a/0": b"0", "a/1": b"1"})
+    pair.emulator.delete("a/0")
+    pair.emulator.put("b/1", b"1")
+    await _until(listener, {"a/1": b"1"})
+    assert listener.snapshots == 1
+
+
+@pytest.mark.asyncio
+async def test_follower_goes_on_where_it_was_when_the_store_was_away(
+    pair: Pair, listener: Listener
+) -> None:
+    pair.emulator.mood = StoreMood.RESET
+    pair.emulator.put("a/1", b"1")
+    while False not in listener.reachable:
+        pair.emulator.put("a/1", b"1")
+        await asyncio.sleep(0.01)
+    pair.emulator.delete("a/0")
+    pair.emulator.mood = StoreMood.WELL
+    await _until(listener, {"a/1": b"1"})
+    assert listener.reachable[:3] == [True, False, True]
+    assert listener.snapshots == 1
+
+
+@pytest.mark.asyncio
+async def test_follower_reads_everything_again_when_history_is_gone(
+    pair: Pair, listener: Listener
+) -> None:
+    pair.emulator.delete("a/0")
+    pair.emulator.put("a/2", b"2")
+    pair.emulator.compact()
+    await _until(listener, {"a/2": b"2"})
+    pair.emulator.put("a/3", b"3")
+    await _until(listener, {"a/2": b"2", "a/3": b"3"})
+
+
+@cases(examples=300)
+@given(status=st.sampled_from([200, 404, 500]), body=st.binary(max_size=60))
+def test_any_bytes_from_the_store_give_a_value_or_a_typed_error(status: int, body: bytes) -> None:
+    for kind in (WireRange, WireChanges):
+        result = _decoded(status, body, kind)
+        assert isinstance(result, Success | Failure)
+        if isinstance(result, Failure):
+            assert ";" in result.failure().detail
--- /dev/null
+++ b/testing/test_policy_placement.py
@@ -0,0 +1,109 @@
+"""Where generations go and when they wait, for each load the policy answers."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from tanagerscale.core import FailureDomainId
+from tanagerscale.core import UpstreamId
+from tanagerscale.policy import EngineView
+from tanagerscale.policy import Verdict
+from tanagerscale.policy import Wish
+from tanagerscale.policy import has_room
+from tanagerscale.policy import has_room_for_copy
+from tanagerscale.policy import place
+
+HERE = FailureDomainId("here")
+THERE = FailureDomainId("there")
+
+
+def _view(name: str = "x", **changes: object) -> EngineView:
+    usual: dict[str, object] = {
+        "upstream": UpstreamId(name),
+        "failure_domain": HERE,
+        "memory_tokens": 34_000,
+        "held_tokens": 0,
+        "copy_tokens": 0,
+        "uncopied_tokens": 0,
+        "running": 0,
+        "waiting_tokens": 0,
+        "waiting": 0,
+        "batch": 24,
+        "cold_ms": 0,
+    }
+    return EngineView(**{**usual, **changes})  # type: ignore[arg-type]
+
+
+def _place(wish: Wish, *views: EngineView) -> tuple[Verdict, str | None]:
+    placement = place(wish=wish, views=views, failure_domain=HERE, rng=Random(1))
+    return placement.verdict, None if placement.engine is None else placement.engine.upstream
+
+
+def _wish(*, prompt: int = 3000, is_long: bool = True, left_ms: int = 1500) -> Wish:
+    return Wish(prompt_tokens=prompt, is_long=is_long, left_ms=left_ms)
+
+
+def test_prompt_goes_where_fewest_prompts_wait_when_many_arrive_at_once() -> None:
+    busy = _view("busy", waiting_tokens=6000, waiting=2, held_tokens=6000)
+    assert _place(_wish(), busy, _view("idle")) == (Verdict.SEND, "idle")
+
+
+def test_prompt_goes_where_fewer_generations_run_when_nothing_waits() -> None:
+    crowd = _view("crowd", running=6, held_tokens=20_000)
+    assert _place(_wish(), crowd, _view("few", running=1, held_tokens=20_000))[1] == "few"
+
+
+def test_prompt_stays_in_its_failure_domain_when_engines_are_alike() -> None:
+    assert _place(_wish(), _view("far", failure_domain=THERE), _view("near"))[1] == "near"
+
+
+def test_prompt_leaves_its_failure_domain_when_that_is_quicker() -> None:
+    near = _view("near", waiting_tokens=3000, waiting=1, held_tokens=3000)
+    assert _place(_wish(), near, _view("far", failure_domain=THERE))[1] == "far"
+
+
+def test_long_generation_goes_where_less_has_no_copy() -> None:
+    exposed = _view("exposed", running=3, held_tokens=12_000, uncopied_tokens=12_000)
+    copied = _view("copied", running=3, held_tokens=12_000, uncopied_tokens=0)
+    assert _place(_wish(), exposed, copied)[1] == "copied"
+
+
+def test_new_engine_is_used_once_it_is_quicker_than_the_others_in_spite_of_its_slow_start() -> None:
+    old = _view("old", waiting_tokens=9000, waiting=3, held_tokens=9000, running=1)
+    assert _place(_wish(), old, _view("new", cold_ms=900))[1] == "new"
+    assert _place(_wish(), _view("old"), _view("new", cold_ms=900))[1] == "old"
+
+
+def test_generation_waits_when_memory_is_full_and_there_is_time() -> None:
+    full = _view(held_tokens=31_000, running=8)
+    assert _place(_wish(), full) == (Verdict.WAIT, None)
+
+
+def test_generation_is_refused_when_memory_is_full_and_it_would_be_late() -> None:
+    full = _view(held_tokens=31_000, running=8)
+    assert _place(_wish(left_ms=0), full) == (Verdict.REFUSE, None)
+
+
+def test_generation_waits_when_prompts_ahead_would_make_it_late() -> None:
+    queue = _view(waiting_tokens=12_000, waiting=4, held_tokens=12_000, running=1)
+    assert _place(_wish(left_ms=1500), queue)[0] is Verdict.WAIT
+
+
+def test_late_generation_is_served_when_there_is_room() -> None:
+    assert _place(_wish(left_ms=-5000), _view())[0] is Verdict.SEND
+
+
+def test_generation_waits_when_no_engine_takes_work() -> None:
+    assert _place(_wish()) == (Verdict.WAIT, None)
+    assert _place(_wish(left_ms=0)) == (Verdict.REFUSE, None)
+
+
+def test_engine_has_no_room_when_all_places_are_taken() -> None:
+    assert not has_room(view=_view(running=20, waiting=4), tokens=100)
+
+
+@pytest.mark.parametrize(("held", "fits"), [(25_000, True), (29_000, False)])
+def test_copies_leave_room_for_a_prompt(held: int, fits: bool) -> None:
+    assert has_room_for_copy(view=_view(held_tokens=held), tokens=3000) is fits
--- /dev/null
+++ b/testing/test_roster.py
@@ -0,0 +1,229 @@
+"""Which upstreams take work, through outages of the store that lists them."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from tanagerscale.core import Clock
+from tanagerscale.core import FailureDomainId
+from tanagerscale.core import ServiceId
+from tanagerscale.core import UpstreamId
+from tanagerscale.generated.messages import UpstreamLeaving
+from tanagerscale.membership import UpstreamGate
+from tanagerscale.membership import UpstreamRoster
+from tanagerscale.membership._roster import LAPSE_GRACE_MS
+from tanagerscale.membership._roster import TOGETHER_GRACE_MS
+from tanagerscale.store import StoreEntry
+from tanagerscale.store import StoreRange
+from tanagerscale.store import StoreRevision
+from tanagerscale.store import WatchBatch
+from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamState
+from testing._virtual_time import run_virtually
+
+SERVICE = ServiceId("s")
+NAMES = ("a", "b", "c", "d", "e")
+SPACE_MS = 10
+LONG_AFTER_S = 30
+
+
+def _decode(key: str, value: bytes) -> Result[UpstreamEntry, str]:
+    if value == b"bad":
+        return Failure("It can't be read; it is left out.")
+    return Success(
+        UpstreamEntry(
+            upstream=UpstreamId(key),
+            service=SERVICE,
+            address=f"{key}:1",
+            failure_domain=FailureDomainId("x"),
+            places=1,
+            state=UpstreamState(value.decode()),
+            cold_ms=0,
+        )
+    )
+
+
+class World:
+    """A roster and the revisions of its store."""
+
+    def __init__(self) -> None:
+        self.told: list[UpstreamLeaving] = []
+        clock = Clock()
+        self.gate = UpstreamGate(clock=clock, rng=Random(1), spread=self.told.append)
+        self.roster = UpstreamRoster(
+            gate=self.gate, decode=_decode, upstream_of=UpstreamId, clock=clock
+        )
+        self.revision = 10
+
+    def open(self) -> str:
+        """Return the names of the upstreams that take work."""
+        return "".join(sorted(entry.upstream for entry in self.roster.open_for(SERVICE)))
+
+    def write(self, *names: str, state: str = "ready") -> None:
+        """Write entries."""
+        self.revision += 1
+        self.roster.on_changes(self._batch(self._entries(names, state), ()))
+
+    def delete(self, *names: str) -> None:
+        """Delete entries."""
+        self.revision += 1
+        self.roster.on_changes(self._batch((), names))
+
+    def snapshot(self, *names: str) -> None:
+        """Read everything."""
+        revision = StoreRevision(self.revision)
+        found = StoreRange(entries=self._entries(names, "ready"), revision=revision)
+        self.roster.on_snapshot(found)
+
+    def _entries(self, names: tuple[str, ...], state: str) -> tuple[StoreEntry, ...]:
+        revision = StoreRevision(self.revision)
+        return tuple(
+            StoreEntry(
+                key=name,
+                value=state.encode(),
+                create_revision=revision,
+                mod_revision=revision,
+            )
+            for name in names
+        )
+
+    def _batch(self, entries: tuple[StoreEntry, ...], deleted: tuple[str, ...]) -> WatchBatch:
+        return WatchBatch(entries=entries, deleted=deleted, revision=StoreRevision(self.revision))
+
+
+async def _settled(*, away: bool = False) -> World:
+    """Return a world whose store has been there for long."""
+    world = World()
+    world.roster.on_store(reachable=True)
+    world.snapshot(*NAMES)
+    await asyncio.sleep(LONG_AFTER_S)
+    if away:
+        world.roster.on_store(reachable=False)
+        await asyncio.sleep(LONG_AFTER_S)
+        world.roster.on_store(reachable=True)
+    return world
+
+
+def test_upstream_takes_no_work_when_it_leaves() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.write("b", state="leaving")
+        assert world.open() == "acde"
+        assert [message.upstream for message in world.told] == ["b"]
+
+    run_virtually(play())
+
+
+def test_upstream_takes_no_work_when_its_entry_alone_is_gone() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.delete("b")
+        assert world.open() == "acde"
+        assert world.roster.get(UpstreamId("b")) is not None
+
+    run_virtually(play())
+
+
+def test_upstream_takes_work_again_when_its_entry_is_written_anew() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.delete("b")
+        world.write("b")
+        assert world.open() == "abcde"
+
+    run_virtually(play())
+
+
+def test_upstreams_are_kept_when_their_entries_lapse_while_the_store_is_away() -> None:
+    async def play() -> None:
+        world = await _settled(away=True)
+        world.delete(*NAMES)
+        assert world.open() == "abcde"
+        world.write("a", "b", "c")
+        await asyncio.sleep((LAPSE_GRACE_MS + SPACE_MS) / 1000)
+        assert world.open() == "abc"
+
+    run_virtually(play())
+
+
+def test_upstreams_are_kept_when_their_entries_lapse_together_and_no_outage_was_seen() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.delete(*NAMES)
+        assert world.open() == "abcde"
+        await asyncio.sleep((TOGETHER_GRACE_MS + SPACE_MS) / 1000)
+        assert world.open() == ""
+        world.write(*NAMES)
+        assert world.open() == "abcde"
+
+    run_virtually(play())
+
+
+def test_word_of_a_peer_closes_an_upstream_and_a_later_entry_opens_it() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.gate.on_peer(UpstreamLeaving(upstream="c", incarnation=world.revision + 5))
+        assert world.open() == "abde"
+        world.revision += 10
+        world.write("c")
+        assert world.open() == "abcde"
+
+    run_virtually(play())
+
+
+def test_old_word_of_a_peer_does_not_close_an_upstream() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.gate.on_peer(UpstreamLeaving(upstream="c", incarnation=world.revision - 5))
+        assert world.open() == "abcde"
+
+    run_virtually(play())
+
+
+def test_upstream_missing_in_a_new_reading_takes_no_work() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.revision += 1
+        world.snapshot("a", "b", "c", "d")
+        assert world.open() == "abcd"
+
+    run_virtually(play())
+
+
+def test_entry_that_cannot_be_read_is_left_out() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.write("z", state="bad")
+        assert world.open() == "abcde"
+
+    run_virtually(play())
+
+
+def test_upstream_that_is_gone_for_long_is_forgotten() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.delete("b")
+        await asyncio.sleep(120)
+        assert world.roster.get(UpstreamId("b")) is None
+
+    run_virtually(play())
+
+
+@pytest.mark.parametrize("many", [1, 2])
+def test_few_entries_that_go_are_taken_as_gone_at_once(many: int) -> None:
+    async def play() -> None:
+        world = World()
+        world.roster.on_store(reachable=True)
+        names = [f"n{number}" for number in range(20)]
+        world.snapshot(*names)
+        await asyncio.sleep(LONG_AFTER_S)
+        world.delete(*names[:many])
+        assert len(world.roster.open_for(SERVICE)) == len(names) - many
+
+    run_virtually(play())
