--- a/src/tanagerscale/core/_line_log.py
+++ b/src/tanagerscale/core/_line_log.py
@@ -15,6 +15,9 @@
 MOST_LINE_BYTES = 4096
 """A pipe takes as many bytes whole or not at all (PIPE_BUF), so no line is cut in two."""
 
+MOST_VALUE_CHARS = 200
+"""What is kept of each text in a line that would be too long; a line has about fifteen fields."""
+
 _encoder = msgspec.json.Encoder(enc_hook=str)
 
 
@@ -74,7 +77,9 @@
             line["exception"] = record.formatted_exception
         if self._left_out:
             line["lines_left_out"] = self._left_out
-        encoded = _encoder.encode(line)[: MOST_LINE_BYTES - 1] + b"\n"
+        encoded = _encoder.encode(line) + b"\n"
+        if len(encoded) > MOST_LINE_BYTES:
+            encoded = _encoder.encode(_shortened(line)) + b"\n"
         try:
             os.write(self._descriptor, encoded)
             self._left_out = 0
@@ -91,6 +96,14 @@
         return self._lines <= self._lines_per_s
 
 
+def _shortened(line: dict[str, Any]) -> dict[str, Any]:
+    """Return a line whose long texts and lists are cut, so that it is read as JSON still."""
+    return {
+        name: str(value)[:MOST_VALUE_CHARS] if isinstance(value, str | list | dict) else value
+        for name, value in line.items()
+    }
+
+
 def set_up_line_log(*, descriptor: int, host: str, lines_per_s: int, clock: Clock) -> LineLog:
     """Send all log lines to a descriptor.
 
--- /dev/null
+++ b/src/tanagerscale/gateway/_caller_edge.py
@@ -0,0 +1,190 @@
+"""Callers' HTTP: whole requests in, answers out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Final
+from typing import final
+
+from aiohttp import web
+import msgspec
+from multidict import CIMultiDict
+from returns.result import Failure
+
+from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import Clock
+from tanagerscale.forwarding import Header
+from tanagerscale.forwarding import Refusal
+from tanagerscale.forwarding import RefusalKind
+from tanagerscale.gateway._edges import CallerCodec
+from tanagerscale.gateway._edges import CallerRules
+from tanagerscale.gateway._edges import Serve
+
+STATUSES: Final = {
+    RefusalKind.NOT_READY: 503,
+    RefusalKind.UNKNOWN_ROUTE: 404,
+    RefusalKind.UNKNOWN_KEY: 401,
+    RefusalKind.BAD_REQUEST: 400,
+    RefusalKind.TOO_LARGE: 413,
+    RefusalKind.OVERLOADED: 503,
+    RefusalKind.UPSTREAM_FAILED: 502,
+    RefusalKind.TIMED_OUT: 504,
+}
+_CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+_TOO_LARGE: Final = Refusal(kind=RefusalKind.TOO_LARGE, detail="Send a smaller body.")
+
+
+@final
+class CallerEdge:
+    """Reads requests whole and carries their answers.
+
+    :param serve: Answers one request.
+    :param codec: Decodes requests.
+    :param rules: What callers may do.
+    :param is_stopping: Returns whether each connection is to end after its answer.
+    :param clock: Time.
+    """
+
+    def __init__(
+        self,
+        *,
+        serve: Serve,
+        codec: CallerCodec,
+        rules: CallerRules,
+        is_stopping: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._serve = serve
+        self._codec = codec
+        self._rules = rules
+        self._is_stopping = is_stopping
+        self._clock = clock
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request; the handler of an aiohttp server."""
+        responder = HttpResponder(
+            request=request,
+            echoed=self._codec.echoed(request),
+            idle_timeout_ms=None if self._is_stopping() else self._rules.idle_timeout_ms(),
+        )
+        arrived = self._clock.now()
+        body = await self._read_body(request)
+        if body is None:
+            responder.close_after_answer()
+            await responder.refuse(refusal=_TOO_LARGE)
+            return responder.response
+        decoded = self._codec.decode(request, body, arrived)
+        if isinstance(decoded, Failure):
+            await responder.refuse(refusal=decoded.failure())
+            return responder.response
+        await self._serve(decoded.unwrap(), responder)
+        return responder.response
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
+        """Return the whole body, or ``None`` when it is too large."""
+        if not request.can_read_body:
+            return b""
+        limit = self._rules.body_bytes()
+        if (request.content_length or 0) > limit:
+            return None
+        if "Expect" in request.headers and request.transport is not None:
+            request.transport.write(_CONTINUE)
+        chunks: list[bytes] = []
+        size = 0
+        while chunk := await request.content.readany():
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > limit:
+                return None
+        return b"".join(chunks)
+
+
+@final
+class HttpResponder:
+    """Carries one answer to its caller.
+
+    :param request: What is answered.
+    :param echoed: Fields of it that answers of our own repeat.
+    :param idle_timeout_ms: How long the connection may stay idle afterwards; ``None`` ends it.
+    """
+
+    def __init__(
+        self,
+        *,
+        request: web.BaseRequest,
+        echoed: Sequence[Header],
+        idle_timeout_ms: int | None,
+    ) -> None:
+        self._request = request
+        self._echoed = echoed
+        self._idle_timeout_ms = idle_timeout_ms
+        self._response: web.StreamResponse | None = None
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """What the HTTP server finishes after the answer."""
+        assert self._response is not None
+        return self._response
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head of the answer has been sent."""
+        return self._response is not None
+
+    async def begin(self, *, status: int, reason: str, headers: Sequence[Header]) -> None:
+        """Send the head of an answer whose body comes in pieces."""
+        response = web.StreamResponse(status=status, reason=reason, headers=CIMultiDict(headers))
+        self._prepare(response)
+        await response.prepare(self._request)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a piece of the body, waiting while the caller is slow."""
+        await self.response.write(chunk)
+
+    async def end(self) -> None:
+        """Mark the answer as whole."""
+        await self.response.write_eof()
+
+    async def answer(
+        self, *, status: int, reason: str, headers: Sequence[Header], body: bytes
+    ) -> None:
+        """Send a whole answer at once."""
+        response = web.Response(
+            status=status, reason=reason, headers=CIMultiDict(headers), body=body
+        )
+        self._prepare(response)
+        await response.prepare(self._request)
+        await response.write_eof()
+
+    async def refuse(self, *, refusal: Refusal) -> None:
+        """Send an answer of our own, as problem details (RFC 9457)."""
+        problem = {"type": f"urn:tanagerscale:{refusal.kind.value}", "detail": refusal.detail}
+        headers = [("Content-Type", "application/problem+json"), *self._echoed]
+        if refusal.retry_after_ms is not None:
+            headers.append(("Retry-After", f"{refusal.retry_after_ms / MS_PER_SECOND:.3f}"))
+        await self.answer(
+            status=STATUSES[refusal.kind],
+            reason=refusal.kind.value,
+            headers=headers,
+            body=msgspec.json.encode(problem),
+        )
+
+    def close_after_answer(self) -> None:
+        """End the connection after this answer."""
+        self._idle_timeout_ms = None
+
+    def abort(self) -> None:
+        """Break the connection, so that what was sent does not look whole."""
+        if self._response is None:
+            self._response = web.StreamResponse()
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
+
+    def _prepare(self, response: web.StreamResponse) -> None:
+        self._response = response
+        if self._idle_timeout_ms is None:
+            response.force_close()
+        else:
+            response.headers["Keep-Alive"] = f"timeout={self._idle_timeout_ms // 1000}"
--- a/src/tanagerscale/gateway/_edges.py
+++ b/src/tanagerscale/gateway/_edges.py
@@ -4,15 +4,19 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
 from aiohttp import web
 from returns.result import Result
 
+from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import CallerRequest
 from tanagerscale.forwarding import EngineControl
+from tanagerscale.forwarding import Header
+from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import Responder
 from tanagerscale.forwarding import UpstreamCaller
 from tanagerscale.routes import Configuration
@@ -26,23 +30,16 @@
     """Sends requests to upstreams and asks engines about their runs."""
 
 
-class CallerServer(Protocol):
-    """Accepts callers' connections."""
+class CallerCodec(Protocol):
+    """Decodes callers' requests."""
 
-    def sweep(self) -> None:
-        """End connections that have been idle for longer than is declared."""
+    def decode(
+        self, request: web.BaseRequest, body: bytes, arrived: Millis
+    ) -> Result[CallerRequest, Refusal]:
+        """Return the request, or the answer that tells what it lacks."""
 
-    def begin_stop(self) -> None:
-        """End each connection after its answer from now on."""
-
-    async def stop_listening(self) -> None:
-        """Accept no more connections; those there are go on."""
-
-    def end_idle(self, *, idle_ms: int) -> bool:
-        """End connections that have been idle for so long; return whether none is left."""
-
-    async def close(self) -> None:
-        """End everything."""
+    def echoed(self, request: web.BaseRequest) -> Sequence[Header]:
+        """Return the fields of a request that answers of our own repeat."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -68,8 +65,7 @@
     :param registry_prefix: Where upstreams write their entries.
     :param decode_entry: Reads one.
     :param upstream_of: Returns whose entry stands under a key.
-    :param serve_callers: Accepts callers at an address.
-    :param serve_readiness: Answers at an address whether the host takes new connections.
+    :param callers: Decodes callers' requests.
     :param close: Ends the connections to the store and to upstreams.
     """
 
@@ -80,6 +76,5 @@
     registry_prefix: str
     decode_entry: Callable[[str, bytes], Result[UpstreamEntry, str]]
     upstream_of: Callable[[str], UpstreamId]
-    serve_callers: Callable[[Serve, CallerRules, str], Awaitable[CallerServer]]
-    serve_readiness: Callable[[Callable[[], bool], str], Awaitable[web.ServerRunner]]
+    callers: CallerCodec
     close: Callable[[], Awaitable[None]]
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -17,6 +17,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
+from tanagerscale.core import ServiceId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import Copier
@@ -30,9 +31,10 @@
 from tanagerscale.forwarding import Protection
 from tanagerscale.forwarding import RetryBudgets
 from tanagerscale.forwarding import StreamRun
+from tanagerscale.gateway._caller_server import CallerServer
+from tanagerscale.gateway._caller_server import serve_readiness
 from tanagerscale.gateway._configuration import ConfigurationKeeper
 from tanagerscale.gateway._edges import CallerRules
-from tanagerscale.gateway._edges import CallerServer
 from tanagerscale.gateway._edges import Edges
 from tanagerscale.gateway._metrics import serve_metrics
 from tanagerscale.gateway._peers import PeerNews
@@ -104,7 +106,8 @@
         """Begin to serve."""
         settings = self._settings
         readiness = settings.host.readiness
-        self._runners.append(await self._edges.serve_readiness(lambda: self.ready, readiness))
+        asked = await serve_readiness(is_ready=lambda: self.ready, address=readiness)
+        self._runners.append(asked)
         if settings.host.metrics:
             metrics = await serve_metrics(registry=self._registry, address=settings.host.metrics)
             self._runners.append(metrics)
@@ -112,9 +115,13 @@
             body_bytes=lambda: self._limits.body_bytes,
             idle_timeout_ms=lambda: self._limits.idle_timeout_ms,
         )
-        self._server: CallerServer = await self._edges.serve_callers(
-            self._dispatcher.serve, rules, settings.host.callers
+        self._server = CallerServer(
+            serve=self._dispatcher.serve,
+            codec=self._edges.callers,
+            rules=rules,
+            clock=self._clock,
         )
+        await self._server.start(address=settings.host.callers)
         await self._mesh.start()
         self._news.start()
         self._spread.start()
@@ -199,6 +206,31 @@
         """Whether the host takes new connections."""
         return not self._leaving and self._keeper.table is not None
 
+    @property
+    def version(self) -> int:
+        """Version of the declarations in force; 0 before any is known."""
+        return self._keeper.head_revision
+
+    @property
+    def peers(self) -> list[HostId]:
+        """The hosts this one is connected to."""
+        return [peer.host for peer in self._mesh.live.value]
+
+    @property
+    def upstreams_known(self) -> int:
+        """How many upstreams are listed."""
+        return self._roster.known
+
+    @property
+    def runs_known(self) -> int:
+        """How many generations are known to run on engines, those of the peers included."""
+        totals = self._work.totals().values()
+        return sum(total.running + total.waiting for total in totals)
+
+    def upstreams_open(self, service: str) -> int:
+        """Return how many upstreams of a service take work."""
+        return len(self._roster.open_for(ServiceId(service)))
+
     @property
     def _limits(self) -> CallerLimits:
         table = self._keeper.table
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -88,6 +88,11 @@
         """Each upstream whose entry was written or is gone."""
         return self._changes
 
+    @property
+    def known(self) -> int:
+        """How many upstreams are known, those that are gone for less than a minute included."""
+        return len(self._known)
+
     def get(self, upstream: UpstreamId) -> UpstreamEntry | None:
         """Return the entry of an upstream, also for a while after it is gone."""
         known = self._known.get(upstream)
--- a/src/tanagerscale/platform/_edges.py
+++ b/src/tanagerscale/platform/_edges.py
@@ -2,19 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Final
 
-from aiohttp import web
-
 from tanagerscale.core import Clock
-from tanagerscale.gateway import CallerRules
-from tanagerscale.gateway import CallerServer
 from tanagerscale.gateway import Edges
-from tanagerscale.gateway import Serve
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.platform._callers import PlatformCallers
-from tanagerscale.platform._callers import serve_readiness
 from tanagerscale.platform._configuration import CONFIGURATION_KEY
 from tanagerscale.platform._configuration import decode_configuration
 from tanagerscale.platform._engines import PlatformUpstreams
@@ -42,14 +35,6 @@
     def pool() -> ConnectionPool:
         return ConnectionPool(clock=clock, connect_timeout_ms=CONNECT_TIMEOUT_MS, idle_ms=IDLE_MS)
 
-    async def callers(serve: Serve, rules: CallerRules, address: str) -> CallerServer:
-        server = PlatformCallers(serve=serve, rules=rules, clock=clock)
-        await server.start(address=address)
-        return server
-
-    async def readiness(is_ready: Callable[[], bool], address: str) -> web.ServerRunner:
-        return await serve_readiness(is_ready=is_ready, address=address)
-
     store_pool = pool()
     upstream_pool = pool()
 
@@ -65,7 +50,6 @@
         registry_prefix=REGISTRY_PREFIX,
         decode_entry=decode_entry,
         upstream_of=upstream_of,
-        serve_callers=callers,
-        serve_readiness=readiness,
+        callers=PlatformCallers(),
         close=close,
     )
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -175,7 +175,7 @@
         return await self._serve(request)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        headers = {name: value for name, value in request.headers.items()}
+        headers = request.headers
         arrival = Arrival(
             request=headers.get("Tanagerscale-Attempt-Id", ""),
             method=request.method,
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -16,6 +16,7 @@
 from standins.platform_engine import Ledger
 from standins.platform_engine import UpstreamEmulator
 from standins.platform_store import StoreEmulator
+from standins.tcp_relay import TcpRelay
 from tanagerscale.core import Clock
 from tanagerscale.gateway import GatewayHost
 from tanagerscale.generated.gateway import BoundsSection
@@ -112,6 +113,8 @@
         self.ledger = Ledger()
         self.upstreams: dict[str, UpstreamEmulator] = {}
         self.hosts: dict[str, GatewayHost] = {}
+        self.links: dict[str, TcpRelay] = {}
+        """The way of each host to the store."""
         self._settings: dict[str, GatewaySettings] = {}
         self._store_address = ""
         self._session: aiohttp.ClientSession | None = None
@@ -151,7 +154,10 @@
         self.store.put(f"servers/{upstream.upstream}", msgspec.json.encode(entry))
 
     async def add_host(self, name: str, *, seeds: tuple[str, ...] = ()) -> GatewayHost:
-        """Start a host and wait until it is ready."""
+        """Start a host, which reaches the store by a link of its own."""
+        link = TcpRelay(target=self._store_address)
+        await link.__aenter__()
+        self.links[name] = link
         settings = GatewaySettings(
             host=HostSection(
                 id=name,
@@ -162,7 +168,7 @@
                 seeds=list(seeds),
                 stop_grace_s=4,
             ),
-            store=GatewayStore(address=self._store_address),
+            store=GatewayStore(address=link.address),
             bounds=BoundsSection(),
         )
         clock = Clock()
@@ -177,6 +183,13 @@
     async def kill_host(self, name: str) -> None:
         """End a host without a planned stop."""
         await self.hosts.pop(name).abandon()
+        await self.links.pop(name).__aexit__()
+
+    def cut_from_store(self, name: str) -> None:
+        """Let no call of a host reach the store any more."""
+        link = self.links[name]
+        link.refuse()
+        link.cut()
 
     def callers_address(self, name: str) -> str:
         """Return where a host takes callers."""
--- /dev/null
+++ b/testing/test_forwarding_evacuation.py
@@ -0,0 +1,319 @@
+"""Streams leave engines that go, and copies are taken before where a notice would be too short."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+
+from tanagerscale.core import Millis
+from tanagerscale.core import RequestId
+from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding import Copier
+from tanagerscale.forwarding import CopyFailure
+from tanagerscale.forwarding import Departures
+from tanagerscale.forwarding import Evacuation
+from tanagerscale.forwarding import LinkTurns
+from tanagerscale.forwarding import Protection
+from tanagerscale.forwarding import RoutedRequest
+from tanagerscale.forwarding import StreamRun
+from tanagerscale.forwarding._stream import Hop
+from tanagerscale.forwarding._stream import Snapshot
+from tanagerscale.routes import RouteKind
+from tanagerscale.upstreams import UpstreamEntry
+from testing._gateway_fakes import Bench
+from testing._gateway_fakes import copy_failure
+from testing._gateway_fakes import make_bench
+from testing._gateway_fakes import make_entry
+from testing._gateway_fakes import make_request
+from testing._gateway_fakes import make_route
+from testing._gateway_fakes import route_request
+from testing._virtual_time import run_virtually
+
+QUIET_S = 5
+
+
+@dataclass(eq=False, slots=True)
+class FakeRun:
+    """A stream on an engine, as those see it that move streams."""
+
+    routed: RoutedRequest
+    entry: UpstreamEntry | None
+    request: RequestId
+    tokens: int = 4000
+    made: int = 1000
+    running_ms: int = 2000
+    begun: bool = True
+    ended: bool = False
+    copy_at: UpstreamEntry | None = None
+    snapshot: Snapshot | None = None
+    copying: asyncio.Lock = field(default_factory=asyncio.Lock)
+    hops: list[Hop] = field(default_factory=list)
+    stops: list[Hop | None] = field(default_factory=list)
+    began: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def wait_begun(self) -> None:
+        """Wait for the first event."""
+        if not self.begun:
+            await self.began.wait()
+
+    def hop_now(self, hop: Hop) -> None:
+        """Go on elsewhere."""
+        self.hops.append(hop)
+        self.entry = hop.entry
+
+    def expect_stop(self) -> None:
+        """Do nothing."""
+
+    def stopped(self, hop: Hop | None) -> None:
+        """Go on elsewhere."""
+        self.stops.append(hop)
+        if hop is not None:
+            self.entry = hop.entry
+
+
+class Scene:
+    """Engines, streams on them, and what moves these."""
+
+    def __init__(self, *names: str) -> None:
+        self.bench: Bench = make_bench(*(make_entry(name) for name in names))
+        self.runs: set[StreamRun] = set()
+        parts = self.bench.parts
+        self.departures = Departures(clock=parts.clock)
+        copier = Copier(parts=parts)
+        turns = LinkTurns(work=self.bench.work, clock=parts.clock)
+        self.evacuation = Evacuation(
+            parts=parts, departures=self.departures, copier=copier, turns=turns, runs=self.runs
+        )
+        self.protection = Protection(
+            parts=parts, departures=self.departures, copier=copier, turns=turns, runs=self.runs
+        )
+
+    def entry(self, name: str) -> UpstreamEntry:
+        """Return an engine."""
+        entry = self.bench.upstreams.get(UpstreamId(name))
+        assert entry is not None
+        return entry
+
+    def add(self, name: str, *, at: str, tokens: int = 4000, made: int = 1000) -> FakeRun:
+        """Put a stream on an engine."""
+        route = make_route(kind=RouteKind.STREAMING, timeout_ms=39_000)
+        routed = route_request(make_request(name=name, prompt=tokens - made), route)
+        run = FakeRun(
+            routed=routed,
+            entry=self.entry(at),
+            request=RequestId(name),
+            tokens=tokens,
+            made=made,
+        )
+        work = self.bench.work
+        work.begin(
+            request=run.request,
+            upstream=UpstreamId(at),
+            prompt_tokens=tokens,
+            tokens=tokens,
+            is_long=True,
+        )
+        work.progress(request=run.request, tokens=tokens)
+        self.runs.add(run)  # type: ignore[arg-type]
+        return run
+
+    def leave(self, name: str) -> None:
+        """Let an engine leave."""
+        self.bench.upstreams.leaving.add(name)
+        self.evacuation.on_change(UpstreamId(name))
+
+
+def test_run_is_copied_then_stopped_and_goes_on_when_its_engine_leaves() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y")
+        run = scene.add("1", at="x")
+        scene.leave("x")
+        await asyncio.sleep(1.0)
+        assert scene.bench.engines.copies == [("1", "x", "y", False), ("1", "x", "y", True)]
+        (hop,) = run.stops
+        assert hop is not None
+        assert (hop.entry.upstream, hop.holder.upstream) == ("y", "x")
+
+    run_virtually(play())
+
+
+def test_run_that_has_a_copy_only_needs_the_rest() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y", "z")
+        run = scene.add("1", at="x")
+        run.snapshot = Snapshot(entry=scene.entry("z"), copy="c", taken=Millis(0))
+        scene.leave("x")
+        await asyncio.sleep(1.0)
+        assert scene.bench.engines.copies == [("1", "x", "z", True)]
+
+    run_virtually(play())
+
+
+def test_copies_of_one_engine_go_one_after_the_other_dearest_first() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y")
+        for name, made in (("young", 10), ("old", 2000), ("middle", 500)):
+            scene.add(name, at="x", made=made)
+        scene.leave("x")
+        await asyncio.sleep(1.4)
+        asked = [(request, stop) for request, _, _, stop in scene.bench.engines.copies]
+        assert asked == [
+            ("old", False),
+            ("old", True),
+            ("middle", False),
+            ("middle", True),
+            ("young", False),
+            ("young", True),
+        ]
+
+    run_virtually(play())
+
+
+def test_run_goes_to_its_growing_copy_at_the_last_moment() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y")
+        run = scene.add("1", at="x")
+        run.copy_at = scene.entry("y")
+        scene.leave("x")
+        await asyncio.sleep(1.0)
+        assert run.hops == []
+        await asyncio.sleep(0.5)
+        (hop,) = run.hops
+        assert (hop.entry.upstream, hop.copy) == ("y", "1")
+        assert scene.bench.engines.copies == []
+
+    run_virtually(play())
+
+
+def test_run_that_has_not_begun_is_moved_after_its_first_event() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y")
+        run = scene.add("1", at="x")
+        run.begun = False
+        scene.leave("x")
+        await asyncio.sleep(0.5)
+        assert scene.bench.engines.copies == []
+        run.began.set()
+        await asyncio.sleep(0.5)
+        assert len(scene.bench.engines.copies) == 2
+
+    run_virtually(play())
+
+
+def test_run_that_an_engine_takes_while_it_leaves_is_moved() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y")
+        scene.leave("x")
+        run = scene.add("1", at="x")
+        scene.evacuation.on_engine(run)  # type: ignore[arg-type]
+        await asyncio.sleep(0.5)
+        assert len(run.stops) == 1
+
+    run_virtually(play())
+
+
+def test_another_engine_is_tried_when_one_has_no_room() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y", "z")
+        run = scene.add("1", at="x")
+        scene.bench.engines.failures.append(copy_failure(CopyFailure.NO_ROOM))
+        scene.leave("x")
+        await asyncio.sleep(1.0)
+        targets = [target for _, _, target, _ in scene.bench.engines.copies]
+        assert len(set(targets)) == 2
+        assert targets[1] == targets[2]
+        assert len(run.stops) == 1
+
+    run_virtually(play())
+
+
+def test_run_goes_on_at_its_source_when_that_stopped_it_and_kept_its_memory() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y")
+        run = scene.add("1", at="x")
+        run.snapshot = Snapshot(entry=scene.entry("y"), copy="c", taken=Millis(0))
+        scene.bench.engines.failures.append(copy_failure(CopyFailure.NO_ROOM, kept="k"))
+        scene.leave("x")
+        await asyncio.sleep(0.3)
+        hop = run.stops[0]
+        assert hop is not None
+        assert (hop.entry.upstream, hop.copy) == ("x", "k")
+
+    run_virtually(play())
+
+
+def test_run_is_not_copied_when_that_would_come_too_late() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y")
+        run = scene.add("1", at="x")
+        run.begun = False
+        scene.leave("x")
+        await asyncio.sleep(1.45)
+        run.began.set()
+        await asyncio.sleep(1.0)
+        assert scene.bench.engines.copies == []
+        assert run.stops == []
+
+    run_virtually(play())
+
+
+def test_runs_get_copies_in_quiet_times_when_too_many_are_on_one_engine() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y")
+        for number in range(5):
+            scene.add(str(number), at="x")
+        task = asyncio.create_task(scene.protection.run())
+        await asyncio.sleep(QUIET_S)
+        task.cancel()
+        copied = {request for request, *_ in scene.bench.engines.copies}
+        # 10,000 tokens fit the notice, so three of five runs with 4,000 each need a copy.
+        assert len(copied) == 3
+        assert all(not stop for *_, stop in scene.bench.engines.copies)
+
+    run_virtually(play())
+
+
+def test_runs_get_no_copies_when_a_notice_is_long_enough_for_all() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y")
+        for number in range(2):
+            scene.add(str(number), at="x")
+        task = asyncio.create_task(scene.protection.run())
+        await asyncio.sleep(QUIET_S)
+        task.cancel()
+        assert scene.bench.engines.copies == []
+
+    run_virtually(play())
+
+
+def test_links_are_kept_for_what_leaves_when_an_engine_goes() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y", "z")
+        for number in range(5):
+            scene.add(str(number), at="x")
+        scene.leave("z")
+        task = asyncio.create_task(scene.protection.run())
+        await asyncio.sleep(1.5)
+        before = list(scene.bench.engines.copies)
+        await asyncio.sleep(QUIET_S)
+        task.cancel()
+        assert before == []
+        assert scene.bench.engines.copies != []
+
+    run_virtually(play())
+
+
+def test_copy_is_renewed_before_its_engine_drops_it() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y")
+        for number in range(3):
+            scene.add(str(number), at="x")
+        task = asyncio.create_task(scene.protection.run())
+        await asyncio.sleep(3 * QUIET_S)
+        task.cancel()
+        asked = [request for request, *_ in scene.bench.engines.copies]
+        assert len(set(asked)) == 1
+        assert 4 <= len(asked) <= 7
+
+    run_virtually(play())
--- /dev/null
+++ b/testing/test_forwarding_stream.py
@@ -0,0 +1,275 @@
+"""A stream reaches its caller whole, in order and from one run, whatever its engines do."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding import Admission
+from tanagerscale.forwarding import Departures
+from tanagerscale.forwarding import RefusalKind
+from tanagerscale.forwarding import StreamRun
+from tanagerscale.forwarding._stream import Hop
+from tanagerscale.forwarding._stream import Snapshot
+from tanagerscale.routes import RouteKind
+from tanagerscale.upstreams import ExchangeError
+from tanagerscale.upstreams import ExchangeFailure
+from testing._gateway_fakes import Bench
+from testing._gateway_fakes import FakeAnswer
+from testing._gateway_fakes import FakeResponder
+from testing._gateway_fakes import make_bench
+from testing._gateway_fakes import make_entry
+from testing._gateway_fakes import make_request
+from testing._gateway_fakes import make_route
+from testing._gateway_fakes import route_request
+from testing._virtual_time import run_virtually
+
+NOT_SENT = ExchangeError(ExchangeFailure.NOT_SENT, "no connection")
+LOST = ExchangeError(ExchangeFailure.LOST, "reset")
+
+
+def _events(*numbers: int) -> list[bytes | None]:
+    return [f"id: {number}\ndata: {number}\n\n".encode() for number in numbers]
+
+
+class Hooks:
+    """Keeps what a stream tells."""
+
+    def __init__(self) -> None:
+        self.engines: list[str] = []
+        self.unused: list[Snapshot] = []
+
+    def on_engine(self, run: StreamRun) -> None:
+        """Keep the engine."""
+        assert run.entry is not None
+        self.engines.append(run.entry.upstream)
+
+    def on_unused(self, snapshot: Snapshot) -> None:
+        """Keep the copy."""
+        self.unused.append(snapshot)
+
+
+def _run(bench: Bench, *, hooks: Hooks | None = None) -> tuple[StreamRun, FakeResponder]:
+    route = make_route(kind=RouteKind.STREAMING, timeout_ms=39_000, attempts=1)
+    responder = FakeResponder()
+    run = StreamRun(
+        routed=route_request(make_request(prompt=100), route),
+        responder=responder,
+        parts=bench.parts,
+        admission=Admission(parts=bench.parts),
+        departures=Departures(clock=bench.parts.clock),
+        hooks=hooks or Hooks(),
+    )
+    return run, responder
+
+
+def _numbers(responder: FakeResponder) -> list[int]:
+    lines = responder.body.decode().splitlines()
+    return [int(line.removeprefix("id: ")) for line in lines if line.startswith("id: ")]
+
+
+def test_stream_is_whole_when_its_engine_ends_it() -> None:
+    async def play() -> None:
+        bench = make_bench(make_entry("x"))
+        bench.caller.set("x", FakeAnswer(chunks=_events(1, 2, 3)))
+        run, responder = _run(bench)
+        assert await run.serve() is None
+        assert _numbers(responder) == [1, 2, 3]
+        assert responder.ended
+
+    run_virtually(play())
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        [*_events(1, 2), None],
+        [*_events(1), b"id: 2\ndata: half"],
+        _events(1, 3),
+        [b"no event\n\n"],
+    ],
+)
+def test_stream_never_looks_whole_when_its_engine_breaks_off(
+    chunks: list[bytes | None],
+) -> None:
+    async def play() -> None:
+        bench = make_bench(make_entry("x"), make_entry("y"))
+        for name in "xy":
+            bench.caller.set(name, FakeAnswer(chunks=list(chunks)))
+        run, responder = _run(bench)
+        refusal = await run.serve()
+        assert refusal is not None
+        assert refusal.kind is RefusalKind.UPSTREAM_FAILED
+        assert not responder.ended
+        assert len(bench.caller.orders) == 1
+
+    run_virtually(play())
+
+
+def test_stream_is_begun_elsewhere_only_when_it_has_not_run() -> None:
+    async def play() -> None:
+        bench = make_bench(make_entry("x"), make_entry("y"), make_entry("z"))
+        bench.caller.set("x", NOT_SENT)
+        bench.caller.set("y", FakeAnswer(status=503, not_executed=True))
+        bench.caller.set("z", FakeAnswer(chunks=_events(1)))
+        run, responder = _run(bench)
+        assert await run.serve() is None
+        assert _numbers(responder) == [1]
+
+    run_virtually(play())
+
+
+def test_stream_is_not_begun_again_when_its_first_answer_is_lost() -> None:
+    async def play() -> None:
+        bench = make_bench(make_entry("x"), make_entry("y"))
+        for name in "xy":
+            bench.caller.set(name, LOST)
+        run, _ = _run(bench)
+        refusal = await run.serve()
+        assert refusal is not None
+        assert refusal.kind is RefusalKind.UPSTREAM_FAILED
+        assert len(bench.caller.orders) == 1
+
+    run_virtually(play())
+
+
+def test_stream_goes_on_after_the_last_event_when_its_run_is_moved() -> None:
+    async def play() -> None:
+        x, y = make_entry("x"), make_entry("y")
+        bench = make_bench(x, y)
+        bench.upstreams.leaving.add("y")
+        slow = FakeAnswer(chunks=_events(*range(1, 100)), pause_ms=10)
+        bench.caller.set("x", slow)
+        bench.caller.set("y", FakeAnswer(chunks=_events(4, 5)))
+        hooks = Hooks()
+        run, responder = _run(bench, hooks=hooks)
+        serving = asyncio.create_task(run.serve())
+        while len(_numbers(responder)) < 3:
+            await asyncio.sleep(0.001)
+        run.hop_now(Hop(entry=y, holder=x, copy="c"))
+        assert await serving is None
+        assert _numbers(responder) == [1, 2, 3, 4, 5]
+        assert responder.ended
+        order = bench.caller.orders[-1]
+        assert order.continuation is not None
+        assert (order.continuation.copy, order.continuation.after_event) == ("c", 3)
+        assert order.continuation.holder == x.address
+        assert hooks.engines == ["x", "y"]
+
+    run_virtually(play())
+
+
+def test_events_that_come_twice_after_a_move_are_passed_on_once() -> None:
+    async def play() -> None:
+        x, y = make_entry("x"), make_entry("y")
+        bench = make_bench(x)
+        bench.caller.set("x", FakeAnswer(chunks=[*_events(1, 2, 3), None]))
+        bench.caller.set("y", FakeAnswer(chunks=_events(2, 3, 4)))
+        run, responder = _run(bench)
+        run._hops.append(Hop(entry=y, holder=x, copy="c"))
+        assert await run.serve() is None
+        assert _numbers(responder) == [1, 2, 3, 4]
+
+    run_virtually(play())
+
+
+def test_stream_waits_for_its_copy_when_its_engine_has_stopped_it() -> None:
+    async def play() -> None:
+        x, y = make_entry("x"), make_entry("y")
+        bench = make_bench(x)
+        bench.caller.set("x", FakeAnswer(chunks=[*_events(1, 2), None], pause_ms=10))
+        bench.caller.set("y", FakeAnswer(chunks=_events(3)))
+        run, responder = _run(bench)
+        serving = asyncio.create_task(run.serve())
+        while not run.begun:
+            await asyncio.sleep(0.001)
+        run.expect_stop()
+        await asyncio.sleep(1.0)
+        assert not serving.done()
+        run.stopped(Hop(entry=y, holder=x, copy="c"))
+        assert await serving is None
+        assert _numbers(responder) == [1, 2, 3]
+
+    run_virtually(play())
+
+
+def test_stream_ends_as_failed_when_its_stopped_run_has_no_copy() -> None:
+    async def play() -> None:
+        bench = make_bench(make_entry("x"))
+        bench.caller.set("x", FakeAnswer(chunks=[*_events(1, 2), None], pause_ms=10))
+        run, responder = _run(bench)
+        serving = asyncio.create_task(run.serve())
+        while not run.begun:
+            await asyncio.sleep(0.001)
+        run.expect_stop()
+        await asyncio.sleep(1.0)
+        run.stopped(None)
+        assert await serving is not None
+        assert not responder.ended
+
+    run_virtually(play())
+
+
+def test_next_copy_is_tried_when_a_continuation_is_refused() -> None:
+    async def play() -> None:
+        x, y, z = make_entry("x"), make_entry("y"), make_entry("z")
+        bench = make_bench(x)
+        bench.caller.set("x", FakeAnswer(chunks=[*_events(1), None]))
+        bench.caller.set("y", FakeAnswer(status=503, not_executed=True))
+        bench.caller.set("z", FakeAnswer(chunks=_events(2)))
+        run, responder = _run(bench)
+        run._hops += [Hop(entry=y, holder=x, copy="1"), Hop(entry=z, holder=x, copy="2")]
+        assert await run.serve() is None
+        assert _numbers(responder) == [1, 2]
+
+    run_virtually(play())
+
+
+def test_copy_is_freed_when_the_stream_ends_without_it() -> None:
+    async def play() -> None:
+        bench = make_bench(make_entry("x"))
+        bench.caller.set("x", FakeAnswer(chunks=_events(1, 2), pause_ms=10))
+        hooks = Hooks()
+        run, _ = _run(bench, hooks=hooks)
+        serving = asyncio.create_task(run.serve())
+        while not run.begun:
+            await asyncio.sleep(0.001)
+        held = Snapshot(entry=make_entry("y"), copy="c", taken=bench.parts.clock.now())
+        run.snapshot = held
+        await serving
+        assert hooks.unused == [held]
+        assert bench.work.totals() == {}
+
+    run_virtually(play())
+
+
+def test_engine_is_told_when_its_caller_leaves() -> None:
+    async def play() -> None:
+        bench = make_bench(make_entry("x"))
+        answer = FakeAnswer(chunks=_events(*range(1, 100)), pause_ms=10)
+        bench.caller.set("x", answer)
+        run, _ = _run(bench)
+        serving = asyncio.create_task(run.serve())
+        while not run.begun:
+            await asyncio.sleep(0.001)
+        serving.cancel()
+        await asyncio.wait({serving})
+        assert answer.closed
+        assert UpstreamId("x") not in bench.work.totals()
+
+    run_virtually(play())
+
+
+def test_failure_of_an_engine_is_passed_on_as_it_is() -> None:
+    async def play() -> None:
+        bench = make_bench(make_entry("x"), make_entry("y"))
+        for name in "xy":
+            bench.caller.set(name, FakeAnswer(status=500, chunks=[b"failed"]))
+        run, responder = _run(bench)
+        assert await run.serve() is None
+        assert (responder.status, responder.body) == (500, b"failed")
+        assert len(bench.caller.orders) == 1
+
+    run_virtually(play())
--- /dev/null
+++ b/testing/test_gateway_http.py
@@ -0,0 +1,294 @@
+"""The callers' connections as they are on the wire."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from aiohttp import web
+import pytest
+import pytest_asyncio
+from returns.result import Result
+from returns.result import Success
+
+from standins._common import LOOPBACK
+from standins.platform_world import free_port
+from tanagerscale.core import Clock
+from tanagerscale.core import Millis
+from tanagerscale.core import RequestId
+from tanagerscale.forwarding import CallerRequest
+from tanagerscale.forwarding import Header
+from tanagerscale.forwarding import Refusal
+from tanagerscale.forwarding import RefusalKind
+from tanagerscale.forwarding import Responder
+from tanagerscale.gateway._caller_server import CallerServer
+from tanagerscale.gateway._edges import CallerRules
+
+Serve = Callable[[CallerRequest, Responder], Awaitable[None]]
+BODY_LIMIT = 1000
+HEAD = b"POST /a/b?c HTTP/1.1\r\nHost: x\r\n"
+
+
+class Codec:
+    """Decodes as little as the server needs."""
+
+    def decode(
+        self, request: web.BaseRequest, body: bytes, arrived: Millis
+    ) -> Result[CallerRequest, Refusal]:
+        """Return the request."""
+        return Success(
+            CallerRequest(
+                request=RequestId(request.headers.get("Id", "")),
+                method=request.method,
+                target=request.raw_path,
+                host=request.headers["Host"],
+                path=request.path,
+                headers=(),
+                body=body,
+                key=None,
+                time_left_ms=None,
+                arrived=arrived,
+                demand=None,
+                resume_after="",
+            )
+        )
+
+    def echoed(self, request: web.BaseRequest) -> tuple[Header, ...]:
+        """Return the id."""
+        return (("Id", request.headers.get("Id", "")),)
+
+
+async def _echo(request: CallerRequest, responder: Responder) -> None:
+    await responder.answer(status=200, reason="OK", headers=[], body=request.body)
+
+
+@dataclass(slots=True)
+class Served:
+    """A server whose behaviour the test may change."""
+
+    server: CallerServer
+    port: int
+    serve: Serve
+    idle_timeout_ms: int = 60_000
+
+    async def open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connect to it."""
+        return await asyncio.open_connection(LOOPBACK, self.port)
+
+
+@pytest_asyncio.fixture
+async def served() -> AsyncIterator[Served]:
+    """Serve callers on a free port."""
+    kept: list[Served] = []
+
+    async def serve(request: CallerRequest, responder: Responder) -> None:
+        await kept[0].serve(request, responder)
+
+    port = free_port()
+    server = CallerServer(
+        serve=serve,
+        codec=Codec(),
+        rules=CallerRules(
+            body_bytes=lambda: BODY_LIMIT,
+            idle_timeout_ms=lambda: kept[0].idle_timeout_ms,
+        ),
+        clock=Clock(),
+    )
+    kept.append(Served(server=server, port=port, serve=_echo))
+    await server.start(address=f"{LOOPBACK}:{port}")
+    yield kept[0]
+    await server.close()
+
+
+async def _answer(reader: asyncio.StreamReader) -> tuple[int, bytes]:
+    """Read one answer with a length."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            length = int(line.partition(b":")[2])
+    return int(head.split(b" ")[1]), await reader.readexactly(length)
+
+
+@pytest.mark.asyncio
+async def test_connection_carries_several_requests(served: Served) -> None:
+    reader, writer = await served.open()
+    for text in (b"one", b"two"):
+        writer.write(HEAD + b"Content-Length: 3\r\n\r\n" + text)
+        assert await _answer(reader) == (200, text)
+    writer.close()
+
+
+@pytest.mark.asyncio
+async def test_body_in_chunks_is_read_whole(served: Served) -> None:
+    reader, writer = await served.open()
+    chunks = b"3\r\none\r\n4\r\n-two\r\n0\r\n\r\n"
+    writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks)
+    assert await _answer(reader) == (200, b"one-two")
+    writer.close()
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /s HTTP/1.1\r\n\r\n",
+        b"Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+        b"Content-Length: x\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+    ],
+)
+async def test_request_with_two_meanings_is_not_served(served: Served, rest: bytes) -> None:
+    seen: list[str] = []
+
+    async def keep(request: CallerRequest, responder: Responder) -> None:
+        seen.append(request.target)
+        await _echo(request, responder)
+
+    served.serve = keep
+    reader, writer = await served.open()
+    writer.write(HEAD + rest)
+    writer.write_eof()
+    answer = await reader.read()
+    assert b" 200 " not in answer
+    assert seen == []
+    writer.close()
+
+
+@pytest.mark.asyncio
+async def test_body_is_refused_when_it_is_too_large(served: Served) -> None:
+    reader, writer = await served.open()
+    writer.write(HEAD + b"Content-Length: 5000\r\n\r\n")
+    status, _ = await _answer(reader)
+    assert status == 413
+    writer.close()
+
+
+@pytest.mark.asyncio
+async def test_caller_that_asks_first_is_told_to_go_on(served: Served) -> None:
+    reader, writer = await served.open()
+    writer.write(HEAD + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+    assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+    writer.write(b"one")
+    assert await _answer(reader) == (200, b"one")
+    writer.close()
+
+
+@pytest.mark.asyncio
+async def test_refusal_names_its_remedy_and_when_to_come_back(served: Served) -> None:
+    async def refuse(request: CallerRequest, responder: Responder) -> None:
+        refusal = Refusal(kind=RefusalKind.OVERLOADED, detail="Come back.", retry_after_ms=1500)
+        await responder.refuse(refusal=refusal)
+
+    served.serve = refuse
+    reader, writer = await served.open()
+    writer.write(HEAD + b"Id: 7\r\nContent-Length: 0\r\n\r\n")
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert b"503" in head
+    assert b"Retry-After: 1.500" in head
+    assert b"Id: 7" in head
+    writer.close()
+
+
+@pytest.mark.asyncio
+async def test_answer_that_breaks_off_does_not_look_whole(served: Served) -> None:
+    async def break_off(request: CallerRequest, responder: Responder) -> None:
+        await responder.begin(status=200, reason="OK", headers=[])
+        await responder.write(b"half")
+        responder.abort()
+
+    served.serve = break_off
+    reader, writer = await served.open()
+    writer.write(HEAD + b"Content-Length: 0\r\n\r\n")
+    answer = b""
+    try:
+        answer = await reader.read()
+    except ConnectionError:
+        answer = b""
+    assert b"0\r\n\r\n" not in answer
+    writer.close()
+
+
+@pytest.mark.asyncio
+async def test_handler_ends_when_its_caller_leaves(served: Served) -> None:
+    started, ended = asyncio.Event(), asyncio.Event()
+
+    async def wait(request: CallerRequest, responder: Responder) -> None:
+        started.set()
+        try:
+            await asyncio.Event().wait()
+        finally:
+            ended.set()
+
+    served.serve = wait
+    _, writer = await served.open()
+    writer.write(HEAD + b"Content-Length: 0\r\n\r\n")
+    await started.wait()
+    writer.transport.abort()
+    await asyncio.wait_for(ended.wait(), 20)
+
+
+@pytest.mark.asyncio
+async def test_connection_ends_when_it_is_idle_for_too_long(served: Served) -> None:
+    reader, writer = await served.open()
+    writer.write(HEAD + b"Content-Length: 0\r\n\r\n")
+    await _answer(reader)
+    served.server.sweep()
+    assert not reader.at_eof()
+    served.idle_timeout_ms = -1
+    served.server.sweep()
+    assert await reader.read() == b""
+    writer.close()
+
+
+@pytest.mark.asyncio
+async def test_connection_with_a_request_under_way_does_not_end_as_idle(served: Served) -> None:
+    started, release = asyncio.Event(), asyncio.Event()
+
+    async def slow(request: CallerRequest, responder: Responder) -> None:
+        started.set()
+        await release.wait()
+        await _echo(request, responder)
+
+    served.serve = slow
+    reader, writer = await served.open()
+    writer.write(HEAD + b"Content-Length: 3\r\n\r\none")
+    await started.wait()
+    served.idle_timeout_ms = -1
+    for _ in range(5):
+        served.server.sweep()
+        await asyncio.sleep(0.02)
+    release.set()
+    assert await _answer(reader) == (200, b"one")
+    writer.close()
+
+
+@pytest.mark.asyncio
+async def test_request_that_was_read_is_answered_when_its_idle_connection_is_ended(
+    served: Served,
+) -> None:
+    """The request is read in the same turn of the loop in which the connection is ended."""
+    reader, writer = await served.open()
+    writer.write(HEAD + b"Content-Length: 3\r\n\r\none")
+    await _answer(reader)
+    served.idle_timeout_ms = -1
+    (protocol,) = served.server._server.connections
+    protocol.data_received(HEAD + b"Content-Length: 3\r\n\r\ntwo")
+    served.server.sweep()
+    assert await _answer(reader) == (200, b"two")
+    assert await reader.read() == b""
+    writer.close()
+
+
+@pytest.mark.asyncio
+async def test_each_connection_ends_after_its_answer_when_the_host_stops(served: Served) -> None:
+    reader, writer = await served.open()
+    served.server.begin_stop()
+    writer.write(HEAD + b"Content-Length: 3\r\n\r\none")
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert b"connection: close" in head.lower()
+    assert await reader.read() == b"one"
+    writer.close()
