Take all copies while runs go on, spare ones too, and go on from them when an engine fails

Cause: memory sent by engines as runs grew filled their links at the worst time, and helped only the runs that had it from the start; a stream whose engine crashed, was cut off or fell silent was lost. Ruled out: sending it later (a run's header can't be changed under way). Change: copies are taken one at a time in quiet times: of runs a notice is too short for up to nine tenths of an engine's memory, of any long run up to six tenths. A stream that breaks off or is silent for 2 s goes on from its copy, at most twice, after its engine was asked to stop it.

--- a/src/tanagerscale/cli/_commands.py
+++ b/src/tanagerscale/cli/_commands.py
@@ -19,6 +19,8 @@
 from tanagerscale.cli._arguments import check_store
 from tanagerscale.cli._ask import Question
 from tanagerscale.cli._ask import run_ask
+from tanagerscale.cli._explain import STANDARD_INPUT
+from tanagerscale.cli._explain import run_explain
 from tanagerscale.cli._local import run_key
 from tanagerscale.cli._local import run_validate
 from tanagerscale.cli._output import Output
@@ -214,6 +216,16 @@
         """
         return Job(lambda: run_replay(trace=trace, options=options))
 
+    def explain(self, request: str, *files: str, json: Any = False) -> Job:
+        """Tell what became of a request and why, from the logs of the hosts.
+
+        :param request: The request's id.
+        :param files: Log files of all hosts; a hyphen reads standard input.
+        :param json: Print one JSON document.
+        """
+        chosen = tuple(str(file) for file in files) or (STANDARD_INPUT,)
+        return Job(lambda: run_explain(request=str(request), files=chosen, output=_output(json)))
+
     def key(self, account: str, *, json: Any = False) -> Job:
         """Make a random key for a client account and the hash that is declared.
 
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -10,7 +10,6 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._admission import Admission
-from tanagerscale.forwarding._departures import Departures
 from tanagerscale.forwarding._evacuation import Evacuation
 from tanagerscale.forwarding._parts import ForwardingParts
 from tanagerscale.forwarding._plain import PlainForward
@@ -39,7 +38,6 @@
 
     :param parts: What every request uses.
     :param admission: Finds engines for generations.
-    :param departures: When engines leave.
     :param evacuation: Moves streams whose engine leaves.
     :param runs: This host's streams, for those that move them.
     """
@@ -49,13 +47,11 @@
         *,
         parts: ForwardingParts,
         admission: Admission,
-        departures: Departures,
         evacuation: Evacuation,
         runs: set[StreamRun],
     ) -> None:
         self._parts = parts
         self._admission = admission
-        self._departures = departures
         self._evacuation = evacuation
         self._runs = runs
         self._running = 0
@@ -135,7 +131,6 @@
             responder=responder,
             parts=self._parts,
             admission=self._admission,
-            departures=self._departures,
             hooks=self._evacuation,
         )
         self._runs.add(run)
--- a/src/tanagerscale/forwarding/_engine_views.py
+++ b/src/tanagerscale/forwarding/_engine_views.py
@@ -7,7 +7,6 @@
 from typing import Final
 
 from tanagerscale.core import UpstreamId
-from tanagerscale.forwarding._departures import Departures
 from tanagerscale.forwarding._parts import ForwardingParts
 from tanagerscale.forwarding._parts import without
 from tanagerscale.forwarding._types import RoutedRequest
@@ -84,13 +83,25 @@
 
 
 def choose_holder(
-    *, routed: RoutedRequest, parts: ForwardingParts, tokens: int, source: UpstreamEntry
+    *,
+    routed: RoutedRequest,
+    parts: ForwardingParts,
+    tokens: int,
+    source: UpstreamEntry,
+    margin: float,
 ) -> UpstreamEntry | None:
-    """Return the engine that should hold a copy of a run that goes on elsewhere."""
+    """Return the engine that should hold a copy of a run that goes on elsewhere.
+
+    :param routed: The request.
+    :param parts: What every request uses.
+    :param tokens: Memory that the run holds.
+    :param source: Where it runs.
+    :param margin: Part of an engine's memory up to which it takes copies.
+    """
     entries = without(parts.upstreams.open_for(routed.service), {source.upstream})
     views = views_of(entries, routed, parts)
     return _nearest(
-        [view for view in views if has_room_for_copy(view=view, tokens=tokens)],
+        [view for view in views if has_room_for_copy(view=view, tokens=tokens, margin=margin)],
         entries,
         source,
         parts,
@@ -120,26 +131,6 @@
     return easy_tokens(token_bytes=engine.token_bytes, link_mbps=engine.link_mbps)
 
 
-def choose_copy(
-    *,
-    routed: RoutedRequest,
-    parts: ForwardingParts,
-    departures: Departures,
-    tokens: int,
-    entry: UpstreamEntry,
-) -> UpstreamEntry | None:
-    """Return the engine that should get a copy of a run's memory as it grows, if any should."""
-    engine = routed.engine
-    if engine is None or not engine.can_back_up or not is_long(routed):
-        return None
-    if departures.links_busy:
-        return None
-    total = parts.work.totals().get(entry.upstream, EngineTotal())
-    if total.uncopied_tokens + tokens <= easy_tokens_of(engine):
-        return None  # All of these can be copied after a notice, and memory is scarce.
-    return choose_holder(routed=routed, parts=parts, tokens=tokens, source=entry)
-
-
 def views_of(
     entries: Sequence[UpstreamEntry], routed: RoutedRequest, parts: ForwardingParts
 ) -> list[EngineView]:
--- a/src/tanagerscale/forwarding/_evacuation.py
+++ b/src/tanagerscale/forwarding/_evacuation.py
@@ -13,6 +13,7 @@
 from returns.result import Failure
 from returns.result import Success
 
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._copier import Copier
@@ -28,10 +29,9 @@
 from tanagerscale.policy import order_of
 from tanagerscale.upstreams import UpstreamEntry
 
-LAST_MOMENT_MS: Final = 1400
-"""After a notice, when runs whose memory is sent elsewhere as it grows change engines. They need no
-copy any more and begin a new one where they go on, so they leave the links to the others first;
-engines were seen to go 1.5 s after their notice and later."""
+RESCUE_MS: Final = 300
+"""Longest wait for an engine to stop a run whose connection broke. One that lives answers within 20
+ms, and one that does not must not keep the run from going on."""
 
 REPORT_MS: Final = 700
 """After a notice, when the engine's report tells when it goes: reports are half a second old."""
@@ -89,6 +89,26 @@
         if run.entry is not None and self._parts.notes.is_leaving(run.entry.upstream):
             self._begin_to_leave(run)
 
+    async def rescue(self, run: StreamRun, source: UpstreamEntry) -> Hop | None:
+        """Return where a run goes on that broke off, from a copy taken before.
+
+        The engine may live and still work on the run, when only its connection broke; so it is
+        asked to stop first.
+        """
+        held = run.snapshot
+        if held is None or self._parts.notes.is_leaving(held.entry.upstream):
+            return None
+        hop = Hop(entry=held.entry, holder=source, copy=held.copy)
+        try:
+            async with asyncio.timeout(RESCUE_MS / MS_PER_SECOND):
+                rest = await self._copier.copy(run, source, held.entry, stop=True)
+        except TimeoutError:
+            return hop
+        if isinstance(rest, Success):
+            return Hop(entry=held.entry, holder=source, copy=rest.unwrap().copy)
+        kept = rest.failure().kept
+        return hop if kept is None else Hop(entry=source, holder=source, copy=kept)
+
     def on_unused(self, snapshot: Snapshot) -> None:
         """Free a copy that is not needed any more."""
         self._copier.drop(snapshot)
@@ -137,12 +157,6 @@
         await run.wait_begun()
         if not self._still_there(run, source):
             return
-        copied = run.copy_at
-        if copied is not None and not self._parts.notes.is_leaving(copied.upstream):
-            await self._sleep_after_notice(source, LAST_MOMENT_MS)
-            if self._still_there(run, source):
-                run.hop_now(Hop(entry=copied, holder=copied, copy=run.request))
-            return
         held = run.snapshot
         if held is not None and not self._parts.notes.is_leaving(held.entry.upstream):
             async with self._turn(run, source, held.entry, LinkRank.REST):
@@ -161,10 +175,6 @@
             until=self._departures.gone_at(source.upstream),
         )
 
-    async def _sleep_after_notice(self, source: UpstreamEntry, after_ms: int) -> None:
-        noticed = self._departures.noticed_at(source.upstream)
-        await self._parts.clock.sleep(noticed + after_ms - self._parts.clock.now())
-
     def _still_there(self, run: StreamRun, source: UpstreamEntry) -> bool:
         return not run.ended and run.entry is source
 
@@ -231,15 +241,8 @@
             rest = await self._copier.copy(run, source, held.entry, stop=True)
             if isinstance(rest, Success):
                 hop = Hop(entry=held.entry, holder=source, copy=rest.unwrap().copy)
-            else:
-                hop = self._hop_after_failure(source, held, rest.failure().kept)
+            elif (kept := rest.failure().kept) is not None:
+                hop = Hop(entry=source, holder=source, copy=kept)
         finally:
             run.stopped(hop)
         return hop is not None
-
-    def _hop_after_failure(
-        self, source: UpstreamEntry, held: Snapshot, kept: str | None
-    ) -> Hop | None:
-        if kept is not None:
-            return Hop(entry=source, holder=source, copy=kept)
-        return None
--- a/src/tanagerscale/forwarding/_protection.py
+++ b/src/tanagerscale/forwarding/_protection.py
@@ -1,4 +1,9 @@
-"""Copies of runs taken in quiet times, so that little is left to copy when their engine leaves."""
+"""Copies of runs taken in quiet times, for engines that leave or fail.
+
+The load it answers: an engine with more than its notice is long enough to copy, and engines that
+fail without any notice. Copies of the first kind take nearly all the memory there is; those of the
+second only what nothing else needs.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +11,6 @@
 from typing import final
 
 from tanagerscale.core import Millis
-from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding._copier import Copier
 from tanagerscale.forwarding._departures import Departures
 from tanagerscale.forwarding._engine_views import choose_holder
@@ -16,6 +20,8 @@
 from tanagerscale.forwarding._parts import ForwardingParts
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.forwarding._work import LinkRank
+from tanagerscale.policy import COPY_MARGIN
+from tanagerscale.policy import SPARE_MARGIN
 from tanagerscale.upstreams import UpstreamEntry
 
 LOOK_MS: Final = 200
@@ -68,14 +74,16 @@
     async def _protect_one(self) -> bool:
         """Copy the run that needs it most; return whether there was one."""
         due = [run for run in self._runs if self._needs_copy(run)]
-        if not due:
-            return False
-        run = max(due, key=lambda one: (one.snapshot is not None, one.made))
+        due.sort(key=lambda one: (one.snapshot is None, -one.made))
+        for run in due:
+            target = self._target_of(run)
+            if target is not None:
+                return await self._copy(run, target)
+        return False
+
+    async def _copy(self, run: StreamRun, target: UpstreamEntry) -> bool:
         source = run.entry
         assert source is not None
-        target = self._target_of(run)
-        if target is None:
-            return False
         until = Millis(self._parts.clock.now() + LONGEST_WAIT_MS)
         async with self._turns.turn(
             source=source,
@@ -95,7 +103,11 @@
             return held.entry
         assert run.entry is not None
         return choose_holder(
-            routed=run.routed, parts=self._parts, tokens=run.tokens, source=run.entry
+            routed=run.routed,
+            parts=self._parts,
+            tokens=run.tokens,
+            source=run.entry,
+            margin=COPY_MARGIN if self._is_exposed(run) else SPARE_MARGIN,
         )
 
     def _needs_copy(self, run: StreamRun) -> bool:
@@ -104,21 +116,18 @@
             return False
         if run.entry is None or run.ended or run.running_ms < SETTLED_MS:
             return False
-        if self._has_live_copy(run):
-            return False
-        if run.snapshot is not None:
-            return True
-        return self._uncopied_tokens(run.entry.upstream) > easy_tokens_of(engine)
+        return not self._has_live_copy(run)
+
+    def _is_exposed(self, run: StreamRun) -> bool:
+        """Return whether more is on the run's engine than its notice would be long enough for."""
+        engine = run.routed.engine
+        assert engine is not None
+        assert run.entry is not None
+        total = self._parts.work.totals().get(run.entry.upstream)
+        return total is not None and total.uncopied_tokens > easy_tokens_of(engine)
 
     def _has_live_copy(self, run: StreamRun) -> bool:
-        leaving = self._parts.notes.is_leaving
-        if run.copy_at is not None and not leaving(run.copy_at.upstream):
-            return True
         held = run.snapshot
-        if held is None or leaving(held.entry.upstream):
+        if held is None or self._parts.notes.is_leaving(held.entry.upstream):
             return False
         return self._parts.clock.now() - held.taken < RENEW_MS
-
-    def _uncopied_tokens(self, upstream: UpstreamId) -> int:
-        total = self._parts.work.totals().get(upstream)
-        return 0 if total is None else total.uncopied_tokens
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -10,12 +10,11 @@
 
 from returns.result import Failure
 
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._admission import Admission
-from tanagerscale.forwarding._departures import Departures
-from tanagerscale.forwarding._engine_views import choose_copy
 from tanagerscale.forwarding._engine_views import is_long
 from tanagerscale.forwarding._events import EventError
 from tanagerscale.forwarding._events import EventReader
@@ -38,6 +37,14 @@
 MOST_TRIES: Final = 4
 """Engines that a stream is offered to while none has run it."""
 
+SILENCE_MS: Final = 2000
+"""After so long without an event a stream goes on from its copy. It is late by then, so this only
+decides whether it is lost: callers leave after 7 s, and slow engines take 0.4 s for an event."""
+
+MOST_RESCUES: Final = 2
+"""How often one stream may break off without notice and go on from a copy. A request that crashes
+what runs it takes three engines with it and no more."""
+
 _log = get_logger(part="stream")
 
 
@@ -75,6 +82,9 @@
     def on_engine(self, run: StreamRun) -> None:
         """Take in that an engine, the first or another, has accepted a run."""
 
+    async def rescue(self, run: StreamRun, source: UpstreamEntry) -> Hop | None:
+        """Return where a run goes on that broke off, from a copy taken before."""
+
     def on_unused(self, snapshot: Snapshot) -> None:
         """Take in that a copy is not needed any more."""
 
@@ -84,7 +94,6 @@
     """The part of a stream that one engine makes."""
 
     entry: UpstreamEntry
-    backup: UpstreamEntry | None
     answer: UpstreamAnswer
     started: Millis
     first_event: Millis | None = None
@@ -98,7 +107,6 @@
     :param responder: Carries the answer.
     :param parts: What every request uses.
     :param admission: Finds its first engine.
-    :param departures: When engines leave.
     :param hooks: Hears of what changes.
     """
 
@@ -109,18 +117,17 @@
         responder: Responder,
         parts: ForwardingParts,
         admission: Admission,
-        departures: Departures,
         hooks: StreamHooks,
     ) -> None:
         self._routed = routed
         self._responder = responder
         self._parts = parts
         self._admission = admission
-        self._departures = departures
         self._hooks = hooks
         self._record = ExecutionRecord(route=routed.route)
         self._leg: _Leg | None = None
         self._hops: list[Hop] = []
+        self._rescues = 0
         self._stopping: asyncio.Event | None = None
         self._last_event = 0
         self._last_event_at: Millis | None = None
@@ -149,11 +156,6 @@
         """The engine that runs it now, or ``None`` between two."""
         return None if self._leg is None else self._leg.entry
 
-    @property
-    def copy_at(self) -> UpstreamEntry | None:
-        """The engine that gets a copy of its memory as it grows."""
-        return None if self._leg is None else self._leg.backup
-
     @property
     def begun(self) -> bool:
         """Whether it has begun to answer."""
@@ -188,12 +190,6 @@
         """Wait for the first event, or for the end."""
         await self._began.wait()
 
-    def hop_now(self, hop: Hop) -> None:
-        """Leave the engine of now, which still runs, and go on elsewhere."""
-        self._hops.append(hop)
-        if self._leg is not None:
-            self._leg.answer.close()
-
     def expect_stop(self) -> None:
         """Note that the engine of now is being asked to stop the run."""
         self._stopping = asyncio.Event()
@@ -278,13 +274,6 @@
     async def _send(self, entry: UpstreamEntry, hop: Hop | None) -> _Leg:
         """Send the request, or its continuation, to an engine."""
         self._release_snapshot(keep_at=None if hop is None else hop.entry)
-        backup = choose_copy(
-            routed=self._routed,
-            parts=self._parts,
-            departures=self._departures,
-            tokens=self.tokens,
-            entry=entry,
-        )
         work = self._parts.work
         work.begin(
             request=self.request,
@@ -292,7 +281,6 @@
             prompt_tokens=self.tokens if hop is None else 0,
             tokens=self.tokens,
             is_long=is_long(self._routed),
-            copy_at=None if backup is None else backup.upstream,
         )
         continuation = None
         if hop is not None:
@@ -305,7 +293,6 @@
             account=self._routed.caller.account,
             time_left_ms=self._routed.deadline - self._parts.clock.now(),
             continuation=continuation,
-            backup_to=None if backup is None else backup.address,
         )
         started = self._parts.clock.now()
         try:
@@ -313,7 +300,7 @@
         except BaseException:
             work.end(request=self.request)
             raise
-        return _Leg(entry=entry, backup=backup, answer=answer, started=started)
+        return _Leg(entry=entry, answer=answer, started=started)
 
     def _release_snapshot(self, *, keep_at: UpstreamEntry | None) -> None:
         """Free the copy taken before, unless the run goes on from it."""
@@ -360,7 +347,7 @@
         """Pass events on until the proper end; otherwise return why there was none."""
         reader = EventReader()
         try:
-            while chunk := await leg.answer.read_some():
+            while chunk := await self._read(leg):
                 for event in reader.feed(chunk):
                     if event.number <= self._last_event:
                         continue
@@ -372,6 +359,19 @@
             return str(error)
         return None if reader.is_empty else "the answer ended within an event"
 
+    async def _read(self, leg: _Leg) -> bytes:
+        """Return the next bytes.
+
+        :raises ExchangeError: The answer broke off, or its engine says nothing and there is a copy.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(SILENCE_MS / MS_PER_SECOND):
+                    return await leg.answer.read_some()
+            except TimeoutError:
+                if self.snapshot is not None:
+                    raise ExchangeError(ExchangeFailure.LOST, "The engine went silent") from None
+
     def _note_event(self, leg: _Leg, number: int) -> None:
         self._last_event = number
         now = self._parts.clock.now()
@@ -393,7 +393,7 @@
         leg.answer.close()
         if self._stopping is not None:
             await self._stopping.wait()
-        while (hop := self._next_hop(leg)) is not None:
+        while (hop := await self._next_hop(leg)) is not None:
             asked = self._parts.clock.now()
             try:
                 following = await self._send(hop.entry, hop)
@@ -413,14 +413,13 @@
             await _drain(following.answer)
         return None
 
-    def _next_hop(self, leg: _Leg) -> Hop | None:
+    async def _next_hop(self, leg: _Leg) -> Hop | None:
         if self._hops:
             return self._hops.pop(0)
-        backup = leg.backup
-        leg.backup = None
-        if backup is None or self._parts.notes.is_leaving(backup.upstream):
+        if self.snapshot is None or self._rescues >= MOST_RESCUES:
             return None
-        return Hop(entry=backup, holder=backup, copy=self.request)
+        self._rescues += 1
+        return await self._hooks.rescue(self, leg.entry)
 
     def _log(self, message: str, entry: UpstreamEntry, **inputs: object) -> None:
         request = self._routed.request
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -189,7 +189,6 @@
     :param time_left_ms: When the upstream may stop, counted from now.
     :param priority: Order of admission at the engine, 0 first; ``None`` leaves its default.
     :param continuation: Where to go on, for a run that was moved.
-    :param backup_to: Address of the engine that gets the run's memory as it grows, or ``None``.
     """
 
     request: CallerRequest
@@ -198,7 +197,6 @@
     time_left_ms: int | None
     priority: int | None = None
     continuation: Continuation | None = None
-    backup_to: str | None = None
 
 
 class UpstreamAnswer(Protocol):
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -316,7 +316,6 @@
         self._dispatcher = Dispatcher(
             parts=parts,
             admission=self._admission,
-            departures=departures,
             evacuation=self._evacuation,
             runs=runs,
         )
--- a/src/tanagerscale/platform/_configuration.py
+++ b/src/tanagerscale/platform/_configuration.py
@@ -105,7 +105,6 @@
         token_bytes=int(wire.kv_token_bytes),
         link_mbps=wire.link_mbps,
         can_move=wire.moves,
-        can_back_up=wire.backups,
         tokens_per_event=wire.stride,
         copy_ttl_ms=int(wire.handle_s * MS_PER_SECOND),
         pin_ms=int(wire.pin_ms),
--- a/src/tanagerscale/platform/_engines.py
+++ b/src/tanagerscale/platform/_engines.py
@@ -23,7 +23,6 @@
 from tanagerscale.forwarding import RunState
 from tanagerscale.forwarding import UpstreamOrder
 from tanagerscale.platform._headers import ACCOUNT
-from tanagerscale.platform._headers import BACKUP_TO
 from tanagerscale.platform._headers import CONTINUE_FROM
 from tanagerscale.platform._headers import EXPECTED_UPSTREAM
 from tanagerscale.platform._headers import LAST_EVENT
@@ -276,6 +275,4 @@
         fields.append((LAST_EVENT, str(origin.after_event)))
     elif order.request.resume_after:
         fields.append((LAST_EVENT, order.request.resume_after))
-    if order.backup_to is not None:
-        fields.append((BACKUP_TO, order.backup_to))
     return fields
--- a/src/tanagerscale/platform/_wire.py
+++ b/src/tanagerscale/platform/_wire.py
@@ -95,7 +95,6 @@
     kv_token_bytes: float = 0
     link_mbps: float = 0
     moves: bool = False
-    backups: bool = False
     stride: int = 1
     pin_ms: float = 0
     hold_ms: float = 0
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -14,6 +14,8 @@
 from tanagerscale.policy._limits import AccountUsage
 from tanagerscale.policy._limits import Limit
 from tanagerscale.policy._limits import LimitRefusal
+from tanagerscale.policy._placement import COPY_MARGIN
+from tanagerscale.policy._placement import SPARE_MARGIN
 from tanagerscale.policy._placement import EngineView
 from tanagerscale.policy._placement import Placement
 from tanagerscale.policy._placement import Verdict
@@ -36,7 +38,9 @@
 from tanagerscale.policy._types import Scheduler
 
 __all__ = [
+    "COPY_MARGIN",
     "NOTICE_MS",
+    "SPARE_MARGIN",
     "AccountLimits",
     "AccountSpec",
     "AccountUsage",
--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -44,7 +44,13 @@
 """Part of an engine's memory that may be planned for; what runs there grows into the rest."""
 
 COPY_MARGIN: Final = 0.9
-"""Part of an engine's memory up to which it takes copies, so that a prompt still finds room."""
+"""Part of an engine's memory up to which it takes copies that a notice would be too short for; a
+prompt still finds room."""
+
+SPARE_MARGIN: Final = 0.6
+"""Part of an engine's memory up to which it takes copies of any long generation, in case the engine
+that runs it fails without notice. A copy costs some 0.1 of what an answer is worth a thousand
+times over; what it may cost is room, so only memory that nothing else needs is used."""
 
 GROWTH_TOKENS: Final = 250
 """Room kept for the growth of each generation. Two seconds at 8 ms a token, after which what is
@@ -143,13 +149,14 @@
     return places and planned <= view.memory_tokens * MEMORY_MARGIN
 
 
-def has_room_for_copy(*, view: EngineView, tokens: int) -> bool:
+def has_room_for_copy(*, view: EngineView, tokens: int, margin: float) -> bool:
     """Return whether an engine can hold a copy of what runs elsewhere.
 
     :param view: The engine.
     :param tokens: Size of the copy.
+    :param margin: Part of its memory that may be taken.
     """
-    return view.held_tokens + view.copy_tokens + tokens <= view.memory_tokens * COPY_MARGIN
+    return view.held_tokens + view.copy_tokens + tokens <= view.memory_tokens * margin
 
 
 def cheapest(
--- a/src/tanagerscale/routes/_types.py
+++ b/src/tanagerscale/routes/_types.py
@@ -81,7 +81,6 @@
     :param token_bytes: Bytes of key-value memory for each token.
     :param link_mbps: Speed at which engines copy memory to each other.
     :param can_move: Whether a running generation may be copied to another engine.
-    :param can_back_up: Whether an engine sends a run's memory elsewhere as it grows.
     :param tokens_per_event: Tokens that one event of a stream holds.
     :param copy_ttl_ms: How long an engine keeps a copy that nobody uses.
     :param pin_ms: Longest time that a finished run's memory may be kept.
@@ -94,7 +93,6 @@
     token_bytes: int
     link_mbps: float
     can_move: bool
-    can_back_up: bool
     tokens_per_event: int
     copy_ttl_ms: int
     pin_ms: int
