Let upstreams that do much worse than their siblings rest, and go on from copies at either end

Done: hosts add up good, bad and late answers; an outlier by a binomial test rests 3 s and longer each time, at most a third of a service. What may be repeated is asked of a second upstream at three quarters of its target time. A continuation that is refused is tried at both engines that have the copy; one that is not answered is stopped first. Silent store connections are found by probes in 3 s. A stopping host sends new long generations elsewhere, at once. The stream is split into its sending, its relay and its course.

Ruled out: three bad answers alone as the sign (plain upstreams whose own errors are one in ten rested 12 s without need).

--- a/src/tanagerscale/forwarding/__init__.py
+++ b/src/tanagerscale/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from tanagerscale.forwarding._departures import Departures
 from tanagerscale.forwarding._dispatcher import Dispatcher
 from tanagerscale.forwarding._evacuation import Evacuation
+from tanagerscale.forwarding._health import UpstreamHealth
 from tanagerscale.forwarding._links import LinkTurns
 from tanagerscale.forwarding._meters import Meters
 from tanagerscale.forwarding._moving import MovingParts
@@ -67,5 +68,6 @@
     "StreamRun",
     "UpstreamAnswer",
     "UpstreamCaller",
+    "UpstreamHealth",
     "UpstreamOrder",
 ]
--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -11,9 +11,9 @@
 from returns.result import Success
 
 from tanagerscale.core import get_logger
+from tanagerscale.forwarding._hops import Hop
+from tanagerscale.forwarding._hops import Snapshot
 from tanagerscale.forwarding._parts import ForwardingParts
-from tanagerscale.forwarding._stream import Hop
-from tanagerscale.forwarding._stream import Snapshot
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.forwarding._types import CopyError
 from tanagerscale.forwarding._types import CopyFailure
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import final
 
 from tanagerscale.core import MS_PER_SECOND
@@ -10,11 +11,13 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._admission import Admission
+from tanagerscale.forwarding._engine_views import is_long
 from tanagerscale.forwarding._evacuation import Evacuation
 from tanagerscale.forwarding._parts import ForwardingParts
 from tanagerscale.forwarding._plain import PlainForward
 from tanagerscale.forwarding._refusals import UNKNOWN_KEY
 from tanagerscale.forwarding._refusals import UNKNOWN_ROUTE
+from tanagerscale.forwarding._refusals import going_away
 from tanagerscale.forwarding._refusals import not_ready
 from tanagerscale.forwarding._refusals import timed_out
 from tanagerscale.forwarding._stream import StreamRun
@@ -40,6 +43,7 @@
     :param admission: Finds engines for generations.
     :param evacuation: Moves streams whose engine leaves.
     :param runs: This host's streams, for those that move them.
+    :param is_stopping: Returns whether this host is in a planned stop.
     """
 
     def __init__(
@@ -49,11 +53,13 @@
         admission: Admission,
         evacuation: Evacuation,
         runs: set[StreamRun],
+        is_stopping: Callable[[], bool],
     ) -> None:
         self._parts = parts
         self._admission = admission
         self._evacuation = evacuation
         self._runs = runs
+        self._is_stopping = is_stopping
         self._running = 0
 
     @property
@@ -70,6 +76,14 @@
         self._running += 1
         try:
             await self._serve(request, responder)
+        except asyncio.CancelledError:
+            _log.info(
+                "A caller has left.",
+                request=request.request,
+                begun=responder.begun,
+                after_ms=self._parts.clock.now() - request.arrived,
+            )
+            raise
         finally:
             self._running -= 1
 
@@ -126,6 +140,9 @@
         self._parts.budgets.on_request(routed.service)
         if routed.route.kind is not RouteKind.STREAMING:
             return await PlainForward(routed=routed, parts=self._parts).serve(responder)
+        if self._is_stopping() and is_long(routed):
+            # Most long answers take longer than a stop may; on another host they begin in time.
+            return going_away(rng=self._parts.rng)
         run = StreamRun(
             routed=routed,
             responder=responder,
--- a/src/tanagerscale/forwarding/_engine_views.py
+++ b/src/tanagerscale/forwarding/_engine_views.py
@@ -8,7 +8,7 @@
 
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding._parts import ForwardingParts
-from tanagerscale.forwarding._parts import without
+from tanagerscale.forwarding._parts import takers
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.forwarding._work import EngineTotal
 from tanagerscale.policy import EngineView
@@ -49,9 +49,7 @@
     *, routed: RoutedRequest, parts: ForwardingParts, excluded: Set[UpstreamId]
 ) -> Placement:
     """Decide where a prompt is read, or whether it waits."""
-    entries = without(parts.upstreams.open_for(routed.service), excluded)
-    if not entries:
-        entries = without(parts.upstreams.staying(routed.service), excluded)
+    entries = takers(parts, routed.service, excluded)
     demand = routed.request.demand
     wish = Wish(
         prompt_tokens=0 if demand is None else demand.prompt_tokens,
@@ -85,7 +83,7 @@
     excluded: Set[UpstreamId] = frozenset(),
 ) -> UpstreamEntry | None:
     """Return the engine that should take over a run that is elsewhere."""
-    entries = without(parts.upstreams.open_for(routed.service), {*excluded, source.upstream})
+    entries = takers(parts, routed.service, {*excluded, source.upstream})
     views = views_of(entries, routed, parts)
     return _nearest(
         [view for view in views if has_room(view=view, tokens=tokens)], entries, source, parts
@@ -108,7 +106,7 @@
     :param source: Where it runs.
     :param margin: Part of an engine's memory up to which it takes copies.
     """
-    entries = without(parts.upstreams.open_for(routed.service), {source.upstream})
+    entries = takers(parts, routed.service, {source.upstream})
     views = views_of(entries, routed, parts)
     return _nearest(
         [view for view in views if has_room_for_copy(view=view, tokens=tokens, margin=margin)],
--- a/src/tanagerscale/forwarding/_evacuation.py
+++ b/src/tanagerscale/forwarding/_evacuation.py
@@ -17,9 +17,9 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._engine_views import choose_target
+from tanagerscale.forwarding._hops import Hop
+from tanagerscale.forwarding._hops import Snapshot
 from tanagerscale.forwarding._moving import MovingParts
-from tanagerscale.forwarding._stream import Hop
-from tanagerscale.forwarding._stream import Snapshot
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.forwarding._work import LinkRank
 from tanagerscale.policy import copy_ms
@@ -86,7 +86,7 @@
         held = run.snapshot
         if held is None or self._parts.notes.is_leaving(held.entry.upstream):
             return None
-        hop = Hop(entry=held.entry, holder=source, copy=held.copy)
+        hop = Hop(entry=held.entry, holder=held.holder or source, copy=held.copy)
         try:
             async with asyncio.timeout(RESCUE_MS / MS_PER_SECOND):
                 rest = await self._copier.copy(run, source, held.entry, stop=True)
--- a/src/tanagerscale/forwarding/_execution.py
+++ b/src/tanagerscale/forwarding/_execution.py
@@ -22,6 +22,7 @@
     def __init__(self, *, route: Route) -> None:
         self._route = route
         self._tried: set[UpstreamId] = set()
+        self._in_flight: set[UpstreamId] = set()
         self._ran = 0
 
     @property
@@ -32,24 +33,32 @@
     @property
     def may_have_run(self) -> bool:
         """Whether a refusal must not say that the request did not run."""
-        return self._ran > 0
+        return self._ran > 0 or bool(self._in_flight)
 
     @property
     def sent(self) -> int:
         """How many attempts there were."""
         return len(self._tried)
 
+    def note_sent(self, upstream: UpstreamId) -> None:
+        """Record an attempt that begins, which may run until the contrary is known."""
+        self._tried.add(upstream)
+        self._in_flight.add(upstream)
+
     def note_not_run(self, upstream: UpstreamId) -> None:
         """Record an attempt that was not sent, or was refused before execution."""
         self._tried.add(upstream)
+        self._in_flight.discard(upstream)
 
     def note_run(self, upstream: UpstreamId) -> None:
         """Record an attempt that ran or may have run."""
         self._tried.add(upstream)
+        self._in_flight.discard(upstream)
         self._ran += 1
 
     def allows_another(self) -> bool:
         """Return whether the request may be sent to one more upstream."""
-        if self._ran == 0:
+        may_have_run = self._ran + len(self._in_flight)
+        if may_have_run == 0:
             return True
-        return self._route.kind is RouteKind.IDEMPOTENT and self._ran < self._route.attempts
+        return self._route.kind is RouteKind.IDEMPOTENT and may_have_run < self._route.attempts
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -13,6 +13,7 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding._budgets import RetryBudgets
+from tanagerscale.forwarding._health import UpstreamHealth
 from tanagerscale.forwarding._meters import Meters
 from tanagerscale.forwarding._types import EngineControl
 from tanagerscale.forwarding._types import UpstreamCaller
@@ -67,7 +68,8 @@
 
     :param tables: The declarations in force.
     :param upstreams: The upstreams there are.
-    :param notes: Takes what requests show of them.
+    :param notes: Takes what requests show of whether they can be reached.
+    :param health: Takes what requests show of how they do.
     :param caller: Sends requests to them.
     :param engines: Asks engines to copy runs.
     :param work: What runs on engines.
@@ -81,6 +83,7 @@
     tables: Tables
     upstreams: Upstreams
     notes: Notes
+    health: UpstreamHealth
     caller: UpstreamCaller
     engines: EngineControl
     work: EngineWork
@@ -91,6 +94,20 @@
     rng: Random
 
 
+def takers(
+    parts: ForwardingParts, service: ServiceId, excluded: Set[UpstreamId]
+) -> list[UpstreamEntry]:
+    """Return the upstreams of a service that new work may go to, the sound ones if there are any.
+
+    :param parts: What every request uses.
+    :param service: The service.
+    :param excluded: Upstreams that were tried.
+    """
+    open_now = without(parts.upstreams.open_for(service), excluded)
+    sound = parts.health.usable(open_now)
+    return sound or open_now or without(parts.upstreams.staying(service), excluded)
+
+
 def without(entries: Sequence[UpstreamEntry], excluded: Set[UpstreamId]) -> list[UpstreamEntry]:
     """Return the entries whose upstream is not excluded."""
     return [entry for entry in entries if entry.upstream not in excluded]
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
 from typing import final
 
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._execution import ExecutionRecord
+from tanagerscale.forwarding._health import LateNote
 from tanagerscale.forwarding._parts import ForwardingParts
-from tanagerscale.forwarding._parts import without
+from tanagerscale.forwarding._parts import takers
 from tanagerscale.forwarding._refusals import failed
 from tanagerscale.forwarding._refusals import no_upstream
 from tanagerscale.forwarding._types import Header
@@ -33,6 +36,11 @@
 AWAY_REQUESTS: Final = 0.5
 """What another failure domain counts as requests already there: it breaks ties and no more."""
 
+HEDGE_SHARE: Final = 0.75
+"""Part of a route's target time after which what may be repeated is asked of another upstream as
+well. Answers usually take a quarter of the target, so few requests wait so long, and the second
+answer of most of these is still in time."""
+
 _log = get_logger(part="forwarding")
 
 
@@ -57,6 +65,7 @@
         self._parts = parts
         self._record = ExecutionRecord(route=routed.route)
         self._refusal: Refusal | None = None
+        self._is_hedged = False
         self._failed_answer: _WholeAnswer | None = None
         """An upstream's own error; its caller gets it when no other upstream does better."""
 
@@ -79,26 +88,59 @@
         return no_upstream(service=self._routed.service, rng=self._parts.rng)
 
     async def _first_good_answer(self) -> _WholeAnswer | None:
+        """Try upstreams one after the other; a second one beside the first where that may be."""
+        running: set[asyncio.Task[_WholeAnswer | None]] = set()
+        try:
+            while True:
+                entry = self._next_entry()
+                if entry is not None:
+                    running.add(asyncio.create_task(self._attempt(entry)))
+                if not running:
+                    return None
+                answer = await self._first_of(running)
+                if answer is not None:
+                    return answer
+        finally:
+            for task in running:
+                task.cancel()
+
+    async def _first_of(
+        self, running: set[asyncio.Task[_WholeAnswer | None]]
+    ) -> _WholeAnswer | None:
+        """Wait for an answer, or until another upstream is to be asked as well."""
+        patience_ms = self._patience_ms()
+        done, _ = await asyncio.wait(
+            running,
+            timeout=None if patience_ms is None else patience_ms / MS_PER_SECOND,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        running -= done
+        answers = [answer for task in done if (answer := task.result()) is not None]
+        return answers[0] if answers else None
+
+    def _patience_ms(self) -> float | None:
+        """Return how long to wait before another upstream is asked beside the first."""
+        if not self._record.allows_another() or self._is_hedged:
+            return None
+        self._is_hedged = True
+        return self._routed.route.target_ms * HEDGE_SHARE
+
+    def _next_entry(self) -> UpstreamEntry | None:
+        """Return the upstream to ask now, if one more may be asked."""
         record = self._record
-        while record.allows_another() and record.sent < MOST_TRIES:
-            entry = self._choose()
-            if entry is None:
-                return None
-            if record.sent and not self._parts.budgets.try_spend(self._routed.service):
-                self._log("No repeat is left in the budget.", entry)
-                return None
-            answer = await self._attempt(entry)
-            if answer is not None:
-                return answer
-        return None
+        if not record.allows_another() or record.sent >= MOST_TRIES:
+            return None
+        entry = self._choose()
+        if entry is None:
+            return None
+        if record.sent and not self._parts.budgets.try_spend(self._routed.service):
+            self._log("No repeat is left in the budget.", entry)
+            return None
+        return entry
 
     def _choose(self) -> UpstreamEntry | None:
         """Return the upstream with the least of this host's own work."""
-        upstreams = self._parts.upstreams
-        service = self._routed.service
-        entries = without(upstreams.open_for(service), self._record.tried)
-        if not entries:
-            entries = without(upstreams.staying(service), self._record.tried)
+        entries = takers(self._parts, self._routed.service, self._record.tried)
         counts = self._parts.work.plain_counts
 
         def cost(entry: UpstreamEntry) -> tuple[float, float]:
@@ -111,18 +153,25 @@
     async def _attempt(self, entry: UpstreamEntry) -> _WholeAnswer | None:
         """Send the request to one upstream; ``None`` means to go on with another."""
         answer: UpstreamAnswer | None = None
+        self._record.note_sent(entry.upstream)
+        late = LateNote(
+            health=self._parts.health, entry=entry, after_ms=self._routed.route.target_ms
+        )
         counts = self._parts.work.plain_counts
         counts[entry.upstream] += 1
         try:
             answer = await self._parts.caller.send(order=self._order(entry))
             body = await answer.read_all()
         except ExchangeError as error:
+            late.end(is_good=False)
             self._note_error(entry, error)
             return None
         finally:
+            late.cancel()
             counts[entry.upstream] -= 1
             if answer is not None:
                 answer.close()
+        late.end(is_good=answer.status < FIRST_SERVER_ERROR)
         if answer.not_executed:
             self._note_not_executed(entry, answer)
             return None
--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -14,6 +14,9 @@
 NOT_READY_MS: Final = 500
 """Another host answers at once; this one may have its configuration in about that time."""
 
+GOING_AWAY_MS: Final = 50
+"""Another host takes the request at once; this only keeps callers from coming all together."""
+
 NO_UPSTREAM_MS: Final = 400
 """Upstreams that are all full or all unreachable have changed by then, by the length of a call."""
 
@@ -30,6 +33,15 @@
     )
 
 
+def going_away(*, rng: Random) -> Refusal:
+    """Refuse a long generation at a host that stops; it has not run."""
+    return Refusal(
+        kind=RefusalKind.OVERLOADED,
+        detail="This host stops before a long answer can end; go to another host.",
+        retry_after_ms=_spread(GOING_AWAY_MS, rng),
+    )
+
+
 def no_upstream(*, service: str, rng: Random) -> Refusal:
     """Refuse what no upstream takes now; it has not run."""
     return Refusal(
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -3,78 +3,41 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import Final
 from typing import Protocol
 from typing import final
 
 from returns.result import Failure
 
-from tanagerscale.core import MS_PER_SECOND
-from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
-from tanagerscale.core import get_logger
 from tanagerscale.forwarding._admission import Admission
-from tanagerscale.forwarding._engine_views import is_long
-from tanagerscale.forwarding._events import EventError
-from tanagerscale.forwarding._events import EventReader
 from tanagerscale.forwarding._execution import ExecutionRecord
+from tanagerscale.forwarding._hops import Hop
+from tanagerscale.forwarding._hops import Snapshot
+from tanagerscale.forwarding._legs import FIRST_FAILURE
+from tanagerscale.forwarding._legs import Leg
+from tanagerscale.forwarding._legs import LegSender
+from tanagerscale.forwarding._legs import RunPoint
 from tanagerscale.forwarding._parts import ForwardingParts
 from tanagerscale.forwarding._refusals import failed
 from tanagerscale.forwarding._refusals import no_upstream
-from tanagerscale.forwarding._types import Continuation
+from tanagerscale.forwarding._relay import EventRelay
 from tanagerscale.forwarding._types import Refusal
 from tanagerscale.forwarding._types import Responder
 from tanagerscale.forwarding._types import RoutedRequest
-from tanagerscale.forwarding._types import UpstreamAnswer
-from tanagerscale.forwarding._types import UpstreamOrder
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
 
-FIRST_FAILURE: Final = 300
+FIRST_SERVER_ERROR: Final = 500
 
 MOST_TRIES: Final = 4
 """Engines that a stream is offered to while none has run it."""
 
-SILENCE_MS: Final = 2000
-"""After so long without an event a stream goes on from its copy. It is late by then, so this only
-decides whether it is lost: callers leave after 7 s, and slow engines take 0.4 s for an event."""
-
 MOST_RESCUES: Final = 2
 """How often one stream may break off without notice and go on from a copy. A request that crashes
 what runs it takes three engines with it and no more."""
 
-_log = get_logger(part="stream")
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Hop:
-    """Where a run goes on.
-
-    :param entry: The engine that goes on with it.
-    :param holder: The engine whose memory of the run is used.
-    :param copy: Id of that memory.
-    """
-
-    entry: UpstreamEntry
-    holder: UpstreamEntry
-    copy: str
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Snapshot:
-    """A copy of a run's memory at another engine, as it was at one time.
-
-    :param entry: The engine that holds it.
-    :param copy: Its id.
-    :param taken: When it was taken.
-    """
-
-    entry: UpstreamEntry
-    copy: str
-    taken: Millis
-
 
 class StreamHooks(Protocol):
     """Hears of what changes in streams."""
@@ -89,16 +52,6 @@
         """Take in that a copy is not needed any more."""
 
 
-@dataclass(kw_only=True, slots=True)
-class _Leg:
-    """The part of a stream that one engine makes."""
-
-    entry: UpstreamEntry
-    answer: UpstreamAnswer
-    started: Millis
-    first_event: Millis | None = None
-
-
 @final
 class StreamRun:
     """One stream.
@@ -125,15 +78,19 @@
         self._admission = admission
         self._hooks = hooks
         self._record = ExecutionRecord(route=routed.route)
-        self._leg: _Leg | None = None
+        self._sender = LegSender(routed=routed, parts=parts)
+        self._relay = EventRelay(
+            routed=routed,
+            responder=responder,
+            parts=parts,
+            sender=self._sender,
+            on_event=self._on_event,
+        )
+        self._leg: Leg | None = None
         self._hops: list[Hop] = []
         self._rescues = 0
         self._stopping: asyncio.Event | None = None
-        self._last_event = 0
-        self._last_event_at: Millis | None = None
-        self._first_event_ms: int | None = None
-        self._longest_gap_ms = 0
-        self._legs = 0
+        self._is_between = False
         self._began = asyncio.Event()
         self._ended = False
         self.copying = asyncio.Lock()
@@ -154,7 +111,7 @@
     @property
     def entry(self) -> UpstreamEntry | None:
         """The engine that runs it now, or ``None`` between two."""
-        return None if self._leg is None else self._leg.entry
+        return None if self._leg is None or self._is_between else self._leg.entry
 
     @property
     def begun(self) -> bool:
@@ -178,7 +135,7 @@
     def made(self) -> int:
         """Tokens of the answer so far."""
         engine = self._routed.engine
-        return self._last_event * (1 if engine is None else engine.tokens_per_event)
+        return self._relay.last_event * (1 if engine is None else engine.tokens_per_event)
 
     @property
     def tokens(self) -> int:
@@ -221,7 +178,7 @@
             self._release_snapshot(keep_at=None)
             self._parts.work.end(request=self.request)
             if self._leg is not None:
-                self._leg.answer.close()
+                self._leg.close()
 
     async def _open(self) -> Refusal | None:
         """Find the first engine; a refusal when none takes the request."""
@@ -242,65 +199,44 @@
         return no_upstream(service=self._routed.service, rng=self._parts.rng)
 
     async def _start(self, entry: UpstreamEntry) -> Refusal | None:
+        sender = self._sender
         try:
-            leg = await self._send(entry, None)
+            leg = await sender.send(entry=entry, hop=None, point=self._point)
         except ExchangeError as error:
-            not_sent = error.failure is ExchangeFailure.NOT_SENT
-            if not_sent:
-                self._record.note_not_run(entry.upstream)
-                self._parts.notes.note_down(upstream=entry.upstream)
-            else:
-                self._record.note_run(entry.upstream)
-            self._parts.meters.attempts.labels(error.failure.value).inc()
-            self._log("An attempt failed.", entry, detail=error.detail, sent=not not_sent)
-            return failed(cause=error.detail)
+            return self._note_not_answered(entry, error)
         if leg.answer.not_executed:
             self._record.note_not_run(entry.upstream)
+            sender.note_bad(entry)
             if leg.answer.is_someone_else:
                 self._parts.notes.note_gone(upstream=entry.upstream)
             self._parts.meters.attempts.labels("not-executed").inc()
-            self._log("An engine did not take the request.", entry, status=leg.answer.status)
-            await _drain(leg.answer)
+            sender.log("An engine did not take the request.", entry, status=leg.answer.status)
+            await sender.drain(leg)
             return failed(cause="No engine took the request")
         self._record.note_run(entry.upstream)
         self._parts.meters.attempts.labels("answered").inc()
         self._set_leg(leg)
         return None
 
-    def _set_leg(self, leg: _Leg) -> None:
+    def _note_not_answered(self, entry: UpstreamEntry, error: ExchangeError) -> Refusal:
+        not_sent = error.failure is ExchangeFailure.NOT_SENT
+        if not_sent:
+            self._record.note_not_run(entry.upstream)
+            self._parts.notes.note_down(upstream=entry.upstream)
+        else:
+            self._record.note_run(entry.upstream)
+            self._sender.note_bad(entry)
+        self._parts.meters.attempts.labels(error.failure.value).inc()
+        self._sender.log("An attempt failed.", entry, detail=error.detail, sent=not not_sent)
+        return failed(cause=error.detail)
+
+    def _set_leg(self, leg: Leg) -> None:
         self._leg = leg
         self._hooks.on_engine(self)
 
-    async def _send(self, entry: UpstreamEntry, hop: Hop | None) -> _Leg:
-        """Send the request, or its continuation, to an engine."""
-        self._release_snapshot(keep_at=None if hop is None else hop.entry)
-        work = self._parts.work
-        work.begin(
-            request=self.request,
-            upstream=entry.upstream,
-            prompt_tokens=self.tokens if hop is None else 0,
-            tokens=self.tokens,
-            is_long=is_long(self._routed),
-        )
-        continuation = None
-        if hop is not None:
-            continuation = Continuation(
-                holder=hop.holder.address, copy=hop.copy, after_event=self._last_event
-            )
-        order = UpstreamOrder(
-            request=self._routed.request,
-            upstream=entry,
-            account=self._routed.caller.account,
-            time_left_ms=self._routed.deadline - self._parts.clock.now(),
-            continuation=continuation,
-        )
-        started = self._parts.clock.now()
-        try:
-            answer = await self._parts.caller.send(order=order)
-        except BaseException:
-            work.end(request=self.request)
-            raise
-        return _Leg(entry=entry, answer=answer, started=started)
+    @property
+    def _point(self) -> RunPoint:
+        return RunPoint(tokens=self.tokens, event=self._relay.last_event)
 
     def _release_snapshot(self, *, keep_at: UpstreamEntry | None) -> None:
         """Free the copy taken before, unless the run goes on from it."""
@@ -314,127 +250,66 @@
         assert self._leg is not None
         answer = self._leg.answer
         if answer.status >= FIRST_FAILURE:
-            body = await answer.read_all()
-            await self._responder.answer(
-                status=answer.status, reason=answer.reason, headers=answer.headers, body=body
-            )
+            await self._pass_failure_on(self._leg)
             return None
         await self._responder.begin(
             status=answer.status, reason=answer.reason, headers=answer.headers
         )
         while True:
-            cause = await self._relay(self._leg)
+            cause = await self._relay.relay(self._leg, has_copy=lambda: self.snapshot is not None)
             if cause is None:
                 await self._responder.end()
-                self._parts.meters.longest_gap_ms.observe(self._longest_gap_ms)
-                self._log(
-                    "A stream is whole.",
-                    self._leg.entry,
-                    events=self._last_event,
-                    first_event_ms=self._first_event_ms,
-                    longest_gap_ms=self._longest_gap_ms,
-                    engines=self._legs,
-                )
+                self._relay.note_whole(self._leg)
                 return None
-            self._log("A leg ended early.", self._leg.entry, detail=cause, at=self._last_event)
-            leg = await self._go_on(self._leg)
+            leg = await self._go_on(self._leg, cause)
             self._parts.meters.moves.labels("lost" if leg is None else "moved").inc()
             if leg is None:
                 return failed(cause=cause)
             self._set_leg(leg)
 
-    async def _relay(self, leg: _Leg) -> str | None:
-        """Pass events on until the proper end; otherwise return why there was none."""
-        reader = EventReader()
-        try:
-            while chunk := await self._read(leg):
-                for event in reader.feed(chunk):
-                    if event.number <= self._last_event:
-                        continue
-                    if event.number != self._last_event + 1:
-                        return f"event {event.number} came after {self._last_event}"
-                    await self._responder.write(event.content)
-                    self._note_event(leg, event.number)
-        except (ExchangeError, EventError) as error:
-            return str(error)
-        return None if reader.is_empty else "the answer ended within an event"
-
-    async def _read(self, leg: _Leg) -> bytes:
-        """Return the next bytes.
-
-        :raises ExchangeError: The answer broke off, or its engine says nothing and there is a copy.
-        """
-        while True:
-            try:
-                async with asyncio.timeout(SILENCE_MS / MS_PER_SECOND):
-                    return await leg.answer.read_some()
-            except TimeoutError:
-                if self.snapshot is not None:
-                    raise ExchangeError(ExchangeFailure.LOST, "The engine went silent") from None
-
-    def _note_event(self, leg: _Leg, number: int) -> None:
-        self._last_event = number
-        now = self._parts.clock.now()
-        if self._last_event_at is None:
-            self._first_event_ms = now - self._routed.request.arrived
-            self._parts.meters.first_event_ms.observe(self._first_event_ms)
-        else:
-            self._longest_gap_ms = max(self._longest_gap_ms, now - self._last_event_at)
-        self._last_event_at = now
-        if leg.first_event is None:
-            leg.first_event = now
-            self._legs += 1
-            self._began.set()
-            self._log("An engine begins to answer.", leg.entry, event=number)
+    async def _pass_failure_on(self, leg: Leg) -> None:
+        answer = leg.answer
+        self._sender.log("An engine has answered with a failure.", leg.entry, status=answer.status)
+        if answer.status >= FIRST_SERVER_ERROR:
+            self._sender.note_bad(leg.entry)
+        body = await answer.read_all()
+        await self._responder.answer(
+            status=answer.status, reason=answer.reason, headers=answer.headers, body=body
+        )
+
+    def _on_event(self, leg: Leg) -> None:
+        self._began.set()
         self._parts.work.progress(request=self.request, tokens=self.tokens)
 
-    async def _go_on(self, leg: _Leg) -> _Leg | None:
+    async def _go_on(self, leg: Leg, cause: str) -> Leg | None:
         """Continue the run on another engine, or return ``None`` when it can't be."""
-        leg.answer.close()
-        if self._stopping is not None:
-            await self._stopping.wait()
-        while (hop := await self._next_hop(leg)) is not None:
-            asked = self._parts.clock.now()
-            try:
-                following = await self._send(hop.entry, hop)
-            except ExchangeError as error:
-                self._log("A continuation failed.", hop.entry, detail=error.detail)
-                continue
-            if following.answer.status < FIRST_FAILURE:
-                self._log(
-                    "A stream goes on.",
-                    hop.entry,
-                    holder=hop.holder.upstream,
-                    at=self._last_event,
-                    took_ms=self._parts.clock.now() - asked,
-                )
-                return following
-            self._log("A continuation is refused.", hop.entry, status=following.answer.status)
-            await _drain(following.answer)
-        return None
+        broken = leg.entry
+        self._sender.log("A leg ended early.", broken, detail=cause, at=self._relay.last_event)
+        if self._stopping is None and not self._hops:
+            self._sender.note_bad(broken)
+        leg.close()
+        self._is_between = True
+        try:
+            if self._stopping is not None:
+                await self._stopping.wait()
+            while (hop := await self._next_hop(broken)) is not None:
+                self._release_snapshot(keep_at=hop.entry)
+                resumed = await self._sender.resume(hop=hop, point=self._point)
+                if isinstance(resumed, Leg):
+                    return resumed
+                self.snapshot = resumed
+                broken = hop.entry
+            return None
+        finally:
+            self._is_between = False
 
-    async def _next_hop(self, leg: _Leg) -> Hop | None:
+    async def _next_hop(self, broken: UpstreamEntry) -> Hop | None:
         if self._hops:
             return self._hops.pop(0)
-        if self.snapshot is None or self._rescues >= MOST_RESCUES:
+        if self.snapshot is None:
             return None
-        self._rescues += 1
-        return await self._hooks.rescue(self, leg.entry)
-
-    def _log(self, message: str, entry: UpstreamEntry, **inputs: object) -> None:
-        request = self._routed.request
-        _log.info(
-            message,
-            request=request.request,
-            upstream=entry.upstream,
-            after_ms=self._parts.clock.now() - request.arrived,
-            **inputs,
-        )
-
-
-async def _drain(answer: UpstreamAnswer) -> None:
-    """Read an answer that nobody needs, so that its connection may be used again."""
-    try:
-        await answer.read_all()
-    except ExchangeError:
-        answer.close()
+        if not self._parts.notes.is_leaving(broken.upstream):
+            self._rescues += 1
+        if self._rescues > MOST_RESCUES:
+            return None
+        return await self._hooks.rescue(self, broken)
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -18,6 +18,7 @@
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
 from tanagerscale.core import ServiceId
+from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import Balance
@@ -33,6 +34,7 @@
 from tanagerscale.forwarding import Protection
 from tanagerscale.forwarding import RetryBudgets
 from tanagerscale.forwarding import StreamRun
+from tanagerscale.forwarding import UpstreamHealth
 from tanagerscale.gateway._caller_server import CallerServer
 from tanagerscale.gateway._caller_server import serve_readiness
 from tanagerscale.gateway._configuration import ConfigurationKeeper
@@ -56,6 +58,9 @@
 SWEEP_MS: Final = 1000
 """How often idle connections are looked through; idle times are declared in seconds."""
 
+TELL_HEALTH_MS: Final = 500
+"""How often peers hear of bad answers; an upstream that fails then rests within a second or two."""
+
 ROTATION_MS: Final = 2500
 """How long a stopping host goes on taking connections: the load balancer asks each second and
 takes a host out after two misses."""
@@ -137,6 +142,7 @@
         self._follow(self._presence.prefix, self._presence)
         self._spawn(self._presence.run())
         self._spawn(self._sweep())
+        self._spawn(self._tell_health())
         self._spawn(self._protection.run())
         self._spawn(self._balance.run())
         self._presence.use_seeds()
@@ -270,7 +276,10 @@
             clock=self._clock,
             patience_ms=PATIENCE_MS,
         )
-        self._news = PeerNews(mesh=self._mesh, gate=self._gate, work=self._work)
+        self._health = UpstreamHealth(service_of=self._service_of, clock=self._clock)
+        self._news = PeerNews(
+            mesh=self._mesh, gate=self._gate, work=self._work, health=self._health
+        )
         self._presence = HostPresence(
             store=self._edges.store,
             prefix=settings.store.prefix,
@@ -296,6 +305,7 @@
             tables=self._keeper,
             upstreams=self._roster,
             notes=self._gate,
+            health=self._health,
             caller=self._edges.upstreams,
             engines=self._edges.upstreams,
             work=self._work,
@@ -322,6 +332,7 @@
             admission=self._admission,
             evacuation=self._evacuation,
             runs=runs,
+            is_stopping=lambda: self._leaving,
         )
 
     def _follow(self, prefix: str, listener: PrefixListener) -> None:
@@ -338,10 +349,19 @@
         if table is not None:
             self._spread.announce(revision=table.version, digest="")
 
+    def _service_of(self, upstream: UpstreamId) -> ServiceId | None:
+        entry = self._roster.get(upstream)
+        return None if entry is None else entry.service
+
     async def _sweep(self) -> None:
         while True:
             await self._clock.sleep(SWEEP_MS)
             self._server.sweep()
 
+    async def _tell_health(self) -> None:
+        while True:
+            await self._clock.sleep(TELL_HEALTH_MS)
+            self._health.tell()
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
--- a/src/tanagerscale/gateway/_peers.py
+++ b/src/tanagerscale/gateway/_peers.py
@@ -9,6 +9,8 @@
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import HostId
 from tanagerscale.forwarding import EngineWork
+from tanagerscale.forwarding import UpstreamHealth
+from tanagerscale.generated.messages import AnswerTallies
 from tanagerscale.generated.messages import HostUse
 from tanagerscale.generated.messages import UpstreamLeaving
 from tanagerscale.membership import Mesh
@@ -28,12 +30,16 @@
     :param mesh: The other hosts.
     :param gate: Which upstreams leave.
     :param work: What runs on engines.
+    :param health: What requests show of upstreams.
     """
 
-    def __init__(self, *, mesh: Mesh, gate: UpstreamGate, work: EngineWork) -> None:
+    def __init__(
+        self, *, mesh: Mesh, gate: UpstreamGate, work: EngineWork, health: UpstreamHealth
+    ) -> None:
         self._mesh = mesh
         self._gate = gate
         self._work = work
+        self._health = health
         self._pending: asyncio.TimerHandle | None = None
         self._live: frozenset[HostId] = frozenset()
 
@@ -43,11 +49,14 @@
         self._mesh.joined.subscribe(self._on_joined)
         self._mesh.live.subscribe(self._on_live)
         self._work.changes.subscribe(self._on_change)
+        self._health.news.subscribe(lambda tallies: self._mesh.broadcast(message=tallies))
 
     def _on_received(self, received: Received) -> None:
         message = received.message
         if isinstance(message, HostUse):
             self._work.on_peer(host=received.host, use=message)
+        elif isinstance(message, AnswerTallies):
+            self._health.on_peer(host=received.host, tallies=message)
         elif isinstance(message, UpstreamLeaving):
             self._gate.on_peer(message)
 
@@ -60,6 +69,7 @@
         live = frozenset(peer.host for peer in peers)
         for gone in self._live - live:
             self._work.forget_peer(host=gone)
+            self._health.forget_peer(host=gone)
         self._live = live
 
     def _on_change(self, urgent: bool) -> None:
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -13,6 +13,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from tanagerscale.generated.messages import AnswerTallies
 from tanagerscale.generated.messages import Ask
 from tanagerscale.generated.messages import Attached
 from tanagerscale.generated.messages import Finished
@@ -38,6 +39,7 @@
     | HeadContent
     | UpstreamLeaving
     | HostUse
+    | AnswerTallies
     | Verdict
     | Ask
     | Grant
@@ -59,6 +61,7 @@
         HeadContent,
         UpstreamLeaving,
         HostUse,
+        AnswerTallies,
         Verdict,
         Ask,
         Grant,
--- a/src/tanagerscale/platform/_edges.py
+++ b/src/tanagerscale/platform/_edges.py
@@ -15,6 +15,7 @@
 from tanagerscale.platform._registry import decode_entry
 from tanagerscale.platform._registry import upstream_of
 from tanagerscale.platform._store import PlatformStore
+from tanagerscale.upstreams import SILENCE_S
 from tanagerscale.upstreams import ConnectionPool
 
 CONNECT_TIMEOUT_MS: Final = 400
@@ -25,6 +26,11 @@
 """How long an idle connection is counted on when its upstream does not tell."""
 
 
+STORE_SILENCE_S: Final = 3
+"""Connections to the store that went silent are found within this time, by probes that cost no
+call. A configuration must be in force two seconds after that."""
+
+
 def make_edges(*, settings: GatewaySettings, clock: Clock) -> Edges:
     """Return the platform as a host sees it.
 
@@ -32,11 +38,16 @@
     :param clock: Time.
     """
 
-    def pool() -> ConnectionPool:
-        return ConnectionPool(clock=clock, connect_timeout_ms=CONNECT_TIMEOUT_MS, idle_ms=IDLE_MS)
+    def pool(silence_s: int) -> ConnectionPool:
+        return ConnectionPool(
+            clock=clock,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            idle_ms=IDLE_MS,
+            silence_s=silence_s,
+        )
 
-    store_pool = pool()
-    upstream_pool = pool()
+    store_pool = pool(STORE_SILENCE_S)
+    upstream_pool = pool(SILENCE_S)
 
     async def close() -> None:
         store_pool.close()
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -14,6 +14,9 @@
 from tanagerscale.policy._limits import AccountUsage
 from tanagerscale.policy._limits import Limit
 from tanagerscale.policy._limits import LimitRefusal
+from tanagerscale.policy._outliers import Tally
+from tanagerscale.policy._outliers import is_outlier
+from tanagerscale.policy._outliers import may_rest
 from tanagerscale.policy._placement import COPY_MARGIN
 from tanagerscale.policy._placement import SPARE_MARGIN
 from tanagerscale.policy._placement import EngineView
@@ -62,6 +65,7 @@
     "PlacementRequest",
     "RetryBudget",
     "Scheduler",
+    "Tally",
     "Tuning",
     "Verdict",
     "Wish",
@@ -70,8 +74,10 @@
     "easy_tokens",
     "has_room",
     "has_room_for_copy",
+    "is_outlier",
     "is_uneven",
     "make_scheduler",
+    "may_rest",
     "order_of",
     "place",
     "tokens_to_yield",
--- a/src/tanagerscale/upstreams/__init__.py
+++ b/src/tanagerscale/upstreams/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tanagerscale.upstreams._connection import SILENCE_S
 from tanagerscale.upstreams._connection import ExchangeError
 from tanagerscale.upstreams._connection import ExchangeFailure
 from tanagerscale.upstreams._connection import HttpConnection
@@ -19,6 +20,7 @@
 from tanagerscale.upstreams._protocol import UpstreamErrorKind
 
 __all__ = [
+    "SILENCE_S",
     "ConnectionPool",
     "EngineClient",
     "ExchangeError",
--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -26,11 +26,12 @@
 READ_BUFFER_BYTES: Final = 64 * 1024
 """What may wait unread before the upstream is slowed down; a few hundred events."""
 
-KEEPALIVE_IDLE_S: Final = 2
+SILENCE_S: Final = 6
+"""After so long without an acknowledgement a peer counts as gone. A stream so outlives a cut of its
+link that its caller would have waited for."""
+
 KEEPALIVE_INTERVAL_S: Final = 1
-KEEPALIVE_PROBES: Final = 4
-"""A silent peer is found after about six seconds by the kernel's own probes, so that a stream
-outlives a cut of its link that its caller would have waited for."""
+"""Pause between the kernel's probes of an idle peer, the shortest the kernel offers."""
 
 NO_BODY_STATUSES: Final = frozenset({204, 304})
 
@@ -195,15 +196,14 @@
 
 
 async def open_connection(
-    *, address: str, timeout_ms: int, now: Millis, user_timeout_ms: int = 0
+    *, address: str, timeout_ms: int, now: Millis, silence_s: int = SILENCE_S
 ) -> HttpConnection:
     """Make a connection.
 
     :param address: IP number and port.
     :param timeout_ms: Longest wait.
     :param now: The present time.
-    :param user_timeout_ms: Longest time that sent bytes may stay without acknowledgement; 0 leaves
-        the kernel's own.
+    :param silence_s: Seconds without an acknowledgement after which the peer counts as gone.
     :raises ExchangeError: Nobody answered there in time.
     """
     loop = asyncio.get_running_loop()
@@ -216,19 +216,18 @@
     except (OSError, TimeoutError, ValueError) as error:
         detail = f"No connection to {address} ({type(error).__name__})"
         raise ExchangeError(ExchangeFailure.NOT_SENT, detail) from error
-    _watch_peer(transport, user_timeout_ms)
+    _watch_peer(transport, silence_s)
     return HttpConnection(transport=transport, protocol=protocol, opened=now)
 
 
-def _watch_peer(transport: asyncio.Transport, user_timeout_ms: int) -> None:
+def _watch_peer(transport: asyncio.Transport, silence_s: int) -> None:
     """Let the kernel find peers that went silent without a reset."""
     connected = transport.get_extra_info("socket")
     connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
     connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    if user_timeout_ms:
-        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+    probes = max(silence_s // KEEPALIVE_INTERVAL_S - 1, 1)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
 
 
 def _to_reply(message: RawResponseMessage) -> Reply:
--- a/src/tanagerscale/upstreams/_pool.py
+++ b/src/tanagerscale/upstreams/_pool.py
@@ -9,6 +9,7 @@
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
+from tanagerscale.upstreams._connection import SILENCE_S
 from tanagerscale.upstreams._connection import HttpConnection
 from tanagerscale.upstreams._connection import Reply
 from tanagerscale.upstreams._connection import open_connection
@@ -31,10 +32,14 @@
     :param clock: Time.
     :param connect_timeout_ms: Longest wait for a new connection.
     :param idle_ms: How long a connection is counted on when the upstream does not tell.
+    :param silence_s: Seconds without an acknowledgement after which an upstream counts as gone.
     """
 
-    def __init__(self, *, clock: Clock, connect_timeout_ms: int, idle_ms: int) -> None:
+    def __init__(
+        self, *, clock: Clock, connect_timeout_ms: int, idle_ms: int, silence_s: int = SILENCE_S
+    ) -> None:
         self._clock = clock
+        self._silence_s = silence_s
         self._connect_timeout_ms = connect_timeout_ms
         self._idle_ms = idle_ms
         self._idle: dict[str, list[tuple[HttpConnection, int]]] = defaultdict(list)
@@ -55,7 +60,10 @@
                 return idle
         self.opened += 1
         return await open_connection(
-            address=address, timeout_ms=self._connect_timeout_ms, now=self._clock.now()
+            address=address,
+            timeout_ms=self._connect_timeout_ms,
+            now=self._clock.now(),
+            silence_s=self._silence_s,
         )
 
     def release(self, *, address: str, connection: HttpConnection, reply: Reply) -> None:
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -37,6 +37,7 @@
 from tanagerscale.forwarding import RetryBudgets
 from tanagerscale.forwarding import RoutedRequest
 from tanagerscale.forwarding import RunCopy
+from tanagerscale.forwarding import UpstreamHealth
 from tanagerscale.forwarding import UpstreamOrder
 from tanagerscale.routes import ANYBODY
 from tanagerscale.routes import CallerLimits
@@ -398,6 +399,7 @@
         tables=tables,
         upstreams=upstreams,
         notes=upstreams,
+        health=UpstreamHealth(service_of=lambda _: SERVICE, clock=clock),
         caller=caller,
         engines=engines,
         work=work,
--- a/testing/test_forwarding_evacuation.py
+++ b/testing/test_forwarding_evacuation.py
@@ -23,8 +23,8 @@
 from tanagerscale.forwarding import RoutedRequest
 from tanagerscale.forwarding import StreamRun
 from tanagerscale.forwarding._evacuation import RESCUE_MS
-from tanagerscale.forwarding._stream import Hop
-from tanagerscale.forwarding._stream import Snapshot
+from tanagerscale.forwarding._hops import Hop
+from tanagerscale.forwarding._hops import Snapshot
 from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import UpstreamEntry
 from testing._gateway_fakes import Bench
--- a/testing/test_forwarding_plain.py
+++ b/testing/test_forwarding_plain.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import suppress
 from copy import deepcopy
 
 import pytest
 
 from tanagerscale.forwarding import RefusalKind
+from tanagerscale.forwarding._plain import HEDGE_SHARE
 from tanagerscale.forwarding._plain import PlainForward
 from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import ExchangeError
@@ -19,6 +22,7 @@
 from testing._gateway_fakes import make_request
 from testing._gateway_fakes import make_route
 from testing._gateway_fakes import route_request
+from testing._virtual_time import run_virtually
 
 NOT_SENT = ExchangeError(ExchangeFailure.NOT_SENT, "no connection")
 LOST = ExchangeError(ExchangeFailure.LOST, "reset")
@@ -179,3 +183,57 @@
     (order,) = bench.caller.orders
     assert order.time_left_ms is not None
     assert 0 < order.time_left_ms <= 2000
+
+
+def test_second_upstream_is_asked_beside_the_first_when_that_says_nothing() -> None:
+    async def play() -> tuple[list[str], int | None, int]:
+        bench = _three()
+        bench.caller.hang = {"x", "y"}
+        for name in ("x", "y"):
+            bench.caller.set(name, FakeAnswer(chunks=[b"never"]))
+        # Two of three hang; the third gets the request as the first or the second.
+        bench.upstreams.entries = [make_entry("x"), make_entry("z")]
+        responder, _ = await _serve(bench, kind=REPEATABLE, attempts=2)
+        return bench.caller.asked, responder.status, bench.parts.clock.now()
+
+    asked, status, took_ms = run_virtually(play())
+    assert status == 200
+    assert asked in (["z"], ["x", "z"])
+    assert took_ms in (0, int(1500 * HEDGE_SHARE))
+
+
+def test_non_idempotent_request_is_never_asked_of_two_at_once() -> None:
+    async def play() -> list[str]:
+        bench = _three()
+        bench.caller.hang = {"x", "y", "z"}
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(10):
+                await _serve(bench, kind=ONCE, attempts=3)
+        return bench.caller.asked
+
+    assert len(run_virtually(play())) == 1
+
+
+def test_no_second_upstream_is_asked_when_the_budget_is_spent() -> None:
+    async def play() -> list[str]:
+        bench = make_bench(make_entry("x"), make_entry("y"), slack=0.0)
+        bench.caller.hang = {"x", "y"}
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(10):
+                await _serve(bench, kind=REPEATABLE, attempts=3)
+        return bench.caller.asked
+
+    assert len(run_virtually(play())) == 1
+
+
+def test_upstream_that_never_answers_in_time_gets_no_more_requests() -> None:
+    async def play() -> list[str]:
+        bench = _three()
+        bench.caller.hang = {"x"}
+        for _ in range(30):
+            with suppress(TimeoutError):
+                async with asyncio.timeout(1.6):
+                    await _serve(bench, kind=ONCE)
+        return bench.caller.asked
+
+    assert 3 <= run_virtually(play()).count("x") <= 6
--- a/testing/test_forwarding_stream.py
+++ b/testing/test_forwarding_stream.py
@@ -11,10 +11,10 @@
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding import StreamRun
+from tanagerscale.forwarding._hops import Hop
+from tanagerscale.forwarding._hops import Snapshot
+from tanagerscale.forwarding._relay import SILENCE_MS
 from tanagerscale.forwarding._stream import MOST_RESCUES
-from tanagerscale.forwarding._stream import SILENCE_MS
-from tanagerscale.forwarding._stream import Hop
-from tanagerscale.forwarding._stream import Snapshot
 from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
@@ -44,6 +44,7 @@
         self.engines: list[str] = []
         self.unused: list[Snapshot] = []
         self.rescues = 0
+        self.stopped: list[str] = []
 
     def on_engine(self, run: StreamRun) -> None:
         """Keep the engine."""
@@ -53,6 +54,7 @@
     async def rescue(self, run: StreamRun, source: UpstreamEntry) -> Hop | None:
         """Go on from the copy."""
         self.rescues += 1
+        self.stopped.append(source.upstream)
         held = run.snapshot
         return None if held is None else Hop(entry=held.entry, holder=source, copy=held.copy)
 
@@ -351,3 +353,85 @@
         assert len(bench.caller.orders) == 1
 
     run_virtually(play())
+
+
+def test_stream_goes_on_from_a_copy_each_time_when_its_engines_leave() -> None:
+    async def play() -> None:
+        bench = make_bench(make_entry("x"))
+        hooks = Hooks()
+        run, responder = _run(bench, hooks=hooks)
+        bench.upstreams.leaving.add("y")
+        legs = 2 * MOST_RESCUES + 1
+        answers = [FakeAnswer(chunks=[*_events(n), None], pause_ms=10) for n in range(1, legs)]
+        bench.caller.set("x", answers[0])
+        bench.caller.set("y", *answers[1:], FakeAnswer(chunks=_events(legs)))
+        serving = asyncio.create_task(run.serve())
+        while not serving.done():
+            run.snapshot = run.snapshot or _snapshot(bench, "y")
+            await asyncio.sleep(0.001)
+        assert await serving is None
+        assert _numbers(responder) == list(range(1, legs + 1))
+
+    run_virtually(play())
+
+
+@pytest.mark.parametrize("is_source_gone", [False, True])
+def test_stream_goes_on_when_the_engine_with_its_copy_refuses_it_at_first(
+    is_source_gone: bool,
+) -> None:
+    async def play() -> list[str]:
+        bench = make_bench(make_entry("x"), make_entry("y"))
+        refusal = FakeAnswer(status=503, not_executed=True, chunks=[])
+        bench.caller.set("x", FakeAnswer(chunks=[*_events(1, 2), None], pause_ms=10))
+        bench.caller.set("y", refusal, FakeAnswer(chunks=_events(3)))
+        hooks = Hooks()
+        run, responder = _run(bench, hooks=hooks)
+        serving = asyncio.create_task(run.serve())
+        while not run.begun:
+            await asyncio.sleep(0.001)
+        bench.upstreams.leaving.update({"x"} if is_source_gone else set())
+        run.snapshot = _snapshot(bench, "y")
+        if not is_source_gone:
+            bench.caller.reactions["x"].append(FakeAnswer(chunks=_events(3)))
+        assert await serving is None
+        assert _numbers(responder) == [1, 2, 3]
+        return bench.caller.asked
+
+    asked = run_virtually(play())
+    assert asked[-2:] == (["y", "y"] if is_source_gone else ["y", "x"])
+
+
+def test_stream_does_not_go_on_twice_when_a_continuation_may_run() -> None:
+    async def play() -> list[str]:
+        bench = make_bench(make_entry("x"), make_entry("y"))
+        bench.caller.set("x", FakeAnswer(chunks=[*_events(1, 2), None], pause_ms=10))
+        bench.caller.set("y", LOST)
+        run, _ = _run(bench, hooks=Hooks())
+        serving = asyncio.create_task(run.serve())
+        while not run.begun:
+            await asyncio.sleep(0.001)
+        run.snapshot = _snapshot(bench, "y")
+        bench.upstreams.leaving.add("x")
+        assert await serving is not None
+        return bench.caller.asked
+
+    assert run_virtually(play()) == ["x", "y"]
+
+
+def test_engine_that_may_go_on_is_stopped_before_the_other_end_of_the_copy_goes_on() -> None:
+    async def play() -> tuple[list[str], list[str]]:
+        bench = make_bench(make_entry("x"), make_entry("y"))
+        bench.caller.set("x", FakeAnswer(chunks=[*_events(1, 2), None], pause_ms=10))
+        bench.caller.hang = {"y"}
+        hooks = Hooks()
+        run, responder = _run(bench, hooks=hooks)
+        serving = asyncio.create_task(run.serve())
+        while not run.begun:
+            await asyncio.sleep(0.001)
+        bench.caller.reactions["x"].append(FakeAnswer(chunks=_events(3)))
+        run.snapshot = _snapshot(bench, "y")
+        assert await serving is None
+        assert _numbers(responder) == [1, 2, 3]
+        return bench.caller.asked, hooks.stopped
+
+    assert run_virtually(play()) == (["x", "y", "x"], ["x", "y"])
