Pass dead hosts over at the links, and take no turn that comes too late

Cause: of the streams lost on leaving engines some were lost since all hosts went ahead without a turn at the time that was assumed for the engine's end when they began to wait, though its report had told a later one since: five copies at once, of which none was whole. A host that died held its place in the queue until the mesh found it silent, 3.4 s.

Replaced: a test said that a turn is taken at its time though a dead peer holds it; that was the fault. Two tests now say when a dead peer is passed over, and two that no turn is given too late.

--- a/src/tanagerscale/forwarding/_balance.py
+++ b/src/tanagerscale/forwarding/_balance.py
@@ -71,9 +71,9 @@
         assert source is not None
         until = Millis(self._parts.clock.now() + LONGEST_WAIT_MS)
         async with self._moving.turn(
-            run=run, source=source, target=held.entry, rank=LinkRank.AHEAD, until=until
-        ):
-            too_late = self._parts.clock.now() >= until or self._moving.departures.links_busy
+            run=run, source=source, target=held.entry, rank=LinkRank.AHEAD, until=lambda: until
+        ) as is_granted:
+            too_late = not is_granted or self._moving.departures.links_busy
             if too_late or not self._is_still_so(run, source, held.entry):
                 return
             await self._moving.copier.finish(run, source, held)
--- a/src/tanagerscale/forwarding/_evacuation.py
+++ b/src/tanagerscale/forwarding/_evacuation.py
@@ -14,6 +14,7 @@
 from returns.result import Success
 
 from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._engine_views import choose_target
@@ -148,15 +149,18 @@
         held = run.snapshot
         if held is not None and not self._parts.notes.is_leaving(held.entry.upstream):
             self._parts.work.set_copy(request=run.request, copy_at=held.entry.upstream)
-            async with self._turn(run, source, held.entry, LinkRank.REST):
-                if self._still_there(run, source) and await self._copier.finish(run, source, held):
+            async with self._turn(run, source, held.entry, LinkRank.REST) as is_granted:
+                may_go = is_granted and self._still_there(run, source)
+                if may_go and await self._copier.finish(run, source, held):
                     return
         await self._copy_away(run, source)
 
     def _turn(
         self, run: StreamRun, source: UpstreamEntry, target: UpstreamEntry, rank: LinkRank
-    ) -> AbstractAsyncContextManager[None]:
-        until = self._departures.gone_at(source.upstream)
+    ) -> AbstractAsyncContextManager[bool]:
+        def until() -> Millis:
+            return self._departures.gone_at(source.upstream)
+
         return self._moving.turn(run=run, source=source, target=target, rank=rank, until=until)
 
     def _still_there(self, run: StreamRun, source: UpstreamEntry) -> bool:
@@ -169,10 +173,10 @@
             target = await self._wait_for_target(run, source, excluded)
             if target is None:
                 return
-            async with self._turn(run, source, target, LinkRank.WHOLE):
+            async with self._turn(run, source, target, LinkRank.WHOLE) as is_granted:
                 if not self._still_there(run, source):
                     return
-                if not self._fits_notice(run, source, target):
+                if not is_granted or not self._fits_notice(run, source, target):
                     self._log_stay(run, source, "a copy would come too late")
                     return
                 snapshot = await self._copier.snapshot(run, source, target, ahead=False)
--- a/src/tanagerscale/forwarding/_moving.py
+++ b/src/tanagerscale/forwarding/_moving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 
@@ -40,15 +41,16 @@
         source: UpstreamEntry,
         target: UpstreamEntry,
         rank: LinkRank,
-        until: Millis,
-    ) -> AbstractAsyncContextManager[None]:
+        until: Callable[[], Millis],
+    ) -> AbstractAsyncContextManager[bool]:
         """Hold the links between two engines for the copy of a run.
 
         :param run: The run.
         :param source: Where it is.
         :param target: Where its memory goes.
         :param rank: In which order copies go.
-        :param until: When to go ahead without a turn.
+        :param until: Returns when a turn is of no use any more.
+        :returns: Whether they are held; otherwise no turn came in time.
         """
         return self.turns.turn(
             source=source,
--- a/src/tanagerscale/forwarding/_protection.py
+++ b/src/tanagerscale/forwarding/_protection.py
@@ -83,10 +83,9 @@
             target=target,
             rank=LinkRank.AHEAD,
             order=-run.made,
-            until=until,
-        ):
-            too_late = self._parts.clock.now() >= until
-            if too_late or self._departures.links_busy or run.entry is not source:
+            until=lambda: until,
+        ) as is_granted:
+            if not is_granted or self._departures.links_busy or run.entry is not source:
                 return False
             return await self._copier.snapshot(run, source, target, ahead=True) is not None
 
--- a/src/tanagerscale/forwarding/_work.py
+++ b/src/tanagerscale/forwarding/_work.py
@@ -9,6 +9,7 @@
 from dataclasses import field
 from enum import IntEnum
 from enum import unique
+from typing import NamedTuple
 from typing import final
 
 from reactivex import Observable
@@ -139,6 +140,21 @@
     order: int
 
 
+class TurnKey(NamedTuple):
+    """The place of a copy in the queue for a link; the smallest goes first.
+
+    :param rank: In which order copies go.
+    :param order: The order within the rank.
+    :param host: Who copies.
+    :param number: Tells this host's copies apart; 0 for those of peers.
+    """
+
+    rank: int
+    order: int
+    host: HostId
+    number: int
+
+
 @final
 class EngineWork:
     """Counts this host's generations on each engine and adds what the peers tell.
@@ -224,20 +240,23 @@
         if self._tickets.pop(ticket.number, None) is not None:
             self._changed(urgent=True)
 
-    def is_next(self, ticket: CopyTicket) -> bool:
-        """Return whether no copy that shares an engine's link goes before this one."""
-        own = (ticket.rank, ticket.order, self._host, ticket.number)
+    def ahead_of(self, ticket: CopyTicket) -> list[TurnKey]:
+        """Return the copies that share an engine's link with one and go before it, in order."""
+        own = TurnKey(ticket.rank, ticket.order, self._host, ticket.number)
+        ahead = []
         for engine in ticket.engines:
             for other in self._tickets.values():
-                key = (other.rank, other.order, self._host, other.number)
-                if engine in other.engines and key < own:
-                    return False
+                if engine in other.engines:
+                    ahead.append(TurnKey(other.rank, other.order, self._host, other.number))
             for host, use in self._peers.items():
                 there = use.engines.get(engine)
                 links = () if there is None else there.l
-                if any((rank, order, host, 0) < own for rank, order in links):
-                    return False
-        return True
+                ahead.extend(TurnKey(rank, order, host, 0) for rank, order in links)
+        return sorted(key for key in ahead if key < own)
+
+    def is_next(self, ticket: CopyTicket) -> bool:
+        """Return whether no copy that shares an engine's link goes before this one."""
+        return not self.ahead_of(ticket)
 
     def on_peer(self, *, host: HostId, use: HostUse) -> None:
         """Take in what a peer has."""
--- a/testing/test_forwarding_work.py
+++ b/testing/test_forwarding_work.py
@@ -11,6 +11,9 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import EngineWork
 from tanagerscale.forwarding import LinkTurns
+from tanagerscale.forwarding._links import AGREE_MS
+from tanagerscale.forwarding._links import LONGEST_COPY_MS
+from tanagerscale.forwarding._links import UNUSED_TURN_MS
 from tanagerscale.forwarding._work import CopyTicket
 from tanagerscale.forwarding._work import LinkRank
 from testing._gateway_fakes import make_entry
@@ -127,7 +130,11 @@
         async def copy(name: str, rank: LinkRank) -> None:
             nonlocal inside, most
             async with turns.turn(
-                source=make_entry("x"), target=make_entry("y"), rank=rank, order=0, until=FAR
+                source=make_entry("x"),
+                target=make_entry("y"),
+                rank=rank,
+                order=0,
+                until=lambda: FAR,
             ):
                 inside += 1
                 most = max(most, inside)
@@ -145,20 +152,66 @@
     assert run_virtually(play()) == (["rest", "whole", "ahead"], 1)
 
 
-def test_turn_goes_ahead_when_a_peer_that_holds_it_says_no_more() -> None:
-    async def play() -> int:
+def _behind_a_dead_peer(rank: LinkRank, until: Millis) -> tuple[bool, int]:
+    """Return whether and when a turn comes that a peer was to have first, which says no more."""
+
+    async def play() -> tuple[bool, int]:
         work, dead = EngineWork(host=HostId("a")), EngineWork(host=HostId("0"))
-        dead.queue_copy(_tickets(LinkRank.UNDER_WAY, 0))
+        dead.queue_copy(_tickets(rank, 0))
         work.on_peer(host=HostId("0"), use=dead.own_use())
         clock = Clock()
-        turns = LinkTurns(work=work, clock=clock)
-        async with turns.turn(
+        async with LinkTurns(work=work, clock=clock).turn(
             source=make_entry("x"),
             target=make_entry("y"),
-            rank=LinkRank.REST,
+            rank=LinkRank.WHOLE,
             order=0,
-            until=Millis(500),
-        ):
-            return clock.now()
+            until=lambda: until,
+        ) as is_granted:
+            return is_granted, clock.now()
+
+    return run_virtually(play())
+
+
+def test_turn_comes_in_spite_of_a_peer_that_died_while_it_copied() -> None:
+    granted, after_ms = _behind_a_dead_peer(LinkRank.UNDER_WAY, FAR)
+    assert granted
+    assert LONGEST_COPY_MS <= after_ms <= LONGEST_COPY_MS + 2 * AGREE_MS
+
+
+def test_turn_comes_in_spite_of_a_peer_that_died_while_it_waited() -> None:
+    granted, after_ms = _behind_a_dead_peer(LinkRank.REST, FAR)
+    assert granted
+    assert UNUSED_TURN_MS <= after_ms <= UNUSED_TURN_MS + 2 * AGREE_MS
+
+
+def test_no_turn_is_given_when_it_would_come_too_late() -> None:
+    assert _behind_a_dead_peer(LinkRank.UNDER_WAY, Millis(500)) == (False, 500)
+
+
+def test_copies_at_the_end_of_a_notice_do_not_all_go_at_once() -> None:
+    async def play() -> tuple[int, int]:
+        work = EngineWork(host=HostId("a"))
+        turns = LinkTurns(work=work, clock=Clock())
+        inside = most = copied = 0
+
+        async def copy() -> None:
+            nonlocal inside, most, copied
+            async with turns.turn(
+                source=make_entry("x"),
+                target=make_entry("y"),
+                rank=LinkRank.WHOLE,
+                order=0,
+                until=lambda: Millis(1000),
+            ) as is_granted:
+                if not is_granted:
+                    return
+                inside += 1
+                most = max(most, inside)
+                await asyncio.sleep(0.3)
+                copied += 1
+                inside -= 1
+
+        await asyncio.gather(*(copy() for _ in range(8)))
+        return copied, most
 
-    assert run_virtually(play()) == 500
+    assert run_virtually(play()) == (4, 1)
