Ask each leaving engine for its end, also when a run begins on it later

Cause: a host that had no run on an engine at its notice never asked when it goes, and gave up on runs that began there 1.5 s after the notice, where the engine stayed for 1.95 s.

The test fails without the change.

--- a/src/tanagerscale/forwarding/_departures.py
+++ b/src/tanagerscale/forwarding/_departures.py
@@ -26,11 +26,12 @@
         self._clock = clock
         self._noticed: dict[UpstreamId, Millis] = {}
         self._gone: dict[UpstreamId, Millis] = {}
+        self._asked: set[UpstreamId] = set()
 
-    def note(self, upstream: UpstreamId) -> bool:
-        """Record that an engine leaves; return whether that is new."""
+    def note(self, upstream: UpstreamId) -> None:
+        """Record that an engine leaves."""
         if upstream in self._noticed:
-            return False
+            return
         now = self._clock.now()
         self._noticed = {
             engine: at for engine, at in self._noticed.items() if now - at < 10 * LINKS_BUSY_MS
@@ -38,6 +39,13 @@
         self._noticed[upstream] = now
         self._gone = {engine: at for engine, at in self._gone.items() if engine in self._noticed}
         self._gone[upstream] = Millis(now + NOTICE_MS)
+        self._asked &= self._noticed.keys()
+
+    def ask_once(self, upstream: UpstreamId) -> bool:
+        """Return whether an engine is still to be asked when it goes; the caller asks it."""
+        if upstream in self._asked:
+            return False
+        self._asked.add(upstream)
         return True
 
     def noticed_at(self, upstream: UpstreamId) -> Millis:
@@ -48,6 +56,7 @@
         """Drop what was heard of an engine that takes work after all."""
         self._noticed.pop(upstream, None)
         self._gone.pop(upstream, None)
+        self._asked.discard(upstream)
 
     def note_end(self, upstream: UpstreamId, *, in_ms: int) -> None:
         """Take in an engine's own word of when it goes; it can only be later than assumed."""
--- a/src/tanagerscale/forwarding/_evacuation.py
+++ b/src/tanagerscale/forwarding/_evacuation.py
@@ -68,8 +68,7 @@
         if not self._parts.notes.is_leaving(upstream):
             self._departures.forget(upstream)
             return
-        if self._departures.note(upstream) and self._runs_on(upstream):
-            self._spawn(self._ask_end(upstream))
+        self._departures.note(upstream)
         for run in self._runs_on(upstream):
             self._begin_to_leave(run)
 
@@ -109,7 +108,8 @@
 
     async def _ask_end(self, upstream: UpstreamId) -> None:
         """Ask a leaving engine when it goes, if runs of this host still wait to leave it."""
-        await self._parts.clock.sleep(REPORT_MS)
+        asked_at = self._departures.noticed_at(upstream) + REPORT_MS
+        await self._parts.clock.sleep(max(asked_at - self._parts.clock.now(), 0))
         entry = self._parts.upstreams.get(upstream)
         if entry is None or not self._runs_on(upstream):
             return
@@ -128,8 +128,11 @@
         task.add_done_callback(self._background.discard)
 
     def _begin_to_leave(self, run: StreamRun) -> None:
-        if run in self._tasks:
+        if run in self._tasks or run.entry is None:
             return
+        upstream = run.entry.upstream
+        if self._departures.ask_once(upstream):
+            self._spawn(self._ask_end(upstream))
         task = asyncio.create_task(self._leave(run))
         self._tasks[run] = task
         task.add_done_callback(partial(self._forget_task, run))
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -256,6 +256,7 @@
     dropped: list[tuple[str, str]] = field(default_factory=list)
     takes_ms: int = 10
     on_stop: Callable[[str], None] | None = None
+    leaves_in_ms: int | None = None
 
     async def copy(
         self, *, source: UpstreamEntry, request: RequestId, target: UpstreamEntry, stop: bool
@@ -270,8 +271,21 @@
         return Success(RunCopy(copy=f"copy-{len(self.copies)}", events=1))
 
     async def report(self, *, upstream: UpstreamEntry) -> Result[EngineReport, str]:
-        """Report nothing."""
-        return Failure("No report; ask again later.")
+        """Report when it leaves, or nothing."""
+        if self.leaves_in_ms is None:
+            return Failure("No report; ask again later.")
+        return Success(
+            EngineReport(
+                upstream=upstream.upstream,
+                waiting=0,
+                running=0,
+                used_tokens=0,
+                total_tokens=0,
+                leaves_in_ms=self.leaves_in_ms,
+                is_leaving=True,
+                runs=(),
+            )
+        )
 
     async def drop_copy(self, *, holder: UpstreamEntry, copy: str) -> None:
         """Record what is freed."""
--- a/testing/test_forwarding_evacuation.py
+++ b/testing/test_forwarding_evacuation.py
@@ -22,6 +22,8 @@
 from tanagerscale.forwarding import Protection
 from tanagerscale.forwarding import RoutedRequest
 from tanagerscale.forwarding import StreamRun
+from tanagerscale.forwarding._evacuation import REPORT_LAG_MS
+from tanagerscale.forwarding._evacuation import REPORT_MS
 from tanagerscale.forwarding._evacuation import RESCUE_MS
 from tanagerscale.forwarding._hops import Hop
 from tanagerscale.forwarding._hops import Snapshot
@@ -448,3 +450,18 @@
         assert scene.bench.engines.copies == []
 
     run_virtually(play())
+
+
+def test_run_that_begins_on_a_leaving_engine_learns_when_that_goes() -> None:
+    async def play() -> int:
+        scene = Scene("x", "y")
+        scene.bench.engines.leaves_in_ms = 2000
+        scene.leave("x")
+        await asyncio.sleep(0.3)
+        run = scene.add("1", at="x")
+        scene.fill("y", tokens=31_000)
+        scene.evacuation.on_engine(run)  # type: ignore[arg-type]
+        await asyncio.sleep(0.6)
+        return scene.departures.gone_at(UpstreamId("x"))
+
+    assert run_virtually(play()) == REPORT_MS + 2000 - REPORT_LAG_MS
