Use copies that are under way at a notice, and send what leaves where room is at once

Done: the copy under way is finished and used; engines with room before copies yield are chosen first; copies yield within 60 ms; older copies are freed. An engine that refuses a copy for want of room is asked what it holds, for the log.

--- a/src/tanagerscale/cli/_commands.py
+++ b/src/tanagerscale/cli/_commands.py
@@ -56,7 +56,7 @@
 
 @final
 class Commands:
-    """Serve language models on crowded engines; see docs/OPERATING.md for each command."""
+    """Serve language models on crowded engines; see docs/OPERATIONS.md for each command."""
 
     def validate(self, *files: str, json: Any = False) -> Job:
         """Check files of declarations without applying them.
--- a/src/tanagerscale/cli/_exit.py
+++ b/src/tanagerscale/cli/_exit.py
@@ -9,7 +9,7 @@
 
 @unique
 class ExitCode(IntEnum):
-    """Exit codes of the command line; docs/OPERATING.md says what to do on each."""
+    """Exit codes of the command line; docs/OPERATIONS.md says what to do on each."""
 
     OK = 0
     REFUSED = 1
--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 from typing import Final
 from typing import final
 
@@ -18,6 +20,7 @@
 from tanagerscale.forwarding._types import CopyError
 from tanagerscale.forwarding._types import CopyFailure
 from tanagerscale.forwarding._types import RunCopy
+from tanagerscale.forwarding._work import EngineTotal
 from tanagerscale.upstreams import UpstreamEntry
 
 BUSY_PAUSE_MS: Final = 50
@@ -60,6 +63,8 @@
         if run.ended or run.entry is not source:
             self.drop(snapshot)
             return None
+        if before is not None and before.entry is not target:
+            self.drop(before)
         run.snapshot = snapshot
         return snapshot
 
@@ -92,10 +97,37 @@
             stop=stop,
             took_ms=self._parts.clock.now() - started,
         )
+        if error is not None and error.failure is CopyFailure.NO_ROOM:
+            self._spawn(self._log_room(target))
         if error is not None and error.failure is CopyFailure.BUSY:
             await self._parts.clock.sleep(BUSY_PAUSE_MS)
         return result
 
+    async def _log_room(self, entry: UpstreamEntry) -> None:
+        """Log what an engine holds that has no room, beside what was believed of it."""
+        reported = await self._parts.engines.report(upstream=entry)
+        if isinstance(reported, Failure):
+            _log.info("No report came.", upstream=entry.upstream, detail=reported.failure())
+            return
+        report = reported.unwrap()
+        believed = self._parts.work.totals().get(entry.upstream, EngineTotal())
+        _log.info(
+            "An engine has no room.",
+            upstream=entry.upstream,
+            used=report.used_tokens,
+            total=report.total_tokens,
+            running=report.running,
+            waiting=report.waiting,
+            believed_held=believed.long_tokens + believed.short_tokens,
+            believed_copies=believed.copy_tokens + believed.yielding_tokens,
+            believed_running=believed.running,
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     async def finish(self, run: StreamRun, source: UpstreamEntry, held: Snapshot) -> bool:
         """Copy the rest of a run with the run stopped, and let it go on where its copy is.
 
@@ -123,7 +155,4 @@
 
     def drop(self, snapshot: Snapshot) -> None:
         """Free a copy that nobody will use, without waiting for it."""
-        work = self._parts.engines.drop_copy(holder=snapshot.entry, copy=snapshot.copy)
-        task = asyncio.create_task(work)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
+        self._spawn(self._parts.engines.drop_copy(holder=snapshot.entry, copy=snapshot.copy))
--- a/src/tanagerscale/forwarding/_engine_views.py
+++ b/src/tanagerscale/forwarding/_engine_views.py
@@ -17,6 +17,7 @@
 from tanagerscale.policy import cheapest
 from tanagerscale.policy import easy_tokens
 from tanagerscale.policy import has_room
+from tanagerscale.policy import has_room_at_once
 from tanagerscale.policy import has_room_for_copy
 from tanagerscale.policy import place
 from tanagerscale.routes import EngineCapabilities
@@ -85,9 +86,9 @@
     """Return the engine that should take over a run that is elsewhere."""
     entries = takers(parts, routed.service, {*excluded, source.upstream})
     views = views_of(entries, routed, parts)
-    return _nearest(
-        [view for view in views if has_room(view=view, tokens=tokens)], entries, source, parts
-    )
+    at_once = [view for view in views if has_room_at_once(view=view, tokens=tokens)]
+    roomy = at_once or [view for view in views if has_room(view=view, tokens=tokens)]
+    return _nearest(roomy, entries, source, parts)
 
 
 def choose_holder(
--- a/src/tanagerscale/forwarding/_evacuation.py
+++ b/src/tanagerscale/forwarding/_evacuation.py
@@ -149,14 +149,25 @@
         await run.wait_begun()
         if not self._still_there(run, source):
             return
+        if not await self._finish_from_copy(run, source):
+            await self._copy_away(run, source)
+
+    async def _finish_from_copy(self, run: StreamRun, source: UpstreamEntry) -> bool:
+        """Let a run go on where a copy of it is already; return whether it does."""
+        held = self._live_copy(run)
+        if held is None:
+            return False
+        self._parts.work.set_copy(request=run.request, copy_at=held.entry.upstream)
+        async with self._turn(run, source, held.entry, LinkRank.REST) as is_granted:
+            if not is_granted or not self._still_there(run, source):
+                return False
+            return await self._copier.finish(run, source, held)
+
+    def _live_copy(self, run: StreamRun) -> Snapshot | None:
         held = run.snapshot
-        if held is not None and not self._parts.notes.is_leaving(held.entry.upstream):
-            self._parts.work.set_copy(request=run.request, copy_at=held.entry.upstream)
-            async with self._turn(run, source, held.entry, LinkRank.REST) as is_granted:
-                may_go = is_granted and self._still_there(run, source)
-                if may_go and await self._copier.finish(run, source, held):
-                    return
-        await self._copy_away(run, source)
+        if held is None or self._parts.notes.is_leaving(held.entry.upstream):
+            return None
+        return held
 
     def _turn(
         self, run: StreamRun, source: UpstreamEntry, target: UpstreamEntry, rank: LinkRank
@@ -179,6 +190,9 @@
             async with self._turn(run, source, target, LinkRank.WHOLE) as is_granted:
                 if not self._still_there(run, source):
                     return
+                held = self._live_copy(run)
+                if held is not None and await self._copier.finish(run, source, held):
+                    return  # A copy ahead was under way at the notice.
                 if not is_granted or not self._fits_notice(run, source, target):
                     self._log_stay(run, source, "a copy would come too late")
                     return
--- a/src/tanagerscale/forwarding/_protection.py
+++ b/src/tanagerscale/forwarding/_protection.py
@@ -29,6 +29,10 @@
 LOOK_MS: Final = 200
 """How often this host's runs are looked through."""
 
+YIELD_MS: Final = 60
+"""How often it is looked whether copies have to give up memory. What leaves an engine can't be
+copied to one that is full until they have."""
+
 RENEW_MS: Final = 2500
 """Age at which a copy is brought up to date. An engine drops one that nobody asked about for the
 time it declares (five seconds); in 2.5 s a run grows by some 300 tokens, which take 30 ms."""
@@ -60,10 +64,15 @@
         """Protect runs until cancelled, one copy at a time."""
         while True:
             await self._parts.clock.sleep(int(LOOK_MS * self._parts.rng.uniform(0.5, 1.5)))
-            self._yield_room()
             while not self._departures.links_busy and await self._protect_one():
                 pass
 
+    async def run_yielding(self) -> None:
+        """Give memory of copies back where engines need it, until cancelled."""
+        while True:
+            await self._parts.clock.sleep(YIELD_MS)
+            self._yield_room()
+
     async def _protect_one(self) -> bool:
         """Copy the run that needs it most; return whether there was one."""
         due = [run for run in self._runs if self._needs_copy(run)]
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -144,6 +144,7 @@
         self._spawn(self._sweep())
         self._spawn(self._tell_health())
         self._spawn(self._protection.run())
+        self._spawn(self._protection.run_yielding())
         self._spawn(self._balance.run())
         self._presence.use_seeds()
         _log.info(
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -25,6 +25,7 @@
 from tanagerscale.policy._placement import Wish
 from tanagerscale.policy._placement import cheapest
 from tanagerscale.policy._placement import has_room
+from tanagerscale.policy._placement import has_room_at_once
 from tanagerscale.policy._placement import has_room_for_copy
 from tanagerscale.policy._placement import is_uneven
 from tanagerscale.policy._placement import place
@@ -73,6 +74,7 @@
     "copy_ms",
     "easy_tokens",
     "has_room",
+    "has_room_at_once",
     "has_room_for_copy",
     "is_outlier",
     "is_uneven",
--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -164,6 +164,15 @@
     return places and planned <= view.memory_tokens * MEMORY_MARGIN
 
 
+def has_room_at_once(*, view: EngineView, tokens: int) -> bool:
+    """Return whether an engine has room for a run before copies taken ahead have yielded.
+
+    :param view: The engine.
+    :param tokens: Memory that the run brings along.
+    """
+    return has_room(view=view, tokens=tokens + view.yielding_tokens)
+
+
 def free_tokens(views: Sequence[EngineView]) -> int:
     """Return how much memory engines have left for new generations."""
     return sum(
--- a/testing/test_forwarding_evacuation.py
+++ b/testing/test_forwarding_evacuation.py
@@ -373,12 +373,16 @@
     async def play() -> None:
         scene = Scene("x", "y")
         run = scene.add("1", at="x")
-        task = asyncio.create_task(scene.protection.run())
+        tasks = [
+            asyncio.create_task(scene.protection.run()),
+            asyncio.create_task(scene.protection.run_yielding()),
+        ]
         await asyncio.sleep(1.0)
         assert scene.bench.work.totals()[UpstreamId("y")].yielding_tokens == 4000
         scene.fill("y", tokens=31_000)
         await asyncio.sleep(1.0)
-        task.cancel()
+        for task in tasks:
+            task.cancel()
         assert run.snapshot is None
         assert len(scene.bench.engines.dropped) == 1
         assert scene.bench.work.totals()[UpstreamId("y")].yielding_tokens == 0
@@ -394,7 +398,7 @@
         scene.bench.work.set_copy(request=run.request, copy_at=UpstreamId("y"), yields=True)
         scene.fill("y", tokens=31_000)
         scene.bench.engines.takes_ms = 1000
-        task = asyncio.create_task(scene.protection.run())
+        task = asyncio.create_task(scene.protection.run_yielding())
         scene.leave("x")
         await asyncio.sleep(0.5)
         task.cancel()
@@ -465,3 +469,54 @@
         return scene.departures.gone_at(UpstreamId("x"))
 
     assert run_virtually(play()) == REPORT_MS + 2000 - REPORT_LAG_MS
+
+
+def test_copy_ahead_that_is_under_way_at_the_notice_is_used() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y", "z")
+        scene.bench.engines.takes_ms = 300
+        run = scene.add("1", at="x")
+        task = asyncio.create_task(scene.protection.run())
+        while not scene.bench.engines.copies:
+            await asyncio.sleep(0.01)
+        scene.leave("x")
+        await asyncio.sleep(1.4)
+        task.cancel()
+        assert [stop for *_, stop in scene.bench.engines.copies] == [False, True]
+        assert len({target for _, _, target, _ in scene.bench.engines.copies}) == 1
+        assert len(run.stops) == 1
+
+    run_virtually(play())
+
+
+def test_older_copy_is_freed_when_a_run_is_copied_to_another_engine() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y", "z")
+        run = scene.add("1", at="x")
+        run.snapshot = Snapshot(entry=scene.entry("y"), copy="old", taken=Millis(0))
+        scene.bench.upstreams.leaving.add("y")
+        task = asyncio.create_task(scene.protection.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+        assert run.snapshot is not None
+        assert run.snapshot.entry.upstream == "z"
+        assert scene.bench.engines.dropped == [("y", "old")]
+
+    run_virtually(play())
+
+
+def test_run_leaves_for_an_engine_that_has_room_before_copies_yield() -> None:
+    async def play() -> None:
+        scene = Scene("x", "y", "z", "w")
+        scene.fill("z", tokens=20_000)
+        ahead = [scene.add(f"ahead {number}", at="w") for number in range(8)]
+        for run in ahead:
+            scene.bench.work.set_copy(request=run.request, copy_at=UpstreamId("y"), yields=True)
+        leaving = scene.add("1", at="x")
+        scene.leave("x")
+        await asyncio.sleep(1.0)
+        (hop,) = leaving.stops
+        assert hop is not None
+        assert hop.entry.upstream == "z"
+
+    run_virtually(play())
