Refuse requests that have crashed three upstreams, over all hosts

Cause: on the users' platform nothing tells that an upstream has crashed, so the quarantine of the product's own interface (which is told) did not apply there; a request that crashes what runs it was tried anew each time its caller came back.

Done: a request whose answer broke off, at an upstream that has said nothing since, may have crashed it. Hosts count such upstreams together by path, account and body; after three the request is refused before it is sent. A whole answer clears a request, any answer of an upstream clears what broke off there.

Seen red: with the refusal taken out of the dispatcher, test_request_that_crashes_what_runs_it_reaches_few_upstreams fails.

--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -19,6 +19,7 @@
 from tanagerscale.forwarding._refusals import UNKNOWN_ROUTE
 from tanagerscale.forwarding._refusals import going_away
 from tanagerscale.forwarding._refusals import not_ready
+from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import timed_out
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.forwarding._types import CallerRequest
@@ -137,6 +138,9 @@
         )
 
     async def _forward(self, routed: RoutedRequest, responder: Responder) -> Refusal | None:
+        suspects = self._parts.suspects
+        if suspects.known and suspects.is_refused(routed.fingerprint):
+            return quarantined()
         self._parts.budgets.on_request(routed.service)
         if routed.route.kind is not RouteKind.STREAMING:
             return await PlainForward(routed=routed, parts=self._parts).serve(responder)
--- a/src/tanagerscale/forwarding/_legs.py
+++ b/src/tanagerscale/forwarding/_legs.py
@@ -15,6 +15,8 @@
 from tanagerscale.forwarding._hops import Hop
 from tanagerscale.forwarding._hops import Snapshot
 from tanagerscale.forwarding._parts import ForwardingParts
+from tanagerscale.forwarding._suspicion import note_broken
+from tanagerscale.forwarding._suspicion import note_whole
 from tanagerscale.forwarding._types import Continuation
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.forwarding._types import UpstreamAnswer
@@ -157,6 +159,16 @@
         if not self._parts.notes.is_leaving(entry.upstream):
             self._parts.health.note_bad(upstream=entry.upstream)
 
+    def note_broken(self, entry: UpstreamEntry) -> None:
+        """Record an answer that broke off; the request may have crashed its engine."""
+        self.note_bad(entry)
+        note_broken(self._routed, self._parts, entry)
+
+    def note_whole(self, entry: UpstreamEntry) -> None:
+        """Record a whole answer."""
+        self._parts.health.note_good(upstream=entry.upstream)
+        note_whole(self._routed, self._parts, entry)
+
     def log(self, message: str, entry: UpstreamEntry, **inputs: object) -> None:
         """Write a line of log about this request at an engine."""
         request = self._routed.request
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -18,6 +18,7 @@
 from tanagerscale.forwarding._types import EngineControl
 from tanagerscale.forwarding._types import UpstreamCaller
 from tanagerscale.forwarding._work import EngineWork
+from tanagerscale.quarantine import Suspects
 from tanagerscale.routes import RouteTable
 from tanagerscale.upstreams import UpstreamEntry
 
@@ -70,6 +71,7 @@
     :param upstreams: The upstreams there are.
     :param notes: Takes what requests show of whether they can be reached.
     :param health: Takes what requests show of how they do.
+    :param suspects: Requests that may crash upstreams.
     :param caller: Sends requests to them.
     :param engines: Asks engines to copy runs.
     :param work: What runs on engines.
@@ -84,6 +86,7 @@
     upstreams: Upstreams
     notes: Notes
     health: UpstreamHealth
+    suspects: Suspects
     caller: UpstreamCaller
     engines: EngineControl
     work: EngineWork
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -16,6 +16,8 @@
 from tanagerscale.forwarding._parts import takers
 from tanagerscale.forwarding._refusals import failed
 from tanagerscale.forwarding._refusals import no_upstream
+from tanagerscale.forwarding._suspicion import note_broken
+from tanagerscale.forwarding._suspicion import note_whole
 from tanagerscale.forwarding._types import Header
 from tanagerscale.forwarding._types import Refusal
 from tanagerscale.forwarding._types import Responder
@@ -190,6 +192,7 @@
     ) -> _WholeAnswer | None:
         self._record.note_run(entry.upstream)
         self._parts.notes.note_up(upstream=entry.upstream)
+        note_whole(self._routed, self._parts, entry)
         self._parts.meters.attempts.labels("answered").inc()
         self._log("An upstream has answered.", entry, status=answer.status)
         whole = _WholeAnswer(
@@ -207,6 +210,7 @@
             self._parts.notes.note_down(upstream=entry.upstream)
         else:
             self._record.note_run(entry.upstream)
+            note_broken(self._routed, self._parts, entry)
         self._refusal = failed(cause=error.detail)
         self._parts.meters.attempts.labels(error.failure.value).inc()
         self._log("An attempt failed.", entry, failure=error.failure.value, detail=error.detail)
--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -17,6 +17,9 @@
 GOING_AWAY_MS: Final = 50
 """Another host takes the request at once; this only keeps callers from coming all together."""
 
+QUARANTINE_MS: Final = 60_000
+"""A request that has crashed three upstreams does so each time; its caller has to change it."""
+
 NO_UPSTREAM_MS: Final = 400
 """Upstreams that are all full or all unreachable have changed by then, by the length of a call."""
 
@@ -60,6 +63,15 @@
     )
 
 
+def quarantined() -> Refusal:
+    """Refuse what has crashed upstreams; it was not run again."""
+    return Refusal(
+        kind=RefusalKind.QUARANTINED,
+        detail="This request has crashed upstreams and was not run again; change it.",
+        retry_after_ms=QUARANTINE_MS,
+    )
+
+
 def failed(*, cause: str) -> Refusal:
     """Answer what may have run and has no answer."""
     return Refusal(
--- a/src/tanagerscale/forwarding/_relay.py
+++ b/src/tanagerscale/forwarding/_relay.py
@@ -79,7 +79,7 @@
 
     def note_whole(self, leg: Leg) -> None:
         """Record the stream's proper end."""
-        self._parts.health.note_good(upstream=leg.entry.upstream)
+        self._sender.note_whole(leg.entry)
         self._parts.meters.longest_gap_ms.observe(self._longest_gap_ms)
         self._sender.log(
             "A stream is whole.",
@@ -115,6 +115,7 @@
         if leg.first_event is None:
             leg.first_event = now
             leg.late.end(is_good=True)
+            self._parts.suspects.note_alive(upstream=leg.entry.upstream)
             self._legs += 1
             self._sender.log("An engine begins to answer.", leg.entry, event=number)
         self._on_event(leg)
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -225,7 +225,7 @@
             self._parts.notes.note_down(upstream=entry.upstream)
         else:
             self._record.note_run(entry.upstream)
-            self._sender.note_bad(entry)
+            self._sender.note_broken(entry)
         self._parts.meters.attempts.labels(error.failure.value).inc()
         self._sender.log("An attempt failed.", entry, detail=error.detail, sent=not not_sent)
         return failed(cause=error.detail)
@@ -286,7 +286,7 @@
         broken = leg.entry
         self._sender.log("A leg ended early.", broken, detail=cause, at=self._relay.last_event)
         if self._stopping is None and not self._hops:
-            self._sender.note_bad(broken)
+            self._sender.note_broken(broken)
         leg.close()
         self._is_between = True
         try:
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from enum import unique
+from typing import Final
 from typing import Protocol
 
 from returns.result import Result
@@ -16,6 +17,8 @@
 from tanagerscale.core import RequestId
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
+from tanagerscale.quarantine import Fingerprint
+from tanagerscale.quarantine import fingerprint_of
 from tanagerscale.routes import Caller
 from tanagerscale.routes import EngineCapabilities
 from tanagerscale.routes import Route
@@ -23,6 +26,8 @@
 
 Header = tuple[str, str]
 
+NO_ACCOUNT: Final = ClientAccountId("")
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PromptPart:
@@ -105,6 +110,13 @@
     engine: EngineCapabilities | None
     deadline: Millis
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """What all copies of the request share, whoever repeats it where."""
+        account = self.caller.account or NO_ACCOUNT
+        content = self.request.target.encode() + b"\0" + self.request.body
+        return fingerprint_of(key=b"", account=account, body=content)
+
 
 class Responder(Protocol):
     """Carries one answer to its caller."""
@@ -145,6 +157,8 @@
     TOO_LARGE = "too-large"
     OVERLOADED = "overloaded"
     """It has not run and will not; coming back helps."""
+    QUARANTINED = "quarantined"
+    """It has crashed upstreams and was not run again."""
     UPSTREAM_FAILED = "upstream-failed"
     """It may have run."""
     TIMED_OUT = "timed-out"
--- a/src/tanagerscale/gateway/_caller_edge.py
+++ b/src/tanagerscale/gateway/_caller_edge.py
@@ -28,6 +28,7 @@
     RefusalKind.BAD_REQUEST: 400,
     RefusalKind.TOO_LARGE: 413,
     RefusalKind.OVERLOADED: 503,
+    RefusalKind.QUARANTINED: 503,
     RefusalKind.UPSTREAM_FAILED: 502,
     RefusalKind.TIMED_OUT: 504,
 }
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -50,6 +50,7 @@
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.membership import UpstreamRoster
+from tanagerscale.quarantine import Suspects
 from tanagerscale.routes import CallerLimits
 from tanagerscale.routes import RouteTable
 from tanagerscale.store import PrefixFollower
@@ -278,8 +279,13 @@
             patience_ms=PATIENCE_MS,
         )
         self._health = UpstreamHealth(service_of=self._service_of, clock=self._clock)
+        self._suspects = Suspects(clock=self._clock)
         self._news = PeerNews(
-            mesh=self._mesh, gate=self._gate, work=self._work, health=self._health
+            mesh=self._mesh,
+            gate=self._gate,
+            work=self._work,
+            health=self._health,
+            suspects=self._suspects,
         )
         self._presence = HostPresence(
             store=self._edges.store,
@@ -307,6 +313,7 @@
             upstreams=self._roster,
             notes=self._gate,
             health=self._health,
+            suspects=self._suspects,
             caller=self._edges.upstreams,
             engines=self._edges.upstreams,
             work=self._work,
--- a/src/tanagerscale/gateway/_peers.py
+++ b/src/tanagerscale/gateway/_peers.py
@@ -12,11 +12,13 @@
 from tanagerscale.forwarding import UpstreamHealth
 from tanagerscale.generated.messages import AnswerTallies
 from tanagerscale.generated.messages import HostUse
+from tanagerscale.generated.messages import Suspect
 from tanagerscale.generated.messages import UpstreamLeaving
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import PeerInfo
 from tanagerscale.membership import Received
 from tanagerscale.membership import UpstreamGate
+from tanagerscale.quarantine import Suspects
 
 USE_PAUSE_MS: Final = 20
 """Changes of this host's work within so long go out as one message. Prompts take some 200 ms to
@@ -31,15 +33,23 @@
     :param gate: Which upstreams leave.
     :param work: What runs on engines.
     :param health: What requests show of upstreams.
+    :param suspects: Requests that may crash upstreams.
     """
 
     def __init__(
-        self, *, mesh: Mesh, gate: UpstreamGate, work: EngineWork, health: UpstreamHealth
+        self,
+        *,
+        mesh: Mesh,
+        gate: UpstreamGate,
+        work: EngineWork,
+        health: UpstreamHealth,
+        suspects: Suspects,
     ) -> None:
         self._mesh = mesh
         self._gate = gate
         self._work = work
         self._health = health
+        self._suspects = suspects
         self._pending: asyncio.TimerHandle | None = None
         self._live: frozenset[HostId] = frozenset()
 
@@ -50,6 +60,7 @@
         self._mesh.live.subscribe(self._on_live)
         self._work.changes.subscribe(self._on_change)
         self._health.news.subscribe(lambda tallies: self._mesh.broadcast(message=tallies))
+        self._suspects.news.subscribe(lambda suspect: self._mesh.broadcast(message=suspect))
 
     def _on_received(self, received: Received) -> None:
         message = received.message
@@ -57,12 +68,16 @@
             self._work.on_peer(host=received.host, use=message)
         elif isinstance(message, AnswerTallies):
             self._health.on_peer(host=received.host, tallies=message)
+        elif isinstance(message, Suspect):
+            self._suspects.on_peer(message)
         elif isinstance(message, UpstreamLeaving):
             self._gate.on_peer(message)
 
     def _on_joined(self, peer: PeerInfo) -> None:
         for message in self._gate.leaving_messages():
             self._mesh.send(host=peer.host, message=message)
+        for suspect in self._suspects.snapshot():
+            self._mesh.send(host=peer.host, message=suspect)
         self._mesh.send(host=peer.host, message=self._work.own_use())
 
     def _on_live(self, peers: tuple[PeerInfo, ...]) -> None:
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -27,6 +27,7 @@
 from tanagerscale.generated.messages import Progress
 from tanagerscale.generated.messages import Running
 from tanagerscale.generated.messages import RunningRequest
+from tanagerscale.generated.messages import Suspect
 from tanagerscale.generated.messages import UpstreamLeaving
 from tanagerscale.generated.messages import Verdict
 
@@ -40,6 +41,7 @@
     | UpstreamLeaving
     | HostUse
     | AnswerTallies
+    | Suspect
     | Verdict
     | Ask
     | Grant
@@ -62,6 +64,7 @@
         UpstreamLeaving,
         HostUse,
         AnswerTallies,
+        Suspect,
         Verdict,
         Ask,
         Grant,
--- a/src/tanagerscale/quarantine/__init__.py
+++ b/src/tanagerscale/quarantine/__init__.py
@@ -21,5 +21,14 @@
 from tanagerscale.quarantine._rules import StopRequest
 from tanagerscale.quarantine._rules import fingerprint_of
 from tanagerscale.quarantine._runs import RunEnd
+from tanagerscale.quarantine._suspects import Suspects
 
-__all__ = ["Crash", "Fingerprint", "Quarantine", "RunEnd", "StopRequest", "fingerprint_of"]
+__all__ = [
+    "Crash",
+    "Fingerprint",
+    "Quarantine",
+    "RunEnd",
+    "StopRequest",
+    "Suspects",
+    "fingerprint_of",
+]
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -39,6 +39,7 @@
 from tanagerscale.forwarding import RunCopy
 from tanagerscale.forwarding import UpstreamHealth
 from tanagerscale.forwarding import UpstreamOrder
+from tanagerscale.quarantine import Suspects
 from tanagerscale.routes import ANYBODY
 from tanagerscale.routes import CallerLimits
 from tanagerscale.routes import Configuration
@@ -413,6 +414,7 @@
         tables=tables,
         upstreams=upstreams,
         notes=upstreams,
+        suspects=Suspects(clock=clock),
         health=UpstreamHealth(service_of=lambda _: SERVICE, clock=clock),
         caller=caller,
         engines=engines,
--- a/testing/test_forwarding_dispatcher.py
+++ b/testing/test_forwarding_dispatcher.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tanagerscale.core import Millis
+from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import CallerRequest
 from tanagerscale.forwarding import Copier
@@ -19,6 +20,8 @@
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding import StreamRun
 from tanagerscale.routes import RouteKind
+from tanagerscale.upstreams import ExchangeError
+from tanagerscale.upstreams import ExchangeFailure
 from testing._gateway_fakes import Bench
 from testing._gateway_fakes import FakeAnswer
 from testing._gateway_fakes import FakeResponder
@@ -27,6 +30,7 @@
 from testing._gateway_fakes import make_request
 from testing._gateway_fakes import make_route
 from testing._gateway_fakes import make_table
+from testing._gateway_fakes import route_request
 from testing._virtual_time import run_virtually
 
 PLAIN = make_route(kind=RouteKind.NON_IDEMPOTENT, prefix="/a/", name="plain")
@@ -174,3 +178,32 @@
         assert scene.dispatcher.running == 0
 
     run_virtually(play())
+
+
+def test_request_that_crashes_what_runs_it_reaches_few_upstreams() -> None:
+    async def play() -> tuple[int, RefusalKind | None]:
+        scene = Scene()
+        names = [f"e{number}" for number in range(12)]
+        scene.bench.upstreams.entries = [make_entry(name) for name in names]
+        lost = ExchangeError(ExchangeFailure.LOST, "crashed")
+        for name in names:
+            scene.bench.caller.set(name, lost)
+        for _ in range(10):
+            responder = await scene.ask(_generation())
+        return len(scene.bench.caller.orders), _kind(responder)
+
+    assert run_virtually(play()) == (3, RefusalKind.QUARANTINED)
+
+
+def test_request_beside_one_that_crashes_upstreams_is_served() -> None:
+    async def play() -> FakeResponder:
+        scene = Scene()
+        for name in ("a", "b", "c"):
+            other = make_request(name="other", path="/s/other", prompt=100)
+            fingerprint = route_request(other, STREAM).fingerprint
+            scene.bench.parts.suspects.note_broken(
+                fingerprint=fingerprint, upstream=UpstreamId(name)
+            )
+        return await scene.ask(make_request())
+
+    assert run_virtually(play()).ended
