--- a/src/tanagerscale/forwarding/_budgets.py
+++ b/src/tanagerscale/forwarding/_budgets.py
@@ -15,8 +15,8 @@
 allowance is divided."""
 
 LEAST_RESERVE: Final = 1.0
-"""Whole repeats that a host may save up however many hosts there are. With 78 hosts each part of the
-fixed number is 0.93, of which no repeat could ever be taken; 78 saved ones are within the allowance."""
+"""Whole repeats that a host may save up, however many hosts there are. With 78 hosts the part of
+each is 0.93, of which no repeat could be taken; 78 saved ones are within the allowance."""
 
 
 @final
--- a/testing/test_retry_budgets.py
+++ b/testing/test_retry_budgets.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from tanagerscale.core import Clock
-from tanagerscale.core import HostId
 from tanagerscale.core import ServiceId
 from tanagerscale.forwarding import RetryBudgets
 from tanagerscale.gateway._presence import HostPresence
