--- a/testing/days/draw.py
+++ b/testing/days/draw.py
@@ -214,7 +214,7 @@
     """
     rng = Random(seed)
     planned = [_notice(site, rng, at) for at in _notice_times()]
-    faults = []
+    faults: list[dict[str, Value]] = []
     for _ in range(rng.randint(FEWEST_TROUBLES, MOST_TROUBLES)):
         trouble = rng.choice(TROUBLES)
         entries = planned if trouble.is_planned else faults
