Let news of many hosts go by way of a few, and spread what they cannot know of each other

Done: beyond 16 peers, use of engines goes by way of one host of each failure domain; what all learn together is told by the first few; heartbeats are as rare as keeps them at 16 a second, and the kernel finds dark hosts; the watch of the upstreams rests up to a second after a change; the watch of the hosts rests a second everywhere.

Mended besides: a budget without slack gave one repeat since the reserve of a host is a whole one (two tests of the plain path were red since then).

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -24,6 +24,7 @@
 from tanagerscale.core._line_log import set_up_line_log
 from tanagerscale.core._log import get_logger
 from tanagerscale.core._log import set_up_logging
+from tanagerscale.core._sockets import watch_peer
 
 __all__ = [
     "MS_PER_SECOND",
@@ -48,4 +49,5 @@
     "new_id",
     "set_up_line_log",
     "set_up_logging",
+    "watch_peer",
 ]
--- a/src/tanagerscale/forwarding/_budgets.py
+++ b/src/tanagerscale/forwarding/_budgets.py
@@ -73,7 +73,7 @@
         budget = self._budgets.get(service)
         reserve = max(part, LEAST_RESERVE)
         if budget is None:
-            budget = RetryBudget(ratio=self._ratio, reserve=reserve)
+            budget = RetryBudget(ratio=self._ratio, reserve=reserve, start=part)
             self._budgets[service] = budget
         budget.set_reserve(reserve=reserve)
         budget.refill(now=self._clock.now(), per_s=part / self._window_s)
--- a/src/tanagerscale/forwarding/_work.py
+++ b/src/tanagerscale/forwarding/_work.py
@@ -167,6 +167,7 @@
         self._runs: dict[RequestId, OwnRun] = {}
         self._tickets: dict[int, CopyTicket] = {}
         self._peers: dict[HostId, HostUse] = {}
+        self._links_changed: tuple[UpstreamId, ...] = ()
         self._changes: Subject[bool] = Subject()
         self._news: Subject[None] = Subject()
         self.plain_counts: Counter[UpstreamId] = Counter()
@@ -233,11 +234,13 @@
     def queue_copy(self, ticket: CopyTicket) -> None:
         """Tell that a copy waits for the links of its engines, or uses them."""
         self._tickets[ticket.number] = ticket
+        self._links_changed = ticket.engines
         self._changed(urgent=True)
 
     def leave_queue(self, ticket: CopyTicket) -> None:
         """Tell that a copy no longer needs the links."""
         if self._tickets.pop(ticket.number, None) is not None:
+            self._links_changed = ticket.engines
             self._changed(urgent=True)
 
     def ahead_of(self, ticket: CopyTicket) -> list[TurnKey]:
@@ -258,8 +261,25 @@
         """Return whether no copy that shares an engine's link goes before this one."""
         return not self.ahead_of(ticket)
 
+    @property
+    def peers(self) -> int:
+        """How many hosts this one hears of."""
+        return len(self._peers)
+
+    @property
+    def concerned(self) -> list[HostId]:
+        """Peers that have anything on the engines whose links this host used or left last."""
+        return [
+            host
+            for host, use in self._peers.items()
+            if any(str(engine) in use.engines for engine in self._links_changed)
+        ]
+
     def on_peer(self, *, host: HostId, use: HostUse) -> None:
-        """Take in what a peer has."""
+        """Take in what a peer has, unless something newer was heard of it."""
+        before = self._peers.get(host)
+        if before is not None and 0 < use.number <= before.number:
+            return
         self._peers[host] = use
         self._news.on_next(None)
 
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import random
 import secrets
@@ -48,14 +49,29 @@
 from tanagerscale.generated.records import HostRecord
 from tanagerscale.membership import HeadSpread
 from tanagerscale.membership import Mesh
+from tanagerscale.membership import Rumours
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.membership import UpstreamRoster
+from tanagerscale.membership import is_many
+from tanagerscale.membership import stretch
 from tanagerscale.quarantine import Suspects
 from tanagerscale.routes import CallerLimits
 from tanagerscale.routes import RouteTable
 from tanagerscale.store import PrefixFollower
 from tanagerscale.store import PrefixListener
 
+PRESENCE_REST_MS: Final = 1000
+"""Pause between two looks at the hosts' entries: when all start together, each would cost a call of
+each other, and the seeds connect them meanwhile."""
+
+ROSTER_REST_MS: Final = 1000
+"""Where there are many hosts, each rests for about so long after a change of the upstreams, so that
+changes that come together cost one call. Some hosts watch at any moment, and these tell the others
+which upstreams leave, which have two seconds and more; a new upstream is used a second later."""
+
+REST_SPREAD: Final = (0.5, 1.0)
+"""Hosts that rest after the same change go on watching one after the other."""
+
 SWEEP_MS: Final = 1000
 """How often idle connections are looked through; idle times are declared in seconds."""
 
@@ -139,8 +155,8 @@
         self._roster.changes.subscribe(lambda _: self._admission.look())
         self._work.news.subscribe(lambda _: self._admission.look())
         self._follow(self._edges.configuration_key, self._keeper)
-        self._follow(self._edges.registry_prefix, self._roster)
-        self._follow(self._presence.prefix, self._presence)
+        self._follow(self._edges.registry_prefix, self._roster, rest_ms=self._roster_rest_ms)
+        self._follow(self._presence.prefix, self._presence, rest_ms=lambda: PRESENCE_REST_MS)
         self._spawn(self._presence.run())
         self._spawn(self._sweep())
         self._spawn(self._tell_health())
@@ -261,10 +277,11 @@
                 revision=self._keeper.head_revision, leaving=self._leaving
             ),
         )
+        rumours = Rumours(mesh=self._mesh, rng=self._rng)
         self._gate = UpstreamGate(
             clock=self._clock,
             rng=self._rng,
-            spread=lambda message: self._mesh.broadcast(message=message),
+            spread=rumours.tell,
         )
         self._roster = UpstreamRoster(
             gate=self._gate,
@@ -277,6 +294,7 @@
             follower=self._keeper,
             clock=self._clock,
             patience_ms=PATIENCE_MS,
+            tell=rumours.tell,
         )
         self._health = UpstreamHealth(service_of=self._service_of, clock=self._clock)
         self._suspects = Suspects(clock=self._clock)
@@ -286,6 +304,8 @@
             work=self._work,
             health=self._health,
             suspects=self._suspects,
+            rumours=rumours,
+            incarnation=self._incarnation,
         )
         self._presence = HostPresence(
             store=self._edges.store,
@@ -343,13 +363,20 @@
             is_stopping=lambda: self._leaving,
         )
 
-    def _follow(self, prefix: str, listener: PrefixListener) -> None:
+    def _roster_rest_ms(self) -> int:
+        peers = len(self._mesh.live.value)
+        return int(ROSTER_REST_MS * self._rng.uniform(*REST_SPREAD)) if is_many(peers=peers) else 0
+
+    def _follow(
+        self, prefix: str, listener: PrefixListener, *, rest_ms: Callable[[], int] = lambda: 0
+    ) -> None:
         follower = PrefixFollower(
             store=self._edges.store,
             prefix=prefix,
             listener=listener,
             clock=self._clock,
             rng=self._rng,
+            rest_ms=rest_ms,
         )
         self._spawn(follower.run())
 
@@ -368,7 +395,8 @@
 
     async def _tell_health(self) -> None:
         while True:
-            await self._clock.sleep(TELL_HEALTH_MS)
+            peers = len(self._mesh.live.value)
+            await self._clock.sleep(int(TELL_HEALTH_MS * stretch(peers=peers)))
             self._health.tell()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/tanagerscale/gateway/_peers.py
+++ b/src/tanagerscale/gateway/_peers.py
@@ -6,17 +6,22 @@
 from typing import Final
 from typing import final
 
+import msgspec
+
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import HostId
 from tanagerscale.forwarding import EngineWork
 from tanagerscale.forwarding import UpstreamHealth
+from tanagerscale.gateway._use_relay import UseRelay
 from tanagerscale.generated.messages import AnswerTallies
 from tanagerscale.generated.messages import HostUse
+from tanagerscale.generated.messages import HostUses
 from tanagerscale.generated.messages import Suspect
 from tanagerscale.generated.messages import UpstreamLeaving
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import PeerInfo
 from tanagerscale.membership import Received
+from tanagerscale.membership import Rumours
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.quarantine import Suspects
 
@@ -24,6 +29,10 @@
 """Changes of this host's work within so long go out as one message. Prompts take some 200 ms to
 read, so what a peer knows is rarely older than the decision it is needed for."""
 
+NUMBERS_PER_MS: Final = 1000
+"""Reports are numbered from the start of the process on. A host sends far fewer in a millisecond,
+so those of a later process of the same host have higher numbers."""
+
 
 @final
 class PeerNews:
@@ -34,6 +43,8 @@
     :param work: What runs on engines.
     :param health: What requests show of upstreams.
     :param suspects: Requests that may crash upstreams.
+    :param rumours: Tells what most peers know already.
+    :param incarnation: Wall clock at this process's start, in milliseconds.
     """
 
     def __init__(
@@ -44,12 +55,17 @@
         work: EngineWork,
         health: UpstreamHealth,
         suspects: Suspects,
+        rumours: Rumours,
+        incarnation: int,
     ) -> None:
         self._mesh = mesh
         self._gate = gate
         self._work = work
         self._health = health
         self._suspects = suspects
+        self._rumours = rumours
+        self._relay = UseRelay(mesh=mesh)
+        self._number = incarnation * NUMBERS_PER_MS
         self._pending: asyncio.TimerHandle | None = None
         self._live: frozenset[HostId] = frozenset()
 
@@ -66,19 +82,31 @@
         message = received.message
         if isinstance(message, HostUse):
             self._work.on_peer(host=received.host, use=message)
+            self._relay.on_report(received.host, message)
+        elif isinstance(message, HostUses):
+            self._on_passed_on(received.host, message)
         elif isinstance(message, AnswerTallies):
             self._health.on_peer(host=received.host, tallies=message)
         elif isinstance(message, Suspect):
             self._suspects.on_peer(message)
         elif isinstance(message, UpstreamLeaving):
             self._gate.on_peer(message)
+        self._rumours.on_received(received)
+
+    def _on_passed_on(self, sender: HostId, uses: HostUses) -> None:
+        for use in uses.uses:
+            host = HostId(use.host)
+            if host in self._live:
+                # Of others this host would not hear that they are gone.
+                self._work.on_peer(host=host, use=use)
+        self._relay.on_passed_on(sender, uses)
 
     def _on_joined(self, peer: PeerInfo) -> None:
         for message in self._gate.leaving_messages():
             self._mesh.send(host=peer.host, message=message)
         for suspect in self._suspects.snapshot():
             self._mesh.send(host=peer.host, message=suspect)
-        self._mesh.send(host=peer.host, message=self._work.own_use())
+        self._mesh.send(host=peer.host, message=self._own_use())
 
     def _on_live(self, peers: tuple[PeerInfo, ...]) -> None:
         live = frozenset(peer.host for peer in peers)
@@ -88,14 +116,31 @@
         self._live = live
 
     def _on_change(self, urgent: bool) -> None:
-        if urgent:
+        if urgent and self._relay.is_needed:
+            self._tell_concerned()
+        elif urgent:
             self._tell()
-        elif self._pending is None:
+            return
+        if self._pending is None:
             loop = asyncio.get_running_loop()
             self._pending = loop.call_later(USE_PAUSE_MS / MS_PER_SECOND, self._tell)
 
+    def _tell_concerned(self) -> None:
+        """Tell those at once who wait for the links that this host uses or has left."""
+        use = self._own_use()
+        for host in self._work.concerned:
+            self._mesh.send(host=host, message=use)
+
     def _tell(self) -> None:
         if self._pending is not None:
             self._pending.cancel()
             self._pending = None
-        self._mesh.broadcast(message=self._work.own_use())
+        use = self._own_use()
+        if self._relay.is_needed:
+            self._relay.report(use)
+        else:
+            self._mesh.broadcast(message=use)
+
+    def _own_use(self) -> HostUse:
+        self._number += 1
+        return msgspec.structs.replace(self._work.own_use(), number=self._number)
--- a/src/tanagerscale/membership/_mesh.py
+++ b/src/tanagerscale/membership/_mesh.py
@@ -10,6 +10,7 @@
 from typing import Any
 from typing import final
 
+import msgspec
 from reactivex import Observable
 from reactivex.subject import BehaviorSubject
 from reactivex.subject import Subject
@@ -29,6 +30,7 @@
 from tanagerscale.membership._peers import PeerAddress
 from tanagerscale.membership._peers import PeerInfo
 from tanagerscale.membership._peers import Received
+from tanagerscale.membership._scale import stretch
 from tanagerscale.membership._session import HEARTBEAT_INTERVAL_MS
 from tanagerscale.membership._session import OLDEST_VERSION
 from tanagerscale.membership._session import PROTOCOL_VERSION
@@ -40,10 +42,10 @@
 
 _FIRST_BACKOFF_MS = 200
 _LONGEST_BACKOFF_MS = 3000
+_BEAT_SPREAD = (0.8, 1.0)
+"""Hosts that started together would all send at one moment; after a few intervals they don't."""
 _YIELD_MS = 500
 """How long the host with the higher id lets the other one connect first."""
-_STALE_MS = 3 * HEARTBEAT_INTERVAL_MS // 2
-"""A connection silent for this long gives way to a new one."""
 
 log = get_logger(part="mesh")
 
@@ -97,6 +99,7 @@
         """Who answered at an address, which may not be whom the lagging list names."""
         self._serving: set[asyncio.Task[Any]] = set()
         self._beat: asyncio.Task[None] | None = None
+        self._interval_ms = HEARTBEAT_INTERVAL_MS
         self._messages: Subject[Received] = Subject()
         self._joined: Subject[PeerInfo] = Subject()
         self._live: BehaviorSubject[tuple[PeerInfo, ...]] = BehaviorSubject(())
@@ -189,13 +192,17 @@
 
     def beat_now(self) -> None:
         """Send a heartbeat out of turn, such as when a planned stop begins."""
-        self.broadcast(message=self._heartbeat_source())
+        self.broadcast(message=self._heartbeat())
 
     async def _send_heartbeats(self) -> None:
         while True:
-            await self._clock.sleep(HEARTBEAT_INTERVAL_MS)
+            await self._clock.sleep(int(self._interval_ms * self._rng.uniform(*_BEAT_SPREAD)))
+            self._interval_ms = int(HEARTBEAT_INTERVAL_MS * stretch(peers=len(self._sessions)))
             self.beat_now()
 
+    def _heartbeat(self) -> Heartbeat:
+        return msgspec.structs.replace(self._heartbeat_source(), next_ms=self._interval_ms)
+
     async def _accept(self, link: Link) -> None:
         task = asyncio.current_task()
         assert task is not None
@@ -281,7 +288,7 @@
     async def _run(self, session: PeerSession) -> CloseReason:
         host = session.peer.host
         log.info("Peer connected.", peer=host, incarnation=session.peer.incarnation)
-        session.send(encode_frame(self._heartbeat_source()))
+        session.send(encode_frame(self._heartbeat()))
         self._publish()
         self._joined.on_next(session.peer)
         reason = CloseReason.NORMAL
@@ -305,7 +312,7 @@
             return CloseReason.SELF
         old = self._sessions.get(host)
         if old is not None:
-            if old.silent_ms < _STALE_MS:
+            if not old.is_stale:
                 if session.peer.incarnation < old.peer.incarnation:
                     return CloseReason.STALE_INCARNATION
                 same_process = session.peer.incarnation == old.peer.incarnation
--- a/src/tanagerscale/membership/_session.py
+++ b/src/tanagerscale/membership/_session.py
@@ -29,8 +29,11 @@
 PROTOCOL_VERSION = 1
 OLDEST_VERSION = 1
 HEARTBEAT_INTERVAL_MS = 1000
-SILENCE_LIMIT_MS = 3 * HEARTBEAT_INTERVAL_MS
-"""A peer not heard for this long is taken as failed, whatever its connection looks like."""
+SILENT_INTERVALS = 3
+"""A peer not heard for so many of its intervals is taken as failed, whatever its connection looks
+like. Peers whose host is dark are found sooner, by the kernel."""
+STALE_INTERVALS = 1.5
+"""A connection silent for so many intervals gives way to a new one."""
 
 _HELLO_TIMEOUT_MS = 2000
 _QUEUE_FRAMES = 1024
@@ -71,6 +74,7 @@
         self._on_change = on_change
         self._outgoing: asyncio.Queue[bytes] = asyncio.Queue(maxsize=_QUEUE_FRAMES)
         self._last_heard = clock.now()
+        self._interval_ms = HEARTBEAT_INTERVAL_MS
         self._reader: asyncio.Task[CloseReason] | None = None
         self._end_reason: CloseReason | None = None
         self.ended = asyncio.Event()
@@ -86,9 +90,10 @@
         return self._dialer
 
     @property
-    def silent_ms(self) -> int:
-        """How long nothing has been heard, in milliseconds."""
-        return self._clock.now() - self._last_heard
+    def is_stale(self) -> bool:
+        """Whether so little is heard that a new connection takes this one's place."""
+        silent_ms = self._clock.now() - self._last_heard
+        return silent_ms >= STALE_INTERVALS * self._interval_ms
 
     def send(self, frame: bytes) -> bool:
         """Queue a frame.
@@ -138,7 +143,7 @@
     async def _read(self) -> CloseReason:
         while True:
             try:
-                async with asyncio.timeout(SILENCE_LIMIT_MS / MS_PER_SECOND):
+                async with asyncio.timeout(SILENT_INTERVALS * self._interval_ms / MS_PER_SECOND):
                     data = await self._link.receive()
             except TimeoutError:
                 return CloseReason.SILENT
@@ -174,6 +179,7 @@
             log.exception("Message handler failed.", kind=type(message).__name__)
 
     def _note_heartbeat(self, heartbeat: Heartbeat) -> None:
+        self._interval_ms = heartbeat.next_ms
         revision = Revision(heartbeat.revision)
         if revision == self._peer.revision and heartbeat.leaving == self._peer.leaving:
             return
--- a/src/tanagerscale/membership/_spread.py
+++ b/src/tanagerscale/membership/_spread.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -88,6 +89,7 @@
     :param follower: Puts revisions in force.
     :param clock: Time.
     :param patience_ms: How long a host that is behind waits for its own watch before it asks.
+    :param tell: Tells the peers of a new revision; ``None`` tells each at once.
     """
 
     def __init__(
@@ -97,8 +99,10 @@
         follower: HeadFollower,
         clock: Clock,
         patience_ms: int = 0,
+        tell: Callable[[HeadAnnouncement], None] | None = None,
     ) -> None:
         self._network = network
+        self._tell = tell or (lambda message: network.broadcast(message=message))
         self._follower = follower
         self._clock = clock
         self._patience_ms = patience_ms
@@ -140,7 +144,7 @@
         """Tell all peers that a revision is in force here."""
         self._asked = None
         if revision > 0:
-            self._network.broadcast(message=HeadAnnouncement(revision=revision, digest=digest))
+            self._tell(HeadAnnouncement(revision=revision, digest=digest))
 
     def _on_live(self, peers: tuple[PeerInfo, ...]) -> None:
         self._live = frozenset(peer.host for peer in peers)
--- a/src/tanagerscale/membership/_websocket.py
+++ b/src/tanagerscale/membership/_websocket.py
@@ -13,6 +13,7 @@
 from websockets.exceptions import ConnectionClosed
 from websockets.exceptions import WebSocketException
 
+from tanagerscale.core import watch_peer
 from tanagerscale.generated.settings import TlsSection
 from tanagerscale.membership._link import REMEDIES
 from tanagerscale.membership._link import Accept
@@ -21,6 +22,9 @@
 from tanagerscale.membership._link import LinkClosedError
 from tanagerscale.membership._wire import MAX_FRAME_BYTES
 
+_SILENCE_S = 4
+"""A peer whose host is dark is found by then. Heartbeats find it after three of their intervals,
+which are longer the more hosts there are; frozen processes are found by these alone."""
 _OPEN_TIMEOUT_S = 2.0
 _CLOSE_TIMEOUT_S = 0.5
 _MAX_QUEUED_FRAMES = 64
@@ -33,6 +37,7 @@
 
     def __init__(self, *, connection: Connection) -> None:
         self._connection = connection
+        watch_peer(connection.transport, silence_s=_SILENCE_S, sent_too=True)
 
     async def send(self, frame: bytes) -> None:
         """Send a frame, waiting while the network is slow."""
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -24,6 +24,7 @@
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import Hello
 from tanagerscale.generated.messages import HostUse
+from tanagerscale.generated.messages import HostUses
 from tanagerscale.generated.messages import Progress
 from tanagerscale.generated.messages import Running
 from tanagerscale.generated.messages import RunningRequest
@@ -40,6 +41,7 @@
     | HeadContent
     | UpstreamLeaving
     | HostUse
+    | HostUses
     | AnswerTallies
     | Suspect
     | Verdict
@@ -63,6 +65,7 @@
         HeadContent,
         UpstreamLeaving,
         HostUse,
+        HostUses,
         AnswerTallies,
         Suspect,
         Verdict,
--- a/src/tanagerscale/policy/_retries.py
+++ b/src/tanagerscale/policy/_retries.py
@@ -19,13 +19,20 @@
     """Keeps retries to a tenth of the work, so that failures don't multiply load.
 
     :param ratio: Retries granted for each request.
-    :param reserve: Most retries saved up; also what a new budget starts with.
+    :param reserve: Most retries saved up.
+    :param start: What a new budget starts with; ``None`` means the whole reserve.
     """
 
-    def __init__(self, *, ratio: float = RETRY_RATIO, reserve: float = RETRY_RESERVE) -> None:
+    def __init__(
+        self,
+        *,
+        ratio: float = RETRY_RATIO,
+        reserve: float = RETRY_RESERVE,
+        start: float | None = None,
+    ) -> None:
         self._ratio = ratio
         self._reserve = reserve
-        self._tokens = reserve
+        self._tokens = reserve if start is None else start
         self._refilled: Millis | None = None
 
     def set_reserve(self, *, reserve: float) -> None:
--- a/src/tanagerscale/store/_follow.py
+++ b/src/tanagerscale/store/_follow.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 from typing import Final
 from typing import Protocol
@@ -53,6 +54,8 @@
     :param listener: Takes what is read.
     :param clock: Time.
     :param rng: Spreads tries.
+    :param rest_ms: Returns how long to wait after each change before watching on, so that changes
+        that come together cost one call.
     """
 
     def __init__(
@@ -63,8 +66,10 @@
         listener: PrefixListener,
         clock: Clock,
         rng: Random,
+        rest_ms: Callable[[], int] = lambda: 0,
     ) -> None:
         self._store = store
+        self._rest_ms = rest_ms
         self._prefix = prefix
         self._listener = listener
         self._clock = clock
@@ -110,6 +115,7 @@
             self._reached = batch.revision
             if batch.entries or batch.deleted:
                 self._listener.on_changes(batch)
+                await self._clock.sleep(self._rest_ms())
         return None
 
     def _note_success(self) -> None:
--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from enum import Enum
 from enum import unique
-import socket
 from typing import Final
 from typing import final
 
@@ -19,6 +18,7 @@
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Millis
+from tanagerscale.core import watch_peer
 
 MAX_HEAD_BYTES: Final = 64 * 1024
 """Largest field and line of a reply's head that is read."""
@@ -30,9 +30,6 @@
 """After so long without an acknowledgement a peer counts as gone. A stream so outlives a cut of its
 link that its caller would have waited for."""
 
-KEEPALIVE_INTERVAL_S: Final = 1
-"""Pause between the kernel's probes of an idle peer, the shortest the kernel offers."""
-
 NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 
@@ -216,20 +213,10 @@
     except (OSError, TimeoutError, ValueError) as error:
         detail = f"No connection to {address} ({type(error).__name__})"
         raise ExchangeError(ExchangeFailure.NOT_SENT, detail) from error
-    _watch_peer(transport, silence_s)
+    watch_peer(transport, silence_s=silence_s)
     return HttpConnection(transport=transport, protocol=protocol, opened=now)
 
 
-def _watch_peer(transport: asyncio.Transport, silence_s: int) -> None:
-    """Let the kernel find peers that went silent without a reset."""
-    connected = transport.get_extra_info("socket")
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    probes = max(silence_s // KEEPALIVE_INTERVAL_S - 1, 1)
-    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
-
-
 def _to_reply(message: RawResponseMessage) -> Reply:
     framed = message.chunked or "Content-Length" in message.headers
     bodiless = message.code in NO_BODY_STATUSES
--- /dev/null
+++ b/testing/test_many_hosts.py
@@ -0,0 +1,237 @@
+"""Two dozen hosts of three failure domains in virtual time: what each knows, and at which cost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from tanagerscale.core import Clock
+from tanagerscale.core import FailureDomainId
+from tanagerscale.core import HostId
+from tanagerscale.core import RequestId
+from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding import EngineWork
+from tanagerscale.forwarding import UpstreamHealth
+from tanagerscale.forwarding._work import CopyTicket
+from tanagerscale.forwarding._work import LinkRank
+from tanagerscale.gateway._peers import PeerNews
+from tanagerscale.generated.messages import Heartbeat
+from tanagerscale.membership import Mesh
+from tanagerscale.membership import PeerAddress
+from tanagerscale.membership import Received
+from tanagerscale.membership import Rumours
+from tanagerscale.membership import UpstreamGate
+from tanagerscale.quarantine import Suspects
+from testing._memory_links import MemoryNetwork
+from testing._memory_links import MemoryTransport
+from testing._virtual_time import run_virtually
+
+HOSTS = 24
+DOMAINS = 3
+ENGINE = UpstreamId("engine")
+OTHER_ENGINE = UpstreamId("other-engine")
+
+
+@dataclass(kw_only=True)
+class Host:
+    """What of a host talks to its peers."""
+
+    network: MemoryNetwork
+    mesh: Mesh
+    gate: UpstreamGate
+    work: EngineWork
+    received: int = 0
+    """Messages from peers, heartbeats left out."""
+
+    def count(self, received: Received) -> None:
+        """Count a message."""
+        self.received += not isinstance(received.message, Heartbeat)
+
+    def begin(self, name: str, *, upstream: UpstreamId = ENGINE) -> None:
+        """Count a generation that is sent to an engine."""
+        self.work.begin(
+            request=RequestId(name), upstream=upstream, prompt_tokens=10, tokens=10, is_long=True
+        )
+
+    def waiting_at(self, upstream: UpstreamId) -> int:
+        """Return how many generations this host knows to wait at an engine."""
+        total = self.work.totals().get(upstream)
+        return 0 if total is None else total.waiting
+
+
+def _make_host(network: MemoryNetwork, name: str, domain: int) -> Host:
+    clock, rng = Clock(), Random(name)
+    mesh = Mesh(
+        host=HostId(name),
+        failure_domain=FailureDomainId(f"domain-{domain}"),
+        incarnation=1,
+        listen=name,
+        clock=clock,
+        rng=rng,
+        transport=MemoryTransport(network=network, address=name),
+    )
+    rumours = Rumours(mesh=mesh, rng=rng)
+    gate = UpstreamGate(clock=clock, rng=rng, spread=rumours.tell)
+    work = EngineWork(host=HostId(name))
+    news = PeerNews(
+        mesh=mesh,
+        gate=gate,
+        work=work,
+        health=UpstreamHealth(service_of=lambda _: None, clock=clock),
+        suspects=Suspects(clock=clock),
+        rumours=rumours,
+        incarnation=1,
+    )
+    news.start()
+    host = Host(network=network, mesh=mesh, gate=gate, work=work)
+    mesh.messages.subscribe(host.count)
+    return host
+
+
+async def _start_hosts() -> list[Host]:
+    network = MemoryNetwork()
+    names = [f"host-{number:02}" for number in range(HOSTS)]
+    hosts = [_make_host(network, name, number % DOMAINS) for number, name in enumerate(names)]
+    for host in hosts:
+        await host.mesh.start()
+        host.mesh.set_peers([PeerAddress(address=name, host=HostId(name)) for name in names])
+    while any(len(host.mesh.live.value) < HOSTS - 1 for host in hosts):
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(5)
+    return hosts
+
+
+def _received(hosts: list[Host]) -> int:
+    return sum(host.received for host in hosts)
+
+
+def _play(scene: Callable[[list[Host]], Coroutine[Any, Any, Any]]) -> Any:
+    async def play() -> Any:
+        return await scene(await _start_hosts())
+
+    return run_virtually(play())
+
+
+def test_every_host_knows_what_one_has_on_an_engine_within_a_quarter_of_a_second() -> None:
+    async def scene(hosts: list[Host]) -> list[int]:
+        hosts[5].begin("r")
+        await asyncio.sleep(0.25)
+        return [host.waiting_at(ENGINE) for host in hosts]
+
+    assert _play(scene) == [1] * HOSTS
+
+
+def test_changes_at_all_hosts_cost_a_few_messages_for_each_host() -> None:
+    async def scene(hosts: list[Host]) -> tuple[list[int], int]:
+        before = _received(hosts)
+        for number, host in enumerate(hosts):
+            host.begin(f"r{number}")
+        await asyncio.sleep(0.25)
+        return [host.waiting_at(ENGINE) for host in hosts], _received(hosts) - before
+
+    known, messages = _play(scene)
+    assert known == [HOSTS] * HOSTS
+    # In a full mesh it would be 24 times 23.
+    assert messages <= 6 * HOSTS
+
+
+def test_end_of_a_generation_is_known_when_the_host_that_passed_its_begin_on_is_gone() -> None:
+    async def scene(hosts: list[Host]) -> list[int]:
+        hosts[6].begin("r")
+        await asyncio.sleep(0.25)
+        # The first of its failure domain, which passes reports on, and of another one.
+        for gone in hosts[:2]:
+            await gone.mesh.stop()
+        await asyncio.sleep(20)
+        hosts[6].work.end(request=RequestId("r"))
+        hosts[7].begin("s", upstream=OTHER_ENGINE)
+        await asyncio.sleep(0.25)
+        left = hosts[2:]
+        return [host.waiting_at(ENGINE) + 10 * host.waiting_at(OTHER_ENGINE) for host in left]
+
+    assert _play(scene) == [10] * (HOSTS - 2)
+
+
+def test_nothing_is_left_of_a_host_that_is_gone() -> None:
+    async def scene(hosts: list[Host]) -> list[int]:
+        hosts[9].begin("r")
+        await asyncio.sleep(0.05)
+        await hosts[9].mesh.stop()
+        await asyncio.sleep(20)
+        others = [host for host in hosts if host is not hosts[9]]
+        return [host.waiting_at(ENGINE) for host in others]
+
+    assert _play(scene) == [0] * (HOSTS - 1)
+
+
+def test_hosts_at_an_engine_hear_of_a_copy_before_the_others() -> None:
+    async def scene(hosts: list[Host]) -> tuple[bool, bool]:
+        hosts[3].begin("r")
+        await asyncio.sleep(0.25)
+        ticket = CopyTicket(number=1, engines=(ENGINE, OTHER_ENGINE), rank=LinkRank.REST, order=-1)
+        hosts[4].work.queue_copy(ticket)
+        later = CopyTicket(number=1, engines=(ENGINE, OTHER_ENGINE), rank=LinkRank.REST, order=0)
+        await asyncio.sleep(0.015)
+        return hosts[3].work.is_next(later), hosts[8].work.is_next(later)
+
+    assert _play(scene) == (False, True)
+
+
+def test_leaving_upstream_that_all_learn_of_together_costs_few_messages() -> None:
+    async def scene(hosts: list[Host]) -> int:
+        before = _received(hosts)
+        for host in hosts:
+            host.gate.note_leaving(upstream=ENGINE, incarnation=1)
+        await asyncio.sleep(0.25)
+        return _received(hosts) - before
+
+    # All to all would be 24 times 23.
+    assert _play(scene) <= 8 * HOSTS
+
+
+def test_host_that_alone_does_not_see_an_upstream_leave_hears_it() -> None:
+    async def scene(hosts: list[Host]) -> bool:
+        for host in hosts[1:]:
+            host.gate.note_leaving(upstream=ENGINE, incarnation=1)
+        await asyncio.sleep(0.05)
+        return hosts[0].gate.is_leaving(ENGINE)
+
+    assert _play(scene)
+
+
+def test_every_host_hears_what_only_one_saw() -> None:
+    async def scene(hosts: list[Host]) -> list[bool]:
+        hosts[11].gate.note_leaving(upstream=ENGINE, incarnation=1)
+        await asyncio.sleep(0.25)
+        return [host.gate.is_leaving(ENGINE) for host in hosts]
+
+    assert _play(scene) == [True] * HOSTS
+
+
+def test_idle_hosts_send_a_bounded_number_of_heartbeats() -> None:
+    async def scene(hosts: list[Host]) -> float:
+        before = sum(host.mesh.counters.sent_messages for host in hosts)
+        await asyncio.sleep(30)
+        after = sum(host.mesh.counters.sent_messages for host in hosts)
+        return (after - before) / 30 / HOSTS
+
+    # Each sends 16 a second, up to a quarter sooner; without a bound it would be 23 and more.
+    assert _play(scene) <= 20
+
+
+def test_host_that_says_nothing_is_taken_as_gone_after_three_of_its_intervals() -> None:
+    async def scene(hosts: list[Host]) -> list[bool]:
+        names = {str(host.mesh.host) for host in hosts} - {"host-02"}
+        hosts[0].network.frozen = {frozenset(("host-02", name)) for name in names}
+        seen = []
+        for _ in range(2):
+            await asyncio.sleep(2.8)
+            seen.append("host-02" in {peer.host for peer in hosts[0].mesh.live.value})
+        return seen
+
+    # An interval of 23 peers is 1.44 s.
+    assert _play(scene) == [True, False]
--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -183,6 +183,37 @@
     assert listener.snapshots == 1
 
 
+async def _until_reads(pair: Pair, count: int) -> None:
+    async with asyncio.timeout(20):
+        while len([call for call in pair.emulator.calls if "range" in call]) < count:
+            await asyncio.sleep(0.005)
+
+
+@pytest.mark.asyncio
+async def test_changes_that_come_while_a_follower_rests_cost_one_call(pair: Pair) -> None:
+    kept = Listener()
+    follower = PrefixFollower(
+        store=pair.store,
+        prefix="a/",
+        listener=kept,
+        clock=Clock(),
+        rng=Random(1),
+        rest_ms=lambda: 300,
+    )
+    task = asyncio.create_task(follower.run())
+    await _until_reads(pair, 1)
+    pair.emulator.put("a/0", b"0")
+    await _until(kept, {"a/0": b"0"})
+    for number in range(1, 6):
+        pair.emulator.put(f"a/{number}", b"x")
+        await asyncio.sleep(0.005)
+    await _until(kept, {"a/0": b"0", **{f"a/{number}": b"x" for number in range(1, 6)}})
+    task.cancel()
+    watches = [call for call in pair.emulator.calls if "watch" in call]
+    # The one that brought the first change, and the one that brought the other five.
+    assert len(watches) == 2
+
+
 @pytest.mark.asyncio
 async def test_follower_goes_on_where_it_was_when_the_store_was_away(
     pair: Pair, listener: Listener
