Look on for an engine when those tried first have crashed

Done: an attempt that reached nobody takes no repeat and does not count among the four that a request may make; eight of these end the search. Seen red: both new tests, for plain requests and streams.

Also: the watch of the upstreams rests in proportion to the time that a leaving upstream may get new work, 0.9 to 1.8 s where that is 3 s.

--- a/src/tanagerscale/forwarding/_execution.py
+++ b/src/tanagerscale/forwarding/_execution.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+from typing import Final
 from typing import final
 
 from tanagerscale.core import UpstreamId
 from tanagerscale.routes import Route
 from tanagerscale.routes import RouteKind
 
+MOST_ARRIVALS: Final = 4
+"""Upstreams that one request reaches while none has run it; more would only add arrivals at a
+service that is full."""
+
+MOST_UNREACHED: Final = 8
+"""Upstreams that can't be reached which one request is offered to. A crashed one refuses within 3
+ms and looks empty until its entry goes, so that all requests choose it first."""
+
 
 @final
 class ExecutionRecord:
@@ -23,6 +32,7 @@
         self._route = route
         self._tried: set[UpstreamId] = set()
         self._in_flight: set[UpstreamId] = set()
+        self._not_sent = 0
         self._ran = 0
 
     @property
@@ -40,13 +50,32 @@
         """How many attempts there were."""
         return len(self._tried)
 
+    @property
+    def arrived(self) -> int:
+        """How many attempts reached an upstream, as far as is known."""
+        return len(self._tried) - self._not_sent
+
+    @property
+    def may_try_another(self) -> bool:
+        """Whether the search for an upstream that runs the request goes on."""
+        return (
+            self.allows_another()
+            and self.arrived < MOST_ARRIVALS
+            and self._not_sent < MOST_UNREACHED
+        )
+
     def note_sent(self, upstream: UpstreamId) -> None:
         """Record an attempt that begins, which may run until the contrary is known."""
         self._tried.add(upstream)
         self._in_flight.add(upstream)
 
+    def note_not_sent(self, upstream: UpstreamId) -> None:
+        """Record an attempt that reached nobody."""
+        self.note_not_run(upstream)
+        self._not_sent += 1
+
     def note_not_run(self, upstream: UpstreamId) -> None:
-        """Record an attempt that was not sent, or was refused before execution."""
+        """Record an attempt that was refused before execution."""
         self._tried.add(upstream)
         self._in_flight.discard(upstream)
 
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -31,10 +31,6 @@
 
 FIRST_SERVER_ERROR: Final = 500
 
-MOST_TRIES: Final = 4
-"""Upstreams that one request is offered to while none has run it; more would only add arrivals at
-a service that is full."""
-
 AWAY_REQUESTS: Final = 0.5
 """What another failure domain counts as requests already there: it breaks ties and no more."""
 
@@ -130,12 +126,12 @@
     def _next_entry(self) -> UpstreamEntry | None:
         """Return the upstream to ask now, if one more may be asked."""
         record = self._record
-        if not record.allows_another() or record.sent >= MOST_TRIES:
+        if not record.may_try_another:
             return None
         entry = self._choose()
         if entry is None:
             return None
-        if record.sent and not self._parts.budgets.try_spend(self._routed.service):
+        if record.arrived and not self._parts.budgets.try_spend(self._routed.service):
             self._log("No repeat is left in the budget.", entry)
             return None
         return entry
@@ -206,7 +202,7 @@
 
     def _note_error(self, entry: UpstreamEntry, error: ExchangeError) -> None:
         if error.failure is ExchangeFailure.NOT_SENT:
-            self._record.note_not_run(entry.upstream)
+            self._record.note_not_sent(entry.upstream)
             self._parts.notes.note_down(upstream=entry.upstream)
         else:
             self._record.note_run(entry.upstream)
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -31,9 +31,6 @@
 
 FIRST_SERVER_ERROR: Final = 500
 
-MOST_TRIES: Final = 4
-"""Engines that a stream is offered to while none has run it."""
-
 MOST_RESCUES: Final = 2
 """How often one stream may break off without notice and go on from a copy. A request that crashes
 what runs it takes three engines with it and no more."""
@@ -184,8 +181,8 @@
         """Find the first engine; a refusal when none takes the request."""
         record = self._record
         failure: Refusal | None = None
-        while record.allows_another() and record.sent < MOST_TRIES:
-            if record.sent and not self._parts.budgets.try_spend(self._routed.service):
+        while record.may_try_another:
+            if record.arrived and not self._parts.budgets.try_spend(self._routed.service):
                 break
             found = await self._admission.find_engine(routed=self._routed, excluded=record.tried)
             if isinstance(found, Failure):
@@ -221,7 +218,7 @@
     def _note_not_answered(self, entry: UpstreamEntry, error: ExchangeError) -> Refusal:
         not_sent = error.failure is ExchangeFailure.NOT_SENT
         if not_sent:
-            self._record.note_not_run(entry.upstream)
+            self._record.note_not_sent(entry.upstream)
             self._parts.notes.note_down(upstream=entry.upstream)
         else:
             self._record.note_run(entry.upstream)
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -43,6 +43,7 @@
 from tanagerscale.gateway._edges import Edges
 from tanagerscale.gateway._metrics import serve_metrics
 from tanagerscale.gateway._peers import PeerNews
+from tanagerscale.gateway._presence import PRESENCE_REST_MS
 from tanagerscale.gateway._presence import HostPresence
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.generated.messages import Heartbeat
@@ -60,17 +61,10 @@
 from tanagerscale.store import PrefixFollower
 from tanagerscale.store import PrefixListener
 
-PRESENCE_REST_MS: Final = 1000
-"""Pause between two looks at the hosts' entries: when all start together, each would cost a call of
-each other, and the seeds connect them meanwhile."""
-
-ROSTER_REST_MS: Final = 1000
-"""Where there are many hosts, each rests for about so long after a change of the upstreams, so that
-changes that come together cost one call. Some hosts watch at any moment, and these tell the others
-which upstreams leave, which have two seconds and more; a new upstream is used a second later."""
-
-REST_SPREAD: Final = (0.5, 1.0)
-"""Hosts that rest after the same change go on watching one after the other."""
+ROSTER_REST: Final = (0.3, 0.6)
+"""Where there are many hosts, each rests for such a part of the time in which a leaving upstream may
+get new work, after a change of the upstreams: what comes together costs one call. Some hosts watch
+at any moment and tell the others which upstreams leave; a new one is used a second later."""
 
 SWEEP_MS: Final = 1000
 """How often idle connections are looked through; idle times are declared in seconds."""
@@ -365,7 +359,9 @@
 
     def _roster_rest_ms(self) -> int:
         peers = len(self._mesh.live.value)
-        return int(ROSTER_REST_MS * self._rng.uniform(*REST_SPREAD)) if is_many(peers=peers) else 0
+        if not is_many(peers=peers):
+            return 0
+        return int(self._settings.bounds.leaving_ms * self._rng.uniform(*ROSTER_REST))
 
     def _follow(
         self, prefix: str, listener: PrefixListener, *, rest_ms: Callable[[], int] = lambda: 0
--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -35,6 +35,10 @@
 RENEW_MS: Final = 10_000
 """A third of the lease, so that two lost renewals change nothing."""
 
+PRESENCE_REST_MS: Final = 1000
+"""Pause between two looks at the hosts' entries. When all hosts start together, each would cost a
+call of each other; the seeds connect them meanwhile."""
+
 RETRY_MS: Final = 500
 RETRY_SPREAD: Final = (0.5, 2.0)
 
--- a/testing/test_forwarding_plain.py
+++ b/testing/test_forwarding_plain.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding._plain import HEDGE_SHARE
 from tanagerscale.forwarding._plain import PlainForward
@@ -158,6 +159,18 @@
     assert len(bench.caller.orders) == 1
 
 
+@pytest.mark.asyncio
+async def test_attempts_that_reached_nobody_take_no_repeat_from_the_budget() -> None:
+    names = ("a", "b", "c", "d", "e", "f")
+    bench = make_bench(*(make_entry(name) for name in names), slack=0.0)
+    for name in names[:-1]:
+        bench.caller.set(name, NOT_SENT)
+        bench.parts.work.plain_counts[UpstreamId(name)] = 0
+    bench.parts.work.plain_counts[UpstreamId("f")] = 1
+    responder, _ = await _serve(bench, kind=ONCE)
+    assert responder.status == 200
+
+
 @pytest.mark.asyncio
 async def test_upstream_is_closed_when_another_one_has_its_address() -> None:
     bench = make_bench(make_entry("x"), make_entry("y"))
--- a/testing/test_forwarding_stream.py
+++ b/testing/test_forwarding_stream.py
@@ -132,6 +132,20 @@
     run_virtually(play())
 
 
+def test_stream_is_begun_where_an_engine_answers_when_most_have_crashed() -> None:
+    async def play() -> list[int]:
+        names = ("a", "b", "c", "d", "e", "f")
+        bench = make_bench(*(make_entry(name) for name in names), slack=0.0)
+        for name in names[:-1]:
+            bench.caller.set(name, NOT_SENT)
+        bench.caller.set("f", FakeAnswer(chunks=_events(1)))
+        run, responder = _run(bench)
+        assert await run.serve() is None
+        return _numbers(responder)
+
+    assert run_virtually(play()) == [1]
+
+
 def test_stream_is_not_begun_again_when_its_first_answer_is_lost() -> None:
     async def play() -> None:
         bench = make_bench(make_entry("x"), make_entry("y"))
