--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -62,8 +62,8 @@
 from tanagerscale.store import PrefixListener
 
 ROSTER_REST: Final = (0.3, 0.6)
-"""Where there are many hosts, each rests for such a part of the time in which a leaving upstream may
-get new work, after a change of the upstreams: what comes together costs one call. Some hosts watch
+"""Where there are many hosts, each rests for such a part of the time in which a leaving upstream
+may get new work, after a change of the upstreams: what comes together costs one call. Some watch
 at any moment and tell the others which upstreams leave; a new one is used a second later."""
 
 SWEEP_MS: Final = 1000
