Tell all peers at once when a generation begins on an engine

Done: the begin of a generation goes straight to all peers, the rest by way of the few. Seen red with the direct way taken out: the test of begins on two dozen hosts.

--- a/src/tanagerscale/forwarding/__init__.py
+++ b/src/tanagerscale/forwarding/__init__.py
@@ -35,6 +35,7 @@
 from tanagerscale.forwarding._types import UpstreamCaller
 from tanagerscale.forwarding._types import UpstreamOrder
 from tanagerscale.forwarding._work import EngineWork
+from tanagerscale.forwarding._work import Urgency
 
 __all__ = [
     "Admission",
@@ -70,4 +71,5 @@
     "UpstreamCaller",
     "UpstreamHealth",
     "UpstreamOrder",
+    "Urgency",
 ]
--- a/src/tanagerscale/forwarding/_work.py
+++ b/src/tanagerscale/forwarding/_work.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
+from enum import Enum
 from enum import IntEnum
 from enum import unique
 from typing import NamedTuple
@@ -22,6 +23,18 @@
 from tanagerscale.generated.messages import HostUse
 
 
+@unique
+class Urgency(Enum):
+    """Who has to hear of a change, and how soon."""
+
+    BEGUN = "begun"
+    """All peers at once, since others look for room on the same engines. Where 29 of them begin in
+    a second, what is 0.1 s old has three of them choose the same room."""
+    LINKS = "links"
+    """Those at once who wait for the links of the same engines."""
+    LATER = "later"
+
+
 @unique
 class LinkRank(IntEnum):
     """In which order copies use an engine's link."""
@@ -168,14 +181,14 @@
         self._tickets: dict[int, CopyTicket] = {}
         self._peers: dict[HostId, HostUse] = {}
         self._links_changed: tuple[UpstreamId, ...] = ()
-        self._changes: Subject[bool] = Subject()
+        self._changes: Subject[Urgency] = Subject()
         self._news: Subject[None] = Subject()
         self.plain_counts: Counter[UpstreamId] = Counter()
         """This host's requests to each upstream whose answer is passed on whole."""
 
     @property
-    def changes(self) -> Observable[bool]:
-        """Fires when the peers should be told anew, and whether that is urgent."""
+    def changes(self) -> Observable[Urgency]:
+        """Fires when the peers should be told anew, and how soon."""
         return self._changes
 
     @property
@@ -193,13 +206,15 @@
         is_long: bool,
     ) -> None:
         """Count a generation that is sent to an engine, or is about to be."""
+        before = self._runs.get(request)
+        is_new = before is None or before.upstream != upstream
         self._runs[request] = OwnRun(
             upstream=upstream,
             prompt_tokens=prompt_tokens,
             tokens=tokens,
             is_long=is_long,
         )
-        self._changed()
+        self._changed(Urgency.BEGUN if is_new else Urgency.LATER)
 
     def set_copy(
         self, *, request: RequestId, copy_at: UpstreamId | None, yields: bool = False
@@ -235,13 +250,13 @@
         """Tell that a copy waits for the links of its engines, or uses them."""
         self._tickets[ticket.number] = ticket
         self._links_changed = ticket.engines
-        self._changed(urgent=True)
+        self._changed(Urgency.LINKS)
 
     def leave_queue(self, ticket: CopyTicket) -> None:
         """Tell that a copy no longer needs the links."""
         if self._tickets.pop(ticket.number, None) is not None:
             self._links_changed = ticket.engines
-            self._changed(urgent=True)
+            self._changed(Urgency.LINKS)
 
     def ahead_of(self, ticket: CopyTicket) -> list[TurnKey]:
         """Return the copies that share an engine's link with one and go before it, in order."""
@@ -322,6 +337,6 @@
             for upstream, part in use.engines.items():
                 yield UpstreamId(upstream), part
 
-    def _changed(self, *, urgent: bool = False) -> None:
-        self._changes.on_next(urgent)
+    def _changed(self, urgency: Urgency = Urgency.LATER) -> None:
+        self._changes.on_next(urgency)
         self._news.on_next(None)
--- a/src/tanagerscale/gateway/_peers.py
+++ b/src/tanagerscale/gateway/_peers.py
@@ -12,6 +12,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.forwarding import EngineWork
 from tanagerscale.forwarding import UpstreamHealth
+from tanagerscale.forwarding import Urgency
 from tanagerscale.gateway._use_relay import UseRelay
 from tanagerscale.generated.messages import AnswerTallies
 from tanagerscale.generated.messages import HostUse
@@ -115,12 +116,15 @@
             self._health.forget_peer(host=gone)
         self._live = live
 
-    def _on_change(self, urgent: bool) -> None:
-        if urgent and self._relay.is_needed:
-            self._tell_concerned()
-        elif urgent:
+    def _on_change(self, urgency: Urgency) -> None:
+        if urgency is Urgency.BEGUN:
+            self._mesh.broadcast(message=self._own_use())
+            return
+        if urgency is Urgency.LINKS and not self._relay.is_needed:
             self._tell()
             return
+        if urgency is Urgency.LINKS:
+            self._tell_concerned()
         if self._pending is None:
             loop = asyncio.get_running_loop()
             self._pending = loop.call_later(USE_PAUSE_MS / MS_PER_SECOND, self._tell)
