Hear a restarted host whose clock was set back

Cause, found by reading: reports of what hosts have on engines are numbered from the start of their process by the wall clock. A host that lost its power and came back with an earlier clock, before its old connection was missed, was not heard any more: its numbers were lower than the last one known. Test seen red.

Done: what a host had is forgotten whenever a connection to it begins.

--- a/src/tanagerscale/gateway/_peers.py
+++ b/src/tanagerscale/gateway/_peers.py
@@ -103,6 +103,8 @@
         self._relay.on_passed_on(sender, uses)
 
     def _on_joined(self, peer: PeerInfo) -> None:
+        # What its process before had is gone, and may have had higher numbers by a clock set back.
+        self._work.forget_peer(host=peer.host)
         for message in self._gate.leaving_messages():
             self._mesh.send(host=peer.host, message=message)
         for suspect in self._suspects.snapshot():
--- a/testing/test_many_hosts.py
+++ b/testing/test_many_hosts.py
@@ -63,12 +63,12 @@
         return 0 if total is None else total.waiting
 
 
-def _make_host(network: MemoryNetwork, name: str, domain: int) -> Host:
+def _make_host(network: MemoryNetwork, name: str, domain: int = 0, *, incarnation: int = 1) -> Host:
     clock, rng = Clock(), Random(name)
     mesh = Mesh(
         host=HostId(name),
         failure_domain=FailureDomainId(f"domain-{domain}"),
-        incarnation=1,
+        incarnation=incarnation,
         listen=name,
         clock=clock,
         rng=rng,
@@ -84,7 +84,7 @@
         health=UpstreamHealth(service_of=lambda _: None, clock=clock),
         suspects=Suspects(clock=clock),
         rumours=rumours,
-        incarnation=1,
+        incarnation=incarnation,
     )
     news.start()
     host = Host(network=network, mesh=mesh, gate=gate, work=work)
@@ -249,3 +249,30 @@
 
     # An interval of 23 peers is 1.44 s.
     assert _play(scene) == [True, False]
+
+
+def test_restarted_host_is_heard_though_its_clock_was_set_back() -> None:
+    async def play() -> list[int]:
+        network = MemoryNetwork()
+        stays = _make_host(network, "a")
+        before = _make_host(network, "b", incarnation=9000)
+        for host in (stays, before):
+            await host.mesh.start()
+        stays.mesh.set_peers([PeerAddress(address="b", host=HostId("b"))])
+        await asyncio.sleep(1)
+        before.begin("old")
+        await asyncio.sleep(0.1)
+        seen = [stays.waiting_at(ENGINE)]
+        # Its power goes: nobody ends the connection, and the next process comes soon.
+        network.frozen = {frozenset(("a", "b"))}
+        await asyncio.sleep(1.6)
+        network.frozen = set()
+        after = _make_host(network, "b", incarnation=1000)
+        await after.mesh.start()
+        after.mesh.set_peers([PeerAddress(address="a", host=HostId("a"))])
+        await asyncio.sleep(1)
+        after.begin("new", upstream=OTHER_ENGINE)
+        await asyncio.sleep(0.1)
+        return [*seen, stays.waiting_at(ENGINE), stays.waiting_at(OTHER_ENGINE)]
+
+    assert run_virtually(play()) == [1, 0, 1]
