--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -181,7 +181,7 @@
             "The settings are read again.",
             changed=[
                 name
-                for name in ("host", "store", "retries", "bounds", "logs")
+                for name in ("host", "store", "retries", "deadlines", "logs")
                 if getattr(old, name) != getattr(settings, name)
             ],
             need_restart=old.host != settings.host or old.store != settings.store,
@@ -361,7 +361,7 @@
         peers = len(self._mesh.live.value)
         if not is_many(peers=peers):
             return 0
-        return int(self._settings.bounds.leaving_ms * self._rng.uniform(*ROSTER_REST))
+        return int(self._settings.deadlines.leaving_ms * self._rng.uniform(*ROSTER_REST))
 
     def _follow(
         self, prefix: str, listener: PrefixListener, *, rest_ms: Callable[[], int] = lambda: 0
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -19,7 +19,7 @@
 from standins.tcp_relay import TcpRelay
 from tanagerscale.core import Clock
 from tanagerscale.gateway import GatewayHost
-from tanagerscale.generated.gateway import BoundsSection
+from tanagerscale.generated.gateway import DeadlinesSection
 from tanagerscale.generated.gateway import GatewayHost as HostSection
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.generated.gateway import GatewayStore
@@ -169,7 +169,7 @@
                 stop_grace_s=4,
             ),
             store=GatewayStore(address=link.address),
-            bounds=BoundsSection(),
+            deadlines=DeadlinesSection(),
         )
         clock = Clock()
         host = GatewayHost(
