--- a/src/tanagerscale/replay/_jobs.py
+++ b/src/tanagerscale/replay/_jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence as Items
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -100,3 +102,24 @@
 
     offered: int
     served: int
+
+
+def service_of_accounts(
+    jobs: Iterable[Job], *, made: Callable[[GenerationId], int]
+) -> dict[str, ServedTokens]:
+    """Return the tokens that each account asked for and got so far.
+
+    :param jobs: All that callers asked.
+    :param made: Returns how many tokens a generation has that still runs.
+    """
+    service: dict[str, ServedTokens] = {}
+    for job in jobs:
+        wanted = job.request
+        before = service.get(wanted.account, ServedTokens(offered=0, served=0))
+        tokens = job.timeline.tokens if job.done else made(job.generation)
+        started = job.done or tokens > 0
+        service[wanted.account] = ServedTokens(
+            offered=before.offered + wanted.prompt_tokens + wanted.output_tokens,
+            served=before.served + (wanted.prompt_tokens if started else 0) + tokens,
+        )
+    return service
--- a/src/tanagerscale/replay/_world.py
+++ b/src/tanagerscale/replay/_world.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence as Items
-import heapq
 from random import Random
 from typing import final
 
@@ -26,7 +25,9 @@
 from tanagerscale.replay._jobs import Layout
 from tanagerscale.replay._jobs import ServedTokens
 from tanagerscale.replay._jobs import Site
+from tanagerscale.replay._jobs import service_of_accounts
 from tanagerscale.replay._news import News
+from tanagerscale.replay._queue import EventQueue
 from tanagerscale.replay._sequence import Sequence
 from tanagerscale.replay._settings import DETECTION_MS
 from tanagerscale.replay._settings import ReplaySettings
@@ -55,7 +56,6 @@
     def __init__(self, *, trace: Items[TraceRequest], settings: ReplaySettings, seed: int) -> None:
         self.settings = settings
         self.table = MeasureTable()
-        self.now = 0.0
         self.engines: dict[UpstreamId, EngineFake] = {}
         self.jobs: list[Job] = []
         self.rng = Random(f"world/{seed}")
@@ -66,8 +66,7 @@
         """Messages between hosts, progress not counted."""
         self._trace = trace
         self._layout: Layout | None = None
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
-        self._number = 0
+        self._queue = EventQueue()
         self._stepping: set[str] = set()
         self._by_generation: dict[GenerationId, Job] = {}
         self._open: list[EngineSpec] = []
@@ -96,10 +95,14 @@
         assert self._layout is not None
         return self._layout
 
+    @property
+    def now(self) -> float:
+        """The present time, in milliseconds."""
+        return self._queue.now
+
     def at(self, when: float, action: Callable[[], None]) -> None:
         """Do something at a time."""
-        self._number += 1
-        heapq.heappush(self._heap, (when, self._number, action))
+        self._queue.add(when, action)
 
     def after(self, delay: float, action: Callable[[], None]) -> None:
         """Do something after a delay."""
@@ -134,19 +137,13 @@
         if self._trace:
             self.at(float(self._trace[-1].at_ms), self._note_service)
         end = (self._trace[-1].at_ms if self._trace else 0) + DRAIN_MS
-        heap = self._heap
-        while heap and self._left > 0:
-            when, _, action = heapq.heappop(heap)
-            if when > end:
-                break
-            self.now = when
-            action()
+        self._queue.run(until=end, goes_on=lambda: self._left > 0)
         self._close()
         return self.table
 
     def stop(self) -> None:
         """End the replay now, whatever still runs."""
-        self._heap.clear()
+        self._queue.clear()
 
     # Callers and hosts.
 
@@ -388,15 +385,7 @@
             self.pump(site)
 
     def _note_service(self) -> None:
-        for job in self.jobs:
-            wanted = job.request
-            before = self.progress_at_end.get(wanted.account, ServedTokens(offered=0, served=0))
-            made = job.timeline.tokens if job.done else self.made(job.generation)
-            started = job.done or made > 0
-            self.progress_at_end[wanted.account] = ServedTokens(
-                offered=before.offered + wanted.prompt_tokens + wanted.output_tokens,
-                served=before.served + (wanted.prompt_tokens if started else 0) + made,
-            )
+        self.progress_at_end = service_of_accounts(self.jobs, made=self.made)
 
     def _close(self) -> None:
         for job in self.jobs:
