Take the random time out of placement, and take a refusal for a sign of life

Cause: placement added a random time of one prompt to each forecast at many hosts, so that hosts with old news chose different engines. Since begins are told at once their news is 4 ms old.

Besides, each with a test seen red: an upstream that refuses a request has not crashed, and what broke off there is cleared; the kernel is told to find dark peers of the mesh (no test had failed without). The question whether a request is refused stands beside what decides it.

--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -22,6 +22,7 @@
 from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import timed_out
 from tanagerscale.forwarding._stream import StreamRun
+from tanagerscale.forwarding._suspicion import is_refused
 from tanagerscale.forwarding._types import CallerRequest
 from tanagerscale.forwarding._types import Refusal
 from tanagerscale.forwarding._types import Responder
@@ -138,8 +139,7 @@
         )
 
     async def _forward(self, routed: RoutedRequest, responder: Responder) -> Refusal | None:
-        suspects = self._parts.suspects
-        if suspects.known and suspects.is_refused(routed.fingerprint):
+        if is_refused(routed, self._parts):
             return quarantined()
         self._parts.budgets.on_request(routed.service)
         if routed.route.kind is not RouteKind.STREAMING:
--- a/src/tanagerscale/forwarding/_engine_views.py
+++ b/src/tanagerscale/forwarding/_engine_views.py
@@ -11,8 +11,6 @@
 from tanagerscale.forwarding._parts import takers
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.forwarding._work import EngineTotal
-from tanagerscale.membership import is_many
-from tanagerscale.policy import UNSEEN_MS
 from tanagerscale.policy import EngineView
 from tanagerscale.policy import Placement
 from tanagerscale.policy import Wish
@@ -65,7 +63,6 @@
         arriving_tokens=leaving_tokens(parts),
         failure_domain=parts.failure_domain,
         rng=parts.rng,
-        unseen_ms=UNSEEN_MS if is_many(peers=parts.work.peers) else 0.0,
     )
 
 
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -215,6 +215,8 @@
         self._record.note_not_run(entry.upstream)
         if answer.is_someone_else:
             self._parts.notes.note_gone(upstream=entry.upstream)
+        else:
+            self._parts.suspects.note_alive(upstream=entry.upstream)
         self._parts.meters.attempts.labels("not-executed").inc()
         self._log("An upstream did not take the request.", entry, status=answer.status)
 
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -206,6 +206,8 @@
             sender.note_bad(entry)
             if leg.answer.is_someone_else:
                 self._parts.notes.note_gone(upstream=entry.upstream)
+            else:
+                self._parts.suspects.note_alive(upstream=entry.upstream)
             self._parts.meters.attempts.labels("not-executed").inc()
             sender.log("An engine did not take the request.", entry, status=leg.answer.status)
             await sender.drain(leg)
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -27,6 +27,7 @@
 Header = tuple[str, str]
 
 NO_ACCOUNT: Final = ClientAccountId("")
+"""Stands for the caller of a public route."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -112,7 +113,7 @@
 
     @property
     def fingerprint(self) -> Fingerprint:
-        """What all copies of the request share, whoever repeats it where."""
+        """What all repeats of the request have in common, at whichever host they come."""
         account = self.caller.account or NO_ACCOUNT
         content = self.request.target.encode() + b"\0" + self.request.body
         return fingerprint_of(key=b"", account=account, body=content)
--- a/src/tanagerscale/forwarding/_work.py
+++ b/src/tanagerscale/forwarding/_work.py
@@ -275,11 +275,6 @@
         """Return whether no copy that shares an engine's link goes before this one."""
         return not self.ahead_of(ticket)
 
-    @property
-    def peers(self) -> int:
-        """How many hosts this one hears of."""
-        return len(self._peers)
-
     @property
     def concerned(self) -> list[HostId]:
         """Peers that have anything on the engines whose links this host used or left last."""
--- a/src/tanagerscale/membership/_rumours.py
+++ b/src/tanagerscale/membership/_rumours.py
@@ -22,7 +22,7 @@
 
 SPREAD_MS: Final = 150
 """Time over which hosts take their turn to tell. With 78 hosts one tells each 2 ms, about as long
-as a message takes, so that some three to six tell before the rest have heard it."""
+as a message takes; three told before the rest had heard it (tools/bench_many_hosts.py)."""
 
 ENOUGH_TELLERS: Final = 3
 """A host that heard the same from so many peers does not tell it any more. A host without its watch
--- a/src/tanagerscale/membership/_websocket.py
+++ b/src/tanagerscale/membership/_websocket.py
@@ -22,9 +22,9 @@
 from tanagerscale.membership._link import LinkClosedError
 from tanagerscale.membership._wire import MAX_FRAME_BYTES
 
-_SILENCE_S = 4
-"""A peer whose host is dark is found by then. Heartbeats find it after three of their intervals,
-which are longer the more hosts there are; frozen processes are found by these alone."""
+SILENCE_S = 4
+"""Seconds after which the kernel ends a connection to a dark host. Heartbeats find it after three
+of their intervals, which are longer the more hosts there are; they alone find a frozen one."""
 _OPEN_TIMEOUT_S = 2.0
 _CLOSE_TIMEOUT_S = 0.5
 _MAX_QUEUED_FRAMES = 64
@@ -37,7 +37,7 @@
 
     def __init__(self, *, connection: Connection) -> None:
         self._connection = connection
-        watch_peer(connection.transport, silence_s=_SILENCE_S, sent_too=True)
+        watch_peer(connection.transport, silence_s=SILENCE_S, sent_too=True)
 
     async def send(self, frame: bytes) -> None:
         """Send a frame, waiting while the network is slow."""
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -19,7 +19,6 @@
 from tanagerscale.policy._outliers import may_rest
 from tanagerscale.policy._placement import COPY_MARGIN
 from tanagerscale.policy._placement import SPARE_MARGIN
-from tanagerscale.policy._placement import UNSEEN_MS
 from tanagerscale.policy._placement import EngineView
 from tanagerscale.policy._placement import Placement
 from tanagerscale.policy._placement import Verdict
@@ -48,7 +47,6 @@
     "COPY_MARGIN",
     "NOTICE_MS",
     "SPARE_MARGIN",
-    "UNSEEN_MS",
     "AccountLimits",
     "AccountSpec",
     "AccountUsage",
--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -57,11 +57,6 @@
 """A run moves to an emptier engine when the difference is so many times its size: after the move it
 is still the emptier one, so that no run goes back and forth."""
 
-UNSEEN_MS: Final = 300.0
-"""Random waiting time added to each engine's forecast where there are many hosts. What they know is
-0.1 s old there, in which three prompts arrive somewhere; all would go to the one engine that was
-best. It is the time that an engine takes for a prompt of the usual 2,200 tokens."""
-
 GROWTH_TOKENS: Final = 250
 """Room kept for the growth of each generation. Two seconds at 8 ms a token, after which what is
 known of the engine has been renewed."""
@@ -219,7 +214,6 @@
     is_long: bool,
     failure_domain: FailureDomainId,
     rng: Random,
-    unseen_ms: float = 0.0,
 ) -> EngineView | None:
     """Return the engine where a generation waits least and holds up others least.
 
@@ -228,7 +222,6 @@
     :param is_long: Whether its answer may run on for seconds.
     :param failure_domain: Where its bytes come from.
     :param rng: Breaks ties.
-    :param unseen_ms: Waiting time that what is not known yet may add at any engine.
     """
 
     def cost(view: EngineView) -> tuple[float, float]:
@@ -236,8 +229,7 @@
         total += view.running * NEIGHBOUR_MS + view.cold_ms * COLD_COST
         total += view.uncopied_tokens * UNCOPIED_MS if is_long else 0.0
         total += AWAY_MS if view.failure_domain != failure_domain else 0.0
-        chance = rng.random()
-        return total + unseen_ms * chance, chance
+        return total, rng.random()
 
     return min(views, key=cost, default=None)
 
@@ -249,7 +241,6 @@
     arriving_tokens: int = 0,
     failure_domain: FailureDomainId,
     rng: Random,
-    unseen_ms: float = 0.0,
 ) -> Placement:
     """Decide what becomes of a generation.
 
@@ -258,7 +249,6 @@
     :param arriving_tokens: Memory of long generations that have to leave another engine.
     :param failure_domain: Where this host stands.
     :param rng: Breaks ties.
-    :param unseen_ms: Waiting time that what is not known yet may add at any engine.
     """
     if not views:
         return _later(wish, views, "no engine takes work")
@@ -273,7 +263,6 @@
         is_long=wish.is_long,
         failure_domain=failure_domain,
         rng=rng,
-        unseen_ms=unseen_ms,
     )
     assert chosen is not None
     wait_ms = first_event_ms(view=chosen, prompt_tokens=wish.prompt_tokens)
--- a/testing/test_forwarding_plain.py
+++ b/testing/test_forwarding_plain.py
@@ -12,6 +12,7 @@
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding._plain import HEDGE_SHARE
 from tanagerscale.forwarding._plain import PlainForward
+from tanagerscale.quarantine import Fingerprint
 from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
@@ -171,6 +172,20 @@
     assert responder.status == 200
 
 
+@pytest.mark.asyncio
+@pytest.mark.parametrize("is_someone_else", [False, True])
+async def test_upstream_that_refuses_has_not_crashed_unless_another_one_answered(
+    is_someone_else: bool,
+) -> None:
+    bench = make_bench(make_entry("x"))
+    suspects = bench.parts.suspects
+    suspects.note_broken(fingerprint=Fingerprint("r"), upstream=UpstreamId("x"))
+    refusal = FakeAnswer(status=503, not_executed=True, is_someone_else=is_someone_else)
+    bench.caller.set("x", refusal)
+    await _serve(bench, kind=ONCE)
+    assert suspects.known == (1 if is_someone_else else 0)
+
+
 @pytest.mark.asyncio
 async def test_upstream_is_closed_when_another_one_has_its_address() -> None:
     bench = make_bench(make_entry("x"), make_entry("y"))
--- a/testing/test_mesh.py
+++ b/testing/test_mesh.py
@@ -10,6 +10,7 @@
 from ipaddress import ip_address
 from pathlib import Path
 from random import Random
+import socket
 import ssl
 from typing import TypeAlias
 
@@ -45,6 +46,8 @@
 from tanagerscale.membership import decode_frame
 from tanagerscale.membership import encode_frame
 from tanagerscale.membership import peer_ssl_contexts
+from tanagerscale.membership._websocket import SILENCE_S
+from tanagerscale.membership._websocket import WebSocketLink
 from tanagerscale.membership._wire import MAX_FRAME_BYTES
 from testing._random_cases import cases
 
@@ -131,6 +134,26 @@
     assert not a.send(host=HostId("nobody"), message=HeadAnnouncement(revision=1, digest="x"))
 
 
+async def test_kernel_is_told_to_find_dark_peers_at_either_end(make_mesh: MakeMesh) -> None:
+    a, _ = await make_mesh("a", None)
+    b, b_address = await make_mesh("b", None)
+    a.set_peers([PeerAddress(address=b_address)])
+    await _until(lambda: a.live.value and b.live.value)
+    for mesh in (a, b):
+        (session,) = mesh._sessions.values()
+        link = session._link
+        assert isinstance(link, WebSocketLink)
+        connected = link._connection.transport.get_extra_info("socket")
+        assert connected.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+        idle_s = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+        interval_s = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL)
+        probes = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT)
+        assert idle_s + interval_s * probes <= SILENCE_S
+        # Bytes under way keep the probes back, so these have a limit of their own.
+        unread_ms = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert 0 < unread_ms <= SILENCE_S * 1000
+
+
 async def test_peer_of_another_version_is_answered_and_others_stay(make_mesh: MakeMesh) -> None:
     a, address = await make_mesh("a", None)
     friend = await _introduce(address)
