Tell starts of an upstream apart, and leave out entries that no upstream wrote

Cause: an upstream may start again under the name it had, and then knows nothing of before. The host kept all it knows (work, copies, tallies, suspicion, notices of leaving) by that name, so a late notice of the earlier start closed the later one, a request that crashed three starts of one engine counted one crash, and a report of another start was taken for the one asked. Entries with fields missing or of another type were filled with defaults, and one that was written over an upstream's own left the upstream in use.

Ruled out: a field for the start beside the name in every table and message. One id for each start, made where entries are decoded, makes all of them right at once, in messages between hosts too.

Change: the id of an upstream holds its start where it tells one. A later start closes the earlier one and its idle connections; an earlier one is believed only when nobody writes over it within 1.8 s. An entry that is not as upstreams write it names none; what it was written over gets no work at once and is left after 1.8 s. A host is not ready before it has read the list of upstreams once.

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -19,6 +19,7 @@
 from tanagerscale.core._ids import Revision
 from tanagerscale.core._ids import ServiceId
 from tanagerscale.core._ids import UpstreamId
+from tanagerscale.core._ids import UpstreamName
 from tanagerscale.core._ids import new_id
 from tanagerscale.core._line_log import LineLog
 from tanagerscale.core._line_log import set_up_line_log
@@ -44,6 +45,7 @@
     "Revision",
     "ServiceId",
     "UpstreamId",
+    "UpstreamName",
     "WallMillis",
     "get_logger",
     "new_id",
--- a/src/tanagerscale/gateway/_edges.py
+++ b/src/tanagerscale/gateway/_edges.py
@@ -12,7 +12,7 @@
 from returns.result import Result
 
 from tanagerscale.core import Millis
-from tanagerscale.core import UpstreamId
+from tanagerscale.core import UpstreamName
 from tanagerscale.forwarding import CallerRequest
 from tanagerscale.forwarding import EngineControl
 from tanagerscale.forwarding import Header
@@ -29,6 +29,9 @@
 class UpstreamEdge(UpstreamCaller, EngineControl, Protocol):
     """Sends requests to upstreams and asks engines about their runs."""
 
+    def forget(self, *, upstream: UpstreamEntry) -> None:
+        """Close the idle connections to a start of an upstream that is over."""
+
 
 class CallerCodec(Protocol):
     """Decodes callers' requests."""
@@ -64,7 +67,7 @@
     :param decode_configuration: Reads it.
     :param registry_prefix: Where upstreams write their entries.
     :param decode_entry: Reads one.
-    :param upstream_of: Returns whose entry stands under a key.
+    :param name_of: Returns whose entry stands under a key.
     :param callers: Decodes callers' requests.
     :param close: Ends the connections to the store and to upstreams.
     """
@@ -75,6 +78,6 @@
     decode_configuration: Callable[[bytes], Result[Configuration, str]]
     registry_prefix: str
     decode_entry: Callable[[str, bytes], Result[UpstreamEntry, str]]
-    upstream_of: Callable[[str], UpstreamId]
+    name_of: Callable[[str], UpstreamName]
     callers: CallerCodec
     close: Callable[[], Awaitable[None]]
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -134,6 +134,9 @@
         self._gate.changes.subscribe(self._evacuation.on_change)
         self._gate.changes.subscribe(lambda _: self._admission.look())
         self._roster.changes.subscribe(lambda _: self._admission.look())
+        self._roster.replaced.subscribe(
+            lambda earlier: self._edges.upstreams.forget(upstream=earlier)
+        )
         self._work.news.subscribe(lambda _: self._admission.look())
         self._follow(self._edges.configuration_key, self._keeper)
         self._follow(self._edges.registry_prefix, self._roster, rest_ms=self._roster_rest_ms)
@@ -204,8 +207,12 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the host takes new connections."""
-        return not self._leaving and self._keeper.table is not None
+        """Whether the host takes new connections.
+
+        One that has started while the store is away has its declarations from peers and no
+        upstreams; the other hosts serve its callers at once, and it would refuse them.
+        """
+        return not self._leaving and self._keeper.table is not None and self._roster.has_read
 
     @property
     def version(self) -> int:
@@ -265,7 +272,7 @@
         self._roster = UpstreamRoster(
             gate=self._gate,
             decode=self._edges.decode_entry,
-            upstream_of=self._edges.upstream_of,
+            name_of=self._edges.name_of,
             clock=self._clock,
         )
         self._spread = HeadSpread(
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Set
 from dataclasses import dataclass
 from typing import Final
@@ -19,6 +20,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
+from tanagerscale.core import UpstreamName
 from tanagerscale.core import get_logger
 from tanagerscale.membership._gate import UpstreamGate
 from tanagerscale.store import StoreEntry
@@ -41,6 +43,15 @@
 """How long these may be missing; a little less than the two seconds after which a leaving upstream
 gets no new work, in case they are gone indeed."""
 
+UNREADABLE_GRACE_MS: Final = 1800
+"""How long what runs on an upstream stays there after others have written over its entry. It writes
+its own within a heartbeat of 1.2 s; two seconds after a notice it must get no new work, and it gets
+none from the start."""
+
+OLDER_START_MS: Final = 1800
+"""How long the entry of an earlier start must stand to be believed. A write of a start that is
+over, which the store carried out late, is written over within a heartbeat of 1.2 s."""
+
 GONE_MEMORY_MS: Final = 60_000
 """How long an upstream that is gone stays known, for what still runs on it."""
 
@@ -54,6 +65,7 @@
     entry: UpstreamEntry
     since: Millis
     missing_since: Millis | None = None
+    is_readable: bool = True
 
 
 @final
@@ -62,7 +74,7 @@
 
     :param gate: Learns of leaving upstreams and tells the peers.
     :param decode: Reads one entry of the store.
-    :param upstream_of: Returns whose entry stands under a key.
+    :param name_of: Returns whose entry stands under a key.
     :param clock: Time.
     """
 
@@ -71,17 +83,36 @@
         *,
         gate: UpstreamGate,
         decode: Decode,
-        upstream_of: Callable[[str], UpstreamId],
+        name_of: Callable[[str], UpstreamName],
         clock: Clock,
     ) -> None:
         self._gate = gate
         self._decode = decode
-        self._upstream_of = upstream_of
+        self._name_of = name_of
         self._clock = clock
         self._known: dict[UpstreamId, _Known] = {}
+        self._current: dict[UpstreamName, UpstreamId] = {}
+        self._written: dict[UpstreamName, StoreRevision] = {}
         self._store_away = True
         self._store_back_at = Millis(-LAPSE_GRACE_MS)
+        self._has_read = False
         self._changes: Subject[UpstreamId] = Subject()
+        self._replaced: Subject[UpstreamEntry] = Subject()
+
+    @property
+    def has_read(self) -> bool:
+        """Whether the store was read once since this host started."""
+        return self._has_read
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the store tells of changes; otherwise upstreams may leave without notice."""
+        return not self._store_away
+
+    @property
+    def replaced(self) -> Observable[UpstreamEntry]:
+        """Each start of an upstream that is over, since the upstream has started again."""
+        return self._replaced
 
     @property
     def changes(self) -> Observable[UpstreamId]:
@@ -100,20 +131,19 @@
 
     def open_for(self, service: ServiceId) -> list[UpstreamEntry]:
         """Return the upstreams of a service that take new work."""
-        return [
-            known.entry
-            for known in self._known.values()
-            if known.entry.service == service and self._gate.is_open(known.entry.upstream)
-        ]
+        return [entry for entry in self._listed(service) if self._gate.is_open(entry.upstream)]
 
     def staying(self, service: ServiceId) -> list[UpstreamEntry]:
         """Return the upstreams of a service that are not leaving, failing ones included."""
         return [
-            known.entry
-            for known in self._known.values()
-            if known.entry.service == service and not self._gate.is_leaving(known.entry.upstream)
+            entry for entry in self._listed(service) if not self._gate.is_leaving(entry.upstream)
         ]
 
+    def _listed(self, service: ServiceId) -> Iterator[UpstreamEntry]:
+        for known in self._known.values():
+            if known.is_readable and known.entry.service == service:
+                yield known.entry
+
     def known_ms(self, upstream: UpstreamId) -> int:
         """Return for how long an upstream has been known here."""
         known = self._known.get(upstream)
@@ -121,16 +151,20 @@
 
     def on_snapshot(self, found: StoreRange) -> None:
         """Take in all entries at once."""
-        present = {self._upstream_of(entry.key) for entry in found.entries}
+        present = {self._name_of(entry.key) for entry in found.entries}
         for entry in found.entries:
             self._take(entry)
-        self._note_missing(self._known.keys() - present, found.revision)
+        self._note_missing(self._current.keys() - present, found.revision)
+        self._has_read = True
 
     def on_changes(self, batch: WatchBatch) -> None:
         """Take in changes."""
         for entry in batch.entries:
             self._take(entry)
-        self._note_missing({self._upstream_of(key) for key in batch.deleted}, batch.revision)
+        deleted = {self._name_of(key) for key in batch.deleted}
+        for name in deleted:
+            self._written[name] = batch.revision
+        self._note_missing(deleted, batch.revision)
 
     def on_store(self, *, reachable: bool) -> None:
         """Note when the store answers again; entries may have lapsed meanwhile."""
@@ -140,24 +174,31 @@
 
     def _take(self, stored: StoreEntry) -> None:
         decoded = self._decode(stored.key, stored.value)
+        self._written[self._name_of(stored.key)] = stored.mod_revision
         if isinstance(decoded, Failure):
-            _log.warning("An entry is refused.", key=stored.key, detail=decoded.failure())
+            self._refuse(stored, decoded.failure())
             return
         entry = decoded.unwrap()
-        known = self._known.get(entry.upstream)
-        if known is None:
-            self._known[entry.upstream] = _Known(entry=entry, since=self._clock.now())
-            _log.info(
-                "An upstream is new.",
-                upstream=entry.upstream,
-                service=entry.service,
-                address=entry.address,
-                failure_domain=entry.failure_domain,
-                revision=stored.mod_revision,
-            )
+        known = self._current_of(entry.name)
+        if known is None or entry.started_ms >= known.entry.started_ms:
+            self._use(entry, stored)
+        elif entry.started_ms == 0:
+            told = known.entry.upstream
+            self._refuse(stored, f"It does not tell its start, as {told} did before.")
+        else:
+            self._doubt(entry, stored, known.entry)
+
+    def _use(self, entry: UpstreamEntry, stored: StoreEntry) -> None:
+        """Take an entry as what its upstream says of itself now."""
+        known = self._current_of(entry.name)
+        if known is None or known.entry.upstream != entry.upstream:
+            self._add(entry, stored.mod_revision)
+            if known is not None:
+                self._replace(known, stored.mod_revision)
         else:
             known.entry = entry
             known.missing_since = None
+            known.is_readable = True
         if entry.state is UpstreamState.LEAVING:
             self._gate.note_leaving(upstream=entry.upstream, incarnation=stored.mod_revision)
         else:
@@ -165,44 +206,99 @@
             self._gate.note_listed(upstream=entry.upstream, incarnation=stored.mod_revision)
         self._changes.on_next(entry.upstream)
 
-    def _note_missing(self, upstreams: Set[UpstreamId], revision: StoreRevision) -> None:
+    def _current_of(self, name: UpstreamName) -> _Known | None:
+        upstream = self._current.get(name)
+        return None if upstream is None else self._known.get(upstream)
+
+    def _add(self, entry: UpstreamEntry, revision: StoreRevision) -> None:
+        self._known[entry.upstream] = _Known(entry=entry, since=self._clock.now())
+        self._current[entry.name] = entry.upstream
+        _log.info(
+            "An upstream is new.",
+            upstream=entry.upstream,
+            service=entry.service,
+            address=entry.address,
+            failure_domain=entry.failure_domain,
+            revision=revision,
+        )
+
+    def _replace(self, known: _Known, revision: StoreRevision) -> None:
+        """Take an earlier start as gone: the upstream has started again and runs nothing of it."""
+        _log.info(
+            "An upstream has started again.", upstream=known.entry.upstream, revision=revision
+        )
+        known.missing_since = self._clock.now()
+        self._take_as_gone(known.entry.upstream, revision)
+        self._replaced.on_next(known.entry)
+
+    def _doubt(self, entry: UpstreamEntry, stored: StoreEntry, newer: UpstreamEntry) -> None:
+        """Leave out the entry of an earlier start, unless nobody writes over it."""
+        _log.info(
+            "An entry of an earlier start is doubted.",
+            upstream=entry.upstream,
+            newer=newer.upstream,
+            revision=stored.mod_revision,
+        )
+        loop = asyncio.get_running_loop()
+        loop.call_later(OLDER_START_MS / MS_PER_SECOND, self._use_if_last, entry, stored)
+
+    def _use_if_last(self, entry: UpstreamEntry, stored: StoreEntry) -> None:
+        if self._written.get(entry.name) == stored.mod_revision:
+            self._use(entry, stored)
+
+    def _refuse(self, stored: StoreEntry, detail: str) -> None:
+        """Leave out an entry that no upstream wrote, and give no work by the one before it."""
+        _log.warning("An entry is refused.", key=stored.key, detail=detail)
+        known = self._current_of(self._name_of(stored.key))
+        if known is None or not known.is_readable:
+            return
+        known.is_readable = False
+        self._changes.on_next(known.entry.upstream)
+        if known.missing_since is None:
+            known.missing_since = self._clock.now()
+            self._take_as_gone_later(known, stored.mod_revision, UNREADABLE_GRACE_MS)
+
+    def _note_missing(self, names: Set[UpstreamName], revision: StoreRevision) -> None:
         now = self._clock.now()
         missing = [
             known
-            for upstream in upstreams
-            if (known := self._known.get(upstream)) is not None and known.missing_since is None
+            for name in names
+            if (known := self._current_of(name)) is not None and known.missing_since is None
         ]
         for known in missing:
             known.missing_since = now
         wait_ms = max(self._store_back_at + LAPSE_GRACE_MS - now, 0)
         if wait_ms == 0 and self._lapsed_together(now):
             wait_ms = TOGETHER_GRACE_MS
-        loop = asyncio.get_running_loop()
         for known in missing:
-            upstream = known.entry.upstream
-            _log.info(
-                "An entry is gone.",
-                upstream=upstream,
-                taken_as_gone_in_ms=wait_ms,
-                store_revision=revision,
-            )
-            if wait_ms:
-                delay_s = wait_ms / MS_PER_SECOND
-                loop.call_later(delay_s, self._take_as_gone, upstream, revision)
-            else:
-                self._take_as_gone(upstream, revision)
+            self._take_as_gone_later(known, revision, wait_ms)
+
+    def _take_as_gone_later(self, known: _Known, revision: StoreRevision, wait_ms: int) -> None:
+        upstream = known.entry.upstream
+        _log.info(
+            "An entry is gone.",
+            upstream=upstream,
+            taken_as_gone_in_ms=wait_ms,
+            store_revision=revision,
+        )
+        if not wait_ms:
+            self._take_as_gone(upstream, revision)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(wait_ms / MS_PER_SECOND, self._take_as_gone, upstream, revision)
 
     def _lapsed_together(self, now: Millis) -> bool:
         """Return whether so many entries went at once that the store itself may have been away.
 
         A watch that waits does not show that its store is down.
         """
+        current = [self._known[upstream] for upstream in self._current.values()]
         lately = [
             known
-            for known in self._known.values()
+            for known in current
             if known.missing_since is not None and now - known.missing_since < TOGETHER_MS
         ]
-        present = sum(known.missing_since is None for known in self._known.values())
+        present = sum(known.missing_since is None for known in current)
         return len(lately) > 1 and len(lately) >= present * TOGETHER_SHARE
 
     def _take_as_gone(self, upstream: UpstreamId, revision: StoreRevision) -> None:
@@ -219,4 +315,7 @@
         known = self._known.get(upstream)
         if known is not None and known.missing_since is not None:
             del self._known[upstream]
+            if self._current.get(known.entry.name) == upstream:
+                del self._current[known.entry.name]
+                self._written.pop(known.entry.name, None)
             self._gate.forget(upstream=upstream)
--- a/src/tanagerscale/platform/_edges.py
+++ b/src/tanagerscale/platform/_edges.py
@@ -13,7 +13,7 @@
 from tanagerscale.platform._engines import PlatformUpstreams
 from tanagerscale.platform._registry import REGISTRY_PREFIX
 from tanagerscale.platform._registry import decode_entry
-from tanagerscale.platform._registry import upstream_of
+from tanagerscale.platform._registry import name_of
 from tanagerscale.platform._store import PlatformStore
 from tanagerscale.upstreams import SILENCE_S
 from tanagerscale.upstreams import ConnectionPool
@@ -60,7 +60,7 @@
         decode_configuration=decode_configuration,
         registry_prefix=REGISTRY_PREFIX,
         decode_entry=decode_entry,
-        upstream_of=upstream_of,
+        name_of=name_of,
         callers=PlatformCallers(),
         close=close,
     )
--- a/src/tanagerscale/platform/_engines.py
+++ b/src/tanagerscale/platform/_engines.py
@@ -195,11 +195,17 @@
         try:
             status, content = await self._call("GET", upstream.address, "/v1/report", b"")
             report = msgspec.json.decode(content, type=WireReport)
-        except (ExchangeError, TimeoutError, msgspec.DecodeError) as error:
+        except (ExchangeError, TimeoutError, msgspec.DecodeError, UnicodeDecodeError) as error:
             return Failure(f"No report came ({type(error).__name__}); ask again later.")
         if status != HTTP_OK:
             return Failure(f"The engine answered {status}; ask again later.")
-        return Success(_to_report(upstream, report))
+        if _is_another_start(upstream, report):
+            return Failure("Another start of the engine answered; ask by its newest entry.")
+        return _to_report(upstream, report)
+
+    def forget(self, *, upstream: UpstreamEntry) -> None:
+        """Close the idle connections to a start of an upstream that is over."""
+        self._pool.drop(address=upstream.address)
 
     async def drop_copy(self, *, holder: UpstreamEntry, copy: str) -> None:
         """Free a copy that nobody will use."""
@@ -235,19 +241,29 @@
         return WireMoved()
 
 
-def _to_report(upstream: UpstreamEntry, wire: WireReport) -> EngineReport:
-    return EngineReport(
-        upstream=upstream.upstream,
-        waiting=wire.waiting,
-        running=wire.running,
-        used_tokens=int(wire.kv_cache_used),
-        total_tokens=int(wire.kv_cache_total),
-        leaves_in_ms=None if wire.leaves_ms is None else int(wire.leaves_ms),
-        is_leaving=wire.state == "draining",
-        runs=tuple(
+def _is_another_start(upstream: UpstreamEntry, wire: WireReport) -> bool:
+    return bool(upstream.started_ms) and wire.born not in (msgspec.UNSET, upstream.started_ms)
+
+
+def _to_report(upstream: UpstreamEntry, wire: WireReport) -> Result[EngineReport, str]:
+    try:
+        runs = tuple(
             RunState(request=RequestId(str(run[0])), tokens=int(run[1]), events=int(run[2]))
             for run in wire.runs
-        ),
+        )
+    except (IndexError, TypeError, ValueError) as error:
+        return Failure(f"The report's runs can't be read ({error}); ask again later.")
+    return Success(
+        EngineReport(
+            upstream=upstream.upstream,
+            waiting=wire.waiting,
+            running=wire.running,
+            used_tokens=int(wire.kv_cache_used),
+            total_tokens=int(wire.kv_cache_total),
+            leaves_in_ms=None if wire.leaves_ms is None else int(wire.leaves_ms),
+            is_leaving=wire.state == "draining",
+            runs=runs,
+        )
     )
 
 
@@ -262,7 +278,7 @@
 
 
 def _own_fields(order: UpstreamOrder) -> list[Header]:
-    fields: list[Header] = [(EXPECTED_UPSTREAM, order.upstream.upstream)]
+    fields: list[Header] = [(EXPECTED_UPSTREAM, order.upstream.name)]
     if order.time_left_ms is not None:
         fields.append((TIME_LEFT, str(order.time_left_ms)))
     if order.account is not None:
--- a/src/tanagerscale/platform/_wire.py
+++ b/src/tanagerscale/platform/_wire.py
@@ -6,10 +6,15 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import Any
+from typing import Final
 
 import msgspec
 
+_MOST_MS: Final = 86_400_000
+"""A day, more than any span of time in these bodies; a number beyond it was not meant."""
+
 
 class WireItem(msgspec.Struct, kw_only=True, rename="camel"):
     """An entry of the store; ``value`` is base64."""
@@ -138,17 +143,28 @@
     tenants: list[WireTenant] = []
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Moment = Annotated[int, msgspec.Meta(gt=0, lt=2**53)]
+"""Numbers from 2 to the power of 53 on are not exact in all JSON writers."""
+
+
 class WireServer(msgspec.Struct, kw_only=True, rename="camel"):
-    """An upstream's own entry in the store; ``sequence`` counts its heartbeats."""
+    """An upstream's own entry in the store; ``sequence`` counts its heartbeats since its start.
+
+    ``born`` is the Unix millisecond of its start. Some upstreams don't tell it; all else is always
+    there. Fields that nothing uses are decoded so that an entry with others in their place is
+    refused.
+    """
 
     service: str
     address: str
-    zone: str = ""
-    version: str = ""
-    slots: int = 1
-    state: str = "ready"
-    cold_remaining_ms: float = 0
-    sequence: int = 0
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: str
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=_MOST_MS)]
+    sequence: _Count
+    born: _Moment | msgspec.UnsetType = msgspec.UNSET
 
 
 class WireReport(msgspec.Struct, kw_only=True, rename="camel"):
@@ -156,6 +172,7 @@
 
     ``next`` is the tokens of the first waiting request, ``kv_cache_used`` the memory that can't be
     freed, and each of ``runs`` an id, its tokens in memory, its events made and its priority.
+    ``born`` is the Unix millisecond of the start that answers.
     """
 
     waiting: int = 0
@@ -169,6 +186,7 @@
     pinned: float = 0
     held: float = 0
     runs: list[list[Any]] = []
+    born: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class WireMove(msgspec.Struct, kw_only=True, rename="camel"):
--- a/src/tanagerscale/upstreams/_entries.py
+++ b/src/tanagerscale/upstreams/_entries.py
@@ -9,6 +9,7 @@
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
+from tanagerscale.core import UpstreamName
 
 
 @unique
@@ -21,9 +22,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UpstreamEntry:
-    """One life of an upstream; another start is another upstream.
+    """One start of an upstream; another start is another upstream.
 
-    :param upstream: Its id, which no other start shares.
+    :param upstream: Its id, which no other start shares, so that nothing that is known of one start
+        is believed of another.
+    :param name: What it is registered under; a later start may have the same name.
+    :param started_ms: When it started, in milliseconds since 1970 by its own clock; 0 when it does
+        not tell.
     :param service: The service it answers for.
     :param address: IP number and port. Another upstream may have it later.
     :param failure_domain: Where it stands.
@@ -33,6 +38,8 @@
     """
 
     upstream: UpstreamId
+    name: UpstreamName
+    started_ms: int
     service: ServiceId
     address: str
     failure_domain: FailureDomainId
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -111,6 +111,8 @@
     :param events: Events of each answer.
     :param copy_ms: Time to copy a run's memory when none of it was copied before.
     :param room: Copies it takes.
+    :param born: When it started, in milliseconds since 1970; 0 when it does not tell.
+    :param port: Where it serves; 0 takes a free one.
     """
 
     def __init__(
@@ -122,8 +124,12 @@
         events: int = 20,
         copy_ms: float = 10.0,
         room: int = 1000,
+        born: int = 0,
+        port: int = 0,
     ) -> None:
         self.upstream = upstream
+        self.born = born
+        self._port = port
         self.mood = UpstreamMood.WELL
         self.address = ""
         self.leaving = False
@@ -139,11 +145,11 @@
         self._transports: set[asyncio.Transport] = set()
 
     async def start(self) -> str:
-        """Serve on a free port and return the address."""
+        """Serve and return the address."""
         server = web.Server(self._handle, handler_cancellation=True, auto_decompress=False)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.05)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, LOOPBACK, 0)
+        site = web.TCPSite(self._runner, LOOPBACK, self._port)
         await site.start()
         self.address = f"{LOOPBACK}:{self._runner.addresses[0][1]}"
         self._ledger.engines[self.address] = self
@@ -271,13 +277,12 @@
         return json_response({"handle": handle, "createdRev": run.made})
 
     def _report(self) -> web.Response:
-        return json_response(
-            {
-                "running": len(self._runs),
-                "state": "draining" if self.leaving else "ready",
-                "runs": [[run.request, run.prompt, run.made, 5] for run in self._runs.values()],
-            }
-        )
+        report: dict[str, object] = {
+            "running": len(self._runs),
+            "state": "draining" if self.leaving else "ready",
+            "runs": [[run.request, run.prompt, run.made, 5] for run in self._runs.values()],
+        }
+        return json_response(report | ({"born": self.born} if self.born else {}))
 
 
 def event_bytes(request: str, generation: int, number: int) -> bytes:
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -150,8 +150,36 @@
 
     def register(self, upstream: UpstreamEmulator, service: str, *, state: str = "ready") -> None:
         """Write an upstream's entry."""
-        entry = {"service": service, "address": upstream.address, "zone": "a", "state": state}
-        self.store.put(f"servers/{upstream.upstream}", msgspec.json.encode(entry))
+        entry = {
+            "service": service,
+            "address": upstream.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 24,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
+        }
+        self.put_entry(
+            upstream.upstream, entry | ({"born": upstream.born} if upstream.born else {})
+        )
+
+    def put_entry(self, name: str, entry: object) -> None:
+        """Write an entry of an upstream as it is; bytes stand as they are."""
+        value = entry if isinstance(entry, bytes) else msgspec.json.encode(entry)
+        self.store.put(f"servers/{name}", value)
+
+    async def restart_upstream(self, name: str, service: str, *, born: int) -> UpstreamEmulator:
+        """End an upstream with all that runs there, and start it under the same name and address.
+
+        :param name: Its name.
+        :param service: Its service.
+        :param born: When the new start began, in milliseconds since 1970.
+        """
+        earlier = self.upstreams[name]
+        await earlier.stop()
+        port = int(earlier.address.rpartition(":")[2])
+        return await self.add_upstream(name, service, born=born, port=port)
 
     async def add_host(self, name: str, *, seeds: tuple[str, ...] = ()) -> GatewayHost:
         """Start a host, which reaches the store by a link of its own."""
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -24,6 +24,7 @@
 from tanagerscale.core import Revision
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
+from tanagerscale.core import UpstreamName
 from tanagerscale.forwarding import CallerRequest
 from tanagerscale.forwarding import CopyError
 from tanagerscale.forwarding import CopyFailure
@@ -120,6 +121,8 @@
     """Return the entry of an upstream that takes work."""
     return UpstreamEntry(
         upstream=UpstreamId(name),
+        name=UpstreamName(name),
+        started_ms=0,
         service=service,
         address=f"{name}:1",
         failure_domain=FailureDomainId(domain),
@@ -253,11 +256,16 @@
     """Copies runs at once, or fails as told."""
 
     failures: deque[CopyError] = field(default_factory=deque)
+    refused: set[str] = field(default_factory=set)
+    """Runs of which no copy is ever taken."""
     copies: list[tuple[str, str, str, bool]] = field(default_factory=list)
     dropped: list[tuple[str, str]] = field(default_factory=list)
     takes_ms: int = 10
     on_stop: Callable[[str], None] | None = None
     leaves_in_ms: int | None = None
+    staying: set[str] = field(default_factory=set)
+    """Engines whose report tells that they stay."""
+    reports: int = 0
 
     async def copy(
         self, *, source: UpstreamEntry, request: RequestId, target: UpstreamEntry, stop: bool
@@ -265,6 +273,8 @@
         """Copy a run."""
         self.copies.append((request, source.upstream, target.upstream, stop))
         await asyncio.sleep(self.takes_ms / 1000)
+        if request in self.refused:
+            return Failure(copy_failure(CopyFailure.NO_ROOM))
         if self.failures:
             return Failure(self.failures.popleft())
         if stop and self.on_stop is not None:
@@ -273,7 +283,9 @@
 
     async def report(self, *, upstream: UpstreamEntry) -> Result[EngineReport, str]:
         """Report when it leaves, or nothing."""
-        if self.leaves_in_ms is None:
+        self.reports += 1
+        is_staying = upstream.upstream in self.staying
+        if self.leaves_in_ms is None and not is_staying:
             return Failure("No report; ask again later.")
         return Success(
             EngineReport(
@@ -282,8 +294,8 @@
                 running=0,
                 used_tokens=0,
                 total_tokens=0,
-                leaves_in_ms=self.leaves_in_ms,
-                is_leaving=True,
+                leaves_in_ms=None if is_staying else self.leaves_in_ms,
+                is_leaving=not is_staying,
                 runs=(),
             )
         )
@@ -301,6 +313,8 @@
     leaving: set[str] = field(default_factory=set)
     down: list[str] = field(default_factory=list)
     gone: list[str] = field(default_factory=list)
+    is_current: bool = True
+    on_leaving: Callable[[UpstreamId], None] = lambda _: None
 
     def get(self, upstream: UpstreamId) -> UpstreamEntry | None:
         """Return an entry."""
@@ -326,6 +340,16 @@
         """Return whether an upstream leaves."""
         return upstream in self.leaving
 
+    def is_broken(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream did not answer."""
+        return upstream in self.down
+
+    def note_leaving(self, *, upstream: UpstreamId) -> None:
+        """Record it and tell the listener."""
+        if upstream not in self.leaving:
+            self.leaving.add(upstream)
+            self.on_leaving(upstream)
+
     def note_gone(self, *, upstream: UpstreamId) -> None:
         """Record it."""
         self.gone.append(upstream)
--- a/testing/test_platform_decoding.py
+++ b/testing/test_platform_decoding.py
@@ -10,16 +10,19 @@
 import msgspec
 import pytest
 from returns.result import Failure
+from returns.result import Result
 from returns.result import Success
 
 from standins.platform_world import configuration
 from tanagerscale.core import ServiceId
+from tanagerscale.ini import address_problem
 from tanagerscale.platform._configuration import decode_configuration
 from tanagerscale.platform._engines import _moved
 from tanagerscale.platform._headers import passed_on
 from tanagerscale.platform._headers import returned
 from tanagerscale.platform._registry import decode_entry
 from tanagerscale.routes import RouteKind
+from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamState
 from testing._random_cases import cases
 
@@ -100,11 +103,95 @@
     assert isinstance(decode_configuration(msgspec.json.encode(value)), Success)
 
 
-def test_upstream_of_an_unknown_state_gets_no_work() -> None:
-    entry = {"service": "s", "address": "10.0.0.1:80", "state": "of-a-later-version"}
-    decoded = decode_entry("servers/i-1", msgspec.json.encode(entry)).unwrap()
-    assert decoded.upstream == "i-1"
-    assert decoded.state is UpstreamState.LEAVING
+def _entry(**changes: object) -> dict[str, object]:
+    usual: dict[str, object] = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "version": "v1",
+        "slots": 24,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+    }
+    return usual | changes
+
+
+def _decoded(entry: object, *, key: str = "servers/i-1") -> Result[UpstreamEntry, str]:
+    return decode_entry(key, msgspec.json.encode(entry))
+
+
+def test_entry_is_decoded_into_an_upstream() -> None:
+    found = _decoded(_entry(later="field")).unwrap()
+    assert (found.upstream, found.name, found.started_ms) == ("i-1", "i-1", 0)
+    assert (found.service, found.places, found.state) == ("s", 24, UpstreamState.READY)
+
+
+def test_each_start_of_an_upstream_has_an_id_of_its_own() -> None:
+    first, second = (_decoded(_entry(born=born)).unwrap() for born in (1700, 1800))
+    assert first.upstream != second.upstream
+    assert first.name == second.name == "i-1"
+    assert (first.started_ms, second.started_ms) == (1700, 1800)
+
+
+def test_entry_of_an_unknown_state_names_no_upstream() -> None:
+    assert isinstance(_decoded(_entry(state="of-a-later-version")), Failure)
+
+
+@pytest.mark.parametrize("field", sorted(_entry()))
+def test_entry_without_a_field_names_no_upstream(field: str) -> None:
+    entry = _entry()
+    del entry[field]
+    assert isinstance(_decoded(entry), Failure)
+
+
+@pytest.mark.parametrize("field", sorted(_entry(born=1)))
+@pytest.mark.parametrize("value", [None, True, "7x", [], {}, -1, 1.5])
+def test_entry_with_a_field_of_another_type_names_no_upstream(field: str, value: object) -> None:
+    if field == "coldRemainingMs" and value == 1.5:
+        return  # A time may have a fraction.
+    assert isinstance(_decoded(_entry(**{field: value})), Failure) or (
+        # Any text is a failure domain, a version or a service; none of that name gets requests.
+        isinstance(value, str)
+        and field in ("zone", "version", "service")
+    )
+
+
+@pytest.mark.parametrize("start", [0, -5, 1.5, "1700", None, True, 2**70])
+def test_entry_whose_start_is_no_whole_number_names_no_upstream(start: object) -> None:
+    assert isinstance(_decoded(_entry(born=start)), Failure)
+
+
+@pytest.mark.parametrize("address", ["", "10.0.0.1", "10.0.0.1:0", "x:80", "10.0.0.1:80:1", "1:2"])
+def test_entry_whose_address_cannot_be_reached_names_no_upstream(address: str) -> None:
+    assert isinstance(_decoded(_entry(address=address)), Failure)
+
+
+@pytest.mark.parametrize("name", ["", "a b", "a\r\nTE: x", "\u00e9"])
+def test_entry_whose_name_cannot_be_sent_names_no_upstream(name: str) -> None:
+    assert isinstance(_decoded(_entry(), key=f"servers/{name}"), Failure)
+
+
+@cases(examples=300)
+@given(
+    field=st.sampled_from(sorted(_entry(born=1))),
+    value=st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+        lambda inner: st.lists(inner, max_size=2),
+        max_leaves=3,
+    ),
+)
+def test_entry_with_any_field_changed_names_an_upstream_that_can_be_used_or_none(
+    field: str, value: object
+) -> None:
+    result = _decoded(_entry(born=5) | {field: value})
+    if isinstance(result, Failure):
+        return
+    found = result.unwrap()
+    assert found.places >= 1
+    assert found.cold_ms >= 0
+    assert found.started_ms >= 1
+    assert address_problem(address=found.address) == ""
 
 
 JSON = st.recursive(
--- a/testing/test_roster.py
+++ b/testing/test_roster.py
@@ -14,11 +14,14 @@
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
+from tanagerscale.core import UpstreamName
 from tanagerscale.generated.messages import UpstreamLeaving
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.membership import UpstreamRoster
 from tanagerscale.membership._roster import LAPSE_GRACE_MS
+from tanagerscale.membership._roster import OLDER_START_MS
 from tanagerscale.membership._roster import TOGETHER_GRACE_MS
+from tanagerscale.membership._roster import UNREADABLE_GRACE_MS
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
@@ -36,14 +39,17 @@
 def _decode(key: str, value: bytes) -> Result[UpstreamEntry, str]:
     if value == b"bad":
         return Failure("It can't be read; it is left out.")
+    state, _, started = value.decode().partition("@")
     return Success(
         UpstreamEntry(
-            upstream=UpstreamId(key),
+            upstream=UpstreamId(f"{key}{started}"),
+            name=UpstreamName(key),
+            started_ms=int(started or 0),
             service=SERVICE,
             address=f"{key}:1",
             failure_domain=FailureDomainId("x"),
             places=1,
-            state=UpstreamState(value.decode()),
+            state=UpstreamState(state),
             cold_ms=0,
         )
     )
@@ -57,9 +63,11 @@
         clock = Clock()
         self.gate = UpstreamGate(clock=clock, rng=Random(1), spread=self.told.append)
         self.roster = UpstreamRoster(
-            gate=self.gate, decode=_decode, upstream_of=UpstreamId, clock=clock
+            gate=self.gate, decode=_decode, name_of=UpstreamName, clock=clock
         )
         self.revision = 10
+        self.replaced: list[UpstreamEntry] = []
+        self.roster.replaced.subscribe(self.replaced.append)
 
     def open(self) -> str:
         """Return the names of the upstreams that take work."""
@@ -227,3 +235,154 @@
         assert len(world.roster.open_for(SERVICE)) == len(names) - many
 
     run_virtually(play())
+
+
+async def _with_starts() -> World:
+    """Return a world whose upstreams tell their starts, the one named "b" in its first."""
+    world = World()
+    world.roster.on_store(reachable=True)
+    for name in NAMES:
+        world.write(name, state="ready@1000")
+    await asyncio.sleep(LONG_AFTER_S)
+    return world
+
+
+def test_later_start_takes_work_though_the_earlier_one_was_leaving() -> None:
+    async def play() -> None:
+        world = await _with_starts()
+        world.write("b", state="leaving@1000")
+        assert world.open() == "a1000c1000d1000e1000"
+        world.write("b", state="ready@2000")
+        assert world.open() == "a1000b2000c1000d1000e1000"
+
+    run_virtually(play())
+
+
+def test_earlier_start_is_gone_when_the_upstream_has_started_again() -> None:
+    async def play() -> None:
+        world = await _with_starts()
+        world.write("b", state="ready@2000")
+        assert world.open() == "a1000b2000c1000d1000e1000"
+        assert world.gate.is_leaving(UpstreamId("b1000"))
+        assert [message.upstream for message in world.told] == ["b1000"]
+        assert [entry.upstream for entry in world.replaced] == ["b1000"]
+        earlier = world.roster.get(UpstreamId("b1000"))
+        assert earlier is not None
+
+    run_virtually(play())
+
+
+@pytest.mark.parametrize("late", ["leaving@1000", "ready@1000"])
+def test_late_write_of_an_earlier_start_changes_nothing(late: str) -> None:
+    async def play() -> None:
+        world = await _with_starts()
+        world.write("b", state="ready@2000")
+        world.write("b", state=late)
+        assert world.open() == "a1000b2000c1000d1000e1000"
+        await asyncio.sleep(1.2)
+        world.write("b", state="ready@2000")
+        await asyncio.sleep(LONG_AFTER_S)
+        assert world.open() == "a1000b2000c1000d1000e1000"
+
+    run_virtually(play())
+
+
+def test_later_start_that_another_writer_made_up_gives_way_to_the_true_one() -> None:
+    async def play() -> None:
+        world = await _with_starts()
+        world.write("b", state="ready@9000")
+        world.write("b", state="ready@1000")
+        await asyncio.sleep((OLDER_START_MS + SPACE_MS) / 1000)
+        assert world.open() == "a1000b1000c1000d1000e1000"
+
+    run_virtually(play())
+
+
+def test_late_write_of_an_earlier_start_is_not_believed_when_the_entry_goes() -> None:
+    async def play() -> None:
+        world = await _with_starts()
+        world.write("b", state="ready@2000")
+        world.write("b", state="ready@1000")
+        world.delete("b")
+        await asyncio.sleep(LONG_AFTER_S)
+        assert world.open() == "a1000c1000d1000e1000"
+
+    run_virtually(play())
+
+
+def test_entry_that_goes_closes_the_newest_start() -> None:
+    async def play() -> None:
+        world = await _with_starts()
+        world.write("b", state="ready@2000")
+        await asyncio.sleep(LONG_AFTER_S)
+        world.delete("b")
+        assert world.open() == "a1000c1000d1000e1000"
+
+    run_virtually(play())
+
+
+def test_start_that_follows_a_forgotten_one_takes_work() -> None:
+    async def play() -> None:
+        world = await _with_starts()
+        world.write("b", state="ready@2000")
+        await asyncio.sleep(120)
+        assert world.roster.get(UpstreamId("b1000")) is None
+        world.write("b", state="ready@3000")
+        assert world.open() == "a1000b3000c1000d1000e1000"
+
+    run_virtually(play())
+
+
+def test_upstream_gets_no_work_at_once_when_others_write_over_its_entry() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.write("b", state="bad")
+        assert world.open() == "acde"
+        assert "b" not in {entry.upstream for entry in world.roster.staying(SERVICE)}
+        assert not world.gate.is_leaving(UpstreamId("b"))
+
+    run_virtually(play())
+
+
+def test_upstream_is_left_when_its_entry_stays_unreadable() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.write("b", state="bad")
+        await asyncio.sleep((UNREADABLE_GRACE_MS + SPACE_MS) / 1000)
+        assert world.gate.is_leaving(UpstreamId("b"))
+
+    run_virtually(play())
+
+
+def test_upstream_takes_work_again_when_it_writes_its_own_entry() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.write("b", state="bad")
+        await asyncio.sleep(UNREADABLE_GRACE_MS / 2000)
+        world.write("b")
+        assert world.open() == "abcde"
+        await asyncio.sleep(LONG_AFTER_S)
+        assert world.open() == "abcde"
+        assert world.told == []
+
+    run_virtually(play())
+
+
+def test_entry_that_leaves_out_a_start_told_before_is_from_another_writer() -> None:
+    async def play() -> None:
+        world = await _with_starts()
+        world.write("b", state="ready")
+        assert world.open() == "a1000c1000d1000e1000"
+
+    run_virtually(play())
+
+
+def test_unreadable_entries_in_a_reading_leave_the_others_in_place() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.write("b", "d", state="bad")
+        world.snapshot("a", "c", "e")
+        await asyncio.sleep(LONG_AFTER_S)
+        assert world.open() == "ace"
+
+    run_virtually(play())
