Let hosts tell each other that the store is lost, and ask engines that end connections

Cause: a store that refuses calls leaves watches waiting, so the list of upstreams looked current for the eight seconds of such an outage; each host's own next call came within ten seconds. An answer that ends its connection, as those of leaving engines do, was decoded and never used.

Ruled out: shorter watches (each one is paid for). Asking engines at all times (the same).

Change: a failed renewal of the host's entry shows that the store is lost, and heartbeats tell it; peers then renew out of turn, each two seconds at most. An engine whose answer ends its connection is asked whether it leaves, once a second at most. Hosts of tests listen below the kernel's ports for outgoing connections: one fixture failed once with "address already in use" on a port from within that range.

--- a/src/tanagerscale/forwarding/__init__.py
+++ b/src/tanagerscale/forwarding/__init__.py
@@ -3,20 +3,12 @@
 from __future__ import annotations
 
 from tanagerscale.forwarding._admission import Admission
-from tanagerscale.forwarding._balance import Balance
 from tanagerscale.forwarding._budgets import RetryBudgets
-from tanagerscale.forwarding._copier import Copier
-from tanagerscale.forwarding._departure_watch import DepartureWatch
-from tanagerscale.forwarding._departures import Departures
 from tanagerscale.forwarding._dispatcher import Dispatcher
-from tanagerscale.forwarding._evacuation import Evacuation
 from tanagerscale.forwarding._health import UpstreamHealth
-from tanagerscale.forwarding._links import LinkTurns
 from tanagerscale.forwarding._meters import Meters
-from tanagerscale.forwarding._moving import MovingParts
+from tanagerscale.forwarding._movers import StreamMovers
 from tanagerscale.forwarding._parts import ForwardingParts
-from tanagerscale.forwarding._protection import Protection
-from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.forwarding._types import CallerRequest
 from tanagerscale.forwarding._types import Continuation
 from tanagerscale.forwarding._types import CopyError
@@ -40,27 +32,19 @@
 
 __all__ = [
     "Admission",
-    "Balance",
     "CallerRequest",
     "Continuation",
-    "Copier",
     "CopyError",
     "CopyFailure",
     "Demand",
-    "DepartureWatch",
-    "Departures",
     "Dispatcher",
     "EngineControl",
     "EngineReport",
     "EngineWork",
-    "Evacuation",
     "ForwardingParts",
     "Header",
-    "LinkTurns",
     "Meters",
-    "MovingParts",
     "PromptPart",
-    "Protection",
     "Refusal",
     "RefusalKind",
     "Responder",
@@ -68,7 +52,7 @@
     "RoutedRequest",
     "RunCopy",
     "RunState",
-    "StreamRun",
+    "StreamMovers",
     "UpstreamAnswer",
     "UpstreamCaller",
     "UpstreamHealth",
--- a/src/tanagerscale/forwarding/_departure_watch.py
+++ b/src/tanagerscale/forwarding/_departure_watch.py
@@ -13,6 +13,7 @@
 
 from returns.result import Failure
 
+from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._evacuation import REPORT_LAG_MS
@@ -23,6 +24,10 @@
 """How often each engine is asked by all hosts together. Reports are renewed each few hundred
 milliseconds, and each one is paid for, but only while the store is away."""
 
+HINT_REST_MS: Final = 1000
+"""Least time between two times that one engine is asked since its answers end their connections;
+its report is half a second old, so that the first may come too soon."""
+
 _log = get_logger(part="departures")
 
 
@@ -37,6 +42,22 @@
         self._parts = moving.parts
         self._departures = moving.departures
         self._runs = moving.runs
+        self._hinted: dict[UpstreamId, Millis] = {}
+        self._background: set[asyncio.Task[None]] = set()
+
+    def on_hint(self, upstream: UpstreamId) -> None:
+        """Ask an engine whose answer ends its connection, as those that leave do and some others.
+
+        It helps where the notice has not been heard yet.
+        """
+        now = self._parts.clock.now()
+        self._hinted = {one: at for one, at in self._hinted.items() if now - at < HINT_REST_MS}
+        if upstream in self._hinted or self._parts.notes.is_leaving(upstream):
+            return
+        self._hinted[upstream] = now
+        task = asyncio.create_task(self._ask(upstream))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
 
     async def run(self) -> None:
         """Ask until cancelled, while the store does not tell."""
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -12,7 +12,7 @@
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._admission import Admission
 from tanagerscale.forwarding._engine_views import is_long
-from tanagerscale.forwarding._evacuation import Evacuation
+from tanagerscale.forwarding._movers import StreamMovers
 from tanagerscale.forwarding._parts import ForwardingParts
 from tanagerscale.forwarding._plain import PlainForward
 from tanagerscale.forwarding._refusals import UNKNOWN_KEY
@@ -43,8 +43,7 @@
 
     :param parts: What every request uses.
     :param admission: Finds engines for generations.
-    :param evacuation: Moves streams whose engine leaves.
-    :param runs: This host's streams, for those that move them.
+    :param movers: Moves streams between engines.
     :param is_stopping: Returns whether this host is in a planned stop.
     """
 
@@ -53,14 +52,12 @@
         *,
         parts: ForwardingParts,
         admission: Admission,
-        evacuation: Evacuation,
-        runs: set[StreamRun],
+        movers: StreamMovers,
         is_stopping: Callable[[], bool],
     ) -> None:
         self._parts = parts
         self._admission = admission
-        self._evacuation = evacuation
-        self._runs = runs
+        self._movers = movers
         self._is_stopping = is_stopping
         self._running = 0
 
@@ -152,13 +149,13 @@
             responder=responder,
             parts=self._parts,
             admission=self._admission,
-            hooks=self._evacuation,
+            hooks=self._movers,
         )
-        self._runs.add(run)
+        self._movers.runs.add(run)
         try:
             return await run.serve()
         finally:
-            self._runs.discard(run)
+            self._movers.runs.discard(run)
 
     async def _refuse(
         self,
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -110,6 +110,11 @@
         """The engine that runs it now, or ``None`` between two."""
         return None if self._leg is None or self._is_between else self._leg.entry
 
+    @property
+    def is_engine_hinting(self) -> bool:
+        """Whether the engine of now ends its connection, as those that leave do and some others."""
+        return self._leg is not None and self._leg.answer.is_leaving
+
     @property
     def begun(self) -> bool:
         """Whether it has begun to answer."""
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -21,20 +21,12 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import Admission
-from tanagerscale.forwarding import Balance
-from tanagerscale.forwarding import Copier
-from tanagerscale.forwarding import Departures
-from tanagerscale.forwarding import DepartureWatch
 from tanagerscale.forwarding import Dispatcher
 from tanagerscale.forwarding import EngineWork
-from tanagerscale.forwarding import Evacuation
 from tanagerscale.forwarding import ForwardingParts
-from tanagerscale.forwarding import LinkTurns
 from tanagerscale.forwarding import Meters
-from tanagerscale.forwarding import MovingParts
-from tanagerscale.forwarding import Protection
 from tanagerscale.forwarding import RetryBudgets
-from tanagerscale.forwarding import StreamRun
+from tanagerscale.forwarding import StreamMovers
 from tanagerscale.forwarding import UpstreamHealth
 from tanagerscale.gateway._caller_server import CallerServer
 from tanagerscale.gateway._caller_server import serve_readiness
@@ -132,7 +124,7 @@
         self._news.start()
         self._spread.start()
         self._keeper.tables.subscribe(self._on_table)
-        self._gate.changes.subscribe(self._evacuation.on_change)
+        self._gate.changes.subscribe(self._movers.evacuation.on_change)
         self._gate.changes.subscribe(lambda _: self._admission.look())
         self._roster.changes.subscribe(lambda _: self._admission.look())
         self._roster.replaced.subscribe(
@@ -145,10 +137,8 @@
         self._spawn(self._presence.run())
         self._spawn(self._sweep())
         self._spawn(self._tell_health())
-        self._spawn(self._protection.run())
-        self._spawn(self._protection.run_yielding())
-        self._spawn(self._balance.run())
-        self._spawn(self._departure_watch.run())
+        for loop in self._movers.loops():
+            self._spawn(loop)
         self._presence.use_seeds()
         _log.info(
             "The host starts.",
@@ -262,7 +252,9 @@
             clock=self._clock,
             rng=self._rng,
             heartbeat_source=lambda: Heartbeat(
-                revision=self._keeper.head_revision, leaving=self._leaving
+                revision=self._keeper.head_revision,
+                leaving=self._leaving,
+                store_lost=self._presence.store_lost,
             ),
         )
         rumours = Rumours(mesh=self._mesh, rng=self._rng)
@@ -294,6 +286,7 @@
             suspects=self._suspects,
             rumours=rumours,
             incarnation=self._incarnation,
+            on_store_lost=lambda: self._presence.check_soon(),
         )
         self._presence = HostPresence(
             store=self._edges.store,
@@ -303,6 +296,7 @@
             ),
             seeds=settings.host.seeds,
             on_peers=self._mesh.set_peers,
+            on_answers=self._on_store_answers,
             clock=self._clock,
             rng=self._rng,
         )
@@ -331,24 +325,13 @@
             clock=self._clock,
             rng=self._rng,
         )
-        runs: set[StreamRun] = set()
-        moving = MovingParts(
-            parts=parts,
-            departures=Departures(clock=self._clock),
-            copier=Copier(parts=parts),
-            turns=LinkTurns(work=self._work, clock=self._clock),
-            runs=runs,
-        )
-        self._evacuation = Evacuation(moving=moving)
-        self._protection = Protection(moving=moving)
-        self._balance = Balance(moving=moving)
-        self._departure_watch = DepartureWatch(moving=moving)
+        movers = StreamMovers(parts=parts)
+        self._movers = movers
         self._admission = Admission(parts=parts)
         self._dispatcher = Dispatcher(
             parts=parts,
             admission=self._admission,
-            evacuation=self._evacuation,
-            runs=runs,
+            movers=movers,
             is_stopping=lambda: self._leaving,
         )
 
@@ -375,6 +358,14 @@
         if table is not None:
             self._spread.announce(revision=table.version, digest="")
 
+    def _on_store_answers(self, is_answered: bool) -> None:
+        _log.info(
+            "Calls to the store are answered again." if is_answered else "Calls to the store fail."
+        )
+        self._roster.on_calls(answered=is_answered)
+        if not is_answered and not is_many(peers=len(self._mesh.live.value)):
+            self._mesh.beat_now()
+
     def _service_of(self, upstream: UpstreamId) -> ServiceId | None:
         entry = self._roster.get(upstream)
         return None if entry is None else entry.service
--- a/src/tanagerscale/gateway/_peers.py
+++ b/src/tanagerscale/gateway/_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 from typing import final
 
@@ -15,6 +16,7 @@
 from tanagerscale.forwarding import Urgency
 from tanagerscale.gateway._use_relay import UseRelay
 from tanagerscale.generated.messages import AnswerTallies
+from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import HostUse
 from tanagerscale.generated.messages import HostUses
 from tanagerscale.generated.messages import Suspect
@@ -46,6 +48,7 @@
     :param suspects: Requests that may crash upstreams.
     :param rumours: Tells what most peers know already.
     :param incarnation: Wall clock at this process's start, in milliseconds.
+    :param on_store_lost: Called when a peer tells that the store does not answer it.
     """
 
     def __init__(
@@ -58,8 +61,10 @@
         suspects: Suspects,
         rumours: Rumours,
         incarnation: int,
+        on_store_lost: Callable[[], None],
     ) -> None:
         self._mesh = mesh
+        self._on_store_lost = on_store_lost
         self._gate = gate
         self._work = work
         self._health = health
@@ -92,6 +97,8 @@
             self._suspects.on_peer(message)
         elif isinstance(message, UpstreamLeaving):
             self._gate.on_peer(message)
+        elif isinstance(message, Heartbeat) and message.store_lost:
+            self._on_store_lost()
         self._rumours.on_received(received)
 
     def _on_passed_on(self, sender: HostId, uses: HostUses) -> None:
--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
 from random import Random
@@ -13,8 +14,10 @@
 from returns.result import Result
 from returns.result import Success
 
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
+from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
 from tanagerscale.generated.records import HostRecord
 from tanagerscale.membership import PeerAddress
@@ -39,6 +42,10 @@
 """Pause between two looks at the hosts' entries. When all hosts start together, each would cost a
 call of each other; the seeds connect them meanwhile."""
 
+CHECK_MS: Final = 2000
+"""Least time between two renewals that a peer's word causes; where the store refuses some hosts for
+long, the others look again no oftener. Each costs a tenth of a call."""
+
 RETRY_MS: Final = 500
 RETRY_SPREAD: Final = (0.5, 2.0)
 
@@ -59,6 +66,8 @@
     :param record: This host's entry.
     :param seeds: Addresses to try besides.
     :param on_peers: Takes the addresses of all hosts after each change.
+    :param on_answers: Called when calls to the store begin to fail, or to be answered again. A
+        watch that waits does not show that.
     :param clock: Time.
     :param rng: Spreads tries.
     """
@@ -71,6 +80,7 @@
         record: HostRecord,
         seeds: Sequence[str],
         on_peers: Callable[[Sequence[PeerAddress]], None],
+        on_answers: Callable[[bool], None] = lambda _: None,
         clock: Clock,
         rng: Random,
     ) -> None:
@@ -79,6 +89,10 @@
         self._record = record
         self._seeds = seeds
         self._on_peers = on_peers
+        self._on_answers = on_answers
+        self._store_lost = False
+        self._checked_at = Millis(-CHECK_MS)
+        self._asked = asyncio.Event()
         self._clock = clock
         self._rng = rng
         self._records: dict[str, HostRecord] = {}
@@ -94,15 +108,43 @@
         """How many hosts have an entry, those included that can't be reached from here."""
         return len(self._records)
 
+    @property
+    def store_lost(self) -> bool:
+        """Whether the store did not answer the last call."""
+        return self._store_lost
+
+    def check_soon(self) -> None:
+        """Renew the lease out of turn, since a peer's calls to the store fail."""
+        if not self._store_lost and self._clock.now() - self._checked_at >= CHECK_MS:
+            self._asked.set()
+
     async def run(self) -> None:
         """Write the entry and renew its lease until cancelled."""
         while True:
+            self._asked.clear()
+            self._checked_at = self._clock.now()
             result = await self._write() if self._lease is None else await self._renew()
             if isinstance(result, Failure):
-                _log.info("The entry is not renewed.", detail=result.failure().detail)
+                error = result.failure()
+                _log.info("The entry is not renewed.", detail=error.detail)
+                self._note_answers(error is _CONTESTED)
                 await self._clock.sleep(int(RETRY_MS * self._rng.uniform(*RETRY_SPREAD)))
-            elif self._lease is not None:
-                await self._clock.sleep(RENEW_MS)
+                continue
+            self._note_answers(True)
+            if self._lease is not None:
+                await self._wait_to_renew()
+
+    async def _wait_to_renew(self) -> None:
+        try:
+            async with asyncio.timeout(RENEW_MS / MS_PER_SECOND):
+                await self._asked.wait()
+        except TimeoutError:
+            return  # It is time.
+
+    def _note_answers(self, is_answered: bool) -> None:
+        if self._store_lost is is_answered:
+            self._store_lost = not is_answered
+            self._on_answers(is_answered)
 
     async def withdraw(self) -> None:
         """End the lease, so that the others forget this host at once."""
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -94,6 +94,7 @@
         self._current: dict[UpstreamName, UpstreamId] = {}
         self._written: dict[UpstreamName, StoreRevision] = {}
         self._store_away = True
+        self._calls_fail = False
         self._store_back_at = Millis(-LAPSE_GRACE_MS)
         self._has_read = False
         self._changes: Subject[UpstreamId] = Subject()
@@ -107,7 +108,7 @@
     @property
     def is_current(self) -> bool:
         """Whether the store tells of changes; otherwise upstreams may leave without notice."""
-        return not self._store_away
+        return not self._store_away and not self._calls_fail
 
     @property
     def replaced(self) -> Observable[UpstreamEntry]:
@@ -172,6 +173,15 @@
             self._store_back_at = self._clock.now()
         self._store_away = not reachable
 
+    def on_calls(self, *, answered: bool) -> None:
+        """Note that other calls to the store fail, or are answered again.
+
+        A watch that waits at a store that refuses calls hears nothing and does not end.
+        """
+        if answered and self._calls_fail:
+            self._store_back_at = self._clock.now()
+        self._calls_fail = not answered
+
     def _take(self, stored: StoreEntry) -> None:
         decoded = self._decode(stored.key, stored.value)
         self._written[self._name_of(stored.key)] = stored.mod_revision
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 from pathlib import Path
+import secrets
 import socket
 from typing import Any
 from typing import final
@@ -30,6 +31,11 @@
 MODEL_SERVICE = "drafts"
 PLAIN_SERVICE = "bookings"
 
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+"""Ports of hosts. They lie below those that the kernel gives to outgoing connections (from 32,768
+on), or one of these may take a port between the look for it and its use."""
+
 
 @dataclass(slots=True)
 class Answer:
@@ -48,11 +54,15 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        port: int = probe.getsockname()[1]
-    return port
+    """Return a port that is free now, of those that no outgoing connection gets meanwhile."""
+    while True:
+        port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        return port
 
 
 def configuration(*, version: int = 1, **changes: Any) -> dict[str, Any]:
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -86,6 +86,7 @@
         suspects=Suspects(clock=clock),
         rumours=rumours,
         incarnation=incarnation,
+        on_store_lost=lambda: None,
     )
     news.start()
     host = Host(network=network, mesh=mesh, gate=gate, work=work)
--- a/testing/_moving_scene.py
+++ b/testing/_moving_scene.py
@@ -9,16 +9,8 @@
 
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
-from tanagerscale.forwarding import Balance
-from tanagerscale.forwarding import Copier
-from tanagerscale.forwarding import Departures
-from tanagerscale.forwarding import DepartureWatch
-from tanagerscale.forwarding import Evacuation
-from tanagerscale.forwarding import LinkTurns
-from tanagerscale.forwarding import MovingParts
-from tanagerscale.forwarding import Protection
 from tanagerscale.forwarding import RoutedRequest
-from tanagerscale.forwarding import StreamRun
+from tanagerscale.forwarding import StreamMovers
 from tanagerscale.forwarding._hops import Hop
 from tanagerscale.forwarding._hops import Snapshot
 from tanagerscale.routes import RouteKind
@@ -72,20 +64,13 @@
 
     def __init__(self, *names: str) -> None:
         self.bench: Bench = make_bench(*(make_entry(name) for name in names))
-        self.runs: set[StreamRun] = set()
-        parts = self.bench.parts
-        self.departures = Departures(clock=parts.clock)
-        moving = MovingParts(
-            parts=parts,
-            departures=self.departures,
-            copier=Copier(parts=parts),
-            turns=LinkTurns(work=self.bench.work, clock=parts.clock),
-            runs=self.runs,
-        )
-        self.evacuation = Evacuation(moving=moving)
-        self.protection = Protection(moving=moving)
-        self.balance = Balance(moving=moving)
-        self.departure_watch = DepartureWatch(moving=moving)
+        movers = StreamMovers(parts=self.bench.parts)
+        self.runs = movers.runs
+        self.departures = movers.departures
+        self.evacuation = movers.evacuation
+        self.protection = movers.protection
+        self.balance = movers.balance
+        self.departure_watch = movers.departure_watch
         self.bench.upstreams.on_leaving = self.evacuation.on_change
 
     def entry(self, name: str) -> UpstreamEntry:
--- a/testing/test_forwarding_dispatcher.py
+++ b/testing/test_forwarding_dispatcher.py
@@ -11,14 +11,9 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import CallerRequest
-from tanagerscale.forwarding import Copier
-from tanagerscale.forwarding import Departures
 from tanagerscale.forwarding import Dispatcher
-from tanagerscale.forwarding import Evacuation
-from tanagerscale.forwarding import LinkTurns
-from tanagerscale.forwarding import MovingParts
 from tanagerscale.forwarding import RefusalKind
-from tanagerscale.forwarding import StreamRun
+from tanagerscale.forwarding import StreamMovers
 from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
@@ -45,19 +40,10 @@
         self.bench.tables.table = make_table(PLAIN, STREAM)
         self.is_stopping = False
         parts = self.bench.parts
-        runs: set[StreamRun] = set()
-        moving = MovingParts(
-            parts=parts,
-            departures=Departures(clock=parts.clock),
-            copier=Copier(parts=parts),
-            turns=LinkTurns(work=self.bench.work, clock=parts.clock),
-            runs=runs,
-        )
         self.dispatcher = Dispatcher(
             parts=parts,
             admission=Admission(parts=parts),
-            evacuation=Evacuation(moving=moving),
-            runs=runs,
+            movers=StreamMovers(parts=parts),
             is_stopping=lambda: self.is_stopping,
         )
 
--- a/testing/test_forwarding_protection.py
+++ b/testing/test_forwarding_protection.py
@@ -17,6 +17,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import CopyFailure
+from tanagerscale.forwarding._departure_watch import HINT_REST_MS
 from tanagerscale.forwarding._evacuation import REPORT_LAG_MS
 from tanagerscale.forwarding._hops import Snapshot
 from tanagerscale.generated.messages import EngineUse
@@ -210,3 +211,22 @@
 
     # One ask in 300 ms makes 200 in a minute.
     assert 140 <= run_virtually(play()) <= 260
+
+
+def test_engine_whose_answer_ends_its_connection_is_asked_once_a_second_and_left() -> None:
+    async def play() -> int:
+        scene = Scene("x", "y")
+        scene.bench.engines.staying.add("x")
+        scene.add("1", at="x")
+        for _ in range(5):
+            scene.departure_watch.on_hint(UpstreamId("x"))
+        await asyncio.sleep(HINT_REST_MS / 1000)
+        scene.bench.engines.staying.clear()
+        scene.bench.engines.leaves_in_ms = 1800
+        scene.departure_watch.on_hint(UpstreamId("x"))
+        await asyncio.sleep(0.1)
+        assert scene.bench.upstreams.leaving == {"x"}
+        return scene.bench.engines.reports
+
+    # The second finds that it leaves; evacuation does not ask again when it goes.
+    assert run_virtually(play()) == 2
--- a/testing/test_forwarding_stream.py
+++ b/testing/test_forwarding_stream.py
@@ -10,11 +10,11 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import RefusalKind
-from tanagerscale.forwarding import StreamRun
 from tanagerscale.forwarding._hops import Hop
 from tanagerscale.forwarding._hops import Snapshot
 from tanagerscale.forwarding._relay import SILENCE_MS
 from tanagerscale.forwarding._stream import MOST_RESCUES
+from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
--- a/testing/test_forwarding_work.py
+++ b/testing/test_forwarding_work.py
@@ -10,10 +10,10 @@
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import EngineWork
-from tanagerscale.forwarding import LinkTurns
 from tanagerscale.forwarding._links import AGREE_MS
 from tanagerscale.forwarding._links import LONGEST_COPY_MS
 from tanagerscale.forwarding._links import UNUSED_TURN_MS
+from tanagerscale.forwarding._links import LinkTurns
 from tanagerscale.forwarding._work import CopyTicket
 from tanagerscale.forwarding._work import LinkRank
 from tanagerscale.forwarding._work import Urgency
