Let many hosts that rest hear the upstreams from those that watch

Each host rested 0.9 to 1.8 s after a change, and what had come meanwhile made its next watch return at once. A new engine was used only after that rest.

Ruled out: longer rests without news (a leaving engine must get no work after its 3 s). Fewer watching hosts by election (one more thing that dies). Rests of up to ten seconds with news: a host that is cut off from its peers and not from the store would learn of a leaving engine too late.

Change: what a watch brings is told to the peers by two of the hosts that read it, with the revisions it covers; the next watch of a host that heard it begins after these. The followers of the store have a module of their own.

--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Coroutine
 import random
 import secrets
@@ -33,10 +32,10 @@
 from tanagerscale.gateway._configuration import ConfigurationKeeper
 from tanagerscale.gateway._edges import CallerRules
 from tanagerscale.gateway._edges import Edges
+from tanagerscale.gateway._following import StoreFollowing
 from tanagerscale.gateway._metrics import serve_metrics
 from tanagerscale.gateway._peers import PeerNews
 from tanagerscale.gateway._planned_stop import finish_requests
-from tanagerscale.gateway._presence import PRESENCE_REST_MS
 from tanagerscale.gateway._presence import HostPresence
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.generated.messages import Heartbeat
@@ -45,19 +44,13 @@
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import Rumours
 from tanagerscale.membership import UpstreamGate
+from tanagerscale.membership import UpstreamNews
 from tanagerscale.membership import UpstreamRoster
 from tanagerscale.membership import is_many
 from tanagerscale.membership import stretch
 from tanagerscale.quarantine import Suspects
 from tanagerscale.routes import CallerLimits
 from tanagerscale.routes import RouteTable
-from tanagerscale.store import PrefixFollower
-from tanagerscale.store import PrefixListener
-
-ROSTER_REST: Final = (0.3, 0.6)
-"""Where there are many hosts, each rests for such a part of the time in which a leaving upstream
-may get new work, after a change of the upstreams: what comes together costs one call. Some watch
-at any moment and tell the others which upstreams leave; a new one is used a second later."""
 
 SWEEP_MS: Final = 1000
 """How often idle connections are looked through; idle times are declared in seconds."""
@@ -122,6 +115,7 @@
         await self._server.start(address=settings.host.callers)
         await self._mesh.start()
         self._news.start()
+        self._upstream_news.start()
         self._spread.start()
         self._keeper.tables.subscribe(self._on_table)
         self._gate.changes.subscribe(self._movers.evacuation.on_change)
@@ -131,9 +125,10 @@
             lambda earlier: self._edges.upstreams.forget(upstream=earlier)
         )
         self._work.news.subscribe(lambda _: self._admission.look())
-        self._follow(self._edges.configuration_key, self._keeper)
-        self._follow(self._edges.registry_prefix, self._roster, rest_ms=self._roster_rest_ms)
-        self._follow(self._presence.prefix, self._presence, rest_ms=lambda: PRESENCE_REST_MS)
+        for loop in self._following.loops(
+            keeper=self._keeper, roster=self._roster, presence=self._presence
+        ):
+            self._spawn(loop)
         self._spawn(self._presence.run())
         self._spawn(self._sweep())
         self._spawn(self._tell_health())
@@ -269,6 +264,14 @@
             name_of=self._edges.name_of,
             clock=self._clock,
         )
+        self._upstream_news = UpstreamNews(mesh=self._mesh, roster=self._roster, rng=self._rng)
+        self._following = StoreFollowing(
+            edges=self._edges,
+            mesh=self._mesh,
+            leaving_ms=lambda: self._settings.deadlines.leaving_ms,
+            clock=self._clock,
+            rng=self._rng,
+        )
         self._spread = HeadSpread(
             network=self._mesh,
             follower=self._keeper,
@@ -335,25 +338,6 @@
             is_stopping=lambda: self._leaving,
         )
 
-    def _roster_rest_ms(self) -> int:
-        peers = len(self._mesh.live.value)
-        if not is_many(peers=peers):
-            return 0
-        return int(self._settings.deadlines.leaving_ms * self._rng.uniform(*ROSTER_REST))
-
-    def _follow(
-        self, prefix: str, listener: PrefixListener, *, rest_ms: Callable[[], int] = lambda: 0
-    ) -> None:
-        follower = PrefixFollower(
-            store=self._edges.store,
-            prefix=prefix,
-            listener=listener,
-            clock=self._clock,
-            rng=self._rng,
-            rest_ms=rest_ms,
-        )
-        self._spawn(follower.run())
-
     def _on_table(self, table: RouteTable | None) -> None:
         if table is not None:
             self._spread.announce(revision=table.version, digest="")
--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -38,10 +38,6 @@
 RENEW_MS: Final = 10_000
 """A third of the lease, so that two lost renewals change nothing."""
 
-PRESENCE_REST_MS: Final = 1000
-"""Pause between two looks at the hosts' entries. When all hosts start together, each would cost a
-call of each other; the seeds connect them meanwhile."""
-
 CHECK_MS: Final = 2000
 """Least time between two renewals that a peer's word causes; where the store refuses some hosts for
 long, the others look again no oftener. Each costs a tenth of a call."""
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -22,7 +22,11 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import UpstreamName
 from tanagerscale.core import get_logger
+from tanagerscale.generated.messages import ListedUpstream
+from tanagerscale.generated.messages import UpstreamChanges
 from tanagerscale.membership._gate import UpstreamGate
+from tanagerscale.membership._listed import from_listed
+from tanagerscale.membership._listed import to_listed
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
@@ -97,6 +101,8 @@
         self._calls_fail = False
         self._store_back_at = Millis(-LAPSE_GRACE_MS)
         self._has_read = False
+        self._covered = StoreRevision(0)
+        self._read: Subject[UpstreamChanges] = Subject()
         self._changes: Subject[UpstreamId] = Subject()
         self._replaced: Subject[UpstreamEntry] = Subject()
 
@@ -115,6 +121,11 @@
         """Each start of an upstream that is over, since the upstream has started again."""
         return self._replaced
 
+    @property
+    def read(self) -> Observable[UpstreamChanges]:
+        """What each watch brought, for the peers."""
+        return self._read
+
     @property
     def changes(self) -> Observable[UpstreamId]:
         """Each upstream whose entry was written or is gone."""
@@ -150,22 +161,48 @@
         known = self._known.get(upstream)
         return 0 if known is None else self._clock.now() - known.since
 
+    @property
+    def covered(self) -> StoreRevision:
+        """Up to which revision of the store nothing is missing here."""
+        return self._covered
+
     def on_snapshot(self, found: StoreRange) -> None:
         """Take in all entries at once."""
         present = {self._name_of(entry.key) for entry in found.entries}
         for entry in found.entries:
             self._take(entry)
         self._note_missing(self._current.keys() - present, found.revision)
+        self._covered = max(self._covered, found.revision)
         self._has_read = True
 
     def on_changes(self, batch: WatchBatch) -> None:
         """Take in changes."""
-        for entry in batch.entries:
-            self._take(entry)
-        deleted = {self._name_of(key) for key in batch.deleted}
-        for name in deleted:
-            self._written[name] = batch.revision
-        self._note_missing(deleted, batch.revision)
+        taken = [self._take(entry) for entry in batch.entries]
+        self._remove({self._name_of(key) for key in batch.deleted}, batch.revision)
+        # Peers have to read for themselves what can't be read here.
+        after = self._covered if all(taken) else batch.revision
+        self._covered = max(self._covered, batch.revision)
+        entries = [listed for listed in taken if listed is not None]
+        removed = [str(self._name_of(key)) for key in batch.deleted]
+        self._read.on_next(
+            UpstreamChanges(after=after, revision=batch.revision, entries=entries, removed=removed)
+        )
+
+    def on_peer(self, changes: UpstreamChanges) -> None:
+        """Take in what a peer's watch brought, as far as it is news here."""
+        for listed in changes.entries:
+            if listed.revision > self._written.get(UpstreamName(listed.name), 0):
+                self._take_entry(from_listed(listed), StoreRevision(listed.revision))
+        revision = StoreRevision(changes.revision)
+        names = {UpstreamName(name) for name in changes.removed}
+        self._remove({name for name in names if self._written.get(name, 0) < revision}, revision)
+        if changes.after <= self._covered:
+            self._covered = max(self._covered, revision)
+
+    def _remove(self, names: Set[UpstreamName], revision: StoreRevision) -> None:
+        for name in names:
+            self._written[name] = revision
+        self._note_missing(names, revision)
 
     def on_store(self, *, reachable: bool) -> None:
         """Note when the store answers again; entries may have lapsed meanwhile."""
@@ -182,38 +219,45 @@
             self._store_back_at = self._clock.now()
         self._calls_fail = not answered
 
-    def _take(self, stored: StoreEntry) -> None:
+    def _take(self, stored: StoreEntry) -> ListedUpstream | None:
+        """Take in an entry and return it for the peers; nothing when it can't be read."""
         decoded = self._decode(stored.key, stored.value)
-        self._written[self._name_of(stored.key)] = stored.mod_revision
         if isinstance(decoded, Failure):
-            self._refuse(stored, decoded.failure())
-            return
+            name = self._name_of(stored.key)
+            self._written[name] = stored.mod_revision
+            self._refuse(name, stored.mod_revision, decoded.failure())
+            return None
         entry = decoded.unwrap()
+        self._take_entry(entry, stored.mod_revision)
+        return to_listed(entry, revision=stored.mod_revision)
+
+    def _take_entry(self, entry: UpstreamEntry, revision: StoreRevision) -> None:
+        self._written[entry.name] = revision
         known = self._current_of(entry.name)
         if known is None or entry.started_ms >= known.entry.started_ms:
-            self._use(entry, stored)
+            self._use(entry, revision)
         elif entry.started_ms == 0:
             told = known.entry.upstream
-            self._refuse(stored, f"It does not tell its start, as {told} did before.")
+            self._refuse(entry.name, revision, f"It tells no start, as {told} did before.")
         else:
-            self._doubt(entry, stored, known.entry)
+            self._doubt(entry, revision, known.entry)
 
-    def _use(self, entry: UpstreamEntry, stored: StoreEntry) -> None:
+    def _use(self, entry: UpstreamEntry, revision: StoreRevision) -> None:
         """Take an entry as what its upstream says of itself now."""
         known = self._current_of(entry.name)
         if known is None or known.entry.upstream != entry.upstream:
-            self._add(entry, stored.mod_revision)
+            self._add(entry, revision)
             if known is not None:
-                self._replace(known, stored.mod_revision)
+                self._replace(known, revision)
         else:
             known.entry = entry
             known.missing_since = None
             known.is_readable = True
         if entry.state is UpstreamState.LEAVING:
-            self._gate.note_leaving(upstream=entry.upstream, incarnation=stored.mod_revision)
+            self._gate.note_leaving(upstream=entry.upstream, incarnation=revision)
         else:
             # Written anew it takes work again, whatever was said of it before.
-            self._gate.note_listed(upstream=entry.upstream, incarnation=stored.mod_revision)
+            self._gate.note_listed(upstream=entry.upstream, incarnation=revision)
         self._changes.on_next(entry.upstream)
 
     def _current_of(self, name: UpstreamName) -> _Known | None:
@@ -241,32 +285,32 @@
         self._take_as_gone(known.entry.upstream, revision)
         self._replaced.on_next(known.entry)
 
-    def _doubt(self, entry: UpstreamEntry, stored: StoreEntry, newer: UpstreamEntry) -> None:
+    def _doubt(self, entry: UpstreamEntry, revision: StoreRevision, newer: UpstreamEntry) -> None:
         """Leave out the entry of an earlier start, unless nobody writes over it."""
         _log.info(
             "An entry of an earlier start is doubted.",
             upstream=entry.upstream,
             newer=newer.upstream,
-            revision=stored.mod_revision,
+            revision=revision,
         )
         loop = asyncio.get_running_loop()
-        loop.call_later(OLDER_START_MS / MS_PER_SECOND, self._use_if_last, entry, stored)
+        loop.call_later(OLDER_START_MS / MS_PER_SECOND, self._use_if_last, entry, revision)
 
-    def _use_if_last(self, entry: UpstreamEntry, stored: StoreEntry) -> None:
-        if self._written.get(entry.name) == stored.mod_revision:
-            self._use(entry, stored)
+    def _use_if_last(self, entry: UpstreamEntry, revision: StoreRevision) -> None:
+        if self._written.get(entry.name) == revision:
+            self._use(entry, revision)
 
-    def _refuse(self, stored: StoreEntry, detail: str) -> None:
+    def _refuse(self, name: UpstreamName, revision: StoreRevision, detail: str) -> None:
         """Leave out an entry that no upstream wrote, and give no work by the one before it."""
-        _log.warning("An entry is refused.", key=stored.key, detail=detail)
-        known = self._current_of(self._name_of(stored.key))
+        _log.warning("An entry is refused.", name=name, revision=revision, detail=detail)
+        known = self._current_of(name)
         if known is None or not known.is_readable:
             return
         known.is_readable = False
         self._changes.on_next(known.entry.upstream)
         if known.missing_since is None:
             known.missing_since = self._clock.now()
-            self._take_as_gone_later(known, stored.mod_revision, UNREADABLE_GRACE_MS)
+            self._take_as_gone_later(known, revision, UNREADABLE_GRACE_MS)
 
     def _note_missing(self, names: Set[UpstreamName], revision: StoreRevision) -> None:
         now = self._clock.now()
--- a/src/tanagerscale/platform/_store.py
+++ b/src/tanagerscale/platform/_store.py
@@ -47,8 +47,8 @@
 CALL_TIMEOUT_MS: Final = 1000
 """Longest wait for one call. The store answers in 4 ms; slowed down sixty times, in 240 ms."""
 
-WATCH_WAIT_MS: Final = 20_000
-"""How long the store holds a watch without news; each one is a call that is paid for."""
+WATCH_WAIT_MS: Final = 28_000
+"""How long the store holds a watch without news, which is paid for as a call; at most 30 s."""
 
 WATCH_SLACK_MS: Final = 2000
 """How much later than its wait a watch may answer before its connection counts as silent."""
--- a/testing/test_roster.py
+++ b/testing/test_roster.py
@@ -6,13 +6,8 @@
 from random import Random
 
 import pytest
-from returns.result import Failure
-from returns.result import Result
-from returns.result import Success
 
 from tanagerscale.core import Clock
-from tanagerscale.core import FailureDomainId
-from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import UpstreamName
 from tanagerscale.generated.messages import UpstreamLeaving
@@ -27,34 +22,16 @@
 from tanagerscale.store import StoreRevision
 from tanagerscale.store import WatchBatch
 from tanagerscale.upstreams import UpstreamEntry
-from tanagerscale.upstreams import UpstreamState
+from testing._listed_upstreams import SERVICE
+from testing._listed_upstreams import decode_listed
+from testing._listed_upstreams import listed
 from testing._virtual_time import run_virtually
 
-SERVICE = ServiceId("s")
 NAMES = ("a", "b", "c", "d", "e")
 SPACE_MS = 10
 LONG_AFTER_S = 30
 
 
-def _decode(key: str, value: bytes) -> Result[UpstreamEntry, str]:
-    if value == b"bad":
-        return Failure("It can't be read; it is left out.")
-    state, _, started = value.decode().partition("@")
-    return Success(
-        UpstreamEntry(
-            upstream=UpstreamId(f"{key}{started}"),
-            name=UpstreamName(key),
-            started_ms=int(started or 0),
-            service=SERVICE,
-            address=f"{key}:1",
-            failure_domain=FailureDomainId("x"),
-            places=1,
-            state=UpstreamState(state),
-            cold_ms=0,
-        )
-    )
-
-
 class World:
     """A roster and the revisions of its store."""
 
@@ -63,7 +40,7 @@
         clock = Clock()
         self.gate = UpstreamGate(clock=clock, rng=Random(1), spread=self.told.append)
         self.roster = UpstreamRoster(
-            gate=self.gate, decode=_decode, name_of=UpstreamName, clock=clock
+            gate=self.gate, decode=decode_listed, name_of=UpstreamName, clock=clock
         )
         self.revision = 10
         self.replaced: list[UpstreamEntry] = []
@@ -90,16 +67,7 @@
         self.roster.on_snapshot(found)
 
     def _entries(self, names: tuple[str, ...], state: str) -> tuple[StoreEntry, ...]:
-        revision = StoreRevision(self.revision)
-        return tuple(
-            StoreEntry(
-                key=name,
-                value=state.encode(),
-                create_revision=revision,
-                mod_revision=revision,
-            )
-            for name in names
-        )
+        return tuple(listed(name, state, revision=self.revision) for name in names)
 
     def _batch(self, entries: tuple[StoreEntry, ...], deleted: tuple[str, ...]) -> WatchBatch:
         return WatchBatch(entries=entries, deleted=deleted, revision=StoreRevision(self.revision))
