--- a/src/tanagerscale/forwarding/_health.py
+++ b/src/tanagerscale/forwarding/_health.py
@@ -41,11 +41,6 @@
 FORGIVEN_MS: Final = 60_000
 """Time after which a rest is as if there had been none."""
 
-TELL_GAP_MS: Final = 250
-"""Least time between two messages about bad answers that are sent at once. Among 73 hosts that told
-each 2.2 s, two engines that failed at once and so looked empty were sent 65 generations; each host
-sees one of these in seconds, so that a third one is known everywhere within milliseconds."""
-
 NEVER: Final = Millis(0)
 
 _log = get_logger(part="health")
@@ -77,7 +72,6 @@
         self._own: dict[UpstreamId, _Answers] = defaultdict(_Answers)
         self._peers: dict[HostId, dict[UpstreamId, Tally]] = {}
         self._told = False
-        self._told_at = Millis(-TELL_GAP_MS)
         self._news: Subject[AnswerTallies] = Subject()
 
     @property
@@ -91,10 +85,7 @@
 
     def note_bad(self, *, upstream: UpstreamId) -> None:
         """Record an error, or an answer that is broken, late or missing."""
-        now = self._clock.now()
-        self._own[upstream].seen.append((now, False))
-        if now - self._told_at >= TELL_GAP_MS:
-            self.tell()
+        self._own[upstream].seen.append((self._clock.now(), False))
         self._judge(upstream)
 
     def on_peer(self, *, host: HostId, tallies: AnswerTallies) -> None:
@@ -113,23 +104,14 @@
     def tell(self) -> None:
         """Tell the peers what this host saw of upstreams that gave bad answers lately."""
         self._forget_old()
-        self._send(self._bad_tallies())
-
-    def _bad_tallies(self) -> AnswerTallies:
         tallies = {upstream: self._own_tally(upstream) for upstream in self._own}
-        return AnswerTallies(
-            upstreams={
-                str(upstream): [tally.good, tally.bad]
-                for upstream, tally in tallies.items()
-                if tally.bad
-            }
-        )
-
-    def _send(self, message: AnswerTallies) -> None:
-        if not message.upstreams and not self._told:
+        bad = {upstream: tally for upstream, tally in tallies.items() if tally.bad}
+        if not bad and not self._told:
             return
-        self._told = bool(message.upstreams)
-        self._told_at = self._clock.now()
+        self._told = bool(bad)
+        message = AnswerTallies(
+            upstreams={str(upstream): [tally.good, tally.bad] for upstream, tally in bad.items()}
+        )
         self._news.on_next(message)
 
     def usable(self, entries: Sequence[UpstreamEntry]) -> list[UpstreamEntry]:
@@ -157,10 +139,7 @@
             if other != upstream and self._service_of(other) == service:
                 others = others.plus(self._tally(other))
         if is_outlier(own=own, others=others):
-            # What this host saw counts for the peers' judgement too; here it is counted anew.
-            seen = self._bad_tallies()
             self._let_rest(upstream, own, others)
-            self._send(seen)
 
     def _let_rest(self, upstream: UpstreamId, own: Tally, others: Tally) -> None:
         answers = self._own[upstream]
