Keep upstreams that may have lapsed when a peer alone reads that they are gone

Ruled out: leaving such news out (a host cut off from the store needs them). Change: a host to which the store does not tell gives such an entry the time of one that lapsed. The test was seen red without it.

--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -322,6 +322,9 @@
         for known in missing:
             known.missing_since = now
         wait_ms = max(self._store_back_at + LAPSE_GRACE_MS - now, 0)
+        if not self.is_current:
+            # A peer that reaches the store again told it; the entries may have lapsed meanwhile.
+            wait_ms = LAPSE_GRACE_MS
         if wait_ms == 0 and self._lapsed_together(now):
             wait_ms = TOGETHER_GRACE_MS
         for known in missing:
--- a/testing/test_upstream_news.py
+++ b/testing/test_upstream_news.py
@@ -85,6 +85,24 @@
     assert _play(scene) == {"a1 c1"}
 
 
+def test_host_without_the_store_keeps_what_may_have_lapsed_when_a_peer_reads_that_it_is_gone() -> (
+    None
+):
+    async def scene(hosts: list[Host]) -> list[str]:
+        cut_off = hosts[0]
+        cut_off.roster.on_store(reachable=False)
+        hosts[3].roster.on_store(reachable=False)
+        hosts[3].roster.on_store(reachable=True)
+        _watch(hosts[3], removed="b", revision=11)
+        await asyncio.sleep(HEARD_S)
+        seen = [_open(cut_off), _open(hosts[3])]
+        _watch(hosts[3], ("b", "ready@1"), revision=12)
+        await asyncio.sleep(LONG_AFTER_S)
+        return [*seen, _open(cut_off)]
+
+    assert _play(scene) == ["a1 b1 c1"] * 3
+
+
 def test_older_news_of_a_peer_changes_nothing() -> None:
     async def scene(hosts: list[Host]) -> str:
         _watch(hosts[0], ("b", "ready@2"), revision=14)
