Let the store be away for all hosts in the test of what may have lapsed

Ruled out: the fix itself. Now all lose the store and one gets it back, as in an outage; seen red without the fix, green with it.

--- a/testing/test_upstream_news.py
+++ b/testing/test_upstream_news.py
@@ -90,8 +90,8 @@
 ):
     async def scene(hosts: list[Host]) -> list[str]:
         cut_off = hosts[0]
-        cut_off.roster.on_store(reachable=False)
-        hosts[3].roster.on_store(reachable=False)
+        for host in hosts:
+            host.roster.on_store(reachable=False)
         hosts[3].roster.on_store(reachable=True)
         _watch(hosts[3], removed="b", revision=11)
         await asyncio.sleep(HEARD_S)
