Take only a peer's word of gone upstreams as perhaps lapsed

Where only writes are lost the watch goes on, and a leaving upstream would have got work for longer than its two seconds. Ruled out: dropping the grace (what peers read after an outage may have lapsed). A test was seen red without the change, and the one for peers stays green.

--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -195,14 +195,19 @@
                 self._take_entry(from_listed(listed), StoreRevision(listed.revision))
         revision = StoreRevision(changes.revision)
         names = {UpstreamName(name) for name in changes.removed}
-        self._remove({name for name in names if self._written.get(name, 0) < revision}, revision)
+        newly = {name for name in names if self._written.get(name, 0) < revision}
+        # A peer may reach a store again that does not answer here yet; what it reads as gone may
+        # have lapsed meanwhile.
+        self._remove(newly, revision, is_hearsay=not self.is_current)
         if changes.after <= self._covered:
             self._covered = max(self._covered, revision)
 
-    def _remove(self, names: Set[UpstreamName], revision: StoreRevision) -> None:
+    def _remove(
+        self, names: Set[UpstreamName], revision: StoreRevision, *, is_hearsay: bool = False
+    ) -> None:
         for name in names:
             self._written[name] = revision
-        self._note_missing(names, revision)
+        self._note_missing(names, revision, is_hearsay=is_hearsay)
 
     def on_store(self, *, reachable: bool) -> None:
         """Note when the store answers again; entries may have lapsed meanwhile."""
@@ -312,7 +317,9 @@
             known.missing_since = self._clock.now()
             self._take_as_gone_later(known, revision, UNREADABLE_GRACE_MS)
 
-    def _note_missing(self, names: Set[UpstreamName], revision: StoreRevision) -> None:
+    def _note_missing(
+        self, names: Set[UpstreamName], revision: StoreRevision, *, is_hearsay: bool = False
+    ) -> None:
         now = self._clock.now()
         missing = [
             known
@@ -322,10 +329,7 @@
         for known in missing:
             known.missing_since = now
         wait_ms = max(self._store_back_at + LAPSE_GRACE_MS - now, 0)
-        if not self.is_current:
-            # A peer that reaches the store again told it; the entries may have lapsed meanwhile.
-            wait_ms = LAPSE_GRACE_MS
-        if wait_ms == 0 and self._lapsed_together(now):
+        if wait_ms == 0 and (is_hearsay or self._lapsed_together(now)):
             wait_ms = TOGETHER_GRACE_MS
         for known in missing:
             self._take_as_gone_later(known, revision, wait_ms)
--- a/testing/test_roster.py
+++ b/testing/test_roster.py
@@ -354,3 +354,13 @@
         assert world.open() == "ace"
 
     run_virtually(play())
+
+
+def test_upstream_is_left_at_once_when_the_own_watch_tells_though_other_calls_fail() -> None:
+    async def play() -> None:
+        world = await _settled()
+        world.roster.on_calls(answered=False)
+        world.delete("b")
+        assert world.open() == "acde"
+
+    run_virtually(play())
