--- a/src/tanagerscale/gateway/_following.py
+++ b/src/tanagerscale/gateway/_following.py
@@ -19,12 +19,11 @@
 from tanagerscale.membership import stretch
 from tanagerscale.store import PrefixFollower
 from tanagerscale.store import PrefixListener
-from tanagerscale.store import StoreRevision
 
-ROSTER_REST: Final = (0.5, 0.8)
+ROSTER_REST: Final = (0.3, 0.6)
 """Where there are many hosts, each rests for such a part of the time in which a leaving upstream
 may get new work, after a change of the upstreams: what comes together costs one call. Some watch
-at any moment and tell the others. A host that is cut off from all of them still knows in time."""
+at any moment and tell the others which upstreams leave; a new one is used a second later."""
 
 PRESENCE_REST_MS: Final = 1000
 """Pause between two looks at the hosts' entries, longer where there are many. When all hosts start
@@ -57,10 +56,7 @@
         """Return what has to run for as long as the host lives."""
         declarations = self._follower(self._edges.configuration_key, keeper)
         upstreams = self._follower(
-            self._edges.registry_prefix,
-            roster,
-            told=lambda: roster.covered,
-            rest_ms=self._roster_rest_ms,
+            self._edges.registry_prefix, roster, rest_ms=self._roster_rest_ms
         )
         hosts = self._follower(presence.prefix, presence, rest_ms=self._presence_rest_ms)
         return declarations.run(), upstreams.run(), hosts.run()
@@ -70,7 +66,6 @@
         prefix: str,
         listener: PrefixListener,
         *,
-        told: Callable[[], StoreRevision] = lambda: StoreRevision(0),
         rest_ms: Callable[[], int] = lambda: 0,
     ) -> PrefixFollower:
         return PrefixFollower(
@@ -79,7 +74,6 @@
             listener=listener,
             clock=self._clock,
             rng=self._rng,
-            told=told,
             rest_ms=rest_ms,
         )
 
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -44,7 +44,6 @@
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import Rumours
 from tanagerscale.membership import UpstreamGate
-from tanagerscale.membership import UpstreamNews
 from tanagerscale.membership import UpstreamRoster
 from tanagerscale.membership import is_many
 from tanagerscale.membership import stretch
@@ -115,7 +114,6 @@
         await self._server.start(address=settings.host.callers)
         await self._mesh.start()
         self._news.start()
-        self._upstream_news.start()
         self._spread.start()
         self._keeper.tables.subscribe(self._on_table)
         self._gate.changes.subscribe(self._movers.evacuation.on_change)
@@ -264,7 +262,6 @@
             name_of=self._edges.name_of,
             clock=self._clock,
         )
-        self._upstream_news = UpstreamNews(mesh=self._mesh, roster=self._roster, rng=self._rng)
         self._following = StoreFollowing(
             edges=self._edges,
             mesh=self._mesh,
--- a/src/tanagerscale/membership/__init__.py
+++ b/src/tanagerscale/membership/__init__.py
@@ -20,7 +20,6 @@
 from tanagerscale.membership._scale import stretch
 from tanagerscale.membership._spread import HeadFollower
 from tanagerscale.membership._spread import HeadSpread
-from tanagerscale.membership._upstream_news import UpstreamNews
 from tanagerscale.membership._upstreams import spread_leaving
 from tanagerscale.membership._websocket import peer_ssl_contexts
 from tanagerscale.membership._wire import FrameError
@@ -47,7 +46,6 @@
     "Rumours",
     "Transport",
     "UpstreamGate",
-    "UpstreamNews",
     "UpstreamRoster",
     "decode_frame",
     "encode_frame",
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -22,11 +22,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import UpstreamName
 from tanagerscale.core import get_logger
-from tanagerscale.generated.messages import ListedUpstream
-from tanagerscale.generated.messages import UpstreamChanges
 from tanagerscale.membership._gate import UpstreamGate
-from tanagerscale.membership._listed import from_listed
-from tanagerscale.membership._listed import to_listed
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
@@ -101,8 +97,6 @@
         self._calls_fail = False
         self._store_back_at = Millis(-LAPSE_GRACE_MS)
         self._has_read = False
-        self._covered = StoreRevision(0)
-        self._read: Subject[UpstreamChanges] = Subject()
         self._changes: Subject[UpstreamId] = Subject()
         self._replaced: Subject[UpstreamEntry] = Subject()
 
@@ -121,11 +115,6 @@
         """Each start of an upstream that is over, since the upstream has started again."""
         return self._replaced
 
-    @property
-    def read(self) -> Observable[UpstreamChanges]:
-        """What each watch brought, for the peers."""
-        return self._read
-
     @property
     def changes(self) -> Observable[UpstreamId]:
         """Each upstream whose entry was written or is gone."""
@@ -161,53 +150,22 @@
         known = self._known.get(upstream)
         return 0 if known is None else self._clock.now() - known.since
 
-    @property
-    def covered(self) -> StoreRevision:
-        """Up to which revision of the store nothing is missing here."""
-        return self._covered
-
     def on_snapshot(self, found: StoreRange) -> None:
         """Take in all entries at once."""
         present = {self._name_of(entry.key) for entry in found.entries}
         for entry in found.entries:
             self._take(entry)
         self._note_missing(self._current.keys() - present, found.revision)
-        self._covered = max(self._covered, found.revision)
         self._has_read = True
 
     def on_changes(self, batch: WatchBatch) -> None:
         """Take in changes."""
-        taken = [self._take(entry) for entry in batch.entries]
-        self._remove({self._name_of(key) for key in batch.deleted}, batch.revision)
-        # Peers have to read for themselves what can't be read here.
-        after = self._covered if all(taken) else batch.revision
-        self._covered = max(self._covered, batch.revision)
-        entries = [listed for listed in taken if listed is not None]
-        removed = [str(self._name_of(key)) for key in batch.deleted]
-        self._read.on_next(
-            UpstreamChanges(after=after, revision=batch.revision, entries=entries, removed=removed)
-        )
-
-    def on_peer(self, changes: UpstreamChanges) -> None:
-        """Take in what a peer's watch brought, as far as it is news here."""
-        for listed in changes.entries:
-            if listed.revision > self._written.get(UpstreamName(listed.name), 0):
-                self._take_entry(from_listed(listed), StoreRevision(listed.revision))
-        revision = StoreRevision(changes.revision)
-        names = {UpstreamName(name) for name in changes.removed}
-        newly = {name for name in names if self._written.get(name, 0) < revision}
-        # A peer may reach a store again that does not answer here yet; what it reads as gone may
-        # have lapsed meanwhile.
-        self._remove(newly, revision, is_hearsay=not self.is_current)
-        if changes.after <= self._covered:
-            self._covered = max(self._covered, revision)
-
-    def _remove(
-        self, names: Set[UpstreamName], revision: StoreRevision, *, is_hearsay: bool = False
-    ) -> None:
-        for name in names:
-            self._written[name] = revision
-        self._note_missing(names, revision, is_hearsay=is_hearsay)
+        for entry in batch.entries:
+            self._take(entry)
+        deleted = {self._name_of(key) for key in batch.deleted}
+        for name in deleted:
+            self._written[name] = batch.revision
+        self._note_missing(deleted, batch.revision)
 
     def on_store(self, *, reachable: bool) -> None:
         """Note when the store answers again; entries may have lapsed meanwhile."""
@@ -224,17 +182,14 @@
             self._store_back_at = self._clock.now()
         self._calls_fail = not answered
 
-    def _take(self, stored: StoreEntry) -> ListedUpstream | None:
-        """Take in an entry and return it for the peers; nothing when it can't be read."""
+    def _take(self, stored: StoreEntry) -> None:
         decoded = self._decode(stored.key, stored.value)
         if isinstance(decoded, Failure):
             name = self._name_of(stored.key)
             self._written[name] = stored.mod_revision
             self._refuse(name, stored.mod_revision, decoded.failure())
-            return None
-        entry = decoded.unwrap()
-        self._take_entry(entry, stored.mod_revision)
-        return to_listed(entry, revision=stored.mod_revision)
+            return
+        self._take_entry(decoded.unwrap(), stored.mod_revision)
 
     def _take_entry(self, entry: UpstreamEntry, revision: StoreRevision) -> None:
         self._written[entry.name] = revision
@@ -317,9 +272,7 @@
             known.missing_since = self._clock.now()
             self._take_as_gone_later(known, revision, UNREADABLE_GRACE_MS)
 
-    def _note_missing(
-        self, names: Set[UpstreamName], revision: StoreRevision, *, is_hearsay: bool = False
-    ) -> None:
+    def _note_missing(self, names: Set[UpstreamName], revision: StoreRevision) -> None:
         now = self._clock.now()
         missing = [
             known
@@ -329,7 +282,7 @@
         for known in missing:
             known.missing_since = now
         wait_ms = max(self._store_back_at + LAPSE_GRACE_MS - now, 0)
-        if wait_ms == 0 and (is_hearsay or self._lapsed_together(now)):
+        if wait_ms == 0 and self._lapsed_together(now):
             wait_ms = TOGETHER_GRACE_MS
         for known in missing:
             self._take_as_gone_later(known, revision, wait_ms)
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -29,7 +29,6 @@
 from tanagerscale.generated.messages import Running
 from tanagerscale.generated.messages import RunningRequest
 from tanagerscale.generated.messages import Suspect
-from tanagerscale.generated.messages import UpstreamChanges
 from tanagerscale.generated.messages import UpstreamLeaving
 from tanagerscale.generated.messages import Verdict
 
@@ -41,7 +40,6 @@
     | Attached
     | HeadContent
     | UpstreamLeaving
-    | UpstreamChanges
     | HostUse
     | HostUses
     | AnswerTallies
@@ -66,7 +64,6 @@
         Attached,
         HeadContent,
         UpstreamLeaving,
-        UpstreamChanges,
         HostUse,
         HostUses,
         AnswerTallies,
--- a/src/tanagerscale/store/_follow.py
+++ b/src/tanagerscale/store/_follow.py
@@ -54,8 +54,6 @@
     :param listener: Takes what is read.
     :param clock: Time.
     :param rng: Spreads tries.
-    :param told: Returns the revision up to which others have told of all changes, so that the next
-        watch begins after it.
     :param rest_ms: Returns how long to wait after each change before watching on, so that changes
         that come together cost one call.
     """
@@ -68,11 +66,9 @@
         listener: PrefixListener,
         clock: Clock,
         rng: Random,
-        told: Callable[[], StoreRevision] = lambda: StoreRevision(0),
         rest_ms: Callable[[], int] = lambda: 0,
     ) -> None:
         self._store = store
-        self._told = told
         self._rest_ms = rest_ms
         self._prefix = prefix
         self._listener = listener
@@ -109,7 +105,6 @@
 
     async def _watch(self) -> StoreError | None:
         assert self._reached is not None
-        self._reached = max(self._reached, self._told())
         start = StoreRevision(self._reached + 1)
         async for result in self._store.watch(prefix=self._prefix, from_revision=start):
             if isinstance(result, Failure):
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -11,7 +11,6 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
-from tanagerscale.core import UpstreamName
 from tanagerscale.forwarding import EngineWork
 from tanagerscale.forwarding import UpstreamHealth
 from tanagerscale.gateway._peers import PeerNews
@@ -21,10 +20,7 @@
 from tanagerscale.membership import Received
 from tanagerscale.membership import Rumours
 from tanagerscale.membership import UpstreamGate
-from tanagerscale.membership import UpstreamNews
-from tanagerscale.membership import UpstreamRoster
 from tanagerscale.quarantine import Suspects
-from testing._listed_upstreams import decode_listed
 from testing._memory_links import MemoryNetwork
 from testing._memory_links import MemoryTransport
 
@@ -42,7 +38,6 @@
     mesh: Mesh
     gate: UpstreamGate
     work: EngineWork
-    roster: UpstreamRoster
     received: int = 0
     """Messages from peers, heartbeats left out."""
 
@@ -83,8 +78,6 @@
     rumours = Rumours(mesh=mesh, rng=rng)
     gate = UpstreamGate(clock=clock, rng=rng, spread=rumours.tell)
     work = EngineWork(host=HostId(name))
-    roster = UpstreamRoster(gate=gate, decode=decode_listed, name_of=UpstreamName, clock=clock)
-    UpstreamNews(mesh=mesh, roster=roster, rng=rng).start()
     news = PeerNews(
         mesh=mesh,
         gate=gate,
@@ -96,7 +89,7 @@
         on_store_lost=lambda: None,
     )
     news.start()
-    host = Host(network=network, mesh=mesh, gate=gate, work=work, roster=roster)
+    host = Host(network=network, mesh=mesh, gate=gate, work=work)
     mesh.messages.subscribe(host.count)
     return host
 
