--- a/src/tanagerscale/forwarding/_departure_watch.py
+++ b/src/tanagerscale/forwarding/_departure_watch.py
@@ -18,7 +18,6 @@
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._evacuation import REPORT_LAG_MS
 from tanagerscale.forwarding._moving import MovingParts
-from tanagerscale.forwarding._stream import StreamRun
 
 ASK_MS: Final = 300
 """How often each engine is asked by all hosts together. Reports are renewed each few hundred
@@ -69,7 +68,7 @@
 
     def _due(self) -> list[UpstreamId]:
         """Return the engines to ask; hosts that use the same one take turns by chance."""
-        engines = {run.entry.upstream for run in self._runs if _is_at_risk(run) and run.entry}
+        engines = {run.entry.upstream for run in self._runs if run.entry is not None}
         return [
             upstream
             for upstream in sorted(engines)
@@ -94,7 +93,3 @@
         if in_ms is not None:
             self._departures.correct_end(upstream, in_ms=in_ms - REPORT_LAG_MS)
         self._parts.notes.note_leaving(upstream=upstream)
-
-
-def _is_at_risk(run: StreamRun) -> bool:
-    return run.entry is not None and not run.ended
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -163,7 +163,7 @@
         for entry in batch.entries:
             self._take(entry)
         deleted = {self._name_of(key) for key in batch.deleted}
-        for name in deleted:
+        for name in deleted & self._current.keys():
             self._written[name] = batch.revision
         self._note_missing(deleted, batch.revision)
 
@@ -186,7 +186,8 @@
         decoded = self._decode(stored.key, stored.value)
         if isinstance(decoded, Failure):
             name = self._name_of(stored.key)
-            self._written[name] = stored.mod_revision
+            if name in self._current:
+                self._written[name] = stored.mod_revision
             self._refuse(name, stored.mod_revision, decoded.failure())
             return
         self._take_entry(decoded.unwrap(), stored.mod_revision)
--- a/testing/test_roster.py
+++ b/testing/test_roster.py
@@ -364,3 +364,15 @@
         assert world.open() == "acde"
 
     run_virtually(play())
+
+
+def test_entries_that_name_no_upstream_leave_nothing_behind() -> None:
+    async def play() -> int:
+        world = await _settled()
+        known = len(world.roster._written)
+        for number in range(50):
+            world.write(f"made-up-{number}", state="bad")
+            world.delete(f"made-up-{number}")
+        return len(world.roster._written) - known
+
+    assert run_virtually(play()) == 0
