--- a/src/tanagerscale/coordination/__init__.py
+++ b/src/tanagerscale/coordination/__init__.py
@@ -21,6 +21,7 @@
 from tanagerscale.coordination._ranking import beat_ms
 from tanagerscale.coordination._ranking import distance
 from tanagerscale.coordination._relay import NewsRelay
+from tanagerscale.coordination._repeats import RepeatAllowance
 
 __all__ = [
     "CoordinationClient",
@@ -34,6 +35,7 @@
     "ListFeed",
     "NewsRelay",
     "Notes",
+    "RepeatAllowance",
     "RunLedger",
     "Tables",
     "UpstreamHealth",
--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from itertools import count
 from typing import Final
@@ -16,6 +17,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
+from tanagerscale.core import ServiceId
 from tanagerscale.core import get_logger
 from tanagerscale.generated.messages import HostRuns
 from tanagerscale.generated.messages import Ping
@@ -24,6 +26,8 @@
 from tanagerscale.generated.messages import PlaceKind
 from tanagerscale.generated.messages import PlaceWithdrawal
 from tanagerscale.generated.messages import Pong
+from tanagerscale.generated.messages import RepeatAnswer
+from tanagerscale.generated.messages import RepeatAsk
 from tanagerscale.generated.messages import RunUse
 from tanagerscale.membership import Message
 
@@ -115,7 +119,9 @@
         self._serials = count(1)
         self._number = incarnation * NUMBERS_PER_MS
         self._calls: dict[int, _Call] = {}
-        self._pings: dict[int, asyncio.Future[None]] = {}
+        self._questions: dict[int, asyncio.Future[Message]] = {}
+        self._requests: Counter[ServiceId] = Counter()
+        """Requests since a repeat was asked for last."""
         self._pending: asyncio.TimerHandle | None = None
         self._refresh: asyncio.TimerHandle | None = None
 
@@ -148,20 +154,20 @@
 
     async def check_decider(self) -> None:
         """Make sure that the decider answers, since moves are expected of it."""
-        while (decider := self._directory.decider) != self._host:
-            serial = next(self._serials)
-            answered = asyncio.get_running_loop().create_future()
-            self._pings[serial] = answered
-            try:
-                if self._tell(decider, Ping(serial=serial)):
-                    async with asyncio.timeout(PATIENCE_MS / MS_PER_SECOND):
-                        await answered
-                        return
-            except TimeoutError:
-                _log.info("A decider is silent.", silent=decider)
-            finally:
-                del self._pings[serial]
-            self._directory.distrust(decider)
+        if self._directory.decider != self._host:
+            await self._ask_once(lambda serial: Ping(serial=serial))
+
+    async def may_repeat(self, *, service: ServiceId) -> bool:
+        """Return whether a request may be repeated at another upstream."""
+        requests = self._requests.pop(service, 0)
+        answer = await self._ask_once(
+            lambda serial: RepeatAsk(serial=serial, service=service, requests=requests)
+        )
+        return isinstance(answer, RepeatAnswer) and answer.may_repeat
+
+    def count_request(self, *, service: ServiceId) -> None:
+        """Count a request for a service; a part of all requests may be repeated."""
+        self._requests[service] += 1
 
     def on_message(self, host: HostId, message: Message) -> None:
         """Take in what a decider says; other messages are ignored."""
@@ -169,10 +175,10 @@
             self._on_answer(host, message)
         elif isinstance(message, Ping):
             self._tell(host, Pong(serial=message.serial))
-        elif isinstance(message, Pong):
-            answered = self._pings.get(message.serial)
+        elif isinstance(message, Pong | RepeatAnswer):
+            answered = self._questions.get(message.serial)
             if answered is not None and not answered.done():
-                answered.set_result(None)
+                answered.set_result(message)
 
     def on_gone(self, host: HostId) -> None:
         """Ask another decider for what a host was asked that is gone."""
@@ -216,6 +222,23 @@
             loop = asyncio.get_running_loop()
             self._refresh = loop.call_later(REFRESH_MS / MS_PER_SECOND, self.report_now)
 
+    async def _ask_once(self, question: Callable[[int], Message]) -> Message:
+        """Ask the decider something that it answers at once, and the next one when it is silent."""
+        while True:
+            decider = self._directory.decider
+            serial = next(self._serials)
+            answered: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+            self._questions[serial] = answered
+            try:
+                if self._tell(decider, question(serial)):
+                    async with asyncio.timeout(PATIENCE_MS / MS_PER_SECOND):
+                        return await answered
+            except TimeoutError:
+                _log.info("A decider is silent.", silent=decider)
+            finally:
+                del self._questions[serial]
+            self._directory.distrust(decider)
+
     def _on_answer(self, host: HostId, answer: PlaceAnswer) -> None:
         """Take in a decision, which may be late or not wanted any more."""
         call = self._calls.get(answer.serial)
--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -18,14 +18,18 @@
 from tanagerscale.coordination._ledger import RunLedger
 from tanagerscale.coordination._parts import DecisionParts
 from tanagerscale.coordination._planner import MovePlanner
+from tanagerscale.coordination._repeats import RepeatAllowance
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
+from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.generated.messages import HostRuns
 from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import PlaceAsk
 from tanagerscale.generated.messages import PlaceWithdrawal
+from tanagerscale.generated.messages import RepeatAnswer
+from tanagerscale.generated.messages import RepeatAsk
 from tanagerscale.membership import Message
 from tanagerscale.upstreams import EngineReport
 from tanagerscale.upstreams import UpstreamEntry
@@ -61,6 +65,7 @@
     :param host: This host.
     :param domain: Where it stands.
     :param parts: What decisions go by.
+    :param repeats: Which requests may be repeated.
     :param engines: Asks engines how they are.
     :param tell: Sends a message to a host, which may be this one; returns whether it can be
         reached.
@@ -72,13 +77,16 @@
         host: HostId,
         domain: FailureDomainId,
         parts: DecisionParts,
+        repeats: RepeatAllowance,
         engines: EngineReports,
         tell: Callable[[HostId, Message], bool],
     ) -> None:
         self._host = host
         self._domain = domain
         self._parts = parts
+        self._repeats = repeats
         self._engines = engines
+        self._tell = tell
         self._domains: dict[HostId, FailureDomainId] = {}
         self._background: set[asyncio.Task[None]] = set()
         self._unwarned = asyncio.Event()
@@ -104,6 +112,10 @@
                 self.desk.ask(host=host, domain=domain, ask=message)
             case PlaceWithdrawal():
                 self.desk.withdraw(host=host, serial=message.serial)
+            case RepeatAsk():
+                service = ServiceId(message.service)
+                may = self._repeats.take(service=service, requests=message.requests)
+                self._tell(host, RepeatAnswer(serial=message.serial, may_repeat=may))
             case MoveDone():
                 self.planner.on_done(host=host, done=message)
             case _:
--- a/src/tanagerscale/coordination/_directory.py
+++ b/src/tanagerscale/coordination/_directory.py
@@ -64,6 +64,8 @@
         self._last_wanted: list[HostId] = []
         self._distrusted: dict[HostId, Millis] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._decides_since = Millis(0)
+        self._was_first = True
         self._changes: Subject[None] = Subject()
 
     @property
@@ -110,6 +112,11 @@
             before += host in self._live
         return before
 
+    @property
+    def decides_since(self) -> Millis:
+        """Since when this host decides for itself or for others."""
+        return self._decides_since
+
     @property
     def is_first(self) -> bool:
         """Whether no other coordinator that can be reached comes before this host."""
@@ -155,7 +162,9 @@
     def distrust(self, host: HostId) -> None:
         """Note that a coordinator did not answer in time."""
         _log.info("A coordinator does not answer.", coordinator=host)
-        self._distrusted[host] = Millis(self._clock.now() + DISTRUST_MS)
+        now = self._clock.now()
+        self._distrusted[host] = Millis(now + DISTRUST_MS)
+        self._note_first(now)
         self._changes.on_next(None)
 
     def look(self) -> None:
@@ -172,10 +181,17 @@
             if host != self._host and host not in self._live:
                 self._missing_since.setdefault(host, now)
         self._last_wanted = self._wanted()
+        self._note_first(now)
         self._look_when_given_up(now)
         if self._last_wanted != before:
             self._changes.on_next(None)
 
+    def _note_first(self, now: Millis) -> None:
+        is_first = self.is_first
+        if is_first and not self._was_first:
+            self._decides_since = now
+        self._was_first = is_first
+
     def _look_when_given_up(self, now: Millis) -> None:
         """Look again when the next host that is missing has been missing for too long."""
         if self._timer is not None:
--- a/src/tanagerscale/coordination/_ledger.py
+++ b/src/tanagerscale/coordination/_ledger.py
@@ -126,10 +126,9 @@
         """Fires when anything has changed."""
         return self._news
 
-    @property
-    def hosts(self) -> frozenset[HostId]:
-        """The hosts that have told what they run."""
-        return frozenset(self._hosts)
+    def hosts_of(self, decider: HostId) -> int:
+        """Return how many hosts let one decide."""
+        return sum(book.decider == decider for book in self._hosts.values())
 
     def report(self, *, host: HostId, runs: HostRuns) -> None:
         """Take in what a host runs, unless something newer was heard of it."""
--- a/src/tanagerscale/forwarding/__init__.py
+++ b/src/tanagerscale/forwarding/__init__.py
@@ -4,11 +4,11 @@
 
 from tanagerscale.forwarding._admission import Admission
 from tanagerscale.forwarding._admission import Placer
-from tanagerscale.forwarding._budgets import RetryBudgets
 from tanagerscale.forwarding._dispatcher import Dispatcher
 from tanagerscale.forwarding._meters import Meters
 from tanagerscale.forwarding._movers import StreamMovers
 from tanagerscale.forwarding._parts import ForwardingParts
+from tanagerscale.forwarding._parts import Repeats
 from tanagerscale.forwarding._types import CallerRequest
 from tanagerscale.forwarding._types import Continuation
 from tanagerscale.forwarding._types import CopyError
@@ -44,8 +44,8 @@
     "PromptPart",
     "Refusal",
     "RefusalKind",
+    "Repeats",
     "Responder",
-    "RetryBudgets",
     "RoutedRequest",
     "RunCopy",
     "StreamMovers",
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -138,7 +138,7 @@
     async def _forward(self, routed: RoutedRequest, responder: Responder) -> Refusal | None:
         if is_refused(routed, self._parts):
             return quarantined()
-        self._parts.budgets.on_request(routed.service)
+        self._parts.repeats.count_request(service=routed.service)
         if routed.route.kind is not RouteKind.STREAMING:
             return await PlainForward(routed=routed, parts=self._parts).serve(responder)
         if self._is_stopping() and is_long(routed):
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from typing import Protocol
 
 from msgspec import Struct
 
@@ -12,7 +13,7 @@
 from tanagerscale.coordination import Upstreams
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
-from tanagerscale.forwarding._budgets import RetryBudgets
+from tanagerscale.core import ServiceId
 from tanagerscale.forwarding._meters import Meters
 from tanagerscale.forwarding._types import EngineControl
 from tanagerscale.forwarding._types import UpstreamCaller
@@ -20,6 +21,16 @@
 from tanagerscale.quarantine import Suspects
 
 
+class Repeats(Protocol):
+    """Bounds repeats over all hosts together."""
+
+    def count_request(self, *, service: ServiceId) -> None:
+        """Count a request for a service; a part of all requests may be repeated."""
+
+    async def may_repeat(self, *, service: ServiceId) -> bool:
+        """Return whether a request may be repeated at another upstream."""
+
+
 class ForwardingParts(Struct, frozen=True, kw_only=True):
     """What every request of a host uses.
 
@@ -31,7 +42,7 @@
     :param caller: Sends requests to them.
     :param engines: Asks engines to copy runs.
     :param work: What runs on engines.
-    :param budgets: Bounds repeats.
+    :param repeats: Bounds repeats.
     :param meters: Counts.
     :param failure_domain: Where this host stands.
     :param clock: Time.
@@ -46,7 +57,7 @@
     caller: UpstreamCaller
     engines: EngineControl
     work: OwnWork
-    budgets: RetryBudgets
+    repeats: Repeats
     meters: Meters
     failure_domain: FailureDomainId
     clock: Clock
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -90,7 +90,7 @@
         running: set[asyncio.Task[_WholeAnswer | None]] = set()
         try:
             while True:
-                entry = self._next_entry()
+                entry = await self._next_entry()
                 if entry is not None:
                     running.add(asyncio.create_task(self._attempt(entry)))
                 if not running:
@@ -123,18 +123,20 @@
         self._is_hedged = True
         return self._routed.route.target_ms * HEDGE_SHARE
 
-    def _next_entry(self) -> UpstreamEntry | None:
+    async def _next_entry(self) -> UpstreamEntry | None:
         """Return the upstream to ask now, if one more may be asked."""
         record = self._record
-        if not record.may_try_another:
+        if not record.may_try_another or self._choose() is None:
             return None
-        entry = self._choose()
-        if entry is None:
+        if record.arrived and not await self._may_repeat():
             return None
-        if record.arrived and not self._parts.budgets.try_spend(self._routed.service):
-            self._log("No repeat is left in the budget.", entry)
-            return None
-        return entry
+        return self._choose()
+
+    async def _may_repeat(self) -> bool:
+        may = await self._parts.repeats.may_repeat(service=self._routed.service)
+        if not may:
+            _log.info("No repeat is left.", request=self._routed.request.request)
+        return may
 
     def _choose(self) -> UpstreamEntry | None:
         """Return the upstream with the least of this host's own work."""
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -187,7 +187,7 @@
         record = self._record
         failure: Refusal | None = None
         while record.may_try_another:
-            if record.arrived and not self._parts.budgets.try_spend(self._routed.service):
+            if record.arrived and not await self._may_repeat():
                 break
             found = await self._admission.find_engine(routed=self._routed, excluded=record.tried)
             if isinstance(found, Failure):
@@ -200,6 +200,9 @@
             return failure
         return no_upstream(service=self._routed.service, rng=self._parts.rng)
 
+    async def _may_repeat(self) -> bool:
+        return await self._parts.repeats.may_repeat(service=self._routed.service)
+
     async def _start(self, entry: UpstreamEntry) -> Refusal | None:
         sender = self._sender
         try:
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -18,6 +18,7 @@
 from tanagerscale.coordination import Duties
 from tanagerscale.coordination import ListFeed
 from tanagerscale.coordination import NewsRelay
+from tanagerscale.coordination import RepeatAllowance
 from tanagerscale.coordination import UpstreamHealth
 from tanagerscale.coordination import beat_ms
 from tanagerscale.coordination import distance
@@ -112,6 +113,7 @@
         self._spread = self._make_spread()
         self._presence = self._make_presence()
         self.duties = self._make_duties()
+        self.repeats = self._make_repeats()
         self.coordinator = self._make_coordinator()
         self.client = CoordinationClient(
             host=self._host,
@@ -212,6 +214,22 @@
             host=self._host, directory=self.directory, feed=self.feed, loops=following.loops
         )
 
+    def _make_repeats(self) -> RepeatAllowance:
+        retries = self._settings.retries
+        return RepeatAllowance(
+            ratio=retries.ratio,
+            slack=retries.slack,
+            window_s=retries.window_s,
+            share=self._share_of_hosts,
+            since=lambda: self.directory.decides_since,
+            clock=self._clock,
+        )
+
+    def _share_of_hosts(self) -> float:
+        """Return how many of all hosts let this one decide."""
+        deciding = self.coordinator.ledger.hosts_of(self._host)
+        return min(max(deciding, 1) / self.directory.hosts, 1.0)
+
     def _make_coordinator(self) -> Coordinator:
         parts = DecisionParts(
             tables=self.keeper,
@@ -225,6 +243,7 @@
             host=self._host,
             domain=self._domain,
             parts=parts,
+            repeats=self.repeats,
             engines=self._edges.upstreams,
             tell=self._tell,
         )
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -23,7 +23,6 @@
 from tanagerscale.forwarding import ForwardingParts
 from tanagerscale.forwarding import Meters
 from tanagerscale.forwarding import OwnWork
-from tanagerscale.forwarding import RetryBudgets
 from tanagerscale.forwarding import StreamMovers
 from tanagerscale.gateway._caller_server import CallerServer
 from tanagerscale.gateway._caller_server import serve_readiness
@@ -117,7 +116,7 @@
         old = self._settings
         retries = settings.retries
         if retries != old.retries:
-            self._budgets.reconfigure(
+            self._control.repeats.reconfigure(
                 ratio=retries.ratio, slack=retries.slack, window_s=retries.window_s
             )
         self._settings = settings
@@ -212,14 +211,7 @@
         return BEFORE_CONFIGURATION if table is None else table.limits
 
     def _make_dispatcher(self) -> Dispatcher:
-        control, retries = self._control, self._settings.retries
-        self._budgets = RetryBudgets(
-            ratio=retries.ratio,
-            slack=retries.slack,
-            window_s=retries.window_s,
-            hosts=lambda: self.sharing_hosts,
-            clock=self._clock,
-        )
+        control = self._control
         parts = ForwardingParts(
             tables=control.keeper,
             upstreams=control.roster,
@@ -229,7 +221,7 @@
             caller=self._edges.upstreams,
             engines=self._edges.upstreams,
             work=self._work,
-            budgets=self._budgets,
+            repeats=control.client,
             meters=Meters(registry=self._registry),
             failure_domain=FailureDomainId(self._settings.host.failure_domain),
             clock=self._clock,
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -35,6 +35,8 @@
 from tanagerscale.generated.messages import PlaceWithdrawal
 from tanagerscale.generated.messages import Pong
 from tanagerscale.generated.messages import Progress
+from tanagerscale.generated.messages import RepeatAnswer
+from tanagerscale.generated.messages import RepeatAsk
 from tanagerscale.generated.messages import RestingUpstream
 from tanagerscale.generated.messages import Running
 from tanagerscale.generated.messages import RunningRequest
@@ -61,6 +63,8 @@
     | PlaceAsk
     | PlaceWithdrawal
     | Pong
+    | RepeatAnswer
+    | RepeatAsk
     | RestingUpstream
     | AnswerTallies
     | Suspect
@@ -95,6 +99,8 @@
         PlaceAsk,
         PlaceWithdrawal,
         Pong,
+        RepeatAnswer,
+        RepeatAsk,
         RestingUpstream,
         AnswerTallies,
         Suspect,
--- a/src/tanagerscale/policy/_retries.py
+++ b/src/tanagerscale/policy/_retries.py
@@ -21,6 +21,7 @@
     :param ratio: Retries granted for each request.
     :param reserve: Most retries saved up.
     :param start: What a new budget starts with; ``None`` means the whole reserve.
+    :param refilled: Since when time alone grants retries; ``None`` means from the first refill on.
     """
 
     def __init__(
@@ -29,11 +30,12 @@
         ratio: float = RETRY_RATIO,
         reserve: float = RETRY_RESERVE,
         start: float | None = None,
+        refilled: Millis | None = None,
     ) -> None:
         self._ratio = ratio
         self._reserve = reserve
         self._tokens = reserve if start is None else start
-        self._refilled: Millis | None = None
+        self._refilled = refilled
 
     def set_reserve(self, *, reserve: float) -> None:
         """Replace the most retries saved up."""
@@ -53,7 +55,11 @@
 
     def on_request(self) -> None:
         """Count a request's first attempt."""
-        self._tokens = min(self._tokens + self._ratio, self._reserve)
+        self.on_requests(1)
+
+    def on_requests(self, number: int) -> None:
+        """Count the first attempts of some requests."""
+        self._tokens = min(self._tokens + self._ratio * number, self._reserve)
 
     def try_spend(self) -> bool:
         """Take one retry from the budget.
--- a/testing/_alone.py
+++ b/testing/_alone.py
@@ -11,8 +11,10 @@
 from tanagerscale.coordination import DecisionParts
 from tanagerscale.coordination import Directory
 from tanagerscale.coordination import EngineReports
+from tanagerscale.coordination import RepeatAllowance
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
+from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import OwnWork
 from tanagerscale.forwarding import StreamMovers
@@ -76,7 +78,17 @@
     def tell(host: HostId, message: Message) -> bool:
         return made[0].tell(host, message)
 
-    coordinator = Coordinator(host=HOST, domain=DOMAIN, parts=parts, engines=engines, tell=tell)
+    repeats = RepeatAllowance(
+        ratio=0.2,
+        slack=100.0,
+        window_s=10.0,
+        share=lambda: 1.0,
+        since=lambda: Millis(0),
+        clock=parts.clock,
+    )
+    coordinator = Coordinator(
+        host=HOST, domain=DOMAIN, parts=parts, repeats=repeats, engines=engines, tell=tell
+    )
     client = CoordinationClient(
         host=HOST,
         directory=Directory(host=HOST, seeds=(), clock=parts.clock),
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -26,6 +26,7 @@
 from tanagerscale.generated.gateway import GatewayHost as HostSection
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.generated.gateway import GatewayStore
+from tanagerscale.generated.gateway import RetrySection
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.generated.messages import MoveOrder
@@ -234,6 +235,7 @@
             processor_share=cores,
         ),
         store=GatewayStore(address="unused", prefix="p/"),
+        retries=RetrySection(slack=430),
         deadlines=DeadlinesSection(),
     )
     control = HostControl(
--- a/testing/test_coordination_failures.py
+++ b/testing/test_coordination_failures.py
@@ -14,6 +14,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.generated.messages import PlaceAnswer
 from tanagerscale.generated.messages import PlaceKind
+from testing._gateway_fakes import SERVICE
 from testing._many_hosts import Fleet
 from testing._many_hosts import Host
 from testing._many_hosts import make_host
@@ -164,6 +165,18 @@
     _play(scene)
 
 
+def test_host_repeats_a_request_though_its_own_part_of_the_allowance_is_less_than_one() -> None:
+    async def scene(fleet: Fleet) -> None:
+        for host in fleet.members:
+            assert await host.control.client.may_repeat(service=SERVICE)
+        # The decider's answer is missing once, and the next one gives a repeat.
+        fleet.freeze(fleet.coordinators[0])
+        await asyncio.sleep(3)
+        assert await fleet.members[0].control.client.may_repeat(service=SERVICE)
+
+    _play(scene, hosts=48)
+
+
 def test_all_coordinators_killed_together_are_replaced() -> None:
     async def scene(fleet: Fleet) -> None:
         for host in fleet.coordinators:
