Send nothing to upstreams of an evacuated failure domain

Cause: the operators' key op/evacuate/NAME was not read at all.

Change: the one watch on op/config is now one on op/, so no call more. What it brings goes to the keeper of the configuration and to a second feed of the kind that tells upstreams' entries (same messages with a topic, same revisions, same recovery), so older word never wins. The roster leaves upstreams of evacuated failure domains out, for first tries, second tries, copies and moves; a host also checks what a decider gives it; a run goes on only at an end of its copy that may get requests. When all are evacuated a request is refused at once. A host that has not read the keys is not ready. Found on the way: a feed whose source had read nothing itself took that for an empty list, so that a host counted as ready; it waits now. The fake store gave two lists that lost the order of changes of one key; the real clients never did.

Ruled out: telling it by a message of its own (a second way of recovering what was missed); telling it with the configuration (a version of the configuration does not change with it).

Seen red: with the roster's check out 14 of the tests fail; with the feed's order out, and with the empty list taken, the state machine does.

--- a/src/tanagerscale/coordination/__init__.py
+++ b/src/tanagerscale/coordination/__init__.py
@@ -7,6 +7,7 @@
 from tanagerscale.coordination._coordinator import EngineReports
 from tanagerscale.coordination._directory import Directory
 from tanagerscale.coordination._duties import Duties
+from tanagerscale.coordination._feed import FeedListener
 from tanagerscale.coordination._feed import ListFeed
 from tanagerscale.coordination._health import LateNote
 from tanagerscale.coordination._health import UpstreamHealth
@@ -31,6 +32,7 @@
     "Duties",
     "EngineReports",
     "EngineTotal",
+    "FeedListener",
     "LateNote",
     "ListFeed",
     "NewsRelay",
--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -139,6 +139,10 @@
             self.departures.forget(upstream)
         elif self._parts.upstreams.get(upstream) is not None:
             self._note_leaving(upstream)
+        self.look()
+
+    def look(self) -> None:
+        """Decide anew about what waits and what may move, since engines have changed."""
         self.desk.look()
         self.planner.look()
 
--- a/src/tanagerscale/coordination/_desk.py
+++ b/src/tanagerscale/coordination/_desk.py
@@ -35,6 +35,8 @@
 LOOK_AGAIN_MS: Final = 50
 """How often what waits is looked at although nothing was heard: time alone makes it late."""
 
+EVACUATED: Final = "the failure domains of its engines are evacuated"
+
 _log = get_logger(part="placement")
 
 
@@ -152,9 +154,12 @@
         service = ServiceId(ask.service)
         excluded = {UpstreamId(upstream) for upstream in ask.excluded}
         engine = parts.engine_of(service)
+        entries = takers(parts, service, excluded)
+        if not entries and parts.upstreams.has_evacuated(service):
+            return Placement(verdict=Verdict.REFUSE, reason=EVACUATED)
         views = [
             view_of(entry, engine=engine, totals=totals, upstreams=parts.upstreams)
-            for entry in takers(parts, service, excluded)
+            for entry in entries
         ]
         wish = Wish(
             prompt_tokens=ask.prompt_tokens,
--- a/src/tanagerscale/coordination/_duties.py
+++ b/src/tanagerscale/coordination/_duties.py
@@ -31,7 +31,7 @@
 
     :param host: This host.
     :param directory: Who coordinates.
-    :param feed: The entries of upstreams.
+    :param feeds: The entries that are followed.
     :param loops: Returns what follows the store.
     """
 
@@ -40,12 +40,12 @@
         *,
         host: HostId,
         directory: Directory,
-        feed: ListFeed,
+        feeds: Sequence[ListFeed],
         loops: Callable[[], Sequence[Coroutine[Any, Any, None]]],
     ) -> None:
         self._host = host
         self._directory = directory
-        self._feed = feed
+        self._feeds = feeds
         self._loops = loops
         self._lost_at: set[HostId] = set()
         self._is_store_lost = False
@@ -78,15 +78,20 @@
         sources = [one for one in self._directory.coordinators if one not in self._lost_at]
         is_coordinator = self._directory.is_coordinator
         self._note_alone(not sources and not is_coordinator)
-        if is_coordinator and not self._is_store_lost:
-            self._feed.follow(None)
-        else:
-            self._feed.follow(self._nearest(sources) if sources else None)
+        reads_itself = is_coordinator and not self._is_store_lost
+        source = None if reads_itself or not sources else self._nearest(sources)
+        for feed in self._feeds:
+            feed.follow(source)
         if is_coordinator or self._is_alone:
             self._follow_store()
         elif sources:
             self._leave_store()
 
+    @property
+    def _reached(self) -> list[int]:
+        """The revisions up to which the entries are known."""
+        return [feed.reached for feed in self._feeds]
+
     async def stop(self) -> None:
         """Follow nothing any more."""
         if self._alone is not None:
@@ -115,13 +120,14 @@
 
     def _follow_store(self) -> None:
         if not self._tasks:
-            _log.info("This host follows the store.", reached=self._feed.reached)
+            _log.info("This host follows the store.", reached=self._reached)
             self._tasks = [asyncio.create_task(loop) for loop in self._loops()]
 
     def _leave_store(self) -> None:
         if self._tasks:
-            _log.info("This host follows the store no more.", source=self._feed.source)
-            self._feed.end_following()
+            _log.info("This host follows the store no more.", reached=self._reached)
+            for feed in self._feeds:
+                feed.end_following()
         for task in self._tasks:
             task.cancel()
         self._tasks = []
--- a/src/tanagerscale/coordination/_feed.py
+++ b/src/tanagerscale/coordination/_feed.py
@@ -1,4 +1,4 @@
-"""The entries of upstreams, read from the store by few hosts and told on to all others.
+"""Entries of the store, read by few hosts and told on to all others.
 
 The load it answers: each of 195 hosts watched the store, and each change of 31 engines cost a call
 of each; 3,370 calls in the first 35 s of a quiet day. A host that coordinates watches; the others
@@ -25,6 +25,7 @@
 from tanagerscale.generated.messages import ListContent
 from tanagerscale.generated.messages import ListedItem
 from tanagerscale.generated.messages import ListRequest
+from tanagerscale.generated.messages import ListTopic
 from tanagerscale.membership import Message
 from tanagerscale.store import PrefixListener
 from tanagerscale.store import StoreEntry
@@ -60,7 +61,7 @@
 
 
 class FeedListener(PrefixListener, Protocol):
-    """Uses the entries of upstreams."""
+    """Uses the entries of one topic."""
 
     def on_calls(self, *, answered: bool) -> None:
         """Note that other calls to the store fail, or are answered again."""
@@ -80,6 +81,7 @@
     It stands between what follows the store and what uses the entries, and lets nothing through
     that is older than what is known.
 
+    :param topic: Which entries these are.
     :param listener: Uses the entries.
     :param tell: Sends a message to a host; returns whether it is connected.
     :param clock: Time.
@@ -88,10 +90,12 @@
     def __init__(
         self,
         *,
+        topic: ListTopic,
         listener: FeedListener,
         tell: Callable[[HostId, Message], bool],
         clock: Clock,
     ) -> None:
+        self._topic = topic
         self._listener = listener
         self._tell = tell
         self._clock = clock
@@ -164,14 +168,14 @@
         if source == self._source:
             return
         if self._source is not None:
-            self._tell(self._source, ListRequest(ends=True))
+            self._tell(self._source, ListRequest(topic=self._topic, ends=True))
         self._source = source
         if source is None:
             self._told = _StoreView()
             self._tell_listener()
         else:
             # What the former source said of the store holds until this one has answered.
-            _log.info("Entries of upstreams come from another host.", source=source)
+            _log.info("Entries come from another host.", topic=self._topic.value, source=source)
             self._ask(source)
 
     def on_joined(self, host: HostId) -> None:
@@ -186,10 +190,11 @@
 
     def on_message(self, host: HostId, message: Message) -> None:
         """Take in what another host asks or tells; other messages are ignored."""
-        if isinstance(message, ListRequest):
+        if isinstance(message, ListRequest) and message.topic is self._topic:
             self._on_request(host, message)
-        elif isinstance(message, ListContent) and host == self._source:
-            self._on_content(message)
+        elif isinstance(message, ListContent) and message.topic is self._topic:
+            if host == self._source:
+                self._on_content(message)
         elif isinstance(message, Heartbeat) and self._source is not None:
             self._on_heartbeat(host, message)
 
@@ -201,6 +206,14 @@
         self._tell(host, self._since(StoreRevision(request.have_revision)))
 
     def _on_content(self, content: ListContent) -> None:
+        if content.revision:
+            self._take(content)
+        # Without a revision the source has read nothing itself, so that it tells of the store only.
+        self._behind_since = None
+        self._told = _StoreView(is_watched=content.is_watched, is_answered=content.is_answered)
+        self._tell_listener()
+
+    def _take(self, content: ListContent) -> None:
         entries = tuple(_to_entry(item) for item in content.entries)
         revision = StoreRevision(content.revision)
         if content.after < 0:
@@ -211,13 +224,10 @@
         else:
             # Something was missed in between.
             self._ask_source()
-        self._behind_since = None
-        self._told = _StoreView(is_watched=content.is_watched, is_answered=content.is_answered)
-        self._tell_listener()
 
     def _on_heartbeat(self, host: HostId, heartbeat: Heartbeat) -> None:
         """Ask a host that knows more for what the source does not tell."""
-        if heartbeat.listed <= self._reached:
+        if self._told_by(heartbeat) <= self._reached:
             return
         now = self._clock.now()
         if self._behind_since is None:
@@ -230,6 +240,12 @@
         else:
             self.follow(host)
 
+    def _told_by(self, heartbeat: Heartbeat) -> int:
+        """Return the revision up to which a host knows this topic."""
+        if self._topic is ListTopic.EVACUATIONS:
+            return heartbeat.evacuations
+        return heartbeat.listed
+
     def _note_own(self, view: _StoreView) -> None:
         """Tell the others when this host's own view of the store has changed.
 
@@ -256,7 +272,7 @@
             self._ask(self._source)
 
     def _ask(self, host: HostId) -> None:
-        self._tell(host, ListRequest(have_revision=self._reached))
+        self._tell(host, ListRequest(topic=self._topic, have_revision=self._reached))
 
     def _keep(self, changes: Sequence[_Change], revision: StoreRevision) -> None:
         for change in changes:
@@ -271,6 +287,7 @@
 
     def _whole(self) -> ListContent:
         return ListContent(
+            topic=self._topic,
             revision=self._reached,
             is_watched=self._own.is_watched,
             is_answered=self._own.is_answered,
@@ -286,6 +303,7 @@
             if made > revision:
                 last.update({change.key: change.entry for change in changes})
         return ListContent(
+            topic=self._topic,
             revision=self._reached,
             after=revision,
             is_watched=self._own.is_watched,
--- a/src/tanagerscale/coordination/_parts.py
+++ b/src/tanagerscale/coordination/_parts.py
@@ -34,6 +34,12 @@
     def known_ms(self, upstream: UpstreamId) -> int:
         """Return for how long an upstream has been known here."""
 
+    def is_evacuated(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream gets no requests since its failure domain is evacuated."""
+
+    def has_evacuated(self, service: ServiceId) -> bool:
+        """Return whether upstreams of a service stay that get no requests."""
+
     def open_for(self, service: ServiceId) -> list[UpstreamEntry]:
         """Return the upstreams of a service that take new work."""
 
--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -262,6 +262,7 @@
             takers={entry.upstream for entry in takers(parts, service)},
             leaving={one: self._left_ms(one) for one in leaving},
             unreachable={one for one in entries if parts.notes.is_broken(one)},
+            evacuated={one for one in entries if parts.upstreams.is_evacuated(one)},
             busy=self._busy(),
             token_bytes=engine.token_bytes,
             link_mbps=engine.link_mbps,
--- a/src/tanagerscale/forwarding/_admission.py
+++ b/src/tanagerscale/forwarding/_admission.py
@@ -30,6 +30,8 @@
 """How often, and how many times, a host looks for the entry of an engine that was chosen for it and
 that it does not know yet. The decider may hear of a new engine some milliseconds sooner."""
 
+EVACUATED_ENGINE: Final = "its failure domain is evacuated"
+
 _log = get_logger(part="admission")
 
 Answer = Result[UpstreamEntry, Refusal]
@@ -70,7 +72,7 @@
                 return Failure(no_room(service=routed.service, rng=self._parts.rng))
             upstream = UpstreamId(answer.upstream)
             entry = await self._entry_of(upstream)
-            if entry is not None:
+            if entry is not None and not self._parts.upstreams.is_evacuated(upstream):
                 self._begin(routed, entry)
                 self._log(
                     "An engine is given.",
@@ -79,7 +81,12 @@
                     forecast_ms=answer.forecast_ms,
                 )
                 return Success(entry)
-            self._log("An engine is given that is not known here.", routed, upstream=upstream)
+            self._log(
+                "An engine is given that may not be used.",
+                routed,
+                upstream=upstream,
+                reason="it is not known here" if entry is None else EVACUATED_ENGINE,
+            )
             tried.add(upstream)
 
     def _ask(self, routed: RoutedRequest, excluded: Set[UpstreamId]) -> PlaceAsk:
--- a/src/tanagerscale/forwarding/_legs.py
+++ b/src/tanagerscale/forwarding/_legs.py
@@ -129,6 +129,11 @@
         entry = hop.entry
         pause_ms = FIRST_PAUSE_MS
         for _ in range(MOST_CONTINUATIONS):
+            if self._is_evacuated(entry):
+                entry = self._other_end(hop, entry)
+            if self._is_evacuated(entry):
+                self.log("A run may go on nowhere.", entry, reason="evacuated")
+                return None
             try:
                 leg = await self._try_to_resume(entry, hop, point)
             except (ExchangeError, TimeoutError) as error:
@@ -197,6 +202,9 @@
         )
         return leg
 
+    def _is_evacuated(self, entry: UpstreamEntry) -> bool:
+        return self._parts.upstreams.is_evacuated(entry.upstream)
+
     def _left_at_other_end(self, hop: Hop, entry: UpstreamEntry) -> Snapshot | None:
         """Return the copy at the other engine; the one that was asked may be running it."""
         other = self._other_end(hop, entry)
--- a/src/tanagerscale/forwarding/_meters.py
+++ b/src/tanagerscale/forwarding/_meters.py
@@ -73,3 +73,8 @@
             "Generations that wait for room on an engine.",
             registry=registry,
         )
+        self.evacuated: Final = Gauge(
+            "tanagerscale_evacuated_failure_domains",
+            "Failure domains whose upstreams get no requests since the operators evacuated them.",
+            registry=registry,
+        )
--- a/src/tanagerscale/forwarding/_movers.py
+++ b/src/tanagerscale/forwarding/_movers.py
@@ -115,7 +115,7 @@
         asked to stop first.
         """
         held = run.snapshot
-        if held is None or self._parts.notes.is_leaving(held.entry.upstream):
+        if held is None or not self._may_go_on_at(held.entry):
             return None
         hop = Hop(entry=held.entry, holder=held.holder or source, copy=held.copy)
         try:
@@ -128,6 +128,12 @@
         kept = rest.failure().kept
         return hop if kept is None else Hop(entry=source, holder=source, copy=kept)
 
+    def _may_go_on_at(self, entry: UpstreamEntry) -> bool:
+        """Return whether a run may be sent on to an engine."""
+        upstream = entry.upstream
+        is_evacuated = self._parts.upstreams.is_evacuated(upstream)
+        return not is_evacuated and not self._parts.notes.is_leaving(upstream)
+
     def on_unused(self, snapshot: Snapshot) -> None:
         """Free a copy that is not needed any more."""
         self._copier.drop(snapshot)
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -83,8 +83,19 @@
             return None
         if self._refusal is not None and self._record.may_have_run:
             return self._refusal
+        self._log_nobody()
         return no_upstream(service=self._routed.service, rng=self._parts.rng)
 
+    def _log_nobody(self) -> None:
+        service = self._routed.service
+        _log.info(
+            "No upstream takes the request.",
+            request=self._routed.request.request,
+            service=service,
+            tried=len(self._record.tried),
+            are_some_evacuated=self._parts.upstreams.has_evacuated(service),
+        )
+
     async def _first_good_answer(self) -> _WholeAnswer | None:
         """Try upstreams one after the other; a second one beside the first where that may be."""
         running: set[asyncio.Task[_WholeAnswer | None]] = set()
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -16,6 +16,7 @@
 from tanagerscale.coordination import DecisionParts
 from tanagerscale.coordination import Directory
 from tanagerscale.coordination import Duties
+from tanagerscale.coordination import FeedListener
 from tanagerscale.coordination import ListFeed
 from tanagerscale.coordination import NewsRelay
 from tanagerscale.coordination import RepeatAllowance
@@ -37,8 +38,10 @@
 from tanagerscale.gateway._presence import HostPresence
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.generated.messages import Heartbeat
+from tanagerscale.generated.messages import ListTopic
 from tanagerscale.generated.messages import MoveOrder
 from tanagerscale.generated.records import HostRecord
+from tanagerscale.membership import Evacuations
 from tanagerscale.membership import HeadSpread
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import Message
@@ -106,10 +109,16 @@
         self.mesh = self._make_mesh(transport)
         self._relay = NewsRelay(network=self.mesh, directory=self.directory, clock=clock)
         self.gate = UpstreamGate(clock=clock, rng=rng, spread=self._relay.tell)
+        self.evacuations = Evacuations(domain_of=edges.evacuated_domain, clock=clock)
         self.roster = UpstreamRoster(
-            gate=self.gate, decode=edges.decode_entry, name_of=edges.name_of, clock=clock
+            gate=self.gate,
+            evacuations=self.evacuations,
+            decode=edges.decode_entry,
+            name_of=edges.name_of,
+            clock=clock,
         )
-        self.feed = ListFeed(listener=self.roster, tell=self._tell, clock=clock)
+        self.feed = self._make_feed(ListTopic.UPSTREAMS, self.roster)
+        self.evacuations_feed = self._make_feed(ListTopic.EVACUATIONS, self.evacuations)
         self._spread = self._make_spread()
         self._presence = self._make_presence()
         self.duties = self._make_duties()
@@ -167,6 +176,9 @@
             transport=transport,
         )
 
+    def _make_feed(self, topic: ListTopic, listener: FeedListener) -> ListFeed:
+        return ListFeed(topic=topic, listener=listener, tell=self._tell, clock=self._clock)
+
     def _make_spread(self) -> HeadSpread:
         return HeadSpread(
             network=self.mesh,
@@ -205,15 +217,20 @@
         following = StoreFollowing(
             edges=self._edges,
             keeper=self.keeper,
+            evacuations=self.evacuations_feed,
             feed=self.feed,
             presence=self._presence,
             clock=self._clock,
             rng=self._rng,
         )
         return Duties(
-            host=self._host, directory=self.directory, feed=self.feed, loops=following.loops
+            host=self._host, directory=self.directory, feeds=self._feeds, loops=following.loops
         )
 
+    @property
+    def _feeds(self) -> tuple[ListFeed, ...]:
+        return (self.feed, self.evacuations_feed)
+
     def _make_repeats(self) -> RepeatAllowance:
         retries = self._settings.retries
         return RepeatAllowance(
@@ -252,7 +269,7 @@
         talkers = Talkers(
             directory=self.directory,
             duties=self.duties,
-            feed=self.feed,
+            feeds=self._feeds,
             coordinator=self.coordinator,
             client=self.client,
             relay=self._relay,
@@ -267,6 +284,7 @@
         self.keeper.tables.subscribe(self._on_table)
         self.gate.changes.subscribe(self.coordinator.on_upstreams)
         self.roster.changes.subscribe(self.coordinator.on_upstreams)
+        self.evacuations.changes.subscribe(lambda _: self.coordinator.look())
         self.roster.currency.subscribe(self.coordinator.on_warned)
         self._work.changes.subscribe(lambda _: self.client.report_soon())
 
@@ -276,6 +294,7 @@
             leaving=self._is_leaving(),
             store_lost=self._presence.store_lost,
             listed=self.feed.reached,
+            evacuations=self.evacuations_feed.reached,
         )
 
     def _tell(self, host: HostId, message: Message) -> bool:
--- a/src/tanagerscale/gateway/_edges.py
+++ b/src/tanagerscale/gateway/_edges.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 from returns.result import Result
 
+from tanagerscale.core import FailureDomainId
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamName
 from tanagerscale.forwarding import CallerRequest
@@ -61,8 +62,10 @@
 
     :param store: The key-value service.
     :param upstreams: Requests to upstreams.
-    :param configuration_key: Where the operators' configuration stands in the store.
+    :param operator_prefix: What the keys begin with that operators write in the store.
+    :param configuration_key: Where their configuration stands.
     :param decode_configuration: Reads it.
+    :param evacuated_domain: Returns which failure domain a key evacuates, or ``None``.
     :param registry_prefix: Where upstreams write their entries.
     :param decode_entry: Reads one.
     :param name_of: Returns whose entry stands under a key.
@@ -72,8 +75,10 @@
 
     store: Store
     upstreams: UpstreamEdge
+    operator_prefix: str
     configuration_key: str
     decode_configuration: Callable[[bytes], Result[Configuration, str]]
+    evacuated_domain: Callable[[str], FailureDomainId | None]
     registry_prefix: str
     decode_entry: Callable[[str, bytes], Result[UpstreamEntry, str]]
     name_of: Callable[[str], UpstreamName]
--- a/src/tanagerscale/gateway/_following.py
+++ b/src/tanagerscale/gateway/_following.py
@@ -12,6 +12,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.gateway._configuration import ConfigurationKeeper
 from tanagerscale.gateway._edges import Edges
+from tanagerscale.gateway._operator_keys import OperatorKeys
 from tanagerscale.gateway._presence import HostPresence
 from tanagerscale.store import PrefixFollower
 from tanagerscale.store import PrefixListener
@@ -27,6 +28,7 @@
 
     :param edges: The platform.
     :param keeper: Takes the declarations.
+    :param evacuations: Takes the keys that evacuate failure domains.
     :param feed: Takes the entries of upstreams.
     :param presence: Takes the entries of hosts.
     :param clock: Time.
@@ -38,6 +40,7 @@
         *,
         edges: Edges,
         keeper: ConfigurationKeeper,
+        evacuations: ListFeed,
         feed: ListFeed,
         presence: HostPresence,
         clock: Clock,
@@ -46,6 +49,7 @@
         self._edges = edges
         self._keeper = keeper
         self._feed = feed
+        self._evacuations = evacuations
         self._presence = presence
         self._clock = clock
         self._rng = rng
@@ -53,11 +57,19 @@
     def loops(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return what follows the store until it is cancelled."""
         return (
-            self._follower(self._edges.configuration_key, self._keeper).run(),
+            self._follower(self._edges.operator_prefix, self._operator_keys()).run(),
             self._follower(self._edges.registry_prefix, self._feed).run(),
             self._follower(self._presence.prefix, self._presence, rest_ms=PRESENCE_REST_MS).run(),
         )
 
+    def _operator_keys(self) -> OperatorKeys:
+        return OperatorKeys(
+            configuration_key=self._edges.configuration_key,
+            configuration=self._keeper,
+            evacuated_domain=self._edges.evacuated_domain,
+            evacuations=self._evacuations,
+        )
+
     def _follower(
         self, prefix: str, listener: PrefixListener, *, rest_ms: int = 0
     ) -> PrefixFollower:
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -168,6 +168,7 @@
             not self._leaving
             and self._control.keeper.table is not None
             and self._control.roster.has_read
+            and self._control.evacuations.has_read
         )
 
     @property
@@ -227,6 +228,7 @@
             clock=self._clock,
             rng=self._rng,
         )
+        parts.meters.evacuated.set_function(lambda: len(control.evacuations.domains))
         self._movers = StreamMovers(
             parts=parts,
             check_decider=control.client.check_decider,
--- a/src/tanagerscale/gateway/_peers.py
+++ b/src/tanagerscale/gateway/_peers.py
@@ -44,7 +44,7 @@
 
     :param directory: Who coordinates.
     :param duties: Who follows the store.
-    :param feed: The entries of upstreams.
+    :param feeds: The entries of the store that are followed.
     :param coordinator: Decides for those that ask.
     :param client: Asks those that decide.
     :param relay: Tells news on.
@@ -55,7 +55,7 @@
 
     directory: Directory
     duties: Duties
-    feed: ListFeed
+    feeds: tuple[ListFeed, ...]
     coordinator: Coordinator
     client: CoordinationClient
     relay: NewsRelay
@@ -127,7 +127,8 @@
             parts.gate.on_peer(message)
         elif isinstance(message, Suspect):
             parts.suspects.on_peer(message)
-        parts.feed.on_message(host, message)
+        for feed in parts.feeds:
+            feed.on_message(host, message)
         parts.client.on_message(host, message)
         parts.coordinator.on_message(host, message)
 
@@ -153,7 +154,8 @@
         for host in gone:
             parts.coordinator.on_gone(host)
             parts.client.on_gone(host)
-            parts.feed.on_gone(host)
+            for feed in parts.feeds:
+                feed.on_gone(host)
             parts.health.forget_peer(host=host)
         parts.duties.look()
 
@@ -163,7 +165,8 @@
         parts.coordinator.on_joined(peer.host, peer.failure_domain)
         if parts.directory.is_known:
             self._mesh.send(host=peer.host, message=parts.directory.message())
-        parts.feed.on_joined(peer.host)
+        for feed in parts.feeds:
+            feed.on_joined(peer.host)
         if peer.host in parts.directory.coordinators:
             parts.client.report_to(peer.host)
         if parts.directory.is_coordinator:
--- a/src/tanagerscale/membership/__init__.py
+++ b/src/tanagerscale/membership/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tanagerscale.membership._evacuations import Evacuations
 from tanagerscale.membership._gate import UpstreamGate
 from tanagerscale.membership._host_list import HostListFollower
 from tanagerscale.membership._host_list import peer_addresses
@@ -28,6 +29,7 @@
 
 __all__ = [
     "CloseReason",
+    "Evacuations",
     "FrameError",
     "FrameErrorKind",
     "HeadFollower",
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -22,6 +22,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import UpstreamName
 from tanagerscale.core import get_logger
+from tanagerscale.membership._evacuations import Evacuations
 from tanagerscale.membership._gate import UpstreamGate
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
@@ -72,6 +73,7 @@
     """Keeps the entries of upstreams and closes the gate of those that leave.
 
     :param gate: Learns of leaving upstreams and tells the peers.
+    :param evacuations: Which failure domains get no new requests.
     :param decode: Reads one entry of the store.
     :param name_of: Returns whose entry stands under a key.
     :param clock: Time.
@@ -81,11 +83,13 @@
         self,
         *,
         gate: UpstreamGate,
+        evacuations: Evacuations,
         decode: Decode,
         name_of: Callable[[str], UpstreamName],
         clock: Clock,
     ) -> None:
         self._gate = gate
+        self._evacuations = evacuations
         self._decode = decode
         self._name_of = name_of
         self._clock = clock
@@ -145,10 +149,26 @@
             entry for entry in self._listed(service) if not self._gate.is_leaving(entry.upstream)
         ]
 
+    def is_evacuated(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream gets no requests since its failure domain is evacuated."""
+        known = self._known.get(upstream)
+        return known is not None and self._evacuations.is_evacuated(known.entry.failure_domain)
+
+    def has_evacuated(self, service: ServiceId) -> bool:
+        """Return whether upstreams of a service stay that get no requests."""
+        return any(
+            known.entry.service == service
+            and self._evacuations.is_evacuated(known.entry.failure_domain)
+            and not self._gate.is_leaving(upstream)
+            for upstream, known in self._known.items()
+        )
+
     def _listed(self, service: ServiceId) -> Iterator[UpstreamEntry]:
         for known in self._known.values():
-            if known.is_readable and known.entry.service == service:
-                yield known.entry
+            entry = known.entry
+            is_wanted = known.is_readable and entry.service == service
+            if is_wanted and not self._evacuations.is_evacuated(entry.failure_domain):
+                yield entry
 
     def known_ms(self, upstream: UpstreamId) -> int:
         """Return for how long an upstream has been known here."""
--- a/src/tanagerscale/platform/_configuration.py
+++ b/src/tanagerscale/platform/_configuration.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import msgspec
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
 from tanagerscale.core import ClientAccountId
+from tanagerscale.core import FailureDomainId
 from tanagerscale.core import ModelId
 from tanagerscale.core import Revision
 from tanagerscale.core import ServiceId
@@ -26,7 +29,11 @@
 from tanagerscale.routes import Service
 from tanagerscale.routes import Target
 
-CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX: Final = "op/"
+"""What the keys begin with that the operators write."""
+
+CONFIGURATION_KEY: Final = "op/config"
+EVACUATION_PREFIX: Final = "op/evacuate/"
 
 MS_PER_SECOND = 1000
 _KINDS = {
@@ -37,6 +44,16 @@
 _decoder = msgspec.json.Decoder(WireConfiguration)
 
 
+def evacuated_domain(key: str) -> FailureDomainId | None:
+    """Return which failure domain a key evacuates as long as it exists, whatever its value.
+
+    :param key: A key of the store.
+    :returns: The failure domain; ``None`` when the key evacuates none.
+    """
+    domain = key.removeprefix(EVACUATION_PREFIX)
+    return FailureDomainId(domain) if domain and domain != key else None
+
+
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
     """Decode the value of the configuration's key.
 
--- a/src/tanagerscale/platform/_edges.py
+++ b/src/tanagerscale/platform/_edges.py
@@ -9,7 +9,9 @@
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.platform._callers import PlatformCallers
 from tanagerscale.platform._configuration import CONFIGURATION_KEY
+from tanagerscale.platform._configuration import OPERATOR_PREFIX
 from tanagerscale.platform._configuration import decode_configuration
+from tanagerscale.platform._configuration import evacuated_domain
 from tanagerscale.platform._engines import PlatformUpstreams
 from tanagerscale.platform._registry import REGISTRY_PREFIX
 from tanagerscale.platform._registry import decode_entry
@@ -56,8 +58,10 @@
     return Edges(
         store=PlatformStore(address=settings.store.address, pool=store_pool),
         upstreams=PlatformUpstreams(pool=upstream_pool),
+        operator_prefix=OPERATOR_PREFIX,
         configuration_key=CONFIGURATION_KEY,
         decode_configuration=decode_configuration,
+        evacuated_domain=evacuated_domain,
         registry_prefix=REGISTRY_PREFIX,
         decode_entry=decode_entry,
         name_of=name_of,
--- a/src/tanagerscale/policy/_moves.py
+++ b/src/tanagerscale/policy/_moves.py
@@ -87,6 +87,7 @@
     :param takers: Engines that take work.
     :param leaving: Engines that leave, with the time left until each is gone, in milliseconds.
     :param unreachable: Engines that did not answer lately.
+    :param evacuated: Engines that get no requests, so that no run goes on there.
     :param busy: Engines whose link is in use.
     :param token_bytes: Bytes of memory for each token.
     :param link_mbps: Speed of the engines' links.
@@ -99,6 +100,7 @@
     takers: Set[UpstreamId]
     leaving: Mapping[UpstreamId, int]
     unreachable: Set[UpstreamId]
+    evacuated: Set[UpstreamId] = frozenset()
     busy: Set[UpstreamId]
     token_bytes: int
     link_mbps: float
@@ -163,11 +165,11 @@
 
 
 def _live_copy(scene: MoveScene, run: MovableRun) -> UpstreamId | None:
-    """Return the engine that holds a copy of a run, unless it leaves too or refused the run."""
+    """Return the engine that holds a copy of a run, if the run may go on there."""
     held = run.copy_at
-    if held is None or held in scene.leaving or held in run.excluded or held not in scene.engines:
+    if held is None or held in run.excluded or held not in scene.engines:
         return None
-    return held
+    return None if held in scene.leaving or held in scene.evacuated else held
 
 
 def _target_with_room(scene: MoveScene, run: MovableRun, rng: Random) -> UpstreamId | None:
--- a/src/tanagerscale/store/_protocol.py
+++ b/src/tanagerscale/store/_protocol.py
@@ -89,7 +89,7 @@
 
 
 class WatchBatch(Struct, frozen=True, kw_only=True):
-    """Changes of one store revision or several, oldest first.
+    """Changes of one store revision or several; of each key only the last one.
 
     :param entries: Entries written.
     :param deleted: Keys deleted.
--- a/testing/_fake_store.py
+++ b/testing/_fake_store.py
@@ -298,9 +298,10 @@
         ]
         if not events:
             return None
+        last = {event.key: event for event in events}.values()
         return WatchBatch(
-            entries=tuple(event.entry for event in events if event.entry is not None),
-            deleted=tuple(event.key for event in events if event.entry is None),
+            entries=tuple(event.entry for event in last if event.entry is not None),
+            deleted=tuple(event.key for event in last if event.entry is None),
             revision=StoreRevision(self.backend.revision),
         )
 
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -318,6 +318,8 @@
     gone: list[str] = field(default_factory=list)
     is_current: bool = True
     on_leaving: Callable[[UpstreamId], None] = lambda _: None
+    evacuated: set[str] = field(default_factory=set)
+    """Failure domains that get no requests."""
 
     def get(self, upstream: UpstreamId) -> UpstreamEntry | None:
         """Return an entry."""
@@ -328,13 +330,27 @@
         return 60_000
 
     def open_for(self, service: ServiceId) -> list[UpstreamEntry]:
-        """Return those that are not leaving."""
+        """Return those that are not leaving and may be used."""
         return [
             entry
             for entry in self.entries
-            if entry.service == service and entry.upstream not in self.leaving
+            if entry.service == service
+            and entry.upstream not in self.leaving
+            and entry.failure_domain not in self.evacuated
         ]
 
+    def is_evacuated(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream stands in a failure domain that gets no requests."""
+        entry = self.get(upstream)
+        return entry is not None and entry.failure_domain in self.evacuated
+
+    def has_evacuated(self, service: ServiceId) -> bool:
+        """Return whether an upstream of a service gets no requests."""
+        return any(
+            entry.service == service and entry.failure_domain in self.evacuated
+            for entry in self.entries
+        )
+
     def staying(self, service: ServiceId) -> list[UpstreamEntry]:
         """Return the same."""
         return self.open_for(service)
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -49,7 +49,9 @@
 from testing._memory_links import MemoryNetwork
 from testing._memory_links import MemoryTransport
 
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 REGISTRY_PREFIX = "engines/"
 SETTLE_S = 5.0
 """By then hosts that start together have found the ones that coordinate."""
@@ -122,6 +124,10 @@
         """Let a generation begin to answer."""
         self.work.progress(request=RequestId(name), tokens=tokens, made=made)
 
+    def end(self, name: str) -> None:
+        """End a generation."""
+        self.work.end(request=RequestId(name))
+
     def total(self, engine: str) -> EngineTotal:
         """Return what this host knows to run on an engine."""
         return self.control.coordinator.ledger.totals().get(UpstreamId(engine), EngineTotal())
@@ -158,8 +164,9 @@
 
 
 def decode_entry(key: str, value: bytes) -> Result[UpstreamEntry, str]:
-    """Read an engine's entry, which is its state."""
+    """Read an engine's entry, which is its state and its failure domain."""
     name = key.removeprefix(REGISTRY_PREFIX)
+    state, _, domain = value.decode().partition(" ")
     return Success(
         UpstreamEntry(
             upstream=UpstreamId(name),
@@ -167,14 +174,20 @@
             started_ms=0,
             service=SERVICE,
             address=f"{name}:1",
-            failure_domain=FailureDomainId("domain-0"),
+            failure_domain=FailureDomainId(domain),
             places=24,
-            state=UpstreamState(value.decode()),
+            state=UpstreamState(state),
             cold_ms=0,
         )
     )
 
 
+def evacuated_domain(key: str) -> FailureDomainId | None:
+    """Return which failure domain a key evacuates."""
+    domain = key.removeprefix(EVACUATION_PREFIX)
+    return FailureDomainId(domain) if domain and domain != key else None
+
+
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
     """Read a configuration, which is its version."""
     service = Service(name=SERVICE, health_path="/", max_connections=100, engine=ENGINE)
@@ -216,8 +229,10 @@
     edges = Edges(
         store=store,
         upstreams=FakeUpstreamEdge(),  # type: ignore[arg-type]
+        operator_prefix=OPERATOR_PREFIX,
         configuration_key=CONFIGURATION_KEY,
         decode_configuration=decode_configuration,
+        evacuated_domain=evacuated_domain,
         registry_prefix=REGISTRY_PREFIX,
         decode_entry=decode_entry,
         name_of=lambda key: UpstreamName(key.removeprefix(REGISTRY_PREFIX)),
@@ -316,13 +331,24 @@
         """Messages that all hosts took in, heartbeats left out."""
         return sum(host.received for host in self.hosts)
 
-    def set_engine(self, name: str, *, state: str = "ready") -> None:
+    def set_engine(self, name: str, *, state: str = "ready", domain: str = "domain-0") -> None:
         """Write the entry of an engine."""
-        self.write(f"{REGISTRY_PREFIX}{name}", state)
+        self.write(f"{REGISTRY_PREFIX}{name}", f"{state} {domain}")
 
     def remove_engine(self, name: str) -> None:
         """Remove the entry of an engine."""
-        key = f"{REGISTRY_PREFIX}{name}"
+        self.remove(f"{REGISTRY_PREFIX}{name}")
+
+    def evacuate(self, domain: str) -> None:
+        """Ask that a failure domain gets no requests."""
+        self.write(f"{EVACUATION_PREFIX}{domain}", "{}")
+
+    def take_back(self, domain: str) -> None:
+        """Let a failure domain have requests again."""
+        self.remove(f"{EVACUATION_PREFIX}{domain}")
+
+    def remove(self, key: str) -> None:
+        """Remove a key of the store."""
         self.backend.write(puts=[PutIf(key=key, value=None, expected_mod_revision=self._at(key))])
 
     def write(self, key: str, value: str) -> None:
--- a/testing/test_roster.py
+++ b/testing/test_roster.py
@@ -11,6 +11,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import UpstreamName
 from tanagerscale.generated.messages import UpstreamLeaving
+from tanagerscale.membership import Evacuations
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.membership import UpstreamRoster
 from tanagerscale.membership._roster import LAPSE_GRACE_MS
@@ -40,7 +41,11 @@
         clock = Clock()
         self.gate = UpstreamGate(clock=clock, rng=Random(1), spread=self.told.append)
         self.roster = UpstreamRoster(
-            gate=self.gate, decode=decode_listed, name_of=UpstreamName, clock=clock
+            gate=self.gate,
+            evacuations=Evacuations(domain_of=lambda _: None, clock=clock),
+            decode=decode_listed,
+            name_of=UpstreamName,
+            clock=clock,
         )
         self.revision = 10
         self.replaced: list[UpstreamEntry] = []
