Limit what upstreams get that warm up, over all hosts together

Cause: an engine that comes back cold bears a declared number of requests a second and crashes well above it; nothing limited that. Its entry may tell of a cold time at any moment, and only the first one counted.

Change: the decider counts what each cold upstream was given in the last second; plain requests ask it (one hop, for cold upstreams only). The cold time counts from when an entry was written, and starts anew when a failure domain is taken back, as its upstreams may have grown cold unnoticed. The list of messages stands once now.

Ruled out: a fixed part for each host (61 hosts with 36 a second: none may send one, or 61 do); a limit at all times (would throttle warm upstreams that a service declares to bear more).

--- a/src/tanagerscale/coordination/__init__.py
+++ b/src/tanagerscale/coordination/__init__.py
@@ -23,6 +23,7 @@
 from tanagerscale.coordination._ranking import distance
 from tanagerscale.coordination._relay import NewsRelay
 from tanagerscale.coordination._repeats import RepeatAllowance
+from tanagerscale.coordination._warmup import WarmupLimit
 
 __all__ = [
     "CoordinationClient",
@@ -42,6 +43,7 @@
     "Tables",
     "UpstreamHealth",
     "Upstreams",
+    "WarmupLimit",
     "beat_ms",
     "distance",
     "takers",
--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -18,6 +18,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
 from tanagerscale.core import ServiceId
+from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.generated.messages import HostRuns
 from tanagerscale.generated.messages import Ping
@@ -29,6 +30,8 @@
 from tanagerscale.generated.messages import RepeatAnswer
 from tanagerscale.generated.messages import RepeatAsk
 from tanagerscale.generated.messages import RunUse
+from tanagerscale.generated.messages import WarmupAnswer
+from tanagerscale.generated.messages import WarmupAsk
 from tanagerscale.membership import Message
 
 PATIENCE_MS: Final = 80
@@ -165,6 +168,11 @@
         )
         return isinstance(answer, RepeatAnswer) and answer.may_repeat
 
+    async def may_send(self, *, upstream: UpstreamId) -> bool:
+        """Return whether an upstream that warms up may get one more request."""
+        answer = await self._ask_once(lambda serial: WarmupAsk(serial=serial, upstream=upstream))
+        return isinstance(answer, WarmupAnswer) and answer.may_send
+
     def count_request(self, *, service: ServiceId) -> None:
         """Count a request for a service; a part of all requests may be repeated."""
         self._requests[service] += 1
@@ -175,7 +183,7 @@
             self._on_answer(host, message)
         elif isinstance(message, Ping):
             self._tell(host, Pong(serial=message.serial))
-        elif isinstance(message, Pong | RepeatAnswer):
+        elif isinstance(message, Pong | RepeatAnswer | WarmupAnswer):
             answered = self._questions.get(message.serial)
             if answered is not None and not answered.done():
                 answered.set_result(message)
--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -30,6 +30,8 @@
 from tanagerscale.generated.messages import PlaceWithdrawal
 from tanagerscale.generated.messages import RepeatAnswer
 from tanagerscale.generated.messages import RepeatAsk
+from tanagerscale.generated.messages import WarmupAnswer
+from tanagerscale.generated.messages import WarmupAsk
 from tanagerscale.membership import Message
 from tanagerscale.upstreams import EngineReport
 from tanagerscale.upstreams import UpstreamEntry
@@ -116,11 +118,18 @@
                 service = ServiceId(message.service)
                 may = self._repeats.take(service=service, requests=message.requests)
                 self._tell(host, RepeatAnswer(serial=message.serial, may_repeat=may))
+            case WarmupAsk():
+                self._answer_warmup(host, message)
             case MoveDone():
                 self.planner.on_done(host=host, done=message)
             case _:
                 pass
 
+    def _answer_warmup(self, host: HostId, ask: WarmupAsk) -> None:
+        entry = self._parts.upstreams.get(UpstreamId(ask.upstream))
+        may = entry is None or self._parts.warmup.take(entry)
+        self._tell(host, WarmupAnswer(serial=ask.serial, may_send=may))
+
     def on_joined(self, host: HostId, domain: FailureDomainId) -> None:
         """Begin anew with a host that has connected; another process of it may have gone."""
         self.on_gone(host)
--- a/src/tanagerscale/coordination/_desk.py
+++ b/src/tanagerscale/coordination/_desk.py
@@ -160,6 +160,7 @@
         views = [
             view_of(entry, engine=engine, totals=totals, upstreams=parts.upstreams)
             for entry in entries
+            if parts.warmup.allows(entry)
         ]
         wish = Wish(
             prompt_tokens=ask.prompt_tokens,
@@ -203,6 +204,7 @@
             is_long=ask.is_long,
         )
         self._ledger.grant(host=waiting.host, use=use)
+        self._note_sent(view.upstream)
         self._log(
             "An engine is chosen.",
             waiting,
@@ -223,6 +225,11 @@
         )
         self._answer(waiting.host, granted)
 
+    def _note_sent(self, upstream: UpstreamId) -> None:
+        entry = self._parts.upstreams.get(upstream)
+        if entry is not None:
+            self._parts.warmup.note(entry)
+
     def _look_again_later(self) -> None:
         if self._waiting and self._timer is None:
             loop = asyncio.get_running_loop()
--- a/src/tanagerscale/coordination/_parts.py
+++ b/src/tanagerscale/coordination/_parts.py
@@ -12,6 +12,7 @@
 
 from tanagerscale.coordination._health import UpstreamHealth
 from tanagerscale.coordination._ledger import EngineTotal
+from tanagerscale.coordination._warmup import WarmupLimit
 from tanagerscale.core import Clock
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
@@ -31,8 +32,8 @@
     def get(self, upstream: UpstreamId) -> UpstreamEntry | None:
         """Return the entry of an upstream, also for a while after it is gone."""
 
-    def known_ms(self, upstream: UpstreamId) -> int:
-        """Return for how long an upstream has been known here."""
+    def cold_ms(self, upstream: UpstreamId) -> int:
+        """Return how much longer an upstream is cold by its own word."""
 
     def is_evacuated(self, upstream: UpstreamId) -> bool:
         """Return whether an upstream gets no requests since its failure domain is evacuated."""
@@ -96,6 +97,7 @@
     :param upstreams: The upstreams there are.
     :param notes: Which of them leave or can't be reached.
     :param health: How they do.
+    :param warmup: What those get that warm up.
     :param clock: Time.
     :param rng: Source of chance.
     """
@@ -104,6 +106,7 @@
     upstreams: Upstreams
     notes: Notes
     health: UpstreamHealth
+    warmup: WarmupLimit
     clock: Clock
     rng: Random
 
@@ -160,5 +163,5 @@
         waiting_tokens=total.waiting_tokens,
         waiting=total.waiting,
         batch=entry.places if engine is None else engine.batch,
-        cold_ms=max(entry.cold_ms - upstreams.known_ms(entry.upstream), 0),
+        cold_ms=upstreams.cold_ms(entry.upstream),
     )
--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -259,7 +259,9 @@
                 upstream: view_of(entry, engine=engine, totals=totals, upstreams=parts.upstreams)
                 for upstream, entry in entries.items()
             },
-            takers={entry.upstream for entry in takers(parts, service)},
+            takers={
+                entry.upstream for entry in takers(parts, service) if parts.warmup.allows(entry)
+            },
             leaving={one: self._left_ms(one) for one in leaving},
             unreachable={one for one in entries if parts.notes.is_broken(one)},
             evacuated={one for one in entries if parts.upstreams.is_evacuated(one)},
@@ -309,6 +311,7 @@
         if not self._order(run.host, order):
             return  # Its host is gone, and its runs with it.
         self._stays.pop(move.run.request, None)
+        self._note_sent(move)
         until = Millis(self._parts.clock.now() + LONGEST_COPY_MS)
         self._under_way[number] = _UnderWay(host=run.host, move=move, until=until)
         _log.info(
@@ -322,6 +325,12 @@
             has_copy=move.run.copy_at == move.target,
         )
 
+    def _note_sent(self, move: Move) -> None:
+        """Count the request by which a run goes on at another engine."""
+        entry = self._parts.upstreams.get(move.target)
+        if entry is not None and move.kind is not MoveKind.AHEAD:
+            self._parts.warmup.note(entry)
+
     def _drop(self, run: LedgerRun, movable: MovableRun) -> None:
         order = MoveOrder(
             number=next(self._numbers),
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -11,9 +11,11 @@
 from tanagerscale.coordination import Tables
 from tanagerscale.coordination import UpstreamHealth
 from tanagerscale.coordination import Upstreams
+from tanagerscale.coordination import WarmupLimit
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import ServiceId
+from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding._meters import Meters
 from tanagerscale.forwarding._types import EngineControl
 from tanagerscale.forwarding._types import UpstreamCaller
@@ -31,6 +33,13 @@
         """Return whether a request may be repeated at another upstream."""
 
 
+class Permits(Protocol):
+    """Limits what upstreams get that warm up, over all hosts together."""
+
+    async def may_send(self, *, upstream: UpstreamId) -> bool:
+        """Return whether an upstream that warms up may get one more request."""
+
+
 class ForwardingParts(Struct, frozen=True, kw_only=True):
     """What every request of a host uses.
 
@@ -43,6 +52,8 @@
     :param engines: Asks engines to copy runs.
     :param work: What runs on engines.
     :param repeats: Bounds repeats.
+    :param warmup: Which upstreams warm up.
+    :param permits: Limits what these get.
     :param meters: Counts.
     :param failure_domain: Where this host stands.
     :param clock: Time.
@@ -58,6 +69,8 @@
     engines: EngineControl
     work: OwnWork
     repeats: Repeats
+    warmup: WarmupLimit
+    permits: Permits
     meters: Meters
     failure_domain: FailureDomainId
     clock: Clock
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from collections.abc import Set
 from typing import Final
 from typing import final
 
@@ -12,6 +13,7 @@
 from tanagerscale.coordination import LateNote
 from tanagerscale.coordination import takers
 from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._execution import ExecutionRecord
 from tanagerscale.forwarding._parts import ForwardingParts
@@ -141,7 +143,17 @@
             return None
         if record.arrived and not await self._may_repeat():
             return None
-        return self._choose()
+        return await self._choose_permitted()
+
+    async def _choose_permitted(self) -> UpstreamEntry | None:
+        """Return the upstream to ask; one that warms up needs a permit of the decider."""
+        denied: set[UpstreamId] = set()
+        while (entry := self._choose(denied)) is not None:
+            is_warming = self._parts.warmup.is_warming(entry)
+            if not is_warming or await self._parts.permits.may_send(upstream=entry.upstream):
+                return entry
+            denied.add(entry.upstream)
+        return None
 
     async def _may_repeat(self) -> bool:
         may = await self._parts.repeats.may_repeat(service=self._routed.service)
@@ -149,9 +161,12 @@
             _log.info("No repeat is left.", request=self._routed.request.request)
         return may
 
-    def _choose(self) -> UpstreamEntry | None:
-        """Return the upstream with the least of this host's own work."""
-        entries = takers(self._parts, self._routed.service, self._record.tried)
+    def _choose(self, denied: Set[UpstreamId] = frozenset()) -> UpstreamEntry | None:
+        """Return the upstream with the least of this host's own work.
+
+        :param denied: Upstreams that warm up and get no more now.
+        """
+        entries = takers(self._parts, self._routed.service, self._record.tried | denied)
         counts = self._parts.work.plain_counts
 
         def cost(entry: UpstreamEntry) -> tuple[float, float]:
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -21,6 +21,7 @@
 from tanagerscale.coordination import NewsRelay
 from tanagerscale.coordination import RepeatAllowance
 from tanagerscale.coordination import UpstreamHealth
+from tanagerscale.coordination import WarmupLimit
 from tanagerscale.coordination import beat_ms
 from tanagerscale.coordination import distance
 from tanagerscale.core import Clock
@@ -121,6 +122,13 @@
         self.evacuations_feed = self._make_feed(ListTopic.EVACUATIONS, self.evacuations)
         self._spread = self._make_spread()
         self._presence = self._make_presence()
+        self.warmup = WarmupLimit(
+            host=self._host,
+            tables=self.keeper,
+            upstreams=self.roster,
+            share=self._share_of_hosts,
+            clock=clock,
+        )
         self.duties = self._make_duties()
         self.repeats = self._make_repeats()
         self.coordinator = self._make_coordinator()
@@ -253,6 +261,7 @@
             upstreams=self.roster,
             notes=self.gate,
             health=self.health,
+            warmup=self.warmup,
             clock=self._clock,
             rng=self._rng,
         )
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -223,6 +223,8 @@
             engines=self._edges.upstreams,
             work=self._work,
             repeats=control.client,
+            warmup=control.warmup,
+            permits=control.client,
             meters=Meters(registry=self._registry),
             failure_domain=FailureDomainId(self._settings.host.failure_domain),
             clock=self._clock,
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -63,7 +63,8 @@
 
 class _Known(Struct, kw_only=True):
     entry: UpstreamEntry
-    since: Millis
+    revision: StoreRevision
+    cold_until: Millis
     missing_since: Millis | None = None
     is_readable: bool = True
 
@@ -170,10 +171,15 @@
             if is_wanted and not self._evacuations.is_evacuated(entry.failure_domain):
                 yield entry
 
-    def known_ms(self, upstream: UpstreamId) -> int:
-        """Return for how long an upstream has been known here."""
+    def cold_ms(self, upstream: UpstreamId) -> int:
+        """Return how much longer an upstream is cold by its own word."""
         known = self._known.get(upstream)
-        return 0 if known is None else self._clock.now() - known.since
+        return 0 if known is None else max(known.cold_until - self._clock.now(), 0)
+
+    def taken_back_ms(self, upstream: UpstreamId) -> int | None:
+        """Return how long ago its failure domain's evacuation ended; ``None`` for long ago."""
+        known = self._known.get(upstream)
+        return None if known is None else self._evacuations.ended_ms(known.entry.failure_domain)
 
     def on_snapshot(self, found: StoreRange) -> None:
         """Take in all entries at once."""
@@ -244,9 +250,7 @@
             if known is not None:
                 self._replace(known, revision)
         else:
-            known.entry = entry
-            known.missing_since = None
-            known.is_readable = True
+            self._renew(known, entry, revision)
         if entry.state is UpstreamState.LEAVING:
             self._gate.note_leaving(upstream=entry.upstream, incarnation=revision)
         else:
@@ -254,12 +258,26 @@
             self._gate.note_listed(upstream=entry.upstream, incarnation=revision)
         self._changes.on_next(entry.upstream)
 
+    def _renew(self, known: _Known, entry: UpstreamEntry, revision: StoreRevision) -> None:
+        """Take in what an upstream says anew; the same words heard again are no older by that."""
+        if revision != known.revision:
+            known.cold_until = self._cold_until(entry)
+        known.revision = revision
+        known.entry = entry
+        known.missing_since = None
+        known.is_readable = True
+
+    def _cold_until(self, entry: UpstreamEntry) -> Millis:
+        return Millis(self._clock.now() + entry.cold_ms)
+
     def _current_of(self, name: UpstreamName) -> _Known | None:
         upstream = self._current.get(name)
         return None if upstream is None else self._known.get(upstream)
 
     def _add(self, entry: UpstreamEntry, revision: StoreRevision) -> None:
-        self._known[entry.upstream] = _Known(entry=entry, since=self._clock.now())
+        self._known[entry.upstream] = _Known(
+            entry=entry, revision=revision, cold_until=self._cold_until(entry)
+        )
         self._current[entry.name] = entry.upstream
         _log.info(
             "An upstream is new.",
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from enum import unique
 from typing import TypeAlias
+from typing import get_args
 
 import cbor2
 import msgspec
@@ -43,6 +44,8 @@
 from tanagerscale.generated.messages import Suspect
 from tanagerscale.generated.messages import UpstreamLeaving
 from tanagerscale.generated.messages import Verdict
+from tanagerscale.generated.messages import WarmupAnswer
+from tanagerscale.generated.messages import WarmupAsk
 
 Message: TypeAlias = (
     Hello
@@ -65,6 +68,8 @@
     | Pong
     | RepeatAnswer
     | RepeatAsk
+    | WarmupAnswer
+    | WarmupAsk
     | RestingUpstream
     | AnswerTallies
     | Suspect
@@ -78,41 +83,7 @@
 )
 """Anything one host tells another."""
 
-_TYPES: dict[str, type[Message]] = {
-    kind.__name__: kind
-    for kind in (
-        Hello,
-        Heartbeat,
-        HeadAnnouncement,
-        HeadRequest,
-        Attached,
-        HeadContent,
-        UpstreamLeaving,
-        Coordinators,
-        HostRuns,
-        ListContent,
-        ListRequest,
-        MoveDone,
-        MoveOrder,
-        Ping,
-        PlaceAnswer,
-        PlaceAsk,
-        PlaceWithdrawal,
-        Pong,
-        RepeatAnswer,
-        RepeatAsk,
-        RestingUpstream,
-        AnswerTallies,
-        Suspect,
-        Verdict,
-        Ask,
-        Grant,
-        Progress,
-        Running,
-        RunningRequest,
-        Finished,
-    )
-}
+_TYPES: dict[str, type[Message]] = {kind.__name__: kind for kind in get_args(Message)}
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Room for a few of the store's values, which hold up to a megabyte each."""
--- a/src/tanagerscale/platform/_configuration.py
+++ b/src/tanagerscale/platform/_configuration.py
@@ -112,6 +112,8 @@
         health_path=wire.health_path,
         max_connections=wire.max_connections,
         engine=None if wire.engine is None else _engine(wire.engine),
+        cold_ms=int(wire.cold_start_s * MS_PER_SECOND),
+        cold_per_s=wire.cold_per_s,
     )
 
 
--- a/src/tanagerscale/platform/_wire.py
+++ b/src/tanagerscale/platform/_wire.py
@@ -113,6 +113,8 @@
     name: str
     health_path: str = "/"
     max_connections: int = 0
+    cold_start_s: float = 0
+    cold_per_s: float = 0
     engine: WireEngine | None = None
 
 
--- a/src/tanagerscale/routes/_types.py
+++ b/src/tanagerscale/routes/_types.py
@@ -105,12 +105,16 @@
     :param health_path: Path that tells whether an upstream takes work.
     :param max_connections: Connections that one upstream takes from all callers together.
     :param engine: What its engines can do, or ``None`` when it runs no language model.
+    :param cold_ms: How long an upstream warms up after its start.
+    :param cold_per_s: Requests a second that one bears until it is warm; 0 for any number.
     """
 
     name: ServiceId
     health_path: str
     max_connections: int
     engine: EngineCapabilities | None
+    cold_ms: int = 0
+    cold_per_s: float = 0.0
 
 
 class CallerLimits(Struct, frozen=True, kw_only=True):
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -18,6 +18,7 @@
 from tanagerscale.coordination import DecisionParts
 from tanagerscale.coordination import EngineTotal
 from tanagerscale.coordination import UpstreamHealth
+from tanagerscale.coordination import WarmupLimit
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import Millis
@@ -56,6 +57,7 @@
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamState
+from testing._alone import HOST
 from testing._alone import HostAlone
 from testing._alone import make_host_alone
 
@@ -106,14 +108,22 @@
     )
 
 
-def make_table(*routes: Route, version: int = 1) -> RouteTable:
+def make_table(
+    *routes: Route, version: int = 1, cold_ms: int = 0, cold_per_s: float = 0.0
+) -> RouteTable:
     """Return a table without accounts."""
+    service = Service(
+        name=SERVICE,
+        health_path="/health",
+        max_connections=100,
+        engine=ENGINE,
+        cold_ms=cold_ms,
+        cold_per_s=cold_per_s,
+    )
     configuration = Configuration(
         version=Revision(version),
         routes=routes,
-        services=(
-            Service(name=SERVICE, health_path="/health", max_connections=100, engine=ENGINE),
-        ),
+        services=(service,),
         accounts=(),
         limits=LIMITS,
     )
@@ -320,14 +330,22 @@
     on_leaving: Callable[[UpstreamId], None] = lambda _: None
     evacuated: set[str] = field(default_factory=set)
     """Failure domains that get no requests."""
+    cold: dict[str, int] = field(default_factory=dict)
+    """How much longer upstreams are cold, in milliseconds."""
+    taken_back: dict[str, int] = field(default_factory=dict)
+    """How long ago the evacuation of upstreams ended, in milliseconds."""
 
     def get(self, upstream: UpstreamId) -> UpstreamEntry | None:
         """Return an entry."""
         return next((entry for entry in self.entries if entry.upstream == upstream), None)
 
-    def known_ms(self, upstream: UpstreamId) -> int:
-        """Return a long time."""
-        return 60_000
+    def cold_ms(self, upstream: UpstreamId) -> int:
+        """Return how much longer an upstream is cold."""
+        return self.cold.get(upstream, 0)
+
+    def taken_back_ms(self, upstream: UpstreamId) -> int | None:
+        """Return how long ago an evacuation ended."""
+        return self.taken_back.get(upstream)
 
     def open_for(self, service: ServiceId) -> list[UpstreamEntry]:
         """Return those that are not leaving and may be used."""
@@ -444,6 +462,21 @@
         return True
 
 
+@dataclass(slots=True)
+class FakePermits:
+    """Decides itself about upstreams that warm up."""
+
+    upstreams: FakeUpstreams
+    warmup: WarmupLimit
+    asked: list[str] = field(default_factory=list)
+
+    async def may_send(self, *, upstream: UpstreamId) -> bool:
+        """Count a request if the upstream bears one more."""
+        self.asked.append(upstream)
+        entry = self.upstreams.get(upstream)
+        return entry is not None and self.warmup.take(entry)
+
+
 @dataclass(slots=True)
 class FakeTables:
     """The declarations in force."""
@@ -461,6 +494,7 @@
     tables: FakeTables
     work: OwnWork
     parts: ForwardingParts
+    permits: FakePermits
     alone: HostAlone
 
     def totals(self) -> dict[UpstreamId, EngineTotal]:
@@ -479,6 +513,10 @@
     upstreams, tables = FakeUpstreams(entries=list(entries)), FakeTables()
     work = OwnWork(clock=clock)
     health = UpstreamHealth(service_of=lambda _: SERVICE, clock=clock)
+    warmup = WarmupLimit(
+        host=HOST, tables=tables, upstreams=upstreams, share=lambda: 1.0, clock=clock
+    )
+    permits = FakePermits(upstreams=upstreams, warmup=warmup)
     parts = ForwardingParts(
         tables=tables,
         upstreams=upstreams,
@@ -489,6 +527,8 @@
         engines=engines,
         work=work,
         repeats=FakeRepeats(slack=slack),
+        warmup=warmup,
+        permits=permits,
         meters=Meters(registry=CollectorRegistry()),
         failure_domain=FailureDomainId("a"),
         clock=clock,
@@ -499,6 +539,7 @@
         upstreams=upstreams,
         notes=upstreams,
         health=health,
+        warmup=warmup,
         clock=clock,
         rng=parts.rng,
     )
@@ -511,6 +552,7 @@
         tables=tables,
         work=work,
         parts=parts,
+        permits=permits,
         alone=alone,
     )
 
--- a/testing/_listed_upstreams.py
+++ b/testing/_listed_upstreams.py
@@ -1,4 +1,4 @@
-"""Entries of upstreams in a store, in a few letters: a state, and a start behind an at sign."""
+"""Entries of upstreams in a store, in a few letters: state, start and how long it is cold."""
 
 from __future__ import annotations
 
@@ -22,7 +22,8 @@
     """Return an entry of the store.
 
     :param name: The upstream's name, which is also its key.
-    :param value: Its state, and its start if it tells one, as in ``ready@1000``.
+    :param value: Its state, its start if it tells one, and how long it is cold, as in
+        ``ready@1000 800``.
     :param revision: When it was written.
     """
     at = StoreRevision(revision)
@@ -33,7 +34,8 @@
     """Read an entry; the value ``bad`` can't be read."""
     if value == b"bad":
         return Failure("It can't be read; it is left out.")
-    state, _, started = value.decode().partition("@")
+    told, _, cold_ms = value.decode().partition(" ")
+    state, _, started = told.partition("@")
     return Success(
         UpstreamEntry(
             upstream=UpstreamId(f"{key}{started}"),
@@ -44,6 +46,6 @@
             failure_domain=FailureDomainId("x"),
             places=1,
             state=UpstreamState(state),
-            cold_ms=0,
+            cold_ms=int(cold_ms or 0),
         )
     )
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -164,9 +164,9 @@
 
 
 def decode_entry(key: str, value: bytes) -> Result[UpstreamEntry, str]:
-    """Read an engine's entry, which is its state and its failure domain."""
+    """Read an engine's entry: its state, its failure domain and how long it is cold."""
     name = key.removeprefix(REGISTRY_PREFIX)
-    state, _, domain = value.decode().partition(" ")
+    state, domain, cold_ms = value.decode().split()
     return Success(
         UpstreamEntry(
             upstream=UpstreamId(name),
@@ -177,7 +177,7 @@
             failure_domain=FailureDomainId(domain),
             places=24,
             state=UpstreamState(state),
-            cold_ms=0,
+            cold_ms=int(cold_ms),
         )
     )
 
@@ -189,11 +189,19 @@
 
 
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
-    """Read a configuration, which is its version."""
-    service = Service(name=SERVICE, health_path="/", max_connections=100, engine=ENGINE)
+    """Read a configuration: its version, and how long upstreams are cold and what they bear."""
+    version, cold_ms, cold_per_s = [*value.decode().split(), "0", "0"][:3]
+    service = Service(
+        name=SERVICE,
+        health_path="/",
+        max_connections=100,
+        engine=ENGINE,
+        cold_ms=int(cold_ms),
+        cold_per_s=float(cold_per_s),
+    )
     return Success(
         Configuration(
-            version=Revision(int(value)),
+            version=Revision(int(version)),
             routes=(),
             services=(service,),
             accounts=(),
@@ -331,9 +339,11 @@
         """Messages that all hosts took in, heartbeats left out."""
         return sum(host.received for host in self.hosts)
 
-    def set_engine(self, name: str, *, state: str = "ready", domain: str = "domain-0") -> None:
+    def set_engine(
+        self, name: str, *, state: str = "ready", domain: str = "domain-0", cold_ms: int = 0
+    ) -> None:
         """Write the entry of an engine."""
-        self.write(f"{REGISTRY_PREFIX}{name}", f"{state} {domain}")
+        self.write(f"{REGISTRY_PREFIX}{name}", f"{state} {domain} {cold_ms}")
 
     def remove_engine(self, name: str) -> None:
         """Remove the entry of an engine."""
