Give out no test port twice before it is bound

Cause: a fixture failed once with "address already in use" (port 26470). Each host of a test takes three random ports of 12,000 and binds them later; with some hundred hosts in one run two of a host's own are the same now and then.

Change: ports that were given out are kept and not given again.

--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -53,10 +53,20 @@
     whole: bool
 
 
+_given_ports: set[int] = set()
+"""Ports that were given out; a server binds its own only some time later."""
+
+
 def free_port() -> int:
-    """Return a port that is free now, of those that no outgoing connection gets meanwhile."""
+    """Return a port that is free now, of those that no outgoing connection gets meanwhile.
+
+    No port is given out twice by one process.
+    """
     while True:
         port = FIRST_PORT + secrets.randbelow(LAST_PORT - FIRST_PORT)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
         with socket.socket() as probe:
             try:
                 probe.bind((LOOPBACK, port))
--- a/testing/test_standins.py
+++ b/testing/test_standins.py
@@ -9,6 +9,7 @@
 import pytest
 
 from standins.host_list import HostListServer
+from standins.platform_world import free_port
 from standins.processes import Launcher
 from standins.processes import StartError
 from standins.service import Executions
@@ -127,3 +128,8 @@
     process = await launcher.start(name="store", module="standins.store", arguments=[])
     assert await process.stop() == 0
     assert process.errors() == ""
+
+
+def test_no_port_is_given_out_twice_though_none_is_bound_yet() -> None:
+    ports = [free_port() for _ in range(2000)]
+    assert len(set(ports)) == len(ports)
