Let requests run only in the regions that their route and account name

Cause: allowedRegions of routes and accounts was not read.

Change: the failure domains of the common regions go with a routed request, its ask of a decider and its run, so deciders need no map of regions. First and second tries, copies and moves stay there. A request with no such failure domain, or no upstream in one, is refused at once as not run. The map comes from the settings, which are checked. takers() filters for exclusion and domains in one place; without() went.

Ruled out: regions on the wire (each decider would resolve them anew); a body never goes to another host, so nothing is to be done for that part.

--- a/src/tanagerscale/coordination/__init__.py
+++ b/src/tanagerscale/coordination/__init__.py
@@ -18,7 +18,6 @@
 from tanagerscale.coordination._parts import Tables
 from tanagerscale.coordination._parts import Upstreams
 from tanagerscale.coordination._parts import takers
-from tanagerscale.coordination._parts import without
 from tanagerscale.coordination._ranking import beat_ms
 from tanagerscale.coordination._ranking import distance
 from tanagerscale.coordination._relay import NewsRelay
@@ -47,5 +46,4 @@
     "beat_ms",
     "distance",
     "takers",
-    "without",
 ]
--- a/src/tanagerscale/coordination/_desk.py
+++ b/src/tanagerscale/coordination/_desk.py
@@ -36,6 +36,7 @@
 """How often what waits is looked at although nothing was heard: time alone makes it late."""
 
 EVACUATED: Final = "the failure domains of its engines are evacuated"
+NOT_AT_HOME: Final = "no engine is in the regions that its route and account name"
 
 _log = get_logger(part="placement")
 
@@ -154,9 +155,12 @@
         service = ServiceId(ask.service)
         excluded = {UpstreamId(upstream) for upstream in ask.excluded}
         engine = parts.engine_of(service)
-        entries = takers(parts, service, excluded)
+        domains = {FailureDomainId(domain) for domain in ask.domains}
+        entries = takers(parts, service, excluded, domains)
         if not entries and parts.upstreams.has_evacuated(service):
             return Placement(verdict=Verdict.REFUSE, reason=EVACUATED)
+        if not entries and domains:
+            return Placement(verdict=Verdict.REFUSE, reason=NOT_AT_HOME)
         views = [
             view_of(entry, engine=engine, totals=totals, upstreams=parts.upstreams)
             for entry in entries
@@ -202,6 +206,7 @@
             prompt_tokens=ask.prompt_tokens,
             tokens=ask.prompt_tokens,
             is_long=ask.is_long,
+            domains=ask.domains,
         )
         self._ledger.grant(host=waiting.host, use=use)
         self._note_sent(view.upstream)
--- a/src/tanagerscale/coordination/_parts.py
+++ b/src/tanagerscale/coordination/_parts.py
@@ -14,9 +14,11 @@
 from tanagerscale.coordination._ledger import EngineTotal
 from tanagerscale.coordination._warmup import WarmupLimit
 from tanagerscale.core import Clock
+from tanagerscale.core import FailureDomainId
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.policy import EngineView
+from tanagerscale.routes import ANYWHERE
 from tanagerscale.routes import EngineCapabilities
 from tanagerscale.routes import RouteTable
 from tanagerscale.upstreams import UpstreamEntry
@@ -118,22 +120,29 @@
 
 
 def takers(
-    known: UpstreamKnowledge, service: ServiceId, excluded: Set[UpstreamId] = frozenset()
+    known: UpstreamKnowledge,
+    service: ServiceId,
+    excluded: Set[UpstreamId] = frozenset(),
+    domains: Set[FailureDomainId] = ANYWHERE,
 ) -> list[UpstreamEntry]:
     """Return the upstreams of a service that new work may go to, the sound ones if there are any.
 
     :param known: Which upstreams there are.
     :param service: The service.
     :param excluded: Upstreams that were tried.
+    :param domains: Failure domains that may be used; none means any.
     """
-    open_now = without(known.upstreams.open_for(service), excluded)
-    sound = known.health.usable(open_now)
-    return sound or open_now or without(known.upstreams.staying(service), excluded)
 
+    def usable(entries: Sequence[UpstreamEntry]) -> list[UpstreamEntry]:
+        return [
+            entry
+            for entry in entries
+            if entry.upstream not in excluded and (not domains or entry.failure_domain in domains)
+        ]
 
-def without(entries: Sequence[UpstreamEntry], excluded: Set[UpstreamId]) -> list[UpstreamEntry]:
-    """Return the entries whose upstream is not excluded."""
-    return [entry for entry in entries if entry.upstream not in excluded]
+    open_now = usable(known.upstreams.open_for(service))
+    sound = known.health.usable(open_now)
+    return sound or open_now or usable(known.upstreams.staying(service))
 
 
 def view_of(
--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -18,6 +18,7 @@
 from tanagerscale.coordination._parts import takers
 from tanagerscale.coordination._parts import view_of
 from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
@@ -244,6 +245,7 @@
             is_copy_fresh=run.copy_age_ms < RENEW_MS,
             is_put_back=tries is not None and tries.is_put_back,
             excluded=frozenset() if tries is None else frozenset(tries.failed_at),
+            domains={FailureDomainId(domain) for domain in use.domains},
         )
 
     def _scene(
--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -15,6 +15,7 @@
 from tanagerscale.core._ids import GenerationId
 from tanagerscale.core._ids import HostId
 from tanagerscale.core._ids import ModelId
+from tanagerscale.core._ids import RegionId
 from tanagerscale.core._ids import RequestId
 from tanagerscale.core._ids import Revision
 from tanagerscale.core._ids import ServiceId
@@ -41,6 +42,7 @@
     "ModelId",
     "Problem",
     "ProblemKind",
+    "RegionId",
     "RequestId",
     "Revision",
     "ServiceId",
--- a/src/tanagerscale/core/_ids.py
+++ b/src/tanagerscale/core/_ids.py
@@ -7,6 +7,7 @@
 
 HostId = NewType("HostId", str)
 FailureDomainId = NewType("FailureDomainId", str)
+RegionId = NewType("RegionId", str)
 ClientAccountId = NewType("ClientAccountId", str)
 UpstreamId = NewType("UpstreamId", str)
 UpstreamName = NewType("UpstreamName", str)
--- a/src/tanagerscale/forwarding/_admission.py
+++ b/src/tanagerscale/forwarding/_admission.py
@@ -100,6 +100,7 @@
             left_ms=left_until_late_ms(routed, self._parts),
             waited_ms=waited_ms(routed, self._parts),
             excluded=sorted(excluded),
+            domains=sorted(routed.domains),
         )
 
     async def _entry_of(self, upstream: UpstreamId) -> UpstreamEntry | None:
@@ -120,6 +121,7 @@
             prompt_tokens=prompt,
             tokens=prompt,
             is_long=is_long(routed),
+            domains=routed.domains,
         )
 
     def _log(self, message: str, routed: RoutedRequest, **inputs: object) -> None:
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import FailureDomainId
 from tanagerscale.core import Millis
 from tanagerscale.core import ServiceId
 from tanagerscale.core import get_logger
@@ -18,6 +19,7 @@
 from tanagerscale.forwarding._refusals import UNKNOWN_KEY
 from tanagerscale.forwarding._refusals import UNKNOWN_ROUTE
 from tanagerscale.forwarding._refusals import going_away
+from tanagerscale.forwarding._refusals import not_at_home
 from tanagerscale.forwarding._refusals import not_ready
 from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import timed_out
@@ -29,6 +31,7 @@
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.routes import Caller
 from tanagerscale.routes import EngineCapabilities
+from tanagerscale.routes import Homes
 from tanagerscale.routes import Route
 from tanagerscale.routes import RouteKind
 from tanagerscale.routes import RouteTable
@@ -44,6 +47,7 @@
     :param parts: What every request uses.
     :param admission: Finds engines for generations.
     :param movers: Moves streams between engines.
+    :param homes: Tells in which failure domains a request may run.
     :param is_stopping: Returns whether this host is in a planned stop.
     """
 
@@ -53,11 +57,13 @@
         parts: ForwardingParts,
         admission: Admission,
         movers: StreamMovers,
+        homes: Homes,
         is_stopping: Callable[[], bool],
     ) -> None:
         self._parts = parts
         self._admission = admission
         self._movers = movers
+        self._homes = homes
         self._is_stopping = is_stopping
         self._running = 0
 
@@ -99,7 +105,11 @@
         if caller is None:
             await self._refuse(request, responder, UNKNOWN_KEY, table)
             return
-        routed = self._routed(request, route, caller, table)
+        domains = self._homes.domains(route=route, caller=caller)
+        if domains is None:
+            await self._refuse(request, responder, not_at_home(rng=self._parts.rng), table)
+            return
+        routed = self._routed(request, route, caller, table, domains)
         left = routed.deadline - self._parts.clock.now()
         refusal: Refusal | None
         try:
@@ -120,7 +130,12 @@
         meters.latency_ms.labels(kind).observe(took_ms)
 
     def _routed(
-        self, request: CallerRequest, route: Route, caller: Caller, table: RouteTable
+        self,
+        request: CallerRequest,
+        route: Route,
+        caller: Caller,
+        table: RouteTable,
+        domains: frozenset[FailureDomainId],
     ) -> RoutedRequest:
         limit = route.timeout_ms
         if request.time_left_ms is not None:
@@ -133,6 +148,7 @@
             service=service,
             engine=_engine_of(table, service),
             deadline=Millis(request.arrived + limit),
+            domains=domains,
         )
 
     async def _forward(self, routed: RoutedRequest, responder: Responder) -> Refusal | None:
--- a/src/tanagerscale/forwarding/_legs.py
+++ b/src/tanagerscale/forwarding/_legs.py
@@ -104,6 +104,7 @@
             tokens=point.tokens,
             made=point.made,
             is_long=is_long(self._routed),
+            domains=self._routed.domains,
         )
         late_ms = self._routed.route.target_ms
         late = LateNote(health=self._parts.health, entry=entry, after_ms=late_ms)
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -166,7 +166,9 @@
 
         :param denied: Upstreams that warm up and get no more now.
         """
-        entries = takers(self._parts, self._routed.service, self._record.tried | denied)
+        routed = self._routed
+        excluded = self._record.tried | denied
+        entries = takers(self._parts, routed.service, excluded, routed.domains)
         counts = self._parts.work.plain_counts
 
         def cost(entry: UpstreamEntry) -> tuple[float, float]:
--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -23,6 +23,9 @@
 NO_UPSTREAM_MS: Final = 400
 """Upstreams that are all full or all unreachable have changed by then, by the length of a call."""
 
+NOT_AT_HOME_MS: Final = 5000
+"""Operators have to declare other regions first."""
+
 NO_ROOM_MS: Final = 2500
 """Engines get room as generations end, which run for several seconds each."""
 
@@ -54,6 +57,15 @@
     )
 
 
+def not_at_home(*, rng: Random) -> Refusal:
+    """Refuse what may run in no region that is known here; it has not run."""
+    return Refusal(
+        kind=RefusalKind.OVERLOADED,
+        detail="No upstream is in the regions of the route and the account; declare others.",
+        retry_after_ms=_spread(NOT_AT_HOME_MS, rng),
+    )
+
+
 def no_room(*, service: str, rng: Random) -> Refusal:
     """Refuse a generation that no engine has room for; it has not run."""
     return Refusal(
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -12,12 +12,14 @@
 from returns.result import Result
 
 from tanagerscale.core import ClientAccountId
+from tanagerscale.core import FailureDomainId
 from tanagerscale.core import Millis
 from tanagerscale.core import ModelId
 from tanagerscale.core import RequestId
 from tanagerscale.core import ServiceId
 from tanagerscale.quarantine import Fingerprint
 from tanagerscale.quarantine import fingerprint_of
+from tanagerscale.routes import ANYWHERE
 from tanagerscale.routes import Caller
 from tanagerscale.routes import EngineCapabilities
 from tanagerscale.routes import Route
@@ -98,6 +100,7 @@
     :param service: Where it goes.
     :param engine: What the service's engines can do; ``None`` when they run no language model.
     :param deadline: When its time is over.
+    :param domains: Failure domains that it may run in; none means any.
     """
 
     request: CallerRequest
@@ -106,6 +109,7 @@
     service: ServiceId
     engine: EngineCapabilities | None
     deadline: Millis
+    domains: frozenset[FailureDomainId] = ANYWHERE
 
     @property
     def fingerprint(self) -> Fingerprint:
--- a/src/tanagerscale/forwarding/_work.py
+++ b/src/tanagerscale/forwarding/_work.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Set
 from typing import final
 
 from msgspec import Struct
@@ -10,6 +11,7 @@
 from reactivex.subject import Subject
 
 from tanagerscale.core import Clock
+from tanagerscale.core import FailureDomainId
 from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
@@ -24,6 +26,7 @@
     :param tokens: Tokens it holds in memory, or will when its prompt is read.
     :param made: Tokens of its answer so far.
     :param is_long: Whether its answer may run on for seconds.
+    :param domains: Failure domains that it may run in; none means any.
     :param begun_at: When it began to answer there; ``None`` before that.
     :param copy_at: Engine that holds a copy of its memory, or ``None``.
     :param copied_at: When that copy was taken.
@@ -36,6 +39,7 @@
     tokens: int
     made: int
     is_long: bool
+    domains: Set[FailureDomainId] = frozenset()
     begun_at: Millis | None = None
     copy_at: UpstreamId | None = None
     copied_at: Millis = Millis(0)
@@ -76,6 +80,7 @@
         tokens: int,
         made: int = 0,
         is_long: bool,
+        domains: Set[FailureDomainId] = frozenset(),
     ) -> None:
         """Count a generation that is sent to an engine, or is about to be.
 
@@ -85,6 +90,7 @@
         :param tokens: Tokens it will hold when that is read.
         :param made: Tokens of its answer so far.
         :param is_long: Whether its answer may run on for seconds.
+        :param domains: Failure domains that it may run in; none means any.
         """
         before = self._runs.get(request)
         is_counted = before is not None and before.upstream == upstream
@@ -96,6 +102,7 @@
             tokens=tokens,
             made=made,
             is_long=is_long,
+            domains=domains,
         )
         self._changes.on_next(None)
 
@@ -162,4 +169,5 @@
         copy_ms=0 if run.copy_at is None else now - run.copied_at,
         copy_yields=run.copy_yields,
         is_moving=run.is_moving,
+        domains=sorted(run.domains),
     )
--- a/src/tanagerscale/platform/_configuration.py
+++ b/src/tanagerscale/platform/_configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Final
 
 import msgspec
@@ -12,6 +13,7 @@
 from tanagerscale.core import ClientAccountId
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import ModelId
+from tanagerscale.core import RegionId
 from tanagerscale.core import Revision
 from tanagerscale.core import ServiceId
 from tanagerscale.platform._wire import WireConfiguration
@@ -103,6 +105,7 @@
         priority=wire.priority,
         public=wire.public,
         resumable=wire.resumable,
+        regions=_regions(wire.allowed_regions),
     )
 
 
@@ -134,5 +137,12 @@
 
 def _account(wire: WireTenant) -> Account:
     return Account(
-        name=ClientAccountId(wire.name), keys=tuple(wire.api_keys), priority=wire.priority
+        name=ClientAccountId(wire.name),
+        keys=tuple(wire.api_keys),
+        priority=wire.priority,
+        regions=_regions(wire.allowed_regions),
     )
+
+
+def _regions(names: Sequence[str]) -> frozenset[RegionId]:
+    return frozenset(RegionId(name) for name in names)
--- a/src/tanagerscale/platform/_wire.py
+++ b/src/tanagerscale/platform/_wire.py
@@ -79,6 +79,7 @@
     priority: int = 0
     public: bool = False
     resumable: bool = False
+    allowed_regions: list[str] = []
 
 
 class WireModel(msgspec.Struct, kw_only=True, rename="camel"):
@@ -133,6 +134,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] = []
 
 
 class WireConfiguration(msgspec.Struct, kw_only=True, rename="camel"):
--- a/src/tanagerscale/policy/_moves.py
+++ b/src/tanagerscale/policy/_moves.py
@@ -18,6 +18,7 @@
 
 from msgspec import Struct
 
+from tanagerscale.core import FailureDomainId
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
 from tanagerscale.generated.messages import MoveKind
@@ -48,6 +49,7 @@
     :param is_put_back: Whether its last copy failed; others go first, or one engine that takes no
         copy would keep all others from having theirs.
     :param excluded: Engines that did not take it.
+    :param domains: Failure domains that it may run in; none means any.
     """
 
     request: RequestId
@@ -59,6 +61,7 @@
     is_copy_fresh: bool = True
     is_put_back: bool = False
     excluded: Set[UpstreamId] = frozenset()
+    domains: Set[FailureDomainId] = frozenset()
 
     @property
     def order(self) -> int:
@@ -182,6 +185,7 @@
         view
         for upstream, view in scene.engines.items()
         if upstream in scene.takers and upstream != run.engine and upstream not in run.excluded
+        if not run.domains or view.failure_domain in run.domains
     ]
 
 
--- a/src/tanagerscale/routes/__init__.py
+++ b/src/tanagerscale/routes/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from tanagerscale.routes._homes import ANYWHERE
+from tanagerscale.routes._homes import Homes
 from tanagerscale.routes._table import ANYBODY
 from tanagerscale.routes._table import Caller
 from tanagerscale.routes._table import RouteTable
@@ -18,11 +20,13 @@
 
 __all__ = [
     "ANYBODY",
+    "ANYWHERE",
     "Account",
     "Caller",
     "CallerLimits",
     "Configuration",
     "EngineCapabilities",
+    "Homes",
     "Route",
     "RouteId",
     "RouteKind",
--- a/src/tanagerscale/routes/_table.py
+++ b/src/tanagerscale/routes/_table.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from tanagerscale.core import ClientAccountId
+from tanagerscale.core import RegionId
 from tanagerscale.core import Revision
 from tanagerscale.core import ServiceId
 from tanagerscale.routes._types import Account
@@ -24,10 +25,12 @@
     :param account: The account of its key; ``None`` on public routes and where no accounts are
         declared.
     :param priority: The account's priority, when it has one.
+    :param regions: Regions that its requests may run in; none means any.
     """
 
     account: ClientAccountId | None
     priority: int | None
+    regions: frozenset[RegionId] = frozenset()
 
 
 ANYBODY = Caller(account=None, priority=None)
@@ -50,7 +53,7 @@
             self._by_prefix[(route.host, route.path_prefix)] = route
         self._services = {service.name: service for service in configuration.services}
         self._callers = {
-            key: Caller(account=account.name, priority=account.priority)
+            key: Caller(account=account.name, priority=account.priority, regions=account.regions)
             for account in configuration.accounts
             for key in account.keys
         }
--- a/src/tanagerscale/routes/_types.py
+++ b/src/tanagerscale/routes/_types.py
@@ -10,6 +10,7 @@
 
 from tanagerscale.core import ClientAccountId
 from tanagerscale.core import ModelId
+from tanagerscale.core import RegionId
 from tanagerscale.core import Revision
 from tanagerscale.core import ServiceId
 
@@ -55,6 +56,7 @@
     :param priority: 0 goes first.
     :param public: Whether requests need no key.
     :param resumable: Whether a stream may be asked for from a later event on.
+    :param regions: Regions that its requests may run in; none means any.
     """
 
     name: RouteId
@@ -69,6 +71,7 @@
     priority: int
     public: bool
     resumable: bool
+    regions: frozenset[RegionId] = frozenset()
 
 
 class EngineCapabilities(Struct, frozen=True, kw_only=True):
@@ -138,11 +141,13 @@
     :param name: Its id.
     :param keys: Keys that its requests may carry.
     :param priority: Goes before the route's priority; ``None`` leaves that in force.
+    :param regions: Regions that its requests may run in; none means any.
     """
 
     name: ClientAccountId
     keys: tuple[str, ...]
     priority: int | None
+    regions: frozenset[RegionId] = frozenset()
 
 
 class Configuration(Struct, frozen=True, kw_only=True):
--- a/src/tanagerscale/settings/_gateway.py
+++ b/src/tanagerscale/settings/_gateway.py
@@ -4,15 +4,20 @@
 
 from pathlib import Path
 from typing import Any
+from typing import Final
 
 from returns.result import Result
 
+from tanagerscale.core import FailureDomainId
+from tanagerscale.core import RegionId
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.ini import IniSection
 from tanagerscale.ini import InputError
 from tanagerscale.ini import address_problem
 from tanagerscale.settings._sections import read_struct
 
+REGION_SEPARATOR: Final = ":"
+
 
 def read_gateway_settings(*, path: Path) -> Result[GatewaySettings, tuple[InputError, ...]]:
     """Read the settings of one host that forwards by routes.
@@ -23,6 +28,17 @@
     return read_struct(path=path, struct=GatewaySettings, check=_check)
 
 
+def regions_of(settings: GatewaySettings) -> dict[FailureDomainId, RegionId]:
+    """Return the region of each failure domain.
+
+    :param settings: Checked settings.
+    """
+    pairs = (pair.partition(REGION_SEPARATOR) for pair in settings.host.regions)
+    return {
+        FailureDomainId(domain.strip()): RegionId(region.strip()) for domain, _, region in pairs
+    }
+
+
 def _check(section: IniSection, values: dict[str, Any]) -> list[InputError]:
     match section.title:
         case "host":
@@ -32,12 +48,21 @@
                 problem = address_problem(address=seed)
                 if problem:
                     errors.append(section.error(key="seeds", found=seed, allowed=problem))
-            return errors
+            return errors + _check_regions(section, values)
         case "store":
             return _check_addresses(section, values, ("address",))
     return []
 
 
+def _check_regions(section: IniSection, values: dict[str, Any]) -> list[InputError]:
+    allowed = "pairs of a failure domain and its region, as in a:east"
+    return [
+        section.error(key="regions", found=pair, allowed=allowed)
+        for pair in values.get("regions", [])
+        if not all(part.strip() for part in pair.partition(REGION_SEPARATOR))
+    ]
+
+
 def _check_addresses(
     section: IniSection, values: dict[str, Any], keys: tuple[str, ...]
 ) -> list[InputError]:
--- /dev/null
+++ b/testing/test_homes.py
@@ -0,0 +1,202 @@
+"""Requests run only in the regions that their route and their account name."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+from msgspec.structs import replace
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+from tanagerscale.core import ClientAccountId
+from tanagerscale.core import FailureDomainId
+from tanagerscale.core import RegionId
+from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding import Admission
+from tanagerscale.forwarding import Dispatcher
+from tanagerscale.forwarding import RefusalKind
+from tanagerscale.platform._configuration import decode_configuration
+from tanagerscale.routes import ANYWHERE
+from tanagerscale.routes import Caller
+from tanagerscale.routes import Homes
+from tanagerscale.routes import Route
+from tanagerscale.routes import RouteKind
+from tanagerscale.routes import RouteTable
+from tanagerscale.settings import read_gateway_settings
+from tanagerscale.settings import regions_of
+from testing._gateway_fakes import Bench
+from testing._gateway_fakes import FakeResponder
+from testing._gateway_fakes import make_bench
+from testing._gateway_fakes import make_entry
+from testing._gateway_fakes import make_movers
+from testing._gateway_fakes import make_request
+from testing._gateway_fakes import make_route
+from testing._gateway_fakes import make_table
+from testing._moving_scene import Scene
+from testing._virtual_time import run_virtually
+
+EAST, WEST = RegionId("east"), RegionId("west")
+REGIONS = {
+    FailureDomainId("a"): EAST,
+    FailureDomainId("b"): EAST,
+    FailureDomainId("c"): WEST,
+}
+SOON_S = 1
+
+
+def _domains(route: set[str], account: set[str]) -> frozenset[FailureDomainId] | None:
+    caller = Caller(
+        account=ClientAccountId("one"),
+        priority=None,
+        regions=frozenset(RegionId(name) for name in account),
+    )
+    regions = frozenset(RegionId(name) for name in route)
+    return Homes(regions=REGIONS).domains(
+        route=replace(make_route(), regions=regions), caller=caller
+    )
+
+
+@pytest.mark.parametrize(
+    ("route", "account", "domains"),
+    [
+        (set(), set(), ANYWHERE),
+        ({"east"}, set(), {"a", "b"}),
+        (set(), {"west"}, {"c"}),
+        ({"east", "west"}, {"west"}, {"c"}),
+        ({"east"}, {"west"}, None),
+        ({"north"}, set(), None),
+    ],
+)
+def test_both_route_and_account_bind(
+    route: set[str], account: set[str], domains: set[str] | None
+) -> None:
+    assert _domains(route, account) == domains
+
+
+def test_regions_are_read_from_the_configuration() -> None:
+    decoded = decode_configuration(
+        b'{"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/a/","kind":"safe",'
+        b'"timeoutMs":1000,"service":"s","allowedRegions":["east"]}],'
+        b'"tenants":[{"name":"t","apiKeys":["k"],"allowedRegions":["west","east"]}]}'
+    )
+    assert isinstance(decoded, Success)
+    table = RouteTable(configuration=decoded.unwrap())
+    route = table.route(host="h", path="/a/x")
+    assert route is not None
+    assert route.regions == {EAST}
+    caller = table.caller(route=route, key="k")
+    assert caller is not None
+    assert caller.regions == {EAST, WEST}
+
+
+def _settings(tmp_path: Path, regions: str) -> Path:
+    path = tmp_path / "host.ini"
+    path.write_text(
+        f"[host]\nid = h\nfailure_domain = a\nregions = {regions}\ncallers = 127.0.0.1:0\n"
+        "readiness = 127.0.0.1:0\npeers = 127.0.0.1:0\n[store]\naddress = 127.0.0.1:1\n"
+    )
+    return path
+
+
+def test_regions_of_failure_domains_are_read_from_the_settings(tmp_path: Path) -> None:
+    read = read_gateway_settings(path=_settings(tmp_path, "a:east,b:east, c:west"))
+    assert regions_of(read.unwrap()) == REGIONS
+
+
+def test_settings_that_name_no_region_are_refused(tmp_path: Path) -> None:
+    read = read_gateway_settings(path=_settings(tmp_path, "a,b:east"))
+    assert isinstance(read, Failure)
+    (error,) = read.failure()
+    assert "pairs of a failure domain and its region" in str(error)
+
+
+class _Host:
+    """A dispatcher before upstreams of two regions."""
+
+    def __init__(self, route: Route, *domains: str) -> None:
+        entries = [make_entry(f"x{domain}", domain=domain) for domain in domains]
+        self.bench: Bench = make_bench(*entries)
+        self.bench.tables.table = make_table(route)
+        parts = self.bench.parts
+        self.dispatcher = Dispatcher(
+            parts=parts,
+            admission=Admission(parts=parts, placer=self.bench.alone.client),
+            movers=make_movers(self.bench),
+            homes=Homes(regions=REGIONS),
+            is_stopping=lambda: False,
+        )
+
+    async def ask(self, *, prompt: int | None = None) -> FakeResponder:
+        """Return what a caller gets."""
+        responder = FakeResponder()
+        await self.dispatcher.serve(make_request(prompt=prompt), responder)
+        return responder
+
+
+def _plain(*regions: RegionId) -> Route:
+    return replace(make_route(), regions=frozenset(regions))
+
+
+def _stream(*regions: RegionId) -> Route:
+    route = make_route(kind=RouteKind.STREAMING, timeout_ms=39_000)
+    return replace(route, regions=frozenset(regions))
+
+
+@pytest.mark.parametrize("make", [_plain, _stream])
+@pytest.mark.parametrize("region", [EAST, WEST])
+def test_request_reaches_only_upstreams_of_its_regions(
+    make: Callable[..., Route], region: RegionId
+) -> None:
+    async def play() -> None:
+        host = _Host(make(region), "a", "b", "c")
+        prompt = None if make is _plain else 100
+        for _ in range(20):
+            await host.ask(prompt=prompt)
+        wanted = {f"x{domain}" for domain, one in REGIONS.items() if one == region}
+        assert set(host.bench.caller.asked) <= wanted
+        assert len(host.bench.caller.asked) == 20
+
+    run_virtually(play())
+
+
+@pytest.mark.parametrize("make", [_plain, _stream])
+def test_request_is_refused_at_once_when_no_upstream_is_in_its_regions(
+    make: Callable[..., Route],
+) -> None:
+    async def play() -> None:
+        for host in (_Host(make(WEST), "a", "b"), _Host(make(RegionId("north")), "a", "c")):
+            began = host.bench.parts.clock.now()
+            responder = await host.ask(prompt=None if make is _plain else 100)
+            assert responder.refusal is not None
+            assert responder.refusal.kind is RefusalKind.OVERLOADED
+            assert host.bench.caller.asked == []
+            assert host.bench.parts.clock.now() == began
+
+    run_virtually(play())
+
+
+def test_run_leaves_its_engine_only_for_one_of_its_regions() -> None:
+    async def play() -> None:
+        scene = Scene("xa", "xb", "xc")
+        scene.bench.upstreams.entries = [
+            make_entry(f"x{domain}", domain=domain) for domain in ("a", "c", "b")
+        ]
+        run = scene.add("1", at="xa")
+        scene.bench.work.end(request=run.request)
+        scene.bench.work.begin(
+            request=run.request,
+            upstream=UpstreamId("xa"),
+            prompt_tokens=run.tokens,
+            tokens=run.tokens,
+            is_long=True,
+            domains={FailureDomainId("a"), FailureDomainId("b")},
+        )
+        scene.begin(run)
+        scene.leave("xa")
+        await asyncio.sleep(SOON_S)
+        assert {target for _, _, target, _ in scene.bench.engines.copies} == {"xb"}
+
+    run_virtually(play())
