Send configurations compressed with the version that the receiver has

Change: a host keeps the last four versions and sends a newer one deflated with the one that the asker has as its dictionary, or deflated alone. Who lacks that version refuses the difference and asks for the whole, as it did before for sets of sections.

Ruled out: a difference of the parsed configuration (a second codec beside the operators' bytes).

Tests: difference, unknown version, unreadable text.

--- a/src/tanagerscale/declarations/_follower.py
+++ b/src/tanagerscale/declarations/_follower.py
@@ -32,6 +32,7 @@
 from tanagerscale.declarations._sections import DECODE_ERRORS
 from tanagerscale.generated.messages import HeadContent
 from tanagerscale.generated.records import Head
+from tanagerscale.membership import NOT_PACKED
 from tanagerscale.store import Store
 from tanagerscale.store import StoreError
 from tanagerscale.store import StoreErrorKind
@@ -109,12 +110,13 @@
             tasks.create_task(self._reread_forever())
 
     async def offer_from_peer(
-        self, *, head: bytes, chunks: Mapping[str, str]
+        self, *, head: bytes, chunks: Mapping[str, str], packed_after: int = NOT_PACKED
     ) -> Result[Revision, FollowError]:
         """Take in what a peer has in force.
 
         :param head: Its head record, as it stands in the store.
         :param chunks: Content of chunks by digest.
+        :param packed_after: Not used; of a set's sections only those that differ are sent.
         :returns: The revision in force here afterwards. After a failure ask the peer again with
             ``have_revision`` 0, until the chunks of several messages make a whole.
         """
--- a/src/tanagerscale/membership/__init__.py
+++ b/src/tanagerscale/membership/__init__.py
@@ -17,6 +17,7 @@
 from tanagerscale.membership._peers import Received
 from tanagerscale.membership._roster import UpstreamRoster
 from tanagerscale.membership._scale import stretch
+from tanagerscale.membership._spread import NOT_PACKED
 from tanagerscale.membership._spread import HeadFollower
 from tanagerscale.membership._spread import HeadSpread
 from tanagerscale.membership._upstreams import spread_leaving
@@ -28,6 +29,7 @@
 from tanagerscale.membership._wire import encode_frame
 
 __all__ = [
+    "NOT_PACKED",
     "CloseReason",
     "Evacuations",
     "FrameError",
--- a/src/tanagerscale/membership/_spread.py
+++ b/src/tanagerscale/membership/_spread.py
@@ -33,6 +33,9 @@
 ANSWER_LIMIT_MS = 500
 """How long one peer may take to send a head before another is asked."""
 
+NOT_PACKED = -1
+"""Tells that a head is as it stands in the store."""
+
 CHECK_MS = 250
 """How often it is looked whether a peer that was asked does not answer."""
 
@@ -50,7 +53,7 @@
         """The revision in force here."""
 
     async def offer_from_peer(
-        self, *, head: bytes, chunks: Mapping[str, str]
+        self, *, head: bytes, chunks: Mapping[str, str], packed_after: int = NOT_PACKED
     ) -> Result[Revision, Any]:
         """Take in what a peer has in force."""
 
@@ -207,7 +210,7 @@
     async def _take(self, host: HostId, content: HeadContent) -> None:
         mine = self._follower.head_revision
         taken = await self._follower.offer_from_peer(
-            head=content.head.encode(), chunks=content.chunks
+            head=content.head.encode(), chunks=content.chunks, packed_after=content.packed_after
         )
         if self._follower.head_revision > mine:
             self._asked = None
--- a/testing/test_gateway_configuration.py
+++ b/testing/test_gateway_configuration.py
@@ -4,12 +4,14 @@
 
 import asyncio
 
+import pytest
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
 from tanagerscale.core import Revision
 from tanagerscale.gateway._configuration import ConfigurationKeeper
+from tanagerscale.generated.messages import HeadContent
 from tanagerscale.routes import Configuration
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
@@ -64,12 +66,69 @@
     assert keeper.head_revision == 3
 
 
+def _offer(keeper: ConfigurationKeeper, content: HeadContent) -> bool:
+    """Give a host what another one sent; return whether it was taken."""
+    offered = keeper.offer_from_peer(
+        head=content.head.encode(), chunks=content.chunks, packed_after=content.packed_after
+    )
+    return isinstance(asyncio.run(offered), Success)
+
+
+def _decode_padded(value: bytes) -> Result[Configuration, str]:
+    """Read a configuration that is long, as its version stands before much else."""
+    return _decode(value.partition(b"\n")[0])
+
+
+def _padded(version: int, change: str = "") -> bytes:
+    body = "\n".join(f"account-{number} key-{number * 7919 % 10007}" for number in range(400))
+    return f"{version}\n{body}\n{change}".encode()
+
+
+def test_host_that_is_one_version_behind_is_told_only_what_differs() -> None:
+    ahead = ConfigurationKeeper(decode=_decode_padded)
+    behind = ConfigurationKeeper(decode=_decode_padded)
+    for keeper in (ahead, behind):
+        keeper.on_changes(_batch(_padded(4)))
+    ahead.on_changes(_batch(_padded(9, "account-new key-new")))
+    whole = ahead.content_for_peer(have=Revision(0))
+    content = ahead.content_for_peer(have=Revision(4))
+    assert whole is not None
+    assert content is not None
+    assert len(content.head) < 200 < len(whole.head) < len(_padded(9))
+    assert _offer(behind, content)
+    assert behind.head_revision == 9
+    # It tells others the same in its turn.
+    assert behind.content_for_peer(have=Revision(0)) == whole
+
+
+def test_host_refuses_a_difference_to_what_it_has_not_and_takes_the_whole() -> None:
+    ahead = ConfigurationKeeper(decode=_decode_padded)
+    other = ConfigurationKeeper(decode=_decode_padded)
+    ahead.on_changes(_batch(_padded(4)))
+    ahead.on_changes(_batch(_padded(9)))
+    content = ahead.content_for_peer(have=Revision(4))
+    whole = ahead.content_for_peer(have=Revision(0))
+    assert content is not None
+    assert whole is not None
+    assert not _offer(other, content)
+    assert other.head_revision == 0
+    assert _offer(other, whole)
+    assert other.head_revision == 9
+
+
+@pytest.mark.parametrize("head", ["", "no base64!", "aGVsbG8=", "eJw="])
+def test_host_refuses_what_it_cannot_unpack(head: str) -> None:
+    keeper = ConfigurationKeeper(decode=_decode)
+    assert not _offer(keeper, HeadContent(head=head, chunks={}, packed_after=0))
+    assert keeper.head_revision == 0
+
+
 def test_host_without_the_store_gets_the_version_from_a_peer() -> None:
     ahead, behind = ConfigurationKeeper(decode=_decode), ConfigurationKeeper(decode=_decode)
     ahead.on_changes(_batch(b"9"))
     behind.on_changes(_batch(b"4"))
     content = ahead.content_for_peer(have=behind.head_revision)
     assert content is not None
-    asyncio.run(behind.offer_from_peer(head=content.head.encode(), chunks=content.chunks))
+    _offer(behind, content)
     assert behind.head_revision == 9
     assert behind.content_for_peer(have=Revision(9)) is None
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -26,6 +26,7 @@
 from tanagerscale.generated.upstream import ListedEntry
 from tanagerscale.generated.upstream import ListedKind
 from tanagerscale.generated.upstream import ListedState
+from tanagerscale.membership import NOT_PACKED
 from tanagerscale.membership import HeadSpread
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import PeerAddress
@@ -55,7 +56,7 @@
     """Whether nothing that peers offer can be taken in."""
 
     async def offer_from_peer(
-        self, *, head: bytes, chunks: Mapping[str, str]
+        self, *, head: bytes, chunks: Mapping[str, str], packed_after: int = NOT_PACKED
     ) -> Result[Revision, str]:
         """Take a higher revision; without chunks only the next one."""
         offered = Revision(int(head))
--- a/tools/slopes_spread.py
+++ b/tools/slopes_spread.py
@@ -18,6 +18,7 @@
 from tanagerscale.core import Revision
 from tanagerscale.generated.messages import HeadContent
 from tanagerscale.generated.messages import Heartbeat
+from tanagerscale.membership import NOT_PACKED
 from tanagerscale.membership import HeadSpread
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import PeerAddress
@@ -55,7 +56,7 @@
         self.spread: HeadSpread | None = None
 
     async def offer_from_peer(
-        self, *, head: bytes, chunks: Mapping[str, str]
+        self, *, head: bytes, chunks: Mapping[str, str], packed_after: int = NOT_PACKED
     ) -> Result[Revision, str]:
         """Take a higher revision and tell the peers."""
         offered = Revision(int(head.strip()))
