Let late generations wait for room, behind those that can be in time

Engines get room every second.

Change: a generation that is late waits on for up to 4 s from when it became late, as far as its answer can end before its deadline. What can be in time goes first, and a late long one must find room for two of its size, as it holds memory as long as one that is worth more to its caller. After that it is refused as not run.

--- a/src/tanagerscale/coordination/_desk.py
+++ b/src/tanagerscale/coordination/_desk.py
@@ -64,9 +64,9 @@
 class PlacementDesk:
     """Gives each generation an engine, at once or when there is room, or refuses it.
 
-    Short answers go first: they hold their memory for half a second, where a long one holds it for
-    ten, and someone stands waiting for them. Within a kind the first to come is the first to go,
-    whichever host it came to.
+    What can still be in time goes before what is late. Short answers go first: they hold their
+    memory for half a second, where a long one holds it for ten, and someone stands waiting for
+    them. Within a kind the first to come is the first to go, whichever host it came to.
 
     :param parts: What decisions go by.
     :param ledger: What all hosts run.
@@ -138,7 +138,11 @@
 
     def _look_at_all(self) -> None:
         totals = self._ledger.totals()
-        in_order = sorted(self._waiting.values(), key=lambda one: (one.ask.is_long, one.arrived))
+        now = self._parts.clock.now()
+        in_order = sorted(
+            self._waiting.values(),
+            key=lambda one: (one.late_at <= now, one.ask.is_long, one.arrived),
+        )
         for waiting in in_order:
             placement = self._place(waiting, totals)
             if placement.verdict is Verdict.WAIT:
@@ -170,6 +174,7 @@
             prompt_tokens=ask.prompt_tokens,
             is_long=ask.is_long,
             left_ms=waiting.late_at - parts.clock.now(),
+            patience_ms=ask.patience_ms,
         )
         return place(
             wish=wish,
--- a/src/tanagerscale/forwarding/_admission.py
+++ b/src/tanagerscale/forwarding/_admission.py
@@ -14,6 +14,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._demand import is_long
+from tanagerscale.forwarding._demand import late_patience_ms
 from tanagerscale.forwarding._demand import left_until_late_ms
 from tanagerscale.forwarding._demand import waited_ms
 from tanagerscale.forwarding._parts import ForwardingParts
@@ -98,6 +99,7 @@
             prompt_tokens=0 if demand is None else demand.prompt_tokens,
             is_long=is_long(routed),
             left_ms=left_until_late_ms(routed, self._parts),
+            patience_ms=late_patience_ms(routed, self._parts),
             waited_ms=waited_ms(routed, self._parts),
             excluded=sorted(excluded),
             domains=sorted(routed.domains),
--- a/src/tanagerscale/forwarding/_demand.py
+++ b/src/tanagerscale/forwarding/_demand.py
@@ -12,6 +12,15 @@
 they run on for two seconds. Shorter ones end before it is gone."""
 
 
+LATE_PATIENCE_MS: Final = 4000
+"""How long a generation that is late may wait on for room. Engines get room as answers of some
+seconds end; callers give up a stream that has sent nothing for seven."""
+
+ANSWER_MS: Final = 1500
+"""Time that is left for the answer of one that waits so long, so that it ends before its
+deadline."""
+
+
 def is_long(routed: RoutedRequest) -> bool:
     """Return whether an answer may run on for seconds."""
     demand = routed.request.demand
@@ -33,3 +42,9 @@
     if request.time_left_ms is not None:
         waited += max(routed.route.timeout_ms - request.time_left_ms, 0)
     return routed.route.target_ms - waited
+
+
+def late_patience_ms(routed: RoutedRequest, parts: ForwardingParts) -> int:
+    """Return how long a generation may wait on once its first event is late."""
+    left_ms = routed.deadline - parts.clock.now() - max(left_until_late_ms(routed, parts), 0)
+    return max(min(LATE_PATIENCE_MS, left_ms - ANSWER_MS), 0)
--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -58,6 +58,10 @@
 """A run moves to an emptier engine when the difference is so many times its size: after the move it
 is still the emptier one, so that no run goes back and forth."""
 
+LATE_ROOM: Final = 2
+"""Rooms of its size that a late long generation must find. It holds its memory for as long as one
+that is still in time, and is worth less to its caller, so it leaves room for one of these."""
+
 GROWTH_TOKENS: Final = 250
 """Room kept for the growth of each generation. Two seconds at 8 ms a token, after which what is
 known of the engine has been renewed."""
@@ -122,11 +126,19 @@
     :param prompt_tokens: Length of its prompt.
     :param is_long: Whether its answer may run on for seconds.
     :param left_ms: Time left until its first event is late; negative when it is.
+    :param patience_ms: How long it may wait on once it is late.
     """
 
     prompt_tokens: int
     is_long: bool
     left_ms: int
+    patience_ms: int = 0
+
+    @property
+    def needed_tokens(self) -> int:
+        """Memory that an engine must have left for it."""
+        is_late = self.left_ms <= 0
+        return self.prompt_tokens * LATE_ROOM if is_late and self.is_long else self.prompt_tokens
 
 
 class Placement(Struct, frozen=True, kw_only=True):
@@ -250,7 +262,7 @@
     """
     if not views:
         return _later(wish, views, "no engine takes work")
-    roomy = [view for view in views if has_room(view=view, tokens=wish.prompt_tokens)]
+    roomy = [view for view in views if has_room(view=view, tokens=wish.needed_tokens)]
     if not roomy:
         return _later(wish, views, "no engine has room")
     if wish.is_long and free_tokens(views) < wish.prompt_tokens + arriving_tokens:
@@ -271,5 +283,5 @@
 
 
 def _later(wish: Wish, views: Sequence[EngineView], reason: str) -> Placement:
-    verdict = Verdict.WAIT if wish.left_ms > 0 else Verdict.REFUSE
+    verdict = Verdict.WAIT if wish.left_ms + wish.patience_ms > 0 else Verdict.REFUSE
     return Placement(verdict=verdict, reason=reason, views=views)
--- a/testing/test_policy_placement.py
+++ b/testing/test_policy_placement.py
@@ -100,6 +100,23 @@
     assert _place(_wish(left_ms=-5000), _view())[0] is Verdict.SEND
 
 
+def test_late_long_generation_leaves_room_for_one_that_may_be_in_time() -> None:
+    # There is room for 4,000 tokens and their growth.
+    view = _view(held_tokens=27_800)
+    assert _place(_wish(left_ms=1), view)[0] is Verdict.SEND
+    late = Wish(prompt_tokens=3000, is_long=True, left_ms=-1, patience_ms=1000)
+    assert _place(late, view)[0] is Verdict.WAIT
+    short = Wish(prompt_tokens=3000, is_long=False, left_ms=-1, patience_ms=1000)
+    assert _place(short, view)[0] is Verdict.SEND
+
+
+def test_late_generation_waits_for_room_only_as_long_as_it_may() -> None:
+    full = _view(held_tokens=33_000)
+    for patience_ms, verdict in ((3000, Verdict.WAIT), (2000, Verdict.REFUSE)):
+        late = Wish(prompt_tokens=3000, is_long=True, left_ms=-2500, patience_ms=patience_ms)
+        assert _place(late, full)[0] is verdict
+
+
 def test_generation_waits_when_no_engine_takes_work() -> None:
     assert _place(_wish()) == (Verdict.WAIT, None)
     assert _place(_wish(left_ms=0)) == (Verdict.REFUSE, None)
