--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -40,8 +40,7 @@
 """After a notice, when the engine's report tells when it goes: reports are half a second old."""
 
 REPORT_LAG_MS: Final = 580
-"""Taken off what a report says of the time left. Over 20 engines the connections ended 523 to 554
-ms before the time that their report gave when it came."""
+"""Taken off what a report says of the time left, since reports are half a second old."""
 
 ASK_MS: Final = 300
 """How often each engine that runs anything is asked whether it leaves, while the store does not
--- a/src/tanagerscale/coordination/_feed.py
+++ b/src/tanagerscale/coordination/_feed.py
@@ -1,8 +1,8 @@
 """Entries of the store, read by few hosts and told on to all others.
 
-The load it answers: each of 195 hosts watched the store, and each change of 31 engines cost a call
-of each; 3,370 calls in the first 35 s of a quiet day. A host that coordinates watches; the others
-hear from one of these what it read, and of another one when that knows more.
+The load it answers: engines come and go every few seconds before hundreds of hosts, and each host
+that watches the store makes a call for each change. So hosts that coordinate watch; the others hear
+from one of these what it read, and of another one when that knows more.
 """
 
 from __future__ import annotations
--- a/src/tanagerscale/coordination/_ledger.py
+++ b/src/tanagerscale/coordination/_ledger.py
@@ -29,8 +29,8 @@
 milliseconds."""
 
 TOKEN_MS: Final = 9.0
-"""How long an engine takes for a token of each generation, by which what was told a while ago is
-brought up to date. Measured with five to twelve generations on an engine: 8.7 ms."""
+"""How long an engine with five to twelve generations takes for a token of each, by which what was
+told a while ago is brought up to date."""
 
 
 class EngineTotal(Struct, kw_only=True):
--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -44,8 +44,8 @@
 """Pause after news, so that what comes together is looked at once."""
 
 LONGEST_COPY_MS: Final = 900
-"""After so long an order counts as over, though its host has not said so. The longest copies that
-were seen took 0.75 s."""
+"""After so long an order counts as over, though its host has not said so. The largest runs take
+three quarters of a second to another failure domain."""
 
 RENEW_MS: Final = 2500
 """Age at which a copy is brought up to date. An engine drops one that nobody asked about for the
--- a/src/tanagerscale/coordination/_repeats.py
+++ b/src/tanagerscale/coordination/_repeats.py
@@ -22,8 +22,7 @@
 
 LEAST_RESERVE: Final = 1.0
 """Whole repeats that a host may save up which decides for itself alone, however many hosts there
-are. With 78 hosts the part of each is 0.93, of which no repeat could be taken; 78 saved ones are
-within the allowance."""
+are. Of a part below one no repeat could ever be taken."""
 
 
 @final
--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -105,8 +105,7 @@
     async def _look_for_room(self, entry: UpstreamEntry) -> None:
         """Find out why an engine took no copy: log what it holds, beside what was believed of it.
 
-        One that is gone takes no copy either, and looks empty while the store does not tell; 33 of
-        58 copies in nine seconds around such an outage were meant for three of these.
+        One that is gone takes no copy either, and looks empty while the store does not tell.
         """
         reported = await self._parts.engines.report(upstream=entry)
         if isinstance(reported, Failure):
--- a/src/tanagerscale/policy/_copying.py
+++ b/src/tanagerscale/policy/_copying.py
@@ -3,9 +3,8 @@
 The load it answers: an engine with a handful of long generations goes two seconds after its notice,
 as one does every few seconds. Its link copies one run at a time, in the order asked; 3,500 tokens
 take 0.2 s to an engine of its failure domain and 0.4 s to another one. The last, short copy of a
-run, during which it stands still, waits behind whatever was asked for before it. So hosts that all
-begin at once hold up each other's streams; measured, they stood still for 0.4 to 0.9 s, where a
-copy alone on its link took 0.02 s.
+run, during which it stands still, waits behind whatever was asked for before it, so copies that
+all begin at once hold up each other's streams.
 """
 
 from __future__ import annotations
@@ -17,10 +16,10 @@
 BITS_PER_BYTE: Final = 8
 
 AWAY_FACTOR: Final = 2.0
-"""A copy to another failure domain takes twice as long, as the platform says."""
+"""A copy to another failure domain takes twice as long."""
 
 NOTICE_MS: Final = 1500
-"""Least time between an engine's notice and its end that was seen; engines that know tell."""
+"""Least time between an engine's notice and its end; engines that know more tell."""
 
 EASY_MS: Final = 1100
 """Runs that can be copied within so long of a notice need no copy beforehand; it leaves time for
--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -4,10 +4,6 @@
 taken away every few seconds. An engine reads prompts in pieces between the tokens of what runs, so
 a prompt waits for those before it, at half speed where anything runs. Memory is what runs out
 first: each generation holds its prompt and its answer.
-
-Keeping memory free for what runs on the next engine that leaves was tried and taken out. Over six
-days of that load the worth served added up to 3.08 with nine tenths of all engines but one as the
-limit for long generations, to 3.22 with 1.25 times their memory, and to 3.28 without a limit.
 """
 
 from __future__ import annotations
@@ -24,12 +20,12 @@
 from tanagerscale.core import UpstreamId
 
 PREFILL_TOKENS_PER_MS: Final = 7.3
-"""Prompt tokens that an engine reads in a millisecond, in steps of 112 that take 15 ms. Measured on
-engines without other work and with up to nine running generations, it was 7.2 to 9."""
+"""Prompt tokens that an engine reads in a millisecond, in steps of 112 that take 15 ms, whatever
+else it runs."""
 
 COLD_COST: Final = 0.1
-"""What each millisecond of an engine's warm-up counts as waiting time. The first events of 70
-prompts came as soon from engines that had just started as from others, so it only breaks ties."""
+"""What each millisecond of an engine's warm-up counts as waiting time. Engines that have just
+started answer about as soon as others, so it only breaks ties."""
 
 NEIGHBOUR_MS: Final = 6.0
 """What each generation already running on an engine counts as waiting time: it slows every later
@@ -40,7 +36,7 @@
 
 UNCOPIED_MS: Final = 0.02
 """What each token without a copy elsewhere counts as waiting time for a long generation. Ten
-thousand fill the notice of a leaving engine, and count as much as 1,400 prompt tokens that wait."""
+thousand are as many as can be copied within the notice of a leaving engine."""
 
 MEMORY_MARGIN: Final = 0.95
 """Part of an engine's memory that may be planned for; what runs there grows into the rest."""
@@ -51,8 +47,8 @@
 
 SPARE_MARGIN: Final = 0.6
 """Part of an engine's memory up to which it takes copies of any long generation, in case the engine
-that runs it fails without notice. A copy costs some 0.1 of what an answer is worth a thousand
-times over; what it may cost is room, so only memory that nothing else needs is used."""
+that runs it fails without notice. Copying is cheap and room is not, so only memory that nothing
+else needs is used."""
 
 UNEVEN_FACTOR: Final = 2.5
 """A run moves to an emptier engine when the difference is so many times its size: after the move it
