--- a/src/tanagerscale/coordination/__init__.py
+++ b/src/tanagerscale/coordination/__init__.py
@@ -14,10 +14,10 @@
 from tanagerscale.coordination._ledger import EngineTotal
 from tanagerscale.coordination._ledger import RunLedger
 from tanagerscale.coordination._parts import DecisionParts
-from tanagerscale.coordination._parts import Notes
+from tanagerscale.coordination._parts import Gate
 from tanagerscale.coordination._parts import Tables
 from tanagerscale.coordination._parts import Upstreams
-from tanagerscale.coordination._parts import takers
+from tanagerscale.coordination._parts import eligible_upstreams
 from tanagerscale.coordination._ranking import beat_ms
 from tanagerscale.coordination._ranking import distance
 from tanagerscale.coordination._relay import NewsRelay
@@ -33,10 +33,10 @@
     "EngineReports",
     "EngineTotal",
     "FeedListener",
+    "Gate",
     "LateNote",
     "ListFeed",
     "NewsRelay",
-    "Notes",
     "RepeatAllowance",
     "RunLedger",
     "Tables",
@@ -45,5 +45,5 @@
     "WarmupLimit",
     "beat_ms",
     "distance",
-    "takers",
+    "eligible_upstreams",
 ]
--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -56,7 +56,7 @@
 _log = get_logger(part="placement")
 
 
-class _Word(Struct, frozen=True, kw_only=True):
+class _Reply(Struct, frozen=True, kw_only=True):
     """What a decider says.
 
     :param host: Who.
@@ -78,13 +78,13 @@
     :param ask: What is asked, as of the time when the search began.
     :param began: That time.
     :param decider: Who is asked now.
-    :param words: What the deciders say.
+    :param replies: What the deciders say.
     """
 
     ask: PlaceAsk
     began: Millis
     decider: HostId
-    words: asyncio.Queue[_Word]
+    replies: asyncio.Queue[_Reply]
 
 
 @final
@@ -143,15 +143,15 @@
             ask=replace(ask, serial=serial),
             began=self._clock.now(),
             decider=self._host,
-            words=asyncio.Queue(),
+            replies=asyncio.Queue(),
         )
         self._calls[serial] = call
         try:
             while True:
                 call.decider = self._directory.decider
-                word = await self._ask_decider(call)
-                if word is not None and word.answer is not None:
-                    return word.answer
+                reply = await self._ask_decider(call)
+                if reply is not None and reply.answer is not None:
+                    return reply.answer
         finally:
             del self._calls[serial]
 
@@ -192,7 +192,7 @@
         """Ask another decider for what a host was asked that is gone."""
         for call in self._calls.values():
             if call.decider == host:
-                call.words.put_nowait(_Word(host=host, answer=None))
+                call.replies.put_nowait(_Reply(host=host, answer=None))
 
     def report_soon(self) -> None:
         """Tell what this host runs, after a moment in which more may change."""
@@ -254,26 +254,26 @@
             if answer.kind is PlaceKind.SEND:
                 self._tell(host, PlaceWithdrawal(serial=answer.serial))
         elif host == call.decider or answer.kind is PlaceKind.SEND:
-            call.words.put_nowait(_Word(host=host, answer=answer))
+            call.replies.put_nowait(_Reply(host=host, answer=answer))
 
-    async def _ask_decider(self, call: _Call) -> _Word | None:
+    async def _ask_decider(self, call: _Call) -> _Reply | None:
         """Return a decision; ``None`` when another decider is to be asked."""
         decider = call.decider
-        word: _Word | None = None
+        reply: _Reply | None = None
         try:
             while decider == self._directory.decider:
                 sent = self._tell(decider, self._ask_now(call))
-                word = await self._next_word(call, PATIENCE_MS) if sent else None
-                if word is not None and word.answer is not None and not word.is_decision:
-                    word = await self._next_word(call, REPEAT_MS) or word
-                if word is None or word.answer is None:
+                reply = await self._next_reply(call, PATIENCE_MS) if sent else None
+                if reply is not None and reply.answer is not None and not reply.is_decision:
+                    reply = await self._next_reply(call, REPEAT_MS) or reply
+                if reply is None or reply.answer is None:
                     self._give_up_on(call)
                     return None
-                if word.is_decision:
-                    return word
+                if reply.is_decision:
+                    return reply
             return None
         finally:
-            if word is None or not word.is_decision or word.host != decider:
+            if reply is None or not reply.is_decision or reply.host != decider:
                 self._tell(decider, PlaceWithdrawal(serial=call.ask.serial))
 
     def _ask_now(self, call: _Call) -> PlaceAsk:
@@ -282,11 +282,11 @@
         ask = call.ask
         return replace(ask, left_ms=ask.left_ms - passed_ms, waited_ms=ask.waited_ms + passed_ms)
 
-    async def _next_word(self, call: _Call, limit_ms: int) -> _Word | None:
+    async def _next_reply(self, call: _Call, limit_ms: int) -> _Reply | None:
         """Return what a decider says next; ``None`` when nothing is said in time."""
         try:
             async with asyncio.timeout(limit_ms / MS_PER_SECOND):
-                return await call.words.get()
+                return await call.replies.get()
         except TimeoutError:
             return None
 
--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -14,9 +14,9 @@
 from returns.result import Result
 
 from tanagerscale.coordination._departures import Departures
-from tanagerscale.coordination._desk import PlacementDesk
 from tanagerscale.coordination._ledger import RunLedger
 from tanagerscale.coordination._parts import DecisionParts
+from tanagerscale.coordination._placement_queue import PlacementQueue
 from tanagerscale.coordination._planner import MovePlanner
 from tanagerscale.coordination._repeats import RepeatAllowance
 from tanagerscale.core import FailureDomainId
@@ -90,10 +90,10 @@
         self._tell = tell
         self._domains: dict[HostId, FailureDomainId] = {}
         self._background: set[asyncio.Task[None]] = set()
-        self._unwarned = asyncio.Event()
+        self._is_stale = asyncio.Event()
         self.ledger = RunLedger(clock=parts.clock)
         self.departures = Departures(clock=parts.clock)
-        self.desk = PlacementDesk(
+        self.queue = PlacementQueue(
             parts=parts,
             ledger=self.ledger,
             answer=lambda asker, answer: _note_unsent(asker, tell(asker, answer)),
@@ -110,9 +110,9 @@
                 self.ledger.report(host=host, runs=message)
             case PlaceAsk():
                 domain = self._domains.get(host, self._domain)
-                self.desk.ask(host=host, domain=domain, ask=message)
+                self.queue.ask(host=host, domain=domain, ask=message)
             case PlaceWithdrawal():
-                self.desk.withdraw(host=host, serial=message.serial)
+                self.queue.withdraw(host=host, serial=message.serial)
             case RepeatAsk():
                 service = ServiceId(message.service)
                 may = self._repeats.take(service=service, requests=message.requests)
@@ -137,13 +137,13 @@
     def on_gone(self, host: HostId) -> None:
         """Drop all that a host had and asked which is gone."""
         self._domains.pop(host, None)
-        self.desk.forget(host=host)
+        self.queue.forget(host=host)
         self.planner.forget(host=host)
         self.ledger.forget(host=host)
 
     def on_upstreams(self, upstream: UpstreamId) -> None:
         """Take in that an upstream is new, leaves, is gone or takes work again."""
-        if not self._parts.notes.is_leaving(upstream):
+        if not self._parts.gate.is_leaving(upstream):
             self.departures.forget(upstream)
         elif self._parts.upstreams.get(upstream) is not None:
             self._note_leaving(upstream)
@@ -151,15 +151,15 @@
 
     def look(self) -> None:
         """Decide anew about what waits and what may move, since engines have changed."""
-        self.desk.look()
+        self.queue.look()
         self.planner.look()
 
-    def on_warned(self, is_warned: bool) -> None:
+    def on_currency(self, is_current: bool) -> None:
         """Take in whether the store tells of upstreams that leave."""
-        if is_warned:
-            self._unwarned.clear()
+        if is_current:
+            self._is_stale.clear()
         else:
-            self._unwarned.set()
+            self._is_stale.set()
         self.planner.look_soon()
 
     def loops(self) -> tuple[Coroutine[Any, Any, None], ...]:
@@ -174,9 +174,9 @@
         its own report that it leaves, half a second late, and when. That leaves about a second.
         """
         while True:
-            await self._unwarned.wait()
+            await self._is_stale.wait()
             await self._parts.clock.sleep(int(ASK_MS * self._parts.rng.uniform(0.5, 1.5)))
-            if self._unwarned.is_set():
+            if self._is_stale.is_set():
                 await asyncio.gather(*(self.ask_engine(one) for one in self._engines_used()))
 
     async def ask_engine(self, upstream: UpstreamId) -> None:
@@ -196,13 +196,13 @@
         self.departures.note(upstream)
         if in_ms is not None:
             self.departures.correct_end(upstream, in_ms=in_ms - REPORT_LAG_MS)
-        self._parts.notes.note_leaving(upstream=upstream)
+        self._parts.gate.note_leaving(upstream=upstream)
 
     def _engines_used(self) -> list[UpstreamId]:
         """Return the engines that run anything of the hosts this one decides for."""
         runs = self.ledger.runs_of(decider=self._host)
         engines = {UpstreamId(run.use.upstream) for run in runs}
-        return [one for one in sorted(engines) if not self._parts.notes.is_leaving(one)]
+        return [one for one in sorted(engines) if not self._parts.gate.is_leaving(one)]
 
     def _note_leaving(self, upstream: UpstreamId) -> None:
         self.departures.note(upstream)
@@ -227,7 +227,7 @@
             self.departures.note_end(upstream, in_ms=leaves_in_ms - REPORT_LAG_MS)
 
     def _on_news(self) -> None:
-        self.desk.look()
+        self.queue.look()
         self.planner.look_soon()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/tanagerscale/coordination/_health.py
+++ b/src/tanagerscale/coordination/_health.py
@@ -23,28 +23,28 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.generated.messages import AnswerTallies
-from tanagerscale.generated.messages import RestingUpstream
+from tanagerscale.generated.messages import EjectedUpstream
 from tanagerscale.policy import Tally
 from tanagerscale.policy import is_outlier
-from tanagerscale.policy import may_rest
+from tanagerscale.policy import may_eject
 from tanagerscale.upstreams import UpstreamEntry
 
 WINDOW_MS: Final = 4000
 """How far back answers count. In it all hosts together see some 25 answers of an upstream that
 takes a third of 20 requests a second."""
 
-FIRST_REST_MS: Final = 3000
-LONGEST_REST_MS: Final = 12_000
-"""A first rest is about as long as what ails upstreams for a moment; each rest that follows within
+FIRST_EJECTION_MS: Final = 3000
+LONGEST_EJECTION_MS: Final = 12_000
+"""A first ejection is about as long as what ails upstreams for a moment; each that follows within
 a minute is twice as long. After it ordinary requests try the upstream again, at the price of three
 of them."""
 
 FORGIVEN_MS: Final = 60_000
-"""Time after which a rest is as if there had been none."""
+"""Time after which an ejection is as if there had been none."""
 
 TELL_MS: Final = 500
-"""How often those that coordinate hear of bad answers; an upstream that fails rests within a second
-or two."""
+"""How often those that coordinate hear of bad answers; an upstream that fails is ejected within a
+second or two."""
 
 NEVER: Final = Millis(0)
 
@@ -52,21 +52,21 @@
 
 
 class _Answers(Struct, kw_only=True):
-    """Answers of one upstream to this host, and its rests."""
+    """Answers of one upstream to this host, and its ejections."""
 
     seen: deque[tuple[Millis, bool]] = field(default_factory=deque)
-    rests: int = 0
-    rests_until: Millis = NEVER
+    ejections: int = 0
+    ejected_until: Millis = NEVER
     rate: float = 0.0
 
 
 @final
 class UpstreamHealth:
-    """Finds upstreams that do much worse than their siblings, and lets them rest.
+    """Finds upstreams that do much worse than their siblings, and ejects them for a while.
 
     :param service_of: Returns whose upstream one is; ``None`` when it is not known.
-    :param may_judge: Returns whether this host decides which upstreams rest; the others tell it
-        what they saw, and hear of it.
+    :param may_judge: Returns whether this host decides which upstreams are ejected; the others tell
+        it what they saw, and hear of it.
     :param clock: Time.
     """
 
@@ -85,7 +85,7 @@
         self._told = AnswerTallies()
         self._timer: asyncio.TimerHandle | None = None
         self._news: Subject[AnswerTallies] = Subject()
-        self._rests: Subject[RestingUpstream] = Subject()
+        self._ejections: Subject[EjectedUpstream] = Subject()
 
     @property
     def news(self) -> Observable[AnswerTallies]:
@@ -93,9 +93,9 @@
         return self._news
 
     @property
-    def rests(self) -> Observable[RestingUpstream]:
+    def ejections(self) -> Observable[EjectedUpstream]:
         """Fires with what all hosts should be told, when this host lets an upstream rest."""
-        return self._rests
+        return self._ejections
 
     def note_good(self, *, upstream: UpstreamId) -> None:
         """Record an answer that came whole and in time."""
@@ -116,13 +116,15 @@
         for upstream in list(self._peers[host]):
             self._judge(upstream)
 
-    def on_resting(self, message: RestingUpstream) -> None:
+    def on_ejected(self, message: EjectedUpstream) -> None:
         """Let an upstream rest, since the host that decides says so."""
         answers = self._own[UpstreamId(message.upstream)]
-        answers.rests_until = Millis(self._clock.now() + message.rest_ms)
+        answers.ejected_until = Millis(self._clock.now() + message.for_ms)
         answers.rate = message.rate
         answers.seen.clear()
-        _log.info("An upstream rests elsewhere.", upstream=message.upstream, rate=message.rate)
+        _log.info(
+            "An upstream is ejected by another host.", upstream=message.upstream, rate=message.rate
+        )
 
     def forget_peer(self, *, host: HostId) -> None:
         """Drop what a host saw that is gone."""
@@ -131,14 +133,15 @@
     def usable(self, entries: Sequence[UpstreamEntry]) -> list[UpstreamEntry]:
         """Return those of a service's upstreams that do not rest."""
         now = self._clock.now()
-        resting = {
+        ejected = {
             entry.upstream: answers.rate
             for entry in entries
-            if (answers := self._own.get(entry.upstream)) is not None and answers.rests_until > now
+            if (answers := self._own.get(entry.upstream)) is not None
+            and answers.ejected_until > now
         }
-        if not resting:
+        if not ejected:
             return list(entries)
-        kept_out = may_rest(resting, siblings=len(entries))
+        kept_out = may_eject(ejected, siblings=len(entries))
         return [entry for entry in entries if entry.upstream not in kept_out]
 
     def _tell_later(self) -> None:
@@ -168,7 +171,7 @@
         answers = self._own[upstream]
         now = self._clock.now()
         service = self._service_of(upstream)
-        if service is None or answers.rests_until > now or not self._may_judge():
+        if service is None or answers.ejected_until > now or not self._may_judge():
             return
         own = self._tally(upstream)
         others = Tally()
@@ -176,31 +179,31 @@
             if other != upstream and self._service_of(other) == service:
                 others = others.plus(self._tally(other))
         if is_outlier(own=own, others=others):
-            self._let_rest(upstream, own, others)
+            self._eject(upstream, own, others)
 
-    def _let_rest(self, upstream: UpstreamId, own: Tally, others: Tally) -> None:
+    def _eject(self, upstream: UpstreamId, own: Tally, others: Tally) -> None:
         answers = self._own[upstream]
         now = self._clock.now()
-        if now - answers.rests_until > FORGIVEN_MS:
-            answers.rests = 0
-        rest_ms = min(FIRST_REST_MS * 2**answers.rests, LONGEST_REST_MS)
-        answers.rests += 1
-        answers.rests_until = Millis(now + rest_ms)
+        if now - answers.ejected_until > FORGIVEN_MS:
+            answers.ejections = 0
+        for_ms = min(FIRST_EJECTION_MS * 2**answers.ejections, LONGEST_EJECTION_MS)
+        answers.ejections += 1
+        answers.ejected_until = Millis(now + for_ms)
         answers.rate = own.rate
         answers.seen.clear()
         for tallies in self._peers.values():
             tallies.pop(upstream, None)
         _log.warning(
-            "An upstream rests.",
+            "An upstream is ejected.",
             upstream=upstream,
-            rest_ms=rest_ms,
+            for_ms=for_ms,
             bad=own.bad,
             good=own.good,
             others_bad=others.bad,
             others_good=others.good,
         )
-        self._rests.on_next(
-            RestingUpstream(upstream=upstream, rest_ms=rest_ms, rate=round(own.rate, 3))
+        self._ejections.on_next(
+            EjectedUpstream(upstream=upstream, for_ms=for_ms, rate=round(own.rate, 3))
         )
 
     def _known(self) -> set[UpstreamId]:
@@ -232,7 +235,7 @@
         now = self._clock.now()
         for upstream, answers in list(self._own.items()):
             self._drop_old(answers)
-            if not answers.seen and now - answers.rests_until > FORGIVEN_MS:
+            if not answers.seen and now - answers.ejected_until > FORGIVEN_MS:
                 del self._own[upstream]
 
 
--- a/src/tanagerscale/coordination/_parts.py
+++ b/src/tanagerscale/coordination/_parts.py
@@ -50,7 +50,7 @@
         """Return the upstreams of a service that are not leaving, failing ones included."""
 
 
-class Notes(Protocol):
+class Gate(Protocol):
     """Takes what requests show of upstreams."""
 
     def is_leaving(self, upstream: UpstreamId) -> bool:
@@ -97,7 +97,7 @@
 
     :param tables: The declarations in force.
     :param upstreams: The upstreams there are.
-    :param notes: Which of them leave or can't be reached.
+    :param gate: Which of them leave or can't be reached.
     :param health: How they do.
     :param warmup: What those get that warm up.
     :param clock: Time.
@@ -106,7 +106,7 @@
 
     tables: Tables
     upstreams: Upstreams
-    notes: Notes
+    gate: Gate
     health: UpstreamHealth
     warmup: WarmupLimit
     clock: Clock
@@ -119,7 +119,7 @@
         return None if declared is None else declared.engine
 
 
-def takers(
+def eligible_upstreams(
     known: UpstreamKnowledge,
     service: ServiceId,
     excluded: Set[UpstreamId] = frozenset(),
--- a/src/tanagerscale/coordination/_desk.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -13,7 +13,7 @@
 from tanagerscale.coordination._ledger import EngineTotal
 from tanagerscale.coordination._ledger import RunLedger
 from tanagerscale.coordination._parts import DecisionParts
-from tanagerscale.coordination._parts import takers
+from tanagerscale.coordination._parts import eligible_upstreams
 from tanagerscale.coordination._parts import view_of
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import FailureDomainId
@@ -28,8 +28,8 @@
 from tanagerscale.generated.messages import PlaceKind
 from tanagerscale.generated.messages import RunUse
 from tanagerscale.policy import Placement
+from tanagerscale.policy import PlacementQuery
 from tanagerscale.policy import Verdict
-from tanagerscale.policy import Wish
 from tanagerscale.policy import place
 
 LOOK_AGAIN_MS: Final = 50
@@ -61,7 +61,7 @@
 
 
 @final
-class PlacementDesk:
+class PlacementQueue:
     """Gives each generation an engine, at once or when there is room, or refuses it.
 
     What can still be in time goes before what is late. Short answers go first: they hold their
@@ -160,7 +160,7 @@
         excluded = {UpstreamId(upstream) for upstream in ask.excluded}
         engine = parts.engine_of(service)
         domains = {FailureDomainId(domain) for domain in ask.domains}
-        entries = takers(parts, service, excluded, domains)
+        entries = eligible_upstreams(parts, service, excluded, domains)
         if not entries and parts.upstreams.has_evacuated(service):
             return Placement(verdict=Verdict.REFUSE, reason=EVACUATED)
         if not entries and domains:
@@ -170,14 +170,14 @@
             for entry in entries
             if parts.warmup.allows(entry)
         ]
-        wish = Wish(
+        query = PlacementQuery(
             prompt_tokens=ask.prompt_tokens,
             is_long=ask.is_long,
             left_ms=waiting.late_at - parts.clock.now(),
             patience_ms=ask.patience_ms,
         )
         return place(
-            wish=wish,
+            query=query,
             views=views,
             arriving_tokens=self._leaving_tokens(totals),
             failure_domain=waiting.domain,
@@ -189,7 +189,7 @@
         return sum(
             total.uncopied_tokens
             for upstream, total in totals.items()
-            if self._parts.notes.is_leaving(upstream)
+            if self._parts.gate.is_leaving(upstream)
         )
 
     def _note_wait(self, waiting: _Waiting, placement: Placement) -> None:
--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -15,7 +15,7 @@
 from tanagerscale.coordination._ledger import LedgerRun
 from tanagerscale.coordination._ledger import RunLedger
 from tanagerscale.coordination._parts import DecisionParts
-from tanagerscale.coordination._parts import takers
+from tanagerscale.coordination._parts import eligible_upstreams
 from tanagerscale.coordination._parts import view_of
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import FailureDomainId
@@ -30,10 +30,10 @@
 from tanagerscale.generated.messages import MoveOrder
 from tanagerscale.policy import MovableRun
 from tanagerscale.policy import Move
-from tanagerscale.policy import MoveScene
+from tanagerscale.policy import MoveSnapshot
 from tanagerscale.policy import copies_to_drop
 from tanagerscale.policy import next_move
-from tanagerscale.policy import reason_to_stay
+from tanagerscale.policy import reason_not_moved
 from tanagerscale.routes import EngineCapabilities
 from tanagerscale.upstreams import UpstreamEntry
 
@@ -125,7 +125,7 @@
         self._numbers = count(1)
         self._under_way: dict[int, _UnderWay] = {}
         self._tries: dict[RequestId, _Tries] = {}
-        self._stays: dict[RequestId, str] = {}
+        self._not_moved: dict[RequestId, str] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -186,7 +186,7 @@
     def _forget_ended(self, runs: Sequence[LedgerRun]) -> None:
         present = {RequestId(run.use.request) for run in runs}
         self._tries = {one: tries for one, tries in self._tries.items() if one in present}
-        self._stays = {one: reason for one, reason in self._stays.items() if one in present}
+        self._not_moved = {one: reason for one, reason in self._not_moved.items() if one in present}
 
     def _services(self, runs: Sequence[LedgerRun]) -> list[ServiceId]:
         entries = (self._parts.upstreams.get(UpstreamId(run.use.upstream)) for run in runs)
@@ -198,14 +198,14 @@
             return
         while True:
             runs = self._runs_of(service)
-            scene = self._scene(service, engine, [run for _, run in runs])
+            snapshot = self._snapshot(service, engine, [run for _, run in runs])
             hosts = {run.request: ledger_run for ledger_run, run in runs}
-            move = next_move(scene=scene, rng=self._parts.rng)
+            move = next_move(snapshot=snapshot, rng=self._parts.rng)
             if move is None:
                 break
             self._give(hosts[move.run.request], move)
-        self._log_stays(scene)
-        for run in copies_to_drop(scene):
+        self._log_not_moved(snapshot)
+        for run in copies_to_drop(snapshot):
             self._drop(hosts[run.request], run)
 
     def _runs_of(self, service: ServiceId) -> list[tuple[LedgerRun, MovableRun]]:
@@ -248,29 +248,31 @@
             domains={FailureDomainId(domain) for domain in use.domains},
         )
 
-    def _scene(
+    def _snapshot(
         self, service: ServiceId, engine: EngineCapabilities, runs: Sequence[MovableRun]
-    ) -> MoveScene:
+    ) -> MoveSnapshot:
         parts = self._parts
         entries = self._entries(service, runs)
         totals = self._ledger.totals()
-        leaving = [one for one in entries if parts.notes.is_leaving(one)]
-        return MoveScene(
+        leaving = [one for one in entries if parts.gate.is_leaving(one)]
+        return MoveSnapshot(
             runs=[run for run in runs if run.engine in entries],
             engines={
                 upstream: view_of(entry, engine=engine, totals=totals, upstreams=parts.upstreams)
                 for upstream, entry in entries.items()
             },
-            takers={
-                entry.upstream for entry in takers(parts, service) if parts.warmup.allows(entry)
+            eligible={
+                entry.upstream
+                for entry in eligible_upstreams(parts, service)
+                if parts.warmup.allows(entry)
             },
             leaving={one: self._left_ms(one) for one in leaving},
-            unreachable={one for one in entries if parts.notes.is_broken(one)},
+            unreachable={one for one in entries if parts.gate.is_broken(one)},
             evacuated={one for one in entries if parts.upstreams.is_evacuated(one)},
             busy=self._busy(),
             token_bytes=engine.token_bytes,
             link_mbps=engine.link_mbps,
-            is_warned=parts.upstreams.is_current,
+            is_current=parts.upstreams.is_current,
             are_links_kept=self._departures.links_busy,
         )
 
@@ -278,7 +280,7 @@
         self, service: ServiceId, runs: Sequence[MovableRun]
     ) -> dict[UpstreamId, UpstreamEntry]:
         """Return the engines of a service that take work, run anything or hold copies."""
-        entries = {entry.upstream: entry for entry in takers(self._parts, service)}
+        entries = {entry.upstream: entry for entry in eligible_upstreams(self._parts, service)}
         named = {run.engine for run in runs} | {run.copy_at for run in runs if run.copy_at}
         for upstream in named - entries.keys():
             entry = self._parts.upstreams.get(upstream)
@@ -312,7 +314,7 @@
         )
         if not self._order(run.host, order):
             return  # Its host is gone, and its runs with it.
-        self._stays.pop(move.run.request, None)
+        self._not_moved.pop(move.run.request, None)
         self._note_sent(move)
         until = Millis(self._parts.clock.now() + LONGEST_COPY_MS)
         self._under_way[number] = _UnderWay(host=run.host, move=move, until=until)
@@ -364,21 +366,21 @@
         tries.is_put_back = True
         tries.rests_until = Millis(self._parts.clock.now() + REST_MS)
 
-    def _log_stays(self, scene: MoveScene) -> None:
+    def _log_not_moved(self, snapshot: MoveSnapshot) -> None:
         """Log why runs are still on engines that leave, once for each reason."""
-        for run in scene.runs:
-            if run.engine not in scene.leaving:
+        for run in snapshot.runs:
+            if run.engine not in snapshot.leaving:
                 continue
-            reason = reason_to_stay(scene=scene, run=run, rng=self._parts.rng)
-            if self._stays.get(run.request) == reason:
+            reason = reason_not_moved(snapshot=snapshot, run=run, rng=self._parts.rng)
+            if self._not_moved.get(run.request) == reason:
                 continue
-            self._stays[run.request] = reason
+            self._not_moved[run.request] = reason
             _log.info(
                 "A run stays on a leaving engine.",
                 request=run.request,
                 source=run.engine,
                 tokens=run.tokens,
-                left_ms=scene.leaving[run.engine],
+                left_ms=snapshot.leaving[run.engine],
                 reason=reason,
             )
 
--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -110,11 +110,11 @@
         reported = await self._parts.engines.report(upstream=entry)
         if isinstance(reported, Failure):
             _log.info("No report came.", upstream=entry.upstream, detail=reported.failure())
-            self._parts.notes.note_down(upstream=entry.upstream)
+            self._parts.gate.note_down(upstream=entry.upstream)
             return
         report = reported.unwrap()
         if report.is_leaving:
-            self._parts.notes.note_leaving(upstream=entry.upstream)
+            self._parts.gate.note_leaving(upstream=entry.upstream)
         _log.info(
             "An engine has no room.",
             upstream=entry.upstream,
--- a/src/tanagerscale/forwarding/_legs.py
+++ b/src/tanagerscale/forwarding/_legs.py
@@ -45,7 +45,7 @@
 
     :param entry: The engine.
     :param answer: Its answer.
-    :param late: Notes it for the engine's health when the first event is late.
+    :param late: Gate it for the engine's health when the first event is late.
     :param first_event: When its first event came.
     :param is_slow: Whether a pause between its events was too long.
     """
@@ -164,7 +164,7 @@
 
     def note_bad(self, entry: UpstreamEntry) -> None:
         """Record a failure for the health of an engine, unless it fails since it leaves."""
-        if not self._parts.notes.is_leaving(entry.upstream):
+        if not self._parts.gate.is_leaving(entry.upstream):
             self._parts.health.note_bad(upstream=entry.upstream)
 
     def note_broken(self, entry: UpstreamEntry) -> None:
@@ -217,7 +217,7 @@
     def _other_end(self, hop: Hop, entry: UpstreamEntry) -> UpstreamEntry:
         """Return the other engine that has a copy, unless it leaves."""
         other = hop.holder if entry is hop.entry else hop.entry
-        return entry if self._parts.notes.is_leaving(other.upstream) else other
+        return entry if self._parts.gate.is_leaving(other.upstream) else other
 
     def _order(self, entry: UpstreamEntry, hop: Hop | None, point: RunPoint) -> UpstreamOrder:
         continuation = None
--- a/src/tanagerscale/forwarding/_movers.py
+++ b/src/tanagerscale/forwarding/_movers.py
@@ -72,14 +72,14 @@
         """
         now = self._parts.clock.now()
         self._hinted = {one: at for one, at in self._hinted.items() if now - at < HINT_REST_MS}
-        if upstream in self._hinted or self._parts.notes.is_leaving(upstream):
+        if upstream in self._hinted or self._parts.gate.is_leaving(upstream):
             return
         self._hinted[upstream] = now
         self._spawn(self._ask_engine(upstream))
 
     def on_upstreams(self, upstream: UpstreamId) -> None:
         """Make sure that someone gives orders for runs whose engine leaves."""
-        if not self._parts.notes.is_leaving(upstream):
+        if not self._parts.gate.is_leaving(upstream):
             return
         if any(_runs_long_at(run, upstream) for run in self.runs):
             self._spawn(self._check_decider())
@@ -132,7 +132,7 @@
         """Return whether a run may be sent on to an engine."""
         upstream = entry.upstream
         is_evacuated = self._parts.upstreams.is_evacuated(upstream)
-        return not is_evacuated and not self._parts.notes.is_leaving(upstream)
+        return not is_evacuated and not self._parts.gate.is_leaving(upstream)
 
     def on_unused(self, snapshot: Snapshot) -> None:
         """Free a copy that is not needed any more."""
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from tanagerscale.coordination import Notes
+from tanagerscale.coordination import Gate
 from tanagerscale.coordination import Tables
 from tanagerscale.coordination import UpstreamHealth
 from tanagerscale.coordination import Upstreams
@@ -45,7 +45,7 @@
 
     :param tables: The declarations in force.
     :param upstreams: The upstreams there are.
-    :param notes: Takes what requests show of whether they can be reached.
+    :param gate: Takes what requests show of whether they can be reached.
     :param health: Takes what requests show of how they do.
     :param suspects: Requests that may crash upstreams.
     :param caller: Sends requests to them.
@@ -62,7 +62,7 @@
 
     tables: Tables
     upstreams: Upstreams
-    notes: Notes
+    gate: Gate
     health: UpstreamHealth
     suspects: Suspects
     caller: UpstreamCaller
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -11,7 +11,7 @@
 from msgspec import Struct
 
 from tanagerscale.coordination import LateNote
-from tanagerscale.coordination import takers
+from tanagerscale.coordination import eligible_upstreams
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
@@ -168,7 +168,7 @@
         """
         routed = self._routed
         excluded = self._record.tried | denied
-        entries = takers(self._parts, routed.service, excluded, routed.domains)
+        entries = eligible_upstreams(self._parts, routed.service, excluded, routed.domains)
         counts = self._parts.work.plain_counts
 
         def cost(entry: UpstreamEntry) -> tuple[float, float]:
@@ -217,7 +217,7 @@
         self, entry: UpstreamEntry, answer: UpstreamAnswer, body: bytes
     ) -> _WholeAnswer | None:
         self._record.note_run(entry.upstream)
-        self._parts.notes.note_up(upstream=entry.upstream)
+        self._parts.gate.note_up(upstream=entry.upstream)
         note_whole(self._routed, self._parts, entry)
         self._parts.meters.attempts.labels("answered").inc()
         self._log("An upstream has answered.", entry, status=answer.status)
@@ -233,7 +233,7 @@
     def _note_error(self, entry: UpstreamEntry, error: ExchangeError) -> None:
         if error.failure is ExchangeFailure.NOT_SENT:
             self._record.note_not_sent(entry.upstream)
-            self._parts.notes.note_down(upstream=entry.upstream)
+            self._parts.gate.note_down(upstream=entry.upstream)
         else:
             self._record.note_run(entry.upstream)
             note_broken(self._routed, self._parts, entry)
@@ -244,7 +244,7 @@
     def _note_not_executed(self, entry: UpstreamEntry, answer: UpstreamAnswer) -> None:
         self._record.note_not_run(entry.upstream)
         if answer.is_someone_else:
-            self._parts.notes.note_gone(upstream=entry.upstream)
+            self._parts.gate.note_gone(upstream=entry.upstream)
         else:
             self._parts.suspects.note_alive(upstream=entry.upstream)
         self._parts.meters.attempts.labels("not-executed").inc()
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -214,7 +214,7 @@
             self._record.note_not_run(entry.upstream)
             sender.note_bad(entry)
             if leg.answer.is_someone_else:
-                self._parts.notes.note_gone(upstream=entry.upstream)
+                self._parts.gate.note_gone(upstream=entry.upstream)
             else:
                 self._parts.suspects.note_alive(upstream=entry.upstream)
             self._parts.meters.attempts.labels("not-executed").inc()
@@ -230,7 +230,7 @@
         not_sent = error.failure is ExchangeFailure.NOT_SENT
         if not_sent:
             self._record.note_not_sent(entry.upstream)
-            self._parts.notes.note_down(upstream=entry.upstream)
+            self._parts.gate.note_down(upstream=entry.upstream)
         else:
             self._record.note_run(entry.upstream)
             self._sender.note_broken(entry)
@@ -319,7 +319,7 @@
             return self._hops.pop(0)
         if self.snapshot is None:
             return None
-        if not self._parts.notes.is_leaving(broken.upstream):
+        if not self._parts.gate.is_leaving(broken.upstream):
             self._rescues += 1
         if self._rescues > MOST_RESCUES:
             return None
--- a/src/tanagerscale/forwarding/_suspicion.py
+++ b/src/tanagerscale/forwarding/_suspicion.py
@@ -18,7 +18,7 @@
 
 def note_broken(routed: RoutedRequest, parts: ForwardingParts, entry: UpstreamEntry) -> None:
     """Record that an answer broke off, unless its upstream leaves."""
-    if not parts.notes.is_leaving(entry.upstream):
+    if not parts.gate.is_leaving(entry.upstream):
         parts.suspects.note_broken(fingerprint=routed.fingerprint, upstream=entry.upstream)
 
 
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -259,7 +259,7 @@
         parts = DecisionParts(
             tables=self.keeper,
             upstreams=self.roster,
-            notes=self.gate,
+            gate=self.gate,
             health=self.health,
             warmup=self.warmup,
             clock=self._clock,
@@ -294,7 +294,7 @@
         self.gate.changes.subscribe(self.coordinator.on_upstreams)
         self.roster.changes.subscribe(self.coordinator.on_upstreams)
         self.evacuations.changes.subscribe(lambda _: self.coordinator.look())
-        self.roster.currency.subscribe(self.coordinator.on_warned)
+        self.roster.currency.subscribe(self.coordinator.on_currency)
         self._work.changes.subscribe(lambda _: self.client.report_soon())
 
     def _heartbeat(self) -> Heartbeat:
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -218,7 +218,7 @@
         parts = ForwardingParts(
             tables=control.keeper,
             upstreams=control.roster,
-            notes=control.gate,
+            gate=control.gate,
             health=control.health,
             suspects=control.suspects,
             caller=self._edges.upstreams,
--- a/src/tanagerscale/gateway/_peers.py
+++ b/src/tanagerscale/gateway/_peers.py
@@ -22,11 +22,11 @@
 from tanagerscale.core import get_logger
 from tanagerscale.generated.messages import AnswerTallies
 from tanagerscale.generated.messages import Coordinators
+from tanagerscale.generated.messages import EjectedUpstream
 from tanagerscale.generated.messages import HeadAnnouncement
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import MoveOrder
-from tanagerscale.generated.messages import RestingUpstream
 from tanagerscale.generated.messages import Suspect
 from tanagerscale.generated.messages import UpstreamLeaving
 from tanagerscale.membership import Mesh
@@ -98,7 +98,7 @@
             self._mesh.joined.subscribe(self._on_joined),
             parts.directory.changes.subscribe(lambda _: self._on_directory()),
             parts.health.news.subscribe(self._tell_tallies),
-            parts.health.rests.subscribe(lambda rest: self._mesh.broadcast(message=rest)),
+            parts.health.ejections.subscribe(lambda ejected: self._mesh.broadcast(message=ejected)),
             parts.suspects.news.subscribe(parts.relay.tell),
         ]
 
@@ -119,8 +119,8 @@
                 self._begin_order(host, message)
             case AnswerTallies():
                 parts.health.on_peer(host=host, tallies=message)
-            case RestingUpstream():
-                parts.health.on_resting(message)
+            case EjectedUpstream():
+                parts.health.on_ejected(message)
             case UpstreamLeaving() | HeadAnnouncement() | Suspect():
                 parts.relay.on_news(host, message)
         if isinstance(message, UpstreamLeaving):
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -18,6 +18,7 @@
 from tanagerscale.generated.messages import Ask
 from tanagerscale.generated.messages import Attached
 from tanagerscale.generated.messages import Coordinators
+from tanagerscale.generated.messages import EjectedUpstream
 from tanagerscale.generated.messages import Finished
 from tanagerscale.generated.messages import Grant
 from tanagerscale.generated.messages import HeadAnnouncement
@@ -38,7 +39,6 @@
 from tanagerscale.generated.messages import Progress
 from tanagerscale.generated.messages import RepeatAnswer
 from tanagerscale.generated.messages import RepeatAsk
-from tanagerscale.generated.messages import RestingUpstream
 from tanagerscale.generated.messages import Running
 from tanagerscale.generated.messages import RunningRequest
 from tanagerscale.generated.messages import Suspect
@@ -70,7 +70,7 @@
     | RepeatAsk
     | WarmupAnswer
     | WarmupAsk
-    | RestingUpstream
+    | EjectedUpstream
     | AnswerTallies
     | Suspect
     | Verdict
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -16,19 +16,19 @@
 from tanagerscale.policy._limits import LimitRefusal
 from tanagerscale.policy._moves import MovableRun
 from tanagerscale.policy._moves import Move
-from tanagerscale.policy._moves import MoveScene
+from tanagerscale.policy._moves import MoveSnapshot
 from tanagerscale.policy._moves import copies_to_drop
 from tanagerscale.policy._moves import next_move
-from tanagerscale.policy._moves import reason_to_stay
+from tanagerscale.policy._moves import reason_not_moved
 from tanagerscale.policy._outliers import Tally
 from tanagerscale.policy._outliers import is_outlier
-from tanagerscale.policy._outliers import may_rest
+from tanagerscale.policy._outliers import may_eject
 from tanagerscale.policy._placement import COPY_MARGIN
 from tanagerscale.policy._placement import SPARE_MARGIN
 from tanagerscale.policy._placement import EngineView
 from tanagerscale.policy._placement import Placement
+from tanagerscale.policy._placement import PlacementQuery
 from tanagerscale.policy._placement import Verdict
-from tanagerscale.policy._placement import Wish
 from tanagerscale.policy._placement import cheapest
 from tanagerscale.policy._placement import has_room
 from tanagerscale.policy._placement import has_room_at_once
@@ -70,15 +70,15 @@
     "LimitRefusal",
     "MovableRun",
     "Move",
-    "MoveScene",
+    "MoveSnapshot",
     "Placement",
+    "PlacementQuery",
     "PlacementRequest",
     "RetryBudget",
     "Scheduler",
     "Tally",
     "Tuning",
     "Verdict",
-    "Wish",
     "cheapest",
     "copies_to_drop",
     "copy_ms",
@@ -89,11 +89,11 @@
     "is_outlier",
     "is_uneven",
     "make_scheduler",
-    "may_rest",
+    "may_eject",
     "next_move",
     "order_of",
     "place",
-    "reason_to_stay",
+    "reason_not_moved",
     "tokens_to_yield",
     "tuning_for",
 ]
--- a/src/tanagerscale/policy/_moves.py
+++ b/src/tanagerscale/policy/_moves.py
@@ -82,57 +82,59 @@
     target: UpstreamId
 
 
-class MoveScene(Struct, frozen=True, kw_only=True):
+class MoveSnapshot(Struct, frozen=True, kw_only=True):
     """All that is known when the next copy is chosen.
 
     :param runs: Long generations that have begun and are not being moved.
     :param engines: All engines that hold anything or may.
-    :param takers: Engines that take work.
+    :param eligible: Engines that take work.
     :param leaving: Engines that leave, with the time left until each is gone, in milliseconds.
     :param unreachable: Engines that did not answer lately.
     :param evacuated: Engines that get no requests, so that no run goes on there.
     :param busy: Engines whose link is in use.
     :param token_bytes: Bytes of memory for each token.
     :param link_mbps: Speed of the engines' links.
-    :param is_warned: Whether engines that leave are heard of; otherwise no run is safe on any.
+    :param is_current: Whether engines that leave are heard of; otherwise no run is safe on any.
     :param are_links_kept: Whether links are kept for what has to leave an engine.
     """
 
     runs: Sequence[MovableRun]
     engines: Mapping[UpstreamId, EngineView]
-    takers: Set[UpstreamId]
+    eligible: Set[UpstreamId]
     leaving: Mapping[UpstreamId, int]
     unreachable: Set[UpstreamId]
     evacuated: Set[UpstreamId] = frozenset()
     busy: Set[UpstreamId]
     token_bytes: int
     link_mbps: float
-    is_warned: bool = True
+    is_current: bool = True
     are_links_kept: bool = False
 
 
-def next_move(*, scene: MoveScene, rng: Random) -> Move | None:
+def next_move(*, snapshot: MoveSnapshot, rng: Random) -> Move | None:
     """Return the copy that begins next, or ``None`` while there is none.
 
-    :param scene: What is known.
+    :param snapshot: What is known.
     :param rng: Breaks ties.
     """
-    move = _leave(scene, rng)
-    if move is not None or scene.are_links_kept:
+    move = _leave(snapshot, rng)
+    if move is not None or snapshot.are_links_kept:
         return move
-    return _copy_ahead(scene, rng) or _even_out(scene)
+    return _copy_ahead(snapshot, rng) or _even_out(snapshot)
 
 
-def copies_to_drop(scene: MoveScene) -> list[MovableRun]:
+def copies_to_drop(snapshot: MoveSnapshot) -> list[MovableRun]:
     """Return the runs whose copies give their memory back, as engines need it for their work.
 
     The youngest runs go first; copies of what has to leave an engine stay.
     """
     dropped = []
-    for upstream, view in scene.engines.items():
+    for upstream, view in snapshot.engines.items():
         over = tokens_to_yield(view)
         held_there = [
-            run for run in scene.runs if run.copy_at == upstream and run.engine not in scene.leaving
+            run
+            for run in snapshot.runs
+            if run.copy_at == upstream and run.engine not in snapshot.leaving
         ]
         for run in sorted(held_there, key=lambda run: run.made):
             if over <= 0:
@@ -142,85 +144,87 @@
     return dropped
 
 
-def reason_to_stay(*, scene: MoveScene, run: MovableRun, rng: Random) -> str:
+def reason_not_moved(*, snapshot: MoveSnapshot, run: MovableRun, rng: Random) -> str:
     """Return why a run can't be brought away from its leaving engine now, in a few words."""
-    if run.engine in scene.busy:
+    if run.engine in snapshot.busy:
         return "the link of its engine is in use"
-    roomy = _roomy(scene, run, _takers(scene, run))
+    roomy = _roomy(snapshot, run, _eligible(snapshot, run))
     if not roomy:
         return "no engine has room"
-    if _chosen(scene, run, roomy, rng) is None:
+    if _chosen(snapshot, run, roomy, rng) is None:
         return "a copy would come too late"
     return "the links of engines with room are in use"
 
 
-def _leave(scene: MoveScene, rng: Random) -> Move | None:
+def _leave(snapshot: MoveSnapshot, rng: Random) -> Move | None:
     """Return the next copy of a run whose engine leaves."""
-    runs = [run for run in scene.runs if run.engine in scene.leaving]
-    runs.sort(key=lambda run: (_live_copy(scene, run) is None, run.order))
+    runs = [run for run in snapshot.runs if run.engine in snapshot.leaving]
+    runs.sort(key=lambda run: (_live_copy(snapshot, run) is None, run.order))
     for run in runs:
-        if run.engine in scene.busy:
+        if run.engine in snapshot.busy:
             continue
-        target = _live_copy(scene, run) or _target_with_room(scene, run, rng)
-        if target is not None and target not in scene.busy:
+        target = _live_copy(snapshot, run) or _target_with_room(snapshot, run, rng)
+        if target is not None and target not in snapshot.busy:
             return Move(kind=MoveKind.LEAVE, run=run, target=target)
     return None
 
 
-def _live_copy(scene: MoveScene, run: MovableRun) -> UpstreamId | None:
+def _live_copy(snapshot: MoveSnapshot, run: MovableRun) -> UpstreamId | None:
     """Return the engine that holds a copy of a run, if the run may go on there."""
     held = run.copy_at
-    if held is None or held in run.excluded or held not in scene.engines:
+    if held is None or held in run.excluded or held not in snapshot.engines:
         return None
-    return None if held in scene.leaving or held in scene.evacuated else held
+    return None if held in snapshot.leaving or held in snapshot.evacuated else held
 
 
-def _target_with_room(scene: MoveScene, run: MovableRun, rng: Random) -> UpstreamId | None:
-    free = [view for view in _takers(scene, run) if view.upstream not in scene.busy]
-    return _chosen(scene, run, _roomy(scene, run, free), rng)
+def _target_with_room(snapshot: MoveSnapshot, run: MovableRun, rng: Random) -> UpstreamId | None:
+    free = [view for view in _eligible(snapshot, run) if view.upstream not in snapshot.busy]
+    return _chosen(snapshot, run, _roomy(snapshot, run, free), rng)
 
 
-def _takers(scene: MoveScene, run: MovableRun) -> list[EngineView]:
+def _eligible(snapshot: MoveSnapshot, run: MovableRun) -> list[EngineView]:
     return [
         view
-        for upstream, view in scene.engines.items()
-        if upstream in scene.takers and upstream != run.engine and upstream not in run.excluded
+        for upstream, view in snapshot.engines.items()
+        if upstream in snapshot.eligible and upstream != run.engine and upstream not in run.excluded
         if not run.domains or view.failure_domain in run.domains
     ]
 
 
-def _roomy(scene: MoveScene, run: MovableRun, views: Sequence[EngineView]) -> Sequence[EngineView]:
+def _roomy(
+    snapshot: MoveSnapshot, run: MovableRun, views: Sequence[EngineView]
+) -> Sequence[EngineView]:
     """Return the engines with room, those first that have it before copies have yielded."""
     at_once = [view for view in views if has_room_at_once(view=view, tokens=run.tokens)]
     return at_once or [view for view in views if has_room(view=view, tokens=run.tokens)]
 
 
 def _chosen(
-    scene: MoveScene, run: MovableRun, views: Sequence[EngineView], rng: Random
+    snapshot: MoveSnapshot, run: MovableRun, views: Sequence[EngineView], rng: Random
 ) -> UpstreamId | None:
     """Return the engine to copy to in time, of the run's failure domain if there is one.
 
     A copy that comes too late takes the link from one that would not, and leaves memory taken.
     """
-    left_ms = scene.leaving.get(run.engine, 0)
-    in_time = [view for view in views if _copy_ms(scene, run, view) < left_ms]
-    return _nearest(scene, run, in_time, rng)
+    left_ms = snapshot.leaving.get(run.engine, 0)
+    in_time = [view for view in views if _copy_ms(snapshot, run, view) < left_ms]
+    return _nearest(snapshot, run, in_time, rng)
 
 
-def _copy_ms(scene: MoveScene, run: MovableRun, view: EngineView) -> float:
+def _copy_ms(snapshot: MoveSnapshot, run: MovableRun, view: EngineView) -> float:
     return copy_ms(
         tokens=run.tokens,
-        token_bytes=scene.token_bytes,
-        link_mbps=scene.link_mbps,
-        away=view.failure_domain != scene.engines[run.engine].failure_domain,
+        token_bytes=snapshot.token_bytes,
+        link_mbps=snapshot.link_mbps,
+        away=view.failure_domain != snapshot.engines[run.engine].failure_domain,
     )
 
 
 def _nearest(
-    scene: MoveScene, run: MovableRun, views: Sequence[EngineView], rng: Random
+    snapshot: MoveSnapshot, run: MovableRun, views: Sequence[EngineView], rng: Random
 ) -> UpstreamId | None:
     """Return the least loaded engine; a copy within a failure domain takes half the time."""
-    domain = scene.engines[run.engine].failure_domain
+    domain = snapshot.engines[run.engine].failure_domain
     near = [view for view in views if view.failure_domain == domain]
     chosen = cheapest(
         views=near or views, prompt_tokens=0, is_long=True, failure_domain=domain, rng=rng
@@ -228,50 +232,50 @@
     return None if chosen is None else chosen.upstream
 
 
-def _copy_ahead(scene: MoveScene, rng: Random) -> Move | None:
+def _copy_ahead(snapshot: MoveSnapshot, rng: Random) -> Move | None:
     """Return the next copy of a run in case its engine leaves or fails."""
-    due = [run for run in scene.runs if _needs_copy(scene, run)]
+    due = [run for run in snapshot.runs if _needs_copy(snapshot, run)]
     due.sort(key=lambda run: (run.is_put_back, run.copy_at is None, -run.made))
     for run in due:
-        target = _holder(scene, run, rng)
-        if target is not None and target not in scene.busy:
+        target = _holder(snapshot, run, rng)
+        if target is not None and target not in snapshot.busy:
             return Move(kind=MoveKind.AHEAD, run=run, target=target)
     return None
 
 
-def _needs_copy(scene: MoveScene, run: MovableRun) -> bool:
-    if run.engine in scene.leaving or run.engine in scene.busy or not run.is_settled:
+def _needs_copy(snapshot: MoveSnapshot, run: MovableRun) -> bool:
+    if run.engine in snapshot.leaving or run.engine in snapshot.busy or not run.is_settled:
         return False
-    return not (run.is_copy_fresh and _safe_copy(scene, run) is not None)
+    return not (run.is_copy_fresh and _safe_copy(snapshot, run) is not None)
 
 
-def _safe_copy(scene: MoveScene, run: MovableRun) -> UpstreamId | None:
+def _safe_copy(snapshot: MoveSnapshot, run: MovableRun) -> UpstreamId | None:
     """Return the engine that holds a copy of a run, unless it leaves or can't be reached."""
-    held = _live_copy(scene, run)
-    return None if held in scene.unreachable else held
+    held = _live_copy(snapshot, run)
+    return None if held in snapshot.unreachable else held
 
 
-def _holder(scene: MoveScene, run: MovableRun, rng: Random) -> UpstreamId | None:
-    held = _safe_copy(scene, run)
+def _holder(snapshot: MoveSnapshot, run: MovableRun, rng: Random) -> UpstreamId | None:
+    held = _safe_copy(snapshot, run)
     if held is not None:
         return held
-    margin = COPY_MARGIN if _is_exposed(scene, run) else SPARE_MARGIN
+    margin = COPY_MARGIN if _is_exposed(snapshot, run) else SPARE_MARGIN
     views = [
         view
-        for view in _takers(scene, run)
-        if view.upstream not in scene.busy
+        for view in _eligible(snapshot, run)
+        if view.upstream not in snapshot.busy
         and has_room_for_copy(view=view, tokens=run.tokens, margin=margin)
     ]
-    return _nearest(scene, run, views, rng)
+    return _nearest(snapshot, run, views, rng)
 
 
-def _is_exposed(scene: MoveScene, run: MovableRun) -> bool:
+def _is_exposed(snapshot: MoveSnapshot, run: MovableRun) -> bool:
     """Return whether more is on a run's engine than its notice would be long enough for."""
-    easy = easy_tokens(token_bytes=scene.token_bytes, link_mbps=scene.link_mbps)
-    return not scene.is_warned or scene.engines[run.engine].uncopied_tokens > easy
+    easy = easy_tokens(token_bytes=snapshot.token_bytes, link_mbps=snapshot.link_mbps)
+    return not snapshot.is_current or snapshot.engines[run.engine].uncopied_tokens > easy
 
 
-def _even_out(scene: MoveScene) -> Move | None:
+def _even_out(snapshot: MoveSnapshot) -> Move | None:
     """Return the next run that goes on at a much emptier engine which has a copy of it.
 
     The load it answers: engines are replaced every few seconds. The new one is empty and gets all
@@ -279,13 +283,13 @@
     that only go on. A run moves with a pause of some 40 ms; the old engine gets room for a prompt,
     and loses less when it leaves in its turn.
     """
-    for run in sorted(scene.runs, key=lambda run: -run.made):
-        held = _safe_copy(scene, run)
-        if held is None or run.engine in scene.leaving or {held, run.engine} & scene.busy:
+    for run in sorted(snapshot.runs, key=lambda run: -run.made):
+        held = _safe_copy(snapshot, run)
+        if held is None or run.engine in snapshot.leaving or {held, run.engine} & snapshot.busy:
             continue
         # The copy is on the other engine already and counts there as what yields.
-        empty = scene.engines[held]
-        uneven = is_uneven(full=scene.engines[run.engine], empty=empty, tokens=run.tokens)
+        empty = snapshot.engines[held]
+        uneven = is_uneven(full=snapshot.engines[run.engine], empty=empty, tokens=run.tokens)
         if uneven and has_room(view=empty, tokens=run.tokens):
             return Move(kind=MoveKind.EVEN_OUT, run=run, target=held)
     return None
--- a/src/tanagerscale/policy/_outliers.py
+++ b/src/tanagerscale/policy/_outliers.py
@@ -20,7 +20,7 @@
 
 LEAST_RATE: Final = 0.2
 """Part of an upstream's answers that must be bad; a worse one costs more than its siblings' load
-grows by when it rests."""
+grows by when it is ejected."""
 
 USUAL_RATE: Final = 0.1
 USUAL_ANSWERS: Final = 10
@@ -28,11 +28,12 @@
 sound upstreams fail up to one request in ten on their own."""
 
 CHANCE: Final = 0.01
-"""An upstream rests when one as good as its siblings would do so badly only once in a hundred
+"""An upstream is ejected when one as good as its siblings would do so badly only once in a hundred
 windows. Of 25 answers in a window nine or more are bad by then, of four answers three."""
 
-RESTING_SHARE: Final = 3
-"""At most one in so many upstreams of a service rests; what the others can carry is not known."""
+EJECTED_SHARE: Final = 3
+"""At most one in so many upstreams of a service is ejected, as nobody knows what the others can
+carry."""
 
 
 class Tally(Struct, frozen=True, kw_only=True):
@@ -56,7 +57,7 @@
 
 
 def is_outlier(*, own: Tally, others: Tally) -> bool:
-    """Return whether an upstream should rest.
+    """Return whether an upstream should be ejected.
 
     :param own: Its answers.
     :param others: The answers of all its siblings.
@@ -76,11 +77,11 @@
     )
 
 
-def may_rest(resting: Mapping[UpstreamId, float], *, siblings: int) -> set[UpstreamId]:
-    """Return which of the upstreams that should rest do so, the worst first.
+def may_eject(candidates: Mapping[UpstreamId, float], *, siblings: int) -> set[UpstreamId]:
+    """Return which of the upstreams that should be ejected are, the worst first.
 
-    :param resting: Those that should, each with its rate.
+    :param candidates: Those that should, each with its rate.
     :param siblings: How many upstreams the service has.
     """
-    worst = sorted(resting, key=lambda upstream: (-resting[upstream], upstream))
-    return set(worst[: siblings // RESTING_SHARE])
+    worst = sorted(candidates, key=lambda upstream: (-candidates[upstream], upstream))
+    return set(worst[: siblings // EJECTED_SHARE])
--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -116,7 +116,7 @@
     REFUSE = "refuse"
 
 
-class Wish(Struct, frozen=True, kw_only=True):
+class PlacementQuery(Struct, frozen=True, kw_only=True):
     """A generation that looks for an engine.
 
     :param prompt_tokens: Length of its prompt.
@@ -242,7 +242,7 @@
 
 def place(
     *,
-    wish: Wish,
+    query: PlacementQuery,
     views: Sequence[EngineView],
     arriving_tokens: int = 0,
     failure_domain: FailureDomainId,
@@ -250,34 +250,34 @@
 ) -> Placement:
     """Decide what becomes of a generation.
 
-    :param wish: What it needs.
+    :param query: What it needs.
     :param views: Engines that take work.
     :param arriving_tokens: Memory of long generations that have to leave another engine.
     :param failure_domain: Where this host stands.
     :param rng: Breaks ties.
     """
     if not views:
-        return _later(wish, views, "no engine takes work")
-    roomy = [view for view in views if has_room(view=view, tokens=wish.needed_tokens)]
+        return _later(query, views, "no engine takes work")
+    roomy = [view for view in views if has_room(view=view, tokens=query.needed_tokens)]
     if not roomy:
-        return _later(wish, views, "no engine has room")
-    if wish.is_long and free_tokens(views) < wish.prompt_tokens + arriving_tokens:
-        return _later(wish, views, "what leaves an engine goes first")
+        return _later(query, views, "no engine has room")
+    if query.is_long and free_tokens(views) < query.prompt_tokens + arriving_tokens:
+        return _later(query, views, "what leaves an engine goes first")
     chosen = cheapest(
         views=roomy,
-        prompt_tokens=wish.prompt_tokens,
-        is_long=wish.is_long,
+        prompt_tokens=query.prompt_tokens,
+        is_long=query.is_long,
         failure_domain=failure_domain,
         rng=rng,
     )
     assert chosen is not None
-    wait_ms = first_event_ms(view=chosen, prompt_tokens=wish.prompt_tokens)
-    alone_ms = wish.prompt_tokens / PREFILL_TOKENS_PER_MS
-    if wait_ms > wish.left_ms > alone_ms:
-        return _later(wish, views, "prompts that wait would make it late")
+    wait_ms = first_event_ms(view=chosen, prompt_tokens=query.prompt_tokens)
+    alone_ms = query.prompt_tokens / PREFILL_TOKENS_PER_MS
+    if wait_ms > query.left_ms > alone_ms:
+        return _later(query, views, "prompts that wait would make it late")
     return Placement(verdict=Verdict.SEND, engine=chosen, wait_ms=wait_ms, reason="room")
 
 
-def _later(wish: Wish, views: Sequence[EngineView], reason: str) -> Placement:
-    verdict = Verdict.WAIT if wish.left_ms + wish.patience_ms > 0 else Verdict.REFUSE
+def _later(query: PlacementQuery, views: Sequence[EngineView], reason: str) -> Placement:
+    verdict = Verdict.WAIT if query.left_ms + query.patience_ms > 0 else Verdict.REFUSE
     return Placement(verdict=verdict, reason=reason, views=views)
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -520,7 +520,7 @@
     parts = ForwardingParts(
         tables=tables,
         upstreams=upstreams,
-        notes=upstreams,
+        gate=upstreams,
         suspects=Suspects(clock=clock),
         health=health,
         caller=caller,
@@ -537,7 +537,7 @@
     decisions = DecisionParts(
         tables=FakeTables(table=make_table()),
         upstreams=upstreams,
-        notes=upstreams,
+        gate=upstreams,
         health=health,
         warmup=warmup,
         clock=clock,
--- a/testing/test_coordination_failures.py
+++ b/testing/test_coordination_failures.py
@@ -87,10 +87,10 @@
         await asyncio.sleep(0.1)
         waiting = asyncio.create_task(host.ask("r", left_ms=8000))
         await asyncio.sleep(0.1)
-        assert first.control.coordinator.desk.waiting == 1
+        assert first.control.coordinator.queue.waiting == 1
         fleet.freeze(first)
         await asyncio.sleep(1)
-        assert second.control.coordinator.desk.waiting == 1
+        assert second.control.coordinator.queue.waiting == 1
         fleet.set_engine("e2")
         assert (await waiting).upstream == "e2"
 
@@ -106,7 +106,7 @@
         await asyncio.sleep(0.1)
         waiting.cancel()
         await asyncio.sleep(0.1)
-        assert [host.control.coordinator.desk.waiting for host in fleet.hosts] == [0] * HOSTS
+        assert [host.control.coordinator.queue.waiting for host in fleet.hosts] == [0] * HOSTS
         assert fleet.members[0].control.client.asking == 0
 
     _play(scene)
--- a/testing/test_evacuations.py
+++ b/testing/test_evacuations.py
@@ -10,7 +10,7 @@
 import pytest
 from returns.result import Failure
 
-from tanagerscale.coordination import takers
+from tanagerscale.coordination import eligible_upstreams
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import UpstreamId
@@ -116,7 +116,7 @@
 
 
 class _Heard:
-    """Notes what it is given."""
+    """Gate what it is given."""
 
     def __init__(self) -> None:
         self.keys: list[str] = []
@@ -416,6 +416,8 @@
         await asyncio.sleep(AT_ONCE_S)
         for host in fleet.hosts:
             parts = host.control.coordinator._parts
-            assert UpstreamId("e1") not in {entry.upstream for entry in takers(parts, SERVICE)}
+            assert UpstreamId("e1") not in {
+                entry.upstream for entry in eligible_upstreams(parts, SERVICE)
+            }
 
     _play(scene)
--- a/testing/test_forwarding_admission.py
+++ b/testing/test_forwarding_admission.py
@@ -214,7 +214,7 @@
         await asyncio.sleep(0.1)
         waiting.cancel()
         await asyncio.sleep(0.1)
-        return bench.alone.coordinator.desk.waiting
+        return bench.alone.coordinator.queue.waiting
 
     assert run_virtually(play()) == 0
 
--- a/testing/test_forwarding_health.py
+++ b/testing/test_forwarding_health.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from tanagerscale.coordination import UpstreamHealth
-from tanagerscale.coordination._health import FIRST_REST_MS
+from tanagerscale.coordination._health import FIRST_EJECTION_MS
 from tanagerscale.coordination._health import TELL_MS
 from tanagerscale.coordination._health import WINDOW_MS
 from tanagerscale.core import Clock
@@ -34,7 +34,7 @@
         for _ in range(3):
             health.note_bad(upstream=X)
         assert _usable(health) == ["y", "z"]
-        await asyncio.sleep((FIRST_REST_MS + 10) / 1000)
+        await asyncio.sleep((FIRST_EJECTION_MS + 10) / 1000)
         assert _usable(health) == ["x", "y", "z"]
 
     run_virtually(play())
@@ -46,7 +46,7 @@
         for _ in range(2):
             for _ in range(3):
                 health.note_bad(upstream=X)
-            await asyncio.sleep((FIRST_REST_MS + 10) / 1000)
+            await asyncio.sleep((FIRST_EJECTION_MS + 10) / 1000)
         assert _usable(health) == ["y", "z"]
 
     run_virtually(play())
--- a/testing/test_policy_moves.py
+++ b/testing/test_policy_moves.py
@@ -11,10 +11,10 @@
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.policy import EngineView
 from tanagerscale.policy import MovableRun
-from tanagerscale.policy import MoveScene
+from tanagerscale.policy import MoveSnapshot
 from tanagerscale.policy import copies_to_drop
 from tanagerscale.policy import next_move
-from tanagerscale.policy import reason_to_stay
+from tanagerscale.policy import reason_not_moved
 
 HERE, THERE = FailureDomainId("here"), FailureDomainId("there")
 X, Y, Z, W = (UpstreamId(name) for name in "xyzw")
@@ -47,29 +47,29 @@
     return MovableRun(**{**usual, **changes})  # type: ignore[arg-type]
 
 
-def _scene(*runs: MovableRun, views: Sequence[EngineView] = (), **changes: object) -> MoveScene:
+def _scene(*runs: MovableRun, views: Sequence[EngineView] = (), **changes: object) -> MoveSnapshot:
     engines = {view.upstream: view for view in views or [_view(one) for one in (X, Y, Z, W)]}
     usual: dict[str, object] = {
         "runs": runs,
         "engines": engines,
-        "takers": set(engines),
+        "eligible": set(engines),
         "leaving": {},
         "unreachable": set(),
         "busy": set(),
         "token_bytes": 163_840,
         "link_mbps": 24_000.0,
     }
-    scene = MoveScene(**{**usual, **changes})  # type: ignore[arg-type]
-    return MoveScene(
+    scene = MoveSnapshot(**{**usual, **changes})  # type: ignore[arg-type]
+    return MoveSnapshot(
         **{
             **{name: getattr(scene, name) for name in scene.__struct_fields__},
-            "takers": set(scene.takers) - set(scene.leaving),
+            "eligible": set(scene.eligible) - set(scene.leaving),
         }
     )
 
 
-def _next(scene: MoveScene) -> tuple[str, str, str] | None:
-    move = next_move(scene=scene, rng=Random(1))
+def _next(scene: MoveSnapshot) -> tuple[str, str, str] | None:
+    move = next_move(snapshot=scene, rng=Random(1))
     return None if move is None else (move.kind.value, move.run.request, move.target)
 
 
@@ -119,7 +119,7 @@
     views = [_view(X), _view(Y, domain=THERE)]
     late = _scene(_run("1"), views=views, leaving={X: 400})
     assert _next(late) is None
-    assert reason_to_stay(scene=late, run=late.runs[0], rng=Random(1)) == (
+    assert reason_not_moved(snapshot=late, run=late.runs[0], rng=Random(1)) == (
         "a copy would come too late"
     )
     assert _next(_scene(_run("1"), views=views, leaving={X: 450})) is not None
@@ -129,7 +129,9 @@
     views = [_view(X), _view(Y, held_tokens=31_000, running=5)]
     scene = _scene(_run("1"), views=views, leaving={X: 1500})
     assert _next(scene) is None
-    assert reason_to_stay(scene=scene, run=scene.runs[0], rng=Random(1)) == "no engine has room"
+    assert (
+        reason_not_moved(snapshot=scene, run=scene.runs[0], rng=Random(1)) == "no engine has room"
+    )
 
 
 def test_run_leaves_for_an_engine_that_has_room_before_copies_yield() -> None:
@@ -168,7 +170,7 @@
     assert _next(_scene(_run("1"), views=[crowded, half_full])) == ("ahead", "1", Y)
     assert _next(_scene(_run("1"), views=[few, half_full])) is None
     # Where nothing tells of engines that leave, no notice is long enough.
-    assert _next(_scene(_run("1"), views=[few, half_full], is_warned=False)) is not None
+    assert _next(_scene(_run("1"), views=[few, half_full], is_current=False)) is not None
 
 
 def test_run_is_not_copied_ahead_before_it_has_answered_for_a_while() -> None:
@@ -181,7 +183,7 @@
 
 
 def test_copy_is_made_elsewhere_when_its_holder_cannot_be_reached() -> None:
-    scene = _scene(_run("1", copy_at=Z), unreachable={Z}, takers={X, Y, W})
+    scene = _scene(_run("1", copy_at=Z), unreachable={Z}, eligible={X, Y, W})
     move = _next(scene)
     assert move is not None
     assert move[2] in (Y, W)
--- a/testing/test_policy_outliers.py
+++ b/testing/test_policy_outliers.py
@@ -7,7 +7,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.policy import Tally
 from tanagerscale.policy import is_outlier
-from tanagerscale.policy import may_rest
+from tanagerscale.policy import may_eject
 
 
 @pytest.mark.parametrize(
@@ -44,4 +44,4 @@
     siblings: int, resting: set[str]
 ) -> None:
     rates = {UpstreamId("a"): 0.5, UpstreamId("b"): 0.9, UpstreamId("c"): 0.4}
-    assert may_rest(rates, siblings=siblings) == resting
+    assert may_eject(rates, siblings=siblings) == resting
--- a/testing/test_policy_placement.py
+++ b/testing/test_policy_placement.py
@@ -11,8 +11,8 @@
 from tanagerscale.policy import COPY_MARGIN
 from tanagerscale.policy import SPARE_MARGIN
 from tanagerscale.policy import EngineView
+from tanagerscale.policy import PlacementQuery
 from tanagerscale.policy import Verdict
-from tanagerscale.policy import Wish
 from tanagerscale.policy import has_room
 from tanagerscale.policy import has_room_for_copy
 from tanagerscale.policy import is_uneven
@@ -41,85 +41,87 @@
     return EngineView(**{**usual, **changes})  # type: ignore[arg-type]
 
 
-def _place(wish: Wish, *views: EngineView) -> tuple[Verdict, str | None]:
-    placement = place(wish=wish, views=views, failure_domain=HERE, rng=Random(1))
+def _place(query: PlacementQuery, *views: EngineView) -> tuple[Verdict, str | None]:
+    placement = place(query=query, views=views, failure_domain=HERE, rng=Random(1))
     return placement.verdict, None if placement.engine is None else placement.engine.upstream
 
 
-def _wish(*, prompt: int = 3000, is_long: bool = True, left_ms: int = 1500) -> Wish:
-    return Wish(prompt_tokens=prompt, is_long=is_long, left_ms=left_ms)
+def _query(*, prompt: int = 3000, is_long: bool = True, left_ms: int = 1500) -> PlacementQuery:
+    return PlacementQuery(prompt_tokens=prompt, is_long=is_long, left_ms=left_ms)
 
 
 def test_prompt_goes_where_fewest_prompts_wait_when_many_arrive_at_once() -> None:
     busy = _view("busy", waiting_tokens=6000, waiting=2, held_tokens=6000)
-    assert _place(_wish(), busy, _view("idle")) == (Verdict.SEND, "idle")
+    assert _place(_query(), busy, _view("idle")) == (Verdict.SEND, "idle")
 
 
 def test_prompt_goes_where_fewer_generations_run_when_nothing_waits() -> None:
     crowd = _view("crowd", running=6, held_tokens=20_000)
-    assert _place(_wish(), crowd, _view("few", running=1, held_tokens=20_000))[1] == "few"
+    assert _place(_query(), crowd, _view("few", running=1, held_tokens=20_000))[1] == "few"
 
 
 def test_prompt_stays_in_its_failure_domain_when_engines_are_alike() -> None:
-    assert _place(_wish(), _view("far", failure_domain=THERE), _view("near"))[1] == "near"
+    assert _place(_query(), _view("far", failure_domain=THERE), _view("near"))[1] == "near"
 
 
 def test_prompt_leaves_its_failure_domain_when_that_is_quicker() -> None:
     near = _view("near", waiting_tokens=3000, waiting=1, held_tokens=3000)
-    assert _place(_wish(), near, _view("far", failure_domain=THERE))[1] == "far"
+    assert _place(_query(), near, _view("far", failure_domain=THERE))[1] == "far"
 
 
 def test_long_generation_goes_where_less_has_no_copy() -> None:
     exposed = _view("exposed", running=3, held_tokens=12_000, uncopied_tokens=12_000)
     copied = _view("copied", running=3, held_tokens=12_000, uncopied_tokens=0)
-    assert _place(_wish(), exposed, copied)[1] == "copied"
+    assert _place(_query(), exposed, copied)[1] == "copied"
 
 
 def test_new_engine_is_used_once_it_is_quicker_than_the_others_in_spite_of_its_slow_start() -> None:
     old = _view("old", waiting_tokens=9000, waiting=3, held_tokens=9000, running=1)
-    assert _place(_wish(), old, _view("new", cold_ms=900))[1] == "new"
-    assert _place(_wish(), _view("old"), _view("new", cold_ms=900))[1] == "old"
+    assert _place(_query(), old, _view("new", cold_ms=900))[1] == "new"
+    assert _place(_query(), _view("old"), _view("new", cold_ms=900))[1] == "old"
 
 
 def test_generation_waits_when_memory_is_full_and_there_is_time() -> None:
     full = _view(held_tokens=31_000, running=8)
-    assert _place(_wish(), full) == (Verdict.WAIT, None)
+    assert _place(_query(), full) == (Verdict.WAIT, None)
 
 
 def test_generation_is_refused_when_memory_is_full_and_it_would_be_late() -> None:
     full = _view(held_tokens=31_000, running=8)
-    assert _place(_wish(left_ms=0), full) == (Verdict.REFUSE, None)
+    assert _place(_query(left_ms=0), full) == (Verdict.REFUSE, None)
 
 
 def test_generation_waits_when_prompts_ahead_would_make_it_late() -> None:
     queue = _view(waiting_tokens=12_000, waiting=4, held_tokens=12_000, running=1)
-    assert _place(_wish(left_ms=1500), queue)[0] is Verdict.WAIT
+    assert _place(_query(left_ms=1500), queue)[0] is Verdict.WAIT
 
 
 def test_late_generation_is_served_when_there_is_room() -> None:
-    assert _place(_wish(left_ms=-5000), _view())[0] is Verdict.SEND
+    assert _place(_query(left_ms=-5000), _view())[0] is Verdict.SEND
 
 
 def test_late_long_generation_leaves_room_for_one_that_may_be_in_time() -> None:
     # There is room for 4,000 tokens and their growth.
     view = _view(held_tokens=27_800)
-    assert _place(_wish(left_ms=1), view)[0] is Verdict.SEND
-    late = Wish(prompt_tokens=3000, is_long=True, left_ms=-1, patience_ms=1000)
+    assert _place(_query(left_ms=1), view)[0] is Verdict.SEND
+    late = PlacementQuery(prompt_tokens=3000, is_long=True, left_ms=-1, patience_ms=1000)
     assert _place(late, view)[0] is Verdict.WAIT
-    short = Wish(prompt_tokens=3000, is_long=False, left_ms=-1, patience_ms=1000)
+    short = PlacementQuery(prompt_tokens=3000, is_long=False, left_ms=-1, patience_ms=1000)
     assert _place(short, view)[0] is Verdict.SEND
 
 
 def test_late_generation_waits_for_room_only_as_long_as_it_may() -> None:
     full = _view(held_tokens=33_000)
     for patience_ms, verdict in ((3000, Verdict.WAIT), (2000, Verdict.REFUSE)):
-        late = Wish(prompt_tokens=3000, is_long=True, left_ms=-2500, patience_ms=patience_ms)
+        late = PlacementQuery(
+            prompt_tokens=3000, is_long=True, left_ms=-2500, patience_ms=patience_ms
+        )
         assert _place(late, full)[0] is verdict
 
 
 def test_generation_waits_when_no_engine_takes_work() -> None:
-    assert _place(_wish()) == (Verdict.WAIT, None)
-    assert _place(_wish(left_ms=0)) == (Verdict.REFUSE, None)
+    assert _place(_query()) == (Verdict.WAIT, None)
+    assert _place(_query(left_ms=0)) == (Verdict.REFUSE, None)
 
 
 def test_engine_has_no_room_when_all_places_are_taken() -> None:
@@ -143,24 +145,24 @@
 
 
 def test_prompt_is_sent_at_once_when_it_is_late_on_any_engine() -> None:
-    assert _place(_wish(prompt=20_000, left_ms=1500), _view())[0] is Verdict.SEND
+    assert _place(_query(prompt=20_000, left_ms=1500), _view())[0] is Verdict.SEND
 
 
 def test_long_generation_waits_while_what_leaves_an_engine_needs_the_room() -> None:
     views = [_view("x", held_tokens=26_000, running=6), _view("y", held_tokens=24_000, running=6)]
-    free = place(wish=_wish(), views=views, failure_domain=HERE, rng=Random(1))
+    free = place(query=_query(), views=views, failure_domain=HERE, rng=Random(1))
     assert free.verdict is Verdict.SEND
     kept = place(
-        wish=_wish(), views=views, arriving_tokens=9000, failure_domain=HERE, rng=Random(1)
+        query=_query(), views=views, arriving_tokens=9000, failure_domain=HERE, rng=Random(1)
     )
     assert (kept.verdict, kept.engine) == (Verdict.WAIT, None)
 
 
 def test_short_generation_goes_ahead_of_what_leaves_an_engine() -> None:
     view = _view(held_tokens=24_000, running=6)
-    wish = _wish(prompt=2000, is_long=False)
+    query = _query(prompt=2000, is_long=False)
     placement = place(
-        wish=wish, views=[view], arriving_tokens=20_000, failure_domain=HERE, rng=Random(1)
+        query=query, views=[view], arriving_tokens=20_000, failure_domain=HERE, rng=Random(1)
     )
     assert placement.verdict is Verdict.SEND
 
