Ask a store that serves no coordinator before following it

Change: such a host asks for one key, stale, which costs a tenth, about once a second, and follows the store when it answers. A host that reaches no coordinator at all follows it at once, as before. The store's clients take stale reads for that.

Ruled out: the first hosts in rank alone (a store that turns away a third of the hosts may turn these away); longer pauses of the loops (a configuration has to be in force soon after the store is back).

Test: few calls while the store is away for all, failed first; a host that reaches nobody follows at once.

--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -232,7 +232,13 @@
             rng=self._rng,
         )
         return Duties(
-            host=self._host, directory=self.directory, feeds=self._feeds, loops=following.loops
+            host=self._host,
+            directory=self.directory,
+            feeds=self._feeds,
+            loops=following.loops,
+            is_served=following.is_served,
+            clock=self._clock,
+            rng=self._rng,
         )
 
     @property
--- a/src/tanagerscale/gateway/_following.py
+++ b/src/tanagerscale/gateway/_following.py
@@ -8,6 +8,8 @@
 from typing import Final
 from typing import final
 
+from returns.result import Success
+
 from tanagerscale.coordination import ListFeed
 from tanagerscale.core import Clock
 from tanagerscale.gateway._configuration import ConfigurationKeeper
@@ -62,6 +64,11 @@
             self._follower(self._presence.prefix, self._presence, rest_ms=PRESENCE_REST_MS).run(),
         )
 
+    async def is_served(self) -> bool:
+        """Return whether the store answers a read that costs it little."""
+        found = await self._edges.store.get(key=self._presence.prefix, stale=True)
+        return isinstance(found, Success)
+
     def _operator_keys(self) -> OperatorKeys:
         return OperatorKeys(
             configuration_key=self._edges.configuration_key,
--- a/src/tanagerscale/platform/_store.py
+++ b/src/tanagerscale/platform/_store.py
@@ -69,9 +69,10 @@
         self._pool = pool
         self.calls = 0
 
-    async def get(self, *, key: str) -> Result[StoreEntry | None, StoreError]:
-        """Read one key."""
-        answer = await self._call("GET", "/v1/kv-key", query={"key": key})
+    async def get(self, *, key: str, stale: bool = False) -> Result[StoreEntry | None, StoreError]:
+        """Read one key; a stale answer costs a tenth."""
+        query = {"key": key, **({"serializable": "1"} if stale else {})}
+        answer = await self._call("GET", "/v1/kv-key", query=query)
         if isinstance(answer, Failure):
             return answer
         status, body = answer.unwrap()
--- a/src/tanagerscale/store/_etcd.py
+++ b/src/tanagerscale/store/_etcd.py
@@ -86,9 +86,9 @@
         """Close all connections."""
         await self._gateway.close()
 
-    async def get(self, *, key: str) -> Result[StoreEntry | None, StoreError]:
-        """Read one key."""
-        found = await self._range(RangeRequest(key=key.encode()))
+    async def get(self, *, key: str, stale: bool = False) -> Result[StoreEntry | None, StoreError]:
+        """Read one key; a stale answer takes no round between the store's members."""
+        found = await self._range(RangeRequest(key=key.encode(), serializable=stale))
         return found.map(lambda listed: listed.entries[0] if listed.entries else None)
 
     async def list(self, *, prefix: str) -> Result[StoreRange, StoreError]:
--- a/src/tanagerscale/store/_protocol.py
+++ b/src/tanagerscale/store/_protocol.py
@@ -110,8 +110,12 @@
     No method retries; callers know best whether a repeat is safe.
     """
 
-    async def get(self, *, key: str) -> Result[StoreEntry | None, StoreError]:
-        """Read one key."""
+    async def get(self, *, key: str, stale: bool = False) -> Result[StoreEntry | None, StoreError]:
+        """Read one key.
+
+        :param key: The key.
+        :param stale: Whether an answer that is seconds old will do; it costs the store less.
+        """
 
     async def list(self, *, prefix: str) -> Result[StoreRange, StoreError]:
         """Read all keys under a prefix."""
--- a/src/tanagerscale/store/_wire.py
+++ b/src/tanagerscale/store/_wire.py
@@ -33,10 +33,14 @@
 
 
 class RangeRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Reads one key, or all keys from ``key`` to before ``range_end``."""
+    """Reads one key, or all keys from ``key`` to before ``range_end``.
+
+    With ``serializable`` the answer may be stale.
+    """
 
     key: bytes
     range_end: bytes | None = None
+    serializable: bool = False
 
 
 class PutRequest(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/testing/_fake_store.py
+++ b/testing/_fake_store.py
@@ -166,6 +166,7 @@
     """Calls counted, a waiting watch as one."""
 
     reads: int = 0
+    stale_reads: int = 0
     writes: int = 0
     watches: int = 0
     leases: int = 0
@@ -199,9 +200,10 @@
         self.down = down
         self.backend.wake()
 
-    async def get(self, *, key: str) -> Result[StoreEntry | None, StoreError]:
+    async def get(self, *, key: str, stale: bool = False) -> Result[StoreEntry | None, StoreError]:
         """Read one key."""
-        self.calls.reads += 1
+        self.calls.stale_reads += stale
+        self.calls.reads += not stale
         failure = await self._reach()
         if failure is not None:
             return Failure(failure)
--- a/testing/_faulty_store.py
+++ b/testing/_faulty_store.py
@@ -53,10 +53,10 @@
         """Wait while the host is frozen."""
         await self._running.wait()
 
-    async def get(self, *, key: str) -> Result[StoreEntry | None, StoreError]:
+    async def get(self, *, key: str, stale: bool = False) -> Result[StoreEntry | None, StoreError]:
         """Read one key."""
         await self.pass_gate()
-        return await self._come_back(await self.fake.get(key=key))
+        return await self._come_back(await self.fake.get(key=key, stale=stale))
 
     async def list(self, *, prefix: str) -> Result[StoreRange, StoreError]:
         """Read all keys under a prefix."""
--- a/testing/test_coordination_failures.py
+++ b/testing/test_coordination_failures.py
@@ -11,6 +11,8 @@
 
 from tanagerscale.coordination._client import PATIENCE_MS
 from tanagerscale.coordination._duties import ALONE_MS
+from tanagerscale.coordination._duties import PROBE_MS
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import UpstreamId
 from tanagerscale.generated.messages import PlaceAnswer
 from tanagerscale.generated.messages import PlaceKind
@@ -249,6 +251,35 @@
     _play(scene)
 
 
+def test_hosts_make_few_calls_while_the_store_is_away_for_all() -> None:
+    async def scene(fleet: Fleet) -> None:
+        for host in fleet.hosts:
+            host.store.set_down(True)
+        await asyncio.sleep(3)
+        members = [host.store.calls for host in fleet.members]
+        before = sum(calls.reads + calls.watches for calls in members)
+        asked_before = sum(calls.stale_reads for calls in members)
+        await asyncio.sleep(10)
+        assert sum(calls.reads + calls.watches for calls in members) == before
+        asked = sum(calls.stale_reads for calls in members) - asked_before
+        assert asked <= 10 * len(members) * MS_PER_SECOND / PROBE_MS * 1.5
+
+    _play(scene)
+
+
+def test_host_that_reaches_nobody_follows_the_store_at_once() -> None:
+    async def scene(fleet: Fleet) -> None:
+        host = fleet.members[0]
+        fleet.freeze(host)
+        host.store.set_down(False)
+        await asyncio.sleep(3.5 + ALONE_MS / 1000)
+        fleet.set_engine("new")
+        await asyncio.sleep(0.2)
+        assert host.control.roster.known == 3
+
+    _play(scene)
+
+
 def test_no_host_believes_that_the_store_tells_of_changes_when_it_is_away_for_all() -> None:
     async def scene(fleet: Fleet) -> None:
         for host in fleet.hosts:
