Let late generations wait for three seconds, so that their callers are still there

Callers give up a stream that has sent nothing for four times their objective; 1.8 s, the wait and up to 1.5 s for the prompt have to fit.

--- a/src/tanagerscale/forwarding/_demand.py
+++ b/src/tanagerscale/forwarding/_demand.py
@@ -12,9 +12,9 @@
 they run on for two seconds. Shorter ones end before it is gone."""
 
 
-LATE_PATIENCE_MS: Final = 4000
-"""How long a generation that is late may wait on for room. Engines get room as answers of some
-seconds end; callers give up a stream that has sent nothing for seven."""
+LATE_PATIENCE_MS: Final = 3000
+"""How long a generation that is late may wait on for room. Callers give up a stream that has sent
+nothing for seven seconds, and an engine may take another 1.5 for its prompt."""
 
 ANSWER_MS: Final = 1500
 """Time that is left for the answer of one that waits so long, so that it ends before its
