--- a/src/tanagerscale/forwarding/_legs.py
+++ b/src/tanagerscale/forwarding/_legs.py
@@ -45,7 +45,7 @@
 
     :param entry: The engine.
     :param answer: Its answer.
-    :param late: Gate it for the engine's health when the first event is late.
+    :param late: Notes it for the engine's health when the first event is late.
     :param first_event: When its first event came.
     :param is_slow: Whether a pause between its events was too long.
     """
@@ -133,7 +133,7 @@
             if self._is_evacuated(entry):
                 entry = self._other_end(hop, entry)
             if self._is_evacuated(entry):
-                self.log("A run may go on nowhere.", entry, reason="evacuated")
+                self.log("No end of a copy may get requests.", entry, reason="evacuated")
                 return None
             try:
                 leg = await self._try_to_resume(entry, hop, point)
--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -70,7 +70,7 @@
     """Refuse a generation that no engine has room for; it has not run."""
     return Refusal(
         kind=RefusalKind.OVERLOADED,
-        detail=f"The engines of {service} are full; send the request again after the pause.",
+        detail=f"No engine of {service} can take it now; send the request again after the pause.",
         retry_after_ms=_spread(NO_ROOM_MS, rng),
     )
 
--- a/src/tanagerscale/forwarding/_relay.py
+++ b/src/tanagerscale/forwarding/_relay.py
@@ -31,7 +31,7 @@
     :param routed: The request.
     :param responder: Carries them.
     :param parts: What every request uses.
-    :param sender: Gate failures of engines.
+    :param sender: Notes failures of engines.
     :param on_event: Called after each event that was passed on.
     """
 
--- a/testing/test_evacuations.py
+++ b/testing/test_evacuations.py
@@ -116,7 +116,7 @@
 
 
 class _Heard:
-    """Gate what it is given."""
+    """Note what it is given."""
 
     def __init__(self) -> None:
         self.keys: list[str] = []
