Log task stacks on SIGUSR1 and requests that wait long for an engine

Symptom: in about 1 of 200 runs of test_two_engines_at_most_are_lost_when_a_request_crashes_each_and_is_sent_everywhere, with eight to fourteen runs at a time, one or more calls got no answer for 60 s.

Reason for this change: nothing showed where such a call was waiting. The logs ended within a second of the request being convicted (quarantined), and thread stacks showed three idle event loops. A request waiting for an engine was not logged at all.

On SIGUSR1, a host now logs what all its tasks are waiting for, grouped by call stack. This covers both hosts with the product's own interface and hosts on the users' platform. A request that has waited 5 s for an engine is logged, once for each wait, with the host that owns the placement decision, whether that host has answered, and the engines excluded for the request.

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -27,6 +27,9 @@
 from tanagerscale.core._log import get_logger
 from tanagerscale.core._log import set_up_logging
 from tanagerscale.core._sockets import watch_peer
+from tanagerscale.core._tasks import TaskStackGroup
+from tanagerscale.core._tasks import group_tasks_by_stack
+from tanagerscale.core._tasks import log_tasks
 
 __all__ = [
     "MS_PER_SECOND",
@@ -46,10 +49,13 @@
     "RequestId",
     "Revision",
     "ServiceId",
+    "TaskStackGroup",
     "UpstreamId",
     "UpstreamName",
     "WallMillis",
     "get_logger",
+    "group_tasks_by_stack",
+    "log_tasks",
     "new_id",
     "set_up_line_log",
     "set_up_logging",
--- a/src/tanagerscale/daemon/_main.py
+++ b/src/tanagerscale/daemon/_main.py
@@ -13,6 +13,7 @@
 from returns.result import Success
 
 from tanagerscale.core import get_logger
+from tanagerscale.core import log_tasks
 from tanagerscale.core import set_up_logging
 from tanagerscale.daemon._host import HostProcess
 from tanagerscale.generated.settings import HostSettings
@@ -61,6 +62,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, log_tasks)
     host = HostProcess(settings=settings)
     addresses = await host.start()
     print(f"listening callers={addresses.callers} peers={addresses.peers}", flush=True)
--- a/src/tanagerscale/platform/__main__.py
+++ b/src/tanagerscale/platform/__main__.py
@@ -14,6 +14,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import LineLog
 from tanagerscale.core import get_logger
+from tanagerscale.core import log_tasks
 from tanagerscale.core import set_up_line_log
 from tanagerscale.gateway import GatewayHost
 from tanagerscale.generated.gateway import GatewaySettings
@@ -45,6 +46,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, path, host, lines)
+    loop.add_signal_handler(signal.SIGUSR1, log_tasks)
     await host.start()
     await stopped.wait()
     await host.stop()
--- a/src/tanagerscale/routing/_entry.py
+++ b/src/tanagerscale/routing/_entry.py
@@ -30,6 +30,9 @@
 REPEAT_MS = 1000
 """Time between two asks for a placement that waits."""
 
+LONG_WAIT_MS = 5000
+"""A placement that has waited this long is logged."""
+
 
 @unique
 class Decider(Enum):
@@ -53,6 +56,7 @@
     :param in_fallback: Whether this host's own share decides too.
     :param placement: The place, once there is one.
     :param tokens: Tokens made so far.
+    :param wait_logged: Whether a wait of ``LONG_WAIT_MS`` has been logged.
     """
 
     serial: int
@@ -65,6 +69,7 @@
     in_fallback: bool = False
     placement: Placement | None = None
     tokens: int = 0
+    wait_logged: bool = False
 
     @property
     def engine(self) -> UpstreamId | None:
@@ -79,6 +84,10 @@
         """Return whether to ask again, which also tells the owner that it is still wanted."""
         return now - self.asked >= REPEAT_MS
 
+    def wait_is_long(self, *, now: Millis) -> bool:
+        """Return whether the placement has waited long enough to be logged."""
+        return now - self.request.arrived >= LONG_WAIT_MS
+
     def is_meant_by(self, grant: Grant) -> bool:
         """Return whether a decision with this serial is about this placement."""
         return grant.generation == self.request.generation and grant.cell == self.cell
--- a/src/tanagerscale/routing/_placements.py
+++ b/src/tanagerscale/routing/_placements.py
@@ -243,6 +243,8 @@
         for entry in self._entries:
             if entry.outcome.done():
                 continue
+            if not entry.wait_logged and entry.wait_is_long(now=now):
+                self._log_wait(entry)
             if not entry.in_fallback and entry.answer_is_late(now=now):
                 self._fall_back(entry)
             if not entry.ask_is_due(now=now):
@@ -255,6 +257,18 @@
                 if entry.in_fallback:
                     self._fall_back(entry)
 
+    def _log_wait(self, entry: Entry) -> None:
+        entry.wait_logged = True
+        log.info(
+            "A request waits for an engine.",
+            generation=entry.request.generation,
+            cell=entry.cell,
+            owner=entry.owner,
+            answered=entry.answered,
+            excluded=sorted(entry.request.excluded),
+            waited_ms=self._clock.now() - entry.request.arrived,
+        )
+
     def _fall_back(self, entry: Entry) -> None:
         """Let this host's share of the cell decide too, as its owner does not answer."""
         fallback = self._fallbacks.get(entry.cell)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -95,6 +95,10 @@
         """Let it run on."""
         self._send(signal.SIGCONT)
 
+    def dump_tasks(self) -> None:
+        """Send SIGUSR1, which makes a host log the call stacks of its tasks."""
+        self._send(signal.SIGUSR1)
+
     async def kill(self) -> None:
         """End it without warning."""
         self._send(signal.SIGKILL)
--- a/testing/test_process_failures.py
+++ b/testing/test_process_failures.py
@@ -299,3 +299,27 @@
     for name in cluster.engines:
         while not await loaded(name):
             await asyncio.sleep(0.1)
+
+
+async def test_host_logs_task_stacks_on_signal(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    plan = ClusterPlan(hosts=1, engines=1, services=0, engine_options={"max_batch": "1"})
+    cluster = await start_serving(plan)
+    started = await _ask_all(cluster, session, ["host-1"], each=1)
+    host = cluster.hosts["host-1"]
+    prompt = "check [[tokens=4]]"
+    waiting = asyncio.create_task(
+        ask(session=session, url=cluster.caller_url("host-1"), prompt=prompt)
+    )
+
+    def is_logged() -> bool:
+        # SIGUSR1 terminates a process that has no handler for it.
+        assert host.running
+        host.dump_tasks()
+        return "PoolRouter.place:" in host.errors()
+
+    await until(is_logged)
+    answer = await waiting
+    assert answer.text == expected(prompt=prompt)
+    await _check_whole(started)
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -5,6 +5,7 @@
 import asyncio
 from random import Random
 
+import logbook
 import pytest
 from returns.pipeline import is_successful
 
@@ -25,6 +26,7 @@
 from tanagerscale.routing import make_cells
 from tanagerscale.routing import owner_of
 from tanagerscale.routing._convert import ask_of
+from tanagerscale.routing._entry import LONG_WAIT_MS
 from tanagerscale.routing._entry import REPEAT_MS
 from tanagerscale.routing._owner import CellOwner
 from tanagerscale.routing._ownership import Ownership
@@ -53,6 +55,20 @@
     assert cluster.truth() == {}
 
 
+async def test_request_with_long_wait_is_logged_once() -> None:
+    # Guards against a log line at every tick.
+    cluster = Cluster(hosts=["a"], engines=make_engines(number=1, max_batch=1))
+    await cluster.place("a", "g1")
+    with logbook.TestHandler().applicationbound() as logs:
+        waiting = asyncio.create_task(cluster.place("a", "g2"))
+        await asyncio.sleep(LONG_WAIT_MS / 1000 - 1)
+        assert not logs.has_infos
+        await asyncio.sleep(5)
+    logged = [record.kwargs["generation"] for record in logs.records if record.channel == "routing"]
+    assert logged == ["g2"]
+    waiting.cancel()
+
+
 async def test_place_reports_not_executed_when_shed() -> None:
     cluster = Cluster(hosts=["a"], engines=make_engines(number=1, max_batch=1))
     await cluster.place("a", "g1")
