Preserve a cancellation that races with the awaited event

Problem: on Python 3.11, asyncio.wait_for returns the result and drops the cancellation when a task is cancelled up to two iterations of the event loop after the awaited event has been set.

Impact: during a planned stop, a host blocks forever in CommitBatcher.close if a claim write arrives at that moment, so the process never exits. If a caller disconnects while its request waits for the quarantine, the disconnect goes unnoticed and the request is still sent to an engine.

Change: use asyncio.timeout, which preserves the cancellation, for both waits and for the wait in the platform store stand-in.

The parameter is the number of times the test yields to the event loop before the cancellation: after the event is set in the second test, and after the task that submits the write is created in the first. The remaining uses of wait_for in src/ run within HostProcess.stop, which nothing cancels, and are unchanged. The wait in the stand-in has no test of its own.

--- a/src/tanagerscale/claims/_batcher.py
+++ b/src/tanagerscale/claims/_batcher.py
@@ -140,7 +140,8 @@
             self._arrived.clear()
             try:
                 # A write that arrives meanwhile may be due earlier.
-                await asyncio.wait_for(self._arrived.wait(), left / MS_PER_SECOND)
+                async with asyncio.timeout(left / MS_PER_SECOND):
+                    await self._arrived.wait()
             except TimeoutError:
                 pass
             self._arrived.set()
--- a/src/tanagerscale/daemon/_crashes.py
+++ b/src/tanagerscale/daemon/_crashes.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import final
 
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
 from tanagerscale.core import ModelId
@@ -80,7 +81,8 @@
     async def wait_change(self) -> None:
         """Wait until an excluded engine may have become free, or for a short while."""
         try:
-            await asyncio.wait_for(self._changed.wait(), CHANGE_WAIT_MS / 1000)
+            async with asyncio.timeout(CHANGE_WAIT_MS / MS_PER_SECOND):
+                await self._changed.wait()
         except TimeoutError:
             return
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -202,7 +202,8 @@
             if events or left <= 0:
                 return json_response({"events": events, "asOf": self.revision})
             try:
-                await asyncio.wait_for(self._changed.wait(), left)
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
             except TimeoutError:
                 continue
 
--- a/testing/test_claims.py
+++ b/testing/test_claims.py
@@ -237,6 +237,21 @@
     assert [first.unwrap().written, second.unwrap().written] == [True, False]
 
 
+@pytest.mark.parametrize("iterations", range(5))
+async def test_batcher_closes_when_a_write_arrives_concurrently(iterations: int) -> None:
+    # asyncio.wait_for in Python 3.11 can swallow a cancellation that races with the event.
+    batcher = CommitBatcher(store=FaultyStore(backend=FakeBackend()), clock=Clock())
+    puts = [PutIf(key=key, value=b"", expected_mod_revision=StoreRevision(0)) for key in ("k", "l")]
+    writes = [asyncio.create_task(batcher.submit(put=puts[0], urgent=False))]
+    await asyncio.sleep(0.001)
+    writes.append(asyncio.create_task(batcher.submit(put=puts[1], urgent=False)))
+    for _ in range(iterations):
+        await asyncio.sleep(0)
+    async with asyncio.timeout(LONGER_THAN_ANY_LEASE_S):
+        await batcher.close()
+    await asyncio.wait(writes)
+
+
 @pytest.mark.parametrize("leaves_after_s", [0, 0.001, 0.01])
 async def test_repeat_runs_when_the_caller_left_during_its_claim(
     platform: Platform, leaves_after_s: float
--- a/testing/test_overload.py
+++ b/testing/test_overload.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 import random
 
+import pytest
 from returns.result import Success
 
 from tanagerscale.core import ClientAccountId
@@ -166,3 +167,24 @@
     refused = [Refused(problem=p, came=Millis(0), told=Millis(0)) for p in problems if p]
     assert len(refused) == CALLERS
     assert _spread_well(refused)
+
+
+@pytest.mark.parametrize("iterations", range(5))
+def test_wait_change_propagates_cancellation_when_a_change_arrives_concurrently(
+    iterations: int,
+) -> None:
+    # asyncio.wait_for in Python 3.11 can swallow a cancellation that races with the event.
+    async def run() -> bool:
+        world = CrowdedWorld(hosts=1, engines=1, max_batch=1)
+        crashes = world.hosts[0].parts.crashes
+        waiting = asyncio.create_task(crashes.wait_change())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        crashes.on_engine_crash(engine=next(iter(world.engines)))
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        cancel_requested = waiting.cancel()
+        await asyncio.wait({waiting})
+        return waiting.cancelled() or not cancel_requested
+
+    assert run_virtually(run())
