Re-check a waiting request when it is quarantined or its excluded engines change

Problem: a call received no answer for 60 s in about one of every 75 to 250 runs of test_two_engines_at_most_are_lost_when_a_request_crashes_each_and_is_sent_everywhere.

Cause: a suspect request may run only on the engine that runs a copy of it. A request that had to wait for that engine asked its owner for a placement with the engines excluded at that moment, and the exclusions were not evaluated again during the wait. When the copy crashed the engine, the request was quarantined (convicted) on all hosts and the owner no longer had an engine for it, but the call kept waiting in PoolRouter.place.

Change: if the quarantine excludes engines for a request, its wait ends when a copy of it is convicted or when its set of excluded engines changes. The request is then refused, or placed again with its original waiting start time, so it keeps its queue position. Requests unknown to the quarantine wait as before, without an additional task.

Ruled out: a blocked host (the event loops were idle) and messages lost between hosts (the owner had answered).

Not fixed: a request can still wait for an engine that only the owner knows to be dead. That is a separate fault.

Tests: test_waiting_requests_are_refused_when_a_copy_crashes_their_only_allowed_engine uses real processes. The first three tests in testing/test_generation_waiting.py fail without the change.

--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -61,11 +61,13 @@
     :param began: When the request came.
     :param excluded: Engines that failed on the request.
     :param not_admitted: Engines where the crash watch would not let it run just now.
+    :param waiting_since: When the current wait for an engine began, or ``None`` if not waiting.
     """
 
     began: Millis
     excluded: set[UpstreamId] = field(default_factory=set)
     not_admitted: set[UpstreamId] = field(default_factory=set)
+    waiting_since: Millis | None = None
     attempts: int = 0
     lost: int = 0
     may_have_run: bool = False
@@ -131,14 +133,47 @@
             if problem is not None:
                 return Failure(self._with_execution(problem))
             request = self._placement_request()
-            match await self._parts.router.place(request=request):
+            match await self._place(request):
                 case Success(placement):
                     result = await self._try_at(placement)
                 case Failure(refusal):
                     result = await self._after_refusal(refusal, request)
+                case None:
+                    continue
             if result is not None:
                 return result
 
+    async def _place(self, request: PlacementRequest) -> Result[Placement, Problem] | None:
+        """Wait for an engine; ``None`` when the request must be checked and placed again.
+
+        No watcher task is started unless the crash watch excludes an engine.
+        """
+        if request.excluded <= self._progress.excluded:
+            return await self._parts.router.place(request=request)
+        try:
+            async with asyncio.timeout(None) as timeout:
+                watcher = asyncio.create_task(self._expire_when_outdated(request, timeout))
+                try:
+                    return await self._parts.router.place(request=request)
+                finally:
+                    watcher.cancel()
+        except TimeoutError:
+            return None
+
+    async def _expire_when_outdated(
+        self, request: PlacementRequest, timeout: asyncio.Timeout
+    ) -> None:
+        """Expire the timeout when the request is quarantined or its excluded engines change.
+
+        Otherwise a request restricted to an engine that died would wait indefinitely.
+        """
+        fingerprint = self._request.fingerprint
+        while self._parts.crashes.check(fingerprint=fingerprint) is None:
+            if self._excluded_engines() != request.excluded:
+                break
+            await self._parts.crashes.wait_change()
+        timeout.reschedule(asyncio.get_running_loop().time())
+
     async def _try_at(self, placement: Placement) -> Result[Finish, Problem] | None:
         """Run an attempt at its place; ``None`` means to go on with another one."""
         engine = placement.engine
@@ -186,15 +221,20 @@
         return await self._attempt(placement, resume.attempt, resumed=True)
 
     def _placement_request(self) -> PlacementRequest:
-        request = self._request
-        kept_away = self._parts.crashes.excluded_engines(
-            fingerprint=request.fingerprint, model=request.model
-        )
+        if self._progress.waiting_since is None:
+            self._progress.waiting_since = self._parts.clock.now()
         return placement_request(
-            request=request,
-            now=self._parts.clock.now(),
-            excluded=frozenset(self._progress.excluded | self._progress.not_admitted) | kept_away,
+            request=self._request,
+            arrived=self._progress.waiting_since,
+            excluded=self._excluded_engines(),
+        )
+
+    def _excluded_engines(self) -> frozenset[UpstreamId]:
+        """Return the engines that the request must not be sent to now."""
+        kept_away = self._parts.crashes.excluded_engines(
+            fingerprint=self._request.fingerprint, model=self._request.model
         )
+        return kept_away | self._progress.excluded | self._progress.not_admitted
 
     async def _attempt(
         self, placement: Placement, attempt_id: AttemptId, *, resumed: bool = False
@@ -211,6 +251,7 @@
         )
         started = self._parts.clock.now()
         self._progress.attempts += 1
+        self._progress.waiting_since = None
         outcome: AttemptOutcome | None = None
         ended = False
         try:
--- a/src/tanagerscale/dispatch/_requests.py
+++ b/src/tanagerscale/dispatch/_requests.py
@@ -11,12 +11,12 @@
 
 
 def placement_request(
-    *, request: GenerationRequest, now: Millis, excluded: frozenset[UpstreamId]
+    *, request: GenerationRequest, arrived: Millis, excluded: frozenset[UpstreamId]
 ) -> PlacementRequest:
     """Return what routing is asked for.
 
     :param request: The checked request.
-    :param now: When it is asked.
+    :param arrived: When the wait began; unchanged on a repeat, to keep the queue position.
     :param excluded: Engines not to choose.
     """
     return PlacementRequest(
@@ -31,7 +31,7 @@
         prefix=request.prefix,
         prefix_tokens=request.prefix_tokens,
         movable=request.whole,
-        arrived=now,
+        arrived=arrived,
         excluded=excluded,
     )
 
--- /dev/null
+++ b/testing/test_generation_waiting.py
@@ -0,0 +1,243 @@
+"""Quarantine changes for a request that is waiting for an engine."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+import random
+
+import pytest
+import pytest_asyncio
+from returns.result import Result
+from returns.result import Success
+
+from tanagerscale.core import ClientAccountId
+from tanagerscale.core import Clock
+from tanagerscale.core import Execution
+from tanagerscale.core import GenerationId
+from tanagerscale.core import ModelId
+from tanagerscale.core import Problem
+from tanagerscale.core import ProblemKind
+from tanagerscale.core import UpstreamId
+from tanagerscale.daemon import GateNotes
+from tanagerscale.dispatch import Canceller
+from tanagerscale.dispatch import DispatchParts
+from tanagerscale.dispatch import Finish
+from tanagerscale.dispatch import Generation
+from tanagerscale.dispatch import GenerationRequest
+from tanagerscale.generated.declarations import Objective
+from tanagerscale.generated.upstream import FinishReason
+from tanagerscale.membership import UpstreamGate
+from tanagerscale.policy import PlacementRequest
+from tanagerscale.policy import RetryBudget
+from tanagerscale.routing import Placement
+from tanagerscale.usage import UsageMeter
+from testing._fake_engine import FakeEngine
+from testing._fake_engine import Faults
+from testing._fake_engine import ListSink
+
+pytestmark = pytest.mark.looptime
+
+FULL = UpstreamId("engine-1")
+FREE = UpstreamId("engine-2")
+TIMEOUT_S = 600
+"""Longest wait for a generation to end, in virtual seconds."""
+QUARANTINED = Problem(
+    kind=ProblemKind.QUARANTINED,
+    detail="The request crashed engines.",
+    execution=Execution.NOT_EXECUTED,
+    retry_after_ms=1000,
+)
+
+
+class OneFullEngineRouter:
+    """Places requests on the free engine at once, and on the full one once it has capacity."""
+
+    def __init__(self) -> None:
+        self.requests: list[PlacementRequest] = []
+        self.placed: set[GenerationId] = set()
+        self.capacity_freed = asyncio.Event()
+        """Set when the full engine has capacity."""
+
+    async def place(self, *, request: PlacementRequest) -> Result[Placement, Problem]:
+        """Wait until an engine that is not excluded has capacity."""
+        self.requests.append(request)
+        engine = FULL if FREE in request.excluded else FREE
+        if engine == FULL:
+            await self.capacity_freed.wait()
+        self.placed.add(request.generation)
+        return Success(Placement(generation=request.generation, engine=engine))
+
+    def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
+        """Fail, because no test resumes a generation."""
+        raise AssertionError("adopt() must not be called.")
+
+    def report_progress(self, *, generation: GenerationId, tokens: int) -> None:
+        """Do nothing."""
+
+    def release(
+        self, *, generation: GenerationId, tokens: int, complete: bool, engine_lost: bool
+    ) -> None:
+        """Remove the placement."""
+        self.placed.remove(generation)
+
+
+class FakeCrashWatch:
+    """Excludes the free engine, as if a copy of the request ran on the full one, until updated."""
+
+    def __init__(self) -> None:
+        self.excluded = frozenset({FREE})
+        self.problem: Problem | None = None
+        self.changed = asyncio.Event()
+
+    def check(self, *, fingerprint: str) -> Problem | None:
+        """Return the problem that was set last."""
+        return self.problem
+
+    def excluded_engines(self, *, fingerprint: str, model: ModelId) -> frozenset[UpstreamId]:
+        """Return the exclusions that were set last."""
+        return self.excluded
+
+    async def wait_change(self) -> None:
+        """Wait for the next update."""
+        await self.changed.wait()
+
+    def update(
+        self, *, problem: Problem | None = None, excluded: frozenset[UpstreamId] = frozenset()
+    ) -> None:
+        """Replace the state and wake all waiters."""
+        self.problem = problem
+        self.excluded = excluded
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def admit(
+        self,
+        *,
+        fingerprint: str,
+        engine: UpstreamId,
+        stop: asyncio.Event,
+        progress: Callable[[], int],
+    ) -> bool:
+        """Admit every request."""
+        return True
+
+    def on_finished(self, *, fingerprint: str, engine: UpstreamId, complete: bool) -> None:
+        """Do nothing."""
+
+    def on_engine_crash(self, *, engine: UpstreamId) -> None:
+        """Do nothing."""
+
+
+@dataclass(kw_only=True)
+class Harness:
+    """A generation with a fake router and a fake crash watch."""
+
+    router: OneFullEngineRouter
+    crash_watch: FakeCrashWatch
+    generation: Generation
+
+
+@pytest_asyncio.fixture
+async def harness() -> Harness:
+    """Return a generation that may run only on the full engine."""
+    clock = Clock()
+    router = OneFullEngineRouter()
+    crash_watch = FakeCrashWatch()
+    engines = {name: FakeEngine(clock=clock, faults=Faults()) for name in (FULL, FREE)}
+    gate = UpstreamGate(clock=clock, rng=random.Random(1), spread=lambda _message: None)
+    parts = DispatchParts(
+        router=router,
+        client_of=engines.__getitem__,
+        notes=GateNotes(gate=gate),
+        crashes=crash_watch,
+        retries=RetryBudget(),
+        canceller=Canceller(client_of=engines.__getitem__, clock=clock),
+        meter=UsageMeter(clock=clock, objective=Objective),
+        clock=clock,
+        rng=random.Random(2),
+    )
+    request = GenerationRequest(
+        generation=GenerationId("cmpl-1"),
+        account=ClientAccountId("north"),
+        model=ModelId("round-planner"),
+        version="1",
+        adapter="",
+        prompt="plan",
+        prompt_tokens=1,
+        max_tokens=4,
+        seed=7,
+        priority=1,
+        request_class="",
+        prefix="",
+        prefix_tokens=0,
+        whole=False,
+        fingerprint="f",
+    )
+    generation = Generation(request=request, sink=ListSink(), parts=parts)
+    return Harness(router=router, crash_watch=crash_watch, generation=generation)
+
+
+async def test_waiting_request_is_refused_at_once_when_it_is_quarantined(
+    harness: Harness,
+) -> None:
+    running = asyncio.create_task(harness.generation.run())
+    await asyncio.sleep(5)
+    harness.crash_watch.update(problem=QUARANTINED)
+    await asyncio.sleep(0.01)
+    assert running.done()
+    problem = running.result().failure()
+    assert problem.kind is ProblemKind.QUARANTINED
+    assert problem.execution is Execution.NOT_EXECUTED
+    assert not harness.router.placed
+
+
+async def test_waiting_request_is_placed_again_when_its_excluded_engines_change(
+    harness: Harness,
+) -> None:
+    running = asyncio.create_task(harness.generation.run())
+    await asyncio.sleep(5)
+    harness.crash_watch.update(excluded=frozenset({FULL}))
+    await asyncio.sleep(1)
+    assert running.done()
+    assert running.result().unwrap() == Finish(FinishReason.STOP, 4)
+    assert [request.excluded for request in harness.router.requests] == [{FREE}, {FULL}]
+
+
+async def test_waiting_request_keeps_its_arrival_time_when_it_is_placed_again(
+    harness: Harness,
+) -> None:
+    running = asyncio.create_task(harness.generation.run())
+    await asyncio.sleep(5)
+    harness.crash_watch.update(excluded=frozenset({FULL}))
+    await asyncio.wait({running}, timeout=TIMEOUT_S)
+    first, second = harness.router.requests
+    assert second.arrived == first.arrived
+
+
+async def test_waiting_request_is_not_placed_again_when_its_excluded_engines_are_unchanged(
+    harness: Harness,
+) -> None:
+    running = asyncio.create_task(harness.generation.run())
+    await asyncio.sleep(5)
+    harness.crash_watch.update(excluded=frozenset({FREE}))
+    await asyncio.sleep(1)
+    assert len(harness.router.requests) == 1
+    harness.router.capacity_freed.set()
+    assert (await running).unwrap() == Finish(FinishReason.STOP, 4)
+
+
+@pytest.mark.parametrize("capacity_freed", [False, True])
+async def test_cancelled_wait_leaves_no_placement_or_task(
+    harness: Harness, capacity_freed: bool
+) -> None:
+    running = asyncio.create_task(harness.generation.run())
+    await asyncio.sleep(5)
+    if capacity_freed:
+        harness.router.capacity_freed.set()
+    running.cancel()
+    await asyncio.wait({running})
+    assert running.cancelled()
+    assert not harness.router.placed
+    assert asyncio.all_tasks() == {asyncio.current_task()}
--- a/testing/test_process_failures.py
+++ b/testing/test_process_failures.py
@@ -21,10 +21,13 @@
 from standins.service import ServiceFaultMode
 from standins.store import Fault
 from standins.store import FaultMode
+from tanagerscale.core import HostId
 from tanagerscale.generated.callers import ProblemDetails
 from tanagerscale.generated.declarations import Adapter
 from tanagerscale.generated.upstream import EngineState
 from tanagerscale.generated.upstream import ListedState
+from tanagerscale.routing import make_cells
+from tanagerscale.routing import owner_of
 from testing._callers import MODEL
 from testing._callers import Answer
 from testing._callers import ask
@@ -274,6 +277,37 @@
     assert msgspec.json.decode(refused.error, type=ProblemDetails).retry_after_ms
 
 
+async def test_waiting_requests_are_refused_when_a_copy_crashes_their_only_allowed_engine(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    options = {"max_batch": "1", "step_ms": "50"}
+    plan = ClusterPlan(hosts=3, engines=2, services=0, engine_options=options)
+    cluster = await start_serving(plan)
+    (cell,) = make_cells(engines=cluster.declarations.engines)
+    owner = owner_of(cell=cell.cell, hosts=[HostId(name) for name in cluster.hosts])
+    first_host, second_host = (name for name in cluster.hosts if name != owner)
+    poison = "plan [[crash_at=12]] [[tokens=50]]"
+
+    def ask_at(host: str) -> asyncio.Task[Answer]:
+        call = ask(session=session, url=cluster.caller_url(host), prompt=poison)
+        return asyncio.create_task(call)
+
+    calls = [ask_at(first_host)]
+    await until(lambda: not all(engine.running for engine in cluster.engines.values()))
+    (last_engine,) = (name for name, engine in cluster.engines.items() if engine.running)
+    await until(lambda: len(cluster.executions([last_engine])) == 1)
+    # The last engine is full, so these requests wait. The first host, whose request crashes that
+    # engine, is frozen so that the owner detects the crash before it does.
+    calls += [ask_at(owner), ask_at(second_host)]
+    cluster.hosts[first_host].freeze()
+    await until(lambda: f"Engine lost. engine={last_engine}" in cluster.hosts[owner].errors())
+    cluster.hosts[first_host].thaw()
+    for answer in await asyncio.gather(*calls):
+        problem = msgspec.json.decode(answer.error, type=ProblemDetails)
+        assert problem.type.endswith("quarantined")
+        assert problem.retry_after_ms
+
+
 async def test_declared_adapter_is_loaded_everywhere_when_the_controller_is_killed(
     start_serving: StartServing, session: aiohttp.ClientSession
 ) -> None:
