Decide a request at its host when the owner of its cell has no engine for it

Problem: a call can remain unanswered for as long as its caller waits. When all engines of a model are dead, callers at the host that decides for these engines (the owner of the cell) are refused immediately, but at all other hosts every call hangs until an engine comes back. The same happens to a request that is excluded from the live engines, for example a suspect request or one that failed there: it hangs until the only other engine is back.

Cause: only the owner of a cell polls its engines. A host asks the owner for a placement, and the owner queues the request even if none of the engines it can reach may run it. The owner reports the request as queued, so the host does not treat the owner as silent, and nothing ends the wait.

Change: the owner sheds such a request, immediately or when the last engine for it closes while it waits, and tells the host. Since the host may reach engines that the owner cannot, it then lets its own share of the cell decide, as it does when the owner is silent: a live engine takes the request, and an engine that refuses the connection is closed at this host, which then refuses the request as not executed.

Evidence: test_request_is_refused_at_each_host_when_all_engines_are_dead uses real processes.

Ruled out: refusing at the host on the owner's answer alone, because an owner that is cut off from the engines would then make all hosts refuse.

--- a/src/tanagerscale/routing/_entry.py
+++ b/src/tanagerscale/routing/_entry.py
@@ -40,7 +40,7 @@
 
     OWNER = "owner"
     FALLBACK = "fallback"
-    """This host's share of the cell, used while the owner does not answer."""
+    """This host's share of the cell, used while the owner is silent or has no open engine."""
 
 
 class Entry(Struct, kw_only=True):
--- a/src/tanagerscale/routing/_owner.py
+++ b/src/tanagerscale/routing/_owner.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from typing import final
 
+import msgspec
 from msgspec import Struct
 
 from tanagerscale.core import Clock
@@ -27,6 +28,7 @@
 from tanagerscale.policy import EngineSpec
 from tanagerscale.routing._cells import CellId
 from tanagerscale.routing._convert import request_of
+from tanagerscale.routing._problems import NO_UPSTREAM_RETRY_MS
 from tanagerscale.routing._protocol import PoolScheduler
 
 RESERVATION_LEASE_MS = 10_000
@@ -74,6 +76,8 @@
         self._held: dict[GenerationId, _Held] = {}
         self._by_serial: dict[tuple[HostId, int], GenerationId] = {}
         self._unanswered: set[GenerationId] = set()
+        self._open_engines: frozenset[UpstreamId] | None = None
+        self._open_engines_changed = False
         self._deciding: asyncio.Handle | None = None
         self._last_tick = clock.now()
 
@@ -93,6 +97,8 @@
 
     def set_engines(self, specs: Sequence[EngineSpec]) -> None:
         """Replace the engines that take new work."""
+        self._open_engines = frozenset(spec.engine for spec in specs)
+        self._open_engines_changed = True
         self._scheduler.set_engines(engines=specs, now=self._clock.now())
         self.touch()
 
@@ -242,11 +248,28 @@
         self._deciding = None
         for decision in self._scheduler.decide(now=self._clock.now()):
             self._carry_out(decision)
+        self._shed_unserved()
         queued = [self._held[generation] for generation in self._unanswered]
         self._unanswered.clear()
         for held in queued:
             self._tell(held.host, self._grant(held, kind=GrantKind.QUEUED))
 
+    def _shed_unserved(self) -> None:
+        """Shed waiting placements that may not run on any open engine."""
+        candidates = self._held.keys() if self._open_engines_changed else self._unanswered
+        self._open_engines_changed = False
+        for generation in tuple(candidates):
+            held = self._held.get(generation)
+            if held is None or held.engine is not None or not self._is_unserved(held.ask):
+                continue
+            self._drop(generation, tokens=0, complete=False)
+            # Engines closed at the owner may be open at the entry host, which decides in this case.
+            grant = self._grant(held, kind=GrantKind.SHED, retry_after_ms=NO_UPSTREAM_RETRY_MS)
+            self._tell(held.host, msgspec.structs.replace(grant, unserved=True))
+
+    def _is_unserved(self, ask: Ask) -> bool:
+        return self._open_engines is not None and self._open_engines.issubset(ask.excluded)
+
     def _carry_out(self, decision: Decision) -> None:
         held = self._held.get(decision.generation)
         if held is None:
--- a/src/tanagerscale/routing/_placements.py
+++ b/src/tanagerscale/routing/_placements.py
@@ -45,7 +45,7 @@
     :param ownership: Who decides for which cell.
     :param chooser: Which cell to ask.
     :param gate: Which engines take new work, as this host knows.
-    :param fallbacks: Decide while an owner does not answer.
+    :param fallbacks: Decide while an owner is silent or has no open engine.
     :param tell: Sends a message to a host, which may be this one.
     :param clock: Time.
     """
@@ -142,10 +142,19 @@
         elif grant.kind is GrantKind.QUEUED:
             self._chooser.note_queue(entry.cell)
         elif grant.kind is GrantKind.SHED and entry.placement is None:
-            entry.refuse(problem=overloaded(retry_after_ms=grant.retry_after_ms))
+            self._on_shed(entry, grant)
         elif entry.placement is not None and entry.engine == grant.upstream:
             entry.placement.move_requested.set()
 
+    def _on_shed(self, entry: Entry, grant: Grant) -> None:
+        """Refuse the request; if the owner has no engine for it, decide at this host instead."""
+        if not grant.unserved:
+            entry.refuse(problem=overloaded(retry_after_ms=grant.retry_after_ms))
+        elif not self._chooser.serves(entry.cell, entry.request):
+            self._choose_again(entry)
+        elif not entry.in_fallback:
+            self._fall_back(entry, reason="Owner has no open engine for a request")
+
     def _on_admit(self, entry: Entry, grant: Grant, *, host: HostId, decider: Decider) -> None:
         engine = UpstreamId(grant.upstream)
         decided_by_owner = decider is Decider.OWNER and host == entry.owner
@@ -246,7 +255,7 @@
             if not entry.wait_logged and entry.wait_is_long(now=now):
                 self._log_wait(entry)
             if not entry.in_fallback and entry.answer_is_late(now=now):
-                self._fall_back(entry)
+                self._fall_back(entry, reason="Owner is silent")
             if not entry.ask_is_due(now=now):
                 continue
             if self._chooser.should_leave(entry.cell, entry.request):
@@ -255,7 +264,7 @@
             else:
                 self.ask(entry)
                 if entry.in_fallback:
-                    self._fall_back(entry)
+                    self._ask_fallback(entry)
 
     def _log_wait(self, entry: Entry) -> None:
         entry.wait_logged = True
@@ -269,12 +278,16 @@
             waited_ms=self._clock.now() - entry.request.arrived,
         )
 
-    def _fall_back(self, entry: Entry) -> None:
-        """Let this host's share of the cell decide too, as its owner does not answer."""
+    def _fall_back(self, entry: Entry, *, reason: str) -> None:
+        """Let this host's share of the cell decide too, as its owner cannot."""
+        if self._ask_fallback(entry):
+            log.info(f"{reason}; deciding alone.", cell=entry.cell, owner=entry.owner)
+
+    def _ask_fallback(self, entry: Entry) -> bool:
+        """Ask this host's share of the cell; return whether the cell is declared here."""
         fallback = self._fallbacks.get(entry.cell)
         if fallback is None:
-            return
-        if not entry.in_fallback:
-            log.info("Owner is silent; deciding alone.", cell=entry.cell, owner=entry.owner)
+            return False
         entry.in_fallback = True
         fallback.on_ask(host=self._host, ask=self._ask_message(entry))
+        return True
--- a/src/tanagerscale/routing/_problems.py
+++ b/src/tanagerscale/routing/_problems.py
@@ -7,7 +7,7 @@
 from tanagerscale.core import ProblemKind
 from tanagerscale.policy import PlacementRequest
 
-_NO_UPSTREAM_RETRY_MS = 1000
+NO_UPSTREAM_RETRY_MS = 1000
 
 
 def no_upstream(request: PlacementRequest) -> Problem:
@@ -16,7 +16,7 @@
         kind=ProblemKind.NO_UPSTREAM,
         detail=f"No engine for model {request.model} takes work now; come back later.",
         execution=Execution.NOT_EXECUTED,
-        retry_after_ms=_NO_UPSTREAM_RETRY_MS,
+        retry_after_ms=NO_UPSTREAM_RETRY_MS,
     )
 
 
--- a/testing/test_process_failures.py
+++ b/testing/test_process_failures.py
@@ -308,6 +308,32 @@
         assert problem.retry_after_ms
 
 
+async def test_request_is_refused_at_each_host_when_all_engines_are_dead(
+    start_serving: StartServing, session: aiohttp.ClientSession
+) -> None:
+    # Guards against calls that never end at hosts other than the owner of the cell.
+    cluster = await start_serving(ClusterPlan(hosts=3, engines=2, services=0))
+    for engine in cluster.engines.values():
+        await engine.kill()
+    engine_names = list(cluster.engines)
+
+    def all_losses_are_logged() -> bool:
+        logs = [host.errors() for host in cluster.hosts.values()]
+        return all(
+            any(f"Engine lost. engine={name}" in log for log in logs) for name in engine_names
+        )
+
+    await until(all_losses_are_logged)
+    for host in cluster.hosts:
+        url = cluster.caller_url(host)
+        answer = await ask(session=session, url=url, prompt="check [[tokens=4]]")
+        assert answer.status == 503
+        problem = msgspec.json.decode(answer.error, type=ProblemDetails)
+        assert problem.type.endswith("no-upstream")
+        assert problem.execution == "not-executed"
+        assert problem.retry_after_ms
+
+
 async def test_declared_adapter_is_loaded_everywhere_when_the_controller_is_killed(
     start_serving: StartServing, session: aiohttp.ClientSession
 ) -> None:
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -149,6 +149,53 @@
     assert cluster.truth() == {}
 
 
+async def test_host_falls_back_to_its_share_when_owner_has_no_open_engine() -> None:
+    # Guards against a request that waits for its owner while its own host can use the engine.
+    cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=1, max_batch=4))
+    entry, owner = cluster.entry_and_owner()
+    cluster.host(owner).gate.note_leaving(upstream=UpstreamId("engine-0"))
+    tasks = [asyncio.create_task(cluster.place(entry, f"g{index}")) for index in range(4)]
+    await asyncio.sleep(0.1)
+    # Each of the two hosts has a share of two of the engine's four places.
+    assert len(cluster.truth()) == 2
+    for generation in cluster.truth():
+        cluster.release(entry, generation)
+    await asyncio.sleep(0.1)
+    assert all(task.done() for task in tasks)
+
+
+async def test_waiting_request_is_placed_by_its_host_when_last_engine_closes_at_owner() -> None:
+    # Guards against a request that stays queued at an owner that can no longer place it.
+    cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=2, max_batch=1))
+    entry, owner = cluster.entry_and_owner()
+    first = await cluster.place(entry, "g1")
+    second = await cluster.place(owner, "g2")
+    request = make_request("g3", excluded=frozenset({first.engine}))
+    waiting = asyncio.create_task(cluster.host(entry).router.place(request=request))
+    await asyncio.sleep(1)
+    assert not waiting.done()
+    cluster.host(owner).gate.note_leaving(upstream=second.engine)
+    await asyncio.sleep(0.1)
+    assert waiting.done()
+    assert waiting.result().unwrap().engine == second.engine
+
+
+async def test_place_reports_no_upstream_when_all_engines_close_at_owner_and_host() -> None:
+    # Guards against a request that stays queued although no engine can run it.
+    cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=2, max_batch=1))
+    entry, owner = cluster.entry_and_owner()
+    await cluster.place(entry, "g1")
+    await cluster.place(entry, "g2")
+    waiting = asyncio.create_task(cluster.host(entry).router.place(request=make_request("g3")))
+    await asyncio.sleep(1)
+    for engine in ("engine-0", "engine-1"):
+        cluster.host(owner).gate.note_leaving(upstream=UpstreamId(engine))
+        cluster.host(entry).gate.note_leaving(upstream=UpstreamId(engine))
+    await asyncio.sleep(0.1)
+    assert waiting.done()
+    assert waiting.result().failure().kind is ProblemKind.NO_UPSTREAM
+
+
 async def test_share_is_free_again_at_once_when_placements_of_the_fallback_end() -> None:
     cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=1, max_batch=2))
     entry, owner = cluster.entry_and_owner()
