Do not shed requests that have already waited for or run on an engine

Symptom: a call whose engine died in the middle of the answer received the rest of the answer only after one to two minutes, although all engines were idle. This was found by tracing the calls that still took over 60 s in the randomized search in virtual time.

Cause: a request whose engine has died asks the owner for a new placement, and the owner treats it as a new request. Under overload the owner sheds new requests with a retry delay that spreads all refused callers over minutes. The generation does not fail, but sleeps for that delay before it asks again. The same would apply to a request that is placed again because its excluded engines changed.

Change: a placement request states whether it may be shed (field `sheddable` of Ask; true if absent, so that hosts of the previous version behave as before). Only the first placement request of a generation is sheddable. A request that has waited or run stays in the queue, ordered by the time since which it has been waiting. The state that a generation keeps between its attempts moves to its own module.

Tests: test_every_call_ends_and_leaves_no_placement_when_engines_die simulates 2 to 4 hosts, 2 to 6 engines that die and come back, and requests that crash them, in virtual time. No call may take over 60 s, and no placement may remain reserved.

The sleep after a shed retry remains, for owners that run the previous version.

--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -11,8 +11,6 @@
 from collections.abc import Coroutine
 from typing import final
 
-from msgspec import Struct
-from msgspec import field
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -30,6 +28,7 @@
 from tanagerscale.dispatch._attempt import AttemptOutcome
 from tanagerscale.dispatch._parts import DispatchParts
 from tanagerscale.dispatch._parts import Finish
+from tanagerscale.dispatch._progress import GenerationProgress
 from tanagerscale.dispatch._relay import Relay
 from tanagerscale.dispatch._requests import engine_request
 from tanagerscale.dispatch._requests import placement_request
@@ -55,24 +54,6 @@
 _log = get_logger(part="dispatch")
 
 
-class _Progress(Struct, kw_only=True):
-    """What the ladder remembers between attempts.
-
-    :param began: When the request came.
-    :param excluded: Engines that failed on the request.
-    :param not_admitted: Engines where the crash watch would not let it run just now.
-    :param waiting_since: When the current wait for an engine began, or ``None`` if not waiting.
-    """
-
-    began: Millis
-    excluded: set[UpstreamId] = field(default_factory=set)
-    not_admitted: set[UpstreamId] = field(default_factory=set)
-    waiting_since: Millis | None = None
-    attempts: int = 0
-    lost: int = 0
-    may_have_run: bool = False
-
-
 @final
 class Generation:
     """Brings one generation to its end.
@@ -96,7 +77,7 @@
         self._parts = parts
         self._resume = resume
         self._relay = Relay()
-        self._progress = _Progress(began=parts.clock.now())
+        self._progress = GenerationProgress(began=parts.clock.now())
         if resume is not None:
             self._relay = Relay(offset=resume.offset, checksum=resume.checksum)
             self._progress.may_have_run = True
@@ -221,12 +202,15 @@
         return await self._attempt(placement, resume.attempt, resumed=True)
 
     def _placement_request(self) -> PlacementRequest:
+        # Only the first placement may be shed: later ones are for a request already accepted.
+        sheddable = self._progress.waiting_since is None and not self._progress.attempts
         if self._progress.waiting_since is None:
             self._progress.waiting_since = self._parts.clock.now()
         return placement_request(
             request=self._request,
             arrived=self._progress.waiting_since,
             excluded=self._excluded_engines(),
+            sheddable=sheddable,
         )
 
     def _excluded_engines(self) -> frozenset[UpstreamId]:
--- a/src/tanagerscale/dispatch/_requests.py
+++ b/src/tanagerscale/dispatch/_requests.py
@@ -11,13 +11,18 @@
 
 
 def placement_request(
-    *, request: GenerationRequest, arrived: Millis, excluded: frozenset[UpstreamId]
+    *,
+    request: GenerationRequest,
+    arrived: Millis,
+    excluded: frozenset[UpstreamId],
+    sheddable: bool,
 ) -> PlacementRequest:
     """Return what routing is asked for.
 
     :param request: The checked request.
     :param arrived: When the wait began; unchanged on a repeat, to keep the queue position.
     :param excluded: Engines not to choose.
+    :param sheddable: Whether the request may be refused under overload.
     """
     return PlacementRequest(
         generation=request.generation,
@@ -33,6 +38,7 @@
         movable=request.whole,
         arrived=arrived,
         excluded=excluded,
+        sheddable=sheddable,
     )
 
 
--- a/src/tanagerscale/policy/_forecast.py
+++ b/src/tanagerscale/policy/_forecast.py
@@ -144,7 +144,8 @@
         curve = self._lengths.curve(request=request)
         promised = self._returns.redeem(request=request, now=now)
         waiting = self._queue.push(request=request, curve=curve, promised=promised, now=now)
-        self._newcomers.append(waiting)
+        if request.sheddable:
+            self._newcomers.append(waiting)
 
     def withdraw(self, *, generation: GenerationId, now: Millis) -> None:
         """Forget a queued generation whose caller has left."""
--- a/src/tanagerscale/policy/_types.py
+++ b/src/tanagerscale/policy/_types.py
@@ -50,6 +50,7 @@
     :param movable: Whether nothing has been delivered, so that it may be started again elsewhere.
     :param arrived: When it arrived at its entry host.
     :param excluded: Engines not to choose.
+    :param sheddable: Whether it may be refused under overload; false once it has waited or run.
     """
 
     generation: GenerationId
@@ -65,6 +66,7 @@
     movable: bool = False
     arrived: Millis
     excluded: frozenset[UpstreamId] = frozenset()
+    sheddable: bool = True
 
 
 class EngineLoad(Struct, frozen=True, kw_only=True):
--- a/src/tanagerscale/routing/_convert.py
+++ b/src/tanagerscale/routing/_convert.py
@@ -36,6 +36,7 @@
         movable=request.movable,
         waited_ms=max(now - request.arrived, 0),
         excluded=sorted(request.excluded),
+        sheddable=request.sheddable,
     )
 
 
@@ -59,4 +60,5 @@
         movable=ask.movable,
         arrived=Millis(now - ask.waited_ms),
         excluded=frozenset(UpstreamId(name) for name in ask.excluded),
+        sheddable=ask.sheddable,
     )
--- a/testing/_crowded.py
+++ b/testing/_crowded.py
@@ -77,6 +77,10 @@
 LONGEST = 40
 MEMORY_TOKENS = 60_000
 ACCOUNT = ClientAccountId("crew")
+POISON_PREFIX = "poison"
+"""A prompt that starts with this crashes the engine that runs it."""
+CRASH_AT = 10
+"""Number of generated tokens after which such a prompt crashes its engine."""
 
 
 @dataclass(kw_only=True)
@@ -159,6 +163,9 @@
                 await self._clock.sleep(step * STEP_MS)
                 run.made += step
                 run.tell()
+                if run.made >= CRASH_AT and run.request.prompt.startswith(POISON_PREFIX):
+                    asyncio.get_running_loop().call_soon(self.die)
+                    return
 
     async def _follow(self, run: _Run, offset: int) -> TokenBatches:
         attempt = AttemptId(run.request.attempt_id)
@@ -323,6 +330,7 @@
     :param max_batch: Most attempts that an engine runs at once.
     :param reserve: Retries that a host saves up.
     :param seed: Seeds the callers' choices.
+    :param clock: Clock of all hosts; its wall clock must be virtual if quarantines must expire.
     """
 
     def __init__(
@@ -333,8 +341,9 @@
         max_batch: int = 8,
         reserve: float = RETRY_RESERVE,
         seed: int = 1,
+        clock: Clock | None = None,
     ) -> None:
-        self.clock = Clock()
+        self.clock = clock or Clock()
         self.switch = Switch()
         self.store = FakeBackend()
         declared = make_engines(number=engines, max_batch=max_batch)
@@ -405,7 +414,7 @@
         for attempt in itertools.count():
             came = self.clock.now()
             host = self._rng.choice(self.hosts)
-            request = _request(name, f"{name}.{attempt}")
+            request = generation_request(name, f"{name}.{attempt}")
             result = await Generation(request=request, sink=WholeSink(), parts=host.parts).run()
             if isinstance(result, Success):
                 self.done.append(self.clock.now())
@@ -415,7 +424,8 @@
             await self.clock.sleep(refused.returns - self.clock.now())
 
 
-def _request(caller: str, generation: str) -> GenerationRequest:
+def generation_request(caller: str, generation: str) -> GenerationRequest:
+    """Return a request; requests of the same caller have the same fingerprint."""
     return GenerationRequest(
         generation=GenerationId(generation),
         account=ACCOUNT,
--- a/testing/_fake_engine.py
+++ b/testing/_fake_engine.py
@@ -191,6 +191,7 @@
     def __init__(self, *, engines: Sequence[UpstreamId]) -> None:
         self.engines = list(engines)
         self.placed: dict[GenerationId, Placement] = {}
+        self.requests: list[PlacementRequest] = []
         self.released = 0
         self.full_after: int | None = None
         """After so many places the next request is shed, once."""
@@ -198,6 +199,7 @@
     async def place(self, *, request: PlacementRequest) -> Result[Placement, Problem]:
         """Place at once or refuse at once."""
         assert request.generation not in self.placed, "Placed twice without a release."
+        self.requests.append(request)
         if self.full_after is not None and self.released >= self.full_after:
             self.full_after = None
             return Failure(
--- /dev/null
+++ b/testing/test_engine_losses.py
@@ -0,0 +1,130 @@
+"""Calls end within a time limit when engines die at random or are crashed by requests."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from random import Random
+
+import pytest
+
+from tanagerscale.core import Clock
+from tanagerscale.delivery import WholeSink
+from tanagerscale.dispatch import Generation
+from testing._crowded import POISON_PREFIX
+from testing._crowded import CrowdedHost
+from testing._crowded import CrowdedWorld
+from testing._crowded import generation_request
+from testing._virtual_time import run_virtually
+
+CALL_TIMEOUT_S = 60
+"""Virtual seconds; the same limit as ``HANG_GUARD`` in the tests with real processes."""
+
+SETTLED_S = 30
+"""Wait after the last call, in virtual seconds; longer than the lease of a reservation."""
+
+SHED_RETRY_SEEDS = (192, 209, 229)
+"""Seeds that fail when a retry can be shed."""
+
+CALLS_PER_S = 8
+POISON_SHARE = 0.2
+RETRY_RESERVE = 1000
+"""Large enough that no call is refused because the retry budget is used up."""
+
+EPOCH_MS = 1_700_000_000_000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Scenario:
+    """Random parameters of one simulation.
+
+    :param fingerprints: Number of distinct requests that do not crash engines.
+    :param poison_fingerprints: Number of distinct requests that crash engines.
+    :param engine_kills: Number of times a randomly chosen engine is killed.
+    :param max_revival_delay_s: Longest delay before an engine is revived; ``None`` for never.
+    """
+
+    hosts: int
+    engines: int
+    max_batch: int
+    fingerprints: int
+    poison_fingerprints: int
+    calls: int
+    engine_kills: int
+    max_revival_delay_s: int | None
+
+
+def _random_scenario(rng: Random) -> Scenario:
+    return Scenario(
+        hosts=rng.choice([2, 3, 4]),
+        engines=rng.choice([2, 3, 4, 6]),
+        max_batch=rng.choice([1, 2, 4]),
+        fingerprints=rng.choice([2, 4, 8]),
+        poison_fingerprints=rng.choice([0, 1, 1, 2]),
+        calls=rng.choice([20, 40]),
+        engine_kills=rng.randrange(4),
+        max_revival_delay_s=rng.choice([None, 2, 8, 25]),
+    )
+
+
+async def _kill_engines(world: CrowdedWorld, scenario: Scenario, rng: Random) -> None:
+    for _ in range(scenario.engine_kills):
+        await asyncio.sleep(rng.random() * 6)
+        rng.choice(list(world.engines.values())).die()
+
+
+async def _revive_engines(world: CrowdedWorld, max_delay_s: int, rng: Random) -> None:
+    while True:
+        await asyncio.sleep(0.5)
+        for engine in world.engines.values():
+            if engine.dead:
+                await asyncio.sleep(rng.random() * max_delay_s)
+                engine.revive()
+
+
+async def _call(host: CrowdedHost, fingerprint: str, number: int) -> None:
+    request = generation_request(fingerprint, f"{fingerprint}.{number}")
+    generation = Generation(request=request, sink=WholeSink(), parts=host.parts)
+    async with asyncio.timeout(CALL_TIMEOUT_S):
+        await generation.run()
+
+
+def _random_fingerprint(scenario: Scenario, rng: Random) -> str:
+    if scenario.poison_fingerprints and rng.random() < POISON_SHARE:
+        return f"{POISON_PREFIX}-{rng.randrange(scenario.poison_fingerprints)}"
+    return f"plan-{rng.randrange(scenario.fingerprints)}"
+
+
+async def _run_scenario(seed: int) -> CrowdedWorld:
+    rng = Random(seed)
+    scenario = _random_scenario(rng)
+    world = CrowdedWorld(
+        hosts=scenario.hosts,
+        engines=scenario.engines,
+        max_batch=scenario.max_batch,
+        reserve=RETRY_RESERVE,
+        seed=seed,
+        clock=Clock(virtual_epoch_ms=EPOCH_MS),
+    )
+    killing = asyncio.create_task(_kill_engines(world, scenario, rng))
+    if scenario.max_revival_delay_s is not None:
+        reviving = asyncio.create_task(_revive_engines(world, scenario.max_revival_delay_s, rng))
+    calls = []
+    for number in range(scenario.calls):
+        await asyncio.sleep(rng.expovariate(CALLS_PER_S))
+        host = rng.choice(world.hosts)
+        calls.append(asyncio.create_task(_call(host, _random_fingerprint(scenario, rng), number)))
+    await asyncio.gather(killing, *calls)
+    if scenario.max_revival_delay_s is not None:
+        reviving.cancel()
+    await asyncio.sleep(SETTLED_S)
+    return world
+
+
+@pytest.mark.parametrize("seed", [*range(40), *SHED_RETRY_SEEDS])
+def test_every_call_ends_and_leaves_no_placement_when_engines_die(seed: int) -> None:
+    # Guards against calls that stall and placements that leak after an engine failure.
+    world = run_virtually(_run_scenario(seed))
+    for host in world.hosts:
+        assert host.router.held == 0
+        assert host.router.reservations == 0
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -231,6 +231,14 @@
     assert sink.pending == EXPECTED
 
 
+def test_request_is_not_sheddable_when_its_engine_has_died() -> None:
+    # Guards against a long retry delay after an engine failure while other engines are idle.
+    sink = ListSink()
+    world, result = _run(lambda: _world(Faults(die_at=5)), sink)
+    assert isinstance(result, Success)
+    assert [request.sheddable for request in world.router.requests] == [True, False]
+
+
 def test_answer_is_made_at_another_engine_when_the_first_does_not_admit_it() -> None:
     sink = ListSink()
 
--- a/testing/test_generation_waiting.py
+++ b/testing/test_generation_waiting.py
@@ -216,6 +216,17 @@
     assert second.arrived == first.arrived
 
 
+async def test_waiting_request_is_not_sheddable_when_it_is_placed_again(
+    harness: Harness,
+) -> None:
+    # Guards against shedding a request that already waits for an engine.
+    running = asyncio.create_task(harness.generation.run())
+    await asyncio.sleep(5)
+    harness.crash_watch.update(excluded=frozenset({FULL}))
+    await asyncio.wait({running}, timeout=TIMEOUT_S)
+    assert [request.sheddable for request in harness.router.requests] == [True, False]
+
+
 async def test_waiting_request_is_not_placed_again_when_its_excluded_engines_are_unchanged(
     harness: Harness,
 ) -> None:
--- a/testing/test_policy.py
+++ b/testing/test_policy.py
@@ -48,6 +48,7 @@
     prefix: str = "",
     arrived: int = 0,
     excluded: frozenset[UpstreamId] = frozenset(),
+    sheddable: bool = True,
 ) -> PlacementRequest:
     return PlacementRequest(
         generation=GenerationId(f"generation-{number}"),
@@ -61,6 +62,7 @@
         prefix_tokens=100 if prefix else 0,
         arrived=Millis(arrived),
         excluded=excluded,
+        sheddable=sheddable,
     )
 
 
@@ -339,6 +341,25 @@
     assert served["a"] / served["b"] == pytest.approx(3.0, rel=0.25)
 
 
+def test_only_sheddable_requests_are_shed_under_overload() -> None:
+    # Guards against shedding a request that has already waited or run.
+    target = scheduler(tuning=Tuning(shed_after_ms=5_000.0))
+    teach(target, kind="plan", tokens=2_000)
+    shed: set[GenerationId] = set()
+    for number in range(200):
+        now = Millis(number * 100)
+        target.submit(
+            request=request(number, kind="plan", arrived=now, sheddable=number % 2 == 0), now=now
+        )
+        for decision in target.decide(now=now):
+            if decision.kind is DecisionKind.SHED:
+                shed.add(decision.generation)
+            else:
+                target.on_progress(generation=decision.generation, tokens=1, now=now)
+    assert shed
+    assert not shed & {GenerationId(f"generation-{number}") for number in range(1, 200, 2)}
+
+
 def test_shed_callers_are_taken_when_they_come_back_as_told() -> None:
     target = scheduler(tuning=Tuning(shed_after_ms=5_000.0))
     teach(target, kind="plan", tokens=2_000)
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -6,13 +6,16 @@
 from random import Random
 
 import logbook
+import msgspec
 import pytest
 from returns.pipeline import is_successful
 
+from tanagerscale.core import ClientAccountId
 from tanagerscale.core import Clock
 from tanagerscale.core import Execution
 from tanagerscale.core import GenerationId
 from tanagerscale.core import HostId
+from tanagerscale.core import Millis
 from tanagerscale.core import ProblemKind
 from tanagerscale.core import UpstreamId
 from tanagerscale.generated.messages import Finished
@@ -22,14 +25,17 @@
 from tanagerscale.generated.messages import RunningRequest
 from tanagerscale.policy import Decision
 from tanagerscale.policy import DecisionKind
+from tanagerscale.policy import PlacementRequest
 from tanagerscale.routing import CellId
 from tanagerscale.routing import make_cells
 from tanagerscale.routing import owner_of
 from tanagerscale.routing._convert import ask_of
+from tanagerscale.routing._convert import request_of
 from tanagerscale.routing._entry import LONG_WAIT_MS
 from tanagerscale.routing._entry import REPEAT_MS
 from tanagerscale.routing._owner import CellOwner
 from tanagerscale.routing._ownership import Ownership
+from testing._routing_fakes import MODEL
 from testing._routing_fakes import PLACE_LIMIT_S
 from testing._routing_fakes import Cluster
 from testing._routing_fakes import SlotScheduler
@@ -196,6 +202,30 @@
     assert waiting.result().failure().kind is ProblemKind.NO_UPSTREAM
 
 
+@pytest.mark.parametrize("sheddable", [False, True])
+def test_request_is_preserved_when_it_is_sent_to_the_owner(sheddable: bool) -> None:
+    # Guards against a field that is lost in the conversion to or from an Ask message.
+    request = PlacementRequest(
+        generation=GenerationId("g1"),
+        model=MODEL,
+        adapter="ladder",
+        account=ClientAccountId("crew"),
+        request_class="plan",
+        priority=2,
+        prompt_tokens=100,
+        max_tokens=500,
+        prefix="shared",
+        prefix_tokens=50,
+        movable=True,
+        arrived=Millis(1_000),
+        excluded=frozenset({UpstreamId("engine-0")}),
+        sheddable=sheddable,
+    )
+    ask = ask_of(request=request, cell=CellId("c-0"), serial=1, now=Millis(1_500))
+    scheduled = request_of(ask=ask, now=Millis(90_500))
+    assert scheduled == msgspec.structs.replace(request, arrived=Millis(90_000))
+
+
 async def test_share_is_free_again_at_once_when_placements_of_the_fallback_end() -> None:
     cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=1, max_batch=2))
     entry, owner = cluster.entry_and_owner()
