Announce the end of every run that was announced to peers

Problem: a request that has not crashed any engine can be excluded from all engines but one for up to an hour, and is refused after three minutes if that engine is dead or full. It can also be counted among the requests that were running on an engine when it crashed, long after it left that engine. Callers saw this or could have seen it. It was found in two dumps of the call that received no answer: other hosts still held a run of an innocent request that its own host had ended 30 s before.

Cause: a host announces the run of a suspect request to its peers, and they count the run until its end is announced. The end was announced only while the request was still a suspect. It was not announced if another request had been convicted in the meantime, which explains the crash and clears the other suspects, or if the request itself had been convicted and its copy cancelled. The peers then kept the run for an hour (FORGET_AFTER_MS): the request may run only where they believe it is running, and no other suspect may run on that engine. The announcement of an end is also lost if a connection breaks and is re-established before the peer is considered gone.

Change: a host records which requests it has announced as running. When the last run of such a request ends, it tells the peers, whatever is known of the request by then. A host forgets the runs of a peer when a connection to that peer is established; the peer then sends its current runs.

Tests: test_engine_is_free_for_suspects_when_a_convicted_request_was_cancelled_on_it, test_engines_are_free_for_a_suspect_when_its_run_ended_after_it_was_cleared and test_runs_of_a_peer_are_forgotten_when_the_connection_to_it_is_renewed fail without the change.

--- a/src/tanagerscale/daemon/_crashes.py
+++ b/src/tanagerscale/daemon/_crashes.py
@@ -128,6 +128,8 @@
             self._quarantine.on_peer_verdict(verdict=received.message, peer=received.host)
 
     def _on_joined(self, peer: PeerInfo) -> None:
+        # Its announcement that a run ended may have been lost with the previous connection.
+        self._quarantine.on_peer_gone(peer=peer.host)
         for verdict in self._quarantine.snapshot():
             self._mesh.send(host=peer.host, message=verdict)
 
--- a/src/tanagerscale/quarantine/_quarantine.py
+++ b/src/tanagerscale/quarantine/_quarantine.py
@@ -22,9 +22,12 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.generated.messages import Verdict
+from tanagerscale.quarantine._announcements import Announcements
 from tanagerscale.quarantine._persistence import RETRY_MS
 from tanagerscale.quarantine._persistence import VerdictKeeper
+from tanagerscale.quarantine._rules import MAX_SETTLE_MS
 from tanagerscale.quarantine._rules import MERGE_MS
+from tanagerscale.quarantine._rules import SETTLE_MS
 from tanagerscale.quarantine._rules import Crash
 from tanagerscale.quarantine._rules import Fingerprint
 from tanagerscale.quarantine._rules import StopRequest
@@ -38,12 +41,6 @@
 from tanagerscale.store import Store
 
 VERDICT_TTL_MS: Final = 3_600_000
-SETTLE_MS: Final = 50
-"""How long a suspect's run is announced before it starts; many times a message's way."""
-
-MAX_SETTLE_MS: Final = 2 * SETTLE_MS
-"""A host that took longer was frozen, and what it knew is old."""
-
 log = get_logger(part="quarantine")
 
 
@@ -78,17 +75,17 @@
         self._ttl_ms = verdict_ttl_ms
         self._suspicions = Suspicions()
         self._runs = Runs(host=host)
+        self._announcements = Announcements(runs=self._runs)
         self._keeper = VerdictKeeper(
             store=store, prefix=f"{prefix}/quarantine/", clock=clock, rng=rng
         )
-        self._verdicts: Subject[Verdict] = Subject()
         self._stops: Subject[StopRequest] = Subject()
         self._changes: Subject[None] = Subject()
 
     @property
     def verdicts(self) -> Observable[Verdict]:
         """What is to be sent to all peers at once."""
-        return self._verdicts
+        return self._announcements.verdicts
 
     @property
     def stops(self) -> Observable[StopRequest]:
@@ -186,11 +183,12 @@
         )
         known = self._known(fingerprint)
         if known is None or known.convicted:
+            self._announce_run_end(fingerprint)
             return
         complete = end is RunEnd.COMPLETE
         if complete:
             self._suspicions.clear(fingerprint=fingerprint)
-        self._verdicts.on_next(self._to_verdict(fingerprint, known, cleared=complete))
+        self._announcements.send(verdict=self._to_verdict(fingerprint, known, cleared=complete))
         self._changes.on_next(None)
 
     def on_engine_crash(self, *, engine: UpstreamId) -> None:
@@ -207,6 +205,7 @@
         for fingerprint in sorted(victims, key=lambda one: (self._known(one) is None, one)):
             crash = Crash(engine=engine, wall_ms=wall_ms, tokens=victims[fingerprint])
             self._blame(fingerprint, (crash,))
+            self._announce_run_end(fingerprint)
         self._changes.on_next(None)
 
     def on_peer_verdict(self, *, verdict: Verdict, peer: HostId) -> None:
@@ -238,11 +237,14 @@
 
     def snapshot(self) -> Sequence[Verdict]:
         """Return all that is known, for a peer that has just connected."""
-        return [
+        verdicts = [
             self._to_verdict(fingerprint, known)
             for fingerprint in list(self._suspicions.known)
             if (known := self._known(fingerprint)) is not None
         ]
+        for verdict in verdicts:
+            self._announcements.note_sent(verdict=verdict)
+        return verdicts
 
     async def load(self) -> None:
         """Read the convictions from the store, trying until it answers."""
@@ -368,13 +370,18 @@
     def _announce(self, fingerprint: Fingerprint) -> None:
         known = self._known(fingerprint)
         if known is not None:
-            self._verdicts.on_next(self._to_verdict(fingerprint, known))
+            self._announcements.send(verdict=self._to_verdict(fingerprint, known))
+
+    def _announce_run_end(self, fingerprint: Fingerprint) -> None:
+        if self._announcements.announce_run_end(fingerprint=fingerprint):
+            self._changes.on_next(None)
 
     def _withdraw(self, fingerprint: Fingerprint, engine: UpstreamId) -> None:
         self._runs.finish(
             fingerprint=fingerprint, engine=engine, now=self._clock.now(), end=RunEnd.CANCELLED
         )
         self._announce(fingerprint)
+        self._announce_run_end(fingerprint)
         self._changes.on_next(None)
 
     def _to_verdict(
--- a/src/tanagerscale/quarantine/_rules.py
+++ b/src/tanagerscale/quarantine/_rules.py
@@ -38,6 +38,12 @@
 """Hosts see one crash at different times; two of one engine within this time are the same one. A
 suspect stays away from the engine for as long, so that its own next crash is told apart."""
 
+SETTLE_MS: Final = 50
+"""Delay between announcing and starting a suspect's run; far longer than a message takes."""
+
+MAX_SETTLE_MS: Final = 2 * SETTLE_MS
+"""After a longer delay the run is not admitted: the host stalled, so its state is stale."""
+
 SEPARATOR: Final = "@"
 MAX_CRASHES: Final = 8
 MAX_CRASH_CHARS: Final = 512
--- a/testing/_crowded.py
+++ b/testing/_crowded.py
@@ -254,7 +254,7 @@
         self, *, name: str, world: CrowdedWorld, declared: Sequence[Engine], reserve: float
     ) -> None:
         clock = world.clock
-        network = _Network(host=HostId(name), switch=world.switch)
+        self.network = network = _Network(host=HostId(name), switch=world.switch)
         world.switch.networks[network.host] = network
         gate = UpstreamGate(clock=clock, rng=random.Random(name), spread=lambda _message: None)
         self.router = PoolRouter(
--- a/testing/test_engine_losses.py
+++ b/testing/test_engine_losses.py
@@ -9,12 +9,14 @@
 import pytest
 
 from tanagerscale.core import Clock
+from tanagerscale.core import UpstreamId
 from tanagerscale.delivery import WholeSink
 from tanagerscale.dispatch import Generation
 from testing._crowded import POISON_PREFIX
 from testing._crowded import CrowdedHost
 from testing._crowded import CrowdedWorld
 from testing._crowded import generation_request
+from testing._routing_fakes import MODEL
 from testing._virtual_time import run_virtually
 
 CALL_TIMEOUT_S = 60
@@ -95,7 +97,7 @@
     return f"plan-{rng.randrange(scenario.fingerprints)}"
 
 
-async def _run_scenario(seed: int) -> CrowdedWorld:
+async def _run_scenario(seed: int) -> None:
     rng = Random(seed)
     scenario = _random_scenario(rng)
     world = CrowdedWorld(
@@ -118,13 +120,26 @@
     if scenario.max_revival_delay_s is not None:
         reviving.cancel()
     await asyncio.sleep(SETTLED_S)
-    return world
+    for host in world.hosts:
+        assert host.router.held == 0
+        assert host.router.reservations == 0
+        assert not any(_excluded_engines(host, name) for name in _fingerprints(scenario))
+
+
+def _fingerprints(scenario: Scenario) -> list[str]:
+    poison = [f"{POISON_PREFIX}-{number}" for number in range(scenario.poison_fingerprints)]
+    return [f"plan-{number}" for number in range(scenario.fingerprints)] + poison
+
+
+def _excluded_engines(host: CrowdedHost, fingerprint: str) -> frozenset[UpstreamId]:
+    """Return the engines that a host still excludes for a request, unless it is quarantined."""
+    crashes = host.parts.crashes
+    if crashes.check(fingerprint=fingerprint) is not None:
+        return frozenset()
+    return crashes.excluded_engines(fingerprint=fingerprint, model=MODEL)
 
 
 @pytest.mark.parametrize("seed", [*range(40), *SHED_RETRY_SEEDS])
 def test_every_call_ends_and_leaves_no_placement_when_engines_die(seed: int) -> None:
-    # Guards against calls that stall and placements that leak after an engine failure.
-    world = run_virtually(_run_scenario(seed))
-    for host in world.hosts:
-        assert host.router.held == 0
-        assert host.router.reservations == 0
+    # Guards against calls that stall and placements or exclusions that leak when engines fail.
+    run_virtually(_run_scenario(seed))
--- a/testing/test_overload.py
+++ b/testing/test_overload.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 import random
 
+from msgspec.structs import replace
 import pytest
 from returns.result import Success
 
@@ -17,11 +18,14 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import ProblemKind
 from tanagerscale.daemon._admission import DoorKeeper
+from tanagerscale.generated.messages import Verdict
 from tanagerscale.upstreams import ServiceCall
+from testing._crowded import CrowdedHost
 from testing._crowded import CrowdedWorld
 from testing._crowded import Refused
 from testing._fake_store import FakeBackend
 from testing._faulty_store import FaultyStore
+from testing._routing_fakes import MODEL
 from testing._virtual_time import run_virtually
 from testing.test_services import SERVICE
 from testing.test_services import FakeService
@@ -188,3 +192,27 @@
         return waiting.cancelled() or not cancel_requested
 
     assert run_virtually(run())
+
+
+def test_runs_of_a_peer_are_forgotten_when_the_connection_to_it_is_renewed() -> None:
+    # Guards against exclusions that persist when the announcement of a run's end is lost.
+    async def run() -> bool:
+        world = CrowdedWorld(hosts=2, engines=3, max_batch=1)
+        host, peer = world.hosts
+        verdict = Verdict(
+            fingerprint="plan",
+            crashes=["engine-0@0@5"],
+            expires_wall_ms=world.clock.wall() + HOUR_MS,
+        )
+        verdict_with_run = replace(verdict, engine="engine-1", settled=True)
+        peer.network.broadcast(message=verdict_with_run)
+        await asyncio.sleep(1)
+        assert is_excluded(host)
+        host.network.joined.on_next(host.network.live.value[0])
+        return not is_excluded(host)
+
+    def is_excluded(host: CrowdedHost) -> bool:
+        excluded = host.parts.crashes.excluded_engines(fingerprint="plan", model=MODEL)
+        return "engine-2" in excluded
+
+    assert run_virtually(run())
--- a/testing/test_quarantine.py
+++ b/testing/test_quarantine.py
@@ -202,6 +202,46 @@
         assert not quarantine.is_suspect(fingerprint=plan)
 
 
+async def test_engine_is_free_for_suspects_when_a_convicted_request_was_cancelled_on_it() -> None:
+    # Guards against peers that are not told of the end of a convicted request's run.
+    cluster = Cluster(hosts=3, engines=4)
+    first, second, third = (host.quarantine for host in cluster.hosts)
+    suspect = Fingerprint("plan")
+    await first.admit(fingerprint=POISON, engine=UpstreamId("e0"))
+    await second.admit(fingerprint=POISON, engine=UpstreamId("e1"))
+    await third.admit(fingerprint=POISON, engine=UpstreamId("e2"))
+    first.on_engine_crash(engine=UpstreamId("e0"))
+    second.on_engine_crash(engine=UpstreamId("e1"))
+    await asyncio.sleep(0.1)
+    third.on_finished(fingerprint=POISON, engine=UpstreamId("e2"), end=RunEnd.CANCELLED)
+    await first.admit(fingerprint=suspect, engine=UpstreamId("e3"))
+    first.on_engine_crash(engine=UpstreamId("e3"))
+    await asyncio.sleep(0.1)
+    for host in (first, second):
+        assert host.check(fingerprint=POISON) is not None
+        assert host.excluded_engines(fingerprint=suspect, engines=cluster.engines) == {"e3"}
+
+
+async def test_engines_are_free_for_a_suspect_when_its_run_ended_after_it_was_cleared() -> None:
+    # Guards against peers that are not told of the end of a run if its request was cleared before.
+    cluster = Cluster(hosts=2, engines=4)
+    first, second = (host.quarantine for host in cluster.hosts)
+    innocent = Fingerprint("plan")
+    await first.admit(fingerprint=POISON, engine=UpstreamId("e0"))
+    await first.admit(fingerprint=innocent, engine=UpstreamId("e0"))
+    first.on_engine_crash(engine=UpstreamId("e0"))
+    await asyncio.sleep(0.1)
+    assert await second.admit(fingerprint=innocent, engine=UpstreamId("e2"))
+    await first.admit(fingerprint=POISON, engine=UpstreamId("e1"))
+    first.on_engine_crash(engine=UpstreamId("e1"))
+    await asyncio.sleep(0.1)
+    second.on_finished(fingerprint=innocent, engine=UpstreamId("e2"), end=RunEnd.COMPLETE)
+    await asyncio.sleep(0.1)
+    await first.admit(fingerprint=innocent, engine=UpstreamId("e3"))
+    first.on_engine_crash(engine=UpstreamId("e3"))
+    assert first.excluded_engines(fingerprint=innocent, engines=cluster.engines) == {"e3"}
+
+
 async def test_verdict_stands_no_longer_than_ours_when_a_peers_clock_is_wrong() -> None:
     quarantine = Cluster(hosts=1, engines=2).hosts[0].quarantine
     verdict = Verdict(fingerprint=POISON, crashes=[], expires_wall_ms=1 << 62, convicted=True)
