Check a stream for quarantine again after an engine has been found for it

Problem: a request that has crashed three upstreams is refused, but a copy of it that was already waiting for an engine was still sent. It could crash a fourth engine and every run on that engine.

Cause: whether a request is refused was checked only once, on arrival. A stream may then wait for room for seconds, or be refused by one engine and sent to the next.

Change: the check is repeated after an engine has been found and before anything is sent to it. The stream is refused as not run, like any quarantined request; if it may already have run, the failure of the earlier attempt is returned instead.

Tests: test_stream_that_waits_is_refused_as_not_run_when_copies_of_it_crash_upstreams fails without the change: the stream is sent.

Plain requests are not checked again. The first attempt waits for nothing but a permit for an upstream that is warming up; a later attempt, of which a route allows few, could meet the same gap.

--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -22,7 +22,9 @@
 from tanagerscale.forwarding._parts import ForwardingParts
 from tanagerscale.forwarding._refusals import failed
 from tanagerscale.forwarding._refusals import no_upstream
+from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._relay import EventRelay
+from tanagerscale.forwarding._suspicion import is_refused
 from tanagerscale.forwarding._types import Refusal
 from tanagerscale.forwarding._types import Responder
 from tanagerscale.forwarding._types import RoutedRequest
@@ -194,6 +196,9 @@
             if isinstance(found, Failure):
                 refusal: Refusal = found.failure()
                 return refusal
+            # Copies of the request may have crashed upstreams since it was last checked.
+            if is_refused(self._routed, self._parts):
+                return failure if record.may_have_run else quarantined()
             failure = await self._start(found.unwrap())
             if failure is None:
                 return None
--- a/testing/test_forwarding_stream.py
+++ b/testing/test_forwarding_stream.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import RefusalKind
@@ -31,6 +32,8 @@
 
 NOT_SENT = ExchangeError(ExchangeFailure.NOT_SENT, "no connection")
 LOST = ExchangeError(ExchangeFailure.LOST, "reset")
+FILLER_TOKENS = 33_000
+"""Leaves too little memory on an engine to admit another stream."""
 
 
 def _events(*numbers: int) -> list[bytes | None]:
@@ -146,6 +149,33 @@
     assert run_virtually(play()) == [1]
 
 
+def test_stream_that_waits_is_refused_as_not_run_when_copies_of_it_crash_upstreams() -> None:
+    async def play() -> None:
+        bench = make_bench(make_entry("x"))
+        filler = RequestId("filler")
+        bench.work.begin(
+            request=filler,
+            upstream=UpstreamId("x"),
+            prompt_tokens=0,
+            tokens=FILLER_TOKENS,
+            is_long=True,
+        )
+        run, _ = _run(bench)
+        serving = asyncio.create_task(run.serve())
+        await asyncio.sleep(0.5)
+        fingerprint = route_request(make_request(prompt=100), make_route()).fingerprint
+        for upstream in ("a", "b", "c"):
+            bench.parts.suspects.note_broken(fingerprint=fingerprint, upstream=UpstreamId(upstream))
+        bench.work.end(request=filler)
+        refusal = await serving
+        assert refusal is not None
+        assert refusal.kind is RefusalKind.QUARANTINED
+        assert not bench.caller.orders
+        assert bench.work.uses() == []
+
+    run_virtually(play())
+
+
 def test_stream_is_not_begun_again_when_its_first_answer_is_lost() -> None:
     async def play() -> None:
         bench = make_bench(make_entry("x"), make_entry("y"))
