End PoolRouter.place when its placement is given up

Symptom: if a caller continues its answer over a second connection to the same host while the first connection is still waiting for an engine, the first connection receives no answer for as long as it stays open. This has not been seen on a running host; it was found when a test released a request that was still waiting and its caller hung.

Cause: when a generation is placed again, the earlier placement is given up. Its reservation is freed and it is removed from the table, so no later decision reaches it. The task waiting for it in PoolRouter.place was not notified.

Fix: giving up a placement now ends its wait with the problem `in-progress`, which says that the request continues over another connection. If the wait has already ended, nothing changes.

Test: test_place_ends_when_the_same_generation_is_placed_again fails without the fix because the first call never ends.

--- a/src/tanagerscale/routing/_placements.py
+++ b/src/tanagerscale/routing/_placements.py
@@ -31,6 +31,7 @@
 from tanagerscale.routing._ownership import Ownership
 from tanagerscale.routing._problems import no_upstream
 from tanagerscale.routing._problems import overloaded
+from tanagerscale.routing._problems import superseded
 from tanagerscale.routing._protocol import UpstreamOpenness
 
 log = get_logger(part="routing")
@@ -110,6 +111,8 @@
 
     def give_up(self, entry: Entry, finished: Finished) -> None:
         """Forget a placement and free what is reserved for it."""
+        # Without this, ``place`` would wait forever: no decision reaches a removed entry.
+        entry.refuse(problem=superseded())
         self._entries.remove(entry)
         self._tell(entry.owner, finished)
         self._leave_fallback(entry, finished)
--- a/src/tanagerscale/routing/_problems.py
+++ b/src/tanagerscale/routing/_problems.py
@@ -31,3 +31,12 @@
         execution=Execution.NOT_EXECUTED,
         retry_after_ms=retry_after_ms,
     )
+
+
+def superseded() -> Problem:
+    """Return the answer to a request that its caller has repeated over another connection."""
+    return Problem(
+        kind=ProblemKind.IN_PROGRESS,
+        detail="This request goes on over another connection; read its answer there.",
+        execution=Execution.UNKNOWN,
+    )
--- a/testing/test_routing.py
+++ b/testing/test_routing.py
@@ -226,6 +226,22 @@
     assert scheduled == msgspec.structs.replace(request, arrived=Millis(90_000))
 
 
+async def test_place_ends_when_the_same_generation_is_placed_again() -> None:
+    # Guards against a call that waits forever once a later call has replaced its placement.
+    cluster = Cluster(hosts=["a"], engines=make_engines(number=1, max_batch=1))
+    await cluster.place("a", "g1")
+    router = cluster.host("a").router
+    first_call = asyncio.create_task(router.place(request=make_request("g2")))
+    await asyncio.sleep(1)
+    second_call = asyncio.create_task(router.place(request=make_request("g2")))
+    await asyncio.sleep(1)
+    assert first_call.done()
+    assert first_call.result().failure().kind is ProblemKind.IN_PROGRESS
+    cluster.release("a", "g1")
+    await asyncio.sleep(1)
+    assert second_call.result().unwrap().engine == "engine-0"
+
+
 async def test_share_is_free_again_at_once_when_placements_of_the_fallback_end() -> None:
     cluster = Cluster(hosts=["a", "b"], engines=make_engines(number=1, max_batch=2))
     entry, owner = cluster.entry_and_owner()
