Log on what kind of connection a request reaches a stopping host

Cause: a host was reported to have taken a request 6.7 s after SIGTERM and to have given it up (LOST). The logs of a host don't tell whether such a request came on a new connection that was accepted late, or on one that its caller kept since before the shutdown, so the hypotheses can't be told apart afterwards.

Change: the server keeps for each connection when it was first seen and how many requests it has carried; a request that arrives during a shutdown is logged with both, and with the time since the shutdown began. One line for each such request; nothing is logged before a shutdown.

--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -9,11 +9,15 @@
 
 from aiohttp import web
 import msgspec
+from msgspec import Struct
 from multidict import CIMultiDict
 from returns.result import Failure
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
+from tanagerscale.core import Millis
+from tanagerscale.core import RequestId
+from tanagerscale.core import get_logger
 from tanagerscale.forwarding import Header
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import RefusalKind
@@ -35,6 +39,21 @@
 _CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 _TOO_LARGE: Final = Refusal(kind=RefusalKind.TOO_LARGE, detail="Send a smaller body.")
 
+_log = get_logger(part="callers")
+
+
+class ConnectionUse(Struct, kw_only=True, eq=False):
+    """How a caller uses a connection.
+
+    :param first_seen: When the connection was first known to the server.
+    :param requests: Number of requests that have been handled on it.
+    :param idle_since: When it became idle; ``None`` while a request on it is being handled.
+    """
+
+    first_seen: Millis
+    requests: int = 0
+    idle_since: Millis | None
+
 
 @final
 class CallerRequestHandler:
@@ -43,7 +62,8 @@
     :param serve: Serves one decoded request.
     :param codec: Decodes requests.
     :param rules: Limits that apply to callers.
-    :param is_stopping: Returns whether every connection is closed after its response.
+    :param stopping_since: Returns when the shutdown began, after which every connection is closed
+        after its response; ``None`` before it.
     :param clock: Clock that timestamps the arrival of requests.
     """
 
@@ -53,21 +73,24 @@
         serve: RequestHandler,
         codec: CallerCodec,
         rules: CallerRules,
-        is_stopping: Callable[[], bool],
+        stopping_since: Callable[[], Millis | None],
         clock: Clock,
     ) -> None:
         self._serve = serve
         self._codec = codec
         self._rules = rules
-        self._is_stopping = is_stopping
+        self._stopping_since = stopping_since
         self._clock = clock
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Handle one request; this is the handler of the aiohttp server."""
+    async def handle(
+        self, request: web.BaseRequest, connection: ConnectionUse
+    ) -> web.StreamResponse:
+        """Handle one request on a connection."""
+        stopping_since = self._stopping_since()
         responder = AiohttpResponder(
             request=request,
             echoed_headers=self._codec.echoed_headers(request),
-            idle_timeout_ms=None if self._is_stopping() else self._rules.idle_timeout_ms(),
+            idle_timeout_ms=self._rules.idle_timeout_ms() if stopping_since is None else None,
         )
         arrived = self._clock.now()
         body = await self._read_body(request)
@@ -79,9 +102,24 @@
         if isinstance(decoded, Failure):
             await responder.refuse(refusal=decoded.failure())
             return responder.response
-        await self._serve(decoded.unwrap(), responder)
+        caller_request = decoded.unwrap()
+        if stopping_since is not None:
+            self._log_during_shutdown(caller_request.request, connection, arrived - stopping_since)
+        await self._serve(caller_request, responder)
         return responder.response
 
+    def _log_during_shutdown(
+        self, request: RequestId, connection: ConnectionUse, since_stop_ms: int
+    ) -> None:
+        """Log on what kind of connection a request has reached a stopping host."""
+        _log.info(
+            "A request arrived during the shutdown.",
+            request=request,
+            since_stop_ms=since_stop_ms,
+            earlier_requests=connection.requests,
+            connection_age_ms=self._clock.now() - connection.first_seen,
+        )
+
     async def _read_body(self, request: web.BaseRequest) -> bytes | None:
         """Return the whole body, or ``None`` if it exceeds the size limit."""
         if not request.can_read_body:
--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -13,6 +13,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.gateway._caller_handler import CallerRequestHandler
+from tanagerscale.gateway._caller_handler import ConnectionUse
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
@@ -45,14 +46,13 @@
     ) -> None:
         self._rules = rules
         self._clock = clock
-        self._stopping = False
-        self._idle_since: dict[asyncio.BaseProtocol, Millis | None] = {}
-        """When each connection became idle; ``None`` while a request on it is being handled."""
+        self._stopping_since: Millis | None = None
+        self._uses: dict[asyncio.BaseProtocol, ConnectionUse] = {}
         edge = CallerRequestHandler(
             serve=serve,
             codec=codec,
             rules=rules,
-            is_stopping=lambda: self._stopping,
+            stopping_since=lambda: self._stopping_since,
             clock=clock,
         )
         self._handle = edge.handle
@@ -85,11 +85,10 @@
         now = self._clock.now()
         limit = self._rules.idle_timeout_ms() if limit_ms is None else limit_ms
         present = self._server.connections
-        known = self._idle_since
-        self._idle_since = {protocol: known.get(protocol, now) for protocol in present}
+        self._uses = {protocol: self._use_of(protocol) for protocol in present}
         for protocol in present:
-            since = self._idle_since[protocol]
-            if since is not None and now - since > limit:
+            use = self._uses[protocol]
+            if use.idle_since is not None and now - use.idle_since > limit:
                 self._close_after_grace(protocol)
 
     def _close_after_grace(self, protocol: web.RequestHandler) -> None:
@@ -103,12 +102,13 @@
         loop.call_later(CLOSE_GRACE_MS / MS_PER_SECOND, self._force_close_idle, protocol)
 
     def _force_close_idle(self, protocol: web.RequestHandler) -> None:
-        if self._idle_since.get(protocol, Millis(0)) is not None:
+        use = self._uses.get(protocol)
+        if use is None or use.idle_since is not None:
             protocol.force_close()
 
     def begin_shutdown(self) -> None:
         """Close every connection after its response from now on."""
-        self._stopping = True
+        self._stopping_since = self._clock.now()
 
     async def stop_listening(self) -> None:
         """Stop accepting connections."""
@@ -131,11 +131,18 @@
         await self._runner.cleanup()
 
     async def _track(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._idle_since[request.protocol] = None
+        use = self._uses.setdefault(request.protocol, self._use_of(request.protocol))
+        use.idle_since = None
         try:
-            return await self._handle(request)
+            return await self._handle(request, use)
         finally:
-            self._idle_since[request.protocol] = self._clock.now()
+            use.requests += 1
+            use.idle_since = self._clock.now()
+
+    def _use_of(self, protocol: asyncio.BaseProtocol) -> ConnectionUse:
+        """Return the use of a connection, which is idle if no request has been read on it."""
+        now = self._clock.now()
+        return self._uses.get(protocol) or ConnectionUse(first_seen=now, idle_since=now)
 
 
 async def serve_readiness(*, is_ready: Callable[[], bool], address: str) -> web.ServerRunner:
--- a/testing/test_gateway_http.py
+++ b/testing/test_gateway_http.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from aiohttp import web
+import logbook
 import pytest
 import pytest_asyncio
 from returns.result import Result
@@ -296,3 +297,20 @@
     assert b"connection: close" in head.lower()
     assert await reader.read() == b"one"
     writer.close()
+
+
+@pytest.mark.asyncio
+async def test_log_tells_a_kept_connection_when_a_request_arrives_during_the_shutdown(
+    harness: ServerHarness,
+) -> None:
+    reader, writer = await harness.open()
+    writer.write(HEAD + b"Id: 1\r\nContent-Length: 0\r\n\r\n")
+    await _read_response(reader)
+    harness.server.begin_shutdown()
+    with logbook.TestHandler().applicationbound() as logs:
+        writer.write(HEAD + b"Id: 2\r\nContent-Length: 0\r\n\r\n")
+        await _read_response(reader)
+    (record,) = [one for one in logs.records if "during the shutdown" in one.message]
+    assert record.kwargs["request"] == "2"
+    assert record.kwargs["earlier_requests"] == 1
+    writer.close()
