--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -207,11 +207,14 @@
         port = int(previous.address.rpartition(":")[2])
         return await self.add_upstream(name, service, born=born, port=port)
 
-    async def add_host(self, name: str, *, seeds: tuple[str, ...] = ()) -> GatewayHost:
+    async def add_host(
+        self, name: str, *, seeds: tuple[str, ...] = (), stop_grace_s: int = 4
+    ) -> GatewayHost:
         """Start a host that reaches the store through its own relay.
 
         :param name: Id of the host.
         :param seeds: Peer addresses of other hosts.
+        :param stop_grace_s: Grace period of its graceful shutdown, in seconds.
         """
         relay = TcpRelay(target=self._store_address)
         await relay.__aenter__()
@@ -224,7 +227,7 @@
                 readiness=f"{LOOPBACK}:{free_port()}",
                 peers=f"{LOOPBACK}:{free_port()}",
                 seeds=list(seeds),
-                stop_grace_s=4,
+                stop_grace_s=stop_grace_s,
             ),
             store=GatewayStore(address=relay.address),
             deadlines=DeadlinesSection(),
@@ -243,6 +246,11 @@
         await self.hosts.pop(name).abort()
         await self.store_links.pop(name).__aexit__()
 
+    async def stop_host(self, name: str) -> None:
+        """Stop a host gracefully."""
+        await self.hosts.pop(name).stop()
+        await self.store_links.pop(name).__aexit__()
+
     def disconnect_from_store(self, name: str) -> None:
         """Cut the connections of a host to the store and refuse new ones."""
         relay = self.store_links[name]
