Answer every request before a stopping host ends

Callers saw (LOST): a request that followed a stream on a kept connection, seconds after SIGTERM of its host, was passed on to an engine and then lost its connection with no answer at the end of the grace period.

Cause: a stopping host said "Connection: close" only in responses whose head it sent after SIGTERM. A stream of seconds that began before kept its connection open for 150 ms after its end, and the host forwarded whatever came on it, with whatever time was left; at the end of the grace period it closed all connections, answered or not. Class: work is accepted without asking whether the host lives long enough for it, and the end of the host isn't a deadline of its requests.

Change: one schedule of the shutdown (forwarding/_shutdown.py) that admission and teardown share. While the balancer may send connections (2.5 s), a request is accepted if three times its target time fits, long generations never; later, when requests only come on connections that close anyway, only if its whole time limit fits. Everything else is refused at once, as not run, with a short Retry-After. 200 ms before the teardown each request without a response gets its last one: 503 if it certainly was not sent, 502 if it may have run. A stream's attempt counts as in flight while its head is awaited, which plain attempts did before. Streams that have begun go on until the teardown as before. A response that the end of the host cuts is logged as such, not as a caller that left.

Why this works: no request is passed on that can't be finished, except for one that takes over three times its target time; that one gets a truthful answer.

--- a/src/tanagerscale/forwarding/__init__.py
+++ b/src/tanagerscale/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from tanagerscale.forwarding._mover import StreamMover
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._parts import RetryPermits
+from tanagerscale.forwarding._shutdown import ShutdownSchedule
 from tanagerscale.forwarding._types import CallerRequest
 from tanagerscale.forwarding._types import Continuation
 from tanagerscale.forwarding._types import CopyError
@@ -48,6 +49,7 @@
     "RetryPermits",
     "RoutedRequest",
     "RunCopy",
+    "ShutdownSchedule",
     "StreamMover",
     "UpstreamClient",
     "UpstreamRequest",
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import final
 
+from msgspec import Struct
+
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import Millis
@@ -13,7 +14,6 @@
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._admission import Admission
 from tanagerscale.forwarding._crash_evidence import is_quarantined
-from tanagerscale.forwarding._demand import is_long
 from tanagerscale.forwarding._mover import StreamMover
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._plain import PlainForwarder
@@ -23,7 +23,9 @@
 from tanagerscale.forwarding._refusals import no_region
 from tanagerscale.forwarding._refusals import not_ready
 from tanagerscale.forwarding._refusals import quarantined
+from tanagerscale.forwarding._refusals import stopped_before_response
 from tanagerscale.forwarding._refusals import timed_out
+from tanagerscale.forwarding._shutdown import ShutdownSchedule
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.forwarding._types import CallerRequest
 from tanagerscale.forwarding._types import Refusal
@@ -40,6 +42,24 @@
 _log = get_logger(part="forwarding")
 
 
+class _RequestInProgress(Struct, kw_only=True, eq=False):
+    """A request that is being forwarded.
+
+    :param responder: Sends its response.
+    :param timeout: Ends the forwarding.
+    :param forwarder: Sends it to upstreams; ``None`` before it is accepted.
+    """
+
+    responder: Responder
+    timeout: asyncio.Timeout
+    forwarder: PlainForwarder | StreamRun | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request may have been executed."""
+        return self.forwarder is not None and self.forwarder.may_have_run
+
+
 @final
 class Dispatcher:
     """Serves caller requests: routes each one, enforces its deadline and reports its outcome.
@@ -48,7 +68,7 @@
     :param admission: Gets engines for generations.
     :param stream_mover: Moves streams between engines; holds the set of active streams.
     :param allowed_regions: Returns the failure domains in which a request may run.
-    :param is_stopping: Returns whether this host is shutting down gracefully.
+    :param shutdown: Schedule of this host's graceful shutdown.
     """
 
     def __init__(
@@ -58,20 +78,28 @@
         admission: Admission,
         stream_mover: StreamMover,
         allowed_regions: AllowedRegions,
-        is_stopping: Callable[[], bool],
+        shutdown: ShutdownSchedule,
     ) -> None:
         self._context = context
         self._admission = admission
         self._stream_mover = stream_mover
         self._allowed_regions = allowed_regions
-        self._is_stopping = is_stopping
+        self._shutdown = shutdown
         self._running = 0
+        self._in_progress: set[_RequestInProgress] = set()
 
     @property
     def running(self) -> int:
         """Number of requests in progress."""
         return self._running
 
+    def answer_unanswered(self) -> None:
+        """Send each request without a response its final one, because the host is about to end."""
+        now = asyncio.get_running_loop().time()
+        for one in self._in_progress:
+            if not one.responder.begun and not one.timeout.expired():
+                one.timeout.reschedule(now)
+
     async def serve(self, request: CallerRequest, responder: Responder) -> None:
         """Serve one request and send its response or a refusal.
 
@@ -83,7 +111,11 @@
             await self._serve(request, responder)
         except asyncio.CancelledError:
             _log.info(
-                "A caller has left.",
+                (
+                    "A response is cut because the host ends."
+                    if self._shutdown.is_over
+                    else "A caller has left."
+                ),
                 request=request.request,
                 begun=responder.begun,
                 after_ms=self._context.clock.now() - request.arrived,
@@ -110,17 +142,29 @@
             await self._refuse(request, responder, no_region(rng=self._context.rng), table)
             return
         routed = self._build_routed(request, route, caller, table, domains)
-        left = routed.deadline - self._context.clock.now()
-        refusal: Refusal | None
-        try:
-            async with asyncio.timeout(max(left, 0) / MS_PER_SECOND):
-                refusal = await self._forward(routed, responder)
-        except TimeoutError:
-            refusal = timed_out()
+        refusal = await self._forward_in_time(routed, responder)
         self._record_outcome(routed, refusal)
         if refusal is not None:
             await self._refuse(request, responder, refusal, table)
 
+    async def _forward_in_time(self, routed: RoutedRequest, responder: Responder) -> Refusal | None:
+        """Forward a request until its deadline, or until this host is about to end."""
+        left = routed.deadline - self._context.clock.now()
+        timeout = asyncio.timeout(max(left, 0) / MS_PER_SECOND)
+        in_progress = _RequestInProgress(responder=responder, timeout=timeout)
+        try:
+            async with timeout:
+                self._in_progress.add(in_progress)
+                return await self._forward(routed, in_progress)
+        except TimeoutError:
+            if not self._shutdown.are_responses_due:
+                return timed_out()
+            if in_progress.may_have_run:
+                return stopped_before_response()
+            return host_stopping(rng=self._context.rng)
+        finally:
+            self._in_progress.discard(in_progress)
+
     def _record_outcome(self, routed: RoutedRequest, refusal: Refusal | None) -> None:
         kind = routed.route.kind.value
         outcome = "answered" if refusal is None else refusal.kind.value
@@ -151,23 +195,26 @@
             domains=domains,
         )
 
-    async def _forward(self, routed: RoutedRequest, responder: Responder) -> Refusal | None:
+    async def _forward(
+        self, routed: RoutedRequest, in_progress: _RequestInProgress
+    ) -> Refusal | None:
         if is_quarantined(routed, self._context):
             return quarantined()
+        if not self._shutdown.can_finish(routed):
+            return host_stopping(rng=self._context.rng)
         self._context.retry_permits.count_request(service=routed.service)
         if routed.route.kind is not RouteKind.STREAMING:
-            return await PlainForwarder(routed=routed, context=self._context).serve(responder)
-        if self._is_stopping() and is_long(routed):
-            # Most long generations outlast the shutdown grace period; another host can start them
-            # at once.
-            return host_stopping(rng=self._context.rng)
+            forwarder = PlainForwarder(routed=routed, context=self._context)
+            in_progress.forwarder = forwarder
+            return await forwarder.serve(in_progress.responder)
         run = StreamRun(
             routed=routed,
-            responder=responder,
+            responder=in_progress.responder,
             context=self._context,
             admission=self._admission,
             hooks=self._stream_mover,
         )
+        in_progress.forwarder = run
         self._stream_mover.runs.add(run)
         try:
             return await run.serve()
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -70,6 +70,11 @@
         self._error_response: _CompleteResponse | None = None
         """Latest server error of an upstream; sent to the caller if no other attempt succeeds."""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request may have been executed."""
+        return self._record.may_have_run
+
     async def serve(self, responder: Responder) -> Refusal | None:
         """Serve the request.
 
--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -41,10 +41,10 @@
 
 
 def host_stopping(*, rng: Random) -> Refusal:
-    """Return the refusal of a long generation at a host that is shutting down; it has not run."""
+    """Return the refusal of a request at a host that ends before it could; it has not run."""
     return Refusal(
         kind=RefusalKind.OVERLOADED,
-        detail="This host stops before a long answer can end; go to another host.",
+        detail="This host stops before the answer could end; go to another host.",
         retry_after_ms=_with_jitter(STOPPING_RETRY_MS, rng),
     )
 
@@ -93,6 +93,14 @@
     )
 
 
+def stopped_before_response() -> Refusal:
+    """Return the refusal of a request that may be running when its host ends."""
+    return Refusal(
+        kind=RefusalKind.UPSTREAM_FAILED,
+        detail="This host stops and the request may have run; ask its service before repeating it.",
+    )
+
+
 def timed_out() -> Refusal:
     """Return the refusal of a request that may still be running at its deadline."""
     return Refusal(
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -127,6 +127,11 @@
         """Whether the first event has been relayed, or the stream has ended."""
         return self._began.is_set()
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request may have been executed."""
+        return self._record.may_have_run
+
     @property
     def ended(self) -> bool:
         """Whether the stream has ended."""
@@ -217,6 +222,7 @@
 
     async def _try_engine(self, entry: UpstreamEntry) -> Refusal | None:
         sender = self._sender
+        self._record.record_sent(entry.upstream)
         try:
             segment = await sender.send(entry=entry, resume_target=None, progress=self._progress)
         except ExchangeError as error:
--- a/src/tanagerscale/gateway/_graceful_shutdown.py
+++ b/src/tanagerscale/gateway/_graceful_shutdown.py
@@ -2,18 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
+from typing import Protocol
 
-from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
-from tanagerscale.gateway._caller_server import CallerServer
-
-LOAD_BALANCER_DELAY_MS: Final = 2500
-"""How long a stopping host keeps accepting connections. The load balancer checks readiness every
-second and removes a host after two failed checks."""
-
-TEARDOWN_RESERVE_MS: Final = 700
-"""Part of the grace period reserved for aborting what is left and for ending the process."""
+from tanagerscale.forwarding import ShutdownSchedule
 
 MIN_IDLE_MS: Final = 150
 """A connection idle for at least this long has no request in transit, which takes a few
@@ -23,18 +17,34 @@
 """How often a stopping host checks whether connections are left."""
 
 
-async def drain_requests(*, server: CallerServer, grace_s: float, clock: Clock) -> int:
-    """Wait until all requests are finished or the grace period is over.
+class DrainingServer(Protocol):
+    """Server that closes each connection after its response."""
+
+    async def stop_listening(self) -> None:
+        """Stop accepting connections."""
+
+    def drain(self, *, idle_ms: int) -> bool:
+        """Close connections that have been idle for a time; return whether none is left."""
 
-    :param server: Server that already closes each connection after its response.
-    :param grace_s: Time from the start of the shutdown until the process is killed.
-    :param clock: Clock for the grace period.
-    :returns: How long it took, in milliseconds.
+
+async def drain_requests(
+    *,
+    server: DrainingServer,
+    schedule: ShutdownSchedule,
+    answer_unanswered: Callable[[], None],
+    clock: Clock,
+) -> None:
+    """Wait until all requests are finished or the time for that is over.
+
+    :param server: Server of the callers' connections.
+    :param schedule: Schedule of the shutdown, which has begun.
+    :param answer_unanswered: Sends a final response to each request that has none.
+    :param clock: Clock for the checks.
     """
-    started = clock.now()
-    deadline = started + int(grace_s * MS_PER_SECOND) - TEARDOWN_RESERVE_MS
-    await clock.sleep(LOAD_BALANCER_DELAY_MS)
+    while schedule.accepts_connections and not schedule.are_responses_due:
+        await clock.sleep(DRAIN_POLL_INTERVAL_MS)
     await server.stop_listening()
-    while not server.drain(idle_ms=MIN_IDLE_MS) and clock.now() < deadline:
+    while not server.drain(idle_ms=MIN_IDLE_MS) and not schedule.is_over:
+        if schedule.are_responses_due:
+            answer_unanswered()
         await clock.sleep(DRAIN_POLL_INTERVAL_MS)
-    return clock.now() - started
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -23,6 +23,7 @@
 from tanagerscale.forwarding import ForwardingContext
 from tanagerscale.forwarding import ForwardingMetrics
 from tanagerscale.forwarding import LocalWorkload
+from tanagerscale.forwarding import ShutdownSchedule
 from tanagerscale.forwarding import StreamMover
 from tanagerscale.gateway._caller_server import CallerServer
 from tanagerscale.gateway._caller_server import serve_readiness
@@ -61,7 +62,7 @@
         self._platform = platform
         self._clock = clock
         self._rng = random.Random(secrets.randbits(64))
-        self._leaving = False
+        self._shutdown = ShutdownSchedule(clock=clock)
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.ServerRunner] = []
         self._registry = CollectorRegistry()
@@ -71,7 +72,7 @@
             platform=platform,
             work=self._work,
             execute_order=lambda order: self._stream_mover.execute_order(order),
-            is_leaving=lambda: self._leaving,
+            is_leaving=lambda: self._shutdown.has_begun,
             clock=clock,
             rng=self._rng,
         )
@@ -138,15 +139,22 @@
 
     async def stop(self) -> None:
         """Shut down gracefully: accept no new work, then wait for running requests to finish."""
-        self._leaving = True
+        self._shutdown.begin(grace_s=self._settings.host.stop_grace_s)
         self._control.mesh.send_heartbeat()
         self._server.begin_shutdown()
         self._spawn(self._control.withdraw())
         _log.info("The host stops.", running=self._dispatcher.running)
-        took_ms = await drain_requests(
-            server=self._server, grace_s=self._settings.host.stop_grace_s, clock=self._clock
+        await drain_requests(
+            server=self._server,
+            schedule=self._shutdown,
+            answer_unanswered=self._dispatcher.answer_unanswered,
+            clock=self._clock,
+        )
+        _log.info(
+            "The host ends.",
+            running=self._dispatcher.running,
+            after_ms=self._shutdown.elapsed_ms,
         )
-        _log.info("The host ends.", running=self._dispatcher.running, after_ms=took_ms)
         await self._shut_down()
 
     async def _shut_down(self) -> None:
@@ -167,7 +175,7 @@
         no upstreams. It would refuse callers that other hosts can serve immediately.
         """
         return (
-            not self._leaving
+            not self._shutdown.has_begun
             and self._control.configuration.table is not None
             and self._control.roster.has_read
             and self._control.evacuations.has_read
@@ -243,7 +251,7 @@
             admission=Admission(context=context, placer=control.client),
             stream_mover=self._stream_mover,
             allowed_regions=AllowedRegions(regions=get_regions_by_domain(self._settings)),
-            is_stopping=lambda: self._leaving,
+            shutdown=self._shutdown,
         )
 
     async def _close_idle_connections(self) -> None:
--- a/testing/test_forwarding_dispatcher.py
+++ b/testing/test_forwarding_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 
 from msgspec.structs import replace
 import pytest
@@ -13,7 +14,10 @@
 from tanagerscale.forwarding import CallerRequest
 from tanagerscale.forwarding import Dispatcher
 from tanagerscale.forwarding import RefusalKind
+from tanagerscale.forwarding import ShutdownSchedule
+from tanagerscale.gateway._graceful_shutdown import drain_requests
 from tanagerscale.routes import AllowedRegions
+from tanagerscale.routes import Route
 from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
@@ -31,6 +35,7 @@
 
 PLAIN = make_route(kind=RouteKind.NON_IDEMPOTENT, prefix="/a/", name="plain")
 STREAM = make_route(kind=RouteKind.STREAMING, prefix="/s/", timeout_ms=39_000, name="stream")
+STOP_GRACE_S = 8
 
 
 class DispatcherHarness:
@@ -39,14 +44,14 @@
     def __init__(self) -> None:
         self.fakes: GatewayFakes = make_gateway_fakes(make_entry("x"))
         self.fakes.tables.table = make_table(PLAIN, STREAM)
-        self.is_stopping = False
+        self.shutdown = ShutdownSchedule(clock=self.fakes.context.clock)
         context = self.fakes.context
         self.dispatcher = Dispatcher(
             context=context,
             admission=Admission(context=context, placer=self.fakes.single_host.client),
             stream_mover=make_stream_mover(self.fakes),
             allowed_regions=AllowedRegions(regions={}),
-            is_stopping=lambda: self.is_stopping,
+            shutdown=self.shutdown,
         )
 
     async def serve(self, request: CallerRequest) -> FakeResponder:
@@ -141,7 +146,7 @@
 def test_stopping_host_refuses_only_long_generations() -> None:
     async def scenario() -> None:
         harness = DispatcherHarness()
-        harness.is_stopping = True
+        harness.shutdown.begin(grace_s=STOP_GRACE_S)
         harness.fakes.upstream_client.set("x", FakeResponse(chunks=[b"id: 1\ndata: 1\n\n"]))
         refused = await harness.serve(_generation())
         assert refused.refusal is not None
@@ -155,6 +160,107 @@
     run_virtually(scenario())
 
 
+class _IdleServer:
+    """A server whose connections all stay open until the host ends."""
+
+    async def stop_listening(self) -> None:
+        """Do nothing; the test sends requests directly."""
+
+    def drain(self, *, idle_ms: int) -> bool:
+        """Return that connections are left."""
+        return False
+
+
+async def _stop(harness: DispatcherHarness) -> None:
+    """Shut the host down gracefully."""
+    harness.shutdown.begin(grace_s=STOP_GRACE_S)
+    await drain_requests(
+        server=_IdleServer(),
+        schedule=harness.shutdown,
+        answer_unanswered=harness.dispatcher.answer_unanswered,
+        clock=harness.fakes.context.clock,
+    )
+
+
+# Guards against connections that are closed without a response at the end of a shutdown.
+@pytest.mark.parametrize("route", [PLAIN, STREAM], ids=["plain", "streamed"])
+def test_request_at_a_hanging_upstream_gets_a_response_before_its_host_ends(route: Route) -> None:
+    async def scenario() -> None:
+        harness = DispatcherHarness()
+        harness.fakes.tables.table = make_table(replace(route, timeout_ms=39_000))
+        harness.fakes.upstream_client.hanging = {"x"}
+        path, prompt = f"{route.path_prefix}x", None if route is PLAIN else 100
+        request = make_request(path=path, prompt=prompt, max_tokens=40)
+        serving = asyncio.create_task(harness.serve(request))
+        await asyncio.sleep(0.2)
+        await _stop(harness)
+        assert serving.done()
+        assert _kind(serving.result()) is RefusalKind.UPSTREAM_FAILED
+
+    run_virtually(scenario())
+
+
+def test_waiting_generation_is_refused_as_not_executed_before_its_host_ends() -> None:
+    async def scenario() -> None:
+        harness = DispatcherHarness()
+        harness.fakes.tables.table = make_table(replace(STREAM, target_ms=20_000))
+        harness.fakes.upstreams.entries = []
+        serving = asyncio.create_task(harness.serve(_generation()))
+        await asyncio.sleep(0.2)
+        await _stop(harness)
+        assert serving.done()
+        assert _kind(serving.result()) is RefusalKind.OVERLOADED
+        assert harness.fakes.upstream_client.requests == []
+
+    run_virtually(scenario())
+
+
+def test_begun_stream_goes_on_until_its_host_ends() -> None:
+    async def scenario() -> None:
+        harness = DispatcherHarness()
+        chunks: list[bytes | None] = [f"id: {n}\ndata: {n}\n\n".encode() for n in range(1, 80)]
+        harness.fakes.upstream_client.set("x", FakeResponse(chunks=chunks, pause_ms=100))
+        responder = FakeResponder()
+        serving = asyncio.create_task(harness.dispatcher.serve(_generation(), responder))
+        await asyncio.sleep(0.2)
+        await _stop(harness)
+        assert responder.body.count(b"id:") >= 70
+        assert not responder.aborted
+        await serving
+
+    run_virtually(scenario())
+
+
+# Guards against requests that are taken late in a shutdown and get no response before its end.
+@pytest.mark.parametrize("seed", range(40))
+def test_every_request_is_answered_truthfully_whenever_it_arrives_in_a_shutdown(seed: int) -> None:
+    async def scenario() -> None:
+        rng = Random(seed)
+        harness = DispatcherHarness()
+        upstream_client = harness.fakes.upstream_client
+        upstream_client.hanging = {"x"} if rng.random() < 0.7 else set()
+        stopping = asyncio.create_task(_stop(harness))
+        served: list[tuple[CallerRequest, asyncio.Task[FakeResponder]]] = []
+        for number in range(12):
+            await asyncio.sleep(rng.uniform(0.0, 1.1))
+            is_plain = rng.random() < 0.5
+            path, prompt = ("/a/x", None) if is_plain else ("/s/x", 100)
+            tokens = rng.choice((12, 2000))
+            request = make_request(name=f"r{number}", path=path, prompt=prompt, max_tokens=tokens)
+            served.append((request, asyncio.create_task(harness.serve(request))))
+            if harness.shutdown.is_over:
+                break
+        await stopping
+        await asyncio.sleep(0)
+        sent = {one.request.request for one in upstream_client.requests}
+        for request, serving in served:
+            assert serving.done(), request.request
+            if _kind(serving.result()) is RefusalKind.OVERLOADED:
+                assert request.request not in sent
+
+    run_virtually(scenario())
+
+
 def test_host_counts_requests_in_progress() -> None:
     async def scenario() -> None:
         harness = DispatcherHarness()
--- a/testing/test_regions.py
+++ b/testing/test_regions.py
@@ -18,6 +18,7 @@
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import Dispatcher
 from tanagerscale.forwarding import RefusalKind
+from tanagerscale.forwarding import ShutdownSchedule
 from tanagerscale.platform._configuration import decode_configuration
 from tanagerscale.routes import ANY_FAILURE_DOMAIN
 from tanagerscale.routes import AllowedRegions
@@ -126,7 +127,7 @@
             admission=Admission(context=context, placer=self.fakes.single_host.client),
             stream_mover=make_stream_mover(self.fakes),
             allowed_regions=AllowedRegions(regions=REGIONS),
-            is_stopping=lambda: False,
+            shutdown=ShutdownSchedule(clock=self.fakes.context.clock),
         )
 
     async def serve(self, *, prompt: int | None = None) -> FakeResponder:
