Close the connections of requests that are running when a shutdown begins

Callers saw: a request that was being handled at SIGTERM got a response that kept its connection open, so the next one came to a host that was stopping and was refused or, at worst, crossed its close.

Cause: whether a connection stays open was decided when its request arrived, and the response began seconds later.

Change: it is decided when the head of the response is written.

--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -90,7 +90,7 @@
         responder = AiohttpResponder(
             request=request,
             echoed_headers=self._codec.echoed_headers(request),
-            idle_timeout_ms=self._rules.idle_timeout_ms() if stopping_since is None else None,
+            idle_timeout_ms=self._idle_timeout_ms,
         )
         arrived = self._clock.now()
         body = await self._read_body(request)
@@ -108,6 +108,10 @@
         await self._serve(caller_request, responder)
         return responder.response
 
+    def _idle_timeout_ms(self) -> int | None:
+        """Return how long a connection may stay idle; ``None`` closes it after its response."""
+        return self._rules.idle_timeout_ms() if self._stopping_since() is None else None
+
     def _log_during_shutdown(
         self, request: RequestId, connection: ConnectionUse, since_stop_ms: int
     ) -> None:
@@ -145,8 +149,9 @@
 
     :param request: The request to respond to.
     :param echoed_headers: Header fields of the request that the gateway's own responses repeat.
-    :param idle_timeout_ms: How long the connection may stay idle after the response; ``None``
-        closes it.
+    :param idle_timeout_ms: Returns how long the connection may stay idle after the response;
+        ``None`` closes it. Called when the response begins, as a shutdown may begin while the
+        request is being handled.
     """
 
     def __init__(
@@ -154,11 +159,12 @@
         *,
         request: web.BaseRequest,
         echoed_headers: Sequence[Header],
-        idle_timeout_ms: int | None,
+        idle_timeout_ms: Callable[[], int | None],
     ) -> None:
         self._request = request
         self._echoed = echoed_headers
         self._idle_timeout_ms = idle_timeout_ms
+        self._must_close = False
         self._response: web.StreamResponse | None = None
 
     @property
@@ -212,7 +218,7 @@
 
     def close_after_response(self) -> None:
         """Close the connection after this response."""
-        self._idle_timeout_ms = None
+        self._must_close = True
 
     def abort(self) -> None:
         """Abort the connection, so that a partial response does not look complete."""
@@ -224,7 +230,8 @@
 
     def _prepare(self, response: web.StreamResponse) -> None:
         self._response = response
-        if self._idle_timeout_ms is None:
+        idle_timeout_ms = None if self._must_close else self._idle_timeout_ms()
+        if idle_timeout_ms is None:
             response.force_close()
         else:
-            response.headers["Keep-Alive"] = f"timeout={self._idle_timeout_ms // 1000}"
+            response.headers["Keep-Alive"] = f"timeout={idle_timeout_ms // 1000}"
--- a/testing/test_gateway_http.py
+++ b/testing/test_gateway_http.py
@@ -299,6 +299,30 @@
     writer.close()
 
 
+# Guards against kept connections that a stopping host must close while their callers send on them.
+@pytest.mark.asyncio
+async def test_connection_is_closed_when_the_shutdown_begins_before_its_response(
+    harness: ServerHarness,
+) -> None:
+    started, release = asyncio.Event(), asyncio.Event()
+
+    async def slow(request: CallerRequest, responder: Responder) -> None:
+        started.set()
+        await release.wait()
+        await _echo(request, responder)
+
+    harness.serve = slow
+    reader, writer = await harness.open()
+    writer.write(HEAD + b"Content-Length: 3\r\n\r\none")
+    await started.wait()
+    harness.server.begin_shutdown()
+    release.set()
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert b"connection: close" in head.lower()
+    assert await reader.read() == b"one"
+    writer.close()
+
+
 @pytest.mark.asyncio
 async def test_log_tells_a_kept_connection_when_a_request_arrives_during_the_shutdown(
     harness: ServerHarness,
