Send final responses also when the event loop is late at the end of a shutdown

Callers would see a closed connection with no answer: a reviewer stalled a host's event loop for 250 ms around the moment at which final responses are due, and the request at a hanging upstream got none.

Cause: final responses were only sent by a check that fell into the 200 ms before the teardown. A later one, or a grace period below the reserves, went straight to closing the connections.

Change: they are sent once more before the teardown, whatever time it is.

Seen: without the change, 2 of 3 cases with a late check (250 and 600 ms) and 2 of 5 short grace periods (0.3 and 0.7 s) fail; with it all pass, and the final 502 arrives on the wire, plain and streamed.

--- a/src/tanagerscale/gateway/_graceful_shutdown.py
+++ b/src/tanagerscale/gateway/_graceful_shutdown.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Final
 from typing import Protocol
 
-from tanagerscale.core import Clock
 from tanagerscale.forwarding import ShutdownSchedule
 
 MIN_IDLE_MS: Final = 150
@@ -32,19 +32,22 @@
     server: DrainingServer,
     schedule: ShutdownSchedule,
     answer_unanswered: Callable[[], None],
-    clock: Clock,
+    sleep: Callable[[int], Awaitable[None]],
 ) -> None:
     """Wait until all requests are finished or the time for that is over.
 
     :param server: Server of the callers' connections.
     :param schedule: Schedule of the shutdown, which has begun.
     :param answer_unanswered: Sends a final response to each request that has none.
-    :param clock: Clock for the checks.
+    :param sleep: Suspends the task for a number of milliseconds.
     """
     while schedule.accepts_connections and not schedule.are_responses_due:
-        await clock.sleep(DRAIN_POLL_INTERVAL_MS)
+        await sleep(DRAIN_POLL_INTERVAL_MS)
     await server.stop_listening()
     while not server.drain(idle_ms=MIN_IDLE_MS) and not schedule.is_over:
         if schedule.are_responses_due:
             answer_unanswered()
-        await clock.sleep(DRAIN_POLL_INTERVAL_MS)
+        await sleep(DRAIN_POLL_INTERVAL_MS)
+    # A late event loop or a short grace period skips the time reserved for final responses.
+    answer_unanswered()
+    await sleep(DRAIN_POLL_INTERVAL_MS)
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -148,7 +148,7 @@
             server=self._server,
             schedule=self._shutdown,
             answer_unanswered=self._dispatcher.answer_unanswered,
-            clock=self._clock,
+            sleep=self._clock.sleep,
         )
         _log.info(
             "The host ends.",
--- a/testing/test_forwarding_dispatcher.py
+++ b/testing/test_forwarding_dispatcher.py
@@ -36,6 +36,8 @@
 PLAIN = make_route(kind=RouteKind.NON_IDEMPOTENT, prefix="/a/", name="plain")
 STREAM = make_route(kind=RouteKind.STREAMING, prefix="/s/", timeout_ms=39_000, name="stream")
 STOP_GRACE_S = 8
+DUE_AFTER_MS = 7100
+"""Time from the start of a shutdown until final responses are due, with that grace period."""
 
 
 class DispatcherHarness:
@@ -171,14 +173,26 @@
         return False
 
 
-async def _stop(harness: DispatcherHarness) -> None:
-    """Shut the host down gracefully."""
-    harness.shutdown.begin(grace_s=STOP_GRACE_S)
+async def _stop(
+    harness: DispatcherHarness, *, grace_s: float = STOP_GRACE_S, stall_ms: int = 0
+) -> None:
+    """Shut the host down gracefully.
+
+    :param stall_ms: How late the check is that finds the final responses due.
+    """
+    clock = harness.fakes.context.clock
+    due = clock.now() + DUE_AFTER_MS
+
+    async def sleep(duration: int) -> None:
+        is_check_at_deadline = clock.now() < due <= clock.now() + duration
+        await clock.sleep(duration + stall_ms if is_check_at_deadline else duration)
+
+    harness.shutdown.begin(grace_s=grace_s)
     await drain_requests(
         server=_IdleServer(),
         schedule=harness.shutdown,
         answer_unanswered=harness.dispatcher.answer_unanswered,
-        clock=harness.fakes.context.clock,
+        sleep=sleep,
     )
 
 
@@ -200,6 +214,37 @@
     run_virtually(scenario())
 
 
+# Guards against a teardown without final responses when the event loop is late at the deadline.
+@pytest.mark.parametrize("stall_ms", [150, 250, 600])
+def test_request_gets_a_response_when_the_event_loop_is_late_at_the_deadline(stall_ms: int) -> None:
+    async def scenario() -> None:
+        harness = DispatcherHarness()
+        harness.fakes.tables.table = make_table(replace(PLAIN, timeout_ms=39_000))
+        harness.fakes.upstream_client.hanging = {"x"}
+        serving = asyncio.create_task(harness.serve(make_request()))
+        await asyncio.sleep(0.2)
+        await _stop(harness, stall_ms=stall_ms)
+        assert serving.done()
+        assert _kind(serving.result()) is RefusalKind.UPSTREAM_FAILED
+
+    run_virtually(scenario())
+
+
+@pytest.mark.parametrize("grace_s", [0.3, 0.7, 1.0, 2.0, 4.0])
+def test_request_gets_a_response_when_the_grace_period_is_short(grace_s: float) -> None:
+    async def scenario() -> None:
+        harness = DispatcherHarness()
+        harness.fakes.tables.table = make_table(replace(PLAIN, timeout_ms=39_000))
+        harness.fakes.upstream_client.hanging = {"x"}
+        serving = asyncio.create_task(harness.serve(make_request()))
+        await asyncio.sleep(0.2)
+        await _stop(harness, grace_s=grace_s)
+        assert serving.done()
+        assert _kind(serving.result()) is RefusalKind.UPSTREAM_FAILED
+
+    run_virtually(scenario())
+
+
 def test_waiting_generation_is_refused_as_not_executed_before_its_host_ends() -> None:
     async def scenario() -> None:
         harness = DispatcherHarness()
--- a/testing/test_graceful_shutdown.py
+++ b/testing/test_graceful_shutdown.py
@@ -96,12 +96,16 @@
     await created.stop()
 
 
+async def _connect(platform: PlatformCluster, host: str) -> KeptConnection:
+    port = int(platform.callers_address(host).rpartition(":")[2])
+    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+    return KeptConnection(reader=reader, writer=writer)
+
+
 @pytest_asyncio.fixture
 async def connection(platform: PlatformCluster) -> AsyncIterator[KeptConnection]:
     """Open a connection of a caller to the host."""
-    port = int(platform.callers_address("h1").rpartition(":")[2])
-    reader, writer = await asyncio.open_connection(LOOPBACK, port)
-    opened = KeptConnection(reader=reader, writer=writer)
+    opened = await _connect(platform, "h1")
     yield opened
     opened.close()
 
@@ -139,3 +143,24 @@
     assert "connection: close" in head
     assert "late" not in {received.request for received in platform.ledger.received_requests}
     await stopping
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize(
+    ("path", "tokens"), [("/book/x", ""), ("/draft/x", "100,12")], ids=["plain", "streamed"]
+)
+async def test_request_at_a_hanging_upstream_gets_its_final_response_on_the_wire(
+    platform: PlatformCluster, path: str, tokens: str
+) -> None:
+    host = await platform.add_host("h2", stop_grace_s=2)
+    await platform.wait_until(lambda: host.ready and host.known_upstreams == 2)
+    for upstream in platform.upstreams.values():
+        upstream.behavior = UpstreamBehavior.HANGS
+    connection = await _connect(platform, "h2")
+    connection.send(request="hangs", path=path, tokens=tokens)
+    await platform.wait_until(lambda: platform.ledger.received_requests)
+    await platform.stop_host("h2")
+    head = await connection.receive_head()
+    assert " 502 " in head
+    assert "connection: close" in head
+    connection.close()
