Close a caller's connection only when no request is arriving on it

Callers would see (LOST): a request that is read in the moment in which its idle connection is closed is passed on to an upstream, and its connection closes with no answer.

Cause: a connection counted as in use from the start of the request's handler, two iterations of the event loop after its bytes were read. The server bridged that with a grace time of 30 ms; an iteration that takes longer let the timer close the connection as the handler started. If only the head had been read, the body was dropped and the caller heard nothing until it gave up.

Change: a connection is in use from the first byte. The protocol of a connection (a subclass of aiohttp's, by its public hook) records it; on a connection that is due to be closed, a request that is arriving is answered and the response says close. The grace time is gone. A request that doesn't arrive within the configured header timeout doesn't hold its connection.

--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -9,7 +9,6 @@
 
 from aiohttp import web
 import msgspec
-from msgspec import Struct
 from multidict import CIMultiDict
 from returns.result import Failure
 
@@ -21,6 +20,7 @@
 from tanagerscale.forwarding import Header
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import RefusalKind
+from tanagerscale.gateway._connections import ConnectionUse
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
@@ -42,19 +42,6 @@
 _log = get_logger(part="callers")
 
 
-class ConnectionUse(Struct, kw_only=True, eq=False):
-    """How a caller uses a connection.
-
-    :param first_seen: When the connection was first known to the server.
-    :param requests: Number of requests that have been handled on it.
-    :param idle_since: When it became idle; ``None`` while a request on it is being handled.
-    """
-
-    first_seen: Millis
-    requests: int = 0
-    idle_since: Millis | None
-
-
 @final
 class CallerRequestHandler:
     """Reads each request completely, decodes it and passes it on to be served.
@@ -90,7 +77,7 @@
         responder = AiohttpResponder(
             request=request,
             echoed_headers=self._codec.echoed_headers(request),
-            idle_timeout_ms=self._idle_timeout_ms,
+            idle_timeout_ms=lambda: self._idle_timeout_ms(connection),
         )
         arrived = self._clock.now()
         body = await self._read_body(request)
@@ -108,9 +95,11 @@
         await self._serve(caller_request, responder)
         return responder.response
 
-    def _idle_timeout_ms(self) -> int | None:
+    def _idle_timeout_ms(self, connection: ConnectionUse) -> int | None:
         """Return how long a connection may stay idle; ``None`` closes it after its response."""
-        return self._rules.idle_timeout_ms() if self._stopping_since() is None else None
+        if connection.must_close or self._stopping_since() is not None:
+            return None
+        return self._rules.idle_timeout_ms()
 
     def _log_during_shutdown(
         self, request: RequestId, connection: ConnectionUse, since_stop_ms: int
@@ -121,7 +110,7 @@
             request=request,
             since_stop_ms=since_stop_ms,
             earlier_requests=connection.requests,
-            connection_age_ms=self._clock.now() - connection.first_seen,
+            connection_age_ms=self._clock.now() - connection.opened,
         )
 
     async def _read_body(self, request: web.BaseRequest) -> bytes | None:
--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -9,25 +9,17 @@
 
 from aiohttp import web
 
-from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.gateway._caller_handler import CallerRequestHandler
-from tanagerscale.gateway._caller_handler import ConnectionUse
+from tanagerscale.gateway._connections import CallerProtocol
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
 
-MAX_KEEPALIVE_S: Final = 3600.0
-"""Above any idle timeout that can be configured; ``close_idle`` enforces the configured one."""
-MAX_HEAD_BYTES: Final = 64 * 1024
-"""Above any limit for the head of a request that can be configured."""
 ACCEPT_BACKLOG: Final = 1024
 """Connections that may wait to be accepted. When the backlog is full, the first packet of a new
 connection is dropped and resent only after one second."""
-CLOSE_GRACE_MS: Final = 30
-"""Time for a request that has just been read to reach its handler; covers many iterations of the
-event loop."""
 SHUTDOWN_TIMEOUT_S: Final = 0.2
 
 
@@ -47,7 +39,6 @@
         self._rules = rules
         self._clock = clock
         self._stopping_since: Millis | None = None
-        self._uses: dict[asyncio.BaseProtocol, ConnectionUse] = {}
         edge = CallerRequestHandler(
             serve=serve,
             codec=codec,
@@ -62,49 +53,40 @@
 
         :param address: IP address and port to listen on.
         """
-        self._server = web.Server(
-            self._track,
-            handler_cancellation=True,
-            access_log=None,
-            auto_decompress=False,
-            keepalive_timeout=MAX_KEEPALIVE_S,
-            max_line_size=MAX_HEAD_BYTES,
-            max_field_size=MAX_HEAD_BYTES,
-        )
+        self._server = web.Server(self._track, handler_cancellation=True)
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
-        self._site = web.TCPSite(self._runner, host, int(port), backlog=ACCEPT_BACKLOG)
-        await self._site.start()
+        self._listener = await asyncio.get_running_loop().create_server(
+            lambda: CallerProtocol(server=self._server, clock=self._clock),
+            host,
+            int(port),
+            backlog=ACCEPT_BACKLOG,
+        )
 
     def close_idle(self, *, limit_ms: int | None = None) -> None:
         """Close connections that have been idle for too long.
 
+        A connection on which a request is arriving is closed after its response. It is closed
+        without one only if the request does not arrive in time.
+
         :param limit_ms: Longest idle time; ``None`` uses the configured idle timeout.
         """
-        now = self._clock.now()
         limit = self._rules.idle_timeout_ms() if limit_ms is None else limit_ms
-        present = self._server.connections
-        self._uses = {protocol: self._use_of(protocol) for protocol in present}
-        for protocol in present:
-            use = self._uses[protocol]
-            if use.idle_since is not None and now - use.idle_since > limit:
-                self._close_after_grace(protocol)
-
-    def _close_after_grace(self, protocol: web.RequestHandler) -> None:
-        """Close an idle connection unless a request has just arrived on it.
-
-        A request that has already been read gets its response, and the connection is closed after
-        it. Nothing that arrives later is read.
-        """
-        protocol.close()
-        loop = asyncio.get_running_loop()
-        loop.call_later(CLOSE_GRACE_MS / MS_PER_SECOND, self._force_close_idle, protocol)
-
-    def _force_close_idle(self, protocol: web.RequestHandler) -> None:
-        use = self._uses.get(protocol)
-        if use is None or use.idle_since is not None:
-            protocol.force_close()
+        for protocol in self._connections:
+            use = protocol.use
+            idle_ms = self._clock.now() - use.last_active
+            if use.is_handling or idle_ms <= limit:
+                continue
+            if use.has_unhandled_data and idle_ms <= self._rules.header_timeout_ms():
+                use.must_close = True
+            else:
+                protocol.force_close()
+
+    @property
+    def _connections(self) -> list[CallerProtocol]:
+        connections = self._server.connections
+        return [protocol for protocol in connections if isinstance(protocol, CallerProtocol)]
 
     def begin_shutdown(self) -> None:
         """Close every connection after its response from now on."""
@@ -112,7 +94,7 @@
 
     async def stop_listening(self) -> None:
         """Stop accepting connections."""
-        await self._site.stop()
+        self._listener.close()
 
     def drain(self, *, idle_ms: int) -> bool:
         """Close connections that have been idle for at least a given time.
@@ -131,18 +113,13 @@
         await self._runner.cleanup()
 
     async def _track(self, request: web.BaseRequest) -> web.StreamResponse:
-        use = self._uses.setdefault(request.protocol, self._use_of(request.protocol))
-        use.idle_since = None
+        assert isinstance(request.protocol, CallerProtocol)
+        use = request.protocol.use
+        use.begin_request()
         try:
             return await self._handle(request, use)
         finally:
-            use.requests += 1
-            use.idle_since = self._clock.now()
-
-    def _use_of(self, protocol: asyncio.BaseProtocol) -> ConnectionUse:
-        """Return the use of a connection, which is idle if no request has been read on it."""
-        now = self._clock.now()
-        return self._uses.get(protocol) or ConnectionUse(first_seen=now, idle_since=now)
+            use.end_request(now=self._clock.now())
 
 
 async def serve_readiness(*, is_ready: Callable[[], bool], address: str) -> web.ServerRunner:
--- /dev/null
+++ b/src/tanagerscale/gateway/_connections.py
@@ -0,0 +1,77 @@
+"""Connections of callers, which know whether they are in use."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+from typing import final
+
+from aiohttp import web
+from msgspec import Struct
+
+from tanagerscale.core import Clock
+from tanagerscale.core import Millis
+
+MAX_KEEPALIVE_S: Final = 3600.0
+"""Above any idle timeout that can be configured; the server enforces the configured one."""
+MAX_HEAD_BYTES: Final = 64 * 1024
+"""Above any limit for the head of a request that can be configured."""
+
+
+class ConnectionUse(Struct, kw_only=True, eq=False):
+    """How a caller uses a connection.
+
+    :param opened: When the connection was accepted.
+    :param last_active: When data last arrived on it or a response ended.
+    :param requests: Number of requests that have been handled on it.
+    :param is_handling: Whether a request on it is being handled.
+    :param has_unhandled_data: Whether data of a request has arrived whose handling has not begun.
+    :param must_close: Whether to close it after its next response.
+    """
+
+    opened: Millis
+    last_active: Millis
+    requests: int = 0
+    is_handling: bool = False
+    has_unhandled_data: bool = False
+    must_close: bool = False
+
+    def begin_request(self) -> None:
+        """Record that the handling of a request begins."""
+        self.is_handling = True
+        self.has_unhandled_data = False
+
+    def end_request(self, *, now: Millis) -> None:
+        """Record that the handling of a request has ended."""
+        self.is_handling = False
+        self.requests += 1
+        self.last_active = now
+
+
+@final
+class CallerProtocol(web.RequestHandler):
+    """HTTP protocol of one connection.
+
+    :param server: Server that handles the requests.
+    :param clock: Clock that measures idle times.
+    """
+
+    def __init__(self, *, server: web.Server, clock: Clock) -> None:
+        super().__init__(
+            server,
+            loop=asyncio.get_running_loop(),
+            auto_decompress=False,
+            keepalive_timeout=MAX_KEEPALIVE_S,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+            access_log=None,  # type: ignore[arg-type]
+        )
+        self._clock = clock
+        self.use = ConnectionUse(opened=clock.now(), last_active=clock.now())
+
+    def data_received(self, data: bytes) -> None:
+        """Record that the connection is in use before any of the data is handled."""
+        if not self.use.is_handling:
+            self.use.has_unhandled_data = True
+        self.use.last_active = self._clock.now()
+        super().data_received(data)
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -89,6 +89,7 @@
             self._runners.append(metrics)
         rules = CallerRules(
             body_bytes=lambda: self._limits.body_bytes,
+            header_timeout_ms=lambda: self._limits.header_timeout_ms,
             idle_timeout_ms=lambda: self._limits.idle_timeout_ms,
         )
         self._server = CallerServer(
--- a/src/tanagerscale/gateway/_platform.py
+++ b/src/tanagerscale/gateway/_platform.py
@@ -50,10 +50,12 @@
     """Limits that apply to callers; read on each use, because the configuration may change.
 
     :param body_bytes: Returns the largest accepted body in bytes.
+    :param header_timeout_ms: Returns the longest time for the head of a request to arrive.
     :param idle_timeout_ms: Returns how long a connection may stay idle.
     """
 
     body_bytes: Callable[[], int]
+    header_timeout_ms: Callable[[], int]
     idle_timeout_ms: Callable[[], int]
 
 
--- a/testing/test_gateway_http.py
+++ b/testing/test_gateway_http.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+import time
 
 from aiohttp import web
 import logbook
@@ -17,6 +18,7 @@
 
 from standins._common import LOOPBACK
 from standins.platform_world import free_port
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
@@ -30,6 +32,7 @@
 
 RequestHandler = Callable[[CallerRequest, Responder], Awaitable[None]]
 MAX_BODY_BYTES = 1000
+HEADER_TIMEOUT_MS = 20_000
 HEAD = b"POST /a/b?c HTTP/1.1\r\nHost: x\r\n"
 
 
@@ -94,6 +97,7 @@
         codec=Codec(),
         rules=CallerRules(
             body_bytes=lambda: MAX_BODY_BYTES,
+            header_timeout_ms=lambda: HEADER_TIMEOUT_MS,
             idle_timeout_ms=lambda: created[0].idle_timeout_ms,
         ),
         clock=Clock(),
@@ -286,6 +290,48 @@
     writer.close()
 
 
+# Guards against requests that are passed on and cut because their idle connection is closed.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("stall_ms", [0, 20, 50, 200])
+async def test_request_already_read_is_answered_when_the_event_loop_stalls_at_the_close(
+    harness: ServerHarness, stall_ms: int
+) -> None:
+    async def respond_later(request: CallerRequest, responder: Responder) -> None:
+        await asyncio.sleep(0.05)
+        await _echo(request, responder)
+
+    reader, writer = await harness.open()
+    writer.write(HEAD + b"Content-Length: 3\r\n\r\none")
+    await _read_response(reader)
+    harness.serve = respond_later
+    (protocol,) = harness.server._server.connections
+    protocol.data_received(HEAD + b"Content-Length: 3\r\n\r\ntwo")
+    harness.server.close_idle(limit_ms=-1)
+    time.sleep(stall_ms / MS_PER_SECOND)  # noqa: ASYNC251
+    assert await _read_response(reader) == (200, b"two")
+    assert await reader.read() == b""
+    writer.close()
+
+
+@pytest.mark.asyncio
+async def test_request_is_answered_when_only_its_head_was_read_at_the_close(
+    harness: ServerHarness,
+) -> None:
+    reader, writer = await harness.open()
+    writer.write(HEAD + b"Content-Length: 3\r\n\r\none")
+    await _read_response(reader)
+    (protocol,) = harness.server._server.connections
+    protocol.data_received(HEAD + b"Content-Length: 3\r\n\r\n")
+    harness.server.close_idle(limit_ms=-1)
+    await asyncio.sleep(0.01)
+    writer.write(b"two")
+    async with asyncio.timeout(20):
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"connection: close" in head.lower()
+        assert await reader.read() == b"two"
+    writer.close()
+
+
 @pytest.mark.asyncio
 async def test_each_connection_is_closed_after_its_response_when_the_host_stops(
     harness: ServerHarness,
