Serve what a stopping host has time for while the load balancer still sends

Callers would see: in the first 2.5 s of a shutdown, requests that an idle upstream answers at once were refused if three times their route's target, or their whole time limit where no target is declared, didn't fit into the grace period.

Cause: the admission of a stopping host guessed the need of a request from a multiple of its target; the final responses before the teardown already protect the callers of those that take longer.

Change: a plain request is expected to take its target time, a short stream its target and two seconds more; a route without a target is served.

--- a/src/tanagerscale/forwarding/_shutdown.py
+++ b/src/tanagerscale/forwarding/_shutdown.py
@@ -22,9 +22,8 @@
 FINAL_RESPONSE_RESERVE_MS: Final = 200
 """Time before the teardown in which requests without a response get their final one."""
 
-OBJECTIVE_FACTOR: Final = 3
-"""Multiple of a route's target time within which an accepted request is expected to be finished,
-including retries and the rest of a short stream."""
+SHORT_STREAM_MS: Final = 2000
+"""Time from the first to the last event of a stream that is not long."""
 
 
 @final
@@ -76,19 +75,21 @@
     def can_finish(self, routed: RoutedRequest) -> bool:
         """Return whether a request that has just arrived can be finished before the teardown.
 
-        While the load balancer still sends connections, a request is expected to take a multiple of
-        its target time. Later requests come on connections that are about to be closed, so their
-        callers need another host anyway, and a request is only accepted if it can't outlast the
-        shutdown.
+        While the load balancer still sends connections, an upstream is expected to meet the target
+        of the request's route. Later requests come on connections that are about to be closed, so
+        their callers need another host anyway, and a request is only accepted if it can't outlast
+        the shutdown.
         """
         if not self.has_begun:
             return True
         needed_ms = routed.deadline - self._clock.now()
         if self.accepts_connections:
-            if routed.route.kind is RouteKind.STREAMING and is_long(routed):
-                return False
-            expected_ms = routed.route.target_ms * OBJECTIVE_FACTOR
-            needed_ms = min(needed_ms, expected_ms) if expected_ms else needed_ms
+            expected_ms = routed.route.target_ms
+            if routed.route.kind is RouteKind.STREAMING:
+                if is_long(routed):
+                    return False
+                expected_ms += SHORT_STREAM_MS
+            needed_ms = min(needed_ms, expected_ms)
         return needed_ms <= self._time_left_ms()
 
     def _time_left_ms(self) -> int:
--- a/testing/test_forwarding_dispatcher.py
+++ b/testing/test_forwarding_dispatcher.py
@@ -260,6 +260,25 @@
     run_virtually(scenario())
 
 
+# Guards against refusals of requests that a stopping host has the time for.
+@pytest.mark.parametrize(
+    ("grace_s", "target_ms"),
+    [(8, 0), (8, 400), (8, 1500), (8, 2400), (8, 5000), (5, 0), (5, 1500), (4, 2400), (3, 1500)],
+)
+def test_plain_request_is_served_while_the_load_balancer_sends_when_its_target_fits(
+    grace_s: float, target_ms: int
+) -> None:
+    async def scenario() -> None:
+        harness = DispatcherHarness()
+        route = replace(PLAIN, timeout_ms=39_000, target_ms=target_ms)
+        harness.fakes.tables.table = make_table(route)
+        harness.shutdown.begin(grace_s=grace_s)
+        responder = await harness.serve(make_request())
+        assert responder.status == 200
+
+    run_virtually(scenario())
+
+
 def test_begun_stream_goes_on_until_its_host_ends() -> None:
     async def scenario() -> None:
         harness = DispatcherHarness()
