Refuse waiting generations that a stopping host can no longer finish

Callers would see: a generation that waited for an engine when its host began to stop was sent when room came, however late, and then got 502 or was cut; such a request may not be repeated.

Cause: whether the host lives long enough was asked when a request arrived, and not again after it had waited.

Change: at each check of a shutdown, requests that have not been sent and can't be finished any more end at once, as not run, so that their callers go to another host with the time they have left. Long ones end when the shutdown begins.

Seen: without it 4 of 4 cases fail (an engine that gets free 0.1, 4.0, 6.5 and 7.0 s after SIGTERM is sent the generation); with it they pass. Dispatcher, shutdown, gateway and platform tests: 283 passed.

--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -45,14 +45,18 @@
 class _RequestInProgress(Struct, kw_only=True, eq=False):
     """A request that is being forwarded.
 
+    :param routed: The request.
     :param responder: Sends its response.
     :param timeout: Ends the forwarding.
     :param forwarder: Sends it to upstreams; ``None`` before it is accepted.
+    :param is_ended: Whether it was ended because the host shuts down.
     """
 
+    routed: RoutedRequest
     responder: Responder
     timeout: asyncio.Timeout
     forwarder: PlainForwarder | StreamRun | None = None
+    is_ended: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -93,13 +97,22 @@
         """Number of requests in progress."""
         return self._running
 
-    def answer_unanswered(self) -> None:
-        """Send each request without a response its final one, because the host is about to end."""
+    def end_unfinishable(self) -> None:
+        """End each request that a shutdown leaves no time for, so that it gets a final response.
+
+        Requests whose response has begun go on.
+        """
         now = asyncio.get_running_loop().time()
         for one in self._in_progress:
-            if not one.responder.begun and not one.timeout.expired():
+            if not one.responder.begun and not one.is_ended and self._is_unfinishable(one):
+                one.is_ended = True
                 one.timeout.reschedule(now)
 
+    def _is_unfinishable(self, one: _RequestInProgress) -> bool:
+        if self._shutdown.are_responses_due:
+            return True
+        return not one.may_have_run and not self._shutdown.can_start(one.routed)
+
     async def serve(self, request: CallerRequest, responder: Responder) -> None:
         """Serve one request and send its response or a refusal.
 
@@ -148,16 +161,16 @@
             await self._refuse(request, responder, refusal, table)
 
     async def _forward_in_time(self, routed: RoutedRequest, responder: Responder) -> Refusal | None:
-        """Forward a request until its deadline, or until this host is about to end."""
+        """Forward a request until its deadline, or until a shutdown leaves no time for it."""
         left = routed.deadline - self._context.clock.now()
         timeout = asyncio.timeout(max(left, 0) / MS_PER_SECOND)
-        in_progress = _RequestInProgress(responder=responder, timeout=timeout)
+        in_progress = _RequestInProgress(routed=routed, responder=responder, timeout=timeout)
         try:
             async with timeout:
                 self._in_progress.add(in_progress)
                 return await self._forward(routed, in_progress)
         except TimeoutError:
-            if not self._shutdown.are_responses_due:
+            if not in_progress.is_ended:
                 return timed_out()
             if in_progress.may_have_run:
                 return stopped_before_response()
@@ -200,7 +213,7 @@
     ) -> Refusal | None:
         if is_quarantined(routed, self._context):
             return quarantined()
-        if not self._shutdown.can_finish(routed):
+        if not self._shutdown.accepts(routed):
             return host_stopping(rng=self._context.rng)
         self._context.retry_permits.count_request(service=routed.service)
         if routed.route.kind is not RouteKind.STREAMING:
--- a/src/tanagerscale/forwarding/_shutdown.py
+++ b/src/tanagerscale/forwarding/_shutdown.py
@@ -72,25 +72,31 @@
         reserve_ms = TEARDOWN_RESERVE_MS + FINAL_RESPONSE_RESERVE_MS
         self._ends = Millis(self._began + int(grace_s * MS_PER_SECOND) - reserve_ms)
 
-    def can_finish(self, routed: RoutedRequest) -> bool:
-        """Return whether a request that has just arrived can be finished before the teardown.
+    def accepts(self, routed: RoutedRequest) -> bool:
+        """Return whether a request that has just arrived is accepted.
 
-        While the load balancer still sends connections, an upstream is expected to meet the target
-        of the request's route. Later requests come on connections that are about to be closed, so
-        their callers need another host anyway, and a request is only accepted if it can't outlast
-        the shutdown.
+        After the load balancer has removed this host, requests come on connections that are about
+        to be closed. Their callers need another host anyway, so a request is only accepted if it
+        can't outlast the shutdown.
+        """
+        if self.accepts_connections:
+            return self.can_start(routed)
+        return routed.deadline - self._clock.now() <= self._time_left_ms()
+
+    def can_start(self, routed: RoutedRequest) -> bool:
+        """Return whether a request that has not been sent yet is expected to be finished in time.
+
+        An upstream is expected to meet the target of the request's route.
         """
         if not self.has_begun:
             return True
-        needed_ms = routed.deadline - self._clock.now()
-        if self.accepts_connections:
-            expected_ms = routed.route.target_ms
-            if routed.route.kind is RouteKind.STREAMING:
-                if is_long(routed):
-                    return False
-                expected_ms += SHORT_STREAM_MS
-            needed_ms = min(needed_ms, expected_ms)
-        return needed_ms <= self._time_left_ms()
+        expected_ms = routed.route.target_ms
+        if routed.route.kind is RouteKind.STREAMING:
+            if is_long(routed):
+                return False
+            expected_ms += SHORT_STREAM_MS
+        limit_ms = routed.deadline - self._clock.now()
+        return min(expected_ms, limit_ms) <= self._time_left_ms()
 
     def _time_left_ms(self) -> int:
         """Return the time until the final responses are due; negative after that."""
--- a/src/tanagerscale/gateway/_graceful_shutdown.py
+++ b/src/tanagerscale/gateway/_graceful_shutdown.py
@@ -31,23 +31,24 @@
     *,
     server: DrainingServer,
     schedule: ShutdownSchedule,
-    answer_unanswered: Callable[[], None],
+    end_unfinishable: Callable[[], None],
     sleep: Callable[[int], Awaitable[None]],
 ) -> None:
     """Wait until all requests are finished or the time for that is over.
 
     :param server: Server of the callers' connections.
     :param schedule: Schedule of the shutdown, which has begun.
-    :param answer_unanswered: Sends a final response to each request that has none.
+    :param end_unfinishable: Ends each request without a response that the shutdown leaves no time
+        for, so that it gets a final one.
     :param sleep: Suspends the task for a number of milliseconds.
     """
     while schedule.accepts_connections and not schedule.are_responses_due:
+        end_unfinishable()
         await sleep(DRAIN_POLL_INTERVAL_MS)
     await server.stop_listening()
     while not server.drain(idle_ms=MIN_IDLE_MS) and not schedule.is_over:
-        if schedule.are_responses_due:
-            answer_unanswered()
+        end_unfinishable()
         await sleep(DRAIN_POLL_INTERVAL_MS)
     # A late event loop or a short grace period skips the time reserved for final responses.
-    answer_unanswered()
+    end_unfinishable()
     await sleep(DRAIN_POLL_INTERVAL_MS)
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -148,7 +148,7 @@
         await drain_requests(
             server=self._server,
             schedule=self._shutdown,
-            answer_unanswered=self._dispatcher.answer_unanswered,
+            end_unfinishable=self._dispatcher.end_unfinishable,
             sleep=self._clock.sleep,
         )
         _log.info(
--- a/testing/test_forwarding_dispatcher.py
+++ b/testing/test_forwarding_dispatcher.py
@@ -191,7 +191,7 @@
     await drain_requests(
         server=_IdleServer(),
         schedule=harness.shutdown,
-        answer_unanswered=harness.dispatcher.answer_unanswered,
+        end_unfinishable=harness.dispatcher.end_unfinishable,
         sleep=sleep,
     )
 
@@ -260,6 +260,28 @@
     run_virtually(scenario())
 
 
+# Guards against generations that a stopping host sends although it can't finish them.
+@pytest.mark.parametrize("free_after_s", [0.1, 4.0, 6.5, 7.0])
+def test_waiting_generation_is_not_sent_when_its_host_can_no_longer_finish_it(
+    free_after_s: float,
+) -> None:
+    async def scenario() -> None:
+        harness = DispatcherHarness()
+        harness.fakes.tables.table = make_table(replace(STREAM, target_ms=20_000))
+        entries, harness.fakes.upstreams.entries = harness.fakes.upstreams.entries, []
+        harness.fakes.upstream_client.hanging = {"x"}
+        serving = asyncio.create_task(harness.serve(_generation()))
+        await asyncio.sleep(0.2)
+        stopping = asyncio.create_task(_stop(harness))
+        await asyncio.sleep(free_after_s)
+        harness.fakes.upstreams.entries = entries
+        await stopping
+        assert _kind(serving.result()) is RefusalKind.OVERLOADED
+        assert harness.fakes.upstream_client.requests == []
+
+    run_virtually(scenario())
+
+
 # Guards against refusals of requests that a stopping host has the time for.
 @pytest.mark.parametrize(
     ("grace_s", "target_ms"),
