Answer requests that outlast the grace period of a stopping daemon

Cause: when the grace period ended, HostProcess.stop went straight to the teardown of the HTTP server, which cancels handlers and closes their connections. Only claimed calls were waited for.

Callers saw a closed connection with no answer, for service calls without a claim, whole completions, streams that waited for an engine and unfinished uploads, and could not tell whether the call had run.

The host now interrupts each handler whose response has not started, after the claimed calls have ended and before the teardown. Its caller gets problem details: `unknown` once the body was read, since an upstream may have run it, `not-executed` while the body was incomplete, because nothing runs before. Interruption cancels the handler, so that its engine run is cancelled, its claim released and its limits returned as for a caller that disconnects. The teardown follows the interruption, not a clock, so that a process frozen past the grace period answers as well. Streams that have started are still handed over by cursor. Claimed calls that start while others are drained are waited for as well, so that none is interrupted.

--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -141,12 +141,11 @@
         try:
             await asyncio.wait_for(self._request_admission.wait_idle(), grace_s)
         except TimeoutError:
-            _log.warning(
-                "Stop grace period exceeded; handing running streams over to other hosts by cursor."
-            )
+            _log.warning("Stop grace period exceeded; interrupting the remaining requests.")
             self._canceller.disable_delayed_cancellations()
         await self._controllers.stop()
         await self._services.drain()
+        self._caller_api.interrupt()
         await self._runner.cleanup()
         await self._canceller.drain()
         await self._drain_claims()
@@ -338,8 +337,9 @@
 
     async def _serve_callers(self) -> str:
         limits = self._settings.limits
+        self._caller_api = self._build_caller_api()
         self._runner = web.AppRunner(
-            self._build_caller_api().application(),
+            self._caller_api.application(),
             handler_cancellation=True,
             access_log=None,
             max_field_size=limits.header_bytes,
--- a/src/tanagerscale/entry/_app.py
+++ b/src/tanagerscale/entry/_app.py
@@ -28,6 +28,7 @@
 from tanagerscale.entry._completions import CompletionHandlers
 from tanagerscale.entry._limits import AccountLimiter
 from tanagerscale.entry._problems import problem_response
+from tanagerscale.entry._running import RunningRequests
 from tanagerscale.generated.callers import HostStatus
 from tanagerscale.generated.settings import LimitsSection
 from tanagerscale.services import ServiceDispatch
@@ -99,21 +100,30 @@
 
     def __init__(self, *, context: CallerApiContext) -> None:
         self._context = context
+        self._running = RunningRequests()
+
+    def interrupt(self) -> None:
+        """Answer all requests whose response has not started with a problem, before a host stop.
+
+        A claimed call that is interrupted continues, so claimed calls must be drained first, and no
+        other task may run in between.
+        """
+        self._running.interrupt()
 
     def application(self) -> web.Application:
         """Return the aiohttp application with all routes."""
         app = web.Application(
             client_max_size=self._context.limits.body_bytes, middlewares=[_convert_errors]
         )
+        app.on_response_prepare.append(self._on_response_prepare)
         app.router.add_post("/v1/completions", self._with_admission(self._complete))
         app.router.add_post("/v1/chat/completions", self._with_admission(self._chat))
         resume = self._with_admission(self._resume, refusal_execution=Execution.UNKNOWN)
         app.router.add_get("/v1/completions/{request_id}/events", resume)
         app.router.add_post("/v1/completions/{request_id}/events", resume)
-        app.router.add_route("*", "/services/{service}", self._with_admission(self._service))
-        app.router.add_route(
-            "*", "/services/{service}/{path:.*}", self._with_admission(self._service)
-        )
+        service = self._with_admission(self._service, interruption=_CALL_INTERRUPTED)
+        app.router.add_route("*", "/services/{service}", service)
+        app.router.add_route("*", "/services/{service}/{path:.*}", service)
         app.router.add_get("/v1/status", self._status)
         app.router.add_get("/v1/usage", self._usage)
         app.router.add_get("/healthz", self._healthz)
@@ -121,14 +131,25 @@
         app.router.add_get("/metrics", self._metrics)
         return app
 
+    async def _on_response_prepare(
+        self, request: web.Request, _response: web.StreamResponse
+    ) -> None:
+        self._running.on_response_started(request=request)
+
     def _with_admission(
-        self, handler: Handler, *, refusal_execution: Execution = Execution.NOT_EXECUTED
+        self,
+        handler: Handler,
+        *,
+        refusal_execution: Execution = Execution.NOT_EXECUTED,
+        interruption: Problem | None = None,
     ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
         """Wrap a handler with readiness check, authentication and admission.
 
         :param handler: Handles admitted requests.
         :param refusal_execution: Execution state reported when the request is rejected. It differs
             for resumed streams, whose original request has already run.
+        :param interruption: Problem reported when the host stops before the handler has ended;
+            ``None`` for that of completions.
         """
 
         async def handle_admitted(request: web.Request) -> web.StreamResponse:
@@ -143,9 +164,18 @@
                 refusal_problem = replace(problem or _UNAUTHORIZED, execution=refusal_execution)
                 return problem_response(problem=refusal_problem, request_id=new_id(prefix="req"))
             try:
-                return await handler(request, account)
+                response = await self._running.run(
+                    request=request, handling=handler(request, account)
+                )
             finally:
                 self._context.admission.release(account=account)
+            if response is not None:
+                return response
+            # Nothing runs before the body has been read completely.
+            problem = interruption or _COMPLETION_INTERRUPTED
+            if not request.content.is_eof():
+                problem = replace(_STOPPING, execution=refusal_execution)
+            return problem_response(problem=problem, request_id=new_id(prefix="req"))
 
         return handle_admitted
 
@@ -272,6 +302,18 @@
     execution=Execution.NOT_EXECUTED,
     retry_after_ms=NOT_READY_RETRY_AFTER_MS,
 )
+_COMPLETION_INTERRUPTED = Problem(
+    kind=ProblemKind.STOPPING,
+    detail="This host stopped before the answer was complete; send the request to another host.",
+    execution=Execution.UNKNOWN,
+    retry_after_ms=NOT_READY_RETRY_AFTER_MS,
+)
+_CALL_INTERRUPTED = Problem(
+    kind=ProblemKind.OUTCOME_UNKNOWN,
+    detail="This host stopped before the service answered; repeat the call only if it is "
+    "idempotent or has an Idempotency-Key, else ask the service first.",
+    execution=Execution.UNKNOWN,
+)
 _TOO_LARGE = Problem(
     kind=ProblemKind.TOO_LARGE,
     detail="Send a smaller body; the limit is body_bytes in the host's settings.",
--- a/src/tanagerscale/services/_dispatch.py
+++ b/src/tanagerscale/services/_dispatch.py
@@ -175,8 +175,8 @@
         return await asyncio.shield(task)
 
     async def drain(self) -> None:
-        """Wait for all running claimed calls."""
-        if self._tasks:
+        """Wait for all running claimed calls, including those that start in the meantime."""
+        while self._tasks:
             await asyncio.wait(set(self._tasks))
 
     async def _run_granted(
