Show that a stopping daemon admits a request after its authentication

The readiness of the host is checked before the key of a caller is hashed in a thread. A request whose key is hashed while the shutdown begins is admitted afterwards, and nothing waits for it any more.

Seen: "assert 200 == 503".

--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 import random
+import threading
 
 import aiohttp
 from aiohttp import web
@@ -75,6 +76,8 @@
     client: TestClient[web.Request, web.Application]
     engine: FakeEngine
     canceller: Canceller
+    leaving: asyncio.Event
+    """Set while the host is in a graceful shutdown."""
 
 
 def _make_declarations() -> Declarations:
@@ -124,6 +127,7 @@
         clock=clock,
         rng=rng,
     )
+    leaving = asyncio.Event()
     status = HostStatus(host="a", incarnation=1, revision=1, ready=True, leaving=False, running=0)
     caller_api = CallerApi(
         context=CallerApiContext(
@@ -143,7 +147,7 @@
             ),
             services=_make_services(clock, rng, gate, session),
             declarations=lambda: declarations,
-            status=lambda: status,
+            status=lambda: msgspec.structs.replace(status, leaving=leaving.is_set()),
             usage=lambda: b"{}",
             registry=CollectorRegistry(),
             limits=LimitsSection(body_bytes=BODY_LIMIT),
@@ -151,7 +155,7 @@
     )
     server = TestServer(caller_api.application(), handler_cancellation=True)
     async with TestClient(server) as client:
-        yield Host(client=client, engine=engine, canceller=canceller)
+        yield Host(client=client, engine=engine, canceller=canceller, leaving=leaving)
 
 
 def _make_services(
@@ -179,6 +183,13 @@
     )
 
 
+async def _read(
+    host: Host, path: str, body: dict[str, object], headers: dict[str, str]
+) -> tuple[int, bytes]:
+    async with host.client.post(path, json=body, headers=headers) as response:
+        return response.status, await response.read()
+
+
 def _decode_problem(body: bytes) -> ProblemDetails:
     return msgspec.json.decode(body, type=ProblemDetails)
 
@@ -202,6 +213,30 @@
     assert not host.engine.executed
 
 
+# Guards against requests that a stopping host runs although it no longer waits for them.
+async def test_request_is_refused_when_the_host_stops_during_its_authentication(
+    host: Host, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    started = threading.Event()
+    resumed = threading.Event()
+
+    def verify(*, key: str, key_hash: str) -> bool:
+        started.set()
+        resumed.wait()
+        return bool(key and key_hash)
+
+    monkeypatch.setattr("tanagerscale.accounts._checker.verify_key", verify)
+    call = asyncio.create_task(
+        _read(host, "/v1/completions", {**BODY, "stream": False}, KEYS["north"])
+    )
+    await asyncio.to_thread(started.wait)
+    host.leaving.set()
+    resumed.set()
+    status, body = await call
+    assert status == 503
+    assert _decode_problem(body).execution == "not-executed"
+
+
 async def test_answer_is_a_single_response_when_streaming_is_not_requested(host: Host) -> None:
     body = {**BODY, "stream": False}
     async with host.client.post("/v1/completions", json=body, headers=KEYS["north"]) as response:
