Refuse requests whose authentication ends after a daemon began to stop

Cause: readiness was checked only before the key of the caller was hashed, which takes a thread and a slot. The shutdown counts admitted requests, so it could find the host idle and go on to its teardown while such a request was admitted and sent to an engine or a service.

Callers could lose the connection of a request that had been run.

The shutdown state is checked again after the authentication. Admission follows without a pause in between, so once a shutdown has begun nothing more is admitted, and what was admitted before is counted.

--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -157,8 +157,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._host_list.stop()
         await self._mesh.stop()
-        await self._session.close()
-        await self._service_session.close()
+        await asyncio.gather(self._session.close(), self._service_session.close())
         await self._store.close()
 
     async def _drain_claims(self) -> None:
@@ -329,6 +328,7 @@
                 services=self._services,
                 declarations=self._declarations,
                 status=self._build_status,
+                is_leaving=lambda: self._leaving,
                 usage=lambda: msgspec.json.encode(self._meter.usage()),
                 registry=registry,
                 limits=self._settings.limits,
--- a/src/tanagerscale/entry/_app.py
+++ b/src/tanagerscale/entry/_app.py
@@ -74,6 +74,7 @@
     :param services: Dispatches calls to plain services.
     :param declarations: Returns the declarations in force, or ``None`` if there are none yet.
     :param status: Returns the current status of the host.
+    :param is_leaving: Returns whether the host is in a graceful shutdown.
     :param usage: Returns the usage of all client accounts as JSON.
     :param registry: Registry of the exported metrics.
     :param limits: ``[limits]`` section of the settings.
@@ -86,6 +87,7 @@
     services: ServiceDispatch
     declarations: Callable[[], Declarations | None]
     status: Callable[[], HostStatus]
+    is_leaving: Callable[[], bool]
     usage: Callable[[], bytes]
     registry: CollectorRegistry
     limits: LimitsSection
@@ -158,6 +160,8 @@
             if problem is None:
                 account = await self._authenticate(request)
                 problem = _UNAUTHORIZED if account is None else None
+                # A shutdown that began meanwhile no longer waits for this request.
+                problem = _STOPPING if self._context.is_leaving() else problem
             if problem is None and account is not None:
                 problem = self._context.admission.admit(account=account)
             if problem is not None or account is None:
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -148,6 +148,7 @@
             services=_make_services(clock, rng, gate, session),
             declarations=lambda: declarations,
             status=lambda: msgspec.structs.replace(status, leaving=leaving.is_set()),
+            is_leaving=leaving.is_set,
             usage=lambda: b"{}",
             registry=CollectorRegistry(),
             limits=LimitsSection(body_bytes=BODY_LIMIT),
