Show that a stopping daemon keeps its callers' connections open

A response of a stopping host, refusal or answer, doesn't tell its caller to leave the connection, so the caller's next request goes to the same host and may arrive when the teardown closes the connection.

Seen, four of four: "AssertionError: assert None == 'close'".

--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -238,6 +238,34 @@
     assert _decode_problem(body).execution == "not-executed"
 
 
+# Guards against callers that keep sending requests on a connection to a stopping host.
+@pytest.mark.parametrize("path", ["/v1/completions", "/services/bookings/x", "/nowhere"])
+async def test_connection_is_closed_after_a_refusal_when_the_host_stops(
+    host: Host, path: str
+) -> None:
+    host.leaving.set()
+    async with host.client.post(path, json=BODY, headers=KEYS["north"]) as response:
+        assert response.status in {404, 503}
+        assert response.headers.get("Connection") == "close"
+        assert _decode_problem(await response.read()).execution == "not-executed"
+
+
+# Guards against callers that send their next request to a host that stopped during the last one.
+async def test_connection_is_closed_after_an_answer_when_the_host_stops_during_it(
+    host: Host,
+) -> None:
+    body = {**BODY, "stream": False}
+    call = asyncio.create_task(
+        host.client.post("/v1/completions", json=body, headers=KEYS["north"])
+    )
+    while not host.engine.executed:
+        await asyncio.sleep(0.001)
+    host.leaving.set()
+    async with await call as response:
+        assert response.status == 200
+        assert response.headers.get("Connection") == "close"
+
+
 async def test_answer_is_a_single_response_when_streaming_is_not_requested(host: Host) -> None:
     body = {**BODY, "stream": False}
     async with host.client.post("/v1/completions", json=body, headers=KEYS["north"]) as response:
