Close each connection of a stopping daemon after its response

Cause: nothing in the caller interface marked a response of a stopping host as the last one of its connection.

Callers with open connections were refused on them again and again, and a request sent just as the teardown began found its connection closed with no answer.

While the host is in a graceful shutdown, each response, refusal or answer, carries "Connection: close" and ends its connection, so the next request goes to another host. A stream whose header was sent before the shutdown ends its connection as well, without the header. Idle connections are still closed only by the teardown.

--- a/src/tanagerscale/entry/_app.py
+++ b/src/tanagerscale/entry/_app.py
@@ -115,7 +115,8 @@
     def application(self) -> web.Application:
         """Return the aiohttp application with all routes."""
         app = web.Application(
-            client_max_size=self._context.limits.body_bytes, middlewares=[_convert_errors]
+            client_max_size=self._context.limits.body_bytes,
+            middlewares=[self._close_when_leaving, _convert_errors],
         )
         app.on_response_prepare.append(self._on_response_prepare)
         app.router.add_post("/v1/completions", self._with_admission(self._complete))
@@ -133,6 +134,21 @@
         app.router.add_get("/metrics", self._metrics)
         return app
 
+    @web.middleware
+    async def _close_when_leaving(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        """Close the connection after each response of a stopping host.
+
+        The next request on an open connection could arrive when the host closes it.
+        """
+        response = await handler(request)
+        if self._context.is_leaving():
+            response.force_close()
+        return response
+
     async def _on_response_prepare(
         self, request: web.Request, _response: web.StreamResponse
     ) -> None:
