Say that a call was not run when a stopping daemon interrupts its claim

Cause: the interruption of requests at the end of the grace period reported each call whose body was read as one that may have run, also while it waited for its claim. Before the interruption existed, the store's timeout answered such a call as not executed.

Callers would have been told to ask the service about a call that was certainly not sent.

A claim that is cancelled is released and raises ClaimCancelled, so the interrupted request is answered as not executed, like one whose claim the store refuses. A repeat that waits for another call with its key still gets unknown.

Before, test_call_is_answered_and_not_run_when_the_grace_period_ends_before_its_claim failed with "AssertionError: assert 'unknown' == 'not-executed'".

--- a/src/tanagerscale/claims/__init__.py
+++ b/src/tanagerscale/claims/__init__.py
@@ -8,10 +8,19 @@
 from __future__ import annotations
 
 from tanagerscale.claims._claims import Claims
+from tanagerscale.claims._types import ClaimCancelled
 from tanagerscale.claims._types import ClaimKey
 from tanagerscale.claims._types import ClaimOutcome
 from tanagerscale.claims._types import Granted
 from tanagerscale.claims._types import InProgress
 from tanagerscale.claims._types import Recorded
 
-__all__ = ["ClaimKey", "ClaimOutcome", "Claims", "Granted", "InProgress", "Recorded"]
+__all__ = [
+    "ClaimCancelled",
+    "ClaimKey",
+    "ClaimOutcome",
+    "Claims",
+    "Granted",
+    "InProgress",
+    "Recorded",
+]
--- a/src/tanagerscale/claims/_claims.py
+++ b/src/tanagerscale/claims/_claims.py
@@ -28,6 +28,7 @@
 from tanagerscale.claims._records import decode_record
 from tanagerscale.claims._records import to_outcome
 from tanagerscale.claims._records import to_record
+from tanagerscale.claims._types import ClaimCancelled
 from tanagerscale.claims._types import ClaimKey
 from tanagerscale.claims._types import ClaimOutcome
 from tanagerscale.claims._types import Granted
@@ -196,9 +197,11 @@
         self._calls.begin(key=key, request_digest=request_digest, nonce=nonce)
         try:
             result = await self._acquire(attempt)
-        except BaseException:
+        except BaseException as error:
             self._release(attempt)
             self._calls.end(key=key, repeat_result=Failure(self._call_not_run()))
+            if isinstance(error, asyncio.CancelledError):
+                raise ClaimCancelled from error
             raise
         if isinstance(result, Success) and isinstance(granted := result.unwrap(), Granted):
             return self._check_age(granted)
--- a/src/tanagerscale/claims/_types.py
+++ b/src/tanagerscale/claims/_types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 
 from msgspec import Struct
@@ -19,6 +20,10 @@
 LENGTH_PREFIX_BYTES = 4
 
 
+class ClaimCancelled(asyncio.CancelledError):
+    """A claim was cancelled and released before its call could be sent."""
+
+
 class ClaimKey(Struct, frozen=True, kw_only=True):
     """Identifies one call that is not idempotent.
 
--- a/src/tanagerscale/entry/_app.py
+++ b/src/tanagerscale/entry/_app.py
@@ -28,6 +28,7 @@
 from tanagerscale.entry._completions import CompletionHandlers
 from tanagerscale.entry._limits import AccountLimiter
 from tanagerscale.entry._problems import problem_response
+from tanagerscale.entry._running import Interruption
 from tanagerscale.entry._running import RunningRequests
 from tanagerscale.generated.callers import HostStatus
 from tanagerscale.generated.settings import LimitsSection
@@ -189,11 +190,10 @@
                 )
             finally:
                 self._context.admission.release(account=account)
-            if response is not None:
+            if not isinstance(response, Interruption):
                 return response
-            # Nothing runs before the body has been read completely.
             problem = interruption or _COMPLETION_INTERRUPTED
-            if not request.content.is_eof():
+            if response is Interruption.NOT_EXECUTED:
                 problem = replace(_STOPPING, execution=refusal_execution)
             return problem_response(problem=problem, request_id=new_id(prefix="req"))
 
--- a/testing/test_daemon_shutdown.py
+++ b/testing/test_daemon_shutdown.py
@@ -167,6 +167,7 @@
     stop = asyncio.create_task(cluster.hosts["host-1"].stop())
     refused = await call
     assert isinstance(refused, ProblemDetails)
+    assert refused.execution == "not-executed"
     await cluster.post(cluster.store, "/admin/fault", Fault())
     assert await stop == 0
     other = cluster.caller_url("host-2")
