--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -141,12 +141,11 @@
         try:
             await asyncio.wait_for(self._request_admission.wait_idle(), grace_s)
         except TimeoutError:
-            _log.warning(
-                "Stop grace period exceeded; handing running streams over to other hosts by cursor."
-            )
+            _log.warning("Stop grace period exceeded; interrupting the remaining requests.")
             self._canceller.disable_delayed_cancellations()
         await self._controllers.stop()
         await self._services.drain()
+        self._caller_api.interrupt()
         await self._runner.cleanup()
         await self._canceller.drain()
         await self._drain_claims()
@@ -158,8 +157,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._host_list.stop()
         await self._mesh.stop()
-        await self._session.close()
-        await self._service_session.close()
+        await asyncio.gather(self._session.close(), self._service_session.close())
         await self._store.close()
 
     async def _drain_claims(self) -> None:
@@ -330,6 +328,7 @@
                 services=self._services,
                 declarations=self._declarations,
                 status=self._build_status,
+                is_leaving=lambda: self._leaving,
                 usage=lambda: msgspec.json.encode(self._meter.usage()),
                 registry=registry,
                 limits=self._settings.limits,
@@ -338,8 +337,9 @@
 
     async def _serve_callers(self) -> str:
         limits = self._settings.limits
+        self._caller_api = self._build_caller_api()
         self._runner = web.AppRunner(
-            self._build_caller_api().application(),
+            self._caller_api.application(),
             handler_cancellation=True,
             access_log=None,
             max_field_size=limits.header_bytes,
