--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -135,6 +135,8 @@
         self.behavior = UpstreamBehavior.NORMAL
         self.address = ""
         self.leaving = False
+        self.says_leaving = False
+        """Whether each answer says that the upstream leaves; it still serves all requests."""
         self.copy_capacity = copy_capacity
         self._ledger = ledger
         self._event_ms = event_ms
@@ -172,6 +174,15 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if isinstance(request.transport, asyncio.Transport):
             self._transports.add(request.transport)
+        response = await self._respond(request)
+        if not response.prepared:
+            response.headers.update(self._notice_headers())
+        return response
+
+    def _notice_headers(self) -> dict[str, str]:
+        return {"Server-Leaving": "1"} if self.says_leaving else {}
+
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         match request.method, request.path:
             case "GET", "/v1/report":
                 return self._report()
@@ -257,6 +268,7 @@
         )
         response.enable_chunked_encoding()
         await asyncio.sleep(self._event_ms / MS_PER_S)
+        response.headers.update(self._notice_headers())
         await response.prepare(request)
         while run.events_sent < run.length:
             if run.stopped:
