Send nothing new to an upstream whose answers say that it leaves

Cause: what an upstream says of itself was read only from its store entry, its report and a 421. The field of its answers that says so was passed on to callers unread. And where the host knew from a report, the next revision of the entry reopened the upstream: the gate compares revisions, and a notice without one took the newest revision known. While the store is away or slow the entry says ready for many seconds after the upstream has said otherwise.

What callers saw: calls were answered by an engine 2.3 s after this host had passed on an answer that says the engine leaves; they are lost when the engine ends.

Change: heads of all responses, of requests and of control calls, are decoded into an UpstreamNotice in the platform package and published by its client. Responses to other requests, of another incarnation and with status 421 are left out. The gate closes the upstream at once and tells the peers; such a notice outranks every store revision, so only another UpstreamId, which is another start, takes requests. An upstream that does not tell its start is believed again ten minutes after its last such answer. An engine's report that says so now counts the same. Paths that could still have sent something: a placement by a decider that does not know yet (Admission checks and asks again), an upstream that leaves while a permit is awaited, and a move order to a leaving target. Resuming a stopped run at its copy stays allowed: the copy was made before the notice, so its request is older. PlatformResponse.is_leaving meant that the connection closes; it is called closes_connection now.

Why it works: the notice is handled in the same step that reads the head, before the caller gets a byte of the answer.

--- a/src/tanagerscale/coordination/_context.py
+++ b/src/tanagerscale/coordination/_context.py
@@ -59,8 +59,8 @@
     def is_broken(self, upstream: UpstreamId) -> bool:
         """Return whether calls to an upstream failed and the next probe is not due yet."""
 
-    def record_leaving(self, *, upstream: UpstreamId) -> None:
-        """Record that an upstream reports that it is leaving."""
+    def record_own_notice(self, *, upstream: UpstreamId) -> None:
+        """Record that an upstream itself says that it is leaving."""
 
     def record_gone(self, *, upstream: UpstreamId) -> None:
         """Record that the address of an upstream now belongs to another one."""
--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -210,7 +210,7 @@
         self.departures.record_notice(upstream)
         if in_ms is not None:
             self.departures.set_departure(upstream, in_ms=in_ms - REPORT_LAG_MS)
-        self._context.gate.record_leaving(upstream=upstream)
+        self._context.gate.record_own_notice(upstream=upstream)
 
     def _engines_in_use(self) -> list[UpstreamId]:
         """Return the engines with runs of the hosts that this host decides for."""
--- a/src/tanagerscale/forwarding/_admission.py
+++ b/src/tanagerscale/forwarding/_admission.py
@@ -32,7 +32,9 @@
 but is not known to this host yet. The decider may receive a new engine some milliseconds
 earlier."""
 
+UNKNOWN_REASON: Final = "it is not known here"
 EVACUATED_REASON: Final = "its failure domain is evacuated"
+LEAVING_REASON: Final = "it is leaving"
 
 _log = get_logger(part="admission")
 
@@ -77,7 +79,8 @@
                 return Failure(no_capacity(service=routed.service, rng=self._context.rng))
             upstream = UpstreamId(answer.upstream)
             entry = await self._wait_for_entry(upstream)
-            if entry is not None and not self._context.upstreams.is_evacuated(upstream):
+            obstacle = self._find_obstacle(upstream)
+            if entry is not None and not obstacle:
                 self._reserve(routed, entry)
                 self._log(
                     "An engine is given.",
@@ -90,7 +93,7 @@
                 "The placed engine can't be used.",
                 routed,
                 upstream=upstream,
-                reason="it is not known here" if entry is None else EVACUATED_REASON,
+                reason=obstacle or UNKNOWN_REASON,
             )
             tried.add(upstream)
 
@@ -109,6 +112,15 @@
             domains=sorted(routed.domains),
         )
 
+    def _find_obstacle(self, upstream: UpstreamId) -> str:
+        """Return why a placed engine must get no request; the empty string if it may get one.
+
+        The host that placed the generation may not know yet what this host knows.
+        """
+        if self._context.upstreams.is_evacuated(upstream):
+            return EVACUATED_REASON
+        return LEAVING_REASON if self._context.gate.is_leaving(upstream) else ""
+
     async def _wait_for_entry(self, upstream: UpstreamId) -> UpstreamEntry | None:
         """Return the entry of an engine, polling for it for a short time if it is unknown."""
         for _ in range(MAX_ENTRY_POLLS):
--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -126,7 +126,7 @@
             return
         report = reported.unwrap()
         if report.is_leaving:
-            self._context.gate.record_leaving(upstream=entry.upstream)
+            self._context.gate.record_own_notice(upstream=entry.upstream)
         _log.info(
             "An engine has no room.",
             upstream=entry.upstream,
--- a/src/tanagerscale/forwarding/_mover.py
+++ b/src/tanagerscale/forwarding/_mover.py
@@ -159,6 +159,10 @@
             return "the run is being copied"
         if order.kind is not MoveKind.DROP and self._get_entry(order) is None:
             return "the target is not known here"
+        if order.kind is not MoveKind.DROP and self._context.gate.is_leaving(
+            UpstreamId(order.target)
+        ):
+            return "the target is leaving"
         if order.kind is MoveKind.DROP and run.snapshot is None:
             return "there is no copy"
         return ""
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -150,10 +150,10 @@
         """Return the upstream for the next attempt; a warming one requires a decider's permit."""
         denied: set[UpstreamId] = set()
         while (entry := self._choose(denied)) is not None:
-            is_warming = self._context.warmup.is_warming(entry)
-            if not is_warming or await self._context.warmup_permits.may_send(
-                upstream=entry.upstream
-            ):
+            if not self._context.warmup.is_warming(entry):
+                return entry
+            is_permitted = await self._context.warmup_permits.may_send(upstream=entry.upstream)
+            if is_permitted and not self._context.gate.is_leaving(entry.upstream):
                 return entry
             denied.add(entry.upstream)
         return None
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -120,7 +120,7 @@
 
         Some engines that are not leaving close connections as well.
         """
-        return self._segment is not None and self._segment.response.is_leaving
+        return self._segment is not None and self._segment.response.closes_connection
 
     @property
     def begun(self) -> bool:
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -236,8 +236,8 @@
         """Whether the address now belongs to another upstream."""
 
     @property
-    def is_leaving(self) -> bool:
-        """Whether the response indicates that the upstream may be leaving."""
+    def closes_connection(self) -> bool:
+        """Whether the upstream closes the connection after the response."""
 
     async def read_some(self) -> bytes:
         """Return the next bytes of the body, or empty bytes after its proper end.
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -51,6 +51,7 @@
 from tanagerscale.membership import UpstreamRoster
 from tanagerscale.quarantine import SuspectTracker
 from tanagerscale.routes import RouteTable
+from tanagerscale.upstreams import UpstreamNotice
 
 WATCH_GRACE_MS: Final = 150
 """How long a host notified of a newer configuration waits for its own watch to deliver it."""
@@ -306,6 +307,7 @@
         self.evacuations.changes.subscribe(lambda _: self.coordinator.reevaluate())
         self.roster.is_current_changes.subscribe(self.coordinator.on_store_current_changed)
         self._work.changes.subscribe(lambda _: self.client.schedule_report())
+        self._platform.upstreams.notices.subscribe(self._on_notice)
 
     def _heartbeat(self) -> Heartbeat:
         return Heartbeat(
@@ -319,6 +321,11 @@
     def _send(self, host: HostId, message: Message) -> bool:
         return self._messages.send(host, message)
 
+    def _on_notice(self, notice: UpstreamNotice) -> None:
+        # The gate keeps nothing of upstreams that have been gone for long.
+        if notice.is_leaving and self.roster.get(notice.upstream) is not None:
+            self.gate.record_own_notice(upstream=notice.upstream)
+
     def _on_table(self, table: RouteTable | None) -> None:
         if table is not None:
             self._head_replicator.announce(revision=table.version, digest="")
--- a/src/tanagerscale/gateway/_platform.py
+++ b/src/tanagerscale/gateway/_platform.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 from msgspec import Struct
+from reactivex import Observable
 from returns.result import Result
 
 from tanagerscale.core import FailureDomainId
@@ -23,6 +24,7 @@
 from tanagerscale.routes import Configuration
 from tanagerscale.store import Store
 from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamNotice
 
 RequestHandler = Callable[[CallerRequest, Responder], Awaitable[None]]
 
@@ -30,6 +32,10 @@
 class PlatformUpstreamClient(UpstreamClient, EngineControl, Protocol):
     """Client that sends requests to upstreams and controls the runs on engines."""
 
+    @property
+    def notices(self) -> Observable[UpstreamNotice]:
+        """Emits what upstreams say of themselves in their responses."""
+
     def forget(self, *, upstream: UpstreamEntry) -> None:
         """Close the idle connections to an incarnation of an upstream that has ended."""
 
--- a/src/tanagerscale/membership/_gate.py
+++ b/src/tanagerscale/membership/_gate.py
@@ -31,6 +31,10 @@
 """How long a leaving notice holds if the host list has no incarnations; must exceed the lag of the
 list."""
 
+_OWN_NOTICE = 2**63 - 1
+"""Incarnation in the leaving notice that an upstream itself gave. It outranks any incarnation under
+which the entry of the upstream is rewritten."""
+
 log = get_logger(part="gate")
 
 
@@ -53,7 +57,8 @@
 
     The host list, a refusal by the upstream itself or a message from a peer each suffice to close
     an upstream. The first of these notices is broadcast to the peers. Only a newer incarnation
-    reopens the upstream, so that a lagging host list does not.
+    reopens the upstream, so that a lagging host list does not. An upstream that has
+    itself said that it is leaving stays closed if its id stands for one incarnation.
 
     :param clock: Source of the current time.
     :param rng: Random number generator used to add jitter to the probes of a failed upstream.
@@ -129,10 +134,35 @@
         self._leaving_incarnations[upstream] = leaving_incarnation
         if leaving_incarnation == 0:
             self._schedule_change(upstream, delay_ms=_LEAVING_TTL_MS)
-        log.info("Upstream is leaving.", upstream=upstream, incarnation=leaving_incarnation)
+        log.info(
+            "Upstream is leaving.",
+            upstream=upstream,
+            incarnation=leaving_incarnation,
+            is_own_notice=leaving_incarnation == _OWN_NOTICE,
+        )
         self._broadcast(UpstreamLeaving(upstream=upstream, incarnation=leaving_incarnation))
         self._changes.on_next(upstream)
 
+    def record_own_notice(self, *, upstream: UpstreamId) -> None:
+        """Close an upstream for good because it says itself that it is leaving.
+
+        Its entry may be rewritten or applied late and does not reopen it.
+
+        :param upstream: The upstream; the id must stand for one incarnation only.
+        """
+        self.record_leaving(upstream=upstream, incarnation=_OWN_NOTICE)
+        self._leaving_noted_at[upstream] = self._clock.now()
+
+    def expire_own_notice(self, *, upstream: UpstreamId) -> None:
+        """Delete an upstream's own notice that is so old that the upstream has restarted since.
+
+        :param upstream: An upstream whose restarts do not change its id.
+        """
+        is_own = self._leaving_incarnations.get(upstream) == _OWN_NOTICE
+        if is_own and not self._is_leaving_recent(upstream):
+            del self._leaving_incarnations[upstream]
+            self._changes.on_next(upstream)
+
     def record_incarnation(self, *, upstream: UpstreamId, incarnation: int) -> None:
         """Record an incarnation of an upstream that accepts new requests.
 
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -9,7 +9,6 @@
 from typing import Final
 from typing import final
 
-from msgspec import Struct
 from reactivex import Observable
 from reactivex.subject import Subject
 from returns.result import Failure
@@ -24,6 +23,7 @@
 from tanagerscale.core import get_logger
 from tanagerscale.membership._evacuations import Evacuations
 from tanagerscale.membership._gate import UpstreamGate
+from tanagerscale.membership._roster_records import UpstreamRecord
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
@@ -62,23 +62,6 @@
 DecodeEntry = Callable[[str, bytes], Result[UpstreamEntry, str]]
 
 
-class _UpstreamRecord(Struct, kw_only=True):
-    """State of one incarnation of an upstream.
-
-    :param entry: Its latest entry.
-    :param revision: Store revision of that entry.
-    :param warmup_until: When its warm-up ends.
-    :param missing_since: Since when its entry is missing or unreadable; ``None`` if it is neither.
-    :param is_readable: Whether the entry in the store could be decoded.
-    """
-
-    entry: UpstreamEntry
-    revision: StoreRevision
-    warmup_until: Millis
-    missing_since: Millis | None = None
-    is_readable: bool = True
-
-
 @final
 class UpstreamRoster:
     """Tracks the entries of upstreams in the store and reports leaving upstreams to the gate.
@@ -104,7 +87,7 @@
         self._decode = decode
         self._parse_upstream_name = parse_upstream_name
         self._clock = clock
-        self._records: dict[UpstreamId, _UpstreamRecord] = {}
+        self._records: dict[UpstreamId, UpstreamRecord] = {}
         self._current: dict[UpstreamName, UpstreamId] = {}
         self._written_revisions: dict[UpstreamName, StoreRevision] = {}
         self._is_store_unavailable = True
@@ -275,12 +258,14 @@
         if entry.state is UpstreamState.LEAVING:
             self._gate.record_leaving(upstream=entry.upstream, incarnation=revision)
         else:
-            # A rewritten entry reopens the upstream, whatever was reported before.
+            if not entry.started_ms:
+                self._gate.expire_own_notice(upstream=entry.upstream)
+            # A rewritten entry reopens the upstream, unless it has itself said that it leaves.
             self._gate.record_incarnation(upstream=entry.upstream, incarnation=revision)
         self._changes.on_next(entry.upstream)
 
     def _update(
-        self, record: _UpstreamRecord, entry: UpstreamEntry, revision: StoreRevision
+        self, record: UpstreamRecord, entry: UpstreamEntry, revision: StoreRevision
     ) -> None:
         """Update a record; reading the same revision again does not restart the warm-up time."""
         if revision != record.revision:
@@ -293,12 +278,12 @@
     def _compute_warmup_until(self, entry: UpstreamEntry) -> Millis:
         return Millis(self._clock.now() + entry.warmup_ms)
 
-    def _get_current(self, name: UpstreamName) -> _UpstreamRecord | None:
+    def _get_current(self, name: UpstreamName) -> UpstreamRecord | None:
         upstream = self._current.get(name)
         return None if upstream is None else self._records.get(upstream)
 
     def _add(self, entry: UpstreamEntry, revision: StoreRevision) -> None:
-        self._records[entry.upstream] = _UpstreamRecord(
+        self._records[entry.upstream] = UpstreamRecord(
             entry=entry, revision=revision, warmup_until=self._compute_warmup_until(entry)
         )
         self._current[entry.name] = entry.upstream
@@ -311,7 +296,7 @@
             revision=revision,
         )
 
-    def _retire(self, record: _UpstreamRecord, revision: StoreRevision) -> None:
+    def _retire(self, record: UpstreamRecord, revision: StoreRevision) -> None:
         """Mark an earlier incarnation as gone; the restarted upstream runs none of its requests."""
         _log.info("Upstream restarted.", upstream=record.entry.upstream, revision=revision)
         record.missing_since = self._clock.now()
@@ -363,7 +348,7 @@
             self._mark_gone_later(record, revision, wait_ms)
 
     def _mark_gone_later(
-        self, record: _UpstreamRecord, revision: StoreRevision, wait_ms: int
+        self, record: UpstreamRecord, revision: StoreRevision, wait_ms: int
     ) -> None:
         upstream = record.entry.upstream
         _log.info(
--- a/src/tanagerscale/platform/_engines.py
+++ b/src/tanagerscale/platform/_engines.py
@@ -8,6 +8,8 @@
 from typing import final
 
 import msgspec
+from reactivex import Observable
+from reactivex.subject import Subject
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -29,6 +31,7 @@
 from tanagerscale.platform._headers import REQUEST_ID
 from tanagerscale.platform._headers import TIME_LEFT
 from tanagerscale.platform._headers import forwarded_response_headers
+from tanagerscale.platform._notices import decode_notice
 from tanagerscale.platform._wire import WireMove
 from tanagerscale.platform._wire import WireMoved
 from tanagerscale.platform._wire import WireReport
@@ -40,6 +43,7 @@
 from tanagerscale.upstreams import ResponseHead
 from tanagerscale.upstreams import RunState
 from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamNotice
 
 _log = get_logger(part="engines")
 
@@ -106,8 +110,8 @@
         return self._reply.status == HTTP_MISDIRECTED
 
     @property
-    def is_leaving(self) -> bool:
-        """Whether the upstream may be about to leave."""
+    def closes_connection(self) -> bool:
+        """Whether the upstream closes the connection after the response."""
         return not self._reply.keep_alive
 
     async def read_some(self) -> bytes:
@@ -146,6 +150,12 @@
 
     def __init__(self, *, pool: ConnectionPool) -> None:
         self._pool = pool
+        self._notices: Subject[UpstreamNotice] = Subject()
+
+    @property
+    def notices(self) -> Observable[UpstreamNotice]:
+        """Emits what upstreams say of themselves in their responses."""
+        return self._notices
 
     async def send(self, *, upstream_request: UpstreamRequest) -> PlatformResponse:
         """Send a request and wait for the head of its response."""
@@ -160,6 +170,7 @@
         except BaseException:
             connection.close()
             raise
+        self._publish_notice(upstream_request.upstream, reply, request.request)
         return PlatformResponse(
             reply=reply, connection=connection, pool=self._pool, address=address
         )
@@ -183,17 +194,18 @@
         order = WireMove(id=request, to=target.address, last=stop)
         body = msgspec.json.encode(order)
         try:
-            status, content = await self._call("POST", source.address, "/v1/kv-move", body)
+            reply, content = await self._call("POST", source.address, "/v1/kv-move", body)
         except (ExchangeError, TimeoutError) as error:
             copy_error = CopyError(failure=CopyFailure.LOST, detail=type(error).__name__)
             return Failure(copy_error)
+        self._publish_notice(source, reply)
         moved = _decode_copy_answer(content)
-        if status == HTTP_OK and moved.handle:
+        if reply.status == HTTP_OK and moved.handle:
             return Success(RunCopy(copy=moved.handle, events=moved.created_rev))
         return Failure(
             CopyError(
-                failure=_COPY_FAILURES.get(status, CopyFailure.LOST),
-                detail=f"the engine responded with status {status}",
+                failure=_COPY_FAILURES.get(reply.status, CopyFailure.LOST),
+                detail=f"the engine responded with status {reply.status}",
                 retained_copy=moved.handle or None,
             )
         )
@@ -201,14 +213,15 @@
     async def report(self, *, upstream: UpstreamEntry) -> Result[EngineReport, str]:
         """Return an engine's report of its load and its runs."""
         try:
-            status, content = await self._call("GET", upstream.address, "/v1/report", b"")
+            reply, content = await self._call("GET", upstream.address, "/v1/report", b"")
             report = msgspec.json.decode(content, type=WireReport)
         except (ExchangeError, TimeoutError, msgspec.DecodeError, UnicodeDecodeError) as error:
             return Failure(f"The engine sent no report ({type(error).__name__}); try again later.")
-        if status != HTTP_OK:
-            return Failure(f"The engine responded with status {status}; try again later.")
         if _is_other_incarnation(upstream, report):
             return Failure("Another incarnation of the engine answered; use its newest entry.")
+        self._publish_notice(upstream, reply)
+        if reply.status != HTTP_OK:
+            return Failure(f"The engine responded with status {reply.status}; try again later.")
         return _to_report(upstream, report)
 
     def forget(self, *, upstream: UpstreamEntry) -> None:
@@ -218,14 +231,33 @@
     async def drop_copy(self, *, holder: UpstreamEntry, copy: str) -> None:
         """Free a copy that will not be used."""
         try:
-            await self._call("DELETE", holder.address, f"/v1/kv-handle/{copy}", b"")
+            reply, _ = await self._call("DELETE", holder.address, f"/v1/kv-handle/{copy}", b"")
+            self._publish_notice(holder, reply)
         except (ExchangeError, TimeoutError):
             _log.info(
                 "A copy could not be freed; the engine will expire it.", upstream=holder.upstream
             )
 
-    async def _call(self, method: str, address: str, target: str, body: bytes) -> tuple[int, bytes]:
-        """Make one control call to an engine and return the status and body of its response."""
+    def _publish_notice(
+        self, upstream: UpstreamEntry, reply: ResponseHead, request: str = ""
+    ) -> None:
+        """Publish what a response says of its upstream, unless it belongs to something else.
+
+        :param upstream: The upstream that was asked.
+        :param reply: Head of the response.
+        :param request: Id of the request; empty for a control call, which has none.
+        """
+        is_stray = reply.headers.get(REQUEST_ID, request) != request
+        if is_stray or reply.status == HTTP_MISDIRECTED:
+            return
+        notice = decode_notice(upstream=upstream.upstream, reply=reply)
+        if notice is not None:
+            self._notices.on_next(notice)
+
+    async def _call(
+        self, method: str, address: str, target: str, body: bytes
+    ) -> tuple[ResponseHead, bytes]:
+        """Make one control call to an engine and return the head and body of its response."""
         lines = [f"{method} {target} HTTP/1.1", f"Host: {address}"]
         if method == "POST":
             lines += ["Content-Type: application/json", f"Content-Length: {len(body)}"]
@@ -240,7 +272,7 @@
             connection.close()
             raise
         self._pool.release(address=address, connection=connection, response=reply)
-        return reply.status, content
+        return reply, content
 
 
 def _decode_copy_answer(content: bytes) -> WireMoved:
--- a/src/tanagerscale/upstreams/__init__.py
+++ b/src/tanagerscale/upstreams/__init__.py
@@ -13,6 +13,7 @@
 from tanagerscale.upstreams._http_service import HttpServiceClient
 from tanagerscale.upstreams._http_service import ServiceCall
 from tanagerscale.upstreams._http_service import ServiceResponse
+from tanagerscale.upstreams._notices import UpstreamNotice
 from tanagerscale.upstreams._pool import ConnectionPool
 from tanagerscale.upstreams._protocol import EngineClient
 from tanagerscale.upstreams._protocol import TokenBatches
@@ -39,5 +40,6 @@
     "UpstreamEntry",
     "UpstreamError",
     "UpstreamErrorKind",
+    "UpstreamNotice",
     "UpstreamState",
 ]
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -139,7 +139,7 @@
         """Whether each answer says that the upstream leaves; it still serves all requests."""
         self.copy_capacity = copy_capacity
         self._ledger = ledger
-        self._event_ms = event_ms
+        self.event_ms = event_ms
         self._events = events
         self._copy_ms = copy_ms
         self._runs: dict[str, _Run] = {}
@@ -267,7 +267,7 @@
             headers={**identity_headers, "Content-Type": "text/event-stream"}
         )
         response.enable_chunked_encoding()
-        await asyncio.sleep(self._event_ms / MS_PER_S)
+        await asyncio.sleep(self.event_ms / MS_PER_S)
         response.headers.update(self._notice_headers())
         await response.prepare(request)
         while run.events_sent < run.length:
@@ -275,7 +275,7 @@
                 _abort(request)
             run.events_sent += 1
             await response.write(event_bytes(run.request, run.generation, run.events_sent))
-            await asyncio.sleep(self._event_ms / MS_PER_S)
+            await asyncio.sleep(self.event_ms / MS_PER_S)
         await response.write_eof()
         return response
 
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -194,7 +194,7 @@
     chunks: list[bytes | None] = field(default_factory=lambda: [b"answer"])
     not_executed: bool = False
     is_address_reassigned: bool = False
-    is_leaving: bool = False
+    closes_connection: bool = False
     reason: str = "OK"
     headers: Sequence[Header] = (("X", "1"),)
     pause_ms: int = 0
@@ -381,7 +381,7 @@
         """Return whether an upstream was marked down."""
         return upstream in self.down
 
-    def record_leaving(self, *, upstream: UpstreamId) -> None:
+    def record_own_notice(self, *, upstream: UpstreamId) -> None:
         """Mark an upstream as leaving and notify the listener."""
         if upstream not in self.leaving:
             self.leaving.add(upstream)
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -8,6 +8,8 @@
 from dataclasses import field
 from random import Random
 
+from reactivex import Observable
+from reactivex import never
 from returns.result import Result
 from returns.result import Success
 
@@ -39,6 +41,7 @@
 from tanagerscale.store import LeaseId
 from tanagerscale.store import StoreRevision
 from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamNotice
 from tanagerscale.upstreams import UpstreamState
 from testing._fake_store import FakeBackend
 from testing._fake_store import FakeStore
@@ -63,6 +66,11 @@
 class FakeUpstreamEdge(FakeEngines):
     """Engines that are only queried for reports and never receive requests."""
 
+    @property
+    def notices(self) -> Observable[UpstreamNotice]:
+        """Emit nothing, since there are no responses."""
+        return never()
+
     async def send(self, *, order: object) -> object:
         """Fail, since no requests are sent."""
         raise NotImplementedError
--- a/testing/test_forwarding_admission.py
+++ b/testing/test_forwarding_admission.py
@@ -15,6 +15,9 @@
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding._demand import MAX_LATE_WAIT_MS
 from tanagerscale.forwarding._demand import RESPONSE_RESERVE_MS
+from tanagerscale.generated.messages import PlaceAnswer
+from tanagerscale.generated.messages import PlaceAsk
+from tanagerscale.generated.messages import PlaceKind
 from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import UpstreamEntry
 from testing._gateway_fakes import GatewayFakes
@@ -64,6 +67,22 @@
     return asyncio.create_task(admission.find_engine(routed=routed, excluded=frozenset()))
 
 
+class FakePlacer:
+    """Decider that chooses the given engines one after another.
+
+    :param upstreams: The engines.
+    """
+
+    def __init__(self, *upstreams: str) -> None:
+        self.asks: list[PlaceAsk] = []
+        self._upstreams = list(upstreams)
+
+    async def place(self, *, ask: PlaceAsk) -> PlaceAnswer:
+        """Choose the next engine, whatever the ask excludes."""
+        self.asks.append(ask)
+        return PlaceAnswer(serial=0, kind=PlaceKind.SEND, upstream=self._upstreams.pop(0))
+
+
 def _make_admission() -> tuple[GatewayFakes, Admission]:
     fakes = make_gateway_fakes(make_entry("x"))
     return fakes, Admission(context=fakes.context, placer=fakes.single_host.client)
@@ -77,6 +96,19 @@
     assert run_virtually(scenario())
 
 
+# A decider that did not know yet that an engine leaves had requests sent to it.
+def test_generation_is_placed_again_when_this_host_knows_that_the_placed_engine_leaves() -> None:
+    async def scenario() -> None:
+        fakes = make_gateway_fakes(make_entry("x"), make_entry("y"))
+        placer = FakePlacer("x", "y")
+        fakes.upstreams.leaving.add("x")
+        found = await _find_engine(fakes, Admission(context=fakes.context, placer=placer), "1")
+        assert found.unwrap().upstream == "y"
+        assert [ask.excluded for ask in placer.asks] == [[], ["x"]]
+
+    run_virtually(scenario())
+
+
 def test_generation_gets_an_engine_when_another_generation_ends() -> None:
     async def scenario() -> tuple[bool, bool]:
         fakes, admission = _make_admission()
--- a/testing/test_forwarding_evacuation.py
+++ b/testing/test_forwarding_evacuation.py
@@ -12,6 +12,8 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import CopyFailure
 from tanagerscale.forwarding._mover import RECOVERY_STOP_TIMEOUT_MS
+from tanagerscale.generated.messages import MoveKind
+from tanagerscale.generated.messages import MoveOrder
 from testing._gateway_fakes import copy_failure
 from testing._move_harness import MoveHarness
 from testing._virtual_time import run_virtually
@@ -161,6 +163,20 @@
     run_virtually(scenario())
 
 
+def test_move_order_is_rejected_when_its_target_leaves() -> None:
+    async def scenario() -> None:
+        harness = MoveHarness("x", "y")
+        run = harness.add("1", at="x")
+        harness.fakes.upstreams.leaving.add("y")
+        order = MoveOrder(
+            number=1, kind=MoveKind.LEAVE, request=run.request, source="x", target="y"
+        )
+        assert not await harness.movers.execute_order(order)
+        assert harness.fakes.engines.copies == []
+
+    run_virtually(scenario())
+
+
 def test_run_is_not_copied_when_its_engine_is_gone_too_soon() -> None:
     async def scenario() -> None:
         harness = MoveHarness("x", "y")
--- a/testing/test_forwarding_plain.py
+++ b/testing/test_forwarding_plain.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from copy import deepcopy
 
+from msgspec import structs
 import pytest
 
 from tanagerscale.core import UpstreamId
@@ -23,6 +24,7 @@
 from testing._gateway_fakes import make_gateway_fakes
 from testing._gateway_fakes import make_request
 from testing._gateway_fakes import make_route
+from testing._gateway_fakes import make_table
 from testing._gateway_fakes import route_request
 from testing._virtual_time import run_virtually
 
@@ -200,6 +202,26 @@
     assert fakes.upstreams.gone == ["x"]
 
 
+@pytest.mark.asyncio
+async def test_upstream_that_leaves_while_a_permit_is_awaited_gets_no_request() -> None:
+    class SlowPermits:
+        """Decider in whose answer time the upstream leaves."""
+
+        async def may_send(self, *, upstream: UpstreamId) -> bool:
+            fakes.upstreams.leaving.add(upstream)
+            return True
+
+    fakes = make_gateway_fakes(make_entry("x"))
+    fakes.tables.table = make_table(warmup_ms=60_000, warmup_requests_per_s=1.0)
+    fakes.upstreams.cold["x"] = 60_000
+    context = structs.replace(fakes.context, warmup_permits=SlowPermits())
+    routed = route_request(make_request(), make_route(kind=NON_IDEMPOTENT))
+    refusal = await PlainForwarder(routed=routed, context=context).serve(FakeResponder())
+    assert refusal is not None
+    assert refusal.kind is RefusalKind.OVERLOADED
+    assert fakes.upstream_client.asked == []
+
+
 @pytest.mark.asyncio
 async def test_upstream_with_the_fewest_requests_in_progress_is_chosen() -> None:
     fakes = make_gateway_fakes(make_entry("x"), make_entry("y"))
--- a/testing/test_many_hosts.py
+++ b/testing/test_many_hosts.py
@@ -205,6 +205,17 @@
     _run_with_fleet(scenario)
 
 
+def test_upstream_that_told_one_host_that_it_leaves_stays_closed_at_all_hosts() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.members[11].control.gate.record_own_notice(upstream=UpstreamId("e0"))
+        await asyncio.sleep(0.25)
+        fleet.set_engine("e0", state="ready")
+        await asyncio.sleep(0.5)
+        assert all(host.control.gate.is_leaving(UpstreamId("e0")) for host in fleet.hosts)
+
+    _run_with_fleet(scenario)
+
+
 def test_new_configuration_is_in_force_on_all_hosts_within_half_a_second() -> None:
     async def scenario(fleet: Fleet) -> None:
         fleet.write("op/config", "7")
--- a/testing/test_platform_decoding.py
+++ b/testing/test_platform_decoding.py
@@ -8,6 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 import msgspec
+from multidict import CIMultiDict
+from multidict import CIMultiDictProxy
 import pytest
 from returns.result import Failure
 from returns.result import Result
@@ -15,25 +17,31 @@
 
 from standins.platform_world import configuration
 from tanagerscale.core import ServiceId
+from tanagerscale.core import UpstreamId
 from tanagerscale.ini import check_address
 from tanagerscale.platform._configuration import decode_configuration
 from tanagerscale.platform._engines import _decode_copy_answer
 from tanagerscale.platform._headers import forwarded_request_headers
 from tanagerscale.platform._headers import forwarded_response_headers
+from tanagerscale.platform._notices import decode_notice
 from tanagerscale.platform._registry import decode_entry
 from tanagerscale.routes import RouteKind
+from tanagerscale.upstreams import ResponseHead
 from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamNotice
 from tanagerscale.upstreams import UpstreamState
 from testing._random_cases import random_case_settings
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCE = ROOT / "src" / "tanagerscale"
 PLATFORM_NAMES = re.compile(
-    r"Tanagerscale-|Kv-(From|Fetch)|kv-(move|txn|watch|range|key|lease|handle|pin|list|events)"
+    r"Tanagerscale-|Server-Leaving|Kv-(From|Fetch)"
+    r"|kv-(move|txn|watch|range|key|lease|handle|pin|list|events)"
     r"|pathPrefix|apiKeys|trafficSplit|coldRemaining|expectedRevision|createdRev|asOf|waitMs"
     r"|op/config|servers/|bounds\.|listen\.front"
 )
 MAX_LINES = 1500
+UPSTREAM = UpstreamId("upstream@1")
 
 
 def test_only_the_platform_package_contains_platform_names() -> None:
@@ -62,6 +70,26 @@
     assert importing == []
 
 
+def _make_reply(*fields: tuple[str, str], status: int = 200) -> ResponseHead:
+    headers = CIMultiDictProxy(CIMultiDict(fields))
+    return ResponseHead(
+        status=status, reason="", headers=headers, is_close_delimited=False, keep_alive=True
+    )
+
+
+@pytest.mark.parametrize("value", ["1", " 1 "])
+def test_upstream_leaves_when_its_response_says_so(value: str) -> None:
+    reply = _make_reply(("server-leaving", value))
+    assert decode_notice(upstream=UPSTREAM, reply=reply) == UpstreamNotice(
+        upstream=UPSTREAM, is_leaving=True
+    )
+
+
+@given(st.text().filter(lambda value: value.strip() != "1"))
+def test_upstream_does_not_leave_when_its_response_says_anything_else(value: str) -> None:
+    assert decode_notice(upstream=UPSTREAM, reply=_make_reply(("Server-Leaving", value))) is None
+
+
 def test_configuration_is_decoded_into_routes_services_and_accounts() -> None:
     decoded = decode_configuration(msgspec.json.encode(configuration(version=7))).unwrap()
     assert decoded.version == 7
--- a/testing/test_roster.py
+++ b/testing/test_roster.py
@@ -14,6 +14,7 @@
 from tanagerscale.membership import Evacuations
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.membership import UpstreamRoster
+from tanagerscale.membership._roster import GONE_RETENTION_MS
 from tanagerscale.membership._roster import MASS_EXPIRY_GRACE_MS
 from tanagerscale.membership._roster import OLDER_INCARNATION_DELAY_MS
 from tanagerscale.membership._roster import OUTAGE_GRACE_MS
@@ -31,6 +32,7 @@
 NAMES = ("a", "b", "c", "d", "e")
 MARGIN_MS = 10
 SETTLE_S = 30
+OWN_NOTICE_LAPSE_S = 601
 
 
 class RosterHarness:
@@ -231,6 +233,49 @@
     run_virtually(scenario())
 
 
+def test_upstream_that_said_it_leaves_reopens_only_when_it_restarts() -> None:
+    async def scenario() -> None:
+        harness = await _make_harness_with_start_times()
+        harness.gate.record_own_notice(upstream=UpstreamId("b1000"))
+        harness.write("b", state="leaving@1000")
+        harness.write("b", state="ready@1000")
+        assert harness.open_ids() == "a1000c1000d1000e1000"
+        assert "b1000" not in {entry.upstream for entry in harness.roster.not_leaving(SERVICE)}
+        await asyncio.sleep(OWN_NOTICE_LAPSE_S)
+        harness.write("b", state="ready@1000")
+        assert harness.open_ids() == "a1000c1000d1000e1000"
+        harness.write("b", state="ready@2000")
+        assert harness.open_ids() == "a1000b2000c1000d1000e1000"
+
+    run_virtually(scenario())
+
+
+def test_upstream_without_start_times_reopens_long_after_it_said_it_leaves() -> None:
+    async def scenario() -> None:
+        harness = await _make_settled_harness()
+        harness.gate.record_own_notice(upstream=UpstreamId("b"))
+        harness.write("b")
+        await asyncio.sleep(SETTLE_S)
+        harness.write("b")
+        assert harness.open_ids() == "acde"
+        await asyncio.sleep(OWN_NOTICE_LAPSE_S)
+        harness.write("b")
+        assert harness.open_ids() == "abcde"
+
+    run_virtually(scenario())
+
+
+def test_nothing_is_kept_of_what_an_upstream_said_when_the_upstream_is_long_gone() -> None:
+    async def scenario() -> None:
+        harness = await _make_settled_harness()
+        harness.gate.record_own_notice(upstream=UpstreamId("b"))
+        harness.delete("b")
+        await asyncio.sleep(GONE_RETENTION_MS / 1000 + SETTLE_S)
+        assert harness.gate.leaving_messages() == ()
+
+    run_virtually(scenario())
+
+
 def test_earlier_incarnation_is_gone_when_the_upstream_restarts() -> None:
     async def scenario() -> None:
         harness = await _make_harness_with_start_times()
