Add failing tests of upstreams that ask for a pause

Cause: an upstream that refuses a request with 503 may name a time in which it wants nothing from this host. Hosts read no such time. The upstream looks idle, since nothing of this host runs there, so it is chosen first each time.

What callers saw: requests went to a full engine, were refused and were sent once more elsewhere, which took from the retry budget of all hosts; where all engines were full, callers were told to come back long before any would take them.

Change: the stand-in for upstreams adds the pause to its refusals on request, and the cluster counts the requests that reach an upstream.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -137,6 +137,8 @@
         self.leaving = False
         self.says_leaving = False
         """Whether each answer says that the upstream leaves; it still serves all requests."""
+        self.refusal_pause_s: float | None = None
+        """Pause in seconds that the upstream asks for when it is full; ``None`` asks for none."""
         self.copy_capacity = copy_capacity
         self._ledger = ledger
         self.event_ms = event_ms
@@ -182,6 +184,12 @@
     def _notice_headers(self) -> dict[str, str]:
         return {"Server-Leaving": "1"} if self.says_leaving else {}
 
+    def _refusal_headers(self) -> dict[str, str]:
+        headers = {"Tanagerscale-Not-Executed": "1"}
+        if self.refusal_pause_s is not None:
+            headers["Retry-After"] = f"{self.refusal_pause_s:g}"
+        return headers
+
     async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         match request.method, request.path:
             case "GET", "/v1/report":
@@ -206,7 +214,7 @@
         if headers.get("Tanagerscale-Expect-Instance") not in (None, self.upstream):
             return web.Response(status=421)
         if self.behavior is UpstreamBehavior.FULL:
-            return web.Response(status=503, headers={"Tanagerscale-Not-Executed": "1"})
+            return web.Response(status=503, headers=self._refusal_headers())
         run = self._create_or_resume_run(received, headers)
         if run is None:
             return web.Response(status=503, headers={"Tanagerscale-Not-Executed": "1"})
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -257,6 +257,13 @@
         """Return the address of a host for its peers."""
         return self._settings[name].host.peers
 
+    def requests_at(self, upstream: UpstreamEmulator) -> int:
+        """Return how many requests, first and repeated ones, have reached an upstream."""
+        received = self.ledger.received_requests
+        return sum(
+            one.headers["Tanagerscale-Expect-Instance"] == upstream.upstream for one in received
+        )
+
     async def wait_until(self, condition: Any, *, timeout_s: float = 10.0) -> None:
         """Wait until a condition holds.
 
--- a/testing/test_upstream_notices.py
+++ b/testing/test_upstream_notices.py
@@ -10,6 +10,7 @@
 import pytest_asyncio
 
 from standins._common import LOOPBACK
+from standins.platform_engine import UpstreamBehavior
 from standins.platform_engine import UpstreamEmulator
 from standins.platform_world import MODEL_SERVICE
 from standins.platform_world import PLAIN_SERVICE
@@ -30,7 +31,9 @@
 NEXT_START_MS = 1_700_000_010_000
 TOKENS = (500, 2000)
 PATHS = {PLAIN_SERVICE: ("/book/x", None), MODEL_SERVICE: ("/draft/x", TOKENS)}
+NAMES = {PLAIN_SERVICE: ("p1", "p2"), MODEL_SERVICE: ("e1", "e2")}
 CALLS = 8
+LONG_PAUSE_S = 60.0
 SLOW_EVENT_MS = 25.0
 
 
@@ -220,3 +223,39 @@
     await _call_until_answered_by(platform, "e1", MODEL_SERVICE)
     answered = [await _call(platform, MODEL_SERVICE) for _ in range(CALLS)]
     assert answered == ["e2"] * CALLS
+
+
+# A host sent request after request to an upstream that had asked it for a pause.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("service", [PLAIN_SERVICE, MODEL_SERVICE])
+async def test_upstream_that_asks_for_a_pause_gets_no_requests_in_it(
+    platform: PlatformCluster, service: str
+) -> None:
+    busy = platform.upstreams[NAMES[service][0]]
+    busy.behavior, busy.refusal_pause_s = UpstreamBehavior.FULL, LONG_PAUSE_S
+    async with asyncio.timeout(10):
+        while not platform.requests_at(busy):
+            await _call(platform, service)
+    for _ in range(CALLS):
+        assert await _call(platform, service) != busy.upstream
+    assert platform.requests_at(busy) == 1
+
+
+# Calls were refused with a short pause, and only after all upstreams had been asked again.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("service", [PLAIN_SERVICE, MODEL_SERVICE])
+async def test_call_is_refused_with_the_shortest_pause_when_all_upstreams_have_asked_for_one(
+    platform: PlatformCluster, service: str
+) -> None:
+    busy = [platform.upstreams[name] for name in NAMES[service]]
+    for number, upstream in enumerate(busy):
+        upstream.behavior = UpstreamBehavior.FULL
+        upstream.refusal_pause_s = LONG_PAUSE_S * (number + 1)
+    path, tokens = PATHS[service]
+    async with asyncio.timeout(10):
+        while not all(platform.requests_at(upstream) for upstream in busy):
+            await platform.call("h1", path, tokens=tokens)
+    answer = await platform.call("h1", path, tokens=tokens)
+    assert answer.status == 503
+    assert LONG_PAUSE_S / 2 < float(answer.headers["Retry-After"]) < 2 * LONG_PAUSE_S
+    assert [platform.requests_at(upstream) for upstream in busy] == [1, 1]
