Send nothing to an upstream in the pause that it has asked this host for

Cause: the pause in an upstream's refusal was read nowhere. A full upstream runs nothing of this host, so it was the least loaded one and was chosen first by the next request, by its retries, by hedged requests and by placements.

What callers saw: three and more requests of one host at an engine that had just asked it for 3 s, each refused and sent once more, which takes from the retry budget of all hosts; where all engines were full, a Retry-After of a second or less.

Change: UpstreamNotice tells the pause of a 503, in milliseconds, bounded by ten minutes; anything but a plain number of seconds is none. UpstreamPauses keeps the longest one of each upstream, for this host only: it is neither announced nor in the gate, since this host decides for others as well. Left out until a pause ends: all attempts and hedges of plain requests, placements (the ask excludes them, is withdrawn and made anew when the paused engines of its service change, and a placement there is not used), targets of move orders, reports. A run resumes at the other holder of its copy; at a paused one only if nothing else holds it, and once. Control calls for what runs there go on. When only pauses keep a request from all its upstreams it is refused at once as not run, with the shortest pause or up to half more as Retry-After, and no retry is taken from the budget. Requests that may have run keep their answer. A log line for each pause and for each such refusal, a gauge, a counter.

Why it works: the pause begins in the step that reads the refusal's head, so that only what is already on its way still reaches the upstream.

--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -35,6 +35,7 @@
 from tanagerscale.membership import Message
 from tanagerscale.upstreams import EngineReport
 from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamPauses
 
 REPORT_DELAY_MS: Final = 700
 """Delay between a leaving notice and the query for the departure time: reports are half a second
@@ -70,6 +71,7 @@
     :param context: Inputs of decisions.
     :param retry_budgets: Limits the retries of each service.
     :param engines: Source of engine status reports.
+    :param pauses: Engines that are not polled because they asked this host for a pause.
     :param send: Sends a message to a host, which may be this one; returns whether it can be
         reached.
     """
@@ -82,6 +84,7 @@
         context: DecisionContext,
         retry_budgets: SharedRetryBudgets,
         engines: EngineReports,
+        pauses: UpstreamPauses,
         send: Callable[[HostId, Message], bool],
     ) -> None:
         self._host = host
@@ -89,6 +92,7 @@
         self._context = context
         self._retry_budgets = retry_budgets
         self._engines = engines
+        self._pauses = pauses
         self._send = send
         self._failure_domains: dict[HostId, FailureDomainId] = {}
         self._background: set[asyncio.Task[None]] = set()
@@ -192,7 +196,7 @@
     async def query_engine(self, upstream: UpstreamId) -> None:
         """Query whether an engine is leaving, and record its answer."""
         entry = self._context.upstreams.get(upstream)
-        if entry is None:
+        if entry is None or self._pauses.is_paused(upstream):
             return
         reported = await self._engines.report(upstream=entry)
         if isinstance(reported, Failure):
--- a/src/tanagerscale/forwarding/_admission.py
+++ b/src/tanagerscale/forwarding/_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Set
 from typing import Final
 from typing import Protocol
@@ -18,6 +19,7 @@
 from tanagerscale.forwarding._demand import time_until_late_ms
 from tanagerscale.forwarding._demand import waited_ms
 from tanagerscale.forwarding._parts import ForwardingContext
+from tanagerscale.forwarding._pauses import refuse_if_paused
 from tanagerscale.forwarding._refusals import no_capacity
 from tanagerscale.forwarding._types import Refusal
 from tanagerscale.forwarding._types import RoutedRequest
@@ -35,6 +37,7 @@
 UNKNOWN_REASON: Final = "it is not known here"
 EVACUATED_REASON: Final = "its failure domain is evacuated"
 LEAVING_REASON: Final = "it is leaving"
+PAUSED_REASON: Final = "it has asked for a pause"
 
 _log = get_logger(part="admission")
 
@@ -73,7 +76,12 @@
         """
         tried = set(excluded)
         while True:
-            answer = await self._placer.place(ask=self._build_ask(routed, tried))
+            refusal = refuse_if_paused(routed, self._context, tried)
+            if refusal is not None:
+                return Failure(refusal)
+            answer = await self._place(routed, tried)
+            if answer is None:
+                continue
             if answer.kind is not PlaceKind.SEND:
                 self._log("A generation is refused.", routed, reason=answer.reason)
                 return Failure(no_capacity(service=routed.service, rng=self._context.rng))
@@ -95,7 +103,35 @@
                 upstream=upstream,
                 reason=obstacle or UNKNOWN_REASON,
             )
-            tried.add(upstream)
+            if obstacle != PAUSED_REASON:
+                tried.add(upstream)
+
+    async def _place(self, routed: RoutedRequest, tried: Set[UpstreamId]) -> PlaceAnswer | None:
+        """Ask for a placement; return ``None`` if the paused engines change before the answer."""
+        paused = self._paused_engines(routed)
+        ask = self._build_ask(routed, tried | self._context.pauses.paused)
+        asking = asyncio.ensure_future(self._placer.place(ask=ask))
+        changed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+        def on_change(_: UpstreamId) -> None:
+            if not changed.done() and self._paused_engines(routed) != paused:
+                changed.set_result(None)
+
+        subscription = self._context.pauses.changes.subscribe(on_change)
+        try:
+            await asyncio.wait((asking, changed), return_when=asyncio.FIRST_COMPLETED)
+            return asking.result() if asking.done() else None
+        finally:
+            subscription.dispose()
+            asking.cancel()
+
+    def _paused_engines(self, routed: RoutedRequest) -> frozenset[UpstreamId]:
+        return frozenset(
+            upstream
+            for upstream in self._context.pauses.paused
+            if (entry := self._context.upstreams.get(upstream)) is not None
+            and entry.service == routed.service
+        )
 
     def _build_ask(self, routed: RoutedRequest, excluded: Set[UpstreamId]) -> PlaceAsk:
         demand = routed.request.demand
@@ -119,7 +155,9 @@
         """
         if self._context.upstreams.is_evacuated(upstream):
             return EVACUATED_REASON
-        return LEAVING_REASON if self._context.gate.is_leaving(upstream) else ""
+        if self._context.gate.is_leaving(upstream):
+            return LEAVING_REASON
+        return PAUSED_REASON if self._context.pauses.is_paused(upstream) else ""
 
     async def _wait_for_entry(self, upstream: UpstreamId) -> UpstreamEntry | None:
         """Return the entry of an engine, polling for it for a short time if it is unknown."""
--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -115,6 +115,8 @@
         An engine that is gone accepts no copies either, and appears to be empty while the store is
         unavailable.
         """
+        if self._context.pauses.is_paused(entry.upstream):
+            return
         reported = await self._context.engines.report(upstream=entry)
         if isinstance(reported, Failure):
             _log.info(
--- a/src/tanagerscale/forwarding/_metrics.py
+++ b/src/tanagerscale/forwarding/_metrics.py
@@ -74,6 +74,16 @@
             "Generations that wait for room on an engine.",
             registry=registry,
         )
+        self.paused: Final = Gauge(
+            "tanagerscale_paused_upstreams",
+            "Upstreams that get no requests from this host since they asked it for a pause.",
+            registry=registry,
+        )
+        self.pause_refusals: Final = Counter(
+            "tanagerscale_pause_refusals",
+            "Requests refused because all their upstreams had asked for a pause.",
+            registry=registry,
+        )
         self.evacuated: Final = Gauge(
             "tanagerscale_evacuated_failure_domains",
             "Failure domains whose upstreams get no requests since the operators evacuated them.",
--- a/src/tanagerscale/forwarding/_mover.py
+++ b/src/tanagerscale/forwarding/_mover.py
@@ -157,15 +157,17 @@
             return "the run is at another engine by now"
         if run.copy_lock.locked():
             return "the run is being copied"
-        if order.kind is not MoveKind.DROP and self._get_entry(order) is None:
+        if order.kind is MoveKind.DROP:
+            return "there is no copy" if run.snapshot is None else ""
+        return self._find_target_rejection(order)
+
+    def _find_target_rejection(self, order: MoveOrder) -> str:
+        target = UpstreamId(order.target)
+        if self._get_entry(order) is None:
             return "the target is not known here"
-        if order.kind is not MoveKind.DROP and self._context.gate.is_leaving(
-            UpstreamId(order.target)
-        ):
+        if self._context.gate.is_leaving(target):
             return "the target is leaving"
-        if order.kind is MoveKind.DROP and run.snapshot is None:
-            return "there is no copy"
-        return ""
+        return "the target has asked for a pause" if self._context.pauses.is_paused(target) else ""
 
     def _get_entry(self, order: MoveOrder) -> UpstreamEntry | None:
         return self._context.upstreams.get(UpstreamId(order.target))
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -21,6 +21,7 @@
 from tanagerscale.forwarding._types import UpstreamClient
 from tanagerscale.forwarding._workload import LocalWorkload
 from tanagerscale.quarantine import SuspectTracker
+from tanagerscale.upstreams import UpstreamPauses
 
 
 class RetryPermits(Protocol):
@@ -46,6 +47,7 @@
     :param tables: Provides the configuration in force.
     :param upstreams: Provides the known upstreams.
     :param gate: Receives reachability observations from requests.
+    :param pauses: Upstreams that asked this host for a pause.
     :param health: Receives successes and failures of requests.
     :param suspects: Tracks requests that may crash upstreams.
     :param upstream_client: Sends requests to upstreams.
@@ -63,6 +65,7 @@
     tables: RouteTableSource
     upstreams: Upstreams
     gate: Gate
+    pauses: UpstreamPauses
     health: UpstreamHealth
     suspects: SuspectTracker
     upstream_client: UpstreamClient
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -19,6 +19,7 @@
 from tanagerscale.forwarding._crash_evidence import record_complete_response
 from tanagerscale.forwarding._execution import ExecutionRecord
 from tanagerscale.forwarding._parts import ForwardingContext
+from tanagerscale.forwarding._pauses import refuse_if_paused
 from tanagerscale.forwarding._refusals import no_upstream
 from tanagerscale.forwarding._refusals import upstream_failed
 from tanagerscale.forwarding._types import Header
@@ -86,6 +87,9 @@
             return None
         if self._refusal is not None and self._record.may_have_run:
             return self._refusal
+        refusal = refuse_if_paused(self._routed, self._context, self._record.tried)
+        if refusal is not None:
+            return refusal
         self._log_no_upstream()
         return no_upstream(service=self._routed.service, rng=self._context.rng)
 
@@ -153,11 +157,15 @@
             if not self._context.warmup.is_warming(entry):
                 return entry
             is_permitted = await self._context.warmup_permits.may_send(upstream=entry.upstream)
-            if is_permitted and not self._context.gate.is_leaving(entry.upstream):
+            if is_permitted and self._may_send(entry.upstream):
                 return entry
             denied.add(entry.upstream)
         return None
 
+    def _may_send(self, upstream: UpstreamId) -> bool:
+        context = self._context
+        return not context.gate.is_leaving(upstream) and not context.pauses.is_paused(upstream)
+
     async def _may_repeat(self) -> bool:
         may = await self._context.retry_permits.may_repeat(service=self._routed.service)
         if not may:
@@ -170,7 +178,7 @@
         :param denied: Warming upstreams that get no further requests now.
         """
         routed = self._routed
-        excluded = self._record.tried | denied
+        excluded = self._record.tried | denied | self._context.pauses.paused
         entries = eligible_upstreams(self._context, routed.service, excluded, routed.domains)
         counts = self._context.work.plain_counts
 
--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -12,6 +12,9 @@
 """Range of the random factor on retry delays. It spreads the retries of callers refused at the same
 moment over a period as long as the delay."""
 
+PAUSE_JITTER: Final = (1.0, 1.5)
+"""Range of the random factor on a pause that upstreams asked for, which must not end earlier."""
+
 NOT_READY_RETRY_MS: Final = 500
 """Another host can serve the request at once; this one may have its configuration by then."""
 
@@ -58,6 +61,20 @@
     )
 
 
+def all_paused(*, service: str, pause_ms: int, rng: Random) -> Refusal:
+    """Return the refusal of a request whose upstreams all asked for a pause; it has not run.
+
+    :param service: The service.
+    :param pause_ms: Time until the first pause ends.
+    :param rng: Source of the jitter.
+    """
+    return Refusal(
+        kind=RefusalKind.OVERLOADED,
+        detail=f"All upstreams of {service} are full; send the request again after the pause.",
+        retry_after_ms=_with_jitter(pause_ms, rng, PAUSE_JITTER),
+    )
+
+
 def no_region(*, rng: Random) -> Refusal:
     """Return the refusal of a request without a known upstream in its regions; it has not run."""
     return Refusal(
@@ -110,5 +127,5 @@
 )
 
 
-def _with_jitter(pause_ms: int, rng: Random) -> int:
-    return int(pause_ms * rng.uniform(*RETRY_JITTER))
+def _with_jitter(pause_ms: int, rng: Random, jitter: tuple[float, float] = RETRY_JITTER) -> int:
+    return int(pause_ms * rng.uniform(*jitter))
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -136,12 +136,17 @@
         """
         entry = resume_target.entry
         backoff_ms = INITIAL_BACKOFF_MS
+        was_paused = False
         for _ in range(MAX_RESUME_ATTEMPTS):
-            if self._is_evacuated(entry):
-                entry = self._other_holder(resume_target, entry)
+            entry = self._prefer_usable(resume_target, entry)
             if self._is_evacuated(entry):
                 self.log("All engines that hold the copy are evacuated.", entry, reason="evacuated")
                 return None
+            is_paused = self._context.pauses.is_paused(entry.upstream)
+            if is_paused and was_paused:
+                self.log("All engines that hold the copy are paused.", entry)
+                return None
+            was_paused = was_paused or is_paused
             try:
                 segment = await self._try_resume(entry, resume_target, progress)
             except (ExchangeError, TimeoutError) as error:
@@ -218,6 +223,16 @@
         )
         return segment
 
+    def _prefer_usable(self, resume_target: ResumeTarget, entry: UpstreamEntry) -> UpstreamEntry:
+        """Return an engine that holds the copy, if possible neither evacuated nor paused."""
+        other = self._other_holder(resume_target, entry)
+        if self._is_evacuated(entry):
+            return other
+        is_paused = self._context.pauses.is_paused
+        if is_paused(entry.upstream) and not is_paused(other.upstream):
+            return entry if self._is_evacuated(other) else other
+        return entry
+
     def _is_evacuated(self, entry: UpstreamEntry) -> bool:
         return self._context.upstreams.is_evacuated(entry.upstream)
 
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -15,6 +15,8 @@
 from tanagerscale.forwarding._crash_evidence import is_quarantined
 from tanagerscale.forwarding._execution import ExecutionRecord
 from tanagerscale.forwarding._parts import ForwardingContext
+from tanagerscale.forwarding._pauses import get_pause_ms
+from tanagerscale.forwarding._pauses import refuse_if_paused
 from tanagerscale.forwarding._refusals import no_upstream
 from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import upstream_failed
@@ -210,9 +212,12 @@
                 return None
         if failure is not None and record.may_have_run:
             return failure
-        return no_upstream(service=self._routed.service, rng=self._context.rng)
+        refusal_for_pause = refuse_if_paused(self._routed, self._context, record.tried)
+        return refusal_for_pause or no_upstream(service=self._routed.service, rng=self._context.rng)
 
     async def _may_repeat(self) -> bool:
+        if get_pause_ms(self._routed, self._context, self._record.tried) is not None:
+            return False
         return await self._context.retry_permits.may_repeat(service=self._routed.service)
 
     async def _try_engine(self, entry: UpstreamEntry) -> Refusal | None:
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -52,6 +52,7 @@
 from tanagerscale.quarantine import SuspectTracker
 from tanagerscale.routes import RouteTable
 from tanagerscale.upstreams import UpstreamNotice
+from tanagerscale.upstreams import UpstreamPauses
 
 WATCH_GRACE_MS: Final = 150
 """How long a host notified of a newer configuration waits for its own watch to deliver it."""
@@ -121,6 +122,7 @@
             parse_upstream_name=platform.parse_upstream_name,
             clock=clock,
         )
+        self.pauses = UpstreamPauses(clock=clock)
         self.feed = self._make_feed(ListTopic.UPSTREAMS, self.roster)
         self.evacuations_feed = self._make_feed(ListTopic.EVACUATIONS, self.evacuations)
         self._head_replicator = self._make_head_replicator()
@@ -280,6 +282,7 @@
             context=context,
             retry_budgets=self.retry_budgets,
             engines=self._platform.upstreams,
+            pauses=self.pauses,
             send=self._send,
         )
 
@@ -308,6 +311,7 @@
         self.roster.is_current_changes.subscribe(self.coordinator.on_store_current_changed)
         self._work.changes.subscribe(lambda _: self.client.schedule_report())
         self._platform.upstreams.notices.subscribe(self._on_notice)
+        self._platform.upstreams.notices.subscribe(self.pauses.on_notice)
 
     def _heartbeat(self) -> Heartbeat:
         return Heartbeat(
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -219,6 +219,7 @@
             tables=control.configuration,
             upstreams=control.roster,
             gate=control.gate,
+            pauses=control.pauses,
             health=control.health,
             suspects=control.suspects,
             upstream_client=self._platform.upstreams,
@@ -233,6 +234,7 @@
             rng=self._rng,
         )
         context.metrics.evacuated.set_function(lambda: len(control.evacuations.domains))
+        context.metrics.paused.set_function(lambda: len(control.pauses.paused))
         self._stream_mover = StreamMover(
             context=context,
             check_decider=control.client.check_decider,
--- a/src/tanagerscale/platform/_notices.py
+++ b/src/tanagerscale/platform/_notices.py
@@ -2,11 +2,24 @@
 
 from __future__ import annotations
 
+from math import ceil
+import re
+from typing import Final
+
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import UpstreamId
 from tanagerscale.platform._headers import LEAVING
+from tanagerscale.platform._headers import RETRY_AFTER
 from tanagerscale.upstreams import ResponseHead
 from tanagerscale.upstreams import UpstreamNotice
 
+HTTP_UNAVAILABLE: Final = 503
+
+MAX_PAUSE_MS: Final = 600_000
+"""Longest pause that one response can ask for, in case an upstream sends a wrong number."""
+
+_SECONDS = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
+
 
 def decode_notice(*, upstream: UpstreamId, reply: ResponseHead) -> UpstreamNotice | None:
     """Return what an upstream says of itself in a response; ``None`` if it says nothing.
@@ -15,4 +28,17 @@
     :param reply: Head of the response.
     """
     is_leaving = reply.headers.get(LEAVING, "").strip() == "1"
-    return UpstreamNotice(upstream=upstream, is_leaving=True) if is_leaving else None
+    pause_ms = None
+    if reply.status == HTTP_UNAVAILABLE:
+        pause_ms = _decode_pause_ms(reply.headers.get(RETRY_AFTER, ""))
+    if not is_leaving and pause_ms is None:
+        return None
+    return UpstreamNotice(upstream=upstream, is_leaving=is_leaving, pause_ms=pause_ms)
+
+
+def _decode_pause_ms(value: str) -> int | None:
+    """Return a pause given in seconds; ``None`` for any other value, such as a date."""
+    seconds = value.strip()
+    if not _SECONDS.fullmatch(seconds):
+        return None
+    return ceil(min(float(seconds) * MS_PER_SECOND, MAX_PAUSE_MS))
--- a/src/tanagerscale/upstreams/__init__.py
+++ b/src/tanagerscale/upstreams/__init__.py
@@ -14,6 +14,7 @@
 from tanagerscale.upstreams._http_service import ServiceCall
 from tanagerscale.upstreams._http_service import ServiceResponse
 from tanagerscale.upstreams._notices import UpstreamNotice
+from tanagerscale.upstreams._pauses import UpstreamPauses
 from tanagerscale.upstreams._pool import ConnectionPool
 from tanagerscale.upstreams._protocol import EngineClient
 from tanagerscale.upstreams._protocol import TokenBatches
@@ -41,5 +42,6 @@
     "UpstreamError",
     "UpstreamErrorKind",
     "UpstreamNotice",
+    "UpstreamPauses",
     "UpstreamState",
 ]
--- a/src/tanagerscale/upstreams/_notices.py
+++ b/src/tanagerscale/upstreams/_notices.py
@@ -12,7 +12,10 @@
 
     :param upstream: The incarnation that responded.
     :param is_leaving: Whether it is leaving.
+    :param pause_ms: For how long it wants no further requests from this host; ``None`` if it did
+        not ask for a pause.
     """
 
     upstream: UpstreamId
-    is_leaving: bool
+    is_leaving: bool = False
+    pause_ms: int | None = None
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -56,6 +56,7 @@
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamPauses
 from tanagerscale.upstreams import UpstreamState
 from testing._single_host import HOST
 from testing._single_host import SingleHost
@@ -497,6 +498,11 @@
     warmup_permits: FakeWarmupPermits
     single_host: SingleHost
 
+    @property
+    def pauses(self) -> UpstreamPauses:
+        """Upstreams that asked for a pause."""
+        return self.context.pauses
+
     def totals(self) -> dict[UpstreamId, EngineTotal]:
         """Return the load of the engines as it is counted for decisions."""
         return self.single_host.coordinator.ledger.totals()
@@ -521,6 +527,7 @@
         tables=tables,
         upstreams=upstreams,
         gate=upstreams,
+        pauses=UpstreamPauses(clock=clock),
         suspects=SuspectTracker(clock=clock),
         health=health,
         upstream_client=upstream_client,
@@ -543,7 +550,9 @@
         clock=clock,
         rng=context.rng,
     )
-    single_host = make_single_host(context=decisions, engines=engines, work=work)
+    single_host = make_single_host(
+        context=decisions, engines=engines, pauses=context.pauses, work=work
+    )
     upstreams.on_leaving = single_host.on_leaving
     return GatewayFakes(
         upstream_client=upstream_client,
--- a/testing/_single_host.py
+++ b/testing/_single_host.py
@@ -21,6 +21,7 @@
 from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import MoveOrder
 from tanagerscale.membership import Message
+from tanagerscale.upstreams import UpstreamPauses
 
 HOST = HostId("host")
 DOMAIN = FailureDomainId("a")
@@ -67,12 +68,17 @@
 
 
 def make_single_host(
-    *, context: DecisionContext, engines: EngineReports, work: LocalWorkload
+    *,
+    context: DecisionContext,
+    engines: EngineReports,
+    pauses: UpstreamPauses,
+    work: LocalWorkload,
 ) -> SingleHost:
     """Return a host that decides for itself.
 
     :param context: Inputs of decisions.
     :param engines: Source of engine status reports.
+    :param pauses: Engines that asked for a pause.
     :param work: Runs of the host.
     """
     created: list[SingleHost] = []
@@ -94,6 +100,7 @@
         context=context,
         retry_budgets=repeats,
         engines=engines,
+        pauses=pauses,
         send=deliver,
     )
     client = CoordinationClient(
--- a/testing/test_platform_decoding.py
+++ b/testing/test_platform_decoding.py
@@ -23,6 +23,7 @@
 from tanagerscale.platform._engines import _decode_copy_answer
 from tanagerscale.platform._headers import forwarded_request_headers
 from tanagerscale.platform._headers import forwarded_response_headers
+from tanagerscale.platform._notices import MAX_PAUSE_MS
 from tanagerscale.platform._notices import decode_notice
 from tanagerscale.platform._registry import decode_entry
 from tanagerscale.routes import RouteKind
@@ -90,6 +91,64 @@
     assert decode_notice(upstream=UPSTREAM, reply=_make_reply(("Server-Leaving", value))) is None
 
 
+@pytest.mark.parametrize(
+    ("value", "pause_ms"),
+    [("3", 3000), ("0.25", 250), (" 1.0004 ", 1001), (".5", 500), ("0", 0)],
+)
+def test_upstream_asks_for_a_pause_when_it_refuses_with_a_number_of_seconds(
+    value: str, pause_ms: int
+) -> None:
+    notice = decode_notice(upstream=UPSTREAM, reply=_make_reply(("retry-after", value), status=503))
+    assert notice == UpstreamNotice(upstream=UPSTREAM, pause_ms=pause_ms)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "",
+        "-1",
+        "+1",
+        "1e3",
+        "nan",
+        "inf",
+        "1_0",
+        "1,5",
+        "3 s",
+        "٣",
+        "Wed, 21 Oct 2026 07:28:00 GMT",
+    ],
+)
+def test_upstream_asks_for_no_pause_when_it_gives_no_number_of_seconds(value: str) -> None:
+    reply = _make_reply(("Retry-After", value), status=503)
+    assert decode_notice(upstream=UPSTREAM, reply=reply) is None
+
+
+@pytest.mark.parametrize("status", [200, 429, 500, 502, 504])
+def test_upstream_asks_for_no_pause_when_it_does_not_refuse_with_503(status: int) -> None:
+    reply = _make_reply(("Retry-After", "3"), status=status)
+    assert decode_notice(upstream=UPSTREAM, reply=reply) is None
+
+
+@random_case_settings(examples=300)
+@given(st.one_of(st.text(), st.from_regex(r"[0-9]{0,400}\.?[0-9]{0,9}", fullmatch=True)))
+def test_pause_is_bounded_whatever_an_upstream_sends(value: str) -> None:
+    reply = _make_reply(("Server-Leaving", "1"), ("Retry-After", value), status=503)
+    notice = decode_notice(upstream=UPSTREAM, reply=reply)
+    assert notice is not None
+    assert notice.is_leaving
+    assert notice.pause_ms is None or 0 <= notice.pause_ms <= MAX_PAUSE_MS
+
+
+@random_case_settings(examples=300)
+@given(st.integers(0, MAX_PAUSE_MS))
+def test_pause_does_not_end_before_the_time_that_an_upstream_asked_for(pause_ms: int) -> None:
+    reply = _make_reply(("Retry-After", f"{pause_ms / 1000}"), status=503)
+    notice = decode_notice(upstream=UPSTREAM, reply=reply)
+    assert notice is not None
+    assert notice.pause_ms is not None
+    assert pause_ms <= notice.pause_ms <= pause_ms + 1
+
+
 def test_configuration_is_decoded_into_routes_services_and_accounts() -> None:
     decoded = decode_configuration(msgspec.json.encode(configuration(version=7))).unwrap()
     assert decoded.version == 7
--- a/testing/test_upstream_notices.py
+++ b/testing/test_upstream_notices.py
@@ -34,6 +34,7 @@
 NAMES = {PLAIN_SERVICE: ("p1", "p2"), MODEL_SERVICE: ("e1", "e2")}
 CALLS = 8
 LONG_PAUSE_S = 60.0
+SHORT_PAUSE_S = 0.3
 SLOW_EVENT_MS = 25.0
 
 
@@ -60,17 +61,19 @@
     return decode_entry(f"servers/{name}", value).unwrap()
 
 
-async def _call(platform: PlatformCluster, service: str) -> str:
+async def _call(platform: PlatformCluster, service: str, *, host: str = "h1") -> str:
     """Send one call to a service and return the upstream that answered."""
     path, tokens = PATHS[service]
-    answer = await platform.call("h1", path, tokens=tokens)
+    answer = await platform.call(host, path, tokens=tokens)
     assert (answer.status, answer.is_complete) == (200, True)
     return answer.headers["Tanagerscale-Server-Stamp"]
 
 
-async def _call_until_answered_by(platform: PlatformCluster, name: str, service: str) -> None:
+async def _call_until_answered_by(
+    platform: PlatformCluster, name: str, service: str, *, host: str = "h1"
+) -> None:
     async with asyncio.timeout(10):
-        while await _call(platform, service) != name:
+        while await _call(platform, service, host=host) != name:
             pass
 
 
@@ -259,3 +262,34 @@
     assert answer.status == 503
     assert LONG_PAUSE_S / 2 < float(answer.headers["Retry-After"]) < 2 * LONG_PAUSE_S
     assert [platform.requests_at(upstream) for upstream in busy] == [1, 1]
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("service", [PLAIN_SERVICE, MODEL_SERVICE])
+async def test_upstream_gets_requests_again_when_its_pause_has_ended(
+    platform: PlatformCluster, service: str
+) -> None:
+    name = NAMES[service][0]
+    busy = platform.upstreams[name]
+    busy.behavior, busy.refusal_pause_s = UpstreamBehavior.FULL, SHORT_PAUSE_S
+    async with asyncio.timeout(10):
+        while not platform.requests_at(busy):
+            await _call(platform, service)
+    busy.behavior = UpstreamBehavior.NORMAL
+    await _call_until_answered_by(platform, name, service)
+
+
+@pytest.mark.asyncio
+async def test_pause_that_one_host_was_asked_for_does_not_bind_another_host(
+    platform: PlatformCluster,
+) -> None:
+    other = await platform.add_host("h2", seeds=(platform.peers_address("h1"),))
+    await platform.wait_until(lambda: other.ready and other.peers == ["h1"])
+    busy = platform.upstreams["e1"]
+    busy.behavior, busy.refusal_pause_s = UpstreamBehavior.FULL, LONG_PAUSE_S
+    async with asyncio.timeout(10):
+        while not platform.requests_at(busy):
+            # A decider that has just been chosen may allow no retry, so the status can be 503.
+            await platform.call("h1", "/draft/x", tokens=TOKENS)
+    busy.behavior = UpstreamBehavior.NORMAL
+    await _call_until_answered_by(platform, "e1", MODEL_SERVICE, host="h2")
