--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -115,6 +115,8 @@
         An engine that is gone accepts no copies either, and appears to be empty while the store is
         unavailable.
         """
+        if self._context.pauses.is_paused(entry.upstream):
+            return
         reported = await self._context.engines.report(upstream=entry)
         if isinstance(reported, Failure):
             _log.info(
@@ -126,7 +128,7 @@
             return
         report = reported.unwrap()
         if report.is_leaving:
-            self._context.gate.record_leaving(upstream=entry.upstream)
+            self._context.gate.record_own_notice(upstream=entry.upstream)
         _log.info(
             "An engine has no room.",
             upstream=entry.upstream,
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -135,9 +135,13 @@
         self.behavior = UpstreamBehavior.NORMAL
         self.address = ""
         self.leaving = False
+        self.says_leaving = False
+        """Whether each answer says that the upstream leaves; it still serves all requests."""
+        self.refusal_pause_s: float | None = None
+        """Pause in seconds that the upstream asks for when it is full; ``None`` asks for none."""
         self.copy_capacity = copy_capacity
         self._ledger = ledger
-        self._event_ms = event_ms
+        self.event_ms = event_ms
         self._events = events
         self._copy_ms = copy_ms
         self._runs: dict[str, _Run] = {}
@@ -172,6 +176,21 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if isinstance(request.transport, asyncio.Transport):
             self._transports.add(request.transport)
+        response = await self._respond(request)
+        if not response.prepared:
+            response.headers.update(self._notice_headers())
+        return response
+
+    def _notice_headers(self) -> dict[str, str]:
+        return {"Server-Leaving": "1"} if self.says_leaving else {}
+
+    def _refusal_headers(self) -> dict[str, str]:
+        headers = {"Tanagerscale-Not-Executed": "1"}
+        if self.refusal_pause_s is not None:
+            headers["Retry-After"] = f"{self.refusal_pause_s:g}"
+        return headers
+
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         match request.method, request.path:
             case "GET", "/v1/report":
                 return self._report()
@@ -195,7 +214,7 @@
         if headers.get("Tanagerscale-Expect-Instance") not in (None, self.upstream):
             return web.Response(status=421)
         if self.behavior is UpstreamBehavior.FULL:
-            return web.Response(status=503, headers={"Tanagerscale-Not-Executed": "1"})
+            return web.Response(status=503, headers=self._refusal_headers())
         run = self._create_or_resume_run(received, headers)
         if run is None:
             return web.Response(status=503, headers={"Tanagerscale-Not-Executed": "1"})
@@ -256,14 +275,15 @@
             headers={**identity_headers, "Content-Type": "text/event-stream"}
         )
         response.enable_chunked_encoding()
-        await asyncio.sleep(self._event_ms / MS_PER_S)
+        await asyncio.sleep(self.event_ms / MS_PER_S)
+        response.headers.update(self._notice_headers())
         await response.prepare(request)
         while run.events_sent < run.length:
             if run.stopped:
                 _abort(request)
             run.events_sent += 1
             await response.write(event_bytes(run.request, run.generation, run.events_sent))
-            await asyncio.sleep(self._event_ms / MS_PER_S)
+            await asyncio.sleep(self.event_ms / MS_PER_S)
         await response.write_eof()
         return response
 
