Resume at a paused engine when the other holder of the copy does not take the run

Cause: each try preferred the holder without a pause, also when it was the one that had just failed; after each failure the choice flipped back to it, so that the paused holder was never asked. And each stream had a try of its own at a paused sole holder, so that many streams together exceeded what an upstream tolerates in a pause.

Change: a paused holder is asked once if the other one has been asked and failed; all streams of a host together have two such requests for each pause, the number that the upstreams tolerate.

Seen without the change: 4 of 4 new cases fail (other holder unreachable, other holder full, a paused holder that refuses, six streams at one paused holder); all pass with it.

--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Set
 from typing import Final
 from typing import final
 
@@ -11,6 +12,7 @@
 from tanagerscale.coordination import AttemptHealthRecorder
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Millis
+from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._crash_evidence import record_broken_response
 from tanagerscale.forwarding._crash_evidence import record_complete_response
@@ -136,17 +138,14 @@
         """
         entry = resume_target.entry
         backoff_ms = INITIAL_BACKOFF_MS
-        was_paused = False
+        failed: set[UpstreamId] = set()
         for _ in range(MAX_RESUME_ATTEMPTS):
-            entry = self._prefer_usable(resume_target, entry)
-            if self._is_evacuated(entry):
-                self.log("All engines that hold the copy are evacuated.", entry, reason="evacuated")
+            holder = self._choose_holder(resume_target, entry, failed)
+            if holder is None:
+                self.log("No engine that holds the copy can be asked.", entry)
                 return None
-            is_paused = self._context.pauses.is_paused(entry.upstream)
-            if is_paused and was_paused:
-                self.log("All engines that hold the copy are paused.", entry)
-                return None
-            was_paused = was_paused or is_paused
+            entry = holder
+            failed.add(entry.upstream)
             try:
                 segment = await self._try_resume(entry, resume_target, progress)
             except (ExchangeError, TimeoutError) as error:
@@ -223,15 +222,28 @@
         )
         return segment
 
-    def _prefer_usable(self, resume_target: ResumeTarget, entry: UpstreamEntry) -> UpstreamEntry:
-        """Return an engine that holds the copy, if possible neither evacuated nor paused."""
-        other = self._other_holder(resume_target, entry)
-        if self._is_evacuated(entry):
-            return other
-        is_paused = self._context.pauses.is_paused
-        if is_paused(entry.upstream) and not is_paused(other.upstream):
-            return entry if self._is_evacuated(other) else other
-        return entry
+    def _choose_holder(
+        self, resume_target: ResumeTarget, entry: UpstreamEntry, failed: Set[UpstreamId]
+    ) -> UpstreamEntry | None:
+        """Return the engine to ask next among those that hold the copy; ``None`` if there is none.
+
+        A paused engine is only asked if the other one has failed, and only once.
+
+        :param resume_target: Where the run resumes.
+        :param entry: The engine whose turn it is.
+        :param failed: Engines that have been asked already.
+        """
+        holders = [entry, self._other_holder(resume_target, entry)]
+        holders = [one for one in holders if not self._is_evacuated(one)]
+        pauses = self._context.pauses
+        unpaused = [one for one in holders if not pauses.is_paused(one.upstream)]
+        if unpaused and (unpaused[0] is entry or unpaused[0].upstream not in failed):
+            return unpaused[0]
+        for one in holders:
+            is_unasked = one.upstream not in failed and one not in unpaused
+            if is_unasked and pauses.take_exception(one.upstream):
+                return one
+        return unpaused[0] if unpaused else None
 
     def _is_evacuated(self, entry: UpstreamEntry) -> bool:
         return self._context.upstreams.is_evacuated(entry.upstream)
--- a/src/tanagerscale/upstreams/_pauses.py
+++ b/src/tanagerscale/upstreams/_pauses.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Iterable
+from typing import Final
 from typing import final
 
 from reactivex import Observable
@@ -16,6 +18,9 @@
 from tanagerscale.core import get_logger
 from tanagerscale.upstreams._notices import UpstreamNotice
 
+MAX_EXCEPTIONS: Final = 2
+"""Requests that an upstream tolerates in a pause; they are kept for streams that would be lost."""
+
 _log = get_logger(part="pauses")
 
 
@@ -33,6 +38,7 @@
         self._clock = clock
         self._ends: dict[UpstreamId, Millis] = {}
         self._timers: dict[UpstreamId, asyncio.TimerHandle] = {}
+        self._exceptions: Counter[UpstreamId] = Counter()
         self._changes: Subject[UpstreamId] = Subject()
 
     @property
@@ -50,6 +56,13 @@
         end = self._ends.get(upstream)
         return end is not None and self._clock.now() < end
 
+    def take_exception(self, upstream: UpstreamId) -> bool:
+        """Return whether one request may be sent to an upstream in its pause, and count it."""
+        if self._exceptions[upstream] >= MAX_EXCEPTIONS:
+            return False
+        self._exceptions[upstream] += 1
+        return True
+
     def shortest_ms(self, upstreams: Iterable[UpstreamId]) -> int | None:
         """Return the time until the first of some upstreams may get requests again.
 
@@ -91,5 +104,6 @@
 
     def _end(self, upstream: UpstreamId) -> None:
         del self._ends[upstream]
+        self._exceptions.pop(upstream, None)
         self._timers.pop(upstream).cancel()
         self._changes.on_next(upstream)
--- a/testing/test_upstream_pauses.py
+++ b/testing/test_upstream_pauses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -22,10 +23,14 @@
 from tanagerscale.generated.messages import MoveOrder
 from tanagerscale.generated.messages import PlaceAsk
 from tanagerscale.routes import RouteKind
+from tanagerscale.upstreams import ExchangeError
+from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamNotice
 from tanagerscale.upstreams import UpstreamPauses
+from tanagerscale.upstreams._pauses import MAX_EXCEPTIONS
 from testing._gateway_fakes import FakeResponse
 from testing._gateway_fakes import GatewayFakes
+from testing._gateway_fakes import Reaction
 from testing._gateway_fakes import make_entry
 from testing._gateway_fakes import make_gateway_fakes
 from testing._gateway_fakes import make_request
@@ -184,3 +189,51 @@
         assert fakes.upstream_client.asked == ["x"]
 
     run_virtually(scenario())
+
+
+# Guards against streams that are lost although a paused engine would take them from their copy.
+@pytest.mark.parametrize(
+    "reaction",
+    [lambda: ExchangeError(ExchangeFailure.NOT_SENT, "refused"), lambda: _full_response()],
+    ids=["unreachable", "full"],
+)
+def test_run_resumes_at_a_paused_engine_when_the_other_holder_does_not_take_it(
+    reaction: Callable[[], Reaction],
+) -> None:
+    async def scenario() -> None:
+        fakes = _make_fakes("x", "y")
+        fakes.upstream_client.set("y", *(reaction() for _ in range(9)))
+        fakes.pauses.record(upstream=X, pause_ms=PAUSE_MS)
+        resumed = await _resume(fakes, entry="x", holder="y")
+        assert isinstance(resumed, StreamSegment)
+        assert fakes.upstream_client.asked == ["y", "x"]
+
+    run_virtually(scenario())
+
+
+def test_run_is_asked_for_again_at_the_other_holder_when_the_paused_engine_refuses_it() -> None:
+    async def scenario() -> None:
+        fakes = _make_fakes("x", "y")
+        fakes.upstream_client.set("x", *(_full_response() for _ in range(9)))
+        fakes.upstream_client.set("y", *(_full_response() for _ in range(3)))
+        fakes.pauses.record(upstream=X, pause_ms=PAUSE_MS)
+        resumed = await _resume(fakes, entry="x", holder="y")
+        assert isinstance(resumed, StreamSegment)
+        assert fakes.upstream_client.asked == ["y", "x", "y", "y", "y"]
+
+    run_virtually(scenario())
+
+
+# Guards against many streams that resume at one paused engine at the same time.
+def test_paused_engine_gets_two_requests_at_most_when_many_runs_can_only_resume_there() -> None:
+    async def scenario() -> None:
+        fakes = _make_fakes("x")
+        fakes.pauses.record(upstream=X, pause_ms=PAUSE_MS)
+        await asyncio.sleep(1)
+        resumed = [await _resume(fakes, entry="x", holder="x") for _ in range(6)]
+        assert sum(isinstance(one, StreamSegment) for one in resumed) == MAX_EXCEPTIONS
+        assert fakes.upstream_client.asked == ["x"] * MAX_EXCEPTIONS
+        await asyncio.sleep(PAUSE_MS / 1000)
+        assert isinstance(await _resume(fakes, entry="x", holder="x"), StreamSegment)
+
+    run_virtually(scenario())
