Keep paused engines out of the move orders of their hosts

Cause: only the host of a run knows its pauses, so it rejected orders; the decider took a rejection as one more engine that doesn't accept the run, for good, and a copy ahead remembers no rejection at all.

Change: a host reports its paused engines with its runs, and again when a pause begins or ends; the decider plans none of its runs there, and plans them again when the pause is over. The host still rejects an order that crosses a pause.

--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from collections.abc import Set
 from itertools import count
 from typing import Final
 from typing import final
@@ -101,6 +102,7 @@
     :param send: Sends a message to a host, which may be this one; returns whether it can be
         reached.
     :param uses: Returns the runs of this host.
+    :param paused: Returns the engines that have asked this host for a pause.
     :param incarnation: Wall clock at the start of this process, in milliseconds.
     :param clock: Source of the current time.
     """
@@ -112,6 +114,7 @@
         directory: Directory,
         send: Callable[[HostId, Message], bool],
         uses: Callable[[], list[RunUse]],
+        paused: Callable[[], Set[UpstreamId]],
         incarnation: int,
         clock: Clock,
     ) -> None:
@@ -119,6 +122,7 @@
         self._directory = directory
         self._send = send
         self._uses = uses
+        self._paused = paused
         self._clock = clock
         self._serials = count(1)
         self._report_number = incarnation * REPORT_NUMBERS_PER_MS
@@ -225,7 +229,10 @@
     def _build_report(self) -> HostRuns:
         self._report_number += 1
         return HostRuns(
-            number=self._report_number, decider=self._directory.decider, runs=self._uses()
+            number=self._report_number,
+            decider=self._directory.decider,
+            runs=self._uses(),
+            paused=sorted(self._paused()),
         )
 
     def _schedule_refresh(self, report: HostRuns) -> None:
--- a/src/tanagerscale/coordination/_ledger.py
+++ b/src/tanagerscale/coordination/_ledger.py
@@ -82,6 +82,7 @@
     decider: HostId
     received_at: Millis
     runs: dict[RequestId, RunUse]
+    paused: frozenset[UpstreamId]
 
 
 class _CopyPlan(Struct, frozen=True, kw_only=True):
@@ -140,11 +141,17 @@
             decider=HostId(runs.decider),
             received_at=self._clock.now(),
             runs={RequestId(use.request): use for use in runs.runs},
+            paused=frozenset(UpstreamId(upstream) for upstream in runs.paused),
         )
         for use in runs.runs:
             self._grants.pop(RequestId(use.request), None)
         self._changes.on_next(None)
 
+    def paused_for(self, host: HostId) -> frozenset[UpstreamId]:
+        """Return the engines that have asked a host for a pause."""
+        report = self._hosts.get(host)
+        return frozenset() if report is None else report.paused
+
     def forget(self, *, host: HostId) -> None:
         """Drop the runs of a host that has disconnected or restarted."""
         if self._hosts.pop(host, None) is not None:
--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -9,14 +9,14 @@
 from typing import Final
 from typing import final
 
-from msgspec import Struct
-
 from tanagerscale.coordination._context import DecisionContext
 from tanagerscale.coordination._context import build_engine_view
 from tanagerscale.coordination._context import eligible_upstreams
 from tanagerscale.coordination._departures import Departures
 from tanagerscale.coordination._ledger import LedgerRun
 from tanagerscale.coordination._ledger import RunLedger
+from tanagerscale.coordination._move_orders import MoveAttempts
+from tanagerscale.coordination._move_orders import PendingOrder
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
@@ -64,39 +64,6 @@
 _log = get_logger(part="moves")
 
 
-class _PendingOrder(Struct, kw_only=True):
-    """An order that its host is executing.
-
-    :param host: Host that owns the run.
-    :param move: The ordered move.
-    :param expires_at: When the order counts as ended.
-    """
-
-    host: HostId
-    move: Move
-    expires_at: Millis
-
-    @property
-    def engines(self) -> set[UpstreamId]:
-        """The engines whose links the order uses."""
-        return {self.move.run.engine, self.move.target}
-
-
-class _MoveAttempts(Struct, kw_only=True):
-    """Results of the orders for one run.
-
-    :param engine: Engine of the run at that time.
-    :param failed_targets: Engines that did not accept the run.
-    :param has_copy_failed: Whether its last copy failed.
-    :param retry_at: When the next order may be sent.
-    """
-
-    engine: UpstreamId
-    failed_targets: set[UpstreamId]
-    has_copy_failed: bool = False
-    retry_at: Millis = Millis(0)
-
-
 @final
 class MovePlanner:
     """Selects the next run to copy or move among the runs of hosts that use this decider.
@@ -123,8 +90,8 @@
         self._departures = departures
         self._send_order = send_order
         self._numbers = count(1)
-        self._orders: dict[int, _PendingOrder] = {}
-        self._attempts: dict[RequestId, _MoveAttempts] = {}
+        self._orders: dict[int, PendingOrder] = {}
+        self._attempts: dict[RequestId, MoveAttempts] = {}
         self._logged_reasons: dict[RequestId, str] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -236,7 +203,7 @@
             or self._context.clock.now() < attempts.retry_at
         )
 
-    def _attempts_for(self, run: LedgerRun) -> _MoveAttempts | None:
+    def _attempts_for(self, run: LedgerRun) -> MoveAttempts | None:
         """Return the results of orders for a run on its current engine."""
         attempts = self._attempts.get(RequestId(run.use.request))
         return None if attempts is None or attempts.engine != run.use.upstream else attempts
@@ -246,6 +213,7 @@
         request = RequestId(use.request)
         engine = UpstreamId(use.upstream)
         attempts = self._attempts_for(run)
+        failed_targets = frozenset() if attempts is None else frozenset(attempts.failed_targets)
         return MovableRun(
             request=request,
             engine=engine,
@@ -255,7 +223,7 @@
             copy_at=UpstreamId(use.copy_at) if use.copy_at else None,
             is_copy_fresh=run.copy_age_ms < MAX_COPY_AGE_MS,
             has_copy_failed=attempts is not None and attempts.has_copy_failed,
-            excluded=frozenset() if attempts is None else frozenset(attempts.failed_targets),
+            excluded=failed_targets | self._ledger.paused_for(run.host),
             allowed_domains={FailureDomainId(domain) for domain in use.domains},
         )
 
@@ -330,7 +298,7 @@
         self._logged_reasons.pop(move.run.request, None)
         self._record_request(move)
         expires_at = Millis(self._context.clock.now() + ORDER_TIMEOUT_MS)
-        self._orders[number] = _PendingOrder(host=run.host, move=move, expires_at=expires_at)
+        self._orders[number] = PendingOrder(host=run.host, move=move, expires_at=expires_at)
         _log.info(
             "A move is ordered.",
             request=move.run.request,
@@ -369,7 +337,7 @@
         request, engine = move.run.request, move.run.engine
         attempts = self._attempts.get(request)
         if attempts is None or attempts.engine != engine:
-            attempts = _MoveAttempts(engine=engine, failed_targets=set())
+            attempts = MoveAttempts(engine=engine, failed_targets=set())
             self._attempts[request] = attempts
         if is_done:
             attempts.has_copy_failed = False
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -142,6 +142,7 @@
             directory=self.directory,
             send=self._send,
             uses=work.uses,
+            paused=lambda: self.pauses.paused,
             incarnation=self.incarnation,
             clock=clock,
         )
@@ -310,6 +311,7 @@
         self.evacuations.changes.subscribe(lambda _: self.coordinator.reevaluate())
         self.roster.is_current_changes.subscribe(self.coordinator.on_store_current_changed)
         self._work.changes.subscribe(lambda _: self.client.schedule_report())
+        self.pauses.changes.subscribe(lambda _: self.client.schedule_report())
         self._platform.upstreams.notices.subscribe(self._on_notice)
         self._platform.upstreams.notices.subscribe(self.pauses.on_notice)
 
--- a/src/tanagerscale/policy/_moves.py
+++ b/src/tanagerscale/policy/_moves.py
@@ -49,7 +49,7 @@
     :param is_copy_fresh: Whether that copy needs no renewal yet.
     :param has_copy_failed: Whether its last copy failed; such runs come last, since one engine that
         accepts no copy would otherwise block the copies of all other runs.
-    :param excluded: Engines that rejected it.
+    :param excluded: Engines that rejected it, or that want nothing from its host now.
     :param allowed_domains: Failure domains that it may run in; empty means any.
     """
 
--- a/testing/_single_host.py
+++ b/testing/_single_host.py
@@ -108,9 +108,11 @@
         directory=Directory(host=HOST, seeds=(), clock=context.clock),
         send=deliver,
         uses=work.uses,
+        paused=lambda: pauses.paused,
         incarnation=1,
         clock=context.clock,
     )
     created.append(SingleHost(work=work, coordinator=coordinator, client=client))
     work.changes.subscribe(lambda _: client.schedule_report())
+    pauses.changes.subscribe(lambda _: client.schedule_report())
     return created[0]
--- a/testing/test_move_planner.py
+++ b/testing/test_move_planner.py
@@ -41,13 +41,15 @@
         self.ordered.append((host, message, self.fakes.context.clock.now()))
         return True
 
-    def report(self, host: str, *names: str, at: str = "x", number: int = 1) -> None:
-        """Report long generations of a host on an engine."""
+    def report(
+        self, host: str, *names: str, at: str = "x", number: int = 1, paused: tuple[str, ...] = ()
+    ) -> None:
+        """Report long generations of a host on an engine, and the engines paused at that host."""
         runs = [
             RunUse(request=name, upstream=at, tokens=4000, made=1000, is_long=True, begun_ms=2000)
             for name in names
         ]
-        report = HostRuns(number=number, decider=HOST, runs=runs)
+        report = HostRuns(number=number, decider=HOST, runs=runs, paused=list(paused))
         self.coordinator.on_message(HostId(host), report)
 
     def leave(self, name: str) -> None:
@@ -61,6 +63,32 @@
         self.coordinator.on_message(HostId(host), MoveDone(number=order.number, is_done=is_done))
 
 
+# Guards against runs that stay on a leaving engine because orders name paused targets.
+def test_run_of_a_leaving_engine_goes_to_an_engine_that_is_not_paused_at_its_host() -> None:
+    async def scenario() -> None:
+        harness = PlannerHarness("x", "a", "b", "c", "d", "e", "f")
+        harness.report("host-1", "r1", paused=("a", "b", "c", "d", "e"))
+        harness.leave("x")
+        await asyncio.sleep(COPY_S)
+        assert [order.target for _, order, _ in harness.ordered] == ["f"]
+
+    run_virtually(scenario())
+
+
+def test_run_of_a_leaving_engine_is_moved_when_the_pause_of_its_only_target_ends() -> None:
+    async def scenario() -> None:
+        harness = PlannerHarness("x", "a")
+        harness.report("host-1", "r1", paused=("a",))
+        harness.leave("x")
+        await asyncio.sleep(COPY_S)
+        assert harness.ordered == []
+        harness.report("host-1", "r1", number=2)
+        await asyncio.sleep(COPY_S)
+        assert [order.target for _, order, _ in harness.ordered] == ["a"]
+
+    run_virtually(scenario())
+
+
 def test_copies_from_one_engine_never_overlap_across_hosts() -> None:
     async def scenario() -> None:
         harness = PlannerHarness("x", "y", "z")
