Read repeated notices of an upstream in one response

Callers would see: a pause that a response names twice counted with its first value, and a leaving notice behind another value of the same field was missed.

Cause: only the first field of a name was read.

Change: any leaving notice counts, and the longest pause.

Seen: the new test fails without the change (3,000 ms and no notice) and passes with it; 322 tests as before.

--- a/src/tanagerscale/platform/_notices.py
+++ b/src/tanagerscale/platform/_notices.py
@@ -27,10 +27,12 @@
     :param upstream: The upstream that responded.
     :param reply: Head of the response.
     """
-    is_leaving = reply.headers.get(LEAVING, "").strip() == "1"
-    pause_ms = None
+    is_leaving = any(value.strip() == "1" for value in reply.headers.getall(LEAVING, ()))
+    pauses_ms: list[int] = []
     if reply.status == HTTP_UNAVAILABLE:
-        pause_ms = _decode_pause_ms(reply.headers.get(RETRY_AFTER, ""))
+        decoded = (_decode_pause_ms(value) for value in reply.headers.getall(RETRY_AFTER, ()))
+        pauses_ms = [pause_ms for pause_ms in decoded if pause_ms is not None]
+    pause_ms = max(pauses_ms, default=None)
     if not is_leaving and pause_ms is None:
         return None
     return UpstreamNotice(upstream=upstream, is_leaving=is_leaving, pause_ms=pause_ms)
--- a/testing/test_platform_decoding.py
+++ b/testing/test_platform_decoding.py
@@ -86,6 +86,14 @@
     )
 
 
+def test_longest_pause_and_any_notice_count_when_a_response_repeats_them() -> None:
+    fields = (("Retry-After", "3"), ("Retry-After", "5"), ("Retry-After", "soon"))
+    reply = _make_reply(*fields, ("Server-Leaving", "0"), ("Server-Leaving", "1"), status=503)
+    assert decode_notice(upstream=UPSTREAM, reply=reply) == UpstreamNotice(
+        upstream=UPSTREAM, is_leaving=True, pause_ms=5000
+    )
+
+
 @given(st.text().filter(lambda value: value.strip() != "1"))
 def test_upstream_does_not_leave_when_its_response_says_anything_else(value: str) -> None:
     assert decode_notice(upstream=UPSTREAM, reply=_make_reply(("Server-Leaving", value))) is None
