Add a seeded soak of host processes on the platform

The soak so far covers only the product's own interface. The lost requests of a stopping host were found by nobody, since no run had callers that keep using a connection after SIGTERM.

Store and upstreams run in the soak's process, each host reaches the store through its own relay. Callers send raw HTTP/1.1 and keep a connection until the host closes it or says so; the request after a stream follows at once. Faults are drawn from the seed, overlap, and are recorded: SIGTERM with SIGKILL after the grace period and restart, of several hosts at once or in turn; SIGKILL; SIGSTOP; SIGHUP; a store that fails for one host or all; upstreams that join, leave, crash, restart, are full, hang or lose answers; configurations. If upstreams can say in answers that they leave or ask for a pause, they do. The verdict compares what callers and upstreams saw: answers whole and signed, no repeated execution, true refusals, no lost requests, nothing for upstreams that said that they leave or asked for a pause.

--- /dev/null
+++ b/standins/platform_callers.py
@@ -0,0 +1,224 @@
+"""Closed-loop callers that keep using their connections to hosts on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from enum import unique
+from itertools import count
+from random import Random
+from typing import final
+
+from multidict import CIMultiDict
+
+from standins.platform_hosts import PlatformHostProcess
+from standins.platform_world import API_KEY
+from standins.platform_world import HOST_NAME
+from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import Clock
+from tanagerscale.core import Millis
+
+LONG_TOKENS = "500,2000"
+SHORT_TOKENS = "100,40"
+CONNECT_TIMEOUT_S = 1.0
+GIVE_UP_MARGIN_MS = 1_000
+"""Time past its deadline after which a caller closes the connection of an unanswered request."""
+PAUSE_RANGE_MS = (10, 120)
+LONG_PAUSE_RANGE_MS = (120, 1_500)
+LONG_PAUSE_SHARE = 0.05
+RETRY_PAUSE_MS = 100
+REFUSED_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses that promise that the request was not executed and never will be."""
+
+
+@unique
+class CallKind(Enum):
+    """Kind of a request, which selects its route."""
+
+    UNSAFE = "book"
+    SAFE = "read"
+    SHORT = "note"
+    LONG = "draft"
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self in (CallKind.SHORT, CallKind.LONG)
+
+    @property
+    def deadline_ms(self) -> int:
+        """How long a caller waits, in milliseconds."""
+        return 12_000 if self.is_stream else 3_000
+
+
+@dataclass(slots=True)
+class Call:
+    """One request and what its caller saw.
+
+    :param request: Id of the request.
+    :param kind: Kind of the request.
+    :param host: Host to which it was sent.
+    :param sent: Monotonic time at which its last byte was sent.
+    :param status: Status of the answer; 0 when there is none.
+    :param headers: Header fields of the answer.
+    :param body: Bytes of the body received.
+    :param head_at: Monotonic time at which the head of the answer was received.
+    :param ended: Monotonic time at which the answer or the connection ended.
+    :param is_complete: Whether the answer came to its proper end.
+    :param gave_up: Whether the caller closed the connection after the deadline.
+    """
+
+    request: str
+    kind: CallKind
+    host: str
+    sent: Millis
+    status: int = 0
+    headers: CIMultiDict[str] = field(default_factory=CIMultiDict)
+    body: bytearray = field(default_factory=bytearray)
+    head_at: int = 0
+    ended: int = 0
+    is_complete: bool = False
+    gave_up: bool = False
+
+
+@final
+class Connection:
+    """A keep-alive connection to one host.
+
+    :param host: Name of the host.
+    :param reader: Reader of the connection.
+    :param writer: Writer of the connection.
+    """
+
+    def __init__(
+        self, *, host: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.host = host
+        self._reader = reader
+        self._writer = writer
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
+
+    def send(self, call: Call) -> None:
+        """Send a request."""
+        method, body = ("GET", b"") if call.kind is CallKind.SAFE else ("POST", b"content")
+        lines = [
+            f"{method} /{call.kind.value}/x HTTP/1.1",
+            f"Host: {HOST_NAME}",
+            f"Authorization: Bearer {API_KEY}",
+            f"Tanagerscale-Attempt-Id: {call.request}",
+            f"Tanagerscale-Deadline-Remaining: {call.kind.deadline_ms}",
+            f"Content-Length: {len(body)}",
+        ]
+        if call.kind.is_stream:
+            tokens = LONG_TOKENS if call.kind is CallKind.LONG else SHORT_TOKENS
+            lines += ["Tanagerscale-Model: m", f"Tanagerscale-Token-Usage: {tokens}"]
+        self._writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+
+    async def receive(self, call: Call, clock: Clock) -> None:
+        """Read the answer to a request into its record.
+
+        :raises EOFError: If the connection ends early.
+        :raises OSError: If the connection is reset.
+        :raises ValueError: If the bytes are not an HTTP answer.
+        """
+        head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        call.head_at = clock.now()
+        call.status = int(head[0].split()[1])
+        for line in head[1:-2]:
+            name, _, value = line.partition(":")
+            call.headers.add(name, value.strip())
+        if call.headers.get("Transfer-Encoding", "").lower() == "chunked":
+            while await self._receive_chunk(call):
+                pass
+        else:
+            call.body += await self._reader.readexactly(int(call.headers["Content-Length"]))
+        call.is_complete = True
+
+    async def _receive_chunk(self, call: Call) -> bool:
+        size = int(await self._reader.readuntil(b"\r\n"), 16)
+        chunk = await self._reader.readexactly(size + 2)
+        call.body += chunk[:size]
+        return size > 0
+
+
+@final
+class PlatformCallers:
+    """Callers that each send one request after another.
+
+    :param hosts: Hosts to which they connect.
+    :param rng: Random number generator from which each caller gets its own.
+    """
+
+    def __init__(self, *, hosts: list[PlatformHostProcess], rng: Random) -> None:
+        self.calls: list[Call] = []
+        self._hosts = hosts
+        self._rng = rng
+        self._clock = Clock()
+        self._numbers = count(1)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._is_finishing = False
+
+    def start(self, weights: dict[CallKind, int], callers: int) -> None:
+        """Start callers.
+
+        :param weights: How often they send each kind of request.
+        :param callers: Number of callers.
+        """
+        for _ in range(callers):
+            rng = Random(self._rng.random())
+            self._tasks.append(asyncio.create_task(self._run(weights, rng)))
+
+    async def finish(self) -> None:
+        """Let each caller finish its request and wait until all have ended."""
+        self._is_finishing = True
+        await asyncio.gather(*self._tasks)
+
+    async def _run(self, weights: dict[CallKind, int], rng: Random) -> None:
+        connection: Connection | None = None
+        while not self._is_finishing:
+            kind = rng.choices(list(weights), list(weights.values()))[0]
+            connection = connection or await self._connect(rng)
+            if connection is None:
+                await self._clock.sleep(RETRY_PAUSE_MS)
+                continue
+            call = await self._call(kind, connection)
+            if not call.is_complete or call.headers.get("Connection", "").lower() == "close":
+                connection.close()
+                connection = None
+            # The request after a stream follows at once, so that it may cross a closing connection.
+            if not (call.is_complete and kind.is_stream and call.status not in REFUSED_STATUSES):
+                is_long = rng.random() < LONG_PAUSE_SHARE
+                await self._clock.sleep(
+                    rng.randint(*(LONG_PAUSE_RANGE_MS if is_long else PAUSE_RANGE_MS))
+                )
+        if connection is not None:
+            connection.close()
+
+    async def _connect(self, rng: Random) -> Connection | None:
+        for host in rng.sample(self._hosts, len(self._hosts)):
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(*host.callers_address)
+            except OSError:
+                continue
+            return Connection(host=host.name, reader=reader, writer=writer)
+        return None
+
+    async def _call(self, kind: CallKind, connection: Connection) -> Call:
+        call = Call(f"r{next(self._numbers)}", kind, connection.host, self._clock.now())
+        self.calls.append(call)
+        connection.send(call)
+        try:
+            async with asyncio.timeout((kind.deadline_ms + GIVE_UP_MARGIN_MS) / MS_PER_SECOND):
+                await connection.receive(call, self._clock)
+        except TimeoutError:
+            call.gave_up = True
+        except (EOFError, OSError):
+            pass
+        call.ended = self._clock.now()
+        return call
--- /dev/null
+++ b/standins/platform_soak.py
@@ -0,0 +1,157 @@
+"""Injects random faults into host processes on the platform and checks what callers see."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from pathlib import Path
+from random import Random
+import sys
+from tempfile import mkdtemp
+
+from standins._common import cancel_task
+from standins._common import run_main
+from standins.platform_callers import CallKind
+from standins.platform_callers import PlatformCallers
+from standins.platform_fault_log import FaultLog
+from standins.platform_faults import PlatformFaultInjector
+from standins.platform_faults import soak_configuration
+from standins.platform_hosts import PlatformHostProcess
+from standins.platform_verdict import STREAM_EVENTS
+from standins.platform_verdict import PlatformVerdict
+from standins.platform_world import MODEL_SERVICE
+from standins.platform_world import PLAIN_SERVICE
+from standins.platform_world import PlatformCluster
+from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import Clock
+
+STOP_GRACE_S = 5
+SEEDS = 3
+SETTLING_MS = 1_000
+"""Time after the last answer in which a refused request could still be executed."""
+LAG_INTERVAL_MS = 10
+OK = 200
+RECORD_FILE = "record.txt"
+SHORT_EVENT_MS = 7.0
+LONG_EVENT_MS = (28.0, 40.0, 52.0)
+MIXED_CALLS = {CallKind.UNSAFE: 4, CallKind.SAFE: 4, CallKind.SHORT: 1}
+LONG_CALLS = {CallKind.LONG: 5, CallKind.UNSAFE: 1, CallKind.SAFE: 1, CallKind.SHORT: 4}
+
+
+class LoopLag:
+    """Longest delay of the event loop of the soak itself, which delays callers and upstreams."""
+
+    def __init__(self) -> None:
+        self.max_ms = 0
+        self._clock = Clock()
+
+    async def run_forever(self) -> None:
+        """Measure until cancelled."""
+        while True:
+            started = self._clock.now()
+            await self._clock.sleep(LAG_INTERVAL_MS)
+            self.max_ms = max(self.max_ms, self._clock.now() - started - LAG_INTERVAL_MS)
+
+
+async def run_soak(*, seed: int, seconds: float, hosts: int, directory: Path) -> list[str]:
+    """Run the soak and return the broken guarantees.
+
+    :param seed: Seed of all random choices.
+    :param seconds: Time during which faults are injected, in seconds.
+    :param hosts: Number of host processes.
+    :param directory: Directory for settings, logs and the record of faults.
+    """
+    cluster = PlatformCluster()
+    fault_log = FaultLog()
+    processes: list[PlatformHostProcess] = []
+    injector = PlatformFaultInjector(cluster=cluster, hosts=processes, fault_log=fault_log)
+    callers = PlatformCallers(hosts=processes, rng=Random(seed + 1))
+    lag = LoopLag()
+    lag_task = asyncio.create_task(lag.run_forever())
+    await cluster.start()
+    try:
+        cluster.configure(soak_configuration(version=1))
+        await _add_upstreams(injector, size=max(3, hosts // 3))
+        await _start_hosts(cluster, processes, fault_log, hosts=hosts, directory=directory)
+        callers.start(MIXED_CALLS, 2 * hosts)
+        callers.start(LONG_CALLS, 3 * hosts)
+        await injector.run(rng=Random(seed), duration_ms=round(seconds * MS_PER_SECOND))
+        await callers.finish()
+        await Clock().sleep(SETTLING_MS)
+    finally:
+        await asyncio.gather(*(process.end() for process in processes))
+        await cancel_task(lag_task)
+        for link in cluster.store_links.values():
+            await link.__aexit__()
+        await cluster.stop()
+    verdict = PlatformVerdict(
+        calls=callers.calls,
+        ledger=cluster.ledger,
+        fault_log=fault_log,
+        grace_ms=STOP_GRACE_S * MS_PER_SECOND,
+    )
+    violations = verdict.find_violations()
+    violations += [text for process in processes for text in process.unexpected_exits]
+    complete = sum(call.is_complete and call.status == OK for call in callers.calls)
+    if not complete:
+        violations.append("NONE: no request was answered")
+    print(
+        f"seed {seed}: {len(callers.calls)} calls, {complete} answered with {OK}, "
+        f"{len(fault_log.faults)} faults, longest delay of the event loop {lag.max_ms} ms"
+    )
+    lines = [f"{fault.began} {fault}" for fault in fault_log.faults]
+    lines += [f"{call.sent} {verdict.describe(call)}" for call in callers.calls]
+    (directory / RECORD_FILE).write_text("\n".join([*sorted(lines), *violations]) + "\n")
+    return violations
+
+
+async def _add_upstreams(injector: PlatformFaultInjector, *, size: int) -> None:
+    for number in range(size):
+        slow = {"event_ms": LONG_EVENT_MS[number % len(LONG_EVENT_MS)], "events": STREAM_EVENTS}
+        await injector.add_upstream(MODEL_SERVICE, slow)
+        await injector.add_upstream("notes", {"event_ms": SHORT_EVENT_MS, "events": STREAM_EVENTS})
+        await injector.add_upstream(PLAIN_SERVICE, {})
+
+
+async def _start_hosts(
+    cluster: PlatformCluster,
+    processes: list[PlatformHostProcess],
+    fault_log: FaultLog,
+    *,
+    hosts: int,
+    directory: Path,
+) -> None:
+    seeds: tuple[str, ...] = ()
+    for number in range(hosts):
+        name = f"h{number}"
+        settings = await cluster.make_settings(name, seeds=seeds, stop_grace_s=STOP_GRACE_S)
+        seeds = (*seeds, settings.host.peers)[:SEEDS]
+        process = PlatformHostProcess(
+            name=name, settings=settings, directory=directory, fault_log=fault_log
+        )
+        processes.append(process)
+        await process.start()
+    await asyncio.gather(*(process.wait_until_ready() for process in processes))
+
+
+def main(seed: int = 1, seconds: float = 30.0, hosts: int = 6, keep: str = "") -> None:
+    """Run the soak.
+
+    :param seed: Seed of all random choices.
+    :param seconds: Time during which faults are injected, in seconds.
+    :param hosts: Number of host processes.
+    :param keep: Directory for settings and logs; empty creates a temporary one, which is kept.
+    """
+    directory = Path(keep or mkdtemp(prefix="tanagerscale-platform-soak-"))
+    directory.mkdir(parents=True, exist_ok=True)
+    logging.basicConfig(filename=directory / "upstreams.log")
+    print(f"settings and logs: {directory}; seed {seed}", flush=True)
+    violations = asyncio.run(run_soak(seed=seed, seconds=seconds, hosts=hosts, directory=directory))
+    for violation in violations:
+        print(violation)
+    print("every guarantee held" if not violations else "a guarantee was BROKEN")
+    sys.exit(1 if violations else 0)
+
+
+if __name__ == "__main__":
+    run_main(main)
--- /dev/null
+++ b/standins/platform_verdict.py
@@ -0,0 +1,225 @@
+"""Checks of the guarantees of hosts on the platform, from what callers and upstreams saw."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import defaultdict
+from typing import final
+
+from standins.platform_callers import REFUSED_STATUSES
+from standins.platform_callers import Call
+from standins.platform_callers import CallKind
+from standins.platform_engine import Ledger
+from standins.platform_engine import ReceivedRequest
+from standins.platform_engine import event_bytes
+from standins.platform_fault_log import FaultKind
+from standins.platform_fault_log import FaultLog
+from tanagerscale.core import MS_PER_SECOND
+
+STREAM_EVENTS = 100
+"""Number of events of each stream."""
+QUIET_MS = 5_000
+"""How long a host must have been without an unplanned fault before a request."""
+CLOSE_CROSSING_MS = 200
+"""A request that crosses the close of its connection may go unanswered for this long."""
+DEADLINE_MARGIN_MS = 100
+EARLY_STREAM_MS = 3_000
+"""Streams sent up to this time after SIGTERM may be cut off at the end of the grace period."""
+CUT_SHARE = 5 / 6
+"""Part of the grace period after which such streams may be cut off."""
+LEAVING_DELAY_MS = 2_000
+"""Time in which a host stops sending requests to an upstream that says that it leaves."""
+PAUSE_DELAY_MS = 500
+"""Time in which a host stops sending requests to an upstream that asks for a pause."""
+MAX_REQUESTS_IN_PAUSE = 2
+SIGNATURE = "Tanagerscale-Server-Stamp"
+SERVER_LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
+
+_UNPLANNED = frozenset((FaultKind.HOST_KILL, FaultKind.HOST_FREEZE, FaultKind.HOST_EXIT))
+_INTERRUPTIONS = _UNPLANNED | {FaultKind.HOST_START}
+_UPSTREAM_FAULTS = frozenset((FaultKind.UPSTREAM,))
+_STOPS = frozenset((FaultKind.HOST_STOP,))
+
+
+@final
+class PlatformVerdict:
+    """Evaluates one run.
+
+    :param calls: All requests of callers.
+    :param ledger: Record of the requests at all upstreams.
+    :param fault_log: All faults that were injected.
+    :param grace_ms: Grace period of hosts in milliseconds.
+    """
+
+    def __init__(
+        self, *, calls: list[Call], ledger: Ledger, fault_log: FaultLog, grace_ms: int
+    ) -> None:
+        self._calls = {call.request: call for call in calls}
+        self._fault_log = fault_log
+        self._grace_ms = grace_ms
+        self._received: defaultdict[str, list[ReceivedRequest]] = defaultdict(list)
+        for received in ledger.received_requests:
+            if received.request:
+                self._received[received.request].append(received)
+
+    def find_violations(self) -> list[str]:
+        """Return a description of each broken guarantee."""
+        violations = [
+            f"UNKNOWN: upstreams received {request}, which no caller sent"
+            for request in self._received
+            if request not in self._calls
+        ]
+        for call in self._calls.values():
+            for name, fault in (
+                ("ANSWER", self._find_wrong_answer(call)),
+                ("TWICE", self._find_repeated_execution(call)),
+                ("REFUSED", self._find_false_refusal(call)),
+                ("LOST", self._find_loss(call)),
+            ):
+                if fault:
+                    violations.append(f"{name}: {fault}: {self.describe(call)}")
+        return violations + self._find_requests_to_leaving() + self._find_requests_in_pauses()
+
+    def _find_wrong_answer(self, call: Call) -> str:
+        if not call.is_complete or call.status // 100 != 2:
+            return ""
+        if call.headers.get("Tanagerscale-Attempt-Id") != call.request:
+            return "the answer belongs to another request"
+        upstream = call.headers.get(SIGNATURE, "")
+        if upstream not in {received.upstream for received in self._received[call.request]}:
+            return "the answer is not signed by an upstream that received the request"
+        if not call.kind.is_stream:
+            expected = f"{upstream} answers {call.request}".encode()
+            return "" if call.body == expected else "the answer is not whole"
+        generation = call.body.partition(b"\n\n")[0].rsplit(b".", 2)[-2:-1]
+        if not generation or not generation[0].isdigit():
+            return "the stream has no generation"
+        events = range(1, STREAM_EVENTS + 1)
+        number = int(generation[0])
+        whole = b"".join(event_bytes(call.request, number, event) for event in events)
+        return "" if call.body == whole else "the stream is not whole, or not of one generation"
+
+    def _find_repeated_execution(self, call: Call) -> str:
+        if call.kind is CallKind.SAFE:
+            return ""
+        # A continuation from a copy is the same execution.
+        executed = [
+            received
+            for received in self._received[call.request]
+            if received.executed and "Kv-From" not in received.headers
+        ]
+        return f"executed {len(executed)} times" if len(executed) > 1 else ""
+
+    def _find_false_refusal(self, call: Call) -> str:
+        executed = any(received.executed for received in self._received[call.request])
+        return "executed in spite of the refusal" if executed and _is_refused(call) else ""
+
+    def _find_loss(self, call: Call) -> str:
+        received = self._received[call.request]
+        if call.is_complete or call.gave_up or self._is_excused(call, received):
+            return ""
+        if received:
+            return "closed without a complete answer after it was passed on"
+        closed_ms = call.ended - call.sent
+        return f"closed unanswered after {closed_ms} ms" if closed_ms > CLOSE_CROSSING_MS else ""
+
+    def _is_excused(self, call: Call, received: list[ReceivedRequest]) -> bool:
+        if call.ended >= call.sent + call.kind.deadline_ms - DEADLINE_MARGIN_MS:
+            return True
+        if self._fault_log.find(
+            call.host, _UNPLANNED, began=call.sent - QUIET_MS, ended=call.ended
+        ):
+            return True
+        if any(
+            self._fault_log.find(
+                item.upstream, _UPSTREAM_FAULTS, began=item.arrived, ended=call.ended
+            )
+            for item in received
+        ):
+            return True
+        return self._is_cut_at_end_of_grace(call, received)
+
+    def _is_cut_at_end_of_grace(self, call: Call, received: list[ReceivedRequest]) -> bool:
+        for stop in self._fault_log.find(call.host, _STOPS, began=call.sent, ended=call.ended):
+            last_sixth = stop.began + self._grace_ms * CUT_SHARE
+            is_generating = any(item.ended is None or item.ended >= last_sixth for item in received)
+            is_early = call.sent <= stop.began + EARLY_STREAM_MS
+            if call.kind.is_stream and is_early and is_generating and call.ended >= last_sixth:
+                return True
+        return False
+
+    def _find_requests_to_leaving(self) -> list[str]:
+        told: dict[tuple[str, str, int], list[int]] = defaultdict(list)
+        for call, received in self._pairs():
+            is_passed_on = call.headers.get(SIGNATURE) == received.upstream and call.head_at
+            if is_passed_on and SERVER_LEAVING in received.answer_headers:
+                told[call.host, received.upstream, received.born].append(call.head_at)
+        violations = []
+        for call, received in self._pairs():
+            times = sorted(told[call.host, received.upstream, received.born])
+            earlier = bisect_right(times, call.sent - LEAVING_DELAY_MS - 1)
+            if not earlier:
+                continue
+            # Only the last of the earlier answers may be later than a restart or freeze.
+            since = times[earlier - 1]
+            if not self._is_interrupted(call.host, since, received.arrived):
+                violations.append(
+                    f"LEAVING: reached {received.upstream} {received.arrived - since} ms after it "
+                    f"said that it leaves: {self.describe(call)}"
+                )
+        return violations
+
+    def _find_requests_in_pauses(self) -> list[str]:
+        arrivals: dict[tuple[str, str, int], list[ReceivedRequest]] = defaultdict(list)
+        for call, received in self._pairs():
+            arrivals[call.host, received.upstream, received.born].append(received)
+        violations = []
+        for (host, upstream, _), requests in arrivals.items():
+            for refusal in requests:
+                pause = refusal.answer_headers.get(RETRY_AFTER)
+                if pause is None or refusal.ended is None:
+                    continue
+                began = refusal.ended + PAUSE_DELAY_MS
+                ended = refusal.ended + int(float(pause) * MS_PER_SECOND)
+                late = [item.request for item in requests if began < item.arrived < ended]
+                if len(late) > MAX_REQUESTS_IN_PAUSE and not self._is_interrupted(
+                    host, refusal.ended, ended
+                ):
+                    violations.append(
+                        f"PAUSE: {upstream} asked {host} for a pause at {refusal.ended} "
+                        f"({refusal.request}) and got {len(late)} requests: {late[:5]}"
+                    )
+        return violations
+
+    def _pairs(self) -> list[tuple[Call, ReceivedRequest]]:
+        return [
+            (call, received)
+            for request, call in self._calls.items()
+            for received in self._received[request]
+        ]
+
+    def _is_interrupted(self, host: str, began: int, ended: int) -> bool:
+        return bool(self._fault_log.find(host, _INTERRUPTIONS, began=began, ended=ended))
+
+    def describe(self, call: Call) -> str:
+        """Return what is known of a request."""
+        reached = ", ".join(
+            f"{item.upstream}@{item.arrived}-{item.ended}{' executed' if item.executed else ''}"
+            for item in self._received[call.request]
+        )
+        stops = [
+            f"SIGTERM@{stop.began}"
+            for stop in self._fault_log.find(
+                call.host, _STOPS, began=call.sent - QUIET_MS, ended=call.ended
+            )
+        ]
+        return (
+            f"{call.request} ({call.kind.value}) to {call.host}, sent {call.sent}, "
+            f"status {call.status}, {len(call.body)} bytes, ended {call.ended}; "
+            f"reached [{reached}]; {stops}"
+        )
+
+
+def _is_refused(call: Call) -> bool:
+    return call.is_complete and call.status in REFUSED_STATUSES
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -213,10 +213,28 @@
         :param name: Id of the host.
         :param seeds: Peer addresses of other hosts.
         """
+        settings = await self.make_settings(name, seeds=seeds, stop_grace_s=4)
+        clock = Clock()
+        host = GatewayHost(
+            settings=settings, platform=make_platform(settings=settings, clock=clock), clock=clock
+        )
+        await host.start()
+        self.hosts[name] = host
+        return host
+
+    async def make_settings(
+        self, name: str, *, seeds: tuple[str, ...], stop_grace_s: float
+    ) -> GatewaySettings:
+        """Start a relay between a host and the store, and return the settings of the host.
+
+        :param name: Id of the host.
+        :param seeds: Peer addresses of other hosts.
+        :param stop_grace_s: Grace period of the host in seconds.
+        """
         relay = TcpRelay(target=self._store_address)
         await relay.__aenter__()
         self.store_links[name] = relay
-        settings = GatewaySettings(
+        self._settings[name] = GatewaySettings(
             host=HostSection(
                 id=name,
                 failure_domain="a",
@@ -224,19 +242,12 @@
                 readiness=f"{LOOPBACK}:{free_port()}",
                 peers=f"{LOOPBACK}:{free_port()}",
                 seeds=list(seeds),
-                stop_grace_s=4,
+                stop_grace_s=stop_grace_s,
             ),
             store=GatewayStore(address=relay.address),
             deadlines=DeadlinesSection(),
         )
-        clock = Clock()
-        host = GatewayHost(
-            settings=settings, platform=make_platform(settings=settings, clock=clock), clock=clock
-        )
-        self._settings[name] = settings
-        await host.start()
-        self.hosts[name] = host
-        return host
+        return self._settings[name]
 
     async def kill_host(self, name: str) -> None:
         """Stop a host without a graceful shutdown."""
