--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -9,11 +9,15 @@
 
 from aiohttp import web
 import msgspec
+from msgspec import Struct
 from multidict import CIMultiDict
 from returns.result import Failure
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
+from tanagerscale.core import Millis
+from tanagerscale.core import RequestId
+from tanagerscale.core import get_logger
 from tanagerscale.forwarding import Header
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import RefusalKind
@@ -35,6 +39,21 @@
 _CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 _TOO_LARGE: Final = Refusal(kind=RefusalKind.TOO_LARGE, detail="Send a smaller body.")
 
+_log = get_logger(part="callers")
+
+
+class ConnectionUse(Struct, kw_only=True, eq=False):
+    """How a caller uses a connection.
+
+    :param first_seen: When the connection was first known to the server.
+    :param requests: Number of requests that have been handled on it.
+    :param idle_since: When it became idle; ``None`` while a request on it is being handled.
+    """
+
+    first_seen: Millis
+    requests: int = 0
+    idle_since: Millis | None
+
 
 @final
 class CallerRequestHandler:
@@ -43,7 +62,8 @@
     :param serve: Serves one decoded request.
     :param codec: Decodes requests.
     :param rules: Limits that apply to callers.
-    :param is_stopping: Returns whether every connection is closed after its response.
+    :param stopping_since: Returns when the shutdown began, after which every connection is closed
+        after its response; ``None`` before it.
     :param clock: Clock that timestamps the arrival of requests.
     """
 
@@ -53,21 +73,24 @@
         serve: RequestHandler,
         codec: CallerCodec,
         rules: CallerRules,
-        is_stopping: Callable[[], bool],
+        stopping_since: Callable[[], Millis | None],
         clock: Clock,
     ) -> None:
         self._serve = serve
         self._codec = codec
         self._rules = rules
-        self._is_stopping = is_stopping
+        self._stopping_since = stopping_since
         self._clock = clock
 
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Handle one request; this is the handler of the aiohttp server."""
+    async def handle(
+        self, request: web.BaseRequest, connection: ConnectionUse
+    ) -> web.StreamResponse:
+        """Handle one request on a connection."""
+        stopping_since = self._stopping_since()
         responder = AiohttpResponder(
             request=request,
             echoed_headers=self._codec.echoed_headers(request),
-            idle_timeout_ms=None if self._is_stopping() else self._rules.idle_timeout_ms(),
+            idle_timeout_ms=self._idle_timeout_ms,
         )
         arrived = self._clock.now()
         body = await self._read_body(request)
@@ -79,9 +102,28 @@
         if isinstance(decoded, Failure):
             await responder.refuse(refusal=decoded.failure())
             return responder.response
-        await self._serve(decoded.unwrap(), responder)
+        caller_request = decoded.unwrap()
+        if stopping_since is not None:
+            self._log_during_shutdown(caller_request.request, connection, arrived - stopping_since)
+        await self._serve(caller_request, responder)
         return responder.response
 
+    def _idle_timeout_ms(self) -> int | None:
+        """Return how long a connection may stay idle; ``None`` closes it after its response."""
+        return self._rules.idle_timeout_ms() if self._stopping_since() is None else None
+
+    def _log_during_shutdown(
+        self, request: RequestId, connection: ConnectionUse, since_stop_ms: int
+    ) -> None:
+        """Log on what kind of connection a request has reached a stopping host."""
+        _log.info(
+            "A request arrived during the shutdown.",
+            request=request,
+            since_stop_ms=since_stop_ms,
+            earlier_requests=connection.requests,
+            connection_age_ms=self._clock.now() - connection.first_seen,
+        )
+
     async def _read_body(self, request: web.BaseRequest) -> bytes | None:
         """Return the whole body, or ``None`` if it exceeds the size limit."""
         if not request.can_read_body:
@@ -107,8 +149,9 @@
 
     :param request: The request to respond to.
     :param echoed_headers: Header fields of the request that the gateway's own responses repeat.
-    :param idle_timeout_ms: How long the connection may stay idle after the response; ``None``
-        closes it.
+    :param idle_timeout_ms: Returns how long the connection may stay idle after the response;
+        ``None`` closes it. Called when the response begins, as a shutdown may begin while the
+        request is being handled.
     """
 
     def __init__(
@@ -116,11 +159,12 @@
         *,
         request: web.BaseRequest,
         echoed_headers: Sequence[Header],
-        idle_timeout_ms: int | None,
+        idle_timeout_ms: Callable[[], int | None],
     ) -> None:
         self._request = request
         self._echoed = echoed_headers
         self._idle_timeout_ms = idle_timeout_ms
+        self._must_close = False
         self._response: web.StreamResponse | None = None
 
     @property
@@ -174,7 +218,7 @@
 
     def close_after_response(self) -> None:
         """Close the connection after this response."""
-        self._idle_timeout_ms = None
+        self._must_close = True
 
     def abort(self) -> None:
         """Abort the connection, so that a partial response does not look complete."""
@@ -186,7 +230,8 @@
 
     def _prepare(self, response: web.StreamResponse) -> None:
         self._response = response
-        if self._idle_timeout_ms is None:
+        idle_timeout_ms = None if self._must_close else self._idle_timeout_ms()
+        if idle_timeout_ms is None:
             response.force_close()
         else:
-            response.headers["Keep-Alive"] = f"timeout={self._idle_timeout_ms // 1000}"
+            response.headers["Keep-Alive"] = f"timeout={idle_timeout_ms // 1000}"
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -207,11 +207,14 @@
         port = int(previous.address.rpartition(":")[2])
         return await self.add_upstream(name, service, born=born, port=port)
 
-    async def add_host(self, name: str, *, seeds: tuple[str, ...] = ()) -> GatewayHost:
+    async def add_host(
+        self, name: str, *, seeds: tuple[str, ...] = (), stop_grace_s: int = 4
+    ) -> GatewayHost:
         """Start a host that reaches the store through its own relay.
 
         :param name: Id of the host.
         :param seeds: Peer addresses of other hosts.
+        :param stop_grace_s: Grace period of its graceful shutdown, in seconds.
         """
         settings = await self.make_settings(name, seeds=seeds, stop_grace_s=4)
         clock = Clock()
@@ -254,6 +257,11 @@
         await self.hosts.pop(name).abort()
         await self.store_links.pop(name).__aexit__()
 
+    async def stop_host(self, name: str) -> None:
+        """Stop a host gracefully."""
+        await self.hosts.pop(name).stop()
+        await self.store_links.pop(name).__aexit__()
+
     def disconnect_from_store(self, name: str) -> None:
         """Cut the connections of a host to the store and refuse new ones."""
         relay = self.store_links[name]
