Test the checks of the soak on the platform

Each check is seen to name a record that breaks it, and to pass over the cases that are allowed; a soak run that finds nothing shows nothing otherwise. 25 cases pass.

--- a/standins/platform_callers.py
+++ b/standins/platform_callers.py
@@ -18,7 +18,6 @@
 from standins.platform_world import HOST_NAME
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
-from tanagerscale.core import Millis
 
 LONG_TOKENS = "500,2000"
 SHORT_TOKENS = "100,40"
@@ -73,7 +72,7 @@
     request: str
     kind: CallKind
     host: str
-    sent: Millis
+    sent: int
     status: int = 0
     headers: CIMultiDict[str] = field(default_factory=CIMultiDict)
     body: bytearray = field(default_factory=bytearray)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -17,7 +17,6 @@
 from standins._common import LOOPBACK
 from standins._common import json_response
 from tanagerscale.core import Clock
-from tanagerscale.core import Millis
 
 MS_PER_S = 1000
 COPY_RETENTION_S = 5.0
@@ -64,7 +63,7 @@
     upstream: str = ""
     born: int = 0
     arrived: int = 0
-    ended: Millis | None = None
+    ended: int | None = None
     answer_headers: Mapping[str, str] = field(default_factory=dict)
 
 
--- /dev/null
+++ b/testing/test_platform_verdict.py
@@ -0,0 +1,178 @@
+"""The verdict of the platform soak names each broken guarantee and excuses what is allowed."""
+
+from __future__ import annotations
+
+from multidict import CIMultiDict
+import pytest
+
+from standins.platform_callers import Call
+from standins.platform_callers import CallKind
+from standins.platform_engine import Ledger
+from standins.platform_engine import ReceivedRequest
+from standins.platform_engine import event_bytes
+from standins.platform_fault_log import Fault
+from standins.platform_fault_log import FaultKind
+from standins.platform_fault_log import FaultLog
+from standins.platform_verdict import STREAM_EVENTS
+from standins.platform_verdict import PlatformVerdict
+
+GRACE_MS = 5_000
+SENT = 100_000
+ENDED = SENT + 1_000
+
+
+def _call(kind: CallKind = CallKind.UNSAFE, *, number: int = 1, sent: int = SENT) -> Call:
+    """Return a request whose connection ended without an answer."""
+    call = Call(f"r{number}", kind, "h0", sent)
+    call.ended = sent + 1_000
+    return call
+
+
+def _answered(call: Call, *, status: int = 200, body: bytes | None = None) -> Call:
+    call.status, call.is_complete, call.head_at = status, True, call.sent + 10
+    call.headers = CIMultiDict(
+        {"Tanagerscale-Attempt-Id": call.request, "Tanagerscale-Server-Stamp": "p1"}
+    )
+    call.body = bytearray(f"p1 answers {call.request}".encode() if body is None else body)
+    return call
+
+
+def _received(call: Call, *, executed: bool = True, **headers: str) -> ReceivedRequest:
+    received = ReceivedRequest(call.request, "POST", "/", {}, b"", executed, "p1")
+    received.arrived, received.ended = call.sent + 1, call.ended
+    received.answer_headers = {name.replace("_", "-"): value for name, value in headers.items()}
+    return received
+
+
+def _judge(calls: list[Call], received: list[ReceivedRequest], *faults: Fault) -> list[str]:
+    fault_log = FaultLog()
+    fault_log.faults += faults
+    verdict = PlatformVerdict(
+        calls=calls,
+        ledger=Ledger(received_requests=received),
+        fault_log=fault_log,
+        grace_ms=GRACE_MS,
+    )
+    return [violation.partition(":")[0] for violation in verdict.find_violations()]
+
+
+def _stream(events: list[int], generation: int = 1) -> bytes:
+    return b"".join(event_bytes("r1", generation, event) for event in events)
+
+
+WHOLE = list(range(1, STREAM_EVENTS + 1))
+
+
+def test_verdict_is_empty_when_answers_are_whole() -> None:
+    plain, stream = _answered(_call()), _answered(_call(CallKind.LONG), body=_stream(WHOLE))
+    assert _judge([plain], [_received(plain)]) == []
+    assert _judge([stream], [_received(stream)]) == []
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        _stream(WHOLE[:-1]),
+        _stream([*WHOLE[:5], *WHOLE[6:]]),
+        _stream([*WHOLE[:5], *WHOLE[4:]]),
+        _stream(WHOLE[:50]) + _stream(WHOLE[50:], generation=2),
+    ],
+)
+def test_verdict_names_a_stream_when_it_is_not_whole_and_of_one_generation(body: bytes) -> None:
+    call = _answered(_call(CallKind.LONG), body=body)
+    assert _judge([call], [_received(call)]) == ["ANSWER"]
+
+
+def test_verdict_names_an_answer_when_it_belongs_to_another_request() -> None:
+    call = _answered(_call())
+    call.headers["Tanagerscale-Attempt-Id"] = "r2"
+    assert _judge([call], [_received(call)]) == ["ANSWER"]
+    unsigned = _answered(_call())
+    del unsigned.headers["Tanagerscale-Server-Stamp"]
+    assert _judge([unsigned], [_received(unsigned)]) == ["ANSWER"]
+
+
+def test_verdict_names_a_request_when_it_was_executed_twice() -> None:
+    call, safe = _answered(_call()), _answered(_call(CallKind.SAFE))
+    assert _judge([call], [_received(call), _received(call)]) == ["TWICE"]
+    assert _judge([safe], [_received(safe), _received(safe)]) == []
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_verdict_names_a_refusal_when_the_request_was_executed(status: int) -> None:
+    call = _answered(_call(), status=status)
+    assert _judge([call], [_received(call)]) == ["REFUSED"]
+    assert _judge([call], [_received(call, executed=False)]) == []
+
+
+def test_verdict_names_a_request_when_its_connection_was_closed_without_an_answer() -> None:
+    call = _call()
+    stop = Fault(FaultKind.HOST_STOP, "h0", "", SENT - 3_500, ENDED)
+    assert _judge([call], [_received(call)], stop) == ["LOST"]
+    assert _judge([call], [], stop) == ["LOST"]
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        Fault(FaultKind.HOST_KILL, "h0", "", ENDED, ENDED),
+        Fault(FaultKind.HOST_FREEZE, "h0", "", SENT - 4_000, SENT - 3_000),
+        Fault(FaultKind.UPSTREAM, "p1", "", SENT - 10, SENT + 10),
+    ],
+)
+def test_verdict_excuses_a_lost_request_when_another_fault_explains_it(fault: Fault) -> None:
+    call = _call()
+    assert _judge([call], [_received(call)], fault) == []
+
+
+@pytest.mark.parametrize(
+    ("kind", "after_ms", "ended_ms", "violations"),
+    [
+        (CallKind.LONG, 2_000, 4_300, []),
+        (CallKind.LONG, 2_000, 4_000, ["LOST"]),
+        (CallKind.LONG, 3_200, 4_300, ["LOST"]),
+        (CallKind.UNSAFE, 2_000, 4_300, ["LOST"]),
+    ],
+)
+def test_verdict_excuses_a_stream_only_when_it_was_early_and_cut_in_the_last_sixth(
+    kind: CallKind, after_ms: int, ended_ms: int, violations: list[str]
+) -> None:
+    call = _call(kind)
+    stopped = SENT - after_ms
+    call.ended = stopped + ended_ms
+    stop = Fault(FaultKind.HOST_STOP, "h0", "", stopped, call.ended)
+    assert _judge([call], [_received(call)], stop) == violations
+
+
+def test_verdict_excuses_a_request_when_it_crossed_the_close_of_its_connection() -> None:
+    call = _call()
+    call.ended = SENT + 150
+    assert _judge([call], []) == []
+    assert _judge([call], [_received(call)]) == ["LOST"]
+
+
+@pytest.mark.parametrize(("after_ms", "violations"), [(2_005, []), (2_020, ["LEAVING"])])
+def test_verdict_names_a_request_when_it_reaches_an_upstream_that_said_that_it_leaves(
+    after_ms: int, violations: list[str]
+) -> None:
+    told = _answered(_call())
+    late = _answered(_call(number=2, sent=SENT + after_ms))
+    received = [_received(told, Server_Leaving="1"), _received(late)]
+    assert _judge([told, late], received) == violations
+    start = Fault(FaultKind.HOST_START, "h0", "", SENT + 100, SENT + 100)
+    assert _judge([told, late], received, start) == []
+
+
+@pytest.mark.parametrize(("late", "violations"), [(2, []), (3, ["PAUSE"])])
+def test_verdict_names_an_upstream_when_it_gets_more_than_two_requests_in_its_pause(
+    late: int, violations: list[str]
+) -> None:
+    refused = _answered(_call(), status=503)
+    refused.ended = SENT + 10
+    calls = [_answered(_call(number=2 + n, sent=SENT + 600 + n)) for n in range(late)]
+    calls += [_answered(_call(number=9 + n, sent=SENT + 3_100 + n)) for n in range(3)]
+    received = [_received(refused, executed=False, Retry_After="3.0"), *map(_received, calls)]
+    assert _judge([refused, *calls], received) == violations
+    freeze = Fault(FaultKind.HOST_FREEZE, "h0", "", SENT + 100, SENT + 200)
+    assert _judge([refused, *calls], received, freeze) == []
