Give the copies of all upstream stand-ins different handles

Cause: each upstream numbered its handles by itself, and keeps copies from others under these numbers. A copy from one upstream replaced a copy from another one with the same number, or was freed in its place, and the stream to resume from it was lost.

Change: one sequence of handles for all upstreams.

Seen: the new test failed before with "assert 1 == 2, where 1 = len({'h1'})". The other cases show how moved runs resume.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -21,6 +21,9 @@
 MS_PER_S = 1000
 COPY_RETENTION_S = 5.0
 
+_handles = count(1)
+"""Numbers of the handles of all upstreams; one upstream may hold copies from several others."""
+
 
 @unique
 class UpstreamBehavior(Enum):
@@ -157,7 +160,6 @@
         self._stopped_runs: dict[str, _Copy] = {}
         """Memory that this upstream keeps of the runs that it stopped, by handle of the copy."""
         self._copied: set[tuple[str, str]] = set()
-        self._handles = count(1)
         self._transports: set[asyncio.Transport] = set()
         self._clock = Clock()
 
@@ -312,7 +314,7 @@
             return web.Response(status=409)
         if order["last"]:
             run.stopped = True
-        handle = f"h{next(self._handles)}"
+        handle = f"h{next(_handles)}"
         if target is None or not target._has_room_for_copy:
             response_body = {"handle": handle} if order["last"] else {}
             self._copies[handle] = _Copy(run, run.events_sent)
