--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -89,6 +89,7 @@
             self._runners.append(metrics)
         rules = CallerRules(
             body_bytes=lambda: self._limits.body_bytes,
+            header_timeout_ms=lambda: self._limits.header_timeout_ms,
             idle_timeout_ms=lambda: self._limits.idle_timeout_ms,
         )
         self._server = CallerServer(
@@ -147,7 +148,7 @@
         await drain_requests(
             server=self._server,
             schedule=self._shutdown,
-            answer_unanswered=self._dispatcher.answer_unanswered,
+            end_unfinishable=self._dispatcher.end_unfinishable,
             sleep=self._clock.sleep,
         )
         _log.info(
