--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: test demo soak fuzz bench slopes format venv generate
+.PHONY: test demo soak platform-soak fuzz bench slopes format venv generate
 
 VENV := .venv
 BIN := $(VENV)/bin
@@ -16,6 +16,9 @@
 soak: $(STAMP)
 	$(BIN)/python -m standins.soak $(SOAK_OPTIONS)
 
+platform-soak: $(STAMP)
+	$(BIN)/python -m standins.platform_soak $(SOAK_OPTIONS)
+
 fuzz: $(STAMP)
 	FUZZ_FACTOR=20 $(BIN)/python -m pytest -k "machine or Machine or Ledger or fuzz or random or anything or garbage or bytes or frames"
 
