Let each soak on the platform listen on its own loopback address

Cause: hosts keep their ports over restarts. That was the soak's own fault and not the host's.

Change: the loopback address of the hosts follows from the process id of the soak.

--- a/standins/platform_soak.py
+++ b/standins/platform_soak.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 from pathlib import Path
 from random import Random
 import sys
@@ -121,10 +122,12 @@
     hosts: int,
     directory: Path,
 ) -> None:
+    # Another soak on this computer could take the port of a host that is down.
+    ip = f"127.{os.getpid() >> 14 & 0xFF | 1}.{os.getpid() >> 7 & 0x7F}.{os.getpid() & 0x7F | 0x80}"
     seeds: tuple[str, ...] = ()
     for number in range(hosts):
         name = f"h{number}"
-        settings = await cluster.make_settings(name, seeds=seeds, stop_grace_s=STOP_GRACE_S)
+        settings = await cluster.make_settings(name, seeds=seeds, stop_grace_s=STOP_GRACE_S, ip=ip)
         seeds = (*seeds, settings.host.peers)[:SEEDS]
         process = PlatformHostProcess(
             name=name, settings=settings, directory=directory, fault_log=fault_log
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -226,13 +226,14 @@
         return host
 
     async def make_settings(
-        self, name: str, *, seeds: tuple[str, ...], stop_grace_s: float
+        self, name: str, *, seeds: tuple[str, ...], stop_grace_s: float, ip: str = LOOPBACK
     ) -> GatewaySettings:
         """Start a relay between a host and the store, and return the settings of the host.
 
         :param name: Id of the host.
         :param seeds: Peer addresses of other hosts.
         :param stop_grace_s: Grace period of the host in seconds.
+        :param ip: Loopback address on which the host listens.
         """
         relay = TcpRelay(target=self._store_address)
         await relay.__aenter__()
@@ -241,9 +242,9 @@
             host=HostSection(
                 id=name,
                 failure_domain="a",
-                callers=f"{LOOPBACK}:{free_port()}",
-                readiness=f"{LOOPBACK}:{free_port()}",
-                peers=f"{LOOPBACK}:{free_port()}",
+                callers=f"{ip}:{free_port()}",
+                readiness=f"{ip}:{free_port()}",
+                peers=f"{ip}:{free_port()}",
                 seeds=list(seeds),
                 stop_grace_s=stop_grace_s,
             ),
