Don't let a request's own timeout end the shutdown of its host

Callers would see all their connections cut: the graceful shutdown failed with an error when a request reached its own deadline in the iteration of the event loop in which the shutdown ended it.

Cause: found in the read-through.

Change: a request whose timeout has fired is left alone.

Seen without the change: "RuntimeError: Cannot change state of expiring Timeout" in the new test, which passes with it.

--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -104,7 +104,8 @@
         """
         now = asyncio.get_running_loop().time()
         for one in self._in_progress:
-            if not one.responder.begun and not one.is_ended and self._is_unfinishable(one):
+            is_ending = one.is_ended or one.timeout.expired()
+            if not one.responder.begun and not is_ending and self._is_unfinishable(one):
                 one.is_ended = True
                 one.timeout.reschedule(now)
 
--- a/testing/test_forwarding_dispatcher.py
+++ b/testing/test_forwarding_dispatcher.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 import pytest
 
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import Admission
@@ -301,6 +302,24 @@
     run_virtually(scenario())
 
 
+# Guards against a shutdown that fails because a request reaches its own deadline at a check.
+def test_shutdown_goes_on_when_a_request_times_out_as_final_responses_are_due() -> None:
+    async def scenario() -> None:
+        harness = DispatcherHarness()
+        harness.fakes.upstream_client.hanging = {"x"}
+        request = replace(make_request(), time_left_ms=DUE_AFTER_MS)
+        harness.fakes.tables.table = make_table(replace(PLAIN, timeout_ms=39_000))
+        serving = asyncio.create_task(harness.serve(request))
+        harness.shutdown.begin(grace_s=STOP_GRACE_S)
+        await asyncio.sleep(DUE_AFTER_MS / MS_PER_SECOND)
+        while not serving.done():
+            harness.dispatcher.end_unfinishable()
+            await asyncio.sleep(0)
+        assert _kind(serving.result()) is RefusalKind.TIMED_OUT
+
+    run_virtually(scenario())
+
+
 def test_begun_stream_goes_on_until_its_host_ends() -> None:
     async def scenario() -> None:
         harness = DispatcherHarness()
