--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -44,7 +44,7 @@
 
 
 def host_stopping(*, rng: Random) -> Refusal:
-    """Return the refusal of a host that ends before it can finish the request; it has not run."""
+    """Return the refusal of a host that ends too early for a request, which has not run."""
     return Refusal(
         kind=RefusalKind.OVERLOADED,
         detail="This host stops before the answer could end; go to another host.",
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -241,7 +241,7 @@
             return unpaused[0]
         for one in holders:
             is_unasked = one.upstream not in failed and one not in unpaused
-            if is_unasked and pauses.take_exception(one.upstream):
+            if is_unasked and pauses.take_allowance(one.upstream):
                 return one
         return unpaused[0] if unpaused else None
 
--- a/src/tanagerscale/upstreams/_pauses.py
+++ b/src/tanagerscale/upstreams/_pauses.py
@@ -18,7 +18,7 @@
 from tanagerscale.core import get_logger
 from tanagerscale.upstreams._notices import UpstreamNotice
 
-MAX_EXCEPTIONS: Final = 2
+MAX_REQUESTS_IN_PAUSE: Final = 2
 """Requests that an upstream tolerates in a pause; they are kept for streams that would be lost."""
 
 _log = get_logger(part="pauses")
@@ -38,7 +38,7 @@
         self._clock = clock
         self._ends: dict[UpstreamId, Millis] = {}
         self._timers: dict[UpstreamId, asyncio.TimerHandle] = {}
-        self._exceptions: Counter[UpstreamId] = Counter()
+        self._sent_in_pause: Counter[UpstreamId] = Counter()
         self._changes: Subject[UpstreamId] = Subject()
 
     @property
@@ -56,11 +56,11 @@
         end = self._ends.get(upstream)
         return end is not None and self._clock.now() < end
 
-    def take_exception(self, upstream: UpstreamId) -> bool:
+    def take_allowance(self, upstream: UpstreamId) -> bool:
         """Return whether one request may be sent to an upstream in its pause, and count it."""
-        if self._exceptions[upstream] >= MAX_EXCEPTIONS:
+        if self._sent_in_pause[upstream] >= MAX_REQUESTS_IN_PAUSE:
             return False
-        self._exceptions[upstream] += 1
+        self._sent_in_pause[upstream] += 1
         return True
 
     def shortest_ms(self, upstreams: Iterable[UpstreamId]) -> int | None:
@@ -104,6 +104,6 @@
 
     def _end(self, upstream: UpstreamId) -> None:
         del self._ends[upstream]
-        self._exceptions.pop(upstream, None)
+        self._sent_in_pause.pop(upstream, None)
         self._timers.pop(upstream).cancel()
         self._changes.on_next(upstream)
--- a/testing/test_upstream_pauses.py
+++ b/testing/test_upstream_pauses.py
@@ -27,7 +27,7 @@
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamNotice
 from tanagerscale.upstreams import UpstreamPauses
-from tanagerscale.upstreams._pauses import MAX_EXCEPTIONS
+from tanagerscale.upstreams._pauses import MAX_REQUESTS_IN_PAUSE
 from testing._gateway_fakes import FakeResponse
 from testing._gateway_fakes import GatewayFakes
 from testing._gateway_fakes import Reaction
@@ -231,8 +231,8 @@
         fakes.pauses.record(upstream=X, pause_ms=PAUSE_MS)
         await asyncio.sleep(1)
         resumed = [await _resume(fakes, entry="x", holder="x") for _ in range(6)]
-        assert sum(isinstance(one, StreamSegment) for one in resumed) == MAX_EXCEPTIONS
-        assert fakes.upstream_client.asked == ["x"] * MAX_EXCEPTIONS
+        assert sum(isinstance(one, StreamSegment) for one in resumed) == MAX_REQUESTS_IN_PAUSE
+        assert fakes.upstream_client.asked == ["x"] * MAX_REQUESTS_IN_PAUSE
         await asyncio.sleep(PAUSE_MS / 1000)
         assert isinstance(await _resume(fakes, entry="x", holder="x"), StreamSegment)
 
