Renew the lease at once when a host becomes a coordinator

Problem: a host that had just become a coordinator could take up to 10 s to notice that the store does not answer it. If the same held for the other coordinators, the remaining hosts got no configuration for as long.

Cause: the wait until the next renewal was computed once, with the interval of a member.

Change: the renewal is due at once when a host becomes a coordinator.

--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -306,6 +306,7 @@
     def _subscribe(self) -> None:
         """Subscribe components to each other's changes."""
         self.configuration.tables.subscribe(self._on_table)
+        self.directory.changes.subscribe(lambda _: self._presence.on_coordinators_changed())
         self.gate.changes.subscribe(self.coordinator.on_upstreams)
         self.roster.changes.subscribe(self.coordinator.on_upstreams)
         self.evacuations.changes.subscribe(lambda _: self.coordinator.reevaluate())
--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -90,6 +90,7 @@
         self._record = record
         self._on_records = on_records
         self._is_coordinator = is_coordinator
+        self._was_coordinator = False
         self._on_availability = on_availability
         self._store_lost = False
         self._checked_at = Millis(-MIN_CHECK_INTERVAL_MS)
@@ -115,6 +116,16 @@
         if not self._store_lost and self._clock.now() - self._checked_at >= MIN_CHECK_INTERVAL_MS:
             self._check_requested.set()
 
+    def on_coordinators_changed(self) -> None:
+        """Renew the lease at once if this host has become a coordinator.
+
+        The current wait has the length for a member, in which no host would notice that the store
+        stops answering this one.
+        """
+        was_coordinator, self._was_coordinator = self._was_coordinator, self._is_coordinator()
+        if self._was_coordinator and not was_coordinator:
+            self._check_requested.set()
+
     async def run(self) -> None:
         """Write the entry and renew its lease until the task is cancelled."""
         while True:
--- a/testing/test_coordination_failures.py
+++ b/testing/test_coordination_failures.py
@@ -283,6 +283,24 @@
     _run_with_fleet(scenario)
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_configuration_is_in_force_in_time_when_the_store_is_silent_for_new_coordinators(
+    seed: int,
+) -> None:
+    # Guards against a coordinator that checks the store as rarely as when it was a member.
+    async def scenario(fleet: Fleet) -> None:
+        rng = Random(seed)
+        for host in rng.sample(fleet.coordinators, 2):
+            await fleet.kill(host)
+        await asyncio.sleep(rng.uniform(2, 4))
+        reaching = _silence_store(fleet, rng)
+        fleet.write("op/config", "2")
+        await asyncio.sleep(CONFIGURATION_TIMEOUT_S)
+        assert {host.control.configuration.head_revision for host in reaching} == {2}
+
+    _run_with_fleet(scenario)
+
+
 def test_members_make_few_store_calls_while_the_store_is_down_for_all() -> None:
     async def scenario(fleet: Fleet) -> None:
         for host in fleet.hosts:
