Try an engine again that did not admit a waiting request

Callers saw: a request waited for a full engine while another engine was idle, for as long as the full one stayed full. A copy of the request had run on the full engine at the moment when the other one was assigned.

Cause: an engine that the crash watch did not admit the request to was excluded without an end. The check that ends the wait when the exclusions change compares sets that both contain this engine, so it never saw a change.

Change: such an exclusion ends after 250 ms, and the wait ends with it, so that the request is placed again with its arrival time. The crash watch itself excludes the engine for longer if the request may not run there. An admission that is refused each time is asked for once in 250 ms, not in a loop.

--- a/src/tanagerscale/dispatch/_attempt.py
+++ b/src/tanagerscale/dispatch/_attempt.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Sequence
 from enum import Enum
 from enum import unique
@@ -21,6 +23,7 @@
 from tanagerscale.generated.upstream import EngineRequest
 from tanagerscale.generated.upstream import Refusal
 from tanagerscale.generated.upstream import RefusalKind
+from tanagerscale.routing import Placement
 from tanagerscale.upstreams import EngineClient
 from tanagerscale.upstreams import TokenBatches
 from tanagerscale.upstreams import UpstreamError
@@ -200,3 +203,19 @@
         if self._accepted and refusal.kind is RefusalKind.UNKNOWN_GENERATION:
             return AttemptOutcome(end=AttemptEnd.CRASHED, detail="The engine lost the attempt.")
         return AttemptOutcome(end=AttemptEnd.LOST, detail="The engine refused to resume.")
+
+
+async def run_until_move(
+    run: Coroutine[None, None, AttemptOutcome], placement: Placement
+) -> AttemptOutcome | None:
+    """Run an attempt; cancel it and return ``None`` when a move of its placement is requested."""
+    running = asyncio.ensure_future(run)
+    moved = asyncio.ensure_future(placement.move_requested.wait())
+    try:
+        await asyncio.wait({running, moved}, return_when=asyncio.FIRST_COMPLETED)
+        return running.result() if running.done() else None
+    finally:
+        moved.cancel()
+        if not running.done():
+            running.cancel()
+            await asyncio.wait({running})
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
 from typing import final
 
 from returns.result import Failure
@@ -26,8 +25,11 @@
 from tanagerscale.dispatch._attempt import Attempt
 from tanagerscale.dispatch._attempt import AttemptEnd
 from tanagerscale.dispatch._attempt import AttemptOutcome
+from tanagerscale.dispatch._attempt import run_until_move
 from tanagerscale.dispatch._context import DispatchContext
 from tanagerscale.dispatch._context import Finish
+from tanagerscale.dispatch._exclusions import NOT_ADMITTED_MS
+from tanagerscale.dispatch._exclusions import Exclusions
 from tanagerscale.dispatch._progress import GenerationProgress
 from tanagerscale.dispatch._relay import Relay
 from tanagerscale.dispatch._requests import engine_request
@@ -77,7 +79,9 @@
         self._context = context
         self._resume = resume
         self._relay = Relay()
-        self._progress = GenerationProgress(started_at=context.clock.now())
+        self._progress = GenerationProgress(
+            started_at=context.clock.now(), not_admitted=Exclusions(clock=context.clock)
+        )
         if resume is not None:
             self._relay = Relay(offset=resume.offset, checksum=resume.checksum)
             self._progress.may_have_run = True
@@ -136,7 +140,7 @@
         if request.excluded <= self._progress.excluded:
             return await self._context.router.place(request=request)
         try:
-            async with asyncio.timeout(None) as timeout:
+            async with asyncio.timeout_at(self._progress.not_admitted.next_end_s) as timeout:
                 watcher = asyncio.create_task(self._expire_when_stale(request, timeout))
                 try:
                     return await self._context.router.place(request=request)
@@ -155,7 +159,8 @@
             if self._excluded_engines() != request.excluded:
                 break
             await self._context.crash_watch.wait_change()
-        timeout.reschedule(asyncio.get_running_loop().time())
+        if not timeout.expired():
+            timeout.reschedule(asyncio.get_running_loop().time())
 
     async def _run_at(self, placement: Placement) -> Result[Finish, Problem] | None:
         """Run an attempt on the assigned engine; ``None`` means to continue with another one."""
@@ -168,7 +173,7 @@
         )
         if not admitted:
             # Exclude this engine, or routing could assign it again in an endless loop.
-            self._progress.not_admitted.add(engine)
+            self._progress.not_admitted.add(engine, duration_ms=NOT_ADMITTED_MS)
             self._release(tokens=0, engine_lost=False)
             return None
         self._progress.not_admitted.clear()
@@ -225,7 +230,7 @@
         excluded_by_watch = self._context.crash_watch.excluded_engines(
             fingerprint=self._request.fingerprint, model=self._request.model
         )
-        return excluded_by_watch | self._progress.excluded | self._progress.not_admitted
+        return excluded_by_watch | self._progress.excluded | self._progress.not_admitted.engines
 
     async def _attempt(
         self, placement: Placement, attempt_id: AttemptId, *, resumed: bool = False
@@ -249,7 +254,7 @@
             await self._sink.begin(attempt=attempt_id, engine=engine)
             request = engine_request(request=self._request, attempt=attempt_id)
             run = attempt.resume() if resumed else attempt.run(request=request)
-            outcome = await _run_until_move(run, placement)
+            outcome = await run_until_move(run, placement)
             ended = True
         finally:
             self._end_attempt(engine, outcome, started)
@@ -374,19 +379,3 @@
     "The engine was lost and its answer could not be made again; send the request once more."
 )
 _FAILED_DETAIL = "Several engines failed on this request; send it again after the pause."
-
-
-async def _run_until_move(
-    run: Coroutine[None, None, AttemptOutcome], placement: Placement
-) -> AttemptOutcome | None:
-    """Run an attempt; cancel it and return ``None`` when a move of its placement is requested."""
-    running = asyncio.ensure_future(run)
-    moved = asyncio.ensure_future(placement.move_requested.wait())
-    try:
-        await asyncio.wait({running, moved}, return_when=asyncio.FIRST_COMPLETED)
-        return running.result() if running.done() else None
-    finally:
-        moved.cancel()
-        if not running.done():
-            running.cancel()
-            await asyncio.wait({running})
--- a/testing/test_generation_waiting.py
+++ b/testing/test_generation_waiting.py
@@ -26,6 +26,7 @@
 from tanagerscale.dispatch import Finish
 from tanagerscale.dispatch import Generation
 from tanagerscale.dispatch import GenerationRequest
+from tanagerscale.dispatch._exclusions import NOT_ADMITTED_MS
 from tanagerscale.generated.declarations import Objective
 from tanagerscale.generated.upstream import FinishReason
 from tanagerscale.membership import UpstreamGate
@@ -90,6 +91,9 @@
         self.excluded = frozenset({FREE})
         self.problem: Problem | None = None
         self.changed = asyncio.Event()
+        self.refused_admissions: dict[UpstreamId, int] = {}
+        """Number of admissions that are still to be refused, by engine."""
+        self.admit_calls = 0
 
     def check(self, *, fingerprint: str) -> Problem | None:
         """Return the problem that was set last."""
@@ -120,8 +124,11 @@
         stop: asyncio.Event,
         progress: Callable[[], int],
     ) -> bool:
-        """Admit every request."""
-        return True
+        """Admit every request for which no refusal is set."""
+        self.admit_calls += 1
+        refusals = self.refused_admissions.get(engine, 0)
+        self.refused_admissions[engine] = max(refusals - 1, 0)
+        return refusals == 0
 
     def on_finished(self, *, fingerprint: str, engine: UpstreamId, complete: bool) -> None:
         """Do nothing."""
@@ -252,3 +259,32 @@
     assert running.cancelled()
     assert not harness.router.placed
     assert asyncio.all_tasks() == {asyncio.current_task()}
+
+
+async def test_waiting_request_is_sent_to_an_engine_again_that_did_not_admit_it_at_first(
+    harness: Harness,
+) -> None:
+    # Guards against waiting for a full engine while the engine that refused admission is free.
+    harness.crash_watch.excluded = frozenset()
+    harness.crash_watch.refused_admissions[FREE] = 1
+    running = asyncio.create_task(harness.generation.run())
+    await asyncio.sleep(5)
+    harness.crash_watch.update()
+    await asyncio.wait({running}, timeout=60)
+    assert running.done()
+    assert running.result() == Success(Finish(FinishReason.STOP, 4))
+
+
+async def test_waiting_request_asks_for_admission_at_intervals_when_it_is_refused_each_time(
+    harness: Harness,
+) -> None:
+    # Guards against a loop of placements and refused admissions without a pause.
+    harness.crash_watch.excluded = frozenset()
+    harness.crash_watch.refused_admissions[FREE] = 1_000_000
+    running = asyncio.create_task(harness.generation.run())
+    for _ in range(1000):
+        await asyncio.sleep(0.01)
+        harness.crash_watch.update()
+    assert 2 <= harness.crash_watch.admit_calls <= 10_000 // NOT_ADMITTED_MS + 1
+    harness.router.capacity_freed.set()
+    assert (await running).unwrap() == Finish(FinishReason.STOP, 4)
--- /dev/null
+++ b/testing/test_waits_dispatch.py
@@ -0,0 +1,161 @@
+"""Conditions that change while a generation waits at a real router with a real quarantine."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import cast
+
+import pytest
+from reactivex.subject import BehaviorSubject
+from reactivex.subject import Subject
+from returns.result import Result
+
+from tanagerscale.core import ClientAccountId
+from tanagerscale.core import Clock
+from tanagerscale.core import GenerationId
+from tanagerscale.core import HostId
+from tanagerscale.core import ModelId
+from tanagerscale.core import Problem
+from tanagerscale.core import Revision
+from tanagerscale.core import UpstreamId
+from tanagerscale.daemon import GateHealthRecorder
+from tanagerscale.daemon._quarantine_adapter import QuarantineAdapter
+from tanagerscale.declarations import Declarations
+from tanagerscale.dispatch import Canceller
+from tanagerscale.dispatch import DispatchContext
+from tanagerscale.dispatch import Finish
+from tanagerscale.dispatch import Generation
+from tanagerscale.dispatch import GenerationRequest
+from tanagerscale.generated.declarations import DeclarationSet
+from tanagerscale.generated.declarations import Objective
+from tanagerscale.membership import Mesh
+from tanagerscale.policy import RetryBudget
+from tanagerscale.quarantine import Quarantine
+from tanagerscale.usage import UsageMeter
+from testing._fake_engine import FakeEngine
+from testing._fake_engine import Faults
+from testing._fake_engine import ListSink
+from testing._fake_store import FakeStore
+from testing._routing_fakes import MODEL
+from testing._routing_fakes import Cluster
+from testing._routing_fakes import make_engines
+from testing._routing_fakes import make_request
+
+pytestmark = pytest.mark.looptime
+
+HOST = "a"
+
+
+class MeshWithoutPeers:
+    """The part of the mesh that the quarantine uses."""
+
+    def __init__(self) -> None:
+        self.messages: Subject[object] = Subject()
+        self.joined: Subject[object] = Subject()
+        self.live: BehaviorSubject[tuple[object, ...]] = BehaviorSubject(())
+
+    def broadcast(self, *, message: object) -> None:
+        """Do nothing."""
+
+
+class Host:
+    """One host, and engines that run one request each.
+
+    :param engines: Number of engines.
+    :param step_ms: Time in which an engine generates one token.
+    """
+
+    def __init__(self, *, engines: int = 2, step_ms: int = 10) -> None:
+        clock = Clock()
+        declared = make_engines(number=engines, max_batch=1)
+        self.cluster = Cluster(hosts=[HOST], engines=declared)
+        self.gate = self.cluster.host(HOST).gate
+        self.engines = {
+            UpstreamId(each.name): FakeEngine(clock=clock, faults=Faults(), step_ms=step_ms)
+            for each in declared
+        }
+        declarations = Declarations.from_set(
+            declarations=DeclarationSet(
+                objective=Objective(), models=[], accounts=[], engines=declared
+            ),
+            revision=Revision(1),
+        )
+        self.quarantine = Quarantine(
+            store=FakeStore(), prefix="/t", host=HostId(HOST), clock=clock, rng=Random(1)
+        )
+        adapter = QuarantineAdapter(
+            quarantine=self.quarantine,
+            mesh=cast(Mesh, MeshWithoutPeers()),
+            declarations=lambda: declarations,
+            clock=clock,
+        )
+        adapter.start()
+        self.context = DispatchContext(
+            router=self.cluster.host(HOST).router,
+            get_client=self.engines.__getitem__,
+            observer=GateHealthRecorder(gate=self.gate),
+            crash_watch=adapter,
+            retries=RetryBudget(),
+            canceller=Canceller(get_client=self.engines.__getitem__, clock=clock),
+            meter=UsageMeter(clock=clock, objective=Objective),
+            clock=clock,
+            rng=Random(2),
+        )
+
+    def start(self, name: str) -> asyncio.Task[Result[Finish, Problem]]:
+        """Start a generation of four tokens; all have the same fingerprint."""
+        request = GenerationRequest(
+            generation=GenerationId(name),
+            account=ClientAccountId("north"),
+            model=ModelId(MODEL),
+            version="1",
+            adapter="",
+            prompt="plan",
+            prompt_tokens=1,
+            max_tokens=4,
+            seed=7,
+            priority=1,
+            request_class="",
+            prefix="",
+            prefix_tokens=0,
+            whole=False,
+            fingerprint="f",
+        )
+        generation = Generation(request=request, sink=ListSink(), context=self.context)
+        return asyncio.create_task(generation.run())
+
+    async def fill_engines(self) -> None:
+        """Occupy every engine with a placement ``filler-N``."""
+        for number in range(len(self.engines)):
+            await self.cluster.place(HOST, f"filler-{number}")
+
+
+async def test_copy_gets_the_idle_engine_when_the_other_copy_has_ended() -> None:
+    # Guards against waiting for the engine of a copy that has ended while another one is idle.
+    host = Host(step_ms=500)
+    await host.fill_engines()
+    first = host.start("copy-1")
+    second = host.start("copy-2")
+    await asyncio.sleep(1)
+    engine = host.cluster.placements()["filler-0"]
+    host.cluster.release(HOST, "filler-0")
+    await asyncio.sleep(0.5)
+    host.cluster.release(HOST, "filler-1")
+    await asyncio.sleep(0.5)
+    assert not first.done()
+    # A request that may only use the first copy's engine is before the second copy in the queue.
+    other = next(name for name in host.engines if name != engine)
+    scheduler = host.cluster.scheduler(HOST)
+    before = make_request("filler-2", excluded=frozenset({other}))
+    placing = asyncio.create_task(host.cluster.host(HOST).router.place(request=before))
+    await asyncio.sleep(0.1)
+    scheduler.queue = {before.generation: before, **scheduler.queue}
+    await asyncio.wait({first}, timeout=10)
+    assert first.done()
+    await asyncio.sleep(1)
+    assert placing.done()
+    await asyncio.wait({second}, timeout=60)
+    idle = [name for name in host.engines if name not in scheduler.running.values()]
+    waiting = [sorted(request.excluded) for request in scheduler.queue.values()]
+    assert second.done(), f"idle: {idle}, excluded by the waiting request: {waiting}"
