Use a rejected engine again once it is open at the host

Callers saw: a waiting request was passed by later ones, waited for a full engine while another one was idle, or was refused when the full one left.

Cause: when the owner selected an engine that the gate of the request's host had closed, the host added the engine to the exclusions of the request for good, although the gate closes an engine that failed for under a second.

Change: the placement remembers the engines that it rejected. When the gate reports that one of them is open, the host releases the queued request at the owner and asks again without the exclusion and with the same arrival time. The placements are only searched if one of them has rejected the engine.

Not changed: a request whose only engine is closed when it is assigned is refused at once, like a new request at that moment.

--- a/src/tanagerscale/routing/_placement_table.py
+++ b/src/tanagerscale/routing/_placement_table.py
@@ -54,6 +54,8 @@
     :param asked_at: When the owner was asked last.
     :param answered: Whether the owner has answered since.
     :param in_fallback: Whether the request is also queued or placed in this host's own share.
+    :param rejected: Engines excluded because they were closed at this host when the owner selected
+        them.
     :param placement: Assigned engine; ``None`` until the request is placed.
     :param tokens: Number of tokens generated so far.
     :param wait_logged: Whether a wait of ``LONG_WAIT_THRESHOLD_MS`` has been logged.
@@ -67,6 +69,7 @@
     asked_at: Millis
     answered: bool = False
     in_fallback: bool = False
+    rejected: frozenset[UpstreamId] = frozenset()
     placement: Placement | None = None
     tokens: int = 0
     wait_logged: bool = False
--- a/src/tanagerscale/routing/_placements.py
+++ b/src/tanagerscale/routing/_placements.py
@@ -73,6 +73,7 @@
         self._send = send
         self._clock = clock
         self._serials = count(1)
+        self._rejected: set[UpstreamId] = set()
 
     def create(self, *, request: PlacementRequest, cell: CellId) -> PlacementRecord:
         """Create a placement; an earlier placement of the same generation is released."""
@@ -203,10 +204,30 @@
     ) -> None:
         """Reject an engine that is leaving or unreachable at this host, and ask again."""
         self._reject(grant, host=host, source=source)
-        excluded = record.request.excluded | {UpstreamId(grant.upstream)}
-        record.request = msgspec.structs.replace(record.request, excluded=excluded)
+        engine = UpstreamId(grant.upstream)
+        if engine not in record.request.excluded:
+            record.rejected |= {engine}
+            self._rejected.add(engine)
+            self._set_excluded(record, record.request.excluded | {engine})
         self._reselect(record)
 
+    def on_engine_changed(self, engine: UpstreamId) -> None:
+        """Ask again for the waiting requests that rejected an engine which is now open here."""
+        if engine not in self._rejected or not self._gate.is_open(engine):
+            return
+        self._rejected.remove(engine)
+        for record in self._records:
+            if engine not in record.rejected or record.outcome.done():
+                continue
+            record.rejected -= {engine}
+            self._set_excluded(record, record.request.excluded - {engine})
+            # The owner reads the exclusions of a request only when it is new there.
+            self._send(record.owner, record.build_finished())
+            self._reselect(record)
+
+    def _set_excluded(self, record: PlacementRecord, excluded: frozenset[UpstreamId]) -> None:
+        record.request = msgspec.structs.replace(record.request, excluded=excluded)
+
     def _reselect(self, record: PlacementRecord) -> None:
         """Select a cell and ask its owner, or refuse the request if no cell can serve it."""
         self._release_fallback(record, record.build_finished())
--- a/src/tanagerscale/routing/_router.py
+++ b/src/tanagerscale/routing/_router.py
@@ -144,7 +144,7 @@
         self._subscriptions = [
             self._network.live.subscribe(self._on_live_peers),
             self._network.messages.subscribe(self._on_received),
-            self._gate.changes.subscribe(lambda _upstream: self._refresh_engines()),
+            self._gate.changes.subscribe(self._on_engine_changed),
         ]
         self._tasks = [
             asyncio.create_task(self._tick_forever()),
@@ -273,6 +273,10 @@
         self._placement_client.update_owners()
         self._refresh_engines()
 
+    def _on_engine_changed(self, engine: UpstreamId) -> None:
+        self._refresh_engines()
+        self._placement_client.on_engine_changed(engine)
+
     def _refresh_engines(self) -> None:
         self._owned.refresh_engines()
         self._fallbacks.refresh_engines()
