Use an engine again that failed on a waiting request before

Callers saw: a request whose first engine had been unreachable for a moment waited for a full engine while the first one was open and idle, and was refused when the full one left.

Cause: an engine that failed on a request was excluded for as long as the request lived, unless the quarantine excluded another one as well.

Change: the exclusion ends after one second if the engine did not start the attempt, or after 15 seconds if it lost it; both double with each failed attempt, up to a minute. Until then other engines are preferred. One second exceeds the first backoff of the gate (750 ms with 25 % jitter), which decides from then on. The end of an exclusion ends the wait, and the request is placed again with its arrival time. After eight attempts, or the third lost one, the engines that failed are left alone, so that engines which refuse for minutes cannot use up the attempts of a request that waits for a full one. The limits on attempts and the retry budget are as before.

Ruled out: an exclusion that lasts only as long as the gate is closed. An engine that refuses a request is open, so it would be asked again at once.

Result: two new tests fail on the parent commit and pass with the change. The third (three engines refuse for five minutes, the fourth is full) passes on the parent and with the change, and fails without the limit of eight attempts.

Not changed: a request is refused at once when the only open engines are those that failed on it within these times.

--- a/src/tanagerscale/dispatch/_exclusions.py
+++ b/src/tanagerscale/dispatch/_exclusions.py
@@ -15,10 +15,31 @@
 The crash watch itself excludes the engine for longer if the request may not run there.
 """
 
+FAILED_MS = 1000
+"""Exclusion of an engine that did not run the first attempt of a request.
+
+Must exceed the first backoff of the gate, which alone decides after the exclusion.
+"""
+LOST_MS = 15_000
+"""Exclusion of the engine that lost the first attempt of a request.
+
+Longer because few lost attempts are allowed, and a hanging engine loses each one.
+"""
+MAX_EXCLUSION_MS = 60_000
+
+
+def exclusion_ms(*, first_ms: int, attempts: int) -> int:
+    """Return the duration of an exclusion, which doubles with each failed attempt of the request.
+
+    :param first_ms: Duration after the first attempt, in milliseconds.
+    :param attempts: Number of failed attempts, at least one.
+    """
+    return min(first_ms << (attempts - 1), MAX_EXCLUSION_MS)
+
 
 @final
 class Exclusions:
-    """Engines that are excluded for a limited time.
+    """Engines that are excluded for a limited time, unless the limit is removed.
 
     :param clock: Clock that ends the exclusions.
     """
@@ -26,16 +47,21 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._ends: dict[UpstreamId, Millis] = {}
+        self._unlimited = False
 
     @property
     def engines(self) -> frozenset[UpstreamId]:
         """Engines that are excluded now."""
+        if self._unlimited:
+            return frozenset(self._ends)
         now = self._clock.now()
         return frozenset(engine for engine, end in self._ends.items() if end > now)
 
     @property
     def next_end_s(self) -> float | None:
         """Loop time in seconds at which the first exclusion ends; ``None`` if there are none."""
+        if self._unlimited:
+            return None
         now = self._clock.now()
         end = min((end for end in self._ends.values() if end > now), default=None)
         # Add one millisecond because the clock truncates to whole milliseconds.
@@ -49,6 +75,10 @@
         """
         self._ends[engine] = Millis(self._clock.now() + duration_ms)
 
+    def remove_limit(self) -> None:
+        """Exclude all engines that were ever added, until they are cleared."""
+        self._unlimited = True
+
     def clear(self) -> None:
         """End all exclusions."""
         self._ends.clear()
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -44,8 +44,6 @@
 from tanagerscale.usage import ABANDONED
 from tanagerscale.usage import WHOLE
 
-MAX_LOST_ATTEMPTS = 3
-MAX_ATTEMPTS = 12
 RETRY_AFTER_MS = 1000
 MAX_WAIT_MS = 180_000
 """Time after which a request that lost its engine is refused instead of waiting for another one.
@@ -80,7 +78,9 @@
         self._resume = resume
         self._relay = Relay()
         self._progress = GenerationProgress(
-            started_at=context.clock.now(), not_admitted=Exclusions(clock=context.clock)
+            started_at=context.clock.now(),
+            not_admitted=Exclusions(clock=context.clock),
+            failed=Exclusions(clock=context.clock),
         )
         if resume is not None:
             self._relay = Relay(offset=resume.offset, checksum=resume.checksum)
@@ -137,10 +137,10 @@
 
         No watcher task is started unless the crash watch excludes an engine.
         """
-        if request.excluded <= self._progress.excluded:
-            return await self._context.router.place(request=request)
         try:
-            async with asyncio.timeout_at(self._progress.not_admitted.next_end_s) as timeout:
+            async with asyncio.timeout_at(self._progress.next_exclusion_end_s) as timeout:
+                if request.excluded <= self._progress.failed.engines:
+                    return await self._context.router.place(request=request)
                 watcher = asyncio.create_task(self._expire_when_stale(request, timeout))
                 try:
                     return await self._context.router.place(request=request)
@@ -184,13 +184,13 @@
         self, refusal: Problem, request: PlacementRequest
     ) -> Result[Finish, Problem] | None:
         """Return ``None`` after waiting if another engine may be available, or else the problem."""
-        excluded_by_watch = request.excluded - self._progress.excluded
+        excluded_by_watch = request.excluded - self._progress.failed.engines
         remaining_ms = MAX_WAIT_MS - (self._context.clock.now() - self._progress.started_at)
         if refusal.kind is ProblemKind.NO_UPSTREAM and excluded_by_watch and remaining_ms > 0:
             await self._context.crash_watch.wait_change()
             # An engine that failed before may have recovered; the gate still closes those that
             # do not accept work.
-            self._progress.excluded.clear()
+            self._progress.failed.clear()
             self._progress.not_admitted.clear()
             return None
         # Only new requests may be shed, so a request that had an engine waits and tries again.
@@ -230,7 +230,7 @@
         excluded_by_watch = self._context.crash_watch.excluded_engines(
             fingerprint=self._request.fingerprint, model=self._request.model
         )
-        return excluded_by_watch | self._progress.excluded | self._progress.not_admitted.engines
+        return excluded_by_watch | self._progress.excluded
 
     async def _attempt(
         self, placement: Placement, attempt_id: AttemptId, *, resumed: bool = False
@@ -335,21 +335,14 @@
             end=outcome.end.value,
             detail=outcome.detail,
         )
-        self._progress.excluded.add(engine)
-        if outcome.end is AttemptEnd.REFUSED:
-            if outcome.refusal is not None and outcome.refusal.kind is RefusalKind.LEAVING:
-                self._context.observer.record_leaving(upstream=engine)
-            return
-        self._context.observer.record_failure(upstream=engine)
-        if outcome.end is not AttemptEnd.NOT_SENT:
-            self._progress.may_have_run = True
-            self._progress.lost_attempts += 1
+        self._progress.record_failure(engine, lost=outcome.end not in _NOT_STARTED)
+        if outcome.end is not AttemptEnd.REFUSED:
+            self._context.observer.record_failure(upstream=engine)
+        elif outcome.refusal is not None and outcome.refusal.kind is RefusalKind.LEAVING:
+            self._context.observer.record_leaving(upstream=engine)
 
     def _is_retry_exhausted(self) -> bool:
-        if (
-            self._progress.lost_attempts > MAX_LOST_ATTEMPTS
-            or self._progress.attempts >= MAX_ATTEMPTS
-        ):
+        if self._progress.is_attempt_limit_reached:
             return True
         return self._progress.lost_attempts > 0 and not self._context.retries.try_spend()
 
@@ -374,6 +367,7 @@
         return Execution.UNKNOWN if self._progress.may_have_run else Execution.NOT_EXECUTED
 
 
+_NOT_STARTED = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.REFUSED})
 _STILL_RUNNING = frozenset({AttemptEnd.LOST, AttemptEnd.DIFFERS})
 _DIFFERS_DETAIL = (
     "The engine was lost and its answer could not be made again; send the request once more."
--- a/testing/test_waits_dispatch.py
+++ b/testing/test_waits_dispatch.py
@@ -10,6 +10,7 @@
 from reactivex.subject import BehaviorSubject
 from reactivex.subject import Subject
 from returns.result import Result
+from returns.result import Success
 
 from tanagerscale.core import ClientAccountId
 from tanagerscale.core import Clock
@@ -29,6 +30,8 @@
 from tanagerscale.dispatch import GenerationRequest
 from tanagerscale.generated.declarations import DeclarationSet
 from tanagerscale.generated.declarations import Objective
+from tanagerscale.generated.upstream import FinishReason
+from tanagerscale.generated.upstream import RefusalKind
 from tanagerscale.membership import Mesh
 from tanagerscale.policy import RetryBudget
 from tanagerscale.quarantine import Quarantine
@@ -159,3 +162,52 @@
     idle = [name for name in host.engines if name not in scheduler.running.values()]
     waiting = [sorted(request.excluded) for request in scheduler.queue.values()]
     assert second.done(), f"idle: {idle}, excluded by the waiting request: {waiting}"
+
+
+async def _start_after_failure(host: Host) -> asyncio.Task[Result[Finish, Problem]]:
+    """Start a generation whose first engine is unreachable for a moment, and the other one full."""
+    placement = await host.cluster.place(HOST, "filler")
+    free = next(name for name in host.engines if name != placement.engine)
+    host.engines[free].faults.unreachable = True
+    running = host.start("g")
+    await asyncio.sleep(0.1)
+    host.engines[free].faults.unreachable = False
+    return running
+
+
+async def test_waiting_request_is_sent_to_the_engine_that_was_unreachable_once_it_is_open() -> None:
+    # Guards against waiting for a full engine while one that failed before is open and idle.
+    host = Host()
+    running = await _start_after_failure(host)
+    await asyncio.wait({running}, timeout=60)
+    assert running.done()
+    assert running.result() == Success(Finish(FinishReason.STOP, 4))
+
+
+async def test_waiting_request_is_not_refused_while_the_engine_that_failed_before_is_open() -> None:
+    # Guards against a refusal while an open engine is idle.
+    host = Host()
+    running = await _start_after_failure(host)
+    await asyncio.sleep(2)
+    assert all(host.gate.is_open(name) for name in host.engines)
+    host.gate.record_leaving(upstream=host.cluster.placements()["filler"])
+    await asyncio.wait({running}, timeout=60)
+    assert running.result() == Success(Finish(FinishReason.STOP, 4))
+
+
+async def test_waiting_request_gets_the_full_engine_when_the_others_refuse_it_for_minutes() -> None:
+    # Guards against using up all attempts on engines that keep refusing, such as while loading.
+    host = Host(engines=4)
+    await host.fill_engines()
+    waiting_for = host.cluster.placements()["filler-0"]
+    for number in range(1, 4):
+        host.engines[host.cluster.placements()[f"filler-{number}"]].faults.refuse = (
+            RefusalKind.NOT_LOADED
+        )
+        host.cluster.release(HOST, f"filler-{number}")
+    running = host.start("g")
+    await asyncio.sleep(300)
+    host.cluster.release(HOST, "filler-0")
+    await asyncio.wait({running}, timeout=60)
+    assert running.result() == Success(Finish(FinishReason.STOP, 4))
+    assert host.engines[waiting_for].executed
