End the wait of every request at once when it is convicted

Callers saw: a queued request that another host convicted of crashing engines was refused only when an engine was free for it, which could take minutes, and took a place in the queue until then.

Cause: only a request for which the quarantine excluded an engine when it asked had a task that watched the quarantine.

Change: dispatch registers a function with the quarantine adapter for the time of the wait; it ends the wait if the request is convicted or its exclusions have changed. The adapter calls the functions of suspects and of requests with excluded engines, once for all changes of one step of the event loop. One timer for each host, which runs only while such requests wait, replaces a task for each of them. Other waiting requests have no task and no timer, and a change does not touch them. The pause after a refusal for overload ends in the same way.

--- a/src/tanagerscale/daemon/_adapters.py
+++ b/src/tanagerscale/daemon/_adapters.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import AbstractContextManager
+from contextlib import nullcontext
 from typing import final
 
 import aiohttp
@@ -89,6 +91,12 @@
         """Return no engines."""
         return frozenset()
 
+    def watch(
+        self, *, fingerprint: str, on_change: Callable[[], None]
+    ) -> AbstractContextManager[None]:
+        """Return an empty context: nothing ever changes."""
+        return nullcontext()
+
     async def wait_change(self) -> None:
         """Return immediately."""
 
--- a/src/tanagerscale/daemon/_quarantine_adapter.py
+++ b/src/tanagerscale/daemon/_quarantine_adapter.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import final
 
 from tanagerscale.core import MS_PER_SECOND
@@ -54,6 +56,11 @@
         self._changed = asyncio.Event()
         self._stop_events: defaultdict[RunId, set[asyncio.Event]] = defaultdict(set)
         self._peers: frozenset[HostId] = frozenset()
+        self._watchers: dict[Fingerprint, set[Callable[[], None]]] = {}
+        self._restricted: set[Fingerprint] = set()
+        """Watched requests with excluded engines, which are also checked at intervals."""
+        self._pending_notification: asyncio.Handle | None = None
+        self._poll_timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Subscribe to the quarantine and to peer messages."""
@@ -78,6 +85,25 @@
             engines=[name for name, engine in engines.items() if model in engine.models],
         )
 
+    @contextmanager
+    def watch(self, *, fingerprint: str, on_change: Callable[[], None]) -> Iterator[None]:
+        """Call a function when a request may be refused or its excluded engines may have changed.
+
+        :param fingerprint: Fingerprint of the request.
+        :param on_change: Called while the context is open; must not wait.
+        """
+        watched = Fingerprint(fingerprint)
+        watchers = self._watchers.setdefault(watched, set())
+        watchers.add(on_change)
+        self._poll_if_restricted(watched)
+        try:
+            yield
+        finally:
+            watchers.remove(on_change)
+            if not watchers:
+                del self._watchers[watched]
+                self._restricted.discard(watched)
+
     async def wait_change(self) -> None:
         """Wait until exclusions may have changed, for at most ``MAX_CHANGE_WAIT_MS``."""
         try:
@@ -125,6 +151,31 @@
         # Current waiters are woken. Later waiters use a new event and wait for the next change.
         self._changed.set()
         self._changed = asyncio.Event()
+        if self._watchers and self._pending_notification is None:
+            loop = asyncio.get_running_loop()
+            self._pending_notification = loop.call_soon(self._notify_watchers)
+
+    def _notify_watchers(self) -> None:
+        """Notify the watchers of suspects; thousands of other requests may wait."""
+        self._pending_notification = None
+        for fingerprint in (self._watchers.keys() & self._quarantine.suspects) | self._restricted:
+            for on_change in tuple(self._watchers.get(fingerprint, ())):
+                on_change()
+            self._poll_if_restricted(fingerprint)
+
+    def _poll_if_restricted(self, fingerprint: Fingerprint) -> None:
+        if self._quarantine.is_unrestricted(fingerprint=fingerprint):
+            self._restricted.discard(fingerprint)
+            return
+        self._restricted.add(fingerprint)
+        if self._poll_timer is None:
+            delay_s = MAX_CHANGE_WAIT_MS / MS_PER_SECOND
+            self._poll_timer = asyncio.get_running_loop().call_later(delay_s, self._poll)
+
+    def _poll(self) -> None:
+        """Notify watchers of changes that only the passage of time causes."""
+        self._poll_timer = None
+        self._notify_watchers()
 
     def _on_stop(self, request: StopRequest) -> None:
         for stop in self._stop_events.get((request.fingerprint, request.engine), ()):
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
+from typing import TypeVar
 from typing import final
 
 from returns.result import Failure
@@ -51,6 +53,7 @@
 Suspects of one crash run one at a time on each engine, so rerunning a large batch takes long.
 """
 
+_T = TypeVar("_T")
 _log = get_logger(part="dispatch")
 
 
@@ -122,7 +125,7 @@
             if problem is not None:
                 return Failure(self._with_execution(problem))
             request = self._placement_request()
-            match await self._place(request):
+            match await self._until_stale(request, self._context.router.place(request=request)):
                 case Success(placement):
                     result = await self._run_at(placement)
                 case Failure(refusal):
@@ -132,34 +135,32 @@
             if result is not None:
                 return result
 
-    async def _place(self, request: PlacementRequest) -> Result[Placement, Problem] | None:
-        """Wait for an engine; ``None`` when the request must be checked and placed again.
+    async def _until_stale(
+        self, request: PlacementRequest, waiting: Coroutine[None, None, _T]
+    ) -> _T | None:
+        """Wait until the request must be checked and placed again, which returns ``None``.
 
-        No watcher task is started unless the crash watch excludes an engine.
+        :param request: Placement request that the wait is for.
+        :param waiting: What to wait for; cancelled when the request must be placed again.
         """
         try:
             async with asyncio.timeout_at(self._progress.next_exclusion_end_s) as timeout:
-                if request.excluded <= self._progress.failed.engines:
-                    return await self._context.router.place(request=request)
-                watcher = asyncio.create_task(self._expire_when_stale(request, timeout))
-                try:
-                    return await self._context.router.place(request=request)
-                finally:
-                    watcher.cancel()
+                with self._context.crash_watch.watch(
+                    fingerprint=self._request.fingerprint,
+                    on_change=lambda: self._expire_if_stale(request, timeout),
+                ):
+                    return await waiting
         except TimeoutError:
             return None
 
-    async def _expire_when_stale(self, request: PlacementRequest, timeout: asyncio.Timeout) -> None:
-        """Expire the timeout when the request is quarantined or its excluded engines change.
+    def _expire_if_stale(self, request: PlacementRequest, timeout: asyncio.Timeout) -> None:
+        """Expire the timeout if the request is quarantined or its excluded engines have changed.
 
         Otherwise a request restricted to an engine that crashed would wait indefinitely.
         """
-        fingerprint = self._request.fingerprint
-        while self._context.crash_watch.check(fingerprint=fingerprint) is None:
-            if self._excluded_engines() != request.excluded:
-                break
-            await self._context.crash_watch.wait_change()
-        if not timeout.expired():
+        problem = self._context.crash_watch.check(fingerprint=self._request.fingerprint)
+        is_stale = problem is not None or self._excluded_engines() != request.excluded
+        if is_stale and not timeout.expired():
             timeout.reschedule(asyncio.get_running_loop().time())
 
     async def _run_at(self, placement: Placement) -> Result[Finish, Problem] | None:
@@ -200,7 +201,7 @@
             and self._progress.attempts
             and delay_ms <= remaining_ms
         ):
-            await self._context.clock.sleep(delay_ms)
+            await self._until_stale(request, self._context.clock.sleep(delay_ms))
             return None
         if refusal.kind is ProblemKind.NO_UPSTREAM:
             refusal = add_retry_jitter(problem=refusal, rng=self._context.rng)
--- a/src/tanagerscale/dispatch/_types.py
+++ b/src/tanagerscale/dispatch/_types.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+from contextlib import AbstractContextManager
 from typing import Protocol
 
 from msgspec import Struct
@@ -118,6 +119,14 @@
     def excluded_engines(self, *, fingerprint: str, model: ModelId) -> frozenset[UpstreamId]:
         """Return the engines of a model on which the request must not run at present."""
 
+    def watch(
+        self, *, fingerprint: str, on_change: Callable[[], None]
+    ) -> AbstractContextManager[None]:
+        """Call a function when a request may be refused or its excluded engines may have changed.
+
+        :param on_change: Called while the context is open; must not wait.
+        """
+
     async def wait_change(self) -> None:
         """Wait until the excluded engines may have changed, or until a short timeout."""
 
--- a/src/tanagerscale/quarantine/_quarantine.py
+++ b/src/tanagerscale/quarantine/_quarantine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from collections.abc import KeysView
 from collections.abc import Sequence
 import random
 from typing import Final
@@ -97,6 +98,11 @@
         """Emits when an excluded engine may be available or a request may be convicted."""
         return self._changes
 
+    @property
+    def suspects(self) -> KeysView[Fingerprint]:
+        """Requests that are suspects or convicted; those of expired entries may be included."""
+        return self._suspicions.entries.keys()
+
     def check(self, *, fingerprint: Fingerprint) -> Problem | None:
         """Return the problem to answer a convicted request with.
 
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import AbstractContextManager
+from contextlib import nullcontext
 from dataclasses import dataclass
 import random
 
@@ -73,6 +75,12 @@
         """Exclude no engine."""
         return frozenset()
 
+    def watch(
+        self, *, fingerprint: str, on_change: Callable[[], None]
+    ) -> AbstractContextManager[None]:
+        """Return an empty context: the exclusions do not change."""
+        return nullcontext()
+
     async def wait_change(self) -> None:
         """Fail, because no engine is excluded."""
         raise AssertionError("wait_change() must not be called: no engine is excluded.")
--- a/testing/test_generation_waiting.py
+++ b/testing/test_generation_waiting.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 import random
 
@@ -60,12 +62,14 @@
         self.placed: set[GenerationId] = set()
         self.capacity_freed = asyncio.Event()
         """Set when the full engine has capacity."""
+        self.free_is_full = False
+        """Whether the free engine has no capacity before the full one has."""
 
     async def place(self, *, request: PlacementRequest) -> Result[Placement, Problem]:
         """Wait until an engine that is not excluded has capacity."""
         self.requests.append(request)
         engine = FULL if FREE in request.excluded else FREE
-        if engine == FULL:
+        if engine == FULL or self.free_is_full:
             await self.capacity_freed.wait()
         self.placed.add(request.generation)
         return Success(Placement(generation=request.generation, engine=engine))
@@ -91,6 +95,7 @@
         self.excluded = frozenset({FREE})
         self.problem: Problem | None = None
         self.changed = asyncio.Event()
+        self.watchers: list[Callable[[], None]] = []
         self.refused_admissions: dict[UpstreamId, int] = {}
         """Number of admissions that are still to be refused, by engine."""
         self.admit_calls = 0
@@ -103,6 +108,15 @@
         """Return the exclusions that were set last."""
         return self.excluded
 
+    @contextmanager
+    def watch(self, *, fingerprint: str, on_change: Callable[[], None]) -> Iterator[None]:
+        """Call the function at each update while the context is open."""
+        self.watchers.append(on_change)
+        try:
+            yield
+        finally:
+            self.watchers.remove(on_change)
+
     async def wait_change(self) -> None:
         """Wait for the next update."""
         await self.changed.wait()
@@ -115,6 +129,8 @@
         self.excluded = excluded
         self.changed.set()
         self.changed = asyncio.Event()
+        for on_change in tuple(self.watchers):
+            on_change()
 
     async def admit(
         self,
@@ -288,3 +304,29 @@
     assert 2 <= harness.crash_watch.admit_calls <= 10_000 // NOT_ADMITTED_MS + 1
     harness.router.capacity_freed.set()
     assert (await running).unwrap() == Finish(FinishReason.STOP, 4)
+
+
+async def test_unrestricted_waiting_request_is_refused_at_once_when_it_is_quarantined(
+    harness: Harness,
+) -> None:
+    # Guards against a queued request that is not refused before it gets an engine.
+    harness.router.free_is_full = True
+    harness.crash_watch.excluded = frozenset()
+    running = asyncio.create_task(harness.generation.run())
+    await asyncio.sleep(5)
+    harness.crash_watch.update(problem=QUARANTINED)
+    await asyncio.sleep(0.01)
+    assert running.done()
+    assert running.result().failure().kind is ProblemKind.QUARANTINED
+    assert not harness.router.placed
+
+
+async def test_wait_ends_once_when_several_changes_arrive_together(harness: Harness) -> None:
+    # Guards against an error when a change arrives after the wait has begun to end.
+    running = asyncio.create_task(harness.generation.run())
+    await asyncio.sleep(5)
+    for _ in range(3):
+        harness.crash_watch.update(excluded=frozenset({FULL}))
+        await asyncio.sleep(0)
+    await asyncio.wait({running}, timeout=TIMEOUT_S)
+    assert running.result() == Success(Finish(FinishReason.STOP, 4))
--- a/testing/test_waits_dispatch.py
+++ b/testing/test_waits_dispatch.py
@@ -18,6 +18,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import ModelId
 from tanagerscale.core import Problem
+from tanagerscale.core import ProblemKind
 from tanagerscale.core import Revision
 from tanagerscale.core import UpstreamId
 from tanagerscale.daemon import GateHealthRecorder
@@ -30,10 +31,12 @@
 from tanagerscale.dispatch import GenerationRequest
 from tanagerscale.generated.declarations import DeclarationSet
 from tanagerscale.generated.declarations import Objective
+from tanagerscale.generated.messages import Verdict
 from tanagerscale.generated.upstream import FinishReason
 from tanagerscale.generated.upstream import RefusalKind
 from tanagerscale.membership import Mesh
 from tanagerscale.policy import RetryBudget
+from tanagerscale.quarantine import Fingerprint
 from tanagerscale.quarantine import Quarantine
 from tanagerscale.usage import UsageMeter
 from testing._fake_engine import FakeEngine
@@ -211,3 +214,51 @@
     await asyncio.wait({running}, timeout=60)
     assert running.result() == Success(Finish(FinishReason.STOP, 4))
     assert host.engines[waiting_for].executed
+
+
+async def test_queued_request_is_refused_at_once_when_a_peer_convicts_it() -> None:
+    # Guards against a queued request that is not refused before it gets an engine.
+    host = Host()
+    await host.fill_engines()
+    waiting = host.start("g")
+    await asyncio.sleep(5)
+    verdict = Verdict(
+        fingerprint="f",
+        crashes=[],
+        expires_wall_ms=Clock().wall() + 3_000_000,
+        convicted=True,
+    )
+    host.quarantine.on_peer_verdict(verdict=verdict, peer=HostId("b"))
+    await asyncio.sleep(0.01)
+    assert waiting.done()
+    assert waiting.result().failure().kind is ProblemKind.QUARANTINED
+
+
+async def test_waiting_requests_need_no_tasks_or_timers_when_they_are_unrestricted() -> None:
+    # Guards against a cost of each change or interval that grows with the waiting requests.
+    host = Host()
+    await host.fill_engines()
+    tasks = len(asyncio.all_tasks())
+    waiting = [host.start(f"g{number}") for number in range(50)]
+    await asyncio.sleep(5)
+    assert len(asyncio.all_tasks()) == tasks + len(waiting)
+    checks = 0
+    check = host.quarantine.check
+
+    def count_checks(*, fingerprint: Fingerprint) -> Problem | None:
+        nonlocal checks
+        checks += 1
+        return check(fingerprint=fingerprint)
+
+    host.quarantine.check = count_checks  # type: ignore[method-assign]
+    verdict = Verdict(
+        fingerprint="other",
+        crashes=[],
+        expires_wall_ms=Clock().wall() + 3_000_000,
+        convicted=True,
+    )
+    host.quarantine.on_peer_verdict(verdict=verdict, peer=HostId("b"))
+    await asyncio.sleep(5)
+    assert checks == 0
+    for task in waiting:
+        task.cancel()
