Limit the wait for an engine, not the run before it

Callers saw: a generation that lost its engine after three minutes was refused at once in the middle of its answer if the quarantine excluded the remaining engines for a moment; one that had run for 30 seconds waited and went on.

Cause: the limit of 180 s was counted from the creation of the generation.

Change: it counts from the start of the present wait, which a repeated placement keeps. The number of attempts stays limited.

--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -48,7 +48,7 @@
 
 RETRY_AFTER_MS = 1000
 MAX_WAIT_MS = 180_000
-"""Time after which a request that lost its engine is refused instead of waiting for another one.
+"""Time without an engine after which a request is refused if the crash watch excludes all engines.
 
 Suspects of one crash run one at a time on each engine, so rerunning a large batch takes long.
 """
@@ -81,7 +81,6 @@
         self._resume = resume
         self._relay = Relay()
         self._progress = GenerationProgress(
-            started_at=context.clock.now(),
             not_admitted=Exclusions(clock=context.clock),
             failed=Exclusions(clock=context.clock),
         )
@@ -186,7 +185,7 @@
     ) -> Result[Finish, Problem] | None:
         """Return ``None`` after waiting if another engine may be available, or else the problem."""
         excluded_by_watch = request.excluded - self._progress.failed.engines
-        remaining_ms = MAX_WAIT_MS - (self._context.clock.now() - self._progress.started_at)
+        remaining_ms = MAX_WAIT_MS - (self._context.clock.now() - request.arrived)
         if refusal.kind is ProblemKind.NO_UPSTREAM and excluded_by_watch and remaining_ms > 0:
             await self._context.crash_watch.wait_change()
             # An engine that failed before may have recovered; the gate still closes those that
--- a/src/tanagerscale/dispatch/_progress.py
+++ b/src/tanagerscale/dispatch/_progress.py
@@ -20,7 +20,6 @@
 class GenerationProgress(Struct, kw_only=True):
     """State of a generation across its attempts.
 
-    :param started_at: When the request arrived.
     :param not_admitted: Engines on which the crash watch did not admit the request just now.
     :param failed: Engines that failed on the request recently.
     :param waiting_since: When the current wait for an engine began, or ``None`` if not waiting.
@@ -29,7 +28,6 @@
     :param may_have_run: Whether an engine may have executed the request.
     """
 
-    started_at: Millis
     not_admitted: Exclusions
     failed: Exclusions
     waiting_since: Millis | None = None
