Refuse a request at once when all its engines are closed

Callers saw: a request for which the quarantine excluded an engine waited for up to 180 s although all engines of its model were leaving or unreachable. A request without exclusions was refused at once at the same moment.

Cause: after NO_UPSTREAM dispatch waited whenever the quarantine excluded an engine, also if no open engine was left to wait for.

Change: dispatch asks the router whether an engine that serves the request is open at this host, excluded or not, and waits only then.

Not covered: a host that has not tried a dead engine itself believes that it is open, and waits while the quarantine excludes it.

--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -186,7 +186,8 @@
         """Return ``None`` after waiting if another engine may be available, or else the problem."""
         excluded_by_watch = request.excluded - self._progress.failed.engines
         remaining_ms = MAX_WAIT_MS - (self._context.clock.now() - request.arrived)
-        if refusal.kind is ProblemKind.NO_UPSTREAM and excluded_by_watch and remaining_ms > 0:
+        may_be_served = excluded_by_watch and self._context.router.has_open_engine(request=request)
+        if refusal.kind is ProblemKind.NO_UPSTREAM and may_be_served and remaining_ms > 0:
             await self._context.crash_watch.wait_change()
             # An engine that failed before may have recovered; the gate still closes those that
             # do not accept work.
--- a/src/tanagerscale/routing/_cell_selector.py
+++ b/src/tanagerscale/routing/_cell_selector.py
@@ -63,6 +63,11 @@
         others = [each for each in self._find_open_cells(request) if each != cell]
         return any(not self._is_busy(each) for each in others) or not self.can_serve(cell, request)
 
+    def has_open_engine(self, request: PlacementRequest) -> bool:
+        """Return whether an engine that can serve a request is open, even if it is excluded."""
+        cells = self._ownership.cells_for(model=request.model, adapter=request.adapter)
+        return any(self._gate.is_open(spec.engine) for cell in cells for spec in cell.specs)
+
     def can_serve(self, cell: CellId, request: PlacementRequest) -> bool:
         """Return whether a cell has an open engine that the request does not exclude."""
         found = self._ownership.find_cell(cell)
--- a/src/tanagerscale/routing/_protocol.py
+++ b/src/tanagerscale/routing/_protocol.py
@@ -49,6 +49,9 @@
         Each successful call must be followed by exactly one ``release`` of the generation.
         """
 
+    def has_open_engine(self, *, request: PlacementRequest) -> bool:
+        """Return whether an engine that can serve a request accepts new work, even if excluded."""
+
     def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
         """Register a generation that already runs; must be followed by exactly one ``release``.
 
--- a/testing/_fake_engine.py
+++ b/testing/_fake_engine.py
@@ -242,6 +242,10 @@
             )
         )
 
+    def has_open_engine(self, *, request: PlacementRequest) -> bool:
+        """Return whether there are engines, which are always open."""
+        return bool(self.engines)
+
     def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
         """Record the placement."""
         placement = Placement(generation=request.generation, engine=engine)
--- a/testing/test_generation_waiting.py
+++ b/testing/test_generation_waiting.py
@@ -84,6 +84,10 @@
         self.placed.add(request.generation)
         return Success(Placement(generation=request.generation, engine=engine))
 
+    def has_open_engine(self, *, request: PlacementRequest) -> bool:
+        """Return true: both engines are open."""
+        return True
+
     def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
         """Fail, because no test resumes a generation."""
         raise AssertionError("adopt() must not be called.")
--- a/testing/test_waits_dispatch.py
+++ b/testing/test_waits_dispatch.py
@@ -14,6 +14,7 @@
 
 from tanagerscale.core import ClientAccountId
 from tanagerscale.core import Clock
+from tanagerscale.core import Execution
 from tanagerscale.core import GenerationId
 from tanagerscale.core import HostId
 from tanagerscale.core import ModelId
@@ -262,3 +263,26 @@
     assert checks == 0
     for task in waiting:
         task.cancel()
+
+
+@pytest.mark.parametrize("closes_later", [False, True])
+async def test_request_is_refused_at_once_when_its_excluded_engine_is_closed_as_well(
+    closes_later: bool,
+) -> None:
+    # Guards against waiting for three minutes for engines that are known to be leaving.
+    host = Host()
+    running, excluded = host.engines
+    # A copy that runs on one engine excludes the other one.
+    assert await host.quarantine.admit(fingerprint=Fingerprint("f"), engine=running)
+    host.gate.record_leaving(upstream=running)
+    if not closes_later:
+        host.gate.record_leaving(upstream=excluded)
+    waiting = host.start("g")
+    await asyncio.sleep(0.5)
+    assert waiting.done() != closes_later
+    host.gate.record_leaving(upstream=excluded)
+    await asyncio.sleep(0.5)
+    problem = waiting.result().failure()
+    assert problem.kind is ProblemKind.NO_UPSTREAM
+    assert problem.execution is Execution.NOT_EXECUTED
+    assert problem.retry_after_ms is not None
--- a/tools/bench_relay.py
+++ b/tools/bench_relay.py
@@ -158,6 +158,10 @@
         """Return a placement on the engine without waiting."""
         return Success(Placement(generation=request.generation, engine=ENGINE))
 
+    def has_open_engine(self, *, request: PlacementRequest) -> bool:
+        """Return true: the engine is always open."""
+        return True
+
     def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
         """Return a placement on the engine that runs the generation."""
         return Placement(generation=request.generation, engine=engine)
