Stop all copies of a convicted request on an engine

Callers saw: of two copies of a request on one engine, one ended (its caller had left), and the request was then convicted of crashing engines. The other copy ran on to its end, although a convicted request is stopped everywhere.

Cause: the quarantine counts the copies of a run, but the adapter dropped the stop events of all copies when the first one ended.

Change: on_finished() takes the event that admit() was given, and only this one is dropped. Ruled out: to drop the events when the last copy ends, since copies that overlap without a gap would then keep them without a limit.

--- a/src/tanagerscale/daemon/_adapters.py
+++ b/src/tanagerscale/daemon/_adapters.py
@@ -111,7 +111,9 @@
         """Return ``True``: every request may run."""
         return True
 
-    def on_finished(self, *, fingerprint: str, engine: UpstreamId, complete: bool) -> None:
+    def on_finished(
+        self, *, fingerprint: str, engine: UpstreamId, stop: asyncio.Event, complete: bool
+    ) -> None:
         """Do nothing."""
 
     def on_engine_crash(self, *, engine: UpstreamId) -> None:
--- a/src/tanagerscale/daemon/_quarantine_adapter.py
+++ b/src/tanagerscale/daemon/_quarantine_adapter.py
@@ -135,9 +135,17 @@
             self._stop_events[fingerprint, engine].add(stop)
         return admitted
 
-    def on_finished(self, *, fingerprint: str, engine: UpstreamId, complete: bool) -> None:
-        """Record that a run on an engine ended for any reason other than a crash."""
-        self._stop_events.pop((fingerprint, engine), None)
+    def on_finished(
+        self, *, fingerprint: str, engine: UpstreamId, stop: asyncio.Event, complete: bool
+    ) -> None:
+        """Record that a run on an engine ended for any reason other than a crash.
+
+        :param stop: The event that ``admit`` was given; other copies on the engine keep theirs.
+        """
+        events = self._stop_events[fingerprint, engine]
+        events.discard(stop)
+        if not events:
+            del self._stop_events[fingerprint, engine]
         end = RunEnd.COMPLETE if complete else RunEnd.BROKEN
         self._quarantine.on_finished(fingerprint=Fingerprint(fingerprint), engine=engine, end=end)
 
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -258,22 +258,23 @@
             outcome = await run_until_move(run, placement)
             ended = True
         finally:
-            self._end_attempt(engine, outcome, started)
+            self._end_attempt(placement, outcome, started)
             self._cancel_if_running(attempt_id, engine, outcome, ended)
         return outcome
 
     def _end_attempt(
-        self, engine: UpstreamId, outcome: AttemptOutcome | None, started: Millis
+        self, placement: Placement, outcome: AttemptOutcome | None, started: Millis
     ) -> None:
         """Report the end of an attempt to the router, the crash watch and the usage meter."""
         crashed = outcome is not None and outcome.end is AttemptEnd.CRASHED
         self._release(tokens=self._relay.next_offset, engine_lost=crashed)
         if crashed:
-            self._context.crash_watch.on_engine_crash(engine=engine)
+            self._context.crash_watch.on_engine_crash(engine=placement.engine)
         else:
             self._context.crash_watch.on_finished(
                 fingerprint=self._request.fingerprint,
-                engine=engine,
+                engine=placement.engine,
+                stop=placement.move_requested,
                 complete=self._relay.finish is not None,
             )
         self._context.meter.on_attempt(
--- a/src/tanagerscale/dispatch/_types.py
+++ b/src/tanagerscale/dispatch/_types.py
@@ -145,8 +145,13 @@
         :returns: Whether the run is admitted; it then counts as running until ``on_finished``.
         """
 
-    def on_finished(self, *, fingerprint: str, engine: UpstreamId, complete: bool) -> None:
-        """Record that a request no longer runs on an engine, for any reason except a crash."""
+    def on_finished(
+        self, *, fingerprint: str, engine: UpstreamId, stop: asyncio.Event, complete: bool
+    ) -> None:
+        """Record that a request no longer runs on an engine, for any reason except a crash.
+
+        :param stop: The event that ``admit`` was given for the run.
+        """
 
     def on_engine_crash(self, *, engine: UpstreamId) -> None:
         """Record that an engine crashed and lost all its runs."""
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -98,7 +98,9 @@
         assert self.admit_calls < 50, "Admission was requested in an endless loop."
         return engine not in self.not_admitting
 
-    def on_finished(self, *, fingerprint: str, engine: UpstreamId, complete: bool) -> None:
+    def on_finished(
+        self, *, fingerprint: str, engine: UpstreamId, stop: asyncio.Event, complete: bool
+    ) -> None:
         """Do nothing."""
 
     def on_engine_crash(self, *, engine: UpstreamId) -> None:
--- a/testing/test_generation_waiting.py
+++ b/testing/test_generation_waiting.py
@@ -161,7 +161,9 @@
         self.refused_admissions[engine] = max(refusals - 1, 0)
         return refusals == 0
 
-    def on_finished(self, *, fingerprint: str, engine: UpstreamId, complete: bool) -> None:
+    def on_finished(
+        self, *, fingerprint: str, engine: UpstreamId, stop: asyncio.Event, complete: bool
+    ) -> None:
         """Do nothing."""
 
     def on_engine_crash(self, *, engine: UpstreamId) -> None:
--- a/testing/test_waits_dispatch.py
+++ b/testing/test_waits_dispatch.py
@@ -67,15 +67,16 @@
 
 
 class Host:
-    """One host, and engines that run one request each.
+    """One host and its engines.
 
     :param engines: Number of engines.
+    :param max_batch: Number of requests that an engine runs at the same time.
     :param step_ms: Time in which an engine generates one token.
     """
 
-    def __init__(self, *, engines: int = 2, step_ms: int = 10) -> None:
+    def __init__(self, *, engines: int = 2, max_batch: int = 1, step_ms: int = 10) -> None:
         clock = Clock()
-        declared = make_engines(number=engines, max_batch=1)
+        declared = make_engines(number=engines, max_batch=max_batch)
         self.cluster = Cluster(hosts=[HOST], engines=declared)
         self.gate = self.cluster.host(HOST).gate
         self.engines = {
@@ -286,3 +287,46 @@
     assert problem.kind is ProblemKind.NO_UPSTREAM
     assert problem.execution is Execution.NOT_EXECUTED
     assert problem.retry_after_ms is not None
+
+
+@pytest.mark.parametrize("first_ends", [False, True])
+async def test_second_copy_of_a_request_is_stopped_when_the_first_one_has_ended(
+    first_ends: bool,
+) -> None:
+    # Guards against a convicted request that runs on because a copy of it ended before.
+    host = Host()
+    engine = next(iter(host.engines))
+    adapter = host.context.crash_watch
+    stops = [asyncio.Event(), asyncio.Event()]
+    for stop in stops:
+        assert await adapter.admit(fingerprint="f", engine=engine, stop=stop, progress=lambda: 0)
+    if first_ends:
+        adapter.on_finished(fingerprint="f", engine=engine, stop=stops[0], complete=False)
+    verdict = Verdict(
+        fingerprint="f",
+        crashes=[],
+        expires_wall_ms=Clock().wall() + 600_000,
+        convicted=True,
+    )
+    host.quarantine.on_peer_verdict(verdict=verdict, peer=HostId("b"))
+    await asyncio.sleep(1)
+    assert stops[1].is_set()
+    assert stops[0].is_set() != first_ends
+
+
+async def test_second_copy_is_refused_when_it_is_convicted_after_the_first_one_has_ended() -> None:
+    # Guards against an answer to a convicted request because a copy of it ended before.
+    host = Host(step_ms=5000, max_batch=2)
+    first, second = (host.start("copy-1"), host.start("copy-2"))
+    await asyncio.sleep(1)
+    first.cancel()
+    await asyncio.sleep(1)
+    verdict = Verdict(
+        fingerprint="f",
+        crashes=[],
+        expires_wall_ms=Clock().wall() + 600_000,
+        convicted=True,
+    )
+    host.quarantine.on_peer_verdict(verdict=verdict, peer=HostId("b"))
+    await asyncio.wait({second}, timeout=60)
+    assert second.result().failure().kind is ProblemKind.QUARANTINED
