Test that a shed retry is refused at once when it is convicted

The pause of a retry that the owner has shed ends like any other wait since, which had no test of it.

--- a/testing/test_generation_waiting.py
+++ b/testing/test_generation_waiting.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 import random
 
+from msgspec.structs import replace
 import pytest
 import pytest_asyncio
 from returns.result import Failure
@@ -61,6 +62,8 @@
     retry_after_ms=1000,
 )
 
+OVERLOADED = replace(NO_UPSTREAM, kind=ProblemKind.OVERLOADED, retry_after_ms=120_000)
+
 
 class OneFullEngineRouter:
     """Places requests on the free engine at once, and on the full one once it has capacity."""
@@ -72,12 +75,16 @@
         """Set when the full engine has capacity."""
         self.free_is_full = False
         """Whether the free engine has no capacity before the full one has."""
+        self.shed_retries = False
+        """Whether requests are shed after their first placement."""
 
     async def place(self, *, request: PlacementRequest) -> Result[Placement, Problem]:
         """Wait until an engine that is not excluded has capacity."""
         self.requests.append(request)
         if request.excluded >= {FULL, FREE}:
             return Failure(NO_UPSTREAM)
+        if self.shed_retries and len(self.requests) > 1:
+            return Failure(OVERLOADED)
         engine = FULL if FREE in request.excluded else FREE
         if engine == FULL or self.free_is_full:
             await self.capacity_freed.wait()
@@ -374,3 +381,16 @@
     await asyncio.wait({running}, timeout=900)
     assert running.done()
     assert running.result() == Success(Finish(FinishReason.STOP, 4))
+
+
+async def test_shed_retry_is_refused_at_once_when_it_is_quarantined(harness: Harness) -> None:
+    # Guards against sleeping for the whole Retry-After of the owner.
+    harness.crash_watch.excluded = frozenset()
+    harness.router.shed_retries = True
+    harness.engines[FREE].faults.unreachable = True
+    running = asyncio.create_task(harness.generation.run())
+    await asyncio.sleep(5)
+    assert not running.done()
+    harness.crash_watch.update(problem=QUARANTINED)
+    await asyncio.sleep(0.01)
+    assert running.result().failure().kind is ProblemKind.QUARANTINED
