Keep checking a waiting copy when a later copy begins to wait

The end of the last running copy of a request that is not a suspect emits no change, so a waiting copy notices it at the next check. If another copy began to wait before that, it was found to be without exclusions, and the request was no longer checked: the first copy kept its exclusions.

Change: a request is taken from the list of those that are checked only after its watchers were called.

--- a/src/tanagerscale/daemon/_quarantine_adapter.py
+++ b/src/tanagerscale/daemon/_quarantine_adapter.py
@@ -95,7 +95,8 @@
         watched = Fingerprint(fingerprint)
         watchers = self._watchers.setdefault(watched, set())
         watchers.add(on_change)
-        self._poll_if_restricted(watched)
+        if not self._quarantine.is_unrestricted(fingerprint=watched):
+            self._poll_until_unrestricted(watched)
         try:
             yield
         finally:
@@ -169,12 +170,12 @@
         for fingerprint in (self._watchers.keys() & self._quarantine.suspects) | self._restricted:
             for on_change in tuple(self._watchers.get(fingerprint, ())):
                 on_change()
-            self._poll_if_restricted(fingerprint)
+            if self._quarantine.is_unrestricted(fingerprint=fingerprint):
+                self._restricted.discard(fingerprint)
+            else:
+                self._poll_until_unrestricted(fingerprint)
 
-    def _poll_if_restricted(self, fingerprint: Fingerprint) -> None:
-        if self._quarantine.is_unrestricted(fingerprint=fingerprint):
-            self._restricted.discard(fingerprint)
-            return
+    def _poll_until_unrestricted(self, fingerprint: Fingerprint) -> None:
         self._restricted.add(fingerprint)
         if self._poll_timer is None:
             delay_s = MAX_CHANGE_WAIT_MS / MS_PER_SECOND
--- a/testing/test_waits_dispatch.py
+++ b/testing/test_waits_dispatch.py
@@ -330,3 +330,18 @@
     host.quarantine.on_peer_verdict(verdict=verdict, peer=HostId("b"))
     await asyncio.wait({second}, timeout=60)
     assert second.result().failure().kind is ProblemKind.QUARANTINED
+
+
+async def test_waiting_copy_is_notified_when_a_new_copy_waits_after_the_running_one_ended() -> None:
+    # Guards against a copy that keeps its exclusions because a later copy has none.
+    host = Host()
+    engine = next(iter(host.engines))
+    adapter = host.context.crash_watch
+    stop = asyncio.Event()
+    notified = asyncio.Event()
+    assert await adapter.admit(fingerprint="f", engine=engine, stop=stop, progress=lambda: 0)
+    with adapter.watch(fingerprint="f", on_change=notified.set):
+        adapter.on_finished(fingerprint="f", engine=engine, stop=stop, complete=True)
+        with adapter.watch(fingerprint="f", on_change=lambda: None):
+            await asyncio.sleep(1)
+    assert notified.is_set()
