Test the order in which hosts see a crash, a conviction and a new owner

Problem: calls without an answer were found by rare races between real processes, or by a random search that crashes engines but does not control which host sees a crash first. No test forced the order of the events around the crash of the only engine that a waiting suspect may use.

Change: a test in virtual time on the real dispatch, routing and quarantine. A suspect runs on its only allowed engine; copies of it and other requests wait at the owner and at other hosts. The engine crashes, and seven events follow in a random order, any of them in the same iteration of the event loop: the host of the crashing request sees the crash, the waiting host sees the conviction, the owner and the waiting host see the loss of the engine, the owner leaves, dies or returns, a host is frozen and resumed. An engine may be restarted in between. Each call must end within a limit derived from the product's constants; a call of the convicted request within MAX_CHANGE_WAIT_MS and ANNOUNCEMENT_DELAY_MS of the conviction at its host. No placement, reservation, exclusion or attempt may be left. For this, the simulated network can hold messages, and a simulated engine can crash without breaking connections and let polls hang. A frozen host's messages are delayed; its own timers keep running.

--- a/testing/_routing_fakes.py
+++ b/testing/_routing_fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -191,6 +192,8 @@
     networks: dict[HostId, FakeNetwork] = field(default_factory=dict)
     frozen: set[HostId] = field(default_factory=set)
     """Hosts whose incoming and outgoing messages are delayed, as those of a stopped process."""
+    is_held: Callable[[HostId, HostId, Message], bool] = lambda _source, _target, _message: False
+    """Returns whether to delay a message until ``release_held`` is called."""
     delayed: list[tuple[HostId, HostId, Message]] = field(default_factory=list)
     unreachable: set[frozenset[HostId]] = field(default_factory=set)
     """Pairs of hosts that cannot reach each other."""
@@ -243,12 +246,21 @@
     def resume(self, host: str) -> None:
         """Resume a frozen host and deliver all delayed messages at once."""
         self.frozen.discard(HostId(host))
+        self._deliver_delayed()
+
+    def release_held(self) -> None:
+        """Hold no more messages and deliver the held ones at once."""
+        self.is_held = lambda _source, _target, _message: False
+        self._deliver_delayed()
+
+    def _deliver_delayed(self) -> None:
         waiting, self.delayed = self.delayed, []
         for source, target, message in waiting:
             self._deliver(source, target, message)
 
     def _deliver(self, source: HostId, target: HostId, message: Message) -> None:
-        if source in self.frozen or target in self.frozen:
+        is_frozen = source in self.frozen or target in self.frozen
+        if is_frozen or self.is_held(source, target, message):
             self.delayed.append((source, target, message))
         elif target in self.networks:
             self.networks[target].messages.on_next(ReceivedMessage(host=source, message=message))
--- a/testing/_simulation.py
+++ b/testing/_simulation.py
@@ -112,20 +112,41 @@
         self.max_batch = max_batch
         self._slots = asyncio.Semaphore(max_batch)
         self._runs: dict[str, _Run] = {}
+        self._lost_runs: list[_Run] = []
         self.crashed = False
         self.starts: Counter[str] = Counter()
         """Number of times that each prompt was started."""
+        self.polls_fail = asyncio.Event()
+        """While not set, a poll of the crashed engine hangs instead of failing."""
+        self.polls_fail.set()
 
-    def crash(self) -> None:
-        """Crash and lose all attempts."""
+    @property
+    def attempts(self) -> int:
+        """Number of attempts that run or are queued."""
+        return len(self._runs)
+
+    def crash(self, *, keep_connections: bool = False) -> None:
+        """Crash and lose all attempts.
+
+        :param keep_connections: Whether callers lose their connections only when
+            ``break_connections`` is called.
+        """
         self.crashed = True
         for run in self._runs.values():
             run.lost = True
             assert run.task is not None
             run.task.cancel()
-            run.notify()
+        self._lost_runs += self._runs.values()
         self._runs.clear()
         self._slots = asyncio.Semaphore(self.max_batch)
+        if not keep_connections:
+            self.break_connections()
+
+    def break_connections(self) -> None:
+        """Break the connections of callers whose attempts were lost."""
+        for run in self._lost_runs:
+            run.notify()
+        self._lost_runs.clear()
 
     def restart(self) -> None:
         """Restart without any attempt."""
@@ -136,8 +157,7 @@
         if self.crashed:
             yield _failure(UpstreamErrorKind.NOT_SENT)
             return
-        length = random.Random(request.prompt).randint(MIN_ANSWER_TOKENS, MAX_ANSWER_TOKENS)
-        run = _Run(request=request, length=length)
+        run = _Run(request=request, length=answer_length(request.prompt))
         self._runs[request.attempt_id] = run
         self.starts[request.prompt] += 1
         run.task = asyncio.get_running_loop().create_task(self._generate_tokens(run))
@@ -204,9 +224,11 @@
 
     async def load(self) -> Result[LoadReport, UpstreamError]:
         """Return the load, or a failure if the engine has crashed."""
+        if self.crashed:
+            await self.polls_fail.wait()
         if self.crashed:
             return _failure(UpstreamErrorKind.NOT_SENT)
-        runs = len(self._runs)
+        runs = self.attempts
         return Success(
             LoadReport(
                 running=min(runs, self.max_batch),
@@ -433,6 +455,11 @@
             await self.clock.sleep(refused.retry_at - self.clock.now())
 
 
+def answer_length(prompt: str) -> int:
+    """Return the number of tokens in the answer to a prompt."""
+    return random.Random(prompt).randint(MIN_ANSWER_TOKENS, MAX_ANSWER_TOKENS)
+
+
 def generation_request(caller: str, generation: str) -> GenerationRequest:
     """Return a request; requests of the same caller have the same fingerprint."""
     return GenerationRequest(
