Refuse a request at once when no engine that it waits for is alive

Problem: with all engines of a model dead, requests that the quarantine kept from one of them were refused 20 s late, while new requests were refused at once.

Cause: after NO_UPSTREAM, dispatch waits while the quarantine excludes an engine that is open, and a suspect is excluded for 20 s from an engine that it was on when it crashed. Only the owner of a cell polls its engines.

Change: before it waits, dispatch asks the open engines for their load, which is a call that exists. If none answers, the request is refused.

Measured: both cases of test_request_is_refused_at_once_when_no_excluded_engine_is_alive fail without the question.

--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -38,6 +38,7 @@
 from tanagerscale.declarations import Follower
 from tanagerscale.dispatch import Canceller
 from tanagerscale.dispatch import DispatchContext
+from tanagerscale.dispatch import EngineReachability
 from tanagerscale.entry import CallerApi
 from tanagerscale.entry import CallerApiContext
 from tanagerscale.entry import CompletionContext
@@ -283,6 +284,7 @@
         self._dispatch = DispatchContext(
             router=self._router,
             get_client=self._engines.get_client,
+            reachability=EngineReachability(get_client=self._engines.get_client, clock=self._clock),
             observer=health_recorder,
             crash_watch=self._crash_adapter,
             retries=retries,
--- a/src/tanagerscale/dispatch/__init__.py
+++ b/src/tanagerscale/dispatch/__init__.py
@@ -9,6 +9,7 @@
 from tanagerscale.dispatch._context import DispatchContext
 from tanagerscale.dispatch._context import Finish
 from tanagerscale.dispatch._generation import Generation
+from tanagerscale.dispatch._reachability import EngineReachability
 from tanagerscale.dispatch._relay import Relay
 from tanagerscale.dispatch._relay import RelayFault
 from tanagerscale.dispatch._retry_after import add_retry_jitter
@@ -26,6 +27,7 @@
     "Canceller",
     "CrashWatch",
     "DispatchContext",
+    "EngineReachability",
     "Finish",
     "Generation",
     "GenerationRequest",
--- a/src/tanagerscale/dispatch/_context.py
+++ b/src/tanagerscale/dispatch/_context.py
@@ -11,6 +11,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import UpstreamId
 from tanagerscale.dispatch._cancel import Canceller
+from tanagerscale.dispatch._reachability import EngineReachability
 from tanagerscale.dispatch._types import CrashWatch
 from tanagerscale.dispatch._types import RetryLimiter
 from tanagerscale.dispatch._types import UpstreamObserver
@@ -37,6 +38,7 @@
     :param router: Places generations on engines.
     :param get_client: Returns the client of an engine.
     :param observer: Records successes and failures of engines.
+    :param reachability: Tells which engines are alive.
     :param crash_watch: Keeps requests that crash engines away from other engines.
     :param retries: Limits retries.
     :param canceller: Cancels abandoned attempts.
@@ -48,6 +50,7 @@
     router: Router
     get_client: Callable[[UpstreamId], EngineClient]
     observer: UpstreamObserver
+    reachability: EngineReachability
     crash_watch: CrashWatch
     retries: RetryLimiter
     canceller: Canceller
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -157,11 +157,13 @@
 
         Otherwise a request restricted to an engine that crashed would wait indefinitely.
         """
-        problem = self._context.crash_watch.check(fingerprint=self._request.fingerprint)
-        is_stale = problem is not None or self._excluded_engines() != request.excluded
-        if is_stale and not timeout.expired():
+        if self._is_stale(request) and not timeout.expired():
             timeout.reschedule(asyncio.get_running_loop().time())
 
+    def _is_stale(self, request: PlacementRequest) -> bool:
+        problem = self._context.crash_watch.check(fingerprint=self._request.fingerprint)
+        return problem is not None or self._excluded_engines() != request.excluded
+
     async def _run_at(self, placement: Placement) -> Result[Finish, Problem] | None:
         """Run an attempt on the assigned engine; ``None`` means to continue with another one."""
         engine = placement.engine
@@ -186,14 +188,10 @@
         """Return ``None`` after waiting if another engine may be available, or else the problem."""
         excluded_by_watch = request.excluded - self._progress.failed.engines
         remaining_ms = MAX_WAIT_MS - (self._context.clock.now() - request.arrived)
-        may_be_served = excluded_by_watch and self._context.router.has_open_engine(request=request)
-        if refusal.kind is ProblemKind.NO_UPSTREAM and may_be_served and remaining_ms > 0:
-            await self._context.crash_watch.wait_change()
-            # An engine that failed before may have recovered; the gate still closes those that
-            # do not accept work.
-            self._progress.failed.clear()
-            self._progress.not_admitted.clear()
-            return None
+        if refusal.kind is ProblemKind.NO_UPSTREAM and excluded_by_watch and remaining_ms > 0:
+            may_be_served = await self._until_stale(request, self._wait_for_excluded(request))
+            if may_be_served is not False:
+                return None
         # Only new requests may be shed, so a request that had an engine waits and tries again.
         delay_ms = refusal.retry_after_ms or 0
         if (
@@ -207,6 +205,18 @@
             refusal = add_retry_jitter(problem=refusal, rng=self._context.rng)
         return Failure(self._with_execution(refusal))
 
+    async def _wait_for_excluded(self, request: PlacementRequest) -> bool:
+        """Wait for a change of the crash watch; return false at once if no engine is alive."""
+        engines = self._context.router.open_engines(request=request)
+        if not await self._context.reachability.is_any_reachable(engines=engines):
+            return False
+        await self._context.crash_watch.wait_change()
+        # An engine that failed before may have recovered; the gate still closes those that do not
+        # accept work.
+        self._progress.failed.clear()
+        self._progress.not_admitted.clear()
+        return True
+
     async def _resume_attempt(self, resume: ResumePoint) -> AttemptOutcome | None:
         """Follow an attempt that another host has started."""
         placement = self._context.router.adopt(
--- a/src/tanagerscale/routing/_cell_selector.py
+++ b/src/tanagerscale/routing/_cell_selector.py
@@ -7,6 +7,7 @@
 
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
+from tanagerscale.core import UpstreamId
 from tanagerscale.policy import PlacementRequest
 from tanagerscale.routing._cells import Cell
 from tanagerscale.routing._cells import CellId
@@ -63,10 +64,11 @@
         others = [each for each in self._find_open_cells(request) if each != cell]
         return any(not self._is_busy(each) for each in others) or not self.can_serve(cell, request)
 
-    def has_open_engine(self, request: PlacementRequest) -> bool:
-        """Return whether an engine that can serve a request is open, even if it is excluded."""
+    def open_engines(self, request: PlacementRequest) -> frozenset[UpstreamId]:
+        """Return the open engines that can serve a request, including excluded ones."""
         cells = self._ownership.cells_for(model=request.model, adapter=request.adapter)
-        return any(self._gate.is_open(spec.engine) for cell in cells for spec in cell.specs)
+        engines = (spec.engine for cell in cells for spec in cell.specs)
+        return frozenset(engine for engine in engines if self._gate.is_open(engine))
 
     def can_serve(self, cell: CellId, request: PlacementRequest) -> bool:
         """Return whether a cell has an open engine that the request does not exclude."""
--- a/src/tanagerscale/routing/_protocol.py
+++ b/src/tanagerscale/routing/_protocol.py
@@ -49,8 +49,8 @@
         Each successful call must be followed by exactly one ``release`` of the generation.
         """
 
-    def has_open_engine(self, *, request: PlacementRequest) -> bool:
-        """Return whether an engine that can serve a request accepts new work, even if excluded."""
+    def open_engines(self, *, request: PlacementRequest) -> frozenset[UpstreamId]:
+        """Return the engines that can serve a request and accept new work, even if excluded."""
 
     def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
         """Register a generation that already runs; must be followed by exactly one ``release``.
--- a/src/tanagerscale/routing/_router.py
+++ b/src/tanagerscale/routing/_router.py
@@ -204,9 +204,9 @@
             self._placement_client.release(record, record.build_finished())
         return outcome
 
-    def has_open_engine(self, *, request: PlacementRequest) -> bool:
-        """Return whether an engine that can serve a request accepts new work, even if excluded."""
-        return self._selector.has_open_engine(request)
+    def open_engines(self, *, request: PlacementRequest) -> frozenset[UpstreamId]:
+        """Return the engines that can serve a request and accept new work, even if excluded."""
+        return self._selector.open_engines(request)
 
     def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
         """Register a generation that already runs, such as one resumed after its host failed.
--- a/testing/_fake_engine.py
+++ b/testing/_fake_engine.py
@@ -188,6 +188,8 @@
 
     async def load(self) -> Result[LoadReport, UpstreamError]:
         """Return the load of an idle engine."""
+        if self.faults.unreachable:
+            return _failure(UpstreamErrorKind.NOT_SENT)
         return Success(LoadReport(running=0, waiting=0, used_tokens=0, memory_tokens=60000))
 
     async def cache_events(self, *, after: int) -> Result[CacheEvents, UpstreamError]:
@@ -242,9 +244,9 @@
             )
         )
 
-    def has_open_engine(self, *, request: PlacementRequest) -> bool:
-        """Return whether there are engines, which are always open."""
-        return bool(self.engines)
+    def open_engines(self, *, request: PlacementRequest) -> frozenset[UpstreamId]:
+        """Return all engines, which are always open."""
+        return frozenset(self.engines)
 
     def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
         """Record the placement."""
--- a/testing/_simulation.py
+++ b/testing/_simulation.py
@@ -38,6 +38,7 @@
 from tanagerscale.delivery import BufferedSink
 from tanagerscale.dispatch import Canceller
 from tanagerscale.dispatch import DispatchContext
+from tanagerscale.dispatch import EngineReachability
 from tanagerscale.dispatch import Generation
 from tanagerscale.dispatch import GenerationRequest
 from tanagerscale.generated.declarations import DeclarationSet
@@ -315,6 +316,7 @@
         self.context = DispatchContext(
             router=self.router,
             get_client=simulation.engines.__getitem__,
+            reachability=EngineReachability(get_client=simulation.engines.__getitem__, clock=clock),
             observer=GateHealthRecorder(gate=gate),
             crash_watch=crashes,
             retries=RetryBudget(reserve=reserve),
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -35,6 +35,7 @@
 from tanagerscale.declarations import Declarations
 from tanagerscale.dispatch import Canceller
 from tanagerscale.dispatch import DispatchContext
+from tanagerscale.dispatch import EngineReachability
 from tanagerscale.entry import CallerApi
 from tanagerscale.entry import CallerApiContext
 from tanagerscale.entry import CompletionContext
@@ -119,6 +120,7 @@
     dispatch = DispatchContext(
         router=FakeRouter(engines=[ENGINE]),
         get_client=lambda _engine: engine,
+        reachability=EngineReachability(get_client=lambda _engine: engine, clock=clock),
         observer=GateHealthRecorder(gate=gate),
         crash_watch=NoQuarantine(),
         retries=RetryBudget(),
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -27,6 +27,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.dispatch import Canceller
 from tanagerscale.dispatch import DispatchContext
+from tanagerscale.dispatch import EngineReachability
 from tanagerscale.dispatch import Finish
 from tanagerscale.dispatch import Generation
 from tanagerscale.dispatch import GenerationRequest
@@ -143,6 +144,7 @@
     context = DispatchContext(
         router=router,
         get_client=engines.__getitem__,
+        reachability=EngineReachability(get_client=engines.__getitem__, clock=clock),
         observer=collaborators,
         crash_watch=collaborators,
         retries=collaborators,
--- a/testing/test_generation_waiting.py
+++ b/testing/test_generation_waiting.py
@@ -27,6 +27,7 @@
 from tanagerscale.daemon import GateHealthRecorder
 from tanagerscale.dispatch import Canceller
 from tanagerscale.dispatch import DispatchContext
+from tanagerscale.dispatch import EngineReachability
 from tanagerscale.dispatch import Finish
 from tanagerscale.dispatch import Generation
 from tanagerscale.dispatch import GenerationRequest
@@ -91,9 +92,9 @@
         self.placed.add(request.generation)
         return Success(Placement(generation=request.generation, engine=engine))
 
-    def has_open_engine(self, *, request: PlacementRequest) -> bool:
-        """Return true: both engines are open."""
-        return True
+    def open_engines(self, *, request: PlacementRequest) -> frozenset[UpstreamId]:
+        """Return both engines, which are always open."""
+        return frozenset({FULL, FREE})
 
     def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
         """Fail, because no test resumes a generation."""
@@ -203,6 +204,7 @@
     context = DispatchContext(
         router=router,
         get_client=engines.__getitem__,
+        reachability=EngineReachability(get_client=engines.__getitem__, clock=clock),
         observer=GateHealthRecorder(gate=gate),
         crash_watch=crash_watch,
         retries=RetryBudget(),
--- a/testing/test_waits_dispatch.py
+++ b/testing/test_waits_dispatch.py
@@ -27,6 +27,7 @@
 from tanagerscale.declarations import Declarations
 from tanagerscale.dispatch import Canceller
 from tanagerscale.dispatch import DispatchContext
+from tanagerscale.dispatch import EngineReachability
 from tanagerscale.dispatch import Finish
 from tanagerscale.dispatch import Generation
 from tanagerscale.dispatch import GenerationRequest
@@ -102,6 +103,7 @@
         self.context = DispatchContext(
             router=self.cluster.host(HOST).router,
             get_client=self.engines.__getitem__,
+            reachability=EngineReachability(get_client=self.engines.__getitem__, clock=clock),
             observer=GateHealthRecorder(gate=self.gate),
             crash_watch=adapter,
             retries=RetryBudget(),
@@ -345,3 +347,24 @@
         with adapter.watch(fingerprint="f", on_change=lambda: None):
             await asyncio.sleep(1)
     assert notified.is_set()
+
+
+@pytest.mark.parametrize("dies_later", [False, True])
+async def test_request_is_refused_at_once_when_no_excluded_engine_is_alive(
+    dies_later: bool,
+) -> None:
+    # Guards against waiting for dead engines at a host that has not tried them itself.
+    host = Host()
+    running, excluded = host.engines
+    assert await host.quarantine.admit(fingerprint=Fingerprint("f"), engine=running)
+    host.gate.record_leaving(upstream=running)
+    host.engines[excluded].faults.unreachable = not dies_later
+    waiting = host.start("g")
+    await asyncio.sleep(1)
+    assert waiting.done() != dies_later
+    host.engines[excluded].faults.unreachable = True
+    await asyncio.sleep(1)
+    problem = waiting.result().failure()
+    assert problem.kind is ProblemKind.NO_UPSTREAM
+    assert problem.execution is Execution.NOT_EXECUTED
+    assert problem.retry_after_ms is not None
--- a/tools/bench_relay.py
+++ b/tools/bench_relay.py
@@ -37,6 +37,7 @@
 from tanagerscale.declarations import Declarations
 from tanagerscale.dispatch import Canceller
 from tanagerscale.dispatch import DispatchContext
+from tanagerscale.dispatch import EngineReachability
 from tanagerscale.entry import CompletionContext
 from tanagerscale.entry import CompletionHandlers
 from tanagerscale.entry import RequestChecker
@@ -158,9 +159,9 @@
         """Return a placement on the engine without waiting."""
         return Success(Placement(generation=request.generation, engine=ENGINE))
 
-    def has_open_engine(self, *, request: PlacementRequest) -> bool:
-        """Return true: the engine is always open."""
-        return True
+    def open_engines(self, *, request: PlacementRequest) -> frozenset[UpstreamId]:
+        """Return the engine, which is always open."""
+        return frozenset({ENGINE})
 
     def adopt(self, *, request: PlacementRequest, engine: UpstreamId, tokens: int) -> Placement:
         """Return a placement on the engine that runs the generation."""
@@ -216,6 +217,7 @@
     dispatch = DispatchContext(
         router=SingleEngineRouter(),
         get_client=lambda _engine: client,
+        reachability=EngineReachability(get_client=lambda _engine: client, clock=clock),
         observer=GateHealthRecorder(gate=gate),
         crash_watch=NoQuarantine(),
         retries=RetryBudget(),
