Check a refused request again before it waits for a change of the quarantine

Problem: a request that was convicted in the moment in which its placement was refused was refused 250 ms late.

Cause: the change of the quarantine had been published before dispatch began to wait for the next one. Only the interval of the poll ended the wait.

Change: dispatch checks whether the verdict or the exclusions have changed since the request asked.

Measured: test_request_is_refused_at_once_when_it_is_convicted_as_its_placement_is_refused fails without the check.

--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -189,6 +189,8 @@
         excluded_by_watch = request.excluded - self._progress.failed.engines
         remaining_ms = MAX_WAIT_MS - (self._context.clock.now() - request.arrived)
         if refusal.kind is ProblemKind.NO_UPSTREAM and excluded_by_watch and remaining_ms > 0:
+            if self._is_stale(request):
+                return None
             may_be_served = await self._until_stale(request, self._wait_for_excluded(request))
             if may_be_served is not False:
                 return None
--- a/testing/test_generation_waiting.py
+++ b/testing/test_generation_waiting.py
@@ -396,3 +396,18 @@
     harness.crash_watch.update(problem=QUARANTINED)
     await asyncio.sleep(0.01)
     assert running.result().failure().kind is ProblemKind.QUARANTINED
+
+
+async def test_request_is_refused_at_once_when_it_is_convicted_as_its_placement_is_refused(
+    harness: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a verdict that arrives between the refusal and the wait for a change.
+    async def refuse(*, request: PlacementRequest) -> Result[Placement, Problem]:
+        harness.crash_watch.update(problem=QUARANTINED)
+        return Failure(NO_UPSTREAM)
+
+    monkeypatch.setattr(harness.router, "place", refuse)
+    running = asyncio.create_task(harness.generation.run())
+    await asyncio.sleep(0.01)
+    assert running.done()
+    assert running.result().failure().kind is ProblemKind.QUARANTINED
