List the waits that miss a change as known faults

Problem: a review of all waits (docs/design/waits.md) found conditions that are computed when a wait begins and not looked at again. Callers see, on the users' platform:

- a lost stream, if the only engine that holds its copy refuses it and asks for a pause of 200 ms (forwarding/_segments.py, _choose_holder);
- a lost stream, if the first order to move it from a leaving engine to its only target fails or is rejected for a moment (coordination/_planner.py, _record_result);
- an idempotent request that has crashed three upstreams and is sent to a fourth (forwarding/_plain.py, _get_first_success);
- a refusal as overloaded after 4.5 s in place of one at once: only paused engines are left, identical requests crash upstreams, or each engine has refused the request once (forwarding/_admission.py, _place; coordination/_placement_queue.py, _place);
- a stream with a copy that stands still for 2.8 s (forwarding/_stream.py, _resume_elsewhere);
- a request without a hedge, if the second upstream opens after the hedge delay (forwarding/_plain.py, _hedge_delay_ms);
- a leaving upstream that one of 20 hosts knows, if all coordinators fail before they have its notice (coordination/_announcements.py, _announce, sends it once; a member sends its state to no host that it connects to: gateway/_peer_messages.py).

At the product's own interface:

- an unknown outcome of a request that no engine got when its host stops (entry/_running.py, run).
The existing test_waiting_stream_gets_a_complete_answer_when_the_grace_period_ends_before_it expects "unknown" as well, and has to expect "not-executed" if its stream turns out to wait at the host;
- a new key refused and a removed one accepted once, if the accounts change while the check waits (accounts/_checker.py, check);
- a control lease that nobody holds until it expires (fleet/_lease.py, acquire).

The fake router of the tests can wait for capacity.

--- a/testing/_fake_engine.py
+++ b/testing/_fake_engine.py
@@ -215,11 +215,15 @@
         self.released = 0
         self.shed_after: int | None = None
         """Number of releases after which one request is shed; ``None`` for never."""
+        self.capacity = asyncio.Event()
+        """Set while the engines have capacity; placements wait for it."""
+        self.capacity.set()
 
     async def place(self, *, request: PlacementRequest) -> Result[Placement, Problem]:
-        """Return a placement or a refusal without waiting."""
+        """Return a placement or a refusal, once the engines have capacity."""
         assert request.generation not in self.placed, "Placed twice without a release."
         self.requests.append(request)
+        await self.capacity.wait()
         if self.shed_after is not None and self.released >= self.shed_after:
             self.shed_after = None
             return Failure(
--- a/testing/test_accounts.py
+++ b/testing/test_accounts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import AsyncExitStack
 
 import pytest
 
@@ -10,6 +11,7 @@
 from tanagerscale.accounts import _checker as checker_module
 from tanagerscale.accounts import check_hash
 from tanagerscale.accounts import generate_key
+from tanagerscale.accounts._checker import MAX_CONCURRENT_HASHES
 from tanagerscale.accounts._hashes import verify_key
 from tanagerscale.core import ClientAccountId
 from tanagerscale.generated.declarations import ClientAccount
@@ -73,6 +75,23 @@
     assert await checker.check(bearer=new.key) is None
 
 
+# Guards against checking a key against the hash that was in force before the check had to wait.
+@pytest.mark.parametrize("is_removed", [False, True])
+async def test_waiting_check_uses_the_accounts_in_force_when_they_change_meanwhile(
+    is_removed: bool,
+) -> None:
+    old, new = generate_key(account="crews"), generate_key(account="crews")
+    checker = _make_checker(("crews", old.key_hash))
+    async with AsyncExitStack() as stack:
+        for _ in range(MAX_CONCURRENT_HASHES):
+            await stack.enter_async_context(checker._hash_slots)
+        checking = asyncio.create_task(checker.check(bearer=(old if is_removed else new).key))
+        await asyncio.sleep(0)
+        replaced = {CREWS: ClientAccount(name="crews", key_hash=new.key_hash)}
+        checker.set_accounts(accounts={} if is_removed else replaced)
+    assert await checking == (None if is_removed else CREWS)
+
+
 async def test_cache_size_is_bounded_when_many_wrong_keys_are_checked(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/testing/test_entry.py
+++ b/testing/test_entry.py
@@ -76,7 +76,9 @@
 
     client: TestClient[web.Request, web.Application]
     engine: FakeEngine
+    router: FakeRouter
     canceller: Canceller
+    api: CallerApi
     leaving: asyncio.Event
     """Set while the host is in a graceful shutdown."""
 
@@ -117,8 +119,9 @@
     keys.set_accounts(accounts=declarations.accounts)
     limits = HostAccountLimits(clock=clock)
     limits.set_declarations(declarations=declarations)
+    router = FakeRouter(engines=[ENGINE])
     dispatch = DispatchContext(
-        router=FakeRouter(engines=[ENGINE]),
+        router=router,
         get_client=lambda _engine: engine,
         reachability=EngineReachability(get_client=lambda _engine: engine, clock=clock),
         observer=GateHealthRecorder(gate=gate),
@@ -158,7 +161,14 @@
     )
     server = TestServer(caller_api.application(), handler_cancellation=True)
     async with TestClient(server) as client:
-        yield Host(client=client, engine=engine, canceller=canceller, leaving=leaving)
+        yield Host(
+            client=client,
+            engine=engine,
+            router=router,
+            canceller=canceller,
+            api=caller_api,
+            leaving=leaving,
+        )
 
 
 def _make_services(
@@ -240,6 +250,25 @@
     assert _decode_problem(body).execution == "not-executed"
 
 
+# Guards against an unknown outcome of a request that was never sent to an engine.
+@pytest.mark.parametrize("is_placed", [False, True])
+async def test_interrupted_request_is_reported_as_not_executed_only_when_it_has_no_engine(
+    host: Host, is_placed: bool
+) -> None:
+    if not is_placed:
+        host.router.capacity.clear()
+    call = asyncio.create_task(
+        _read(host, "/v1/completions", {**BODY, "stream": False}, KEYS["north"])
+    )
+    while not (host.engine.executed if is_placed else host.router.requests):
+        await asyncio.sleep(0.001)
+    host.api.interrupt()
+    status, body = await call
+    assert status == 503
+    assert _decode_problem(body).execution == ("unknown" if is_placed else "not-executed")
+    assert bool(host.engine.executed) is is_placed
+
+
 # Guards against callers that keep sending requests on a connection to a stopping host.
 @pytest.mark.parametrize("path", ["/v1/completions", "/services/bookings/x", "/nowhere"])
 async def test_connection_is_closed_after_a_refusal_when_the_host_stops(
--- a/testing/test_fleet.py
+++ b/testing/test_fleet.py
@@ -6,8 +6,13 @@
 
 import pytest
 
+from tanagerscale.core import Clock
+from tanagerscale.core import HostId
+from tanagerscale.fleet._lease import ControlLease
 from tanagerscale.generated.declarations import Fencing
 from tanagerscale.generated.upstream import OrderKind
+from testing._fake_store import FakeBackend
+from testing._faulty_store import FaultyStore
 from testing._ordered_engines import MAX_LOADS
 from testing._ordered_engines import EngineFleet
 from testing._ordered_engines import OrderingHost
@@ -197,6 +202,30 @@
     assert [sent.order.kind for sent in fleet.sent_orders] == [OrderKind.LOAD_MODEL]
 
 
+# Guards against engines without a controller until a lease expires that no host knows it holds.
+async def test_lease_is_free_soon_when_its_acquisition_was_cancelled() -> None:
+    backend = FakeBackend()
+    clock = Clock()
+    store = FaultyStore(backend=backend)
+    first, second = (
+        ControlLease(store=each, key="k", host=HostId(host), incarnation=1, clock=clock)
+        for host, each in (("a", store), ("b", FaultyStore(backend=backend)))
+    )
+    acquiring = asyncio.create_task(first.acquire())
+    while not store.fake.calls.writes:
+        await asyncio.sleep(0.001)
+    # The write takes effect before its reply arrives.
+    store.freeze()
+    while "k" not in backend.entries:
+        await asyncio.sleep(0.001)
+    acquiring.cancel()
+    store.resume()
+    await asyncio.wait({acquiring})
+    assert acquiring.cancelled()
+    await asyncio.sleep(1)
+    assert await second.acquire() is not None
+
+
 async def test_failing_load_does_not_delay_the_others() -> None:
     fleet = make_fleet()
     fleet.engines["e0"].orders_to_lose = 10_000
--- a/testing/test_many_hosts.py
+++ b/testing/test_many_hosts.py
@@ -17,6 +17,8 @@
 HOSTS = 24
 DOMAINS = 3
 COORDINATOR_COUNT = 4
+ANNOUNCEMENT_TIMEOUT_S = 4.0
+"""Time in which all hosts must know a leaving upstream although coordinators are replaced."""
 
 
 def _run_with_fleet(
@@ -205,6 +207,21 @@
     _run_with_fleet(scenario)
 
 
+# Guards against a notice that is sent only once, to coordinators that have just failed.
+def test_leaving_upstream_detected_by_one_host_reaches_all_hosts_when_all_coordinators_fail() -> (
+    None
+):
+    async def scenario(fleet: Fleet) -> None:
+        member, coordinators = fleet.members[11], fleet.coordinators
+        member.control.gate.record_own_notice(upstream=UpstreamId("e0"))
+        for host in coordinators:
+            await fleet.kill(host)
+        await asyncio.sleep(ANNOUNCEMENT_TIMEOUT_S)
+        assert all(host.control.gate.is_leaving(UpstreamId("e0")) for host in fleet.hosts)
+
+    _run_with_fleet(scenario)
+
+
 def test_upstream_that_told_one_host_that_it_leaves_stays_closed_at_all_hosts() -> None:
     async def scenario(fleet: Fleet) -> None:
         fleet.members[11].control.gate.record_own_notice(upstream=UpstreamId("e0"))
