Wait for the verdict when a copy of a request was lost with its engine

Cause: the host whose attempt was lost decides on the conviction, and may be a moment late, for example while frozen.

Change: while the quarantine knows of a copy on an engine that doesn't answer, the verdict is due, and the request waits for it. The run of that copy ends with the verdict or with its host, so the wait has an end.

--- a/src/tanagerscale/daemon/_adapters.py
+++ b/src/tanagerscale/daemon/_adapters.py
@@ -91,6 +91,10 @@
         """Return no engines."""
         return frozenset()
 
+    def engines_of_copies(self, *, fingerprint: str) -> frozenset[UpstreamId]:
+        """Return no engines."""
+        return frozenset()
+
     def watch(
         self, *, fingerprint: str, on_change: Callable[[], None]
     ) -> AbstractContextManager[None]:
--- a/src/tanagerscale/daemon/_quarantine_adapter.py
+++ b/src/tanagerscale/daemon/_quarantine_adapter.py
@@ -85,6 +85,10 @@
             engines=[name for name, engine in engines.items() if model in engine.models],
         )
 
+    def engines_of_copies(self, *, fingerprint: str) -> frozenset[UpstreamId]:
+        """Return the engines that run copies of a request, for any host."""
+        return self._quarantine.engines_of_copies(fingerprint=Fingerprint(fingerprint))
+
     @contextmanager
     def watch(self, *, fingerprint: str, on_change: Callable[[], None]) -> Iterator[None]:
         """Call a function when a request may be refused or its excluded engines may have changed.
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -208,9 +208,10 @@
         return Failure(self._with_execution(refusal))
 
     async def _wait_for_excluded(self, request: PlacementRequest) -> bool:
-        """Wait for a change of the crash watch; return false at once if no engine is alive."""
+        """Wait for a change of the crash watch; return false at once if waiting is useless."""
         engines = self._context.router.open_engines(request=request)
-        if not await self._context.reachability.is_any_reachable(engines=engines):
+        is_alive = await self._context.reachability.is_any_reachable(engines=engines)
+        if not is_alive and not await self._is_verdict_due():
             return False
         await self._context.crash_watch.wait_change()
         # An engine that failed before may have recovered; the gate still closes those that do not
@@ -219,6 +220,16 @@
         self._progress.not_admitted.clear()
         return True
 
+    async def _is_verdict_due(self) -> bool:
+        """Return whether a copy was lost with its engine, which its host has not reported yet.
+
+        The request may be convicted then, and its caller must not send it again.
+        """
+        engines = self._context.crash_watch.engines_of_copies(fingerprint=self._request.fingerprint)
+        return bool(engines) and not await self._context.reachability.is_any_reachable(
+            engines=engines
+        )
+
     async def _resume_attempt(self, resume: ResumePoint) -> AttemptOutcome | None:
         """Follow an attempt that another host has started."""
         placement = self._context.router.adopt(
--- a/src/tanagerscale/dispatch/_types.py
+++ b/src/tanagerscale/dispatch/_types.py
@@ -119,6 +119,9 @@
     def excluded_engines(self, *, fingerprint: str, model: ModelId) -> frozenset[UpstreamId]:
         """Return the engines of a model on which the request must not run at present."""
 
+    def engines_of_copies(self, *, fingerprint: str) -> frozenset[UpstreamId]:
+        """Return the engines that run copies of a request, for any host."""
+
     def watch(
         self, *, fingerprint: str, on_change: Callable[[], None]
     ) -> AbstractContextManager[None]:
--- a/src/tanagerscale/quarantine/_quarantine.py
+++ b/src/tanagerscale/quarantine/_quarantine.py
@@ -138,6 +138,11 @@
         """
         return frozenset(engine for engine in engines if not self._may_run(fingerprint, engine))
 
+    def engines_of_copies(self, *, fingerprint: Fingerprint) -> frozenset[UpstreamId]:
+        """Return the engines that run copies of a request; those of peers only for suspects."""
+        runs = self._runs.get_runs(now=self._clock.now())
+        return frozenset(run.engine for run in runs if run.fingerprint == fingerprint)
+
     async def admit(
         self,
         *,
--- a/testing/test_generation.py
+++ b/testing/test_generation.py
@@ -76,6 +76,10 @@
         """Exclude no engine."""
         return frozenset()
 
+    def engines_of_copies(self, *, fingerprint: str) -> frozenset[UpstreamId]:
+        """Return no engines."""
+        return frozenset()
+
     def watch(
         self, *, fingerprint: str, on_change: Callable[[], None]
     ) -> AbstractContextManager[None]:
--- a/testing/test_generation_waiting.py
+++ b/testing/test_generation_waiting.py
@@ -131,6 +131,10 @@
         """Return the exclusions that were set last."""
         return self.excluded
 
+    def engines_of_copies(self, *, fingerprint: str) -> frozenset[UpstreamId]:
+        """Return no engines."""
+        return frozenset()
+
     @contextmanager
     def watch(self, *, fingerprint: str, on_change: Callable[[], None]) -> Iterator[None]:
         """Call the function at each update while the context is open."""
--- a/testing/test_waits_dispatch.py
+++ b/testing/test_waits_dispatch.py
@@ -40,6 +40,7 @@
 from tanagerscale.policy import RetryBudget
 from tanagerscale.quarantine import Fingerprint
 from tanagerscale.quarantine import Quarantine
+from tanagerscale.quarantine import RunEnd
 from tanagerscale.usage import UsageMeter
 from testing._fake_engine import FakeEngine
 from testing._fake_engine import Faults
@@ -368,3 +369,19 @@
     assert problem.kind is ProblemKind.NO_UPSTREAM
     assert problem.execution is Execution.NOT_EXECUTED
     assert problem.retry_after_ms is not None
+
+
+async def test_request_waits_for_the_verdict_when_its_copy_was_lost_with_the_last_engine() -> None:
+    # Guards against callers who are told to send a request again that crashes engines.
+    host = Host()
+    running, excluded = host.engines
+    assert await host.quarantine.admit(fingerprint=Fingerprint("f"), engine=running)
+    host.gate.record_leaving(upstream=excluded)
+    for engine in host.engines.values():
+        engine.faults.unreachable = True
+    waiting = host.start("g")
+    await asyncio.sleep(5)
+    assert not waiting.done()
+    host.quarantine.on_finished(fingerprint=Fingerprint("f"), engine=running, end=RunEnd.CANCELLED)
+    await asyncio.sleep(1)
+    assert waiting.result().failure().kind is ProblemKind.NO_UPSTREAM
