Release the placement when a caller leaves during the admission

Cause: the admission of a suspect takes 50 ms. When its caller left meanwhile, the quarantine withdrew the run, but nobody released the placement.

Change: dispatch releases the placement when the admission is cancelled.

--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -167,12 +167,16 @@
     async def _run_at(self, placement: Placement) -> Result[Finish, Problem] | None:
         """Run an attempt on the assigned engine; ``None`` means to continue with another one."""
         engine = placement.engine
-        admitted = await self._context.crash_watch.admit(
-            fingerprint=self._request.fingerprint,
-            engine=engine,
-            stop=placement.move_requested,
-            progress=lambda: self._relay.next_offset,
-        )
+        try:
+            admitted = await self._context.crash_watch.admit(
+                fingerprint=self._request.fingerprint,
+                engine=engine,
+                stop=placement.move_requested,
+                progress=lambda: self._relay.next_offset,
+            )
+        except asyncio.CancelledError:
+            self._release(tokens=0, engine_lost=False)
+            raise
         if not admitted:
             # Exclude this engine, or routing could assign it again in an endless loop.
             self._progress.not_admitted.add(engine, duration_ms=NOT_ADMITTED_MS)
