End every exclusion of an engine by its own time

(2) Any change of the quarantine, for any request, ended all exclusions of a suspect that waited, so that it spent its 12 attempts on one engine in 3.35 s, or was placed and not admitted 1,000 times in 10 s.

Cause: (1) the exclusions lost their limit and never got it back. (2) The wait for a change cleared the exclusions of engines that had failed, which was needed when these had no end.

Change: from the eighth attempt on, or the third lost one, the exclusions last ten minutes. The wait clears nothing.

Measured: the two cases of test_waiting_request_gets_an_engine_that_has_loaded_while_another_stays_full, test_suspect_is_served_when_its_only_engine_refuses_for_some_seconds and test_admission_is_requested_at_intervals_when_other_requests_change_the_quarantine fail without the change.

--- a/src/tanagerscale/dispatch/_exclusions.py
+++ b/src/tanagerscale/dispatch/_exclusions.py
@@ -27,6 +27,9 @@
 """
 MAX_EXCLUSION_MS = 60_000
 
+FINAL_EXCLUSION_MS = 600_000
+"""Exclusion of all engines that have failed when few attempts are left for others."""
+
 
 def exclusion_ms(*, first_ms: int, attempts: int) -> int:
     """Return the duration of an exclusion, which doubles with each failed attempt of the request.
@@ -39,7 +42,7 @@
 
 @final
 class Exclusions:
-    """Engines that are excluded for a limited time, unless the limit is removed.
+    """Engines that are excluded for a limited time.
 
     :param clock: Clock that ends the exclusions.
     """
@@ -47,21 +50,16 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._ends: dict[UpstreamId, Millis] = {}
-        self._unlimited = False
 
     @property
     def engines(self) -> frozenset[UpstreamId]:
         """Engines that are excluded now."""
-        if self._unlimited:
-            return frozenset(self._ends)
         now = self._clock.now()
         return frozenset(engine for engine, end in self._ends.items() if end > now)
 
     @property
     def next_end_s(self) -> float | None:
         """Loop time in seconds at which the first exclusion ends; ``None`` if there are none."""
-        if self._unlimited:
-            return None
         now = self._clock.now()
         end = min((end for end in self._ends.values() if end > now), default=None)
         # Add one millisecond because the clock truncates to whole milliseconds.
@@ -75,9 +73,13 @@
         """
         self._ends[engine] = Millis(self._clock.now() + duration_ms)
 
-    def remove_limit(self) -> None:
-        """Exclude all engines that were ever added, until they are cleared."""
-        self._unlimited = True
+    def extend(self, *, duration_ms: int) -> None:
+        """Exclude all engines that were ever added from now on.
+
+        :param duration_ms: Duration of the exclusions in milliseconds.
+        """
+        for engine in self._ends:
+            self.add(engine, duration_ms=duration_ms)
 
     def clear(self) -> None:
         """End all exclusions."""
--- a/src/tanagerscale/dispatch/_generation.py
+++ b/src/tanagerscale/dispatch/_generation.py
@@ -218,10 +218,6 @@
         if not is_alive and not await self._is_verdict_due():
             return False
         await self._context.crash_watch.wait_change()
-        # An engine that failed before may have recovered; the gate still closes those that do not
-        # accept work.
-        self._progress.failed.clear()
-        self._progress.not_admitted.clear()
         return True
 
     async def _is_verdict_due(self) -> bool:
--- a/src/tanagerscale/dispatch/_progress.py
+++ b/src/tanagerscale/dispatch/_progress.py
@@ -7,6 +7,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.dispatch._exclusions import FAILED_MS
+from tanagerscale.dispatch._exclusions import FINAL_EXCLUSION_MS
 from tanagerscale.dispatch._exclusions import LOST_MS
 from tanagerscale.dispatch._exclusions import Exclusions
 from tanagerscale.dispatch._exclusions import exclusion_ms
@@ -14,7 +15,7 @@
 MAX_LOST_ATTEMPTS = 3
 MAX_ATTEMPTS = 12
 MAX_ATTEMPTS_ON_FAILED = 8
-"""Attempts after which engines that have failed are not tried again, to leave some for others."""
+"""Attempts after which engines that have failed are tried rarely, to leave some for others."""
 
 
 class GenerationProgress(Struct, kw_only=True):
@@ -65,4 +66,4 @@
             duration_ms = exclusion_ms(first_ms=FAILED_MS, attempts=self.attempts)
         self.failed.add(engine, duration_ms=duration_ms)
         if self.attempts >= MAX_ATTEMPTS_ON_FAILED or self.lost_attempts >= MAX_LOST_ATTEMPTS:
-            self.failed.remove_limit()
+            self.failed.extend(duration_ms=FINAL_EXCLUSION_MS)
--- a/testing/test_waits_attempts.py
+++ b/testing/test_waits_attempts.py
@@ -11,8 +11,11 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import UpstreamId
 from tanagerscale.dispatch import Finish
+from tanagerscale.dispatch._exclusions import NOT_ADMITTED_MS
 from tanagerscale.generated.messages import Verdict
 from tanagerscale.generated.upstream import FinishReason
+from tanagerscale.generated.upstream import RefusalKind
+from tanagerscale.quarantine import Fingerprint
 from testing.test_waits_dispatch import HOST
 from testing.test_waits_dispatch import Host
 
@@ -54,3 +57,59 @@
     assert running.cancelled()
     await asyncio.sleep(0.1)
     assert not host.cluster.scheduler(HOST).running
+
+
+@pytest.mark.parametrize("loading", [1, 3])
+async def test_waiting_request_gets_an_engine_that_has_loaded_while_another_stays_full(
+    loading: int,
+) -> None:
+    # Guards against engines that are excluded without an end after many refusals.
+    host = Host(engines=loading + 1)
+    await host.fill_engines()
+    names = [host.cluster.placements()[f"filler-{number}"] for number in range(1, loading + 1)]
+    for number, name in enumerate(names, start=1):
+        host.engines[name].faults.refuse = RefusalKind.NOT_LOADED
+        host.cluster.release(HOST, f"filler-{number}")
+    running = host.start("g")
+    await asyncio.sleep(30 if loading == 3 else 150)
+    for name in names:
+        host.engines[name].faults.refuse = None
+    await asyncio.wait({running}, timeout=1800)
+    assert running.done()
+    assert running.result() == SERVED
+
+
+async def test_suspect_is_served_when_its_only_engine_refuses_for_some_seconds() -> None:
+    # Guards against using up the attempts as the end of each wait clears the exclusions.
+    host = Host()
+    first, second = host.engines
+    _add_suspicion(host, first)
+    host.engines[second].faults.refuse = RefusalKind.NOT_LOADED
+    running = host.start("g")
+    await asyncio.wait({running}, timeout=8)
+    host.engines[second].faults.refuse = None
+    await asyncio.wait({running}, timeout=60)
+    assert running.result() == SERVED
+
+
+async def test_admission_is_requested_at_intervals_when_other_requests_change_the_quarantine(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a loop of placements and refused admissions that other requests drive.
+    host = Host()
+    first, _ = host.engines
+    _add_suspicion(host, first)
+    calls = 0
+
+    async def refuse(*, fingerprint: Fingerprint, engine: UpstreamId, progress: object) -> bool:
+        nonlocal calls
+        calls += 1
+        return False
+
+    monkeypatch.setattr(host.quarantine, "admit", refuse)
+    running = host.start("g")
+    for _ in range(1000):
+        await asyncio.sleep(0.01)
+        _convict_other_request(host)
+    running.cancel()
+    assert calls <= 10_000 // NOT_ADMITTED_MS + 1
