--- a/testing/test_waits_routing.py
+++ b/testing/test_waits_routing.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import UpstreamId
+from tanagerscale.membership._gate import _LEAVING_TTL_MS
 from tanagerscale.routing import Placement
 from testing._routing_fakes import Cluster
 from testing._routing_fakes import make_engines
@@ -61,3 +63,25 @@
     await asyncio.sleep(5)
     await waiting
     assert cluster.placements()["g3"] == engine
+
+
+@pytest.mark.parametrize("is_repeated", [False, True])
+async def test_waiting_request_gets_a_leaving_engine_again_when_its_notice_has_expired(
+    is_repeated: bool,
+) -> None:
+    # Guards against an engine that the gate opens without publishing the change.
+    cluster = Cluster(hosts=["a"], engines=make_engines(number=2, max_batch=1))
+    gate = cluster.host("a").gate
+    await cluster.place("a", "g1")
+    await cluster.place("a", "g2")
+    engine = cluster.placements()["g1"]
+    gate.record_leaving(upstream=engine)
+    if is_repeated:
+        await asyncio.sleep(0.5)
+        gate.record_leaving(upstream=engine)
+    cluster.release("a", "g1")
+    await asyncio.sleep(_LEAVING_TTL_MS / MS_PER_SECOND + 5)
+    assert gate.is_open(engine)
+    waiting = asyncio.create_task(cluster.place("a", "g3"))
+    await asyncio.wait({waiting}, timeout=60)
+    assert waiting.done()
