Log which upstreams name a rate limit, and what is sent to them

Change: the header is decoded with the head of each response, and each host tracks the limits that it was told. Log lines tell when a limit begins, changes and ends, and each request that is sent to such an upstream, with its path, the time since the limit is known and who permitted it. A gauge and a counter tell the same in total. Nothing else depends on the limit yet.

Values that are no positive decimal number neither name nor end a limit; of repeated fields the lowest counts; errors without the header end none.

--- a/src/tanagerscale/forwarding/_metrics.py
+++ b/src/tanagerscale/forwarding/_metrics.py
@@ -79,6 +79,17 @@
             "Upstreams that get no requests from this host since they asked it for a pause.",
             registry=registry,
         )
+        self.limited: Final = Gauge(
+            "tanagerscale_rate_limited_upstreams",
+            "Upstreams that name a rate limit, as far as this host knows.",
+            registry=registry,
+        )
+        self.limited_requests: Final = Counter(
+            "tanagerscale_rate_limited_requests",
+            "Requests sent to upstreams that name a rate limit, by path and permit.",
+            ["path", "permit"],
+            registry=registry,
+        )
         self.pause_refusals: Final = Counter(
             "tanagerscale_pause_refusals",
             "Requests refused because all their upstreams had asked for a pause.",
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -21,6 +21,7 @@
 from tanagerscale.forwarding._types import UpstreamClient
 from tanagerscale.forwarding._workload import LocalWorkload
 from tanagerscale.quarantine import SuspectTracker
+from tanagerscale.upstreams import NamedLimits
 from tanagerscale.upstreams import UpstreamPauses
 
 
@@ -48,6 +49,7 @@
     :param upstreams: Provides the known upstreams.
     :param gate: Receives reachability observations from requests.
     :param pauses: Upstreams that asked this host for a pause.
+    :param named_limits: Rate limits that upstreams name.
     :param health: Receives successes and failures of requests.
     :param suspects: Tracks requests that may crash upstreams.
     :param upstream_client: Sends requests to upstreams.
@@ -66,6 +68,7 @@
     upstreams: Upstreams
     gate: Gate
     pauses: UpstreamPauses
+    named_limits: NamedLimits
     health: UpstreamHealth
     suspects: SuspectTracker
     upstream_client: UpstreamClient
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -18,6 +18,9 @@
 from tanagerscale.forwarding._crash_evidence import record_broken_response
 from tanagerscale.forwarding._crash_evidence import record_complete_response
 from tanagerscale.forwarding._execution import ExecutionRecord
+from tanagerscale.forwarding._limited_requests import RequestPath
+from tanagerscale.forwarding._limited_requests import record_limited_request
+from tanagerscale.forwarding._limited_requests import record_named_rate
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._pauses import refuse_if_paused
 from tanagerscale.forwarding._refusals import no_upstream
@@ -197,6 +200,8 @@
     async def _attempt(self, entry: UpstreamEntry) -> _CompleteResponse | None:
         """Send the request to one upstream; return ``None`` if another upstream should be tried."""
         response: UpstreamResponse | None = None
+        self._record_limited(entry)
+        sent_at = self._context.clock.now()
         self._record.record_sent(entry.upstream)
         late = AttemptHealthRecorder(
             health=self._context.health, entry=entry, after_ms=self._routed.route.target_ms
@@ -207,6 +212,7 @@
             response = await self._context.upstream_client.send(
                 upstream_request=self._build_request(entry)
             )
+            record_named_rate(self._context, entry.upstream, response, sent_at=sent_at)
             body = await response.read_all()
         except ExchangeError as error:
             late.end(is_good=False)
@@ -223,6 +229,12 @@
             return None
         return self._record_response(entry, response, body)
 
+    def _record_limited(self, entry: UpstreamEntry) -> None:
+        path = RequestPath.REPEATED if self._record.sent else RequestPath.FIRST
+        record_limited_request(
+            self._routed, self._context, entry.upstream, path=path, permit="none"
+        )
+
     def _build_request(self, entry: UpstreamEntry) -> UpstreamRequest:
         return UpstreamRequest(
             request=self._routed.request,
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -17,6 +17,9 @@
 from tanagerscale.forwarding._crash_evidence import record_broken_response
 from tanagerscale.forwarding._crash_evidence import record_complete_response
 from tanagerscale.forwarding._demand import is_long
+from tanagerscale.forwarding._limited_requests import RequestPath
+from tanagerscale.forwarding._limited_requests import record_limited_request
+from tanagerscale.forwarding._limited_requests import record_named_rate
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
@@ -111,6 +114,11 @@
             is_long=is_long(self._routed),
             domains=self._routed.domains,
         )
+        path = RequestPath.PLACED if resume_target is None else RequestPath.RESUMED
+        record_limited_request(
+            self._routed, self._context, entry.upstream, path=path, permit="none"
+        )
+        sent_at = self._context.clock.now()
         late_ms = self._routed.route.target_ms
         late = AttemptHealthRecorder(health=self._context.health, entry=entry, after_ms=late_ms)
         try:
@@ -121,6 +129,7 @@
             late.cancel()
             work.end(request=request.request)
             raise
+        record_named_rate(self._context, entry.upstream, response, sent_at=sent_at)
         return StreamSegment(entry=entry, response=response, late=late)
 
     async def resume(
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -235,6 +235,13 @@
     def is_address_reassigned(self) -> bool:
         """Whether the address now belongs to another upstream."""
 
+    @property
+    def named_rates(self) -> Sequence[float | None]:
+        """Rates to which the upstream limits all hosts together, in requests a second.
+
+        ``None`` stands for a value that is no decimal number.
+        """
+
     @property
     def closes_connection(self) -> bool:
         """Whether the upstream closes the connection after the response."""
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -51,6 +51,7 @@
 from tanagerscale.membership import UpstreamRoster
 from tanagerscale.quarantine import SuspectTracker
 from tanagerscale.routes import RouteTable
+from tanagerscale.upstreams import NamedLimits
 from tanagerscale.upstreams import UpstreamNotice
 from tanagerscale.upstreams import UpstreamPauses
 
@@ -123,6 +124,7 @@
             clock=clock,
         )
         self.pauses = UpstreamPauses(clock=clock)
+        self.named_limits = NamedLimits(clock=clock)
         self.feed = self._make_feed(ListTopic.UPSTREAMS, self.roster)
         self.evacuations_feed = self._make_feed(ListTopic.EVACUATIONS, self.evacuations)
         self._head_replicator = self._make_head_replicator()
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -229,6 +229,7 @@
             upstreams=control.roster,
             gate=control.gate,
             pauses=control.pauses,
+            named_limits=control.named_limits,
             health=control.health,
             suspects=control.suspects,
             upstream_client=self._platform.upstreams,
@@ -244,6 +245,7 @@
         )
         context.metrics.evacuated.set_function(lambda: len(control.evacuations.domains))
         context.metrics.paused.set_function(lambda: len(control.pauses.paused))
+        context.metrics.limited.set_function(lambda: control.named_limits.count)
         self._stream_mover = StreamMover(
             context=context,
             check_decider=control.client.check_decider,
--- a/src/tanagerscale/platform/_engines.py
+++ b/src/tanagerscale/platform/_engines.py
@@ -28,9 +28,11 @@
 from tanagerscale.platform._headers import LAST_EVENT
 from tanagerscale.platform._headers import NOT_EXECUTED
 from tanagerscale.platform._headers import PRIORITY
+from tanagerscale.platform._headers import RATE_LIMIT
 from tanagerscale.platform._headers import REQUEST_ID
 from tanagerscale.platform._headers import TIME_LEFT
 from tanagerscale.platform._headers import forwarded_response_headers
+from tanagerscale.platform._notices import decode_decimal
 from tanagerscale.platform._notices import decode_notice
 from tanagerscale.platform._wire import WireMove
 from tanagerscale.platform._wire import WireMoved
@@ -114,6 +116,11 @@
         """Whether the upstream closes the connection after the response."""
         return not self._reply.keep_alive
 
+    @property
+    def named_rates(self) -> Sequence[float | None]:
+        """Rates to which the upstream limits all hosts together, in requests a second."""
+        return [decode_decimal(value) for value in self._reply.headers.getall(RATE_LIMIT, ())]
+
     async def read_some(self) -> bytes:
         """Return the next bytes of the body, or empty bytes after its regular end."""
         chunk = await self._connection.read_some()
--- a/src/tanagerscale/platform/_notices.py
+++ b/src/tanagerscale/platform/_notices.py
@@ -18,7 +18,7 @@
 MAX_PAUSE_MS: Final = 600_000
 """Longest pause that one response can ask for, in case an upstream sends a wrong number."""
 
-_SECONDS = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+", re.ASCII)
 
 
 def decode_notice(*, upstream: UpstreamId, reply: ResponseHead) -> UpstreamNotice | None:
@@ -40,7 +40,11 @@
 
 def _decode_pause_ms(value: str) -> int | None:
     """Return a pause given in seconds; ``None`` for any other value, such as a date."""
-    seconds = value.strip()
-    if not _SECONDS.fullmatch(seconds):
-        return None
-    return ceil(min(float(seconds) * MS_PER_SECOND, MAX_PAUSE_MS))
+    seconds = decode_decimal(value)
+    return None if seconds is None else ceil(min(seconds * MS_PER_SECOND, MAX_PAUSE_MS))
+
+
+def decode_decimal(value: str) -> float | None:
+    """Return a decimal number without a sign; ``None`` for any other value."""
+    number = value.strip()
+    return float(number) if _DECIMAL.fullmatch(number) else None
--- a/src/tanagerscale/upstreams/__init__.py
+++ b/src/tanagerscale/upstreams/__init__.py
@@ -13,6 +13,8 @@
 from tanagerscale.upstreams._http_service import HttpServiceClient
 from tanagerscale.upstreams._http_service import ServiceCall
 from tanagerscale.upstreams._http_service import ServiceResponse
+from tanagerscale.upstreams._named_limits import NamedLimits
+from tanagerscale.upstreams._named_limits import RateObservation
 from tanagerscale.upstreams._notices import UpstreamNotice
 from tanagerscale.upstreams._pauses import UpstreamPauses
 from tanagerscale.upstreams._pool import ConnectionPool
@@ -33,6 +35,8 @@
     "HttpConnection",
     "HttpEngineClient",
     "HttpServiceClient",
+    "NamedLimits",
+    "RateObservation",
     "ResponseHead",
     "RunState",
     "ServiceCall",
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -55,6 +55,7 @@
 from tanagerscale.upstreams import EngineReport
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
+from tanagerscale.upstreams import NamedLimits
 from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamPauses
 from tanagerscale.upstreams import UpstreamState
@@ -196,6 +197,7 @@
     not_executed: bool = False
     is_address_reassigned: bool = False
     closes_connection: bool = False
+    named_rates: Sequence[float | None] = ()
     reason: str = "OK"
     headers: Sequence[Header] = (("X", "1"),)
     pause_ms: int = 0
@@ -528,6 +530,7 @@
         upstreams=upstreams,
         gate=upstreams,
         pauses=UpstreamPauses(clock=clock),
+        named_limits=NamedLimits(clock=clock),
         suspects=SuspectTracker(clock=clock),
         health=health,
         upstream_client=upstream_client,
--- a/testing/test_platform_decoding.py
+++ b/testing/test_platform_decoding.py
@@ -16,10 +16,12 @@
 from returns.result import Success
 
 from standins.platform_world import configuration
+from tanagerscale.core import Clock
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.ini import check_address
 from tanagerscale.platform._configuration import decode_configuration
+from tanagerscale.platform._engines import PlatformResponse
 from tanagerscale.platform._engines import _decode_copy_answer
 from tanagerscale.platform._headers import forwarded_request_headers
 from tanagerscale.platform._headers import forwarded_response_headers
@@ -27,6 +29,7 @@
 from tanagerscale.platform._notices import decode_notice
 from tanagerscale.platform._registry import decode_entry
 from tanagerscale.routes import RouteKind
+from tanagerscale.upstreams import ConnectionPool
 from tanagerscale.upstreams import ResponseHead
 from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamNotice
@@ -36,7 +39,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SOURCE = ROOT / "src" / "tanagerscale"
 PLATFORM_NAMES = re.compile(
-    r"Tanagerscale-|Server-Leaving|Kv-(From|Fetch)"
+    r"Tanagerscale-|Server-Leaving|Server-Limit|Kv-(From|Fetch)"
     r"|kv-(move|txn|watch|range|key|lease|handle|pin|list|events)"
     r"|pathPrefix|apiKeys|trafficSplit|coldRemaining|expectedRevision|createdRev|asOf|waitMs"
     r"|op/config|servers/|bounds\.|listen\.front"
@@ -137,6 +140,34 @@
     assert decode_notice(upstream=UPSTREAM, reply=reply) is None
 
 
+@pytest.mark.parametrize(
+    ("values", "named_rates"),
+    [
+        ((), []),
+        (("2.7",), [2.7]),
+        ((" 50 ",), [50.0]),
+        (("3", "2"), [3.0, 2.0]),
+        (("0",), [0.0]),
+        (("-1",), [None]),
+        (("inf", "1e3"), [None, None]),
+        (("2, 3",), [None]),
+        (("",), [None]),
+    ],
+)
+def test_rates_are_decoded_when_a_response_names_them(
+    values: tuple[str, ...], named_rates: list[float | None]
+) -> None:
+    reply = _make_reply(*(("server-limit", value) for value in values))
+    pool = ConnectionPool(clock=Clock(), connect_timeout_ms=1, idle_ms=1)
+    response = PlatformResponse(
+        reply=reply,
+        connection=None,  # type: ignore[arg-type]
+        pool=pool,
+        address="",
+    )
+    assert response.named_rates == named_rates
+
+
 @random_case_settings(examples=300)
 @given(st.one_of(st.text(), st.from_regex(r"[0-9]{0,400}\.?[0-9]{0,9}", fullmatch=True)))
 def test_pause_is_bounded_whatever_an_upstream_sends(value: str) -> None:
