Test that all hosts together keep the rate limits that upstreams name

Cause: not changed yet. Nobody uses the limit, so that the hosts together send as much as before.

The dependencies of requests are built by a function of their own, which the tests use too.

--- /dev/null
+++ b/src/tanagerscale/gateway/_forwarding.py
@@ -0,0 +1,60 @@
+"""Construction of the dependencies that all requests of a host share."""
+
+from __future__ import annotations
+
+from random import Random
+
+from prometheus_client import CollectorRegistry
+
+from tanagerscale.core import Clock
+from tanagerscale.core import FailureDomainId
+from tanagerscale.forwarding import ForwardingContext
+from tanagerscale.forwarding import ForwardingMetrics
+from tanagerscale.forwarding import LocalWorkload
+from tanagerscale.gateway._control import HostControl
+from tanagerscale.gateway._platform import PlatformUpstreamClient
+
+
+def make_forwarding_context(
+    *,
+    control: HostControl,
+    upstreams: PlatformUpstreamClient,
+    work: LocalWorkload,
+    registry: CollectorRegistry,
+    failure_domain: FailureDomainId,
+    clock: Clock,
+    rng: Random,
+) -> ForwardingContext:
+    """Return the dependencies of requests, built on the control plane of their host.
+
+    :param control: Control plane of the host.
+    :param upstreams: Client of upstreams and engines.
+    :param work: The host's requests on upstreams.
+    :param registry: Registry that exports the metrics.
+    :param failure_domain: Failure domain of the host.
+    :param clock: Clock used for deadlines and durations.
+    :param rng: Random number generator used for jitter and tie breaking.
+    """
+    context = ForwardingContext(
+        tables=control.configuration,
+        upstreams=control.roster,
+        gate=control.gate,
+        pauses=control.pauses,
+        named_limits=control.named_limits,
+        health=control.health,
+        suspects=control.suspects,
+        upstream_client=upstreams,
+        engines=upstreams,
+        work=work,
+        retry_permits=control.client,
+        warmup=control.warmup,
+        warmup_permits=control.client,
+        metrics=ForwardingMetrics(registry=registry),
+        failure_domain=failure_domain,
+        clock=clock,
+        rng=rng,
+    )
+    context.metrics.evacuated.set_function(lambda: len(control.evacuations.domains))
+    context.metrics.paused.set_function(lambda: len(control.pauses.paused))
+    context.metrics.limited.set_function(lambda: control.named_limits.count)
+    return context
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -20,14 +20,13 @@
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import Dispatcher
-from tanagerscale.forwarding import ForwardingContext
-from tanagerscale.forwarding import ForwardingMetrics
 from tanagerscale.forwarding import LocalWorkload
 from tanagerscale.forwarding import ShutdownSchedule
 from tanagerscale.forwarding import StreamMover
 from tanagerscale.gateway._caller_server import CallerServer
 from tanagerscale.gateway._caller_server import serve_readiness
 from tanagerscale.gateway._control import HostControl
+from tanagerscale.gateway._forwarding import make_forwarding_context
 from tanagerscale.gateway._graceful_shutdown import drain_requests
 from tanagerscale.gateway._metrics import serve_metrics
 from tanagerscale.gateway._platform import CallerRules
@@ -224,28 +223,15 @@
 
     def _make_dispatcher(self) -> Dispatcher:
         control = self._control
-        context = ForwardingContext(
-            tables=control.configuration,
-            upstreams=control.roster,
-            gate=control.gate,
-            pauses=control.pauses,
-            named_limits=control.named_limits,
-            health=control.health,
-            suspects=control.suspects,
-            upstream_client=self._platform.upstreams,
-            engines=self._platform.upstreams,
+        context = make_forwarding_context(
+            control=control,
+            upstreams=self._platform.upstreams,
             work=self._work,
-            retry_permits=control.client,
-            warmup=control.warmup,
-            warmup_permits=control.client,
-            metrics=ForwardingMetrics(registry=self._registry),
+            registry=self._registry,
             failure_domain=FailureDomainId(self._settings.host.failure_domain),
             clock=self._clock,
             rng=self._rng,
         )
-        context.metrics.evacuated.set_function(lambda: len(control.evacuations.domains))
-        context.metrics.paused.set_function(lambda: len(control.pauses.paused))
-        context.metrics.limited.set_function(lambda: control.named_limits.count)
         self._stream_mover = StreamMover(
             context=context,
             check_decider=control.client.check_decider,
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -154,6 +154,8 @@
         """Whether each answer says that the upstream leaves; it still serves all requests."""
         self.refusal_pause_s: float | None = None
         """Pause in seconds that the upstream asks for when it is full; ``None`` asks for none."""
+        self.named_rates: tuple[str, ...] = ()
+        """Values in which each answer names the requests a second that the upstream takes."""
         self.copy_capacity = copy_capacity
         self._ledger = ledger
         self.event_ms = event_ms
@@ -200,11 +202,12 @@
             self._transports.add(request.transport)
         response = await self._respond(request)
         if not response.prepared:
-            response.headers.update(self._notice_headers())
+            response.headers.extend(self._notice_headers())
         return response
 
-    def _notice_headers(self) -> dict[str, str]:
-        return {"Server-Leaving": "1"} if self.says_leaving else {}
+    def _notice_headers(self) -> list[tuple[str, str]]:
+        leaving = [("Server-Leaving", "1")] if self.says_leaving else []
+        return leaving + [("Server-Limit", value) for value in self.named_rates]
 
     def _refusal_headers(self) -> dict[str, str]:
         headers = {"Tanagerscale-Not-Executed": "1"}
@@ -314,7 +317,7 @@
         )
         response.enable_chunked_encoding()
         await asyncio.sleep(self.event_ms / MS_PER_S)
-        response.headers.update(self._notice_headers())
+        response.headers.extend(self._notice_headers())
         await response.prepare(request)
         while run.events_sent < run.length:
             if run.stopped:
--- a/standins/platform_fault_log.py
+++ b/standins/platform_fault_log.py
@@ -27,6 +27,7 @@
     UPSTREAM = "upstream broken"
     LEAVING = "upstream leaving"
     REFUSAL = "upstream full"
+    LIMIT = "upstream names a rate limit"
 
 
 @dataclass(slots=True)
--- a/standins/platform_soak.py
+++ b/standins/platform_soak.py
@@ -18,6 +18,7 @@
 from standins.platform_faults import PlatformFaultInjector
 from standins.platform_faults import soak_configuration
 from standins.platform_hosts import PlatformHostProcess
+from standins.platform_limits import LimitNamer
 from standins.platform_verdict import STREAM_EVENTS
 from standins.platform_verdict import PlatformVerdict
 from standins.platform_world import MODEL_SERVICE
@@ -54,13 +55,16 @@
             self.max_ms = max(self.max_ms, self._clock.now() - started - LAG_INTERVAL_MS)
 
 
-async def run_soak(*, seed: int, seconds: float, hosts: int, directory: Path) -> list[str]:
+async def run_soak(
+    *, seed: int, seconds: float, hosts: int, directory: Path, limits: bool = False
+) -> list[str]:
     """Run the soak and return the broken guarantees.
 
     :param seed: Seed of all random choices.
     :param seconds: Time during which faults are injected, in seconds.
     :param hosts: Number of host processes.
     :param directory: Directory for settings, logs and the record of faults.
+    :param limits: Whether upstreams name rate limits meanwhile.
     """
     cluster = PlatformCluster()
     fault_log = FaultLog()
@@ -76,7 +80,12 @@
         await _start_hosts(cluster, processes, fault_log, hosts=hosts, directory=directory)
         callers.start(MIXED_CALLS, 2 * hosts)
         callers.start(LONG_CALLS, 3 * hosts)
-        await injector.run(rng=Random(seed), duration_ms=round(seconds * MS_PER_SECOND))
+        duration_ms = round(seconds * MS_PER_SECOND)
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(injector.run(rng=Random(seed), duration_ms=duration_ms))
+            if limits:
+                namer = LimitNamer(cluster=cluster, fault_log=fault_log)
+                tasks.create_task(namer.run(rng=Random(seed + 2), duration_ms=duration_ms))
         await callers.finish()
         await Clock().sleep(SETTLING_MS)
     finally:
@@ -137,19 +146,28 @@
     await asyncio.gather(*(process.wait_until_ready() for process in processes))
 
 
-def main(seed: int = 1, seconds: float = 30.0, hosts: int = 6, keep: str = "") -> None:
+def main(
+    seed: int = 1,
+    seconds: float = 30.0,
+    hosts: int = 6,
+    keep: str = "",
+    limits: bool = False,
+) -> None:
     """Run the soak.
 
     :param seed: Seed of all random choices.
     :param seconds: Time during which faults are injected, in seconds.
     :param hosts: Number of host processes.
     :param keep: Directory for settings and logs; empty creates a temporary one, which is kept.
+    :param limits: Whether upstreams name rate limits meanwhile.
     """
     directory = Path(keep or mkdtemp(prefix="tanagerscale-platform-soak-"))
     directory.mkdir(parents=True, exist_ok=True)
     logging.basicConfig(filename=directory / "upstreams.log")
     print(f"settings and logs: {directory}; seed {seed}", flush=True)
-    violations = asyncio.run(run_soak(seed=seed, seconds=seconds, hosts=hosts, directory=directory))
+    violations = asyncio.run(
+        run_soak(seed=seed, seconds=seconds, hosts=hosts, directory=directory, limits=limits)
+    )
     for violation in violations:
         print(violation)
     print("every guarantee held" if not violations else "a guarantee was BROKEN")
--- a/standins/platform_verdict.py
+++ b/standins/platform_verdict.py
@@ -14,6 +14,9 @@
 from standins.platform_engine import event_bytes
 from standins.platform_fault_log import FaultKind
 from standins.platform_fault_log import FaultLog
+from standins.rate_limit_rule import Arrival
+from standins.rate_limit_rule import LimitPeriod
+from standins.rate_limit_rule import find_excess
 from tanagerscale.core import MS_PER_SECOND
 
 STREAM_EVENTS = 100
@@ -32,6 +35,7 @@
 PAUSE_DELAY_MS = 500
 """Time in which a host stops sending requests to an upstream that asks for a pause."""
 MAX_REQUESTS_IN_PAUSE = 2
+RATE_LIMIT = "Server-Limit"
 SIGNATURE = "Tanagerscale-Server-Stamp"
 SERVER_LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
@@ -40,6 +44,7 @@
 _INTERRUPTIONS = _UNPLANNED | {FaultKind.HOST_START}
 _UPSTREAM_FAULTS = frozenset((FaultKind.UPSTREAM,))
 _STOPS = frozenset((FaultKind.HOST_STOP,))
+_RESTARTS = _INTERRUPTIONS | _STOPS
 
 
 @final
@@ -79,7 +84,8 @@
             ):
                 if fault:
                     violations.append(f"{name}: {fault}: {self.describe(call)}")
-        return violations + self._find_requests_to_leaving() + self._find_requests_in_pauses()
+        violations += self._find_requests_to_leaving() + self._find_requests_in_pauses()
+        return violations + self._find_requests_over_limits()
 
     def _find_wrong_answer(self, call: Call) -> str:
         if not call.is_complete or call.status // 100 != 2:
@@ -192,6 +198,34 @@
                     )
         return violations
 
+    def _find_requests_over_limits(self) -> list[str]:
+        limits = [fault for fault in self._fault_log.faults if fault.kind is FaultKind.LIMIT]
+        if not limits:
+            return []
+        arrivals: dict[str, list[Arrival]] = defaultdict(list)
+        told: dict[str, dict[str, list[int]]] = defaultdict(lambda: defaultdict(list))
+        for call, received in self._pairs():
+            incarnation = limit_target(received.upstream, received.born)
+            arrivals[incarnation].append(Arrival(received.arrived, call.host))
+            is_passed_on = call.headers.get(SIGNATURE) == received.upstream and call.head_at
+            if is_passed_on and RATE_LIMIT in received.answer_headers:
+                told[incarnation][call.host].append(call.head_at)
+        violations = []
+        for limit in limits:
+            excess = find_excess(
+                arrivals=sorted(arrivals[limit.target], key=lambda arrival: arrival.at),
+                period=LimitPeriod(
+                    limit.began, limit.ended or limit.began, [(limit.began, float(limit.detail))]
+                ),
+                told={host: sorted(times) for host, times in told[limit.target].items()},
+                is_interrupted=lambda host, began, ended: bool(
+                    self._fault_log.find(host, _RESTARTS, began=began, ended=ended)
+                ),
+            )
+            if excess:
+                violations.append(f"LIMIT: {limit.target} {excess}")
+        return violations
+
     def _pairs(self) -> list[tuple[Call, ReceivedRequest]]:
         return [
             (call, received)
@@ -221,5 +255,10 @@
         )
 
 
+def limit_target(upstream: str, born: int) -> str:
+    """Return the name under which the limits of one incarnation of an upstream are recorded."""
+    return f"{upstream}@{born}"
+
+
 def _is_refused(call: Call) -> bool:
     return call.is_complete and call.status in REFUSED_STATUSES
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
@@ -93,6 +95,8 @@
     """Number of messages received from other hosts, without heartbeats."""
     orders: list[MoveOrder] = field(default_factory=list)
     is_leaving: bool = False
+    order_executor: Callable[[MoveOrder], Awaitable[bool]] | None = None
+    """Executes orders; without one, orders succeed after a delay."""
 
     @property
     def id(self) -> HostId:
@@ -160,6 +164,8 @@
     async def execute_order(self, order: MoveOrder) -> bool:
         """Record an order, and move the run to its target after a delay."""
         self.orders.append(order)
+        if self.order_executor is not None:
+            return await self.order_executor(order)
         await asyncio.sleep(ORDER_DURATION_S)
         if order.kind is MoveKind.LEAVE:
             self.begin(order.request, at=order.target)
