--- a/src/tanagerscale/coordination/__init__.py
+++ b/src/tanagerscale/coordination/__init__.py
@@ -18,11 +18,16 @@
 from tanagerscale.coordination._health import UpstreamHealth
 from tanagerscale.coordination._ledger import EngineTotal
 from tanagerscale.coordination._ledger import RunLedger
+from tanagerscale.coordination._limit_reports import LimitReports
 from tanagerscale.coordination._ranking import distance
 from tanagerscale.coordination._ranking import heartbeat_interval_ms
+from tanagerscale.coordination._rate_limits import NamedRates
+from tanagerscale.coordination._rate_limits import Permit
+from tanagerscale.coordination._rate_limits import RateLimits
+from tanagerscale.coordination._rate_permits import RatePermits
 from tanagerscale.coordination._retry_budgets import SharedRetryBudgets
 from tanagerscale.coordination._store_source import StoreSourceSelector
-from tanagerscale.coordination._warmup import WarmupLimit
+from tanagerscale.coordination._warmup import WarmupRates
 
 __all__ = [
     "AnnouncementRelay",
@@ -35,14 +40,19 @@
     "EngineTotal",
     "FeedListener",
     "Gate",
+    "LimitReports",
     "ListFeed",
+    "NamedRates",
+    "Permit",
+    "RateLimits",
+    "RatePermits",
     "RouteTableSource",
     "RunLedger",
     "SharedRetryBudgets",
     "StoreSourceSelector",
     "UpstreamHealth",
     "Upstreams",
-    "WarmupLimit",
+    "WarmupRates",
     "distance",
     "eligible_upstreams",
     "heartbeat_interval_ms",
--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -14,6 +14,7 @@
 from msgspec.structs import replace
 
 from tanagerscale.coordination._directory import Directory
+from tanagerscale.coordination._rate_permits import RatePermits
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
@@ -28,11 +29,10 @@
 from tanagerscale.generated.messages import PlaceKind
 from tanagerscale.generated.messages import PlaceWithdrawal
 from tanagerscale.generated.messages import Pong
+from tanagerscale.generated.messages import RateAnswer
 from tanagerscale.generated.messages import RepeatAnswer
 from tanagerscale.generated.messages import RepeatAsk
 from tanagerscale.generated.messages import RunUse
-from tanagerscale.generated.messages import WarmupAnswer
-from tanagerscale.generated.messages import WarmupAsk
 from tanagerscale.membership import Message
 
 DECIDER_TIMEOUT_MS: Final = 80
@@ -132,6 +132,9 @@
         """Requests since the last RepeatAsk."""
         self._report_timer: asyncio.TimerHandle | None = None
         self._refresh_timer: asyncio.TimerHandle | None = None
+        self.rate_permits = RatePermits(
+            query=self._query_decider, hosts=lambda: directory.hosts, clock=clock
+        )
 
     @property
     def pending_placements(self) -> int:
@@ -174,13 +177,6 @@
         )
         return isinstance(answer, RepeatAnswer) and answer.may_repeat
 
-    async def may_send(self, *, upstream: UpstreamId) -> bool:
-        """Return whether a warming upstream may get one more request."""
-        answer = await self._query_decider(
-            lambda serial: WarmupAsk(serial=serial, upstream=upstream)
-        )
-        return isinstance(answer, WarmupAnswer) and answer.may_send
-
     def count_request(self, *, service: ServiceId) -> None:
         """Count a request for a service; retries are limited to a fraction of all requests."""
         self._unreported_requests[service] += 1
@@ -191,7 +187,7 @@
             self._handle_answer(host, message)
         elif isinstance(message, Ping):
             self._send(host, Pong(serial=message.serial))
-        elif isinstance(message, Pong | RepeatAnswer | WarmupAnswer):
+        elif isinstance(message, Pong | RepeatAnswer | RateAnswer):
             reply_future = self._queries.get(message.serial)
             if reply_future is not None and not reply_future.done():
                 reply_future.set_result(message)
--- a/src/tanagerscale/coordination/_context.py
+++ b/src/tanagerscale/coordination/_context.py
@@ -12,7 +12,7 @@
 
 from tanagerscale.coordination._health import UpstreamHealth
 from tanagerscale.coordination._ledger import EngineTotal
-from tanagerscale.coordination._warmup import WarmupLimit
+from tanagerscale.coordination._rate_limits import RateLimits
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import ServiceId
@@ -99,7 +99,7 @@
     :param upstreams: The known upstreams.
     :param gate: Which upstreams are leaving or unreachable.
     :param health: Which upstreams are ejected.
-    :param warmup: Rate limit of warming upstreams.
+    :param rate_limits: Grants requests to upstreams with rate limits.
     :param clock: Source of the current time.
     :param rng: Random number generator.
     """
@@ -108,7 +108,7 @@
     upstreams: Upstreams
     gate: Gate
     health: UpstreamHealth
-    warmup: WarmupLimit
+    rate_limits: RateLimits
     clock: Clock
     rng: Random
 
--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -1,4 +1,4 @@
-"""The decision-making part of a host: placements, moves, retries and warm-up permits."""
+"""The decision-making part of a host: placements, moves, retries and rate limits."""
 
 from __future__ import annotations
 
@@ -18,6 +18,7 @@
 from tanagerscale.coordination._ledger import RunLedger
 from tanagerscale.coordination._placement_queue import PlacementQueue
 from tanagerscale.coordination._planner import MovePlanner
+from tanagerscale.coordination._rate_limits import Permit
 from tanagerscale.coordination._retry_budgets import SharedRetryBudgets
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
@@ -28,10 +29,10 @@
 from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import PlaceAsk
 from tanagerscale.generated.messages import PlaceWithdrawal
+from tanagerscale.generated.messages import RateAnswer
+from tanagerscale.generated.messages import RateAsk
 from tanagerscale.generated.messages import RepeatAnswer
 from tanagerscale.generated.messages import RepeatAsk
-from tanagerscale.generated.messages import WarmupAnswer
-from tanagerscale.generated.messages import WarmupAsk
 from tanagerscale.membership import Message
 from tanagerscale.upstreams import EngineReport
 from tanagerscale.upstreams import UpstreamEntry
@@ -49,6 +50,7 @@
 reports every few hundred milliseconds, and each report has a cost."""
 
 _log = get_logger(part="departures")
+_limits_log = get_logger(part="limits")
 
 
 class EngineReports(Protocol):
@@ -129,17 +131,30 @@
                     service=service, requests=message.requests
                 )
                 self._send(host, RepeatAnswer(serial=message.serial, may_repeat=is_allowed))
-            case WarmupAsk():
-                self._answer_warmup(host, message)
+            case RateAsk():
+                self._answer_rate_ask(host, message)
             case MoveDone():
                 self.planner.on_done(host=host, done=message)
             case _:
                 pass
 
-    def _answer_warmup(self, host: HostId, ask: WarmupAsk) -> None:
+    def _answer_rate_ask(self, host: HostId, ask: RateAsk) -> None:
         entry = self._context.upstreams.get(UpstreamId(ask.upstream))
-        is_allowed = entry is None or self._context.warmup.try_acquire(entry)
-        self._send(host, WarmupAnswer(serial=ask.serial, may_send=is_allowed))
+        permit = Permit(may_send=True)
+        if entry is not None:
+            permit = self._context.rate_limits.acquire(
+                entry, ask.kind, wait_ms=ask.wait_ms, prompt_ms=ask.prompt_ms
+            )
+        _limits_log.info(
+            "A host asks for a rate-limited upstream.",
+            host_that_asked=host,
+            upstream=ask.upstream,
+            kind=ask.kind.value,
+            may_send=permit.may_send,
+            delay_ms=permit.delay_ms,
+        )
+        answer = RateAnswer(serial=ask.serial, may_send=permit.may_send, delay_ms=permit.delay_ms)
+        self._send(host, answer)
 
     def on_joined(self, host: HostId, domain: FailureDomainId) -> None:
         """Reset the state of a host that has connected, since it may be a new process."""
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Final
 from typing import final
 
@@ -26,17 +28,20 @@
 from tanagerscale.generated.messages import PlaceAnswer
 from tanagerscale.generated.messages import PlaceAsk
 from tanagerscale.generated.messages import PlaceKind
+from tanagerscale.generated.messages import RequestClass
 from tanagerscale.generated.messages import RunUse
 from tanagerscale.policy import PlacementDecision
 from tanagerscale.policy import PlacementQuery
 from tanagerscale.policy import PlacementVerdict
 from tanagerscale.policy import place
+from tanagerscale.upstreams import UpstreamEntry
 
 REEVALUATION_INTERVAL_MS: Final = 50
 """Interval at which the queue is evaluated without a change: generations become late as time
 passes."""
 
 EVACUATED: Final = "the failure domains of its engines are evacuated"
+AT_RATE_LIMIT: Final = "its engines are at their rate limits"
 OUTSIDE_ALLOWED_REGIONS: Final = "no engine is in the regions that its route and account name"
 
 _log = get_logger(part="placement")
@@ -85,6 +90,8 @@
         self._ledger = ledger
         self._send_answer = send_answer
         self._waiting: dict[tuple[HostId, int], _QueuedPlacement] = {}
+        self._limited: Counter[ServiceId] = Counter()
+        """Generations of this evaluation that wait for the rate limits of their service."""
         self._timer: asyncio.TimerHandle | None = None
         self._is_evaluating = False
 
@@ -140,6 +147,7 @@
     def _evaluate_all(self) -> None:
         totals = self._ledger.totals()
         now = self._context.clock.now()
+        self._limited.clear()
         ordered = sorted(
             self._waiting.values(),
             key=lambda one: (one.deadline <= now, one.ask.is_long, one.arrived_at),
@@ -170,17 +178,19 @@
             return PlacementDecision(
                 verdict=PlacementVerdict.REFUSE, reason=OUTSIDE_ALLOWED_REGIONS
             )
-        views = [
-            build_engine_view(entry, engine=engine, totals=totals, upstreams=context.upstreams)
-            for entry in entries
-            if context.warmup.allows(entry)
-        ]
         query = PlacementQuery(
             prompt_tokens=ask.prompt_tokens,
             is_long=ask.is_long,
             left_ms=waiting.deadline - context.clock.now(),
             patience_ms=ask.patience_ms,
         )
+        allowed = [one for one in entries if context.rate_limits.allows(one, _class_of(ask))]
+        if entries and not allowed:
+            return self._wait_for_rate(service, entries, query)
+        views = [
+            build_engine_view(entry, engine=engine, totals=totals, upstreams=context.upstreams)
+            for entry in allowed
+        ]
         return place(
             query=query,
             views=views,
@@ -189,6 +199,25 @@
             rng=context.rng,
         )
 
+    def _wait_for_rate(
+        self, service: ServiceId, entries: Sequence[UpstreamEntry], query: PlacementQuery
+    ) -> PlacementDecision:
+        """Let a generation wait for the rate limits of its engines, or refuse it at once.
+
+        :param service: The service.
+        :param entries: The engines, all of which are at their limits.
+        :param query: The generation.
+        """
+        ahead = self._limited[service]
+        forecast_ms = self._context.rate_limits.forecast_ms(entries, ahead=ahead)
+        is_in_time = forecast_ms <= query.left_ms + query.patience_ms
+        self._limited[service] += is_in_time
+        return PlacementDecision(
+            verdict=PlacementVerdict.WAIT if is_in_time else PlacementVerdict.REFUSE,
+            wait_ms=forecast_ms,
+            reason=AT_RATE_LIMIT,
+        )
+
     def _leaving_tokens(self, totals: Mapping[UpstreamId, EngineTotal]) -> int:
         """Return the memory of long generations on leaving engines that have no copy elsewhere."""
         return sum(
@@ -207,7 +236,12 @@
         view = placement.engine
         if view is None:
             self._log("A generation is refused.", waiting, **_placement_fields(placement))
-            refusal = PlaceAnswer(serial=ask.serial, kind=PlaceKind.REFUSE, reason=placement.reason)
+            refusal = PlaceAnswer(
+                serial=ask.serial,
+                kind=PlaceKind.REFUSE,
+                reason=placement.reason,
+                retry_ms=int(placement.wait_ms),
+            )
             self._send_answer(waiting.host, refusal)
             return
         use = RunUse(
@@ -219,7 +253,7 @@
             domains=ask.domains,
         )
         self._ledger.grant(host=waiting.host, use=use)
-        self._record_request(view.upstream)
+        self._record_request(view.upstream, _class_of(ask))
         self._log(
             "An engine is chosen.",
             waiting,
@@ -240,10 +274,10 @@
         )
         self._send_answer(waiting.host, granted)
 
-    def _record_request(self, upstream: UpstreamId) -> None:
+    def _record_request(self, upstream: UpstreamId, kind: RequestClass) -> None:
         entry = self._context.upstreams.get(upstream)
         if entry is not None:
-            self._context.warmup.record(entry)
+            self._context.rate_limits.record(entry, kind)
 
     def _schedule_reevaluation(self) -> None:
         if self._waiting and self._timer is None:
@@ -265,5 +299,9 @@
         )
 
 
+def _class_of(ask: PlaceAsk) -> RequestClass:
+    return RequestClass.LONG if ask.is_long else RequestClass.SHORT
+
+
 def _placement_fields(placement: PlacementDecision) -> dict[str, object]:
     return {"reason": placement.reason, "engines": [str(view) for view in placement.views]}
--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -5,10 +5,13 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+from collections.abc import Set
 from itertools import count
 from typing import Final
 from typing import final
 
+from msgspec.structs import replace
+
 from tanagerscale.coordination._context import DecisionContext
 from tanagerscale.coordination._context import build_engine_view
 from tanagerscale.coordination._context import eligible_upstreams
@@ -28,6 +31,7 @@
 from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.generated.messages import MoveOrder
+from tanagerscale.generated.messages import RequestClass
 from tanagerscale.policy import MovableRun
 from tanagerscale.policy import Move
 from tanagerscale.policy import MoveSnapshot
@@ -175,7 +179,7 @@
             runs = self._runs_of(service)
             snapshot = self._snapshot(service, engine, [run for _, run in runs])
             hosts = {run.request: ledger_run for ledger_run, run in runs}
-            move = next_move(snapshot=snapshot, rng=self._context.rng)
+            move = self._next_move(snapshot)
             if move is None:
                 break
             self._issue(hosts[move.run.request], move)
@@ -183,6 +187,25 @@
         for run in copies_to_evict(snapshot):
             self._drop_copy(hosts[run.request], run)
 
+    def _next_move(self, snapshot: MoveSnapshot) -> Move | None:
+        """Return the next move; only runs of leaving engines move to engines with rate limits."""
+        limited = self._limited_engines(snapshot)
+        if not limited:
+            return next_move(snapshot=snapshot, rng=self._context.rng)
+        unlimited = replace(snapshot, eligible=snapshot.eligible - limited)
+        move = next_move(snapshot=unlimited, rng=self._context.rng)
+        if move is None:
+            move = next_move(snapshot=snapshot, rng=self._context.rng)
+        return None if move is not None and _is_optional(move, limited) else move
+
+    def _limited_engines(self, snapshot: MoveSnapshot) -> set[UpstreamId]:
+        entries = (self._context.upstreams.get(one) for one in snapshot.eligible)
+        return {
+            entry.upstream
+            for entry in entries
+            if entry is not None and self._context.rate_limits.is_limited(entry)
+        }
+
     def _runs_of(self, service: ServiceId) -> list[tuple[LedgerRun, MovableRun]]:
         runs = []
         for run in self._ledger.runs_of(decider=self._host):
@@ -245,7 +268,7 @@
             eligible={
                 entry.upstream
                 for entry in eligible_upstreams(context, service)
-                if context.warmup.allows(entry)
+                if context.rate_limits.allows_resume(entry)
             },
             leaving={one: self._remaining_ms(one) for one in leaving},
             unreachable={one for one in entries if context.gate.is_broken(one)},
@@ -314,7 +337,7 @@
         """Count the request with which a run continues on another engine."""
         entry = self._context.upstreams.get(move.target)
         if entry is not None and move.kind is not MoveKind.AHEAD:
-            self._context.warmup.record(entry)
+            self._context.rate_limits.record(entry, RequestClass.RESUMED)
 
     def _drop_copy(self, run: LedgerRun, movable: MovableRun) -> None:
         order = MoveOrder(
@@ -366,5 +389,10 @@
             )
 
 
+def _is_optional(move: Move, limited: Set[UpstreamId]) -> bool:
+    """Return whether a move would only use up the rate of its target."""
+    return move.target in limited and move.kind is not MoveKind.LEAVE
+
+
 def _is_movable(run: LedgerRun) -> bool:
     return run.use.is_long and run.running_ms >= 0
--- a/src/tanagerscale/coordination/_warmup.py
+++ b/src/tanagerscale/coordination/_warmup.py
@@ -1,4 +1,4 @@
-"""Rate limit of requests to warming upstreams, shared by all hosts.
+"""Rate limits of upstreams that are warming.
 
 The upstreams of a failure domain become available together and empty, so all hosts rank them as
 least loaded. But until it is warm, each upstream handles only a limited number of requests a
@@ -7,32 +7,20 @@
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Callable
-import hashlib
 from typing import Final
 from typing import Protocol
 from typing import final
 
-from tanagerscale.core import MS_PER_SECOND
-from tanagerscale.core import Clock
-from tanagerscale.core import HostId
-from tanagerscale.core import Millis
+from tanagerscale.coordination._rate_limits import Rate
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
-from tanagerscale.core import get_logger
 from tanagerscale.routes import RouteTable
 from tanagerscale.routes import Service
 from tanagerscale.upstreams import UpstreamEntry
 
 GRANTED_SHARE: Final = 0.7
-"""Fraction of an upstream's rate that is granted. When the decider changes, both deciders may grant
-this much within one second."""
-
-_DIGEST_BYTES: Final = 8
-_DIGEST_RANGE: Final = 2 ** (8 * _DIGEST_BYTES)
-
-_log = get_logger(part="warmup")
+"""Fraction of an upstream's rate that is granted continuously; the rest may be sent at once after a
+pause, so that no second has more than the rate."""
 
 
 class WarmupTables(Protocol):
@@ -54,71 +42,28 @@
 
 
 @final
-class WarmupLimit:
-    """Limits the requests to each upstream while it is warming.
-
-    A decider grants an upstream's rate multiplied by the fraction of all hosts that use this
-    decider. Where that is less than one request a second, as for isolated hosts, only some hosts,
-    selected by a hash, may send one request a second.
+class WarmupRates:
+    """Provides the limits of upstreams while they are warming.
 
-    :param host: This host.
     :param tables: Provides the configuration in force.
     :param upstreams: State of the upstreams.
-    :param share: Returns the fraction of all hosts that use this decider, between 0 and 1.
-    :param clock: Source of the current time.
     """
 
-    def __init__(
-        self,
-        *,
-        host: HostId,
-        tables: WarmupTables,
-        upstreams: WarmupUpstreams,
-        share: Callable[[], float],
-        clock: Clock,
-    ) -> None:
-        self._host = host
+    def __init__(self, *, tables: WarmupTables, upstreams: WarmupUpstreams) -> None:
         self._tables = tables
         self._upstreams = upstreams
-        self._share = share
-        self._clock = clock
-        self._sent: dict[UpstreamId, deque[Millis]] = {}
-        """Times of the requests granted in the last second."""
 
-    def is_warming(self, entry: UpstreamEntry) -> bool:
-        """Return whether an upstream currently accepts only a limited rate."""
+    def rate(self, entry: UpstreamEntry) -> Rate | None:
+        """Return the limit of an upstream that is warming; ``None`` for any other one."""
         service = self._service(entry.service)
-        return (
-            service is not None
-            and service.warmup_requests_per_s > 0
-            and self._remaining_ms(entry, service) > 0
-        )
-
-    def allows(self, entry: UpstreamEntry) -> bool:
-        """Return whether an upstream may get one more request now."""
-        if not self.is_warming(entry):
-            return True
-        return len(self._recent_requests(entry.upstream)) < self._limit_per_s(entry)
+        if service is None or not self._is_warming(entry, service):
+            return None
+        declared_per_s = service.warmup_requests_per_s
+        granted_per_s = declared_per_s * GRANTED_SHARE
+        return Rate(per_s=granted_per_s, burst=max(declared_per_s - granted_per_s, 1.0))
 
-    def record(self, entry: UpstreamEntry) -> None:
-        """Count a request that is sent to an upstream."""
-        if self.is_warming(entry):
-            self._sent.setdefault(entry.upstream, deque()).append(self._clock.now())
-
-    def try_acquire(self, entry: UpstreamEntry) -> bool:
-        """Count a request if the upstream may get one more.
-
-        :returns: Whether it may.
-        """
-        if not self.allows(entry):
-            _log.info(
-                "A warming upstream has reached its rate limit.",
-                upstream=entry.upstream,
-                limit_per_s=self._limit_per_s(entry),
-            )
-            return False
-        self.record(entry)
-        return True
+    def _is_warming(self, entry: UpstreamEntry, service: Service) -> bool:
+        return service.warmup_requests_per_s > 0 and self._remaining_ms(entry, service) > 0
 
     def _service(self, name: ServiceId) -> Service | None:
         table = self._tables.table
@@ -136,27 +81,3 @@
             if since_evacuation_ms is None
             else max(reported_ms, service.warmup_ms - since_evacuation_ms)
         )
-
-    def _limit_per_s(self, entry: UpstreamEntry) -> int:
-        """Return the number of requests a second that this decider may grant for an upstream."""
-        service = self._service(entry.service)
-        share = self._share()
-        rate = 0.0 if service is None else service.warmup_requests_per_s * GRANTED_SHARE * share
-        if share >= 1:
-            return max(int(rate), 1)
-        return int(rate) if rate >= 1 else int(self._hash_fraction(entry.upstream) < rate)
-
-    def _hash_fraction(self, upstream: UpstreamId) -> float:
-        """Return a number between 0 and 1 that is derived from the host and the upstream."""
-        text = f"{self._host}\n{upstream}".encode()
-        digest = hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
-        return int.from_bytes(digest, "big") / _DIGEST_RANGE
-
-    def _recent_requests(self, upstream: UpstreamId) -> deque[Millis]:
-        sent = self._sent.get(upstream, deque())
-        oldest = self._clock.now() - MS_PER_SECOND
-        while sent and sent[0] < oldest:
-            sent.popleft()
-        if not sent:
-            self._sent.pop(upstream, None)
-        return sent
--- a/src/tanagerscale/forwarding/_admission.py
+++ b/src/tanagerscale/forwarding/_admission.py
@@ -21,6 +21,7 @@
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._pauses import refuse_if_paused
 from tanagerscale.forwarding._refusals import no_capacity
+from tanagerscale.forwarding._refusals import rate_limited
 from tanagerscale.forwarding._types import Refusal
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.generated.messages import PlaceAnswer
@@ -84,6 +85,14 @@
                 continue
             if answer.kind is not PlaceKind.SEND:
                 self._log("A generation is refused.", routed, reason=answer.reason)
+                if answer.retry_ms:
+                    return Failure(
+                        rate_limited(
+                            service=routed.service,
+                            delay_ms=answer.retry_ms,
+                            rng=self._context.rng,
+                        )
+                    )
                 return Failure(no_capacity(service=routed.service, rng=self._context.rng))
             upstream = UpstreamId(answer.upstream)
             entry = await self._wait_for_entry(upstream)
--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -154,7 +154,10 @@
             final_copy = await self.copy(run, source, snapshot.entry, stop=True)
             if isinstance(final_copy, Success):
                 resume_target = ResumeTarget(
-                    entry=snapshot.entry, holder=source, copy=final_copy.unwrap().copy
+                    entry=snapshot.entry,
+                    holder=source,
+                    copy=final_copy.unwrap().copy,
+                    is_permitted=True,
                 )
             elif (retained_copy := final_copy.failure().retained_copy) is not None:
                 resume_target = ResumeTarget(entry=source, holder=source, copy=retained_copy)
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -8,10 +8,11 @@
 from msgspec import Struct
 
 from tanagerscale.coordination import Gate
+from tanagerscale.coordination import Permit
+from tanagerscale.coordination import RateLimits
 from tanagerscale.coordination import RouteTableSource
 from tanagerscale.coordination import UpstreamHealth
 from tanagerscale.coordination import Upstreams
-from tanagerscale.coordination import WarmupLimit
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import ServiceId
@@ -20,6 +21,7 @@
 from tanagerscale.forwarding._types import EngineControl
 from tanagerscale.forwarding._types import UpstreamClient
 from tanagerscale.forwarding._workload import LocalWorkload
+from tanagerscale.generated.messages import RequestClass
 from tanagerscale.quarantine import SuspectTracker
 from tanagerscale.upstreams import NamedLimits
 from tanagerscale.upstreams import UpstreamPauses
@@ -35,11 +37,13 @@
         """Return whether a request may be retried at another upstream."""
 
 
-class WarmupPermits(Protocol):
-    """Limits the requests that all hosts together send to warming upstreams."""
+class RatePermitSource(Protocol):
+    """Limits the requests that all hosts together send to upstreams with rate limits."""
 
-    async def may_send(self, *, upstream: UpstreamId) -> bool:
-        """Return whether a warming upstream may get one more request."""
+    async def acquire(
+        self, *, upstream: UpstreamId, kind: RequestClass, wait_ms: int = 0, prompt_ms: int = 0
+    ) -> Permit:
+        """Return whether and when a request may be sent to an upstream."""
 
 
 class ForwardingContext(Struct, frozen=True, kw_only=True):
@@ -56,8 +60,8 @@
     :param engines: Copies runs between engines.
     :param work: Tracks this host's requests on upstreams.
     :param retry_permits: Limits the retries of all hosts together.
-    :param warmup: Returns which upstreams are warming.
-    :param warmup_permits: Limits requests to warming upstreams.
+    :param rate_limits: Returns which upstreams have rate limits.
+    :param rate_permits: Limits requests to upstreams with rate limits.
     :param metrics: Exported metrics that requests update.
     :param failure_domain: Failure domain of this host.
     :param clock: Clock used for deadlines and durations.
@@ -75,8 +79,8 @@
     engines: EngineControl
     work: LocalWorkload
     retry_permits: RetryPermits
-    warmup: WarmupLimit
-    warmup_permits: WarmupPermits
+    rate_limits: RateLimits
+    rate_permits: RatePermitSource
     metrics: ForwardingMetrics
     failure_domain: FailureDomainId
     clock: Clock
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from collections.abc import Sequence
 from collections.abc import Set
 from typing import Final
@@ -11,6 +12,7 @@
 from msgspec import Struct
 
 from tanagerscale.coordination import AttemptHealthRecorder
+from tanagerscale.coordination import Permit
 from tanagerscale.coordination import eligible_upstreams
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import UpstreamId
@@ -24,6 +26,7 @@
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._pauses import refuse_if_paused
 from tanagerscale.forwarding._refusals import no_upstream
+from tanagerscale.forwarding._refusals import rate_limited
 from tanagerscale.forwarding._refusals import upstream_failed
 from tanagerscale.forwarding._types import Header
 from tanagerscale.forwarding._types import Refusal
@@ -31,6 +34,7 @@
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.forwarding._types import UpstreamRequest
 from tanagerscale.forwarding._types import UpstreamResponse
+from tanagerscale.generated.messages import RequestClass
 from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
@@ -47,6 +51,9 @@
 upstream as well. Most responses take a quarter of the target, so few requests are hedged, and the
 second response to most of these is still in time."""
 
+PROMPT_WAIT_RATIO: Final = 0.5
+"""Fraction of a route's target time that a request may wait for a permit to be answered in time."""
+
 _log = get_logger(part="forwarding")
 
 
@@ -71,6 +78,8 @@
         self._record = ExecutionRecord(route=routed.route)
         self._refusal: Refusal | None = None
         self._is_hedged = False
+        self._permit_delay_ms: int | None = None
+        """Time until a rate-limited upstream can take the request, if only limits prevent that."""
         self._error_response: _CompleteResponse | None = None
         """Latest server error of an upstream; sent to the caller if no other attempt succeeds."""
 
@@ -98,6 +107,12 @@
         refusal = refuse_if_paused(self._routed, self._context, self._record.tried)
         if refusal is not None:
             return refusal
+        if self._permit_delay_ms is not None:
+            return rate_limited(
+                service=self._routed.service,
+                delay_ms=self._permit_delay_ms,
+                rng=self._context.rng,
+            )
         self._log_no_upstream()
         return no_upstream(service=self._routed.service, rng=self._context.rng)
 
@@ -159,16 +174,48 @@
         return await self._choose_permitted()
 
     async def _choose_permitted(self) -> UpstreamEntry | None:
-        """Return the upstream for the next attempt; a warming one requires a decider's permit."""
-        denied: set[UpstreamId] = set()
-        while (entry := self._choose(denied)) is not None:
-            if not self._context.warmup.is_warming(entry):
+        """Return the upstream for the next attempt; one with a rate limit requires a permit."""
+        self._permit_delay_ms = None
+        delays_ms: dict[UpstreamId, int] = {}
+        while (entry := self._choose(delays_ms.keys())) is not None:
+            if not self._context.rate_limits.is_limited(entry):
                 return entry
-            is_permitted = await self._context.warmup_permits.may_send(upstream=entry.upstream)
-            if is_permitted and self._may_send(entry.upstream):
+            permit = await self._acquire_permit(entry.upstream)
+            if permit.may_send and self._may_send(entry.upstream):
                 return entry
-            denied.add(entry.upstream)
-        return None
+            delays_ms[entry.upstream] = permit.delay_ms
+        return await self._wait_for_permit(delays_ms) if delays_ms else None
+
+    async def _wait_for_permit(self, delays_ms: Mapping[UpstreamId, int]) -> UpstreamEntry | None:
+        """Return an upstream once its rate limit allows the request, if that is soon enough.
+
+        :param delays_ms: Time until each upstream may take a request.
+        """
+        upstream = min(delays_ms, key=lambda one: delays_ms[one])
+        self._permit_delay_ms = delays_ms[upstream]
+        if self._record.sent:
+            return None
+        left_ms = self._routed.deadline - self._context.clock.now()
+        target_ms = self._routed.route.target_ms
+        waited_ms = self._context.clock.now() - self._routed.request.arrived
+        permit = await self._acquire_permit(
+            upstream,
+            wait_ms=max(left_ms - target_ms, 0),
+            prompt_ms=max(int(target_ms * PROMPT_WAIT_RATIO) - waited_ms, 0),
+        )
+        self._permit_delay_ms = permit.delay_ms
+        if not permit.may_send:
+            return None
+        await self._context.clock.sleep(permit.delay_ms)
+        entry = self._context.upstreams.get(upstream)
+        return entry if self._may_send(upstream) else None
+
+    async def _acquire_permit(
+        self, upstream: UpstreamId, *, wait_ms: int = 0, prompt_ms: int = 0
+    ) -> Permit:
+        return await self._context.rate_permits.acquire(
+            upstream=upstream, kind=RequestClass.PLAIN, wait_ms=wait_ms, prompt_ms=prompt_ms
+        )
 
     def _may_send(self, upstream: UpstreamId) -> bool:
         context = self._context
@@ -183,17 +230,20 @@
     def _choose(self, denied: Set[UpstreamId] = frozenset()) -> UpstreamEntry | None:
         """Return the upstream with the fewest requests in progress from this host.
 
-        :param denied: Warming upstreams that get no further requests now.
+        :param denied: Upstreams with rate limits that get no further requests now.
         """
         routed = self._routed
         excluded = self._record.tried | denied | self._context.pauses.paused
         entries = eligible_upstreams(self._context, routed.service, excluded, routed.domains)
         counts = self._context.work.plain_counts
+        is_repeat = bool(self._record.sent)
 
-        def cost(entry: UpstreamEntry) -> tuple[float, float]:
+        def cost(entry: UpstreamEntry) -> tuple[bool, float, float]:
             is_remote = entry.failure_domain != self._context.failure_domain
             busy = counts[entry.upstream] + (REMOTE_DOMAIN_PENALTY_REQUESTS if is_remote else 0.0)
-            return busy, self._context.rng.random()
+            # Repeats leave limited upstreams to first attempts.
+            is_last = is_repeat and self._context.rate_limits.is_limited(entry)
+            return is_last, busy, self._context.rng.random()
 
         return min(entries, key=cost, default=None)
 
@@ -232,7 +282,7 @@
     def _record_limited(self, entry: UpstreamEntry) -> None:
         path = RequestPath.REPEATED if self._record.sent else RequestPath.FIRST
         record_limited_request(
-            self._routed, self._context, entry.upstream, path=path, permit="none"
+            self._routed, self._context, entry.upstream, path=path, permit="decider"
         )
 
     def _build_request(self, entry: UpstreamEntry) -> UpstreamRequest:
--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -27,6 +27,9 @@
 NO_UPSTREAM_RETRY_MS: Final = 400
 """Upstreams that are all full or unreachable have changed after about the length of a call."""
 
+MIN_RATE_RETRY_MS: Final = 50
+"""Shortest retry delay at a rate limit; callers that return at once only compete with others."""
+
 NO_REGION_RETRY_MS: Final = 5000
 """An operator must declare other regions first."""
 
@@ -75,6 +78,21 @@
     )
 
 
+def rate_limited(*, service: str, delay_ms: int, rng: Random) -> Refusal:
+    """Return the refusal of a request whose upstreams are at their rate limits; it has not run.
+
+    :param service: The service.
+    :param delay_ms: Time until an upstream can take it.
+    :param rng: Source of the jitter.
+    """
+    return Refusal(
+        kind=RefusalKind.OVERLOADED,
+        detail=f"All upstreams of {service} are at their rate limits; send the request again after "
+        "the pause.",
+        retry_after_ms=_with_jitter(max(delay_ms, MIN_RATE_RETRY_MS), rng, PAUSE_JITTER),
+    )
+
+
 def no_region(*, rng: Random) -> Refusal:
     """Return the refusal of a request without a known upstream in its regions; it has not run."""
     return Refusal(
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -27,6 +27,7 @@
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.forwarding._types import UpstreamRequest
 from tanagerscale.forwarding._types import UpstreamResponse
+from tanagerscale.generated.messages import RequestClass
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
@@ -43,6 +44,9 @@
 after each one: 0.3 s in total. An engine that fails six of ten requests accepts at least one of
 five with a probability of 92 in 100."""
 
+MAX_PERMIT_WAIT_MS: Final = 500
+"""Longest wait in one attempt until the rate limit of an engine allows the run."""
+
 _log = get_logger(part="stream")
 
 
@@ -116,7 +120,7 @@
         )
         path = RequestPath.PLACED if resume_target is None else RequestPath.RESUMED
         record_limited_request(
-            self._routed, self._context, entry.upstream, path=path, permit="none"
+            self._routed, self._context, entry.upstream, path=path, permit="decider"
         )
         sent_at = self._context.clock.now()
         late_ms = self._routed.route.target_ms
@@ -154,7 +158,15 @@
                 self.log("No engine that holds the copy can be asked.", entry)
                 return None
             entry = holder
+            is_permitted = (
+                resume_target.is_permitted
+                and entry is resume_target.entry
+                and entry.upstream not in failed
+            )
             failed.add(entry.upstream)
+            if not is_permitted and not await self._acquire_permit(entry):
+                entry = self._other_holder(resume_target, entry)
+                continue
             try:
                 segment = await self._try_resume(entry, resume_target, progress)
             except (ExchangeError, TimeoutError) as error:
@@ -231,6 +243,21 @@
         )
         return segment
 
+    async def _acquire_permit(self, entry: UpstreamEntry) -> bool:
+        """Wait until the rate limit of an engine allows a run to resume there.
+
+        :returns: Whether it does; if not, some time has passed in which it may have changed.
+        """
+        if not self._context.rate_limits.is_limited(entry):
+            return True
+        permit = await self._context.rate_permits.acquire(
+            upstream=entry.upstream, kind=RequestClass.RESUMED, wait_ms=MAX_PERMIT_WAIT_MS
+        )
+        await self._context.clock.sleep(min(permit.delay_ms, MAX_PERMIT_WAIT_MS))
+        if not permit.may_send:
+            self.log("The rate limit of an engine delays a run.", entry, delay_ms=permit.delay_ms)
+        return permit.may_send
+
     def _choose_holder(
         self, resume_target: ResumeTarget, entry: UpstreamEntry, failed: Set[UpstreamId]
     ) -> UpstreamEntry | None:
--- a/src/tanagerscale/forwarding/_snapshots.py
+++ b/src/tanagerscale/forwarding/_snapshots.py
@@ -14,11 +14,13 @@
     :param entry: Engine that resumes the run.
     :param holder: Engine whose copy of the KV cache is used.
     :param copy: Id of that copy.
+    :param is_permitted: Whether the rate limit of the engine already counts the request.
     """
 
     entry: UpstreamEntry
     holder: UpstreamEntry
     copy: str
+    is_permitted: bool = False
 
 
 class Snapshot(Struct, frozen=True, kw_only=True):
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -17,11 +17,14 @@
 from tanagerscale.coordination import DecisionContext
 from tanagerscale.coordination import Directory
 from tanagerscale.coordination import FeedListener
+from tanagerscale.coordination import LimitReports
 from tanagerscale.coordination import ListFeed
+from tanagerscale.coordination import NamedRates
+from tanagerscale.coordination import RateLimits
 from tanagerscale.coordination import SharedRetryBudgets
 from tanagerscale.coordination import StoreSourceSelector
 from tanagerscale.coordination import UpstreamHealth
-from tanagerscale.coordination import WarmupLimit
+from tanagerscale.coordination import WarmupRates
 from tanagerscale.coordination import distance
 from tanagerscale.coordination import heartbeat_interval_ms
 from tanagerscale.core import Clock
@@ -129,11 +132,12 @@
         self.evacuations_feed = self._make_feed(ListTopic.EVACUATIONS, self.evacuations)
         self._head_replicator = self._make_head_replicator()
         self._presence = self._make_presence()
-        self.warmup = WarmupLimit(
-            host=self._host,
-            tables=self.configuration,
-            upstreams=self.roster,
-            share=self._share_of_hosts,
+        self.rate_limits = self._make_rate_limits()
+        self.limit_reports = LimitReports(
+            directory=self.directory,
+            named=self.named_limits,
+            send=self._send,
+            broadcast=lambda message: self.mesh.broadcast(message=message),
             clock=clock,
         )
         self.store_source = self._make_store_source()
@@ -264,6 +268,15 @@
             clock=self._clock,
         )
 
+    def _make_rate_limits(self) -> RateLimits:
+        warmup = WarmupRates(tables=self.configuration, upstreams=self.roster)
+        return RateLimits(
+            host=self._host,
+            sources=[warmup, NamedRates(named=self.named_limits)],
+            share=self._share_of_hosts,
+            clock=self._clock,
+        )
+
     def _share_of_hosts(self) -> float:
         """Return the fraction of all hosts whose requests this host places, between 0 and 1."""
         deciding = self.coordinator.ledger.count_hosts(self._host)
@@ -275,7 +288,7 @@
             upstreams=self.roster,
             gate=self.gate,
             health=self.health,
-            warmup=self.warmup,
+            rate_limits=self.rate_limits,
             clock=self._clock,
             rng=self._rng,
         )
@@ -299,6 +312,7 @@
             coordinator=self.coordinator,
             client=self.client,
             relay=self._relay,
+            limit_reports=self.limit_reports,
             gate=self.gate,
             health=self.health,
             suspects=self.suspects,
@@ -317,6 +331,8 @@
         self.pauses.changes.subscribe(lambda _: self.client.schedule_report())
         self._platform.upstreams.notices.subscribe(self._on_notice)
         self._platform.upstreams.notices.subscribe(self.pauses.on_notice)
+        self.named_limits.heard.subscribe(self.limit_reports.on_heard)
+        self.named_limits.changes.subscribe(self._on_limit)
 
     def _heartbeat(self) -> Heartbeat:
         return Heartbeat(
@@ -334,6 +350,10 @@
         if notice.is_leaving:
             self.gate.record_own_notice(upstream=notice.upstream)
 
+    def _on_limit(self, upstream: UpstreamId) -> None:
+        self.limit_reports.on_change(upstream)
+        self.coordinator.reevaluate()
+
     def _on_table(self, table: RouteTable | None) -> None:
         if table is not None:
             self._head_replicator.announce(revision=table.version, digest="")
--- a/src/tanagerscale/gateway/_forwarding.py
+++ b/src/tanagerscale/gateway/_forwarding.py
@@ -47,8 +47,8 @@
         engines=upstreams,
         work=work,
         retry_permits=control.client,
-        warmup=control.warmup,
-        warmup_permits=control.client,
+        rate_limits=control.rate_limits,
+        rate_permits=control.client.rate_permits,
         metrics=ForwardingMetrics(registry=registry),
         failure_domain=failure_domain,
         clock=clock,
@@ -56,5 +56,5 @@
     )
     context.metrics.evacuated.set_function(lambda: len(control.evacuations.domains))
     context.metrics.paused.set_function(lambda: len(control.pauses.paused))
-    context.metrics.limited.set_function(lambda: control.named_limits.count)
+    context.metrics.limited.set_function(lambda: len(control.named_limits.limited))
     return context
--- a/src/tanagerscale/gateway/_peer_messages.py
+++ b/src/tanagerscale/gateway/_peer_messages.py
@@ -15,6 +15,7 @@
 from tanagerscale.coordination import CoordinationClient
 from tanagerscale.coordination import Coordinator
 from tanagerscale.coordination import Directory
+from tanagerscale.coordination import LimitReports
 from tanagerscale.coordination import ListFeed
 from tanagerscale.coordination import StoreSourceSelector
 from tanagerscale.coordination import UpstreamHealth
@@ -29,6 +30,7 @@
 from tanagerscale.generated.messages import MoveOrder
 from tanagerscale.generated.messages import Suspect
 from tanagerscale.generated.messages import UpstreamLeaving
+from tanagerscale.generated.messages import UpstreamLimit
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import Message
 from tanagerscale.membership import PeerInfo
@@ -48,6 +50,7 @@
     :param coordinator: Places the requests of hosts that ask for it.
     :param client: Requests placements from the coordinators.
     :param relay: Forwards announcements to other hosts.
+    :param limit_reports: Distributes the rate limits that upstreams name.
     :param gate: Tracks which upstreams are leaving.
     :param health: Tracks the health of upstreams as shown by the outcomes of requests.
     :param suspects: Requests that may crash upstreams.
@@ -59,6 +62,7 @@
     coordinator: Coordinator
     client: CoordinationClient
     relay: AnnouncementRelay
+    limit_reports: LimitReports
     gate: UpstreamGate
     health: UpstreamHealth
     suspects: SuspectTracker
@@ -124,6 +128,8 @@
                 receivers.health.on_peer(host=host, tallies=message)
             case EjectedUpstream():
                 receivers.health.on_ejected(message)
+            case UpstreamLimit():
+                receivers.limit_reports.on_message(message)
             case UpstreamLeaving() | HeadAnnouncement() | Suspect():
                 receivers.relay.on_announcement(host, message)
         if isinstance(message, UpstreamLeaving):
@@ -177,9 +183,11 @@
             self._send_current_state(peer.host)
 
     def _send_current_state(self, host: HostId) -> None:
-        """Send a newly connected host the leaving upstreams and the suspect requests."""
+        """Send a newly connected host the state that it has missed."""
         for leaving in self._receivers.gate.leaving_messages():
             self._mesh.send(host=host, message=leaving)
+        for limit in self._receivers.limit_reports.messages():
+            self._mesh.send(host=host, message=limit)
         for suspect in self._receivers.suspects.snapshot():
             self._mesh.send(host=host, message=suspect)
 
@@ -188,6 +196,7 @@
         self._mesh.set_peers(receivers.directory.targets())
         receivers.store_source.reevaluate()
         receivers.client.report_now()
+        receivers.limit_reports.report_all()
         self._announce_coordinators()
 
     def _announce_coordinators(self) -> None:
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -37,15 +37,16 @@
 from tanagerscale.generated.messages import PlaceWithdrawal
 from tanagerscale.generated.messages import Pong
 from tanagerscale.generated.messages import Progress
+from tanagerscale.generated.messages import RateAnswer
+from tanagerscale.generated.messages import RateAsk
 from tanagerscale.generated.messages import RepeatAnswer
 from tanagerscale.generated.messages import RepeatAsk
 from tanagerscale.generated.messages import Running
 from tanagerscale.generated.messages import RunningRequest
 from tanagerscale.generated.messages import Suspect
 from tanagerscale.generated.messages import UpstreamLeaving
+from tanagerscale.generated.messages import UpstreamLimit
 from tanagerscale.generated.messages import Verdict
-from tanagerscale.generated.messages import WarmupAnswer
-from tanagerscale.generated.messages import WarmupAsk
 
 Message: TypeAlias = (
     Hello
@@ -68,8 +69,9 @@
     | Pong
     | RepeatAnswer
     | RepeatAsk
-    | WarmupAnswer
-    | WarmupAsk
+    | RateAnswer
+    | RateAsk
+    | UpstreamLimit
     | EjectedUpstream
     | AnswerTallies
     | Suspect
--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -151,7 +151,8 @@
 
     :param verdict: What to do with the generation.
     :param engine: Engine to send it to; ``None`` unless the verdict is to send it.
-    :param wait_ms: Forecast time to its first event on that engine.
+    :param wait_ms: Forecast time to its first event on that engine; for a refusal, time until an
+        engine can take it, or 0 if that is unknown.
     :param reason: Deciding condition, for the log.
     :param views: Engines that were considered; empty when the generation is sent.
     """
--- a/src/tanagerscale/upstreams/_named_limits.py
+++ b/src/tanagerscale/upstreams/_named_limits.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from math import inf
 from typing import Final
 from typing import final
 
 from msgspec import Struct
+from msgspec.structs import replace
 from reactivex import Observable
 from reactivex.subject import Subject
 
@@ -18,6 +20,9 @@
 MAX_RATE_PER_S: Final = 10_000.0
 """Limits above this exceed the requests of all hosts together, so they have no effect."""
 
+RETENTION_MS: Final = 600_000
+"""How long a limit is kept without a response; the upstream has restarted or is gone by then."""
+
 _log = get_logger(part="limits")
 
 
@@ -39,7 +44,11 @@
 
 @final
 class NamedLimits:
-    """Tracks the rate limits that upstreams name, from the responses to this host.
+    """Tracks the rate limits that upstreams name, from the responses to all hosts.
+
+    Responses overtake each other, and those of other hosts are known later. A response counts if
+    the upstream has certainly written it after the one known so far; if that is open, the lower
+    limit counts until a request that is sent later is answered.
 
     :param clock: Source of the current time.
     """
@@ -50,6 +59,7 @@
         self._known_since: dict[UpstreamId, Millis] = {}
         self._rejected: set[UpstreamId] = set()
         self._changes: Subject[UpstreamId] = Subject()
+        self._heard: Subject[UpstreamId] = Subject()
 
     @property
     def changes(self) -> Observable[UpstreamId]:
@@ -57,9 +67,18 @@
         return self._changes
 
     @property
-    def count(self) -> int:
-        """Number of upstreams with a limit."""
-        return len(self._known_since)
+    def heard(self) -> Observable[UpstreamId]:
+        """Emits each upstream whose response to this host has named a limit or ended one."""
+        return self._heard
+
+    @property
+    def limited(self) -> list[UpstreamId]:
+        """The upstreams with a limit."""
+        return list(self._known_since)
+
+    def observation(self, upstream: UpstreamId) -> RateObservation:
+        """Return what is known of the limit of an upstream that has named one."""
+        return self._observations[upstream]
 
     def rate_per_s(self, upstream: UpstreamId) -> float | None:
         """Return the requests a second that an upstream takes; ``None`` if it has no limit."""
@@ -94,6 +113,7 @@
         if not named and not is_success:
             return
         lowest = min(rates, default=None)
+        was_limited = upstream in self._known_since
         self.record(
             RateObservation(
                 upstream=upstream,
@@ -102,14 +122,19 @@
                 received_at=self._clock.now(),
             )
         )
+        if was_limited or upstream in self._known_since:
+            self._heard.on_next(upstream)
 
     def record(self, observation: RateObservation) -> None:
-        """Record what a response says of the limit of its upstream."""
-        upstream, rate_per_s = observation.upstream, observation.rate_per_s
-        before_per_s = self.rate_per_s(upstream)
-        if rate_per_s is None and before_per_s is None:
+        """Record what a response to any host says of the limit of its upstream."""
+        upstream = observation.upstream
+        known = self._observations.get(upstream)
+        if known is None and observation.rate_per_s is None:
             return
-        self._observations[upstream] = observation
+        before_per_s = None if known is None else known.rate_per_s
+        current = observation if known is None else _combine(known, observation)
+        self._observations[upstream] = current
+        rate_per_s = current.rate_per_s
         if rate_per_s == before_per_s:
             return
         if rate_per_s is None:
@@ -121,7 +146,9 @@
             )
             del self._known_since[upstream]
         else:
-            self._known_since.setdefault(upstream, self._clock.now())
+            if before_per_s is None:
+                self._known_since[upstream] = self._clock.now()
+                self._forget_old()
             _log.info(
                 "An upstream names a rate limit.",
                 upstream=upstream,
@@ -130,7 +157,36 @@
             )
         self._changes.on_next(upstream)
 
+    def _forget_old(self) -> None:
+        """Delete the limits of upstreams that have responded to nobody for long."""
+        oldest = self._clock.now() - RETENTION_MS
+        for upstream, observation in list(self._observations.items()):
+            if observation.received_at < oldest:
+                del self._observations[upstream]
+                self._rejected.discard(upstream)
+                if self._known_since.pop(upstream, None) is not None:
+                    self._changes.on_next(upstream)
+
     def _log_rejected(self, upstream: UpstreamId) -> None:
         if upstream not in self._rejected:
             self._rejected.add(upstream)
             _log.info("An upstream names a rate limit that is no number.", upstream=upstream)
+
+
+def _combine(known: RateObservation, other: RateObservation) -> RateObservation:
+    """Return which of two observations of one upstream counts."""
+    if other.sent_at >= known.received_at:
+        return other
+    if known.sent_at >= other.received_at:
+        return known
+    if known.rate_per_s == other.rate_per_s:
+        return replace(
+            known,
+            sent_at=max(known.sent_at, other.sent_at),
+            received_at=max(known.received_at, other.received_at),
+        )
+    return min(known, other, key=_rate_or_infinity)
+
+
+def _rate_or_infinity(observation: RateObservation) -> float:
+    return inf if observation.rate_per_s is None else observation.rate_per_s
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -17,8 +17,11 @@
 
 from tanagerscale.coordination import DecisionContext
 from tanagerscale.coordination import EngineTotal
+from tanagerscale.coordination import NamedRates
+from tanagerscale.coordination import Permit
+from tanagerscale.coordination import RateLimits
 from tanagerscale.coordination import UpstreamHealth
-from tanagerscale.coordination import WarmupLimit
+from tanagerscale.coordination import WarmupRates
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import Millis
@@ -41,6 +44,7 @@
 from tanagerscale.forwarding import RunCopy
 from tanagerscale.forwarding import StreamMover
 from tanagerscale.forwarding import UpstreamRequest
+from tanagerscale.generated.messages import RequestClass
 from tanagerscale.quarantine import SuspectTracker
 from tanagerscale.routes import ANONYMOUS_CALLER
 from tanagerscale.routes import CallerLimits
@@ -466,18 +470,22 @@
 
 
 @dataclass(slots=True)
-class FakeWarmupPermits:
-    """Decides locally on requests to upstreams in warm-up."""
+class FakeRatePermits:
+    """Decides locally on requests to upstreams with rate limits."""
 
     upstreams: FakeUpstreams
-    warmup: WarmupLimit
+    rate_limits: RateLimits
     asked: list[str] = field(default_factory=list)
 
-    async def may_send(self, *, upstream: UpstreamId) -> bool:
-        """Count a request if the upstream's warm-up limit allows one more."""
+    async def acquire(
+        self, *, upstream: UpstreamId, kind: RequestClass, wait_ms: int = 0, prompt_ms: int = 0
+    ) -> Permit:
+        """Count a request if the rate limit of the upstream allows one more."""
         self.asked.append(upstream)
         entry = self.upstreams.get(upstream)
-        return entry is not None and self.warmup.try_acquire(entry)
+        if entry is None:
+            return Permit(may_send=False)
+        return self.rate_limits.acquire(entry, kind, wait_ms=wait_ms, prompt_ms=prompt_ms)
 
 
 @dataclass(slots=True)
@@ -497,7 +505,7 @@
     tables: FakeTables
     work: LocalWorkload
     context: ForwardingContext
-    warmup_permits: FakeWarmupPermits
+    rate_permits: FakeRatePermits
     single_host: SingleHost
 
     @property
@@ -521,24 +529,31 @@
     upstreams, tables = FakeUpstreams(entries=list(entries)), FakeTables()
     work = LocalWorkload(clock=clock)
     health = UpstreamHealth(service_of=lambda _: SERVICE, clock=clock)
-    warmup = WarmupLimit(
-        host=HOST, tables=tables, upstreams=upstreams, share=lambda: 1.0, clock=clock
+    named_limits = NamedLimits(clock=clock)
+    rate_limits = RateLimits(
+        host=HOST,
+        sources=[
+            WarmupRates(tables=tables, upstreams=upstreams),
+            NamedRates(named=named_limits),
+        ],
+        share=lambda: 1.0,
+        clock=clock,
     )
-    warmup_permits = FakeWarmupPermits(upstreams=upstreams, warmup=warmup)
+    rate_permits = FakeRatePermits(upstreams=upstreams, rate_limits=rate_limits)
     context = ForwardingContext(
         tables=tables,
         upstreams=upstreams,
         gate=upstreams,
         pauses=UpstreamPauses(clock=clock),
-        named_limits=NamedLimits(clock=clock),
+        named_limits=named_limits,
         suspects=SuspectTracker(clock=clock),
         health=health,
         upstream_client=upstream_client,
         engines=engines,
         work=work,
         retry_permits=FakeRetryPermits(slack=slack),
-        warmup=warmup,
-        warmup_permits=warmup_permits,
+        rate_limits=rate_limits,
+        rate_permits=rate_permits,
         metrics=ForwardingMetrics(registry=CollectorRegistry()),
         failure_domain=FailureDomainId("a"),
         clock=clock,
@@ -549,7 +564,7 @@
         upstreams=upstreams,
         gate=upstreams,
         health=health,
-        warmup=warmup,
+        rate_limits=rate_limits,
         clock=clock,
         rng=context.rng,
     )
@@ -564,7 +579,7 @@
         tables=tables,
         work=work,
         context=context,
-        warmup_permits=warmup_permits,
+        rate_permits=rate_permits,
         single_host=single_host,
     )
 
--- a/testing/test_forwarding_pauses.py
+++ b/testing/test_forwarding_pauses.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 from returns.result import Result
 
+from tanagerscale.coordination import Permit
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import Admission
@@ -223,14 +224,14 @@
     class SlowPermits:
         """Decider in whose answer time the upstream asks for a pause."""
 
-        async def may_send(self, *, upstream: UpstreamId) -> bool:
+        async def acquire(self, *, upstream: UpstreamId, **_: object) -> Permit:
             fakes.pauses.record(upstream=upstream, pause_ms=PAUSE_MS)
-            return True
+            return Permit(may_send=True)
 
     async def scenario() -> None:
         fakes.tables.table = make_table(warmup_ms=60_000, warmup_requests_per_s=1.0)
         fakes.upstreams.cold["x"] = 60_000
-        context = structs.replace(fakes.context, warmup_permits=SlowPermits())
+        context = structs.replace(fakes.context, rate_permits=SlowPermits())
         routed = route_request(make_request(), make_route())
         refusal = await PlainForwarder(routed=routed, context=context).serve(FakeResponder())
         _assert_refused_for(refusal, pause_ms=PAUSE_MS)
--- a/testing/test_forwarding_plain.py
+++ b/testing/test_forwarding_plain.py
@@ -9,6 +9,7 @@
 from msgspec import structs
 import pytest
 
+from tanagerscale.coordination import Permit
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding._plain import HEDGE_DELAY_RATIO
@@ -207,14 +208,14 @@
     class SlowPermits:
         """Decider in whose answer time the upstream leaves."""
 
-        async def may_send(self, *, upstream: UpstreamId) -> bool:
+        async def acquire(self, *, upstream: UpstreamId, **_: object) -> Permit:
             fakes.upstreams.leaving.add(upstream)
-            return True
+            return Permit(may_send=True)
 
     fakes = make_gateway_fakes(make_entry("x"))
     fakes.tables.table = make_table(warmup_ms=60_000, warmup_requests_per_s=1.0)
     fakes.upstreams.cold["x"] = 60_000
-    context = structs.replace(fakes.context, warmup_permits=SlowPermits())
+    context = structs.replace(fakes.context, rate_permits=SlowPermits())
     routed = route_request(make_request(), make_route(kind=NON_IDEMPOTENT))
     refusal = await PlainForwarder(routed=routed, context=context).serve(FakeResponder())
     assert refusal is not None
--- a/testing/test_named_limits.py
+++ b/testing/test_named_limits.py
@@ -58,7 +58,7 @@
         _respond(limits, 2.0)
         await asyncio.sleep(1)
         _respond(limits)
-        return [limits.rate_per_s(UPSTREAM), limits.count, limits.known_ms(UPSTREAM)]
+        return [limits.rate_per_s(UPSTREAM), len(limits.limited), limits.known_ms(UPSTREAM)]
 
     assert _run(scenario) == [None, 0, 0]
 
--- a/testing/test_warmup.py
+++ b/testing/test_warmup.py
@@ -16,7 +16,8 @@
 
 import pytest
 
-from tanagerscale.coordination import WarmupLimit
+from tanagerscale.coordination import RateLimits
+from tanagerscale.coordination import WarmupRates
 from tanagerscale.coordination._ledger import GRANT_TTL_MS
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
@@ -24,6 +25,7 @@
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding._plain import PlainForwarder
 from tanagerscale.generated.messages import PlaceKind
+from tanagerscale.generated.messages import RequestClass
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
 from testing._gateway_fakes import FakeResponder
@@ -53,17 +55,27 @@
 
 
 def _make_limit(
-    *, share: float = 1.0, host: str = "host", per_s: float = RATE_PER_S
-) -> WarmupLimit:
-    return WarmupLimit(
+    *,
+    share: float = 1.0,
+    host: str = "host",
+    per_s: float = RATE_PER_S,
+    upstreams: FakeUpstreams | None = None,
+) -> RateLimits:
+    tables = FakeTables(table=make_table(warmup_ms=COLD_MS, warmup_requests_per_s=per_s))
+    if upstreams is None:
+        upstreams = FakeUpstreams(entries=[ENTRY], cold={"x": 60_000})
+    return RateLimits(
         host=HostId(host),
-        tables=FakeTables(table=make_table(warmup_ms=COLD_MS, warmup_requests_per_s=per_s)),
-        upstreams=FakeUpstreams(entries=[ENTRY], cold={"x": 60_000}),
+        sources=[WarmupRates(tables=tables, upstreams=upstreams)],
         share=lambda: share,
         clock=Clock(),
     )
 
 
+def _try_acquire(limit: RateLimits) -> bool:
+    return limit.acquire(ENTRY, RequestClass.PLAIN).may_send
+
+
 def _max_in_a_second(times: list[float]) -> int:
     """Return the largest number of requests in any second."""
     most = 0
@@ -83,7 +95,7 @@
         sent = []
         for _ in range(4000):
             await asyncio.sleep(rng.expovariate(300))
-            if limit.try_acquire(ENTRY):
+            if _try_acquire(limit):
                 sent.append(asyncio.get_running_loop().time())
         return _max_in_a_second(sent), len(sent)
 
@@ -95,8 +107,8 @@
 def test_two_deciders_in_one_second_stay_within_the_burst_limit() -> None:
     async def scenario() -> int:
         first, second = _make_limit(), _make_limit(host="other")
-        return sum(first.try_acquire(ENTRY) for _ in range(50)) + sum(
-            second.try_acquire(ENTRY) for _ in range(50)
+        return sum(_try_acquire(first) for _ in range(50)) + sum(
+            _try_acquire(second) for _ in range(50)
         )
 
     assert run_virtually(scenario()) <= RATE_PER_S * BURST_FACTOR
@@ -106,23 +118,15 @@
 def test_isolated_hosts_together_stay_within_the_limit(hosts: int) -> None:
     async def scenario() -> int:
         limits = [_make_limit(host=f"host-{number}", share=1 / hosts) for number in range(hosts)]
-        return sum(limit.try_acquire(ENTRY) for limit in limits for _ in range(50))
+        return sum(_try_acquire(limit) for limit in limits for _ in range(50))
 
     assert 1 <= run_virtually(scenario()) <= MAX_IN_A_SECOND
 
 
 def test_warm_upstream_is_not_limited() -> None:
     async def scenario() -> bool:
-        limit = WarmupLimit(
-            host=HostId("host"),
-            tables=FakeTables(
-                table=make_table(warmup_ms=COLD_MS, warmup_requests_per_s=RATE_PER_S)
-            ),
-            upstreams=FakeUpstreams(entries=[ENTRY]),
-            share=lambda: 1.0,
-            clock=Clock(),
-        )
-        return all(limit.try_acquire(ENTRY) for _ in range(1000)) and not limit.is_warming(ENTRY)
+        limit = _make_limit(upstreams=FakeUpstreams(entries=[ENTRY]))
+        return all(_try_acquire(limit) for _ in range(1000)) and not limit.is_limited(ENTRY)
 
     assert run_virtually(scenario())
 
@@ -130,19 +134,11 @@
 def test_upstream_counts_as_cold_after_an_evacuation_ends() -> None:
     async def scenario() -> list[bool]:
         upstreams = FakeUpstreams(entries=[ENTRY])
-        limit = WarmupLimit(
-            host=HostId("host"),
-            tables=FakeTables(
-                table=make_table(warmup_ms=COLD_MS, warmup_requests_per_s=RATE_PER_S)
-            ),
-            upstreams=upstreams,
-            share=lambda: 1.0,
-            clock=Clock(),
-        )
-        seen = [limit.is_warming(ENTRY)]
+        limit = _make_limit(upstreams=upstreams)
+        seen = [limit.is_limited(ENTRY)]
         for ended_ms in (0, COLD_MS - 1, COLD_MS):
             upstreams.taken_back["x"] = ended_ms
-            seen.append(limit.is_warming(ENTRY))
+            seen.append(limit.is_limited(ENTRY))
         return seen
 
     assert run_virtually(scenario()) == [False, True, True, False]
@@ -198,11 +194,14 @@
         fakes = make_gateway_fakes(make_entry("x"))
         fakes.tables.table = _make_tables().table
         fakes.upstreams.cold["x"] = 60_000
-        refusals = []
-        for number in range(30):
-            request = route_request(make_request(name=f"r{number}"), make_route())
-            forward = PlainForwarder(routed=request, context=fakes.context)
-            refusals.append(await forward.serve(FakeResponder()))
+        forwarders = [
+            PlainForwarder(
+                routed=route_request(make_request(name=f"r{number}"), make_route()),
+                context=fakes.context,
+            )
+            for number in range(30)
+        ]
+        refusals = await asyncio.gather(*(one.serve(FakeResponder()) for one in forwarders))
         refused = [refusal for refusal in refusals if refusal is not None]
         assert len(fakes.upstream_client.asked) + len(refused) == 30
         assert {refusal.kind for refusal in refused} == {RefusalKind.OVERLOADED}
@@ -277,13 +276,7 @@
 def test_upstream_is_warm_long_after_an_evacuation_ends() -> None:
     async def scenario() -> bool:
         upstreams = FakeUpstreams(entries=[ENTRY], taken_back={"x": 59_000})
-        limit = WarmupLimit(
-            host=HostId("host"),
-            tables=_make_tables(),
-            upstreams=upstreams,
-            share=lambda: 1.0,
-            clock=Clock(),
-        )
-        return limit.is_warming(ENTRY)
+        limit = _make_limit(upstreams=upstreams)
+        return limit.is_limited(ENTRY)
 
     assert not run_virtually(scenario())
--- a/testing/test_warmup_machine.py
+++ b/testing/test_warmup_machine.py
@@ -15,11 +15,13 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
-from tanagerscale.coordination import WarmupLimit
+from tanagerscale.coordination import RateLimits
+from tanagerscale.coordination import WarmupRates
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
+from tanagerscale.generated.messages import RequestClass
 from testing._gateway_fakes import FakeTables
 from testing._gateway_fakes import FakeUpstreams
 from testing._gateway_fakes import make_entry
@@ -61,11 +63,15 @@
         self.sent: deque[int] = deque()
         self.limits = {host: self._make_limit(host) for host in HOSTS}
 
-    def _make_limit(self, host: str) -> WarmupLimit:
-        return WarmupLimit(
-            host=HostId(host),
-            tables=FakeTables(table=make_table(warmup_ms=60_000, warmup_requests_per_s=RATE_PER_S)),
+    def _make_limit(self, host: str) -> RateLimits:
+        table = make_table(warmup_ms=60_000, warmup_requests_per_s=RATE_PER_S)
+        rates = WarmupRates(
+            tables=FakeTables(table=table),
             upstreams=FakeUpstreams(entries=[ENTRY], cold={"x": 60_000}),
+        )
+        return RateLimits(
+            host=HostId(host),
+            sources=[rates],
             share=lambda: self._share(host),
             clock=cast(Clock, self.clock),
         )
@@ -78,13 +84,13 @@
     def ask(self, host: str, repeats: int) -> None:
         """Send the requests that the decider of a host allows."""
         for _ in range(repeats):
-            if self.limits[self.decider[host]].try_acquire(ENTRY):
+            if self.limits[self.decider[host]].acquire(ENTRY, RequestClass.PLAIN).may_send:
                 self.sent.append(self.clock.at)
 
     @rule(host=st.sampled_from(HOSTS))
     def lose_answer(self, host: str) -> None:
         """Count a request at the decider whose answer its host does not receive."""
-        self.limits[self.decider[host]].try_acquire(ENTRY)
+        self.limits[self.decider[host]].acquire(ENTRY, RequestClass.PLAIN)
 
     @rule(host=st.sampled_from(HOSTS))
     def isolate(self, host: str) -> None:
