Ask for one permit for all rate-limited upstreams of a request

Cause: where all upstreams of a service name a limit, a request asked the decider about each of them, and then waited for the one that had seemed to be free first. Requests that arrived together chose the same one, waited up to a second where half a second was enough, and counted as overload at that one only, so that most were late. A generation that could not be served in time waited for 4.5 s before it was refused, since parts of a request were added up over the upstreams.

Change: a host asks once, with its upstreams in order of preference, and the decider chooses the one that is free first. A refusal shortens the wait for all of them. Whether a generation is served in time is computed from whole requests.

--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -139,21 +139,30 @@
                 pass
 
     def _answer_rate_ask(self, host: HostId, ask: RateAsk) -> None:
-        entry = self._context.upstreams.get(UpstreamId(ask.upstream))
-        permit = Permit(may_send=True)
-        if entry is not None:
+        names = [UpstreamId(upstream) for upstream in ask.upstreams]
+        entries = [self._context.upstreams.get(upstream) for upstream in names]
+        known = [entry for entry in entries if entry is not None]
+        # The asking host knows an upstream some milliseconds earlier.
+        permit = Permit(may_send=True, upstream=names[0])
+        if known:
             permit = self._context.rate_limits.acquire(
-                entry, ask.kind, wait_ms=ask.wait_ms, prompt_ms=ask.prompt_ms
+                known, ask.kind, wait_ms=ask.wait_ms, prompt_ms=ask.prompt_ms
             )
         _limits_log.info(
             "A host asks for a rate-limited upstream.",
             host_that_asked=host,
-            upstream=ask.upstream,
+            upstreams=ask.upstreams,
             kind=ask.kind.value,
             may_send=permit.may_send,
+            upstream=permit.upstream,
+            delay_ms=permit.delay_ms,
+        )
+        answer = RateAnswer(
+            serial=ask.serial,
+            may_send=permit.may_send,
+            upstream=permit.upstream,
             delay_ms=permit.delay_ms,
         )
-        answer = RateAnswer(serial=ask.serial, may_send=permit.may_send, delay_ms=permit.delay_ms)
         self._send(host, answer)
 
     def on_joined(self, host: HostId, domain: FailureDomainId) -> None:
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -208,13 +208,14 @@
         :param entries: The engines, all of which are at their limits.
         :param query: The generation.
         """
-        ahead = self._limited[service]
-        forecast_ms = self._context.rate_limits.forecast_ms(entries, ahead=ahead)
-        is_in_time = forecast_ms <= query.left_ms + query.patience_ms
-        self._limited[service] += is_in_time
+        limits, ahead = self._context.rate_limits, self._limited[service]
+        left_ms = query.left_ms + query.patience_ms - REEVALUATION_INTERVAL_MS
+        if limits.count_until(entries, ms=left_ms) > ahead:
+            self._limited[service] += 1
+            return PlacementDecision(verdict=PlacementVerdict.WAIT, reason=AT_RATE_LIMIT)
         return PlacementDecision(
-            verdict=PlacementVerdict.WAIT if is_in_time else PlacementVerdict.REFUSE,
-            wait_ms=forecast_ms,
+            verdict=PlacementVerdict.REFUSE,
+            wait_ms=limits.forecast_ms(entries, ahead=ahead),
             reason=AT_RATE_LIMIT,
         )
 
--- a/src/tanagerscale/coordination/_rate_limits.py
+++ b/src/tanagerscale/coordination/_rate_limits.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 import hashlib
 from math import ceil
+from math import inf
 from typing import Final
 from typing import Protocol
 from typing import final
@@ -52,6 +53,11 @@
 """Time in which a refused class of requests goes before one that was served after it; at least two
 requests take their turns."""
 
+MIN_FORECAST_MS: Final = 50
+MAX_FORECAST_MS: Final = 60_000
+FORECAST_STEP: Final = 1.1
+"""Bounds of the times that are told to refused requests, and the ratio between two of them."""
+
 _DIGEST_BYTES: Final = 8
 _DIGEST_RANGE: Final = 2 ** (8 * _DIGEST_BYTES)
 
@@ -67,6 +73,9 @@
     burst: float
 
 
+UNLIMITED: Final = Rate(per_s=inf, burst=inf)
+
+
 class RateSource(Protocol):
     """Provides the limits of upstreams that have one cause."""
 
@@ -96,11 +105,13 @@
 class Permit(Struct, frozen=True, kw_only=True):
     """Decision on one request to an upstream.
 
-    :param may_send: Whether the upstream may get it.
+    :param may_send: Whether an upstream may get it.
+    :param upstream: That upstream; empty if there is none.
     :param delay_ms: Time until it may be sent, or until one like it may be permitted.
     """
 
     may_send: bool
+    upstream: UpstreamId = UpstreamId("")
     delay_ms: int = 0
 
 
@@ -122,6 +133,21 @@
     refused_at: dict[RequestClass, Millis]
 
 
+class _Offer(Struct, frozen=True, kw_only=True):
+    """When an upstream may get a request.
+
+    :param upstream: The upstream.
+    :param rate: Its limit.
+    :param bucket: Its bucket; ``None`` if it has no limit.
+    :param delay_ms: Time until then.
+    """
+
+    upstream: UpstreamId
+    rate: Rate
+    bucket: _Bucket | None
+    delay_ms: int = 0
+
+
 @final
 class RateLimits:
     """Grants requests to upstreams with rate limits, and counts them.
@@ -183,46 +209,53 @@
             self._take(self._refill(entry.upstream, rate), rate, kind)
 
     def acquire(
-        self, entry: UpstreamEntry, kind: RequestClass, *, wait_ms: int = 0, prompt_ms: int = 0
+        self,
+        entries: Sequence[UpstreamEntry],
+        kind: RequestClass,
+        *,
+        wait_ms: int = 0,
+        prompt_ms: int = 0,
     ) -> Permit:
-        """Permit and count one request if the upstream may get it soon enough.
+        """Permit and count one request if one of some upstreams may get it soon enough.
 
-        :param entry: The upstream.
+        :param entries: The upstreams in order of preference; at least one.
         :param kind: Class of the request.
         :param wait_ms: How long it may wait.
         :param prompt_ms: How long it may wait to be answered in time.
         """
-        rate = self._rate(entry)
-        if rate is None:
-            return Permit(may_send=True)
-        bucket = self._refill(entry.upstream, rate)
-        has_turn = self._has_turn(bucket, rate, kind)
-        delay_ms = self._delay_ms(bucket, rate, kind) + (0 if has_turn else _interval_ms(rate))
-        limit_ms = min(wait_ms, MAX_WAIT_MS)
-        if self._is_overloaded(bucket):
-            limit_ms = min(prompt_ms, limit_ms)
-        if not has_turn or delay_ms > limit_ms:
-            now = self._clock.now()
-            bucket.refused_at[kind] = now
-            if wait_ms:
-                bucket.overloaded_at = now
-            return Permit(may_send=False, delay_ms=delay_ms)
-        self._take(bucket, rate, kind)
-        return Permit(may_send=True, delay_ms=delay_ms)
+        offers = [self._make_offer(entry, kind) for entry in entries]
+        best = min(offers, key=lambda offer: offer.delay_ms)
+        now = self._clock.now()
+        if best.bucket is None or best.delay_ms <= self._max_wait_ms(best, wait_ms, prompt_ms):
+            if best.bucket is not None:
+                self._take(best.bucket, best.rate, kind)
+            return Permit(may_send=True, upstream=best.upstream, delay_ms=best.delay_ms)
+        for offer in offers:
+            if offer.bucket is not None:
+                offer.bucket.refused_at[kind] = now
+                offer.bucket.overloaded_at = now if wait_ms else offer.bucket.overloaded_at
+        return Permit(may_send=False, delay_ms=best.delay_ms)
+
+    def count_until(self, entries: Sequence[UpstreamEntry], *, ms: int) -> int:
+        """Return how many requests some limited upstreams may get within some time."""
+        count = 0
+        for entry in entries:
+            rate = self._rate(entry)
+            if rate is not None:
+                level = self._refill(entry.upstream, rate).level
+                count += max(int(level + rate.per_s * ms / MS_PER_SECOND), 0)
+        return count
 
     def forecast_ms(self, entries: Sequence[UpstreamEntry], *, ahead: int) -> int:
-        """Return the time until one of some limited upstreams may get a waiting request.
+        """Return the time until some limited upstreams may get a request, within ten per cent.
 
         :param entries: The upstreams.
         :param ahead: Number of requests that wait for the same upstreams before it.
         """
-        rates = [(rate, entry) for entry in entries if (rate := self._rate(entry)) is not None]
-        levels = [self._refill(entry.upstream, rate).level for rate, entry in rates]
-        total_per_s = sum(rate.per_s for rate, _ in rates)
-        if total_per_s <= 0:
-            return MAX_DEBT_MS
-        missing = ahead + 1 - sum(levels)
-        return max(ceil(missing / total_per_s * MS_PER_SECOND), 0)
+        ms = MIN_FORECAST_MS
+        while ms < MAX_FORECAST_MS and self.count_until(entries, ms=ms) <= ahead:
+            ms = ceil(ms * FORECAST_STEP)
+        return ms
 
     def _total_rate(self, entry: UpstreamEntry) -> Rate | None:
         """Return the limit of an upstream over all hosts."""
@@ -283,9 +316,23 @@
             return 0
         return ceil(missing * _interval_ms(rate))
 
-    def _is_overloaded(self, bucket: _Bucket) -> bool:
-        at = bucket.overloaded_at
-        return at is not None and self._clock.now() - at < OVERLOAD_MS
+    def _make_offer(self, entry: UpstreamEntry, kind: RequestClass) -> _Offer:
+        rate = self._rate(entry)
+        if rate is None:
+            return _Offer(upstream=entry.upstream, rate=UNLIMITED, bucket=None)
+        bucket = self._refill(entry.upstream, rate)
+        delay_ms = self._delay_ms(bucket, rate, kind)
+        if not self._has_turn(bucket, rate, kind):
+            delay_ms += _interval_ms(rate)
+        return _Offer(upstream=entry.upstream, rate=rate, bucket=bucket, delay_ms=delay_ms)
+
+    def _max_wait_ms(self, offer: _Offer, wait_ms: int, prompt_ms: int) -> int:
+        """Return how long a request may wait for an offer."""
+        limit_ms = min(wait_ms, MAX_WAIT_MS)
+        overloaded_at = None if offer.bucket is None else offer.bucket.overloaded_at
+        if overloaded_at is not None and self._clock.now() - overloaded_at < OVERLOAD_MS:
+            return min(prompt_ms, limit_ms)
+        return limit_ms
 
     def _hash_fraction(self, upstream: UpstreamId) -> float:
         """Return a number between 0 and 1 that is derived from the host and the upstream."""
--- a/src/tanagerscale/coordination/_rate_permits.py
+++ b/src/tanagerscale/coordination/_rate_permits.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Final
 from typing import final
 
@@ -43,29 +44,50 @@
         self._refused_until: dict[tuple[UpstreamId, RequestClass], Millis] = {}
 
     async def acquire(
-        self, *, upstream: UpstreamId, kind: RequestClass, wait_ms: int = 0, prompt_ms: int = 0
+        self,
+        *,
+        upstreams: Sequence[UpstreamId],
+        kind: RequestClass,
+        wait_ms: int = 0,
+        prompt_ms: int = 0,
     ) -> Permit:
-        """Return whether and when a request may be sent to an upstream.
+        """Return whether and when a request may be sent to one of some upstreams.
 
-        :param upstream: The upstream.
+        :param upstreams: The upstreams in order of preference; at least one.
         :param kind: Class of the request.
         :param wait_ms: How long the request may wait.
         :param prompt_ms: How long it may wait to be answered in time.
         """
-        key = upstream, kind
-        refused_ms = self._refused_until.get(key, Millis(0)) - self._clock.now()
-        if refused_ms > wait_ms:
-            return Permit(may_send=False, delay_ms=refused_ms)
+        now = self._clock.now()
+        refused_ms = {
+            upstream: max(self._refused_until.get((upstream, kind), now) - now, 0)
+            for upstream in upstreams
+        }
+        asked: list[str] = [one for one in upstreams if refused_ms[one] <= wait_ms]
+        if not asked:
+            return Permit(may_send=False, delay_ms=min(refused_ms.values()))
         answer = await self._query(
             lambda serial: RateAsk(
-                serial=serial, upstream=upstream, kind=kind, wait_ms=wait_ms, prompt_ms=prompt_ms
+                serial=serial, upstreams=asked, kind=kind, wait_ms=wait_ms, prompt_ms=prompt_ms
             )
         )
         if not isinstance(answer, RateAnswer):
             return Permit(may_send=False)
-        if answer.may_send:
-            self._refused_until.pop(key, None)
-        else:
-            pause_ms = max(answer.delay_ms, self._hosts() * ASK_INTERVAL_MS_PER_HOST)
-            self._refused_until[key] = Millis(self._clock.now() + pause_ms)
-        return Permit(may_send=answer.may_send, delay_ms=answer.delay_ms)
+        if not answer.may_send:
+            self._remember_refusal(upstreams, kind, answer.delay_ms)
+        return Permit(
+            may_send=answer.may_send,
+            upstream=UpstreamId(answer.upstream),
+            delay_ms=answer.delay_ms,
+        )
+
+    def _remember_refusal(
+        self, upstreams: Sequence[UpstreamId], kind: RequestClass, delay_ms: int
+    ) -> None:
+        now = self._clock.now()
+        pause_ms = max(delay_ms, self._hosts() * ASK_INTERVAL_MS_PER_HOST)
+        self._refused_until = {
+            key: until for key, until in self._refused_until.items() if until > now
+        }
+        for upstream in upstreams:
+            self._refused_until[upstream, kind] = Millis(now + pause_ms)
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from random import Random
 from typing import Protocol
 
@@ -41,9 +42,14 @@
     """Limits the requests that all hosts together send to upstreams with rate limits."""
 
     async def acquire(
-        self, *, upstream: UpstreamId, kind: RequestClass, wait_ms: int = 0, prompt_ms: int = 0
+        self,
+        *,
+        upstreams: Sequence[UpstreamId],
+        kind: RequestClass,
+        wait_ms: int = 0,
+        prompt_ms: int = 0,
     ) -> Permit:
-        """Return whether and when a request may be sent to an upstream."""
+        """Return whether and when a request may be sent to one of some upstreams."""
 
 
 class ForwardingContext(Struct, frozen=True, kw_only=True):
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
 from collections.abc import Sequence
-from collections.abc import Set
+from itertools import takewhile
 from typing import Final
 from typing import final
 
 from msgspec import Struct
 
 from tanagerscale.coordination import AttemptHealthRecorder
-from tanagerscale.coordination import Permit
 from tanagerscale.coordination import eligible_upstreams
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import UpstreamId
@@ -167,7 +165,7 @@
     async def _next_entry(self) -> UpstreamEntry | None:
         """Return the upstream for the next attempt; ``None`` if no further attempt is allowed."""
         record = self._record
-        if not record.has_attempts_left or self._choose() is None:
+        if not record.has_attempts_left or not self._usable_entries():
             return None
         if record.reached and not await self._may_repeat():
             return None
@@ -175,46 +173,49 @@
 
     async def _choose_permitted(self) -> UpstreamEntry | None:
         """Return the upstream for the next attempt; one with a rate limit requires a permit."""
-        self._permit_delay_ms = None
-        delays_ms: dict[UpstreamId, int] = {}
-        while (entry := self._choose(delays_ms.keys())) is not None:
-            if not self._context.rate_limits.is_limited(entry):
-                return entry
-            permit = await self._acquire_permit(entry.upstream)
-            if permit.may_send and self._may_send(entry.upstream):
-                return entry
-            delays_ms[entry.upstream] = permit.delay_ms
-        return await self._wait_for_permit(delays_ms) if delays_ms else None
-
-    async def _wait_for_permit(self, delays_ms: Mapping[UpstreamId, int]) -> UpstreamEntry | None:
+        ranked = self._rank_entries()
+        limits = self._context.rate_limits
+        limited = list(takewhile(limits.is_limited, ranked))
+        unlimited = next((entry for entry in ranked if not limits.is_limited(entry)), None)
+        if not limited:
+            return unlimited
+        entry = await self._get_permitted(limited, may_wait=unlimited is None)
+        if entry is not None or unlimited is None:
+            return entry
+        return unlimited if self._may_send(unlimited.upstream) else None
+
+    async def _get_permitted(
+        self, entries: Sequence[UpstreamEntry], *, may_wait: bool
+    ) -> UpstreamEntry | None:
         """Return an upstream once its rate limit allows the request, if that is soon enough.
 
-        :param delays_ms: Time until each upstream may take a request.
+        :param entries: Upstreams with rate limits, in order of preference.
+        :param may_wait: Whether the request can't be sent to another upstream instead.
         """
-        upstream = min(delays_ms, key=lambda one: delays_ms[one])
-        self._permit_delay_ms = delays_ms[upstream]
-        if self._record.sent:
-            return None
-        left_ms = self._routed.deadline - self._context.clock.now()
-        target_ms = self._routed.route.target_ms
-        waited_ms = self._context.clock.now() - self._routed.request.arrived
-        permit = await self._acquire_permit(
-            upstream,
-            wait_ms=max(left_ms - target_ms, 0),
-            prompt_ms=max(int(target_ms * PROMPT_WAIT_RATIO) - waited_ms, 0),
+        wait_ms, prompt_ms = self._max_waits_ms() if may_wait else (0, 0)
+        permit = await self._context.rate_permits.acquire(
+            upstreams=[entry.upstream for entry in entries],
+            kind=RequestClass.PLAIN,
+            wait_ms=wait_ms,
+            prompt_ms=prompt_ms,
         )
-        self._permit_delay_ms = permit.delay_ms
+        self._permit_delay_ms = permit.delay_ms if may_wait else None
         if not permit.may_send:
             return None
-        await self._context.clock.sleep(permit.delay_ms)
-        entry = self._context.upstreams.get(upstream)
-        return entry if self._may_send(upstream) else None
-
-    async def _acquire_permit(
-        self, upstream: UpstreamId, *, wait_ms: int = 0, prompt_ms: int = 0
-    ) -> Permit:
-        return await self._context.rate_permits.acquire(
-            upstream=upstream, kind=RequestClass.PLAIN, wait_ms=wait_ms, prompt_ms=prompt_ms
+        if permit.delay_ms:
+            await self._context.clock.sleep(permit.delay_ms)
+        chosen = next((one for one in entries if one.upstream == permit.upstream), None)
+        return chosen if chosen is not None and self._may_send(chosen.upstream) else None
+
+    def _max_waits_ms(self) -> tuple[int, int]:
+        """Return how long the request may wait for a permit, and how long to be in time."""
+        if self._record.sent:
+            return 0, 0
+        now, target_ms = self._context.clock.now(), self._routed.route.target_ms
+        waited_ms = now - self._routed.request.arrived
+        return (
+            max(self._routed.deadline - now - target_ms, 0),
+            max(int(target_ms * PROMPT_WAIT_RATIO) - waited_ms, 0),
         )
 
     def _may_send(self, upstream: UpstreamId) -> bool:
@@ -227,14 +228,8 @@
             _log.info("The retry budget is exhausted.", request=self._routed.request.request)
         return may
 
-    def _choose(self, denied: Set[UpstreamId] = frozenset()) -> UpstreamEntry | None:
-        """Return the upstream with the fewest requests in progress from this host.
-
-        :param denied: Upstreams with rate limits that get no further requests now.
-        """
-        routed = self._routed
-        excluded = self._record.tried | denied | self._context.pauses.paused
-        entries = eligible_upstreams(self._context, routed.service, excluded, routed.domains)
+    def _rank_entries(self) -> list[UpstreamEntry]:
+        """Return the usable upstreams; first those with the fewest requests from this host."""
         counts = self._context.work.plain_counts
         is_repeat = bool(self._record.sent)
 
@@ -245,7 +240,12 @@
             is_last = is_repeat and self._context.rate_limits.is_limited(entry)
             return is_last, busy, self._context.rng.random()
 
-        return min(entries, key=cost, default=None)
+        return sorted(self._usable_entries(), key=cost)
+
+    def _usable_entries(self) -> list[UpstreamEntry]:
+        routed = self._routed
+        excluded = self._record.tried | self._context.pauses.paused
+        return eligible_upstreams(self._context, routed.service, excluded, routed.domains)
 
     async def _attempt(self, entry: UpstreamEntry) -> _CompleteResponse | None:
         """Send the request to one upstream; return ``None`` if another upstream should be tried."""
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -478,14 +478,17 @@
     asked: list[str] = field(default_factory=list)
 
     async def acquire(
-        self, *, upstream: UpstreamId, kind: RequestClass, wait_ms: int = 0, prompt_ms: int = 0
+        self,
+        *,
+        upstreams: Sequence[UpstreamId],
+        kind: RequestClass,
+        wait_ms: int = 0,
+        prompt_ms: int = 0,
     ) -> Permit:
-        """Count a request if the rate limit of the upstream allows one more."""
-        self.asked.append(upstream)
-        entry = self.upstreams.get(upstream)
-        if entry is None:
-            return Permit(may_send=False)
-        return self.rate_limits.acquire(entry, kind, wait_ms=wait_ms, prompt_ms=prompt_ms)
+        """Count a request if the rate limit of one upstream allows one more."""
+        self.asked += upstreams
+        entries = [entry for one in upstreams if (entry := self.upstreams.get(one)) is not None]
+        return self.rate_limits.acquire(entries, kind, wait_ms=wait_ms, prompt_ms=prompt_ms)
 
 
 @dataclass(slots=True)
--- a/testing/_limited_upstreams.py
+++ b/testing/_limited_upstreams.py
@@ -55,11 +55,13 @@
     :param sent_at: When its host received it.
     :param ended_at: When its response or refusal was complete.
     :param refusal: The refusal; ``None`` if an upstream answered.
+    :param is_stream: Whether it asked for a stream.
     """
 
     sent_at: int
     ended_at: int
     refusal: Refusal | None
+    is_stream: bool
 
     @property
     def took_ms(self) -> int:
@@ -251,7 +253,8 @@
             told=lambda upstream: self.upstreams.told[upstream][host].append(_now())
         )
         refusal = await forwarder.forward(f"r{self._number}", route, responder)
-        outcome = Outcome(sent_at, _now(), refusal)
+        is_stream = route.kind is RouteKind.STREAMING
+        outcome = Outcome(sent_at, _now(), refusal, is_stream)
         self.outcomes.append(outcome)
         return outcome
 
--- a/testing/test_forwarding_pauses.py
+++ b/testing/test_forwarding_pauses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 
 from msgspec import structs
 import pytest
@@ -224,9 +225,9 @@
     class SlowPermits:
         """Decider in whose answer time the upstream asks for a pause."""
 
-        async def acquire(self, *, upstream: UpstreamId, **_: object) -> Permit:
-            fakes.pauses.record(upstream=upstream, pause_ms=PAUSE_MS)
-            return Permit(may_send=True)
+        async def acquire(self, *, upstreams: Sequence[UpstreamId], **_: object) -> Permit:
+            fakes.pauses.record(upstream=upstreams[0], pause_ms=PAUSE_MS)
+            return Permit(may_send=True, upstream=upstreams[0])
 
     async def scenario() -> None:
         fakes.tables.table = make_table(warmup_ms=60_000, warmup_requests_per_s=1.0)
--- a/testing/test_forwarding_plain.py
+++ b/testing/test_forwarding_plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from contextlib import suppress
 from copy import deepcopy
 
@@ -208,9 +209,9 @@
     class SlowPermits:
         """Decider in whose answer time the upstream leaves."""
 
-        async def acquire(self, *, upstream: UpstreamId, **_: object) -> Permit:
-            fakes.upstreams.leaving.add(upstream)
-            return Permit(may_send=True)
+        async def acquire(self, *, upstreams: Sequence[UpstreamId], **_: object) -> Permit:
+            fakes.upstreams.leaving.update(upstreams)
+            return Permit(may_send=True, upstream=upstreams[0])
 
     fakes = make_gateway_fakes(make_entry("x"))
     fakes.tables.table = make_table(warmup_ms=60_000, warmup_requests_per_s=1.0)
--- a/testing/test_warmup.py
+++ b/testing/test_warmup.py
@@ -73,7 +73,7 @@
 
 
 def _try_acquire(limit: RateLimits) -> bool:
-    return limit.acquire(ENTRY, RequestClass.PLAIN).may_send
+    return limit.acquire([ENTRY], RequestClass.PLAIN).may_send
 
 
 def _max_in_a_second(times: list[float]) -> int:
