Bound the advance of runs at a rate limit by the share of their decider

Cause, found by reading: a host that decides for itself alone could permit two runs in advance at each limited engine, however many such hosts there are. A run that waits for a permit to continue was refused its wait while other requests were being refused. A plain request whose upstream became unusable while it waited was refused although others were free. The share of hosts was counted for each request, also without a limit, and grew with the hosts.

Change: the advance is part of the rate that a decider grants. Runs may always wait for their half second. A request chooses again when its wait was in vain. The share is counted for limited upstreams only. A limit of which nothing has been heard for ten minutes ends with a notification, so that no message is built for a limit that is gone, and times in messages can't lie in the future.

--- a/src/tanagerscale/coordination/_limit_reports.py
+++ b/src/tanagerscale/coordination/_limit_reports.py
@@ -80,8 +80,8 @@
             RateObservation(
                 upstream=UpstreamId(message.upstream),
                 rate_per_s=message.per_s or None,
-                sent_at=Millis(now - message.sent_ms_ago),
-                received_at=Millis(now - message.received_ms_ago),
+                sent_at=Millis(now - max(message.sent_ms_ago, 0)),
+                received_at=Millis(now - max(message.received_ms_ago, 0)),
             )
         )
 
@@ -91,6 +91,8 @@
         if is_limited is (upstream in self._limited):
             return
         self._limited ^= {upstream}
+        if not is_limited:
+            self._reported.pop(upstream, None)
         if self._directory.is_first:
             self._announcements.request(upstream)
 
@@ -104,11 +106,8 @@
         return [self._build_message(upstream) for upstream in self._named.limited]
 
     def _report(self, upstream: UpstreamId) -> None:
-        rate_per_s = self._named.rate_per_s(upstream)
-        if rate_per_s is None:
-            self._reported.pop(upstream, None)
-        else:
-            self._reported[upstream] = rate_per_s, self._clock.now()
+        if upstream in self._limited:
+            self._reported[upstream] = self._named.rate_per_s(upstream), self._clock.now()
         message = self._build_message(upstream)
         for host in self._directory.coordinators:
             self._send(host, message)
--- a/src/tanagerscale/coordination/_rate_limits.py
+++ b/src/tanagerscale/coordination/_rate_limits.py
@@ -67,10 +67,12 @@
 
     :param per_s: Requests a second.
     :param burst: Requests that may be sent at once; at least one.
+    :param overdraft: Requests of runs that would be lost that may be sent in advance.
     """
 
     per_s: float
     burst: float
+    overdraft: float = 0.0
 
 
 UNLIMITED: Final = Rate(per_s=inf, burst=inf)
@@ -270,14 +272,19 @@
     def _rate(self, entry: UpstreamEntry) -> Rate | None:
         """Return the part of an upstream's limit that this decider grants."""
         total = self._total_rate(entry)
+        if total is None:
+            return None
         share = self._share()
-        if total is None or share >= 1:
-            return total
         selected = min(2 * share * max(total.per_s, 1.0), 1.0)
         if self._hash_fraction(entry.upstream) >= selected:
             return Rate(per_s=0.0, burst=0.0)
-        part = share / selected
-        return Rate(per_s=total.per_s * part, burst=max(total.burst * part, 1.0))
+        part = min(share / selected, 1.0)
+        overdraft = RESUME_OVERDRAFT + total.per_s * RESUME_OVERDRAFT_MS / MS_PER_SECOND
+        return Rate(
+            per_s=total.per_s * part,
+            burst=max(total.burst * part, 1.0),
+            overdraft=overdraft * part,
+        )
 
     def _refill(self, upstream: UpstreamId, rate: Rate) -> _Bucket:
         now = self._clock.now()
@@ -308,9 +315,7 @@
 
     def _delay_ms(self, bucket: _Bucket, rate: Rate, kind: RequestClass) -> int:
         """Return the time until a request of some class may be sent."""
-        needed = 1.0
-        if kind is RequestClass.RESUMED:
-            needed -= RESUME_OVERDRAFT + rate.per_s * RESUME_OVERDRAFT_MS / MS_PER_SECOND
+        needed = 1.0 - rate.overdraft if kind is RequestClass.RESUMED else 1.0
         missing = needed - bucket.level
         if missing <= 0:
             return 0
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -204,8 +204,11 @@
             return None
         if permit.delay_ms:
             await self._context.clock.sleep(permit.delay_ms)
-        chosen = next((one for one in entries if one.upstream == permit.upstream), None)
-        return chosen if chosen is not None and self._may_send(chosen.upstream) else None
+        usable = {entry.upstream: entry for entry in self._usable_entries()}
+        chosen = usable.get(permit.upstream)
+        if chosen is None or not self._may_send(permit.upstream):
+            return await self._choose_permitted() if permit.delay_ms else None
+        return chosen
 
     def _max_waits_ms(self) -> tuple[int, int]:
         """Return how long the request may wait for a permit, and how long to be in time."""
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -251,7 +251,10 @@
         if not self._context.rate_limits.is_limited(entry):
             return True
         permit = await self._context.rate_permits.acquire(
-            upstreams=[entry.upstream], kind=RequestClass.RESUMED, wait_ms=MAX_PERMIT_WAIT_MS
+            upstreams=[entry.upstream],
+            kind=RequestClass.RESUMED,
+            wait_ms=MAX_PERMIT_WAIT_MS,
+            prompt_ms=MAX_PERMIT_WAIT_MS,
         )
         await self._context.clock.sleep(min(permit.delay_ms, MAX_PERMIT_WAIT_MS))
         if not permit.may_send:
--- a/src/tanagerscale/upstreams/_named_limits.py
+++ b/src/tanagerscale/upstreams/_named_limits.py
@@ -158,14 +158,17 @@
         self._changes.on_next(upstream)
 
     def _forget_old(self) -> None:
-        """Delete the limits of upstreams that have responded to nobody for long."""
+        """End the limits of upstreams that have responded to nobody for long."""
         oldest = self._clock.now() - RETENTION_MS
         for upstream, observation in list(self._observations.items()):
-            if observation.received_at < oldest:
+            if observation.received_at >= oldest:
+                continue
+            self._rejected.discard(upstream)
+            if self._known_since.pop(upstream, None) is None:
                 del self._observations[upstream]
-                self._rejected.discard(upstream)
-                if self._known_since.pop(upstream, None) is not None:
-                    self._changes.on_next(upstream)
+            else:
+                self._observations[upstream] = replace(observation, rate_per_s=None)
+                self._changes.on_next(upstream)
 
     def _log_rejected(self, upstream: UpstreamId) -> None:
         if upstream not in self._rejected:
