--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -142,12 +142,13 @@
         names = [UpstreamId(upstream) for upstream in ask.upstreams]
         entries = [self._context.upstreams.get(upstream) for upstream in names]
         known = [entry for entry in entries if entry is not None]
-        # The asking host knows an upstream some milliseconds earlier.
-        permit = Permit(may_send=True, upstream=names[0])
         if known:
             permit = self._context.rate_limits.acquire(
                 known, ask.kind, wait_ms=ask.wait_ms, prompt_ms=ask.prompt_ms
             )
+        else:
+            # The asking host may know an upstream some milliseconds earlier.
+            permit = Permit(may_send=bool(names), upstream=next(iter(names), UpstreamId("")))
         _limits_log.info(
             "A host asks for a rate-limited upstream.",
             host_that_asked=host,
--- a/src/tanagerscale/forwarding/_limited_requests.py
+++ b/src/tanagerscale/forwarding/_limited_requests.py
@@ -4,17 +4,15 @@
 
 from enum import Enum
 from enum import unique
-from typing import Final
 
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._parts import ForwardingContext
+from tanagerscale.forwarding._types import MIN_SERVER_ERROR_STATUS
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.forwarding._types import UpstreamResponse
 
-MIN_SERVER_ERROR_STATUS: Final = 500
-
 _log = get_logger(part="limits")
 
 
@@ -34,7 +32,6 @@
     upstream: UpstreamId,
     *,
     path: RequestPath,
-    permit: str,
 ) -> None:
     """Log and count a request that is sent to an upstream, if that names a rate limit.
 
@@ -42,18 +39,16 @@
     :param context: Dependencies shared by all requests.
     :param upstream: The upstream.
     :param path: How the request gets to it.
-    :param permit: Who permitted it.
     """
     rate_per_s = context.named_limits.rate_per_s(upstream)
     if rate_per_s is None:
         return
-    context.metrics.limited_requests.labels(path.value, permit).inc()
+    context.metrics.limited_requests.labels(path.value).inc()
     _log.info(
         "A request is sent to a rate-limited upstream.",
         request=routed.request.request,
         upstream=upstream,
         path=path.value,
-        permit=permit,
         rate_per_s=rate_per_s,
         known_ms=context.named_limits.known_ms(upstream),
     )
--- a/src/tanagerscale/forwarding/_metrics.py
+++ b/src/tanagerscale/forwarding/_metrics.py
@@ -86,8 +86,8 @@
         )
         self.limited_requests: Final = Counter(
             "tanagerscale_rate_limited_requests",
-            "Requests sent to upstreams that name a rate limit, by path and permit.",
-            ["path", "permit"],
+            "Requests sent to upstreams that name a rate limit, by path.",
+            ["path"],
             registry=registry,
         )
         self.pause_refusals: Final = Counter(
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -26,6 +26,7 @@
 from tanagerscale.forwarding._refusals import no_upstream
 from tanagerscale.forwarding._refusals import rate_limited
 from tanagerscale.forwarding._refusals import upstream_failed
+from tanagerscale.forwarding._types import MIN_SERVER_ERROR_STATUS
 from tanagerscale.forwarding._types import Header
 from tanagerscale.forwarding._types import Refusal
 from tanagerscale.forwarding._types import Responder
@@ -38,8 +39,6 @@
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
 
-MIN_SERVER_ERROR_STATUS: Final = 500
-
 REMOTE_DOMAIN_PENALTY_REQUESTS: Final = 0.5
 """Load penalty of an upstream in another failure domain, in requests. A value below 1 only breaks
 ties."""
@@ -165,6 +164,7 @@
     async def _next_entry(self) -> UpstreamEntry | None:
         """Return the upstream for the next attempt; ``None`` if no further attempt is allowed."""
         record = self._record
+        self._permit_delay_ms = None
         if not record.has_attempts_left or not self._usable_entries():
             return None
         if record.reached and not await self._may_repeat():
@@ -199,8 +199,8 @@
             wait_ms=wait_ms,
             prompt_ms=prompt_ms,
         )
-        self._permit_delay_ms = permit.delay_ms if may_wait else None
         if not permit.may_send:
+            self._permit_delay_ms = permit.delay_ms if may_wait else None
             return None
         if permit.delay_ms:
             await self._context.clock.sleep(permit.delay_ms)
@@ -284,9 +284,7 @@
 
     def _record_limited(self, entry: UpstreamEntry) -> None:
         path = RequestPath.REPEATED if self._record.sent else RequestPath.FIRST
-        record_limited_request(
-            self._routed, self._context, entry.upstream, path=path, permit="decider"
-        )
+        record_limited_request(self._routed, self._context, entry.upstream, path=path)
 
     def _build_request(self, entry: UpstreamEntry) -> UpstreamRequest:
         return UpstreamRequest(
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -119,9 +119,7 @@
             domains=self._routed.domains,
         )
         path = RequestPath.PLACED if resume_target is None else RequestPath.RESUMED
-        record_limited_request(
-            self._routed, self._context, entry.upstream, path=path, permit="decider"
-        )
+        record_limited_request(self._routed, self._context, entry.upstream, path=path)
         sent_at = self._context.clock.now()
         late_ms = self._routed.route.target_ms
         late = AttemptHealthRecorder(health=self._context.health, entry=entry, after_ms=late_ms)
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -27,6 +27,7 @@
 from tanagerscale.forwarding._segments import StreamSegment
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
+from tanagerscale.forwarding._types import MIN_SERVER_ERROR_STATUS
 from tanagerscale.forwarding._types import Refusal
 from tanagerscale.forwarding._types import Responder
 from tanagerscale.forwarding._types import RoutedRequest
@@ -34,8 +35,6 @@
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
 
-MIN_SERVER_ERROR_STATUS: Final = 500
-
 MAX_RECOVERIES: Final = 2
 """Maximum number of times that one stream may break off without notice and resume from a copy. It
 limits a request that crashes its engines to three engines."""
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -26,6 +26,8 @@
 from tanagerscale.upstreams import EngineReport
 from tanagerscale.upstreams import UpstreamEntry
 
+MIN_SERVER_ERROR_STATUS: Final = 500
+
 Header = tuple[str, str]
 
 PUBLIC_ACCOUNT: Final = ClientAccountId("")
--- a/src/tanagerscale/upstreams/_named_limits.py
+++ b/src/tanagerscale/upstreams/_named_limits.py
@@ -110,7 +110,7 @@
         if named and not rates:
             self._log_rejected(upstream)
             return
-        if not named and not is_success:
+        if not named and (not is_success or upstream not in self._observations):
             return
         lowest = min(rates, default=None)
         was_limited = upstream in self._known_since
