Count requests to rate-limited upstreams that the decider doesn't know yet

Cause: the decider permitted each request to an upstream without an entry, since a host may know a new one some milliseconds earlier. A decider that the store doesn't answer lacks the entry for seconds, although hosts have told it of the limit.

Change: limits are kept by the id of the upstream, and the warm-up looks its entry up. The tests of the limits share their harness.

--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -139,16 +139,12 @@
                 pass
 
     def _answer_rate_ask(self, host: HostId, ask: RateAsk) -> None:
-        names = [UpstreamId(upstream) for upstream in ask.upstreams]
-        entries = [self._context.upstreams.get(upstream) for upstream in names]
-        known = [entry for entry in entries if entry is not None]
-        if known:
+        upstreams = [UpstreamId(upstream) for upstream in ask.upstreams]
+        permit = Permit(may_send=False)
+        if upstreams:
             permit = self._context.rate_limits.acquire(
-                known, ask.kind, wait_ms=ask.wait_ms, prompt_ms=ask.prompt_ms
+                upstreams, ask.kind, wait_ms=ask.wait_ms, prompt_ms=ask.prompt_ms
             )
-        else:
-            # The asking host may know an upstream some milliseconds earlier.
-            permit = Permit(may_send=bool(names), upstream=next(iter(names), UpstreamId("")))
         _limits_log.info(
             "A host asks for a rate-limited upstream.",
             host_that_asked=host,
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -34,7 +34,6 @@
 from tanagerscale.policy import PlacementQuery
 from tanagerscale.policy import PlacementVerdict
 from tanagerscale.policy import place
-from tanagerscale.upstreams import UpstreamEntry
 
 REEVALUATION_INTERVAL_MS: Final = 50
 """Interval at which the queue is evaluated without a change: generations become late as time
@@ -184,9 +183,10 @@
             left_ms=waiting.deadline - context.clock.now(),
             patience_ms=ask.patience_ms,
         )
-        allowed = [one for one in entries if context.rate_limits.allows(one, _class_of(ask))]
+        limits, kind = context.rate_limits, _class_of(ask)
+        allowed = [one for one in entries if limits.allows(one.upstream, kind)]
         if entries and not allowed:
-            return self._wait_for_rate(service, entries, query)
+            return self._wait_for_rate(service, [one.upstream for one in entries], query)
         views = [
             build_engine_view(entry, engine=engine, totals=totals, upstreams=context.upstreams)
             for entry in allowed
@@ -200,22 +200,22 @@
         )
 
     def _wait_for_rate(
-        self, service: ServiceId, entries: Sequence[UpstreamEntry], query: PlacementQuery
+        self, service: ServiceId, engines: Sequence[UpstreamId], query: PlacementQuery
     ) -> PlacementDecision:
         """Let a generation wait for the rate limits of its engines, or refuse it at once.
 
         :param service: The service.
-        :param entries: The engines, all of which are at their limits.
+        :param engines: The engines, all of which are at their limits.
         :param query: The generation.
         """
         limits, ahead = self._context.rate_limits, self._limited[service]
         left_ms = query.left_ms + query.patience_ms - REEVALUATION_INTERVAL_MS
-        if limits.count_until(entries, ms=left_ms) > ahead:
+        if limits.count_until(engines, ms=left_ms) > ahead:
             self._limited[service] += 1
             return PlacementDecision(verdict=PlacementVerdict.WAIT, reason=AT_RATE_LIMIT)
         return PlacementDecision(
             verdict=PlacementVerdict.REFUSE,
-            wait_ms=limits.forecast_ms(entries, ahead=ahead),
+            wait_ms=limits.forecast_ms(engines, ahead=ahead),
             reason=AT_RATE_LIMIT,
         )
 
@@ -254,7 +254,7 @@
             domains=ask.domains,
         )
         self._ledger.grant(host=waiting.host, use=use)
-        self._record_request(view.upstream, _class_of(ask))
+        self._context.rate_limits.record(view.upstream, _class_of(ask))
         self._log(
             "An engine is chosen.",
             waiting,
@@ -275,11 +275,6 @@
         )
         self._send_answer(waiting.host, granted)
 
-    def _record_request(self, upstream: UpstreamId, kind: RequestClass) -> None:
-        entry = self._context.upstreams.get(upstream)
-        if entry is not None:
-            self._context.rate_limits.record(entry, kind)
-
     def _schedule_reevaluation(self) -> None:
         if self._waiting and self._timer is None:
             loop = asyncio.get_running_loop()
--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -199,12 +199,7 @@
         return None if move is not None and _is_optional(move, limited) else move
 
     def _limited_engines(self, snapshot: MoveSnapshot) -> set[UpstreamId]:
-        entries = (self._context.upstreams.get(one) for one in snapshot.eligible)
-        return {
-            entry.upstream
-            for entry in entries
-            if entry is not None and self._context.rate_limits.is_limited(entry)
-        }
+        return {one for one in snapshot.eligible if self._context.rate_limits.is_limited(one)}
 
     def _runs_of(self, service: ServiceId) -> list[tuple[LedgerRun, MovableRun]]:
         runs = []
@@ -268,7 +263,7 @@
             eligible={
                 entry.upstream
                 for entry in eligible_upstreams(context, service)
-                if context.rate_limits.allows_resume(entry)
+                if context.rate_limits.allows_resume(entry.upstream)
             },
             leaving={one: self._remaining_ms(one) for one in leaving},
             unreachable={one for one in entries if context.gate.is_broken(one)},
@@ -335,9 +330,8 @@
 
     def _record_request(self, move: Move) -> None:
         """Count the request with which a run continues on another engine."""
-        entry = self._context.upstreams.get(move.target)
-        if entry is not None and move.kind is not MoveKind.AHEAD:
-            self._context.rate_limits.record(entry, RequestClass.RESUMED)
+        if move.kind is not MoveKind.AHEAD:
+            self._context.rate_limits.record(move.target, RequestClass.RESUMED)
 
     def _drop_copy(self, run: LedgerRun, movable: MovableRun) -> None:
         order = MoveOrder(
--- a/src/tanagerscale/coordination/_rate_limits.py
+++ b/src/tanagerscale/coordination/_rate_limits.py
@@ -25,7 +25,6 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.generated.messages import RequestClass
 from tanagerscale.upstreams import NamedLimits
-from tanagerscale.upstreams import UpstreamEntry
 
 NAMED_BURST_MS: Final = 250
 """Requests of this time may be sent at once to an upstream that names a limit."""
@@ -81,7 +80,7 @@
 class RateSource(Protocol):
     """Provides the limits of upstreams that have one cause."""
 
-    def rate(self, entry: UpstreamEntry) -> Rate | None:
+    def rate(self, upstream: UpstreamId) -> Rate | None:
         """Return the limit of an upstream; ``None`` if it has none."""
 
 
@@ -95,9 +94,9 @@
     def __init__(self, *, named: NamedLimits) -> None:
         self._named = named
 
-    def rate(self, entry: UpstreamEntry) -> Rate | None:
+    def rate(self, upstream: UpstreamId) -> Rate | None:
         """Return the limit that an upstream names; ``None`` if it names none."""
-        named_per_s = self._named.rate_per_s(entry.upstream)
+        named_per_s = self._named.rate_per_s(upstream)
         if named_per_s is None:
             return None
         per_s = max(named_per_s, MIN_NAMED_RATE_PER_S)
@@ -178,41 +177,41 @@
         self._clock = clock
         self._buckets: dict[UpstreamId, _Bucket] = {}
 
-    def is_limited(self, entry: UpstreamEntry) -> bool:
+    def is_limited(self, upstream: UpstreamId) -> bool:
         """Return whether an upstream currently accepts only a limited rate."""
-        return self._total_rate(entry) is not None
+        return self._total_rate(upstream) is not None
 
-    def allows_resume(self, entry: UpstreamEntry) -> bool:
+    def allows_resume(self, upstream: UpstreamId) -> bool:
         """Return whether a run may continue on an upstream now."""
-        rate = self._rate(entry)
+        rate = self._rate(upstream)
         if rate is None:
             return True
-        return not self._delay_ms(self._refill(entry.upstream, rate), rate, RequestClass.RESUMED)
+        return not self._delay_ms(self._refill(upstream, rate), rate, RequestClass.RESUMED)
 
-    def allows(self, entry: UpstreamEntry, kind: RequestClass) -> bool:
+    def allows(self, upstream: UpstreamId, kind: RequestClass) -> bool:
         """Return whether an upstream may get a waiting request now.
 
-        :param entry: The upstream.
+        :param upstream: The upstream.
         :param kind: Class of the request; it is served in turn with the other classes.
         """
-        rate = self._rate(entry)
+        rate = self._rate(upstream)
         if rate is None:
             return True
-        bucket = self._refill(entry.upstream, rate)
+        bucket = self._refill(upstream, rate)
         is_allowed = bucket.level >= 1 and self._has_turn(bucket, rate, kind)
         if not is_allowed:
             bucket.refused_at[kind] = self._clock.now()
         return is_allowed
 
-    def record(self, entry: UpstreamEntry, kind: RequestClass) -> None:
+    def record(self, upstream: UpstreamId, kind: RequestClass) -> None:
         """Count a request that is sent to an upstream."""
-        rate = self._rate(entry)
+        rate = self._rate(upstream)
         if rate is not None:
-            self._take(self._refill(entry.upstream, rate), rate, kind)
+            self._take(self._refill(upstream, rate), rate, kind)
 
     def acquire(
         self,
-        entries: Sequence[UpstreamEntry],
+        upstreams: Sequence[UpstreamId],
         kind: RequestClass,
         *,
         wait_ms: int = 0,
@@ -220,12 +219,12 @@
     ) -> Permit:
         """Permit and count one request if one of some upstreams may get it soon enough.
 
-        :param entries: The upstreams in order of preference; at least one.
+        :param upstreams: The upstreams in order of preference; at least one.
         :param kind: Class of the request.
         :param wait_ms: How long it may wait.
         :param prompt_ms: How long it may wait to be answered in time.
         """
-        offers = [self._make_offer(entry, kind) for entry in entries]
+        offers = [self._make_offer(upstream, kind) for upstream in upstreams]
         best = min(offers, key=lambda offer: offer.delay_ms)
         now = self._clock.now()
         if best.bucket is None or best.delay_ms <= self._max_wait_ms(best, wait_ms, prompt_ms):
@@ -238,45 +237,45 @@
                 offer.bucket.overloaded_at = now if wait_ms else offer.bucket.overloaded_at
         return Permit(may_send=False, delay_ms=best.delay_ms)
 
-    def count_until(self, entries: Sequence[UpstreamEntry], *, ms: int) -> int:
+    def count_until(self, upstreams: Sequence[UpstreamId], *, ms: int) -> int:
         """Return how many requests some limited upstreams may get within some time."""
         count = 0
-        for entry in entries:
-            rate = self._rate(entry)
+        for upstream in upstreams:
+            rate = self._rate(upstream)
             if rate is not None:
-                level = self._refill(entry.upstream, rate).level
+                level = self._refill(upstream, rate).level
                 count += max(int(level + rate.per_s * ms / MS_PER_SECOND), 0)
         return count
 
-    def forecast_ms(self, entries: Sequence[UpstreamEntry], *, ahead: int) -> int:
+    def forecast_ms(self, upstreams: Sequence[UpstreamId], *, ahead: int) -> int:
         """Return the time until some limited upstreams may get a request, within ten per cent.
 
-        :param entries: The upstreams.
+        :param upstreams: The upstreams.
         :param ahead: Number of requests that wait for the same upstreams before it.
         """
         ms = MIN_FORECAST_MS
-        while ms < MAX_FORECAST_MS and self.count_until(entries, ms=ms) <= ahead:
+        while ms < MAX_FORECAST_MS and self.count_until(upstreams, ms=ms) <= ahead:
             ms = ceil(ms * FORECAST_STEP)
         return ms
 
-    def _total_rate(self, entry: UpstreamEntry) -> Rate | None:
+    def _total_rate(self, upstream: UpstreamId) -> Rate | None:
         """Return the limit of an upstream over all hosts."""
-        rates = [rate for source in self._sources if (rate := source.rate(entry)) is not None]
+        rates = [rate for source in self._sources if (rate := source.rate(upstream)) is not None]
         if not rates:
-            self._buckets.pop(entry.upstream, None)
+            self._buckets.pop(upstream, None)
             return None
         return Rate(
             per_s=min(rate.per_s for rate in rates), burst=min(rate.burst for rate in rates)
         )
 
-    def _rate(self, entry: UpstreamEntry) -> Rate | None:
+    def _rate(self, upstream: UpstreamId) -> Rate | None:
         """Return the part of an upstream's limit that this decider grants."""
-        total = self._total_rate(entry)
+        total = self._total_rate(upstream)
         if total is None:
             return None
         share = self._share()
         selected = min(2 * share * max(total.per_s, 1.0), 1.0)
-        if self._hash_fraction(entry.upstream) >= selected:
+        if self._hash_fraction(upstream) >= selected:
             return Rate(per_s=0.0, burst=0.0)
         part = min(share / selected, 1.0)
         overdraft = RESUME_OVERDRAFT + total.per_s * RESUME_OVERDRAFT_MS / MS_PER_SECOND
@@ -321,15 +320,15 @@
             return 0
         return ceil(missing * _interval_ms(rate))
 
-    def _make_offer(self, entry: UpstreamEntry, kind: RequestClass) -> _Offer:
-        rate = self._rate(entry)
+    def _make_offer(self, upstream: UpstreamId, kind: RequestClass) -> _Offer:
+        rate = self._rate(upstream)
         if rate is None:
-            return _Offer(upstream=entry.upstream, rate=UNLIMITED, bucket=None)
-        bucket = self._refill(entry.upstream, rate)
+            return _Offer(upstream=upstream, rate=UNLIMITED, bucket=None)
+        bucket = self._refill(upstream, rate)
         delay_ms = self._delay_ms(bucket, rate, kind)
         if not self._has_turn(bucket, rate, kind):
             delay_ms += _interval_ms(rate)
-        return _Offer(upstream=entry.upstream, rate=rate, bucket=bucket, delay_ms=delay_ms)
+        return _Offer(upstream=upstream, rate=rate, bucket=bucket, delay_ms=delay_ms)
 
     def _max_wait_ms(self, offer: _Offer, wait_ms: int, prompt_ms: int) -> int:
         """Return how long a request may wait for an offer."""
--- a/src/tanagerscale/coordination/_warmup.py
+++ b/src/tanagerscale/coordination/_warmup.py
@@ -34,6 +34,9 @@
 class WarmupUpstreams(Protocol):
     """Provides the state of upstreams that limits their rate."""
 
+    def get(self, upstream: UpstreamId) -> UpstreamEntry | None:
+        """Return the entry of an upstream, also for a while after it has been removed."""
+
     def warmup_ms(self, upstream: UpstreamId) -> int:
         """Return the remaining warm-up time of an upstream, as the upstream reports it."""
 
@@ -53,29 +56,30 @@
         self._tables = tables
         self._upstreams = upstreams
 
-    def rate(self, entry: UpstreamEntry) -> Rate | None:
+    def rate(self, upstream: UpstreamId) -> Rate | None:
         """Return the limit of an upstream that is warming; ``None`` for any other one."""
-        service = self._service(entry.service)
-        if service is None or not self._is_warming(entry, service):
+        entry = self._upstreams.get(upstream)
+        service = None if entry is None else self._service(entry.service)
+        if service is None or not self._is_warming(upstream, service):
             return None
         declared_per_s = service.warmup_requests_per_s
         granted_per_s = declared_per_s * GRANTED_SHARE
         return Rate(per_s=granted_per_s, burst=max(declared_per_s - granted_per_s, 1.0))
 
-    def _is_warming(self, entry: UpstreamEntry, service: Service) -> bool:
-        return service.warmup_requests_per_s > 0 and self._remaining_ms(entry, service) > 0
+    def _is_warming(self, upstream: UpstreamId, service: Service) -> bool:
+        return service.warmup_requests_per_s > 0 and self._remaining_ms(upstream, service) > 0
 
     def _service(self, name: ServiceId) -> Service | None:
         table = self._tables.table
         return None if table is None else table.service(name)
 
-    def _remaining_ms(self, entry: UpstreamEntry, service: Service) -> int:
+    def _remaining_ms(self, upstream: UpstreamId, service: Service) -> int:
         """Return the remaining warm-up time of an upstream.
 
         Upstreams of an evacuated failure domain may have become cold unnoticed.
         """
-        reported_ms = self._upstreams.warmup_ms(entry.upstream)
-        since_evacuation_ms = self._upstreams.since_evacuation_ms(entry.upstream)
+        reported_ms = self._upstreams.warmup_ms(upstream)
+        since_evacuation_ms = self._upstreams.since_evacuation_ms(upstream)
         return (
             reported_ms
             if since_evacuation_ms is None
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -175,8 +175,8 @@
         """Return the upstream for the next attempt; one with a rate limit requires a permit."""
         ranked = self._rank_entries()
         limits = self._context.rate_limits
-        limited = list(takewhile(limits.is_limited, ranked))
-        unlimited = next((entry for entry in ranked if not limits.is_limited(entry)), None)
+        limited = list(takewhile(lambda entry: limits.is_limited(entry.upstream), ranked))
+        unlimited = next(iter(ranked[len(limited) :]), None)
         if not limited:
             return unlimited
         entry = await self._get_permitted(limited, may_wait=unlimited is None)
@@ -240,7 +240,7 @@
             is_remote = entry.failure_domain != self._context.failure_domain
             busy = counts[entry.upstream] + (REMOTE_DOMAIN_PENALTY_REQUESTS if is_remote else 0.0)
             # Repeats leave limited upstreams to first attempts.
-            is_last = is_repeat and self._context.rate_limits.is_limited(entry)
+            is_last = is_repeat and self._context.rate_limits.is_limited(entry.upstream)
             return is_last, busy, self._context.rng.random()
 
         return sorted(self._usable_entries(), key=cost)
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -246,7 +246,7 @@
 
         :returns: Whether it does; if not, some time has passed in which it may have changed.
         """
-        if not self._context.rate_limits.is_limited(entry):
+        if not self._context.rate_limits.is_limited(entry.upstream):
             return True
         permit = await self._context.rate_permits.acquire(
             upstreams=[entry.upstream],
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -487,8 +487,7 @@
     ) -> Permit:
         """Count a request if the rate limit of one upstream allows one more."""
         self.asked += upstreams
-        entries = [entry for one in upstreams if (entry := self.upstreams.get(one)) is not None]
-        return self.rate_limits.acquire(entries, kind, wait_ms=wait_ms, prompt_ms=prompt_ms)
+        return self.rate_limits.acquire(upstreams, kind, wait_ms=wait_ms, prompt_ms=prompt_ms)
 
 
 @dataclass(slots=True)
--- a/testing/_limited_upstreams.py
+++ b/testing/_limited_upstreams.py
@@ -5,10 +5,13 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 from random import Random
+from typing import Any
+from typing import TypeVar
 from typing import final
 
 from prometheus_client import CollectorRegistry
@@ -36,6 +39,9 @@
 from testing._many_hosts import FakeUpstreamEdge
 from testing._many_hosts import Fleet
 from testing._many_hosts import Host
+from testing._virtual_time import run_virtually
+
+T = TypeVar("T")
 
 SERVICE_MS = 45
 """Time in which an upstream answers a plain request."""
@@ -125,7 +131,7 @@
 
     def name_limit(self, upstream: str, rate_per_s: float) -> None:
         """Name a limit in each response from now on."""
-        now = _now()
+        now = now_ms()
         if upstream in self.rates:
             period = self._periods[upstream].pop()
             rates = [*period.rates, (now, rate_per_s)]
@@ -139,12 +145,12 @@
         """Name no limit any more."""
         del self.rates[upstream]
         period = self._periods[upstream].pop()
-        self._periods[upstream].append(LimitPeriod(period.began, _now(), period.rates))
+        self._periods[upstream].append(LimitPeriod(period.began, now_ms(), period.rates))
 
     async def serve(self, host: str, upstream_request: UpstreamRequest) -> FakeResponse:
         """Respond to a request."""
         upstream = str(upstream_request.upstream.upstream)
-        self.arrivals[upstream].append(Arrival(_now(), host))
+        self.arrivals[upstream].append(Arrival(now_ms(), host))
         await asyncio.sleep(SERVICE_MS / 1000)
         rate = self.rates.get(upstream)
         headers = () if rate is None else ((LIMIT_FIELD, upstream),)
@@ -180,7 +186,7 @@
     def used_share(self, upstream: str, *, since: int) -> float:
         """Return the fraction of the requests that the current limit allows since some time."""
         arrived = sum(arrival.at >= since for arrival in self.arrivals[upstream])
-        return arrived / (self.rates[upstream] * (_now() - since) / 1000)
+        return arrived / (self.rates[upstream] * (now_ms() - since) / 1000)
 
 
 @dataclass(kw_only=True, eq=False)
@@ -248,13 +254,13 @@
     async def call(self, forwarder: ForwardingHost, route: Route = PLAIN_ROUTE) -> Outcome:
         """Send one request to a host and wait for its outcome."""
         self._number += 1
-        sent_at, host = _now(), forwarder.host.name
+        sent_at, host = now_ms(), forwarder.host.name
         responder = _Responder(
-            told=lambda upstream: self.upstreams.told[upstream][host].append(_now())
+            told=lambda upstream: self.upstreams.told[upstream][host].append(now_ms())
         )
         refusal = await forwarder.forward(f"r{self._number}", route, responder)
         is_stream = route.kind is RouteKind.STREAMING
-        outcome = Outcome(sent_at, _now(), refusal, is_stream)
+        outcome = Outcome(sent_at, now_ms(), refusal, is_stream)
         self.outcomes.append(outcome)
         return outcome
 
@@ -311,5 +317,19 @@
         )
 
 
-def _now() -> int:
+def run_with_limited_fleet(
+    scenario: Callable[[LimitedFleet], Coroutine[Any, Any, T]], *, hosts: int = 9
+) -> T:
+    """Run a scenario in virtual time with hosts that have started, and return its result."""
+
+    async def run() -> T:
+        fleet = LimitedFleet()
+        await fleet.start(hosts=hosts)
+        return await scenario(fleet)
+
+    return run_virtually(run())
+
+
+def now_ms() -> int:
+    """Return the virtual time in milliseconds."""
     return int(asyncio.get_running_loop().time() * 1000)
--- a/testing/test_rate_limits.py
+++ b/testing/test_rate_limits.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from collections.abc import Coroutine
-from typing import Any
 
 import pytest
 
@@ -14,7 +11,7 @@
 from testing._limited_upstreams import PLAIN_ROUTE
 from testing._limited_upstreams import SHORT_ROUTE
 from testing._limited_upstreams import LimitedFleet
-from testing._virtual_time import run_virtually
+from testing._limited_upstreams import run_with_limited_fleet
 
 RATES = [0.3, 2.0, 2.7, 50.0]
 
@@ -24,15 +21,6 @@
     return max(8 * rate_per_s, 30)
 
 
-def _run(scenario: Callable[[LimitedFleet], Coroutine[Any, Any, Any]], *, hosts: int = 9) -> Any:
-    async def run() -> Any:
-        fleet = LimitedFleet()
-        await fleet.start(hosts=hosts)
-        return await scenario(fleet)
-
-    return run_virtually(run())
-
-
 # All hosts together went on sending an upstream as much as before when it named a rate limit.
 @pytest.mark.parametrize("rate_per_s", RATES)
 @pytest.mark.parametrize("hosts", [1, 9])
@@ -45,7 +33,7 @@
         await fleet.load(per_s=_load_per_s(rate_per_s), seconds=9)
         return fleet.upstreams.find_excess()
 
-    assert _run(scenario, hosts=hosts) == []
+    assert run_with_limited_fleet(scenario, hosts=hosts) == []
 
 
 # A service of which all upstreams were limited got more than all their rates together.
@@ -60,7 +48,7 @@
         await fleet.load(per_s=_load_per_s(rate_per_s), seconds=9)
         return fleet.upstreams.find_excess()
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 # Streams were placed on a limited engine as if it had no limit.
@@ -76,7 +64,7 @@
         await fleet.load(per_s=20, seconds=9, routes=[route])
         return fleet.upstreams.find_excess()
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 # A burst of callers at the moment at which a limit is named exceeded it.
@@ -89,7 +77,7 @@
         await burst
         return fleet.upstreams.find_excess()
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 # The limit was exceeded when plain requests and streams shared an upstream.
@@ -100,4 +88,4 @@
         await fleet.load(per_s=30, seconds=9, routes=routes)
         return fleet.upstreams.find_excess()
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
--- a/testing/test_rate_limits_failures.py
+++ b/testing/test_rate_limits_failures.py
@@ -14,21 +14,12 @@
 from testing._limited_upstreams import PLAIN_ROUTE
 from testing._limited_upstreams import SHORT_ROUTE
 from testing._limited_upstreams import LimitedFleet
-from testing._virtual_time import run_virtually
+from testing._limited_upstreams import run_with_limited_fleet
 
 ALL = ("e0", "e1", "e2")
 BOTH_ROUTES = [PLAIN_ROUTE, SHORT_ROUTE]
 
 
-def _run(scenario: Callable[[LimitedFleet], Coroutine[Any, Any, Any]], *, hosts: int = 9) -> Any:
-    async def run() -> Any:
-        fleet = LimitedFleet()
-        await fleet.start(hosts=hosts)
-        return await scenario(fleet)
-
-    return run_virtually(run())
-
-
 async def _disturb(
     fleet: LimitedFleet, disturb: Callable[[], Coroutine[Any, Any, None]], *, rate_per_s: float
 ) -> list[str]:
@@ -51,7 +42,7 @@
 
         return await _disturb(fleet, disturb, rate_per_s=rate_per_s)
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 # Deciders that were killed one after the other each granted a burst.
@@ -64,7 +55,7 @@
 
         return await _disturb(fleet, disturb, rate_per_s=2.0)
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 # The hosts beside a decider that hung asked others, which knew nothing of the limit.
@@ -82,7 +73,7 @@
 
         return await _disturb(fleet, disturb, rate_per_s=rate_per_s)
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 # Some hosts couldn't reach the decider of the others, so that two granted the whole rate.
@@ -95,7 +86,7 @@
 
         return await _disturb(fleet, disturb, rate_per_s=2.0)
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 def test_limits_hold_when_a_host_is_cut_off_from_all_others() -> None:
@@ -105,7 +96,7 @@
 
         return await _disturb(fleet, disturb, rate_per_s=2.0)
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 def test_limits_hold_when_the_store_is_away() -> None:
@@ -116,7 +107,7 @@
 
         return await _disturb(fleet, disturb, rate_per_s=2.0)
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 # Hosts that start anew know of no limit until an upstream responds to them.
@@ -130,7 +121,7 @@
 
         return await _disturb(fleet, disturb, rate_per_s=2.0)
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 # Messages between a host and the decider come late, and out of step with responses.
@@ -146,7 +137,7 @@
 
         return await _disturb(fleet, disturb, rate_per_s=2.0)
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 # A run that continued from a copy was not counted at the engine that holds the copy.
@@ -162,7 +153,7 @@
         await load
         return fleet.upstreams.find_excess()
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 # A limit was lost when the upstream was warming, or asked for a pause, at the same time.
@@ -181,7 +172,7 @@
 
         return await _disturb(fleet, disturb, rate_per_s=2.0)
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 # Hosts kept to the first limit when it was lowered, or to the lower one when it was raised.
@@ -201,7 +192,7 @@
         await fleet.load(per_s=150, seconds=8)
         return fleet.upstreams.find_excess(), shares
 
-    excess, shares = _run(scenario)
+    excess, shares = run_with_limited_fleet(scenario)
     assert excess == []
     assert min(shares) > 0.7
 
@@ -221,7 +212,7 @@
             await asyncio.sleep(0.05)
         return counts
 
-    assert _run(scenario) == [1, 9]
+    assert run_with_limited_fleet(scenario) == [1, 9]
 
 
 def test_host_that_starts_knows_the_limits_when_it_has_joined() -> None:
@@ -232,7 +223,7 @@
         await asyncio.sleep(2)
         return list(added.context.named_limits.limited)
 
-    assert _run(scenario) == ["e0"]
+    assert run_with_limited_fleet(scenario) == ["e0"]
 
 
 # An upstream whose limit was known got nothing any more, so that nobody learnt of its end.
@@ -244,7 +235,7 @@
         await fleet.load(per_s=20, seconds=22)
         return [one for host in fleet.hosts for one in host.context.named_limits.limited]
 
-    assert _run(scenario) == []
+    assert run_with_limited_fleet(scenario) == []
 
 
 def test_new_upstream_is_not_limited_when_its_predecessor_was() -> None:
@@ -257,4 +248,4 @@
         await fleet.load(per_s=40, seconds=3)
         return len(fleet.upstreams.arrivals["e0-next"])
 
-    assert _run(scenario) > 20
+    assert run_with_limited_fleet(scenario) > 20
--- a/testing/test_rate_limits_use.py
+++ b/testing/test_rate_limits_use.py
@@ -4,8 +4,6 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
-from collections.abc import Coroutine
 from typing import Any
 
 import pytest
@@ -16,26 +14,14 @@
 from testing._limited_upstreams import SERVICE_MS
 from testing._limited_upstreams import SHORT_ROUTE
 from testing._limited_upstreams import LimitedFleet
-from testing._virtual_time import run_virtually
+from testing._limited_upstreams import now_ms
+from testing._limited_upstreams import run_with_limited_fleet
 
 ALL = ("e0", "e1", "e2")
 MIN_USED_SHARE = 0.9
 """Part of a rate that is used while more requests arrive than it allows."""
 
 
-def _run(scenario: Callable[[LimitedFleet], Coroutine[Any, Any, Any]], *, hosts: int = 9) -> Any:
-    async def run() -> Any:
-        fleet = LimitedFleet()
-        await fleet.start(hosts=hosts)
-        return await scenario(fleet)
-
-    return run_virtually(run())
-
-
-def _now() -> int:
-    return int(asyncio.get_running_loop().time() * 1000)
-
-
 async def _name_limits(fleet: LimitedFleet, rate_per_s: float, *, upstreams: Any = ALL) -> None:
     """Let upstreams name a limit, and wait until all hosts know it."""
     for upstream in upstreams:
@@ -49,11 +35,11 @@
 def test_rates_are_used_when_more_requests_arrive_than_they_allow(rate_per_s: float) -> None:
     async def scenario(fleet: LimitedFleet) -> list[float]:
         await _name_limits(fleet, rate_per_s)
-        began = _now()
+        began = now_ms()
         await fleet.load(per_s=6 * rate_per_s + 10, seconds=12)
         return [fleet.upstreams.used_share(upstream, since=began) for upstream in ALL]
 
-    assert min(_run(scenario)) >= MIN_USED_SHARE
+    assert min(run_with_limited_fleet(scenario)) >= MIN_USED_SHARE
 
 
 def test_no_request_is_refused_or_late_when_other_upstreams_have_no_limit() -> None:
@@ -64,7 +50,7 @@
             one.refusal is None and one.took_ms <= PLAIN_ROUTE.target_ms for one in fleet.outcomes
         )
 
-    assert set(_run(scenario)) == {True}
+    assert set(run_with_limited_fleet(scenario)) == {True}
 
 
 def test_request_waits_for_its_turn_when_it_is_served_before_its_deadline() -> None:
@@ -75,7 +61,7 @@
         outcomes = await asyncio.gather(*calls)
         return [(one.refusal is None, one.took_ms) for one in outcomes]
 
-    outcomes = _run(scenario)
+    outcomes = run_with_limited_fleet(scenario)
     assert all(is_served for is_served, _ in outcomes)
     assert max(took_ms for _, took_ms in outcomes) <= 500 + SERVICE_MS + 20
 
@@ -87,7 +73,7 @@
         outcomes = await asyncio.gather(*calls)
         return [one for one in outcomes if one.refusal is not None]
 
-    refused = _run(scenario)
+    refused = run_with_limited_fleet(scenario)
     assert len(refused) >= 27
     assert max(one.took_ms for one in refused) < 100
     assert {one.refusal.kind for one in refused} == {RefusalKind.OVERLOADED}
@@ -101,7 +87,7 @@
         outcomes = await asyncio.gather(*calls)
         return [one for one in outcomes if one.refusal is not None]
 
-    refused = _run(scenario)
+    refused = run_with_limited_fleet(scenario)
     assert len(refused) >= 20
     assert max(one.took_ms for one in refused) < 100
     assert all(one.refusal.retry_after_ms >= 3000 for one in refused)
@@ -121,15 +107,15 @@
         streams = sum(one.is_stream for one in served)
         return [streams, len(served) - streams]
 
-    assert min(_run(scenario)) >= 15
+    assert min(run_with_limited_fleet(scenario)) >= 15
 
 
 # The cost of a limit grew with the hosts times their requests.
 def test_messages_about_a_limit_are_bounded_when_many_hosts_have_many_requests() -> None:
     async def scenario(fleet: LimitedFleet) -> float:
         await _name_limits(fleet, 2.0, upstreams=["e0"])
-        before, began = fleet.fleet.received, _now()
+        before, began = fleet.fleet.received, now_ms()
         await fleet.load(per_s=600, seconds=3)
-        return (fleet.fleet.received - before) / (_now() - began) * 1000
+        return (fleet.fleet.received - before) / (now_ms() - began) * 1000
 
-    assert _run(scenario, hosts=30) <= 2 * 200 + 100
+    assert run_with_limited_fleet(scenario, hosts=30) <= 2 * 200 + 100
--- a/testing/test_warmup.py
+++ b/testing/test_warmup.py
@@ -73,7 +73,7 @@
 
 
 def _try_acquire(limit: RateLimits) -> bool:
-    return limit.acquire([ENTRY], RequestClass.PLAIN).may_send
+    return limit.acquire([ENTRY.upstream], RequestClass.PLAIN).may_send
 
 
 def _max_in_a_second(times: list[float]) -> int:
@@ -126,7 +126,9 @@
 def test_warm_upstream_is_not_limited() -> None:
     async def scenario() -> bool:
         limit = _make_limit(upstreams=FakeUpstreams(entries=[ENTRY]))
-        return all(_try_acquire(limit) for _ in range(1000)) and not limit.is_limited(ENTRY)
+        return all(_try_acquire(limit) for _ in range(1000)) and not limit.is_limited(
+            ENTRY.upstream
+        )
 
     assert run_virtually(scenario())
 
@@ -135,10 +137,10 @@
     async def scenario() -> list[bool]:
         upstreams = FakeUpstreams(entries=[ENTRY])
         limit = _make_limit(upstreams=upstreams)
-        seen = [limit.is_limited(ENTRY)]
+        seen = [limit.is_limited(ENTRY.upstream)]
         for ended_ms in (0, COLD_MS - 1, COLD_MS):
             upstreams.taken_back["x"] = ended_ms
-            seen.append(limit.is_limited(ENTRY))
+            seen.append(limit.is_limited(ENTRY.upstream))
         return seen
 
     assert run_virtually(scenario()) == [False, True, True, False]
@@ -277,6 +279,6 @@
     async def scenario() -> bool:
         upstreams = FakeUpstreams(entries=[ENTRY], taken_back={"x": 59_000})
         limit = _make_limit(upstreams=upstreams)
-        return limit.is_limited(ENTRY)
+        return limit.is_limited(ENTRY.upstream)
 
     assert not run_virtually(scenario())
--- a/testing/test_warmup_machine.py
+++ b/testing/test_warmup_machine.py
@@ -84,13 +84,17 @@
     def ask(self, host: str, repeats: int) -> None:
         """Send the requests that the decider of a host allows."""
         for _ in range(repeats):
-            if self.limits[self.decider[host]].acquire([ENTRY], RequestClass.PLAIN).may_send:
+            if (
+                self.limits[self.decider[host]]
+                .acquire([ENTRY.upstream], RequestClass.PLAIN)
+                .may_send
+            ):
                 self.sent.append(self.clock.at)
 
     @rule(host=st.sampled_from(HOSTS))
     def lose_answer(self, host: str) -> None:
         """Count a request at the decider whose answer its host does not receive."""
-        self.limits[self.decider[host]].acquire([ENTRY], RequestClass.PLAIN)
+        self.limits[self.decider[host]].acquire([ENTRY.upstream], RequestClass.PLAIN)
 
     @rule(host=st.sampled_from(HOSTS))
     def isolate(self, host: str) -> None:
