Don't fail the soak when a host ends as its grace period does

Cause: the soak kills a host that hasn't ended in its grace period. A host that ends in that moment has been reaped by then, and the call fails with ProcessLookupError, so that the whole soak fails without a verdict.

Change: the signal is only sent to a process that hasn't been reaped, as the other signals of the soak are.

Measured: the new test fails before with ProcessLookupError and passes after.

--- a/standins/platform_hosts.py
+++ b/standins/platform_hosts.py
@@ -97,15 +97,14 @@
                 await asyncio.wait_for(process.wait(), self._settings.host.stop_grace_s)
             except TimeoutError:
                 fault.detail = "killed at the end of the grace period"
-                process.kill()
+                self._signal(signal.SIGKILL)
             await self._wait_for_watch()
 
     async def kill(self) -> None:
         """End the process with SIGKILL."""
-        process = self._running_process()
         self._is_ending = True
         with self._fault_log.lasting(FaultKind.HOST_KILL, self.name):
-            process.kill()
+            self._signal(signal.SIGKILL)
             await self._wait_for_watch()
 
     async def freeze(self, duration_ms: int) -> None:
@@ -132,8 +131,8 @@
     async def end(self) -> None:
         """End the process at the end of a run, in whichever state it is."""
         self._is_ending = True
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
+        if self._process is not None:
+            self._signal(signal.SIGKILL)
         await self._wait_for_watch()
 
     async def _wait_for_watch(self) -> None:
--- a/testing/test_platform_soak.py
+++ b/testing/test_platform_soak.py
@@ -2,11 +2,53 @@
 
 from __future__ import annotations
 
+import asyncio
+from asyncio.subprocess import Process
 from pathlib import Path
+from typing import cast
 
 import pytest
 
+from standins.platform_fault_log import FaultLog
+from standins.platform_hosts import PlatformHostProcess
 from standins.platform_soak import run_soak
+from standins.platform_world import PlatformCluster
+
+
+class _EndedProcess:
+    """A process that ends by itself at the end of its grace period."""
+
+    returncode = 0
+    pid = 0
+
+    async def wait(self) -> int:
+        """Wait for longer than the grace period."""
+        await asyncio.sleep(1)
+        return 0
+
+    def send_signal(self, number: int) -> None:
+        """Do nothing."""
+
+    def kill(self) -> None:
+        """Fail, as for a process that has been reaped."""
+        raise ProcessLookupError
+
+
+# The soak itself failed when a host ended at the moment at which it was to be killed.
+@pytest.mark.asyncio
+async def test_stop_succeeds_when_the_process_ends_at_the_end_of_its_grace_period(
+    tmp_path: Path,
+) -> None:
+    cluster = PlatformCluster()
+    await cluster.start()
+    settings = await cluster.make_settings("h0", seeds=(), stop_grace_s=0.01)
+    host = PlatformHostProcess(
+        name="h0", settings=settings, directory=tmp_path, fault_log=FaultLog()
+    )
+    host._process = cast(Process, _EndedProcess())
+    await host.stop()
+    await cluster.store_links["h0"].__aexit__()
+    await cluster.stop()
 
 
 # Guards against requests that hosts lose, repeat or refuse falsely while faults overlap.
