--- a/src/tanagerscale/coordination/_rate_permits.py
+++ b/src/tanagerscale/coordination/_rate_permits.py
@@ -19,7 +19,7 @@
 
 ASK_INTERVAL_MS_PER_HOST: Final = 5
 """Time for each host after which it asks again for a permit that was refused. It bounds the asks
-about one upstream to 200 a second."""
+about one upstream to 200 a second, without those of requests that may wait."""
 
 
 @final
