Log and count each request that is sent once more, and each grant of the retry budget

Cause: the report on the retry budget can't be told apart by our records: which way a repeat came, whether the budget was asked for it, and who granted it on which numbers stood nowhere.

Each repeat is logged with its path (repeated, hedged, placed again, resumed) and permit, and counted by both in tanagerscale_repeats_total; a decider logs each ask with the requests it was told, what is left, and since when it decides. No decision changes.

--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -51,6 +51,7 @@
 
 _log = get_logger(part="departures")
 _limits_log = get_logger(part="limits")
+_repeats_log = get_logger(part="repeats")
 
 
 class EngineReports(Protocol):
@@ -126,11 +127,7 @@
             case PlaceWithdrawal():
                 self.queue.withdraw(host=host, serial=message.serial)
             case RepeatAsk():
-                service = ServiceId(message.service)
-                is_allowed = self._retry_budgets.try_acquire(
-                    service=service, requests=message.requests
-                )
-                self._send(host, RepeatAnswer(serial=message.serial, may_repeat=is_allowed))
+                self._answer_repeat_ask(host, message)
             case RateAsk():
                 self._answer_rate_ask(host, message)
             case MoveDone():
@@ -138,6 +135,20 @@
             case _:
                 pass
 
+    def _answer_repeat_ask(self, host: HostId, ask: RepeatAsk) -> None:
+        service = ServiceId(ask.service)
+        may_repeat = self._retry_budgets.try_acquire(service=service, requests=ask.requests)
+        _repeats_log.info(
+            "A host asks for a repeat.",
+            host_that_asked=host,
+            service=service,
+            requests=ask.requests,
+            may_repeat=may_repeat,
+            left=round(self._retry_budgets.left(service), 1),
+            decider_since_ms=self._retry_budgets.decider_since_ms,
+        )
+        self._send(host, RepeatAnswer(serial=ask.serial, may_repeat=may_repeat))
+
     def _answer_rate_ask(self, host: HostId, ask: RateAsk) -> None:
         upstreams = [UpstreamId(upstream) for upstream in ask.upstreams]
         permit = Permit(may_send=False)
--- a/src/tanagerscale/coordination/_retry_budgets.py
+++ b/src/tanagerscale/coordination/_retry_budgets.py
@@ -79,6 +79,16 @@
         budget.on_requests(requests)
         return budget.try_spend()
 
+    def left(self, service: ServiceId) -> float:
+        """Return the retries that a service may use now."""
+        budget = self._budgets.get(service)
+        return 0.0 if budget is None else budget.left
+
+    @property
+    def decider_since_ms(self) -> int:
+        """Time for which this host has been a decider, in milliseconds."""
+        return self._clock.now() - self._since()
+
     def _get_budget(self, service: ServiceId, requests: int) -> RetryBudget:
         since = self._since()
         if since != self._started_at:
--- a/src/tanagerscale/forwarding/_metrics.py
+++ b/src/tanagerscale/forwarding/_metrics.py
@@ -90,6 +90,12 @@
             ["path"],
             registry=registry,
         )
+        self.repeats: Final = Counter(
+            "tanagerscale_repeats",
+            "Requests sent to upstreams that had been sent before, by path and permit.",
+            ["path", "permit"],
+            registry=registry,
+        )
         self.pause_refusals: Final = Counter(
             "tanagerscale_pause_refusals",
             "Requests refused because all their upstreams had asked for a pause.",
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -26,6 +26,8 @@
 from tanagerscale.forwarding._refusals import no_upstream
 from tanagerscale.forwarding._refusals import rate_limited
 from tanagerscale.forwarding._refusals import upstream_failed
+from tanagerscale.forwarding._repeats import RepeatPath
+from tanagerscale.forwarding._repeats import record_repeat
 from tanagerscale.forwarding._types import MIN_SERVER_ERROR_STATUS
 from tanagerscale.forwarding._types import Header
 from tanagerscale.forwarding._types import Refusal
@@ -254,6 +256,7 @@
         """Send the request to one upstream; return ``None`` if another upstream should be tried."""
         response: UpstreamResponse | None = None
         self._record_limited(entry)
+        self._record_repeat(entry)
         sent_at = self._context.clock.now()
         self._record.record_sent(entry.upstream)
         late = AttemptHealthRecorder(
@@ -286,6 +289,13 @@
         path = RequestPath.REPEATED if self._record.sent else RequestPath.FIRST
         record_limited_request(self._routed, self._context, entry.upstream, path=path)
 
+    def _record_repeat(self, entry: UpstreamEntry) -> None:
+        record = self._record
+        if not record.reached:
+            return
+        path = RepeatPath.HEDGED if record.is_in_flight else RepeatPath.REPEATED
+        record_repeat(self._routed, self._context, entry.upstream, path=path, is_permitted=True)
+
     def _build_request(self, entry: UpstreamEntry) -> UpstreamRequest:
         return UpstreamRequest(
             request=self._routed.request,
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -21,6 +21,8 @@
 from tanagerscale.forwarding._limited_requests import record_limited_request
 from tanagerscale.forwarding._limited_requests import record_named_rate
 from tanagerscale.forwarding._parts import ForwardingContext
+from tanagerscale.forwarding._repeats import RepeatPath
+from tanagerscale.forwarding._repeats import record_repeat
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
 from tanagerscale.forwarding._types import Continuation
@@ -223,6 +225,8 @@
     async def _try_resume(
         self, entry: UpstreamEntry, resume_target: ResumeTarget, progress: RunProgress
     ) -> StreamSegment:
+        path = RepeatPath.RESUMED
+        record_repeat(self._routed, self._context, entry.upstream, path=path, is_permitted=False)
         sent_at = self._context.clock.now()
         async with asyncio.timeout(RESUME_TIMEOUT_MS / MS_PER_SECOND):
             segment = await self.send(entry=entry, resume_target=resume_target, progress=progress)
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -21,6 +21,8 @@
 from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import upstream_failed
 from tanagerscale.forwarding._relay import EventRelay
+from tanagerscale.forwarding._repeats import RepeatPath
+from tanagerscale.forwarding._repeats import record_repeat
 from tanagerscale.forwarding._segments import MIN_FAILURE_STATUS
 from tanagerscale.forwarding._segments import RunProgress
 from tanagerscale.forwarding._segments import SegmentSender
@@ -226,6 +228,9 @@
 
     async def _try_engine(self, entry: UpstreamEntry) -> Refusal | None:
         sender = self._sender
+        if self._record.reached:
+            path = RepeatPath.PLACED_AGAIN
+            record_repeat(self._routed, self._context, entry.upstream, path=path, is_permitted=True)
         self._record.record_sent(entry.upstream)
         try:
             segment = await sender.send(entry=entry, resume_target=None, progress=self._progress)
--- a/src/tanagerscale/policy/_retries.py
+++ b/src/tanagerscale/policy/_retries.py
@@ -38,6 +38,11 @@
         self._tokens = reserve if start is None else start
         self._last_refill = last_refill
 
+    @property
+    def left(self) -> float:
+        """Retries that are left."""
+        return self._tokens
+
     def set_reserve(self, *, reserve: float) -> None:
         """Replace the maximum number of accumulated retries."""
         self._reserve = reserve
