Add failing tests of the retry budget over all hosts, in virtual time and through processes

Cause (hypotheses 1 to 3 of docs/incidents/repeats-beyond-the-budget.md): runs that continue ask nobody; a host's first ask credits the requests of all the time before it; each host that others turn to grants a whole reserve.

The users' rule is computed in standins/retry_budget_rule.py from what callers sent and what arrived at the upstreams, apart from the product's counters: sliding windows, the best of three counts of requests, all hosts together. The soak's verdict applies it to every run; a new mode lets the upstreams of a service refuse and break off together. The fleet of the rate limits' tests is split, so that both kinds of upstreams use it.

--- a/standins/platform_callers.py
+++ b/standins/platform_callers.py
@@ -16,6 +16,9 @@
 from standins.platform_hosts import PlatformHostProcess
 from standins.platform_world import API_KEY
 from standins.platform_world import HOST_NAME
+from standins.platform_world import MODEL_SERVICE
+from standins.platform_world import NOTES_SERVICE
+from standins.platform_world import PLAIN_SERVICE
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 
@@ -46,6 +49,12 @@
         """Whether the answer is a stream of events."""
         return self in (CallKind.SHORT, CallKind.LONG)
 
+    @property
+    def service(self) -> str:
+        """Service to which the route leads."""
+        services = {CallKind.LONG: MODEL_SERVICE, CallKind.SHORT: NOTES_SERVICE}
+        return services.get(self, PLAIN_SERVICE)
+
     @property
     def deadline_ms(self) -> int:
         """How long a caller waits, in milliseconds."""
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -32,6 +32,8 @@
     NORMAL = "well"
     FULL = "full"
     """Refuses requests before execution."""
+    REFUSES = "refuses"
+    """Refuses all requests before execution, also those of runs that continue."""
     RESET_AFTER_EXECUTION = "loses-answers"
     """Executes requests and resets their connections."""
     FAILS = "fails"
@@ -180,11 +182,16 @@
         self._ledger.engines[self.address] = self
         return self.address
 
+    def break_off(self) -> None:
+        """Abort all running requests."""
+        for transport in self._transports:
+            transport.abort()
+        self._transports.clear()
+
     async def stop(self) -> None:
         """Stop at once and abort all running requests, as a crash does."""
         self._ledger.engines.pop(self.address, None)
-        for transport in self._transports:
-            transport.abort()
+        self.break_off()
         await self._runner.cleanup()
 
     @property
@@ -251,6 +258,8 @@
     ) -> web.StreamResponse:
         if headers.get("Tanagerscale-Expect-Instance") not in (None, self.upstream):
             return web.Response(status=421)
+        if self.behavior is UpstreamBehavior.REFUSES:
+            return web.Response(status=503, headers={"Tanagerscale-Not-Executed": "1"})
         # A run that resumes from a copy uses the room that the copy occupies.
         if self.behavior is UpstreamBehavior.FULL and "Kv-From" not in headers:
             return web.Response(status=503, headers=self._refusal_headers())
--- a/standins/platform_faults.py
+++ b/standins/platform_faults.py
@@ -16,6 +16,7 @@
 from standins.platform_fault_log import FaultLog
 from standins.platform_hosts import PlatformHostProcess
 from standins.platform_store import StoreBehavior
+from standins.platform_world import NOTES_SERVICE
 from standins.platform_world import PlatformCluster
 from standins.platform_world import configuration
 from tanagerscale.core import MS_PER_SECOND
@@ -30,6 +31,8 @@
 LEAVING_MS = 2_000
 """How long a leaving upstream keeps serving after its notice, at least."""
 REFUSAL_PAUSE_S = 3.0
+RETRY_SLACKS = (10, 100)
+"""Range of the retries in addition to the ratio that hosts are reconfigured with."""
 IDLE_TIMEOUTS_MS = (3_000, 15_000)
 STORE_FAULTS = [behavior for behavior in StoreBehavior if behavior is not StoreBehavior.NORMAL]
 UPSTREAM_FAULTS = (
@@ -49,11 +52,18 @@
     :param cluster: Store and upstreams.
     :param hosts: Host processes.
     :param fault_log: Record of the faults.
+    :param retry_slacks: Range of the retries in addition to the ratio.
     """
 
     def __init__(
-        self, *, cluster: PlatformCluster, hosts: list[PlatformHostProcess], fault_log: FaultLog
+        self,
+        *,
+        cluster: PlatformCluster,
+        hosts: list[PlatformHostProcess],
+        fault_log: FaultLog,
+        retry_slacks: tuple[int, int] = RETRY_SLACKS,
     ) -> None:
+        self._retry_slacks = retry_slacks
         self._cluster = cluster
         self._hosts = hosts
         self._fault_log = fault_log
@@ -139,7 +149,7 @@
 
     async def _reload_host(self, rng: Random) -> None:
         if host := self._reserve_host(rng):
-            host.reload(retry_slack=rng.randint(10, 100))
+            host.reload(retry_slack=rng.randint(*self._retry_slacks))
             self._busy_hosts.discard(host.name)
 
     async def _disconnect_host_from_store(self, rng: Random) -> None:
@@ -217,8 +227,10 @@
     """Return a configuration with an additional route and service for short streams."""
     value = configuration(version=version)
     draft = value["routes"][0]
-    value["routes"].append({**draft, "name": "note", "pathPrefix": "/note/", "service": "notes"})
-    value["services"].append({**value["services"][0], "name": "notes"})
+    value["routes"].append(
+        {**draft, "name": "note", "pathPrefix": "/note/", "service": NOTES_SERVICE}
+    )
+    value["services"].append({**value["services"][0], "name": NOTES_SERVICE})
     return value
 
 
--- a/standins/platform_soak.py
+++ b/standins/platform_soak.py
@@ -15,17 +15,22 @@
 from standins.platform_callers import CallKind
 from standins.platform_callers import PlatformCallers
 from standins.platform_fault_log import FaultLog
+from standins.platform_faults import RETRY_SLACKS
 from standins.platform_faults import PlatformFaultInjector
 from standins.platform_faults import soak_configuration
 from standins.platform_hosts import PlatformHostProcess
 from standins.platform_limits import LimitNamer
+from standins.platform_repeats import RepeatProvoker
 from standins.platform_verdict import STREAM_EVENTS
 from standins.platform_verdict import PlatformVerdict
 from standins.platform_world import MODEL_SERVICE
+from standins.platform_world import NOTES_SERVICE
 from standins.platform_world import PLAIN_SERVICE
 from standins.platform_world import PlatformCluster
+from standins.retry_budget_rule import RetryBudgetRule
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
+from tanagerscale.generated.gateway import RetrySection
 
 STOP_GRACE_S = 5
 SEEDS = 3
@@ -33,6 +38,8 @@
 """Time after the last answer in which a refused request could still be executed."""
 LAG_INTERVAL_MS = 10
 OK = 200
+SMALL_RETRY_SLACKS = (5, 15)
+"""Range of the retries in addition to the ratio while upstreams refuse, so that they run out."""
 RECORD_FILE = "record.txt"
 SHORT_EVENT_MS = 7.0
 LONG_EVENT_MS = (28.0, 40.0, 52.0)
@@ -56,7 +63,13 @@
 
 
 async def run_soak(
-    *, seed: int, seconds: float, hosts: int, directory: Path, limits: bool = False
+    *,
+    seed: int,
+    seconds: float,
+    hosts: int,
+    directory: Path,
+    limits: bool = False,
+    refusals: bool = False,
 ) -> list[str]:
     """Run the soak and return the broken guarantees.
 
@@ -65,11 +78,15 @@
     :param hosts: Number of host processes.
     :param directory: Directory for settings, logs and the record of faults.
     :param limits: Whether upstreams name rate limits meanwhile.
+    :param refusals: Whether most upstreams of a service refuse everything at times.
     """
     cluster = PlatformCluster()
     fault_log = FaultLog()
     processes: list[PlatformHostProcess] = []
-    injector = PlatformFaultInjector(cluster=cluster, hosts=processes, fault_log=fault_log)
+    retry_slacks = SMALL_RETRY_SLACKS if refusals else RETRY_SLACKS
+    injector = PlatformFaultInjector(
+        cluster=cluster, hosts=processes, fault_log=fault_log, retry_slacks=retry_slacks
+    )
     callers = PlatformCallers(hosts=processes, rng=Random(seed + 1))
     lag = LoopLag()
     lag_task = asyncio.create_task(lag.run_forever())
@@ -77,7 +94,14 @@
     try:
         cluster.configure(soak_configuration(version=1))
         await _add_upstreams(injector, size=max(3, hosts // 3))
-        await _start_hosts(cluster, processes, fault_log, hosts=hosts, directory=directory)
+        await _start_hosts(
+            cluster,
+            processes,
+            fault_log,
+            hosts=hosts,
+            directory=directory,
+            retry_slack=retry_slacks[1] if refusals else None,
+        )
         callers.start(MIXED_CALLS, 2 * hosts)
         callers.start(LONG_CALLS, 3 * hosts)
         duration_ms = round(seconds * MS_PER_SECOND)
@@ -86,6 +110,9 @@
             if limits:
                 namer = LimitNamer(cluster=cluster, fault_log=fault_log)
                 tasks.create_task(namer.run(rng=Random(seed + 2), duration_ms=duration_ms))
+            if refusals:
+                provoker = RepeatProvoker(cluster=cluster, fault_log=fault_log)
+                tasks.create_task(provoker.run(rng=Random(seed + 3), duration_ms=duration_ms))
         await callers.finish()
         await Clock().sleep(SETTLING_MS)
     finally:
@@ -99,6 +126,7 @@
         ledger=cluster.ledger,
         fault_log=fault_log,
         grace_ms=STOP_GRACE_S * MS_PER_SECOND,
+        retry_rule=RetryBudgetRule(ratio=RetrySection().ratio, slack=retry_slacks[1]),
     )
     violations = verdict.find_violations()
     violations += [text for process in processes for text in process.unexpected_exits]
@@ -119,7 +147,9 @@
     for number in range(size):
         slow = {"event_ms": LONG_EVENT_MS[number % len(LONG_EVENT_MS)], "events": STREAM_EVENTS}
         await injector.add_upstream(MODEL_SERVICE, slow)
-        await injector.add_upstream("notes", {"event_ms": SHORT_EVENT_MS, "events": STREAM_EVENTS})
+        await injector.add_upstream(
+            NOTES_SERVICE, {"event_ms": SHORT_EVENT_MS, "events": STREAM_EVENTS}
+        )
         await injector.add_upstream(PLAIN_SERVICE, {})
 
 
@@ -130,13 +160,16 @@
     *,
     hosts: int,
     directory: Path,
+    retry_slack: float | None,
 ) -> None:
     # Another soak on this computer could take the port of a host that is down.
     ip = f"127.{os.getpid() >> 14 & 0xFF | 1}.{os.getpid() >> 7 & 0x7F}.{os.getpid() & 0x7F | 0x80}"
     seeds: tuple[str, ...] = ()
     for number in range(hosts):
         name = f"h{number}"
-        settings = await cluster.make_settings(name, seeds=seeds, stop_grace_s=STOP_GRACE_S, ip=ip)
+        settings = await cluster.make_settings(
+            name, seeds=seeds, stop_grace_s=STOP_GRACE_S, ip=ip, retry_slack=retry_slack
+        )
         seeds = (*seeds, settings.host.peers)[:SEEDS]
         process = PlatformHostProcess(
             name=name, settings=settings, directory=directory, fault_log=fault_log
@@ -152,6 +185,7 @@
     hosts: int = 6,
     keep: str = "",
     limits: bool = False,
+    refusals: bool = False,
 ) -> None:
     """Run the soak.
 
@@ -160,13 +194,21 @@
     :param hosts: Number of host processes.
     :param keep: Directory for settings and logs; empty creates a temporary one, which is kept.
     :param limits: Whether upstreams name rate limits meanwhile.
+    :param refusals: Whether most upstreams of a service refuse everything at times.
     """
     directory = Path(keep or mkdtemp(prefix="tanagerscale-platform-soak-"))
     directory.mkdir(parents=True, exist_ok=True)
     logging.basicConfig(filename=directory / "upstreams.log")
     print(f"settings and logs: {directory}; seed {seed}", flush=True)
     violations = asyncio.run(
-        run_soak(seed=seed, seconds=seconds, hosts=hosts, directory=directory, limits=limits)
+        run_soak(
+            seed=seed,
+            seconds=seconds,
+            hosts=hosts,
+            directory=directory,
+            limits=limits,
+            refusals=refusals,
+        )
     )
     for violation in violations:
         print(violation)
--- a/standins/platform_verdict.py
+++ b/standins/platform_verdict.py
@@ -17,6 +17,7 @@
 from standins.rate_limit_rule import Arrival
 from standins.rate_limit_rule import LimitPeriod
 from standins.rate_limit_rule import find_excess
+from standins.retry_budget_rule import RetryBudgetRule
 from tanagerscale.core import MS_PER_SECOND
 
 STREAM_EVENTS = 100
@@ -55,11 +56,19 @@
     :param ledger: Record of the requests at all upstreams.
     :param fault_log: All faults that were injected.
     :param grace_ms: Grace period of hosts in milliseconds.
+    :param retry_rule: How many repeats a service may get.
     """
 
     def __init__(
-        self, *, calls: list[Call], ledger: Ledger, fault_log: FaultLog, grace_ms: int
+        self,
+        *,
+        calls: list[Call],
+        ledger: Ledger,
+        fault_log: FaultLog,
+        grace_ms: int,
+        retry_rule: RetryBudgetRule,
     ) -> None:
+        self._retry_rule = retry_rule
         self._calls = {call.request: call for call in calls}
         self._fault_log = fault_log
         self._grace_ms = grace_ms
@@ -85,7 +94,7 @@
                 if fault:
                     violations.append(f"{name}: {fault}: {self.describe(call)}")
         violations += self._find_requests_to_leaving() + self._find_requests_in_pauses()
-        return violations + self._find_requests_over_limits()
+        return violations + self._find_requests_over_limits() + self._find_repeats_over_budget()
 
     def _find_wrong_answer(self, call: Call) -> str:
         if not call.is_complete or call.status // 100 != 2:
@@ -226,6 +235,24 @@
                 violations.append(f"LIMIT: {limit.target} {excess}")
         return violations
 
+    def _find_repeats_over_budget(self) -> list[str]:
+        requests: defaultdict[str, list[int]] = defaultdict(list)
+        arrivals: defaultdict[str, list[tuple[int, str]]] = defaultdict(list)
+        for call in self._calls.values():
+            requests[call.kind.service].append(call.sent)
+            arrivals[call.kind.service] += [
+                (received.arrived, call.request) for received in self._received[call.request]
+            ]
+        return [
+            f"BUDGET: {service} {excess}"
+            for service, arrived in arrivals.items()
+            if (
+                excess := self._retry_rule.find_excess(
+                    requests=sorted(requests[service]), arrivals=sorted(arrived)
+                )
+            )
+        ]
+
     def _pairs(self) -> list[tuple[Call, ReceivedRequest]]:
         return [
             (call, received)
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -24,11 +24,13 @@
 from tanagerscale.generated.gateway import GatewayHost as HostSection
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.generated.gateway import GatewayStore
+from tanagerscale.generated.gateway import RetrySection
 from tanagerscale.platform import make_platform
 
 HOST_NAME = "api.example"
 API_KEY = "key-of-account-one"
 MODEL_SERVICE = "drafts"
+NOTES_SERVICE = "notes"
 PLAIN_SERVICE = "bookings"
 
 MIN_HOST_PORT = 20_000
@@ -226,7 +228,13 @@
         return host
 
     async def make_settings(
-        self, name: str, *, seeds: tuple[str, ...], stop_grace_s: float, ip: str = LOOPBACK
+        self,
+        name: str,
+        *,
+        seeds: tuple[str, ...],
+        stop_grace_s: float,
+        ip: str = LOOPBACK,
+        retry_slack: float | None = None,
     ) -> GatewaySettings:
         """Start a relay between a host and the store, and return the settings of the host.
 
@@ -234,6 +242,7 @@
         :param seeds: Peer addresses of other hosts.
         :param stop_grace_s: Grace period of the host in seconds.
         :param ip: Loopback address on which the host listens.
+        :param retry_slack: Retries allowed in addition to the ratio; ``None`` for the default.
         """
         relay = TcpRelay(target=self._store_address)
         await relay.__aenter__()
@@ -249,6 +258,7 @@
                 stop_grace_s=stop_grace_s,
             ),
             store=GatewayStore(address=relay.address),
+            retries=RetrySection() if retry_slack is None else RetrySection(slack=retry_slack),
             deadlines=DeadlinesSection(),
         )
         return self._settings[name]
--- /dev/null
+++ b/testing/_forwarding_fleet.py
@@ -0,0 +1,298 @@
+"""Many hosts in virtual time that forward requests to upstreams that they share."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+from typing import Any
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+from prometheus_client import CollectorRegistry
+from returns.result import Result
+
+from tanagerscale.core import FailureDomainId
+from tanagerscale.core import RequestId
+from tanagerscale.forwarding import Admission
+from tanagerscale.forwarding import CopyError
+from tanagerscale.forwarding import ForwardingContext
+from tanagerscale.forwarding import Header
+from tanagerscale.forwarding import Refusal
+from tanagerscale.forwarding import RunCopy
+from tanagerscale.forwarding import StreamMover
+from tanagerscale.forwarding import UpstreamRequest
+from tanagerscale.forwarding._plain import PlainForwarder
+from tanagerscale.forwarding._refusals import timed_out
+from tanagerscale.forwarding._stream import StreamRun
+from tanagerscale.gateway._forwarding import make_forwarding_context
+from tanagerscale.routes import Route
+from tanagerscale.routes import RouteKind
+from tanagerscale.upstreams import UpstreamEntry
+from testing._gateway_fakes import FakeResponder
+from testing._gateway_fakes import FakeResponse
+from testing._gateway_fakes import make_request
+from testing._gateway_fakes import make_route
+from testing._gateway_fakes import route_request
+from testing._many_hosts import FakeUpstreamEdge
+from testing._many_hosts import Fleet
+from testing._many_hosts import Host
+from testing._virtual_time import run_virtually
+
+T = TypeVar("T")
+
+PLAIN_ROUTE = make_route(kind=RouteKind.IDEMPOTENT, target_ms=200, timeout_ms=2500)
+SHORT_ROUTE = make_route(kind=RouteKind.STREAMING, target_ms=1500, timeout_ms=6000, attempts=1)
+LONG_ROUTE = make_route(kind=RouteKind.STREAMING, target_ms=1800, timeout_ms=39_000, attempts=1)
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What became of a request.
+
+    :param sent_at: When its host received it.
+    :param ended_at: When its response or refusal was complete.
+    :param refusal: The refusal; ``None`` if an upstream answered.
+    :param is_stream: Whether it asked for a stream.
+    :param host: The host that received it.
+    :param has_begun: Whether the response had begun, also if it was refused after that.
+    """
+
+    sent_at: int
+    ended_at: int
+    refusal: Refusal | None
+    is_stream: bool
+    host: str = ""
+    has_begun: bool = False
+
+    @property
+    def took_ms(self) -> int:
+        """Time from its arrival to the end of its response."""
+        return self.ended_at - self.sent_at
+
+
+class SharedUpstreams(Protocol):
+    """Upstreams that all hosts share."""
+
+    async def serve(self, host: str, upstream_request: UpstreamRequest) -> FakeResponse:
+        """Respond to a request."""
+
+    async def copy(
+        self, *, source: UpstreamEntry, request: RequestId, target: UpstreamEntry, stop: bool
+    ) -> Result[RunCopy, CopyError] | None:
+        """Copy a run; ``None`` if any copy succeeds."""
+
+    def on_passed_on(self, host: str, headers: Sequence[Header]) -> None:
+        """Handle the head of a response that a host passes on."""
+
+
+U = TypeVar("U", bound=SharedUpstreams)
+
+
+class _Responder(FakeResponder):
+    """Reports the heads of responses that a host passes on."""
+
+    __slots__ = ("_on_head",)
+
+    def __init__(self, *, on_head: Callable[[Sequence[Header]], None]) -> None:
+        super().__init__()
+        self._on_head = on_head
+
+    async def begin(self, *, status: int, reason: str, headers: Sequence[Header]) -> None:
+        """Report the head of a response."""
+        self._on_head(headers)
+        await super().begin(status=status, reason=reason, headers=headers)
+
+    async def respond(
+        self, *, status: int, reason: str, headers: Sequence[Header], body: bytes
+    ) -> None:
+        """Report the head of a complete response."""
+        self._on_head(headers)
+        await super().respond(status=status, reason=reason, headers=headers, body=body)
+
+
+class _Edge(FakeUpstreamEdge):
+    """Sends the requests of one host."""
+
+    def __init__(self, *, host: str, upstreams: SharedUpstreams) -> None:
+        super().__init__()
+        self._host = host
+        self._upstreams = upstreams
+
+    async def send(self, *, upstream_request: UpstreamRequest) -> FakeResponse:  # type: ignore[override]
+        """Send a request and wait for the head of its response."""
+        return await self._upstreams.serve(self._host, upstream_request)
+
+    async def copy(
+        self, *, source: UpstreamEntry, request: RequestId, target: UpstreamEntry, stop: bool
+    ) -> Result[RunCopy, CopyError]:
+        """Copy a run."""
+        result = await self._upstreams.copy(
+            source=source, request=request, target=target, stop=stop
+        )
+        if result is not None:
+            return result
+        return await super().copy(source=source, request=request, target=target, stop=stop)
+
+
+@dataclass(kw_only=True, eq=False)
+class ForwardingHost:
+    """A host that forwards requests."""
+
+    host: Host
+    context: ForwardingContext
+    admission: Admission
+    mover: StreamMover
+
+    async def forward(self, name: str, route: Route, responder: FakeResponder) -> Refusal | None:
+        """Forward one request until its deadline."""
+        is_stream = route.kind is RouteKind.STREAMING
+        tokens = 40 if route is SHORT_ROUTE else 2000
+        request = make_request(name=name, prompt=100 if is_stream else None, max_tokens=tokens)
+        routed = route_request(request, route)
+        self.context.retry_permits.count_request(service=routed.service)
+        async with asyncio.timeout(route.timeout_ms / 1000):
+            if not is_stream:
+                return await PlainForwarder(routed=routed, context=self.context).serve(responder)
+            run = StreamRun(
+                routed=routed,
+                responder=responder,
+                context=self.context,
+                admission=self.admission,
+                hooks=self.mover,
+            )
+            self.mover.runs.add(run)
+            try:
+                return await run.serve()
+            finally:
+                self.mover.runs.discard(run)
+
+
+@dataclass(kw_only=True, eq=False)
+class ForwardingFleet(Generic[U]):
+    """Hosts that forward requests to shared upstreams."""
+
+    upstreams: U
+    fleet: Fleet = field(default_factory=Fleet)
+    hosts: list[ForwardingHost] = field(default_factory=list)
+    outcomes: list[Outcome] = field(default_factory=list)
+    _number: int = 0
+
+    async def start(self, *, hosts: int = 9, domains: int = 3, engines: int = 3) -> None:
+        """Start hosts and upstreams."""
+        await self.fleet.start(count=hosts, domains=domains, engines=engines)
+        self.hosts = [self._make_forwarder(host) for host in self.fleet.hosts]
+
+    async def add(self, name: str, domain: int = 0) -> ForwardingHost:
+        """Start one more host."""
+        created = self._make_forwarder(await self.fleet.add(name, domain))
+        self.hosts.append(created)
+        return created
+
+    async def kill(self, forwarder: ForwardingHost) -> None:
+        """End the process of a host."""
+        self.hosts.remove(forwarder)
+        await self.fleet.kill(forwarder.host)
+
+    def get(self, host: Host) -> ForwardingHost:
+        """Return the forwarding part of a host."""
+        return next(one for one in self.hosts if one.host is host)
+
+    async def call(self, forwarder: ForwardingHost, route: Route = PLAIN_ROUTE) -> Outcome:
+        """Send one request to a host and wait for its outcome."""
+        self._number += 1
+        sent_at, host = now_ms(), forwarder.host.name
+        responder = _Responder(on_head=lambda headers: self.upstreams.on_passed_on(host, headers))
+        try:
+            refusal = await forwarder.forward(f"r{self._number}", route, responder)
+        except TimeoutError:
+            refusal = timed_out()
+        outcome = Outcome(
+            sent_at=sent_at,
+            ended_at=now_ms(),
+            refusal=refusal,
+            is_stream=route.kind is RouteKind.STREAMING,
+            host=host,
+            has_begun=responder.begun,
+        )
+        self.outcomes.append(outcome)
+        return outcome
+
+    async def load(
+        self,
+        *,
+        per_s: float,
+        seconds: float,
+        seed: int = 1,
+        routes: Sequence[Route] = (PLAIN_ROUTE,),
+        hosts: Sequence[ForwardingHost] = (),
+    ) -> None:
+        """Send requests at random times to random hosts, and wait until all have ended.
+
+        :param per_s: Requests a second in total.
+        :param seconds: Time in which they are sent.
+        :param seed: Seed of times, hosts and routes.
+        :param routes: Routes of the requests.
+        :param hosts: Hosts that get them; empty means all.
+        """
+        rng = Random(seed)
+        ends_at = asyncio.get_running_loop().time() + seconds
+        calls: list[asyncio.Task[Outcome]] = []
+        while True:
+            await asyncio.sleep(rng.expovariate(per_s))
+            if asyncio.get_running_loop().time() >= ends_at:
+                break
+            forwarder = rng.choice(hosts or self.hosts)
+            calls.append(asyncio.create_task(self.call(forwarder, rng.choice(routes))))
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    def _make_forwarder(self, host: Host) -> ForwardingHost:
+        context = make_forwarding_context(
+            control=host.control,
+            upstreams=_Edge(host=host.name, upstreams=self.upstreams),
+            work=host.work,
+            registry=CollectorRegistry(),
+            failure_domain=FailureDomainId("domain-0"),
+            clock=host.clock,
+            rng=Random(host.name),
+        )
+        mover = StreamMover(
+            context=context,
+            check_decider=host.control.client.check_decider,
+            query_engine=host.control.coordinator.query_engine,
+        )
+        host.order_executor = mover.execute_order
+        host.control.gate.changes.subscribe(mover.on_upstreams)
+        return ForwardingHost(
+            host=host,
+            context=context,
+            admission=Admission(context=context, placer=host.control.client),
+            mover=mover,
+        )
+
+
+def run_with_fleet(
+    fleet: ForwardingFleet[U],
+    scenario: Callable[[ForwardingFleet[U]], Coroutine[Any, Any, T]],
+    *,
+    hosts: int = 9,
+    domains: int = 3,
+    engines: int = 3,
+) -> T:
+    """Run a scenario in virtual time with hosts that have started, and return its result."""
+
+    async def run() -> T:
+        await fleet.start(hosts=hosts, domains=domains, engines=engines)
+        return await scenario(fleet)
+
+    return run_virtually(run())
+
+
+def now_ms() -> int:
+    """Return the virtual time in milliseconds."""
+    return int(asyncio.get_running_loop().time() * 1000)
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -65,6 +65,9 @@
 """Time a host takes to execute an order."""
 
 
+DEFAULT_RETRIES = RetrySection(slack=430)
+
+
 class FakeUpstreamEdge(FakeEngines):
     """Engines that are only queried for reports and never receive requests."""
 
@@ -233,6 +236,7 @@
     cores: float = 1.0,
     seeds: Sequence[str] = (),
     wall_offset_ms: int = 0,
+    retries: RetrySection = DEFAULT_RETRIES,
 ) -> Host:
     """Make a host that is not started yet.
 
@@ -243,6 +247,7 @@
     :param cores: Its processor share.
     :param seeds: Addresses to connect to first.
     :param wall_offset_ms: Error of its wall clock.
+    :param retries: Retry budget of all hosts.
     """
     clock = Clock(virtual_epoch_ms=1_000_000, wall_offset_ms=wall_offset_ms)
     store = FakeStore(backend=backend)
@@ -272,7 +277,7 @@
             processor_share=cores,
         ),
         store=GatewayStore(address="unused", prefix="p/"),
-        retries=RetrySection(slack=430),
+        retries=retries,
         deadlines=DeadlinesSection(),
     )
     control = HostControl(
@@ -301,6 +306,7 @@
 
     network: MemoryNetwork = field(default_factory=MemoryNetwork)
     backend: FakeBackend = field(default_factory=FakeBackend)
+    retries: RetrySection = DEFAULT_RETRIES
     hosts: list[Host] = field(default_factory=list)
 
     async def start(self, *, count: int, domains: int, engines: int = 2) -> None:
@@ -320,7 +326,9 @@
 
     async def add(self, name: str, domain: int = 0, *, cores: float = 1.0) -> Host:
         """Start one more host."""
-        host = make_host(self.network, self.backend, name, domain, cores=cores)
+        host = make_host(
+            self.network, self.backend, name, domain, cores=cores, retries=self.retries
+        )
         await host.control.start()
         self.hosts.append(host)
         return host
--- a/testing/test_platform_soak.py
+++ b/testing/test_platform_soak.py
@@ -72,3 +72,15 @@
         seed=seed, seconds=seconds, hosts=hosts, directory=tmp_path, limits=True
     )
     assert violations == []
+
+
+# Guards against hosts that together repeat requests or continue runs beyond the retry budget.
+@pytest.mark.asyncio
+@pytest.mark.parametrize(("seed", "seconds", "hosts"), [(501, 12, 5), (502, 12, 5)])
+async def test_guarantees_hold_when_upstreams_refuse_and_break_off_among_faults(
+    seed: int, seconds: int, hosts: int, tmp_path: Path
+) -> None:
+    violations = await run_soak(
+        seed=seed, seconds=seconds, hosts=hosts, directory=tmp_path, refusals=True
+    )
+    assert violations == []
--- a/testing/test_platform_verdict.py
+++ b/testing/test_platform_verdict.py
@@ -15,6 +15,7 @@
 from standins.platform_fault_log import FaultLog
 from standins.platform_verdict import STREAM_EVENTS
 from standins.platform_verdict import PlatformVerdict
+from standins.retry_budget_rule import RetryBudgetRule
 
 GRACE_MS = 5_000
 SENT = 100_000
@@ -52,6 +53,7 @@
         ledger=Ledger(received_requests=received),
         fault_log=fault_log,
         grace_ms=GRACE_MS,
+        retry_rule=RetryBudgetRule(ratio=0.0, slack=3.0),
     )
     return [violation.partition(":")[0] for violation in verdict.find_violations()]
 
@@ -176,3 +178,12 @@
     assert _judge([refused, *calls], received) == violations
     freeze = Fault(FaultKind.HOST_FREEZE, "h0", "", SENT + 100, SENT + 200)
     assert _judge([refused, *calls], received, freeze) == []
+
+
+@pytest.mark.parametrize(("arrivals", "violations"), [(4, []), (5, ["BUDGET"])])
+def test_verdict_names_arrivals_beyond_the_first_that_exceed_the_retry_budget(
+    arrivals: int, violations: list[str]
+) -> None:
+    call = _answered(_call(CallKind.SAFE))
+    received = [_received(call, executed=number == 0) for number in range(arrivals)]
+    assert _judge([call], received) == violations
--- a/testing/test_rate_limits.py
+++ b/testing/test_rate_limits.py
@@ -7,9 +7,9 @@
 import pytest
 
 from tanagerscale.routes import Route
-from testing._limited_upstreams import LONG_ROUTE
-from testing._limited_upstreams import PLAIN_ROUTE
-from testing._limited_upstreams import SHORT_ROUTE
+from testing._forwarding_fleet import LONG_ROUTE
+from testing._forwarding_fleet import PLAIN_ROUTE
+from testing._forwarding_fleet import SHORT_ROUTE
 from testing._limited_upstreams import LimitedFleet
 from testing._limited_upstreams import run_with_limited_fleet
 
--- a/testing/test_rate_limits_use.py
+++ b/testing/test_rate_limits_use.py
@@ -9,12 +9,12 @@
 import pytest
 
 from tanagerscale.forwarding import RefusalKind
-from testing._limited_upstreams import LONG_ROUTE
-from testing._limited_upstreams import PLAIN_ROUTE
+from testing._forwarding_fleet import LONG_ROUTE
+from testing._forwarding_fleet import PLAIN_ROUTE
+from testing._forwarding_fleet import SHORT_ROUTE
+from testing._forwarding_fleet import now_ms
 from testing._limited_upstreams import SERVICE_MS
-from testing._limited_upstreams import SHORT_ROUTE
 from testing._limited_upstreams import LimitedFleet
-from testing._limited_upstreams import now_ms
 from testing._limited_upstreams import run_with_limited_fleet
 
 ALL = ("e0", "e1", "e2")
