Credit the retry budget only with requests of its window

Callers saw nothing themselves; upstreams that were short of capacity got more repeats than the budget allows.

Cause: a host told a decider of its requests only when it asked for a retry, and then of all since its last ask.

Hosts report the requests of the last half window, and a decider counts the reports of the last half window. Each request is in one report, so that their sum never exceeds the requests of the window; as many retries of a window are granted for them. The fixed number stays a bucket that fills over the window.

--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
 from collections.abc import Set
 from itertools import count
@@ -15,6 +14,7 @@
 
 from tanagerscale.coordination._directory import Directory
 from tanagerscale.coordination._rate_permits import RatePermits
+from tanagerscale.coordination._request_counts import RequestCounts
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
@@ -104,6 +104,7 @@
     :param uses: Returns the runs of this host.
     :param paused: Returns the engines that have asked this host for a pause.
     :param incarnation: Wall clock at the start of this process, in milliseconds.
+    :param max_request_age_ms: Returns the age in milliseconds up to which requests are reported.
     :param clock: Source of the current time.
     """
 
@@ -116,6 +117,7 @@
         uses: Callable[[], list[RunUse]],
         paused: Callable[[], Set[UpstreamId]],
         incarnation: int,
+        max_request_age_ms: Callable[[], int],
         clock: Clock,
     ) -> None:
         self._host = host
@@ -128,8 +130,7 @@
         self._report_number = incarnation * REPORT_NUMBERS_PER_MS
         self._calls: dict[int, _PlacementCall] = {}
         self._queries: dict[int, asyncio.Future[Message]] = {}
-        self._unreported_requests: Counter[ServiceId] = Counter()
-        """Requests since the last RepeatAsk."""
+        self._unreported_requests = RequestCounts(max_age_ms=max_request_age_ms, clock=clock)
         self._report_timer: asyncio.TimerHandle | None = None
         self._refresh_timer: asyncio.TimerHandle | None = None
         self.rate_permits = RatePermits(
@@ -171,7 +172,7 @@
 
     async def may_repeat(self, *, service: ServiceId) -> bool:
         """Return whether a request may be repeated at another upstream."""
-        requests = self._unreported_requests.pop(service, 0)
+        requests = self._unreported_requests.take(service)
         answer = await self._query_decider(
             lambda serial: RepeatAsk(serial=serial, service=service, requests=requests)
         )
@@ -179,7 +180,7 @@
 
     def count_request(self, *, service: ServiceId) -> None:
         """Count a request for a service; retries are limited to a fraction of all requests."""
-        self._unreported_requests[service] += 1
+        self._unreported_requests.add(service)
 
     def on_message(self, host: HostId, message: Message) -> None:
         """Handle the messages of deciders; other messages are ignored."""
--- a/src/tanagerscale/coordination/_retry_budgets.py
+++ b/src/tanagerscale/coordination/_retry_budgets.py
@@ -7,10 +7,15 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 from typing import final
 
+from msgspec import Struct
+from msgspec import field
+
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import ServiceId
@@ -24,6 +29,55 @@
 hosts. With a reserve below one it could never retry."""
 
 
+class _RequestShare(Struct, kw_only=True):
+    """Retries that the requests of the last window allow.
+
+    Reports of the last half window are counted, and each covers at most half a window. So their
+    sum never exceeds the requests of the window.
+
+    :param reports: Time and number of requests of each report.
+    :param requests: Sum of the reports.
+    :param granted: Time of each retry that was granted.
+    """
+
+    reports: deque[tuple[Millis, int]] = field(default_factory=deque)
+    requests: int = 0
+    granted: deque[Millis] = field(default_factory=deque)
+
+    def report(self, requests: int, *, now: Millis) -> None:
+        """Count requests."""
+        if requests:
+            self.reports.append((now, requests))
+            self.requests += requests
+
+    def try_spend(self, *, ratio: float, window_ms: int, now: Millis) -> bool:
+        """Take a retry if the requests allow one more.
+
+        :param ratio: Retries for each request.
+        :param window_ms: Length of the window in milliseconds.
+        :param now: Current time.
+        """
+        while self.reports and self.reports[0][0] <= now - window_ms // 2:
+            self.requests -= self.reports.popleft()[1]
+        while self.granted and self.granted[0] <= now - window_ms:
+            self.granted.popleft()
+        if len(self.granted) + 1 > ratio * self.requests:
+            return False
+        self.granted.append(now)
+        return True
+
+
+class _Account(Struct, kw_only=True):
+    """Retries that a service may use.
+
+    :param slack: Part of the fixed number that is available.
+    :param share: What the requests of the last window allow besides.
+    """
+
+    slack: RetryBudget
+    share: _RequestShare = field(default_factory=_RequestShare)
+
+
 @final
 class SharedRetryBudgets:
     """Grants retries to the hosts that use this decider.
@@ -58,15 +112,25 @@
         self._share = share
         self._since = since
         self._clock = clock
-        self._budgets: dict[ServiceId, RetryBudget] = {}
+        self._accounts: dict[ServiceId, _Account] = {}
         self._started_at: Millis | None = None
 
+    @property
+    def max_request_age_ms(self) -> int:
+        """Age in milliseconds up to which hosts report their requests: half of the window."""
+        return self._window_ms // 2
+
+    @property
+    def decider_since_ms(self) -> int:
+        """Time for which this host has been a decider, in milliseconds."""
+        return self._clock.now() - self._since()
+
     def reconfigure(self, *, ratio: float, slack: float, window_s: float) -> None:
         """Replace the parameters of the budget."""
         self._ratio = ratio * GRANTED_SHARE
         self._slack = slack * GRANTED_SHARE
         self._window_s = window_s
-        self._budgets.clear()
+        self._accounts.clear()
 
     def try_acquire(self, *, service: ServiceId, requests: int) -> bool:
         """Acquire one retry.
@@ -75,34 +139,33 @@
         :param requests: Requests for the service that the asking host has not reported before.
         :returns: Whether a retry was available.
         """
-        budget = self._get_budget(service, requests)
-        budget.on_requests(requests)
-        return budget.try_spend()
+        account = self._get_account(service)
+        now = self._clock.now()
+        account.share.report(requests, now=now)
+        is_granted = account.share.try_spend(ratio=self._ratio, window_ms=self._window_ms, now=now)
+        return is_granted or account.slack.try_spend()
 
     def left(self, service: ServiceId) -> float:
-        """Return the retries that a service may use now."""
-        budget = self._budgets.get(service)
-        return 0.0 if budget is None else budget.left
+        """Return the part of the fixed number that a service may use now."""
+        account = self._accounts.get(service)
+        return 0.0 if account is None else account.slack.left
 
     @property
-    def decider_since_ms(self) -> int:
-        """Time for which this host has been a decider, in milliseconds."""
-        return self._clock.now() - self._since()
+    def _window_ms(self) -> int:
+        return int(self._window_s * MS_PER_SECOND)
 
-    def _get_budget(self, service: ServiceId, requests: int) -> RetryBudget:
+    def _get_account(self, service: ServiceId) -> _Account:
         since = self._since()
         if since != self._started_at:
             self._started_at = since
-            self._budgets.clear()
+            self._accounts.clear()
         slack_share = self._slack / 2 * self._share()
-        # The reported requests arrived over some time, and the retries for all of them may be used
-        # at once.
-        reserve = max(slack_share, MIN_RESERVE) + self._ratio * requests
-        per_s = slack_share / self._window_s
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = RetryBudget(ratio=self._ratio, reserve=reserve, start=0.0, last_refill=since)
-            self._budgets[service] = budget
-        budget.set_reserve(reserve=reserve)
-        budget.refill(now=self._clock.now(), per_s=per_s)
-        return budget
+        reserve = max(slack_share, MIN_RESERVE)
+        account = self._accounts.get(service)
+        if account is None:
+            slack = RetryBudget(ratio=0.0, reserve=reserve, start=0.0, last_refill=since)
+            account = _Account(slack=slack)
+            self._accounts[service] = account
+        account.slack.set_reserve(reserve=reserve)
+        account.slack.refill(now=self._clock.now(), per_s=slack_share / self._window_s)
+        return account
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -150,6 +150,7 @@
             uses=work.uses,
             paused=lambda: self.pauses.paused,
             incarnation=self.incarnation,
+            max_request_age_ms=lambda: self.retry_budgets.max_request_age_ms,
             clock=clock,
         )
         self._messages = self._make_message_router(execute_order)
--- a/testing/_single_host.py
+++ b/testing/_single_host.py
@@ -110,6 +110,7 @@
         uses=work.uses,
         paused=lambda: pauses.paused,
         incarnation=1,
+        max_request_age_ms=lambda: 5000,
         clock=context.clock,
     )
     created.append(SingleHost(work=work, coordinator=coordinator, client=client))
--- a/testing/test_retry_budgets.py
+++ b/testing/test_retry_budgets.py
@@ -10,6 +10,7 @@
 
 from tanagerscale.coordination import Directory
 from tanagerscale.coordination import SharedRetryBudgets
+from tanagerscale.coordination._request_counts import RequestCounts
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
@@ -92,6 +93,29 @@
     assert 75 <= run_virtually(scenario()) <= 80
 
 
+# A retry was granted for each request of a calm time, however long ago it was.
+def test_requests_of_earlier_windows_allow_no_retries() -> None:
+    async def scenario() -> int:
+        budgets = _make_budgets(slack=0.0)
+        budgets.try_acquire(service=SERVICE, requests=500)
+        await asyncio.sleep(5.1)
+        return _acquire_all(budgets)
+
+    # The fixed number allows one retry.
+    assert run_virtually(scenario()) <= 1
+
+
+def test_only_recent_requests_are_reported_to_a_decider() -> None:
+    async def scenario() -> list[int]:
+        counts = RequestCounts(max_age_ms=lambda: 5000, clock=Clock())
+        for _ in range(80):
+            counts.add(SERVICE)
+            await asyncio.sleep(0.1)
+        return [counts.take(SERVICE), counts.take(SERVICE)]
+
+    assert run_virtually(scenario()) == [50, 0]
+
+
 def test_new_decider_does_not_grant_retries_accrued_before_it_took_over() -> None:
     async def scenario() -> int:
         first, second = _make_budgets(), _make_budgets(since=lambda: Millis(5000))
