Let a decider's retry budget accrue only while hosts use it

Callers saw nothing themselves; upstreams that were short of capacity got more repeats than the budget allows.

A reload of the settings filled the bucket anew as well.

What has accrued is settled whenever the fraction of the hosts that use the decider changes, so that over all deciders the fixed number is granted once, however often hosts turn to another one. Hosts report as soon as their decider changes. The ledger counts hosts by decider, so that this costs nothing for each report. A reload without a change keeps the bucket, and one with a change begins with an empty one.

--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -131,6 +131,7 @@
         self._calls: dict[int, _PlacementCall] = {}
         self._queries: dict[int, asyncio.Future[Message]] = {}
         self._unreported_requests = RequestCounts(max_age_ms=max_request_age_ms, clock=clock)
+        self._reported_decider: HostId | None = None
         self._report_timer: asyncio.TimerHandle | None = None
         self._refresh_timer: asyncio.TimerHandle | None = None
         self.rate_permits = RatePermits(
@@ -199,6 +200,11 @@
             if call.decider == host:
                 call.replies.put_nowait(_Reply(host=host, answer=None))
 
+    def on_coordinators_changed(self) -> None:
+        """Report to the coordinators if another host decides for this one from now on."""
+        if self._directory.decider != self._reported_decider:
+            self.schedule_report()
+
     def schedule_report(self) -> None:
         """Report the runs of this host after a short delay that combines several changes."""
         # Decisions of this host itself use its current runs without the delay.
@@ -225,9 +231,10 @@
 
     def _build_report(self) -> HostRuns:
         self._report_number += 1
+        self._reported_decider = self._directory.decider
         return HostRuns(
             number=self._report_number,
-            decider=self._directory.decider,
+            decider=self._reported_decider,
             runs=self._uses(),
             paused=sorted(self._paused()),
         )
--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -281,6 +281,7 @@
             self.departures.extend_departure(upstream, in_ms=leaves_in_ms - REPORT_LAG_MS)
 
     def _on_ledger_change(self) -> None:
+        self._retry_budgets.on_hosts_changed()
         self.queue.reevaluate()
         self.planner.schedule_reevaluation()
 
--- a/src/tanagerscale/coordination/_ledger.py
+++ b/src/tanagerscale/coordination/_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections import defaultdict
 from collections.abc import Iterator
 from typing import Final
@@ -118,6 +119,7 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._hosts: dict[HostId, _HostReport] = {}
+        self._hosts_by_decider: Counter[HostId] = Counter()
         self._grants: dict[RequestId, _Grant] = {}
         self._plans: dict[RequestId, _CopyPlan] = {}
         self._changes: Subject[None] = Subject()
@@ -129,13 +131,16 @@
 
     def count_hosts(self, decider: HostId) -> int:
         """Return the number of hosts that use this decider."""
-        return sum(report.decider == decider for report in self._hosts.values())
+        return self._hosts_by_decider[decider]
 
     def report(self, *, host: HostId, runs: HostRuns) -> None:
         """Store the runs of a host, unless a newer report is known."""
         before = self._hosts.get(host)
         if before is not None and runs.number <= before.number:
             return
+        if before is not None:
+            self._hosts_by_decider[before.decider] -= 1
+        self._hosts_by_decider[HostId(runs.decider)] += 1
         self._hosts[host] = _HostReport(
             number=runs.number,
             decider=HostId(runs.decider),
@@ -154,7 +159,9 @@
 
     def forget(self, *, host: HostId) -> None:
         """Drop the runs of a host that has disconnected or restarted."""
-        if self._hosts.pop(host, None) is not None:
+        report = self._hosts.pop(host, None)
+        if report is not None:
+            self._hosts_by_decider[report.decider] -= 1
             self._changes.on_next(None)
 
     def grant(self, *, host: HostId, use: RunUse) -> None:
--- a/src/tanagerscale/coordination/_retry_budgets.py
+++ b/src/tanagerscale/coordination/_retry_budgets.py
@@ -114,6 +114,10 @@
         self._clock = clock
         self._accounts: dict[ServiceId, _Account] = {}
         self._started_at: Millis | None = None
+        self._settled_share = 0.0
+        """Fraction of all hosts that have used this decider since the last change."""
+        self._unused = RetryBudget(ratio=0.0, reserve=0.0)
+        """What is available of the fixed number for a service without an account."""
 
     @property
     def max_request_age_ms(self) -> int:
@@ -126,11 +130,39 @@
         return self._clock.now() - self._since()
 
     def reconfigure(self, *, ratio: float, slack: float, window_s: float) -> None:
-        """Replace the parameters of the budget."""
-        self._ratio = ratio * GRANTED_SHARE
-        self._slack = slack * GRANTED_SHARE
-        self._window_s = window_s
+        """Replace the parameters of the budget; what was available is not granted again."""
+        parameters = ratio * GRANTED_SHARE, slack * GRANTED_SHARE, window_s
+        if parameters == (self._ratio, self._slack, self._window_s):
+            return
+        self._ratio, self._slack, self._window_s = parameters
         self._accounts.clear()
+        self._unused = RetryBudget(
+            ratio=0.0, reserve=self._reserve, start=0.0, last_refill=self._clock.now()
+        )
+
+    def on_hosts_changed(self) -> None:
+        """Settle what has accrued before the hosts that use this decider change.
+
+        A host to which others turn must not grant for a time in which another one decided.
+        """
+        since = self._since()
+        if since != self._started_at:
+            self._started_at = since
+            self._settled_share = self._share()
+            self._accounts.clear()
+            self._unused = RetryBudget(
+                ratio=0.0, reserve=self._reserve, start=0.0, last_refill=since
+            )
+            return
+        share = self._share()
+        if share == self._settled_share:
+            return
+        budgets = [self._unused, *(account.slack for account in self._accounts.values())]
+        for budget in budgets:
+            self._refill(budget)
+        self._settled_share = share
+        for budget in budgets:
+            budget.set_reserve(reserve=self._reserve)
 
     def try_acquire(self, *, service: ServiceId, requests: int) -> bool:
         """Acquire one retry.
@@ -154,18 +186,31 @@
     def _window_ms(self) -> int:
         return int(self._window_s * MS_PER_SECOND)
 
+    @property
+    def _slack_share(self) -> float:
+        """Part of the fixed number that is available at once, and again over each window."""
+        return self._slack / 2 * self._settled_share
+
+    @property
+    def _reserve(self) -> float:
+        return max(self._slack_share, MIN_RESERVE)
+
+    def _refill(self, budget: RetryBudget) -> None:
+        budget.refill(now=self._clock.now(), per_s=self._slack_share / self._window_s)
+
     def _get_account(self, service: ServiceId) -> _Account:
-        since = self._since()
-        if since != self._started_at:
-            self._started_at = since
-            self._accounts.clear()
-        slack_share = self._slack / 2 * self._share()
-        reserve = max(slack_share, MIN_RESERVE)
+        self.on_hosts_changed()
         account = self._accounts.get(service)
         if account is None:
-            slack = RetryBudget(ratio=0.0, reserve=reserve, start=0.0, last_refill=since)
-            account = _Account(slack=slack)
+            self._refill(self._unused)
+            account = _Account(
+                slack=RetryBudget(
+                    ratio=0.0,
+                    reserve=self._reserve,
+                    start=self._unused.left,
+                    last_refill=self._clock.now(),
+                )
+            )
             self._accounts[service] = account
-        account.slack.set_reserve(reserve=reserve)
-        account.slack.refill(now=self._clock.now(), per_s=slack_share / self._window_s)
+        self._refill(account.slack)
         return account
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -324,6 +324,7 @@
         """Subscribe components to each other's changes."""
         self.configuration.tables.subscribe(self._on_table)
         self.directory.changes.subscribe(lambda _: self._presence.on_coordinators_changed())
+        self.directory.changes.subscribe(lambda _: self.client.on_coordinators_changed())
         self.gate.changes.subscribe(self.coordinator.on_upstreams)
         self.roster.changes.subscribe(self.coordinator.on_upstreams)
         self.evacuations.changes.subscribe(lambda _: self.coordinator.reevaluate())
--- a/testing/test_retry_budgets.py
+++ b/testing/test_retry_budgets.py
@@ -128,6 +128,35 @@
     assert run_virtually(scenario()) <= 344
 
 
+# A host to which all others turned granted what had accrued while another one decided.
+def test_decider_grants_nothing_for_a_time_in_which_no_host_used_it() -> None:
+    async def scenario() -> list[int]:
+        share = 1 / 195
+        budgets = _make_budgets(share=lambda: share)
+        acquired = [_acquire_all(budgets)]
+        await asyncio.sleep(10)
+        share = 1.0
+        budgets.on_hosts_changed()
+        acquired.append(_acquire_all(budgets))
+        await asyncio.sleep(1)
+        return [*acquired, _acquire_all(budgets)]
+
+    # 0.88 retries accrue in 10 s as one of 195 hosts, and 17.2 in one second as the only decider.
+    assert run_virtually(scenario()) == [1, 0, 18]
+
+
+def test_reloaded_budget_grants_nothing_again() -> None:
+    async def scenario() -> list[int]:
+        budgets = _make_budgets(slack=100.0)
+        acquired = _acquire_all(budgets)
+        budgets.reconfigure(ratio=0.2, slack=100.0, window_s=10.0)
+        unchanged = _acquire_all(budgets)
+        budgets.reconfigure(ratio=0.2, slack=120.0, window_s=10.0)
+        return [acquired, unchanged, _acquire_all(budgets)]
+
+    assert run_virtually(scenario()) == [40, 0, 0]
+
+
 def test_two_concurrent_deciders_grant_no_more_than_one() -> None:
     async def scenario() -> int:
         deciders = [_make_budgets(share=lambda: 0.4), _make_budgets(share=lambda: 0.6)]
