Ask the retry budget for runs that continue

Callers saw nothing themselves; upstreams that were short of capacity got more repeats than the budget allows.

Cause: the budget was asked before an attempt at another upstream, but not for runs that continue from a copy. Each of them was sent up to five times, for each of up to three targets, and a refused request arrives as well.

Every request after the first now takes a repeat from one account at the decider. Runs go before requests that begin again: a part of what accrues is kept for them, and they may take some in advance, since a new decider has nothing yet. The decider takes the repeat of a move as it orders it, and gets it back if the host doesn't move the run. Without one it has the run copied only. A run that was cut waits on its copy, and ends at once if it can't be served in time. Moves that only even out the load use what is left.

In the tests a decider has been one for a minute, as it is in steady state, and grants for engines whose runs can move.

--- a/src/tanagerscale/coordination/__init__.py
+++ b/src/tanagerscale/coordination/__init__.py
@@ -25,6 +25,7 @@
 from tanagerscale.coordination._rate_limits import Permit
 from tanagerscale.coordination._rate_limits import RateLimits
 from tanagerscale.coordination._rate_permits import RatePermits
+from tanagerscale.coordination._retry_budgets import RepeatPermit
 from tanagerscale.coordination._retry_budgets import SharedRetryBudgets
 from tanagerscale.coordination._store_source import StoreSourceSelector
 from tanagerscale.coordination._warmup import WarmupRates
@@ -46,6 +47,7 @@
     "Permit",
     "RateLimits",
     "RatePermits",
+    "RepeatPermit",
     "RouteTableSource",
     "RunLedger",
     "SharedRetryBudgets",
--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -15,6 +15,7 @@
 from tanagerscale.coordination._directory import Directory
 from tanagerscale.coordination._rate_permits import RatePermits
 from tanagerscale.coordination._request_counts import RequestCounts
+from tanagerscale.coordination._retry_budgets import RepeatPermit
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
@@ -32,6 +33,7 @@
 from tanagerscale.generated.messages import RateAnswer
 from tanagerscale.generated.messages import RepeatAnswer
 from tanagerscale.generated.messages import RepeatAsk
+from tanagerscale.generated.messages import RepeatClass
 from tanagerscale.generated.messages import RunUse
 from tanagerscale.membership import Message
 
@@ -173,11 +175,20 @@
 
     async def may_repeat(self, *, service: ServiceId) -> bool:
         """Return whether a request may be repeated at another upstream."""
+        return (await self._ask_repeat(service, RepeatClass.REPEATED)).is_granted
+
+    async def acquire_resume(self, *, service: ServiceId) -> RepeatPermit:
+        """Return whether a run may continue, or when it can ask again."""
+        return await self._ask_repeat(service, RepeatClass.RESUMED)
+
+    async def _ask_repeat(self, service: ServiceId, kind: RepeatClass) -> RepeatPermit:
         requests = self._unreported_requests.take(service)
         answer = await self._query_decider(
-            lambda serial: RepeatAsk(serial=serial, service=service, requests=requests)
+            lambda serial: RepeatAsk(serial=serial, service=service, requests=requests, kind=kind)
         )
-        return isinstance(answer, RepeatAnswer) and answer.may_repeat
+        if not isinstance(answer, RepeatAnswer):
+            return RepeatPermit(is_granted=False)
+        return RepeatPermit(is_granted=answer.may_repeat, delay_ms=answer.delay_ms)
 
     def count_request(self, *, service: ServiceId) -> None:
         """Count a request for a service; retries are limited to a fraction of all requests."""
--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -112,6 +112,7 @@
             context=context,
             ledger=self.ledger,
             departures=self.departures,
+            retry_budgets=retry_budgets,
             send_order=send,
         )
         self.ledger.changes.subscribe(lambda _: self._on_ledger_change())
@@ -137,17 +138,22 @@
 
     def _answer_repeat_ask(self, host: HostId, ask: RepeatAsk) -> None:
         service = ServiceId(ask.service)
-        may_repeat = self._retry_budgets.try_acquire(service=service, requests=ask.requests)
+        permit = self._retry_budgets.acquire(service=service, requests=ask.requests, kind=ask.kind)
         _repeats_log.info(
             "A host asks for a repeat.",
             host_that_asked=host,
             service=service,
+            kind=ask.kind.value,
             requests=ask.requests,
-            may_repeat=may_repeat,
+            may_repeat=permit.is_granted,
+            delay_ms=permit.delay_ms,
             left=round(self._retry_budgets.left(service), 1),
             decider_since_ms=self._retry_budgets.decider_since_ms,
         )
-        self._send(host, RepeatAnswer(serial=ask.serial, may_repeat=may_repeat))
+        answer = RepeatAnswer(
+            serial=ask.serial, may_repeat=permit.is_granted, delay_ms=permit.delay_ms
+        )
+        self._send(host, answer)
 
     def _answer_rate_ask(self, host: HostId, ask: RateAsk) -> None:
         upstreams = [UpstreamId(upstream) for upstream in ask.upstreams]
--- a/src/tanagerscale/coordination/_move_orders.py
+++ b/src/tanagerscale/coordination/_move_orders.py
@@ -6,6 +6,7 @@
 
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
+from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.policy import Move
 
@@ -14,11 +15,13 @@
     """An order that its host is executing.
 
     :param host: Host that owns the run.
+    :param service: Service of the run.
     :param move: The ordered move.
     :param expires_at: When the order counts as ended.
     """
 
     host: HostId
+    service: ServiceId
     move: Move
     expires_at: Millis
 
--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -5,13 +5,10 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
-from collections.abc import Set
 from itertools import count
 from typing import Final
 from typing import final
 
-from msgspec.structs import replace
-
 from tanagerscale.coordination._context import DecisionContext
 from tanagerscale.coordination._context import build_engine_view
 from tanagerscale.coordination._context import eligible_upstreams
@@ -20,6 +17,8 @@
 from tanagerscale.coordination._ledger import RunLedger
 from tanagerscale.coordination._move_orders import MoveAttempts
 from tanagerscale.coordination._move_orders import PendingOrder
+from tanagerscale.coordination._permitted_moves import PermittedMoves
+from tanagerscale.coordination._retry_budgets import SharedRetryBudgets
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
@@ -31,12 +30,10 @@
 from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.generated.messages import MoveOrder
-from tanagerscale.generated.messages import RequestClass
 from tanagerscale.policy import MovableRun
 from tanagerscale.policy import Move
 from tanagerscale.policy import MoveSnapshot
 from tanagerscale.policy import copies_to_evict
-from tanagerscale.policy import next_move
 from tanagerscale.policy import reason_not_moved
 from tanagerscale.routes import EngineCapabilities
 from tanagerscale.upstreams import UpstreamEntry
@@ -76,6 +73,7 @@
     :param context: Inputs of decisions.
     :param ledger: Runs of all hosts.
     :param departures: Departure times of engines.
+    :param retry_budgets: Counts the requests with which moved runs continue.
     :param send_order: Sends an order to a host; returns whether it can be reached.
     """
 
@@ -86,12 +84,14 @@
         context: DecisionContext,
         ledger: RunLedger,
         departures: Departures,
+        retry_budgets: SharedRetryBudgets,
         send_order: Callable[[HostId, MoveOrder], bool],
     ) -> None:
         self._host = host
         self._context = context
         self._ledger = ledger
         self._departures = departures
+        self._moves = PermittedMoves(context=context, retry_budgets=retry_budgets)
         self._send_order = send_order
         self._numbers = count(1)
         self._orders: dict[int, PendingOrder] = {}
@@ -115,6 +115,8 @@
             return  # It has already timed out.
         del self._orders[done.number]
         self._ledger.end_plan(request=pending.move.run.request)
+        if not done.is_done:
+            self._moves.cancel(pending.service, pending.move)
         self._record_result(pending.move, is_done=done.is_done)
         self.reevaluate()
 
@@ -179,28 +181,14 @@
             runs = self._runs_of(service)
             snapshot = self._snapshot(service, engine, [run for _, run in runs])
             hosts = {run.request: ledger_run for ledger_run, run in runs}
-            move = self._next_move(snapshot)
+            move = self._moves.next(service, snapshot)
             if move is None:
                 break
-            self._issue(hosts[move.run.request], move)
+            self._issue(hosts[move.run.request], service, move)
         self._log_reasons_not_moved(snapshot)
         for run in copies_to_evict(snapshot):
             self._drop_copy(hosts[run.request], run)
 
-    def _next_move(self, snapshot: MoveSnapshot) -> Move | None:
-        """Return the next move; only runs of leaving engines move to engines with rate limits."""
-        limited = self._limited_engines(snapshot)
-        if not limited:
-            return next_move(snapshot=snapshot, rng=self._context.rng)
-        unlimited = replace(snapshot, eligible=snapshot.eligible - limited)
-        move = next_move(snapshot=unlimited, rng=self._context.rng)
-        if move is None:
-            move = next_move(snapshot=snapshot, rng=self._context.rng)
-        return None if move is not None and _is_optional(move, limited) else move
-
-    def _limited_engines(self, snapshot: MoveSnapshot) -> set[UpstreamId]:
-        return {one for one in snapshot.eligible if self._context.rate_limits.is_limited(one)}
-
     def _runs_of(self, service: ServiceId) -> list[tuple[LedgerRun, MovableRun]]:
         runs = []
         for run in self._ledger.runs_of(decider=self._host):
@@ -296,7 +284,7 @@
             busy |= order.engines
         return busy
 
-    def _issue(self, run: LedgerRun, move: Move) -> None:
+    def _issue(self, run: LedgerRun, service: ServiceId, move: Move) -> None:
         number = next(self._numbers)
         self._ledger.plan_copy(
             run=run,
@@ -314,9 +302,11 @@
         if not self._send_order(run.host, order):
             return  # The host has disconnected, and its runs are gone with it.
         self._logged_reasons.pop(move.run.request, None)
-        self._record_request(move)
+        self._moves.record(service, move)
         expires_at = Millis(self._context.clock.now() + ORDER_TIMEOUT_MS)
-        self._orders[number] = PendingOrder(host=run.host, move=move, expires_at=expires_at)
+        self._orders[number] = PendingOrder(
+            host=run.host, service=service, move=move, expires_at=expires_at
+        )
         _log.info(
             "A move is ordered.",
             request=move.run.request,
@@ -328,11 +318,6 @@
             has_copy=move.run.copy_at == move.target,
         )
 
-    def _record_request(self, move: Move) -> None:
-        """Count the request with which a run continues on another engine."""
-        if move.kind is not MoveKind.AHEAD:
-            self._context.rate_limits.record(move.target, RequestClass.RESUMED)
-
     def _drop_copy(self, run: LedgerRun, movable: MovableRun) -> None:
         order = MoveOrder(
             number=next(self._numbers),
@@ -383,10 +368,5 @@
             )
 
 
-def _is_optional(move: Move, limited: Set[UpstreamId]) -> bool:
-    """Return whether a move would only use up the rate of its target."""
-    return move.target in limited and move.kind is not MoveKind.LEAVE
-
-
 def _is_movable(run: LedgerRun) -> bool:
     return run.use.is_long and run.running_ms >= 0
--- a/src/tanagerscale/coordination/_retry_budgets.py
+++ b/src/tanagerscale/coordination/_retry_budgets.py
@@ -7,18 +7,21 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
+from math import ceil
 from typing import Final
 from typing import final
 
 from msgspec import Struct
 from msgspec import field
 
+from tanagerscale.coordination._retry_accounts import RequestShare
+from tanagerscale.coordination._retry_accounts import SlackAccount
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import ServiceId
+from tanagerscale.generated.messages import RepeatClass
 from tanagerscale.policy import RetryBudget
 
 GRANTED_SHARE: Final = 0.8
@@ -28,43 +31,23 @@
 """Minimum reserve, in retries, of a host that decides only for itself, regardless of the number of
 hosts. With a reserve below one it could never retry."""
 
+OVERDRAFT_SHARE: Final = 0.125
+"""Fraction of the granted fixed number that runs which continue may take in advance. A new decider
+begins without any, and would otherwise lose the runs of an engine that leaves at that moment."""
 
-class _RequestShare(Struct, kw_only=True):
-    """Retries that the requests of the last window allow.
+MAX_RETURN_MS: Final = 5000
+"""Longest time after which a run is told to ask again."""
 
-    Reports of the last half window are counted, and each covers at most half a window. So their
-    sum never exceeds the requests of the window.
 
-    :param reports: Time and number of requests of each report.
-    :param requests: Sum of the reports.
-    :param granted: Time of each retry that was granted.
-    """
-
-    reports: deque[tuple[Millis, int]] = field(default_factory=deque)
-    requests: int = 0
-    granted: deque[Millis] = field(default_factory=deque)
-
-    def report(self, requests: int, *, now: Millis) -> None:
-        """Count requests."""
-        if requests:
-            self.reports.append((now, requests))
-            self.requests += requests
+class RepeatPermit(Struct, frozen=True, kw_only=True):
+    """Decision on one request that is sent once more.
 
-    def try_spend(self, *, ratio: float, window_ms: int, now: Millis) -> bool:
-        """Take a retry if the requests allow one more.
+    :param is_granted: Whether it may be sent.
+    :param delay_ms: Time after which a run that was refused can ask again.
+    """
 
-        :param ratio: Retries for each request.
-        :param window_ms: Length of the window in milliseconds.
-        :param now: Current time.
-        """
-        while self.reports and self.reports[0][0] <= now - window_ms // 2:
-            self.requests -= self.reports.popleft()[1]
-        while self.granted and self.granted[0] <= now - window_ms:
-            self.granted.popleft()
-        if len(self.granted) + 1 > ratio * self.requests:
-            return False
-        self.granted.append(now)
-        return True
+    is_granted: bool
+    delay_ms: int = 0
 
 
 class _Account(Struct, kw_only=True):
@@ -72,10 +55,12 @@
 
     :param slack: Part of the fixed number that is available.
     :param share: What the requests of the last window allow besides.
+    :param promised_at: Time for which the last refused run was told to ask again.
     """
 
-    slack: RetryBudget
-    share: _RequestShare = field(default_factory=_RequestShare)
+    slack: SlackAccount
+    share: RequestShare = field(default_factory=RequestShare)
+    promised_at: float = 0.0
 
 
 @final
@@ -93,6 +78,7 @@
     :param share: Returns the fraction of all hosts that use this decider, between 0 and 1.
     :param since: Returns when this host became a decider; budget accrued before then belonged to
         another decider.
+    :param has_runs: Returns whether the runs of a service can continue on another upstream.
     :param clock: Source of the current time.
     """
 
@@ -104,8 +90,10 @@
         window_s: float,
         share: Callable[[], float],
         since: Callable[[], Millis],
+        has_runs: Callable[[ServiceId], bool] = lambda service: False,
         clock: Clock,
     ) -> None:
+        self._has_runs = has_runs
         self._ratio = ratio * GRANTED_SHARE
         self._slack = slack * GRANTED_SHARE
         self._window_s = window_s
@@ -157,25 +145,55 @@
         share = self._share()
         if share == self._settled_share:
             return
-        budgets = [self._unused, *(account.slack for account in self._accounts.values())]
-        for budget in budgets:
-            self._refill(budget)
+        self._refill(self._unused)
+        for account in self._accounts.values():
+            self._refill(account.slack)
         self._settled_share = share
-        for budget in budgets:
-            budget.set_reserve(reserve=self._reserve)
+        self._unused.set_reserve(reserve=self._reserve)
+        for account in self._accounts.values():
+            account.slack.set_limits(reserve=self._reserve, overdraft=self._overdraft)
+
+    def acquire(
+        self, *, service: ServiceId, requests: int, kind: RepeatClass = RepeatClass.REPEATED
+    ) -> RepeatPermit:
+        """Acquire one repeat, or learn when a run can ask again.
+
+        Runs that are refused are told different times, so that they don't all ask again at once.
+
+        :param service: The service.
+        :param requests: Requests for the service that the asking host has not reported before.
+        :param kind: Whether a request begins again or a run continues.
+        """
+        if self.try_acquire(service=service, requests=requests, kind=kind):
+            return RepeatPermit(is_granted=True)
+        if kind is RepeatClass.REPEATED:
+            return RepeatPermit(is_granted=False)
+        return RepeatPermit(is_granted=False, delay_ms=self._promise(service))
 
-    def try_acquire(self, *, service: ServiceId, requests: int) -> bool:
-        """Acquire one retry.
+    def try_acquire(
+        self, *, service: ServiceId, requests: int = 0, kind: RepeatClass = RepeatClass.REPEATED
+    ) -> bool:
+        """Acquire one repeat.
 
         :param service: The service.
         :param requests: Requests for the service that the asking host has not reported before.
-        :returns: Whether a retry was available.
+        :param kind: Whether a request begins again or a run continues.
+        :returns: Whether a repeat was available.
         """
         account = self._get_account(service)
         now = self._clock.now()
         account.share.report(requests, now=now)
-        is_granted = account.share.try_spend(ratio=self._ratio, window_ms=self._window_ms, now=now)
-        return is_granted or account.slack.try_spend()
+        if account.share.try_spend(ratio=self._ratio, window_ms=self._window_ms, now=now):
+            return True
+        return account.slack.try_spend(kind)
+
+    def can_acquire(self, *, service: ServiceId, kind: RepeatClass) -> bool:
+        """Return whether a repeat of some class is available from the fixed number."""
+        return self._get_account(service).slack.can_spend(kind)
+
+    def refund(self, *, service: ServiceId) -> None:
+        """Return a repeat that was acquired and not sent."""
+        self._get_account(service).slack.refund()
 
     def left(self, service: ServiceId) -> float:
         """Return the part of the fixed number that a service may use now."""
@@ -195,7 +213,21 @@
     def _reserve(self) -> float:
         return max(self._slack_share, MIN_RESERVE)
 
-    def _refill(self, budget: RetryBudget) -> None:
+    @property
+    def _overdraft(self) -> float:
+        return self._slack * OVERDRAFT_SHARE * self._settled_share
+
+    def _promise(self, service: ServiceId) -> int:
+        """Return after which time a refused run can ask again."""
+        account = self._get_account(service)
+        now = self._clock.now()
+        interval_ms = self._window_ms / max(self._slack_share, MIN_RESERVE)
+        available_at = now + account.slack.missing(RepeatClass.RESUMED) * interval_ms
+        account.promised_at = max(available_at, account.promised_at + interval_ms)
+        account.promised_at = min(account.promised_at, now + MAX_RETURN_MS)
+        return ceil(account.promised_at - now)
+
+    def _refill(self, budget: RetryBudget | SlackAccount) -> None:
         budget.refill(now=self._clock.now(), per_s=self._slack_share / self._window_s)
 
     def _get_account(self, service: ServiceId) -> _Account:
@@ -203,14 +235,14 @@
         account = self._accounts.get(service)
         if account is None:
             self._refill(self._unused)
-            account = _Account(
-                slack=RetryBudget(
-                    ratio=0.0,
-                    reserve=self._reserve,
-                    start=self._unused.left,
-                    last_refill=self._clock.now(),
-                )
+            slack = SlackAccount(
+                reserve=self._reserve,
+                overdraft=self._overdraft,
+                accrued=self._unused.left,
+                now=self._clock.now(),
+                has_runs=self._has_runs(service),
             )
+            account = _Account(slack=slack)
             self._accounts[service] = account
         self._refill(account.slack)
         return account
--- a/src/tanagerscale/forwarding/_metrics.py
+++ b/src/tanagerscale/forwarding/_metrics.py
@@ -92,8 +92,8 @@
         )
         self.repeats: Final = Counter(
             "tanagerscale_repeats",
-            "Requests sent to upstreams that had been sent before, by path and permit.",
-            ["path", "permit"],
+            "Requests sent to upstreams that had been sent before, by path.",
+            ["path"],
             registry=registry,
         )
         self.pause_refusals: Final = Counter(
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -11,6 +11,7 @@
 from tanagerscale.coordination import Gate
 from tanagerscale.coordination import Permit
 from tanagerscale.coordination import RateLimits
+from tanagerscale.coordination import RepeatPermit
 from tanagerscale.coordination import RouteTableSource
 from tanagerscale.coordination import UpstreamHealth
 from tanagerscale.coordination import Upstreams
@@ -37,6 +38,9 @@
     async def may_repeat(self, *, service: ServiceId) -> bool:
         """Return whether a request may be retried at another upstream."""
 
+    async def acquire_resume(self, *, service: ServiceId) -> RepeatPermit:
+        """Return whether a run may continue on an upstream, or when it can ask again."""
+
 
 class RatePermitSource(Protocol):
     """Limits the requests that all hosts together send to upstreams with rate limits."""
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -294,7 +294,7 @@
         if not record.reached:
             return
         path = RepeatPath.HEDGED if record.is_in_flight else RepeatPath.REPEATED
-        record_repeat(self._routed, self._context, entry.upstream, path=path, is_permitted=True)
+        record_repeat(self._routed, self._context, entry.upstream, path=path)
 
     def _build_request(self, entry: UpstreamEntry) -> UpstreamRequest:
         return UpstreamRequest(
--- a/src/tanagerscale/forwarding/_repeats.py
+++ b/src/tanagerscale/forwarding/_repeats.py
@@ -33,23 +33,19 @@
     upstream: UpstreamId,
     *,
     path: RepeatPath,
-    is_permitted: bool,
 ) -> None:
-    """Log and count a request that has been sent before.
+    """Log and count a request that has been sent before, which the retry budget has permitted.
 
     :param routed: The request.
     :param context: Dependencies shared by all requests.
     :param upstream: The upstream that it is sent to.
     :param path: How it gets there.
-    :param is_permitted: Whether the retry budget of all hosts was asked and permits it.
     """
-    permit = "granted" if is_permitted else "not-asked"
-    context.metrics.repeats.labels(path.value, permit).inc()
+    context.metrics.repeats.labels(path.value).inc()
     _log.info(
         "A request is sent once more.",
         request=routed.request.request,
         service=routed.service,
         upstream=upstream,
         path=path.value,
-        permit=permit,
     )
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -46,6 +46,11 @@
 after each one: 0.3 s in total. An engine that fails six of ten requests accepts at least one of
 five with a probability of 92 in 100."""
 
+MAX_BUDGET_WAIT_MS: Final = 2500
+MIN_BUDGET_WAIT_MS: Final = 20
+"""Longest wait of a run for the retry budget, and shortest interval between two asks. Engines keep
+the copy of a run that waits for five seconds, and it may be half as old."""
+
 MAX_PERMIT_WAIT_MS: Final = 500
 """Longest wait in one attempt until the rate limit of an engine allows the run."""
 
@@ -141,6 +146,8 @@
     ) -> StreamSegment | Snapshot | None:
         """Resume a run from a copy, at either of the two engines that hold one.
 
+        Each request needs a repeat of the retry budget, except one that the decider has ordered.
+
         An engine that refuses the run keeps the copy, and an engine that fails only some of its
         requests accepts the run at a later attempt.
 
@@ -152,7 +159,12 @@
         entry = resume_target.entry
         backoff_ms = INITIAL_BACKOFF_MS
         failed: set[UpstreamId] = set()
+        ends_at = self._context.clock.now() + MAX_BUDGET_WAIT_MS
+        has_budget = resume_target.is_permitted
         for _ in range(MAX_RESUME_ATTEMPTS):
+            has_budget = has_budget or await self._acquire_repeat(entry, ends_at)
+            if not has_budget:
+                return None
             holder = self._choose_holder(resume_target, entry, failed)
             if holder is None:
                 self.log("No engine that holds the copy can be asked.", entry)
@@ -167,6 +179,7 @@
             if not is_permitted and not await self._acquire_permit(entry):
                 entry = self._other_holder(resume_target, entry)
                 continue
+            has_budget = False
             try:
                 segment = await self._try_resume(entry, resume_target, progress)
             except (ExchangeError, TimeoutError) as error:
@@ -226,7 +239,7 @@
         self, entry: UpstreamEntry, resume_target: ResumeTarget, progress: RunProgress
     ) -> StreamSegment:
         path = RepeatPath.RESUMED
-        record_repeat(self._routed, self._context, entry.upstream, path=path, is_permitted=False)
+        record_repeat(self._routed, self._context, entry.upstream, path=path)
         sent_at = self._context.clock.now()
         async with asyncio.timeout(RESUME_TIMEOUT_MS / MS_PER_SECOND):
             segment = await self.send(entry=entry, resume_target=resume_target, progress=progress)
@@ -245,6 +258,33 @@
         )
         return segment
 
+    async def _acquire_repeat(self, entry: UpstreamEntry, ends_at: int) -> bool:
+        """Wait until the retry budget allows the run to continue.
+
+        :param entry: Engine with a copy of the run, on which it waits.
+        :param ends_at: Time until which it may wait.
+        :returns: Whether the budget does; if not, it won't in time.
+        """
+        clock = self._context.clock
+        while True:
+            permit = await self._context.retry_permits.acquire_resume(service=self._routed.service)
+            if permit.is_granted:
+                return True
+            delay_ms = max(permit.delay_ms, MIN_BUDGET_WAIT_MS)
+            is_in_time = clock.now() + delay_ms <= ends_at
+            self.log(
+                (
+                    "A run waits for the retry budget."
+                    if is_in_time
+                    else "The retry budget is exhausted, and a run can't wait for it."
+                ),
+                entry,
+                delay_ms=delay_ms,
+            )
+            if not is_in_time:
+                return False
+            await clock.sleep(delay_ms)
+
     async def _acquire_permit(self, entry: UpstreamEntry) -> bool:
         """Wait until the rate limit of an engine allows a run to resume there.
 
--- a/src/tanagerscale/forwarding/_snapshots.py
+++ b/src/tanagerscale/forwarding/_snapshots.py
@@ -14,7 +14,8 @@
     :param entry: Engine that resumes the run.
     :param holder: Engine whose copy of the KV cache is used.
     :param copy: Id of that copy.
-    :param is_permitted: Whether the rate limit of the engine already counts the request.
+    :param is_permitted: Whether the rate limit of the engine and the retry budget already count the
+        request.
     """
 
     entry: UpstreamEntry
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -230,7 +230,7 @@
         sender = self._sender
         if self._record.reached:
             path = RepeatPath.PLACED_AGAIN
-            record_repeat(self._routed, self._context, entry.upstream, path=path, is_permitted=True)
+            record_repeat(self._routed, self._context, entry.upstream, path=path)
         self._record.record_sent(entry.upstream)
         try:
             segment = await sender.send(entry=entry, resume_target=None, progress=self._progress)
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -266,9 +266,16 @@
             window_s=retries.window_s,
             share=self._share_of_hosts,
             since=lambda: self.directory.decider_since,
+            has_runs=self._can_move,
             clock=self._clock,
         )
 
+    def _can_move(self, service: ServiceId) -> bool:
+        """Return whether the runs of a service can continue on another engine."""
+        table = self.configuration.table
+        declared = None if table is None else table.service(service)
+        return declared is not None and declared.engine is not None and declared.engine.can_move
+
     def _make_rate_limits(self) -> RateLimits:
         warmup = WarmupRates(tables=self.configuration, upstreams=self.roster)
         return RateLimits(
--- a/src/tanagerscale/policy/_retries.py
+++ b/src/tanagerscale/policy/_retries.py
@@ -67,6 +67,14 @@
         """Count the first attempts of several requests."""
         self._tokens = min(self._tokens + self._ratio * number, self._reserve)
 
+    def refund(self) -> None:
+        """Return a retry that was taken and not used."""
+        self._tokens = min(self._tokens + 1.0, self._reserve)
+
+    def spend(self) -> None:
+        """Take one retry, also if none is left."""
+        self._tokens -= 1.0
+
     def try_spend(self) -> bool:
         """Take one retry from the budget.
 
@@ -74,5 +82,5 @@
         """
         if self._tokens < 1.0:
             return False
-        self._tokens -= 1.0
+        self.spend()
         return True
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -20,6 +20,7 @@
 from tanagerscale.coordination import NamedRates
 from tanagerscale.coordination import Permit
 from tanagerscale.coordination import RateLimits
+from tanagerscale.coordination import RepeatPermit
 from tanagerscale.coordination import UpstreamHealth
 from tanagerscale.coordination import WarmupRates
 from tanagerscale.core import Clock
@@ -468,6 +469,11 @@
         self.granted += 1
         return True
 
+    async def acquire_resume(self, *, service: ServiceId) -> RepeatPermit:
+        """Use a retry for a run that continues if one is left."""
+        is_granted = await self.may_repeat(service=service)
+        return RepeatPermit(is_granted=is_granted, delay_ms=0 if is_granted else 100)
+
 
 @dataclass(slots=True)
 class FakeRatePermits:
--- a/testing/_single_host.py
+++ b/testing/_single_host.py
@@ -91,7 +91,8 @@
         slack=100.0,
         window_s=10.0,
         share=lambda: 1.0,
-        since=lambda: Millis(0),
+        since=lambda: Millis(-60_000),
+        has_runs=lambda service: True,
         clock=context.clock,
     )
     coordinator = Coordinator(
--- a/testing/test_repeats_of_all_hosts.py
+++ b/testing/test_repeats_of_all_hosts.py
@@ -9,13 +9,17 @@
 import pytest
 
 from standins.retry_budget_rule import RetryBudgetRule
+from tanagerscale.generated.messages import RepeatClass
 from testing._counted_upstreams import CountedFleet
 from testing._counted_upstreams import CountedUpstreams
 from testing._counted_upstreams import find_excess
+from testing._counted_upstreams import lost_streams
 from testing._counted_upstreams import run_with_counted_fleet
+from testing._counted_upstreams import used_share
 from testing._forwarding_fleet import LONG_ROUTE
 from testing._forwarding_fleet import PLAIN_ROUTE
 from testing._forwarding_fleet import SHORT_ROUTE
+from testing._gateway_fakes import SERVICE
 
 RULE = RetryBudgetRule(ratio=0.2, slack=58.0)
 NOTHING = RetryBudgetRule(ratio=0.0, slack=0.0)
@@ -126,3 +130,54 @@
         return find_excess(fleet, ONLY_SLACK)
 
     assert run_with_counted_fleet(scenario, rule=ONLY_SLACK) == ""
+
+
+def _count_uncopied_runs(fleet: CountedFleet, *engines: str) -> int:
+    """Return how many runs on some engines have no copy elsewhere, so that they end with these."""
+    runs = [run for host in fleet.hosts for run in host.mover.runs]
+    return sum(
+        run.entry is not None
+        and run.entry.upstream in engines
+        and (run.snapshot is None or run.snapshot.entry.upstream in engines)
+        for run in runs
+    )
+
+
+def test_runs_with_a_copy_continue_within_the_budget_when_a_third_of_the_engines_crashes() -> None:
+    async def scenario(fleet: CountedFleet) -> tuple[int, int, str]:
+        load = asyncio.create_task(fleet.load(per_s=7, seconds=10, routes=[LONG_ROUTE]))
+        await asyncio.sleep(7)
+        uncopied = _count_uncopied_runs(fleet, "e0", "e1")
+        _crash(fleet)
+        await load
+        return lost_streams(fleet), uncopied, find_excess(fleet, RULE)
+
+    lost, uncopied, excess = run_with_counted_fleet(scenario, rule=RULE)
+    assert lost <= uncopied
+    assert excess == ""
+
+
+def test_half_of_the_budget_is_used_when_all_upstreams_refuse_for_a_window() -> None:
+    async def scenario(fleet: CountedFleet) -> float:
+        await fleet.load(per_s=40, seconds=10)
+        fleet.upstreams.refusing = set(ALL_ENGINES)
+        await fleet.load(per_s=40, seconds=11, seed=3)
+        return used_share(fleet, RULE)
+
+    assert run_with_counted_fleet(scenario, rule=RULE) >= 0.5
+
+
+def test_run_waits_on_its_copy_when_the_budget_is_used_up() -> None:
+    async def scenario(fleet: CountedFleet) -> tuple[int, int]:
+        load = asyncio.create_task(fleet.load(per_s=3, seconds=9, routes=[LONG_ROUTE]))
+        await asyncio.sleep(6)
+        decider = next(one for one in fleet.fleet.hosts if one.name == fleet.fleet.hosts[0].decider)
+        while decider.control.retry_budgets.try_acquire(service=SERVICE, kind=RepeatClass.RESUMED):
+            pass
+        uncopied = _count_uncopied_runs(fleet, "e0")
+        fleet.upstreams.crash("e0")
+        await load
+        return lost_streams(fleet), uncopied
+
+    lost, uncopied = run_with_counted_fleet(scenario, rule=RULE)
+    assert lost <= uncopied
