Add failing tests of hosts that reach no upstream, in virtual time and through processes

Cause (hypotheses 1 and 3 of docs/incidents/hosts-without-upstreams.md): a host sends only by its own connections, and the failures of its paths count as failures of the upstreams.

The users' rule is computed in standins/recovery_rule.py from what callers saw. Through processes a relay in front of each upstream cuts off single hosts from all of them: connections that are reset, silent, or live on while new ones are reset. It tells hosts apart by the address from which they connect, for which hosts get a setting (source_ip); the verdict takes the host from which a request reached its upstream for its sender.

--- a/src/tanagerscale/platform/_factory.py
+++ b/src/tanagerscale/platform/_factory.py
@@ -40,16 +40,17 @@
     :param clock: Clock for the timeouts of connections.
     """
 
-    def make_pool(silence_s: int) -> ConnectionPool:
+    def make_pool(silence_s: int, source_ip: str = "") -> ConnectionPool:
         return ConnectionPool(
             clock=clock,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             idle_ms=IDLE_TIMEOUT_MS,
             dead_peer_timeout_s=silence_s,
+            source_ip=source_ip,
         )
 
     store_pool = make_pool(STORE_SILENCE_TIMEOUT_S)
-    upstream_pool = make_pool(DEAD_PEER_TIMEOUT_S)
+    upstream_pool = make_pool(DEAD_PEER_TIMEOUT_S, settings.host.source_ip)
 
     async def close() -> None:
         store_pool.close()
--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -197,7 +197,12 @@
 
 
 async def open_connection(
-    *, address: str, timeout_ms: int, now: Millis, dead_peer_timeout_s: int = DEAD_PEER_TIMEOUT_S
+    *,
+    address: str,
+    timeout_ms: int,
+    now: Millis,
+    dead_peer_timeout_s: int = DEAD_PEER_TIMEOUT_S,
+    source_ip: str = "",
 ) -> HttpConnection:
     """Open a connection.
 
@@ -206,6 +211,7 @@
     :param now: Current time.
     :param dead_peer_timeout_s: Seconds without an acknowledgement after which the peer counts as
         dead.
+    :param source_ip: Local IP address; empty lets the system choose.
     :raises ExchangeError: If no connection is established in time.
     """
     loop = asyncio.get_running_loop()
@@ -213,7 +219,10 @@
     try:
         async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
             transport, protocol = await loop.create_connection(
-                lambda: _ResponseProtocol(loop), host.strip("[]"), int(port)
+                lambda: _ResponseProtocol(loop),
+                host.strip("[]"),
+                int(port),
+                local_addr=(source_ip, 0) if source_ip else None,
             )
     except (OSError, TimeoutError, ValueError) as error:
         detail = f"No connection to {address} ({type(error).__name__})"
--- a/src/tanagerscale/upstreams/_pool.py
+++ b/src/tanagerscale/upstreams/_pool.py
@@ -35,6 +35,7 @@
         milliseconds.
     :param dead_peer_timeout_s: Seconds without an acknowledgement after which an upstream counts as
         dead.
+    :param source_ip: Local IP address of new connections; empty lets the system choose.
     """
 
     def __init__(
@@ -44,7 +45,9 @@
         connect_timeout_ms: int,
         idle_ms: int,
         dead_peer_timeout_s: int = DEAD_PEER_TIMEOUT_S,
+        source_ip: str = "",
     ) -> None:
+        self._source_ip = source_ip
         self._clock = clock
         self._dead_peer_timeout_s = dead_peer_timeout_s
         self._connect_timeout_ms = connect_timeout_ms
@@ -71,6 +74,7 @@
             timeout_ms=self._connect_timeout_ms,
             now=self._clock.now(),
             dead_peer_timeout_s=self._dead_peer_timeout_s,
+            source_ip=self._source_ip,
         )
 
     def release(self, *, address: str, connection: HttpConnection, response: ResponseHead) -> None:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -53,6 +53,7 @@
     :param body: Body of the request.
     :param executed: Whether the upstream started to execute the request.
     :param upstream: Id of the upstream.
+    :param sender: Name of the host that sent it; empty if that is not known.
     :param born: Start time that the upstream reports, which identifies its incarnation.
     :param arrived: Monotonic time at which the upstream had read the request.
     :param ended: Monotonic time at which the upstream stopped handling it; ``None`` until then.
@@ -66,6 +67,7 @@
     body: bytes
     executed: bool = False
     upstream: str = ""
+    sender: str = ""
     born: int = 0
     arrived: int = 0
     ended: int | None = None
@@ -99,6 +101,8 @@
     :param running: Ids of the upstreams on which each request runs now.
     :param overlaps: Requests that started on an upstream while they already ran on one.
     :param engines: All running upstreams by address.
+    :param senders: Hosts by the port from which their connections reach an upstream, if relays in
+        between know it.
     """
 
     received_requests: list[ReceivedRequest] = field(default_factory=list)
@@ -106,6 +110,13 @@
     running: dict[str, set[str]] = field(default_factory=dict)
     overlaps: list[str] = field(default_factory=list)
     engines: dict[str, UpstreamEmulator] = field(default_factory=dict)
+    senders: dict[int, str] = field(default_factory=dict)
+
+    def sender_of(self, request: web.BaseRequest) -> str:
+        """Return the name of the host that sent a request; empty if that is not known."""
+        if request.transport is None:
+            return ""
+        return self.senders.get(request.transport.get_extra_info("peername")[1], "")
 
     def start_run(self, request: str, upstream: str) -> None:
         """Record that a request starts to run on an upstream."""
@@ -242,6 +253,7 @@
             headers=request.headers,
             body=await request.read(),
             upstream=self.upstream,
+            sender=self._ledger.sender_of(request),
             born=self.born,
             arrived=self._clock.now(),
         )
--- a/standins/platform_fault_log.py
+++ b/standins/platform_fault_log.py
@@ -28,6 +28,7 @@
     LEAVING = "upstream leaving"
     REFUSAL = "upstream full"
     LIMIT = "upstream names a rate limit"
+    CUT = "host cut off from all upstreams"
 
 
 @dataclass(slots=True)
--- a/standins/platform_soak.py
+++ b/standins/platform_soak.py
@@ -14,6 +14,7 @@
 from standins._common import run_main
 from standins.platform_callers import CallKind
 from standins.platform_callers import PlatformCallers
+from standins.platform_cuts import HostCutter
 from standins.platform_fault_log import FaultLog
 from standins.platform_faults import RETRY_SLACKS
 from standins.platform_faults import PlatformFaultInjector
@@ -70,6 +71,7 @@
     directory: Path,
     limits: bool = False,
     refusals: bool = False,
+    cuts: bool = False,
 ) -> list[str]:
     """Run the soak and return the broken guarantees.
 
@@ -79,8 +81,9 @@
     :param directory: Directory for settings, logs and the record of faults.
     :param limits: Whether upstreams name rate limits meanwhile.
     :param refusals: Whether most upstreams of a service refuse everything at times.
+    :param cuts: Whether hosts are cut off from all upstreams at times.
     """
-    cluster = PlatformCluster()
+    cluster = PlatformCluster(has_links=cuts)
     fault_log = FaultLog()
     processes: list[PlatformHostProcess] = []
     retry_slacks = SMALL_RETRY_SLACKS if refusals else RETRY_SLACKS
@@ -113,6 +116,10 @@
             if refusals:
                 provoker = RepeatProvoker(cluster=cluster, fault_log=fault_log)
                 tasks.create_task(provoker.run(rng=Random(seed + 3), duration_ms=duration_ms))
+            if cuts:
+                names = [process.name for process in processes]
+                cutter = HostCutter(cluster=cluster, hosts=names, fault_log=fault_log)
+                tasks.create_task(cutter.run(rng=Random(seed + 4), duration_ms=duration_ms))
         await callers.finish()
         await Clock().sleep(SETTLING_MS)
     finally:
@@ -186,6 +193,7 @@
     keep: str = "",
     limits: bool = False,
     refusals: bool = False,
+    cuts: bool = False,
 ) -> None:
     """Run the soak.
 
@@ -195,6 +203,7 @@
     :param keep: Directory for settings and logs; empty creates a temporary one, which is kept.
     :param limits: Whether upstreams name rate limits meanwhile.
     :param refusals: Whether most upstreams of a service refuse everything at times.
+    :param cuts: Whether hosts are cut off from all upstreams at times.
     """
     directory = Path(keep or mkdtemp(prefix="tanagerscale-platform-soak-"))
     directory.mkdir(parents=True, exist_ok=True)
@@ -208,6 +217,7 @@
             directory=directory,
             limits=limits,
             refusals=refusals,
+            cuts=cuts,
         )
     )
     for violation in violations:
--- a/standins/platform_verdict.py
+++ b/standins/platform_verdict.py
@@ -12,11 +12,14 @@
 from standins.platform_engine import Ledger
 from standins.platform_engine import ReceivedRequest
 from standins.platform_engine import event_bytes
+from standins.platform_fault_log import Fault
 from standins.platform_fault_log import FaultKind
 from standins.platform_fault_log import FaultLog
 from standins.rate_limit_rule import Arrival
 from standins.rate_limit_rule import LimitPeriod
 from standins.rate_limit_rule import find_excess
+from standins.recovery_rule import FirstTry
+from standins.recovery_rule import find_neglect
 from standins.retry_budget_rule import RetryBudgetRule
 from tanagerscale.core import MS_PER_SECOND
 
@@ -36,6 +39,8 @@
 PAUSE_DELAY_MS = 500
 """Time in which a host stops sending requests to an upstream that asks for a pause."""
 MAX_REQUESTS_IN_PAUSE = 2
+CUT_GRACE_MS = 3_000
+"""Time after which the callers of a host that is cut off are served nearly as others."""
 RATE_LIMIT = "Server-Limit"
 SIGNATURE = "Tanagerscale-Server-Stamp"
 SERVER_LEAVING = "Server-Leaving"
@@ -46,6 +51,7 @@
 _UPSTREAM_FAULTS = frozenset((FaultKind.UPSTREAM,))
 _STOPS = frozenset((FaultKind.HOST_STOP,))
 _RESTARTS = _INTERRUPTIONS | _STOPS
+_CUTS = frozenset((FaultKind.CUT,))
 
 
 @final
@@ -94,7 +100,8 @@
                 if fault:
                     violations.append(f"{name}: {fault}: {self.describe(call)}")
         violations += self._find_requests_to_leaving() + self._find_requests_in_pauses()
-        return violations + self._find_requests_over_limits() + self._find_repeats_over_budget()
+        violations += self._find_requests_over_limits() + self._find_repeats_over_budget()
+        return violations + self._find_neglected_callers()
 
     def _find_wrong_answer(self, call: Call) -> str:
         if not call.is_complete or call.status // 100 != 2:
@@ -143,7 +150,7 @@
         if call.ended >= call.sent + call.kind.deadline_ms - DEADLINE_MARGIN_MS:
             return True
         if self._fault_log.find(
-            call.host, _UNPLANNED, began=call.sent - QUIET_MS, ended=call.ended
+            call.host, _UNPLANNED | _CUTS, began=call.sent - QUIET_MS, ended=call.ended
         ):
             return True
         if any(
@@ -169,16 +176,16 @@
         for call, received in self._pairs():
             is_passed_on = call.headers.get(SIGNATURE) == received.upstream and call.head_at
             if is_passed_on and SERVER_LEAVING in received.answer_headers:
-                told[call.host, received.upstream, received.born].append(call.head_at)
+                told[_sender(call, received), received.upstream, received.born].append(call.head_at)
         violations = []
         for call, received in self._pairs():
-            times = sorted(told[call.host, received.upstream, received.born])
+            times = sorted(told[_sender(call, received), received.upstream, received.born])
             earlier = bisect_right(times, call.sent - LEAVING_DELAY_MS - 1)
             if not earlier:
                 continue
             # Only the last of the earlier answers may be later than a restart or freeze.
             since = times[earlier - 1]
-            if not self._is_interrupted(call.host, since, received.arrived):
+            if not self._is_interrupted(_sender(call, received), since, received.arrived):
                 violations.append(
                     f"LEAVING: reached {received.upstream} {received.arrived - since} ms after it "
                     f"said that it leaves: {self.describe(call)}"
@@ -188,7 +195,7 @@
     def _find_requests_in_pauses(self) -> list[str]:
         arrivals: dict[tuple[str, str, int], list[ReceivedRequest]] = defaultdict(list)
         for call, received in self._pairs():
-            arrivals[call.host, received.upstream, received.born].append(received)
+            arrivals[_sender(call, received), received.upstream, received.born].append(received)
         violations = []
         for (host, upstream, _), requests in arrivals.items():
             for refusal in requests:
@@ -215,10 +222,10 @@
         told: dict[str, dict[str, list[int]]] = defaultdict(lambda: defaultdict(list))
         for call, received in self._pairs():
             incarnation = limit_target(received.upstream, received.born)
-            arrivals[incarnation].append(Arrival(received.arrived, call.host))
+            arrivals[incarnation].append(Arrival(received.arrived, _sender(call, received)))
             is_passed_on = call.headers.get(SIGNATURE) == received.upstream and call.head_at
             if is_passed_on and RATE_LIMIT in received.answer_headers:
-                told[incarnation][call.host].append(call.head_at)
+                told[incarnation][_sender(call, received)].append(call.head_at)
         violations = []
         for limit in limits:
             excess = find_excess(
@@ -253,6 +260,26 @@
             )
         ]
 
+    def _find_neglected_callers(self) -> list[str]:
+        cuts = [fault for fault in self._fault_log.faults if fault.kind is FaultKind.CUT]
+        tries = []
+        for call in self._calls.values():
+            known = [cut for cut in cuts if cut.began + CUT_GRACE_MS <= call.sent <= _end(cut)]
+            is_in_touch = not self._fault_log.find(
+                call.host, _RESTARTS, began=call.sent - CUT_GRACE_MS, ended=call.ended
+            )
+            if not known or not is_in_touch:
+                continue
+            is_cut = any(cut.target == call.host for cut in known)
+            is_near_cut = self._fault_log.find(
+                call.host, _CUTS, began=call.sent - CUT_GRACE_MS, ended=call.ended
+            )
+            if is_cut or not is_near_cut:
+                is_served = call.is_complete and call.status // 100 == 2
+                tries.append(FirstTry(is_cut=is_cut, is_served=is_served))
+        neglect = find_neglect(tries)
+        return [f"RECOVER: {neglect}"] if neglect else []
+
     def _pairs(self) -> list[tuple[Call, ReceivedRequest]]:
         return [
             (call, received)
@@ -287,5 +314,15 @@
     return f"{upstream}@{born}"
 
 
+def _sender(call: Call, received: ReceivedRequest) -> str:
+    """Return the host from which a request reached an upstream."""
+    return received.sender or call.host
+
+
+def _end(fault: Fault) -> int:
+    """Return the end of a fault; it is over at the end of a run."""
+    return fault.began if fault.ended is None else fault.ended
+
+
 def _is_refused(call: Call) -> bool:
     return call.is_complete and call.status in REFUSED_STATUSES
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -18,6 +18,8 @@
 from standins.platform_engine import UpstreamEmulator
 from standins.platform_store import StoreEmulator
 from standins.tcp_relay import TcpRelay
+from standins.upstream_link import CutKind
+from standins.upstream_link import UpstreamLink
 from tanagerscale.core import Clock
 from tanagerscale.gateway import GatewayHost
 from tanagerscale.generated.gateway import DeadlinesSection
@@ -129,10 +131,20 @@
 
 @final
 class PlatformCluster:
-    """A store, upstreams and hosts, which tests start, call and disturb."""
+    """A store, upstreams and hosts, which tests start, call and disturb.
 
-    def __init__(self) -> None:
+    :param has_links: Whether hosts reach upstreams through relays that can cut them off.
+    """
+
+    def __init__(self, *, has_links: bool = False) -> None:
         self.store = StoreEmulator()
+        self.upstream_links: dict[str, UpstreamLink] = {}
+        """Relay in front of each upstream, by its name, if hosts can be cut off."""
+        self._has_links = has_links
+        self._host_names: dict[str, str] = {}
+        """Hosts by the address from which they connect to upstreams."""
+        self._cuts: dict[str, CutKind] = {}
+        """Hosts that are cut off, by that address."""
         self.ledger = Ledger()
         self.upstreams: dict[str, UpstreamEmulator] = {}
         self.hosts: dict[str, GatewayHost] = {}
@@ -155,6 +167,8 @@
             await self.kill_host(host)
         for upstream in self.upstreams.values():
             await upstream.stop()
+        for link in self.upstream_links.values():
+            await link.__aexit__()
         if self._session is not None:
             await self._session.close()
         await self.store.stop()
@@ -173,14 +187,46 @@
         upstream = UpstreamEmulator(upstream=name, ledger=self.ledger, **options)
         await upstream.start()
         self.upstreams[name] = upstream
+        if self._has_links:
+            await self._add_link(upstream)
         self.register(upstream, service)
         return upstream
 
+    async def _add_link(self, upstream: UpstreamEmulator) -> None:
+        link = self.upstream_links.get(upstream.upstream)
+        if link is None:
+            link = UpstreamLink(
+                target=upstream.address,
+                on_connection=lambda source, port: self.ledger.senders.update(
+                    {port: self._host_names.get(source, "")}
+                ),
+            )
+            await link.__aenter__()
+            self.upstream_links[upstream.upstream] = link
+            for source, kind in self._cuts.items():
+                link.cut(source, kind)
+        self.ledger.engines[link.address] = upstream
+
+    def cut_off(self, host: str, kind: CutKind) -> None:
+        """Cut off a host from all upstreams, also from those that are added later."""
+        source = self._settings[host].host.source_ip
+        self._cuts[source] = kind
+        for link in self.upstream_links.values():
+            link.cut(source, kind)
+
+    def heal(self, host: str) -> None:
+        """End the cut of a host."""
+        source = self._settings[host].host.source_ip
+        self._cuts.pop(source, None)
+        for link in self.upstream_links.values():
+            link.heal(source)
+
     def register(self, upstream: UpstreamEmulator, service: str, *, state: str = "ready") -> None:
         """Write the entry of an upstream to the store."""
+        link = self.upstream_links.get(upstream.upstream)
         entry = {
             "service": service,
-            "address": upstream.address,
+            "address": upstream.address if link is None else link.address,
             "zone": "a",
             "version": "v1",
             "slots": 24,
@@ -247,6 +293,9 @@
         relay = TcpRelay(target=self._store_address)
         await relay.__aenter__()
         self.store_links[name] = relay
+        source_ip = f"127.200.1.{len(self._host_names) + 1}" if self._has_links else ""
+        if source_ip:
+            self._host_names[source_ip] = name
         self._settings[name] = GatewaySettings(
             host=HostSection(
                 id=name,
@@ -255,6 +304,7 @@
                 readiness=f"{ip}:{free_port()}",
                 peers=f"{ip}:{free_port()}",
                 seeds=list(seeds),
+                source_ip=source_ip,
                 stop_grace_s=stop_grace_s,
             ),
             store=GatewayStore(address=relay.address),
--- a/testing/_counted_upstreams.py
+++ b/testing/_counted_upstreams.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Sequence
+from enum import Enum
+from enum import unique
 from typing import Any
 from typing import TypeVar
 from typing import final
@@ -23,6 +25,7 @@
 from tanagerscale.forwarding import RunCopy
 from tanagerscale.forwarding import UpstreamRequest
 from tanagerscale.generated.gateway import RetrySection
+from tanagerscale.upstreams import DEAD_PEER_TIMEOUT_S
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
@@ -41,6 +44,19 @@
 SHORT_EVENTS = 3
 LONG_EVENTS = 187
 HANG_S = 60.0
+CONNECT_TIMEOUT_S = 0.4
+
+
+@unique
+class HostCut(Enum):
+    """What becomes of the connections of a host that is cut off from all upstreams."""
+
+    REFUSED = "refused"
+    """Connections are reset, and new ones refused."""
+    SILENT = "silent"
+    """Nothing gets through on any connection."""
+    NEW_ONLY = "new-only"
+    """One connection to each upstream lives on, and new ones are refused."""
 
 
 @final
@@ -60,6 +76,10 @@
         """Upstreams that answer plain requests with an error."""
         self.hanging: set[str] = set()
         """Upstreams that don't answer."""
+        self.cuts: dict[str, HostCut] = {}
+        """Hosts that are cut off."""
+        self._kept: defaultdict[str, set[str]] = defaultdict(set)
+        """Upstreams to which each host has a connection."""
         self._streams: defaultdict[str, dict[str, FakeResponse]] = defaultdict(dict)
 
     @property
@@ -82,12 +102,42 @@
         for response in self._streams.pop(upstream, {}).values():
             response.chunks[:] = [None]
 
+    def cut_off(self, host: str, kind: HostCut) -> None:
+        """Cut off a host from all upstreams."""
+        self.cuts[host] = kind
+
+    def heal(self, host: str) -> None:
+        """End the cut of a host."""
+        del self.cuts[host]
+
+    async def _pass_cut(self, host: str, upstream: str) -> None:
+        """Fail as the connections of a host do that is cut off.
+
+        :raises ExchangeError: The upstream is not reached.
+        """
+        kind, kept = self.cuts.get(host), self._kept[host]
+        has_connection = upstream in kept
+        if kind is None:
+            kept.add(upstream)
+        elif kind is HostCut.REFUSED:
+            kept.discard(upstream)
+            failure = ExchangeFailure.LOST if has_connection else ExchangeFailure.NOT_SENT
+            raise ExchangeError(failure, "connection reset")
+        elif kind is HostCut.SILENT:
+            kept.discard(upstream)
+            await asyncio.sleep(DEAD_PEER_TIMEOUT_S if has_connection else CONNECT_TIMEOUT_S)
+            failure = ExchangeFailure.LOST if has_connection else ExchangeFailure.NOT_SENT
+            raise ExchangeError(failure, "connection silent")
+        elif not has_connection:
+            raise ExchangeError(ExchangeFailure.NOT_SENT, "connection refused")
+
     async def serve(self, host: str, upstream_request: UpstreamRequest) -> FakeResponse:
         """Respond to a request."""
         upstream = str(upstream_request.upstream.upstream)
         await asyncio.sleep(0.001)
         if upstream in self.down:
             raise ExchangeError(ExchangeFailure.NOT_SENT, "no connection")
+        await self._pass_cut(host, upstream)
         request = str(upstream_request.request.request)
         self.arrivals.append((now_ms(), request))
         demand, origin = upstream_request.request.demand, upstream_request.continuation
--- a/testing/_forwarding_fleet.py
+++ b/testing/_forwarding_fleet.py
@@ -48,6 +48,7 @@
 
 PLAIN_ROUTE = make_route(kind=RouteKind.IDEMPOTENT, target_ms=200, timeout_ms=2500)
 SHORT_ROUTE = make_route(kind=RouteKind.STREAMING, target_ms=1500, timeout_ms=6000, attempts=1)
+UNSAFE_ROUTE = make_route(kind=RouteKind.NON_IDEMPOTENT, target_ms=200, timeout_ms=2500)
 LONG_ROUTE = make_route(kind=RouteKind.STREAMING, target_ms=1800, timeout_ms=39_000, attempts=1)
 
 
