Observe whether a host reaches any upstream, and log when it doesn't

Cause: the logs of hosts that were cut off from all upstreams showed attempts and not paths, so that nobody could tell such a host from one whose upstreams are down, nor since when it was cut off.

Hosts track which upstreams have failed since one has answered last. After two different ones, or 0.7 s of silence while requests are under way, they probe one upstream, and two more if it doesn't answer; if none does, the host is cut off, and probes until one answers. Each change is logged with what decided it, and a gauge tells it. No decision uses it yet.

--- a/src/tanagerscale/forwarding/_metrics.py
+++ b/src/tanagerscale/forwarding/_metrics.py
@@ -74,6 +74,11 @@
             "Generations that wait for room on an engine.",
             registry=registry,
         )
+        self.is_cut: Final = Gauge(
+            "tanagerscale_cut_off",
+            "1 while this host reaches no upstream.",
+            registry=registry,
+        )
         self.paused: Final = Gauge(
             "tanagerscale_paused_upstreams",
             "Upstreams that get no requests from this host since they asked it for a pause.",
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -55,7 +55,9 @@
 from tanagerscale.quarantine import SuspectTracker
 from tanagerscale.routes import RouteTable
 from tanagerscale.upstreams import NamedLimits
+from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamNotice
+from tanagerscale.upstreams import UpstreamPaths
 from tanagerscale.upstreams import UpstreamPauses
 
 WATCH_GRACE_MS: Final = 150
@@ -126,6 +128,12 @@
             parse_upstream_name=platform.parse_upstream_name,
             clock=clock,
         )
+        self.paths = UpstreamPaths(
+            probe=lambda entry: platform.upstreams.probe(upstream=entry),
+            known=self._expected_upstreams,
+            clock=clock,
+            rng=rng,
+        )
         self.pauses = UpstreamPauses(clock=clock)
         self.named_limits = NamedLimits(clock=clock)
         self.feed = self._make_feed(ListTopic.UPSTREAMS, self.roster)
@@ -173,6 +181,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.paths.stop()
         await self.store_source.stop()
         await self._head_replicator.stop()
         await self.mesh.stop()
@@ -376,6 +385,12 @@
         if self.directory.is_coordinator:
             self.mesh.send_heartbeat()
 
+    def _expected_upstreams(self) -> list[UpstreamEntry]:
+        """Return the upstreams that are expected to answer this host."""
+        table = self.configuration.table
+        services = () if table is None else table.services
+        return [entry for one in services for entry in self.roster.not_leaving(one.name)]
+
     def _service_of(self, upstream: UpstreamId) -> ServiceId | None:
         entry = self.roster.get(upstream)
         return None if entry is None else entry.service
--- a/src/tanagerscale/gateway/_forwarding.py
+++ b/src/tanagerscale/gateway/_forwarding.py
@@ -12,6 +12,7 @@
 from tanagerscale.forwarding import ForwardingMetrics
 from tanagerscale.forwarding import LocalWorkload
 from tanagerscale.gateway._control import HostControl
+from tanagerscale.gateway._observed_upstreams import ObservedUpstreams
 from tanagerscale.gateway._platform import PlatformUpstreamClient
 
 
@@ -35,6 +36,7 @@
     :param clock: Clock used for deadlines and durations.
     :param rng: Random number generator used for jitter and tie breaking.
     """
+    observed = ObservedUpstreams(client=upstreams, paths=control.paths)
     context = ForwardingContext(
         tables=control.configuration,
         upstreams=control.roster,
@@ -43,8 +45,8 @@
         named_limits=control.named_limits,
         health=control.health,
         suspects=control.suspects,
-        upstream_client=upstreams,
-        engines=upstreams,
+        upstream_client=observed,
+        engines=observed,
         work=work,
         retry_permits=control.client,
         rate_limits=control.rate_limits,
@@ -55,6 +57,7 @@
         rng=rng,
     )
     context.metrics.evacuated.set_function(lambda: len(control.evacuations.domains))
+    context.metrics.is_cut.set_function(lambda: control.paths.is_cut)
     context.metrics.paused.set_function(lambda: len(control.pauses.paused))
     context.metrics.limited.set_function(lambda: len(control.named_limits.limited))
     return context
--- a/src/tanagerscale/gateway/_platform.py
+++ b/src/tanagerscale/gateway/_platform.py
@@ -36,6 +36,9 @@
     def notices(self) -> Observable[UpstreamNotice]:
         """Emits what upstreams say of themselves in their responses."""
 
+    async def probe(self, *, upstream: UpstreamEntry) -> bool:
+        """Return whether an upstream answers, whatever it says."""
+
     def forget(self, *, upstream: UpstreamEntry) -> None:
         """Close the idle connections to an incarnation of an upstream that has ended."""
 
--- a/src/tanagerscale/platform/_engines.py
+++ b/src/tanagerscale/platform/_engines.py
@@ -231,6 +231,14 @@
             return Failure(f"The engine responded with status {reply.status}; try again later.")
         return _to_report(upstream, report)
 
+    async def probe(self, *, upstream: UpstreamEntry) -> bool:
+        """Return whether an upstream answers, whatever it says."""
+        try:
+            await self._call("GET", upstream.address, "/v1/report", b"")
+        except (ExchangeError, TimeoutError):
+            return False
+        return True
+
     def forget(self, *, upstream: UpstreamEntry) -> None:
         """Close the idle connections to an incarnation of an upstream that has ended."""
         self._pool.drop(address=upstream.address)
--- a/src/tanagerscale/platform/_factory.py
+++ b/src/tanagerscale/platform/_factory.py
@@ -20,14 +20,6 @@
 from tanagerscale.upstreams import DEAD_PEER_TIMEOUT_S
 from tanagerscale.upstreams import ConnectionPool
 
-CONNECT_TIMEOUT_MS: Final = 400
-"""Longest wait for a connection. Connecting takes 3 ms between failure domains, and a lost first
-packet is resent only after one second, so that trying another upstream is faster."""
-
-IDLE_TIMEOUT_MS: Final = 3000
-"""How long an idle connection is reused if its upstream does not announce an idle timeout."""
-
-
 STORE_SILENCE_TIMEOUT_S: Final = 3
 """Time within which TCP probes detect a silent connection to the store; a probe costs no call.
 A configuration must be in force two seconds after that."""
@@ -43,8 +35,6 @@
     def make_pool(silence_s: int, source_ip: str = "") -> ConnectionPool:
         return ConnectionPool(
             clock=clock,
-            connect_timeout_ms=CONNECT_TIMEOUT_MS,
-            idle_ms=IDLE_TIMEOUT_MS,
             dead_peer_timeout_s=silence_s,
             source_ip=source_ip,
         )
--- a/src/tanagerscale/upstreams/__init__.py
+++ b/src/tanagerscale/upstreams/__init__.py
@@ -16,6 +16,7 @@
 from tanagerscale.upstreams._named_limits import NamedLimits
 from tanagerscale.upstreams._named_limits import RateObservation
 from tanagerscale.upstreams._notices import UpstreamNotice
+from tanagerscale.upstreams._paths import UpstreamPaths
 from tanagerscale.upstreams._pauses import UpstreamPauses
 from tanagerscale.upstreams._pool import ConnectionPool
 from tanagerscale.upstreams._protocol import EngineClient
@@ -46,6 +47,7 @@
     "UpstreamError",
     "UpstreamErrorKind",
     "UpstreamNotice",
+    "UpstreamPaths",
     "UpstreamPauses",
     "UpstreamState",
 ]
--- a/src/tanagerscale/upstreams/_pool.py
+++ b/src/tanagerscale/upstreams/_pool.py
@@ -22,6 +22,13 @@
 """Maximum number of idle connections to one upstream. All hosts share the connection limit of an
 upstream: 9 hosts with 8 connections each use 72 of 96, the smallest known limit."""
 
+CONNECT_TIMEOUT_MS: Final = 400
+"""Longest wait for a connection. Connecting takes 3 ms between failure domains, and a lost first
+packet is resent only after one second, so that trying another upstream is faster."""
+
+IDLE_TIMEOUT_MS: Final = 3000
+"""How long an idle connection is reused if its upstream does not announce an idle timeout."""
+
 _TIMEOUT_FIELD = re.compile(r"timeout=(\d+)")
 
 
@@ -42,8 +49,8 @@
         self,
         *,
         clock: Clock,
-        connect_timeout_ms: int,
-        idle_ms: int,
+        connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
+        idle_ms: int = IDLE_TIMEOUT_MS,
         dead_peer_timeout_s: int = DEAD_PEER_TIMEOUT_S,
         source_ip: str = "",
     ) -> None:
--- a/testing/_counted_upstreams.py
+++ b/testing/_counted_upstreams.py
@@ -173,6 +173,16 @@
                 response.chunks[:] = [None]
         return None
 
+    async def probe(self, host: str, upstream: UpstreamEntry) -> bool:
+        """Return whether an upstream answers a host."""
+        await asyncio.sleep(0.001)
+        name = str(upstream.upstream)
+        kind = self.cuts.get(host)
+        if kind is HostCut.SILENT:
+            await asyncio.sleep(HANG_S)
+        is_kept = kind is HostCut.NEW_ONLY and name in self._kept[host]
+        return name not in self.down and (kind is None or is_kept)
+
     def on_passed_on(self, host: str, headers: Sequence[Header]) -> None:
         """Ignore the heads of responses."""
 
--- a/testing/_forwarding_fleet.py
+++ b/testing/_forwarding_fleet.py
@@ -88,6 +88,9 @@
     ) -> Result[RunCopy, CopyError] | None:
         """Copy a run; ``None`` if any copy succeeds."""
 
+    async def probe(self, host: str, upstream: UpstreamEntry) -> bool:
+        """Return whether an upstream answers a host."""
+
     def on_passed_on(self, host: str, headers: Sequence[Header]) -> None:
         """Handle the head of a response that a host passes on."""
 
@@ -253,6 +256,7 @@
         await asyncio.gather(*calls, return_exceptions=True)
 
     def _make_forwarder(self, host: Host) -> ForwardingHost:
+        host.edge.prober = lambda entry: self.upstreams.probe(host.name, entry)
         context = make_forwarding_context(
             control=host.control,
             upstreams=_Edge(host=host.name, upstreams=self.upstreams),
--- a/testing/_limited_upstreams.py
+++ b/testing/_limited_upstreams.py
@@ -116,6 +116,10 @@
         """Let any copy succeed."""
         return None
 
+    async def probe(self, host: str, upstream: UpstreamEntry) -> bool:
+        """Answer every probe."""
+        return True
+
     def on_passed_on(self, host: str, headers: Sequence[Header]) -> None:
         """Record when a host passes on a response with a rate limit."""
         for name, upstream in headers:
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -76,6 +76,13 @@
         """Emit nothing, since there are no responses."""
         return never()
 
+    prober: Callable[[UpstreamEntry], Awaitable[bool]] | None = None
+    """Answers probes; without one, every upstream is reached."""
+
+    async def probe(self, *, upstream: UpstreamEntry) -> bool:
+        """Return whether an upstream answers."""
+        return self.prober is None or await self.prober(upstream)
+
     async def send(self, *, order: object) -> object:
         """Fail, since no requests are sent."""
         raise NotImplementedError
@@ -94,6 +101,7 @@
     work: LocalWorkload
     control: HostControl
     clock: Clock
+    edge: FakeUpstreamEdge
     received: int = 0
     """Number of messages received from other hosts, without heartbeats."""
     orders: list[MoveOrder] = field(default_factory=list)
@@ -253,9 +261,10 @@
     store = FakeStore(backend=backend)
     work = LocalWorkload(clock=clock)
     created: list[Host] = []
+    edge = FakeUpstreamEdge()
     platform = Platform(
         store=store,
-        upstreams=FakeUpstreamEdge(),  # type: ignore[arg-type]
+        upstreams=edge,  # type: ignore[arg-type]
         operator_prefix=OPERATOR_PREFIX,
         configuration_key=CONFIGURATION_KEY,
         decode_configuration=decode_configuration,
@@ -290,7 +299,9 @@
         rng=Random(name),
         transport=MemoryTransport(network=network, address=name),
     )
-    host = Host(name=name, network=network, store=store, work=work, control=control, clock=clock)
+    host = Host(
+        name=name, network=network, store=store, work=work, control=control, clock=clock, edge=edge
+    )
     created.append(host)
     control.mesh.messages.subscribe(host.count)
     return host
