--- a/src/tanagerscale/coordination/__init__.py
+++ b/src/tanagerscale/coordination/__init__.py
@@ -11,6 +11,7 @@
 from tanagerscale.coordination._context import eligible_upstreams
 from tanagerscale.coordination._coordinator import Coordinator
 from tanagerscale.coordination._coordinator import EngineReports
+from tanagerscale.coordination._delegates import DelegateList
 from tanagerscale.coordination._directory import Directory
 from tanagerscale.coordination._feed import FeedListener
 from tanagerscale.coordination._feed import ListFeed
@@ -36,6 +37,7 @@
     "CoordinationClient",
     "Coordinator",
     "DecisionContext",
+    "DelegateList",
     "Directory",
     "EngineReports",
     "EngineTotal",
--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -23,6 +23,9 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
+from tanagerscale.generated.messages import Delegate
+from tanagerscale.generated.messages import DelegatesAnswer
+from tanagerscale.generated.messages import DelegatesAsk
 from tanagerscale.generated.messages import HostRuns
 from tanagerscale.generated.messages import Ping
 from tanagerscale.generated.messages import PlaceAnswer
@@ -190,6 +193,11 @@
             return RepeatPermit(is_granted=False)
         return RepeatPermit(is_granted=answer.may_repeat, delay_ms=answer.delay_ms)
 
+    async def get_delegates(self) -> list[Delegate]:
+        """Return hosts to which requests can be delegated while this one reaches no upstream."""
+        answer = await self._query_decider(lambda serial: DelegatesAsk(serial=serial))
+        return answer.delegates if isinstance(answer, DelegatesAnswer) else []
+
     def count_request(self, *, service: ServiceId) -> None:
         """Count a request for a service; retries are limited to a fraction of all requests."""
         self._unreported_requests.add(service)
@@ -200,7 +208,7 @@
             self._handle_answer(host, message)
         elif isinstance(message, Ping):
             self._send(host, Pong(serial=message.serial))
-        elif isinstance(message, Pong | RepeatAnswer | RateAnswer):
+        elif isinstance(message, Pong | RepeatAnswer | RateAnswer | DelegatesAnswer):
             reply_future = self._queries.get(message.serial)
             if reply_future is not None and not reply_future.done():
                 reply_future.set_result(message)
--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -14,6 +14,7 @@
 from returns.result import Result
 
 from tanagerscale.coordination._context import DecisionContext
+from tanagerscale.coordination._delegates import DelegateList
 from tanagerscale.coordination._departures import Departures
 from tanagerscale.coordination._ledger import RunLedger
 from tanagerscale.coordination._placement_queue import PlacementQueue
@@ -25,6 +26,8 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
+from tanagerscale.generated.messages import DelegatesAnswer
+from tanagerscale.generated.messages import DelegatesAsk
 from tanagerscale.generated.messages import HostRuns
 from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import PlaceAsk
@@ -75,6 +78,7 @@
     :param retry_budgets: Limits the retries of each service.
     :param engines: Source of engine status reports.
     :param pauses: Engines that are not polled because they asked this host for a pause.
+    :param delegates: Hosts to which others can delegate requests.
     :param send: Sends a message to a host, which may be this one; returns whether it can be
         reached.
     """
@@ -88,8 +92,10 @@
         retry_budgets: SharedRetryBudgets,
         engines: EngineReports,
         pauses: UpstreamPauses,
+        delegates: DelegateList,
         send: Callable[[HostId, Message], bool],
     ) -> None:
+        self._delegates = delegates
         self._host = host
         self._domain = domain
         self._context = context
@@ -131,6 +137,10 @@
                 self._answer_repeat_ask(host, message)
             case RateAsk():
                 self._answer_rate_ask(host, message)
+            case DelegatesAsk():
+                domain = self._failure_domains.get(host, self._domain)
+                chosen = self._delegates.choose(asker=host, domain=domain)
+                self._send(host, DelegatesAnswer(serial=message.serial, delegates=chosen))
             case MoveDone():
                 self.planner.on_done(host=host, done=message)
             case _:
--- a/src/tanagerscale/coordination/_directory.py
+++ b/src/tanagerscale/coordination/_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Final
 from typing import final
@@ -48,10 +49,19 @@
 
     :param host: This host.
     :param seeds: Addresses to connect to before any host is known.
+    :param is_cut: Returns whether this host reaches no upstream.
     :param clock: Source of the current time.
     """
 
-    def __init__(self, *, host: HostId, seeds: Sequence[str], clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        host: HostId,
+        seeds: Sequence[str],
+        is_cut: Callable[[], bool] = lambda: False,
+        clock: Clock,
+    ) -> None:
+        self._is_cut = is_cut
         self._host = host
         self._seeds = [PeerAddress(address=seed) for seed in seeds]
         self._clock = clock
@@ -62,6 +72,7 @@
         self._missing_since: dict[HostId, Millis] = {}
         """Time since which expected coordinators have been disconnected."""
         self._last_expected: list[HostId] = []
+        self._last_decider: HostId | None = None
         self._distrusted: dict[HostId, Millis] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._decides_since = Millis(0)
@@ -95,12 +106,18 @@
 
     @property
     def decider(self) -> HostId:
-        """The host that decides for this one; this host itself if it can reach none before it."""
+        """The host that decides for this one; this host itself if it can reach none before it.
+
+        A host that reaches no upstream decides only if all coordinators are in this situation.
+        """
         now = self._clock.now()
-        for host in self._expected_coordinators():
-            if host == self._host or self._is_trusted(host, now):
-                return host
-        return self._host
+        reachable = [
+            host
+            for host in self._expected_coordinators()
+            if host == self._host or self._is_trusted(host, now)
+        ]
+        with_path = (host for host in reachable if not self._is_cut_off(host))
+        return next(with_path, reachable[0] if reachable else self._host)
 
     @property
     def rank(self) -> int:
@@ -169,7 +186,7 @@
 
     def reevaluate(self) -> None:
         """Replace coordinators that have been disconnected for too long."""
-        before = self._last_expected
+        before = self._last_expected, self._last_decider
         now = self._clock.now()
         known = {HostId(candidate.host) for candidate in self._candidates}
         self._missing_since = {
@@ -183,7 +200,8 @@
         self._last_expected = self._expected_coordinators()
         self._update_first(now)
         self._schedule_reevaluation(now)
-        if self._last_expected != before:
+        self._last_decider = self.decider
+        if (self._last_expected, self._last_decider) != before:
             self._changes.on_next(None)
 
     def _update_first(self, now: Millis) -> None:
@@ -234,6 +252,11 @@
                 break
         return expected
 
+    def _is_cut_off(self, host: HostId) -> bool:
+        if host == self._host:
+            return self._is_cut()
+        return self._connected_peers[host].cut_off
+
     def _is_trusted(self, host: HostId, now: Millis) -> bool:
         peer = self._connected_peers.get(host)
         return peer is not None and not peer.leaving and self._distrusted.get(host, 0) <= now
--- a/src/tanagerscale/coordination/_health.py
+++ b/src/tanagerscale/coordination/_health.py
@@ -67,6 +67,8 @@
     :param service_of: Returns the service of an upstream; ``None`` when it is unknown.
     :param can_eject: Returns whether this host decides which upstreams are ejected; other hosts
         send it their tallies and receive its ejections.
+    :param is_doubtful: Returns whether this host may reach no upstream, so that its failures don't
+        count yet.
     :param clock: Source of the current time.
     """
 
@@ -75,10 +77,12 @@
         *,
         service_of: Callable[[UpstreamId], ServiceId | None],
         can_eject: Callable[[], bool] = lambda: True,
+        is_doubtful: Callable[[], bool] = lambda: False,
         clock: Clock,
     ) -> None:
         self._service_of = service_of
         self._can_eject = can_eject
+        self._is_doubtful = is_doubtful
         self._clock = clock
         self._own_responses: dict[UpstreamId, _ResponseHistory] = defaultdict(_ResponseHistory)
         self._peer_tallies: dict[HostId, dict[UpstreamId, Tally]] = {}
@@ -107,6 +111,12 @@
         self._check_outlier(upstream)
         self._schedule_publish()
 
+    def forget_own_failures(self) -> None:
+        """Drop the failures that this host has seen, since it reaches no upstream."""
+        for responses in self._own_responses.values():
+            responses.results = deque(one for one in responses.results if one[1])
+        self._publish_tallies()
+
     def on_peer(self, *, host: HostId, tallies: AnswerTallies) -> None:
         """Store the tallies of a peer."""
         self._peer_tallies[host] = {
@@ -153,6 +163,9 @@
         """Publish the tallies of upstreams with recent failures, if they have changed."""
         self._timer = None
         self._forget_expired()
+        if self._is_doubtful() and self._has_own_failures:
+            self._schedule_publish()
+            return
         tallies = {upstream: self._own_tally(upstream) for upstream in self._own_responses}
         message = AnswerTallies(
             upstreams={
@@ -167,12 +180,22 @@
         if message.upstreams:
             self._schedule_publish()
 
+    @property
+    def _has_own_failures(self) -> bool:
+        return any(
+            not is_good
+            for responses in self._own_responses.values()
+            for _, is_good in responses.results
+        )
+
     def _check_outlier(self, upstream: UpstreamId) -> None:
         responses = self._own_responses[upstream]
         now = self._clock.now()
         service = self._service_of(upstream)
         if service is None or responses.ejected_until > now or not self._can_eject():
             return
+        if self._is_doubtful() and self._own_tally(upstream).bad:
+            return
         own = self._tally(upstream)
         others = Tally()
         for other in self._known_upstreams():
--- a/src/tanagerscale/forwarding/__init__.py
+++ b/src/tanagerscale/forwarding/__init__.py
@@ -4,6 +4,10 @@
 
 from tanagerscale.forwarding._admission import Admission
 from tanagerscale.forwarding._admission import Placer
+from tanagerscale.forwarding._delegation import DelegateClient
+from tanagerscale.forwarding._delegation import DelegatedHead
+from tanagerscale.forwarding._delegation import DelegatedOutcome
+from tanagerscale.forwarding._delegation import DelegateSelector
 from tanagerscale.forwarding._dispatcher import Dispatcher
 from tanagerscale.forwarding._metrics import ForwardingMetrics
 from tanagerscale.forwarding._mover import StreamMover
@@ -34,6 +38,10 @@
     "Continuation",
     "CopyError",
     "CopyFailure",
+    "DelegateClient",
+    "DelegateSelector",
+    "DelegatedHead",
+    "DelegatedOutcome",
     "Demand",
     "Dispatcher",
     "EngineControl",
--- a/src/tanagerscale/forwarding/_crash_evidence.py
+++ b/src/tanagerscale/forwarding/_crash_evidence.py
@@ -19,10 +19,13 @@
 def record_broken_response(
     routed: RoutedRequest, context: ForwardingContext, entry: UpstreamEntry
 ) -> None:
-    """Record a truncated response, unless its upstream is leaving."""
+    """Record a truncated response, unless its upstream is leaving or its path has failed."""
     if not context.gate.is_leaving(entry.upstream):
-        context.suspects.record_broken_response(
-            fingerprint=routed.fingerprint, upstream=entry.upstream
+        context.paths.record_unreached(entry.upstream)
+        context.paths.when_certain(
+            lambda: context.suspects.record_broken_response(
+                fingerprint=routed.fingerprint, upstream=entry.upstream
+            )
         )
 
 
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -14,12 +14,16 @@
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._admission import Admission
 from tanagerscale.forwarding._crash_evidence import is_quarantined
+from tanagerscale.forwarding._delegation import DelegateClient
+from tanagerscale.forwarding._delegation import DelegatedRun
+from tanagerscale.forwarding._delegation import DelegateSelector
 from tanagerscale.forwarding._mover import StreamMover
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._plain import PlainForwarder
 from tanagerscale.forwarding._refusals import UNKNOWN_KEY
 from tanagerscale.forwarding._refusals import UNKNOWN_ROUTE
 from tanagerscale.forwarding._refusals import host_stopping
+from tanagerscale.forwarding._refusals import no_path
 from tanagerscale.forwarding._refusals import no_region
 from tanagerscale.forwarding._refusals import not_ready
 from tanagerscale.forwarding._refusals import quarantined
@@ -50,13 +54,15 @@
     :param timeout: Ends the forwarding.
     :param forwarder: Sends it to upstreams; ``None`` before it is accepted.
     :param is_ended: Whether it was ended because the host shuts down.
+    :param is_delegated: Whether another host has delegated it to this one.
     """
 
     routed: RoutedRequest
     responder: Responder
     timeout: asyncio.Timeout
-    forwarder: PlainForwarder | StreamRun | None = None
+    forwarder: PlainForwarder | StreamRun | DelegatedRun | None = None
     is_ended: bool = False
+    is_delegated: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -73,6 +79,8 @@
     :param stream_mover: Moves streams between engines; holds the set of active streams.
     :param allowed_regions: Returns the failure domains in which a request may run.
     :param shutdown: Schedule of this host's graceful shutdown.
+    :param delegates: Selects hosts that send requests while this one reaches no upstream.
+    :param delegate_client: Sends requests to them.
     """
 
     def __init__(
@@ -83,7 +91,11 @@
         stream_mover: StreamMover,
         allowed_regions: AllowedRegions,
         shutdown: ShutdownSchedule,
+        delegates: DelegateSelector,
+        delegate_client: DelegateClient,
     ) -> None:
+        self._delegates = delegates
+        self._delegate_client = delegate_client
         self._context = context
         self._admission = admission
         self._stream_mover = stream_mover
@@ -114,15 +126,18 @@
             return True
         return not one.may_have_run and not self._shutdown.can_start(one.routed)
 
-    async def serve(self, request: CallerRequest, responder: Responder) -> None:
+    async def serve(
+        self, request: CallerRequest, responder: Responder, *, is_delegated: bool = False
+    ) -> None:
         """Serve one request and send its response or a refusal.
 
         :param request: The request as received.
         :param responder: Sends the response to the caller.
+        :param is_delegated: Whether another host has delegated the request to this one.
         """
         self._running += 1
         try:
-            await self._serve(request, responder)
+            await self._serve(request, responder, is_delegated=is_delegated)
         except asyncio.CancelledError:
             _log.info(
                 (
@@ -138,7 +153,9 @@
         finally:
             self._running -= 1
 
-    async def _serve(self, request: CallerRequest, responder: Responder) -> None:
+    async def _serve(
+        self, request: CallerRequest, responder: Responder, *, is_delegated: bool
+    ) -> None:
         table = self._context.tables.table
         if table is None:
             await self._refuse(request, responder, not_ready(rng=self._context.rng), table)
@@ -156,16 +173,20 @@
             await self._refuse(request, responder, no_region(rng=self._context.rng), table)
             return
         routed = self._build_routed(request, route, caller, table, domains)
-        refusal = await self._forward_in_time(routed, responder)
+        refusal = await self._forward_in_time(routed, responder, is_delegated=is_delegated)
         self._record_outcome(routed, refusal)
         if refusal is not None:
             await self._refuse(request, responder, refusal, table)
 
-    async def _forward_in_time(self, routed: RoutedRequest, responder: Responder) -> Refusal | None:
+    async def _forward_in_time(
+        self, routed: RoutedRequest, responder: Responder, *, is_delegated: bool
+    ) -> Refusal | None:
         """Forward a request until its deadline, or until a shutdown leaves no time for it."""
         left = routed.deadline - self._context.clock.now()
         timeout = asyncio.timeout(max(left, 0) / MS_PER_SECOND)
-        in_progress = _RequestInProgress(routed=routed, responder=responder, timeout=timeout)
+        in_progress = _RequestInProgress(
+            routed=routed, responder=responder, timeout=timeout, is_delegated=is_delegated
+        )
         try:
             async with timeout:
                 self._in_progress.add(in_progress)
@@ -216,7 +237,43 @@
             return quarantined()
         if not self._shutdown.accepts(routed):
             return host_stopping(rng=self._context.rng)
+        if in_progress.is_delegated:
+            return await self._send_delegated(routed, in_progress)
         self._context.retry_permits.count_request(service=routed.service)
+        if self._context.paths.is_cut:
+            return await self._delegate(routed, in_progress)
+        refusal = await self._send(routed, in_progress)
+        forwarder = in_progress.forwarder
+        if refusal is not None and forwarder is not None and forwarder.can_be_delegated:
+            return await self._delegate(routed, in_progress)
+        return refusal
+
+    async def _send_delegated(
+        self, routed: RoutedRequest, in_progress: _RequestInProgress
+    ) -> Refusal | None:
+        """Send a request that another host has delegated, and counted."""
+        refusal = await self._send(routed, in_progress)
+        forwarder = in_progress.forwarder
+        if refusal is not None and forwarder is not None and forwarder.can_be_delegated:
+            return refusal if forwarder.may_have_run else no_path(rng=self._context.rng)
+        return refusal
+
+    async def _delegate(
+        self, routed: RoutedRequest, in_progress: _RequestInProgress
+    ) -> Refusal | None:
+        """Have another host send a request that this one can't."""
+        delegated = DelegatedRun(
+            routed=routed,
+            context=self._context,
+            client=self._delegate_client,
+            selector=self._delegates,
+            may_have_run=in_progress.may_have_run,
+        )
+        in_progress.forwarder = delegated
+        return await delegated.serve(in_progress.responder)
+
+    async def _send(self, routed: RoutedRequest, in_progress: _RequestInProgress) -> Refusal | None:
+        """Send a request to upstreams."""
         if routed.route.kind is not RouteKind.STREAMING:
             forwarder = PlainForwarder(routed=routed, context=self._context)
             in_progress.forwarder = forwarder
--- a/src/tanagerscale/forwarding/_execution.py
+++ b/src/tanagerscale/forwarding/_execution.py
@@ -46,6 +46,11 @@
         """Whether the request may have been executed, so that a refusal must not deny it."""
         return self._executed > 0 or bool(self._in_flight)
 
+    @property
+    def has_reached_none(self) -> bool:
+        """Whether upstreams were tried, and none of them was reached."""
+        return bool(self._tried) and not self.reached and not self.may_have_run
+
     @property
     def is_in_flight(self) -> bool:
         """Whether the result of an attempt is not known yet."""
--- a/src/tanagerscale/forwarding/_metrics.py
+++ b/src/tanagerscale/forwarding/_metrics.py
@@ -74,6 +74,12 @@
             "Generations that wait for room on an engine.",
             registry=registry,
         )
+        self.delegated: Final = Counter(
+            "tanagerscale_delegated_requests",
+            "Requests delegated to other hosts, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
         self.is_cut: Final = Gauge(
             "tanagerscale_cut_off",
             "1 while this host reaches no upstream.",
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -26,6 +26,7 @@
 from tanagerscale.generated.messages import RequestClass
 from tanagerscale.quarantine import SuspectTracker
 from tanagerscale.upstreams import NamedLimits
+from tanagerscale.upstreams import UpstreamPaths
 from tanagerscale.upstreams import UpstreamPauses
 
 
@@ -62,6 +63,7 @@
     :param tables: Provides the configuration in force.
     :param upstreams: Provides the known upstreams.
     :param gate: Receives reachability observations from requests.
+    :param paths: Whether this host reaches any upstream.
     :param pauses: Upstreams that asked this host for a pause.
     :param named_limits: Rate limits that upstreams name.
     :param health: Receives successes and failures of requests.
@@ -81,6 +83,7 @@
     tables: RouteTableSource
     upstreams: Upstreams
     gate: Gate
+    paths: UpstreamPaths
     pauses: UpstreamPauses
     named_limits: NamedLimits
     health: UpstreamHealth
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from itertools import takewhile
 from typing import Final
+from typing import Literal
 from typing import final
 
 from msgspec import Struct
@@ -77,6 +78,8 @@
         self._record = ExecutionRecord(route=routed.route)
         self._refusal: Refusal | None = None
         self._is_hedged = False
+        self._is_given_up = False
+        """Whether its attempts were ended since this host reaches no upstream any more."""
         self._permit_delay_ms: int | None = None
         """Time until a rate-limited upstream can take the request, if only limits prevent that."""
         self._error_response: _CompleteResponse | None = None
@@ -87,6 +90,11 @@
         """Whether the request may have been executed."""
         return self._record.may_have_run
 
+    @property
+    def can_be_delegated(self) -> bool:
+        """Whether another host may send the request, since this one has reached no upstream."""
+        return self._record.has_reached_none or self._is_given_up
+
     async def serve(self, responder: Responder) -> Refusal | None:
         """Serve the request.
 
@@ -128,6 +136,11 @@
     async def _get_first_success(self) -> _CompleteResponse | None:
         """Try upstreams in turn, with a hedged attempt in parallel where that is allowed."""
         running: set[asyncio.Task[_CompleteResponse | None]] = set()
+        cut_off = asyncio.Event()
+        subscription = self._context.paths.changes.subscribe(
+            lambda is_cut: cut_off.set() if is_cut else None
+        )
+        watch = asyncio.create_task(cut_off.wait())
         try:
             while True:
                 entry = await self._next_entry()
@@ -135,23 +148,36 @@
                     running.add(asyncio.create_task(self._attempt(entry)))
                 if not running:
                     return None
-                response = await self._wait_for_any(running)
+                response = await self._wait_for_any(running, watch)
                 if response is not None:
                     return response
+                if watch.done() and await self._give_up():
+                    return None
         finally:
+            subscription.dispose()
+            watch.cancel()
             for task in running:
                 task.cancel()
 
+    async def _give_up(self) -> bool:
+        """Return whether another host may repeat the request, whose attempts get no answer here."""
+        self._is_given_up = self._record.is_retry_allowed() and await self._may_repeat()
+        return self._is_given_up
+
     async def _wait_for_any(
-        self, running: set[asyncio.Task[_CompleteResponse | None]]
+        self,
+        running: set[asyncio.Task[_CompleteResponse | None]],
+        watch: asyncio.Task[Literal[True]],
     ) -> _CompleteResponse | None:
-        """Wait for a response or until the hedge delay is over."""
+        """Wait for a response, until the hedge delay is over or until this host is cut off."""
         hedge_delay_ms = self._hedge_delay_ms()
-        done, _ = await asyncio.wait(
-            running,
+        watched = set() if watch.done() else {watch}
+        await asyncio.wait(
+            running | watched,
             timeout=None if hedge_delay_ms is None else hedge_delay_ms / MS_PER_SECOND,
             return_when=asyncio.FIRST_COMPLETED,
         )
+        done = {task for task in running if task.done()}
         running -= done
         responses = [response for task in done if (response := task.result()) is not None]
         return responses[0] if responses else None
@@ -167,7 +193,9 @@
         """Return the upstream for the next attempt; ``None`` if no further attempt is allowed."""
         record = self._record
         self._permit_delay_ms = None
-        if not record.has_attempts_left or not self._usable_entries():
+        if not record.has_attempts_left or self._context.paths.is_cut:
+            return None
+        if not self._usable_entries():
             return None
         if record.reached and not await self._may_repeat():
             return None
--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -64,6 +64,15 @@
     )
 
 
+def no_path(*, rng: Random) -> Refusal:
+    """Return the refusal of a host that reaches no upstream, though others may."""
+    return Refusal(
+        kind=RefusalKind.NO_PATH,
+        detail="This host reaches no upstream; go to another host.",
+        retry_after_ms=_with_jitter(NO_UPSTREAM_RETRY_MS, rng),
+    )
+
+
 def all_paused(*, service: str, pause_ms: int, rng: Random) -> Refusal:
     """Return the refusal of a request whose upstreams all asked for a pause; it has not run.
 
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -135,6 +135,11 @@
         """Whether the request may have been executed."""
         return self._record.may_have_run
 
+    @property
+    def can_be_delegated(self) -> bool:
+        """Whether another host may send the request, since this one has reached no upstream."""
+        return self._record.has_reached_none
+
     @property
     def ended(self) -> bool:
         """Whether the stream has ended."""
@@ -203,7 +208,7 @@
         """Find the first engine; return a refusal if no engine accepts the request."""
         record = self._record
         failure: Refusal | None = None
-        while record.has_attempts_left:
+        while record.has_attempts_left and not self._context.paths.is_cut:
             if record.reached and not await self._may_repeat():
                 break
             found = await self._admission.find_engine(routed=self._routed, excluded=record.tried)
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -160,6 +160,8 @@
     TOO_LARGE = "too-large"
     OVERLOADED = "overloaded"
     """The request has not run and will not; a later retry may succeed."""
+    NO_PATH = "no-path"
+    """This host reaches no upstream; the request has not run and will not."""
     QUARANTINED = "quarantined"
     """The request has crashed upstreams and was not run again."""
     UPSTREAM_FAILED = "upstream-failed"
--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -32,6 +32,7 @@
     RefusalKind.BAD_REQUEST: 400,
     RefusalKind.TOO_LARGE: 413,
     RefusalKind.OVERLOADED: 503,
+    RefusalKind.NO_PATH: 503,
     RefusalKind.QUARANTINED: 503,
     RefusalKind.UPSTREAM_FAILED: 502,
     RefusalKind.TIMED_OUT: 504,
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -19,12 +19,8 @@
 from tanagerscale.coordination import FeedListener
 from tanagerscale.coordination import LimitReports
 from tanagerscale.coordination import ListFeed
-from tanagerscale.coordination import NamedRates
-from tanagerscale.coordination import RateLimits
-from tanagerscale.coordination import SharedRetryBudgets
 from tanagerscale.coordination import StoreSourceSelector
 from tanagerscale.coordination import UpstreamHealth
-from tanagerscale.coordination import WarmupRates
 from tanagerscale.coordination import distance
 from tanagerscale.coordination import heartbeat_interval_ms
 from tanagerscale.core import Clock
@@ -38,13 +34,16 @@
 from tanagerscale.gateway._peer_messages import MessageReceivers
 from tanagerscale.gateway._peer_messages import PeerMessageRouter
 from tanagerscale.gateway._platform import Platform
-from tanagerscale.gateway._presence import HostPresence
+from tanagerscale.gateway._presence import make_presence
+from tanagerscale.gateway._shared_limits import make_rate_limits
+from tanagerscale.gateway._shared_limits import make_retry_budgets
 from tanagerscale.gateway._store_followers import StoreFollowers
+from tanagerscale.gateway._upstream_reach import UpstreamReach
 from tanagerscale.generated.gateway import GatewaySettings
+from tanagerscale.generated.messages import Delegate
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import ListTopic
 from tanagerscale.generated.messages import MoveOrder
-from tanagerscale.generated.records import HostRecord
 from tanagerscale.membership import Evacuations
 from tanagerscale.membership import HeadReplicator
 from tanagerscale.membership import Mesh
@@ -107,12 +106,18 @@
         self._domain = FailureDomainId(settings.host.failure_domain)
         self._tasks: list[asyncio.Task[None]] = []
         self.incarnation = clock.wall()
-        self.directory = Directory(host=self._host, seeds=settings.host.seeds, clock=clock)
+        self.directory = Directory(
+            host=self._host,
+            seeds=settings.host.seeds,
+            is_cut=lambda: self.paths.is_cut,
+            clock=clock,
+        )
         self.configuration = ConfigurationManager(decode=platform.decode_configuration)
         self.suspects = SuspectTracker(clock=clock)
         self.health = UpstreamHealth(
             service_of=self._service_of,
             can_eject=lambda: self.directory.is_first,
+            is_doubtful=lambda: self.paths.is_doubtful,
             clock=clock,
         )
         self.mesh = self._make_mesh(transport)
@@ -139,8 +144,23 @@
         self.feed = self._make_feed(ListTopic.UPSTREAMS, self.roster)
         self.evacuations_feed = self._make_feed(ListTopic.EVACUATIONS, self.evacuations)
         self._head_replicator = self._make_head_replicator()
-        self._presence = self._make_presence()
-        self.rate_limits = self._make_rate_limits()
+        self._presence = make_presence(
+            settings=settings,
+            store=platform.store,
+            incarnation=self.incarnation,
+            directory=self.directory,
+            on_availability=self._on_store_availability,
+            clock=clock,
+            rng=rng,
+        )
+        self.rate_limits = make_rate_limits(
+            host=self._host,
+            configuration=self.configuration,
+            roster=self.roster,
+            named_limits=self.named_limits,
+            share=self._share_of_hosts,
+            clock=clock,
+        )
         self.limit_reports = LimitReports(
             directory=self.directory,
             named=self.named_limits,
@@ -149,7 +169,29 @@
             clock=clock,
         )
         self.store_source = self._make_store_source()
-        self.retry_budgets = self._make_retry_budgets()
+        self.retry_budgets = make_retry_budgets(
+            settings=settings.retries,
+            directory=self.directory,
+            configuration=self.configuration,
+            share=self._share_of_hosts,
+            clock=clock,
+        )
+        self.reach = UpstreamReach(
+            own=Delegate(
+                host=self._host,
+                address=settings.host.delegates,
+                failure_domain=self._domain,
+            ),
+            paths=self.paths,
+            known=self._expected_upstreams,
+            client=platform.upstreams,
+            gate=self.gate,
+            health=self.health,
+            directory=self.directory,
+            mesh=self.mesh,
+            is_leaving=is_leaving,
+            rng=rng,
+        )
         self.coordinator = self._make_coordinator()
         self.client = CoordinationClient(
             host=self._host,
@@ -204,6 +246,7 @@
                 hosts=self.directory.hosts, is_coordinator=self.directory.is_coordinator
             ),
             transport=transport,
+            delegate_address=self._settings.host.delegates,
         )
 
     def _make_feed(self, topic: ListTopic, listener: FeedListener) -> ListFeed:
@@ -220,29 +263,6 @@
             broadcast=self._relay.announce,
         )
 
-    def _make_presence(self) -> HostPresence:
-        settings = self._settings
-        host = settings.host
-        record = HostRecord(
-            host=self._host,
-            peers=host.peers,
-            incarnation=self.incarnation,
-            failure_domain=host.failure_domain,
-            cores=host.processor_share * host.processor_speed,
-        )
-        return HostPresence(
-            store=self._platform.store,
-            prefix=settings.store.prefix,
-            record=record,
-            on_records=lambda records, revision: self.directory.on_records(
-                records, revision=revision
-            ),
-            is_coordinator=lambda: self.directory.is_coordinator,
-            on_availability=self._on_store_availability,
-            clock=self._clock,
-            rng=self._rng,
-        )
-
     def _make_store_source(self) -> StoreSourceSelector:
         followers = StoreFollowers(
             platform=self._platform,
@@ -267,33 +287,6 @@
     def _feeds(self) -> tuple[ListFeed, ...]:
         return (self.feed, self.evacuations_feed)
 
-    def _make_retry_budgets(self) -> SharedRetryBudgets:
-        retries = self._settings.retries
-        return SharedRetryBudgets(
-            ratio=retries.ratio,
-            slack=retries.slack,
-            window_s=retries.window_s,
-            share=self._share_of_hosts,
-            since=lambda: self.directory.decider_since,
-            has_runs=self._can_move,
-            clock=self._clock,
-        )
-
-    def _can_move(self, service: ServiceId) -> bool:
-        """Return whether the runs of a service can continue on another engine."""
-        table = self.configuration.table
-        declared = None if table is None else table.service(service)
-        return declared is not None and declared.engine is not None and declared.engine.can_move
-
-    def _make_rate_limits(self) -> RateLimits:
-        warmup = WarmupRates(tables=self.configuration, upstreams=self.roster)
-        return RateLimits(
-            host=self._host,
-            sources=[warmup, NamedRates(named=self.named_limits)],
-            share=self._share_of_hosts,
-            clock=self._clock,
-        )
-
     def _share_of_hosts(self) -> float:
         """Return the fraction of all hosts whose requests this host places, between 0 and 1."""
         deciding = self.coordinator.ledger.count_hosts(self._host)
@@ -314,6 +307,7 @@
             domain=self._domain,
             context=context,
             retry_budgets=self.retry_budgets,
+            delegates=self.reach.delegates,
             engines=self._platform.upstreams,
             pauses=self.pauses,
             send=self._send,
@@ -349,6 +343,7 @@
         self.pauses.changes.subscribe(lambda _: self.client.schedule_report())
         self._platform.upstreams.notices.subscribe(self._on_notice)
         self._platform.upstreams.notices.subscribe(self.pauses.on_notice)
+        self.reach.start()
         self.named_limits.heard.subscribe(self.limit_reports.on_heard)
         self.named_limits.changes.subscribe(self._on_limit)
 
@@ -357,6 +352,7 @@
             revision=self.configuration.head_revision,
             leaving=self._is_leaving(),
             store_lost=self._presence.store_lost,
+            cut_off=self.paths.is_cut,
             listed=self.feed.revision,
             evacuations=self.evacuations_feed.revision,
         )
--- /dev/null
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -0,0 +1,191 @@
+"""Server that sends requests to upstreams for hosts that reach none."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Final
+from typing import final
+
+from aiohttp import web
+from returns.result import Failure
+
+from tanagerscale.core import Clock
+from tanagerscale.core import Millis
+from tanagerscale.core import RequestId
+from tanagerscale.core import get_logger
+from tanagerscale.forwarding import CallerRequest
+from tanagerscale.forwarding import DelegatedHead
+from tanagerscale.forwarding import DelegatedOutcome
+from tanagerscale.forwarding import Header
+from tanagerscale.forwarding import Refusal
+from tanagerscale.forwarding import Responder
+from tanagerscale.gateway._delegation_wire import HEAD_FIELD
+from tanagerscale.gateway._delegation_wire import PATH
+from tanagerscale.gateway._delegation_wire import decode_request
+from tanagerscale.gateway._delegation_wire import encode_head
+
+MAX_DELEGATED: Final = 64
+"""Requests of other hosts that a host sends at a time, beside those of its own callers."""
+
+SEEN_TTL_MS: Final = 60_000
+"""Time for which the ids of delegated requests are kept, so that none is sent twice. Requests have
+deadlines of less than that."""
+
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+"""Largest delegated request; the callers' limit applies before."""
+
+SHUTDOWN_TIMEOUT_S: Final = 0.2
+
+_log = get_logger(part="delegation")
+
+ServeDelegated = Callable[[CallerRequest, Responder], Awaitable[None]]
+
+
+@final
+class DelegateServer:
+    """Accepts the requests of hosts that reach no upstream.
+
+    A delegated request is routed, checked and limited as one of this host's own callers, by the key
+    that it carries, so that nobody gains anything by sending one. It is never delegated again.
+
+    :param serve: Serves one request.
+    :param can_help: Returns whether this host reaches upstreams and is not shutting down.
+    :param clock: Source of the current time.
+    """
+
+    def __init__(
+        self, *, serve: ServeDelegated, can_help: Callable[[], bool], clock: Clock
+    ) -> None:
+        self._serve = serve
+        self._can_help = can_help
+        self._clock = clock
+        self._running = 0
+        self._seen: OrderedDict[RequestId, Millis] = OrderedDict()
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, *, address: str) -> None:
+        """Start to accept requests.
+
+        :param address: IP address and port to listen on.
+        """
+        server = web.Server(self._handle, handler_cancellation=True, access_log=None)
+        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+        await self._runner.setup()
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+
+    async def close(self) -> None:
+        """Close all connections and stop the server."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived = self._clock.now()
+        body = await _read_body(request)
+        if request.path != PATH or body is None:
+            return web.Response(status=400)
+        decoded = decode_request(body, arrived=arrived)
+        if isinstance(decoded, Failure):
+            _log.warning("A delegated request is invalid.", detail=decoded.failure())
+            return _unavailable()
+        delegated = decoded.unwrap()
+        if not self._accept(delegated.request):
+            _log.info("A delegated request is not accepted.", request=delegated.request)
+            return _unavailable()
+        self._running += 1
+        try:
+            responder = _DelegateResponder(request=request)
+            await self._serve(delegated, responder)
+            return responder.response
+        finally:
+            self._running -= 1
+
+    def _accept(self, request: RequestId) -> bool:
+        """Return whether a request is sent; one with the same id never is."""
+        now = self._clock.now()
+        while self._seen and next(iter(self._seen.values())) <= now - SEEN_TTL_MS:
+            self._seen.popitem(last=False)
+        if request in self._seen or self._running >= MAX_DELEGATED or not self._can_help():
+            return False
+        self._seen[request] = now
+        return True
+
+
+@final
+class _DelegateResponder:
+    """Writes the response to a delegated request.
+
+    :param request: The HTTP request of the other host.
+    """
+
+    def __init__(self, *, request: web.BaseRequest) -> None:
+        self._request = request
+        self._response: web.StreamResponse | None = None
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """The response object that the server finishes."""
+        return self._response or _unavailable()
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head of the response has been sent."""
+        return self._response is not None
+
+    async def begin(self, *, status: int, reason: str, headers: Sequence[Header]) -> None:
+        """Send the head of a stream."""
+        outcome = DelegatedOutcome.STREAM
+        head = DelegatedHead(outcome=outcome, status=status, reason=reason, headers=headers)
+        self._response = web.StreamResponse(headers={HEAD_FIELD: encode_head(head)})
+        await self._response.prepare(self._request)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a chunk of the body."""
+        assert self._response is not None
+        await self._response.write(chunk)
+
+    async def end(self) -> None:
+        """Mark the end of a complete stream."""
+        assert self._response is not None
+        await self._response.write_eof()
+
+    async def respond(
+        self, *, status: int, reason: str, headers: Sequence[Header], body: bytes
+    ) -> None:
+        """Send a complete response."""
+        outcome = DelegatedOutcome.WHOLE
+        head = DelegatedHead(outcome=outcome, status=status, reason=reason, headers=headers)
+        await self._send(head, body)
+
+    async def refuse(self, *, refusal: Refusal) -> None:
+        """Send a refusal."""
+        await self._send(DelegatedHead(outcome=DelegatedOutcome.REFUSED, refusal=refusal))
+
+    def abort(self) -> None:
+        """Abort the connection, so that a partial response does not look complete."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def _send(self, head: DelegatedHead, body: bytes = b"") -> None:
+        response = web.Response(body=body, headers={HEAD_FIELD: encode_head(head)})
+        self._response = response
+        await response.prepare(self._request)
+        await response.write_eof()
+
+
+async def _read_body(request: web.BaseRequest) -> bytes | None:
+    """Return the whole body, or ``None`` if it is too large."""
+    body = b""
+    while chunk := await request.content.readany():
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            return None
+    return body
+
+
+def _unavailable() -> web.Response:
+    head = DelegatedHead(outcome=DelegatedOutcome.UNAVAILABLE)
+    return web.Response(headers={HEAD_FIELD: encode_head(head)})
--- a/src/tanagerscale/gateway/_forwarding.py
+++ b/src/tanagerscale/gateway/_forwarding.py
@@ -41,6 +41,7 @@
         tables=control.configuration,
         upstreams=control.roster,
         gate=control.gate,
+        paths=control.paths,
         pauses=control.pauses,
         named_limits=control.named_limits,
         health=control.health,
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from functools import partial
 import random
 import secrets
 from typing import Any
@@ -19,6 +20,7 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import Admission
+from tanagerscale.forwarding import DelegateSelector
 from tanagerscale.forwarding import Dispatcher
 from tanagerscale.forwarding import LocalWorkload
 from tanagerscale.forwarding import ShutdownSchedule
@@ -26,6 +28,8 @@
 from tanagerscale.gateway._caller_server import CallerServer
 from tanagerscale.gateway._caller_server import serve_readiness
 from tanagerscale.gateway._control import HostControl
+from tanagerscale.gateway._delegate_client import HttpDelegateClient
+from tanagerscale.gateway._delegate_server import DelegateServer
 from tanagerscale.gateway._forwarding import make_forwarding_context
 from tanagerscale.gateway._graceful_shutdown import drain_requests
 from tanagerscale.gateway._metrics import serve_metrics
@@ -75,7 +79,13 @@
             clock=clock,
             rng=self._rng,
         )
+        self._delegate_client = HttpDelegateClient(clock=clock)
         self._dispatcher = self._make_dispatcher()
+        self._delegate_server = DelegateServer(
+            serve=partial(self._dispatcher.serve, is_delegated=True),
+            can_help=lambda: self._control.reach.can_help,
+            clock=clock,
+        )
 
     async def start(self) -> None:
         """Start all servers and background tasks."""
@@ -98,6 +108,8 @@
             clock=self._clock,
         )
         await self._server.start(address=settings.host.callers)
+        if settings.host.delegates:
+            await self._delegate_server.start(address=settings.host.delegates)
         await self._control.start()
         self._control.gate.changes.subscribe(self._stream_mover.on_upstreams)
         self._control.roster.replaced.subscribe(
@@ -163,6 +175,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._control.stop()
         await self._server.close()
+        await self._delegate_server.close()
+        self._delegate_client.close()
         for runner in self._runners:
             await runner.cleanup()
         await self._platform.close()
@@ -243,6 +257,13 @@
             stream_mover=self._stream_mover,
             allowed_regions=AllowedRegions(regions=get_regions_by_domain(self._settings)),
             shutdown=self._shutdown,
+            delegates=DelegateSelector(
+                find=control.client.get_delegates,
+                failure_domain=FailureDomainId(self._settings.host.failure_domain),
+                clock=self._clock,
+                rng=self._rng,
+            ),
+            delegate_client=self._delegate_client,
         )
 
     async def _close_idle_connections(self) -> None:
--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -14,10 +14,12 @@
 from returns.result import Result
 from returns.result import Success
 
+from tanagerscale.coordination import Directory
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
+from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.generated.records import HostRecord
 from tanagerscale.store import ConditionalPut
 from tanagerscale.store import LeaseId
@@ -239,3 +241,43 @@
         if renewed.unwrap() == 0:
             self._lease = None
         return Success(None)
+
+
+def make_presence(
+    *,
+    settings: GatewaySettings,
+    store: Store,
+    incarnation: int,
+    directory: Directory,
+    on_availability: Callable[[bool], None],
+    clock: Clock,
+    rng: Random,
+) -> HostPresence:
+    """Return the presence of a host, which tells its directory of the other hosts.
+
+    :param settings: The host's settings.
+    :param store: Client of the store.
+    :param incarnation: Wall clock at the start of the process, in milliseconds.
+    :param directory: Which hosts are coordinators.
+    :param on_availability: Called when calls to the store start to fail, or succeed again.
+    :param clock: Clock for renewals and retries.
+    :param rng: Random number generator for retry jitter.
+    """
+    host = settings.host
+    record = HostRecord(
+        host=host.id,
+        peers=host.peers,
+        incarnation=incarnation,
+        failure_domain=host.failure_domain,
+        cores=host.processor_share * host.processor_speed,
+    )
+    return HostPresence(
+        store=store,
+        prefix=settings.store.prefix,
+        record=record,
+        on_records=lambda records, revision: directory.on_records(records, revision=revision),
+        is_coordinator=lambda: directory.is_coordinator,
+        on_availability=on_availability,
+        clock=clock,
+        rng=rng,
+    )
--- a/src/tanagerscale/membership/_gate.py
+++ b/src/tanagerscale/membership/_gate.py
@@ -238,6 +238,11 @@
         if is_probe:
             self._changes.on_next(upstream)
 
+    def forget_failures(self) -> None:
+        """Close all circuit breakers, since this host itself reached no upstream."""
+        for upstream in list(self._breakers):
+            self.record_success(upstream=upstream)
+
     def record_success(self, *, upstream: UpstreamId) -> None:
         """Record that an upstream responded, which resets its circuit breaker."""
         breaker = self._breakers.pop(upstream, None)
--- a/src/tanagerscale/membership/_mesh.py
+++ b/src/tanagerscale/membership/_mesh.py
@@ -73,6 +73,7 @@
     :param server_ssl: TLS context for accepted connections; ``None`` means no TLS.
     :param client_ssl: TLS context for outgoing connections; ``None`` means no TLS.
     :param transport: Replaces WebSockets in tests.
+    :param delegate_address: Address at which this host accepts delegated requests.
     """
 
     def __init__(
@@ -92,7 +93,9 @@
         server_ssl: ssl.SSLContext | None = None,
         client_ssl: ssl.SSLContext | None = None,
         transport: Transport | None = None,
+        delegate_address: str = "",
     ) -> None:
+        self._delegate_address = delegate_address
         self._host = host
         self._failure_domain = failure_domain
         self._incarnation = incarnation
@@ -306,6 +309,7 @@
                 address=peer_hello.peers_address or address,
                 revision=Revision(0),
                 leaving=False,
+                delegate_address=peer_hello.delegate_address,
             ),
             dialer=self._host if is_dialer else host,
             clock=self._clock,
@@ -364,6 +368,7 @@
             incarnation=self._incarnation,
             failure_domain=self._failure_domain,
             peers_address=self._address,
+            delegate_address=self._delegate_address,
         )
 
     def _on_message(self, host: HostId, message: Message) -> None:
--- a/src/tanagerscale/membership/_peers.py
+++ b/src/tanagerscale/membership/_peers.py
@@ -30,6 +30,8 @@
     :param address: Address at which it accepts peers.
     :param revision: Last reported revision of the declarations in force on the host.
     :param leaving: Whether the host is shutting down gracefully.
+    :param cut_off: Whether the host reaches no upstream.
+    :param delegate_address: Address at which it accepts delegated requests; empty if it does not.
     """
 
     host: HostId
@@ -38,6 +40,8 @@
     address: str
     revision: Revision
     leaving: bool
+    cut_off: bool = False
+    delegate_address: str = ""
 
 
 class ReceivedMessage(Struct, frozen=True, kw_only=True):
--- a/src/tanagerscale/membership/_session.py
+++ b/src/tanagerscale/membership/_session.py
@@ -186,12 +186,12 @@
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._interval_ms = heartbeat.next_ms
         revision = Revision(heartbeat.revision)
-        if revision == self._peer.revision and heartbeat.leaving == self._peer.leaving:
-            return
-        self._peer = msgspec.structs.replace(
-            self._peer, revision=revision, leaving=heartbeat.leaving
+        peer = msgspec.structs.replace(
+            self._peer, revision=revision, leaving=heartbeat.leaving, cut_off=heartbeat.cut_off
         )
-        self._on_change()
+        if peer != self._peer:
+            self._peer = peer
+            self._on_change()
 
 
 async def exchange_hello(*, link: Link, hello: Hello, counters: MeshCounters) -> Hello:
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -18,6 +18,8 @@
 from tanagerscale.generated.messages import Ask
 from tanagerscale.generated.messages import Attached
 from tanagerscale.generated.messages import Coordinators
+from tanagerscale.generated.messages import DelegatesAnswer
+from tanagerscale.generated.messages import DelegatesAsk
 from tanagerscale.generated.messages import EjectedUpstream
 from tanagerscale.generated.messages import Finished
 from tanagerscale.generated.messages import Grant
@@ -71,6 +73,8 @@
     | RepeatAsk
     | RateAnswer
     | RateAsk
+    | DelegatesAnswer
+    | DelegatesAsk
     | UpstreamLimit
     | EjectedUpstream
     | AnswerTallies
--- a/src/tanagerscale/upstreams/_paths.py
+++ b/src/tanagerscale/upstreams/_paths.py
@@ -74,6 +74,8 @@
         """Upstreams that have failed since one has answered last."""
         self._requests: dict[int, Millis] = {}
         """Start of each request that has no answer yet."""
+        self._held: list[Callable[[], None]] = []
+        """Failures that may have been caused by the path."""
         self._numbers = count()
         self._heard_at = Millis(0)
         self._checked_at = Millis(-MIN_CHECK_INTERVAL_MS)
@@ -115,6 +117,21 @@
         """Record that an upstream has answered."""
         self._heard_at = self._clock.now()
         self._unreached.clear()
+        held, self._held = self._held, []
+        for record in held:
+            record()
+
+    def when_certain(self, record: Callable[[], None]) -> None:
+        """Record a failure of an upstream once it is known that the path to it was not the cause.
+
+        :param record: Records the failure; it is dropped if this host turns out to be cut off.
+        """
+        if self.is_cut:
+            return
+        if self._unreached and self._known():
+            self._held.append(record)
+        else:
+            record()
 
     def record_unreached(self, upstream: UpstreamId) -> None:
         """Record that an upstream was not reached, or lost a request without an answer."""
@@ -199,6 +216,7 @@
         now = self._clock.now()
         cut_ms = 0 if self._cut_since is None else now - self._cut_since
         self._cut_since = now if is_cut else None
+        self._held.clear()
         _log.warning(
             (
                 "This host reaches no upstream."
--- a/standins/platform_verdict.py
+++ b/standins/platform_verdict.py
@@ -271,6 +271,8 @@
             if not known or not is_in_touch:
                 continue
             is_cut = any(cut.target == call.host for cut in known)
+            if is_cut and not self._find_hosts_with_path(call):
+                continue
             is_near_cut = self._fault_log.find(
                 call.host, _CUTS, began=call.sent - CUT_GRACE_MS, ended=call.ended
             )
@@ -280,6 +282,19 @@
         neglect = find_neglect(tries)
         return [f"RECOVER: {neglect}"] if neglect else []
 
+    def _find_hosts_with_path(self, call: Call) -> list[str]:
+        """Return the hosts that are in touch and not cut off while a request is under way."""
+        hosts = {
+            fault.target for fault in self._fault_log.faults if fault.kind is FaultKind.HOST_START
+        }
+        return [
+            host
+            for host in hosts
+            if not self._fault_log.find(
+                host, _RESTARTS | _CUTS, began=call.sent - CUT_GRACE_MS, ended=call.ended
+            )
+        ]
+
     def _pairs(self) -> list[tuple[Call, ReceivedRequest]]:
         return [
             (call, received)
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -303,6 +303,7 @@
                 callers=f"{ip}:{free_port()}",
                 readiness=f"{ip}:{free_port()}",
                 peers=f"{ip}:{free_port()}",
+                delegates=f"{ip}:{free_port()}",
                 seeds=list(seeds),
                 source_ip=source_ip,
                 stop_grace_s=stop_grace_s,
--- a/testing/_forwarding_fleet.py
+++ b/testing/_forwarding_fleet.py
@@ -14,25 +14,32 @@
 from typing import Protocol
 from typing import TypeVar
 
+from msgspec.structs import replace
 from prometheus_client import CollectorRegistry
 from returns.result import Result
 
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import RequestId
 from tanagerscale.forwarding import Admission
+from tanagerscale.forwarding import CallerRequest
 from tanagerscale.forwarding import CopyError
+from tanagerscale.forwarding import DelegatedHead
+from tanagerscale.forwarding import DelegatedOutcome
+from tanagerscale.forwarding import DelegateSelector
+from tanagerscale.forwarding import Dispatcher
 from tanagerscale.forwarding import ForwardingContext
 from tanagerscale.forwarding import Header
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import RunCopy
+from tanagerscale.forwarding import ShutdownSchedule
 from tanagerscale.forwarding import StreamMover
 from tanagerscale.forwarding import UpstreamRequest
-from tanagerscale.forwarding._plain import PlainForwarder
-from tanagerscale.forwarding._refusals import timed_out
-from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.gateway._forwarding import make_forwarding_context
+from tanagerscale.routes import AllowedRegions
 from tanagerscale.routes import Route
 from tanagerscale.routes import RouteKind
+from tanagerscale.upstreams import ExchangeError
+from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
 from testing._gateway_fakes import FakeResponder
 from testing._gateway_fakes import FakeResponse
@@ -150,7 +157,7 @@
 
     host: Host
     context: ForwardingContext
-    admission: Admission
+    dispatcher: Dispatcher
     mover: StreamMover
 
     async def forward(self, name: str, route: Route, responder: FakeResponder) -> Refusal | None:
@@ -159,22 +166,56 @@
         tokens = 40 if route is SHORT_ROUTE else 2000
         request = make_request(name=name, prompt=100 if is_stream else None, max_tokens=tokens)
         routed = route_request(request, route)
-        self.context.retry_permits.count_request(service=routed.service)
-        async with asyncio.timeout(route.timeout_ms / 1000):
-            if not is_stream:
-                return await PlainForwarder(routed=routed, context=self.context).serve(responder)
-            run = StreamRun(
-                routed=routed,
-                responder=responder,
-                context=self.context,
-                admission=self.admission,
-                hooks=self.mover,
-            )
-            self.mover.runs.add(run)
-            try:
-                return await run.serve()
-            finally:
-                self.mover.runs.discard(run)
+        return await self.dispatcher._forward_in_time(routed, responder, is_delegated=False)
+
+
+class _DelegatedResponse:
+    """The response of another host, which comes as a whole."""
+
+    def __init__(self, *, head: DelegatedHead, body: bytes = b"") -> None:
+        self.head = head
+        self._body = body
+
+    async def read_some(self) -> bytes:
+        """Return the body, and then its end."""
+        body, self._body = self._body, b""
+        return body
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class _Delegates:
+    """Passes requests to the other hosts of a fleet, whose addresses are their names."""
+
+    def __init__(self, *, hosts: Callable[[], Sequence[ForwardingHost]]) -> None:
+        self._hosts = hosts
+        self.routes: dict[str, Route] = {}
+        """Route of each request that the callers have sent."""
+
+    async def send(
+        self, *, address: str, request: CallerRequest, time_left_ms: int
+    ) -> _DelegatedResponse:
+        """Have another host send a request."""
+        await asyncio.sleep(0.002)
+        one = next((one for one in self._hosts() if one.host.name == address), None)
+        if one is None:
+            raise ExchangeError(ExchangeFailure.NOT_SENT, "the host is gone")
+        if not one.host.control.reach.can_help:
+            return _DelegatedResponse(head=DelegatedHead(outcome=DelegatedOutcome.UNAVAILABLE))
+        responder = FakeResponder()
+        received = replace(request, arrived=one.host.clock.now(), time_left_ms=time_left_ms)
+        routed = route_request(received, self.routes[request.request])
+        refusal = await one.dispatcher._forward_in_time(routed, responder, is_delegated=True)
+        if responder.begun and refusal is not None:
+            raise ExchangeError(ExchangeFailure.LOST, "the stream broke off")
+        if refusal is not None:
+            head = DelegatedHead(outcome=DelegatedOutcome.REFUSED, refusal=refusal)
+            return _DelegatedResponse(head=head)
+        is_stream = self.routes[request.request].kind is RouteKind.STREAMING
+        outcome = DelegatedOutcome.STREAM if is_stream else DelegatedOutcome.WHOLE
+        head = DelegatedHead(outcome=outcome, status=responder.status or 0)
+        return _DelegatedResponse(head=head, body=responder.body)
 
 
 @dataclass(kw_only=True, eq=False)
@@ -187,6 +228,10 @@
     outcomes: list[Outcome] = field(default_factory=list)
     _number: int = 0
 
+    def __post_init__(self) -> None:
+        """Let hosts delegate requests to each other."""
+        self._delegates = _Delegates(hosts=lambda: self.hosts)
+
     async def start(self, *, hosts: int = 9, domains: int = 3, engines: int = 3) -> None:
         """Start hosts and upstreams."""
         await self.fleet.start(count=hosts, domains=domains, engines=engines)
@@ -211,11 +256,9 @@
         """Send one request to a host and wait for its outcome."""
         self._number += 1
         sent_at, host = now_ms(), forwarder.host.name
+        self._delegates.routes[f"r{self._number}"] = route
         responder = _Responder(on_head=lambda headers: self.upstreams.on_passed_on(host, headers))
-        try:
-            refusal = await forwarder.forward(f"r{self._number}", route, responder)
-        except TimeoutError:
-            refusal = timed_out()
+        refusal = await forwarder.forward(f"r{self._number}", route, responder)
         outcome = Outcome(
             sent_at=sent_at,
             ended_at=now_ms(),
@@ -273,12 +316,21 @@
         )
         host.order_executor = mover.execute_order
         host.control.gate.changes.subscribe(mover.on_upstreams)
-        return ForwardingHost(
-            host=host,
+        dispatcher = Dispatcher(
             context=context,
             admission=Admission(context=context, placer=host.control.client),
-            mover=mover,
+            stream_mover=mover,
+            allowed_regions=AllowedRegions(regions={}),
+            shutdown=ShutdownSchedule(clock=host.clock),
+            delegates=DelegateSelector(
+                find=host.control.client.get_delegates,
+                failure_domain=context.failure_domain,
+                clock=host.clock,
+                rng=context.rng,
+            ),
+            delegate_client=self._delegates,
         )
+        return ForwardingHost(host=host, context=context, dispatcher=dispatcher, mover=mover)
 
 
 def run_with_fleet(
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -35,6 +35,7 @@
 from tanagerscale.forwarding import CallerRequest
 from tanagerscale.forwarding import CopyError
 from tanagerscale.forwarding import CopyFailure
+from tanagerscale.forwarding import DelegateSelector
 from tanagerscale.forwarding import Demand
 from tanagerscale.forwarding import ForwardingContext
 from tanagerscale.forwarding import ForwardingMetrics
@@ -45,6 +46,8 @@
 from tanagerscale.forwarding import RunCopy
 from tanagerscale.forwarding import StreamMover
 from tanagerscale.forwarding import UpstreamRequest
+from tanagerscale.forwarding._delegation import DelegatedResponse
+from tanagerscale.generated.messages import Delegate
 from tanagerscale.generated.messages import RequestClass
 from tanagerscale.quarantine import SuspectTracker
 from tanagerscale.routes import ANONYMOUS_CALLER
@@ -62,6 +65,7 @@
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import NamedLimits
 from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamPaths
 from tanagerscale.upstreams import UpstreamPauses
 from tanagerscale.upstreams import UpstreamState
 from testing._single_host import HOST
@@ -526,6 +530,36 @@
         return self.single_host.coordinator.ledger.totals()
 
 
+class NoDelegates:
+    """Stands for a host to which no other one answers."""
+
+    async def send(
+        self, *, address: str, request: CallerRequest, time_left_ms: int
+    ) -> DelegatedResponse:
+        """Fail to connect."""
+        raise ExchangeError(ExchangeFailure.NOT_SENT, "no other host")
+
+
+def make_delegate_selector(context: ForwardingContext, *delegates: Delegate) -> DelegateSelector:
+    """Return a selector of some delegates."""
+
+    async def find() -> Sequence[Delegate]:
+        return delegates
+
+    return DelegateSelector(
+        find=find, failure_domain=context.failure_domain, clock=context.clock, rng=context.rng
+    )
+
+
+def make_certain_paths(clock: Clock) -> UpstreamPaths:
+    """Return the paths of a host that knows of no upstream to probe, and is never cut off."""
+
+    async def probe(entry: UpstreamEntry) -> bool:
+        return True
+
+    return UpstreamPaths(probe=probe, known=lambda: (), clock=clock, rng=Random(1))
+
+
 def make_gateway_fakes(*entries: UpstreamEntry, slack: float = 100.0) -> GatewayFakes:
     """Return components built on fakes.
 
@@ -552,6 +586,7 @@
         tables=tables,
         upstreams=upstreams,
         gate=upstreams,
+        paths=make_certain_paths(clock),
         pauses=UpstreamPauses(clock=clock),
         named_limits=named_limits,
         suspects=SuspectTracker(clock=clock),
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -282,6 +282,7 @@
             callers="unused",
             readiness="unused",
             peers=name,
+            delegates=name,
             seeds=list(seeds),
             processor_share=cores,
         ),
--- a/testing/_single_host.py
+++ b/testing/_single_host.py
@@ -9,6 +9,7 @@
 from tanagerscale.coordination import CoordinationClient
 from tanagerscale.coordination import Coordinator
 from tanagerscale.coordination import DecisionContext
+from tanagerscale.coordination import DelegateList
 from tanagerscale.coordination import Directory
 from tanagerscale.coordination import EngineReports
 from tanagerscale.coordination import SharedRetryBudgets
@@ -18,6 +19,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import LocalWorkload
 from tanagerscale.forwarding import StreamMover
+from tanagerscale.generated.messages import Delegate
 from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import MoveOrder
 from tanagerscale.membership import Message
@@ -100,6 +102,12 @@
         domain=DOMAIN,
         context=context,
         retry_budgets=repeats,
+        delegates=DelegateList(
+            own=Delegate(host=HOST, address="", failure_domain=DOMAIN),
+            can_help=lambda: True,
+            peers=lambda: (),
+            rng=context.rng,
+        ),
         engines=engines,
         pauses=pauses,
         send=deliver,
--- a/testing/test_forwarding_dispatcher.py
+++ b/testing/test_forwarding_dispatcher.py
@@ -25,6 +25,8 @@
 from testing._gateway_fakes import FakeResponder
 from testing._gateway_fakes import FakeResponse
 from testing._gateway_fakes import GatewayFakes
+from testing._gateway_fakes import NoDelegates
+from testing._gateway_fakes import make_delegate_selector
 from testing._gateway_fakes import make_entry
 from testing._gateway_fakes import make_gateway_fakes
 from testing._gateway_fakes import make_request
@@ -55,6 +57,8 @@
             stream_mover=make_stream_mover(self.fakes),
             allowed_regions=AllowedRegions(regions={}),
             shutdown=self.shutdown,
+            delegates=make_delegate_selector(context),
+            delegate_client=NoDelegates(),
         )
 
     async def serve(self, request: CallerRequest) -> FakeResponder:
--- a/testing/test_platform_soak.py
+++ b/testing/test_platform_soak.py
@@ -88,7 +88,7 @@
 
 # Guards against hosts that refuse their callers while they reach no upstream, though others do.
 @pytest.mark.asyncio
-@pytest.mark.parametrize(("seed", "seconds", "hosts"), [(601, 14, 6), (602, 14, 6)])
+@pytest.mark.parametrize(("seed", "seconds", "hosts"), [(601, 14, 6), (602, 14, 6), (605, 14, 6)])
 async def test_guarantees_hold_when_hosts_are_cut_off_from_all_upstreams_among_faults(
     seed: int, seconds: int, hosts: int, tmp_path: Path
 ) -> None:
--- a/testing/test_regions.py
+++ b/testing/test_regions.py
@@ -30,6 +30,8 @@
 from tanagerscale.settings import read_gateway_settings
 from testing._gateway_fakes import FakeResponder
 from testing._gateway_fakes import GatewayFakes
+from testing._gateway_fakes import NoDelegates
+from testing._gateway_fakes import make_delegate_selector
 from testing._gateway_fakes import make_entry
 from testing._gateway_fakes import make_gateway_fakes
 from testing._gateway_fakes import make_request
@@ -128,6 +130,8 @@
             stream_mover=make_stream_mover(self.fakes),
             allowed_regions=AllowedRegions(regions=REGIONS),
             shutdown=ShutdownSchedule(clock=self.fakes.context.clock),
+            delegates=make_delegate_selector(context),
+            delegate_client=NoDelegates(),
         )
 
     async def serve(self, *, prompt: int | None = None) -> FakeResponder:
