Don't even out the load of an engine that names a rate limit

Cause: a move that isn't needed stopped a run, though its way back depends on a permit. The run of a leaving engine has to move anyway; one that only evens out the load has not.

Such moves are no longer ordered from an engine with a rate limit, as they weren't to one.

--- a/src/tanagerscale/coordination/_permitted_moves.py
+++ b/src/tanagerscale/coordination/_permitted_moves.py
@@ -81,5 +81,10 @@
 
 
 def _is_optional(move: Move, limited: Set[UpstreamId]) -> bool:
-    """Return whether a move would only use up the rate of its target."""
+    """Return whether a move is not needed, and uses up the rate of an engine or depends on it.
+
+    A run that its target doesn't take has to return to its own engine.
+    """
+    if move.kind is MoveKind.EVEN_OUT and move.run.engine in limited:
+        return True
     return move.target in limited and move.kind is not MoveKind.LEAVE
--- a/testing/test_forwarding_evacuation.py
+++ b/testing/test_forwarding_evacuation.py
@@ -8,6 +8,7 @@
 
 from tanagerscale.coordination._coordinator import REPORT_DELAY_MS
 from tanagerscale.coordination._coordinator import REPORT_LAG_MS
+from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import CopyFailure
@@ -314,6 +315,23 @@
     run_virtually(scenario())
 
 
+# A run was stopped to even out the load, its copy had no room, and its own engine, which named a
+# rate limit, did not take it back in time.
+def test_load_is_not_balanced_when_the_engine_of_the_runs_names_a_rate_limit() -> None:
+    async def scenario() -> None:
+        harness = MoveHarness("x", "y")
+        harness.fakes.context.named_limits.on_response(
+            upstream=UpstreamId("x"), named=(2.0,), is_success=True, sent_at=Millis(0)
+        )
+        runs = [harness.add(str(number), at="x") for number in range(5)]
+        for run in runs[:4]:
+            harness.add_copy(run, at="y")
+        await asyncio.sleep(SETTLE_S)
+        assert [run for run in runs if run.resume_targets] == []
+
+    run_virtually(scenario())
+
+
 def test_load_is_not_balanced_while_an_engine_leaves() -> None:
     async def scenario() -> None:
         harness = MoveHarness("x", "y", "z")
