Add a failing test of upstreams that say that they are brittle

Seen: three upstreams that let one request run at a time fall over 9 times in 8 s where 2.3 are allowed.

--- a/testing/_counted_upstreams.py
+++ b/testing/_counted_upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections import defaultdict
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -44,6 +45,9 @@
 SHORT_EVENTS = 3
 LONG_EVENTS = 187
 HANG_S = 60.0
+BRITTLE_LIMIT = 4
+"""Requests that a brittle upstream may turn away in a second."""
+BRITTLE_HEADERS = (("Brittle", str(BRITTLE_LIMIT)),)
 CONNECT_TIMEOUT_S = 0.4
 
 
@@ -76,6 +80,11 @@
         """Upstreams that answer plain requests with an error."""
         self.hanging: set[str] = set()
         """Upstreams that don't answer."""
+        self.brittle_room: int | None = None
+        """Requests that an upstream takes at a time while it names itself brittle."""
+        self.turned_away: defaultdict[str, list[int]] = defaultdict(list)
+        """When each upstream refused a request for want of room."""
+        self._running: Counter[str] = Counter()
         self.cuts: dict[str, HostCut] = {}
         """Hosts that are cut off."""
         self._kept: defaultdict[str, set[str]] = defaultdict(set)
@@ -143,7 +152,14 @@
         demand, origin = upstream_request.request.demand, upstream_request.continuation
         if upstream in self.refusing or (origin and upstream in self.refusing_resumes):
             return FakeResponse(status=503, not_executed=True)
-        await asyncio.sleep(HANG_S if upstream in self.hanging else SERVICE_MS / 1000)
+        if self.brittle_room is not None and self._running[upstream] >= self.brittle_room:
+            self.turned_away[upstream].append(now_ms())
+            return FakeResponse(status=503, not_executed=True, headers=BRITTLE_HEADERS)
+        self._running[upstream] += 1
+        try:
+            await asyncio.sleep(HANG_S if upstream in self.hanging else SERVICE_MS / 1000)
+        finally:
+            self._running[upstream] -= 1
         if demand is None:
             return FakeResponse(status=500 if upstream in self.failing else 200)
         after = 0 if origin is None else origin.after_event
