--- a/standins/platform_hosts.py
+++ b/standins/platform_hosts.py
@@ -58,6 +58,11 @@
         ip, _, port = self._settings.host.callers.rpartition(":")
         return ip, int(port)
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._running_process().pid
+
     async def start(self) -> None:
         """Start the process without waiting until it is ready."""
         path = self._directory / f"{self.name}.ini"
