Don't refuse a delegated request as not executed when it was cancelled or lost

Cause: what a delegate may be running was forgotten as the request was cancelled, before the refusal was chosen.

A delegated request may have run until its delegate says that it sends nothing.

--- a/src/tanagerscale/forwarding/_delegation.py
+++ b/src/tanagerscale/forwarding/_delegation.py
@@ -206,7 +206,7 @@
         self._has_lost = may_have_run
         """Whether an attempt has ended without a known result."""
         self._is_sent = False
-        """Whether a delegate may be sending the request now."""
+        """Whether a delegate has been asked, and has not said that it sends nothing."""
 
     @property
     def may_have_run(self) -> bool:
@@ -262,14 +262,13 @@
             self._log("A delegate did not answer.", host, detail=error.detail)
             self._context.metrics.delegated.labels("lost").inc()
             if error.failure is ExchangeFailure.NOT_SENT:
+                self._is_sent = False
                 return None, False
             self._has_lost = True
             is_repeatable = self._routed.route.kind is RouteKind.IDEMPOTENT
             if is_repeatable and not responder.begun and await self._may_repeat():
                 return None, False
             return upstream_failed(cause="Another host lost the request"), True
-        finally:
-            self._is_sent = False
 
     async def _may_repeat(self) -> bool:
         return await self._context.retry_permits.may_repeat(service=self._routed.service)
@@ -281,6 +280,7 @@
         self._log("A request was delegated.", host, outcome=head.outcome.value, status=head.status)
         self._context.metrics.delegated.labels(head.outcome.value).inc()
         if head.outcome is DelegatedOutcome.UNAVAILABLE:
+            self._is_sent = False
             return None, False
         if head.outcome is DelegatedOutcome.REFUSED:
             return self._accept_refusal(head.refusal)
@@ -297,6 +297,7 @@
 
     def _accept_refusal(self, refusal: Refusal | None) -> tuple[Refusal | None, bool]:
         if refusal is None or refusal.kind in _ELSEWHERE:
+            self._is_sent = False
             return None, False
         if self._has_lost and refusal.kind is RefusalKind.OVERLOADED:
             return upstream_failed(cause="An attempt got no answer"), True
--- a/testing/test_delegation.py
+++ b/testing/test_delegation.py
@@ -92,6 +92,15 @@
         return reaction
 
 
+class _SilentClient:
+    """Never gets an answer."""
+
+    async def send(self, *, address: str, request: CallerRequest, time_left_ms: int) -> _Response:
+        """Wait until cancelled."""
+        await asyncio.Event().wait()
+        raise LOST
+
+
 def _serve(
     *reactions: DelegatedHead | _Response | ExchangeError,
     kind: RouteKind = RouteKind.NON_IDEMPOTENT,
@@ -170,6 +179,26 @@
     assert _kind(refusal) is RefusalKind.UPSTREAM_FAILED
 
 
+# A request that its host ended at the end of a shutdown was refused as not executed.
+def test_request_may_have_run_when_it_is_cancelled_at_a_delegate() -> None:
+    async def scenario() -> bool:
+        fakes = make_gateway_fakes(make_entry("x"))
+        delegate = Delegate(host="h", address="h:1", failure_domain="a")
+        run = DelegatedRun(
+            routed=route_request(make_request(), make_route(kind=RouteKind.STREAMING)),
+            context=fakes.context,
+            client=_SilentClient(),
+            selector=make_delegate_selector(fakes.context, delegate),
+        )
+        serving = asyncio.create_task(run.serve(FakeResponder()))
+        await asyncio.sleep(1)
+        serving.cancel()
+        await asyncio.wait([serving])
+        return run.may_have_run
+
+    assert run_virtually(scenario())
+
+
 def test_refusal_of_a_delegate_is_passed_on() -> None:
     refusal, _, asked = _serve(_refused(RefusalKind.OVERLOADED), WHOLE)
     assert (_kind(refusal), asked) == (RefusalKind.OVERLOADED, 1)
