Don't refuse a request as not executed when its attempts were given up

Cause: a request whose attempts are given up has no failed attempt, and was refused as one that no upstream takes.

What may have run is refused as such, whether or not an attempt has failed.

Measured: the new test fails without the change and passes with it.

--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -109,8 +109,8 @@
                 body=response.body,
             )
             return None
-        if self._refusal is not None and self._record.may_have_run:
-            return self._refusal
+        if self._record.may_have_run:
+            return self._refusal or upstream_failed(cause="An attempt got no answer")
         refusal = refuse_if_paused(self._routed, self._context, self._record.tried)
         if refusal is not None:
             return refusal
--- a/testing/test_forwarding_plain.py
+++ b/testing/test_forwarding_plain.py
@@ -293,3 +293,20 @@
         return fakes.upstream_client.asked
 
     assert 3 <= run_virtually(scenario()).count("x") <= 6
+
+
+# A request was refused as not executed although its attempt had been given up without an answer.
+def test_idempotent_request_is_given_up_as_possibly_executed_when_its_host_is_cut_off() -> None:
+    async def scenario() -> tuple[RefusalKind | None, bool, bool]:
+        fakes = make_gateway_fakes(make_entry("x"))
+        fakes.upstream_client.set("x", FakeResponse(pause_ms=60_000))
+        routed = route_request(make_request(), make_route(kind=RouteKind.IDEMPOTENT, attempts=2))
+        forwarder = PlainForwarder(routed=routed, context=fakes.context)
+        serving = asyncio.create_task(forwarder.serve(FakeResponder()))
+        await asyncio.sleep(0.1)
+        fakes.context.paths._set_cut(is_cut=True)
+        refusal = await serving
+        kind = None if refusal is None else refusal.kind
+        return kind, forwarder.may_have_run, forwarder.can_be_delegated
+
+    assert run_virtually(scenario()) == (RefusalKind.UPSTREAM_FAILED, True, True)
