Share one future for the loss of all paths, and watch it only where it matters

Cause: each plain request subscribed to the state of the paths and started a task, so as to be delegated if its host is cut off meanwhile, which cost every request 83 microseconds of the 950 that one takes.

The requests share one future, and only those wait for it that may be repeated.

The tests of plain requests, of paths, of delegation and of hosts that are cut off pass.

--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -5,8 +5,8 @@
 import asyncio
 from collections.abc import Sequence
 from itertools import takewhile
+from typing import Any
 from typing import Final
-from typing import Literal
 from typing import final
 
 from msgspec import Struct
@@ -136,11 +136,7 @@
     async def _get_first_success(self) -> _CompleteResponse | None:
         """Try upstreams in turn, with a hedged attempt in parallel where that is allowed."""
         running: set[asyncio.Task[_CompleteResponse | None]] = set()
-        cut_off = asyncio.Event()
-        subscription = self._context.paths.changes.subscribe(
-            lambda is_cut: cut_off.set() if is_cut else None
-        )
-        watch = asyncio.create_task(cut_off.wait())
+        cut_off = self._context.paths.cut_off
         try:
             while True:
                 entry = await self._next_entry()
@@ -148,14 +144,12 @@
                     running.add(asyncio.create_task(self._attempt(entry)))
                 if not running:
                     return None
-                response = await self._wait_for_any(running, watch)
+                response = await self._wait_for_any(running, cut_off)
                 if response is not None:
                     return response
-                if watch.done() and await self._give_up():
+                if cut_off.done() and await self._give_up():
                     return None
         finally:
-            subscription.dispose()
-            watch.cancel()
             for task in running:
                 task.cancel()
 
@@ -167,13 +161,15 @@
     async def _wait_for_any(
         self,
         running: set[asyncio.Task[_CompleteResponse | None]],
-        watch: asyncio.Task[Literal[True]],
+        cut_off: asyncio.Future[None],
     ) -> _CompleteResponse | None:
         """Wait for a response, until the hedge delay is over or until this host is cut off."""
         hedge_delay_ms = self._hedge_delay_ms()
-        watched = set() if watch.done() else {watch}
+        watched: set[asyncio.Future[Any]] = {*running}
+        if not cut_off.done() and self._record.is_retry_allowed():
+            watched.add(cut_off)
         await asyncio.wait(
-            running | watched,
+            watched,
             timeout=None if hedge_delay_ms is None else hedge_delay_ms / MS_PER_SECOND,
             return_when=asyncio.FIRST_COMPLETED,
         )
--- a/src/tanagerscale/upstreams/_paths.py
+++ b/src/tanagerscale/upstreams/_paths.py
@@ -83,6 +83,14 @@
         self._check: asyncio.Task[None] | None = None
         self._silence_timer: asyncio.TimerHandle | None = None
         self._changes: Subject[bool] = Subject()
+        self._cut_off: asyncio.Future[None] | None = None
+
+    @property
+    def cut_off(self) -> asyncio.Future[None]:
+        """Is done once this host is cut off; shared by all requests, and never cancelled."""
+        if self._cut_off is None:
+            self._cut_off = asyncio.get_running_loop().create_future()
+        return self._cut_off
 
     @property
     def changes(self) -> Observable[bool]:
@@ -217,6 +225,10 @@
         cut_ms = 0 if self._cut_since is None else now - self._cut_since
         self._cut_since = now if is_cut else None
         self._held.clear()
+        if is_cut:
+            self.cut_off.set_result(None)
+        else:
+            self._cut_off = None
         _log.warning(
             (
                 "This host reaches no upstream."
