Never tell a host that its request was not accepted once it has been served

Cause: a delegated request whose serving ended without any response would have been reported as not accepted, and been sent again elsewhere. No way to such an end is known.

An end without a response is an error now, which the other host takes for a lost request.

--- a/src/tanagerscale/gateway/_delegate_server.py
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -128,7 +128,8 @@
     @property
     def response(self) -> web.StreamResponse:
         """The response object that the server finishes."""
-        return self._response or _unavailable()
+        assert self._response is not None
+        return self._response
 
     @property
     def begun(self) -> bool:
