Record crash evidence at once, and retract it if the host is cut off

Cause: a broken response was held back until an upstream had answered, so that a cut host's resets make no request suspect. Where no other request is under way, none answers.

If the host turns out to be cut off before any upstream has answered, it tells the others that these upstreams are alive, as far as it knows, which withdraws the evidence.

--- a/src/tanagerscale/forwarding/_crash_evidence.py
+++ b/src/tanagerscale/forwarding/_crash_evidence.py
@@ -20,13 +20,12 @@
     routed: RoutedRequest, context: ForwardingContext, entry: UpstreamEntry
 ) -> None:
     """Record a truncated response, unless its upstream is leaving or its path has failed."""
-    if not context.gate.is_leaving(entry.upstream):
-        context.paths.record_unreached(entry.upstream)
-        context.paths.when_certain(
-            lambda: context.suspects.record_broken_response(
-                fingerprint=routed.fingerprint, upstream=entry.upstream
-            )
-        )
+    upstream = entry.upstream
+    if context.gate.is_leaving(upstream) or context.paths.is_cut:
+        return
+    context.suspects.record_broken_response(fingerprint=routed.fingerprint, upstream=upstream)
+    context.paths.retract_if_cut(upstream, lambda: context.suspects.record_alive(upstream=upstream))
+    context.paths.record_unreached(upstream)
 
 
 def record_complete_response(
--- a/src/tanagerscale/upstreams/_paths.py
+++ b/src/tanagerscale/upstreams/_paths.py
@@ -74,8 +74,8 @@
         """Upstreams that have failed since one has answered last."""
         self._requests: dict[int, Millis] = {}
         """Start of each request that has no answer yet."""
-        self._held: list[Callable[[], None]] = []
-        """Failures that may have been caused by the path."""
+        self._retractions: dict[UpstreamId, Callable[[], None]] = {}
+        """What to retract of upstreams whose failure may have been caused by the path."""
         self._numbers = count()
         self._heard_at = Millis(0)
         self._checked_at = Millis(-MIN_CHECK_INTERVAL_MS)
@@ -125,21 +125,15 @@
         """Record that an upstream has answered."""
         self._heard_at = self._clock.now()
         self._unreached.clear()
-        held, self._held = self._held, []
-        for record in held:
-            record()
+        self._retractions.clear()
 
-    def when_certain(self, record: Callable[[], None]) -> None:
-        """Record a failure of an upstream once it is known that the path to it was not the cause.
+    def retract_if_cut(self, upstream: UpstreamId, retract: Callable[[], None]) -> None:
+        """Retract what was concluded of an upstream if the path to it turns out to be the cause.
 
-        :param record: Records the failure; it is dropped if this host turns out to be cut off.
+        :param upstream: The upstream.
+        :param retract: Called if this host is cut off before any upstream has answered.
         """
-        if self.is_cut:
-            return
-        if self._unreached and self._known():
-            self._held.append(record)
-        else:
-            record()
+        self._retractions[upstream] = retract
 
     def record_unreached(self, upstream: UpstreamId) -> None:
         """Record that an upstream was not reached, or lost a request without an answer."""
@@ -224,8 +218,10 @@
         now = self._clock.now()
         cut_ms = 0 if self._cut_since is None else now - self._cut_since
         self._cut_since = now if is_cut else None
-        self._held.clear()
+        retractions, self._retractions = self._retractions, {}
         if is_cut:
+            for retract in retractions.values():
+                retract()
             self.cut_off.set_result(None)
         else:
             self._cut_off = None
