Judge the soak by the host that sends a request, in every mode

Cause: only runs with cuts told upstreams which host a connection came from. In the other modes the verdict took the host that a caller had asked, and so counted requests that another host had sent for it.

Change: each host of the stand-in platform connects from an address of its own, and the ledger names the sender by it; relays go on to name theirs by port.

No check is looser for a host that sends its requests itself.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -101,8 +101,8 @@
     :param running: Ids of the upstreams on which each request runs now.
     :param overlaps: Requests that started on an upstream while they already ran on one.
     :param engines: All running upstreams by address.
-    :param senders: Hosts by the port from which their connections reach an upstream, if relays in
-        between know it.
+    :param hosts: Hosts by the IP address from which they connect to upstreams.
+    :param relayed: Hosts by the port from which relays pass on their connections to an upstream.
     """
 
     received_requests: list[ReceivedRequest] = field(default_factory=list)
@@ -110,13 +110,15 @@
     running: dict[str, set[str]] = field(default_factory=dict)
     overlaps: list[str] = field(default_factory=list)
     engines: dict[str, UpstreamEmulator] = field(default_factory=dict)
-    senders: dict[int, str] = field(default_factory=dict)
+    hosts: dict[str, str] = field(default_factory=dict)
+    relayed: dict[int, str] = field(default_factory=dict)
 
     def sender_of(self, request: web.BaseRequest) -> str:
         """Return the name of the host that sent a request; empty if that is not known."""
         if request.transport is None:
             return ""
-        return self.senders.get(request.transport.get_extra_info("peername")[1], "")
+        ip, port = request.transport.get_extra_info("peername")[:2]
+        return self.hosts.get(ip) or self.relayed.get(port, "")
 
     def start_run(self, request: str, upstream: str) -> None:
         """Record that a request starts to run on an upstream."""
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -141,8 +141,6 @@
         self.upstream_links: dict[str, UpstreamLink] = {}
         """Relay in front of each upstream, by its name, if hosts can be cut off."""
         self._has_links = has_links
-        self._host_names: dict[str, str] = {}
-        """Hosts by the address from which they connect to upstreams."""
         self._cuts: dict[str, CutKind] = {}
         """Hosts that are cut off, by that address."""
         self.ledger = Ledger()
@@ -197,8 +195,8 @@
         if link is None:
             link = UpstreamLink(
                 target=upstream.address,
-                on_connection=lambda source, port: self.ledger.senders.update(
-                    {port: self._host_names.get(source, "")}
+                on_connection=lambda source, port: self.ledger.relayed.update(
+                    {port: self.ledger.hosts.get(source, "")}
                 ),
             )
             await link.__aenter__()
@@ -293,9 +291,8 @@
         relay = TcpRelay(target=self._store_address)
         await relay.__aenter__()
         self.store_links[name] = relay
-        source_ip = f"127.200.1.{len(self._host_names) + 1}" if self._has_links else ""
-        if source_ip:
-            self._host_names[source_ip] = name
+        source_ip = f"127.200.1.{len(self.ledger.hosts) + 1}"
+        self.ledger.hosts[source_ip] = name
         self._settings[name] = GatewaySettings(
             host=HostSection(
                 id=name,
--- a/testing/test_platform_end_to_end.py
+++ b/testing/test_platform_end_to_end.py
@@ -92,6 +92,15 @@
     assert received.headers["Host"] == HOST_NAME
 
 
+@pytest.mark.asyncio
+async def test_upstream_knows_the_host_that_sends_a_request(platform: PlatformCluster) -> None:
+    await platform.add_host("h2", seeds=(platform.peers_address("h1"),))
+    await _wait_until_settled(platform, "h2")
+    for host in ("h1", "h2"):
+        await platform.call(host, "/book/x")
+    assert [one.sender for one in platform.ledger.received_requests] == ["h1", "h2"]
+
+
 @pytest.mark.asyncio
 async def test_stream_is_forwarded_completely(platform: PlatformCluster) -> None:
     answer = await platform.call("h1", "/draft/x", tokens=TOKENS)
--- a/testing/test_platform_verdict.py
+++ b/testing/test_platform_verdict.py
@@ -180,6 +180,20 @@
     assert _judge([refused, *calls], received, freeze) == []
 
 
+# Requests that another host had delegated were taken for ones of a host that was asked for a pause.
+@pytest.mark.parametrize(("sender", "violations"), [("", ["PAUSE"]), ("h1", [])])
+def test_verdict_counts_requests_in_a_pause_for_the_host_that_sends_them(
+    sender: str, violations: list[str]
+) -> None:
+    refused = _answered(_call(), status=503)
+    refused.ended = SENT + 10
+    calls = [_answered(_call(number=2 + n, sent=SENT + 600 + n)) for n in range(3)]
+    received = [_received(refused, executed=False, Retry_After="3.0"), *map(_received, calls)]
+    for item in received[1:]:
+        item.sender = sender
+    assert _judge([refused, *calls], received) == violations
+
+
 @pytest.mark.parametrize(("arrivals", "violations"), [(4, []), (5, ["BUDGET"])])
 def test_verdict_names_arrivals_beyond_the_first_that_exceed_the_retry_budget(
     arrivals: int, violations: list[str]
