Don't delegate requests that a pause or a rate limit holds back

Cause: a request counted as one without a path when each upstream that was tried refused the connection, also if the only one left was up and held it back with a pause or a rate limit.

Change: refusals for a pause or a rate limit say so, and a host that is not known to be cut off does not delegate these, nor does a delegate report them as a missing path.

--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -243,8 +243,7 @@
         if self._context.paths.is_cut:
             return await self._delegate(routed, in_progress)
         refusal = await self._send(routed, in_progress)
-        forwarder = in_progress.forwarder
-        if refusal is not None and forwarder is not None and forwarder.can_be_delegated:
+        if refusal is not None and self._lacks_path(refusal, in_progress):
             return await self._delegate(routed, in_progress)
         return refusal
 
@@ -253,11 +252,18 @@
     ) -> Refusal | None:
         """Send a request that another host has delegated, and counted."""
         refusal = await self._send(routed, in_progress)
-        forwarder = in_progress.forwarder
-        if refusal is not None and forwarder is not None and forwarder.can_be_delegated:
-            return refusal if forwarder.may_have_run else no_path(rng=self._context.rng)
+        if refusal is not None and self._lacks_path(refusal, in_progress):
+            return refusal if in_progress.may_have_run else no_path(rng=self._context.rng)
         return refusal
 
+    def _lacks_path(self, refusal: Refusal, in_progress: _RequestInProgress) -> bool:
+        """Return whether a request was refused because this host reaches no upstream."""
+        forwarder = in_progress.forwarder
+        if forwarder is None or not forwarder.can_be_delegated:
+            return False
+        # An upstream that holds a request back may well be reached.
+        return self._context.paths.is_cut or not refusal.is_held_back
+
     async def _delegate(
         self, routed: RoutedRequest, in_progress: _RequestInProgress
     ) -> Refusal | None:
--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -84,6 +84,7 @@
         kind=RefusalKind.OVERLOADED,
         detail=f"All upstreams of {service} are full; send the request again after the pause.",
         retry_after_ms=_with_jitter(pause_ms, rng, PAUSE_JITTER),
+        is_held_back=True,
     )
 
 
@@ -99,6 +100,7 @@
         detail=f"All upstreams of {service} are at their rate limits; send the request again after "
         "the pause.",
         retry_after_ms=_with_jitter(max(delay_ms, MIN_RATE_RETRY_MS), rng, PAUSE_JITTER),
+        is_held_back=True,
     )
 
 
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -176,11 +176,14 @@
     :param kind: Reason of the refusal.
     :param detail: One sentence for the caller that names the remedy.
     :param retry_after_ms: Delay after which a retry may succeed; ``None`` if a retry does not help.
+    :param is_held_back: Whether an upstream could take the request but for a pause that it asked
+        for or its rate limit.
     """
 
     kind: RefusalKind
     detail: str
     retry_after_ms: int | None = None
+    is_held_back: bool = False
 
 
 class Continuation(Struct, frozen=True, kw_only=True):
--- a/testing/test_forwarding_dispatcher.py
+++ b/testing/test_forwarding_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from msgspec.structs import replace
@@ -13,15 +14,20 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import CallerRequest
+from tanagerscale.forwarding import DelegateClient
 from tanagerscale.forwarding import Dispatcher
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding import ShutdownSchedule
+from tanagerscale.forwarding._delegation import DelegatedResponse
 from tanagerscale.gateway._graceful_shutdown import drain_requests
+from tanagerscale.generated.messages import Delegate
+from tanagerscale.generated.messages import RequestClass
 from tanagerscale.routes import AllowedRegions
 from tanagerscale.routes import Route
 from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
+from tanagerscale.upstreams import RateObservation
 from testing._gateway_fakes import FakeResponder
 from testing._gateway_fakes import FakeResponse
 from testing._gateway_fakes import GatewayFakes
@@ -41,13 +47,15 @@
 STOP_GRACE_S = 8
 DUE_AFTER_MS = 7100
 """Time from the start of a shutdown until final responses are due, with that grace period."""
+DELEGATE = Delegate(host="other", address="other:1", failure_domain="a")
 
 
 class DispatcherHarness:
     """A dispatcher built on fakes."""
 
-    def __init__(self) -> None:
-        self.fakes: GatewayFakes = make_gateway_fakes(make_entry("x"))
+    def __init__(self, *upstreams: str, delegate_client: DelegateClient | None = None) -> None:
+        entries = [make_entry(name) for name in upstreams or ("x",)]
+        self.fakes: GatewayFakes = make_gateway_fakes(*entries)
         self.fakes.tables.table = make_table(PLAIN, STREAM)
         self.shutdown = ShutdownSchedule(clock=self.fakes.context.clock)
         context = self.fakes.context
@@ -57,8 +65,8 @@
             stream_mover=make_stream_mover(self.fakes),
             allowed_regions=AllowedRegions(regions={}),
             shutdown=self.shutdown,
-            delegates=make_delegate_selector(context),
-            delegate_client=NoDelegates(),
+            delegates=make_delegate_selector(context, DELEGATE),
+            delegate_client=delegate_client or NoDelegates(),
         )
 
     async def serve(self, request: CallerRequest) -> FakeResponder:
@@ -400,3 +408,66 @@
         return await harness.serve(make_request())
 
     assert run_virtually(scenario()).ended
+
+
+class _CountingDelegates(NoDelegates):
+    """Stands for other hosts that can't be reached, and counts the requests for them."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+
+    async def send(
+        self, *, address: str, request: CallerRequest, time_left_ms: int
+    ) -> DelegatedResponse:
+        """Count a request, and fail to connect."""
+        self.asked += 1
+        return await super().send(address=address, request=request, time_left_ms=time_left_ms)
+
+
+def _serve_without_reached_upstream(
+    path: str, hold_back: Callable[[GatewayFakes], None] | None
+) -> tuple[RefusalKind | None, list[str], int]:
+    """Serve a request when one upstream is down, and return how it ended and who was asked."""
+
+    async def scenario() -> tuple[RefusalKind | None, list[str], int]:
+        delegates = _CountingDelegates()
+        names = ("x",) if hold_back is None else ("x", "y")
+        harness = DispatcherHarness(*names, delegate_client=delegates)
+        harness.fakes.upstream_client.set(
+            "x", *[ExchangeError(ExchangeFailure.NOT_SENT, "refused")] * 9
+        )
+        if hold_back is not None:
+            hold_back(harness.fakes)
+        responder = await harness.serve(make_request(path=path, prompt=100, max_tokens=100))
+        return _kind(responder), harness.fakes.upstream_client.asked, delegates.asked
+
+    return run_virtually(scenario())
+
+
+def _pause(fakes: GatewayFakes) -> None:
+    fakes.pauses.record(upstream=UpstreamId("y"), pause_ms=3000)
+
+
+def _limit(fakes: GatewayFakes) -> None:
+    now = fakes.context.clock.now()
+    fakes.context.named_limits.record(
+        RateObservation(upstream=UpstreamId("y"), rate_per_s=0.001, sent_at=now, received_at=now)
+    )
+    permit = fakes.rate_permits.rate_limits.acquire([UpstreamId("y")], RequestClass.PLAIN)
+    assert permit.may_send
+
+
+# A host had other hosts send its requests to an upstream that had asked it for a pause.
+@pytest.mark.parametrize("path", ["/a/x", "/s/x"])
+@pytest.mark.parametrize("hold_back", [_pause, _limit])
+def test_request_is_not_delegated_when_a_pause_or_rate_limit_holds_it_back(
+    path: str, hold_back: Callable[[GatewayFakes], None]
+) -> None:
+    outcome = _serve_without_reached_upstream(path, hold_back)
+    assert outcome == (RefusalKind.OVERLOADED, ["x"], 0)
+
+
+@pytest.mark.parametrize("path", ["/a/x", "/s/x"])
+def test_request_is_delegated_when_no_upstream_is_reached(path: str) -> None:
+    _, asked, delegated = _serve_without_reached_upstream(path, None)
+    assert (asked, delegated) == (["x"], 1)
