Use one name for hosts that are cut off, and for what forwards a request

Cause: the same state was called is_cut and cut_off, and the sibling of PlainForwarder was called a run, which means a generation elsewhere.

Change: is_cut becomes is_cut_off, DelegatedRun becomes DelegatedForwarder. No logic changes.

--- a/src/tanagerscale/coordination/_directory.py
+++ b/src/tanagerscale/coordination/_directory.py
@@ -49,7 +49,7 @@
 
     :param host: This host.
     :param seeds: Addresses to connect to before any host is known.
-    :param is_cut: Returns whether this host reaches no upstream.
+    :param is_cut_off: Returns whether this host reaches no upstream.
     :param clock: Source of the current time.
     """
 
@@ -58,10 +58,10 @@
         *,
         host: HostId,
         seeds: Sequence[str],
-        is_cut: Callable[[], bool] = lambda: False,
+        is_cut_off: Callable[[], bool] = lambda: False,
         clock: Clock,
     ) -> None:
-        self._is_cut = is_cut
+        self._is_own_cut_off = is_cut_off
         self._host = host
         self._seeds = [PeerAddress(address=seed) for seed in seeds]
         self._clock = clock
@@ -254,7 +254,7 @@
 
     def _is_cut_off(self, host: HostId) -> bool:
         if host == self._host:
-            return self._is_cut()
+            return self._is_own_cut_off()
         return self._connected_peers[host].cut_off
 
     def _is_trusted(self, host: HostId, now: Millis) -> bool:
--- a/src/tanagerscale/forwarding/_crash_evidence.py
+++ b/src/tanagerscale/forwarding/_crash_evidence.py
@@ -21,7 +21,7 @@
 ) -> None:
     """Record a truncated response, unless its upstream is leaving or its path has failed."""
     upstream = entry.upstream
-    if context.gate.is_leaving(upstream) or context.paths.is_cut:
+    if context.gate.is_leaving(upstream) or context.paths.is_cut_off:
         return
     context.suspects.record_broken_response(fingerprint=routed.fingerprint, upstream=upstream)
     context.paths.retract_if_cut(upstream, lambda: context.suspects.record_alive(upstream=upstream))
--- a/src/tanagerscale/forwarding/_delegation.py
+++ b/src/tanagerscale/forwarding/_delegation.py
@@ -180,7 +180,7 @@
 
 
 @final
-class DelegatedRun:
+class DelegatedForwarder:
     """One request that is delegated to another host.
 
     :param routed: The request.
@@ -310,7 +310,7 @@
             request=request.request,
             delegate=host,
             after_ms=self._context.clock.now() - request.arrived,
-            is_cut=self._context.paths.is_cut,
+            is_cut_off=self._context.paths.is_cut_off,
             **inputs,
         )
 
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -15,7 +15,7 @@
 from tanagerscale.forwarding._admission import Admission
 from tanagerscale.forwarding._crash_evidence import is_quarantined
 from tanagerscale.forwarding._delegation import DelegateClient
-from tanagerscale.forwarding._delegation import DelegatedRun
+from tanagerscale.forwarding._delegation import DelegatedForwarder
 from tanagerscale.forwarding._delegation import DelegateSelector
 from tanagerscale.forwarding._mover import StreamMover
 from tanagerscale.forwarding._parts import ForwardingContext
@@ -60,7 +60,7 @@
     routed: RoutedRequest
     responder: Responder
     timeout: asyncio.Timeout
-    forwarder: PlainForwarder | StreamRun | DelegatedRun | None = None
+    forwarder: PlainForwarder | StreamRun | DelegatedForwarder | None = None
     is_ended: bool = False
     is_delegated: bool = False
 
@@ -240,7 +240,7 @@
         if in_progress.is_delegated:
             return await self._send_delegated(routed, in_progress)
         self._context.retry_permits.count_request(service=routed.service)
-        if self._context.paths.is_cut:
+        if self._context.paths.is_cut_off:
             return await self._delegate(routed, in_progress)
         refusal = await self._send(routed, in_progress)
         if refusal is not None and self._lacks_path(refusal, in_progress):
@@ -262,13 +262,13 @@
         if forwarder is None or not forwarder.can_be_delegated:
             return False
         # An upstream that holds a request back may well be reached.
-        return self._context.paths.is_cut or not refusal.is_held_back
+        return self._context.paths.is_cut_off or not refusal.is_held_back
 
     async def _delegate(
         self, routed: RoutedRequest, in_progress: _RequestInProgress
     ) -> Refusal | None:
         """Have another host send a request that this one can't."""
-        delegated = DelegatedRun(
+        delegated = DelegatedForwarder(
             routed=routed,
             context=self._context,
             client=self._delegate_client,
--- a/src/tanagerscale/forwarding/_metrics.py
+++ b/src/tanagerscale/forwarding/_metrics.py
@@ -80,7 +80,7 @@
             ["outcome"],
             registry=registry,
         )
-        self.is_cut: Final = Gauge(
+        self.is_cut_off: Final = Gauge(
             "tanagerscale_cut_off",
             "1 while this host reaches no upstream.",
             registry=registry,
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -189,7 +189,7 @@
         """Return the upstream for the next attempt; ``None`` if no further attempt is allowed."""
         record = self._record
         self._permit_delay_ms = None
-        if not record.has_attempts_left or self._context.paths.is_cut:
+        if not record.has_attempts_left or self._context.paths.is_cut_off:
             return None
         if not self._usable_entries():
             return None
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -208,7 +208,7 @@
         """Find the first engine; return a refusal if no engine accepts the request."""
         record = self._record
         failure: Refusal | None = None
-        while record.has_attempts_left and not self._context.paths.is_cut:
+        while record.has_attempts_left and not self._context.paths.is_cut_off:
             if record.reached and not await self._may_repeat():
                 break
             found = await self._admission.find_engine(routed=self._routed, excluded=record.tried)
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -109,7 +109,7 @@
         self.directory = Directory(
             host=self._host,
             seeds=settings.host.seeds,
-            is_cut=lambda: self.paths.is_cut,
+            is_cut_off=lambda: self.paths.is_cut_off,
             clock=clock,
         )
         self.configuration = ConfigurationManager(decode=platform.decode_configuration)
@@ -352,7 +352,7 @@
             revision=self.configuration.head_revision,
             leaving=self._is_leaving(),
             store_lost=self._presence.store_lost,
-            cut_off=self.paths.is_cut,
+            cut_off=self.paths.is_cut_off,
             listed=self.feed.revision,
             evacuations=self.evacuations_feed.revision,
         )
--- a/src/tanagerscale/gateway/_forwarding.py
+++ b/src/tanagerscale/gateway/_forwarding.py
@@ -58,7 +58,7 @@
         rng=rng,
     )
     context.metrics.evacuated.set_function(lambda: len(control.evacuations.domains))
-    context.metrics.is_cut.set_function(lambda: control.paths.is_cut)
+    context.metrics.is_cut_off.set_function(lambda: control.paths.is_cut_off)
     context.metrics.paused.set_function(lambda: len(control.pauses.paused))
     context.metrics.limited.set_function(lambda: len(control.named_limits.limited))
     return context
--- a/src/tanagerscale/gateway/_upstream_reach.py
+++ b/src/tanagerscale/gateway/_upstream_reach.py
@@ -63,17 +63,17 @@
     @property
     def can_help(self) -> bool:
         """Whether this host can send requests for others: it has a path, and doesn't shut down."""
-        return not self._paths.is_cut and not self._is_leaving()
+        return not self._paths.is_cut_off and not self._is_leaving()
 
     def start(self) -> None:
         """React to the loss and the return of the paths from now on."""
         self._paths.changes.subscribe(self._on_change)
 
-    def _on_change(self, is_cut: bool) -> None:
+    def _on_change(self, is_cut_off: bool) -> None:
         # What failed because of the path says nothing of the upstreams.
         self._gate.forget_failures()
         self._health.forget_own_failures()
-        if is_cut:
+        if is_cut_off:
             for entry in self._known():
                 self._client.forget(upstream=entry)
         self._directory.reevaluate()
--- a/src/tanagerscale/upstreams/_paths.py
+++ b/src/tanagerscale/upstreams/_paths.py
@@ -98,14 +98,14 @@
         return self._changes
 
     @property
-    def is_cut(self) -> bool:
+    def is_cut_off(self) -> bool:
         """Whether this host reaches no upstream."""
         return self._cut_since is not None
 
     @property
     def is_doubtful(self) -> bool:
         """Whether the last requests have failed, so that this host may be cut off."""
-        return self.is_cut or bool(self._unreached)
+        return self.is_cut_off or bool(self._unreached)
 
     def begin_request(self) -> int:
         """Record that a request is sent to an upstream.
@@ -179,14 +179,14 @@
     async def _run_check(self) -> None:
         """Find out whether this host is cut off, and wait until it no longer is."""
         while not await self._reaches_any():
-            if not self.is_cut:
-                self._set_cut(is_cut=True)
+            if not self.is_cut_off:
+                self._set_cut(is_cut_off=True)
             interval_ms = RECHECK_INTERVAL_MS * self._rng.uniform(0.5, 1.5)
             await self._clock.sleep(int(interval_ms))
         self.record_reached()
         self._checked_at = self._clock.now()
-        if self.is_cut:
-            self._set_cut(is_cut=False)
+        if self.is_cut_off:
+            self._set_cut(is_cut_off=False)
 
     async def _reaches_any(self) -> bool:
         """Return whether an upstream answers; one is probed first, and some more if it doesn't."""
@@ -196,7 +196,7 @@
         if await self._answers(known[:1]):
             return True
         # The probes of a host that is cut off already cost as little as possible.
-        more = [] if self.is_cut else known[1 : 1 + PROBED_TOGETHER]
+        more = [] if self.is_cut_off else known[1 : 1 + PROBED_TOGETHER]
         return await self._answers(more)
 
     async def _answers(self, entries: Sequence[UpstreamEntry]) -> bool:
@@ -214,12 +214,12 @@
                 task.cancel()
         return False
 
-    def _set_cut(self, *, is_cut: bool) -> None:
+    def _set_cut(self, *, is_cut_off: bool) -> None:
         now = self._clock.now()
         cut_ms = 0 if self._cut_since is None else now - self._cut_since
-        self._cut_since = now if is_cut else None
+        self._cut_since = now if is_cut_off else None
         retractions, self._retractions = self._retractions, {}
-        if is_cut:
+        if is_cut_off:
             for retract in retractions.values():
                 retract()
             self.cut_off.set_result(None)
@@ -228,11 +228,11 @@
         _log.warning(
             (
                 "This host reaches no upstream."
-                if is_cut
+                if is_cut_off
                 else "This host reaches the upstreams again."
             ),
             unreached=sorted(self._unreached),
             silent_ms=now - self._heard_at,
             cut_ms=cut_ms,
         )
-        self._changes.on_next(is_cut)
+        self._changes.on_next(is_cut_off)
--- a/standins/platform_verdict.py
+++ b/standins/platform_verdict.py
@@ -270,15 +270,15 @@
             )
             if not known or not is_in_touch:
                 continue
-            is_cut = any(cut.target == call.host for cut in known)
-            if is_cut and not self._find_hosts_with_path(call):
+            is_cut_off = any(cut.target == call.host for cut in known)
+            if is_cut_off and not self._find_hosts_with_path(call):
                 continue
             is_near_cut = self._fault_log.find(
                 call.host, _CUTS, began=call.sent - CUT_GRACE_MS, ended=call.ended
             )
-            if is_cut or not is_near_cut:
+            if is_cut_off or not is_near_cut:
                 is_served = call.is_complete and call.status // 100 == 2
-                tries.append(FirstTry(is_cut=is_cut, is_served=is_served))
+                tries.append(FirstTry(is_cut_off=is_cut_off, is_served=is_served))
         neglect = find_neglect(tries)
         return [f"RECOVER: {neglect}"] if neglect else []
 
--- a/standins/recovery_rule.py
+++ b/standins/recovery_rule.py
@@ -15,11 +15,11 @@
 class FirstTry:
     """A request that a caller sent for the first time.
 
-    :param is_cut: Whether its host was cut off, and had been so for the time allowed.
+    :param is_cut_off: Whether its host was cut off, and had been so for the time allowed.
     :param is_served: Whether it was answered with success.
     """
 
-    is_cut: bool
+    is_cut_off: bool
     is_served: bool
 
 
@@ -28,8 +28,8 @@
 
     :param tries: Requests sent while some hosts were cut off, to hosts that were in touch.
     """
-    cut = [one.is_served for one in tries if one.is_cut]
-    others = [one.is_served for one in tries if not one.is_cut]
+    cut = [one.is_served for one in tries if one.is_cut_off]
+    others = [one.is_served for one in tries if not one.is_cut_off]
     if not cut or not others:
         return ""
     failed = len(cut) - sum(cut)
--- a/testing/test_delegation.py
+++ b/testing/test_delegation.py
@@ -21,7 +21,7 @@
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding import Responder
-from tanagerscale.forwarding._delegation import DelegatedRun
+from tanagerscale.forwarding._delegation import DelegatedForwarder
 from tanagerscale.gateway._delegate_client import HttpDelegateClient
 from tanagerscale.gateway._delegate_server import DelegateServer
 from tanagerscale.gateway._delegation_wire import decode_head
@@ -115,7 +115,7 @@
             for number in range(5)
         ]
         client, responder = _Client(deque(reactions)), FakeResponder()
-        run = DelegatedRun(
+        run = DelegatedForwarder(
             routed=route_request(make_request(), make_route(kind=kind)),
             context=fakes.context,
             client=client,
@@ -184,7 +184,7 @@
     async def scenario() -> bool:
         fakes = make_gateway_fakes(make_entry("x"))
         delegate = Delegate(host="h", address="h:1", failure_domain="a")
-        run = DelegatedRun(
+        run = DelegatedForwarder(
             routed=route_request(make_request(), make_route(kind=RouteKind.STREAMING)),
             context=fakes.context,
             client=_SilentClient(),
--- a/testing/test_forwarding_plain.py
+++ b/testing/test_forwarding_plain.py
@@ -304,7 +304,7 @@
         forwarder = PlainForwarder(routed=routed, context=fakes.context)
         serving = asyncio.create_task(forwarder.serve(FakeResponder()))
         await asyncio.sleep(0.1)
-        fakes.context.paths._set_cut(is_cut=True)
+        fakes.context.paths._set_cut(is_cut_off=True)
         refusal = await serving
         kind = None if refusal is None else refusal.kind
         return kind, forwarder.may_have_run, forwarder.can_be_delegated
--- a/testing/test_hosts_without_upstreams.py
+++ b/testing/test_hosts_without_upstreams.py
@@ -31,7 +31,7 @@
     """Return how much worse callers of cut hosts were served; empty if the rule is kept."""
     return find_neglect(
         [
-            FirstTry(is_cut=one.host in cut, is_served=one.refusal is None)
+            FirstTry(is_cut_off=one.host in cut, is_served=one.refusal is None)
             for one in fleet.outcomes
             if one.sent_at >= since
         ]
--- a/testing/test_upstream_paths.py
+++ b/testing/test_upstream_paths.py
@@ -93,7 +93,7 @@
         network.answering, network.is_silent = set(), is_silent
         network.fail("a", "b")
         await asyncio.sleep(1)
-        assert network.paths.is_cut
+        assert network.paths.is_cut_off
 
     assert _run(scenario).changes == [True]
 
@@ -103,7 +103,7 @@
         network.answering, network.is_silent = set(), True
         network.paths.begin_request()
         await asyncio.sleep(1.5)
-        assert network.paths.is_cut
+        assert network.paths.is_cut_off
 
     assert _run(scenario).changes == [True]
 
@@ -137,7 +137,7 @@
         assert 8 <= probes <= 24
         network.answering = set(NAMES)
         await asyncio.sleep(1)
-        assert not network.paths.is_cut
+        assert not network.paths.is_cut_off
         await asyncio.sleep(5)
         assert len(network.probes) == probes + 1
 
@@ -158,7 +158,7 @@
             network.paths.record_reached()
         network.fail("a", "b")
         await asyncio.sleep(1)
-        assert network.paths.is_cut
+        assert network.paths.is_cut_off
 
     _run(scenario)
     assert called == retracted
