Tell deciders who asks for an engine, and how long first events take

Cause: deciders know neither the account and priority of a generation nor how fast engines are, so neither can reach a decision. No decision uses them yet.

--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -252,6 +252,9 @@
             tokens=ask.prompt_tokens,
             is_long=ask.is_long,
             domains=ask.domains,
+            account=ask.account,
+            priority=ask.priority,
+            max_tokens=ask.max_tokens,
         )
         self._ledger.grant(host=waiting.host, use=use)
         self._context.rate_limits.record(view.upstream, _class_of(ask))
@@ -272,6 +275,7 @@
             upstream=view.upstream,
             forecast_ms=int(placement.wait_ms),
             reason=placement.reason,
+            queued_tokens=view.waiting_tokens + ask.prompt_tokens,
         )
         self._send_answer(waiting.host, granted)
 
--- a/src/tanagerscale/forwarding/_admission.py
+++ b/src/tanagerscale/forwarding/_admission.py
@@ -16,7 +16,10 @@
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._crash_evidence import is_quarantined
 from tanagerscale.forwarding._demand import is_long
+from tanagerscale.forwarding._demand import max_answer_tokens
 from tanagerscale.forwarding._demand import max_late_wait_ms
+from tanagerscale.forwarding._demand import prompt_tokens
+from tanagerscale.forwarding._demand import run_origin
 from tanagerscale.forwarding._demand import time_until_late_ms
 from tanagerscale.forwarding._demand import waited_ms
 from tanagerscale.forwarding._parts import ForwardingContext
@@ -24,11 +27,13 @@
 from tanagerscale.forwarding._refusals import no_capacity
 from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import rate_limited
+from tanagerscale.forwarding._types import PUBLIC_ACCOUNT
 from tanagerscale.forwarding._types import Refusal
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.generated.messages import PlaceAnswer
 from tanagerscale.generated.messages import PlaceAsk
 from tanagerscale.generated.messages import PlaceKind
+from tanagerscale.routes import effective_priority
 from tanagerscale.upstreams import UpstreamEntry
 
 ENTRY_POLL_INTERVAL_MS: Final = 10
@@ -102,7 +107,7 @@
             entry = await self._wait_for_entry(upstream)
             obstacle = self._find_obstacle(upstream)
             if entry is not None and not obstacle:
-                self._reserve(routed, entry)
+                self._reserve(routed, entry, queued_tokens=answer.queued_tokens)
                 self._log(
                     "An engine is given.",
                     routed,
@@ -155,18 +160,22 @@
         )
 
     def _build_ask(self, routed: RoutedRequest, excluded: Set[UpstreamId]) -> PlaceAsk:
-        demand = routed.request.demand
         return PlaceAsk(
             serial=0,
             request=routed.request.request,
             service=routed.service,
-            prompt_tokens=0 if demand is None else demand.prompt_tokens,
+            prompt_tokens=prompt_tokens(routed),
             is_long=is_long(routed),
             left_ms=time_until_late_ms(routed, self._context),
             patience_ms=max_late_wait_ms(routed, self._context),
             waited_ms=waited_ms(routed, self._context),
             excluded=sorted(excluded),
             domains=sorted(routed.domains),
+            account=routed.caller.account or PUBLIC_ACCOUNT,
+            priority=effective_priority(route=routed.route, caller=routed.caller),
+            route_priority=routed.route.priority,
+            max_tokens=max_answer_tokens(routed),
+            fingerprint=routed.fingerprint,
         )
 
     def _find_obstacle(self, upstream: UpstreamId) -> str:
@@ -189,9 +198,8 @@
             await self._context.clock.sleep(ENTRY_POLL_INTERVAL_MS)
         return None
 
-    def _reserve(self, routed: RoutedRequest, entry: UpstreamEntry) -> None:
-        demand = routed.request.demand
-        prompt = 0 if demand is None else demand.prompt_tokens
+    def _reserve(self, routed: RoutedRequest, entry: UpstreamEntry, *, queued_tokens: int) -> None:
+        prompt = prompt_tokens(routed)
         self._context.work.begin(
             request=routed.request.request,
             upstream=entry.upstream,
@@ -199,6 +207,8 @@
             tokens=prompt,
             is_long=is_long(routed),
             domains=routed.domains,
+            origin=run_origin(routed),
+            queued_tokens=queued_tokens,
         )
 
     def _log(self, message: str, routed: RoutedRequest, **inputs: object) -> None:
--- a/src/tanagerscale/forwarding/_demand.py
+++ b/src/tanagerscale/forwarding/_demand.py
@@ -5,7 +5,10 @@
 from typing import Final
 
 from tanagerscale.forwarding._parts import ForwardingContext
+from tanagerscale.forwarding._types import PUBLIC_ACCOUNT
 from tanagerscale.forwarding._types import RoutedRequest
+from tanagerscale.forwarding._workload import RunOrigin
+from tanagerscale.routes import effective_priority
 
 MIN_LONG_ANSWER_TOKENS: Final = 200
 """Answers of this length or more can outlast the notice that a leaving engine gives: at 9 ms a
@@ -22,6 +25,27 @@
 deadline."""
 
 
+def prompt_tokens(routed: RoutedRequest) -> int:
+    """Return the length of the prompt in tokens; 0 if the caller does not tell it."""
+    demand = routed.request.demand
+    return 0 if demand is None else demand.prompt_tokens
+
+
+def max_answer_tokens(routed: RoutedRequest) -> int:
+    """Return the maximum length of the answer in tokens; 0 if the caller does not tell it."""
+    demand = routed.request.demand
+    return 0 if demand is None else demand.max_tokens
+
+
+def run_origin(routed: RoutedRequest) -> RunOrigin:
+    """Return who has sent a generation, and what it may need."""
+    return RunOrigin(
+        account=routed.caller.account or PUBLIC_ACCOUNT,
+        priority=effective_priority(route=routed.route, caller=routed.caller),
+        max_tokens=max_answer_tokens(routed),
+    )
+
+
 def is_long(routed: RoutedRequest) -> bool:
     """Return whether an answer may run for seconds."""
     demand = routed.request.demand
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -17,6 +17,7 @@
 from tanagerscale.forwarding._crash_evidence import record_broken_response
 from tanagerscale.forwarding._crash_evidence import record_complete_response
 from tanagerscale.forwarding._demand import is_long
+from tanagerscale.forwarding._demand import run_origin
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._sending import SendPath
 from tanagerscale.forwarding._sending import send_request
@@ -133,6 +134,7 @@
             answer_tokens=progress.answer_tokens,
             is_long=is_long(self._routed),
             domains=self._routed.domains,
+            origin=run_origin(self._routed),
         )
         sent_at = self._context.clock.now()
         late_ms = self._routed.route.target_ms
--- a/src/tanagerscale/forwarding/_workload.py
+++ b/src/tanagerscale/forwarding/_workload.py
@@ -4,12 +4,14 @@
 
 from collections import Counter
 from collections.abc import Set
+from typing import Final
 from typing import final
 
 from msgspec import Struct
 from reactivex import Observable
 from reactivex.subject import Subject
 
+from tanagerscale.core import ClientAccountId
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import Millis
@@ -18,6 +20,22 @@
 from tanagerscale.generated.messages import RunUse
 
 
+class RunOrigin(Struct, frozen=True, kw_only=True):
+    """Who has sent a generation, and what it may need.
+
+    :param account: Client account of the caller.
+    :param priority: Priority of the generation; 0 is the highest.
+    :param max_tokens: Maximum length of the answer in tokens; 0 if unknown.
+    """
+
+    account: ClientAccountId = ClientAccountId("")
+    priority: int = 0
+    max_tokens: int = 0
+
+
+UNKNOWN_ORIGIN: Final = RunOrigin()
+
+
 class LocalRun(Struct, kw_only=True):
     """A generation of this host on one engine.
 
@@ -27,7 +45,11 @@
     :param tokens: Tokens in the KV cache, or tokens it will hold once the prompt is processed.
     :param answer_tokens: Tokens of the answer so far.
     :param is_long: Whether the answer may run for seconds.
+    :param begun_at: Time at which it was assigned to this engine.
     :param domains: Failure domains in which the generation may run; empty means any.
+    :param origin: Who has sent it, and what it may need.
+    :param queued_tokens: Prompt tokens that the engine had to process up to the first event; 0 if
+        unknown.
     :param first_event_at: Time of the first event on this engine; ``None`` before that.
     :param copy_at: Engine that holds a copy of the KV cache, or ``None``.
     :param copied_at: Time at which that copy was taken.
@@ -40,7 +62,10 @@
     tokens: int
     answer_tokens: int
     is_long: bool
+    begun_at: Millis
     domains: Set[FailureDomainId] = frozenset()
+    origin: RunOrigin = UNKNOWN_ORIGIN
+    queued_tokens: int = 0
     first_event_at: Millis | None = None
     copy_at: UpstreamId | None = None
     copied_at: Millis = Millis(0)
@@ -82,6 +107,8 @@
         answer_tokens: int = 0,
         is_long: bool,
         domains: Set[FailureDomainId] = frozenset(),
+        origin: RunOrigin = UNKNOWN_ORIGIN,
+        queued_tokens: int = 0,
     ) -> None:
         """Add a generation that is sent to an engine or is about to be.
 
@@ -92,6 +119,9 @@
         :param answer_tokens: Tokens of the answer so far.
         :param is_long: Whether the answer may run for seconds.
         :param domains: Failure domains in which the generation may run; empty means any.
+        :param origin: Who has sent it, and what it may need.
+        :param queued_tokens: Prompt tokens that the engine has to process up to the first event; 0
+            if unknown.
         """
         previous = self._runs.get(request)
         is_counted = previous is not None and previous.upstream == upstream
@@ -103,7 +133,10 @@
             tokens=tokens,
             answer_tokens=answer_tokens,
             is_long=is_long,
+            begun_at=self._clock.now(),
             domains=domains,
+            origin=origin,
+            queued_tokens=queued_tokens,
         )
         self._changes.on_next(None)
 
@@ -171,4 +204,9 @@
         copy_yields=run.is_copy_evictable,
         is_moving=run.is_moving,
         domains=sorted(run.domains),
+        account=run.origin.account,
+        priority=run.origin.priority,
+        max_tokens=run.origin.max_tokens,
+        queued_tokens=run.queued_tokens,
+        first_event_ms=-1 if run.first_event_at is None else run.first_event_at - run.begun_at,
     )
--- a/src/tanagerscale/routes/__init__.py
+++ b/src/tanagerscale/routes/__init__.py
@@ -8,6 +8,7 @@
 from tanagerscale.routes._table import Caller
 from tanagerscale.routes._table import RouteTable
 from tanagerscale.routes._table import choose_target
+from tanagerscale.routes._table import effective_priority
 from tanagerscale.routes._types import Account
 from tanagerscale.routes._types import CallerLimits
 from tanagerscale.routes._types import Configuration
@@ -34,4 +35,5 @@
     "Service",
     "Target",
     "choose_target",
+    "effective_priority",
 ]
--- a/src/tanagerscale/routes/_table.py
+++ b/src/tanagerscale/routes/_table.py
@@ -108,6 +108,15 @@
         return self._services.get(name)
 
 
+def effective_priority(*, route: Route, caller: Caller) -> int:
+    """Return the priority of a caller's requests; 0 is the highest.
+
+    :param route: The route of the request.
+    :param caller: The caller; the priority of its account overrides that of the route.
+    """
+    return route.priority if caller.priority is None else caller.priority
+
+
 def choose_target(*, route: Route, rng: Random) -> ServiceId:
     """Return one of a route's services, chosen randomly by weight.
 
