Keep a decider answering in bursts, and hosts from deciding alone while it is slow

Cause: each change of the ledger evaluated the whole queue, and each waiting generation built the views of all engines.

Change: the view of an engine is built once for an evaluation, and a decision on lack of capacity is taken over by larger generations; evaluations and plans take at most 0.3 of the time each; a host without answers asks the coordinator that was asked longest ago for 600 ms before it decides alone.

Without the shared views, test_views_are_built_once fails.

--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -44,6 +44,9 @@
 """How long a decider may leave an ask unanswered before the next one is asked. Ask and answer take
 3 to 6 ms between failure domains; the first event of an answer is due after 1.5 s."""
 
+SILENT_DECIDER_TIMEOUT_MS: Final = 200
+"""The same for a coordinator that was silent recently, and is asked since no other one answers."""
+
 REASK_INTERVAL_MS: Final = 250
 """Interval at which a decider without capacity is asked again, which also checks that it is
 alive."""
@@ -277,16 +280,24 @@
             self._queries[serial] = reply_future
             try:
                 if self._send(decider, build_query(serial)):
-                    async with asyncio.timeout(DECIDER_TIMEOUT_MS / MS_PER_SECOND):
-                        return await reply_future
+                    async with asyncio.timeout(self._decider_timeout_ms / MS_PER_SECOND):
+                        answer = await reply_future
+                        self._directory.record_answer(decider)
+                        return answer
             except TimeoutError:
                 _log.info("A decider did not answer a query in time.", silent=decider)
             finally:
                 del self._queries[serial]
             self._directory.distrust(decider)
 
+    @property
+    def _decider_timeout_ms(self) -> int:
+        is_silent = self._directory.is_asking_silent
+        return SILENT_DECIDER_TIMEOUT_MS if is_silent else DECIDER_TIMEOUT_MS
+
     def _handle_answer(self, host: HostId, answer: PlaceAnswer) -> None:
         """Handle a decision, which may be late or for a cancelled placement."""
+        self._directory.record_answer(host)
         call = self._calls.get(answer.serial)
         if call is None:
             if answer.kind is PlaceKind.SEND:
@@ -301,7 +312,7 @@
         try:
             while decider == self._directory.decider:
                 sent = self._send(decider, self._build_ask(call))
-                reply = await self._next_reply(call, DECIDER_TIMEOUT_MS) if sent else None
+                reply = await self._next_reply(call, self._decider_timeout_ms) if sent else None
                 if reply is not None and reply.answer is not None and not reply.is_decision:
                     reply = await self._next_reply(call, REASK_INTERVAL_MS) or reply
                 if reply is None or reply.answer is None:
--- a/src/tanagerscale/coordination/_directory.py
+++ b/src/tanagerscale/coordination/_directory.py
@@ -36,6 +36,11 @@
 """How long a coordinator may be disconnected before the next in rank replaces it. Connecting takes
 some milliseconds, restarting a host a second."""
 
+ALONE_AFTER_MS: Final = 600
+"""How long a host that gets no answer asks the coordinators that it is connected to before it
+decides by itself. It knows only its own runs, and hosts that all decide like this fill the same
+engines, while a coordinator that is merely slow answers soon."""
+
 DISTRUST_MS: Final = 2000
 """How long a coordinator that did not answer is not asked. A host that is briefly slow delays one
 caller of each host by some tens of milliseconds instead of every caller."""
@@ -74,6 +79,8 @@
         self._last_expected: list[HostId] = []
         self._last_decider: HostId | None = None
         self._distrusted: dict[HostId, Millis] = {}
+        self._answered_at = Millis(0)
+        """When another host last answered this one."""
         self._timer: asyncio.TimerHandle | None = None
         self._decides_since = Millis(0)
         self._was_first = True
@@ -117,7 +124,13 @@
             if host == self._host or self._is_trusted(host, now)
         ]
         with_path = (host for host in reachable if not self._is_cut_off(host))
-        return next(with_path, reachable[0] if reachable else self._host)
+        return next(with_path, reachable[0] if reachable else self._choose_silent(now))
+
+    @property
+    def is_asking_silent(self) -> bool:
+        """Whether no coordinator has answered in time, so that a silent one is asked again."""
+        now = self._clock.now()
+        return self._distrusted.get(self.decider, 0) > now
 
     @property
     def rank(self) -> int:
@@ -176,6 +189,11 @@
         self._connected_peers = {peer.host: peer for peer in peers}
         self.reevaluate()
 
+    def record_answer(self, host: HostId) -> None:
+        """Record that a host has answered an ask of this one."""
+        if host != self._host:
+            self._answered_at = self._clock.now()
+
     def distrust(self, host: HostId) -> None:
         """Stop asking a coordinator for a while because it did not answer in time."""
         _log.info("A coordinator did not answer in time.", coordinator=host)
@@ -257,6 +275,13 @@
             return self._is_own_cut_off()
         return self._connected_peers[host].cut_off
 
+    def _choose_silent(self, now: Millis) -> HostId:
+        """Return the coordinator that was asked the longest ago, or this host after some time."""
+        silent = [host for host in self.coordinators if not self._connected_peers[host].leaving]
+        if not silent or now - self._answered_at >= ALONE_AFTER_MS:
+            return self._host
+        return min(silent, key=lambda host: self._distrusted.get(host, 0))
+
     def _is_trusted(self, host: HostId, now: Millis) -> bool:
         peer = self._connected_peers.get(host)
         return peer is not None and not peer.leaving and self._distrusted.get(host, 0) <= now
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Final
 from typing import final
@@ -13,10 +12,11 @@
 from msgspec import Struct
 
 from tanagerscale.coordination._context import DecisionContext
-from tanagerscale.coordination._context import build_engine_view
-from tanagerscale.coordination._context import eligible_upstreams
-from tanagerscale.coordination._ledger import EngineTotal
+from tanagerscale.coordination._engine_views import EngineGroup
+from tanagerscale.coordination._engine_views import EvaluationViews
+from tanagerscale.coordination._engine_views import engine_group
 from tanagerscale.coordination._ledger import RunLedger
+from tanagerscale.coordination._pacing import Pacing
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
@@ -28,7 +28,6 @@
 from tanagerscale.generated.messages import PlaceAnswer
 from tanagerscale.generated.messages import PlaceAsk
 from tanagerscale.generated.messages import PlaceKind
-from tanagerscale.generated.messages import RequestClass
 from tanagerscale.generated.messages import RunUse
 from tanagerscale.policy import PlacementDecision
 from tanagerscale.policy import PlacementQuery
@@ -39,6 +38,11 @@
 """Interval at which the queue is evaluated without a change: generations become late as time
 passes."""
 
+MAX_EVALUATION_SHARE: Final = 0.3
+"""Fraction of the processor time that a decider spends on evaluations of the queue at most. Reports
+change the ledger hundreds of times a second in a burst; asks and reports have to be read in
+between."""
+
 EVACUATED: Final = "the failure domains of its engines are evacuated"
 AT_RATE_LIMIT: Final = "its engines are at their rate limits"
 OUTSIDE_ALLOWED_REGIONS: Final = "no engine is in the regions that its route and account name"
@@ -54,6 +58,7 @@
     :param ask: The ask.
     :param arrived_at: When the request arrived at that host.
     :param deadline: When its first event is due.
+    :param group: What determines which engines it may use.
     :param reason: Why it waits.
     """
 
@@ -62,6 +67,7 @@
     ask: PlaceAsk
     arrived_at: Millis
     deadline: Millis
+    group: EngineGroup
     reason: str = ""
 
 
@@ -93,6 +99,7 @@
         """Generations of this evaluation that wait for the rate limits of their service."""
         self._timer: asyncio.TimerHandle | None = None
         self._is_evaluating = False
+        self._pacing = Pacing(max_share=MAX_EVALUATION_SHARE)
 
     @property
     def waiting(self) -> int:
@@ -117,6 +124,7 @@
             ask=ask,
             arrived_at=Millis(now - ask.waited_ms),
             deadline=Millis(now + ask.left_ms),
+            group=engine_group(ask),
         )
         self._waiting[key] = waiting
         self.reevaluate()
@@ -136,15 +144,20 @@
         """Evaluate all waiting generations again."""
         if self._is_evaluating or not self._waiting:
             return  # A decision changes the ledger, which calls this again.
+        delay_ms = self._pacing.delay_ms()
+        if delay_ms > 0:
+            self._schedule_reevaluation(delay_ms)
+            return
         self._is_evaluating = True
         try:
-            self._evaluate_all()
+            with self._pacing.measure():
+                self._evaluate_all()
         finally:
             self._is_evaluating = False
-        self._schedule_reevaluation()
+        self._schedule_reevaluation(REEVALUATION_INTERVAL_MS)
 
     def _evaluate_all(self) -> None:
-        totals = self._ledger.totals()
+        views = EvaluationViews(context=self._context, ledger=self._ledger)
         now = self._context.clock.now()
         self._limited.clear()
         ordered = sorted(
@@ -152,28 +165,22 @@
             key=lambda one: (one.deadline <= now, one.ask.is_long, one.arrived_at),
         )
         for waiting in ordered:
-            placement = self._place(waiting, totals)
+            placement = self._place(waiting, views)
             if placement.verdict is PlacementVerdict.WAIT:
                 self._record_wait(waiting, placement)
                 continue
             del self._waiting[(waiting.host, waiting.ask.serial)]
             self._decide(waiting, placement)
-            if placement.verdict is PlacementVerdict.SEND:
-                totals = self._ledger.totals()
+            if placement.engine is not None:
+                views.on_granted(placement.engine.upstream)
 
-    def _place(
-        self, waiting: _QueuedPlacement, totals: Mapping[UpstreamId, EngineTotal]
-    ) -> PlacementDecision:
+    def _place(self, waiting: _QueuedPlacement, views: EvaluationViews) -> PlacementDecision:
         context = self._context
         ask = waiting.ask
-        service = ServiceId(ask.service)
-        excluded = {UpstreamId(upstream) for upstream in ask.excluded}
-        engine = context.get_engine_capabilities(service)
-        domains = {FailureDomainId(domain) for domain in ask.domains}
-        entries = eligible_upstreams(context, service, excluded, domains)
-        if not entries and context.upstreams.has_evacuated(service):
+        entries = views.entries(waiting.group)
+        if not entries and context.upstreams.has_evacuated(waiting.group.service):
             return PlacementDecision(verdict=PlacementVerdict.REFUSE, reason=EVACUATED)
-        if not entries and domains:
+        if not entries and ask.domains:
             return PlacementDecision(
                 verdict=PlacementVerdict.REFUSE, reason=OUTSIDE_ALLOWED_REGIONS
             )
@@ -183,21 +190,21 @@
             left_ms=waiting.deadline - context.clock.now(),
             patience_ms=ask.patience_ms,
         )
-        limits, kind = context.rate_limits, _class_of(ask)
-        allowed = [one for one in entries if limits.allows(one.upstream, kind)]
+        group = waiting.group
+        allowed = views.allowed_entries(group)
         if entries and not allowed:
-            return self._wait_for_rate(service, [one.upstream for one in entries], query)
-        views = [
-            build_engine_view(entry, engine=engine, totals=totals, upstreams=context.upstreams)
-            for entry in allowed
-        ]
-        return place(
-            query=query,
-            views=views,
-            reserved_tokens=self._leaving_tokens(totals),
-            failure_domain=waiting.domain,
-            rng=context.rng,
-        )
+            return self._wait_for_rate(group.service, [one.upstream for one in entries], query)
+        decision = views.known_decision(group, query)
+        if decision is None:
+            decision = place(
+                query=query,
+                views=[views.view(entry) for entry in allowed],
+                reserved_tokens=views.leaving_tokens(),
+                failure_domain=waiting.domain,
+                rng=context.rng,
+            )
+            views.record(group, query, decision)
+        return decision
 
     def _wait_for_rate(
         self, service: ServiceId, engines: Sequence[UpstreamId], query: PlacementQuery
@@ -219,14 +226,6 @@
             reason=AT_RATE_LIMIT,
         )
 
-    def _leaving_tokens(self, totals: Mapping[UpstreamId, EngineTotal]) -> int:
-        """Return the memory of long generations on leaving engines that have no copy elsewhere."""
-        return sum(
-            total.uncopied_tokens
-            for upstream, total in totals.items()
-            if self._context.gate.is_leaving(upstream)
-        )
-
     def _record_wait(self, waiting: _QueuedPlacement, placement: PlacementDecision) -> None:
         if waiting.reason != placement.reason:
             waiting.reason = placement.reason
@@ -257,7 +256,7 @@
             max_tokens=ask.max_tokens,
         )
         self._ledger.grant(host=waiting.host, use=use)
-        self._context.rate_limits.record(view.upstream, _class_of(ask))
+        self._context.rate_limits.record(view.upstream, waiting.group.kind)
         self._log(
             "An engine is chosen.",
             waiting,
@@ -279,10 +278,14 @@
         )
         self._send_answer(waiting.host, granted)
 
-    def _schedule_reevaluation(self) -> None:
-        if self._waiting and self._timer is None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(REEVALUATION_INTERVAL_MS / MS_PER_SECOND, self._on_timer)
+    def _schedule_reevaluation(self, delay_ms: float) -> None:
+        loop = asyncio.get_running_loop()
+        at = loop.time() + delay_ms / MS_PER_SECOND
+        if not self._waiting or (self._timer is not None and self._timer.when() <= at):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = loop.call_at(at, self._on_timer)
 
     def _on_timer(self) -> None:
         self._timer = None
@@ -299,9 +302,5 @@
         )
 
 
-def _class_of(ask: PlaceAsk) -> RequestClass:
-    return RequestClass.LONG if ask.is_long else RequestClass.SHORT
-
-
 def _placement_fields(placement: PlacementDecision) -> dict[str, object]:
     return {"reason": placement.reason, "engines": [str(view) for view in placement.views]}
--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -17,6 +17,7 @@
 from tanagerscale.coordination._ledger import RunLedger
 from tanagerscale.coordination._move_orders import MoveAttempts
 from tanagerscale.coordination._move_orders import PendingOrder
+from tanagerscale.coordination._pacing import Pacing
 from tanagerscale.coordination._permitted_moves import PermittedMoves
 from tanagerscale.coordination._retry_budgets import SharedRetryBudgets
 from tanagerscale.core import MS_PER_SECOND
@@ -48,6 +49,10 @@
 """Time after which an order counts as ended without a confirmation of its host. Copying the largest
 runs to another failure domain takes three quarters of a second."""
 
+MAX_PLANNING_SHARE: Final = 0.3
+"""Fraction of the processor time that a decider spends on planning at most. A plan for 240 runs on
+30 engines takes some 10 ms, and each change of a run asks for another one."""
+
 MAX_COPY_AGE_MS: Final = 2500
 """Age at which a copy is updated. An engine drops a copy that is not accessed for the time it
 declares (five seconds); in 2.5 s a run grows by some 300 tokens, which take 30 ms to copy."""
@@ -98,6 +103,7 @@
         self._attempts: dict[RequestId, MoveAttempts] = {}
         self._logged_reasons: dict[RequestId, str] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._pacing = Pacing(max_share=MAX_PLANNING_SHARE)
 
     @property
     def orders_in_progress(self) -> int:
@@ -127,6 +133,14 @@
 
     def reevaluate(self) -> None:
         """Send the orders that can start now."""
+        delay_ms = self._pacing.delay_ms()
+        if delay_ms > 0:
+            self._schedule(delay_ms)
+            return
+        with self._pacing.measure():
+            self._plan_all()
+
+    def _plan_all(self) -> None:
         self._expire_orders()
         runs = [run for run in self._ledger.runs_of(decider=self._host) if _is_movable(run)]
         self._forget_ended_runs(runs)
@@ -136,7 +150,7 @@
             self._plan_service(service)
         self._schedule(PLANNING_INTERVAL_MS)
 
-    def _schedule(self, delay_ms: int) -> None:
+    def _schedule(self, delay_ms: float) -> None:
         loop = asyncio.get_running_loop()
         at = loop.time() + delay_ms / MS_PER_SECOND
         if self._timer is not None:
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -33,6 +33,7 @@
 from tanagerscale.policy._placement import has_capacity_for_copy
 from tanagerscale.policy._placement import has_capacity_without_eviction
 from tanagerscale.policy._placement import is_imbalanced
+from tanagerscale.policy._placement import is_lack_of_capacity
 from tanagerscale.policy._placement import place
 from tanagerscale.policy._placement import select_engine
 from tanagerscale.policy._placement import tokens_to_evict
@@ -87,6 +88,7 @@
     "has_capacity_for_copy",
     "has_capacity_without_eviction",
     "is_imbalanced",
+    "is_lack_of_capacity",
     "is_outlier",
     "make_scheduler",
     "next_move",
--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -68,6 +68,10 @@
 state of the engine has been refreshed."""
 
 
+NO_CAPACITY: Final = "no engine has room"
+"""Reason of a decision on a generation that no engine has a batch slot and memory for."""
+
+
 class EngineView(Struct, frozen=True, kw_only=True):
     """State of an engine as seen by a placement decision.
 
@@ -164,6 +168,11 @@
     views: Sequence[EngineView] = ()
 
 
+def is_lack_of_capacity(decision: PlacementDecision) -> bool:
+    """Return whether no engine has capacity for a generation, nor for any larger one."""
+    return decision.reason == NO_CAPACITY
+
+
 def first_event_ms(*, view: EngineView, prompt_tokens: int) -> float:
     """Return the forecast time to the first event of a prompt on an engine, in milliseconds."""
     return (view.waiting_tokens + prompt_tokens) / PREFILL_TOKENS_PER_MS
@@ -276,7 +285,7 @@
         return _wait_or_refuse(query, views, "no engine takes work")
     with_capacity = [view for view in views if has_capacity(view=view, tokens=query.needed_tokens)]
     if not with_capacity:
-        return _wait_or_refuse(query, views, "no engine has room")
+        return _wait_or_refuse(query, views, NO_CAPACITY)
     if query.is_long and free_tokens(views) < query.prompt_tokens + reserved_tokens:
         return _wait_or_refuse(query, views, "what leaves an engine goes first")
     selected = select_engine(
