--- a/src/tanagerscale/coordination/_engine_views.py
+++ b/src/tanagerscale/coordination/_engine_views.py
@@ -100,6 +100,7 @@
                 engine=self._context.get_engine_capabilities(entry.service),
                 totals=self._totals,
                 upstreams=self._context.upstreams,
+                speeds=self._ledger.speeds,
             )
             self._views[entry.upstream] = view
             self.built += 1
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -267,6 +267,8 @@
             engine_planned=view.planned_tokens,
             engine_waiting=view.waiting_tokens,
             engine_copies=view.copy_tokens,
+            engine_prefill_tokens_per_ms=round(view.prefill_tokens_per_ms, 2),
+            engine_slowness=round(view.slowness, 2),
         )
         granted = PlaceAnswer(
             serial=ask.serial,
