Move the accounting of received service into its own module

Cause: the decider needs the accounting that the fair queue of the product's own interface does. Change: cost, charge and lift are in policy/_service_accounting.py; FairQueue uses them and behaves as before. Measured: test_policy.py and test_host_schedulers.py pass unchanged.

--- a/src/tanagerscale/policy/_queue.py
+++ b/src/tanagerscale/policy/_queue.py
@@ -12,13 +12,12 @@
 from tanagerscale.core import GenerationId
 from tanagerscale.core import Millis
 from tanagerscale.policy._lengths import LengthCurve
+from tanagerscale.policy._service_accounting import ReceivedService
+from tanagerscale.policy._service_accounting import least_served
 from tanagerscale.policy._tuning import Tuning
 from tanagerscale.policy._types import AccountSpec
 from tanagerscale.policy._types import PlacementRequest
 
-OUTPUT_TOKEN_COST = 2.0
-"""Cost of an output token relative to a prompt token in service accounting (Sheng et al., 2024)."""
-
 DEFAULT_ACCOUNT = AccountSpec()
 
 
@@ -46,9 +45,7 @@
 
 
 @dataclass(slots=True)
-class _AccountQueue:
-    weight: float
-    served: float = 0.0
+class _AccountQueue(ReceivedService):
     heap: list[QueuedRequest] = field(default_factory=list)
 
     def head(self) -> QueuedRequest | None:
@@ -116,7 +113,7 @@
         """Return the delay of an account's requests for the service it received, in ms."""
         if not self._active:
             return 0.0
-        min_served = min(queue.served for queue in self._active.values())
+        min_served = least_served(self._active.values())
         return self._tuning.fairness_ms_per_token * max(
             self._get_queue(account).served - min_served, 0.0
         )
@@ -159,8 +156,7 @@
 
     def charge(self, account: ClientAccountId, *, prompt: int = 0, output: int = 0) -> None:
         """Add the cost of prompt and output tokens to the service an account has received."""
-        queue = self._get_queue(account)
-        queue.served += (prompt + OUTPUT_TOKEN_COST * output) / queue.weight
+        self._get_queue(account).charge(prompt=prompt, output=output)
 
     def candidates(self, *, limit: int) -> list[QueuedRequest]:
         """Return the first queued generations in the merged order, without removing them.
@@ -169,7 +165,7 @@
         """
         if not self._active:
             return []
-        min_served = min(queue.served for queue in self._active.values())
+        min_served = least_served(self._active.values())
         delay_per_token = self._tuning.fairness_ms_per_token
         merged: list[QueuedRequest] = []
         heads: list[tuple[float, int, QueuedRequest, float]] = []
@@ -211,10 +207,8 @@
     def _activate(self, account: ClientAccountId) -> _AccountQueue:
         queue = self._get_queue(account)
         if account not in self._active:
-            # An account without requests accumulates no credit (the counter lift of VTC).
             if self._active:
-                min_served = min(item.served for item in self._active.values())
-                queue.served = max(queue.served, min_served)
+                queue.lift(least_served(self._active.values()))
             self._active[account] = queue
         return queue
 
