Order waiting generations by priority and by the usage of accounts

Cause: a decider takes generations in the order of arrival, so that a large account displaces small ones and priorities have no effect. Change: PlacementQueue takes generations by lateness, minimum of the account, priority with ageing, route's priority with ageing, length, usage and arrival, and reads the usage again after each grant. Each coordinator sums the usage from the reports of all hosts and its own grants, counts each token once, and forgets idle accounts. Logs name account, priority and usage; metrics count by priority.

--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -13,6 +13,7 @@
 from returns.result import Failure
 from returns.result import Result
 
+from tanagerscale.coordination._account_usage import AccountUsage
 from tanagerscale.coordination._context import DecisionContext
 from tanagerscale.coordination._delegates import DelegateList
 from tanagerscale.coordination._departures import Departures
@@ -107,10 +108,12 @@
         self._background: set[asyncio.Task[None]] = set()
         self._is_store_stale = asyncio.Event()
         self.ledger = RunLedger(clock=context.clock)
+        self.usage = AccountUsage(clock=context.clock)
         self.departures = Departures(clock=context.clock)
         self.queue = PlacementQueue(
             context=context,
             ledger=self.ledger,
+            usage=self.usage,
             send_answer=lambda asker, answer: _log_unsent(asker, send(asker, answer)),
         )
         self.planner = MovePlanner(
@@ -127,6 +130,7 @@
         """Handle the asks and reports of a host; other messages are ignored."""
         match message:
             case HostRuns():
+                self.usage.report(host=host, runs=message.runs)
                 self.ledger.report(host=host, runs=message)
             case PlaceAsk():
                 domain = self._failure_domains.get(host, self._domain)
@@ -199,6 +203,7 @@
         self._failure_domains.pop(host, None)
         self.queue.forget(host=host)
         self.planner.forget(host=host)
+        self.usage.forget(host=host)
         self.ledger.forget(host=host)
 
     def on_upstreams(self, upstream: UpstreamId) -> None:
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -12,12 +12,15 @@
 
 from msgspec import Struct
 
+from tanagerscale.coordination._account_usage import AccountUsage
+from tanagerscale.coordination._account_usage import priority_label
 from tanagerscale.coordination._context import DecisionContext
 from tanagerscale.coordination._context import build_engine_view
 from tanagerscale.coordination._context import eligible_upstreams
 from tanagerscale.coordination._ledger import EngineTotal
 from tanagerscale.coordination._ledger import RunLedger
 from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import ClientAccountId
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
@@ -33,6 +36,7 @@
 from tanagerscale.policy import PlacementDecision
 from tanagerscale.policy import PlacementQuery
 from tanagerscale.policy import PlacementVerdict
+from tanagerscale.policy import WaitingGeneration
 from tanagerscale.policy import place
 
 REEVALUATION_INTERVAL_MS: Final = 50
@@ -69,12 +73,14 @@
 class PlacementQueue:
     """Assigns each generation an engine, immediately or when there is capacity, or refuses it.
 
-    Generations that can still meet their deadline go before late ones. Short generations go before
-    long ones: they hold their memory for half a second where a long one holds it for ten, and are
-    interactive. Within a class the order is first in, first out across all hosts.
+    Generations that can still meet their deadline go before late ones, and high priorities before
+    low ones. Short generations go before long ones: they hold their memory for half a second where
+    a long one holds it for ten, and are interactive. Within a class the account with the lowest
+    usage goes first, and the order within an account is first in, first out across all hosts.
 
     :param context: Inputs of decisions.
     :param ledger: Runs of all hosts.
+    :param usage: Usage of the client accounts.
     :param send_answer: Sends a decision to a host.
     """
 
@@ -83,10 +89,12 @@
         *,
         context: DecisionContext,
         ledger: RunLedger,
+        usage: AccountUsage,
         send_answer: Callable[[HostId, PlaceAnswer], None],
     ) -> None:
         self._context = context
         self._ledger = ledger
+        self._usage = usage
         self._send_answer = send_answer
         self._waiting: dict[tuple[HostId, int], _QueuedPlacement] = {}
         self._limited: Counter[ServiceId] = Counter()
@@ -99,6 +107,10 @@
         """Number of waiting generations."""
         return len(self._waiting)
 
+    def waiting_by_priority(self) -> Counter[int]:
+        """Return the number of waiting generations, by priority as in metrics."""
+        return Counter(priority_label(one.ask.priority) for one in self._waiting.values())
+
     def submit(self, *, host: HostId, domain: FailureDomainId, ask: PlaceAsk) -> None:
         """Place a generation, or queue it until there is capacity.
 
@@ -147,11 +159,8 @@
         totals = self._ledger.totals()
         now = self._context.clock.now()
         self._limited.clear()
-        ordered = sorted(
-            self._waiting.values(),
-            key=lambda one: (one.deadline <= now, one.ask.is_long, one.arrived_at),
-        )
-        for waiting in ordered:
+        entries = [(_describe(one, now), one) for one in self._waiting.values()]
+        for waiting in self._usage.order(entries):
             placement = self._place(waiting, totals)
             if placement.verdict is PlacementVerdict.WAIT:
                 self._record_wait(waiting, placement)
@@ -256,6 +265,7 @@
             priority=ask.priority,
             max_tokens=ask.max_tokens,
         )
+        self._usage.grant(use)
         self._ledger.grant(host=waiting.host, use=use)
         self._context.rate_limits.record(view.upstream, _class_of(ask))
         self._log(
@@ -295,10 +305,30 @@
             entry_host=waiting.host,
             after_ms=self._context.clock.now() - waiting.arrived_at,
             queued=len(self._waiting),
+            account=waiting.ask.account,
+            priority=waiting.ask.priority,
+            usage_tokens=self._usage.get(ClientAccountId(waiting.ask.account)),
             **inputs,
         )
 
 
+def _describe(waiting: _QueuedPlacement, now: Millis) -> WaitingGeneration:
+    ask = waiting.ask
+    return WaitingGeneration(
+        account=ClientAccountId(ask.account),
+        service=ServiceId(ask.service),
+        priority=ask.priority,
+        route_priority=ask.route_priority,
+        prompt_tokens=ask.prompt_tokens,
+        is_late=waiting.deadline <= now,
+        is_long=ask.is_long,
+        arrived_at=waiting.arrived_at,
+        waited_ms=now - waiting.arrived_at,
+        target_ms=waiting.deadline - waiting.arrived_at,
+        has_waited=bool(waiting.reason),
+    )
+
+
 def _class_of(ask: PlaceAsk) -> RequestClass:
     return RequestClass.LONG if ask.is_long else RequestClass.SHORT
 
--- a/src/tanagerscale/gateway/_forwarding.py
+++ b/src/tanagerscale/gateway/_forwarding.py
@@ -14,6 +14,7 @@
 from tanagerscale.gateway._control import HostControl
 from tanagerscale.gateway._observed_upstreams import ObservedUpstreams
 from tanagerscale.gateway._platform import PlatformUpstreamClient
+from tanagerscale.gateway._share_metrics import ShareCollector
 
 
 def make_forwarding_context(
@@ -58,6 +59,7 @@
         clock=clock,
         rng=rng,
     )
+    registry.register(ShareCollector(coordinator=control.coordinator))
     context.metrics.evacuated.set_function(lambda: len(control.evacuations.domains))
     context.metrics.is_cut_off.set_function(lambda: control.paths.is_cut_off)
     context.metrics.paused.set_function(lambda: len(control.pauses.paused))
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -6,6 +6,9 @@
 from tanagerscale.policy._copying import copy_sort_key
 from tanagerscale.policy._copying import estimate_copy_ms
 from tanagerscale.policy._copying import evacuable_tokens
+from tanagerscale.policy._fair_order import WaitingGeneration
+from tanagerscale.policy._fair_order import lift_returning_accounts
+from tanagerscale.policy._fair_order import order_fairly
 from tanagerscale.policy._forecast import ForecastScheduler
 from tanagerscale.policy._forecast import make_scheduler
 from tanagerscale.policy._lengths import LengthCurve
@@ -36,6 +39,7 @@
 from tanagerscale.policy._placement import place
 from tanagerscale.policy._placement import select_engine
 from tanagerscale.policy._placement import tokens_to_evict
+from tanagerscale.policy._recent_usage import RecentUsage
 from tanagerscale.policy._retries import RetryBudget
 from tanagerscale.policy._simple import ImmediateScheduler
 from tanagerscale.policy._simple import LeastOutstanding
@@ -75,10 +79,12 @@
     "PlacementQuery",
     "PlacementRequest",
     "PlacementVerdict",
+    "RecentUsage",
     "RetryBudget",
     "Scheduler",
     "Tally",
     "Tuning",
+    "WaitingGeneration",
     "copies_to_evict",
     "copy_sort_key",
     "estimate_copy_ms",
@@ -88,8 +94,10 @@
     "has_capacity_without_eviction",
     "is_imbalanced",
     "is_outlier",
+    "lift_returning_accounts",
     "make_scheduler",
     "next_move",
+    "order_fairly",
     "place",
     "reason_not_moved",
     "select_ejections",
