Send engines the rank of a generation's priority

Cause: engines admit by the header Tanagerscale-Request-Priority, which was never sent. Change: each version of the configuration computes the priorities that generations of a service can have; where they differ, a request carries its rank, 0 to 9, and keeps it when its run continues elsewhere.

--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -28,6 +28,7 @@
 from tanagerscale.forwarding._types import UpstreamRequest
 from tanagerscale.forwarding._types import UpstreamResponse
 from tanagerscale.generated.messages import RequestClass
+from tanagerscale.routes import effective_priority
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
@@ -106,6 +107,7 @@
     def __init__(self, *, routed: RoutedRequest, context: ForwardingContext) -> None:
         self._routed = routed
         self._context = context
+        self._engine_priority = _find_engine_priority(routed, context)
 
     async def send(
         self,
@@ -374,9 +376,19 @@
             upstream=entry,
             account=self._routed.caller.account,
             time_left_ms=self._routed.deadline - self._context.clock.now(),
+            priority=self._engine_priority,
             continuation=continuation,
         )
 
 
+def _find_engine_priority(routed: RoutedRequest, context: ForwardingContext) -> int | None:
+    """Return the priority at engines, which a run keeps when the configuration changes."""
+    table = context.tables.table
+    if table is None or routed.engine is None:
+        return None
+    priority = effective_priority(route=routed.route, caller=routed.caller)
+    return table.engine_priority(service=routed.service, priority=priority)
+
+
 def _is_not_sent(error: Exception) -> bool:
     return isinstance(error, ExchangeError) and error.failure is ExchangeFailure.NOT_SENT
--- a/src/tanagerscale/routes/_table.py
+++ b/src/tanagerscale/routes/_table.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+from collections import defaultdict
+from collections.abc import Mapping
 from random import Random
+from typing import Final
 from typing import final
 
 from msgspec import Struct
@@ -15,6 +19,7 @@
 from tanagerscale.routes._types import CallerLimits
 from tanagerscale.routes._types import Configuration
 from tanagerscale.routes._types import Route
+from tanagerscale.routes._types import RouteKind
 from tanagerscale.routes._types import Service
 
 
@@ -33,6 +38,9 @@
     regions: frozenset[RegionId] = frozenset()
 
 
+MAX_ENGINE_PRIORITY: Final = 9
+"""Last priority at an engine; the first is 0."""
+
 ANONYMOUS_CALLER = Caller(account=None, priority=None)
 
 
@@ -57,6 +65,7 @@
             for account in configuration.accounts
             for key in account.keys
         }
+        self._generation_priorities = _find_generation_priorities(configuration)
 
     @property
     def version(self) -> Revision:
@@ -107,6 +116,38 @@
         """Return a configured service, or ``None`` if there is none of that name."""
         return self._services.get(name)
 
+    def engine_priority(self, *, service: ServiceId, priority: int) -> int | None:
+        """Return the priority of a generation at its engine, 0 first.
+
+        :param service: The service that runs it.
+        :param priority: Its priority in the configuration.
+        :returns: The rank of the priority among those of the service's generations; ``None`` if
+            they do not differ, so that engines apply their default to all.
+        """
+        priorities = self._generation_priorities.get(service, ())
+        if len(priorities) < 2:
+            return None
+        return min(bisect_left(priorities, priority), MAX_ENGINE_PRIORITY)
+
+
+def _find_generation_priorities(
+    configuration: Configuration,
+) -> Mapping[ServiceId, tuple[int, ...]]:
+    """Return the priorities that generations of each engine service can have, in order."""
+    engines = {service.name for service in configuration.services if service.engine is not None}
+    of_accounts = {account.priority for account in configuration.accounts}
+    found: dict[ServiceId, set[int]] = defaultdict(set)
+    for route in configuration.routes:
+        if route.kind is not RouteKind.STREAMING:
+            continue
+        priorities = {route.priority if one is None else one for one in of_accounts}
+        if route.public or not configuration.accounts:
+            priorities.add(route.priority)
+        for target in route.targets:
+            if target.weight > 0 and target.service in engines:
+                found[target.service] |= priorities
+    return {service: tuple(sorted(priorities)) for service, priorities in found.items()}
+
 
 def effective_priority(*, route: Route, caller: Caller) -> int:
     """Return the priority of a caller's requests; 0 is the highest.
