Refuse generations at once when the forecast shows no capacity in time

Cause: with a third of the engines gone or a burst of demand, callers wait until their patience is over to be refused, and are told a random delay. Change: the decider forecasts when memory becomes free, from the runs of all hosts and the learned lengths of answers, refuses what could not start even if the forecast were twice too long, and reserves capacity for the return. Hosts report the refused generations to all coordinators.

--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -34,6 +34,7 @@
 from tanagerscale.generated.messages import PlaceWithdrawal
 from tanagerscale.generated.messages import Pong
 from tanagerscale.generated.messages import RateAnswer
+from tanagerscale.generated.messages import RefusedGeneration
 from tanagerscale.generated.messages import RepeatAnswer
 from tanagerscale.generated.messages import RepeatAsk
 from tanagerscale.generated.messages import RepeatClass
@@ -108,6 +109,8 @@
         reached.
     :param uses: Returns the runs of this host.
     :param paused: Returns the engines that have asked this host for a pause.
+    :param refused: Returns the generations that this host has refused with a return time.
+    :param returned: Returns the fingerprints of those that have used a reservation lately.
     :param incarnation: Wall clock at the start of this process, in milliseconds.
     :param max_request_age_ms: Returns the age in milliseconds up to which requests are reported.
     :param clock: Source of the current time.
@@ -121,6 +124,8 @@
         send: Callable[[HostId, Message], bool],
         uses: Callable[[], list[RunUse]],
         paused: Callable[[], Set[UpstreamId]],
+        refused: Callable[[], list[RefusedGeneration]] = list,
+        returned: Callable[[], list[str]] = list,
         incarnation: int,
         max_request_age_ms: Callable[[], int],
         clock: Clock,
@@ -130,6 +135,8 @@
         self._send = send
         self._uses = uses
         self._paused = paused
+        self._refused = refused
+        self._returned = returned
         self._clock = clock
         self._serials = count(1)
         self._report_number = incarnation * REPORT_NUMBERS_PER_MS
@@ -256,6 +263,8 @@
             decider=self._reported_decider,
             runs=self._uses(),
             paused=sorted(self._paused()),
+            refused=self._refused(),
+            returned=self._returned(),
         )
 
     def _schedule_refresh(self, report: HostRuns) -> None:
--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -13,6 +13,7 @@
 from returns.result import Failure
 from returns.result import Result
 
+from tanagerscale.coordination._capacity_admission import CapacityAdmission
 from tanagerscale.coordination._context import DecisionContext
 from tanagerscale.coordination._delegates import DelegateList
 from tanagerscale.coordination._departures import Departures
@@ -108,9 +109,16 @@
         self._is_store_stale = asyncio.Event()
         self.ledger = RunLedger(clock=context.clock)
         self.departures = Departures(clock=context.clock)
+        self.admission = CapacityAdmission(
+            context=context,
+            ledger=self.ledger,
+            share=lambda: retry_budgets.share,
+            in_office_ms=lambda: retry_budgets.decider_since_ms,
+        )
         self.queue = PlacementQueue(
             context=context,
             ledger=self.ledger,
+            admission=self.admission,
             send_answer=lambda asker, answer: _log_unsent(asker, send(asker, answer)),
         )
         self.planner = MovePlanner(
@@ -127,6 +135,7 @@
         """Handle the asks and reports of a host; other messages are ignored."""
         match message:
             case HostRuns():
+                self.admission.on_report(message)
                 self.ledger.report(host=host, runs=message)
             case PlaceAsk():
                 domain = self._failure_domains.get(host, self._domain)
--- a/src/tanagerscale/coordination/_ledger.py
+++ b/src/tanagerscale/coordination/_ledger.py
@@ -123,6 +123,12 @@
         self._grants: dict[RequestId, _Grant] = {}
         self._plans: dict[RequestId, _CopyPlan] = {}
         self._changes: Subject[None] = Subject()
+        self._ended: Subject[LedgerRun] = Subject()
+
+    @property
+    def ended(self) -> Observable[LedgerRun]:
+        """Emits each generation that has begun to answer and is no longer reported by its host."""
+        return self._ended
 
     @property
     def changes(self) -> Observable[None]:
@@ -150,6 +156,8 @@
         )
         for use in runs.runs:
             self._grants.pop(RequestId(use.request), None)
+        if before is not None:
+            self._emit_ended(host, before)
         self._changes.on_next(None)
 
     def paused_for(self, host: HostId) -> frozenset[UpstreamId]:
@@ -204,6 +212,10 @@
             for run in self._runs_in_report(host, report)
         ]
 
+    def runs(self) -> list[LedgerRun]:
+        """Return the generations of all hosts, including grants that are not reported yet."""
+        return list(self._all_runs())
+
     def totals(self) -> dict[UpstreamId, EngineTotal]:
         """Return the sums of the runs on each engine that has any."""
         totals: dict[UpstreamId, EngineTotal] = defaultdict(EngineTotal)
@@ -221,6 +233,13 @@
             expires_at=Millis(self._clock.now() + for_ms),
         )
 
+    def _emit_ended(self, host: HostId, before: _HostReport) -> None:
+        """Emit the generations of an earlier report of a host that its last one doesn't have."""
+        known = self._hosts[host].runs
+        for run in self._runs_in_report(host, before):
+            if run.running_ms >= 0 and RequestId(run.use.request) not in known:
+                self._ended.on_next(run)
+
     def _all_runs(self) -> Iterator[LedgerRun]:
         now = self._clock.now()
         self._plans = {one: plan for one, plan in self._plans.items() if plan.expires_at > now}
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -11,7 +11,13 @@
 from typing import final
 
 from msgspec import Struct
+from msgspec.structs import replace
 
+from tanagerscale.coordination._capacity_admission import NO_CAPACITY_IN_TIME
+from tanagerscale.coordination._capacity_admission import NO_REVIEW
+from tanagerscale.coordination._capacity_admission import RESERVED_WAIT_MS
+from tanagerscale.coordination._capacity_admission import CapacityAdmission
+from tanagerscale.coordination._capacity_admission import CapacityReview
 from tanagerscale.coordination._context import DecisionContext
 from tanagerscale.coordination._context import build_engine_view
 from tanagerscale.coordination._context import eligible_upstreams
@@ -28,6 +34,7 @@
 from tanagerscale.generated.messages import PlaceAnswer
 from tanagerscale.generated.messages import PlaceAsk
 from tanagerscale.generated.messages import PlaceKind
+from tanagerscale.generated.messages import RefusalCause
 from tanagerscale.generated.messages import RequestClass
 from tanagerscale.generated.messages import RunUse
 from tanagerscale.policy import PlacementDecision
@@ -55,6 +62,8 @@
     :param arrived_at: When the request arrived at that host.
     :param deadline: When its first event is due.
     :param reason: Why it waits.
+    :param has_reservation: Whether its caller was refused before and has returned as told.
+    :param review: What the last forecast says about it.
     """
 
     host: HostId
@@ -63,6 +72,8 @@
     arrived_at: Millis
     deadline: Millis
     reason: str = ""
+    has_reservation: bool = False
+    review: CapacityReview = NO_REVIEW
 
 
 @final
@@ -75,6 +86,7 @@
 
     :param context: Inputs of decisions.
     :param ledger: Runs of all hosts.
+    :param admission: Forecasts capacity and keeps the reservations of refused callers.
     :param send_answer: Sends a decision to a host.
     """
 
@@ -83,10 +95,12 @@
         *,
         context: DecisionContext,
         ledger: RunLedger,
+        admission: CapacityAdmission,
         send_answer: Callable[[HostId, PlaceAnswer], None],
     ) -> None:
         self._context = context
         self._ledger = ledger
+        self._admission = admission
         self._send_answer = send_answer
         self._waiting: dict[tuple[HostId, int], _QueuedPlacement] = {}
         self._limited: Counter[ServiceId] = Counter()
@@ -111,12 +125,15 @@
             self._send_answer(host, PlaceAnswer(serial=ask.serial, kind=PlaceKind.WAIT))
             return
         now = self._context.clock.now()
+        has_reservation = self._admission.has_reservation(ask, present=self._returned())
+        left_ms = max(ask.left_ms, RESERVED_WAIT_MS) if has_reservation else ask.left_ms
         waiting = _QueuedPlacement(
             host=host,
             domain=domain,
             ask=ask,
             arrived_at=Millis(now - ask.waited_ms),
-            deadline=Millis(now + ask.left_ms),
+            deadline=Millis(now + left_ms),
+            has_reservation=has_reservation,
         )
         self._waiting[key] = waiting
         self.reevaluate()
@@ -147,12 +164,18 @@
         totals = self._ledger.totals()
         now = self._context.clock.now()
         self._limited.clear()
+        self._admission.start_pass(present=self._returned())
         ordered = sorted(
             self._waiting.values(),
-            key=lambda one: (one.deadline <= now, one.ask.is_long, one.arrived_at),
+            key=lambda one: (
+                one.deadline <= now,
+                not one.has_reservation,
+                one.ask.is_long,
+                one.arrived_at,
+            ),
         )
         for waiting in ordered:
-            placement = self._place(waiting, totals)
+            placement = self._review(waiting, self._place(waiting, totals), totals)
             if placement.verdict is PlacementVerdict.WAIT:
                 self._record_wait(waiting, placement)
                 continue
@@ -199,6 +222,26 @@
             rng=context.rng,
         )
 
+    def _review(
+        self,
+        waiting: _QueuedPlacement,
+        placement: PlacementDecision,
+        totals: Mapping[UpstreamId, EngineTotal],
+    ) -> PlacementDecision:
+        """Return the decision for a generation once it is known when there will be capacity."""
+        left_ms = waiting.deadline - self._context.clock.now() + waiting.ask.patience_ms
+        review = self._admission.review(waiting.ask, placement, left_ms=left_ms, totals=totals)
+        waiting.review = review if review.outlook is not None else waiting.review
+        if placement.verdict is PlacementVerdict.WAIT and review.retry is not None:
+            return replace(placement, verdict=PlacementVerdict.REFUSE, reason=NO_CAPACITY_IN_TIME)
+        return placement
+
+    def _returned(self) -> frozenset[str]:
+        """Return the fingerprints of the waiting callers that have a reservation."""
+        return frozenset(
+            one.ask.fingerprint for one in self._waiting.values() if one.has_reservation
+        )
+
     def _wait_for_rate(
         self, service: ServiceId, engines: Sequence[UpstreamId], query: PlacementQuery
     ) -> PlacementDecision:
@@ -235,13 +278,23 @@
     def _decide(self, waiting: _QueuedPlacement, placement: PlacementDecision) -> None:
         ask = waiting.ask
         view = placement.engine
+        if waiting.has_reservation:
+            self._admission.schedule.use(ask.fingerprint, now=self._context.clock.now())
         if view is None:
-            self._log("A generation is refused.", waiting, **_placement_fields(placement))
+            self._log(
+                "A generation is refused.",
+                waiting,
+                **_placement_fields(placement),
+                **waiting.review.fields(),
+            )
+            retry = waiting.review.retry
             refusal = PlaceAnswer(
                 serial=ask.serial,
                 kind=PlaceKind.REFUSE,
                 reason=placement.reason,
-                retry_ms=int(placement.wait_ms),
+                retry_ms=int(placement.wait_ms) if retry is None else retry.retry_ms,
+                cause=_cause_of(placement),
+                is_reserved=retry is not None and retry.is_reserved,
             )
             self._send_answer(waiting.host, refusal)
             return
@@ -268,6 +321,7 @@
             engine_planned=view.planned_tokens,
             engine_waiting=view.waiting_tokens,
             engine_copies=view.copy_tokens,
+            has_reservation=waiting.has_reservation,
         )
         granted = PlaceAnswer(
             serial=ask.serial,
@@ -276,6 +330,7 @@
             forecast_ms=int(placement.wait_ms),
             reason=placement.reason,
             queued_tokens=view.waiting_tokens + ask.prompt_tokens,
+            is_reserved=waiting.has_reservation,
         )
         self._send_answer(waiting.host, granted)
 
@@ -303,5 +358,13 @@
     return RequestClass.LONG if ask.is_long else RequestClass.SHORT
 
 
+def _cause_of(placement: PlacementDecision) -> RefusalCause:
+    if placement.reason == AT_RATE_LIMIT:
+        return RefusalCause.RATE_LIMIT
+    if placement.reason == NO_CAPACITY_IN_TIME:
+        return RefusalCause.FORECAST
+    return RefusalCause.CAPACITY if placement.views else RefusalCause.OTHER
+
+
 def _placement_fields(placement: PlacementDecision) -> dict[str, object]:
     return {"reason": placement.reason, "engines": [str(view) for view in placement.views]}
--- a/src/tanagerscale/coordination/_retry_budgets.py
+++ b/src/tanagerscale/coordination/_retry_budgets.py
@@ -117,6 +117,11 @@
         """Time for which this host has been a decider, in milliseconds."""
         return self._clock.now() - self._since()
 
+    @property
+    def share(self) -> float:
+        """Fraction of all hosts that use this decider, between 0 and 1."""
+        return self._share()
+
     def reconfigure(self, *, ratio: float, slack: float, window_s: float) -> None:
         """Replace the parameters of the budget; what was available is not granted again."""
         parameters = ratio * GRANTED_SHARE, slack * GRANTED_SHARE, window_s
--- a/src/tanagerscale/forwarding/_admission.py
+++ b/src/tanagerscale/forwarding/_admission.py
@@ -25,6 +25,7 @@
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._pauses import refuse_if_paused
 from tanagerscale.forwarding._refusals import no_capacity
+from tanagerscale.forwarding._refusals import no_capacity_until
 from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import rate_limited
 from tanagerscale.forwarding._types import PUBLIC_ACCOUNT
@@ -33,6 +34,8 @@
 from tanagerscale.generated.messages import PlaceAnswer
 from tanagerscale.generated.messages import PlaceAsk
 from tanagerscale.generated.messages import PlaceKind
+from tanagerscale.generated.messages import RefusalCause
+from tanagerscale.generated.messages import RefusedGeneration
 from tanagerscale.routes import effective_priority
 from tanagerscale.upstreams import UpstreamEntry
 
@@ -47,6 +50,9 @@
 LEAVING_REASON: Final = "it is leaving"
 PAUSED_REASON: Final = "it has asked for a pause"
 
+CAPACITY_CAUSES: Final = frozenset({RefusalCause.CAPACITY, RefusalCause.FORECAST})
+"""Causes of refusals whose retry delay is a time in the schedule of the decider."""
+
 _log = get_logger(part="admission")
 
 AdmissionResult = Result[UpstreamEntry, Refusal]
@@ -93,21 +99,14 @@
             if answer is None:
                 continue
             if answer.kind is not PlaceKind.SEND:
-                self._log("A generation is refused.", routed, reason=answer.reason)
-                if answer.retry_ms:
-                    return Failure(
-                        rate_limited(
-                            service=routed.service,
-                            delay_ms=answer.retry_ms,
-                            rng=self._context.rng,
-                        )
-                    )
-                return Failure(no_capacity(service=routed.service, rng=self._context.rng))
+                return Failure(self._refuse(routed, answer))
             upstream = UpstreamId(answer.upstream)
             entry = await self._wait_for_entry(upstream)
             obstacle = self._find_obstacle(upstream)
             if entry is not None and not obstacle:
                 self._reserve(routed, entry, queued_tokens=answer.queued_tokens)
+                if answer.is_reserved:
+                    self._context.work.refused.record_returned(routed.fingerprint)
                 self._log(
                     "An engine is given.",
                     routed,
@@ -124,13 +123,44 @@
             if obstacle != PAUSED_REASON:
                 tried.add(upstream)
 
+    def _refuse(self, routed: RoutedRequest, answer: PlaceAnswer) -> Refusal:
+        """Return the refusal of a generation that the decider has refused."""
+        self._log(
+            "A generation is refused.",
+            routed,
+            reason=answer.reason,
+            cause=answer.cause.value,
+            retry_ms=answer.retry_ms,
+            is_reserved=answer.is_reserved,
+        )
+        service, rng = routed.service, self._context.rng
+        is_for_capacity = answer.cause in CAPACITY_CAUSES
+        if is_for_capacity:
+            self._context.metrics.capacity_refusals.labels(answer.cause.value).inc()
+        if not answer.retry_ms:
+            return no_capacity(service=service, rng=rng)
+        if not is_for_capacity:
+            return rate_limited(service=service, delay_ms=answer.retry_ms, rng=rng)
+        if answer.is_reserved:
+            refused = RefusedGeneration(
+                fingerprint=routed.fingerprint,
+                service=service,
+                account=routed.caller.account or PUBLIC_ACCOUNT,
+                priority=effective_priority(route=routed.route, caller=routed.caller),
+                tokens=prompt_tokens(routed),
+                is_long=is_long(routed),
+                return_ms=answer.retry_ms,
+            )
+            self._context.work.refused.record_refused(refused)
+        return no_capacity_until(service=service, delay_ms=answer.retry_ms)
+
     async def _place(self, routed: RoutedRequest, tried: Set[UpstreamId]) -> PlaceAnswer | None:
         """Ask for a placement; return ``None`` if what it depends on changes before the answer.
 
         That is which engines are paused, and whether the request has what crashes upstreams.
         """
         paused = self._paused_engines(routed)
-        ask = self._build_ask(routed, tried | self._context.pauses.paused)
+        ask = self._build_ask(routed, tried, self._context.pauses.paused)
         asking = asyncio.ensure_future(self._placer.place(ask=ask))
         changed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
@@ -159,7 +189,11 @@
             and entry.service == routed.service
         )
 
-    def _build_ask(self, routed: RoutedRequest, excluded: Set[UpstreamId]) -> PlaceAsk:
+    def _build_ask(
+        self, routed: RoutedRequest, tried: Set[UpstreamId], paused: Set[UpstreamId]
+    ) -> PlaceAsk:
+        # A generation that an engine has got is not refused by forecast.
+        time_left_ms = 0 if tried else max(routed.deadline - self._context.clock.now(), 0)
         return PlaceAsk(
             serial=0,
             request=routed.request.request,
@@ -169,13 +203,14 @@
             left_ms=time_until_late_ms(routed, self._context),
             patience_ms=max_late_wait_ms(routed, self._context),
             waited_ms=waited_ms(routed, self._context),
-            excluded=sorted(excluded),
+            excluded=sorted(tried | paused),
             domains=sorted(routed.domains),
             account=routed.caller.account or PUBLIC_ACCOUNT,
             priority=effective_priority(route=routed.route, caller=routed.caller),
             route_priority=routed.route.priority,
             max_tokens=max_answer_tokens(routed),
             fingerprint=routed.fingerprint,
+            deadline_ms=time_left_ms,
         )
 
     def _find_obstacle(self, upstream: UpstreamId) -> str:
--- a/src/tanagerscale/forwarding/_metrics.py
+++ b/src/tanagerscale/forwarding/_metrics.py
@@ -130,6 +130,19 @@
             "Requests refused because all their upstreams had asked for a pause.",
             registry=registry,
         )
+        self.capacity_refusals: Final = Counter(
+            "tanagerscale_capacity_refusals",
+            "Generations refused for lack of capacity: at the end of their wait (capacity) or at "
+            "once (forecast).",
+            ["cause"],
+            registry=registry,
+        )
+        self.retry_reservations: Final = Gauge(
+            "tanagerscale_retry_reservations",
+            "Reservations for refused callers at this coordinator since its start, by state.",
+            ["state"],
+            registry=registry,
+        )
         self.evacuated: Final = Gauge(
             "tanagerscale_evacuated_failure_domains",
             "Failure domains whose upstreams get no requests since the operators evacuated them.",
--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -30,6 +30,9 @@
 MIN_RATE_RETRY_MS: Final = 50
 """Shortest retry delay at a rate limit; callers that return at once only compete with others."""
 
+MIN_CAPACITY_RETRY_MS: Final = 50
+"""Shortest retry delay of a generation; callers that return at once only compete with others."""
+
 NO_REGION_RETRY_MS: Final = 5000
 """An operator must declare other regions first."""
 
@@ -122,6 +125,22 @@
     )
 
 
+def no_capacity_until(*, service: str, delay_ms: int) -> Refusal:
+    """Return the refusal of a generation whose caller has a return time; it has not run.
+
+    The decider has spread these times, and may have reserved capacity for exactly this one.
+
+    :param service: The service.
+    :param delay_ms: Time until the caller should return.
+    """
+    return Refusal(
+        kind=RefusalKind.OVERLOADED,
+        detail=f"No engine of {service} can take it in time; send the request again after the "
+        "pause, for which capacity is planned.",
+        retry_after_ms=max(delay_ms, MIN_CAPACITY_RETRY_MS),
+    )
+
+
 def quarantined(*, may_have_run: bool = False) -> Refusal:
     """Return the refusal of a request that has what crashes upstreams.
 
--- a/src/tanagerscale/forwarding/_workload.py
+++ b/src/tanagerscale/forwarding/_workload.py
@@ -17,6 +17,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding._refused_generations import RefusedGenerations
 from tanagerscale.generated.messages import RunUse
 
 
@@ -86,6 +87,9 @@
         self._changes: Subject[None] = Subject()
         self.plain_counts: Counter[UpstreamId] = Counter()
         """Number of this host's plain (non-streaming) requests in progress at each upstream."""
+        self.refused: Final = RefusedGenerations(
+            clock=clock, on_change=lambda: self._changes.on_next(None)
+        )
 
     @property
     def changes(self) -> Observable[None]:
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -203,6 +203,8 @@
             send=self._send,
             uses=work.uses,
             paused=lambda: self.pauses.paused,
+            refused=work.refused.refused,
+            returned=work.refused.returned,
             incarnation=self.incarnation,
             max_request_age_ms=lambda: self.retry_budgets.max_request_age_ms,
             clock=clock,
--- a/src/tanagerscale/gateway/_forwarding.py
+++ b/src/tanagerscale/gateway/_forwarding.py
@@ -62,6 +62,11 @@
     context.metrics.is_cut_off.set_function(lambda: control.paths.is_cut_off)
     context.metrics.paused.set_function(lambda: len(control.pauses.paused))
     context.metrics.limited.set_function(lambda: len(control.named_limits.limited))
+    schedule = control.coordinator.admission.schedule
+    reservations = context.metrics.retry_reservations
+    reservations.labels("made").set_function(lambda: schedule.made)
+    reservations.labels("used").set_function(lambda: schedule.used)
+    reservations.labels("expired").set_function(lambda: schedule.expired)
     context.crash_reports.on_finding = (
         lambda finding, runs: context.metrics.broken_responses.labels(finding.value).inc(runs)
     )
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -2,6 +2,14 @@
 
 from __future__ import annotations
 
+from tanagerscale.policy._capacity_forecast import FORECAST_HORIZON_MS
+from tanagerscale.policy._capacity_forecast import AdmissionOutlook
+from tanagerscale.policy._capacity_forecast import CapacityForecast
+from tanagerscale.policy._capacity_forecast import Claim
+from tanagerscale.policy._capacity_forecast import Release
+from tanagerscale.policy._capacity_forecast import RetryTime
+from tanagerscale.policy._capacity_forecast import choose_retry_time
+from tanagerscale.policy._capacity_forecast import is_hopeless
 from tanagerscale.policy._copying import MIN_NOTICE_MS
 from tanagerscale.policy._copying import copy_sort_key
 from tanagerscale.policy._copying import estimate_copy_ms
@@ -23,8 +31,11 @@
 from tanagerscale.policy._outliers import Tally
 from tanagerscale.policy._outliers import is_outlier
 from tanagerscale.policy._outliers import select_ejections
+from tanagerscale.policy._placement import GROWTH_RESERVE_TOKENS
 from tanagerscale.policy._placement import MAX_COPY_MEMORY_RATIO
+from tanagerscale.policy._placement import MAX_PLANNED_MEMORY_RATIO
 from tanagerscale.policy._placement import MAX_SPARE_COPY_MEMORY_RATIO
+from tanagerscale.policy._placement import PREFILL_TOKENS_PER_MS
 from tanagerscale.policy._placement import EngineView
 from tanagerscale.policy._placement import PlacementDecision
 from tanagerscale.policy._placement import PlacementQuery
@@ -37,6 +48,9 @@
 from tanagerscale.policy._placement import select_engine
 from tanagerscale.policy._placement import tokens_to_evict
 from tanagerscale.policy._retries import RetryBudget
+from tanagerscale.policy._retry_schedule import MAX_OVERDUE_MS
+from tanagerscale.policy._retry_schedule import Reservation
+from tanagerscale.policy._retry_schedule import RetrySchedule
 from tanagerscale.policy._simple import ImmediateScheduler
 from tanagerscale.policy._simple import LeastOutstanding
 from tanagerscale.policy._tuning import Tuning
@@ -50,12 +64,20 @@
 from tanagerscale.policy._types import Scheduler
 
 __all__ = [
+    "FORECAST_HORIZON_MS",
+    "GROWTH_RESERVE_TOKENS",
     "MAX_COPY_MEMORY_RATIO",
+    "MAX_OVERDUE_MS",
+    "MAX_PLANNED_MEMORY_RATIO",
     "MAX_SPARE_COPY_MEMORY_RATIO",
     "MIN_NOTICE_MS",
+    "PREFILL_TOKENS_PER_MS",
     "AccountLimits",
     "AccountSpec",
     "AccountUsage",
+    "AdmissionOutlook",
+    "CapacityForecast",
+    "Claim",
     "Decision",
     "DecisionKind",
     "EngineLoad",
@@ -75,10 +97,15 @@
     "PlacementQuery",
     "PlacementRequest",
     "PlacementVerdict",
+    "Release",
+    "Reservation",
     "RetryBudget",
+    "RetrySchedule",
+    "RetryTime",
     "Scheduler",
     "Tally",
     "Tuning",
+    "choose_retry_time",
     "copies_to_evict",
     "copy_sort_key",
     "estimate_copy_ms",
@@ -86,6 +113,7 @@
     "has_capacity",
     "has_capacity_for_copy",
     "has_capacity_without_eviction",
+    "is_hopeless",
     "is_imbalanced",
     "is_outlier",
     "make_scheduler",
--- a/src/tanagerscale/policy/_lengths.py
+++ b/src/tanagerscale/policy/_lengths.py
@@ -44,7 +44,7 @@
     :param density: Probability of each bucket; the sum is 1.
     """
 
-    __slots__ = ("_density", "_survival", "_truncated", "mean")
+    __slots__ = ("_beyond", "_density", "_survival", "_truncated", "mean")
 
     def __init__(self, *, density: Sequence[float]) -> None:
         self._density = density
@@ -53,6 +53,13 @@
         for probability in density:
             survival.append(max(survival[-1] - probability, 0.0))
         self._survival = survival
+        beyond = [0.0] * (BUCKETS + 1)
+        for bucket in reversed(range(BUCKETS)):
+            width = _EDGES[bucket + 1] - _EDGES[bucket]
+            beyond[bucket] = (
+                beyond[bucket + 1] + (survival[bucket] + survival[bucket + 1]) / 2 * width
+            )
+        self._beyond = beyond
         self.mean = sum(
             (survival[bucket] + survival[bucket + 1]) / 2 * (_EDGES[bucket + 1] - _EDGES[bucket])
             for bucket in range(BUCKETS)
@@ -85,6 +92,15 @@
         lower = self._survival[bucket]
         return lower + (self._survival[bucket + 1] - lower) * (position - bucket)
 
+    def expected_left(self, tokens: float) -> float:
+        """Return the expected number of further tokens of an answer that has ``tokens`` so far."""
+        bucket = int(_bucket_position(tokens))
+        surviving = self.survival(tokens)
+        if bucket >= BUCKETS or surviving <= 0.0:
+            return 0.0
+        until_edge = (surviving + self._survival[bucket + 1]) / 2 * (_EDGES[bucket + 1] - tokens)
+        return (until_edge + self._beyond[bucket + 1]) / surviving
+
 
 @final
 class _Group:
