--- a/src/tanagerscale/coordination/_capacity_admission.py
+++ b/src/tanagerscale/coordination/_capacity_admission.py
@@ -65,9 +65,9 @@
 MIN_RETRY_MS: Final = 50
 """Shortest retry delay; callers that return at once only compete with others."""
 
-RESERVED_WAIT_MS: Final = 2000
-"""Time within which a caller that returned as told is served like one that is not late. The
-forecast that its return time comes from may have been too short."""
+RESERVED_WAIT_MS: Final = 4000
+"""Time for which a caller that returned as told is not treated as late, except that those in time
+go first. With the patience of 3 s it is refused before callers abandon a stream, after 7 s."""
 
 NO_CAPACITY_IN_TIME: Final = "by the forecast there is no capacity in time"
 
@@ -166,6 +166,8 @@
         """
         now = self._context.clock.now()
         self._present = present
+        for fingerprint in present:
+            self.schedule.hold(fingerprint, now=now)
         self._is_due = self._pass_at is None or now - self._pass_at >= FORECAST_INTERVAL_MS
         if self._is_due:
             self._pass_at = now
@@ -177,6 +179,7 @@
         placement: PlacementDecision,
         *,
         left_ms: int,
+        may_reserve: bool,
         totals: Mapping[UpstreamId, EngineTotal],
     ) -> CapacityReview:
         """Return the forecast for a generation, and its return time if it is to be refused.
@@ -184,6 +187,7 @@
         :param ask: The generation.
         :param placement: Decision without a forecast; only one for lack of capacity is reviewed.
         :param left_ms: Time for which it can wait.
+        :param may_reserve: Whether capacity may be reserved for its return.
         :param totals: Sums of the runs on each engine.
         """
         is_over = placement.verdict is PlacementVerdict.REFUSE
@@ -206,7 +210,7 @@
                 deadline_ms=ask.deadline_ms,
                 spread=self._context.rng.random(),
             )
-            retry = self._reserve(ask, retry)
+            retry = self._reserve(ask, retry, may_reserve=may_reserve)
         if retry is not None or not is_over:
             self._take(ask, forecast, retry)
         return CapacityReview(outlook=outlook, retry=retry)
@@ -221,7 +225,7 @@
         )
         forecast.take(tokens=ask.prompt_tokens, hold_ms=hold_ms)
 
-    def _reserve(self, ask: PlaceAsk, retry: RetryTime) -> RetryTime:
+    def _reserve(self, ask: PlaceAsk, retry: RetryTime, *, may_reserve: bool) -> RetryTime:
         """Reserve capacity for a refused generation, and return its time as it is told."""
         now = self._context.clock.now()
         retry_ms = max(retry.retry_ms, MIN_RETRY_MS)
@@ -232,7 +236,8 @@
             is_long=ask.is_long,
             return_at=Millis(now + retry_ms),
         )
-        is_reserved = retry.is_reserved and self.schedule.reserve(reservation, now=now)
+        is_reserved = retry.is_reserved and may_reserve
+        is_reserved = is_reserved and self.schedule.reserve(reservation, now=now)
         return RetryTime(retry_ms=retry_ms, is_reserved=is_reserved)
 
     def _build_forecast(
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -63,6 +63,7 @@
     :param deadline: When its first event is due.
     :param reason: Why it waits.
     :param has_reservation: Whether its caller was refused before and has returned as told.
+    :param reserved_until: Until when it waits in any case, and needs no more room than one in time.
     :param review: What the last forecast says about it.
     """
 
@@ -73,8 +74,13 @@
     deadline: Millis
     reason: str = ""
     has_reservation: bool = False
+    reserved_until: Millis = Millis(0)
     review: CapacityReview = NO_REVIEW
 
+    def left_ms(self, now: Millis) -> int:
+        """Return the time until its first event is late, or for which it waits in any case."""
+        return max(self.deadline, self.reserved_until) - now
+
 
 @final
 class PlacementQueue:
@@ -126,14 +132,14 @@
             return
         now = self._context.clock.now()
         has_reservation = self._admission.has_reservation(ask, present=self._returned())
-        left_ms = max(ask.left_ms, RESERVED_WAIT_MS) if has_reservation else ask.left_ms
         waiting = _QueuedPlacement(
             host=host,
             domain=domain,
             ask=ask,
             arrived_at=Millis(now - ask.waited_ms),
-            deadline=Millis(now + left_ms),
+            deadline=Millis(now + ask.left_ms),
             has_reservation=has_reservation,
+            reserved_until=Millis(now + RESERVED_WAIT_MS if has_reservation else 0),
         )
         self._waiting[key] = waiting
         self.reevaluate()
@@ -203,7 +209,7 @@
         query = PlacementQuery(
             prompt_tokens=ask.prompt_tokens,
             is_long=ask.is_long,
-            left_ms=waiting.deadline - context.clock.now(),
+            left_ms=waiting.left_ms(context.clock.now()),
             patience_ms=ask.patience_ms,
         )
         limits, kind = context.rate_limits, _class_of(ask)
@@ -229,8 +235,15 @@
         totals: Mapping[UpstreamId, EngineTotal],
     ) -> PlacementDecision:
         """Return the decision for a generation once it is known when there will be capacity."""
-        left_ms = waiting.deadline - self._context.clock.now() + waiting.ask.patience_ms
-        review = self._admission.review(waiting.ask, placement, left_ms=left_ms, totals=totals)
+        left_ms = waiting.left_ms(self._context.clock.now()) + waiting.ask.patience_ms
+        review = self._admission.review(
+            waiting.ask,
+            placement,
+            left_ms=left_ms,
+            # Callers return once, and one that arrives late was refused before.
+            may_reserve=not waiting.has_reservation and waiting.deadline > waiting.arrived_at,
+            totals=totals,
+        )
         waiting.review = review if review.outlook is not None else waiting.review
         if placement.verdict is PlacementVerdict.WAIT and review.retry is not None:
             return replace(placement, verdict=PlacementVerdict.REFUSE, reason=NO_CAPACITY_IN_TIME)
--- a/src/tanagerscale/policy/_retry_schedule.py
+++ b/src/tanagerscale/policy/_retry_schedule.py
@@ -10,6 +10,7 @@
 from typing import final
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from tanagerscale.core import Millis
 
@@ -20,6 +21,10 @@
 MAX_OVERDUE_MS: Final = 2000
 """How long after its time a caller may return. Until then its capacity is not given to others."""
 
+HOLD_MS: Final = 500
+"""How long a reservation is kept after the last evaluation in which its caller waited. The queue is
+evaluated every 50 ms, and a host whose ask was withdrawn sends another one at once."""
+
 MAX_RESERVATIONS: Final = 4096
 """Maximum number of reservations. A decider refuses about 40 generations a second for 13 s at
 most; the rest are treated as new."""
@@ -33,6 +38,7 @@
     :param tokens: Length of its prompt in tokens.
     :param is_long: Whether its answer may take seconds.
     :param return_at: When the caller should return.
+    :param held_until: Until when it is kept for a caller that has returned and waits.
     """
 
     fingerprint: str
@@ -40,11 +46,12 @@
     tokens: int
     is_long: bool
     return_at: Millis
+    held_until: Millis = Millis(0)
 
     @property
     def expires_at(self) -> Millis:
         """When the capacity is released if the caller has not returned."""
-        return Millis(self.return_at + MAX_OVERDUE_MS)
+        return Millis(max(self.return_at + MAX_OVERDUE_MS, self.held_until))
 
 
 @final
@@ -95,6 +102,13 @@
             return None
         return reservation
 
+    def hold(self, fingerprint: str, *, now: Millis) -> None:
+        """Keep the reservation of a caller that has returned and waits."""
+        reservation = self._reservations.get(fingerprint)
+        if reservation is not None:
+            held_until = Millis(now + HOLD_MS)
+            self._reservations[fingerprint] = replace(reservation, held_until=held_until)
+
     def use(self, fingerprint: str, *, now: Millis) -> None:
         """Remove the reservation of a caller that has been decided on."""
         self.used += 1
