Test refusals by forecast at one host, with a decider that dies and two deciders

Cause: only the load and the separate rules were tested. Change: tests from the ask to the refusal of the caller: refused at once, no data, a new decider, a return as told, a reservation that another decider knows, retry delays with and without jitter.

--- a/testing/_admission_load.py
+++ b/testing/_admission_load.py
@@ -89,7 +89,8 @@
     async def _run(self) -> None:
         self.fakes = make_gateway_fakes(*(make_entry(f"e{one}") for one in range(ENGINES)))
         # Moves of runs are not under test, and planning them takes most of the time.
-        self.fakes.single_host.coordinator.planner.reevaluate = lambda: None
+        planner = self.fakes.single_host.coordinator.planner
+        planner.reevaluate = lambda: None  # type: ignore[method-assign]
         loop = asyncio.get_running_loop()
         loop.call_later(FAULT_AT_S, self._lose_engines)
         async with asyncio.TaskGroup() as tasks:
--- a/testing/test_engine_shortage.py
+++ b/testing/test_engine_shortage.py
@@ -2,15 +2,35 @@
 
 from __future__ import annotations
 
+import asyncio
 from functools import cache
 import math
 
+import msgspec
 import pytest
+from returns.result import Failure
+from returns.result import Success
 
 from tanagerscale.coordination import _capacity_admission
+from tanagerscale.coordination._capacity_admission import MIN_ENDED_RUNS
 from tanagerscale.coordination._ledger import LedgerRun
+from tanagerscale.core import Clock
+from tanagerscale.core import HostId
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding import Admission
+from tanagerscale.forwarding import LocalWorkload
+from tanagerscale.forwarding import Refusal
+from tanagerscale.forwarding import RefusalKind
+from tanagerscale.forwarding import RoutedRequest
+from tanagerscale.forwarding._refusals import MIN_CAPACITY_RETRY_MS
+from tanagerscale.forwarding._refusals import PAUSE_JITTER
+from tanagerscale.generated.messages import HostRuns
+from tanagerscale.generated.messages import PlaceAnswer
+from tanagerscale.generated.messages import PlaceAsk
+from tanagerscale.generated.messages import PlaceKind
+from tanagerscale.generated.messages import RefusalCause
+from tanagerscale.generated.messages import RefusedGeneration
 from tanagerscale.policy import MAX_OVERDUE_MS
 from tanagerscale.policy import CapacityForecast
 from tanagerscale.policy import Claim
@@ -24,13 +44,22 @@
 from tanagerscale.policy._placement import GROWTH_RESERVE_TOKENS
 from tanagerscale.policy._retry_schedule import MAX_EARLY_MS
 from tanagerscale.policy._retry_schedule import MAX_RESERVATIONS
+from tanagerscale.routes import RouteKind
 from testing._admission_load import AdmissionLoad
 from testing._admission_load import Outcome
 from testing._gateway_fakes import SERVICE
+from testing._gateway_fakes import GatewayFakes
+from testing._gateway_fakes import make_entry
+from testing._gateway_fakes import make_gateway_fakes
+from testing._gateway_fakes import make_request
+from testing._gateway_fakes import make_route
+from testing._gateway_fakes import route_request
+from testing._single_host import DOMAIN
+from testing._single_host import HOST
+from testing._virtual_time import run_virtually
 
 X, Y = UpstreamId("x"), UpstreamId("y")
 NEVER = 10**9
-LONG_MS = 8000
 NOW = Millis(100_000)
 VALUES = {"long": (110.0, 25.0), "short": (55.0, 3.3)}
 """Value of a first event in time and of a late one to customer 1."""
@@ -214,3 +243,232 @@
     later = Millis(NOW + 3000 + MAX_OVERDUE_MS)
     assert schedule.reserve(_reservation("more"), now=later)
     assert len(schedule) == 1
+
+
+def _make_full_fakes(*, ended: int = MIN_ENDED_RUNS) -> GatewayFakes:
+    """Return a host with an engine that is full of long runs for about 10 s.
+
+    :param ended: Number of long runs that have ended before.
+    """
+    fakes = make_gateway_fakes(make_entry("x"))
+    for number in range(ended):
+        _run(fakes, f"ended-{number}", made=1300)
+        fakes.work.end(request=make_request(name=f"ended-{number}").request)
+    for number in range(9):
+        _run(fakes, f"running-{number}", made=1)
+    return fakes
+
+
+def _run(fakes: GatewayFakes, name: str, *, made: int) -> None:
+    request = make_request(name=name).request
+    fakes.work.begin(request=request, upstream=X, prompt_tokens=3300, tokens=3300, is_long=True)
+    fakes.work.progress(request=request, tokens=3300 + made, answer_tokens=made)
+    fakes.single_host.client.report_now()
+
+
+def _route(name: str, *, time_left_ms: int | None = None) -> RoutedRequest:
+    route = make_route(kind=RouteKind.STREAMING, timeout_ms=39_000)
+    request = make_request(name=name, prompt=3000, body=name.split("-")[0].encode())
+    request = msgspec.structs.replace(request, time_left_ms=time_left_ms)
+    return route_request(request, route)
+
+
+async def _refusal_delay_ms(fakes: GatewayFakes, routed: RoutedRequest) -> int | None:
+    """Return the retry delay of a generation that is refused at once; ``None`` if it isn't."""
+    admission = Admission(context=fakes.context, placer=fakes.single_host.client)
+    found = asyncio.create_task(admission.find_engine(routed=routed, excluded=frozenset()))
+    await asyncio.sleep(0.1)
+    if not found.done():
+        found.cancel()
+        return None
+    result = found.result()
+    assert isinstance(result, Failure)
+    refusal: Refusal = result.failure()
+    assert refusal.kind is RefusalKind.OVERLOADED
+    return refusal.retry_after_ms
+
+
+# Guards against a refusal that comes when the wait is over, though it was known at the start.
+def test_generation_is_refused_at_once_when_its_engine_is_full_for_longer() -> None:
+    async def scenario() -> None:
+        fakes = _make_full_fakes()
+        delays = [await _refusal_delay_ms(fakes, _route(f"{one}")) for one in range(3)]
+        assert all(delay is not None and 9000 < delay <= 13_000 for delay in delays)
+        assert len(fakes.single_host.coordinator.admission.schedule) == 3
+        counter = fakes.context.metrics.capacity_refusals.labels(RefusalCause.FORECAST.value)
+        assert counter._value.get() == 3
+
+    run_virtually(scenario())
+
+
+# Guards against refusals from a forecast that rests on nothing.
+def test_generation_waits_when_too_few_runs_have_ended() -> None:
+    async def scenario() -> int | None:
+        return await _refusal_delay_ms(_make_full_fakes(ended=MIN_ENDED_RUNS - 1), _route("1"))
+
+    assert run_virtually(scenario()) is None
+
+
+# Guards against a new decider that takes the runs that it knows so far for all runs.
+@pytest.mark.parametrize(("in_office_ms", "is_refused"), [(999, False), (1000, True)])
+def test_generation_waits_when_the_decider_is_new(in_office_ms: int, is_refused: bool) -> None:
+    async def scenario() -> int | None:
+        fakes = _make_full_fakes()
+        budgets = fakes.single_host.coordinator._retry_budgets
+        budgets._since = lambda: Millis(fakes.context.clock.now() - in_office_ms)
+        return await _refusal_delay_ms(fakes, _route("1"))
+
+    # The decider gets older by 0.1 s in the meantime, but the first evaluation is at once.
+    found = run_virtually(scenario())
+    assert found is not None or not is_refused
+
+
+def test_generation_in_given_failure_domains_waits_as_before() -> None:
+    async def scenario() -> int | None:
+        fakes = _make_full_fakes()
+        routed = msgspec.structs.replace(_route("1"), domains=frozenset({DOMAIN}))
+        return await _refusal_delay_ms(fakes, routed)
+
+    assert run_virtually(scenario()) is None
+
+
+# Guards against denying a generation that an engine has got.
+def test_generation_that_an_engine_has_refused_waits_as_before() -> None:
+    async def scenario() -> bool:
+        fakes = _make_full_fakes()
+        admission = Admission(context=fakes.context, placer=fakes.single_host.client)
+        waiting = asyncio.create_task(
+            admission.find_engine(routed=_route("1"), excluded=frozenset({Y}))
+        )
+        await asyncio.sleep(0.1)
+        return waiting.done()
+
+    assert not run_virtually(scenario())
+
+
+# Guards against a caller that returns as told and finds its capacity given to others or is refused
+# a second time, also where another decider has made the promise.
+@pytest.mark.parametrize("decider_dies", [False, True])
+def test_returning_caller_is_served_where_another_late_one_is_not(decider_dies: bool) -> None:
+    async def scenario() -> list[str]:
+        fakes = _make_full_fakes()
+        delay_ms = await _refusal_delay_ms(fakes, _route("told"))
+        assert delay_ms is not None
+        if decider_dies:
+            fakes = _replace_decider(fakes)
+        await asyncio.sleep(delay_ms / 1000)
+        served: list[str] = []
+        admission = Admission(context=fakes.context, placer=fakes.single_host.client)
+
+        async def find(name: str) -> None:
+            routed = _route(name, time_left_ms=39_000 - 2500)
+            found = await admission.find_engine(routed=routed, excluded=frozenset())
+            if isinstance(found, Success):
+                served.append(name)
+
+        tasks = [asyncio.create_task(find(name)) for name in ("other-2", "told-2")]
+        await asyncio.sleep(0.2)
+        fakes.work.end(request=make_request(name="running-0").request)
+        fakes.work.end(request=make_request(name="running-1").request)
+        await asyncio.gather(*tasks)
+        assert fakes.single_host.coordinator.admission.schedule.used == 1
+        assert len(fakes.work.refused.returned()) == 1
+        assert not fakes.work.refused.refused()
+        return served
+
+    assert run_virtually(scenario()) == ["told-2"]
+
+
+def _replace_decider(fakes: GatewayFakes) -> GatewayFakes:
+    """Return a host with a new decider that gets the first report of the old host."""
+    successor = _make_full_fakes()
+    report = HostRuns(number=1, decider=HOST, refused=fakes.work.refused.refused(), returned=[])
+    assert report.refused
+    successor.single_host.coordinator.on_message(HostId("refusing"), report)
+    return successor
+
+
+# Guards against a reservation that two deciders grant one after the other.
+def test_used_reservation_is_not_granted_by_another_decider() -> None:
+    async def scenario() -> bool:
+        fakes = make_gateway_fakes(make_entry("x"))
+        admission = fakes.single_host.coordinator.admission
+        refused = RefusedGeneration(fingerprint="f", service=SERVICE, tokens=1, return_ms=0)
+        admission.on_report(HostRuns(number=1, decider="a", refused=[refused]))
+        ask = PlaceAsk(
+            serial=1,
+            request="r",
+            service=SERVICE,
+            prompt_tokens=1,
+            is_long=True,
+            left_ms=1,
+            fingerprint="f",
+        )
+        assert admission.has_reservation(ask, present=frozenset())
+        assert not admission.has_reservation(ask, present=frozenset({"f"}))
+        admission.on_report(HostRuns(number=2, decider="b", returned=["f"]))
+        admission.on_report(HostRuns(number=3, decider="a", refused=[refused]))
+        return admission.has_reservation(ask, present=frozenset())
+
+    assert not run_virtually(scenario())
+
+
+class _RefusingPlacer:
+    """Decider that refuses everything in one way."""
+
+    def __init__(self, answer: PlaceAnswer) -> None:
+        self._answer = answer
+
+    async def place(self, *, ask: PlaceAsk) -> PlaceAnswer:
+        """Refuse."""
+        return self._answer
+
+
+# Guards against jitter on a time at which capacity is planned, and against callers of a rate limit
+# that return together.
+@pytest.mark.parametrize(
+    ("cause", "retry_ms", "lowest", "highest"),
+    [
+        (RefusalCause.FORECAST, 4321, 4321, 4321),
+        (RefusalCause.CAPACITY, 4321, 4321, 4321),
+        (RefusalCause.CAPACITY, 1, MIN_CAPACITY_RETRY_MS, MIN_CAPACITY_RETRY_MS),
+        (RefusalCause.CAPACITY, 0, 1250, 3750),
+        (RefusalCause.RATE_LIMIT, 1000, 1001, 1000 * PAUSE_JITTER[1]),
+    ],
+)
+def test_retry_delay_has_jitter_only_where_it_is_not_a_planned_time(
+    cause: RefusalCause, retry_ms: int, lowest: int, highest: int
+) -> None:
+    async def scenario() -> int | None:
+        fakes = make_gateway_fakes(make_entry("x"))
+        answer = PlaceAnswer(serial=0, kind=PlaceKind.REFUSE, cause=cause, retry_ms=retry_ms)
+        admission = Admission(context=fakes.context, placer=_RefusingPlacer(answer))
+        found = await admission.find_engine(routed=_route("1"), excluded=frozenset())
+        assert isinstance(found, Failure)
+        refusal: Refusal = found.failure()
+        return refusal.retry_after_ms
+
+    delay_ms = run_virtually(scenario())
+    assert delay_ms is not None
+    assert lowest <= delay_ms <= highest
+
+
+# Guards against reports that grow without bound, and refusals that are listed for ever.
+def test_refused_generations_are_listed_until_they_expire() -> None:
+    async def scenario() -> list[int]:
+        work = LocalWorkload(clock=Clock())
+        for number in range(100):
+            work.refused.record_refused(
+                RefusedGeneration(
+                    fingerprint=f"f{number}", service=SERVICE, tokens=1, return_ms=1000
+                )
+            )
+        counts = [len(work.refused.refused())]
+        await asyncio.sleep(1 + MAX_OVERDUE_MS / 1000 - 0.1)
+        counts.append(len(work.refused.refused()))
+        assert work.refused.refused()[0].return_ms < 0
+        await asyncio.sleep(0.1)
+        counts.append(len(work.refused.refused()))
+        return counts
+
+    assert run_virtually(scenario()) == [64, 64, 0]
