Refuse a generation at once when each engine has refused it or is paused

Cause: the decider let a generation wait although the host had excluded each engine, and the host looked at pauses only when they changed, so callers waited 4.5 s for the refusal. Change: the decider refuses such a generation; the host answers with the pause if only pauses are left.

--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -49,6 +49,7 @@
 EVACUATED: Final = "the failure domains of its engines are evacuated"
 AT_RATE_LIMIT: Final = "its engines are at their rate limits"
 OUTSIDE_ALLOWED_REGIONS: Final = "no engine is in the regions that its route and account name"
+ALL_EXCLUDED: Final = "each engine has refused it or asked its host for a pause"
 
 _log = get_logger(part="placement")
 
@@ -206,6 +207,8 @@
             return PlacementDecision(
                 verdict=PlacementVerdict.REFUSE, reason=OUTSIDE_ALLOWED_REGIONS
             )
+        if not entries and excluded and eligible_upstreams(context, service):
+            return PlacementDecision(verdict=PlacementVerdict.REFUSE, reason=ALL_EXCLUDED)
         query = PlacementQuery(
             prompt_tokens=ask.prompt_tokens,
             is_long=ask.is_long,
--- a/src/tanagerscale/forwarding/_admission.py
+++ b/src/tanagerscale/forwarding/_admission.py
@@ -99,7 +99,8 @@
             if answer is None:
                 continue
             if answer.kind is not PlaceKind.SEND:
-                return Failure(self._refuse(routed, answer))
+                paused = refuse_if_paused(routed, self._context, tried)
+                return Failure(paused or self._refuse(routed, answer))
             upstream = UpstreamId(answer.upstream)
             entry = await self._wait_for_entry(upstream)
             obstacle = self._find_obstacle(upstream)
