--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -80,7 +80,8 @@
 
     def left_ms(self, now: Millis) -> int:
         """Return the time until its first event is late, or for which it waits in any case."""
-        return max(self.deadline, self.reserved_until) - now
+        until = max(self.deadline, self.reserved_until) if self.has_reservation else self.deadline
+        return until - now
 
 
 @final
