Let late generations join only engines with short queues

Cause: a generation that can be in time waits when prompts at each engine would make it late, while a late one was sent to any engine with memory: late ones kept the queues long. Change: a late generation waits while more than 4,000 prompt tokens wait at the engine that it would get. The new test fails without the rule.

--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -74,6 +74,11 @@
 its memory for as long as one that can still meet its deadline, but is worth less to its caller, so
 it must leave room for one of those."""
 
+MAX_LATE_QUEUE_TOKENS: Final = 4000
+"""Prompt tokens that wait at an engine up to which it gets a generation that is late, or certainly
+will be. Behind more of them it would take the place of one that can be in time, and that waits for
+an engine with a shorter queue."""
+
 GROWTH_RESERVE_TOKENS: Final = 250
 """Memory reserved for the growth of each generation: two seconds at 8 ms a token, after which the
 state of the engine has been refreshed."""
@@ -332,6 +337,8 @@
     unqueued_ms = query.prompt_tokens / min(fastest, PREFILL_TOKENS_PER_MS)
     if wait_ms > query.left_ms > unqueued_ms:
         return _wait_or_refuse(query, views, "prompts that wait would make it late")
+    if query.left_ms <= unqueued_ms and selected.waiting_tokens > MAX_LATE_QUEUE_TOKENS:
+        return _wait_or_refuse(query, views, "generations in time go first")
     return PlacementDecision(
         verdict=PlacementVerdict.SEND, engine=selected, wait_ms=wait_ms, reason="room"
     )
--- a/testing/test_policy_placement.py
+++ b/testing/test_policy_placement.py
@@ -208,3 +208,14 @@
     full = _make_view("full", held_tokens=10_000 + difference_tokens, running=1)
     empty = _make_view("empty", held_tokens=10_000, running=1)
     assert is_imbalanced(full=full, empty=empty, tokens=4000) is imbalanced
+
+
+# Guards against late generations that fill the engines' queues while those that can still be in
+# time wait for a short one.
+def test_late_generation_waits_when_many_prompts_wait_at_each_engine() -> None:
+    busy = _make_view("busy", waiting_tokens=6000, waiting=2, held_tokens=6000)
+    short = _make_view("short", waiting_tokens=3000, waiting=1, held_tokens=3000)
+    late = PlacementQuery(prompt_tokens=2000, is_long=False, left_ms=-100, patience_ms=3000)
+    assert _place(late, busy) == (PlacementVerdict.WAIT, None)
+    assert _place(late, busy, short) == (PlacementVerdict.SEND, "short")
+    assert _place(_make_query(left_ms=1300), busy) == (PlacementVerdict.SEND, "busy")
