--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -51,6 +51,8 @@
 from tanagerscale.policy._placement import place
 from tanagerscale.policy._placement import select_engine
 from tanagerscale.policy._placement import tokens_to_evict
+from tanagerscale.policy._recent_usage import MIN_USAGE_TOKENS
+from tanagerscale.policy._recent_usage import USAGE_HALF_LIFE_MS
 from tanagerscale.policy._recent_usage import RecentUsage
 from tanagerscale.policy._retries import RetryBudget
 from tanagerscale.policy._retry_schedule import MAX_OVERDUE_MS
@@ -89,8 +91,10 @@
     "MAX_PLANNED_MEMORY_RATIO",
     "MAX_SPARE_COPY_MEMORY_RATIO",
     "MIN_NOTICE_MS",
+    "MIN_USAGE_TOKENS",
     "PREFILL_TOKENS_PER_MS",
     "UNKNOWN_SPEED",
+    "USAGE_HALF_LIFE_MS",
     "AccountLimits",
     "AccountSpec",
     "AccountUsage",
