Refuse by forecast only where a setting of the host says so

Cause: forecasts refused generations and made reservations at every installation, without a way to turn them off. Change: refuse_by_forecast in the section [placement], false by default. Without it nothing is forecast or reserved, and refusals are as before. The tests of the part switch it on.

--- a/src/tanagerscale/coordination/_capacity_admission.py
+++ b/src/tanagerscale/coordination/_capacity_admission.py
@@ -107,6 +107,7 @@
     :param ledger: Runs of all hosts.
     :param share: Returns the fraction of all hosts that use this decider.
     :param in_office_ms: Returns for how long this host has been a decider.
+    :param is_enabled: Whether anything is forecast, refused by forecast or reserved.
     """
 
     def __init__(
@@ -116,7 +117,9 @@
         ledger: RunLedger,
         share: Callable[[], float],
         in_office_ms: Callable[[], int],
+        is_enabled: bool = False,
     ) -> None:
+        self.is_enabled = is_enabled
         self._context = context
         self._ledger = ledger
         self._share = share
@@ -132,6 +135,8 @@
 
     def on_report(self, runs: HostRuns) -> None:
         """Take over the reservations that a host reports."""
+        if not self.is_enabled:
+            return
         now = self._context.clock.now()
         for fingerprint in runs.returned:
             self.schedule.drop_used(fingerprint, now=now)
@@ -153,7 +158,8 @@
         """
         now = self._context.clock.now()
         return (
-            ask.fingerprint not in present
+            self.is_enabled
+            and ask.fingerprint not in present
             and self.schedule.find(ask.fingerprint, now=now) is not None
         )
 
@@ -189,7 +195,7 @@
         :param views: Views of the engines in this evaluation.
         """
         is_over = placement.verdict is PlacementVerdict.REFUSE
-        if not placement.views or not (self._is_due or is_over):
+        if not self.is_enabled or not placement.views or not (self._is_due or is_over):
             return NO_REVIEW
         service = ServiceId(ask.service)
         if service not in self._forecasts:
@@ -330,7 +336,7 @@
 
     def _on_ended(self, run: LedgerRun) -> None:
         entry = self._context.upstreams.get(UpstreamId(run.use.upstream))
-        if entry is None:
+        if not self.is_enabled or entry is None:
             return
         request = _length_request(
             entry.service, is_long=run.use.is_long, max_tokens=run.use.max_tokens
--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -84,6 +84,7 @@
     :param delegates: Hosts to which others can delegate requests.
     :param send: Sends a message to a host, which may be this one; returns whether it can be
         reached.
+    :param refuse_by_forecast: Whether generations are refused at once by a capacity forecast.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
         pauses: UpstreamPauses,
         delegates: DelegateList,
         send: Callable[[HostId, Message], bool],
+        refuse_by_forecast: bool = False,
     ) -> None:
         self._delegates = delegates
         self._host = host
@@ -118,6 +120,7 @@
             ledger=self.ledger,
             share=lambda: retry_budgets.share,
             in_office_ms=lambda: retry_budgets.decider_since_ms,
+            is_enabled=refuse_by_forecast,
         )
         self.queue = PlacementQueue(
             context=context,
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -318,6 +318,7 @@
             engines=self._platform.upstreams,
             pauses=self.pauses,
             send=self._send,
+            refuse_by_forecast=self._settings.placement.refuse_by_forecast,
         )
 
     def _make_message_router(
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -139,10 +139,11 @@
             "Settings were reloaded.",
             changed=[
                 name
-                for name in ("host", "store", "retries", "deadlines", "logs")
+                for name in ("host", "store", "retries", "deadlines", "logs", "placement")
                 if getattr(old, name) != getattr(settings, name)
             ],
-            need_restart=old.host != settings.host or old.store != settings.store,
+            need_restart=(old.host, old.store, old.placement)
+            != (settings.host, settings.store, settings.placement),
         )
 
     async def abort(self) -> None:
--- a/testing/_admission_load.py
+++ b/testing/_admission_load.py
@@ -71,11 +71,13 @@
     :param burst: Factor on the demand during the fault.
     :param lost: Number of engines that are gone during the fault.
     :param token_ms: Time per token of the engines.
+    :param refuse_by_forecast: Whether the decider refuses by forecast.
     """
 
     burst: float = 1.0
     lost: int = 0
     token_ms: float = TOKEN_MS
+    refuse_by_forecast: bool = True
     seed: int = 1
     fakes: GatewayFakes = field(init=False)
     outcomes: dict[str, Outcome] = field(default_factory=dict)
@@ -89,6 +91,7 @@
     async def _run(self) -> None:
         self.fakes = make_gateway_fakes(*(make_entry(f"e{one}") for one in range(ENGINES)))
         # Moves of runs are not under test, and planning them takes most of the time.
+        self.fakes.single_host.coordinator.admission.is_enabled = self.refuse_by_forecast
         planner = self.fakes.single_host.coordinator.planner
         planner.reevaluate = lambda: None  # type: ignore[method-assign]
         loop = asyncio.get_running_loop()
--- a/testing/test_engine_shortage.py
+++ b/testing/test_engine_shortage.py
@@ -67,10 +67,7 @@
 
 @cache
 def _run_load(burst: float, lost: int, is_forecast: bool) -> dict[str, Outcome]:
-    with pytest.MonkeyPatch.context() as patch:
-        if not is_forecast:
-            patch.setattr(_capacity_admission, "MIN_ENDED_RUNS", NEVER)
-        return AdmissionLoad(burst=burst, lost=lost).run()
+    return AdmissionLoad(burst=burst, lost=lost, refuse_by_forecast=is_forecast).run()
 
 
 def _value(outcomes: dict[str, Outcome]) -> float:
@@ -245,12 +242,14 @@
     assert len(schedule) == 1
 
 
-def _make_full_fakes(*, ended: int = MIN_ENDED_RUNS) -> GatewayFakes:
+def _make_full_fakes(*, ended: int = MIN_ENDED_RUNS, is_enabled: bool = True) -> GatewayFakes:
     """Return a host with an engine that is full of long runs for about 10 s.
 
     :param ended: Number of long runs that have ended before.
+    :param is_enabled: Whether the host refuses by forecast.
     """
     fakes = make_gateway_fakes(make_entry("x"))
+    fakes.single_host.coordinator.admission.is_enabled = is_enabled
     for number in range(ended):
         _run(fakes, f"ended-{number}", made=1300)
         fakes.work.end(request=make_request(name=f"ended-{number}").request)
@@ -301,6 +300,26 @@
     run_virtually(scenario())
 
 
+# Guards against forecasts at installations that have not switched them on.
+def test_generation_waits_as_before_when_refusals_by_forecast_are_off() -> None:
+    async def scenario() -> None:
+        fakes = _make_full_fakes(is_enabled=False)
+        admission = fakes.single_host.coordinator.admission
+        report = RefusedGeneration(fingerprint="f", service=SERVICE, tokens=1, return_ms=0)
+        admission.on_report(HostRuns(number=1, decider="a", refused=[report]))
+        assert await _refusal_delay_ms(fakes, _route("1")) is None
+        placer = Admission(context=fakes.context, placer=fakes.single_host.client)
+        found = await placer.find_engine(routed=_route("2"), excluded=frozenset())
+        assert isinstance(found, Failure)
+        refusal: Refusal = found.failure()
+        assert refusal.retry_after_ms is not None
+        assert 1250 <= refusal.retry_after_ms <= 3750
+        assert not admission._forecasts
+        assert not len(admission.schedule)
+
+    run_virtually(scenario())
+
+
 # Guards against refusals from a forecast that rests on nothing.
 def test_generation_waits_when_too_few_runs_have_ended() -> None:
     async def scenario() -> int | None:
@@ -393,6 +412,7 @@
     async def scenario() -> bool:
         fakes = make_gateway_fakes(make_entry("x"))
         admission = fakes.single_host.coordinator.admission
+        admission.is_enabled = True
         refused = RefusedGeneration(fingerprint="f", service=SERVICE, tokens=1, return_ms=0)
         admission.on_report(HostRuns(number=1, decider="a", refused=[refused]))
         ask = PlaceAsk(
