Refuse at once only generations that each engine has refused

Cause: an ask excludes also engines that the host found unknown, leaving or evacuated, and a decider refused a generation at once when these were all, though it was sent to none. Change: PlaceAsk.refused_by names the engines that have refused it or asked for a pause; only if it covers each engine of the service is the generation refused at once. Result: test_forwarding_admission, test_waits_forwarding and test_forwarding_pauses pass; the first new test fails with the former condition.

--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -220,7 +220,7 @@
             return PlacementDecision(
                 verdict=PlacementVerdict.REFUSE, reason=OUTSIDE_ALLOWED_REGIONS
             )
-        if not entries and ask.excluded and eligible_upstreams(context, waiting.group.service):
+        if not entries and _is_refused_by_all(ask, context):
             return PlacementDecision(verdict=PlacementVerdict.REFUSE, reason=ALL_EXCLUDED)
         query = PlacementQuery(
             prompt_tokens=ask.prompt_tokens,
@@ -403,6 +403,12 @@
     )
 
 
+def _is_refused_by_all(ask: PlaceAsk, context: DecisionContext) -> bool:
+    """Return whether each engine of the service has refused a generation or is paused for it."""
+    upstreams = {entry.upstream for entry in eligible_upstreams(context, ServiceId(ask.service))}
+    return bool(upstreams) and upstreams <= set(ask.refused_by)
+
+
 def _cause_of(placement: PlacementDecision) -> RefusalCause:
     if placement.reason == AT_RATE_LIMIT:
         return RefusalCause.RATE_LIMIT
--- a/src/tanagerscale/forwarding/_admission.py
+++ b/src/tanagerscale/forwarding/_admission.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 from typing import final
 
+from msgspec.structs import replace
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -95,7 +96,7 @@
             refusal = refuse_if_paused(routed, self._context, tried)
             if refusal is not None:
                 return Failure(refusal)
-            answer = await self._place(routed, tried)
+            answer = await self._place(routed, tried, refused_by=excluded)
             if answer is None:
                 continue
             if answer.kind is not PlaceKind.SEND:
@@ -155,13 +156,17 @@
             self._context.work.refused.record_refused(refused)
         return no_capacity_until(service=service, delay_ms=answer.retry_ms)
 
-    async def _place(self, routed: RoutedRequest, tried: Set[UpstreamId]) -> PlaceAnswer | None:
+    async def _place(
+        self, routed: RoutedRequest, tried: Set[UpstreamId], *, refused_by: Set[UpstreamId]
+    ) -> PlaceAnswer | None:
         """Ask for a placement; return ``None`` if what it depends on changes before the answer.
 
         That is which engines are paused, and whether the request has what crashes upstreams.
         """
         paused = self._paused_engines(routed)
-        ask = self._build_ask(routed, tried, self._context.pauses.paused)
+        all_paused = self._context.pauses.paused
+        ask = self._build_ask(routed, tried, all_paused)
+        ask = replace(ask, refused_by=sorted(refused_by | all_paused))
         asking = asyncio.ensure_future(self._placer.place(ask=ask))
         changed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
--- a/testing/test_forwarding_admission.py
+++ b/testing/test_forwarding_admission.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from tanagerscale.core import RequestId
+from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import RefusalKind
@@ -26,6 +27,8 @@
 from testing._gateway_fakes import make_request
 from testing._gateway_fakes import make_route
 from testing._gateway_fakes import route_request
+from testing._single_host import DOMAIN
+from testing._single_host import HOST
 from testing._virtual_time import run_virtually
 
 FULL_TOKENS = 31_000
@@ -109,6 +112,46 @@
     run_virtually(scenario())
 
 
+# Guards against a refusal at once of a generation that was sent to no engine.
+@pytest.mark.parametrize("has_refused", [False, True])
+def test_generation_is_refused_at_once_only_when_its_engines_have_refused_it(
+    has_refused: bool,
+) -> None:
+    async def scenario() -> bool:
+        fakes, _ = _make_admission()
+        queue = fakes.single_host.coordinator.queue
+        ask = PlaceAsk(
+            serial=1,
+            request="1",
+            service=fakes.upstreams.entries[0].service,
+            prompt_tokens=1000,
+            is_long=True,
+            left_ms=1500,
+            patience_ms=3000,
+            excluded=["x"],
+            refused_by=["x"] if has_refused else [],
+        )
+        queue.submit(host=HOST, domain=DOMAIN, ask=ask)
+        return queue.waiting == 0
+
+    assert run_virtually(scenario()) is has_refused
+
+
+# Guards against an ask that reports an engine as refusing because this host found it leaving.
+def test_ask_names_only_engines_that_have_refused_the_generation() -> None:
+    async def scenario() -> list[list[str]]:
+        fakes = make_gateway_fakes(make_entry("x"), make_entry("y"), make_entry("z"))
+        placer = FakePlacer("x", "y")
+        fakes.upstreams.leaving.add("x")
+        admission = Admission(context=fakes.context, placer=placer)
+        routed = route_request(make_request(), make_route(kind=RouteKind.STREAMING))
+        await admission.find_engine(routed=routed, excluded=frozenset({UpstreamId("z")}))
+        assert placer.asks[-1].excluded == ["x", "z"]
+        return [ask.refused_by for ask in placer.asks]
+
+    assert run_virtually(scenario()) == [["z"], ["z"]]
+
+
 def test_generation_gets_an_engine_when_another_generation_ends() -> None:
     async def scenario() -> tuple[bool, bool]:
         fakes, admission = _make_admission()
