--- a/src/tanagerscale/coordination/_capacity_admission.py
+++ b/src/tanagerscale/coordination/_capacity_admission.py
@@ -57,8 +57,9 @@
 MIN_MEASURED_TOKENS: Final = 20
 """Tokens of an answer from which its time per token is taken; before that, prefill distorts it."""
 
-MIN_SHARE: Final = 0.01
-"""Lower bound of a decider's share, which keeps forecasts finite."""
+MIN_SHARE: Final = 0.9
+"""Fraction of the hosts below which a decider refuses nobody by forecast: it does not know which
+memory the callers of the other deciders will get."""
 
 MIN_RETRY_MS: Final = 50
 """Shortest retry delay; callers that return at once only compete with others."""
@@ -248,7 +249,7 @@
         self, service: ServiceId, evaluation: EvaluationViews
     ) -> CapacityForecast | None:
         """Return the forecast for a service; ``None`` if there is too little data for one."""
-        if self._in_office_ms() < MIN_TIME_IN_OFFICE_MS:
+        if self._in_office_ms() < MIN_TIME_IN_OFFICE_MS or self._share() < MIN_SHARE:
             return None
         if self._ended.get(service, 0) < MIN_ENDED_RUNS:
             return None
@@ -271,7 +272,6 @@
             },
             releases=releases,
             claims=[*self._leaving_claims(service, runs), *self._reservation_claims(service)],
-            share=max(self._share(), MIN_SHARE),
         )
 
     def _expect_release(self, service: ServiceId, run: LedgerRun, view: EngineView) -> Release:
