Reduce the time left of a generation while it waits

Cause: deadline_ms kept the value of the first ask, so a caller that waited was told a retry delay that it could not use. Change: repeated asks subtract the time passed (at least 1 remains, as 0 means unknown), and the decider subtracts the time since it received the ask.

--- a/src/tanagerscale/coordination/_capacity_admission.py
+++ b/src/tanagerscale/coordination/_capacity_admission.py
@@ -184,6 +184,7 @@
         placement: PlacementDecision,
         *,
         left_ms: int,
+        queued_ms: int,
         may_reserve: bool,
         views: EvaluationViews,
     ) -> CapacityReview:
@@ -192,6 +193,7 @@
         :param ask: The generation.
         :param placement: Decision without a forecast; only one for lack of capacity is reviewed.
         :param left_ms: Time for which it can wait.
+        :param queued_ms: Time since its ask was received.
         :param may_reserve: Whether capacity may be reserved for its return.
         :param views: Views of the engines in this evaluation.
         """
@@ -212,7 +214,7 @@
         if is_refusable and (is_over or is_hopeless(start_ms=outlook.start_ms, left_ms=left_ms)):
             retry = choose_retry_time(
                 start_ms=max(outlook.start_ms, MIN_RETRY_MS),
-                deadline_ms=ask.deadline_ms,
+                deadline_ms=max(ask.deadline_ms - queued_ms, 0),
                 spread=self._context.rng.random(),
             )
             retry = self._reserve(ask, retry, may_reserve=may_reserve)
--- a/src/tanagerscale/coordination/_client.py
+++ b/src/tanagerscale/coordination/_client.py
@@ -338,7 +338,13 @@
         """Return the ask with its times adjusted to the current time."""
         passed_ms = self._clock.now() - call.started_at
         ask = call.ask
-        return replace(ask, left_ms=ask.left_ms - passed_ms, waited_ms=ask.waited_ms + passed_ms)
+        return replace(
+            ask,
+            left_ms=ask.left_ms - passed_ms,
+            waited_ms=ask.waited_ms + passed_ms,
+            # 0 means that the time is unknown.
+            deadline_ms=max(ask.deadline_ms - passed_ms, 1) if ask.deadline_ms else 0,
+        )
 
     async def _next_reply(self, call: _PlacementCall, limit_ms: int) -> _Reply | None:
         """Return the next reply of a decider; ``None`` on a timeout."""
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -251,11 +251,13 @@
         views: EvaluationViews,
     ) -> PlacementDecision:
         """Return the decision for a generation once it is known when there will be capacity."""
-        left_ms = waiting.left_ms(self._context.clock.now()) + waiting.ask.patience_ms
+        now = self._context.clock.now()
+        left_ms = waiting.left_ms(now) + waiting.ask.patience_ms
         review = self._admission.review(
             waiting.ask,
             placement,
             left_ms=left_ms,
+            queued_ms=now - waiting.arrived_at - waiting.ask.waited_ms,
             # Callers return once, and one that arrives late was refused before.
             may_reserve=not waiting.has_reservation and waiting.deadline > waiting.arrived_at,
             views=views,
--- a/testing/test_engine_shortage.py
+++ b/testing/test_engine_shortage.py
@@ -13,6 +13,7 @@
 
 from tanagerscale.coordination import _capacity_admission
 from tanagerscale.coordination._capacity_admission import MIN_ENDED_RUNS
+from tanagerscale.coordination._client import _PlacementCall
 from tanagerscale.coordination._ledger import LedgerRun
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
@@ -343,6 +344,54 @@
     run_virtually(scenario())
 
 
+# Guards against a retry delay that the caller can't use after its wait.
+def test_retry_delay_is_from_the_time_that_is_left_after_the_wait() -> None:
+    async def scenario() -> int | None:
+        fakes = _make_full_fakes()
+        admission = Admission(context=fakes.context, placer=fakes.single_host.client)
+        deadline = fakes.context.clock.now() + 12_000
+        routed = msgspec.structs.replace(_route("1"), deadline=deadline)
+        fakes.single_host.coordinator.admission._ended.clear()
+        waiting = asyncio.create_task(admission.find_engine(routed=routed, excluded=frozenset()))
+        await asyncio.sleep(2.9)  # 0.8 of a third of 12 s is more than a third of what is left.
+        assert not waiting.done()
+        fakes.single_host.coordinator.admission._ended[SERVICE] = MIN_ENDED_RUNS
+        found = await waiting
+        assert isinstance(found, Failure)
+        refusal: Refusal = found.failure()
+        left_ms = deadline - fakes.context.clock.now()
+        assert refusal.retry_after_ms is not None
+        return left_ms // 3 - refusal.retry_after_ms
+
+    spare_ms = run_virtually(scenario())
+    assert spare_ms is not None
+    assert spare_ms >= 0
+
+
+# Guards against a host that repeats the time left of the first ask, or one of 0, which means unknown.
+@pytest.mark.parametrize(("deadline_ms", "repeated_ms"), [(5000, 4000), (700, 1), (0, 0)])
+def test_repeated_ask_has_the_time_that_is_left_until_the_answer_is_due(
+    deadline_ms: int, repeated_ms: int
+) -> None:
+    async def scenario() -> int:
+        fakes = make_gateway_fakes(make_entry("x"))
+        client = fakes.single_host.client
+        ask = PlaceAsk(
+            serial=1,
+            request="r",
+            service=SERVICE,
+            prompt_tokens=1,
+            is_long=True,
+            left_ms=1,
+            deadline_ms=deadline_ms,
+        )
+        started_at = Millis(fakes.context.clock.now() - 1000)
+        call = _PlacementCall(ask=ask, started_at=started_at, decider=HOST, replies=asyncio.Queue())
+        return client._build_ask(call).deadline_ms
+
+    assert run_virtually(scenario()) == repeated_ms
+
+
 # Guards against forecasts at installations that have not switched them on.
 def test_generation_waits_as_before_when_refusals_by_forecast_are_off() -> None:
     async def scenario() -> None:
