Serve early callers by their reservation when it is due, and shorten reports

Cause: a caller that returned early waited as a new one behind its own reservation; reports listed up to 64 refusals and returns. Change: the forecast leaves out the reservations of waiting callers, and a caller that waits uses its reservation when it falls due. Reports send 16 refusals, those due first, and the last 16 returns.

--- a/src/tanagerscale/coordination/_capacity_admission.py
+++ b/src/tanagerscale/coordination/_capacity_admission.py
@@ -130,7 +130,7 @@
         self._forecasts: dict[ServiceId, CapacityForecast | None] = {}
         self._pass_at: Millis | None = None
         self._is_due = False
-        self._present: frozenset[str] = frozenset()
+        self._waiting: frozenset[str] = frozenset()
         self.schedule: Final = RetrySchedule()
         ledger.ended.subscribe(self._on_ended)
 
@@ -164,13 +164,15 @@
             and self.schedule.find(ask.fingerprint, now=now) is not None
         )
 
-    def start_pass(self, *, present: frozenset[str]) -> None:
+    def start_pass(self, *, present: frozenset[str], waiting: frozenset[str]) -> None:
         """Begin an evaluation of the queue.
 
         :param present: Fingerprints of the waiting callers that have a reservation.
+        :param waiting: Fingerprints of all waiting callers. One that has returned too early waits
+            as a new one, so its reservation takes no capacity besides.
         """
         now = self._context.clock.now()
-        self._present = present
+        self._waiting = waiting
         for fingerprint in present:
             self.schedule.hold(fingerprint, now=now)
         self._is_due = self._pass_at is None or now - self._pass_at >= FORECAST_INTERVAL_MS
@@ -319,7 +321,7 @@
                 hold_ms=self._hold_ms(service, tokens=kept.tokens, is_long=kept.is_long),
             )
             for kept in self.schedule.pending(service, now=now)
-            if kept.fingerprint not in self._present
+            if kept.fingerprint not in self._waiting
         ]
 
     def _hold_ms(
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -198,7 +198,11 @@
         views = EvaluationViews(context=self._context, ledger=self._ledger)
         now = self._context.clock.now()
         self._limited.clear()
-        self._admission.start_pass(present=self._returned())
+        self._use_due_reservations(now)
+        self._admission.start_pass(
+            present=self._returned(),
+            waiting=frozenset(one.ask.fingerprint for one in self._waiting.values()),
+        )
         entries = [(_describe(one, now), one) for one in self._waiting.values()]
         for waiting in self._usage.order(entries):
             placement = self._review(waiting, self._place(waiting, views), views)
@@ -267,6 +271,16 @@
             return replace(placement, verdict=PlacementVerdict.REFUSE, reason=NO_CAPACITY_IN_TIME)
         return placement
 
+    def _use_due_reservations(self, now: Millis) -> None:
+        """Let callers that have returned too early use their reservations once these are due."""
+        admission = self._admission
+        for waiting in self._waiting.values():
+            if waiting.has_reservation or waiting.ask.fingerprint not in admission.schedule:
+                continue
+            if admission.has_reservation(waiting.ask, present=self._returned()):
+                waiting.has_reservation = True
+                waiting.reserved_until = Millis(now + RESERVED_WAIT_MS)
+
     def _returned(self) -> frozenset[str]:
         """Return the fingerprints of the waiting callers that have a reservation."""
         return frozenset(
--- a/src/tanagerscale/forwarding/_refused_generations.py
+++ b/src/tanagerscale/forwarding/_refused_generations.py
@@ -12,8 +12,12 @@
 from tanagerscale.policy import MAX_OVERDUE_MS
 
 MAX_LISTED: Final = 64
-"""Maximum number of refused generations in a report, and of returns. 75 hosts refuse about one
-generation a second each; the bound keeps reports below 20 KB in a fault."""
+"""Maximum number of refused generations that a host lists, and of returns. 75 hosts refuse about
+one generation a second each."""
+
+MAX_REPORTED: Final = 16
+"""Maximum number of each in a report; the rest follow as these expire. It keeps reports below 5 KB
+in a fault."""
 
 RETURNED_TTL_MS: Final = 2 * MAX_OVERDUE_MS
 """How long a used reservation is reported; by then it has expired at all coordinators."""
@@ -50,7 +54,7 @@
         self._on_change()
 
     def refused(self) -> list[RefusedGeneration]:
-        """Return the refused generations with the time that is left until their return."""
+        """Return the first refused generations to return, with the time until then."""
         self._prune()
         now = self._clock.now()
         return [
@@ -63,13 +67,15 @@
                 is_long=one.is_long,
                 return_ms=return_at - now,
             )
-            for return_at, one in self._refused.values()
+            for return_at, one in sorted(self._refused.values(), key=lambda kept: kept[0])[
+                :MAX_REPORTED
+            ]
         ]
 
     def returned(self) -> list[str]:
-        """Return the fingerprints of generations that have used a reservation lately."""
+        """Return the fingerprints of the last generations that have used a reservation."""
         self._prune()
-        return list(self._returned)
+        return list(self._returned)[-MAX_REPORTED:]
 
     def _prune(self) -> None:
         now = self._clock.now()
--- a/src/tanagerscale/policy/_retry_schedule.py
+++ b/src/tanagerscale/policy/_retry_schedule.py
@@ -73,6 +73,10 @@
         """Return the number of reservations, including those that expire at the next use."""
         return len(self._reservations)
 
+    def __contains__(self, fingerprint: str) -> bool:
+        """Return whether a caller has a reservation, which may expire at the next use."""
+        return fingerprint in self._reservations
+
     def reserve(self, reservation: Reservation, *, now: Millis) -> bool:
         """Add a reservation; return whether there was space for it."""
         self._expire(now)
