--- a/src/tanagerscale/coordination/_capacity_admission.py
+++ b/src/tanagerscale/coordination/_capacity_admission.py
@@ -57,8 +57,9 @@
 MIN_MEASURED_TOKENS: Final = 20
 """Tokens of an answer from which its time per token is taken; before that, prefill distorts it."""
 
-MIN_SHARE: Final = 0.01
-"""Lower bound of a decider's share, which keeps forecasts finite."""
+MIN_SHARE: Final = 0.9
+"""Fraction of the hosts below which a decider refuses nobody by forecast: it does not know which
+memory the callers of the other deciders will get."""
 
 MIN_RETRY_MS: Final = 50
 """Shortest retry delay; callers that return at once only compete with others."""
@@ -107,6 +108,7 @@
     :param ledger: Runs of all hosts.
     :param share: Returns the fraction of all hosts that use this decider.
     :param in_office_ms: Returns for how long this host has been a decider.
+    :param is_enabled: Whether anything is forecast, refused by forecast or reserved.
     """
 
     def __init__(
@@ -116,7 +118,9 @@
         ledger: RunLedger,
         share: Callable[[], float],
         in_office_ms: Callable[[], int],
+        is_enabled: bool = False,
     ) -> None:
+        self.is_enabled = is_enabled
         self._context = context
         self._ledger = ledger
         self._share = share
@@ -126,12 +130,14 @@
         self._forecasts: dict[ServiceId, CapacityForecast | None] = {}
         self._pass_at: Millis | None = None
         self._is_due = False
-        self._present: frozenset[str] = frozenset()
+        self._waiting: frozenset[str] = frozenset()
         self.schedule: Final = RetrySchedule()
         ledger.ended.subscribe(self._on_ended)
 
     def on_report(self, runs: HostRuns) -> None:
         """Take over the reservations that a host reports."""
+        if not self.is_enabled:
+            return
         now = self._context.clock.now()
         for fingerprint in runs.returned:
             self.schedule.drop_used(fingerprint, now=now)
@@ -153,17 +159,20 @@
         """
         now = self._context.clock.now()
         return (
-            ask.fingerprint not in present
+            self.is_enabled
+            and ask.fingerprint not in present
             and self.schedule.find(ask.fingerprint, now=now) is not None
         )
 
-    def start_pass(self, *, present: frozenset[str]) -> None:
+    def start_pass(self, *, present: frozenset[str], waiting: frozenset[str]) -> None:
         """Begin an evaluation of the queue.
 
         :param present: Fingerprints of the waiting callers that have a reservation.
+        :param waiting: Fingerprints of all waiting callers. One that has returned too early waits
+            as a new one, so its reservation takes no capacity besides.
         """
         now = self._context.clock.now()
-        self._present = present
+        self._waiting = waiting
         for fingerprint in present:
             self.schedule.hold(fingerprint, now=now)
         self._is_due = self._pass_at is None or now - self._pass_at >= FORECAST_INTERVAL_MS
@@ -177,6 +186,7 @@
         placement: PlacementDecision,
         *,
         left_ms: int,
+        queued_ms: int,
         may_reserve: bool,
         views: EvaluationViews,
     ) -> CapacityReview:
@@ -185,11 +195,12 @@
         :param ask: The generation.
         :param placement: Decision without a forecast; only one for lack of capacity is reviewed.
         :param left_ms: Time for which it can wait.
+        :param queued_ms: Time since its ask was received.
         :param may_reserve: Whether capacity may be reserved for its return.
         :param views: Views of the engines in this evaluation.
         """
         is_over = placement.verdict is PlacementVerdict.REFUSE
-        if not placement.views or not (self._is_due or is_over):
+        if not self.is_enabled or not placement.views or not (self._is_due or is_over):
             return NO_REVIEW
         service = ServiceId(ask.service)
         if service not in self._forecasts:
@@ -205,7 +216,7 @@
         if is_refusable and (is_over or is_hopeless(start_ms=outlook.start_ms, left_ms=left_ms)):
             retry = choose_retry_time(
                 start_ms=max(outlook.start_ms, MIN_RETRY_MS),
-                deadline_ms=ask.deadline_ms,
+                deadline_ms=max(ask.deadline_ms - queued_ms, 0),
                 spread=self._context.rng.random(),
             )
             retry = self._reserve(ask, retry, may_reserve=may_reserve)
@@ -242,7 +253,7 @@
         self, service: ServiceId, evaluation: EvaluationViews
     ) -> CapacityForecast | None:
         """Return the forecast for a service; ``None`` if there is too little data for one."""
-        if self._in_office_ms() < MIN_TIME_IN_OFFICE_MS:
+        if self._in_office_ms() < MIN_TIME_IN_OFFICE_MS or self._share() < MIN_SHARE:
             return None
         if self._ended.get(service, 0) < MIN_ENDED_RUNS:
             return None
@@ -265,7 +276,6 @@
             },
             releases=releases,
             claims=[*self._leaving_claims(service, runs), *self._reservation_claims(service)],
-            share=max(self._share(), MIN_SHARE),
         )
 
     def _expect_release(self, service: ServiceId, run: LedgerRun, view: EngineView) -> Release:
@@ -311,7 +321,7 @@
                 hold_ms=self._hold_ms(service, tokens=kept.tokens, is_long=kept.is_long),
             )
             for kept in self.schedule.pending(service, now=now)
-            if kept.fingerprint not in self._present
+            if kept.fingerprint not in self._waiting
         ]
 
     def _hold_ms(
@@ -330,7 +340,7 @@
 
     def _on_ended(self, run: LedgerRun) -> None:
         entry = self._context.upstreams.get(UpstreamId(run.use.upstream))
-        if entry is None:
+        if not self.is_enabled or entry is None:
             return
         request = _length_request(
             entry.service, is_long=run.use.is_long, max_tokens=run.use.max_tokens
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -199,7 +199,11 @@
         views = EvaluationViews(context=self._context, ledger=self._ledger)
         now = self._context.clock.now()
         self._limited.clear()
-        self._admission.start_pass(present=self._returned())
+        self._use_due_reservations(now)
+        self._admission.start_pass(
+            present=self._returned(),
+            waiting=frozenset(one.ask.fingerprint for one in self._waiting.values()),
+        )
         entries = [(_describe(one, now), one) for one in self._waiting.values()]
         for waiting in self._usage.order(entries):
             placement = self._review(waiting, self._place(waiting, views), views)
@@ -221,7 +225,7 @@
             return PlacementDecision(
                 verdict=PlacementVerdict.REFUSE, reason=OUTSIDE_ALLOWED_REGIONS
             )
-        if not entries and ask.excluded and eligible_upstreams(context, waiting.group.service):
+        if not entries and _is_refused_by_all(ask, context):
             return PlacementDecision(verdict=PlacementVerdict.REFUSE, reason=ALL_EXCLUDED)
         query = PlacementQuery(
             prompt_tokens=ask.prompt_tokens,
@@ -252,11 +256,13 @@
         views: EvaluationViews,
     ) -> PlacementDecision:
         """Return the decision for a generation once it is known when there will be capacity."""
-        left_ms = waiting.left_ms(self._context.clock.now()) + waiting.ask.patience_ms
+        now = self._context.clock.now()
+        left_ms = waiting.left_ms(now) + waiting.ask.patience_ms
         review = self._admission.review(
             waiting.ask,
             placement,
             left_ms=left_ms,
+            queued_ms=now - waiting.arrived_at - waiting.ask.waited_ms,
             # Callers return once, and one that arrives late was refused before.
             may_reserve=not waiting.has_reservation and waiting.deadline > waiting.arrived_at,
             views=views,
@@ -266,6 +272,16 @@
             return replace(placement, verdict=PlacementVerdict.REFUSE, reason=NO_CAPACITY_IN_TIME)
         return placement
 
+    def _use_due_reservations(self, now: Millis) -> None:
+        """Let callers that have returned too early use their reservations once these are due."""
+        admission = self._admission
+        for waiting in self._waiting.values():
+            if waiting.has_reservation or waiting.ask.fingerprint not in admission.schedule:
+                continue
+            if admission.has_reservation(waiting.ask, present=self._returned()):
+                waiting.has_reservation = True
+                waiting.reserved_until = Millis(now + RESERVED_WAIT_MS)
+
     def _returned(self) -> frozenset[str]:
         """Return the fingerprints of the waiting callers that have a reservation."""
         return frozenset(
@@ -404,6 +420,12 @@
     )
 
 
+def _is_refused_by_all(ask: PlaceAsk, context: DecisionContext) -> bool:
+    """Return whether each engine of the service has refused a generation or is paused for it."""
+    upstreams = {entry.upstream for entry in eligible_upstreams(context, ServiceId(ask.service))}
+    return bool(upstreams) and upstreams <= set(ask.refused_by)
+
+
 def _cause_of(placement: PlacementDecision) -> RefusalCause:
     if placement.reason == AT_RATE_LIMIT:
         return RefusalCause.RATE_LIMIT
