Add settings and budgets for the limits of a host

Cause: a host knows neither its memory nor its descriptors nor its link, and takes requests until one of them is used up. Measured: the 8 tests of test_policy_host_budget pass. With the stream buffer's limit, its bound by the rest of an answer, the share of unread bytes, the hysteresis, the wait for the link or the check that the link is busy taken out, one of them fails each time.

--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -8,6 +8,11 @@
 from tanagerscale.policy._copying import evacuable_tokens
 from tanagerscale.policy._forecast import ForecastScheduler
 from tanagerscale.policy._forecast import make_scheduler
+from tanagerscale.policy._host_budget import READ_BUFFER_BYTES
+from tanagerscale.policy._host_budget import UNREAD_STREAM_BYTES
+from tanagerscale.policy._host_budget import HostBudget
+from tanagerscale.policy._host_budget import HostUse
+from tanagerscale.policy._host_budget import make_host_budget
 from tanagerscale.policy._lengths import LengthCurve
 from tanagerscale.policy._lengths import LengthEstimator
 from tanagerscale.policy._limits import AccountLimits
@@ -53,6 +58,8 @@
     "MAX_COPY_MEMORY_RATIO",
     "MAX_SPARE_COPY_MEMORY_RATIO",
     "MIN_NOTICE_MS",
+    "READ_BUFFER_BYTES",
+    "UNREAD_STREAM_BYTES",
     "AccountLimits",
     "AccountSpec",
     "AccountUsage",
@@ -62,6 +69,8 @@
     "EngineSpec",
     "EngineView",
     "ForecastScheduler",
+    "HostBudget",
+    "HostUse",
     "ImmediateScheduler",
     "LeastOutstanding",
     "LengthCurve",
@@ -88,6 +97,7 @@
     "has_capacity_without_eviction",
     "is_imbalanced",
     "is_outlier",
+    "make_host_budget",
     "make_scheduler",
     "next_move",
     "place",
