Bound what is read ahead of a stream on hosts of limited memory

Cause: the parser holds up to 128 KB of an unread response, and asyncio receives up to 256 KB at once, for each stream whose caller reads slowly. Change: a pool may have a smaller read buffer, which hosts with a known memory use; open connections are counted for the descriptors. Other hosts read as before.

--- a/src/tanagerscale/upstreams/__init__.py
+++ b/src/tanagerscale/upstreams/__init__.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from tanagerscale.upstreams._connection import DEAD_PEER_TIMEOUT_S
+from tanagerscale.upstreams._connection import READ_BUFFER_BYTES
 from tanagerscale.upstreams._connection import ExchangeError
 from tanagerscale.upstreams._connection import ExchangeFailure
 from tanagerscale.upstreams._connection import HttpConnection
 from tanagerscale.upstreams._connection import ResponseHead
+from tanagerscale.upstreams._connection import count_open_connections
 from tanagerscale.upstreams._entries import UpstreamEntry
 from tanagerscale.upstreams._entries import UpstreamState
 from tanagerscale.upstreams._http_engine import HttpEngineClient
@@ -30,6 +32,7 @@
 __all__ = [
     "DEAD_PEER_TIMEOUT_S",
     "PROBE_TIMEOUT_MS",
+    "READ_BUFFER_BYTES",
     "ConnectionPool",
     "EngineClient",
     "EngineReport",
@@ -52,4 +55,5 @@
     "UpstreamPaths",
     "UpstreamPauses",
     "UpstreamState",
+    "count_open_connections",
 ]
--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -5,6 +5,7 @@
 import asyncio
 from enum import Enum
 from enum import unique
+from typing import ClassVar
 from typing import Final
 from typing import final
 
@@ -60,15 +61,24 @@
 class _ResponseProtocol(ResponseHandler):
     """aiohttp's response parser that also records whether the connection was reset."""
 
+    open_connections: ClassVar[int] = 0
+    """Connections of the process, whose descriptors are limited together."""
+
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.was_reset = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection."""
+        _ResponseProtocol.open_connections += 1
+        super().connection_made(transport)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record how the connection ended.
 
         A body without a length is complete only after a clean end.
         """
+        _ResponseProtocol.open_connections -= 1
         self.was_reset = exc is not None
         super().connection_lost(exc)
 
@@ -97,11 +107,18 @@
     :param transport: Transport of the socket.
     :param protocol: Parser of the responses.
     :param opened: Time when the connection was opened.
+    :param read_buffer_bytes: Amount of unread data above which reading is paused.
     """
 
     def __init__(
-        self, *, transport: asyncio.Transport, protocol: _ResponseProtocol, opened: Millis
+        self,
+        *,
+        transport: asyncio.Transport,
+        protocol: _ResponseProtocol,
+        opened: Millis,
+        read_buffer_bytes: int = READ_BUFFER_BYTES,
     ) -> None:
+        self._read_buffer_bytes = read_buffer_bytes
         self._transport = transport
         self._protocol = protocol
         self._body: StreamReader | None = None
@@ -138,7 +155,7 @@
             skip_payload=method == "HEAD",
             read_until_eof=True,
             auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
+            read_bufsize=self._read_buffer_bytes,
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
         )
@@ -196,6 +213,11 @@
         self._transport.abort()
 
 
+def count_open_connections() -> int:
+    """Return the number of connections of the process to upstreams and the store."""
+    return _ResponseProtocol.open_connections
+
+
 async def open_connection(
     *,
     address: str,
@@ -203,6 +225,7 @@
     now: Millis,
     dead_peer_timeout_s: int = DEAD_PEER_TIMEOUT_S,
     source_ip: str = "",
+    read_buffer_bytes: int = READ_BUFFER_BYTES,
 ) -> HttpConnection:
     """Open a connection.
 
@@ -212,6 +235,7 @@
     :param dead_peer_timeout_s: Seconds without an acknowledgement after which the peer counts as
         dead.
     :param source_ip: Local IP address; empty lets the system choose.
+    :param read_buffer_bytes: Amount of unread data above which reading is paused.
     :raises ExchangeError: If no connection is established in time.
     """
     loop = asyncio.get_running_loop()
@@ -228,7 +252,12 @@
         detail = f"No connection to {address} ({type(error).__name__})"
         raise ExchangeError(ExchangeFailure.NOT_SENT, detail) from error
     enable_tcp_keepalive(transport, timeout_s=dead_peer_timeout_s)
-    return HttpConnection(transport=transport, protocol=protocol, opened=now)
+    if read_buffer_bytes != READ_BUFFER_BYTES:
+        # asyncio otherwise receives up to 256 KB at once, however little may be buffered.
+        transport.max_size = 2 * read_buffer_bytes  # type: ignore[attr-defined]
+    return HttpConnection(
+        transport=transport, protocol=protocol, opened=now, read_buffer_bytes=read_buffer_bytes
+    )
 
 
 def _build_response_head(message: RawResponseMessage) -> ResponseHead:
--- a/src/tanagerscale/upstreams/_pool.py
+++ b/src/tanagerscale/upstreams/_pool.py
@@ -10,6 +10,7 @@
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.upstreams._connection import DEAD_PEER_TIMEOUT_S
+from tanagerscale.upstreams._connection import READ_BUFFER_BYTES
 from tanagerscale.upstreams._connection import HttpConnection
 from tanagerscale.upstreams._connection import ResponseHead
 from tanagerscale.upstreams._connection import open_connection
@@ -43,6 +44,7 @@
     :param dead_peer_timeout_s: Seconds without an acknowledgement after which an upstream counts as
         dead.
     :param source_ip: Local IP address of new connections; empty lets the system choose.
+    :param read_buffer_bytes: Amount of unread data above which a connection is not read.
     """
 
     def __init__(
@@ -53,7 +55,9 @@
         idle_ms: int = IDLE_TIMEOUT_MS,
         dead_peer_timeout_s: int = DEAD_PEER_TIMEOUT_S,
         source_ip: str = "",
+        read_buffer_bytes: int = READ_BUFFER_BYTES,
     ) -> None:
+        self._read_buffer_bytes = read_buffer_bytes
         self._source_ip = source_ip
         self._clock = clock
         self._dead_peer_timeout_s = dead_peer_timeout_s
@@ -82,6 +86,7 @@
             now=self._clock.now(),
             dead_peer_timeout_s=self._dead_peer_timeout_s,
             source_ip=self._source_ip,
+            read_buffer_bytes=self._read_buffer_bytes,
         )
 
     def release(self, *, address: str, connection: HttpConnection, response: ResponseHead) -> None:
