Don't count the time that a caller takes for an event as a gap of its engine

Cause: the gap between two events was measured after the write, so that an engine whose callers read slowly was recorded as failing. Change: the health of an engine sees the time from the end of a write to the next event; the metric of gaps is as before.

--- a/src/tanagerscale/forwarding/_relay.py
+++ b/src/tanagerscale/forwarding/_relay.py
@@ -74,8 +74,9 @@
                         continue
                     if event.number != self.last_event + 1:
                         return f"event {event.number} came after {self.last_event}"
+                    read_at = self._context.clock.now()
                     await self._responder.write(event.content)
-                    self._record_event(segment, event.number)
+                    self._record_event(segment, event.number, read_at)
         except (ExchangeError, EventError) as error:
             return str(error)
         return None if reader.is_empty else "the answer ended within an event"
@@ -107,14 +108,16 @@
                 if has_copy():
                     raise ExchangeError(ExchangeFailure.LOST, "The engine went silent") from None
 
-    def _record_event(self, segment: StreamSegment, number: int) -> None:
+    def _record_event(self, segment: StreamSegment, number: int, read_at: Millis) -> None:
         self.last_event = number
         now = self._context.clock.now()
         if self._last_event_at is None:
             self._first_event_ms = now - self._routed.request.arrived
             self._context.metrics.first_event_ms.observe(self._first_event_ms)
         else:
-            self._record_gap(segment, now - self._last_event_at)
+            self._longest_gap_ms = max(self._longest_gap_ms, now - self._last_event_at)
+            # A caller that reads slowly delays the write, which is no fault of the engine.
+            self._check_gap(segment, read_at - self._last_event_at)
         self._last_event_at = now
         if segment.first_event is None:
             segment.first_event = now
@@ -129,8 +132,7 @@
             record_sound_parts(self._routed, self._context)
         self._on_event(segment)
 
-    def _record_gap(self, segment: StreamSegment, gap_ms: int) -> None:
-        self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
+    def _check_gap(self, segment: StreamSegment, gap_ms: int) -> None:
         allowed_ms = self._routed.route.gap_ms
         if segment.first_event is not None and gap_ms > allowed_ms > 0 and not segment.is_slow:
             segment.is_slow = True
