Refuse requests and bound buffers by the limits of a host

Cause: bodies, whole responses and buffers of slow callers are not bounded together, and a full host stays ready. Change: each request holds a lease of the host's budget: its body before it is read, whole responses as they arrive, a fixed amount otherwise. A body waits 100 ms for space and is refused before anything is sent to an upstream. A stream's buffer is as large as the budget allows, and its upstream is read on when 1 KiB is free. Connections beyond the descriptors are closed after their answer. Readiness follows the budgets. Hosts without the settings are served as before.

--- a/src/tanagerscale/forwarding/__init__.py
+++ b/src/tanagerscale/forwarding/__init__.py
@@ -14,6 +14,7 @@
 from tanagerscale.forwarding._mover import StreamMover
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._parts import RetryPermits
+from tanagerscale.forwarding._refusals import host_full
 from tanagerscale.forwarding._shutdown import ShutdownSchedule
 from tanagerscale.forwarding._types import CallerRequest
 from tanagerscale.forwarding._types import Continuation
@@ -64,4 +65,5 @@
     "UpstreamClient",
     "UpstreamRequest",
     "UpstreamResponse",
+    "host_full",
 ]
--- a/src/tanagerscale/forwarding/_refusals.py
+++ b/src/tanagerscale/forwarding/_refusals.py
@@ -21,6 +21,10 @@
 STOPPING_RETRY_MS: Final = 50
 """Another host can serve the request at once; the delay only prevents a burst of retries."""
 
+HOST_FULL_RETRY_MS: Final = 200
+"""Another host can serve the request at once; this one has space again as answers end, several a
+second. A shorter delay lets the callers of one moment come back to the same full hosts."""
+
 QUARANTINE_RETRY_MS: Final = 60_000
 """A request that has crashed three upstreams does so each time; the caller must change it."""
 
@@ -55,6 +59,15 @@
     )
 
 
+def host_full(*, budget: str, rng: Random) -> Refusal:
+    """Return the refusal of a host without space for a request, which has not run."""
+    return Refusal(
+        kind=RefusalKind.OVERLOADED,
+        detail=f"This host has used up its {budget}; go to another host.",
+        retry_after_ms=_with_jitter(HOST_FULL_RETRY_MS, rng),
+    )
+
+
 def no_upstream(*, service: str, rng: Random) -> Refusal:
     """Return the refusal of a request that no upstream accepts now; it has not run."""
     return Refusal(
--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -21,6 +21,9 @@
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.gateway._connections import ConnectionUse
+from tanagerscale.gateway._host_limits import HostLimits
+from tanagerscale.gateway._host_limits import RequestLease
+from tanagerscale.gateway._host_limits import current_lease
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
@@ -52,6 +55,7 @@
     :param rules: Limits that apply to callers.
     :param stopping_since: Returns when the shutdown began, after which every connection is closed
         after its response; ``None`` before it.
+    :param limits: Limits of the host; ``None`` for none.
     :param clock: Clock that timestamps the arrival of requests.
     """
 
@@ -62,29 +66,45 @@
         codec: CallerCodec,
         rules: CallerRules,
         stopping_since: Callable[[], Millis | None],
+        limits: HostLimits | None,
         clock: Clock,
     ) -> None:
         self._serve = serve
         self._codec = codec
         self._rules = rules
         self._stopping_since = stopping_since
+        self._limits = limits
         self._clock = clock
 
     async def handle(
         self, request: web.BaseRequest, connection: ConnectionUse
     ) -> web.StreamResponse:
         """Handle one request on a connection."""
+        if self._limits is None or not self._limits.is_limited:
+            return await self._handle(request, connection, None)
+        lease = RequestLease(limits=self._limits)
+        token = current_lease.set(lease)
+        try:
+            return await self._handle(request, connection, lease)
+        finally:
+            lease.release()
+            current_lease.reset(token)
+
+    async def _handle(
+        self, request: web.BaseRequest, connection: ConnectionUse, lease: RequestLease | None
+    ) -> web.StreamResponse:
         stopping_since = self._stopping_since()
         responder = AiohttpResponder(
             request=request,
             echoed_headers=self._codec.echoed_headers(request),
             idle_timeout_ms=lambda: self._idle_timeout_ms(connection),
+            lease=lease,
         )
         arrived = self._clock.now()
-        body = await self._read_body(request)
-        if body is None:
+        body = await self._read_body(request, lease)
+        if isinstance(body, Refusal):
             responder.close_after_response()
-            await responder.refuse(refusal=_TOO_LARGE)
+            await responder.refuse(refusal=body)
             return responder.response
         decoded = self._codec.decode(request, body, arrived)
         if isinstance(decoded, Failure):
@@ -100,6 +120,8 @@
         """Return how long a connection may stay idle; ``None`` closes it after its response."""
         if connection.must_close or self._stopping_since() is not None:
             return None
+        if self._limits is not None and self._limits.must_close_connections:
+            return None
         return self._rules.idle_timeout_ms()
 
     def _log_during_shutdown(
@@ -114,13 +136,23 @@
             connection_age_ms=self._clock.now() - connection.opened,
         )
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
-        """Return the whole body, or ``None`` if it exceeds the size limit."""
+    async def _read_body(
+        self, request: web.BaseRequest, lease: RequestLease | None
+    ) -> bytes | Refusal:
+        """Return the whole body, or a refusal if it is too large or the host has no space."""
+        refusal = lease.open_request() if lease is not None else None
+        if refusal is not None:
+            return refusal
         if not request.can_read_body:
             return b""
         limit = self._rules.body_bytes()
-        if (request.content_length or 0) > limit:
-            return None
+        announced = request.content_length or 0
+        if announced > limit:
+            return _TOO_LARGE
+        if lease is not None and announced:
+            refusal = await lease.reserve_body(announced)
+            if refusal is not None:
+                return refusal
         if "Expect" in request.headers and request.transport is not None:
             request.transport.write(_CONTINUE)
         chunks: list[bytes] = []
@@ -129,7 +161,11 @@
             chunks.append(chunk)
             size += len(chunk)
             if size > limit:
-                return None
+                return _TOO_LARGE
+            if lease is not None and size > announced:
+                refusal = await lease.reserve_body(len(chunk))
+                if refusal is not None:
+                    return refusal
         return b"".join(chunks)
 
 
@@ -142,6 +178,7 @@
     :param idle_timeout_ms: Returns how long the connection may stay idle after the response;
         ``None`` closes it. Called when the response begins, as a shutdown may begin while the
         request is being handled.
+    :param lease: What the request holds of the host's budgets; ``None`` on a host without limits.
     """
 
     def __init__(
@@ -150,10 +187,12 @@
         request: web.BaseRequest,
         echoed_headers: Sequence[Header],
         idle_timeout_ms: Callable[[], int | None],
+        lease: RequestLease | None = None,
     ) -> None:
         self._request = request
         self._echoed = echoed_headers
         self._idle_timeout_ms = idle_timeout_ms
+        self._lease = lease
         self._must_close = False
         self._response: web.StreamResponse | None = None
 
@@ -172,11 +211,17 @@
         """Send the head of a response whose body is streamed."""
         response = web.StreamResponse(status=status, reason=reason, headers=CIMultiDict(headers))
         self._prepare(response)
+        if self._lease is not None:
+            self._lease.begin_stream()
         await response.prepare(self._request)
 
     async def write(self, chunk: bytes) -> None:
         """Send a chunk of the body, waiting while the caller reads slowly."""
+        self._record_write(len(chunk))
         await self.response.write(chunk)
+        # aiohttp itself waits only once for each 64 KB that it has written.
+        if self._lease is not None and self._request.protocol.writing_paused:
+            await self._lease.wait_for_caller(self._request.writer.drain())
 
     async def end(self) -> None:
         """Mark the end of a complete response."""
@@ -190,6 +235,7 @@
             status=status, reason=reason, headers=CIMultiDict(headers), body=body
         )
         self._prepare(response)
+        self._record_write(len(body))
         await response.prepare(self._request)
         await response.write_eof()
 
@@ -218,6 +264,11 @@
         if transport is not None:
             transport.abort()
 
+    def _record_write(self, size: int) -> None:
+        transport = self._request.transport
+        if self._lease is not None and transport is not None:
+            self._lease.record_write(transport, size)
+
     def _prepare(self, response: web.StreamResponse) -> None:
         self._response = response
         idle_timeout_ms = None if self._must_close else self._idle_timeout_ms()
--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -13,6 +13,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.gateway._caller_handler import CallerRequestHandler
 from tanagerscale.gateway._connections import CallerProtocol
+from tanagerscale.gateway._host_limits import HostLimits
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
@@ -31,10 +32,17 @@
     :param codec: Decodes requests.
     :param rules: Limits that apply to callers.
     :param clock: Clock that measures idle times.
+    :param limits: Limits of the host; ``None`` for none.
     """
 
     def __init__(
-        self, *, serve: RequestHandler, codec: CallerCodec, rules: CallerRules, clock: Clock
+        self,
+        *,
+        serve: RequestHandler,
+        codec: CallerCodec,
+        rules: CallerRules,
+        clock: Clock,
+        limits: HostLimits | None = None,
     ) -> None:
         self._rules = rules
         self._clock = clock
@@ -44,9 +52,11 @@
             codec=codec,
             rules=rules,
             stopping_since=lambda: self._stopping_since,
+            limits=limits,
             clock=clock,
         )
         self._handle = edge.handle
+        self._limits = limits
 
     async def start(self, *, address: str) -> None:
         """Start to accept connections.
@@ -54,6 +64,8 @@
         :param address: IP address and port to listen on.
         """
         self._server = web.Server(self._track, handler_cancellation=True)
+        if self._limits is not None:
+            self._limits.observe_callers(self._get_transports)
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
@@ -88,6 +100,10 @@
         connections = self._server.connections
         return [protocol for protocol in connections if isinstance(protocol, CallerProtocol)]
 
+    def _get_transports(self) -> list[asyncio.Transport]:
+        transports = (protocol.transport for protocol in self._server.connections)
+        return [transport for transport in transports if transport is not None]
+
     def begin_shutdown(self) -> None:
         """Close every connection after its response from now on."""
         self._stopping_since = self._clock.now()
--- /dev/null
+++ b/src/tanagerscale/gateway/_counted_response.py
@@ -0,0 +1,77 @@
+"""A response of an upstream whose whole body is counted against the limits of the host."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import final
+
+from tanagerscale.forwarding import Header
+from tanagerscale.forwarding import UpstreamResponse
+from tanagerscale.gateway._host_limits import RequestLease
+
+
+@final
+class CountedResponse:
+    """Passes a response on, and counts a body that is read whole until the request ends.
+
+    :param response: The response.
+    :param lease: Lease of the request.
+    """
+
+    def __init__(self, *, response: UpstreamResponse, lease: RequestLease) -> None:
+        self._response = response
+        self._lease = lease
+
+    @property
+    def status(self) -> int:
+        """HTTP status code."""
+        return self._response.status
+
+    @property
+    def reason(self) -> str:
+        """HTTP reason phrase."""
+        return self._response.reason
+
+    @property
+    def headers(self) -> Sequence[Header]:
+        """Header fields for the caller."""
+        return self._response.headers
+
+    @property
+    def not_executed(self) -> bool:
+        """Whether the upstream reports that it did not execute the request."""
+        return self._response.not_executed
+
+    @property
+    def is_address_reassigned(self) -> bool:
+        """Whether the address now belongs to another upstream."""
+        return self._response.is_address_reassigned
+
+    @property
+    def named_rates(self) -> Sequence[float | None]:
+        """Rates to which the upstream limits all hosts together, in requests a second."""
+        return self._response.named_rates
+
+    @property
+    def closes_connection(self) -> bool:
+        """Whether the upstream closes the connection after the response."""
+        return self._response.closes_connection
+
+    async def read_some(self) -> bytes:
+        """Return the next bytes of a stream, which the buffer of its caller counts."""
+        return await self._response.read_some()
+
+    async def read_all(self) -> bytes:
+        """Return the complete body, counting each part as it arrives.
+
+        A body is read on if it exceeds the budget, as the upstream has done its work.
+        """
+        chunks = []
+        while chunk := await self._response.read_some():
+            chunks.append(chunk)
+            self._lease.add(len(chunk))
+        return b"".join(chunks)
+
+    def close(self) -> None:
+        """Discard the response and close its connection, so that the upstream stops."""
+        self._response.close()
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -32,6 +32,7 @@
 from tanagerscale.gateway._delegate_server import DelegateServer
 from tanagerscale.gateway._forwarding import make_forwarding_context
 from tanagerscale.gateway._graceful_shutdown import drain_requests
+from tanagerscale.gateway._host_limits import make_host_limits
 from tanagerscale.gateway._metrics import serve_metrics
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import Platform
@@ -79,11 +80,18 @@
             clock=clock,
             rng=self._rng,
         )
+        self._host_limits = make_host_limits(
+            settings=settings.host,
+            clock=clock,
+            rng=self._rng,
+            registry=self._registry,
+            count_peers=lambda: len(self._control.mesh.live.value),
+        )
         self._delegate_client = HttpDelegateClient(clock=clock)
         self._dispatcher = self._make_dispatcher()
         self._delegate_server = DelegateServer(
             serve=partial(self._dispatcher.serve, is_delegated=True),
-            can_help=lambda: self._control.reach.can_help,
+            can_help=lambda: self._control.reach.can_help and self._host_limits.is_ready,
             clock=clock,
         )
 
@@ -106,6 +114,7 @@
             codec=self._platform.callers,
             rules=rules,
             clock=self._clock,
+            limits=self._host_limits,
         )
         await self._server.start(address=settings.host.callers)
         if settings.host.delegates:
@@ -116,6 +125,7 @@
             lambda replaced: self._platform.upstreams.forget(upstream=replaced)
         )
         self._spawn(self._close_idle_connections())
+        self._spawn(self._host_limits.run())
         _log.info(
             "The host starts.",
             incarnation=self._control.incarnation,
@@ -193,6 +203,7 @@
             and self._control.configuration.table is not None
             and self._control.roster.has_read
             and self._control.evacuations.has_read
+            and self._host_limits.is_ready
         )
 
     @property
--- /dev/null
+++ b/src/tanagerscale/gateway/_host_limit_metrics.py
@@ -0,0 +1,63 @@
+"""Metrics of the limits of one host."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+from typing import final
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+
+from tanagerscale.policy import HostBudget
+from tanagerscale.policy import HostUse
+
+
+@final
+class HostLimitMetrics:
+    """Use of the budgets against their limits, with refusals and pauses.
+
+    :param registry: Registry that exports the metrics.
+    :param budget: The budgets.
+    :param get_use: Returns what the host uses.
+    """
+
+    def __init__(
+        self, *, registry: CollectorRegistry, budget: HostBudget, get_use: Callable[[], HostUse]
+    ) -> None:
+        self.refusals: Final = Counter(
+            "tanagerscale_host_limit_refusals",
+            "Requests refused because a budget of the host was used up.",
+            ["budget"],
+            registry=registry,
+        )
+        self.pauses: Final = Counter(
+            "tanagerscale_host_limit_pauses",
+            "Waits of bodies for space, and of streams for callers that read slowly.",
+            ["kind"],
+            registry=registry,
+        )
+        used = Gauge(
+            "tanagerscale_host_used",
+            "Bytes and descriptors that the host uses, and the wait for its link in milliseconds.",
+            ["budget"],
+            registry=registry,
+        )
+        limit = Gauge(
+            "tanagerscale_host_limit",
+            "Limits for bytes and descriptors, and the link's speed in Mbit/s; 0 if unknown.",
+            ["budget"],
+            registry=registry,
+        )
+
+        def get_bytes() -> int:
+            use = get_use()
+            return use.held_bytes + use.outgoing_bytes
+
+        used.labels("bytes").set_function(get_bytes)
+        used.labels("descriptors").set_function(lambda: get_use().descriptors)
+        used.labels("link").set_function(lambda: budget.get_link_wait_ms(get_use()))
+        limit.labels("bytes").set(budget.byte_limit or 0)
+        limit.labels("descriptors").set(budget.descriptor_limit or 0)
+        limit.labels("link").set(budget.link_mbps or 0)
--- /dev/null
+++ b/src/tanagerscale/gateway/_host_limits.py
@@ -0,0 +1,364 @@
+"""Limits of one host: what its requests hold, and whether it takes one more."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from contextvars import ContextVar
+from random import Random
+from typing import Final
+from typing import Protocol
+from typing import final
+
+from msgspec import Struct
+from prometheus_client import CollectorRegistry
+
+from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import Clock
+from tanagerscale.core import get_logger
+from tanagerscale.forwarding import Refusal
+from tanagerscale.forwarding import host_full
+from tanagerscale.gateway._host_limit_metrics import HostLimitMetrics
+from tanagerscale.generated.gateway import GatewayHost as HostSection
+from tanagerscale.policy import UNREAD_STREAM_BYTES
+from tanagerscale.policy import HostBudget
+from tanagerscale.policy import HostUse
+from tanagerscale.policy import make_host_budget
+from tanagerscale.upstreams import count_open_connections
+
+CONNECTION_BYTES: Final = 8 * 1024
+"""Memory of a connection; 6 KB were measured for an idle one of a caller."""
+
+REQUEST_BYTES: Final = 24 * 1024
+"""Memory of a request apart from its bodies; 8 KB were measured for its parsed head alone."""
+
+BODY_COPIES: Final = 2
+"""A body is held until its request ends, and a copy of it waits to be sent to a slow upstream."""
+
+SPACE_WAIT_MS: Final = 100
+"""Longest wait of a body for space. A plain request must be answered in 130 ms, and its caller can
+go to another host."""
+
+RESUME_GAP_BYTES: Final = 1024
+"""Space in a full buffer at which the upstream is read on: one second of a caller that reads 1
+kB/s. Upstreams cut off responses that remain unread for some seconds."""
+
+MEASURE_INTERVAL_MS: Final = 100
+"""Interval at which outgoing bytes are summed, readiness is updated and waiting bodies are given
+the space that callers have freed by reading."""
+
+SENT_SMOOTHING: Final = 0.2
+"""Weight of the last interval in the mean of sent bytes, which spans about half a second."""
+
+_log = get_logger(part="host_limits")
+
+
+class OutgoingTransport(Protocol):
+    """A transport whose unsent bytes are limited."""
+
+    def get_write_buffer_size(self) -> int:
+        """Return the number of unsent bytes."""
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Set the sizes at which writing pauses and resumes."""
+
+
+class _SpaceWait(Struct, kw_only=True, eq=False):
+    """A body that waits for space.
+
+    :param lease: Lease of its request.
+    :param size: Bytes that it needs.
+    :param granted: Set once the bytes are reserved.
+    """
+
+    lease: RequestLease
+    size: int
+    granted: asyncio.Event
+
+
+@final
+class RequestLease:
+    """What one request holds of its host's budgets; released when the request ends.
+
+    :param limits: Limits of the host.
+    """
+
+    def __init__(self, *, limits: HostLimits) -> None:
+        self._limits = limits
+        self._held = 0
+        self._written = 0
+        self._is_stream = False
+
+    def add(self, size: int) -> None:
+        """Count bytes that are held, whether there is space for them or not."""
+        self._held += size
+        self._limits.held_bytes += size
+
+    def open_request(self) -> Refusal | None:
+        """Count the request, or return its refusal if a budget of the host is used up."""
+        return self._limits.open_request(self)
+
+    async def reserve_body(self, size: int) -> Refusal | None:
+        """Reserve space for a body or a part of it, or return a refusal if there is none in time.
+
+        :param size: Size of the body or part in bytes.
+        """
+        return await self._limits.reserve_body(self, size, wait_ms=SPACE_WAIT_MS)
+
+    def begin_stream(self) -> None:
+        """Record that the response is a stream."""
+        self._is_stream = True
+        self._limits.streams += 1
+
+    def record_write(self, transport: OutgoingTransport, size: int) -> None:
+        """Record that bytes are written to the caller, and limit how many may wait to be sent."""
+        self._limits.written_bytes += size
+        self._written += size
+        if not self._is_stream:
+            return
+        sent = max(0, self._written - transport.get_write_buffer_size())
+        high = self._limits.get_stream_buffer(sent_bytes=sent)
+        if high is not None:
+            transport.set_write_buffer_limits(high=high, low=max(0, high - RESUME_GAP_BYTES))
+
+    async def wait_for_caller(self, wait: Awaitable[None]) -> None:
+        """Wait while the buffer of the caller is full, counting what is unread meanwhile.
+
+        :param wait: Ends when the buffer has space.
+        """
+        self._limits.metrics.pauses.labels("stream").inc()
+        self._limits.paused_streams += 1
+        try:
+            await wait
+        finally:
+            self._limits.paused_streams -= 1
+
+    def release(self) -> None:
+        """Give back everything that the request holds."""
+        self.add(-self._held)
+        if self._is_stream:
+            self._is_stream = False
+            self._limits.streams -= 1
+        self._limits.grant_space()
+
+
+current_lease: ContextVar[RequestLease | None] = ContextVar("current_lease", default=None)
+"""The lease of the request that is being handled, which tasks that serve the request inherit."""
+
+
+@final
+class HostLimits:
+    """Counts what requests hold, and decides whether the host takes one more.
+
+    :param budget: The budgets.
+    :param clock: Source of the current time.
+    :param rng: Random number generator for the jitter of retry delays.
+    :param registry: Registry that exports the metrics.
+    :param count_other_connections: Returns the number of connections to upstreams and peers.
+    """
+
+    def __init__(
+        self,
+        *,
+        budget: HostBudget,
+        clock: Clock,
+        rng: Random,
+        registry: CollectorRegistry,
+        count_other_connections: Callable[[], int] = lambda: 0,
+    ) -> None:
+        self._budget = budget
+        self._clock = clock
+        self._rng = rng
+        self._count_other_connections = count_other_connections
+        self._get_transports: Callable[[], Iterable[OutgoingTransport]] = tuple
+        self._waits: list[_SpaceWait] = []
+        self._was_ready = True
+        self._connection_bytes = 0
+        self._sent_per_ms = 0.0
+        self._total_sent = 0
+        self.held_bytes = 0
+        """Bytes that leases hold."""
+        self.streams = 0
+        """Number of streams to callers."""
+        self.paused_streams = 0
+        """Number of streams whose callers' buffers are full."""
+        self.written_bytes = 0
+        """Bytes that have been written to callers since the start."""
+        self.metrics: Final = HostLimitMetrics(
+            registry=registry, budget=budget, get_use=self.measure
+        )
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether any limit is known."""
+        return self._budget.is_limited
+
+    def observe_callers(self, get_transports: Callable[[], Iterable[OutgoingTransport]]) -> None:
+        """Set how to get the transports of all connections of callers."""
+        self._get_transports = get_transports
+
+    def measure(self) -> HostUse:
+        """Return what the host uses now."""
+        outgoing = callers = 0
+        for transport in self._get_transports():
+            callers += 1
+            outgoing += transport.get_write_buffer_size()
+        connections = callers + self._count_other_connections()
+        self._connection_bytes = connections * CONNECTION_BYTES
+        unread = self.paused_streams * UNREAD_STREAM_BYTES
+        return HostUse(
+            held_bytes=self.held_bytes + self._connection_bytes + unread,
+            outgoing_bytes=outgoing,
+            descriptors=connections,
+            sent_per_ms=self._sent_per_ms,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the budgets allow the host to accept new connections."""
+        if not self.is_limited:
+            return True
+        use = self.measure()
+        is_ready = self._budget.update_readiness(use)
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            self._log_readiness(use, is_ready)
+        return is_ready
+
+    @property
+    def must_close_connections(self) -> bool:
+        """Whether connections are closed after their responses, as there are too many."""
+        return self.is_limited and not self._budget.has_descriptors(self.measure())
+
+    def get_stream_buffer(self, *, sent_bytes: int) -> int | None:
+        """Return how many bytes of a stream may wait for its caller; ``None`` for no limit."""
+        # Outgoing bytes are not needed, and summing them for each event would cost too much.
+        use = HostUse(held_bytes=self.held_bytes + self._connection_bytes)
+        return self._budget.get_stream_buffer(use, streams=self.streams, sent_bytes=sent_bytes)
+
+    def open_request(self, lease: RequestLease) -> Refusal | None:
+        """Count a new request, or return its refusal if a budget is used up."""
+        if self.is_limited:
+            use = self.measure()
+            if not self._budget.has_descriptors(use):
+                return self._refuse("descriptors", use, size=1)
+            if not self._budget.has_bytes(use, REQUEST_BYTES):
+                return self._refuse("bytes", use, size=REQUEST_BYTES)
+        lease.add(REQUEST_BYTES)
+        return None
+
+    async def reserve_body(self, lease: RequestLease, size: int, *, wait_ms: int) -> Refusal | None:
+        """Reserve space for a body or a part of it, waiting for it if there is none.
+
+        :param lease: Lease of the request.
+        :param size: Size of the body or part in bytes.
+        :param wait_ms: Longest wait in milliseconds.
+        :returns: The refusal if there is no space in time.
+        """
+        needed = size * BODY_COPIES
+        if not self.is_limited or self._budget.has_bytes(self.measure(), needed):
+            lease.add(needed)
+            return None
+        self.metrics.pauses.labels("body").inc()
+        wait = _SpaceWait(lease=lease, size=needed, granted=asyncio.Event())
+        self._waits.append(wait)
+        try:
+            async with asyncio.timeout(wait_ms / MS_PER_SECOND):
+                await wait.granted.wait()
+        except TimeoutError:
+            if not wait.granted.is_set():
+                return self._refuse("bytes", self.measure(), size=needed)
+        finally:
+            if not wait.granted.is_set():
+                self._waits.remove(wait)
+        return None
+
+    def grant_space(self) -> None:
+        """Reserve space for waiting bodies, in order of arrival, as far as they fit."""
+        if not self._waits:
+            return
+        use = self.measure()
+        for wait in list(self._waits):
+            if self._budget.has_bytes(use, wait.size):
+                self._waits.remove(wait)
+                wait.lease.add(wait.size)
+                wait.granted.set()
+                use = self.measure()
+
+    async def run(self) -> None:
+        """Update readiness, the speed of sending and waiting bodies until cancelled."""
+        while self.is_limited:
+            await self._clock.sleep(MEASURE_INTERVAL_MS)
+            self.update()
+
+    def update(self) -> None:
+        """Update readiness, the speed of sending and waiting bodies after an interval."""
+        total_sent = self.written_bytes - self.measure().outgoing_bytes
+        rate = (total_sent - self._total_sent) / MEASURE_INTERVAL_MS
+        self._total_sent = total_sent
+        self._sent_per_ms += (rate - self._sent_per_ms) * SENT_SMOOTHING
+        _ = self.is_ready
+        self.grant_space()
+
+    def _refuse(self, budget: str, use: HostUse, *, size: int) -> Refusal:
+        self.metrics.refusals.labels(budget).inc()
+        _log.info(
+            "A request is refused since the host is full.",
+            budget=budget,
+            needed=size,
+            **self._describe(use),
+        )
+        return host_full(budget=budget, rng=self._rng)
+
+    def _log_readiness(self, use: HostUse, is_ready: bool) -> None:
+        _log.info(
+            "The host has space again." if is_ready else "The host is almost full.",
+            link_wait_ms=round(self._budget.get_link_wait_ms(use)),
+            **self._describe(use),
+        )
+
+    def _describe(self, use: HostUse) -> dict[str, object]:
+        return {
+            "held_bytes": use.held_bytes,
+            "outgoing_bytes": use.outgoing_bytes,
+            "byte_limit": self._budget.byte_limit,
+            "descriptors": use.descriptors,
+            "descriptor_limit": self._budget.descriptor_limit,
+        }
+
+
+def make_host_limits(
+    *,
+    settings: HostSection,
+    clock: Clock,
+    rng: Random,
+    registry: CollectorRegistry,
+    count_peers: Callable[[], int],
+) -> HostLimits:
+    """Return the limits of a host, logging the settings that are too small to be true.
+
+    :param settings: Settings of the host.
+    :param clock: Source of the current time.
+    :param rng: Random number generator for the jitter of retry delays.
+    :param registry: Registry that exports the metrics.
+    :param count_peers: Returns the number of connected peers.
+    """
+    budget, invalid = make_host_budget(
+        memory_mb=settings.memory_mb,
+        file_descriptors=settings.file_descriptors,
+        link_mbps=settings.link_mbps,
+    )
+    if invalid:
+        _log.warning(
+            "Settings are too small for the process itself; they set no limit.",
+            settings={name: getattr(settings, name) for name in invalid},
+        )
+    return HostLimits(
+        budget=budget,
+        clock=clock,
+        rng=rng,
+        registry=registry,
+        count_other_connections=lambda: count_open_connections() + count_peers(),
+    )
--- a/src/tanagerscale/gateway/_observed_upstreams.py
+++ b/src/tanagerscale/gateway/_observed_upstreams.py
@@ -12,6 +12,8 @@
 from tanagerscale.forwarding import RunCopy
 from tanagerscale.forwarding import UpstreamRequest
 from tanagerscale.forwarding import UpstreamResponse
+from tanagerscale.gateway._counted_response import CountedResponse
+from tanagerscale.gateway._host_limits import current_lease
 from tanagerscale.gateway._platform import PlatformUpstreamClient
 from tanagerscale.upstreams import EngineReport
 from tanagerscale.upstreams import ExchangeError
@@ -48,7 +50,8 @@
         finally:
             self._paths.end_request(number)
         self._paths.record_reached()
-        return response
+        lease = current_lease.get()
+        return response if lease is None else CountedResponse(response=response, lease=lease)
 
     async def copy(
         self, *, source: UpstreamEntry, request: RequestId, target: UpstreamEntry, stop: bool
