Measure the use of a host only if a request seems not to fit

Cause: summing the unsent bytes of all connections several times for each request costs 2 ms with 5,000 of them. Change: requests are checked against the last sum and what has been written since, and against a new sum only if they don't fit; connections are counted. Measured with connections in memory: 0.09 ms for a sum and 0.007 ms without one at 300, 1.6 ms and 0.17 ms at 5,000. The tests of the limits and of the callers' connections pass.

--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -65,7 +65,9 @@
         """
         self._server = web.Server(self._track, handler_cancellation=True)
         if self._limits is not None:
-            self._limits.observe_callers(self._get_transports)
+            self._limits.observe_callers(
+                get_transports=self._get_transports, count=lambda: len(self._server.connections)
+            )
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
--- a/src/tanagerscale/gateway/_host_limits.py
+++ b/src/tanagerscale/gateway/_host_limits.py
@@ -175,7 +175,10 @@
         self._get_transports: Callable[[], Iterable[OutgoingTransport]] = tuple
         self._waits: list[_SpaceWait] = []
         self._was_ready = True
+        self._count_callers: Callable[[], int] = int
         self._connection_bytes = 0
+        self._outgoing_bytes = 0
+        self._written_at_measure = 0
         self._sent_per_ms = 0.0
         self._total_sent = 0
         self.held_bytes = 0
@@ -195,26 +198,41 @@
         """Whether any limit is known."""
         return self._budget.is_limited
 
-    def observe_callers(self, get_transports: Callable[[], Iterable[OutgoingTransport]]) -> None:
-        """Set how to get the transports of all connections of callers."""
+    def observe_callers(
+        self,
+        *,
+        get_transports: Callable[[], Iterable[OutgoingTransport]],
+        count: Callable[[], int],
+    ) -> None:
+        """Set how to get the transports of all connections of callers, and how to count them."""
         self._get_transports = get_transports
+        self._count_callers = count
 
     def measure(self) -> HostUse:
-        """Return what the host uses now."""
-        outgoing = callers = 0
-        for transport in self._get_transports():
-            callers += 1
-            outgoing += transport.get_write_buffer_size()
-        connections = callers + self._count_other_connections()
+        """Return what the host uses now; takes 0.1 ms for 300 connections."""
+        transports = self._get_transports()
+        self._outgoing_bytes = sum(one.get_write_buffer_size() for one in transports)
+        self._written_at_measure = self.written_bytes
+        return self._estimate()
+
+    def _estimate(self) -> HostUse:
+        """Return what the host uses at most, as if nothing was sent since the last measurement."""
+        connections = self._count_callers() + self._count_other_connections()
         self._connection_bytes = connections * CONNECTION_BYTES
         unread = self.paused_streams * UNREAD_STREAM_BYTES
         return HostUse(
             held_bytes=self.held_bytes + self._connection_bytes + unread,
-            outgoing_bytes=outgoing,
+            outgoing_bytes=self._outgoing_bytes + self.written_bytes - self._written_at_measure,
             descriptors=connections,
             sent_per_ms=self._sent_per_ms,
         )
 
+    def _has_bytes(self, size: int) -> bool:
+        """Return whether there is space for more bytes, measuring only if it seems not so."""
+        return any(
+            self._budget.has_bytes(get_use(), size) for get_use in (self._estimate, self.measure)
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether the budgets allow the host to accept new connections."""
@@ -230,7 +248,7 @@
     @property
     def must_close_connections(self) -> bool:
         """Whether connections are closed after their responses, as there are too many."""
-        return self.is_limited and not self._budget.has_descriptors(self.measure())
+        return self.is_limited and not self._budget.has_descriptors(self._estimate())
 
     def get_stream_buffer(self, *, sent_bytes: int) -> int | None:
         """Return how many bytes of a stream may wait for its caller; ``None`` for no limit."""
@@ -241,11 +259,10 @@
     def open_request(self, lease: RequestLease) -> Refusal | None:
         """Count a new request, or return its refusal if a budget is used up."""
         if self.is_limited:
-            use = self.measure()
-            if not self._budget.has_descriptors(use):
-                return self._refuse("descriptors", use, size=1)
-            if not self._budget.has_bytes(use, REQUEST_BYTES):
-                return self._refuse("bytes", use, size=REQUEST_BYTES)
+            if not self._budget.has_descriptors(self._estimate()):
+                return self._refuse("descriptors", self.measure(), size=1)
+            if not self._has_bytes(REQUEST_BYTES):
+                return self._refuse("bytes", self.measure(), size=REQUEST_BYTES)
         lease.add(REQUEST_BYTES)
         return None
 
@@ -258,7 +275,7 @@
         :returns: The refusal if there is no space in time.
         """
         needed = size * BODY_COPIES
-        if not self.is_limited or self._budget.has_bytes(self.measure(), needed):
+        if not self.is_limited or self._has_bytes(needed):
             lease.add(needed)
             return None
         self.metrics.pauses.labels("body").inc()
--- a/testing/_limited_host.py
+++ b/testing/_limited_host.py
@@ -144,7 +144,10 @@
             serve=serve, codec=Codec(), rules=rules, clock=self.clock, limits=self.limits
         )
         self.server._server = web.Server(self.server._track, handler_cancellation=True)
-        self.limits.observe_callers(self.server._get_transports)
+        self.limits.observe_callers(
+            get_transports=self.server._get_transports,
+            count=lambda: len(self.server._server.connections),
+        )
 
     def accept(self, caller: MemoryCaller) -> MemoryCaller:
         """Accept the connection of a caller."""
