Test that sent bytes do not refuse a request

Cause: no test failed when a full estimate was not measured again. Change: one test; it fails with the measurement taken out, and passes with it.

--- a/testing/test_slow_callers_and_large_bodies.py
+++ b/testing/test_slow_callers_and_large_bodies.py
@@ -192,6 +192,18 @@
     run_virtually(_send_large_bodies(chunked=chunked))
 
 
+# Guards against bytes that count as waiting though their caller has read them.
+def test_request_is_accepted_when_what_was_written_has_been_sent() -> None:
+    async def scenario() -> None:
+        host = LimitedHost(serve=_respond, memory_mb=60)
+        lease = RequestLease(limits=host.limits)
+        caller = host.accept(MemoryCaller())
+        lease.record_write(caller, 3 * MB)
+        assert lease.open_request() is None
+
+    run_virtually(scenario())
+
+
 # Guards against a body that is refused though another request ends within the time to wait.
 def test_body_gets_the_space_of_a_request_that_ends() -> None:
     async def scenario() -> None:
