Keep limited hosts from flapping or staying not ready

Cause: the wait for the link followed the recent rate without hysteresis. Streams shared what is below 85%, though readiness returns below 70%, and the unread bytes of long streams were not deducted. Kept connections did not become fewer above 70% of the descriptors. Leases counted after their release, and stalled uploads held their announced size.

Change: the link is only a metric. Streams share 65% and always deduct unread bytes; the buffer is at least 64 KiB if the share allows it, and a usual answer is 176 KiB. Connections are closed while descriptors withdraw readiness, and those of delegating hosts count. A released lease counts nothing. Reservations for the missing part of a body end after 1 s.

At 100% of the descriptors, the answer closes its connection.

--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -80,6 +80,8 @@
     :param failure_domain: Failure domain of this host.
     :param clock: Clock used for deadlines and durations.
     :param rng: Random number generator used for jitter, tie breaking and weighted selection.
+    :param has_bounded_buffers: Whether buffers are so small that writing an event often waits for a
+        caller that reads slowly. That time is then no gap of the engine.
     """
 
     tables: RouteTableSource
@@ -101,3 +103,4 @@
     failure_domain: FailureDomainId
     clock: Clock
     rng: Random
+    has_bounded_buffers: bool = False
--- a/src/tanagerscale/forwarding/_relay.py
+++ b/src/tanagerscale/forwarding/_relay.py
@@ -117,7 +117,8 @@
         else:
             self._longest_gap_ms = max(self._longest_gap_ms, now - self._last_event_at)
             # A caller that reads slowly delays the write, which is no fault of the engine.
-            self._check_gap(segment, read_at - self._last_event_at)
+            arrived_at = read_at if self._context.has_bounded_buffers else now
+            self._check_gap(segment, arrived_at - self._last_event_at)
         self._last_event_at = now
         if segment.first_event is None:
             segment.first_event = now
--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Final
@@ -40,6 +41,10 @@
     RefusalKind.UPSTREAM_FAILED: 502,
     RefusalKind.TIMED_OUT: 504,
 }
+BODY_RESERVATION_S: Final = 1.0
+"""Time after which space that is reserved for the missing part of a body is given back, so that a
+stalled upload holds only what it has sent. What arrives later is reserved as it arrives. At 100
+Mbit/s a body of 4 MB takes 0.4 s."""
 _CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 _TOO_LARGE: Final = Refusal(kind=RefusalKind.TOO_LARGE, detail="Send a smaller body.")
 
@@ -157,16 +162,29 @@
             request.transport.write(_CONTINUE)
         chunks: list[bytes] = []
         size = 0
-        while chunk := await request.content.readany():
+        reserved = announced
+        reserved_until = asyncio.get_running_loop().time() + BODY_RESERVATION_S
+        while True:
+            try:
+                is_reserved = lease is not None and reserved > size
+                async with asyncio.timeout_at(reserved_until if is_reserved else None):
+                    chunk = await request.content.readany()
+            except TimeoutError:
+                assert lease is not None
+                lease.return_body(reserved - size)
+                reserved = size
+                continue
+            if not chunk:
+                return b"".join(chunks)
             chunks.append(chunk)
             size += len(chunk)
             if size > limit:
                 return _TOO_LARGE
-            if lease is not None and size > announced:
-                refusal = await lease.reserve_body(len(chunk))
+            if lease is not None and size > reserved:
+                refusal = await lease.reserve_body(size - reserved)
                 if refusal is not None:
                     return refusal
-        return b"".join(chunks)
+                reserved = size
 
 
 @final
--- a/src/tanagerscale/gateway/_delegate_server.py
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -64,15 +64,21 @@
         self._clock = clock
         self._running = 0
         self._seen: OrderedDict[RequestId, Millis] = OrderedDict()
+        self._server: web.Server | None = None
         self._runner: web.ServerRunner | None = None
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections that other hosts have opened to delegate requests."""
+        return 0 if self._server is None else len(self._server.connections)
+
     async def start(self, *, address: str) -> None:
         """Start to accept requests.
 
         :param address: IP address and port to listen on.
         """
-        server = web.Server(self._handle, handler_cancellation=True, access_log=None)
-        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+        self._server = web.Server(self._handle, handler_cancellation=True, access_log=None)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
         await web.TCPSite(self._runner, host, int(port)).start()
--- a/src/tanagerscale/gateway/_forwarding.py
+++ b/src/tanagerscale/gateway/_forwarding.py
@@ -25,6 +25,7 @@
     failure_domain: FailureDomainId,
     clock: Clock,
     rng: Random,
+    has_bounded_buffers: bool = False,
 ) -> ForwardingContext:
     """Return the dependencies of requests, built on the control plane of their host.
 
@@ -35,6 +36,7 @@
     :param failure_domain: Failure domain of the host.
     :param clock: Clock used for deadlines and durations.
     :param rng: Random number generator used for jitter and tie breaking.
+    :param has_bounded_buffers: Whether the buffers of streams to callers are bounded.
     """
     observed = ObservedUpstreams(client=upstreams, paths=control.paths)
     context = ForwardingContext(
@@ -57,6 +59,7 @@
         failure_domain=failure_domain,
         clock=clock,
         rng=rng,
+        has_bounded_buffers=has_bounded_buffers,
     )
     context.metrics.evacuated.set_function(lambda: len(control.evacuations.domains))
     context.metrics.is_cut_off.set_function(lambda: control.paths.is_cut_off)
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -85,7 +85,9 @@
             clock=clock,
             rng=self._rng,
             registry=self._registry,
-            count_peers=lambda: len(self._control.mesh.live.value),
+            count_peers=lambda: (
+                len(self._control.mesh.live.value) + self._delegate_server.connections
+            ),
         )
         self._delegate_client = HttpDelegateClient(clock=clock)
         self._dispatcher = self._make_dispatcher()
@@ -256,6 +258,7 @@
             failure_domain=FailureDomainId(self._settings.host.failure_domain),
             clock=self._clock,
             rng=self._rng,
+            has_bounded_buffers=self._host_limits.has_byte_limit,
         )
         self._stream_mover = StreamMover(
             context=context,
--- a/src/tanagerscale/gateway/_host_limit_metrics.py
+++ b/src/tanagerscale/gateway/_host_limit_metrics.py
@@ -40,7 +40,7 @@
         )
         used = Gauge(
             "tanagerscale_host_used",
-            "Bytes and descriptors that the host uses, and the wait for its link in milliseconds.",
+            "Bytes and descriptors in use; milliseconds that the link needs for waiting bytes.",
             ["budget"],
             registry=registry,
         )
--- a/src/tanagerscale/gateway/_host_limits.py
+++ b/src/tanagerscale/gateway/_host_limits.py
@@ -49,9 +49,6 @@
 """Interval at which outgoing bytes are summed, readiness is updated and waiting bodies are given
 the space that callers have freed by reading."""
 
-SENT_SMOOTHING: Final = 0.2
-"""Weight of the last interval in the mean of sent bytes, which spans about half a second."""
-
 _log = get_logger(part="host_limits")
 
 
@@ -90,9 +87,15 @@
         self._held = 0
         self._written = 0
         self._is_stream = False
+        self._is_released = False
 
     def add(self, size: int) -> None:
-        """Count bytes that are held, whether there is space for them or not."""
+        """Count bytes that are held, whether there is space for them or not.
+
+        Does nothing after the release, as tasks that outlive the request still have the lease.
+        """
+        if self._is_released:
+            return
         self._held += size
         self._limits.held_bytes += size
 
@@ -107,8 +110,18 @@
         """
         return await self._limits.reserve_body(self, size, wait_ms=SPACE_WAIT_MS)
 
+    def return_body(self, size: int) -> None:
+        """Give back space that is reserved for a part of a body that has not arrived.
+
+        :param size: Size of the part in bytes.
+        """
+        self.add(-size * BODY_COPIES)
+        self._limits.grant_space()
+
     def begin_stream(self) -> None:
         """Record that the response is a stream."""
+        if self._is_released or self._is_stream:
+            return
         self._is_stream = True
         self._limits.streams += 1
 
@@ -138,6 +151,7 @@
     def release(self) -> None:
         """Give back everything that the request holds."""
         self.add(-self._held)
+        self._is_released = True
         if self._is_stream:
             self._is_stream = False
             self._limits.streams -= 1
@@ -179,8 +193,6 @@
         self._connection_bytes = 0
         self._outgoing_bytes = 0
         self._written_at_measure = 0
-        self._sent_per_ms = 0.0
-        self._total_sent = 0
         self.held_bytes = 0
         """Bytes that leases hold."""
         self.streams = 0
@@ -193,6 +205,11 @@
             registry=registry, budget=budget, get_use=self.measure
         )
 
+    @property
+    def has_byte_limit(self) -> bool:
+        """Whether the buffers of streams are bounded."""
+        return self._budget.byte_limit is not None
+
     @property
     def is_limited(self) -> bool:
         """Whether any limit is known."""
@@ -224,7 +241,6 @@
             held_bytes=self.held_bytes + self._connection_bytes + unread,
             outgoing_bytes=self._outgoing_bytes + self.written_bytes - self._written_at_measure,
             descriptors=connections,
-            sent_per_ms=self._sent_per_ms,
         )
 
     def _has_bytes(self, size: int) -> bool:
@@ -248,7 +264,7 @@
     @property
     def must_close_connections(self) -> bool:
         """Whether connections are closed after their responses, as there are too many."""
-        return self.is_limited and not self._budget.has_descriptors(self._estimate())
+        return self.is_limited and self._budget.must_close_connections(self._estimate())
 
     def get_stream_buffer(self, *, sent_bytes: int) -> int | None:
         """Return how many bytes of a stream may wait for its caller; ``None`` for no limit."""
@@ -305,17 +321,13 @@
                 use = self.measure()
 
     async def run(self) -> None:
-        """Update readiness, the speed of sending and waiting bodies until cancelled."""
+        """Update readiness and waiting bodies until cancelled."""
         while self.is_limited:
             await self._clock.sleep(MEASURE_INTERVAL_MS)
             self.update()
 
     def update(self) -> None:
-        """Update readiness, the speed of sending and waiting bodies after an interval."""
-        total_sent = self.written_bytes - self.measure().outgoing_bytes
-        rate = (total_sent - self._total_sent) / MEASURE_INTERVAL_MS
-        self._total_sent = total_sent
-        self._sent_per_ms += (rate - self._sent_per_ms) * SENT_SMOOTHING
+        """Update readiness and waiting bodies after an interval."""
         _ = self.is_ready
         self.grant_space()
 
@@ -332,7 +344,6 @@
     def _log_readiness(self, use: HostUse, is_ready: bool) -> None:
         _log.info(
             "The host has space again." if is_ready else "The host is almost full.",
-            link_wait_ms=round(self._budget.get_link_wait_ms(use)),
             **self._describe(use),
         )
 
@@ -360,7 +371,7 @@
     :param clock: Source of the current time.
     :param rng: Random number generator for the jitter of retry delays.
     :param registry: Registry that exports the metrics.
-    :param count_peers: Returns the number of connected peers.
+    :param count_peers: Returns the number of connections of other hosts.
     """
     budget, invalid = make_host_budget(
         memory_mb=settings.memory_mb,
--- a/src/tanagerscale/platform/_factory.py
+++ b/src/tanagerscale/platform/_factory.py
@@ -17,7 +17,7 @@
 from tanagerscale.platform._registry import decode_entry
 from tanagerscale.platform._registry import parse_upstream_name
 from tanagerscale.platform._store import PlatformStore
-from tanagerscale.policy import READ_BUFFER_BYTES as LIMITED_READ_BUFFER_BYTES
+from tanagerscale.policy import LIMITED_READ_BUFFER_BYTES
 from tanagerscale.policy import make_host_budget
 from tanagerscale.upstreams import DEAD_PEER_TIMEOUT_S
 from tanagerscale.upstreams import READ_BUFFER_BYTES
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -8,7 +8,7 @@
 from tanagerscale.policy._copying import evacuable_tokens
 from tanagerscale.policy._forecast import ForecastScheduler
 from tanagerscale.policy._forecast import make_scheduler
-from tanagerscale.policy._host_budget import READ_BUFFER_BYTES
+from tanagerscale.policy._host_budget import LIMITED_READ_BUFFER_BYTES
 from tanagerscale.policy._host_budget import UNREAD_STREAM_BYTES
 from tanagerscale.policy._host_budget import HostBudget
 from tanagerscale.policy._host_budget import HostUse
@@ -55,10 +55,10 @@
 from tanagerscale.policy._types import Scheduler
 
 __all__ = [
+    "LIMITED_READ_BUFFER_BYTES",
     "MAX_COPY_MEMORY_RATIO",
     "MAX_SPARE_COPY_MEMORY_RATIO",
     "MIN_NOTICE_MS",
-    "READ_BUFFER_BYTES",
     "UNREAD_STREAM_BYTES",
     "AccountLimits",
     "AccountSpec",
--- a/src/tanagerscale/policy/_host_budget.py
+++ b/src/tanagerscale/policy/_host_budget.py
@@ -1,4 +1,4 @@
-"""Budgets of one host for bytes, descriptors and time on its network link.
+"""Budgets of one host for bytes and descriptors.
 
 Load: 300 callers that read 1 kB/s beside others that read at once, bodies of 4 MB, slow upstreams,
 a link of 5 Mbit/s, 1,638 descriptors.
@@ -33,27 +33,28 @@
 READY_RATIO: Final = 0.70
 """Fraction of every budget below which the host is ready again."""
 
-MAX_LINK_WAIT_MS: Final = 500
-"""Time that new bytes may wait for the link before the host is not ready. A third of the time in
-which the first event of a short generation is due."""
+STREAM_RATIO: Final = 0.65
+"""Fraction of the byte budget that streams share with everything else that is held. It is below
+``READY_RATIO``, so that streams alone do not keep the host from becoming ready again; the rest
+covers the event by which each stream exceeds its buffer, and other requests."""
 
-BUSY_LINK_RATIO: Final = 0.5
-"""Fraction of the link's speed above which the link may be what delays bytes. At less, they wait
-for callers that read slowly, and a caller that reads at once does not wait."""
+USUAL_ANSWER_BYTES: Final = 176 * 1024
+"""Size of a long answer: 1,756 tokens in 439 events of 380 bytes, with the framing of HTTP
+chunks."""
 
-USUAL_ANSWER_BYTES: Final = 144 * 1024
-"""Size of a long answer: 1,756 tokens in 439 events, at most 300 bytes each, with the framing of
-HTTP chunks."""
+FAST_STREAM_BUFFER_BYTES: Final = 64 * 1024
+"""Buffer of a stream whatever it has sent, if its share allows it: the default of asyncio. With
+less, long streams to fast callers wait more often than without limits."""
 
 MIN_STREAM_BUFFER_BYTES: Final = 16 * 1024
-"""Buffer that a stream has even if the budget is used: about 50 events."""
+"""Buffer that a stream has even if the budget is used: about 40 events."""
 
 
-READ_BUFFER_BYTES: Final = 16 * 1024
+LIMITED_READ_BUFFER_BYTES: Final = 16 * 1024
 """Unread bytes of a response above which a host of limited memory pauses reading it. The parser
 pauses at twice this size, after data that may be as much again."""
 
-UNREAD_STREAM_BYTES: Final = 4 * READ_BUFFER_BYTES
+UNREAD_STREAM_BYTES: Final = 4 * LIMITED_READ_BUFFER_BYTES
 """Most bytes of a stream that have arrived and are not read while the buffer of its caller is
 full."""
 
@@ -64,13 +65,11 @@
     :param held_bytes: Bytes of bodies, whole responses, connections and streams.
     :param outgoing_bytes: Bytes that wait to be sent to callers.
     :param descriptors: Open connections of callers, to upstreams and to peers.
-    :param sent_per_ms: Bytes that were recently sent to callers per millisecond.
     """
 
     held_bytes: int = 0
     outgoing_bytes: int = 0
     descriptors: int = 0
-    sent_per_ms: float = 0.0
 
 
 @final
@@ -79,7 +78,7 @@
 
     :param byte_limit: Bytes for requests.
     :param descriptor_limit: Connections.
-    :param link_mbps: Speed of the network link in Mbit/s.
+    :param link_mbps: Speed of the network link in Mbit/s, for the metrics only.
     """
 
     def __init__(
@@ -93,12 +92,12 @@
         self.descriptor_limit: Final = descriptor_limit
         self.link_mbps: Final = link_mbps
         self._is_ready = True
+        self._has_few_descriptors = True
 
     @property
     def is_limited(self) -> bool:
         """Whether any limit is known."""
-        limits = (self.byte_limit, self.descriptor_limit, self.link_mbps)
-        return any(limit is not None for limit in limits)
+        return self.byte_limit is not None or self.descriptor_limit is not None
 
     def has_bytes(self, use: HostUse, size: int) -> bool:
         """Return whether there is space for more bytes.
@@ -115,13 +114,21 @@
 
     def update_readiness(self, use: HostUse) -> bool:
         """Return whether the host is ready, considering whether it was at the last call."""
-        highest = max(self.get_ratios(use).values(), default=0.0)
-        if highest > NOT_READY_RATIO:
-            self._is_ready = False
-        elif highest < READY_RATIO:
-            self._is_ready = True
+        ratios = self.get_ratios(use)
+        self._is_ready = _is_below(max(ratios.values(), default=0.0), self._is_ready)
+        self._has_few_descriptors = _is_below(
+            ratios.get("descriptors", 0.0), self._has_few_descriptors
+        )
         return self._is_ready
 
+    def must_close_connections(self, use: HostUse) -> bool:
+        """Return whether connections are closed after their responses.
+
+        They are from the withdrawal of readiness by their number until that number allows it again,
+        as kept connections would never become fewer.
+        """
+        return not self._has_few_descriptors or not self.has_descriptors(use)
+
     def get_ratios(self, use: HostUse) -> dict[str, float]:
         """Return the used fraction of each known budget, by its name."""
         ratios = {}
@@ -129,28 +136,22 @@
             ratios["bytes"] = (use.held_bytes + use.outgoing_bytes) / self.byte_limit
         if self.descriptor_limit is not None:
             ratios["descriptors"] = use.descriptors / self.descriptor_limit
-        if self.link_mbps is not None:
-            # The host is not ready above the longest wait, which is the same fraction as elsewhere.
-            wait = self.get_link_wait_ms(use) / MAX_LINK_WAIT_MS
-            ratios["link"] = wait * NOT_READY_RATIO
         return ratios
 
     def get_link_wait_ms(self, use: HostUse) -> float:
-        """Return how long new bytes wait for the link, in milliseconds; 0 if it is not busy."""
+        """Return how long the link needs for what waits for callers, in milliseconds."""
         if self.link_mbps is None:
             return 0.0
-        bytes_per_ms = self.link_mbps * BYTES_PER_MS_PER_MBPS
-        if use.sent_per_ms < bytes_per_ms * BUSY_LINK_RATIO:
-            return 0.0
-        return use.outgoing_bytes / bytes_per_ms
+        return use.outgoing_bytes / (self.link_mbps * BYTES_PER_MS_PER_MBPS)
 
     def get_stream_buffer(self, use: HostUse, *, streams: int, sent_bytes: int) -> int | None:
         """Return how many bytes of a stream may wait for its caller; ``None`` for no limit.
 
-        Streams share equally what is left below the threshold of readiness, so that slow callers
-        alone neither withdraw readiness nor take the space of new requests. No stream gets more
-        than the rest of a usual answer. If the rest does not fit, the share also covers what has
-        arrived and is not read while the buffer is full.
+        Streams share equally what is left below ``STREAM_RATIO``, so that slow callers alone
+        neither withdraw readiness nor take the space of new requests. The share also covers what
+        has arrived and is not read while the buffer is full, as any stream may be longer than a
+        usual answer. No stream gets more than the larger one of ``FAST_STREAM_BUFFER_BYTES`` and
+        the rest of a usual answer.
 
         :param use: What the host uses now, without the unread events of streams.
         :param streams: Number of streams to callers.
@@ -158,12 +159,15 @@
         """
         if self.byte_limit is None:
             return None
-        space = int(self.byte_limit * NOT_READY_RATIO) - use.held_bytes
-        share = space // max(streams, 1)
-        rest = USUAL_ANSWER_BYTES - sent_bytes
-        if share < rest:
-            share -= UNREAD_STREAM_BYTES
-        return max(MIN_STREAM_BUFFER_BYTES, min(share, rest))
+        space = int(self.byte_limit * STREAM_RATIO) - use.held_bytes
+        share = space // max(streams, 1) - UNREAD_STREAM_BYTES
+        wanted = max(FAST_STREAM_BUFFER_BYTES, USUAL_ANSWER_BYTES - sent_bytes)
+        return max(MIN_STREAM_BUFFER_BYTES, min(share, wanted))
+
+
+def _is_below(ratio: float, was_below: bool) -> bool:
+    """Return whether a used fraction is low, or was and has not exceeded the upper threshold."""
+    return ratio < READY_RATIO or (was_below and ratio <= NOT_READY_RATIO)
 
 
 def make_host_budget(
