Let streams that begin late use only free space

Cause: streams that begin one after the other each got a share while the first held more than theirs. An upstream whose stream held more than its smaller share was not read until the caller had drained the difference.

Change: a stream gets no more than is free; one above its share keeps what it holds, and its upstream is read on whenever more has been sent than an event adds.

The test fails with either rule taken out.

--- a/src/tanagerscale/gateway/_host_limits.py
+++ b/src/tanagerscale/gateway/_host_limits.py
@@ -131,10 +131,13 @@
         self._written += size
         if not self._is_stream:
             return
-        sent = max(0, self._written - transport.get_write_buffer_size())
-        high = self._limits.get_stream_buffer(sent_bytes=sent)
+        waiting = transport.get_write_buffer_size()
+        sent = max(0, self._written - waiting)
+        high = self._limits.get_stream_buffer(sent_bytes=sent, waiting_bytes=waiting)
         if high is not None:
-            transport.set_write_buffer_limits(high=high, low=max(0, high - RESUME_GAP_BYTES))
+            # A buffer shrinks only if more is sent between two events than one event adds.
+            low = max(0, high - max(RESUME_GAP_BYTES, 2 * size))
+            transport.set_write_buffer_limits(high=high, low=low)
 
     async def wait_for_caller(self, wait: Awaitable[None]) -> None:
         """Wait while the buffer of the caller is full, counting what is unread meanwhile.
@@ -266,11 +269,16 @@
         """Whether connections are closed after their responses, as there are too many."""
         return self.is_limited and self._budget.must_close_connections(self._estimate())
 
-    def get_stream_buffer(self, *, sent_bytes: int) -> int | None:
+    def get_stream_buffer(self, *, sent_bytes: int, waiting_bytes: int = 0) -> int | None:
         """Return how many bytes of a stream may wait for its caller; ``None`` for no limit."""
-        # Outgoing bytes are not needed, and summing them for each event would cost too much.
-        use = HostUse(held_bytes=self.held_bytes + self._connection_bytes)
-        return self._budget.get_stream_buffer(use, streams=self.streams, sent_bytes=sent_bytes)
+        # Summing the outgoing bytes for each event would cost too much.
+        use = HostUse(
+            held_bytes=self.held_bytes + self._connection_bytes,
+            outgoing_bytes=self._outgoing_bytes + self.written_bytes - self._written_at_measure,
+        )
+        return self._budget.get_stream_buffer(
+            use, streams=self.streams, sent_bytes=sent_bytes, waiting_bytes=waiting_bytes
+        )
 
     def open_request(self, lease: RequestLease) -> Refusal | None:
         """Count a new request, or return its refusal if a budget is used up."""
--- a/src/tanagerscale/policy/_host_budget.py
+++ b/src/tanagerscale/policy/_host_budget.py
@@ -144,25 +144,32 @@
             return 0.0
         return use.outgoing_bytes / (self.link_mbps * BYTES_PER_MS_PER_MBPS)
 
-    def get_stream_buffer(self, use: HostUse, *, streams: int, sent_bytes: int) -> int | None:
+    def get_stream_buffer(
+        self, use: HostUse, *, streams: int, sent_bytes: int, waiting_bytes: int = 0
+    ) -> int | None:
         """Return how many bytes of a stream may wait for its caller; ``None`` for no limit.
 
         Streams share equally what is left below ``STREAM_RATIO``, so that slow callers alone
         neither withdraw readiness nor take the space of new requests. The share also covers what
         has arrived and is not read while the buffer is full, as any stream may be longer than a
         usual answer. No stream gets more than the larger one of ``FAST_STREAM_BUFFER_BYTES`` and
-        the rest of a usual answer.
+        the rest of a usual answer. A stream that begins while others hold more than their share
+        gets what is free. A stream that holds more than its share keeps it until its caller has
+        read it, so that its upstream is read meanwhile.
 
         :param use: What the host uses now, without the unread events of streams.
         :param streams: Number of streams to callers.
         :param sent_bytes: Bytes of this stream that have been sent to its caller.
+        :param waiting_bytes: Bytes of this stream that wait for its caller.
         """
         if self.byte_limit is None:
             return None
         space = int(self.byte_limit * STREAM_RATIO) - use.held_bytes
         share = space // max(streams, 1) - UNREAD_STREAM_BYTES
+        free = space - use.outgoing_bytes - streams * UNREAD_STREAM_BYTES
         wanted = max(FAST_STREAM_BUFFER_BYTES, USUAL_ANSWER_BYTES - sent_bytes)
-        return max(MIN_STREAM_BUFFER_BYTES, min(share, wanted))
+        buffer = min(share, wanted, waiting_bytes + max(0, free))
+        return max(MIN_STREAM_BUFFER_BYTES, waiting_bytes, buffer)
 
 
 def _is_below(ratio: float, was_below: bool) -> bool:
--- a/testing/test_slow_callers_and_large_bodies.py
+++ b/testing/test_slow_callers_and_large_bodies.py
@@ -270,7 +270,6 @@
         lease.release()
         lease.add(1000)
         lease.begin_stream()
-        lease.release()
         assert host.limits.held_bytes == 0
         assert host.limits.streams == 0
 
@@ -440,6 +439,38 @@
     run_virtually(scenario())
 
 
+# Guards against streams that begin one after the other, of which the first take all space, and
+# against engines that are not read until the buffers of the first have shrunk to a smaller share.
+def test_host_stays_ready_and_reads_engines_when_slow_callers_arrive_one_after_the_other() -> None:
+    async def scenario() -> None:
+        longest_unread_s = 0.0
+
+        async def serve(request: CallerRequest, responder: Responder) -> None:
+            nonlocal longest_unread_s
+            loop = asyncio.get_running_loop()
+            await responder.begin(status=200, reason="OK", headers=[])
+            while True:
+                await asyncio.sleep(EVENT_INTERVAL_S)
+                since = loop.time()
+                await responder.write(EVENT)
+                longest_unread_s = max(longest_unread_s, loop.time() - since)
+
+        host = LimitedHost(serve=serve, memory_mb=128)
+        updates = asyncio.create_task(host.limits.run())
+        highest = 0
+        for tick in range(800):
+            await asyncio.sleep(0.1)
+            if tick < 290:
+                await host.accept(MemoryCaller(bytes_per_s=1000)).send(EMPTY_REQUEST)
+            highest = max(highest, host.accounted_bytes)
+            assert host.limits.is_ready, (tick, highest)
+        assert host.limits.paused_streams > 280
+        assert longest_unread_s <= 2
+        updates.cancel()
+
+    run_virtually(scenario())
+
+
 # Guards against a buffer that is bounded only in the count: the one of a real connection.
 @pytest.mark.asyncio
 async def test_buffer_of_a_real_connection_is_bounded_while_its_caller_does_not_read() -> None:
