--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -19,6 +19,11 @@
 from tanagerscale.policy._fair_order import order_fairly
 from tanagerscale.policy._forecast import ForecastScheduler
 from tanagerscale.policy._forecast import make_scheduler
+from tanagerscale.policy._host_budget import LIMITED_READ_BUFFER_BYTES
+from tanagerscale.policy._host_budget import UNREAD_STREAM_BYTES
+from tanagerscale.policy._host_budget import HostBudget
+from tanagerscale.policy._host_budget import HostUse
+from tanagerscale.policy._host_budget import make_host_budget
 from tanagerscale.policy._lengths import LengthCurve
 from tanagerscale.policy._lengths import LengthEstimator
 from tanagerscale.policy._limits import AccountLimits
@@ -86,6 +91,7 @@
     "DEFAULT_SPEEDS",
     "FORECAST_HORIZON_MS",
     "GROWTH_RESERVE_TOKENS",
+    "LIMITED_READ_BUFFER_BYTES",
     "MAX_COPY_MEMORY_RATIO",
     "MAX_OVERDUE_MS",
     "MAX_PLANNED_MEMORY_RATIO",
@@ -94,6 +100,7 @@
     "MIN_USAGE_TOKENS",
     "PREFILL_TOKENS_PER_MS",
     "UNKNOWN_SPEED",
+    "UNREAD_STREAM_BYTES",
     "USAGE_HALF_LIFE_MS",
     "AccountLimits",
     "AccountSpec",
@@ -108,6 +115,8 @@
     "EngineSpeed",
     "EngineView",
     "ForecastScheduler",
+    "HostBudget",
+    "HostUse",
     "ImmediateScheduler",
     "LeastOutstanding",
     "LengthCurve",
@@ -150,6 +159,7 @@
     "is_lack_of_capacity",
     "is_outlier",
     "lift_returning_accounts",
+    "make_host_budget",
     "make_scheduler",
     "next_move",
     "order_fairly",
