--- a/src/tanagerscale/coordination/_engine_views.py
+++ b/src/tanagerscale/coordination/_engine_views.py
@@ -69,6 +69,8 @@
         self._are_limited: dict[UpstreamId, bool] = {}
         self._views: dict[UpstreamId, EngineView] = {}
         self._refused: dict[EngineGroup, tuple[int, PlacementDecision]] = {}
+        self.waiting_in_time: set[ServiceId] = set()
+        """Services with generations that wait for shorter queues to be in time."""
         self.built = 0
         """Number of views that were built."""
 
--- a/src/tanagerscale/coordination/_placement_queue.py
+++ b/src/tanagerscale/coordination/_placement_queue.py
@@ -40,6 +40,7 @@
 from tanagerscale.generated.messages import PlaceKind
 from tanagerscale.generated.messages import RefusalCause
 from tanagerscale.generated.messages import RunUse
+from tanagerscale.policy import QUEUES_TOO_LONG
 from tanagerscale.policy import PlacementDecision
 from tanagerscale.policy import PlacementQuery
 from tanagerscale.policy import PlacementVerdict
@@ -208,6 +209,8 @@
         for waiting in self._usage.order(entries):
             placement = self._review(waiting, self._place(waiting, views), views)
             if placement.verdict is PlacementVerdict.WAIT:
+                if placement.reason == QUEUES_TOO_LONG:
+                    views.waiting_in_time.add(waiting.group.service)
                 self._record_wait(waiting, placement)
                 continue
             del self._waiting[(waiting.host, waiting.ask.serial)]
@@ -232,6 +235,7 @@
             is_long=ask.is_long,
             left_ms=waiting.left_ms(context.clock.now()),
             patience_ms=ask.patience_ms,
+            yields=waiting.group.service in views.waiting_in_time,
         )
         group = waiting.group
         allowed = views.allowed_entries(group)
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -44,6 +44,7 @@
 from tanagerscale.policy._placement import MAX_PLANNED_MEMORY_RATIO
 from tanagerscale.policy._placement import MAX_SPARE_COPY_MEMORY_RATIO
 from tanagerscale.policy._placement import PREFILL_TOKENS_PER_MS
+from tanagerscale.policy._placement import QUEUES_TOO_LONG
 from tanagerscale.policy._placement import EngineView
 from tanagerscale.policy._placement import PlacementDecision
 from tanagerscale.policy._placement import PlacementQuery
@@ -99,6 +100,7 @@
     "MIN_NOTICE_MS",
     "MIN_USAGE_TOKENS",
     "PREFILL_TOKENS_PER_MS",
+    "QUEUES_TOO_LONG",
     "UNKNOWN_SPEED",
     "UNREAD_STREAM_BYTES",
     "USAGE_HALF_LIFE_MS",
--- a/src/tanagerscale/policy/_placement.py
+++ b/src/tanagerscale/policy/_placement.py
@@ -76,8 +76,7 @@
 
 MAX_LATE_QUEUE_TOKENS: Final = 4000
 """Prompt tokens that wait at an engine up to which it gets a generation that is late, or certainly
-will be. Behind more of them it would take the place of one that can be in time, and that waits for
-an engine with a shorter queue."""
+will be, while others that can be in time wait for an engine with a shorter queue."""
 
 GROWTH_RESERVE_TOKENS: Final = 250
 """Memory reserved for the growth of each generation: two seconds at 8 ms a token, after which the
@@ -87,6 +86,9 @@
 NO_CAPACITY: Final = "no engine has room"
 """Reason of a decision on a generation that no engine has a batch slot and memory for."""
 
+QUEUES_TOO_LONG: Final = "prompts that wait would make it late"
+"""Reason of a decision on a generation that can be in time on an engine with a shorter queue."""
+
 
 class EngineView(Struct, frozen=True, kw_only=True):
     """State of an engine as seen by a placement decision.
@@ -153,12 +155,15 @@
     :param is_long: Whether its answer may take seconds.
     :param left_ms: Time left until its first event is late; negative once it is.
     :param patience_ms: How much longer it may wait once it is late.
+    :param yields: Whether others that can be in time wait for engines with shorter queues, so that
+        it leaves them these engines once it is late.
     """
 
     prompt_tokens: int
     is_long: bool
     left_ms: int
     patience_ms: int = 0
+    yields: bool = False
 
     @property
     def needed_tokens(self) -> int:
@@ -336,8 +341,9 @@
     fastest = max(view.prefill_tokens_per_ms for view in with_capacity)
     unqueued_ms = query.prompt_tokens / min(fastest, PREFILL_TOKENS_PER_MS)
     if wait_ms > query.left_ms > unqueued_ms:
-        return _wait_or_refuse(query, views, "prompts that wait would make it late")
-    if query.left_ms <= unqueued_ms and selected.waiting_tokens > MAX_LATE_QUEUE_TOKENS:
+        return _wait_or_refuse(query, views, QUEUES_TOO_LONG)
+    is_late = query.left_ms <= unqueued_ms
+    if is_late and query.yields and selected.waiting_tokens > MAX_LATE_QUEUE_TOKENS:
         return _wait_or_refuse(query, views, "generations in time go first")
     return PlacementDecision(
         verdict=PlacementVerdict.SEND, engine=selected, wait_ms=wait_ms, reason="room"
