Choose the read buffer of limited hosts in the policy

Change: get_read_buffer_bytes in the policy; no other behavior. Measured: test_policy_host_budget, test_host_limit_settings and test_platform_end_to_end pass.

--- a/src/tanagerscale/platform/_factory.py
+++ b/src/tanagerscale/platform/_factory.py
@@ -17,8 +17,7 @@
 from tanagerscale.platform._registry import decode_entry
 from tanagerscale.platform._registry import parse_upstream_name
 from tanagerscale.platform._store import PlatformStore
-from tanagerscale.policy import LIMITED_READ_BUFFER_BYTES
-from tanagerscale.policy import make_host_budget
+from tanagerscale.policy import get_read_buffer_bytes
 from tanagerscale.upstreams import DEAD_PEER_TIMEOUT_S
 from tanagerscale.upstreams import READ_BUFFER_BYTES
 from tanagerscale.upstreams import ConnectionPool
@@ -34,22 +33,15 @@
     :param settings: The host's settings.
     :param clock: Clock for the timeouts of connections.
     """
-    host = settings.host
-    budget, _ = make_host_budget(
-        memory_mb=host.memory_mb,
-        file_descriptors=host.file_descriptors,
-        link_mbps=host.link_mbps,
-    )
-    read_buffer_bytes = (
-        READ_BUFFER_BYTES if budget.byte_limit is None else LIMITED_READ_BUFFER_BYTES
-    )
+    memory_mb = settings.host.memory_mb
+    read_bytes = get_read_buffer_bytes(memory_mb=memory_mb, usual_bytes=READ_BUFFER_BYTES)
 
     def make_pool(silence_s: int, source_ip: str = "") -> ConnectionPool:
         return ConnectionPool(
             clock=clock,
             dead_peer_timeout_s=silence_s,
             source_ip=source_ip,
-            read_buffer_bytes=read_buffer_bytes,
+            read_buffer_bytes=read_bytes,
         )
 
     store_pool = make_pool(STORE_SILENCE_TIMEOUT_S)
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -23,6 +23,7 @@
 from tanagerscale.policy._host_budget import UNREAD_STREAM_BYTES
 from tanagerscale.policy._host_budget import HostBudget
 from tanagerscale.policy._host_budget import HostUse
+from tanagerscale.policy._host_budget import get_read_buffer_bytes
 from tanagerscale.policy._host_budget import make_host_budget
 from tanagerscale.policy._lengths import LengthCurve
 from tanagerscale.policy._lengths import LengthEstimator
@@ -152,6 +153,7 @@
     "evacuable_tokens",
     "expected_prefill_tokens",
     "get_prefill_tokens_per_ms",
+    "get_read_buffer_bytes",
     "get_slowness",
     "has_capacity",
     "has_capacity_for_copy",
--- a/src/tanagerscale/policy/_host_budget.py
+++ b/src/tanagerscale/policy/_host_budget.py
@@ -199,3 +199,13 @@
         link_mbps=link_mbps if link_mbps > 0 else None,
     )
     return budget, invalid
+
+
+def get_read_buffer_bytes(*, memory_mb: float, usual_bytes: int) -> int:
+    """Return how much unread data of an upstream a host holds for each connection.
+
+    :param memory_mb: Memory of the host in units of 1,000,000 bytes; 0 if unknown.
+    :param usual_bytes: The amount without a known limit.
+    """
+    budget, _ = make_host_budget(memory_mb=memory_mb, file_descriptors=0, link_mbps=0)
+    return usual_bytes if budget.byte_limit is None else LIMITED_READ_BUFFER_BYTES
