Don't ask coordinators that fail at once without end

Cause: a host that gets no answer asks the coordinator that was asked longest ago; where nothing can be sent to any, each fails at the same moment, and the host asked them for ever: test_rate_limits_failures and test_crashing_parts hung for 180 s on.

--- a/src/tanagerscale/coordination/_directory.py
+++ b/src/tanagerscale/coordination/_directory.py
@@ -41,6 +41,10 @@
 decides by itself. It knows only its own runs, and hosts that all decide like this fill the same
 engines, while a coordinator that is merely slow answers soon."""
 
+MIN_SILENCE_MS: Final = 80
+"""How long ago a silent coordinator was asked at least when it is asked again. A coordinator that
+can't be reached at all fails at once, and would be asked without end."""
+
 DISTRUST_MS: Final = 2000
 """How long a coordinator that did not answer is not asked. A host that is briefly slow delays one
 caller of each host by some tens of milliseconds instead of every caller."""
@@ -277,10 +281,15 @@
 
     def _choose_silent(self, now: Millis) -> HostId:
         """Return the coordinator that was asked the longest ago, or this host after some time."""
-        silent = [host for host in self.coordinators if not self._connected_peers[host].leaving]
-        if not silent or now - self._answered_at >= ALONE_AFTER_MS:
+        if now - self._answered_at >= ALONE_AFTER_MS:
             return self._host
-        return min(silent, key=lambda host: self._distrusted.get(host, 0))
+        latest = now + DISTRUST_MS - MIN_SILENCE_MS
+        silent = [
+            host
+            for host in self.coordinators
+            if not self._connected_peers[host].leaving and self._distrusted.get(host, 0) <= latest
+        ]
+        return min(silent, key=lambda host: self._distrusted.get(host, 0), default=self._host)
 
     def _is_trusted(self, host: HostId, now: Millis) -> bool:
         peer = self._connected_peers.get(host)
--- a/src/tanagerscale/platform/_factory.py
+++ b/src/tanagerscale/platform/_factory.py
@@ -33,8 +33,7 @@
     :param settings: The host's settings.
     :param clock: Clock for the timeouts of connections.
     """
-    memory_mb = settings.host.memory_mb
-    read_bytes = get_read_buffer_bytes(memory_mb=memory_mb, usual_bytes=READ_BUFFER_BYTES)
+    read_bytes = get_read_buffer_bytes(settings.host.memory_mb, usual_bytes=READ_BUFFER_BYTES)
 
     def make_pool(silence_s: int, source_ip: str = "") -> ConnectionPool:
         return ConnectionPool(
--- a/src/tanagerscale/policy/_host_budget.py
+++ b/src/tanagerscale/policy/_host_budget.py
@@ -201,7 +201,7 @@
     return budget, invalid
 
 
-def get_read_buffer_bytes(*, memory_mb: float, usual_bytes: int) -> int:
+def get_read_buffer_bytes(memory_mb: float, *, usual_bytes: int) -> int:
     """Return how much unread data of an upstream a host holds for each connection.
 
     :param memory_mb: Memory of the host in units of 1,000,000 bytes; 0 if unknown.
