--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# Checks that the stand-ins and cases compile and import; they need Python's standard library only.
+set -eu
+cd "$(dirname "$0")"
+python3 - <<'PYTHON'
+import pathlib
+import sys
+
+sys.dont_write_bytecode = True
+for path in sorted(pathlib.Path(".").glob("*/*.py")):
+    compile(path.read_text(), str(path), "exec")
+import stand.callers
+PYTHON
+test -f ../target/host.image || echo "target/ is missing: run the build of the deploy file first" >&2
