--- a/review/stand/callers.py
+++ b/review/stand/callers.py
@@ -17,6 +17,7 @@
 API_KEY = "key-one"
 HOST_NAME = "api.example"
 MODELS = "models"
+PLAIN = "bookings"
 PROMISES = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
 
@@ -41,9 +42,20 @@
     }
 
 
+BOOKING_DEADLINE_MS = 2_500
+BOOKING_ROUTE = _route("short", 200, 2) | {
+    "name": "r-book",
+    "pathPrefix": "/book/",
+    "kind": "unsafe",
+    "service": PLAIN,
+    "timeoutMs": 1_200,
+    "sessionAffinity": False,
+    "gapAimMs": 0,
+}
+
 CONFIGURATION = {
     "version": 7,
-    "routes": [_route("short", 1500, 0), _route("long", 1800, 1)],
+    "routes": [_route("short", 1500, 0), _route("long", 1800, 1), BOOKING_ROUTE],
     "services": [
         {
             "name": MODELS,
@@ -52,7 +64,14 @@
             "protocol": "h1",
             "tls": False,
             "engine": ENGINE_DECLARATION,
-        }
+        },
+        {
+            "name": PLAIN,
+            "healthPath": "/health",
+            "maxConnections": 96,
+            "protocol": "h1",
+            "tls": False,
+        },
     ],
     "limits": {
         "maxHeaderBytes": 16_384,
@@ -62,7 +81,7 @@
     },
     "tenants": [{"name": "tenant-one", "apiKeys": [API_KEY], "priority": 1}],
 }
-"""Two kinds of generations on one service, like those of the sheet of rondes-tr."""
+"""Two kinds of generations and one of bookings, like those of the sheet of rondes-tr."""
 
 
 @dataclass
@@ -115,21 +134,42 @@
         :param body: Body of the request.
         :param own_part: Id of the part of the prompt that is the request's own.
         """
-        deadline_ms = DEADLINES_MS[route]
+        fields = {
+            "Tanagerscale-Model": "m",
+            "Tanagerscale-Token-Usage": f"{prompt},{most}",
+            "Tanagerscale-Prompt-Prefix": f"aa01:80,{own_part}:{prompt - 80}",
+        }
+        target = f"/{route}/draft"
+        return await self._send(host, caller, target, DEADLINES_MS[route], fields, body)
+
+    async def book(self, host: Host, caller: Caller) -> Call:
+        """Send a plain request that isn't idempotent and return what became of it.
+
+        :param host: The host.
+        :param caller: Connection to it.
+        """
+        return await self._send(host, caller, "/book/room", BOOKING_DEADLINE_MS, {}, b"booking")
+
+    async def _send(
+        self,
+        host: Host,
+        caller: Caller,
+        target: str,
+        deadline_ms: int,
+        fields: dict[str, str],
+        body: bytes,
+    ) -> Call:
         attempt = f"{next(self.numbers):016x}"
         headers = {
             "Host": HOST_NAME,
             "Tanagerscale-Attempt-Id": attempt,
-            "Tanagerscale-Model": "m",
-            "Tanagerscale-Token-Usage": f"{prompt},{most}",
-            "Tanagerscale-Prompt-Prefix": f"aa01:80,{own_part}:{prompt - 80}",
+            **fields,
             "Tanagerscale-Deadline-Remaining": str(deadline_ms),
             "Authorization": f"Bearer {API_KEY}",
         }
-        request = Request("POST", f"/{route}/draft", headers, body)
         sent = self._world.now()
-        response = await caller.call(request, deadline_ms / 1000 + 1)
-        call = Call(sent, attempt, host.name, request.target, response)
+        response = await caller.call(Request("POST", target, headers, body), deadline_ms / 1000 + 1)
+        call = Call(sent, attempt, host.name, target, response)
         self.calls.append(call)
         return call
 
--- a/review/stand/http1.py
+++ b/review/stand/http1.py
@@ -135,6 +135,7 @@
                 if request is None:
                     return
                 handling = asyncio.ensure_future(self._handle(connection, request))
+                handling.add_done_callback(_ignore_end)
                 gone = asyncio.ensure_future(_wait_for_end(writer))
                 try:
                     await asyncio.wait((handling, gone), return_when=asyncio.FIRST_COMPLETED)
@@ -153,6 +154,12 @@
             writer.close()
 
 
+def _ignore_end(handling: asyncio.Future[None]) -> None:
+    """Take note of how a handler ended, as nobody else may when its connection has ended."""
+    if not handling.cancelled():
+        handling.exception()
+
+
 async def _wait_for_end(writer: asyncio.StreamWriter) -> None:
     """Wait until the peer has closed or reset the connection."""
     protocol = writer.transport.get_protocol()
--- a/review/stand/store.py
+++ b/review/stand/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+from dataclasses import dataclass
 from itertools import count
 import json
 from typing import Any
@@ -17,6 +18,18 @@
 MAX_PAGE_ITEMS = 500
 
 
+@dataclass
+class StoreCopy:
+    """What a store held at a moment.
+
+    :param revision: Its revision.
+    :param items: Its items by key.
+    """
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+
+
 class Store:
     """Keys with revisions, leases and watches; each call is answered at once and acknowledged."""
 
@@ -29,9 +42,14 @@
         self._numbers = count(1000)
         self._changed = asyncio.Event()
         self._server = Server(self._handle)
+        self._ip = ""
+        self._era = 1
+        self._compacted = 0
+        """Revision before which no history is kept."""
 
     async def start(self, ip: str) -> None:
         """Listen on a free port."""
+        self._ip = ip
         self.address = await self._server.start(ip)
 
     async def stop(self) -> None:
@@ -40,6 +58,32 @@
             timer.cancel()
         await self._server.stop()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of what the store holds now."""
+        return StoreCopy(self._revision, {key: dict(item) for key, item in self._items.items()})
+
+    async def come_back_from(self, copy: StoreCopy, *, away_s: float) -> None:
+        """Be away for a moment, and come back with what a copy holds.
+
+        Revisions go back to those of the copy, and leases that were granted since are gone.
+
+        :param copy: The copy.
+        :param away_s: How long the store is away.
+        """
+        port = int(self.address.rpartition(":")[2])
+        await self._server.stop()
+        await asyncio.sleep(away_s)
+        self._era += 1
+        self._revision = copy.revision
+        self._items = {key: dict(item) for key, item in copy.items.items()}
+        self._history.clear()
+        self._compacted = copy.revision
+        for lease, (_, timer) in list(self._leases.items()):
+            if not any(item["lease"] == lease for item in self._items.values()):
+                timer.cancel()
+                del self._leases[lease]
+        await self._server.start(self._ip, port)
+
     def put(self, key: str, value: object, lease: int = 0) -> None:
         """Write a key, as the operator and engines do."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -71,9 +115,8 @@
         }
         body = json.loads(request.body) if request.body else {}
         status, answer = await self._answer(request.method, request.path, query, body)
-        await connection.respond(
-            status, [("Content-Type", "application/json")], json.dumps(answer).encode()
-        )
+        fields = [("Content-Type", "application/json"), ("Store-Era", str(self._era))]
+        await connection.respond(status, fields, json.dumps(answer).encode())
 
     async def _answer(
         self, method: str, path: str, query: dict[str, str], body: dict[str, Any]
@@ -85,6 +128,9 @@
             case "GET", "/v1/kv-range":
                 return 200, self._range(query["pathPrefix"], query.get("after", ""))
             case "GET", "/v1/kv-watch":
+                after = int(query["after"])
+                if after < self._compacted or after > self._revision:
+                    return 410, {}
                 return 200, await self._watch(query)
             case "POST", "/v1/kv-txn":
                 return self._commit(body)
