Have the faulty engines of review/1 answer twice from just before their notice

Added: 0.4 s before the notice in which an engine spends its second answers; their number stays within 0.03 of its answers.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -83,7 +83,7 @@
     """Have one engine after the other leave with a notice, and a new one come some time later."""
 
     async def leave(engine: Engine) -> None:
-        notes.append(f"{world.now():.3f} engine {engine.id} leaves in {NOTICE_S} s")
+        notes.append(f"{world.now():.3f} engine {engine.id} is going to leave")
         await engine.leave(NOTICE_S)
         await asyncio.sleep(BACK_S - NOTICE_S)
         await engine.start()
--- a/review/stand/engines.py
+++ b/review/stand/engines.py
@@ -27,6 +27,8 @@
 PREFILL_TOKENS_PER_MS = 14.0
 EVENT_TOKENS = 4
 SLOTS = 24
+BEFORE_NOTICE_S = 0.4
+"""Time for which an engine prepares to leave before it says so."""
 ENTRY_LOSS_S = 3 * HEARTBEAT_S
 """An entry is removed after three heartbeat intervals of silence."""
 
@@ -160,7 +162,8 @@
         self.extra_share = 0.0
         """Share of the complete answers after which a second one comes late on the connection."""
         self.extras_when_leaving = False
-        """Whether it saves these for the answers that end while it leaves; otherwise at random."""
+        """Whether it saves these for the answers that end as it leaves; otherwise at random."""
+        self._leaves_soon = False
         self._extra_allowance = 0.0
         self.extras_sent: list[tuple[float, str]] = []
         self.rng = Random(0)
@@ -189,6 +192,7 @@
         self.id = f"i-{next(self.world.numbers):04x}{self.rng.randrange(65536):04x}"
         self.state = "ready"
         self.leaves_at = None
+        self._leaves_soon = False
         self._sequence = 0
         self._clear()
         self.address = await self._server.start(self._ip, self._port)
@@ -213,6 +217,8 @@
 
         :param notice_s: Time from the notice to the end.
         """
+        self._leaves_soon = True
+        await asyncio.sleep(BEFORE_NOTICE_S)
         self.state = "draining"
         self.leaves_at = time.monotonic() + notice_s
         self.register()
@@ -326,7 +332,8 @@
         if not self.extras_when_leaving:
             return self.rng.random() < self.extra_share
         self._extra_allowance += self.extra_share
-        if self.state != "draining" or self._extra_allowance < 1:
+        is_leaving = self._leaves_soon or self.state == "draining"
+        if not is_leaving or self._extra_allowance < 1:
             return False
         self._extra_allowance -= 1
         return True
