Log how hosts learn of leaving upstreams, what they ignore, and each sending

The gate logs from whom a notice came and how long ago the first host learned of it (hosts tell each other the age), which notices it ignores, and what opens an upstream again. The list logs and counts ignored entries with the reason and its age. Each sending tells its path, the age of the choice, of the notice and of the list. explain adds what a host had last learned of the request's upstreams, however long ago. Announcements are still told apart without the age, so that their number doesn't change.

--- a/src/tanagerscale/cli/_explain.py
+++ b/src/tanagerscale/cli/_explain.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+from collections.abc import Set
 from pathlib import Path
 import sys
 from typing import Any
@@ -25,6 +26,9 @@
 CONTEXT_AFTER_MS: Final = 1000
 """How long after a request's last line the host's other lines are included, for late notices."""
 
+STATE_PARTS: Final = frozenset({"gate", "roster"})
+"""Components that log what a host knows of the state of an upstream."""
+
 UPSTREAM_FIELDS: Final = ("upstream", "source", "target", "holder")
 STANDARD_FIELDS: Final = frozenset({"t", "wall", "host", "level", "part", "message", "request"})
 
@@ -90,7 +94,8 @@
     """Return the log lines that explain a request, in order of time.
 
     These are the request's own lines and the lines that its hosts logged from shortly before to
-    shortly after it: about the configuration, the store and the upstreams it was sent to.
+    shortly after it: about the configuration, the store and the upstreams it was sent to. What each
+    host had last learned of those upstreams before is included however long ago that was.
 
     :param request: Id of the request.
     :param lines: Log lines of all hosts.
@@ -111,7 +116,26 @@
         and begin <= line.wall_ms <= end
         and (not line.upstreams or line.upstreams & upstreams)
     ]
-    return sorted([*own, *context], key=lambda line: (line.wall_ms, line.host, line.monotonic_ms))
+    states = _find_earlier_states(all_lines, hosts, upstreams, before_ms=begin)
+    return sorted(
+        [*own, *context, *states], key=lambda line: (line.wall_ms, line.host, line.monotonic_ms)
+    )
+
+
+def _find_earlier_states(
+    lines: Iterable[LogLine], hosts: Set[str], upstreams: Set[str], *, before_ms: int
+) -> list[LogLine]:
+    """Return the last line of each host about the state of each upstream before some time."""
+    newest: dict[tuple[str, str], LogLine] = {}
+    for line in lines:
+        is_state = line.part in STATE_PARTS and line.host in hosts and line.wall_ms < before_ms
+        if not is_state or line.request:
+            continue
+        for upstream in line.upstreams & upstreams:
+            known = newest.get((line.host, upstream))
+            if known is None or known.monotonic_ms <= line.monotonic_ms:
+                newest[line.host, upstream] = line
+    return list(newest.values())
 
 
 def parse_line(text: str) -> LogLine | None:
--- a/src/tanagerscale/coordination/_announcements.py
+++ b/src/tanagerscale/coordination/_announcements.py
@@ -14,6 +14,7 @@
 from typing import final
 
 import msgspec
+from msgspec.structs import replace
 
 from tanagerscale.coordination._directory import Directory
 from tanagerscale.core import MS_PER_SECOND
@@ -129,4 +130,6 @@
 
 def _identify(announcement: Announcement) -> bytes:
     """Return bytes that only equal announcements share; those with lists can't be hashed."""
+    if isinstance(announcement, UpstreamLeaving):
+        announcement = replace(announcement, age_ms=0)
     return type(announcement).__name__.encode() + msgspec.msgpack.encode(announcement)
--- a/src/tanagerscale/coordination/_context.py
+++ b/src/tanagerscale/coordination/_context.py
@@ -57,6 +57,9 @@
     def is_leaving(self, upstream: UpstreamId) -> bool:
         """Return whether an upstream is known to be leaving."""
 
+    def leaving_for_ms(self, upstream: UpstreamId) -> int | None:
+        """Return how long an upstream has been known to be leaving; ``None`` if it is not."""
+
     def is_broken(self, upstream: UpstreamId) -> bool:
         """Return whether calls to an upstream failed and the next probe is not due yet."""
 
--- a/src/tanagerscale/coordination/_feed.py
+++ b/src/tanagerscale/coordination/_feed.py
@@ -7,9 +7,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections import OrderedDict
 from collections.abc import Callable
 from collections.abc import Sequence
+from enum import Enum
+from enum import unique
 from typing import Final
 from typing import Protocol
 from typing import final
@@ -44,6 +47,20 @@
 _log = get_logger(part="feed")
 
 
+@unique
+class IgnoredChange(Enum):
+    """Why a feed ignored entries."""
+
+    KNOWN = "known"
+    """They are of the revision that is known."""
+    OLDER = "older"
+    """They are of an older revision."""
+    GAP = "gap"
+    """Changes before them are missing, so they were requested again."""
+    OTHER_SOURCE = "other-source"
+    """They came from a host that is not the source."""
+
+
 class _StoreView(Struct, frozen=True, kw_only=True):
     """State of the store as observed by one host.
 
@@ -112,12 +129,28 @@
         self._subscribers: set[HostId] = set()
         self._source: HostId | None = None
         self._behind_since: Millis | None = None
+        self._confirmed_at: Millis | None = None
+        self.ignored: Counter[IgnoredChange] = Counter()
+        """Snapshots and changes that were ignored."""
+
+    @property
+    def age_ms(self) -> int | None:
+        """Time since the store or the source last showed that the entries are up to date.
+
+        A watch that waits for changes shows nothing. ``None`` before any entries are known.
+        """
+        return None if self._confirmed_at is None else self._clock.now() - self._confirmed_at
 
     @property
     def revision(self) -> StoreRevision:
         """Revision of the store up to which the entries are known; 0 before any is known."""
         return self._revision
 
+    @property
+    def topic(self) -> ListTopic:
+        """Topic of the entries."""
+        return self._topic
+
     @property
     def source(self) -> HostId | None:
         """Host that the entries come from; ``None`` while this host watches the store itself."""
@@ -126,7 +159,9 @@
     def on_snapshot(self, snapshot: StoreRange) -> None:
         """Handle a snapshot of all entries in the store."""
         if snapshot.revision < self._revision:
+            self._ignore(IgnoredChange.OLDER, snapshot.revision, count=len(snapshot.entries))
             return
+        self._confirmed_at = self._clock.now()
         self._entries = {entry.key: entry for entry in snapshot.entries}
         self._changes.clear()
         self._oldest = self._revision = snapshot.revision
@@ -137,7 +172,11 @@
         """Handle changes from the store."""
         revision = batch.newest_revision or batch.revision
         if revision <= self._revision:
+            is_known = revision == self._revision
+            reason = IgnoredChange.KNOWN if is_known else IgnoredChange.OLDER
+            self._ignore(reason, revision, count=len(batch.entries) + len(batch.deleted))
             return
+        self._confirmed_at = self._clock.now()
         before = self._revision
         changes = [_Change(key=entry.key, entry=entry) for entry in batch.entries]
         changes += [_Change(key=key, entry=None) for key in batch.deleted]
@@ -198,6 +237,12 @@
         elif isinstance(message, ListContent) and message.topic is self._topic:
             if host == self._source:
                 self._on_content(message)
+            else:
+                self._ignore(
+                    IgnoredChange.OTHER_SOURCE,
+                    StoreRevision(message.revision),
+                    count=len(message.entries) + len(message.deleted),
+                )
         elif isinstance(message, Heartbeat) and self._source is not None:
             self._on_heartbeat(host, message)
 
@@ -229,10 +274,13 @@
             self.on_changes(WatchBatch(entries=entries, deleted=deleted, revision=revision))
         else:
             # A change in between was missed.
+            self._ignore(IgnoredChange.GAP, revision, count=len(entries))
             self._request_from_source()
 
     def _on_heartbeat(self, host: HostId, heartbeat: Heartbeat) -> None:
         """Request changes from a host that has a newer revision than this one."""
+        if host == self._source and self._announced_revision(heartbeat) == self._revision:
+            self._confirmed_at = self._clock.now()
         if self._announced_revision(heartbeat) <= self._revision:
             return
         now = self._clock.now()
@@ -277,6 +325,22 @@
         if view.is_answered is not before.is_answered:
             self._listener.on_calls(answered=view.is_answered)
 
+    def _ignore(self, reason: IgnoredChange, revision: StoreRevision, *, count: int) -> None:
+        self.ignored[reason] += 1
+        # Hosts that change their source get the same changes twice.
+        if reason is IgnoredChange.KNOWN:
+            return
+        _log.info(
+            "Entries are ignored.",
+            topic=self._topic.value,
+            reason=reason.value,
+            revision=revision,
+            known=self._revision,
+            entries=count,
+            source=self._source or "",
+            age_ms=self.age_ms,
+        )
+
     def _request_from_source(self) -> None:
         if self._source is not None:
             self._request_from(self._source)
--- a/src/tanagerscale/forwarding/_metrics.py
+++ b/src/tanagerscale/forwarding/_metrics.py
@@ -17,6 +17,9 @@
 GAP_BUCKETS_MS: Final = (20, 40, 80, 120, 180, 250, 400, 800, 2000, 8000)
 """Bucket bounds are dense around 180 ms, the longest gap between two events that is on time."""
 
+CHOICE_AGE_BUCKETS_MS: Final = (1, 5, 20, 50, 100, 400, 1000, 2000, 5000)
+"""Bucket bounds up to the seconds for which a leaving upstream still serves."""
+
 
 @final
 class ForwardingMetrics:
@@ -113,6 +116,19 @@
             ["path"],
             registry=registry,
         )
+        self.choice_age_ms: Final = Histogram(
+            "tanagerscale_choice_age_ms",
+            "Time from the choice of an upstream to the sending of the request, by path.",
+            ["path"],
+            buckets=CHOICE_AGE_BUCKETS_MS,
+            registry=registry,
+        )
+        self.leaving_requests: Final = Counter(
+            "tanagerscale_leaving_requests",
+            "Requests sent to upstreams that were known to be leaving, by path.",
+            ["path"],
+            registry=registry,
+        )
         self.broken_responses: Final = Counter(
             "tanagerscale_broken_responses",
             "Responses that broke off, by why; those of crashed upstreams are evidence.",
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from random import Random
 from typing import Protocol
@@ -58,6 +59,10 @@
         """Return whether and when a request may be sent to one of some upstreams."""
 
 
+def _unknown_age() -> int | None:
+    return None
+
+
 class ForwardingContext(Struct, frozen=True, kw_only=True):
     """Dependencies shared by all requests of a host.
 
@@ -77,6 +82,7 @@
     :param rate_limits: Returns which upstreams have rate limits.
     :param rate_permits: Limits requests to upstreams with rate limits.
     :param metrics: Exported metrics that requests update.
+    :param list_age_ms: Returns the age of the list of upstreams in milliseconds, if known.
     :param failure_domain: Failure domain of this host.
     :param clock: Clock used for deadlines and durations.
     :param rng: Random number generator used for jitter, tie breaking and weighted selection.
@@ -103,4 +109,5 @@
     failure_domain: FailureDomainId
     clock: Clock
     rng: Random
+    list_age_ms: Callable[[], int | None] = _unknown_age
     has_bounded_buffers: bool = False
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -148,7 +148,8 @@
             while True:
                 entry = await self._next_entry()
                 if entry is not None:
-                    running.add(asyncio.create_task(self._attempt(entry)))
+                    chosen_at = self._context.clock.now()
+                    running.add(asyncio.create_task(self._attempt(entry, chosen_at)))
                 if not running:
                     return None
                 response = await self._wait_for_any(running, cut_off)
@@ -285,7 +286,7 @@
         excluded = self._record.tried | self._context.pauses.paused
         return eligible_upstreams(self._context, routed.service, excluded, routed.domains)
 
-    async def _attempt(self, entry: UpstreamEntry) -> _CompleteResponse | None:
+    async def _attempt(self, entry: UpstreamEntry, chosen_at: Millis) -> _CompleteResponse | None:
         """Send the request to one upstream; return ``None`` if another upstream should be tried."""
         response: UpstreamResponse | None = None
         path = self._choose_path()
@@ -298,7 +299,11 @@
         counts[entry.upstream] += 1
         try:
             response = await send_request(
-                self._routed, self._context, self._build_request(entry), path=path
+                self._routed,
+                self._context,
+                self._build_request(entry),
+                path=path,
+                chosen_at=chosen_at,
             )
             body = await response.read_all()
         except QuarantinedError:
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -116,6 +116,7 @@
         resume_target: ResumeTarget | None,
         progress: RunProgress,
         path: SendPath,
+        chosen_at: Millis,
     ) -> StreamSegment:
         """Send the request, or a request to resume its run.
 
@@ -123,6 +124,7 @@
         :param resume_target: Where the run resumes; ``None`` for a new run.
         :param progress: Progress of the run.
         :param path: How the request gets to the engine.
+        :param chosen_at: When the engine was chosen.
         :raises QuarantinedError: The request was not sent.
         :raises ExchangeError: The engine did not respond.
         """
@@ -143,7 +145,9 @@
         late = AttemptHealthRecorder(health=self._context.health, entry=entry, after_ms=late_ms)
         try:
             upstream_request = self._build_request(entry, resume_target, progress)
-            response = await send_request(self._routed, self._context, upstream_request, path=path)
+            response = await send_request(
+                self._routed, self._context, upstream_request, path=path, chosen_at=chosen_at
+            )
         except BaseException:
             late.cancel()
             work.end(request=request.request)
@@ -180,6 +184,7 @@
                 self.log("No engine that holds the copy can be asked.", entry)
                 return None
             entry = holder
+            chosen_at = self._context.clock.now()
             is_permitted = (
                 resume_target.is_permitted
                 and entry is resume_target.entry
@@ -191,7 +196,7 @@
                 continue
             has_budget = False
             try:
-                segment = await self._try_resume(entry, resume_target, progress)
+                segment = await self._try_resume(entry, resume_target, progress, chosen_at)
             except (ExchangeError, TimeoutError) as error:
                 self.log("An attempt to resume a run failed.", entry, detail=repr(error))
                 self.record_failure(entry)
@@ -251,12 +256,20 @@
         )
 
     async def _try_resume(
-        self, entry: UpstreamEntry, resume_target: ResumeTarget, progress: RunProgress
+        self,
+        entry: UpstreamEntry,
+        resume_target: ResumeTarget,
+        progress: RunProgress,
+        chosen_at: Millis,
     ) -> StreamSegment:
         sent_at = self._context.clock.now()
         async with asyncio.timeout(RESUME_TIMEOUT_MS / MS_PER_SECOND):
             segment = await self.send(
-                entry=entry, resume_target=resume_target, progress=progress, path=SendPath.RESUMED
+                entry=entry,
+                resume_target=resume_target,
+                progress=progress,
+                path=SendPath.RESUMED,
+                chosen_at=chosen_at,
             )
         status = segment.response.status
         self.log(
--- a/src/tanagerscale/forwarding/_sending.py
+++ b/src/tanagerscale/forwarding/_sending.py
@@ -5,6 +5,8 @@
 from enum import Enum
 from enum import unique
 
+from tanagerscale.core import Millis
+from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._crash_evidence import is_quarantined
 from tanagerscale.forwarding._limited_requests import record_limited_request
@@ -52,6 +54,7 @@
     upstream_request: UpstreamRequest,
     *,
     path: SendPath,
+    chosen_at: Millis,
 ) -> UpstreamResponse:
     """Send a request to an upstream and wait for the head of its response.
 
@@ -59,6 +62,7 @@
     :param context: Dependencies shared by all requests.
     :param upstream_request: The request to the upstream.
     :param path: How the request gets to it.
+    :param chosen_at: When the upstream was chosen.
     :raises QuarantinedError: The request was not sent.
     :raises ExchangeError: The upstream did not respond.
     """
@@ -72,6 +76,7 @@
             path=path.value,
         )
         raise QuarantinedError
+    _record_choice(routed, context, upstream, path=path, chosen_at=chosen_at)
     record_limited_request(routed, context, upstream, path=path.value)
     record_suspected_request(routed, context, upstream, path=path.value)
     if path.is_repeat:
@@ -80,3 +85,28 @@
     response = await context.upstream_client.send(upstream_request=upstream_request)
     record_named_rate(context, upstream, response, sent_at=sent_at)
     return response
+
+
+def _record_choice(
+    routed: RoutedRequest,
+    context: ForwardingContext,
+    upstream: UpstreamId,
+    *,
+    path: SendPath,
+    chosen_at: Millis,
+) -> None:
+    """Record what this host knows of an upstream as it sends a request there."""
+    chosen_ms = context.clock.now() - chosen_at
+    leaving_ms = context.gate.leaving_for_ms(upstream)
+    context.metrics.choice_age_ms.labels(path.value).observe(chosen_ms)
+    if leaving_ms is not None:
+        context.metrics.leaving_requests.labels(path.value).inc()
+    _log.info(
+        "A request is sent.",
+        request=routed.request.request,
+        upstream=upstream,
+        path=path.value,
+        chosen_ms=chosen_ms,
+        leaving_ms=leaving_ms,
+        list_age_ms=context.list_age_ms(),
+    )
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -233,10 +233,15 @@
     async def _try_engine(self, entry: UpstreamEntry) -> Refusal | None:
         sender = self._sender
         path = SendPath.PLACED_AGAIN if self._record.reached else SendPath.PLACED
+        chosen_at = self._context.clock.now()
         self._record.record_sent(entry.upstream)
         try:
             segment = await sender.send(
-                entry=entry, resume_target=None, progress=self._progress, path=path
+                entry=entry,
+                resume_target=None,
+                progress=self._progress,
+                path=path,
+                chosen_at=chosen_at,
             )
         except QuarantinedError:
             self._record.record_not_run(entry.upstream)
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -283,7 +283,7 @@
         return StoreSourceSelector(
             host=self._host,
             directory=self.directory,
-            feeds=self._feeds,
+            feeds=self.feeds,
             loops=followers.loops,
             is_store_available=followers.is_store_available,
             clock=self._clock,
@@ -291,7 +291,8 @@
         )
 
     @property
-    def _feeds(self) -> tuple[ListFeed, ...]:
+    def feeds(self) -> tuple[ListFeed, ...]:
+        """The entries of the store that hosts tell each other."""
         return (self.feed, self.evacuations_feed)
 
     def _share_of_hosts(self) -> float:
@@ -327,7 +328,7 @@
         receivers = MessageReceivers(
             directory=self.directory,
             store_source=self.store_source,
-            feeds=self._feeds,
+            feeds=self.feeds,
             coordinator=self.coordinator,
             client=self.client,
             relay=self._relay,
--- a/src/tanagerscale/gateway/_forwarding.py
+++ b/src/tanagerscale/gateway/_forwarding.py
@@ -12,6 +12,7 @@
 from tanagerscale.forwarding import ForwardingMetrics
 from tanagerscale.forwarding import LocalWorkload
 from tanagerscale.gateway._control import HostControl
+from tanagerscale.gateway._list_metrics import ListCollector
 from tanagerscale.gateway._observed_upstreams import ObservedUpstreams
 from tanagerscale.gateway._platform import PlatformUpstreamClient
 from tanagerscale.gateway._share_metrics import ShareCollector
@@ -60,9 +61,11 @@
         failure_domain=failure_domain,
         clock=clock,
         rng=rng,
+        list_age_ms=lambda: control.feed.age_ms,
         has_bounded_buffers=has_bounded_buffers,
     )
     registry.register(ShareCollector(coordinator=control.coordinator))
+    registry.register(ListCollector(feeds=control.feeds, gate=control.gate))
     context.metrics.evacuated.set_function(lambda: len(control.evacuations.domains))
     context.metrics.is_cut_off.set_function(lambda: control.paths.is_cut_off)
     context.metrics.paused.set_function(lambda: len(control.pauses.paused))
--- a/src/tanagerscale/gateway/_peer_messages.py
+++ b/src/tanagerscale/gateway/_peer_messages.py
@@ -133,7 +133,7 @@
             case UpstreamLeaving() | HeadAnnouncement() | Suspect():
                 receivers.relay.on_announcement(host, message)
         if isinstance(message, UpstreamLeaving):
-            receivers.gate.on_peer(message)
+            receivers.gate.on_peer(message, host=host)
         elif isinstance(message, Suspect):
             receivers.suspects.on_peer(message)
         for feed in receivers.feeds:
--- a/src/tanagerscale/membership/__init__.py
+++ b/src/tanagerscale/membership/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tanagerscale.membership._evacuations import Evacuations
+from tanagerscale.membership._gate import NoticeSource
 from tanagerscale.membership._gate import UpstreamGate
 from tanagerscale.membership._gate_subscriptions import subscribe_gate
 from tanagerscale.membership._head_replication import NOT_PACKED
@@ -42,6 +43,7 @@
     "Mesh",
     "MeshCounters",
     "Message",
+    "NoticeSource",
     "PeerAddress",
     "PeerInfo",
     "ReceivedMessage",
--- a/src/tanagerscale/membership/_gate.py
+++ b/src/tanagerscale/membership/_gate.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from collections.abc import Sequence
+from enum import Enum
+from enum import unique
 from random import Random
 from typing import final
 
@@ -38,6 +41,20 @@
 log = get_logger(part="gate")
 
 
+@unique
+class NoticeSource(Enum):
+    """Where a host learned that an upstream is leaving."""
+
+    STORE = "store"
+    """From its entry, or because the entry is gone."""
+    PEER = "peer"
+    """From another host."""
+    RESPONSE = "response"
+    """From the upstream itself, in a response."""
+    REFUSAL = "refusal"
+    """From a refusal by the upstream, or by another one that now has its address."""
+
+
 class _Breaker(Struct, kw_only=True):
     """Circuit breaker of one upstream.
 
@@ -74,6 +91,10 @@
         self._newest_incarnations: dict[UpstreamId, int] = {}
         self._leaving_incarnations: dict[UpstreamId, int] = {}
         self._leaving_noted_at: dict[UpstreamId, Millis] = {}
+        self._learned_at: dict[UpstreamId, Millis] = {}
+        """When the first host learned of each notice, by this host's clock."""
+        self.ignored_notices: Counter[str] = Counter()
+        """Notices that changed nothing, by the reason."""
         self._listed_leaving: frozenset[UpstreamId] = frozenset()
         self._breakers: dict[UpstreamId, _Breaker] = {}
         self._changes: Subject[UpstreamId] = Subject()
@@ -109,28 +130,54 @@
             upstream = UpstreamId(entry.id)
             self.record_incarnation(upstream=upstream, incarnation=entry.incarnation)
             if entry.state is ListedState.LEAVING:
-                self.record_leaving(upstream=upstream, incarnation=entry.incarnation)
+                self.record_leaving(
+                    upstream=upstream, incarnation=entry.incarnation, source=NoticeSource.STORE
+                )
+
+    def on_peer(self, message: UpstreamLeaving, *, host: str = "") -> None:
+        """Handle a notice from a peer that an upstream is leaving.
 
-    def on_peer(self, message: UpstreamLeaving) -> None:
-        """Handle a notice from a peer that an upstream is leaving."""
-        upstream = UpstreamId(message.upstream)
-        self.record_leaving(upstream=upstream, incarnation=message.incarnation)
+        :param message: The notice.
+        :param host: The peer, for the log.
+        """
+        self.record_leaving(
+            upstream=UpstreamId(message.upstream),
+            incarnation=message.incarnation,
+            source=NoticeSource.PEER,
+            host=host,
+            age_ms=message.age_ms,
+        )
 
-    def record_leaving(self, *, upstream: UpstreamId, incarnation: int | None = None) -> None:
+    def record_leaving(
+        self,
+        *,
+        upstream: UpstreamId,
+        incarnation: int | None = None,
+        source: NoticeSource = NoticeSource.REFUSAL,
+        host: str = "",
+        age_ms: int = 0,
+    ) -> None:
         """Close a leaving upstream and notify the peers, unless that is already known.
 
         :param upstream: The upstream.
         :param incarnation: The incarnation that is leaving; ``None`` means the newest known one,
             which is the one that a refusal by the upstream itself refers to.
+        :param source: Where this host learned of it.
+        :param host: The host that told of it, if another one did.
+        :param age_ms: How long ago the first host learned of it, in milliseconds.
         """
         leaving_incarnation = (
             self._newest_incarnations.get(upstream, 0) if incarnation is None else incarnation
         )
         if incarnation is None:
             self._leaving_noted_at[upstream] = self._clock.now()
-        if self._leaving_incarnations.get(upstream, -1) >= leaving_incarnation:
+        known = self._leaving_incarnations.get(upstream, -1)
+        if known >= leaving_incarnation:
+            self._ignore_notice(upstream, leaving_incarnation, source, host=host)
             return
         self._leaving_noted_at[upstream] = self._clock.now()
+        if not self.is_leaving(upstream):
+            self._learned_at[upstream] = Millis(self._clock.now() - age_ms)
         self._leaving_incarnations[upstream] = leaving_incarnation
         if leaving_incarnation == 0:
             self._schedule_change(upstream, delay_ms=_LEAVING_TTL_MS)
@@ -139,8 +186,12 @@
             upstream=upstream,
             incarnation=leaving_incarnation,
             is_own_notice=leaving_incarnation == _OWN_NOTICE,
+            learned_from=source.value,
+            peer=host,
+            age_ms=self._notice_age_ms(upstream),
+            newest=self._newest_incarnations.get(upstream, 0),
         )
-        self._broadcast(UpstreamLeaving(upstream=upstream, incarnation=leaving_incarnation))
+        self._broadcast(self._make_message(upstream))
         self._changes.on_next(upstream)
 
     def record_own_notice(self, *, upstream: UpstreamId) -> None:
@@ -150,7 +201,9 @@
 
         :param upstream: The upstream; the id must stand for one incarnation only.
         """
-        self.record_leaving(upstream=upstream, incarnation=_OWN_NOTICE)
+        self.record_leaving(
+            upstream=upstream, incarnation=_OWN_NOTICE, source=NoticeSource.RESPONSE
+        )
         self._leaving_noted_at[upstream] = self._clock.now()
 
     def expire_own_notice(self, *, upstream: UpstreamId) -> None:
@@ -171,7 +224,10 @@
             it.
         """
         if incarnation > self._newest_incarnations.get(upstream, 0):
+            was_leaving = self.is_leaving(upstream)
             self._newest_incarnations[upstream] = incarnation
+            if was_leaving and not self.is_leaving(upstream):
+                self._log_reopened(upstream)
             self._changes.on_next(upstream)
 
     def record_gone(self, *, upstream: UpstreamId) -> None:
@@ -200,6 +256,55 @@
     def _forget_notice(self, upstream: UpstreamId) -> None:
         self._leaving_incarnations.pop(upstream, None)
         self._leaving_noted_at.pop(upstream, None)
+        self._learned_at.pop(upstream, None)
+
+    def leaving_for_ms(self, upstream: UpstreamId) -> int | None:
+        """Return how long an upstream has been known to be leaving, in milliseconds.
+
+        :param upstream: The upstream.
+        :returns: Time since the first host learned of it; ``None`` if it is not leaving.
+        """
+        return self._notice_age_ms(upstream) if self.is_leaving(upstream) else None
+
+    def _notice_age_ms(self, upstream: UpstreamId) -> int:
+        now = self._clock.now()
+        return now - self._learned_at.get(upstream, now)
+
+    def _make_message(self, upstream: UpstreamId) -> UpstreamLeaving:
+        return UpstreamLeaving(
+            upstream=upstream,
+            incarnation=self._leaving_incarnations[upstream],
+            age_ms=self._notice_age_ms(upstream),
+        )
+
+    def _ignore_notice(
+        self, upstream: UpstreamId, incarnation: int, source: NoticeSource, *, host: str
+    ) -> None:
+        known = self._leaving_incarnations[upstream]
+        reason = "repeated" if known == incarnation else "older"
+        self.ignored_notices[reason] += 1
+        # Peers repeat notices to each other, which is neither rare nor of interest.
+        if reason == "repeated" and source is NoticeSource.PEER:
+            return
+        log.info(
+            "A notice of an upstream is ignored.",
+            upstream=upstream,
+            reason=reason,
+            incarnation=incarnation,
+            known=known,
+            learned_from=source.value,
+            peer=host,
+            age_ms=self._notice_age_ms(upstream),
+        )
+
+    def _log_reopened(self, upstream: UpstreamId) -> None:
+        log.info(
+            "An upstream accepts requests again.",
+            upstream=upstream,
+            incarnation=self._newest_incarnations[upstream],
+            left=self._leaving_incarnations[upstream],
+            was_leaving_ms=self._notice_age_ms(upstream),
+        )
 
     def _schedule_change(self, upstream: UpstreamId, *, delay_ms: int) -> asyncio.TimerHandle:
         """Schedule a change notification for a change that only the passage of time causes."""
@@ -213,8 +318,8 @@
     def leaving_messages(self) -> tuple[UpstreamLeaving, ...]:
         """Return the leaving notices to send to a newly connected host."""
         return tuple(
-            UpstreamLeaving(upstream=upstream, incarnation=leaving_incarnation)
-            for upstream, leaving_incarnation in self._leaving_incarnations.items()
+            self._make_message(upstream)
+            for upstream in self._leaving_incarnations
             if self.is_leaving(upstream)
         )
 
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -22,6 +22,7 @@
 from tanagerscale.core import UpstreamName
 from tanagerscale.core import get_logger
 from tanagerscale.membership._evacuations import Evacuations
+from tanagerscale.membership._gate import NoticeSource
 from tanagerscale.membership._gate import UpstreamGate
 from tanagerscale.membership._roster_records import UpstreamRecord
 from tanagerscale.store import StoreEntry
@@ -256,7 +257,9 @@
         else:
             self._update(record, entry, revision)
         if entry.state is UpstreamState.LEAVING:
-            self._gate.record_leaving(upstream=entry.upstream, incarnation=revision)
+            self._gate.record_leaving(
+                upstream=entry.upstream, incarnation=revision, source=NoticeSource.STORE
+            )
         else:
             if not entry.started_ms:
                 self._gate.expire_own_notice(upstream=entry.upstream)
@@ -383,7 +386,9 @@
         if record is None or record.missing_since is None:
             return
         # The upstream may still serve for a short time, so it is treated as leaving.
-        self._gate.record_leaving(upstream=upstream, incarnation=revision)
+        self._gate.record_leaving(
+            upstream=upstream, incarnation=revision, source=NoticeSource.STORE
+        )
         self._changes.on_next(upstream)
         loop = asyncio.get_running_loop()
         loop.call_later(GONE_RETENTION_MS / MS_PER_SECOND, self._delete_if_gone, upstream)
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -402,6 +402,10 @@
         """Return whether an upstream is leaving."""
         return upstream in self.leaving
 
+    def leaving_for_ms(self, upstream: UpstreamId) -> int | None:
+        """Return 0 for upstreams that are leaving, since their notices have no time."""
+        return 0 if upstream in self.leaving else None
+
     def is_broken(self, upstream: UpstreamId) -> bool:
         """Return whether an upstream was marked down."""
         return upstream in self.down
--- a/testing/test_ways_to_upstreams.py
+++ b/testing/test_ways_to_upstreams.py
@@ -240,7 +240,13 @@
             request=case.routed.request, upstream=entry, account=None, time_left_ms=None
         )
         with pytest.raises(QuarantinedError):
-            await send_request(case.routed, case.context, upstream_request, path=path)
+            await send_request(
+                case.routed,
+                case.context,
+                upstream_request,
+                path=path,
+                chosen_at=case.context.clock.now(),
+            )
         return len(case.client.arrived)
 
     assert run_virtually(scenario()) == 0
