Reproduce requests to leaving upstreams in tests of our own

Each hypothesis of the incident DRAIN gets its own try. Through processes: the soak's store goes away and comes back older, its watches stand still, heartbeats come late, and its verdict holds DRAIN to the arithmetic of the rule (drain_rule).

The stand-in store now tells its era, and entries count heartbeats.

--- a/standins/platform_fault_log.py
+++ b/standins/platform_fault_log.py
@@ -30,6 +30,7 @@
     LIMIT = "upstream names a rate limit"
     CUT = "host cut off from all upstreams"
     PART = "part of prompts crashes upstreams"
+    NOTICE = "store acknowledged that an upstream leaves"
     CROWD = "most new connections go to one host"
 
 
--- a/standins/platform_faults.py
+++ b/standins/platform_faults.py
@@ -70,6 +70,8 @@
         self._clock = Clock()
         self.on_added: Callable[[UpstreamEmulator], None] = lambda _upstream: None
         """Called for each upstream that is started."""
+        self.tells_start = True
+        """Whether the entries of upstreams have the time of their start."""
         self.make_configuration: Callable[[int], dict[str, Any]] = soak_configuration
         self._upstreams: dict[str, tuple[str, dict[str, Any]]] = {}
         """Service and options of the upstreams that are neither leaving nor down."""
@@ -89,6 +91,28 @@
             self._change_configuration: 3,
         }
 
+    def disturb_few(self) -> None:
+        """Inject few faults, and none into upstreams or the store, which another one disturbs."""
+        self._weights = {
+            self._rest: 40,
+            self._stop_hosts: 1,
+            self._kill_host: 1,
+            self._freeze_host: 2,
+            self._change_configuration: 2,
+        }
+
+    @property
+    def living(self) -> list[tuple[UpstreamEmulator, str]]:
+        """The upstreams that are neither leaving nor down, with their services."""
+        return [
+            (self._cluster.upstreams[name], service)
+            for name, (service, _) in self._upstreams.items()
+        ]
+
+    def retire(self, upstream: str) -> dict[str, Any]:
+        """Leave an upstream out of all faults, and return its options."""
+        return self._upstreams.pop(upstream)[1]
+
     async def add_upstream(self, service: str, options: dict[str, Any]) -> UpstreamEmulator:
         """Start an upstream under a new name.
 
@@ -96,9 +120,8 @@
         :param options: Options of ``UpstreamEmulator``.
         """
         name = f"{service}-{next(self._numbers)}"
-        upstream = await self._cluster.add_upstream(
-            name, service, born=self._clock.wall(), **options
-        )
+        born = self._clock.wall() if self.tells_start else 0
+        upstream = await self._cluster.add_upstream(name, service, born=born, **options)
         self._upstreams[name] = service, options
         self.on_added(upstream)
         return upstream
@@ -241,6 +264,9 @@
         with self._fault_log.lasting(FaultKind.CONFIGURATION):
             await self._clock.sleep(MS_PER_SECOND)
 
+    async def _rest(self, rng: Random) -> None:
+        """Inject nothing."""
+
     def _choose_upstream(self, rng: Random) -> UpstreamEmulator:
         return self._cluster.upstreams[rng.choice(sorted(self._upstreams))]
 
--- a/standins/platform_soak.py
+++ b/standins/platform_soak.py
@@ -16,6 +16,7 @@
 from standins.platform_callers import PlatformCallers
 from standins.platform_crowds import CrowdMaker
 from standins.platform_cuts import HostCutter
+from standins.platform_drains import DrainProvoker
 from standins.platform_fault_log import FaultLog
 from standins.platform_faults import RETRY_SLACKS
 from standins.platform_faults import PlatformFaultInjector
@@ -84,6 +85,7 @@
     crowds: bool = False,
     load: bool = False,
     connections: bool = False,
+    drains: bool = False,
 ) -> list[str]:
     """Run the soak and return the broken guarantees.
 
@@ -98,6 +100,8 @@
     :param crowds: Whether most new connections go to one host at times.
     :param load: Whether accounts, callers, plain upstreams and engines are uneven.
     :param connections: Whether it is a violation that a plain upstream resets connections.
+    :param drains: Whether the store comes back from older copies and upstreams leave after that,
+        with few other faults.
     """
     cluster = PlatformCluster(has_links=cuts)
     fault_log = FaultLog()
@@ -112,6 +116,9 @@
         cluster.on_upstream = shape_upstream
         injector.make_configuration = load_configuration
         callers.accounts = ACCOUNTS
+    if drains:
+        injector.disturb_few()
+        injector.tells_start = seed % 2 == 0
     lag = LoopLag()
     lag_task = asyncio.create_task(lag.run_forever())
     await cluster.start()
@@ -145,6 +152,9 @@
                 tasks.create_task(cutter.run(rng=Random(seed + 4), duration_ms=duration_ms))
             if parts:
                 tasks.create_task(crasher.run(rng=Random(seed + 5), duration_ms=duration_ms))
+            if drains:
+                drainer = DrainProvoker(cluster=cluster, injector=injector, fault_log=fault_log)
+                tasks.create_task(drainer.run(rng=Random(seed + 7), duration_ms=duration_ms))
             if crowds:
                 crowd = CrowdMaker(callers=callers, hosts=processes, fault_log=fault_log)
                 tasks.create_task(crowd.run(rng=Random(seed + 6), duration_ms=duration_ms))
@@ -233,6 +243,7 @@
     crowds: bool = False,
     load: bool = False,
     connections: bool = False,
+    drains: bool = False,
 ) -> None:
     """Run the soak.
 
@@ -247,6 +258,7 @@
     :param crowds: Whether most new connections go to one host at times.
     :param load: Whether accounts, callers, plain upstreams and engines are uneven.
     :param connections: Whether it is a violation that a plain upstream resets connections.
+    :param drains: Whether the store comes back from older copies and upstreams leave after that.
     """
     directory = Path(keep or mkdtemp(prefix="tanagerscale-platform-soak-"))
     directory.mkdir(parents=True, exist_ok=True)
@@ -265,6 +277,7 @@
             crowds=crowds,
             load=load,
             connections=connections,
+            drains=drains,
         )
     )
     for violation in violations:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -6,6 +6,7 @@
 import base64
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from enum import Enum
 from enum import unique
 from itertools import count
@@ -57,6 +58,18 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Content of the store at one moment.
+
+    :param revision: Its revision.
+    :param items: Copies of its items by key.
+    """
+
+    revision: int
+    items: dict[str, _Item]
+
+
 @dataclass(slots=True)
 class _Lease:
     ttl_ms: int
@@ -75,6 +88,10 @@
         self.behavior = StoreBehavior.NORMAL
         self.calls: list[str] = []
         self.revision = 1
+        self.era = 1
+        """Number of times that the store has come back from a copy, counted from 1."""
+        self._is_away = False
+        self._are_watches_stalled = False
         self._page = page_size
         self._items: dict[str, _Item] = {}
         self._history: list[dict[str, Any]] = []
@@ -126,10 +143,41 @@
                 self.revision += 1
                 self._append_event({"key": key, "revision": self.revision, "deleted": True})
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the content, from which the store can come back."""
+        return StoreCopy(self.revision, {key: replace(one) for key, one in self._items.items()})
+
+    def go_away(self) -> None:
+        """Reset all calls and waiting watches until the store comes back."""
+        self._is_away = True
+        self._notify_watches()
+
+    def come_back_from(self, copy: StoreCopy) -> None:
+        """Replace the content by that of a copy, which starts a new era.
+
+        Revisions continue from that of the copy. Leases granted since are gone.
+        """
+        self.era += 1
+        self.revision = self._compacted = copy.revision
+        self._items = {key: replace(one) for key, one in copy.items.items()}
+        self._history.clear()
+        kept = {item.lease for item in self._items.values()}
+        for lease in [lease for lease in self._leases if lease not in kept]:
+            timer = self._leases.pop(lease).timer
+            if timer is not None:
+                timer.cancel()
+        self._is_away = False
+        self._notify_watches()
+
+    def stall_watches(self) -> None:
+        """Let watches hear of no changes until the history is compacted."""
+        self._are_watches_stalled = True
+
     def compact(self) -> None:
         """Drop the event history and wake the waiting watches, which then fail as compacted."""
         self._history.clear()
         self._compacted = self.revision
+        self._are_watches_stalled = False
         self._notify_watches()
 
     def keys(self) -> list[str]:
@@ -158,7 +206,10 @@
                 await asyncio.Event().wait()
             if self.behavior is StoreBehavior.RESET:
                 _reset(request)
+            if self._is_away:
+                _reset(request)
             response: web.StreamResponse = await handler(request)
+            response.headers["Store-Era"] = str(self.era)
             if self.behavior is StoreBehavior.RESET_AFTER_EXECUTION and request.method != "GET":
                 _reset(request)
             return response
@@ -192,13 +243,18 @@
         after = int(request.query["after"])
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(request.query["waitMs"]) / MS_PER_S
+        era = self.era
         while True:
-            if after < self._compacted:
+            if self._is_away:
+                _reset(request)
+            if after < self._compacted or after > self.revision or era != self.era:
                 return web.Response(status=GONE_STATUS)
             events = [
                 event
                 for event in self._history
-                if event["revision"] > after and str(event["key"]).startswith(prefix)
+                if event["revision"] > after
+                and str(event["key"]).startswith(prefix)
+                and not self._are_watches_stalled
             ]
             remaining_s = deadline - loop.time()
             if events or remaining_s <= 0:
--- a/standins/platform_verdict.py
+++ b/standins/platform_verdict.py
@@ -7,6 +7,8 @@
 from collections.abc import Mapping
 from typing import final
 
+from standins.drain_rule import SentRequest
+from standins.drain_rule import find_late_requests
 from standins.platform_callers import REFUSED_STATUSES
 from standins.platform_callers import Call
 from standins.platform_callers import CallKind
@@ -55,6 +57,7 @@
 _STOPS = frozenset((FaultKind.HOST_STOP,))
 _RESTARTS = _INTERRUPTIONS | _STOPS
 _CUTS = frozenset((FaultKind.CUT,))
+_STORE_FAULTS = frozenset((FaultKind.STORE,))
 
 
 @final
@@ -106,6 +109,7 @@
                     violations.append(f"{name}: {fault}: {self.describe(call)}")
         violations += self._find_requests_to_leaving() + self._find_requests_in_pauses()
         violations += self._find_requests_over_limits() + self._find_repeats_over_budget()
+        violations += self._find_requests_after_notices()
         served = ServedCalls(
             calls=list(self._calls.values()), received=self._received, fault_log=self._fault_log
         )
@@ -223,6 +227,37 @@
                 )
         return violations
 
+    def _find_requests_after_notices(self) -> list[str]:
+        arrivals: dict[str, list[SentRequest]] = defaultdict(list)
+        for call, received in self._pairs():
+            if received.executed:
+                request = SentRequest(
+                    call.request, _sender(call, received), call.sent, received.arrived
+                )
+                arrivals[received.upstream].append(request)
+        violations = []
+        for notice in self._fault_log.faults:
+            if notice.kind is not FaultKind.NOTICE:
+                continue
+            late = find_late_requests(
+                acknowledged=notice.began,
+                requests=arrivals[notice.target],
+                is_store_disturbed=lambda began, ended: bool(
+                    self._fault_log.find("", _STORE_FAULTS, began=began, ended=ended)
+                ),
+                is_host_disturbed=lambda host, began, ended: bool(
+                    self._fault_log.find(host, _RESTARTS | _STORE_FAULTS, began=began, ended=ended)
+                ),
+            )
+            if late:
+                last = max(late, key=lambda request: request.arrived)
+                violations.append(
+                    f"DRAIN: {len(late)} requests reached {notice.target}, the last "
+                    f"{last.arrived - notice.began} ms after its leaving was acknowledged: "
+                    f"{last.request} from {last.host}"
+                )
+        return violations
+
     def _find_requests_in_pauses(self) -> list[str]:
         arrivals: dict[tuple[str, str, int], list[ReceivedRequest]] = defaultdict(list)
         for call, received in self._pairs():
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -152,6 +153,8 @@
         self.store_links: dict[str, TcpRelay] = {}
         """Relay between each host and the store, by host name."""
         self._settings: dict[str, GatewaySettings] = {}
+        self._heartbeats: Counter[tuple[str, int]] = Counter()
+        """Entries that each incarnation of an upstream has written."""
         self._store_address = ""
         self._session: aiohttp.ClientSession | None = None
         self._requests = 0
@@ -223,8 +226,26 @@
         for link in self.upstream_links.values():
             link.heal(source)
 
-    def register(self, upstream: UpstreamEmulator, service: str, *, state: str = "ready") -> None:
-        """Write the entry of an upstream to the store."""
+    def register(
+        self,
+        upstream: UpstreamEmulator,
+        service: str,
+        *,
+        state: str = "ready",
+        sequence: int | None = None,
+    ) -> int:
+        """Write the entry of an upstream to the store.
+
+        :param upstream: The upstream.
+        :param service: Service to which it belongs.
+        :param state: State that the entry tells.
+        :param sequence: Number of the heartbeat; ``None`` for the next one.
+        :returns: Number of the heartbeat.
+        """
+        identity = upstream.upstream, upstream.born
+        if sequence is None:
+            self._heartbeats[identity] += 1
+            sequence = self._heartbeats[identity]
         link = self.upstream_links.get(upstream.upstream)
         entry = {
             "service": service,
@@ -234,11 +255,12 @@
             "slots": 24,
             "state": state,
             "coldRemainingMs": 0,
-            "sequence": 1,
+            "sequence": sequence,
         }
         self.put_entry(
             upstream.upstream, entry | ({"born": upstream.born} if upstream.born else {})
         )
+        return sequence
 
     def put_entry(self, name: str, entry: object) -> None:
         """Write an entry of an upstream without checks; bytes are written unencoded."""
--- a/testing/_fake_store.py
+++ b/testing/_fake_store.py
@@ -46,12 +46,22 @@
     entry: StoreEntry | None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BackendCopy:
+    """Content of a store at one moment."""
+
+    revision: int
+    entries: dict[str, StoreEntry]
+
+
 @final
 class FakeBackend:
     """State shared by all clients of one fake store."""
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 1
+        """Number of times that the store has come back from a copy, counted from 1."""
         self.compacted = 0
         self.entries: dict[str, StoreEntry] = {}
         self.history: list[_Event] = []
@@ -65,6 +75,23 @@
         self.history.clear()
         self.wake_watchers()
 
+    def copy(self) -> BackendCopy:
+        """Return a copy of the content, from which the store can come back."""
+        return BackendCopy(revision=self.revision, entries=dict(self.entries))
+
+    def come_back_from(self, copy: BackendCopy) -> None:
+        """Replace the content by that of a copy, which starts a new era.
+
+        Revisions continue from that of the copy, and leases granted since are gone.
+        """
+        self.era += 1
+        self.revision = self.compacted = copy.revision
+        self.entries = dict(copy.entries)
+        self.history.clear()
+        kept = {entry.lease for entry in copy.entries.values()}
+        self._leases = {one: state for one, state in self._leases.items() if one in kept}
+        self.wake_watchers()
+
     def corrupt(self, *, key: str, value: bytes) -> None:
         """Replace a value without a new revision or an event."""
         present = self.entries[key]
@@ -324,7 +351,7 @@
             return None
         if self.down:
             return _error(StoreErrorKind.UNREACHABLE)
-        if reached <= self.backend.compacted:
+        if reached <= self.backend.compacted or reached > self.backend.revision + 1:
             return _error(StoreErrorKind.COMPACTED)
         return None
 
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -349,6 +349,8 @@
 
     entries: list[UpstreamEntry] = field(default_factory=list)
     leaving: set[str] = field(default_factory=set)
+    leaving_ms: dict[str, int] = field(default_factory=dict)
+    """Time since the notices of leaving upstreams, in milliseconds; 0 for others."""
     down: list[str] = field(default_factory=list)
     gone: list[str] = field(default_factory=list)
     is_current: bool = True
@@ -403,8 +405,8 @@
         return upstream in self.leaving
 
     def leaving_for_ms(self, upstream: UpstreamId) -> int | None:
-        """Return 0 for upstreams that are leaving, since their notices have no time."""
-        return 0 if upstream in self.leaving else None
+        """Return the time since the notice of a leaving upstream."""
+        return self.leaving_ms.get(upstream, 0) if upstream in self.leaving else None
 
     def is_broken(self, upstream: UpstreamId) -> bool:
         """Return whether an upstream was marked down."""
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -189,9 +189,9 @@
 
 
 def decode_entry(key: str, value: bytes) -> Result[UpstreamEntry, str]:
-    """Parse an engine entry: its state, its failure domain and its cold time."""
+    """Parse an engine entry: its state, failure domain and cold time, and its sequence if any."""
     name = key.removeprefix(REGISTRY_PREFIX)
-    state, domain, warmup_ms = value.decode().split()
+    state, domain, warmup_ms, *_ = value.decode().split()
     return Success(
         UpstreamEntry(
             upstream=UpstreamId(name),
@@ -374,10 +374,17 @@
         return sum(host.received for host in self.hosts)
 
     def set_engine(
-        self, name: str, *, state: str = "ready", domain: str = "domain-0", warmup_ms: int = 0
+        self,
+        name: str,
+        *,
+        state: str = "ready",
+        domain: str = "domain-0",
+        warmup_ms: int = 0,
+        sequence: int | None = None,
     ) -> None:
         """Write the entry of an engine."""
-        self.write(f"{REGISTRY_PREFIX}{name}", f"{state} {domain} {warmup_ms}")
+        counted = "" if sequence is None else f" {sequence}"
+        self.write(f"{REGISTRY_PREFIX}{name}", f"{state} {domain} {warmup_ms}{counted}")
 
     def remove_engine(self, name: str) -> None:
         """Remove the entry of an engine."""
--- a/testing/test_platform_soak.py
+++ b/testing/test_platform_soak.py
@@ -111,6 +111,19 @@
     assert violations == []
 
 
+# Guards against requests to upstreams whose leaving the store has acknowledged, after it came back
+# from an older copy, while its watches stand still, or with heartbeats that are applied late.
+@pytest.mark.asyncio
+@pytest.mark.parametrize(("seed", "seconds", "hosts"), [(1003, 26, 6), (1004, 26, 6)])
+async def test_guarantees_hold_when_upstreams_leave_after_returns_of_the_store(
+    seed: int, seconds: int, hosts: int, tmp_path: Path
+) -> None:
+    violations = await run_soak(
+        seed=seed, seconds=seconds, hosts=hosts, directory=tmp_path, drains=True
+    )
+    assert violations == []
+
+
 CHECKS_CONNECTIONS = False
 """Whether the connections of all hosts at an upstream are checked; True once hosts limit them."""
 
--- a/testing/test_ways_to_upstreams.py
+++ b/testing/test_ways_to_upstreams.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from pathlib import Path
+from typing import Any
 
 from msgspec import structs
 import pytest
@@ -22,6 +23,8 @@
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding import RoutedRequest
 from tanagerscale.forwarding import UpstreamRequest
+from tanagerscale.forwarding import _plain
+from tanagerscale.forwarding import _segments
 from tanagerscale.forwarding import _sending
 from tanagerscale.forwarding._delegation import DelegatedForwarder
 from tanagerscale.forwarding._delegation import DelegatedResponse
@@ -53,6 +56,9 @@
 PARTS = ("route", "bad", "own")
 HEDGE_WAIT_S = 10.0
 """Much longer than the delay after which a request is hedged."""
+LONG_AFTER_NOTICE_MS = 2000
+SERVED_BY_THE_OTHER = (SendPath.FIRST, SendPath.PLACED)
+"""Paths on which the other upstream can take the request."""
 LOST = ExchangeError(ExchangeFailure.LOST, "connection reset")
 EVENTS = [f"id: {number}\ndata: {number}\n\n".encode() for number in range(1, 4)]
 
@@ -252,6 +258,40 @@
     assert run_virtually(scenario()) == 0
 
 
+# A request was chosen in time and sent after its host had learned that the upstream leaves.
+@pytest.mark.parametrize("path", list(SendPath))
+def test_nothing_is_sent_by_the_path_to_an_upstream_that_leaves_after_it_was_chosen(
+    path: SendPath, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    way = WAYS[path]
+    left: list[UpstreamId] = []
+
+    async def scenario() -> tuple[list[str], bool]:
+        case = _make_case(way.kind, way.reactions(), is_convicted=False)
+
+        async def send_after_notice(*args: Any, **options: Any) -> Any:
+            upstream = args[2].upstream.upstream
+            if options["path"] is path and not left:
+                left.append(upstream)
+                case.fakes.upstreams.leaving.add(upstream)
+                case.fakes.upstreams.leaving_ms[upstream] = LONG_AFTER_NOTICE_MS
+            return await send_request(*args, **options)
+
+        for module in (_plain, _segments):
+            monkeypatch.setattr(module, "send_request", send_after_notice)
+        serving = asyncio.ensure_future(way.serve(case))
+        await asyncio.wait([serving], timeout=HEDGE_WAIT_S)
+        is_served = serving.done() and serving.result() is None
+        serving.cancel()
+        return [one.upstream.upstream for one in case.client.arrived], is_served
+
+    arrived, is_served = run_virtually(scenario())
+    assert left
+    assert left[0] not in arrived[len(way.reactions()) :]
+    # On the other paths the other upstream has been tried before, or has no copy of the run.
+    assert is_served == (path in SERVED_BY_THE_OTHER)
+
+
 class _CountingDelegates(NoDelegates):
     """Other hosts that can't be reached, one of which is asked before the part is convicted."""
 
