Order what an upstream says of itself by its own numbers

Seen by callers: a request goes to an upstream that is leaving, and breaks off when it ends. Cause: an entry that the upstream wrote before its notice may be applied after it (the store promises no order of writes whose answers were lost). The roster and the gate ordered entries by the store's revision, so all hosts opened the upstream again; sequence was decoded and dropped.

UpstreamVersion orders all statements on an upstream, from the store, peers and answers, by the upstream's number and only then by the store's revision. The gate compares nothing else, notices between hosts carry both, and the roster leaves out an entry that a later one has overtaken, and logs it. A number is never compared across starts: these have ids of their own.

--- a/src/tanagerscale/membership/_gate.py
+++ b/src/tanagerscale/membership/_gate.py
@@ -24,6 +24,8 @@
 from tanagerscale.generated.upstream import ListedEntry
 from tanagerscale.generated.upstream import ListedKind
 from tanagerscale.generated.upstream import ListedState
+from tanagerscale.membership._upstream_version import UNKNOWN_VERSION
+from tanagerscale.membership._upstream_version import UpstreamVersion
 
 _MIN_BACKOFF_MS = 750
 """Must exceed the interval at which the owner polls an engine, so that failed polls keep a crashed
@@ -34,9 +36,9 @@
 """How long a leaving notice holds if the host list has no incarnations; must exceed the lag of the
 list."""
 
-_OWN_NOTICE = 2**63 - 1
-"""Incarnation in the leaving notice that an upstream itself gave. It outranks any incarnation under
-which the entry of the upstream is rewritten."""
+_OWN_NOTICE = UpstreamVersion(sequence=2**63 - 1)
+"""Version of the leaving notice that an upstream itself gave in a response. It outranks any version
+under which the entry of the upstream is rewritten."""
 
 log = get_logger(part="gate")
 
@@ -88,8 +90,10 @@
         self._clock = clock
         self._rng = rng
         self._broadcast = broadcast
-        self._newest_incarnations: dict[UpstreamId, int] = {}
-        self._leaving_incarnations: dict[UpstreamId, int] = {}
+        self._newest: dict[UpstreamId, UpstreamVersion] = {}
+        """Newest version in which each upstream accepts requests."""
+        self._leaving: dict[UpstreamId, UpstreamVersion] = {}
+        """Newest version in which each upstream leaves."""
         self._leaving_noted_at: dict[UpstreamId, Millis] = {}
         self._learned_at: dict[UpstreamId, Millis] = {}
         """When the first host learned of each notice, by this host's clock."""
@@ -110,10 +114,11 @@
 
     def is_leaving(self, upstream: UpstreamId) -> bool:
         """Return whether the current incarnation of an upstream is known to be leaving."""
-        leaving = self._leaving_incarnations.get(upstream)
-        if leaving is None or leaving < self._newest_incarnations.get(upstream, 0):
+        leaving = self._leaving.get(upstream)
+        if leaving is None or leaving < self._get_newest(upstream):
             return False
-        return leaving > 0 or upstream in self._listed_leaving or self._is_leaving_recent(upstream)
+        is_versioned = leaving != UNKNOWN_VERSION
+        return is_versioned or upstream in self._listed_leaving or self._is_leaving_recent(upstream)
 
     def is_broken(self, upstream: UpstreamId) -> bool:
         """Return whether calls to an upstream failed and the next probe is not due yet."""
@@ -143,6 +148,7 @@
         self.record_leaving(
             upstream=UpstreamId(message.upstream),
             incarnation=message.incarnation,
+            sequence=message.sequence,
             source=NoticeSource.PEER,
             host=host,
             age_ms=message.age_ms,
@@ -153,6 +159,7 @@
         *,
         upstream: UpstreamId,
         incarnation: int | None = None,
+        sequence: int = 0,
         source: NoticeSource = NoticeSource.REFUSAL,
         host: str = "",
         age_ms: int = 0,
@@ -162,34 +169,36 @@
         :param upstream: The upstream.
         :param incarnation: The incarnation that is leaving; ``None`` means the newest known one,
             which is the one that a refusal by the upstream itself refers to.
+        :param sequence: Number that the upstream gave to its statement; 0 if it numbers none.
         :param source: Where this host learned of it.
         :param host: The host that told of it, if another one did.
         :param age_ms: How long ago the first host learned of it, in milliseconds.
         """
-        leaving_incarnation = (
-            self._newest_incarnations.get(upstream, 0) if incarnation is None else incarnation
-        )
         if incarnation is None:
             self._leaving_noted_at[upstream] = self._clock.now()
-        known = self._leaving_incarnations.get(upstream, -1)
-        if known >= leaving_incarnation:
-            self._ignore_notice(upstream, leaving_incarnation, source, host=host)
+            version = self._get_newest(upstream)
+        else:
+            version = UpstreamVersion(sequence=sequence, revision=incarnation)
+        known = self._leaving.get(upstream)
+        if known is not None and known >= version:
+            self._ignore_notice(upstream, version, source, host=host)
             return
         self._leaving_noted_at[upstream] = self._clock.now()
         if not self.is_leaving(upstream):
             self._learned_at[upstream] = Millis(self._clock.now() - age_ms)
-        self._leaving_incarnations[upstream] = leaving_incarnation
-        if leaving_incarnation == 0:
+        self._leaving[upstream] = version
+        if version == UNKNOWN_VERSION:
             self._schedule_change(upstream, delay_ms=_LEAVING_TTL_MS)
         log.info(
             "Upstream is leaving.",
             upstream=upstream,
-            incarnation=leaving_incarnation,
-            is_own_notice=leaving_incarnation == _OWN_NOTICE,
+            sequence=version.sequence,
+            incarnation=version.revision,
+            is_own_notice=version == _OWN_NOTICE,
             learned_from=source.value,
             peer=host,
             age_ms=self._notice_age_ms(upstream),
-            newest=self._newest_incarnations.get(upstream, 0),
+            newest=self._get_newest(upstream),
         )
         self._broadcast(self._make_message(upstream))
         self._changes.on_next(upstream)
@@ -202,7 +211,10 @@
         :param upstream: The upstream; the id must stand for one incarnation only.
         """
         self.record_leaving(
-            upstream=upstream, incarnation=_OWN_NOTICE, source=NoticeSource.RESPONSE
+            upstream=upstream,
+            incarnation=_OWN_NOTICE.revision,
+            sequence=_OWN_NOTICE.sequence,
+            source=NoticeSource.RESPONSE,
         )
         self._leaving_noted_at[upstream] = self._clock.now()
 
@@ -211,29 +223,36 @@
 
         :param upstream: An upstream whose restarts do not change its id.
         """
-        is_own = self._leaving_incarnations.get(upstream) == _OWN_NOTICE
+        is_own = self._leaving.get(upstream) == _OWN_NOTICE
         if is_own and not self._is_leaving_recent(upstream):
-            del self._leaving_incarnations[upstream]
+            del self._leaving[upstream]
             self._changes.on_next(upstream)
 
-    def record_incarnation(self, *, upstream: UpstreamId, incarnation: int) -> None:
+    def record_incarnation(
+        self, *, upstream: UpstreamId, incarnation: int, sequence: int = 0
+    ) -> None:
         """Record an incarnation of an upstream that accepts new requests.
 
         :param upstream: The upstream.
         :param incarnation: The incarnation; a notice that an earlier one is leaving does not close
             it.
+        :param sequence: Number that the upstream gave to its statement; 0 if it numbers none.
         """
-        if incarnation > self._newest_incarnations.get(upstream, 0):
+        version = UpstreamVersion(sequence=sequence, revision=incarnation)
+        if version > self._get_newest(upstream):
             was_leaving = self.is_leaving(upstream)
-            self._newest_incarnations[upstream] = incarnation
+            self._newest[upstream] = version
             if was_leaving and not self.is_leaving(upstream):
                 self._log_reopened(upstream)
             self._changes.on_next(upstream)
 
     def record_gone(self, *, upstream: UpstreamId) -> None:
         """Close an upstream whose address has been reassigned to another upstream."""
+        newest = self._get_newest(upstream)
         self.record_leaving(
-            upstream=upstream, incarnation=max(self._newest_incarnations.get(upstream, 0), 1)
+            upstream=upstream,
+            incarnation=max(newest.revision, 1),
+            sequence=newest.sequence,
         )
 
     def forget(self, *, upstream: UpstreamId) -> None:
@@ -242,11 +261,11 @@
         A recent notice of the upstream itself is kept for longer, because the upstream may still
         run and its entry come back.
         """
-        self._newest_incarnations.pop(upstream, None)
+        self._newest.pop(upstream, None)
         breaker = self._breakers.pop(upstream, None)
         if breaker is not None and breaker.timer is not None:
             breaker.timer.cancel()
-        is_own_notice = self._leaving_incarnations.get(upstream) == _OWN_NOTICE
+        is_own_notice = self._leaving.get(upstream) == _OWN_NOTICE
         if is_own_notice and self._is_leaving_recent(upstream):
             loop = asyncio.get_running_loop()
             loop.call_later(_LEAVING_TTL_MS / MS_PER_SECOND, self._forget_notice, upstream)
@@ -254,7 +273,7 @@
             self._forget_notice(upstream)
 
     def _forget_notice(self, upstream: UpstreamId) -> None:
-        self._leaving_incarnations.pop(upstream, None)
+        self._leaving.pop(upstream, None)
         self._leaving_noted_at.pop(upstream, None)
         self._learned_at.pop(upstream, None)
 
@@ -270,18 +289,23 @@
         now = self._clock.now()
         return now - self._learned_at.get(upstream, now)
 
+    def _get_newest(self, upstream: UpstreamId) -> UpstreamVersion:
+        return self._newest.get(upstream, UNKNOWN_VERSION)
+
     def _make_message(self, upstream: UpstreamId) -> UpstreamLeaving:
+        version = self._leaving[upstream]
         return UpstreamLeaving(
             upstream=upstream,
-            incarnation=self._leaving_incarnations[upstream],
+            incarnation=version.revision,
+            sequence=version.sequence,
             age_ms=self._notice_age_ms(upstream),
         )
 
     def _ignore_notice(
-        self, upstream: UpstreamId, incarnation: int, source: NoticeSource, *, host: str
+        self, upstream: UpstreamId, version: UpstreamVersion, source: NoticeSource, *, host: str
     ) -> None:
-        known = self._leaving_incarnations[upstream]
-        reason = "repeated" if known == incarnation else "older"
+        known = self._leaving[upstream]
+        reason = "repeated" if known == version else "older"
         self.ignored_notices[reason] += 1
         # Peers repeat notices to each other, which is neither rare nor of interest.
         if reason == "repeated" and source is NoticeSource.PEER:
@@ -290,7 +314,7 @@
             "A notice of an upstream is ignored.",
             upstream=upstream,
             reason=reason,
-            incarnation=incarnation,
+            version=version,
             known=known,
             learned_from=source.value,
             peer=host,
@@ -301,8 +325,8 @@
         log.info(
             "An upstream accepts requests again.",
             upstream=upstream,
-            incarnation=self._newest_incarnations[upstream],
-            left=self._leaving_incarnations[upstream],
+            version=self._newest[upstream],
+            left=self._leaving[upstream],
             was_leaving_ms=self._notice_age_ms(upstream),
         )
 
@@ -318,9 +342,7 @@
     def leaving_messages(self) -> tuple[UpstreamLeaving, ...]:
         """Return the leaving notices to send to a newly connected host."""
         return tuple(
-            self._make_message(upstream)
-            for upstream in self._leaving_incarnations
-            if self.is_leaving(upstream)
+            self._make_message(upstream) for upstream in self._leaving if self.is_leaving(upstream)
         )
 
     def record_failure(self, *, upstream: UpstreamId) -> None:
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -239,7 +239,9 @@
     def _handle_decoded(self, entry: UpstreamEntry, revision: StoreRevision) -> None:
         self._written_revisions[entry.name] = revision
         record = self._get_current(entry.name)
-        if record is None or entry.started_ms >= record.entry.started_ms:
+        if record is not None and _is_overtaken(entry, record.entry):
+            self._ignore_overtaken(entry, revision, record.entry)
+        elif record is None or entry.started_ms >= record.entry.started_ms:
             self._apply(entry, revision)
         elif entry.started_ms == 0:
             previous = record.entry.upstream
@@ -258,15 +260,34 @@
             self._update(record, entry, revision)
         if entry.state is UpstreamState.LEAVING:
             self._gate.record_leaving(
-                upstream=entry.upstream, incarnation=revision, source=NoticeSource.STORE
+                upstream=entry.upstream,
+                incarnation=revision,
+                sequence=entry.sequence,
+                source=NoticeSource.STORE,
             )
         else:
             if not entry.started_ms:
                 self._gate.expire_own_notice(upstream=entry.upstream)
             # A rewritten entry reopens the upstream, unless it has itself said that it leaves.
-            self._gate.record_incarnation(upstream=entry.upstream, incarnation=revision)
+            self._gate.record_incarnation(
+                upstream=entry.upstream, incarnation=revision, sequence=entry.sequence
+            )
         self._changes.on_next(entry.upstream)
 
+    def _ignore_overtaken(
+        self, entry: UpstreamEntry, revision: StoreRevision, known: UpstreamEntry
+    ) -> None:
+        """Leave out an entry that its upstream wrote before the one that is known."""
+        _log.info(
+            "An upstream entry is ignored, since a later one is known.",
+            upstream=entry.upstream,
+            state=entry.state.value,
+            sequence=entry.sequence,
+            known_state=known.state.value,
+            known_sequence=known.sequence,
+            revision=revision,
+        )
+
     def _update(
         self, record: UpstreamRecord, entry: UpstreamEntry, revision: StoreRevision
     ) -> None:
@@ -387,7 +408,10 @@
             return
         # The upstream may still serve for a short time, so it is treated as leaving.
         self._gate.record_leaving(
-            upstream=upstream, incarnation=revision, source=NoticeSource.STORE
+            upstream=upstream,
+            incarnation=revision,
+            sequence=record.entry.sequence,
+            source=NoticeSource.STORE,
         )
         self._changes.on_next(upstream)
         loop = asyncio.get_running_loop()
@@ -401,3 +425,13 @@
                 del self._current[record.entry.name]
                 self._written_revisions.pop(record.entry.name, None)
             self._gate.forget(upstream=upstream)
+
+
+def _is_overtaken(entry: UpstreamEntry, known: UpstreamEntry) -> bool:
+    """Return whether an upstream wrote an entry before another one of the same incarnation.
+
+    The store may apply the writes of an upstream in another order, or come back from a copy.
+    """
+    is_numbered = entry.sequence > 0 and known.sequence > 0
+    is_same = entry.upstream == known.upstream
+    return is_same and is_numbered and entry.sequence < known.sequence
--- a/src/tanagerscale/platform/_store.py
+++ b/src/tanagerscale/platform/_store.py
@@ -33,6 +33,8 @@
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
 from tanagerscale.store import WatchBatch
+from tanagerscale.store import uncertain_error
+from tanagerscale.store import unreachable_error
 from tanagerscale.upstreams import ConnectionPool
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
@@ -199,11 +201,11 @@
             async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
                 return await self._exchange(method, target, content)
         except TimeoutError:
-            return Failure(_uncertain("The store did not answer in time"))
+            return Failure(uncertain_error("The store did not answer in time"))
         except ExchangeError as error:
             if error.failure is ExchangeFailure.NOT_SENT:
-                return Failure(_unreachable(error.detail))
-            return Failure(_uncertain(error.detail))
+                return Failure(unreachable_error(error.detail))
+            return Failure(uncertain_error(error.detail))
 
     async def _exchange(
         self, method: str, target: str, content: bytes
@@ -273,13 +275,3 @@
 def _to_conflict(present: WireRange) -> PutOutcome:
     found = next((_to_entry(item) for item in present.items if item.revision), None)
     return PutOutcome(written=False, revision=StoreRevision(present.as_of), current_entry=found)
-
-
-def _unreachable(cause: str) -> StoreError:
-    detail = f"{cause}; the call was not sent, try again after a pause."
-    return StoreError(kind=StoreErrorKind.UNREACHABLE, detail=detail)
-
-
-def _uncertain(cause: str) -> StoreError:
-    detail = f"{cause}; a write may have taken effect, read before repeating it."
-    return StoreError(kind=StoreErrorKind.UNCERTAIN, detail=detail)
--- a/src/tanagerscale/store/__init__.py
+++ b/src/tanagerscale/store/__init__.py
@@ -16,6 +16,8 @@
 from tanagerscale.store._protocol import StoreRange
 from tanagerscale.store._protocol import StoreRevision
 from tanagerscale.store._protocol import WatchBatch
+from tanagerscale.store._protocol import uncertain_error
+from tanagerscale.store._protocol import unreachable_error
 
 __all__ = [
     "MAX_PUTS",
@@ -32,4 +34,6 @@
     "StoreRange",
     "StoreRevision",
     "WatchBatch",
+    "uncertain_error",
+    "unreachable_error",
 ]
--- a/src/tanagerscale/store/_protocol.py
+++ b/src/tanagerscale/store/_protocol.py
@@ -43,6 +43,18 @@
     detail: str
 
 
+def unreachable_error(cause: str) -> StoreError:
+    """Return the failure of a call that was not sent."""
+    detail = f"{cause}; the call was not sent, try again after a pause."
+    return StoreError(kind=StoreErrorKind.UNREACHABLE, detail=detail)
+
+
+def uncertain_error(cause: str) -> StoreError:
+    """Return the failure of a call that may have taken effect."""
+    detail = f"{cause}; a write may have taken effect, read before repeating it."
+    return StoreError(kind=StoreErrorKind.UNCERTAIN, detail=detail)
+
+
 class StoreEntry(Struct, frozen=True, kw_only=True):
     """Key with its value and the store revisions of its creation and last modification."""
 
--- a/src/tanagerscale/upstreams/_entries.py
+++ b/src/tanagerscale/upstreams/_entries.py
@@ -35,6 +35,8 @@
     :param max_concurrency: Number of requests that it processes at the same time.
     :param state: Whether it accepts new requests.
     :param warmup_ms: Remaining warm-up time, in milliseconds; until then it is slow.
+    :param sequence: Number of the entry among those that this incarnation has written, from 1 on;
+        0 if it numbers none.
     """
 
     upstream: UpstreamId
@@ -46,3 +48,4 @@
     max_concurrency: int
     state: UpstreamState
     warmup_ms: int
+    sequence: int = 0
--- a/testing/_listed_upstreams.py
+++ b/testing/_listed_upstreams.py
@@ -22,8 +22,8 @@
     """Build a store entry.
 
     :param name: Name of the upstream, which is also the key of the entry.
-    :param value: State, optional start time and optional warm-up time of the upstream, as in
-        ``ready@1000 800``.
+    :param value: State, optional start time, optional warm-up time and optional sequence of the
+        upstream, as in ``ready@1000 800 3``.
     :param revision: Store revision at which the entry was written.
     """
     at = StoreRevision(revision)
@@ -34,7 +34,7 @@
     """Decode a store entry; the value ``bad`` is unreadable."""
     if value == b"bad":
         return Failure("The entry is unreadable.")
-    status, _, warmup_ms = value.decode().partition(" ")
+    status, warmup_ms, sequence, *_ = [*value.decode().split(), "0", "0"]
     state, _, started = status.partition("@")
     return Success(
         UpstreamEntry(
@@ -46,6 +46,7 @@
             failure_domain=FailureDomainId("x"),
             max_concurrency=1,
             state=UpstreamState(state),
-            warmup_ms=int(warmup_ms or 0),
+            warmup_ms=int(warmup_ms),
+            sequence=int(sequence),
         )
     )
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -191,7 +191,7 @@
 def decode_entry(key: str, value: bytes) -> Result[UpstreamEntry, str]:
     """Parse an engine entry: its state, failure domain and cold time, and its sequence if any."""
     name = key.removeprefix(REGISTRY_PREFIX)
-    state, domain, warmup_ms, *_ = value.decode().split()
+    state, domain, warmup_ms, *sequence = value.decode().split()
     return Success(
         UpstreamEntry(
             upstream=UpstreamId(name),
@@ -203,6 +203,7 @@
             max_concurrency=24,
             state=UpstreamState(state),
             warmup_ms=int(warmup_ms),
+            sequence=int(sequence[0]) if sequence else 0,
         )
     )
 
--- a/testing/test_leaving_logs.py
+++ b/testing/test_leaving_logs.py
@@ -25,6 +25,7 @@
 from tanagerscale.membership import Evacuations
 from tanagerscale.membership import NoticeSource
 from tanagerscale.membership import UpstreamGate
+from tanagerscale.membership._upstream_version import UpstreamVersion
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
 from tanagerscale.store import WatchBatch
@@ -97,7 +98,11 @@
 
     gate = run_virtually(scenario())
     (ignored,) = logs.find("A notice of an upstream is ignored.")
-    assert (ignored["reason"], ignored["incarnation"], ignored["known"]) == ("older", 5, 7)
+    assert (ignored["reason"], ignored["version"], ignored["known"]) == (
+        "older",
+        UpstreamVersion(revision=5),
+        UpstreamVersion(revision=7),
+    )
     assert dict(gate.ignored_notices) == {"older": 1, "repeated": 1}
 
 
@@ -110,7 +115,8 @@
 
     run_virtually(scenario())
     (opened,) = logs.find("An upstream accepts requests again.")
-    assert (opened["incarnation"], opened["left"], opened["was_leaving_ms"]) == (8, 7, 400)
+    assert (opened["version"].revision, opened["left"].revision) == (8, 7)
+    assert opened["was_leaving_ms"] == 400
 
 
 def test_entries_that_are_ignored_are_logged_with_the_reason_and_the_age_of_the_list(
