--- a/src/tanagerscale/coordination/_directory.py
+++ b/src/tanagerscale/coordination/_directory.py
@@ -22,6 +22,7 @@
 from tanagerscale.generated.records import HostRecord
 from tanagerscale.membership import PeerAddress
 from tanagerscale.membership import PeerInfo
+from tanagerscale.store import format_revision
 
 COORDINATOR_COUNT: Final = 4
 """Number of hosts that all others connect to. Each knows the runs of all hosts, so any of them can
@@ -257,7 +258,7 @@
             "The coordinators have changed.",
             coordinators=self._last_expected,
             hosts=hosts,
-            revision=revision,
+            revision=format_revision(revision),
         )
         self._changes.on_next(None)
 
--- a/src/tanagerscale/coordination/_feed.py
+++ b/src/tanagerscale/coordination/_feed.py
@@ -35,6 +35,7 @@
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
 from tanagerscale.store import WatchBatch
+from tanagerscale.store import format_revision
 
 MAX_KEPT_CHANGES: Final = 200
 """Changes kept for hosts that request those they missed; more than a minute's worth when five
@@ -334,8 +335,8 @@
             "Entries are ignored.",
             topic=self._topic.value,
             reason=reason.value,
-            revision=revision,
-            known=self._revision,
+            revision=format_revision(revision),
+            known=format_revision(self._revision),
             entries=count,
             source=self._source or "",
             age_ms=self.age_ms,
--- a/src/tanagerscale/coordination/_store_source.py
+++ b/src/tanagerscale/coordination/_store_source.py
@@ -20,6 +20,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
+from tanagerscale.store import format_revision
 
 ISOLATION_TIMEOUT_MS: Final = 1300
 """How long a host may be disconnected from all coordinators before it follows the store itself.
@@ -117,9 +118,9 @@
             self._stop_following_store()
 
     @property
-    def _revisions(self) -> list[int]:
+    def _revisions(self) -> list[str]:
         """The revisions up to which the entries are known."""
-        return [feed.revision for feed in self._feeds]
+        return [format_revision(feed.revision) for feed in self._feeds]
 
     async def stop(self) -> None:
         """Stop following the store."""
--- a/src/tanagerscale/gateway/_list_metrics.py
+++ b/src/tanagerscale/gateway/_list_metrics.py
@@ -13,6 +13,7 @@
 
 from tanagerscale.coordination import ListFeed
 from tanagerscale.membership import UpstreamGate
+from tanagerscale.store import era_of
 
 
 @final
@@ -33,24 +34,32 @@
 
     def collect(self) -> Iterable[Metric]:
         """Return the metrics with their current values."""
-        age, ignored, notices = self._families()
+        age, era, ignored, notices = self._families()
         for feed in self._feeds:
             topic = feed.topic.value
+            era.add_metric([topic], era_of(feed.revision))
             if feed.age_ms is not None:
                 age.add_metric([topic], feed.age_ms)
             for reason, number in feed.ignored.items():
                 ignored.add_metric([topic, reason.value], number)
         for label, number in self._gate.ignored_notices.items():
             notices.add_metric([label], number)
-        return (age, ignored, notices)
+        return (age, era, ignored, notices)
 
-    def _families(self) -> tuple[GaugeMetricFamily, CounterMetricFamily, CounterMetricFamily]:
+    def _families(
+        self,
+    ) -> tuple[GaugeMetricFamily, GaugeMetricFamily, CounterMetricFamily, CounterMetricFamily]:
         return (
             GaugeMetricFamily(
                 "tanagerscale_list_age_ms",
                 "Time since the store or the source showed that the entries are up to date.",
                 labels=["topic"],
             ),
+            GaugeMetricFamily(
+                "tanagerscale_store_era",
+                "Era of the store that the entries are from; each return from a copy begins one.",
+                labels=["topic"],
+            ),
             CounterMetricFamily(
                 "tanagerscale_ignored_entries",
                 "Snapshots and changes of entries that were ignored, by the reason.",
--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -102,6 +102,7 @@
         self._records: dict[str, HostRecord] = {}
         self._lease: LeaseId | None = None
         self._has_read = False
+        self._is_registered = False
 
     @property
     def prefix(self) -> str:
@@ -212,7 +213,7 @@
         if isinstance(granted, Failure):
             return granted
         lease = granted.unwrap()
-        revision = StoreRevision(0)
+        revision = await self._read_own_revision() if self._is_registered else StoreRevision(0)
         # The entry of this host's previous process may still exist.
         for _ in range(2):
             put = ConditionalPut(
@@ -227,12 +228,23 @@
             outcome = result.unwrap()[0]
             if outcome.written:
                 self._lease = lease
+                self._is_registered = True
                 return Success(None)
             revision = (
                 outcome.current_entry.mod_revision if outcome.current_entry else StoreRevision(0)
             )
         return Failure(_CONTESTED)
 
+    async def _read_own_revision(self) -> StoreRevision:
+        """Return the revision of this host's entry, which may outlive its lease.
+
+        Reads are cheaper for the store than writes whose condition fails, and after its return from
+        a copy all hosts write their entries together.
+        """
+        found = await self._store.get(key=f"{self._prefix}{self._record.host}")
+        entry = found.value_or(None)
+        return StoreRevision(0) if entry is None else entry.mod_revision
+
     async def _renew(self) -> Result[None, StoreError]:
         assert self._lease is not None
         renewed = await self._store.keep_alive(lease=self._lease)
--- a/src/tanagerscale/membership/_evacuations.py
+++ b/src/tanagerscale/membership/_evacuations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Final
@@ -10,18 +11,24 @@
 from reactivex import Observable
 from reactivex.subject import Subject
 
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
 from tanagerscale.store import StoreRange
 from tanagerscale.store import WatchBatch
+from tanagerscale.store import era_of
 
 ENDED_RETENTION_MS: Final = 60_000
 """How long the end time of an evacuation is kept. Upstreams warm up within seconds."""
 
 _log = get_logger(part="evacuations")
 
+RETURN_GRACE_MS: Final = 2200
+"""How long an evacuation stays in force when the store has come back from a copy without it.
+Operators write again within about two seconds what they wrote since the copy."""
+
 ParseDomain = Callable[[str], FailureDomainId | None]
 
 
@@ -40,6 +47,11 @@
         self._parse_domain = parse_evacuated_domain
         self._clock = clock
         self._domains: frozenset[FailureDomainId] = frozenset()
+        self._stored: frozenset[FailureDomainId] = frozenset()
+        """The failure domains that the store has as evacuated."""
+        self._kept: frozenset[FailureDomainId] = frozenset()
+        """Those that were evacuated when the store came back from a copy without them."""
+        self._era = 0
         self._ended_at: dict[FailureDomainId, Millis] = {}
         self._has_read = False
         self._changes: Subject[None] = Subject()
@@ -74,13 +86,23 @@
 
     def on_snapshot(self, snapshot: StoreRange) -> None:
         """Replace the evacuations with the content of a full read of the store."""
+        found = self._parse_domains(entry.key for entry in snapshot.entries)
+        if self._has_read and era_of(snapshot.revision) > self._era:
+            self._kept = self._domains - found
+            loop = asyncio.get_running_loop()
+            loop.call_later(RETURN_GRACE_MS / MS_PER_SECOND, self._end_kept, self._kept)
+        self._era = era_of(snapshot.revision)
         self._has_read = True
-        self._replace_domains(self._parse_domains(entry.key for entry in snapshot.entries))
+        self._stored = found
+        self._replace_domains(self._stored | self._kept)
 
     def on_changes(self, batch: WatchBatch) -> None:
         """Apply changes that a watch of the store reports."""
         begun = self._parse_domains(entry.key for entry in batch.entries)
-        self._replace_domains(self._domains - self._parse_domains(batch.deleted) | begun)
+        ended = self._parse_domains(batch.deleted)
+        self._stored = self._stored - ended | begun
+        self._kept = self._kept - ended - begun
+        self._replace_domains(self._stored | self._kept)
 
     def on_reachability_changed(self, *, reachable: bool) -> None:
         """Do nothing; the last known evacuations stay in force during an outage."""
@@ -88,6 +110,11 @@
     def on_calls(self, *, answered: bool) -> None:
         """Do nothing; the last known evacuations stay in force while calls fail."""
 
+    def _end_kept(self, domains: frozenset[FailureDomainId]) -> None:
+        """End evacuations that nobody has written again since the store came back."""
+        self._kept -= domains
+        self._replace_domains(self._stored | self._kept)
+
     def _parse_domains(self, keys: Iterable[str]) -> frozenset[FailureDomainId]:
         domains = (self._parse_domain(key) for key in keys)
         return frozenset(domain for domain in domains if domain is not None)
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -9,6 +9,7 @@
 from typing import Final
 from typing import final
 
+from msgspec.structs import replace
 from reactivex import Observable
 from reactivex.subject import Subject
 from returns.result import Failure
@@ -21,6 +22,8 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import UpstreamName
 from tanagerscale.core import get_logger
+from tanagerscale.membership._entry_order import EntryOrder
+from tanagerscale.membership._entry_order import order_entry
 from tanagerscale.membership._evacuations import Evacuations
 from tanagerscale.membership._gate import NoticeSource
 from tanagerscale.membership._gate import UpstreamGate
@@ -29,6 +32,8 @@
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
 from tanagerscale.store import WatchBatch
+from tanagerscale.store import era_of
+from tanagerscale.store import format_revision
 from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamState
 
@@ -55,6 +60,10 @@
 only applied a write of an ended incarnation late, the current one overwrites it within a heartbeat
 of 1.2 s."""
 
+RETURNED_ENTRY_DELAY_MS: Final = 4500
+"""How long the entry of an upstream that had been removed must stay after the store has come back
+from an older copy. Without heartbeats it is removed again after three intervals of 1.2 s."""
+
 GONE_RETENTION_MS: Final = 60_000
 """How long the record of a gone upstream is kept for the requests that still run on it."""
 
@@ -95,6 +104,7 @@
         self._are_calls_failing = False
         self._store_recovered_at = Millis(-OUTAGE_GRACE_MS)
         self._has_read = False
+        self._era = 0
         self._changes: Subject[UpstreamId] = Subject()
         self._replaced: Subject[UpstreamEntry] = Subject()
         self._is_current_changes: Subject[bool] = Subject()
@@ -188,12 +198,26 @@
 
     def on_snapshot(self, snapshot: StoreRange) -> None:
         """Apply a full read of the store."""
+        self._note_era(snapshot.revision)
         present = {self._parse_upstream_name(entry.key) for entry in snapshot.entries}
         for entry in snapshot.entries:
             self._handle_entry(entry)
         self._record_missing(self._current.keys() - present, snapshot.revision)
         self._has_read = True
 
+    def _note_era(self, revision: StoreRevision) -> None:
+        """Treat the return of the store from a copy as an outage, since entries may be missing."""
+        era, before = era_of(revision), self._era
+        self._era = era
+        if self._has_read and era > before:
+            _log.info(
+                "The list comes from an older copy of the store.",
+                era=era,
+                before=before,
+                revision=format_revision(revision),
+            )
+            self._store_recovered_at = self._clock.now()
+
     def on_changes(self, batch: WatchBatch) -> None:
         """Apply changes that a watch of the store reports."""
         for entry in batch.entries:
@@ -239,15 +263,30 @@
     def _handle_decoded(self, entry: UpstreamEntry, revision: StoreRevision) -> None:
         self._written_revisions[entry.name] = revision
         record = self._get_current(entry.name)
-        if record is not None and _is_overtaken(entry, record.entry):
-            self._ignore_overtaken(entry, revision, record.entry)
-        elif record is None or entry.started_ms >= record.entry.started_ms:
+        order = order_entry(entry, revision, record)
+        if record is None or order is EntryOrder.NEWER:
             self._apply(entry, revision)
-        elif entry.started_ms == 0:
+            return
+        _log.info(
+            "An upstream entry is not the newest state.",
+            upstream=entry.upstream,
+            order=order.value,
+            state=entry.state.value,
+            sequence=entry.sequence,
+            known=record.entry.upstream,
+            known_state=record.entry.state.value,
+            known_sequence=record.entry.sequence,
+            revision=format_revision(revision),
+        )
+        if order is EntryOrder.UNKNOWN_START:
             previous = record.entry.upstream
             self._reject(entry.name, revision, f"It has no start time; that of {previous} had one.")
-        else:
-            self._defer(entry, revision, record.entry)
+        elif order is EntryOrder.EARLIER_START:
+            self._apply_later(entry, revision, OLDER_INCARNATION_DELAY_MS)
+        elif order is EntryOrder.RETURNED and record.entry.state is not UpstreamState.LEAVING:
+            # It counts as a later statement, since the upstream would have lost its entry by then.
+            later = replace(entry, sequence=record.entry.sequence)
+            self._apply_later(later, revision, RETURNED_ENTRY_DELAY_MS)
 
     def _apply(self, entry: UpstreamEntry, revision: StoreRevision) -> None:
         """Apply an entry as the current state of its upstream."""
@@ -274,20 +313,6 @@
             )
         self._changes.on_next(entry.upstream)
 
-    def _ignore_overtaken(
-        self, entry: UpstreamEntry, revision: StoreRevision, known: UpstreamEntry
-    ) -> None:
-        """Leave out an entry that its upstream wrote before the one that is known."""
-        _log.info(
-            "An upstream entry is ignored, since a later one is known.",
-            upstream=entry.upstream,
-            state=entry.state.value,
-            sequence=entry.sequence,
-            known_state=known.state.value,
-            known_sequence=known.sequence,
-            revision=revision,
-        )
-
     def _update(
         self, record: UpstreamRecord, entry: UpstreamEntry, revision: StoreRevision
     ) -> None:
@@ -317,28 +342,24 @@
             service=entry.service,
             address=entry.address,
             failure_domain=entry.failure_domain,
-            revision=revision,
+            revision=format_revision(revision),
         )
 
     def _retire(self, record: UpstreamRecord, revision: StoreRevision) -> None:
         """Mark an earlier incarnation as gone; the restarted upstream runs none of its requests."""
-        _log.info("Upstream restarted.", upstream=record.entry.upstream, revision=revision)
+        _log.info(
+            "Upstream restarted.",
+            upstream=record.entry.upstream,
+            revision=format_revision(revision),
+        )
         record.missing_since = self._clock.now()
         self._mark_gone(record.entry.upstream, revision)
         self._replaced.on_next(record.entry)
 
-    def _defer(self, entry: UpstreamEntry, revision: StoreRevision, newer: UpstreamEntry) -> None:
-        """Ignore an entry of an earlier incarnation for now; apply it later if still unchanged."""
-        _log.info(
-            "Deferred an entry of an earlier incarnation of an upstream.",
-            upstream=entry.upstream,
-            newer=newer.upstream,
-            revision=revision,
-        )
+    def _apply_later(self, entry: UpstreamEntry, revision: StoreRevision, delay_ms: int) -> None:
+        """Apply an entry after some time, if it is still unchanged."""
         loop = asyncio.get_running_loop()
-        loop.call_later(
-            OLDER_INCARNATION_DELAY_MS / MS_PER_SECOND, self._apply_if_unchanged, entry, revision
-        )
+        loop.call_later(delay_ms / MS_PER_SECOND, self._apply_if_unchanged, entry, revision)
 
     def _apply_if_unchanged(self, entry: UpstreamEntry, revision: StoreRevision) -> None:
         if self._written_revisions.get(entry.name) == revision:
@@ -346,7 +367,12 @@
 
     def _reject(self, name: UpstreamName, revision: StoreRevision, detail: str) -> None:
         """Ignore an entry that its upstream did not write, and send the upstream no requests."""
-        _log.warning("Rejected an upstream entry.", name=name, revision=revision, detail=detail)
+        _log.warning(
+            "Rejected an upstream entry.",
+            name=name,
+            revision=format_revision(revision),
+            detail=detail,
+        )
         record = self._get_current(name)
         if record is None or not record.is_readable:
             return
@@ -354,6 +380,7 @@
         self._changes.on_next(record.entry.upstream)
         if record.missing_since is None:
             record.missing_since = self._clock.now()
+            record.missing_at = revision
             self._mark_gone_later(record, revision, UNREADABLE_GRACE_MS)
 
     def _record_missing(self, names: Set[UpstreamName], revision: StoreRevision) -> None:
@@ -365,6 +392,7 @@
         ]
         for record in missing:
             record.missing_since = now
+            record.missing_at = revision
         wait_ms = max(self._store_recovered_at + OUTAGE_GRACE_MS - now, 0)
         if wait_ms == 0 and self._is_mass_expiry(now):
             wait_ms = MASS_EXPIRY_GRACE_MS
@@ -379,7 +407,7 @@
             "Upstream entry is missing or unreadable.",
             upstream=upstream,
             taken_as_gone_in_ms=wait_ms,
-            store_revision=revision,
+            store_revision=format_revision(revision),
         )
         if not wait_ms:
             self._mark_gone(upstream, revision)
@@ -425,13 +453,3 @@
                 del self._current[record.entry.name]
                 self._written_revisions.pop(record.entry.name, None)
             self._gate.forget(upstream=upstream)
-
-
-def _is_overtaken(entry: UpstreamEntry, known: UpstreamEntry) -> bool:
-    """Return whether an upstream wrote an entry before another one of the same incarnation.
-
-    The store may apply the writes of an upstream in another order, or come back from a copy.
-    """
-    is_numbered = entry.sequence > 0 and known.sequence > 0
-    is_same = entry.upstream == known.upstream
-    return is_same and is_numbered and entry.sequence < known.sequence
--- a/src/tanagerscale/membership/_roster_records.py
+++ b/src/tanagerscale/membership/_roster_records.py
@@ -16,6 +16,7 @@
     :param revision: Store revision of that entry.
     :param warmup_until: When its warm-up ends.
     :param missing_since: Since when its entry is missing or unreadable; ``None`` if it is neither.
+    :param missing_at: Store revision at which it was found missing or unreadable.
     :param is_readable: Whether the entry in the store could be decoded.
     """
 
@@ -23,4 +24,5 @@
     revision: StoreRevision
     warmup_until: Millis
     missing_since: Millis | None = None
+    missing_at: StoreRevision = StoreRevision(0)
     is_readable: bool = True
--- a/src/tanagerscale/platform/_engines.py
+++ b/src/tanagerscale/platform/_engines.py
@@ -42,6 +42,7 @@
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import HttpConnection
+from tanagerscale.upstreams import PooledResponse
 from tanagerscale.upstreams import ResponseHead
 from tanagerscale.upstreams import RunState
 from tanagerscale.upstreams import UpstreamEntry
@@ -67,85 +68,29 @@
 
 
 @final
-class PlatformResponse:
-    """A response of an upstream, read from its connection.
-
-    :param reply: Head of the response.
-    :param connection: Connection from which the body is read.
-    :param pool: Pool to which the connection is returned.
-    :param address: Address of the upstream.
-    """
-
-    def __init__(
-        self, *, reply: ResponseHead, connection: HttpConnection, pool: ConnectionPool, address: str
-    ) -> None:
-        self._reply = reply
-        self._connection = connection
-        self._pool = pool
-        self._address = address
-        self._done = False
-
-    @property
-    def status(self) -> int:
-        """HTTP status code."""
-        return self._reply.status
-
-    @property
-    def reason(self) -> str:
-        """Reason phrase of the status."""
-        return self._reply.reason
+class PlatformResponse(PooledResponse):
+    """A response of an upstream, read from its connection."""
 
     @property
     def headers(self) -> Sequence[Header]:
         """Header fields that are forwarded to the caller."""
-        headers = self._reply.headers
+        headers = self.reply.headers
         return forwarded_response_headers(headers, headers.items())
 
     @property
     def not_executed(self) -> bool:
         """Whether the upstream reports that it did not run the request."""
-        return self.is_address_reassigned or NOT_EXECUTED in self._reply.headers
+        return self.is_address_reassigned or NOT_EXECUTED in self.reply.headers
 
     @property
     def is_address_reassigned(self) -> bool:
         """Whether another upstream now has the address."""
-        return self._reply.status == HTTP_MISDIRECTED
-
-    @property
-    def closes_connection(self) -> bool:
-        """Whether the upstream closes the connection after the response."""
-        return not self._reply.keep_alive
+        return self.reply.status == HTTP_MISDIRECTED
 
     @property
     def named_rates(self) -> Sequence[float | None]:
         """Rates to which the upstream limits all hosts together, in requests a second."""
-        return [decode_decimal(value) for value in self._reply.headers.getall(RATE_LIMIT, ())]
-
-    async def read_some(self) -> bytes:
-        """Return the next bytes of the body, or empty bytes after its regular end."""
-        chunk = await self._connection.read_some()
-        if not chunk:
-            self._release()
-        return chunk
-
-    async def read_all(self) -> bytes:
-        """Return the complete body."""
-        body = await self._connection.read_all()
-        self._release()
-        return body
-
-    def close(self) -> None:
-        """Abandon the response and close its connection, so that the upstream stops."""
-        if not self._done:
-            self._done = True
-            self._connection.close()
-
-    def _release(self) -> None:
-        if not self._done:
-            self._done = True
-            self._pool.release(
-                address=self._address, connection=self._connection, response=self._reply
-            )
+        return [decode_decimal(value) for value in self.reply.headers.getall(RATE_LIMIT, ())]
 
 
 @final
--- a/src/tanagerscale/platform/_store.py
+++ b/src/tanagerscale/platform/_store.py
@@ -14,6 +14,7 @@
 from urllib.parse import urlencode
 
 import msgspec
+from msgspec import structs
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -25,6 +26,7 @@
 from tanagerscale.platform._wire import WireLease
 from tanagerscale.platform._wire import WireRange
 from tanagerscale.store import ConditionalPut
+from tanagerscale.store import EraTracker
 from tanagerscale.store import LeaseId
 from tanagerscale.store import PutOutcome
 from tanagerscale.store import StoreEntry
@@ -33,6 +35,9 @@
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
 from tanagerscale.store import WatchBatch
+from tanagerscale.store import era_of
+from tanagerscale.store import make_revision
+from tanagerscale.store import number_of
 from tanagerscale.store import uncertain_error
 from tanagerscale.store import unreachable_error
 from tanagerscale.upstreams import ConnectionPool
@@ -58,6 +63,21 @@
 _Body = TypeVar("_Body", bound=msgspec.Struct)
 
 
+STORE_ERA: Final = "Store-Era"
+MAX_ERA_DIGITS: Final = 4
+"""Longer eras don't fit into a revision."""
+
+_ERA_ENDED: Final = StoreError(
+    kind=StoreErrorKind.COMPACTED, detail="The store came back from a copy; read its state again."
+)
+
+
+class _Reply(msgspec.Struct, frozen=True, kw_only=True):
+    status: int
+    body: bytes
+    era: int
+
+
 @final
 class PlatformStore:
     """Client of the platform's store.
@@ -69,6 +89,7 @@
     def __init__(self, *, address: str, pool: ConnectionPool) -> None:
         self._address = address
         self._pool = pool
+        self._eras = EraTracker()
         self.calls = 0
 
     async def get(
@@ -79,31 +100,33 @@
         answer = await self._call("GET", "/v1/kv-key", query=query)
         if isinstance(answer, Failure):
             return answer
-        status, body = answer.unwrap()
-        if status == HTTP_NOT_FOUND:
+        reply = answer.unwrap()
+        if reply.status == HTTP_NOT_FOUND:
             return Success(None)
-        return _decode_body(status, body, WireItem).map(_to_entry)
+        return _decode_body(reply, WireItem).map(lambda item: _to_entry(item, reply.era))
 
     async def list(self, *, prefix: str) -> Result[StoreRange, StoreError]:
         """Read all keys under a prefix, page by page."""
         entries: list[StoreEntry] = []
         after = ""
-        first_revision: int | None = None
+        first_revision: StoreRevision | None = None
         while True:
             query = {"pathPrefix": prefix, **({"after": after} if after else {})}
             answer = await self._call("GET", "/v1/kv-range", query=query)
             if isinstance(answer, Failure):
                 return answer
-            decoded = _decode_body(*answer.unwrap(), WireRange)
+            reply = answer.unwrap()
+            decoded = _decode_body(reply, WireRange)
             if isinstance(decoded, Failure):
                 return decoded
             page = decoded.unwrap()
-            entries.extend(_to_entry(item) for item in page.items)
+            entries.extend(_to_entry(item, reply.era) for item in page.items)
             # Pages are read at different revisions; a watch must start at that of the first page.
-            first_revision = page.as_of if first_revision is None else first_revision
+            first_revision = first_revision or make_revision(era=reply.era, number=page.as_of)
+            if era_of(first_revision) != reply.era:
+                return Failure(_ERA_ENDED)
             if not page.more_pages or not page.items:
-                revision = StoreRevision(first_revision)
-                return Success(StoreRange(entries=tuple(entries), revision=revision))
+                return Success(StoreRange(entries=tuple(entries), revision=first_revision))
             after = page.items[-1].key
 
     async def commit(
@@ -124,65 +147,86 @@
         answer = await self._call("POST", "/v1/kv-lease", body=body)
         if isinstance(answer, Failure):
             return answer
-        return _decode_body(*answer.unwrap(), WireLease).map(lambda granted: LeaseId(granted.lease))
+        reply = answer.unwrap()
+        # Numbers of leases are given out again too.
+        return _decode_body(reply, WireLease).map(
+            lambda granted: LeaseId(make_revision(era=reply.era, number=granted.lease))
+        )
 
     async def keep_alive(self, *, lease: LeaseId) -> Result[int, StoreError]:
         """Renew a lease and return its time to live in seconds; 0 means that it has expired."""
-        answer = await self._call("POST", f"/v1/kv-keep/{lease}", body={})
+        answer = await self._call("POST", f"/v1/kv-keep/{number_of(lease)}", body={})
         if isinstance(answer, Failure):
             return answer
-        status, content = answer.unwrap()
-        if status == HTTP_NOT_FOUND:
+        reply = answer.unwrap()
+        if reply.status == HTTP_NOT_FOUND or reply.era != era_of(lease):
             return Success(0)
-        decoded = _decode_body(status, content, WireLease)
+        decoded = _decode_body(reply, WireLease)
         return decoded.map(lambda renewed: max(renewed.ttl_ms // MS_PER_SECOND, 1))
 
     async def revoke(self, *, lease: LeaseId) -> Result[None, StoreError]:
         """Revoke a lease and delete its keys."""
-        answer = await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
+        if era_of(lease) != self._eras.era:
+            return Success(None)
+        answer = await self._call("DELETE", f"/v1/kv-lease-end/{number_of(lease)}")
         return answer.map(lambda _: None)
 
     async def watch(
         self, *, prefix: str, from_revision: StoreRevision
     ) -> AsyncIterator[Result[WatchBatch, StoreError]]:
         """Watch the changes under a prefix; the iterator ends after the first failure."""
-        after = from_revision - 1
+        era, after = era_of(from_revision), number_of(from_revision) - 1
         while True:
             query = {"pathPrefix": prefix, "after": str(after), "waitMs": str(WATCH_WAIT_MS)}
             timeout_ms = WATCH_WAIT_MS + WATCH_TIMEOUT_MARGIN_MS
-            answer = await self._call("GET", "/v1/kv-watch", query=query, timeout_ms=timeout_ms)
+            call = self._call("GET", "/v1/kv-watch", query=query, timeout_ms=timeout_ms)
+            answer = await self._eras.run_in(era, call) or Failure(_ERA_ENDED)
             if isinstance(answer, Failure):
                 yield answer
                 return
-            decoded = _decode_body(*answer.unwrap(), WireChanges)
+            decoded = _decode_body(answer.unwrap(), WireChanges)
             if isinstance(decoded, Failure):
                 yield decoded
                 return
             changes = decoded.unwrap()
             after = max(after, changes.as_of)
-            yield Success(_to_batch(changes, StoreRevision(after)))
+            yield Success(_to_batch(changes, make_revision(era=era, number=after)))
 
     async def close(self) -> None:
         """Close idle connections."""
         self._pool.drop(address=self._address)
 
     async def _commit_one(self, put: ConditionalPut) -> Result[PutOutcome, StoreError]:
-        condition = [{"key": put.key, "revision": put.expected_mod_revision}]
+        expected = put.expected_mod_revision
+        if expected and era_of(expected) != self._eras.era:
+            # The number may stand for another change by now.
+            present = await self.get(key=put.key)
+            return present.map(
+                lambda entry: PutOutcome(
+                    written=False,
+                    revision=make_revision(era=self._eras.era, number=0),
+                    current_entry=entry,
+                )
+            )
+        condition = [{"key": put.key, "revision": number_of(expected)}]
         body: dict[str, Any] = {"expectedRevision": condition, "puts": [], "remove": []}
         if put.value is None:
             body["remove"] = [put.key]
         else:
             value = base64.b64encode(put.value).decode()
-            body["puts"] = [{"key": put.key, "value": value, "lease": put.lease}]
+            body["puts"] = [{"key": put.key, "value": value, "lease": number_of(put.lease)}]
         answer = await self._call("POST", "/v1/kv-txn", body=body)
         if isinstance(answer, Failure):
             return answer
-        status, content = answer.unwrap()
-        if status != HTTP_PRECONDITION_FAILED:
-            return _decode_body(status, content, WireCommitted).map(
-                lambda wire: PutOutcome(written=True, revision=StoreRevision(wire.revision))
+        reply = answer.unwrap()
+        if reply.status != HTTP_PRECONDITION_FAILED:
+            return _decode_body(reply, WireCommitted).map(
+                lambda wire: PutOutcome(
+                    written=True, revision=make_revision(era=reply.era, number=wire.revision)
+                )
             )
-        return _decode_body(HTTP_OK, content, WireRange).map(_to_conflict)
+        conflict = structs.replace(reply, status=HTTP_OK)
+        return _decode_body(conflict, WireRange).map(lambda wire: _to_conflict(wire, reply.era))
 
     async def _call(
         self,
@@ -192,8 +236,8 @@
         query: Mapping[str, str] | None = None,
         body: Mapping[str, Any] | None = None,
         timeout_ms: int = CALL_TIMEOUT_MS,
-    ) -> Result[tuple[int, bytes], StoreError]:
-        """Make one call and return the status and body of the response."""
+    ) -> Result[_Reply, StoreError]:
+        """Make one call and return the response."""
         self.calls += 1
         target = f"{path}?{urlencode(query)}" if query else path
         content = b"" if body is None else msgspec.json.encode(body)
@@ -209,7 +253,7 @@
 
     async def _exchange(
         self, method: str, target: str, content: bytes
-    ) -> Result[tuple[int, bytes], StoreError]:
+    ) -> Result[_Reply, StoreError]:
         head = [f"{method} {target} HTTP/1.1", f"Host: {self._address}"]
         if method == "POST":
             head += ["Content-Type: application/json", f"Content-Length: {len(content)}"]
@@ -225,12 +269,21 @@
             connection.close()
             raise
         self._pool.release(address=self._address, connection=connection, response=reply)
-        return _check_status(reply.status, answer)
+        era = self._eras.record(_decode_era(reply))
+        if era < self._eras.era:
+            return Failure(uncertain_error("The store answered from before it came back"))
+        return _check_status(_Reply(status=reply.status, body=answer, era=era))
+
+
+def _decode_era(reply: ResponseHead) -> int | None:
+    era = reply.headers.get(STORE_ERA, "").strip()
+    return int(era) if era.isdecimal() and len(era) <= MAX_ERA_DIGITS else None
 
 
-def _check_status(status: int, body: bytes) -> Result[tuple[int, bytes], StoreError]:
+def _check_status(reply: _Reply) -> Result[_Reply, StoreError]:
+    status = reply.status
     if status in (HTTP_OK, HTTP_NOT_FOUND, HTTP_PRECONDITION_FAILED):
-        return Success((status, body))
+        return Success(reply)
     if status == HTTP_GONE:
         detail = "The start revision was compacted; read the current state and watch from there."
         return Failure(StoreError(kind=StoreErrorKind.COMPACTED, detail=detail))
@@ -241,37 +294,40 @@
     return Failure(StoreError(kind=StoreErrorKind.REFUSED, detail=detail))
 
 
-def _decode_body(status: int, body: bytes, kind: type[_Body]) -> Result[_Body, StoreError]:
-    if status != HTTP_OK:
-        detail = f"The store answered {status}; read the present state and try again."
+def _decode_body(reply: _Reply, kind: type[_Body]) -> Result[_Body, StoreError]:
+    if reply.status != HTTP_OK:
+        detail = f"The store answered {reply.status}; read the present state and try again."
         return Failure(StoreError(kind=StoreErrorKind.REFUSED, detail=detail))
     try:
-        return Success(msgspec.json.decode(body, type=kind))
+        return Success(msgspec.json.decode(reply.body, type=kind))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         detail = f"The store's answer can't be read ({error}); try again after a pause."
         return Failure(StoreError(kind=StoreErrorKind.UNCERTAIN, detail=detail))
 
 
-def _to_entry(item: WireItem) -> StoreEntry:
+def _to_entry(item: WireItem, era: int) -> StoreEntry:
     return StoreEntry(
         key=item.key,
         value=item.value,
-        create_revision=StoreRevision(item.created_rev),
-        mod_revision=StoreRevision(item.revision),
-        lease=LeaseId(item.lease),
+        create_revision=make_revision(era=era, number=item.created_rev),
+        mod_revision=make_revision(era=era, number=item.revision),
+        lease=LeaseId(make_revision(era=era, number=item.lease) if item.lease else 0),
     )
 
 
 def _to_batch(changes: WireChanges, reached: StoreRevision) -> WatchBatch:
     last = {item.key: item for item in changes.events}
+    era = era_of(reached)
+    newest = max((item.revision for item in changes.events), default=0)
     return WatchBatch(
-        entries=tuple(_to_entry(item) for item in last.values() if not item.deleted),
+        entries=tuple(_to_entry(item, era) for item in last.values() if not item.deleted),
         deleted=tuple(item.key for item in last.values() if item.deleted),
         revision=reached,
-        newest_revision=StoreRevision(max((item.revision for item in changes.events), default=0)),
+        newest_revision=make_revision(era=era, number=newest) if newest else StoreRevision(0),
     )
 
 
-def _to_conflict(present: WireRange) -> PutOutcome:
-    found = next((_to_entry(item) for item in present.items if item.revision), None)
-    return PutOutcome(written=False, revision=StoreRevision(present.as_of), current_entry=found)
+def _to_conflict(present: WireRange, era: int) -> PutOutcome:
+    found = next((_to_entry(item, era) for item in present.items if item.revision), None)
+    revision = make_revision(era=era, number=present.as_of)
+    return PutOutcome(written=False, revision=revision, current_entry=found)
--- a/src/tanagerscale/store/__init__.py
+++ b/src/tanagerscale/store/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tanagerscale.store._eras import EraTracker
 from tanagerscale.store._etcd import MAX_PUTS
 from tanagerscale.store._etcd import EtcdStore
 from tanagerscale.store._follow import PrefixFollower
@@ -14,14 +15,19 @@
 from tanagerscale.store._protocol import StoreError
 from tanagerscale.store._protocol import StoreErrorKind
 from tanagerscale.store._protocol import StoreRange
-from tanagerscale.store._protocol import StoreRevision
 from tanagerscale.store._protocol import WatchBatch
 from tanagerscale.store._protocol import uncertain_error
 from tanagerscale.store._protocol import unreachable_error
+from tanagerscale.store._revision import StoreRevision
+from tanagerscale.store._revision import era_of
+from tanagerscale.store._revision import format_revision
+from tanagerscale.store._revision import make_revision
+from tanagerscale.store._revision import number_of
 
 __all__ = [
     "MAX_PUTS",
     "ConditionalPut",
+    "EraTracker",
     "EtcdStore",
     "LeaseId",
     "PrefixFollower",
@@ -34,6 +40,10 @@
     "StoreRange",
     "StoreRevision",
     "WatchBatch",
+    "era_of",
+    "format_revision",
+    "make_revision",
+    "number_of",
     "uncertain_error",
     "unreachable_error",
 ]
--- a/src/tanagerscale/store/_etcd.py
+++ b/src/tanagerscale/store/_etcd.py
@@ -21,8 +21,8 @@
 from tanagerscale.store._protocol import StoreError
 from tanagerscale.store._protocol import StoreErrorKind
 from tanagerscale.store._protocol import StoreRange
-from tanagerscale.store._protocol import StoreRevision
 from tanagerscale.store._protocol import WatchBatch
+from tanagerscale.store._revision import StoreRevision
 from tanagerscale.store._watch import WatchStream
 from tanagerscale.store._watch import to_entry
 from tanagerscale.store._wire import EQUAL
--- a/src/tanagerscale/store/_follow.py
+++ b/src/tanagerscale/store/_follow.py
@@ -17,8 +17,8 @@
 from tanagerscale.store._protocol import StoreError
 from tanagerscale.store._protocol import StoreErrorKind
 from tanagerscale.store._protocol import StoreRange
-from tanagerscale.store._protocol import StoreRevision
 from tanagerscale.store._protocol import WatchBatch
+from tanagerscale.store._revision import StoreRevision
 
 BASE_BACKOFF_MS: Final = 100
 MAX_BACKOFF_MS: Final = 800
--- a/src/tanagerscale/store/_protocol.py
+++ b/src/tanagerscale/store/_protocol.py
@@ -12,8 +12,9 @@
 from msgspec import Struct
 from returns.result import Result
 
+from tanagerscale.store._revision import StoreRevision
+
 LeaseId = NewType("LeaseId", int)
-StoreRevision = NewType("StoreRevision", int)
 
 
 @unique
@@ -29,7 +30,8 @@
     OVERLOADED = "overloaded"
     """The store rejected the call because of rate limiting, so it had no effect."""
     COMPACTED = "compacted"
-    """The requested revision was compacted; read the current state and watch from its revision."""
+    """The requested revision was compacted, or the store has come back from a copy that may not
+    have it; read the current state and watch from its revision."""
 
 
 class StoreError(Struct, frozen=True, kw_only=True):
@@ -78,7 +80,7 @@
     :param key: Key to write.
     :param value: New value, or ``None`` to delete the key.
     :param expected_mod_revision: Required modification revision of the key; 0 requires that the key
-        does not exist.
+        does not exist. A revision of an earlier era is never that of a key.
     :param lease: Lease to attach the key to; 0 means none.
     """
 
--- a/src/tanagerscale/store/_watch.py
+++ b/src/tanagerscale/store/_watch.py
@@ -24,8 +24,8 @@
 from tanagerscale.store._protocol import StoreEntry
 from tanagerscale.store._protocol import StoreError
 from tanagerscale.store._protocol import StoreErrorKind
-from tanagerscale.store._protocol import StoreRevision
 from tanagerscale.store._protocol import WatchBatch
+from tanagerscale.store._revision import StoreRevision
 from tanagerscale.store._wire import DELETED
 from tanagerscale.store._wire import KeyValue
 from tanagerscale.store._wire import WatchCreate
--- a/src/tanagerscale/upstreams/__init__.py
+++ b/src/tanagerscale/upstreams/__init__.py
@@ -22,6 +22,7 @@
 from tanagerscale.upstreams._paths import UpstreamPaths
 from tanagerscale.upstreams._pauses import UpstreamPauses
 from tanagerscale.upstreams._pool import ConnectionPool
+from tanagerscale.upstreams._pooled_response import PooledResponse
 from tanagerscale.upstreams._protocol import EngineClient
 from tanagerscale.upstreams._protocol import TokenBatches
 from tanagerscale.upstreams._protocol import UpstreamError
@@ -42,6 +43,7 @@
     "HttpEngineClient",
     "HttpServiceClient",
     "NamedLimits",
+    "PooledResponse",
     "RateObservation",
     "ResponseHead",
     "RunState",
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -23,6 +23,7 @@
 CONFLICT_STATUS = 412
 MAX_PAGE_ITEMS = 500
 MS_PER_S = 1000
+FIRST_LEASE = 1000
 
 
 @unique
@@ -97,7 +98,7 @@
         self._history: list[dict[str, Any]] = []
         self._compacted = 0
         self._leases: dict[int, _Lease] = {}
-        self._lease_ids = count(1000)
+        self._lease_ids = count(FIRST_LEASE)
         self._changed = asyncio.Event()
 
     async def start(self) -> str:
@@ -155,7 +156,7 @@
     def come_back_from(self, copy: StoreCopy) -> None:
         """Replace the content by that of a copy, which starts a new era.
 
-        Revisions continue from that of the copy. Leases granted since are gone.
+        Revisions and leases continue from those of the copy. Leases granted since are gone.
         """
         self.era += 1
         self.revision = self._compacted = copy.revision
@@ -166,6 +167,7 @@
             timer = self._leases.pop(lease).timer
             if timer is not None:
                 timer.cancel()
+        self._lease_ids = count(max(self._leases, default=FIRST_LEASE - 1) + 1)
         self._is_away = False
         self._notify_watches()
 
--- a/testing/_fake_store.py
+++ b/testing/_fake_store.py
@@ -13,6 +13,7 @@
 from dataclasses import field
 from typing import final
 
+from msgspec.structs import replace
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -27,7 +28,12 @@
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
 from tanagerscale.store import WatchBatch
+from tanagerscale.store import era_of
+from tanagerscale.store import make_revision
+from tanagerscale.store import number_of
 
+NO_REVISION = -1
+"""Revision that no key has."""
 MAX_VALUE_BYTES = 1024 * 1024
 CALL_TIMEOUT_MS = 1000
 """Time after which a call that is not answered fails, as in the client of the platform's store."""
@@ -52,16 +58,17 @@
 
     revision: int
     entries: dict[str, StoreEntry]
+    next_lease: int
 
 
 @final
 class FakeBackend:
-    """State shared by all clients of one fake store."""
+    """State shared by all clients of one fake store, with revisions and leases without eras."""
 
     def __init__(self) -> None:
         self.revision = 1
-        self.era = 1
-        """Number of times that the store has come back from a copy, counted from 1."""
+        self.era = 0
+        """Number of times that the store has come back from a copy."""
         self.compacted = 0
         self.entries: dict[str, StoreEntry] = {}
         self.history: list[_Event] = []
@@ -77,17 +84,20 @@
 
     def copy(self) -> BackendCopy:
         """Return a copy of the content, from which the store can come back."""
-        return BackendCopy(revision=self.revision, entries=dict(self.entries))
+        return BackendCopy(
+            revision=self.revision, entries=dict(self.entries), next_lease=self._next_lease
+        )
 
     def come_back_from(self, copy: BackendCopy) -> None:
         """Replace the content by that of a copy, which starts a new era.
 
-        Revisions continue from that of the copy, and leases granted since are gone.
+        Revisions and leases continue from those of the copy, and leases granted since are gone.
         """
         self.era += 1
         self.revision = self.compacted = copy.revision
         self.entries = dict(copy.entries)
         self.history.clear()
+        self._next_lease = copy.next_lease
         kept = {entry.lease for entry in copy.entries.values()}
         self._leases = {one: state for one, state in self._leases.items() if one in kept}
         self.wake_watchers()
@@ -244,7 +254,8 @@
         if failure is not None:
             return Failure(failure)
         self.backend.expire_leases()
-        return Success(self.backend.entries.get(key))
+        entry = self.backend.entries.get(key)
+        return Success(None if entry is None else self._in_era(entry))
 
     async def list(self, *, prefix: str) -> Result[StoreRange, StoreError]:
         """Read all keys under a prefix."""
@@ -254,8 +265,8 @@
             return Failure(failure)
         self.backend.expire_leases()
         keys = sorted(key for key in self.backend.entries if key.startswith(prefix))
-        entries = tuple(self.backend.entries[key] for key in keys)
-        return Success(StoreRange(entries=entries, revision=StoreRevision(self.backend.revision)))
+        entries = tuple(self._in_era(self.backend.entries[key]) for key in keys)
+        return Success(StoreRange(entries=entries, revision=self._revision(self.backend.revision)))
 
     async def commit(
         self, *, puts: Sequence[ConditionalPut]
@@ -271,12 +282,12 @@
         for put in puts:
             if put.value is not None and len(put.value) > MAX_VALUE_BYTES:
                 return Failure(_error(StoreErrorKind.REFUSED))
-            if put.lease and not self.backend.has_lease(lease=put.lease):
+            if put.lease and not self.backend.has_lease(lease=LeaseId(number_of(put.lease))):
                 return Failure(_error(StoreErrorKind.REFUSED))
-        outcomes = self.backend.write(puts=puts)
+        outcomes = self.backend.write(puts=[self._without_era(put) for put in puts])
         if self._is_reply_lost():
             return Failure(_error(StoreErrorKind.UNCERTAIN))
-        return Success(outcomes)
+        return Success([self._outcome_in_era(outcome) for outcome in outcomes])
 
     async def grant_lease(self, *, ttl_s: int) -> Result[LeaseId, StoreError]:
         """Grant a lease."""
@@ -287,7 +298,7 @@
         lease = self.backend.grant(ttl_s=ttl_s)
         if self._is_reply_lost():
             return Failure(_error(StoreErrorKind.UNCERTAIN))
-        return Success(lease)
+        return Success(LeaseId(self._revision(lease)))
 
     async def keep_alive(self, *, lease: LeaseId) -> Result[int, StoreError]:
         """Renew a lease."""
@@ -295,7 +306,9 @@
         failure = await self._simulate_call()
         if failure is not None:
             return Failure(failure)
-        return Success(self.backend.renew(lease=lease))
+        if era_of(lease) != self.backend.era:
+            return Success(0)
+        return Success(self.backend.renew(lease=LeaseId(number_of(lease))))
 
     async def revoke(self, *, lease: LeaseId) -> Result[None, StoreError]:
         """Revoke a lease and delete its keys."""
@@ -303,7 +316,8 @@
         failure = await self._simulate_call()
         if failure is not None:
             return Failure(failure)
-        self.backend.revoke_lease(lease=lease)
+        if era_of(lease) == self.backend.era:
+            self.backend.revoke_lease(lease=LeaseId(number_of(lease)))
         return Success(None)
 
     async def watch(
@@ -315,9 +329,9 @@
         if failure is not None:
             yield Failure(failure)
             return
-        reached = int(from_revision)
+        reached = number_of(from_revision)
         while True:
-            failure = self._check_watch(reached=reached)
+            failure = self._check_watch(reached=reached, era=era_of(from_revision))
             if failure is not None:
                 yield Failure(failure)
                 return
@@ -327,7 +341,7 @@
                 async with self.backend.changed:
                     await self.backend.changed.wait()
                 continue
-            reached = batch.revision + 1
+            reached = number_of(batch.revision) + 1
             await asyncio.sleep(self.watch_delay_ms / MS_PER_SECOND)
             yield Success(batch)
 
@@ -341,14 +355,40 @@
             return None
         last = {event.key: event for event in events}.values()
         return WatchBatch(
-            entries=tuple(event.entry for event in last if event.entry is not None),
+            entries=tuple(self._in_era(event.entry) for event in last if event.entry is not None),
             deleted=tuple(event.key for event in last if event.entry is None),
-            revision=StoreRevision(self.backend.revision),
+            revision=self._revision(self.backend.revision),
+        )
+
+    def _revision(self, number: int) -> StoreRevision:
+        return make_revision(era=self.backend.era, number=number)
+
+    def _in_era(self, entry: StoreEntry) -> StoreEntry:
+        return replace(
+            entry,
+            create_revision=self._revision(entry.create_revision),
+            mod_revision=self._revision(entry.mod_revision),
         )
 
-    def _check_watch(self, *, reached: int) -> StoreError | None:
+    def _outcome_in_era(self, outcome: PutOutcome) -> PutOutcome:
+        present = outcome.current_entry
+        return replace(
+            outcome,
+            revision=self._revision(outcome.revision),
+            current_entry=None if present is None else self._in_era(present),
+        )
+
+    def _without_era(self, put: ConditionalPut) -> ConditionalPut:
+        expected = put.expected_mod_revision
+        is_known = not expected or era_of(expected) == self.backend.era
+        number = StoreRevision(number_of(expected) if is_known else NO_REVISION)
+        return replace(put, expected_mod_revision=number, lease=LeaseId(number_of(put.lease)))
+
+    def _check_watch(self, *, reached: int, era: int) -> StoreError | None:
         if self.watch_stalled or self.silent:
             return None
+        if era != self.backend.era:
+            return _error(StoreErrorKind.COMPACTED)
         if self.down:
             return _error(StoreErrorKind.UNREACHABLE)
         if reached <= self.backend.compacted or reached > self.backend.revision + 1:
--- a/testing/_heartbeating_engines.py
+++ b/testing/_heartbeating_engines.py
@@ -44,7 +44,7 @@
                 key for key in self.fleet.backend.entries if key.startswith(REGISTRY_PREFIX)
             ]:
                 name = key.removeprefix(REGISTRY_PREFIX)
-                if name not in self.states and now - self._written_at[name] >= ENTRY_TTL_S:
+                if name not in self.states and now - self._written_at.get(name, now) >= ENTRY_TTL_S:
                     self.fleet.remove_engine(name)
             await asyncio.sleep(HEARTBEAT_S)
 
--- a/testing/test_leaving_logs.py
+++ b/testing/test_leaving_logs.py
@@ -141,9 +141,9 @@
     feed = run_virtually(scenario())
     lines = logs.find("Entries are ignored.")
     assert [(one["reason"], one["revision"], one["age_ms"]) for one in lines] == [
-        ("older", 30, 1500),
-        ("older", 35, 1500),
-        ("other-source", 50, 1500),
+        ("older", "0:30", 1500),
+        ("older", "0:35", 1500),
+        ("other-source", "0:50", 1500),
     ]
     counted = {reason.value: number for reason, number in feed.ignored.items()}
     assert counted == {"older": 2, "known": 1, "other-source": 1}
--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -11,6 +11,8 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from multidict import CIMultiDict
+from multidict import CIMultiDictProxy
 import pytest
 import pytest_asyncio
 from returns.result import Failure
@@ -20,8 +22,11 @@
 from standins.platform_store import StoreBehavior
 from standins.platform_store import StoreEmulator
 from tanagerscale.core import Clock
+from tanagerscale.platform._store import STORE_ERA
 from tanagerscale.platform._store import PlatformStore
 from tanagerscale.platform._store import _decode_body
+from tanagerscale.platform._store import _decode_era
+from tanagerscale.platform._store import _Reply
 from tanagerscale.platform._wire import WireChanges
 from tanagerscale.platform._wire import WireRange
 from tanagerscale.store import ConditionalPut
@@ -33,7 +38,9 @@
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
 from tanagerscale.store import WatchBatch
+from tanagerscale.store import number_of
 from tanagerscale.upstreams import ConnectionPool
+from tanagerscale.upstreams import ResponseHead
 from testing._random_cases import random_case_settings
 
 
@@ -260,11 +267,114 @@
     await _wait_until_known(listener, {"a/2": b"2", "a/3": b"3"})
 
 
+async def _first_batch(store: PlatformStore, from_revision: int) -> Result[WatchBatch, StoreError]:
+    async for result in store.watch(prefix="a/", from_revision=StoreRevision(from_revision)):
+        return result
+    raise AssertionError("the watch ended without a result")
+
+
+@pytest.mark.asyncio
+async def test_revisions_are_newer_when_the_store_has_come_back_from_an_older_copy(
+    harness: StoreHarness,
+) -> None:
+    copy = harness.emulator.copy()
+    for number in range(9):
+        harness.emulator.put(f"a/{number}", b"x")
+    before = (await harness.store.list(prefix="a/")).unwrap()
+    harness.emulator.come_back_from(copy)
+    harness.emulator.put("a/1", b"y")
+    after = (await harness.store.list(prefix="a/")).unwrap()
+    assert number_of(after.revision) < number_of(before.revision)
+    assert after.revision > before.revision
+    assert after.entries[0].mod_revision > max(entry.mod_revision for entry in before.entries)
+
+
+# A watch that goes on from a number that was given out again misses the changes up to it.
+@pytest.mark.asyncio
+async def test_watch_from_an_earlier_era_fails_when_its_revision_was_given_out_again(
+    harness: StoreHarness,
+) -> None:
+    copy = harness.emulator.copy()
+    harness.emulator.put("a/1", b"x")
+    known = (await harness.store.list(prefix="a/")).unwrap().revision
+    harness.emulator.come_back_from(copy)
+    for number in range(5):
+        harness.emulator.put(f"a/{number}", b"y")
+    result = await _first_batch(harness.store, known + 1)
+    assert isinstance(result, Failure)
+    assert result.failure().kind is StoreErrorKind.COMPACTED
+
+
+# A watch that waits at a store whose changes don't reach it goes on waiting for half a minute.
+@pytest.mark.asyncio
+async def test_waiting_watch_ends_when_another_answer_tells_of_a_new_era(
+    harness: StoreHarness,
+) -> None:
+    known = (await harness.store.list(prefix="a/")).unwrap().revision
+    waiting = asyncio.create_task(_first_batch(harness.store, known + 1))
+    while not any("kv-watch" in call for call in harness.emulator.calls):
+        await asyncio.sleep(0.005)
+    # The watch itself isn't told.
+    harness.emulator.era += 1
+    assert (await harness.store.get(key="a/none")).unwrap() is None
+    result = await waiting
+    assert isinstance(result, Failure)
+    assert result.failure().kind is StoreErrorKind.COMPACTED
+
+
+@pytest.mark.asyncio
+async def test_write_is_refused_when_its_condition_is_from_an_earlier_era(
+    harness: StoreHarness,
+) -> None:
+    copy = harness.emulator.copy()
+    known = (await _commit(harness.store, _put("k", b"1"))).revision
+    harness.emulator.come_back_from(copy)
+    harness.emulator.put("k", b"of another writer")
+    assert (await harness.store.get(key="k")).unwrap() is not None
+    refused = await _commit(harness.store, _put("k", b"2", expected=known))
+    assert not refused.written
+    assert refused.current_entry is not None
+    assert refused.current_entry.value == b"of another writer"
+    again = _put("k", b"2", expected=refused.current_entry.mod_revision)
+    assert (await _commit(harness.store, again)).written
+
+
+# A host renewed or revoked the lease of another host, which had got its number again.
+@pytest.mark.asyncio
+async def test_lease_of_an_earlier_era_is_lost_when_its_number_was_given_out_again(
+    harness: StoreHarness,
+) -> None:
+    copy = harness.emulator.copy()
+    lost = (await harness.store.grant_lease(ttl_s=60)).unwrap()
+    harness.emulator.come_back_from(copy)
+    other = (await harness.store.grant_lease(ttl_s=60)).unwrap()
+    assert number_of(lost) == number_of(other)
+    await _commit(harness.store, _put("k", b"1", lease=other))
+    assert (await harness.store.keep_alive(lease=lost)).unwrap() == 0
+    await harness.store.revoke(lease=lost)
+    assert harness.emulator.keys() == ["k"]
+    assert (await harness.store.keep_alive(lease=other)).unwrap() > 0
+
+
+@random_case_settings(examples=300)
+@given(era=st.text(max_size=12))
+def test_any_era_from_the_store_gives_an_era_or_none(era: str) -> None:
+    head = ResponseHead(
+        status=200,
+        reason="",
+        headers=CIMultiDictProxy(CIMultiDict({STORE_ERA: era})),
+        is_close_delimited=False,
+        keep_alive=True,
+    )
+    decoded = _decode_era(head)
+    assert decoded is None or 0 <= decoded < 10_000
+
+
 @random_case_settings(examples=300)
 @given(status=st.sampled_from([200, 404, 500]), body=st.binary(max_size=60))
 def test_any_bytes_from_the_store_give_a_value_or_a_typed_error(status: int, body: bytes) -> None:
     for kind in (WireRange, WireChanges):
-        result = _decode_body(status, body, kind)
+        result = _decode_body(_Reply(status=status, body=body, era=1), kind)
         assert isinstance(result, Success | Failure)
         if isinstance(result, Failure):
             assert ";" in result.failure().detail
--- a/testing/test_store_return.py
+++ b/testing/test_store_return.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tanagerscale.membership._roster import RETURNED_ENTRY_DELAY_MS
 from testing._heartbeating_engines import HEARTBEAT_S
 from testing._heartbeating_engines import OPERATOR_DELAY_S
 from testing._heartbeating_engines import Engines
@@ -125,10 +126,13 @@
 
 
 # The copy has the entry of an upstream that was removed since; it expires some seconds later.
-def test_upstream_removed_after_the_copy_gets_no_requests_when_the_store_has_come_back() -> None:
+@pytest.mark.parametrize("removed_after_s", [0.1, 4])
+def test_upstream_removed_after_the_copy_gets_no_requests_when_the_store_has_come_back(
+    removed_after_s: float,
+) -> None:
     async def scenario(fleet: Fleet, engines: Engines) -> list[str]:
         returning = asyncio.create_task(return_from_copy(fleet, engines, copy_age_s=8))
-        await asyncio.sleep(4)
+        await asyncio.sleep(removed_after_s)
         engines.end("e0")
         await asyncio.sleep(0.5)
         seen = await observe(fleet, "e0", duration_s=12)
@@ -151,9 +155,31 @@
     assert _run(scenario, hosts=MANY) == MANY
 
 
-def test_upstreams_that_live_get_requests_at_all_times_when_the_store_comes_back() -> None:
+# An upstream that the list had lost writes no entry that is new, since nothing has changed.
+def test_upstream_gets_requests_again_when_its_entry_came_back_and_stays() -> None:
+    async def scenario(fleet: Fleet, engines: Engines) -> list[int]:
+        fleet.set_engine("quiet", sequence=3)
+        copy = fleet.backend.copy()
+        await asyncio.sleep(1)
+        fleet.remove_engine("quiet")
+        await asyncio.sleep(1)
+        fleet.backend.come_back_from(copy)
+        await asyncio.sleep(RETURNED_ENTRY_DELAY_MS / 1000 - 0.5)
+        before = len(hosts_that_send_to(fleet, "quiet"))
+        await asyncio.sleep(1)
+        return [before, len(hosts_that_send_to(fleet, "quiet"))]
+
+    assert _run(scenario) == [0, 6]
+
+
+@pytest.mark.parametrize("away_s", [0, 1])
+def test_upstreams_that_live_get_requests_at_all_times_when_the_store_comes_back(
+    away_s: float,
+) -> None:
     async def scenario(fleet: Fleet, engines: Engines) -> list[set[str]]:
-        returning = asyncio.create_task(return_from_copy(fleet, engines, copy_age_s=8))
+        returning = asyncio.create_task(
+            return_from_copy(fleet, engines, copy_age_s=8, away_s=away_s)
+        )
         found = []
         for _ in range(140):
             await asyncio.sleep(0.1)
@@ -216,7 +242,7 @@
         fleet.evacuate("domain-0")
         await asyncio.sleep(1)
         loop = asyncio.get_running_loop()
-        loop.call_later(5 + OPERATOR_DELAY_S, fleet.evacuate, "domain-0")
+        loop.call_later(4 + OPERATOR_DELAY_S, fleet.evacuate, "domain-0")
         seen = await observe(fleet, "e0", duration_s=10)
         await returning
         return seen
