Ask whether the upstream leaves immediately before a request is sent

Seen by callers: a request that was chosen in time reaches an upstream after its host has learned that it leaves, and is lost with it. Cause: leaving was asked where the upstream is chosen. A request then waits for the event loop, a permit, the retry budget or a connection (up to 400 ms), and runs that go on from a copy didn't ask for the holder whose turn it is.

The one place that sends asks before it counts the request and again when the client has a connection, before the first byte. What is turned away counts as not tried and goes to another upstream. A run may go on at a leaving holder of its copy for 1.2 s after the notice, since it would be lost. Paths of a host and the breakers don't take a withheld request for an unreached upstream.

--- a/src/tanagerscale/forwarding/_execution.py
+++ b/src/tanagerscale/forwarding/_execution.py
@@ -85,6 +85,11 @@
         self.record_not_run(upstream)
         self._not_sent += 1
 
+    def record_withheld(self, upstream: UpstreamId) -> None:
+        """Record that an attempt was not made, since its upstream began to leave."""
+        self._tried.discard(upstream)
+        self._in_flight.discard(upstream)
+
     def record_not_run(self, upstream: UpstreamId) -> None:
         """Record an attempt that was refused before execution."""
         self._tried.add(upstream)
--- a/src/tanagerscale/forwarding/_metrics.py
+++ b/src/tanagerscale/forwarding/_metrics.py
@@ -123,6 +123,12 @@
             buckets=CHOICE_AGE_BUCKETS_MS,
             registry=registry,
         )
+        self.withheld_requests: Final = Counter(
+            "tanagerscale_withheld_requests",
+            "Requests not sent on their way, since their upstream had begun to leave, by path.",
+            ["path"],
+            registry=registry,
+        )
         self.leaving_requests: Final = Counter(
             "tanagerscale_leaving_requests",
             "Requests sent to upstreams that were known to be leaving, by path.",
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -43,6 +43,7 @@
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamLeavingError
 
 REMOTE_DOMAIN_PENALTY_REQUESTS: Final = 0.5
 """Load penalty of an upstream in another failure domain, in requests. A value below 1 only breaks
@@ -309,6 +310,9 @@
         except QuarantinedError:
             self._record.record_not_run(entry.upstream)
             raise
+        except UpstreamLeavingError:
+            self._record.record_withheld(entry.upstream)
+            return None
         except ExchangeError as error:
             late.end(is_good=False)
             self._record_error(entry, error)
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -32,6 +32,7 @@
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamLeavingError
 
 MIN_FAILURE_STATUS: Final = 300
 
@@ -197,6 +198,8 @@
             has_budget = False
             try:
                 segment = await self._try_resume(entry, resume_target, progress, chosen_at)
+            except UpstreamLeavingError:
+                has_budget = True
             except (ExchangeError, TimeoutError) as error:
                 self.log("An attempt to resume a run failed.", entry, detail=repr(error))
                 self.record_failure(entry)
--- a/src/tanagerscale/forwarding/_sending.py
+++ b/src/tanagerscale/forwarding/_sending.py
@@ -4,6 +4,10 @@
 
 from enum import Enum
 from enum import unique
+from typing import Final
+from typing import final
+
+from msgspec.structs import replace
 
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
@@ -17,6 +21,7 @@
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.forwarding._types import UpstreamRequest
 from tanagerscale.forwarding._types import UpstreamResponse
+from tanagerscale.upstreams import UpstreamLeavingError
 
 _log = get_logger(part="forwarding")
 
@@ -44,6 +49,15 @@
         return self not in (SendPath.FIRST, SendPath.PLACED)
 
 
+RESUME_AT_LEAVING_MS: Final = 1200
+"""How long after its notice a run may go on at a leaving engine that holds its copy. The run would
+be lost otherwise, and an engine gets nothing two seconds after its notice."""
+
+_LEAVING_ALLOWANCE_MS: Final = {
+    path: RESUME_AT_LEAVING_MS if path is SendPath.RESUMED else 0 for path in SendPath
+}
+
+
 class QuarantinedError(Exception):
     """A request is not sent, since it has what crashes upstreams."""
 
@@ -64,6 +78,7 @@
     :param path: How the request gets to it.
     :param chosen_at: When the upstream was chosen.
     :raises QuarantinedError: The request was not sent.
+    :raises UpstreamLeavingError: The request was not sent.
     :raises ExchangeError: The upstream did not respond.
     """
     upstream = upstream_request.upstream.upstream
@@ -76,37 +91,69 @@
             path=path.value,
         )
         raise QuarantinedError
-    _record_choice(routed, context, upstream, path=path, chosen_at=chosen_at)
+    sending = _Sending(routed, context, upstream, path, chosen_at)
+    sending.check()
+    sending.record()
     record_limited_request(routed, context, upstream, path=path.value)
     record_suspected_request(routed, context, upstream, path=path.value)
     if path.is_repeat:
         record_repeat(routed, context, upstream, path=path.value)
     sent_at = context.clock.now()
-    response = await context.upstream_client.send(upstream_request=upstream_request)
+    checked_request = replace(upstream_request, check=sending.check)
+    response = await context.upstream_client.send(upstream_request=checked_request)
     record_named_rate(context, upstream, response, sent_at=sent_at)
     return response
 
 
-def _record_choice(
-    routed: RoutedRequest,
-    context: ForwardingContext,
-    upstream: UpstreamId,
-    *,
-    path: SendPath,
-    chosen_at: Millis,
-) -> None:
-    """Record what this host knows of an upstream as it sends a request there."""
-    chosen_ms = context.clock.now() - chosen_at
-    leaving_ms = context.gate.leaving_for_ms(upstream)
-    context.metrics.choice_age_ms.labels(path.value).observe(chosen_ms)
-    if leaving_ms is not None:
-        context.metrics.leaving_requests.labels(path.value).inc()
-    _log.info(
-        "A request is sent.",
-        request=routed.request.request,
-        upstream=upstream,
-        path=path.value,
-        chosen_ms=chosen_ms,
-        leaving_ms=leaving_ms,
-        list_age_ms=context.list_age_ms(),
-    )
+@final
+class _Sending:
+    """One sending of a request, and what its host knows of the upstream meanwhile."""
+
+    def __init__(
+        self,
+        routed: RoutedRequest,
+        context: ForwardingContext,
+        upstream: UpstreamId,
+        path: SendPath,
+        chosen_at: Millis,
+    ) -> None:
+        self._routed = routed
+        self._context = context
+        self._upstream = upstream
+        self._path = path
+        self._chosen_at = chosen_at
+
+    def check(self) -> None:
+        """Raise an error if the upstream must get no more requests on this path.
+
+        :raises UpstreamLeavingError: It must not.
+        """
+        leaving_ms = self._context.gate.leaving_for_ms(self._upstream)
+        if leaving_ms is None or leaving_ms < _LEAVING_ALLOWANCE_MS[self._path]:
+            return
+        self._context.metrics.withheld_requests.labels(self._path.value).inc()
+        self._log("A request is not sent, since its upstream leaves.", leaving_ms)
+        raise UpstreamLeavingError(self._upstream)
+
+    def record(self) -> None:
+        """Record what the host knows of the upstream as it sends the request."""
+        leaving_ms = self._context.gate.leaving_for_ms(self._upstream)
+        self._context.metrics.choice_age_ms.labels(self._path.value).observe(self._chosen_ms)
+        if leaving_ms is not None:
+            self._context.metrics.leaving_requests.labels(self._path.value).inc()
+        self._log("A request is sent.", leaving_ms)
+
+    @property
+    def _chosen_ms(self) -> int:
+        return self._context.clock.now() - self._chosen_at
+
+    def _log(self, message: str, leaving_ms: int | None) -> None:
+        _log.info(
+            message,
+            request=self._routed.request.request,
+            upstream=self._upstream,
+            path=self._path.value,
+            chosen_ms=self._chosen_ms,
+            leaving_ms=leaving_ms,
+            list_age_ms=self._context.list_age_ms(),
+        )
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -36,6 +36,7 @@
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamLeavingError
 
 MAX_RECOVERIES: Final = 2
 """Maximum number of times that one stream may break off without notice and resume from a copy. It
@@ -246,6 +247,9 @@
         except QuarantinedError:
             self._record.record_not_run(entry.upstream)
             raise
+        except UpstreamLeavingError as error:
+            self._record.record_withheld(entry.upstream)
+            return upstream_failed(cause=error.detail)
         except ExchangeError as error:
             return await self._record_no_response(entry, error)
         if segment.response.not_executed:
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from enum import Enum
 from enum import unique
@@ -199,6 +200,10 @@
     after_event: int
 
 
+def _accept() -> None:
+    """Let any request be sent."""
+
+
 class UpstreamRequest(Struct, frozen=True, kw_only=True):
     """A request to one upstream.
 
@@ -209,6 +214,8 @@
         limit.
     :param priority: Admission priority at the engine, 0 first; ``None`` uses the engine's default.
     :param continuation: Where to resume a moved run; ``None`` for a new run.
+    :param check: Called immediately before the first byte is sent; raises an error if the request
+        must not be sent any more.
     """
 
     request: CallerRequest
@@ -217,6 +224,7 @@
     time_left_ms: int | None
     priority: int | None = None
     continuation: Continuation | None = None
+    check: Callable[[], None] = _accept
 
 
 class UpstreamResponse(Protocol):
@@ -275,6 +283,8 @@
     async def send(self, *, upstream_request: UpstreamRequest) -> UpstreamResponse:
         """Send a request and wait for the status and header fields of the response.
 
+        Getting a connection may take some time, after which the request is checked again.
+
         :raises ExchangeError: The upstream did not respond.
         """
 
--- a/src/tanagerscale/gateway/_observed_upstreams.py
+++ b/src/tanagerscale/gateway/_observed_upstreams.py
@@ -18,6 +18,7 @@
 from tanagerscale.upstreams import EngineReport
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import UpstreamEntry
+from tanagerscale.upstreams import UpstreamLeavingError
 from tanagerscale.upstreams import UpstreamNotice
 from tanagerscale.upstreams import UpstreamPaths
 
@@ -44,6 +45,8 @@
         number = self._paths.begin_request()
         try:
             response = await self._client.send(upstream_request=upstream_request)
+        except UpstreamLeavingError:
+            raise
         except ExchangeError:
             self._paths.record_unreached(upstream_request.upstream.upstream)
             raise
--- a/src/tanagerscale/platform/_engines.py
+++ b/src/tanagerscale/platform/_engines.py
@@ -115,6 +115,7 @@
         address = upstream_request.upstream.address
         connection = await self._pool.acquire(address=address)
         try:
+            upstream_request.check()
             connection.send(
                 method=request.method, head=_encode_head(upstream_request), body=request.body
             )
--- a/src/tanagerscale/upstreams/__init__.py
+++ b/src/tanagerscale/upstreams/__init__.py
@@ -8,6 +8,7 @@
 from tanagerscale.upstreams._connection import ExchangeFailure
 from tanagerscale.upstreams._connection import HttpConnection
 from tanagerscale.upstreams._connection import ResponseHead
+from tanagerscale.upstreams._connection import UpstreamLeavingError
 from tanagerscale.upstreams._connection import count_open_connections
 from tanagerscale.upstreams._entries import UpstreamEntry
 from tanagerscale.upstreams._entries import UpstreamState
@@ -53,6 +54,7 @@
     "UpstreamEntry",
     "UpstreamError",
     "UpstreamErrorKind",
+    "UpstreamLeavingError",
     "UpstreamNotice",
     "UpstreamPaths",
     "UpstreamPauses",
--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -19,6 +19,7 @@
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Millis
+from tanagerscale.core import UpstreamId
 from tanagerscale.core import enable_tcp_keepalive
 
 MAX_HEAD_BYTES: Final = 64 * 1024
@@ -57,6 +58,16 @@
         self.detail = detail
 
 
+class UpstreamLeavingError(ExchangeError):
+    """Raised when a request was not sent, since its upstream began to leave after the choice.
+
+    :param upstream: The upstream.
+    """
+
+    def __init__(self, upstream: UpstreamId) -> None:
+        super().__init__(ExchangeFailure.NOT_SENT, f"Upstream {upstream} is leaving")
+
+
 @final
 class _ResponseProtocol(ResponseHandler):
     """aiohttp's response parser that also records whether the connection was reset."""
--- a/testing/test_ways_to_upstreams.py
+++ b/testing/test_ways_to_upstreams.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterator
+import contextlib
 from dataclasses import dataclass
 from dataclasses import field
 from pathlib import Path
@@ -29,6 +30,7 @@
 from tanagerscale.forwarding._delegation import DelegatedForwarder
 from tanagerscale.forwarding._delegation import DelegatedResponse
 from tanagerscale.forwarding._plain import PlainForwarder
+from tanagerscale.forwarding._sending import RESUME_AT_LEAVING_MS
 from tanagerscale.forwarding._sending import QuarantinedError
 from tanagerscale.forwarding._sending import SendPath
 from tanagerscale.forwarding._sending import send_request
@@ -39,6 +41,7 @@
 from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
+from tanagerscale.upstreams import UpstreamLeavingError
 from testing._gateway_fakes import FakeResponder
 from testing._gateway_fakes import FakeResponse
 from testing._gateway_fakes import GatewayFakes
@@ -57,7 +60,7 @@
 HEDGE_WAIT_S = 10.0
 """Much longer than the delay after which a request is hedged."""
 LONG_AFTER_NOTICE_MS = 2000
-SERVED_BY_THE_OTHER = (SendPath.FIRST, SendPath.PLACED)
+SERVED_BY_THE_OTHER = (SendPath.FIRST, SendPath.PLACED, SendPath.RESUMED)
 """Paths on which the other upstream can take the request."""
 LOST = ExchangeError(ExchangeFailure.LOST, "connection reset")
 EVENTS = [f"id: {number}\ndata: {number}\n\n".encode() for number in range(1, 4)]
@@ -288,10 +291,35 @@
     arrived, is_served = run_virtually(scenario())
     assert left
     assert left[0] not in arrived[len(way.reactions()) :]
-    # On the other paths the other upstream has been tried before, or has no copy of the run.
+    # On the other paths the other upstream has been tried before.
     assert is_served == (path in SERVED_BY_THE_OTHER)
 
 
+# A run whose only copy is at an engine that has just begun to leave would be lost.
+def test_run_goes_on_at_a_leaving_engine_shortly_after_its_notice() -> None:
+    async def scenario() -> int:
+        case = _make_case(RouteKind.STREAMING, [], is_convicted=False)
+        entry = case.fakes.upstreams.get(UpstreamId("x"))
+        assert entry is not None
+        case.fakes.upstreams.leaving.add("x")
+        upstream_request = UpstreamRequest(
+            request=case.routed.request, upstream=entry, account=None, time_left_ms=None
+        )
+        for leaving_ms in (0, RESUME_AT_LEAVING_MS - 1, RESUME_AT_LEAVING_MS):
+            case.fakes.upstreams.leaving_ms["x"] = leaving_ms
+            with contextlib.suppress(UpstreamLeavingError):
+                await send_request(
+                    case.routed,
+                    case.context,
+                    upstream_request,
+                    path=SendPath.RESUMED,
+                    chosen_at=case.context.clock.now(),
+                )
+        return len(case.client.arrived)
+
+    assert run_virtually(scenario()) == 2
+
+
 class _CountingDelegates(NoDelegates):
     """Other hosts that can't be reached, one of which is asked before the part is convicted."""
 
