Let hosts that watch the store catch up from others when their watch stands still

Seen by callers: an evacuated failure domain goes on getting requests from one host, and a new upstream gets none. Cause: a host that watches the store takes the list from its watch alone. A watch that waits at the store and gets nothing looks alive for up to 28 s, while heartbeats of other coordinators tell higher revisions.

A host that watches asks another one for the list when that is ahead for 300 ms and the own watch hasn't delivered it, once, and logs it. Leaving wasn't affected, as hosts tell each other of that.

The types of the feed stand in a module of their own.

--- a/src/tanagerscale/coordination/_feed.py
+++ b/src/tanagerscale/coordination/_feed.py
@@ -11,22 +11,23 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from collections.abc import Sequence
-from enum import Enum
-from enum import unique
 from typing import Final
 from typing import Protocol
 from typing import final
 
-from msgspec import Struct
 from msgspec.structs import replace
 
+from tanagerscale.coordination._feed_entries import EntryChange
+from tanagerscale.coordination._feed_entries import IgnoredChange
+from tanagerscale.coordination._feed_entries import StoreView
+from tanagerscale.coordination._feed_entries import to_entry
+from tanagerscale.coordination._feed_entries import to_item
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import ListContent
-from tanagerscale.generated.messages import ListedItem
 from tanagerscale.generated.messages import ListRequest
 from tanagerscale.generated.messages import ListTopic
 from tanagerscale.membership import Message
@@ -48,36 +49,6 @@
 _log = get_logger(part="feed")
 
 
-@unique
-class IgnoredChange(Enum):
-    """Why a feed ignored entries."""
-
-    KNOWN = "known"
-    """They are of the revision that is known."""
-    OLDER = "older"
-    """They are of an older revision."""
-    GAP = "gap"
-    """Changes before them are missing, so they were requested again."""
-    OTHER_SOURCE = "other-source"
-    """They came from a host that is not the source."""
-
-
-class _StoreView(Struct, frozen=True, kw_only=True):
-    """State of the store as observed by one host.
-
-    :param is_watched: Whether its watch is answered.
-    :param is_answered: Whether its other calls are answered.
-    """
-
-    is_watched: bool = False
-    is_answered: bool = True
-
-    @property
-    def is_current(self) -> bool:
-        """Whether the store delivers changes."""
-        return self.is_watched and self.is_answered
-
-
 class FeedListener(PrefixListener, Protocol):
     """Consumer of the entries of one topic."""
 
@@ -85,13 +56,6 @@
         """Handle that other calls to the store fail, or are answered again."""
 
 
-class _Change(Struct, frozen=True, kw_only=True):
-    """A change of one entry; without an entry it is a deletion."""
-
-    key: str
-    entry: StoreEntry | None
-
-
 @final
 class ListFeed:
     """Keeps the entries of one topic and sends them to subscribers.
@@ -118,18 +82,20 @@
         self._send = send
         self._clock = clock
         self._entries: dict[str, StoreEntry] = {}
-        self._changes: OrderedDict[StoreRevision, list[_Change]] = OrderedDict()
+        self._changes: OrderedDict[StoreRevision, list[EntryChange]] = OrderedDict()
         self._oldest = StoreRevision(0)
         """Changes after this revision are kept."""
         self._revision = StoreRevision(0)
-        self._own_view = _StoreView()
-        self._source_view = _StoreView()
+        self._own_view = StoreView()
+        self._source_view = StoreView()
         """State of the store according to the source."""
-        self._listener_view = _StoreView()
+        self._listener_view = StoreView()
         """State of the store that the listener was last notified of."""
         self._subscribers: set[HostId] = set()
         self._source: HostId | None = None
         self._behind_since: Millis | None = None
+        self._awaited = 0
+        """Revision that another host had first when this host's own watch fell behind."""
         self._confirmed_at: Millis | None = None
         self.ignored: Counter[IgnoredChange] = Counter()
         """Snapshots and changes that were ignored."""
@@ -179,8 +145,8 @@
             return
         self._confirmed_at = self._clock.now()
         before = self._revision
-        changes = [_Change(key=entry.key, entry=entry) for entry in batch.entries]
-        changes += [_Change(key=key, entry=None) for key in batch.deleted]
+        changes = [EntryChange(key=entry.key, entry=entry) for entry in batch.entries]
+        changes += [EntryChange(key=key, entry=None) for key in batch.deleted]
         self._record_changes(changes, revision)
         self._listener.on_changes(batch)
         self._publish(self._content_since(before))
@@ -212,7 +178,7 @@
             self._send(self._source, ListRequest(topic=self._topic, ends=True))
         self._source = source
         if source is None:
-            self._source_view = _StoreView()
+            self._source_view = StoreView()
             self._notify_listener()
         else:
             # The former source's state of the store stays in effect until the new source answers.
@@ -238,13 +204,17 @@
         elif isinstance(message, ListContent) and message.topic is self._topic:
             if host == self._source:
                 self._on_content(message)
+            elif self._source is None and message.revision > self._revision:
+                self._on_overtaking_content(host, message)
             else:
                 self._ignore(
                     IgnoredChange.OTHER_SOURCE,
                     StoreRevision(message.revision),
                     count=len(message.entries) + len(message.deleted),
                 )
-        elif isinstance(message, Heartbeat) and self._source is not None:
+        elif isinstance(message, Heartbeat) and self._source is None:
+            self._on_heartbeat_while_watching(host, message)
+        elif isinstance(message, Heartbeat):
             self._on_heartbeat(host, message)
 
     def _on_request(self, host: HostId, request: ListRequest) -> None:
@@ -260,13 +230,13 @@
         # Content without a revision comes from a source that has read nothing itself; it only
         # carries the state of the store.
         self._behind_since = None
-        self._source_view = _StoreView(
+        self._source_view = StoreView(
             is_watched=content.is_watched, is_answered=content.is_answered
         )
         self._notify_listener()
 
     def _apply(self, content: ListContent) -> None:
-        entries = tuple(_to_entry(item) for item in content.entries)
+        entries = tuple(to_entry(item) for item in content.entries)
         revision = StoreRevision(content.revision)
         if content.after < 0:
             self.on_snapshot(StoreRange(entries=entries, revision=revision))
@@ -295,13 +265,41 @@
         else:
             self.follow(host)
 
+    def _on_heartbeat_while_watching(self, host: HostId, heartbeat: Heartbeat) -> None:
+        """Request what this host's own watch has not delivered for some time.
+
+        A watch may stand still at the store, or on a connection that looks alive.
+        """
+        announced = self._announced_revision(heartbeat)
+        if announced <= self._revision:
+            return
+        now = self._clock.now()
+        if self._behind_since is None or self._revision >= self._awaited:
+            self._behind_since, self._awaited = now, announced
+        elif now - self._behind_since >= MAX_LAG_MS:
+            self._behind_since = None
+            self._request_from(host)
+
+    def _on_overtaking_content(self, host: HostId, content: ListContent) -> None:
+        """Apply content that this host's own watch has not delivered."""
+        _log.warning(
+            "The watch of the store is behind another host.",
+            topic=self._topic.value,
+            peer=host,
+            revision=format_revision(content.revision),
+            known=format_revision(self._revision),
+            age_ms=self.age_ms,
+        )
+        self._apply(content)
+        self._send(host, ListRequest(topic=self._topic, ends=True))
+
     def _announced_revision(self, heartbeat: Heartbeat) -> int:
         """Return the revision of this topic in a heartbeat."""
         if self._topic is ListTopic.EVACUATIONS:
             return heartbeat.evacuations
         return heartbeat.listed
 
-    def _update_own_view(self, view: _StoreView) -> None:
+    def _update_own_view(self, view: StoreView) -> None:
         """Update this host's own state of the store, and inform subscribers and the listener.
 
         The state received from a source is not forwarded; otherwise two hosts that follow each
@@ -349,7 +347,7 @@
     def _request_from(self, host: HostId) -> None:
         self._send(host, ListRequest(topic=self._topic, have_revision=self._revision))
 
-    def _record_changes(self, changes: Sequence[_Change], revision: StoreRevision) -> None:
+    def _record_changes(self, changes: Sequence[EntryChange], revision: StoreRevision) -> None:
         for change in changes:
             if change.entry is None:
                 self._entries.pop(change.key, None)
@@ -366,7 +364,7 @@
             revision=self._revision,
             is_watched=self._own_view.is_watched,
             is_answered=self._own_view.is_answered,
-            entries=[_to_item(entry) for entry in self._entries.values()],
+            entries=[to_item(entry) for entry in self._entries.values()],
         )
 
     def _content_since(self, revision: StoreRevision) -> ListContent:
@@ -383,7 +381,7 @@
             after=revision,
             is_watched=self._own_view.is_watched,
             is_answered=self._own_view.is_answered,
-            entries=[_to_item(entry) for entry in latest.values() if entry is not None],
+            entries=[to_item(entry) for entry in latest.values() if entry is not None],
             deleted=[key for key, entry in latest.items() if entry is None],
         )
 
@@ -391,19 +389,3 @@
         for host in list(self._subscribers):
             if not self._send(host, content):
                 self._subscribers.discard(host)
-
-
-def _to_item(entry: StoreEntry) -> ListedItem:
-    # Invalid UTF-8 can't be parsed by any host, and remains invalid after characters are replaced.
-    value = entry.value.decode(errors="replace")
-    return ListedItem(key=entry.key, value=value, revision=entry.mod_revision)
-
-
-def _to_entry(item: ListedItem) -> StoreEntry:
-    revision = StoreRevision(item.revision)
-    return StoreEntry(
-        key=item.key,
-        value=item.value.encode(),
-        create_revision=revision,
-        mod_revision=revision,
-    )
--- a/testing/test_leaving_logs.py
+++ b/testing/test_leaving_logs.py
@@ -131,6 +131,7 @@
             feed.on_changes(
                 WatchBatch(entries=(), deleted=("k",), revision=StoreRevision(revision))
             )
+        feed.follow(HostId("host-1"))
         stranger = ListContent(
             topic=ListTopic.EVACUATIONS, revision=50, is_watched=True, is_answered=True
         )
