--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -22,6 +22,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import UpstreamName
 from tanagerscale.core import get_logger
+from tanagerscale.membership._entry_grace import EntryGrace
 from tanagerscale.membership._entry_order import EntryOrder
 from tanagerscale.membership._entry_order import order_entry
 from tanagerscale.membership._evacuations import Evacuations
@@ -37,19 +38,6 @@
 from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamState
 
-OUTAGE_GRACE_MS: Final = 2200
-"""How long an entry may be missing after a store outage. Live upstreams rewrite their entries
-within about two seconds after the store recovers."""
-
-MASS_EXPIRY_WINDOW_MS: Final = 1000
-MASS_EXPIRY_RATIO: Final = 0.34
-"""Entries that disappear within one second and number at least about a third of the remaining ones
-may have expired during an undetected store outage."""
-
-MASS_EXPIRY_GRACE_MS: Final = 1800
-"""How long entries of a mass expiry may be missing. In case the upstreams are really gone, it is
-slightly less than the two seconds after which a leaving upstream must get no new requests."""
-
 UNREADABLE_GRACE_MS: Final = 1800
 """How long running requests stay on an upstream after another writer has overwritten its entry. The
 upstream rewrites its own entry within a heartbeat of 1.2 s. Two seconds after a leaving notice it
@@ -102,7 +90,7 @@
         self._written_revisions: dict[UpstreamName, StoreRevision] = {}
         self._is_store_unavailable = True
         self._are_calls_failing = False
-        self._store_recovered_at = Millis(-OUTAGE_GRACE_MS)
+        self._grace = EntryGrace(clock=clock)
         self._has_read = False
         self._era = 0
         self._changes: Subject[UpstreamId] = Subject()
@@ -216,7 +204,7 @@
                 before=before,
                 revision=format_revision(revision),
             )
-            self._store_recovered_at = self._clock.now()
+            self._grace.record_recovery()
 
     def on_changes(self, batch: WatchBatch) -> None:
         """Apply changes that a watch of the store reports."""
@@ -231,7 +219,7 @@
         """Record whether the store is reachable; entries may have expired during an outage."""
         was_current = self.is_current
         if reachable and self._is_store_unavailable:
-            self._store_recovered_at = self._clock.now()
+            self._grace.record_recovery()
         self._is_store_unavailable = not reachable
         self._publish_is_current(was_current)
 
@@ -242,7 +230,7 @@
         """
         was_current = self.is_current
         if answered and self._are_calls_failing:
-            self._store_recovered_at = self._clock.now()
+            self._grace.record_recovery()
         self._are_calls_failing = not answered
         self._publish_is_current(was_current)
 
@@ -393,9 +381,7 @@
         for record in missing:
             record.missing_since = now
             record.missing_at = revision
-        wait_ms = max(self._store_recovered_at + OUTAGE_GRACE_MS - now, 0)
-        if wait_ms == 0 and self._is_mass_expiry(now):
-            wait_ms = MASS_EXPIRY_GRACE_MS
+        wait_ms = self._grace.compute_ms([self._records[one] for one in self._current.values()])
         for record in missing:
             self._mark_gone_later(record, revision, wait_ms)
 
@@ -415,21 +401,6 @@
         loop = asyncio.get_running_loop()
         loop.call_later(wait_ms / MS_PER_SECOND, self._mark_gone, upstream, revision)
 
-    def _is_mass_expiry(self, now: Millis) -> bool:
-        """Return whether so many entries disappeared at once that the store may have had an outage.
-
-        A waiting watch does not reveal that its store is down.
-        """
-        current = [self._records[upstream] for upstream in self._current.values()]
-        recent = [
-            record
-            for record in current
-            if record.missing_since is not None
-            and now - record.missing_since < MASS_EXPIRY_WINDOW_MS
-        ]
-        present = sum(record.missing_since is None for record in current)
-        return len(recent) > 1 and len(recent) >= present * MASS_EXPIRY_RATIO
-
     def _mark_gone(self, upstream: UpstreamId, revision: StoreRevision) -> None:
         record = self._records.get(upstream)
         if record is None or record.missing_since is None:
--- a/testing/test_roster.py
+++ b/testing/test_roster.py
@@ -14,10 +14,10 @@
 from tanagerscale.membership import Evacuations
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.membership import UpstreamRoster
+from tanagerscale.membership._entry_grace import MASS_EXPIRY_GRACE_MS
+from tanagerscale.membership._entry_grace import OUTAGE_GRACE_MS
 from tanagerscale.membership._roster import GONE_RETENTION_MS
-from tanagerscale.membership._roster import MASS_EXPIRY_GRACE_MS
 from tanagerscale.membership._roster import OLDER_INCARNATION_DELAY_MS
-from tanagerscale.membership._roster import OUTAGE_GRACE_MS
 from tanagerscale.membership._roster import UNREADABLE_GRACE_MS
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
