Bound the answers of upstreams and of the store that have no end

Seen by callers: an upstream in trouble may send bytes that are no answer without end, in a head or a body. A host kept the whole body of a plain answer, a report, the answer to a copy order, a stray answer and an answer of the store for as long as it came: in a first version of the test, whose server didn't stop by itself, one process grew to 19 GB within 53 s and was killed. Heads were bounded by the parser; interim heads and a chunk size without an end were read on for ever.

A body that is kept is limited to 16 MB, and what arrives without becoming a head or a part of a body to 4 MB; then the connection is closed and the exchange is lost. Reading of streams was bounded by event already.

test_endless_answers: ten kinds of endless bytes at six kinds of calls. 32 of 60 failed before, all pass.

--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -28,6 +28,13 @@
 READ_BUFFER_BYTES: Final = 64 * 1024
 """Amount of unread data, a few hundred events, above which reading from the upstream is paused."""
 
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+"""Maximum size of a body that is kept as a whole. Bodies without an end would fill the memory."""
+
+MAX_UNREAD_BYTES: Final = 4 * 1024 * 1024
+"""Bytes that may arrive before any of them is a head or a part of a body, such as interim heads or
+a chunk size without an end. Reading is paused long before by unread parts of a body."""
+
 DEAD_PEER_TIMEOUT_S: Final = 6
 """Time without an acknowledgement after which a peer counts as dead. It is long enough for a stream
 to survive a network interruption that its caller would have waited out."""
@@ -78,12 +85,22 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.was_reset = False
+        self.unread_bytes = 0
+        """Bytes that have arrived since the last head or part of a body was read."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection."""
         _ResponseProtocol.open_connections += 1
         super().connection_made(transport)
 
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes, and end a connection whose bytes are no response."""
+        self.unread_bytes += len(data)
+        if self.unread_bytes > MAX_UNREAD_BYTES and self.transport is not None:
+            self.transport.abort()
+            return
+        super().data_received(data)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record how the connection ended.
 
@@ -185,6 +202,7 @@
         except (ClientError, HttpProcessingError, OSError) as error:
             detail = f"No answer came ({type(error).__name__})"
             raise ExchangeError(ExchangeFailure.LOST, detail) from error
+        self._protocol.unread_bytes = 0
         self._body = payload
         self._response_head = _build_response_head(message)
         return self._response_head
@@ -201,6 +219,7 @@
         except (ClientError, HttpProcessingError, OSError) as error:
             detail = f"The answer broke off ({type(error).__name__})"
             raise ExchangeError(ExchangeFailure.LOST, detail) from error
+        self._protocol.unread_bytes = 0
         is_truncated = self._closed or (
             self._response_head.is_close_delimited and self._protocol.was_reset
         )
@@ -211,11 +230,14 @@
     async def read_all(self) -> bytes:
         """Return the complete body.
 
-        :raises ExchangeError: If the body is incomplete.
+        :raises ExchangeError: If the body is incomplete, or longer than ``MAX_BODY_BYTES``.
         """
-        chunks = []
+        chunks, size = [], 0
         while chunk := await self.read_some():
             chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
+                raise ExchangeError(ExchangeFailure.LOST, "The answer is longer than allowed")
         return b"".join(chunks)
 
     def close(self) -> None:
