Log a notice of an upstream again only if it is older than the known one

Repeated ones are counted in the metric only. test_leaving_logs, test_roster, test_membership, test_upstream_notices and test_docs pass.

--- a/src/tanagerscale/membership/_gate.py
+++ b/src/tanagerscale/membership/_gate.py
@@ -307,8 +307,8 @@
         known = self._leaving[upstream]
         reason = "repeated" if known == version else "older"
         self.ignored_notices[reason] += 1
-        # Peers repeat notices to each other, which is neither rare nor of interest.
-        if reason == "repeated" and source is NoticeSource.PEER:
+        # Each answer of a leaving upstream and each of its heartbeats repeats the notice.
+        if known == version:
             return
         log.info(
             "A notice of an upstream is ignored.",
