Test configurations and leases across a return of the store

The same cause elsewhere: a configuration, and with it revoked keys, must not go back to the copy's, and a host must not renew the lease of another one that has got its number again.

--- a/testing/test_store_return.py
+++ b/testing/test_store_return.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from tanagerscale.gateway._presence import LEASE_TTL_S
+from tanagerscale.gateway._presence import RENEW_INTERVAL_MS
 from tanagerscale.membership._roster import RETURNED_ENTRY_DELAY_MS
 from testing._heartbeating_engines import HEARTBEAT_S
 from testing._heartbeating_engines import OPERATOR_DELAY_S
@@ -17,6 +19,7 @@
 from testing._heartbeating_engines import observe
 from testing._heartbeating_engines import open_engines
 from testing._heartbeating_engines import return_from_copy
+from testing._many_hosts import CONFIGURATION_KEY
 from testing._many_hosts import EVACUATION_PREFIX
 from testing._many_hosts import Fleet
 from testing._virtual_time import run_virtually
@@ -277,3 +280,40 @@
         }
 
     assert len(_run(scenario, hosts=MANY)) == 1
+
+
+# The copy has an older configuration, whose keys may have been revoked since.
+def test_configuration_never_goes_back_when_the_store_comes_back_with_an_older_one() -> None:
+    async def scenario(fleet: Fleet, engines: Engines) -> set[int]:
+        returning = asyncio.create_task(return_from_copy(fleet, engines, copy_age_s=8))
+        await asyncio.sleep(4)
+        fleet.write(CONFIGURATION_KEY, "2")
+        await asyncio.sleep(1)
+        seen: set[int] = set()
+        for _ in range(80):
+            await asyncio.sleep(0.1)
+            seen |= {host.control.configuration.head_revision for host in fleet.hosts}
+        await returning
+        assert fleet.backend.entries[CONFIGURATION_KEY].value == b"1"
+        return seen
+
+    assert _run(scenario, hosts=MANY) == {2}
+
+
+# A host renewed the lease of another one, which had got its number, and lost its own entry.
+def test_hosts_keep_their_entries_when_the_numbers_of_their_leases_are_given_out_again() -> None:
+    async def scenario(fleet: Fleet, engines: Engines) -> list[list[str]]:
+        returning = asyncio.create_task(return_from_copy(fleet, engines, copy_age_s=8))
+        await asyncio.sleep(4)
+        await fleet.add("late")
+        await returning
+        await fleet.add("later")
+        missing = []
+        for wait_s in (RENEW_INTERVAL_MS / 1000 + DRAIN_S, 2 * LEASE_TTL_S):
+            await asyncio.sleep(wait_s)
+            names = [host.name for host in fleet.hosts]
+            entries = fleet.backend.entries
+            missing.append([name for name in names if f"p/hosts/{name}" not in entries])
+        return missing
+
+    assert _run(scenario, hosts=MANY) == [[], []]
