Keep the numbers of leases as the store gives them

Cause: packed the era into lease numbers as into revisions, but the store's lease numbers are larger than the bits left for a number. Each renewal looked like one of another era, so each host took a new lease and wrote its entry at each renewal.

The client keeps the era of each lease beside it. Revisions get 48 bits instead of 40. The stand-in gives lease numbers from 2**62 on: three tests of test_platform_store fail with the code before.

--- a/src/tanagerscale/platform/_registry.py
+++ b/src/tanagerscale/platform/_registry.py
@@ -72,7 +72,7 @@
             max_concurrency=wire.slots,
             state=_STATES[wire.state],
             warmup_ms=int(wire.cold_remaining_ms),
-            # The wire counts from 0, which stands for an entry without a number here.
+            # 0 stands for an entry without a number.
             sequence=wire.sequence + 1,
         )
     )
--- a/src/tanagerscale/platform/_store.py
+++ b/src/tanagerscale/platform/_store.py
@@ -90,6 +90,7 @@
         self._address = address
         self._pool = pool
         self._eras = EraTracker()
+        self._leases: dict[LeaseId, int] = {}  # The era of each lease of this host.
         self.calls = 0
 
     async def get(
@@ -148,27 +149,30 @@
         if isinstance(answer, Failure):
             return answer
         reply = answer.unwrap()
-        # Numbers of leases are given out again too.
-        return _decode_body(reply, WireLease).map(
-            lambda granted: LeaseId(make_revision(era=reply.era, number=granted.lease))
-        )
+        granted = _decode_body(reply, WireLease).map(lambda wire: LeaseId(wire.lease))
+        # Leases of an earlier era are gone, and their numbers may be given out again.
+        self._leases = {one: era for one, era in self._leases.items() if era == reply.era}
+        if isinstance(granted, Success):
+            self._leases[granted.unwrap()] = reply.era
+        return granted
 
     async def keep_alive(self, *, lease: LeaseId) -> Result[int, StoreError]:
         """Renew a lease and return its time to live in seconds; 0 means that it has expired."""
-        answer = await self._call("POST", f"/v1/kv-keep/{number_of(lease)}", body={})
+        answer = await self._call("POST", f"/v1/kv-keep/{lease}", body={})
         if isinstance(answer, Failure):
             return answer
         reply = answer.unwrap()
-        if reply.status == HTTP_NOT_FOUND or reply.era != era_of(lease):
+        is_lost = reply.era != self._leases.get(lease, reply.era)
+        if reply.status == HTTP_NOT_FOUND or is_lost:
             return Success(0)
         decoded = _decode_body(reply, WireLease)
         return decoded.map(lambda renewed: max(renewed.ttl_ms // MS_PER_SECOND, 1))
 
     async def revoke(self, *, lease: LeaseId) -> Result[None, StoreError]:
         """Revoke a lease and delete its keys."""
-        if era_of(lease) != self._eras.era:
+        if self._leases.get(lease, self._eras.era) != self._eras.era:
             return Success(None)
-        answer = await self._call("DELETE", f"/v1/kv-lease-end/{number_of(lease)}")
+        answer = await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
         return answer.map(lambda _: None)
 
     async def watch(
@@ -214,7 +218,7 @@
             body["remove"] = [put.key]
         else:
             value = base64.b64encode(put.value).decode()
-            body["puts"] = [{"key": put.key, "value": value, "lease": number_of(put.lease)}]
+            body["puts"] = [{"key": put.key, "value": value, "lease": put.lease}]
         answer = await self._call("POST", "/v1/kv-txn", body=body)
         if isinstance(answer, Failure):
             return answer
@@ -311,7 +315,7 @@
         value=item.value,
         create_revision=make_revision(era=era, number=item.created_rev),
         mod_revision=make_revision(era=era, number=item.revision),
-        lease=LeaseId(make_revision(era=era, number=item.lease) if item.lease else 0),
+        lease=LeaseId(item.lease),
     )
 
 
--- a/src/tanagerscale/store/_revision.py
+++ b/src/tanagerscale/store/_revision.py
@@ -14,9 +14,9 @@
 StoreRevision = NewType("StoreRevision", int)
 """Era and revision number of a store. In a store without eras it equals the revision number."""
 
-NUMBER_BITS: Final = 40
-"""Bits of the number: 29 years of 1,200 changes a second. Eras up to 8,191 keep the whole within
-the 53 bits that readers of JSON logs represent exactly."""
+NUMBER_BITS: Final = 48
+"""Bits of the number. Eras up to 32,767 keep the whole within the 63 bits of an integer in
+messages."""
 
 
 def make_revision(*, era: int, number: int) -> StoreRevision:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -23,7 +23,8 @@
 CONFLICT_STATUS = 412
 MAX_PAGE_ITEMS = 500
 MS_PER_S = 1000
-FIRST_LEASE = 1000
+FIRST_LEASE = 2**62
+"""Numbers of leases may be as large as a signed integer of 64 bits allows."""
 
 
 @unique
--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -347,13 +347,29 @@
     copy = harness.emulator.copy()
     lost = (await harness.store.grant_lease(ttl_s=60)).unwrap()
     harness.emulator.come_back_from(copy)
-    other = (await harness.store.grant_lease(ttl_s=60)).unwrap()
-    assert number_of(lost) == number_of(other)
-    await _commit(harness.store, _put("k", b"1", lease=other))
+    pool = ConnectionPool(clock=Clock(), connect_timeout_ms=2000)
+    other_host = PlatformStore(address=harness.store._address, pool=pool)
+    other = (await other_host.grant_lease(ttl_s=60)).unwrap()
+    assert lost == other
+    await _commit(other_host, _put("k", b"1", lease=other))
     assert (await harness.store.keep_alive(lease=lost)).unwrap() == 0
     await harness.store.revoke(lease=lost)
     assert harness.emulator.keys() == ["k"]
-    assert (await harness.store.keep_alive(lease=other)).unwrap() > 0
+    assert (await other_host.keep_alive(lease=other)).unwrap() > 0
+    pool.close()
+
+
+# A lease whose number is large was taken for lost, and each host wrote its entry again and again.
+@pytest.mark.asyncio
+async def test_lease_is_kept_when_its_number_is_large(harness: StoreHarness) -> None:
+    lease = (await harness.store.grant_lease(ttl_s=60)).unwrap()
+    assert lease >= 2**62
+    await _commit(harness.store, _put("k", b"1", lease=lease))
+    for _ in range(2):
+        assert (await harness.store.keep_alive(lease=lease)).unwrap() > 0
+    entry = (await harness.store.get(key="k")).unwrap()
+    assert entry is not None
+    assert entry.lease == lease
 
 
 @random_case_settings(examples=300)
