Log and count which exchange with an upstream took which answer

Each connection has a number and knows its exchanges. An answer that bears another id, or none on a connection that had carried another exchange, is logged with both ids, the exchange before it and whether it was taken; so is what became of the connection. Metrics count exchanges by kind and by new or kept connection, and answers by whose id they bear. explain shows the lines of other requests about a connection that the request's own lines name. Nothing else changes.

--- a/src/tanagerscale/cli/_explain.py
+++ b/src/tanagerscale/cli/_explain.py
@@ -59,6 +59,12 @@
         """Upstreams that the line names."""
         return {str(self.fields[name]) for name in UPSTREAM_FIELDS if self.fields.get(name)}
 
+    @property
+    def connection(self) -> tuple[str, int] | None:
+        """The host and the number of the connection that the line names, if there is one."""
+        number = self.fields.get("connection")
+        return (self.host, number) if isinstance(number, int) else None
+
 
 def run_explain(*, request: str, files: Sequence[str], output: Output) -> None:
     """Print what happened to a request and why.
@@ -95,7 +101,8 @@
 
     These are the request's own lines and the lines that its hosts logged from shortly before to
     shortly after it: about the configuration, the store and the upstreams it was sent to. What each
-    host had last learned of those upstreams before is included however long ago that was.
+    host had last learned of those upstreams before is included however long ago that was, and so
+    are the lines of other requests about a connection that the request's own lines name.
 
     :param request: Id of the request.
     :param lines: Log lines of all hosts.
@@ -105,6 +112,7 @@
     if not own:
         return []
     hosts = {line.host for line in own}
+    connections = {line.connection for line in own} - {None}
     upstreams = {upstream for line in own for upstream in line.upstreams}
     begin = min(line.wall_ms for line in own) - CONTEXT_BEFORE_MS
     end = max(line.wall_ms for line in own) + CONTEXT_AFTER_MS
@@ -116,9 +124,15 @@
         and begin <= line.wall_ms <= end
         and (not line.upstreams or line.upstreams & upstreams)
     ]
+    shared = [
+        line
+        for line in all_lines
+        if line.connection in connections and line.request not in ("", request)
+    ]
     states = _find_earlier_states(all_lines, hosts, upstreams, before_ms=begin)
     return sorted(
-        [*own, *context, *states], key=lambda line: (line.wall_ms, line.host, line.monotonic_ms)
+        [*own, *context, *shared, *states],
+        key=lambda line: (line.wall_ms, line.host, line.monotonic_ms),
     )
 
 
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -30,6 +30,7 @@
 from tanagerscale.gateway._control import HostControl
 from tanagerscale.gateway._delegate_client import HttpDelegateClient
 from tanagerscale.gateway._delegate_server import DelegateServer
+from tanagerscale.gateway._exchange_metrics import ExchangeCollector
 from tanagerscale.gateway._forwarding import make_forwarding_context
 from tanagerscale.gateway._graceful_shutdown import drain_requests
 from tanagerscale.gateway._host_limits import make_host_limits
@@ -70,6 +71,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.ServerRunner] = []
         self._registry = CollectorRegistry()
+        self._registry.register(ExchangeCollector(log=platform.exchange_log))
         self._work = LocalWorkload(clock=clock)
         self._control = HostControl(
             settings=settings,
--- a/src/tanagerscale/gateway/_platform.py
+++ b/src/tanagerscale/gateway/_platform.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 from msgspec import Struct
+from msgspec import field
 from reactivex import Observable
 from returns.result import Result
 
@@ -23,6 +24,7 @@
 from tanagerscale.forwarding import UpstreamClient
 from tanagerscale.routes import Configuration
 from tanagerscale.store import Store
+from tanagerscale.upstreams import ExchangeLog
 from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamNotice
 
@@ -86,6 +88,7 @@
     :param parse_upstream_name: Returns the name of the upstream that registers under a key.
     :param callers: Decodes the requests of callers.
     :param close: Closes the connections to the store and to upstreams.
+    :param exchange_log: Counts of the exchanges with upstreams.
     """
 
     store: Store
@@ -99,3 +102,4 @@
     parse_upstream_name: Callable[[str], UpstreamName]
     callers: CallerCodec
     close: Callable[[], Awaitable[None]]
+    exchange_log: ExchangeLog = field(default_factory=ExchangeLog)
--- a/src/tanagerscale/platform/_engines.py
+++ b/src/tanagerscale/platform/_engines.py
@@ -37,10 +37,13 @@
 from tanagerscale.platform._wire import WireMove
 from tanagerscale.platform._wire import WireMoved
 from tanagerscale.platform._wire import WireReport
+from tanagerscale.upstreams import AnswerId
 from tanagerscale.upstreams import ConnectionPool
 from tanagerscale.upstreams import EngineReport
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
+from tanagerscale.upstreams import ExchangeKind
+from tanagerscale.upstreams import ExchangeLabel
 from tanagerscale.upstreams import HttpConnection
 from tanagerscale.upstreams import PooledResponse
 from tanagerscale.upstreams import ResponseHead
@@ -116,6 +119,12 @@
         connection = await self._pool.acquire(address=address)
         try:
             upstream_request.check()
+            label = ExchangeLabel(
+                kind=ExchangeKind.REQUEST,
+                upstream=upstream_request.upstream.upstream,
+                request=request.request,
+            )
+            self._pool.log.record_begin(connection.history, label)
             connection.send(
                 method=request.method, head=_encode_head(upstream_request), body=request.body
             )
@@ -135,11 +144,24 @@
         """
         for _ in range(MAX_STRAY_REPLIES):
             reply = await connection.receive()
-            if reply.headers.get(REQUEST_ID, request_id) == request_id:
+            is_taken = reply.headers.get(REQUEST_ID, request_id) == request_id
+            self._record_answer(connection, reply, request_id, is_taken=is_taken)
+            if is_taken:
                 return reply
             await connection.read_all()
         raise ExchangeError(ExchangeFailure.LOST, "Only answers to other requests came")
 
+    def _record_answer(
+        self, connection: HttpConnection, reply: ResponseHead, request_id: str, *, is_taken: bool
+    ) -> None:
+        bears = reply.headers.get(REQUEST_ID, "")
+        answer_id = AnswerId.OTHER if bears else AnswerId.MISSING
+        if bears == request_id:
+            answer_id = AnswerId.OWN
+        self._pool.log.record_answer(
+            connection.history, answer_id=answer_id, bears=bears, is_taken=is_taken
+        )
+
     async def copy(
         self, *, source: UpstreamEntry, request: RequestId, target: UpstreamEntry, stop: bool
     ) -> Result[RunCopy, CopyError]:
@@ -147,7 +169,8 @@
         order = WireMove(id=request, to=target.address, last=stop)
         body = msgspec.json.encode(order)
         try:
-            reply, content = await self._call("POST", source.address, "/v1/kv-move", body)
+            label = ExchangeLabel(kind=ExchangeKind.COPY, upstream=source.upstream, request=request)
+            reply, content = await self._call("POST", source.address, "/v1/kv-move", label, body)
         except (ExchangeError, TimeoutError) as error:
             copy_error = CopyError(failure=CopyFailure.LOST, detail=type(error).__name__)
             return Failure(copy_error)
@@ -166,7 +189,8 @@
     async def report(self, *, upstream: UpstreamEntry) -> Result[EngineReport, str]:
         """Return an engine's report of its load and its runs."""
         try:
-            reply, content = await self._call("GET", upstream.address, "/v1/report", b"")
+            label = ExchangeLabel(kind=ExchangeKind.REPORT, upstream=upstream.upstream)
+            reply, content = await self._call("GET", upstream.address, "/v1/report", label)
             report = msgspec.json.decode(content, type=WireReport)
         except (ExchangeError, TimeoutError, msgspec.DecodeError, UnicodeDecodeError) as error:
             return Failure(f"The engine sent no report ({type(error).__name__}); try again later.")
@@ -180,8 +204,9 @@
     async def probe(self, *, upstream: UpstreamEntry, force_new: bool = False) -> bool:
         """Return whether this incarnation of an upstream answers, whatever it says."""
         try:
+            label = ExchangeLabel(kind=ExchangeKind.PROBE, upstream=upstream.upstream)
             _, content = await self._call(
-                "GET", upstream.address, "/v1/report", b"", force_new=force_new
+                "GET", upstream.address, "/v1/report", label, force_new=force_new
             )
             return not _is_other_incarnation(
                 upstream, msgspec.json.decode(content, type=WireReport)
@@ -198,7 +223,8 @@
     async def drop_copy(self, *, holder: UpstreamEntry, copy: str) -> None:
         """Free a copy that will not be used."""
         try:
-            reply, _ = await self._call("DELETE", holder.address, f"/v1/kv-handle/{copy}", b"")
+            label = ExchangeLabel(kind=ExchangeKind.FREED_COPY, upstream=holder.upstream)
+            reply, _ = await self._call("DELETE", holder.address, f"/v1/kv-handle/{copy}", label)
             self._publish_notice(holder, reply)
         except (ExchangeError, TimeoutError):
             _log.info(
@@ -222,7 +248,14 @@
             self._notices.on_next(notice)
 
     async def _call(
-        self, method: str, address: str, target: str, body: bytes, *, force_new: bool = False
+        self,
+        method: str,
+        address: str,
+        target: str,
+        label: ExchangeLabel,
+        body: bytes = b"",
+        *,
+        force_new: bool = False,
     ) -> tuple[ResponseHead, bytes]:
         """Make one control call to an engine and return the head and body of its response."""
         lines = [f"{method} {target} HTTP/1.1", f"Host: {address}"]
@@ -232,8 +265,10 @@
         connection = await self._pool.acquire(address=address, force_new=force_new)
         try:
             async with asyncio.timeout(CALL_TIMEOUT_MS / MS_PER_SECOND):
+                self._pool.log.record_begin(connection.history, label)
                 connection.send(method=method, head=head, body=body)
                 reply = await connection.receive()
+                self._record_answer(connection, reply, "", is_taken=True)
                 content = await connection.read_all()
         except BaseException:
             connection.close()
--- a/src/tanagerscale/platform/_factory.py
+++ b/src/tanagerscale/platform/_factory.py
@@ -62,4 +62,5 @@
         parse_upstream_name=parse_upstream_name,
         callers=PlatformCallers(),
         close=close,
+        exchange_log=upstream_pool.log,
     )
--- a/src/tanagerscale/upstreams/__init__.py
+++ b/src/tanagerscale/upstreams/__init__.py
@@ -12,6 +12,10 @@
 from tanagerscale.upstreams._connection import count_open_connections
 from tanagerscale.upstreams._entries import UpstreamEntry
 from tanagerscale.upstreams._entries import UpstreamState
+from tanagerscale.upstreams._exchange_log import AnswerId
+from tanagerscale.upstreams._exchange_log import ExchangeKind
+from tanagerscale.upstreams._exchange_log import ExchangeLabel
+from tanagerscale.upstreams._exchange_log import ExchangeLog
 from tanagerscale.upstreams._http_engine import HttpEngineClient
 from tanagerscale.upstreams._http_service import HttpServiceClient
 from tanagerscale.upstreams._http_service import ServiceCall
@@ -35,11 +39,15 @@
     "DEAD_PEER_TIMEOUT_S",
     "PROBE_TIMEOUT_MS",
     "READ_BUFFER_BYTES",
+    "AnswerId",
     "ConnectionPool",
     "EngineClient",
     "EngineReport",
     "ExchangeError",
     "ExchangeFailure",
+    "ExchangeKind",
+    "ExchangeLabel",
+    "ExchangeLog",
     "HttpConnection",
     "HttpEngineClient",
     "HttpServiceClient",
--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -21,6 +21,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import enable_tcp_keepalive
+from tanagerscale.upstreams._exchange_log import ConnectionHistory
 
 MAX_HEAD_BYTES: Final = 64 * 1024
 """Maximum size of the status line and of each header field of a response."""
@@ -154,6 +155,7 @@
         self._closed = False
         self.last_used = opened
         self.used = False
+        self.history = ConnectionHistory()
 
     @property
     def is_reusable(self) -> bool:
--- a/src/tanagerscale/upstreams/_pool.py
+++ b/src/tanagerscale/upstreams/_pool.py
@@ -14,6 +14,7 @@
 from tanagerscale.upstreams._connection import HttpConnection
 from tanagerscale.upstreams._connection import ResponseHead
 from tanagerscale.upstreams._connection import open_connection
+from tanagerscale.upstreams._exchange_log import ExchangeLog
 
 IDLE_TIMEOUT_RATIO: Final = 0.5
 """Fraction of the idle timeout announced by an upstream for which a connection is reused; the rest
@@ -66,6 +67,7 @@
         self._idle: dict[str, list[tuple[HttpConnection, int]]] = defaultdict(list)
         self.opened = 0
         self.reused = 0
+        self.log = ExchangeLog()
 
     async def acquire(self, *, address: str, force_new: bool = False) -> HttpConnection:
         """Return a connection for one request.
@@ -97,7 +99,9 @@
         :param response: Last response on it, which may announce an idle timeout.
         """
         idle_connections = self._idle[address]
-        if not connection.is_reusable or len(idle_connections) >= MAX_IDLE_CONNECTIONS:
+        is_kept = connection.is_reusable and len(idle_connections) < MAX_IDLE_CONNECTIONS
+        self.log.record_end(connection.history, is_kept=is_kept)
+        if not is_kept:
             connection.close()
             return
         connection.last_used = self._clock.now()
--- /dev/null
+++ b/testing/_scripted_peer.py
@@ -0,0 +1,148 @@
+"""An HTTP/1.1 server whose answers tests choose byte by byte, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import final
+
+from standins._common import LOOPBACK
+from tanagerscale.platform._headers import REQUEST_ID
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerRequest:
+    """A request that the server has read.
+
+    :param connection: Number of its connection, from 0.
+    :param number: Number of the request on its connection, from 0.
+    :param method: HTTP method.
+    :param target: Path and query.
+    :param headers: Header fields, by name in lower case.
+    :param body: The body.
+    """
+
+    connection: int
+    number: int
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def id(self) -> str:
+        """Id of the request; empty if it has none."""
+        return self.headers.get(REQUEST_ID.lower(), "")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Late:
+    """Bytes that are sent some time later, whatever is exchanged meanwhile.
+
+    :param delay_s: Time in seconds.
+    :param data: The bytes.
+    """
+
+    delay_s: float
+    data: bytes
+
+
+Part = bytes | Late
+Answer = Callable[[PeerRequest], Sequence[Part]]
+
+
+@final
+class ScriptedPeer:
+    """Answers each request with the parts that a test chooses.
+
+    :param answer: Returns what is sent after a request; the connection ends after ``b""``.
+    """
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+        self.address = ""
+        self.requests: list[PeerRequest] = []
+        self._connections = 0
+
+    @property
+    def connections(self) -> int:
+        """Connections that were opened."""
+        return self._connections
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        connection, number = self._connections, 0
+        self._connections += 1
+        try:
+            while True:
+                request = await _read_request(reader, connection, number)
+                number += 1
+                self.requests.append(request)
+                for part in self.answer(request):
+                    if part == b"":
+                        return
+                    _send(writer, part)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            writer.close()
+
+
+def _send(writer: asyncio.StreamWriter, part: Part) -> None:
+    if isinstance(part, bytes):
+        writer.write(part)
+        return
+    asyncio.get_running_loop().call_later(part.delay_s, writer.write, part.data)
+
+
+async def _read_request(reader: asyncio.StreamReader, connection: int, number: int) -> PeerRequest:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    method, target, _ = head[0].split(" ")
+    headers = {
+        name.lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:])
+    }
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return PeerRequest(
+        connection=connection,
+        number=number,
+        method=method,
+        target=target,
+        headers=headers,
+        body=body,
+    )
+
+
+@asynccontextmanager
+async def run_scripted_peer(answer: Answer) -> AsyncIterator[ScriptedPeer]:
+    """Run a server.
+
+    :param answer: Returns what is sent after a request.
+    """
+    peer = ScriptedPeer(answer)
+    server = await asyncio.start_server(peer.serve, LOOPBACK, 0)
+    peer.address = f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
+    try:
+        yield peer
+    finally:
+        server.close()
+
+
+def encode_answer(
+    *, status: int = 200, id: str = "", body: bytes = b"", fields: Sequence[tuple[str, str]] = ()
+) -> bytes:
+    """Return a response with a length.
+
+    :param status: HTTP status.
+    :param id: Id of the request that it answers; empty leaves it out.
+    :param body: The body.
+    :param fields: Further header fields.
+    """
+    echoed = ((REQUEST_ID, id),) if id else ()
+    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (*echoed, *fields)]
+    return "\r\n".join([*lines, "", ""]).encode() + body
