Let each exchange on a kept connection take only its own answer

Cause: requests and control calls went through one pool on two ways with different checks. PlatformUpstreams._call took the first answer on its connection, also a late second one to a request, and gave the connection back with its own answer still due.

ExchangeClient is now the only user of the pool, for engines, the store and other hosts. A control call goes out on a new connection, which then serves requests, and takes no answer that bears an id.

--- a/src/tanagerscale/cli/_explain.py
+++ b/src/tanagerscale/cli/_explain.py
@@ -29,7 +29,7 @@
 STATE_PARTS: Final = frozenset({"gate", "roster"})
 """Components that log what a host knows of the state of an upstream."""
 
-UPSTREAM_FIELDS: Final = ("upstream", "source", "target", "holder")
+UPSTREAM_FIELDS: Final = ("upstream", "source", "target", "holder", "peer")
 STANDARD_FIELDS: Final = frozenset({"t", "wall", "host", "level", "part", "message", "request"})
 
 
--- a/src/tanagerscale/gateway/_delegate_client.py
+++ b/src/tanagerscale/gateway/_delegate_client.py
@@ -14,11 +14,16 @@
 from tanagerscale.gateway._delegation_wire import PATH
 from tanagerscale.gateway._delegation_wire import decode_head
 from tanagerscale.gateway._delegation_wire import encode_request
+from tanagerscale.upstreams import AnswerRule
 from tanagerscale.upstreams import ConnectionPool
+from tanagerscale.upstreams import Exchange
+from tanagerscale.upstreams import ExchangeClient
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
-from tanagerscale.upstreams import HttpConnection
-from tanagerscale.upstreams import ResponseHead
+from tanagerscale.upstreams import ExchangeKind
+from tanagerscale.upstreams import ExchangeLabel
+from tanagerscale.upstreams import ExchangeLog
+from tanagerscale.upstreams import PooledResponse
 
 CONNECT_TIMEOUT_MS: Final = 250
 """Longest wait for a connection to another host, which takes 3 ms."""
@@ -27,48 +32,29 @@
 """Time without an acknowledgement after which a host counts as dead."""
 
 
+HOST_ANSWERS: Final = AnswerRule()
+"""Hosts answer once."""
+
+
 @final
 class HttpDelegatedResponse:
     """A response of a delegate.
 
     :param head: Its decoded head.
-    :param reply: Its HTTP head.
-    :param connection: Connection from which the body is read.
-    :param pool: Pool to which the connection is returned.
-    :param address: Address of the delegate.
+    :param response: The HTTP response.
     """
 
-    def __init__(
-        self,
-        *,
-        head: DelegatedHead,
-        reply: ResponseHead,
-        connection: HttpConnection,
-        pool: ConnectionPool,
-        address: str,
-    ) -> None:
+    def __init__(self, *, head: DelegatedHead, response: PooledResponse) -> None:
         self.head = head
-        self._reply = reply
-        self._connection = connection
-        self._pool = pool
-        self._address = address
-        self._is_done = False
+        self._response = response
 
     async def read_some(self) -> bytes:
         """Return the next bytes of the body, or empty bytes after its proper end."""
-        chunk = await self._connection.read_some()
-        if not chunk and not self._is_done:
-            self._is_done = True
-            self._pool.release(
-                address=self._address, connection=self._connection, response=self._reply
-            )
-        return chunk
+        return await self._response.read_some()
 
     def close(self) -> None:
         """Close the connection, unless the response was read completely."""
-        if not self._is_done:
-            self._is_done = True
-            self._connection.close()
+        self._response.close()
 
 
 @final
@@ -76,13 +62,18 @@
     """Sends requests to other hosts.
 
     :param clock: Source of the current time.
+    :param log: Counts and logs the exchanges.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, log: ExchangeLog | None = None) -> None:
         self._pool = ConnectionPool(
             clock=clock,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             dead_peer_timeout_s=DEAD_HOST_TIMEOUT_S,
+            log=log,
+        )
+        self._client = ExchangeClient(
+            pool=self._pool, rule=HOST_ANSWERS, response_type=PooledResponse
         )
 
     async def send(
@@ -96,27 +87,22 @@
             body = encode_request(request, time_left_ms=time_left_ms)
         except UnicodeEncodeError as error:
             raise ExchangeError(ExchangeFailure.NOT_SENT, "The request is no text") from error
-        connection = await self._pool.acquire(address=address)
         head = (
             f"POST {PATH} HTTP/1.1\r\nHost: {address}\r\n"
             f"Content-Type: application/msgpack\r\nContent-Length: {len(body)}\r\n\r\n"
         )
-        try:
-            connection.send(method="POST", head=head.encode(), body=body)
-            reply = await connection.receive()
-            decoded = decode_head(reply.headers.get(HEAD_FIELD, ""))
-            if isinstance(decoded, Failure):
-                raise ExchangeError(ExchangeFailure.LOST, decoded.failure())
-        except BaseException:
-            connection.close()
-            raise
-        return HttpDelegatedResponse(
-            head=decoded.unwrap(),
-            reply=reply,
-            connection=connection,
-            pool=self._pool,
-            address=address,
+        exchange = Exchange(
+            label=ExchangeLabel(kind=ExchangeKind.DELEGATED, peer=address, request=request.request),
+            method="POST",
+            head=head.encode(),
+            body=body,
         )
+        response = await self._client.run(address=address, exchange=exchange)
+        decoded = decode_head(response.reply.headers.get(HEAD_FIELD, ""))
+        if isinstance(decoded, Failure):
+            response.close()
+            raise ExchangeError(ExchangeFailure.LOST, decoded.failure())
+        return HttpDelegatedResponse(head=decoded.unwrap(), response=response)
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/src/tanagerscale/gateway/_delegate_server.py
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -22,6 +22,7 @@
 from tanagerscale.forwarding import Header
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import Responder
+from tanagerscale.gateway._delegation_wire import EXCHANGE_FIELD
 from tanagerscale.gateway._delegation_wire import HEAD_FIELD
 from tanagerscale.gateway._delegation_wire import PATH
 from tanagerscale.gateway._delegation_wire import decode_request
@@ -92,15 +93,15 @@
         arrived = self._clock.now()
         body = await _read_body(request)
         if request.path != PATH or body is None:
-            return web.Response(status=400)
+            return web.Response(status=400, headers=_echoed_fields(request))
         decoded = decode_request(body, arrived=arrived)
         if isinstance(decoded, Failure):
             _log.warning("A delegated request is invalid.", detail=decoded.failure())
-            return _unavailable()
+            return _unavailable(request)
         delegated = decoded.unwrap()
         if not self._accept(delegated.request):
             _log.info("A delegated request is not accepted.", request=delegated.request)
-            return _unavailable()
+            return _unavailable(request)
         self._running += 1
         try:
             responder = _DelegateResponder(request=request)
@@ -146,7 +147,7 @@
         """Send the head of a stream."""
         outcome = DelegatedOutcome.STREAM
         head = DelegatedHead(outcome=outcome, status=status, reason=reason, headers=headers)
-        self._response = web.StreamResponse(headers={HEAD_FIELD: encode_head(head)})
+        self._response = web.StreamResponse(headers=_response_fields(self._request, head))
         await self._response.prepare(self._request)
 
     async def write(self, chunk: bytes) -> None:
@@ -177,7 +178,7 @@
             self._request.transport.abort()
 
     async def _send(self, head: DelegatedHead, body: bytes = b"") -> None:
-        response = web.Response(body=body, headers={HEAD_FIELD: encode_head(head)})
+        response = web.Response(body=body, headers=_response_fields(self._request, head))
         self._response = response
         await response.prepare(self._request)
         await response.write_eof()
@@ -193,6 +194,15 @@
     return body
 
 
-def _unavailable() -> web.Response:
+def _unavailable(request: web.BaseRequest) -> web.Response:
     head = DelegatedHead(outcome=DelegatedOutcome.UNAVAILABLE)
-    return web.Response(headers={HEAD_FIELD: encode_head(head)})
+    return web.Response(headers=_response_fields(request, head))
+
+
+def _response_fields(request: web.BaseRequest, head: DelegatedHead) -> dict[str, str]:
+    return {HEAD_FIELD: encode_head(head), **_echoed_fields(request)}
+
+
+def _echoed_fields(request: web.BaseRequest) -> dict[str, str]:
+    number = request.headers.get(EXCHANGE_FIELD)
+    return {} if number is None else {EXCHANGE_FIELD: number}
--- a/src/tanagerscale/gateway/_delegation_wire.py
+++ b/src/tanagerscale/gateway/_delegation_wire.py
@@ -19,6 +19,9 @@
 from tanagerscale.forwarding import Header
 
 PATH = "/delegated"
+EXCHANGE_FIELD = "Delegated-Exchange"
+"""Header field of the request with the number of the exchange, which the response repeats."""
+
 HEAD_FIELD = "Delegated-Head"
 """Header field of the response that contains its ``DelegatedHead``."""
 
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -91,7 +91,7 @@
                 len(self._control.mesh.live.value) + self._delegate_server.connections
             ),
         )
-        self._delegate_client = HttpDelegateClient(clock=clock)
+        self._delegate_client = HttpDelegateClient(clock=clock, log=platform.exchange_log)
         self._dispatcher = self._make_dispatcher()
         self._delegate_server = DelegateServer(
             serve=partial(self._dispatcher.serve, is_delegated=True),
--- a/src/tanagerscale/platform/_engines.py
+++ b/src/tanagerscale/platform/_engines.py
@@ -37,19 +37,20 @@
 from tanagerscale.platform._wire import WireMove
 from tanagerscale.platform._wire import WireMoved
 from tanagerscale.platform._wire import WireReport
-from tanagerscale.upstreams import AnswerId
+from tanagerscale.upstreams import AnswerRule
 from tanagerscale.upstreams import ConnectionPool
 from tanagerscale.upstreams import EngineReport
+from tanagerscale.upstreams import Exchange
+from tanagerscale.upstreams import ExchangeClient
 from tanagerscale.upstreams import ExchangeError
-from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import ExchangeKind
 from tanagerscale.upstreams import ExchangeLabel
-from tanagerscale.upstreams import HttpConnection
 from tanagerscale.upstreams import PooledResponse
 from tanagerscale.upstreams import ResponseHead
 from tanagerscale.upstreams import RunState
 from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamNotice
+from tanagerscale.upstreams import make_json_call
 
 _log = get_logger(part="engines")
 
@@ -66,8 +67,8 @@
     503: CopyFailure.NO_ROOM,
 }
 
-MAX_STRAY_REPLIES: Final = 4
-"""Replies to earlier requests that are skipped on a connection before it is abandoned."""
+ENGINE_ANSWERS: Final = AnswerRule(id_field=REQUEST_ID, may_answer_twice=True)
+"""Answers to requests repeat their ids; answers to control calls bear none."""
 
 
 @final
@@ -105,6 +106,9 @@
 
     def __init__(self, *, pool: ConnectionPool) -> None:
         self._pool = pool
+        self._client = ExchangeClient(
+            pool=pool, rule=ENGINE_ANSWERS, response_type=PlatformResponse
+        )
         self._notices: Subject[UpstreamNotice] = Subject()
 
     @property
@@ -114,63 +118,32 @@
 
     async def send(self, *, upstream_request: UpstreamRequest) -> PlatformResponse:
         """Send a request and wait for the head of its response."""
-        request = upstream_request.request
-        address = upstream_request.upstream.address
-        connection = await self._pool.acquire(address=address)
-        try:
-            upstream_request.check()
-            label = ExchangeLabel(
-                kind=ExchangeKind.REQUEST,
-                upstream=upstream_request.upstream.upstream,
-                request=request.request,
-            )
-            self._pool.log.record_begin(connection.history, label)
-            connection.send(
-                method=request.method, head=_encode_head(upstream_request), body=request.body
-            )
-            reply = await self._receive_matching(connection, request.request)
-        except BaseException:
-            connection.close()
-            raise
-        self._publish_notice(upstream_request.upstream, reply, request.request)
-        return PlatformResponse(
-            reply=reply, connection=connection, pool=self._pool, address=address
+        request, upstream = upstream_request.request, upstream_request.upstream
+        exchange = Exchange(
+            label=ExchangeLabel(
+                kind=ExchangeKind.REQUEST, peer=upstream.upstream, request=request.request
+            ),
+            method=request.method,
+            head=_encode_head(upstream_request),
+            body=request.body,
+            id=request.request,
         )
-
-    async def _receive_matching(self, connection: HttpConnection, request_id: str) -> ResponseHead:
-        """Receive the response to a request.
-
-        Late and duplicate responses to earlier requests on the same connection are skipped.
-        """
-        for _ in range(MAX_STRAY_REPLIES):
-            reply = await connection.receive()
-            is_taken = reply.headers.get(REQUEST_ID, request_id) == request_id
-            self._record_answer(connection, reply, request_id, is_taken=is_taken)
-            if is_taken:
-                return reply
-            await connection.read_all()
-        raise ExchangeError(ExchangeFailure.LOST, "Only answers to other requests came")
-
-    def _record_answer(
-        self, connection: HttpConnection, reply: ResponseHead, request_id: str, *, is_taken: bool
-    ) -> None:
-        bears = reply.headers.get(REQUEST_ID, "")
-        answer_id = AnswerId.OTHER if bears else AnswerId.MISSING
-        if bears == request_id:
-            answer_id = AnswerId.OWN
-        self._pool.log.record_answer(
-            connection.history, answer_id=answer_id, bears=bears, is_taken=is_taken
+        response = await self._client.run(
+            address=upstream.address, exchange=exchange, check=upstream_request.check
         )
+        self._publish_notice(upstream, response.reply)
+        return response
 
     async def copy(
         self, *, source: UpstreamEntry, request: RequestId, target: UpstreamEntry, stop: bool
     ) -> Result[RunCopy, CopyError]:
         """Copy the part of a run's KV cache that the target engine does not have yet."""
         order = WireMove(id=request, to=target.address, last=stop)
-        body = msgspec.json.encode(order)
+        label = ExchangeLabel(kind=ExchangeKind.COPY, peer=source.upstream, request=request)
         try:
-            label = ExchangeLabel(kind=ExchangeKind.COPY, upstream=source.upstream, request=request)
-            reply, content = await self._call("POST", source.address, "/v1/kv-move", label, body)
+            reply, content = await self._call(
+                label, source, method="POST", target="/v1/kv-move", body=msgspec.json.encode(order)
+            )
         except (ExchangeError, TimeoutError) as error:
             copy_error = CopyError(failure=CopyFailure.LOST, detail=type(error).__name__)
             return Failure(copy_error)
@@ -189,8 +162,8 @@
     async def report(self, *, upstream: UpstreamEntry) -> Result[EngineReport, str]:
         """Return an engine's report of its load and its runs."""
         try:
-            label = ExchangeLabel(kind=ExchangeKind.REPORT, upstream=upstream.upstream)
-            reply, content = await self._call("GET", upstream.address, "/v1/report", label)
+            label = ExchangeLabel(kind=ExchangeKind.REPORT, peer=upstream.upstream)
+            reply, content = await self._call(label, upstream)
             report = msgspec.json.decode(content, type=WireReport)
         except (ExchangeError, TimeoutError, msgspec.DecodeError, UnicodeDecodeError) as error:
             return Failure(f"The engine sent no report ({type(error).__name__}); try again later.")
@@ -204,10 +177,8 @@
     async def probe(self, *, upstream: UpstreamEntry, force_new: bool = False) -> bool:
         """Return whether this incarnation of an upstream answers, whatever it says."""
         try:
-            label = ExchangeLabel(kind=ExchangeKind.PROBE, upstream=upstream.upstream)
-            _, content = await self._call(
-                "GET", upstream.address, "/v1/report", label, force_new=force_new
-            )
+            label = ExchangeLabel(kind=ExchangeKind.PROBE, peer=upstream.upstream)
+            _, content = await self._call(label, upstream, force_new=force_new)
             return not _is_other_incarnation(
                 upstream, msgspec.json.decode(content, type=WireReport)
             )
@@ -222,26 +193,19 @@
 
     async def drop_copy(self, *, holder: UpstreamEntry, copy: str) -> None:
         """Free a copy that will not be used."""
+        label = ExchangeLabel(kind=ExchangeKind.FREED_COPY, peer=holder.upstream)
         try:
-            label = ExchangeLabel(kind=ExchangeKind.FREED_COPY, upstream=holder.upstream)
-            reply, _ = await self._call("DELETE", holder.address, f"/v1/kv-handle/{copy}", label)
+            target = f"/v1/kv-handle/{copy}"
+            reply, _ = await self._call(label, holder, method="DELETE", target=target)
             self._publish_notice(holder, reply)
         except (ExchangeError, TimeoutError):
             _log.info(
                 "A copy could not be freed; the engine will expire it.", upstream=holder.upstream
             )
 
-    def _publish_notice(
-        self, upstream: UpstreamEntry, reply: ResponseHead, request: str = ""
-    ) -> None:
-        """Publish what a response says of its upstream, unless it belongs to something else.
-
-        :param upstream: The upstream that was asked.
-        :param reply: Head of the response.
-        :param request: Id of the request; empty for a control call, which has none.
-        """
-        is_stray = reply.headers.get(REQUEST_ID, request) != request
-        if is_stray or reply.status == HTTP_MISDIRECTED:
+    def _publish_notice(self, upstream: UpstreamEntry, reply: ResponseHead) -> None:
+        """Publish what a response says of its upstream, unless another one has the address."""
+        if reply.status == HTTP_MISDIRECTED:
             return
         notice = decode_notice(upstream=upstream.upstream, reply=reply)
         if notice is not None:
@@ -249,32 +213,21 @@
 
     async def _call(
         self,
-        method: str,
-        address: str,
-        target: str,
         label: ExchangeLabel,
-        body: bytes = b"",
+        upstream: UpstreamEntry,
         *,
+        method: str = "GET",
+        target: str = "/v1/report",
+        body: bytes = b"",
         force_new: bool = False,
     ) -> tuple[ResponseHead, bytes]:
         """Make one control call to an engine and return the head and body of its response."""
-        lines = [f"{method} {target} HTTP/1.1", f"Host: {address}"]
-        if method == "POST":
-            lines += ["Content-Type: application/json", f"Content-Length: {len(body)}"]
-        head = ("\r\n".join(lines) + "\r\n\r\n").encode()
-        connection = await self._pool.acquire(address=address, force_new=force_new)
-        try:
-            async with asyncio.timeout(CALL_TIMEOUT_MS / MS_PER_SECOND):
-                self._pool.log.record_begin(connection.history, label)
-                connection.send(method=method, head=head, body=body)
-                reply = await connection.receive()
-                self._record_answer(connection, reply, "", is_taken=True)
-                content = await connection.read_all()
-        except BaseException:
-            connection.close()
-            raise
-        self._pool.release(address=address, connection=connection, response=reply)
-        return reply, content
+        address = upstream.address
+        exchange = make_json_call(
+            label=label, method=method, address=address, target=target, body=body
+        )
+        async with asyncio.timeout(CALL_TIMEOUT_MS / MS_PER_SECOND):
+            return await self._client.call(address=address, exchange=exchange, force_new=force_new)
 
 
 def _decode_copy_answer(content: bytes) -> WireMoved:
--- a/src/tanagerscale/platform/_factory.py
+++ b/src/tanagerscale/platform/_factory.py
@@ -21,6 +21,7 @@
 from tanagerscale.upstreams import DEAD_PEER_TIMEOUT_S
 from tanagerscale.upstreams import READ_BUFFER_BYTES
 from tanagerscale.upstreams import ConnectionPool
+from tanagerscale.upstreams import ExchangeLog
 
 STORE_SILENCE_TIMEOUT_S: Final = 3
 """Time within which TCP probes detect a silent connection to the store; a probe costs no call.
@@ -33,6 +34,7 @@
     :param settings: The host's settings.
     :param clock: Clock for the timeouts of connections.
     """
+    exchange_log = ExchangeLog()
     read_bytes = get_read_buffer_bytes(settings.host.memory_mb, usual_bytes=READ_BUFFER_BYTES)
 
     def make_pool(silence_s: int, source_ip: str = "") -> ConnectionPool:
@@ -41,6 +43,7 @@
             dead_peer_timeout_s=silence_s,
             source_ip=source_ip,
             read_buffer_bytes=read_bytes,
+            log=exchange_log,
         )
 
     store_pool = make_pool(STORE_SILENCE_TIMEOUT_S)
@@ -62,5 +65,5 @@
         parse_upstream_name=parse_upstream_name,
         callers=PlatformCallers(),
         close=close,
-        exchange_log=upstream_pool.log,
+        exchange_log=exchange_log,
     )
--- a/src/tanagerscale/platform/_store.py
+++ b/src/tanagerscale/platform/_store.py
@@ -40,10 +40,16 @@
 from tanagerscale.store import number_of
 from tanagerscale.store import uncertain_error
 from tanagerscale.store import unreachable_error
+from tanagerscale.upstreams import AnswerRule
 from tanagerscale.upstreams import ConnectionPool
+from tanagerscale.upstreams import ExchangeClient
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import ExchangeFailure
+from tanagerscale.upstreams import ExchangeKind
+from tanagerscale.upstreams import ExchangeLabel
+from tanagerscale.upstreams import PooledResponse
 from tanagerscale.upstreams import ResponseHead
+from tanagerscale.upstreams import make_json_call
 
 HTTP_OK: Final = 200
 HTTP_NOT_FOUND: Final = 404
@@ -89,6 +95,7 @@
     def __init__(self, *, address: str, pool: ConnectionPool) -> None:
         self._address = address
         self._pool = pool
+        self._client = ExchangeClient(pool=pool, rule=AnswerRule(), response_type=PooledResponse)
         self._eras = EraTracker()
         self._leases: dict[LeaseId, int] = {}  # The era of each lease of this host.
         self.calls = 0
@@ -258,21 +265,14 @@
     async def _exchange(
         self, method: str, target: str, content: bytes
     ) -> Result[_Reply, StoreError]:
-        head = [f"{method} {target} HTTP/1.1", f"Host: {self._address}"]
-        if method == "POST":
-            head += ["Content-Type: application/json", f"Content-Length: {len(content)}"]
-        connection = await self._pool.acquire(address=self._address)
-        reply: ResponseHead | None = None
-        try:
-            connection.send(
-                method=method, head=("\r\n".join(head) + "\r\n\r\n").encode(), body=content
-            )
-            reply = await connection.receive()
-            answer = await connection.read_all()
-        except BaseException:
-            connection.close()
-            raise
-        self._pool.release(address=self._address, connection=connection, response=reply)
+        exchange = make_json_call(
+            label=ExchangeLabel(kind=ExchangeKind.STORE_CALL, peer=self._address),
+            method=method,
+            address=self._address,
+            target=target,
+            body=content,
+        )
+        reply, answer = await self._client.call(address=self._address, exchange=exchange)
         era = self._eras.record(_decode_era(reply))
         if era < self._eras.era:
             return Failure(uncertain_error("The store answered from before it came back"))
--- a/src/tanagerscale/upstreams/__init__.py
+++ b/src/tanagerscale/upstreams/__init__.py
@@ -12,10 +12,13 @@
 from tanagerscale.upstreams._connection import count_open_connections
 from tanagerscale.upstreams._entries import UpstreamEntry
 from tanagerscale.upstreams._entries import UpstreamState
-from tanagerscale.upstreams._exchange_log import AnswerId
 from tanagerscale.upstreams._exchange_log import ExchangeKind
 from tanagerscale.upstreams._exchange_log import ExchangeLabel
 from tanagerscale.upstreams._exchange_log import ExchangeLog
+from tanagerscale.upstreams._exchanges import AnswerRule
+from tanagerscale.upstreams._exchanges import Exchange
+from tanagerscale.upstreams._exchanges import ExchangeClient
+from tanagerscale.upstreams._exchanges import make_json_call
 from tanagerscale.upstreams._http_engine import HttpEngineClient
 from tanagerscale.upstreams._http_service import HttpServiceClient
 from tanagerscale.upstreams._http_service import ServiceCall
@@ -39,10 +42,12 @@
     "DEAD_PEER_TIMEOUT_S",
     "PROBE_TIMEOUT_MS",
     "READ_BUFFER_BYTES",
-    "AnswerId",
+    "AnswerRule",
     "ConnectionPool",
     "EngineClient",
     "EngineReport",
+    "Exchange",
+    "ExchangeClient",
     "ExchangeError",
     "ExchangeFailure",
     "ExchangeKind",
@@ -68,4 +73,5 @@
     "UpstreamPauses",
     "UpstreamState",
     "count_open_connections",
+    "make_json_call",
 ]
--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -242,6 +242,13 @@
                 raise ExchangeError(ExchangeFailure.LOST, "The answer is longer than allowed")
         return b"".join(chunks)
 
+    async def skip_body(self) -> None:
+        """Read and discard a body after which another response is due.
+
+        :raises ExchangeError: If the body is incomplete, or longer than ``MAX_BODY_BYTES``.
+        """
+        await self.read_all()
+
     def close(self) -> None:
         """Close the connection immediately, so that the upstream stops working on the request."""
         self._closed = True
--- a/src/tanagerscale/upstreams/_exchange_log.py
+++ b/src/tanagerscale/upstreams/_exchange_log.py
@@ -28,6 +28,9 @@
     FREED_COPY = "freed-copy"
     REPORT = "report"
     PROBE = "probe"
+    STORE_CALL = "store-call"
+    DELEGATED = "delegated"
+    """A caller's request that another host serves."""
 
 
 @unique
@@ -46,12 +49,12 @@
     """Names an exchange in logs.
 
     :param kind: What is asked.
-    :param upstream: Name of the upstream.
+    :param peer: Name of the upstream, or address of the host or the store.
     :param request: The request that it is about; empty if there is none.
     """
 
     kind: ExchangeKind
-    upstream: str
+    peer: str
     request: str = ""
 
 
@@ -116,7 +119,7 @@
                 else "An answer bears the id " "of another exchange."
             ),
             request=current.request,
-            upstream=current.upstream,
+            peer=current.peer,
             kind=current.kind.value,
             answer_request=bears,
             taken=is_taken,
@@ -139,7 +142,7 @@
                 else "A connection with an answer of another exchange is closed."
             ),
             request=current.request,
-            upstream=current.upstream,
+            peer=current.peer,
             kind=current.kind.value,
             connection=history.number,
         )
--- a/src/tanagerscale/upstreams/_pool.py
+++ b/src/tanagerscale/upstreams/_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Callable
 import re
 from typing import Final
 from typing import final
@@ -46,6 +47,7 @@
         dead.
     :param source_ip: Local IP address of new connections; empty lets the system choose.
     :param read_buffer_bytes: Amount of unread data above which a connection is not read.
+    :param log: Counts and logs the exchanges on the connections.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         dead_peer_timeout_s: int = DEAD_PEER_TIMEOUT_S,
         source_ip: str = "",
         read_buffer_bytes: int = READ_BUFFER_BYTES,
+        log: ExchangeLog | None = None,
     ) -> None:
         self._read_buffer_bytes = read_buffer_bytes
         self._source_ip = source_ip
@@ -67,20 +70,21 @@
         self._idle: dict[str, list[tuple[HttpConnection, int]]] = defaultdict(list)
         self.opened = 0
         self.reused = 0
-        self.log = ExchangeLog()
+        self.log = ExchangeLog() if log is None else log
 
-    async def acquire(self, *, address: str, force_new: bool = False) -> HttpConnection:
+    async def acquire(
+        self, *, address: str, can_carry: Callable[[HttpConnection], bool]
+    ) -> HttpConnection:
         """Return a connection for one request.
 
         :param address: IP address and port of the upstream.
-        :param force_new: Whether to open a new connection instead of reusing an idle one.
+        :param can_carry: Returns whether an idle connection may carry the request; a new one may.
         :raises ExchangeError: If no connection can be established.
         """
-        if not force_new:
-            idle = self._take_idle(address)
-            if idle is not None:
-                self.reused += 1
-                return idle
+        idle = self._take_idle(address, can_carry)
+        if idle is not None:
+            self.reused += 1
+            return idle
         self.opened += 1
         return await open_connection(
             address=address,
@@ -132,13 +136,19 @@
             else:
                 del self._idle[address]
 
-    def _take_idle(self, address: str) -> HttpConnection | None:
-        idle_connections = self._idle.get(address)
+    def _take_idle(
+        self, address: str, can_carry: Callable[[HttpConnection], bool]
+    ) -> HttpConnection | None:
+        idle_connections = self._idle.get(address, [])
         now = self._clock.now()
-        while idle_connections:
-            # The most recently used connection is the least likely to have been closed remotely.
-            connection, until = idle_connections.pop()
-            if until > now and connection.is_reusable:
+        # The most recently used connection is the least likely to have been closed remotely.
+        for index in reversed(range(len(idle_connections))):
+            connection, until = idle_connections[index]
+            is_usable = until > now and connection.is_reusable
+            if is_usable and not can_carry(connection):
+                continue
+            del idle_connections[index]
+            if is_usable:
                 return connection
             connection.close()
         return None
--- a/testing/_scripted_peer.py
+++ b/testing/_scripted_peer.py
@@ -89,6 +89,9 @@
                     _send(writer, part)
         except (ConnectionError, asyncio.IncompleteReadError):
             return
+        except asyncio.CancelledError:
+            # asyncio logs a connection's task that ends as cancelled.
+            return
         finally:
             writer.close()
 
@@ -101,19 +104,30 @@
 
 
 async def _read_request(reader: asyncio.StreamReader, connection: int, number: int) -> PeerRequest:
-    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-    method, target, _ = head[0].split(" ")
-    headers = {
-        name.lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:])
-    }
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    head = (await reader.readuntil(b"\r\n\r\n"))[:-4]
+    length = decode_request(head, b"", connection, number).headers.get("content-length", 0)
+    return decode_request(head, await reader.readexactly(int(length)), connection, number)
+
+
+def decode_request(head: bytes, rest: bytes, connection: int, number: int) -> PeerRequest:
+    """Return a request.
+
+    :param head: Its head, without the empty line.
+    :param rest: What follows; may be longer than the body.
+    :param connection: Number of its connection.
+    :param number: Number of the request on its connection.
+    """
+    request_line, *lines = head.decode().split("\r\n")
+    method, target, _ = request_line.split(" ")
+    fields = (line.partition(":") for line in lines)
+    headers = {name.lower(): value.strip() for name, _, value in fields}
     return PeerRequest(
         connection=connection,
         number=number,
         method=method,
         target=target,
         headers=headers,
-        body=body,
+        body=rest[: int(headers.get("content-length", 0))],
     )
 
 
--- /dev/null
+++ b/testing/test_exchanges.py
@@ -0,0 +1,165 @@
+"""Each exchange with an engine takes its own answer, whatever else comes on its connection."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+from pathlib import Path
+import re
+
+import pytest
+
+from tanagerscale.forwarding import CopyFailure
+from tanagerscale.platform._engines import PlatformUpstreams
+from tanagerscale.upstreams import UpstreamEntry
+from testing._engine_exchanges import MOVE_PATH
+from testing._engine_exchanges import answer_properly
+from testing._engine_exchanges import copy
+from testing._engine_exchanges import make_engine_entry
+from testing._engine_exchanges import make_pool
+from testing._engine_exchanges import send
+from testing._scripted_peer import Answer
+from testing._scripted_peer import Late
+from testing._scripted_peer import Part
+from testing._scripted_peer import PeerRequest
+from testing._scripted_peer import encode_answer
+from testing._scripted_peer import run_scripted_peer
+
+SOURCE = Path(__file__).parents[1] / "src" / "tanagerscale"
+Scenario = Callable[[PlatformUpstreams, UpstreamEntry], Awaitable[None]]
+NOT_EXECUTED = [("Tanagerscale-Not-Executed", "1")]
+DELAYS_S = (0.0, 0.001, 0.1)
+
+
+async def _run(answer: Answer, scenario: Scenario) -> list[PeerRequest]:
+    """Run a scenario against an engine and return the requests that reached it."""
+    pool = make_pool()
+    async with run_scripted_peer(answer) as peer:
+        async with asyncio.timeout(10):
+            await scenario(PlatformUpstreams(pool=pool), make_engine_entry(peer.address))
+    pool.close()
+    return peer.requests
+
+
+def _answer_twice(*, extras: int = 1, only_requests: bool = False) -> Answer:
+    """Return an engine that sends each answer again before the next one on its connection."""
+    sent: dict[int, bytes] = {}
+
+    def answer(request: PeerRequest) -> Sequence[Part]:
+        late = sent.pop(request.connection, b"")
+        own = answer_properly(request)
+        if request.id or not only_requests:
+            sent[request.connection] = own
+        # The late one is taken before its connection shows that another one follows.
+        return [*[late] * extras, Late(delay_s=0.01, data=own)] if late else [own]
+
+    return answer
+
+
+async def _assert_sent_properly(client: PlatformUpstreams, entry: UpstreamEntry, id: str) -> None:
+    assert await send(client, entry, id=id) == (200, f"answer to {id}".encode())
+
+
+async def _order_copy(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+    assert await copy(client, entry, run="r") == "handle of r"
+
+
+async def _read_report(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+    assert (await client.report(upstream=entry)).unwrap().running == 1
+
+
+async def _free_copy(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+    await client.drop_copy(holder=entry, copy="h")
+
+
+async def _probe(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+    assert await client.probe(upstream=entry)
+
+
+async def _send_other(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+    await _assert_sent_properly(client, entry, "other")
+
+
+CONTROL_CALLS = (_order_copy, _read_report, _free_copy, _probe)
+EXCHANGES = (*CONTROL_CALLS, _send_other)
+
+
+# A copy order took the late second answer to a request, and the next request that to the order.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("extras", [1, 2])
+@pytest.mark.parametrize("exchange", EXCHANGES)
+async def test_exchanges_take_their_own_answers_when_the_engine_answers_requests_twice(
+    exchange: Scenario, extras: int
+) -> None:
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        await _assert_sent_properly(client, entry, "first")
+        await exchange(client, entry)
+        await _assert_sent_properly(client, entry, "last")
+
+    await _run(_answer_twice(extras=extras, only_requests=True), scenario)
+
+
+@pytest.mark.asyncio
+async def test_request_takes_an_answer_without_an_id_on_a_new_connection() -> None:
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        assert await send(client, entry, id="first") == (400, b"bad")
+
+    await _run(lambda _: [encode_answer(status=400, body=b"bad")], scenario)
+
+
+# A copy order that was cancelled or timed out left its connection to the next exchange.
+@pytest.mark.asyncio
+async def test_connection_is_closed_when_a_control_call_is_cancelled() -> None:
+    def answer(request: PeerRequest) -> Sequence[Part]:
+        own = answer_properly(request)
+        return [Late(delay_s=0.05, data=own)] if request.target == MOVE_PATH else [own]
+
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        await _assert_sent_properly(client, entry, "first")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.02):
+                await copy(client, entry, run="r")
+        await _assert_sent_properly(client, entry, "second")
+
+    requests = await _run(answer, scenario)
+    assert requests[-1].connection != requests[-2].connection
+
+
+# A copy order that got an answer with a request's id, on a connection of its own, took it.
+@pytest.mark.asyncio
+async def test_copy_order_takes_no_answer_that_bears_an_id() -> None:
+    foreign = encode_answer(id="first", body=b'{"handle": "foreign", "createdRev": 3}')
+
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        assert await copy(client, entry, run="r") in ("handle of r", str(CopyFailure.LOST))
+
+    await _run(lambda request: [foreign, answer_properly(request)], scenario)
+
+
+# Two ways through one pool checked answers differently.
+def test_connections_are_used_at_one_place_only() -> None:
+    uses = re.compile(r"\.acquire\(\s*address=|\bopen_connection\(")
+    users = {
+        module.relative_to(SOURCE).as_posix()
+        for module in SOURCE.rglob("*.py")
+        if uses.search(module.read_text())
+    }
+    assert users == {
+        "upstreams/_connection.py",
+        "upstreams/_exchanges.py",
+        "upstreams/_pool.py",
+    }
+
+
+# Requests opened a connection each once control calls had connections of their own.
+@pytest.mark.asyncio
+async def test_requests_use_the_connection_of_a_control_call() -> None:
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        await _order_copy(client, entry)
+        await _assert_sent_properly(client, entry, "first")
+        await _assert_sent_properly(client, entry, "second")
+
+    requests = await _run(lambda request: [answer_properly(request)], scenario)
+    assert {one.connection for one in requests} == {0}
--- a/testing/test_upstream_connection.py
+++ b/testing/test_upstream_connection.py
@@ -228,7 +228,7 @@
 
 
 async def _exchange_through(pool: ConnectionPool, address: str) -> HttpConnection:
-    connection = await pool.acquire(address=address)
+    connection = await pool.acquire(address=address, can_carry=lambda _: True)
     reply, _ = await _exchange(connection)
     pool.release(address=address, connection=connection, response=reply)
     return connection
