Let requests take answers without an id on new connections only

A request took an answer without an id for its own, whatever its connection had carried: the answer to a copy order, or a late second one to a control call (callers then got 404 with {}, or the head of a success without a stamp).

Such an answer is now skipped on a connection that has carried something else; on a new one there is no other exchange that it could belong to. The stand-in engine left the id out of its refusals, against the protocol; it now repeats it.

21 tests failed before (a second answer to each kind of control call before each other exchange, and an answer without an id before a request's) and pass now.

--- a/src/tanagerscale/upstreams/_exchanges.py
+++ b/src/tanagerscale/upstreams/_exchanges.py
@@ -176,7 +176,9 @@
         elif ids:
             answer_id, is_own = AnswerId.OTHER, False
         else:
-            answer_id, is_own = AnswerId.MISSING, True
+            # On its first exchange a connection has no other answer to give.
+            answer_id = AnswerId.MISSING
+            is_own = history.exchanges == 1 or not self._rule.may_answer_twice
         self._pool.log.record_answer(
             history, answer_id=answer_id, bears=", ".join(ids), is_taken=is_own
         )
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -283,6 +283,8 @@
         self._ledger.received_requests.append(received)
         try:
             response = await self._execute(request, received, headers)
+            if not response.prepared and received.request:
+                response.headers.setdefault("Tanagerscale-Attempt-Id", received.request)
             received.answer_headers = response.headers
             return response
         finally:
--- a/testing/test_exchanges.py
+++ b/testing/test_exchanges.py
@@ -101,6 +101,37 @@
     await _run(_answer_twice(extras=extras, only_requests=True), scenario)
 
 
+# A copy order took the late second answer to another order: its run went on from a foreign handle.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("before", CONTROL_CALLS)
+@pytest.mark.parametrize("after", EXCHANGES)
+async def test_exchanges_take_their_own_answers_when_the_engine_answers_control_calls_twice(
+    before: Scenario, after: Scenario
+) -> None:
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        await _assert_sent_properly(client, entry, "first")
+        await before(client, entry)
+        assert await copy(client, entry, run="another") == "handle of another"
+        await after(client, entry)
+        await _assert_sent_properly(client, entry, "last")
+
+    await _run(_answer_twice(), scenario)
+
+
+# A request took an answer without an id, that to a control call before it, for its own.
+@pytest.mark.asyncio
+async def test_request_skips_an_answer_without_an_id_on_a_kept_connection() -> None:
+    def answer(request: PeerRequest) -> Sequence[Part]:
+        extra = [encode_answer(status=404, body=b"{}")] if request.number else []
+        return [*extra, answer_properly(request)]
+
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        await _assert_sent_properly(client, entry, "first")
+        await _assert_sent_properly(client, entry, "second")
+
+    await _run(answer, scenario)
+
+
 @pytest.mark.asyncio
 async def test_request_takes_an_answer_without_an_id_on_a_new_connection() -> None:
     async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
