Never send one request id twice on a connection

A request that an engine had not executed was sent again to the same engine on the same connection; a late second answer to the first try bore the id of the second, so that the request was told as not executed while it ran (REFUSED, TWICE), and half a stream could be taken for the next one of a run that goes on.

Cause: the id doesn't identify the exchange, only the request. A connection now remembers the ids that it has carried and takes none of them again.

test_request_that_is_sent_again_takes_no_answer_to_its_first_try failed before (503 in place of the answer) and passes now.

--- a/src/tanagerscale/upstreams/_exchange_log.py
+++ b/src/tanagerscale/upstreams/_exchange_log.py
@@ -70,6 +70,8 @@
         self.previous: ExchangeLabel | None = None
         self.has_foreign_answers = False
         """Whether an answer of another exchange, or one that may be of another, has come."""
+        self.ids: set[str] = set()
+        """Ids of the exchanges, which may be answered again later."""
 
     def begin(self, label: ExchangeLabel) -> None:
         """Record that an exchange begins on the connection."""
--- a/src/tanagerscale/upstreams/_exchanges.py
+++ b/src/tanagerscale/upstreams/_exchanges.py
@@ -123,6 +123,7 @@
         try:
             check()
             self._pool.log.record_begin(connection.history, exchange.label)
+            self._record_sent(exchange, connection.history)
             connection.send(method=exchange.method, head=exchange.head, body=exchange.body)
             reply = await self._receive_own(exchange, connection)
         except BaseException:
@@ -155,7 +156,12 @@
         """
         if not self._rule.may_answer_twice or not history.exchanges:
             return True
-        return bool(exchange.id)
+        return exchange.id not in ("", *history.ids)
+
+    def _record_sent(self, exchange: Exchange, history: ConnectionHistory) -> None:
+        if not self._rule.may_answer_twice:
+            return
+        history.ids.add(exchange.id)
 
     async def _receive_own(self, exchange: Exchange, connection: HttpConnection) -> ResponseHead:
         """Receive the answer to an exchange, and skip those of other exchanges."""
--- a/testing/test_exchanges.py
+++ b/testing/test_exchanges.py
@@ -140,6 +140,27 @@
     await _run(lambda _: [encode_answer(status=400, body=b"bad")], scenario)
 
 
+# A request that was sent again took the late second answer to its first try, which said that it was
+# not executed, while it ran.
+@pytest.mark.asyncio
+async def test_request_that_is_sent_again_takes_no_answer_to_its_first_try() -> None:
+    refusal = encode_answer(status=503, id="r", fields=NOT_EXECUTED)
+    tries = 0
+
+    def answer(request: PeerRequest) -> Sequence[Part]:
+        nonlocal tries
+        tries += 1
+        if tries == 1:
+            return [refusal]
+        return [*([refusal] if request.number else []), answer_properly(request)]
+
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        assert (await send(client, entry, id="r"))[0] == 503
+        await _assert_sent_properly(client, entry, "r")
+
+    await _run(answer, scenario)
+
+
 # A copy order that was cancelled or timed out left its connection to the next exchange.
 @pytest.mark.asyncio
 async def test_connection_is_closed_when_a_control_call_is_cancelled() -> None:
