Close connections on which an answer of another exchange has come

An engine that has answered twice may do so again.

Such a connection is now closed after the exchange. test_connection_is_not_used_again_when_a_foreign_answer_has_come_on_it failed before and passes now.

--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -163,6 +163,7 @@
         return (
             self._protocol.is_connected()
             and not self._protocol.should_close
+            and not self.history.is_last
             and (self._response_head is None or self._response_head.keep_alive)
         )
 
--- a/src/tanagerscale/upstreams/_exchange_log.py
+++ b/src/tanagerscale/upstreams/_exchange_log.py
@@ -72,6 +72,8 @@
         """Whether an answer of another exchange, or one that may be of another, has come."""
         self.ids: set[str] = set()
         """Ids of the exchanges, which may be answered again later."""
+        self.is_last = False
+        """Whether the connection must carry no further exchange."""
 
     def begin(self, label: ExchangeLabel) -> None:
         """Record that an exchange begins on the connection."""
--- a/src/tanagerscale/upstreams/_exchanges.py
+++ b/src/tanagerscale/upstreams/_exchanges.py
@@ -169,6 +169,7 @@
             reply = await connection.receive()
             if self._belongs(exchange, reply, connection.history):
                 return reply
+            connection.history.is_last = True
             await connection.skip_body()
         raise ExchangeError(ExchangeFailure.LOST, "Only answers to other exchanges came")
 
--- a/testing/test_exchanges.py
+++ b/testing/test_exchanges.py
@@ -161,6 +161,17 @@
     await _run(answer, scenario)
 
 
+# A connection on which an engine had answered twice was used again.
+@pytest.mark.asyncio
+async def test_connection_is_not_used_again_when_a_foreign_answer_has_come_on_it() -> None:
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        for id in ("first", "second", "third"):
+            await _assert_sent_properly(client, entry, id)
+
+    requests = await _run(_answer_twice(), scenario)
+    assert [(one.connection, one.number) for one in requests] == [(0, 0), (0, 1), (1, 0)]
+
+
 # A copy order that was cancelled or timed out left its connection to the next exchange.
 @pytest.mark.asyncio
 async def test_connection_is_closed_when_a_control_call_is_cancelled() -> None:
