Use no connection again on which bytes have come after an answer

Bytes that an upstream sends after a complete answer belong to no request. The beginning of a head, in the packet of the answer's end or while the connection was idle, stayed in the parser and was not seen by is_reusable; the next request went out on the connection.

Bytes that come while no answer is due are not parsed, and the connection isn't used again. A head that has begun in the packet of the answer's end is found by ending the parser, which each exchange makes anew.

test_connection_is_not_used_again_when_bytes_come_after_an_answer failed before for requests with bytes cut at each length from 1 on, at 0, 1 and 100 ms, and passes now; in virtual time also 6 s late, while idle and under way.

--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -88,6 +88,12 @@
         self.was_reset = False
         self.unread_bytes = 0
         """Bytes that have arrived since the last head or part of a body was read."""
+        self.has_unsolicited = False
+        """Whether bytes have arrived that belong to no answer that is due."""
+        self.is_head_due = False
+        """Whether the head of an answer is due."""
+        self.body: StreamReader | None = None
+        """Body of the answer that is read."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection."""
@@ -100,8 +106,24 @@
         if self.unread_bytes > MAX_UNREAD_BYTES and self.transport is not None:
             self.transport.abort()
             return
+        # aiohttp also calls this without bytes, to continue with those that it holds.
+        if data and not self.is_head_due and (self.body is None or self.body.is_eof()):
+            self.has_unsolicited = True
+            return
         super().data_received(data)
 
+    def has_partial_head(self) -> bool:
+        """Return whether the beginning of a further answer came together with the last one.
+
+        The parser must be given no more bytes after this.
+        """
+        if self._parser is None:
+            return False
+        try:
+            return self._parser.feed_eof() is not None
+        except HttpProcessingError:
+            return True
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record how the connection ended.
 
@@ -163,6 +185,7 @@
         return (
             self._protocol.is_connected()
             and not self._protocol.should_close
+            and not self._protocol.has_unsolicited
             and not self.history.is_last
             and (self._response_head is None or self._response_head.keep_alive)
         )
@@ -190,6 +213,7 @@
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
         )
+        self._protocol.is_head_due = True
         self.used = True
         self._transport.write(head + body if body else head)
 
@@ -206,6 +230,8 @@
             detail = f"No answer came ({type(error).__name__})"
             raise ExchangeError(ExchangeFailure.LOST, detail) from error
         self._protocol.unread_bytes = 0
+        self._protocol.body = payload
+        self._protocol.is_head_due = False
         self._body = payload
         self._response_head = _build_response_head(message)
         return self._response_head
@@ -248,8 +274,14 @@
 
         :raises ExchangeError: If the body is incomplete, or longer than ``MAX_BODY_BYTES``.
         """
+        self._protocol.is_head_due = True
         await self.read_all()
 
+    def end_exchange(self) -> None:
+        """Record that the response was read completely."""
+        if self.is_reusable and self._protocol.has_partial_head():
+            self._protocol.has_unsolicited = True
+
     def close(self) -> None:
         """Close the connection immediately, so that the upstream stops working on the request."""
         self._closed = True
--- a/src/tanagerscale/upstreams/_pool.py
+++ b/src/tanagerscale/upstreams/_pool.py
@@ -102,6 +102,7 @@
         :param connection: The connection.
         :param response: Last response on it, which may announce an idle timeout.
         """
+        connection.end_exchange()
         idle_connections = self._idle[address]
         is_kept = connection.is_reusable and len(idle_connections) < MAX_IDLE_CONNECTIONS
         self.log.record_end(connection.history, is_kept=is_kept)
--- a/testing/test_exchanges.py
+++ b/testing/test_exchanges.py
@@ -20,12 +20,14 @@
 from testing._engine_exchanges import make_engine_entry
 from testing._engine_exchanges import make_pool
 from testing._engine_exchanges import send
+from testing._memory_peer import connect_in_memory
 from testing._scripted_peer import Answer
 from testing._scripted_peer import Late
 from testing._scripted_peer import Part
 from testing._scripted_peer import PeerRequest
 from testing._scripted_peer import encode_answer
 from testing._scripted_peer import run_scripted_peer
+from testing._virtual_time import run_virtually
 
 SOURCE = Path(__file__).parents[1] / "src" / "tanagerscale"
 Scenario = Callable[[PlatformUpstreams, UpstreamEntry], Awaitable[None]]
@@ -172,6 +174,54 @@
     assert [(one.connection, one.number) for one in requests] == [(0, 0), (0, 1), (1, 0)]
 
 
+# Bytes that came while a connection was idle were taken for the beginning of the next answer.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("delay_s", DELAYS_S)
+@pytest.mark.parametrize("exchange", EXCHANGES)
+async def test_connection_is_not_used_again_when_bytes_come_after_an_answer(
+    exchange: Scenario, delay_s: float
+) -> None:
+    whole = encode_answer(id="first", body=b"late")
+    cuts = range(1, len(whole) + 1, 1 if exchange is _send_other else 20)
+
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        await _assert_sent_properly(client, entry, "first")
+        await asyncio.sleep(delay_s + 0.02)
+        await exchange(client, entry)
+
+    for cut in cuts:
+        late = whole[:cut]
+
+        def answer(request: PeerRequest, late: bytes = late) -> Sequence[Part]:
+            own = answer_properly(request)
+            if request.id != "first":
+                return [own]
+            return [own + late] if not delay_s else [own, Late(delay_s=delay_s, data=late)]
+
+        requests = await _run(answer, scenario)
+        assert [one.connection for one in requests] == [0, 1], f"cut at {cut}"
+
+
+# A late answer came after its connection had been idle for seconds.
+@pytest.mark.parametrize("is_idle", [True, False])
+def test_exchange_takes_its_own_answer_when_another_one_comes_seconds_late(is_idle: bool) -> None:
+    def answer(request: PeerRequest) -> Sequence[Part]:
+        own = answer_properly(request)
+        if request.id == "first":
+            return [own, Late(delay_s=6, data=own)]
+        return [Late(delay_s=1, data=own)]
+
+    async def scenario() -> None:
+        client, entry = PlatformUpstreams(pool=make_pool()), make_engine_entry("engine:1")
+        await _assert_sent_properly(client, entry, "first")
+        await asyncio.sleep(7 if is_idle else 5.5)
+        await _assert_sent_properly(client, entry, "second")
+        await _order_copy(client, entry)
+
+    with connect_in_memory(answer):
+        run_virtually(scenario())
+
+
 # A copy order that was cancelled or timed out left its connection to the next exchange.
 @pytest.mark.asyncio
 async def test_connection_is_closed_when_a_control_call_is_cancelled() -> None:
