Fail an exchange whose answer is joined to a late one that broke off

A late answer that breaks off within a field or its reason is continued by the bytes of the next answer: one head, with the status and first fields of the late one and the id of the request. A caller could get 503 as not executed for a request that ran.

The status line of the own answer then stands in a field or the reason. On a connection that has carried another exchange such a head now fails the exchange as lost.

test_answer_is_never_joined_to_a_late_one_that_breaks_off cuts a late head at each byte; its three cases failed before and pass now.

--- a/src/tanagerscale/upstreams/_exchanges.py
+++ b/src/tanagerscale/upstreams/_exchanges.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import re
 from typing import Final
 from typing import Generic
 from typing import TypeVar
@@ -27,6 +28,8 @@
 MAX_SKIPPED_ANSWERS: Final = 4
 """Answers of other exchanges that are skipped before a connection is abandoned."""
 
+_STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
+
 _Response = TypeVar("_Response", bound=PooledResponse)
 
 
@@ -167,6 +170,8 @@
         """Receive the answer to an exchange, and skip those of other exchanges."""
         for _ in range(MAX_SKIPPED_ANSWERS):
             reply = await connection.receive()
+            if connection.history.exchanges > 1 and _is_joined(reply):
+                raise ExchangeError(ExchangeFailure.LOST, "The answer is joined to another one")
             if self._belongs(exchange, reply, connection.history):
                 return reply
             connection.history.is_last = True
@@ -190,3 +195,11 @@
             history, answer_id=answer_id, bears=", ".join(ids), is_taken=is_own
         )
         return is_own
+
+
+def _is_joined(reply: ResponseHead) -> bool:
+    """Return whether a head contains the status line of another one.
+
+    The head of a late answer that breaks off is continued by the next bytes on its connection.
+    """
+    return any(_STATUS_LINE.search(text) for text in (reply.reason, *reply.headers.values()))
--- a/testing/test_exchanges.py
+++ b/testing/test_exchanges.py
@@ -13,6 +13,7 @@
 
 from tanagerscale.forwarding import CopyFailure
 from tanagerscale.platform._engines import PlatformUpstreams
+from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import UpstreamEntry
 from testing._engine_exchanges import MOVE_PATH
 from testing._engine_exchanges import answer_properly
@@ -202,6 +203,30 @@
         assert [one.connection for one in requests] == [0, 1], f"cut at {cut}"
 
 
+# The head of a late answer that broke off was completed by that of the next one, with its status.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("extra_id", ["first", "", "second"])
+async def test_answer_is_never_joined_to_a_late_one_that_breaks_off(extra_id: str) -> None:
+    fields = [("Server", "an engine"), ("Tanagerscale-Not-Executed", "1")]
+    late = encode_answer(status=503, id=extra_id, body=b"busy", fields=fields)
+
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        await _assert_sent_properly(client, entry, "first")
+        try:
+            async with asyncio.timeout(0.3):
+                answer = await send(client, entry, id="second")
+        except (ExchangeError, TimeoutError):
+            return
+        assert answer == (200, b"answer to second")
+
+    for cut in range(1, len(late) if extra_id != "second" else late.index(b"Tanager")):
+
+        def answer(request: PeerRequest, part: bytes = late[:cut]) -> Sequence[Part]:
+            return [*([part] if request.number else []), answer_properly(request)]
+
+        await _run(answer, scenario)
+
+
 # A late answer came after its connection had been idle for seconds.
 @pytest.mark.parametrize("is_idle", [True, False])
 def test_exchange_takes_its_own_answer_when_another_one_comes_seconds_late(is_idle: bool) -> None:
