Fail an exchange whose upstream switches to another protocol

An answer with status 101 was skipped as an interim one; the parser then took all that followed for another protocol's, so that the request waited until its deadline. No host asks for another protocol; 101 now fails the exchange as lost.

test_exchange_fails_when_the_engine_switches_protocols failed before (no end in 10 s) and passes now.

--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -40,6 +40,8 @@
 """Time without an acknowledgement after which a peer counts as dead. It is long enough for a stream
 to survive a network interruption that its caller would have waited out."""
 
+HTTP_SWITCHING_PROTOCOLS: Final = 101
+
 NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 
@@ -220,15 +222,18 @@
     async def receive(self) -> ResponseHead:
         """Wait for the head of the next response, skipping interim (1xx) responses.
 
-        :raises ExchangeError: If the connection ends or the received data is not an HTTP response.
+        :raises ExchangeError: If the connection ends, the received data is not an HTTP response or
+            the peer switches to another protocol.
         """
         try:
             message, payload = await self._protocol.read()
-            while message.code < 200:
+            while message.code < 200 and message.code != HTTP_SWITCHING_PROTOCOLS:
                 message, payload = await self._protocol.read()
         except (ClientError, HttpProcessingError, OSError) as error:
             detail = f"No answer came ({type(error).__name__})"
             raise ExchangeError(ExchangeFailure.LOST, detail) from error
+        if message.code == HTTP_SWITCHING_PROTOCOLS:
+            raise ExchangeError(ExchangeFailure.LOST, "The peer switched to another protocol")
         self._protocol.unread_bytes = 0
         self._protocol.body = payload
         self._protocol.is_head_due = False
--- a/testing/test_exchanges.py
+++ b/testing/test_exchanges.py
@@ -227,6 +227,18 @@
         await _run(answer, scenario)
 
 
+# A request waited until its deadline after its engine had switched protocols unasked.
+@pytest.mark.asyncio
+async def test_exchange_fails_when_the_engine_switches_protocols() -> None:
+    switching = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n"
+
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        with pytest.raises(ExchangeError):
+            await send(client, entry, id="r")
+
+    await _run(lambda request: [switching, answer_properly(request)], scenario)
+
+
 # A late answer came after its connection had been idle for seconds.
 @pytest.mark.parametrize("is_idle", [True, False])
 def test_exchange_takes_its_own_answer_when_another_one_comes_seconds_late(is_idle: bool) -> None:
