Send HEAD requests on connections of their own

Whether an answer has a body depends on the method of its request. A late answer with a body, read as that to a HEAD request, left its body to be read as the next head; one to a HEAD request took the next answer for its body. Both exchanges failed, after they may have run.

A HEAD request goes out on a new connection, which is closed after it.

--- a/src/tanagerscale/upstreams/_exchanges.py
+++ b/src/tanagerscale/upstreams/_exchanges.py
@@ -28,6 +28,8 @@
 MAX_SKIPPED_ANSWERS: Final = 4
 """Answers of other exchanges that are skipped before a connection is abandoned."""
 
+HEAD_METHOD: Final = "HEAD"
+
 _STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
 
 _Response = TypeVar("_Response", bound=PooledResponse)
@@ -155,16 +157,19 @@
     def _can_carry(self, exchange: Exchange, history: ConnectionHistory) -> bool:
         """Return whether an exchange can tell its answer from all others on a connection.
 
-        An answer without an id can only be told by being the first one on its connection.
+        An answer without an id can only be told by being the first one on its connection, and one
+        to a HEAD request has no body, whatever its length says.
         """
         if not self._rule.may_answer_twice or not history.exchanges:
             return True
-        return exchange.id not in ("", *history.ids)
+        return exchange.method != HEAD_METHOD and exchange.id not in ("", *history.ids)
 
     def _record_sent(self, exchange: Exchange, history: ConnectionHistory) -> None:
         if not self._rule.may_answer_twice:
             return
         history.ids.add(exchange.id)
+        if exchange.method == HEAD_METHOD:
+            history.is_last = True
 
     async def _receive_own(self, exchange: Exchange, connection: HttpConnection) -> ResponseHead:
         """Receive the answer to an exchange, and skip those of other exchanges."""
@@ -175,6 +180,8 @@
             if self._belongs(exchange, reply, connection.history):
                 return reply
             connection.history.is_last = True
+            if exchange.method == HEAD_METHOD:
+                break
             await connection.skip_body()
         raise ExchangeError(ExchangeFailure.LOST, "Only answers to other exchanges came")
 
--- a/testing/test_exchanges.py
+++ b/testing/test_exchanges.py
@@ -20,6 +20,7 @@
 from testing._engine_exchanges import copy
 from testing._engine_exchanges import make_engine_entry
 from testing._engine_exchanges import make_pool
+from testing._engine_exchanges import make_upstream_request
 from testing._engine_exchanges import send
 from testing._memory_peer import connect_in_memory
 from testing._scripted_peer import Answer
@@ -227,6 +228,50 @@
         await _run(answer, scenario)
 
 
+# The body of a late answer was counted by the method of another request.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("methods", [("GET", "HEAD"), ("HEAD", "GET"), ("HEAD", "HEAD")])
+async def test_late_answer_is_not_framed_by_the_method_of_another_request(
+    methods: tuple[str, str],
+) -> None:
+    def encode(request: PeerRequest) -> bytes:
+        whole = answer_properly(request)
+        return whole if request.method != "HEAD" else whole[: whole.index(b"\r\n\r\n") + 4]
+
+    sent: dict[int, bytes] = {}
+
+    def answer(request: PeerRequest) -> Sequence[Part]:
+        late = sent.get(request.connection, b"")
+        sent[request.connection] = own = encode(request)
+        return [late, own] if late else [own]
+
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        for number, method in enumerate(methods):
+            request = make_upstream_request(entry, id=f"r{number}", method=method)
+            response = await client.send(upstream_request=request)
+            expected = b"" if method == "HEAD" else f"answer to r{number}".encode()
+            assert await response.read_all() == expected
+
+    await _run(answer, scenario)
+
+
+# An interim or switching response of another exchange hid the answer.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("status", [100, 103, 204, 304, 421])
+async def test_request_takes_its_own_answer_when_a_late_one_has_no_body(status: int) -> None:
+    late = encode_answer(status=status, id="first").replace(b"Content-Length: 0\r\n", b"")
+    if status == 421:
+        late = encode_answer(status=status, id="first")
+
+    async def scenario(client: PlatformUpstreams, entry: UpstreamEntry) -> None:
+        await _assert_sent_properly(client, entry, "first")
+        response = await client.send(upstream_request=make_upstream_request(entry, id="second"))
+        assert not response.is_address_reassigned
+        assert (response.status, await response.read_all()) == (200, b"answer to second")
+
+    await _run(lambda one: [*([late] if one.number else []), answer_properly(one)], scenario)
+
+
 # A request waited until its deadline after its engine had switched protocols unasked.
 @pytest.mark.asyncio
 async def test_exchange_fails_when_the_engine_switches_protocols() -> None:
