--- a/testing/test_exchanges.py
+++ b/testing/test_exchanges.py
@@ -284,6 +284,38 @@
     await _run(lambda request: [switching, answer_properly(request)], scenario)
 
 
+def _fail_virtually(answer: Answer) -> float:
+    """Send two requests, of which the second one fails; return the seconds until it has failed."""
+
+    async def scenario() -> float:
+        pool = make_pool()
+        client, entry = PlatformUpstreams(pool=pool), make_engine_entry("engine:1")
+        await _assert_sent_properly(client, entry, "first")
+        began = asyncio.get_running_loop().time()
+        with pytest.raises(ExchangeError):
+            await send(client, entry, id="second")
+        return asyncio.get_running_loop().time() - began
+
+    with connect_in_memory(answer):
+        return run_virtually(scenario())
+
+
+# A late answer without a length was read until its engine closed the connection.
+def test_exchange_fails_at_once_when_a_late_answer_has_no_length() -> None:
+    late = encode_answer(id="first", body=b"late").replace(b"Content-Length: 4\r\n", b"")
+    assert _fail_virtually(lambda one: [late if one.number else answer_properly(one)]) < 0.1
+
+
+# A request waited until its deadline for the rest of a late answer, which took up its own.
+def test_exchange_fails_soon_when_a_late_answer_breaks_off_in_its_body() -> None:
+    late = encode_answer(id="first", body=b"x" * 10_000)[:-9000]
+
+    def answer(request: PeerRequest) -> Sequence[Part]:
+        return [*([late] if request.number else []), answer_properly(request)]
+
+    assert _fail_virtually(answer) < 5
+
+
 # A late answer came after its connection had been idle for seconds.
 @pytest.mark.parametrize("is_idle", [True, False])
 def test_exchange_takes_its_own_answer_when_another_one_comes_seconds_late(is_idle: bool) -> None:
