Number the exchanges between hosts

A host that passes a request on to another host took the first answer on a kept connection for its own. Hosts are not said to answer twice, but this is our own protocol, and it can say so: a request now bears a number that its answer repeats, and an answer with another number is skipped and its connection closed. An answer without a number, of a host of an earlier version, is still taken.

test_delegated_request_takes_the_answer_with_its_own_number failed before and passes now. Three more, for answers without a head (408, 413) and for waits that were cancelled, held before.

--- a/src/tanagerscale/gateway/_delegate_client.py
+++ b/src/tanagerscale/gateway/_delegate_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import count
 from typing import Final
 from typing import final
 
@@ -10,6 +11,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.forwarding import CallerRequest
 from tanagerscale.forwarding import DelegatedHead
+from tanagerscale.gateway._delegation_wire import EXCHANGE_FIELD
 from tanagerscale.gateway._delegation_wire import HEAD_FIELD
 from tanagerscale.gateway._delegation_wire import PATH
 from tanagerscale.gateway._delegation_wire import decode_head
@@ -32,8 +34,8 @@
 """Time without an acknowledgement after which a host counts as dead."""
 
 
-HOST_ANSWERS: Final = AnswerRule()
-"""Hosts answer once."""
+HOST_ANSWERS: Final = AnswerRule(id_field=EXCHANGE_FIELD)
+"""Hosts repeat the number of an exchange in its answer, and answer once."""
 
 
 @final
@@ -75,6 +77,7 @@
         self._client = ExchangeClient(
             pool=self._pool, rule=HOST_ANSWERS, response_type=PooledResponse
         )
+        self._numbers = count(1)
 
     async def send(
         self, *, address: str, request: CallerRequest, time_left_ms: int
@@ -87,8 +90,9 @@
             body = encode_request(request, time_left_ms=time_left_ms)
         except UnicodeEncodeError as error:
             raise ExchangeError(ExchangeFailure.NOT_SENT, "The request is no text") from error
+        number = str(next(self._numbers))
         head = (
-            f"POST {PATH} HTTP/1.1\r\nHost: {address}\r\n"
+            f"POST {PATH} HTTP/1.1\r\nHost: {address}\r\n{EXCHANGE_FIELD}: {number}\r\n"
             f"Content-Type: application/msgpack\r\nContent-Length: {len(body)}\r\n\r\n"
         )
         exchange = Exchange(
@@ -96,6 +100,7 @@
             method="POST",
             head=head.encode(),
             body=body,
+            id=number,
         )
         response = await self._client.run(address=address, exchange=exchange)
         decoded = decode_head(response.reply.headers.get(HEAD_FIELD, ""))
--- a/testing/test_delegation.py
+++ b/testing/test_delegation.py
@@ -24,6 +24,8 @@
 from tanagerscale.forwarding._delegation import DelegatedForwarder
 from tanagerscale.gateway._delegate_client import HttpDelegateClient
 from tanagerscale.gateway._delegate_server import DelegateServer
+from tanagerscale.gateway._delegation_wire import EXCHANGE_FIELD
+from tanagerscale.gateway._delegation_wire import HEAD_FIELD
 from tanagerscale.gateway._delegation_wire import decode_head
 from tanagerscale.gateway._delegation_wire import decode_request
 from tanagerscale.gateway._delegation_wire import encode_head
@@ -39,6 +41,10 @@
 from testing._gateway_fakes import make_request
 from testing._gateway_fakes import make_route
 from testing._gateway_fakes import route_request
+from testing._scripted_peer import Late
+from testing._scripted_peer import PeerRequest
+from testing._scripted_peer import encode_answer
+from testing._scripted_peer import run_scripted_peer
 from testing._virtual_time import run_virtually
 
 WHOLE = DelegatedHead(outcome=DelegatedOutcome.WHOLE, status=200, headers=[("X", "1")])
@@ -315,3 +321,83 @@
     sending.cancel()
     await asyncio.wait_for(delegate.cancelled.wait(), 10)
     client.close()
+
+
+def _encode_delegated(request: PeerRequest, *, number: str | None, body: bytes) -> bytes:
+    fields = [(HEAD_FIELD, encode_head(WHOLE))]
+    fields += [] if number is None else [(EXCHANGE_FIELD, number)]
+    return encode_answer(body=body, fields=fields)
+
+
+async def _send_delegated(client: HttpDelegateClient, address: str) -> bytes:
+    response = await client.send(address=address, request=make_request(), time_left_ms=1000)
+    body = b""
+    while chunk := await response.read_some():
+        body += chunk
+    return body
+
+
+# A delegated request took the answer to another one for its own.
+@pytest.mark.asyncio
+async def test_delegated_request_takes_the_answer_with_its_own_number() -> None:
+    def answer(request: PeerRequest) -> list[bytes]:
+        number = request.headers.get(EXCHANGE_FIELD.lower(), "")
+        late = _encode_delegated(request, number="of another", body=b"late")
+        return [late, _encode_delegated(request, number=number, body=b"own")]
+
+    client = HttpDelegateClient(clock=Clock())
+    async with run_scripted_peer(answer) as peer:
+        assert [await _send_delegated(client, peer.address) for _ in range(2)] == [b"own"] * 2
+    assert [request.connection for request in peer.requests] == [0, 1]
+    client.close()
+
+
+# Guards against requests without an answer while hosts of two versions run.
+@pytest.mark.asyncio
+async def test_delegated_request_takes_an_answer_without_a_number() -> None:
+    client = HttpDelegateClient(clock=Clock())
+    async with run_scripted_peer(
+        lambda request: [_encode_delegated(request, number=None, body=b"own")]
+    ) as peer:
+        assert [await _send_delegated(client, peer.address) for _ in range(2)] == [b"own"] * 2
+    assert [request.connection for request in peer.requests] == [0, 0]
+    client.close()
+
+
+# Guards against a connection whose answer is still due going to the next request.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("status", [408, 413])
+async def test_connection_to_a_host_is_not_used_again_when_its_answer_has_no_head(
+    status: int,
+) -> None:
+    def answer(request: PeerRequest) -> list[bytes]:
+        if request.number == 0 and request.connection == 0:
+            return [encode_answer(status=status)]
+        number = request.headers.get(EXCHANGE_FIELD.lower(), "")
+        return [_encode_delegated(request, number=number, body=b"own")]
+
+    client = HttpDelegateClient(clock=Clock())
+    async with run_scripted_peer(answer) as peer:
+        with pytest.raises(ExchangeError):
+            await _send_delegated(client, peer.address)
+        assert await _send_delegated(client, peer.address) == b"own"
+    assert [request.connection for request in peer.requests] == [0, 1]
+    client.close()
+
+
+# Guards against a connection on which a wait was given up going to the next request.
+@pytest.mark.asyncio
+async def test_connection_to_a_host_is_not_used_again_when_the_wait_was_cancelled() -> None:
+    def answer(request: PeerRequest) -> list[Late]:
+        number = request.headers.get(EXCHANGE_FIELD.lower(), "")
+        own = _encode_delegated(request, number=number, body=str(len(peer.requests)).encode())
+        return [Late(delay_s=0.05, data=own)]
+
+    client = HttpDelegateClient(clock=Clock())
+    async with run_scripted_peer(answer) as peer:
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.02):
+                await _send_delegated(client, peer.address)
+        assert await _send_delegated(client, peer.address) == b"2"
+    assert [request.connection for request in peer.requests] == [0, 1]
+    client.close()
