Test that calls to the store leave no connection with an answer still due

The store's client goes through ExchangeClient like all others; its protocol gives answers no id and says of no second ones, so that an answer is told by its place on the connection. A call that is cancelled or answered 408 or 413 closes its connection, then as now.

--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
+import contextlib
 from dataclasses import dataclass
 from dataclasses import field
 from random import Random
 
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
 from multidict import CIMultiDict
 from multidict import CIMultiDictProxy
 import pytest
@@ -42,6 +45,11 @@
 from tanagerscale.upstreams import ConnectionPool
 from tanagerscale.upstreams import ResponseHead
 from testing._random_cases import random_case_settings
+from testing._scripted_peer import Late
+from testing._scripted_peer import Part
+from testing._scripted_peer import PeerRequest
+from testing._scripted_peer import encode_answer
+from testing._scripted_peer import run_scripted_peer
 
 
 @dataclass(slots=True)
@@ -394,3 +402,61 @@
         assert isinstance(result, Success | Failure)
         if isinstance(result, Failure):
             assert ";" in result.failure().detail
+
+
+def _encode_item(value: bytes) -> bytes:
+    item = {"key": "k", "value": base64.b64encode(value).decode(), "revision": 1, "createdRev": 1}
+    return encode_answer(body=msgspec.json.encode(item))
+
+
+async def _read_value(store: PlatformStore) -> bytes | None:
+    entry = (await store.get(key="k")).value_or(None)
+    return None if entry is None else entry.value
+
+
+# A call went out on a connection on which bytes had come after an answer, and failed.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("delay_s", [0.0, 0.001, 0.1])
+async def test_connection_to_the_store_is_not_used_again_when_bytes_come_after_an_answer(
+    delay_s: float,
+) -> None:
+    late = _encode_item(b"late")
+    for cut in (1, 10, 60, len(late)):
+
+        def answer(request: PeerRequest, data: bytes = late[:cut]) -> list[Part]:
+            own = _encode_item(b"own")
+            return [own, Late(delay_s=delay_s, data=data)] if delay_s else [own + data]
+
+        pool = ConnectionPool(clock=Clock(), connect_timeout_ms=2000, idle_ms=60_000)
+        async with run_scripted_peer(answer) as peer:
+            store = PlatformStore(address=peer.address, pool=pool)
+            assert await _read_value(store) == b"own"
+            await asyncio.sleep(delay_s + 0.02)
+            assert await _read_value(store) == b"own"
+        assert [request.connection for request in peer.requests] == [0, 1]
+        pool.close()
+
+
+# Guards against a connection whose answer is still due going to the next call.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("status", [None, 408, 413])
+async def test_connection_to_the_store_is_not_used_again_when_a_call_was_given_up(
+    status: int | None,
+) -> None:
+    def answer(request: PeerRequest) -> list[Part]:
+        own = _encode_item(str(len(peer.requests)).encode())
+        if request.connection:
+            return [own]
+        if status is None:
+            return [Late(delay_s=0.05, data=own)]
+        return [encode_answer(status=status, fields=[("Connection", "close")])]
+
+    pool = ConnectionPool(clock=Clock(), connect_timeout_ms=2000, idle_ms=60_000)
+    async with run_scripted_peer(answer) as peer:
+        store = PlatformStore(address=peer.address, pool=pool)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.02):
+                assert await _read_value(store) is None
+        assert await _read_value(store) == b"2"
+    assert [request.connection for request in peer.requests] == [0, 1]
+    pool.close()
