Make one call on each connection to engines of the product's own interface

An attempt on a kept connection took a late second refusal of another attempt for its own. A refusal shows that nothing was executed, so that the attempt would be made again while it runs. Refusals name no attempt; the client checked the id of streams only.

Attempts, orders and cancellations use a session whose connections carry one call each, as calls to plain services do; polls of load and cache keep theirs, since they are repeated and may be late.

test_attempt_takes_no_refusal_of_another_attempt fails on a session that keeps connections, as hosts had (refused in place of accepted), and passes on the new one.

--- a/src/tanagerscale/daemon/_adapters.py
+++ b/src/tanagerscale/daemon/_adapters.py
@@ -49,7 +49,8 @@
 class EngineClients:
     """Caches one client per engine address.
 
-    :param session: HTTP session shared by all clients.
+    :param session: HTTP session shared by all clients, whose connections carry one call each.
+    :param poll_session: HTTP session for reports, which may keep connections.
     :param declarations: Returns the declarations in force, or ``None`` if there are none yet.
     """
 
@@ -57,9 +58,11 @@
         self,
         *,
         session: aiohttp.ClientSession,
+        poll_session: aiohttp.ClientSession,
         declarations: Callable[[], Declarations | None],
     ) -> None:
         self._session = session
+        self._poll_session = poll_session
         self._declarations = declarations
         self._clients: dict[str, HttpEngineClient] = {}
 
@@ -74,7 +77,9 @@
         address = declared.address if declared is not None else UNDECLARED_ADDRESS
         client = self._clients.get(address)
         if client is None:
-            client = HttpEngineClient(session=self._session, address=address)
+            client = HttpEngineClient(
+                session=self._session, poll_session=self._poll_session, address=address
+            )
             self._clients[address] = client
         return client
 
--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -59,6 +59,7 @@
 from tanagerscale.services import ServiceDispatch
 from tanagerscale.store import EtcdStore
 from tanagerscale.upstreams import HttpServiceClient
+from tanagerscale.upstreams import make_single_use_session
 from tanagerscale.usage import HostCollector
 from tanagerscale.usage import HostGauges
 from tanagerscale.usage import UsageMeter
@@ -158,7 +159,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._host_list.stop()
         await self._mesh.stop()
-        await asyncio.gather(self._session.close(), self._service_session.close())
+        await asyncio.gather(
+            self._engine_session.close(), self._poll_session.close(), self._service_session.close()
+        )
         await self._store.close()
 
     async def _drain_claims(self) -> None:
@@ -175,12 +178,9 @@
 
     def _build_clients(self) -> None:
         settings = self._settings
-        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
-        # A reused connection may break during a later call, which leaves the outcome of that call
-        # unknown. Calls to plain services therefore never reuse a connection.
-        self._service_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True), auto_decompress=False
-        )
+        self._engine_session = make_single_use_session()
+        self._poll_session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self._service_session = make_single_use_session(auto_decompress=False)
         self._store = EtcdStore(
             endpoints=settings.store.endpoints,
             timeout_ms=settings.store.timeout_ms,
@@ -214,7 +214,11 @@
             interval_ms=settings.host_list.interval_ms,
             clock=self._clock,
         )
-        self._engines = EngineClients(session=self._session, declarations=self._declarations)
+        self._engines = EngineClients(
+            session=self._engine_session,
+            poll_session=self._poll_session,
+            declarations=self._declarations,
+        )
         self._canceller = Canceller(get_client=self._engines.get_client, clock=self._clock)
         self._schedulers = HostSchedulers(rng=self._rng)
         self._router = PoolRouter(
--- a/src/tanagerscale/upstreams/__init__.py
+++ b/src/tanagerscale/upstreams/__init__.py
@@ -37,6 +37,7 @@
 from tanagerscale.upstreams._protocol import UpstreamErrorKind
 from tanagerscale.upstreams._reports import EngineReport
 from tanagerscale.upstreams._reports import RunState
+from tanagerscale.upstreams._sessions import make_single_use_session
 
 __all__ = [
     "DEAD_PEER_TIMEOUT_S",
@@ -74,4 +75,5 @@
     "UpstreamState",
     "count_open_connections",
     "make_json_call",
+    "make_single_use_session",
 ]
--- a/src/tanagerscale/upstreams/_http_engine.py
+++ b/src/tanagerscale/upstreams/_http_engine.py
@@ -44,8 +44,11 @@
 class HttpEngineClient:
     """Client of one engine over its published HTTP protocol.
 
-    :param session: HTTP session shared by all clients of the process.
+    :param session: HTTP session shared by all clients of the process. Its connections must carry
+        one call each: a refusal names no attempt, and shows that a call was not executed.
     :param address: IP address and port.
+    :param poll_session: HTTP session for reports of load and of the cache, which are repeated
+        anyway and may come late; ``None`` uses ``session``.
     :param stall_timeout_s: Maximum time to wait for the next byte of a response that has begun, in
         seconds; a stall is detected after one to two times this value.
     """
@@ -55,9 +58,11 @@
         *,
         session: aiohttp.ClientSession,
         address: str,
+        poll_session: aiohttp.ClientSession | None = None,
         stall_timeout_s: float = STALL_TIMEOUT_S,
     ) -> None:
         self._session = session
+        self._poll_session = poll_session or session
         self._base = f"http://{address}"
         self._event_decoder = msgspec.json.Decoder(TokenEvent)
         self._stall_timeout_s = stall_timeout_s
@@ -95,14 +100,14 @@
 
     async def load(self) -> Result[LoadReport, UpstreamError]:
         """Read the load report, which lags behind the actual load."""
-        return _decode(await self._call("GET", "/load", None), LoadReport)
+        return _decode(await self._poll("/load"), LoadReport)
 
     async def cache_events(self, *, after: int) -> Result[CacheEvents, UpstreamError]:
         """Read the cache events with a sequence number above ``after``.
 
         :param after: Last sequence number received.
         """
-        return _decode(await self._call("GET", f"/cache-events?after={after}", None), CacheEvents)
+        return _decode(await self._poll(f"/cache-events?after={after}"), CacheEvents)
 
     async def state(self) -> Result[EngineState, UpstreamError]:
         """Read the state of the engine, such as the models that it holds."""
@@ -169,12 +174,20 @@
         ]
         return events, pending
 
+    async def _poll(self, path: str) -> Result[bytes, UpstreamError]:
+        return await self._call("GET", path, None, session=self._poll_session)
+
     async def _call(
-        self, method: str, path: str, body: bytes | None
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        *,
+        session: aiohttp.ClientSession | None = None,
     ) -> Result[bytes, UpstreamError]:
         has_response = False
         try:
-            async with self._session.request(
+            async with (session or self._session).request(
                 method,
                 self._base + path,
                 data=body,
--- a/testing/test_engine_client.py
+++ b/testing/test_engine_client.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 
 import aiohttp
 from aiohttp import web
@@ -13,9 +14,14 @@
 from returns.result import Success
 
 from tanagerscale.core import AttemptId
+from tanagerscale.generated.upstream import EngineRequest
 from tanagerscale.generated.upstream import TokenEvent
 from tanagerscale.upstreams import HttpEngineClient
 from tanagerscale.upstreams import UpstreamErrorKind
+from tanagerscale.upstreams import make_single_use_session
+from testing._scripted_peer import PeerRequest
+from testing._scripted_peer import encode_answer
+from testing._scripted_peer import run_scripted_peer
 from testing.conftest import ClientOf
 
 ATTEMPT = AttemptId("att-1")
@@ -133,3 +139,27 @@
     client = HttpEngineClient(session=session, address="127.0.0.1:1")
     batches = [batch async for batch in client.resume(attempt=ATTEMPT, offset=0)]
     assert [batch.failure().kind for batch in batches] == [UpstreamErrorKind.NOT_SENT]
+
+
+async def _generate(client: HttpEngineClient, attempt: str) -> UpstreamErrorKind | None:
+    """Begin an attempt; return ``None`` if its engine has accepted it."""
+    request = EngineRequest(attempt_id=attempt, model="m", prompt="p")
+    async for batch in client.generate(request=request):
+        return batch.failure().kind if isinstance(batch, Failure) else None
+    raise AssertionError("The stream ended without a batch.")
+
+
+# An attempt took the late second refusal of another one, which shows that it was not executed.
+async def test_attempt_takes_no_refusal_of_another_attempt() -> None:
+    refusal = encode_answer(status=503, body=b'{"kind":"overloaded","detail":"full"}')
+    accepted = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: second\r\nContent-Type: text/event-stream\r\n\r\n"
+    answers = iter([[refusal], [accepted]])
+
+    def answer(request: PeerRequest) -> Sequence[bytes]:
+        late = [refusal] if request.number else []
+        return [*late, *next(answers)]
+
+    async with run_scripted_peer(answer) as peer, make_single_use_session() as session:
+        client = HttpEngineClient(session=session, address=peer.address)
+        assert await _generate(client, "first") is UpstreamErrorKind.REFUSED
+        assert await _generate(client, "second") is None
