Let the soak's upstreams send answers a second time, late

The verdict names requests that came to an engine with the copy of another one (MEMORY), and 3xx and 4xx answers that a proper request never gets.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -18,10 +18,13 @@
 from standins._common import LOOPBACK
 from standins._common import json_response
 from standins._limited_server import LimitedServer
+from standins._second_answers import SecondAnswers
 from tanagerscale.core import Clock
 
 MS_PER_S = 1000
 COPY_RETENTION_S = 5.0
+STREAMED = web.RequestKey("streamed", bytes)
+"""Key of a request under which the body of its answer is kept if that is sent in parts."""
 
 _handles = count(1)
 """Numbers of the handles of all upstreams; one upstream may hold copies from several others."""
@@ -105,6 +108,8 @@
     :param engines: All running upstreams by address.
     :param hosts: Hosts by the IP address from which they connect to upstreams.
     :param relayed: Hosts by the port from which relays pass on their connections to an upstream.
+    :param foreign_copies: Requests that came with the copy of another one: the upstream, the
+        request, and the one whose copy it was.
     :param connection_resets: Upstream and IP address of each connection beyond a limit.
     """
 
@@ -115,6 +120,7 @@
     engines: dict[str, UpstreamEmulator] = field(default_factory=dict)
     hosts: dict[str, str] = field(default_factory=dict)
     relayed: dict[int, str] = field(default_factory=dict)
+    foreign_copies: list[tuple[str, str, str]] = field(default_factory=list)
     connection_resets: list[tuple[str, str]] = field(default_factory=list)
 
     def sender_of(self, request: web.BaseRequest) -> str:
@@ -186,6 +192,8 @@
         """Time to answer a plain request, in milliseconds."""
         self.padding = 0
         """Bytes that each event has in addition."""
+        self.second_answers = SecondAnswers(seed=upstream)
+        """Answers that the upstream sends a second time."""
         self._ledger = ledger
         self.event_ms = event_ms
         self._events = events
@@ -241,10 +249,15 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if isinstance(request.transport, asyncio.Transport):
             self._transports.add(request.transport)
-        response = await self._respond(request)
-        if not response.prepared:
-            response.headers.extend(self._notice_headers())
-        return response
+        self.second_answers.begin(request)
+        response: web.StreamResponse | None = None
+        try:
+            response = await self._respond(request)
+            if not response.prepared:
+                response.headers.extend(self._notice_headers())
+            return response
+        finally:
+            self.second_answers.end(request, response, request.get(STREAMED, b""))
 
     def _notice_headers(self) -> list[tuple[str, str]]:
         leaving = [("Server-Leaving", "1")] if self.says_leaving else []
@@ -324,7 +337,11 @@
             return _Run(received.request, generation, int(prompt), self._events)
         handle = copy_url.rpartition("/")[2]
         copy = self._copies.pop(handle, None) or self._stopped_runs.pop(handle, None)
-        if copy is None or copy.used or copy.run.request != received.request:
+        if copy is not None and copy.run.request != received.request:
+            foreign = (self.upstream, received.request, copy.run.request)
+            self._ledger.foreign_copies.append(foreign)
+            return None
+        if copy is None or copy.used:
             return None
         copy.used = True
         source_run = copy.run
@@ -379,6 +396,7 @@
                 _abort(request)
             run.events_sent += 1
             event = event_bytes(run.request, run.generation, run.events_sent, self.padding)
+            request[STREAMED] = request.get(STREAMED, b"") + event
             await response.write(event)
             await asyncio.sleep(self.event_ms / MS_PER_S)
         await response.write_eof()
--- a/standins/platform_soak.py
+++ b/standins/platform_soak.py
@@ -31,6 +31,7 @@
 from standins.platform_load import shape_upstream
 from standins.platform_parts import PartCrasher
 from standins.platform_repeats import RepeatProvoker
+from standins.platform_second_answers import SecondAnswerProvoker
 from standins.platform_verdict import STREAM_EVENTS
 from standins.platform_verdict import PlatformVerdict
 from standins.platform_world import MODEL_SERVICE
@@ -86,6 +87,7 @@
     load: bool = False,
     connections: bool = False,
     drains: bool = False,
+    second_answers: bool = False,
 ) -> list[str]:
     """Run the soak and return the broken guarantees.
 
@@ -102,6 +104,7 @@
     :param connections: Whether it is a violation that a plain upstream resets connections.
     :param drains: Whether the store comes back from older copies and upstreams leave after that,
         with few other faults.
+    :param second_answers: Whether upstreams send answers a second time, late.
     """
     cluster = PlatformCluster(has_links=cuts)
     fault_log = FaultLog()
@@ -155,6 +158,9 @@
             if drains:
                 drainer = DrainProvoker(cluster=cluster, injector=injector, fault_log=fault_log)
                 tasks.create_task(drainer.run(rng=Random(seed + 7), duration_ms=duration_ms))
+            if second_answers:
+                answers = SecondAnswerProvoker(cluster=cluster, fault_log=fault_log)
+                tasks.create_task(answers.run(rng=Random(seed + 8), duration_ms=duration_ms))
             if crowds:
                 crowd = CrowdMaker(callers=callers, hosts=processes, fault_log=fault_log)
                 tasks.create_task(crowd.run(rng=Random(seed + 6), duration_ms=duration_ms))
@@ -244,6 +250,7 @@
     load: bool = False,
     connections: bool = False,
     drains: bool = False,
+    second_answers: bool = False,
 ) -> None:
     """Run the soak.
 
@@ -259,6 +266,7 @@
     :param load: Whether accounts, callers, plain upstreams and engines are uneven.
     :param connections: Whether it is a violation that a plain upstream resets connections.
     :param drains: Whether the store comes back from older copies and upstreams leave after that.
+    :param second_answers: Whether upstreams send answers a second time, late.
     """
     directory = Path(keep or mkdtemp(prefix="tanagerscale-platform-soak-"))
     directory.mkdir(parents=True, exist_ok=True)
@@ -278,6 +286,7 @@
             load=load,
             connections=connections,
             drains=drains,
+            second_answers=second_answers,
         )
     )
     for violation in violations:
--- a/standins/platform_verdict.py
+++ b/standins/platform_verdict.py
@@ -87,6 +87,7 @@
         self._fault_log = fault_log
         self._grace_ms = grace_ms
         self._received: defaultdict[str, list[ReceivedRequest]] = defaultdict(list)
+        self._foreign_copies = ledger.foreign_copies
         for received in ledger.received_requests:
             if received.request:
                 self._received[received.request].append(received)
@@ -110,6 +111,10 @@
         violations += self._find_requests_to_leaving() + self._find_requests_in_pauses()
         violations += self._find_requests_over_limits() + self._find_repeats_over_budget()
         violations += self._find_requests_after_notices()
+        violations += [
+            f"MEMORY: {upstream} got {request} with the copy of {other}"
+            for upstream, request, other in self._foreign_copies
+        ]
         served = ServedCalls(
             calls=list(self._calls.values()), received=self._received, fault_log=self._fault_log
         )
@@ -117,6 +122,8 @@
         return violations + served.find_crashing_parts()
 
     def _find_wrong_answer(self, call: Call) -> str:
+        if call.status // 100 in (3, 4) and call.status not in REFUSED_STATUSES:
+            return "a proper request is answered as one that isn't allowed"
         if call.status // 100 != 2:
             return ""
         if not call.is_complete:
--- a/testing/test_platform_soak.py
+++ b/testing/test_platform_soak.py
@@ -124,6 +124,18 @@
     assert violations == []
 
 
+# Callers got the answers of copy orders, and of other requests, when upstreams sent answers again.
+@pytest.mark.asyncio
+@pytest.mark.parametrize(("seed", "seconds", "hosts"), [(1201, 12, 5), (1202, 12, 5)])
+async def test_guarantees_hold_when_upstreams_answer_twice_among_faults(
+    seed: int, seconds: int, hosts: int, tmp_path: Path
+) -> None:
+    violations = await run_soak(
+        seed=seed, seconds=seconds, hosts=hosts, directory=tmp_path, second_answers=True
+    )
+    assert violations == []
+
+
 CHECKS_CONNECTIONS = False
 """Whether the connections of all hosts at an upstream are checked; True once hosts limit them."""
 
--- a/testing/test_platform_verdict.py
+++ b/testing/test_platform_verdict.py
@@ -252,3 +252,25 @@
     crowd = Fault(FaultKind.CROWD, "h0", "", SENT, SENT + 6_000)
     violations = _judge(calls, [_received(call) for call in calls], crowd)
     assert violations == (["RECOVER"] if is_broken else [])
+
+
+def test_verdict_names_a_request_that_came_with_the_copy_of_another_one() -> None:
+    call = _answered(_call(CallKind.LONG), body=_stream(WHOLE))
+    verdict = PlatformVerdict(
+        calls=[call],
+        ledger=Ledger(
+            received_requests=[_received(call)], foreign_copies=[("e1", call.request, "other")]
+        ),
+        fault_log=FaultLog(),
+        grace_ms=GRACE_MS,
+        retry_rule=RetryBudgetRule(ratio=0.0, slack=3.0),
+    )
+    assert verdict.find_violations() == [f"MEMORY: e1 got {call.request} with the copy of other"]
+
+
+@pytest.mark.parametrize(("status", "found"), [(404, ["ANSWER"]), (503, []), (429, [])])
+def test_verdict_names_an_answer_that_a_proper_request_never_gets(
+    status: int, found: list[str]
+) -> None:
+    call = _answered(_call(), status=status, body=b"{}")
+    assert _judge([call], []) == found
