Let no run go on from a copy that lacks events which it has had

A run went on from whatever handle the answer to its copy order named, without anything that showed the memory as its own. The number of events in that answer was decoded and used by nobody.

A copy with fewer events than the host had relayed before its order is now a failed copy: it isn't used, and not freed either, since it is another run's. The handle of a run that was stopped without room (503) comes without a number; there only its connection shows whose it is.

test_run_is_not_resumed_from_a_copy_that_lacks_events_of_the_run failed before and passes now.

--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -82,9 +82,12 @@
         """
         async with run.copy_lock:
             started = self._context.clock.now()
+            relayed = run.relayed_events
             result = await self._context.engines.copy(
                 source=source, request=run.request, target=target, stop=stop
             )
+        copied_events = result.unwrap().events if isinstance(result, Success) else None
+        result = result.bind(lambda copied: _check_events(copied, relayed))
         error = result.failure() if isinstance(result, Failure) else None
         outcome = "copied" if error is None else error.failure.value
         self._context.metrics.copies.labels(outcome).inc()
@@ -98,6 +101,8 @@
             source=source.upstream,
             target=target.upstream,
             tokens=run.tokens,
+            relayed_events=relayed,
+            copied_events=copied_events,
             failure=None if error is None else error.failure.value,
             detail=None if error is None else error.detail,
             stop=stop,
@@ -176,3 +181,14 @@
     def drop(self, snapshot: Snapshot) -> None:
         """Free an unused copy in the background."""
         self._spawn(self._context.engines.drop_copy(holder=snapshot.entry, copy=snapshot.copy))
+
+
+def _check_events(copied: RunCopy, relayed: int) -> Result[RunCopy, CopyError]:
+    """Return a copy, or an error if it has fewer events than its run has already produced.
+
+    Nothing else in an engine's answer tells of which run the copy is.
+    """
+    if copied.events >= relayed:
+        return Success(copied)
+    detail = f"the copy has {copied.events} events, and its run had {relayed}"
+    return Failure(CopyError(failure=CopyFailure.LOST, detail=detail))
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -154,6 +154,11 @@
             return 0
         return self._context.clock.now() - segment.first_event
 
+    @property
+    def relayed_events(self) -> int:
+        """Number of the last event that was relayed, counted from the beginning of the run."""
+        return self._relay.last_event
+
     @property
     def answer_tokens(self) -> int:
         """Number of answer tokens relayed so far."""
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -299,6 +299,8 @@
     copies: list[tuple[str, str, str, bool]] = field(default_factory=list)
     dropped: list[tuple[str, str]] = field(default_factory=list)
     copy_duration_ms: int = 10
+    copied_events: int = 100_000
+    """Events of each copied run, which are more than any run has relayed."""
     on_stop: Callable[[str], None] | None = None
     leaves_in_ms: int | None = None
     not_leaving: set[str] = field(default_factory=set)
@@ -317,7 +319,7 @@
             return Failure(self.failures.popleft())
         if stop and self.on_stop is not None:
             self.on_stop(request)
-        return Success(RunCopy(copy=f"copy-{len(self.copies)}", events=1))
+        return Success(RunCopy(copy=f"copy-{len(self.copies)}", events=self.copied_events))
 
     async def report(self, *, upstream: UpstreamEntry) -> Result[EngineReport, str]:
         """Report when the engine leaves, or fail if no departure is configured."""
--- a/testing/_move_harness.py
+++ b/testing/_move_harness.py
@@ -35,6 +35,7 @@
     request: RequestId
     tokens: int = 4000
     answer_tokens: int = 1000
+    relayed_events: int = 250
     running_ms: int = 2000
     begun: bool = True
     ended: bool = False
--- a/testing/test_forwarding_evacuation.py
+++ b/testing/test_forwarding_evacuation.py
@@ -96,6 +96,34 @@
     run_virtually(scenario())
 
 
+# A run went on from the memory of another one, whose copy order had the same answer.
+def test_run_is_not_resumed_from_a_copy_that_lacks_events_of_the_run() -> None:
+    async def scenario() -> None:
+        harness = MoveHarness("x", "y")
+        run = harness.add("1", at="x")
+        harness.fakes.engines.copied_events = run.relayed_events - 1
+        harness.leave("x")
+        await asyncio.sleep(1.0)
+        assert [target for target in run.resume_targets if target is not None] == []
+        assert run.snapshot is None
+        assert harness.fakes.engines.dropped == []
+
+    run_virtually(scenario())
+
+
+def test_run_is_resumed_from_a_copy_that_has_all_its_events() -> None:
+    async def scenario() -> None:
+        harness = MoveHarness("x", "y")
+        run = harness.add("1", at="x")
+        harness.fakes.engines.copied_events = run.relayed_events
+        harness.leave("x")
+        await asyncio.sleep(1.0)
+        (resume_target,) = run.resume_targets
+        assert resume_target is not None
+
+    run_virtually(scenario())
+
+
 def test_run_resumes_from_its_copy_when_its_engine_does_not_respond() -> None:
     async def scenario() -> int:
         harness = MoveHarness("x", "y")
