Let the clients of engines own their HTTP sessions, and name foreign answers once

Docstrings and metrics say that exchanges with the store and other hosts are counted too. No behaviour changes.

--- a/src/tanagerscale/daemon/_adapters.py
+++ b/src/tanagerscale/daemon/_adapters.py
@@ -17,6 +17,7 @@
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.upstreams import EngineClient
 from tanagerscale.upstreams import HttpEngineClient
+from tanagerscale.upstreams import make_single_use_session
 
 UNDECLARED_ADDRESS = "127.0.0.1:0"
 """Address on which nothing listens, so that a call fails like one to an unreachable engine."""
@@ -47,22 +48,14 @@
 
 @final
 class EngineClients:
-    """Caches one client per engine address.
+    """Caches one client per engine address, and has the HTTP sessions that they share.
 
-    :param session: HTTP session shared by all clients, whose connections carry one call each.
-    :param poll_session: HTTP session for reports, which may keep connections.
     :param declarations: Returns the declarations in force, or ``None`` if there are none yet.
     """
 
-    def __init__(
-        self,
-        *,
-        session: aiohttp.ClientSession,
-        poll_session: aiohttp.ClientSession,
-        declarations: Callable[[], Declarations | None],
-    ) -> None:
-        self._session = session
-        self._poll_session = poll_session
+    def __init__(self, *, declarations: Callable[[], Declarations | None]) -> None:
+        self._session = make_single_use_session()
+        self._poll_session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self._declarations = declarations
         self._clients: dict[str, HttpEngineClient] = {}
 
@@ -83,6 +76,10 @@
             self._clients[address] = client
         return client
 
+    async def close(self) -> None:
+        """Close all connections."""
+        await asyncio.gather(self._session.close(), self._poll_session.close())
+
 
 @final
 class NoQuarantine:
--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -10,7 +10,6 @@
 from typing import Any
 from typing import final
 
-import aiohttp
 from aiohttp import web
 import msgspec
 from msgspec import Struct
@@ -159,9 +158,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._host_list.stop()
         await self._mesh.stop()
-        await asyncio.gather(
-            self._engine_session.close(), self._poll_session.close(), self._service_session.close()
-        )
+        await asyncio.gather(self._engines.close(), self._service_session.close())
         await self._store.close()
 
     async def _drain_claims(self) -> None:
@@ -178,8 +175,6 @@
 
     def _build_clients(self) -> None:
         settings = self._settings
-        self._engine_session = make_single_use_session()
-        self._poll_session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self._service_session = make_single_use_session(auto_decompress=False)
         self._store = EtcdStore(
             endpoints=settings.store.endpoints,
@@ -214,11 +209,7 @@
             interval_ms=settings.host_list.interval_ms,
             clock=self._clock,
         )
-        self._engines = EngineClients(
-            session=self._engine_session,
-            poll_session=self._poll_session,
-            declarations=self._declarations,
-        )
+        self._engines = EngineClients(declarations=self._declarations)
         self._canceller = Canceller(get_client=self._engines.get_client, clock=self._clock)
         self._schedulers = HostSchedulers(rng=self._rng)
         self._router = PoolRouter(
--- a/src/tanagerscale/gateway/_exchange_metrics.py
+++ b/src/tanagerscale/gateway/_exchange_metrics.py
@@ -1,4 +1,4 @@
-"""Prometheus metrics of the exchanges with upstreams."""
+"""Prometheus metrics of the exchanges with upstreams, the store and other hosts."""
 
 from __future__ import annotations
 
@@ -42,18 +42,17 @@
         return (
             CounterMetricFamily(
                 "tanagerscale_exchanges",
-                "Exchanges with upstreams, by kind and by whether their connection is new.",
+                "Exchanges with other processes, by kind and by whether their connection is new.",
                 labels=["kind", "connection"],
             ),
             CounterMetricFamily(
                 "tanagerscale_exchange_answers",
-                "Answers of upstreams, by kind of exchange, whose id they bear, and what became "
-                "of them.",
+                "Answers by kind of exchange, whose id they bear, and what became of them.",
                 labels=["kind", "id", "outcome"],
             ),
             CounterMetricFamily(
                 "tanagerscale_foreign_answer_connections",
-                "Connections after an exchange on which an answer of another one has come.",
+                "Connections after an exchange on which a foreign answer has come.",
                 labels=["connection"],
             ),
         )
--- a/src/tanagerscale/gateway/_platform.py
+++ b/src/tanagerscale/gateway/_platform.py
@@ -88,7 +88,7 @@
     :param parse_upstream_name: Returns the name of the upstream that registers under a key.
     :param callers: Decodes the requests of callers.
     :param close: Closes the connections to the store and to upstreams.
-    :param exchange_log: Counts of the exchanges with upstreams.
+    :param exchange_log: Counts of the exchanges with upstreams and the store.
     """
 
     store: Store
--- a/src/tanagerscale/upstreams/_exchange_log.py
+++ b/src/tanagerscale/upstreams/_exchange_log.py
@@ -69,7 +69,7 @@
         self.current: ExchangeLabel | None = None
         self.previous: ExchangeLabel | None = None
         self.has_foreign_answers = False
-        """Whether an answer of another exchange, or one that may be of another, has come."""
+        """Whether a foreign answer has come."""
         self.ids: set[str] = set()
         """Ids of the exchanges, which may be answered again later."""
         self.is_last = False
@@ -83,7 +83,10 @@
 
 @final
 class ExchangeLog:
-    """Counts the exchanges of a host with its upstreams, and logs answers of other exchanges."""
+    """Counts the exchanges of a host with other processes, and logs foreign answers.
+
+    A foreign answer is one of another exchange, or one that may be of another.
+    """
 
     def __init__(self) -> None:
         self.begun: Counter[tuple[ExchangeKind, bool]] = Counter()
@@ -91,7 +94,7 @@
         self.answers: Counter[tuple[ExchangeKind, AnswerId, bool]] = Counter()
         """Answers by the kind of exchange, whose id they bear, and whether they were taken."""
         self.returned: Counter[bool] = Counter()
-        """Connections on which an answer of another exchange came, by whether they were kept."""
+        """Connections on which a foreign answer came, by whether they were kept."""
 
     def record_begin(self, history: ConnectionHistory, label: ExchangeLabel) -> None:
         """Record that an exchange begins on a connection."""
@@ -120,7 +123,7 @@
             (
                 "An answer bears no id."
                 if answer_id is AnswerId.MISSING
-                else "An answer bears the id " "of another exchange."
+                else "An answer bears the id of another exchange."
             ),
             request=current.request,
             peer=current.peer,
