--- a/src/tanagerscale/upstreams/_exchanges.py
+++ b/src/tanagerscale/upstreams/_exchanges.py
@@ -1,6 +1,6 @@
 """Exchanges of requests and answers on kept connections.
 
-Everything that a host sends to another process over HTTP goes through ``ExchangeClient``, which
+Everything that is sent on a connection of a ``ConnectionPool`` goes through ``ExchangeClient``. It
 decides on which connections an exchange may go out and which answer belongs to it.
 """
 
