Stop a run for a move only after its target has just taken a copy

Callers saw streams cut within the answer while engines left: the run was stopped for a move to an engine that held an earlier copy and could not take the rest (crashed, full, leaving, unreachable).

Cause: an order for a run with a copy, however old, went out with the stop at once, and the host of the run asked only whether the target was listed, leaving or paused, by what it had known as the order came.

All stops go through RunStopper. It copies the run once more without the stop unless that was done within 100 ms, which shows that the target lives and has room, and asks its own knowledge (listed, leaving, unreachable, evacuated, paused) again immediately before the stop. The listed test of test_waits_forwarding calls the same step under its new name.

--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -14,7 +14,6 @@
 
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._parts import ForwardingContext
-from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.forwarding._types import CopyError
@@ -166,28 +165,6 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    async def finish(self, run: StreamRun, source: UpstreamEntry, snapshot: Snapshot) -> bool:
-        """Stop a run, copy the rest of its KV cache and resume it on the target.
-
-        :returns: Whether the run resumes on an engine.
-        """
-        resume_target: ResumeTarget | None = None
-        run.begin_stop()
-        try:
-            final_copy = await self.copy(run, source, snapshot.entry, stop=True)
-            if isinstance(final_copy, Success):
-                resume_target = ResumeTarget(
-                    entry=snapshot.entry,
-                    holder=source,
-                    copy=final_copy.unwrap().copy,
-                    is_permitted=True,
-                )
-            elif (retained_copy := final_copy.failure().retained_copy) is not None:
-                resume_target = ResumeTarget(entry=source, holder=source, copy=retained_copy)
-        finally:
-            run.finish_stop(resume_target)
-        return resume_target is not None
-
     def drop_snapshot_of(self, run: StreamRun) -> None:
         """Free the copy of a run that stays on its engine."""
         snapshot = run.snapshot
--- a/src/tanagerscale/forwarding/_mover.py
+++ b/src/tanagerscale/forwarding/_mover.py
@@ -8,9 +8,6 @@
 from typing import Final
 from typing import final
 
-from returns.result import Success
-
-from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
@@ -19,15 +16,12 @@
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
+from tanagerscale.forwarding._stopping import RunStopper
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.generated.messages import MoveOrder
 from tanagerscale.upstreams import UpstreamEntry
 
-RECOVERY_STOP_TIMEOUT_MS: Final = 300
-"""Timeout for an engine to stop a run whose connection broke. A live engine responds within 20 ms;
-one that does not respond must not delay the recovery."""
-
 MIN_LEAVING_QUERY_INTERVAL_MS: Final = 1000
 """Minimum interval between two queries to one engine whose responses close their connections. An
 engine's report is half a second old, so the first query may come too early."""
@@ -57,6 +51,7 @@
         self._check_decider = check_decider
         self._query_engine = query_engine
         self._copier = Copier(context=context)
+        self._stopper = RunStopper(context=context, copier=self._copier)
         self._queried_at: dict[UpstreamId, Millis] = {}
         self._background: set[asyncio.Future[None]] = set()
 
@@ -114,36 +109,8 @@
             self._context.work.set_moving(request=run.request, is_moving=False)
 
     async def recover(self, run: StreamRun, source: UpstreamEntry) -> ResumeTarget | None:
-        """Return where to resume a run that broke off, using an earlier copy.
-
-        If only the connection broke, the engine may still be working on the run, so the engine is
-        first asked to stop it.
-        """
-        snapshot = run.snapshot
-        if snapshot is None or not self._can_resume_at(snapshot.entry):
-            return None
-        resume_target = ResumeTarget(
-            entry=snapshot.entry, holder=snapshot.holder or source, copy=snapshot.copy
-        )
-        try:
-            async with asyncio.timeout(RECOVERY_STOP_TIMEOUT_MS / MS_PER_SECOND):
-                final_copy = await self._copier.copy(run, source, snapshot.entry, stop=True)
-        except TimeoutError:
-            return resume_target
-        if isinstance(final_copy, Success):
-            return ResumeTarget(entry=snapshot.entry, holder=source, copy=final_copy.unwrap().copy)
-        retained_copy = final_copy.failure().retained_copy
-        return (
-            resume_target
-            if retained_copy is None
-            else ResumeTarget(entry=source, holder=source, copy=retained_copy)
-        )
-
-    def _can_resume_at(self, entry: UpstreamEntry) -> bool:
-        """Return whether a run may resume on an engine."""
-        upstream = entry.upstream
-        is_evacuated = self._context.upstreams.is_evacuated(upstream)
-        return not is_evacuated and not self._context.gate.is_leaving(upstream)
+        """Return where to resume a run that broke off, from an earlier copy, or ``None``."""
+        return await self._stopper.recover(run, source)
 
     def on_snapshot_unused(self, snapshot: Snapshot) -> None:
         """Free a copy that is no longer needed."""
@@ -159,15 +126,7 @@
             return "the run is being copied"
         if order.kind is MoveKind.DROP:
             return "there is no copy" if run.snapshot is None else ""
-        return self._find_target_rejection(order)
-
-    def _find_target_rejection(self, order: MoveOrder) -> str:
-        target = UpstreamId(order.target)
-        if self._get_entry(order) is None:
-            return "the target is not known here"
-        if self._context.gate.is_leaving(target):
-            return "the target is leaving"
-        return "the target has asked for a pause" if self._context.pauses.is_paused(target) else ""
+        return self._stopper.find_obstacle(UpstreamId(order.target))
 
     def _get_entry(self, order: MoveOrder) -> UpstreamEntry | None:
         return self._context.upstreams.get(UpstreamId(order.target))
@@ -178,15 +137,7 @@
         assert target is not None
         if order.kind is MoveKind.AHEAD:
             return await self._copier.snapshot(run, source, target, ahead=True) is not None
-        snapshot = run.snapshot
-        if snapshot is None or snapshot.entry.upstream != target.upstream:
-            snapshot = await self._copier.snapshot(run, source, target, ahead=False)
-        else:
-            # The copy is no longer evictable because the run is about to need it.
-            self._context.work.set_copy(request=run.request, copy_at=target.upstream)
-        if snapshot is None or run.ended or run.entry is not source:
-            return False
-        return await self._copier.finish(run, source, snapshot)
+        return await self._stopper.move(run, source, target)
 
     def _spawn(self, awaitable: Awaitable[None]) -> None:
         task = asyncio.ensure_future(awaitable)
--- /dev/null
+++ b/src/tanagerscale/forwarding/_stopping.py
@@ -0,0 +1,145 @@
+"""The one place at which runs are stopped, so that they continue on other engines."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+from typing import final
+
+from returns.result import Success
+
+from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import UpstreamId
+from tanagerscale.core import get_logger
+from tanagerscale.forwarding._copier import Copier
+from tanagerscale.forwarding._parts import ForwardingContext
+from tanagerscale.forwarding._snapshots import ResumeTarget
+from tanagerscale.forwarding._snapshots import Snapshot
+from tanagerscale.forwarding._stream import StreamRun
+from tanagerscale.upstreams import UpstreamEntry
+
+MAX_CONFIRMATION_AGE_MS: Final = 100
+"""Age up to which a copy shows that its engine can take the run."""
+
+RECOVERY_STOP_TIMEOUT_MS: Final = 300
+"""Timeout for an engine to stop a run whose connection broke. A live engine responds within 20 ms;
+one that does not respond must not delay the recovery."""
+
+_log = get_logger(part="moves")
+
+
+@final
+class RunStopper:
+    """Stops runs so that they continue on other engines.
+
+    A stop can't be undone: the engine closes the stream and keeps only the memory of the run. So a
+    run that an engine works on is stopped only for a target that has just taken a copy of it.
+
+    :param context: Dependencies shared by all requests.
+    :param copier: Copies runs.
+    """
+
+    def __init__(self, *, context: ForwardingContext, copier: Copier) -> None:
+        self._context = context
+        self._copier = copier
+
+    def find_obstacle(self, target: UpstreamId) -> str:
+        """Return why no run may be moved to an engine; the empty string if one may."""
+        context = self._context
+        if context.upstreams.get(target) is None:
+            return "the target is not known here"
+        if context.gate.is_leaving(target):
+            return "the target is leaving"
+        if context.gate.is_broken(target):
+            return "the target does not respond"
+        if context.upstreams.is_evacuated(target):
+            return "the target is evacuated"
+        return "the target has asked for a pause" if context.pauses.is_paused(target) else ""
+
+    async def move(self, run: StreamRun, source: UpstreamEntry, target: UpstreamEntry) -> bool:
+        """Copy a run to another engine, stop it, and let it continue there.
+
+        :param run: The run.
+        :param source: Engine that runs it.
+        :param target: Engine on which it is to continue.
+        :returns: Whether it was stopped and continues on an engine.
+        """
+        snapshot = await self._confirm(run, source, target)
+        if snapshot is None or run.ended or run.entry is not source:
+            return False
+        obstacle = self.find_obstacle(target.upstream)
+        if obstacle:
+            _log.info(
+                "A run is not stopped.",
+                request=run.request,
+                target=target.upstream,
+                reason=obstacle,
+            )
+            return False
+        return await self._stop(run, source, snapshot)
+
+    async def recover(self, run: StreamRun, source: UpstreamEntry) -> ResumeTarget | None:
+        """Return where to resume a run that broke off, using an earlier copy.
+
+        If only the connection broke, the engine may still be working on the run, so the engine is
+        first asked to stop it.
+        """
+        snapshot = run.snapshot
+        if snapshot is None or not self._can_resume_at(snapshot.entry):
+            return None
+        resume_target = ResumeTarget(
+            entry=snapshot.entry, holder=snapshot.holder or source, copy=snapshot.copy
+        )
+        try:
+            async with asyncio.timeout(RECOVERY_STOP_TIMEOUT_MS / MS_PER_SECOND):
+                final_copy = await self._copier.copy(run, source, snapshot.entry, stop=True)
+        except TimeoutError:
+            return resume_target
+        if isinstance(final_copy, Success):
+            return ResumeTarget(entry=snapshot.entry, holder=source, copy=final_copy.unwrap().copy)
+        retained_copy = final_copy.failure().retained_copy
+        return (
+            resume_target
+            if retained_copy is None
+            else ResumeTarget(entry=source, holder=source, copy=retained_copy)
+        )
+
+    def _can_resume_at(self, entry: UpstreamEntry) -> bool:
+        """Return whether a run may resume on an engine."""
+        upstream = entry.upstream
+        is_evacuated = self._context.upstreams.is_evacuated(upstream)
+        return not is_evacuated and not self._context.gate.is_leaving(upstream)
+
+    async def _confirm(
+        self, run: StreamRun, source: UpstreamEntry, target: UpstreamEntry
+    ) -> Snapshot | None:
+        """Return a copy that the target has just taken; ``None`` if it takes none."""
+        snapshot = run.snapshot
+        if snapshot is not None and snapshot.entry.upstream == target.upstream:
+            # The copy is no longer evictable because the run is about to need it.
+            self._context.work.set_copy(request=run.request, copy_at=target.upstream)
+            if self._context.clock.now() - snapshot.taken <= MAX_CONFIRMATION_AGE_MS:
+                return snapshot
+        return await self._copier.snapshot(run, source, target, ahead=False)
+
+    async def _stop(self, run: StreamRun, source: UpstreamEntry, snapshot: Snapshot) -> bool:
+        """Stop a run, copy the rest of its KV cache and resume it on the target.
+
+        :returns: Whether the run resumes on an engine.
+        """
+        resume_target: ResumeTarget | None = None
+        run.begin_stop()
+        try:
+            final_copy = await self._copier.copy(run, source, snapshot.entry, stop=True)
+            if isinstance(final_copy, Success):
+                resume_target = ResumeTarget(
+                    entry=snapshot.entry,
+                    holder=source,
+                    copy=final_copy.unwrap().copy,
+                    is_permitted=True,
+                )
+            elif (retained_copy := final_copy.failure().retained_copy) is not None:
+                resume_target = ResumeTarget(entry=source, holder=source, copy=retained_copy)
+        finally:
+            run.finish_stop(resume_target)
+        return resume_target is not None
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -294,8 +294,12 @@
     """Copies runs, or fails as configured."""
 
     failures: deque[CopyError] = field(default_factory=deque)
+    stop_failures: deque[CopyError] = field(default_factory=deque)
+    """Results of the next orders to stop a run."""
     refused: set[str] = field(default_factory=set)
     """Runs for which every copy fails."""
+    unable: set[str] = field(default_factory=set)
+    """Engines that take no copy. A run that was stopped for one keeps its memory at its engine."""
     copies: list[tuple[str, str, str, bool]] = field(default_factory=list)
     dropped: list[tuple[str, str]] = field(default_factory=list)
     copy_duration_ms: int = 10
@@ -315,8 +319,13 @@
         await asyncio.sleep(self.copy_duration_ms / 1000)
         if request in self.refused:
             return Failure(copy_failure(CopyFailure.NO_ROOM))
+        if target.upstream in self.unable:
+            retained_copy = "retained" if stop else None
+            return Failure(copy_failure(CopyFailure.NO_ROOM, retained_copy=retained_copy))
         if self.failures:
             return Failure(self.failures.popleft())
+        if stop and self.stop_failures:
+            return Failure(self.stop_failures.popleft())
         if stop and self.on_stop is not None:
             self.on_stop(request)
         return Success(RunCopy(copy=f"copy-{len(self.copies)}", events=self.copied_events))
--- a/testing/test_forwarding_evacuation.py
+++ b/testing/test_forwarding_evacuation.py
@@ -12,7 +12,7 @@
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import CopyFailure
-from tanagerscale.forwarding._mover import RECOVERY_STOP_TIMEOUT_MS
+from tanagerscale.forwarding._stopping import RECOVERY_STOP_TIMEOUT_MS
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.generated.messages import MoveOrder
 from testing._gateway_fakes import copy_failure
--- /dev/null
+++ b/testing/test_stopped_runs.py
@@ -0,0 +1,133 @@
+"""Runs are stopped for a move only when an engine is certain to continue them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+import re
+
+import pytest
+
+from tanagerscale.core import UpstreamId
+from tanagerscale.generated.messages import MoveKind
+from tanagerscale.generated.messages import MoveOrder
+from testing._move_harness import FakeRun
+from testing._move_harness import MoveHarness
+from testing._virtual_time import run_virtually
+
+FORWARDING = Path(__file__).parents[1] / "src" / "tanagerscale" / "forwarding"
+
+NOTICE_S = 1.5
+"""Time before an engine that has announced that it leaves is gone."""
+
+
+COPY_AGE_S = 1.0
+"""Age of an earlier copy, which shows nothing of its engine any more."""
+
+
+def _stops(harness: MoveHarness) -> list[str]:
+    """Return the targets for which runs have been stopped."""
+    return [target for _, _, target, stop in harness.fakes.engines.copies if stop]
+
+
+def _crash(harness: MoveHarness) -> None:
+    harness.fakes.engines.unable.add("y")
+
+
+def _break(harness: MoveHarness) -> None:
+    harness.fakes.upstreams.record_failure(upstream=UpstreamId("y"))
+
+
+def _leave(harness: MoveHarness) -> None:
+    harness.fakes.upstreams.leaving.add("y")
+
+
+def _evacuate(harness: MoveHarness) -> None:
+    harness.fakes.upstreams.evacuated.add("a")
+
+
+def _pause(harness: MoveHarness) -> None:
+    harness.fakes.pauses.record(upstream=UpstreamId("y"), pause_ms=10_000)
+
+
+_INABILITIES = [_crash, _break, _leave, _evacuate, _pause]
+
+
+def _order(run: FakeRun, kind: MoveKind) -> MoveOrder:
+    return MoveOrder(number=1, kind=kind, request=run.request, source="x", target="y")
+
+
+# Guards against losing a stream that was stopped for a move to an engine that could not take it.
+@pytest.mark.parametrize("kind", [MoveKind.LEAVE, MoveKind.EVEN_OUT])
+@pytest.mark.parametrize("disable", _INABILITIES)
+def test_run_is_not_stopped_when_its_target_cannot_take_it(
+    disable: Callable[[MoveHarness], None], kind: MoveKind
+) -> None:
+    async def scenario() -> None:
+        harness = MoveHarness("x", "y")
+        run = harness.add("1", at="x")
+        harness.add_copy(run, at="y")
+        await asyncio.sleep(COPY_AGE_S)
+        disable(harness)
+        assert not await harness.movers.execute_order(_order(run, kind))
+        assert _stops(harness) == []
+        assert run.resume_targets == []
+
+    run_virtually(scenario())
+
+
+# Guards against the same loss when the target becomes unable while it is asked for a place.
+@pytest.mark.parametrize("disable", _INABILITIES[1:])
+def test_run_is_not_stopped_when_its_target_cannot_take_it_any_more(
+    disable: Callable[[MoveHarness], None],
+) -> None:
+    async def scenario() -> None:
+        harness = MoveHarness("x", "y")
+        run = harness.add("1", at="x")
+        order = asyncio.create_task(harness.movers.execute_order(_order(run, MoveKind.LEAVE)))
+        await asyncio.sleep(0.005)
+        assert len(harness.fakes.engines.copies) == 1
+        disable(harness)
+        assert not await order
+        assert _stops(harness) == []
+
+    run_virtually(scenario())
+
+
+# Guards against a decider that knows an engine from the store alone and orders moves to it after
+# it has crashed.
+def test_run_moves_to_another_engine_when_the_holder_of_its_copy_has_crashed() -> None:
+    async def scenario() -> None:
+        harness = MoveHarness("x", "y", "z")
+        run = harness.add("1", at="x")
+        harness.add_copy(run, at="y")
+        await asyncio.sleep(COPY_AGE_S)
+        _crash(harness)
+        harness.leave("x")
+        await asyncio.sleep(NOTICE_S)
+        assert _stops(harness) == ["z"]
+        (resume_target,) = run.resume_targets
+        assert resume_target is not None
+        assert resume_target.entry.upstream == "z"
+
+    run_virtually(scenario())
+
+
+# Guards against copying a run twice that was copied just now.
+def test_run_is_stopped_at_once_when_its_copy_has_just_been_made() -> None:
+    async def scenario() -> None:
+        harness = MoveHarness("x", "y")
+        run = harness.add("1", at="x")
+        harness.add_copy(run, at="y", taken=harness.fakes.context.clock.now())
+        assert await harness.movers.execute_order(_order(run, MoveKind.LEAVE))
+        assert harness.fakes.engines.copies == [("1", "x", "y", True)]
+
+    run_virtually(scenario())
+
+
+# Guards against a second way to stop runs that does not ask whether anybody can continue them.
+def test_runs_are_stopped_at_one_place() -> None:
+    stops = re.compile(r"\bstop=True\b")
+    places = [path.name for path in FORWARDING.glob("*.py") if stops.search(path.read_text())]
+    assert places == ["_stopping.py"]
--- a/testing/test_waits_forwarding.py
+++ b/testing/test_waits_forwarding.py
@@ -174,7 +174,7 @@
         assert snapshot is not None
         fakes.engines.copy_duration_ms = CALL_TIMEOUT_MS
         fakes.engines.failures.append(copy_failure(CopyFailure.LOST))
-        moving = asyncio.create_task(mover._copier.finish(run, entry, snapshot))
+        moving = asyncio.create_task(mover._stopper._stop(run, entry, snapshot))
         await asyncio.sleep(0.02)
         died_at = fakes.context.clock.now()
         source.close()
