Report a move as done only if the run's memory is at the target

A run whose target did not take the rest went back to its source, and its host reported the order as done.

The result of an order now says what its message says: whether the memory is at the target. The new test failed before, with two orders to the engine that had just failed.

--- a/src/tanagerscale/forwarding/_stopping.py
+++ b/src/tanagerscale/forwarding/_stopping.py
@@ -62,7 +62,7 @@
         :param run: The run.
         :param source: Engine that runs it.
         :param target: Engine on which it is to continue.
-        :returns: Whether it was stopped and continues on an engine.
+        :returns: Whether its KV cache is at the target.
         """
         snapshot = await self._confirm(run, source, target)
         if snapshot is None or run.ended or run.entry is not source:
@@ -125,7 +125,9 @@
     async def _stop(self, run: StreamRun, source: UpstreamEntry, snapshot: Snapshot) -> bool:
         """Stop a run, copy the rest of its KV cache and resume it on the target.
 
-        :returns: Whether the run resumes on an engine.
+        A run whose rest can't be copied resumes on its source.
+
+        :returns: Whether its KV cache is at the target.
         """
         resume_target: ResumeTarget | None = None
         run.begin_stop()
@@ -142,4 +144,4 @@
                 resume_target = ResumeTarget(entry=source, holder=source, copy=retained_copy)
         finally:
             run.finish_stop(resume_target)
-        return resume_target is not None
+        return isinstance(final_copy, Success)
--- a/testing/test_stopped_runs.py
+++ b/testing/test_stopped_runs.py
@@ -10,8 +10,10 @@
 import pytest
 
 from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding import CopyFailure
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.generated.messages import MoveOrder
+from testing._gateway_fakes import copy_failure
 from testing._move_harness import FakeRun
 from testing._move_harness import MoveHarness
 from testing._virtual_time import run_virtually
@@ -114,6 +116,24 @@
     run_virtually(scenario())
 
 
+# Guards against ordering a move again to the engine that has just failed to take the run: the host
+# reported the order as done when the run had gone back to its source.
+def test_run_moves_to_another_engine_when_it_has_come_back_from_a_failed_move() -> None:
+    async def scenario() -> None:
+        harness = MoveHarness("x", "y", "z")
+        run = harness.add("1", at="x")
+        harness.add_copy(run, at="y")
+        failure = copy_failure(CopyFailure.NO_ROOM, retained_copy="retained")
+        harness.fakes.engines.stop_failures.append(failure)
+        harness.leave("x")
+        await asyncio.sleep(NOTICE_S)
+        assert [order.target for order in harness.single_host.orders] == ["y", "z"]
+        entries = [one.entry.upstream for one in run.resume_targets if one is not None]
+        assert entries == ["x", "z"]
+
+    run_virtually(scenario())
+
+
 # Guards against copying a run twice that was copied just now.
 def test_run_is_stopped_at_once_when_its_copy_has_just_been_made() -> None:
     async def scenario() -> None:
