Let a run that was stopped go back to its engine with the repeat of its order

A decider that has just taken over grants none for a while, so that in a series of stops of hosts the wait can exceed its limit of 2.5 s.

The order has a repeat, and nothing was sent with it. The run now continues with it wherever it is sent first, and a sending that was withheld, or that got no connection, doesn't use it up. The result of an order tells the decider whether the run was stopped, and it takes the repeat back only if it wasn't; a host that doesn't say so is treated as before. The budget grants no more than it did.

Three of the new cases failed with these conditions as they were: the run goes back, it tries its other holder after a connection that was refused, and the repeat isn't granted twice. test_retry_budgets, test_repeats_of_all_hosts and test_rate_limits pass.

--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -122,7 +122,7 @@
             return  # It has already timed out.
         del self._orders[done.number]
         self._ledger.end_plan(request=pending.move.run.request)
-        if not done.is_done:
+        if not done.is_done and not done.has_stopped:
             self._moves.cancel(pending.service, pending.move)
         self._record_result(pending.move, is_done=done.is_done)
         self.reevaluate()
--- a/src/tanagerscale/forwarding/__init__.py
+++ b/src/tanagerscale/forwarding/__init__.py
@@ -16,6 +16,8 @@
 from tanagerscale.forwarding._parts import RetryPermits
 from tanagerscale.forwarding._refusals import host_full
 from tanagerscale.forwarding._shutdown import ShutdownSchedule
+from tanagerscale.forwarding._stopping import NOT_MOVED
+from tanagerscale.forwarding._stopping import MoveResult
 from tanagerscale.forwarding._types import CallerRequest
 from tanagerscale.forwarding._types import Continuation
 from tanagerscale.forwarding._types import CopyError
@@ -35,6 +37,7 @@
 from tanagerscale.forwarding._workload import LocalWorkload
 
 __all__ = [
+    "NOT_MOVED",
     "Admission",
     "CallerRequest",
     "Continuation",
@@ -52,6 +55,7 @@
     "ForwardingMetrics",
     "Header",
     "LocalWorkload",
+    "MoveResult",
     "Placer",
     "PromptPart",
     "Refusal",
--- a/src/tanagerscale/forwarding/_mover.py
+++ b/src/tanagerscale/forwarding/_mover.py
@@ -16,6 +16,8 @@
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
+from tanagerscale.forwarding._stopping import NOT_MOVED
+from tanagerscale.forwarding._stopping import MoveResult
 from tanagerscale.forwarding._stopping import RunStopper
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.generated.messages import MoveKind
@@ -84,11 +86,8 @@
         if any(_is_long_run_at(run, upstream) for run in self.runs):
             self._spawn(self._check_decider())
 
-    async def execute_order(self, order: MoveOrder) -> bool:
-        """Execute a move order for one run.
-
-        :returns: Whether the run's KV cache is at the target.
-        """
+    async def execute_order(self, order: MoveOrder) -> MoveResult:
+        """Execute a move order for one run."""
         run = next((run for run in self.runs if run.request == order.request), None)
         refused = self._find_rejection(run, order)
         if run is None or refused:
@@ -98,10 +97,10 @@
                 kind=order.kind.value,
                 reason=refused,
             )
-            return False
+            return NOT_MOVED
         if order.kind is MoveKind.DROP:
             self._copier.drop_snapshot_of(run)
-            return True
+            return MoveResult(is_done=True, has_stopped=False)
         self._context.work.set_moving(request=run.request, is_moving=True)
         try:
             return await self._copy_or_move(run, order)
@@ -131,12 +130,13 @@
     def _get_entry(self, order: MoveOrder) -> UpstreamEntry | None:
         return self._context.upstreams.get(UpstreamId(order.target))
 
-    async def _copy_or_move(self, run: StreamRun, order: MoveOrder) -> bool:
+    async def _copy_or_move(self, run: StreamRun, order: MoveOrder) -> MoveResult:
         source, target = run.entry, self._get_entry(order)
         assert source is not None
         assert target is not None
         if order.kind is MoveKind.AHEAD:
-            return await self._copier.snapshot(run, source, target, ahead=True) is not None
+            snapshot = await self._copier.snapshot(run, source, target, ahead=True)
+            return MoveResult(is_done=snapshot is not None, has_stopped=False)
         return await self._stopper.move(run, source, target)
 
     def _spawn(self, awaitable: Awaitable[None]) -> None:
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -109,6 +109,8 @@
         self._routed = routed
         self._context = context
         self._engine_priority = _find_engine_priority(routed, context)
+        self._has_repeat = False
+        """Whether a repeat was granted with which nothing has been sent."""
 
     async def send(
         self,
@@ -160,7 +162,8 @@
     ) -> StreamSegment | Snapshot | None:
         """Resume a run from a copy, at either of the two engines that hold one.
 
-        Each request needs a repeat of the retry budget, except one that the decider has ordered.
+        Each request needs a repeat of the retry budget. One that the decider has granted with its
+        order serves for whichever engine is asked first.
 
         An engine that refuses the run keeps the copy, and an engine that fails only some of its
         requests accepts the run at a later attempt.
@@ -175,11 +178,11 @@
         backoff_ms = INITIAL_BACKOFF_MS
         failed: set[UpstreamId] = set()
         ends_at = self._context.clock.now() + MAX_BUDGET_WAIT_MS
-        has_budget = resume_target.is_permitted
+        self._has_repeat |= resume_target.has_repeat
         for _ in range(MAX_RESUME_ATTEMPTS):
-            has_budget = has_budget or await self._acquire_repeat(entry, ends_at)
-            if not has_budget:
+            if not self._has_repeat and not await self._acquire_repeat(entry, ends_at):
                 return None
+            self._has_repeat = True
             holder = self._choose_holder(resume_target, entry, failed)
             if holder is None:
                 self.log("No engine that holds the copy can be asked.", entry)
@@ -195,15 +198,16 @@
             if not is_permitted and not await self._acquire_permit(entry):
                 entry = self._other_holder(resume_target, entry)
                 continue
-            has_budget = False
+            self._has_repeat = False
             try:
                 segment = await self._try_resume(entry, resume_target, progress, chosen_at)
             except UpstreamLeavingError:
-                has_budget = True
+                self._has_repeat = True
             except (ExchangeError, TimeoutError) as error:
                 self.log("An attempt to resume a run failed.", entry, detail=repr(error))
                 self.record_failure(entry)
-                if not _is_not_sent(error):
+                self._has_repeat = _is_not_sent(error)
+                if not self._has_repeat:
                     return self._snapshot_at_other_holder(resume_target, entry)
             else:
                 if segment.response.status < MIN_FAILURE_STATUS:
--- a/src/tanagerscale/forwarding/_stopping.py
+++ b/src/tanagerscale/forwarding/_stopping.py
@@ -6,6 +6,7 @@
 from typing import Final
 from typing import final
 
+from msgspec import Struct
 from returns.result import Success
 
 from tanagerscale.core import MS_PER_SECOND
@@ -28,6 +29,21 @@
 _log = get_logger(part="moves")
 
 
+class MoveResult(Struct, frozen=True, kw_only=True):
+    """Result of an order to move a run.
+
+    :param is_done: Whether its KV cache is at the target.
+    :param has_stopped: Whether it was stopped, so that it continues with the repeat of the order.
+    """
+
+    is_done: bool
+    has_stopped: bool
+
+
+NOT_MOVED: Final = MoveResult(is_done=False, has_stopped=False)
+"""The run stays on its engine, and goes on."""
+
+
 @final
 class RunStopper:
     """Stops runs so that they continue on other engines.
@@ -56,17 +72,18 @@
             return "the target is evacuated"
         return "the target has asked for a pause" if context.pauses.is_paused(target) else ""
 
-    async def move(self, run: StreamRun, source: UpstreamEntry, target: UpstreamEntry) -> bool:
+    async def move(
+        self, run: StreamRun, source: UpstreamEntry, target: UpstreamEntry
+    ) -> MoveResult:
         """Copy a run to another engine, stop it, and let it continue there.
 
         :param run: The run.
         :param source: Engine that runs it.
         :param target: Engine on which it is to continue.
-        :returns: Whether its KV cache is at the target.
         """
         snapshot = await self._confirm(run, source, target)
         if snapshot is None or run.ended or run.entry is not source:
-            return False
+            return NOT_MOVED
         obstacle = self.find_obstacle(target.upstream)
         if obstacle:
             _log.info(
@@ -75,7 +92,7 @@
                 target=target.upstream,
                 reason=obstacle,
             )
-            return False
+            return NOT_MOVED
         return await self._stop(run, source, snapshot)
 
     async def recover(self, run: StreamRun, source: UpstreamEntry) -> ResumeTarget | None:
@@ -122,12 +139,10 @@
                 return snapshot
         return await self._copier.snapshot(run, source, target, ahead=False)
 
-    async def _stop(self, run: StreamRun, source: UpstreamEntry, snapshot: Snapshot) -> bool:
+    async def _stop(self, run: StreamRun, source: UpstreamEntry, snapshot: Snapshot) -> MoveResult:
         """Stop a run, copy the rest of its KV cache and resume it on the target.
 
         A run whose rest can't be copied resumes on its source.
-
-        :returns: Whether its KV cache is at the target.
         """
         resume_target: ResumeTarget | None = None
         run.begin_stop()
@@ -139,9 +154,14 @@
                     holder=source,
                     copy=final_copy.unwrap().copy,
                     is_permitted=True,
+                    has_repeat=True,
                 )
             elif (retained_copy := final_copy.failure().retained_copy) is not None:
-                resume_target = ResumeTarget(entry=source, holder=source, copy=retained_copy)
+                resume_target = ResumeTarget(
+                    entry=source, holder=source, copy=retained_copy, has_repeat=True
+                )
         finally:
             run.finish_stop(resume_target)
-        return isinstance(final_copy, Success)
+        return MoveResult(
+            is_done=isinstance(final_copy, Success), has_stopped=resume_target is not None
+        )
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -30,6 +30,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import LocalWorkload
+from tanagerscale.forwarding import MoveResult
 from tanagerscale.gateway._configuration import ConfigurationManager
 from tanagerscale.gateway._peer_messages import MessageReceivers
 from tanagerscale.gateway._peer_messages import PeerMessageRouter
@@ -76,8 +77,7 @@
     :param settings: The host's validated settings.
     :param platform: Adapters to the platform.
     :param work: The runs that this host has on engines.
-    :param execute_order: Copies or moves one of this host's runs, and returns whether its memory
-        has reached the target.
+    :param execute_order: Copies or moves one of this host's runs.
     :param is_leaving: Returns whether the host is shutting down gracefully.
     :param clock: Clock for timeouts and intervals.
     :param rng: Random number generator for jitter and tie-breaking.
@@ -90,7 +90,7 @@
         settings: GatewaySettings,
         platform: Platform,
         work: LocalWorkload,
-        execute_order: Callable[[MoveOrder], Awaitable[bool]],
+        execute_order: Callable[[MoveOrder], Awaitable[MoveResult]],
         is_leaving: Callable[[], bool],
         clock: Clock,
         rng: Random,
@@ -323,7 +323,7 @@
         )
 
     def _make_message_router(
-        self, execute_order: Callable[[MoveOrder], Awaitable[bool]]
+        self, execute_order: Callable[[MoveOrder], Awaitable[MoveResult]]
     ) -> PeerMessageRouter:
         receivers = MessageReceivers(
             directory=self.directory,
--- a/src/tanagerscale/gateway/_peer_messages.py
+++ b/src/tanagerscale/gateway/_peer_messages.py
@@ -21,6 +21,7 @@
 from tanagerscale.coordination import UpstreamHealth
 from tanagerscale.core import HostId
 from tanagerscale.core import get_logger
+from tanagerscale.forwarding import MoveResult
 from tanagerscale.generated.messages import AnswerTallies
 from tanagerscale.generated.messages import Coordinators
 from tanagerscale.generated.messages import EjectedUpstream
@@ -74,8 +75,7 @@
 
     :param mesh: Connections to the other hosts.
     :param receivers: Components that receive messages.
-    :param execute_order: Copies or moves a run, and returns whether its memory has reached the
-        target.
+    :param execute_order: Copies or moves a run.
     """
 
     def __init__(
@@ -83,7 +83,7 @@
         *,
         mesh: Mesh,
         receivers: MessageReceivers,
-        execute_order: Callable[[MoveOrder], Awaitable[bool]],
+        execute_order: Callable[[MoveOrder], Awaitable[MoveResult]],
     ) -> None:
         self._mesh = mesh
         self._receivers = receivers
@@ -230,7 +230,8 @@
             _log.error("Execution of a move order failed.", detail=repr(error))
 
     async def _run_order(self, host: HostId, order: MoveOrder) -> None:
-        is_done = await self._execute_order(order)
+        result = await self._execute_order(order)
         # The coordinator must know where the memory is before it receives the result of its order.
         self._receivers.client.report_now()
-        self.send(host, MoveDone(number=order.number, is_done=is_done))
+        done = MoveDone(number=order.number, is_done=result.is_done, has_stopped=result.has_stopped)
+        self.send(host, done)
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -325,7 +325,10 @@
         if self.failures:
             return Failure(self.failures.popleft())
         if stop and self.stop_failures:
-            return Failure(self.stop_failures.popleft())
+            error = self.stop_failures.popleft()
+            if error.retained_copy is not None and self.on_stop is not None:
+                self.on_stop(request)
+            return Failure(error)
         if stop and self.on_stop is not None:
             self.on_stop(request)
         return Success(RunCopy(copy=f"copy-{len(self.copies)}", events=self.copied_events))
--- a/testing/_many_hosts.py
+++ b/testing/_many_hosts.py
@@ -24,6 +24,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import UpstreamName
 from tanagerscale.forwarding import LocalWorkload
+from tanagerscale.forwarding import MoveResult
 from tanagerscale.gateway import Platform
 from tanagerscale.gateway._control import HostControl
 from tanagerscale.generated.gateway import DeadlinesSection
@@ -106,7 +107,7 @@
     """Number of messages received from other hosts, without heartbeats."""
     orders: list[MoveOrder] = field(default_factory=list)
     is_leaving: bool = False
-    order_executor: Callable[[MoveOrder], Awaitable[bool]] | None = None
+    order_executor: Callable[[MoveOrder], Awaitable[MoveResult]] | None = None
     """Executes orders; without one, orders succeed after a delay."""
 
     @property
@@ -172,7 +173,7 @@
             self.begin(name, at=answer.upstream, tokens=prompt)
         return answer
 
-    async def execute_order(self, order: MoveOrder) -> bool:
+    async def execute_order(self, order: MoveOrder) -> MoveResult:
         """Record an order, and move the run to its target after a delay."""
         self.orders.append(order)
         if self.order_executor is not None:
@@ -181,7 +182,7 @@
         if order.kind is MoveKind.LEAVE:
             self.begin(order.request, at=order.target)
             self.answer(order.request)
-        return True
+        return MoveResult(is_done=True, has_stopped=order.kind is not MoveKind.AHEAD)
 
     async def stop(self) -> None:
         """Stop as a killed process does: its connections break."""
--- a/testing/_single_host.py
+++ b/testing/_single_host.py
@@ -17,6 +17,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding import NOT_MOVED
 from tanagerscale.forwarding import LocalWorkload
 from tanagerscale.forwarding import StreamMover
 from tanagerscale.generated.messages import Delegate
@@ -64,9 +65,10 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _execute(self, order: MoveOrder) -> None:
-        is_done = False if self.movers is None else await self.movers.execute_order(order)
+        result = NOT_MOVED if self.movers is None else await self.movers.execute_order(order)
         self.client.report_now()
-        self.deliver(HOST, MoveDone(number=order.number, is_done=is_done))
+        done = MoveDone(number=order.number, is_done=result.is_done, has_stopped=result.has_stopped)
+        self.deliver(HOST, done)
 
 
 def make_single_host(
--- a/testing/test_forwarding_evacuation.py
+++ b/testing/test_forwarding_evacuation.py
@@ -200,7 +200,7 @@
         order = MoveOrder(
             number=1, kind=MoveKind.LEAVE, request=run.request, source="x", target="y"
         )
-        assert not await harness.movers.execute_order(order)
+        assert not (await harness.movers.execute_order(order)).is_done
         assert harness.fakes.engines.copies == []
 
     run_virtually(scenario())
--- a/testing/test_stopped_runs.py
+++ b/testing/test_stopped_runs.py
@@ -10,12 +10,23 @@
 import pytest
 
 from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding import NOT_MOVED
 from tanagerscale.forwarding import CopyFailure
+from tanagerscale.forwarding import MoveResult
+from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.generated.messages import MoveOrder
+from tanagerscale.upstreams import ExchangeError
+from tanagerscale.upstreams import ExchangeFailure
+from testing._gateway_fakes import SERVICE
+from testing._gateway_fakes import FakeResponse
 from testing._gateway_fakes import copy_failure
 from testing._move_harness import FakeRun
 from testing._move_harness import MoveHarness
+from testing._moved_stream import MovedStream
+from testing._moved_stream import events
+from testing._moved_stream import whole
+from testing._single_host import HOST
 from testing._virtual_time import run_virtually
 
 FORWARDING = Path(__file__).parents[1] / "src" / "tanagerscale" / "forwarding"
@@ -72,7 +83,7 @@
         harness.add_copy(run, at="y")
         await asyncio.sleep(COPY_AGE_S)
         disable(harness)
-        assert not await harness.movers.execute_order(_order(run, kind))
+        assert await harness.movers.execute_order(_order(run, kind)) == NOT_MOVED
         assert _stops(harness) == []
         assert run.resume_targets == []
 
@@ -91,7 +102,7 @@
         await asyncio.sleep(0.005)
         assert len(harness.fakes.engines.copies) == 1
         disable(harness)
-        assert not await order
+        assert await order == NOT_MOVED
         assert _stops(harness) == []
 
     run_virtually(scenario())
@@ -140,7 +151,7 @@
         harness = MoveHarness("x", "y")
         run = harness.add("1", at="x")
         harness.add_copy(run, at="y", taken=harness.fakes.context.clock.now())
-        assert await harness.movers.execute_order(_order(run, MoveKind.LEAVE))
+        assert (await harness.movers.execute_order(_order(run, MoveKind.LEAVE))).is_done
         assert harness.fakes.engines.copies == [("1", "x", "y", True)]
 
     run_virtually(scenario())
@@ -151,3 +162,60 @@
     stops = re.compile(r"\bstop=True\b")
     places = [path.name for path in FORWARDING.glob("*.py") if stops.search(path.read_text())]
     assert places == ["_stopping.py"]
+
+
+def _fail_the_stop(stream: MovedStream) -> None:
+    failure = copy_failure(CopyFailure.NO_ROOM, retained_copy="retained")
+    stream.fakes.engines.stop_failures.append(failure)
+
+
+# Guards against losing a stream that waits for a second repeat after its move has failed, while its
+# engine has its memory: a new decider grants none for a while.
+def test_run_goes_back_to_its_engine_with_the_repeat_of_its_move() -> None:
+    async def scenario() -> None:
+        stream = MovedStream("x", "y", slack=0.0)
+        await stream.start(then=[FakeResponse(chunks=events(2, 9))])
+        stream.add_copy(at="y")
+        _fail_the_stop(stream)
+        result = await stream.move(to="y")
+        assert result == MoveResult(is_done=False, has_stopped=True)
+        assert await stream.serving is None
+        assert stream.continuations == [("x", "retained")]
+        assert stream.responder.body == whole(9)
+
+    run_virtually(scenario())
+
+
+# Guards against using a repeat up that was never sent.
+def test_run_continues_with_one_repeat_when_no_connection_to_its_target_can_be_made() -> None:
+    async def scenario() -> None:
+        stream = MovedStream("x", "y", slack=0.0)
+        await stream.start(then=[FakeResponse(chunks=events(2, 9))])
+        stream.add_copy(at="y")
+        refused = ExchangeError(ExchangeFailure.NOT_SENT, "refused")
+        stream.fakes.upstream_client.set("y", refused)
+        await stream.move(to="y")
+        assert await stream.serving is None
+        assert [engine for engine, _ in stream.continuations] == ["y", "x"]
+
+    run_virtually(scenario())
+
+
+# Guards against granting the repeat of an order twice, to the run that uses it and to another one.
+@pytest.mark.parametrize(("has_stopped", "refunded"), [(True, 0), (False, 1)])
+def test_repeat_of_a_failed_move_is_granted_again_only_when_its_run_was_not_stopped(
+    has_stopped: bool, refunded: int
+) -> None:
+    async def scenario() -> None:
+        harness = MoveHarness("x", "y")
+        harness.single_host.movers = None
+        harness.add("1", at="x")
+        budgets = harness.coordinator.planner._retry_budgets
+        harness.leave("x")
+        (order,) = harness.single_host.orders
+        before = budgets.left(SERVICE)
+        done = MoveDone(number=order.number, is_done=False, has_stopped=has_stopped)
+        harness.coordinator.planner.on_done(host=HOST, done=done)
+        assert round(budgets.left(SERVICE) - before) == refunded
+
+    run_virtually(scenario())
