Keep the earlier copy of a run until the run has continued somewhere

Callers saw a stream end while another engine held a copy of it: a run that had been stopped for a move was tried at its own engine, and its earlier copy at the target was freed before that engine had answered.

The copy is freed once the run has continued elsewhere, or has been tried. An engine that has stopped the run, or has been asked to, is not asked again as the run turns to the earlier copy; that ends the tries too, as each takes away one place to go on. Both cases of the new test failed before.

--- a/src/tanagerscale/forwarding/_mover.py
+++ b/src/tanagerscale/forwarding/_mover.py
@@ -107,9 +107,11 @@
         finally:
             self._context.work.set_moving(request=run.request, is_moving=False)
 
-    async def recover(self, run: StreamRun, source: UpstreamEntry) -> ResumeTarget | None:
+    async def recover(
+        self, run: StreamRun, source: UpstreamEntry, *, is_asked: bool
+    ) -> ResumeTarget | None:
         """Return where to resume a run that broke off, from an earlier copy, or ``None``."""
-        return await self._stopper.recover(run, source)
+        return await self._stopper.recover(run, source, is_asked=is_asked)
 
     def on_snapshot_unused(self, snapshot: Snapshot) -> None:
         """Free a copy that is no longer needed."""
--- a/src/tanagerscale/forwarding/_stopping.py
+++ b/src/tanagerscale/forwarding/_stopping.py
@@ -95,11 +95,17 @@
             return NOT_MOVED
         return await self._stop(run, source, snapshot)
 
-    async def recover(self, run: StreamRun, source: UpstreamEntry) -> ResumeTarget | None:
+    async def recover(
+        self, run: StreamRun, source: UpstreamEntry, *, is_asked: bool
+    ) -> ResumeTarget | None:
         """Return where to resume a run that broke off, using an earlier copy.
 
         If only the connection broke, the engine may still be working on the run, so the engine is
         first asked to stop it.
+
+        :param run: The run.
+        :param source: Engine that has run it.
+        :param is_asked: Whether that engine has been asked before.
         """
         snapshot = run.snapshot
         if snapshot is None or not self._can_resume_at(snapshot.entry):
@@ -107,6 +113,8 @@
         resume_target = ResumeTarget(
             entry=snapshot.entry, holder=snapshot.holder or source, copy=snapshot.copy
         )
+        if is_asked:
+            return resume_target
         try:
             async with asyncio.timeout(RECOVERY_STOP_TIMEOUT_MS / MS_PER_SECOND):
                 final_copy = await self._copier.copy(run, source, snapshot.entry, stop=True)
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -67,8 +67,15 @@
     def on_engine(self, run: StreamRun) -> None:
         """Handle the acceptance of a run by its first engine or by another one."""
 
-    async def recover(self, run: StreamRun, source: UpstreamEntry) -> ResumeTarget | None:
-        """Return where to resume a run that broke off, from an earlier copy, or ``None``."""
+    async def recover(
+        self, run: StreamRun, source: UpstreamEntry, *, is_asked: bool
+    ) -> ResumeTarget | None:
+        """Return where to resume a run that broke off, from an earlier copy, or ``None``.
+
+        :param run: The run.
+        :param source: Engine that has run it.
+        :param is_asked: Whether that engine has been asked to stop it.
+        """
 
     def on_snapshot_unused(self, snapshot: Snapshot) -> None:
         """Handle a copy that is no longer needed."""
@@ -113,6 +120,8 @@
         self._recoveries = 0
         self._pending_stop: asyncio.Event | None = None
         self._is_switching = False
+        self._is_source_asked = False
+        """Whether the last engine has been asked to stop the run."""
         self._began = asyncio.Event()
         self._ended = False
         self.copy_lock = asyncio.Lock()
@@ -218,6 +227,7 @@
         """
         if resume_target is not None:
             self._resume_targets.append(resume_target)
+            self._is_source_asked = True
         if self._pending_stop is not None:
             self._pending_stop.set()
             self._pending_stop = None
@@ -324,6 +334,7 @@
 
     def _set_segment(self, segment: StreamSegment) -> None:
         self._segment = segment
+        self._is_source_asked = False
         self._hooks.on_engine(self)
 
     @property
@@ -342,6 +353,19 @@
         if snapshot is not None and snapshot.entry.upstream != keep_at:
             self._hooks.on_snapshot_unused(snapshot)
 
+    def _forget_snapshot(self, tried: ResumeTarget, *, remaining: Snapshot | None) -> None:
+        """Drop the current copy if the run could not resume at the engine that holds it.
+
+        :param tried: Where the run was to resume.
+        :param remaining: Another copy of which it may resume instead.
+        """
+        if remaining is not None:
+            self._release_snapshot(keep_at=remaining.entry.upstream)
+            self.snapshot = remaining
+            self._is_source_asked = False
+        elif self.snapshot is not None and self.snapshot.entry is tried.entry:
+            self._release_snapshot(keep_at=None)
+
     async def _relay_segments(self) -> Refusal | None:
         """Relay the events of each engine in turn."""
         assert self._segment is not None
@@ -397,13 +421,13 @@
             if self._pending_stop is not None:
                 await self._pending_stop.wait()
             while (resume_target := await self._next_resume_target(broken)) is not None:
-                self._release_snapshot(keep_at=resume_target.entry.upstream)
                 resumed = await self._sender.resume(
                     resume_target=resume_target, progress=self._progress
                 )
                 if isinstance(resumed, StreamSegment):
+                    self._release_snapshot(keep_at=resumed.entry.upstream)
                     return resumed
-                self.snapshot = resumed
+                self._forget_snapshot(resume_target, remaining=resumed)
                 broken = resume_target.entry
             # The caller may send the request again at once.
             await self._context.crash_reports.wait_for_finding(broken.upstream)
@@ -420,4 +444,5 @@
             self._recoveries += 1
         if self._recoveries > MAX_RECOVERIES:
             return None
-        return await self._hooks.recover(self, broken)
+        is_asked, self._is_source_asked = self._is_source_asked, True
+        return await self._hooks.recover(self, broken, is_asked=is_asked)
--- a/testing/test_forwarding_evacuation.py
+++ b/testing/test_forwarding_evacuation.py
@@ -73,7 +73,7 @@
         harness = MoveHarness("x", "y")
         run = harness.add("1", at="x")
         harness.add_copy(run, at="y")
-        resume_target = await harness.movers.recover(run, harness.entry("x"))  # type: ignore[arg-type]
+        resume_target = await harness.movers.recover(run, harness.entry("x"), is_asked=False)  # type: ignore[arg-type]
         assert harness.fakes.engines.copies == [("1", "x", "y", True)]
         assert resume_target is not None
         assert (resume_target.entry.upstream, resume_target.holder.upstream) == ("y", "x")
@@ -89,7 +89,7 @@
         run = harness.add("1", at="x")
         harness.add_copy(run, at="y")
         harness.fakes.engines.failures.append(copy_failure(failure))
-        resume_target = await harness.movers.recover(run, harness.entry("x"))  # type: ignore[arg-type]
+        resume_target = await harness.movers.recover(run, harness.entry("x"), is_asked=False)  # type: ignore[arg-type]
         assert resume_target is not None
         assert (resume_target.entry.upstream, resume_target.copy) == ("y", "c")
 
@@ -130,7 +130,7 @@
         run = harness.add("1", at="x")
         harness.add_copy(run, at="y")
         harness.fakes.engines.copy_duration_ms = 60_000
-        resume_target = await harness.movers.recover(run, harness.entry("x"))  # type: ignore[arg-type]
+        resume_target = await harness.movers.recover(run, harness.entry("x"), is_asked=False)  # type: ignore[arg-type]
         assert resume_target is not None
         return harness.fakes.context.clock.now()
 
--- a/testing/test_forwarding_stream.py
+++ b/testing/test_forwarding_stream.py
@@ -55,7 +55,9 @@
         assert run.entry is not None
         self.engines.append(run.entry.upstream)
 
-    async def recover(self, run: StreamRun, source: UpstreamEntry) -> ResumeTarget | None:
+    async def recover(
+        self, run: StreamRun, source: UpstreamEntry, *, is_asked: bool
+    ) -> ResumeTarget | None:
         """Return the current copy as the resume target."""
         self.recoveries += 1
         self.stopped.append(source.upstream)
--- a/testing/test_stopped_runs.py
+++ b/testing/test_stopped_runs.py
@@ -219,3 +219,41 @@
         assert round(budgets.left(SERVICE) - before) == refunded
 
     run_virtually(scenario())
+
+
+# Guards against freeing the copy that a run still has when its own engine does not take it back.
+@pytest.mark.parametrize("is_leaving", [False, True])
+def test_run_continues_from_its_earlier_copy_when_its_engine_does_not_take_it_back(
+    is_leaving: bool,
+) -> None:
+    async def scenario() -> None:
+        stream = MovedStream("x", "y")
+        refusals = [FakeResponse(status=503, not_executed=True, chunks=[]) for _ in range(10)]
+        await stream.start(then=refusals)
+        stream.add_copy(at="y")
+        stream.fakes.upstream_client.set("y", FakeResponse(chunks=events(1, 9)))
+        if is_leaving:
+            stream.fakes.upstreams.leaving.add("x")
+        _fail_the_stop(stream)
+        await stream.move(to="y")
+        assert await stream.serving is None
+        assert stream.continuations[-1] == ("y", "earlier")
+        assert stream.responder.body == whole(9)
+        assert stream.fakes.engines.dropped == []
+
+    run_virtually(scenario())
+
+
+# Guards against keeping copies that nobody needs, in memory that other runs could use.
+def test_earlier_copy_is_freed_when_the_run_is_back_on_its_engine() -> None:
+    async def scenario() -> None:
+        stream = MovedStream("x", "y")
+        await stream.start(then=[FakeResponse(chunks=events(2, 9))])
+        stream.add_copy(at="y")
+        _fail_the_stop(stream)
+        await stream.move(to="y")
+        assert await stream.serving is None
+        await asyncio.sleep(0)
+        assert stream.fakes.engines.dropped == [("y", "earlier")]
+
+    run_virtually(scenario())
