Try a run no longer at an engine from which it is withheld

An engine doesn't come back from leaving, so that the tries can't succeed; they now end at once if no other engine holds the copy. The repeat that wasn't used stays with the run.

--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -203,6 +203,8 @@
                 segment = await self._try_resume(entry, resume_target, progress, chosen_at)
             except UpstreamLeavingError:
                 self._has_repeat = True
+                if self._other_holder(resume_target, entry) is entry:
+                    return None
             except (ExchangeError, TimeoutError) as error:
                 self.log("An attempt to resume a run failed.", entry, detail=repr(error))
                 self.record_failure(entry)
--- a/testing/test_stopped_runs.py
+++ b/testing/test_stopped_runs.py
@@ -13,6 +13,7 @@
 from tanagerscale.forwarding import NOT_MOVED
 from tanagerscale.forwarding import CopyFailure
 from tanagerscale.forwarding import MoveResult
+from tanagerscale.forwarding._sending import RESUME_AT_LEAVING_MS
 from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.generated.messages import MoveOrder
@@ -23,6 +24,7 @@
 from testing._gateway_fakes import copy_failure
 from testing._move_harness import FakeRun
 from testing._move_harness import MoveHarness
+from testing._moved_stream import EVENT_MS
 from testing._moved_stream import MovedStream
 from testing._moved_stream import events
 from testing._moved_stream import whole
@@ -257,3 +259,25 @@
         assert stream.fakes.engines.dropped == [("y", "earlier")]
 
     run_virtually(scenario())
+
+
+# Guards against a gap in a stream while it is withheld from its engine, which leaves, again and
+# again.
+def test_run_turns_to_its_earlier_copy_at_once_when_it_is_withheld_from_its_engine() -> None:
+    async def scenario() -> int:
+        stream = MovedStream("x", "y")
+        await stream.start()
+        stream.add_copy(at="y")
+        stream.fakes.upstream_client.set("y", FakeResponse(chunks=events(1, 9)))
+        stream.fakes.upstreams.leaving.add("x")
+        stream.fakes.upstreams.leaving_ms["x"] = RESUME_AT_LEAVING_MS
+        _fail_the_stop(stream)
+        await stream.move(to="y")
+        stopped_at = stream.fakes.context.clock.now()
+        while not stream.continuations:
+            await asyncio.sleep(0.001)
+        assert stream.continuations == [("y", "earlier")]
+        assert await stream.serving is None
+        return stream.fakes.context.clock.now() - stopped_at
+
+    assert run_virtually(scenario()) <= EVENT_MS
