Wait for a slow engine if no other one can continue a run

Callers would see a stream end within the answer while the engine that was to continue it takes more than a second: the request was closed after RESUME_TIMEOUT_MS, also where the other holder of the copy is leaving or there is none, so that nothing was left.

The timeout is for turning to another engine. Without one the run waits for up to 6 s, less than its caller does.

--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -37,8 +37,11 @@
 MIN_FAILURE_STATUS: Final = 300
 
 RESUME_TIMEOUT_MS: Final = 1000
-"""Timeout for an engine to accept a resume request; engines that do so take 20 to 40 ms. Callers
-disconnect seven seconds after the last event."""
+"""Timeout for an engine to accept a resume request; engines that do so take 20 to 40 ms."""
+
+ONLY_HOLDER_TIMEOUT_MS: Final = 6000
+"""The same if no other engine can continue the run. Callers disconnect seven seconds after the last
+event."""
 
 MAX_RESUME_ATTEMPTS: Final = 5
 INITIAL_BACKOFF_MS: Final = 20
@@ -272,7 +275,9 @@
         chosen_at: Millis,
     ) -> StreamSegment:
         sent_at = self._context.clock.now()
-        async with asyncio.timeout(RESUME_TIMEOUT_MS / MS_PER_SECOND):
+        has_other = self._other_holder(resume_target, entry) is not entry
+        timeout_ms = RESUME_TIMEOUT_MS if has_other else ONLY_HOLDER_TIMEOUT_MS
+        async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
             segment = await self.send(
                 entry=entry,
                 resume_target=resume_target,
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -261,6 +261,8 @@
     reactions: dict[str, deque[Reaction]] = field(default_factory=dict)
     requests: list[UpstreamRequest] = field(default_factory=list)
     hanging: set[str] = field(default_factory=set)
+    delays_ms: dict[str, int] = field(default_factory=dict)
+    """How long upstreams take to begin an answer; 0 for others."""
     crashed: set[str] = field(default_factory=set)
     """Upstreams that have broken off a response, and don't answer probes."""
 
@@ -274,6 +276,7 @@
         name = upstream_request.upstream.upstream
         if name in self.hanging:
             await asyncio.Event().wait()
+        await asyncio.sleep(self.delays_ms.get(name, 0) / 1000)
         waiting = self.reactions.get(name)
         reaction = FakeResponse() if not waiting else waiting.popleft()
         if isinstance(reaction, ExchangeError):
--- a/testing/test_stopped_runs.py
+++ b/testing/test_stopped_runs.py
@@ -13,6 +13,7 @@
 from tanagerscale.forwarding import NOT_MOVED
 from tanagerscale.forwarding import CopyFailure
 from tanagerscale.forwarding import MoveResult
+from tanagerscale.forwarding._segments import RESUME_TIMEOUT_MS
 from tanagerscale.forwarding._sending import RESUME_AT_LEAVING_MS
 from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import MoveKind
@@ -281,3 +282,38 @@
         return stream.fakes.context.clock.now() - stopped_at
 
     assert run_virtually(scenario()) <= EVENT_MS
+
+
+# Guards against giving a stream up while the only engine with its memory takes its time: it was
+# closed after a second, and nothing was left.
+@pytest.mark.parametrize("delay_ms", [500, 1500, 4500])
+def test_run_waits_for_a_slow_engine_when_no_other_one_can_continue_it(delay_ms: int) -> None:
+    async def scenario() -> None:
+        stream = MovedStream("x", "y")
+        await stream.start()
+        stream.add_copy(at="y")
+        stream.fakes.upstream_client.set("y", FakeResponse(chunks=events(1, 9)))
+        stream.fakes.upstream_client.delays_ms["y"] = delay_ms
+        stream.fakes.upstreams.leaving.add("x")
+        await stream.move(to="y")
+        assert await stream.serving is None
+        assert [engine for engine, _ in stream.continuations] == ["y"]
+        assert stream.responder.body == whole(9)
+
+    run_virtually(scenario())
+
+
+# Guards against waiting long for an engine that hangs while another one can continue the run.
+def test_run_turns_to_its_engine_soon_when_the_target_hangs() -> None:
+    async def scenario() -> int:
+        stream = MovedStream("x", "y")
+        await stream.start(then=[FakeResponse(chunks=events(2, 9))])
+        stream.add_copy(at="y")
+        stream.fakes.upstream_client.hanging.add("y")
+        await stream.move(to="y")
+        stopped_at = stream.fakes.context.clock.now()
+        assert await stream.serving is None
+        assert [engine for engine, _ in stream.continuations] == ["y", "x"]
+        return stream.fakes.context.clock.now() - stopped_at
+
+    assert run_virtually(scenario()) <= RESUME_TIMEOUT_MS + 10 * EVENT_MS
