--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -187,6 +187,8 @@
                 return None
             self._has_repeat = True
             holder = self._choose_holder(resume_target, entry, failed)
+            if holder is None and await self._wait_for_pause(resume_target, entry, ends_at):
+                holder = self._choose_holder(resume_target, entry, failed)
             if holder is None:
                 self.log("No engine that holds the copy can be asked.", entry)
                 return None
@@ -356,8 +358,7 @@
         :param entry: The engine whose turn it is.
         :param failed: Engines that have been asked already.
         """
-        holders = [entry, self._other_holder(resume_target, entry)]
-        holders = [one for one in holders if not self._is_evacuated(one)]
+        holders = self._usable_holders(resume_target, entry)
         pauses = self._context.pauses
         unpaused = [one for one in holders if not pauses.is_paused(one.upstream)]
         if unpaused and (unpaused[0] is entry or unpaused[0].upstream not in failed):
@@ -368,8 +369,32 @@
                 return one
         return unpaused[0] if unpaused else None
 
-    def _is_evacuated(self, entry: UpstreamEntry) -> bool:
-        return self._context.upstreams.is_evacuated(entry.upstream)
+    def _usable_holders(
+        self, resume_target: ResumeTarget, entry: UpstreamEntry
+    ) -> list[UpstreamEntry]:
+        """Return the engines that hold the copy and may get requests, paused ones too."""
+        holders = (entry, self._other_holder(resume_target, entry))
+        is_evacuated = self._context.upstreams.is_evacuated
+        return [one for one in holders if not is_evacuated(one.upstream)]
+
+    async def _wait_for_pause(
+        self, resume_target: ResumeTarget, entry: UpstreamEntry, ends_at: int
+    ) -> bool:
+        """Wait until the pause of an engine that holds the copy ends.
+
+        :param resume_target: Where the run resumes.
+        :param entry: The engine whose turn it is.
+        :param ends_at: Time until which it may wait.
+        :returns: Whether one has ended; if not, none will in time.
+        """
+        clock = self._context.clock
+        holders = self._usable_holders(resume_target, entry)
+        pause_ms = self._context.pauses.shortest_ms(one.upstream for one in holders)
+        if pause_ms is None or clock.now() + pause_ms > ends_at:
+            return False
+        self.log("A run waits for the pause of an engine.", entry, pause_ms=pause_ms)
+        await clock.sleep(pause_ms)
+        return True
 
     def _snapshot_at_other_holder(
         self, resume_target: ResumeTarget, entry: UpstreamEntry
