Continue a run from its earlier copy when its engine dies as it is asked to stop it

A stream with a copy stood still for 2.8 s: when its engine died while it was asked to stop the run, the run waited for the result as long as the call to the dead engine takes. A run that has an earlier copy now waits for 300 ms, as a recovery does; the engine counts as asked, and a result that comes later is dropped. A run without a copy waits as before, since it has nothing else.

--- a/src/tanagerscale/forwarding/_stopping.py
+++ b/src/tanagerscale/forwarding/_stopping.py
@@ -16,16 +16,13 @@
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
+from tanagerscale.forwarding._stream import STOP_TIMEOUT_MS
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.upstreams import UpstreamEntry
 
 MAX_CONFIRMATION_AGE_MS: Final = 100
 """Age up to which a copy shows that its engine can take the run."""
 
-RECOVERY_STOP_TIMEOUT_MS: Final = 300
-"""Timeout for an engine to stop a run whose connection broke. A live engine responds within 20 ms;
-one that does not respond must not delay the recovery."""
-
 _log = get_logger(part="moves")
 
 
@@ -116,7 +113,7 @@
         if is_asked:
             return resume_target
         try:
-            async with asyncio.timeout(RECOVERY_STOP_TIMEOUT_MS / MS_PER_SECOND):
+            async with asyncio.timeout(STOP_TIMEOUT_MS / MS_PER_SECOND):
                 final_copy = await self._copier.copy(run, source, snapshot.entry, stop=True)
         except TimeoutError:
             return resume_target
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -11,6 +11,7 @@
 
 from returns.result import Failure
 
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding._admission import Admission
@@ -45,6 +46,11 @@
 limits a request that crashes its engines to three engines."""
 
 
+STOP_TIMEOUT_MS: Final = 300
+"""Timeout for an engine to stop a run whose stream has ended. A live engine responds within 20 ms;
+one that does not respond must not delay the run."""
+
+
 @unique
 class RunPhase(Enum):
     """How far a streaming request has come."""
@@ -219,18 +225,19 @@
         self._pending_stop = asyncio.Event()
 
     def finish_stop(self, resume_target: ResumeTarget | None) -> None:
-        """Record where a stopped run resumes.
+        """Record where a stopped run resumes, unless it has not waited so long.
 
         Events that the engine produced before it stopped are still relayed first.
 
         :param resume_target: Where the run resumes; ``None`` if it was not stopped.
         """
+        if self._pending_stop is None:
+            return
         if resume_target is not None:
             self._resume_targets.append(resume_target)
             self._is_source_asked = True
-        if self._pending_stop is not None:
-            self._pending_stop.set()
-            self._pending_stop = None
+        self._pending_stop.set()
+        self._pending_stop = None
 
     async def serve(self) -> Refusal | None:
         """Relay the stream to its end.
@@ -418,8 +425,7 @@
         self._is_switching = True
         await wait_if_suspected(self._routed, self._context, broken)
         try:
-            if self._pending_stop is not None:
-                await self._pending_stop.wait()
+            await self._wait_for_stop()
             while (resume_target := await self._next_resume_target(broken)) is not None:
                 resumed = await self._sender.resume(
                     resume_target=resume_target, progress=self._progress
@@ -435,6 +441,21 @@
         finally:
             self._is_switching = False
 
+    async def _wait_for_stop(self) -> None:
+        """Wait until the engine that has been asked to stop the run tells where it resumes.
+
+        A run that has an earlier copy does not wait for an engine that does not respond.
+        """
+        if self._pending_stop is None:
+            return
+        timeout_s = None if self.snapshot is None else STOP_TIMEOUT_MS / MS_PER_SECOND
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._pending_stop.wait()
+        except TimeoutError:
+            self._pending_stop = None
+            self._is_source_asked = True
+
     async def _next_resume_target(self, broken: UpstreamEntry) -> ResumeTarget | None:
         if self._resume_targets:
             return self._resume_targets.pop(0)
--- a/testing/test_forwarding_evacuation.py
+++ b/testing/test_forwarding_evacuation.py
@@ -12,7 +12,7 @@
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import CopyFailure
-from tanagerscale.forwarding._stopping import RECOVERY_STOP_TIMEOUT_MS
+from tanagerscale.forwarding._stream import STOP_TIMEOUT_MS
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.generated.messages import MoveOrder
 from testing._gateway_fakes import copy_failure
@@ -134,7 +134,7 @@
         assert resume_target is not None
         return harness.fakes.context.clock.now()
 
-    assert run_virtually(scenario()) == RECOVERY_STOP_TIMEOUT_MS
+    assert run_virtually(scenario()) == STOP_TIMEOUT_MS
 
 
 def test_run_is_moved_after_its_first_event_when_its_engine_leaves_before() -> None:
