Let a copy that a target has just taken outrank an earlier failure to reach it

What the source has just copied there is newer and shows more. So an unreachable target is no obstacle by itself: its earlier copy is not relied on, however young, and the run is stopped after a new one.

--- a/src/tanagerscale/forwarding/_stopping.py
+++ b/src/tanagerscale/forwarding/_stopping.py
@@ -63,8 +63,6 @@
             return "the target is not known here"
         if context.gate.is_leaving(target):
             return "the target is leaving"
-        if context.gate.is_broken(target):
-            return "the target does not respond"
         if context.upstreams.is_evacuated(target):
             return "the target is evacuated"
         return "the target has asked for a pause" if context.pauses.is_paused(target) else ""
@@ -140,7 +138,9 @@
         if snapshot is not None and snapshot.entry.upstream == target.upstream:
             # The copy is no longer evictable because the run is about to need it.
             self._context.work.set_copy(request=run.request, copy_at=target.upstream)
-            if self._context.clock.now() - snapshot.taken <= MAX_CONFIRMATION_AGE_MS:
+            age_ms = self._context.clock.now() - snapshot.taken
+            is_doubtful = self._context.gate.is_broken(target.upstream)
+            if age_ms <= MAX_CONFIRMATION_AGE_MS and not is_doubtful:
                 return snapshot
         return await self._copier.snapshot(run, source, target, ahead=False)
 
