Let engines that did not take a run be tried again while it waits to leave

A run stayed on a leaving engine and was lost with it, when the only other engine had been busy, full or paused for a moment: the decider excluded the target of a failed order for good, whatever the reason, and gave a run up after four targets. Now the exclusion lasts 200 ms and doubles with each failure, so that a target is asked at most four times in a notice of two seconds; the limit on the number of targets is gone, as an order that fails leaves the run where it is and costs one call.

--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -60,10 +60,6 @@
 MIN_RUNNING_MS: Final = 300
 """A run that began to answer more recently than this may finish before it is copied."""
 
-MAX_TARGETS: Final = 4
-"""Number of engines tried for one run while its engine is leaving; each attempt takes a few hundred
-milliseconds of a notice of two seconds."""
-
 RETRY_DELAY_MS: Final = 80
 """Delay after a failed copy, in which its engines may free memory and other runs are handled."""
 
@@ -215,14 +211,9 @@
         return runs
 
     def _is_backing_off(self, run: LedgerRun) -> bool:
-        """Return whether orders for a run failed recently, or too often."""
+        """Return whether an order for a run has just failed."""
         attempts = self._attempts_for(run)
-        if attempts is None:
-            return False
-        return (
-            len(attempts.failed_targets) >= MAX_TARGETS
-            or self._context.clock.now() < attempts.retry_at
-        )
+        return attempts is not None and self._context.clock.now() < attempts.retry_at
 
     def _attempts_for(self, run: LedgerRun) -> MoveAttempts | None:
         """Return the results of orders for a run on its current engine."""
@@ -234,7 +225,8 @@
         request = RequestId(use.request)
         engine = UpstreamId(use.upstream)
         attempts = self._attempts_for(run)
-        failed_targets = frozenset() if attempts is None else frozenset(attempts.failed_targets)
+        now = self._context.clock.now()
+        failed_targets = frozenset() if attempts is None else attempts.excluded(now=now)
         return MovableRun(
             request=request,
             engine=engine,
@@ -357,17 +349,18 @@
 
     def _record_result(self, move: Move, *, is_done: bool) -> None:
         request, engine = move.run.request, move.run.engine
+        now = self._context.clock.now()
         attempts = self._attempts.get(request)
         if attempts is None or attempts.engine != engine:
-            attempts = MoveAttempts(engine=engine, failed_targets=set())
+            attempts = MoveAttempts(engine=engine)
             self._attempts[request] = attempts
         if is_done:
             attempts.has_copy_failed = False
             return
         if move.kind is MoveKind.LEAVE:
-            attempts.failed_targets.add(move.target)
+            attempts.record_failure(target=move.target, now=now)
         attempts.has_copy_failed = True
-        attempts.retry_at = Millis(self._context.clock.now() + RETRY_DELAY_MS)
+        attempts.retry_at = Millis(now + RETRY_DELAY_MS)
 
     def _log_reasons_not_moved(self, snapshot: MoveSnapshot) -> None:
         """Log why runs are still on leaving engines, once for each reason."""
--- a/testing/test_move_planner.py
+++ b/testing/test_move_planner.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import pairwise
 
 import pytest
 
+from tanagerscale.coordination._move_orders import TARGET_EXCLUSION_MS
 from tanagerscale.coordination._planner import ORDER_TIMEOUT_MS
 from tanagerscale.coordination._planner import PLANNING_DELAY_MS
+from tanagerscale.coordination._planner import PLANNING_INTERVAL_MS
 from tanagerscale.core import HostId
 from tanagerscale.core import UpstreamId
 from tanagerscale.generated.messages import HostRuns
@@ -205,3 +208,24 @@
         return len(harness.ordered)
 
     assert run_virtually(scenario()) == 1
+
+
+# Guards against asking an engine that takes no run again and again while its runs could wait.
+def test_target_that_fails_again_is_excluded_for_longer() -> None:
+    async def scenario() -> list[int]:
+        harness = PlannerHarness("x", "a")
+        harness.report("host-1", "r1")
+        harness.leave("x")
+        began = harness.fakes.context.clock.now()
+        for number in range(2):
+            while len(harness.ordered) == number:
+                await asyncio.sleep(0.001)
+            harness.end(number, is_done=False)
+        await asyncio.sleep(1.0)
+        return [sent_at - began for _, _, sent_at in harness.ordered]
+
+    times = run_virtually(scenario())
+    pauses = [later - earlier for earlier, later in pairwise(times)]
+    for pause_ms, failures in zip(pauses, range(2), strict=True):
+        excluded_ms = TARGET_EXCLUSION_MS * 2**failures
+        assert excluded_ms <= pause_ms <= excluded_ms + PLANNING_INTERVAL_MS + PLANNING_DELAY_MS
