--- a/src/tanagerscale/coordination/_move_orders.py
+++ b/src/tanagerscale/coordination/_move_orders.py
@@ -15,8 +15,8 @@
 from tanagerscale.policy import Move
 
 TARGET_EXCLUSION_MS: Final = 200
-"""How long an engine that did not take a run gets no order for it; doubles with each failure. Engines
-leave about two seconds after their notice."""
+"""How long an engine that did not take a run gets no order for it; doubles with each failure.
+Engines leave about two seconds after their notice."""
 
 
 class PendingOrder(Struct, kw_only=True):
--- a/testing/test_stopped_runs.py
+++ b/testing/test_stopped_runs.py
@@ -126,8 +126,8 @@
     run_virtually(scenario())
 
 
-# Guards against a stop that relies on a copy from before its engine failed to respond. The failure may
-# be that of a report or of this host's own path, so that a new copy shows more.
+# Guards against a stop that relies on a copy from before its engine failed to respond. The failure
+# may be that of a report or of this host's own path, so that a new copy shows more.
 @pytest.mark.parametrize("is_able", [False, True])
 def test_run_is_copied_again_before_it_is_stopped_when_its_target_has_not_responded(
     is_able: bool,
