Let a stopping host complete what it sends for other hosts

Callers of a host without a path to its upstreams would see their answers cut when the host that sent their requests is stopped: it ended as soon as its own callers were gone, 2.5 s after SIGTERM at the earliest, and closed the connections of other hosts within 0.2 s.

The shutdown now waits for both servers, within the same grace period, and neither accepts connections after the first 2.5 s. test_delegated_stream_is_completed_when_its_delegate_shuts_down failed before: the body broke off.

--- a/src/tanagerscale/gateway/_delegate_server.py
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -67,6 +67,7 @@
         self._seen: OrderedDict[RequestId, Millis] = OrderedDict()
         self._server: web.Server | None = None
         self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
 
     @property
     def connections(self) -> int:
@@ -82,7 +83,21 @@
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        self._site = web.TCPSite(self._runner, host, int(port))
+        await self._site.start()
+
+    async def stop_listening(self) -> None:
+        """Stop accepting connections."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+
+    def drain(self, *, idle_ms: int) -> bool:
+        """Return whether no request of another host is left; the other hosts close connections.
+
+        :param idle_ms: Not used, since a host that shuts down accepts no request on any connection.
+        """
+        return not self._running
 
     async def close(self) -> None:
         """Close all connections and stop the server."""
--- a/src/tanagerscale/gateway/_graceful_shutdown.py
+++ b/src/tanagerscale/gateway/_graceful_shutdown.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Final
 from typing import Protocol
 
@@ -29,14 +30,14 @@
 
 async def drain_requests(
     *,
-    server: DrainingServer,
+    servers: Sequence[DrainingServer],
     schedule: ShutdownSchedule,
     end_unfinishable: Callable[[], None],
     sleep: Callable[[int], Awaitable[None]],
 ) -> None:
     """Wait until all requests are finished or the time for that is over.
 
-    :param server: Server of the callers' connections.
+    :param servers: Servers that callers, and other hosts for theirs, have sent the requests to.
     :param schedule: Schedule of the shutdown, which has begun.
     :param end_unfinishable: Ends each request without a response that the shutdown leaves no time
         for, so that it gets a final one.
@@ -45,10 +46,17 @@
     while schedule.accepts_connections and not schedule.are_responses_due:
         end_unfinishable()
         await sleep(DRAIN_POLL_INTERVAL_MS)
-    await server.stop_listening()
-    while not server.drain(idle_ms=MIN_IDLE_MS) and not schedule.is_over:
+    for server in servers:
+        await server.stop_listening()
+    while not _are_drained(servers) and not schedule.is_over:
         end_unfinishable()
         await sleep(DRAIN_POLL_INTERVAL_MS)
     # A late event loop or a short grace period skips the time reserved for final responses.
     end_unfinishable()
     await sleep(DRAIN_POLL_INTERVAL_MS)
+
+
+def _are_drained(servers: Sequence[DrainingServer]) -> bool:
+    """Close idle connections of all servers; return whether none is left."""
+    drained = [server.drain(idle_ms=MIN_IDLE_MS) for server in servers]
+    return all(drained)
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -172,7 +172,7 @@
         self._spawn(self._control.withdraw())
         _log.info("The host stops.", running=self._dispatcher.running)
         await drain_requests(
-            server=self._server,
+            servers=(self._server, self._delegate_server),
             schedule=self._shutdown,
             end_unfinishable=self._dispatcher.end_unfinishable,
             sleep=self._clock.sleep,
--- a/testing/test_forwarding_dispatcher.py
+++ b/testing/test_forwarding_dispatcher.py
@@ -203,7 +203,7 @@
 
     harness.shutdown.begin(grace_s=grace_s)
     await drain_requests(
-        server=_IdleServer(),
+        servers=(_IdleServer(),),
         schedule=harness.shutdown,
         end_unfinishable=harness.dispatcher.end_unfinishable,
         sleep=sleep,
--- /dev/null
+++ b/testing/test_teardown.py
@@ -0,0 +1,88 @@
+"""What callers and other hosts get of a host that ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from msgspec.structs import replace
+import pytest
+import pytest_asyncio
+
+from standins._common import LOOPBACK
+from standins.platform_world import API_KEY
+from standins.platform_world import HOST_NAME
+from standins.platform_world import MODEL_SERVICE
+from standins.platform_world import PlatformCluster
+from tanagerscale.core import Clock
+from tanagerscale.forwarding import DelegatedOutcome
+from tanagerscale.gateway._delegate_client import HttpDelegateClient
+from testing._gateway_fakes import make_request
+
+STREAM_EVENTS = 70
+EVENT_MS = 50.0
+"""The stream lasts 3.5 s, which is longer than a stopping host accepts connections and ends well
+within the grace period."""
+STOP_GRACE_S = 8
+SHORT_GRACE_S = 2
+TIME_LEFT_MS = 39_000
+
+
+@pytest_asyncio.fixture
+async def platform() -> AsyncIterator[PlatformCluster]:
+    """Start a platform with one engine."""
+    created = PlatformCluster()
+    await created.start()
+    await created.add_upstream("e1", MODEL_SERVICE, event_ms=EVENT_MS, events=STREAM_EVENTS)
+    yield created
+    await created.stop()
+
+
+async def _add_host(platform: PlatformCluster, name: str, *, stop_grace_s: int) -> None:
+    host = await platform.add_host(name, stop_grace_s=stop_grace_s)
+    await platform.wait_until(lambda: host.ready and host.known_upstreams == 1)
+
+
+async def _start_stream(
+    platform: PlatformCluster, name: str
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    port = int(platform.callers_address(name).rpartition(":")[2])
+    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+    lines = [
+        "POST /draft/x HTTP/1.1",
+        f"Host: {HOST_NAME}",
+        f"Authorization: Bearer {API_KEY}",
+        "Tanagerscale-Attempt-Id: r",
+        f"Tanagerscale-Deadline-Remaining: {TIME_LEFT_MS}",
+        "Tanagerscale-Model: m",
+        "Tanagerscale-Token-Usage: 100,280",
+        "Content-Length: 0",
+    ]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+    return reader, writer
+
+
+# Guards against cutting the answers that a host sends for another one, which has no path, as soon
+# as its own callers are gone.
+@pytest.mark.asyncio
+async def test_delegated_stream_is_completed_when_its_delegate_shuts_down(
+    platform: PlatformCluster,
+) -> None:
+    await _add_host(platform, "h1", stop_grace_s=STOP_GRACE_S)
+    address = platform.hosts["h1"]._settings.host.delegates
+    client = HttpDelegateClient(clock=Clock())
+    request = make_request(name="r", path="/draft/x", prompt=100)
+    headers = [("Tanagerscale-Attempt-Id", "r"), ("Tanagerscale-Token-Usage", "100,280")]
+    response = await client.send(
+        address=address,
+        request=replace(request, host=HOST_NAME, key=API_KEY, headers=headers),
+        time_left_ms=TIME_LEFT_MS,
+    )
+    assert response.head.outcome is DelegatedOutcome.STREAM
+    stopping = asyncio.create_task(platform.stop_host("h1"))
+    body = b""
+    while chunk := await response.read_some():
+        body += chunk
+    assert body.count(b"\n\n") == STREAM_EVENTS
+    await stopping
+    client.close()
