Close callers' connections first when a host ends

The callers got no end, and no line named their requests.

Callers and other hosts with delegated requests come first now; the rest of the teardown follows. test_callers_are_told_first_when_the_connections_to_other_hosts_do_not_close failed before: the connection stayed open and nothing was logged while the control of the host did not stop.

--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -186,12 +186,13 @@
         _log.info("The host has ended.", after_ms=self._shutdown.elapsed_ms)
 
     async def _shut_down(self) -> None:
+        # Callers and other hosts wait for these; the process may be killed while the rest ends.
+        await self._server.close()
+        await self._delegate_server.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._control.stop()
-        await self._server.close()
-        await self._delegate_server.close()
         self._delegate_client.close()
         for runner in self._runners:
             await runner.cleanup()
--- a/testing/test_teardown.py
+++ b/testing/test_teardown.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 
+import logbook
 from msgspec.structs import replace
 import pytest
 import pytest_asyncio
@@ -86,3 +87,31 @@
     assert body.count(b"\n\n") == STREAM_EVENTS
     await stopping
     client.close()
+
+
+# Guards against a host that is killed before it has closed its callers' connections: they get no
+# end, and no line tells of them.
+@pytest.mark.asyncio
+async def test_callers_are_told_first_when_the_connections_to_other_hosts_do_not_close(
+    platform: PlatformCluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await _add_host(platform, "h1", stop_grace_s=SHORT_GRACE_S)
+    host = platform.hosts["h1"]
+    hangs = asyncio.Event()
+    stop_control = host._control.stop
+
+    async def stop_slowly() -> None:
+        await hangs.wait()
+        await stop_control()
+
+    monkeypatch.setattr(host._control, "stop", stop_slowly)
+    with logbook.TestHandler(level=logbook.WARNING).applicationbound() as logs:
+        reader, writer = await _start_stream(platform, "h1")
+        await reader.readuntil(b"\n\n")
+        stopping = asyncio.create_task(platform.stop_host("h1"))
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+            await reader.readuntil(b"0\r\n\r\n")
+        writer.close()
+        assert "A response is cut because the host ends." in {one.message for one in logs.records}
+    hangs.set()
+    await stopping
