Date a notice in the soak by the request in whose answer it came

The check took the notice from the later answer and its time from the head of the first one, so that it began five seconds before the engine left.

A notice, and likewise a rate limit, counts from the head that the caller read or from the request whose answer holds it, whichever is later. A request after that is a violation as before, which the new test shows with its second case; the first one failed before.

--- a/standins/platform_verdict.py
+++ b/standins/platform_verdict.py
@@ -218,7 +218,8 @@
         for call, received in self._pairs():
             is_passed_on = call.headers.get(SIGNATURE) == received.upstream and call.head_at
             if is_passed_on and SERVER_LEAVING in received.answer_headers:
-                told[_sender(call, received), received.upstream, received.born].append(call.head_at)
+                sender = _sender(call, received)
+                told[sender, received.upstream, received.born].append(_told_at(call, received))
         violations = []
         for call, received in self._pairs():
             times = sorted(told[_sender(call, received), received.upstream, received.born])
@@ -298,7 +299,7 @@
             arrivals[incarnation].append(Arrival(received.arrived, _sender(call, received)))
             is_passed_on = call.headers.get(SIGNATURE) == received.upstream and call.head_at
             if is_passed_on and RATE_LIMIT in received.answer_headers:
-                told[incarnation][_sender(call, received)].append(call.head_at)
+                told[incarnation][_sender(call, received)].append(_told_at(call, received))
         violations = []
         for limit in limits:
             excess = find_excess(
@@ -402,6 +403,14 @@
     return f"{upstream}@{born}"
 
 
+def _told_at(call: Call, received: ReceivedRequest) -> int:
+    """Return from when a host knows what an answer says that it has passed on.
+
+    A stream may continue in the answer to a later request, at the same upstream too.
+    """
+    return max(call.head_at, received.arrived)
+
+
 def _sender(call: Call, received: ReceivedRequest) -> str:
     """Return the host from which a request reached an upstream."""
     return received.sender or call.host
--- a/testing/test_platform_verdict.py
+++ b/testing/test_platform_verdict.py
@@ -166,6 +166,22 @@
     assert _judge([told, late], received, start) == []
 
 
+# Guards against a notice that is dated too early: a run that was stopped came back to its upstream
+# after that had begun to leave, and the head of its answer is that of the first request.
+@pytest.mark.parametrize(("after_ms", "violations"), [(4_000, []), (5_020, ["LEAVING"])])
+def test_verdict_dates_a_notice_by_the_request_in_whose_answer_it_came(
+    after_ms: int, violations: list[str]
+) -> None:
+    told = _answered(_call(CallKind.LONG), body=_stream(WHOLE))
+    told.ended = SENT + 4_000
+    late = _answered(_call(number=2, sent=SENT + after_ms))
+    continued = _received(told, Server_Leaving="1")
+    continued.headers = {"Kv-From": "p1"}
+    continued.arrived = SENT + 3_000
+    received = [_received(told), continued, _received(late)]
+    assert _judge([told, late], received) == violations
+
+
 @pytest.mark.parametrize(("late", "violations"), [(2, []), (3, ["PAUSE"])])
 def test_verdict_names_an_upstream_when_it_gets_more_than_two_requests_in_its_pause(
     late: int, violations: list[str]
