Keep a stopping host from entering itself among the hosts again

A host that stops revokes the lease of its entry, so that others drop it at once. Its renewal found the lease gone 10 s later, or 0.5 s later at a coordinator, and wrote the entry anew: with a grace period of 8 s every coordinator that was stopped came back, and stayed listed for 30 s after its end or until its next process overwrote the entry. What callers saw of it isn't known; the fault was found by reading what a stopping host still does.

The renewal ends with the withdrawal, and an entry that was being written meanwhile is removed.

--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -103,6 +103,7 @@
         self._lease: LeaseId | None = None
         self._has_read = False
         self._is_registered = False
+        self._is_withdrawn = False
 
     @property
     def prefix(self) -> str:
@@ -130,8 +131,8 @@
             self._check_requested.set()
 
     async def run(self) -> None:
-        """Write the entry and renew its lease until the task is cancelled."""
-        while True:
+        """Write the entry and renew its lease until the host withdraws."""
+        while not self._is_withdrawn:
             self._check_requested.clear()
             self._checked_at = self._clock.now()
             result = await self._write() if self._lease is None else await self._renew()
@@ -146,6 +147,8 @@
                 await self._read_once()
             if self._lease is not None:
                 await self._wait_to_renew()
+        # The entry may have been written while the host withdrew.
+        await self._revoke()
 
     async def _read_once(self) -> None:
         """Read the entries of all hosts once; coordinators send all later changes."""
@@ -171,10 +174,16 @@
             self._on_availability(is_available)
 
     async def withdraw(self) -> None:
-        """Revoke the lease, so that the other hosts drop this host immediately."""
-        if self._lease is None:
+        """Revoke the lease for good, so that the other hosts drop this host immediately."""
+        self._is_withdrawn = True
+        self._check_requested.set()
+        await self._revoke()
+
+    async def _revoke(self) -> None:
+        lease, self._lease = self._lease, None
+        if lease is None:
             return
-        revoked = await self._store.revoke(lease=self._lease)
+        revoked = await self._store.revoke(lease=lease)
         if isinstance(revoked, Failure):
             _log.info(
                 "The lease could not be revoked; it will expire.", detail=revoked.failure().detail
--- a/testing/test_gateway_presence.py
+++ b/testing/test_gateway_presence.py
@@ -10,6 +10,8 @@
 import asyncio
 from random import Random
 
+import pytest
+
 from tanagerscale.core import Clock
 from tanagerscale.gateway._presence import MIN_CHECK_INTERVAL_MS
 from tanagerscale.gateway._presence import RENEW_INTERVAL_MS
@@ -19,12 +21,13 @@
 from testing._virtual_time import run_virtually
 
 SETTLE_S = 3
+GRACE_MS = 12_000
 
 
 class PresenceHarness:
     """The presence of one host, running against a fake store."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_coordinator: bool = False) -> None:
         self.store = FakeStore()
         self.answers: list[bool] = []
         self.presence = HostPresence(
@@ -32,6 +35,7 @@
             prefix="p/",
             record=HostRecord(host="a", peers="a:1", incarnation=1),
             on_records=lambda _records, _revision: None,
+            is_coordinator=lambda: is_coordinator,
             on_availability=self.answers.append,
             clock=Clock(),
             rng=Random(1),
@@ -78,3 +82,34 @@
         return harness.store.calls.leases - before
 
     assert run_virtually(scenario()) <= 10_000 // MIN_CHECK_INTERVAL_MS + 1
+
+
+# Guards against a host that stops and enters itself among the hosts again: others would count it,
+# and rank it among the coordinators, for 30 s after its end.
+@pytest.mark.parametrize("is_coordinator", [False, True])
+def test_host_stays_withdrawn_until_it_ends(is_coordinator: bool) -> None:
+    async def scenario() -> list[str]:
+        harness = PresenceHarness(is_coordinator=is_coordinator)
+        await asyncio.sleep(SETTLE_S)
+        assert list(harness.store.backend.entries) == ["p/hosts/a"]
+        await harness.presence.withdraw()
+        seen: list[str] = []
+        for _ in range(GRACE_MS // 100):
+            await asyncio.sleep(0.1)
+            seen += harness.store.backend.entries
+        return seen
+
+    assert run_virtually(scenario()) == []
+
+
+# Guards against the same entry when the host stops while it is being written.
+def test_entry_that_was_being_written_is_removed_when_the_host_withdraws() -> None:
+    async def scenario() -> list[str]:
+        harness = PresenceHarness()
+        await asyncio.sleep(0)
+        await harness.presence.withdraw()
+        await asyncio.sleep(SETTLE_S)
+        assert harness.task.done()
+        return list(harness.store.backend.entries)
+
+    assert run_virtually(scenario()) == []
