Answer a stream with a failure when the failure of its engine breaks off

An engine that answered a stream with a failure and broke off within its body made the request end by an unhandled error: the HTTP library answered 500 with a page of its own, and no line of ours named the request. The request is now answered 502 as after other broken answers, and the break counts as one. The new test failed before, with an ExchangeError out of serve().

--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -378,8 +378,7 @@
         assert self._segment is not None
         response = self._segment.response
         if response.status >= MIN_FAILURE_STATUS:
-            await self._forward_failure(self._segment)
-            return None
+            return await self._forward_failure(self._segment)
         await self._responder.begin(
             status=response.status, reason=response.reason, headers=response.headers
         )
@@ -397,17 +396,23 @@
                 return upstream_failed(cause=cause)
             self._set_segment(segment)
 
-    async def _forward_failure(self, segment: StreamSegment) -> None:
+    async def _forward_failure(self, segment: StreamSegment) -> Refusal | None:
+        """Forward the failure of an engine; return a refusal if that is not complete."""
         response = segment.response
         self._sender.log(
             "An engine has answered with a failure.", segment.entry, status=response.status
         )
         if response.status >= MIN_SERVER_ERROR_STATUS:
             self._sender.record_failure(segment.entry)
-        body = await response.read_all()
+        try:
+            body = await response.read_all()
+        except ExchangeError as error:
+            self._sender.record_broken_response(segment.entry)
+            return upstream_failed(cause=error.detail)
         await self._responder.respond(
             status=response.status, reason=response.reason, headers=response.headers, body=body
         )
+        return None
 
     def _on_event(self, segment: StreamSegment) -> None:
         self._began.set()
--- a/testing/test_forwarding_stream.py
+++ b/testing/test_forwarding_stream.py
@@ -497,3 +497,18 @@
         return fakes.upstream_client.asked, hooks.stopped
 
     assert run_virtually(scenario()) == (["x", "y", "x"], ["x", "y"])
+
+
+# Guards against an answer that the host's HTTP library makes up, and no line of the request, when
+# the failure of an engine breaks off.
+def test_stream_is_answered_with_a_failure_when_the_failure_of_its_engine_breaks_off() -> None:
+    async def scenario() -> None:
+        fakes = make_gateway_fakes(make_entry("x"))
+        fakes.upstream_client.set("x", FakeResponse(status=500, chunks=[b"fail", None]))
+        run, responder = _make_run(fakes)
+        refusal = await run.serve()
+        assert refusal is not None
+        assert refusal.kind is RefusalKind.UPSTREAM_FAILED
+        assert not responder.begun
+
+    run_virtually(scenario())
