Split the start and the resumption of streams into modules of their own

How a request finds its first engine is StreamStarter (_starting.py), how a run resumes from a copy is RunResumer (_resuming.py); both were methods of the classes that use them.

--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -9,37 +9,30 @@
 from typing import Protocol
 from typing import final
 
-from returns.result import Failure
-
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding._admission import Admission
 from tanagerscale.forwarding._crash_evidence import wait_if_suspected
-from tanagerscale.forwarding._execution import ExecutionRecord
 from tanagerscale.forwarding._parts import ForwardingContext
-from tanagerscale.forwarding._pauses import get_pause_ms
-from tanagerscale.forwarding._pauses import refuse_if_paused
-from tanagerscale.forwarding._refusals import no_upstream
 from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import upstream_failed
 from tanagerscale.forwarding._relay import EventRelay
+from tanagerscale.forwarding._resuming import RunResumer
 from tanagerscale.forwarding._segments import MIN_FAILURE_STATUS
 from tanagerscale.forwarding._segments import RunProgress
 from tanagerscale.forwarding._segments import SegmentSender
 from tanagerscale.forwarding._segments import StreamSegment
 from tanagerscale.forwarding._sending import QuarantinedError
-from tanagerscale.forwarding._sending import SendPath
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
+from tanagerscale.forwarding._starting import StreamStarter
 from tanagerscale.forwarding._types import MIN_SERVER_ERROR_STATUS
 from tanagerscale.forwarding._types import Refusal
 from tanagerscale.forwarding._types import Responder
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.upstreams import ExchangeError
-from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
-from tanagerscale.upstreams import UpstreamLeavingError
 
 MAX_RECOVERIES: Final = 2
 """Maximum number of times that one stream may break off without notice and resume from a copy. It
@@ -110,10 +103,12 @@
         self._routed = routed
         self._responder = responder
         self._context = context
-        self._admission = admission
         self._hooks = hooks
-        self._record = ExecutionRecord(route=routed.route)
         self._sender = SegmentSender(routed=routed, context=context)
+        self._starter = StreamStarter(
+            routed=routed, context=context, admission=admission, sender=self._sender
+        )
+        self._resumer = RunResumer(routed=routed, context=context, sender=self._sender)
         self._relay = EventRelay(
             routed=routed,
             responder=responder,
@@ -179,12 +174,12 @@
     @property
     def may_have_run(self) -> bool:
         """Whether the request may have been executed."""
-        return self._record.may_have_run
+        return self._starter.record.may_have_run
 
     @property
     def can_be_delegated(self) -> bool:
         """Whether another host may send the request, since this one has reached no upstream."""
-        return self._record.has_reached_none
+        return self._starter.record.has_reached_none
 
     @property
     def ended(self) -> bool:
@@ -245,10 +240,11 @@
         :returns: A refusal if the stream did not end properly, otherwise ``None``.
         """
         try:
-            refusal = await self._start_first_segment()
-            if refusal is not None or self._segment is None:
-                return refusal
-            return await self._relay_segments()
+            segment = await self._starter.start(progress=self._progress)
+            if isinstance(segment, Refusal):
+                return segment
+            self._set_segment(segment)
+            return await self._relay_segments(segment)
         except QuarantinedError:
             return quarantined(may_have_run=self.may_have_run)
         finally:
@@ -259,86 +255,6 @@
             if self._segment is not None:
                 self._segment.close()
 
-    async def _start_first_segment(self) -> Refusal | None:
-        """Find the first engine; return a refusal if no engine accepts the request."""
-        record = self._record
-        failure: Refusal | None = None
-        while record.has_attempts_left and not self._context.paths.is_cut_off:
-            if record.reached and not await self._may_repeat():
-                break
-            found = await self._admission.find_engine(routed=self._routed, excluded=record.tried)
-            if isinstance(found, Failure):
-                refusal: Refusal = found.failure()
-                return refusal
-            failure = await self._try_engine(found.unwrap())
-            if failure is None:
-                return None
-        if failure is not None and record.may_have_run:
-            return failure
-        refusal_for_pause = refuse_if_paused(self._routed, self._context, record.tried)
-        return refusal_for_pause or no_upstream(service=self._routed.service, rng=self._context.rng)
-
-    async def _may_repeat(self) -> bool:
-        if get_pause_ms(self._routed, self._context, self._record.tried) is not None:
-            return False
-        return await self._context.retry_permits.may_repeat(service=self._routed.service)
-
-    async def _try_engine(self, entry: UpstreamEntry) -> Refusal | None:
-        sender = self._sender
-        path = SendPath.PLACED_AGAIN if self._record.reached else SendPath.PLACED
-        chosen_at = self._context.clock.now()
-        self._record.record_sent(entry.upstream)
-        try:
-            segment = await sender.send(
-                entry=entry,
-                resume_target=None,
-                progress=self._progress,
-                path=path,
-                chosen_at=chosen_at,
-            )
-        except QuarantinedError:
-            self._record.record_not_run(entry.upstream)
-            raise
-        except UpstreamLeavingError as error:
-            self._record.record_withheld(entry.upstream)
-            return upstream_failed(cause=error.detail)
-        except ExchangeError as error:
-            return await self._record_no_response(entry, error)
-        if segment.response.not_executed:
-            self._record.record_not_run(entry.upstream)
-            sender.record_failure(entry)
-            if segment.response.is_address_reassigned:
-                self._context.gate.record_gone(upstream=entry.upstream)
-            else:
-                self._context.suspects.record_alive(
-                    upstream=entry.upstream, sent_at=segment.sent_at
-                )
-            self._context.metrics.attempts.labels("not-executed").inc()
-            sender.log(
-                "An engine refused the request before execution.",
-                entry,
-                status=segment.response.status,
-            )
-            await sender.drain(segment)
-            return upstream_failed(cause="No engine took the request")
-        self._record.record_run(entry.upstream)
-        self._context.metrics.attempts.labels("answered").inc()
-        self._set_segment(segment)
-        return None
-
-    async def _record_no_response(self, entry: UpstreamEntry, error: ExchangeError) -> Refusal:
-        not_sent = error.failure is ExchangeFailure.NOT_SENT
-        if not_sent:
-            self._record.record_not_sent(entry.upstream)
-            self._context.gate.record_failure(upstream=entry.upstream)
-        else:
-            self._record.record_run(entry.upstream)
-            self._sender.record_broken_response(entry)
-        self._context.metrics.attempts.labels(error.failure.value).inc()
-        self._sender.log("An attempt failed.", entry, detail=error.detail, sent=not not_sent)
-        await self._context.crash_reports.wait_for_finding(entry.upstream)
-        return upstream_failed(cause=error.detail)
-
     def _set_segment(self, segment: StreamSegment) -> None:
         self._segment = segment
         self._is_source_asked = False
@@ -373,27 +289,28 @@
         elif self.snapshot is not None and self.snapshot.entry is tried.entry:
             self._release_snapshot(keep_at=None)
 
-    async def _relay_segments(self) -> Refusal | None:
-        """Relay the events of each engine in turn."""
-        assert self._segment is not None
-        response = self._segment.response
+    async def _relay_segments(self, segment: StreamSegment) -> Refusal | None:
+        """Relay the events of each engine in turn.
+
+        :param segment: The part of the first engine.
+        """
+        response = segment.response
         if response.status >= MIN_FAILURE_STATUS:
-            return await self._forward_failure(self._segment)
+            return await self._forward_failure(segment)
         await self._responder.begin(
             status=response.status, reason=response.reason, headers=response.headers
         )
         while True:
-            cause = await self._relay.relay(
-                self._segment, has_copy=lambda: self.snapshot is not None
-            )
+            cause = await self._relay.relay(segment, has_copy=lambda: self.snapshot is not None)
             if cause is None:
                 await self._responder.end()
-                self._relay.record_stream_end(self._segment)
+                self._relay.record_stream_end(segment)
                 return None
-            segment = await self._resume_elsewhere(self._segment, cause)
-            self._context.metrics.moves.labels("lost" if segment is None else "moved").inc()
-            if segment is None:
+            resumed = await self._resume_elsewhere(segment, cause)
+            self._context.metrics.moves.labels("lost" if resumed is None else "moved").inc()
+            if resumed is None:
                 return upstream_failed(cause=cause)
+            segment = resumed
             self._set_segment(segment)
 
     async def _forward_failure(self, segment: StreamSegment) -> Refusal | None:
@@ -432,7 +349,7 @@
         try:
             await self._wait_for_stop()
             while (resume_target := await self._next_resume_target(broken)) is not None:
-                resumed = await self._sender.resume(
+                resumed = await self._resumer.resume(
                     resume_target=resume_target, progress=self._progress
                 )
                 if isinstance(resumed, StreamSegment):
--- a/testing/test_evacuations.py
+++ b/testing/test_evacuations.py
@@ -17,6 +17,7 @@
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding._plain import PlainForwarder
+from tanagerscale.forwarding._resuming import RunResumer
 from tanagerscale.forwarding._segments import RunProgress
 from tanagerscale.forwarding._segments import SegmentSender
 from tanagerscale.forwarding._snapshots import ResumeTarget
@@ -412,15 +413,16 @@
         fakes = make_gateway_fakes(x, y)
         routed = route_request(make_request(prompt=1000), make_route(kind=RouteKind.STREAMING))
         sender = SegmentSender(routed=routed, context=fakes.context)
+        resumer = RunResumer(routed=routed, context=fakes.context, sender=sender)
         progress = RunProgress(tokens=1000, answer_tokens=100, event=25)
         fakes.upstreams.evacuated.add("b")
-        await sender.resume(
+        await resumer.resume(
             resume_target=ResumeTarget(entry=y, holder=x, copy="1"), progress=progress
         )
         assert fakes.upstream_client.asked == ["x"]
         fakes.upstreams.evacuated.add("a")
         assert (
-            await sender.resume(
+            await resumer.resume(
                 resume_target=ResumeTarget(entry=y, holder=x, copy="1"), progress=progress
             )
             is None
--- a/testing/test_stopped_runs.py
+++ b/testing/test_stopped_runs.py
@@ -13,7 +13,7 @@
 from tanagerscale.forwarding import NOT_MOVED
 from tanagerscale.forwarding import CopyFailure
 from tanagerscale.forwarding import MoveResult
-from tanagerscale.forwarding._segments import RESUME_TIMEOUT_MS
+from tanagerscale.forwarding._resuming import RESUME_TIMEOUT_MS
 from tanagerscale.forwarding._sending import RESUME_AT_LEAVING_MS
 from tanagerscale.generated.messages import MoveDone
 from tanagerscale.generated.messages import MoveKind
--- a/testing/test_upstream_pauses.py
+++ b/testing/test_upstream_pauses.py
@@ -14,6 +14,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding._copier import Copier
+from tanagerscale.forwarding._resuming import RunResumer
 from tanagerscale.forwarding._segments import RunProgress
 from tanagerscale.forwarding._segments import SegmentSender
 from tanagerscale.forwarding._segments import StreamSegment
@@ -168,8 +169,9 @@
 ) -> StreamSegment | Snapshot | None:
     routed = route_request(make_request(prompt=1000), make_route(kind=RouteKind.STREAMING))
     sender = SegmentSender(routed=routed, context=fakes.context)
+    resumer = RunResumer(routed=routed, context=fakes.context, sender=sender)
     target = ResumeTarget(entry=make_entry(entry), holder=make_entry(holder), copy="1")
-    return await sender.resume(resume_target=target, progress=PROGRESS)
+    return await resumer.resume(resume_target=target, progress=PROGRESS)
 
 
 def test_run_resumes_at_the_other_holder_of_its_copy_when_one_is_paused() -> None:
