Keep the record of a copy when the move to its engine is not made

Deciders took a copy made ahead for new and not evictable after each move that was not made: the host recorded it anew before it asked the target, and again when that failed. Its engine drops it five seconds after it was made, and nobody renewed it; nor did it make room for new work. Since runs are stopped only after a new copy, a copy that fails before a stop is usual.

The record is changed when the target is asked for the copy and restored as it was if that fails.

--- a/src/tanagerscale/forwarding/_copier.py
+++ b/src/tanagerscale/forwarding/_copier.py
@@ -52,11 +52,11 @@
         """
         work = self._context.work
         previous = run.snapshot
+        recorded = work.get_copy(request=run.request)
         work.set_copy(request=run.request, copy_at=target.upstream, is_evictable=ahead)
         copied = await self.copy(run, source, target, stop=False)
         if isinstance(copied, Failure):
-            copy_at = None if previous is None else previous.entry.upstream
-            work.set_copy(request=run.request, copy_at=copy_at, is_evictable=ahead)
+            work.restore_copy(request=run.request, state=recorded)
             return None
         snapshot = Snapshot(
             entry=target, copy=copied.unwrap().copy, taken=self._context.clock.now()
--- a/src/tanagerscale/forwarding/_stopping.py
+++ b/src/tanagerscale/forwarding/_stopping.py
@@ -136,11 +136,11 @@
         """Return a copy that the target has just taken; ``None`` if it takes none."""
         snapshot = run.snapshot
         if snapshot is not None and snapshot.entry.upstream == target.upstream:
-            # The copy is no longer evictable because the run is about to need it.
-            self._context.work.set_copy(request=run.request, copy_at=target.upstream)
             age_ms = self._context.clock.now() - snapshot.taken
             is_doubtful = self._context.gate.is_broken(target.upstream)
             if age_ms <= MAX_CONFIRMATION_AGE_MS and not is_doubtful:
+                # The copy is no longer evictable because the run is about to need it.
+                self._context.work.set_copy(request=run.request, copy_at=target.upstream)
                 return snapshot
         return await self._copier.snapshot(run, source, target, ahead=False)
 
--- a/src/tanagerscale/forwarding/_workload.py
+++ b/src/tanagerscale/forwarding/_workload.py
@@ -37,6 +37,22 @@
 UNKNOWN_ORIGIN: Final = RunOrigin()
 
 
+class CopyState(Struct, frozen=True, kw_only=True):
+    """The copy of a generation's KV cache that deciders know of.
+
+    :param copy_at: Engine that holds it, or ``None``.
+    :param copied_at: Time at which it was taken.
+    :param is_evictable: Whether it was made ahead of time and is evicted for new work.
+    """
+
+    copy_at: UpstreamId | None = None
+    copied_at: Millis = Millis(0)
+    is_evictable: bool = False
+
+
+NO_COPY: Final = CopyState()
+
+
 class LocalRun(Struct, kw_only=True):
     """A generation of this host on one engine.
 
@@ -160,6 +176,24 @@
             run.copied_at = self._clock.now()
             self._changes.on_next(None)
 
+    def get_copy(self, *, request: RequestId) -> CopyState:
+        """Return which copy of a generation's KV cache is recorded."""
+        run = self._runs.get(request)
+        if run is None:
+            return NO_COPY
+        return CopyState(
+            copy_at=run.copy_at, copied_at=run.copied_at, is_evictable=run.is_copy_evictable
+        )
+
+    def restore_copy(self, *, request: RequestId, state: CopyState) -> None:
+        """Record an earlier copy again, since a later one was not made."""
+        run = self._runs.get(request)
+        if run is not None:
+            run.copy_at = state.copy_at
+            run.copied_at = state.copied_at
+            run.is_copy_evictable = state.is_evictable
+            self._changes.on_next(None)
+
     def set_moving(self, *, request: RequestId, is_moving: bool) -> None:
         """Record whether a generation is being copied."""
         run = self._runs.get(request)
