Keep the result of each stop for its run until the run has continued

Callers would have seen streams cut while an engine had their memory.

There is one record for each stop now (RunStops). - A result that came after the 300 ms was dropped though the run was still looking for an engine. It is used then, and waited for last; its copy is freed if the run has continued. - The repeat of an order was lost with a stop that was no longer waited for, or whose engine died. The run takes it when its stream has ended or the engine doesn't tell whether it has stopped, and the decider is told so. - A stop that was no longer waited for kept the run from being copied at its next engine for up to 2.5 s. - An engine that may have taken a run back, and didn't say so, wasn't asked to stop it before another one continued it. - A run waited 6 s for its own engine, or for its pause, though a third engine held a copy. - The phase of a run that is cut between two engines was logged as answering, since the change had ended by then.

--- a/src/tanagerscale/forwarding/_mover.py
+++ b/src/tanagerscale/forwarding/_mover.py
@@ -108,10 +108,10 @@
             self._context.work.set_moving(request=run.request, is_moving=False)
 
     async def recover(
-        self, run: StreamRun, source: UpstreamEntry, *, is_asked: bool
+        self, run: StreamRun, source: UpstreamEntry, *, is_stop_requested: bool
     ) -> ResumeTarget | None:
         """Return where to resume a run that broke off, from an earlier copy, or ``None``."""
-        return await self._stopper.recover(run, source, is_asked=is_asked)
+        return await self._stopper.recover(run, source, is_stop_requested=is_stop_requested)
 
     def on_snapshot_unused(self, snapshot: Snapshot) -> None:
         """Free a copy that is no longer needed."""
--- a/src/tanagerscale/forwarding/_resuming.py
+++ b/src/tanagerscale/forwarding/_resuming.py
@@ -64,9 +64,16 @@
         self._sender = sender
         self._has_repeat = False
         """Whether a repeat was granted with which nothing has been sent."""
+        self._has_other_copy = False
+        self.may_be_running_at: UpstreamEntry | None = None
+        """Engine that may have taken the run in the last call of ``resume`` and did not say so."""
+
+    def grant_repeat(self) -> None:
+        """Give the run the repeat of an order to stop it."""
+        self._has_repeat = True
 
     async def resume(
-        self, *, resume_target: ResumeTarget, progress: RunProgress
+        self, *, resume_target: ResumeTarget, progress: RunProgress, has_other_copy: bool = False
     ) -> StreamSegment | Snapshot | None:
         """Resume a run from a copy, at either of the two engines that hold one.
 
@@ -78,6 +85,8 @@
 
         :param resume_target: Where to resume first.
         :param progress: Progress of the run.
+        :param has_other_copy: Whether a third engine holds a copy, so that the run need not wait
+            for these two.
         :returns: The next segment; or, if the last engine may be running it, the copy that remains
             once that engine has been stopped; or ``None`` if the run can't resume.
         :raises QuarantinedError: The request has what crashes upstreams.
@@ -86,7 +95,8 @@
         backoff_ms = INITIAL_BACKOFF_MS
         failed: set[UpstreamId] = set()
         ends_at = self._context.clock.now() + MAX_BUDGET_WAIT_MS
-        self._has_repeat |= resume_target.has_repeat
+        self._has_other_copy = has_other_copy
+        self.may_be_running_at = None
         for _ in range(MAX_RESUME_ATTEMPTS):
             if not self._has_repeat and not await self._acquire_repeat(entry, ends_at):
                 return None
@@ -120,6 +130,7 @@
                 self._sender.record_failure(entry)
                 self._has_repeat = _is_not_sent(error)
                 if not self._has_repeat:
+                    self.may_be_running_at = entry
                     return self._snapshot_at_other_holder(resume_target, entry)
             else:
                 if segment.response.status < MIN_FAILURE_STATUS:
@@ -140,7 +151,7 @@
         chosen_at: Millis,
     ) -> StreamSegment:
         sent_at = self._context.clock.now()
-        has_other = self._other_holder(resume_target, entry) is not entry
+        has_other = self._has_other_copy or self._other_holder(resume_target, entry) is not entry
         timeout_ms = RESUME_TIMEOUT_MS if has_other else ONLY_HOLDER_TIMEOUT_MS
         async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
             segment = await self._sender.send(
@@ -255,7 +266,7 @@
         clock = self._context.clock
         holders = self._usable_holders(resume_target, entry)
         pause_ms = self._context.pauses.shortest_ms(one.upstream for one in holders)
-        if pause_ms is None or clock.now() + pause_ms > ends_at:
+        if pause_ms is None or self._has_other_copy or clock.now() + pause_ms > ends_at:
             return False
         self._sender.log("A run waits for the pause of an engine.", entry, pause_ms=pause_ms)
         await clock.sleep(pause_ms)
--- a/src/tanagerscale/forwarding/_snapshots.py
+++ b/src/tanagerscale/forwarding/_snapshots.py
@@ -15,14 +15,12 @@
     :param holder: Engine whose copy of the KV cache is used.
     :param copy: Id of that copy.
     :param is_permitted: Whether the rate limit of the engine already counts the request.
-    :param has_repeat: Whether the retry budget has already granted the repeat that it needs.
     """
 
     entry: UpstreamEntry
     holder: UpstreamEntry
     copy: str
     is_permitted: bool = False
-    has_repeat: bool = False
 
 
 class Snapshot(Struct, frozen=True, kw_only=True):
--- a/src/tanagerscale/forwarding/_stopping.py
+++ b/src/tanagerscale/forwarding/_stopping.py
@@ -7,6 +7,8 @@
 from typing import final
 
 from msgspec import Struct
+from returns.result import Failure
+from returns.result import Result
 from returns.result import Success
 
 from tanagerscale.core import MS_PER_SECOND
@@ -14,10 +16,13 @@
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._copier import Copier
 from tanagerscale.forwarding._parts import ForwardingContext
+from tanagerscale.forwarding._run_stops import STOP_TIMEOUT_MS
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
-from tanagerscale.forwarding._stream import STOP_TIMEOUT_MS
 from tanagerscale.forwarding._stream import StreamRun
+from tanagerscale.forwarding._types import CopyError
+from tanagerscale.forwarding._types import CopyFailure
+from tanagerscale.forwarding._types import RunCopy
 from tanagerscale.upstreams import UpstreamEntry
 
 MAX_CONFIRMATION_AGE_MS: Final = 100
@@ -91,7 +96,7 @@
         return await self._stop(run, source, snapshot)
 
     async def recover(
-        self, run: StreamRun, source: UpstreamEntry, *, is_asked: bool
+        self, run: StreamRun, source: UpstreamEntry, *, is_stop_requested: bool
     ) -> ResumeTarget | None:
         """Return where to resume a run that broke off, using an earlier copy.
 
@@ -100,7 +105,7 @@
 
         :param run: The run.
         :param source: Engine that has run it.
-        :param is_asked: Whether that engine has been asked before.
+        :param is_stop_requested: Whether that engine has been asked before.
         """
         snapshot = run.snapshot
         if snapshot is None or not self._can_resume_at(snapshot.entry):
@@ -108,7 +113,7 @@
         resume_target = ResumeTarget(
             entry=snapshot.entry, holder=snapshot.holder or source, copy=snapshot.copy
         )
-        if is_asked:
+        if is_stop_requested:
             return resume_target
         try:
             async with asyncio.timeout(STOP_TIMEOUT_MS / MS_PER_SECOND):
@@ -150,7 +155,8 @@
         A run whose rest can't be copied resumes on its source.
         """
         resume_target: ResumeTarget | None = None
-        run.begin_stop()
+        may_have_stopped = False
+        stop = run.begin_stop()
         try:
             final_copy = await self._copier.copy(run, source, snapshot.entry, stop=True)
             if isinstance(final_copy, Success):
@@ -159,14 +165,15 @@
                     holder=source,
                     copy=final_copy.unwrap().copy,
                     is_permitted=True,
-                    has_repeat=True,
                 )
             elif (retained_copy := final_copy.failure().retained_copy) is not None:
-                resume_target = ResumeTarget(
-                    entry=source, holder=source, copy=retained_copy, has_repeat=True
-                )
+                resume_target = ResumeTarget(entry=source, holder=source, copy=retained_copy)
+            may_have_stopped = resume_target is not None or _is_unknown(final_copy)
         finally:
-            run.finish_stop(resume_target)
-        return MoveResult(
-            is_done=isinstance(final_copy, Success), has_stopped=resume_target is not None
-        )
+            has_repeat = run.finish_stop(stop, resume_target, may_have_stopped=may_have_stopped)
+        return MoveResult(is_done=isinstance(final_copy, Success), has_stopped=has_repeat)
+
+
+def _is_unknown(final_copy: Result[RunCopy, CopyError]) -> bool:
+    """Return whether an engine has not told whether it has stopped a run."""
+    return isinstance(final_copy, Failure) and final_copy.failure().failure is CopyFailure.LOST
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -9,7 +9,6 @@
 from typing import Protocol
 from typing import final
 
-from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding._admission import Admission
@@ -19,6 +18,8 @@
 from tanagerscale.forwarding._refusals import upstream_failed
 from tanagerscale.forwarding._relay import EventRelay
 from tanagerscale.forwarding._resuming import RunResumer
+from tanagerscale.forwarding._run_stops import PendingStop
+from tanagerscale.forwarding._run_stops import RunStops
 from tanagerscale.forwarding._segments import MIN_FAILURE_STATUS
 from tanagerscale.forwarding._segments import RunProgress
 from tanagerscale.forwarding._segments import SegmentSender
@@ -39,11 +40,6 @@
 limits a request that crashes its engines to three engines."""
 
 
-STOP_TIMEOUT_MS: Final = 300
-"""Timeout for an engine to stop a run whose stream has ended. A live engine responds within 20 ms;
-one that does not respond must not delay the run."""
-
-
 @unique
 class RunPhase(Enum):
     """How far a streaming request has come."""
@@ -67,13 +63,13 @@
         """Handle the acceptance of a run by its first engine or by another one."""
 
     async def recover(
-        self, run: StreamRun, source: UpstreamEntry, *, is_asked: bool
+        self, run: StreamRun, source: UpstreamEntry, *, is_stop_requested: bool
     ) -> ResumeTarget | None:
         """Return where to resume a run that broke off, from an earlier copy, or ``None``.
 
         :param run: The run.
         :param source: Engine that has run it.
-        :param is_asked: Whether that engine has been asked to stop it.
+        :param is_stop_requested: Whether that engine has been asked to stop it.
         """
 
     def on_snapshot_unused(self, snapshot: Snapshot) -> None:
@@ -117,12 +113,13 @@
             on_event=self._on_event,
         )
         self._segment: StreamSegment | None = None
-        self._resume_targets: list[ResumeTarget] = []
+        self._continued_segment: StreamSegment | None = None
+        """The last part of which an event has been relayed."""
         self._recoveries = 0
-        self._pending_stop: asyncio.Event | None = None
+        self._stops = RunStops(
+            grant_repeat=self._resumer.grant_repeat, free=self._free_resume_target
+        )
         self._is_switching = False
-        self._is_source_asked = False
-        """Whether the last engine has been asked to stop the run."""
         self._began = asyncio.Event()
         self._ended = False
         self.copy_lock = asyncio.Lock()
@@ -153,7 +150,7 @@
             return RunPhase.BETWEEN_ENGINES
         if self._segment is None:
             return RunPhase.WAITING
-        if self._pending_stop is not None:
+        if self._stops.is_pending:
             return RunPhase.STOPPING
         has_events = self._segment.first_event is not None
         return RunPhase.ANSWERING if has_events else RunPhase.PROCESSING
@@ -215,24 +212,21 @@
         """Wait for the first event or for the end of the stream."""
         await self._began.wait()
 
-    def begin_stop(self) -> None:
+    def begin_stop(self) -> PendingStop:
         """Record that the current engine is being asked to stop the run."""
-        self._pending_stop = asyncio.Event()
-
-    def finish_stop(self, resume_target: ResumeTarget | None) -> None:
-        """Record where a stopped run resumes, unless it has not waited so long.
+        return self._stops.begin()
 
-        Events that the engine produced before it stopped are still relayed first.
+    def finish_stop(
+        self, stop: PendingStop, resume_target: ResumeTarget | None, *, may_have_stopped: bool
+    ) -> bool:
+        """Record where a stopped run resumes, after the events that its engine has produced.
 
-        :param resume_target: Where the run resumes; ``None`` if it was not stopped.
+        :param stop: The stop.
+        :param resume_target: Where the run resumes; ``None`` if that is not known.
+        :param may_have_stopped: Whether the engine may have stopped the run.
+        :returns: Whether the run uses the repeat of the order.
         """
-        if self._pending_stop is None:
-            return
-        if resume_target is not None:
-            self._resume_targets.append(resume_target)
-            self._is_source_asked = True
-        self._pending_stop.set()
-        self._pending_stop = None
+        return self._stops.finish(stop, resume_target, may_have_stopped=may_have_stopped)
 
     async def serve(self) -> Refusal | None:
         """Relay the stream to its end.
@@ -243,6 +237,7 @@
             segment = await self._starter.start(progress=self._progress)
             if isinstance(segment, Refusal):
                 return segment
+            self._continued_segment = segment
             self._set_segment(segment)
             return await self._relay_segments(segment)
         except QuarantinedError:
@@ -251,13 +246,14 @@
             self._ended = True
             self._began.set()
             self._release_snapshot(keep_at=None)
+            self._stops.on_continued()
             self._context.work.end(request=self.request)
             if self._segment is not None:
                 self._segment.close()
 
     def _set_segment(self, segment: StreamSegment) -> None:
         self._segment = segment
-        self._is_source_asked = False
+        self._is_switching = False
         self._hooks.on_engine(self)
 
     @property
@@ -285,7 +281,6 @@
         if remaining is not None:
             self._release_snapshot(keep_at=remaining.entry.upstream)
             self.snapshot = remaining
-            self._is_source_asked = False
         elif self.snapshot is not None and self.snapshot.entry is tried.entry:
             self._release_snapshot(keep_at=None)
 
@@ -333,6 +328,9 @@
 
     def _on_event(self, segment: StreamSegment) -> None:
         self._began.set()
+        if segment is not self._continued_segment:
+            self._continued_segment = segment
+            self._stops.on_continued()
         self._context.work.progress(
             request=self.request, tokens=self.tokens, answer_tokens=self.answer_tokens
         )
@@ -341,51 +339,61 @@
         """Resume the run on another engine; return ``None`` if that is not possible."""
         broken = segment.entry
         self._sender.log("A leg ended early.", broken, detail=cause, at=self._relay.last_event)
-        if self._pending_stop is None and not self._resume_targets:
+        if not self._stops.is_pending and not self._stops.targets:
             self._sender.record_broken_response(broken, written_ms=self.running_ms)
         segment.close()
         self._is_switching = True
         await wait_if_suspected(self._routed, self._context, broken)
-        try:
-            await self._wait_for_stop()
-            while (resume_target := await self._next_resume_target(broken)) is not None:
-                resumed = await self._resumer.resume(
-                    resume_target=resume_target, progress=self._progress
-                )
-                if isinstance(resumed, StreamSegment):
-                    self._release_snapshot(keep_at=resumed.entry.upstream)
-                    return resumed
-                self._forget_snapshot(resume_target, remaining=resumed)
-                broken = resume_target.entry
-            # The caller may send the request again at once.
-            await self._context.crash_reports.wait_for_finding(broken.upstream)
-            return None
-        finally:
-            self._is_switching = False
-
-    async def _wait_for_stop(self) -> None:
-        """Wait until the engine that has been asked to stop the run tells where it resumes.
+        await self._stops.wait(has_copy=self.snapshot is not None)
+        while (resume_target := await self._next_resume_target(broken)) is not None:
+            resumed = await self._resumer.resume(
+                resume_target=resume_target,
+                progress=self._progress,
+                has_other_copy=self._has_copy_beside(resume_target),
+            )
+            if isinstance(resumed, StreamSegment):
+                self._release_snapshot(keep_at=resumed.entry.upstream)
+                self._stops.on_resumed()
+                # The engine that ran it before may still be busy with a copy of it.
+                self.copy_lock = asyncio.Lock()
+                return resumed
+            self._forget_snapshot(resume_target, remaining=resumed)
+            broken = resume_target.entry
+            if self._resumer.may_be_running_at is not None:
+                broken = self._resumer.may_be_running_at
+                self._stops.is_requested = False
+        # The caller may send the request again at once.
+        await self._context.crash_reports.wait_for_finding(broken.upstream)
+        return None
 
-        A run that has an earlier copy does not wait for an engine that does not respond.
-        """
-        if self._pending_stop is None:
-            return
-        timeout_s = None if self.snapshot is None else STOP_TIMEOUT_MS / MS_PER_SECOND
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._pending_stop.wait()
-        except TimeoutError:
-            self._pending_stop = None
-            self._is_source_asked = True
+    def _has_copy_beside(self, resume_target: ResumeTarget) -> bool:
+        """Return whether another engine than those of a resume target holds a copy."""
+        snapshot = self.snapshot
+        return snapshot is not None and snapshot.entry not in (
+            resume_target.entry,
+            resume_target.holder,
+        )
 
     async def _next_resume_target(self, broken: UpstreamEntry) -> ResumeTarget | None:
-        if self._resume_targets:
-            return self._resume_targets.pop(0)
+        stops = self._stops
+        if stops.targets:
+            return stops.targets.pop(0)
+        resume_target = await self._recover(broken)
+        return resume_target or await stops.wait_for_late_target()
+
+    async def _recover(self, broken: UpstreamEntry) -> ResumeTarget | None:
+        """Return where the run resumes from its earlier copy; ``None`` if it doesn't."""
         if self.snapshot is None:
             return None
         if not self._context.gate.is_leaving(broken.upstream):
             self._recoveries += 1
         if self._recoveries > MAX_RECOVERIES:
             return None
-        is_asked, self._is_source_asked = self._is_source_asked, True
-        return await self._hooks.recover(self, broken, is_asked=is_asked)
+        is_stop_requested, self._stops.is_requested = self._stops.is_requested, True
+        return await self._hooks.recover(self, broken, is_stop_requested=is_stop_requested)
+
+    def _free_resume_target(self, target: ResumeTarget) -> None:
+        taken = self._context.clock.now()
+        self._hooks.on_snapshot_unused(
+            Snapshot(entry=target.entry, copy=target.copy, taken=taken, holder=target.holder)
+        )
--- a/testing/_move_harness.py
+++ b/testing/_move_harness.py
@@ -11,6 +11,7 @@
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import RoutedRequest
+from tanagerscale.forwarding._run_stops import PendingStop
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
 from tanagerscale.routes import RouteKind
@@ -50,10 +51,13 @@
         if not self.begun:
             await self.begun_event.wait()
 
-    def begin_stop(self) -> None:
-        """Do nothing."""
+    def begin_stop(self) -> PendingStop:
+        """Return a stop."""
+        return PendingStop()
 
-    def finish_stop(self, resume_target: ResumeTarget | None) -> None:
+    def finish_stop(
+        self, stop: PendingStop, resume_target: ResumeTarget | None, *, may_have_stopped: bool
+    ) -> bool:
         """Record the resume target and resume there."""
         self.resume_targets.append(resume_target)
         if resume_target is not None:
@@ -61,6 +65,7 @@
             self.snapshot = None
             if self.on_move is not None:
                 self.on_move(self)
+        return may_have_stopped
 
 
 class MoveHarness:
--- a/testing/test_engine_priority.py
+++ b/testing/test_engine_priority.py
@@ -99,9 +99,9 @@
         while not run.begun:
             await asyncio.sleep(0.001)
         fakes.tables.table = _table(_route(7))
-        run.begin_stop()
+        stop = run.begin_stop()
         slow.close()
-        run.finish_stop(ResumeTarget(entry=y, holder=x, copy="c"))
+        run.finish_stop(stop, ResumeTarget(entry=y, holder=x, copy="c"), may_have_stopped=True)
         assert await serving is None
         assert [one.priority for one in fakes.upstream_client.requests] == [1, 1]
 
--- a/testing/test_forwarding_evacuation.py
+++ b/testing/test_forwarding_evacuation.py
@@ -12,16 +12,23 @@
 from tanagerscale.core import RequestId
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import CopyFailure
-from tanagerscale.forwarding._stream import STOP_TIMEOUT_MS
+from tanagerscale.forwarding._run_stops import STOP_TIMEOUT_MS
+from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.generated.messages import MoveOrder
 from testing._gateway_fakes import copy_failure
+from testing._move_harness import FakeRun
 from testing._move_harness import MoveHarness
 from testing._virtual_time import run_virtually
 
 SETTLE_S = 5
 
 
+async def _recover(harness: MoveHarness, run: FakeRun) -> ResumeTarget | None:
+    source = harness.entry("x")
+    return await harness.movers.recover(run, source, is_stop_requested=False)  # type: ignore[arg-type]
+
+
 def test_run_is_copied_then_stopped_and_resumed_when_its_engine_leaves() -> None:
     async def scenario() -> None:
         harness = MoveHarness("x", "y")
@@ -73,7 +80,7 @@
         harness = MoveHarness("x", "y")
         run = harness.add("1", at="x")
         harness.add_copy(run, at="y")
-        resume_target = await harness.movers.recover(run, harness.entry("x"), is_asked=False)  # type: ignore[arg-type]
+        resume_target = await _recover(harness, run)
         assert harness.fakes.engines.copies == [("1", "x", "y", True)]
         assert resume_target is not None
         assert (resume_target.entry.upstream, resume_target.holder.upstream) == ("y", "x")
@@ -89,7 +96,7 @@
         run = harness.add("1", at="x")
         harness.add_copy(run, at="y")
         harness.fakes.engines.failures.append(copy_failure(failure))
-        resume_target = await harness.movers.recover(run, harness.entry("x"), is_asked=False)  # type: ignore[arg-type]
+        resume_target = await _recover(harness, run)
         assert resume_target is not None
         assert (resume_target.entry.upstream, resume_target.copy) == ("y", "c")
 
@@ -130,7 +137,7 @@
         run = harness.add("1", at="x")
         harness.add_copy(run, at="y")
         harness.fakes.engines.copy_duration_ms = 60_000
-        resume_target = await harness.movers.recover(run, harness.entry("x"), is_asked=False)  # type: ignore[arg-type]
+        resume_target = await _recover(harness, run)
         assert resume_target is not None
         return harness.fakes.context.clock.now()
 
--- a/testing/test_forwarding_stream.py
+++ b/testing/test_forwarding_stream.py
@@ -56,7 +56,7 @@
         self.engines.append(run.entry.upstream)
 
     async def recover(
-        self, run: StreamRun, source: UpstreamEntry, *, is_asked: bool
+        self, run: StreamRun, source: UpstreamEntry, *, is_stop_requested: bool
     ) -> ResumeTarget | None:
         """Return the current copy as the resume target."""
         self.recoveries += 1
@@ -216,9 +216,9 @@
         serving = asyncio.create_task(run.serve())
         while len(_event_numbers(responder)) < 3:
             await asyncio.sleep(0.001)
-        run.begin_stop()
+        stop = run.begin_stop()
         slow.close()
-        run.finish_stop(ResumeTarget(entry=y, holder=x, copy="c"))
+        run.finish_stop(stop, ResumeTarget(entry=y, holder=x, copy="c"), may_have_stopped=True)
         assert await serving is None
         assert _event_numbers(responder) == [1, 2, 3, 4, 5]
         assert responder.ended
@@ -238,7 +238,7 @@
         fakes.upstream_client.set("x", FakeResponse(chunks=[*_events(1, 2, 3), None]))
         fakes.upstream_client.set("y", FakeResponse(chunks=_events(2, 3, 4)))
         run, responder = _make_run(fakes)
-        run._resume_targets.append(ResumeTarget(entry=y, holder=x, copy="c"))
+        run._stops.targets.append(ResumeTarget(entry=y, holder=x, copy="c"))
         assert await run.serve() is None
         assert _event_numbers(responder) == [1, 2, 3, 4]
 
@@ -255,10 +255,10 @@
         serving = asyncio.create_task(run.serve())
         while not run.begun:
             await asyncio.sleep(0.001)
-        run.begin_stop()
+        stop = run.begin_stop()
         await asyncio.sleep(1.0)
         assert not serving.done()
-        run.finish_stop(ResumeTarget(entry=y, holder=x, copy="c"))
+        run.finish_stop(stop, ResumeTarget(entry=y, holder=x, copy="c"), may_have_stopped=True)
         assert await serving is None
         assert _event_numbers(responder) == [1, 2, 3]
 
@@ -273,9 +273,9 @@
         serving = asyncio.create_task(run.serve())
         while not run.begun:
             await asyncio.sleep(0.001)
-        run.begin_stop()
+        stop = run.begin_stop()
         await asyncio.sleep(1.0)
-        run.finish_stop(None)
+        run.finish_stop(stop, None, may_have_stopped=False)
         assert await serving is not None
         assert not responder.ended
 
@@ -290,7 +290,7 @@
         fakes.upstream_client.set("y", FakeResponse(status=503, not_executed=True))
         fakes.upstream_client.set("z", FakeResponse(chunks=_events(2)))
         run, responder = _make_run(fakes)
-        run._resume_targets += [
+        run._stops.targets += [
             ResumeTarget(entry=y, holder=x, copy="1"),
             ResumeTarget(entry=z, holder=x, copy="2"),
         ]
--- a/testing/test_stopped_runs_failures.py
+++ b/testing/test_stopped_runs_failures.py
@@ -8,7 +8,7 @@
 from tanagerscale.forwarding import CopyFailure
 from tanagerscale.forwarding import MoveResult
 from tanagerscale.forwarding._resuming import RESUME_TIMEOUT_MS
-from tanagerscale.forwarding._stream import STOP_TIMEOUT_MS
+from tanagerscale.forwarding._run_stops import STOP_TIMEOUT_MS
 from tanagerscale.generated.messages import MoveKind
 from tanagerscale.generated.messages import MoveOrder
 from tanagerscale.platform._engines import CALL_TIMEOUT_MS
