Log in which phase an answer was cut by a failure

A stream whose run could not continue was counted as cut while it was answering, whatever its phase. The failure that ends it now has the phase of the run, in the line and in tanagerscale_cut_answers. A write that fails as the caller's connection has ended is logged as a caller that has left, or as a cut by the end of the host, not as an error of this host.

--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -170,6 +170,8 @@
         self._running += 1
         try:
             await self._serve(request, responder, is_delegated=is_delegated)
+        except ConnectionError:
+            raise
         except Exception:
             _log.exception(
                 "A request has failed by an error of this host.",
@@ -201,24 +203,29 @@
             await self._refuse(request, responder, no_region(rng=self._context.rng), table)
             return
         routed = self._build_routed(request, route, caller, table, domains)
-        refusal = await self._forward_in_time(routed, responder, is_delegated=is_delegated)
+        in_progress = self._make_in_progress(routed, responder, is_delegated=is_delegated)
+        refusal = await self._forward_in_time(in_progress)
         self._record_outcome(routed, refusal)
         if refusal is not None:
-            await self._refuse(request, responder, refusal, table)
+            await self._refuse(request, responder, refusal, table, phase=in_progress.phase)
 
-    async def _forward_in_time(
+    def _make_in_progress(
         self, routed: RoutedRequest, responder: Responder, *, is_delegated: bool
-    ) -> Refusal | None:
-        """Forward a request until its deadline, or until a shutdown leaves no time for it."""
-        left = routed.deadline - self._context.clock.now()
-        timeout = asyncio.timeout(max(left, 0) / MS_PER_SECOND)
-        in_progress = _RequestInProgress(
-            routed=routed, responder=responder, timeout=timeout, is_delegated=is_delegated
+    ) -> _RequestInProgress:
+        left_ms = max(routed.deadline - self._context.clock.now(), 0)
+        return _RequestInProgress(
+            routed=routed,
+            responder=responder,
+            timeout=asyncio.timeout(left_ms / MS_PER_SECOND),
+            is_delegated=is_delegated,
         )
+
+    async def _forward_in_time(self, in_progress: _RequestInProgress) -> Refusal | None:
+        """Forward a request until its deadline, or until a shutdown leaves no time for it."""
         try:
-            async with timeout:
+            async with in_progress.timeout:
                 self._in_progress.add(in_progress)
-                return await self._forward(routed, in_progress)
+                return await self._forward(in_progress.routed, in_progress)
         except TimeoutError:
             if in_progress.is_convicted:
                 return quarantined(may_have_run=in_progress.may_have_run)
@@ -227,7 +234,8 @@
             if in_progress.may_have_run:
                 return stopped_before_response()
             return host_stopping(rng=self._context.rng)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, ConnectionError):
+            # A write fails after the end of the caller's connection, before the cancellation.
             self._log_cancelled(in_progress)
             raise
         finally:
@@ -235,21 +243,18 @@
 
     def _log_cancelled(self, in_progress: _RequestInProgress) -> None:
         """Log that a request ends because its caller has left or the host ends."""
-        request = in_progress.routed.request
-        inputs = {
-            "request": request.request,
-            "begun": in_progress.responder.begun,
-            "phase": in_progress.phase,
-            "after_ms": self._context.clock.now() - request.arrived,
-        }
-        if not self._shutdown.is_over:
-            _log.info("A caller has left.", **inputs)
-            return
-        self._context.metrics.cut_answers.labels("host-ends", in_progress.phase).inc()
-        _log.warning(
-            "A response is cut because the host ends.",
+        request, phase = in_progress.routed.request, in_progress.phase
+        is_cut = self._shutdown.is_over
+        if is_cut:
+            self._context.metrics.cut_answers.labels("host-ends", phase).inc()
+        log = _log.warning if is_cut else _log.info
+        log(
+            "A response is cut because the host ends." if is_cut else "A caller has left.",
+            request=request.request,
+            begun=in_progress.responder.begun,
+            phase=phase,
             since_stop_ms=self._shutdown.elapsed_ms,
-            **inputs,
+            after_ms=self._context.clock.now() - request.arrived,
         )
 
     def _record_outcome(self, routed: RoutedRequest, refusal: Refusal | None) -> None:
@@ -356,6 +361,7 @@
         responder: Responder,
         refusal: Refusal,
         table: RouteTable | None,
+        phase: str = "waiting",
     ) -> None:
         log = _log.warning if responder.begun else _log.info
         log(
@@ -365,11 +371,12 @@
             detail=refusal.detail,
             retry_after_ms=refusal.retry_after_ms,
             begun=responder.begun,
+            phase=phase,
             after_ms=self._context.clock.now() - request.arrived,
             version=None if table is None else table.version,
         )
         if responder.begun:
-            self._context.metrics.cut_answers.labels(refusal.kind.value, "answering").inc()
+            self._context.metrics.cut_answers.labels(refusal.kind.value, phase).inc()
             # Abort the connection so that the partial response does not look complete.
             responder.abort()
             return
--- a/testing/_forwarding_fleet.py
+++ b/testing/_forwarding_fleet.py
@@ -182,7 +182,9 @@
             body=body,
         )
         routed = route_request(request, route)
-        return await self.dispatcher._forward_in_time(routed, responder, is_delegated=False)
+        return await self.dispatcher._forward_in_time(
+            self.dispatcher._make_in_progress(routed, responder, is_delegated=False)
+        )
 
 
 class _DelegatedResponse:
@@ -222,7 +224,8 @@
         responder = FakeResponder()
         received = replace(request, arrived=one.host.clock.now(), time_left_ms=time_left_ms)
         routed = route_request(received, self.routes[request.request])
-        refusal = await one.dispatcher._forward_in_time(routed, responder, is_delegated=True)
+        in_progress = one.dispatcher._make_in_progress(routed, responder, is_delegated=True)
+        refusal = await one.dispatcher._forward_in_time(in_progress)
         if responder.begun and refusal is not None:
             raise ExchangeError(ExchangeFailure.LOST, "the stream broke off")
         if refusal is not None:
