Cancel handlers before their connections are closed, and see what callers have not read

As a host ended, the connection of a slow caller was closed first, so that its handler failed at its next write in place of being cancelled: no line told that the answer was cut. Handlers are cancelled first, and the protocol keeps its transport.

--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -128,7 +128,13 @@
         return not self._server.connections
 
     async def close(self) -> None:
-        """Close all connections and stop the server."""
+        """Cancel all handlers, close all connections and stop the server."""
+        uses = [protocol.use for protocol in self._connections]
+        handlers = [use.handler for use in uses if use.handler is not None]
+        for handler in handlers:
+            handler.cancel()
+        if handlers:
+            await asyncio.wait(handlers, timeout=SHUTDOWN_TIMEOUT_S)
         for protocol in self._connections:
             self._log_unread(protocol)
             protocol.force_close()
@@ -136,13 +142,11 @@
 
     def _log_unread(self, protocol: CallerProtocol) -> None:
         """Log a response that its caller has not read completely as its connection is closed."""
-        transport = protocol.transport
-        unread_bytes = 0 if transport is None else transport.get_write_buffer_size()
-        if unread_bytes:
+        if protocol.unread_bytes:
             _log.warning(
                 "A caller has not read its response as the host ends.",
                 request=protocol.use.request,
-                unread_bytes=unread_bytes,
+                unread_bytes=protocol.unread_bytes,
                 is_complete=not protocol.use.is_handling,
             )
 
--- a/src/tanagerscale/gateway/_connections.py
+++ b/src/tanagerscale/gateway/_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 from typing import Final
 from typing import final
 
@@ -29,6 +30,7 @@
     :param has_unhandled_data: Whether data of a request has arrived whose handling has not begun.
     :param must_close: Whether to close it after its next response.
     :param request: The last request that was read on it; ``None`` before that.
+    :param handler: Task that handles a request on it; ``None`` while there is none.
     """
 
     opened: Millis
@@ -38,15 +40,18 @@
     has_unhandled_data: bool = False
     must_close: bool = False
     request: RequestId | None = None
+    handler: asyncio.Task[Any] | None = None
 
     def begin_request(self) -> None:
-        """Record that the handling of a request begins."""
+        """Record that the current task begins to handle a request."""
         self.is_handling = True
+        self.handler = asyncio.current_task()
         self.has_unhandled_data = False
 
     def end_request(self, *, now: Millis) -> None:
         """Record that the handling of a request has ended."""
         self.is_handling = False
+        self.handler = None
         self.requests += 1
         self.last_active = now
 
@@ -70,8 +75,21 @@
             access_log=None,  # type: ignore[arg-type]
         )
         self._clock = clock
+        self._own_transport: asyncio.Transport | None = None
         self.use = ConnectionUse(opened=clock.now(), last_active=clock.now())
 
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of responses that wait to be sent, also after the server has closed it."""
+        transport = self._own_transport
+        return 0 if transport is None else transport.get_write_buffer_size()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport, which the server forgets as it closes the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._own_transport = transport
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         """Record that the connection is in use before any of the data is handled."""
         if not self.use.is_handling:
