--- a/src/tanagerscale/core/_line_log.py
+++ b/src/tanagerscale/core/_line_log.py
@@ -108,8 +108,10 @@
         writable = select.poll()
         writable.register(self._descriptor, select.POLLOUT)
         ends_at = self._clock.now() + timeout_ms
-        while not self._write_kept_lines() and self._clock.now() < ends_at:
-            writable.poll(ends_at - self._clock.now())
+        while not self._write_kept_lines():
+            left_ms = ends_at - self._clock.now()
+            if left_ms <= 0 or _is_closed(writable.poll(left_ms)):
+                return
 
     def _write_kept_lines(self) -> bool:
         """Write the lines that were kept; return whether none is left."""
@@ -133,6 +135,11 @@
         return self._lines_in_second <= self._lines_per_s
 
 
+def _is_closed(events: list[tuple[int, int]] | None) -> bool:
+    """Return whether nobody reads a pipe any more."""
+    return any(event & (select.POLLERR | select.POLLHUP) for _, event in events or ())
+
+
 def _truncate(line: dict[str, Any]) -> dict[str, Any]:
     """Return a line with its long texts and lists truncated, so that it stays valid JSON."""
     return {
--- a/src/tanagerscale/platform/__main__.py
+++ b/src/tanagerscale/platform/__main__.py
@@ -50,10 +50,12 @@
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, path, host, line_log)
     loop.add_signal_handler(signal.SIGUSR1, log_tasks)
-    await host.start()
-    await stop_requested.wait()
-    await host.stop()
-    line_log.flush(timeout_ms=LOG_FLUSH_TIMEOUT_MS)
+    try:
+        await host.start()
+        await stop_requested.wait()
+        await host.stop()
+    finally:
+        line_log.flush(timeout_ms=LOG_FLUSH_TIMEOUT_MS)
 
 
 def _reload(path: Path, host: GatewayHost, line_log: JsonLinesHandler) -> None:
