Revoke the lease of a withdrawn host again if the store fails

One failed call left the entry of a stopping host for up to 30 s, with most of its grace period left: the lease was forgotten before the store had confirmed that it is revoked.

--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -147,8 +147,9 @@
                 await self._read_once()
             if self._lease is not None:
                 await self._wait_to_renew()
-        # The entry may have been written while the host withdrew.
-        await self._revoke()
+        # The entry may have been written while the host withdrew, or the store have failed then.
+        while not await self._revoke():
+            await self._clock.sleep(int(RETRY_DELAY_MS * self._rng.uniform(*RETRY_JITTER)))
 
     async def _read_once(self) -> None:
         """Read the entries of all hosts once; coordinators send all later changes."""
@@ -179,15 +180,19 @@
         self._check_requested.set()
         await self._revoke()
 
-    async def _revoke(self) -> None:
-        lease, self._lease = self._lease, None
-        if lease is None:
-            return
+    async def _revoke(self) -> bool:
+        """Revoke the lease; return whether there is none any more."""
+        if self._lease is None:
+            return True
+        lease = self._lease
         revoked = await self._store.revoke(lease=lease)
         if isinstance(revoked, Failure):
-            _log.info(
-                "The lease could not be revoked; it will expire.", detail=revoked.failure().detail
-            )
+            detail = revoked.failure().detail
+            _log.info("The lease could not be revoked; trying again.", detail=detail)
+            return False
+        if self._lease == lease:
+            self._lease = None
+        return True
 
     def on_snapshot(self, snapshot: StoreRange) -> None:
         """Replace all known entries by a snapshot."""
