Fail a service's answer without a length when its connection is reset

Callers of the product's own interface read a 200 with an empty or short body, framed with Content-Length as whole, when a plain service had sent a whole head without a length and its connection was then reset. With an Idempotency-Key the short answer was also recorded for repeats.

Cause: aiohttp's client ends a body without a length as complete however its connection ends. The connections of the platform (upstreams/_connection.py) look at that themselves; the sessions of the product's interface did not.

Change: the single-use sessions parse with a handler that fails an incomplete body when its connection is lost with an error.

A body without a length that is cut by a clean close is still passed on as whole: nothing in it tells that from its end.

--- a/src/tanagerscale/upstreams/_sessions.py
+++ b/src/tanagerscale/upstreams/_sessions.py
@@ -2,16 +2,57 @@
 
 from __future__ import annotations
 
+import asyncio
+from functools import partial
+from typing import cast
+from typing import final
+
 import aiohttp
+from aiohttp import StreamReader
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+
+
+@final
+class _ResetAwareHandler(ResponseHandler):
+    """aiohttp's response parser that fails a body whose connection is reset.
+
+    aiohttp takes a body without a length for complete, however its connection ends.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._last_body: StreamReader | None = None
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Remember the body of the response."""
+        self._last_body = data[1]
+        super().feed_data(data, size)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the body, unless it has been received completely."""
+        if exc is not None and self._last_body is not None and not self._last_body.is_eof():
+            detail = f"The connection was lost ({type(exc).__name__})"
+            self._last_body.set_exception(aiohttp.ClientPayloadError(detail), exc)
+        super().connection_lost(exc)
+
+
+@final
+class _SingleUseConnector(aiohttp.TCPConnector):
+    """A connector whose connections carry one call each, and tell a reset from a clean end."""
+
+    def __init__(self) -> None:
+        super().__init__(limit=0, force_close=True)
+        factory = partial(_ResetAwareHandler, loop=self._loop)
+        self._factory = cast("partial[ResponseHandler]", factory)
 
 
 def make_single_use_session(*, auto_decompress: bool = True) -> aiohttp.ClientSession:
     """Return a session whose connections carry one call each.
 
     The first answer on a connection can't be a late one to another call, and a call can't break
-    because its connection had ended before.
+    because its connection had ended before. A body is never taken for complete after a reset.
 
     :param auto_decompress: Whether bodies are decompressed.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    return aiohttp.ClientSession(connector=connector, auto_decompress=auto_decompress)
+    return aiohttp.ClientSession(connector=_SingleUseConnector(), auto_decompress=auto_decompress)
--- a/testing/_memory_peer.py
+++ b/testing/_memory_peer.py
@@ -83,6 +83,7 @@
             if isinstance(part, Late):
                 loop.call_later(part.delay_s, self.deliver, part.data)
             else:
+                assert isinstance(part, bytes)
                 loop.call_soon(self.deliver, part)
 
 
--- a/testing/_scripted_peer.py
+++ b/testing/_scripted_peer.py
@@ -9,6 +9,8 @@
 from collections.abc import Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+import socket
+import struct
 from typing import final
 
 from standins._common import LOOPBACK
@@ -52,7 +54,21 @@
     data: bytes
 
 
-Part = bytes | Late
+@dataclass(frozen=True, kw_only=True)
+class Pause:
+    """A wait before the next part, so that it arrives by itself.
+
+    :param wait_s: Time in seconds.
+    """
+
+    wait_s: float
+
+
+class Reset:
+    """The end of the connection by a reset."""
+
+
+Part = bytes | Late | Pause | Reset
 Answer = Callable[[PeerRequest], Sequence[Part]]
 
 
@@ -60,7 +76,8 @@
 class ScriptedPeer:
     """Answers each request with the parts that a test chooses.
 
-    :param answer: Returns what is sent after a request; the connection ends after ``b""``.
+    :param answer: Returns what is sent after a request; the connection ends after ``b""``
+        or ``Reset``.
     """
 
     def __init__(self, answer: Answer) -> None:
@@ -86,7 +103,10 @@
                 for part in self.answer(request):
                     if part == b"":
                         return
-                    _send(writer, part)
+                    if isinstance(part, Reset):
+                        _reset(writer)
+                        return
+                    await _send(writer, part)
         except (ConnectionError, asyncio.IncompleteReadError):
             return
         except asyncio.CancelledError:
@@ -96,11 +116,19 @@
             writer.close()
 
 
-def _send(writer: asyncio.StreamWriter, part: Part) -> None:
+async def _send(writer: asyncio.StreamWriter, part: bytes | Late | Pause) -> None:
     if isinstance(part, bytes):
         writer.write(part)
-        return
-    asyncio.get_running_loop().call_later(part.delay_s, writer.write, part.data)
+    elif isinstance(part, Pause):
+        await asyncio.sleep(part.wait_s)
+    else:
+        asyncio.get_running_loop().call_later(part.delay_s, writer.write, part.data)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    without_linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, without_linger)
+    writer.transport.abort()
 
 
 async def _read_request(reader: asyncio.StreamReader, connection: int, number: int) -> PeerRequest:
