Let a run go back to the engine that stopped it while that engine leaves

What callers saw: a stream was cut although its own engine had its memory, and had been leaving for less than 1.2 s. The engine had stopped it for a target that crashed, or hung for a second, right after the stop.

Cause: RunResumer took an engine that leaves at all as no holder of the copy, and RunStopper.recover did so too, while the one place of sending allows such a request for 1.2 s after the notice. So the target alone was asked, up to five times. Found by a state machine test of moving runs: x is asked at 685 ms and hangs, w begins to leave at 955 ms, and the answer is cut at 1,685 ms, 700 ms after the host knew that w leaves.

Ruled out: treating every leaving source as a holder.

Change: a ResumeTarget says whether its holder has stopped the run. Such a holder is asked after the target has failed, until it has been leaving for 1.2 s. How long a slow target may take is as before: 6 s if the only other holder leaves.

--- a/src/tanagerscale/forwarding/_resuming.py
+++ b/src/tanagerscale/forwarding/_resuming.py
@@ -15,6 +15,7 @@
 from tanagerscale.forwarding._segments import RunProgress
 from tanagerscale.forwarding._segments import SegmentSender
 from tanagerscale.forwarding._segments import StreamSegment
+from tanagerscale.forwarding._sending import RESUME_AT_LEAVING_MS
 from tanagerscale.forwarding._sending import SendPath
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
@@ -116,14 +117,14 @@
             )
             failed.add(entry.upstream)
             if not is_permitted and not await self._acquire_permit(entry):
-                entry = self._other_holder(resume_target, entry)
+                entry = self._next_holder(resume_target, entry)
                 continue
             self._has_repeat = False
             try:
                 segment = await self._try_resume(entry, resume_target, progress, chosen_at)
             except UpstreamLeavingError:
                 self._has_repeat = True
-                if self._other_holder(resume_target, entry) is entry:
+                if self._next_holder(resume_target, entry) is entry:
                     return None
             except (ExchangeError, TimeoutError) as error:
                 self._sender.log("An attempt to resume a run failed.", entry, detail=repr(error))
@@ -140,7 +141,7 @@
                     return None
             await self._context.clock.sleep(backoff_ms)
             backoff_ms *= 2
-            entry = self._other_holder(resume_target, entry)
+            entry = self._next_holder(resume_target, entry)
         return None
 
     async def _try_resume(
@@ -249,7 +250,7 @@
         self, resume_target: ResumeTarget, entry: UpstreamEntry
     ) -> list[UpstreamEntry]:
         """Return the engines that hold the copy and may get requests, paused ones too."""
-        holders = (entry, self._other_holder(resume_target, entry))
+        holders = (entry, self._next_holder(resume_target, entry))
         is_evacuated = self._context.upstreams.is_evacuated
         return [one for one in holders if not is_evacuated(one.upstream)]
 
@@ -276,7 +277,7 @@
         self, resume_target: ResumeTarget, entry: UpstreamEntry
     ) -> Snapshot | None:
         """Return the copy at the other holder; the engine last asked may be running it."""
-        other = self._other_holder(resume_target, entry)
+        other = self._next_holder(resume_target, entry)
         if other is entry:
             return None
         now = self._context.clock.now()
@@ -284,6 +285,19 @@
             entry=other, copy=resume_target.copy, taken=now, holder=resume_target.holder
         )
 
+    def _next_holder(self, resume_target: ResumeTarget, entry: UpstreamEntry) -> UpstreamEntry:
+        """Return the other engine that holds the copy, unless it may get no request.
+
+        The engine that stopped the run may get one for a while after it has begun to leave.
+        """
+        other = self._other_holder(resume_target, entry)
+        if other is not entry or not resume_target.is_stopped:
+            return other
+        holder = resume_target.holder
+        leaving_ms = self._context.gate.leaving_for_ms(holder.upstream)
+        may_return = leaving_ms is None or leaving_ms < RESUME_AT_LEAVING_MS
+        return holder if may_return else other
+
     def _other_holder(self, resume_target: ResumeTarget, entry: UpstreamEntry) -> UpstreamEntry:
         """Return the other engine that holds the copy, unless that engine is leaving."""
         other = resume_target.holder if entry is resume_target.entry else resume_target.entry
--- a/src/tanagerscale/forwarding/_snapshots.py
+++ b/src/tanagerscale/forwarding/_snapshots.py
@@ -14,12 +14,14 @@
     :param entry: Engine that resumes the run.
     :param holder: Engine whose copy of the KV cache is used.
     :param copy: Id of that copy.
+    :param is_stopped: Whether the holder has stopped the run, so that it can take it back.
     :param is_permitted: Whether the rate limit of the engine already counts the request.
     """
 
     entry: UpstreamEntry
     holder: UpstreamEntry
     copy: str
+    is_stopped: bool = False
     is_permitted: bool = False
 
 
--- a/src/tanagerscale/forwarding/_stopping.py
+++ b/src/tanagerscale/forwarding/_stopping.py
@@ -17,6 +17,7 @@
 from tanagerscale.forwarding._copier import Copier
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._run_stops import STOP_TIMEOUT_MS
+from tanagerscale.forwarding._sending import RESUME_AT_LEAVING_MS
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
 from tanagerscale.forwarding._stream import StreamRun
@@ -108,7 +109,7 @@
         :param is_stop_requested: Whether that engine has been asked before.
         """
         snapshot = run.snapshot
-        if snapshot is None or not self._can_resume_at(snapshot.entry):
+        if snapshot is None or not self._can_resume_from(snapshot):
             return None
         resume_target = ResumeTarget(
             entry=snapshot.entry, holder=snapshot.holder or source, copy=snapshot.copy
@@ -121,19 +122,27 @@
         except TimeoutError:
             return resume_target
         if isinstance(final_copy, Success):
-            return ResumeTarget(entry=snapshot.entry, holder=source, copy=final_copy.unwrap().copy)
+            copy = final_copy.unwrap().copy
+            return ResumeTarget(entry=snapshot.entry, holder=source, copy=copy, is_stopped=True)
         retained_copy = final_copy.failure().retained_copy
         return (
             resume_target
             if retained_copy is None
-            else ResumeTarget(entry=source, holder=source, copy=retained_copy)
+            else ResumeTarget(entry=source, holder=source, copy=retained_copy, is_stopped=True)
         )
 
-    def _can_resume_at(self, entry: UpstreamEntry) -> bool:
-        """Return whether a run may resume on an engine."""
-        upstream = entry.upstream
-        is_evacuated = self._context.upstreams.is_evacuated(upstream)
-        return not is_evacuated and not self._context.gate.is_leaving(upstream)
+    def _can_resume_from(self, snapshot: Snapshot) -> bool:
+        """Return whether a run may resume on the engine that holds a copy.
+
+        The engine that stopped the run may take it back for a while after it has begun to leave.
+        """
+        upstream = snapshot.entry.upstream
+        if self._context.upstreams.is_evacuated(upstream):
+            return False
+        leaving_ms = self._context.gate.leaving_for_ms(upstream)
+        if leaving_ms is None:
+            return True
+        return snapshot.entry is snapshot.holder and leaving_ms < RESUME_AT_LEAVING_MS
 
     async def _confirm(
         self, run: StreamRun, source: UpstreamEntry, target: UpstreamEntry
@@ -164,10 +173,13 @@
                     entry=snapshot.entry,
                     holder=source,
                     copy=final_copy.unwrap().copy,
+                    is_stopped=True,
                     is_permitted=True,
                 )
             elif (retained_copy := final_copy.failure().retained_copy) is not None:
-                resume_target = ResumeTarget(entry=source, holder=source, copy=retained_copy)
+                resume_target = ResumeTarget(
+                    entry=source, holder=source, copy=retained_copy, is_stopped=True
+                )
             may_have_stopped = resume_target is not None or _is_unknown(final_copy)
         finally:
             has_repeat = run.finish_stop(stop, resume_target, may_have_stopped=may_have_stopped)
--- a/testing/test_stopped_runs.py
+++ b/testing/test_stopped_runs.py
@@ -332,3 +332,41 @@
         return stream.fakes.context.clock.now() - stopped_at
 
     assert run_virtually(scenario()) <= RESUME_TIMEOUT_MS + 10 * EVENT_MS
+
+
+# Guards against losing a stream whose target fails just after the stop, while its own engine keeps
+# its memory and has begun to leave only lately: the target alone was asked, five times.
+@pytest.mark.parametrize("failure", [ExchangeFailure.NOT_SENT, ExchangeFailure.LOST])
+def test_run_goes_back_to_its_leaving_engine_when_its_target_fails_after_the_stop(
+    failure: ExchangeFailure,
+) -> None:
+    async def scenario() -> None:
+        stream = MovedStream("x", "y")
+        await stream.start(then=[FakeResponse(chunks=events(2, 9))])
+        stream.add_copy(at="y")
+        stream.fakes.upstreams.leaving.add("x")
+        stream.fakes.upstreams.leaving_ms["x"] = RESUME_AT_LEAVING_MS - 1
+        stream.fakes.upstream_client.set("y", *[ExchangeError(failure, "crashed")] * 5)
+        await stream.move(to="y")
+        assert await stream.serving is None
+        assert [engine for engine, _ in stream.continuations] == ["y", "x"]
+        assert stream.responder.body == whole(9)
+
+    run_virtually(scenario())
+
+
+# Guards against a request to an engine that has been leaving for long, for want of another one.
+def test_run_does_not_go_back_to_an_engine_that_has_been_leaving_for_long() -> None:
+    async def scenario() -> None:
+        stream = MovedStream("x", "y")
+        await stream.start()
+        stream.add_copy(at="y")
+        stream.fakes.upstreams.leaving.add("x")
+        stream.fakes.upstreams.leaving_ms["x"] = RESUME_AT_LEAVING_MS
+        lost = ExchangeError(ExchangeFailure.LOST, "crashed")
+        stream.fakes.upstream_client.set("y", *[lost] * 5)
+        await stream.move(to="y")
+        assert await stream.serving is not None
+        assert [engine for engine, _ in stream.continuations] == ["y"]
+
+    run_virtually(scenario())
