Cut answers of upstreams after each byte, and read what callers get

A report says that callers got a success with an empty or short body, framed as whole, after an upstream had ended within the head of its answer. On the platform's ways nothing of that was seen: test_half_heads runs a host between callers on sockets and upstreams that end after each byte of an answer, by a close and by a reset, in one piece and in two, with a length, in chunks, without a length and behind 100 Continue. It does so for plain requests (first, repeated, hedged), for generations (placed, placed again, resumed from a copy), on kept connections, behind a late second answer, and while the host stops. Each case asserts how often the upstreams were reached and on which way.

A body without a length that ends by a clean close is whole by the protocol, and the tests say so: its callers get it framed as whole, also when it is short or empty. A stream is taken for broken if it ends so within an event.

--- a/testing/_cut_answers.py
+++ b/testing/_cut_answers.py
@@ -65,6 +65,11 @@
     return interim + "\r\n".join([*lines, "", ""]).encode() + content
 
 
+def find_head_size(answer: bytes) -> int:
+    """Return the size of the head of an answer, with an interim answer before it."""
+    return answer.index(HEAD_END, answer.index(b"HTTP/1.1 200")) + len(HEAD_END)
+
+
 @dataclass(frozen=True, kw_only=True)
 class Cut:
     """Where and how an answer ends.
@@ -88,15 +93,18 @@
         return [*parts, Reset() if self.is_reset else b""]
 
 
-def every_cut(size: int) -> Iterator[Cut]:
+def every_cut(size: int, *, is_thinned: bool = False) -> Iterator[Cut]:
     """Return the cuts after each byte of an answer, also after its last one.
 
     :param size: Bytes of the answer.
+    :param is_thinned: Whether what ends after a byte comes in one piece for one of the two kinds of
+        end and in two for the other, in turn, and not in both ways for both.
     """
     for sent in range(size + 1):
         for is_reset in (False, True):
             for is_split in (False, True):
-                yield Cut(size=sent, is_reset=is_reset, is_split=is_split)
+                if not is_thinned or is_split == ((sent + is_reset) % 2 == 0):
+                    yield Cut(size=sent, is_reset=is_reset, is_split=is_split)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/testing/_scripted_peer.py
+++ b/testing/_scripted_peer.py
@@ -64,11 +64,21 @@
     wait_s: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Until:
+    """A wait before the next part until an event is set.
+
+    :param event: The event.
+    """
+
+    event: asyncio.Event
+
+
 class Reset:
     """The end of the connection by a reset."""
 
 
-Part = bytes | Late | Pause | Reset
+Part = bytes | Late | Pause | Until | Reset
 Answer = Callable[[PeerRequest], Sequence[Part]]
 
 
@@ -116,11 +126,13 @@
             writer.close()
 
 
-async def _send(writer: asyncio.StreamWriter, part: bytes | Late | Pause) -> None:
+async def _send(writer: asyncio.StreamWriter, part: bytes | Late | Pause | Until) -> None:
     if isinstance(part, bytes):
         writer.write(part)
     elif isinstance(part, Pause):
         await asyncio.sleep(part.wait_s)
+    elif isinstance(part, Until):
+        await part.event.wait()
     else:
         asyncio.get_running_loop().call_later(part.delay_s, writer.write, part.data)
 
--- /dev/null
+++ b/testing/test_half_heads.py
@@ -0,0 +1,439 @@
+"""Answers of upstreams that break off after any byte, as callers of a running host get them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from contextlib import suppress
+from dataclasses import dataclass
+from dataclasses import field
+from functools import partial
+from itertools import count
+from typing import Any
+
+import pytest
+import pytest_asyncio
+
+from standins.platform_world import API_KEY
+from standins.platform_world import HOST_NAME
+from standins.platform_world import MODEL_SERVICE
+from standins.platform_world import PLAIN_SERVICE
+from standins.platform_world import PlatformCluster
+from standins.platform_world import configuration
+from tanagerscale.core import Clock
+from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding import _sending
+from tanagerscale.forwarding._segments import StreamSegment
+from tanagerscale.forwarding._sending import SendPath
+from tanagerscale.forwarding._snapshots import Snapshot
+from tanagerscale.forwarding._stream import StreamRun
+from tanagerscale.forwarding._suspected_requests import record_suspected_request
+from tanagerscale.gateway import GatewayHost
+from tanagerscale.platform import make_platform
+from testing._cut_answers import CONCURRENT_CALLS
+from testing._cut_answers import LAST_CHUNK
+from testing._cut_answers import PIECE_GAP_S
+from testing._cut_answers import STAMP
+from testing._cut_answers import STAMP_VALUE
+from testing._cut_answers import Cut
+from testing._cut_answers import Framing
+from testing._cut_answers import ReadAnswer
+from testing._cut_answers import call_all
+from testing._cut_answers import encode_framed
+from testing._cut_answers import every_cut
+from testing._cut_answers import find_head_size
+from testing._cut_answers import read_answer
+from testing._scripted_peer import Part
+from testing._scripted_peer import Pause
+from testing._scripted_peer import PeerRequest
+from testing._scripted_peer import Reset
+from testing._scripted_peer import Until
+from testing._scripted_peer import encode_answer
+from testing._scripted_peer import run_scripted_peer
+
+PLAIN_BODY = b"booked"
+OTHER_BODY = b"not booked"
+EVENTS = [f"id: {number}\ndata: {number}\n\n".encode() for number in (1, 2)]
+TIME_LEFT_MS = 20_000
+HEDGE_TARGET_MS = 20
+STOP_GRACE_S = 8
+UNLIMITED_REPEATS = 1_000_000.0
+UPSTREAMS = 2
+"""Upstreams of each service."""
+CONTINUE_FROM = "kv-from"
+CONNECTIONS_AT_ONCE = 64
+"""An upstream resets connections beyond those that its system lets wait."""
+SLOTS, MEMORY_TOKENS = 1000, 10_000_000
+"""What an upstream runs at a time; some tests make all their calls at once."""
+
+
+@dataclass
+class _Script:
+    """Answers the requests of callers; each request is numbered, and has a cut of its own.
+
+    :param answers: Returns what is sent after a request, by how often it has arrived before.
+    """
+
+    answers: Callable[[PeerRequest, int], Sequence[Part]] = lambda _request, _arrived: [b""]
+    arrived: Counter[str] = field(default_factory=Counter)
+    begun: Counter[str] = field(default_factory=Counter)
+    """Arrivals that do not continue a run."""
+
+    def answer(self, request: PeerRequest) -> Sequence[Part]:
+        """Answer a request, or a call for a report."""
+        if not request.id:
+            return [encode_answer(body=b"{}")]
+        number = self.arrived[request.id]
+        self.arrived[request.id] += 1
+        self.begun[request.id] += CONTINUE_FROM not in request.headers
+        return self.answers(request, number)
+
+
+@dataclass(frozen=True)
+class _Running:
+    """A running host.
+
+    :param script: What its upstreams answer.
+    :param platform: Runs it.
+    :param address: Where it takes requests of callers.
+    :param paths: Ways on which it has sent requests.
+    """
+
+    script: _Script
+    platform: PlatformCluster
+    address: str
+    paths: Counter[str]
+
+
+def _configuration() -> dict[str, Any]:
+    value = configuration(version=2)
+    hedged = {
+        **next(route for route in value["routes"] if route["name"] == "read"),
+        "name": "hedge",
+        "pathPrefix": "/hedge/",
+        "targetLatencyMs": HEDGE_TARGET_MS,
+    }
+    services = [
+        (
+            {**one, "engine": {**one["engine"], "slots": SLOTS, "kvCacheTokens": MEMORY_TOKENS}}
+            if "engine" in one
+            else one
+        )
+        for one in value["services"]
+    ]
+    return {**value, "routes": [*value["routes"], hedged], "services": services}
+
+
+@pytest_asyncio.fixture
+async def running(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[_Running]:
+    """Run a host with two upstreams of each service."""
+    paths: Counter[str] = Counter()
+
+    def record_path(*args: Any, path: str) -> None:
+        paths[path] += 1
+        record_suspected_request(*args, path=path)
+
+    monkeypatch.setattr(_sending, "record_suspected_request", record_path)
+    script, platform = _Script(), PlatformCluster()
+    async with AsyncExitStack() as stack:
+        await platform.start()
+        stack.push_async_callback(platform.stop)
+        platform.configure(_configuration())
+        for service in (MODEL_SERVICE, PLAIN_SERVICE):
+            for number in range(UPSTREAMS):
+                peer = await stack.enter_async_context(run_scripted_peer(script.answer))
+                _register(platform, f"{service}-{number}", service, peer.address)
+        settings = await platform.make_settings(
+            "h1", seeds=(), stop_grace_s=STOP_GRACE_S, retry_slack=UNLIMITED_REPEATS
+        )
+        clock = Clock()
+        host = GatewayHost(
+            settings=settings, platform=make_platform(settings=settings, clock=clock), clock=clock
+        )
+        await host.start()
+        platform.hosts["h1"] = host
+        await platform.wait_until(lambda: host.ready and host.known_upstreams == 2 * UPSTREAMS)
+        yield _Running(script, platform, platform.callers_address("h1"), paths)
+
+
+def _register(platform: PlatformCluster, name: str, service: str, address: str) -> None:
+    entry = {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": SLOTS,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+    }
+    platform.put_entry(name, entry)
+
+
+async def _call(address: str, path: str, id: str) -> ReadAnswer:
+    lines = [
+        f"POST {path} HTTP/1.1",
+        f"Host: {HOST_NAME}",
+        f"Authorization: Bearer {API_KEY}",
+        f"Tanagerscale-Attempt-Id: {id}",
+        f"Tanagerscale-Deadline-Remaining: {TIME_LEFT_MS}",
+        f"Content-Length: {len(PLAIN_BODY)}",
+        "Connection: close",
+    ]
+    if path.startswith("/draft/"):
+        lines += ["Tanagerscale-Model: m", "Tanagerscale-Token-Usage: 10,8"]
+    return await read_answer(address, ("\r\n".join([*lines, "", ""])).encode() + PLAIN_BODY)
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Way:
+    """A way to an upstream whose answer is cut.
+
+    :param path: Path of the requests.
+    :param sent: Ways on which the host sends each request, in order; the last answer is cut.
+    :param before: Returns what is sent after arrivals before the last one.
+    :param body: Body of the answer that is cut.
+    :param ends: Sizes of the body after which a proper end of the connection may end it.
+    :param begun: Body that the caller has got before.
+    """
+
+    path: str
+    sent: Sequence[SendPath]
+    before: Callable[[PeerRequest], Sequence[Part]] = lambda _request: [b""]
+    body: bytes = PLAIN_BODY
+    ends: Sequence[int] = range(len(PLAIN_BODY) + 1)
+    begun: bytes = b""
+
+
+def _refuse_unexecuted(request: PeerRequest) -> Sequence[Part]:
+    fields = [("Tanagerscale-Not-Executed", "1")]
+    return [encode_answer(status=503, id=request.id, fields=fields)]
+
+
+def _break_off_after_an_event(request: PeerRequest) -> Sequence[Part]:
+    whole = encode_framed(Framing.CHUNKED, id=request.id, body=EVENTS[0])
+    return [whole.removesuffix(LAST_CHUNK), Pause(wait_s=PIECE_GAP_S), Reset()]
+
+
+EVENT_ENDS = (0, len(EVENTS[0]), len(EVENTS[0] + EVENTS[1]))
+"""A stream that ends within an event is broken off, however its connection ends."""
+
+WAYS = {
+    "first": _Way(path="/book/x", sent=[SendPath.FIRST]),
+    "repeated": _Way(path="/read/x", sent=[SendPath.FIRST, SendPath.REPEATED]),
+    "placed": _Way(
+        path="/draft/x", sent=[SendPath.PLACED], body=EVENTS[0] + EVENTS[1], ends=EVENT_ENDS
+    ),
+    "placed-again": _Way(
+        path="/draft/x",
+        sent=[SendPath.PLACED, SendPath.PLACED_AGAIN],
+        before=_refuse_unexecuted,
+        body=EVENTS[0] + EVENTS[1],
+        ends=EVENT_ENDS,
+    ),
+    "resumed": _Way(
+        path="/draft/x",
+        sent=[SendPath.PLACED, SendPath.RESUMED],
+        before=_break_off_after_an_event,
+        body=EVENTS[1],
+        ends=(0, len(EVENTS[1])),
+        begun=EVENTS[0],
+    ),
+}
+
+
+def _check(way: _Way, framing: Framing, results: Sequence[tuple[Cut, ReadAnswer]]) -> None:
+    """Check what callers got of the cut answers."""
+    whole = _encode(way, framing, "0000")
+    head = find_head_size(whole)
+    for cut, answer in results:
+        body = way.body
+        if framing is Framing.CLOSE_DELIMITED:
+            # Such a body ends where its connection is closed.
+            is_end = not cut.is_reset and cut.size - head in way.ends
+            body = body[: max(cut.size - head, 0)]
+        else:
+            is_end = cut.size == len(whole)
+        assert answer.is_success == is_end, (cut, answer)
+        if is_end:
+            assert answer.body == way.begun + body, (cut, answer)
+            assert answer.headers[STAMP.lower()] == STAMP_VALUE
+
+
+def _encode(way: _Way, framing: Framing, id: str) -> bytes:
+    return encode_framed(framing, id=id, body=way.body)
+
+
+def _make_cuts(way: _Way, framing: Framing, *, is_thinned: bool = False) -> dict[str, Cut]:
+    """Return the cuts of an answer, by the ids of the requests."""
+    is_thinned |= len(way.sent) > 1
+    cuts = every_cut(len(_encode(way, framing, "0000")), is_thinned=is_thinned)
+    return {f"{number:04}": cut for number, cut in enumerate(cuts)}
+
+
+@pytest.fixture
+def _has_copies(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have a copy of each run made as its first engine accepts it."""
+    set_segment = StreamRun._set_segment
+
+    def set_with_copy(run: StreamRun, segment: StreamSegment) -> None:
+        is_first = run.entry is None and run.relayed_events == 0
+        set_segment(run, segment)
+        names = [UpstreamId(f"{MODEL_SERVICE}-{number}") for number in range(UPSTREAMS)]
+        (other,) = (name for name in names if name != segment.entry.upstream)
+        entry = run._context.upstreams.get(other)
+        assert entry is not None
+        if is_first:
+            run.snapshot = Snapshot(entry=entry, copy="c", taken=run._context.clock.now())
+
+    monkeypatch.setattr(StreamRun, "_set_segment", set_with_copy)
+
+
+# Guards against a success that is framed as whole though its upstream has broken off, in its head
+# or in its body.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("framing", list(Framing))
+@pytest.mark.parametrize("name", list(WAYS))
+async def test_caller_gets_no_success_when_the_answer_breaks_off(
+    running: _Running, request: pytest.FixtureRequest, name: str, framing: Framing
+) -> None:
+    way = WAYS[name]
+    is_resumed = SendPath.RESUMED in way.sent
+    if is_resumed:
+        request.getfixturevalue("_has_copies")
+    cuts = _make_cuts(way, framing)
+
+    def answer(request: PeerRequest, arrived: int) -> Sequence[Part]:
+        if arrived < len(way.sent) - 1:
+            return way.before(request)
+        return cuts[request.id].apply(_encode(way, framing, request.id))
+
+    running.script.answers = answer
+    answers = await call_all([partial(_call, running.address, way.path, id) for id in cuts])
+    _check(way, framing, list(zip(cuts.values(), answers, strict=True)))
+    # A run whose engine does not accept it goes on at the other one that holds its memory.
+    head = find_head_size(_encode(way, framing, "0000")) if is_resumed else 0
+    arrivals = {id: len(way.sent) + (cut.size < head) for id, cut in cuts.items()}
+    assert running.script.arrived == arrivals
+    sent = Counter({path.value: len(cuts) for path in way.sent})
+    sent[way.sent[-1].value] += sum(arrivals.values()) - len(cuts) * len(way.sent)
+    assert running.paths == sent
+    if is_resumed:
+        assert set(running.script.begun.values()) == {1}
+
+
+# Guards against an answer that is put together from two upstreams.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKED, Framing.AFTER_CONTINUE])
+async def test_caller_gets_the_answer_of_the_second_upstream_when_that_of_the_first_breaks_off(
+    running: _Running, framing: Framing
+) -> None:
+    way = WAYS["repeated"]
+    size = len(_encode(way, framing, "0000"))
+    cuts = _make_cuts(way, framing)
+
+    def answer(request: PeerRequest, arrived: int) -> Sequence[Part]:
+        if arrived:
+            return [encode_framed(framing, id=request.id, body=OTHER_BODY), b""]
+        return cuts[request.id].apply(_encode(way, framing, request.id))
+
+    running.script.answers = answer
+    answers = await call_all([partial(_call, running.address, way.path, id) for id in cuts])
+    for (id, cut), got in zip(cuts.items(), answers, strict=True):
+        is_first = cut.size == size
+        assert (got.is_success, got.body) == (True, PLAIN_BODY if is_first else OTHER_BODY), cut
+        assert running.script.arrived[id] == (1 if is_first else 2)
+
+
+# Guards against a hedged request whose answer is taken for whole though both break off.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("framing", list(Framing))
+async def test_caller_gets_no_success_when_the_answer_to_a_hedged_request_breaks_off(
+    running: _Running, framing: Framing
+) -> None:
+    way = _Way(path="/hedge/x", sent=[SendPath.FIRST, SendPath.HEDGED])
+    cuts = _make_cuts(way, framing)
+    hedged = {id: asyncio.Event() for id in cuts}
+
+    def answer(request: PeerRequest, arrived: int) -> Sequence[Part]:
+        if not arrived:
+            return [Until(event=hedged[request.id]), b""]
+        hedged[request.id].set()
+        return cuts[request.id].apply(_encode(way, framing, request.id))
+
+    running.script.answers = answer
+    answers = await call_all([partial(_call, running.address, way.path, id) for id in cuts])
+    _check(way, framing, list(zip(cuts.values(), answers, strict=True)))
+    assert running.script.arrived == dict.fromkeys(cuts, 2)
+    assert running.paths == {path.value: len(cuts) for path in way.sent}
+
+
+# Guards against a half head that is completed by what came before it on its connection.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("is_late", [False, True], ids=["after-an-answer", "behind-a-late-one"])
+@pytest.mark.parametrize("framing", list(Framing))
+async def test_caller_gets_no_success_when_an_answer_on_a_kept_connection_breaks_off(
+    running: _Running, framing: Framing, is_late: bool
+) -> None:
+    way = WAYS["first"]
+    remaining = list(_make_cuts(way, framing, is_thinned=True).values())
+    cut_count = len(remaining)
+    cuts: dict[str, Cut] = {}
+    earlier: dict[tuple[str, int], bytes] = {}
+
+    def answer(request: PeerRequest, _arrived: int) -> Sequence[Part]:
+        connection = request.headers["tanagerscale-expect-instance"], request.connection
+        if connection not in earlier or not remaining:
+            earlier[connection] = _encode(way, Framing.LENGTH, request.id)
+            return [earlier[connection]]
+        cuts[request.id] = remaining.pop()
+        parts = cuts[request.id].apply(_encode(way, framing, request.id))
+        return [earlier[connection], *parts] if is_late else parts
+
+    running.script.answers = answer
+    got: dict[str, ReadAnswer] = {}
+    numbers = count()
+    while remaining:
+        ids = [f"{next(numbers):04}" for _ in range(2 * CONCURRENT_CALLS)]
+        answers = await call_all([partial(_call, running.address, way.path, id) for id in ids])
+        got |= zip(ids, answers, strict=True)
+    assert len(cuts) == cut_count
+    _check(way, framing, [(cut, got[id]) for id, cut in cuts.items()])
+    assert set(running.script.arrived.values()) == {1}
+    assert all(got[id].is_success for id in got.keys() - cuts.keys())
+
+
+# Guards against a half head that is taken for an answer as its host stops.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("framing", list(Framing))
+@pytest.mark.parametrize("name", ["first", "placed"])
+async def test_caller_gets_no_success_when_the_answer_breaks_off_while_the_host_stops(
+    running: _Running, name: str, framing: Framing
+) -> None:
+    way = WAYS[name]
+    cuts = _make_cuts(way, framing, is_thinned=True)
+    released = asyncio.Event()
+
+    def answer(request: PeerRequest, _arrived: int) -> Sequence[Part]:
+        parts = cuts[request.id].apply(_encode(way, framing, request.id))
+        return [Until(event=released), *parts]
+
+    running.script.answers = answer
+    calls: list[asyncio.Future[ReadAnswer]] = []
+    for id in cuts:
+        calls.append(asyncio.ensure_future(_call(running.address, way.path, id)))
+        if len(calls) % CONNECTIONS_AT_ONCE == 0 or len(calls) == len(cuts):
+            await running.platform.wait_until(lambda: len(running.script.arrived) == len(calls))
+    stopping = asyncio.create_task(running.platform.hosts["h1"].stop())
+    await asyncio.sleep(0)
+    released.set()
+    answers = await asyncio.gather(*calls)
+    _check(way, framing, list(zip(cuts.values(), answers, strict=True)))
+    assert running.script.arrived == dict.fromkeys(cuts, 1)
+    stopping.cancel()
+    with suppress(asyncio.CancelledError):
+        await stopping
