--- a/testing/test_half_heads.py
+++ b/testing/test_half_heads.py
@@ -7,33 +7,20 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Sequence
-from contextlib import AsyncExitStack
 from contextlib import suppress
 from dataclasses import dataclass
-from dataclasses import field
 from functools import partial
 from itertools import count
-from typing import Any
 
 import pytest
 import pytest_asyncio
 
-from standins.platform_world import API_KEY
-from standins.platform_world import HOST_NAME
 from standins.platform_world import MODEL_SERVICE
-from standins.platform_world import PLAIN_SERVICE
-from standins.platform_world import PlatformCluster
-from standins.platform_world import configuration
-from tanagerscale.core import Clock
 from tanagerscale.core import UpstreamId
-from tanagerscale.forwarding import _sending
 from tanagerscale.forwarding._segments import StreamSegment
 from tanagerscale.forwarding._sending import SendPath
 from tanagerscale.forwarding._snapshots import Snapshot
 from tanagerscale.forwarding._stream import StreamRun
-from tanagerscale.forwarding._suspected_requests import record_suspected_request
-from tanagerscale.gateway import GatewayHost
-from tanagerscale.platform import make_platform
 from testing._cut_answers import CONCURRENT_CALLS
 from testing._cut_answers import LAST_CHUNK
 from testing._cut_answers import PIECE_GAP_S
@@ -46,147 +33,29 @@
 from testing._cut_answers import encode_framed
 from testing._cut_answers import every_cut
 from testing._cut_answers import find_head_size
-from testing._cut_answers import read_answer
+from testing._cut_host import PLAIN_BODY
+from testing._cut_host import UPSTREAMS
+from testing._cut_host import Running
+from testing._cut_host import call
+from testing._cut_host import run_host
 from testing._scripted_peer import Part
 from testing._scripted_peer import Pause
 from testing._scripted_peer import PeerRequest
 from testing._scripted_peer import Reset
 from testing._scripted_peer import Until
 from testing._scripted_peer import encode_answer
-from testing._scripted_peer import run_scripted_peer
 
-PLAIN_BODY = b"booked"
 OTHER_BODY = b"not booked"
 EVENTS = [f"id: {number}\ndata: {number}\n\n".encode() for number in (1, 2)]
-TIME_LEFT_MS = 20_000
-HEDGE_TARGET_MS = 20
-STOP_GRACE_S = 8
-UNLIMITED_REPEATS = 1_000_000.0
-UPSTREAMS = 2
-"""Upstreams of each service."""
-CONTINUE_FROM = "kv-from"
 CONNECTIONS_AT_ONCE = 64
 """An upstream resets connections beyond those that its system lets wait."""
-SLOTS, MEMORY_TOKENS = 1000, 10_000_000
-"""What an upstream runs at a time; some tests make all their calls at once."""
-
-
-@dataclass
-class _Script:
-    """Answers the requests of callers; each request is numbered, and has a cut of its own.
-
-    :param answers: Returns what is sent after a request, by how often it has arrived before.
-    """
-
-    answers: Callable[[PeerRequest, int], Sequence[Part]] = lambda _request, _arrived: [b""]
-    arrived: Counter[str] = field(default_factory=Counter)
-    begun: Counter[str] = field(default_factory=Counter)
-    """Arrivals that do not continue a run."""
-
-    def answer(self, request: PeerRequest) -> Sequence[Part]:
-        """Answer a request, or a call for a report."""
-        if not request.id:
-            return [encode_answer(body=b"{}")]
-        number = self.arrived[request.id]
-        self.arrived[request.id] += 1
-        self.begun[request.id] += CONTINUE_FROM not in request.headers
-        return self.answers(request, number)
-
-
-@dataclass(frozen=True)
-class _Running:
-    """A running host.
-
-    :param script: What its upstreams answer.
-    :param platform: Runs it.
-    :param address: Where it takes requests of callers.
-    :param paths: Ways on which it has sent requests.
-    """
-
-    script: _Script
-    platform: PlatformCluster
-    address: str
-    paths: Counter[str]
-
-
-def _configuration() -> dict[str, Any]:
-    value = configuration(version=2)
-    hedged = {
-        **next(route for route in value["routes"] if route["name"] == "read"),
-        "name": "hedge",
-        "pathPrefix": "/hedge/",
-        "targetLatencyMs": HEDGE_TARGET_MS,
-    }
-    services = [
-        (
-            {**one, "engine": {**one["engine"], "slots": SLOTS, "kvCacheTokens": MEMORY_TOKENS}}
-            if "engine" in one
-            else one
-        )
-        for one in value["services"]
-    ]
-    return {**value, "routes": [*value["routes"], hedged], "services": services}
 
 
 @pytest_asyncio.fixture
-async def running(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[_Running]:
-    """Run a host with two upstreams of each service."""
-    paths: Counter[str] = Counter()
-
-    def record_path(*args: Any, path: str) -> None:
-        paths[path] += 1
-        record_suspected_request(*args, path=path)
-
-    monkeypatch.setattr(_sending, "record_suspected_request", record_path)
-    script, platform = _Script(), PlatformCluster()
-    async with AsyncExitStack() as stack:
-        await platform.start()
-        stack.push_async_callback(platform.stop)
-        platform.configure(_configuration())
-        for service in (MODEL_SERVICE, PLAIN_SERVICE):
-            for number in range(UPSTREAMS):
-                peer = await stack.enter_async_context(run_scripted_peer(script.answer))
-                _register(platform, f"{service}-{number}", service, peer.address)
-        settings = await platform.make_settings(
-            "h1", seeds=(), stop_grace_s=STOP_GRACE_S, retry_slack=UNLIMITED_REPEATS
-        )
-        clock = Clock()
-        host = GatewayHost(
-            settings=settings, platform=make_platform(settings=settings, clock=clock), clock=clock
-        )
-        await host.start()
-        platform.hosts["h1"] = host
-        await platform.wait_until(lambda: host.ready and host.known_upstreams == 2 * UPSTREAMS)
-        yield _Running(script, platform, platform.callers_address("h1"), paths)
-
-
-def _register(platform: PlatformCluster, name: str, service: str, address: str) -> None:
-    entry = {
-        "service": service,
-        "address": address,
-        "zone": "a",
-        "version": "v1",
-        "slots": SLOTS,
-        "state": "ready",
-        "coldRemainingMs": 0,
-        "sequence": 1,
-    }
-    platform.put_entry(name, entry)
-
-
-async def _call(address: str, path: str, id: str) -> ReadAnswer:
-    lines = [
-        f"POST {path} HTTP/1.1",
-        f"Host: {HOST_NAME}",
-        f"Authorization: Bearer {API_KEY}",
-        f"Tanagerscale-Attempt-Id: {id}",
-        f"Tanagerscale-Deadline-Remaining: {TIME_LEFT_MS}",
-        f"Content-Length: {len(PLAIN_BODY)}",
-        "Connection: close",
-    ]
-    if path.startswith("/draft/"):
-        lines += ["Tanagerscale-Model: m", "Tanagerscale-Token-Usage: 10,8"]
-    return await read_answer(address, ("\r\n".join([*lines, "", ""])).encode() + PLAIN_BODY)
+async def running(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Running]:
+    """Run a host."""
+    async with run_host(monkeypatch) as running_host:
+        yield running_host
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -299,7 +168,7 @@
 @pytest.mark.parametrize("framing", list(Framing))
 @pytest.mark.parametrize("name", list(WAYS))
 async def test_caller_gets_no_success_when_the_answer_breaks_off(
-    running: _Running, request: pytest.FixtureRequest, name: str, framing: Framing
+    running: Running, request: pytest.FixtureRequest, name: str, framing: Framing
 ) -> None:
     way = WAYS[name]
     is_resumed = SendPath.RESUMED in way.sent
@@ -313,7 +182,7 @@
         return cuts[request.id].apply(_encode(way, framing, request.id))
 
     running.script.answers = answer
-    answers = await call_all([partial(_call, running.address, way.path, id) for id in cuts])
+    answers = await call_all([partial(call, running.address, way.path, id) for id in cuts])
     _check(way, framing, list(zip(cuts.values(), answers, strict=True)))
     # A run whose engine does not accept it goes on at the other one that holds its memory.
     head = find_head_size(_encode(way, framing, "0000")) if is_resumed else 0
@@ -330,7 +199,7 @@
 @pytest.mark.asyncio
 @pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKED, Framing.AFTER_CONTINUE])
 async def test_caller_gets_the_answer_of_the_second_upstream_when_that_of_the_first_breaks_off(
-    running: _Running, framing: Framing
+    running: Running, framing: Framing
 ) -> None:
     way = WAYS["repeated"]
     size = len(_encode(way, framing, "0000"))
@@ -342,7 +211,7 @@
         return cuts[request.id].apply(_encode(way, framing, request.id))
 
     running.script.answers = answer
-    answers = await call_all([partial(_call, running.address, way.path, id) for id in cuts])
+    answers = await call_all([partial(call, running.address, way.path, id) for id in cuts])
     for (id, cut), got in zip(cuts.items(), answers, strict=True):
         is_first = cut.size == size
         assert (got.is_success, got.body) == (True, PLAIN_BODY if is_first else OTHER_BODY), cut
@@ -353,7 +222,7 @@
 @pytest.mark.asyncio
 @pytest.mark.parametrize("framing", list(Framing))
 async def test_caller_gets_no_success_when_the_answer_to_a_hedged_request_breaks_off(
-    running: _Running, framing: Framing
+    running: Running, framing: Framing
 ) -> None:
     way = _Way(path="/hedge/x", sent=[SendPath.FIRST, SendPath.HEDGED])
     cuts = _make_cuts(way, framing)
@@ -366,7 +235,7 @@
         return cuts[request.id].apply(_encode(way, framing, request.id))
 
     running.script.answers = answer
-    answers = await call_all([partial(_call, running.address, way.path, id) for id in cuts])
+    answers = await call_all([partial(call, running.address, way.path, id) for id in cuts])
     _check(way, framing, list(zip(cuts.values(), answers, strict=True)))
     assert running.script.arrived == dict.fromkeys(cuts, 2)
     assert running.paths == {path.value: len(cuts) for path in way.sent}
@@ -377,7 +246,7 @@
 @pytest.mark.parametrize("is_late", [False, True], ids=["after-an-answer", "behind-a-late-one"])
 @pytest.mark.parametrize("framing", list(Framing))
 async def test_caller_gets_no_success_when_an_answer_on_a_kept_connection_breaks_off(
-    running: _Running, framing: Framing, is_late: bool
+    running: Running, framing: Framing, is_late: bool
 ) -> None:
     way = WAYS["first"]
     remaining = list(_make_cuts(way, framing, is_thinned=True).values())
@@ -399,7 +268,7 @@
     numbers = count()
     while remaining:
         ids = [f"{next(numbers):04}" for _ in range(2 * CONCURRENT_CALLS)]
-        answers = await call_all([partial(_call, running.address, way.path, id) for id in ids])
+        answers = await call_all([partial(call, running.address, way.path, id) for id in ids])
         got |= zip(ids, answers, strict=True)
     assert len(cuts) == cut_count
     _check(way, framing, [(cut, got[id]) for id, cut in cuts.items()])
@@ -412,7 +281,7 @@
 @pytest.mark.parametrize("framing", list(Framing))
 @pytest.mark.parametrize("name", ["first", "placed"])
 async def test_caller_gets_no_success_when_the_answer_breaks_off_while_the_host_stops(
-    running: _Running, name: str, framing: Framing
+    running: Running, name: str, framing: Framing
 ) -> None:
     way = WAYS[name]
     cuts = _make_cuts(way, framing, is_thinned=True)
@@ -425,7 +294,7 @@
     running.script.answers = answer
     calls: list[asyncio.Future[ReadAnswer]] = []
     for id in cuts:
-        calls.append(asyncio.ensure_future(_call(running.address, way.path, id)))
+        calls.append(asyncio.ensure_future(call(running.address, way.path, id)))
         if len(calls) % CONNECTIONS_AT_ONCE == 0 or len(calls) == len(cuts):
             await running.platform.wait_until(lambda: len(running.script.arrived) == len(calls))
     stopping = asyncio.create_task(running.platform.hosts["h1"].stop())
