Send no call of the product's own interface twice by itself

A PUT or DELETE that a service declares as not idempotent reached the service twice, and could run twice, when the service ended its connection before the head of the answer was whole. The same happened to reports of engines.

Cause: aiohttp's client sends a request again, once, when no answer comes and its method is idempotent by HTTP (GET, HEAD, OPTIONS, TRACE, PUT, DELETE), and does so on new connections too. A service says itself which of its calls are not.

Change: the single-use sessions have this switched off. The dispatch decides on repeats, with the retry budget.

--- a/src/tanagerscale/upstreams/_sessions.py
+++ b/src/tanagerscale/upstreams/_sessions.py
@@ -51,8 +51,14 @@
     """Return a session whose connections carry one call each.
 
     The first answer on a connection can't be a late one to another call, and a call can't break
-    because its connection had ended before. A body is never taken for complete after a reset.
+    because its connection had ended before. A body is never taken for complete after a reset, and
+    no call is sent again.
 
     :param auto_decompress: Whether bodies are decompressed.
     """
-    return aiohttp.ClientSession(connector=_SingleUseConnector(), auto_decompress=auto_decompress)
+    session = aiohttp.ClientSession(
+        connector=_SingleUseConnector(), auto_decompress=auto_decompress
+    )
+    # aiohttp would send calls again whose method is idempotent by HTTP, whatever the service says.
+    session._retry_connection = False
+    return session
--- a/testing/test_half_heads_services.py
+++ b/testing/test_half_heads_services.py
@@ -89,7 +89,9 @@
 async def _run_host(service_address: str) -> AsyncIterator[str]:
     """Run the caller interface of a host and return its address."""
     service = Service(
-        name="bookings", addresses=[f"{service_address}@a"], not_idempotent=["POST /book"]
+        name="bookings",
+        addresses=[f"{service_address}@a"],
+        not_idempotent=["POST /book", "PUT /book", "DELETE /book"],
     )
     account = ClientAccount(
         name=ACCOUNT,
@@ -125,9 +127,9 @@
             yield f"{server.host}:{server.port}"
 
 
-async def _book(address: str, request: str, key: str) -> ReadAnswer:
+async def _book(address: str, request: str, key: str, method: str = "POST") -> ReadAnswer:
     lines = [
-        "POST /services/bookings/book HTTP/1.1",
+        f"{method} /services/bookings/book HTTP/1.1",
         f"Host: {address}",
         f"Authorization: Bearer {account_key(ACCOUNT)}",
         f"Tanagerscale-Attempt-Id: {request}",
@@ -140,7 +142,7 @@
 
 
 async def _book_all(
-    framing: Framing, *, has_key: bool
+    framing: Framing, *, has_key: bool, method: str = "POST"
 ) -> tuple[Sequence[tuple[Cut, ReadAnswer]], ScriptedPeer, int]:
     """Make a call for each cut of an answer; return the answers, the service and the whole size."""
     size = len(encode_framed(framing, id="0000", body=BODY))
@@ -152,7 +154,7 @@
 
     async with run_scripted_peer(answer) as peer, _run_host(peer.address) as address:
         calls = [
-            partial(_book, address, f"{number:04}", f"key-{number}" if has_key else "")
+            partial(_book, address, f"{number:04}", f"key-{number}" if has_key else "", method)
             for number in range(len(cuts))
         ]
         answers = await call_all(calls)
@@ -180,3 +182,17 @@
     assert Counter(request.id for request in peer.requests) == {
         f"{number:04}": 1 for number in range(len(results))
     }
+
+
+# Guards against a call that runs twice: the client library sends a PUT or DELETE again by itself
+# when no answer comes, also one that its service declares as not idempotent.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("method", ["PUT", "DELETE"])
+async def test_call_that_is_not_idempotent_is_sent_once_when_its_answer_breaks_off(
+    method: str,
+) -> None:
+    results, peer, _ = await _book_all(Framing.LENGTH, has_key=True, method=method)
+    assert {request.method for request in peer.requests} == {method}
+    assert Counter(request.id for request in peer.requests) == {
+        f"{number:04}": 1 for number in range(len(results))
+    }
