Test moving runs with a state machine of engines and hosts that fail

What it guards: a stream is lost only if no engine that may get it has its memory, its events are whole, in order and each once, no two engines work on a run for more than 400 ms, no engine gets a request 2 s after its notice, a run is stopped only for an engine that has taken a copy within 100 ms, and the decider counts as many repeats as requests are sent again.

Faults come at the moments of a move: at its copy, its stop and its request. All tasks of the world are watched, so that an error in an order fails the test.

--- a/testing/_moving_engines.py
+++ b/testing/_moving_engines.py
@@ -44,9 +44,25 @@
     """Whether each engine with the memory is the one that stopped the run."""
     expires_at: int
     """When the engines with the memory may free it."""
-    known: set[str] = field(default_factory=set)
-    """Handles that hosts have been told."""
     handles: set[str] = field(default_factory=set)
+    stop_handle: str = ""
+    """The handle with which the engine that stopped the run takes it back."""
+    known: set[str] = field(default_factory=set)
+    """Handles that the host has been told."""
+
+    def accepts(self, handle: str, *, at: str) -> bool:
+        """Return whether a run continues from it at an engine.
+
+        :param handle: The handle in the request.
+        :param at: The engine.
+        """
+        if at not in self.holders:
+            return False
+        return handle == self.stop_handle if self.holders[at] else handle in self.handles
+
+    def is_known(self, *, at: str) -> bool:
+        """Return whether the host knows a handle with which an engine continues the run."""
+        return any(self.accepts(handle, at=at) for handle in self.known)
 
 
 class WorldResponse:
--- a/testing/_moving_host.py
+++ b/testing/_moving_host.py
@@ -261,7 +261,7 @@
                 allowed_ms = RESUME_AT_LEAVING_MS if is_source else 0
                 may_get = leaving_ms is None or leaving_ms < allowed_ms
                 is_paused = self.context.pauses.is_paused(UpstreamId(name))
-                if may_get and memory.known and not is_paused:
+                if may_get and memory.is_known(at=name) and not is_paused:
                     self.world.break_rule(f"{stream.stream.request} is lost, {name} has it")
 
     async def _execute(self, order: MoveOrder) -> MoveResult:
--- a/testing/_moving_world.py
+++ b/testing/_moving_world.py
@@ -243,7 +243,7 @@
         if not _has_room(other, stop=stop):
             if not stop:
                 return Failure(copy_failure(CopyFailure.NO_ROOM))
-            memory = Memory(request, {engine.name: True}, expires_at, handles={handle})
+            memory = Memory(request, {engine.name: True}, expires_at, {handle}, handle)
             self.memories.append(memory)
             return Failure(copy_failure(CopyFailure.NO_ROOM, retained_copy=handle))
         memory = self._memory_at(request, other)
@@ -251,6 +251,7 @@
         memory.handles.add(handle)
         if stop:
             memory.holders[engine.name] = True
+            memory.stop_handle = handle
         return Success(RunCopy(copy=handle, events=work.event))
 
     def _check_stop(self, engine: Engine, request: RequestId, other: Engine) -> None:
@@ -273,8 +274,8 @@
         return memory
 
     def _find_memory(self, engine: Engine, request: RequestId, handle: str) -> Memory | None:
-        found = (one for one in self.memories_of(request) if handle in one.handles)
-        return next((one for one in found if engine.name in one.holders), None)
+        memories = self.memories_of(request)
+        return next((one for one in memories if one.accepts(handle, at=engine.name)), None)
 
     def _learn(self, result: Result[RunCopy, CopyError]) -> None:
         is_copied = isinstance(result, Success)
--- /dev/null
+++ b/testing/test_moving_runs_machine.py
@@ -0,0 +1,184 @@
+"""State machine test of streams that move between engines while engines and their host fail.
+
+Orders come from a decider that may be wrong about the engines. No request is suspected to crash
+engines, and the retry budget lasts, so that a stream is lost only for want of its memory.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import rule
+
+from tanagerscale.core import UpstreamId
+from tanagerscale.generated.messages import MoveKind
+from testing._moving_host import MovingHost
+from testing._random_cases import random_case_settings
+from testing._virtual_time import close_loop
+from testing._virtual_time import new_virtual_loop
+
+NAMES = ("w", "x", "y", "z")
+ENGINES = st.integers(0, len(NAMES) - 1)
+STREAMS = st.integers(0, 2)
+AFTER_MS = st.sampled_from((0, 6, 12, 27, 29, 33, 40, 54, 60, 120))
+"""Times in a move: a copy takes 25 ms, the stop as long, and a request 5 ms to its engine."""
+FAULTS = st.sampled_from(
+    (
+        "crashes",
+        "leaves",
+        "leaves-unknown",
+        "is-slow",
+        "is-very-slow",
+        "pauses",
+        "is-full",
+        "refuses-stops",
+        "loses-stops",
+    )
+)
+
+
+class MovingRunsMachine(RuleBasedStateMachine):
+    """A host with several streams, and engines that fail in many ways."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._loop = new_virtual_loop()
+        self._host: MovingHost
+        self._source = ""
+        """Engine of the run that was ordered to move last."""
+
+    @initialize(engines=st.integers(2, 4), streams=st.integers(1, 3))
+    def begin(self, engines: int, streams: int) -> None:
+        """Start the streams."""
+        self._run(self._start(NAMES[:engines], streams))
+
+    @rule(stream=STREAMS, engine=ENGINES, is_ahead=st.booleans())
+    def order(self, stream: int, engine: int, is_ahead: bool) -> None:
+        """Order a copy ahead, or a move."""
+        kind = MoveKind.AHEAD if is_ahead else MoveKind.LEAVE
+        self._run(self._order(stream, self._name(engine), kind))
+
+    @rule(
+        stream=STREAMS,
+        engine=ENGINES,
+        age_ms=st.sampled_from((0, 40, 400, 1500)),
+        at_target=st.booleans(),
+        fault=FAULTS,
+        after_ms=AFTER_MS,
+        leaves=st.booleans(),
+    )
+    def disturb_move(
+        self,
+        stream: int,
+        engine: int,
+        age_ms: int,
+        at_target: bool,
+        fault: str,
+        after_ms: int,
+        leaves: bool,
+    ) -> None:
+        """Copy a run ahead and order its move, while one of its engines fails."""
+        self._run(self._move(stream, self._name(engine), age_ms, leaves))
+        name = self._source if not at_target else self._name(engine)
+        if name:
+            self._run(asyncio.sleep(after_ms / 1000))
+            self._call(lambda: self._fail(name, fault))
+
+    @rule(ms=st.sampled_from((1, 7, 30, 110, 320, 1000)))
+    def wait(self, ms: int) -> None:
+        """Let time pass."""
+        self._run(asyncio.sleep(ms / 1000))
+
+    @rule(engine=ENGINES, fault=FAULTS)
+    def fail(self, engine: int, fault: str) -> None:
+        """Let an engine fail in one way."""
+        self._call(lambda: self._fail(self._name(engine), fault))
+
+    @rule(engine=ENGINES)
+    def mend(self, engine: int) -> None:
+        """Let an engine that has not ended work as before."""
+        self._call(lambda: self._mend(self._name(engine)))
+
+    @rule(grace_s=st.sampled_from((3.0, 8.0)))
+    def stop_host(self, grace_s: float) -> None:
+        """Begin to stop the host."""
+        self._call(lambda: self._host.stop(grace_s=grace_s))
+
+    def teardown(self) -> None:
+        """Let all streams end, and check how they have ended."""
+        try:
+            if hasattr(self, "_host"):
+                self._run(self._host.finish())
+                self._host.check_ends()
+        finally:
+            close_loop(self._loop)
+
+    async def _start(self, names: tuple[str, ...], streams: int) -> None:
+        self._host = MovingHost(*names)
+        for number in range(streams):
+            await self._host.start(f"r{number}")
+
+    async def _order(self, stream: int, name: str, kind: MoveKind) -> None:
+        streams = self._host.streams
+        self._host.order(streams[stream % len(streams)], to=name, kind=kind)
+
+    async def _move(self, stream: int, name: str, age_ms: int, leaves: bool) -> None:
+        entry = self._host.streams[stream % len(self._host.streams)].stream.entry
+        self._source = "" if entry is None else entry.upstream
+        if leaves and self._source:
+            self._fail(self._source, "leaves")
+        await self._order(stream, name, MoveKind.AHEAD)
+        await asyncio.sleep(age_ms / 1000)
+        await self._order(stream, name, MoveKind.LEAVE)
+
+    def _fail(self, name: str, fault: str) -> None:
+        world = self._host.world
+        engine = world.engines[UpstreamId(name)]
+        world.log(f"{name} {fault}")
+        match fault:
+            case "crashes":
+                world.end_engine(name, reason="is gone")
+            case "leaves":
+                world.spawn(world.leave(name, lag_ms=30, ends_ms=3000))
+            case "leaves-unknown":
+                world.spawn(world.leave(name, lag_ms=500, ends_ms=3000))
+            case "is-slow":
+                engine.delay_ms = 400
+            case "is-very-slow":
+                engine.delay_ms = 1500
+            case "pauses":
+                self._host.context.pauses.record(upstream=UpstreamId(name), pause_ms=1000)
+            case "is-full":
+                engine.is_full = True
+            case "refuses-stops":
+                engine.refuses_stops = True
+            case "loses-stops":
+                engine.loses_stops = True
+
+    def _mend(self, name: str) -> None:
+        engine = self._host.world.engines[UpstreamId(name)]
+        engine.delay_ms = 0
+        engine.is_full = engine.refuses_stops = engine.loses_stops = False
+
+    def _name(self, number: int) -> str:
+        return NAMES[number % len(self._host.world.engines)]
+
+    def _call(self, action: object) -> None:
+        async def call() -> None:
+            assert callable(action)
+            action()
+
+        self._run(call())
+
+    def _run(self, coroutine: Coroutine[object, object, None]) -> None:
+        self._loop.run_until_complete(coroutine)
+        if hasattr(self, "_host"):
+            self._host.check()
+
+
+TestMovingRuns = MovingRunsMachine.TestCase
+TestMovingRuns.settings = random_case_settings(examples=60, steps=12)
