Let a run that broke off continue from a copy at an engine that has just begun to leave

What callers saw: a stream was cut when its engine didn't answer the stop for 300 ms, or broke off, although an engine that had been leaving for less than 1.2 s held a copy of it.

The place of sending allows a run to continue there for 1.2 s after the notice, as docs/design/ways-to-upstreams.md says: it is lost otherwise. Found by the state machine of moving runs: r1 is stopped for w at 3,335 ms, the answer of its engine is lost, w leaves from 3,350 ms on, and the stream is cut at 3,615 ms.

Change: recover asks whether the engine has been leaving for 1.2 s, like the place of sending. The machine demands the same of every engine with the memory.

--- a/src/tanagerscale/forwarding/_stopping.py
+++ b/src/tanagerscale/forwarding/_stopping.py
@@ -134,15 +134,13 @@
     def _can_resume_from(self, snapshot: Snapshot) -> bool:
         """Return whether a run may resume on the engine that holds a copy.
 
-        The engine that stopped the run may take it back for a while after it has begun to leave.
+        It may for a while after that engine has begun to leave, since it would be lost otherwise.
         """
         upstream = snapshot.entry.upstream
         if self._context.upstreams.is_evacuated(upstream):
             return False
         leaving_ms = self._context.gate.leaving_for_ms(upstream)
-        if leaving_ms is None:
-            return True
-        return snapshot.entry is snapshot.holder and leaving_ms < RESUME_AT_LEAVING_MS
+        return leaving_ms is None or leaving_ms < RESUME_AT_LEAVING_MS
 
     async def _confirm(
         self, run: StreamRun, source: UpstreamEntry, target: UpstreamEntry
--- a/testing/_moving_host.py
+++ b/testing/_moving_host.py
@@ -258,8 +258,7 @@
         for memory in self.world.memories_of(stream.stream.request):
             for name, is_source in memory.holders.items():
                 leaving_ms = self.known.leaving_for_ms(UpstreamId(name))
-                allowed_ms = RESUME_AT_LEAVING_MS if is_source else 0
-                may_get = leaving_ms is None or leaving_ms < allowed_ms
+                may_get = leaving_ms is None or leaving_ms < RESUME_AT_LEAVING_MS
                 is_paused = self.context.pauses.is_paused(UpstreamId(name))
                 if may_get and memory.is_known(at=name) and not is_paused:
                     self.world.break_rule(f"{stream.stream.request} is lost, {name} has it")
--- a/testing/test_stopped_runs.py
+++ b/testing/test_stopped_runs.py
@@ -370,3 +370,30 @@
         assert [engine for engine, _ in stream.continuations] == ["y"]
 
     run_virtually(scenario())
+
+
+# Guards against losing a stream that broke off, while an engine that has just begun to leave has a
+# copy of it.
+@pytest.mark.parametrize(
+    ("leaving_ms", "asked"),
+    [(RESUME_AT_LEAVING_MS - 1, [("y", "earlier")]), (RESUME_AT_LEAVING_MS, [])],
+)
+def test_run_continues_from_a_copy_at_a_leaving_engine_when_there_is_no_other_one(
+    leaving_ms: int, asked: list[tuple[str, str]]
+) -> None:
+    async def scenario() -> None:
+        stream = MovedStream("x", "y")
+        await stream.start()
+        stream.add_copy(at="y")
+        stream.fakes.engines.stop_failures.append(copy_failure(CopyFailure.LOST))
+        stream.fakes.upstreams.leaving.add("y")
+        stream.fakes.upstreams.leaving_ms["y"] = leaving_ms
+        stream.fakes.upstream_client.set("y", FakeResponse(chunks=events(1, 9)))
+        stream.source.close()
+        refusal = await stream.serving
+        assert stream.continuations == asked
+        assert (refusal is None) == bool(asked)
+        if asked:
+            assert stream.responder.body == whole(9)
+
+    run_virtually(scenario())
