Aim the state machine of moving runs at leaving engines, and count paused ones too

A rule of its own now orders a run from an engine that has been leaving for 0 to 2,100 ms to one that refuses the stop or crashes at it or right after it. A stream may no longer be lost either while a paused engine has its memory.

--- a/testing/_moving_host.py
+++ b/testing/_moving_host.py
@@ -250,17 +250,16 @@
     def _check_loss(self, stream: HostStream) -> None:
         """Check that no engine that may get the run still has its memory.
 
-        An engine may get it if it isn't known to leave. The engine that stopped the run may get it
-        until it has been known to leave for 1.2 s. The host has to know the handle.
+        An engine may get it until it has been known to leave for 1.2 s. The host has to know the
+        handle.
         """
         if stream.stream._recoveries > MAX_RECOVERIES or self.decider.refused:
             return
         for memory in self.world.memories_of(stream.stream.request):
-            for name, is_source in memory.holders.items():
+            for name in memory.holders:
                 leaving_ms = self.known.leaving_for_ms(UpstreamId(name))
                 may_get = leaving_ms is None or leaving_ms < RESUME_AT_LEAVING_MS
-                is_paused = self.context.pauses.is_paused(UpstreamId(name))
-                if may_get and memory.is_known(at=name) and not is_paused:
+                if may_get and memory.is_known(at=name):
                     self.world.break_rule(f"{stream.stream.request} is lost, {name} has it")
 
     async def _execute(self, order: MoveOrder) -> MoveResult:
--- a/testing/test_moving_runs_machine.py
+++ b/testing/test_moving_runs_machine.py
@@ -65,7 +65,7 @@
     @rule(
         stream=STREAMS,
         engine=ENGINES,
-        age_ms=st.sampled_from((0, 40, 400, 1500)),
+        age_ms=st.sampled_from((0, 40, 400, 1500, 2200)),
         at_target=st.booleans(),
         fault=FAULTS,
         after_ms=AFTER_MS,
@@ -88,6 +88,27 @@
             self._run(asyncio.sleep(after_ms / 1000))
             self._call(lambda: self._fail(name, fault))
 
+    @rule(
+        stream=STREAMS,
+        engine=ENGINES,
+        leaving_ms=st.sampled_from((0, 600, 1150, 1300, 2100)),
+        is_refused=st.booleans(),
+        after_ms=st.sampled_from((27, 29, 52, 54)),
+    )
+    def fail_target_of_leaving_run(
+        self, stream: int, engine: int, leaving_ms: int, is_refused: bool, after_ms: int
+    ) -> None:
+        """Order a run from its leaving engine to one that fails at or after the stop."""
+        name = self._name(engine)
+        self._run(self._leave(stream))
+        self._run(asyncio.sleep(leaving_ms / 1000))
+        if is_refused:
+            self._call(lambda: self._fail(name, "refuses-stops"))
+        self._run(self._order(stream, name, MoveKind.LEAVE))
+        self._run(asyncio.sleep(after_ms / 1000))
+        if not is_refused:
+            self._call(lambda: self._fail(name, "crashes"))
+
     @rule(ms=st.sampled_from((1, 7, 30, 110, 320, 1000)))
     def wait(self, ms: int) -> None:
         """Let time pass."""
@@ -129,12 +150,17 @@
     async def _move(self, stream: int, name: str, age_ms: int, leaves: bool) -> None:
         entry = self._host.streams[stream % len(self._host.streams)].stream.entry
         self._source = "" if entry is None else entry.upstream
-        if leaves and self._source:
-            self._fail(self._source, "leaves")
+        if leaves:
+            await self._leave(stream)
         await self._order(stream, name, MoveKind.AHEAD)
         await asyncio.sleep(age_ms / 1000)
         await self._order(stream, name, MoveKind.LEAVE)
 
+    async def _leave(self, stream: int) -> None:
+        entry = self._host.streams[stream % len(self._host.streams)].stream.entry
+        if entry is not None:
+            self._fail(entry.upstream, "leaves")
+
     def _fail(self, name: str, fault: str) -> None:
         world = self._host.world
         engine = world.engines[UpstreamId(name)]
