Soak with planned work alone: hosts stop in turn while engines leave

Callers lost answers around planned stops, with no crash anywhere; the soak through processes cut answers only together with crashes of engines, which its verdict excuses in part.

`--planned True` does nothing unplanned. Hosts get SIGTERM 1 s apart, round after round, at times once more or SIGHUP while they stop, and start again as soon as they have ended; two are left to serve. Engines for long streams leave one after the other for 2.1 to 4.5 s, after a new one has come, and most streams last longer. These engines have 10 slots and 18,000 tokens for runs and copies, and report what runs use; a copy takes 100 ms at first, has its room from the start of the transfer, expires after 10 s, and is void once it was used. Without limits the stand-in engine behaves as before, but for a refused copy that doesn't stop its run, which is no longer kept at its source.

An engine that ends excuses only requests that it was at work on. After the run the soak prints what became of the streams on engines that left, why each answer was cut with the last lines of hosts that name it, the orders to copy, and the longest pause within a stream.

--- a/standins/platform_callers.py
+++ b/standins/platform_callers.py
@@ -92,6 +92,7 @@
     :param parts: Parts of its prompt in order; empty if it names none.
     :param key: API key of the caller's account.
     :param is_slow: Whether the caller reads the answer slowly.
+    :param pause_ms: Longest time between two parts of the answer, in milliseconds.
     """
 
     request: str
@@ -108,6 +109,7 @@
     parts: tuple[str, ...] = ()
     key: str = API_KEY
     is_slow: bool = False
+    pause_ms: int = 0
 
     @property
     def content(self) -> bytes:
@@ -170,7 +172,10 @@
             name, _, value = line.partition(":")
             call.headers.add(name, value.strip())
         if call.headers.get("Transfer-Encoding", "").lower() == "chunked":
+            last_at = call.head_at
             while size := await self._receive_chunk(call):
+                call.pause_ms = max(call.pause_ms, clock.now() - last_at)
+                last_at = clock.now()
                 if call.is_slow:
                     await clock.sleep(size * MS_PER_SECOND // SLOW_BYTES_PER_S)
         else:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -88,12 +89,19 @@
     events_sent: int = 0
     stopped: bool = False
     copying: bool = False
+    event_tokens: int = 0
+
+    @property
+    def tokens(self) -> int:
+        """Tokens in memory."""
+        return self.prompt + self.event_tokens * self.events_sent
 
 
 @dataclass(slots=True)
 class _Copy:
     run: _Run
     events_sent: int
+    taken: int
     used: bool = False
 
 
@@ -111,6 +119,7 @@
     :param foreign_copies: Requests that came with the copy of another one: the upstream, the
         request, and the one whose copy it was.
     :param connection_resets: Upstream and IP address of each connection beyond a limit.
+    :param copy_orders: Orders to copy a run, by whether the run stops and by status.
     """
 
     received_requests: list[ReceivedRequest] = field(default_factory=list)
@@ -122,6 +131,7 @@
     relayed: dict[int, str] = field(default_factory=dict)
     foreign_copies: list[tuple[str, str, str]] = field(default_factory=list)
     connection_resets: list[tuple[str, str]] = field(default_factory=list)
+    copy_orders: Counter[tuple[bool, int]] = field(default_factory=Counter)
 
     def sender_of(self, request: web.BaseRequest) -> str:
         """Return the name of the host that sent a request; empty if that is not known."""
@@ -182,6 +192,12 @@
         self.named_rates: tuple[str, ...] = ()
         """Values in which each answer names the requests a second that the upstream takes."""
         self.copy_capacity = copy_capacity
+        self.slots = 0
+        """Runs and copies that the upstream has room for; 0 sets no limit."""
+        self.memory_tokens = 0
+        """Tokens of runs and copies that it has room for, if its slots are limited."""
+        self.event_tokens = 0
+        """Tokens in memory for each event of a run."""
         self.crashing_parts: set[str] = set()
         """Parts of prompts that crash the upstream once it begins to answer."""
         self.on_crash: Callable[[], None] | None = None
@@ -197,7 +213,7 @@
         self._ledger = ledger
         self.event_ms = event_ms
         self._events = events
-        self._copy_ms = copy_ms
+        self.copy_ms = copy_ms
         self._runs: dict[str, _Run] = {}
         self._copies: dict[str, _Copy] = {}
         self._stopped_runs: dict[str, _Copy] = {}
@@ -235,11 +251,31 @@
         """Ids of the requests that run now."""
         return list(self._runs)
 
-    @property
-    def _has_room_for_copy(self) -> bool:
-        is_full = self.behavior is UpstreamBehavior.FULL
+    def _has_room_for_copy(self, run: _Run) -> bool:
+        is_full = self.behavior is UpstreamBehavior.FULL or not self._has_room(run)
         return not is_full and len(self._copies) < self.copy_capacity
 
+    def _has_room(self, run: _Run) -> bool:
+        """Return whether a run or its copy fits beside the others; copies expire when limited."""
+        if not self.slots:
+            return True
+        expired = self._clock.now() - round(2 * COPY_RETENTION_S * MS_PER_S)
+        self._copies = {key: copy for key, copy in self._copies.items() if copy.taken > expired}
+        used = {copy.run.request: copy.run.tokens for copy in self._copies.values()}
+        used |= {other.request: other.tokens for other in self._runs.values()}
+        used[run.request] = run.tokens
+        return len(used) <= self.slots and sum(used.values()) <= self.memory_tokens
+
+    def _forget(self, last: _Copy, *, are_later: bool = False) -> None:
+        """Free the earlier handles of a copy that was freed, and all of one that was used."""
+        if self.slots:
+            self._copies = {
+                handle: copy
+                for handle, copy in self._copies.items()
+                if copy.run.request != last.run.request
+                or (copy.taken > last.taken and not are_later)
+            }
+
     def _accepts(self, ip: str, accepted: int) -> bool:
         if not self.max_connections or accepted < self.max_connections:
             return True
@@ -274,9 +310,13 @@
             case "GET", "/v1/report":
                 return self._report()
             case "POST", "/v1/kv-move":
-                return await self._move(msgspec.json.decode(await request.read()))
+                order = msgspec.json.decode(await request.read())
+                moved = await self._move(order)
+                self._ledger.copy_orders[bool(order["last"]), moved.status] += 1
+                return moved
             case "DELETE", path if path.startswith("/v1/kv-handle/"):
-                self._copies.pop(path.rpartition("/")[2], None)
+                if copy := self._copies.pop(path.rpartition("/")[2], None):
+                    self._forget(copy)
                 return json_response({})
         return await self._serve(request)
 
@@ -316,6 +356,10 @@
         run = self._create_or_resume_run(received, headers)
         if run is None:
             return web.Response(status=503, headers={"Tanagerscale-Not-Executed": "1"})
+        if "Kv-From" not in headers:
+            if not self._has_room(run):
+                return web.Response(status=503, headers=self._refusal_headers())
+            self._ledger.generations[run.request] = run.generation
         received.executed = True
         self._ledger.start_run(run.request, self.upstream)
         self._runs[run.request] = run
@@ -333,8 +377,13 @@
         copy_url = headers.get("Kv-From")
         if copy_url is None:
             generation = self._ledger.generations.get(received.request, 0) + 1
-            self._ledger.generations[received.request] = generation
-            return _Run(received.request, generation, int(prompt), self._events)
+            return _Run(
+                received.request,
+                generation,
+                int(prompt),
+                self._events,
+                event_tokens=self.event_tokens,
+            )
         handle = copy_url.rpartition("/")[2]
         copy = self._copies.pop(handle, None) or self._stopped_runs.pop(handle, None)
         if copy is not None and copy.run.request != received.request:
@@ -344,6 +393,7 @@
         if copy is None or copy.used:
             return None
         copy.used = True
+        self._forget(copy, are_later=True)
         source_run = copy.run
         after = int(headers["Last-Event-Id"])
         return _Run(
@@ -352,6 +402,7 @@
             source_run.prompt,
             source_run.length,
             events_sent=after,
+            event_tokens=self.event_tokens,
         )
 
     async def _answer(
@@ -412,18 +463,24 @@
         if order["last"]:
             run.stopped = True
         handle = f"h{next(_handles)}"
-        if target is None or not target._has_room_for_copy:
-            response_body = {"handle": handle} if order["last"] else {}
-            self._copies[handle] = _Copy(run, run.events_sent)
-            return json_response(response_body, status=503)
+        if target is None or not target._has_room_for_copy(run):
+            if not order["last"]:
+                return json_response({}, status=503)
+            self._copies[handle] = _Copy(run, run.events_sent, self._clock.now())
+            return json_response({"handle": handle}, status=503)
         run.copying = True
+        # A copy occupies its room from the start of the transfer.
+        copy = target._copies[handle] = _Copy(run, run.events_sent, self._clock.now())
         try:
             was_copied_before = (run.request, target.upstream) in self._copied
-            await asyncio.sleep((0.1 if was_copied_before else 1.0) * self._copy_ms / MS_PER_S)
+            await asyncio.sleep((0.1 if was_copied_before else 1.0) * self.copy_ms / MS_PER_S)
+        except asyncio.CancelledError:
+            target._copies.pop(handle, None)
+            raise
         finally:
             run.copying = False
         self._copied.add((run.request, target.upstream))
-        copy = target._copies[handle] = _Copy(run, run.events_sent)
+        copy.events_sent, copy.taken = run.events_sent, self._clock.now()
         if order["last"]:
             self._stopped_runs[handle] = copy
         return json_response({"handle": handle, "createdRev": run.events_sent})
@@ -432,7 +489,7 @@
         report: dict[str, object] = {
             "running": len(self._runs),
             "state": "draining" if self.leaving else "ready",
-            "runs": [[run.request, run.prompt, run.events_sent, 5] for run in self._runs.values()],
+            "runs": [[run.request, run.tokens, run.events_sent, 5] for run in self._runs.values()],
         }
         return json_response(report | ({"born": self.born} if self.born else {}))
 
--- a/standins/platform_faults.py
+++ b/standins/platform_faults.py
@@ -16,6 +16,7 @@
 from standins.platform_fault_log import FaultLog
 from standins.platform_hosts import PlatformHostProcess
 from standins.platform_store import StoreBehavior
+from standins.platform_world import MODEL_SERVICE
 from standins.platform_world import NOTES_SERVICE
 from standins.platform_world import PlatformCluster
 from standins.platform_world import configuration
@@ -75,6 +76,8 @@
         self.make_configuration: Callable[[int], dict[str, Any]] = soak_configuration
         self._upstreams: dict[str, tuple[str, dict[str, Any]]] = {}
         """Service and options of the upstreams that are neither leaving nor down."""
+        self._chosen_prefix = ""
+        """Beginning of the names of upstreams into which faults are injected."""
         self._busy_hosts: set[str] = set()
         self._numbers = count(1)
         self._versions = count(2)
@@ -101,6 +104,15 @@
             self._change_configuration: 2,
         }
 
+    def disturb_as_planned(self) -> None:
+        """Replace engines and change the configuration, and inject nothing unplanned."""
+        self._chosen_prefix = MODEL_SERVICE
+        self._weights = {
+            self._replace_upstream: 6,
+            self._change_configuration: 2,
+            self._rest: 2,
+        }
+
     @property
     def living(self) -> list[tuple[UpstreamEmulator, str]]:
         """The upstreams that are neither leaving nor down, with their services."""
@@ -268,7 +280,8 @@
         """Inject nothing."""
 
     def _choose_upstream(self, rng: Random) -> UpstreamEmulator:
-        return self._cluster.upstreams[rng.choice(sorted(self._upstreams))]
+        names = [name for name in self._upstreams if name.startswith(self._chosen_prefix)]
+        return self._cluster.upstreams[rng.choice(sorted(names))]
 
 
 def soak_configuration(version: int) -> dict[str, Any]:
--- a/standins/platform_hosts.py
+++ b/standins/platform_hosts.py
@@ -133,6 +133,10 @@
         self._fault_log.note(FaultKind.HOST_RELOAD, self.name)
         self._signal(signal.SIGHUP)
 
+    def terminate_again(self) -> None:
+        """Send another SIGTERM to a host that stops, unless it has ended."""
+        self._signal(signal.SIGTERM)
+
     async def end(self) -> None:
         """End the process at the end of a run, in whichever state it is."""
         self._is_ending = True
--- a/standins/platform_soak.py
+++ b/standins/platform_soak.py
@@ -30,6 +30,11 @@
 from standins.platform_load import load_configuration
 from standins.platform_load import shape_upstream
 from standins.platform_parts import PartCrasher
+from standins.platform_planned import MORE_ENGINES
+from standins.platform_planned import PlannedStops
+from standins.platform_planned import limit_upstream
+from standins.platform_planned import planned_configuration
+from standins.platform_planned import report_moves
 from standins.platform_repeats import RepeatProvoker
 from standins.platform_second_answers import SecondAnswerProvoker
 from standins.platform_verdict import STREAM_EVENTS
@@ -88,6 +93,7 @@
     connections: bool = False,
     drains: bool = False,
     second_answers: bool = False,
+    planned: bool = False,
 ) -> list[str]:
     """Run the soak and return the broken guarantees.
 
@@ -105,6 +111,8 @@
     :param drains: Whether the store comes back from older copies and upstreams leave after that,
         with few other faults.
     :param second_answers: Whether upstreams send answers a second time, late.
+    :param planned: Whether only planned work is done: hosts stop in turn, again and again, while
+        engines with little room leave and are replaced.
     """
     cluster = PlatformCluster(has_links=cuts)
     fault_log = FaultLog()
@@ -119,6 +127,10 @@
         cluster.on_upstream = shape_upstream
         injector.make_configuration = load_configuration
         callers.accounts = ACCOUNTS
+    if planned:
+        cluster.on_upstream = limit_upstream
+        injector.make_configuration = planned_configuration
+        injector.disturb_as_planned()
     if drains:
         injector.disturb_few()
         injector.tells_start = seed % 2 == 0
@@ -127,7 +139,7 @@
     await cluster.start()
     try:
         cluster.configure(injector.make_configuration(1))
-        await _add_upstreams(injector, size=max(3, hosts // 3))
+        await _add_upstreams(injector, size=max(3, hosts // 3), engines=MORE_ENGINES * planned)
         await _start_hosts(
             cluster,
             processes,
@@ -138,6 +150,8 @@
         )
         callers.start(MIXED_CALLS, (10 if load else 2) * hosts)
         callers.start(LONG_CALLS, 3 * hosts)
+        if planned:
+            callers.start(LONG_CALLS, 3 * hosts)
         if load:
             callers.start(SLOW_READER_CALLS, hosts, are_slow=True)
         duration_ms = round(seconds * MS_PER_SECOND)
@@ -158,6 +172,9 @@
             if drains:
                 drainer = DrainProvoker(cluster=cluster, injector=injector, fault_log=fault_log)
                 tasks.create_task(drainer.run(rng=Random(seed + 7), duration_ms=duration_ms))
+            if planned:
+                stops = PlannedStops(hosts=processes)
+                tasks.create_task(stops.run(rng=Random(seed + 9), duration_ms=duration_ms))
             if second_answers:
                 answers = SecondAnswerProvoker(cluster=cluster, fault_log=fault_log)
                 tasks.create_task(answers.run(rng=Random(seed + 8), duration_ms=duration_ms))
@@ -182,8 +199,11 @@
         retry_rule=RetryBudgetRule(ratio=RetrySection().ratio, slack=retry_slacks[1]),
     )
     verdict.paddings = PADDINGS if load else {}
+    verdict.is_planned = planned
     violations = verdict.find_violations()
     violations += [text for process in processes for text in process.unexpected_exits]
+    if planned:
+        report_moves(callers.calls, cluster.ledger, verdict, fault_log, directory)
     if load:
         violations += judge_load(
             callers.calls, cluster.ledger, since=recovered, connections=connections
@@ -201,10 +221,11 @@
     return violations
 
 
-async def _add_upstreams(injector: PlatformFaultInjector, *, size: int) -> None:
-    for number in range(size):
+async def _add_upstreams(injector: PlatformFaultInjector, *, size: int, engines: int = 0) -> None:
+    for number in range(size + engines):
         slow = {"event_ms": LONG_EVENT_MS[number % len(LONG_EVENT_MS)], "events": STREAM_EVENTS}
         await injector.add_upstream(MODEL_SERVICE, slow)
+    for _ in range(size):
         await injector.add_upstream(
             NOTES_SERVICE, {"event_ms": SHORT_EVENT_MS, "events": STREAM_EVENTS}
         )
@@ -251,6 +272,7 @@
     connections: bool = False,
     drains: bool = False,
     second_answers: bool = False,
+    planned: bool = False,
 ) -> None:
     """Run the soak.
 
@@ -267,6 +289,7 @@
     :param connections: Whether it is a violation that a plain upstream resets connections.
     :param drains: Whether the store comes back from older copies and upstreams leave after that.
     :param second_answers: Whether upstreams send answers a second time, late.
+    :param planned: Whether only planned work is done.
     """
     directory = Path(keep or mkdtemp(prefix="tanagerscale-platform-soak-"))
     directory.mkdir(parents=True, exist_ok=True)
@@ -287,6 +310,7 @@
             connections=connections,
             drains=drains,
             second_answers=second_answers,
+            planned=planned,
         )
     )
     for violation in violations:
--- a/standins/platform_verdict.py
+++ b/standins/platform_verdict.py
@@ -37,6 +37,7 @@
 DEADLINE_MARGIN_MS = 100
 EARLY_STREAM_MS = 3_000
 """Streams sent up to this time after SIGTERM may be cut off at the end of the grace period."""
+LAST_SIXTH = "last sixth of the grace period"
 CUT_SHARE = 5 / 6
 """Part of the grace period after which such streams may be cut off."""
 LEAVING_DELAY_MS = 2_000
@@ -82,6 +83,8 @@
     ) -> None:
         self.paddings: Mapping[str, int] = {}
         """Bytes that each event of a stream has in addition, by service."""
+        self.is_planned = False
+        """Whether an upstream that ends excuses only requests that it was still at work on."""
         self._retry_rule = retry_rule
         self._calls = {call.request: call for call in calls}
         self._fault_log = fault_log
@@ -169,30 +172,38 @@
 
     def _find_loss(self, call: Call) -> str:
         received = self._received[call.request]
-        if call.is_complete or call.gave_up or self._is_excused(call, received):
+        if call.is_complete or call.gave_up or self.find_excuse(call):
             return ""
         if received:
             return "closed without a complete answer after it was passed on"
         closed_ms = call.ended - call.sent
         return f"closed unanswered after {closed_ms} ms" if closed_ms > CLOSE_CROSSING_MS else ""
 
-    def _is_excused(self, call: Call, received: list[ReceivedRequest]) -> bool:
+    def received(self, call: Call) -> list[ReceivedRequest]:
+        """Return the requests by which a call reached upstreams."""
+        return self._received[call.request]
+
+    def find_excuse(self, call: Call) -> str:
+        """Return why the end of a call without an answer is allowed; empty if it isn't."""
+        received = self._received[call.request]
         if call.ended >= call.sent + call.kind.deadline_ms - DEADLINE_MARGIN_MS:
-            return True
+            return "deadline"
         if self._fault_log.find(
             call.host, _UNPLANNED | _CUTS, began=call.sent - QUIET_MS, ended=call.ended
         ):
-            return True
-        if any(
-            self._fault_log.find(
-                item.upstream, _UPSTREAM_FAULTS, began=item.arrived, ended=call.ended
-            )
-            for item in received
-        ):
-            return True
+            return "unplanned fault of its host"
+        if any(self._has_broken_off(call, item) for item in received):
+            return "its upstream broke off"
         if self._has_lost_its_target(call, received):
-            return True
-        return self._is_cut_at_end_of_grace(call, received)
+            return "the target of its move crashed"
+        return LAST_SIXTH if self._is_cut_at_end_of_grace(call, received) else ""
+
+    def _has_broken_off(self, call: Call, item: ReceivedRequest) -> bool:
+        is_over = self.is_planned and item.ended is not None
+        ended = item.ended if is_over and item.ended is not None else call.ended
+        return bool(
+            self._fault_log.find(item.upstream, _UPSTREAM_FAULTS, began=item.arrived, ended=ended)
+        )
 
     def _has_lost_its_target(self, call: Call, received: list[ReceivedRequest]) -> bool:
         """Return whether a stream was moving to an upstream as that crashed under a part."""
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -252,7 +252,7 @@
             "address": upstream.address if link is None else link.address,
             "zone": "a",
             "version": "v1",
-            "slots": 24,
+            "slots": upstream.slots or 24,
             "state": state,
             "coldRemainingMs": 0,
             "sequence": sequence,
--- a/testing/test_platform_soak.py
+++ b/testing/test_platform_soak.py
@@ -136,6 +136,18 @@
     assert violations == []
 
 
+# Guards against streams that are cut without any fault, as hosts stop in turn while engines leave.
+@pytest.mark.asyncio
+@pytest.mark.parametrize(("seed", "seconds", "hosts"), [(2001, 12, 5)])
+async def test_guarantees_hold_when_hosts_stop_in_turn_while_engines_leave(
+    seed: int, seconds: int, hosts: int, tmp_path: Path
+) -> None:
+    violations = await run_soak(
+        seed=seed, seconds=seconds, hosts=hosts, directory=tmp_path, planned=True
+    )
+    assert violations == []
+
+
 CHECKS_CONNECTIONS = False
 """Whether the connections of all hosts at an upstream are checked; True once hosts limit them."""
 
--- a/testing/test_platform_verdict.py
+++ b/testing/test_platform_verdict.py
@@ -45,7 +45,9 @@
     return received
 
 
-def _judge(calls: list[Call], received: list[ReceivedRequest], *faults: Fault) -> list[str]:
+def _judge(
+    calls: list[Call], received: list[ReceivedRequest], *faults: Fault, planned: bool = False
+) -> list[str]:
     fault_log = FaultLog()
     fault_log.faults += faults
     verdict = PlatformVerdict(
@@ -55,6 +57,7 @@
         grace_ms=GRACE_MS,
         retry_rule=RetryBudgetRule(ratio=0.0, slack=3.0),
     )
+    verdict.is_planned = planned
     return [violation.partition(":")[0] for violation in verdict.find_violations()]
 
 
@@ -290,3 +293,17 @@
 ) -> None:
     call = _answered(_call(), status=status, body=b"{}")
     assert _judge([call], []) == found
+
+
+# Guards against excusing a stream that had left its engine, and was cut, by the later end of that
+# engine.
+@pytest.mark.parametrize(("planned", "found"), [(False, []), (True, ["LOST"])])
+def test_stream_that_has_left_its_engine_is_not_excused_by_its_end_under_planned_work(
+    planned: bool, found: list[str]
+) -> None:
+    call = _call(CallKind.LONG)
+    left = Fault(FaultKind.UPSTREAM, "p1", "has left", ENDED - 100, ENDED)
+    moved, cut = _received(call), _received(call)
+    moved.ended, cut.ended = left.began - 1, left.began
+    assert _judge([call], [moved], left, planned=planned) == found
+    assert _judge([call], [cut], left, planned=planned) == []
