Keep a run that has stopped from being stopped again before its stream ends

Callers saw streams cut within the answer, or silent for 1 to 3 s, as engines left one after the other around planned stops.

Cause: a stopped run counted as running at its engine until its stream ended there, some 30 ms later. An order in this time stopped it again and left a second place at which to continue. The first was used; the second was tried at the run's next move, in place of the copy made for that one: its engine refused it, or it was withheld from it, while repeats of the retry budget ran out.

Change: from the result of a stop until another engine has accepted it, a run has no engine, and orders for it are rejected. Its phase in the log is `stopping` until its stream ends; it was `answering`.

Seen to fail before: the test finds a second stop; without that check, the run is sent to y, y, x, z instead of y, z.

--- a/src/tanagerscale/forwarding/_run_stops.py
+++ b/src/tanagerscale/forwarding/_run_stops.py
@@ -49,6 +49,8 @@
         """Where the run resumes, in the order of preference."""
         self.is_requested = False
         """Whether the last engine has been asked to stop the run."""
+        self.has_stopped = False
+        """Whether the last engine has stopped the run, so that it can't be stopped again."""
 
     @property
     def is_pending(self) -> bool:
@@ -72,6 +74,7 @@
         """
         if self._pending is stop:
             self._pending = None
+            self.has_stopped |= resume_target is not None
             self.is_requested |= resume_target is not None
         stop.ended.set()
         if stop.is_stale:
@@ -115,6 +118,7 @@
         """Handle the acceptance of the run by another engine."""
         self._has_stream_ended = False
         self.is_requested = False
+        self.has_stopped = False
 
     def on_continued(self) -> None:
         """Free what the run has not needed, since it has continued or has ended."""
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -51,7 +51,7 @@
     ANSWERING = "answering"
     """An engine writes its answer."""
     STOPPING = "stopping"
-    """Its engine is being asked to stop it, so that it continues elsewhere."""
+    """Its engine is being asked to stop it, or has stopped it and its last events still arrive."""
     BETWEEN_ENGINES = "between-engines"
     """Its engine has stopped or broken off, and no other one has accepted it yet."""
 
@@ -140,8 +140,9 @@
 
     @property
     def entry(self) -> UpstreamEntry | None:
-        """The engine that runs it now, or ``None`` while the run changes engines."""
-        return None if self._segment is None or self._is_switching else self._segment.entry
+        """The engine that runs it now; ``None`` after it has stopped, until the next one has it."""
+        is_changing = self._is_switching or self._stops.has_stopped
+        return None if self._segment is None or is_changing else self._segment.entry
 
     @property
     def phase(self) -> RunPhase:
@@ -150,7 +151,7 @@
             return RunPhase.BETWEEN_ENGINES
         if self._segment is None:
             return RunPhase.WAITING
-        if self._stops.is_pending:
+        if self._stops.is_pending or self._stops.has_stopped:
             return RunPhase.STOPPING
         has_events = self._segment.first_event is not None
         return RunPhase.ANSWERING if has_events else RunPhase.PROCESSING
--- a/testing/test_stopped_runs.py
+++ b/testing/test_stopped_runs.py
@@ -175,6 +175,36 @@
     run_virtually(scenario())
 
 
+# Guards against stopping a run a second time before its stream has ended: what the second stop
+# retained was tried at the next move, in place of the copy that this one had made.
+def test_run_that_has_stopped_is_not_stopped_again_before_its_stream_ends() -> None:
+    async def scenario() -> None:
+        stream = MovedStream("x", "y", "z")
+        await stream.start()
+        stream.fakes.engines.copied_events = 1000
+        second = FakeResponse(chunks=events(1, 1000), pause_ms=EVENT_MS)
+        refused = FakeResponse(status=503, not_executed=True, chunks=[])
+        stream.fakes.upstream_client.set("y", second, refused)
+        stream.fakes.upstream_client.set("z", FakeResponse(chunks=events(1, 9)))
+        stream.fakes.engines.on_stop = lambda _: None
+        order = MoveOrder(
+            number=1, kind=MoveKind.LEAVE, request=stream.run.request, source="x", target="y"
+        )
+        assert (await stream.mover.execute_order(order)).is_done
+        assert await stream.mover.execute_order(order) == NOT_MOVED
+        assert [stop for *_, stop in stream.fakes.engines.copies] == [False, True]
+        stream.source.close()
+        while stream.run.entry is None or stream.run.entry.upstream != "y":
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(EVENT_MS / 1000 / 2)
+        stream.fakes.engines.on_stop = lambda _: second.close()
+        await stream.move(to="z")
+        await stream.serving
+        assert [engine for engine, _ in stream.continuations] == ["y", "z"]
+
+    run_virtually(scenario())
+
+
 # Guards against a second way to stop runs that does not ask whether anybody can continue them.
 def test_runs_are_stopped_at_one_place() -> None:
     stops = re.compile(r"\bstop=True\b")
