--- /dev/null
+++ b/testing/test_unread_requests.py
@@ -0,0 +1,58 @@
+"""Requests that have arrived at a stopping host whose event loop stands still."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from standins._common import LOOPBACK
+from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import Clock
+from tanagerscale.forwarding import ShutdownSchedule
+from tanagerscale.gateway._graceful_shutdown import DRAIN_POLL_INTERVAL_MS
+from tanagerscale.gateway._graceful_shutdown import MIN_IDLE_MS
+from tanagerscale.gateway._graceful_shutdown import drain_requests
+from testing.test_gateway_http import HEAD
+from testing.test_gateway_http import ServerHarness
+from testing.test_gateway_http import harness as harness
+
+STALL_MS = 2 * MIN_IDLE_MS
+GRACE_S = 4.0
+
+
+# Guards against closing a connection whose next request has arrived while the event loop stood
+# still: the time for which it has been idle is from before the stall.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("is_new", [False, True], ids=["kept", "new"])
+async def test_request_that_has_arrived_in_a_stall_is_answered_when_its_host_stops(
+    harness: ServerHarness, is_new: bool
+) -> None:
+    schedule = ShutdownSchedule(clock=Clock())
+    caller = socket.socket()
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, (LOOPBACK, harness.port))
+    if not is_new:
+        await loop.sock_sendall(caller, HEAD + b"Id: 1\r\nContent-Length: 0\r\n\r\n")
+        assert b" 200 " in await loop.sock_recv(caller, 4096)
+    has_stalled = False
+
+    async def sleep(duration_ms: int) -> None:
+        nonlocal has_stalled
+        await asyncio.sleep(duration_ms / MS_PER_SECOND)
+        is_last_check = schedule.elapsed_ms >= 2500 - 2 * DRAIN_POLL_INTERVAL_MS
+        if is_last_check and not has_stalled:
+            has_stalled = True
+            caller.send(HEAD + b"Id: 2\r\nContent-Length: 0\r\n\r\n")
+            time.sleep(STALL_MS / MS_PER_SECOND)  # noqa: ASYNC251
+
+    schedule.begin(grace_s=GRACE_S)
+    await drain_requests(
+        servers=(harness.server,), schedule=schedule, end_unfinishable=lambda: None, sleep=sleep
+    )
+    response = await loop.sock_recv(caller, 4096)
+    caller.close()
+    assert b" 200 " in response
