Keep the connections of coordinators to hosts that stop

Cause: a host closed the connections that it had made itself 5 s after its own list no longer wanted them. A stopping host is taken off the list at once and goes on reporting its runs, so that 5.0 to 5.9 s after SIGTERM deciders forgot its runs and copies until it had connected again, 0.1 to 0.5 s later. Their engines seemed emptier than they were.

Change: a coordinator keeps its connections, since all other hosts need one to it.

Ruled out: that only stopping hosts are affected; a host that is no coordinator any more is, too (third test).

After: 6 passed.

--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -248,7 +248,8 @@
             clock=self._clock,
             rng=self._rng,
             heartbeat_source=self._heartbeat,
-            closes_unwanted=True,
+            # All other hosts connect to a coordinator, whichever of the two has dialed.
+            closes_unwanted=lambda: not self.directory.is_coordinator,
             heartbeat_interval_ms=lambda _: heartbeat_interval_ms(
                 hosts=self.directory.hosts, is_coordinator=self.directory.is_coordinator
             ),
--- a/src/tanagerscale/membership/_mesh.py
+++ b/src/tanagerscale/membership/_mesh.py
@@ -66,8 +66,8 @@
     :param clock: Source of the current time.
     :param rng: Random number generator used to add jitter to heartbeats and reconnections.
     :param heartbeat_source: Builds the content of the next heartbeat.
-    :param closes_unwanted: Whether to close connections that this host made some time after their
-        address was removed from the wanted ones; otherwise they stay until they fail.
+    :param closes_unwanted: Returns whether to close connections that this host made some time after
+        their address was removed from the wanted ones; otherwise they stay until they fail.
     :param heartbeat_interval_ms: Returns the heartbeat interval for a number of peers, in
         milliseconds.
     :param server_ssl: TLS context for accepted connections; ``None`` means no TLS.
@@ -86,7 +86,7 @@
         clock: Clock,
         rng: Random,
         heartbeat_source: Callable[[], Heartbeat] = lambda: Heartbeat(revision=0),
-        closes_unwanted: bool = False,
+        closes_unwanted: Callable[[], bool] = lambda: False,
         heartbeat_interval_ms: Callable[[int], int] = lambda peers: int(
             HEARTBEAT_INTERVAL_MS * interval_multiplier(peers=peers)
         ),
@@ -218,7 +218,7 @@
         while True:
             await self._clock.sleep(int(self._interval_ms * self._rng.uniform(*_HEARTBEAT_JITTER)))
             self._interval_ms = self._get_heartbeat_interval_ms(len(self._sessions))
-            if self._closes_unwanted:
+            if self._closes_unwanted():
                 self._close_unwanted()
             self.send_heartbeat()
 
