Stop no run for a move that its host may not survive

What callers see: a stream that is cut at the end of the grace period of its host while no engine works on it.

Cause: runs of a stopping host were moved to emptier engines, and off leaving ones, until its end. A target that does not answer costs 1 s, then 0.3 s to stop what may run there, and a repeat up to 2.5 s.

Change: deciders order no moves of runs of stopping hosts to emptier engines, and a host stops no run once less than 2.5 s are left until its final responses are due; it looks again after the copy that comes before the stop.

Ruled out: moves until 1 s before the end, as a run that has to come back from a slow target needs longer.

--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -84,6 +84,7 @@
     :param delegates: Hosts to which others can delegate requests.
     :param send: Sends a message to a host, which may be this one; returns whether it can be
         reached.
+    :param is_stopping: Returns whether a host is shutting down.
     :param refuse_by_forecast: Whether generations are refused at once by a capacity forecast.
     """
 
@@ -98,6 +99,7 @@
         pauses: UpstreamPauses,
         delegates: DelegateList,
         send: Callable[[HostId, Message], bool],
+        is_stopping: Callable[[HostId], bool] = lambda _: False,
         refuse_by_forecast: bool = False,
     ) -> None:
         self._delegates = delegates
@@ -136,6 +138,7 @@
             departures=self.departures,
             retry_budgets=retry_budgets,
             send_order=send,
+            is_stopping=is_stopping,
         )
         self.ledger.changes.subscribe(lambda _: self._on_ledger_change())
 
--- a/src/tanagerscale/coordination/_directory.py
+++ b/src/tanagerscale/coordination/_directory.py
@@ -157,6 +157,11 @@
         """Whether no reachable coordinator comes before this host."""
         return self.decider == self._host
 
+    def is_stopping(self, host: HostId) -> bool:
+        """Return whether a connected host is shutting down."""
+        peer = self._connected_peers.get(host)
+        return peer is not None and peer.leaving
+
     def targets(self) -> list[PeerAddress]:
         """Return the addresses that this host should be connected to."""
         if not self._candidates:
--- a/src/tanagerscale/coordination/_planner.py
+++ b/src/tanagerscale/coordination/_planner.py
@@ -76,6 +76,7 @@
     :param departures: Departure times of engines.
     :param retry_budgets: Counts the requests with which moved runs continue.
     :param send_order: Sends an order to a host; returns whether it can be reached.
+    :param is_stopping: Returns whether a host is shutting down.
     """
 
     def __init__(
@@ -87,6 +88,7 @@
         departures: Departures,
         retry_budgets: SharedRetryBudgets,
         send_order: Callable[[HostId, MoveOrder], bool],
+        is_stopping: Callable[[HostId], bool],
     ) -> None:
         self._host = host
         self._context = context
@@ -95,6 +97,7 @@
         self._retry_budgets = retry_budgets
         self._moves = PermittedMoves(context=context, retry_budgets=retry_budgets)
         self._send_order = send_order
+        self._is_stopping = is_stopping
         self._numbers = count(1)
         self._orders: dict[int, PendingOrder] = {}
         self._attempts: dict[RequestId, MoveAttempts] = {}
@@ -238,6 +241,7 @@
             has_copy_failed=attempts is not None and attempts.has_copy_failed,
             excluded=failed_targets | self._ledger.paused_for(run.host),
             allowed_domains={FailureDomainId(domain) for domain in use.domains},
+            is_host_stopping=self._is_stopping(run.host),
         )
 
     def _snapshot(
--- a/src/tanagerscale/forwarding/_mover.py
+++ b/src/tanagerscale/forwarding/_mover.py
@@ -14,9 +14,11 @@
 from tanagerscale.forwarding._copier import Copier
 from tanagerscale.forwarding._demand import is_long
 from tanagerscale.forwarding._parts import ForwardingContext
+from tanagerscale.forwarding._shutdown import ShutdownSchedule
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
 from tanagerscale.forwarding._stopping import NOT_MOVED
+from tanagerscale.forwarding._stopping import TOO_LATE
 from tanagerscale.forwarding._stopping import MoveResult
 from tanagerscale.forwarding._stopping import RunStopper
 from tanagerscale.forwarding._stream import StreamRun
@@ -38,6 +40,7 @@
     :param context: Dependencies shared by all requests.
     :param check_decider: Checks that the host that issues the orders responds.
     :param query_engine: Queries whether an engine is leaving and applies its report.
+    :param shutdown: Schedule of the host's graceful shutdown.
     """
 
     def __init__(
@@ -46,6 +49,7 @@
         context: ForwardingContext,
         check_decider: Callable[[], Awaitable[None]],
         query_engine: Callable[[UpstreamId], Awaitable[None]],
+        shutdown: ShutdownSchedule,
     ) -> None:
         self.runs: set[StreamRun] = set()
         """Active streams of this host; the dispatcher adds and removes them."""
@@ -53,7 +57,7 @@
         self._check_decider = check_decider
         self._query_engine = query_engine
         self._copier = Copier(context=context)
-        self._stopper = RunStopper(context=context, copier=self._copier)
+        self._stopper = RunStopper(context=context, copier=self._copier, shutdown=shutdown)
         self._queried_at: dict[UpstreamId, Millis] = {}
         self._background: set[asyncio.Future[None]] = set()
 
@@ -127,6 +131,8 @@
             return "the run is being copied"
         if order.kind is MoveKind.DROP:
             return "there is no copy" if run.snapshot is None else ""
+        if order.kind is not MoveKind.AHEAD and not self._stopper.has_time:
+            return TOO_LATE
         return self._stopper.find_obstacle(UpstreamId(order.target))
 
     def _get_entry(self, order: MoveOrder) -> UpstreamEntry | None:
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -320,6 +320,9 @@
             engines=self._platform.upstreams,
             pauses=self.pauses,
             send=self._send,
+            is_stopping=lambda host: (
+                self._is_leaving() if host == self._host else self.directory.is_stopping(host)
+            ),
             refuse_by_forecast=self._settings.placement.refuse_by_forecast,
         )
 
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -269,6 +269,7 @@
             context=context,
             check_decider=control.client.check_decider,
             query_engine=control.coordinator.query_engine,
+            shutdown=self._shutdown,
         )
         return Dispatcher(
             context=context,
--- a/src/tanagerscale/policy/_moves.py
+++ b/src/tanagerscale/policy/_moves.py
@@ -51,6 +51,7 @@
         accepts no copy would otherwise block the copies of all other runs.
     :param excluded: Engines that rejected it, or that want nothing from its host now.
     :param allowed_domains: Failure domains that it may run in; empty means any.
+    :param is_host_stopping: Whether its host is shutting down, and cuts it if it does not end soon.
     """
 
     request: RequestId
@@ -63,6 +64,7 @@
     has_copy_failed: bool = False
     excluded: Set[UpstreamId] = frozenset()
     allowed_domains: Set[FailureDomainId] = frozenset()
+    is_host_stopping: bool = False
 
     @property
     def sort_key(self) -> int:
@@ -298,7 +300,7 @@
     less when it leaves in its turn.
     """
     for run in sorted(snapshot.runs, key=lambda run: -run.answer_tokens):
-        holder = _reachable_copy(snapshot, run)
+        holder = None if run.is_host_stopping else _reachable_copy(snapshot, run)
         if holder is None or run.engine in snapshot.leaving or {holder, run.engine} & snapshot.busy:
             continue
         # The copy is already on the other engine and counts there as evictable.
--- a/testing/_forwarding_fleet.py
+++ b/testing/_forwarding_fleet.py
@@ -342,6 +342,7 @@
             context=context,
             check_decider=host.control.client.check_decider,
             query_engine=host.control.coordinator.query_engine,
+            shutdown=ShutdownSchedule(clock=host.clock),
         )
         host.order_executor = mover.execute_order
         host.control.gate.changes.subscribe(mover.on_upstreams)
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -46,6 +46,7 @@
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import RoutedRequest
 from tanagerscale.forwarding import RunCopy
+from tanagerscale.forwarding import ShutdownSchedule
 from tanagerscale.forwarding import StreamMover
 from tanagerscale.forwarding import UpstreamRequest
 from tanagerscale.forwarding._delegation import DelegatedResponse
@@ -690,6 +691,7 @@
         context=fakes.context,
         check_decider=fakes.single_host.client.check_decider,
         query_engine=fakes.single_host.coordinator.query_engine,
+        shutdown=ShutdownSchedule(clock=fakes.context.clock),
     )
     fakes.single_host.movers = movers
     return movers
--- a/testing/_moving_host.py
+++ b/testing/_moving_host.py
@@ -145,12 +145,13 @@
             engines=self.world,
             retry_permits=self.decider,
         )
+        self.shutdown = ShutdownSchedule(clock=self.context.clock)
         self.mover = StreamMover(
             context=self.context,
             check_decider=_check_no_decider,
             query_engine=_query_no_engine,
+            shutdown=self.shutdown,
         )
-        self.shutdown = ShutdownSchedule(clock=self.context.clock)
         self.streams: list[HostStream] = []
         self.orders: set[asyncio.Task[MoveResult | None]] = set()
 
--- a/testing/_moving_world.py
+++ b/testing/_moving_world.py
@@ -11,6 +11,7 @@
 from collections.abc import Coroutine
 from collections.abc import Sequence
 from functools import cached_property
+from itertools import count
 from typing import Any
 from typing import TypeVar
 
@@ -87,7 +88,8 @@
         self.on_stop: Callable[[], None] = lambda: None
         self._overlaps: dict[RequestId, int] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._handles = 0
+        self._handles: dict[tuple[RequestId, str, str], str] = {}
+        self._numbers = count(1)
 
     def log(self, message: str) -> None:
         """Add a line to the trace."""
@@ -193,8 +195,13 @@
         return Failure("No report; ask again later.")
 
     async def drop_copy(self, *, holder: UpstreamEntry, copy: str) -> None:
-        """Free a copy at both its ends."""
-        self.memories = [one for one in self.memories if copy not in one.handles]
+        """Free a copy where it is called; at both its ends if that is the engine it comes from."""
+        for memory in self.memories:
+            if copy not in memory.handles or holder.upstream not in memory.holders:
+                continue
+            if memory.holders.pop(holder.upstream):
+                memory.holders.clear()
+        self.memories = [one for one in self.memories if one.holders]
 
     def memories_of(self, request: RequestId) -> list[Memory]:
         """Return the memories from which a run can still continue."""
@@ -231,8 +238,7 @@
             return Failure(copy_failure(CopyFailure.BUSY))
         if stop:
             self._end_work(engine, work, last=None)
-        self._handles += 1
-        handle = f"h{self._handles}"
+        handle = self._handle_of(request, engine, other)
         work.is_copied = True
         if _has_room(other, stop=stop):
             await asyncio.sleep(COPY_MS / 1000)
@@ -254,6 +260,14 @@
             memory.stop_handle = handle
         return Success(RunCopy(copy=handle, events=work.event))
 
+    def _handle_of(self, request: RequestId, engine: Engine, other: Engine) -> str:
+        """Return the handle of a copy, which later copies of the run between the engines keep."""
+        key = request, engine.name, other.name
+        handle = self._handles.get(key, "")
+        if not any(handle in memory.handles for memory in self.memories_of(request)):
+            handle = self._handles[key] = f"h{next(self._numbers)}"
+        return handle
+
     def _check_stop(self, engine: Engine, request: RequestId, other: Engine) -> None:
         """Check that a run is stopped only for an engine that has just taken a copy of it."""
         if request not in engine.works:
--- a/testing/test_policy_moves.py
+++ b/testing/test_policy_moves.py
@@ -256,6 +256,16 @@
     assert _select_move(_make_snapshot(copied, views=similar)) is None
 
 
+# Guards against stopping a run that its host cuts soon anyway.
+def test_run_of_a_stopping_host_is_not_moved_to_an_emptier_engine() -> None:
+    views = [
+        _make_view(X, held_tokens=20_000, running=5),
+        _make_view(Y, held_tokens=8000, running=2, evictable_tokens=4000),
+    ]
+    run = _make_run("1", copy_at=Y, is_host_stopping=True)
+    assert _select_move(_make_snapshot(run, views=views)) is None
+
+
 def test_copies_of_the_youngest_runs_are_evicted_when_an_engine_needs_memory() -> None:
     full = _make_view(Y, held_tokens=24_000, running=5, evictable_tokens=11_000)
     runs = [
