Keep connections open on which a request waits to be read

Cause: drain_requests and close_idle judged a connection by what the event loop had read. After a stall the loop runs what is due before it looks at the sockets, so requests that had arrived meanwhile were closed unread, and the stall itself was counted as idle.

Ruled out: a longer MIN_IDLE_MS (a longer stall passes it as well), and a yield to the loop before the check (a stall between the two does the same).

Change: before a connection is closed as idle, the system is asked whether input waits on it (find_unread), in the step that closes it; one check counts no more than twice its interval as idle. The same holds for the configured idle timeout and the header timeout, which read the same times.

--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Final
 from typing import final
 
@@ -14,16 +15,21 @@
 from tanagerscale.core import get_logger
 from tanagerscale.gateway._caller_handler import CallerRequestHandler
 from tanagerscale.gateway._connections import CallerProtocol
+from tanagerscale.gateway._graceful_shutdown import DRAIN_POLL_INTERVAL_MS
 from tanagerscale.gateway._host_limits import HostLimits
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
+from tanagerscale.gateway._unread_input import find_unread
 
 ACCEPT_BACKLOG: Final = 1024
 """Connections that may wait to be accepted. When the backlog is full, the first packet of a new
 connection is dropped and resent only after one second."""
 SHUTDOWN_TIMEOUT_S: Final = 0.2
 
+MAX_CHECK_DELAY_RATIO: Final = 2
+"""Multiple of the interval of checks for idle connections that one check counts at most."""
+
 _log = get_logger(part="callers")
 
 
@@ -50,6 +56,7 @@
         self._rules = rules
         self._clock = clock
         self._stopping_since: Millis | None = None
+        self._idle_checked: Millis | None = None
         edge = CallerRequestHandler(
             serve=serve,
             codec=codec,
@@ -81,23 +88,43 @@
             backlog=ACCEPT_BACKLOG,
         )
 
-    def close_idle(self, *, limit_ms: int | None = None) -> None:
+    def close_idle(self, *, limit_ms: int | None = None, interval_ms: int = 0) -> None:
         """Close connections that have been idle for too long.
 
         A connection on which a request is arriving is closed after its response. It is closed
-        without one only if the request does not arrive in time.
+        without one only if the request does not arrive in time. Nothing is closed on which input
+        waits to be read, and times for which the event loop stood still do not count as idle.
 
         :param limit_ms: Longest idle time; ``None`` uses the configured idle timeout.
+        :param interval_ms: Interval of the checks in milliseconds.
         """
         limit = self._rules.idle_timeout_ms() if limit_ms is None else limit_ms
+        self._add_idle_time(interval_ms)
+        overdue: list[CallerProtocol] = []
         for protocol in self._connections:
             use = protocol.use
-            idle_ms = self._clock.now() - use.last_active
-            if use.is_handling or idle_ms <= limit:
+            if use.is_handling or use.idle_ms <= limit:
                 continue
-            if use.has_unhandled_data and idle_ms <= self._rules.header_timeout_ms():
+            if use.has_unhandled_data and use.idle_ms <= self._rules.header_timeout_ms():
                 use.must_close = True
             else:
+                overdue.append(protocol)
+        self._close_without_input(overdue)
+
+    def _add_idle_time(self, interval_ms: int) -> None:
+        now = self._clock.now()
+        since_check = 0 if self._idle_checked is None else now - self._idle_checked
+        self._idle_checked = now
+        for protocol in self._connections:
+            protocol.use.add_idle_time(
+                now=now, limit_ms=min(since_check, interval_ms * MAX_CHECK_DELAY_RATIO)
+            )
+
+    def _close_without_input(self, protocols: Sequence[CallerProtocol]) -> None:
+        """Close those connections on which no input waits to be read."""
+        unread = find_unread(one.transport for one in protocols if one.transport is not None)
+        for protocol in protocols:
+            if protocol.transport not in unread:
                 protocol.force_close()
 
     @property
@@ -124,7 +151,7 @@
             was used more recently.
         :returns: Whether no connection is left.
         """
-        self.close_idle(limit_ms=idle_ms)
+        self.close_idle(limit_ms=idle_ms, interval_ms=DRAIN_POLL_INTERVAL_MS)
         return not self._server.connections
 
     async def close(self) -> None:
--- a/src/tanagerscale/gateway/_connections.py
+++ b/src/tanagerscale/gateway/_connections.py
@@ -25,6 +25,7 @@
 
     :param opened: When the connection was accepted.
     :param last_active: When data last arrived on it or a response ended.
+    :param idle_ms: Time without a request as the checks for idle connections have seen it.
     :param requests: Number of requests that have been handled on it.
     :param is_handling: Whether a request on it is being handled.
     :param has_unhandled_data: Whether data of a request has arrived whose handling has not begun.
@@ -35,6 +36,7 @@
 
     opened: Millis
     last_active: Millis
+    idle_ms: int = 0
     requests: int = 0
     is_handling: bool = False
     has_unhandled_data: bool = False
@@ -53,7 +55,21 @@
         self.is_handling = False
         self.handler = None
         self.requests += 1
+        self.record_activity(now=now)
+
+    def record_activity(self, *, now: Millis) -> None:
+        """Record that data has arrived or a response has ended."""
         self.last_active = now
+        self.idle_ms = 0
+
+    def add_idle_time(self, *, now: Millis, limit_ms: int) -> None:
+        """Count the time since the last check for idle connections, or since the last activity.
+
+        :param now: Current time.
+        :param limit_ms: Longest time to count. An event loop that stood still for longer has not
+            seen what arrived meanwhile.
+        """
+        self.idle_ms += min(now - self.last_active, limit_ms)
 
 
 @final
@@ -94,5 +110,5 @@
         """Record that the connection is in use before any of the data is handled."""
         if not self.use.is_handling:
             self.use.has_unhandled_data = True
-        self.use.last_active = self._clock.now()
+        self.use.record_activity(now=self._clock.now())
         super().data_received(data)
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -288,7 +288,7 @@
     async def _close_idle_connections(self) -> None:
         while True:
             await self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
-            self._server.close_idle()
+            self._server.close_idle(interval_ms=IDLE_CHECK_INTERVAL_MS)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
--- a/testing/test_unread_requests.py
+++ b/testing/test_unread_requests.py
@@ -56,3 +56,63 @@
     response = await loop.sock_recv(caller, 4096)
     caller.close()
     assert b" 200 " in response
+
+
+async def _connect_idle_caller(harness: ServerHarness) -> socket.socket:
+    """Return a connection on which a request has been answered."""
+    loop = asyncio.get_running_loop()
+    caller = socket.socket()
+    caller.setblocking(False)
+    await loop.sock_connect(caller, (LOOPBACK, harness.port))
+    await loop.sock_sendall(caller, HEAD + b"Id: 1\r\nContent-Length: 0\r\n\r\n")
+    assert b" 200 " in await loop.sock_recv(caller, 4096)
+    return caller
+
+
+# Guards against closing a kept connection by the configured idle timeout while its next request,
+# which has arrived while the process stood still, waits to be read.
+@pytest.mark.asyncio
+async def test_request_that_has_arrived_in_a_stall_is_answered_when_its_connection_is_overdue(
+    harness: ServerHarness,
+) -> None:
+    caller = await _connect_idle_caller(harness)
+    caller.send(HEAD + b"Id: 2\r\nContent-Length: 0\r\n\r\n")
+    harness.server.close_idle(limit_ms=-1)
+    response = await asyncio.get_running_loop().sock_recv(caller, 4096)
+    caller.close()
+    assert b" 200 " in response
+
+
+# Guards against counting a stall as idle time: a request that its caller has sent meanwhile may not
+# have reached the socket yet.
+@pytest.mark.asyncio
+async def test_idle_connection_stays_open_when_the_event_loop_has_stood_still(
+    harness: ServerHarness,
+) -> None:
+    caller = await _connect_idle_caller(harness)
+    harness.server.begin_shutdown()
+    assert not harness.server.drain(idle_ms=MIN_IDLE_MS)
+    time.sleep(STALL_MS / MS_PER_SECOND)  # noqa: ASYNC251
+    assert not harness.server.drain(idle_ms=MIN_IDLE_MS)
+    caller.send(HEAD + b"Id: 2\r\nContent-Length: 0\r\n\r\n")
+    response = await asyncio.get_running_loop().sock_recv(caller, 4096)
+    caller.close()
+    assert b" 200 " in response
+
+
+# Guards against closing a connection whose request was read as a whole and has no handler yet when
+# the process stands still for longer than the header timeout.
+@pytest.mark.asyncio
+async def test_request_that_was_read_before_a_stall_is_answered_when_its_head_is_overdue(
+    harness: ServerHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("testing.test_gateway_http.HEADER_TIMEOUT_MS", MIN_IDLE_MS)
+    caller = await _connect_idle_caller(harness)
+    (protocol,) = harness.server._connections
+    harness.server.drain(idle_ms=MIN_IDLE_MS)
+    protocol.data_received(HEAD + b"Id: 2\r\nContent-Length: 0\r\n\r\n")
+    time.sleep(STALL_MS / MS_PER_SECOND)  # noqa: ASYNC251
+    harness.server.drain(idle_ms=MIN_IDLE_MS)
+    response = await asyncio.get_running_loop().sock_recv(caller, 4096)
+    caller.close()
+    assert b" 200 " in response
