Accept the connections that wait before a host stops to listen

What callers saw: a reset, or neither an answer nor an end, of a connection that had been opened just before a host stopped to listen, or while its event loop stood still.

Cause: the system resets connections that wait as the listening socket is closed. One that the event loop had accepted in the iteration before could not be attached to the closed server (an assertion in asyncio), and was neither served nor closed.

Change: close_listener takes the socket from the event loop, lets connections that were accepted be attached, accepts what waits and then closes the socket, with no pause after the last look.

--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -17,14 +17,13 @@
 from tanagerscale.gateway._connections import CallerProtocol
 from tanagerscale.gateway._graceful_shutdown import DRAIN_POLL_INTERVAL_MS
 from tanagerscale.gateway._host_limits import HostLimits
+from tanagerscale.gateway._listener import ACCEPT_BACKLOG
+from tanagerscale.gateway._listener import close_listener
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
 from tanagerscale.gateway._unread_input import find_unread
 
-ACCEPT_BACKLOG: Final = 1024
-"""Connections that may wait to be accepted. When the backlog is full, the first packet of a new
-connection is dropped and resent only after one second."""
 SHUTDOWN_TIMEOUT_S: Final = 0.2
 
 MAX_CHECK_DELAY_RATIO: Final = 2
@@ -82,12 +81,15 @@
         await self._runner.setup()
         host, _, port = address.rpartition(":")
         self._listener = await asyncio.get_running_loop().create_server(
-            lambda: CallerProtocol(server=self._server, clock=self._clock),
+            self._make_protocol,
             host,
             int(port),
             backlog=ACCEPT_BACKLOG,
         )
 
+    def _make_protocol(self) -> CallerProtocol:
+        return CallerProtocol(server=self._server, clock=self._clock)
+
     def close_idle(self, *, limit_ms: int | None = None, interval_ms: int = 0) -> None:
         """Close connections that have been idle for too long.
 
@@ -141,8 +143,8 @@
         self._stopping_since = self._clock.now()
 
     async def stop_listening(self) -> None:
-        """Stop accepting connections."""
-        self._listener.close()
+        """Accept the connections that wait, then no more."""
+        await close_listener(self._listener, make_protocol=self._make_protocol)
 
     def drain(self, *, idle_ms: int) -> bool:
         """Close connections that have been idle for at least a given time.
--- a/testing/test_unread_requests.py
+++ b/testing/test_unread_requests.py
@@ -116,3 +116,27 @@
     response = await asyncio.get_running_loop().sock_recv(caller, 4096)
     caller.close()
     assert b" 200 " in response
+
+
+# Guards against resetting connections that wait to be accepted, or that the event loop has just
+# accepted, when a host stops to listen.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("iterations", range(6))
+async def test_request_on_a_connection_in_the_backlog_is_answered_when_its_host_stops_to_listen(
+    harness: ServerHarness, iterations: int
+) -> None:
+    with socket.socket() as caller:
+        caller.connect((LOOPBACK, harness.port))
+        caller.sendall(HEAD + b"Id: 1\r\nContent-Length: 0\r\n\r\n")
+        caller.setblocking(False)
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        harness.server.begin_shutdown()
+        await harness.server.stop_listening()
+        while not harness.server.drain(idle_ms=MIN_IDLE_MS):
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / MS_PER_SECOND)
+        async with asyncio.timeout(10):
+            response = await asyncio.get_running_loop().sock_recv(caller, 4096)
+    assert b" 200 " in response
+    with pytest.raises(ConnectionRefusedError), socket.socket() as late:
+        late.connect((LOOPBACK, harness.port))
