Answer the requests of other hosts that a stopping host has not read

What callers saw: a failure (502) of a request that must not be repeated, as the host that it had been delegated to closed the connection without having read it, so that it counted as run.

DelegateServer counted only requests whose body had been read, looked at no input that waited, and closed its listening socket with connections that waited. Read, without a test: a request whose body was arriving wasn't waited for either.

Change: its connections know whether they are in use, as those of callers, and the same checks hold for both.

Before: test_delegated_request_is_answered_when_its_host_ends_after_a_stall fails, with `ConnectionResetError: [Errno 104] Connection reset by peer` (backlog) and `assert b'Delegated-Head' in b''` (kept). After, it holds, and so do test_delegation and test_half_heads_delegated.

--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -15,6 +15,8 @@
 from tanagerscale.core import get_logger
 from tanagerscale.gateway._caller_handler import CallerRequestHandler
 from tanagerscale.gateway._connections import CallerProtocol
+from tanagerscale.gateway._connections import get_connections
+from tanagerscale.gateway._connections import has_unanswered
 from tanagerscale.gateway._graceful_shutdown import DRAIN_POLL_INTERVAL_MS
 from tanagerscale.gateway._host_limits import HostLimits
 from tanagerscale.gateway._listener import ACCEPT_BACKLOG
@@ -131,8 +133,7 @@
 
     @property
     def _connections(self) -> list[CallerProtocol]:
-        connections = self._server.connections
-        return [protocol for protocol in connections if isinstance(protocol, CallerProtocol)]
+        return get_connections(self._server)
 
     def _get_transports(self) -> list[asyncio.Transport]:
         transports = (protocol.transport for protocol in self._server.connections)
@@ -158,11 +159,7 @@
 
     def has_unanswered(self) -> bool:
         """Return whether a request has arrived whose response has not begun."""
-        connections = self._connections
-        if any(protocol.use.is_unanswered for protocol in connections):
-            return True
-        idle = [protocol for protocol in connections if not protocol.use.is_handling]
-        return bool(find_unread(one.transport for one in idle if one.transport is not None))
+        return has_unanswered(self._connections)
 
     async def close(self) -> None:
         """Cancel all handlers, close all connections and stop the server."""
--- a/src/tanagerscale/gateway/_connections.py
+++ b/src/tanagerscale/gateway/_connections.py
@@ -1,8 +1,9 @@
-"""Connections of callers, which know whether they are in use."""
+"""Connections of callers and of other hosts, which know whether they are in use."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from typing import Any
 from typing import Final
 from typing import final
@@ -13,6 +14,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
+from tanagerscale.gateway._unread_input import find_unread
 
 MAX_KEEPALIVE_S: Final = 3600.0
 """Above any idle timeout that can be configured; the server enforces the configured one."""
@@ -124,3 +126,20 @@
             self.use.has_unhandled_data = True
         self.use.record_activity(now=self._clock.now())
         super().data_received(data)
+
+
+def get_connections(server: web.Server) -> list[CallerProtocol]:
+    """Return the open connections of a server."""
+    connections = server.connections
+    return [protocol for protocol in connections if isinstance(protocol, CallerProtocol)]
+
+
+def has_unread(connections: Sequence[CallerProtocol]) -> bool:
+    """Return whether input waits to be read on a connection that handles no request."""
+    idle = [one.transport for one in connections if not one.use.is_handling]
+    return bool(find_unread(transport for transport in idle if transport is not None))
+
+
+def has_unanswered(connections: Sequence[CallerProtocol]) -> bool:
+    """Return whether a request has arrived whose response has not begun."""
+    return any(one.use.is_unanswered for one in connections) or has_unread(connections)
--- a/src/tanagerscale/gateway/_delegate_server.py
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import OrderedDict
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -22,11 +23,18 @@
 from tanagerscale.forwarding import Header
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import Responder
+from tanagerscale.gateway._connections import CallerProtocol
+from tanagerscale.gateway._connections import ConnectionUse
+from tanagerscale.gateway._connections import get_connections
+from tanagerscale.gateway._connections import has_unanswered
+from tanagerscale.gateway._connections import has_unread
 from tanagerscale.gateway._delegation_wire import EXCHANGE_FIELD
 from tanagerscale.gateway._delegation_wire import HEAD_FIELD
 from tanagerscale.gateway._delegation_wire import PATH
 from tanagerscale.gateway._delegation_wire import decode_request
 from tanagerscale.gateway._delegation_wire import encode_head
+from tanagerscale.gateway._listener import ACCEPT_BACKLOG
+from tanagerscale.gateway._listener import close_listener
 
 MAX_DELEGATED: Final = 64
 """Requests of other hosts that a host sends at a time, beside those of its own callers."""
@@ -67,7 +75,7 @@
         self._seen: OrderedDict[RequestId, Millis] = OrderedDict()
         self._server: web.Server | None = None
         self._runner: web.ServerRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._listener: asyncio.Server | None = None
 
     @property
     def connections(self) -> int:
@@ -79,36 +87,59 @@
 
         :param address: IP address and port to listen on.
         """
-        self._server = web.Server(self._handle, handler_cancellation=True, access_log=None)
+        self._server = web.Server(self._track, handler_cancellation=True)
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
-        self._site = web.TCPSite(self._runner, host, int(port))
-        await self._site.start()
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._make_protocol, host, int(port), backlog=ACCEPT_BACKLOG
+        )
 
     async def stop_listening(self) -> None:
-        """Stop accepting connections."""
-        if self._site is not None:
-            await self._site.stop()
-            self._site = None
+        """Accept the connections that wait, then no more."""
+        if self._listener is not None:
+            await close_listener(self._listener, make_protocol=self._make_protocol)
 
     def drain(self, *, idle_ms: int) -> bool:
         """Return whether no request of another host is left; the other hosts close connections.
 
         :param idle_ms: Not used, since a host that shuts down accepts no request on any connection.
         """
-        return not self._running
+        connections = self._connections
+        is_used = any(one.use.is_handling or one.use.has_unhandled_data for one in connections)
+        return not is_used and not has_unread(connections)
 
     def has_unanswered(self) -> bool:
-        """Return whether the handling of a request has not ended."""
-        return bool(self._running)
+        """Return whether a request has arrived whose response has not begun."""
+        return has_unanswered(self._connections)
 
     async def close(self) -> None:
         """Close all connections and stop the server."""
+        if self._listener is not None:
+            self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    @property
+    def _connections(self) -> list[CallerProtocol]:
+        return [] if self._server is None else get_connections(self._server)
+
+    def _make_protocol(self) -> CallerProtocol:
+        assert self._server is not None
+        return CallerProtocol(server=self._server, clock=self._clock)
+
+    async def _track(self, request: web.BaseRequest) -> web.StreamResponse:
+        assert isinstance(request.protocol, CallerProtocol)
+        use = request.protocol.use
+        use.begin_request()
+        try:
+            return await self._handle(request, use)
+        finally:
+            use.end_request(now=self._clock.now())
+
+    async def _handle(
+        self, request: web.BaseRequest, connection: ConnectionUse
+    ) -> web.StreamResponse:
         arrived = self._clock.now()
         body = await _read_body(request)
         if request.path != PATH or body is None:
@@ -123,7 +154,7 @@
             return _unavailable(request)
         self._running += 1
         try:
-            responder = _DelegateResponder(request=request)
+            responder = _DelegateResponder(request=request, on_begin=connection.begin_response)
             await self._serve(delegated, responder)
             return responder.response
         finally:
@@ -145,10 +176,12 @@
     """Writes the response to a delegated request.
 
     :param request: The HTTP request of the other host.
+    :param on_begin: Called when the response begins.
     """
 
-    def __init__(self, *, request: web.BaseRequest) -> None:
+    def __init__(self, *, request: web.BaseRequest, on_begin: Callable[[], None]) -> None:
         self._request = request
+        self._on_begin = on_begin
         self._response: web.StreamResponse | None = None
 
     @property
@@ -166,6 +199,7 @@
         """Send the head of a stream."""
         outcome = DelegatedOutcome.STREAM
         head = DelegatedHead(outcome=outcome, status=status, reason=reason, headers=headers)
+        self._on_begin()
         self._response = web.StreamResponse(headers=_response_fields(self._request, head))
         await self._response.prepare(self._request)
 
@@ -198,6 +232,7 @@
 
     async def _send(self, head: DelegatedHead, body: bytes = b"") -> None:
         response = web.Response(body=body, headers=_response_fields(self._request, head))
+        self._on_begin()
         self._response = response
         await response.prepare(self._request)
         await response.write_eof()
