Look once more for events before an engine is given up as silent

What callers saw: nothing for certain; a run was taken from an engine that was well, and resumed from its copy on another one (prefill in vain, a pause), after the host itself had stood still for 2 s.

Cause: after a stall the timeout is due in the same iteration of the event loop in which the events are read, and cancels the read.

Change: read_within ends its read shortly before the timeout and reads once more. The bound of 2 s is as it was.

Before: test_engine_is_not_silent_when_its_events_arrive_in_a_stall fails with `The engine went silent; choose another upstream.` After, it holds.

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -26,6 +26,7 @@
 from tanagerscale.core._line_log import set_up_json_lines_log
 from tanagerscale.core._log import get_logger
 from tanagerscale.core._log import set_up_logging
+from tanagerscale.core._reads import read_within
 from tanagerscale.core._sockets import enable_tcp_keepalive
 from tanagerscale.core._tasks import TaskStackGroup
 from tanagerscale.core._tasks import group_tasks_by_stack
@@ -58,6 +59,7 @@
     "group_tasks_by_stack",
     "log_tasks",
     "new_id",
+    "read_within",
     "set_up_json_lines_log",
     "set_up_logging",
 ]
--- a/src/tanagerscale/forwarding/_relay.py
+++ b/src/tanagerscale/forwarding/_relay.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from typing import Final
 from typing import final
 
-from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Millis
+from tanagerscale.core import read_within
 from tanagerscale.forwarding._crash_evidence import SOUND_AFTER_MS
 from tanagerscale.forwarding._crash_evidence import record_sound_parts
 from tanagerscale.forwarding._events import EventError
@@ -102,8 +101,7 @@
         """
         while True:
             try:
-                async with asyncio.timeout(IDLE_TIMEOUT_MS / MS_PER_SECOND):
-                    return await segment.response.read_some()
+                return await read_within(segment.response.read_some, timeout_ms=IDLE_TIMEOUT_MS)
             except TimeoutError:
                 if has_copy():
                     raise ExchangeError(ExchangeFailure.LOST, "The engine went silent") from None
