Look once more for messages before a peer is disconnected as silent

What was seen in the test: a host that had stood still for three heartbeats disconnected peers whose heartbeats had arrived. Messages in transit, and all that counts on the connection (placements, verdicts, orders), are lost with it.

Before: test_peer_is_not_silent_when_its_heartbeats_arrive_in_a_stall fails with `assert <CloseReason.SILENT: 4004> is <CloseReason.BROKEN: 1006>`. After, it holds, and so do test_mesh and test_membership.

--- a/src/tanagerscale/membership/_session.py
+++ b/src/tanagerscale/membership/_session.py
@@ -14,6 +14,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import Revision
 from tanagerscale.core import get_logger
+from tanagerscale.core import read_within
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import Hello
 from tanagerscale.membership._link import CloseReason
@@ -146,10 +147,8 @@
     async def _read(self) -> CloseReason:
         while True:
             try:
-                async with asyncio.timeout(
-                    MAX_SILENT_INTERVALS * self._interval_ms / MS_PER_SECOND
-                ):
-                    data = await self._link.receive()
+                silent_ms = MAX_SILENT_INTERVALS * self._interval_ms
+                data = await read_within(self._link.receive, timeout_ms=silent_ms)
             except TimeoutError:
                 return CloseReason.SILENT
             except LinkClosedError as error:
--- a/testing/test_stalled_reads.py
+++ b/testing/test_stalled_reads.py
@@ -1,4 +1,4 @@
-"""Silence of engines that is measured while the own event loop stands still."""
+"""Silence of engines and hosts that is measured while the own event loop stands still."""
 
 from __future__ import annotations
 
@@ -11,9 +11,21 @@
 
 from tanagerscale.coordination import AttemptHealthRecorder
 from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import Clock
+from tanagerscale.core import FailureDomainId
+from tanagerscale.core import HostId
+from tanagerscale.core import Revision
 from tanagerscale.forwarding._relay import EventRelay
 from tanagerscale.forwarding._segments import SegmentSender
 from tanagerscale.forwarding._segments import StreamSegment
+from tanagerscale.generated.messages import Heartbeat
+from tanagerscale.membership._link import CloseReason
+from tanagerscale.membership._link import LinkClosedError
+from tanagerscale.membership._peers import MeshCounters
+from tanagerscale.membership._peers import PeerInfo
+from tanagerscale.membership._session import MAX_SILENT_INTERVALS
+from tanagerscale.membership._session import PeerSession
+from tanagerscale.membership._wire import encode_frame
 from tanagerscale.routes import RouteKind
 from testing._gateway_fakes import FakeResponder
 from testing._gateway_fakes import FakeResponse
@@ -78,3 +90,69 @@
     assert await relaying is None
     assert relay.last_event == len(EVENTS)
     writer.close()
+
+
+class _SocketLink:
+    """A link whose frames are all of one length.
+
+    :param reader: Receives the frames.
+    :param length: Length of a frame in bytes.
+    """
+
+    def __init__(self, *, reader: asyncio.StreamReader, length: int) -> None:
+        self._reader = reader
+        self._length = length
+        self.closed: CloseReason | None = None
+
+    async def send(self, frame: bytes) -> None:
+        """Send nothing."""
+
+    async def receive(self) -> bytes:
+        """Wait for the next frame."""
+        try:
+            return await self._reader.readexactly(self._length)
+        except asyncio.IncompleteReadError:
+            raise LinkClosedError(CloseReason.BROKEN) from None
+
+    async def close(self, *, reason: CloseReason) -> None:
+        """Record why the link is closed."""
+        self.closed = reason
+
+
+# Guards against ending the connection of a peer whose heartbeats have arrived while the event loop
+# stood still: all of its messages and orders in transit are lost with it.
+@pytest.mark.asyncio
+async def test_peer_is_not_silent_when_its_heartbeats_arrive_in_a_stall(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    interval_ms = SILENCE_MS // MAX_SILENT_INTERVALS
+    monkeypatch.setattr("tanagerscale.membership._session.HEARTBEAT_INTERVAL_MS", interval_ms)
+    frame = encode_frame(Heartbeat(revision=1, next_ms=interval_ms))
+    peer, own = socket.socketpair()
+    reader, writer = await asyncio.open_connection(sock=own)
+    link = _SocketLink(reader=reader, length=len(frame))
+    counters = MeshCounters()
+    session = PeerSession(
+        link=link,
+        peer=PeerInfo(
+            host=HostId("h"),
+            incarnation=1,
+            failure_domain=FailureDomainId("a"),
+            address="h:1",
+            revision=Revision(0),
+            leaving=False,
+        ),
+        dialer=HostId("h"),
+        clock=Clock(),
+        counters=counters,
+        on_message=lambda host, message: None,
+        on_change=lambda: None,
+    )
+    running = asyncio.create_task(session.run())
+    await asyncio.sleep(interval_ms / MS_PER_SECOND)
+    peer.send(frame)
+    peer.close()
+    _stall()
+    assert await running is CloseReason.BROKEN
+    assert counters.received_messages == 1
+    writer.close()
