Reuse no connection on which input waits to be read

What callers saw: a request that was sent on a connection that its engine had ended while the host stood still; it may count as run, and is not repeated if it must not. A second answer that had arrived could be taken for the next one where answers bear no id (read, not seen).

Cause: ConnectionPool judged a connection by what the event loop had read.

Change: the socket is asked, in the step that takes the connection. It costs one system call for each reuse. find_unread moves to core.

Before: test_connection_is_not_reused_when_its_end_or_bytes_arrive_in_a_stall fails in both cases (the connection is the first one). After, it holds.

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -31,6 +31,7 @@
 from tanagerscale.core._tasks import TaskStackGroup
 from tanagerscale.core._tasks import group_tasks_by_stack
 from tanagerscale.core._tasks import log_tasks
+from tanagerscale.core._unread_input import find_unread
 
 __all__ = [
     "MS_PER_SECOND",
@@ -55,6 +56,7 @@
     "UpstreamName",
     "WallMillis",
     "enable_tcp_keepalive",
+    "find_unread",
     "get_logger",
     "group_tasks_by_stack",
     "log_tasks",
--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -12,6 +12,7 @@
 
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
+from tanagerscale.core import find_unread
 from tanagerscale.core import get_logger
 from tanagerscale.gateway._caller_handler import CallerRequestHandler
 from tanagerscale.gateway._connections import CallerProtocol
@@ -24,7 +25,6 @@
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
-from tanagerscale.gateway._unread_input import find_unread
 
 SHUTDOWN_TIMEOUT_S: Final = 0.2
 
--- a/src/tanagerscale/gateway/_connections.py
+++ b/src/tanagerscale/gateway/_connections.py
@@ -14,7 +14,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
-from tanagerscale.gateway._unread_input import find_unread
+from tanagerscale.core import find_unread
 
 MAX_KEEPALIVE_S: Final = 3600.0
 """Above any idle timeout that can be configured; the server enforces the configured one."""
--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -21,6 +21,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import enable_tcp_keepalive
+from tanagerscale.core import find_unread
 from tanagerscale.upstreams._exchange_log import ConnectionHistory
 
 MAX_HEAD_BYTES: Final = 64 * 1024
@@ -192,6 +193,10 @@
             and (self._response_head is None or self._response_head.keep_alive)
         )
 
+    def has_unread_input(self) -> bool:
+        """Return whether bytes or the end of the connection have arrived and were not read yet."""
+        return bool(find_unread([self._transport]))
+
     @property
     def is_open(self) -> bool:
         """Whether the connection is still open."""
--- a/src/tanagerscale/upstreams/_pool.py
+++ b/src/tanagerscale/upstreams/_pool.py
@@ -149,7 +149,7 @@
             if is_usable and not can_carry(connection):
                 continue
             del idle_connections[index]
-            if is_usable:
+            if is_usable and not connection.has_unread_input():
                 return connection
             connection.close()
         return None
--- a/testing/test_stalled_reads.py
+++ b/testing/test_stalled_reads.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from standins._common import LOOPBACK
 from tanagerscale.coordination import AttemptHealthRecorder
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
@@ -27,6 +28,7 @@
 from tanagerscale.membership._session import PeerSession
 from tanagerscale.membership._wire import encode_frame
 from tanagerscale.routes import RouteKind
+from tanagerscale.upstreams import ConnectionPool
 from testing._gateway_fakes import FakeResponder
 from testing._gateway_fakes import FakeResponse
 from testing._gateway_fakes import make_entry
@@ -36,6 +38,7 @@
 from testing._gateway_fakes import route_request
 
 SILENCE_MS = 150
+COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 EVENTS = (b"id: 1\ndata: 1\n\n", b"id: 2\ndata: 2\n\n")
 
 
@@ -156,3 +159,33 @@
     assert await running is CloseReason.BROKEN
     assert counters.received_messages == 1
     writer.close()
+
+
+# Guards against sending a request on a connection whose upstream has ended it, or has sent more on
+# it, while the event loop stood still: the request may count as run, or get a foreign answer.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("is_ended", [False, True], ids=["bytes", "end"])
+async def test_connection_is_not_reused_when_its_end_or_bytes_arrive_in_a_stall(
+    is_ended: bool,
+) -> None:
+    loop = asyncio.get_running_loop()
+    pool = ConnectionPool(clock=Clock(), idle_ms=60_000)
+    with socket.create_server((LOOPBACK, 0)) as listening:
+        address = f"{LOOPBACK}:{listening.getsockname()[1]}"
+        listening.setblocking(False)
+        first = await pool.acquire(address=address, can_carry=lambda connection: True)
+        upstream, _ = await loop.sock_accept(listening)
+        first.send(method="GET", head=b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", body=b"")
+        upstream.send(COMPLETE)
+        reply = await first.receive()
+        await first.read_all()
+        pool.release(address=address, connection=first, response=reply)
+        if is_ended:
+            upstream.close()
+        else:
+            upstream.send(COMPLETE)
+        second = await pool.acquire(address=address, can_carry=lambda connection: True)
+        assert second is not first
+        assert (pool.opened, pool.reused) == (2, 0)
+        second.close()
+        upstream.close()
