Hold back the signals to reload settings until a starting process handles them

A process that got SIGHUP or SIGUSR1 before its event loop had handlers was ended by their default action: exit status -1, nothing logged, never ready. They are blocked as the first step of deploy/start.py and delivered once the handlers are set, so a reload that was asked for meanwhile takes place. What remains is the start of the interpreter itself. SIGTERM keeps its default action there: no connection is accepted yet.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import signal
 import sys
 
 from start_image import ImageError
@@ -21,6 +22,8 @@
 
 def main() -> None:
     """Import the main function of the host and run it."""
+    # Their default actions end the process; the host handles them once it has been imported.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGUSR1))
     _install_image()
     # Imported objects are never freed, so collecting cycles among them is wasted work.
     gc.disable()
--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -26,6 +26,8 @@
 from tanagerscale.core._line_log import set_up_json_lines_log
 from tanagerscale.core._log import get_logger
 from tanagerscale.core._log import set_up_logging
+from tanagerscale.core._signals import defer_signals
+from tanagerscale.core._signals import handle_signals
 from tanagerscale.core._sockets import enable_tcp_keepalive
 from tanagerscale.core._tasks import TaskStackGroup
 from tanagerscale.core._tasks import group_tasks_by_stack
@@ -53,9 +55,11 @@
     "UpstreamId",
     "UpstreamName",
     "WallMillis",
+    "defer_signals",
     "enable_tcp_keepalive",
     "get_logger",
     "group_tasks_by_stack",
+    "handle_signals",
     "log_tasks",
     "new_id",
     "set_up_json_lines_log",
--- a/src/tanagerscale/platform/__main__.py
+++ b/src/tanagerscale/platform/__main__.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 from pathlib import Path
-import signal
 import sys
 from typing import Final
 
@@ -13,8 +12,9 @@
 
 from tanagerscale.core import Clock
 from tanagerscale.core import JsonLinesHandler
+from tanagerscale.core import defer_signals
 from tanagerscale.core import get_logger
-from tanagerscale.core import log_tasks
+from tanagerscale.core import handle_signals
 from tanagerscale.core import set_up_json_lines_log
 from tanagerscale.gateway import GatewayHost
 from tanagerscale.generated.gateway import GatewaySettings
@@ -45,11 +45,7 @@
         settings=settings, platform=make_platform(settings=settings, clock=clock), clock=clock
     )
     stop_requested = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path, host, line_log)
-    loop.add_signal_handler(signal.SIGUSR1, log_tasks)
+    handle_signals(stop=stop_requested.set, reload=lambda: _reload(path, host, line_log))
     try:
         await host.start()
         await stop_requested.wait()
@@ -75,6 +71,7 @@
 
 def main() -> None:
     """Read the settings and serve until a signal requests a graceful shutdown."""
+    defer_signals()
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     result = read_gateway_settings(path=path)
     if isinstance(result, Failure):
--- /dev/null
+++ b/testing/test_signals.py
@@ -0,0 +1,216 @@
+"""Signals that reach the process of a host in any of its states."""
+
+from __future__ import annotations
+
+import asyncio
+from asyncio.subprocess import PIPE
+from asyncio.subprocess import Process
+from collections.abc import AsyncIterator
+import contextlib
+from dataclasses import dataclass
+from dataclasses import field
+import os
+from pathlib import Path
+import shutil
+import signal
+import sys
+from typing import Any
+
+import msgspec
+import pytest
+import pytest_asyncio
+
+from standins.platform_world import MODEL_SERVICE
+from standins.platform_world import PLAIN_SERVICE
+from standins.platform_world import PlatformCluster
+from standins.platform_world import write_settings
+from standins.processes import ROOT
+from standins.processes import environment
+
+START_FILES = ("start.py", "start_image.py")
+EVENT_MS = 20.0
+STREAM_EVENTS = 150
+"""A stream lasts 3 s, which is longer than a stopping host accepts connections."""
+GRACE_S = 8
+TIMEOUT_S = 60.0
+TOKENS = (100, 600)
+
+
+@dataclass(kw_only=True)
+class _Host:
+    """The process of one host.
+
+    :param process: The process.
+    :param settings: Path of its settings file.
+    :param lines: Lines of its log so far.
+    """
+
+    process: Process
+    settings: Path
+    lines: list[dict[str, Any]] = field(default_factory=list)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
+
+    async def read_until(self, message: str) -> None:
+        """Read the log up to a message, or to its end."""
+        assert self.process.stdout is not None
+        while line := await self.process.stdout.readline():
+            self.lines.append(msgspec.json.decode(line))
+            if self.lines[-1]["message"] == message:
+                return
+
+    async def end(self) -> int:
+        """Return the exit status, after the rest of the log has been read."""
+        await self.read_until("")
+        return await self.process.wait()
+
+    @property
+    def messages(self) -> list[str]:
+        """Messages of the log."""
+        return [line["message"] for line in self.lines]
+
+
+@pytest_asyncio.fixture
+async def platform() -> AsyncIterator[PlatformCluster]:
+    """Start a platform without hosts."""
+    created = PlatformCluster()
+    await created.start()
+    await created.add_upstream("e1", MODEL_SERVICE, event_ms=EVENT_MS, events=STREAM_EVENTS)
+    await created.add_upstream("p1", PLAIN_SERVICE)
+    yield created
+    await created.stop()
+
+
+@contextlib.asynccontextmanager
+async def _run_host(
+    platform: PlatformCluster, directory: Path, *, grace_s: int = GRACE_S
+) -> AsyncIterator[_Host]:
+    """Run a host's process, which imports its modules from their files."""
+    copy = directory / "deploy"
+    copy.mkdir()
+    for name in START_FILES:
+        shutil.copy(ROOT / "deploy" / name, copy / name)
+    path = directory / "host.ini"
+    settings = await platform.make_settings("h1", seeds=(), stop_grace_s=grace_s)
+    write_settings(path, settings)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(copy / "start.py"),
+        stdout=PIPE,
+        stderr=PIPE,
+        env={**environment(), "TANAGERSCALE_CONFIG": str(path)},
+        cwd=ROOT,
+    )
+    host = _Host(process=process, settings=path)
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            yield host
+    finally:
+        host.send(signal.SIGKILL)
+        await process.wait()
+
+
+async def _wait_until_importing(host: _Host) -> None:
+    """Wait until the process is about to import its modules."""
+    assert host.process.stderr is not None
+    assert b"Modules are imported" in await host.process.stderr.readline()
+
+
+async def _serve_one(platform: PlatformCluster) -> None:
+    """Make calls until one is served."""
+    while True:
+        answer = await platform.call("h1", "/read/x")
+        if answer.status == 200:
+            return
+        await asyncio.sleep(0.01)
+
+
+# Guards against a process that is ended by a signal to reload its settings, since it has not yet
+# set its handlers.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1])
+async def test_host_starts_when_a_signal_arrives_while_it_imports(
+    platform: PlatformCluster, tmp_path: Path, number: signal.Signals
+) -> None:
+    async with _run_host(platform, tmp_path) as host:
+        await _wait_until_importing(host)
+        host.send(number)
+        await host.read_until("The host starts.")
+        host.send(signal.SIGTERM)
+        assert await host.end() == 0
+
+
+# Guards against changed settings that a process has read too early and is never told of.
+@pytest.mark.asyncio
+async def test_settings_are_reloaded_when_the_signal_arrives_while_the_host_imports(
+    platform: PlatformCluster, tmp_path: Path
+) -> None:
+    async with _run_host(platform, tmp_path) as host:
+        await _wait_until_importing(host)
+        host.send(signal.SIGHUP)
+        await host.read_until("Settings were reloaded.")
+        host.send(signal.SIGTERM)
+        assert await host.end() == 0
+    assert "Settings were reloaded." in host.messages
+
+
+@pytest.mark.asyncio
+async def test_host_ends_at_once_when_it_is_stopped_while_it_imports(
+    platform: PlatformCluster, tmp_path: Path
+) -> None:
+    async with _run_host(platform, tmp_path) as host:
+        await _wait_until_importing(host)
+        host.send(signal.SIGTERM)
+        assert await host.end() == -signal.SIGTERM
+    assert not host.lines
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("numbers", [(), (signal.SIGTERM,), (signal.SIGINT, signal.SIGHUP)])
+@pytest.mark.parametrize("first", [signal.SIGTERM, signal.SIGINT])
+async def test_running_stream_is_whole_when_signals_repeat_during_a_stop(
+    platform: PlatformCluster,
+    tmp_path: Path,
+    first: signal.Signals,
+    numbers: tuple[signal.Signals, ...],
+) -> None:
+    async with _run_host(platform, tmp_path) as host:
+        await host.read_until("The host starts.")
+        await _serve_one(platform)
+        call = asyncio.create_task(platform.call("h1", "/draft/x", tokens=TOKENS))
+        await host.read_until("An engine begins to answer.")
+        host.send(first)
+        await host.read_until("The host stops.")
+        for number in numbers:
+            host.send(number)
+        answer = await call
+        assert await host.end() == 0
+    assert (answer.status, answer.is_complete) == (200, True)
+    assert host.messages[-1] == "The host has ended."
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize("content", [None, b"", b"[host\n==", b"\xff\xfe[host]"])
+async def test_running_stream_is_whole_when_changed_settings_are_invalid_during_a_stop(
+    platform: PlatformCluster, tmp_path: Path, content: bytes | None
+) -> None:
+    async with _run_host(platform, tmp_path) as host:
+        await host.read_until("The host starts.")
+        await _serve_one(platform)
+        call = asyncio.create_task(platform.call("h1", "/draft/x", tokens=TOKENS))
+        await host.read_until("An engine begins to answer.")
+        host.settings.unlink()
+        if content is not None:
+            host.settings.write_bytes(content)
+        host.send(signal.SIGTERM)
+        await host.read_until("The host stops.")
+        host.send(signal.SIGHUP)
+        answer = await call
+        assert await host.end() == 0
+    assert (answer.status, answer.is_complete) == (200, True)
+    message = "The changed settings are invalid; the previous ones stay in force."
+    assert message in host.messages
