Hold back signals from the end of the event loop to the end of the process

As the event loop is closed it restores the default actions of its signals. A second SIGTERM, SIGINT, SIGHUP or SIGUSR1 in the time until the process has ended made its exit status -15, -2, -1 or -10, as that of a process that was killed. Nothing was lost by it: all connections are closed and the log is flushed before. The four cases of the new test failed before.

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -28,6 +28,7 @@
 from tanagerscale.core._log import set_up_logging
 from tanagerscale.core._signals import defer_signals
 from tanagerscale.core._signals import handle_signals
+from tanagerscale.core._signals import hold_signals
 from tanagerscale.core._sockets import enable_tcp_keepalive
 from tanagerscale.core._tasks import TaskStackGroup
 from tanagerscale.core._tasks import group_tasks_by_stack
@@ -60,6 +61,7 @@
     "get_logger",
     "group_tasks_by_stack",
     "handle_signals",
+    "hold_signals",
     "log_tasks",
     "new_id",
     "set_up_json_lines_log",
--- a/src/tanagerscale/core/_signals.py
+++ b/src/tanagerscale/core/_signals.py
@@ -31,3 +31,11 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, log_tasks)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, OTHER_SIGNALS)
+
+
+def hold_signals() -> None:
+    """Hold back all these signals until the process has ended.
+
+    The event loop restores their default actions as it is closed.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, *OTHER_SIGNALS))
--- a/src/tanagerscale/platform/__main__.py
+++ b/src/tanagerscale/platform/__main__.py
@@ -15,6 +15,7 @@
 from tanagerscale.core import defer_signals
 from tanagerscale.core import get_logger
 from tanagerscale.core import handle_signals
+from tanagerscale.core import hold_signals
 from tanagerscale.core import set_up_json_lines_log
 from tanagerscale.gateway import GatewayHost
 from tanagerscale.generated.gateway import GatewaySettings
@@ -51,6 +52,7 @@
         await stop_requested.wait()
         await host.stop()
     finally:
+        hold_signals()
         line_log.flush(timeout_ms=LOG_FLUSH_TIMEOUT_MS)
 
 
--- a/testing/test_signals.py
+++ b/testing/test_signals.py
@@ -33,6 +33,7 @@
 """A stream lasts 3 s, which is longer than a stopping host accepts connections."""
 GRACE_S = 8
 TIMEOUT_S = 60.0
+SIGNAL_INTERVAL_S = 0.001
 TOKENS = (100, 600)
 
 
@@ -169,6 +170,23 @@
     assert not host.lines
 
 
+# Guards against an exit status that tells of a crash: the event loop restores the default actions
+# of signals before the process has ended.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1])
+async def test_exit_status_is_zero_when_signals_arrive_as_the_process_ends(
+    platform: PlatformCluster, tmp_path: Path, number: signal.Signals
+) -> None:
+    async with _run_host(platform, tmp_path) as host:
+        await host.read_until("The host starts.")
+        host.send(signal.SIGTERM)
+        await host.read_until("The host has ended.")
+        while host.process.returncode is None:
+            host.send(number)
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+        assert host.process.returncode == 0
+
+
 @pytest.mark.asyncio
 @pytest.mark.parametrize("numbers", [(), (signal.SIGTERM,), (signal.SIGINT, signal.SIGHUP)])
 @pytest.mark.parametrize("first", [signal.SIGTERM, signal.SIGINT])
