Reserve a part of the log's pipe for warnings

Can an answer end without a line? Yes: with a reader that is slower than the log, the 64 KB of the pipe are full of other lines; the warnings are kept in the process, and lost 100 ms after its last line. The pipe is now set to 256 KB, of which lines below a warning get the 64 KB that they had. What a slow reader finds after the end is in the pipe then; nothing waits for it.

--- a/src/tanagerscale/core/_line_log.py
+++ b/src/tanagerscale/core/_line_log.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
+import contextlib
+import fcntl
 import os
 import select
+import stat
+import sys
+import termios
 from typing import Any
 from typing import final
 
@@ -23,6 +28,13 @@
 MAX_KEPT_LINES = 256
 """Warnings that are kept while the pipe is full, at most 1 MB."""
 
+PIPE_BYTES = 262_144
+"""Size to which the pipe is set; the default is 64 KB."""
+
+RESERVED_RATIO = 0.75
+"""Part of the pipe that only warnings may use. A reader that reads once a second finds the lines of
+the last second there, also after the process has ended."""
+
 _encoder = msgspec.json.Encoder(enc_hook=str)
 
 
@@ -32,7 +44,8 @@
 
     Lines that exceed the rate limit or do not fit into a full pipe are dropped. The next line that
     is written reports how many were dropped, in its field ``lines_left_out``. Warnings and more
-    severe lines are exempt from the limit, and are kept for a while if the pipe is full.
+    severe lines are exempt from the limit, have a part of the pipe for themselves, and are kept for
+    a while if the pipe is full.
 
     :param descriptor: File descriptor to write to; it is set to non-blocking mode.
     :param host: Id of this host, included in each line.
@@ -53,6 +66,7 @@
         super().__init__(level=level)
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
+        self._info_bytes = _enlarge_pipe(descriptor)
         self._host = host
         self._lines_per_s = lines_per_s
         self._clock = clock
@@ -72,7 +86,8 @@
         """Write one record, or drop it if it exceeds the rate limit."""
         now = self._clock.now()
         is_severe = record.level >= logbook.WARNING
-        if not self._is_within_limit(now) and not is_severe:
+        is_within_limit = self._is_within_limit(now)
+        if not is_severe and not (is_within_limit and self._has_space_for_info()):
             self._dropped_lines += 1
             return
         line: dict[str, Any] = {
@@ -126,6 +141,13 @@
             return False
         return True
 
+    def _has_space_for_info(self) -> bool:
+        """Return whether the pipe has space beside the part that is reserved for warnings."""
+        if self._info_bytes is None:
+            return True
+        unread = fcntl.ioctl(self._descriptor, termios.FIONREAD, bytes(4))
+        return int.from_bytes(unread, sys.byteorder) < self._info_bytes
+
     def _is_within_limit(self, now: int) -> bool:
         second = now // MS_PER_SECOND
         if second != self._current_second:
@@ -135,6 +157,15 @@
         return self._lines_in_second <= self._lines_per_s
 
 
+def _enlarge_pipe(descriptor: int) -> int | None:
+    """Enlarge a pipe; return the bytes that lines other than warnings may fill, if it is a pipe."""
+    if not stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+        return None
+    with contextlib.suppress(OSError):
+        fcntl.fcntl(descriptor, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+    return int(fcntl.fcntl(descriptor, fcntl.F_GETPIPE_SZ) * (1 - RESERVED_RATIO))
+
+
 def _is_closed(events: list[tuple[int, int]] | None) -> bool:
     """Return whether nobody reads a pipe any more."""
     return any(event & (select.POLLERR | select.POLLHUP) for _, event in events or ())
