Keep the latest warnings while the log's pipe is full, not the first ones

Can an answer end without a line? Yes: with 256 warnings waiting for a full pipe, each later one was dropped, and the answers that a host cuts come last. The oldest one is dropped instead, and counted. The new test failed before: it found warnings 0 to 255 of 356.

--- a/src/tanagerscale/core/_line_log.py
+++ b/src/tanagerscale/core/_line_log.py
@@ -73,7 +73,8 @@
         self._current_second = 0
         self._lines_in_second = 0
         self._dropped_lines = 0
-        self._kept_lines: deque[bytes] = deque()
+        self._kept_lines: deque[tuple[bytes, int]] = deque()
+        """Lines that wait, and how many dropped ones each of them reports."""
 
     def set_limit(self, *, lines_per_s: int) -> None:
         """Change the rate limit.
@@ -108,9 +109,8 @@
             encoded = _encoder.encode(_truncate(line)) + b"\n"
         if self._write_kept_lines() and self._write(encoded):
             self._dropped_lines = 0
-        elif is_severe and len(self._kept_lines) < MAX_KEPT_LINES:
-            self._kept_lines.append(encoded)
-            self._dropped_lines = 0
+        elif is_severe:
+            self._keep(encoded)
         else:
             # A slow or closed reader loses log lines but does not delay requests.
             self._dropped_lines += 1
@@ -130,10 +130,19 @@
 
     def _write_kept_lines(self) -> bool:
         """Write the lines that were kept; return whether none is left."""
-        while self._kept_lines and self._write(self._kept_lines[0]):
+        while self._kept_lines and self._write(self._kept_lines[0][0]):
             self._kept_lines.popleft()
         return not self._kept_lines
 
+    def _keep(self, encoded: bytes) -> None:
+        """Keep a line until the pipe has space, instead of the oldest one if there are too many."""
+        self._kept_lines.append((encoded, self._dropped_lines))
+        self._dropped_lines = 0
+        if len(self._kept_lines) > MAX_KEPT_LINES:
+            # The latest lines name the requests that are cut as the process ends.
+            _, reported_lines = self._kept_lines.popleft()
+            self._dropped_lines = reported_lines + 1
+
     def _write(self, encoded: bytes) -> bool:
         try:
             os.write(self._descriptor, encoded)
--- a/testing/test_line_log.py
+++ b/testing/test_line_log.py
@@ -14,6 +14,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import JsonLinesHandler
 from tanagerscale.core import get_logger
+from tanagerscale.core._line_log import MAX_KEPT_LINES
 from testing._virtual_time import run_virtually
 
 WARNINGS = 200
@@ -130,6 +131,24 @@
     run_virtually(scenario())
 
 
+# Guards against answers that are lost without a line: those that are cut at the very end come last.
+def test_latest_warnings_are_kept_when_there_are_more_than_can_be() -> None:
+    async def scenario() -> None:
+        with _pipe() as (reader, writer), _make_handler(writer) as handler:
+            _fill(writer)
+            for number in range(MAX_KEPT_LINES + 100):
+                log.warning("Cut.", number=number)
+            _empty(reader)
+            handler.flush(timeout_ms=0)
+            lines = _read_lines(reader)
+            assert [line["number"] for line in lines] == list(range(100, MAX_KEPT_LINES + 100))
+            log.warning("Next.")
+            lines += _read_lines(reader)
+            assert sum(line.get("lines_left_out", 0) for line in lines) == 100
+
+    run_virtually(scenario())
+
+
 # Guards against answers that are lost without a line: other lines have filled the pipe, and the
 # process ends before its reader has read them.
 def test_warnings_are_written_at_once_when_other_lines_have_filled_their_part_of_the_pipe() -> None:
