Write log lines whose values are not valid UTF-8 or take many bytes a character

Can an answer end without a line? Yes: a caller's id with a byte that isn't UTF-8 can't be encoded as JSON, so no line of that request was written, but a traceback on the standard error. A line of control or four-byte characters was up to 19,502 bytes long after it had been truncated (new test): such a write isn't atomic and may be cut in a full pipe, together with the line after it. Three of the five cases of the new test failed before.

--- a/src/tanagerscale/core/_line_log.py
+++ b/src/tanagerscale/core/_line_log.py
@@ -25,6 +25,9 @@
 MAX_VALUE_CHARS = 200
 """Length to which each text of an oversized line is truncated; a line has about fifteen fields."""
 
+MAX_ODD_VALUE_CHARS = 20
+"""As above, if it is still too long, as a character may take six bytes."""
+
 MAX_KEPT_LINES = 256
 """Warnings that are kept while the pipe is full, at most 1 MB."""
 
@@ -104,9 +107,7 @@
             line["exception"] = record.formatted_exception
         if self._dropped_lines:
             line["lines_left_out"] = self._dropped_lines
-        encoded = _encoder.encode(line) + b"\n"
-        if len(encoded) > MAX_LINE_BYTES:
-            encoded = _encoder.encode(_truncate(line)) + b"\n"
+        encoded = _encode(line)
         if self._write_kept_lines() and self._write(encoded):
             self._dropped_lines = 0
         elif is_severe:
@@ -180,14 +181,35 @@
     return any(event & (select.POLLERR | select.POLLHUP) for _, event in events or ())
 
 
-def _truncate(line: dict[str, Any]) -> dict[str, Any]:
-    """Return a line with its long texts and lists truncated, so that it stays valid JSON."""
+def _encode(line: dict[str, Any]) -> bytes:
+    """Return a line as JSON; one that is too long is truncated so that it stays valid."""
+    try:
+        encoded = _encoder.encode(line) + b"\n"
+    except UnicodeEncodeError:
+        # Header fields of callers may hold bytes that are not UTF-8.
+        line = {name: _escape(value) for name, value in line.items()}
+        encoded = _encoder.encode(line) + b"\n"
+    for max_chars in (MAX_VALUE_CHARS, MAX_ODD_VALUE_CHARS):
+        if len(encoded) > MAX_LINE_BYTES:
+            encoded = _encoder.encode(_truncate(line, max_chars)) + b"\n"
+    return encoded
+
+
+def _truncate(line: dict[str, Any], max_chars: int) -> dict[str, Any]:
+    """Return a line with its long texts and lists truncated."""
     return {
-        name: str(value)[:MAX_VALUE_CHARS] if isinstance(value, str | list | dict) else value
+        name: str(value)[:max_chars] if isinstance(value, str | list | dict) else value
         for name, value in line.items()
     }
 
 
+def _escape(value: object) -> object:
+    """Return a text, list or object as text that can be encoded."""
+    if not isinstance(value, str | list | dict):
+        return value
+    return str(value).encode(errors="backslashreplace").decode()
+
+
 def set_up_json_lines_log(
     *, descriptor: int, host: str, lines_per_s: int, clock: Clock
 ) -> JsonLinesHandler:
--- a/testing/test_line_log.py
+++ b/testing/test_line_log.py
@@ -15,6 +15,7 @@
 from tanagerscale.core import JsonLinesHandler
 from tanagerscale.core import get_logger
 from tanagerscale.core._line_log import MAX_KEPT_LINES
+from tanagerscale.core._line_log import MAX_LINE_BYTES
 from testing._virtual_time import run_virtually
 
 WARNINGS = 200
@@ -210,3 +211,16 @@
             assert _read_lines(reader) == []
 
     run_virtually(scenario())
+
+
+# Guards against a request that no line names: its id and path come from its caller.
+@pytest.mark.parametrize("value", ["\udcff", "\x00" * 300, "\U0001f600" * 1000, {1: "x"}, 2**70])
+def test_line_is_written_when_a_value_is_odd(value: object) -> None:
+    async def scenario() -> None:
+        with _pipe() as (reader, writer), _make_handler(writer):
+            log.warning("Odd.", request=value, **{f"field_{n}": value for n in range(15)})
+            data = os.read(reader, 1 << 20)
+            assert len(data) <= MAX_LINE_BYTES
+            assert msgspec.json.decode(data)["message"] == "Odd."
+
+    run_virtually(scenario())
