Log how upstream and caller stood when an answer is cut

The line of a cut answer had its phase and times only, so that these could not be told apart: an engine still at work, an answer whole at the host and unread by its caller, a run between two engines, a caller that left, a reset. It now has the upstream, how its part has ended, the time since its last event, the bytes that the caller's side has not acknowledged (buffer and TIOCOUTQ), the bytes of the caller that nobody has read, and who closed the connection. A caller that leaves a stopping host with its response begun is a warning; before, it was an info line, which may be left out. Both are counted by cause.

No decision changes. RunPhase moved to a module of its own.

--- a/src/tanagerscale/forwarding/__init__.py
+++ b/src/tanagerscale/forwarding/__init__.py
@@ -15,6 +15,8 @@
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._parts import RetryPermits
 from tanagerscale.forwarding._refusals import host_full
+from tanagerscale.forwarding._request_state import ConnectionEnd
+from tanagerscale.forwarding._request_state import ConnectionState
 from tanagerscale.forwarding._shutdown import ShutdownSchedule
 from tanagerscale.forwarding._stopping import NOT_MOVED
 from tanagerscale.forwarding._stopping import MoveResult
@@ -40,6 +42,8 @@
     "NOT_MOVED",
     "Admission",
     "CallerRequest",
+    "ConnectionEnd",
+    "ConnectionState",
     "Continuation",
     "CopyError",
     "CopyFailure",
--- a/src/tanagerscale/forwarding/_delegation.py
+++ b/src/tanagerscale/forwarding/_delegation.py
@@ -25,6 +25,8 @@
 from tanagerscale.forwarding._refusals import no_upstream
 from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import upstream_failed
+from tanagerscale.forwarding._request_state import UpstreamEnd
+from tanagerscale.forwarding._request_state import UpstreamPart
 from tanagerscale.forwarding._types import CallerRequest
 from tanagerscale.forwarding._types import Header
 from tanagerscale.forwarding._types import Refusal
@@ -207,6 +209,7 @@
         self._selector = selector
         self._has_lost = may_have_run
         """Whether an attempt has ended without a known result."""
+        self.upstream_part: Final = UpstreamPart()
         self._is_sent = False
         """Whether a delegate has been asked, and has not said that it sends nothing."""
 
@@ -252,6 +255,7 @@
         """
         host = HostId(delegate.host)
         self._is_sent = True
+        self.upstream_part.upstream, self.upstream_part.end = host, UpstreamEnd.AT_WORK
         try:
             response = await self._client.send(
                 address=delegate.address,
@@ -263,6 +267,7 @@
             finally:
                 response.close()
         except ExchangeError as error:
+            self.upstream_part.end = UpstreamEnd.BROKEN_OFF
             self._log("A delegate did not answer.", host, detail=error.detail)
             self._context.metrics.delegated.labels("lost").inc()
             if error.failure is ExchangeFailure.NOT_SENT:
@@ -291,9 +296,11 @@
         if head.outcome is DelegatedOutcome.STREAM:
             await responder.begin(status=head.status, reason=head.reason, headers=head.headers)
             await _pass_on_events(response, responder)
+            self.upstream_part.end = UpstreamEnd.WHOLE
             await responder.end()
             return None, True
         body = [chunk async for chunk in _chunks(response)]
+        self.upstream_part.end = UpstreamEnd.WHOLE
         await responder.respond(
             status=head.status, reason=head.reason, headers=head.headers, body=b"".join(body)
         )
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -14,6 +14,7 @@
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._admission import Admission
 from tanagerscale.forwarding._crash_evidence import is_quarantined
+from tanagerscale.forwarding._cut_answers import CutAnswers
 from tanagerscale.forwarding._delegation import DelegateClient
 from tanagerscale.forwarding._delegation import DelegatedForwarder
 from tanagerscale.forwarding._delegation import DelegateSelector
@@ -29,6 +30,7 @@
 from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import stopped_before_response
 from tanagerscale.forwarding._refusals import timed_out
+from tanagerscale.forwarding._request_state import UpstreamPart
 from tanagerscale.forwarding._shutdown import ShutdownSchedule
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.forwarding._suspected_requests import get_keys
@@ -80,6 +82,11 @@
             return self.forwarder.phase.value
         return "answering" if self.responder.begun else "waiting"
 
+    @property
+    def upstream_part(self) -> UpstreamPart:
+        """The part of the upstream that had it last."""
+        return UpstreamPart() if self.forwarder is None else self.forwarder.upstream_part
+
     @property
     def has_events(self) -> bool:
         """Whether an upstream has begun to write the answer."""
@@ -126,6 +133,7 @@
         self._shutdown = shutdown
         self._running = 0
         self._in_progress: set[_RequestInProgress] = set()
+        self._cut_answers = CutAnswers(context=context, shutdown=shutdown)
         context.suspects.convictions.subscribe(self._end_convicted)
 
     @property
@@ -207,7 +215,7 @@
         refusal = await self._forward_in_time(in_progress)
         self._record_outcome(routed, refusal)
         if refusal is not None:
-            await self._refuse(request, responder, refusal, table, phase=in_progress.phase)
+            await self._refuse(request, responder, refusal, table, in_progress)
 
     def _make_in_progress(
         self, routed: RoutedRequest, responder: Responder, *, is_delegated: bool
@@ -236,27 +244,13 @@
             return host_stopping(rng=self._context.rng)
         except (asyncio.CancelledError, ConnectionError):
             # A write fails after the end of the caller's connection, before the cancellation.
-            self._log_cancelled(in_progress)
+            self._cut_answers.log_cancelled(
+                in_progress.routed.request, in_progress.responder, in_progress
+            )
             raise
         finally:
             self._in_progress.discard(in_progress)
 
-    def _log_cancelled(self, in_progress: _RequestInProgress) -> None:
-        """Log that a request ends because its caller has left or the host ends."""
-        request, phase = in_progress.routed.request, in_progress.phase
-        is_cut = self._shutdown.is_over
-        if is_cut:
-            self._context.metrics.cut_answers.labels("host-ends", phase).inc()
-        log = _log.warning if is_cut else _log.info
-        log(
-            "A response is cut because the host ends." if is_cut else "A caller has left.",
-            request=request.request,
-            begun=in_progress.responder.begun,
-            phase=phase,
-            since_stop_ms=self._shutdown.elapsed_ms,
-            after_ms=self._context.clock.now() - request.arrived,
-        )
-
     def _record_outcome(self, routed: RoutedRequest, refusal: Refusal | None) -> None:
         kind = routed.route.kind.value
         outcome = "answered" if refusal is None else refusal.kind.value
@@ -361,19 +355,17 @@
         responder: Responder,
         refusal: Refusal,
         table: RouteTable | None,
-        phase: str = "waiting",
+        in_progress: _RequestInProgress | None = None,
     ) -> None:
         log = _log.warning if responder.begun else _log.info
+        phase = "waiting" if in_progress is None else in_progress.phase
         log(
             "A request is answered with a failure.",
-            request=request.request,
             kind=refusal.kind.value,
             detail=refusal.detail,
             retry_after_ms=refusal.retry_after_ms,
-            begun=responder.begun,
-            phase=phase,
-            after_ms=self._context.clock.now() - request.arrived,
             version=None if table is None else table.version,
+            **self._cut_answers.describe(request, responder, in_progress),
         )
         if responder.begun:
             self._context.metrics.cut_answers.labels(refusal.kind.value, phase).inc()
--- a/src/tanagerscale/forwarding/_execution.py
+++ b/src/tanagerscale/forwarding/_execution.py
@@ -6,6 +6,8 @@
 from typing import final
 
 from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding._request_state import UpstreamEnd
+from tanagerscale.forwarding._request_state import UpstreamPart
 from tanagerscale.routes import Route
 from tanagerscale.routes import RouteKind
 
@@ -35,6 +37,8 @@
         self._in_flight: set[UpstreamId] = set()
         self._not_sent = 0
         self._executed = 0
+        self.part: Final = UpstreamPart()
+        """The part of the upstream that had the request last."""
 
     @property
     def tried(self) -> frozenset[UpstreamId]:
@@ -79,6 +83,7 @@
         """Record the start of an attempt; it may have executed until its result is known."""
         self._tried.add(upstream)
         self._in_flight.add(upstream)
+        self.part.upstream, self.part.end = upstream, UpstreamEnd.AT_WORK
 
     def record_not_sent(self, upstream: UpstreamId) -> None:
         """Record an attempt that did not reach an upstream."""
@@ -88,19 +93,28 @@
     def record_withheld(self, upstream: UpstreamId) -> None:
         """Record that an attempt was not made, since its upstream began to leave."""
         self._tried.discard(upstream)
-        self._in_flight.discard(upstream)
+        self._end(upstream, UpstreamEnd.REFUSED)
 
     def record_not_run(self, upstream: UpstreamId) -> None:
         """Record an attempt that was refused before execution."""
         self._tried.add(upstream)
-        self._in_flight.discard(upstream)
+        self._end(upstream, UpstreamEnd.REFUSED)
+
+    def record_run(self, upstream: UpstreamId, *, is_whole: bool = False) -> None:
+        """Record an attempt that executed the request or may have done so.
 
-    def record_run(self, upstream: UpstreamId) -> None:
-        """Record an attempt that executed the request or may have done so."""
+        :param upstream: The upstream.
+        :param is_whole: Whether its whole answer has been read.
+        """
         self._tried.add(upstream)
-        self._in_flight.discard(upstream)
+        self._end(upstream, UpstreamEnd.WHOLE if is_whole else UpstreamEnd.BROKEN_OFF)
         self._executed += 1
 
+    def _end(self, upstream: UpstreamId, end: UpstreamEnd) -> None:
+        self._in_flight.discard(upstream)
+        if self.part.upstream == upstream or not self._in_flight:
+            self.part.upstream, self.part.end = upstream, end
+
     def is_retry_allowed(self) -> bool:
         """Return whether the route allows one more attempt after those that may have executed."""
         may_have_run = self._executed + len(self._in_flight)
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -79,6 +79,7 @@
         self._routed = routed
         self._context = context
         self._record = ExecutionRecord(route=routed.route)
+        self.upstream_part = self._record.part
         self._refusal: Refusal | None = None
         self._is_hedged = False
         self._is_given_up = False
@@ -132,13 +133,12 @@
         return no_upstream(service=self._routed.service, rng=self._context.rng)
 
     def _log_no_upstream(self) -> None:
-        service = self._routed.service
         _log.info(
             "No upstream takes the request.",
             request=self._routed.request.request,
-            service=service,
+            service=self._routed.service,
             tried=len(self._record.tried),
-            are_some_evacuated=self._context.upstreams.has_evacuated(service),
+            are_some_evacuated=self._context.upstreams.has_evacuated(self._routed.service),
         )
 
     async def _get_first_success(self) -> _CompleteResponse | None:
@@ -349,7 +349,7 @@
     def _record_response(
         self, entry: UpstreamEntry, response: UpstreamResponse, body: bytes, sent_at: Millis
     ) -> _CompleteResponse | None:
-        self._record.record_run(entry.upstream)
+        self._record.record_run(entry.upstream, is_whole=True)
         self._context.gate.record_success(upstream=entry.upstream)
         if response.status < MIN_SERVER_ERROR_STATUS:
             record_complete_response(self._routed, self._context, entry, sent_at=sent_at)
--- a/src/tanagerscale/forwarding/_relay.py
+++ b/src/tanagerscale/forwarding/_relay.py
@@ -14,6 +14,7 @@
 from tanagerscale.forwarding._events import EventError
 from tanagerscale.forwarding._events import EventReader
 from tanagerscale.forwarding._parts import ForwardingContext
+from tanagerscale.forwarding._request_state import UpstreamEnd
 from tanagerscale.forwarding._segments import SegmentSender
 from tanagerscale.forwarding._segments import StreamSegment
 from tanagerscale.forwarding._types import Responder
@@ -79,7 +80,10 @@
                     self._record_event(segment, event.number, read_at)
         except (ExchangeError, EventError) as error:
             return str(error)
-        return None if reader.is_empty else "the answer ended within an event"
+        if not reader.is_empty:
+            return "the answer ended within an event"
+        segment.part.end = UpstreamEnd.WHOLE
+        return None
 
     def record_stream_end(self, segment: StreamSegment) -> None:
         """Record the proper end of the stream."""
@@ -119,7 +123,7 @@
             # A caller that reads slowly delays the write, which is no fault of the engine.
             arrived_at = read_at if self._context.has_bounded_buffers else now
             self._check_gap(segment, arrived_at - self._last_event_at)
-        self._last_event_at = now
+        self._last_event_at = segment.part.last_event = now
         if segment.first_event is None:
             segment.first_event = now
             segment.late.end(is_good=True)
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -6,6 +6,7 @@
 from typing import final
 
 from msgspec import Struct
+from msgspec import field
 
 from tanagerscale.coordination import AttemptHealthRecorder
 from tanagerscale.core import Millis
@@ -15,6 +16,7 @@
 from tanagerscale.forwarding._demand import is_long
 from tanagerscale.forwarding._demand import run_origin
 from tanagerscale.forwarding._parts import ForwardingContext
+from tanagerscale.forwarding._request_state import UpstreamPart
 from tanagerscale.forwarding._sending import SendPath
 from tanagerscale.forwarding._sending import send_request
 from tanagerscale.forwarding._snapshots import ResumeTarget
@@ -42,6 +44,7 @@
     :param is_slow: Whether a gap between the engine's events exceeded the route's limit.
     :param is_sound: Whether the engine has written for so long that no part of the prompt crashes
         it.
+    :param part: How far the engine's part has come, for the log.
     """
 
     entry: UpstreamEntry
@@ -51,6 +54,7 @@
     first_event: Millis | None = None
     is_slow: bool = False
     is_sound: bool = False
+    part: UpstreamPart = field(default_factory=UpstreamPart)
 
     def close(self) -> None:
         """Close the connection, so that the engine stops the run."""
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
-from enum import unique
 from typing import Final
 from typing import Protocol
 from typing import final
@@ -17,7 +15,10 @@
 from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import upstream_failed
 from tanagerscale.forwarding._relay import EventRelay
+from tanagerscale.forwarding._request_state import UpstreamEnd
+from tanagerscale.forwarding._request_state import UpstreamPart
 from tanagerscale.forwarding._resuming import RunResumer
+from tanagerscale.forwarding._run_phases import RunPhase
 from tanagerscale.forwarding._run_stops import PendingStop
 from tanagerscale.forwarding._run_stops import RunStops
 from tanagerscale.forwarding._segments import MIN_FAILURE_STATUS
@@ -40,22 +41,6 @@
 limits a request that crashes its engines to three engines."""
 
 
-@unique
-class RunPhase(Enum):
-    """How far a streaming request has come."""
-
-    WAITING = "waiting"
-    """No engine has accepted it."""
-    PROCESSING = "processing"
-    """An engine has accepted it and has written no event."""
-    ANSWERING = "answering"
-    """An engine writes its answer."""
-    STOPPING = "stopping"
-    """Its engine is being asked to stop it, or has stopped it and its last events still arrive."""
-    BETWEEN_ENGINES = "between-engines"
-    """Its engine has stopped or broken off, and no other one has accepted it yet."""
-
-
 class StreamHooks(Protocol):
     """Callbacks for state changes of a stream."""
 
@@ -156,6 +141,11 @@
         has_events = self._segment.first_event is not None
         return RunPhase.ANSWERING if has_events else RunPhase.PROCESSING
 
+    @property
+    def upstream_part(self) -> UpstreamPart:
+        """The part of the engine that had the run last."""
+        return self._starter.record.part if self._segment is None else self._segment.part
+
     @property
     def is_connection_closing(self) -> bool:
         """Whether the current engine closes its connection, as leaving engines do.
@@ -253,7 +243,10 @@
                 self._segment.close()
 
     def _set_segment(self, segment: StreamSegment) -> None:
+        if self._segment is not None:
+            segment.part.last_event = self._segment.part.last_event
         self._segment = segment
+        segment.part.upstream, segment.part.end = segment.entry.upstream, UpstreamEnd.AT_WORK
         self._is_switching = False
         self._hooks.on_engine(self)
 
@@ -340,7 +333,9 @@
         """Resume the run on another engine; return ``None`` if that is not possible."""
         broken = segment.entry
         self._sender.log("A leg ended early.", broken, detail=cause, at=self._relay.last_event)
+        segment.part.end = UpstreamEnd.STOPPED
         if not self._stops.is_pending and not self._stops.targets:
+            segment.part.end = UpstreamEnd.BROKEN_OFF
             self._sender.record_broken_response(broken, written_ms=self.running_ms)
         segment.close()
         self._is_switching = True
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -18,6 +18,7 @@
 from tanagerscale.core import ModelId
 from tanagerscale.core import RequestId
 from tanagerscale.core import ServiceId
+from tanagerscale.forwarding._request_state import ConnectionState
 from tanagerscale.quarantine import Fingerprint
 from tanagerscale.quarantine import fingerprint_of
 from tanagerscale.routes import ANY_FAILURE_DOMAIN
@@ -129,6 +130,10 @@
     def begun(self) -> bool:
         """Whether the status and header fields have been sent."""
 
+    @property
+    def connection_state(self) -> ConnectionState:
+        """State of the caller's connection, for the log."""
+
     async def begin(self, *, status: int, reason: str, headers: Sequence[Header]) -> None:
         """Send the status and header fields of a response whose body is sent in chunks."""
 
--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -18,9 +18,12 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
 from tanagerscale.core import get_logger
+from tanagerscale.forwarding import ConnectionState
 from tanagerscale.forwarding import Header
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import RefusalKind
+from tanagerscale.gateway._connection_state import measure_connection
+from tanagerscale.gateway._connections import CallerProtocol
 from tanagerscale.gateway._connections import ConnectionUse
 from tanagerscale.gateway._host_limits import HostLimits
 from tanagerscale.gateway._host_limits import RequestLease
@@ -226,6 +229,14 @@
         """Whether the head of the response has been sent."""
         return self._response is not None
 
+    @property
+    def connection_state(self) -> ConnectionState:
+        """State of the caller's connection, also after it has ended."""
+        protocol = self._request.protocol
+        if isinstance(protocol, CallerProtocol):
+            return protocol.state
+        return measure_connection(self._request.transport)
+
     async def begin(self, *, status: int, reason: str, headers: Sequence[Header]) -> None:
         """Send the head of a response whose body is streamed."""
         response = web.StreamResponse(status=status, reason=reason, headers=CIMultiDict(headers))
--- a/src/tanagerscale/gateway/_connections.py
+++ b/src/tanagerscale/gateway/_connections.py
@@ -13,6 +13,9 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
+from tanagerscale.forwarding import ConnectionEnd
+from tanagerscale.forwarding import ConnectionState
+from tanagerscale.gateway._connection_state import measure_connection
 
 MAX_KEEPALIVE_S: Final = 3600.0
 """Above any idle timeout that can be configured; the server enforces the configured one."""
@@ -76,6 +79,8 @@
         )
         self._clock = clock
         self._own_transport: asyncio.Transport | None = None
+        self._last_state: ConnectionState | None = None
+        """State of the connection as it ended; ``None`` before."""
         self.use = ConnectionUse(opened=clock.now(), last_active=clock.now())
 
     @property
@@ -84,12 +89,34 @@
         transport = self._own_transport
         return 0 if transport is None else transport.get_write_buffer_size()
 
+    @property
+    def state(self) -> ConnectionState:
+        """State of the connection, also after it has ended."""
+        return self._last_state or measure_connection(self._own_transport)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, which the server forgets as it closes the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._own_transport = transport
         super().connection_made(transport)
 
+    def eof_received(self) -> None:
+        """Record that the caller has ended the connection."""
+        self._record_end(ConnectionEnd.END_OF_FILE)
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record how the connection has ended, before its request is cancelled."""
+        if isinstance(exc, OSError):
+            self._record_end(ConnectionEnd.RESET, errno=exc.errno or 0)
+        else:
+            self._record_end(ConnectionEnd.THIS_HOST)
+        super().connection_lost(exc)
+
+    def _record_end(self, end: ConnectionEnd, *, errno: int = 0) -> None:
+        if self._last_state is None:
+            self._last_state = measure_connection(self._own_transport, end=end, errno=errno)
+
     def data_received(self, data: bytes) -> None:
         """Record that the connection is in use before any of the data is handled."""
         if not self.use.is_handling:
--- a/src/tanagerscale/gateway/_delegate_server.py
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -17,11 +17,14 @@
 from tanagerscale.core import RequestId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import CallerRequest
+from tanagerscale.forwarding import ConnectionEnd
+from tanagerscale.forwarding import ConnectionState
 from tanagerscale.forwarding import DelegatedHead
 from tanagerscale.forwarding import DelegatedOutcome
 from tanagerscale.forwarding import Header
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import Responder
+from tanagerscale.gateway._connection_state import measure_connection
 from tanagerscale.gateway._delegation_wire import EXCHANGE_FIELD
 from tanagerscale.gateway._delegation_wire import HEAD_FIELD
 from tanagerscale.gateway._delegation_wire import PATH
@@ -158,6 +161,15 @@
         """Whether the head of the response has been sent."""
         return self._response is not None
 
+    @property
+    def connection_state(self) -> ConnectionState:
+        """State of the other host's connection, without its sizes after it has ended."""
+        transport = self._request.transport
+        is_open = transport is not None and not transport.is_closing()
+        return measure_connection(
+            transport, end=ConnectionEnd.OPEN if is_open else ConnectionEnd.UNKNOWN
+        )
+
     async def begin(self, *, status: int, reason: str, headers: Sequence[Header]) -> None:
         """Send the head of a stream."""
         outcome = DelegatedOutcome.STREAM
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -33,6 +33,7 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import UpstreamName
 from tanagerscale.forwarding import CallerRequest
+from tanagerscale.forwarding import ConnectionState
 from tanagerscale.forwarding import CopyError
 from tanagerscale.forwarding import CopyFailure
 from tanagerscale.forwarding import CrashReports
@@ -463,6 +464,11 @@
         """Whether the status was sent."""
         return self.status is not None
 
+    @property
+    def connection_state(self) -> ConnectionState:
+        """An open connection."""
+        return ConnectionState()
+
     async def begin(self, *, status: int, reason: str, headers: Sequence[Header]) -> None:
         """Record the status."""
         self.status = status
