Log a refusal that does not reach its caller

Can an answer end without a line? Yes: a request that was cancelled, or whose connection had ended, while its refusal was sent had one line, at level info, which says that it was answered. The four cases of the new test failed before.

--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -372,7 +372,11 @@
             # Abort the connection so that the partial response does not look complete.
             responder.abort()
             return
-        await responder.refuse(refusal=refusal)
+        try:
+            await responder.refuse(refusal=refusal)
+        except (asyncio.CancelledError, ConnectionError):
+            self._cut_answers.log_cancelled(request, responder, in_progress)
+            raise
 
 
 def _get_engine_capabilities(table: RouteTable, service: ServiceId) -> EngineCapabilities | None:
