Log requests whose connections end before they are forwarded

Can an answer end without a line? Yes, in three ways: the handler is cancelled while it reads the body, or before its first step, or the request was read behind another one whose response closes the connection. Its id was logged only by the dispatcher, which none of these reaches. They get one line each with the id, whether the request had arrived, and who closed the connection: a warning once the host stops. No decision changes.

--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -7,7 +7,10 @@
 from typing import Final
 from typing import final
 
+from aiohttp import StreamReader
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
 
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
@@ -18,6 +21,7 @@
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
+from tanagerscale.gateway._unserved_requests import UnservedRequestLog
 
 ACCEPT_BACKLOG: Final = 1024
 """Connections that may wait to be accepted. When the backlog is full, the first packet of a new
@@ -59,6 +63,9 @@
             clock=clock,
         )
         self._handle = edge.handle
+        self._unserved = UnservedRequestLog(
+            codec=codec, stopping_since=lambda: self._stopping_since, clock=clock
+        )
         self._limits = limits
 
     async def start(self, *, address: str) -> None:
@@ -66,7 +73,9 @@
 
         :param address: IP address and port to listen on.
         """
-        self._server = web.Server(self._track, handler_cancellation=True)
+        self._server = web.Server(
+            self._track, request_factory=_make_request, handler_cancellation=True
+        )
         if self._limits is not None:
             self._limits.observe_callers(
                 get_transports=self._get_transports, count=lambda: len(self._server.connections)
@@ -75,12 +84,19 @@
         await self._runner.setup()
         host, _, port = address.rpartition(":")
         self._listener = await asyncio.get_running_loop().create_server(
-            lambda: CallerProtocol(server=self._server, clock=self._clock),
+            self._make_protocol,
             host,
             int(port),
             backlog=ACCEPT_BACKLOG,
         )
 
+    def _make_protocol(self) -> CallerProtocol:
+        return CallerProtocol(
+            server=self._server,
+            clock=self._clock,
+            on_unhandled=lambda request: self._unserved.log(request, has_begun=False),
+        )
+
     def close_idle(self, *, limit_ms: int | None = None) -> None:
         """Close connections that have been idle for too long.
 
@@ -156,10 +172,28 @@
         use.begin_request()
         try:
             return await self._handle(request, use)
+        except BaseException as error:
+            if use.request is None:
+                self._unserved.log(request, has_begun=True, detail=repr(error))
+            raise
         finally:
             use.end_request(now=self._clock.now())
 
 
+def _make_request(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: web.RequestHandler,
+    writer: AbstractStreamWriter,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    """Return a request, and record on its connection that its handling is about to begin."""
+    request = web.BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop())
+    assert isinstance(protocol, CallerProtocol)
+    protocol.use.next_request = request
+    return request
+
+
 async def serve_readiness(*, is_ready: Callable[[], bool], address: str) -> web.ServerRunner:
     """Serve the readiness check, by which the platform decides whether to send connections here.
 
--- a/src/tanagerscale/gateway/_connections.py
+++ b/src/tanagerscale/gateway/_connections.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 from typing import Final
 from typing import final
 
 from aiohttp import web
+from aiohttp.http import RawRequestMessage
+from aiohttp.http import StreamWriter
 from msgspec import Struct
 
 from tanagerscale.core import Clock
@@ -32,7 +35,8 @@
     :param is_handling: Whether a request on it is being handled.
     :param has_unhandled_data: Whether data of a request has arrived whose handling has not begun.
     :param must_close: Whether to close it after its next response.
-    :param request: The last request that was read on it; ``None`` before that.
+    :param request: The last request that was read on it; ``None`` while the next one is being read.
+    :param next_request: Request whose handling is about to begin; ``None`` while there is none.
     :param handler: Task that handles a request on it; ``None`` while there is none.
     """
 
@@ -44,10 +48,12 @@
     must_close: bool = False
     request: RequestId | None = None
     handler: asyncio.Task[Any] | None = None
+    next_request: web.BaseRequest | None = None
 
     def begin_request(self) -> None:
         """Record that the current task begins to handle a request."""
         self.is_handling = True
+        self.request = self.next_request = None
         self.handler = asyncio.current_task()
         self.has_unhandled_data = False
 
@@ -65,9 +71,17 @@
 
     :param server: Server that handles the requests.
     :param clock: Clock that measures idle times.
+    :param on_unhandled: Called for each request that was read and whose handling has not begun, as
+        the connection ends.
     """
 
-    def __init__(self, *, server: web.Server, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        server: web.Server,
+        clock: Clock,
+        on_unhandled: Callable[[web.BaseRequest], None] = lambda _request: None,
+    ) -> None:
         super().__init__(
             server,
             loop=asyncio.get_running_loop(),
@@ -78,7 +92,9 @@
             access_log=None,  # type: ignore[arg-type]
         )
         self._clock = clock
+        self._on_unhandled = on_unhandled
         self._own_transport: asyncio.Transport | None = None
+        self._own_task: asyncio.Task[None] | None = None
         self._last_state: ConnectionState | None = None
         """State of the connection as it ended; ``None`` before."""
         self.use = ConnectionUse(opened=clock.now(), last_active=clock.now())
@@ -95,10 +111,11 @@
         return self._last_state or measure_connection(self._own_transport)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport, which the server forgets as it closes the connection."""
+        """Keep the transport and the task, which the server forgets as it closes the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._own_transport = transport
         super().connection_made(transport)
+        self._own_task = self._task_handler
 
     def eof_received(self) -> None:
         """Record that the caller has ended the connection."""
@@ -111,7 +128,22 @@
             self._record_end(ConnectionEnd.RESET, errno=exc.errno or 0)
         else:
             self._record_end(ConnectionEnd.THIS_HOST)
+        for request in self._take_unhandled():
+            self._on_unhandled(request)
         super().connection_lost(exc)
+        self._own_task = None
+
+    def _take_unhandled(self) -> list[web.BaseRequest]:
+        """Return the requests that were read and whose handling has not begun."""
+        requests = [] if self.use.next_request is None else [self.use.next_request]
+        factory, task = self._request_factory, self._own_task
+        if factory is None or task is None:
+            return requests
+        for message, payload in self._messages:
+            if isinstance(message, RawRequestMessage):
+                writer = StreamWriter(self, self._loop)
+                requests.append(factory(message, payload, self, writer, task))
+        return requests
 
     def _record_end(self, end: ConnectionEnd, *, errno: int = 0) -> None:
         if self._last_state is None:
--- /dev/null
+++ b/src/tanagerscale/gateway/_unserved_requests.py
@@ -0,0 +1,61 @@
+"""Logs requests that end before they are passed on to be served."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import final
+
+from aiohttp import web
+
+from tanagerscale.core import Clock
+from tanagerscale.core import Millis
+from tanagerscale.core import get_logger
+from tanagerscale.forwarding import ConnectionEnd
+from tanagerscale.gateway._connections import CallerProtocol
+from tanagerscale.gateway._platform import CallerCodec
+
+_log = get_logger(part="callers")
+
+
+@final
+class UnservedRequestLog:
+    """Logs requests that end before they are passed on to be served.
+
+    :param codec: Tells the id of a request.
+    :param stopping_since: Returns when the shutdown began; ``None`` before it.
+    :param clock: Source of the current time.
+    """
+
+    def __init__(
+        self, *, codec: CallerCodec, stopping_since: Callable[[], Millis | None], clock: Clock
+    ) -> None:
+        self._codec = codec
+        self._stopping_since = stopping_since
+        self._clock = clock
+
+    def log(self, request: web.BaseRequest, *, has_begun: bool, detail: str = "") -> None:
+        """Log a request that has ended; one without an id can't be named.
+
+        :param request: The request.
+        :param has_begun: Whether its body was being read.
+        :param detail: The error that has ended it.
+        """
+        echoed = self._codec.echoed_headers(request)
+        protocol = request.protocol
+        if not echoed or not echoed[0][1] or not isinstance(protocol, CallerProtocol):
+            return
+        since, state = self._stopping_since(), protocol.state
+        is_open = state.end is ConnectionEnd.OPEN
+        log = _log.info if since is None else _log.warning
+        log(
+            "A request has ended before it was forwarded.",
+            request=echoed[0][1],
+            has_begun=has_begun,
+            has_arrived=request.content.is_eof(),
+            since_stop_ms=0 if since is None else self._clock.now() - since,
+            earlier_requests=protocol.use.requests,
+            unread_request_bytes=state.unread_request_bytes,
+            closed_by=(ConnectionEnd.THIS_HOST if is_open else state.end).value,
+            errno=state.errno,
+            detail=detail,
+        )
