Log responses that wait in the kernel, and requests unread as a connection is closed

A response that its caller has not read was named only while a part of it waited in the process; what the kernel holds counts now as well. A connection that is closed while bytes of its caller are unread is reset by the kernel, by which the caller may lose the end of a response: no line told of it. It is a warning once the host stops. The two new tests failed before.

--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -94,7 +94,7 @@
         return CallerProtocol(
             server=self._server,
             clock=self._clock,
-            on_unhandled=lambda request: self._unserved.log(request, has_begun=False),
+            on_end=self._unserved.log_connection,
         )
 
     def close_idle(self, *, limit_ms: int | None = None) -> None:
--- a/src/tanagerscale/gateway/_connections.py
+++ b/src/tanagerscale/gateway/_connections.py
@@ -71,8 +71,8 @@
 
     :param server: Server that handles the requests.
     :param clock: Clock that measures idle times.
-    :param on_unhandled: Called for each request that was read and whose handling has not begun, as
-        the connection ends.
+    :param on_end: Called as the connection ends, with the requests that were read and whose
+        handling has not begun.
     """
 
     def __init__(
@@ -80,7 +80,7 @@
         *,
         server: web.Server,
         clock: Clock,
-        on_unhandled: Callable[[web.BaseRequest], None] = lambda _request: None,
+        on_end: Callable[[CallerProtocol, list[web.BaseRequest]], None] | None = None,
     ) -> None:
         super().__init__(
             server,
@@ -92,7 +92,7 @@
             access_log=None,  # type: ignore[arg-type]
         )
         self._clock = clock
-        self._on_unhandled = on_unhandled
+        self._on_end = on_end
         self._own_transport: asyncio.Transport | None = None
         self._own_task: asyncio.Task[None] | None = None
         self._last_state: ConnectionState | None = None
@@ -101,9 +101,8 @@
 
     @property
     def unread_bytes(self) -> int:
-        """Bytes of responses that wait to be sent, also after the server has closed it."""
-        transport = self._own_transport
-        return 0 if transport is None else transport.get_write_buffer_size()
+        """Bytes of responses that the caller's side has not acknowledged."""
+        return measure_connection(self._own_transport).unread_response_bytes
 
     @property
     def state(self) -> ConnectionState:
@@ -128,8 +127,8 @@
             self._record_end(ConnectionEnd.RESET, errno=exc.errno or 0)
         else:
             self._record_end(ConnectionEnd.THIS_HOST)
-        for request in self._take_unhandled():
-            self._on_unhandled(request)
+        if self._on_end is not None:
+            self._on_end(self, self._take_unhandled())
         super().connection_lost(exc)
         self._own_task = None
 
--- a/src/tanagerscale/gateway/_unserved_requests.py
+++ b/src/tanagerscale/gateway/_unserved_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import final
 
 from aiohttp import web
@@ -33,6 +34,28 @@
         self._stopping_since = stopping_since
         self._clock = clock
 
+    def log_connection(
+        self, protocol: CallerProtocol, unhandled: Sequence[web.BaseRequest]
+    ) -> None:
+        """Log what is left on a connection that has ended.
+
+        :param protocol: The connection.
+        :param unhandled: Requests that were read on it and whose handling has not begun.
+        """
+        for request in unhandled:
+            self.log(request, has_begun=False)
+        state = protocol.state
+        # The kernel resets such a connection, and the caller may lose a response that it gets.
+        if state.end is ConnectionEnd.THIS_HOST and state.unread_request_bytes:
+            log = _log.info if self._stopping_since() is None else _log.warning
+            log(
+                "A connection is closed with bytes of its caller unread.",
+                request=protocol.use.request,
+                is_complete=not protocol.use.is_handling,
+                unread_request_bytes=state.unread_request_bytes,
+                unread_response_bytes=state.unread_response_bytes,
+            )
+
     def log(self, request: web.BaseRequest, *, has_begun: bool, detail: str = "") -> None:
         """Log a request that has ended; one without an id can't be named.
 
--- a/testing/test_unread_answers.py
+++ b/testing/test_unread_answers.py
@@ -18,6 +18,7 @@
 
 RECEIVE_BUFFER_BYTES = 4096
 PART_BYTES = 16_384
+MAX_HEAD_BYTES = 1000
 
 
 # Guards against a complete answer that its caller hasn't read and no line tells of: its connection
@@ -85,3 +86,61 @@
     await harness.server.close()
     caller.close()
     assert [type(error) for error in ended] == [asyncio.CancelledError]
+
+
+# Guards against a complete answer that its caller hasn't read and no line tells of: the kernel has
+# all of it.
+@pytest.mark.asyncio
+async def test_unread_answer_is_logged_when_it_waits_in_the_kernel(harness: ServerHarness) -> None:
+    async def serve(request: CallerRequest, responder: Responder) -> None:
+        await responder.respond(status=200, reason="OK", headers=[], body=b"x" * 2 * PART_BYTES)
+
+    harness.serve = serve
+    caller = await _connect(harness)
+    caller.send(HEAD + b"Id: 7\r\nContent-Length: 0\r\n\r\n")
+    await asyncio.sleep(0.2)
+    (transport,) = harness.server._get_transports()
+    assert not transport.get_write_buffer_size()
+    harness.server.begin_shutdown()
+    with logbook.TestHandler(level=logbook.WARNING).applicationbound() as logs:
+        await harness.server.close()
+    caller.close()
+    (line,) = logs.records
+    assert line.message == "A caller has not read its response as the host ends."
+    assert (line.kwargs["request"], line.kwargs["is_complete"]) == ("7", True)
+    assert 0 < line.kwargs["unread_bytes"] <= 2 * PART_BYTES + MAX_HEAD_BYTES
+
+
+# Guards against an answer that the kernel drops without a line: a socket that is closed with unread
+# bytes resets its connection.
+@pytest.mark.asyncio
+async def test_connection_is_logged_when_it_is_closed_with_bytes_of_its_caller_unread(
+    harness: ServerHarness,
+) -> None:
+    async def serve(request: CallerRequest, responder: Responder) -> None:
+        await responder.respond(status=200, reason="OK", headers=[], body=b"")
+        (protocol,) = harness.server._connections
+        assert protocol.transport is not None
+        protocol.transport.pause_reading()
+        caller.send(HEAD)
+        await asyncio.sleep(0.1)
+
+    harness.serve = serve
+    harness.server.begin_shutdown()
+    caller = await _connect(harness)
+    with logbook.TestHandler(level=logbook.WARNING).applicationbound() as logs:
+        caller.send(HEAD + b"Id: 7\r\nContent-Length: 0\r\n\r\n")
+        await asyncio.sleep(0.3)
+    caller.close()
+    (line,) = logs.records
+    assert line.message == "A connection is closed with bytes of its caller unread."
+    assert (line.kwargs["request"], line.kwargs["unread_request_bytes"]) == ("7", len(HEAD))
+
+
+async def _connect(harness: ServerHarness) -> socket.socket:
+    """Connect a caller that can receive little without reading."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    caller.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(caller, (LOOPBACK, harness.port))
+    return caller
