List the requests in progress as a host ends, and count the lines that were dropped

"The host has ended." tells how many lines the log has dropped since the start. The new test failed before.

--- a/src/tanagerscale/core/_line_log.py
+++ b/src/tanagerscale/core/_line_log.py
@@ -75,7 +75,10 @@
         self._clock = clock
         self._current_second = 0
         self._lines_in_second = 0
-        self._dropped_lines = 0
+        self._unreported_lines = 0
+        """Dropped lines that no written or kept line reports."""
+        self.dropped_lines = 0
+        """Number of lines that were dropped since the start."""
         self._kept_lines: deque[tuple[bytes, int]] = deque()
         """Lines that wait, and how many dropped ones each of them reports."""
 
@@ -92,7 +95,7 @@
         is_severe = record.level >= logbook.WARNING
         is_within_limit = self._is_within_limit(now)
         if not is_severe and not (is_within_limit and self._has_space_for_info()):
-            self._dropped_lines += 1
+            self._drop()
             return
         line: dict[str, Any] = {
             "t": now,
@@ -105,16 +108,16 @@
         }
         if record.exc_info:
             line["exception"] = record.formatted_exception
-        if self._dropped_lines:
-            line["lines_left_out"] = self._dropped_lines
+        if self._unreported_lines:
+            line["lines_left_out"] = self._unreported_lines
         encoded = _encode(line)
         if self._write_kept_lines() and self._write(encoded):
-            self._dropped_lines = 0
+            self._unreported_lines = 0
         elif is_severe:
             self._keep(encoded)
         else:
             # A slow or closed reader loses log lines but does not delay requests.
-            self._dropped_lines += 1
+            self._drop()
 
     def flush(self, *, timeout_ms: int) -> None:
         """Write the lines that were kept, waiting for the reader; called as the process ends.
@@ -137,12 +140,17 @@
 
     def _keep(self, encoded: bytes) -> None:
         """Keep a line until the pipe has space, instead of the oldest one if there are too many."""
-        self._kept_lines.append((encoded, self._dropped_lines))
-        self._dropped_lines = 0
+        self._kept_lines.append((encoded, self._unreported_lines))
+        self._unreported_lines = 0
         if len(self._kept_lines) > MAX_KEPT_LINES:
             # The latest lines name the requests that are cut as the process ends.
             _, reported_lines = self._kept_lines.popleft()
-            self._dropped_lines = reported_lines + 1
+            self._unreported_lines = reported_lines
+            self._drop()
+
+    def _drop(self) -> None:
+        self._unreported_lines += 1
+        self.dropped_lines += 1
 
     def _write(self, encoded: bytes) -> bool:
         try:
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -141,6 +141,11 @@
         """Number of requests in progress."""
         return self._running
 
+    def list_running(self) -> list[tuple[str, str, int | None]]:
+        """Return id, phase and time since the last event of the oldest requests in progress."""
+        running = [(one.routed.request, one) for one in self._in_progress]
+        return self._cut_answers.list_requests(running)
+
     def end_unfinishable(self) -> None:
         """End each request that a shutdown leaves no time for, so that it gets a final response.
 
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 from functools import partial
 import random
@@ -60,9 +61,18 @@
     :param settings: The host's validated settings.
     :param platform: Adapters to the platform.
     :param clock: Clock shared by all components.
+    :param count_dropped_lines: Returns how many lines the log has dropped.
     """
 
-    def __init__(self, *, settings: GatewaySettings, platform: Platform, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        platform: Platform,
+        clock: Clock,
+        count_dropped_lines: Callable[[], int] = int,
+    ) -> None:
+        self._count_dropped_lines = count_dropped_lines
         self._settings = settings
         self._platform = platform
         self._clock = clock
@@ -177,13 +187,20 @@
             end_unfinishable=self._dispatcher.end_unfinishable,
             sleep=self._clock.sleep,
         )
-        _log.info(
+        running = self._dispatcher.list_running()
+        log = _log.warning if running else _log.info
+        log(
             "The host ends.",
             running=self._dispatcher.running,
+            requests=running,
             after_ms=self._shutdown.elapsed_ms,
         )
         await self._shut_down()
-        _log.info("The host has ended.", after_ms=self._shutdown.elapsed_ms)
+        _log.info(
+            "The host has ended.",
+            after_ms=self._shutdown.elapsed_ms,
+            dropped_lines=self._count_dropped_lines(),
+        )
 
     def _announce_shutdown(self) -> None:
         try:
--- a/src/tanagerscale/platform/__main__.py
+++ b/src/tanagerscale/platform/__main__.py
@@ -43,7 +43,10 @@
         clock=clock,
     )
     host = GatewayHost(
-        settings=settings, platform=make_platform(settings=settings, clock=clock), clock=clock
+        settings=settings,
+        platform=make_platform(settings=settings, clock=clock),
+        clock=clock,
+        count_dropped_lines=lambda: line_log.dropped_lines,
     )
     stop_requested = asyncio.Event()
     handle_signals(stop=stop_requested.set, reload=lambda: _reload(path, host, line_log))
--- a/testing/test_cut_answers.py
+++ b/testing/test_cut_answers.py
@@ -94,6 +94,26 @@
     assert (line["unread_request_bytes"], line["errno"]) == (0, 0)
 
 
+# Guards against answers that are lost without a line of their own: the host still names them as it
+# ends.
+@pytest.mark.asyncio
+async def test_requests_in_progress_are_listed_when_their_host_ends(
+    platform: PlatformCluster,
+) -> None:
+    host = platform.hosts["h1"]
+    host._count_dropped_lines = lambda: 3
+    with logbook.TestHandler().applicationbound() as logs:
+        _, writer = await _start_stream(platform)
+        await platform.stop_host("h1")
+        writer.close()
+    (line,) = _find(logs, "The host ends.")
+    ((request, phase, since_event_ms),) = line["requests"]
+    assert (line["running"], request, phase) == (1, REQUEST, "answering")
+    assert since_event_ms >= 0
+    (line,) = _find(logs, "The host has ended.")
+    assert line["dropped_lines"] == 3
+
+
 # Guards against answers that a stopping host ends early, as it takes their callers for gone, and
 # tells of in a line that may be left out and doesn't name the reason.
 @pytest.mark.asyncio
--- a/testing/test_line_log.py
+++ b/testing/test_line_log.py
@@ -146,6 +146,7 @@
             log.warning("Next.")
             lines += _read_lines(reader)
             assert sum(line.get("lines_left_out", 0) for line in lines) == 100
+            assert handler.dropped_lines == 100
 
     run_virtually(scenario())
 
