--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -196,10 +196,12 @@
             after_ms=self._shutdown.elapsed_ms,
         )
         await self._shut_down()
-        _log.info(
+        dropped_lines = self._count_dropped_lines()
+        log = _log.warning if dropped_lines else _log.info
+        log(
             "The host has ended.",
             after_ms=self._shutdown.elapsed_ms,
-            dropped_lines=self._count_dropped_lines(),
+            dropped_lines=dropped_lines,
         )
 
     def _announce_shutdown(self) -> None:
--- a/testing/test_signals.py
+++ b/testing/test_signals.py
@@ -32,6 +32,10 @@
 STREAM_EVENTS = 150
 """A stream lasts 3 s, which is longer than a stopping host accepts connections."""
 GRACE_S = 8
+LONG_STREAM_EVENTS = 1000
+SHORT_GRACE_S = 4
+CUT_STREAMS = 20
+OTHER_CALLS = 400
 TIMEOUT_S = 60.0
 SIGNAL_INTERVAL_S = 0.001
 TOKENS = (100, 600)
@@ -88,7 +92,7 @@
 
 @contextlib.asynccontextmanager
 async def _run_host(
-    platform: PlatformCluster, directory: Path, *, grace_s: int = GRACE_S
+    platform: PlatformCluster, directory: Path, *, grace_s: int = GRACE_S, stdout: int = PIPE
 ) -> AsyncIterator[_Host]:
     """Run a host's process, which imports its modules from their files."""
     copy = directory / "deploy"
@@ -101,7 +105,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         str(copy / "start.py"),
-        stdout=PIPE,
+        stdout=stdout,
         stderr=PIPE,
         env={**environment(), "TANAGERSCALE_CONFIG": str(path)},
         cwd=ROOT,
@@ -115,6 +119,11 @@
         await process.wait()
 
 
+def _read_log(descriptor: int) -> list[dict[str, Any]]:
+    with os.fdopen(descriptor, "rb") as log:
+        return [msgspec.json.decode(line) for line in log]
+
+
 async def _wait_until_importing(host: _Host) -> None:
     """Wait until the process is about to import its modules."""
     assert host.process.stderr is not None
@@ -232,3 +241,33 @@
     assert (answer.status, answer.is_complete) == (200, True)
     message = "The changed settings are invalid; the previous ones stay in force."
     assert message in host.messages
+
+
+# Guards against answers that are lost without a line: the pipe of the log is full of other lines as
+# the process ends, since its reader is slow.
+@pytest.mark.asyncio
+async def test_each_cut_answer_is_named_when_the_log_is_read_after_the_end(
+    platform: PlatformCluster, tmp_path: Path
+) -> None:
+    await platform.add_upstream("e2", MODEL_SERVICE, event_ms=EVENT_MS, events=LONG_STREAM_EVENTS)
+    await platform.upstreams["e1"].stop()
+    reader, writer = os.pipe()
+    async with _run_host(platform, tmp_path, grace_s=SHORT_GRACE_S, stdout=writer) as host:
+        os.close(writer)
+        await _serve_one(platform)
+        calls = [
+            asyncio.create_task(platform.call("h1", "/draft/x", tokens=TOKENS))
+            for _ in range(CUT_STREAMS)
+        ]
+        await platform.wait_until(lambda: len(platform.upstreams["e2"].running) == CUT_STREAMS)
+        for _ in range(OTHER_CALLS):
+            await platform.call("h1", "/read/x")
+        host.send(signal.SIGTERM)
+        answers = await asyncio.gather(*calls)
+        assert await host.process.wait() == 0
+    lines = _read_log(reader)
+    cut = [line for line in lines if line["message"] == "A response is cut because the host ends."]
+    assert not any(answer.is_complete for answer in answers)
+    assert len({line["request"] for line in cut}) == CUT_STREAMS
+    assert lines[-1]["message"] == "The host has ended."
+    assert lines[-1]["dropped_lines"] > 0
