--- a/testing/test_teardown.py
+++ b/testing/test_teardown.py
@@ -89,6 +89,31 @@
     client.close()
 
 
+# Guards against an answer for another host that is cut without a line at the host that had it.
+@pytest.mark.asyncio
+async def test_delegated_stream_is_logged_when_its_delegate_ends(platform: PlatformCluster) -> None:
+    await _add_host(platform, "h1", stop_grace_s=SHORT_GRACE_S)
+    address = platform.hosts["h1"]._settings.host.delegates
+    client = HttpDelegateClient(clock=Clock())
+    request = make_request(name="r", path="/draft/x", prompt=100)
+    headers = [("Tanagerscale-Attempt-Id", "r"), ("Tanagerscale-Token-Usage", "100,280")]
+    response = await client.send(
+        address=address,
+        request=replace(request, host=HOST_NAME, key=API_KEY, headers=headers),
+        time_left_ms=TIME_LEFT_MS,
+    )
+    with logbook.TestHandler(level=logbook.WARNING).applicationbound() as logs:
+        await platform.stop_host("h1")
+    client.close()
+    assert response.head.outcome is DelegatedOutcome.STREAM
+    lines = [
+        one.kwargs
+        for one in logs.records
+        if one.message == "A response is cut because the host ends."
+    ]
+    assert [(line["request"], line["upstream_part"]) for line in lines] == [("r", "at-work")]
+
+
 # Guards against a host that is killed before it has closed its callers' connections: they get no
 # end, and no line tells of them.
 @pytest.mark.asyncio
