--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -146,6 +146,13 @@
         running = [(one.routed.request, one) for one in self._in_progress]
         return self._cut_answers.list_requests(running)
 
+    def count_cut(self, cause: str) -> None:
+        """Count a request that has ended before it was forwarded.
+
+        :param cause: Why it has ended.
+        """
+        self._context.metrics.cut_answers.labels(cause, "waiting").inc()
+
     def end_unfinishable(self) -> None:
         """End each request that a shutdown leaves no time for, so that it gets a final response.
 
--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -40,6 +40,7 @@
     :param rules: Limits that apply to callers.
     :param clock: Clock that measures idle times.
     :param limits: Limits of the host; ``None`` for none.
+    :param count_cut: Counts a request that was not forwarded, by cause.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         rules: CallerRules,
         clock: Clock,
         limits: HostLimits | None = None,
+        count_cut: Callable[[str], None] = lambda _cause: None,
     ) -> None:
         self._rules = rules
         self._clock = clock
@@ -64,7 +66,10 @@
         )
         self._handle = edge.handle
         self._unserved = UnservedRequestLog(
-            codec=codec, stopping_since=lambda: self._stopping_since, clock=clock
+            codec=codec,
+            stopping_since=lambda: self._stopping_since,
+            count_cut=count_cut,
+            clock=clock,
         )
         self._limits = limits
 
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -129,6 +129,7 @@
             rules=rules,
             clock=self._clock,
             limits=self._host_limits,
+            count_cut=self._dispatcher.count_cut,
         )
         await self._server.start(address=settings.host.callers)
         if settings.host.delegates:
--- a/src/tanagerscale/gateway/_unserved_requests.py
+++ b/src/tanagerscale/gateway/_unserved_requests.py
@@ -24,12 +24,19 @@
 
     :param codec: Tells the id of a request.
     :param stopping_since: Returns when the shutdown began; ``None`` before it.
+    :param count_cut: Counts a request that was not forwarded, by cause.
     :param clock: Source of the current time.
     """
 
     def __init__(
-        self, *, codec: CallerCodec, stopping_since: Callable[[], Millis | None], clock: Clock
+        self,
+        *,
+        codec: CallerCodec,
+        stopping_since: Callable[[], Millis | None],
+        count_cut: Callable[[str], None],
+        clock: Clock,
     ) -> None:
+        self._count_cut = count_cut
         self._codec = codec
         self._stopping_since = stopping_since
         self._clock = clock
@@ -67,6 +74,7 @@
         protocol = request.protocol
         if not echoed or not echoed[0][1] or not isinstance(protocol, CallerProtocol):
             return
+        self._count_cut("not-forwarded")
         since, state = self._stopping_since(), protocol.state
         is_open = state.end is ConnectionEnd.OPEN
         log = _log.info if since is None else _log.warning
--- a/testing/test_cut_answers.py
+++ b/testing/test_cut_answers.py
@@ -170,3 +170,20 @@
         writer.close()
     (line,) = _find(logs, "A request is answered with a failure.")
     assert (line["request"], line["begun"]) == (REQUEST, True)
+
+
+# Guards against requests that are lost and counted by nobody, as the dispatcher has never had them.
+@pytest.mark.asyncio
+async def test_request_is_counted_when_its_host_ends_while_its_body_arrives(
+    platform: PlatformCluster,
+) -> None:
+    host = platform.hosts["h1"]
+    port = int(platform.callers_address("h1").rpartition(":")[2])
+    _, writer = await asyncio.open_connection(LOOPBACK, port)
+    writer.write(b"POST /draft/x HTTP/1.1\r\nHost: x\r\nTanagerscale-Attempt-Id: r\r\n")
+    writer.write(b"Content-Length: 10\r\n\r\n123")
+    await asyncio.sleep(0.1)
+    await platform.stop_host("h1")
+    writer.close()
+    labels = {"cause": "not-forwarded", "phase": "waiting"}
+    assert host._registry.get_sample_value("tanagerscale_cut_answers_total", labels) == 1
