--- a/src/tanagerscale/forwarding/_cut_answers.py
+++ b/src/tanagerscale/forwarding/_cut_answers.py
@@ -64,16 +64,27 @@
         log = _log.warning if is_cut or is_planned_stop else _log.info
         log(
             "A response is cut because the host ends." if is_cut else "A caller has left.",
-            **self.describe(request, responder, in_progress),
+            **self.describe(request, responder, in_progress, is_closing=True),
         )
 
     def describe(
-        self, request: CallerRequest, responder: Responder, in_progress: RequestInProgress | None
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        in_progress: RequestInProgress | None,
+        *,
+        is_closing: bool,
     ) -> dict[str, object]:
-        """Return the state of a request whose caller gets no whole response."""
+        """Return the state of a request whose caller gets no whole response of an upstream.
+
+        :param request: The request.
+        :param responder: Sends its response.
+        :param in_progress: The request as far as it is forwarded; ``None`` if it isn't.
+        :param is_closing: Whether this host closes the connection now, unless it has ended.
+        """
         part = UpstreamPart() if in_progress is None else in_progress.upstream_part
         connection = responder.connection_state
-        is_open = connection.end is ConnectionEnd.OPEN
+        is_closed_here = is_closing and connection.end is ConnectionEnd.OPEN
         return {
             "request": request.request,
             "begun": responder.begun,
@@ -85,7 +96,7 @@
             "since_event_ms": self._get_since_event_ms(part),
             "unread_response_bytes": connection.unread_response_bytes,
             "unread_request_bytes": connection.unread_request_bytes,
-            "closed_by": (ConnectionEnd.THIS_HOST if is_open else connection.end).value,
+            "closed_by": (ConnectionEnd.THIS_HOST if is_closed_here else connection.end).value,
             "errno": connection.errno,
         }
 
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -377,7 +377,9 @@
             detail=refusal.detail,
             retry_after_ms=refusal.retry_after_ms,
             version=None if table is None else table.version,
-            **self._cut_answers.describe(request, responder, in_progress),
+            **self._cut_answers.describe(
+                request, responder, in_progress, is_closing=responder.begun
+            ),
         )
         if responder.begun:
             self._context.metrics.cut_answers.labels(refusal.kind.value, phase).inc()
--- a/testing/test_cut_refusals.py
+++ b/testing/test_cut_refusals.py
@@ -73,13 +73,13 @@
             with contextlib.suppress(asyncio.CancelledError, ConnectionError):
                 await serving
         lines = [
-            (one.message, one.kwargs["request"])
+            (one.message, one.kwargs["request"], one.kwargs["closed_by"])
             for one in logs.records
             if one.message in ("A request is answered with a failure.", "A caller has left.")
         ]
         assert lines == [
-            ("A request is answered with a failure.", request.request),
-            ("A caller has left.", request.request),
+            ("A request is answered with a failure.", request.request, "open"),
+            ("A caller has left.", request.request, "this-host"),
         ]
 
     run_virtually(scenario())
