--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -8,7 +8,10 @@
 from typing import Final
 from typing import final
 
+from aiohttp import StreamReader
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
 
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
@@ -25,6 +28,7 @@
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
+from tanagerscale.gateway._unserved_requests import UnservedRequestLog
 
 SHUTDOWN_TIMEOUT_S: Final = 0.2
 
@@ -43,6 +47,7 @@
     :param rules: Limits that apply to callers.
     :param clock: Clock that measures idle times.
     :param limits: Limits of the host; ``None`` for none.
+    :param count_cut: Counts a request that was not forwarded, by cause.
     """
 
     def __init__(
@@ -53,6 +58,7 @@
         rules: CallerRules,
         clock: Clock,
         limits: HostLimits | None = None,
+        count_cut: Callable[[str], None] = lambda _cause: None,
     ) -> None:
         self._rules = rules
         self._clock = clock
@@ -67,6 +73,12 @@
             clock=clock,
         )
         self._handle = edge.handle
+        self._unserved = UnservedRequestLog(
+            codec=codec,
+            stopping_since=lambda: self._stopping_since,
+            count_cut=count_cut,
+            clock=clock,
+        )
         self._limits = limits
 
     async def start(self, *, address: str) -> None:
@@ -74,7 +86,9 @@
 
         :param address: IP address and port to listen on.
         """
-        self._server = web.Server(self._track, handler_cancellation=True)
+        self._server = web.Server(
+            self._track, request_factory=_make_request, handler_cancellation=True
+        )
         if self._limits is not None:
             self._limits.observe_callers(
                 get_transports=self._get_transports, count=lambda: len(self._server.connections)
@@ -90,7 +104,11 @@
         )
 
     def _make_protocol(self) -> CallerProtocol:
-        return CallerProtocol(server=self._server, clock=self._clock)
+        return CallerProtocol(
+            server=self._server,
+            clock=self._clock,
+            on_end=self._unserved.log_connection,
+        )
 
     def close_idle(self, *, limit_ms: int | None = None, interval_ms: int = 0) -> None:
         """Close connections that have been idle for too long.
@@ -190,10 +208,28 @@
         use.begin_request()
         try:
             return await self._handle(request, use)
+        except BaseException as error:
+            if use.request is None:
+                self._unserved.log(request, has_begun=True, detail=repr(error))
+            raise
         finally:
             use.end_request(now=self._clock.now())
 
 
+def _make_request(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: web.RequestHandler,
+    writer: AbstractStreamWriter,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    """Return a request, and record on its connection that its handling is about to begin."""
+    request = web.BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop())
+    assert isinstance(protocol, CallerProtocol)
+    protocol.use.next_request = request
+    return request
+
+
 async def serve_readiness(*, is_ready: Callable[[], bool], address: str) -> web.ServerRunner:
     """Serve the readiness check, by which the platform decides whether to send connections here.
 
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 from functools import partial
 import random
@@ -60,9 +61,18 @@
     :param settings: The host's validated settings.
     :param platform: Adapters to the platform.
     :param clock: Clock shared by all components.
+    :param count_dropped_lines: Returns how many lines the log has dropped.
     """
 
-    def __init__(self, *, settings: GatewaySettings, platform: Platform, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        platform: Platform,
+        clock: Clock,
+        count_dropped_lines: Callable[[], int] = int,
+    ) -> None:
+        self._count_dropped_lines = count_dropped_lines
         self._settings = settings
         self._platform = platform
         self._clock = clock
@@ -119,6 +129,7 @@
             rules=rules,
             clock=self._clock,
             limits=self._host_limits,
+            count_cut=self._dispatcher.count_cut,
         )
         await self._server.start(address=settings.host.callers)
         if settings.host.delegates:
@@ -167,8 +178,8 @@
     async def stop(self) -> None:
         """Shut down gracefully: accept no new work, then wait for running requests to finish."""
         self._shutdown.begin(grace_s=self._settings.host.stop_grace_s)
-        self._control.mesh.send_heartbeat()
         self._server.begin_shutdown()
+        self._announce_shutdown()
         self._spawn(self._control.withdraw())
         _log.info("The host stops.", running=self._dispatcher.running)
         await drain_requests(
@@ -177,13 +188,29 @@
             end_unfinishable=self._dispatcher.end_unfinishable,
             sleep=self._clock.sleep,
         )
-        _log.info(
+        running = self._dispatcher.list_running()
+        log = _log.warning if running else _log.info
+        log(
             "The host ends.",
             running=self._dispatcher.running,
+            requests=running,
             after_ms=self._shutdown.elapsed_ms,
         )
         await self._shut_down()
-        _log.info("The host has ended.", after_ms=self._shutdown.elapsed_ms)
+        dropped_lines = self._count_dropped_lines()
+        log = _log.warning if dropped_lines else _log.info
+        log(
+            "The host has ended.",
+            after_ms=self._shutdown.elapsed_ms,
+            dropped_lines=dropped_lines,
+        )
+
+    def _announce_shutdown(self) -> None:
+        try:
+            self._control.mesh.send_heartbeat()
+        except Exception:
+            # Other hosts notice the end of this one anyway; its callers wait for their responses.
+            _log.exception("The other hosts are not told that this host stops.")
 
     async def _shut_down(self) -> None:
         # Callers and other hosts wait for these; the process may be killed while the rest ends.
--- a/testing/test_teardown.py
+++ b/testing/test_teardown.py
@@ -89,6 +89,31 @@
     client.close()
 
 
+# Guards against an answer for another host that is cut without a line at the host that had it.
+@pytest.mark.asyncio
+async def test_delegated_stream_is_logged_when_its_delegate_ends(platform: PlatformCluster) -> None:
+    await _add_host(platform, "h1", stop_grace_s=SHORT_GRACE_S)
+    address = platform.hosts["h1"]._settings.host.delegates
+    client = HttpDelegateClient(clock=Clock())
+    request = make_request(name="r", path="/draft/x", prompt=100)
+    headers = [("Tanagerscale-Attempt-Id", "r"), ("Tanagerscale-Token-Usage", "100,280")]
+    response = await client.send(
+        address=address,
+        request=replace(request, host=HOST_NAME, key=API_KEY, headers=headers),
+        time_left_ms=TIME_LEFT_MS,
+    )
+    with logbook.TestHandler(level=logbook.WARNING).applicationbound() as logs:
+        await platform.stop_host("h1")
+    client.close()
+    assert response.head.outcome is DelegatedOutcome.STREAM
+    lines = [
+        one.kwargs
+        for one in logs.records
+        if one.message == "A response is cut because the host ends."
+    ]
+    assert [(line["request"], line["upstream_part"]) for line in lines] == [("r", "at-work")]
+
+
 # Guards against a host that is killed before it has closed its callers' connections: they get no
 # end, and no line tells of them.
 @pytest.mark.asyncio
@@ -115,3 +140,28 @@
         assert "A response is cut because the host ends." in {one.message for one in logs.records}
     hangs.set()
     await stopping
+
+
+# Guards against cutting all answers at once since the other hosts can't be told of the shutdown.
+@pytest.mark.asyncio
+async def test_running_stream_is_whole_when_the_shutdown_can_not_be_announced(
+    platform: PlatformCluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await _add_host(platform, "h1", stop_grace_s=STOP_GRACE_S)
+    reader, writer = await _start_stream(platform, "h1")
+    await reader.readuntil(b"\n\n")
+
+    def fail() -> None:
+        raise ValueError("a value can't be encoded")
+
+    monkeypatch.setattr(platform.hosts["h1"]._control.mesh, "send_heartbeat", fail)
+    with logbook.TestHandler(level=logbook.ERROR).applicationbound() as logs:
+        stopping = asyncio.create_task(platform.stop_host("h1"))
+        body = await reader.readuntil(b"0\r\n\r\n")
+        writer.close()
+        monkeypatch.undo()
+        await stopping
+    assert body.count(b"\n\n") == STREAM_EVENTS - 1
+    assert [one.message for one in logs.records] == [
+        "The other hosts are not told that this host stops."
+    ]
