Repeat calls that are refused before the host of the socket tests stops

At a load of 33 on 8 processors the process of the test once stood still for about a second while the calls began, so that the host's connections to the scripted upstream timed out, and it was left out for 3 s and calls were refused. Such calls are made again, and SIGTERM waits until the upstream is back.

--- a/testing/_stopping_calls.py
+++ b/testing/_stopping_calls.py
@@ -130,7 +130,7 @@
     """What became of a call.
 
     :param data: Everything that the caller has read.
-    :param ended_by: How its connection ended: ``FIN`` or ``RST``.
+    :param ended_by: How its connection ended: ``FIN`` or ``RST``; ``open`` after a refusal.
     :param after_ms: When that was, after SIGTERM.
     :param lines: Lines of the log that name the request.
     :param next_lines: Lines of the log that name the next request on the connection.
--- a/testing/_stopping_host.py
+++ b/testing/_stopping_host.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
-from dataclasses import field
 from pathlib import Path
 import socket
 from typing import Any
@@ -27,6 +25,7 @@
 from standins.platform_world import configuration
 from standins.tcp_relay import TcpRelay
 from tanagerscale.core import MS_PER_SECOND
+from testing._caller_connection import CallerConnection
 from testing._scripted_peer import Part
 from testing._scripted_peer import Pause
 from testing._scripted_peer import PeerRequest
@@ -59,9 +58,11 @@
 CALLS_AT_A_TIME = 20
 """Fewer than the connections that may wait to be accepted by an upstream."""
 POLL_INTERVAL_S = 0.01
-SMALL_RECEIVE_BUFFER_BYTES = 4096
+HTTP_UNAVAILABLE = 503
+REPEAT_DELAY_S = 0.5
+EJECTION_S = 4.0
+"""Longer than an upstream is left out that a test process under load has accepted too slowly."""
 SLOW_READ_BYTES = 1024
-READ_BYTES = 1 << 20
 PAUSE_S = 3.0
 AFTER_EXIT_S = 0.3
 LATE_S = 0.2
@@ -84,6 +85,7 @@
         self._stopped_at = 0.0
         self._is_scheduled = asyncio.Event()
         self._arrived: set[str] = set()
+        self._has_refusals = False
         self._address = (LOOPBACK, 0)
         self._relay_address = (LOOPBACK, 0)
 
@@ -117,6 +119,8 @@
 
     async def _call_and_stop(self, process: PlatformHostProcess) -> dict[str, Outcome]:
         tasks = await self._begin_calls()
+        if self._has_refusals:
+            await asyncio.sleep(EJECTION_S)
         loop = asyncio.get_running_loop()
         self._stopped_at = loop.time() + SETTLE_S
         self._is_scheduled.set()
@@ -174,7 +178,16 @@
         await asyncio.sleep(max(left_s, 0))
 
     async def _make(self, call: Call) -> Outcome:
-        connection = await _Connection.open(
+        """Make a call, and repeat it if it is refused before the host stops."""
+        while True:
+            outcome = await self._make_once(call)
+            if outcome.status != HTTP_UNAVAILABLE or self._is_scheduled.is_set():
+                return outcome
+            self._has_refusals = True
+            await asyncio.sleep(REPEAT_DELAY_S)
+
+    async def _make_once(self, call: Call) -> Outcome:
+        connection = await CallerConnection.open(
             self._relay_address if "RELAY" in call.caller.name else self._address,
             has_small_buffer=call.caller in CALLERS_WITH_SMALL_BUFFERS,
         )
@@ -182,7 +195,7 @@
         with connection.socket:
             try:
                 await self._exchange(call, connection)
-                outcome.ended_by = "FIN"
+                outcome.ended_by = "open" if connection.is_refused else "FIN"
             except ConnectionError:
                 outcome.ended_by = "RST"
         outcome.data = bytes(connection.data)
@@ -190,7 +203,7 @@
         outcome.after_ms = round((now - self._stopped_at) * MS_PER_SECOND)
         return outcome
 
-    async def _exchange(self, call: Call, connection: _Connection) -> None:
+    async def _exchange(self, call: Call, connection: CallerConnection) -> None:
         """Send a request and read until the connection ends."""
         if call.caller is Caller.KEPT:
             await connection.send(_encode_request(Answer.PLAIN, id="earlier"))
@@ -201,10 +214,12 @@
         await self._send(call, connection)
         if call.answer is Answer.STREAM:
             await connection.read_until(b"id: 1\n")
+        if connection.is_refused:
+            return
         await self._act(call, connection)
         await connection.read_all()
 
-    async def _send(self, call: Call, connection: _Connection) -> None:
+    async def _send(self, call: Call, connection: CallerConnection) -> None:
         caller = call.caller
         max_tokens = LONG_TOKENS if call.sent is Sent.BEFORE else SHORT_TOKENS
         request = _encode_request(call.answer, id=call.id, max_tokens=max_tokens)
@@ -233,9 +248,9 @@
         if caller in (Caller.HALF_CLOSE, Caller.RELAY_HALF_CLOSE):
             connection.socket.shutdown(socket.SHUT_WR)
 
-    async def _act(self, call: Call, connection: _Connection) -> None:
+    async def _act(self, call: Call, connection: CallerConnection) -> None:
         """Do what the caller does between its request and the end of the answer."""
-        actions: dict[Caller, Callable[[Call, _Connection], Awaitable[None]]] = {
+        actions: dict[Caller, Callable[[Call, CallerConnection], Awaitable[None]]] = {
             Caller.SLOW: self._read_slowly,
             Caller.PAUSED: self._pause,
             Caller.NEXT_UNREAD: self._pause,
@@ -255,12 +270,12 @@
         elif call.caller in extra:
             await connection.send(extra[call.caller])
 
-    async def _read_slowly(self, call: Call, connection: _Connection) -> None:
+    async def _read_slowly(self, call: Call, connection: CallerConnection) -> None:
         while not self._exited.is_set() and await connection.read(SLOW_READ_BYTES):
             await asyncio.sleep(1.0)
         await asyncio.sleep(AFTER_EXIT_S)
 
-    async def _pause(self, call: Call, connection: _Connection) -> None:
+    async def _pause(self, call: Call, connection: CallerConnection) -> None:
         await self._wait_until(call.end.value + PAUSE_S * MS_PER_SECOND / 2)
         if call.caller is Caller.NEXT_UNREAD:
             await connection.send(_encode_next(call))
@@ -268,7 +283,7 @@
             await connection.send(b"\r\n")
         await self._wait_until(call.end.value + PAUSE_S * MS_PER_SECOND)
 
-    async def _send_around_end(self, call: Call, connection: _Connection) -> None:
+    async def _send_around_end(self, call: Call, connection: CallerConnection) -> None:
         """Send empty lines from before the end of the answer on, and read meanwhile."""
         reading = asyncio.create_task(connection.read_all())
         await self._wait_until(min(call.end.value, GRACE_S * MS_PER_SECOND) - 50)
@@ -307,40 +322,6 @@
         return [head.encode(), *first, until, *last, LAST_CHUNK]
 
 
-@dataclass(kw_only=True)
-class _Connection:
-    """Connection of a caller."""
-
-    socket: socket.socket
-    data: bytearray = field(default_factory=bytearray)
-
-    @classmethod
-    async def open(cls, address: tuple[str, int], *, has_small_buffer: bool) -> _Connection:
-        """Connect to a host or a relay."""
-        created = socket.socket()
-        if has_small_buffer:
-            created.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER_BYTES)
-        created.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(created, address)
-        return cls(socket=created)
-
-    async def send(self, data: bytes) -> None:
-        await asyncio.get_running_loop().sock_sendall(self.socket, data)
-
-    async def read(self, size: int = READ_BYTES) -> bytes:
-        chunk = await asyncio.get_running_loop().sock_recv(self.socket, size)
-        self.data += chunk
-        return chunk
-
-    async def read_until(self, text: bytes) -> None:
-        while text not in self.data and await self.read():
-            pass
-
-    async def read_all(self) -> None:
-        while await self.read():
-            pass
-
-
 def _encode_request(
     answer: Answer, *, id: str, framing: str = "", max_tokens: int = LONG_TOKENS
 ) -> bytes:
