Refuse entries of upstreams that are nested too deeply

What operators saw: another writer leaves one entry under servers/ that is nested 3,000 levels deep in a field that nobody uses. The task that follows the list ends at each host that reads it.

Cause: msgspec raises RecursionError, which is neither a DecodeError nor a UnicodeDecodeError. decode_entry caught these two, so the error left PrefixFollower.run.

Ruled out: catching RecursionError here alone. Four other decoders do so, each with a list of its own, and the stack that is left at the call decides what is valid: an entry of 100 levels is taken in one place and refused in another.

Change: core.decode_json turns any failure into a reason, and bounds the size (here 64 KiB) and the depth (32 levels; the formats in use have at most eight).

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -6,6 +6,8 @@
 from tanagerscale.core._clock import Clock
 from tanagerscale.core._clock import Millis
 from tanagerscale.core._clock import WallMillis
+from tanagerscale.core._decoding import attempt_decoding
+from tanagerscale.core._decoding import decode_json
 from tanagerscale.core._errors import Execution
 from tanagerscale.core._errors import Problem
 from tanagerscale.core._errors import ProblemKind
@@ -53,6 +55,8 @@
     "UpstreamId",
     "UpstreamName",
     "WallMillis",
+    "attempt_decoding",
+    "decode_json",
     "enable_tcp_keepalive",
     "get_logger",
     "group_tasks_by_stack",
--- a/src/tanagerscale/platform/_registry.py
+++ b/src/tanagerscale/platform/_registry.py
@@ -17,6 +17,7 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import UpstreamName
+from tanagerscale.core import decode_json
 from tanagerscale.ini import check_address
 from tanagerscale.platform._wire import WireServer
 from tanagerscale.upstreams import UpstreamEntry
@@ -29,7 +30,8 @@
 _NAME: Final = re.compile(r"[!-~]+")
 """Names are sent in header fields, where control characters would start another field."""
 
-_decoder = msgspec.json.Decoder(WireServer)
+MAX_ENTRY_BYTES: Final = 64 * 1024
+"""Entries have some 250 bytes; later versions may add fields."""
 
 
 def parse_upstream_name(key: str) -> UpstreamName:
@@ -49,10 +51,10 @@
     :param value: JSON text if written by an upstream; other writers may store any bytes.
     :returns: The entry, or the reason why it is invalid.
     """
-    try:
-        wire = _decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return _reject(str(error))
+    decoded = decode_json(value, WireServer, max_bytes=MAX_ENTRY_BYTES)
+    if isinstance(decoded, Failure):
+        return _reject(decoded.failure())
+    wire = decoded.unwrap()
     name = parse_upstream_name(key)
     if not _NAME.fullmatch(name):
         return _reject("its name contains characters that are not allowed in a header field")
