Refuse addresses whose port has thousands of digits

What operators saw: nothing yet. An entry of an upstream with such a port ends the task that follows the list at each host, as one that is nested too deeply did. Settings and declarations with one end with a traceback instead of an error that names the key.

Cause: int() refuses texts of more than 4,300 digits with a ValueError, and check_address called it outside its try block.

Ruled out: catching the error around int(). Five digits are enough for every port, and are checked before.

Seen to fail before: test_entry_with_a_port_of_thousands_of_digits_is_refused with "ValueError: Exceeds the limit (4300 digits) for integer string conversion: value has 5000 digits". It passes after.

--- a/src/tanagerscale/ini/_address.py
+++ b/src/tanagerscale/ini/_address.py
@@ -5,6 +5,7 @@
 import ipaddress
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 def check_address(*, address: str, allow_port_zero: bool = False) -> str:
@@ -25,5 +26,7 @@
             ipaddress.IPv4Address(host)
     except ValueError:
         return allowed
-    is_port = port.isascii() and port.isdigit() and lowest <= int(port) <= MAX_PORT
+    # Long texts of digits can't be converted to a number.
+    is_number = len(port) <= MAX_PORT_DIGITS and port.isascii() and port.isdigit()
+    is_port = is_number and lowest <= int(port) <= MAX_PORT
     return "" if is_port else allowed
--- a/testing/test_odd_entries.py
+++ b/testing/test_odd_entries.py
@@ -43,6 +43,11 @@
     assert isinstance(decode_entry("servers/odd", value), Failure)
 
 
+def test_entry_with_a_port_of_thousands_of_digits_is_refused() -> None:
+    value = msgspec.json.encode(ENTRY | {"address": "10.0.0.1:" + "9" * 5000})
+    assert isinstance(decode_entry("servers/odd", value), Failure)
+
+
 @pytest.mark.parametrize(("levels", "is_decoded"), [(MAX_DEPTH, True), (MAX_DEPTH + 1, False)])
 @pytest.mark.parametrize("prefix", ["", '"[[[[", "{\\"[[", '], ids=["plain", "after strings"])
 def test_document_is_decoded_up_to_the_limit_of_levels(
