Refuse IPv6 addresses whose zone contains control characters

What operators saw: nothing. An entry with the address "[fe80::1%1\r\nTE: x]:80" was taken as an upstream, and control calls write the address into their Host field. A connection to such an address fails first, so nothing is known to have been sent.

Cause: IPv6Address takes any text as the zone.

Ruled out: refusing zones altogether; link-local addresses in settings need them.

--- a/src/tanagerscale/ini/_address.py
+++ b/src/tanagerscale/ini/_address.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import ipaddress
+import re
+from typing import Final
 
 MAX_PORT = 65535
 MAX_PORT_DIGITS = 5
 
+_PRINTABLE: Final = re.compile(r"[!-~]*")
+"""The zone of an IPv6 address may be any text, and addresses are sent in header fields."""
+
 
 def check_address(*, address: str, allow_port_zero: bool = False) -> str:
     """Check that an address consists of an IP address and a port.
@@ -18,6 +23,8 @@
     lowest = 0 if allow_port_zero else 1
     allowed = f"an IP address and a port from {lowest} to {MAX_PORT}, such as 127.0.0.1:8080"
     host, _, port = address.rpartition(":")
+    if not _PRINTABLE.fullmatch(address):
+        return allowed
     is_ipv6 = host.startswith("[") and host.endswith("]")
     try:
         if is_ipv6:
--- a/testing/test_odd_entries.py
+++ b/testing/test_odd_entries.py
@@ -60,3 +60,10 @@
 def test_document_is_rejected_when_it_has_too_many_bytes() -> None:
     assert decode_json(b'"abc"', str, max_bytes=5) == Success("abc")
     assert isinstance(decode_json(b'"abcd"', str, max_bytes=5), Failure)
+
+
+@pytest.mark.parametrize("scope", ["1\r\nTE: x", "a b", "\u00e9", "\x00"])
+def test_entry_with_an_address_unfit_for_a_header_is_refused(scope: str) -> None:
+    # Addresses are sent in the Host field of calls to upstreams.
+    value = msgspec.json.encode(ENTRY | {"address": f"[fe80::1%{scope}]:80"})
+    assert isinstance(decode_entry("servers/odd", value), Failure)
