Apply the other entries of a batch when one of them fails

What operators saw: after one odd entry at which the decoder raised an error that it didn't declare, a host took no further changes of the list: its task had ended. Sound entries beside it, in the same read or the same batch, were never applied, and hosts that get the list from that host got nothing of the batch either.

Cause: the follower and the feed record the revision before the listener has taken the entries, and no step catches an error. The roster decodes and applies entry by entry, so the first error drops the rest; the feed publishes after its listener.

Ruled out: recording the revision only afterwards. The same batch would then be read and fail forever, and hosts that follow this one would wait for entries that they can take. Reading all entries again after each failure: at 12,000 engines that is 24 calls for each change.

Change: the roster handles each entry on its own, and an entry at which the decoder fails is rejected like any other invalid one. The feed publishes whatever its listener does, and gives a listener that failed all entries again after 10 s; the follower reads all keys again at most every 10 s. Each error is one line of the log with its place and one count of tanagerscale_unexpected_errors_total.

--- a/src/tanagerscale/coordination/_feed.py
+++ b/src/tanagerscale/coordination/_feed.py
@@ -22,6 +22,7 @@
 from tanagerscale.coordination._feed_entries import StoreView
 from tanagerscale.coordination._feed_entries import to_entry
 from tanagerscale.coordination._feed_entries import to_item
+from tanagerscale.coordination._listener_sync import ListenerSync
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
@@ -79,6 +80,7 @@
     ) -> None:
         self._topic = topic
         self._listener = listener
+        self._sync = ListenerSync(component=topic.value, listener=listener, clock=clock)
         self._send = send
         self._clock = clock
         self._entries: dict[str, StoreEntry] = {}
@@ -132,7 +134,7 @@
         self._entries = {entry.key: entry for entry in snapshot.entries}
         self._changes.clear()
         self._oldest = self._revision = snapshot.revision
-        self._listener.on_snapshot(snapshot)
+        self._sync.deliver_all(snapshot)
         self._publish(self._full_content())
 
     def on_changes(self, batch: WatchBatch) -> None:
@@ -148,7 +150,7 @@
         changes = [EntryChange(key=entry.key, entry=entry) for entry in batch.entries]
         changes += [EntryChange(key=key, entry=None) for key in batch.deleted]
         self._record_changes(changes, revision)
-        self._listener.on_changes(batch)
+        self._sync.deliver_changes(batch)
         self._publish(self._content_since(before))
 
     def on_reachability_changed(self, *, reachable: bool) -> None:
@@ -199,6 +201,9 @@
 
     def on_message(self, host: HostId, message: Message) -> None:
         """Handle a subscription or content from another host; other messages are ignored."""
+        if self._sync.is_due:
+            entries = tuple(self._entries.values())
+            self._sync.deliver_all(StoreRange(entries=entries, revision=self._revision))
         if isinstance(message, ListRequest) and message.topic is self._topic:
             self._on_request(host, message)
         elif isinstance(message, ListContent) and message.topic is self._topic:
--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -6,8 +6,12 @@
 from tanagerscale.core._clock import Clock
 from tanagerscale.core._clock import Millis
 from tanagerscale.core._clock import WallMillis
+from tanagerscale.core._containment import record_unexpected_error
+from tanagerscale.core._containment import run_contained
+from tanagerscale.core._containment import unexpected_errors
 from tanagerscale.core._decoding import attempt_decoding
 from tanagerscale.core._decoding import decode_json
+from tanagerscale.core._error_metrics import UnexpectedErrorCollector
 from tanagerscale.core._errors import Execution
 from tanagerscale.core._errors import Problem
 from tanagerscale.core._errors import ProblemKind
@@ -52,6 +56,7 @@
     "Revision",
     "ServiceId",
     "TaskStackGroup",
+    "UnexpectedErrorCollector",
     "UpstreamId",
     "UpstreamName",
     "WallMillis",
@@ -62,6 +67,9 @@
     "group_tasks_by_stack",
     "log_tasks",
     "new_id",
+    "record_unexpected_error",
+    "run_contained",
     "set_up_json_lines_log",
     "set_up_logging",
+    "unexpected_errors",
 ]
--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -22,6 +22,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
+from tanagerscale.core import UnexpectedErrorCollector
 from tanagerscale.core import get_logger
 from tanagerscale.daemon._adapters import EngineClients
 from tanagerscale.daemon._adapters import GateHealthRecorder
@@ -316,6 +317,7 @@
         )
         registry = CollectorRegistry()
         registry.register(HostCollector(meter=self._meter, gauges=self._build_gauges))
+        registry.register(UnexpectedErrorCollector())
         return CallerApi(
             context=CallerApiContext(
                 keys=self._keys,
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -18,6 +18,7 @@
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
 from tanagerscale.core import ServiceId
+from tanagerscale.core import UnexpectedErrorCollector
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import DelegateSelector
@@ -72,6 +73,7 @@
         self._runners: list[web.ServerRunner] = []
         self._registry = CollectorRegistry()
         self._registry.register(ExchangeCollector(log=platform.exchange_log))
+        self._registry.register(UnexpectedErrorCollector())
         self._work = LocalWorkload(clock=clock)
         self._control = HostControl(
             settings=settings,
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -5,13 +5,16 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 from collections.abc import Set
+from functools import partial
 from typing import Final
 from typing import final
 
 from msgspec.structs import replace
 from reactivex import Observable
 from reactivex.subject import Subject
+from returns.functions import identity
 from returns.result import Failure
 from returns.result import Result
 
@@ -21,7 +24,9 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import UpstreamName
+from tanagerscale.core import attempt_decoding
 from tanagerscale.core import get_logger
+from tanagerscale.core import run_contained
 from tanagerscale.membership._entry_grace import EntryGrace
 from tanagerscale.membership._entry_order import EntryOrder
 from tanagerscale.membership._entry_order import order_entry
@@ -188,8 +193,7 @@
         """Apply a full read of the store."""
         self._note_era(snapshot.revision)
         present = {self._parse_upstream_name(entry.key) for entry in snapshot.entries}
-        for entry in snapshot.entries:
-            self._handle_entry(entry)
+        self._handle_entries(snapshot.entries)
         self._record_missing(self._current.keys() - present, snapshot.revision)
         self._has_read = True
 
@@ -208,8 +212,7 @@
 
     def on_changes(self, batch: WatchBatch) -> None:
         """Apply changes that a watch of the store reports."""
-        for entry in batch.entries:
-            self._handle_entry(entry)
+        self._handle_entries(batch.entries)
         deleted = {self._parse_upstream_name(key) for key in batch.deleted}
         for name in deleted & self._current.keys():
             self._written_revisions[name] = batch.revision
@@ -238,8 +241,13 @@
         if self.is_current is not was_current:
             self._is_current_changes.on_next(self.is_current)
 
+    def _handle_entries(self, entries: Sequence[StoreEntry]) -> None:
+        """Handle each entry, also if that of another one fails."""
+        for entry in entries:
+            run_contained("roster", partial(self._handle_entry, entry), key=entry.key)
+
     def _handle_entry(self, stored: StoreEntry) -> None:
-        decoded = self._decode(stored.key, stored.value)
+        decoded = attempt_decoding(lambda: self._decode(stored.key, stored.value)).bind(identity)
         if isinstance(decoded, Failure):
             name = self._parse_upstream_name(stored.key)
             if name in self._current:
--- a/src/tanagerscale/store/_follow.py
+++ b/src/tanagerscale/store/_follow.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Final
 from typing import Protocol
@@ -13,6 +14,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
+from tanagerscale.core import run_contained
 from tanagerscale.store._protocol import Store
 from tanagerscale.store._protocol import StoreError
 from tanagerscale.store._protocol import StoreErrorKind
@@ -27,6 +29,10 @@
 
 BACKOFF_JITTER: Final = (0.5, 1.5)
 
+MIN_REREAD_INTERVAL_MS: Final = 10_000
+"""Minimum time between two reads of all keys because the listener failed to take some of them. A
+read of 12,000 engines takes 24 calls."""
+
 _log = get_logger(part="store")
 
 
@@ -48,7 +54,8 @@
     """Reads all keys under a prefix and then watches them until cancelled.
 
     After a failed watch, all keys are read again. This detects immediately that the store is
-    reachable again and returns all missed changes.
+    reachable again and returns all missed changes. They are also read again if the listener failed
+    to take some of them.
 
     :param store: Store to follow.
     :param prefix: Prefix of the keys.
@@ -79,6 +86,8 @@
         self._failures = 0
         self._reachable = False
         self._unreachable_since = Millis(0)
+        self._read_at = Millis(0)
+        self._is_listener_behind = False
 
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
@@ -106,7 +115,9 @@
         snapshot = result.unwrap()
         self._record_success()
         self._revision = snapshot.revision
-        self._listener.on_snapshot(snapshot)
+        self._read_at = self._clock.now()
+        self._is_listener_behind = False
+        self._deliver(lambda: self._listener.on_snapshot(snapshot))
         return None
 
     async def _watch(self) -> StoreError | None:
@@ -120,10 +131,22 @@
             self._record_success()
             self._revision = batch.revision
             if batch.entries or batch.deleted:
-                self._listener.on_changes(batch)
+                self._deliver(partial(self._listener.on_changes, batch))
                 await self._clock.sleep(self._change_delay_ms())
+            if self._is_reread_due():
+                self._revision = None
+                return None
         return None
 
+    def _deliver(self, deliver: Callable[[], None]) -> None:
+        """Let the listener take keys; later changes must reach it even if it fails to."""
+        if not run_contained("store", deliver, prefix=self._prefix):
+            self._is_listener_behind = True
+
+    def _is_reread_due(self) -> bool:
+        since_read_ms = self._clock.now() - self._read_at
+        return self._is_listener_behind and since_read_ms >= MIN_REREAD_INTERVAL_MS
+
     def _record_success(self) -> None:
         self._failures = 0
         if self._reachable:
