Start background tasks again that end with an error

What operators saw: a host whose follower of the store, renewal of its own entry or poll of the engines had ended went on as before. It was ready, and the log had a traceback only when the task was collected, if ever.

Cause: the tasks are started with create_task and nobody looks at their end before the host stops.

Ruled out: ending the process, since what ended the task once, such as an entry in the store, would end each process that follows. A done callback alone: the error would be seen, but its work would not be done until someone restarts the host.

Change: TaskMonitor logs and counts the error at once and starts the task again after 1 s. Until then the host isn't ready, so that one whose task fails each time leaves the rotation. Coordinator.loops() is replaced by poll_engines(), as it can be started again.

Seen to fail before: test_host_is_not_ready_while_a_background_task_has_ended with "TimeoutError" in "wait_until(lambda: not host.ready)". It passes after, and so do 146 tests of hosts, the store and restarts (one known failure passed over).

--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -241,12 +241,8 @@
             self._is_store_stale.set()
         self.planner.schedule_reevaluation()
 
-    def loops(self) -> tuple[Coroutine[Any, Any, None], ...]:
-        """Return the coroutines that run for the lifetime of the host."""
-        return (self._poll_engines(),)
-
-    async def _poll_engines(self) -> None:
-        """Poll engines for leaving notices while the store delivers no changes.
+    async def poll_engines(self) -> None:
+        """Poll engines for leaving notices while the store delivers no changes, until cancelled.
 
         When the store is down for eight seconds while an engine is removed every three, nobody can
         read the notices in the store. An engine's own report says, half a second late, that it is
--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -33,6 +33,7 @@
 from tanagerscale.core._log import get_logger
 from tanagerscale.core._log import set_up_logging
 from tanagerscale.core._sockets import enable_tcp_keepalive
+from tanagerscale.core._task_monitor import TaskMonitor
 from tanagerscale.core._tasks import TaskStackGroup
 from tanagerscale.core._tasks import group_tasks_by_stack
 from tanagerscale.core._tasks import log_tasks
@@ -55,6 +56,7 @@
     "RequestId",
     "Revision",
     "ServiceId",
+    "TaskMonitor",
     "TaskStackGroup",
     "UnexpectedErrorCollector",
     "UpstreamId",
--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -5,9 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Coroutine
 from random import Random
-from typing import Any
 from typing import Final
 from typing import final
 
@@ -27,6 +25,7 @@
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
 from tanagerscale.core import ServiceId
+from tanagerscale.core import TaskMonitor
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import LocalWorkload
@@ -105,6 +104,7 @@
         self._host = HostId(settings.host.id)
         self._domain = FailureDomainId(settings.host.failure_domain)
         self._tasks: list[asyncio.Task[None]] = []
+        self.monitor = TaskMonitor(clock=clock)
         self.incarnation = clock.wall()
         self.directory = Directory(
             host=self._host,
@@ -217,9 +217,10 @@
         self._messages.start()
         self._head_replicator.start()
         self._subscribe()
-        self._spawn(self._presence.run())
-        for loop in self.coordinator.loops():
-            self._spawn(loop)
+        self._tasks = [
+            self.monitor.start(self._presence.run, name="presence"),
+            self.monitor.start(self.coordinator.poll_engines, name="engine-polls"),
+        ]
         self.mesh.set_peers(self.directory.targets())
         self.store_source.reevaluate()
 
@@ -277,6 +278,7 @@
             evacuations=self.evacuations_feed,
             feed=self.feed,
             presence=self._presence,
+            monitor=self.monitor,
             clock=self._clock,
             rng=self._rng,
         )
@@ -399,6 +401,3 @@
     def _service_of(self, upstream: UpstreamId) -> ServiceId | None:
         entry = self.roster.get(upstream)
         return None if entry is None else entry.service
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 from functools import partial
 import random
@@ -130,8 +131,8 @@
         self._control.roster.replaced.subscribe(
             lambda replaced: self._platform.upstreams.forget(upstream=replaced)
         )
-        self._spawn(self._close_idle_connections())
-        self._spawn(self._host_limits.run())
+        self._spawn(self._close_idle_connections, name="idle-connections")
+        self._spawn(self._host_limits.run, name="host-limits")
         _log.info(
             "The host starts.",
             incarnation=self._control.incarnation,
@@ -171,7 +172,7 @@
         self._shutdown.begin(grace_s=self._settings.host.stop_grace_s)
         self._control.mesh.send_heartbeat()
         self._server.begin_shutdown()
-        self._spawn(self._control.withdraw())
+        self._spawn(self._control.withdraw, name="withdrawal")
         _log.info("The host stops.", running=self._dispatcher.running)
         await drain_requests(
             servers=(self._server, self._delegate_server),
@@ -205,7 +206,8 @@
         """Whether the host accepts new connections.
 
         A host that starts while the store is unavailable gets the configuration from peers but has
-        no upstreams. It would refuse callers that other hosts can serve immediately.
+        no upstreams. It would refuse callers that other hosts can serve immediately. A host one of
+        whose background tasks has ended may believe what no longer holds.
         """
         return (
             not self._shutdown.has_begun
@@ -213,6 +215,7 @@
             and self._control.roster.has_read
             and self._control.evacuations.has_read
             and self._host_limits.is_ready
+            and not self._control.monitor.ended
         )
 
     @property
@@ -292,5 +295,5 @@
             await self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
             self._server.close_idle()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
+    def _spawn(self, run: Callable[[], Coroutine[Any, Any, None]], *, name: str) -> None:
+        self._tasks.append(self._control.monitor.start(run, name=name))
--- a/src/tanagerscale/gateway/_store_followers.py
+++ b/src/tanagerscale/gateway/_store_followers.py
@@ -12,6 +12,7 @@
 
 from tanagerscale.coordination import ListFeed
 from tanagerscale.core import Clock
+from tanagerscale.core import TaskMonitor
 from tanagerscale.gateway._configuration import ConfigurationManager
 from tanagerscale.gateway._operator_keys import OperatorKeyListener
 from tanagerscale.gateway._platform import Platform
@@ -33,6 +34,7 @@
     :param evacuations: Receives the keys that evacuate failure domains.
     :param feed: Receives the entries of upstreams.
     :param presence: Receives the entries of hosts.
+    :param monitor: Starts followers again that end with an error.
     :param clock: Clock for pauses and retries.
     :param rng: Random number generator for retry jitter.
     """
@@ -45,6 +47,7 @@
         evacuations: ListFeed,
         feed: ListFeed,
         presence: HostPresence,
+        monitor: TaskMonitor,
         clock: Clock,
         rng: Random,
     ) -> None:
@@ -53,17 +56,20 @@
         self._feed = feed
         self._evacuations = evacuations
         self._presence = presence
+        self._monitor = monitor
         self._clock = clock
         self._rng = rng
 
     def loops(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return the coroutines that follow the store until they are cancelled."""
-        return (
-            self._follower(self._platform.operator_prefix, self._operator_keys()).run(),
-            self._follower(self._platform.registry_prefix, self._feed).run(),
-            self._follower(
-                self._presence.prefix, self._presence, rest_ms=HOST_WATCH_PAUSE_MS
-            ).run(),
+        followers = (
+            self._follower(self._platform.operator_prefix, self._operator_keys()),
+            self._follower(self._platform.registry_prefix, self._feed),
+            self._follower(self._presence.prefix, self._presence, rest_ms=HOST_WATCH_PAUSE_MS),
+        )
+        return tuple(
+            self._monitor.keep_running(one.run, name=f"follower-of-{one.prefix}")
+            for one in followers
         )
 
     async def is_store_available(self) -> bool:
--- a/src/tanagerscale/store/_follow.py
+++ b/src/tanagerscale/store/_follow.py
@@ -89,6 +89,11 @@
         self._read_at = Millis(0)
         self._is_listener_behind = False
 
+    @property
+    def prefix(self) -> str:
+        """Prefix of the keys."""
+        return self._prefix
+
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         while True:
--- a/testing/test_forwarding_protection.py
+++ b/testing/test_forwarding_protection.py
@@ -136,7 +136,7 @@
 
 @asynccontextmanager
 async def _run_departure_watch(harness: MoveHarness) -> AsyncIterator[None]:
-    task = asyncio.create_task(harness.coordinator.loops()[0])
+    task = asyncio.create_task(harness.coordinator.poll_engines())
     try:
         yield
     finally:
--- a/testing/test_host_limit_settings.py
+++ b/testing/test_host_limit_settings.py
@@ -156,6 +156,7 @@
                 roster=SimpleNamespace(has_read=True),
                 evacuations=SimpleNamespace(has_read=True),
                 mesh=SimpleNamespace(live=SimpleNamespace(value=())),
+                monitor=SimpleNamespace(ended=frozenset()),
             ),
         )
         assert _accepts(host)
