Decode what other processes write at one place

What operators saw: nothing yet. A configuration, an answer of the store, an entry of a host or a report of an engine that is nested too deeply ends the task that reads it, as an entry of an upstream did: the follower of the configuration, the renewal of a host's own entry, the poll of the engines or the check whether a host is cut off. A text of another host that isn't ASCII in the head of a delegated response raises ValueError, which fails the request with a traceback.

Cause: each decoder caught its own list of errors. msgspec raises RecursionError and UnicodeDecodeError beside its own, base64 raises ValueError beside binascii.Error, and both were known in four of eighteen places.

Ruled out: one tuple of errors that all catch. Decoders and conversions raise others too, such as OverflowError; a frame's CBOR decoder already caught all for that reason.

Change: entries, the configuration, the store's answers, engines' reports, copies and refusals, hosts' entries, frames, delegated requests and heads, claims, verdicts, audit records, heads of declarations, the host list and bodies of callers go through decode_json or attempt_decoding. Sections and chunks of declarations keep DECODE_ERRORS: their operators' own tool writes them, under a digest.

--- a/src/tanagerscale/audit/_trail.py
+++ b/src/tanagerscale/audit/_trail.py
@@ -8,6 +8,7 @@
 from returns.result import Success
 
 from tanagerscale.core import Revision
+from tanagerscale.core import decode_json
 from tanagerscale.generated.records import AuditRecord
 from tanagerscale.store import Store
 from tanagerscale.store import StoreError
@@ -37,10 +38,7 @@
 
 def decode_audit(*, value: bytes) -> AuditRecord | None:
     """Decode a stored record; return ``None`` if the value is not a valid record."""
-    try:
-        return msgspec.json.decode(value, type=AuditRecord)
-    except (msgspec.MsgspecError, ValueError, RecursionError):
-        return None
+    return decode_json(value, AuditRecord).value_or(None)
 
 
 async def find_audit(
--- a/src/tanagerscale/claims/_records.py
+++ b/src/tanagerscale/claims/_records.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from tanagerscale.claims._types import ClaimOutcome
+from tanagerscale.core import decode_json
 from tanagerscale.generated.records import ClaimRecord
 from tanagerscale.generated.records import ClaimState
 
@@ -24,10 +25,7 @@
 
     :returns: The claim; ``None`` if it is malformed.
     """
-    try:
-        return msgspec.json.decode(value, type=ClaimRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-        return None
+    return decode_json(value, ClaimRecord).value_or(None)
 
 
 def to_record(*, claimed: ClaimRecord, outcome: ClaimOutcome) -> ClaimRecord:
--- a/src/tanagerscale/declarations/_head.py
+++ b/src/tanagerscale/declarations/_head.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import msgspec
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from tanagerscale.core import decode_json
 from tanagerscale.declarations._errors import FollowError
 from tanagerscale.declarations._errors import FollowErrorKind
-from tanagerscale.declarations._sections import DECODE_ERRORS
 from tanagerscale.generated.records import Head
 
 MAX_HEAD_BYTES = 512 * 1024
@@ -21,10 +20,10 @@
 
     :param value: JSON from the store or from a peer.
     """
-    try:
-        head = msgspec.json.decode(value, type=Head)
-    except DECODE_ERRORS as error:
-        return Failure(_bad_head(reason=str(error)))
+    decoded = decode_json(value, Head)
+    if isinstance(decoded, Failure):
+        return Failure(_bad_head(reason=decoded.failure()))
+    head = decoded.unwrap()
     if head.revision < 1 or not 0 < len(head.chunks) <= MAX_CHUNKS:
         return Failure(_bad_head(reason="its revision or its number of chunks is out of range"))
     return Success(head)
--- a/src/tanagerscale/entry/_requests.py
+++ b/src/tanagerscale/entry/_requests.py
@@ -6,7 +6,6 @@
 import random
 from typing import final
 
-import msgspec
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -17,6 +16,7 @@
 from tanagerscale.core import ModelId
 from tanagerscale.core import Problem
 from tanagerscale.core import ProblemKind
+from tanagerscale.core import decode_json
 from tanagerscale.declarations import Declarations
 from tanagerscale.dispatch import GenerationRequest
 from tanagerscale.generated.callers import CompletionRequest
@@ -45,7 +45,6 @@
     def __init__(self, *, fingerprint_key: bytes, rng: random.Random) -> None:
         self._fingerprint_key = fingerprint_key
         self._rng = rng
-        self._decoder = msgspec.json.Decoder(CompletionRequest)
 
     def check(
         self,
@@ -66,10 +65,11 @@
         :returns: The decoded body and the generation request, or the problem to reject the request
             with.
         """
-        try:
-            completion_request = self._decoder.decode(body)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            return Failure(bad_request(f"Send a JSON body that fits docs/API.md: {error}."))
+        decoded = decode_json(body, CompletionRequest)
+        if isinstance(decoded, Failure):
+            cause = decoded.failure()
+            return Failure(bad_request(f"Send a JSON body that fits docs/API.md: {cause}."))
+        completion_request = decoded.unwrap()
         declared_account = declarations.accounts.get(account)
         model = declarations.models.get(ModelId(completion_request.model))
         if declared_account is None:
--- a/src/tanagerscale/gateway/_delegation_wire.py
+++ b/src/tanagerscale/gateway/_delegation_wire.py
@@ -4,16 +4,14 @@
 
 from base64 import b64decode
 from base64 import b64encode
-from binascii import Error as Base64Error
 from collections.abc import Sequence
 
 import msgspec
 from msgspec import Struct
-from returns.result import Failure
 from returns.result import Result
-from returns.result import Success
 
 from tanagerscale.core import Millis
+from tanagerscale.core import attempt_decoding
 from tanagerscale.forwarding import CallerRequest
 from tanagerscale.forwarding import DelegatedHead
 from tanagerscale.forwarding import Header
@@ -52,17 +50,20 @@
     :param data: The encoded request; it is untrusted.
     :param arrived: When it arrived.
     """
-    try:
-        wire = msgspec.msgpack.decode(data, type=_WireRequest)
-    except msgspec.DecodeError as error:
-        return Failure(f"The request can't be decoded ({error}); use hosts of one version.")
-    request = msgspec.structs.replace(
+    decoded = attempt_decoding(lambda: _decode_request(data, arrived))
+    return decoded.alt(
+        lambda cause: f"The request can't be decoded ({cause}); use hosts of one version."
+    )
+
+
+def _decode_request(data: bytes, arrived: Millis) -> CallerRequest:
+    wire = msgspec.msgpack.decode(data, type=_WireRequest)
+    return msgspec.structs.replace(
         wire.request,
         headers=tuple(_from_latin1(wire.request.headers)),
         arrived=arrived,
         time_left_ms=wire.time_left_ms,
     )
-    return Success(request)
 
 
 def encode_head(head: DelegatedHead) -> str:
@@ -73,11 +74,14 @@
 
 def decode_head(value: str) -> Result[DelegatedHead, str]:
     """Decode the head of a response."""
-    try:
-        head = msgspec.msgpack.decode(b64decode(value), type=DelegatedHead)
-    except (msgspec.DecodeError, Base64Error) as error:
-        return Failure(f"The response can't be decoded ({error}); use hosts of one version.")
-    return Success(msgspec.structs.replace(head, headers=_from_latin1(head.headers)))
+    return attempt_decoding(lambda: _decode_head(value)).alt(
+        lambda cause: f"The response can't be decoded ({cause}); use hosts of one version."
+    )
+
+
+def _decode_head(value: str) -> DelegatedHead:
+    head = msgspec.msgpack.decode(b64decode(value), type=DelegatedHead)
+    return msgspec.structs.replace(head, headers=_from_latin1(head.headers))
 
 
 def _to_latin1(headers: Sequence[Header]) -> list[Header]:
--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -18,6 +18,7 @@
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
+from tanagerscale.core import decode_json
 from tanagerscale.core import get_logger
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.generated.records import HostRecord
@@ -214,10 +215,12 @@
         """Do nothing; connections to other hosts do not depend on the store."""
 
     def _decode_record(self, entry: StoreEntry) -> None:
-        try:
-            self._records[entry.key] = msgspec.json.decode(entry.value, type=HostRecord)
-        except msgspec.DecodeError as error:
-            _log.warning("A host's entry could not be decoded.", key=entry.key, detail=str(error))
+        decoded = decode_json(entry.value, HostRecord)
+        if isinstance(decoded, Failure):
+            cause = decoded.failure()
+            _log.warning("A host's entry could not be decoded.", key=entry.key, detail=cause)
+            return
+        self._records[entry.key] = decoded.unwrap()
 
     def _publish(self, revision: StoreRevision) -> None:
         self._on_records(list(self._records.values()), revision)
--- a/src/tanagerscale/membership/_host_list.py
+++ b/src/tanagerscale/membership/_host_list.py
@@ -8,16 +8,15 @@
 from aiohttp import ClientError
 from aiohttp import ClientSession
 from aiohttp import ClientTimeout
-import msgspec
 from reactivex import Observable
 from reactivex.subject import BehaviorSubject
 from returns.result import Failure
 from returns.result import Result
-from returns.result import Success
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
+from tanagerscale.core import decode_json
 from tanagerscale.core import get_logger
 from tanagerscale.generated.upstream import HostList
 from tanagerscale.generated.upstream import ListedEntry
@@ -81,8 +80,8 @@
             async with session.get(self._url) as response:
                 response.raise_for_status()
                 body = await response.content.read(_MAX_LIST_BYTES)
-                return Success(msgspec.json.decode(body, type=HostList))
-        except (ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
+                return decode_json(body, HostList, max_bytes=_MAX_LIST_BYTES)
+        except (ClientError, OSError, TimeoutError) as error:
             return Failure(f"{type(error).__name__}: {error}")
 
     def _handle_result(self, result: Result[HostList, str]) -> None:
--- a/src/tanagerscale/membership/_wire.py
+++ b/src/tanagerscale/membership/_wire.py
@@ -12,8 +12,8 @@
 from msgspec import Struct
 from returns.result import Failure
 from returns.result import Result
-from returns.result import Success
 
+from tanagerscale.core import attempt_decoding
 from tanagerscale.generated.messages import AnswerTallies
 from tanagerscale.generated.messages import Ask
 from tanagerscale.generated.messages import Attached
@@ -130,18 +130,18 @@
     :param data: The received bytes; they are untrusted.
     :returns: The message, or the decoding error.
     """
-    try:
-        frame = cbor2.loads(
+    loaded = attempt_decoding(
+        lambda: cbor2.loads(
             data,
             max_depth=_MAX_DEPTH,
             allow_indefinite=False,
             allow_duplicate_keys=False,
             strict_hashable_types=True,
         )
-    # The decoder runs its own converters for CBOR's semantic tags, and each of them may raise any
-    # exception on hostile input.
-    except Exception as error:
-        return Failure(_build_malformed_error(f"The frame is no CBOR ({type(error).__name__})"))
+    )
+    if isinstance(loaded, Failure):
+        return Failure(_build_malformed_error(f"The frame is no CBOR ({loaded.failure()})"))
+    frame = loaded.unwrap()
     if not isinstance(frame, list) or len(frame) != _FRAME_ITEMS or not isinstance(frame[0], str):
         return Failure(_build_malformed_error("The frame is not a pair of a tag and a map"))
     tag, body = frame
@@ -149,12 +149,12 @@
     if kind is None:
         detail = "The peer speaks a newer version; update this host to understand its messages."
         return Failure(FrameError(kind=FrameErrorKind.UNKNOWN_TAG, detail=detail))
-    try:
-        return Success(msgspec.convert(body, type=kind))
-    except (msgspec.ValidationError, RecursionError) as error:
-        return Failure(
-            _build_malformed_error(f"The {kind.__name__} is not as the schema says ({error})")
+    converted = attempt_decoding(lambda: msgspec.convert(body, type=kind))
+    return converted.alt(
+        lambda cause: _build_malformed_error(
+            f"The {kind.__name__} is not as the schema says ({cause})"
         )
+    )
 
 
 def _build_malformed_error(cause: str) -> FrameError:
--- a/src/tanagerscale/platform/_configuration.py
+++ b/src/tanagerscale/platform/_configuration.py
@@ -5,7 +5,6 @@
 from collections.abc import Sequence
 from typing import Final
 
-import msgspec
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -16,6 +15,7 @@
 from tanagerscale.core import RegionId
 from tanagerscale.core import Revision
 from tanagerscale.core import ServiceId
+from tanagerscale.core import decode_json
 from tanagerscale.platform._wire import WireConfiguration
 from tanagerscale.platform._wire import WireEngine
 from tanagerscale.platform._wire import WireRoute
@@ -43,7 +43,6 @@
     "unsafe": RouteKind.NON_IDEMPOTENT,
     "streaming": RouteKind.STREAMING,
 }
-_decoder = msgspec.json.Decoder(WireConfiguration)
 
 
 def parse_evacuated_domain(key: str) -> FailureDomainId | None:
@@ -62,10 +61,11 @@
     :param value: JSON text.
     :returns: The configuration, or the reason why it cannot be decoded.
     """
-    try:
-        wire = _decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Failure(f"The configuration can't be read ({error}); the older one stays in force.")
+    decoded = decode_json(value, WireConfiguration)
+    if isinstance(decoded, Failure):
+        cause = decoded.failure()
+        return Failure(f"The configuration can't be read ({cause}); the older one stays in force.")
+    wire = decoded.unwrap()
     limits = wire.limits
     return Success(
         Configuration(
--- a/src/tanagerscale/platform/_engines.py
+++ b/src/tanagerscale/platform/_engines.py
@@ -16,6 +16,7 @@
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import RequestId
+from tanagerscale.core import decode_json
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import CopyError
 from tanagerscale.forwarding import CopyFailure
@@ -164,9 +165,12 @@
         try:
             label = ExchangeLabel(kind=ExchangeKind.REPORT, peer=upstream.upstream)
             reply, content = await self._call(label, upstream)
-            report = msgspec.json.decode(content, type=WireReport)
-        except (ExchangeError, TimeoutError, msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (ExchangeError, TimeoutError) as error:
             return Failure(f"The engine sent no report ({type(error).__name__}); try again later.")
+        decoded = decode_json(content, WireReport)
+        if isinstance(decoded, Failure):
+            return Failure(f"The report can't be decoded ({decoded.failure()}); try again later.")
+        report = decoded.unwrap()
         if _is_other_incarnation(upstream, report):
             return Failure("Another incarnation of the engine answered; use its newest entry.")
         self._publish_notice(upstream, reply)
@@ -179,13 +183,10 @@
         try:
             label = ExchangeLabel(kind=ExchangeKind.PROBE, peer=upstream.upstream)
             _, content = await self._call(label, upstream, force_new=force_new)
-            return not _is_other_incarnation(
-                upstream, msgspec.json.decode(content, type=WireReport)
-            )
         except (ExchangeError, TimeoutError):
             return False
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            return True
+        report = decode_json(content, WireReport).value_or(WireReport())
+        return not _is_other_incarnation(upstream, report)
 
     def forget(self, *, upstream: UpstreamEntry) -> None:
         """Close the idle connections to an incarnation of an upstream that has ended."""
@@ -231,11 +232,8 @@
 
 
 def _decode_copy_answer(content: bytes) -> WireMoved:
-    try:
-        return msgspec.json.decode(content, type=WireMoved)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        # Refusals have bodies of any format; only their status matters.
-        return WireMoved()
+    # Refusals have bodies of any format; only their status matters.
+    return decode_json(content, WireMoved).value_or(WireMoved())
 
 
 def _is_other_incarnation(upstream: UpstreamEntry, wire: WireReport) -> bool:
--- a/src/tanagerscale/platform/_store.py
+++ b/src/tanagerscale/platform/_store.py
@@ -20,6 +20,7 @@
 from returns.result import Success
 
 from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.core import decode_json
 from tanagerscale.platform._wire import WireChanges
 from tanagerscale.platform._wire import WireCommitted
 from tanagerscale.platform._wire import WireItem
@@ -302,11 +303,12 @@
     if reply.status != HTTP_OK:
         detail = f"The store answered {reply.status}; read the present state and try again."
         return Failure(StoreError(kind=StoreErrorKind.REFUSED, detail=detail))
-    try:
-        return Success(msgspec.json.decode(reply.body, type=kind))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        detail = f"The store's answer can't be read ({error}); try again after a pause."
-        return Failure(StoreError(kind=StoreErrorKind.UNCERTAIN, detail=detail))
+    return decode_json(reply.body, kind).alt(
+        lambda cause: StoreError(
+            kind=StoreErrorKind.UNCERTAIN,
+            detail=f"The store's answer can't be read ({cause}); try again after a pause.",
+        )
+    )
 
 
 def _to_entry(item: WireItem, era: int) -> StoreEntry:
--- a/src/tanagerscale/quarantine/_persistence.py
+++ b/src/tanagerscale/quarantine/_persistence.py
@@ -15,6 +15,7 @@
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
+from tanagerscale.core import decode_json
 from tanagerscale.generated.messages import Verdict
 from tanagerscale.store import ConditionalPut
 from tanagerscale.store import Store
@@ -104,7 +105,4 @@
 
     :returns: The verdict; ``None`` if it is malformed.
     """
-    try:
-        return msgspec.json.decode(value, type=Verdict)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-        return None
+    return decode_json(value, Verdict).value_or(None)
--- a/src/tanagerscale/store/_gateway.py
+++ b/src/tanagerscale/store/_gateway.py
@@ -16,6 +16,7 @@
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
+from tanagerscale.core import decode_json
 from tanagerscale.store._protocol import StoreError
 from tanagerscale.store._protocol import StoreErrorKind
 from tanagerscale.store._wire import ErrorResponse
@@ -29,6 +30,9 @@
 
 HTTP_OK: Final = 200
 
+MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
+"""A read or a batch of changes may contain all keys under a prefix."""
+
 NO_EFFECT_CODES: Final = frozenset(StatusCode)
 """Status codes with which the store rejects a call before applying it. Other codes (timeout, leader
 changed, unavailable) may be returned for a proposed write that still takes effect."""
@@ -158,16 +162,14 @@
 
 def decode(response_body: bytes, response_type: type[T]) -> Result[T, StoreError]:
     """Decode a successful response; a malformed one leaves the effect of the call uncertain."""
-    try:
-        return Success(msgspec.json.decode(response_body, type=response_type, strict=False))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-        return Failure(
-            StoreError(
-                kind=StoreErrorKind.UNCERTAIN,
-                detail="The store's answer breaks its protocol; check that [store] endpoints "
-                "name etcd v3 JSON gateways.",
-            )
+    decoded = decode_json(response_body, response_type, strict=False, max_bytes=MAX_RESPONSE_BYTES)
+    return decoded.alt(
+        lambda cause: StoreError(
+            kind=StoreErrorKind.UNCERTAIN,
+            detail=f"The store's answer breaks its protocol ({cause}); check that [store] "
+            "endpoints name etcd v3 JSON gateways.",
         )
+    )
 
 
 def classify_client_error(error: Exception) -> StoreError:
--- a/src/tanagerscale/store/_watch.py
+++ b/src/tanagerscale/store/_watch.py
@@ -14,6 +14,7 @@
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.store._gateway import HTTP_OK
+from tanagerscale.store._gateway import MAX_RESPONSE_BYTES
 from tanagerscale.store._gateway import GatewayClient
 from tanagerscale.store._gateway import classify_client_error
 from tanagerscale.store._gateway import classify_error_response
@@ -34,7 +35,6 @@
 from tanagerscale.store._wire import WatchResponse
 
 WATCH_PATH: Final = "/v3/watch"
-MAX_MESSAGE_BYTES: Final = 64 * 1024 * 1024
 LINE_END: Final = b"\n"
 
 
@@ -109,7 +109,7 @@
         try:
             async for chunk in response.content.iter_any():
                 self._buffer += chunk
-                if len(self._buffer) > MAX_MESSAGE_BYTES:
+                if len(self._buffer) > MAX_RESPONSE_BYTES:
                     break
                 for line in self._pop_lines():
                     result = _to_batch(line)
--- a/src/tanagerscale/upstreams/_http_engine.py
+++ b/src/tanagerscale/upstreams/_http_engine.py
@@ -13,6 +13,7 @@
 from returns.result import Success
 
 from tanagerscale.core import AttemptId
+from tanagerscale.core import decode_json
 from tanagerscale.generated.upstream import CacheEvents
 from tanagerscale.generated.upstream import EngineOrder
 from tanagerscale.generated.upstream import EngineRequest
@@ -64,7 +65,6 @@
         self._session = session
         self._poll_session = poll_session or session
         self._base = f"http://{address}"
-        self._event_decoder = msgspec.json.Decoder(TokenEvent)
         self._stall_timeout_s = stall_timeout_s
         self._stream_timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         self._call_timeout = aiohttp.ClientTimeout(
@@ -164,11 +164,10 @@
         *frames, pending = data.split(EVENT_END)
         if len(pending) > MAX_EVENT_BYTES:
             raise msgspec.ValidationError("An event is larger than the protocol allows.")
-        decode = self._event_decoder.decode
         # Keep-alive comments and markers such as [DONE] carry no token. If a token were skipped
         # with them, it would show up as a gap in the offsets.
         events = [
-            decode(frame[start + len(DATA_FIELD) :])
+            _decode_event(frame[start + len(DATA_FIELD) :])
             for frame in frames
             if (start := frame.find(DATA_OBJECT)) >= 0
         ]
@@ -251,14 +250,21 @@
     return None
 
 
+def _decode_event(document: bytes) -> TokenEvent:
+    decoded = decode_json(document, TokenEvent)
+    if isinstance(decoded, Failure):
+        raise msgspec.ValidationError(decoded.failure())
+    return decoded.unwrap()
+
+
 def _build_refusal_error(status: int, body: bytes) -> UpstreamError:
-    try:
-        refusal = msgspec.json.decode(body, type=Refusal)
-    except msgspec.MsgspecError:
+    decoded = decode_json(body, Refusal)
+    if isinstance(decoded, Failure):
         # Only a refusal as the protocol defines it proves that the call was not executed.
         return _build_error(
             UpstreamErrorKind.BROKEN, f"The engine answered {status} without a reason."
         )
+    refusal = decoded.unwrap()
     return UpstreamError(
         kind=UpstreamErrorKind.REFUSED,
         detail=f"The engine refused: {refusal.kind.value}.",
@@ -284,15 +290,10 @@
 def _decode(
     body: Result[bytes, UpstreamError], body_type: type[_Body]
 ) -> Result[_Body, UpstreamError]:
-    match body:
-        case Success(content):
-            try:
-                return Success(msgspec.json.decode(content, type=body_type))
-            except msgspec.MsgspecError as error:
-                return Failure(_build_error(UpstreamErrorKind.MALFORMED, str(error)))
-        case Failure(error):
-            return Failure(error)
-    raise AssertionError("A Result is a Success or a Failure.")
+    if isinstance(body, Failure):
+        return body
+    decoded = decode_json(body.unwrap(), body_type)
+    return decoded.alt(lambda cause: _build_error(UpstreamErrorKind.MALFORMED, cause))
 
 
 _STALLED = _build_error(UpstreamErrorKind.STALLED, "No byte came in the time allowed.")
--- a/src/tanagerscale/upstreams/_http_service.py
+++ b/src/tanagerscale/upstreams/_http_service.py
@@ -6,12 +6,12 @@
 from typing import final
 
 import aiohttp
-import msgspec
 from msgspec import Struct
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from tanagerscale.core import decode_json
 from tanagerscale.generated.upstream import Refusal
 from tanagerscale.upstreams._http_engine import CONNECT_TIMEOUT_S
 from tanagerscale.upstreams._protocol import UpstreamError
@@ -142,10 +142,7 @@
 
 
 def _parse_refusal(body: bytes) -> Refusal | None:
-    try:
-        return msgspec.json.decode(body, type=Refusal)
-    except msgspec.MsgspecError:
-        return None
+    return decode_json(body, Refusal).value_or(None)
 
 
 def _build_failure(kind: UpstreamErrorKind, detail: str) -> Result[ServiceResponse, UpstreamError]:
