Bound the numbers that other processes write

What operators saw: entries of upstreams with a slots or a sequence of 10^30 were taken as engines. What sends such a number on fails later and elsewhere: MessagePack encodes integers up to 2^64 only, so the notice that such an upstream leaves raises OverflowError in the task that reads the list. A caller's header of 1e300 tokens reached the decider, which counts tokens of all requests.

Cause: none of these numbers had an upper bound, and the tokens of callers and of a report's runs had no lower one either.

Ruled out: bounds at each use, which there are dozens of. A bound of 2^53 for leases: a store may give out random ones of 63 bits (test_lease_is_kept_when_its_number_is_large failed with it).

Change: types with bounds where the numbers are decoded. What lies outside is rejected: an entry, a configuration, a report or an answer as a whole, a caller's field as one that is malformed. Runs of a report are decoded by type; fields that nothing reads are no longer decoded.

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -32,6 +32,12 @@
 from tanagerscale.core._line_log import set_up_json_lines_log
 from tanagerscale.core._log import get_logger
 from tanagerscale.core._log import set_up_logging
+from tanagerscale.core._numbers import Amount
+from tanagerscale.core._numbers import BoundedFloat
+from tanagerscale.core._numbers import BoundedInt
+from tanagerscale.core._numbers import Count
+from tanagerscale.core._numbers import UnixMillis
+from tanagerscale.core._numbers import parse_number
 from tanagerscale.core._sockets import enable_tcp_keepalive
 from tanagerscale.core._task_monitor import TaskMonitor
 from tanagerscale.core._tasks import TaskStackGroup
@@ -40,9 +46,13 @@
 
 __all__ = [
     "MS_PER_SECOND",
+    "Amount",
     "AttemptId",
+    "BoundedFloat",
+    "BoundedInt",
     "ClientAccountId",
     "Clock",
+    "Count",
     "Execution",
     "FailureDomainId",
     "GenerationId",
@@ -59,6 +69,7 @@
     "TaskMonitor",
     "TaskStackGroup",
     "UnexpectedErrorCollector",
+    "UnixMillis",
     "UpstreamId",
     "UpstreamName",
     "WallMillis",
@@ -69,6 +80,7 @@
     "group_tasks_by_stack",
     "log_tasks",
     "new_id",
+    "parse_number",
     "record_unexpected_error",
     "run_contained",
     "set_up_json_lines_log",
--- a/src/tanagerscale/platform/_callers.py
+++ b/src/tanagerscale/platform/_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Final
 from typing import final
 
@@ -13,6 +14,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import ModelId
 from tanagerscale.core import RequestId
+from tanagerscale.core import parse_number
 from tanagerscale.forwarding import CallerRequest
 from tanagerscale.forwarding import Demand
 from tanagerscale.forwarding import Header
@@ -30,6 +32,11 @@
 
 BEARER: Final = "bearer "
 
+MAX_TOKENS: Final = 1_000_000_000
+"""More than the memory of any engine holds."""
+MAX_TIME_LEFT_MS: Final = 86_400_000
+"""One day, more than the timeout of any route."""
+
 _NO_ID: Final = Refusal(
     kind=RefusalKind.BAD_REQUEST, detail=f"Send an id of the request in {REQUEST_ID}."
 )
@@ -70,9 +77,11 @@
         headers=forwarded_request_headers(headers, headers.items()),
         body=body,
         key=_parse_bearer_token(headers.get("Authorization", "")),
-        time_left_ms=_parse_int(headers.get(TIME_LEFT, "")),
+        time_left_ms=parse_number(
+            headers.get(TIME_LEFT, ""), minimum=-MAX_TIME_LEFT_MS, maximum=MAX_TIME_LEFT_MS
+        ),
         arrived=arrived,
-        demand=_decode_demand(request),
+        demand=_decode_demand(headers),
         resume_after=headers.get(LAST_EVENT, ""),
     )
 
@@ -83,25 +92,17 @@
     return field[len(BEARER) :].strip()
 
 
-def _parse_int(text: str) -> int | None:
-    try:
-        return int(float(text))
-    except (ValueError, OverflowError):
-        return None
-
-
-def _decode_demand(request: web.BaseRequest) -> Demand | None:
-    headers = request.headers
+def _decode_demand(headers: Mapping[str, str]) -> Demand | None:
     prompt, _, maximum = headers.get(TOKENS, "").partition(",")
-    prompt_tokens = _parse_int(prompt)
-    max_tokens = _parse_int(maximum)
+    prompt_tokens = parse_number(prompt, maximum=MAX_TOKENS)
+    max_tokens = parse_number(maximum, maximum=MAX_TOKENS)
     if prompt_tokens is None or max_tokens is None:
         return None
     return Demand(
         model=ModelId(headers.get(MODEL, "")),
         prompt_tokens=prompt_tokens,
         max_tokens=max_tokens,
-        expected_tokens=_parse_int(headers.get(EXPECTED_LENGTH, "")),
+        expected_tokens=parse_number(headers.get(EXPECTED_LENGTH, ""), maximum=MAX_TOKENS),
         parts=_parse_prompt_parts(headers.get(PROMPT_PARTS, "")),
     )
 
@@ -110,7 +111,7 @@
     parts = []
     for entry in field.split(","):
         part, _, tokens = entry.strip().partition(":")
-        length = _parse_int(tokens)
+        length = parse_number(tokens, maximum=MAX_TOKENS)
         if part and length is not None:
             parts.append(PromptPart(part=part, tokens=length))
     return tuple(parts)
--- a/src/tanagerscale/platform/_engines.py
+++ b/src/tanagerscale/platform/_engines.py
@@ -176,7 +176,7 @@
         self._publish_notice(upstream, reply)
         if reply.status != HTTP_OK:
             return Failure(f"The engine responded with status {reply.status}; try again later.")
-        return _to_report(upstream, report)
+        return Success(_to_report(upstream, report))
 
     async def probe(self, *, upstream: UpstreamEntry, force_new: bool = False) -> bool:
         """Return whether this incarnation of an upstream answers, whatever it says."""
@@ -240,25 +240,19 @@
     return bool(upstream.started_ms) and wire.born not in (msgspec.UNSET, upstream.started_ms)
 
 
-def _to_report(upstream: UpstreamEntry, wire: WireReport) -> Result[EngineReport, str]:
-    try:
-        runs = tuple(
-            RunState(request=RequestId(str(run[0])), tokens=int(run[1]), events=int(run[2]))
+def _to_report(upstream: UpstreamEntry, wire: WireReport) -> EngineReport:
+    return EngineReport(
+        upstream=upstream.upstream,
+        waiting=wire.waiting,
+        running=wire.running,
+        used_tokens=int(wire.kv_cache_used),
+        total_tokens=int(wire.kv_cache_total),
+        leaves_in_ms=None if wire.leaves_ms is None else int(wire.leaves_ms),
+        is_leaving=wire.state == "draining",
+        runs=tuple(
+            RunState(request=RequestId(run.id), tokens=int(run.tokens), events=run.events)
             for run in wire.runs
-        )
-    except (IndexError, TypeError, ValueError) as error:
-        return Failure(f"The report's runs can't be decoded ({error}); try again later.")
-    return Success(
-        EngineReport(
-            upstream=upstream.upstream,
-            waiting=wire.waiting,
-            running=wire.running,
-            used_tokens=int(wire.kv_cache_used),
-            total_tokens=int(wire.kv_cache_total),
-            leaves_in_ms=None if wire.leaves_ms is None else int(wire.leaves_ms),
-            is_leaving=wire.state == "draining",
-            runs=runs,
-        )
+        ),
     )
 
 
--- a/src/tanagerscale/store/__init__.py
+++ b/src/tanagerscale/store/__init__.py
@@ -18,6 +18,8 @@
 from tanagerscale.store._protocol import WatchBatch
 from tanagerscale.store._protocol import uncertain_error
 from tanagerscale.store._protocol import unreachable_error
+from tanagerscale.store._revision import LeaseNumber
+from tanagerscale.store._revision import RevisionNumber
 from tanagerscale.store._revision import StoreRevision
 from tanagerscale.store._revision import era_of
 from tanagerscale.store._revision import format_revision
@@ -30,9 +32,11 @@
     "EraTracker",
     "EtcdStore",
     "LeaseId",
+    "LeaseNumber",
     "PrefixFollower",
     "PrefixListener",
     "PutOutcome",
+    "RevisionNumber",
     "Store",
     "StoreEntry",
     "StoreError",
--- a/src/tanagerscale/store/_revision.py
+++ b/src/tanagerscale/store/_revision.py
@@ -8,9 +8,12 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import Final
 from typing import NewType
 
+import msgspec
+
 StoreRevision = NewType("StoreRevision", int)
 """Era and revision number of a store. In a store without eras it equals the revision number."""
 
@@ -18,6 +21,12 @@
 """Bits of the number. Eras up to 32,767 keep the whole within the 63 bits of an integer in
 messages."""
 
+RevisionNumber = Annotated[int, msgspec.Meta(ge=0, lt=2**NUMBER_BITS)]
+"""Revision number as the store writes it."""
+
+LeaseNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+"""Number of a lease as the store writes it; it may be random."""
+
 
 def make_revision(*, era: int, number: int) -> StoreRevision:
     """Return the revision with a number in an era.
