Go on after an unexpected error of one peer, engine or check

One error ended the heartbeats of a host, its dialing of one address for good, its check of pending requests for a configuration, or its poll of all engines while the store delivers no changes. The address of a host comes from an entry in the store, and reports come from engines: both are foreign input.

Cause: these loops catch the errors that they expect and no others, and the poll gathers the reports of all engines without separating their errors. TaskMonitor starts only the tasks again that a host starts itself, and a second without heartbeats counts.

Ruled out: TaskMonitor for these, too: the pause of a second is longer than a coordinator's heartbeat, and dialers and sessions come and go with their peers.

Change: run_contained around each beat, check and message, and a record of each error of a dial or a poll, with the line and the count that all unexpected errors have.

--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -29,6 +29,7 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
+from tanagerscale.core import record_unexpected_error
 from tanagerscale.generated.messages import DelegatesAnswer
 from tanagerscale.generated.messages import DelegatesAsk
 from tanagerscale.generated.messages import HostRuns
@@ -254,7 +255,10 @@
                 int(POLL_INTERVAL_MS * self._context.rng.uniform(0.5, 1.5))
             )
             if self._is_store_stale.is_set():
-                await asyncio.gather(*(self.query_engine(one) for one in self._engines_in_use()))
+                queries = (self.query_engine(one) for one in self._engines_in_use())
+                for error in await asyncio.gather(*queries, return_exceptions=True):
+                    if isinstance(error, Exception):
+                        record_unexpected_error("engine-polls", error)
 
     async def query_engine(self, upstream: UpstreamId) -> None:
         """Query whether an engine is leaving, and record its answer."""
--- a/src/tanagerscale/membership/_head_replication.py
+++ b/src/tanagerscale/membership/_head_replication.py
@@ -22,6 +22,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import Revision
 from tanagerscale.core import get_logger
+from tanagerscale.core import run_contained
 from tanagerscale.generated.messages import HeadAnnouncement
 from tanagerscale.generated.messages import HeadContent
 from tanagerscale.generated.messages import HeadRequest
@@ -251,10 +252,13 @@
     async def _check_forever(self) -> None:
         while True:
             await self._clock.sleep(self._check_interval_ms)
-            self._request_if_behind()
-            all_reported = self._revisions.keys() >= self._live
-            if self._are_hosts_known and self._network.has_tried_all and all_reported:
-                self._follower.peers_agree(revisions=tuple(self._revisions.values()))
+            run_contained("head-replication", self._check)
+
+    def _check(self) -> None:
+        self._request_if_behind()
+        all_reported = self._revisions.keys() >= self._live
+        if self._are_hosts_known and self._network.has_tried_all and all_reported:
+            self._follower.peers_agree(revisions=tuple(self._revisions.values()))
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
--- a/src/tanagerscale/membership/_mesh.py
+++ b/src/tanagerscale/membership/_mesh.py
@@ -21,6 +21,8 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import Revision
 from tanagerscale.core import get_logger
+from tanagerscale.core import record_unexpected_error
+from tanagerscale.core import run_contained
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import Hello
 from tanagerscale.membership._link import CloseReason
@@ -217,10 +219,13 @@
     async def _send_heartbeats_forever(self) -> None:
         while True:
             await self._clock.sleep(int(self._interval_ms * self._rng.uniform(*_HEARTBEAT_JITTER)))
-            self._interval_ms = self._get_heartbeat_interval_ms(len(self._sessions))
-            if self._closes_unwanted:
-                self._close_unwanted()
-            self.send_heartbeat()
+            run_contained("mesh", self._send_due_heartbeat)
+
+    def _send_due_heartbeat(self) -> None:
+        self._interval_ms = self._get_heartbeat_interval_ms(len(self._sessions))
+        if self._closes_unwanted:
+            self._close_unwanted()
+        self.send_heartbeat()
 
     def _close_unwanted(self) -> None:
         """Close connections that this host made and has not wanted for the grace period."""
@@ -261,13 +266,21 @@
                 backoff = _MIN_BACKOFF_MS
             else:
                 started = self._clock.now()
-                if await self._connect_once(address=address) is CloseReason.SELF:
+                if await self._try_to_connect(address=address) is CloseReason.SELF:
                     return
                 if self._clock.now() - started > _MAX_BACKOFF_MS:
                     backoff = _MIN_BACKOFF_MS
             await self._clock.sleep(int(backoff * self._rng.uniform(0.5, 1.5)))
             backoff = min(2 * backoff, _MAX_BACKOFF_MS)
 
+    async def _try_to_connect(self, *, address: str) -> CloseReason:
+        try:
+            return await self._connect_once(address=address)
+        # The address is dialed again, whatever was wrong this time.
+        except Exception as error:
+            record_unexpected_error("mesh", error, address=address)
+            return CloseReason.BROKEN
+
     async def _connect_once(self, *, address: str) -> CloseReason:
         try:
             link = await self._transport.connect(address=address)
--- a/src/tanagerscale/membership/_session.py
+++ b/src/tanagerscale/membership/_session.py
@@ -14,6 +14,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import Revision
 from tanagerscale.core import get_logger
+from tanagerscale.core import run_contained
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import Hello
 from tanagerscale.membership._link import CloseReason
@@ -177,11 +178,12 @@
     def _deliver(self, message: Message) -> None:
         if isinstance(message, Heartbeat):
             self._handle_heartbeat(message)
-        try:
-            self._on_message(self._peer.host, message)
         # A failing subscriber must not disconnect the host from its peers.
-        except Exception:
-            log.exception("Message handler failed.", kind=type(message).__name__)
+        run_contained(
+            "peer-messages",
+            lambda: self._on_message(self._peer.host, message),
+            kind=type(message).__name__,
+        )
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._interval_ms = heartbeat.next_ms
