--- a/testing/test_contained_loops.py
+++ b/testing/test_contained_loops.py
@@ -22,6 +22,8 @@
 from tanagerscale.membership import Link
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import PeerAddress
+from tanagerscale.membership import decode_frame
+from tanagerscale.membership import encode_frame
 from tanagerscale.upstreams import EngineReport
 from tanagerscale.upstreams import UpstreamEntry
 from testing._gateway_fakes import FakeEngines
@@ -117,6 +119,12 @@
     run_virtually(run())
 
 
+@pytest.mark.parametrize("next_ms", [0, -1, 10**7, 2**63, 10**400])
+def test_heartbeat_whose_interval_is_out_of_range_is_malformed(next_ms: int) -> None:
+    frame = encode_frame(Heartbeat(revision=0, next_ms=next_ms))
+    assert isinstance(decode_frame(frame), Failure)
+
+
 class FailingFollower:
     """Fails to take the revisions on which all peers agree."""
 
