Apply evacuations also when the configuration beside them fails

What operators saw: nothing. A configuration that decodes, but that a component fails to take, kept the evacuations of the same read or batch from being applied, as the revision had been recorded.

Cause: the listener of the operators' keys passes on the configuration first, and its error ends the pass.

Ruled out: containing the error there. The follower contains it, and has to know of it to read all keys again.

Seen to fail before: test_evacuations_are_applied_when_the_configuration_fails ("assert [] == ['op/evacuate/a']"), for a read and for a batch. Both pass after.

--- a/src/tanagerscale/gateway/_operator_keys.py
+++ b/src/tanagerscale/gateway/_operator_keys.py
@@ -40,22 +40,23 @@
 
     def on_snapshot(self, snapshot: StoreRange) -> None:
         """Replace all known keys by a snapshot."""
-        self._configuration.on_snapshot(
-            replace(snapshot, entries=self._configuration_entries(snapshot.entries))
-        )
+        # Evacuations come first: they are decoded from keys alone, and the configuration may fail.
         self._evacuations.on_snapshot(
             replace(snapshot, entries=self._evacuation_entries(snapshot.entries))
         )
+        self._configuration.on_snapshot(
+            replace(snapshot, entries=self._configuration_entries(snapshot.entries))
+        )
 
     def on_changes(self, batch: WatchBatch) -> None:
         """Apply changes."""
-        configured = self._configuration_entries(batch.entries)
-        if configured:
-            self._configuration.on_changes(replace(batch, entries=configured, deleted=()))
         evacuated = self._evacuation_entries(batch.entries)
         ended = tuple(key for key in batch.deleted if self._evacuated_domain(key) is not None)
         if evacuated or ended:
             self._evacuations.on_changes(replace(batch, entries=evacuated, deleted=ended))
+        configured = self._configuration_entries(batch.entries)
+        if configured:
+            self._configuration.on_changes(replace(batch, entries=configured, deleted=()))
 
     def on_reachability_changed(self, *, reachable: bool) -> None:
         """Pass on whether the store is reachable."""
--- a/testing/test_odd_entries_follow.py
+++ b/testing/test_odd_entries_follow.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from random import Random
 from typing import Final
 
@@ -19,6 +20,7 @@
 from tanagerscale.core import UpstreamName
 from tanagerscale.core import run_contained
 from tanagerscale.core import unexpected_errors
+from tanagerscale.gateway._operator_keys import OperatorKeyListener
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import ListContent
 from tanagerscale.generated.messages import ListRequest
@@ -27,8 +29,12 @@
 from tanagerscale.membership import Message
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.membership import UpstreamRoster
+from tanagerscale.platform._configuration import CONFIGURATION_KEY
+from tanagerscale.platform._configuration import EVACUATION_PREFIX
+from tanagerscale.platform._configuration import parse_evacuated_domain
 from tanagerscale.store import ConditionalPut
 from tanagerscale.store import PrefixFollower
+from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
 from tanagerscale.store import WatchBatch
@@ -272,3 +278,33 @@
         assert not task.done()
 
     run_virtually(run())
+
+
+def _entry(key: str, value: bytes) -> StoreEntry:
+    at = StoreRevision(1)
+    return StoreEntry(key=key, value=value, create_revision=at, mod_revision=at)
+
+
+# Guards against an evacuation that is not applied because a configuration beside it is odd.
+@pytest.mark.parametrize("is_snapshot", [True, False])
+def test_evacuations_are_applied_when_the_configuration_fails(is_snapshot: bool) -> None:
+    failing, evacuations = FailingListener(), FailingListener()
+    failing.failures = 1
+    listener = OperatorKeyListener(
+        configuration_key=CONFIGURATION_KEY,
+        configuration=failing,
+        parse_evacuated_domain=parse_evacuated_domain,
+        evacuations=evacuations,
+    )
+    entries = (_entry(CONFIGURATION_KEY, b"{}"), _entry(f"{EVACUATION_PREFIX}a", b"1"))
+    revision = StoreRevision(1)
+    deliver = (
+        partial(listener.on_snapshot, StoreRange(entries=entries, revision=revision))
+        if is_snapshot
+        else partial(
+            listener.on_changes, WatchBatch(entries=entries, deleted=(), revision=revision)
+        )
+    )
+    with pytest.raises(ArithmeticError):
+        deliver()
+    assert list(evacuations.known) == [f"{EVACUATION_PREFIX}a"]
