--- a/src/tanagerscale/membership/_websocket.py
+++ b/src/tanagerscale/membership/_websocket.py
@@ -15,6 +15,7 @@
 
 from tanagerscale.core import enable_tcp_keepalive
 from tanagerscale.generated.settings import TlsSection
+from tanagerscale.ini import check_address
 from tanagerscale.membership._link import CLOSE_REASON_TEXTS
 from tanagerscale.membership._link import CloseReason
 from tanagerscale.membership._link import Link
@@ -105,6 +106,9 @@
 
     async def connect(self, *, address: str) -> Link:
         """Open a connection."""
+        # Addresses come from entries of hosts, which other writers may write, too.
+        if check_address(address=address):
+            raise LinkClosedError(CloseReason.BROKEN)
         scheme = "ws" if self._client_ssl is None else "wss"
         try:
             connection = await connect(
--- a/testing/test_odd_entries_follow.py
+++ b/testing/test_odd_entries_follow.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from functools import partial
+import json
 from random import Random
 from typing import Final
 
@@ -21,14 +23,18 @@
 from tanagerscale.core import run_contained
 from tanagerscale.core import unexpected_errors
 from tanagerscale.gateway._operator_keys import OperatorKeyListener
+from tanagerscale.gateway._presence import HostPresence
 from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.generated.messages import ListContent
 from tanagerscale.generated.messages import ListRequest
 from tanagerscale.generated.messages import ListTopic
+from tanagerscale.generated.records import HostRecord
 from tanagerscale.membership import Evacuations
+from tanagerscale.membership import LinkClosedError
 from tanagerscale.membership import Message
 from tanagerscale.membership import UpstreamGate
 from tanagerscale.membership import UpstreamRoster
+from tanagerscale.membership._websocket import WebSocketTransport
 from tanagerscale.platform._configuration import CONFIGURATION_KEY
 from tanagerscale.platform._configuration import EVACUATION_PREFIX
 from tanagerscale.platform._configuration import parse_evacuated_domain
@@ -308,3 +314,47 @@
     with pytest.raises(ArithmeticError):
         deliver()
     assert list(evacuations.known) == [f"{EVACUATION_PREFIX}a"]
+
+
+HOST = {"host": "b", "peers": "127.0.0.1:7000", "incarnation": 1}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"incarnation": 10**30},
+        {"incarnation": -1},
+        {"cores": 10**300},
+        {"cores": -1},
+        {"host": ""},
+    ],
+    ids=str,
+)
+def test_entry_of_a_host_that_is_out_of_range_is_left_out(change: dict[str, object]) -> None:
+    async def run() -> None:
+        known: list[Sequence[HostRecord]] = []
+        presence = HostPresence(
+            store=FakeStore(),
+            prefix="p/",
+            record=HostRecord(host="a", peers="127.0.0.1:1", incarnation=1),
+            on_records=lambda records, _: known.append(records),
+            clock=Clock(),
+            rng=Random(1),
+        )
+        odd = _entry("p/hosts/odd", json.dumps(HOST | change).encode())
+        sound = _entry("p/hosts/b", json.dumps(HOST).encode())
+        revision = StoreRevision(1)
+        presence.on_snapshot(StoreRange(entries=(odd, sound), revision=revision))
+        presence.on_changes(WatchBatch(entries=(odd, sound), deleted=(), revision=revision))
+        assert [[record.host for record in records] for records in known] == [["b"], ["b"]]
+
+    run_virtually(run())
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:70000", "127.0.0.1:" + "9" * 5000, "x/y", ""])
+def test_connection_fails_as_any_other_when_the_address_of_a_host_is_invalid(address: str) -> None:
+    async def run() -> None:
+        with pytest.raises(LinkClosedError):
+            await WebSocketTransport().connect(address=address)
+
+    asyncio.run(run())
