Let all hosts decide alike on entries that are not UTF-8

What operators saw: nothing. An upstream whose entry has an invalid byte in a text was refused by the hosts that read the store and taken by those that get the entries from them. Invalid bytes in a field that nobody uses were accepted by all.

Cause: an entry is passed on with invalid bytes replaced, which makes its texts valid; msgspec doesn't check what it skips.

Change: such an entry is passed on as an empty value, which no host decodes, and decode_json refuses documents that aren't UTF-8 as a whole.

Seen to fail before: test_hosts_that_follow_another_decide_as_it_does_when_an_entry_is_not_utf_8, four of four ("assert False"). All pass after.

--- a/src/tanagerscale/coordination/_feed_entries.py
+++ b/src/tanagerscale/coordination/_feed_entries.py
@@ -51,8 +51,11 @@
 
 def to_item(entry: StoreEntry) -> ListedItem:
     """Return the form of an entry in messages."""
-    # Invalid UTF-8 can't be parsed by any host, and remains invalid after characters are replaced.
-    value = entry.value.decode(errors="replace")
+    try:
+        value = entry.value.decode()
+    except UnicodeDecodeError:
+        # No host can decode it, and none can decode an empty value.
+        value = ""
     return ListedItem(key=entry.key, value=value, revision=entry.mod_revision)
 
 
--- a/src/tanagerscale/core/_decoding.py
+++ b/src/tanagerscale/core/_decoding.py
@@ -51,7 +51,7 @@
         return Failure(f"it has {len(data)} bytes, and at most {max_bytes} are allowed")
     if _is_too_deep(data):
         return Failure(f"it is nested more than {MAX_DEPTH} levels deep")
-    return attempt_decoding(lambda: msgspec.json.decode(data, type=kind, strict=strict))
+    return attempt_decoding(lambda: _decode_utf8_json(data, kind, strict))
 
 
 def attempt_decoding(decode: Callable[[], T]) -> Result[T, str]:
@@ -67,6 +67,13 @@
         return Failure((str(error) or type(error).__name__)[:MAX_REASON_CHARS])
 
 
+def _decode_utf8_json(data: bytes, kind: type[T], strict: bool) -> T:
+    if not data.isascii():
+        # The decoder does not check what it skips.
+        data.decode()
+    return msgspec.json.decode(data, type=kind, strict=strict)
+
+
 def _is_too_deep(document: bytes) -> bool:
     """Return whether a document has too many levels of arrays and objects."""
     if document.count(b"[") + document.count(b"{") <= MAX_DEPTH:
--- a/testing/test_odd_entries_follow.py
+++ b/testing/test_odd_entries_follow.py
@@ -12,9 +12,12 @@
 import logbook
 from prometheus_client import CollectorRegistry
 import pytest
+from returns.result import Failure
 from returns.result import Result
 
 from tanagerscale.coordination import ListFeed
+from tanagerscale.coordination._feed_entries import to_entry
+from tanagerscale.coordination._feed_entries import to_item
 from tanagerscale.coordination._listener_sync import RESYNC_DELAY_MS
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
@@ -38,6 +41,7 @@
 from tanagerscale.platform._configuration import CONFIGURATION_KEY
 from tanagerscale.platform._configuration import EVACUATION_PREFIX
 from tanagerscale.platform._configuration import parse_evacuated_domain
+from tanagerscale.platform._registry import decode_entry
 from tanagerscale.store import ConditionalPut
 from tanagerscale.store import PrefixFollower
 from tanagerscale.store import StoreEntry
@@ -50,6 +54,7 @@
 from testing._listed_upstreams import SERVICE
 from testing._listed_upstreams import decode_store_entry
 from testing._virtual_time import run_virtually
+from testing.test_odd_entries import ENTRY
 
 MEMBER: Final = HostId("member")
 SETTLE_S: Final = 0.1
@@ -358,3 +363,13 @@
             await WebSocketTransport().connect(address=address)
 
     asyncio.run(run())
+
+
+# Guards against hosts that take an upstream which the hosts that read the store refuse.
+@pytest.mark.parametrize("field", ["service", "zone", "version", "unknown"])
+def test_hosts_that_follow_another_decide_as_it_does_when_an_entry_is_not_utf_8(field: str) -> None:
+    text = json.dumps(ENTRY | {field: "\u00ff"}, ensure_ascii=False)
+    value = text.encode("latin-1")
+    relayed = to_entry(to_item(_entry("servers/a", value))).value
+    assert isinstance(decode_entry("servers/a", value), Failure)
+    assert isinstance(decode_entry("servers/a", relayed), Failure)
