Poll an engine again after a report that its owner failed to take

One unexpected error ended the poll of an engine of the product's own interface until another host owned it.

Cause: the poll is one task for each engine, and its errors end it.

Ruled out: containing each report, as the poll has state between two of them that an error leaves undefined; TaskMonitor starts it anew.

Seen to fail before: test_engine_is_polled_again_when_its_report_failed_unexpectedly ("assert 1 > 1"). It passes after.

--- a/src/tanagerscale/routing/_poller.py
+++ b/src/tanagerscale/routing/_poller.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import final
 
 from returns.result import Success
 
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
+from tanagerscale.core import TaskMonitor
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
 from tanagerscale.generated.upstream import CacheEvents
@@ -50,6 +52,7 @@
         self._clock = clock
         self._gate = gate
         self._get_owner = get_owner
+        self._monitor = TaskMonitor(clock=clock)
         self._tasks: dict[UpstreamId, asyncio.Task[None]] = {}
 
     def set_engines(self, engines: frozenset[UpstreamId]) -> None:
@@ -59,9 +62,8 @@
         for engine in self._tasks.keys() - engines:
             self._tasks.pop(engine).cancel()
         for engine in engines - self._tasks.keys():
-            self._tasks[engine] = asyncio.create_task(
-                self._poll(engine=engine, get_client=self._get_client)
-            )
+            poll = partial(self._poll, engine=engine, get_client=self._get_client)
+            self._tasks[engine] = self._monitor.start(poll, name="engine-poll")
 
     async def stop(self) -> None:
         """Stop polling."""
--- a/testing/test_routing_poller.py
+++ b/testing/test_routing_poller.py
@@ -143,3 +143,23 @@
     harness.pollers.set_engines(frozenset())
     await asyncio.sleep(5)
     assert harness.engines[1].reads <= 3
+
+
+# Guards against an engine that is not polled again after one report that its owner fails to take.
+async def test_engine_is_polled_again_when_its_report_failed_unexpectedly(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness = _start_harness()
+    await asyncio.sleep(0.1)
+    on_load = FakeCellOwner.on_load
+
+    def fail(_owner: FakeCellOwner, _load: EngineLoad) -> None:
+        raise ArithmeticError("This was not expected.")
+
+    monkeypatch.setattr(FakeCellOwner, "on_load", fail)
+    await asyncio.sleep(1)
+    monkeypatch.setattr(FakeCellOwner, "on_load", on_load)
+    known = len(harness.owner.loads)
+    await asyncio.sleep(5)
+    assert len(harness.owner.loads) > known
+    await harness.pollers.stop()
