Let the probe of one upstream fail without ending the check of the path

What operators saw: nothing. A host that was cut off, and whose check ended with an unexpected error of a probe, stayed cut off: it gets no requests then, so that nothing starts another check.

Cause: the probes of several upstreams run together, and the error of one ends them all and the check.

Ruled out: starting the check again after a pause: the same upstream would end it again before another one has answered.

Seen to fail before: test_host_finds_a_path_when_the_probe_of_another_upstream_fails_unexpectedly ("assert False" on is_cut_off). It passes after.

--- a/src/tanagerscale/upstreams/_paths.py
+++ b/src/tanagerscale/upstreams/_paths.py
@@ -24,6 +24,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
+from tanagerscale.core import record_unexpected_error
 from tanagerscale.upstreams._entries import UpstreamEntry
 
 MIN_UNREACHED: Final = 2
@@ -140,7 +141,7 @@
         :param entries: The upstreams.
         :param force_new: Whether to open new connections instead of reusing idle ones.
         """
-        tasks = [asyncio.ensure_future(self._probe(entry, force_new)) for entry in entries]
+        tasks = [asyncio.ensure_future(self._is_answered(entry, force_new)) for entry in entries]
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_MS / MS_PER_SECOND):
                 for finished in asyncio.as_completed(tasks):
@@ -153,6 +154,14 @@
                 task.cancel()
         return False
 
+    async def _is_answered(self, entry: UpstreamEntry, force_new: bool) -> bool:
+        try:
+            return await self._probe(entry, force_new)
+        # The other upstreams decide, whatever was wrong with this one.
+        except Exception as error:
+            record_unexpected_error("paths", error, upstream=entry.upstream)
+            return False
+
     async def stop(self) -> None:
         """Stop all probes."""
         if self._silence_timer is not None:
--- a/testing/test_upstream_paths.py
+++ b/testing/test_upstream_paths.py
@@ -157,3 +157,27 @@
         await asyncio.sleep(1)
 
     assert _run(scenario).changes == ([True] if is_cut_off else [])
+
+
+# Guards against a host that stays cut off because one probe ended its check unexpectedly.
+def test_host_finds_a_path_when_the_probe_of_another_upstream_fails_unexpectedly() -> None:
+    class FailingNetwork(Network):
+        async def _probe(self, entry: UpstreamEntry, force_new: bool) -> bool:
+            if entry.upstream in ("a", "b", "c"):
+                raise ArithmeticError("This was not expected.")
+            return await super()._probe(entry, force_new)
+
+    async def run() -> Network:
+        network = FailingNetwork()
+        await asyncio.sleep(5)
+        network.answering = set()
+        network.fail("a", "b")
+        await asyncio.sleep(5)
+        assert network.paths.is_cut_off
+        network.answering = set(NAMES)
+        await asyncio.sleep(10)
+        await network.paths.stop()
+        return network
+
+    network = run_virtually(run())
+    assert network.changes == [True, False]
