Go on with ticks, reports and polls of the host list after an error

In the product's own interface one unexpected error of a tick ended the leases and asks of a host's router, one of a report its reports, and one of a component that takes the list of hosts the poll of it.

Cause and change: as for the loops of peers; each pass is contained.

Seen to fail before: test_ticks_and_reports_of_the_router_go_on_when_one_failed and test_host_list_is_polled_again_when_a_subscriber_failed (both "assert 1 > 1"). Both pass after.

--- a/src/tanagerscale/membership/_host_list.py
+++ b/src/tanagerscale/membership/_host_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import final
 
 from aiohttp import ClientError
@@ -18,6 +19,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import decode_json
 from tanagerscale.core import get_logger
+from tanagerscale.core import run_contained
 from tanagerscale.generated.upstream import HostList
 from tanagerscale.generated.upstream import ListedEntry
 from tanagerscale.generated.upstream import ListedKind
@@ -72,7 +74,8 @@
         timeout = ClientTimeout(total=_READ_TIMEOUT_MS / MS_PER_SECOND)
         async with ClientSession(timeout=timeout) as session:
             while True:
-                self._handle_result(await self._read(session))
+                result = await self._read(session)
+                run_contained("host-list", partial(self._handle_result, result))
                 await self._clock.sleep(self._interval_ms)
 
     async def _read(self, session: ClientSession) -> Result[HostList, str]:
--- a/src/tanagerscale/routing/_router.py
+++ b/src/tanagerscale/routing/_router.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+from functools import partial
 from random import Random
 from typing import final
 
@@ -18,6 +19,7 @@
 from tanagerscale.core import Problem
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
+from tanagerscale.core import run_contained
 from tanagerscale.generated.declarations import Engine
 from tanagerscale.generated.messages import Grant
 from tanagerscale.generated.messages import RunningRequest
@@ -294,9 +296,12 @@
     async def _tick_forever(self) -> None:
         while True:
             await self._clock.sleep(TICK_INTERVAL_MS)
-            self._placement_client.resend_asks()
-            self._owned.tick()
-            self._fallbacks.tick()
+            run_contained("router", self._tick)
+
+    def _tick(self) -> None:
+        self._placement_client.resend_asks()
+        self._owned.tick()
+        self._fallbacks.tick()
 
     async def _report_forever(self) -> None:
         last_full_report = self._clock.now()
@@ -308,4 +313,5 @@
             include_unchanged = self._clock.now() - last_full_report >= FULL_REPORT_INTERVAL_MS
             if include_unchanged:
                 last_full_report = self._clock.now()
-            self._reporter.report(include_unchanged=include_unchanged)
+            report = partial(self._reporter.report, include_unchanged=include_unchanged)
+            run_contained("router", report)
--- a/testing/test_contained_loops.py
+++ b/testing/test_contained_loops.py
@@ -5,10 +5,12 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from returns.result import Failure
 from returns.result import Result
+from returns.result import Success
 
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
@@ -18,7 +20,12 @@
 from tanagerscale.core import unexpected_errors
 from tanagerscale.generated.messages import HeadContent
 from tanagerscale.generated.messages import Heartbeat
+from tanagerscale.generated.upstream import HostList
+from tanagerscale.generated.upstream import ListedEntry
+from tanagerscale.generated.upstream import ListedKind
+from tanagerscale.generated.upstream import ListedState
 from tanagerscale.membership import HeadReplicator
+from tanagerscale.membership import HostListFollower
 from tanagerscale.membership import Link
 from tanagerscale.membership import Mesh
 from tanagerscale.membership import PeerAddress
@@ -30,6 +37,7 @@
 from testing._memory_links import MemoryNetwork
 from testing._memory_links import MemoryTransport
 from testing._move_harness import MoveHarness
+from testing._routing_fakes import Cluster
 from testing._virtual_time import run_virtually
 
 SETTLE_S = 5
@@ -189,3 +197,48 @@
         task.cancel()
 
     run_virtually(run())
+
+
+def test_ticks_and_reports_of_the_router_go_on_when_one_failed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        failing = Failing()
+        cluster = Cluster(hosts=("h1", "h2"), engines=())
+        router = cluster.host("h1").router
+        monkeypatch.setattr(router, "_owned", SimpleNamespace(tick=failing.check))
+        failing.is_failing = True
+        await asyncio.sleep(SETTLE_S)
+        failing.is_failing = False
+        calls = failing.calls
+        await asyncio.sleep(SETTLE_S)
+        assert failing.calls > calls > 0
+
+    run_virtually(run())
+
+
+def test_host_list_is_polled_again_when_a_subscriber_failed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def run() -> None:
+        failing = Failing()
+        failing.is_failing = True
+        reads = 0
+
+        async def read(_follower: object, _session: object) -> Result[HostList, str]:
+            nonlocal reads
+            reads += 1
+            entry = ListedEntry(
+                kind=ListedKind.HOST, id="a", address=f"127.0.0.1:{reads}", state=ListedState.LIVE
+            )
+            return Success(HostList(entries=[entry]))
+
+        monkeypatch.setattr(HostListFollower, "_read", read)
+        follower = HostListFollower(url="http://unused", interval_ms=1000, clock=Clock())
+        follower.entries.subscribe(lambda entries: failing.check() if entries else None)
+        follower.start()
+        await asyncio.sleep(SETTLE_S)
+        assert failing.calls > 1
+        await follower.stop()
+
+    run_virtually(run())
