Start the tasks of the product's own hosts again that end with an error

What operators saw: nothing. One unexpected error ended a host's follower of the declarations, both its watch and its poll, or the controllers of its cells, and the host went on as ready with the declarations that it had.

Cause and change: as for hosts on the users' platform; TaskMonitor starts them again, and the status says that the host isn't ready meanwhile.

Seen to fail before: test_host_follows_declarations_again_when_its_follower_ended_with_an_error ("TimeoutError" after 30 s without a second read). It passes after, and so do the tests of the daemon, of its shutdown and of declarations with processes.

--- a/src/tanagerscale/daemon/_host.py
+++ b/src/tanagerscale/daemon/_host.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
 from hashlib import blake2b
 import random
 import secrets
-from typing import Any
 from typing import final
 
 from aiohttp import web
@@ -22,6 +20,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
+from tanagerscale.core import TaskMonitor
 from tanagerscale.core import UnexpectedErrorCollector
 from tanagerscale.core import get_logger
 from tanagerscale.daemon._adapters import EngineClients
@@ -107,6 +106,7 @@
         self._incarnation = self._clock.wall()
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
+        self._monitor = TaskMonitor(clock=self._clock)
         self._request_admission = RequestAdmission(
             limit=settings.limits.concurrent_requests, rng=self._rng
         )
@@ -125,9 +125,11 @@
         self._router.start()
         peers = await self._mesh.start()
         self._host_list.start()
-        self._spawn(self._follower.run())
-        self._spawn(self._quarantine.load())
-        self._spawn(self._controllers.run())
+        self._tasks = [
+            self._monitor.start(self._follower.run, name="declarations"),
+            self._monitor.start(self._quarantine.load, name="quarantine"),
+            self._monitor.start(self._controllers.run, name="cell-controllers"),
+        ]
         callers = await self._serve_callers()
         _log.info("The host serves.", host=self._host, callers=callers, peers=peers)
         if settings.host_list.url == "":
@@ -171,9 +173,6 @@
             )
         await self._claims.close()
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
-
     def _build_clients(self) -> None:
         settings = self._settings
         self._service_session = make_single_use_session(auto_decompress=False)
@@ -389,7 +388,9 @@
             incarnation=self._incarnation,
             revision=declarations.revision,
             digest=declarations.digest,
-            ready=bool(self._follower.ready.value) and declarations.revision > 0,
+            ready=bool(self._follower.ready.value)
+            and declarations.revision > 0
+            and not self._monitor.ended,
             leaving=self._leaving,
             running=self._request_admission.running,
             live_hosts=[peer.host for peer in self._mesh.live.value],
--- a/testing/test_daemon.py
+++ b/testing/test_daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
 import subprocess
 import sys
@@ -9,6 +10,9 @@
 import pytest
 
 from standins.processes import environment
+from tanagerscale.daemon._host import HostProcess
+from tanagerscale.declarations import Follower
+from tanagerscale.settings import read_settings
 
 SETTINGS = """
 [host]
@@ -55,3 +59,29 @@
     assert completed.returncode == 2
     assert "listening" not in completed.stdout
     assert "SyntaxWarning" not in completed.stderr
+
+
+# Guards against a host that follows no declarations any more after one unexpected error.
+@pytest.mark.asyncio
+async def test_host_follows_declarations_again_when_its_follower_ended_with_an_error(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "host.ini"
+    path.write_text(SETTINGS)
+    calls = 0
+
+    async def fail(_follower: Follower) -> object:
+        nonlocal calls
+        calls += 1
+        raise ArithmeticError("This was not expected.")
+
+    monkeypatch.setattr(Follower, "_read_head", fail)
+    host = HostProcess(settings=read_settings(path=path).unwrap())
+    await host.start()
+    try:
+        async with asyncio.timeout(30):
+            while calls < 2:
+                await asyncio.sleep(0.05)
+        assert not host._build_status().ready
+    finally:
+        await host.stop()
