Bound the log lines of unexpected errors

What operators saw: nothing. An error at each message of a peer would write a line for each, since the log limits only what is less severe than a warning.

Cause: record_unexpected_error logged each error.

Change: five lines a second for each component; all errors are counted.

Seen to fail before: test_lines_of_unexpected_errors_are_bounded_when_there_are_many ("assert 1000 <= (2 * 5)"). It passes after.

--- a/src/tanagerscale/core/_containment.py
+++ b/src/tanagerscale/core/_containment.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+import time
 import traceback
 from typing import Any
 from typing import Final
@@ -13,12 +14,17 @@
 MAX_LOGGED_FRAMES: Final = 8
 """Innermost frames in the log line of an unexpected error."""
 
+MAX_LINES_PER_S: Final = 5
+"""Lines for each component. The log does not limit errors, and each message may cause one."""
+
 MAX_DETAIL_CHARS: Final = 300
 """Errors may quote the input that caused them."""
 
 unexpected_errors: Final[Counter[str]] = Counter()
 """Number of unexpected errors in this process, by component."""
 
+_lines_by_second: Final[Counter[tuple[str, int]]] = Counter()
+
 _log = get_logger(part="errors")
 
 
@@ -40,13 +46,15 @@
 
 
 def record_unexpected_error(component: str, error: BaseException, **fields: Any) -> None:
-    """Log an unexpected error in one line, and count it.
+    """Count an unexpected error, and log it in one line unless there are many.
 
     :param component: Name of the component, for the log and the metric.
     :param error: The error.
     :param fields: Further fields of the log line.
     """
     unexpected_errors[component] += 1
+    if not _may_log(component):
+        return
     frames = [
         f"{frame.f_code.co_qualname}:{line}"
         for frame, line in traceback.walk_tb(error.__traceback__)
@@ -58,3 +66,11 @@
         stack=" > ".join(frames[-MAX_LOGGED_FRAMES:]),
         **fields,
     )
+
+
+def _may_log(component: str) -> bool:
+    second = int(time.monotonic())
+    for earlier in [key for key in _lines_by_second if key[1] != second]:
+        del _lines_by_second[earlier]
+    _lines_by_second[component, second] += 1
+    return _lines_by_second[component, second] <= MAX_LINES_PER_S
--- a/testing/test_odd_entries_follow.py
+++ b/testing/test_odd_entries_follow.py
@@ -7,6 +7,7 @@
 from functools import partial
 import json
 from random import Random
+import time
 from typing import Final
 
 import logbook
@@ -25,6 +26,7 @@
 from tanagerscale.core import UpstreamName
 from tanagerscale.core import run_contained
 from tanagerscale.core import unexpected_errors
+from tanagerscale.core._containment import MAX_LINES_PER_S
 from tanagerscale.gateway._operator_keys import OperatorKeyListener
 from tanagerscale.gateway._presence import HostPresence
 from tanagerscale.generated.messages import Heartbeat
@@ -182,6 +184,21 @@
     assert registry.get_sample_value("tanagerscale_unexpected_errors_total", labels) == 1
 
 
+# Guards against a log that grows with the messages of a peer at which a handler fails.
+def test_lines_of_unexpected_errors_are_bounded_when_there_are_many() -> None:
+    def fail() -> None:
+        raise ArithmeticError("This was not expected.")
+
+    before = unexpected_errors["many-of-test"]
+    with logbook.TestHandler().applicationbound() as handler:
+        started = time.monotonic()
+        for _ in range(1000):
+            run_contained("many-of-test", fail)
+        seconds = int(time.monotonic() - started) + 2
+    assert 1 <= len(handler.records) <= seconds * MAX_LINES_PER_S
+    assert unexpected_errors["many-of-test"] == before + 1000
+
+
 class FailingListener:
     """Fails to take changes, but remembers the state that it could take."""
 
