--- a/src/tanagerscale/coordination/_coordinator.py
+++ b/src/tanagerscale/coordination/_coordinator.py
@@ -29,6 +29,7 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import get_logger
+from tanagerscale.core import record_unexpected_error
 from tanagerscale.generated.messages import DelegatesAnswer
 from tanagerscale.generated.messages import DelegatesAsk
 from tanagerscale.generated.messages import HostRuns
@@ -244,12 +245,8 @@
             self._is_store_stale.set()
         self.planner.schedule_reevaluation()
 
-    def loops(self) -> tuple[Coroutine[Any, Any, None], ...]:
-        """Return the coroutines that run for the lifetime of the host."""
-        return (self._poll_engines(),)
-
-    async def _poll_engines(self) -> None:
-        """Poll engines for leaving notices while the store delivers no changes.
+    async def poll_engines(self) -> None:
+        """Poll engines for leaving notices while the store delivers no changes, until cancelled.
 
         When the store is down for eight seconds while an engine is removed every three, nobody can
         read the notices in the store. An engine's own report says, half a second late, that it is
@@ -261,7 +258,10 @@
                 int(POLL_INTERVAL_MS * self._context.rng.uniform(0.5, 1.5))
             )
             if self._is_store_stale.is_set():
-                await asyncio.gather(*(self.query_engine(one) for one in self._engines_in_use()))
+                queries = (self.query_engine(one) for one in self._engines_in_use())
+                for error in await asyncio.gather(*queries, return_exceptions=True):
+                    if isinstance(error, Exception):
+                        record_unexpected_error("engine-polls", error)
 
     async def query_engine(self, upstream: UpstreamId) -> None:
         """Query whether an engine is leaving, and record its answer."""
--- a/src/tanagerscale/core/_line_log.py
+++ b/src/tanagerscale/core/_line_log.py
@@ -22,6 +22,9 @@
 MAX_LINE_BYTES = 4096
 """PIPE_BUF: writes to a pipe of up to this size are atomic, so no line is split."""
 
+FLUSH_TIMEOUT_MS = 100
+"""Longest wait for the reader of the log as a process ends."""
+
 MAX_VALUE_CHARS = 200
 """Length to which each text of an oversized line is truncated; a line has about fifteen fields."""
 
@@ -119,7 +122,7 @@
             # A slow or closed reader loses log lines but does not delay requests.
             self._drop()
 
-    def flush(self, *, timeout_ms: int) -> None:
+    def flush(self, *, timeout_ms: int = FLUSH_TIMEOUT_MS) -> None:
         """Write the lines that were kept, waiting for the reader; called as the process ends.
 
         :param timeout_ms: Longest wait in milliseconds.
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -19,6 +19,7 @@
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
 from tanagerscale.core import ServiceId
+from tanagerscale.core import UnexpectedErrorCollector
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import DelegateSelector
@@ -82,6 +83,7 @@
         self._runners: list[web.ServerRunner] = []
         self._registry = CollectorRegistry()
         self._registry.register(ExchangeCollector(log=platform.exchange_log))
+        self._registry.register(UnexpectedErrorCollector())
         self._work = LocalWorkload(clock=clock)
         self._control = HostControl(
             settings=settings,
@@ -139,8 +141,8 @@
         self._control.roster.replaced.subscribe(
             lambda replaced: self._platform.upstreams.forget(upstream=replaced)
         )
-        self._spawn(self._close_idle_connections())
-        self._spawn(self._host_limits.run())
+        self._spawn(self._close_idle_connections, name="idle-connections")
+        self._spawn(self._host_limits.run, name="host-limits")
         _log.info(
             "The host starts.",
             incarnation=self._control.incarnation,
@@ -180,7 +182,7 @@
         self._shutdown.begin(grace_s=self._settings.host.stop_grace_s)
         self._server.begin_shutdown()
         self._announce_shutdown()
-        self._spawn(self._control.withdraw())
+        self._spawn(self._control.withdraw, name="withdrawal")
         _log.info("The host stops.", running=self._dispatcher.running)
         await drain_requests(
             servers=(self._server, self._delegate_server),
@@ -230,7 +232,8 @@
         """Whether the host accepts new connections.
 
         A host that starts while the store is unavailable gets the configuration from peers but has
-        no upstreams. It would refuse callers that other hosts can serve immediately.
+        no upstreams. It would refuse callers that other hosts can serve immediately. A host one of
+        whose background tasks has ended may believe what no longer holds.
         """
         return (
             not self._shutdown.has_begun
@@ -238,6 +241,7 @@
             and self._control.roster.has_read
             and self._control.evacuations.has_read
             and self._host_limits.is_ready
+            and not self._control.monitor.ended
         )
 
     @property
@@ -318,5 +322,5 @@
             await self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
             self._server.close_idle(interval_ms=IDLE_CHECK_INTERVAL_MS)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
+    def _spawn(self, run: Callable[[], Coroutine[Any, Any, None]], *, name: str) -> None:
+        self._tasks.append(self._control.monitor.start(run, name=name))
--- a/src/tanagerscale/membership/_host_list.py
+++ b/src/tanagerscale/membership/_host_list.py
@@ -3,22 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import final
 
 from aiohttp import ClientError
 from aiohttp import ClientSession
 from aiohttp import ClientTimeout
-import msgspec
 from reactivex import Observable
 from reactivex.subject import BehaviorSubject
 from returns.result import Failure
 from returns.result import Result
-from returns.result import Success
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
+from tanagerscale.core import decode_json
 from tanagerscale.core import get_logger
+from tanagerscale.core import run_contained
 from tanagerscale.generated.upstream import HostList
 from tanagerscale.generated.upstream import ListedEntry
 from tanagerscale.generated.upstream import ListedKind
@@ -73,7 +74,8 @@
         timeout = ClientTimeout(total=_READ_TIMEOUT_MS / MS_PER_SECOND)
         async with ClientSession(timeout=timeout) as session:
             while True:
-                self._handle_result(await self._read(session))
+                result = await self._read(session)
+                run_contained("host-list", partial(self._handle_result, result))
                 await self._clock.sleep(self._interval_ms)
 
     async def _read(self, session: ClientSession) -> Result[HostList, str]:
@@ -81,8 +83,8 @@
             async with session.get(self._url) as response:
                 response.raise_for_status()
                 body = await response.content.read(_MAX_LIST_BYTES)
-                return Success(msgspec.json.decode(body, type=HostList))
-        except (ClientError, OSError, TimeoutError, msgspec.MsgspecError) as error:
+                return decode_json(body, HostList, max_bytes=_MAX_LIST_BYTES)
+        except (ClientError, OSError, TimeoutError) as error:
             return Failure(f"{type(error).__name__}: {error}")
 
     def _handle_result(self, result: Result[HostList, str]) -> None:
