--- /dev/null
+++ b/testing/test_platform_day.py
@@ -0,0 +1,133 @@
+"""A day of rolling stops: processes on loopback, and the verdict on answers that end early."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from standins.platform_day import run_day
+from standins.platform_day_batch import MEMORY_TOKENS
+from standins.platform_day_batch import Batch
+from standins.platform_day_batch import DayRun
+from standins.platform_day_records import Arrival
+from standins.platform_day_records import DayCall
+from standins.platform_day_records import HostInstance
+from standins.platform_day_records import RunEnd
+from standins.platform_day_verdict import DayVerdict
+from standins.platform_day_verdict import judge
+
+TERMINATED = 100_000.0
+CUT = TERMINATED + 7_330.0
+
+
+def _make_call(sent: float) -> DayCall:
+    call = DayCall(
+        request="r1",
+        kind="draft",
+        client="c1",
+        host="h1",
+        incarnation=1,
+        deadline_ms=39_000,
+        timeout_ms=39_000,
+        first_byte=sent,
+        nth=1,
+    )
+    call.sent, call.ended, call.close, call.status = sent, CUT, "FIN", 200
+    return call
+
+
+def _make_arrival(call: DayCall, *, finished: float | None, end: RunEnd | None) -> Arrival:
+    arrived = call.first_byte + 5
+    arrival = Arrival(call.request, "i-1", call.host, arrived, admitted=arrived)
+    arrival.first_event, arrival.last_event = arrived + 500, min(finished or CUT, CUT)
+    arrival.finished, arrival.end = finished, end
+    return arrival
+
+
+def _judge(call: DayCall, arrivals: list[Arrival]) -> DayVerdict:
+    instance = HostInstance("h1", 1, started=0.0, terminated=TERMINATED, ended=CUT + 100)
+    line = {
+        "t": CUT,
+        "message": "A response is cut because the host ends.",
+        "request": call.request,
+        "phase": "answering",
+        "lines_left_out": 3,
+    }
+    instance.lines = [json.dumps(line)]
+    return judge([call], {call.request: arrivals}, [instance], {call.request: 1_000})
+
+
+# Guards against hosts that lose answers while they are stopped one after the other, and again.
+@pytest.mark.asyncio
+async def test_no_answer_is_lost_when_hosts_are_stopped_in_turn(tmp_path: Path) -> None:
+    result = await run_day(seed=1, seconds=20, hosts=4, directory=tmp_path)
+    assert result.verdict.lost == []
+    assert result.verdict.wrong == []
+
+
+# Guards against a verdict that counts answers as lost that the end of the grace period excuses.
+def test_cut_stream_is_excused_when_its_engine_was_at_work_until_the_end() -> None:
+    call = _make_call(TERMINATED - 2_000)
+    verdict = _judge(call, [_make_arrival(call, finished=CUT + 10, end=RunEnd.LEFT)])
+    (finding,) = verdict.around_stops
+    assert finding.excuses == {"last sixth": pytest.approx(7_330 - 6_666.7, abs=1)}
+    assert (finding.outcome, finding.phase) == ("cut at the end", "answering")
+    assert verdict.lines_left_out == {"h1#1": 3}
+
+
+# Guards against a verdict that excuses an answer which its engine had finished before.
+def test_cut_stream_is_lost_when_its_engine_had_ended_before_the_last_sixth() -> None:
+    call = _make_call(TERMINATED - 2_000)
+    arrival = _make_arrival(call, finished=TERMINATED + 5_000, end=RunEnd.WHOLE)
+    verdict = _judge(call, [arrival])
+    assert [finding.call for finding in verdict.lost] == [call]
+    assert verdict.lost[0].misses["last sixth"] == pytest.approx(-1_666.7, abs=1)
+
+
+# Guards against a verdict that takes a preempted or stopped run for work of its engine.
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_cut_stream_is_lost_when_no_engine_worked_on_it_in_the_last_sixth(is_stopped: bool) -> None:
+    call = _make_call(TERMINATED - 2_000)
+    if is_stopped:
+        arrival = _make_arrival(call, finished=TERMINATED + 6_000, end=RunEnd.STOPPED)
+    else:
+        arrival = _make_arrival(call, finished=CUT + 10, end=RunEnd.LEFT)
+        arrival.pauses = [[TERMINATED + 6_000, CUT + 10]]
+    assert len(_judge(call, [arrival]).lost) == 1
+
+
+# Guards against a verdict that excuses streams which a stopping host should not have accepted.
+def test_cut_stream_is_lost_when_it_was_sent_late_after_the_signal() -> None:
+    call = _make_call(TERMINATED + 3_500)
+    verdict = _judge(call, [_make_arrival(call, finished=CUT + 10, end=RunEnd.LEFT)])
+    assert len(verdict.lost) == 1
+
+
+# Guards against engines of the day that never preempt, or that forget what they have preempted.
+@pytest.mark.asyncio
+async def test_newest_run_is_preempted_and_goes_on_when_memory_runs_out() -> None:
+    batch = Batch(slowness=0.01)
+    task = asyncio.create_task(batch.run_forever())
+    runs = []
+    for number in range(2):
+        arrival = Arrival(f"r{number}", "i-1", "h1", 0.0)
+        run = DayRun(
+            arrival=arrival,
+            priority=5,
+            prompt=MEMORY_TOKENS // 2 - 20,
+            length=20,
+            memory_of=arrival.request,
+            deadline=float("inf"),
+        )
+        assert batch.add(run)
+        runs.append(run)
+    async with asyncio.timeout(30):
+        while not all(run.is_over for run in runs):
+            await asyncio.sleep(0.01)
+    task.cancel()
+    assert [run.arrival.end for run in runs] == [RunEnd.WHOLE, RunEnd.WHOLE]
+    assert not runs[0].arrival.pauses
+    assert len(runs[1].arrival.pauses) == 1
