--- a/standins/platform_day.py
+++ b/standins/platform_day.py
@@ -24,11 +24,11 @@
 from standins.platform_day_callers import DayCallers
 from standins.platform_day_callers import day_configuration
 from standins.platform_day_engine import PLAIN_SLOTS
-from standins.platform_day_engine import DayLedger
 from standins.platform_day_engine import DayUpstream
-from standins.platform_day_engine import now_ms
 from standins.platform_day_hosts import DayHost
 from standins.platform_day_hosts import VirtualAddress
+from standins.platform_day_ledger import DayLedger
+from standins.platform_day_ledger import now_ms
 from standins.platform_day_records import HostInstance
 from standins.platform_day_report import describe_idle_periods
 from standins.platform_day_report import describe_stops
@@ -106,6 +106,7 @@
         self.ledger = DayLedger()
         self.hosts: list[DayHost] = []
         self.upstreams: list[DayUpstream] = []
+        self._engines: dict[str, DayUpstream] = {}
         self._seed = seed
         self._size = hosts
         self.directory = directory
@@ -189,6 +190,7 @@
             name=f"i-{self._rng.getrandbits(32):08x}",
             zone=zone,
             ledger=self.ledger,
+            engines=self._engines,
             max_connections=CONNECTIONS[service],
             is_model=service == MODEL_SERVICE,
             rng=Random(self._rng.random()),
@@ -239,6 +241,7 @@
     load: float = 1.0,
     slowness: float = 1.0,
     leaving: bool = False,
+    keeps_handles: bool = False,
 ) -> DayResult:
     """Play a day and judge it.
 
@@ -249,8 +252,10 @@
     :param load: Factor of the rates of requests.
     :param slowness: Factor of the duration of the engines' steps.
     :param leaving: Whether engines leave meanwhile.
+    :param keeps_handles: Whether a handle stays valid when the same run is copied again.
     """
     day = Day(seed=seed, hosts=hosts, directory=directory, load=load, slowness=slowness)
+    day.ledger.keeps_handles = keeps_handles
     lag = LoopLag()
     try:
         await day.start()
@@ -311,6 +316,7 @@
     load: float = 1.0,
     slowness: float = 1.0,
     leaving: bool = False,
+    keeps_handles: bool = False,
 ) -> None:
     """Play a day.
 
@@ -321,6 +327,7 @@
     :param load: Factor of the rates of requests.
     :param slowness: Factor of the duration of the engines' steps.
     :param leaving: Whether engines leave meanwhile.
+    :param keeps_handles: Whether a handle stays valid when the same run is copied again.
     """
     directory = Path(keep or mkdtemp(prefix="tanagerscale-day-"))
     directory.mkdir(parents=True, exist_ok=True)
@@ -335,6 +342,7 @@
             load=load,
             slowness=slowness,
             leaving=leaving,
+            keeps_handles=keeps_handles,
         )
     )
     print(*result.report, sep="\n")
--- a/standins/platform_day_callers.py
+++ b/standins/platform_day_callers.py
@@ -17,9 +17,9 @@
 from standins.platform_day_connections import DayConnection
 from standins.platform_day_connections import DayRequest
 from standins.platform_day_connections import connect
-from standins.platform_day_engine import DayLedger
-from standins.platform_day_engine import now_ms
 from standins.platform_day_hosts import VirtualAddress
+from standins.platform_day_ledger import DayLedger
+from standins.platform_day_ledger import now_ms
 from standins.platform_day_records import DayCall
 from tanagerscale.core import MS_PER_SECOND
 
--- a/standins/platform_day_connections.py
+++ b/standins/platform_day_connections.py
@@ -11,8 +11,8 @@
 from typing import Final
 from typing import final
 
-from standins.platform_day_engine import now_ms
 from standins.platform_day_hosts import DayHost
+from standins.platform_day_ledger import now_ms
 from standins.platform_day_records import DayCall
 from standins.platform_world import HOST_NAME
 from tanagerscale.core import MS_PER_SECOND
--- a/standins/platform_day_hosts.py
+++ b/standins/platform_day_hosts.py
@@ -17,7 +17,7 @@
 
 import aiohttp
 
-from standins.platform_day_engine import now_ms
+from standins.platform_day_ledger import now_ms
 from standins.platform_day_records import HostInstance
 from standins.platform_hosts import SETTINGS_VARIABLE
 from standins.platform_world import write_settings
--- a/standins/platform_day_verdict.py
+++ b/standins/platform_day_verdict.py
@@ -15,8 +15,8 @@
 from typing import Final
 
 from standins.platform_day_connections import BY_CALLER
-from standins.platform_day_engine import event_bytes
-from standins.platform_day_engine import plain_body
+from standins.platform_day_ledger import event_bytes
+from standins.platform_day_ledger import plain_body
 from standins.platform_day_records import Arrival
 from standins.platform_day_records import DayCall
 from standins.platform_day_records import HostInstance
