--- a/standins/platform_day_engine.py
+++ b/standins/platform_day_engine.py
@@ -345,7 +345,7 @@
         return KeptMemory(run, run.events, run.size, now_ms() + HANDLE_MS)
 
     def _forget(self, run: DayRun) -> None:
-        """Free what this engine holds of a run whose handle was used; its source keeps the memory."""
+        """Free what this engine holds of a run whose handle was used; its source keeps its own."""
         kept = self.batch.kept
         for handle in [one for one, memory in kept.items() if memory.run.request == run.request]:
             del kept[handle]
--- a/standins/platform_day_hosts.py
+++ b/standins/platform_day_hosts.py
@@ -208,3 +208,5 @@
         except (TimeoutError, aiohttp.ClientError):
             is_ready = False
         host.misses = 0 if is_ready else host.misses + 1
+        if is_ready and host.instance.ready is None:
+            host.instance.ready = now_ms()
--- a/standins/platform_day_records.py
+++ b/standins/platform_day_records.py
@@ -137,6 +137,7 @@
     :param host: Name of the host.
     :param number: Number of the process, counted from 1.
     :param started: When it was started.
+    :param ready: When it was first seen to be ready; ``None`` if it wasn't.
     :param terminated: When SIGTERM was sent; ``None`` if it wasn't.
     :param killed: Whether SIGKILL was sent at the end of the grace period.
     :param ended: When it had ended.
@@ -148,6 +149,7 @@
     host: str
     number: int
     started: float
+    ready: float | None = None
     terminated: float | None = None
     killed: bool = False
     ended: float | None = None
--- a/standins/platform_day_stops.py
+++ b/standins/platform_day_stops.py
@@ -20,6 +20,8 @@
 YOUNG_RANGE_MS: Final = (1_000, 2_000)
 """Age at which the second series stops some of the hosts that have just been started."""
 YOUNG_SHARE: Final = 0.5
+STARTING_SHARE: Final = 0.2
+"""Part of them whose age counts from the start of the process and not from when it was ready."""
 BUSY_TIMEOUT_MS: Final = 4_000
 POLL_S: Final = 0.01
 MIN_LEFT: Final = 2
@@ -78,10 +80,14 @@
     async def _wait_for_young(self, rng: Random, ends_at: float) -> DayHost | None:
         """Wait for a host that has just been started again, and until it has a chosen age."""
         age_ms = rng.randint(*YOUNG_RANGE_MS)
+        is_starting = rng.random() < STARTING_SHARE
         while now_ms() < ends_at:
             for host in self._hosts:
-                age = now_ms() - host.instance.started
-                if host.instance.number > 1 and not host.is_stopping and age < age_ms:
+                instance = host.instance
+                since = instance.started if is_starting else instance.ready
+                if instance.number == 1 or host.is_stopping or since is None:
+                    continue
+                if (age := now_ms() - since) < age_ms:
                     await asyncio.sleep((age_ms - age) / MS_PER_SECOND)
                     return host
             await asyncio.sleep(POLL_S)
