--- a/standins/platform_day_records.py
+++ b/standins/platform_day_records.py
@@ -76,6 +76,21 @@
                 ends = began
         return ends
 
+    def active_periods(self, until: float) -> list[tuple[float, float]]:
+        """Return the periods up to a time in which it was being worked on."""
+        if self.admitted is None:
+            return []
+        ends = until if self.finished is None else min(until, self.finished)
+        edges = [self.admitted]
+        for began, ended in self.pauses:
+            edges += [began or ends, ends if ended is None else ended]
+        edges.append(ends)
+        return [
+            (began, min(ended, ends))
+            for began, ended in zip(edges[::2], edges[1::2], strict=True)
+            if began < min(ended, ends)
+        ]
+
 
 @dataclass(slots=True, eq=False)
 class DayCall:
--- a/standins/platform_day_report.py
+++ b/standins/platform_day_report.py
@@ -35,12 +35,13 @@
     excuses = ", ".join(f"{name} by {margin:.0f} ms" for name, margin in finding.excuses.items())
     misses = ", ".join(f"{name} missed by {-one:.0f} ms" for name, one in finding.misses.items())
     verdict = "LOST" if finding.is_lost else excuses or "away from stops"
+    idle = f", idle for {finding.idle_ms:.0f} ms of the last sixth" if finding.idle_ms >= 1 else ""
     named = "no line" if not finding.lines else f"{len(finding.lines)} lines"
     sent = "not whole" if call.sent is None else f"{call.sent - zero:+.0f}"
     upstreams = "; ".join(_format_arrival(arrival, zero) for arrival in finding.arrivals)
     ways = "".join(f", {way}" for way in call.details)
     return (
-        f"{verdict}{f' [{misses}]' if misses else ''} | {call.request} {call.kind} at "
+        f"{verdict}{idle}{f' [{misses}]' if misses else ''} | {call.request} {call.kind} at "
         f"{call.host}#{call.incarnation}, {call.nth}. on its connection{ways} | sent {sent}, "
         f"ended {call.ended - zero:+.0f} by {call.close}, status {call.status}, "
         f"{len(call.received)} bytes | {upstreams}"
@@ -182,6 +183,11 @@
             finding.margin for finding in verdict.around_stops if _best_excuse(finding) == excuse
         ]
         rows.append(f"smallest margin, {excuse}: {min(own_margins):.0f} ms")
+    idle = sorted((finding.idle_ms for finding in verdict.around_stops), reverse=True)
+    rows.append(
+        f"idle in the last sixth: {sum(one >= 1 for one in idle)}, the longest "
+        f"{', '.join(f'{one:.0f}' for one in idle[:5])} ms"
+    )
     silent = [finding for finding in verdict.around_stops if not finding.outcome]
     passed = [finding for finding in silent if finding.arrivals]
     rows.append(
--- a/standins/platform_day_verdict.py
+++ b/standins/platform_day_verdict.py
@@ -76,6 +76,19 @@
     misses: dict[str, float] = field(default_factory=dict)
     lines: list[Line] = field(default_factory=list)
 
+    @property
+    def idle_ms(self) -> float:
+        """Part of the last sixth of the grace period in which no upstream worked on it."""
+        if self.instance is None or self.instance.terminated is None:
+            return 0.0
+        began, ended = self.instance.terminated + LAST_SIXTH_MS, self.call.ended
+        periods = [one for arrival in self.arrivals for one in arrival.active_periods(ended)]
+        idle, at = 0.0, began
+        for start, end in sorted(periods):
+            idle += max(start - at, 0.0)
+            at = max(at, end)
+        return idle + max(ended - at, 0.0)
+
     @property
     def is_lost(self) -> bool:
         """Whether nothing excuses it."""
@@ -146,7 +159,7 @@
         finding = _examine(call, arrivals.get(call.request, ()), instances)
         finding.lines = by_request.get(call.request, [])
         (elsewhere if finding.instance is None else around).append(finding)
-    around.sort(key=lambda finding: (not finding.is_lost, finding.margin))
+    around.sort(key=lambda finding: (not finding.is_lost, -finding.idle_ms, finding.margin))
     left_out: dict[str, int] = {}
     for line in lines:
         number = int(line.values.get("lines_left_out", 0))
--- a/testing/test_platform_day.py
+++ b/testing/test_platform_day.py
@@ -78,6 +78,17 @@
     assert verdict.lines_left_out == {"h1#1": 3}
 
 
+# Guards against near misses that the report doesn't show, as no engine works on them for a while.
+def test_idle_time_counts_what_no_engine_worked_in_the_last_sixth() -> None:
+    call = _make_call(TERMINATED - 2_000)
+    stopped = _make_arrival(call, finished=TERMINATED + 6_000, end=RunEnd.STOPPED)
+    resumed = _make_arrival(call, finished=CUT + 10, end=RunEnd.LEFT)
+    resumed.admitted = TERMINATED + 7_000
+    (finding,) = _judge(call, [stopped, resumed]).around_stops
+    assert not finding.is_lost
+    assert finding.idle_ms == pytest.approx(7_000 - 6_666.7, abs=1)
+
+
 # Guards against a verdict that excuses an answer which its engine had finished before.
 def test_cut_stream_is_lost_when_its_engine_had_ended_before_the_last_sixth() -> None:
     call = _make_call(TERMINATED - 2_000)
