--- a/standins/platform_day.py
+++ b/standins/platform_day.py
@@ -242,6 +242,7 @@
     slowness: float = 1.0,
     leaving: bool = False,
     keeps_handles: bool = False,
+    link_slowness: float = 1.0,
 ) -> DayResult:
     """Play a day and judge it.
 
@@ -253,9 +254,10 @@
     :param slowness: Factor of the duration of the engines' steps.
     :param leaving: Whether engines leave meanwhile.
     :param keeps_handles: Whether a handle stays valid when the same run is copied again.
+    :param link_slowness: Factor of the time that a copy of a run takes.
     """
     day = Day(seed=seed, hosts=hosts, directory=directory, load=load, slowness=slowness)
-    day.ledger.keeps_handles = keeps_handles
+    day.ledger.keeps_handles, day.ledger.link_slowness = keeps_handles, link_slowness
     lag = LoopLag()
     try:
         await day.start()
@@ -317,6 +319,7 @@
     slowness: float = 1.0,
     leaving: bool = False,
     keeps_handles: bool = False,
+    link_slowness: float = 1.0,
 ) -> None:
     """Play a day.
 
@@ -328,6 +331,7 @@
     :param slowness: Factor of the duration of the engines' steps.
     :param leaving: Whether engines leave meanwhile.
     :param keeps_handles: Whether a handle stays valid when the same run is copied again.
+    :param link_slowness: Factor of the time that a copy of a run takes.
     """
     directory = Path(keep or mkdtemp(prefix="tanagerscale-day-"))
     directory.mkdir(parents=True, exist_ok=True)
@@ -343,6 +347,7 @@
             slowness=slowness,
             leaving=leaving,
             keeps_handles=keeps_handles,
+            link_slowness=link_slowness,
         )
     )
     print(*result.report, sep="\n")
--- a/standins/platform_day_engine.py
+++ b/standins/platform_day_engine.py
@@ -337,7 +337,8 @@
         """Send tokens over the links of both engines, after what is queued on them."""
         factor = 1 if target.zone == self.zone else 2
         begins = max(now_ms(), self.link_free_at, target.link_free_at)
-        ends = begins + SETUP_MS + tokens * MOVE_MS_PER_TOKEN * factor
+        transfer_ms = tokens * MOVE_MS_PER_TOKEN * factor * self._ledger.link_slowness
+        ends = begins + SETUP_MS + transfer_ms
         self.link_free_at = target.link_free_at = ends
         await asyncio.sleep((ends - now_ms()) / MS_PER_SECOND)
 
--- a/standins/platform_day_ledger.py
+++ b/standins/platform_day_ledger.py
@@ -30,6 +30,7 @@
     :param orders: Orders to copy, by whether the run stops and by status.
     :param foreign: Requests that went on from the memory of another one.
     :param keeps_handles: Whether a handle stays valid when the same run is copied again.
+    :param link_slowness: Factor of the time that a copy takes.
     """
 
     arrivals: dict[str, list[Arrival]] = field(default_factory=dict)
@@ -40,6 +41,7 @@
     orders: Counter[tuple[bool, int]] = field(default_factory=Counter)
     foreign: list[str] = field(default_factory=list)
     keeps_handles: bool = False
+    link_slowness: float = 1.0
 
     def add(self, request: web.BaseRequest, upstream: str) -> Arrival:
         """Record a request at an upstream."""
