--- a/standins/platform_day_hosts.py
+++ b/standins/platform_day_hosts.py
@@ -81,7 +81,6 @@
         path = self._directory / f"{self.name}.ini"
         write_settings(path, self._settings)
         instance = HostInstance(self.name, len(self.instances) + 1, now_ms())
-        self.instances.append(instance)
         output, pipe = os.pipe()
         errors = self._directory / f"{instance.name}.stderr"
         with errors.open("wb") as error_file:
@@ -95,6 +94,7 @@
                 cwd=ROOT,
             )
         os.close(pipe)
+        self.instances.append(instance)
         log = self._directory / f"{instance.name}.log"
         self._readers.append(asyncio.create_task(_read_slowly(output, log)))
 
