--- a/standins/platform_day_report.py
+++ b/standins/platform_day_report.py
@@ -36,6 +36,7 @@
     misses = ", ".join(f"{name} missed by {-one:.0f} ms" for name, one in finding.misses.items())
     verdict = "LOST" if finding.is_lost else excuses or "away from stops"
     idle = f", idle for {finding.idle_ms:.0f} ms of the last sixth" if finding.idle_ms >= 1 else ""
+    killed = ", its process by SIGKILL" if instance is not None and instance.killed else ""
     named = "no line" if not finding.lines else f"{len(finding.lines)} lines"
     sent = "not whole" if call.sent is None else f"{call.sent - zero:+.0f}"
     upstreams = "; ".join(_format_arrival(arrival, zero) for arrival in finding.arrivals)
@@ -43,7 +44,7 @@
     return (
         f"{verdict}{idle}{f' [{misses}]' if misses else ''} | {call.request} {call.kind} at "
         f"{call.host}#{call.incarnation}, {call.nth}. on its connection{ways} | sent {sent}, "
-        f"ended {call.ended - zero:+.0f} by {call.close}, status {call.status}, "
+        f"ended {call.ended - zero:+.0f} by {call.close}{killed}, status {call.status}, "
         f"{len(call.received)} bytes | {upstreams}"
         f" | {named}, outcome {finding.outcome or 'NOT NAMED'}"
         f"{f' ({finding.phase})' if finding.phase else ''}"
--- a/standins/platform_day_verdict.py
+++ b/standins/platform_day_verdict.py
@@ -159,7 +159,7 @@
         finding = _examine(call, arrivals.get(call.request, ()), instances)
         finding.lines = by_request.get(call.request, [])
         (elsewhere if finding.instance is None else around).append(finding)
-    around.sort(key=lambda finding: (not finding.is_lost, -finding.idle_ms, finding.margin))
+    around.sort(key=_nearness)
     left_out: dict[str, int] = {}
     for line in lines:
         number = int(line.values.get("lines_left_out", 0))
@@ -172,6 +172,12 @@
     )
 
 
+def _nearness(finding: Finding) -> tuple[bool, bool, float, float]:
+    """Return a key by which losses come first, then what no line explains, then idle streams."""
+    is_silent = bool(finding.arrivals) and not finding.outcome
+    return not finding.is_lost, not is_silent, -finding.idle_ms, finding.margin
+
+
 def _examine(
     call: DayCall, arrivals: Sequence[Arrival], instances: Sequence[HostInstance]
 ) -> Finding:
