--- a/standins/platform_day_verdict.py
+++ b/standins/platform_day_verdict.py
@@ -76,12 +76,18 @@
     misses: dict[str, float] = field(default_factory=dict)
     lines: list[Line] = field(default_factory=list)
 
+    @property
+    def ended(self) -> float:
+        """When its host ended it, at the latest as the process did; a slow caller reads on."""
+        gone = None if self.instance is None else self.instance.ended
+        return self.call.ended if gone is None else min(self.call.ended, gone)
+
     @property
     def idle_ms(self) -> float:
         """Part of the last sixth of the grace period in which no upstream worked on it."""
         if self.instance is None or self.instance.terminated is None:
             return 0.0
-        began, ended = self.instance.terminated + LAST_SIXTH_MS, self.call.ended
+        began, ended = self.instance.terminated + LAST_SIXTH_MS, self.ended
         periods = [one for arrival in self.arrivals for one in arrival.active_periods(ended)]
         idle, at = 0.0, began
         for start, end in sorted(periods):
@@ -186,15 +192,16 @@
         return finding
     terminated = finding.instance.terminated
     assert terminated is not None
-    margins = {"deadline": call.ended - call.first_byte - min(call.deadline_ms, call.timeout_ms)}
+    ended = finding.ended
+    margins = {"deadline": ended - call.first_byte - min(call.deadline_ms, call.timeout_ms)}
     if call.sent is None:
         finding.excuses["not sent whole"] = GRACE_MS
     elif not any(arrival.executed for arrival in arrivals):
-        margins["crossed the close"] = CROSSING_MS - (call.ended - call.sent)
+        margins["crossed the close"] = CROSSING_MS - (ended - call.sent)
     for arrival in arrivals:
         if arrival.end in (RunEnd.BROKE_OFF, RunEnd.DEADLINE):
             finding.excuses[arrival.end.value] = GRACE_MS
-    active = [arrival.last_active(call.ended) for arrival in arrivals]
+    active = [arrival.last_active(ended) for arrival in arrivals]
     last_active = max((one for one in active if one is not None), default=None)
     if last_active is not None and call.sent is not None:
         early = terminated + EARLY_MS - call.sent
@@ -212,10 +219,15 @@
         terminated = instance.terminated
         if terminated is None or call.ended < terminated:
             return None
-        return instance if call.ended <= terminated + GRACE_MS + AFTER_GRACE_MS else None
+        is_gone = instance.ended is not None and instance.ended <= call.ended
+        return instance if is_gone or call.ended <= _window_end(terminated) else None
     return None
 
 
+def _window_end(terminated: float) -> float:
+    return terminated + GRACE_MS + AFTER_GRACE_MS
+
+
 def _find_wrong(
     calls: Sequence[DayCall],
     arrivals: Mapping[str, Sequence[Arrival]],
--- a/testing/test_platform_day.py
+++ b/testing/test_platform_day.py
@@ -110,6 +110,14 @@
     assert len(_judge(call, [arrival]).lost) == 1
 
 
+# Guards against losses that the verdict overlooks, as a slow caller reads what its host had sent.
+def test_cut_stream_is_lost_when_its_slow_caller_reads_on_after_the_host_has_ended() -> None:
+    call = _make_call(TERMINATED - 2_000)
+    call.ended = CUT + 20_000
+    arrival = _make_arrival(call, finished=TERMINATED + 5_000, end=RunEnd.WHOLE)
+    assert len(_judge(call, [arrival]).lost) == 1
+
+
 # Guards against a verdict that excuses streams which a stopping host should not have accepted.
 def test_cut_stream_is_lost_when_it_was_sent_late_after_the_signal() -> None:
     call = _make_call(TERMINATED + 3_500)
