--- a/standins/platform_day_callers.py
+++ b/standins/platform_day_callers.py
@@ -116,6 +116,7 @@
         self, *, address: VirtualAddress, ledger: DayLedger, rng: Random, load: float
     ) -> None:
         self.calls: list[DayCall] = []
+        self._is_over = False
         self._address = address
         self._ledger = ledger
         self._rng = rng
@@ -141,6 +142,10 @@
         async with asyncio.TaskGroup() as tasks:
             for kind in KINDS:
                 tasks.create_task(self._send(kind, Random(self._rng.random()), duration_ms))
+        self._is_over = True
+        # An answer may be followed by another request at once.
+        while pending := [task for task in self._open if not task.done()]:
+            await asyncio.wait(pending)
         await asyncio.gather(*self._open)
         for client in self._clients:
             for connection in client.idle:
@@ -150,7 +155,7 @@
         began = now_ms()
         while (elapsed := now_ms() - began) < duration_ms:
             phase = 2 * pi * elapsed / MS_PER_SECOND / WAVE_PERIOD_S
-            rate = kind.per_s * self._load * (1 + WAVE_SWING * sin(phase))
+            rate = kind.per_s * self._load * (1 - AT_ONCE_SHARE) * (1 + WAVE_SWING * sin(phase))
             await asyncio.sleep(rng.expovariate(rate))
             self._begin(kind, rng.choice(self._clients), Random(rng.random()))
 
@@ -178,8 +183,9 @@
             self._open_at[call.host].discard(call)
             avoided.append(call.host)
             self._finish(call, connection, client)
-            if call.is_complete and rng.random() < AT_ONCE_SHARE / len(KINDS):
-                self._begin(rng.choice(KINDS), client, Random(rng.random()))
+            if call.is_complete and rng.random() < AT_ONCE_SHARE and not self._is_over:
+                kinds = rng.choices(KINDS, [kind.per_s for kind in KINDS])
+                self._begin(kinds[0], client, Random(rng.random()))
             pause_s = _pause_before_retry(kind, call, began)
             if pause_s is None:
                 return
--- a/standins/platform_day_verdict.py
+++ b/standins/platform_day_verdict.py
@@ -79,8 +79,10 @@
     @property
     def ended(self) -> float:
         """When its host ended it, at the latest as the process did; a slow caller reads on."""
-        gone = None if self.instance is None else self.instance.ended
-        return self.call.ended if gone is None else min(self.call.ended, gone)
+        times = [line.at for line in self.lines if line.outcome]
+        if self.instance is not None and self.instance.ended is not None:
+            times.append(self.instance.ended)
+        return min([self.call.ended, *times])
 
     @property
     def idle_ms(self) -> float:
@@ -162,8 +164,9 @@
     for call in calls:
         if call.is_complete or call.close == BY_CALLER:
             continue
-        finding = _examine(call, arrivals.get(call.request, ()), instances)
+        finding = Finding(call, arrivals.get(call.request, ()), _find_stop(call, instances))
         finding.lines = by_request.get(call.request, [])
+        _examine(finding)
         (elsewhere if finding.instance is None else around).append(finding)
     around.sort(key=_nearness)
     left_out: dict[str, int] = {}
@@ -184,12 +187,11 @@
     return not finding.is_lost, not is_silent, -finding.idle_ms, finding.margin
 
 
-def _examine(
-    call: DayCall, arrivals: Sequence[Arrival], instances: Sequence[HostInstance]
-) -> Finding:
-    finding = Finding(call, arrivals, _find_stop(call, instances))
+def _examine(finding: Finding) -> None:
+    """Find what excuses the end of an answer around a SIGTERM."""
+    call, arrivals = finding.call, finding.arrivals
     if finding.instance is None:
-        return finding
+        return
     terminated = finding.instance.terminated
     assert terminated is not None
     ended = finding.ended
@@ -208,7 +210,6 @@
         margins["last sixth"] = min(last_active - terminated - LAST_SIXTH_MS, early)
     for name, margin in margins.items():
         (finding.excuses if margin >= 0 else finding.misses)[name] = margin
-    return finding
 
 
 def _find_stop(call: DayCall, instances: Sequence[HostInstance]) -> HostInstance | None:
