Wait for a live engine that has taken a run

What callers saw: a stream that ends within the answer, after a pause of 1 to 3 s, as all engines with its memory refuse it.

Cause: a request that continues a run was given up after 1 s if a second engine holds the same copy. The handle of a copy can be used once: the engine that has read the request, and has not begun, has used it, and what it holds is gone with its connection. The second engine then refuses the handle.

Ruled out: that the run's earlier copy is used while the stop is still under way is what makes its target late; with a target that begins at once such runs go on (test cases with queue_ms 0). The simulated engines now use a handle as they read the request.

--- a/src/tanagerscale/forwarding/_resuming.py
+++ b/src/tanagerscale/forwarding/_resuming.py
@@ -10,6 +10,7 @@
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
+from tanagerscale.forwarding._engine_reports import answers_report
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._segments import MIN_FAILURE_STATUS
 from tanagerscale.forwarding._segments import RunProgress
@@ -27,11 +28,12 @@
 from tanagerscale.upstreams import UpstreamLeavingError
 
 RESUME_TIMEOUT_MS: Final = 1000
-"""Timeout for an engine to accept a resume request; engines that do so take 20 to 40 ms."""
+"""Timeout for an engine to accept a resume request, unless it is alive. The memory of a run can be
+used once, so that no other engine has it after a live engine has read the request."""
 
 ONLY_HOLDER_TIMEOUT_MS: Final = 6000
-"""The same if no other engine can continue the run. Callers disconnect seven seconds after the last
-event."""
+"""The same if the engine is alive, or no other one can continue the run. Callers disconnect seven
+seconds after the last event."""
 
 MAX_RESUME_ATTEMPTS: Final = 5
 INITIAL_BACKOFF_MS: Final = 20
@@ -153,15 +155,21 @@
     ) -> StreamSegment:
         sent_at = self._context.clock.now()
         has_other = self._has_other_copy or self._other_holder(resume_target, entry) is not entry
-        timeout_ms = RESUME_TIMEOUT_MS if has_other else ONLY_HOLDER_TIMEOUT_MS
-        async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-            segment = await self._sender.send(
+        sending = asyncio.create_task(
+            self._sender.send(
                 entry=entry,
                 resume_target=resume_target,
                 progress=progress,
                 path=SendPath.RESUMED,
                 chosen_at=chosen_at,
             )
+        )
+        try:
+            async with asyncio.timeout(ONLY_HOLDER_TIMEOUT_MS / MS_PER_SECOND):
+                segment = await self._wait_for_engine(sending, entry, has_other=has_other)
+        finally:
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
         status = segment.response.status
         self._sender.log(
             (
@@ -177,6 +185,25 @@
         )
         return segment
 
+    async def _wait_for_engine(
+        self, sending: asyncio.Task[StreamSegment], entry: UpstreamEntry, *, has_other: bool
+    ) -> StreamSegment:
+        """Return the response of an engine, which takes long only as long as it is alive.
+
+        :param sending: The request to it.
+        :param entry: The engine.
+        :param has_other: Whether another engine can continue the run.
+        :raises TimeoutError: The engine is not alive.
+        """
+        while has_other:
+            done, _ = await asyncio.wait([sending], timeout=RESUME_TIMEOUT_MS / MS_PER_SECOND)
+            if done:
+                break
+            is_alive = await answers_report(self._context.engines, entry)
+            if not is_alive and not sending.done():
+                raise TimeoutError
+        return await sending
+
     async def _acquire_repeat(self, entry: UpstreamEntry, ends_at: int) -> bool:
         """Wait until the retry budget allows the run to continue.
 
--- a/testing/_moving_engines.py
+++ b/testing/_moving_engines.py
@@ -127,6 +127,10 @@
     loses_stops: bool = False
     """Whether its answers to stops are lost."""
     delay_ms: int = 0
+    queue_ms: int = 0
+    """Time for which a request that continues a run waits at it, after its handle was used."""
+    link_ms: int = 0
+    """Time for which copies wait for others on its link."""
     works: dict[RequestId, Work] = field(default_factory=dict)
 
     @property
--- a/testing/_moving_world.py
+++ b/testing/_moving_world.py
@@ -175,6 +175,9 @@
                 response.put(b"")
                 return response
             self.memories.remove(memory)
+            await asyncio.sleep(engine.queue_ms / 1000)
+            if not engine.is_alive:
+                raise ExchangeError(ExchangeFailure.LOST, "connection lost")
         work = Work(request=request, response=WorldResponse(), event=after)
         engine.works[request] = work
         self.log(f"{request} runs at {engine.name} after {after}")
@@ -191,8 +194,23 @@
         return result
 
     async def report(self, *, upstream: UpstreamEntry) -> Result[EngineReport, str]:
-        """Fail to report."""
-        return Failure("No report; ask again later.")
+        """Report, whatever the engine is busy with."""
+        engine = self.engines[upstream.upstream]
+        if not engine.is_alive:
+            return Failure("No report; ask again later.")
+        await asyncio.sleep((CALL_MS + engine.delay_ms) / 1000)
+        return Success(
+            EngineReport(
+                upstream=upstream.upstream,
+                waiting=0,
+                running=len(engine.works),
+                used_tokens=0,
+                total_tokens=0,
+                leaves_in_ms=None,
+                is_leaving=False,
+                runs=(),
+            )
+        )
 
     async def drop_copy(self, *, holder: UpstreamEntry, copy: str) -> None:
         """Free a copy where it is called; at both its ends if that is the engine it comes from."""
@@ -241,7 +259,7 @@
         handle = self._handle_of(request, engine, other)
         work.is_copied = True
         if _has_room(other, stop=stop):
-            await asyncio.sleep(COPY_MS / 1000)
+            await asyncio.sleep((COPY_MS + engine.link_ms) / 1000)
         work.is_copied = False
         expires_at = Clock().now() + COPY_TTL_MS
         if engine not in self._alive:
