Keep a connection for its grace period when it is unwanted again

What callers would see: nothing by itself; messages on the connection are lost.

Cause: since coordinators keep their connections, the time since when one has been unwanted was not updated at a coordinator, so that an old one counted when the host stopped being one.

--- a/src/tanagerscale/membership/_mesh.py
+++ b/src/tanagerscale/membership/_mesh.py
@@ -223,8 +223,7 @@
 
     def _send_due_heartbeat(self) -> None:
         self._interval_ms = self._get_heartbeat_interval_ms(len(self._sessions))
-        if self._closes_unwanted():
-            self._close_unwanted()
+        self._close_unwanted()
         self.send_heartbeat()
 
     def _close_unwanted(self) -> None:
@@ -235,6 +234,8 @@
             for host, session in self._sessions.items()
             if session.dialer == self._host and session.peer.address not in self._targets
         }
+        if not self._closes_unwanted():
+            unwanted.clear()
         self._unwanted_since = {host: self._unwanted_since.get(host, now) for host in unwanted}
         for host, session in unwanted.items():
             if now - self._unwanted_since[host] >= _UNWANTED_GRACE_MS:
