Move the runs of leaving engines to the end of a stop again

Cause: rejected all moves in the last 2.5 s of a stop, also those without which the run ends with its engine.

Ruled out: a longer reserve, which loses more runs of leaving engines. That such a run may be between two engines as its host ends remains and is written down.

Before: test_run_at_a_leaving_engine_is_moved_when_its_host_is_stopping[2.5] fails on. After: holds.

--- a/src/tanagerscale/forwarding/_mover.py
+++ b/src/tanagerscale/forwarding/_mover.py
@@ -18,7 +18,6 @@
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
 from tanagerscale.forwarding._stopping import NOT_MOVED
-from tanagerscale.forwarding._stopping import TOO_LATE
 from tanagerscale.forwarding._stopping import MoveResult
 from tanagerscale.forwarding._stopping import RunStopper
 from tanagerscale.forwarding._stream import StreamRun
@@ -57,7 +56,8 @@
         self._check_decider = check_decider
         self._query_engine = query_engine
         self._copier = Copier(context=context)
-        self._stopper = RunStopper(context=context, copier=self._copier, shutdown=shutdown)
+        self._stopper = RunStopper(context=context, copier=self._copier)
+        self._shutdown = shutdown
         self._queried_at: dict[UpstreamId, Millis] = {}
         self._background: set[asyncio.Future[None]] = set()
 
@@ -131,8 +131,9 @@
             return "the run is being copied"
         if order.kind is MoveKind.DROP:
             return "there is no copy" if run.snapshot is None else ""
-        if order.kind is not MoveKind.AHEAD and not self._stopper.has_time:
-            return TOO_LATE
+        if order.kind is MoveKind.EVEN_OUT and self._shutdown.has_begun:
+            # A run that is between two engines as its host ends is cut though one could work on.
+            return "the host is stopping"
         return self._stopper.find_obstacle(UpstreamId(order.target))
 
     def _get_entry(self, order: MoveOrder) -> UpstreamEntry | None:
--- a/src/tanagerscale/forwarding/_shutdown.py
+++ b/src/tanagerscale/forwarding/_shutdown.py
@@ -22,10 +22,6 @@
 FINAL_RESPONSE_RESERVE_MS: Final = 200
 """Time before the teardown in which requests without a response get their final one."""
 
-MOVE_RESERVE_MS: Final = 2500
-"""Time that a run may need to continue after it was stopped for a move. A run that is between two
-engines as its host ends is cut though its engine could have worked on."""
-
 SHORT_STREAM_MS: Final = 2000
 """Time from the first to the last event of a stream that is not long."""
 
@@ -67,11 +63,6 @@
         """Whether the time for finishing requests is over and the teardown is due."""
         return self.has_begun and self._time_left_ms() <= -FINAL_RESPONSE_RESERVE_MS
 
-    @property
-    def allows_moves(self) -> bool:
-        """Whether a run that is stopped for a move can continue before the end of the shutdown."""
-        return not self.has_begun or self._time_left_ms() >= MOVE_RESERVE_MS
-
     def begin(self, *, grace_s: float) -> None:
         """Record the start of the shutdown.
 
--- a/src/tanagerscale/forwarding/_stopping.py
+++ b/src/tanagerscale/forwarding/_stopping.py
@@ -18,7 +18,6 @@
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._run_stops import STOP_TIMEOUT_MS
 from tanagerscale.forwarding._sending import RESUME_AT_LEAVING_MS
-from tanagerscale.forwarding._shutdown import ShutdownSchedule
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
 from tanagerscale.forwarding._stream import StreamRun
@@ -33,9 +32,6 @@
 _log = get_logger(part="moves")
 
 
-TOO_LATE: Final = "the host stops too soon"
-
-
 class MoveResult(Struct, frozen=True, kw_only=True):
     """Result of an order to move a run.
 
@@ -60,20 +56,11 @@
 
     :param context: Dependencies shared by all requests.
     :param copier: Copies runs.
-    :param shutdown: Schedule of the host's graceful shutdown.
     """
 
-    def __init__(
-        self, *, context: ForwardingContext, copier: Copier, shutdown: ShutdownSchedule
-    ) -> None:
+    def __init__(self, *, context: ForwardingContext, copier: Copier) -> None:
         self._context = context
         self._copier = copier
-        self._shutdown = shutdown
-
-    @property
-    def has_time(self) -> bool:
-        """Whether a run that is stopped now can continue before its host ends."""
-        return self._shutdown.allows_moves
 
     def find_obstacle(self, target: UpstreamId) -> str:
         """Return why no run may be moved to an engine; the empty string if one may."""
@@ -98,7 +85,7 @@
         snapshot = await self._confirm(run, source, target)
         if snapshot is None or run.ended or run.entry is not source:
             return NOT_MOVED
-        obstacle = self.find_obstacle(target.upstream) if self.has_time else TOO_LATE
+        obstacle = self.find_obstacle(target.upstream)
         if obstacle:
             _log.info(
                 "A run is not stopped.",
