Show the resident memory of a host against its limit, and warn above nine tenths

What was missing: a process that exceeds memory_mb is killed by the platform with SIGKILL, and neither logs nor metrics told that from any other kill. The gauges tanagerscale_host_used and tanagerscale_host_limit get the budget "memory"; a warning "The memory is almost used up." with the resident memory, the limit and what is counted is logged once each time nine tenths are exceeded.

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -39,6 +39,7 @@
 from tanagerscale.core._numbers import UnixMillis
 from tanagerscale.core._numbers import parse_number
 from tanagerscale.core._reads import read_within
+from tanagerscale.core._resident_memory import ResidentMemory
 from tanagerscale.core._signals import defer_signals
 from tanagerscale.core._signals import handle_signals
 from tanagerscale.core._signals import hold_signals
@@ -69,6 +70,7 @@
     "ProblemKind",
     "RegionId",
     "RequestId",
+    "ResidentMemory",
     "Revision",
     "ServiceId",
     "TaskMonitor",
--- a/src/tanagerscale/gateway/_host_limit_metrics.py
+++ b/src/tanagerscale/gateway/_host_limit_metrics.py
@@ -21,10 +21,16 @@
     :param registry: Registry that exports the metrics.
     :param budget: The budgets.
     :param get_use: Returns what the host uses.
+    :param read_resident_bytes: Returns the resident memory of the process; ``None`` if unknown.
     """
 
     def __init__(
-        self, *, registry: CollectorRegistry, budget: HostBudget, get_use: Callable[[], HostUse]
+        self,
+        *,
+        registry: CollectorRegistry,
+        budget: HostBudget,
+        get_use: Callable[[], HostUse],
+        read_resident_bytes: Callable[[], int | None],
     ) -> None:
         self.refusals: Final = Counter(
             "tanagerscale_host_limit_refusals",
@@ -40,13 +46,14 @@
         )
         used = Gauge(
             "tanagerscale_host_used",
-            "Bytes and descriptors in use; milliseconds that the link needs for waiting bytes.",
+            "Bytes and descriptors in use, resident memory; milliseconds that the link needs for "
+            "waiting bytes.",
             ["budget"],
             registry=registry,
         )
         limit = Gauge(
             "tanagerscale_host_limit",
-            "Limits for bytes and descriptors, and the link's speed in Mbit/s; 0 if unknown.",
+            "Limits for bytes, descriptors and memory, the link's speed in Mbit/s; 0 if unknown.",
             ["budget"],
             registry=registry,
         )
@@ -58,6 +65,8 @@
         used.labels("bytes").set_function(get_bytes)
         used.labels("descriptors").set_function(lambda: get_use().descriptors)
         used.labels("link").set_function(lambda: budget.get_link_wait_ms(get_use()))
+        used.labels("memory").set_function(lambda: read_resident_bytes() or 0)
+        limit.labels("memory").set(budget.memory_bytes or 0)
         limit.labels("bytes").set(budget.byte_limit or 0)
         limit.labels("descriptors").set(budget.descriptor_limit or 0)
         limit.labels("link").set(budget.link_mbps or 0)
--- a/src/tanagerscale/gateway/_host_limits.py
+++ b/src/tanagerscale/gateway/_host_limits.py
@@ -17,6 +17,7 @@
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
+from tanagerscale.core import ResidentMemory
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import host_full
@@ -174,6 +175,7 @@
     :param rng: Random number generator for the jitter of retry delays.
     :param registry: Registry that exports the metrics.
     :param count_other_connections: Returns the number of connections to upstreams and peers.
+    :param read_resident_bytes: Returns the resident memory of the process; ``None`` if unknown.
     """
 
     def __init__(
@@ -184,11 +186,14 @@
         rng: Random,
         registry: CollectorRegistry,
         count_other_connections: Callable[[], int] = lambda: 0,
+        read_resident_bytes: Callable[[], int | None] = lambda: None,
     ) -> None:
         self._budget = budget
         self._clock = clock
         self._rng = rng
         self._count_other_connections = count_other_connections
+        self._read_resident_bytes = read_resident_bytes
+        self._is_memory_low = False
         self._get_transports: Callable[[], Iterable[OutgoingTransport]] = tuple
         self._waits: list[_SpaceWait] = []
         self._was_ready = True
@@ -205,7 +210,10 @@
         self.written_bytes = 0
         """Bytes that have been written to callers since the start."""
         self.metrics: Final = HostLimitMetrics(
-            registry=registry, budget=budget, get_use=self.measure
+            registry=registry,
+            budget=budget,
+            get_use=self.measure,
+            read_resident_bytes=read_resident_bytes,
         )
 
     @property
@@ -335,9 +343,25 @@
             self.update()
 
     def update(self) -> None:
-        """Update readiness and waiting bodies after an interval."""
+        """Update readiness and waiting bodies after an interval, and check the memory."""
         _ = self.is_ready
         self.grant_space()
+        self._check_memory()
+
+    def _check_memory(self) -> None:
+        """Log a warning if the process is about to exceed its limit."""
+        resident_bytes = self._read_resident_bytes()
+        if resident_bytes is None:
+            return
+        excess = self._budget.get_memory_excess(resident_bytes)
+        if excess and not self._is_memory_low:
+            _log.warning(
+                "The memory is almost used up.",
+                resident_bytes=resident_bytes,
+                memory_limit=self._budget.memory_bytes,
+                **self._describe(self.measure()),
+            )
+        self._is_memory_low = excess > 0
 
     def _refuse(self, budget: str, use: HostUse, *, size: int) -> Refusal:
         self.metrics.refusals.labels(budget).inc()
@@ -397,4 +421,5 @@
         rng=rng,
         registry=registry,
         count_other_connections=lambda: count_open_connections() + count_peers(),
+        read_resident_bytes=ResidentMemory().read,
     )
--- a/src/tanagerscale/policy/_host_budget.py
+++ b/src/tanagerscale/policy/_host_budget.py
@@ -38,6 +38,9 @@
 ``READY_RATIO``, so that streams alone do not keep the host from becoming ready again; the rest
 covers the event by which each stream exceeds its buffer, and other requests."""
 
+MEMORY_WARNING_RATIO: Final = 0.9
+"""Fraction of the memory limit above which a warning is logged."""
+
 USUAL_ANSWER_BYTES: Final = 176 * 1024
 """Size of a long answer: 1,756 tokens in 439 events of 380 bytes, with the framing of HTTP
 chunks."""
@@ -79,6 +82,7 @@
     :param byte_limit: Bytes for requests.
     :param descriptor_limit: Connections.
     :param link_mbps: Speed of the network link in Mbit/s, for the metrics only.
+    :param memory_bytes: Memory that the process may use.
     """
 
     def __init__(
@@ -87,10 +91,12 @@
         byte_limit: int | None = None,
         descriptor_limit: int | None = None,
         link_mbps: float | None = None,
+        memory_bytes: int | None = None,
     ) -> None:
         self.byte_limit: Final = byte_limit
         self.descriptor_limit: Final = descriptor_limit
         self.link_mbps: Final = link_mbps
+        self.memory_bytes: Final = memory_bytes
         self._is_ready = True
         self._has_few_descriptors = True
 
@@ -112,6 +118,15 @@
         """Return whether the open connections are within their limit."""
         return self.descriptor_limit is None or use.descriptors <= self.descriptor_limit
 
+    def get_memory_excess(self, resident_bytes: int) -> int:
+        """Return how many bytes must be freed for the process to stay below its limit.
+
+        :param resident_bytes: Resident memory of the process.
+        """
+        if self.memory_bytes is None:
+            return 0
+        return max(0, resident_bytes - int(self.memory_bytes * MEMORY_WARNING_RATIO))
+
     def update_readiness(self, use: HostUse) -> bool:
         """Return whether the host is ready, considering whether it was at the last call."""
         ratios = self.get_ratios(use)
@@ -197,6 +212,7 @@
         byte_limit=byte_limit if byte_limit > 0 else None,
         descriptor_limit=descriptor_limit if descriptor_limit > 0 else None,
         link_mbps=link_mbps if link_mbps > 0 else None,
+        memory_bytes=int(memory_mb * BYTES_PER_MB) if byte_limit > 0 else None,
     )
     return budget, invalid
 
