Give up the body of a response that has been sent

What callers saw: nothing by itself; a host with answers of 4 MB took tens of MB more than it counted. Cause: aiohttp's response, its request and the task of the connection refer to each other, so that the body of a finished response stays in memory until the cyclic garbage collector runs. Nothing counts these bytes. Class: bytes that a host holds for others without counting them against memory_mb. Change: the body is dropped once it has been written, for callers and for other hosts.

--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -272,6 +272,8 @@
         self._record_write(len(body))
         await response.prepare(self._request)
         await response.write_eof()
+        # The response is part of a reference cycle, which may be collected much later.
+        response.body = None
 
     async def refuse(self, *, refusal: Refusal) -> None:
         """Send an error response of the gateway itself, as problem details (RFC 9457)."""
--- a/src/tanagerscale/gateway/_delegate_server.py
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -248,6 +248,8 @@
         self._response = response
         await response.prepare(self._request)
         await response.write_eof()
+        # The response is part of a reference cycle, which may be collected much later.
+        response.body = None
 
 
 async def _read_body(request: web.BaseRequest) -> bytes | None:
