Count everything that a host holds for others in one account, and let endless answers fail

What callers saw: one upstream of several that answers without end (a huge length, chunks, no length, events) takes a host of 150 MB to 442 to 617 MB; the platform kills it, and the requests of all its callers end with it. Cause: answers were read whole up to 16 MB each on hosts without limits and without any bound on hosts with limits (CountedResponse.read_all counted the parts and read on); nothing tied the sum to memory_mb. Events without an end were kept up to 4 MB each, rests of delegated streams and delegated bodies without being counted; answers that are read to be thrown away were kept whole. Class: bytes that another process sends and that are held without being counted. Change: ByteAccount counts the unread input of each connection to upstreams, the store and other hosts, bodies until they are complete, incomplete events, and, as before, what requests hold. Incomplete ones may have half of the byte budget, and together with the rest no more than all of it; 6 MB are always allowed, for one answer of 4 MB. Above that, exchanges fail until the rest fits: those of unknown length first, of these the largest one of the peer that has the most. The exchange fails as "too large": the request may have run (502), an idempotent one is repeated, the upstream's health counts a failure, and no crash is suspected. Resident memory above nine tenths frees them as well. A body whose announced length exceeds 16 MB fails at once. Refused responses are discarded as they arrive, for 2 s at most. Delegated requests are counted like those of callers, and not accepted without space. An event that is not complete is kept as parts: a growing buffer fragmented the heap (131 MB instead of 99 MB).

--- a/src/tanagerscale/forwarding/_delegation.py
+++ b/src/tanagerscale/forwarding/_delegation.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -21,6 +20,8 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
 from tanagerscale.forwarding._crash_evidence import is_quarantined
+from tanagerscale.forwarding._events import EventBuffer
+from tanagerscale.forwarding._events import EventError
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._refusals import no_upstream
 from tanagerscale.forwarding._refusals import quarantined
@@ -47,8 +48,6 @@
 EXCLUSION_MS: Final = 1000
 """Time for which a host that did not help is not asked again."""
 
-EVENT_END: Final = b"\n\n"
-
 _ELSEWHERE: Final = frozenset(
     (
         RefusalKind.NO_PATH,
@@ -107,6 +106,12 @@
         :raises ExchangeError: The body was truncated.
         """
 
+    async def read_all(self) -> bytes:
+        """Return the complete body.
+
+        :raises ExchangeError: The body was truncated, or is too large.
+        """
+
     def close(self) -> None:
         """Discard the response, so that the delegate stops."""
 
@@ -295,17 +300,36 @@
             return self._accept_refusal(head.refusal)
         if head.outcome is DelegatedOutcome.STREAM:
             await responder.begin(status=head.status, reason=head.reason, headers=head.headers)
-            await _pass_on_events(response, responder)
+            await self._pass_on_events(host, response, responder)
             self.upstream_part.end = UpstreamEnd.WHOLE
             await responder.end()
             return None, True
-        body = [chunk async for chunk in _chunks(response)]
+        body = await response.read_all()
         self.upstream_part.end = UpstreamEnd.WHOLE
         await responder.respond(
-            status=head.status, reason=head.reason, headers=head.headers, body=b"".join(body)
+            status=head.status, reason=head.reason, headers=head.headers, body=body
         )
         return None, True
 
+    async def _pass_on_events(
+        self, host: HostId, response: DelegatedResponse, responder: Responder
+    ) -> None:
+        """Pass on complete events only, as the delegate may end in the middle of one.
+
+        :raises ExchangeError: It did so, or an event is too large.
+        """
+        buffer = EventBuffer(account=self._context.account, peer=host)
+        try:
+            while chunk := await response.read_some():
+                if complete := buffer.feed(chunk):
+                    await responder.write(complete)
+            if not buffer.is_empty:
+                raise ExchangeError(ExchangeFailure.LOST, "The answer ended within an event")
+        except EventError as error:
+            raise ExchangeError(ExchangeFailure.TOO_LARGE, str(error)) from error
+        finally:
+            buffer.close()
+
     def _accept_refusal(self, refusal: Refusal | None) -> tuple[Refusal | None, bool]:
         if refusal is None or refusal.kind in _ELSEWHERE:
             self._is_sent = False
@@ -324,22 +348,3 @@
             is_cut_off=self._context.paths.is_cut_off,
             **inputs,
         )
-
-
-async def _chunks(response: DelegatedResponse) -> AsyncIterator[bytes]:
-    while chunk := await response.read_some():
-        yield chunk
-
-
-async def _pass_on_events(response: DelegatedResponse, responder: Responder) -> None:
-    """Pass on whole events only, as the delegate may end in the middle of one.
-
-    :raises ExchangeError: It did so.
-    """
-    rest = b""
-    async for chunk in _chunks(response):
-        events, separator, rest = (rest + chunk).rpartition(EVENT_END)
-        if separator:
-            await responder.write(events + separator)
-    if rest:
-        raise ExchangeError(ExchangeFailure.LOST, "The answer ended within an event")
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from msgspec import Struct
+from msgspec import field
 
 from tanagerscale.coordination import Gate
 from tanagerscale.coordination import Permit
@@ -26,6 +27,7 @@
 from tanagerscale.forwarding._types import UpstreamClient
 from tanagerscale.forwarding._workload import LocalWorkload
 from tanagerscale.generated.messages import RequestClass
+from tanagerscale.policy import ByteAccount
 from tanagerscale.quarantine import SuspectTracker
 from tanagerscale.upstreams import NamedLimits
 from tanagerscale.upstreams import UpstreamPaths
@@ -88,6 +90,7 @@
     :param rng: Random number generator used for jitter, tie breaking and weighted selection.
     :param has_bounded_buffers: Whether buffers are so small that writing an event often waits for a
         caller that reads slowly. That time is then no gap of the engine.
+    :param account: Account of incomplete answers.
     """
 
     tables: RouteTableSource
@@ -111,3 +114,4 @@
     rng: Random
     list_age_ms: Callable[[], int | None] = _unknown_age
     has_bounded_buffers: bool = False
+    account: ByteAccount = field(default_factory=ByteAccount)
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -372,7 +372,9 @@
             self._context.gate.record_failure(upstream=entry.upstream)
         else:
             self._record.record_run(entry.upstream)
-            record_broken_response(self._routed, self._context, entry)
+            # An upstream whose answer this host has given up has not crashed.
+            if error.failure is not ExchangeFailure.TOO_LARGE:
+                record_broken_response(self._routed, self._context, entry)
         self._refusal = upstream_failed(cause=error.detail)
         self._context.metrics.attempts.labels(error.failure.value).inc()
         self._log("An attempt failed.", entry, failure=error.failure.value, detail=error.detail)
--- a/src/tanagerscale/forwarding/_relay.py
+++ b/src/tanagerscale/forwarding/_relay.py
@@ -66,7 +66,7 @@
         :param has_copy: Returns whether the run can resume elsewhere if the engine sends nothing.
         :returns: Why the stream did not end properly, or ``None`` if it did.
         """
-        reader = EventReader()
+        reader = EventReader(account=self._context.account, peer=segment.entry.address)
         try:
             while chunk := await self._read(segment, has_copy):
                 for event in reader.feed(chunk):
@@ -79,7 +79,10 @@
                     self._record_event(segment, event.number, read_at)
         except (ExchangeError, EventError) as error:
             return str(error)
-        if not reader.is_empty:
+        finally:
+            is_empty = reader.is_empty
+            reader.close()
+        if not is_empty:
             return "the answer ended within an event"
         segment.part.end = UpstreamEnd.WHOLE
         return None
--- a/src/tanagerscale/forwarding/_segments.py
+++ b/src/tanagerscale/forwarding/_segments.py
@@ -26,6 +26,7 @@
 from tanagerscale.forwarding._types import UpstreamResponse
 from tanagerscale.routes import effective_priority
 from tanagerscale.upstreams import ExchangeError
+from tanagerscale.upstreams import ExchangeFailure
 from tanagerscale.upstreams import UpstreamEntry
 
 MIN_FAILURE_STATUS: Final = 300
@@ -137,7 +138,7 @@
         """Read and discard a response, so that its connection can be reused."""
         segment.late.cancel()
         try:
-            await segment.response.read_all()
+            await segment.response.skip()
         except ExchangeError as error:
             self.log(
                 "The rest of a response could not be read.", segment.entry, detail=error.detail
@@ -158,6 +159,17 @@
         self.record_failure(entry)
         record_broken_response(self._routed, self._context, entry, written_ms=written_ms)
 
+    def record_lost_response(self, entry: UpstreamEntry, error: ExchangeError) -> None:
+        """Record a response that was not read completely.
+
+        :param entry: The engine, which has not crashed if this host has given the response up.
+        :param error: What was wrong with the response.
+        """
+        if error.failure is ExchangeFailure.TOO_LARGE:
+            self.record_failure(entry)
+        else:
+            self.record_broken_response(entry)
+
     def record_complete_response(self, segment: StreamSegment) -> None:
         """Record a complete response."""
         entry = segment.entry
--- a/src/tanagerscale/forwarding/_starting.py
+++ b/src/tanagerscale/forwarding/_starting.py
@@ -131,7 +131,7 @@
             self._context.gate.record_failure(upstream=entry.upstream)
         else:
             self.record.record_run(entry.upstream)
-            self._sender.record_broken_response(entry)
+            self._sender.record_lost_response(entry, error)
         self._context.metrics.attempts.labels(error.failure.value).inc()
         self._sender.log("An attempt failed.", entry, detail=error.detail, sent=not not_sent)
         await self._context.crash_reports.wait_for_finding(entry.upstream)
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -313,7 +313,7 @@
         try:
             body = await response.read_all()
         except ExchangeError as error:
-            self._sender.record_broken_response(segment.entry)
+            self._sender.record_lost_response(segment.entry, error)
             return upstream_failed(cause=error.detail)
         await self._responder.respond(
             status=response.status, reason=response.reason, headers=response.headers, body=body
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -275,7 +275,13 @@
     async def read_all(self) -> bytes:
         """Return the complete body.
 
-        :raises ExchangeError: The body was truncated.
+        :raises ExchangeError: The body was truncated, or is too large.
+        """
+
+    async def skip(self) -> None:
+        """Read and discard the body, so that the connection can be used again.
+
+        :raises ExchangeError: The body was truncated, too large or not there in time.
         """
 
     def close(self) -> None:
--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -26,11 +26,11 @@
 from tanagerscale.gateway._connections import CallerProtocol
 from tanagerscale.gateway._connections import ConnectionUse
 from tanagerscale.gateway._host_limits import HostLimits
-from tanagerscale.gateway._host_limits import RequestLease
-from tanagerscale.gateway._host_limits import current_lease
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
+from tanagerscale.gateway._request_lease import RequestLease
+from tanagerscale.gateway._request_lease import current_lease
 
 STATUS_BY_REFUSAL: Final = {
     RefusalKind.NOT_READY: 503,
--- a/src/tanagerscale/gateway/_counted_response.py
+++ b/src/tanagerscale/gateway/_counted_response.py
@@ -7,12 +7,14 @@
 
 from tanagerscale.forwarding import Header
 from tanagerscale.forwarding import UpstreamResponse
-from tanagerscale.gateway._host_limits import RequestLease
+from tanagerscale.gateway._request_lease import RequestLease
 
 
 @final
 class CountedResponse:
-    """Passes a response on, and counts a body that is read whole until the request ends.
+    """Passes a response on, and counts a whole body until the request ends.
+
+    The connection counts what has been read of a body that is not complete.
 
     :param response: The response.
     :param lease: Lease of the request.
@@ -62,15 +64,17 @@
         return await self._response.read_some()
 
     async def read_all(self) -> bytes:
-        """Return the complete body, counting each part as it arrives.
+        """Return the complete body.
 
-        A body is read on if it exceeds the budget, as the upstream has done its work.
+        A complete body is delivered if it exceeds the budget, as the upstream has done its work.
         """
-        chunks = []
-        while chunk := await self._response.read_some():
-            chunks.append(chunk)
-            self._lease.add(len(chunk))
-        return b"".join(chunks)
+        body = await self._response.read_all()
+        self._lease.add(len(body))
+        return body
+
+    async def skip(self) -> None:
+        """Read and discard the body."""
+        await self._response.skip()
 
     def close(self) -> None:
         """Discard the response and close its connection, so that the upstream stops."""
--- a/src/tanagerscale/gateway/_delegate_client.py
+++ b/src/tanagerscale/gateway/_delegate_client.py
@@ -16,6 +16,7 @@
 from tanagerscale.gateway._delegation_wire import PATH
 from tanagerscale.gateway._delegation_wire import decode_head
 from tanagerscale.gateway._delegation_wire import encode_request
+from tanagerscale.policy import ByteAccount
 from tanagerscale.upstreams import AnswerRule
 from tanagerscale.upstreams import ConnectionPool
 from tanagerscale.upstreams import Exchange
@@ -54,6 +55,10 @@
         """Return the next bytes of the body, or empty bytes after its proper end."""
         return await self._response.read_some()
 
+    async def read_all(self) -> bytes:
+        """Return the complete body."""
+        return await self._response.read_all()
+
     def close(self) -> None:
         """Close the connection, unless the response was read completely."""
         self._response.close()
@@ -65,14 +70,18 @@
 
     :param clock: Source of the current time.
     :param log: Counts and logs the exchanges.
+    :param account: Account of the bytes that the host holds; ``None`` for none.
     """
 
-    def __init__(self, *, clock: Clock, log: ExchangeLog | None = None) -> None:
+    def __init__(
+        self, *, clock: Clock, log: ExchangeLog | None = None, account: ByteAccount | None = None
+    ) -> None:
         self._pool = ConnectionPool(
             clock=clock,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             dead_peer_timeout_s=DEAD_HOST_TIMEOUT_S,
             log=log,
+            account=account,
         )
         self._client = ExchangeClient(
             pool=self._pool, rule=HOST_ANSWERS, response_type=PooledResponse
--- a/src/tanagerscale/gateway/_delegate_server.py
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -36,8 +36,11 @@
 from tanagerscale.gateway._delegation_wire import PATH
 from tanagerscale.gateway._delegation_wire import decode_request
 from tanagerscale.gateway._delegation_wire import encode_head
+from tanagerscale.gateway._host_limits import HostLimits
 from tanagerscale.gateway._listener import ACCEPT_BACKLOG
 from tanagerscale.gateway._listener import close_listener
+from tanagerscale.gateway._request_lease import RequestLease
+from tanagerscale.gateway._request_lease import current_lease
 
 MAX_DELEGATED: Final = 64
 """Requests of other hosts that a host sends at a time, beside those of its own callers."""
@@ -66,14 +69,21 @@
     :param serve: Serves one request.
     :param can_help: Returns whether this host reaches upstreams and is not shutting down.
     :param clock: Source of the current time.
+    :param limits: Limits of the host; ``None`` for none.
     """
 
     def __init__(
-        self, *, serve: ServeDelegated, can_help: Callable[[], bool], clock: Clock
+        self,
+        *,
+        serve: ServeDelegated,
+        can_help: Callable[[], bool],
+        clock: Clock,
+        limits: HostLimits | None = None,
     ) -> None:
         self._serve = serve
         self._can_help = can_help
         self._clock = clock
+        self._limits = limits
         self._running = 0
         self._seen: OrderedDict[RequestId, Millis] = OrderedDict()
         self._server: web.Server | None = None
@@ -135,16 +145,25 @@
         assert isinstance(request.protocol, CallerProtocol)
         use = request.protocol.use
         use.begin_request()
+        lease = None if self._limits is None else RequestLease(limits=self._limits)
+        token = current_lease.set(lease)
         try:
-            return await self._handle(request, use)
+            return await self._handle(request, use, lease)
         finally:
+            if lease is not None:
+                lease.release()
+            current_lease.reset(token)
             use.end_request(now=self._clock.now())
 
     async def _handle(
-        self, request: web.BaseRequest, connection: ConnectionUse
+        self, request: web.BaseRequest, connection: ConnectionUse, lease: RequestLease | None
     ) -> web.StreamResponse:
         arrived = self._clock.now()
-        body = await _read_body(request)
+        if lease is not None and lease.open_request() is not None:
+            return _unavailable(request)
+        body = await _read_body(request, lease)
+        if isinstance(body, Refusal):
+            return _unavailable(request)
         if request.path != PATH or body is None:
             return web.Response(status=400, headers=_echoed_fields(request))
         decoded = decode_request(body, arrived=arrived)
@@ -252,14 +271,21 @@
         response.body = None
 
 
-async def _read_body(request: web.BaseRequest) -> bytes | None:
-    """Return the whole body, or ``None`` if it is too large."""
-    body = b""
+async def _read_body(
+    request: web.BaseRequest, lease: RequestLease | None
+) -> bytes | Refusal | None:
+    """Return the whole body, ``None`` if it is too large, or a refusal if there is no space."""
+    chunks: list[bytes] = []
+    size = 0
     while chunk := await request.content.readany():
-        body += chunk
-        if len(body) > MAX_BODY_BYTES:
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > MAX_BODY_BYTES:
             return None
-    return body
+        refusal = None if lease is None else await lease.reserve_body(len(chunk))
+        if refusal is not None:
+            return refusal
+    return b"".join(chunks)
 
 
 def _unavailable(request: web.BaseRequest) -> web.Response:
--- a/src/tanagerscale/gateway/_forwarding.py
+++ b/src/tanagerscale/gateway/_forwarding.py
@@ -16,6 +16,7 @@
 from tanagerscale.gateway._observed_upstreams import ObservedUpstreams
 from tanagerscale.gateway._platform import PlatformUpstreamClient
 from tanagerscale.gateway._share_metrics import ShareCollector
+from tanagerscale.policy import ByteAccount
 
 
 def make_forwarding_context(
@@ -28,6 +29,7 @@
     clock: Clock,
     rng: Random,
     has_bounded_buffers: bool = False,
+    account: ByteAccount | None = None,
 ) -> ForwardingContext:
     """Return the dependencies of requests, built on the control plane of their host.
 
@@ -39,6 +41,7 @@
     :param clock: Clock used for deadlines and durations.
     :param rng: Random number generator used for jitter and tie breaking.
     :param has_bounded_buffers: Whether the buffers of streams to callers are bounded.
+    :param account: Account of incomplete answers; ``None`` for none.
     """
     observed = ObservedUpstreams(client=upstreams, paths=control.paths)
     context = ForwardingContext(
@@ -63,6 +66,7 @@
         rng=rng,
         list_age_ms=lambda: control.feed.age_ms,
         has_bounded_buffers=has_bounded_buffers,
+        account=account or ByteAccount(),
     )
     registry.register(ShareCollector(coordinator=control.coordinator))
     registry.register(ListCollector(feeds=control.feeds, gate=control.gate))
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -102,13 +102,17 @@
             count_peers=lambda: (
                 len(self._control.mesh.live.value) + self._delegate_server.connections
             ),
+            account=platform.account,
+        )
+        self._delegate_client = HttpDelegateClient(
+            clock=clock, log=platform.exchange_log, account=platform.account
         )
-        self._delegate_client = HttpDelegateClient(clock=clock, log=platform.exchange_log)
         self._dispatcher = self._make_dispatcher()
         self._delegate_server = DelegateServer(
             serve=partial(self._dispatcher.serve, is_delegated=True),
             can_help=lambda: self._control.reach.can_help and self._host_limits.is_ready,
             clock=clock,
+            limits=self._host_limits,
         )
 
     async def start(self) -> None:
@@ -295,6 +299,7 @@
             clock=self._clock,
             rng=self._rng,
             has_bounded_buffers=self._host_limits.has_byte_limit,
+            account=self._platform.account,
         )
         self._stream_mover = StreamMover(
             context=context,
--- a/src/tanagerscale/gateway/_host_limit_metrics.py
+++ b/src/tanagerscale/gateway/_host_limit_metrics.py
@@ -10,6 +10,7 @@
 from prometheus_client import Counter
 from prometheus_client import Gauge
 
+from tanagerscale.policy import ByteAccount
 from tanagerscale.policy import HostBudget
 from tanagerscale.policy import HostUse
 
@@ -21,6 +22,7 @@
     :param registry: Registry that exports the metrics.
     :param budget: The budgets.
     :param get_use: Returns what the host uses.
+    :param account: Account of incomplete answers.
     :param read_resident_bytes: Returns the resident memory of the process; ``None`` if unknown.
     """
 
@@ -30,6 +32,7 @@
         registry: CollectorRegistry,
         budget: HostBudget,
         get_use: Callable[[], HostUse],
+        account: ByteAccount,
         read_resident_bytes: Callable[[], int | None],
     ) -> None:
         self.refusals: Final = Counter(
@@ -44,10 +47,16 @@
             ["kind"],
             registry=registry,
         )
+        self.failures: Final = Counter(
+            "tanagerscale_oversized_answers",
+            "Incomplete answers that were given up, as they were the largest and memory was short.",
+            registry=registry,
+        )
+        account.on_failure = self.failures.inc
         used = Gauge(
             "tanagerscale_host_used",
-            "Bytes and descriptors in use, resident memory; milliseconds that the link needs for "
-            "waiting bytes.",
+            "Bytes and descriptors in use, bytes of incomplete answers (exchanges), resident "
+            "memory; milliseconds that the link needs for waiting bytes.",
             ["budget"],
             registry=registry,
         )
@@ -65,6 +74,7 @@
         used.labels("bytes").set_function(get_bytes)
         used.labels("descriptors").set_function(lambda: get_use().descriptors)
         used.labels("link").set_function(lambda: budget.get_link_wait_ms(get_use()))
+        used.labels("exchanges").set_function(lambda: account.held)
         used.labels("memory").set_function(lambda: read_resident_bytes() or 0)
         limit.labels("memory").set(budget.memory_bytes or 0)
         limit.labels("bytes").set(budget.byte_limit or 0)
--- a/src/tanagerscale/gateway/_host_limits.py
+++ b/src/tanagerscale/gateway/_host_limits.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
-from contextvars import ContextVar
 from random import Random
 from typing import Final
-from typing import Protocol
 from typing import final
 
 from msgspec import Struct
@@ -22,8 +19,12 @@
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import host_full
 from tanagerscale.gateway._host_limit_metrics import HostLimitMetrics
+from tanagerscale.gateway._request_lease import BODY_COPIES
+from tanagerscale.gateway._request_lease import OutgoingTransport
+from tanagerscale.gateway._request_lease import RequestLease
 from tanagerscale.generated.gateway import GatewayHost as HostSection
 from tanagerscale.policy import UNREAD_STREAM_BYTES
+from tanagerscale.policy import ByteAccount
 from tanagerscale.policy import HostBudget
 from tanagerscale.policy import HostUse
 from tanagerscale.policy import make_host_budget
@@ -35,17 +36,6 @@
 REQUEST_BYTES: Final = 24 * 1024
 """Memory of a request apart from its bodies; 8 KB were measured for its parsed head alone."""
 
-BODY_COPIES: Final = 2
-"""A body is held until its request ends, and a copy of it waits to be sent to a slow upstream."""
-
-SPACE_WAIT_MS: Final = 100
-"""Longest wait of a body for space. A plain request must be answered in 130 ms, and its caller can
-go to another host."""
-
-RESUME_GAP_BYTES: Final = 1024
-"""Space in a full buffer at which the upstream is read on: one second of a caller that reads 1
-kB/s. Upstreams cut off responses that remain unread for some seconds."""
-
 MEASURE_INTERVAL_MS: Final = 100
 """Interval at which outgoing bytes are summed, readiness is updated and waiting bodies are given
 the space that callers have freed by reading."""
@@ -53,16 +43,6 @@
 _log = get_logger(part="host_limits")
 
 
-class OutgoingTransport(Protocol):
-    """A transport whose unsent bytes are limited."""
-
-    def get_write_buffer_size(self) -> int:
-        """Return the number of unsent bytes."""
-
-    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
-        """Set the sizes at which writing pauses and resumes."""
-
-
 class _SpaceWait(Struct, kw_only=True, eq=False):
     """A body that waits for space.
 
@@ -76,96 +56,6 @@
     granted: asyncio.Event
 
 
-@final
-class RequestLease:
-    """What one request holds of its host's budgets; released when the request ends.
-
-    :param limits: Limits of the host.
-    """
-
-    def __init__(self, *, limits: HostLimits) -> None:
-        self._limits = limits
-        self._held = 0
-        self._written = 0
-        self._is_stream = False
-        self._is_released = False
-
-    def add(self, size: int) -> None:
-        """Count bytes that are held, whether there is space for them or not.
-
-        Does nothing after the release, as tasks that outlive the request still have the lease.
-        """
-        if self._is_released:
-            return
-        self._held += size
-        self._limits.held_bytes += size
-
-    def open_request(self) -> Refusal | None:
-        """Count the request, or return its refusal if a budget of the host is used up."""
-        return self._limits.open_request(self)
-
-    async def reserve_body(self, size: int) -> Refusal | None:
-        """Reserve space for a body or a part of it, or return a refusal if there is none in time.
-
-        :param size: Size of the body or part in bytes.
-        """
-        return await self._limits.reserve_body(self, size, wait_ms=SPACE_WAIT_MS)
-
-    def return_body(self, size: int) -> None:
-        """Give back space that is reserved for a part of a body that has not arrived.
-
-        :param size: Size of the part in bytes.
-        """
-        self.add(-size * BODY_COPIES)
-        self._limits.grant_space()
-
-    def begin_stream(self) -> None:
-        """Record that the response is a stream."""
-        if self._is_released or self._is_stream:
-            return
-        self._is_stream = True
-        self._limits.streams += 1
-
-    def record_write(self, transport: OutgoingTransport, size: int) -> None:
-        """Record that bytes are written to the caller, and limit how many may wait to be sent."""
-        self._limits.written_bytes += size
-        self._written += size
-        if not self._is_stream:
-            return
-        waiting = transport.get_write_buffer_size()
-        sent = max(0, self._written - waiting)
-        high = self._limits.get_stream_buffer(sent_bytes=sent, waiting_bytes=waiting)
-        if high is not None:
-            # A buffer shrinks only if more is sent between two events than one event adds.
-            low = max(0, high - max(RESUME_GAP_BYTES, 2 * size))
-            transport.set_write_buffer_limits(high=high, low=low)
-
-    async def wait_for_caller(self, wait: Awaitable[None]) -> None:
-        """Wait while the buffer of the caller is full, counting what is unread meanwhile.
-
-        :param wait: Ends when the buffer has space.
-        """
-        self._limits.metrics.pauses.labels("stream").inc()
-        self._limits.paused_streams += 1
-        try:
-            await wait
-        finally:
-            self._limits.paused_streams -= 1
-
-    def release(self) -> None:
-        """Give back everything that the request holds."""
-        self.add(-self._held)
-        self._is_released = True
-        if self._is_stream:
-            self._is_stream = False
-            self._limits.streams -= 1
-        self._limits.grant_space()
-
-
-current_lease: ContextVar[RequestLease | None] = ContextVar("current_lease", default=None)
-"""The lease of the request that is being handled, which tasks that serve the request inherit."""
-
-
 @final
 class HostLimits:
     """Counts what requests hold, and decides whether the host takes one more.
@@ -175,6 +65,7 @@
     :param rng: Random number generator for the jitter of retry delays.
     :param registry: Registry that exports the metrics.
     :param count_other_connections: Returns the number of connections to upstreams and peers.
+    :param account: Account of incomplete answers; ``None`` for none.
     :param read_resident_bytes: Returns the resident memory of the process; ``None`` if unknown.
     """
 
@@ -186,12 +77,14 @@
         rng: Random,
         registry: CollectorRegistry,
         count_other_connections: Callable[[], int] = lambda: 0,
+        account: ByteAccount | None = None,
         read_resident_bytes: Callable[[], int | None] = lambda: None,
     ) -> None:
         self._budget = budget
         self._clock = clock
         self._rng = rng
         self._count_other_connections = count_other_connections
+        self._account = account or ByteAccount()
         self._read_resident_bytes = read_resident_bytes
         self._is_memory_low = False
         self._get_transports: Callable[[], Iterable[OutgoingTransport]] = tuple
@@ -213,6 +106,7 @@
             registry=registry,
             budget=budget,
             get_use=self.measure,
+            account=self._account,
             read_resident_bytes=read_resident_bytes,
         )
 
@@ -248,11 +142,13 @@
         connections = self._count_callers() + self._count_other_connections()
         self._connection_bytes = connections * CONNECTION_BYTES
         unread = self.paused_streams * UNREAD_STREAM_BYTES
-        return HostUse(
+        use = HostUse(
             held_bytes=self.held_bytes + self._connection_bytes + unread,
             outgoing_bytes=self._outgoing_bytes + self.written_bytes - self._written_at_measure,
             descriptors=connections,
         )
+        self._account.count_other(use.held_bytes + use.outgoing_bytes)
+        return use
 
     def _has_bytes(self, size: int) -> bool:
         """Return whether there is space for more bytes, measuring only if it seems not so."""
@@ -349,7 +245,7 @@
         self._check_memory()
 
     def _check_memory(self) -> None:
-        """Log a warning if the process is about to exceed its limit."""
+        """Let the largest incomplete answers fail if the process is about to exceed its limit."""
         resident_bytes = self._read_resident_bytes()
         if resident_bytes is None:
             return
@@ -359,9 +255,11 @@
                 "The memory is almost used up.",
                 resident_bytes=resident_bytes,
                 memory_limit=self._budget.memory_bytes,
+                exchange_bytes=self._account.held,
                 **self._describe(self.measure()),
             )
         self._is_memory_low = excess > 0
+        self._account.free(excess)
 
     def _refuse(self, budget: str, use: HostUse, *, size: int) -> Refusal:
         self.metrics.refusals.labels(budget).inc()
@@ -396,6 +294,7 @@
     rng: Random,
     registry: CollectorRegistry,
     count_peers: Callable[[], int],
+    account: ByteAccount | None = None,
 ) -> HostLimits:
     """Return the limits of a host, logging the settings that are too small to be true.
 
@@ -404,6 +303,7 @@
     :param rng: Random number generator for the jitter of retry delays.
     :param registry: Registry that exports the metrics.
     :param count_peers: Returns the number of connections of other hosts.
+    :param account: Account of incomplete answers; ``None`` for none.
     """
     budget, invalid = make_host_budget(
         memory_mb=settings.memory_mb,
@@ -421,5 +321,6 @@
         rng=rng,
         registry=registry,
         count_other_connections=lambda: count_open_connections() + count_peers(),
+        account=account,
         read_resident_bytes=ResidentMemory().read,
     )
--- a/src/tanagerscale/gateway/_observed_upstreams.py
+++ b/src/tanagerscale/gateway/_observed_upstreams.py
@@ -13,8 +13,8 @@
 from tanagerscale.forwarding import UpstreamRequest
 from tanagerscale.forwarding import UpstreamResponse
 from tanagerscale.gateway._counted_response import CountedResponse
-from tanagerscale.gateway._host_limits import current_lease
 from tanagerscale.gateway._platform import PlatformUpstreamClient
+from tanagerscale.gateway._request_lease import current_lease
 from tanagerscale.upstreams import EngineReport
 from tanagerscale.upstreams import ExchangeError
 from tanagerscale.upstreams import UpstreamEntry
--- a/src/tanagerscale/gateway/_platform.py
+++ b/src/tanagerscale/gateway/_platform.py
@@ -22,6 +22,7 @@
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import Responder
 from tanagerscale.forwarding import UpstreamClient
+from tanagerscale.policy import ByteAccount
 from tanagerscale.routes import Configuration
 from tanagerscale.store import Store
 from tanagerscale.upstreams import ExchangeLog
@@ -89,6 +90,7 @@
     :param callers: Decodes the requests of callers.
     :param close: Closes the connections to the store and to upstreams.
     :param exchange_log: Counts of the exchanges with upstreams and the store.
+    :param account: Account of incomplete answers, which all connections of the host share.
     """
 
     store: Store
@@ -103,3 +105,4 @@
     callers: CallerCodec
     close: Callable[[], Awaitable[None]]
     exchange_log: ExchangeLog = field(default_factory=ExchangeLog)
+    account: ByteAccount = field(default_factory=ByteAccount)
--- a/src/tanagerscale/platform/_factory.py
+++ b/src/tanagerscale/platform/_factory.py
@@ -18,6 +18,7 @@
 from tanagerscale.platform._registry import parse_upstream_name
 from tanagerscale.platform._store import PlatformStore
 from tanagerscale.policy import get_read_buffer_bytes
+from tanagerscale.policy import make_byte_account
 from tanagerscale.upstreams import DEAD_PEER_TIMEOUT_S
 from tanagerscale.upstreams import READ_BUFFER_BYTES
 from tanagerscale.upstreams import ConnectionPool
@@ -35,6 +36,7 @@
     :param clock: Clock for the timeouts of connections.
     """
     exchange_log = ExchangeLog()
+    account = make_byte_account(settings.host.memory_mb)
     read_bytes = get_read_buffer_bytes(settings.host.memory_mb, usual_bytes=READ_BUFFER_BYTES)
 
     def make_pool(silence_s: int, source_ip: str = "") -> ConnectionPool:
@@ -44,6 +46,7 @@
             source_ip=source_ip,
             read_buffer_bytes=read_bytes,
             log=exchange_log,
+            account=account,
         )
 
     store_pool = make_pool(STORE_SILENCE_TIMEOUT_S)
@@ -66,4 +69,5 @@
         callers=PlatformCallers(),
         close=close,
         exchange_log=exchange_log,
+        account=account,
     )
--- a/src/tanagerscale/policy/__init__.py
+++ b/src/tanagerscale/policy/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from tanagerscale.policy._byte_account import ByteAccount
+from tanagerscale.policy._byte_account import Holding
 from tanagerscale.policy._capacity_forecast import FORECAST_HORIZON_MS
 from tanagerscale.policy._capacity_forecast import AdmissionOutlook
 from tanagerscale.policy._capacity_forecast import CapacityForecast
@@ -24,6 +26,7 @@
 from tanagerscale.policy._host_budget import HostBudget
 from tanagerscale.policy._host_budget import HostUse
 from tanagerscale.policy._host_budget import get_read_buffer_bytes
+from tanagerscale.policy._host_budget import make_byte_account
 from tanagerscale.policy._host_budget import make_host_budget
 from tanagerscale.policy._lengths import LengthCurve
 from tanagerscale.policy._lengths import LengthEstimator
@@ -109,6 +112,7 @@
     "AccountSpec",
     "AccountUsage",
     "AdmissionOutlook",
+    "ByteAccount",
     "CapacityForecast",
     "Claim",
     "Decision",
@@ -118,6 +122,7 @@
     "EngineSpeed",
     "EngineView",
     "ForecastScheduler",
+    "Holding",
     "HostBudget",
     "HostUse",
     "ImmediateScheduler",
@@ -163,6 +168,7 @@
     "is_lack_of_capacity",
     "is_outlier",
     "lift_returning_accounts",
+    "make_byte_account",
     "make_host_budget",
     "make_scheduler",
     "next_move",
--- a/src/tanagerscale/policy/_host_budget.py
+++ b/src/tanagerscale/policy/_host_budget.py
@@ -11,6 +11,8 @@
 
 from msgspec import Struct
 
+from tanagerscale.policy._byte_account import ByteAccount
+
 BYTES_PER_MB: Final = 1_000_000
 BYTES_PER_MS_PER_MBPS: Final = 125
 """One Mbit/s is 125 bytes in a millisecond."""
@@ -38,8 +40,17 @@
 ``READY_RATIO``, so that streams alone do not keep the host from becoming ready again; the rest
 covers the event by which each stream exceeds its buffer, and other requests."""
 
+EXCHANGE_RATIO: Final = 0.5
+"""Fraction of the byte budget that incomplete answers of upstreams, of the store and of other hosts
+may take together. An upstream that sends without end takes all of it."""
+
+MIN_EXCHANGE_BYTES: Final = 6 * BYTES_PER_MB
+"""What these may take on a host without space: one answer of 4 MB beside small ones, which is part
+of ``MARGIN_BYTES``."""
+
 MEMORY_WARNING_RATIO: Final = 0.9
-"""Fraction of the memory limit above which a warning is logged."""
+"""Fraction of the memory limit above which the largest incomplete answers fail, whatever is
+counted, and a warning is logged."""
 
 USUAL_ANSWER_BYTES: Final = 176 * 1024
 """Size of a long answer: 1,756 tokens in 439 events of 380 bytes, with the framing of HTTP
@@ -217,6 +228,21 @@
     return budget, invalid
 
 
+def make_byte_account(memory_mb: float) -> ByteAccount:
+    """Return the account of what a host holds for others.
+
+    :param memory_mb: Memory of the host in units of 1,000,000 bytes; 0 if unknown.
+    """
+    budget, _ = make_host_budget(memory_mb=memory_mb, file_descriptors=0, link_mbps=0)
+    if budget.byte_limit is None:
+        return ByteAccount()
+    return ByteAccount(
+        exchange_limit=max(int(budget.byte_limit * EXCHANGE_RATIO), MIN_EXCHANGE_BYTES),
+        total_limit=budget.byte_limit,
+        min_limit=MIN_EXCHANGE_BYTES,
+    )
+
+
 def get_read_buffer_bytes(memory_mb: float, *, usual_bytes: int) -> int:
     """Return how much unread data of an upstream a host holds for each connection.
 
--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -5,13 +5,11 @@
 import asyncio
 from enum import Enum
 from enum import unique
-from typing import ClassVar
 from typing import Final
 from typing import final
 
 from aiohttp import ClientError
 from aiohttp import StreamReader
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 from aiohttp.http_exceptions import HttpProcessingError
 from msgspec import Struct
@@ -22,7 +20,9 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import enable_tcp_keepalive
 from tanagerscale.core import find_unread
+from tanagerscale.policy import ByteAccount
 from tanagerscale.upstreams._exchange_log import ConnectionHistory
+from tanagerscale.upstreams._response_protocol import ResponseProtocol
 
 MAX_HEAD_BYTES: Final = 64 * 1024
 """Maximum size of the status line and of each header field of a response."""
@@ -31,11 +31,7 @@
 """Amount of unread data, a few hundred events, above which reading from the upstream is paused."""
 
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
-"""Maximum size of a body that is kept as a whole. Bodies without an end would fill the memory."""
-
-MAX_UNREAD_BYTES: Final = 4 * 1024 * 1024
-"""Bytes that may arrive before any of them is a head or a part of a body, such as interim heads or
-a chunk size without an end. Reading is paused long before by unread parts of a body."""
+"""Maximum size of a body that is kept as a whole or discarded. Some bodies have no end."""
 
 DEAD_PEER_TIMEOUT_S: Final = 6
 """Time without an acknowledgement after which a peer counts as dead. It is long enough for a stream
@@ -54,6 +50,8 @@
     """No byte of the request was sent."""
     LOST = "lost"
     """The request was sent, but no complete response was received."""
+    TOO_LARGE = "too-large"
+    """The request was sent, but this host has not enough memory for the response."""
 
 
 class ExchangeError(Exception):
@@ -79,64 +77,6 @@
         super().__init__(ExchangeFailure.NOT_SENT, f"Upstream {upstream} is leaving")
 
 
-@final
-class _ResponseProtocol(ResponseHandler):
-    """aiohttp's response parser that also records whether the connection was reset."""
-
-    open_connections: ClassVar[int] = 0
-    """Connections of the process, whose descriptors are limited together."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
-        self.was_reset = False
-        self.unread_bytes = 0
-        """Bytes that have arrived since the last head or part of a body was read."""
-        self.has_unsolicited = False
-        """Whether bytes have arrived that belong to no answer that is due."""
-        self.is_head_due = False
-        """Whether the head of an answer is due."""
-        self.body: StreamReader | None = None
-        """Body of the answer that is read."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Count the connection."""
-        _ResponseProtocol.open_connections += 1
-        super().connection_made(transport)
-
-    def data_received(self, data: bytes) -> None:
-        """Parse bytes, and end a connection whose bytes are no response."""
-        self.unread_bytes += len(data)
-        if self.unread_bytes > MAX_UNREAD_BYTES and self.transport is not None:
-            self.transport.abort()
-            return
-        # aiohttp also calls this without bytes, to continue with those that it holds.
-        if data and not self.is_head_due and (self.body is None or self.body.is_eof()):
-            self.has_unsolicited = True
-            return
-        super().data_received(data)
-
-    def has_partial_head(self) -> bool:
-        """Return whether the beginning of a further answer came together with the last one.
-
-        The parser must be given no more bytes after this.
-        """
-        if self._parser is None:
-            return False
-        try:
-            return self._parser.feed_eof() is not None
-        except HttpProcessingError:
-            return True
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Record how the connection ended.
-
-        A body without a length is complete only after a clean end.
-        """
-        _ResponseProtocol.open_connections -= 1
-        self.was_reset = exc is not None
-        super().connection_lost(exc)
-
-
 class ResponseHead(Struct, frozen=True, kw_only=True):
     """The head of a response; the body is read from the connection.
 
@@ -168,7 +108,7 @@
         self,
         *,
         transport: asyncio.Transport,
-        protocol: _ResponseProtocol,
+        protocol: ResponseProtocol,
         opened: Millis,
         read_buffer_bytes: int = READ_BUFFER_BYTES,
     ) -> None:
@@ -178,6 +118,8 @@
         self._body: StreamReader | None = None
         self._response_head: ResponseHead | None = None
         self._closed = False
+        self._kept_bytes = 0
+        """Size of the parts of a body that are kept until it is complete."""
         self.last_used = opened
         self.used = False
         self.history = ConnectionHistory()
@@ -193,6 +135,11 @@
             and (self._response_head is None or self._response_head.keep_alive)
         )
 
+    @property
+    def _head(self) -> ResponseHead:
+        assert self._response_head is not None
+        return self._response_head
+
     def has_unread_input(self) -> bool:
         """Return whether bytes or the end of the connection have arrived and were not read yet."""
         return bool(find_unread([self._transport]))
@@ -235,11 +182,12 @@
             while message.code < 200 and message.code != HTTP_SWITCHING_PROTOCOLS:
                 message, payload = await self._protocol.read()
         except (ClientError, HttpProcessingError, OSError) as error:
+            self._check_space()
             detail = f"No answer came ({type(error).__name__})"
             raise ExchangeError(ExchangeFailure.LOST, detail) from error
         if message.code == HTTP_SWITCHING_PROTOCOLS:
             raise ExchangeError(ExchangeFailure.LOST, "The peer switched to another protocol")
-        self._protocol.unread_bytes = 0
+        self._count_read()
         self._protocol.body = payload
         self._protocol.is_head_due = False
         self._body = payload
@@ -256,9 +204,11 @@
         try:
             chunk = await self._body.readany()
         except (ClientError, HttpProcessingError, OSError) as error:
+            self._check_space()
             detail = f"The answer broke off ({type(error).__name__})"
             raise ExchangeError(ExchangeFailure.LOST, detail) from error
-        self._protocol.unread_bytes = 0
+        self._check_space()
+        self._count_read()
         is_truncated = self._closed or (
             self._response_head.is_close_delimited and self._protocol.was_reset
         )
@@ -269,23 +219,64 @@
     async def read_all(self) -> bytes:
         """Return the complete body.
 
-        :raises ExchangeError: If the body is incomplete, or longer than ``MAX_BODY_BYTES``.
+        :raises ExchangeError: If the body is incomplete, longer than ``MAX_BODY_BYTES``, or the
+            host has not enough memory for it.
         """
-        chunks, size = [], 0
-        while chunk := await self.read_some():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_BODY_BYTES:
-                raise ExchangeError(ExchangeFailure.LOST, "The answer is longer than allowed")
-        return b"".join(chunks)
+        self._check_length()
+        chunks: list[bytes] = []
+        self._protocol.holding.has_known_length = "Content-Length" in self._head.headers
+        try:
+            while chunk := await self.read_some():
+                chunks.append(chunk)
+                self._keep(len(chunk))
+            return b"".join(chunks)
+        finally:
+            # The frame may outlive an error.
+            chunks.clear()
+            self._kept_bytes = 0
+            self._protocol.holding.has_known_length = False
+            self._protocol.holding.resize(0)
 
     async def skip_body(self) -> None:
-        """Read and discard a body after which another response is due.
+        """Read and discard a body.
 
         :raises ExchangeError: If the body is incomplete, or longer than ``MAX_BODY_BYTES``.
         """
+        self._check_length()
+        size = 0
+        while chunk := await self.read_some():
+            size += len(chunk)
+            if size > MAX_BODY_BYTES:
+                raise ExchangeError(ExchangeFailure.TOO_LARGE, "The answer is longer than allowed")
+
+    def expect_another_head(self) -> None:
+        """Record that another response is due after the body that is read."""
         self._protocol.is_head_due = True
-        await self.read_all()
+
+    def _check_length(self) -> None:
+        """Raise an error if the announced length of the body is longer than allowed."""
+        announced = self._head.headers.get("Content-Length", "")
+        if announced.isdecimal() and int(announced) > MAX_BODY_BYTES:
+            raise ExchangeError(ExchangeFailure.TOO_LARGE, "The answer is longer than allowed")
+
+    def _keep(self, size: int) -> None:
+        """Count a part of the body that is kept."""
+        self._kept_bytes += size
+        if self._kept_bytes > MAX_BODY_BYTES:
+            raise ExchangeError(ExchangeFailure.TOO_LARGE, "The answer is longer than allowed")
+        self._protocol.holding.resize(self._kept_bytes)
+
+    def _count_read(self) -> None:
+        """Record that everything that has arrived was read."""
+        self._protocol.unread_bytes = 0
+        self._protocol.holding.resize(self._kept_bytes)
+
+    def _check_space(self) -> None:
+        """Raise an error if the host had not enough memory for the response."""
+        if self._protocol.holding.has_failed:
+            raise ExchangeError(
+                ExchangeFailure.TOO_LARGE, "The memory is used up by answers without an end"
+            )
 
     def end_exchange(self) -> None:
         """Record that the response was read completely."""
@@ -300,7 +291,7 @@
 
 def count_open_connections() -> int:
     """Return the number of connections of the process to upstreams and the store."""
-    return _ResponseProtocol.open_connections
+    return ResponseProtocol.open_connections
 
 
 async def open_connection(
@@ -311,6 +302,7 @@
     dead_peer_timeout_s: int = DEAD_PEER_TIMEOUT_S,
     source_ip: str = "",
     read_buffer_bytes: int = READ_BUFFER_BYTES,
+    account: ByteAccount | None = None,
 ) -> HttpConnection:
     """Open a connection.
 
@@ -321,6 +313,7 @@
         dead.
     :param source_ip: Local IP address; empty lets the system choose.
     :param read_buffer_bytes: Amount of unread data above which reading is paused.
+    :param account: Account of the bytes that the host holds; ``None`` for none.
     :raises ExchangeError: If no connection is established in time.
     """
     loop = asyncio.get_running_loop()
@@ -328,7 +321,7 @@
     try:
         async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
             transport, protocol = await loop.create_connection(
-                lambda: _ResponseProtocol(loop),
+                lambda: ResponseProtocol(loop, account, address),
                 host.strip("[]"),
                 int(port),
                 local_addr=(source_ip, 0) if source_ip else None,
--- a/src/tanagerscale/upstreams/_exchanges.py
+++ b/src/tanagerscale/upstreams/_exchanges.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 import re
 from typing import Final
@@ -16,7 +15,6 @@
 
 from msgspec import Struct
 
-from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.upstreams._connection import ExchangeError
 from tanagerscale.upstreams._connection import ExchangeFailure
 from tanagerscale.upstreams._connection import HttpConnection
@@ -26,14 +24,11 @@
 from tanagerscale.upstreams._exchange_log import ExchangeLabel
 from tanagerscale.upstreams._pool import ConnectionPool
 from tanagerscale.upstreams._pooled_response import PooledResponse
+from tanagerscale.upstreams._pooled_response import skip_body
 
 MAX_SKIPPED_ANSWERS: Final = 4
 """Answers of other exchanges that are skipped before a connection is abandoned."""
 
-SKIP_TIMEOUT_MS: Final = 2000
-"""Longest wait for the rest of such an answer. A peer has made it before it sends it late; one that
-breaks off takes the bytes of the next answer for its own."""
-
 HEAD_METHOD: Final = "HEAD"
 
 _STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
@@ -188,17 +183,11 @@
             connection.history.is_last = True
             if exchange.method == HEAD_METHOD or reply.is_close_delimited:
                 break
-            await self._skip_body(connection)
+            connection.expect_another_head()
+            # A peer has made a late answer before it sends it.
+            await skip_body(connection)
         raise ExchangeError(ExchangeFailure.LOST, "Only answers to other exchanges came")
 
-    async def _skip_body(self, connection: HttpConnection) -> None:
-        try:
-            async with asyncio.timeout(SKIP_TIMEOUT_MS / MS_PER_SECOND):
-                await connection.skip_body()
-        except TimeoutError as error:
-            detail = "The answer to another exchange broke off"
-            raise ExchangeError(ExchangeFailure.LOST, detail) from error
-
     def _belongs(self, exchange: Exchange, reply: ResponseHead, history: ConnectionHistory) -> bool:
         """Return whether an answer belongs to an exchange."""
         if not self._rule.id_field:
--- a/src/tanagerscale/upstreams/_pool.py
+++ b/src/tanagerscale/upstreams/_pool.py
@@ -10,6 +10,7 @@
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
+from tanagerscale.policy import ByteAccount
 from tanagerscale.upstreams._connection import DEAD_PEER_TIMEOUT_S
 from tanagerscale.upstreams._connection import READ_BUFFER_BYTES
 from tanagerscale.upstreams._connection import HttpConnection
@@ -48,6 +49,7 @@
     :param source_ip: Local IP address of new connections; empty lets the system choose.
     :param read_buffer_bytes: Amount of unread data above which a connection is not read.
     :param log: Counts and logs the exchanges on the connections.
+    :param account: Account of the bytes that the host holds; ``None`` for none.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         source_ip: str = "",
         read_buffer_bytes: int = READ_BUFFER_BYTES,
         log: ExchangeLog | None = None,
+        account: ByteAccount | None = None,
     ) -> None:
+        self._account = account
         self._read_buffer_bytes = read_buffer_bytes
         self._source_ip = source_ip
         self._clock = clock
@@ -93,6 +97,7 @@
             dead_peer_timeout_s=self._dead_peer_timeout_s,
             source_ip=self._source_ip,
             read_buffer_bytes=self._read_buffer_bytes,
+            account=self._account,
         )
 
     def release(self, *, address: str, connection: HttpConnection, response: ResponseHead) -> None:
--- a/src/tanagerscale/upstreams/_pooled_response.py
+++ b/src/tanagerscale/upstreams/_pooled_response.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+from typing import Final
+
+from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.upstreams._connection import ExchangeError
+from tanagerscale.upstreams._connection import ExchangeFailure
 from tanagerscale.upstreams._connection import HttpConnection
 from tanagerscale.upstreams._connection import ResponseHead
 from tanagerscale.upstreams._pool import ConnectionPool
 
+SKIP_TIMEOUT_MS: Final = 2000
+"""Longest wait for the end of a body that is discarded. One that breaks off takes the bytes of the
+next answer for its own."""
+
 
 class PooledResponse:
     """A response that is read from a connection of a pool.
@@ -53,6 +63,11 @@
         self._release()
         return body
 
+    async def skip(self) -> None:
+        """Read and discard the body, so that the connection can be used again."""
+        await skip_body(self._connection)
+        self._release()
+
     def close(self) -> None:
         """Abandon the response and close its connection, so that the upstream stops."""
         if not self._done:
@@ -65,3 +80,17 @@
             self._pool.release(
                 address=self._address, connection=self._connection, response=self.reply
             )
+
+
+async def skip_body(connection: HttpConnection) -> None:
+    """Read and discard the rest of a response.
+
+    :param connection: Connection on which the response comes.
+    :raises ExchangeError: If the body does not end in time, or is longer than allowed.
+    """
+    try:
+        async with asyncio.timeout(SKIP_TIMEOUT_MS / MS_PER_SECOND):
+            await connection.skip_body()
+    except TimeoutError as error:
+        detail = "The answer to another exchange broke off"
+        raise ExchangeError(ExchangeFailure.LOST, detail) from error
--- a/testing/_forwarding_fleet.py
+++ b/testing/_forwarding_fleet.py
@@ -194,6 +194,10 @@
         self.head = head
         self._body = body
 
+    async def read_all(self) -> bytes:
+        """Return the body."""
+        return self._body
+
     async def read_some(self) -> bytes:
         """Return the body, and then its end."""
         body, self._body = self._body, b""
--- a/testing/_gateway_fakes.py
+++ b/testing/_gateway_fakes.py
@@ -241,6 +241,10 @@
             raise ExchangeError(ExchangeFailure.LOST, "connection lost")
         return chunk
 
+    async def skip(self) -> None:
+        """Read and discard the body."""
+        await self.read_all()
+
     async def read_all(self) -> bytes:
         """Return all chunks."""
         parts = []
--- a/testing/_memory_peer.py
+++ b/testing/_memory_peer.py
@@ -13,7 +13,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.upstreams import HttpConnection
 from tanagerscale.upstreams import _pool
-from tanagerscale.upstreams._connection import _ResponseProtocol
+from tanagerscale.upstreams._response_protocol import ResponseProtocol
 from testing._scripted_peer import Answer
 from testing._scripted_peer import Late
 from testing._scripted_peer import PeerRequest
@@ -98,7 +98,7 @@
     async def open_connection(*, now: Millis, **_: Any) -> HttpConnection:
         transport = MemoryConnection(len(connections), answer)
         connections.append(transport)
-        protocol = _ResponseProtocol(asyncio.get_running_loop())
+        protocol = ResponseProtocol(asyncio.get_running_loop())
         transport.connect(protocol)
         return HttpConnection(transport=transport, protocol=protocol, opened=now)
 
--- a/testing/_moving_engines.py
+++ b/testing/_moving_engines.py
@@ -91,6 +91,10 @@
             raise ExchangeError(ExchangeFailure.LOST, "connection lost")
         return chunk
 
+    async def skip(self) -> None:
+        """Read and discard the body."""
+        await self.read_all()
+
     async def read_all(self) -> bytes:
         """Return the complete body."""
         parts = []
--- a/testing/test_delegation.py
+++ b/testing/test_delegation.py
@@ -67,6 +67,13 @@
     head: DelegatedHead
     chunks: deque[bytes | None] = field(default_factory=deque)
 
+    async def read_all(self) -> bytes:
+        """Return all chunks."""
+        body = b""
+        while chunk := await self.read_some():
+            body += chunk
+        return body
+
     async def read_some(self) -> bytes:
         """Return the next chunk."""
         if not self.chunks:
--- a/testing/test_slow_callers_and_large_bodies.py
+++ b/testing/test_slow_callers_and_large_bodies.py
@@ -25,10 +25,10 @@
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.gateway._counted_response import CountedResponse
 from tanagerscale.gateway._host_limits import REQUEST_BYTES
-from tanagerscale.gateway._host_limits import SPACE_WAIT_MS
 from tanagerscale.gateway._host_limits import HostLimits
-from tanagerscale.gateway._host_limits import RequestLease
-from tanagerscale.gateway._host_limits import current_lease
+from tanagerscale.gateway._request_lease import SPACE_WAIT_MS
+from tanagerscale.gateway._request_lease import RequestLease
+from tanagerscale.gateway._request_lease import current_lease
 from tanagerscale.policy import LIMITED_READ_BUFFER_BYTES
 from tanagerscale.policy import UNREAD_STREAM_BYTES
 from tanagerscale.policy._host_budget import MIN_STREAM_BUFFER_BYTES
