--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,15 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+# A worker that ends, for example at pytest's faulthandler_timeout, isn't replaced: its successor
+# would run the same test again, without end.
+PARALLEL := -n auto --maxprocesses 7 --dist loadfile --max-worker-restart 0
 
 test: $(STAMP)
 	$(BIN)/black --check --quiet src standins testing tools deploy
 	$(BIN)/ruff check --quiet src standins testing tools deploy
 	$(BIN)/mypy
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest $(PARALLEL)
 
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
