Do not count time in which the event loop stands still against the timeout of connections

Cause: the timeout of open_connection (400 ms) is due before an event loop that stood still looks at its sockets again. A connection that the kernel had made in time counted as not made: the upstream was passed over, and the request sent to another one, or refused.

Change: finish_within divides a timeout into parts of 50 ms, each of which begins after the one before, so that one standstill takes off one part. A connection that is made as its request is cancelled is closed, as before.

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -38,6 +38,7 @@
 from tanagerscale.core._numbers import Count
 from tanagerscale.core._numbers import UnixMillis
 from tanagerscale.core._numbers import parse_number
+from tanagerscale.core._reads import finish_within
 from tanagerscale.core._reads import read_within
 from tanagerscale.core._signals import defer_signals
 from tanagerscale.core._signals import handle_signals
@@ -83,6 +84,7 @@
     "defer_signals",
     "enable_tcp_keepalive",
     "find_unread",
+    "finish_within",
     "get_logger",
     "group_tasks_by_stack",
     "handle_signals",
--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -17,11 +17,11 @@
 from msgspec import Struct
 from multidict import CIMultiDictProxy
 
-from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
 from tanagerscale.core import enable_tcp_keepalive
 from tanagerscale.core import find_unread
+from tanagerscale.core import finish_within
 from tanagerscale.upstreams._exchange_log import ConnectionHistory
 
 MAX_HEAD_BYTES: Final = 64 * 1024
@@ -323,16 +323,12 @@
     :param read_buffer_bytes: Amount of unread data above which reading is paused.
     :raises ExchangeError: If no connection is established in time.
     """
-    loop = asyncio.get_running_loop()
-    host, _, port = address.rpartition(":")
+    connecting = asyncio.create_task(_connect(address, source_ip))
     try:
-        async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-            transport, protocol = await loop.create_connection(
-                lambda: _ResponseProtocol(loop),
-                host.strip("[]"),
-                int(port),
-                local_addr=(source_ip, 0) if source_ip else None,
-            )
+        transport, protocol = await finish_within(connecting, timeout_ms=timeout_ms)
+    except asyncio.CancelledError:
+        connecting.add_done_callback(_close_connected)
+        raise
     except (OSError, TimeoutError, ValueError) as error:
         detail = f"No connection to {address} ({type(error).__name__})"
         raise ExchangeError(ExchangeFailure.NOT_SENT, detail) from error
@@ -345,6 +341,25 @@
     )
 
 
+async def _connect(address: str, source_ip: str) -> tuple[asyncio.Transport, _ResponseProtocol]:
+    loop = asyncio.get_running_loop()
+    host, _, port = address.rpartition(":")
+    return await loop.create_connection(
+        lambda: _ResponseProtocol(loop),
+        host.strip("[]"),
+        int(port),
+        local_addr=(source_ip, 0) if source_ip else None,
+    )
+
+
+def _close_connected(
+    connecting: asyncio.Task[tuple[asyncio.Transport, _ResponseProtocol]],
+) -> None:
+    """Close a connection that was made as the wait for it was cancelled."""
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result()[0].abort()
+
+
 def _build_response_head(message: RawResponseMessage) -> ResponseHead:
     is_self_delimited = message.chunked or "Content-Length" in message.headers
     has_no_body = message.code in NO_BODY_STATUSES
