Do not take an upstream for silent that answered a probe while the event loop stood still

Cause: probes of upstreams end after 250 ms, whether or not the event loop ran. A host that stood still twice in a row took itself for one that reaches no upstream, and refused all requests until the next probe. The check of a broken response took a sound upstream for one that crashed.

Change: the probes' timeout counts only the time in which the event loop runs (finish_within).

Result: the new test stands still for 0.5 s at six steps of a probe; all six failed before and pass.

--- a/src/tanagerscale/upstreams/_paths.py
+++ b/src/tanagerscale/upstreams/_paths.py
@@ -23,6 +23,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import UpstreamId
+from tanagerscale.core import finish_within
 from tanagerscale.core import get_logger
 from tanagerscale.core import record_unexpected_error
 from tanagerscale.upstreams._entries import UpstreamEntry
@@ -143,16 +144,12 @@
         """
         tasks = [asyncio.ensure_future(self._is_answered(entry, force_new)) for entry in entries]
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_MS / MS_PER_SECOND):
-                for finished in asyncio.as_completed(tasks):
-                    if await finished:
-                        return True
+            return await finish_within(_is_any_true(tasks), timeout_ms=PROBE_TIMEOUT_MS)
         except TimeoutError:
-            pass
+            return False
         finally:
             for task in tasks:
                 task.cancel()
-        return False
 
     async def _is_answered(self, entry: UpstreamEntry, force_new: bool) -> bool:
         try:
@@ -248,3 +245,10 @@
             cut_ms=cut_ms,
         )
         self._changes.on_next(is_cut_off)
+
+
+async def _is_any_true(tasks: Sequence[asyncio.Future[bool]]) -> bool:
+    for finished in asyncio.as_completed(tasks):
+        if await finished:
+            return True
+    return False
--- a/testing/test_late_timeouts.py
+++ b/testing/test_late_timeouts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 import time
 
 import pytest
@@ -11,9 +12,16 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import finish_within
+from tanagerscale.platform._engines import PlatformUpstreams
+from tanagerscale.upstreams import PROBE_TIMEOUT_MS
 from tanagerscale.upstreams import ExchangeError
+from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import count_open_connections
 from tanagerscale.upstreams._connection import open_connection
+from tanagerscale.upstreams._paths import UpstreamPaths
+from testing._engine_exchanges import answer_properly
+from testing._engine_exchanges import make_engine_entry
+from testing._engine_exchanges import make_pool
 from testing._scripted_peer import run_scripted_peer
 from testing._virtual_time import run_virtually
 
@@ -73,6 +81,27 @@
         await open_connection(address=peer.address, timeout_ms=CONNECT_TIMEOUT_MS, now=Millis(0))
 
 
+# An upstream that answered a probe while the event loop stood still was taken for a silent one, and
+# its host for one that reaches no upstream.
+@pytest.mark.asyncio
+@pytest.mark.parametrize("steps", range(1, 12, 2))
+async def test_probe_is_answered_when_the_event_loop_stands_still_meanwhile(steps: int) -> None:
+    pool = make_pool()
+    client = PlatformUpstreams(pool=pool)
+
+    async def probe(entry: UpstreamEntry, force_new: bool) -> bool:
+        return await client.probe(upstream=entry, force_new=force_new)
+
+    async with run_scripted_peer(lambda request: [answer_properly(request)]) as peer:
+        entry = make_engine_entry(peer.address)
+        paths = UpstreamPaths(probe=probe, known=lambda: [entry], clock=Clock(), rng=Random(1))
+        answering = asyncio.create_task(paths.answers([entry]))
+        await _run_steps(steps)
+        _stand_still(2 * PROBE_TIMEOUT_MS)
+        assert await answering
+    pool.close()
+
+
 @pytest.mark.parametrize("timeout_ms", [1, 20, 70, 250, 400])
 def test_wait_ends_at_its_timeout_when_the_event_loop_runs(timeout_ms: int) -> None:
     async def measure() -> float:
