Ask at the sender whether a stopping host lives long enough for a request

Cause: whether a request can be finished before its host ends was asked on arrival, and every 20 ms while no attempt was under way. An attempt that ends without having run (an upstream refuses it after seconds, its connection opens late or not at all) was followed at once by the next one, or by a delegation, with whatever time was left: between two attempts there is no moment for the check.

Ruled out: requests that arrive late. After 2.5 s a request is accepted only if its deadline comes before the final responses.

Change: `send_request` asks `ForwardingContext.can_start` before the request is counted and immediately before the first byte, for requests that have certainly not run; `DelegatedForwarder` asks before each host. What can't be finished is answered 503. Requests that may have run (repeats of idempotent routes, hedged attempts, runs that go on) are sent as before, as they get a 502 otherwise.

--- a/src/tanagerscale/forwarding/_delegation.py
+++ b/src/tanagerscale/forwarding/_delegation.py
@@ -27,6 +27,7 @@
 from tanagerscale.forwarding._refusals import upstream_failed
 from tanagerscale.forwarding._request_state import UpstreamEnd
 from tanagerscale.forwarding._request_state import UpstreamPart
+from tanagerscale.forwarding._sending import HostStoppingError
 from tanagerscale.forwarding._types import CallerRequest
 from tanagerscale.forwarding._types import Header
 from tanagerscale.forwarding._types import Refusal
@@ -227,6 +228,7 @@
         """Serve the request.
 
         :returns: A refusal if no upstream's response was sent to the caller, otherwise ``None``.
+        :raises HostStoppingError: The request was not sent.
         """
         for _ in range(MAX_DELEGATES):
             delegate = await self._selector.choose()
@@ -234,6 +236,8 @@
                 break
             if is_quarantined(self._routed, self._context):
                 return quarantined(may_have_run=self.may_have_run)
+            if not self.may_have_run and not self._context.can_start(self._routed):
+                raise HostStoppingError
             self._selector.begin(delegate)
             try:
                 refusal, is_final = await self._try(delegate, responder)
--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -6,6 +6,7 @@
 from typing import final
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import FailureDomainId
@@ -31,6 +32,7 @@
 from tanagerscale.forwarding._refusals import stopped_before_response
 from tanagerscale.forwarding._refusals import timed_out
 from tanagerscale.forwarding._request_state import UpstreamPart
+from tanagerscale.forwarding._sending import HostStoppingError
 from tanagerscale.forwarding._shutdown import ShutdownSchedule
 from tanagerscale.forwarding._stream import StreamRun
 from tanagerscale.forwarding._suspected_requests import get_keys
@@ -126,7 +128,7 @@
     ) -> None:
         self._delegates = delegates
         self._delegate_client = delegate_client
-        self._context = context
+        self._context = replace(context, can_start=shutdown.can_start)
         self._admission = admission
         self._stream_mover = stream_mover
         self._allowed_regions = allowed_regions
@@ -246,10 +248,10 @@
             async with in_progress.timeout:
                 self._in_progress.add(in_progress)
                 return await self._forward(in_progress.routed, in_progress)
-        except TimeoutError:
+        except (TimeoutError, HostStoppingError) as error:
             if in_progress.is_convicted:
                 return quarantined(may_have_run=in_progress.may_have_run)
-            if not in_progress.is_ended:
+            if isinstance(error, TimeoutError) and not in_progress.is_ended:
                 return timed_out()
             if in_progress.may_have_run:
                 return stopped_before_response()
--- a/src/tanagerscale/forwarding/_parts.py
+++ b/src/tanagerscale/forwarding/_parts.py
@@ -23,6 +23,7 @@
 from tanagerscale.forwarding._crash_reports import CrashReports
 from tanagerscale.forwarding._metrics import ForwardingMetrics
 from tanagerscale.forwarding._types import EngineControl
+from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.forwarding._types import UpstreamClient
 from tanagerscale.forwarding._workload import LocalWorkload
 from tanagerscale.generated.messages import RequestClass
@@ -63,6 +64,10 @@
     return None
 
 
+def _has_no_end(_routed: RoutedRequest) -> bool:
+    return True
+
+
 class ForwardingContext(Struct, frozen=True, kw_only=True):
     """Dependencies shared by all requests of a host.
 
@@ -82,6 +87,8 @@
     :param rate_limits: Returns which upstreams have rate limits.
     :param rate_permits: Limits requests to upstreams with rate limits.
     :param metrics: Exported metrics that requests update.
+    :param can_start: Returns whether a request that has not run can be finished before this host
+        ends.
     :param list_age_ms: Returns the age of the list of upstreams in milliseconds, if known.
     :param failure_domain: Failure domain of this host.
     :param clock: Clock used for deadlines and durations.
@@ -109,5 +116,6 @@
     failure_domain: FailureDomainId
     clock: Clock
     rng: Random
+    can_start: Callable[[RoutedRequest], bool] = _has_no_end
     list_age_ms: Callable[[], int | None] = _unknown_age
     has_bounded_buffers: bool = False
--- a/src/tanagerscale/forwarding/_plain.py
+++ b/src/tanagerscale/forwarding/_plain.py
@@ -28,6 +28,7 @@
 from tanagerscale.forwarding._refusals import quarantined
 from tanagerscale.forwarding._refusals import rate_limited
 from tanagerscale.forwarding._refusals import upstream_failed
+from tanagerscale.forwarding._sending import HostStoppingError
 from tanagerscale.forwarding._sending import QuarantinedError
 from tanagerscale.forwarding._sending import SendPath
 from tanagerscale.forwarding._sending import send_request
@@ -310,6 +311,11 @@
         except QuarantinedError:
             self._record.record_not_run(entry.upstream)
             raise
+        except HostStoppingError:
+            self._record.record_not_run(entry.upstream)
+            if not self._record.is_in_flight:
+                raise
+            return None
         except UpstreamLeavingError:
             self._record.record_withheld(entry.upstream)
             return None
--- a/src/tanagerscale/forwarding/_sending.py
+++ b/src/tanagerscale/forwarding/_sending.py
@@ -21,6 +21,7 @@
 from tanagerscale.forwarding._types import RoutedRequest
 from tanagerscale.forwarding._types import UpstreamRequest
 from tanagerscale.forwarding._types import UpstreamResponse
+from tanagerscale.routes import RouteKind
 from tanagerscale.upstreams import UpstreamLeavingError
 
 _log = get_logger(part="forwarding")
@@ -62,6 +63,10 @@
     """A request is not sent, since it has what crashes upstreams."""
 
 
+class HostStoppingError(Exception):
+    """A request that has not run is not sent, since its host stops before it could be finished."""
+
+
 async def send_request(
     routed: RoutedRequest,
     context: ForwardingContext,
@@ -78,6 +83,7 @@
     :param path: How the request gets to it.
     :param chosen_at: When the upstream was chosen.
     :raises QuarantinedError: The request was not sent.
+    :raises HostStoppingError: The request was not sent.
     :raises UpstreamLeavingError: The request was not sent.
     :raises ExchangeError: The upstream did not respond.
     """
@@ -124,10 +130,14 @@
         self._chosen_at = chosen_at
 
     def check(self) -> None:
-        """Raise an error if the upstream must get no more requests on this path.
+        """Raise an error if the request must not be sent on this path any more.
 
-        :raises UpstreamLeavingError: It must not.
+        :raises HostStoppingError: This host stops before the request could be finished.
+        :raises UpstreamLeavingError: The upstream must get no more requests.
         """
+        if self._has_not_run and not self._context.can_start(self._routed):
+            self._log_stopping()
+            raise HostStoppingError
         leaving_ms = self._context.gate.leaving_for_ms(self._upstream)
         if leaving_ms is None or leaving_ms < _LEAVING_ALLOWANCE_MS[self._path]:
             return
@@ -143,10 +153,30 @@
             self._context.metrics.leaving_requests.labels(self._path.value).inc()
         self._log("A request is sent.", leaving_ms)
 
+    @property
+    def _has_not_run(self) -> bool:
+        """Whether the request has certainly not run, so that it can be refused instead.
+
+        A request that may have run goes on, since its caller gets no better answer otherwise.
+        """
+        if self._path is SendPath.REPEATED:
+            return self._routed.route.kind is not RouteKind.IDEMPOTENT
+        return self._path not in (SendPath.HEDGED, SendPath.RESUMED)
+
     @property
     def _chosen_ms(self) -> int:
         return self._context.clock.now() - self._chosen_at
 
+    def _log_stopping(self) -> None:
+        _log.info(
+            "A request is not sent, since this host stops before it could be finished.",
+            request=self._routed.request.request,
+            upstream=self._upstream,
+            path=self._path.value,
+            chosen_ms=self._chosen_ms,
+            left_ms=self._routed.deadline - self._context.clock.now(),
+        )
+
     def _log(self, message: str, leaving_ms: int | None) -> None:
         _log.info(
             message,
--- a/src/tanagerscale/forwarding/_starting.py
+++ b/src/tanagerscale/forwarding/_starting.py
@@ -16,6 +16,7 @@
 from tanagerscale.forwarding._segments import RunProgress
 from tanagerscale.forwarding._segments import SegmentSender
 from tanagerscale.forwarding._segments import StreamSegment
+from tanagerscale.forwarding._sending import HostStoppingError
 from tanagerscale.forwarding._sending import QuarantinedError
 from tanagerscale.forwarding._sending import SendPath
 from tanagerscale.forwarding._types import Refusal
@@ -95,7 +96,7 @@
                 path=path,
                 chosen_at=chosen_at,
             )
-        except QuarantinedError:
+        except (QuarantinedError, HostStoppingError):
             self.record.record_not_run(entry.upstream)
             raise
         except UpstreamLeavingError as error:
