Count the grace period from the signal, not from when the event loop handles it

Cause: the signals to stop were handled by the event loop alone. While it is busy (a large configuration, settings on a slow file system), SIGTERM waits, and the shutdown then counts the whole grace period from its own beginning: connections and requests are accepted longer than 2.5 s after the signal, and the final responses come after the process has been killed.

Change: the time of the first signal is recorded by a Python signal handler, which runs between two bytecodes and interrupts system calls; the schedule of the shutdown counts from it. 'The host stops.' says how long ago that was (after_ms).

Ruled out: recording it in a process that is stopped (SIGSTOP), which gets the signal only as it goes on.

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -40,6 +40,7 @@
 from tanagerscale.core._numbers import parse_number
 from tanagerscale.core._reads import read_within
 from tanagerscale.core._signals import defer_signals
+from tanagerscale.core._signals import get_stop_signal_time
 from tanagerscale.core._signals import handle_signals
 from tanagerscale.core._signals import hold_signals
 from tanagerscale.core._sockets import enable_tcp_keepalive
@@ -84,6 +85,7 @@
     "enable_tcp_keepalive",
     "find_unread",
     "get_logger",
+    "get_stop_signal_time",
     "group_tasks_by_stack",
     "handle_signals",
     "hold_signals",
--- a/src/tanagerscale/forwarding/_shutdown.py
+++ b/src/tanagerscale/forwarding/_shutdown.py
@@ -63,12 +63,13 @@
         """Whether the time for finishing requests is over and the teardown is due."""
         return self.has_begun and self._time_left_ms() <= -FINAL_RESPONSE_RESERVE_MS
 
-    def begin(self, *, grace_s: float) -> None:
+    def begin(self, *, grace_s: float, signalled: Millis | None = None) -> None:
         """Record the start of the shutdown.
 
-        :param grace_s: Time from now until the process is killed, in seconds.
+        :param grace_s: Time from the start until the process is killed, in seconds.
+        :param signalled: When the process was told to stop, which is the start; ``None`` for now.
         """
-        self._began = self._clock.now()
+        self._began = self._clock.now() if signalled is None else signalled
         reserve_ms = TEARDOWN_RESERVE_MS + FINAL_RESPONSE_RESERVE_MS
         self._ends = Millis(self._began + int(grace_s * MS_PER_SECOND) - reserve_ms)
 
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -21,6 +21,7 @@
 from tanagerscale.core import ServiceId
 from tanagerscale.core import UnexpectedErrorCollector
 from tanagerscale.core import get_logger
+from tanagerscale.core import get_stop_signal_time
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import DelegateSelector
 from tanagerscale.forwarding import Dispatcher
@@ -179,11 +180,16 @@
 
     async def stop(self) -> None:
         """Shut down gracefully: accept no new work, then wait for running requests to finish."""
-        self._shutdown.begin(grace_s=self._settings.host.stop_grace_s)
+        grace_s = self._settings.host.stop_grace_s
+        self._shutdown.begin(grace_s=grace_s, signalled=get_stop_signal_time())
         self._server.begin_shutdown()
         self._announce_shutdown()
         self._spawn(self._control.withdraw, name="withdrawal")
-        _log.info("The host stops.", running=self._dispatcher.running)
+        _log.info(
+            "The host stops.",
+            running=self._dispatcher.running,
+            after_ms=self._shutdown.elapsed_ms,
+        )
         await drain_requests(
             servers=(self._server, self._delegate_server),
             schedule=self._shutdown,
