Judge a plain request by its deadline once it has missed its target late in a stop

Cause: a request that hasn't been sent, or that upstreams have refused, was expected to be answered within its route's target, also after it had missed that target.

Change: later than 2.5 s after the signal, when requests are accepted only if their deadline comes before the end, the same holds for each sending of a plain request that has missed its target. Its caller gets a 503 instead, and can go to another host at once.

Ruled out: the same for streams that wait for an engine, which would lose their place; and within the first 2.5 s, in which fast requests were once refused although there was time.

Before: two directed cases and 29 of 90 random ones of test_late_in_the_grace fail; after: all hold.

--- a/src/tanagerscale/forwarding/_shutdown.py
+++ b/src/tanagerscale/forwarding/_shutdown.py
@@ -87,16 +87,21 @@
     def can_start(self, routed: RoutedRequest) -> bool:
         """Return whether a request that has not been sent yet is expected to be finished in time.
 
-        An upstream is expected to meet the target of the request's route.
+        An upstream is expected to meet the target of the request's route. A plain request that
+        has missed it by the time at which others are no longer accepted may take until its
+        deadline: upstreams have refused it after long, or don't accept connections in time.
         """
         if not self.has_begun:
             return True
+        now = self._clock.now()
+        limit_ms = routed.deadline - now
         expected_ms = routed.route.target_ms
         if routed.route.kind is RouteKind.STREAMING:
             if is_long(routed):
                 return False
             expected_ms += SHORT_STREAM_MS
-        limit_ms = routed.deadline - self._clock.now()
+        elif not self.accepts_connections and now - routed.request.arrived > expected_ms:
+            expected_ms = limit_ms
         return min(expected_ms, limit_ms) <= self._time_left_ms()
 
     def _time_left_ms(self) -> int:
--- a/testing/_late_requests.py
+++ b/testing/_late_requests.py
@@ -40,6 +40,8 @@
 GRACE_S = 8.0
 DUE_MS = 7100
 """Time from the start of a shutdown until final responses are due, with that grace period."""
+LISTENING_MS = 2500
+"""How long a stopping host accepts connections."""
 TARGET_MS = 1500
 TIMEOUT_MS = 39_000
 """Longer than the grace period."""
@@ -96,11 +98,19 @@
     end: End | None = None
 
 
-def _expect_ms(request: CallerRequest) -> int:
-    """Return how long a request is expected to take from now on, at most until its deadline."""
+def _expect_ms(request: CallerRequest, *, elapsed_ms: int) -> int:
+    """Return how long a request is expected to take from now on, at most until its deadline.
+
+    :param request: The request.
+    :param elapsed_ms: Time since the start of the shutdown.
+    """
     limit_ms = TIMEOUT_MS if request.time_left_ms is None else request.time_left_ms
-    left_ms = request.arrived + limit_ms - Clock().now()
-    return min(TARGET_MS if request.demand is None else TARGET_MS + SHORT_STREAM_MS, left_ms)
+    now = Clock().now()
+    left_ms = request.arrived + limit_ms - now
+    if request.demand is not None:
+        return min(TARGET_MS + SHORT_STREAM_MS, left_ms)
+    has_missed_target = elapsed_ms >= LISTENING_MS and now - request.arrived > TARGET_MS
+    return left_ms if has_missed_target else min(TARGET_MS, left_ms)
 
 
 @dataclass
@@ -123,7 +133,8 @@
             raise ExchangeError(ExchangeFailure.NOT_SENT, "connection refused")
         upstream_request.check()
         request = upstream_request.request
-        finished_ms = self.shutdown.elapsed_ms + _expect_ms(request)
+        elapsed_ms = self.shutdown.elapsed_ms
+        finished_ms = elapsed_ms + _expect_ms(request, elapsed_ms=elapsed_ms)
         arrival = Arrival(request=request.request, finished_ms=finished_ms)
         self.arrivals.append(arrival)
         await asyncio.sleep(work.work_ms / MS_PER_SECOND)
--- a/testing/test_late_in_the_grace.py
+++ b/testing/test_late_in_the_grace.py
@@ -94,6 +94,23 @@
     run_virtually(scenario())
 
 
+# Guards against an upstream that is expected to answer fast although others have shown that it
+# doesn't: the request is cut, and its caller can't repeat it.
+@pytest.mark.parametrize(
+    "refusing", [Work(work_ms=3000, end=End.NOT_EXECUTED), Work(connect_ms=3000)], ids=str
+)
+def test_request_that_must_not_be_repeated_is_not_sent_when_it_has_missed_its_target(
+    refusing: Work,
+) -> None:
+    async def scenario() -> None:
+        host = Host([refusing, Work(work_ms=TIMEOUT_MS)])
+        responder = await _stop_with_one(host, "unsafe")
+        assert all(one.end is End.NOT_EXECUTED for one in host.upstreams.arrivals)
+        assert _kind(responder) is RefusalKind.OVERLOADED
+
+    run_virtually(scenario())
+
+
 # Guards against requests that another host gets late and this one cuts.
 @pytest.mark.parametrize("route_name", ["unsafe", "stream"])
 def test_request_is_not_delegated_when_no_time_is_left_for_it(route_name: str) -> None:
