--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -42,6 +42,7 @@
 from tanagerscale.core._reads import read_within
 from tanagerscale.core._resident_memory import ResidentMemory
 from tanagerscale.core._signals import defer_signals
+from tanagerscale.core._signals import get_stop_signal_time
 from tanagerscale.core._signals import handle_signals
 from tanagerscale.core._signals import hold_signals
 from tanagerscale.core._sockets import enable_tcp_keepalive
@@ -88,6 +89,7 @@
     "find_unread",
     "finish_within",
     "get_logger",
+    "get_stop_signal_time",
     "group_tasks_by_stack",
     "handle_signals",
     "hold_signals",
--- a/src/tanagerscale/forwarding/_shutdown.py
+++ b/src/tanagerscale/forwarding/_shutdown.py
@@ -63,12 +63,13 @@
         """Whether the time for finishing requests is over and the teardown is due."""
         return self.has_begun and self._time_left_ms() <= -FINAL_RESPONSE_RESERVE_MS
 
-    def begin(self, *, grace_s: float) -> None:
+    def begin(self, *, grace_s: float, signalled: Millis | None = None) -> None:
         """Record the start of the shutdown.
 
-        :param grace_s: Time from now until the process is killed, in seconds.
+        :param grace_s: Time from the start until the process is killed, in seconds.
+        :param signalled: When the process was told to stop, which is the start; ``None`` for now.
         """
-        self._began = self._clock.now()
+        self._began = self._clock.now() if signalled is None else signalled
         reserve_ms = TEARDOWN_RESERVE_MS + FINAL_RESPONSE_RESERVE_MS
         self._ends = Millis(self._began + int(grace_s * MS_PER_SECOND) - reserve_ms)
 
@@ -86,16 +87,21 @@
     def can_start(self, routed: RoutedRequest) -> bool:
         """Return whether a request that has not been sent yet is expected to be finished in time.
 
-        An upstream is expected to meet the target of the request's route.
+        An upstream is expected to meet the target of the request's route. A plain request that
+        has missed it by the time at which others are no longer accepted may take until its
+        deadline: upstreams have refused it after long, or don't accept connections in time.
         """
         if not self.has_begun:
             return True
+        now = self._clock.now()
+        limit_ms = routed.deadline - now
         expected_ms = routed.route.target_ms
         if routed.route.kind is RouteKind.STREAMING:
             if is_long(routed):
                 return False
             expected_ms += SHORT_STREAM_MS
-        limit_ms = routed.deadline - self._clock.now()
+        elif not self.accepts_connections and now - routed.request.arrived > expected_ms:
+            expected_ms = limit_ms
         return min(expected_ms, limit_ms) <= self._time_left_ms()
 
     def _time_left_ms(self) -> int:
