Wait for taken ports at the start, and log each failed try and each end

Cause: each listening socket was opened once, and an OSError left _run as a traceback on standard error with exit code 1, so a port that the previous process, an outgoing connection or a scrape held for a moment ended the process at each restart. The optional metrics did so, too. Nothing logged the end, and a process with 16 descriptors neither got ready nor said why.

Change: callers, readiness, peers and delegates are tried again every 200 ms while the cause is temporary (taken port, no descriptors, no memory), each failed try with a line and in tanagerscale_failed_starts_total{part}. Metrics are opened in the background. What stays (EACCES, an address of another machine) ends the process with exit code 2 and a line; SIGTERM meanwhile ends it with 0 and a line. Errors that leave the host end it with a line that has cause and exit code. Closed standard descriptors are opened first, so that no socket gets their numbers and the log's lines.

--- a/src/tanagerscale/core/__init__.py
+++ b/src/tanagerscale/core/__init__.py
@@ -43,6 +43,8 @@
 from tanagerscale.core._signals import handle_signals
 from tanagerscale.core._signals import hold_signals
 from tanagerscale.core._sockets import enable_tcp_keepalive
+from tanagerscale.core._start_failures import FailedStartCollector
+from tanagerscale.core._start_failures import record_failed_start
 from tanagerscale.core._task_monitor import TaskMonitor
 from tanagerscale.core._tasks import TaskStackGroup
 from tanagerscale.core._tasks import group_tasks_by_stack
@@ -59,6 +61,7 @@
     "Clock",
     "Count",
     "Execution",
+    "FailedStartCollector",
     "FailureDomainId",
     "GenerationId",
     "HostId",
@@ -91,6 +94,7 @@
     "new_id",
     "parse_number",
     "read_within",
+    "record_failed_start",
     "record_unexpected_error",
     "run_contained",
     "set_up_json_lines_log",
--- a/src/tanagerscale/gateway/__init__.py
+++ b/src/tanagerscale/gateway/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tanagerscale.gateway._host import GatewayHost
+from tanagerscale.gateway._listener import ListenError
 from tanagerscale.gateway._platform import Platform
 
-__all__ = ["GatewayHost", "Platform"]
+__all__ = ["GatewayHost", "ListenError", "Platform"]
--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -25,6 +25,7 @@
 from tanagerscale.gateway._host_limits import HostLimits
 from tanagerscale.gateway._listener import ACCEPT_BACKLOG
 from tanagerscale.gateway._listener import close_listener
+from tanagerscale.gateway._listener import open_when_free
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import RequestHandler
@@ -96,11 +97,13 @@
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
-        self._listener = await asyncio.get_running_loop().create_server(
-            self._make_protocol,
-            host,
-            int(port),
-            backlog=ACCEPT_BACKLOG,
+        loop = asyncio.get_running_loop()
+        self._listener = await open_when_free(
+            lambda: loop.create_server(
+                self._make_protocol, host, int(port), backlog=ACCEPT_BACKLOG
+            ),
+            part="callers",
+            address=address,
         )
 
     def _make_protocol(self) -> CallerProtocol:
--- a/src/tanagerscale/gateway/_delegate_server.py
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -38,6 +38,7 @@
 from tanagerscale.gateway._delegation_wire import encode_head
 from tanagerscale.gateway._listener import ACCEPT_BACKLOG
 from tanagerscale.gateway._listener import close_listener
+from tanagerscale.gateway._listener import open_when_free
 
 MAX_DELEGATED: Final = 64
 """Requests of other hosts that a host sends at a time, beside those of its own callers."""
@@ -94,8 +95,13 @@
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
-        self._listener = await asyncio.get_running_loop().create_server(
-            self._make_protocol, host, int(port), backlog=ACCEPT_BACKLOG
+        loop = asyncio.get_running_loop()
+        self._listener = await open_when_free(
+            lambda: loop.create_server(
+                self._make_protocol, host, int(port), backlog=ACCEPT_BACKLOG
+            ),
+            part="delegates",
+            address=address,
         )
 
     async def stop_listening(self) -> None:
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -16,6 +16,7 @@
 from prometheus_client import CollectorRegistry
 
 from tanagerscale.core import Clock
+from tanagerscale.core import FailedStartCollector
 from tanagerscale.core import FailureDomainId
 from tanagerscale.core import HostId
 from tanagerscale.core import ServiceId
@@ -36,6 +37,8 @@
 from tanagerscale.gateway._forwarding import make_forwarding_context
 from tanagerscale.gateway._graceful_shutdown import drain_requests
 from tanagerscale.gateway._host_limits import make_host_limits
+from tanagerscale.gateway._listener import ListenError
+from tanagerscale.gateway._listener import open_when_free
 from tanagerscale.gateway._metrics import serve_metrics
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import Platform
@@ -47,6 +50,9 @@
 IDLE_CHECK_INTERVAL_MS: Final = 1000
 """How often idle connections are checked; idle timeouts are configured in seconds."""
 
+METRICS_OPEN_INTERVAL_MS: Final = 1000
+"""How often the port of the metrics is tried while it is taken, which may last."""
+
 DEFAULT_CALLER_LIMITS: Final = CallerLimits(
     header_bytes=16_384, body_bytes=4_194_304, header_timeout_ms=3000, idle_timeout_ms=15_000
 )
@@ -84,6 +90,7 @@
         self._registry = CollectorRegistry()
         self._registry.register(ExchangeCollector(log=platform.exchange_log))
         self._registry.register(UnexpectedErrorCollector())
+        self._registry.register(FailedStartCollector())
         self._work = LocalWorkload(clock=clock)
         self._control = HostControl(
             settings=settings,
@@ -115,11 +122,15 @@
         """Start all servers and background tasks."""
         settings = self._settings
         readiness = settings.host.readiness
-        runner = await serve_readiness(is_ready=lambda: self.ready, address=readiness)
-        self._runners.append(runner)
         if settings.host.metrics:
-            metrics = await serve_metrics(registry=self._registry, address=settings.host.metrics)
-            self._runners.append(metrics)
+            self._spawn(self._serve_metrics, name="metrics")
+        self._runners.append(
+            await open_when_free(
+                lambda: serve_readiness(is_ready=lambda: self.ready, address=readiness),
+                part="readiness",
+                address=readiness,
+            )
+        )
         rules = CallerRules(
             body_bytes=lambda: self._limits.body_bytes,
             header_timeout_ms=lambda: self._limits.header_timeout_ms,
@@ -136,7 +147,7 @@
         await self._server.start(address=settings.host.callers)
         if settings.host.delegates:
             await self._delegate_server.start(address=settings.host.delegates)
-        await self._control.start()
+        await open_when_free(self._control.start, part="peers", address=settings.host.peers)
         self._control.gate.changes.subscribe(self._stream_mover.on_upstreams)
         self._control.roster.replaced.subscribe(
             lambda replaced: self._platform.upstreams.forget(upstream=replaced)
@@ -150,6 +161,21 @@
             callers=settings.host.callers,
         )
 
+    async def _serve_metrics(self) -> None:
+        """Serve metrics as soon as their port is free; nothing else depends on them."""
+        address = self._settings.host.metrics
+        try:
+            runner = await open_when_free(
+                lambda: serve_metrics(registry=self._registry, address=address),
+                part="metrics",
+                address=address,
+                interval_ms=METRICS_OPEN_INTERVAL_MS,
+            )
+        except ListenError as error:
+            _log.error("The host runs without metrics.", reason=str(error))
+            return
+        self._runners.append(runner)
+
     def reload(self, *, settings: GatewaySettings) -> None:
         """Apply changed settings, as far as a running host can.
 
--- a/src/tanagerscale/gateway/_listener.py
+++ b/src/tanagerscale/gateway/_listener.py
@@ -1,21 +1,77 @@
-"""Listening sockets that are closed without losing connections."""
+"""Listening sockets that are opened when their ports are free and closed without loss."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
+import errno
 import socket
 from typing import Final
+from typing import TypeVar
 
+from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import get_logger
+from tanagerscale.core import record_failed_start
 
 ACCEPT_BACKLOG: Final = 1024
 """Connections that may wait to be accepted. When the backlog is full, the first packet of a new
 connection is dropped and resent only after one second."""
 
+OPEN_INTERVAL_MS: Final = 200
+"""How often a port is tried that is taken; a host is ready within a second after it is free."""
+
+TEMPORARY_ERRORS: Final = frozenset(
+    (errno.EADDRINUSE, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN)
+)
+"""Errors that end without a change of the settings."""
+
+_Server = TypeVar("_Server")
+
 _log = get_logger(part="listeners")
 
 
+class ListenError(Exception):
+    """Raised if a port can't be opened, and that can't change while the process runs."""
+
+
+async def open_when_free(
+    open_server: Callable[[], Awaitable[_Server]],
+    *,
+    part: str,
+    address: str,
+    interval_ms: int = OPEN_INTERVAL_MS,
+) -> _Server:
+    """Open a server, and try again while its port is taken.
+
+    :param open_server: Opens the server; leaves nothing open if it raises ``OSError``.
+    :param part: Name of the server, for the log and the metric.
+    :param address: IP address and port, for the log.
+    :param interval_ms: Time between two tries in milliseconds.
+    :returns: The server.
+    :raises ListenError: If the port can't be opened for a reason that stays.
+    """
+    tries = 0
+    while True:
+        try:
+            return await open_server()
+        except OSError as error:
+            if error.errno not in TEMPORARY_ERRORS:
+                raise ListenError(
+                    f"The address {address} of {part} can't be opened: {error}. Use an address of "
+                    "this machine and a port that the process may open."
+                ) from error
+            tries += 1
+            record_failed_start(
+                part,
+                "A port can't be opened; it is tried again.",
+                tries=tries,
+                error=error,
+                address=address,
+            )
+        await asyncio.sleep(interval_ms / MS_PER_SECOND)
+
+
 async def close_listener(
     listener: asyncio.Server, *, make_protocol: Callable[[], asyncio.BaseProtocol]
 ) -> None:
--- a/src/tanagerscale/platform/__main__.py
+++ b/src/tanagerscale/platform/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 import os
 from pathlib import Path
 import sys
@@ -18,47 +19,83 @@
 from tanagerscale.core import hold_signals
 from tanagerscale.core import set_up_json_lines_log
 from tanagerscale.gateway import GatewayHost
+from tanagerscale.gateway import ListenError
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.platform._factory import make_platform
-from tanagerscale.settings import read_gateway_settings
+from tanagerscale.platform._process_end import ExitCode
+from tanagerscale.platform._process_end import check_descriptors
+from tanagerscale.platform._process_end import open_standard_descriptors
+from tanagerscale.platform._process_end import write_error_line
+from tanagerscale.platform._settings_file import SettingsFile
 
 SETTINGS_VARIABLE: Final = "TANAGERSCALE_CONFIG"
 """Environment variable in which the platform passes the path of the settings file."""
 
-EXIT_BAD_SETTINGS: Final = 2
-"""Exit status for invalid settings, as for any command with invalid input."""
+STANDARD_OUTPUT: Final = 1
 
 _log = get_logger(part="host")
 
 
-async def _run(path: Path, settings: GatewaySettings) -> None:
+async def _run(file: SettingsFile, settings: GatewaySettings) -> ExitCode:
     clock = Clock()
     line_log = set_up_json_lines_log(
-        descriptor=sys.stdout.fileno(),
+        descriptor=STANDARD_OUTPUT,
         host=settings.host.id,
         lines_per_s=settings.logs.lines_per_s,
         clock=clock,
     )
-    host = GatewayHost(
-        settings=settings,
-        platform=make_platform(settings=settings, clock=clock),
-        clock=clock,
-        count_dropped_lines=lambda: line_log.dropped_lines,
-    )
-    stop_requested = asyncio.Event()
-    handle_signals(stop=stop_requested.set, reload=lambda: _reload(path, host, line_log))
     try:
-        await host.start()
-        await stop_requested.wait()
-        await host.stop()
+        check_descriptors()
+        host = GatewayHost(
+            settings=settings,
+            platform=make_platform(settings=settings, clock=clock),
+            clock=clock,
+            count_dropped_lines=lambda: line_log.dropped_lines,
+        )
+        await _serve(file, host, line_log)
+    except ListenError as error:
+        return _log_error(error, ExitCode.BAD_SETTINGS)
+    except (Exception, SystemExit) as error:
+        return _log_error(error, ExitCode.ERROR)
     finally:
         hold_signals()
         line_log.flush()
+    return ExitCode.STOPPED
+
+
+async def _serve(file: SettingsFile, host: GatewayHost, line_log: JsonLinesHandler) -> None:
+    """Start the host, serve until a signal requests a graceful shutdown, and shut down."""
+    stop_requested = asyncio.Event()
+    reload = partial(_reload, file, host, line_log)
+    handle_signals(stop=stop_requested.set, reload=reload)
+    start = asyncio.create_task(host.start(), name="start")
+    stop = asyncio.create_task(stop_requested.wait(), name="stop")
+    await asyncio.wait((start, stop), return_when=asyncio.FIRST_COMPLETED)
+    if not start.done():
+        start.cancel()
+        await asyncio.wait((start,))
+    if start.cancelled():
+        _log.info("The host is stopped as it starts.", exit_code=ExitCode.STOPPED.value)
+        return
+    await start
+    await stop
+    await host.stop()
 
 
-def _reload(path: Path, host: GatewayHost, line_log: JsonLinesHandler) -> None:
+def _log_error(error: BaseException, code: ExitCode) -> ExitCode:
+    """Log the error that ends the process, and return the exit code."""
+    _log.critical(
+        "The process ends by an error.",
+        reason=repr(error) if code is ExitCode.ERROR else str(error),
+        exit_code=code.value,
+        exc_info=code is ExitCode.ERROR,
+    )
+    return code
+
+
+def _reload(file: SettingsFile, host: GatewayHost, line_log: JsonLinesHandler) -> None:
     """Apply a changed settings file, as far as a running host can."""
-    result = read_gateway_settings(path=path)
+    result = file.read()
     if isinstance(result, Failure):
         for error in result.failure():
             _log.error(
@@ -74,13 +111,29 @@
 def main() -> None:
     """Read the settings and serve until a signal requests a graceful shutdown."""
     defer_signals()
-    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    result = read_gateway_settings(path=path)
+    open_standard_descriptors()
+    try:
+        code = _read_and_run()
+    except (Exception, SystemExit) as error:
+        write_error_line(f"The process ends by {error!r}. Exit code {ExitCode.ERROR.value}.")
+        raise
+    sys.exit(code)
+
+
+def _read_and_run() -> ExitCode:
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        write_error_line(f"Set {SETTINGS_VARIABLE} to the path of the settings file.")
+        return ExitCode.BAD_SETTINGS
+    file = SettingsFile(path=Path(path))
+    result = file.read_at_start(report=write_error_line)
     if isinstance(result, Failure):
-        for error in result.failure():
-            print(error, file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
-    asyncio.run(_run(path, result.unwrap()))
+        write_error_line(
+            f"The process ends, as the settings in {path} are invalid. "
+            f"Exit code {ExitCode.BAD_SETTINGS.value}."
+        )
+        return ExitCode.BAD_SETTINGS
+    return asyncio.run(_run(file, result.unwrap()))
 
 
 if __name__ == "__main__":
