Read invalid settings again at the start, and follow their changes after it

Cause: the file was read once as the process started; one that was just being written ended it with exit code 2. A file without its last sections is valid, and nothing compared it again.

Change: an invalid file is read again every 100 ms, with a line for each error whenever the errors change. For 10 s after the start the file is looked at every 500 ms and reloaded if it was written.

Not covered: an address that is cut within its port and still is valid takes effect until the host is started again.

--- a/src/tanagerscale/platform/__main__.py
+++ b/src/tanagerscale/platform/__main__.py
@@ -78,7 +78,9 @@
         _log.info("The host is stopped as it starts.", exit_code=ExitCode.STOPPED.value)
         return
     await start
+    changes = asyncio.create_task(file.follow_changes(apply=reload), name="settings")
     await stop
+    changes.cancel()
     await host.stop()
 
 
@@ -129,7 +131,7 @@
     result = file.read_at_start(report=write_error_line)
     if isinstance(result, Failure):
         write_error_line(
-            f"The process ends, as the settings in {path} are invalid. "
+            f"The process ends, as the settings in {path} stay invalid. "
             f"Exit code {ExitCode.BAD_SETTINGS.value}."
         )
         return ExitCode.BAD_SETTINGS
--- a/src/tanagerscale/platform/_settings_file.py
+++ b/src/tanagerscale/platform/_settings_file.py
@@ -1,9 +1,11 @@
-"""Reading the settings file of a process."""
+"""Reading the settings file of a process that starts, while the file may be being written."""
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from pathlib import Path
+import time
 from typing import Final
 from typing import final
 
@@ -14,10 +16,23 @@
 from tanagerscale.ini import InputError
 from tanagerscale.settings import read_gateway_settings
 
+READ_INTERVAL_S: Final = 0.1
+"""How often an invalid file is read again; a host is ready within a second after its repair."""
+
+UNCHANGED_LIMIT_S: Final = 5.0
+"""How long an invalid file may stay unchanged before the process ends. Whoever writes the file does
+so in a much shorter time."""
+
 MAX_REPORTED_ERRORS: Final = 20
 """Errors of one file that are reported each time."""
 
 
+CHECK_INTERVAL_S: Final = 0.5
+CHECKS_AFTER_START: Final = 20
+"""Checks for a change after the start: a file that was read while it was being written may be valid
+without its last sections, and no signal tells of the rest."""
+
+
 @final
 class SettingsFile:
     """The settings file of a process.
@@ -27,21 +42,55 @@
 
     def __init__(self, *, path: Path) -> None:
         self.path = path
+        self._state = self._get_state()
+        """State of the file before it was last read."""
 
     def read(self) -> Result[GatewaySettings, tuple[InputError, ...]]:
         """Return the settings, or all errors in the file."""
+        self._state = self._get_state()
         return read_gateway_settings(path=self.path)
 
     def read_at_start(
         self, *, report: Callable[[str], None]
     ) -> Result[GatewaySettings, tuple[InputError, ...]]:
-        """Read the settings.
+        """Read the settings, and read them again while the file is invalid and changes.
 
-        :param report: Receives one line for each error.
-        :returns: The settings, or all errors in the file.
+        :param report: Receives one line for each error, whenever the errors change.
+        :returns: The settings, or the errors of a file that stayed as it is.
         """
-        result = self.read()
-        if isinstance(result, Failure):
-            for error in result.failure()[:MAX_REPORTED_ERRORS]:
-                report(f"The settings are invalid: {error}")
+        reported: tuple[str, ...] = ()
+        unchanged_since = time.monotonic()
+        while isinstance(result := self.read(), Failure):
+            errors = tuple(str(error) for error in result.failure()[:MAX_REPORTED_ERRORS])
+            if errors != reported:
+                reported = errors
+                for error in errors:
+                    report(f"The settings are invalid and are read again: {error}")
+            if time.monotonic() - unchanged_since > UNCHANGED_LIMIT_S:
+                break
+            time.sleep(READ_INTERVAL_S)
+            if self.has_changed():
+                unchanged_since = time.monotonic()
         return result
+
+    def has_changed(self) -> bool:
+        """Return whether the file was written or replaced since it was last read."""
+        return self._get_state() != self._state
+
+    async def follow_changes(self, *, apply: Callable[[], None]) -> None:
+        """Look for changes of the file during the first seconds after the start.
+
+        :param apply: Reads the file and applies it.
+        """
+        for _ in range(CHECKS_AFTER_START):
+            if self.has_changed():
+                apply()
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def _get_state(self) -> tuple[int, ...] | None:
+        """Return what changes with each write or replacement; ``None`` without the file."""
+        try:
+            status = self.path.stat()
+        except (OSError, ValueError):
+            return None
+        return status.st_ino, status.st_size, status.st_mtime_ns, status.st_ctime_ns
