Bind the built product to the interpreter and the machine instead of to its directory

Cause: target/host.image held absolute paths of the directory of the build, so packages looked for their extension modules there after the tree had been moved; the image's check saw only a shorter file or another sys.version.

Change: paths in the image are relative to target/deps or the interpreter's library and are resolved as it is loaded, which checks that the directory exists. The tag of the image has the suffix of extension modules, which names interpreter and machine.

--- a/deploy/build_image.py
+++ b/deploy/build_image.py
@@ -12,6 +12,7 @@
 from typing import final
 
 from start_image import LENGTH_FIELD_BYTES
+from start_image import get_directories
 from start_image import interpreter_tag
 
 
@@ -36,7 +37,8 @@
     :param names: Names of the modules, in the order in which a host imports them.
     :returns: Number of modules in the image.
     """
-    index: dict[str, tuple[bool, str, int, int]] = {}
+    index: dict[str, tuple[bool, int, str, int, int]] = {}
+    directories = get_directories(path)
     code_blobs: list[bytes] = []
     offset = 0
     for name in names:
@@ -45,7 +47,8 @@
             continue
         code_bytes = marshal.dumps(spec.loader.get_code(name))
         is_package = spec.submodule_search_locations is not None
-        index[name] = (is_package, spec.origin or "", offset, len(code_bytes))
+        directory, origin = _split_origin(spec.origin or "", directories)
+        index[name] = (is_package, directory, origin, offset, len(code_bytes))
         code_blobs.append(code_bytes)
         offset += len(code_bytes)
     packed_index = marshal.dumps(index)
@@ -58,6 +61,19 @@
     return len(index)
 
 
+def _split_origin(origin: str, directories: Sequence[str]) -> tuple[int, str]:
+    """Return the number of the directory that holds a module, and the path of the module in it.
+
+    The module is found there again when the tree has been moved, or by another interpreter of the
+    same version at another place.
+    """
+    resolved = Path(origin).resolve()
+    for number, directory in enumerate(directories):
+        if directory and resolved.is_relative_to(Path(directory).resolve()):
+            return number, str(resolved.relative_to(Path(directory).resolve()))
+    return directories.index(""), origin
+
+
 def main() -> None:
     """Import the main module of a host and write an image of all imported modules."""
     recorder = ImportRecorder()
@@ -65,7 +81,9 @@
     sys.meta_path.insert(0, recorder)
     import tanagerscale.platform.__main__  # noqa: F401 - Its imports are recorded.
 
-    write_image(path=Path(sys.argv[1]), names=[*recorder.names, *preloaded])
+    # The module that reads the image is imported before it.
+    names = [name for name in (*recorder.names, *preloaded) if name != "start_image"]
+    write_image(path=Path(sys.argv[1]), names=names)
 
 
 if __name__ == "__main__":
--- a/deploy/start_image.py
+++ b/deploy/start_image.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from importlib.machinery import EXTENSION_SUFFIXES
 from importlib.machinery import ModuleSpec
 from importlib.util import MAGIC_NUMBER
 import marshal
@@ -36,16 +37,19 @@
     """Meta path finder and loader for the modules in an image; others are imported from files.
 
     :param path: Path of the image.
-    :raises ImageError: If the image was built by another interpreter version or is truncated.
+    :raises ImageError: If the image was built by another interpreter version, for another kind of
+        machine or without these packages, or is truncated.
     :raises OSError: If the image cannot be read.
     """
 
     def __init__(self, *, path: str) -> None:
+        self._directories = get_directories(path)
         self._file = open(path, "rb", buffering=READ_BUFFER_BYTES)  # noqa: SIM115 - Kept open.
         tag = interpreter_tag()
         if self._file.read(len(tag)) != tag:
             raise ImageError(
-                "The start image was built by another interpreter version; build it again."
+                "The start image was built by another interpreter version or for another kind of "
+                "machine; build it again."
             )
         index_length = self._read_length()
         code_length = self._read_length()
@@ -53,6 +57,16 @@
         if os.fstat(self._file.fileno()).st_size != self._code_offset + code_length:
             raise ImageError("The start image is truncated; build it again.")
         self._index = marshal.loads(self._file.read(index_length))
+        self._check_directories()
+
+    def _check_directories(self) -> None:
+        """Check that the modules' files are where the image expects them."""
+        for number in {entry[1] for entry in self._index.values()}:
+            directory = self._directories[number]
+            if directory and not os.path.isdir(directory):
+                raise ImageError(
+                    f"The start image needs the directory {directory}; build it again."
+                )
 
     def _read_length(self) -> int:
         return int.from_bytes(self._file.read(LENGTH_FIELD_BYTES), "little")
@@ -64,7 +78,8 @@
         entry = self._index.get(name)
         if entry is None:
             return None
-        is_package, origin, _, _ = entry
+        is_package, directory, origin, _, _ = entry
+        origin = os.path.join(self._directories[directory], origin)
         spec = ModuleSpec(name, self, origin=origin, is_package=is_package)  # type: ignore[arg-type]
         spec.has_location = True
         if is_package:
@@ -77,11 +92,23 @@
 
     def exec_module(self, module: ModuleType) -> None:
         """Execute the code of a module."""
-        _, _, offset, length = self._index[module.__name__]
+        *_, offset, length = self._index[module.__name__]
         self._file.seek(self._code_offset + offset)
         exec(marshal.loads(self._file.read(length)), module.__dict__)
 
 
+def get_directories(path: str | os.PathLike[str]) -> tuple[str, ...]:
+    """Return the directories that paths in an image are relative to; the last one is for others.
+
+    :param path: Path of the image, beside which the directory of the packages stands.
+    """
+    target = os.path.dirname(os.path.abspath(path))
+    return (os.path.join(target, "deps"), os.path.dirname(os.__file__), "")
+
+
 def interpreter_tag() -> bytes:
-    """Return a tag of the interpreter version, which the compiled code in an image depends on."""
-    return MAGIC_NUMBER + sys.version.encode()
+    """Return a tag of the interpreter's version and of the kind of machine that it runs on.
+
+    The compiled code in an image depends on the former, extension modules on both.
+    """
+    return MAGIC_NUMBER + f"{sys.version} {EXTENSION_SUFFIXES[0]}".encode()
