Install packages into a directory of each build's own

Cause: the installer of a build that is killed may go on, and the lock is free then; it would write into the directory of the next build.

Change: the directory's name has the process id of the build, and a build removes those that are left. Guarded by test_packages_are_whole_when_the_installer_of_a_killed_build_goes_on.

--- a/deploy/build_product.py
+++ b/deploy/build_product.py
@@ -24,6 +24,7 @@
 
 PACKAGE: Final = "tanagerscale"
 STAMP: Final = ".built"
+STAGING_PREFIX: Final = "deps.next."
 REQUIREMENT_FILES: Final = ("pyproject.toml", "constraints.txt")
 
 Install = Callable[[Path], None]
@@ -71,7 +72,10 @@
     with contextlib.suppress(OSError):
         if not force and (deps / STAMP).read_bytes() == stamp:
             return False
-    staging = _clear(root / "target" / "deps.next")
+    for left in (root / "target").glob(f"{STAGING_PREFIX}*"):
+        _clear(left)
+    # The installer of a build that was killed may still write to the directory of that build.
+    staging = root / "target" / f"{STAGING_PREFIX}{os.getpid()}"
     install(staging)
     _copy_product(root, staging)
     (staging / STAMP).write_bytes(stamp)
--- a/testing/test_starts_build.py
+++ b/testing/test_starts_build.py
@@ -129,6 +129,30 @@
     tree.build()
     assert not (tree.deps / "half.py").exists()
     assert tree.installed == 1
+    assert sorted(path.name for path in tree.deps.parent.iterdir()) == [".lock", "deps"]
+
+
+# Guards against packages that two installers have written together.
+def test_packages_are_whole_when_the_installer_of_a_killed_build_goes_on(
+    tree: _Tree, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    killed: list[Path] = []
+
+    def install_half(directory: Path) -> None:
+        killed.append(directory)
+        raise KeyboardInterrupt
+
+    def install(directory: Path) -> None:
+        killed[0].mkdir()
+        (killed[0] / "late.py").write_text("")
+        tree.install(directory)
+
+    with pytest.raises(KeyboardInterrupt):
+        tree.build(install_half)
+    monkeypatch.setattr("os.getpid", lambda: -1)
+    tree.build(install)
+    assert not (tree.deps / "late.py").exists()
+    assert (tree.deps / "library.py").exists()
 
 
 def test_running_packages_stay_when_a_build_is_ended_midway(tree: _Tree) -> None:
