--- a/src/tanagerscale/gateway/_delegate_server.py
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -39,6 +39,7 @@
 from tanagerscale.gateway._host_limits import HostLimits
 from tanagerscale.gateway._listener import ACCEPT_BACKLOG
 from tanagerscale.gateway._listener import close_listener
+from tanagerscale.gateway._listener import open_when_free
 from tanagerscale.gateway._request_lease import RequestLease
 from tanagerscale.gateway._request_lease import current_lease
 
@@ -104,8 +105,13 @@
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         host, _, port = address.rpartition(":")
-        self._listener = await asyncio.get_running_loop().create_server(
-            self._make_protocol, host, int(port), backlog=ACCEPT_BACKLOG
+        loop = asyncio.get_running_loop()
+        self._listener = await open_when_free(
+            lambda: loop.create_server(
+                self._make_protocol, host, int(port), backlog=ACCEPT_BACKLOG
+            ),
+            part="delegates",
+            address=address,
         )
 
     async def stop_listening(self) -> None:
