--- a/standins/platform_day_connections.py
+++ b/standins/platform_day_connections.py
@@ -23,6 +23,8 @@
 BUFFER_BYTES: Final = 65_536
 TORN_DELAY_RANGE_MS: Final = (1, 60)
 LATE_CHUNK_RANGE_MS: Final = (20, 400)
+MAX_ANSWER_BYTES: Final = 4_194_304
+"""Length of an answer beyond which its caller leaves."""
 BY_CALLER: Final = "by its caller"
 IDLE_SHARE: Final = 0.8
 """Part of the time that a host keeps an idle connection for which callers use it."""
@@ -184,18 +186,27 @@
                 if self._is_slow:
                     await asyncio.sleep(size / SLOW_BYTES_PER_S)
             return
-        body = await self._reader.readexactly(int(call.headers.get("content-length", "0")))
-        call.received += body
-        call.last_read = now_ms()
+        left = int(call.headers.get("content-length", "0"))
+        while left:
+            part = await self._reader.read(min(left, BUFFER_BYTES))
+            if not part:
+                raise EOFError
+            left -= len(part)
+            self._add(call, part)
 
     async def _receive_chunk(self, call: DayCall) -> int:
         size = int(await self._reader.readuntil(b"\r\n"), 16)
         chunk = await self._reader.readexactly(size + 2)
-        call.received += chunk[:size]
-        call.last_read = now_ms()
+        self._add(call, chunk[:size])
         self._be_patient()
         return size
 
+    def _add(self, call: DayCall, part: bytes) -> None:
+        call.received += part
+        call.last_read = now_ms()
+        if len(call.received) > MAX_ANSWER_BYTES:
+            raise TimeoutError("the answer is longer than its caller takes")
+
 
 async def connect(host: DayHost, *, is_slow: bool) -> DayConnection | None:
     """Open a connection; return ``None`` if that fails or takes too long.
