Let the soak's hosts get garbage, answers without end and series of SIGHUP

All runs set memory_mb and file_descriptors, kill a host above its memory, and fail on ends that the run did not cause.

--- a/standins/platform_callers.py
+++ b/standins/platform_callers.py
@@ -37,6 +37,9 @@
 SLOW_BUFFER_BYTES = 1_024
 """Buffers of slow callers, so that what they have not read stays at the host."""
 RETRY_PAUSE_MS = 100
+PART_BYTES = 65_536
+MAX_ANSWER_BYTES = 4_194_304
+"""Length of an answer beyond which its caller leaves."""
 CALLER_PARTS = 8
 """Number of parts that stand for the callers of a service."""
 REFUSED_STATUSES = frozenset((408, 421, 429, 503))
@@ -88,7 +91,8 @@
     :param head_at: Monotonic time at which the head of the answer was received.
     :param ended: Monotonic time at which the answer or the connection ended.
     :param is_complete: Whether the answer came to its proper end.
-    :param gave_up: Whether the caller closed the connection after the deadline.
+    :param gave_up: Whether the caller closed the connection, after the deadline or as the answer
+        was too long.
     :param parts: Parts of its prompt in order; empty if it names none.
     :param key: API key of the caller's account.
     :param is_slow: Whether the caller reads the answer slowly.
@@ -179,15 +183,29 @@
                 if call.is_slow:
                     await clock.sleep(size * MS_PER_SECOND // SLOW_BYTES_PER_S)
         else:
-            call.body += await self._reader.readexactly(int(call.headers["Content-Length"]))
+            await self._receive_whole(call, int(call.headers["Content-Length"]))
         call.is_complete = True
 
     async def _receive_chunk(self, call: Call) -> int:
         size = int(await self._reader.readuntil(b"\r\n"), 16)
         chunk = await self._reader.readexactly(size + 2)
-        call.body += chunk[:size]
+        _add(call, chunk[:size])
         return size
 
+    async def _receive_whole(self, call: Call, length: int) -> None:
+        while length:
+            part = await self._reader.read(min(length, PART_BYTES))
+            if not part:
+                raise EOFError
+            length -= len(part)
+            _add(call, part)
+
+
+def _add(call: Call, part: bytes) -> None:
+    call.body += part
+    if len(call.body) > MAX_ANSWER_BYTES:
+        raise TimeoutError("the answer is longer than its caller takes")
+
 
 @final
 class PlatformCallers:
--- a/standins/platform_day.py
+++ b/standins/platform_day.py
@@ -12,7 +12,6 @@
 from random import Random
 import sys
 from tempfile import mkdtemp
-from typing import Any
 from typing import Final
 
 import msgspec
@@ -22,11 +21,8 @@
 from standins.fault_rule import describe_memory
 from standins.fault_rule import find_ends
 from standins.fault_rule import find_faults
-from standins.platform_day_batch import SLOTS
-from standins.platform_day_batch import Batch
 from standins.platform_day_callers import DayCallers
 from standins.platform_day_disruptions import DayDisruptions
-from standins.platform_day_engine import PLAIN_SLOTS
 from standins.platform_day_engine import DayUpstream
 from standins.platform_day_hosts import DayHost
 from standins.platform_day_hosts import VirtualAddress
@@ -45,6 +41,7 @@
 from standins.platform_day_sites import DaySite
 from standins.platform_day_sites import day_configuration
 from standins.platform_day_stops import RollingStops
+from standins.platform_day_upstreams import DayUpstreams
 from standins.platform_day_verdict import DayVerdict
 from standins.platform_day_verdict import judge
 from standins.platform_hups import HupSeries
@@ -53,17 +50,13 @@
 from standins.platform_start import build_start_command
 from standins.platform_world import PlatformCluster
 from tanagerscale.core import MS_PER_SECOND
-from tanagerscale.core import Clock
 from tanagerscale.generated.gateway import RetrySection
 
-HEARTBEAT_S: Final = 1.2
 STOP_GRACE_S: Final = 8
 SEEDS: Final = 3
 RETRY_SLACKS: Final = (40, 60)
 """Range of a setting that is changed before each SIGHUP."""
 SETTLING_S: Final = 1.0
-LEAVING_INTERVAL_S: Final = 8.0
-LEAVING_NOTICE_S: Final = 2.0
 OK: Final = 200
 RECORD_FILE: Final = "record.txt"
 ARRIVALS_FILE: Final = "arrivals.txt"
@@ -110,14 +103,17 @@
         self._hups = HupSeries(seed=seed + 4, slacks=RETRY_SLACKS)
         self.ledger = DayLedger()
         self.hosts: list[DayHost] = []
-        self.upstreams: list[DayUpstream] = []
-        self._engines: dict[str, DayUpstream] = {}
         self._seed = seed
         self._size = hosts
         self.directory = directory
-        self._slowness = slowness
-        self._rng = Random(seed)
         self._cluster = PlatformCluster()
+        self._upstreams = DayUpstreams(
+            cluster=self._cluster,
+            ledger=self.ledger,
+            rng=Random(seed),
+            slowness=slowness,
+            site=site,
+        )
         self._address = VirtualAddress(hosts=self.hosts)
         self._tasks: list[asyncio.Task[None]] = []
         self._seeds: list[str] = []
@@ -125,6 +121,11 @@
             address=self._address, ledger=self.ledger, rng=Random(seed + 1), load=load, site=site
         )
 
+    @property
+    def upstreams(self) -> list[DayUpstream]:
+        """All upstreams so far."""
+        return self._upstreams.all
+
     async def start(self) -> None:
         """Start everything and wait until all hosts are ready."""
         await self._cluster.start()
@@ -132,9 +133,9 @@
             self._command = await build_start_command(self.directory)
         self._cluster.configure(day_configuration(self.site))
         for zone in self.site.model_zones:
-            await self._add_upstream(self.site.model_service, zone)
+            await self._upstreams.add(self.site.model_service, zone)
         for zone in dict.fromkeys(self.site.model_zones):
-            await self._add_upstream(self.site.plain_service, zone)
+            await self._upstreams.add(self.site.plain_service, zone)
         await self._start_hosts()
         self._tasks.append(asyncio.create_task(self._address.run_forever()))
         await self._address.wait_until_ready()
@@ -147,7 +148,7 @@
             tasks.create_task(self.callers.run(duration_ms=duration_ms))
             tasks.create_task(stops.run(rng=Random(self._seed + 2), duration_ms=duration_ms))
             if leaving:
-                tasks.create_task(self._replace_engines(now_ms() + duration_ms))
+                tasks.create_task(self._upstreams.replace_engines(now_ms() + duration_ms))
             if self.site.is_disturbed:
                 tasks.create_task(self._disturb(duration_ms, has_endless=endless))
         await self._hups.stop()
@@ -158,8 +159,7 @@
         await asyncio.gather(*(host.end() for host in self.hosts))
         for task in self._tasks:
             await cancel_task(task)
-        for upstream in self.upstreams:
-            await upstream.stop()
+        await self._upstreams.stop()
         for link in self._cluster.store_links.values():
             await link.__aexit__()
         await self._cluster.stop()
@@ -216,53 +216,6 @@
         await host.start()
         self.hosts.append(host)
 
-    async def _add_upstream(self, service: str, zone: str) -> None:
-        upstream = DayUpstream(
-            name=f"i-{self._rng.getrandbits(32):08x}",
-            zone=zone,
-            ledger=self.ledger,
-            engines=self._engines,
-            max_connections=self.site.max_connections(service),
-            is_model=service == self.site.model_service,
-            rng=Random(self._rng.random()),
-            slowness=self._slowness,
-        )
-        upstream.batch = Batch(slowness=self._slowness, memory_tokens=self.site.memory_tokens)
-        await upstream.start()
-        self.upstreams.append(upstream)
-        self._tasks.append(asyncio.create_task(self._beat(upstream, service)))
-
-    async def _beat(self, upstream: DayUpstream, service: str) -> None:
-        """Write the entry of an upstream at intervals until it has ended."""
-        sequence, born = 0, Clock().wall()
-        while not upstream.has_ended:
-            sequence += 1
-            entry: dict[str, Any] = {
-                "service": service,
-                "address": upstream.address,
-                "zone": upstream.zone,
-                "version": "v1",
-                "slots": SLOTS if upstream.is_model else PLAIN_SLOTS,
-                "state": "ready" if upstream.leaves_at is None else "draining",
-                "coldRemainingMs": 0,
-                "sequence": sequence,
-                "born": born,
-            }
-            self._cluster.put_entry(upstream.name, entry)
-            await upstream.wait_for_change(HEARTBEAT_S)
-        self._cluster.store.delete(f"servers/{upstream.name}")
-
-    async def _replace_engines(self, ends_at: float) -> None:
-        """Let engines leave one after the other, each after another one has been added."""
-        while now_ms() + LEAVING_INTERVAL_S * MS_PER_SECOND < ends_at:
-            await asyncio.sleep(LEAVING_INTERVAL_S)
-            engines = [one for one in self.upstreams if one.is_model and not one.has_ended]
-            engine = self._rng.choice(engines)
-            await self._add_upstream(self.site.model_service, engine.zone)
-            engine.leave(at=now_ms() + LEAVING_NOTICE_S * MS_PER_SECOND)
-            await asyncio.sleep(LEAVING_NOTICE_S)
-            await engine.stop()
-
 
 async def run_day(
     *,
--- a/standins/platform_day_batch.py
+++ b/standins/platform_day_batch.py
@@ -105,7 +105,7 @@
     """
 
     def __init__(self, *, slowness: float = 1.0, memory_tokens: int = MEMORY_TOKENS) -> None:
-        self._memory_tokens = memory_tokens
+        self.memory_tokens = memory_tokens
         self.running: list[DayRun] = []
         self.waiting: list[DayRun] = []
         self.kept: dict[str, KeptMemory] = {}
@@ -133,7 +133,7 @@
 
     def add(self, run: DayRun) -> bool:
         """Queue a run, or return ``False`` if the queue is full or the run too large."""
-        if len(self.waiting) >= QUEUE or run.size > self._memory_tokens:
+        if len(self.waiting) >= QUEUE or run.size > self.memory_tokens:
             return False
         run.number = next(self._numbers)
         self.waiting.append(run)
@@ -161,7 +161,7 @@
 
     def has_room(self, tokens: int) -> bool:
         """Return whether a copy of some tokens fits beside everything else."""
-        return self.places < SLOTS and self.used + tokens <= self._memory_tokens
+        return self.places < SLOTS and self.used + tokens <= self.memory_tokens
 
     async def run_forever(self) -> None:
         """Advance the batch step by step until cancelled."""
@@ -205,7 +205,7 @@
 
     def _make_room(self, run: DayRun) -> bool:
         """Preempt less urgent runs as far as that makes room for a run."""
-        while self.places >= SLOTS or self.used + run.size > self._memory_tokens:
+        while self.places >= SLOTS or self.used + run.size > self.memory_tokens:
             victim = max(self.running, key=lambda run: run.urgency, default=None)
             if victim is None or victim.priority <= run.priority:
                 return False
@@ -241,7 +241,7 @@
             run.read += 1
             if run.tokens % EVENT_TOKENS == 0:
                 self._emit(run)
-        while self.used > self._memory_tokens and self.running:
+        while self.used > self.memory_tokens and self.running:
             self._preempt(max(self.running, key=lambda run: run.urgency))
 
     def _emit(self, run: DayRun) -> None:
--- a/standins/platform_day_engine.py
+++ b/standins/platform_day_engine.py
@@ -20,7 +20,6 @@
 from standins._common import json_response
 from standins._limited_server import LimitedServer
 from standins.platform_day_batch import EVENT_TOKENS
-from standins.platform_day_batch import MEMORY_TOKENS
 from standins.platform_day_batch import Batch
 from standins.platform_day_batch import DayRun
 from standins.platform_day_batch import KeptMemory
@@ -49,7 +48,6 @@
 PLAIN_SLOTS: Final = 6
 PLAIN_QUEUE: Final = 24
 
-
 _handles = count(1)
 
 
@@ -64,7 +62,7 @@
     :param max_connections: Connections that it accepts.
     :param is_model: Whether it is a language model engine.
     :param rng: Random number generator.
-    :param slowness: Factor of the duration of an engine's steps.
+    :param batch: Its runs; unused by a plain service.
     """
 
     def __init__(
@@ -77,7 +75,7 @@
         max_connections: int,
         is_model: bool,
         rng: Random,
-        slowness: float = 1.0,
+        batch: Batch,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -87,7 +85,7 @@
         """Monotonic time in milliseconds at which it ends; ``None`` if it does not leave."""
         self.has_ended = False
         self._changed = asyncio.Event()
-        self.batch = Batch(slowness=slowness)
+        self.batch = batch
         self.wrong = WrongAnswers(seed=name)
         self.link_free_at = 0.0
         """Monotonic time in milliseconds at which what is queued on its link has been sent."""
@@ -382,7 +380,7 @@
             "waiting": len(batch.waiting),
             "running": len(batch.running),
             "kvCacheUsed": batch.used,
-            "kvCacheTotal": MEMORY_TOKENS,
+            "kvCacheTotal": batch.memory_tokens,
             "handles": len(batch.kept),
             "pinned": 0,
             "held": 0,
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 from enum import Enum
 from enum import unique
+from functools import partial
 from itertools import count
 from typing import final
 
@@ -20,6 +21,7 @@
 from standins._common import json_response
 from standins._limited_server import LimitedServer
 from standins._second_answers import SecondAnswers
+from standins.platform_endless import WrongAnswers
 from tanagerscale.core import Clock
 
 MS_PER_S = 1000
@@ -210,6 +212,8 @@
         """Bytes that each event has in addition."""
         self.second_answers = SecondAnswers(seed=upstream)
         """Answers that the upstream sends a second time."""
+        self.wrong = WrongAnswers(seed=upstream)
+        """What the upstream sends in place of some answers."""
         self._ledger = ledger
         self.event_ms = event_ms
         self._events = events
@@ -307,6 +311,8 @@
 
     async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         match request.method, request.path:
+            case "GET", "/v1/report" if wrong := self.wrong.choose(has_events=False):
+                return await self.wrong.send(request, wrong, {}, lambda _: b"")
             case "GET", "/v1/report":
                 return self._report()
             case "POST", "/v1/kv-move":
@@ -418,7 +424,11 @@
         }
         if self.behavior is UpstreamBehavior.FAILS:
             return web.Response(status=500, headers=identity_headers, body=b"failed")
-        if "Tanagerscale-Token-Usage" not in headers:
+        is_stream = "Tanagerscale-Token-Usage" in headers
+        if wrong := self.wrong.choose(has_events=is_stream):
+            make_event = partial(event_bytes, run.request, run.generation)
+            return await self.wrong.send(request, wrong, identity_headers, make_event)
+        if not is_stream:
             await asyncio.sleep(self.answer_ms / MS_PER_S)
             body = f"{self.upstream} answers {run.request}".encode()
             return web.Response(headers=identity_headers, body=body)
--- a/standins/platform_hups.py
+++ b/standins/platform_hups.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from random import Random
 from typing import Final
 from typing import Protocol
@@ -66,7 +67,7 @@
         for task in list(self._tasks):
             await cancel_task(task)
 
-    async def run(self, hosts: list[Reloadable], *, rng: Random, duration_ms: int) -> None:
+    async def run(self, hosts: Sequence[Reloadable], *, rng: Random, duration_ms: int) -> None:
         """Send series to hosts for some time.
 
         :param hosts: All hosts.
--- a/standins/platform_soak.py
+++ b/standins/platform_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 import logging
 import os
 from pathlib import Path
@@ -12,6 +13,9 @@
 
 from standins._common import cancel_task
 from standins._common import run_main
+from standins.fault_rule import describe_memory
+from standins.fault_rule import find_ends
+from standins.fault_rule import find_faults
 from standins.platform_callers import CallKind
 from standins.platform_callers import PlatformCallers
 from standins.platform_crowds import CrowdMaker
@@ -20,7 +24,9 @@
 from standins.platform_fault_log import FaultLog
 from standins.platform_faults import RETRY_SLACKS
 from standins.platform_faults import PlatformFaultInjector
+from standins.platform_garbage import GarbageProvoker
 from standins.platform_hosts import PlatformHostProcess
+from standins.platform_hups import HupSeries
 from standins.platform_limits import LimitNamer
 from standins.platform_load import ACCOUNTS
 from standins.platform_load import AFTER_FAULTS_MS
@@ -37,6 +43,8 @@
 from standins.platform_planned import report_moves
 from standins.platform_repeats import RepeatProvoker
 from standins.platform_second_answers import SecondAnswerProvoker
+from standins.platform_start import MODULE_COMMAND
+from standins.platform_start import build_start_command
 from standins.platform_verdict import STREAM_EVENTS
 from standins.platform_verdict import PlatformVerdict
 from standins.platform_world import MODEL_SERVICE
@@ -49,6 +57,9 @@
 from tanagerscale.generated.gateway import RetrySection
 
 STOP_GRACE_S = 5
+MEMORY_MB = 150.0
+"""Memory above which a host is killed, in units of 1,000,000 bytes."""
+FILE_DESCRIPTORS = 4_100
 SEEDS = 3
 SETTLING_MS = 1_000
 """Time after the last answer in which a refused request could still be executed."""
@@ -94,6 +105,7 @@
     drains: bool = False,
     second_answers: bool = False,
     planned: bool = False,
+    garbage: bool = False,
 ) -> list[str]:
     """Run the soak and return the broken guarantees.
 
@@ -113,6 +125,8 @@
     :param second_answers: Whether upstreams send answers a second time, late.
     :param planned: Whether only planned work is done: hosts stop in turn, again and again, while
         engines with little room leave and are replaced.
+    :param garbage: Whether upstreams send answers without end and other wrong bytes, and hosts get
+        series of SIGHUP, also within the first second of their start.
     """
     cluster = PlatformCluster(has_links=cuts)
     fault_log = FaultLog()
@@ -134,6 +148,8 @@
     if drains:
         injector.disturb_few()
         injector.tells_start = seed % 2 == 0
+    hups = HupSeries(seed=seed + 10, slacks=retry_slacks)
+    command = await build_start_command(directory) if garbage else MODULE_COMMAND
     lag = LoopLag()
     lag_task = asyncio.create_task(lag.run_forever())
     await cluster.start()
@@ -147,6 +163,7 @@
             hosts=hosts,
             directory=directory,
             retry_slack=retry_slacks[1] if refusals else None,
+            command=command,
         )
         callers.start(MIXED_CALLS, (10 if load else 2) * hosts)
         callers.start(LONG_CALLS, 3 * hosts)
@@ -178,9 +195,18 @@
             if second_answers:
                 answers = SecondAnswerProvoker(cluster=cluster, fault_log=fault_log)
                 tasks.create_task(answers.run(rng=Random(seed + 8), duration_ms=duration_ms))
+            if garbage:
+                for process in processes:
+                    process.on_start = hups.on_start
+                tasks.create_task(
+                    hups.run(processes, rng=Random(seed + 11), duration_ms=duration_ms)
+                )
+                wrong = GarbageProvoker(cluster=cluster, fault_log=fault_log)
+                tasks.create_task(wrong.run(rng=Random(seed + 12), duration_ms=duration_ms))
             if crowds:
                 crowd = CrowdMaker(callers=callers, hosts=processes, fault_log=fault_log)
                 tasks.create_task(crowd.run(rng=Random(seed + 6), duration_ms=duration_ms))
+        await hups.stop()
         recovered = Clock().now()
         await Clock().sleep(AFTER_FAULTS_MS if load else 0)
         await callers.finish()
@@ -201,7 +227,9 @@
     verdict.paddings = PADDINGS if load else {}
     verdict.is_planned = planned
     violations = verdict.find_violations()
-    violations += [text for process in processes for text in process.unexpected_exits]
+    instances = [instance for process in processes for instance in process.instances]
+    ends = find_ends(instances, until=Clock().now())
+    violations += [str(end) for end in ends] + find_faults(ends, hosts=hosts)
     if planned:
         report_moves(callers.calls, cluster.ledger, verdict, fault_log, directory)
     if load:
@@ -215,9 +243,12 @@
         f"seed {seed}: {len(callers.calls)} calls, {complete} answered with {OK}, "
         f"{len(fault_log.faults)} faults, longest delay of the event loop {lag.max_ms} ms"
     )
+    print(describe_memory(instances))
     lines = [f"{fault.began} {fault}" for fault in fault_log.faults]
     lines += [f"{call.sent} {verdict.describe(call)}" for call in callers.calls]
-    (directory / RECORD_FILE).write_text("\n".join([*sorted(lines), *violations]) + "\n")
+    (directory / RECORD_FILE).write_text(
+        "\n".join([*sorted(lines), describe_memory(instances), *violations]) + "\n"
+    )
     return violations
 
 
@@ -240,6 +271,7 @@
     hosts: int,
     directory: Path,
     retry_slack: float | None,
+    command: Sequence[str],
 ) -> None:
     # Another soak on this computer could take the port of a host that is down.
     ip = f"127.{os.getpid() >> 14 & 0xFF | 1}.{os.getpid() >> 7 & 0x7F}.{os.getpid() & 0x7F | 0x80}"
@@ -247,11 +279,21 @@
     for number in range(hosts):
         name = f"h{number}"
         settings = await cluster.make_settings(
-            name, seeds=seeds, stop_grace_s=STOP_GRACE_S, ip=ip, retry_slack=retry_slack
+            name,
+            seeds=seeds,
+            stop_grace_s=STOP_GRACE_S,
+            ip=ip,
+            retry_slack=retry_slack,
+            memory_mb=MEMORY_MB,
+            file_descriptors=FILE_DESCRIPTORS,
         )
         seeds = (*seeds, settings.host.peers)[:SEEDS]
         process = PlatformHostProcess(
-            name=name, settings=settings, directory=directory, fault_log=fault_log
+            name=name,
+            settings=settings,
+            directory=directory,
+            fault_log=fault_log,
+            command=command,
         )
         processes.append(process)
         await process.start()
@@ -273,6 +315,7 @@
     drains: bool = False,
     second_answers: bool = False,
     planned: bool = False,
+    garbage: bool = False,
 ) -> None:
     """Run the soak.
 
@@ -290,6 +333,7 @@
     :param drains: Whether the store comes back from older copies and upstreams leave after that.
     :param second_answers: Whether upstreams send answers a second time, late.
     :param planned: Whether only planned work is done.
+    :param garbage: Whether upstreams send answers without end, and hosts get series of SIGHUP.
     """
     directory = Path(keep or mkdtemp(prefix="tanagerscale-platform-soak-"))
     directory.mkdir(parents=True, exist_ok=True)
@@ -311,6 +355,7 @@
             drains=drains,
             second_answers=second_answers,
             planned=planned,
+            garbage=garbage,
         )
     )
     for violation in violations:
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -305,6 +305,8 @@
         stop_grace_s: float,
         ip: str = LOOPBACK,
         retry_slack: float | None = None,
+        memory_mb: float = 0.0,
+        file_descriptors: int = 0,
     ) -> GatewaySettings:
         """Start a relay between a host and the store, and return the settings of the host.
 
@@ -313,6 +315,8 @@
         :param stop_grace_s: Grace period of the host in seconds.
         :param ip: Loopback address on which the host listens.
         :param retry_slack: Retries allowed in addition to the ratio; ``None`` for the default.
+        :param memory_mb: Memory of the host in units of 1,000,000 bytes; 0 for no limit.
+        :param file_descriptors: Descriptors that the host may have open; 0 for no limit.
         """
         relay = TcpRelay(target=self._store_address)
         await relay.__aenter__()
@@ -330,6 +334,8 @@
                 seeds=list(seeds),
                 source_ip=source_ip,
                 stop_grace_s=stop_grace_s,
+                memory_mb=memory_mb,
+                file_descriptors=file_descriptors,
             ),
             store=GatewayStore(address=relay.address),
             retries=RetrySection() if retry_slack is None else RetrySection(slack=retry_slack),
