--- a/standins/platform_endless.py
+++ b/standins/platform_endless.py
@@ -9,11 +9,15 @@
 from enum import Enum
 from enum import unique
 from random import Random
+import socket
+import struct
 from typing import Final
 from typing import final
 
 from aiohttp import web
 
+RESET_AT_CLOSE: Final = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a closed connection is reset."""
 JUNK: Final = b"x" * 16_384
 HUGE_LENGTH: Final = 99_999_999_999
 EVENTS_AT_ONCE: Final = 50
@@ -106,13 +110,23 @@
                 number += EVENTS_AT_ONCE
                 await asyncio.sleep(0)
         finally:
-            if request.transport is not None:
-                # What was written is sent before a close, and is dropped by an abort.
-                end = request.transport.abort if kind in ENDLESS else request.transport.close
-                end()
+            _end(request.transport, is_reset=kind in ENDLESS)
         raise ConnectionResetError
 
 
+def _end(transport: asyncio.Transport | None, *, is_reset: bool) -> None:
+    """Close a connection, after what was written or with a reset."""
+    if transport is None:
+        return
+    if not is_reset:
+        transport.close()
+        return
+    # A body without length would be whole if the connection were closed.
+    if (connection := transport.get_extra_info("socket")) is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+    transport.abort()
+
+
 def _begin(kind: WrongAnswer, headers: Mapping[str, str]) -> bytes:
     if kind is WrongAnswer.NO_HTTP:
         return JUNK
--- a/testing/test_platform_day.py
+++ b/testing/test_platform_day.py
@@ -16,6 +16,9 @@
 from standins.platform_day_records import DayCall
 from standins.platform_day_records import HostInstance
 from standins.platform_day_records import RunEnd
+from standins.platform_day_sites import DREHPLAN
+from standins.platform_day_sites import RONDES
+from standins.platform_day_sites import day_configuration
 from standins.platform_day_verdict import DayVerdict
 from standins.platform_day_verdict import judge
 
@@ -66,6 +69,7 @@
     result = await run_day(seed=1, seconds=20, hosts=4, directory=tmp_path)
     assert result.verdict.lost == []
     assert result.verdict.wrong == []
+    assert result.faults == []
 
 
 # Guards against a verdict that counts answers as lost that the end of the grace period excuses.
@@ -110,6 +114,19 @@
     assert len(_judge(call, [arrival]).lost) == 1
 
 
+# Guards against a verdict that counts what the run's own disruptions broke off, or all of it.
+@pytest.mark.parametrize(("frozen_at", "is_lost"), [(6_000, False), (9_000, True)])
+def test_cut_stream_is_excused_when_its_host_was_frozen_meanwhile(
+    frozen_at: int, is_lost: bool
+) -> None:
+    call = _make_call(TERMINATED - 2_000)
+    arrival = _make_arrival(call, finished=TERMINATED + 5_000, end=RunEnd.WHOLE)
+    instance = HostInstance("h1", 1, started=0.0, terminated=TERMINATED, ended=CUT + 100)
+    instance.freezes = [(TERMINATED + frozen_at, TERMINATED + frozen_at + 500)]
+    verdict = judge([call], {call.request: [arrival]}, [instance], {call.request: 1_000})
+    assert bool(verdict.lost) == is_lost
+
+
 # Guards against losses that the verdict overlooks, as a slow caller reads what its host had sent.
 def test_cut_stream_is_lost_when_its_slow_caller_reads_on_after_the_host_has_ended() -> None:
     call = _make_call(TERMINATED - 2_000)
@@ -150,3 +167,18 @@
     assert [run.arrival.end for run in runs] == [RunEnd.WHOLE, RunEnd.WHOLE]
     assert not runs[0].arrival.pauses
     assert len(runs[1].arrival.pauses) == 1
+
+
+# Guards against days of a deployment that are played with the hosts, or the routes, of another one.
+def test_deployments_differ_in_hosts_memory_and_configuration() -> None:
+    assert (len(DREHPLAN.host_zones), DREHPLAN.memory_mb) == (9, 300.0)
+    assert (len(RONDES.host_zones), RONDES.memory_mb) == (6, 150.0)
+    assert set(RONDES.host_zones) == set(RONDES.zone_clients) == set(RONDES.model_zones)
+    grown = day_configuration(RONDES, version=9, spare_routes=350, account="key-x")
+    plain = day_configuration(RONDES)
+    assert len(grown["routes"]) == len(plain["routes"]) + 350
+    assert len({route["pathPrefix"] for route in grown["routes"]}) == len(grown["routes"])
+    assert {service["name"] for service in plain["services"]} == {
+        RONDES.model_service,
+        RONDES.plain_service,
+    }
--- a/testing/test_platform_soak.py
+++ b/testing/test_platform_soak.py
@@ -148,6 +148,19 @@
     assert violations == []
 
 
+# Hosts kept endless answers whole until they were killed over their memory, and ended by a SIGHUP
+# that came while they started.
+@pytest.mark.asyncio
+@pytest.mark.parametrize(("seed", "seconds", "hosts"), [(2105, 12, 5)])
+async def test_guarantees_hold_when_upstreams_answer_without_end_and_settings_change(
+    seed: int, seconds: int, hosts: int, tmp_path: Path
+) -> None:
+    violations = await run_soak(
+        seed=seed, seconds=seconds, hosts=hosts, directory=tmp_path, garbage=True
+    )
+    assert violations == []
+
+
 CHECKS_CONNECTIONS = False
 """Whether the connections of all hosts at an upstream are checked; True once hosts limit them."""
 
