--- a/standins/fault_rule.py
+++ b/standins/fault_rule.py
@@ -35,11 +35,15 @@
     def __str__(self) -> str:
         one = self.instance
         age = "" if one.ended is None else f" {one.ended - one.started:.0f} ms after its start"
-        hups = "".join(f", SIGHUP at {at - one.started:.0f} ms" for at in one.reloads)
+        signals = "".join(f", SIGHUP at {at - one.started:.0f} ms" for at in one.reloads)
+        signals += "".join(
+            f", frozen {began - one.started:.0f}..{ended - one.started:.0f} ms"
+            for began, ended in one.freezes
+        )
         errors = f": {one.errors[-ERROR_CHARACTERS:]}" if one.errors else ""
         return (
             f"END: {one.name} {self.reason}{age}, exit code {one.exit_code}, "
-            f"peak {one.peak_mb:.0f} MB{hups}{errors}"
+            f"peak {one.peak_mb:.0f} MB{signals}{errors}"
         )
 
 
--- a/testing/test_fault_rule.py
+++ b/testing/test_fault_rule.py
@@ -39,8 +39,9 @@
 def test_end_counts_when_a_process_ends_at_a_reload() -> None:
     instance = _make_instance(exit_code=-signal.SIGHUP)
     instance.reloads.append(STARTED + 12)
+    instance.freezes.append((STARTED + 5, STARTED + 20))
     (end,) = find_ends([instance], until=ENDED)
-    assert "SIGHUP at 12 ms" in str(end)
+    assert "SIGHUP at 12 ms, frozen 5..20 ms" in str(end)
     assert "exit code -1" in str(end)
 
 
