Go on when metrics or a reload fail, and name the code of each exit

Cause: an unexpected error of the metrics' endpoint made its task start again and again, during which the host isn't ready. An error while settings were reloaded was printed by the event loop alone. SystemExit out of the start was reported with a code that wasn't the process's.

Reloads are contained and counted in tanagerscale_unexpected_errors{component="settings"}. The line tells the code of SystemExit.

--- a/src/tanagerscale/core/_signals.py
+++ b/src/tanagerscale/core/_signals.py
@@ -19,7 +19,7 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, OTHER_SIGNALS)
 
 
-def handle_signals(*, stop: Callable[[], None], reload: Callable[[], None]) -> None:
+def handle_signals(*, stop: Callable[[], None], reload: Callable[[], object]) -> None:
     """Handle signals in the running event loop, beginning with those that were held back.
 
     :param stop: Requests a graceful shutdown.
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -37,7 +37,6 @@
 from tanagerscale.gateway._forwarding import make_forwarding_context
 from tanagerscale.gateway._graceful_shutdown import drain_requests
 from tanagerscale.gateway._host_limits import make_host_limits
-from tanagerscale.gateway._listener import ListenError
 from tanagerscale.gateway._listener import open_when_free
 from tanagerscale.gateway._metrics import serve_metrics
 from tanagerscale.gateway._platform import CallerRules
@@ -171,8 +170,9 @@
                 address=address,
                 interval_ms=METRICS_OPEN_INTERVAL_MS,
             )
-        except ListenError as error:
-            _log.error("The host runs without metrics.", reason=str(error))
+        # Metrics are optional, whatever keeps them from being served.
+        except Exception as error:
+            _log.error("The host runs without metrics.", reason=repr(error))
             return
         self._runners.append(runner)
 
--- a/src/tanagerscale/platform/__main__.py
+++ b/src/tanagerscale/platform/__main__.py
@@ -17,6 +17,7 @@
 from tanagerscale.core import get_logger
 from tanagerscale.core import handle_signals
 from tanagerscale.core import hold_signals
+from tanagerscale.core import run_contained
 from tanagerscale.core import set_up_json_lines_log
 from tanagerscale.gateway import GatewayHost
 from tanagerscale.gateway import ListenError
@@ -66,7 +67,7 @@
 async def _serve(file: SettingsFile, host: GatewayHost, line_log: JsonLinesHandler) -> None:
     """Start the host, serve until a signal requests a graceful shutdown, and shut down."""
     stop_requested = asyncio.Event()
-    reload = partial(_reload, file, host, line_log)
+    reload = partial(run_contained, "settings", partial(_reload, file, host, line_log))
     handle_signals(stop=stop_requested.set, reload=reload)
     start = asyncio.create_task(host.start(), name="start")
     stop = asyncio.create_task(stop_requested.wait(), name="stop")
@@ -117,7 +118,8 @@
     try:
         code = _read_and_run()
     except (Exception, SystemExit) as error:
-        write_error_line(f"The process ends by {error!r}. Exit code {ExitCode.ERROR.value}.")
+        exit_code = error.code if isinstance(error, SystemExit) else ExitCode.ERROR.value
+        write_error_line(f"The process ends by {error!r}. Exit code {exit_code}.")
         raise
     sys.exit(code)
 
--- a/src/tanagerscale/platform/_settings_file.py
+++ b/src/tanagerscale/platform/_settings_file.py
@@ -77,7 +77,7 @@
         """Return whether the file was written or replaced since it was last read."""
         return self._get_state() != self._state
 
-    async def follow_changes(self, *, apply: Callable[[], None]) -> None:
+    async def follow_changes(self, *, apply: Callable[[], object]) -> None:
         """Look for changes of the file during the first seconds after the start.
 
         :param apply: Reads the file and applies it.
