Open the null device only for standard descriptors that are closed

Cause: the null device was opened at each start, so a system that refuses this would have ended the process.

Change: a descriptor is looked at first, and a refusal leaves a line. The 18 tests of test_starts_errors.py pass.

--- a/src/tanagerscale/platform/_process_end.py
+++ b/src/tanagerscale/platform/_process_end.py
@@ -34,9 +34,21 @@
 
 def open_standard_descriptors() -> None:
     """Open the standard descriptors that are closed, so that no socket gets their numbers."""
-    while (descriptor := os.open(os.devnull, os.O_RDWR)) < STANDARD_DESCRIPTORS:
-        os.set_inheritable(descriptor, True)
-    os.close(descriptor)
+    for descriptor in range(STANDARD_DESCRIPTORS):
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            _open_null()
+
+
+def _open_null() -> None:
+    """Open the null device under the lowest number that is free, if the system allows it."""
+    try:
+        descriptor = os.open(os.devnull, os.O_RDWR)
+    except OSError as error:
+        write_error_line(f"A standard descriptor is closed and stays so: {error}")
+        return
+    os.set_inheritable(descriptor, True)
 
 
 def write_error_line(text: str) -> None:
