Connect before an endpoint of the store stalls in its test

Cause: test_next_write_uses_another_endpoint_when_one_stalls gave a call 100 ms, and so 50 ms to connect. A machine that stands still longer lets the connection fail. Nothing has been sent then, and the first write goes to the other endpoint and succeeds there, as it should. That was seen on: the first write succeeded at the second endpoint. With one sleep of 60 ms in the event loop, at three of eleven steps of the first write, the same happens each time; with 30 ms at each step the second write is lost, as its answer takes longer than 100 ms.

Change: the connection is made by a write before the endpoint stalls, and only the write that meets the stalled endpoint has a short limit, which it always reaches. The checks are the same.

It fails if avoid() prefers no other endpoint.

--- a/testing/test_store_etcd.py
+++ b/testing/test_store_etcd.py
@@ -25,6 +25,8 @@
 from testing._random_cases import random_case_settings
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+LONG_TIMEOUT_MS = 60_000
+"""Longer than any pause of the machine."""
 KEY_A = "YQ=="
 ONE_PUT = (ConditionalPut(key="a", value=b"1", expected_mod_revision=StoreRevision(0)),)
 
@@ -189,20 +191,27 @@
     assert result.failure().kind is StoreErrorKind.UNCERTAIN
 
 
+# A connection that is not made in time lets the first write go to the other endpoint, so that it is
+# made before.
 async def test_next_write_uses_another_endpoint_when_one_stalls(
-    gateway: ScriptedGateway,
+    gateway: ScriptedGateway, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     released = asyncio.Event()
+    is_stalling = False
 
     async def handler(request: web.Request) -> web.StreamResponse:
-        if request.path.startswith("/stalled"):
+        if is_stalling and request.path.startswith("/stalled"):
             await released.wait()
         return web.json_response({"ID": "77", "TTL": "5"})
 
     gateway.handler = handler
     endpoints = [gateway.url + "/stalled", gateway.url]
-    store = EtcdStore(endpoints=endpoints, timeout_ms=100, clock=Clock())
-    first = await store.grant_lease(ttl_s=5)
+    store = EtcdStore(endpoints=endpoints, timeout_ms=LONG_TIMEOUT_MS, clock=Clock())
+    assert await store.grant_lease(ttl_s=5) == Success(LeaseId(77))
+    is_stalling = True
+    with monkeypatch.context() as patched:
+        patched.setattr(store._gateway, "_timeout_ms", 100)
+        first = await store.grant_lease(ttl_s=5)
     second = await store.grant_lease(ttl_s=5)
     released.set()
     await store.close()
