Leave answers that failed before SIGTERM out of the losses around the stop

Change: the answer is listed elsewhere if its host's line comes before SIGTERM; one that fails 0.1 s after it stays lost (test, both cases).

--- a/standins/platform_day_verdict.py
+++ b/standins/platform_day_verdict.py
@@ -166,6 +166,8 @@
             continue
         finding = Finding(call, arrivals.get(call.request, ()), _find_stop(call, instances))
         finding.lines = by_request.get(call.request, [])
+        if _has_ended_before_stop(finding):
+            finding.instance = None
         _examine(finding)
         (elsewhere if finding.instance is None else around).append(finding)
     around.sort(key=_nearness)
@@ -215,6 +217,12 @@
         (finding.excuses if margin >= 0 else finding.misses)[name] = margin
 
 
+def _has_ended_before_stop(finding: Finding) -> bool:
+    """Return whether a host had ended an answer before its SIGTERM, and its caller read on."""
+    terminated = None if finding.instance is None else finding.instance.terminated
+    return terminated is not None and finding.ended < terminated
+
+
 def _find_stop(call: DayCall, instances: Sequence[HostInstance]) -> HostInstance | None:
     """Return the process that answered a request, if it ended around its SIGTERM."""
     for instance in instances:
--- a/testing/test_platform_day.py
+++ b/testing/test_platform_day.py
@@ -135,6 +135,23 @@
     assert len(_judge(call, [arrival]).lost) == 1
 
 
+# A stream that failed before SIGTERM counted as lost, as its slow caller read on after it.
+@pytest.mark.parametrize(("failed_at", "is_lost"), [(-1_400, False), (100, True)])
+def test_failed_stream_belongs_to_the_stop_only_when_it_failed_after_the_signal(
+    failed_at: int, is_lost: bool
+) -> None:
+    call = _make_call(TERMINATED - 12_000)
+    call.ended = TERMINATED + 18_000
+    arrival = _make_arrival(call, finished=TERMINATED - 2_200, end=RunEnd.LEFT)
+    instance = HostInstance("h1", 1, started=0.0, terminated=TERMINATED, ended=CUT + 100)
+    message = "A request is answered with a failure."
+    line = {"t": TERMINATED + failed_at, "message": message, "request": call.request}
+    instance.lines = [json.dumps(line)]
+    verdict = judge([call], {call.request: [arrival]}, [instance], {call.request: 1_000})
+    assert bool(verdict.lost) == is_lost
+    assert bool(verdict.elsewhere) != is_lost
+
+
 # Guards against a verdict that excuses streams which a stopping host should not have accepted.
 def test_cut_stream_is_lost_when_it_was_sent_late_after_the_signal() -> None:
     call = _make_call(TERMINATED + 3_500)
