--- a/standins/platform_day_records.py
+++ b/standins/platform_day_records.py
@@ -190,8 +190,12 @@
 
     @property
     def frozen_ms(self) -> float:
-        """How long it was frozen."""
-        return sum(ended - began for began, ended in self.freezes)
+        """How long it was frozen; freezes may overlap."""
+        frozen, at = 0.0, 0.0
+        for began, ended in sorted(self.freezes):
+            frozen += max(ended - max(began, at), 0.0)
+            at = max(at, ended)
+        return frozen
 
     @property
     def is_going(self) -> bool:
--- a/testing/test_fault_rule.py
+++ b/testing/test_fault_rule.py
@@ -84,6 +84,14 @@
     assert _find(instance) == ["was not ready after 60000 ms"]
 
 
+# Guards against freezes that count twice, and so excuse a start that never succeeds.
+def test_start_counts_when_overlapping_freezes_leave_it_time() -> None:
+    instance = _make_instance(exit_code=0)
+    instance.ready, instance.terminated = None, STARTED + START_LIMIT_MS + 2_000
+    instance.freezes = [(STARTED + 10, STARTED + 2_010), (STARTED + 500, STARTED + 1_500)]
+    assert _find(instance) == ["was not ready after 12000 ms"]
+
+
 # Guards against a rule that counts starts which were cut short or frozen.
 @pytest.mark.parametrize("is_frozen", [False, True])
 def test_start_is_excused_when_it_had_no_time(is_frozen: bool) -> None:
