Count the frames of peers, and drop those of a link that is being closed

What callers saw: nothing of their own; one connection to the peers' port takes a host of 150 MB to 338 MB, 40 with incomplete frames to 223 MB. The platform kills the host, and the requests of all its callers end with it. Cause: each connection keeps an incomplete frame of up to 4 MB and up to 64 unread ones. While a link is closed after a bad hello, the frames that follow are still kept. Nothing counts them. Class: bytes that another process sends and that are held without being counted against memory_mb. Open: eight connections that send whole frames at once still reached 143 MB, by the copies that unmasking makes.

--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -256,6 +256,7 @@
             ),
             transport=transport,
             delegate_address=self._settings.host.delegates,
+            account=self._platform.account,
         )
 
     def _make_feed(self, topic: ListTopic, listener: FeedListener) -> ListFeed:
--- a/src/tanagerscale/membership/_mesh.py
+++ b/src/tanagerscale/membership/_mesh.py
@@ -42,6 +42,7 @@
 from tanagerscale.membership._websocket import WebSocketTransport
 from tanagerscale.membership._wire import Message
 from tanagerscale.membership._wire import encode_frame
+from tanagerscale.policy import ByteAccount
 
 _MIN_BACKOFF_MS = 200
 _MAX_BACKOFF_MS = 3000
@@ -76,6 +77,7 @@
     :param client_ssl: TLS context for outgoing connections; ``None`` means no TLS.
     :param transport: Replaces WebSockets in tests.
     :param delegate_address: Address at which this host accepts delegated requests.
+    :param account: Account of what the host holds; ``None`` for none.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         client_ssl: ssl.SSLContext | None = None,
         transport: Transport | None = None,
         delegate_address: str = "",
+        account: ByteAccount | None = None,
     ) -> None:
         self._delegate_address = delegate_address
         self._host = host
@@ -108,7 +111,7 @@
         self._closes_unwanted = closes_unwanted
         self._get_heartbeat_interval_ms = heartbeat_interval_ms
         self._transport = transport or WebSocketTransport(
-            server_ssl=server_ssl, client_ssl=client_ssl
+            server_ssl=server_ssl, client_ssl=client_ssl, account=account
         )
         self._address = listen
         self._sessions: dict[HostId, PeerSession] = {}
--- a/src/tanagerscale/membership/_websocket.py
+++ b/src/tanagerscale/membership/_websocket.py
@@ -16,12 +16,15 @@
 from tanagerscale.core import enable_tcp_keepalive
 from tanagerscale.generated.settings import TlsSection
 from tanagerscale.ini import check_address
+from tanagerscale.membership._counted_connection import CountedConnection
+from tanagerscale.membership._counted_connection import make_connection_types
 from tanagerscale.membership._link import CLOSE_REASON_TEXTS
 from tanagerscale.membership._link import CloseReason
 from tanagerscale.membership._link import Link
 from tanagerscale.membership._link import LinkClosedError
 from tanagerscale.membership._link import LinkHandler
 from tanagerscale.membership._wire import MAX_FRAME_BYTES
+from tanagerscale.policy import ByteAccount
 
 DEAD_PEER_TIMEOUT_S = 4
 """Seconds after which the kernel closes a connection to an unreachable host. Heartbeats detect it
@@ -29,7 +32,7 @@
 host."""
 _OPEN_TIMEOUT_S = 2.0
 _CLOSE_TIMEOUT_S = 0.5
-_MAX_QUEUED_FRAMES = 64
+_MAX_QUEUED_FRAMES = 16
 _WRITE_LIMIT_BYTES = 256 * 1024
 
 
@@ -56,10 +59,14 @@
             frame = await self._connection.recv()
         except ConnectionClosed as error:
             raise LinkClosedError(_get_close_reason(error)) from error
+        if isinstance(self._connection, CountedConnection):
+            self._connection.record_read()
         return frame if isinstance(frame, bytes) else frame.encode()
 
     async def close(self, *, reason: CloseReason) -> None:
         """Close the connection and send the other side the reason."""
+        if isinstance(self._connection, CountedConnection):
+            self._connection.discard()
         await self._connection.close(code=reason.value, reason=CLOSE_REASON_TEXTS[reason])
 
 
@@ -69,6 +76,7 @@
 
     :param server_ssl: TLS context for accepted connections; ``None`` means no TLS.
     :param client_ssl: TLS context for outgoing connections; ``None`` means no TLS.
+    :param account: Account of what the host holds; ``None`` for none.
     """
 
     def __init__(
@@ -76,10 +84,12 @@
         *,
         server_ssl: ssl.SSLContext | None = None,
         client_ssl: ssl.SSLContext | None = None,
+        account: ByteAccount | None = None,
     ) -> None:
         self._server_ssl = server_ssl
         self._client_ssl = client_ssl
         self._server: Server | None = None
+        self._server_type, self._client_type = make_connection_types(account or ByteAccount())
 
     async def listen(self, *, address: str, accept: LinkHandler) -> str:
         """Accept connections and return the bound address."""
@@ -93,6 +103,7 @@
             host.strip("[]"),
             int(port),
             ssl=self._server_ssl,
+            create_connection=self._server_type,
             max_size=MAX_FRAME_BYTES,
             max_queue=_MAX_QUEUED_FRAMES,
             write_limit=_WRITE_LIMIT_BYTES,
@@ -114,6 +125,7 @@
             connection = await connect(
                 f"{scheme}://{address}",
                 ssl=self._client_ssl,
+                create_connection=self._client_type,
                 max_size=MAX_FRAME_BYTES,
                 max_queue=_MAX_QUEUED_FRAMES,
                 write_limit=_WRITE_LIMIT_BYTES,
