Suspect no request whose stream was given up for want of memory

What callers saw: a request could be refused as one that crashes engines, though its engine only sent an event without an end. Cause: the relay returns the cause of a broken stream as text, and every cause was recorded as a response that broke off: evidence of a crash, and of an engine that this host does not reach. Answers that are read whole and failures were already told apart (record_lost_response); streams were not, neither for an event without an end nor for one that the ByteAccount let fail. Change: the relay remembers whether the host itself has given the answer up; then only the engine's health counts a failure.

--- a/src/tanagerscale/forwarding/_events.py
+++ b/src/tanagerscale/forwarding/_events.py
@@ -31,6 +31,10 @@
     """The bytes are not a stream of numbered events."""
 
 
+class EventSizeError(EventError):
+    """An event is too large, or the host has not enough memory for it."""
+
+
 @final
 class EventBuffer:
     """Collects the bytes of a stream until they end an event.
@@ -53,10 +57,10 @@
     def feed(self, chunk: bytes) -> bytes:
         """Add bytes and return the events that are now complete.
 
-        :raises EventError: An event has no end, or the host has not enough memory for it.
+        :raises EventSizeError: An event has no end, or the host has not enough memory for it.
         """
         if self._holding.has_failed:
-            raise EventError("The memory is used up by events without an end.")
+            raise EventSizeError("The memory is used up by events without an end.")
         end = self._find_end(chunk)
         complete = b"".join((*self._parts, chunk[:end])) if end else b""
         if end:
@@ -65,7 +69,7 @@
             self._parts.append(chunk[end:])
             self._size += len(chunk) - end
         if self._size > MAX_EVENT_BYTES:
-            raise EventError("An event has no end; choose another engine.")
+            raise EventSizeError("An event has no end; choose another engine.")
         self._holding.resize(self._size)
         return complete
 
--- a/src/tanagerscale/forwarding/_relay.py
+++ b/src/tanagerscale/forwarding/_relay.py
@@ -12,6 +12,7 @@
 from tanagerscale.forwarding._crash_evidence import record_sound_parts
 from tanagerscale.forwarding._events import EventError
 from tanagerscale.forwarding._events import EventReader
+from tanagerscale.forwarding._events import EventSizeError
 from tanagerscale.forwarding._parts import ForwardingContext
 from tanagerscale.forwarding._request_state import UpstreamEnd
 from tanagerscale.forwarding._segments import SegmentSender
@@ -58,6 +59,8 @@
         """Number of the last event that was relayed."""
         self._first_event_ms: int | None = None
         self._longest_gap_ms = 0
+        self.is_given_up = False
+        """Whether this host has given up the last answer, for which it has no memory."""
 
     async def relay(self, segment: StreamSegment, *, has_copy: Callable[[], bool]) -> str | None:
         """Relay events until the stream ends.
@@ -67,6 +70,7 @@
         :returns: Why the stream did not end properly, or ``None`` if it did.
         """
         reader = EventReader(account=self._context.account, peer=segment.entry.address)
+        self.is_given_up = False
         try:
             while chunk := await self._read(segment, has_copy):
                 for event in reader.feed(chunk):
@@ -77,7 +81,13 @@
                     read_at = self._context.clock.now()
                     await self._responder.write(event.content)
                     self._record_event(segment, event.number, read_at)
-        except (ExchangeError, EventError) as error:
+        except ExchangeError as error:
+            self.is_given_up = error.failure is ExchangeFailure.TOO_LARGE
+            return str(error)
+        except EventSizeError as error:
+            self.is_given_up = True
+            return str(error)
+        except EventError as error:
             return str(error)
         finally:
             is_empty = reader.is_empty
--- a/src/tanagerscale/forwarding/_stream.py
+++ b/src/tanagerscale/forwarding/_stream.py
@@ -336,7 +336,10 @@
         segment.part.end = UpstreamEnd.STOPPED
         if not self._stops.is_pending and not self._stops.targets:
             segment.part.end = UpstreamEnd.BROKEN_OFF
-            self._sender.record_broken_response(broken, written_ms=self.running_ms)
+            if self._relay.is_given_up:
+                self._sender.record_failure(broken)
+            else:
+                self._sender.record_broken_response(broken, written_ms=self.running_ms)
         segment.close()
         self._is_switching = True
         await wait_if_suspected(self._routed, self._context, broken)
--- a/testing/test_forwarding_stream.py
+++ b/testing/test_forwarding_stream.py
@@ -11,6 +11,8 @@
 from tanagerscale.core import UpstreamId
 from tanagerscale.forwarding import Admission
 from tanagerscale.forwarding import RefusalKind
+from tanagerscale.forwarding._crash_reports import MAX_CHECK_MS
+from tanagerscale.forwarding._events import MAX_EVENT_BYTES
 from tanagerscale.forwarding._relay import IDLE_TIMEOUT_MS
 from tanagerscale.forwarding._snapshots import ResumeTarget
 from tanagerscale.forwarding._snapshots import Snapshot
@@ -105,6 +107,24 @@
     run_virtually(scenario())
 
 
+# Guards against crash evidence from answers that a host has given up itself.
+@pytest.mark.parametrize("begun", [[], _events(1, 2)], ids=["first", "later"])
+def test_request_is_no_suspect_when_its_answer_was_given_up(begun: list[bytes | None]) -> None:
+    async def scenario() -> None:
+        fakes = make_gateway_fakes(make_entry("x"))
+        fakes.upstream_client.set("x", FakeResponse(chunks=[*begun, b"x" * (MAX_EVENT_BYTES + 1)]))
+        fakes.upstream_client.crashed.add("x")
+        run, responder = _make_run(fakes)
+        refusal = await run.serve()
+        assert refusal is not None
+        assert refusal.kind is RefusalKind.UPSTREAM_FAILED
+        assert not responder.ended
+        await asyncio.sleep(MAX_CHECK_MS / 1000)
+        assert fakes.context.suspects.suspect_count == 0
+
+    run_virtually(scenario())
+
+
 @pytest.mark.parametrize(
     "chunks",
     [
