Let one answer of 4 MB be held while the resident memory stays high

What callers saw: after a burst, a host whose allocator does not return its memory can stay above nine tenths of memory_mb. Each check, ten times a second, then let every incomplete answer above 64 KB fail, among them those of sound upstreams, whose health counted failures: 502 for all larger answers until the memory fell. Cause: ByteAccount.free took no account of the 6 MB that holdings may always have. Change: free leaves that much, as the limits on counted bytes do.

--- a/src/tanagerscale/policy/_byte_account.py
+++ b/src/tanagerscale/policy/_byte_account.py
@@ -124,11 +124,11 @@
         self.free(self._get_excess())
 
     def free(self, size: int) -> None:
-        """Let holdings fail until enough is free or only small ones are left.
+        """Let holdings fail until enough is free, or what is left is small or always allowed.
 
         :param size: Number of bytes.
         """
-        kept = self.held - size
+        kept = max(self.held - size, self._min_limit)
         while self.held > kept and self._large:
             self.on_failure()
             self._choose().fail()
--- a/testing/test_byte_account.py
+++ b/testing/test_byte_account.py
@@ -95,6 +95,16 @@
     assert not holding.has_failed
 
 
+# Guards against sound answers that fail again and again while the resident memory stays high.
+def test_answer_of_4_mb_is_held_when_the_resident_memory_stays_high() -> None:
+    account = make_byte_account(SHEET_MB)
+    sound, endless = _open(account, ANSWER_BYTES, 2 * ANSWER_BYTES)
+    for _ in range(10):
+        account.free(SHEET_MB * MB)
+    assert endless.has_failed
+    assert not sound.has_failed
+
+
 def test_account_has_no_limit_when_the_memory_is_unknown() -> None:
     (holding,) = _open(make_byte_account(0), 1000 * MB)
     assert not holding.has_failed
