Trust an announced length only up to 4 MB when memory is short

What callers saw: nothing yet; found by the review. Change: the announced length counts as known up to 4 MB, the largest usual answer. Result: test_announced_length_counts_only_as_known_up_to_the_largest_usual_answer; the case above 4 MB failed before, as every announced length counted.

--- a/src/tanagerscale/upstreams/_connection.py
+++ b/src/tanagerscale/upstreams/_connection.py
@@ -33,6 +33,10 @@
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 """Maximum size of a body that is kept as a whole or discarded. Some bodies have no end."""
 
+MAX_TRUSTED_LENGTH: Final = 4 * 1024 * 1024
+"""Announced length up to which a body does not fail before those of unknown length. A faulty peer
+could announce more than it ever sends."""
+
 DEAD_PEER_TIMEOUT_S: Final = 6
 """Time without an acknowledgement after which a peer counts as dead. It is long enough for a stream
 to survive a network interruption that its caller would have waited out."""
@@ -140,6 +144,12 @@
         assert self._response_head is not None
         return self._response_head
 
+    @property
+    def _announced_length(self) -> int | None:
+        """Length of the body that the peer has announced; ``None`` if there is none."""
+        text = self._head.headers.get("Content-Length", "")
+        return int(text) if text.isdecimal() else None
+
     def has_unread_input(self) -> bool:
         """Return whether bytes or the end of the connection have arrived and were not read yet."""
         return bool(find_unread([self._transport]))
@@ -224,7 +234,9 @@
         """
         self._check_length()
         chunks: list[bytes] = []
-        self._protocol.holding.has_known_length = "Content-Length" in self._head.headers
+        length = self._announced_length
+        is_trusted = length is not None and length <= MAX_TRUSTED_LENGTH
+        self._protocol.holding.has_known_length = is_trusted
         try:
             while chunk := await self.read_some():
                 chunks.append(chunk)
@@ -255,8 +267,8 @@
 
     def _check_length(self) -> None:
         """Raise an error if the announced length of the body is longer than allowed."""
-        announced = self._head.headers.get("Content-Length", "")
-        if announced.isdecimal() and int(announced) > MAX_BODY_BYTES:
+        length = self._announced_length
+        if length is not None and length > MAX_BODY_BYTES:
             raise ExchangeError(ExchangeFailure.TOO_LARGE, "The answer is longer than allowed")
 
     def _keep(self, size: int) -> None:
--- a/testing/test_byte_account.py
+++ b/testing/test_byte_account.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
 
+from standins._common import LOOPBACK
+from tanagerscale.core import Millis
 from tanagerscale.policy import ByteAccount
 from tanagerscale.policy import Holding
 from tanagerscale.policy import make_byte_account
 from tanagerscale.policy._byte_account import MAX_SAFE_BYTES
+from tanagerscale.upstreams._connection import open_connection
 
 MB = 1_000_000
 SHEET_MB = 150
@@ -125,3 +130,31 @@
         # What exceeds the limit came with small additions, which never fail.
         small = sum(one.size for one in holdings) - sum(large)
         assert sum(large) <= max(LIMIT - other, 0) or small > 0
+
+
+# Guards against faulty peers whose announced lengths let the answers of others fail first.
+@pytest.mark.asyncio
+@pytest.mark.parametrize(("announced", "is_trusted"), [(4 << 20, True), ((4 << 20) + 1, False)])
+async def test_announced_length_counts_only_as_known_up_to_the_largest_usual_answer(
+    announced: int, is_trusted: bool
+) -> None:
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {announced}\r\n\r\nx".encode())
+        await writer.drain()
+
+    server = await asyncio.start_server(answer, LOOPBACK, 0)
+    host, port = server.sockets[0].getsockname()
+    account = ByteAccount()
+    connection = await open_connection(
+        address=f"{host}:{port}", timeout_ms=5000, now=Millis(0), account=account
+    )
+    connection.send(method="GET", head=b"GET / HTTP/1.1\r\n\r\n", body=b"")
+    await connection.receive()
+    reading = asyncio.create_task(connection.read_all())
+    while not account.held:
+        await asyncio.sleep(0)
+    assert connection._protocol.holding.has_known_length == is_trusted
+    reading.cancel()
+    connection.close()
+    server.close()
