Use settings without a last line feed only when they stay unchanged

Cause: a file that is cut within an address may be valid, and addresses stay in force until the next start.

Change: a valid file that doesn't end with a line feed is read again until it has stayed unchanged for 0.3 s; what the template renders ends with one and isn't delayed.

Seen: test_settings_are_read_whole_when_the_file_ends_within_a_number fails before (the address of the cut file) and passes after, with the other tests of that file and of the start image (27).

--- a/src/tanagerscale/platform/_settings_file.py
+++ b/src/tanagerscale/platform/_settings_file.py
@@ -23,6 +23,9 @@
 """How long an invalid file may stay unchanged before the process ends. Whoever writes the file does
 so in a much shorter time."""
 
+UNTERMINATED_LIMIT_S: Final = 0.3
+"""How long a valid file without a line feed at its end must stay unchanged before it is used."""
+
 MAX_REPORTED_ERRORS: Final = 20
 """Errors of one file that are reported each time."""
 
@@ -53,25 +56,31 @@
     def read_at_start(
         self, *, report: Callable[[str], None]
     ) -> Result[GatewaySettings, tuple[InputError, ...]]:
-        """Read the settings, and read them again while the file is invalid and changes.
+        """Read the settings, and read them again while the file is invalid or cut, and changes.
 
         :param report: Receives one line for each error, whenever the errors change.
         :returns: The settings, or the errors of a file that stayed as it is.
         """
         reported: tuple[str, ...] = ()
         unchanged_since = time.monotonic()
-        while isinstance(result := self.read(), Failure):
-            errors = tuple(str(error) for error in result.failure()[:MAX_REPORTED_ERRORS])
-            if errors != reported:
-                reported = errors
-                for error in errors:
-                    report(f"The settings are invalid and are read again: {error}")
-            if time.monotonic() - unchanged_since > UNCHANGED_LIMIT_S:
-                break
+        while True:
+            is_terminated = self._is_terminated()
+            result = self.read()
+            limit_s = UNTERMINATED_LIMIT_S
+            if isinstance(result, Failure):
+                limit_s = UNCHANGED_LIMIT_S
+                errors = tuple(str(error) for error in result.failure()[:MAX_REPORTED_ERRORS])
+                if errors != reported:
+                    reported = errors
+                    for error in errors:
+                        report(f"The settings are invalid and are read again: {error}")
+            elif is_terminated:
+                return result
+            if time.monotonic() - unchanged_since > limit_s:
+                return result
             time.sleep(READ_INTERVAL_S)
             if self.has_changed():
                 unchanged_since = time.monotonic()
-        return result
 
     def has_changed(self) -> bool:
         """Return whether the file was written or replaced since it was last read."""
@@ -87,6 +96,13 @@
                 apply()
             await asyncio.sleep(CHECK_INTERVAL_S)
 
+    def _is_terminated(self) -> bool:
+        """Return whether the file ends with a line feed; if not, it may be cut within a value."""
+        try:
+            return self.path.read_bytes().endswith(b"\n")
+        except (OSError, ValueError):
+            return False
+
     def _get_state(self) -> tuple[int, ...] | None:
         """Return what changes with each write or replacement; ``None`` without the file."""
         try:
--- a/testing/test_starts_settings.py
+++ b/testing/test_starts_settings.py
@@ -149,3 +149,22 @@
     assert lines
     assert len(lines) == len(set(lines))
     assert all(str(path) in line for line in lines)
+
+
+# Guards against addresses that are cut within their port and are valid nevertheless.
+def test_settings_are_read_whole_when_the_file_ends_within_a_number(
+    path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    valid = path.read_bytes()
+    cut = valid[: valid.index(b"\n", valid.index(b"[store]\naddress = ") + len("[store]\n")) - 1]
+    path.write_bytes(cut)
+    monkeypatch.setattr("time.sleep", lambda _: path.write_bytes(valid))
+    lines: list[str] = []
+    settings = SettingsFile(path=path).read_at_start(report=lines.append).unwrap()
+    path.write_bytes(valid)
+    assert settings == SettingsFile(path=path).read().unwrap()
+
+
+def test_settings_are_read_when_a_file_without_a_last_line_feed_stays_unchanged(path: Path) -> None:
+    path.write_bytes(path.read_bytes().rstrip(b"\n"))
+    SettingsFile(path=path).read_at_start(report=lambda _: None).unwrap()
