Move the process of a host out of the platform's folder

Change: the settings file, the lines at the end of a process and the lifecycle from settings to exit code stand in gateway/ (_settings_file.py, _process_end.py, _process.py); platform/__main__.py passes make_platform to run_host. No logic changed; two injection points of test_starts_errors.py have the new names.

--- a/src/tanagerscale/platform/__main__.py
+++ b/src/tanagerscale/platform/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
 import os
 from pathlib import Path
 import sys
@@ -11,105 +10,17 @@
 
 from returns.result import Failure
 
-from tanagerscale.core import Clock
-from tanagerscale.core import JsonLinesHandler
 from tanagerscale.core import defer_signals
-from tanagerscale.core import get_logger
-from tanagerscale.core import handle_signals
-from tanagerscale.core import hold_signals
-from tanagerscale.core import run_contained
-from tanagerscale.core import set_up_json_lines_log
-from tanagerscale.gateway import GatewayHost
-from tanagerscale.gateway import ListenError
-from tanagerscale.generated.gateway import GatewaySettings
+from tanagerscale.gateway import ExitCode
+from tanagerscale.gateway import SettingsFile
+from tanagerscale.gateway import open_standard_descriptors
+from tanagerscale.gateway import run_host
+from tanagerscale.gateway import write_error_line
 from tanagerscale.platform._factory import make_platform
-from tanagerscale.platform._process_end import ExitCode
-from tanagerscale.platform._process_end import check_descriptors
-from tanagerscale.platform._process_end import open_standard_descriptors
-from tanagerscale.platform._process_end import write_error_line
-from tanagerscale.platform._settings_file import SettingsFile
 
 SETTINGS_VARIABLE: Final = "TANAGERSCALE_CONFIG"
 """Environment variable in which the platform passes the path of the settings file."""
 
-STANDARD_OUTPUT: Final = 1
-
-_log = get_logger(part="host")
-
-
-async def _run(file: SettingsFile, settings: GatewaySettings) -> ExitCode:
-    clock = Clock()
-    line_log = set_up_json_lines_log(
-        descriptor=STANDARD_OUTPUT,
-        host=settings.host.id,
-        lines_per_s=settings.logs.lines_per_s,
-        clock=clock,
-    )
-    try:
-        check_descriptors()
-        host = GatewayHost(
-            settings=settings,
-            platform=make_platform(settings=settings, clock=clock),
-            clock=clock,
-            count_dropped_lines=lambda: line_log.dropped_lines,
-        )
-        await _serve(file, host, line_log)
-    except ListenError as error:
-        return _log_error(error, ExitCode.BAD_SETTINGS)
-    except (Exception, SystemExit) as error:
-        return _log_error(error, ExitCode.ERROR)
-    finally:
-        hold_signals()
-        line_log.flush()
-    return ExitCode.STOPPED
-
-
-async def _serve(file: SettingsFile, host: GatewayHost, line_log: JsonLinesHandler) -> None:
-    """Start the host, serve until a signal requests a graceful shutdown, and shut down."""
-    stop_requested = asyncio.Event()
-    reload = partial(run_contained, "settings", partial(_reload, file, host, line_log))
-    handle_signals(stop=stop_requested.set, reload=reload)
-    start = asyncio.create_task(host.start(), name="start")
-    stop = asyncio.create_task(stop_requested.wait(), name="stop")
-    await asyncio.wait((start, stop), return_when=asyncio.FIRST_COMPLETED)
-    if not start.done():
-        start.cancel()
-        await asyncio.wait((start,))
-    if start.cancelled():
-        _log.info("The host is stopped as it starts.", exit_code=ExitCode.STOPPED.value)
-        return
-    await start
-    changes = asyncio.create_task(file.follow_changes(apply=reload), name="settings")
-    await stop
-    changes.cancel()
-    await host.stop()
-
-
-def _log_error(error: BaseException, code: ExitCode) -> ExitCode:
-    """Log the error that ends the process, and return the exit code."""
-    _log.critical(
-        "The process ends by an error.",
-        reason=repr(error) if code is ExitCode.ERROR else str(error),
-        exit_code=code.value,
-        exc_info=code is ExitCode.ERROR,
-    )
-    return code
-
-
-def _reload(file: SettingsFile, host: GatewayHost, line_log: JsonLinesHandler) -> None:
-    """Apply a changed settings file, as far as a running host can."""
-    result = file.read()
-    if isinstance(result, Failure):
-        for error in result.failure():
-            _log.error(
-                "The changed settings are invalid; the previous ones stay in force.",
-                detail=str(error),
-            )
-        return
-    settings = result.unwrap()
-    line_log.set_limit(lines_per_s=settings.logs.lines_per_s)
-    host.reload(settings=settings)
-
 
 def main() -> None:
     """Read the settings and serve until a signal requests a graceful shutdown."""
@@ -137,7 +48,7 @@
             f"Exit code {ExitCode.BAD_SETTINGS.value}."
         )
         return ExitCode.BAD_SETTINGS
-    return asyncio.run(_run(file, result.unwrap()))
+    return asyncio.run(run_host(file=file, settings=result.unwrap(), make_platform=make_platform))
 
 
 if __name__ == "__main__":
--- a/testing/test_starts_errors.py
+++ b/testing/test_starts_errors.py
@@ -53,8 +53,8 @@
 
 START_STEPS: Final = [
     ("tanagerscale.platform.__main__:make_platform", "sync"),
-    ("tanagerscale.platform.__main__:GatewayHost", "sync"),
-    ("tanagerscale.platform.__main__:handle_signals", "sync"),
+    ("tanagerscale.gateway._process:GatewayHost", "sync"),
+    ("tanagerscale.gateway._process:handle_signals", "sync"),
     ("tanagerscale.gateway._host:serve_readiness", "async"),
     ("tanagerscale.gateway._caller_server:CallerServer:start", "async"),
     ("tanagerscale.gateway._delegate_server:DelegateServer:start", "async"),
--- a/testing/test_starts_settings.py
+++ b/testing/test_starts_settings.py
@@ -20,7 +20,7 @@
 from standins.platform_world import write_settings
 from standins.processes import ROOT
 from standins.processes import environment
-from tanagerscale.platform._settings_file import SettingsFile
+from tanagerscale.gateway._settings_file import SettingsFile
 
 TIMEOUT_S: Final = 60.0
 INVALID: Final = [None, b"", b"[host\n==", b"\xff\xfe[host]", b"[host]\nid = h1\n"]
@@ -143,7 +143,7 @@
     path = tmp_path / "host.ini"
     _write(path, content)
     monkeypatch.setattr("time.sleep", lambda _: None)
-    monkeypatch.setattr("tanagerscale.platform._settings_file.UNCHANGED_LIMIT_S", 0.2)
+    monkeypatch.setattr("tanagerscale.gateway._settings_file.UNCHANGED_LIMIT_S", 0.2)
     lines: list[str] = []
     SettingsFile(path=path).read_at_start(report=lines.append)
     assert lines
