Let two tests send what the protocols allow

test_unread_stream_takes_no_more_memory_than_is_counted failed once in seven workers: its server answered before it had read a request. Since connections are opened in a task of their own, such bytes can arrive before the request is sent, and count as belonging to none, as they should. The server reads the request first; the bound is the same. test_grace_period_counts_from_the_signal_when_the_event_loop_is_busy hung on the merged code: it makes a host's event loop wait for its settings, and a host now also reads them when they have changed after its start, so that one write isn't enough. The test writes for each reader; what it expects is the same.

--- a/testing/test_slow_callers_and_large_bodies.py
+++ b/testing/test_slow_callers_and_large_bodies.py
@@ -333,7 +333,8 @@
 # Guards against streams that fill the memory before the buffer of their caller.
 @pytest.mark.asyncio
 async def test_unread_stream_takes_no_more_memory_than_is_counted() -> None:
-    async def send_all(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def send_all(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n" + b"x" * 8_000_000)
 
     server = await asyncio.start_server(send_all, LOOPBACK, 0)
--- a/testing/test_stop_signal_time.py
+++ b/testing/test_stop_signal_time.py
@@ -53,6 +53,12 @@
             return line
 
 
+async def _write_often(path: Path, text: str) -> None:
+    """Write a text for each reader, as a host also reads its settings when they have changed."""
+    while True:
+        await asyncio.to_thread(path.write_text, text)
+
+
 # Guards against a grace period that begins when a busy event loop handles the signal, so that the
 # process is killed before its callers have their final responses.
 @pytest.mark.asyncio
@@ -80,8 +86,11 @@
             process.send_signal(signal.SIGHUP)
             process.send_signal(signal.SIGTERM)
             await asyncio.sleep(STALL_S)
-            await asyncio.to_thread(path.write_text, settings)
+            writing = asyncio.create_task(_write_often(path, settings))
             line = await _read_until(process, "The host stops.")
+            writing.cancel()
+            # Ends the write that waits for a reader.
+            os.close(os.open(path, os.O_RDONLY | os.O_NONBLOCK))
     finally:
         if process.returncode is None:
             process.kill()
