--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
 	$(BIN)/black --check --quiet src standins testing tools deploy
 	$(BIN)/ruff check --quiet src standins testing tools deploy
 	$(BIN)/mypy
-	$(BIN)/python -m pytest $(PARALLEL)
+	$(BIN)/python -m pytest -m crowd
+	$(BIN)/python -m pytest $(PARALLEL) -m "not crowd"
 
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
