Pass input through a gate before it is parsed, so that heads have an end

What callers saw: 60 clients that send a request line or fields without an end took a host of 110 MB above its memory, so that it was killed 4 to 7 times in 6 s; a legal head of 200 fields got 400, one above maxHeaderBytes was served.

Cause: the configured limit was used by nobody. The parser has limits of its own for a line and for the number of fields, and its exception refers to the frame with the 256 KB of one read, in a cycle that is collected much later. What was read of a head was not limited otherwise.

Ruled out: limits of the parser alone (they name lines and a number of fields, not a head); a longer list of limits for the number of fields.

--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -38,8 +38,11 @@
 from tanagerscale.gateway._forwarding import make_forwarding_context
 from tanagerscale.gateway._graceful_shutdown import drain_requests
 from tanagerscale.gateway._host_limits import make_host_limits
+from tanagerscale.gateway._input_context import InputContext
+from tanagerscale.gateway._input_refusals import InputRefusals
 from tanagerscale.gateway._listener import open_when_free
 from tanagerscale.gateway._metrics import serve_metrics
+from tanagerscale.gateway._platform import DEFAULT_HEADER_BYTES
 from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._platform import Platform
 from tanagerscale.generated.gateway import GatewaySettings
@@ -54,7 +57,10 @@
 """How often the port of the metrics is tried while it is taken, which may last."""
 
 DEFAULT_CALLER_LIMITS: Final = CallerLimits(
-    header_bytes=16_384, body_bytes=4_194_304, header_timeout_ms=3000, idle_timeout_ms=15_000
+    header_bytes=DEFAULT_HEADER_BYTES,
+    body_bytes=4_194_304,
+    header_timeout_ms=3000,
+    idle_timeout_ms=15_000,
 )
 """Limits that apply until a configuration is known; callers only get refusals until then."""
 
@@ -111,6 +117,9 @@
             ),
             account=platform.account,
         )
+        self._input_context = InputContext(
+            refusals=InputRefusals(clock=clock, registry=self._registry)
+        )
         self._delegate_client = HttpDelegateClient(
             clock=clock, log=platform.exchange_log, account=platform.account
         )
@@ -139,6 +148,7 @@
             body_bytes=lambda: self._limits.body_bytes,
             header_timeout_ms=lambda: self._limits.header_timeout_ms,
             idle_timeout_ms=lambda: self._limits.idle_timeout_ms,
+            header_bytes=lambda: self._limits.header_bytes,
         )
         self._server = CallerServer(
             serve=self._dispatcher.serve,
@@ -147,6 +157,7 @@
             clock=self._clock,
             limits=self._host_limits,
             count_cut=self._dispatcher.count_cut,
+            context=self._input_context,
         )
         await self._server.start(address=settings.host.callers)
         if settings.host.delegates:
--- a/src/tanagerscale/gateway/_platform.py
+++ b/src/tanagerscale/gateway/_platform.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+from typing import Final
 from typing import Protocol
 
 from aiohttp import web
@@ -29,6 +30,9 @@
 from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamNotice
 
+DEFAULT_HEADER_BYTES: Final = 16_384
+"""Largest accepted head where no configuration names another one."""
+
 RequestHandler = Callable[[CallerRequest, Responder], Awaitable[None]]
 
 
@@ -68,11 +72,13 @@
     :param body_bytes: Returns the largest accepted body in bytes.
     :param header_timeout_ms: Returns the longest time for the head of a request to arrive.
     :param idle_timeout_ms: Returns how long a connection may stay idle.
+    :param header_bytes: Returns the largest accepted head in bytes, with empty lines before it.
     """
 
     body_bytes: Callable[[], int]
     header_timeout_ms: Callable[[], int]
     idle_timeout_ms: Callable[[], int]
+    header_bytes: Callable[[], int] = lambda: DEFAULT_HEADER_BYTES
 
 
 class Platform(Struct, frozen=True, kw_only=True):
--- a/src/tanagerscale/gateway/_unserved_requests.py
+++ b/src/tanagerscale/gateway/_unserved_requests.py
@@ -51,6 +51,8 @@
         """
         for request in unhandled:
             self.log(request, has_begun=False)
+        if protocol.is_refused:
+            return
         state = protocol.state
         if state.end is not ConnectionEnd.THIS_HOST or protocol.is_unread_logged:
             return
