Limit the time for a head from its first byte

What callers saw: a connection on which a head or empty lines trickle was never closed, though headerTimeoutMs is configured; half a head got no answer.

Cause: the timeout was compared with the idle time, which each byte restarts.

Change: ConnectionUse counts the time since the head began, as the checks for idle connections see it, so that a standstill of the event loop does not count. A head that is late gets 408, which is true, as it is no request yet; where only empty lines have come, the connection is closed without a response. One empty line behind a body is allowed. Empty lines are no use of a connection.

--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Sequence
 from typing import Final
 from typing import final
 
@@ -12,7 +11,6 @@
 
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
-from tanagerscale.core import find_unread
 from tanagerscale.core import get_logger
 from tanagerscale.gateway._caller_handler import CallerRequestHandler
 from tanagerscale.gateway._connections import CallerProtocol
@@ -21,6 +19,7 @@
 from tanagerscale.gateway._connections import make_request
 from tanagerscale.gateway._graceful_shutdown import DRAIN_POLL_INTERVAL_MS
 from tanagerscale.gateway._host_limits import HostLimits
+from tanagerscale.gateway._idle_connections import IdleConnections
 from tanagerscale.gateway._input_context import InputContext
 from tanagerscale.gateway._listener import ACCEPT_BACKLOG
 from tanagerscale.gateway._listener import close_listener
@@ -32,9 +31,6 @@
 
 SHUTDOWN_TIMEOUT_S: Final = 0.2
 
-MAX_CHECK_DELAY_RATIO: Final = 2
-"""Multiple of the interval of checks for idle connections that one check counts at most."""
-
 _log = get_logger(part="callers")
 
 
@@ -66,7 +62,7 @@
         self._rules = rules
         self._clock = clock
         self._stopping_since: Millis | None = None
-        self._idle_checked: Millis | None = None
+        self._idle = IdleConnections(clock=clock)
         edge = CallerRequestHandler(
             serve=serve,
             codec=codec,
@@ -118,43 +114,17 @@
         )
 
     def close_idle(self, *, limit_ms: int | None = None, interval_ms: int = 0) -> None:
-        """Close connections that have been idle for too long.
-
-        A connection on which a request is arriving is closed after its response. It is closed
-        without one only if the request does not arrive in time. Nothing is closed on which input
-        waits to be read, and times for which the event loop stood still do not count as idle.
+        """Close connections that have been idle for too long, or send a head for too long.
 
         :param limit_ms: Longest idle time; ``None`` uses the configured idle timeout.
         :param interval_ms: Interval of the checks in milliseconds.
         """
-        limit = self._rules.idle_timeout_ms() if limit_ms is None else limit_ms
-        self._add_idle_time(interval_ms)
-        overdue: list[CallerProtocol] = []
-        for protocol in self._connections:
-            use = protocol.use
-            if use.is_handling or use.idle_ms <= limit:
-                continue
-            if use.has_unhandled_data and use.idle_ms <= self._rules.header_timeout_ms():
-                use.must_close = True
-            else:
-                overdue.append(protocol)
-        self._close_without_input(overdue)
-
-    def _add_idle_time(self, interval_ms: int) -> None:
-        now = self._clock.now()
-        since_check = 0 if self._idle_checked is None else now - self._idle_checked
-        self._idle_checked = now
-        for protocol in self._connections:
-            protocol.use.add_idle_time(
-                now=now, limit_ms=min(since_check, interval_ms * MAX_CHECK_DELAY_RATIO)
-            )
-
-    def _close_without_input(self, protocols: Sequence[CallerProtocol]) -> None:
-        """Close those connections on which no input waits to be read."""
-        unread = find_unread(one.transport for one in protocols if one.transport is not None)
-        for protocol in protocols:
-            if protocol.transport not in unread:
-                protocol.force_close()
+        self._idle.close(
+            self._connections,
+            idle_timeout_ms=self._rules.idle_timeout_ms() if limit_ms is None else limit_ms,
+            header_timeout_ms=self._rules.header_timeout_ms(),
+            interval_ms=interval_ms,
+        )
 
     @property
     def _connections(self) -> list[CallerProtocol]:
--- a/src/tanagerscale/gateway/_connection_use.py
+++ b/src/tanagerscale/gateway/_connection_use.py
@@ -18,6 +18,8 @@
     :param opened: When the connection was accepted.
     :param last_active: When data last arrived on it or a response ended.
     :param idle_ms: Time without a request as the checks for idle connections have seen it.
+    :param head_began: When the head that is not complete began; ``None`` if there is none.
+    :param head_ms: Time since then as the checks for idle connections have seen it.
     :param requests: Number of requests that have been handled on it.
     :param is_handling: Whether a request on it is being handled.
     :param has_begun_response: Whether the response to the request that is being handled has begun.
@@ -31,6 +33,8 @@
     opened: Millis
     last_active: Millis
     idle_ms: int = 0
+    head_began: Millis | None = None
+    head_ms: int = 0
     requests: int = 0
     is_handling: bool = False
     has_begun_response: bool = False
@@ -69,6 +73,11 @@
         self.last_active = now
         self.idle_ms = 0
 
+    def end_head(self) -> None:
+        """Record that no head is incomplete."""
+        self.head_began = None
+        self.head_ms = 0
+
     def add_idle_time(self, *, now: Millis, limit_ms: int) -> None:
         """Count the time since the last check for idle connections, or since the last activity.
 
@@ -77,3 +86,5 @@
             seen what arrived meanwhile.
         """
         self.idle_ms += min(now - self.last_active, limit_ms)
+        if self.head_began is not None and not self.is_handling:
+            self.head_ms += min(now - self.head_began, limit_ms)
--- a/src/tanagerscale/gateway/_gated_protocol.py
+++ b/src/tanagerscale/gateway/_gated_protocol.py
@@ -101,6 +101,11 @@
         self._own_transport: asyncio.Transport | None = None
         self.use = ConnectionUse(opened=clock.now(), last_active=clock.now())
 
+    @property
+    def has_begun_head(self) -> bool:
+        """Whether a part of a head has arrived, or empty lines in its place."""
+        return self._gate.has_begun_head
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, which the server forgets as it closes the connection."""
         assert isinstance(transport, asyncio.Transport)
@@ -192,6 +197,10 @@
             if not self.use.is_handling:
                 self.use.has_unhandled_data = True
             self.use.record_activity(now=self._clock.now())
+        if not self._gate.has_begun_head:
+            self.use.end_head()
+        elif self.use.head_began is None:
+            self.use.head_began = self._clock.now()
 
     def _parse_head(self, head: bytes) -> None:
         before = len(self._messages)
@@ -249,6 +258,14 @@
         if not is_busy:
             self._send_refusal()
 
+    def end_late_head(self) -> None:
+        """Refuse a request whose head has not arrived in time; close a connection without one."""
+        if self._gate.held_bytes:
+            self.refuse_input(InputProblem.HEAD_TIMED_OUT)
+            return
+        self._end_input(InputProblem.HEAD_TIMED_OUT)
+        self.force_close()
+
     def _send_refusal(self) -> None:
         transport = self._own_transport
         if transport is None or transport.is_closing() or self._refusal is None:
@@ -274,6 +291,7 @@
     def _stop_input(self) -> None:
         self._gate.end()
         self._waiting = b""
+        self.use.end_head()
 
     def _fail_body(self, error: ChunkError) -> None:
         self._end_input(InputProblem.MALFORMED)
--- a/src/tanagerscale/gateway/_input_gate.py
+++ b/src/tanagerscale/gateway/_input_gate.py
@@ -12,6 +12,8 @@
 
 HEAD_END: Final = b"\r\n\r\n"
 _LINE_ENDS: Final = b"\r\n"
+_ALLOWED_EMPTY_BYTES: Final = 2
+"""One empty line that some clients send behind a body (RFC 9112, section 2.2)."""
 
 
 class HeadTooLargeError(ValueError):
@@ -66,6 +68,11 @@
         """Whether no request may follow on the connection."""
         return self._part is _Part.END
 
+    @property
+    def has_begun_head(self) -> bool:
+        """Whether a part of a head has arrived, or empty lines in its place."""
+        return bool(self._head) or self._empty_bytes > _ALLOWED_EMPTY_BYTES
+
     def take(self, data: bytes) -> tuple[bytes, int]:
         """Return the next input for the parser.
 
--- a/src/tanagerscale/gateway/_input_refusals.py
+++ b/src/tanagerscale/gateway/_input_refusals.py
@@ -26,11 +26,13 @@
     """Why the input of a connection is refused, or the connection closed."""
 
     HEAD_TOO_LARGE = "head-too-large"
+    HEAD_TIMED_OUT = "head-timed-out"
     MALFORMED = "malformed"
 
 
 _STATUS_LINES: Final = {
     InputProblem.HEAD_TOO_LARGE: "431 Request Header Fields Too Large",
+    InputProblem.HEAD_TIMED_OUT: "408 Request Timeout",
     InputProblem.MALFORMED: "400 Bad Request",
 }
 
