Give up slow uploads when space is short

What callers saw: bodies that stop short of their end kept the space of a host until their clients left, and others got 503 meanwhile; chunks of 64 KB took a host above its memory.

Cause: nothing ended a body that does not arrive, and nothing made it yield. Up to 512 KB lay unread while it waited, and refused bodies stayed in reference cycles with their requests.

Change: input that waits is counted. For a request with up to 64 KB of body the slowest upload is given up with 503, for a larger one only a stalled upload; a pause beyond idleTimeoutMs and the client's own deadline end a body with 408. All three are true of a request whose body is not complete: it never runs.

--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -174,6 +174,8 @@
     """The request may have run."""
     TIMED_OUT = "timed-out"
     """The request may have run, and its deadline has passed."""
+    BODY_TIMED_OUT = "body-timed-out"
+    """The body has not arrived in time; the request has not run and will not."""
 
 
 class Refusal(Struct, frozen=True, kw_only=True):
--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Final
@@ -10,18 +9,22 @@
 
 from aiohttp import web
 import msgspec
+from msgspec.structs import replace
 from multidict import CIMultiDict
 from returns.result import Failure
+from returns.result import Result
 
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import RequestId
 from tanagerscale.core import get_logger
+from tanagerscale.forwarding import CallerRequest
 from tanagerscale.forwarding import ConnectionState
 from tanagerscale.forwarding import Header
 from tanagerscale.forwarding import Refusal
 from tanagerscale.forwarding import RefusalKind
+from tanagerscale.gateway._body_reader import BodyReader
 from tanagerscale.gateway._connection_state import measure_connection
 from tanagerscale.gateway._connections import CallerProtocol
 from tanagerscale.gateway._connections import ConnectionUse
@@ -43,14 +46,8 @@
     RefusalKind.QUARANTINED: 503,
     RefusalKind.UPSTREAM_FAILED: 502,
     RefusalKind.TIMED_OUT: 504,
+    RefusalKind.BODY_TIMED_OUT: 408,
 }
-BODY_RESERVATION_S: Final = 1.0
-"""Time after which space that is reserved for the missing part of a body is given back, so that a
-stalled upload holds only what it has sent. What arrives later is reserved as it arrives. At 100
-Mbit/s a body of 4 MB takes 0.4 s."""
-_CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
-_TOO_LARGE: Final = Refusal(kind=RefusalKind.TOO_LARGE, detail="Send a smaller body.")
-
 _log = get_logger(part="callers")
 
 
@@ -80,6 +77,7 @@
         self._serve = serve
         self._codec = codec
         self._rules = rules
+        self._bodies = BodyReader(rules=rules, clock=clock)
         self._stopping_since = stopping_since
         self._limits = limits
         self._clock = clock
@@ -110,22 +108,36 @@
             lease=lease,
         )
         arrived = self._clock.now()
-        body = await self._read_body(request, lease)
+        refusal = None
+        if lease is not None:
+            size = request.content_length if request.can_read_body else 0
+            refusal = lease.open_request(fields=len(request.headers), body_bytes=size)
+        if refusal is not None:
+            return await self._refuse_unread(request, responder, refusal)
+        decoded = self._codec.decode(request, b"", arrived)
+        body = await self._bodies.read(request, lease, time_left_ms=_get_time_left_ms(decoded))
         if isinstance(body, Refusal):
-            responder.close_after_response()
-            await responder.refuse(refusal=body)
-            return responder.response
-        decoded = self._codec.decode(request, body, arrived)
+            return await self._refuse_unread(request, responder, body)
         if isinstance(decoded, Failure):
             await responder.refuse(refusal=decoded.failure())
             return responder.response
         caller_request = decoded.unwrap()
+        caller_request = replace(caller_request, body=body)
         connection.request = caller_request.request
         if stopping_since is not None:
             self._log_during_shutdown(caller_request.request, connection, arrived - stopping_since)
         await self._serve(caller_request, responder)
         return responder.response
 
+    async def _refuse_unread(
+        self, request: web.BaseRequest, responder: AiohttpResponder, refusal: Refusal
+    ) -> web.StreamResponse:
+        """Refuse a request whose body may not have been read, and close its connection."""
+        responder.close_after_response()
+        await responder.refuse(refusal=refusal)
+        _drop_rest(request)
+        return responder.response
+
     def _idle_timeout_ms(self, connection: ConnectionUse) -> int | None:
         """Return how long a connection may stay idle; ``None`` closes it after its response."""
         if connection.must_close or self._stopping_since() is not None:
@@ -146,50 +158,15 @@
             connection_age_ms=self._clock.now() - connection.opened,
         )
 
-    async def _read_body(
-        self, request: web.BaseRequest, lease: RequestLease | None
-    ) -> bytes | Refusal:
-        """Return the whole body, or a refusal if it is too large or the host has no space."""
-        refusal = lease.open_request() if lease is not None else None
-        if refusal is not None:
-            return refusal
-        if not request.can_read_body:
-            return b""
-        limit = self._rules.body_bytes()
-        announced = request.content_length or 0
-        if announced > limit:
-            return _TOO_LARGE
-        if lease is not None and announced:
-            refusal = await lease.reserve_body(announced)
-            if refusal is not None:
-                return refusal
-        if "Expect" in request.headers and request.transport is not None:
-            request.transport.write(_CONTINUE)
-        chunks: list[bytes] = []
-        size = 0
-        reserved = announced
-        reserved_until = asyncio.get_running_loop().time() + BODY_RESERVATION_S
-        while True:
-            try:
-                is_reserved = lease is not None and reserved > size
-                async with asyncio.timeout_at(reserved_until if is_reserved else None):
-                    chunk = await request.content.readany()
-            except TimeoutError:
-                assert lease is not None
-                lease.return_body(reserved - size)
-                reserved = size
-                continue
-            if not chunk:
-                return b"".join(chunks)
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > limit:
-                return _TOO_LARGE
-            if lease is not None and size > reserved:
-                refusal = await lease.reserve_body(size - reserved)
-                if refusal is not None:
-                    return refusal
-                reserved = size
+
+def _drop_rest(request: web.BaseRequest) -> None:
+    """Drop what is left of the body of a request that was refused."""
+    if not request.content.is_eof() and isinstance(request.protocol, CallerProtocol):
+        request.protocol.refuse_rest()
+
+
+def _get_time_left_ms(decoded: Result[CallerRequest, Refusal]) -> int | None:
+    return None if isinstance(decoded, Failure) else decoded.unwrap().time_left_ms
 
 
 @final
--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -90,7 +90,9 @@
         )
         if self._limits is not None:
             self._limits.observe_callers(
-                get_transports=self._get_transports, count=lambda: len(self._server.connections)
+                get_transports=self._get_transports,
+                count=lambda: len(self._server.connections),
+                get_input_bytes=lambda: sum(one.held_bytes for one in self._connections),
             )
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
@@ -185,9 +187,13 @@
         use = request.protocol.use
         use.begin_request()
         try:
-            return await self._handle(request, use)
+            response = await self._handle(request, use)
+            error = request.content.exception()
+            if isinstance(error, web.RequestPayloadError):
+                self._unserved.log(request, has_begun=True, detail=repr(error))
+            return response
         except BaseException as error:
-            if use.request is None:
+            if use.request is None and not use.has_begun_response:
                 self._unserved.log(request, has_begun=True, detail=repr(error))
             raise
         finally:
--- a/src/tanagerscale/gateway/_gated_protocol.py
+++ b/src/tanagerscale/gateway/_gated_protocol.py
@@ -101,6 +101,11 @@
         self._own_transport: asyncio.Transport | None = None
         self.use = ConnectionUse(opened=clock.now(), last_active=clock.now())
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of input that wait for the parser."""
+        return len(self._waiting) + self._gate.held_bytes
+
     @property
     def has_begun_head(self) -> bool:
         """Whether a part of a head has arrived, or empty lines in its place."""
@@ -292,12 +297,23 @@
         self._gate.end()
         self._waiting = b""
         self.use.end_head()
+        if self._body is not None and not self._body.is_eof():
+            _drop_unread(self._body)
 
     def _fail_body(self, error: ChunkError) -> None:
         self._end_input(InputProblem.MALFORMED)
         if self._body is not None:
             self._body.set_exception(web.RequestPayloadError(str(error)))
 
+    def give_up_body(self, error: Exception) -> None:
+        """Let the handler that reads a body fail.
+
+        :param error: What it fails with.
+        """
+        self._stop_input()
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(error)
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -316,6 +332,14 @@
         """Log an error without its traceback, as clients can cause many."""
         _log.warning("A connection has failed.", reason=repr(kw.get("exc_info")))
 
+    def refuse_rest(self) -> None:
+        """Drop all further input of the client, whose request has been refused."""
+        self.is_refused = True
+        self._stop_input()
+        self._update_reading()
+        if self._body is not None and not self._body.is_eof():
+            self._body.feed_eof()
+
     def _linger(self) -> bool:
         """Drop input of a refused client until it closes the connection, or for ``LINGER_S``.
 
@@ -339,6 +363,18 @@
             self._own_transport.abort()
 
 
+def _drop_unread(body: StreamReader) -> None:
+    """Let go of what nobody will read, as it is part of a cycle that is collected much later."""
+    if body.exception() is not None:
+        return
+    try:
+        while body.read_nowait():
+            pass
+    except RuntimeError:
+        # A handler waits for more, so that nothing is unread.
+        return
+
+
 def _strip_traceback(error: BaseException) -> None:
     """Let go of the frames that an error refers to."""
     related: BaseException | None = error
--- a/src/tanagerscale/gateway/_host_limits.py
+++ b/src/tanagerscale/gateway/_host_limits.py
@@ -22,6 +22,7 @@
 from tanagerscale.gateway._request_lease import BODY_COPIES
 from tanagerscale.gateway._request_lease import OutgoingTransport
 from tanagerscale.gateway._request_lease import RequestLease
+from tanagerscale.gateway._uploads import Uploads
 from tanagerscale.generated.gateway import GatewayHost as HostSection
 from tanagerscale.policy import UNREAD_STREAM_BYTES
 from tanagerscale.policy import ByteAccount
@@ -36,6 +37,12 @@
 REQUEST_BYTES: Final = 24 * 1024
 """Memory of a request apart from its bodies; 8 KB were measured for its parsed head alone."""
 
+USUAL_FIELDS: Final = 32
+"""Number of header fields that ``REQUEST_BYTES`` covers."""
+
+FIELD_BYTES: Final = 512
+"""Memory of one more header field, as the parser and the forwarded request hold it."""
+
 MEASURE_INTERVAL_MS: Final = 100
 """Interval at which outgoing bytes are summed, readiness is updated and waiting bodies are given
 the space that callers have freed by reading."""
@@ -88,7 +95,11 @@
         self._read_resident_bytes = read_resident_bytes
         self._is_memory_low = False
         self._get_transports: Callable[[], Iterable[OutgoingTransport]] = tuple
+        self._get_input_bytes: Callable[[], int] = int
+        self._input_bytes = 0
         self._waits: list[_SpaceWait] = []
+        self.uploads: Final = Uploads()
+        """Bodies that are arriving."""
         self._was_ready = True
         self._count_callers: Callable[[], int] = int
         self._connection_bytes = 0
@@ -125,16 +136,24 @@
         *,
         get_transports: Callable[[], Iterable[OutgoingTransport]],
         count: Callable[[], int],
+        get_input_bytes: Callable[[], int] = int,
     ) -> None:
-        """Set how to get the transports of all connections of callers, and how to count them."""
+        """Set how to measure the connections of callers.
+
+        :param get_transports: Returns their transports.
+        :param count: Returns their number.
+        :param get_input_bytes: Returns the bytes of their input that wait to be parsed.
+        """
         self._get_transports = get_transports
         self._count_callers = count
+        self._get_input_bytes = get_input_bytes
 
     def measure(self) -> HostUse:
         """Return what the host uses now; takes 0.1 ms for 300 connections."""
         transports = self._get_transports()
         self._outgoing_bytes = sum(one.get_write_buffer_size() for one in transports)
         self._written_at_measure = self.written_bytes
+        self._input_bytes = self._get_input_bytes()
         return self._estimate()
 
     def _estimate(self) -> HostUse:
@@ -143,7 +162,7 @@
         self._connection_bytes = connections * CONNECTION_BYTES
         unread = self.paused_streams * UNREAD_STREAM_BYTES
         use = HostUse(
-            held_bytes=self.held_bytes + self._connection_bytes + unread,
+            held_bytes=self.held_bytes + self._connection_bytes + self._input_bytes + unread,
             outgoing_bytes=self._outgoing_bytes + self.written_bytes - self._written_at_measure,
             descriptors=connections,
         )
@@ -156,6 +175,17 @@
             self._budget.has_bytes(get_use(), size) for get_use in (self._estimate, self.measure)
         )
 
+    def _make_space(self, size: int, *, is_small: bool = True) -> bool:
+        """Give up slow uploads until there is space for more bytes; return whether there is.
+
+        :param size: Number of bytes.
+        :param is_small: Whether any upload may be given up for them, or only a stalled one.
+        """
+        while not self._has_bytes(size):
+            if not self.uploads.give_up_one(now=self._clock.now(), is_stalled=not is_small):
+                return False
+        return True
+
     @property
     def is_ready(self) -> bool:
         """Whether the budgets allow the host to accept new connections."""
@@ -184,26 +214,41 @@
             use, streams=self.streams, sent_bytes=sent_bytes, waiting_bytes=waiting_bytes
         )
 
-    def open_request(self, lease: RequestLease) -> Refusal | None:
-        """Count a new request, or return its refusal if a budget is used up."""
+    def open_request(
+        self, lease: RequestLease, *, fields: int = 0, is_small: bool = True
+    ) -> Refusal | None:
+        """Count a new request, or return its refusal if a budget is used up.
+
+        :param lease: Lease of the request.
+        :param fields: Number of its header fields.
+        :param is_small: Whether any upload may be given up for it, or only a stalled one.
+        """
+        size = REQUEST_BYTES + max(0, fields - USUAL_FIELDS) * FIELD_BYTES
         if self.is_limited:
             if not self._budget.has_descriptors(self._estimate()):
                 return self._refuse("descriptors", self.measure(), size=1)
-            if not self._has_bytes(REQUEST_BYTES):
-                return self._refuse("bytes", self.measure(), size=REQUEST_BYTES)
-        lease.add(REQUEST_BYTES)
+            if not self._make_space(size, is_small=is_small):
+                return self._refuse("bytes", self.measure(), size=size)
+        lease.add(size)
         return None
 
-    async def reserve_body(self, lease: RequestLease, size: int, *, wait_ms: int) -> Refusal | None:
+    def refuse_upload(self) -> Refusal:
+        """Return the refusal of a request whose body was given up for other requests."""
+        return self._refuse("bytes", self.measure(), size=0)
+
+    async def reserve_body(
+        self, lease: RequestLease, size: int, *, wait_ms: int, is_small: bool = False
+    ) -> Refusal | None:
         """Reserve space for a body or a part of it, waiting for it if there is none.
 
         :param lease: Lease of the request.
         :param size: Size of the body or part in bytes.
         :param wait_ms: Longest wait in milliseconds.
+        :param is_small: Whether any upload may be given up for it, or only a stalled one.
         :returns: The refusal if there is no space in time.
         """
         needed = size * BODY_COPIES
-        if not self.is_limited or self._has_bytes(needed):
+        if not self.is_limited or self._make_space(needed, is_small=is_small):
             lease.add(needed)
             return None
         self.metrics.pauses.labels("body").inc()
--- a/src/tanagerscale/gateway/_request_lease.py
+++ b/src/tanagerscale/gateway/_request_lease.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable
+from collections.abc import Callable
 from contextvars import ContextVar
 from typing import TYPE_CHECKING
 from typing import Final
 from typing import Protocol
 from typing import final
 
+from tanagerscale.core import Millis
 from tanagerscale.forwarding import Refusal
+from tanagerscale.gateway._uploads import SMALL_BODY_BYTES
+from tanagerscale.gateway._uploads import Upload
 
 if TYPE_CHECKING:
     from tanagerscale.gateway._host_limits import HostLimits
@@ -60,16 +64,46 @@
         self._held += size
         self._limits.held_bytes += size
 
-    def open_request(self) -> Refusal | None:
-        """Count the request, or return its refusal if a budget of the host is used up."""
-        return self._limits.open_request(self)
+    def open_request(self, *, fields: int = 0, body_bytes: int | None = 0) -> Refusal | None:
+        """Count the request, or return its refusal if a budget of the host is used up.
 
-    async def reserve_body(self, size: int) -> Refusal | None:
+        :param fields: Number of its header fields.
+        :param body_bytes: Size of its body in bytes; ``None`` if unknown.
+        """
+        is_small = body_bytes is not None and body_bytes <= SMALL_BODY_BYTES
+        return self._limits.open_request(self, fields=fields, is_small=is_small)
+
+    async def reserve_body(self, size: int, *, total: int | None = None) -> Refusal | None:
         """Reserve space for a body or a part of it, or return a refusal if there is none in time.
 
         :param size: Size of the body or part in bytes.
+        :param total: Size of the body with the parts before; ``None`` for ``size``.
+        """
+        is_small = (size if total is None else total) <= SMALL_BODY_BYTES
+        return await self._limits.reserve_body(self, size, wait_ms=SPACE_WAIT_MS, is_small=is_small)
+
+    def begin_upload(self, *, give_up: Callable[[], None], now: Millis) -> Upload:
+        """Record that a body arrives, which may be given up for other requests.
+
+        :param give_up: Refuses the request.
+        :param now: Current time.
         """
-        return await self._limits.reserve_body(self, size, wait_ms=SPACE_WAIT_MS)
+
+        def end() -> None:
+            give_up()
+            self.release()
+
+        upload = Upload(began=now, last_received=now, give_up=end)
+        self._limits.uploads.add(upload)
+        return upload
+
+    def end_upload(self, upload: Upload) -> None:
+        """Record that a body is complete, or its request has ended."""
+        self._limits.uploads.remove(upload)
+
+    def refuse_upload(self) -> Refusal:
+        """Return the refusal of a request whose body was given up."""
+        return self._limits.refuse_upload()
 
     def return_body(self, size: int) -> None:
         """Give back space that is reserved for a part of a body that has not arrived.
