Refuse requests by their heads before large bodies

What callers saw: a request with an unknown key or route got its refusal only when its whole body had been sent, and a crowd without keys held as much as one with them.

Cause: the key was checked behind the body.

Change: a request whose body is longer than 64 KB or of unknown length is refused by its head, and its connection closed; a shorter body is read first, so that the connection can be used again.

--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -180,6 +180,17 @@
             return True
         return not one.may_have_run and not self._shutdown.can_start(one.routed)
 
+    def is_allowed(self, request: CallerRequest) -> bool:
+        """Return whether a request has a route and a key for it in the configuration.
+
+        :param request: The request, whose body may not have arrived.
+        """
+        table = self._context.tables.table
+        route = None if table is None else table.route(host=request.host, path=request.path)
+        if table is None or route is None:
+            return False
+        return table.caller(route=route, key=request.key) is not None
+
     async def serve(
         self, request: CallerRequest, responder: Responder, *, is_delegated: bool = False
     ) -> None:
--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import sys
 from typing import Final
 from typing import final
 
@@ -48,6 +49,10 @@
     RefusalKind.TIMED_OUT: 504,
     RefusalKind.BODY_TIMED_OUT: 408,
 }
+LARGE_BODY_BYTES: Final = 64 * 1024
+"""Size above which the body of a request that is refused by its head isn't read. A smaller one is,
+so that its connection can be used again."""
+
 _log = get_logger(part="callers")
 
 
@@ -62,6 +67,7 @@
         after its response; ``None`` before it.
     :param limits: Limits of the host; ``None`` for none.
     :param clock: Clock that timestamps the arrival of requests.
+    :param is_allowed: Returns whether a request with this head may be served.
     """
 
     def __init__(
@@ -73,10 +79,12 @@
         stopping_since: Callable[[], Millis | None],
         limits: HostLimits | None,
         clock: Clock,
+        is_allowed: Callable[[CallerRequest], bool],
     ) -> None:
         self._serve = serve
         self._codec = codec
         self._rules = rules
+        self._is_allowed = is_allowed
         self._bodies = BodyReader(rules=rules, clock=clock)
         self._stopping_since = stopping_since
         self._limits = limits
@@ -115,6 +123,11 @@
         if refusal is not None:
             return await self._refuse_unread(request, responder, refusal)
         decoded = self._codec.decode(request, b"", arrived)
+        if self._is_refused_by_head(request, decoded):
+            responder.close_after_response()
+            await self._answer_head(decoded, responder)
+            _drop_rest(request)
+            return responder.response
         body = await self._bodies.read(request, lease, time_left_ms=_get_time_left_ms(decoded))
         if isinstance(body, Refusal):
             return await self._refuse_unread(request, responder, body)
@@ -129,6 +142,22 @@
         await self._serve(caller_request, responder)
         return responder.response
 
+    def _is_refused_by_head(
+        self, request: web.BaseRequest, decoded: Result[CallerRequest, Refusal]
+    ) -> bool:
+        """Return whether a request is refused whatever its body is, which is long or unknown."""
+        if request.content.is_eof() or (request.content_length or sys.maxsize) <= LARGE_BODY_BYTES:
+            return False
+        return not decoded.map(self._is_allowed).value_or(False)
+
+    async def _answer_head(
+        self, decoded: Result[CallerRequest, Refusal], responder: AiohttpResponder
+    ) -> None:
+        if isinstance(decoded, Failure):
+            await responder.refuse(refusal=decoded.failure())
+        else:
+            await self._serve(decoded.unwrap(), responder)
+
     async def _refuse_unread(
         self, request: web.BaseRequest, responder: AiohttpResponder, refusal: Refusal
     ) -> web.StreamResponse:
--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -12,6 +12,7 @@
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
+from tanagerscale.forwarding import CallerRequest
 from tanagerscale.gateway._caller_handler import CallerRequestHandler
 from tanagerscale.gateway._connections import CallerProtocol
 from tanagerscale.gateway._connections import get_connections
@@ -45,6 +46,7 @@
     :param limits: Limits of the host; ``None`` for none.
     :param count_cut: Counts a request that was not forwarded, by cause.
     :param context: What connections of all listeners share; ``None`` for nothing.
+    :param is_allowed: Returns whether a request with this head may be served.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         limits: HostLimits | None = None,
         count_cut: Callable[[str], None] = lambda _cause: None,
         context: InputContext | None = None,
+        is_allowed: Callable[[CallerRequest], bool] = lambda _head: True,
     ) -> None:
         self._context = context
         self._rules = rules
@@ -70,6 +73,7 @@
             stopping_since=lambda: self._stopping_since,
             limits=limits,
             clock=clock,
+            is_allowed=is_allowed,
         )
         self._handle = edge.handle
         self._unserved = UnservedRequestLog(
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -159,6 +159,7 @@
             limits=self._host_limits,
             count_cut=self._dispatcher.count_cut,
             context=self._input_context,
+            is_allowed=self._dispatcher.is_allowed,
         )
         await self._server.start(address=settings.host.callers)
         if settings.host.delegates:
