--- a/src/tanagerscale/forwarding/_dispatcher.py
+++ b/src/tanagerscale/forwarding/_dispatcher.py
@@ -292,9 +292,11 @@
         table: RouteTable,
         domains: frozenset[FailureDomainId],
     ) -> RoutedRequest:
-        limit = route.timeout_ms
+        # A caller that still sends its body is not kept waiting.
+        received = request.arrived if request.received is None else request.received
+        deadline = received + route.timeout_ms
         if request.time_left_ms is not None:
-            limit = min(limit, request.time_left_ms)
+            deadline = min(deadline, request.arrived + request.time_left_ms)
         service = choose_target(route=route, rng=self._context.rng)
         return RoutedRequest(
             request=request,
@@ -302,7 +304,7 @@
             caller=caller,
             service=service,
             engine=_get_engine_capabilities(table, service),
-            deadline=Millis(request.arrived + limit),
+            deadline=Millis(deadline),
             domains=domains,
         )
 
--- a/src/tanagerscale/forwarding/_types.py
+++ b/src/tanagerscale/forwarding/_types.py
@@ -79,6 +79,7 @@
     :param arrived: Time at which the request was read.
     :param demand: The language model request, or ``None``.
     :param resume_after: Id of the last stream event that the caller has; empty for a new stream.
+    :param received: Time at which its body was complete; ``None`` for the time of its arrival.
     """
 
     request: RequestId
@@ -93,6 +94,7 @@
     arrived: Millis
     demand: Demand | None
     resume_after: str
+    received: Millis | None = None
 
 
 class RoutedRequest(Struct, frozen=True, kw_only=True):
--- a/src/tanagerscale/gateway/_caller_handler.py
+++ b/src/tanagerscale/gateway/_caller_handler.py
@@ -135,7 +135,7 @@
             await responder.refuse(refusal=decoded.failure())
             return responder.response
         caller_request = decoded.unwrap()
-        caller_request = replace(caller_request, body=body)
+        caller_request = replace(caller_request, body=body, received=self._clock.now())
         connection.request = caller_request.request
         if stopping_since is not None:
             self._log_during_shutdown(caller_request.request, connection, arrived - stopping_since)
--- a/src/tanagerscale/gateway/_delegation_wire.py
+++ b/src/tanagerscale/gateway/_delegation_wire.py
@@ -62,6 +62,8 @@
         wire.request,
         headers=tuple(_from_latin1(wire.request.headers)),
         arrived=arrived,
+        # Times of other hosts mean nothing here.
+        received=None,
         time_left_ms=wire.time_left_ms,
     )
 
