Close connections that serve nobody when descriptors are short

What callers saw: 300 connections that send nothing, empty lines, or a trickle left a host of 260 descriptors with 316 to 318 open ones, and ordinary callers with 503.

Cause: connections were counted when a request came, and up to 1,024 were accepted in one iteration of the event loop.

Change: a new connection that is one too many has others closed: those without a request or with a refused client, a stalled upload, the one idle for longest, the slowest upload. 32 are accepted at a time.

--- a/src/tanagerscale/gateway/_body_reader.py
+++ b/src/tanagerscale/gateway/_body_reader.py
@@ -123,7 +123,9 @@
             return await content.readany()
         if self._lease is None:
             return await self._read(time_left_ms, lambda _received: None)
-        upload = self._lease.begin_upload(give_up=self._give_up, now=self._clock.now())
+        upload = self._lease.begin_upload(
+            give_up=self._give_up, close=self._close, now=self._clock.now()
+        )
 
         def record(received: int) -> None:
             upload.received = received
@@ -154,6 +156,10 @@
         if isinstance(protocol, GatedProtocol):
             protocol.give_up_body(UploadGivenUpError())
 
+    def _close(self) -> bool:
+        protocol = self._request.protocol
+        return isinstance(protocol, GatedProtocol) and protocol.end_at_once()
+
     async def _read(
         self, time_left_ms: int | None, record: Callable[[int], None]
     ) -> bytes | Refusal:
--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Final
 from typing import final
 
@@ -21,9 +22,11 @@
 from tanagerscale.gateway._graceful_shutdown import DRAIN_POLL_INTERVAL_MS
 from tanagerscale.gateway._host_limits import HostLimits
 from tanagerscale.gateway._idle_connections import IdleConnections
+from tanagerscale.gateway._idle_connections import close_idle_one
+from tanagerscale.gateway._idle_connections import close_unserved
 from tanagerscale.gateway._input_context import InputContext
-from tanagerscale.gateway._listener import ACCEPT_BACKLOG
 from tanagerscale.gateway._listener import close_listener
+from tanagerscale.gateway._listener import open_server
 from tanagerscale.gateway._listener import open_when_free
 from tanagerscale.gateway._platform import CallerCodec
 from tanagerscale.gateway._platform import CallerRules
@@ -61,6 +64,8 @@
         context: InputContext | None = None,
         is_allowed: Callable[[CallerRequest], bool] = lambda _head: True,
     ) -> None:
+        self._evicted = 0
+        """Connections that are about to be closed for new ones."""
         self._context = context
         self._rules = rules
         self._clock = clock
@@ -95,17 +100,13 @@
         if self._limits is not None:
             self._limits.observe_callers(
                 get_transports=self._get_transports,
-                count=lambda: len(self._server.connections),
+                count=lambda: len(self._server.connections) - self._evicted,
                 get_input_bytes=lambda: sum(one.held_bytes for one in self._connections),
             )
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
         self._listener = await open_when_free(
-            lambda: loop.create_server(
-                self._make_protocol, host, int(port), backlog=ACCEPT_BACKLOG
-            ),
+            lambda: open_server(self._make_protocol, address=address),
             part="callers",
             address=address,
         )
@@ -114,11 +115,31 @@
         return CallerProtocol(
             server=self._server,
             clock=self._clock,
-            on_end=self._unserved.log_connection,
+            on_end=self._on_end,
+            on_open=self._make_room,
             head_bytes=self._rules.header_bytes,
             context=self._context,
         )
 
+    def _on_end(self, protocol: CallerProtocol, unhandled: Sequence[web.BaseRequest]) -> None:
+        self._evicted -= protocol.is_evicted
+        self._unserved.log_connection(protocol, unhandled)
+
+    def _make_room(self, opened: CallerProtocol) -> None:
+        """Close connections that serve nobody if a new one is one too many."""
+        if self._limits is None or self._limits.has_descriptors:
+            return
+        others = [one for one in self._connections if one is not opened]
+        now = self._clock.now()
+        uploads = self._limits.uploads
+        self._evicted += (
+            close_unserved(others)
+            or uploads.close_one(now=now, is_stalled=True)
+            or close_idle_one(others)
+            or uploads.close_one(now=now)
+            or opened.end_at_once()
+        )
+
     def close_idle(self, *, limit_ms: int | None = None, interval_ms: int = 0) -> None:
         """Close connections that have been idle for too long, or send a head for too long.
 
--- a/src/tanagerscale/gateway/_connections.py
+++ b/src/tanagerscale/gateway/_connections.py
@@ -41,6 +41,7 @@
     :param clock: Clock that measures idle times.
     :param on_end: Called as the connection ends, with the requests that were read and whose
         handling has not begun.
+    :param on_open: Called as the connection opens; closes it if there are too many.
     :param head_bytes: Returns the largest head of a request in bytes.
     :param context: What it shares with other connections; ``None`` for nothing.
     """
@@ -51,11 +52,13 @@
         server: web.Server,
         clock: Clock,
         on_end: Callable[[CallerProtocol, list[web.BaseRequest]], None] | None = None,
+        on_open: Callable[[CallerProtocol], None] | None = None,
         head_bytes: Callable[[], int] = lambda: DEFAULT_HEADER_BYTES,
         context: InputContext | None = None,
     ) -> None:
         super().__init__(server=server, clock=clock, head_bytes=head_bytes, context=context)
         self._on_end = on_end
+        self._on_open = on_open
         self._own_task: asyncio.Task[None] | None = None
         self._last_state: ConnectionState | None = None
         """State of the connection as it ended; ``None`` before."""
@@ -76,6 +79,8 @@
         """Keep the task, which the server forgets as it closes the connection."""
         super().connection_made(transport)
         self._own_task = self._task_handler
+        if self._on_open is not None:
+            self._on_open(self)
 
     def eof_received(self) -> None:
         """Record that the caller has ended the connection."""
--- a/src/tanagerscale/gateway/_gated_protocol.py
+++ b/src/tanagerscale/gateway/_gated_protocol.py
@@ -95,6 +95,8 @@
         """Why the connection is closed after the responses to earlier requests."""
         self._linger_timer: asyncio.TimerHandle | None = None
         self._dropped_bytes = 0
+        self.is_evicted = False
+        """Whether the connection is closed for others."""
         self.is_refused = False
         """Whether the client was refused, and nothing more of it is read."""
         self._gated: GatedTransport | None = None
@@ -111,6 +113,22 @@
         """Whether a part of a head has arrived, or empty lines in its place."""
         return self._gate.has_begun_head
 
+    @property
+    def is_unserved(self) -> bool:
+        """Whether no request has been read on the connection, or its client was refused."""
+        if self._linger_timer is not None:
+            return True
+        use = self.use
+        is_handling = use.is_handling or use.next_request is not None
+        return not (use.requests or is_handling or self._messages)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being handled or read on the connection."""
+        use = self.use
+        is_handling = use.is_handling or use.next_request is not None or bool(self._messages)
+        return not (is_handling or use.has_unhandled_data)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, which the server forgets as it closes the connection."""
         assert isinstance(transport, asyncio.Transport)
@@ -348,7 +366,7 @@
         :returns: Whether the connection stays open meanwhile.
         """
         transport = self._own_transport
-        if transport is None or transport.is_closing() or self._force_close:
+        if transport is None or transport.is_closing() or self._force_close or self.is_evicted:
             return False
         if not self.is_refused:
             return False
@@ -358,6 +376,15 @@
             self._linger_timer = self._loop.call_later(LINGER_S, self._abort)
         return True
 
+    def end_at_once(self) -> bool:
+        """Close the connection, which is needed for other clients; return whether it was open."""
+        if self.is_evicted:
+            return False
+        self.is_refused = self.is_evicted = True
+        self.record_problem(InputProblem.NO_DESCRIPTOR)
+        self._abort()
+        return True
+
     def _abort(self) -> None:
         if self._own_transport is not None:
             self._own_transport.abort()
--- a/src/tanagerscale/gateway/_host_limits.py
+++ b/src/tanagerscale/gateway/_host_limits.py
@@ -186,6 +186,11 @@
                 return False
         return True
 
+    @property
+    def has_descriptors(self) -> bool:
+        """Whether the open connections are within their limit."""
+        return not self.is_limited or self._budget.has_descriptors(self._estimate())
+
     @property
     def is_ready(self) -> bool:
         """Whether the budgets allow the host to accept new connections."""
--- a/src/tanagerscale/gateway/_idle_connections.py
+++ b/src/tanagerscale/gateway/_idle_connections.py
@@ -14,6 +14,9 @@
 MAX_CHECK_DELAY_RATIO: Final = 2
 """Multiple of the interval of checks for idle connections that one check counts at most."""
 
+EVICTED_FRACTION: Final = 32
+"""Fraction of all connections, as a divisor, that is closed at a time for new ones."""
+
 
 @final
 class IdleConnections:
@@ -79,3 +82,30 @@
     """Return those connections on which no input waits to be read."""
     unread = find_unread(one.transport for one in protocols if one.transport is not None)
     return [one for one in protocols if one.transport not in unread]
+
+
+def close_unserved(connections: Sequence[CallerProtocol]) -> int:
+    """Close the oldest connections without a request; return how many.
+
+    Several are closed at a time, so that not each new connection has all others looked at.
+
+    :param connections: The connections of which one is too many.
+    """
+    unserved = [one for one in connections if one.is_unserved and not one.is_evicted]
+    unserved.sort(key=lambda one: one.use.opened)
+    closed = unserved[: max(1, len(connections) // EVICTED_FRACTION)]
+    for one in closed:
+        one.end_at_once()
+    return len(closed)
+
+
+def close_idle_one(connections: Sequence[CallerProtocol]) -> int:
+    """Close the connection that has been idle for longest; return how many were closed.
+
+    :param connections: The connections of which one is too many.
+    """
+    idle = [one for one in connections if one.is_idle and not one.is_evicted]
+    if not idle:
+        return 0
+    min(idle, key=lambda one: one.use.last_active).end_at_once()
+    return 1
--- a/src/tanagerscale/gateway/_input_refusals.py
+++ b/src/tanagerscale/gateway/_input_refusals.py
@@ -28,6 +28,7 @@
     HEAD_TOO_LARGE = "head-too-large"
     HEAD_TIMED_OUT = "head-timed-out"
     MALFORMED = "malformed"
+    NO_DESCRIPTOR = "no-descriptor"
 
 
 _STATUS_LINES: Final = {
--- a/src/tanagerscale/gateway/_listener.py
+++ b/src/tanagerscale/gateway/_listener.py
@@ -18,6 +18,9 @@
 """Connections that may wait to be accepted. When the backlog is full, the first packet of a new
 connection is dropped and resent only after one second."""
 
+ACCEPTED_AT_ONCE: Final = 32
+"""Connections that one iteration of the event loop accepts, as it counts them only afterwards."""
+
 OPEN_INTERVAL_MS: Final = 200
 """How often a port is tried that is taken; a host is ready within a second after it is free."""
 
@@ -72,6 +75,30 @@
         await asyncio.sleep(interval_ms / MS_PER_SECOND)
 
 
+async def open_server(
+    make_protocol: Callable[[], asyncio.BaseProtocol], *, address: str
+) -> asyncio.Server:
+    """Listen for connections.
+
+    :param make_protocol: Returns the protocol of a connection.
+    :param address: IP address and port.
+    :returns: The server.
+    :raises OSError: If the port can't be opened.
+    """
+    host, _, port = address.rpartition(":")
+    listening = socket.create_server((host.strip("[]"), int(port)))
+    try:
+        server = await asyncio.get_running_loop().create_server(
+            make_protocol, sock=listening, backlog=ACCEPTED_AT_ONCE
+        )
+    except BaseException:
+        listening.close()
+        raise
+    # asyncio accepts as many connections at once as may wait.
+    listening.listen(ACCEPT_BACKLOG)
+    return server
+
+
 async def close_listener(
     listener: asyncio.Server, *, make_protocol: Callable[[], asyncio.BaseProtocol]
 ) -> None:
--- a/src/tanagerscale/gateway/_request_lease.py
+++ b/src/tanagerscale/gateway/_request_lease.py
@@ -82,10 +82,13 @@
         is_small = (size if total is None else total) <= SMALL_BODY_BYTES
         return await self._limits.reserve_body(self, size, wait_ms=SPACE_WAIT_MS, is_small=is_small)
 
-    def begin_upload(self, *, give_up: Callable[[], None], now: Millis) -> Upload:
+    def begin_upload(
+        self, *, give_up: Callable[[], None], close: Callable[[], bool], now: Millis
+    ) -> Upload:
         """Record that a body arrives, which may be given up for other requests.
 
         :param give_up: Refuses the request.
+        :param close: Closes its connection at once; returns whether it was open.
         :param now: Current time.
         """
 
@@ -93,7 +96,7 @@
             give_up()
             self.release()
 
-        upload = Upload(began=now, last_received=now, give_up=end)
+        upload = Upload(began=now, last_received=now, give_up=end, close=close)
         self._limits.uploads.add(upload)
         return upload
 
--- a/src/tanagerscale/gateway/_uploads.py
+++ b/src/tanagerscale/gateway/_uploads.py
@@ -32,12 +32,14 @@
     :param began: When its reading began.
     :param last_received: When a part of it was last received.
     :param give_up: Refuses its request and frees what that holds.
+    :param close: Closes its connection at once; returns whether it was open.
     :param received: Bytes that have been received.
     """
 
     began: Millis
     last_received: Millis
     give_up: Callable[[], None]
+    close: Callable[[], bool]
     received: int = 0
 
     def get_rate(self, now: Millis) -> float:
@@ -71,6 +73,15 @@
             slowest.give_up()
         return slowest is not None
 
+    def close_one(self, *, now: Millis, is_stalled: bool = False) -> bool:
+        """Close the connection of the slowest body; return whether there was one.
+
+        :param now: Current time.
+        :param is_stalled: Whether only bodies of which nothing arrives may be given up.
+        """
+        slowest = self._take_slowest(now, is_stalled=is_stalled)
+        return slowest is not None and slowest.close()
+
     def _take_slowest(self, now: Millis, *, is_stalled: bool) -> Upload | None:
         candidates = self._uploads
         if is_stalled:
