Use the gate at readiness, metrics and for delegated requests

Cause: these listeners had servers of the library with its defaults.

Change: they use CallerProtocol with the limits of callers (64 KB for heads of delegated requests), and 64 or 256 connections each.

--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -19,6 +19,7 @@
 from tanagerscale.gateway._connections import get_connections
 from tanagerscale.gateway._connections import has_unanswered
 from tanagerscale.gateway._connections import make_request
+from tanagerscale.gateway._gated_server import GatedServer
 from tanagerscale.gateway._graceful_shutdown import DRAIN_POLL_INTERVAL_MS
 from tanagerscale.gateway._host_limits import HostLimits
 from tanagerscale.gateway._idle_connections import IdleConnections
@@ -225,18 +226,26 @@
             request.protocol.end_request()
 
 
-async def serve_readiness(*, is_ready: Callable[[], bool], address: str) -> web.ServerRunner:
+async def serve_readiness(
+    *,
+    is_ready: Callable[[], bool],
+    address: str,
+    clock: Clock,
+    context: InputContext | None = None,
+) -> web.ServerRunner:
     """Serve the readiness check, by which the platform decides whether to send connections here.
 
     :param is_ready: Returns whether the host accepts new connections.
     :param address: IP address and port to listen on.
+    :param clock: Clock that measures idle times.
+    :param context: What connections of all listeners share; ``None`` for nothing.
     :returns: The runner; its ``cleanup`` stops the server.
     """
 
     async def handle(_request: web.BaseRequest) -> web.StreamResponse:
         return web.Response(status=200 if is_ready() else 503)
 
-    runner = web.ServerRunner(web.Server(handle, access_log=None))
+    runner = web.ServerRunner(GatedServer(handle, clock=clock, context=context))
     await runner.setup()
     host, _, port = address.rpartition(":")
     await web.TCPSite(runner, host, int(port)).start()
--- a/src/tanagerscale/gateway/_connections.py
+++ b/src/tanagerscale/gateway/_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import final
@@ -23,10 +24,13 @@
 from tanagerscale.gateway._input_context import InputContext
 from tanagerscale.gateway._platform import DEFAULT_HEADER_BYTES
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
 __all__ = (
     "CallerProtocol",
     "ConnectionUse",
     "get_connections",
+    "handle_tracked",
     "has_unanswered",
     "has_unread",
     "make_request",
@@ -115,6 +119,24 @@
             self._last_state = measure_connection(self._own_transport, end=end, errno=errno)
 
 
+def handle_tracked(handle: Handler) -> Handler:
+    """Return a handler that records on its connection when it begins and ends.
+
+    :param handle: Handles requests.
+    """
+
+    async def handle_request(request: web.BaseRequest) -> web.StreamResponse:
+        protocol = request.protocol
+        assert isinstance(protocol, CallerProtocol)
+        protocol.use.begin_request()
+        try:
+            return await handle(request)
+        finally:
+            protocol.end_request()
+
+    return handle_request
+
+
 def make_request(
     message: RawRequestMessage,
     payload: StreamReader,
--- a/src/tanagerscale/gateway/_delegate_server.py
+++ b/src/tanagerscale/gateway/_delegate_server.py
@@ -24,22 +24,30 @@
 from tanagerscale.forwarding import DelegatedOutcome
 from tanagerscale.forwarding import Header
 from tanagerscale.forwarding import Refusal
+from tanagerscale.forwarding import RefusalKind
 from tanagerscale.forwarding import Responder
+from tanagerscale.gateway._body_reader import BodyReader
 from tanagerscale.gateway._connection_state import measure_connection
 from tanagerscale.gateway._connections import CallerProtocol
 from tanagerscale.gateway._connections import ConnectionUse
 from tanagerscale.gateway._connections import get_connections
 from tanagerscale.gateway._connections import has_unanswered
 from tanagerscale.gateway._connections import has_unread
+from tanagerscale.gateway._connections import make_request
 from tanagerscale.gateway._delegation_wire import EXCHANGE_FIELD
 from tanagerscale.gateway._delegation_wire import HEAD_FIELD
 from tanagerscale.gateway._delegation_wire import PATH
 from tanagerscale.gateway._delegation_wire import decode_request
 from tanagerscale.gateway._delegation_wire import encode_head
+from tanagerscale.gateway._gated_server import HEADER_TIMEOUT_MS
+from tanagerscale.gateway._gated_server import make_room
 from tanagerscale.gateway._host_limits import HostLimits
-from tanagerscale.gateway._listener import ACCEPT_BACKLOG
+from tanagerscale.gateway._idle_connections import IdleConnections
+from tanagerscale.gateway._input_context import InputContext
 from tanagerscale.gateway._listener import close_listener
+from tanagerscale.gateway._listener import open_server
 from tanagerscale.gateway._listener import open_when_free
+from tanagerscale.gateway._platform import CallerRules
 from tanagerscale.gateway._request_lease import RequestLease
 from tanagerscale.gateway._request_lease import current_lease
 
@@ -50,9 +58,22 @@
 """Time for which the ids of delegated requests are kept, so that none is sent twice. Requests have
 deadlines of less than that."""
 
+MAX_CONNECTIONS: Final = 256
+"""Connections of other hosts; each host that delegates opens a few."""
+
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 """Largest delegated request; the callers' limit applies before."""
 
+MAX_HEAD_BYTES: Final = 64 * 1024
+"""Largest head of a delegated request."""
+
+BODY_IDLE_MS: Final = 15_000
+"""Longest pause in a body."""
+
+UNUSED_TIMEOUT_MS: Final = 15_000
+"""Longest time without a request on a new connection. The other hosts close those they have used.
+"""
+
 SHUTDOWN_TIMEOUT_S: Final = 0.2
 
 _log = get_logger(part="delegation")
@@ -71,6 +92,7 @@
     :param can_help: Returns whether this host reaches upstreams and is not shutting down.
     :param clock: Source of the current time.
     :param limits: Limits of the host; ``None`` for none.
+    :param context: What connections of all listeners share; ``None`` for nothing.
     """
 
     def __init__(
@@ -80,7 +102,16 @@
         can_help: Callable[[], bool],
         clock: Clock,
         limits: HostLimits | None = None,
+        context: InputContext | None = None,
     ) -> None:
+        self._context = context
+        self._idle = IdleConnections(clock=clock)
+        rules = CallerRules(
+            body_bytes=lambda: MAX_BODY_BYTES,
+            header_timeout_ms=lambda: HEADER_TIMEOUT_MS,
+            idle_timeout_ms=lambda: BODY_IDLE_MS,
+        )
+        self._bodies = BodyReader(rules=rules, clock=clock)
         self._serve = serve
         self._can_help = can_help
         self._clock = clock
@@ -101,15 +132,13 @@
 
         :param address: IP address and port to listen on.
         """
-        self._server = web.Server(self._track, handler_cancellation=True)
+        self._server = web.Server(
+            self._track, request_factory=make_request, handler_cancellation=True
+        )
         self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
         self._listener = await open_when_free(
-            lambda: loop.create_server(
-                self._make_protocol, host, int(port), backlog=ACCEPT_BACKLOG
-            ),
+            lambda: open_server(self._make_protocol, address=address),
             part="delegates",
             address=address,
         )
@@ -128,6 +157,18 @@
         is_used = any(one.use.is_handling or one.use.has_unhandled_data for one in connections)
         return not is_used and not has_unread(connections)
 
+    def close_idle(self, *, interval_ms: int) -> None:
+        """Close new connections without a request, and those that send a head for too long.
+
+        :param interval_ms: Interval of the checks in milliseconds.
+        """
+        self._idle.close(
+            [one for one in self._connections if one.is_unserved or one.has_begun_head],
+            idle_timeout_ms=UNUSED_TIMEOUT_MS,
+            header_timeout_ms=HEADER_TIMEOUT_MS,
+            interval_ms=interval_ms,
+        )
+
     def has_unanswered(self) -> bool:
         """Return whether a request has arrived whose response has not begun."""
         return has_unanswered(self._connections)
@@ -145,7 +186,13 @@
 
     def _make_protocol(self) -> CallerProtocol:
         assert self._server is not None
-        return CallerProtocol(server=self._server, clock=self._clock)
+        return CallerProtocol(
+            server=self._server,
+            clock=self._clock,
+            on_open=lambda opened: make_room(self._connections, opened, limit=MAX_CONNECTIONS),
+            head_bytes=lambda: MAX_HEAD_BYTES,
+            context=self._context,
+        )
 
     async def _track(self, request: web.BaseRequest) -> web.StreamResponse:
         assert isinstance(request.protocol, CallerProtocol)
@@ -159,18 +206,18 @@
             if lease is not None:
                 lease.release()
             current_lease.reset(token)
-            use.end_request(now=self._clock.now())
+            request.protocol.end_request()
 
     async def _handle(
         self, request: web.BaseRequest, connection: ConnectionUse, lease: RequestLease | None
     ) -> web.StreamResponse:
         arrived = self._clock.now()
-        if lease is not None and lease.open_request() is not None:
+        if lease is not None and lease.open_request(body_bytes=request.content_length) is not None:
             return _unavailable(request)
-        body = await _read_body(request, lease)
-        if isinstance(body, Refusal):
+        body = await self._bodies.read(request, lease, time_left_ms=None)
+        if isinstance(body, Refusal) and body.kind is not RefusalKind.TOO_LARGE:
             return _unavailable(request)
-        if request.path != PATH or body is None:
+        if request.path != PATH or isinstance(body, Refusal):
             return web.Response(status=400, headers=_echoed_fields(request))
         decoded = decode_request(body, arrived=arrived)
         if isinstance(decoded, Failure):
@@ -277,23 +324,6 @@
         response.body = None
 
 
-async def _read_body(
-    request: web.BaseRequest, lease: RequestLease | None
-) -> bytes | Refusal | None:
-    """Return the whole body, ``None`` if it is too large, or a refusal if there is no space."""
-    chunks: list[bytes] = []
-    size = 0
-    while chunk := await request.content.readany():
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > MAX_BODY_BYTES:
-            return None
-        refusal = None if lease is None else await lease.reserve_body(len(chunk))
-        if refusal is not None:
-            return refusal
-    return b"".join(chunks)
-
-
 def _unavailable(request: web.BaseRequest) -> web.Response:
     head = DelegatedHead(outcome=DelegatedOutcome.UNAVAILABLE)
     return web.Response(headers=_response_fields(request, head))
--- a/src/tanagerscale/gateway/_host.py
+++ b/src/tanagerscale/gateway/_host.py
@@ -36,6 +36,7 @@
 from tanagerscale.gateway._delegate_server import DelegateServer
 from tanagerscale.gateway._exchange_metrics import ExchangeCollector
 from tanagerscale.gateway._forwarding import make_forwarding_context
+from tanagerscale.gateway._gated_server import GatedServer
 from tanagerscale.gateway._graceful_shutdown import drain_requests
 from tanagerscale.gateway._host_limits import make_host_limits
 from tanagerscale.gateway._input_context import InputContext
@@ -130,6 +131,7 @@
             can_help=lambda: self._control.reach.can_help and self._host_limits.is_ready,
             clock=clock,
             limits=self._host_limits,
+            context=self._input_context,
         )
 
     async def start(self) -> None:
@@ -140,7 +142,12 @@
             self._spawn(self._serve_metrics, name="metrics")
         self._runners.append(
             await open_when_free(
-                lambda: serve_readiness(is_ready=lambda: self.ready, address=readiness),
+                lambda: serve_readiness(
+                    is_ready=lambda: self.ready,
+                    address=readiness,
+                    clock=self._clock,
+                    context=self._input_context,
+                ),
                 part="readiness",
                 address=readiness,
             )
@@ -183,7 +190,12 @@
         address = self._settings.host.metrics
         try:
             runner = await open_when_free(
-                lambda: serve_metrics(registry=self._registry, address=address),
+                lambda: serve_metrics(
+                    registry=self._registry,
+                    address=address,
+                    clock=self._clock,
+                    context=self._input_context,
+                ),
                 part="metrics",
                 address=address,
                 interval_ms=METRICS_OPEN_INTERVAL_MS,
@@ -371,6 +383,10 @@
         while True:
             await self._clock.sleep(IDLE_CHECK_INTERVAL_MS)
             self._server.close_idle(interval_ms=IDLE_CHECK_INTERVAL_MS)
+            self._delegate_server.close_idle(interval_ms=IDLE_CHECK_INTERVAL_MS)
+            for runner in self._runners:
+                if isinstance(runner.server, GatedServer):
+                    runner.server.close_idle(interval_ms=IDLE_CHECK_INTERVAL_MS)
 
     def _spawn(self, run: Callable[[], Coroutine[Any, Any, None]], *, name: str) -> None:
         self._tasks.append(self._control.monitor.start(run, name=name))
