Let the test of the stop signal end its write

Its thread writes into a pipe for each reader; the last write waits for one for ever if the test opens and closes the pipe before the write begins, and the loop's executor waits for the thread. The test keeps its end open until the write has returned.

--- a/testing/test_stop_signal_time.py
+++ b/testing/test_stop_signal_time.py
@@ -53,9 +53,9 @@
             return line
 
 
-async def _write_often(path: Path, text: str) -> None:
+async def _write_often(path: Path, text: str, is_over: asyncio.Event) -> None:
     """Write a text for each reader, as a host also reads its settings when they have changed."""
-    while True:
+    while not is_over.is_set():
         await asyncio.to_thread(path.write_text, text)
 
 
@@ -86,11 +86,16 @@
             process.send_signal(signal.SIGHUP)
             process.send_signal(signal.SIGTERM)
             await asyncio.sleep(STALL_S)
-            writing = asyncio.create_task(_write_often(path, settings))
-            line = await _read_until(process, "The host stops.")
-            writing.cancel()
-            # Ends the write that waits for a reader.
-            os.close(os.open(path, os.O_RDONLY | os.O_NONBLOCK))
+            is_over = asyncio.Event()
+            writing = asyncio.create_task(_write_often(path, settings, is_over))
+            try:
+                line = await _read_until(process, "The host stops.")
+            finally:
+                is_over.set()
+                # A write waits for a reader, also one that has not begun yet.
+                reader = os.open(path, os.O_RDONLY | os.O_NONBLOCK)
+                await writing
+                os.close(reader)
     finally:
         if process.returncode is None:
             process.kill()
