--- a/testing/_limited_host.py
+++ b/testing/_limited_host.py
@@ -77,6 +77,10 @@
         assert low is not None
         self._high, self._low = high, low
 
+    def can_write_eof(self) -> bool:
+        """Return that the sending direction can't be ended by itself."""
+        return False
+
     def is_closing(self) -> bool:
         """Return whether the connection is closed."""
         return self._is_closed
