--- a/src/tanagerscale/gateway/_gated_protocol.py
+++ b/src/tanagerscale/gateway/_gated_protocol.py
@@ -32,7 +32,7 @@
 READ_BYTES: Final = 32 * 1024
 """Most that is read from a connection at a time, and that waits for the parser."""
 BODY_BUFFER_BYTES: Final = 16 * 1024
-"""Unread bytes of a body above which its connection is not read; twice this pauses it."""
+"""Half of the unread bytes of a body above which its connection is not read."""
 
 LINGER_S: Final = 2.0
 """Longest time for which the input of a refused client is dropped, so that it can read the refusal
