Log and count watches of the store that end without an answer

Cause: "Lost connection to the store." stands for an outage as well as for one watch that got no answer, and tells nothing of its age, so that the hypotheses of docs/incidents/lost-watches.md could not be told apart.

Change: one line with prefix, age and what showed it, and the counter tanagerscale_lost_watches_total by prefix. No logic changes.

--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -170,6 +170,7 @@
             broadcast=lambda message: self.mesh.broadcast(message=message),
             clock=clock,
         )
+        self.store_followers = self._make_store_followers()
         self.store_source = self._make_store_source()
         self.retry_budgets = make_retry_budgets(
             settings=settings.retries,
@@ -273,8 +274,8 @@
             broadcast=self._relay.announce,
         )
 
-    def _make_store_source(self) -> StoreSourceSelector:
-        followers = StoreFollowers(
+    def _make_store_followers(self) -> StoreFollowers:
+        return StoreFollowers(
             platform=self._platform,
             configuration=self.configuration,
             evacuations=self.evacuations_feed,
@@ -284,12 +285,14 @@
             clock=self._clock,
             rng=self._rng,
         )
+
+    def _make_store_source(self) -> StoreSourceSelector:
         return StoreSourceSelector(
             host=self._host,
             directory=self.directory,
             feeds=self.feeds,
-            loops=followers.loops,
-            is_store_available=followers.is_store_available,
+            loops=self.store_followers.loops,
+            is_store_available=self.store_followers.is_store_available,
             clock=self._clock,
             rng=self._rng,
         )
--- a/src/tanagerscale/gateway/_forwarding.py
+++ b/src/tanagerscale/gateway/_forwarding.py
@@ -69,7 +69,13 @@
         account=account or ByteAccount(),
     )
     registry.register(ShareCollector(coordinator=control.coordinator))
-    registry.register(ListCollector(feeds=control.feeds, gate=control.gate))
+    registry.register(
+        ListCollector(
+            feeds=control.feeds,
+            gate=control.gate,
+            lost_watches=control.store_followers.lost_watches,
+        )
+    )
     context.metrics.evacuated.set_function(lambda: len(control.evacuations.domains))
     context.metrics.is_cut_off.set_function(lambda: control.paths.is_cut_off)
     context.metrics.paused.set_function(lambda: len(control.pauses.paused))
--- a/src/tanagerscale/gateway/_list_metrics.py
+++ b/src/tanagerscale/gateway/_list_metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import final
 
@@ -22,11 +23,15 @@
 
     :param feeds: The feeds of the host.
     :param gate: Which upstreams are leaving.
+    :param lost_watches: Watches of the store that ended without an answer, by their prefix.
     """
 
-    def __init__(self, *, feeds: Sequence[ListFeed], gate: UpstreamGate) -> None:
+    def __init__(
+        self, *, feeds: Sequence[ListFeed], gate: UpstreamGate, lost_watches: Mapping[str, int]
+    ) -> None:
         self._feeds = feeds
         self._gate = gate
+        self._lost_watches = lost_watches
 
     def describe(self) -> Iterable[Metric]:
         """Return the metrics without values."""
@@ -34,7 +39,7 @@
 
     def collect(self) -> Iterable[Metric]:
         """Return the metrics with their current values."""
-        age, era, ignored, notices = self._families()
+        age, era, ignored, notices, lost_watches = self._families()
         for feed in self._feeds:
             topic = feed.topic.value
             era.add_metric([topic], era_of(feed.revision))
@@ -44,11 +49,19 @@
                 ignored.add_metric([topic, reason.value], number)
         for label, number in self._gate.ignored_notices.items():
             notices.add_metric([label], number)
-        return (age, era, ignored, notices)
+        for prefix, number in self._lost_watches.items():
+            lost_watches.add_metric([prefix], number)
+        return (age, era, ignored, notices, lost_watches)
 
     def _families(
         self,
-    ) -> tuple[GaugeMetricFamily, GaugeMetricFamily, CounterMetricFamily, CounterMetricFamily]:
+    ) -> tuple[
+        GaugeMetricFamily,
+        GaugeMetricFamily,
+        CounterMetricFamily,
+        CounterMetricFamily,
+        CounterMetricFamily,
+    ]:
         return (
             GaugeMetricFamily(
                 "tanagerscale_list_age_ms",
@@ -70,4 +83,9 @@
                 "Notices of leaving upstreams that changed nothing, by the reason.",
                 labels=["reason"],
             ),
+            CounterMetricFamily(
+                "tanagerscale_lost_watches",
+                "Watches of the store that ended without an answer, by their prefix.",
+                labels=["prefix"],
+            ),
         )
--- a/src/tanagerscale/gateway/_store_followers.py
+++ b/src/tanagerscale/gateway/_store_followers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Coroutine
 from random import Random
 from typing import Any
@@ -59,6 +60,8 @@
         self._monitor = monitor
         self._clock = clock
         self._rng = rng
+        self.lost_watches: Counter[str] = Counter()
+        """Watches that ended without an answer, by their prefix."""
 
     def loops(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """Return the coroutines that follow the store until they are cancelled."""
@@ -95,4 +98,8 @@
             clock=self._clock,
             rng=self._rng,
             change_delay_ms=lambda: rest_ms,
+            on_lost_watch=self._count_lost_watch,
         )
+
+    def _count_lost_watch(self, prefix: str) -> None:
+        self.lost_watches[prefix] += 1
--- a/src/tanagerscale/store/_follow.py
+++ b/src/tanagerscale/store/_follow.py
@@ -64,6 +64,7 @@
     :param rng: Random number generator used to jitter the backoff.
     :param change_delay_ms: Returns the delay in milliseconds after each change before the watch
         continues, so that changes in quick succession are delivered in one batch.
+    :param on_lost_watch: Called with the prefix each time a watch ends without an answer.
     """
 
     def __init__(
@@ -75,7 +76,9 @@
         clock: Clock,
         rng: Random,
         change_delay_ms: Callable[[], int] = lambda: 0,
+        on_lost_watch: Callable[[str], None] = lambda _prefix: None,
     ) -> None:
+        self._on_lost_watch = on_lost_watch
         self._store = store
         self._change_delay_ms = change_delay_ms
         self._prefix = prefix
@@ -87,6 +90,8 @@
         self._reachable = False
         self._unreachable_since = Millis(0)
         self._read_at = Millis(0)
+        self._asked_at = Millis(0)
+        """When the watch began that waits for its answer."""
         self._is_listener_behind = False
 
     @property
@@ -128,9 +133,12 @@
     async def _watch(self) -> StoreError | None:
         assert self._revision is not None
         start = StoreRevision(self._revision + 1)
+        self._asked_at = self._clock.now()
         async for result in self._store.watch(prefix=self._prefix, from_revision=start):
             if isinstance(result, Failure):
                 error: StoreError = result.failure()
+                if error.kind is StoreErrorKind.UNCERTAIN:
+                    self._record_lost_watch(error)
                 return error
             batch = result.unwrap()
             self._record_success()
@@ -141,8 +149,18 @@
             if self._is_reread_due():
                 self._revision = None
                 return None
+            self._asked_at = self._clock.now()
         return None
 
+    def _record_lost_watch(self, error: StoreError) -> None:
+        self._on_lost_watch(self._prefix)
+        _log.warning(
+            "A watch of the store ended without an answer.",
+            prefix=self._prefix,
+            age_ms=self._clock.now() - self._asked_at,
+            detail=error.detail,
+        )
+
     def _deliver(self, deliver: Callable[[], None]) -> None:
         """Let the listener take keys; later changes must reach it even if it fails to."""
         if not run_contained("store", deliver, prefix=self._prefix):
