Notice lost watches of the store within the time in which changes must be in force

Cause: a watch that gets no answer was taken for "no change" for 30 s (28 s of wait and 2 s of margin). One change ends the watches of all coordinators, so all begin anew in the same milliseconds, and a silence of half a second, or the loss of these calls alone, loses all of them; no host is left that could tell the others.

A watch without an answer counts as lost 500 ms after its wait, above the 376 ms of a store that is 94 times slower. Then one call that is answered at once fetches what was missed. Only if that fails is the store lost. So a lost or cut watch is neither told to peers as a lost store, nor does it start the grace for entries that go. The client makes one call for each watch (PolledStore); its endless iterator is taken out.

Ruled out: ending watches when another call of the host fails, as no other call has to fail.

--- a/src/tanagerscale/gateway/_control.py
+++ b/src/tanagerscale/gateway/_control.py
@@ -277,6 +277,7 @@
     def _make_store_followers(self) -> StoreFollowers:
         return StoreFollowers(
             platform=self._platform,
+            deadlines=self._settings.deadlines,
             configuration=self.configuration,
             evacuations=self.evacuations_feed,
             feed=self.feed,
--- a/src/tanagerscale/gateway/_platform.py
+++ b/src/tanagerscale/gateway/_platform.py
@@ -25,7 +25,7 @@
 from tanagerscale.forwarding import UpstreamClient
 from tanagerscale.policy import ByteAccount
 from tanagerscale.routes import Configuration
-from tanagerscale.store import Store
+from tanagerscale.store import PolledStore
 from tanagerscale.upstreams import ExchangeLog
 from tanagerscale.upstreams import UpstreamEntry
 from tanagerscale.upstreams import UpstreamNotice
@@ -99,7 +99,7 @@
     :param account: Account of incomplete answers, which all connections of the host share.
     """
 
-    store: Store
+    store: PolledStore
     upstreams: PlatformUpstreamClient
     operator_prefix: str
     configuration_key: str
--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -23,8 +23,8 @@
 from tanagerscale.generated.gateway import GatewaySettings
 from tanagerscale.generated.records import HostRecord
 from tanagerscale.store import ConditionalPut
+from tanagerscale.store import KeyValueStore
 from tanagerscale.store import LeaseId
-from tanagerscale.store import Store
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreError
 from tanagerscale.store import StoreErrorKind
@@ -79,7 +79,7 @@
     def __init__(
         self,
         *,
-        store: Store,
+        store: KeyValueStore,
         prefix: str,
         record: HostRecord,
         on_records: Callable[[Sequence[HostRecord], int], None],
@@ -275,7 +275,7 @@
 def make_presence(
     *,
     settings: GatewaySettings,
-    store: Store,
+    store: KeyValueStore,
     incarnation: int,
     directory: Directory,
     on_availability: Callable[[bool], None],
--- a/src/tanagerscale/platform/_store.py
+++ b/src/tanagerscale/platform/_store.py
@@ -1,10 +1,9 @@
-"""Client of the platform's store that implements ``Store``."""
+"""Client of the platform's store that implements ``PolledStore``."""
 
 from __future__ import annotations
 
 import asyncio
 import base64
-from collections.abc import AsyncIterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
@@ -26,6 +25,7 @@
 from tanagerscale.platform._wire import WireItem
 from tanagerscale.platform._wire import WireLease
 from tanagerscale.platform._wire import WireRange
+from tanagerscale.store import WATCH_MARGIN_MS
 from tanagerscale.store import ConditionalPut
 from tanagerscale.store import EraTracker
 from tanagerscale.store import LeaseId
@@ -61,12 +61,6 @@
 CALL_TIMEOUT_MS: Final = 1000
 """Longest wait for one call. The store answers in 4 ms, or in 240 ms if sixty times slower."""
 
-WATCH_WAIT_MS: Final = 28_000
-"""How long the store holds a watch without changes; each watch costs one call. At most 30 s."""
-
-WATCH_TIMEOUT_MARGIN_MS: Final = 2000
-"""How long after its wait a watch may answer before its connection is considered silent."""
-
 _Body = TypeVar("_Body", bound=msgspec.Struct)
 
 
@@ -183,26 +177,23 @@
         answer = await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
         return answer.map(lambda _: None)
 
-    async def watch(
-        self, *, prefix: str, from_revision: StoreRevision
-    ) -> AsyncIterator[Result[WatchBatch, StoreError]]:
-        """Watch the changes under a prefix; the iterator ends after the first failure."""
-        era, after = era_of(from_revision), number_of(from_revision) - 1
-        while True:
-            query = {"pathPrefix": prefix, "after": str(after), "waitMs": str(WATCH_WAIT_MS)}
-            timeout_ms = WATCH_WAIT_MS + WATCH_TIMEOUT_MARGIN_MS
-            call = self._call("GET", "/v1/kv-watch", query=query, timeout_ms=timeout_ms)
-            answer = await self._eras.run_in(era, call) or Failure(_ERA_ENDED)
-            if isinstance(answer, Failure):
-                yield answer
-                return
-            decoded = _decode_body(answer.unwrap(), WireChanges)
-            if isinstance(decoded, Failure):
-                yield decoded
-                return
-            changes = decoded.unwrap()
-            after = max(after, changes.as_of)
-            yield Success(_to_batch(changes, make_revision(era=era, number=after)))
+    async def changes(
+        self, *, prefix: str, after: StoreRevision, wait_ms: int
+    ) -> Result[WatchBatch, StoreError]:
+        """Return the changes under a prefix as soon as there are any; it costs one call."""
+        era, number = era_of(after), number_of(after)
+        query = {"pathPrefix": prefix, "after": str(number), "waitMs": str(wait_ms)}
+        timeout_ms = max(wait_ms + WATCH_MARGIN_MS, CALL_TIMEOUT_MS)
+        call = self._call("GET", "/v1/kv-watch", query=query, timeout_ms=timeout_ms)
+        answer = await self._eras.run_in(era, call) or Failure(_ERA_ENDED)
+        if isinstance(answer, Failure):
+            return answer
+        decoded = _decode_body(answer.unwrap(), WireChanges)
+        if isinstance(decoded, Failure):
+            return decoded
+        changes = decoded.unwrap()
+        reached = make_revision(era=era, number=max(number, changes.as_of))
+        return Success(_to_batch(changes, reached))
 
     async def close(self) -> None:
         """Close idle connections."""
--- a/src/tanagerscale/store/__init__.py
+++ b/src/tanagerscale/store/__init__.py
@@ -7,8 +7,11 @@
 from tanagerscale.store._etcd import EtcdStore
 from tanagerscale.store._follow import PrefixFollower
 from tanagerscale.store._follow import PrefixListener
+from tanagerscale.store._protocol import WATCH_MARGIN_MS
 from tanagerscale.store._protocol import ConditionalPut
+from tanagerscale.store._protocol import KeyValueStore
 from tanagerscale.store._protocol import LeaseId
+from tanagerscale.store._protocol import PolledStore
 from tanagerscale.store._protocol import PutOutcome
 from tanagerscale.store._protocol import Store
 from tanagerscale.store._protocol import StoreEntry
@@ -28,11 +31,14 @@
 
 __all__ = [
     "MAX_PUTS",
+    "WATCH_MARGIN_MS",
     "ConditionalPut",
     "EraTracker",
     "EtcdStore",
+    "KeyValueStore",
     "LeaseId",
     "LeaseNumber",
+    "PolledStore",
     "PrefixFollower",
     "PrefixListener",
     "PutOutcome",
--- a/src/tanagerscale/store/_follow.py
+++ b/src/tanagerscale/store/_follow.py
@@ -10,12 +10,13 @@
 from typing import final
 
 from returns.result import Failure
+from returns.result import Result
 
 from tanagerscale.core import Clock
 from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
 from tanagerscale.core import run_contained
-from tanagerscale.store._protocol import Store
+from tanagerscale.store._protocol import PolledStore
 from tanagerscale.store._protocol import StoreError
 from tanagerscale.store._protocol import StoreErrorKind
 from tanagerscale.store._protocol import StoreRange
@@ -29,6 +30,9 @@
 
 BACKOFF_JITTER: Final = (0.5, 1.5)
 
+NO_WAIT_MS: Final = 1
+"""Wait of a watch that is answered at once, also without changes."""
+
 MIN_REREAD_INTERVAL_MS: Final = 10_000
 """Minimum time between two reads of all keys because the listener failed to take some of them. A
 read of 12,000 engines takes 24 calls."""
@@ -53,15 +57,18 @@
 class PrefixFollower:
     """Reads all keys under a prefix and then watches them until cancelled.
 
-    After a failed watch, all keys are read again. This detects immediately that the store is
-    reachable again and returns all missed changes. They are also read again if the listener failed
-    to take some of them.
+    A watch that ends without an answer is lost, which says nothing about the store: a call that the
+    store answers at once fetches what has been missed. Only if that call fails as well is the store
+    lost. Then all keys are read again, which detects immediately that the store is back. They are
+    also read again if the listener failed to take some of them.
 
     :param store: Store to follow.
     :param prefix: Prefix of the keys.
     :param listener: Receives the snapshots and changes.
     :param clock: Clock used for delays and to measure outages.
     :param rng: Random number generator used to jitter the backoff.
+    :param wait_ms: How long a watch waits for changes, in milliseconds. A lost watch is noticed
+        ``WATCH_MARGIN_MS`` after that.
     :param change_delay_ms: Returns the delay in milliseconds after each change before the watch
         continues, so that changes in quick succession are delivered in one batch.
     :param on_lost_watch: Called with the prefix each time a watch ends without an answer.
@@ -70,16 +77,18 @@
     def __init__(
         self,
         *,
-        store: Store,
+        store: PolledStore,
         prefix: str,
         listener: PrefixListener,
         clock: Clock,
         rng: Random,
+        wait_ms: int,
         change_delay_ms: Callable[[], int] = lambda: 0,
         on_lost_watch: Callable[[str], None] = lambda _prefix: None,
     ) -> None:
-        self._on_lost_watch = on_lost_watch
         self._store = store
+        self._wait_ms = wait_ms
+        self._on_lost_watch = on_lost_watch
         self._change_delay_ms = change_delay_ms
         self._prefix = prefix
         self._listener = listener
@@ -90,8 +99,6 @@
         self._reachable = False
         self._unreachable_since = Millis(0)
         self._read_at = Millis(0)
-        self._asked_at = Millis(0)
-        """When the watch began that waits for its answer."""
         self._is_listener_behind = False
 
     @property
@@ -112,8 +119,6 @@
                 self._revision = None
                 continue
             self._record_failure(error)
-            # A new watch alone would not show that the store is reachable before the next change,
-            # which may take up to half a minute.
             self._revision = None
             await self._clock.sleep(self._backoff_ms())
 
@@ -131,36 +136,61 @@
         return None
 
     async def _watch(self) -> StoreError | None:
-        assert self._revision is not None
-        start = StoreRevision(self._revision + 1)
-        self._asked_at = self._clock.now()
-        async for result in self._store.watch(prefix=self._prefix, from_revision=start):
-            if isinstance(result, Failure):
-                error: StoreError = result.failure()
-                if error.kind is StoreErrorKind.UNCERTAIN:
-                    self._record_lost_watch(error)
-                return error
-            batch = result.unwrap()
-            self._record_success()
-            self._revision = batch.revision
-            if batch.entries or batch.deleted:
-                self._deliver(partial(self._listener.on_changes, batch))
-                await self._clock.sleep(self._change_delay_ms())
-            if self._is_reread_due():
-                self._revision = None
-                return None
-            self._asked_at = self._clock.now()
+        began = self._clock.now()
+        changes = await self._changes(wait_ms=self._wait_ms)
+        if isinstance(changes, Failure):
+            error: StoreError = changes.failure()
+            if error.kind is StoreErrorKind.UNCERTAIN:
+                return await self._resume(error, age_ms=self._clock.now() - began)
+            return error
+        batch = changes.unwrap()
+        self._apply(batch)
+        if batch.entries or batch.deleted:
+            await self._clock.sleep(self._change_delay_ms())
+        if self._is_reread_due():
+            self._revision = None
+        return None
+
+    async def _resume(self, lost: StoreError, *, age_ms: int) -> StoreError | None:
+        """Fetch what a lost watch has missed.
+
+        :param lost: How the watch ended.
+        :param age_ms: Time since it began.
+        :returns: Why the changes could not be fetched; ``None`` if they were.
+        """
+        result = await self._changes(wait_ms=NO_WAIT_MS)
+        if isinstance(result, Failure):
+            error: StoreError = result.failure()
+            if error.kind is StoreErrorKind.COMPACTED:
+                self._record_lost_watch(lost, age_ms=age_ms, missed="unknown")
+            return error
+        missed = result.unwrap()
+        self._record_lost_watch(
+            lost, age_ms=age_ms, missed=str(len(missed.entries) + len(missed.deleted))
+        )
+        self._apply(missed)
         return None
 
-    def _record_lost_watch(self, error: StoreError) -> None:
+    def _record_lost_watch(self, lost: StoreError, *, age_ms: int, missed: str) -> None:
         self._on_lost_watch(self._prefix)
         _log.warning(
-            "A watch of the store ended without an answer.",
+            "A watch of the store was lost.",
             prefix=self._prefix,
-            age_ms=self._clock.now() - self._asked_at,
-            detail=error.detail,
+            age_ms=age_ms,
+            detail=lost.detail,
+            missed=missed,
         )
 
+    async def _changes(self, *, wait_ms: int) -> Result[WatchBatch, StoreError]:
+        assert self._revision is not None
+        return await self._store.changes(prefix=self._prefix, after=self._revision, wait_ms=wait_ms)
+
+    def _apply(self, batch: WatchBatch) -> None:
+        self._record_success()
+        self._revision = batch.revision
+        if batch.entries or batch.deleted:
+            self._deliver(partial(self._listener.on_changes, batch))
+
     def _deliver(self, deliver: Callable[[], None]) -> None:
         """Let the listener take keys; later changes must reach it even if it fails to."""
         if not run_contained("store", deliver, prefix=self._prefix):
--- a/src/tanagerscale/store/_protocol.py
+++ b/src/tanagerscale/store/_protocol.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from enum import Enum
 from enum import unique
+from typing import Final
 from typing import NewType
 from typing import Protocol
 
@@ -16,6 +17,10 @@
 
 LeaseId = NewType("LeaseId", int)
 
+WATCH_MARGIN_MS: Final = 500
+"""How long after the end of its wait a watch may answer before it counts as lost. It exceeds the
+time of an answer of a slow store, which is 376 ms where it is 94 times slower than usual."""
+
 
 @unique
 class StoreErrorKind(Enum):
@@ -120,8 +125,8 @@
     newest_revision: StoreRevision = StoreRevision(0)
 
 
-class Store(Protocol):
-    """Key-value store of the platform with compare-and-swap, leases and watches.
+class KeyValueStore(Protocol):
+    """Key-value store of the platform with compare-and-swap and leases.
 
     No method retries a failed call, because only the caller knows whether a retry is safe.
     """
@@ -154,7 +159,26 @@
     async def revoke(self, *, lease: LeaseId) -> Result[None, StoreError]:
         """Revoke a lease and delete its keys."""
 
+
+class Store(KeyValueStore, Protocol):
+    """Key-value store with watches that last until they fail."""
+
     def watch(
         self, *, prefix: str, from_revision: StoreRevision
     ) -> AsyncIterator[Result[WatchBatch, StoreError]]:
         """Watch the changes under a prefix; the iterator ends after the first failure."""
+
+
+class PolledStore(KeyValueStore, Protocol):
+    """Key-value store with watches that end with their first answer."""
+
+    async def changes(
+        self, *, prefix: str, after: StoreRevision, wait_ms: int
+    ) -> Result[WatchBatch, StoreError]:
+        """Return the changes under a prefix as soon as there are any.
+
+        :param prefix: Prefix of the keys.
+        :param after: Revision whose later changes are returned.
+        :param wait_ms: Time in milliseconds after which an answer without changes is due. A call
+            that is not answered within ``WATCH_MARGIN_MS`` after it fails as ``UNCERTAIN``.
+        """
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -72,6 +73,20 @@
     items: dict[str, _Item]
 
 
+@dataclass(eq=False, slots=True)
+class WaitingWatch:
+    """A watch that waits for changes.
+
+    :param prefix: Prefix of the keys.
+    :param is_lost: Whether it is never answered, though its connection stays open.
+    :param is_cut: Whether its connection is reset.
+    """
+
+    prefix: str
+    is_lost: bool = False
+    is_cut: bool = False
+
+
 @dataclass(slots=True)
 class _Lease:
     ttl_ms: int
@@ -92,6 +107,9 @@
         self.revision = 1
         self.era = 1
         """Number of times that the store has come back from a copy, counted from 1."""
+        self.waiting_watches: list[WaitingWatch] = []
+        self.loses_watch: Callable[[str], bool] = lambda _prefix: False
+        """Returns whether a watch that begins is lost, by its prefix."""
         self._is_away = False
         self._are_watches_stalled = False
         self._page = page_size
@@ -154,6 +172,12 @@
         self._is_away = True
         self._notify_watches()
 
+    def cut_watches(self) -> None:
+        """Reset the connections of the waiting watches."""
+        for watch in self.waiting_watches:
+            watch.is_cut = True
+        self._notify_watches()
+
     def come_back_from(self, copy: StoreCopy) -> None:
         """Replace the content by that of a copy, which starts a new era.
 
@@ -243,12 +267,23 @@
 
     async def _watch(self, request: web.Request) -> web.Response:
         prefix = request.query["pathPrefix"]
+        watch = WaitingWatch(prefix, is_lost=self.loses_watch(prefix))
+        self.waiting_watches.append(watch)
+        try:
+            response = await self._answer_watch(request, watch)
+        finally:
+            self.waiting_watches.remove(watch)
+        if watch.is_lost:
+            await asyncio.Event().wait()
+        return response
+
+    async def _answer_watch(self, request: web.Request, watch: WaitingWatch) -> web.Response:
         after = int(request.query["after"])
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(request.query["waitMs"]) / MS_PER_S
         era = self.era
         while True:
-            if self._is_away:
+            if self._is_away or watch.is_cut:
                 _reset(request)
             if after < self._compacted or after > self.revision or era != self.era:
                 return web.Response(status=GONE_STATUS)
@@ -256,7 +291,7 @@
                 event
                 for event in self._history
                 if event["revision"] > after
-                and str(event["key"]).startswith(prefix)
+                and str(event["key"]).startswith(watch.prefix)
                 and not self._are_watches_stalled
             ]
             remaining_s = deadline - loop.time()
--- a/testing/_fake_store.py
+++ b/testing/_fake_store.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
@@ -19,6 +20,7 @@
 from returns.result import Success
 
 from tanagerscale.core import MS_PER_SECOND
+from tanagerscale.store import WATCH_MARGIN_MS
 from tanagerscale.store import ConditionalPut
 from tanagerscale.store import LeaseId
 from tanagerscale.store import PutOutcome
@@ -204,7 +206,7 @@
 
 @dataclass(kw_only=True, slots=True)
 class StoreCalls:
-    """Number of calls of each kind; an open watch counts as one call."""
+    """Number of calls of each kind; an open watch counts as one call, as does each ``changes``."""
 
     reads: int = 0
     stale_reads: int = 0
@@ -213,10 +215,22 @@
     leases: int = 0
 
 
+@dataclass(kw_only=True, slots=True, eq=False)
+class WaitingCall:
+    """A call that waits for changes.
+
+    :param prefix: Prefix of the keys.
+    :param is_lost: Whether it is never answered.
+    """
+
+    prefix: str
+    is_lost: bool = False
+
+
 @final
 @dataclass(kw_only=True)
 class FakeStore:
-    """Client of the fake store; implements ``tanagerscale.store.Store``.
+    """Client of the fake store; implements ``Store`` and ``PolledStore``.
 
     :param backend: State shared with other clients; a new one by default.
     :param down: Whether calls fail as unreachable and watches end.
@@ -224,7 +238,9 @@
     :param lose_requests: Number of next writes whose request is lost; they fail as uncertain.
     :param latency_ms: Duration of each call in milliseconds.
     :param watch_delay_ms: Delivery delay of watches in milliseconds.
-    :param watch_stalled: Whether watches neither deliver changes nor fail.
+    :param watch_stalled: Whether watches neither deliver changes nor fail; ``changes`` is not
+        answered.
+    :param losing: Whether the calls of ``changes`` that begin are never answered, by their prefix.
     :param silent: Whether nothing is answered: calls time out, and watches wait without an end.
     :param calls: Counters of the calls made by this client.
     """
@@ -237,7 +253,9 @@
     watch_delay_ms: int = 0
     watch_stalled: bool = False
     silent: bool = False
+    losing: Callable[[str], bool] = lambda _prefix: False
     calls: StoreCalls = field(default_factory=StoreCalls)
+    waiting: list[WaitingCall] = field(default_factory=list)
 
     def set_down(self, down: bool) -> None:
         """Make the store unreachable or reachable for this client."""
@@ -345,6 +363,62 @@
             await asyncio.sleep(self.watch_delay_ms / MS_PER_SECOND)
             yield Success(batch)
 
+    def lose_watches(self, prefix: str = "") -> None:
+        """Leave the waiting calls of ``changes`` for some prefixes without an answer."""
+        for call in self.waiting:
+            call.is_lost = call.is_lost or call.prefix.startswith(prefix)
+
+    async def changes(
+        self, *, prefix: str, after: StoreRevision, wait_ms: int
+    ) -> Result[WatchBatch, StoreError]:
+        """Return the changes after a revision as soon as there are any."""
+        self.calls.watches += 1
+        call = WaitingCall(prefix=prefix, is_lost=self.losing(prefix))
+        self.waiting.append(call)
+        try:
+            timeout_ms = max(wait_ms + WATCH_MARGIN_MS, CALL_TIMEOUT_MS)
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                return await self._wait_for_changes(call, after, wait_ms)
+        except TimeoutError:
+            return Failure(_error(StoreErrorKind.UNCERTAIN))
+        finally:
+            self.waiting.remove(call)
+
+    async def _wait_for_changes(
+        self, call: WaitingCall, after: StoreRevision, wait_ms: int
+    ) -> Result[WatchBatch, StoreError]:
+        await asyncio.sleep(self.latency_ms / 2 / MS_PER_SECOND)
+        call.is_lost = call.is_lost or self.silent
+        ends_at = _loop_time() + wait_ms / MS_PER_SECOND
+        answer = self._answer_to(call.prefix, after, is_over=False)
+        while answer is None:
+            is_over = False
+            try:
+                async with asyncio.timeout_at(ends_at), self.backend.changed:
+                    await self.backend.changed.wait()
+            except TimeoutError:
+                is_over = True
+            answer = self._answer_to(call.prefix, after, is_over=is_over)
+        if call.is_lost or self.silent or self.watch_stalled:
+            await asyncio.Event().wait()
+        await asyncio.sleep((self.latency_ms / 2 + self.watch_delay_ms) / MS_PER_SECOND)
+        return answer
+
+    def _answer_to(
+        self, prefix: str, after: StoreRevision, *, is_over: bool
+    ) -> Result[WatchBatch, StoreError] | None:
+        """Return the answer to a call for changes; ``None`` if it goes on waiting."""
+        reached = number_of(after) + 1
+        failure = self._check_watch(reached=reached, era=era_of(after))
+        if failure is not None:
+            return Failure(failure)
+        batch = self._batch(prefix=prefix, reached=reached)
+        if batch is None and is_over:
+            batch = WatchBatch(
+                entries=(), deleted=(), revision=self._revision(self.backend.revision)
+            )
+        return None if batch is None else Success(batch)
+
     def _batch(self, *, prefix: str, reached: int) -> WatchBatch | None:
         events = [
             event
--- a/testing/test_endless_answers.py
+++ b/testing/test_endless_answers.py
@@ -144,9 +144,8 @@
 
 async def _watch_store(address: str, pool: ConnectionPool) -> bool:
     store = PlatformStore(address=address, pool=pool)
-    async for result in store.watch(prefix="a/", from_revision=StoreRevision(1)):
-        return isinstance(result, Failure)
-    return False
+    changes = await store.changes(prefix="a/", after=StoreRevision(0), wait_ms=900)
+    return isinstance(changes, Failure)
 
 
 CALLS = (_send, _report, _copy, _probe, _read_store, _watch_store)
--- a/testing/test_invalid_statuses.py
+++ b/testing/test_invalid_statuses.py
@@ -184,9 +184,7 @@
         results.append(await store.list(prefix="k"))
         results.append(await store.commit(puts=[put]))
         results.append(await store.grant_lease(ttl_s=1))
-        async for changes in store.watch(prefix="k", from_revision=StoreRevision(1)):
-            results.append(changes)
-            break
+        results.append(await store.changes(prefix="k", after=StoreRevision(0), wait_ms=900))
     for result in results:
         error = result.failure()
         assert error.kind is StoreErrorKind.UNCERTAIN
--- a/testing/test_odd_entries_follow.py
+++ b/testing/test_odd_entries_follow.py
@@ -59,6 +59,7 @@
 from testing.test_odd_entries import ENTRY
 
 MEMBER: Final = HostId("member")
+WAIT_MS = 900
 SETTLE_S: Final = 0.1
 
 ODD_VALUES: Final = [b"bad", b"error", b"depth"]
@@ -92,7 +93,12 @@
         )
         self.feed.on_message(MEMBER, ListRequest(topic=ListTopic.UPSTREAMS))
         self._follower = PrefixFollower(
-            store=self.store, prefix="", listener=self.feed, clock=clock, rng=Random(1)
+            store=self.store,
+            prefix="",
+            listener=self.feed,
+            clock=clock,
+            rng=Random(1),
+            wait_ms=WAIT_MS,
         )
         self.task = asyncio.create_task(self._follower.run())
 
@@ -237,7 +243,12 @@
     async def run() -> None:
         store, listener = FakeStore(), FailingListener()
         follower = PrefixFollower(
-            store=store, prefix="", listener=listener, clock=Clock(), rng=Random(1)
+            store=store,
+            prefix="",
+            listener=listener,
+            clock=Clock(),
+            rng=Random(1),
+            wait_ms=WAIT_MS,
         )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(SETTLE_S)
@@ -264,7 +275,12 @@
         store, listener = FakeStore(), FailingListener()
         listener.failures = 1000
         follower = PrefixFollower(
-            store=store, prefix="", listener=listener, clock=Clock(), rng=Random(1)
+            store=store,
+            prefix="",
+            listener=listener,
+            clock=Clock(),
+            rng=Random(1),
+            wait_ms=WAIT_MS,
         )
         task = asyncio.create_task(follower.run())
         for number in range(100):
@@ -288,7 +304,9 @@
         feed = ListFeed(topic=ListTopic.UPSTREAMS, listener=listener, send=send, clock=clock)
         feed.on_message(MEMBER, ListRequest(topic=ListTopic.UPSTREAMS))
         store = FakeStore()
-        follower = PrefixFollower(store=store, prefix="", listener=feed, clock=clock, rng=Random(1))
+        follower = PrefixFollower(
+            store=store, prefix="", listener=feed, clock=clock, rng=Random(1), wait_ms=WAIT_MS
+        )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(SETTLE_S)
         listener.failures = 1
--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -51,6 +51,9 @@
 from testing._scripted_peer import encode_answer
 from testing._scripted_peer import run_scripted_peer
 
+WAIT_MS = 900
+"""How long watches wait for changes."""
+
 
 @dataclass(slots=True)
 class StoreHarness:
@@ -150,6 +153,7 @@
     known: dict[str, bytes] = field(default_factory=dict)
     snapshots: int = 0
     reachable: list[bool] = field(default_factory=list)
+    lost_watches: list[str] = field(default_factory=list)
 
     def on_snapshot(self, snapshot: StoreRange) -> None:
         """Replace all known entries by a snapshot."""
@@ -179,7 +183,13 @@
     """Run a follower that reports to a listener."""
     recorded = RecordingListener()
     follower = PrefixFollower(
-        store=harness.store, prefix="a/", listener=recorded, clock=Clock(), rng=Random(1)
+        store=harness.store,
+        prefix="a/",
+        listener=recorded,
+        clock=Clock(),
+        rng=Random(1),
+        wait_ms=WAIT_MS,
+        on_lost_watch=recorded.lost_watches.append,
     )
     harness.emulator.put("a/0", b"0")
     task = asyncio.create_task(follower.run())
@@ -215,6 +225,7 @@
         listener=recorded,
         clock=Clock(),
         rng=Random(1),
+        wait_ms=WAIT_MS,
         change_delay_ms=lambda: 300,
     )
     task = asyncio.create_task(follower.run())
@@ -275,10 +286,65 @@
     await _wait_until_known(listener, {"a/2": b"2", "a/3": b"3"})
 
 
+async def _lose_waiting_watch(harness: StoreHarness) -> None:
+    while not harness.emulator.waiting_watches:
+        await asyncio.sleep(0.005)
+    harness.emulator.waiting_watches[0].is_lost = True
+
+
+# A watch that got no answer was noticed after half a minute, though the store answered.
+@pytest.mark.asyncio
+async def test_follower_fetches_what_a_lost_watch_has_missed(
+    harness: StoreHarness, listener: RecordingListener
+) -> None:
+    await _lose_waiting_watch(harness)
+    harness.emulator.put("a/1", b"1")
+    harness.emulator.delete("a/0")
+    await _wait_until_known(listener, {"a/1": b"1"})
+    assert listener.lost_watches == ["a/"]
+    assert (listener.snapshots, listener.reachable) == (1, [True])
+
+
+@pytest.mark.asyncio
+async def test_lost_watch_costs_one_call_when_nothing_was_missed(
+    harness: StoreHarness, listener: RecordingListener
+) -> None:
+    await _lose_waiting_watch(harness)
+    while not listener.lost_watches:
+        await asyncio.sleep(0.005)
+    assert (listener.snapshots, listener.reachable) == (1, [True])
+    reads = [call for call in harness.emulator.calls if "kv-watch" not in call]
+    # The lost watch and the call after it; the next watch may have begun.
+    assert (len(reads), len(harness.emulator.calls)) in ((1, 3), (1, 4))
+
+
+@pytest.mark.asyncio
+async def test_cut_watch_is_not_reported_as_a_lost_store(
+    harness: StoreHarness, listener: RecordingListener
+) -> None:
+    while not harness.emulator.waiting_watches:
+        await asyncio.sleep(0.005)
+    harness.emulator.cut_watches()
+    harness.emulator.put("a/1", b"1")
+    await _wait_until_known(listener, {"a/0": b"0", "a/1": b"1"})
+    assert (listener.snapshots, listener.reachable) == (1, [True])
+    assert listener.lost_watches == ["a/"]
+
+
+@pytest.mark.asyncio
+async def test_silent_store_is_reported_as_lost_and_not_its_watch(
+    harness: StoreHarness, listener: RecordingListener
+) -> None:
+    await _lose_waiting_watch(harness)
+    harness.emulator.behavior = StoreBehavior.SILENT
+    while listener.reachable[-1]:
+        await asyncio.sleep(0.005)
+    assert listener.lost_watches == []
+
+
 async def _first_batch(store: PlatformStore, from_revision: int) -> Result[WatchBatch, StoreError]:
-    async for result in store.watch(prefix="a/", from_revision=StoreRevision(from_revision)):
-        return result
-    raise AssertionError("the watch ended without a result")
+    after = StoreRevision(from_revision - 1)
+    return await store.changes(prefix="a/", after=after, wait_ms=WAIT_MS)
 
 
 @pytest.mark.asyncio
