--- a/standins/platform_callers.py
+++ b/standins/platform_callers.py
@@ -95,6 +95,7 @@
         was too long.
     :param parts: Parts of its prompt in order; empty if it names none.
     :param key: API key of the caller's account.
+    :param may_be_denied: Whether the key may not be valid.
     :param is_slow: Whether the caller reads the answer slowly.
     :param pause_ms: Longest time between two parts of the answer, in milliseconds.
     """
@@ -112,6 +113,7 @@
     gave_up: bool = False
     parts: tuple[str, ...] = ()
     key: str = API_KEY
+    may_be_denied: bool = False
     is_slow: bool = False
     pause_ms: int = 0
 
@@ -261,18 +263,25 @@
         connection.close()
 
     async def call_newly(
-        self, kind: CallKind, rng: Random, host: PlatformHostProcess | None
+        self,
+        kind: CallKind,
+        rng: Random,
+        host: PlatformHostProcess | None,
+        *,
+        key: str = "",
     ) -> None:
         """Send one request on a connection of its own.
 
         :param kind: Its kind.
         :param rng: Random number generator that selects a host if none is given.
         :param host: The host to connect to.
+        :param key: API key that may not be valid; empty for that of an account.
         """
         connection = await self._connect(rng, host)
         if connection is None:
             await self._clock.sleep(RETRY_PAUSE_MS)
             return
+        connection.key = key or connection.key
         await self._call(kind, connection)
         connection.close()
 
@@ -322,6 +331,7 @@
     ) -> Call:
         call = Call(f"r{next(self._numbers)}", kind, connection.host, self._clock.now())
         call.key, call.is_slow = connection.key, connection.is_slow
+        call.may_be_denied = call.key not in {API_KEY, *self.accounts}
         if shared:
             call.parts = (*shared, f"ffff{len(self.calls):x}")
         self.calls.append(call)
--- a/standins/platform_day.py
+++ b/standins/platform_day.py
@@ -49,6 +49,7 @@
 from standins.platform_start import MODULE_COMMAND
 from standins.platform_start import build_start_command
 from standins.platform_world import PlatformCluster
+from standins.watch_losses import WatchLosses
 from tanagerscale.core import MS_PER_SECOND
 from tanagerscale.generated.gateway import RetrySection
 
@@ -176,7 +177,11 @@
             has_endless=has_endless,
         )
         self.disruptions = disruptions.done
-        await disruptions.run(rng=Random(self._seed + 3), duration_ms=duration_ms)
+        losses = WatchLosses(store=self._cluster.store)
+        await asyncio.gather(
+            disruptions.run(rng=Random(self._seed + 3), duration_ms=duration_ms),
+            losses.run(rng=Random(self._seed + 5), duration_ms=duration_ms),
+        )
 
     def _configure(self, version: int, spare_routes: int, account: str) -> None:
         self._cluster.configure(
--- a/standins/platform_drains.py
+++ b/standins/platform_drains.py
@@ -103,7 +103,7 @@
                 disturb = rng.choice((self._come_back_older, self._come_back_older, self._stall))
                 await disturb(rng)
                 await self._clock.sleep(CONTACT_MS)
-                await self._let_leave(rng)
+                await self.let_leave(rng)
                 await self._clock.sleep(rng.randint(*PAUSE_RANGE_MS))
         finally:
             for task in tasks:
@@ -130,7 +130,7 @@
             await self._clock.sleep(rng.randint(*STALL_RANGE_MS))
             self._cluster.store.compact()
 
-    async def _let_leave(self, rng: Random) -> None:
+    async def let_leave(self, rng: Random) -> None:
         """Let some upstreams of a service leave together."""
         living = self._injector.living
         service = rng.choice(sorted({service for _, service in living}))
--- a/standins/platform_fault_log.py
+++ b/standins/platform_fault_log.py
@@ -31,6 +31,8 @@
     CUT = "host cut off from all upstreams"
     PART = "part of prompts crashes upstreams"
     NOTICE = "store acknowledged that an upstream leaves"
+    WATCHES = "watches of the store lost"
+    KEY = "key of an account valid"
     SECOND_ANSWERS = "upstream sends answers again"
     CROWD = "most new connections go to one host"
 
--- a/standins/platform_faults.py
+++ b/standins/platform_faults.py
@@ -152,6 +152,10 @@
         if service is not None:
             await self.add_upstream(service, options)
 
+    def write_configuration(self) -> None:
+        """Write the next version of the configuration."""
+        self._cluster.configure(self.make_configuration(next(self._versions)))
+
     async def run(self, *, rng: Random, duration_ms: int) -> None:
         """Inject faults for some time, and wait until everything has recovered.
 
--- a/standins/platform_soak.py
+++ b/standins/platform_soak.py
@@ -47,6 +47,7 @@
 from standins.platform_start import build_start_command
 from standins.platform_verdict import STREAM_EVENTS
 from standins.platform_verdict import PlatformVerdict
+from standins.platform_watches import WatchLossProvoker
 from standins.platform_world import MODEL_SERVICE
 from standins.platform_world import NOTES_SERVICE
 from standins.platform_world import PLAIN_SERVICE
@@ -107,6 +108,7 @@
     second_answers: bool = False,
     planned: bool = False,
     garbage: bool = False,
+    watches: bool = False,
 ) -> list[str]:
     """Run the soak and return the broken guarantees.
 
@@ -128,6 +130,8 @@
         engines with little room leave and are replaced.
     :param garbage: Whether upstreams send answers without end and other wrong bytes, and hosts get
         series of SIGHUP, also within the first second of their start.
+    :param watches: Whether watches of the store are lost around changes of keys and upstreams that
+        leave, with few other faults.
     """
     cluster = PlatformCluster(has_links=cuts, framings=StreamFramings(seed=str(seed)))
     fault_log = FaultLog()
@@ -146,11 +150,22 @@
         cluster.on_upstream = limit_upstream
         injector.make_configuration = planned_configuration
         injector.disturb_as_planned()
-    if drains:
+    if drains or watches:
         injector.disturb_few()
         injector.tells_start = seed % 2 == 0
     hups = HupSeries(seed=seed + 10, slacks=retry_slacks)
     command = await build_start_command(directory) if garbage else MODULE_COMMAND
+    drainer = DrainProvoker(cluster=cluster, injector=injector, fault_log=fault_log)
+    loser = WatchLossProvoker(
+        cluster=cluster,
+        injector=injector,
+        drainer=drainer,
+        callers=callers,
+        hosts=processes,
+        fault_log=fault_log,
+    )
+    if watches:
+        injector.make_configuration = loser.make_configuration
     lag = LoopLag()
     lag_task = asyncio.create_task(lag.run_forever())
     await cluster.start()
@@ -188,8 +203,9 @@
             if parts:
                 tasks.create_task(crasher.run(rng=Random(seed + 5), duration_ms=duration_ms))
             if drains:
-                drainer = DrainProvoker(cluster=cluster, injector=injector, fault_log=fault_log)
                 tasks.create_task(drainer.run(rng=Random(seed + 7), duration_ms=duration_ms))
+            if watches:
+                tasks.create_task(loser.run(rng=Random(seed + 13), duration_ms=duration_ms))
             if planned:
                 stops = PlannedStops(hosts=processes)
                 tasks.create_task(stops.run(rng=Random(seed + 9), duration_ms=duration_ms))
@@ -317,6 +333,7 @@
     second_answers: bool = False,
     planned: bool = False,
     garbage: bool = False,
+    watches: bool = False,
 ) -> None:
     """Run the soak.
 
@@ -335,6 +352,7 @@
     :param second_answers: Whether upstreams send answers a second time, late.
     :param planned: Whether only planned work is done.
     :param garbage: Whether upstreams send answers without end, and hosts get series of SIGHUP.
+    :param watches: Whether watches of the store are lost.
     """
     directory = Path(keep or mkdtemp(prefix="tanagerscale-platform-soak-"))
     directory.mkdir(parents=True, exist_ok=True)
@@ -357,6 +375,7 @@
             second_answers=second_answers,
             planned=planned,
             garbage=garbage,
+            watches=watches,
         )
     )
     for violation in violations:
--- a/standins/platform_verdict.py
+++ b/standins/platform_verdict.py
@@ -7,6 +7,10 @@
 from collections.abc import Mapping
 from typing import final
 
+from standins.configuration_rule import UNKNOWN_KEY
+from standins.configuration_rule import KeyPeriod
+from standins.configuration_rule import KeyUse
+from standins.configuration_rule import find_stale_uses
 from standins.drain_rule import SentRequest
 from standins.drain_rule import find_late_requests
 from standins.order_rule import find_broken_order
@@ -115,7 +119,7 @@
                     violations.append(f"{name}: {fault}: {self.describe(call)}")
         violations += self._find_requests_to_leaving() + self._find_requests_in_pauses()
         violations += self._find_requests_over_limits() + self._find_repeats_over_budget()
-        violations += self._find_requests_after_notices()
+        violations += self._find_requests_after_notices() + self._find_stale_keys()
         violations += [
             f"MEMORY: {upstream} got {request} with the copy of {other}"
             for upstream, request, other in self._foreign_copies
@@ -128,6 +132,8 @@
 
     def _find_wrong_answer(self, call: Call) -> str:
         if call.status // 100 in (3, 4) and call.status not in REFUSED_STATUSES:
+            if call.may_be_denied and call.status == UNKNOWN_KEY:
+                return ""
             return "a proper request is answered as one that isn't allowed"
         if call.status // 100 != 2 or _find_broken_order(call):
             return ""
@@ -279,6 +285,34 @@
                 )
         return violations
 
+    def _find_stale_keys(self) -> list[str]:
+        periods = {
+            fault.target: KeyPeriod(fault.began, fault.ended)
+            for fault in self._fault_log.faults
+            if fault.kind is FaultKind.KEY
+        }
+        uses = [
+            KeyUse(
+                call.request,
+                call.host,
+                call.key,
+                call.sent,
+                call.ended,
+                call.status,
+                any(received.executed for received in self._received[request]),
+            )
+            for request, call in self._calls.items()
+            if call.key in periods
+        ]
+        return find_stale_uses(
+            periods=periods,
+            uses=uses,
+            is_disturbed=lambda host, began, ended: any(
+                self._fault_log.find(target, _RESTARTS | _STORE_FAULTS, began=began, ended=ended)
+                for target in (host, "")
+            ),
+        )
+
     def _find_requests_in_pauses(self) -> list[str]:
         arrivals: dict[tuple[str, str, int], list[ReceivedRequest]] = defaultdict(list)
         for call, received in self._pairs():
--- a/testing/test_platform_soak.py
+++ b/testing/test_platform_soak.py
@@ -161,6 +161,18 @@
     assert violations == []
 
 
+# Revoked keys were served for up to 27 s, as watches of the store had got no answer.
+@pytest.mark.asyncio
+@pytest.mark.parametrize(("seed", "seconds", "hosts"), [(8101, 20, 6), (8102, 20, 6)])
+async def test_guarantees_hold_when_watches_of_the_store_are_lost_among_faults(
+    seed: int, seconds: int, hosts: int, tmp_path: Path
+) -> None:
+    violations = await run_soak(
+        seed=seed, seconds=seconds, hosts=hosts, directory=tmp_path, watches=True
+    )
+    assert violations == []
+
+
 CHECKS_CONNECTIONS = False
 """Whether the connections of all hosts at an upstream are checked; True once hosts limit them."""
 
