Tell the return of a lost store from the first read of it

Cause: listeners heard whether the store is reachable, and nothing else. The first read of a host that has just started, and the first content from a new source, turn that from false to true as the return from an outage does, so that entries that go were kept for OUTAGE_GRACE_MS (2.2 s), though the store was never away.

Change: StoreState has three values: UNKNOWN (nobody follows the store, or it was not read yet), REACHED and LOST. Only what follows LOST is a return. ListContent tells whether the sender has lost the store; members that hear by heartbeats that the store answers no coordinator take it for lost as well.

--- a/src/tanagerscale/coordination/_feed.py
+++ b/src/tanagerscale/coordination/_feed.py
@@ -20,8 +20,10 @@
 from tanagerscale.coordination._feed_entries import EntryChange
 from tanagerscale.coordination._feed_entries import IgnoredChange
 from tanagerscale.coordination._feed_entries import StoreView
+from tanagerscale.coordination._feed_entries import merge_views
 from tanagerscale.coordination._feed_entries import to_entry
 from tanagerscale.coordination._feed_entries import to_item
+from tanagerscale.coordination._feed_entries import view_of
 from tanagerscale.coordination._listener_sync import ListenerSync
 from tanagerscale.core import Clock
 from tanagerscale.core import HostId
@@ -36,6 +38,7 @@
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
+from tanagerscale.store import StoreState
 from tanagerscale.store import WatchBatch
 from tanagerscale.store import format_revision
 
@@ -153,9 +156,9 @@
         self._sync.deliver_changes(batch)
         self._publish(self._content_since(before))
 
-    def on_reachability_changed(self, *, reachable: bool) -> None:
-        """Record whether this host's own watch is answered."""
-        self._update_own_view(replace(self._own_view, is_watched=reachable))
+    def on_store_state(self, state: StoreState) -> None:
+        """Record the state of the store that this host's own watch shows."""
+        self._update_own_view(replace(self._own_view, state=state))
 
     def on_calls(self, *, answered: bool) -> None:
         """Record whether other calls to the store are answered.
@@ -167,12 +170,13 @@
 
     def stop_watching(self) -> None:
         """Record that this host no longer watches the store."""
-        self.on_reachability_changed(reachable=False)
+        self.on_store_state(StoreState.UNKNOWN)
 
-    def follow(self, source: HostId | None) -> None:
+    def follow(self, source: HostId | None, *, is_store_lost: bool = False) -> None:
         """Receive changes from a host from now on.
 
         :param source: The host; ``None`` when this host watches the store itself.
+        :param is_store_lost: Whether there is no source because the store answers no coordinator.
         """
         if source == self._source:
             return
@@ -180,7 +184,8 @@
             self._send(self._source, ListRequest(topic=self._topic, ends=True))
         self._source = source
         if source is None:
-            self._source_view = StoreView()
+            state = StoreState.LOST if is_store_lost else StoreState.UNKNOWN
+            self._source_view = StoreView(state=state)
             self._notify_listener()
         else:
             # The former source's state of the store stays in effect until the new source answers.
@@ -235,9 +240,7 @@
         # Content without a revision comes from a source that has read nothing itself; it only
         # carries the state of the store.
         self._behind_since = None
-        self._source_view = StoreView(
-            is_watched=content.is_watched, is_answered=content.is_answered
-        )
+        self._source_view = view_of(content)
         self._notify_listener()
 
     def _apply(self, content: ListContent) -> None:
@@ -318,14 +321,10 @@
 
     def _notify_listener(self) -> None:
         """Notify the listener of the state of the store, as observed by this host or its source."""
-        view = (
-            self._own_view
-            if self._own_view.is_current or not self._source_view.is_watched
-            else self._source_view
-        )
+        view = merge_views(own=self._own_view, source=self._source_view)
         before, self._listener_view = self._listener_view, view
-        if view.is_watched is not before.is_watched:
-            self._listener.on_reachability_changed(reachable=view.is_watched)
+        if view.state is not before.state:
+            self._listener.on_store_state(view.state)
         if view.is_answered is not before.is_answered:
             self._listener.on_calls(answered=view.is_answered)
 
@@ -367,7 +366,8 @@
         return ListContent(
             topic=self._topic,
             revision=self._revision,
-            is_watched=self._own_view.is_watched,
+            is_watched=self._own_view.state is StoreState.REACHED,
+            is_lost=self._own_view.state is StoreState.LOST,
             is_answered=self._own_view.is_answered,
             entries=[to_item(entry) for entry in self._entries.values()],
         )
@@ -384,7 +384,8 @@
             topic=self._topic,
             revision=self._revision,
             after=revision,
-            is_watched=self._own_view.is_watched,
+            is_watched=self._own_view.state is StoreState.REACHED,
+            is_lost=self._own_view.state is StoreState.LOST,
             is_answered=self._own_view.is_answered,
             entries=[to_item(entry) for entry in latest.values() if entry is not None],
             deleted=[key for key, entry in latest.items() if entry is None],
--- a/src/tanagerscale/coordination/_feed_entries.py
+++ b/src/tanagerscale/coordination/_feed_entries.py
@@ -6,10 +6,13 @@
 from enum import unique
 
 from msgspec import Struct
+from msgspec.structs import replace
 
+from tanagerscale.generated.messages import ListContent
 from tanagerscale.generated.messages import ListedItem
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRevision
+from tanagerscale.store import StoreState
 
 
 @unique
@@ -29,17 +32,35 @@
 class StoreView(Struct, frozen=True, kw_only=True):
     """State of the store as observed by one host.
 
-    :param is_watched: Whether its watch is answered.
+    :param state: State of the store that its watch shows.
     :param is_answered: Whether its other calls are answered.
     """
 
-    is_watched: bool = False
+    state: StoreState = StoreState.UNKNOWN
     is_answered: bool = True
 
     @property
     def is_current(self) -> bool:
         """Whether the store delivers changes."""
-        return self.is_watched and self.is_answered
+        return self.state is StoreState.REACHED and self.is_answered
+
+
+def view_of(content: ListContent) -> StoreView:
+    """Return what the sender of entries knows of the store."""
+    if content.is_watched:
+        state = StoreState.REACHED
+    else:
+        state = StoreState.LOST if content.is_lost else StoreState.UNKNOWN
+    return StoreView(state=state, is_answered=content.is_answered)
+
+
+def merge_views(*, own: StoreView, source: StoreView) -> StoreView:
+    """Return what a host knows of the store by its own watch and from its source."""
+    if own.is_current:
+        return own
+    if source.state is StoreState.REACHED:
+        return source
+    return replace(own, state=StoreState.LOST) if source.state is StoreState.LOST else own
 
 
 class EntryChange(Struct, frozen=True, kw_only=True):
--- a/src/tanagerscale/coordination/_store_source.py
+++ b/src/tanagerscale/coordination/_store_source.py
@@ -102,6 +102,7 @@
         """Select the source again after a change of hosts or of the state of the store."""
         coordinators = self._directory.coordinators
         sources = [one for one in coordinators if one not in self._peers_without_store]
+        is_store_lost = bool(coordinators) and not sources
         is_coordinator = self._directory.is_coordinator
         # Waiting longer brings nothing where connected coordinators have reported the loss.
         delay_ms = STORE_LOSS_DELAY_MS if coordinators else ISOLATION_TIMEOUT_MS
@@ -109,7 +110,7 @@
         reads_store = is_coordinator and not self._is_store_lost
         source = None if reads_store or not sources else self._nearest(sources)
         for feed in self._feeds:
-            feed.follow(source)
+            feed.follow(source, is_store_lost=is_store_lost)
         if is_coordinator:
             self._follow_store()
         elif self._is_isolated:
--- a/src/tanagerscale/gateway/_configuration.py
+++ b/src/tanagerscale/gateway/_configuration.py
@@ -26,6 +26,7 @@
 from tanagerscale.routes import RouteTable
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
+from tanagerscale.store import StoreState
 from tanagerscale.store import WatchBatch
 
 MAX_KEPT_VERSIONS: Final = 4
@@ -81,7 +82,7 @@
         """Apply a change; a configuration whose key is deleted stays in force."""
         self._apply_all(batch.entries)
 
-    def on_reachability_changed(self, *, reachable: bool) -> None:
+    def on_store_state(self, state: StoreState) -> None:
         """Do nothing; the configuration stays in force without the store."""
 
     async def offer_from_peer(
--- a/src/tanagerscale/gateway/_operator_keys.py
+++ b/src/tanagerscale/gateway/_operator_keys.py
@@ -12,6 +12,7 @@
 from tanagerscale.store import PrefixListener
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
+from tanagerscale.store import StoreState
 from tanagerscale.store import WatchBatch
 
 
@@ -58,10 +59,10 @@
         if configured:
             self._configuration.on_changes(replace(batch, entries=configured, deleted=()))
 
-    def on_reachability_changed(self, *, reachable: bool) -> None:
-        """Pass on whether the store is reachable."""
-        self._configuration.on_reachability_changed(reachable=reachable)
-        self._evacuations.on_reachability_changed(reachable=reachable)
+    def on_store_state(self, state: StoreState) -> None:
+        """Pass on the state of the store."""
+        self._configuration.on_store_state(state)
+        self._evacuations.on_store_state(state)
 
     def _configuration_entries(self, entries: Sequence[StoreEntry]) -> tuple[StoreEntry, ...]:
         return tuple(entry for entry in entries if entry.key == self._configuration_key)
--- a/src/tanagerscale/gateway/_presence.py
+++ b/src/tanagerscale/gateway/_presence.py
@@ -30,6 +30,7 @@
 from tanagerscale.store import StoreErrorKind
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
+from tanagerscale.store import StoreState
 from tanagerscale.store import WatchBatch
 
 LEASE_TTL_S: Final = 30
@@ -211,7 +212,7 @@
             self._records.pop(key, None)
         self._publish(batch.revision)
 
-    def on_reachability_changed(self, *, reachable: bool) -> None:
+    def on_store_state(self, state: StoreState) -> None:
         """Do nothing; connections to other hosts do not depend on the store."""
 
     def _decode_record(self, entry: StoreEntry) -> None:
--- a/src/tanagerscale/membership/_evacuations.py
+++ b/src/tanagerscale/membership/_evacuations.py
@@ -17,6 +17,7 @@
 from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
 from tanagerscale.store import StoreRange
+from tanagerscale.store import StoreState
 from tanagerscale.store import WatchBatch
 from tanagerscale.store import era_of
 
@@ -104,7 +105,7 @@
         self._kept = self._kept - ended - begun
         self._replace_domains(self._stored | self._kept)
 
-    def on_reachability_changed(self, *, reachable: bool) -> None:
+    def on_store_state(self, state: StoreState) -> None:
         """Do nothing; the last known evacuations stay in force during an outage."""
 
     def on_calls(self, *, answered: bool) -> None:
--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -37,6 +37,7 @@
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
+from tanagerscale.store import StoreState
 from tanagerscale.store import WatchBatch
 from tanagerscale.store import era_of
 from tanagerscale.store import format_revision
@@ -93,7 +94,9 @@
         self._records: dict[UpstreamId, UpstreamRecord] = {}
         self._current: dict[UpstreamName, UpstreamId] = {}
         self._written_revisions: dict[UpstreamName, StoreRevision] = {}
-        self._is_store_unavailable = True
+        self._store_state = StoreState.UNKNOWN
+        self._was_store_lost = False
+        """Whether the store was lost when its state was last known."""
         self._are_calls_failing = False
         self._grace = EntryGrace(clock=clock)
         self._has_read = False
@@ -110,7 +113,7 @@
     @property
     def is_current(self) -> bool:
         """Whether the store reports changes; otherwise upstreams may leave without notice."""
-        return not self._is_store_unavailable and not self._are_calls_failing
+        return self._store_state is StoreState.REACHED and not self._are_calls_failing
 
     @property
     def is_current_changes(self) -> Observable[bool]:
@@ -218,12 +221,14 @@
             self._written_revisions[name] = batch.revision
         self._record_missing(deleted, batch.revision)
 
-    def on_reachability_changed(self, *, reachable: bool) -> None:
-        """Record whether the store is reachable; entries may have expired during an outage."""
+    def on_store_state(self, state: StoreState) -> None:
+        """Record the state of the store; entries may have expired while it was lost."""
         was_current = self.is_current
-        if reachable and self._is_store_unavailable:
+        if state is StoreState.REACHED and self._was_store_lost:
             self._grace.record_recovery()
-        self._is_store_unavailable = not reachable
+        if state is not StoreState.UNKNOWN:
+            self._was_store_lost = state is StoreState.LOST
+        self._store_state = state
         self._publish_is_current(was_current)
 
     def on_calls(self, *, answered: bool) -> None:
--- a/src/tanagerscale/store/__init__.py
+++ b/src/tanagerscale/store/__init__.py
@@ -28,6 +28,7 @@
 from tanagerscale.store._revision import format_revision
 from tanagerscale.store._revision import make_revision
 from tanagerscale.store._revision import number_of
+from tanagerscale.store._state import StoreState
 
 __all__ = [
     "MAX_PUTS",
@@ -49,6 +50,7 @@
     "StoreErrorKind",
     "StoreRange",
     "StoreRevision",
+    "StoreState",
     "WatchBatch",
     "era_of",
     "format_revision",
--- a/src/tanagerscale/store/_follow.py
+++ b/src/tanagerscale/store/_follow.py
@@ -22,6 +22,7 @@
 from tanagerscale.store._protocol import StoreRange
 from tanagerscale.store._protocol import WatchBatch
 from tanagerscale.store._revision import StoreRevision
+from tanagerscale.store._state import StoreState
 
 BASE_BACKOFF_MS: Final = 100
 MAX_BACKOFF_MS: Final = 800
@@ -49,8 +50,8 @@
     def on_changes(self, batch: WatchBatch) -> None:
         """Apply a batch of changes."""
 
-    def on_reachability_changed(self, *, reachable: bool) -> None:
-        """Handle the loss or the recovery of the store."""
+    def on_store_state(self, state: StoreState) -> None:
+        """Handle the loss or the return of the store, or that it is not followed any more."""
 
 
 @final
@@ -96,7 +97,7 @@
         self._rng = rng
         self._revision: StoreRevision | None = None
         self._failures = 0
-        self._reachable = False
+        self._state = StoreState.UNKNOWN
         self._unreachable_since = Millis(0)
         self._read_at = Millis(0)
         self._is_listener_behind = False
@@ -202,21 +203,21 @@
 
     def _record_success(self) -> None:
         self._failures = 0
-        if self._reachable:
+        if self._state is StoreState.REACHED:
             return
-        self._reachable = True
+        self._state = StoreState.REACHED
         _log.info(
             "Store is reachable.",
             prefix=self._prefix,
             away_ms=self._clock.now() - self._unreachable_since if self._unreachable_since else 0,
         )
-        self._listener.on_reachability_changed(reachable=True)
+        self._listener.on_store_state(self._state)
 
     def _record_failure(self, error: StoreError) -> None:
         self._failures += 1
-        if not self._reachable:
+        if self._state is StoreState.LOST:
             return
-        self._reachable = False
+        self._state = StoreState.LOST
         self._unreachable_since = self._clock.now()
         _log.warning(
             "Lost connection to the store.",
@@ -224,7 +225,7 @@
             kind=error.kind.value,
             detail=error.detail,
         )
-        self._listener.on_reachability_changed(reachable=False)
+        self._listener.on_store_state(self._state)
 
     def _backoff_ms(self) -> int:
         backoff_ms = min(BASE_BACKOFF_MS * 2 ** min(self._failures - 1, 8), MAX_BACKOFF_MS)
--- a/testing/test_evacuations.py
+++ b/testing/test_evacuations.py
@@ -30,6 +30,7 @@
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
+from tanagerscale.store import StoreState
 from tanagerscale.store import WatchBatch
 from testing._gateway_fakes import SERVICE
 from testing._gateway_fakes import FakeResponder
@@ -76,7 +77,7 @@
         assert known == [False, True]
         evacuations.on_changes(_batch("op/evacuate/a"))
         assert evacuations.domains == {"a"}
-        evacuations.on_reachability_changed(reachable=False)
+        evacuations.on_store_state(StoreState.LOST)
         assert evacuations.is_evacuated(FailureDomainId("a"))
         evacuations.on_changes(_batch(deleted=("op/evacuate/a",)))
         assert not evacuations.domains
@@ -132,7 +133,7 @@
         self.keys += [entry.key for entry in batch.entries]
         self.deleted += batch.deleted
 
-    def on_reachability_changed(self, *, reachable: bool) -> None:
+    def on_store_state(self, state: StoreState) -> None:
         """Do nothing."""
 
 
--- a/testing/test_odd_entries_follow.py
+++ b/testing/test_odd_entries_follow.py
@@ -49,6 +49,7 @@
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
+from tanagerscale.store import StoreState
 from tanagerscale.store import WatchBatch
 from tanagerscale.store._follow import MIN_REREAD_INTERVAL_MS
 from tanagerscale.upstreams import UpstreamEntry
@@ -227,7 +228,7 @@
         self._fail()
         self.known |= {entry.key: entry.value for entry in batch.entries}
 
-    def on_reachability_changed(self, *, reachable: bool) -> None:
+    def on_store_state(self, state: StoreState) -> None:
         pass
 
     def on_calls(self, *, answered: bool) -> None:
--- a/testing/test_platform_store.py
+++ b/testing/test_platform_store.py
@@ -40,6 +40,7 @@
 from tanagerscale.store import StoreErrorKind
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
+from tanagerscale.store import StoreState
 from tanagerscale.store import WatchBatch
 from tanagerscale.store import number_of
 from tanagerscale.upstreams import ConnectionPool
@@ -167,9 +168,9 @@
         for key in batch.deleted:
             self.known.pop(key, None)
 
-    def on_reachability_changed(self, *, reachable: bool) -> None:
+    def on_store_state(self, state: StoreState) -> None:
         """Record whether the store is reachable."""
-        self.reachable.append(reachable)
+        self.reachable.append(state is StoreState.REACHED)
 
 
 async def _wait_until_known(listener: RecordingListener, expected: dict[str, bytes]) -> None:
--- a/testing/test_roster.py
+++ b/testing/test_roster.py
@@ -22,6 +22,7 @@
 from tanagerscale.store import StoreEntry
 from tanagerscale.store import StoreRange
 from tanagerscale.store import StoreRevision
+from tanagerscale.store import StoreState
 from tanagerscale.store import WatchBatch
 from tanagerscale.upstreams import UpstreamEntry
 from testing._listed_upstreams import SERVICE
@@ -83,13 +84,13 @@
 async def _make_settled_harness(*, outage: bool = False) -> RosterHarness:
     """Return a harness whose store is reachable, optionally right after an outage."""
     harness = RosterHarness()
-    harness.roster.on_reachability_changed(reachable=True)
+    harness.roster.on_store_state(StoreState.REACHED)
     harness.snapshot(*NAMES)
     await asyncio.sleep(SETTLE_S)
     if outage:
-        harness.roster.on_reachability_changed(reachable=False)
+        harness.roster.on_store_state(StoreState.LOST)
         await asyncio.sleep(SETTLE_S)
-        harness.roster.on_reachability_changed(reachable=True)
+        harness.roster.on_store_state(StoreState.REACHED)
     return harness
 
 
@@ -202,7 +203,7 @@
 def test_upstreams_are_gone_immediately_when_few_entries_disappear(count: int) -> None:
     async def scenario() -> None:
         harness = RosterHarness()
-        harness.roster.on_reachability_changed(reachable=True)
+        harness.roster.on_store_state(StoreState.REACHED)
         names = [f"n{number}" for number in range(20)]
         harness.snapshot(*names)
         await asyncio.sleep(SETTLE_S)
@@ -215,7 +216,7 @@
 async def _make_harness_with_start_times() -> RosterHarness:
     """Return a harness whose upstreams report their start times, all of them 1000."""
     harness = RosterHarness()
-    harness.roster.on_reachability_changed(reachable=True)
+    harness.roster.on_store_state(StoreState.REACHED)
     for name in NAMES:
         harness.write(name, state="ready@1000")
     await asyncio.sleep(SETTLE_S)
