Follow the store as soon as all coordinators are silent

Cause: two waits in a row, each bounded by itself. A connection that is silent for three heartbeats (1.5 s) is closed, and only then did the 1.2 s begin after which a coordinator is replaced, or the 1.3 s after which a host without one follows the store.

It stops when one is heard again.

Ruled out: a shorter time until a coordinator is replaced, as that moves decisions, and its cause was not that wait alone.

--- a/src/tanagerscale/coordination/_store_source.py
+++ b/src/tanagerscale/coordination/_store_source.py
@@ -20,6 +20,7 @@
 from tanagerscale.core import HostId
 from tanagerscale.core import Millis
 from tanagerscale.core import get_logger
+from tanagerscale.generated.messages import Heartbeat
 from tanagerscale.store import format_revision
 
 ISOLATION_TIMEOUT_MS: Final = 1300
@@ -31,6 +32,15 @@
 """How long all connected coordinators must be without the store before a host follows it itself.
 Where the store loses single answers, this leaves out most moments in which all report its loss."""
 
+SILENT_INTERVALS: Final = 2
+"""Heartbeat intervals without a heartbeat of any coordinator after which a host follows the store
+itself. If all coordinators lose power at once, it must know of changes within two seconds, which is
+less than the three intervals after which their connections are closed and the time for their
+replacement."""
+
+LATE_READ_MS: Final = 50
+"""Time in which heartbeats are read that arrived while the event loop stood still."""
+
 PROBE_INTERVAL_MS: Final = 1000
 PROBE_JITTER: Final = (0.5, 1.5)
 """Interval, with jitter, at which a host checks whether the store answers it while the store
@@ -77,6 +87,10 @@
         self._isolation_timer: asyncio.TimerHandle | None = None
         self._is_isolated = False
         self._probe: asyncio.Task[None] | None = None
+        self._heard_until = Millis(0)
+        """When the coordinators count as silent, unless one of them is heard before."""
+        self._silence_timer: asyncio.TimerHandle | None = None
+        self._are_silent = False
 
     @property
     def follows_store(self) -> bool:
@@ -93,6 +107,12 @@
             self._peers_without_store.discard(host)
         self.reevaluate()
 
+    def on_heartbeat(self, host: HostId, heartbeat: Heartbeat) -> None:
+        """Record that another host lives, and whether the store answers it."""
+        if host in self._directory.coordinators:
+            self._record_heard(interval_ms=heartbeat.next_ms)
+        self.on_peer_store(host, is_lost=heartbeat.store_lost)
+
     def on_own_store(self, *, is_lost: bool) -> None:
         """Record whether the store answers this host."""
         self._is_store_lost = is_lost
@@ -103,9 +123,13 @@
         coordinators = self._directory.coordinators
         sources = [one for one in coordinators if one not in self._peers_without_store]
         is_store_lost = bool(coordinators) and not sources
+        if self._are_silent:
+            sources = []
         is_coordinator = self._directory.is_coordinator
         # Waiting longer brings nothing where connected coordinators have reported the loss.
         delay_ms = STORE_LOSS_DELAY_MS if coordinators else ISOLATION_TIMEOUT_MS
+        if self._are_silent:
+            delay_ms = 0
         self._update_isolation(not sources and not is_coordinator, delay_ms=delay_ms)
         reads_store = is_coordinator and not self._is_store_lost
         source = None if reads_store or not sources else self._nearest(sources)
@@ -126,9 +150,38 @@
     async def stop(self) -> None:
         """Stop following the store."""
         self._cancel_isolation_timer()
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
         self._end_probe()
         self._stop_following_store()
 
+    def _record_heard(self, *, interval_ms: int) -> None:
+        self._heard_until = Millis(self._clock.now() + SILENT_INTERVALS * interval_ms)
+        if self._silence_timer is None:
+            self._check_silence_at(self._heard_until)
+        if self._are_silent:
+            self._are_silent = False
+            self.reevaluate()
+
+    def _check_silence_at(self, due: Millis) -> None:
+        delay_ms = due + LATE_READ_MS - self._clock.now()
+        self._silence_timer = asyncio.get_running_loop().call_later(
+            delay_ms / MS_PER_SECOND, self._check_silence, due
+        )
+
+    def _check_silence(self, due: Millis) -> None:
+        """Follow the store if no coordinator has been heard."""
+        self._silence_timer = None
+        now = self._clock.now()
+        if self._heard_until > due:
+            self._check_silence_at(self._heard_until)
+        elif now > due + 2 * LATE_READ_MS:
+            self._check_silence_at(now)
+        elif self._directory.coordinators:
+            _log.warning("All coordinators are silent.", coordinators=self._directory.coordinators)
+            self._are_silent = True
+            self.reevaluate()
+
     def _nearest(self, sources: Sequence[HostId]) -> HostId:
         """Return the source for this host; different hosts select different sources."""
         return min(sources, key=lambda other: distance(self._host, other))
--- a/src/tanagerscale/gateway/_peer_messages.py
+++ b/src/tanagerscale/gateway/_peer_messages.py
@@ -119,7 +119,7 @@
         receivers = self._receivers
         match message:
             case Heartbeat():
-                receivers.store_source.on_peer_store(host, is_lost=message.store_lost)
+                receivers.store_source.on_heartbeat(host, message)
             case Coordinators():
                 receivers.directory.on_message(message)
             case MoveOrder():
