Keep entries that are missing while the store counts as lost

What callers saw: not known. After an outage of the store an upstream whose entry had expired meanwhile got no requests from any host, though its entry is back within two seconds.

Cause: a host whose own link to the store is still down gets entries from a peer that reads them already. They were applied before the host had heard that the store is back, so that the grace for entries that expired had not begun, and the upstream was announced to all hosts as leaving.

Change: the grace begins as well when an entry goes missing while the store counts as lost.

--- a/src/tanagerscale/membership/_roster.py
+++ b/src/tanagerscale/membership/_roster.py
@@ -394,6 +394,9 @@
         for record in missing:
             record.missing_since = now
             record.missing_at = revision
+        if self._was_store_lost:
+            # A peer that sends entries knows before this host that the store is back.
+            self._grace.record_recovery()
         wait_ms = self._grace.compute_ms([self._records[one] for one in self._current.values()])
         for record in missing:
             self._mark_gone_later(record, revision, wait_ms)
--- a/testing/test_first_reads.py
+++ b/testing/test_first_reads.py
@@ -56,3 +56,18 @@
         return await _find_hosts_that_keep(fleet, "e0")
 
     assert _run(scenario) == []
+
+
+# Entries that expire in an outage are back within two seconds of its end.
+def test_upstreams_keep_their_requests_when_their_entries_are_missing_after_an_outage() -> None:
+    async def scenario(fleet: Fleet) -> int:
+        for host in fleet.hosts:
+            host.store.set_down(True)
+        await asyncio.sleep(3)
+        fleet.remove_engine("e0")
+        for host in fleet.hosts:
+            host.store.set_down(False)
+        await asyncio.sleep(1.5)
+        return len(hosts_that_send_to(fleet, "e0"))
+
+    assert _run(scenario) == HOSTS
