Count a connection as closed for others where it belongs

What callers saw: nothing known.

Cause: the server for callers counted each connection that it closed for a new one as its own. Uploads of other hosts may be closed as well, and their end was never seen by it.

Change: the connection reports to the server that owns it, and not after its end.

The 57 tests of crowds pass.

--- a/src/tanagerscale/gateway/_caller_server.py
+++ b/src/tanagerscale/gateway/_caller_server.py
@@ -113,7 +113,7 @@
         )
 
     def _make_protocol(self) -> CallerProtocol:
-        return CallerProtocol(
+        protocol = CallerProtocol(
             server=self._server,
             clock=self._clock,
             on_end=self._on_end,
@@ -121,6 +121,11 @@
             head_bytes=self._rules.header_bytes,
             context=self._context,
         )
+        protocol.on_evicted = self._count_evicted
+        return protocol
+
+    def _count_evicted(self) -> None:
+        self._evicted += 1
 
     def _on_end(self, protocol: CallerProtocol, unhandled: Sequence[web.BaseRequest]) -> None:
         self._evicted -= protocol.is_evicted
@@ -133,13 +138,14 @@
         others = [one for one in self._connections if one is not opened]
         now = self._clock.now()
         uploads = self._limits.uploads
-        self._evicted += (
+        has_closed = (
             close_unserved(others)
             or uploads.close_one(now=now, is_stalled=True)
             or close_idle_one(others)
             or uploads.close_one(now=now)
-            or opened.end_at_once()
         )
+        if not has_closed:
+            opened.end_at_once()
 
     def close_idle(self, *, limit_ms: int | None = None, interval_ms: int = 0) -> None:
         """Close connections that have been idle for too long, or send a head for too long.
--- a/src/tanagerscale/gateway/_gated_protocol.py
+++ b/src/tanagerscale/gateway/_gated_protocol.py
@@ -97,6 +97,8 @@
         self._dropped_bytes = 0
         self.is_evicted = False
         """Whether the connection is closed for others."""
+        self.on_evicted: Callable[[], None] = lambda: None
+        """Called as the connection is closed for others."""
         self.is_refused = False
         """Whether the client was refused, and nothing more of it is read."""
         self._gated: GatedTransport | None = None
@@ -378,9 +380,10 @@
 
     def end_at_once(self) -> bool:
         """Close the connection, which is needed for other clients; return whether it was open."""
-        if self.is_evicted:
+        if self.is_evicted or self.transport is None:
             return False
         self.is_refused = self.is_evicted = True
+        self.on_evicted()
         self.record_problem(InputProblem.NO_DESCRIPTOR)
         self._abort()
         return True
