--- a/testing/test_lost_watches.py
+++ b/testing/test_lost_watches.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 import msgspec
+from msgspec.structs import replace
 import pytest
 
 from tanagerscale.coordination._announcements import RANK_DELAY_MS
@@ -34,6 +35,8 @@
 DOMAINS = 3
 SLOW_ANSWER_MS: Final = 376
 """Time of an answer where the store is 94 times slower than usual."""
+MAX_WAIT_MS = 30_000
+"""Longest wait of a watch that the platform's store takes."""
 HOSTS_PREFIX = "p/hosts/"
 BURST_S = 0.05
 """Time after a change in which the watches that begin are lost."""
@@ -225,3 +228,11 @@
 
 async def _get_followed(fleet: Fleet) -> tuple[FollowedPrefix, ...]:
     return _followed(fleet)
+
+
+# Guards against a wait that the store refuses, as it holds a watch for 30 s at most.
+def test_wait_is_one_that_the_store_accepts_when_the_deadline_is_long() -> None:
+    async def scenario(fleet: Fleet) -> list[int]:
+        return [replace(one, deadline_ms=60_000).wait_ms for one in _followed(fleet)]
+
+    assert all(wait_ms <= MAX_WAIT_MS for wait_ms in _run(scenario))
